--- a/check/check.go
+++ b/check/check.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"sort"
+	"strconv"
+	"strings"
 
 	"sparnotch/loop"
 	"sparnotch/schema"
@@ -25,12 +27,21 @@
 	Order       = "order"      // a worker takes an order
 	Begin       = "begin"      // a task begins to run
 	End         = "end"        // and ends
-	PlanPut     = "plan-put"
+	PlanSent    = "plan-sent"  // an operator sends a table
+	PlanPut     = "plan-put"   // and is answered
 	PlanRead    = "plan-read"
-	Fault       = "fault" // something major was done to the system
-	Close       = "close" // end of the run; what isn't over by now is late
+	Fault       = "fault"       // something major was done to the system
+	Away        = "front-away"  // a front that can reach no quorum, or is down
+	Back        = "front-back"  // and is up and reaches one
+	Heard       = "heard"       // a worker was answered, told once a second
+	CancelSent  = "cancel-sent" // a caller asks for a cancel
+	Clock       = "clock"       // what a right wall clock shows
+	Close       = "close"       // end of the run; what isn't over by now is late
 )
 
+// Mended is the state of a Cut that is over.
+const Mended = "mended"
+
 // Event is one thing somebody saw.
 type Event struct {
 	At          loop.Micros `json:"at"`
@@ -49,6 +60,25 @@
 	Memory      int64       `json:"memory,omitempty"`
 	Incarnation uint64      `json:"incarnation,omitempty"`
 	Spec        *schema.Job `json:"spec,omitempty"`
+
+	Front string        `json:"front,omitempty"` // through which an errand went
+	Sent  loop.Micros   `json:"sent,omitempty"`  // when the errand was sent that this answers
+	Rack  string        `json:"rack,omitempty"`
+	Built uint64        `json:"built,omitempty"` // the generation a sheet was built on
+	Rows  []*schema.Row `json:"rows,omitempty"`  // of a table that was put or read
+	Wall  int64         `json:"wall,omitempty"`
+}
+
+// sent is when the errand was sent that an event answers.
+func (e *Event) sent() loop.Micros {
+	if e.Sent > 0 {
+		return e.Sent
+	}
+	return e.At
+}
+
+func isOver(state string) bool {
+	return state == "complete" || state == "failed" || state == "cancelled"
 }
 
 // Breach is one broken rule.
@@ -70,12 +100,14 @@
 	Plan     loop.Micros
 	Away     loop.Micros
 	Together loop.Micros // members of a group begin within this
+	Struck   loop.Micros // before a group's first start: a worker lost then wasn't missed yet
+	Settle   loop.Micros // a front that is back serves by then
 }
 
 // Usual are the brief's bounds.
 var Usual = Bounds{
 	Kept: 120 * loop.Second, Early: 100 * loop.Milli, Leave: 2 * loop.Second, Cancel: 3 * loop.Second,
-	Stop: loop.Second, Plan: 2 * loop.Second, Away: 12 * loop.Second, Together: 5 * loop.Second,
+	Stop: loop.Second, Plan: 2 * loop.Second, Away: 12 * loop.Second, Together: 5 * loop.Second, Struck: loop.Second, Settle: 5 * loop.Second,
 }
 
 type jobKey struct{ lane, name string }
@@ -105,9 +137,11 @@
 	refused   int // answered with a final no
 	accepted  loop.Micros
 	isTaken   bool
+	created   int // answers of 201
 	isOver    bool
 	overAt    loop.Micros
-	cancelled loop.Micros
+	askedEnd  loop.Micros // when a cancel was first asked for
+	cancelled loop.Micros // and confirmed
 	ids       map[uint64]bool
 	stints    map[taskId][]*stint
 	statuses  []Event
@@ -117,13 +151,20 @@
 type judge struct {
 	bounds   Bounds
 	accounts map[jobKey]*account
+	byTask   map[taskId]*account // names are missing in stops
 	breaches []Breach
 	troubles map[string][]loop.Micros // when a worker crashed, froze or was cut off
+	faults   []loop.Micros
+	leaves   map[string][]loop.Micros
+	walls    []Event // right clocks
 }
 
 // Judge finds every broken rule in a history, which must be in order of time.
 func Judge(history []Event, bounds Bounds) []Breach {
-	j := &judge{bounds: bounds, accounts: map[jobKey]*account{}, troubles: map[string][]loop.Micros{}}
+	j := &judge{
+		bounds: bounds, accounts: map[jobKey]*account{}, byTask: map[taskId]*account{}, troubles: map[string][]loop.Micros{},
+		leaves: map[string][]loop.Micros{},
+	}
 	j.read(history)
 	keys := make([]jobKey, 0, len(j.accounts))
 	for key := range j.accounts {
@@ -140,8 +181,14 @@
 	j.rooms(history)
 	j.leaving(history)
 	j.plans(history)
+	j.effects(history)
 	j.away(history)
-	sort.SliceStable(j.breaches, func(a, b int) bool { return j.breaches[a].At < j.breaches[b].At })
+	j.served(history)
+	j.answered(history)
+	sort.SliceStable(j.breaches, func(a, b int) bool {
+		x, y := j.breaches[a], j.breaches[b]
+		return x.At < y.At || x.At == y.At && (x.Rule < y.Rule || x.Rule == y.Rule && x.What < y.What)
+	})
 	return j.breaches
 }
 
@@ -159,6 +206,17 @@
 	return a
 }
 
+// bare is the task without its job's name.
+func (e *Event) bare() taskId { return taskId{jobKey{lane: e.Lane}, e.Job, e.Step, e.Task} }
+
+// shown takes in an answer that shows a job's state.
+func (j *judge) shown(a *account, e *Event) {
+	a.statuses = append(a.statuses, *e)
+	if e.Code < 300 && isOver(e.State) && !a.isOver {
+		a.isOver, a.overAt = true, e.At
+	}
+}
+
 func (e *Event) id() taskId { return taskId{jobKey{e.Lane, e.Name}, e.Job, e.Step, e.Task} }
 
 func (a *account) open(e *Event) *stint {
@@ -184,26 +242,42 @@
 			a := j.account(e)
 			switch {
 			case e.Code == 200 || e.Code == 201:
+				if e.Code == 201 {
+					a.created++
+				}
 				if !a.isTaken {
 					a.isTaken, a.accepted = true, e.At
 				}
-			case e.Code >= 400 && e.Code < 500:
+				j.shown(a, e)
+			case e.Code >= 400 && e.Code < 500 || e.Code == 503:
+				// Either says that the errand was turned away.
 				a.refused++
 			}
 		case Status:
-			a := j.account(e)
-			a.statuses = append(a.statuses, *e)
-			isOver := e.State == "complete" || e.State == "failed" || e.State == "cancelled"
-			if e.Code == 200 && isOver && !a.isOver {
-				a.isOver, a.overAt = true, e.At
+			j.shown(j.account(e), e)
+		case CancelSent:
+			if a := j.account(e); a.askedEnd == 0 {
+				a.askedEnd = e.At
 			}
 		case CancelReply:
-			if a := j.account(e); e.Code == 200 && a.cancelled == 0 {
+			a := j.account(e)
+			if e.Code == 200 && a.cancelled == 0 {
 				a.cancelled = e.At
 			}
+			if e.Code == 200 && a.askedEnd == 0 {
+				a.askedEnd = e.sent()
+			}
+			j.shown(a, e)
+		case Fault:
+			j.faults = append(j.faults, e.At)
+		case Leave:
+			j.leaves[e.Who] = append(j.leaves[e.Who], e.At)
+		case Clock:
+			j.walls = append(j.walls, *e)
 		case Begin:
 			a := j.account(e)
 			a.ids[e.Job] = true
+			j.byTask[e.bare()] = a
 			a.stints[e.id()] = append(a.stints[e.id()], &stint{
 				begin: e.At, worker: e.Who, incarnation: e.Incarnation, attempt: e.Attempt, cores: e.Cores, mem: e.Memory,
 			})
@@ -218,14 +292,11 @@
 			}
 			if e.State == "stop" {
 				// A stop names the task; the job's name may be missing in it.
-				for _, a := range j.accounts {
-					for id, list := range a.stints {
-						if id.lane == e.Lane && id.job == e.Job && id.step == e.Step && id.task == e.Task {
-							for _, s := range list {
-								if s.end == 0 && s.worker == e.Who && s.attempt == e.Attempt && s.told == 0 {
-									s.told = e.At
-								}
-							}
+				if a := j.byTask[e.bare()]; a != nil {
+					id := taskId{a.key, e.Job, e.Step, e.Task}
+					for _, s := range a.stints[id] {
+						if s.end == 0 && s.worker == e.Who && s.attempt == e.Attempt && s.told == 0 {
+							s.told = e.At
 						}
 					}
 				}
@@ -237,7 +308,9 @@
 			j.trouble(e)
 			j.eachOpen(e.Who, func(a *account, id taskId, s *stint) { s.end, s.outcome = e.At, "paused" })
 		case Cut:
-			j.trouble(e)
+			if e.State != Mended {
+				j.trouble(e)
+			}
 		case Resume:
 			j.resume(e)
 		}
@@ -281,13 +354,20 @@
 	if a.isTaken && !a.isOver {
 		j.breach(1, closed, "%s was accepted at %d and had not ended at the close", name, a.accepted)
 	}
+	// The end counts from when the last of it was seen to end, which may be
+	// before anybody asked.
+	endAt := a.endAt()
 	for _, s := range a.statuses {
-		isKept := !a.isOver || s.At < a.overAt+j.bounds.Kept
-		if s.Code == 404 && a.isTaken && s.At > a.accepted && isKept {
-			j.breach(1, s.At, "%s was accepted at %d and is unknown", name, a.accepted)
+		isKept := !a.isOver || s.At < endAt+j.bounds.Kept
+		if s.Code == 404 && s.Kind != HandInReply && a.isTaken && s.sent() > a.accepted && isKept {
+			j.breach(1, s.At, "%s was accepted at %d and is unknown to %s", name, a.accepted, s.Front)
 			break
 		}
 	}
+	// A job that is made a second time was forgotten in between.
+	if a.created > 1 && closed < endAt+j.bounds.Kept {
+		j.breach(1, closed, "%s was made %d times", name, a.created)
+	}
 	// 2: one name, one job; one task, one stint at a time.
 	if len(a.ids) > 1 {
 		j.breach(2, a.accepted, "%s ran as %d jobs", name, len(a.ids))
@@ -303,7 +383,7 @@
 		return ids[x].task < ids[y].task
 	})
 	for _, id := range ids {
-		j.judgeTask(a, id, a.stints[id])
+		j.judgeTask(a, id, a.stints[id], closed)
 	}
 	// 3: nothing runs that was only ever turned away.
 	if len(ids) > 0 && a.sent > 0 && a.refused == a.sent {
@@ -317,7 +397,37 @@
 	j.judgeGroups(a, name, closed)
 }
 
-func (j *judge) judgeTask(a *account, id taskId, list []*stint) {
+// endAt is when the job's last task ended, as far as it was seen; without any,
+// when somebody was first told that it is over.
+func (a *account) endAt() loop.Micros {
+	last := loop.Micros(0)
+	for _, list := range a.stints {
+		for _, s := range list {
+			if s.end > last && s.end <= a.overAt {
+				last = s.end
+			}
+		}
+	}
+	if last == 0 {
+		return a.overAt
+	}
+	return last
+}
+
+// isAmid tells whether a fault, or trouble of the worker, lies so near that
+// what is asked of the system may take a whole recovery.
+func (j *judge) isAmid(worker string, from, to loop.Micros) bool {
+	for _, list := range [][]loop.Micros{j.faults, j.troubles[worker]} {
+		for _, at := range list {
+			if at > from-j.bounds.Away && at < to {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (j *judge) judgeTask(a *account, id taskId, list []*stint, closed loop.Micros) {
 	what := fmt.Sprintf("%s/%s step %d task %d", id.lane, id.name, id.step, id.task)
 	sort.SliceStable(list, func(x, y int) bool { return list[x].begin < list[y].begin })
 	failures := uint32(0)
@@ -348,6 +458,16 @@
 		if a.cancelled > 0 && s.begin > a.cancelled+j.bounds.Cancel && !s.isResumed {
 			j.breach(8, s.begin, "%s starts %d us after its job was cancelled", what, s.begin-a.cancelled)
 		}
+		// What runs when the cancel is confirmed is told so, in the same span.
+		if a.cancelled > 0 && s.begin <= a.cancelled && (s.end == 0 || s.end > a.cancelled) && !s.isResumed {
+			until := a.cancelled + j.bounds.Cancel + j.bounds.Stop
+			if j.isAmid(s.worker, a.cancelled, until) {
+				until += j.bounds.Away
+			}
+			if s.end > until || s.end == 0 && until < closed {
+				j.breach(8, s.begin, "%s runs on %d us after its job was cancelled", what, max(s.end, until)-a.cancelled)
+			}
+		}
 		if s.told > 0 && (s.end == 0 || s.end > s.told+j.bounds.Stop) {
 			j.breach(8, s.told, "%s runs on after it was told to stop", what)
 		}
@@ -368,6 +488,9 @@
 			if a.spec.DelayUs > 0 && s.begin < a.firstSent+loop.Micros(a.spec.DelayUs)-j.bounds.Early {
 				j.breach(4, s.begin, "%s starts %d us early", name, a.firstSent+loop.Micros(a.spec.DelayUs)-s.begin)
 			}
+			if wall, isKnown := j.wallAt(s.begin); a.spec.StartWallUs > 0 && isKnown && wall < a.spec.StartWallUs-int64(j.bounds.Early) {
+				j.breach(4, s.begin, "%s starts %d us before its moment", name, a.spec.StartWallUs-wall)
+			}
 			for _, dependency := range a.spec.Steps[id.step].After {
 				d := index[dependency]
 				for t := uint32(0); t < a.spec.Steps[d].Tasks; t++ {
@@ -380,6 +503,14 @@
 	}
 }
 
+// wallAt is what a right clock showed at a moment.
+func (j *judge) wallAt(at loop.Micros) (int64, bool) {
+	if len(j.walls) == 0 {
+		return 0, false
+	}
+	return j.walls[0].Wall + int64(at-j.walls[0].At), true
+}
+
 func (a *account) doneBy(id taskId, at loop.Micros) bool {
 	for _, s := range a.stints[id] {
 		if s.outcome == "done" && s.end <= at {
@@ -389,17 +520,36 @@
 	return false
 }
 
-// judgeComplete: 9, shown complete only when every task is done.
+// judgeComplete: 9, shown complete only when every task is done and none runs,
+// by whatever answer shows it; and what is over stays as it ended.
 func (j *judge) judgeComplete(a *account, name string) {
 	for _, s := range a.statuses {
-		if s.Code != 200 || s.State != "complete" {
+		if s.Code >= 300 || !isOver(s.State) {
+			continue
+		}
+		for _, later := range a.statuses {
+			if later.Code < 300 && later.State != "" && later.sent() > s.At && later.State != s.State {
+				j.breach(9, later.At, "%s was shown %s at %d and is shown %s", name, s.State, s.At, later.State)
+				return
+			}
+		}
+		break
+	}
+	for _, s := range a.statuses {
+		if s.Code >= 300 || s.State != "complete" {
 			continue
 		}
 		for k, step := range a.spec.Steps {
 			for t := uint32(0); t < step.Tasks; t++ {
 				isDone := false
 				for id := range a.ids {
-					isDone = isDone || a.doneBy(taskId{a.key, id, uint32(k), t}, s.At)
+					task := taskId{a.key, id, uint32(k), t}
+					isDone = isDone || a.doneBy(task, s.At)
+					for _, run := range a.stints[task] {
+						if !run.isResumed && (run.end == 0 || run.end > s.At) {
+							j.breach(9, s.At, "%s is shown complete, step %d task %d runs", name, k, t)
+						}
+					}
 				}
 				if !isDone {
 					j.breach(9, s.At, "%s is shown complete, step %d task %d isn't done", name, k, t)
@@ -419,14 +569,18 @@
 		for job := range a.ids {
 			for t := uint32(0); t < step.Tasks; t++ {
 				for _, s := range a.stints[taskId{a.key, job, uint32(k), t}] {
-					// One that is stopped again within the bound didn't run in part.
-					if s.end != 0 && s.end < s.begin+j.bounds.Together && s.outcome != "done" || s.begin+j.bounds.Together > closed {
+					if s.begin+j.bounds.Together > closed || s.isResumed {
 						continue
 					}
 					for other := uint32(0); other < step.Tasks; other++ {
 						id := taskId{a.key, job, uint32(k), other}
-						if !a.beganNear(id, s.begin, j.bounds.Together) && !j.isStruck(a.holds[id], s.begin) {
+						if a.beganNear(id, s.begin, j.bounds.Together) {
+							continue
+						}
+						if !j.isUnavoidable(a, s, a.holds[id]) {
 							j.breach(10, s.begin, "%s step %d: task %d begins and task %d doesn't", name, k, t, other)
+						} else if until := s.begin + j.bounds.Away; s.end > until || s.end == 0 && until < closed {
+							j.breach(10, s.begin, "%s step %d: task %d runs on though task %d never began", name, k, t, other)
 						}
 					}
 				}
@@ -435,16 +589,23 @@
 	}
 }
 
-// isStruck: the member was held by a worker that crashed, froze or was cut off
-// just then. Nobody can start what holds no more, so that the others began is
-// no fault; what becomes of them afterwards is judged like anything else.
-func (j *judge) isStruck(holds []Event, begin loop.Micros) bool {
+// isUnavoidable tells whether no scheduler could have kept the group whole:
+// the worker that held the other member was lost in the moment between the
+// last word of it and its start, the job was being cancelled, or the member
+// that did begin had failed by itself before the other's order could arrive.
+func (j *judge) isUnavoidable(a *account, s *stint, holds []Event) bool {
+	if a.askedEnd > 0 && a.askedEnd < s.begin+j.bounds.Together {
+		return true
+	}
+	if s.outcome == "failed" && s.end < s.begin+100*loop.Milli {
+		return true
+	}
 	for k := len(holds) - 1; k >= 0; k-- {
-		if holds[k].At > begin {
+		if holds[k].At > s.begin {
 			continue
 		}
 		for _, at := range j.troubles[holds[k].Who] {
-			if at > begin-loop.Second && at < begin+j.bounds.Together {
+			if at > s.begin-j.bounds.Struck && at < s.begin+j.bounds.Struck {
 				return true
 			}
 		}
@@ -462,21 +623,28 @@
 	return false
 }
 
-// rooms: 6, what runs on a worker fits it at every moment.
+// rooms: 6, what runs on a worker fits it at every moment. A worker that
+// starts again begins empty, with the room it then has; two processes that
+// bear one name are two machines, each with its own room.
 func (j *judge) rooms(history []Event) {
 	type load struct {
 		cores, memory, roomCores, roomMemory int64
 		running                              map[string]*Event
 		isTold                               bool
 	}
-	workers := map[string]*load{}
+	type machine struct {
+		who         string
+		incarnation uint64
+	}
+	workers := map[machine]*load{}
 	for k := range history {
 		e := &history[k]
-		w := workers[e.Who]
+		who := machine{e.Who, e.Incarnation}
+		w := workers[who]
 		key := fmt.Sprint(e.Lane, "/", e.Job, "/", e.Step, "/", e.Task, "/", e.Attempt)
 		switch e.Kind {
 		case Up:
-			workers[e.Who] = &load{roomCores: e.Cores, roomMemory: e.Memory, running: map[string]*Event{}}
+			workers[who] = &load{roomCores: e.Cores, roomMemory: e.Memory, running: map[string]*Event{}}
 		case Begin:
 			if w == nil {
 				continue
@@ -519,40 +687,213 @@
 	}
 }
 
-// plans: 11, a table that was taken is seen by all soon after, and stays.
+// sheet is a table's content, whatever the order of its rows.
+func sheet(rows []*schema.Row) string {
+	lines := make([]string, 0, len(rows))
+	for _, row := range rows {
+		lines = append(lines, fmt.Sprintf("%s/%s/%s=%s", row.Kind, row.Name, row.Key, row.Value))
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "\n")
+}
+
+// plans: 11, a table that was taken is seen by all soon after, is what was put,
+// and stays; of two built on the same generation only one is taken.
 func (j *judge) plans(history []Event) {
 	type taken struct {
 		at         loop.Micros
 		generation uint64
 	}
 	var puts []taken
-	var last *Event
+	won := map[uint64]string{} // by generation
+	tried := map[string]bool{} // every content anybody sent
+	newest := map[string]Event{}
+	last := map[string]*Event{} // newest read of each front
+	isUp := map[string]bool{}
 	for k := range history {
 		e := &history[k]
 		switch e.Kind {
+		case Away:
+			isUp[e.Front] = false
+		case Back:
+			isUp[e.Front] = true
+		case PlanSent:
+			tried[sheet(e.Rows)] = true
 		case PlanPut:
-			if e.Code == 200 {
-				puts = append(puts, taken{e.At, e.Generation})
+			content := sheet(e.Rows)
+			if e.Code != 200 {
+				continue
+			}
+			puts = append(puts, taken{e.At, e.Generation})
+			if e.Rows == nil {
+				continue
 			}
+			if other, isKnown := won[e.Generation]; isKnown && other != content {
+				j.breach(11, e.At, "two tables were both taken as generation %d", e.Generation)
+			}
+			won[e.Generation] = content
 		case PlanRead:
 			if e.Code != 200 {
 				continue
 			}
-			last = e
+			last[e.Front] = e
 			for _, p := range puts {
-				if e.At > p.at+j.bounds.Plan && e.Generation < p.generation {
-					j.breach(11, e.At, "generation %d was taken at %d, %s shows %d", p.generation, p.at, e.Who, e.Generation)
+				if e.sent() > p.at+j.bounds.Plan && e.Generation < p.generation {
+					j.breach(11, e.At, "generation %d was taken at %d, %s shows %d", p.generation, p.at, e.Front, e.Generation)
 					break
 				}
 			}
+			if seen, isSeen := newest[""]; isSeen && e.sent() > seen.At && e.Generation < seen.Generation {
+				j.breach(11, e.At, "generation %d was shown at %d, and %s shows %d again", seen.Generation, seen.At, e.Front, e.Generation)
+			}
+			if seen := newest[""]; e.Generation >= seen.Generation {
+				newest[""] = *e
+			}
+			if e.Rows == nil {
+				continue
+			}
+			content := sheet(e.Rows)
+			if mine, isWon := won[e.Generation]; isWon && mine != content {
+				j.breach(11, e.At, "generation %d is shown with other content than was taken", e.Generation)
+			} else if !isWon && e.Generation > 1 && !tried[content] {
+				j.breach(11, e.At, "generation %d is shown with content nobody put", e.Generation)
+			} else if !isWon {
+				won[e.Generation] = content
+			}
+		}
+	}
+	if len(puts) == 0 {
+		return
+	}
+	final := puts[0]
+	for _, p := range puts {
+		if p.generation > final.generation {
+			final = p
+		}
+	}
+	// Read back at the end, through every front that can be asked.
+	isRead := len(isUp) > 0
+	for front, isHere := range isUp {
+		if isHere && (last[front] == nil || last[front].sent() < final.at || last[front].Generation < final.generation) {
+			j.breach(11, final.at, "generation %d was taken and never read back through %s", final.generation, front)
+		}
+	}
+	for _, e := range last {
+		isRead = isRead || e.sent() >= final.at && e.Generation >= final.generation
+	}
+	if !isRead {
+		j.breach(11, final.at, "generation %d was taken and never read back", final.generation)
+	}
+}
+
+// value finds a row's value.
+func value(rows []*schema.Row, kind, name, key string) string {
+	for _, row := range rows {
+		if row.Kind == kind && row.Name == name && row.Key == key {
+			return row.Value
+		}
+	}
+	return ""
+}
+
+func hasLane(rows []*schema.Row, lane string) bool {
+	for _, row := range rows {
+		if row.Kind == "lane" && row.Name == lane {
+			return true
+		}
+	}
+	return false
+}
+
+// effects: 11 as well, what a table says is done, everywhere, soon after it was
+// taken: a lane's coming and going, a rack without weight, a lane's limit.
+func (j *judge) effects(history []Event) {
+	var puts []*Event // those that were taken, in their order
+	for k := range history {
+		if e := &history[k]; e.Kind == PlanPut && e.Code == 200 && e.Rows != nil {
+			puts = append(puts, e)
+		}
+	}
+	if len(puts) == 0 {
+		return
+	}
+	// holds tells whether something is so in every table that may count at a
+	// moment: those of the last span, and the newest before it. A table whose
+	// answer was late counts from when it was sent.
+	holds := func(from, to loop.Micros, isSo func(rows []*schema.Row) bool) bool {
+		isAny := false
+		for k, p := range puts {
+			isStill := k+1 == len(puts) || puts[k+1].At+j.bounds.Plan > from
+			if p.sent() > to || !isStill {
+				continue
+			}
+			if p.At+j.bounds.Plan <= from {
+				isAny = true
+			}
+			if !isSo(p.Rows) {
+				return false
+			}
+		}
+		return isAny
+	}
+	racks := map[string]string{}
+	running := map[string]map[taskId]bool{}
+	isUnclear := j.unclearPuts(history)
+	for k := range history {
+		e := &history[k]
+		switch e.Kind {
+		case Up:
+			racks[e.Who] = e.Rack
+		case HandInReply:
+			if e.Code == 404 && !isUnclear && holds(e.sent(), e.At, func(rows []*schema.Row) bool { return hasLane(rows, e.Lane) }) {
+				j.breach(11, e.At, "%s doesn't know the lane %s, which the table has", e.Front, e.Lane)
+			}
+			if e.Code == 201 && !isUnclear && holds(e.sent(), e.At, func(rows []*schema.Row) bool { return !hasLane(rows, e.Lane) }) {
+				j.breach(11, e.At, "%s takes a job for the lane %s, which the table hasn't", e.Front, e.Lane)
+			}
+		case Begin:
+			if running[e.Lane] == nil {
+				running[e.Lane] = map[taskId]bool{}
+			}
+			rack := racks[e.Who]
+			if holds(e.At, e.At, func(rows []*schema.Row) bool { return value(rows, "rack", rack, "weight") == "0" }) {
+				j.breach(11, e.At, "work starts on %s in rack %s, whose weight is 0", e.Who, rack)
+			}
+			running[e.Lane][e.id()] = true
+			count := len(running[e.Lane])
+			isTooMany := func(rows []*schema.Row) bool {
+				most, err := strconv.Atoi(value(rows, "lane", e.Lane, "running"))
+				return err == nil && count > most
+			}
+			if holds(e.At, e.At, isTooMany) {
+				j.breach(11, e.At, "%d tasks of the lane %s run, more than the table allows", count, e.Lane)
+			}
+		case End:
+			delete(running[e.Lane], e.id())
+		case Gone, Pause:
+			// What ran there isn't running, though nobody said so.
+			for _, list := range running {
+				for id := range list {
+					for _, s := range j.byTask[taskId{jobKey{lane: id.lane}, id.job, id.step, id.task}].stints[id] {
+						if s.worker == e.Who && s.end <= e.At && s.end > 0 {
+							delete(list, id)
+						}
+					}
+				}
+			}
 		}
 	}
-	if len(puts) > 0 {
-		newest := puts[len(puts)-1]
-		if last == nil || last.At < newest.at || last.Generation < newest.generation {
-			j.breach(11, newest.at, "generation %d was taken and never read back", newest.generation)
+}
+
+// unclearPuts tells whether a table was sent of which nobody knows whether it
+// was taken; lanes may then come and go by its word.
+func (j *judge) unclearPuts(history []Event) bool {
+	for k := range history {
+		if e := &history[k]; e.Kind == PlanPut && (e.Code == 0 || e.Code == 504) {
+			return true
 		}
 	}
+	return false
 }
 
 // away: 12, after a major fault a hand-in is confirmed soon.
@@ -583,3 +924,191 @@
 		}
 	}
 }
+
+// service names one kind of service in one place.
+type service struct{ what, lane string }
+
+// attempt is an errand and how it was answered.
+type attempt struct {
+	service
+	front    string
+	sent, at loop.Micros
+	isServed bool
+}
+
+// attempts lists every errand of the history that a running system answers.
+func attempts(history []Event) []attempt {
+	var list []attempt
+	for k := range history {
+		e := &history[k]
+		each := attempt{front: e.Front, sent: e.sent(), at: e.At}
+		switch e.Kind {
+		case HandInReply:
+			each.service = service{"hand-ins", e.Lane}
+		case Status:
+			each.service = service{"status", e.Lane}
+		case CancelReply:
+			each.service = service{"cancels", e.Lane}
+		case PlanRead:
+			each.service = service{"the table's reading", ""}
+		case PlanPut:
+			each.service = service{"the table's putting", ""}
+		default:
+			continue
+		}
+		each.isServed = e.Code > 0 && e.Code < 500
+		list = append(list, each)
+	}
+	return list
+}
+
+// served: 12 in full. After a fault every kind of service, of every lane, is
+// back within the span, unless another fault followed in it; and away from
+// faults every errand through a front that can serve is served.
+func (j *judge) served(history []Event) {
+	list := attempts(history)
+	var closed loop.Micros
+	if len(history) > 0 {
+		closed = history[len(history)-1].At
+	}
+	last := loop.Micros(0)
+	for k, at := range j.faults {
+		until := at + j.bounds.Away
+		if until > closed || k+1 < len(j.faults) && j.faults[k+1] < until {
+			continue
+		}
+		asked, back := map[service]bool{}, map[service]bool{}
+		for _, each := range list {
+			// Who asks shortly before the span is over may be answered after it.
+			if each.sent >= at && each.sent < until-3*loop.Second {
+				asked[each.service] = true
+			}
+			if each.sent >= at && each.at <= until && each.isServed {
+				back[each.service] = true
+			}
+		}
+		for what := range asked {
+			if !back[what] {
+				j.breach(12, at, "%s %s are not back %d us after a fault", what.what, what.lane, j.bounds.Away)
+			}
+		}
+		j.begun(at, until)
+	}
+	// Which fronts could serve when.
+	type turn struct {
+		at     loop.Micros
+		isAway bool
+	}
+	turns := map[string][]turn{}
+	for k := range history {
+		if e := &history[k]; e.Kind == Away || e.Kind == Back {
+			turns[e.Front] = append(turns[e.Front], turn{e.At, e.Kind == Away})
+		}
+	}
+	canServe := func(front string, from, to loop.Micros) bool {
+		isHere := false
+		for _, each := range turns[front] {
+			switch {
+			case each.at > to:
+			case each.isAway && each.at >= from:
+				return false
+			case each.isAway:
+				isHere = false
+			default:
+				isHere = each.at+j.bounds.Settle <= from
+			}
+		}
+		return isHere
+	}
+	for _, each := range list {
+		if each.isServed || !canServe(each.front, each.sent, each.at) {
+			continue
+		}
+		isCalm := true
+		for _, at := range j.faults {
+			isCalm = isCalm && (at > each.at || at+j.bounds.Away <= each.sent)
+		}
+		if isCalm && each.sent > last {
+			last = each.at
+			j.breach(12, each.sent, "%s %s: %s answers nothing or that it can't, and no fault is near", each.what, each.lane, each.front)
+		}
+	}
+}
+
+// begun: work that waits after a fault is begun again in the span, in every
+// lane where some waits.
+func (j *judge) begun(at, until loop.Micros) {
+	waits, isBegun := map[string]string{}, map[string]bool{}
+	for key, a := range j.accounts {
+		first := loop.Micros(0)
+		for _, list := range a.stints {
+			for _, s := range list {
+				if first == 0 || s.begin < first {
+					first = s.begin
+				}
+				if s.begin > at && s.begin <= until && !s.isResumed {
+					isBegun[key.lane] = true
+				}
+			}
+		}
+		isPlain := a.spec != nil && a.spec.DelayUs == 0 && a.spec.StartWallUs == 0 && a.askedEnd == 0
+		if isPlain && a.isTaken && a.accepted > at && a.accepted < until-3*loop.Second && (first == 0 || first > at) {
+			waits[key.lane] = key.name
+		}
+	}
+	for lane, name := range waits {
+		if !isBegun[lane] {
+			j.breach(12, at, "nothing of the lane %s is begun within %d us after a fault, though %s waits", lane, j.bounds.Away, name)
+		}
+	}
+}
+
+// answered: 12 for workers: whoever is up and not cut off is answered.
+func (j *judge) answered(history []Event) {
+	heard := map[string]loop.Micros{}
+	isOff := map[string]bool{}
+	look := func(who string, now loop.Micros) {
+		if at, isUp := heard[who]; isUp && !isOff[who] && now > at+j.bounds.Away {
+			j.breach(12, at, "the worker %s has no answer for %d us", who, now-at)
+		}
+		heard[who] = now
+	}
+	for k := range history {
+		e := &history[k]
+		switch e.Kind {
+		case Up:
+			heard[e.Who], isOff[e.Who] = e.At, false
+		case Heard:
+			look(e.Who, e.At)
+		case Gone:
+			look(e.Who, e.At)
+			delete(heard, e.Who)
+		case Pause:
+			look(e.Who, e.At)
+			isOff[e.Who] = true
+		case Resume:
+			isOff[e.Who], heard[e.Who] = false, e.At
+		case Cut:
+			if !isOff[e.Who] {
+				look(e.Who, e.At)
+			}
+			isOff[e.Who], heard[e.Who] = e.State != Mended, e.At
+		case Close:
+			for who := range heard {
+				if !isOff[who] && wasHeard(history, who) {
+					look(who, e.At)
+				}
+			}
+		}
+	}
+}
+
+// wasHeard tells whether a worker's answers are in the history at all.
+func wasHeard(history []Event, who string) bool {
+	for k := range history {
+		if history[k].Kind == Heard && history[k].Who == who {
+			return true
+		}
+	}
+	return false
+}
--- a/check/check_test.go
+++ b/check/check_test.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -93,3 +94,107 @@
 		So(rules(history)[2], ShouldBeFalse)
 	})
 }
+
+func answer(kind string, sent, at loop.Micros, front string, code int32, state string) Event {
+	return Event{At: at, Sent: sent, Kind: kind, Lane: "l", Name: "j", Front: front, Code: code, State: state}
+}
+func rows(list ...string) (table []*schema.Row) {
+	for _, each := range list {
+		part := strings.Split(each, " ")
+		table = append(table, &schema.Row{Kind: part[0], Name: part[1], Key: part[2], Value: part[3]})
+	}
+	return table
+}
+func sent(at loop.Micros, table []*schema.Row) Event {
+	return Event{At: at, Kind: PlanSent, Rows: table}
+}
+func put(at loop.Micros, generation uint64, table []*schema.Row) Event {
+	return Event{At: at, Kind: PlanPut, Code: 200, Generation: generation, Built: generation - 1, Rows: table}
+}
+func read(sent loop.Micros, front string, generation uint64, table []*schema.Row) Event {
+	return Event{At: sent + 5, Sent: sent, Kind: PlanRead, Front: front, Code: 200, Generation: generation, Rows: table}
+}
+func trouble(at loop.Micros, kind, who string) Event { return Event{At: at, Kind: kind, Who: who} }
+
+// TestNearMisses: each history breaks just one rule, and one close to it, which
+// differs in a single event, breaks none.
+func TestNearMisses(t *testing.T) {
+	closed := Event{At: 200 * s, Kind: Close}
+	job := func(list ...Event) []Event {
+		return append([]Event{up(0, "w"), up(0, "v"), in(1*s, twoSteps)}, list...)
+	}
+	fault := Event{At: 20 * s, Kind: Fault, State: "x"}
+	lane, rack := rows("lane l urgency 5"), rows("lane l urgency 5", "rack r weight 0")
+	wide := rows("lane l urgency 5", "lane l running 1")
+	many := &schema.Job{Steps: []*schema.Step{{Name: "a", Tasks: 2, AllowedFailures: 1}}}
+	wall := &schema.Job{StartWallUs: int64(1000 * s), Steps: []*schema.Step{{Name: "a", Tasks: 1}}}
+	runs := []Event{begin(2*s, "w", 0, 0, 1), end(3*s, "w", 0, 0, 1, "done"), begin(4*s, "w", 1, 0, 1), end(5*s, "w", 1, 0, 1, "done")}
+	done := func(list ...Event) []Event {
+		return job(append([]Event{reply(1*s+1, 201)}, append(runs[:4:4], list...)...)...)
+	}
+	hold := Event{At: 1*s + 5, Kind: Order, Who: "v", Lane: "l", Name: "j", Job: 1, Task: 1, Attempt: 1, State: "hold"}
+	part := func(list ...Event) []Event {
+		return append([]Event{in(1*s, gang), reply(1*s, 201), hold, begin(2*s, "w", 0, 0, 1)}, list...)
+	}
+	for _, each := range []struct {
+		what         string
+		rule         int
+		broken, near []Event
+	}{
+		{"503 to every hand-in, and it runs", 3, job(reply(2*s, 503), runs[0], end(3*s, "w", 0, 0, 1, "done")),
+			job(reply(2*s, 504), runs[0], end(3*s, "w", 0, 0, 1, "done"))},
+		{"404 through one front just after the confirm", 1, done(answer(Status, 5*s+1, 6*s, "f2", 404, ""), status(7*s, 200, "complete")),
+			done(answer(Status, 1*s, 6*s, "f2", 404, ""), status(7*s, 200, "complete"))},
+		{"404 two minutes after the end, less a moment", 1, done(status(6*s, 200, "complete"), answer(Status, 124*s, 124*s, "f", 404, "")),
+			done(status(6*s, 200, "complete"), answer(Status, 126*s, 126*s, "f", 404, ""))},
+		{"a resend makes the job anew", 1, done(status(6*s, 200, "complete"), answer(HandInReply, 7*s, 7*s, "f", 201, ""), Event{At: 8 * s, Kind: Close}),
+			done(status(6*s, 200, "complete"), answer(HandInReply, 7*s, 7*s, "f", 200, "complete"), Event{At: 8 * s, Kind: Close})},
+		{"a start by the wall clock comes early", 4, []Event{{At: 1 * s, Kind: Clock, Wall: int64(995 * s)}, in(1*s, wall), reply(1*s, 201), begin(5*s+800*loop.Milli, "w", 0, 0, 1), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "complete"), closed},
+			[]Event{{At: 1 * s, Kind: Clock, Wall: int64(995 * s)}, in(1*s, wall), reply(1*s, 201), begin(5*s+950*loop.Milli, "w", 0, 0, 1), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "complete"), closed}},
+		{"a cancelled job's task is never told to stop", 8, job(reply(1*s, 201), runs[0], answer(CancelReply, 2*s, 2*s+5, "f", 200, "stopping"), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "cancelled"), closed),
+			job(reply(1*s, 201), runs[0], answer(CancelReply, 2*s, 2*s+5, "f", 200, "stopping"), end(5*s, "w", 0, 0, 1, "done"), status(8*s, 200, "cancelled"), closed)},
+		{"a hand-in's answer shows complete too early", 9, job(reply(1*s+1, 201), runs[0], runs[1], answer(HandInReply, 3*s, 3*s+5, "f", 200, "complete"), runs[2], runs[3], status(6*s, 200, "complete"), closed),
+			job(reply(1*s+1, 201), runs[0], runs[1], answer(HandInReply, 3*s, 3*s+5, "f", 200, "running"), runs[2], runs[3], status(6*s, 200, "complete"), closed)},
+		{"complete is shown and taken back", 9, done(status(6*s, 200, "complete"), answer(Status, 7*s, 7*s, "f", 200, "running")),
+			done(status(6*s, 200, "complete"), answer(Status, 6*s, 7*s, "f", 200, "running"))},
+		{"a group's member begins, is stopped at once, and nobody was lost", 10, part(end(3*s, "w", 0, 0, 1, "stopped"), status(10*s, 200, "failed"), closed),
+			part(trouble(2*s+900*loop.Milli, Gone, "v"), end(3*s, "w", 0, 0, 1, "stopped"), status(10*s, 200, "failed"), closed)},
+		{"a group's member begins, and the other's worker is lost only later", 10, part(end(3*s, "w", 0, 0, 1, "stopped"), trouble(4*s, Gone, "v"), status(10*s, 200, "failed"), closed),
+			part(end(3*s, "w", 0, 0, 1, "stopped"), begin(3*s, "v", 0, 1, 1), trouble(4*s, Gone, "v"), status(10*s, 200, "failed"), closed)},
+		{"a group's member runs to its end though another was lost before it began", 10, part(trouble(2*s+1, Gone, "v"), end(15*s, "w", 0, 0, 1, "done"), status(16*s, 200, "failed"), closed),
+			part(trouble(2*s+1, Gone, "v"), end(9*s, "w", 0, 0, 1, "stopped"), status(16*s, 200, "failed"), closed)},
+		{"a restarted worker has less room", 6, []Event{up(0, "w"), {At: 1 * s, Kind: Gone, Who: "w"}, {At: 2 * s, Kind: Up, Who: "w", Cores: 15, Incarnation: 2}, {At: 3 * s, Kind: Begin, Who: "w", Cores: 20, Incarnation: 2, Lane: "l", Name: "x"}, closed},
+			[]Event{up(0, "w"), {At: 1 * s, Kind: Gone, Who: "w"}, {At: 2 * s, Kind: Up, Who: "w", Cores: 15, Incarnation: 2}, {At: 3 * s, Kind: Begin, Who: "w", Cores: 15, Incarnation: 2, Lane: "l", Name: "x"}, closed}},
+		{"two racing tables are both taken", 11, []Event{sent(1*s, lane), sent(1*s, rack), put(2*s, 2, lane), put(2*s, 2, rack), read(3*s, "f", 2, lane), closed},
+			[]Event{sent(1*s, lane), sent(1*s, rack), put(2*s, 2, lane), put(2*s, 3, rack), read(3*s, "f", 3, rack), closed}},
+		{"what is read isn't what was taken", 11, []Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, rack), closed},
+			[]Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), closed}},
+		{"an older table comes back", 11, []Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), read(3*s+100, "f", 1, nil), read(9*s, "f", 2, nil), closed},
+			[]Event{sent(1*s, lane), put(2*s, 2, lane), read(2*s+100, "f", 1, nil), read(3*s, "f", 2, lane), read(9*s, "f", 2, nil), closed}},
+		{"one front never shows the last table", 11, []Event{{At: 1, Kind: Back, Front: "f"}, {At: 1, Kind: Back, Front: "g"}, sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), closed},
+			[]Event{{At: 1, Kind: Back, Front: "f"}, {At: 1, Kind: Back, Front: "g"}, sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), read(3*s, "g", 2, lane), closed}},
+		{"a new lane is unknown to a front", 11, []Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), answer(HandInReply, 4*s+1, 4*s+9, "g", 404, ""), closed},
+			[]Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), answer(HandInReply, 3*s, 4*s+9, "g", 404, ""), closed}},
+		{"work starts in a rack of no weight", 11, []Event{{At: 1, Kind: Up, Who: "w", Rack: "r", Cores: 90}, sent(1*s, rack), put(2*s, 2, rack), read(3*s, "f", 2, rack), begin(4*s+1, "w", 0, 0, 1), end(5*s, "w", 0, 0, 1, "done"), closed},
+			[]Event{{At: 1, Kind: Up, Who: "w", Rack: "r", Cores: 90}, sent(1*s, rack), put(2*s, 2, rack), read(3*s, "f", 2, rack), begin(3*s, "w", 0, 0, 1), end(5*s, "w", 0, 0, 1, "done"), closed}},
+		{"more of a lane runs than the table allows", 11, []Event{in(1*s, many), sent(1*s, wide), put(2*s, 2, wide), read(3*s, "f", 2, wide), begin(5*s, "w", 0, 0, 1), begin(5*s, "w", 0, 1, 1), end(6*s, "w", 0, 0, 1, "done"), end(6*s, "w", 0, 1, 1, "done"), closed},
+			[]Event{in(1*s, many), sent(1*s, wide), put(2*s, 2, wide), read(3*s, "f", 2, wide), begin(5*s, "w", 0, 0, 1), end(6*s, "w", 0, 0, 1, "done"), begin(6*s, "w", 0, 1, 1), end(7*s, "w", 0, 1, 1, "done"), closed}},
+		{"status isn't back after a fault", 12, []Event{fault, answer(Status, 21*s, 24*s, "f", 504, ""), answer(Status, 30*s, 33*s, "f", 200, "running"), closed},
+			[]Event{fault, answer(Status, 21*s, 24*s, "f", 504, ""), answer(Status, 25*s, 31*s, "f", 200, "running"), closed}},
+		{"one lane isn't back after a fault", 12, []Event{fault, answer(HandInReply, 22*s, 25*s, "f", 504, ""), {At: 26 * s, Kind: HandInReply, Lane: "m", Name: "k", Code: 201}, status(60*s, 200, "failed"), {At: 61 * s, Kind: Status, Lane: "m", Name: "k", Code: 200, State: "failed"}, closed},
+			[]Event{fault, answer(HandInReply, 22*s, 25*s, "f", 201, ""), {At: 26 * s, Kind: HandInReply, Lane: "m", Name: "k", Code: 201}, status(60*s, 200, "failed"), {At: 61 * s, Kind: Status, Lane: "m", Name: "k", Code: 200, State: "failed"}, closed}},
+		{"work that waits isn't begun after a fault", 12, []Event{fault, in(21*s, twoSteps), reply(21*s, 201), begin(33*s, "w", 0, 0, 1), end(34*s, "w", 0, 0, 1, "done"), status(35*s, 200, "failed"), closed},
+			[]Event{fault, in(21*s, twoSteps), reply(21*s, 201), begin(31*s, "w", 0, 0, 1), end(34*s, "w", 0, 0, 1, "done"), status(35*s, 200, "failed"), closed}},
+		{"a worker is not answered", 12, []Event{up(0, "w"), trouble(1*s, Heard, "w"), trouble(14*s, Heard, "w"), {At: 15 * s, Kind: Close}},
+			[]Event{up(0, "w"), trouble(1*s, Heard, "w"), trouble(13*s, Heard, "w"), {At: 15 * s, Kind: Close}}},
+		{"a front that can serve doesn't, with no fault near", 12, []Event{{At: 1, Kind: Back, Front: "f"}, fault, answer(Status, 40*s, 43*s, "f", 504, ""), closed},
+			[]Event{{At: 1, Kind: Back, Front: "f"}, fault, {At: 39 * s, Kind: Away, Front: "f"}, answer(Status, 40*s, 43*s, "f", 504, ""), closed}},
+		{"the table can't be put after a fault", 12, []Event{fault, {At: 24 * s, Sent: 21 * s, Kind: PlanPut, Code: 504}, closed},
+			[]Event{fault, {At: 24 * s, Sent: 21 * s, Kind: PlanPut, Code: 412}, closed}},
+	} {
+		Convey("Found: "+each.what, t, func() {
+			So(rules(each.broken), ShouldResemble, map[int]bool{each.rule: true})
+			So(Judge(each.near, Usual), ShouldBeEmpty)
+		})
+	}
+}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -34,10 +34,13 @@
 	limited := step("work", 3, 500)
 	limited.AllowedFailures = 2
 	limited.TimeLimitUs, limited.StillUs = int64(4*loop.Second), int64(loop.Second)
+	due := step("due", 1, 500)
+	due.StillUs = int64(loop.Second)
 	return []Kind{
 		{Lane: "quick", Every: 250 * loop.Milli, Job: &schema.Job{Text: "run_us=30000", Steps: []*schema.Step{step("rates", 3, 500), step("sum", 1, 500, "rates")}}},
 		{Lane: "slow", Every: 2 * loop.Second, Cancel: 0.2, Job: &schema.Job{Text: "run_us=700000", Steps: []*schema.Step{step("load", 4, 2000), step("rows", 10, 2000, "load"), step("pack", 1, 1000, "rows")}}},
 		{Lane: "group", Every: loop.Second, Job: &schema.Job{Text: "run_us=200000 fail=0.05", Steps: []*schema.Step{together, step("after", 1, 500, "gang")}}},
+		{Name: "due", Lane: "timed", Every: 4 * loop.Second, Wall: 2 * loop.Second, Job: &schema.Job{Text: "run_us=20000", Steps: []*schema.Step{due}}},
 		{Lane: "timed", Every: 700 * loop.Milli, Cancel: 0.2, Job: &schema.Job{Text: "run_us=20000 fail=0.2", DelayUs: int64(1500 * loop.Milli), Steps: []*schema.Step{limited}}},
 	}
 }
@@ -74,12 +77,14 @@
 	f.After(500*loop.Milli, func() { f.Put("operator", Rows(60)) })
 	f.After(loop.Second, func() {
 		for k := 0; k < 5; k++ {
-			f.Workers = append(f.Workers, f.AddWorker(fmt.Sprintf("w%d", k), fmt.Sprintf("r%d", k/2), 8000, 16000))
+			f.Workers = append(f.Workers, f.AddWorker(fmt.Sprintf("w%d", k), fmt.Sprintf("r%d", k/2), fmt.Sprintf("c%d", k/2+1), 8000, 16000))
 		}
 	})
 	f.Began = f.Now + 7*loop.Second
 	f.Over = f.Began + span
 	f.At(f.Began, func() {
+		f.Tell(check.Event{Kind: check.Clock, Wall: wallZero + int64(f.Now)})
+		f.Lists("quick", 5*loop.Second, f.Over)
 		for _, kind := range Kinds() {
 			f.Load(kind, f.Over)
 		}
--- a/sim/people.go
+++ b/sim/people.go
@@ -1,10 +1,13 @@
 package sim
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"sparnotch/charter"
 	"sparnotch/check"
@@ -21,6 +24,7 @@
 type Worker struct {
 	world       *World
 	name, rack  string
+	cell        string
 	cores, mem  int64
 	Habits      toil.Habits
 	hand        *toil.Worker
@@ -34,8 +38,8 @@
 }
 
 // AddWorker adds a worker and starts it.
-func (w *World) AddWorker(name, rack string, cores, mem int64) *Worker {
-	k := &Worker{world: w, name: name, rack: rack, cores: cores, mem: mem}
+func (w *World) AddWorker(name, rack, cell string, cores, mem int64) *Worker {
+	k := &Worker{world: w, name: name, rack: rack, cell: cell, cores: cores, mem: mem}
 	k.Start()
 	return k
 }
@@ -48,7 +52,7 @@
 	k.open, k.frozen = 0, false
 	k.hand = toil.New(w.Now, k.name, k.rack, k.cores, k.mem, k.incarnation, rand.New(rand.NewPCG(w.Rng.Uint64(), 1)), w.Tell)
 	k.hand.Habits = k.Habits
-	k.front = w.pickFront()
+	k.front = w.pickFront(k.cell)
 	k.pace(k.run)
 }
 
@@ -64,7 +68,11 @@
 // Cut cuts it off from every front, or mends that.
 func (k *Worker) Cut(isCut bool) {
 	k.isCut = isCut
-	k.world.Tell(check.Event{Kind: check.Cut, Who: k.name})
+	e := check.Event{Kind: check.Cut, Who: k.name}
+	if !isCut {
+		e.State = check.Mended
+	}
+	k.world.Tell(e)
 }
 
 // Freeze stops it for a span.
@@ -110,7 +118,7 @@
 		if k.frozen || !isReply || reply.Code != 200 || json.Unmarshal(reply.Body, orders) != nil {
 			k.hand.Unanswered(w.Now)
 			if !k.isStuck {
-				k.front = w.pickFront()
+				k.front = w.pickFront(k.cell)
 			}
 			return
 		}
@@ -130,29 +138,52 @@
 	})
 }
 
-// pickFront gives a front that looks up; the platform looks every second, so
-// it may be wrong.
-func (w *World) pickFront() *Host {
-	var up []*Host
-	for _, h := range w.Fronts() {
-		if h.IsUp {
-			up = append(up, h)
+// --- the platform ---
+
+// watch asks every front each second whether it is ready, as the users'
+// platform does, and passes clients accordingly.
+func (w *World) watch(h *Host) {
+	w.Ask(h, loop.Second, func(errand uint64, _ loop.Micros) any { return intake.Ready{Errand: errand} }, func(answer any) {
+		reply, _ := answer.(intake.Answer)
+		h.isReady = reply.Code == 200
+	})
+	w.After(loop.Second, func() { w.watch(h) })
+}
+
+// pickFront gives a ready front of a cell, else any ready one, else any: the
+// platform looks every second, so it may be wrong.
+func (w *World) pickFront(cell string) *Host {
+	var near, ready []*Host
+	fronts := w.Fronts()
+	for _, h := range fronts {
+		if h.isReady {
+			ready = append(ready, h)
+			if h.Cell == cell {
+				near = append(near, h)
+			}
 		}
 	}
-	if len(up) == 0 || w.Rng.IntN(20) == 0 {
-		up = w.Fronts()
+	for _, list := range [][]*Host{near, ready, fronts} {
+		if len(list) > 0 {
+			return list[w.Rng.IntN(len(list))]
+		}
 	}
-	return up[w.Rng.IntN(len(up))]
+	return nil
 }
 
+// anyCell is where a caller happens to be.
+func (w *World) anyCell() string { return w.Hosts[w.Rng.IntN(min(3, len(w.Hosts)))].Cell }
+
 // --- callers ---
 
 // Kind is a sort of job.
 type Kind struct {
+	Name   string // start of its jobs' names; empty: the lane's
 	Lane   string
 	Every  loop.Micros
 	Job    *schema.Job
-	Cancel float64 // share that is cancelled again
+	Cancel float64     // share that is cancelled again
+	Wall   loop.Micros // starts so long after it is handed in, by the wall clock
 }
 
 // Load hands in jobs of a kind until a moment.
@@ -164,39 +195,56 @@
 			return
 		}
 		number++
-		w.HandIn(kind, fmt.Sprintf("%s-%d", kind.Lane, number))
+		w.HandIn(kind, fmt.Sprintf("%s-%d", cmp.Or(kind.Name, kind.Lane), number))
 		w.After(loop.Micros(w.Rng.ExpFloat64()*float64(kind.Every)), next)
 	}
 	w.After(loop.Micros(w.Rng.ExpFloat64()*float64(kind.Every)), next)
 }
 
 // HandIn is one caller with one job: resent after any silence, then asked for
-// until it has ended, and again long after.
+// until it has ended, often just after that, and again much later.
 func (w *World) HandIn(kind Kind, name string) {
+	if kind.Wall > 0 {
+		kind.Job = proto.Clone(kind.Job).(*schema.Job)
+		kind.Job.StartWallUs = wallZero + int64(w.Now+kind.Wall)
+	}
+	w.handIn(kind, name, w.anyCell())
+}
+
+func (w *World) handIn(kind Kind, name, cell string) {
 	w.Tell(check.Event{Kind: check.HandIn, Who: "caller", Lane: kind.Lane, Name: name, Spec: kind.Job})
-	front := w.pickFront()
+	front, sent := w.pickFront(cell), w.Now
 	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
 		return intake.HandIn{
 			Errand: errand, Lane: kind.Lane, Client: "c-" + front.Name, Name: name, Digest: intake.Digest(kind.Job), Job: kind.Job, Deadline: deadline,
 		}
 	}, func(answer any) {
 		reply, _ := answer.(intake.Answer)
-		w.Tell(check.Event{Kind: check.HandInReply, Who: "caller", Lane: kind.Lane, Name: name, Code: reply.Code})
+		e := check.Event{Kind: check.HandInReply, Who: "caller", Lane: kind.Lane, Name: name, Code: reply.Code, Front: front.Name, Sent: sent}
+		view := &schema.JobView{}
+		if reply.Code < 300 && json.Unmarshal(reply.Body, view) == nil {
+			e.State = view.State
+		}
+		w.Tell(e)
 		switch {
 		case reply.Code == 200 || reply.Code == 201:
 			if w.Rng.Float64() < kind.Cancel {
 				w.After(loop.Micros(w.Rng.Int64N(int64(300*loop.Milli))), func() { w.cancel(kind, name) })
 			}
-			w.After(150*loop.Milli, func() { w.watch(kind, name, 200*loop.Milli) })
+			// Who has just been told that it is taken may ask at once, anywhere.
+			w.ask(kind, "status", name, nil)
+			w.After(150*loop.Milli, func() { w.follow(kind, name, 200*loop.Milli) })
 		case reply.Code >= 400 && reply.Code < 500 && reply.Code != 429:
 		default:
-			w.After(300*loop.Milli, func() { w.HandIn(kind, name) })
+			w.After(max(300*loop.Milli, loop.Micros(reply.Retry)*loop.Second), func() { w.handIn(kind, name, cell) })
 		}
 	})
 }
 
+// ask sends an errand about a job through any ready front, and notes the answer.
 func (w *World) ask(kind Kind, what, name string, back func(code int32, view *schema.JobView)) {
-	w.Ask(w.pickFront(), 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
+	front, sent := w.pickFront(w.anyCell()), w.Now
+	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
 		return intake.Ask{Errand: errand, Kind: what, Group: kind.Lane, Name: name, Deadline: deadline}
 	}, func(answer any) {
 		reply, _ := answer.(intake.Answer)
@@ -204,30 +252,57 @@
 		if reply.Code == 200 && json.Unmarshal(reply.Body, view) != nil {
 			reply.Code = 0
 		}
-		back(reply.Code, view)
+		e := check.Event{Kind: check.Status, Who: "caller", Lane: kind.Lane, Name: name, Code: reply.Code, State: view.State, Front: front.Name, Sent: sent}
+		if what == "cancel" {
+			e.Kind = check.CancelReply
+		}
+		w.Tell(e)
+		if back != nil {
+			back(reply.Code, view)
+		}
 	})
 }
 
-func (w *World) watch(kind Kind, name string, span loop.Micros) {
+// follow asks how a job is doing until it has ended, and after that.
+func (w *World) follow(kind Kind, name string, span loop.Micros) {
 	w.ask(kind, "status", name, func(code int32, view *schema.JobView) {
-		if code != 0 {
-			w.Tell(check.Event{Kind: check.Status, Who: "caller", Lane: kind.Lane, Name: name, Code: code, State: view.State})
-		}
-		isOver := code == 200 && (view.State == "complete" || view.State == "failed" || view.State == "cancelled")
-		if isOver {
+		if code == 200 && (view.State == "complete" || view.State == "failed" || view.State == "cancelled") {
+			for _, later := range []loop.Micros{1, 20 * loop.Milli, 300 * loop.Milli, 10 * loop.Second, 118 * loop.Second} {
+				w.After(later, func() { w.ask(kind, "status", name, nil) })
+			}
 			return
 		}
-		w.After(span, func() { w.watch(kind, name, min(span*3/2, loop.Second)) })
+		w.After(span, func() { w.follow(kind, name, min(span*3/2, loop.Second)) })
 	})
 }
 
 func (w *World) cancel(kind Kind, name string) {
+	w.Tell(check.Event{Kind: check.CancelSent, Who: "caller", Lane: kind.Lane, Name: name})
 	w.ask(kind, "cancel", name, func(code int32, view *schema.JobView) {
 		if code == 0 || code >= 500 {
 			w.After(300*loop.Milli, func() { w.cancel(kind, name) })
+		}
+	})
+}
+
+// Lists has somebody page through a lane every so often until a moment.
+func (w *World) Lists(lane string, every, until loop.Micros) {
+	if w.Now >= until {
+		return
+	}
+	w.After(every, func() { w.Lists(lane, every, until) })
+	front, sent := w.pickFront(w.anyCell()), w.Now
+	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
+		return intake.Ask{Errand: errand, Kind: "list", Group: lane, Most: 200, Deadline: deadline}
+	}, func(answer any) {
+		reply, _ := answer.(intake.Answer)
+		list := &schema.JobList{}
+		if reply.Code != 200 || json.Unmarshal(reply.Body, list) != nil {
 			return
 		}
-		w.Tell(check.Event{Kind: check.CancelReply, Who: "caller", Lane: kind.Lane, Name: name, Code: code, State: view.State})
+		for _, view := range list.Jobs {
+			w.Tell(check.Event{Kind: check.Status, Who: "lister", Lane: lane, Name: view.Name, Code: 200, State: view.State, Front: front.Name, Sent: sent})
+		}
 	})
 }
 
@@ -237,54 +312,74 @@
 // is taken.
 func (w *World) Put(who string, rows []*schema.Row) {
 	again := func() { w.After(200*loop.Milli, func() { w.Put(who, rows) }) }
-	w.readPlan(who, func(generation uint64, isKnown bool) {
-		if !isKnown {
+	w.readPlan(w.pickFront(w.anyCell()), func(plan *schema.Plan) {
+		if plan == nil {
 			again()
 			return
 		}
+		if charter.SameRows(plan.Rows, rows) {
+			return
+		}
+		generation := plan.Generation
 		sheet := &schema.Sheet{Generation: &generation, Rows: rows}
-		w.Ask(w.pickFront(), 8*loop.Second, func(errand uint64, deadline loop.Micros) any {
+		front, sent := w.pickFront(w.anyCell()), w.Now
+		w.Tell(check.Event{Kind: check.PlanSent, Who: who, Rows: rows})
+		told := check.Event{Kind: check.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: generation, Rows: rows}
+		w.Ask(front, 8*loop.Second, func(errand uint64, deadline loop.Micros) any {
 			return intake.Ask{Errand: errand, Kind: "charter", Group: charter.Group, Deadline: deadline, Body: keep.CharterBody(
 				&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 		}, func(answer any) {
 			reply, _ := answer.(intake.Answer)
+			told.Code = reply.Code
+			if reply.Code == 200 {
+				told.Generation = generation + 1
+			}
+			w.Tell(told)
 			if reply.Code != 200 {
 				again()
-				return
 			}
-			w.Tell(check.Event{Kind: check.PlanPut, Who: who, Code: 200, Generation: generation + 1})
 		})
 	})
 }
 
-func (w *World) readPlan(who string, back func(generation uint64, isKnown bool)) {
-	w.Ask(w.pickFront(), 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
+// readPlan reads the table through a front, notes what was shown, and gives it
+// back; nil when it could not be read.
+func (w *World) readPlan(front *Host, back func(plan *schema.Plan)) {
+	sent := w.Now
+	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
 		return intake.Ask{Errand: errand, Kind: "plan", Group: charter.Group, Deadline: deadline}
 	}, func(answer any) {
 		reply, _ := answer.(intake.Answer)
-		var plan struct{ Generation string }
-		if reply.Code != 200 || json.Unmarshal(reply.Body, &plan) != nil {
-			back(0, false)
-			return
+		plan := &schema.Plan{}
+		if reply.Code == 200 && protojson.Unmarshal(reply.Body, plan) != nil {
+			reply.Code = 0
+		}
+		e := check.Event{Kind: check.PlanRead, Who: "reader", Code: reply.Code, Generation: plan.Generation, Front: front.Name, Sent: sent}
+		if reply.Code != 200 {
+			plan = nil
+		} else if w.shown != plan.Generation {
+			// The same content again and again would only swell the history.
+			w.shown = plan.Generation
+			e.Rows = plan.Rows
+		}
+		w.Tell(e)
+		if back != nil {
+			back(plan)
 		}
-		generation, err := strconv.ParseUint(plan.Generation, 10, 64)
-		back(generation, err == nil)
 	})
 }
 
-// Read has an operator look at the table every so often until a moment.
+// Read has an operator look at the table every so often until a moment, and
+// then through every front.
 func (w *World) Read(every, until loop.Micros) {
 	if w.Now >= until {
+		for _, h := range w.Fronts() {
+			w.readPlan(h, nil)
+		}
 		return
 	}
-	sent := w.Now
-	w.readPlan("reader", func(generation uint64, isKnown bool) {
-		if isKnown {
-			// What an answer shows was so at some moment after it was asked for.
-			w.Tell(check.Event{Kind: check.PlanRead, Who: "reader", Code: 200, Generation: generation})
-		}
-		w.After(max(every-(w.Now-sent), 0), func() { w.Read(every, until) })
-	})
+	w.readPlan(w.pickFront(w.anyCell()), nil)
+	w.After(every, func() { w.Read(every, until) })
 }
 
 // Fault notes a major fault.
--- a/sim/scenarios.go
+++ b/sim/scenarios.go
@@ -272,6 +272,13 @@
 		for k := 0; k < 6; k++ {
 			f.At(f.Began+loop.Micros(2+3*k)*loop.Second, func() {
 				h := f.Hosts[f.Rng.IntN(len(f.Hosts))]
+				if h.Disk != nil {
+					// One clock of the three that count is wrong at a time; with two
+					// wrong nothing could tell which is right.
+					for _, other := range f.Stores() {
+						other.WallOff = 0
+					}
+				}
 				h.WallOff = (f.Rng.Int64N(2*6*3600) - 6*3600) * int64(loop.Second)
 			})
 		}
@@ -309,6 +316,7 @@
 			f.After(8*loop.Second, func() {
 				f.Isolate(front, false)
 				f.Workers[2].isStuck = false
+				f.Tell(check.Event{Kind: check.Cut, Who: f.Workers[2].name, State: check.Mended})
 			})
 		})
 	}},
--- a/sim/world.go
+++ b/sim/world.go
@@ -79,6 +79,7 @@
 	seeds    []string
 	Damaged  []string // what opening a damaged store said
 	second   loop.Micros
+	shown    uint64 // newest generation whose rows the history has
 	inSecond int
 }
 
@@ -99,6 +100,9 @@
 	run       int         // counts starts, so that what was meant for an old one goes nowhere
 	zero      loop.Micros // when its monotonic clock began; each process has its own
 	frozen    bool
+	isReady   bool // by the platform's last look
+	isWatched bool
+	canServe  bool // as told in the history
 	isLeaving bool // takes no new errands
 	backlog   []func()
 	ticking   map[string]bool
@@ -168,6 +172,40 @@
 	return h
 }
 
+// reckon tells of each front that has come to reach a quorum, or not to: it is
+// up, and with two stores that reach each other it can speak both ways.
+func (w *World) reckon() {
+	var stores []*Host
+	for _, h := range w.Hosts {
+		if h.Disk != nil && h.isHere() {
+			stores = append(stores, h)
+		}
+	}
+	isJoined := func(a, b *Host) bool {
+		return a == b || !w.cuts[[2]string{a.Address, b.Address}] && !w.cuts[[2]string{b.Address, a.Address}]
+	}
+	for _, h := range w.Fronts() {
+		canServe := false
+		for k, a := range stores {
+			for _, b := range stores[:k] {
+				canServe = canServe || isJoined(a, b) && isJoined(h, a) && isJoined(h, b)
+			}
+		}
+		canServe = canServe && h.isHere()
+		if canServe != h.canServe {
+			h.canServe = canServe
+			kind := check.Away
+			if canServe {
+				kind = check.Back
+			}
+			w.Tell(check.Event{Kind: kind, Front: h.Name})
+		}
+	}
+}
+
+// isHere tells whether the host's process is up, awake and not leaving.
+func (h *Host) isHere() bool { return h.IsUp && !h.frozen && !h.isLeaving }
+
 func (w *World) newId() string {
 	w.nextId++
 	return fmt.Sprintf("p%03d-%04x", w.nextId, w.Rng.IntN(1<<16))
@@ -205,6 +243,11 @@
 		h.tables[berth.Name] = berth.Table
 		h.pace(berth.Name, berth.Pace, loop.Micros(w.Rng.Int64N(int64(berth.Pace))))
 	}
+	w.reckon()
+	if h.Role == schema.Role_ROLE_KEEP && !h.isWatched {
+		h.isWatched = true
+		w.After(loop.Micros(w.Rng.Int64N(int64(loop.Second))), func() { w.watch(h) })
+	}
 }
 
 // noteStrain tells the book now and then how this process's disk does, as a
@@ -266,6 +309,7 @@
 	for _, answer := range h.takeWaiting() {
 		answer(nil)
 	}
+	h.world.reckon()
 }
 
 func (h *Host) takeWaiting() []func(any) {
@@ -292,6 +336,7 @@
 	}
 	// Open errands are finished, new ones not taken.
 	h.isLeaving = true
+	h.world.reckon()
 	until := h.world.Now + span
 	var look func()
 	look = func() {
@@ -327,6 +372,7 @@
 		return
 	}
 	h.frozen = true
+	h.world.reckon()
 	run := h.run
 	h.world.After(span, func() {
 		if h.run != run {
@@ -338,6 +384,7 @@
 		for k, call := range backlog {
 			h.world.After(loop.Micros(k), func() { h.do(run, call) })
 		}
+		h.world.reckon()
 	})
 }
 
@@ -483,6 +530,7 @@
 // Cut cuts or mends the way from one host to another.
 func (w *World) Cut(from, to *Host, isCut bool) {
 	w.cuts[[2]string{from.Address, to.Address}] = isCut
+	w.reckon()
 }
 
 // Split cuts every way between the hosts of two sides, or mends them.
--- a/toil/toil.go
+++ b/toil/toil.go
@@ -70,6 +70,7 @@
 	over        map[key]past             // attempts that must not start again
 	lastSent    loop.Micros
 	isHurried   bool
+	toldHeard   loop.Micros
 }
 
 // New makes a worker and tells that it is up.
@@ -78,7 +79,7 @@
 		Name: name, Incarnation: incarnation, rack: rack, cores: cores, memory: memory, rng: rng, tell: tell,
 		runs: map[key]*run{}, ended: map[key]*schema.TaskNote{}, over: map[key]past{}, isHurried: true, lastSent: -announceSpan,
 	}
-	tell(check.Event{At: now, Kind: check.Up, Who: name, Cores: cores, Memory: memory, Incarnation: incarnation})
+	tell(check.Event{At: now, Kind: check.Up, Who: name, Cores: cores, Memory: memory, Rack: rack, Incarnation: incarnation})
 	return w
 }
 
@@ -234,6 +235,10 @@
 		return
 	}
 	w.taken, w.ward = seq, orders.Ward
+	if w.toldHeard == 0 || now >= w.toldHeard+loop.Second {
+		w.toldHeard = now
+		w.tell(check.Event{At: now, Kind: check.Heard, Who: w.Name, Incarnation: w.Incarnation})
+	}
 	w.licence = max(w.licence, sent+loop.Micros(orders.LicenceUs))
 	for _, note := range orders.Noted {
 		delete(w.ended, key{note.Lane, note.Job, note.Step, note.Task, note.Attempt})
