A wall-clock start counts right with one voter away and one clock wrong

Cause: the median was taken of whatever clocks were known; of two it was the later one, so a new leader that had heard one voter besides itself took the jumped clock's word. Change: while three clocks are known the leader notes how wall and group time stand to each other and its beats carry that; of two clocks the lower one counts that isn't before it. TestWallTime covers each pair.

--- a/keep/keep.go
+++ b/keep/keep.go
@@ -341,6 +341,7 @@
 		r := t.groups[name]
 		r.group.Tick(now)
 		if r.group.IsLeader() {
+			r.group.AgreeWall(now, t.wall())
 			t.tend(now, r)
 			t.passOn(now, r)
 		}
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -125,6 +125,8 @@
 	timeBase  int64
 	timeMono  loop.Micros
 	out       Effects
+
+	wallOffset int64 // wall less group time, when three clocks last agreed
 }
 
 // New makes a replica from what its store holds.
@@ -190,9 +192,32 @@
 	return at
 }
 
+// wallSlack is how much later than by the last agreement a clock may seem to be
+// right; group time stands still without a leader, so a right one is later.
+const wallSlack = 50 * loop.Milli
+
 // WallTime is the median of the voters' wall clocks, so that one clock that
-// jumped moves nothing. Our own counts as one of them.
+// jumped moves nothing. Our own counts as one of them. While only two are known,
+// as for a new leader with a voter away, either may be the wrong one: the lower
+// counts that isn't before the time last agreed on, for nothing may start early.
 func (g *Group) WallTime(now loop.Micros, own int64) int64 {
+	walls := g.walls(now, own)
+	if len(walls) >= 3 {
+		return walls[len(walls)/2]
+	}
+	if g.wallOffset == 0 {
+		return walls[0]
+	}
+	least := g.GroupTime(now) + g.wallOffset
+	for _, wall := range walls {
+		if wall >= least-int64(wallSlack) {
+			return wall
+		}
+	}
+	return least
+}
+
+func (g *Group) walls(now loop.Micros, own int64) []int64 {
 	walls := []int64{own}
 	for _, id := range g.roster.Voters {
 		if p := g.peers[id]; p != nil && id != g.self && p.wall != 0 {
@@ -200,7 +225,15 @@
 		}
 	}
 	sort.Slice(walls, func(i, j int) bool { return walls[i] < walls[j] })
-	return walls[len(walls)/2]
+	return walls
+}
+
+// AgreeWall notes, while three clocks are known, how wall and group time stand
+// to each other; beats carry that to whoever may lead next.
+func (g *Group) AgreeWall(now loop.Micros, own int64) {
+	if walls := g.walls(now, own); g.role == leader && len(walls) >= 3 {
+		g.wallOffset = walls[len(walls)/2] - g.GroupTime(now)
+	}
 }
 
 // Take hands over what the steps since the last call have left.
@@ -368,7 +401,7 @@
 	g.round++
 	g.rounds[g.round] = now
 	for _, id := range g.others() {
-		g.post(id, &schema.Beat{Group: g.name, Term: g.term, Commit: g.commit, Round: g.round, Sure: g.commit >= g.first})
+		g.post(id, &schema.Beat{Group: g.name, Term: g.term, Commit: g.commit, Round: g.round, Sure: g.commit >= g.first, WallOffsetUs: g.wallOffset})
 	}
 	g.countRounds(now)
 }
@@ -699,6 +732,9 @@
 		return
 	}
 	g.commitTo(min(m.Commit, g.matched))
+	if m.WallOffsetUs != 0 {
+		g.wallOffset = m.WallOffsetUs
+	}
 	if m.Sure && g.applied >= m.Commit {
 		g.caught = now
 	}
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -444,3 +444,53 @@
 		}
 	}
 }
+
+func TestWallTime(t *testing.T) {
+	const right, jump = int64(1_800_000_000_000_000), int64(3600 * loop.Second)
+	clock := func(g *Group, walls map[string]int64) {
+		for id, wall := range walls {
+			g.peers[id].wall = wall
+		}
+	}
+	Convey("Of three clocks the middle one counts", t, func() {
+		r := newRig(1, ids...)
+		r.run(3 * loop.Second)
+		g := r.leader()
+		for k, id := range g.others() {
+			clock(g, map[string]int64{id: []int64{right + jump, right}[k]})
+		}
+		So(g.WallTime(0, right), ShouldEqual, right)
+		So(g.WallTime(0, right-jump), ShouldEqual, right)
+	})
+	Convey("Of two, the one that fits what three agreed on, and never an earlier start", t, func() {
+		r := newRig(1, ids...)
+		r.run(3 * loop.Second)
+		g := r.leader()
+		now := r.now
+		others := g.others()
+		clock(g, map[string]int64{others[0]: right - int64(now), others[1]: right - int64(now)})
+		g.AgreeWall(now, right)
+		g.beat(now)
+		r.collect(g.self)
+		r.run(20 * loop.Milli)
+		// The leader goes; its successor has heard one clock besides its own.
+		r.isDown[g.self] = true
+		r.run(4 * loop.Second)
+		next := r.leader()
+		So(next.self, ShouldNotEqual, g.self)
+		for _, id := range next.others() {
+			next.peers[id].wall = 0
+		}
+		live := others[0]
+		if live == next.self {
+			live = others[1]
+		}
+		now, later := r.now, right+int64(4*loop.Second)
+		for _, each := range []struct{ own, other, want int64 }{
+			{later, later + jump, later}, {later + jump, later, later}, {later, later - jump, later}, {later - jump, later, later},
+		} {
+			next.peers[live].wall = each.other - int64(now)
+			So(next.WallTime(now, each.own), ShouldEqual, each.want)
+		}
+	})
+}
