--- a/charter/charter.go
+++ b/charter/charter.go
@@ -16,7 +16,7 @@
 const Group = "charter"
 
 // LicenceUs is how long a steward's licence lasts in the group's time.
-const LicenceUs = 3_000_000
+const LicenceUs = 2_000_000
 
 const keptPlans = 20
 
--- a/heed/heed.go
+++ b/heed/heed.go
@@ -22,9 +22,9 @@
 
 const (
 	askSpan    = 250 * loop.Milli
-	renewSpan  = loop.Second
-	claimSpan  = loop.Second
-	guardSpan  = 500 * loop.Milli  // a licence is let go this long before it ends
+	renewSpan  = 500 * loop.Milli
+	claimSpan  = 500 * loop.Milli
+	guardSpan  = 300 * loop.Milli  // a licence is let go this long before it ends
 	deadSpan   = 1500 * loop.Milli // a process unheard by anybody for so long is suspected
 	lostSpan   = 6 * loop.Second   // and for so long its place may be given to another
 	actSpan    = 200 * loop.Milli  // between two acts on one thing
@@ -184,7 +184,10 @@
 	isVacant := t.until == 0 || stale > loop.Micros(charter.LicenceUs)
 	// A steward that nobody hears needn't be waited for, but the charter will
 	// only give its licence away when it has run out.
-	if isVacant && stale > loop.Micros(charter.LicenceUs)+loop.Micros(rank)*300*loop.Milli || t.until == 0 && now > loop.Micros(rank)*300*loop.Milli {
+	// Whoever held it last may take it up again at once: while the charter had no
+	// leader nobody could renew anything.
+	isLast := t.state.Steward.GetId() == t.id
+	if isLast || isVacant && stale > loop.Micros(charter.LicenceUs)+loop.Micros(rank)*300*loop.Milli || t.until == 0 && now > loop.Micros(rank)*300*loop.Milli {
 		t.claim(now, out)
 	}
 }
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -26,12 +26,12 @@
 const Pace = 25 * loop.Milli
 
 const (
-	freshSpan    = 1500 * loop.Milli // how old the charter's word may be for a keeper to order
-	stallSpan    = 600 * loop.Milli  // a sync that takes longer makes a leader pass its lanes on
-	passRest     = 5 * loop.Second   // between two attempts to pass a lane on
-	launchSpan   = 200 * loop.Milli  // the starts of a group that was decided on have left by then
-	waitMost     = 400 * loop.Milli  // how long passing on waits for that
-	maxUnsettled = 8192              // proposals of one group not applied yet
+	freshSpan    = loop.Second      // how old the charter's word may be for a keeper to order
+	stallSpan    = 600 * loop.Milli // a sync that takes longer makes a leader pass its lanes on
+	passRest     = 5 * loop.Second  // between two attempts to pass a lane on
+	launchSpan   = 200 * loop.Milli // the starts of a group that was decided on have left by then
+	waitMost     = 400 * loop.Milli // how long passing on waits for that
+	maxUnsettled = 8192             // proposals of one group not applied yet
 	tickTimed    = loop.Second
 	tickKept     = 5 * loop.Second
 )
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,7 +24,7 @@
 const (
 	silentSpan   = loop.Second       // no order to a worker not heard for this long
 	actSpan      = 250 * loop.Milli  // how old a keeper's word may be for an order to leave
-	wardSpan     = 1500 * loop.Milli // how long a former ward may still have answered
+	wardSpan     = 1250 * loop.Milli // how long a former ward may still have answered: the keeper's freshSpan and actSpan
 	holdSpan     = 400 * loop.Milli  // how long an announce is held back at most
 	endSpan      = 300 * loop.Milli  // a report that isn't settled is passed on again
 	reserveSpan  = 3 * loop.Second   // a checkout that was never heard of is given up
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -36,6 +36,8 @@
 	maxBatch  = 64      // records in one Append
 	maxBytes  = 1 << 20 // of records in one Append
 	maxFlight = 1024    // records sent beyond what is known matched
+
+	keptReplies = 16 // beats whose answering is remembered
 )
 
 type role int
@@ -83,6 +85,12 @@
 	heard       loop.Micros // last answer of any kind
 }
 
+// reply is when a beat was answered.
+type reply struct {
+	round uint64
+	at    loop.Micros
+}
+
 type read struct {
 	errand, index, round uint64
 }
@@ -126,7 +134,8 @@
 	timeMono  loop.Micros
 	out       Effects
 
-	wallOffset int64 // wall less group time, when three clocks last agreed
+	replies    []reply // beats answered of this term, the latest last
+	wallOffset int64   // wall less group time, when three clocks last agreed
 }
 
 // New makes a replica from what its store holds.
@@ -361,7 +370,7 @@
 		g.matched = 0
 	}
 	g.role, g.lead = follower, lead
-	g.peers, g.votes, g.reads, g.rounds, g.passTo = nil, nil, nil, nil, ""
+	g.peers, g.votes, g.reads, g.rounds, g.passTo, g.replies = nil, nil, nil, nil, "", nil
 	g.resetDeadline(now)
 }
 
@@ -400,8 +409,12 @@
 	g.nextBeat = now + g.times.Beat
 	g.round++
 	g.rounds[g.round] = now
+	g.syncPeers(now)
 	for _, id := range g.others() {
-		g.post(id, &schema.Beat{Group: g.name, Term: g.term, Commit: g.commit, Round: g.round, Sure: g.commit >= g.first, WallOffsetUs: g.wallOffset})
+		g.post(id, &schema.Beat{
+			Group: g.name, Term: g.term, Commit: g.commit, Round: g.round, Sure: g.commit >= g.first, WallOffsetUs: g.wallOffset,
+			Heard: g.peers[id].round,
+		})
 	}
 	g.countRounds(now)
 }
@@ -735,8 +748,16 @@
 	if m.WallOffsetUs != 0 {
 		g.wallOffset = m.WallOffsetUs
 	}
-	if m.Sure && g.applied >= m.Commit {
-		g.caught = now
+	// A beat may have lain in a buffer for any time, ours while we were frozen, or
+	// the wire's. It is only surely younger than the reply of ours it has heard.
+	for _, each := range g.replies {
+		if m.Sure && g.applied >= m.Commit && each.round == m.Heard {
+			g.caught = max(g.caught, each.at)
+		}
+	}
+	g.replies = append(g.replies, reply{m.Round, now})
+	if len(g.replies) > keptReplies {
+		g.replies = g.replies[1:]
 	}
 	g.post(from, &schema.BeatReply{Group: g.name, Term: g.term, Round: m.Round, Match: min(g.matched, g.stable)})
 }
