Who is turned away learns when room is expected; a lost front gives up at once

Cause: Retry-After was 1 or 5 whatever the load, so all who were turned away came back together; and a front that had lost the charter held what it had until the errand's own deadline, up to 10 s, though it could carry none of it. Ruled out: holding answers back (not accepted), a queue in the front. Change: each who is turned away gets the next turn at the pace at which room has been coming, of the client's lane or, for a lane full of live jobs, of the jobs it ends; where nothing gets done 5 s, growing to 30. When the charter's word is 5 s old all open errands are answered at once: 504 for what may take effect, 503 for reads and for whatever comes from then on. Before: TestWhenToComeBack fails in each of its parts. After: passes.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -32,6 +32,8 @@
 	frozenSpan   = 20 * loop.Second  // after a longer pause this front starts afresh
 	freshSpan    = 5 * loop.Second   // a front that saw no charter for so long isn't ready
 	maxPending   = 4096              // errands of all kinds at once
+	rateSpan     = loop.Second       // over which what a lane gets done is counted
+	longestRetry = 30                // seconds
 	maxResend    = 64                // submissions resent a lane and tick
 	quietedMost  = 64
 )
@@ -145,6 +147,8 @@
 	redirected map[string]loop.Micros // by lane
 	owed       map[string]bool        // lanes whose redirect waits for the next tick
 	last       loop.Micros
+	paces      map[string]*pace
+	wasFresh   bool
 	isWarned   bool
 	isLocal    bool // the charter is in this process
 }
@@ -156,6 +160,7 @@
 		leaders: map[string]string{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
 		errands: map[uint64]*errand{}, polls: map[uint64]PollIn{}, met: map[string]loop.Micros{}, quitting: map[string][]*schema.Session{},
 		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]loop.Micros{}, owed: map[string]bool{},
+		paces: map[string]*pace{},
 	}
 }
 
@@ -230,6 +235,7 @@
 	for _, note := range m.Waits {
 		if note.Lane != "" {
 			t.waits[note.Lane] = note
+			t.pace("live/"+note.Lane).count(now, note.Ended)
 		}
 	}
 	if from != "" && m.Leaders[charter.Group] == from {
@@ -291,6 +297,10 @@
 		t.unknownLane(now, m.Errand, m.Lane, m, isFinal, out)
 		return
 	}
+	if !t.isFresh(now) {
+		t.notReady(now, m.Errand, out)
+		return
+	}
 	if fault := tooLarge(t.values, m.Job); fault != nil {
 		data, _ := json.Marshal(fault)
 		out.Answer(m.Errand, Answer{Code: 422, Body: data})
@@ -302,16 +312,16 @@
 	note := t.waits[m.Lane]
 	switch {
 	case t.pending >= maxPending:
-		t.turnAway(m, "front_full", "this front has too much in hand", 1, out)
+		t.turnAway(now, m, "front_full", "this front has too much in hand", "", out)
 		return
 	case s != nil && len(s.waiting) >= window:
-		t.turnAway(m, "window_full", "this client has too many hand-ins unconfirmed", 1, out)
+		t.turnAway(now, m, "window_full", "this client has too many hand-ins unconfirmed", m.Lane, out)
 		return
 	case t.laneHas[m.Lane] >= maxPending/2:
-		t.turnAway(m, "lane_full", "the lane has too many hand-ins unconfirmed", 1, out)
+		t.turnAway(now, m, "lane_full", "the lane has too many hand-ins unconfirmed", m.Lane, out)
 		return
 	case note != nil && int64(note.Live) >= t.values.Fleet("live_jobs"):
-		t.turnAway(m, "lane_full", "the lane has as many live jobs as the plan allows", 5, out)
+		t.turnAway(now, m, "lane_full", "the lane has as many live jobs as the plan allows", "live/"+m.Lane, out)
 		return
 	}
 	if s == nil {
@@ -336,8 +346,79 @@
 	t.send(now, s.lane, []*submission{each}, out)
 }
 
-func (t *Table) turnAway(m HandIn, code, message string, retry int, out loop.Out) {
-	t.refuse(m.Errand, 429, code, message, retry, out)
+// turnAway says no before the submission has a number, and when there should be
+// room: each who is told so is given the next turn, at the pace at which room
+// has been coming of late.
+func (t *Table) turnAway(now loop.Micros, m HandIn, code, message, what string, out loop.Out) {
+	t.refuse(m.Errand, 429, code, message, t.pace(what).turn(now), out)
+}
+
+// pace is how fast something gets done, and who is expected back.
+type pace struct {
+	done   uint64 // so far
+	before uint64 // at the last look
+	at     loop.Micros
+	rate   float64     // a second
+	next   loop.Micros // when the last who was told to come back may
+}
+
+func (t *Table) pace(what string) *pace {
+	if t.paces[what] == nil {
+		t.paces[what] = &pace{}
+	}
+	return t.paces[what]
+}
+
+// count takes in how much has been done, in all, by now.
+func (p *pace) count(now loop.Micros, done uint64) {
+	p.done = max(p.done, done)
+	if p.at == 0 {
+		p.at, p.before = now, p.done
+		return
+	}
+	if span := now - p.at; span >= rateSpan {
+		rate := float64(p.done-p.before) * float64(loop.Second) / float64(span)
+		p.rate = (p.rate + rate) / 2
+		p.at, p.before = now, p.done
+	}
+}
+
+// turn gives the next turn, in whole seconds from now.
+func (p *pace) turn(now loop.Micros) int {
+	// Where nothing gets done, nobody knows; a few seconds are worth a try.
+	wait := 5 * loop.Second
+	if p.rate > 0.2 {
+		wait = loop.Micros(float64(loop.Second) / p.rate)
+	}
+	p.next = min(max(p.next, now)+wait, now+longestRetry*loop.Second)
+	return max(1, int((p.next-now+loop.Second-1)/loop.Second))
+}
+
+// notReady is the answer of a front that has no word of the charter: the longer
+// it lasts, the less soon it is worth asking here again.
+func (t *Table) notReady(now loop.Micros, errand uint64, out loop.Out) {
+	retry := min(max(int((now-t.heardAt)/(2*loop.Second)), 1), 10)
+	t.refuse(errand, 503, "not_ready", "this front has no fresh word of the charter: ask another", retry, out)
+}
+
+// giveUp answers at once, when this front has lost touch, all that it can't
+// carry any more. What was handed in has its number and goes on being resent,
+// so whether it takes effect is unknown.
+func (t *Table) giveUp(now loop.Micros, out loop.Out) {
+	for _, id := range slices.Sorted(maps.Keys(t.asked)) {
+		t.asked[id].errand = 0
+		delete(t.asked, id)
+		out.Answer(id, unknown())
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.errands)) {
+		switch t.errands[id].ask.Kind {
+		case "cancel", "charter":
+			out.Answer(id, unknown())
+		default:
+			t.notReady(now, id, out)
+		}
+		delete(t.errands, id)
+	}
 }
 
 // tooLarge finds a task that no worker of the plan could ever hold.
@@ -462,6 +543,8 @@
 	s.waiting = append(s.waiting[:at:at], s.waiting[at+1:]...)
 	t.pending--
 	t.laneHas[lane]--
+	t.pace("").done++
+	t.pace(lane).done++
 	if each.errand != 0 {
 		delete(t.asked, each.errand)
 		out.Answer(each.errand, answerOf(outcome))
@@ -542,7 +625,11 @@
 
 func (t *Table) ask(now loop.Micros, m Ask, isFinal bool, out loop.Out) {
 	if len(t.errands) >= maxPending {
-		t.refuse(m.Errand, 429, "front_full", "this front has too much in hand", 1, out)
+		t.refuse(m.Errand, 429, "front_full", "this front has too much in hand", t.pace("").turn(now), out)
+		return
+	}
+	if t.heardAt > 0 && !t.isFresh(now) {
+		t.notReady(now, m.Errand, out)
 		return
 	}
 	if m.Group != charter.Group && charter.Place(t.state, m.Group) == nil {
@@ -671,6 +758,14 @@
 	if len(t.parked) > 0 && now-t.parkedAt > parkSpan {
 		t.unpark(now, out)
 	}
+	for _, p := range t.paces {
+		p.count(now, p.done)
+	}
+	isFresh := t.isFresh(now)
+	if t.wasFresh && !isFresh {
+		t.giveUp(now, out)
+	}
+	t.wasFresh = isFresh
 	t.tickErrands(now, out)
 	t.endQuiet(now, out)
 	for id, m := range t.polls {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -226,3 +226,77 @@
 		})
 	})
 }
+
+func TestWhenToComeBack(t *testing.T) {
+	window := &schema.Row{Kind: "fleet", Key: "window", Value: "8"}
+	Convey("Who is turned away is told when there should be room, each the next turn at the lane's pace", t, func() {
+		d := newDesk(window)
+		// Four are confirmed a second.
+		for k := 0; k < 12; k++ {
+			d.handIn("c", "n")
+			_, submit := d.lastSubmit()
+			d.applied("a", submit.Enqueues[0].Number)
+			d.now += 250 * loop.Milli
+			d.step(loop.Tick{})
+			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
+		}
+		for k := 0; k < 8; k++ {
+			d.handIn("c", "held")
+		}
+		var told []int
+		for k := 0; k < 12; k++ {
+			answer := d.answers[d.handIn("c", "more")]
+			So(answer.Code, ShouldEqual, 429)
+			told = append(told, answer.Retry)
+		}
+		So(told[0], ShouldEqual, 1)
+		So(told[11], ShouldBeBetweenOrEqual, 3, 4)
+		// Turns that have passed are given anew.
+		d.now += 4 * loop.Second
+		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
+		So(d.answers[d.handIn("c", "more")].Retry, ShouldEqual, 1)
+	})
+	Convey("Where nothing gets done the time grows, within bounds", t, func() {
+		d := newDesk(window)
+		for k := 0; k < 8; k++ {
+			d.handIn("c", "held")
+		}
+		So(d.answers[d.handIn("c", "more")].Retry, ShouldEqual, 5)
+		for k := 0; k < 20; k++ {
+			d.handIn("c", "more")
+		}
+		So(d.answers[d.handIn("c", "more")].Retry, ShouldEqual, longestRetry)
+	})
+	Convey("A full lane's time is by the jobs it ends", t, func() {
+		d := newDesk(&schema.Row{Kind: "fleet", Key: "live_jobs", Value: "100"})
+		for k := uint64(0); k < 8; k++ {
+			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}, Waits: []*schema.WaitNote{{Lane: "l", Live: 100, Ended: 2 * k}}})
+			d.now += loop.Second
+		}
+		told := 0
+		for k := 0; k < 10; k++ {
+			answer := d.answers[d.handIn("c", "n")]
+			So(answer.Code, ShouldEqual, 429)
+			told = answer.Retry
+		}
+		So(told, ShouldBeBetweenOrEqual, 5, 6)
+	})
+	Convey("A front that has lost touch answers at once what it holds and what comes, with when to come back", t, func() {
+		d := newDesk()
+		d.step(loop.Tick{})
+		id := d.handIn("c", "one")
+		d.step(Ask{Errand: 900, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*loop.Second})
+		d.step(Ask{Errand: 901, Kind: "cancel", Group: "l", Name: "one", Deadline: d.now + 60*loop.Second})
+		d.now += freshSpan + loop.Milli
+		d.step(loop.Tick{})
+		// Numbered, so whether it takes effect isn't known; and it goes on being sent.
+		So(d.answers[id].Code, ShouldEqual, 504)
+		So(d.answers[900].Code, ShouldEqual, 503)
+		So(d.answers[901].Code, ShouldEqual, 504)
+		So(d.t.sessions[laneClient{"l", "c"}].waiting, ShouldHaveLength, 1)
+		late := d.answers[d.handIn("c", "two")]
+		So(late.Code, ShouldEqual, 503)
+		d.now += 12 * loop.Second
+		So(d.answers[d.handIn("c", "two")].Retry, ShouldBeGreaterThan, late.Retry)
+	})
+}
--- a/keep/errand.go
+++ b/keep/errand.go
@@ -164,7 +164,7 @@
 		}
 	}
 	if r.lane != nil {
-		note.Live, note.Kept = uint32(r.lane.Live()), uint32(r.lane.Kept())
+		note.Live, note.Kept, note.Ended = uint32(r.lane.Live()), uint32(r.lane.Kept()), r.lane.Ended()
 		seen := map[string]bool{}
 		for _, session := range r.lane.Boots() {
 			key := session.Intake + "/" + strconv.FormatUint(session.Boot, 10)
--- a/lane/machine.go
+++ b/lane/machine.go
@@ -150,6 +150,7 @@
 func (m *Machine) Now() int64             { return m.now }
 func (m *Machine) Hand() uint64           { return m.hand }
 func (m *Machine) Live() int              { return len(m.jobs) }
+func (m *Machine) Ended() uint64          { return m.nextJob - uint64(len(m.jobs)) }
 func (m *Machine) Kept() int              { return len(m.fading) }
 func (m *Machine) Timed() int             { return m.byStart.Len() }
 func (m *Machine) Carries() uint64        { return m.carries }
