Followers let the charter's log go, and the steward renews less often

Ruled out: a lane pinned by a job that lasts (its carry holds it at 1216 records). Change: each replica releases as it applies.

--- a/heed/heed.go
+++ b/heed/heed.go
@@ -22,7 +22,7 @@
 
 const (
 	askSpan    = 250 * loop.Milli
-	renewSpan  = 500 * loop.Milli
+	renewSpan  = 800 * loop.Milli
 	claimSpan  = 500 * loop.Milli
 	guardSpan  = 300 * loop.Milli  // a licence is let go this long before it ends
 	deadSpan   = 1500 * loop.Milli // a process unheard by anybody for so long is suspected
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -375,7 +375,6 @@
 		return
 	}
 	if r.lane == nil {
-		t.tendCharter(r)
 		return
 	}
 	m, at := r.lane, g.GroupTime(now)
@@ -410,10 +409,11 @@
 	}
 }
 
-func (t *Table) tendCharter(r *replica) {
-	// The charter is small: its whole state is the checkpoint.
-	if g := r.group; g.Applied()-g.Base() > 512 {
-		g.Release(g.Applied(), t.charter.Rest())
+// releaseCharter lets the charter's log go, on every replica: it is small, so its
+// whole state is the checkpoint.
+func (t *Table) releaseCharter(r *replica, index uint64) {
+	if g := r.group; index-g.Base() > 512 {
+		g.Release(index, t.charter.Rest())
 	}
 }
 
@@ -802,6 +802,7 @@
 		if err != nil {
 			panic("keep: charter record: " + err.Error())
 		}
+		t.releaseCharter(r, record.Index)
 		t.charterChanged(out)
 		if isWaited {
 			t.answerCharter(waiting, result, r, out)
