A failure that is told late counts, once, whatever the task does by then

Cause: a worker cut off in the moment its task failed is taken for lost; its report, when it came, named an older attempt and was noted without effect, so the task could fail once more than allowed. Ruled out: counting a lost worker as a failure (a crash of a machine would end jobs that allow none); waiting for the worker's word before running again (it may never come). Change: the machine remembers which attempts were taken back unheard, and a failure told of one of those counts.

--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -271,6 +271,33 @@
 		}
 		So(b.state("j"), ShouldEqual, "failed")
 	})
+	Convey("A failure told late counts once, whatever the task does by then", t, func() {
+		b := newBench()
+		b.enqueue("c", 1, "j", simple(1))
+		k := key(1, 0, 0)
+		b.checkout(k)
+		b.giveBack(k, 1, schema.Cause_CAUSE_LOST)
+		b.checkout(k)
+		b.giveBack(k, 1, schema.Cause_CAUSE_FAILED)
+		b.giveBack(k, 1, schema.Cause_CAUSE_FAILED)
+		So(b.state("j"), ShouldEqual, "running")
+		So(b.m.jobs[1].tasks[0][0].failures, ShouldEqual, 1)
+		b.giveBack(k, 2, schema.Cause_CAUSE_FAILED)
+		So(b.state("j"), ShouldEqual, "failed")
+		Convey("and one too many ends the job while the next attempt is out", func() {
+			job := simple(1)
+			job.Steps[0].AllowedFailures = 0
+			b.enqueue("c", 2, "k", job)
+			k := key(2, 0, 0)
+			b.checkout(k)
+			b.giveBack(k, 1, schema.Cause_CAUSE_LOST)
+			b.checkout(k)
+			b.giveBack(k, 1, schema.Cause_CAUSE_FAILED)
+			So(b.state("k"), ShouldEqual, "stopping")
+			b.giveBack(k, 2, schema.Cause_CAUSE_DISPLACED)
+			So(b.state("k"), ShouldEqual, "failed")
+		})
+	})
 	Convey("But no task circles for ever", t, func() {
 		b := newBench()
 		b.enqueue("c", 1, "j", simple(1))
--- a/lane/machine.go
+++ b/lane/machine.go
@@ -4,6 +4,7 @@
 package lane
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/google/btree"
@@ -44,8 +45,9 @@
 	worker      string
 	incarnation uint64
 	hand        uint64
-	isBreaking  bool // out, and to be stopped because its group broke
-	isLaunched  bool // its group has been decided to begin
+	isBreaking  bool     // out, and to be stopped because its group broke
+	isLaunched  bool     // its group has been decided to begin
+	lost        []uint32 // attempts taken back unheard: they may yet turn out to have failed
 }
 
 type sessionKey struct {
@@ -575,18 +577,26 @@
 		return
 	}
 	each := &j.tasks[s][t]
+	step := j.spec.Steps[s]
+	isRunning := j.state == schema.JobState_JOB_RUNNING
 	if each.state != schema.TaskState_TASK_OUT || each.attempt != c.Attempt {
+		// A worker that had been cut off tells late that it had failed. That
+		// counts, once, whatever has become of the task meanwhile.
+		if k := slices.Index(each.lost, c.Attempt); k >= 0 && c.Cause == schema.Cause_CAUSE_FAILED && isRunning {
+			each.lost = slices.Delete(each.lost, k, k+1)
+			if m.failed(j, s, each); j.state == schema.JobState_JOB_STOPPING {
+				m.endIfStill(j)
+			}
+		}
 		return
 	}
-	step := j.spec.Steps[s]
-	isRunning := j.state == schema.JobState_JOB_RUNNING
+	if c.Cause == schema.Cause_CAUSE_LOST {
+		each.lost = append(each.lost, each.attempt)
+	}
 	// Failing counts whatever was asked of the task meanwhile; being stopped
 	// counts only for whom the stop was meant.
 	if isRunning && c.Cause == schema.Cause_CAUSE_FAILED {
-		each.failures++
-		if each.failures > step.AllowedFailures {
-			m.stop(j, schema.JobState_JOB_FAILED, "step "+step.Name+": a task used up its allowed failures")
-		}
+		m.failed(j, s, each)
 	} else if isRunning && !each.isBreaking {
 		each.circles++
 		if each.circles > m.adopt.Circles {
@@ -599,6 +609,15 @@
 	m.takeBack(j, s, t)
 }
 
+// failed counts a failure; one too many ends the job, whatever came of the task
+// since. A task that has been done stays done.
+func (m *Machine) failed(j *job, s int, each *task) {
+	each.failures++
+	if step := j.spec.Steps[s]; each.failures > step.AllowedFailures && each.state != schema.TaskState_TASK_DONE {
+		m.stop(j, schema.JobState_JOB_FAILED, "step "+step.Name+": a task used up its allowed failures")
+	}
+}
+
 // breakGroup stops the other members: none is retried until all have stopped.
 func (m *Machine) breakGroup(j *job, s int) {
 	for t := range j.tasks[s] {
--- a/lane/rest.go
+++ b/lane/rest.go
@@ -116,7 +116,7 @@
 				each := &j.tasks[s][t]
 				jr.Tasks = append(jr.Tasks, &schema.TaskRest{
 					State: each.state, Attempt: each.attempt, Failures: each.failures, Circles: each.circles,
-					Worker: each.worker, Incarnation: each.incarnation, Hand: each.hand, Breaking: each.isBreaking, Launched: each.isLaunched,
+					Worker: each.worker, Incarnation: each.incarnation, Hand: each.hand, Breaking: each.isBreaking, Launched: each.isLaunched, Lost: each.lost,
 				})
 			}
 		}
@@ -190,7 +190,7 @@
 				k++
 				tasks[t] = task{
 					state: tr.State, attempt: tr.Attempt, failures: tr.Failures, circles: tr.Circles,
-					worker: tr.Worker, incarnation: tr.Incarnation, hand: tr.Hand, isBreaking: tr.Breaking, isLaunched: tr.Launched,
+					worker: tr.Worker, incarnation: tr.Incarnation, hand: tr.Hand, isBreaking: tr.Breaking, isLaunched: tr.Launched, lost: tr.Lost,
 				}
 				if tr.State == schema.TaskState_TASK_DONE {
 					left--
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -450,17 +450,19 @@
 		if v := t.views[key.lane]; v != nil && t.mayAct(now, v) {
 			each := v.tasks[key.taskKey]
 			// It isn't out under that attempt any more, so nothing is left to
-			// report. That is sure only when nothing is on its way to us.
-			if each == nil || each.attempt > key.attempt {
+			// report, but that it failed. That is sure only when nothing is on
+			// its way to us.
+			isPast := each == nil || each.attempt > key.attempt
+			if isPast && outcome != "failed" {
 				e.isNoted = true
 				continue
 			}
 			// Who fails at once would have the others stopped before the last of
 			// them has begun, whose order was lost on the way.
-			if outcome == "failed" && now-e.at < wholeSpan && t.isBeginning(each) {
+			if !isPast && outcome == "failed" && now-e.at < wholeSpan && t.isBeginning(each) {
 				continue
 			}
-			if each.attempt == key.attempt && each.evict != "" && outcome == "stopped" {
+			if !isPast && each.attempt == key.attempt && each.evict != "" && outcome == "stopped" {
 				outcome = each.evict
 			}
 		}
--- a/toil/toil.go
+++ b/toil/toil.go
@@ -67,6 +67,7 @@
 	isLeaving   bool
 	runs        map[key]*run
 	ended       map[key]*schema.TaskNote // not noted yet
+	carried     map[key]uint64           // failures not known to be reported, and the first announce with them
 	over        map[key]past             // attempts that must not start again
 	lastSent    loop.Micros
 	isHurried   bool
@@ -77,7 +78,7 @@
 func New(now loop.Micros, name, rack string, cores, memory int64, incarnation uint64, rng *rand.Rand, tell func(check.Event)) *Worker {
 	w := &Worker{
 		Name: name, Incarnation: incarnation, rack: rack, cores: cores, memory: memory, rng: rng, tell: tell,
-		runs: map[key]*run{}, ended: map[key]*schema.TaskNote{}, over: map[key]past{}, isHurried: true, lastSent: -announceSpan,
+		runs: map[key]*run{}, ended: map[key]*schema.TaskNote{}, over: map[key]past{}, carried: map[key]uint64{}, isHurried: true, lastSent: -announceSpan,
 	}
 	tell(check.Event{At: now, Kind: check.Up, Who: name, Cores: cores, Memory: memory, Rack: rack, Incarnation: incarnation})
 	return w
@@ -180,6 +181,9 @@
 		w.event(now, check.LetGo, r, outcome)
 	}
 	w.over[r.key] = past{now, outcome}
+	if outcome == "failed" {
+		w.carried[r.key] = 0
+	}
 	w.report(r.key, outcome)
 }
 
@@ -209,17 +213,24 @@
 		}
 		a.Running = append(a.Running, note)
 	}
-	keys := make([]key, 0, len(w.ended))
-	for k := range w.ended {
-		keys = append(keys, k)
-	}
-	sort.Slice(keys, func(a, b int) bool { return less(keys[a], keys[b]) })
-	for _, k := range keys {
+	for _, k := range sortedKeys(w.ended) {
 		a.Ended = append(a.Ended, w.ended[k])
+		if seq, isCarried := w.carried[k]; isCarried && seq == 0 {
+			w.carried[k] = w.seq
+		}
 	}
 	return a
 }
 
+func sortedKeys[V any](set map[key]V) []key {
+	keys := make([]key, 0, len(set))
+	for k := range set {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(a, b int) bool { return less(keys[a], keys[b]) })
+	return keys
+}
+
 // Unanswered says that an announce came to nothing; the next may go at once
 // to another front.
 func (w *Worker) Unanswered(now loop.Micros) {
@@ -243,6 +254,12 @@
 		w.tell(check.Event{At: now, Kind: check.Heard, Who: w.Name, Incarnation: w.Incarnation})
 	}
 	w.licence = max(w.licence, sent+loop.Micros(orders.LicenceUs))
+	for _, k := range sortedKeys(w.carried) {
+		if first := w.carried[k]; first > 0 && first <= seq {
+			delete(w.carried, k)
+			w.event(now, check.Reported, &run{key: k}, "failed")
+		}
+	}
 	for _, note := range orders.Noted {
 		delete(w.ended, key{note.Lane, note.Job, note.Step, note.Task, note.Attempt})
 	}
