feign fleet: splits, one-way cuts, racing operators, a worker off and running on

Cause: real processes could only be cut off from all others both ways; histories named neither the front asked nor when, so the wider rules could not be judged there. Change: faults mute, deaf, split, race, offline; callers and operators note front, moment, shown state and table content; the table is read back through every front; time until a hand-in is told no is reported; Retry-After is kept to. Histories that are cut off or foreign are told with their line and never judged. Simulated callers that get no answer ask again, so that the judge has word of when service was back (a single question 2 s after a power cut had been all).

--- a/cmd/feign/fleet.go
+++ b/cmd/feign/fleet.go
@@ -106,6 +106,7 @@
 	drained  context.Context // ends when callers give up
 	extra    []scale.Kind    // what faults made callers hand in besides
 	next     int
+	splits   int // so far; each strikes the next cell
 	mu       sync.Mutex
 }
 
@@ -144,7 +145,13 @@
 		}
 	}
 	go f.platform.watch(ctx)
-	return putPlan(ctx, f.platform, f.history, f.profile.Rows())
+	if err := putPlan(ctx, f.platform, f.history, "operator", f.profile.Rows()); err != nil {
+		return err
+	}
+	for _, p := range f.fronts {
+		f.turn(p, true)
+	}
+	return nil
 }
 
 // procs lists every daemon of the fleet.
@@ -214,6 +221,17 @@
 	f.history.add(check.Event{Kind: check.Fault, State: what})
 }
 
+// turn notes that a front can serve again, or can't.
+func (f *fleet) turn(p *proc, canServe bool) {
+	kind := check.Away
+	if canServe {
+		kind = check.Back
+	}
+	if slices.Contains(f.fronts, p) {
+		f.history.add(check.Event{Kind: kind, Front: p.outer})
+	}
+}
+
 // fault brings one about; the forms are listed in the help.
 func (f *fleet) fault(ctx context.Context, what string) {
 	name, argument, _ := strings.Cut(what, ":")
@@ -222,13 +240,15 @@
 		span = 5 * time.Second
 	}
 	switch name {
-	case "kill", "freeze", "wipe", "cut":
+	case "kill", "freeze", "wipe", "cut", "mute", "deaf":
 		p := f.leader(ctx)
 		if p == nil {
 			f.note("no keeper found for " + what)
 			return
 		}
 		f.note(what + " " + p.name)
+		f.turn(p, false)
+		defer f.turn(p, true)
 		switch name {
 		case "kill":
 			p.end(syscall.SIGKILL)
@@ -243,11 +263,49 @@
 			_ = os.RemoveAll(p.data)
 			rest(ctx, span)
 			f.again(p)
-		case "cut":
-			f.cutOff(p, true)
+		case "cut", "mute", "deaf":
+			f.cutOff(func(from, to *proc) bool {
+				return from == p && name != "deaf" || to == p && name != "mute"
+			})
 			rest(ctx, span)
-			f.cutOff(p, false)
+			f.cutOff(nil)
+		}
+	case "split":
+		cell := []string{"c1", "c2", "c3"}[f.splits%3]
+		f.splits++
+		f.note("cell " + cell + " split off for " + span.String())
+		for _, p := range f.fronts {
+			if p.cell == cell {
+				f.turn(p, false)
+				defer f.turn(p, true)
+			}
 		}
+		f.cutOff(func(from, to *proc) bool { return (from.cell == cell) != (to.cell == cell) })
+		rest(ctx, span)
+		f.cutOff(nil)
+	case "race":
+		f.note("two operators race")
+		var racing sync.WaitGroup
+		for k, who := range []string{"one", "two"} {
+			racing.Add(1)
+			go func() {
+				defer racing.Done()
+				rows := append(f.profile.Rows(), &schema.Row{Kind: "fleet", Key: "cache_every", Value: strconv.Itoa(32 + 16*k)})
+				// The loser reads the winner's table and puts its own on that.
+				if err := putPlan(ctx, f.platform, f.history, who, rows); err != nil && ctx.Err() == nil {
+					fmt.Fprintln(os.Stderr, "feign:", err)
+				}
+			}()
+		}
+		racing.Wait()
+	case "offline":
+		f.note("worker w02 is cut off and runs on, for " + span.String())
+		w := f.workers["w02"]
+		w.setOff(true)
+		f.history.add(check.Event{Kind: check.Cut, Who: "w02"})
+		rest(ctx, span)
+		w.setOff(false)
+		f.history.add(check.Event{Kind: check.Cut, Who: "w02", State: check.Mended})
 	case "sides":
 		f.note("all side machines swapped out, one after another")
 		for _, p := range f.sides {
@@ -279,10 +337,12 @@
 		f.note("every process is killed and started again")
 		// Side machines first, then the fronts.
 		for _, p := range slices.Backward(f.procs()) {
+			f.turn(p, false)
 			p.end(syscall.SIGKILL)
 		}
 		for _, p := range f.procs() {
 			f.again(p)
+			f.turn(p, true)
 		}
 	}
 }
@@ -311,23 +371,20 @@
 	}
 }
 
-// cutOff cuts the wires of one process to all others, both ways, or mends them.
-func (f *fleet) cutOff(p *proc, isCut bool) {
-	for _, other := range f.procs() {
-		path := filepath.Join(f.folder, other.name+".cuts")
-		if !isCut {
+// cutOff cuts the wires from some processes to others, one way each; nil mends
+// them all.
+func (f *fleet) cutOff(isCut func(from, to *proc) bool) {
+	for _, from := range f.procs() {
+		path, content := filepath.Join(f.folder, from.name+".cuts"), ""
+		for _, to := range f.procs() {
+			if isCut != nil && from != to && isCut(from, to) {
+				content += to.inner + "\n"
+			}
+		}
+		if content == "" {
 			_ = os.Remove(path)
 			continue
 		}
-		content := p.inner
-		if other == p {
-			content = ""
-			for _, each := range f.procs() {
-				if each != p {
-					content += each.inner + "\n"
-				}
-			}
-		}
 		_ = os.WriteFile(path, []byte(content), 0o600)
 	}
 }
@@ -354,8 +411,10 @@
 	return `feign fleet -profile bank|skema [-span 30s] [-faults kill@10s,freeze:5s@20s]
   Starts 7 fronts (3 with data), 11 side machines, 11 workers and the profile's
   callers, and ends with a report. Faults, each NAME[:SPAN]@TIME: kill (the
-  keeper, -9, back after SPAN), freeze, cut (off from all others), wipe (kill
-  and lose the disk), sides (all swapped out), worker, leave, rush (twenty
+  keeper, -9, back after SPAN), freeze, cut (off from all others), mute (nobody
+  hears it), deaf (it hears nobody), wipe (kill and lose the disk), split (one
+  cell off from the others, the next cell each time), race (two operators put
+  tables), offline (worker w02 reaches no front and runs on), sides (all swapped out), worker, leave, rush (twenty
   times the load for SPAN), flood (jobs that can never run), all (every process
   killed). Exit codes: 0 no rule broken, 1 a rule broken or the fleet
   didn't come up, 2 bad flags.
@@ -391,7 +450,7 @@
 			return nil, fmt.Errorf("faults: %q is not NAME[:SPAN]@TIME", each)
 		}
 		name, _, _ := strings.Cut(what, ":")
-		if !strings.Contains(" kill freeze cut wipe sides worker leave rush flood all ", " "+name+" ") {
+		if !strings.Contains(" kill freeze cut mute deaf wipe split race offline sides worker leave rush flood all ", " "+name+" ") {
 			return nil, fmt.Errorf("faults: there is no fault %q", name)
 		}
 		list = append(list, plannedFault{at, what})
@@ -512,7 +571,9 @@
 	used := f.usage()
 	sending.Wait()
 	people.open.Wait()
-	readPlan(whole, f.platform, f.history, f.platform.pick("c1"))
+	for _, p := range f.fronts {
+		readPlan(whole, f.platform, f.history, p.outer)
+	}
 	f.history.add(check.Event{Kind: check.Close})
 	counts := f.counts(whole)
 	reportPeaks(f.peak())
--- a/cmd/feign/history.go
+++ b/cmd/feign/history.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"sort"
 	"sync"
@@ -25,8 +27,12 @@
 		e.At = h.now()
 	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	// What the end of the run does to the workers is no part of it.
+	if len(h.events) > 0 && h.events[len(h.events)-1].Kind == check.Close {
+		return
+	}
 	h.events = append(h.events, e)
-	h.mu.Unlock()
 }
 
 func (h *history) sorted() []check.Event {
@@ -57,6 +63,9 @@
 	return file.Close()
 }
 
+// readHistory reads what write has written. A line that isn't an event, and a
+// history that was cut off before its close, are told with the line: they can't
+// be judged, least of all as good.
 func readHistory(path string) ([]check.Event, error) {
 	file, err := os.Open(path)
 	if err != nil {
@@ -64,13 +73,28 @@
 	}
 	defer file.Close()
 	var list []check.Event
-	decoder := json.NewDecoder(bufio.NewReader(file))
-	for decoder.More() {
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, 64<<20)
+	for number := 1; scanner.Scan(); number++ {
 		var e check.Event
+		decoder := json.NewDecoder(bytes.NewReader(scanner.Bytes()))
+		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&e); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%s: line %d: not an event of a history: %w", path, number, err)
+		}
+		if e.Kind == "" {
+			return nil, fmt.Errorf("%s: line %d: not an event of a history: it has no kind", path, number)
+		}
+		if len(list) > 0 && e.At < list[len(list)-1].At {
+			return nil, fmt.Errorf("%s: line %d: earlier than the line before", path, number)
 		}
 		list = append(list, e)
 	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("%s: line %d: %w", path, len(list)+1, err)
+	}
+	if len(list) == 0 || list[len(list)-1].Kind != check.Close {
+		return nil, fmt.Errorf("%s: line %d: cut off: a whole history ends with its close", path, len(list)+1)
+	}
 	return list, nil
 }
--- a/cmd/feign/outside.go
+++ b/cmd/feign/outside.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protojson"
+
 	"sparnotch/check"
 	"sparnotch/loop"
 	"sparnotch/scale"
@@ -110,26 +112,39 @@
 	return ""
 }
 
+// reply is an answer over HTTP.
+type reply struct {
+	code  int32
+	body  []byte
+	retry time.Duration // when to come back
+}
+
 func (p *platform) call(ctx context.Context, span time.Duration, method, address, path string, body []byte, who string) (int32, []byte, error) {
+	got, err := p.send(ctx, span, method, address, path, body, who)
+	return got.code, got.body, err
+}
+
+func (p *platform) send(ctx context.Context, span time.Duration, method, address, path string, body []byte, who string) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, err
+		return reply{}, err
 	}
 	if who != "" {
 		request.Header.Set("Sparnotch-Client", who)
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		return 0, nil, err
+		return reply{}, err
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, 16<<20))
 	if err != nil {
-		return 0, nil, err
+		return reply{}, err
 	}
-	return int32(response.StatusCode), data, nil
+	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+	return reply{int32(response.StatusCode), data, time.Duration(seconds) * time.Second}, nil
 }
 
 func rest(ctx context.Context, span time.Duration) {
@@ -149,6 +164,13 @@
 	cell     string
 	mu       sync.Mutex
 	worker   *toil.Worker
+	isOff    bool // reaches no front
+}
+
+func (w *workerRunner) setOff(isOff bool) {
+	w.mu.Lock()
+	w.isOff = isOff
+	w.mu.Unlock()
 }
 
 // run drives one stand-in worker until the context ends, which is its crash,
@@ -209,6 +231,16 @@
 	if err != nil {
 		return false
 	}
+	w.mu.Lock()
+	isOff := w.isOff
+	w.mu.Unlock()
+	if isOff {
+		rest(ctx, 1200*time.Millisecond)
+		w.mu.Lock()
+		w.worker.Unanswered(w.history.now())
+		w.mu.Unlock()
+		return false
+	}
 	code, data, err := w.platform.call(ctx, 1200*time.Millisecond, "POST", front, "/v1/workers/"+w.worker.Name+"/announce", body, "")
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -217,7 +249,7 @@
 		return false
 	}
 	orders := &schema.Orders{}
-	if err != nil || code != 200 || json.Unmarshal(data, orders) != nil {
+	if w.isOff || err != nil || code != 200 || json.Unmarshal(data, orders) != nil {
 		w.worker.Unanswered(now)
 		return false
 	}
@@ -240,6 +272,7 @@
 	sent, accepted, ended int
 	turnedAway            int // for good
 	confirm               []loop.Micros
+	refused               []loop.Micros // how long until a hand-in was turned away
 	codes                 map[int32]int
 }
 
@@ -281,13 +314,30 @@
 	began := c.history.now()
 	c.count(k, func(s *kindStats) { s.sent++ })
 	for ctx.Err() == nil {
-		c.history.add(check.Event{Kind: check.HandIn, Who: who, Lane: k.Lane, Name: name, Spec: spec})
-		code, _, err := c.platform.call(ctx, 3*time.Second, "PUT", c.platform.pick(cell), path, body, who)
+		address, sent := c.platform.pick(cell), c.history.now()
+		c.history.add(check.Event{At: sent, Kind: check.HandIn, Who: who, Lane: k.Lane, Name: name, Spec: spec})
+		reply, err := c.platform.send(ctx, 3*time.Second, "PUT", address, path, body, who)
+		if ctx.Err() != nil {
+			break
+		}
+		code := reply.code
 		if err != nil {
 			code = 0
 		}
-		c.history.add(check.Event{Kind: check.HandInReply, Who: who, Lane: k.Lane, Name: name, Code: code})
-		c.count(k, func(s *kindStats) { s.codes[code]++ })
+		e := check.Event{Kind: check.HandInReply, Who: who, Lane: k.Lane, Name: name, Code: code, Front: address, Sent: sent}
+		view := &schema.JobView{}
+		if code == 200 || code == 201 {
+			if json.Unmarshal(reply.body, view) == nil {
+				e.State = view.State
+			}
+		}
+		c.history.add(e)
+		c.count(k, func(s *kindStats) {
+			s.codes[code]++
+			if code >= 400 {
+				s.refused = append(s.refused, c.history.now()-sent)
+			}
+		})
 		if code == 200 || code == 201 {
 			break
 		}
@@ -295,7 +345,7 @@
 			c.count(k, func(s *kindStats) { s.turnedAway++ })
 			return
 		}
-		rest(ctx, 300*time.Millisecond)
+		rest(ctx, max(300*time.Millisecond, reply.retry))
 	}
 	if ctx.Err() != nil {
 		return
@@ -314,22 +364,26 @@
 		return
 	}
 	c.count(k, func(s *kindStats) { s.ended++ })
-	rest(ctx, 500*time.Millisecond)
-	if ctx.Err() == nil {
-		c.ask(ctx, k, name, cell, who, path)
+	// Just after the end, through any front, and again a little later.
+	for _, span := range []time.Duration{0, 20 * time.Millisecond, 500 * time.Millisecond} {
+		rest(ctx, span)
+		if ctx.Err() == nil {
+			c.ask(ctx, k, name, "", who, path)
+		}
 	}
 }
 
 func (c *callers) ask(ctx context.Context, k scale.Kind, name, cell, who, path string) string {
-	code, data, err := c.platform.call(ctx, 3*time.Second, "GET", c.platform.pick(cell), path, nil, who)
-	if err != nil {
+	address, sent := c.platform.pick(cell), c.history.now()
+	code, data, err := c.platform.call(ctx, 3*time.Second, "GET", address, path, nil, who)
+	if ctx.Err() != nil {
 		return ""
 	}
 	view := &schema.JobView{}
-	if code == 200 && json.Unmarshal(data, view) != nil {
-		return ""
+	if err != nil || code == 200 && json.Unmarshal(data, view) != nil {
+		code = 0
 	}
-	c.history.add(check.Event{Kind: check.Status, Who: who, Lane: k.Lane, Name: name, Code: code, State: view.State})
+	c.history.add(check.Event{Kind: check.Status, Who: who, Lane: k.Lane, Name: name, Code: code, State: view.State, Front: address, Sent: sent})
 	return view.State
 }
 
@@ -342,23 +396,35 @@
 // --- operator ---
 
 // putPlan sends the table until it is taken, and notes it.
-func putPlan(ctx context.Context, p *platform, h *history, rows []*schema.Row) error {
+func putPlan(ctx context.Context, p *platform, h *history, who string, rows []*schema.Row) error {
 	var last string
 	for ctx.Err() == nil {
-		address := p.pick("c1")
+		address := p.pick("")
 		code, data, err := p.call(ctx, 5*time.Second, "GET", address, "/v1/plan", nil, "")
 		if err == nil && code == 200 {
-			generation, err := generationOf(data)
-			if err != nil {
+			plan := &schema.Plan{}
+			if err := protojson.Unmarshal(data, plan); err != nil {
 				return err
 			}
-			body, err := json.Marshal(map[string]any{"generation": generation, "rows": rows})
+			body, err := json.Marshal(map[string]any{"generation": plan.Generation, "rows": rows})
 			if err != nil {
 				return err
 			}
+			sent := h.now()
+			h.add(check.Event{At: sent, Kind: check.PlanSent, Who: who, Rows: rows})
 			code, data, err = p.call(ctx, 5*time.Second, "PUT", address, "/v1/plan", body, "")
-			if err == nil && code == 200 {
-				h.add(check.Event{Kind: check.PlanPut, Who: "operator", Code: 200, Generation: generation + 1})
+			if err != nil {
+				code = 0
+			}
+			if ctx.Err() != nil {
+				break
+			}
+			e := check.Event{Kind: check.PlanPut, Who: who, Code: code, Built: plan.Generation, Rows: rows, Front: address, Sent: sent}
+			if code == 200 {
+				e.Generation = plan.Generation + 1
+			}
+			h.add(e)
+			if code == 200 {
 				return nil
 			}
 		}
@@ -368,22 +434,16 @@
 	return fmt.Errorf("the plan was not taken: %s", last)
 }
 
-// generationOf reads the generation of a plan that was answered.
-func generationOf(data []byte) (uint64, error) {
-	var current struct{ Generation string }
-	if err := json.Unmarshal(data, &current); err != nil {
-		return 0, err
-	}
-	return strconv.ParseUint(current.Generation, 10, 64)
-}
-
-// readPlan notes which generation a front shows.
+// readPlan notes which table a front shows.
 func readPlan(ctx context.Context, p *platform, h *history, address string) {
+	sent := h.now()
 	code, data, err := p.call(ctx, 3*time.Second, "GET", address, "/v1/plan", nil, "")
-	if err != nil || code != 200 {
+	if ctx.Err() != nil {
 		return
 	}
-	if generation, err := generationOf(data); err == nil {
-		h.add(check.Event{Kind: check.PlanRead, Who: address, Code: code, Generation: generation})
+	plan := &schema.Plan{}
+	if err != nil || code == 200 && protojson.Unmarshal(data, plan) != nil {
+		code = 0
 	}
+	h.add(check.Event{Kind: check.PlanRead, Who: "reader", Front: address, Sent: sent, Code: code, Generation: plan.Generation, Rows: plan.Rows})
 }
--- a/cmd/feign/report.go
+++ b/cmd/feign/report.go
@@ -97,6 +97,9 @@
 			return fmt.Sprintf("%.1f/%.1f/%.1f", quantile(list, .5), quantile(list, .95), quantile(list, .99))
 		}
 		fmt.Printf("%-12s %6d %8d %6d   %-26s %-26s %s\n", k.Name, s.sent, s.accepted, s.ended, three(s.confirm), three(first[k.Lane+k.Name]), three(whole[k.Lane+k.Name]))
+		if len(s.refused) > 0 {
+			fmt.Printf("    told no, or that it isn't known, after ms %s\n", three(s.refused))
+		}
 		for code, count := range s.codes {
 			if code != 200 && code != 201 {
 				fmt.Printf("    %d answers of code %d\n", count, code)
--- a/cmd/feign/simulate.go
+++ b/cmd/feign/simulate.go
@@ -24,7 +24,8 @@
 	size                   string
 	faults                 string
 	seed                   uint64
-	random                 int
+	random, day            int
+	share                  float64
 }
 
 func (*simulateCommand) Name() string { return "simulate" }
@@ -35,11 +36,14 @@
 	return `feign simulate -scenario "keeper killed" [-size small] [-seed 1] [-job quick-20] [-history FILE]
 feign simulate -faults kill/keeper:3s@5s,cut/w2:6s@7s [-size bank] [-seed 1]
 feign simulate -random 100 [-size bank] [-seed 1]
+feign simulate -day 24 [-share 0.25] [-size bank] [-seed 1]
   Without -scenario it lists them. The same seed gives the same history.
   -faults plays a schedule, each fault WHAT/WHOM:SPAN@TIME. -random draws so
   many schedules from as many seeds, and shrinks each that breaks a rule to the
   shortest that still does, printed as the command that plays it.
-  A schedule that nothing could survive is a bad flag.
+  A schedule that nothing could survive is a bad flag. -day plays so many hours
+  with tables, jobs that last, every machine rolled and one last fault, at a
+  share of the load, and tells what the fleet holds as they go by.
   Exit codes: 0 no rule broken, 1 a rule broken, 2 bad flags.
 `
 }
@@ -49,6 +53,8 @@
 	set.StringVar(&c.job, "job", "", "print what befell this job, and the faults")
 	set.StringVar(&c.history, "history", "", "write the whole history to this file")
 	set.StringVar(&c.faults, "faults", "", "schedule to play; faults are "+strings.Join(sim.DeedNames(), ", "))
+	set.IntVar(&c.day, "day", 0, "play a day of so many hours, 4 at least")
+	set.Float64Var(&c.share, "share", 0.25, "with -day: share of the load")
 	set.IntVar(&c.random, "random", 0, "draw and play so many schedules")
 	set.StringVar(&c.size, "size", "small", "of the fleet: small, bank or skema")
 	set.Uint64Var(&c.seed, "seed", 1, "the seed")
@@ -64,6 +70,13 @@
 		fmt.Fprintln(os.Stderr, "feign: scenario, faults and random: give one of them; random must not be negative")
 		return 2
 	}
+	if c.day != 0 && (c.day < 4 || c.day > 48 || c.share <= 0 || c.share > 4) {
+		fmt.Fprintln(os.Stderr, "feign: day and share: 4 to 48 hours, a share above 0 and up to 4")
+		return 2
+	}
+	if c.day > 0 {
+		return c.wholeDay(size)
+	}
 	if c.random > 0 {
 		return c.draw(size)
 	}
@@ -116,6 +129,10 @@
 			fmt.Println(string(line))
 		}
 	}
+	return c.verdict(f, breaches, wrong)
+}
+
+func (c *simulateCommand) verdict(f *sim.Fleet, breaches []check.Breach, wrong []string) subcommands.ExitStatus {
 	printBreaches(breaches)
 	for _, each := range wrong {
 		fmt.Println("WRONG", each)
@@ -168,3 +185,14 @@
 	}
 	return 0
 }
+
+func (c *simulateCommand) wholeDay(size sim.Size) subcommands.ExitStatus {
+	f, samples, breaches, wrong := sim.Day(size, c.seed, c.day, c.share)
+	for k, s := range samples {
+		if k%4 == 0 || k == len(samples)-1 {
+			fmt.Printf("%5.2f h: %d records, %d live and %d kept jobs, %d sessions, %d bytes on a disk\n",
+				float64(s.At-f.Began)/3600e6, s.Records, s.Live, s.Kept, s.Sessions, s.Bytes)
+		}
+	}
+	return c.verdict(f, breaches, wrong)
+}
--- a/cmd/feign/whole_test.go
+++ b/cmd/feign/whole_test.go
@@ -25,7 +25,7 @@
 // is judged, not how fast.
 var wide = check.Bounds{
 	Kept: 100 * loop.Second, Early: check.Usual.Early, Leave: 120 * loop.Second, Cancel: 120 * loop.Second, Stop: 120 * loop.Second,
-	Plan: 120 * loop.Second, Away: 300 * loop.Second, Together: 120 * loop.Second,
+	Plan: 120 * loop.Second, Away: 300 * loop.Second, Together: 120 * loop.Second, Struck: loop.Second, Settle: 300 * loop.Second,
 }
 
 func build(t *testing.T) string {
@@ -58,7 +58,7 @@
 		c := &fleetCommand{span: 8 * time.Second, bin: bin, folder: t.TempDir(), net: freeNet(t), rate: 1, seed: 1}
 		p, err := scale.Find("bank")
 		So(err, ShouldBeNil)
-		faults, err := parseFaults("kill:1s@2s,leave@5s")
+		faults, err := parseFaults("race@1s,kill:1s@2s,leave@5s,mute:2s@6s")
 		So(err, ShouldBeNil)
 		So(c.run(context.Background(), c.fleet(p), faults, wide), ShouldBeTrue)
 	})
@@ -201,3 +201,24 @@
 		})
 	})
 }
+
+func TestHistoriesThatCantBeJudged(t *testing.T) {
+	whole := "{\"at\":1,\"kind\":\"fault\"}\n{\"at\":2,\"kind\":\"close\"}\n"
+	path := filepath.Join(t.TempDir(), "history.jsonl")
+	Convey("A history that is cut off or foreign is told with its line, and never judged", t, func() {
+		for text, line := range map[string]string{
+			whole: "", whole[:len(whole)-20]: "line 2", whole[:24]: "line 2: cut off", "": "line 1: cut off",
+			"{\"at\":1}\n" + whole: "line 1: not an event", whole + "hello\n": "line 3: not an event",
+			"{\"at\":5,\"kind\":\"fault\"}\n" + whole: "line 2: earlier", "{\"at\":1,\"kind\":\"fault\",\"mood\":2}\n" + whole: "line 1: not an event",
+		} {
+			So(os.WriteFile(path, []byte(text), 0o600), ShouldBeNil)
+			_, err := readHistory(path)
+			if line == "" {
+				So(err, ShouldBeNil)
+				continue
+			}
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, line)
+		}
+	})
+}
--- a/keep/errand.go
+++ b/keep/errand.go
@@ -194,6 +194,7 @@
 	Learners []string `json:"learners,omitempty"`
 	Live     int      `json:"live_jobs"`
 	Kept     int      `json:"kept_jobs"`
+	Sessions int      `json:"sessions"`
 	Carries  uint64   `json:"carries"`
 	Digest   string   `json:"digest"` // of the state at `applied`
 }
@@ -225,7 +226,7 @@
 			Last: g.Last(), Stable: g.Stable(), Released: g.Base(), Voters: g.Roster().Voters, Learners: g.Roster().Learners,
 		}
 		if r.lane != nil {
-			b.Live, b.Kept, b.Carries = r.lane.Live(), r.lane.Kept(), r.lane.Carries()
+			b.Live, b.Kept, b.Carries, b.Sessions = r.lane.Live(), r.lane.Kept(), r.lane.Carries(), len(r.lane.Boots())
 			b.Digest = digest(r.lane.Rest(true))
 		} else {
 			b.Digest = digest(t.charter.Rest())
--- /dev/null
+++ b/sim/day.go
@@ -0,0 +1,126 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+
+	"sparnotch/check"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+const hour = 3600 * loop.Second
+
+// Sample is how much a fleet holds at one moment.
+type Sample struct {
+	At       loop.Micros
+	Records  uint64 // longest log of a group on a store
+	Live     int    // jobs of all lanes, as their leaders have them
+	Kept     int    // ended and not forgotten
+	Sessions int
+	Bytes    int    // of the largest disk
+	Moves    string // terms, wards and the steward: whatever moved shows here
+}
+
+// sample looks at a fleet, outside time.
+func (f *Fleet) sample() Sample {
+	s := Sample{At: f.Now}
+	var moves []string
+	for _, h := range f.Stores() {
+		belief := h.Belief()
+		if belief == nil {
+			continue
+		}
+		bytes := 0
+		for _, name := range []string{"slot-0", "slot-1", "log-0", "log-1"} {
+			bytes += h.Disk.Size(name)
+		}
+		s.Bytes = max(s.Bytes, bytes)
+		for _, group := range belief.Groups {
+			s.Records = max(s.Records, group.Last-group.Released)
+			if group.Role == "leader" {
+				s.Live, s.Kept, s.Sessions = s.Live+group.Live, s.Kept+group.Kept, s.Sessions+group.Sessions
+				moves = append(moves, fmt.Sprint(group.Group, " ", group.Leader, " ", group.Term))
+			}
+		}
+		if belief.Fresh && len(moves) > 0 {
+			moves = append(moves, fmt.Sprint("steward ", belief.Steward, " ", belief.Licence))
+			for _, ward := range belief.Wards {
+				moves = append(moves, fmt.Sprint(ward.Worker, " ", ward.Placer, " ", ward.Generation))
+			}
+			break
+		}
+	}
+	s.Moves = strings.Join(moves, "; ")
+	return s
+}
+
+// Day is a whole day of a deployment in virtual time: its callers at a share of
+// their rate, a table every hour, jobs that last, every machine rolled, a quiet
+// part, and one last fault before the table is read back.
+func Day(size Size, seed uint64, hours int, share float64) (*Fleet, []Sample, []check.Breach, []string) {
+	for k := range size.Kinds {
+		size.Kinds[k].Every = loop.Micros(float64(size.Kinds[k].Every) / share)
+	}
+	span := loop.Micros(hours) * hour
+	f := NewFleet(seed, size, CalmNet, 500, span)
+	var samples []Sample
+	long := step("long", 1, 100)
+	f.At(f.Began+10*loop.Second, func() {
+		f.HandIn(Kind{Lane: "slow", Job: &schema.Job{Text: "run_us=20000", DelayUs: int64(span - hour/2), Steps: []*schema.Step{long}}}, "till-evening")
+		f.HandIn(Kind{Lane: "slow", Job: &schema.Job{Text: fmt.Sprint("run_us=", int64(span/3)), Steps: []*schema.Step{long}}}, "all-morning")
+	})
+	// A look every quarter of an hour; the second hour is the quiet one.
+	quiet := map[string]bool{}
+	for at := hour / 4; at < span; at += hour / 4 {
+		f.At(f.Began+at, func() {
+			s := f.sample()
+			samples = append(samples, s)
+			if at > hour+hour/8 && at < 2*hour {
+				quiet[s.Moves] = true
+			}
+		})
+	}
+	for h := 2; h < hours; h++ {
+		f.At(f.Began+loop.Micros(h)*hour+90*loop.Second, func() { f.Put("operator", f.Rows(30+h)) })
+	}
+	// The roll: every machine is warned and comes back, one after another, in
+	// what is left of the day after the quiet part.
+	var rolls []func()
+	for _, h := range f.Hosts {
+		rolls = append(rolls, func() {
+			f.Fault("%s warned", h.Name)
+			h.Warn(10 * loop.Second)
+			f.After(12*loop.Second, func() { h.Kill(); h.Start() })
+		})
+	}
+	f.At(f.Began, func() {
+		for k, w := range f.Workers {
+			f.At(f.Began+f.rollAt(span, len(rolls)+k, len(rolls)+len(f.Workers)), func() {
+				w.Leave()
+				f.After(20*loop.Second, func() { w.Crash(); w.Start() })
+			})
+		}
+	})
+	for k, roll := range rolls {
+		f.At(f.Began+f.rollAt(span, k, len(rolls)+size.Workers), roll)
+	}
+	// The day ends with one last fault.
+	during(f, span-20*loop.Second, func(keeper *Host) { f.killed(keeper, 5*loop.Second) })
+	breaches := f.Finish()
+	var wrong []string
+	if len(quiet) != 1 {
+		wrong = append(wrong, fmt.Sprintf("in the quiet part something moved: %d states", len(quiet)))
+	}
+	last := samples[len(samples)-1]
+	early := samples[min(len(samples)-1, 6)]
+	if last.Records > 4096+2*early.Records || last.Kept > 2*early.Kept+100 || last.Bytes > 4*early.Bytes || last.Sessions > 4*early.Sessions+40 || last.Live > 2*early.Live+100 {
+		wrong = append(wrong, fmt.Sprintf("what it holds has grown from %+v to %+v", early, last))
+	}
+	return f, samples, breaches, wrong
+}
+
+func (f *Fleet) rollAt(span loop.Micros, k, of int) loop.Micros {
+	from := 2*hour + hour/4
+	return from + (span-from-hour/2)/loop.Micros(of)*loop.Micros(k)
+}
--- a/sim/people.go
+++ b/sim/people.go
@@ -257,8 +257,12 @@
 			e.Kind = check.CancelReply
 		}
 		w.Tell(e)
-		if back != nil {
+		switch {
+		case back != nil:
 			back(reply.Code, view)
+		case reply.Code == 0 || reply.Code >= 500:
+			// Who gets no answer asks again.
+			w.After(400*loop.Milli, func() { w.ask(kind, what, name, nil) })
 		}
 	})
 }
