Each guard has a mutant that shows its proof can fail, and the ledger names all

Cause: a green run tells nothing if it can't go red; nobody had tried. Found by mutants that survived: nothing cancelled work that would have outlasted the span (scenario long work is cancelled); no table with a rack's weight or a lane's limit was acted on (the table takes effect); the worker's own rules had no test (toil), nor had a leader's right to act (raft TestActing).

--- a/cmd/feign/simulate.go
+++ b/cmd/feign/simulate.go
@@ -187,7 +187,7 @@
 }
 
 func (c *simulateCommand) wholeDay(size sim.Size) subcommands.ExitStatus {
-	f, samples, breaches, wrong := sim.Day(size, c.seed, c.day, c.share)
+	f, samples, breaches, wrong := sim.Day(size, c.seed, c.day, sim.Hour, c.share)
 	for k, s := range samples {
 		if k%4 == 0 || k == len(samples)-1 {
 			fmt.Printf("%5.2f h: %d records, %d live and %d kept jobs, %d sessions, %d bytes on a disk\n",
--- /dev/null
+++ b/foil/foil.go
@@ -0,0 +1,110 @@
+// Package foil owns the mutants: for each guard a rule rests on, the guard taken
+// out, and the run that then breaks the rule. They show that a proof can fail.
+package foil
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// Edit replaces the one place in a file where Old stands.
+type Edit struct{ File, Old, New string }
+
+// Mutant is the system without one guard. What shows it is a simulated run of a
+// scenario with a seed, which then breaks the rule; or, for what no caller could
+// see in time, a test that then fails.
+type Mutant struct {
+	Guard    string
+	Edits    []Edit
+	Rule     int // 0: what else must hold at the end of the scenario
+	Scenario string
+	Faults   string // a schedule instead of a scenario
+	Size     string // of the fleet; empty: small
+	Seed     uint64
+	Test     string // PACKAGE NAME
+}
+
+// Overlay writes the changed files into a folder, and the list of them that the
+// go command takes; the tree itself stays as it is.
+func (m *Mutant) Overlay(root, folder string) (string, error) {
+	replace := map[string]string{}
+	content := map[string]string{}
+	for _, each := range m.Edits {
+		text, isKnown := content[each.File]
+		if !isKnown {
+			data, err := os.ReadFile(filepath.Join(root, each.File))
+			if err != nil {
+				return "", fmt.Errorf("%s: %w", m.Guard, err)
+			}
+			text = string(data)
+		}
+		if count := strings.Count(text, each.Old); count != 1 {
+			return "", fmt.Errorf("%s: what it changes stands %d times in %s", m.Guard, count, each.File)
+		}
+		content[each.File] = strings.Replace(text, each.Old, each.New, 1)
+	}
+	for file, text := range content {
+		path := filepath.Join(folder, strings.ReplaceAll(file, "/", "_"))
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return "", err
+		}
+		replace[filepath.Join(root, file)] = path
+	}
+	data, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		return "", err
+	}
+	list := filepath.Join(folder, "overlay.json")
+	return list, os.WriteFile(list, data, 0o600)
+}
+
+// Build makes feign with the mutant in it, or without one for nil.
+func Build(m *Mutant, root, folder string) (string, error) {
+	args := []string{"build", "-o", filepath.Join(folder, "feign")}
+	if m != nil {
+		list, err := m.Overlay(root, folder)
+		if err != nil {
+			return "", err
+		}
+		args = append(args, "-overlay", list)
+	}
+	command := exec.Command("go", append(args, "./cmd/feign")...)
+	command.Dir = root
+	if out, err := command.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building: %w: %s", err, out)
+	}
+	return filepath.Join(folder, "feign"), nil
+}
+
+var broken = regexp.MustCompile(`(?m)^BROKEN rule (\d+)`)
+
+// args are those of feign simulate.
+func (m *Mutant) args() []string {
+	return []string{"-size", cmp.Or(m.Size, "small"), "-scenario", m.Scenario, "-faults", m.Faults, "-seed", strconv.FormatUint(m.Seed, 10)}
+}
+
+// Rules plays what feign simulate is told to and counts the breaches by rule; a run that
+// ends otherwise than judged is an error.
+func Rules(feign string, args ...string) (map[int]int, string, error) {
+	out, err := exec.Command(feign, append([]string{"simulate"}, args...)...).CombinedOutput()
+	counts := map[int]int{}
+	for _, found := range broken.FindAllStringSubmatch(string(out), -1) {
+		rule, _ := strconv.Atoi(found[1])
+		counts[rule]++
+	}
+	// What must hold at the end of a scenario besides the rules counts as 0.
+	if count := strings.Count(string(out), "WRONG "); count > 0 {
+		counts[0] = count
+	}
+	if !strings.Contains(string(out), "\ncheck: ") && !strings.HasPrefix(string(out), "check: ") {
+		return nil, string(out), fmt.Errorf("not judged: %v", err)
+	}
+	return counts, string(out), nil
+}
--- /dev/null
+++ b/foil/foil_test.go
@@ -0,0 +1,111 @@
+package foil
+
+import (
+	"flag"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"sparnotch/sim"
+)
+
+var seek = flag.String("seek", "", "look for runs that show the mutants whose guard has this in its name")
+var seeds = flag.Int("seeds", 4, "with -seek: how many seeds of each scenario")
+var first = flag.Uint64("seed", 1, "with -seek: the first of them")
+
+func root(t *testing.T) string {
+	path, err := filepath.Abs("..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestSeek is how a run for a new mutant is found; it tells which break its rule.
+func TestSeek(t *testing.T) {
+	if *seek == "" {
+		t.Skip("only with -seek")
+	}
+	gate := make(chan bool, 8)
+	for _, m := range Mutants {
+		isShown := m.Scenario+m.Faults+m.Test != ""
+		if *seek == "all" && isShown || *seek != "all" && !strings.Contains(m.Guard, *seek) {
+			continue
+		}
+		feign, err := Build(m, root(t), t.TempDir())
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		var found []string
+		for _, s := range sim.Scenarios {
+			for k := 0; k < *seeds; k++ {
+				seed := *first + uint64(k)
+				all.Add(1)
+				gate <- true
+				go func() {
+					defer func() { <-gate; all.Done() }()
+					counts, _, err := Rules(feign, "-scenario", s.Name, "-seed", fmt.Sprint(seed))
+					mu.Lock()
+					defer mu.Unlock()
+					if err != nil || len(counts) > 0 {
+						found = append(found, fmt.Sprint(s.Name, "/", seed, " ", counts, err != nil))
+					}
+				}()
+			}
+		}
+		all.Wait()
+		fmt.Printf("== %s (rule %d): %d\n", m.Guard, m.Rule, len(found))
+		for _, each := range found[:min(len(found), 14)] {
+			fmt.Println("    ", each)
+		}
+	}
+}
+
+// TestMutants: each run breaks its rule without the guard, and none with it.
+func TestMutants(t *testing.T) {
+	plain, err := Build(nil, root(t), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range Mutants {
+		t.Run(m.Guard, func(t *testing.T) {
+			t.Parallel()
+			if m.Test != "" {
+				testMutant(t, m)
+				return
+			}
+			if counts, out, err := Rules(plain, m.args()...); err != nil || len(counts) > 0 {
+				t.Errorf("with the guard: %v %v\n%s", counts, err, out)
+			}
+			feign, err := Build(m, root(t), t.TempDir())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if counts, out, err := Rules(feign, m.args()...); err != nil || counts[m.Rule] == 0 {
+				t.Errorf("without the guard rule %d holds: %v %v\n%s", m.Rule, counts, err, out)
+			}
+		})
+	}
+}
+
+// testMutant: the named test fails without the guard. With it, it runs anyway
+// among the tests of its package.
+func testMutant(t *testing.T, m *Mutant) {
+	folder, name, _ := strings.Cut(m.Test, " ")
+	list, err := m.Overlay(root(t), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command("go", "test", "-overlay", list, "-run", "^"+name+"$", "./"+folder)
+	command.Dir = root(t)
+	out, err := command.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "--- FAIL: "+name) {
+		t.Errorf("without the guard %s doesn't fail: %v\n%s", m.Test, err, out)
+	}
+}
--- /dev/null
+++ b/foil/ledger_test.go
@@ -0,0 +1,65 @@
+package foil
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"sparnotch/sim"
+)
+
+var named = regexp.MustCompile("`(sim|test|mutant|fleet|fault):([^`]+)`")
+
+// TestLedger: every scenario, test, mutant and fault that docs/proof.md names
+// exists, and every mutant and scenario is named there.
+func TestLedger(t *testing.T) {
+	data, err := os.ReadFile("../docs/proof.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scenarios, guards []string
+	for _, s := range sim.Scenarios {
+		scenarios = append(scenarios, s.Name)
+	}
+	for _, m := range Mutants {
+		guards = append(guards, m.Guard)
+	}
+	fleet, err := os.ReadFile("../cmd/feign/fleet.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := map[string]bool{}
+	for _, found := range named.FindAllStringSubmatch(string(data), -1) {
+		kind, name := found[1], found[2]
+		told[kind+":"+name] = true
+		isThere := false
+		switch kind {
+		case "sim":
+			isThere = slices.Contains(scenarios, name)
+		case "mutant":
+			isThere = slices.Contains(guards, name)
+		case "fault":
+			isThere = slices.Contains(sim.DeedNames(), name)
+		case "fleet":
+			isThere = strings.Contains(string(fleet), `"`+name+`"`)
+		case "test":
+			folder, test, _ := strings.Cut(name, " ")
+			files, _ := filepath.Glob(filepath.Join("..", folder, "*_test.go"))
+			for _, file := range files {
+				text, _ := os.ReadFile(file)
+				isThere = isThere || strings.Contains(string(text), "func "+test+"(")
+			}
+		}
+		if !isThere && !strings.Contains("NAME PACKAGE NAME GUARD FAULT", name) {
+			t.Errorf("docs/proof.md names %s:%s, which isn't there", kind, name)
+		}
+	}
+	for _, guard := range guards {
+		if !told["mutant:"+guard] {
+			t.Errorf("docs/proof.md doesn't name the mutant %q", guard)
+		}
+	}
+}
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -104,8 +104,6 @@
 	carryIdx uint64
 	adoptIdx uint64
 	passAt   loop.Micros
-	wantAt   loop.Micros // since when it is to be passed on
-	launchAt loop.Micros // when the last group was decided to begin
 }
 
 type pending struct {
@@ -443,15 +441,8 @@
 	case wanted == t.id || !t.isFit(now, r, wanted):
 		return
 	}
-	if wanted == "" {
-		return
-	}
-	// A group that has just been decided on begins everywhere before its lane goes.
-	if r.wantAt == 0 || now-r.wantAt > passRest {
-		r.wantAt = now
-	}
-	if now-r.launchAt > launchSpan || now-r.wantAt > waitMost {
-		r.passAt, r.wantAt = now, 0
+	if wanted != "" {
+		r.passAt = now
 		r.group.Pass(now, wanted)
 	}
 }
@@ -826,9 +817,6 @@
 		}
 		t.applied[key].Outcomes = append(t.applied[key].Outcomes, outcome)
 	}
-	if len(effects.Shifts) > 0 && effects.Shifts[0].IsLaunched {
-		r.launchAt = now
-	}
 	if len(effects.Shifts) > 0 && r.termTold == r.group.Term() {
 		out.Tell("placer", t.shifts(r, effects.Shifts, false, effects.Shifts[len(effects.Shifts)-1].Hand))
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -214,9 +214,18 @@
 		d.announce("v", held(0))
 		d.announce("w", nil)
 		So(d.last().Orders.Orders[0].Act, ShouldEqual, "hold")
+		// While a worker has no announce open its start would leave later than the
+		// others'.
+		d.step(&schema.EndReply{Lane: "l", Key: &schema.TaskKey{Job: 9}, Attempt: 1, Worker: "v"})
+		d.now += holdSpan
+		d.fresh(true)
+		d.step(loop.Tick{})
+		d.tells = nil
+		d.announce("w", held(1))
+		So(d.tells, ShouldBeEmpty)
+		d.announce("v", held(0))
 		// Held everywhere, the decision is a record before any start leaves.
 		count := len(d.replies)
-		d.announce("w", held(1))
 		launch := d.tells[len(d.tells)-1].(keep.Propose).Command.GetLaunch()
 		So(launch.GetAttempts(), ShouldResemble, []uint32{1, 1})
 		So(len(d.replies), ShouldEqual, count)
@@ -325,3 +334,33 @@
 		}
 	})
 }
+
+func TestWorkersOwnAccount(t *testing.T) {
+	Convey("What a worker says it runs besides leaves no room for an order, whatever was checked out", t, func() {
+		step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 600, MemoryMb: 1}
+		d := newDesk("w")
+		d.announce("w", nil)
+		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", step))
+		// Something of a lane that isn't led here runs there.
+		other := &schema.TaskNote{Lane: "other", Job: 9, Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}
+		count := len(d.replies)
+		d.announce("w", func(a *schema.Announce) { a.Running = []*schema.TaskNote{other} })
+		So(len(d.replies), ShouldEqual, count)
+		d.announce("w", nil)
+		So(d.last().Orders.Orders[0].Act, ShouldEqual, "start")
+	})
+}
+
+func TestRoomOnItsWay(t *testing.T) {
+	Convey("Room that a checkout on its way will take is given to nobody else", t, func() {
+		step := &schema.Step{Name: "s", Tasks: 2, CoresMilli: 600, MemoryMb: 1}
+		d := newDesk("w")
+		d.announce("w", nil)
+		d.shifts(true, 2, shift(1, 1, 0, lane.Ready, "", step), shift(2, 1, 1, lane.Ready, "", step))
+		So(len(d.picks()), ShouldEqual, 1)
+		d.tells = nil
+		d.announce("w", nil)
+		d.step(loop.Tick{})
+		So(len(d.picks()), ShouldEqual, 0)
+	})
+}
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -494,3 +494,28 @@
 		}
 	})
 }
+
+func TestActing(t *testing.T) {
+	Convey("A leader acts only while a quorum has answered it a moment ago, long before it steps down", t, func() {
+		r := newRig(1, ids...)
+		r.run(3 * loop.Second)
+		g := r.leader()
+		So(g.Acting(r.now), ShouldBeTrue)
+		r.cut = func(from, to string) bool { return from == g.self || to == g.self }
+		r.run(500 * loop.Milli)
+		So(g.IsLeader(), ShouldBeTrue)
+		So(g.Acting(r.now), ShouldBeFalse)
+	})
+	Convey("A beat that lay in a buffer makes no copy fresh", t, func() {
+		r := newRig(1, ids...)
+		r.run(3 * loop.Second)
+		g := r.leader()
+		other := r.groups[g.others()[0]]
+		beat := &schema.Beat{Group: "g", Term: g.term, Commit: g.commit, Round: g.round, Sure: true, Heard: g.peers[other.self].round}
+		before := other.Fresh()
+		So(r.now-before, ShouldBeLessThan, loop.Second)
+		// It is delivered an hour later.
+		other.Step(r.now+3600*loop.Second, g.self, beat)
+		So(other.Fresh()-before, ShouldBeLessThan, loop.Second)
+	})
+}
--- a/sim/day.go
+++ b/sim/day.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"sparnotch/check"
@@ -9,7 +10,8 @@
 	"sparnotch/schema"
 )
 
-const hour = 3600 * loop.Second
+// Hour is a usual one.
+const Hour = 3600 * loop.Second
 
 // Sample is how much a fleet holds at one moment.
 type Sample struct {
@@ -57,8 +59,9 @@
 
 // Day is a whole day of a deployment in virtual time: its callers at a share of
 // their rate, a table every hour, jobs that last, every machine rolled, a quiet
-// part, and one last fault before the table is read back.
-func Day(size Size, seed uint64, hours int, share float64) (*Fleet, []Sample, []check.Breach, []string) {
+// part, and one last fault before the table is read back. Its hours may be short.
+func Day(size Size, seed uint64, hours int, hour loop.Micros, share float64) (*Fleet, []Sample, []check.Breach, []string) {
+	size.Kinds = slices.Clone(size.Kinds)
 	for k := range size.Kinds {
 		size.Kinds[k].Every = loop.Micros(float64(size.Kinds[k].Every) / share)
 	}
@@ -96,14 +99,14 @@
 	}
 	f.At(f.Began, func() {
 		for k, w := range f.Workers {
-			f.At(f.Began+f.rollAt(span, len(rolls)+k, len(rolls)+len(f.Workers)), func() {
+			f.At(f.Began+rollAt(span, hour, len(rolls)+k, len(rolls)+len(f.Workers)), func() {
 				w.Leave()
 				f.After(20*loop.Second, func() { w.Crash(); w.Start() })
 			})
 		}
 	})
 	for k, roll := range rolls {
-		f.At(f.Began+f.rollAt(span, k, len(rolls)+size.Workers), roll)
+		f.At(f.Began+rollAt(span, hour, k, len(rolls)+size.Workers), roll)
 	}
 	// The day ends with one last fault.
 	during(f, span-20*loop.Second, func(keeper *Host) { f.killed(keeper, 5*loop.Second) })
@@ -120,7 +123,7 @@
 	return f, samples, breaches, wrong
 }
 
-func (f *Fleet) rollAt(span loop.Micros, k, of int) loop.Micros {
+func rollAt(span, hour loop.Micros, k, of int) loop.Micros {
 	from := 2*hour + hour/4
 	return from + (span-from-hour/2)/loop.Micros(of)*loop.Micros(k)
 }
--- a/sim/scenarios.go
+++ b/sim/scenarios.go
@@ -291,6 +291,33 @@
 		f.At(f.Began+4*loop.Second, func() { f.Workers[2].Cut(true); f.After(12*loop.Second, func() { f.Workers[2].Cut(false) }) })
 		during(f, 4500*loop.Milli, func(keeper *Host) { f.killed(keeper, 3*loop.Second) })
 	}},
+	{Name: "the table takes effect", Net: CalmNet, Sync: 500, Span: 35 * loop.Second, Plan: func(f *Fleet) {
+		row := func(kind, name, key, value string) *schema.Row {
+			return &schema.Row{Kind: kind, Name: name, Key: key, Value: value}
+		}
+		// A rack is emptied, a lane narrowed, a lane made, each acted on within
+		// the span, while the keeper goes.
+		f.At(f.Began+3*loop.Second, func() { f.Put("operator", append(f.Rows(60), row("rack", "r1", "weight", "0"))) })
+		f.At(f.Began+10*loop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "slow", "running", "2"))) })
+		f.At(f.Began+18*loop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "extra", "urgency", "5"))) })
+		during(f, 14*loop.Second, func(keeper *Host) { f.killed(keeper, 3*loop.Second) })
+		for k := range f.Fronts() {
+			f.At(f.Began+21*loop.Second+loop.Micros(k)*100*loop.Milli, func() {
+				f.HandIn(Kind{Lane: "extra", Job: Kinds()[0].Job}, fmt.Sprint("extra-", k))
+			})
+		}
+	}},
+	{Name: "long work is cancelled", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
+		long := &schema.Job{Text: "run_us=25000000", Steps: []*schema.Step{step("first", 3, 500), step("more", 60, 2000), step("last", 2, 500, "first")}}
+		for k := 0; k < 6; k++ {
+			f.At(f.Began+loop.Micros(1+3*k)*loop.Second, func() {
+				kind, name := Kind{Lane: "slow", Job: long}, fmt.Sprint("long-", k)
+				f.HandIn(kind, name)
+				f.After(1500*loop.Milli, func() { f.cancel(kind, name) })
+			})
+		}
+		during(f, 8*loop.Second, func(keeper *Host) { f.killed(keeper, 3*loop.Second) })
+	}},
 	{Name: "keeper, steward and worker lost at once", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
 		during(f, 6*loop.Second, func(keeper *Host) {
 			// Long work is out everywhere, so that the lost worker had some.
--- a/sim/schedule.go
+++ b/sim/schedule.go
@@ -262,7 +262,7 @@
 			if stroke.isDisk() && other.isDisk() && stroke.At < other.until() && other.At < stroke.until() {
 				return fmt.Errorf("faults[%d]: %v and %v (faults[%d]) may take two of three disk machines away at once, which nothing can survive", k, stroke, other, n)
 			}
-			if stroke.Whom == other.Whom && stroke.At < other.At+other.Span+loop.Second && other.At < stroke.At+stroke.Span+loop.Second {
+			if stroke.Whom == other.Whom && stroke.Whom != "all" && stroke.At < other.At+other.Span+loop.Second && other.At < stroke.At+stroke.Span+loop.Second {
 				return fmt.Errorf("faults[%d]: %v strikes what %v (faults[%d]) has struck already", k, stroke, other, n)
 			}
 		}
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sparnotch/check"
+	"sparnotch/loop"
 )
 
 var seeds = flag.Int("seeds", 1, "how many seeds to run each scenario with")
@@ -16,8 +17,10 @@
 var only = flag.String("scenario", "", "run only this scenario")
 
 // play runs a scenario and reports what it breaks.
-func play(t *testing.T, s Scenario, seed uint64) *Fleet {
-	f, breaches, wrong := Play(s, Small, seed)
+func play(t *testing.T, s Scenario, seed uint64) *Fleet { return playOn(t, s, Small, seed) }
+
+func playOn(t *testing.T, s Scenario, size Size, seed uint64) *Fleet {
+	f, breaches, wrong := Play(s, size, seed)
 	for _, b := range breaches[:min(len(breaches), 12)] {
 		t.Error(b)
 	}
@@ -55,6 +58,76 @@
 	}
 }
 
+// TestDeployments: the two as they stand, with faults one by one and schedules
+// of several; more of these are run by hand.
+func TestDeployments(t *testing.T) {
+	for _, size := range Sizes()[1:] {
+		for _, s := range Scenarios {
+			if s.Name != "keeper killed" && s.Name != "core split each way" && s.Name != "disk machine replaced" {
+				continue
+			}
+			t.Run(size.Name+"/"+s.Name, func(t *testing.T) {
+				t.Parallel()
+				playOn(t, s, size, 1)
+			})
+		}
+		schedules := map[uint64]Schedule{1: RandomSchedule(1, size), 2: RandomSchedule(2, size)}
+		if size.Name == "skema" {
+			// Broke rule 5: a failure that was told late didn't count.
+			found, err := ReadSchedule("warn/keep6:3s@2.5s,freeze/steward:3.5s@9.5s,flood/all:6s@12.5s,slow/keep1:2.5s@13s,power/all:500ms@21s,rush/all:5s@27.5s,split/c1:5s@34s", size)
+			if err != nil {
+				t.Fatal(err)
+			}
+			schedules[1066] = found
+		}
+		for seed, schedule := range schedules {
+			t.Run(fmt.Sprint(size.Name, "/schedule ", seed), func(t *testing.T) {
+				t.Parallel()
+				playOn(t, schedule.Scenario(), size, seed)
+			})
+		}
+	}
+}
+
+// TestDay is a day of short hours; feign simulate -day plays whole ones.
+func TestDay(t *testing.T) {
+	t.Parallel()
+	_, samples, breaches, wrong := Day(Small, 1, 4, 5*60*loop.Second, 0.3)
+	for _, b := range breaches[:min(len(breaches), 12)] {
+		t.Error(b)
+	}
+	for _, each := range wrong {
+		t.Error(each)
+	}
+	if len(samples) < 12 {
+		t.Errorf("only %d samples", len(samples))
+	}
+}
+
+func TestSchedules(t *testing.T) {
+	Convey("A schedule is read as it is written; what can't be is told with its field", t, func() {
+		for seed := uint64(1); seed < 200; seed++ {
+			schedule := RandomSchedule(seed, Small)
+			again, err := ReadSchedule(schedule.String(), Small)
+			So(err, ShouldBeNil)
+			So(again, ShouldResemble, schedule)
+		}
+		for text, what := range map[string]string{
+			"kill/keeper:3s@5s,explode/keep1:1s@9s":          "faults[1]: there is no fault",
+			"kill/w1:3s@5s":                                  "faults[0]: kill can't strike",
+			"kill/keeper:3s":                                 "faults[0]",
+			"kill/keep1:3s@5s,freeze/keep2:1s@6s":            "faults[1]: freeze/keep2:1s@6s and kill/keep1:3s@5s (faults[0]) may take two of three disk machines away",
+			"cut/w1:9s@5s,sleep/w1:1s@6s":                    "faults[1]",
+			"kill/keep4:90s@5s":                              "faults[0]",
+			"kill/keep1:3s@5s,kill/keep4:9s@5s,race/x:1s@1s": "faults[2]",
+		} {
+			_, err := ReadSchedule(text, Small)
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, what)
+		}
+	})
+}
+
 // pinned are seeds that once broke a rule; what they found is told in the
 // commits that mended it.
 var pinned = map[string][]uint64{
