tell check and tell replay look into a stopped process's data folder

Change: vault.Glance opens a folder without writing to it, and turns away one that is in use, foreign or damaged. check sees whether each group's records and checkpoint fit together; replay shows what each record of a lane did and ends with the digest that belief shows.

--- /dev/null
+++ b/cmd/tell/folder_test.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/subcommands"
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/keep"
+	"sparnotch/lane"
+	"sparnotch/schema"
+	"sparnotch/vault"
+)
+
+// run calls a command and gives what it prints.
+func run(command subcommands.Command, args ...string) (subcommands.ExitStatus, string) {
+	set := flag.NewFlagSet(command.Name(), flag.ContinueOnError)
+	command.SetFlags(set)
+	So(set.Parse(args), ShouldBeNil)
+	reader, writer, err := os.Pipe()
+	So(err, ShouldBeNil)
+	out, errs := os.Stdout, os.Stderr
+	os.Stdout, os.Stderr = writer, writer
+	code := command.Execute(context.Background(), set)
+	os.Stdout, os.Stderr = out, errs
+	writer.Close()
+	text, err := io.ReadAll(reader)
+	So(err, ShouldBeNil)
+	return code, string(text)
+}
+
+// fill writes a store with one lane, in which one task fails and is run again.
+func fill(path string, change func([]*schema.Record) []*schema.Record) (*vault.Folder, *lane.Machine) {
+	key := &schema.TaskKey{Job: 1}
+	pick := &schema.LaneCommand{Body: &schema.LaneCommand_Checkout{Checkout: &schema.Checkout{Picks: []*schema.Pick{{Key: key, Worker: "w1", Incarnation: 1}}}}}
+	commands := []*schema.LaneCommand{
+		{Body: &schema.LaneCommand_Enqueue{Enqueue: &schema.Enqueue{
+			Session: &schema.Session{Intake: "f", Boot: 1, Client: "c"}, Number: 1, Lowest: 1, Name: "first", Digest: []byte("d"),
+			Job: &schema.Job{Text: "x", Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1, AllowedFailures: 1}}},
+		}}},
+		pick,
+		{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: key, Attempt: 1, Cause: schema.Cause_CAUSE_FAILED}}},
+		pick,
+		{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: key, Attempt: 2}}},
+	}
+	machine := lane.New("quotes")
+	records := []*schema.Record{{Index: 1, Term: 1, Kind: schema.RecordKind_RECORD_FIRST}}
+	for k, command := range commands {
+		data, err := proto.Marshal(command)
+		So(err, ShouldBeNil)
+		record := &schema.Record{Index: uint64(k + 2), Term: 1, AtUs: int64(k+1) * 1000, Data: data}
+		records = append(records, record)
+		_, err = machine.Apply(record.Index, record.AtUs, record.Data)
+		So(err, ShouldBeNil)
+	}
+	folder, err := vault.OpenFolder(path)
+	So(err, ShouldBeNil)
+	store, err := vault.Open(folder)
+	So(err, ShouldBeNil)
+	So(store.Commit([]*schema.Change{
+		{Self: &schema.Self{Id: "a", Boots: 1, Belongs: true}},
+		{Group: "quotes#2", Hard: &schema.Hard{Term: 1}, Records: change(records)},
+	}), ShouldBeNil)
+	// Another, so that damage of the first can't be taken for a torn end.
+	So(store.Commit([]*schema.Change{{Self: &schema.Self{Id: "a", Boots: 2, Belongs: true}}}), ShouldBeNil)
+	return folder, machine
+}
+
+func content(path string) map[string]string {
+	files := map[string]string{}
+	names, err := os.ReadDir(path)
+	So(err, ShouldBeNil)
+	for _, name := range names {
+		data, err := os.ReadFile(filepath.Join(path, name.Name()))
+		So(err, ShouldBeNil)
+		files[name.Name()] = string(data)
+	}
+	return files
+}
+
+func TestFolders(t *testing.T) {
+	whole := func(records []*schema.Record) []*schema.Record { return records }
+	Convey("A whole folder is told as such and replayed to the state it stands for, and not written to", t, func() {
+		path := t.TempDir()
+		folder, machine := fill(path, whole)
+		code, text := run(&folderCheck{}, path)
+		So(code, ShouldEqual, 2)
+		So(text, ShouldContainSubstring, "in use")
+		folder.Close()
+		before := content(path)
+		code, text = run(&folderCheck{}, path)
+		So(text, ShouldContainSubstring, "quotes#2: term 1, checkpoint at 0, 6 records")
+		So(code, ShouldEqual, 0)
+		code, text = run(&replayCommand{}, "-lane", "quotes", path)
+		So(code, ShouldEqual, 0)
+		So(text, ShouldContainSubstring, "Return failed")
+		So(text, ShouldContainSubstring, "first s/0 is out on w1, attempt 2")
+		So(text, ShouldContainSubstring, "digest "+keep.Digest(machine.Rest(true)))
+		code, text = run(&replayCommand{}, "-lane", "quotes", "-to", "3", path)
+		So(code, ShouldEqual, 0)
+		So(text, ShouldContainSubstring, "at 3: 1 live and 0 kept")
+		code, text = run(&replayCommand{}, "-lane", "quotes", "-job", "nobody", path)
+		So(code, ShouldEqual, 0)
+		So(text, ShouldNotContainSubstring, "first")
+		So(content(path), ShouldResemble, before)
+		Convey("and what can't be is told with its field", func() {
+			code, text = run(&replayCommand{}, "-lane", "nope", path)
+			So(code, ShouldEqual, 2)
+			So(text, ShouldContainSubstring, `lane: "nope" is none of quotes`)
+			code, text = run(&replayCommand{}, "-lane", "quotes", "-to", "99", path)
+			So(code, ShouldEqual, 2)
+			So(text, ShouldContainSubstring, "to:")
+			code, _ = run(&folderCheck{})
+			So(code, ShouldEqual, 2)
+		})
+		Convey("and damage is told with file and offset", func() {
+			log := filepath.Join(path, "log-0")
+			data, err := os.ReadFile(log)
+			So(err, ShouldBeNil)
+			data[20] ^= 1
+			So(os.WriteFile(log, data, 0o600), ShouldBeNil)
+			code, text = run(&folderCheck{}, path)
+			So(code, ShouldEqual, 2)
+			So(text, ShouldContainSubstring, "log-0 at offset 0")
+			So(content(path)["log-0"], ShouldEqual, string(data))
+		})
+	})
+	Convey("Records that don't fit together are found", t, func() {
+		for what, change := range map[string]func([]*schema.Record) []*schema.Record{
+			"follows record": func(list []*schema.Record) []*schema.Record { return append(list[:2:2], list[3:]...) },
+			"record 4":       func(list []*schema.Record) []*schema.Record { list[3].Data = []byte("x"); return list },
+			"knows of 1":     func(list []*schema.Record) []*schema.Record { list[5].Term = 9; return list },
+		} {
+			path := t.TempDir()
+			folder, _ := fill(path, change)
+			folder.Close()
+			code, text := run(&folderCheck{}, path)
+			So(code, ShouldEqual, 1)
+			So(text, ShouldContainSubstring, what)
+		}
+	})
+	Convey("A folder that is none of ours is told so, and left alone", t, func() {
+		path := t.TempDir()
+		code, text := run(&folderCheck{}, path)
+		So(code, ShouldEqual, 2)
+		So(text, ShouldContainSubstring, "no data folder")
+		So(content(path), ShouldBeEmpty)
+	})
+}
--- a/cmd/tell/main.go
+++ b/cmd/tell/main.go
@@ -21,6 +21,9 @@
 	for _, each := range []subcommands.Command{&show{what: "belief"}, &show{what: "placements"}, &show{what: "counts"}, &show{what: "ready"}, &compare{}} {
 		subcommands.Register(each, "nodes")
 	}
+	for _, each := range []subcommands.Command{&folderCheck{}, &replayCommand{}} {
+		subcommands.Register(each, "a stopped process's data folder")
+	}
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/keep/errand.go
+++ b/keep/errand.go
@@ -227,9 +227,9 @@
 		}
 		if r.lane != nil {
 			b.Live, b.Kept, b.Carries, b.Sessions = r.lane.Live(), r.lane.Kept(), r.lane.Carries(), len(r.lane.Boots())
-			b.Digest = digest(r.lane.Rest(true))
+			b.Digest = Digest(r.lane.Rest(true))
 		} else {
-			b.Digest = digest(t.charter.Rest())
+			b.Digest = Digest(t.charter.Rest())
 			belief.Fresh = t.isCharterFresh(now)
 		}
 		belief.Groups = append(belief.Groups, b)
@@ -252,7 +252,8 @@
 	return data
 }
 
-func digest(data []byte) string {
+// Digest is a state's digest as `belief` shows it.
+func Digest(data []byte) string {
 	sum := sha256.Sum256(data)
 	return hex.EncodeToString(sum[:8])
 }
