--- a/sim/world.go
+++ b/sim/world.go
@@ -405,7 +405,7 @@
 
 // stepCost is what one step of a table costs a whole core, on average; see
 // docs/measurements.md for how it was found.
-const stepCost = 60
+const stepCost = 110
 
 // work has the process do something when its processor gets to it.
 func (h *Host) work(run int, call func()) {
