--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -162,6 +162,11 @@
 // Finish runs the load to its end, lets everything drain, and judges.
 func (f *Fleet) Finish() []check.Breach {
 	f.Run(f.Over + 40*loop.Second)
+	// A rush may leave more than that can be worked off; what is stuck is so still
+	// after this.
+	for k := 0; k < 15 && f.sample().Live > 0; k++ {
+		f.Run(f.Now + 20*loop.Second)
+	}
 	f.Tell(check.Event{Kind: check.Close})
 	return check.Judge(f.History, check.Usual)
 }
