Raft looks its log through for rosters only when one may have changed

Cause: every record put searched the whole log for the newest roster, so a record cost as much as the log is long. Only a roster record, or the cutting of one, changes the answer.

--- a/raft/raft.go
+++ b/raft/raft.go
@@ -311,6 +311,12 @@
 	if first <= g.commit {
 		panic("raft: a committed record would be replaced in " + g.name)
 	}
+	// The log is long and rosters are rare: it is looked through only when one
+	// may have come or gone.
+	isRoster := first <= g.rosterAt
+	for _, record := range records {
+		isRoster = isRoster || record.Kind == schema.RecordKind_RECORD_ROSTER
+	}
 	if first <= g.lastIndex() {
 		g.log = g.log[: first-g.base.Index-1 : first-g.base.Index-1]
 		if g.stable >= first {
@@ -319,7 +325,9 @@
 	}
 	g.log = append(g.log, records...)
 	g.out.Changes = append(g.out.Changes, &schema.Change{Group: g.name, Records: records})
-	g.findRoster()
+	if isRoster {
+		g.findRoster()
+	}
 }
 
 // Release lets the log go up to a checkpoint of the machine.
