Lane: rounds, one end for a whole group, lasting steps, kept progress, counts

A job's steps are expanded by rounds, each opened when it is due. Numbers of tasks out and unfinished are kept instead of counted on each command. A whole settle ends a group by one member's end; a group fails once per attempt.

--- a/keep/errand.go
+++ b/keep/errand.go
@@ -26,7 +26,7 @@
 	}
 	asked := waiter{term: r.group.Term(), from: from, errand: m}
 	switch m.Kind {
-	case "status", "list", "plan", "history":
+	case "status", "list", "counts", "plan", "history":
 		t.reads++
 		if r.group.Read(now, t.reads) == nil {
 			r.reading[t.reads] = asked
@@ -72,6 +72,8 @@
 		t.reply(asked, 200, mustJSON(view), r.group, out)
 	case "list":
 		t.reply(asked, 200, mustJSON(r.lane.List(m.After, int(m.Most))), r.group, out)
+	case "counts":
+		t.reply(asked, 200, mustJSON(r.lane.Counts()), r.group, out)
 	case "plan":
 		t.reply(asked, 200, planBody(t.charter.State().Plan), r.group, out)
 	case "history":
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -553,7 +553,13 @@
 	case job.DelayUs > 0:
 		return at + job.DelayUs
 	case job.StartWallUs > 0:
-		return max(at, at+job.StartWallUs-r.group.WallTime(now, t.wall()))
+		start := at + job.StartWallUs - r.group.WallTime(now, t.wall())
+		// The rounds of a job are counted from its start, though that be past;
+		// zero alone would mean the moment of its admission.
+		if job.Rounds > 1 && start != 0 {
+			return start
+		}
+		return max(at, start)
 	}
 	return 0
 }
@@ -595,8 +601,10 @@
 	if t.isFull(r) || m.Key == nil {
 		return
 	}
-	command := &schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: m.Key, Attempt: m.Attempt}}}
+	command := &schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: m.Key, Attempt: m.Attempt, Whole: m.Whole}}}
 	if m.Outcome != "done" {
+		// Stopped, lapsed, broken by another member or alone without the others:
+		// none of these is the task's own fault.
 		cause := schema.Cause_CAUSE_DISPLACED
 		switch m.Outcome {
 		case "failed":
@@ -604,7 +612,7 @@
 		case "lost":
 			cause = schema.Cause_CAUSE_LOST
 		}
-		command.Body = &schema.LaneCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause}}
+		command.Body = &schema.LaneCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause, Saved: m.Saved}}
 	}
 	if index := t.proposeLane(now, r, command); index > 0 {
 		r.waiting[index] = waiter{term: r.group.Term(), from: from, end: m}
--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -81,8 +81,48 @@
 	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: k, Attempt: attempt}}})
 }
 
+func (b *bench) settleWhole(k *schema.TaskKey, attempt uint32) *Effects {
+	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: k, Attempt: attempt, Whole: true}}})
+}
+
 func (b *bench) giveBack(k *schema.TaskKey, attempt uint32, cause schema.Cause) *Effects {
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: k, Attempt: attempt, Cause: cause}}})
+	return b.giveBackSaved(k, attempt, cause, "")
+}
+
+func (b *bench) giveBackSaved(k *schema.TaskKey, attempt uint32, cause schema.Cause, saved string) *Effects {
+	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: k, Attempt: attempt, Cause: cause, Saved: saved}}})
+}
+
+// again replaces the machine by one made from its own state at rest.
+func (b *bench) again() {
+	m, err := Restore("l", b.index, b.m.Rest(false))
+	if err != nil {
+		panic(err)
+	}
+	if !bytes.Equal(m.Rest(false), b.m.Rest(false)) {
+		panic("restored to another state")
+	}
+	b.m = m
+}
+
+// seen lists the tasks the placer must know of, as "part round task standing".
+func (b *bench) seen() string {
+	list, _ := b.m.Standings()
+	text := ""
+	for _, s := range list {
+		text += fmt.Sprint(s.Spec.Name, s.Round, ".", s.Key.Task, []string{"", "", "-out", "-stop"}[s.State], " ")
+	}
+	return text
+}
+
+func (b *bench) shiftOf(k *schema.TaskKey) *Shift {
+	list, _ := b.m.Standings()
+	for _, s := range list {
+		if proto.Equal(&s.Key, k) {
+			return s
+		}
+	}
+	return nil
 }
 
 func (b *bench) cancel(name string) *Effects {
@@ -455,7 +495,7 @@
 // checkpoint gives the state that the whole log gives.
 func TestReplayEquivalence(t *testing.T) {
 	releases := 0
-	for seed := uint64(1); seed <= 60; seed++ {
+	for seed := uint64(1); seed <= 150; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		b := newBench()
 		b.m.adopt = &schema.Adopt{StatusUs: 3_000_000, Every: 4, Circles: 3}
@@ -464,6 +504,9 @@
 		for k := 0; k < 600; k++ {
 			b.at += rng.Int64N(100_000)
 			randomCommand(b, rng, numbers)
+			if fault := unsound(b.m); fault != "" {
+				t.Fatalf("seed %d: at index %d, %s", seed, b.index, fault)
+			}
 			if b.released == nil || b.released == last {
 				continue
 			}
@@ -488,6 +531,61 @@
 	}
 }
 
+// unsound names what the running numbers of a machine say wrongly.
+func unsound(m *Machine) string {
+	waiting, out, pending := uint32(0), uint32(0), 0
+	for _, j := range m.ordered() {
+		outs, unfinished := 0, 0
+		for s, list := range j.tasks {
+			left, outOf, failures := int(j.step(s).Tasks), 0, uint32(0)
+			for t := range list {
+				switch list[t].state {
+				case schema.TaskState_TASK_DONE:
+					left--
+				case schema.TaskState_TASK_OUT:
+					outOf++
+				}
+				if j.standing(s, t) == Ready {
+					waiting++
+				}
+				failures += list[t].failures
+				if j.step(s).Together && list[t].state == schema.TaskState_TASK_OUT && list[t].attempt != list[0].attempt {
+					return "members of one start have other numbers"
+				}
+			}
+			if left != j.left[s] || outOf != j.out[s] || failures != j.failures[s] {
+				return fmt.Sprint("step ", s, " has ", left, " left, ", outOf, " out and ", failures, " failures, noted ", j.left[s], ", ", j.out[s], " and ", j.failures[s])
+			}
+			if left > 0 {
+				unfinished++
+			}
+			outs += outOf
+			if list != nil && j.startUs+int64(s/j.parts())*j.spec.EveryUs > m.now {
+				return "a round is open before its time"
+			}
+		}
+		if outs != j.outs || unfinished != j.unfinished || unfinished == 0 {
+			return fmt.Sprint("job ", j.id, " has ", outs, " out and ", unfinished, " steps unfinished, noted ", j.outs, " and ", j.unfinished)
+		}
+		if j.opened < j.rounds() && j.state != schema.JobState_JOB_STOPPING {
+			pending++
+			if j.dueUs() <= m.now {
+				return "a due round isn't open"
+			}
+		}
+		out += uint32(outs)
+	}
+	held := 0
+	for _, s := range m.sessions {
+		held += len(s.held)
+	}
+	counts := m.Counts()
+	if counts.Waiting != waiting || counts.Out != out || int(counts.Live) != len(m.jobs) || pending != m.Timed() || held != m.held {
+		return fmt.Sprint("counts ", counts, " for ", waiting, " waiting and ", out, " out; ", pending, " pending of ", m.Timed(), "; held ", held, " of ", m.held)
+	}
+	return ""
+}
+
 func randomCommand(b *bench, rng *rand.Rand, numbers map[string]uint64) {
 	pick := func() *schema.TaskKey {
 		jobs := b.m.ordered()
@@ -495,12 +593,22 @@
 			return key(1, 0, 0)
 		}
 		j := jobs[rng.IntN(min(len(jobs), 4))]
-		s := rng.IntN(len(j.tasks))
+		s := rng.IntN(max(1, j.first(j.opened)))
+		if len(j.tasks[s]) == 0 {
+			return key(j.id, uint32(s), 0)
+		}
 		return key(j.id, uint32(s), uint32(rng.IntN(len(j.tasks[s]))))
 	}
-	attempt := func(k *schema.TaskKey) uint32 {
+	tasks := func(k *schema.TaskKey) []task {
 		if j := b.m.jobs[k.Job]; j != nil {
-			return j.tasks[k.Step][k.Task].attempt
+			return j.tasks[k.Step]
+		}
+		return nil
+	}
+	attempt := func(k *schema.TaskKey) uint32 {
+		if list := tasks(k); len(list) > 0 {
+			// Now and then a report comes late.
+			return max(list[k.Task].attempt, 1) - uint32(rng.IntN(6)/5)
 		}
 		return 1
 	}
@@ -508,10 +616,8 @@
 	case 14:
 		k := pick()
 		var attempts []uint32
-		if j := b.m.jobs[k.Job]; j != nil {
-			for i := range j.tasks[k.Step] {
-				attempts = append(attempts, j.tasks[k.Step][i].attempt)
-			}
+		for _, each := range tasks(k) {
+			attempts = append(attempts, each.attempt)
 		}
 		b.launch(k.Job, k.Step, attempts...)
 	case 0, 1:
@@ -529,11 +635,18 @@
 		if rng.IntN(5) == 0 {
 			job.DelayUs = b.at + rng.Int64N(400_000)
 		}
+		if rng.IntN(3) == 0 {
+			job.Rounds, job.EveryUs = uint32(1+rng.IntN(4)), rng.Int64N(300_000)
+		}
+		for _, step := range job.Steps {
+			step.Saves, step.Lasting = rng.IntN(2) == 0, rng.IntN(12) == 0
+			step.Together = step.Together || rng.IntN(4) == 0
+		}
 		b.enqueue(client, number, fmt.Sprint("j", rng.IntN(200)), job)
 	case 2, 3, 4, 5:
 		k := pick()
 		keys := []*schema.TaskKey{k}
-		if j := b.m.jobs[k.Job]; j != nil && j.spec.Steps[k.Step].Together {
+		if j := b.m.jobs[k.Job]; j != nil && j.step(int(k.Step)).Together {
 			keys = nil
 			for i := range j.tasks[k.Step] {
 				keys = append(keys, key(k.Job, k.Step, uint32(i)))
@@ -542,10 +655,18 @@
 		b.checkout(keys...)
 	case 6, 7, 8, 9:
 		k := pick()
+		if rng.IntN(2) == 0 {
+			b.settleWhole(k, attempt(k))
+			return
+		}
 		b.settle(k, attempt(k))
 	case 10:
 		k := pick()
-		b.giveBack(k, attempt(k), schema.Cause(1+rng.IntN(3)))
+		saved := ""
+		if rng.IntN(2) == 0 {
+			saved = fmt.Sprint("at ", b.index)
+		}
+		b.giveBackSaved(k, attempt(k), schema.Cause(1+rng.IntN(3)), saved)
 	case 11:
 		b.cancel(fmt.Sprint("j", rng.IntN(200)))
 	case 12:
--- a/lane/machine.go
+++ b/lane/machine.go
@@ -19,6 +19,7 @@
 	DefaultEvery    = 64
 	DefaultCircles  = 40
 	maxCached       = 16
+	maxSaved        = 256 // bytes of a saved text; a longer one is no text of a worker
 	goneKeptUs      = 24 * 3600 * 1_000_000
 )
 
@@ -33,14 +34,25 @@
 	why     string
 	spec    *schema.Job
 	isDry   bool // restored from a checkpoint, the text is gone
-	tasks   [][]task
-	left    []int // unfinished tasks of each step
+	// Its steps are expanded: step e is part e%parts of round e/parts. A
+	// round's tasks are made when it opens.
+	tasks      [][]task
+	left       []int    // unfinished tasks of each step
+	out        []int    // tasks of each step that are out
+	failures   []uint32 // counted failures of each step
+	opened     int      // rounds that have been due so far
+	unfinished int      // steps with unfinished tasks
+	outs       int      // tasks that are out
+	started    uint64   // tasks checked out so far
+	after      [][]int  // of each part: the parts it waits for
+	before     [][]int  // of each part: the parts that wait for it
 }
 
 type task struct {
 	state       schema.TaskState
 	attempt     uint32
-	failures    uint32
+	failures    uint32 // a group's stand at its first member
+	failedAt    uint32 // the latest attempt counted as failed, kept like failures
 	circles     uint32
 	worker      string
 	incarnation uint64
@@ -48,6 +60,7 @@
 	isBreaking  bool     // out, and to be stopped because its group broke
 	isLaunched  bool     // its group has been decided to begin
 	lost        []uint32 // attempts taken back unheard: they may yet turn out to have failed
+	saved       string   // progress that the next start carries; a group's stands at its first member
 }
 
 type sessionKey struct {
@@ -81,8 +94,13 @@
 	Worker      string
 	Incarnation uint64
 	Name        string
+	Order       uint64 // of the job's admission to the lane
+	Round       uint32
+	Part        uint32 // the step's number within its round
 	Spec        *schema.Step
 	Text        string
+	Saved       string // progress that the next start carries
+	Failures    uint32 // counted so far, of the task or its whole group
 	IsLaunched  bool
 }
 
@@ -123,11 +141,12 @@
 	adopt    *schema.Adopt
 	jobs     map[uint64]*job
 	byIndex  *btree.BTreeG[*job]
-	byStart  *btree.BTreeG[*job] // timed jobs
+	byStart  *btree.BTreeG[*job] // jobs with a round that isn't due yet
 	names    map[string]*job
 	ended    map[string]*schema.EndedRest
 	fading   []*schema.EndedRest // ended jobs, oldest first
 	sessions map[sessionKey]*session
+	held     int               // submissions held in sessions
 	gone     map[bootKey]int64 // intakes given up, and when
 	cached   []cachedState
 	cachedAt uint64
@@ -141,7 +160,7 @@
 		name: name, adopt: &schema.Adopt{StatusUs: DefaultStatusUs, Every: DefaultEvery, Circles: DefaultCircles},
 		jobs:     map[uint64]*job{},
 		byIndex:  btree.NewG(16, func(a, b *job) bool { return a.index < b.index || a.index == b.index && a.id < b.id }),
-		byStart:  btree.NewG(16, func(a, b *job) bool { return a.startUs < b.startUs || a.startUs == b.startUs && a.id < b.id }),
+		byStart:  btree.NewG(16, func(a, b *job) bool { return a.dueUs() < b.dueUs() || a.dueUs() == b.dueUs() && a.id < b.id }),
 		names:    map[string]*job{},
 		ended:    map[string]*schema.EndedRest{},
 		sessions: map[sessionKey]*session{},
@@ -166,13 +185,14 @@
 	return 0, 0, nil
 }
 
-// NextStart is when the next timed job starts, in lane time.
+// NextStart is when the next round of a live job is due, in microseconds of
+// lane time.
 func (m *Machine) NextStart() (int64, bool) {
 	next, any := m.byStart.Min()
 	if !any {
 		return 0, false
 	}
-	return next.startUs, true
+	return next.dueUs(), true
 }
 
 // Boots lists the intakes that hold sessions here.
@@ -231,11 +251,11 @@
 func (m *Machine) passTime() {
 	for {
 		next, any := m.byStart.Min()
-		if !any || next.startUs > m.now {
+		if !any || next.dueUs() > m.now {
 			break
 		}
 		m.byStart.DeleteMin()
-		m.start(next)
+		m.openRounds(next)
 	}
 	for len(m.fading) > 0 && m.fading[0].EndedUs+m.adopt.StatusUs <= m.now {
 		// The name may stand for a later job by now only if this one was
@@ -272,6 +292,7 @@
 	case e.Number > s.next:
 		if s.held[e.Number] == nil {
 			s.held[e.Number] = &schema.HeldRest{Index: index, Enqueue: e}
+			m.held++
 		}
 		return
 	}
@@ -283,6 +304,7 @@
 			return
 		}
 		delete(s.held, s.next)
+		m.held--
 		m.admit(held.Index, held.Enqueue)
 		s.next++
 	}
@@ -290,7 +312,7 @@
 
 func (m *Machine) down(c *schema.Down) {
 	for _, quit := range c.Sessions {
-		delete(m.sessions, keyOf(quit))
+		m.forget(keyOf(quit))
 	}
 	for _, boot := range c.Boots {
 		m.gone[bootKey{boot.Intake, boot.Boot}] = m.now
@@ -298,12 +320,19 @@
 			// Held submissions were never confirmed, and nobody is left who
 			// could fill the gap below them.
 			if key.intake == boot.Intake && key.boot == boot.Boot {
-				delete(m.sessions, key)
+				m.forget(key)
 			}
 		}
 	}
 }
 
+func (m *Machine) forget(key sessionKey) {
+	if s := m.sessions[key]; s != nil {
+		m.held -= len(s.held)
+		delete(m.sessions, key)
+	}
+}
+
 // answerKnown is the code for a name that may already stand; `absent` is for
 // one that doesn't.
 func (m *Machine) answerKnown(e *schema.Enqueue, absent int32) int32 {
@@ -342,51 +371,94 @@
 		id: m.nextJob, name: e.Name, digest: e.Digest, index: index, startUs: e.StartUs,
 		spec: e.Job,
 	}
-	for _, step := range j.spec.Steps {
-		j.tasks = append(j.tasks, make([]task, step.Tasks))
-		j.left = append(j.left, int(step.Tasks))
+	if j.startUs == 0 && j.spec.Rounds > 1 {
+		j.startUs = m.now // the later rounds are counted from it
 	}
+	j.expand()
 	m.jobs[j.id], m.names[j.name] = j, j
 	m.byIndex.ReplaceOrInsert(j)
-	if j.startUs > m.now {
-		j.state = schema.JobState_JOB_TIMED
-		m.byStart.ReplaceOrInsert(j)
-	} else {
-		m.start(j)
-	}
+	j.state = schema.JobState_JOB_TIMED
+	m.openRounds(j)
 	m.outcome(e, 201)
 }
 
-func (m *Machine) start(j *job) {
-	j.state = schema.JobState_JOB_RUNNING
-	for s := range j.tasks {
-		if len(j.spec.Steps[s].After) == 0 {
-			m.shiftStep(j, s)
+// openRounds opens every round that is due, never one before its time, and
+// sets the job down for the next.
+func (m *Machine) openRounds(j *job) {
+	for j.opened < j.rounds() && j.dueUs() <= m.now {
+		j.state = schema.JobState_JOB_RUNNING
+		j.makeRound()
+		for part := range j.spec.Steps {
+			if len(j.after[part]) == 0 {
+				m.shiftStep(j, j.first(j.opened-1)+part)
+			}
 		}
 	}
+	if j.opened < j.rounds() {
+		m.byStart.ReplaceOrInsert(j)
+	}
 }
 
-// --- tasks ---
+// --- the shape of a job ---
 
-func (j *job) isOpen(s int) bool {
-	for _, name := range j.spec.Steps[s].After {
-		for k, other := range j.spec.Steps {
-			if other.Name == name && j.left[k] > 0 {
-				return false
+func (j *job) parts() int              { return len(j.spec.GetSteps()) }
+func (j *job) rounds() int             { return max(1, int(j.spec.GetRounds())) }
+func (j *job) first(round int) int     { return round * j.parts() }
+func (j *job) step(s int) *schema.Step { return j.spec.Steps[s%j.parts()] }
+
+// dueUs is when the next round that hasn't opened is due, in lane time.
+func (j *job) dueUs() int64 {
+	return j.startUs + int64(j.opened)*max(0, j.spec.GetEveryUs())
+}
+
+// expand counts out the steps of all rounds; none is open yet.
+func (j *job) expand() {
+	parts := j.parts()
+	number := map[string]int{}
+	for part, step := range j.spec.GetSteps() {
+		number[step.Name] = part
+	}
+	j.after, j.before = make([][]int, parts), make([][]int, parts)
+	for part, step := range j.spec.GetSteps() {
+		for _, name := range step.After {
+			if other, isKnown := number[name]; isKnown {
+				j.after[part] = append(j.after[part], other)
+				j.before[other] = append(j.before[other], part)
 			}
 		}
 	}
-	return true
+	steps := j.rounds() * parts
+	j.tasks, j.left, j.out, j.failures = make([][]task, steps), make([]int, steps), make([]int, steps), make([]uint32, steps)
+	for s := range j.left {
+		j.left[s] = int(j.step(s).Tasks)
+		if j.left[s] > 0 {
+			j.unfinished++
+		}
+	}
 }
 
-func (j *job) outOf(s int) int {
-	count := 0
-	for t := range j.tasks[s] {
-		if j.tasks[s][t].state == schema.TaskState_TASK_OUT {
-			count++
+// makeRound makes the tasks of the next round.
+func (j *job) makeRound() {
+	for part, step := range j.spec.GetSteps() {
+		j.tasks[j.first(j.opened)+part] = make([]task, step.Tasks)
+	}
+	j.opened++
+}
+
+// --- tasks ---
+
+func (j *job) isOpen(s int) bool {
+	part := s % j.parts()
+	first := s - part
+	if first >= j.first(j.opened) {
+		return false
+	}
+	for _, other := range j.after[part] {
+		if j.left[first+other] > 0 {
+			return false
 		}
 	}
-	return count
+	return true
 }
 
 func (j *job) standing(s, t int) Standing {
@@ -399,12 +471,21 @@
 		return Out
 	case each.state == schema.TaskState_TASK_DONE || j.state != schema.JobState_JOB_RUNNING || !j.isOpen(s):
 		return Gone
-	case j.spec.Steps[s].Together && j.outOf(s) > 0:
+	case j.step(s).Together && j.out[s] > 0:
 		return Gone // a broken group is whole again only when none of it runs
 	}
 	return Ready
 }
 
+// account is the task that failures and progress are kept at: a group has one
+// account for all its members.
+func (j *job) account(s, t int) *task {
+	if j.step(s).Together {
+		return &j.tasks[s][0]
+	}
+	return &j.tasks[s][t]
+}
+
 func (m *Machine) shift(j *job, s, t int) {
 	m.hand++
 	each := &j.tasks[s][t]
@@ -416,11 +497,12 @@
 }
 
 func (m *Machine) shiftOf(j *job, s, t int, hand uint64) *Shift {
-	each := &j.tasks[s][t]
+	each, account, parts := &j.tasks[s][t], j.account(s, t), j.parts()
 	return &Shift{
 		Hand: hand, Key: schema.TaskKey{Job: j.id, Step: uint32(s), Task: uint32(t)}, State: j.standing(s, t),
 		Attempt: each.attempt, Worker: each.worker, Incarnation: each.incarnation,
-		Name: j.name, Spec: j.spec.Steps[s], Text: j.spec.Text, IsLaunched: each.isLaunched,
+		Name: j.name, Order: j.id, Round: uint32(s / parts), Part: uint32(s % parts), Spec: j.step(s), Text: j.spec.Text,
+		Saved: account.saved, Failures: account.failures, IsLaunched: each.isLaunched,
 	}
 }
 
@@ -468,38 +550,43 @@
 		s, t int
 		pick *schema.Pick
 	}
+	type group struct {
+		j *job
+		s int
+	}
 	var places []place
-	whole := map[*job]map[int]int{}
+	chosen := map[*task]bool{}
+	whole := map[group]int{}
 	for _, pick := range c.Picks {
 		j, s, t := m.find(pick.Key)
 		if j == nil {
 			continue
 		}
 		places = append(places, place{j, s, t, pick})
-		if whole[j] == nil {
-			whole[j] = map[int]int{}
-		}
-		if j.standing(s, t) == Ready {
-			whole[j][s]++
+		if each := &j.tasks[s][t]; j.standing(s, t) == Ready && !chosen[each] {
+			chosen[each] = true
+			whole[group{j, s}]++
 		}
 	}
-	taken := map[*task]bool{}
+	attempts := map[group]uint32{} // members of one start share their number
 	for _, p := range places {
-		each := &p.j.tasks[p.s][p.t]
-		isReady := p.j.standing(p.s, p.t) == Ready || taken[each]
+		each, g := &p.j.tasks[p.s][p.t], group{p.j, p.s}
 		// A group that must run together goes out whole in one command or
 		// not at all.
-		isWhole := !p.j.spec.Steps[p.s].Together || whole[p.j][p.s] == len(p.j.tasks[p.s])
-		if isReady && isWhole && each.state == schema.TaskState_TASK_WAITING {
-			taken[each] = true
-		}
-	}
-	for _, p := range places {
-		each := &p.j.tasks[p.s][p.t]
-		if taken[each] && each.state == schema.TaskState_TASK_WAITING {
-			each.state = schema.TaskState_TASK_OUT
-			each.attempt++
+		isGroup := p.j.step(p.s).Together
+		isWhole := !isGroup || whole[g] == len(p.j.tasks[p.s])
+		if chosen[each] && isWhole {
+			delete(chosen, each)
+			if isGroup && attempts[g] == 0 {
+				for t := range p.j.tasks[p.s] {
+					attempts[g] = max(attempts[g], p.j.tasks[p.s][t].attempt+1)
+				}
+			}
+			each.state, each.attempt = schema.TaskState_TASK_OUT, max(each.attempt+1, attempts[g])
 			each.worker, each.incarnation, each.hand = p.pick.Worker, p.pick.Incarnation, 0
+			p.j.out[p.s]++
+			p.j.outs++
+			p.j.started++
 		}
 		m.shift(p.j, p.s, p.t)
 	}
@@ -510,7 +597,7 @@
 // hold of the whole group as it was checked out, or of nothing.
 func (m *Machine) launch(c *schema.Launch) {
 	j, s, _ := m.find(&schema.TaskKey{Job: c.Job, Step: c.Step})
-	if j == nil || !j.spec.Steps[s].Together || len(c.Attempts) != len(j.tasks[s]) {
+	if j == nil || !j.step(s).Together || len(c.Attempts) != len(j.tasks[s]) {
 		return
 	}
 	for t := range j.tasks[s] {
@@ -529,18 +616,67 @@
 	if j == nil {
 		return
 	}
-	each := &j.tasks[s][t]
+	each, step := &j.tasks[s][t], j.step(s)
+	if c.Whole && step.Together {
+		// Nothing of the group has been checked out anew while one member is
+		// out, so this end is the end of that start, also where a member was
+		// taken for lost or told to stop meanwhile.
+		if j.out[s] > 0 && each.attempt == c.Attempt {
+			m.settleGroup(j, s)
+		}
+		return
+	}
 	// A report on another attempt than the one that is out changes nothing.
 	if each.state != schema.TaskState_TASK_OUT || each.attempt != c.Attempt {
 		return
 	}
-	if each.isBreaking {
+	if step.Lasting {
+		j.account(s, t).saved = ""
+		if step.Together && j.state == schema.JobState_JOB_RUNNING && !each.isBreaking {
+			m.breakGroup(j, s)
+		}
+	}
+	if step.Lasting || each.isBreaking {
 		m.takeBack(j, s, t)
 		return
 	}
 	each.state = schema.TaskState_TASK_DONE
+	m.recall(j, s)
 	j.left[s]--
+	if !step.Together || j.left[s] == 0 {
+		j.account(s, t).saved = ""
+	}
 	m.shift(j, s, t)
+	m.stepOn(j, s)
+}
+
+// settleGroup: one member's end stands for all. Its members have ended
+// together, and their later reports find them done.
+func (m *Machine) settleGroup(j *job, s int) {
+	isLasting := j.step(s).Lasting
+	for t := range j.tasks[s] {
+		each := &j.tasks[s][t]
+		if each.state == schema.TaskState_TASK_OUT {
+			m.recall(j, s)
+		}
+		each.state, each.isBreaking, each.saved = schema.TaskState_TASK_DONE, false, ""
+		if isLasting {
+			each.clear()
+		}
+	}
+	if !isLasting {
+		j.left[s] = 0
+	}
+	m.shiftStep(j, s)
+	m.stepOn(j, s)
+}
+
+// stepOn follows the end of tasks of a step: what waited for the whole step
+// opens, and a job with nothing unfinished ends.
+func (m *Machine) stepOn(j *job, s int) {
+	if j.left[s] == 0 {
+		j.unfinished--
+	}
 	if j.state == schema.JobState_JOB_STOPPING {
 		m.endIfStill(j)
 		return
@@ -548,27 +684,26 @@
 	if j.left[s] > 0 {
 		return
 	}
-	isDone := true
-	for k, step := range j.spec.Steps {
-		if j.left[k] > 0 {
-			isDone = false
-			if waits(step, j.spec.Steps[s].Name) && j.isOpen(k) {
-				m.shiftStep(j, k)
-			}
+	part := s % j.parts()
+	for _, other := range j.before[part] {
+		if next := s - part + other; j.left[next] > 0 && j.isOpen(next) {
+			m.shiftStep(j, next)
 		}
 	}
-	if isDone {
+	if j.unfinished == 0 {
 		m.end(j, schema.JobState_JOB_COMPLETE)
 	}
 }
 
-func waits(step *schema.Step, name string) bool {
-	for _, each := range step.After {
-		if each == name {
-			return true
-		}
-	}
-	return false
+// recall notes that a task is out no more.
+func (m *Machine) recall(j *job, s int) {
+	j.out[s]--
+	j.outs--
+}
+
+func (each *task) clear() {
+	each.state, each.worker, each.incarnation, each.hand = schema.TaskState_TASK_WAITING, "", 0, 0
+	each.isBreaking, each.isLaunched = false, false
 }
 
 func (m *Machine) giveBack(c *schema.Return) {
@@ -577,27 +712,35 @@
 		return
 	}
 	each := &j.tasks[s][t]
-	step := j.spec.Steps[s]
+	step := j.step(s)
 	isRunning := j.state == schema.JobState_JOB_RUNNING
 	if each.state != schema.TaskState_TASK_OUT || each.attempt != c.Attempt {
 		// A worker that had been cut off tells late that it had failed. That
 		// counts, once, whatever has become of the task meanwhile.
 		if k := slices.Index(each.lost, c.Attempt); k >= 0 && c.Cause == schema.Cause_CAUSE_FAILED && isRunning {
-			each.lost = slices.Delete(each.lost, k, k+1)
-			if m.failed(j, s, each); j.state == schema.JobState_JOB_STOPPING {
+			if m.failed(j, s, t, c.Attempt); j.state == schema.JobState_JOB_STOPPING {
 				m.endIfStill(j)
 			}
 		}
 		return
 	}
-	if c.Cause == schema.Cause_CAUSE_LOST {
+	account := j.account(s, t)
+	// The latest text that was told is the best one known; no word of progress
+	// doesn't undo what was kept before.
+	if step.Saves && c.Saved != "" && len(c.Saved) <= maxSaved {
+		account.saved = c.Saved
+	}
+	if c.Cause == schema.Cause_CAUSE_LOST && !step.Lasting && account.failedAt != c.Attempt {
 		each.lost = append(each.lost, each.attempt)
 	}
 	// Failing counts whatever was asked of the task meanwhile; being stopped
-	// counts only for whom the stop was meant.
-	if isRunning && c.Cause == schema.Cause_CAUSE_FAILED {
-		m.failed(j, s, each)
-	} else if isRunning && !each.isBreaking {
+	// counts only for whom the stop was meant. What lasts begins again however
+	// it ended, so nothing of it counts.
+	switch {
+	case step.Lasting || !isRunning:
+	case c.Cause == schema.Cause_CAUSE_FAILED:
+		m.failed(j, s, t, c.Attempt)
+	case !each.isBreaking:
 		each.circles++
 		if each.circles > m.adopt.Circles {
 			m.stop(j, schema.JobState_JOB_FAILED, "step "+step.Name+": a task was taken back too often")
@@ -610,10 +753,26 @@
 }
 
 // failed counts a failure; one too many ends the job, whatever came of the task
-// since. A task that has been done stays done.
-func (m *Machine) failed(j *job, s int, each *task) {
-	each.failures++
-	if step := j.spec.Steps[s]; each.failures > step.AllowedFailures && each.state != schema.TaskState_TASK_DONE {
+// since. A task that has been done stays done. However many members of a group
+// fail in one attempt, the group has failed once.
+func (m *Machine) failed(j *job, s, t int, attempt uint32) {
+	step, account := j.step(s), j.account(s, t)
+	members, isDone := j.tasks[s][t:t+1], j.tasks[s][t].state == schema.TaskState_TASK_DONE
+	if step.Together {
+		members, isDone = j.tasks[s], j.left[s] == 0
+	}
+	if account.failedAt == attempt {
+		return
+	}
+	for k := range members {
+		if at := slices.Index(members[k].lost, attempt); at >= 0 {
+			members[k].lost = slices.Delete(members[k].lost, at, at+1)
+		}
+	}
+	account.failedAt = max(account.failedAt, attempt)
+	account.failures++
+	j.failures[s]++
+	if account.failures > step.AllowedFailures && !isDone {
 		m.stop(j, schema.JobState_JOB_FAILED, "step "+step.Name+": a task used up its allowed failures")
 	}
 }
@@ -636,21 +795,23 @@
 }
 
 func (m *Machine) takeBack(j *job, s, t int) {
-	each := &j.tasks[s][t]
-	each.state, each.worker, each.incarnation, each.hand = schema.TaskState_TASK_WAITING, "", 0, 0
-	each.isBreaking, each.isLaunched = false, false
+	j.tasks[s][t].clear()
+	m.recall(j, s)
 	m.shift(j, s, t)
 	if j.state == schema.JobState_JOB_STOPPING {
 		m.endIfStill(j)
 		return
 	}
-	if j.spec.Steps[s].Together && j.outOf(s) == 0 {
+	if j.step(s).Together && j.out[s] == 0 {
 		m.shiftStep(j, s)
 	}
 }
 
 // stop ends a job as soon as none of its tasks runs.
 func (m *Machine) stop(j *job, verdict schema.JobState, why string) {
+	if j.opened < j.rounds() {
+		m.byStart.Delete(j)
+	}
 	j.state, j.verdict, j.why = schema.JobState_JOB_STOPPING, verdict, why
 	for s := range j.tasks {
 		if !j.isOpen(s) {
@@ -665,12 +826,9 @@
 }
 
 func (m *Machine) endIfStill(j *job) {
-	for s := range j.tasks {
-		if j.outOf(s) > 0 {
-			return
-		}
+	if j.outs == 0 {
+		m.end(j, j.verdict)
 	}
-	m.end(j, j.verdict)
 }
 
 func (m *Machine) cancel(name string) {
@@ -693,9 +851,9 @@
 
 func (m *Machine) end(j *job, state schema.JobState) {
 	ended := &schema.EndedRest{Name: j.name, Digest: j.digest, State: state, EndedUs: m.now, Why: j.why, Id: j.id}
-	for s := range j.tasks {
-		ended.Tasks += uint32(len(j.tasks[s]))
-		ended.Done += uint32(len(j.tasks[s]) - j.left[s])
+	for s := range j.left {
+		ended.Tasks += j.step(s).Tasks
+		ended.Done += j.step(s).Tasks - uint32(j.left[s])
 	}
 	m.byIndex.Delete(j)
 	delete(m.jobs, j.id)
@@ -737,32 +895,50 @@
 }
 
 func (m *Machine) viewOf(j *job) *schema.JobView {
-	view := &schema.JobView{Lane: m.name, Name: j.name, State: stateName(j.state), Why: j.why}
-	for s, step := range j.spec.Steps {
-		sv := &schema.StepView{Name: step.Name, State: "waiting", Done: uint32(len(j.tasks[s]) - j.left[s])}
-		for t := range j.tasks[s] {
-			each := &j.tasks[s][t]
-			sv.Failures += each.failures
-			switch each.state {
-			case schema.TaskState_TASK_OUT:
-				sv.Running++
-			case schema.TaskState_TASK_WAITING:
-				sv.Waiting++
+	view := &schema.JobView{Lane: m.name, Name: j.name, State: stateName(j.state), Why: j.why, Started: j.started}
+	if j.state == schema.JobState_JOB_STOPPING {
+		view.Verdict = stateName(j.verdict)
+	}
+	for part, step := range j.spec.Steps {
+		sv := &schema.StepView{Name: step.Name, State: "done"}
+		for s := part; s < len(j.left); s += j.parts() {
+			sv.Failures += j.failures[s]
+			sv.Running += uint32(j.out[s])
+			sv.Waiting += uint32(j.left[s] - j.out[s])
+			sv.Done += step.Tasks - uint32(j.left[s])
+			switch {
+			case j.left[s] == 0:
+			case j.state == schema.JobState_JOB_RUNNING && j.isOpen(s):
+				sv.State = "open"
+			case sv.State == "done":
+				sv.State = "waiting"
 			}
 		}
-		switch {
-		case j.left[s] == 0:
-			sv.State = "done"
-		case j.state == schema.JobState_JOB_RUNNING && j.isOpen(s):
-			sv.State = "open"
-		}
-		view.Tasks += uint32(len(j.tasks[s]))
+		view.Tasks += uint32(j.rounds()) * step.Tasks
 		view.Done += sv.Done
 		view.Steps = append(view.Steps, sv)
 	}
 	return view
 }
 
+// Counts are what the lane holds: live jobs, tasks that could be checked out,
+// and tasks that are out.
+func (m *Machine) Counts() *schema.LaneCounts {
+	counts := &schema.LaneCounts{Live: uint32(len(m.jobs))}
+	for _, j := range m.jobs {
+		counts.Out += uint32(j.outs)
+		if j.state != schema.JobState_JOB_RUNNING {
+			continue
+		}
+		for s := range j.left[:j.first(j.opened)] {
+			if j.left[s] > 0 && j.isOpen(s) && (!j.step(s).Together || j.out[s] == 0) {
+				counts.Waiting += uint32(j.left[s] - j.out[s])
+			}
+		}
+	}
+	return counts
+}
+
 // List pages over live and kept jobs in order of their names.
 func (m *Machine) List(after string, most int) *schema.JobList {
 	var names []string
--- a/lane/rest.go
+++ b/lane/rest.go
@@ -44,6 +44,9 @@
 	if oldest, found := m.byIndex.Min(); found {
 		low, any = oldest.index, true
 	}
+	if m.held == 0 {
+		return low, any
+	}
 	for _, s := range m.sessions {
 		for _, held := range s.held {
 			if !any || held.Index < low {
@@ -73,7 +76,7 @@
 }
 
 func dry(job *schema.Job) *schema.Job {
-	return &schema.Job{Steps: job.GetSteps(), DelayUs: job.GetDelayUs(), StartWallUs: job.GetStartWallUs()}
+	return &schema.Job{Steps: job.GetSteps(), DelayUs: job.GetDelayUs(), StartWallUs: job.GetStartWallUs(), Rounds: job.GetRounds(), EveryUs: job.GetEveryUs()}
 }
 
 func (m *Machine) sessionKeys() []sessionKey {
@@ -105,7 +108,7 @@
 	for _, j := range m.ordered() {
 		jr := &schema.JobRest{
 			Id: j.id, Name: j.name, Digest: j.digest, Index: j.index, StartUs: j.startUs, State: j.state,
-			Verdict: j.verdict, Job: j.spec, Why: j.why, Dry: j.isDry,
+			Verdict: j.verdict, Job: j.spec, Why: j.why, Dry: j.isDry, Started: j.started, Opened: uint32(j.opened),
 		}
 		if isDry {
 			jr.Job, jr.Dry = dry(j.spec), true
@@ -117,6 +120,7 @@
 				jr.Tasks = append(jr.Tasks, &schema.TaskRest{
 					State: each.state, Attempt: each.attempt, Failures: each.failures, Circles: each.circles,
 					Worker: each.worker, Incarnation: each.incarnation, Hand: each.hand, Breaking: each.isBreaking, Launched: each.isLaunched, Lost: each.lost,
+					Saved: each.saved, FailedAttempt: each.failedAt,
 				})
 			}
 		}
@@ -179,28 +183,13 @@
 	for _, jr := range rest.Jobs {
 		j := &job{
 			id: jr.Id, name: jr.Name, digest: jr.Digest, index: jr.Index, startUs: jr.StartUs, state: jr.State,
-			verdict: jr.Verdict, spec: jr.Job, why: jr.Why, isDry: jr.Dry,
-		}
-		k := 0
-		for _, step := range j.spec.GetSteps() {
-			tasks := make([]task, step.Tasks)
-			left := int(step.Tasks)
-			for t := range tasks {
-				tr := jr.Tasks[k]
-				k++
-				tasks[t] = task{
-					state: tr.State, attempt: tr.Attempt, failures: tr.Failures, circles: tr.Circles,
-					worker: tr.Worker, incarnation: tr.Incarnation, hand: tr.Hand, isBreaking: tr.Breaking, isLaunched: tr.Launched, lost: tr.Lost,
-				}
-				if tr.State == schema.TaskState_TASK_DONE {
-					left--
-				}
-			}
-			j.tasks, j.left = append(j.tasks, tasks), append(j.left, left)
+			verdict: jr.Verdict, spec: jr.Job, why: jr.Why, isDry: jr.Dry, started: jr.Started,
 		}
+		j.expand()
+		j.restoreTasks(jr)
 		m.jobs[j.id], m.names[j.name] = j, j
 		m.byIndex.ReplaceOrInsert(j)
-		if j.state == schema.JobState_JOB_TIMED {
+		if j.state != schema.JobState_JOB_STOPPING && j.opened < j.rounds() {
 			m.byStart.ReplaceOrInsert(j)
 		}
 	}
@@ -215,8 +204,38 @@
 		s := &session{next: sr.Next, held: map[uint64]*schema.HeldRest{}}
 		for _, held := range sr.Held {
 			s.held[held.Enqueue.Number] = held
+			m.held++
 		}
 		m.sessions[keyOf(sr.Session)] = s
 	}
 	return m, nil
 }
+
+// restoreTasks makes the rounds that had opened: only their tasks are at rest.
+func (j *job) restoreTasks(jr *schema.JobRest) {
+	for j.opened < int(jr.Opened) {
+		j.makeRound()
+	}
+	k := 0
+	for s := range j.tasks {
+		for t := range j.tasks[s] {
+			tr := jr.Tasks[k]
+			k++
+			j.tasks[s][t] = task{
+				state: tr.State, attempt: tr.Attempt, failures: tr.Failures, failedAt: tr.FailedAttempt, circles: tr.Circles,
+				worker: tr.Worker, incarnation: tr.Incarnation, hand: tr.Hand, isBreaking: tr.Breaking, isLaunched: tr.Launched, lost: tr.Lost,
+				saved: tr.Saved,
+			}
+			j.failures[s] += tr.Failures
+			switch tr.State {
+			case schema.TaskState_TASK_DONE:
+				if j.left[s]--; j.left[s] == 0 {
+					j.unfinished--
+				}
+			case schema.TaskState_TASK_OUT:
+				j.out[s]++
+				j.outs++
+			}
+		}
+	}
+}
