--- a/keep/keep.go
+++ b/keep/keep.go
@@ -601,24 +601,27 @@
 	if t.isFull(r) || m.Key == nil {
 		return
 	}
-	command := &schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: m.Key, Attempt: m.Attempt, Whole: m.Whole}}}
-	if m.Outcome != "done" {
-		// Stopped, lapsed, broken by another member or alone without the others:
-		// none of these is the task's own fault.
-		cause := schema.Cause_CAUSE_DISPLACED
-		switch m.Outcome {
-		case "failed":
-			cause = schema.Cause_CAUSE_FAILED
-		case "lost":
-			cause = schema.Cause_CAUSE_LOST
-		}
-		command.Body = &schema.LaneCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause, Saved: m.Saved}}
-	}
-	if index := t.proposeLane(now, r, command); index > 0 {
+	if index := t.proposeLane(now, r, commandOf(m)); index > 0 {
 		r.waiting[index] = waiter{term: r.group.Term(), from: from, end: m}
 	}
 }
 
+// commandOf is what a worker's report asks of the lane. Ends other than done,
+// failed and lost (stopped, lapsed, broken by another member, alone without the
+// others) are no fault of the task's.
+func commandOf(m *schema.End) *schema.LaneCommand {
+	cause := schema.Cause_CAUSE_DISPLACED
+	switch m.Outcome {
+	case "done":
+		return &schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: m.Key, Attempt: m.Attempt, Whole: m.Whole}}}
+	case "failed":
+		cause = schema.Cause_CAUSE_FAILED
+	case "lost":
+		cause = schema.Cause_CAUSE_LOST
+	}
+	return &schema.LaneCommand{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause, Saved: m.Saved}}}
+}
+
 func (t *Table) endNoted(from string, m *schema.End, out loop.Out) {
 	reply := &schema.EndReply{Lane: m.Lane, Key: m.Key, Attempt: m.Attempt, Worker: m.Worker}
 	if from == "" {
