Adapter to the users' platform: settings, calls both ways, and command dock

The product's tables run unchanged under the platform's settings, calls and formats; duty.Serve is the part of the daemons' run that any server may use. Stubs, to be replaced by the parts that own them: Real.Beat and Depart, Host and Path of errands.

--- /dev/null
+++ b/cmd/dock/main.go
@@ -0,0 +1,73 @@
+// Command dock runs the product's processes on the users' platform: what they
+// are told comes from the settings file that the environment names.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"sparnotch/agent"
+	"sparnotch/duty"
+	"sparnotch/platform"
+	"sparnotch/schema"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&command{name: "front", synopsis: "run a front process", role: schema.Role_ROLE_KEEP}, "")
+	subcommands.Register(&command{name: "side", synopsis: "run a side process, the agent of the worker there", role: schema.Role_ROLE_HEED}, "")
+	subcommands.Register(&command{name: "check", synopsis: "check the settings and start nothing"}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+type command struct {
+	name, synopsis string
+	role           schema.Role // none: only a check
+}
+
+func (c *command) Name() string             { return c.name }
+func (c *command) Synopsis() string         { return c.synopsis }
+func (c *command) SetFlags(_ *flag.FlagSet) {}
+
+func (c *command) Usage() string {
+	return fmt.Sprintf("dock %s\n  %s, by the settings file that %s names.\n  Exit codes: 0 left when warned, 1 failed, 2 bad settings (the setting is named).\n",
+		c.name, c.synopsis, platform.Variable)
+}
+
+func (c *command) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, err := platform.Load()
+	if err == nil && set.NArg() > 0 {
+		err = platform.Bad.New("%s: dock %s takes no arguments", set.Arg(0), c.name)
+	}
+	if err == nil && c.role != schema.Role_ROLE_NONE && c.role != settings.Role {
+		err = platform.Bad.New("serves: doesn't fit dock %s", c.name)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dock: %v\n", err)
+		return duty.ExitOptions
+	}
+	if c.role == schema.Role_ROLE_NONE {
+		fmt.Println("settings are good")
+		return subcommands.ExitSuccess
+	}
+	// The settings may change under us; whatever counts is read at the next start.
+	signal.Ignore(syscall.SIGHUP)
+	// Above the limit the process is killed, so the collector works harder
+	// before: a fifth is left for what the runtime doesn't count.
+	if settings.MemoryMb > 0 {
+		debug.SetMemoryLimit(settings.MemoryMb * 1_000_000 / 5 * 4)
+	}
+	var hands []agent.Caller
+	if c.role == schema.Role_ROLE_HEED {
+		hands = append(hands, platform.NewCaller(settings.App))
+	}
+	return duty.Serve("dock", settings.Options, c.role, platform.Open(settings), hands...)
+}
--- a/crew/real.go
+++ b/crew/real.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/agent"
 	"sparnotch/intake"
 	"sparnotch/keep"
 	"sparnotch/kin"
@@ -63,8 +64,8 @@
 	return hex.EncodeToString(raw[:])
 }
 
-// Start brings a process up.
-func Start(options *schema.Options, role schema.Role, log *zap.Logger) (*Real, error) {
+// Start brings a process up. The hands carry calls of a worker.
+func Start(options *schema.Options, role schema.Role, log *zap.Logger, hands ...agent.Caller) (*Real, error) {
 	r := &Real{
 		Options: options, Clock: loop.RealClock(), Failed: make(chan error, 4), log: log, book: &kin.Book{},
 		waiting: map[uint64]chan any{}, writes: loop.NewRing[keep.Batch](4),
@@ -284,6 +285,15 @@
 	return nil
 }
 
+// Beat gives a worker's word to its agent; false when that has too much in hand
+// or isn't in this process.
+func (r *Real) Beat(beat agent.Beat) bool { return r.process.Post("agent", loop.Mail{Body: beat}) }
+
+// Depart says that a worker has ended in order.
+func (r *Real) Depart(departed agent.Departed) bool {
+	return r.process.Post("agent", loop.Mail{Body: departed})
+}
+
 // Counts are what a process has done so far.
 type Counts struct {
 	Wire  wire.Counts       `json:"wire"`
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -14,6 +14,7 @@
 	"github.com/google/subcommands"
 	"go.uber.org/zap"
 
+	"sparnotch/agent"
 	"sparnotch/crew"
 	"sparnotch/front"
 	"sparnotch/options"
@@ -78,6 +79,24 @@
 		fmt.Println("settings are good")
 		return subcommands.ExitSuccess
 	}
+	return Serve(r.name, loaded, r.role, func(real *crew.Real, log *zap.Logger) (Server, error) { return front.Serve(real, log) })
+}
+
+// Server takes calls from outside on behalf of a process.
+type Server interface {
+	// Warn says that the process is to leave: calls are still taken.
+	Warn()
+	// Shutdown takes no more calls and lets the open ones finish until the
+	// context ends.
+	Shutdown(ctx context.Context) error
+}
+
+// Opening makes the server of a process that has started.
+type Opening func(real *crew.Real, log *zap.Logger) (Server, error)
+
+// Serve runs a process until it fails or has left after a warning; name stands
+// before what goes to standard error. The hands carry calls of a worker.
+func Serve(name string, loaded *schema.Options, role schema.Role, open Opening, hands ...agent.Caller) subcommands.ExitStatus {
 	log, ring := trace.New(loaded.Trace)
 	// A crash writes the ring out before it takes the process down.
 	defer func() {
@@ -86,22 +105,22 @@
 			os.Exit(int(ExitFailed))
 		}
 	}()
-	if err := serve(loaded, r.role, log, ring); err != nil {
+	if err := serve(loaded, role, log, ring, open, hands); err != nil {
 		log.Error("failed", zap.Error(err))
-		fmt.Fprintf(os.Stderr, "%s: %v\n", r.name, err)
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return ExitFailed
 	}
 	return subcommands.ExitSuccess
 }
 
-func serve(loaded *schema.Options, role schema.Role, log *zap.Logger, ring *trace.Ring) error {
+func serve(loaded *schema.Options, role schema.Role, log *zap.Logger, ring *trace.Ring, open Opening, hands []agent.Caller) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	real, err := crew.Start(loaded, role, log)
+	real, err := crew.Start(loaded, role, log, hands...)
 	if err != nil {
 		return err
 	}
-	server, err := front.Serve(real, log)
+	server, err := open(real, log)
 	if err != nil {
 		real.Stop()
 		return err
@@ -125,7 +144,7 @@
 
 // leave: not ready at once, keepers passed on, open errands finished, and out
 // within the limit. A second signal ends it at once.
-func leave(real *crew.Real, server *front.Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger) error {
+func leave(real *crew.Real, server Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.WarnUs)*time.Microsecond)
 	defer cancel()
 	go func() {
@@ -136,6 +155,7 @@
 		}
 	}()
 	real.Warn()
+	server.Warn()
 	pace := time.NewTicker(50 * time.Millisecond)
 	defer pace.Stop()
 	for real.Leads(ctx) && ctx.Err() == nil {
--- a/front/front.go
+++ b/front/front.go
@@ -74,6 +74,9 @@
 	return s, nil
 }
 
+// Warn has nothing to do: the tables know, and say that they aren't ready.
+func (s *Server) Warn() {}
+
 // Shutdown lets open errands finish until the context ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -47,6 +47,8 @@
 	Digest   []byte
 	Job      *schema.Job
 	Deadline loop.Micros
+	Host     string // with Path, which lane is meant, where Lane is empty
+	Path     string
 }
 
 // Ask is any other errand that a group's leader answers.
@@ -59,6 +61,8 @@
 	Most     uint32
 	Body     []byte
 	Deadline loop.Micros
+	Host     string // with Path, which lane is meant, where Group is empty
+	Path     string
 }
 
 // PollIn is a worker's announce.
