Charter: editions, entries by host and path, pools; copies without the document

A plan's author numbers editions and sends them on top of each other; one that has been taken is known again by its digest, also when another has followed. Lanes are found by host and longest prefix; a lane may name the pool whose workers serve it. The charter's copy goes whole to every process on each change, so document, history and editions taken stay with the charter, and old plans are bounded by their rows. Places and wards are looked up by halving; 2000 lanes made linear searches dear.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -5,7 +5,12 @@
 package charter
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"slices"
 	"sort"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -18,7 +23,14 @@
 // LicenceUs is how long a steward's licence lasts in the group's time.
 const LicenceUs = 2_000_000
 
-const keptPlans = 20
+// What the charter keeps of the past is bounded, for the whole of it is its
+// checkpoint: of old plans the rows, of editions only what tells them apart.
+const (
+	keptPlans    = 20
+	keptRows     = 2 * maxRows // of all old plans
+	keptEditions = 1024
+	maxDocument  = 256 << 10
+)
 
 // Result is what a command came to, in HTTP's numbers.
 type Result struct {
@@ -32,6 +44,9 @@
 type Machine struct {
 	state     *schema.CharterState
 	isChanged bool // by the command in hand; renewals change nothing others need
+	values    *Values
+	read      *schema.Plan // of which the values and the bare plan were made
+	bare      *schema.Plan
 }
 
 // New makes an empty charter; Restore one from a checkpoint.
@@ -61,6 +76,46 @@
 	return proto.Clone(m.state).(*schema.CharterState)
 }
 
+// Plan is the plan with its document, not to be changed.
+func (m *Machine) Plan() *schema.Plan { return m.state.Plan }
+
+// History is the old plans, the oldest first, not to be changed.
+func (m *Machine) History() []*schema.Plan { return m.state.History }
+
+// Values are the plan's weights and limits.
+func (m *Machine) Values() *Values {
+	m.readPlan()
+	return m.values
+}
+
+// Copy is what every process carries. It goes out whole with each change, so
+// what only readers of the plan ask for isn't in it: document, history, and the
+// editions taken. The plan in it is the same as long as the plan is.
+func (m *Machine) Copy() *schema.CharterState {
+	m.readPlan()
+	s := m.state
+	shown := &schema.CharterState{Version: s.Version, Plan: m.bare, Voters: s.Voters, NowUs: s.NowUs, Next: s.Next}
+	shown.Steward = proto.Clone(s.Steward).(*schema.Steward)
+	for _, place := range s.Lanes {
+		shown.Lanes = append(shown.Lanes, proto.Clone(place).(*schema.LanePlace))
+	}
+	for _, ward := range s.Wards {
+		shown.Wards = append(shown.Wards, proto.Clone(ward).(*schema.Ward))
+	}
+	return shown
+}
+
+func (m *Machine) readPlan() {
+	if m.values == nil || m.read != m.state.Plan {
+		m.read, m.values, m.bare = m.state.Plan, Read(m.state.Plan), Bare(m.state.Plan)
+	}
+}
+
+// Bare is a plan without its document.
+func Bare(plan *schema.Plan) *schema.Plan {
+	return &schema.Plan{Generation: plan.GetGeneration(), Rows: plan.GetRows(), Edition: plan.GetEdition()}
+}
+
 // StewardUntil is when the steward's licence ends, in the group's time.
 func (m *Machine) StewardUntil() int64 { return m.state.Steward.GetUntilUs() }
 
@@ -104,6 +159,9 @@
 
 func (m *Machine) put(sheet *schema.Sheet) *Result {
 	current := m.state.Plan
+	if sheet.Edition > 0 {
+		return m.putEdition(sheet)
+	}
 	if sheet.Generation == nil {
 		return &Result{Code: 428, Fault: &schema.Fault{Code: "generation_missing", Message: "the sheet must say which generation it was built on", Field: "generation", Current: current.Generation}}
 	}
@@ -113,20 +171,83 @@
 		return &Result{Code: 200, Plan: current}
 	}
 	if given != current.Generation {
-		return &Result{Code: 412, Fault: &schema.Fault{
-			Code: "outdated", Message: "the plan has changed since this sheet was made: get it anew and repeat the edit",
-			Field: "generation", Given: given, Current: current.Generation,
+		return outdated("generation", given, current.Generation)
+	}
+	// The author's edition goes on: what is changed by hand is changed on top of it.
+	document := sheet.Document
+	if len(document) == 0 {
+		document = current.Document
+	}
+	return m.take(sheet, current.Edition, document)
+}
+
+// putEdition takes a sheet of an author who numbers editions.
+func (m *Machine) putEdition(sheet *schema.Sheet) *Result {
+	current := m.state.Plan
+	digest := editionDigest(sheet)
+	for _, taken := range m.state.Taken {
+		if taken.Edition == sheet.Edition && bytes.Equal(taken.Digest, digest) {
+			// It took effect and is sent again after a silence, maybe when another
+			// has followed it.
+			return &Result{Code: 200, Plan: current}
+		}
+	}
+	if sheet.BaseEdition != current.Edition {
+		return outdated("base_edition", sheet.BaseEdition, current.Edition)
+	}
+	if sheet.Edition <= current.Edition {
+		return &Result{Code: 422, Fault: &schema.Fault{
+			Code: "bad_edition", Message: "an edition's number must be higher than that of the one before",
+			Field: "edition", Given: sheet.Edition, Current: current.Edition,
 		}}
 	}
+	result := m.take(sheet, sheet.Edition, sheet.Document)
+	if result.Code == 200 {
+		m.state.Taken = append(m.state.Taken, &schema.Taken{Edition: sheet.Edition, Digest: digest})
+		if len(m.state.Taken) > keptEditions {
+			m.state.Taken = m.state.Taken[1:]
+		}
+	}
+	return result
+}
+
+func outdated(field string, given, current uint64) *Result {
+	return &Result{Code: 412, Fault: &schema.Fault{
+		Code: "outdated", Message: "the plan has changed since this sheet was made: get it anew and repeat the edit",
+		Field: field, Given: given, Current: current,
+	}}
+}
+
+// editionDigest tells editions of one number apart: by the document, for it is
+// what the author gave, or by the rows where there is none.
+func editionDigest(sheet *schema.Sheet) []byte {
+	hash := sha256.New()
+	hash.Write(sheet.Document)
+	if len(sheet.Document) == 0 {
+		hash.Write([]byte(strings.Join(lines(sheet.Rows), "\n")))
+	}
+	return hash.Sum(nil)[:16]
+}
+
+// take makes a sheet the plan if its rows can be taken.
+func (m *Machine) take(sheet *schema.Sheet, edition uint64, document []byte) *Result {
+	if len(document) > maxDocument {
+		return &Result{Code: 422, Fault: &schema.Fault{Code: "bad_document", Message: fmt.Sprintf("at most %d bytes", maxDocument), Field: "document"}}
+	}
 	if fault := CheckRows(sheet.Rows); fault != nil {
 		return &Result{Code: 422, Fault: fault}
 	}
-	m.state.History = append(m.state.History, current)
-	if len(m.state.History) > keptPlans {
-		m.state.History = m.state.History[1:]
+	m.state.History = append(m.state.History, Bare(m.state.Plan))
+	rows := 0
+	for k := len(m.state.History) - 1; k >= 0; k-- {
+		rows += len(m.state.History[k].Rows)
+		if len(m.state.History)-k > keptPlans || rows > keptRows {
+			m.state.History = m.state.History[k+1:]
+			break
+		}
 	}
 	m.isChanged = true
-	m.state.Plan = &schema.Plan{Generation: given + 1, Rows: sheet.Rows}
+	m.state.Plan = &schema.Plan{Generation: m.state.Plan.Generation + 1, Rows: sheet.Rows, Edition: edition, Document: document}
 	return &Result{Code: 200, Plan: m.state.Plan}
 }
 
@@ -161,7 +282,7 @@
 	if !m.IsSteward(c.Licence) {
 		return fenced()
 	}
-	values := Read(m.state.Plan)
+	values := m.Values()
 	for _, name := range c.Gone {
 		for k, place := range m.state.Lanes {
 			// A lane that has rows again was wanted back meanwhile.
@@ -180,12 +301,11 @@
 		}
 		if values.HasLane(wanted.Lane) && len(wanted.Founders) > 0 {
 			m.isChanged = true
-			m.state.Lanes = append(m.state.Lanes, &schema.LanePlace{
+			m.state.Lanes = slices.Insert(m.state.Lanes, laneAt(m.state.Lanes, wanted.Lane), &schema.LanePlace{
 				Lane: wanted.Lane, Generation: m.next(), Founders: wanted.Founders, Keeper: wanted.Keeper,
 			})
 		}
 	}
-	sort.Slice(m.state.Lanes, func(a, b int) bool { return m.state.Lanes[a].Lane < m.state.Lanes[b].Lane })
 	return &Result{Code: 200}
 }
 
@@ -198,18 +318,26 @@
 		switch {
 		case ward == nil:
 			m.isChanged = true
-			m.state.Wards = append(m.state.Wards, &schema.Ward{Worker: wanted.Worker, Placer: wanted.Placer, Generation: m.next()})
+			m.addWard(wanted.Worker, wanted.Placer)
 		case ward.Placer != wanted.Placer:
 			m.isChanged = true
 			ward.Placer, ward.Generation = wanted.Placer, m.next()
 		}
 	}
-	m.sortWards()
 	return &Result{Code: 200}
 }
 
-func (m *Machine) sortWards() {
-	sort.Slice(m.state.Wards, func(a, b int) bool { return m.state.Wards[a].Worker < m.state.Wards[b].Worker })
+// Lanes and wards are listed by name.
+func laneAt(list []*schema.LanePlace, lane string) int {
+	return sort.Search(len(list), func(k int) bool { return list[k].Lane >= lane })
+}
+
+func wardAt(list []*schema.Ward, worker string) int {
+	return sort.Search(len(list), func(k int) bool { return list[k].Worker >= worker })
+}
+
+func (m *Machine) addWard(worker, placer string) {
+	m.state.Wards = slices.Insert(m.state.Wards, wardAt(m.state.Wards, worker), &schema.Ward{Worker: worker, Placer: placer, Generation: m.next()})
 }
 
 // meet gives a new worker to the placer that wards most, so that it can work
@@ -227,27 +355,24 @@
 		}
 	}
 	m.isChanged = true
-	m.state.Wards = append(m.state.Wards, &schema.Ward{Worker: worker, Placer: best, Generation: m.next()})
-	m.sortWards()
+	m.addWard(worker, best)
 	return &Result{Code: 200}
 }
 
-// Place finds a lane's place.
+// Place finds a lane's place; the charter lists them by name.
 func Place(state *schema.CharterState, lane string) *schema.LanePlace {
-	for _, place := range state.GetLanes() {
-		if place.Lane == lane {
-			return place
-		}
+	list := state.GetLanes()
+	if at := laneAt(list, lane); at < len(list) && list[at].Lane == lane {
+		return list[at]
 	}
 	return nil
 }
 
-// WardOf finds a worker's ward.
+// WardOf finds a worker's ward; the charter lists them by name.
 func WardOf(state *schema.CharterState, worker string) *schema.Ward {
-	for _, ward := range state.GetWards() {
-		if ward.Worker == worker {
-			return ward
-		}
+	list := state.GetWards()
+	if at := wardAt(list, worker); at < len(list) && list[at].Worker == worker {
+		return list[at]
 	}
 	return nil
 }
--- a/charter/charter_test.go
+++ b/charter/charter_test.go
@@ -1,6 +1,9 @@
 package charter
 
 import (
+	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -96,3 +99,177 @@
 		})
 	})
 }
+
+func edition(m *Machine, number, base uint64, document string, rows ...*schema.Row) *Result {
+	return apply(m, 1, &schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{
+		Sheet: &schema.Sheet{Edition: number, BaseEdition: base, Document: []byte(document), Rows: rows}}}})
+}
+
+func TestEditions(t *testing.T) {
+	Convey("An author who numbers editions needs no generation", t, func() {
+		m := New()
+		quotes := row("lane", "quotes", "urgency", "50")
+		So(edition(m, 3, 0, "three", quotes).Code, ShouldEqual, 200)
+		So(m.Plan().Edition, ShouldEqual, 3)
+		So(m.Plan().Generation, ShouldEqual, 1)
+		So(string(m.Plan().Document), ShouldEqual, "three")
+		So(edition(m, 7, 3, "seven", quotes).Code, ShouldEqual, 200)
+		Convey("what has been taken is answered so again, also when another has followed", func() {
+			So(edition(m, 7, 3, "seven", quotes).Code, ShouldEqual, 200)
+			result := edition(m, 3, 0, "three", quotes)
+			So(result.Code, ShouldEqual, 200)
+			So(result.Plan.Edition, ShouldEqual, 7)
+			So(m.Plan().Generation, ShouldEqual, 2)
+			again, err := Restore(m.Rest())
+			So(err, ShouldBeNil)
+			So(edition(again, 3, 0, "three", quotes).Code, ShouldEqual, 200)
+		})
+		Convey("of two on one base the second is turned away, with both numbers", func() {
+			result := edition(m, 8, 3, "eight", quotes)
+			So(result.Code, ShouldEqual, 412)
+			So(result.Fault.Code, ShouldEqual, "outdated")
+			So(result.Fault.Field, ShouldEqual, "base_edition")
+			So([]uint64{result.Fault.Given, result.Fault.Current}, ShouldResemble, []uint64{3, 7})
+			So(edition(m, 7, 3, "another seven", quotes).Code, ShouldEqual, 412)
+		})
+		Convey("the number must rise", func() {
+			for _, number := range []uint64{7, 5} {
+				result := edition(m, number, 7, "other", quotes)
+				So(result.Code, ShouldEqual, 422)
+				So(result.Fault.Code, ShouldEqual, "bad_edition")
+				So(result.Fault.Field, ShouldEqual, "edition")
+			}
+			So(m.Plan().Generation, ShouldEqual, 2)
+		})
+		Convey("a bad row or too large a document changes nothing, and isn't remembered as taken", func() {
+			for k := 0; k < 2; k++ {
+				So(edition(m, 9, 7, "nine", row("lane", "x", "pool", "none")).Code, ShouldEqual, 422)
+			}
+			So(edition(m, 9, 7, strings.Repeat("x", maxDocument+1), quotes).Fault.Field, ShouldEqual, "document")
+			So(edition(m, 9, 7, strings.Repeat("x", maxDocument), quotes).Code, ShouldEqual, 200)
+		})
+		Convey("a sheet without an edition keeps it, and the next edition builds on it", func() {
+			So(put(m, proto.Uint64(2), quotes, row("fleet", "", "window", "9")).Code, ShouldEqual, 200)
+			So(m.Plan().Edition, ShouldEqual, 7)
+			So(string(m.Plan().Document), ShouldEqual, "seven")
+			So(edition(m, 8, 7, "eight", quotes).Code, ShouldEqual, 200)
+		})
+		Convey("documents are kept of the current one alone, and what others carry holds none, nor the past", func() {
+			So(m.History()[1].Edition, ShouldEqual, 3)
+			So(m.History()[1].Document, ShouldBeEmpty)
+			shown := m.Copy()
+			So(shown.Plan.Edition, ShouldEqual, 7)
+			So(shown.Plan.Document, ShouldBeEmpty)
+			So(shown.History, ShouldBeEmpty)
+			So(shown.Taken, ShouldBeEmpty)
+			// It is the same plan as long as nothing is put.
+			So(m.Copy().Plan == shown.Plan, ShouldBeTrue)
+		})
+		Convey("where there is no document the rows tell editions apart", func() {
+			So(edition(m, 9, 7, "", quotes).Code, ShouldEqual, 200)
+			So(edition(m, 9, 7, "", quotes).Code, ShouldEqual, 200)
+			So(edition(m, 9, 7, "", row("lane", "quotes", "urgency", "51")).Code, ShouldEqual, 412)
+		})
+	})
+	Convey("However many and large the plans were, what is kept is bounded", t, func() {
+		m := New()
+		var rows []*schema.Row
+		for k := 0; k < 10_000; k++ {
+			rows = append(rows, row("lane", fmt.Sprintf("lane-%d", k), "urgency", "50"))
+		}
+		for k := uint64(1); k <= 30; k++ {
+			So(edition(m, k, k-1, strings.Repeat("x", 1000)+fmt.Sprint(k), rows...).Code, ShouldEqual, 200)
+		}
+		So(len(m.History()), ShouldBeLessThanOrEqualTo, 8)
+		for k := uint64(31); k <= keptEditions+100; k++ {
+			So(edition(m, k, k-1, fmt.Sprint(k), rows[:3]...).Code, ShouldEqual, 200)
+		}
+		So(len(m.state.Taken), ShouldEqual, keptEditions)
+		So(len(m.History()), ShouldEqual, keptPlans)
+	})
+}
+
+func TestEntries(t *testing.T) {
+	entryRows := func(lane, host, prefix string) []*schema.Row {
+		return []*schema.Row{row("lane", lane, "host", host), row("lane", lane, "prefix", prefix)}
+	}
+	Convey("A lane is found by host and the longest prefix of the path", t, func() {
+		rows := append(entryRows("short", "One.example", "/a/"), entryRows("long", "one.example", "/a/b/")...)
+		rows = append(rows, entryRows("other", "two.example", "/a/")...)
+		rows = append(rows, row("lane", "everywhere", "prefix", "/z/"), row("lane", "whole", "host", "three.example"), row("lane", "none", "urgency", "1"))
+		So(CheckRows(rows), ShouldBeNil)
+		v := Read(&schema.Plan{Rows: rows})
+		for _, each := range []struct{ host, path, lane, rest string }{
+			{"one.example", "/a/j1", "short", "j1"},
+			{"ONE.example:8080", "/a/b/j1", "long", "j1"},
+			{"one.example", "/a/b", "short", "b"},
+			{"one.example", "/a/", "short", ""},
+			{"two.example", "/a/b/j1", "other", "b/j1"},
+			{"three.example", "/any", "whole", "any"},
+			{"two.example", "/z/j1", "everywhere", "j1"},
+			{"", "/z/j1", "everywhere", "j1"},
+			{"one.example", "/a", "", ""},
+			{"four.example", "/a/j1", "", ""},
+		} {
+			lane, rest, isFound := v.LaneAt(each.host, each.path)
+			So([]any{each.host, each.path, lane, rest, isFound}, ShouldResemble, []any{each.host, each.path, each.lane, each.rest, each.lane != ""})
+		}
+	})
+	Convey("Two with one host and prefix are named, whatever the case or what is left out", t, func() {
+		fault := CheckRows(append(entryRows("x", "one.example", "/a/"), entryRows("y", "ONE.example", "/a/")...))
+		So(fault.Field, ShouldEqual, "rows[3].value")
+		So(fault.Message, ShouldContainSubstring, "lanes x and y")
+		So(CheckRows(append(entryRows("x", "one.example", "/"), row("lane", "y", "host", "one.example"))).Field, ShouldEqual, "rows[2].value")
+		So(CheckRows(append(entryRows("x", "one.example", "/a/"), entryRows("y", "two.example", "/a/")...)), ShouldBeNil)
+	})
+	Convey("Texts and pools are checked like numbers", t, func() {
+		pool := row("pool", "P.1_x", "guards", "0")
+		So(CheckRows([]*schema.Row{row("lane", "x", "pool", "P.1_x"), pool}), ShouldBeNil)
+		for _, each := range []struct {
+			row   *schema.Row
+			field string
+		}{
+			{row("lane", "x", "pool", "other"), "rows[1].value"},
+			{row("lane", "x", "pool", ""), "rows[1].value"},
+			{row("lane", "x", "host", "a b"), "rows[1].value"},
+			{row("lane", "x", "host", "one.example:80"), "rows[1].value"},
+			{row("lane", "x", "prefix", "a/"), "rows[1].value"},
+			{row("lane", "x", "prefix", "/"+strings.Repeat("a", 256)), "rows[1].value"},
+			{row("lane", "x", "attempts", "0"), "rows[1].value"},
+			{row("lane", "x", "attempts", "1001"), "rows[1].value"},
+			{row("lane", "x", "timeout_ms", "0"), "rows[1].value"},
+			{row("lane", "x", "guards", "1"), "rows[1].key"},
+			{row("lane", "charter", "urgency", "1"), "rows[1].name"},
+			{row("pool", "a/b", "guards", "1"), "rows[1].name"},
+			{row("pool", "x", "guards", "2"), "rows[1].value"},
+		} {
+			So(CheckRows([]*schema.Row{pool, each.row}).Field, ShouldEqual, each.field)
+		}
+		v := Read(&schema.Plan{Rows: []*schema.Row{row("lane", "x", "pool", "P.1_x"), row("lane", "x", "attempts", "4"), pool}})
+		So(v.Text("lane", "x", "pool"), ShouldEqual, "P.1_x")
+		So(v.Text("lane", "y", "pool"), ShouldEqual, "")
+		So(v.Of("pool", "P.1_x", "guards"), ShouldEqual, 0)
+		So(v.Of("pool", "other", "guards"), ShouldEqual, 1)
+		So(v.Of("lane", "x", "timeout_ms"), ShouldEqual, 10_000)
+		So(v.IsStated("lane", "x", "attempts"), ShouldBeTrue)
+		So(v.IsStated("lane", "y", "attempts"), ShouldBeFalse)
+	})
+	Convey("A plan holds 2000 lanes that state every key", t, func() {
+		rows := []*schema.Row{row("pool", "p", "guards", "1")}
+		for k := 0; k < 2000; k++ {
+			name := fmt.Sprintf("lane-%d", k)
+			rows = append(rows, entryRows(name, "one.example", fmt.Sprintf("/%d/", k))...)
+			rows = append(rows, row("lane", name, "pool", "p"))
+			for _, key := range keys {
+				if key.kind == "lane" {
+					rows = append(rows, row("lane", name, key.name, strconv.FormatInt(max(key.least, 1), 10)))
+				}
+			}
+		}
+		So(CheckRows(rows), ShouldBeNil)
+		v := Read(&schema.Plan{Rows: rows})
+		So(len(v.Lanes()), ShouldEqual, 2000)
+		lane, rest, _ := v.LaneAt("one.example", "/1999/j")
+		So([]string{lane, rest}, ShouldResemble, []string{"lane-1999", "j"})
+	})
+}
--- a/charter/plan.go
+++ b/charter/plan.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"sort"
 	"strconv"
+	"strings"
 
 	"sparnotch/schema"
 )
@@ -38,24 +39,59 @@
 	{"lane", "running", 100_000, 1, 10_000_000, "most tasks of the lane out at once"},
 	{"lane", "limit_ms", 0, 0, 2_592_000_000, "longest run of a task whose step states none; 0: no limit"},
 	{"lane", "still_ms", 0, 0, 2_592_000_000, "longest time without progress of a task whose step states none; 0: no limit"},
+	{"lane", "attempts", 1, 1, 1000, "runs of a task or group that fail before its job has failed, where the step states nothing"},
+	{"lane", "stretch_milli", 1500, 1, 1_000_000, "how many times its least span a job should take at most, in thousandths"},
+	{"lane", "target_ms", 1000, 0, 86_400_000, "how soon a hand-in should be answered"},
+	{"lane", "timeout_ms", 10_000, 1, 86_400_000, "longest time a caller waits for an answer"},
+	{"pool", "guards", 1, 0, 1, "1: its workers turn away what doesn't fit; 0: they start what they are told"},
 	{"rack", "weight", 100, 0, 10_000, "percent: how gladly the rack is used; 0: not at all"},
 }
 
-func findKey(kind, name string) *key {
+// A textKey is a key whose value is a text; where no row states it, it is empty.
+type textKey struct {
+	kind, name string
+	form       *regexp.Regexp
+	most       int // bytes
+	what, why  string
+}
+
+// textKeys are the rest of the form.
+var textKeys = []textKey{
+	{"lane", "pool", poolForm, 63, "the name of a pool", "whose workers take the lane's work; without: those of no pool"},
+	{"lane", "host", regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`), 253, "a host's name, without a port", "with prefix the lane's entry; without: any host"},
+	{"lane", "prefix", regexp.MustCompile(`^/[^\x00-\x20?#\x7f]*$`), 256, "the beginning of a path", "with host the lane's entry: the longest that fits counts"},
+}
+
+var (
+	keyOf     = map[[2]string]*key{}
+	textKeyOf = map[[2]string]*textKey{}
+)
+
+func init() {
 	for k := range keys {
-		if keys[k].kind == kind && keys[k].name == name {
-			return &keys[k]
-		}
+		keyOf[[2]string{keys[k].kind, keys[k].name}] = &keys[k]
+	}
+	for k := range textKeys {
+		textKeyOf[[2]string{textKeys[k].kind, textKeys[k].name}] = &textKeys[k]
 	}
-	return nil
 }
 
+func findKey(kind, name string) *key { return keyOf[[2]string{kind, name}] }
+
+func findTextKey(kind, name string) *textKey { return textKeyOf[[2]string{kind, name}] }
+
+var poolForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
 var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
 // GoodName tells whether a lane, rack or worker may be called so.
 func GoodName(name string) bool { return nameForm.MatchString(name) }
 
-const maxRows = 10_000
+// GoodPool tells whether a pool may be called so.
+func GoodPool(name string) bool { return poolForm.MatchString(name) }
+
+// maxRows holds 2000 lanes that state every key.
+const maxRows = 40_000
 
 // CheckRows finds the first row that can't be taken.
 func CheckRows(rows []*schema.Row) *schema.Fault {
@@ -65,7 +101,8 @@
 	if len(rows) > maxRows {
 		return fault(maxRows, "kind", "a plan has at most %d rows", maxRows)
 	}
-	seen := map[string]bool{}
+	seen := map[[3]string]bool{}
+	pools := map[string]bool{}
 	for at, row := range rows {
 		switch row.GetKind() {
 		case "fleet":
@@ -76,42 +113,96 @@
 			if !GoodName(row.Name) {
 				return fault(at, "name", "%q is no name: lower-case letters, digits, '.', '_' and '-', at most 63", row.Name)
 			}
+			if row.Kind == "lane" && row.Name == Group {
+				return fault(at, "name", "%q is the system's own group", row.Name)
+			}
+		case "pool":
+			if !GoodPool(row.Name) {
+				return fault(at, "name", "%q is no name of a pool: letters, digits, '.', '_' and '-', at most 63", row.Name)
+			}
+			pools[row.Name] = true
 		default:
-			return fault(at, "kind", "%q is neither fleet, lane nor rack", row.GetKind())
-		}
-		k := findKey(row.Kind, row.Key)
-		if k == nil {
-			return fault(at, "key", "%q is no key of kind %s", row.Key, row.Kind)
+			return fault(at, "kind", "%q is neither fleet, lane, rack nor pool", row.GetKind())
 		}
-		value, err := strconv.ParseInt(row.Value, 10, 64)
-		if err != nil {
-			return fault(at, "value", "%q is no whole number", row.Value)
-		}
-		if value < k.least || value > k.most {
-			return fault(at, "value", "%s must lie between %d and %d", row.Key, k.least, k.most)
+		if text := findTextKey(row.Kind, row.Key); text != nil {
+			if len(row.Value) > text.most || !text.form.MatchString(row.Value) {
+				return fault(at, "value", "%q is not %s, at most %d bytes", row.Value, text.what, text.most)
+			}
+		} else {
+			k := findKey(row.Kind, row.Key)
+			if k == nil {
+				return fault(at, "key", "%q is no key of kind %s", row.Key, row.Kind)
+			}
+			value, err := strconv.ParseInt(row.Value, 10, 64)
+			if err != nil {
+				return fault(at, "value", "%q is no whole number", row.Value)
+			}
+			if value < k.least || value > k.most {
+				return fault(at, "value", "%s must lie between %d and %d", row.Key, k.least, k.most)
+			}
 		}
-		id := row.Kind + "/" + row.Name + "/" + row.Key
+		id := [3]string{row.Kind, row.Name, row.Key}
 		if seen[id] {
-			return fault(at, "key", "%s stands twice", id)
+			return fault(at, "key", "%s/%s/%s stands twice", row.Kind, row.Name, row.Key)
 		}
 		seen[id] = true
 	}
+	return checkEntries(rows, pools, fault)
+}
+
+// checkEntries finds lanes of no known pool, and two that are entered the same way.
+func checkEntries(rows []*schema.Row, pools map[string]bool, fault func(at int, field, form string, args ...any) *schema.Fault) *schema.Fault {
+	type place struct {
+		entry
+		at int
+	}
+	entries := map[string]*place{}
+	var names []string
+	for at, row := range rows {
+		if row.Kind != "lane" {
+			continue
+		}
+		switch row.Key {
+		case "pool":
+			if !pools[row.Value] {
+				return fault(at, "value", "no row names a pool %q", row.Value)
+			}
+		case "host", "prefix":
+			if entries[row.Name] == nil {
+				entries[row.Name] = &place{entry: entry{lane: row.Name}}
+				names = append(names, row.Name)
+			}
+			entries[row.Name].set(row)
+			entries[row.Name].at = at
+		}
+	}
+	seen := map[[2]string]string{}
+	for _, name := range names {
+		each := entries[name]
+		id := [2]string{each.host, each.path()}
+		if other, isTaken := seen[id]; isTaken {
+			return fault(each.at, "value", "lanes %s and %s have the same host and prefix", other, name)
+		}
+		seen[id] = name
+	}
 	return nil
 }
 
+// lines are rows in an order of their own.
+func lines(rows []*schema.Row) []string {
+	var list []string
+	for _, row := range rows {
+		list = append(list, row.Kind+"\x00"+row.Name+"\x00"+row.Key+"\x00"+row.Value)
+	}
+	sort.Strings(list)
+	return list
+}
+
 // SameRows tells whether two sheets say the same, in whatever order.
 func SameRows(a, b []*schema.Row) bool {
 	if len(a) != len(b) {
 		return false
 	}
-	lines := func(rows []*schema.Row) []string {
-		var list []string
-		for _, row := range rows {
-			list = append(list, row.Kind+"\x00"+row.Name+"\x00"+row.Key+"\x00"+row.Value)
-		}
-		sort.Strings(list)
-		return list
-	}
 	x, y := lines(a), lines(b)
 	for k := range x {
 		if x[k] != y[k] {
@@ -121,26 +212,112 @@
 	return true
 }
 
+// An entry is how a lane is found by the host and path a caller names.
+type entry struct {
+	lane, host, prefix string
+}
+
+func (e *entry) set(row *schema.Row) {
+	switch row.Key {
+	case "host":
+		e.host = strings.ToLower(row.Value)
+	case "prefix":
+		e.prefix = row.Value
+	}
+}
+
+// path is what a path begins with: a host alone is entered by every path.
+func (e *entry) path() string {
+	if e.prefix == "" {
+		return "/"
+	}
+	return e.prefix
+}
+
 // Values are a plan's weights and limits, read once.
 type Values struct {
-	set   map[[3]string]int64
-	lanes map[string]bool
+	set     map[[3]string]int64
+	texts   map[[3]string]string
+	lanes   map[string]bool
+	names   []string           // of lanes, sorted
+	entries map[string][]entry // by host, the longest prefix first
 }
 
 // Read makes a plan's values.
 func Read(plan *schema.Plan) *Values {
-	v := &Values{set: map[[3]string]int64{}, lanes: map[string]bool{}}
+	v := &Values{set: map[[3]string]int64{}, texts: map[[3]string]string{}, lanes: map[string]bool{}, entries: map[string][]entry{}}
+	entries := map[string]*entry{}
 	for _, row := range plan.GetRows() {
-		if row.Kind == "lane" {
+		if row.Kind == "lane" && !v.lanes[row.Name] {
 			v.lanes[row.Name] = true
+			v.names = append(v.names, row.Name)
 		}
-		if value, err := strconv.ParseInt(row.Value, 10, 64); err == nil {
+		if findTextKey(row.Kind, row.Key) != nil {
+			v.texts[[3]string{row.Kind, row.Name, row.Key}] = row.Value
+			if row.Kind == "lane" && (row.Key == "host" || row.Key == "prefix") {
+				if entries[row.Name] == nil {
+					entries[row.Name] = &entry{lane: row.Name}
+				}
+				entries[row.Name].set(row)
+			}
+		} else if value, err := strconv.ParseInt(row.Value, 10, 64); err == nil {
 			v.set[[3]string{row.Kind, row.Name, row.Key}] = value
 		}
 	}
+	sort.Strings(v.names)
+	for _, name := range v.names {
+		if e := entries[name]; e != nil {
+			v.entries[e.host] = append(v.entries[e.host], *e)
+		}
+	}
+	for _, list := range v.entries {
+		sort.SliceStable(list, func(a, b int) bool { return len(list[a].path()) > len(list[b].path()) })
+	}
 	return v
 }
 
+// LaneAt finds the lane that a host and path lead to, and what follows its
+// prefix in the path. Lanes of that very host come first, then those of any.
+func (v *Values) LaneAt(host, path string) (lane, rest string, isFound bool) {
+	for _, name := range []string{hostName(host), ""} {
+		for _, e := range v.entries[name] {
+			if rest, isHere := strings.CutPrefix(path, e.path()); isHere {
+				return e.lane, rest, true
+			}
+		}
+		if name == "" {
+			break
+		}
+	}
+	return "", "", false
+}
+
+// hostName is a host as entries hold it: without a port, in lower case.
+func hostName(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// Text reads a text of the plan; empty where no row states it.
+func (v *Values) Text(kind, name, keyName string) string {
+	if findTextKey(kind, keyName) == nil {
+		panic("charter: no such text: " + kind + "/" + keyName)
+	}
+	return v.texts[[3]string{kind, name, keyName}]
+}
+
+// IsStated tells whether a row states a whole number, rather than that its
+// default holds.
+func (v *Values) IsStated(kind, name, keyName string) bool {
+	_, isSet := v.set[[3]string{kind, name, keyName}]
+	return isSet
+}
+
+// Lanes are the names of the plan's lanes, sorted.
+func (v *Values) Lanes() []string { return v.names }
+
 // Of reads one weight or limit, or its default.
 func (v *Values) Of(kind, name, keyName string) int64 {
 	if value, isSet := v.set[[3]string{kind, name, keyName}]; isSet {
@@ -160,24 +337,16 @@
 func (v *Values) HasLane(name string) bool { return v.lanes[name] }
 
 // LaneNames lists the plan's lanes.
-func LaneNames(plan *schema.Plan) []string {
-	seen := map[string]bool{}
-	var names []string
-	for _, row := range plan.GetRows() {
-		if row.Kind == "lane" && !seen[row.Name] {
-			seen[row.Name] = true
-			names = append(names, row.Name)
-		}
-	}
-	sort.Strings(names)
-	return names
-}
+func LaneNames(plan *schema.Plan) []string { return Read(plan).Lanes() }
 
 // Form describes every key, for help and docs.
 func Form() []string {
-	var lines []string
+	var list []string
 	for _, k := range keys {
-		lines = append(lines, fmt.Sprintf("%-6s %-20s %8d  (%d to %d)  %s", k.kind, k.name, k.usual, k.least, k.most, k.why))
+		list = append(list, fmt.Sprintf("%-6s %-20s %8d  (%d to %d)  %s", k.kind, k.name, k.usual, k.least, k.most, k.why))
+	}
+	for _, k := range textKeys {
+		list = append(list, fmt.Sprintf("%-6s %-20s %8s  (%s)  %s", k.kind, k.name, "", k.what, k.why))
 	}
-	return lines
+	return list
 }
--- a/keep/errand.go
+++ b/keep/errand.go
@@ -73,11 +73,11 @@
 	case "list":
 		t.reply(asked, 200, mustJSON(r.lane.List(m.After, int(m.Most))), r.group, out)
 	case "plan":
-		t.reply(asked, 200, planBody(t.charter.State().Plan), r.group, out)
+		t.reply(asked, 200, planBody(t.charter.Plan()), r.group, out)
 	case "history":
-		history := append(t.charter.State().History, t.charter.State().Plan)
-		parts := make([]json.RawMessage, 0, len(history))
-		for _, plan := range history {
+		history := t.charter.History()
+		parts := make([]json.RawMessage, 0, len(history)+1)
+		for _, plan := range append(history[:len(history):len(history)], charter.Bare(t.charter.Plan())) {
 			parts = append(parts, planBody(plan))
 		}
 		t.reply(asked, 200, mustJSON(parts), r.group, out)
@@ -94,7 +94,8 @@
 	case result.Fault != nil:
 		body = mustJSON(result.Fault)
 	case result.Plan != nil:
-		body = planBody(result.Plan)
+		// Who has sent the document needn't get it back.
+		body = planBody(charter.Bare(result.Plan))
 	default:
 		body = mustJSON(map[string]uint64{"licence": result.Licence})
 	}
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -140,7 +140,7 @@
 		id: id, self: content.Self, wall: wall, times: times, seed: seed, groups: map[string]*replica{},
 		charter: charter.New(), applied: map[string]*schema.Applied{},
 	}
-	t.setState(t.charter.State())
+	t.setState(t.charter.Copy())
 	t.next.marks = map[string]raft.Mark{}
 	for name, image := range content.Groups {
 		t.open(now, name, image)
@@ -182,7 +182,7 @@
 			panic("keep: charter checkpoint: " + err.Error())
 		}
 		t.charter = machine
-		t.setState(machine.State())
+		t.setState(machine.Copy())
 		return
 	}
 	r.name = LaneOf(r.group.Name())
@@ -194,7 +194,7 @@
 }
 
 func (t *Table) setState(state *schema.CharterState) {
-	t.state, t.values = state, charter.Read(state.Plan)
+	t.state, t.values = state, t.charter.Values()
 }
 
 func (t *Table) names() []string {
@@ -868,7 +868,7 @@
 	if t.charter.Version() == t.state.Version && t.state.Version != 0 {
 		return
 	}
-	t.setState(t.charter.State())
+	t.setState(t.charter.Copy())
 	for _, table := range []string{"intake", "placer"} {
 		out.Tell(table, &schema.CharterTell{State: t.state, Version: t.state.Version})
 	}
