Intake: entries by host and path, attempts of the lane, wider jobs, no hand-ins unled

A front resolves host and path itself, and asks the charter's leader where its copy knows none. While nobody has been known to lead a lane for 300 ms new hand-ins get 503 before they have a number, for what has one can't be turned away any more. Limits follow the wider job model: 64 steps, 20,000 tasks over all rounds. Of a pool's workers the plan says nothing, so never_fits is asked only of lanes without.

--- a/charter/plan.go
+++ b/charter/plan.go
@@ -241,11 +241,21 @@
 	lanes   map[string]bool
 	names   []string           // of lanes, sorted
 	entries map[string][]entry // by host, the longest prefix first
+	of      uint64             // generation of the plan; 0: none that could be known again
+}
+
+// Renew gives a plan's values: the same ones while it is the same plan, for the
+// charter changes more often than its plan.
+func (v *Values) Renew(plan *schema.Plan) *Values {
+	if v.of > 0 && v.of == plan.GetGeneration() {
+		return v
+	}
+	return Read(plan)
 }
 
 // Read makes a plan's values.
 func Read(plan *schema.Plan) *Values {
-	v := &Values{set: map[[3]string]int64{}, texts: map[[3]string]string{}, lanes: map[string]bool{}, entries: map[string][]entry{}}
+	v := &Values{set: map[[3]string]int64{}, texts: map[[3]string]string{}, lanes: map[string]bool{}, entries: map[string][]entry{}, of: plan.GetGeneration()}
 	entries := map[string]*entry{}
 	for _, row := range plan.GetRows() {
 		if row.Kind == "lane" && !v.lanes[row.Name] {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -11,6 +11,8 @@
 	"sort"
 	"strconv"
 
+	"google.golang.org/protobuf/proto"
+
 	"sparnotch/charter"
 	"sparnotch/kin"
 	"sparnotch/loop"
@@ -36,12 +38,16 @@
 	longestRetry = 30                // seconds
 	maxResend    = 64                // submissions resent a lane and tick
 	quietedMost  = 64
+	ledSpan      = 300 * loop.Milli // a lane without a leader for so long takes no new hand-ins here
 )
 
-// HandIn is a submission from HTTP.
+// HandIn is a submission from HTTP. Where no lane is named, host and path lead to
+// it by the plan's entries, and what follows the prefix is the job's name.
 type HandIn struct {
 	Errand   uint64
 	Lane     string
+	Host     string
+	Path     string
 	Client   string
 	Name     string
 	Digest   []byte
@@ -49,11 +55,14 @@
 	Deadline loop.Micros
 }
 
-// Ask is any other errand that a group's leader answers.
+// Ask is any other errand that a group's leader answers. Where no group is
+// named, host and path lead to a lane as for HandIn.
 type Ask struct {
 	Errand   uint64
 	Kind     string
 	Group    string
+	Host     string
+	Path     string
 	Name     string
 	After    string
 	Most     uint32
@@ -130,6 +139,7 @@
 	values     *charter.Values
 	heardAt    loop.Micros // last word of the charter
 	leaders    map[string]string
+	unled      map[string]loop.Micros // lanes that nobody is known to lead, and since when
 	waits      map[string]*schema.WaitNote
 	roll       *kin.Roll
 	sessions   map[laneClient]*session
@@ -157,7 +167,7 @@
 func New(id string, boot uint64, isLocal bool, rng *rand.Rand) *Table {
 	return &Table{
 		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.CharterState{}, values: charter.Read(nil),
-		leaders: map[string]string{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
+		leaders: map[string]string{}, unled: map[string]loop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
 		errands: map[uint64]*errand{}, polls: map[uint64]PollIn{}, met: map[string]loop.Micros{}, quitting: map[string][]*schema.Session{},
 		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]loop.Micros{}, owed: map[string]bool{},
 		paces: map[string]*pace{},
@@ -192,7 +202,7 @@
 		t.roll = body
 		for group, id := range t.leaders {
 			if known, isKnown := body.Known[id]; isKnown && known.Member.Leaving {
-				delete(t.leaders, group)
+				t.unlead(now, group)
 			}
 		}
 	case Warned:
@@ -217,7 +227,8 @@
 
 func (t *Table) charter(now loop.Micros, from string, m *schema.CharterTell, out loop.Out) {
 	if m.State != nil && m.State.Version >= t.state.Version {
-		t.state, t.values = m.State, charter.Read(m.State.Plan)
+		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
+		t.countUnled(now)
 	}
 	// Our own replica tells of every change, also while it is still catching up
 	// after a start; only an answer comes from one that has.
@@ -226,7 +237,7 @@
 	}
 	for lane, leader := range m.Leaders {
 		if leader != t.leaders[lane] && t.mayLead(now, leader) {
-			t.leaders[lane] = leader
+			t.lead(lane, leader)
 			if t.laneHas[lane] > 0 {
 				t.owed[lane] = true
 			}
@@ -243,6 +254,43 @@
 	}
 }
 
+// --- who leads ---
+
+func (t *Table) lead(group, id string) {
+	t.leaders[group] = id
+	delete(t.unled, group)
+}
+
+func (t *Table) unlead(now loop.Micros, group string) {
+	delete(t.leaders, group)
+	if _, isKnown := t.unled[group]; !isKnown && charter.Place(t.state, group) != nil {
+		t.unled[group] = now
+		t.askedAt = 0 // the charter may know, and is asked at the next tick
+	}
+}
+
+// countUnled starts the clock of lanes that are new here, and forgets it of
+// those that are gone.
+func (t *Table) countUnled(now loop.Micros) {
+	for _, place := range t.state.Lanes {
+		if _, isKnown := t.unled[place.Lane]; !isKnown && t.leaders[place.Lane] == "" {
+			t.unled[place.Lane] = now
+		}
+	}
+	for lane := range t.unled {
+		if charter.Place(t.state, lane) == nil {
+			delete(t.unled, lane)
+		}
+	}
+}
+
+// isUnled tells whether nobody has been known to lead a lane for too long to
+// take more for it: what has a number can't be turned away any more.
+func (t *Table) isUnled(now loop.Micros, lane string) bool {
+	since, isKnown := t.unled[lane]
+	return isKnown && now-since > ledSpan
+}
+
 // --- lanes that this front doesn't know ---
 
 // park holds an errand for a lane that our copy of the plan lacks until the
@@ -275,15 +323,20 @@
 }
 
 // unknownLane answers for a lane that isn't placed, or parks the errand first.
+// The lane is empty where host and path lead to none.
 func (t *Table) unknownLane(now loop.Micros, errand uint64, lane string, mail any, isFinal bool, out loop.Out) {
 	if !isFinal && t.isFresh(now) && t.park(now, mail, out) {
 		return
 	}
-	if !t.isFresh(now) || t.values.HasLane(lane) {
+	switch {
+	// Before the first plan nobody knows what lanes there are to be.
+	case !t.isFresh(now) || t.state.Plan.GetGeneration() == 0 || t.values.HasLane(lane):
 		t.refuse(errand, 503, "not_ready", "this front doesn't hold the plan yet, or the lane is being made", 1, out)
-		return
+	case lane == "":
+		out.Answer(errand, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane for this host and path", "path")})
+	default:
+		out.Answer(errand, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane "+strconv.Quote(lane), "lane")})
 	}
-	out.Answer(errand, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane "+strconv.Quote(lane), "lane")})
 }
 
 // isFresh tells whether this front has had word of the charter lately; a young
@@ -293,19 +346,32 @@
 // --- hand-ins ---
 
 func (t *Table) handIn(now loop.Micros, m HandIn, isFinal bool, out loop.Out) {
+	// What is parked must be looked up anew, so the mail stays as it came.
+	mail := m
+	if m.Lane == "" {
+		m.Lane, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
+	}
 	if !t.values.HasLane(m.Lane) || charter.Place(t.state, m.Lane) == nil {
-		t.unknownLane(now, m.Errand, m.Lane, m, isFinal, out)
+		t.unknownLane(now, m.Errand, m.Lane, mail, isFinal, out)
+		return
+	}
+	if !GoodName(m.Name) {
+		out.Answer(m.Errand, Answer{Code: 422, Body: Fault("bad_name", "letters, digits, '.', '_', ':' and '-', at most 128", "name")})
 		return
 	}
 	if !t.isFresh(now) {
 		t.notReady(now, m.Errand, out)
 		return
 	}
-	if fault := tooLarge(t.values, m.Job); fault != nil {
+	if fault := tooLarge(t.values, m.Lane, m.Job); fault != nil {
 		data, _ := json.Marshal(fault)
 		out.Answer(m.Errand, Answer{Code: 422, Body: data})
 		return
 	}
+	if t.isUnled(now, m.Lane) {
+		t.refuse(m.Errand, 503, "not_ready", "nobody is known to lead the lane at the moment", 1, out)
+		return
+	}
 	// Turning away is final, so it happens before the submission has a number.
 	s := t.sessions[laneClient{m.Lane, m.Client}]
 	window := int(t.values.Fleet("window"))
@@ -335,7 +401,7 @@
 	}
 	each := &submission{
 		errand:  m.Errand,
-		enqueue: &schema.Enqueue{Session: s.id, Number: s.next, Name: m.Name, Digest: m.Digest, Job: m.Job},
+		enqueue: &schema.Enqueue{Session: s.id, Number: s.next, Name: m.Name, Digest: m.Digest, Job: withAttempts(t.values, m.Lane, m.Job)},
 	}
 	s.next++
 	s.used = now
@@ -421,8 +487,29 @@
 	}
 }
 
-// tooLarge finds a task that no worker of the plan could ever hold.
-func tooLarge(values *charter.Values, job *schema.Job) *schema.Fault {
+// withAttempts states what the lane allows where a step states nothing. The
+// digest is of what the caller gave, so a resend is the same job whatever the
+// plan has become.
+func withAttempts(values *charter.Values, lane string, job *schema.Job) *schema.Job {
+	attempts := values.Of("lane", lane, "attempts")
+	if !values.IsStated("lane", lane, "attempts") || attempts <= 1 {
+		return job
+	}
+	job = proto.Clone(job).(*schema.Job)
+	for _, step := range job.Steps {
+		if step.AllowedFailures == 0 {
+			step.AllowedFailures = uint32(attempts - 1)
+		}
+	}
+	return job
+}
+
+// tooLarge finds a task that no worker of the plan could ever hold. Of a pool's
+// workers the plan says nothing: the placer sees what they are.
+func tooLarge(values *charter.Values, lane string, job *schema.Job) *schema.Fault {
+	if values.Text("lane", lane, "pool") != "" {
+		return nil
+	}
 	cores, memory := values.Fleet("worker_cores_milli"), values.Fleet("worker_memory_mb")
 	for k, step := range job.Steps {
 		field := "steps[" + strconv.Itoa(k) + "]."
@@ -500,10 +587,10 @@
 
 func (t *Table) applied(now loop.Micros, m *schema.Applied, out loop.Out) {
 	if len(m.Outcomes) > 0 || t.mayLead(now, m.Leader) {
-		t.leaders[m.Lane] = m.Leader
+		t.lead(m.Lane, m.Leader)
 	} else if len(m.Outcomes) == 0 {
 		// It leads no more and knows nobody: ask around.
-		delete(t.leaders, m.Lane)
+		t.unlead(now, m.Lane)
 	}
 	var again []*submission
 	for _, outcome := range m.Outcomes {
@@ -632,8 +719,12 @@
 		t.notReady(now, m.Errand, out)
 		return
 	}
+	mail := m
+	if m.Group == "" {
+		m.Group, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
+	}
 	if m.Group != charter.Group && charter.Place(t.state, m.Group) == nil {
-		t.unknownLane(now, m.Errand, m.Group, m, isFinal, out)
+		t.unknownLane(now, m.Errand, m.Group, mail, isFinal, out)
 		return
 	}
 	each := &errand{ask: m}
@@ -657,20 +748,20 @@
 	if m.Code != 0 {
 		delete(t.errands, m.Id)
 		if m.Leader != "" {
-			t.leaders[m.Group] = m.Leader
+			t.lead(m.Group, m.Leader)
 		}
 		out.Answer(m.Id, Answer{Code: m.Code, Body: m.Body})
 		return
 	}
 	if m.Leader != each.to && t.mayLead(now, m.Leader) {
-		t.leaders[m.Group] = m.Leader
+		t.lead(m.Group, m.Leader)
 		if each.isOwed = now-each.redirected <= redirectSpan; !each.isOwed {
 			each.redirected = now
 			t.carry(now, each, out)
 		}
 		return
 	}
-	delete(t.leaders, m.Group)
+	t.unlead(now, m.Group)
 }
 
 // --- workers ---
@@ -751,7 +842,7 @@
 		isOverdue := func(each *submission) bool { return now-each.sent >= resendSpan }
 		if list := t.unconfirmed(lane, isOverdue); len(list) > 0 {
 			// Whoever doesn't answer may be gone: ask around.
-			delete(t.leaders, lane)
+			t.unlead(now, lane)
 			t.send(now, lane, list, out)
 		}
 	}
@@ -810,7 +901,7 @@
 			continue
 		}
 		if !each.isOwed {
-			delete(t.leaders, each.ask.Group)
+			t.unlead(now, each.ask.Group)
 		}
 		each.isOwed = false
 		t.carry(now, each, out)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 
 	"sparnotch/loop"
 	"sparnotch/schema"
@@ -300,3 +302,177 @@
 		So(d.answers[d.handIn("c", "two")].Retry, ShouldBeGreaterThan, late.Retry)
 	})
 }
+
+func TestEntries(t *testing.T) {
+	rows := func(rows ...*schema.Row) []*schema.Row {
+		return append(rows,
+			&schema.Row{Kind: "lane", Name: "l", Key: "host", Value: "one.example"},
+			&schema.Row{Kind: "lane", Name: "l", Key: "prefix", Value: "/p/"},
+		)
+	}
+	job := func() *schema.Job {
+		return &schema.Job{Text: "t", Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}, {Name: "u", Tasks: 1, CoresMilli: 1, AllowedFailures: 9}}}
+	}
+	Convey("Host and path lead to a lane, and the rest of the path is the name", t, func() {
+		d := newDesk(rows()...)
+		given := job()
+		d.step(HandIn{Errand: 1, Host: "ONE.example:80", Path: "/p/j1", Client: "c", Digest: Digest(given), Job: given})
+		_, submit := d.lastSubmit()
+		So(submit.Lane, ShouldEqual, "l")
+		So(submit.Enqueues[0].Name, ShouldEqual, "j1")
+		So(proto.Equal(submit.Enqueues[0].Job, given), ShouldBeTrue)
+		for kind, path := range map[string]string{"status": "/p/j1", "cancel": "/p/j1", "counts": "/p/"} {
+			d.errand = 100
+			d.step(Ask{Errand: d.errand, Kind: kind, Host: "one.example", Path: path})
+			sent := d.sent[len(d.sent)-1].body.(*schema.Errand)
+			So([]string{sent.Kind, sent.Group, "/p/" + sent.Name}, ShouldResemble, []string{kind, "l", path})
+		}
+		d.step(HandIn{Errand: 2, Host: "one.example", Path: "/p/", Client: "c", Job: given})
+		So(d.answers[2].Code, ShouldEqual, 422)
+	})
+	Convey("An entry that our copy lacks is asked for, and looked up anew", t, func() {
+		d := newDesk()
+		fresh := func(rows []*schema.Row) {
+			state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Generation: 2, Rows: rows}, Lanes: []*schema.LanePlace{{Lane: "l", Generation: 1}}}
+			d.t.Step(d.now, loop.Mail{From: "a", Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "l": "a"}}}, d)
+		}
+		d.step(HandIn{Errand: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
+		d.step(Ask{Errand: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
+		So(d.answers, ShouldBeEmpty)
+		Convey("there now: it goes on", func() {
+			fresh(rows())
+			So(d.answers, ShouldBeEmpty)
+			_, submit := d.lastSubmit()
+			So(submit.Enqueues[0].Name, ShouldEqual, "j1")
+			So(d.sent[len(d.sent)-1].body.(*schema.Errand).Name, ShouldEqual, "j1")
+		})
+		Convey("not there: 404", func() {
+			fresh([]*schema.Row{{Kind: "lane", Name: "l", Key: "urgency", Value: "1"}})
+			So(d.answers[1].Code, ShouldEqual, 404)
+			So(d.answers[2].Code, ShouldEqual, 404)
+			So(string(d.answers[1].Body), ShouldContainSubstring, "unknown_lane")
+		})
+		Convey("a lane that has been dropped takes nothing more, once the leader has said so", func() {
+			fresh([]*schema.Row{})
+			So(d.answers[1].Code, ShouldEqual, 404)
+			d.step(HandIn{Errand: 3, Lane: "l", Client: "c", Name: "j", Job: job()})
+			So(d.answers, ShouldNotContainKey, uint64(3))
+			d.t.Step(d.now, loop.Mail{From: "a", Body: &schema.CharterTell{Version: 2, Leaders: map[string]string{"charter": "a"}}}, d)
+			So(d.answers[3].Code, ShouldEqual, 404)
+		})
+	})
+	Convey("Before the first plan, and without fresh word, nothing is called unknown", t, func() {
+		d := &desk{t: New("me", 1, false, rand.New(rand.NewPCG(1, 1))), now: 100 * loop.Second, answers: map[uint64]Answer{}}
+		d.step(HandIn{Errand: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
+		d.step(Ask{Errand: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
+		So([]int32{d.answers[1].Code, d.answers[2].Code}, ShouldResemble, []int32{503, 503})
+		tell := &schema.CharterTell{Version: 1, State: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}, Leaders: map[string]string{"charter": "a"}}
+		d.t.Step(d.now, loop.Mail{From: "a", Body: tell}, d)
+		d.step(HandIn{Errand: 3, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
+		d.t.Step(d.now, loop.Mail{From: "a", Body: tell}, d)
+		So(d.answers[3].Code, ShouldEqual, 503)
+		So(d.answers[3].Retry, ShouldEqual, 1)
+	})
+	Convey("The lane's attempts hold where a step states nothing, and the digest stays the caller's", t, func() {
+		d := newDesk(rows(&schema.Row{Kind: "lane", Name: "l", Key: "attempts", Value: "4"})...)
+		given := job()
+		digest := Digest(given)
+		d.step(HandIn{Errand: 1, Host: "one.example", Path: "/p/j1", Client: "c", Digest: digest, Job: given})
+		_, submit := d.lastSubmit()
+		e := submit.Enqueues[0]
+		So([]uint32{e.Job.Steps[0].AllowedFailures, e.Job.Steps[1].AllowedFailures}, ShouldResemble, []uint32{3, 9})
+		So(e.Digest, ShouldResemble, digest)
+		So(given.Steps[0].AllowedFailures, ShouldEqual, 0)
+	})
+	Convey("What a pool's workers can hold the plan doesn't say", t, func() {
+		large := job()
+		large.Steps[0].CoresMilli = 1_000_000
+		d := newDesk(rows()...)
+		d.step(HandIn{Errand: 1, Lane: "l", Name: "j", Client: "c", Job: large})
+		So(d.answers[1].Code, ShouldEqual, 422)
+		d = newDesk(rows(&schema.Row{Kind: "lane", Name: "l", Key: "pool", Value: "p"}, &schema.Row{Kind: "pool", Name: "p", Key: "guards", Value: "1"})...)
+		d.step(HandIn{Errand: 1, Lane: "l", Name: "j", Client: "c", Job: large})
+		So(d.answers, ShouldBeEmpty)
+	})
+}
+
+func TestLanesThatNobodyLeads(t *testing.T) {
+	Convey("While nobody is known to lead a lane, hand-ins are turned away before they have a number", t, func() {
+		d := newDesk()
+		first := d.handIn("c", "one")
+		// It leads no more and knows nobody.
+		d.step(&schema.Applied{Lane: "l"})
+		second := d.handIn("c", "two")
+		d.now += ledSpan + loop.Milli
+		third := d.handIn("c", "three")
+		So(d.answers[third].Code, ShouldEqual, 503)
+		So(d.answers[third].Retry, ShouldEqual, 1)
+		So(string(d.answers[third].Body), ShouldContainSubstring, "not_ready")
+		// What has a number may never be turned away.
+		So(d.answers, ShouldNotContainKey, first)
+		So(d.answers, ShouldNotContainKey, second)
+		So(d.t.sessions[laneClient{"l", "c"}].waiting, ShouldHaveLength, 2)
+		Convey("and taken again as soon as somebody is", func() {
+			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "b"}})
+			fourth := d.handIn("c", "four")
+			So(d.answers, ShouldNotContainKey, fourth)
+			to, submit := d.lastSubmit()
+			So(to, ShouldEqual, "b")
+			So(submit.Enqueues[0].Number, ShouldEqual, 3)
+		})
+	})
+	Convey("A new lane has that long to find a leader, and one that was dropped is forgotten", t, func() {
+		d := newDesk()
+		lanes := func(version uint64, lanes ...string) {
+			state := &schema.CharterState{Version: version, Plan: &schema.Plan{Generation: version}}
+			for _, lane := range lanes {
+				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "lane", Name: lane, Key: "urgency", Value: "1"})
+				state.Lanes = append(state.Lanes, &schema.LanePlace{Lane: lane, Generation: version})
+			}
+			d.step(&schema.CharterTell{Version: version, State: state, Leaders: map[string]string{"charter": "a"}})
+		}
+		lanes(2, "l", "new")
+		job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
+		d.step(HandIn{Errand: 1, Lane: "new", Client: "c", Name: "j", Job: job})
+		d.now += ledSpan + loop.Milli
+		d.step(HandIn{Errand: 2, Lane: "new", Client: "c", Name: "j", Job: job})
+		So(d.answers, ShouldNotContainKey, uint64(1))
+		So(d.answers[2].Code, ShouldEqual, 503)
+		lanes(3, "l")
+		So(d.t.unled, ShouldBeEmpty)
+	})
+}
+
+func TestJobLimits(t *testing.T) {
+	Convey("A job is checked whatever the plan says, and the field is named", t, func() {
+		step := func() *schema.Step { return &schema.Step{Name: "s", Tasks: 20, CoresMilli: 1} }
+		long := make([]*schema.Step, MaxSteps+1)
+		for k := range long {
+			long[k] = &schema.Step{Name: strconv.Itoa(k), Tasks: 1, CoresMilli: 1}
+		}
+		good := step()
+		good.Labels, good.DataRack, good.PerWorker, good.Accelerators, good.EstimateUs, good.Lasting = []string{"a", "r1-3"}, "r1-3", 2, 1, 900_000, true
+		So(Check(&schema.Job{Rounds: MaxRounds, EveryUs: 1, Steps: []*schema.Step{good}}), ShouldBeNil)
+		So(Check(&schema.Job{Steps: long[:MaxSteps]}), ShouldBeNil)
+		for field, job := range map[string]*schema.Job{
+			"steps":          {Steps: long},
+			"rounds":         {Rounds: MaxRounds + 1, Steps: []*schema.Step{step()}},
+			"every_us":       {EveryUs: -1, Steps: []*schema.Step{step()}},
+			"steps[0].tasks": {Rounds: MaxRounds, Steps: []*schema.Step{{Name: "s", Tasks: 21, CoresMilli: 1}}},
+		} {
+			So(Check(job).Field, ShouldEqual, field)
+		}
+		for field, change := range map[string]func(s *schema.Step){
+			"accelerators": func(s *schema.Step) { s.Accelerators = -1 },
+			"labels":       func(s *schema.Step) { s.Labels = make([]string, maxLabels+1) },
+			"labels[1]":    func(s *schema.Step) { s.Labels = []string{"a", ""} },
+			"data_rack":    func(s *schema.Step) { s.DataRack = "a b" },
+			"per_worker":   func(s *schema.Step) { s.PerWorker = maxCores + 1 },
+			"estimate_us":  func(s *schema.Step) { s.EstimateUs = -1 },
+		} {
+			bad := step()
+			change(bad)
+			So(Check(&schema.Job{Steps: []*schema.Step{bad}}).Field, ShouldEqual, "steps[0]."+field)
+		}
+	})
+}
--- a/intake/validate.go
+++ b/intake/validate.go
@@ -14,12 +14,14 @@
 // Limits of one job; they bound what one record may cost.
 const (
 	MaxText     = 4096
-	MaxSteps    = 32
-	MaxTasks    = 2000 // of a whole job
+	MaxSteps    = 64
+	MaxTasks    = 20_000 // of a whole job, all its rounds together
+	MaxRounds   = 1000
 	MaxDelayUs  = 400 * 24 * 3600 * 1_000_000
 	maxSpanUs   = 30 * 24 * 3600 * 1_000_000
 	maxFailures = 1000
 	maxCores    = 1_000_000_000
+	maxLabels   = 16
 	minWallUs   = 1_000_000_000_000_000 // 2001
 )
 
@@ -44,6 +46,10 @@
 		return bad("start_wall_us", "give either a delay or a start")
 	case job.StartWallUs != 0 && job.StartWallUs < minWallUs:
 		return bad("start_wall_us", "must be microseconds since 1970")
+	case job.Rounds > MaxRounds:
+		return bad("rounds", "at most %d", MaxRounds)
+	case job.EveryUs < 0 || job.EveryUs > maxSpanUs:
+		return bad("every_us", "must lie between 0 and %d", int64(maxSpanUs))
 	case len(job.Steps) == 0:
 		return bad("steps", "a job has at least one step")
 	case len(job.Steps) > MaxSteps:
@@ -56,8 +62,8 @@
 		if step == nil {
 			return bad(fmt.Sprintf("steps[%d]", k), "must not be null")
 		}
-		if total += uint64(step.Tasks); total > MaxTasks {
-			return bad(field("tasks"), "a job has at most %d tasks", MaxTasks)
+		if total += uint64(step.Tasks) * uint64(max(job.Rounds, 1)); total > MaxTasks {
+			return bad(field("tasks"), "a job has at most %d tasks, over all rounds", MaxTasks)
 		}
 		switch {
 		case !GoodName(step.Name):
@@ -74,6 +80,21 @@
 			return bad(field("time_limit_us"), "must lie between 0 and %d", int64(maxSpanUs))
 		case step.StillUs < 0 || step.StillUs > maxSpanUs:
 			return bad(field("still_us"), "must lie between 0 and %d", int64(maxSpanUs))
+		case step.Accelerators < 0 || step.Accelerators > maxCores:
+			return bad(field("accelerators"), "must lie between 0 and %d", maxCores)
+		case len(step.Labels) > maxLabels:
+			return bad(field("labels"), "at most %d labels", maxLabels)
+		case step.DataRack != "" && !GoodName(step.DataRack):
+			return bad(field("data_rack"), "%q is no name: letters, digits, '.', '_', ':' and '-', at most 128", step.DataRack)
+		case step.PerWorker > maxCores:
+			return bad(field("per_worker"), "at most %d", maxCores)
+		case step.EstimateUs < 0 || step.EstimateUs > maxSpanUs:
+			return bad(field("estimate_us"), "must lie between 0 and %d", int64(maxSpanUs))
+		}
+		for l, label := range step.Labels {
+			if !GoodName(label) {
+				return bad(fmt.Sprintf("steps[%d].labels[%d]", k, l), "%q is no name: letters, digits, '.', '_', ':' and '-', at most 128", label)
+			}
 		}
 		if _, isTwice := names[step.Name]; isTwice {
 			return bad(field("name"), "%q stands twice", step.Name)
