New lanes are placed and led at once

A lane added by a table used to wait for the steward's next look, then for an election's time of one to two seconds. The charter's leader now tells the steward of a new plan and its followers of new places; the wanted keeper stands when it founds the group and calls again until the others have founded it too. A founder that the new leader reaches before the charter does was left without a roster for good; it gets its founders now.

--- a/heed/heed.go
+++ b/heed/heed.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"strings"
 
 	"sparnotch/charter"
 	"sparnotch/keep"
@@ -53,6 +54,7 @@
 	licence uint64
 	mine    loop.Micros // my licence ends, by my clock
 	acted   map[string]loop.Micros
+	lanesIn string // the lanes of the last act on lanes
 	movedAt loop.Micros
 	gone    map[string]loop.Micros
 	number  uint64
@@ -99,8 +101,9 @@
 }
 
 func (t *Table) hear(now loop.Micros, from string, m *schema.CharterTell, out loop.Out) {
+	isNew := m.State != nil && m.State.Version > t.state.Version
 	if m.State != nil && m.State.Version >= t.state.Version {
-		t.state, t.values = m.State, charter.Read(m.State.Plan)
+		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
 		out.Tell("kin", kin.Charter{Version: m.State.Version})
 	}
 	if m.StewardUntilUs > t.until {
@@ -110,6 +113,10 @@
 	if m.Version >= t.state.Version {
 		t.told[from] = told{at: now, tell: m}
 	}
+	// Lanes that a table has just added are waited for.
+	if isNew && t.roll != nil && t.isSteward(now) {
+		t.lanes(now, out)
+	}
 }
 
 func (t *Table) memberIds() []string {
@@ -230,8 +237,12 @@
 
 // leaderOf is who says itself that it leads a group, else whom others name.
 func (t *Table) leaderOf(now loop.Micros, group string) string {
+	return t.leaderAmong(now, t.stores(now), group)
+}
+
+func (t *Table) leaderAmong(now loop.Micros, stores []string, group string) string {
 	named := ""
-	for _, id := range t.stores(now) {
+	for _, id := range stores {
 		word, isKnown := t.told[id]
 		if !isKnown || now-word.at > deadSpan {
 			continue
@@ -279,11 +290,15 @@
 		return
 	}
 	command := &schema.PlaceLanes{Licence: t.licence}
-	keeper := t.sturdiest(now)
-	for _, name := range charter.LaneNames(t.state.Plan) {
-		if charter.Place(t.state, name) == nil {
-			command.Lanes = append(command.Lanes, &schema.LanePlace{Lane: name, Founders: root.Voters, Keeper: keeper})
+	keeper := ""
+	for _, name := range t.values.Lanes() {
+		if charter.Place(t.state, name) != nil {
+			continue
 		}
+		if len(command.Lanes) == 0 {
+			keeper = t.sturdiest(now)
+		}
+		command.Lanes = append(command.Lanes, &schema.LanePlace{Lane: name, Founders: root.Voters, Keeper: keeper})
 	}
 	for _, place := range t.state.Lanes {
 		note := notes[keep.GroupOf(place)]
@@ -291,7 +306,22 @@
 			command.Gone = append(command.Gone, place.Lane)
 		}
 	}
-	if len(command.Lanes)+len(command.Gone) > 0 && t.may(now, "lanes", actSpan) {
+	if len(command.Lanes)+len(command.Gone) == 0 {
+		return
+	}
+	// The same act again waits, for its effect may just not be heard of yet;
+	// another one doesn't.
+	var names []string
+	for _, each := range command.Lanes {
+		names = append(names, each.Lane)
+	}
+	set := strings.Join(names, " ") + "/" + strings.Join(command.Gone, " ")
+	if set != t.lanesIn {
+		delete(t.acted, "lanes")
+	}
+	// One that finds no leader is tried again at the next tick.
+	if t.leaderOf(now, charter.Group) != "" && t.may(now, "lanes", actSpan) {
+		t.lanesIn = set
 		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: command}}, out)
 	}
 }
@@ -306,9 +336,10 @@
 		return ""
 	}
 	leads, wanted := map[string]int{}, map[string]int{}
+	stores := t.stores(now)
 	for _, place := range t.state.Lanes {
 		wanted[place.Keeper]++
-		leads[t.leaderOf(now, place.Lane)]++
+		leads[t.leaderAmong(now, stores, place.Lane)]++
 	}
 	for _, ward := range t.state.Wards {
 		wanted[ward.Placer]++
--- /dev/null
+++ b/heed/heed_test.go
@@ -0,0 +1,156 @@
+package heed
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/charter"
+	"sparnotch/kin"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// desk drives a steward by hand; three stores stand, "a" leads the charter.
+type desk struct {
+	t     *Table
+	now   loop.Micros
+	state *schema.CharterState
+	acts  []*schema.CharterCommand
+	mail  []*schema.ErrandReply // on its way back
+}
+
+func (d *desk) Send(to string, body any) {
+	if errand, isErrand := body.(*schema.Errand); isErrand {
+		command := &schema.CharterCommand{}
+		So(proto.Unmarshal(errand.Body, command), ShouldBeNil)
+		So(to, ShouldEqual, "a")
+		if command.GetClaim() != nil {
+			d.mail = append(d.mail, &schema.ErrandReply{Id: errand.Id, Code: 200, Body: []byte(`{"licence":7}`)})
+			return
+		}
+		d.acts = append(d.acts, command)
+	}
+}
+func (d *desk) Dial(string, any)   {}
+func (d *desk) Tell(string, any)   {}
+func (d *desk) Answer(uint64, any) {}
+
+func (d *desk) tick() {
+	d.now += Pace
+	for _, reply := range d.mail {
+		d.t.Step(d.now, loop.Mail{From: "a", Body: reply}, d)
+	}
+	d.mail = nil
+	d.roll()
+	d.t.Step(d.now, loop.Mail{Body: loop.Tick{}}, d)
+}
+
+func (d *desk) roll() {
+	roll := &kin.Roll{Known: map[string]kin.Known{}}
+	for _, id := range []string{"a", "b", "c"} {
+		roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: d.now}
+	}
+	d.t.Step(d.now, loop.Mail{Body: roll}, d)
+}
+
+// tell is the charter leader's word, with its state as it is.
+func (d *desk) tell(notes ...*schema.WaitNote) {
+	notes = append(notes, &schema.WaitNote{Group: charter.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
+	d.t.Step(d.now, loop.Mail{From: "a", Body: &schema.CharterTell{
+		State: proto.Clone(d.state).(*schema.CharterState), Version: d.state.Version, Leaders: map[string]string{charter.Group: "a"}, Waits: notes,
+	}}, d)
+}
+
+// put makes a table of these lanes.
+func (d *desk) put(lanes ...string) {
+	d.state.Version++
+	d.state.Plan = &schema.Plan{Generation: d.state.Plan.GetGeneration() + 1}
+	for _, lane := range lanes {
+		d.state.Plan.Rows = append(d.state.Plan.Rows, &schema.Row{Kind: "lane", Name: lane, Key: "urgency", Value: "1"})
+	}
+}
+
+func (d *desk) placed() [][]string {
+	var list [][]string
+	for _, act := range d.acts {
+		if lanes := act.GetLanes(); lanes != nil {
+			var names []string
+			for _, lane := range lanes.Lanes {
+				names = append(names, lane.Lane)
+			}
+			list = append(list, append(names, lanes.Gone...))
+		}
+	}
+	return list
+}
+
+func newDesk() *desk {
+	d := &desk{t: New("h"), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
+	d.roll()
+	d.tell()
+	for k := 0; k < 20 && !d.t.isSteward(d.now); k++ {
+		d.tick()
+		d.tell()
+	}
+	So(d.t.isSteward(d.now), ShouldBeTrue)
+	d.acts = nil
+	return d
+}
+
+func TestLanesArePlaced(t *testing.T) {
+	Convey("Lanes that a table adds are placed on hearing of it, all in one command", t, func() {
+		d := newDesk()
+		var lanes []string
+		for k := 0; k < 8; k++ {
+			lanes = append(lanes, fmt.Sprintf("l%d", k))
+		}
+		d.put(lanes...)
+		d.tell()
+		So(d.placed(), ShouldResemble, [][]string{lanes})
+		first := d.acts[0].GetLanes()
+		So(first.Licence, ShouldEqual, 7)
+		So(first.Lanes[7].Founders, ShouldResemble, []string{"a", "b", "c"})
+		So(first.Lanes[7].Keeper, ShouldEqual, "a")
+		Convey("The same act isn't repeated before its effect can be heard of", func() {
+			d.tick()
+			d.tell()
+			d.tick()
+			So(d.placed(), ShouldHaveLength, 1)
+			for k := 0; k < 4; k++ {
+				d.tick()
+			}
+			So(d.placed(), ShouldHaveLength, 2)
+		})
+		Convey("but another table's lanes don't wait for that", func() {
+			d.put(append(lanes, "m")...)
+			d.tell()
+			So(d.placed(), ShouldResemble, [][]string{lanes, append(lanes, "m")})
+		})
+	})
+	Convey("A dropped lane goes when its jobs have ended and been kept long enough", t, func() {
+		d := newDesk()
+		d.put()
+		d.state.Lanes = []*schema.LanePlace{{Lane: "l", Generation: 3, Keeper: "a"}}
+		note := &schema.WaitNote{Group: "l#3", Lane: "l", Leader: "a", Voters: []string{"a", "b", "c"}, Live: 1}
+		d.tell(note)
+		So(d.placed(), ShouldBeEmpty)
+		note.Live, note.Kept = 0, 1
+		d.tell(note)
+		d.tick()
+		So(d.placed(), ShouldBeEmpty)
+		note.Kept = 0
+		d.tell(note)
+		d.tick()
+		So(d.placed(), ShouldResemble, [][]string{{"l"}})
+	})
+	Convey("Who isn't the steward places nothing", t, func() {
+		d := newDesk()
+		d.now += 3 * loop.Second
+		d.put("l")
+		d.tell()
+		So(d.placed(), ShouldBeEmpty)
+	})
+}
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -336,6 +336,23 @@
 	t.open(now, name, image)
 }
 
+// foundLane makes the replica of a lane that this store is a founder of; who is
+// to keep the lane stands at once.
+func (t *Table) foundLane(now loop.Micros, place *schema.LanePlace) {
+	name := GroupOf(place)
+	if r := t.groups[name]; r != nil {
+		// Its leader was faster than our copy of the charter.
+		if r.group.Base() == 0 {
+			r.group.Found(place.Founders)
+		}
+		return
+	}
+	t.found(now, name, place.Founders)
+	if place.Keeper == t.id && !t.isWarned {
+		t.groups[name].group.Stand(now)
+	}
+}
+
 // --- time ---
 
 func (t *Table) tick(now loop.Micros, out loop.Out) {
@@ -463,13 +480,8 @@
 	for _, place := range t.state.Lanes {
 		name := GroupOf(place)
 		wanted[name] = true
-		if t.groups[name] != nil {
-			continue
-		}
-		for _, id := range place.Founders {
-			if id == t.id {
-				t.found(now, name, place.Founders)
-			}
+		if slices.Contains(place.Founders, t.id) {
+			t.foundLane(now, place)
 		}
 	}
 	for _, name := range t.names() {
@@ -688,7 +700,7 @@
 				t.restore(r, effects.Restore)
 				r.termTold = 0
 				if r.lane == nil {
-					t.charterChanged(out)
+					t.charterChanged(now, out)
 				}
 			}
 			for _, record := range effects.Commits {
@@ -794,7 +806,7 @@
 			panic("keep: charter record: " + err.Error())
 		}
 		t.releaseCharter(r, record.Index)
-		t.charterChanged(out)
+		t.charterChanged(now, out)
 		if isWaited {
 			t.answerCharter(waiting, result, r, out)
 		}
@@ -864,10 +876,11 @@
 	}
 }
 
-func (t *Table) charterChanged(out loop.Out) {
+func (t *Table) charterChanged(now loop.Micros, out loop.Out) {
 	if t.charter.Version() == t.state.Version && t.state.Version != 0 {
 		return
 	}
+	old := t.state
 	t.setState(t.charter.Copy())
 	for _, table := range []string{"intake", "placer"} {
 		out.Tell(table, &schema.CharterTell{State: t.state, Version: t.state.Version})
@@ -877,4 +890,16 @@
 		// Urgency may have changed with the plan.
 		r.termTold = 0
 	}
+	// New lanes are waited for: the steward places them, and their founders make
+	// them, when they hear of it.
+	r := t.groups[charter.Group]
+	if !r.group.IsLeader() {
+		return
+	}
+	if len(old.Lanes) != len(t.state.Lanes) {
+		r.group.Announce(now)
+	}
+	if steward := t.state.Steward.GetId(); steward != "" && old.Plan != t.state.Plan {
+		t.tellCharter(now, steward, &schema.CharterAsk{Version: old.Version}, out)
+	}
 }
--- /dev/null
+++ b/keep/keep_test.go
@@ -0,0 +1,230 @@
+package keep
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"sparnotch/charter"
+	"sparnotch/kin"
+	"sparnotch/loop"
+	"sparnotch/raft"
+	"sparnotch/schema"
+	"sparnotch/vault"
+)
+
+const (
+	syncSpan = 500            // of every disk
+	wayTime  = 1 * loop.Milli // of every message
+	stepTime = loop.Milli
+)
+
+// core is three stores that hold the charter, with disks and a network that
+// take their time.
+type core struct {
+	now    loop.Micros
+	tables map[string]*Table
+	mail   []letter
+	heard  map[string][]any // by process outside, or by table of a store
+}
+
+type letter struct {
+	at       loop.Micros
+	from, to string
+	body     any
+}
+
+type port struct {
+	core *core
+	id   string
+}
+
+func (p port) Send(to string, body any) {
+	p.core.mail = append(p.core.mail, letter{p.core.now + wayTime, p.id, to, body})
+}
+func (p port) Dial(string, any)   {}
+func (p port) Answer(uint64, any) {}
+func (p port) Tell(table string, body any) {
+	if batch, isBatch := body.(Batch); isBatch {
+		p.core.mail = append(p.core.mail, letter{p.core.now + syncSpan, "", p.id, Written{Number: batch.Number}})
+		return
+	}
+	p.core.heard[p.id+"/"+table] = append(p.core.heard[p.id+"/"+table], body)
+}
+
+var stores = []string{"a", "b", "c"}
+
+func newCore() *core {
+	c := &core{now: loop.Second, tables: map[string]*Table{}, heard: map[string][]any{}}
+	for k, id := range stores {
+		content := &vault.Content{Self: &schema.Self{Id: id}, Groups: map[string]*vault.Image{}}
+		c.tables[id] = New(id, content, func() int64 { return 0 }, raft.UsualTimes, uint64(k+1), c.now)
+	}
+	for _, id := range stores {
+		c.step(id, "", kin.KeepSelf{Self: &schema.Self{Id: id, Belongs: true}, Found: stores})
+	}
+	c.run(4 * loop.Second)
+	return c
+}
+
+func (c *core) step(id, from string, body any) {
+	c.tables[id].Step(c.now, loop.Mail{From: from, Body: body}, port{c, id})
+}
+
+func (c *core) run(span loop.Micros) {
+	for end := c.now + span; c.now < end; c.now += stepTime {
+		var due []letter
+		c.mail = slices.DeleteFunc(c.mail, func(l letter) bool {
+			if l.at <= c.now {
+				due = append(due, l)
+			}
+			return l.at <= c.now
+		})
+		for _, l := range due {
+			if c.tables[l.to] != nil {
+				c.step(l.to, l.from, l.body)
+			} else {
+				c.heard[l.to] = append(c.heard[l.to], l.body)
+			}
+		}
+		if c.now%Pace < stepTime {
+			for _, id := range stores {
+				c.step(id, "", loop.Tick{})
+			}
+		}
+	}
+}
+
+func (c *core) leader(lane string) string {
+	for _, id := range stores {
+		for _, r := range c.tables[id].groups {
+			if r.name == lane && r.group.IsLeader() {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+// ask has the charter's leader do an errand, and gives what it says.
+func (c *core) ask(kind string, command *schema.CharterCommand) *schema.ErrandReply {
+	errand := &schema.Errand{Id: 1, Kind: kind, Group: charter.Group}
+	if command != nil {
+		errand.Body = CharterBody(command)
+	}
+	c.heard["h"] = nil
+	c.step(c.leader(""), "h", errand)
+	c.run(20 * loop.Milli)
+	for _, each := range c.heard["h"] {
+		if reply, isReply := each.(*schema.ErrandReply); isReply {
+			return reply
+		}
+	}
+	return nil
+}
+
+func (c *core) put(sheet *schema.Sheet) *schema.ErrandReply {
+	return c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})
+}
+
+func lanesSheet(edition uint64, document string, lanes ...string) *schema.Sheet {
+	sheet := &schema.Sheet{Edition: edition, BaseEdition: edition - 1, Document: []byte(document)}
+	for _, lane := range lanes {
+		sheet.Rows = append(sheet.Rows, &schema.Row{Kind: "lane", Name: lane, Key: "urgency", Value: "1"})
+	}
+	return sheet
+}
+
+func TestNewLanes(t *testing.T) {
+	Convey("A new lane has a leader within some 100 ms, whoever is to keep it", t, func() {
+		c := newCore()
+		So(c.leader(""), ShouldNotEqual, "")
+		So(c.put(lanesSheet(1, "", "l", "m", "n")).Code, ShouldEqual, 200)
+		reply := c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
+		var claimed struct{ Licence uint64 }
+		So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
+		place := &schema.PlaceLanes{Licence: claimed.Licence}
+		for k, lane := range []string{"l", "m", "n"} {
+			place.Lanes = append(place.Lanes, &schema.LanePlace{Lane: lane, Founders: stores, Keeper: stores[k]})
+		}
+		began := c.now
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: place}}).Code, ShouldEqual, 200)
+		for k, lane := range []string{"l", "m", "n"} {
+			for c.leader(lane) == "" && c.now < began+loop.Second {
+				c.run(loop.Milli)
+			}
+			So(c.leader(lane), ShouldEqual, stores[k])
+		}
+		So(c.now-began, ShouldBeLessThan, 150*loop.Milli)
+		Convey("and every founder is a voter of it, also one that its leader reached first", func() {
+			c.run(300 * loop.Milli)
+			for _, id := range stores {
+				So(c.tables[id].groups, ShouldHaveLength, 4)
+				for _, r := range c.tables[id].groups {
+					So(r.group.Roster().Voters, ShouldResemble, stores)
+				}
+			}
+		})
+	})
+	Convey("A founder that its leader reached before the charter did is a voter in the end", t, func() {
+		c := newCore()
+		place := &schema.LanePlace{Lane: "l", Generation: 1, Founders: stores, Keeper: "a"}
+		c.step("b", "a", &schema.Append{Group: "l#1", Term: 1, Records: []*schema.Record{{Index: 1, Term: 1, Kind: schema.RecordKind_RECORD_FIRST}}})
+		table := c.tables["b"]
+		So(table.groups["l#1"].group.Roster().Voters, ShouldBeEmpty)
+		table.state.Lanes = []*schema.LanePlace{place}
+		c.step("b", "", loop.Tick{})
+		So(table.groups["l#1"].group.Roster().Voters, ShouldResemble, stores)
+		So(table.groups["l#1"].group.Last(), ShouldEqual, 1)
+	})
+}
+
+func TestDocuments(t *testing.T) {
+	Convey("The plan's document is read from the leader alone, and goes into no copy", t, func() {
+		c := newCore()
+		reply := c.put(lanesSheet(1, "the document", "l"))
+		So(reply.Code, ShouldEqual, 200)
+		So(c.put(lanesSheet(2, "another", "l")).Code, ShouldEqual, 200)
+		plan := &schema.Plan{}
+		So(protojson.Unmarshal(c.ask("plan", nil).Body, plan), ShouldBeNil)
+		So(string(plan.Document), ShouldEqual, "another")
+		So(plan.Edition, ShouldEqual, 2)
+		c.run(300 * loop.Milli)
+		for _, id := range stores {
+			c.step(id, "f", &schema.CharterAsk{})
+		}
+		c.run(10 * loop.Milli)
+		tells := append([]any{}, c.heard["f"]...)
+		for _, id := range stores {
+			tells = append(tells, c.heard[id+"/intake"]...)
+		}
+		count := 0
+		for _, each := range tells {
+			if tell, isTell := each.(*schema.CharterTell); isTell && tell.State.GetPlan().GetGeneration() > 0 {
+				count++
+				So(tell.State.Plan.Document, ShouldBeEmpty)
+				So(tell.State.History, ShouldBeEmpty)
+				So(tell.State.Plan.Rows, ShouldNotBeEmpty)
+			}
+		}
+		So(count, ShouldBeGreaterThanOrEqualTo, 6)
+		So(c.heard["f"], ShouldHaveLength, 3)
+		var history []json.RawMessage
+		So(json.Unmarshal(c.ask("history", nil).Body, &history), ShouldBeNil)
+		So(history, ShouldHaveLength, 3)
+		So(string(history[1]), ShouldNotContainSubstring, "ZG9j") // no document in it
+	})
+	Convey("The steward hears of a new plan at once", t, func() {
+		c := newCore()
+		c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
+		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		isTold := slices.ContainsFunc(c.heard["h"], func(body any) bool {
+			tell, isTell := body.(*schema.CharterTell)
+			return isTell && tell.State.GetPlan().GetEdition() == 1 && len(tell.Waits) > 0
+		})
+		So(isTold, ShouldBeTrue)
+	})
+}
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -38,6 +38,9 @@
 	maxFlight = 1024    // records sent beyond what is known matched
 
 	keptReplies = 16 // beats whose answering is remembered
+
+	callRest  = 50 * loop.Milli // between two calls of a founder that stands
+	mostCalls = 12
 )
 
 type role int
@@ -130,6 +133,8 @@
 	reads     []read
 	passTo    string
 	passUntil loop.Micros
+	calls     int         // how often a founder that stands still calls for votes
+	callAt    loop.Micros // and when next
 	timeBase  int64
 	timeMono  loop.Micros
 	out       Effects
@@ -370,7 +375,7 @@
 		g.matched = 0
 	}
 	g.role, g.lead = follower, lead
-	g.peers, g.votes, g.reads, g.rounds, g.passTo, g.replies = nil, nil, nil, nil, "", nil
+	g.peers, g.votes, g.reads, g.rounds, g.passTo, g.replies, g.calls = nil, nil, nil, nil, "", nil, 0
 	g.resetDeadline(now)
 }
 
@@ -380,6 +385,11 @@
 		g.tickLeader(now)
 		return
 	}
+	if g.role == candidate && g.calls > 0 && now >= g.callAt {
+		g.calls--
+		g.callAt = now + callRest
+		g.canvass(g.term, false, false)
+	}
 	if now < g.deadline {
 		return
 	}
@@ -446,6 +456,30 @@
 	g.tally(now)
 }
 
+// Stand makes a voter campaign in a group that is just being founded, so that it
+// needn't wait for an election's time. Nobody can lead before the first term, so
+// no pre-vote is needed; whoever has lived through any term stays as it is.
+// Others may found the group a little later and drop the first calls, so they
+// are made again for a while.
+func (g *Group) Stand(now loop.Micros) {
+	if g.term > 0 || g.lastIndex() > 0 || g.role != follower || !g.isVoter(g.self) {
+		return
+	}
+	g.calls, g.callAt = mostCalls, now+callRest
+	g.campaign(now, false)
+}
+
+// Found gives the first voters to a replica that was opened by a leader's word
+// before it heard that it is one of them itself.
+func (g *Group) Found(voters []string) {
+	if g.base.Index > 0 || len(g.base.Roster.GetVoters()) > 0 {
+		return
+	}
+	g.base = &schema.Checkpoint{Roster: &schema.Roster{Voters: voters}}
+	g.findRoster()
+	g.out.Changes = append(g.out.Changes, &schema.Change{Group: g.name, Checkpoint: g.base})
+}
+
 func (g *Group) canvass(term uint64, pre, asked bool) {
 	for _, id := range g.roster.Voters {
 		if id != g.self {
@@ -559,6 +593,13 @@
 	g.beat(now)
 }
 
+// Announce tells at once what is committed, rather than with the next beat or record.
+func (g *Group) Announce(now loop.Micros) {
+	if g.role == leader {
+		g.beat(now)
+	}
+}
+
 // Pass hands the leadership to a voter that has the whole log.
 func (g *Group) Pass(now loop.Micros, to string) {
 	if g.role != leader || to == g.self || !g.isVoter(to) || g.passTo != "" {
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -519,3 +519,91 @@
 		So(other.Fresh()-before, ShouldBeLessThan, loop.Second)
 	})
 }
+
+func TestFoundersStand(t *testing.T) {
+	Convey("Who stands when a group is founded leads it within a round trip", t, func() {
+		for seed := uint64(1); seed <= 20; seed++ {
+			r := newRig(seed, ids...)
+			r.groups["b"].Stand(r.now)
+			r.run(50 * loop.Milli)
+			So(r.leader(), ShouldEqual, r.groups["b"])
+			So(r.propose("x"), ShouldBeTrue)
+			r.run(400 * loop.Milli)
+			So(r.applied["a"], ShouldResemble, []string{"x"})
+		}
+	})
+	Convey("also when the others found it later, and the first calls were dropped", t, func() {
+		r := newRig(3, ids...)
+		others := map[string]*Group{"a": r.groups["a"], "c": r.groups["c"]}
+		delete(r.groups, "a")
+		delete(r.groups, "c")
+		r.groups["b"].Stand(r.now)
+		r.run(230 * loop.Milli)
+		So(r.leader(), ShouldBeNil)
+		r.groups["c"] = others["c"]
+		r.run(callRest + 20*loop.Milli)
+		So(r.leader(), ShouldEqual, r.groups["b"])
+		So(r.groups["b"].Term(), ShouldEqual, 1)
+	})
+	Convey("or votes are lost; at last it goes on as ever", t, func() {
+		for seed := uint64(1); seed <= 20; seed++ {
+			r := newRig(seed, ids...)
+			r.loss = 0.5
+			r.groups["b"].Stand(r.now)
+			r.run(600 * loop.Milli)
+			r.loss = 0
+			r.run(4 * loop.Second)
+			So(r.leader(), ShouldNotBeNil)
+		}
+	})
+	Convey("Two that stand at once are no worse than any split vote", t, func() {
+		r := newRig(5, ids...)
+		r.groups["a"].Stand(r.now)
+		r.groups["b"].Stand(r.now)
+		r.run(4 * loop.Second)
+		So(r.leader(), ShouldNotBeNil)
+		leaders := 0
+		for _, g := range r.groups {
+			if g.IsLeader() {
+				leaders++
+			}
+		}
+		So(leaders, ShouldEqual, 1)
+	})
+	Convey("Who has lived through a term, leads, or has no vote doesn't stand", t, func() {
+		r := newRig(7, ids...)
+		r.run(3 * loop.Second)
+		term := r.leader().Term()
+		for _, id := range ids {
+			r.groups[id].Stand(r.now)
+		}
+		r.run(2 * loop.Second)
+		So(r.leader().Term(), ShouldEqual, term)
+		stranger := New("g", "x", &vault.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}}, UsualTimes, r.rng, r.now)
+		stranger.Stand(r.now)
+		effects, _ := stranger.Take()
+		So(effects.Changes, ShouldBeEmpty)
+	})
+	Convey("A founder that its leader reached before it had founded becomes a voter, and stays one", t, func() {
+		r := newRig(9, ids...)
+		// c was opened empty, by the leader's first word.
+		r.images["c"] = &vault.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}}
+		r.start("c")
+		r.groups["a"].Stand(r.now)
+		r.run(300 * loop.Milli)
+		So(r.propose("x"), ShouldBeTrue)
+		r.run(300 * loop.Milli)
+		So(r.applied["c"], ShouldResemble, []string{"x"})
+		r.groups["c"].Found(ids)
+		r.collect("c")
+		So(r.groups["c"].Roster().Voters, ShouldResemble, ids)
+		r.start("c")
+		So(r.propose("y"), ShouldBeTrue)
+		r.run(300 * loop.Milli)
+		So(r.groups["c"].Roster().Voters, ShouldResemble, ids)
+		So(r.applied["c"], ShouldResemble, []string{"x", "y"})
+		r.groups["a"].Pass(r.now, "c")
+		r.run(100 * loop.Milli)
+		So(r.leader(), ShouldEqual, r.groups["c"])
+	})
+}
