--- a/cmd/tell/plan.go
+++ b/cmd/tell/plan.go
@@ -22,14 +22,23 @@
 	"sparnotch/schema"
 )
 
-// The sheet: a first line with the generation it was built on, a head, rows.
-const generationMark = "#generation"
+// The sheet: a first line with the generation it was built on, a head, rows. The
+// author's edition stands beside the generation where there is one, to be seen;
+// a sheet is sent back by its generation alone.
+const (
+	generationMark = "#generation"
+	editionMark    = "#edition"
+)
 
 var head = []string{"kind", "name", "key", "value"}
 
 func writeSheet(out io.Writer, plan *schema.Plan) error {
 	w := csv.NewWriter(out)
-	if err := w.Write([]string{generationMark, strconv.FormatUint(plan.Generation, 10), "", ""}); err != nil {
+	first := []string{generationMark, strconv.FormatUint(plan.Generation, 10), "", ""}
+	if plan.Edition > 0 {
+		first[2], first[3] = editionMark, strconv.FormatUint(plan.Edition, 10)
+	}
+	if err := w.Write(first); err != nil {
 		return err
 	}
 	if err := w.Write(head); err != nil {
@@ -49,7 +58,13 @@
 	data = bytes.TrimPrefix(data, []byte("\xef\xbb\xbf"))
 	if trimmed := bytes.TrimSpace(data); len(trimmed) > 0 && trimmed[0] == '{' {
 		sheet := &schema.Sheet{}
-		return sheet, protojson.Unmarshal(trimmed, sheet)
+		err := protojson.Unmarshal(trimmed, sheet)
+		if sheet.Generation != nil {
+			// An edit of what plan-get has shown. Under the edition shown with it, it
+			// would pass for that edition sent again, and nothing of it be taken.
+			sheet.Edition, sheet.BaseEdition, sheet.Document = 0, 0, nil
+		}
+		return sheet, err
 	}
 	reader := csv.NewReader(bytes.NewReader(data))
 	reader.FieldsPerRecord = -1
@@ -132,6 +147,14 @@
 	return plan, status
 }
 
+// numbers are a plan's generation, and its edition if its author has them.
+func numbers(plan *schema.Plan) string {
+	if plan.Edition == 0 {
+		return fmt.Sprintf("generation %d", plan.Generation)
+	}
+	return fmt.Sprintf("generation %d, edition %d", plan.Generation, plan.Edition)
+}
+
 // --- get ---
 
 type planGet struct {
@@ -177,6 +200,10 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
+	if sheet.Edition > 0 {
+		fmt.Printf("good: %d rows, edition %d built on %d, lanes %s\n", len(sheet.Rows), sheet.Edition, sheet.BaseEdition, strings.Join(charter.LaneNames(&schema.Plan{Rows: sheet.Rows}), " "))
+		return status
+	}
 	if sheet.Generation == nil {
 		complain("%s: the line %q is missing: get the sheet with plan-get", set.Arg(0), generationMark)
 		return exitTurnedAway
@@ -214,7 +241,7 @@
 		complain("%v", err)
 		return exitFailed
 	}
-	fmt.Printf("taken: generation %d, %d rows\n", plan.Generation, len(plan.Rows))
+	fmt.Printf("taken: %s, %d rows\n", numbers(plan), len(plan.Rows))
 	return status
 }
 
@@ -237,7 +264,9 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
-	if sheet.Generation == nil || sheet.GetGeneration() != plan.Generation {
+	if sheet.Edition > 0 {
+		fmt.Printf("the sheet is edition %d built on %d, the plan is at %s\n", sheet.Edition, sheet.BaseEdition, numbers(plan))
+	} else if sheet.Generation == nil || sheet.GetGeneration() != plan.Generation {
 		fmt.Printf("the sheet was built on generation %d, the plan is at %d\n", sheet.GetGeneration(), plan.Generation)
 	}
 	if lines := diff(plan.Rows, sheet.Rows); len(lines) > 0 {
@@ -298,7 +327,7 @@
 			complain("%v", err)
 			return exitFailed
 		}
-		fmt.Printf("generation %d, %d rows\n", plan.Generation, len(plan.Rows))
+		fmt.Printf("%s, %d rows\n", numbers(plan), len(plan.Rows))
 		if k > 0 {
 			for _, line := range diff(last.Rows, plan.Rows) {
 				fmt.Println("  " + line)
