Fronts ask anew as soon as somebody leads a lane

An errand or hand-in that met a store without a lane's leader waited 400 to 700 ms to be sent again, and again when that very store had come to lead. While a lane has no known leader the charter is looked at at every tick, and what waits goes out with its answer.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -30,6 +30,7 @@
 	maxParked    = 256
 	storeSpan    = 1200 * loop.Milli // a store unheard for longer is asked only for want of others
 	askSpan      = 250 * loop.Milli  // between looks at the charter
+	newSpan      = 2 * loop.Second   // after a lane lost its leader the charter is looked at more often
 	quietSpan    = 30 * loop.Second  // a client session that rests this long is ended
 	frozenSpan   = 20 * loop.Second  // after a longer pause this front starts afresh
 	freshSpan    = 5 * loop.Second   // a front that saw no charter for so long isn't ready
@@ -129,6 +130,8 @@
 
 type laneClient struct{ lane, client string }
 
+type laneStore struct{ lane, store string }
+
 // Table is the intake's table.
 type Table struct {
 	id         string
@@ -154,8 +157,9 @@
 	laneHas    map[string]int         // unconfirmed by lane
 	asked      map[uint64]*submission // by errand
 	askedAt    loop.Micros
-	redirected map[string]loop.Micros // by lane
-	owed       map[string]bool        // lanes whose redirect waits for the next tick
+	redirected map[string]loop.Micros    // by lane
+	owed       map[string]bool           // lanes whose redirect waits for the next tick
+	denied     map[laneStore]loop.Micros // when a store last said that it doesn't lead a lane
 	last       loop.Micros
 	paces      map[string]*pace
 	wasFresh   bool
@@ -169,7 +173,7 @@
 		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.CharterState{}, values: charter.Read(nil),
 		leaders: map[string]string{}, unled: map[string]loop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
 		errands: map[uint64]*errand{}, polls: map[uint64]PollIn{}, met: map[string]loop.Micros{}, quitting: map[string][]*schema.Session{},
-		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]loop.Micros{}, owed: map[string]bool{},
+		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]loop.Micros{}, owed: map[string]bool{}, denied: map[laneStore]loop.Micros{},
 		paces: map[string]*pace{},
 	}
 }
@@ -191,7 +195,7 @@
 	case Forget:
 		t.forget(body.Errand)
 	case *schema.Applied:
-		t.applied(now, body, out)
+		t.applied(now, mail.From, body, out)
 	case *schema.ErrandReply:
 		t.replied(now, body, out)
 	case *schema.PollReply:
@@ -235,14 +239,24 @@
 	if m.Leaders != nil && m.Version >= t.state.Version {
 		t.heardAt = now
 	}
+	isNews := false
 	for lane, leader := range m.Leaders {
 		if leader != t.leaders[lane] && t.mayLead(now, leader) {
+			isNews = true
 			t.lead(lane, leader)
 			if t.laneHas[lane] > 0 {
 				t.owed[lane] = true
 			}
 		}
 	}
+	if isNews {
+		// What was asked of somebody else needn't wait until it is asked again.
+		for _, each := range t.errands {
+			if leader, isKnown := m.Leaders[each.ask.Group]; isKnown && leader == t.leaders[each.ask.Group] && each.to != leader {
+				each.isOwed = true
+			}
+		}
+	}
 	for _, note := range m.Waits {
 		if note.Lane != "" {
 			t.waits[note.Lane] = note
@@ -265,10 +279,20 @@
 	delete(t.leaders, group)
 	if _, isKnown := t.unled[group]; !isKnown && charter.Place(t.state, group) != nil {
 		t.unled[group] = now
-		t.askedAt = 0 // the charter may know, and is asked at the next tick
 	}
 }
 
+// askRest is how long to wait between two looks at the charter: less while
+// somebody may just have come to lead a lane.
+func (t *Table) askRest(now loop.Micros) loop.Micros {
+	for _, since := range t.unled {
+		if now-since < newSpan {
+			return Pace
+		}
+	}
+	return askSpan
+}
+
 // countUnled starts the clock of lanes that are new here, and forgets it of
 // those that are gone.
 func (t *Table) countUnled(now loop.Micros) {
@@ -585,7 +609,10 @@
 	return all[t.rng.IntN(len(all))]
 }
 
-func (t *Table) applied(now loop.Micros, m *schema.Applied, out loop.Out) {
+func (t *Table) applied(now loop.Micros, from string, m *schema.Applied, out loop.Out) {
+	if len(m.Outcomes) == 0 && from != "" && m.Leader != from {
+		t.denied[laneStore{m.Lane, from}] = now
+	}
 	if len(m.Outcomes) > 0 || t.mayLead(now, m.Leader) {
 		t.lead(m.Lane, m.Leader)
 	} else if len(m.Outcomes) == 0 {
@@ -684,9 +711,11 @@
 }
 
 // elsewhere lists a lane's submissions that were last sent to another than who
-// is now believed to lead it.
+// is now believed to lead it, or to the same before it came to.
 func (t *Table) elsewhere(lane string) []*submission {
-	return t.unconfirmed(lane, func(each *submission) bool { return each.to != t.leaders[lane] })
+	leader := t.leaders[lane]
+	denied, hasDenied := t.denied[laneStore{lane, leader}]
+	return t.unconfirmed(lane, func(each *submission) bool { return each.to != leader || hasDenied && each.sent < denied })
 }
 
 // restart gives up every session: whatever they hold is unknown.
@@ -761,6 +790,8 @@
 		}
 		return
 	}
+	// Whoever said so may come to lead: then it is asked again.
+	each.to = ""
 	t.unlead(now, m.Group)
 }
 
@@ -821,7 +852,7 @@
 	t.last = now
 	if !t.isLocal || t.state.Version == 0 || len(t.leaders) == 0 {
 		t.askCharter(now, out)
-	} else if now-t.askedAt > askSpan {
+	} else if now-t.askedAt >= t.askRest(now) {
 		t.askedAt = now
 		out.Send(t.id, &schema.CharterAsk{Version: t.state.Version})
 	}
@@ -864,6 +895,11 @@
 			delete(t.polls, id)
 		}
 	}
+	for key, at := range t.denied {
+		if now-at > resendSpan {
+			delete(t.denied, key)
+		}
+	}
 	for worker, at := range t.met {
 		if now-at > 10*loop.Second {
 			delete(t.met, worker)
@@ -876,7 +912,7 @@
 }
 
 func (t *Table) askCharter(now loop.Micros, out loop.Out) {
-	if now-t.askedAt < askSpan {
+	if now-t.askedAt < t.askRest(now) {
 		return
 	}
 	t.askedAt = now
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/kin"
 	"sparnotch/loop"
 	"sparnotch/schema"
 )
@@ -421,6 +422,62 @@
 			So(submit.Enqueues[0].Number, ShouldEqual, 3)
 		})
 	})
+	Convey("The charter is looked at more often then, and what was asked goes to whoever leads now", t, func() {
+		d := newDesk()
+		known := func(id string) kin.Known {
+			return kin.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: d.now}
+		}
+		d.step(&kin.Roll{Known: map[string]kin.Known{"b": known("b")}})
+		d.step(Ask{Errand: 1, Kind: "status", Group: "l", Name: "j", Deadline: d.now + 9*loop.Second})
+		errands, looks := 0, 0
+		pass := func() {
+			before := len(d.sent)
+			d.now += Pace
+			d.step(&kin.Roll{Known: map[string]kin.Known{"b": known("b")}})
+			d.step(loop.Tick{})
+			errands, looks = 0, 0
+			for _, each := range d.sent[before:] {
+				switch each.body.(type) {
+				case *schema.Errand:
+					errands++
+					So(each.to, ShouldEqual, "b")
+				case *schema.CharterAsk:
+					looks++
+				}
+			}
+		}
+		pass()
+		// It leads no more and knows nobody.
+		d.step(&schema.ErrandReply{Id: 1, Group: "l"})
+		pass()
+		So(looks, ShouldEqual, 1)
+		pass()
+		So([]int{looks, errands}, ShouldResemble, []int{1, 0})
+		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "b"}})
+		pass()
+		So([]int{looks, errands}, ShouldResemble, []int{0, 1})
+	})
+	Convey("A hand-in that a store turned away before it came to lead is sent there again at once", t, func() {
+		d := newDesk()
+		d.handIn("c", "one")
+		d.now += 5 * loop.Milli
+		d.t.Step(d.now, loop.Mail{From: "a", Body: &schema.Applied{Lane: "l"}}, d)
+		d.now += 100 * loop.Milli
+		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
+		before := len(d.sent)
+		for k := 0; k < 3; k++ {
+			d.now += Pace
+			d.step(loop.Tick{})
+		}
+		count := 0
+		for _, each := range d.sent[before:] {
+			if submit, isSubmit := each.body.(*schema.Submit); isSubmit {
+				So([]string{each.to, submit.Enqueues[0].Name}, ShouldResemble, []string{"a", "one"})
+				count++
+			}
+		}
+		So(count, ShouldEqual, 1)
+	})
 	Convey("A new lane has that long to find a leader, and one that was dropped is forgotten", t, func() {
 		d := newDesk()
 		lanes := func(version uint64, lanes ...string) {
