Founding waits until stores and seeds see the same stores; gossip by beats

Seeds may hold no disk and nobody tells how many stores there are, so each process tells which stores it sees, and a store promises only on a set that all its stores and all seeds have told of. In a system whole books go round each 4 s and when somebody is unknown; else only beats, by way of the stores. crew passes first and losses on.

--- a/crew/crew.go
+++ b/crew/crew.go
@@ -29,6 +29,8 @@
 type Papers struct {
 	Member *schema.Member
 	Seeds  []string
+	First  bool           // the whole system starts for the first time
+	Losses uint32         // stores that may be lost at once; 0: one
 	Store  *vault.Content // nil without a data folder
 	Book   *kin.Book
 	Wall   func() int64
@@ -38,6 +40,10 @@
 
 func (p *Papers) rng(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.Seed, stream)) }
 
+func (p *Papers) terms(isSide bool) kin.Terms {
+	return kin.Terms{Seeds: p.Seeds, First: p.First, Losses: p.Losses, IsSide: isSide}
+}
+
 // Keep makes a front process's tables.
 func Keep(p *Papers) []Berth {
 	var account *schema.Self
@@ -48,7 +54,7 @@
 	}
 	member := p.Member
 	berths := []Berth{
-		{"kin", kin.New(proto.Clone(member).(*schema.Member), p.Seeds, account, p.Book, readers, false, p.rng(1)), kin.Pace},
+		{"kin", kin.New(proto.Clone(member).(*schema.Member), p.terms(false), account, p.Book, readers, p.rng(1)), kin.Pace},
 		{"intake", intake.New(member.Id, member.Boot, p.Store != nil, p.rng(2)), intake.Pace},
 	}
 	if p.Store != nil {
@@ -63,7 +69,7 @@
 // Heed makes a side process's tables.
 func Heed(p *Papers) []Berth {
 	return []Berth{
-		{"kin", kin.New(proto.Clone(p.Member).(*schema.Member), p.Seeds, nil, p.Book, []string{"heed"}, true, p.rng(1)), kin.Pace},
+		{"kin", kin.New(proto.Clone(p.Member).(*schema.Member), p.terms(true), nil, p.Book, []string{"heed"}, p.rng(1)), kin.Pace},
 		{"heed", heed.New(p.Member.Id), heed.Pace},
 	}
 }
--- a/crew/real.go
+++ b/crew/real.go
@@ -83,6 +83,7 @@
 	}
 	papers := &Papers{
 		Member: r.Member, Seeds: options.Seeds, Book: r.book, Wall: r.Clock.Wall, Seed: randomSeed(), Now: r.Clock.Now(),
+		First: options.First, Losses: options.Losses,
 	}
 	if r.store != nil {
 		papers.Store = r.store.Content()
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
@@ -16,14 +15,21 @@
 	"sparnotch/schema"
 )
 
-// Pace is how often a process tells of itself.
+// Pace is how often a process counts its beat and looks at what is due.
 const Pace = 250 * loop.Milli
 
 const (
-	fanout    = 2
 	forgotten = 60 * loop.Second
+	freshSpan = 10 * loop.Second // what wasn't heard of for so long isn't news to anybody
+	hubSpan   = 2 * loop.Second  // a store unheard of for longer is asked only for want of others
+	wholeSpan = 4 * loop.Second  // between two whole books
 	metSpan   = 5 * loop.Second
 	maxMet    = 12
+
+	settleSpan = 700 * loop.Milli // what stores promise on has held so long
+	fewSpan    = 6 * loop.Second  // and so long when there are fewer stores than wished for
+	toldSpan   = 2 * loop.Second  // an older word of a process isn't promised on
+	rushSpan   = 20 * loop.Milli  // between two greetings out of turn
 )
 
 // Book resolves ids to inner addresses for the wires; it is written by the
@@ -74,29 +80,57 @@
 // Charter tells that this process holds a charter, so a system exists.
 type Charter struct{ Version uint64 }
 
+// Terms are the settings the book goes by.
+type Terms struct {
+	Seeds  []string
+	First  bool   // the whole system starts for the first time
+	Losses uint32 // stores that may be lost at once; 0: one
+	IsSide bool   // a side machine, which watches the stores
+}
+
+// founders is how many stores the group is founded with if there are so many.
+func (t Terms) founders() int { return 2*int(max(t.Losses, 1)) + 1 }
+
+// word is the last hello a process sent us itself.
+type word struct {
+	at    loop.Micros
+	hello *schema.Hello
+}
+
 // Table is the book's table.
 type Table struct {
 	self     *schema.Member
-	seeds    []string
+	terms    Terms
 	account  *schema.Self // nil without a data folder
-	asked    *schema.Self
+	asked    *schema.Self // our account as it is being kept
 	book     *Book
 	known    map[string]Known
-	told     map[string]*schema.Hello // last hello heard of each store itself
+	told     map[string]word        // of each process, by id
+	seen     map[string]loop.Micros // ids of the stores heard of, and when last
+	frozen   []string               // the stores told of since we asked for our promise to be kept
 	readers  []string
 	rng      *rand.Rand
 	last     loop.Micros
 	isSystem bool     // a system exists
 	met      []string // addresses known from before this start
 	metAt    loop.Micros
-	isFull   bool // probes every store at each pace: a side machine
+
+	ticks     uint64
+	turn      uint64 // whose turn it is to be asked
+	isWaiting bool   // asked, and nobody has answered yet
+	isNews    bool   // the hubs may not know yet what we know
+	isMissing bool   // a beat was heard of somebody we know nothing else about
+	wholeAt   loop.Micros
+	rushedAt  loop.Micros
+	agreed    string      // what all seem to agree on
+	agreedAt  loop.Micros // and since when
 }
 
 // New makes the table. Readers are the tables that want the roll.
-func New(self *schema.Member, seeds []string, account *schema.Self, book *Book, readers []string, isFull bool, rng *rand.Rand) *Table {
+func New(self *schema.Member, terms Terms, account *schema.Self, book *Book, readers []string, rng *rand.Rand) *Table {
 	t := &Table{
-		self: self, seeds: seeds, account: account, book: book, readers: readers, rng: rng, isFull: isFull,
-		known: map[string]Known{}, told: map[string]*schema.Hello{},
+		self: self, terms: terms, account: account, book: book, readers: readers, rng: rng,
+		known: map[string]Known{}, told: map[string]word{}, seen: map[string]loop.Micros{},
 	}
 	t.isSystem = account != nil && account.Belongs
 	if account != nil {
@@ -115,13 +149,15 @@
 		t.account, t.asked = body.Self, nil
 		t.isSystem = t.isSystem || body.Self.Belongs
 		t.greet(now, out)
+		t.found(now, out)
 	case Charter:
 		t.isSystem = t.isSystem || body.Version > 0
 	case Strain:
 		t.self.StrainUs = int64(body.Worst)
 	case Leaving:
 		t.self.Leaving = true
-		t.greet(now, out)
+		t.self.Beat++
+		t.spread(now, out)
 	}
 }
 
@@ -133,6 +169,8 @@
 			known.Heard += now - t.last
 			t.known[id] = known
 		}
+		clear(t.told)
+		t.agreed = ""
 	}
 	t.last = now
 	for id, known := range t.known {
@@ -141,8 +179,14 @@
 			delete(t.told, id)
 		}
 	}
+	for id, heard := range t.seen {
+		if now-heard > forgotten {
+			delete(t.seen, id)
+		}
+	}
+	t.ticks++
 	t.greet(now, out)
-	t.found(out)
+	t.found(now, out)
 	t.remember(now, out)
 	t.publish(now, out)
 }
@@ -174,19 +218,37 @@
 	out.Tell("keep", KeepSelf{Self: next})
 }
 
-func (t *Table) hello(now loop.Micros, isWhole bool) *schema.Hello {
+// detail is how much of the book a hello carries.
+type detail int
+
+const (
+	alone detail = iota // nothing
+	beats               // what changes while a process lives; who doesn't know one asks
+	whole
+)
+
+func (t *Table) hello(now loop.Micros, much detail) *schema.Hello {
 	hello := &schema.Hello{Self: proto.Clone(t.self).(*schema.Member), Belongs: t.isSystem}
 	if t.account != nil {
-		hello.Empty = !t.account.Belongs
+		hello.Empty = t.isFounder()
 		hello.Promise = t.account.Promise
 	}
-	if isWhole {
-		for _, id := range t.ids() {
-			// What we haven't heard of lately isn't news to anybody.
-			if known := t.known[id]; now-known.Heard < 10*loop.Second {
-				hello.Book = append(hello.Book, known.Member)
-			}
+	if !t.isSystem {
+		hello.Stores = t.stores()
+	}
+	if much == alone {
+		return hello
+	}
+	for _, id := range t.ids() {
+		known := t.known[id]
+		if now-known.Heard >= freshSpan {
+			continue
+		}
+		member := known.Member
+		if much == beats {
+			member = &schema.Member{Id: id, Boot: member.Boot, Beat: member.Beat, Leaving: member.Leaving, StrainUs: member.StrainUs}
 		}
+		hello.Book = append(hello.Book, member)
 	}
 	return hello
 }
@@ -195,72 +257,190 @@
 	return slices.Sorted(maps.Keys(t.known))
 }
 
+// hubs are the other stores, those heard of lately. Everybody asks them in
+// turn, so a beat takes two hops from anybody to anybody.
+func (t *Table) hubs(now loop.Micros) []string {
+	var hubs []string
+	for _, id := range t.ids() {
+		if known := t.known[id]; known.Member.Stores && now-known.Heard < hubSpan {
+			hubs = append(hubs, known.Member.Inner)
+		}
+	}
+	return hubs
+}
+
+func (t *Table) isSeed() bool { return slices.Contains(t.terms.Seeds, t.self.Inner) }
+
+// someSeed is any seed but ourselves.
+func (t *Table) someSeed() string {
+	var others []string
+	for _, seed := range t.terms.Seeds {
+		if seed != t.self.Inner {
+			others = append(others, seed)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[t.rng.IntN(len(others))]
+}
+
 func (t *Table) greet(now loop.Micros, out loop.Out) {
 	t.self.Beat++
-	hello := t.hello(now, true)
+	switch {
+	case len(t.known) == 0:
+		// Seeds are asked all the time until somebody answers. They may all
+		// have been replaced while this machine was away; whom it knew then is
+		// worth a try.
+		hello := t.hello(now, whole)
+		sentTo := map[string]bool{t.self.Inner: true}
+		for _, address := range append(slices.Clone(t.terms.Seeds), t.met...) {
+			if !sentTo[address] {
+				sentTo[address] = true
+				out.Dial(address, hello)
+			}
+		}
+	case t.isSystem:
+		t.tell(now, out)
+	default:
+		t.gather(now, out)
+	}
+}
+
+// gather: before a system exists, seeds and stores all tell each other whom
+// they see; the others ask a seed.
+func (t *Table) gather(now loop.Micros, out loop.Out) {
+	hello := t.hello(now, whole)
+	if t.account == nil && !t.isSeed() {
+		if seed := t.someSeed(); seed != "" {
+			out.Dial(seed, hello)
+		}
+		return
+	}
 	sentTo := map[string]bool{t.self.Inner: true}
-	send := func(address string, body *schema.Hello) {
-		if !sentTo[address] {
-			sentTo[address] = true
-			out.Dial(address, body)
+	for _, seed := range t.terms.Seeds {
+		if !sentTo[seed] {
+			sentTo[seed] = true
+			out.Dial(seed, hello)
 		}
 	}
-	// Seeds are asked all the time until somebody answers, then one in turn:
-	// that is how two halves that met different seeds find each other.
-	if len(t.known) == 0 {
-		// The seeds may all have been replaced while this machine was away;
-		// whom it knew then is worth a try.
-		for _, seed := range append(append([]string(nil), t.seeds...), t.met...) {
-			send(seed, hello)
+	// Whoever is told here tells us too, in its own turn.
+	word := proto.Clone(hello).(*schema.Hello)
+	word.Answer = true
+	for _, id := range t.ids() {
+		if member := t.known[id].Member; member.Stores && !sentTo[member.Inner] {
+			sentTo[member.Inner] = true
+			out.Dial(member.Inner, word)
 		}
-	} else if len(t.seeds) > 0 {
-		send(t.seeds[t.rng.IntN(len(t.seeds))], hello)
-	}
-	ids := t.ids()
-	for k := 0; k < fanout && len(ids) > 0; k++ {
-		send(t.known[ids[t.rng.IntN(len(ids))]].Member.Inner, hello)
-	}
-	small := t.hello(now, false)
-	for _, id := range ids {
-		member := t.known[id].Member
-		isProbed := t.isFull && member.Stores
-		isPeer := t.account != nil && member.Stores && !t.account.Belongs
-		if isProbed || isPeer {
-			send(member.Inner, small)
+	}
+}
+
+// tell: in a system. A store tells all others at each second pace; a side
+// machine asks one store at each pace, the others at each second one. Whoever
+// got no word asks one of all besides, for the stores may be cut off from us
+// and not from others.
+func (t *Table) tell(now loop.Micros, out loop.Out) {
+	hubs := t.hubs(now)
+	if t.isMissing || now-t.wholeAt >= wholeSpan {
+		// A seed in turn: that is how two halves that met different seeds find
+		// each other.
+		t.isMissing, t.wholeAt = false, now
+		if seed := t.someSeed(); seed != "" {
+			out.Dial(seed, t.hello(now, whole))
 		}
 	}
+	isStore, isTurn := t.account != nil, t.ticks%2 == 0
+	if !isTurn && (isStore || !t.terms.IsSide && !t.isWaiting && !t.isNews) {
+		return
+	}
+	much := alone
+	if t.isNews || t.ticks%4 == 0 {
+		much = beats
+	}
+	if t.isWaiting || len(hubs) == 0 {
+		much = beats
+		ids := t.ids()
+		out.Dial(t.known[ids[t.rng.IntN(len(ids))]].Member.Inner, t.hello(now, beats))
+	}
+	if isStore {
+		t.spread(now, out)
+	} else if len(hubs) > 0 {
+		t.turn++
+		out.Dial(hubs[t.turn%uint64(len(hubs))], t.hello(now, much))
+	}
+	t.isWaiting, t.isNews = true, false
+}
+
+// spread tells every store without asking anything.
+func (t *Table) spread(now loop.Micros, out loop.Out) {
+	word := t.hello(now, beats)
+	word.Answer = true
+	for _, hub := range t.hubs(now) {
+		out.Dial(hub, word)
+	}
 }
 
 func (t *Table) hear(now loop.Micros, from string, hello *schema.Hello, out loop.Out) {
 	if hello.Self == nil || hello.Self.Id != from || from == t.self.Id {
 		return
 	}
+	wasSystem, seen := t.isSystem, len(t.seen)
 	t.isSystem = t.isSystem || hello.Belongs
 	t.note(now, hello.Self)
-	if hello.Self.Stores {
-		t.told[from] = hello
-	}
+	t.told[from] = word{at: now, hello: hello}
+	isWhole, isMissing := false, false
 	for _, member := range hello.Book {
-		if member.GetId() != t.self.Id {
-			t.note(now, member)
+		if member.GetId() == t.self.Id {
+			continue
 		}
+		isWhole = isWhole || member.Inner != ""
+		isMissing = !t.note(now, member) || isMissing
 	}
-	if !hello.Answer {
-		answer := t.hello(now, len(hello.Book) > 0)
+	if hello.Answer {
+		t.isWaiting = false
+	} else {
+		// Somebody who asks a process that is no store may reach no other.
+		t.isNews = t.isNews || t.account == nil && t.isSystem
+		much := beats
+		if isWhole || !t.isSystem || !hello.Belongs {
+			much = whole
+		}
+		answer := t.hello(now, much)
 		answer.Answer = true
 		out.Dial(hello.Self.Inner, answer)
 	}
-	t.found(out)
+	if isMissing && now-t.wholeAt >= Pace {
+		t.wholeAt = now
+		out.Dial(hello.Self.Inner, t.hello(now, whole))
+	} else if isMissing {
+		t.isMissing = true
+	}
+	// Founding shouldn't wait for the pace when a store is news.
+	if isNews := len(t.seen) != seen || t.isSystem != wasSystem; isNews && now-t.rushedAt >= rushSpan {
+		t.rushedAt = now
+		t.greet(now, out)
+	}
+	t.found(now, out)
 }
 
-func (t *Table) note(now loop.Micros, member *schema.Member) {
-	if member.GetId() == "" || member.Inner == "" {
-		return
+// note takes in what is told of a member; false if it is a mere beat of one
+// whom we don't know.
+func (t *Table) note(now loop.Micros, member *schema.Member) bool {
+	if member.GetId() == "" {
+		return true
 	}
 	old, isKnown := t.known[member.Id]
 	isNews := !isKnown || member.Boot > old.Member.Boot || member.Boot == old.Member.Boot && member.Beat > old.Member.Beat
 	if !isNews {
-		return
+		return true
+	}
+	if member.Inner == "" {
+		if !isKnown || member.Boot != old.Member.Boot {
+			return false
+		}
+		next := proto.Clone(old.Member).(*schema.Member)
+		next.Beat, next.Leaving, next.StrainUs = member.Beat, member.Leaving, member.StrainUs
+		member = next
 	}
 	// An address belongs to whoever was heard there last.
 	if !isKnown || old.Member.Inner != member.Inner {
@@ -272,6 +452,10 @@
 		}
 	}
 	t.known[member.Id] = Known{Member: member, Heard: now}
+	if member.Stores {
+		t.seen[member.Id] = now
+	}
+	return true
 }
 
 func (t *Table) publish(now loop.Micros, out loop.Out) {
@@ -287,58 +471,3 @@
 		out.Tell(reader, roll)
 	}
 }
-
-// found: three empty stores, which are each other's seeds, promise the same
-// three ids, durably; when all have told the same promise the group exists. One
-// that has promised never promises another, so no second system can come about.
-func (t *Table) found(out loop.Out) {
-	if t.account == nil || t.account.Belongs || t.asked != nil {
-		return
-	}
-	if len(t.account.Promise) == 0 {
-		t.promise(out)
-		return
-	}
-	for _, id := range t.account.Promise {
-		if id == t.self.Id {
-			continue
-		}
-		told := t.told[id]
-		if told == nil || !slices.Equal(told.Promise, t.account.Promise) {
-			return
-		}
-	}
-	next := proto.Clone(t.account).(*schema.Self)
-	next.Belongs = true
-	t.asked = next
-	out.Tell("keep", KeepSelf{Self: next, Found: next.Promise})
-}
-
-func (t *Table) promise(out loop.Out) {
-	if t.isSystem || !slices.Contains(t.seeds, t.self.Inner) {
-		return
-	}
-	set := []string{t.self.Id}
-	for id, told := range t.told {
-		if !slices.Contains(t.seeds, told.Self.Inner) {
-			continue
-		}
-		if !told.Empty || told.Belongs {
-			return
-		}
-		set = append(set, id)
-	}
-	sort.Strings(set)
-	if len(set) != 3 {
-		return
-	}
-	for _, told := range t.told {
-		if len(told.Promise) > 0 && !slices.Equal(told.Promise, set) {
-			return
-		}
-	}
-	next := proto.Clone(t.account).(*schema.Self)
-	next.Promise = set
-	t.asked = next
-	out.Tell("keep", KeepSelf{Self: next})
-}
