Wires drop what is stale and write what waits in one go; a hangup kills nobody

A frozen or cut-off peer got a flood of old messages, each with a system call of its own; a silent one held its connection. One to three seeds, first, losses and bounds are read and checked.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -78,6 +78,8 @@
 		fmt.Println("settings are good")
 		return subcommands.ExitSuccess
 	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	log, ring := trace.New(loaded.Trace)
 	// A crash writes the ring out before it takes the process down.
 	defer func() {
@@ -86,7 +88,7 @@
 			os.Exit(int(ExitFailed))
 		}
 	}()
-	if err := serve(loaded, r.role, log, ring); err != nil {
+	if err := serve(loaded, r.role, signals, log, ring); err != nil {
 		log.Error("failed", zap.Error(err))
 		fmt.Fprintf(os.Stderr, "%s: %v\n", r.name, err)
 		return ExitFailed
@@ -94,9 +96,7 @@
 	return subcommands.ExitSuccess
 }
 
-func serve(loaded *schema.Options, role schema.Role, log *zap.Logger, ring *trace.Ring) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+func serve(loaded *schema.Options, role schema.Role, signals chan os.Signal, log *zap.Logger, ring *trace.Ring) error {
 	real, err := crew.Start(loaded, role, log)
 	if err != nil {
 		return err
@@ -113,26 +113,46 @@
 			// once, as if killed, and finds out on its next start.
 			return err
 		case got := <-signals:
-			if got == syscall.SIGUSR1 {
-				ring.Spill()
+			if !isWarning(got, log, ring.Spill) {
 				continue
 			}
 			log.Info("warned", zap.String("signal", got.String()))
-			return leave(real, server, loaded, signals, log)
+			return leave(real, server, loaded, signals, log, ring)
 		}
 	}
 }
 
+// isWarning tells whether a signal asks us to leave; the others are seen to.
+func isWarning(got os.Signal, log *zap.Logger, spill func() error) bool {
+	switch got {
+	case syscall.SIGUSR1:
+		if err := spill(); err != nil {
+			log.Warn("the log couldn't be written out", zap.Error(err))
+		}
+		return false
+	case syscall.SIGHUP:
+		// Many a supervisor sends it, and it mustn't end us.
+		log.Info("taken; the settings are read again at the next start", zap.String("signal", got.String()))
+		return false
+	}
+	return true
+}
+
 // leave: not ready at once, keepers passed on, open errands finished, and out
 // within the limit. A second signal ends it at once.
-func leave(real *crew.Real, server *front.Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger) error {
+func leave(real *crew.Real, server *front.Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger, ring *trace.Ring) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.WarnUs)*time.Microsecond)
 	defer cancel()
 	go func() {
-		select {
-		case <-signals:
-			cancel()
-		case <-ctx.Done():
+		for {
+			select {
+			case got := <-signals:
+				if isWarning(got, log, ring.Spill) {
+					cancel()
+				}
+			case <-ctx.Done():
+				return
+			}
 		}
 	}()
 	real.Warn()
--- a/kin/found.go
+++ b/kin/found.go
@@ -50,12 +50,16 @@
 }
 
 // isFounder tells whether this store may found: it is empty, and was told that
-// all begins now. Without that word three stores that are each other's seeds
-// begin.
+// all begins now.
 func (t *Table) isFounder() bool {
-	return t.account != nil && !t.account.Belongs && (t.terms.First || t.isSeed())
+	return t.account != nil && !t.account.Belongs && (t.terms.First || t.isUntold() && t.isSeed())
 }
 
+// isUntold: settings that say neither which start is the first nor what may be
+// lost leave it to the stores that are each other's seeds. Settings that do say
+// so mean it: a store that comes back empty to a seed's address never founds.
+func (t *Table) isUntold() bool { return !t.terms.First && t.terms.Losses == 0 }
+
 func (t *Table) found(now loop.Micros, out loop.Out) {
 	if t.account == nil || t.account.Belongs || t.asked != nil {
 		return
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -90,6 +90,17 @@
 	}
 }
 
+// Take takes an item out if one is there.
+func (r *Ring[T]) Take() (T, bool) {
+	select {
+	case item := <-r.items:
+		return item, true
+	default:
+		var none T
+		return none, false
+	}
+}
+
 func (r *Ring[T]) Lost() uint64 { return r.lost.Load() }
 
 // Drain is the select loop, written once: it hands each item to `handle`, and
--- a/options/options.go
+++ b/options/options.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"regexp"
@@ -25,6 +26,7 @@
 type Flags struct {
 	file  string
 	seeds string
+	loss  uint
 	given schema.Options
 }
 
@@ -34,12 +36,14 @@
 	set.StringVar(&f.given.Cell, "cell", "", "cell (zone) this machine stands in")
 	set.StringVar(&f.given.Inner, "inner", "", "IP:port for the system's own processes")
 	set.StringVar(&f.given.Outer, "outer", "", "IP:port for HTTP")
-	set.StringVar(&f.seeds, "seeds", "", "three inner addresses, joined by commas")
+	set.StringVar(&f.seeds, "seeds", "", "one to three inner addresses, joined by commas; our own may be among them")
 	set.StringVar(&f.given.Trace, "trace", "", "file the log is written to when something goes wrong (default: standard error)")
 	set.Int64Var(&f.given.WarnUs, "warn_us", 0, "longest time to leave after a warning, in microseconds (default 10000000)")
 	set.StringVar(&f.given.TestCuts, "test_cuts", "", "for tests: file of inner addresses that nothing is sent to")
 	if hasData {
 		set.StringVar(&f.given.Data, "data", "", "data folder; without one nothing durable is held here")
+		set.BoolVar(&f.given.First, "first", false, "the whole system starts for the first time: this store may help found it")
+		set.UintVar(&f.loss, "losses", 0, "stores that may be lost at once (default one)")
 		set.Int64Var(&f.given.TestSyncUs, "test_sync_us", 0, "for tests: a sync takes at least this long")
 	}
 }
@@ -76,6 +80,10 @@
 			loaded.WarnUs = f.given.WarnUs
 		case "data":
 			loaded.Data = f.given.Data
+		case "first":
+			loaded.First = f.given.First
+		case "losses":
+			loaded.Losses = uint32(min(f.loss, math.MaxUint32))
 		case "test_sync_us":
 			loaded.TestSyncUs = f.given.TestSyncUs
 		case "test_cuts":
@@ -90,6 +98,9 @@
 
 var cellForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
+// maxLosses: a group of nineteen stores withstands nine; more only cost.
+const maxLosses = 9
+
 // Check names the first setting that can't be taken.
 func Check(o *schema.Options) error {
 	if !cellForm.MatchString(o.Cell) {
@@ -103,8 +114,8 @@
 	if o.Inner == o.Outer {
 		return Bad.New("outer: is the same as inner (%s)", o.Inner)
 	}
-	if len(o.Seeds) != 3 {
-		return Bad.New("seeds: three addresses are needed, %d are given", len(o.Seeds))
+	if len(o.Seeds) < 1 || len(o.Seeds) > 3 {
+		return Bad.New("seeds: one to three addresses are needed, %d are given", len(o.Seeds))
 	}
 	seen := map[string]bool{}
 	for k, seed := range o.Seeds {
@@ -122,6 +133,22 @@
 	if o.TestSyncUs < 0 || o.TestSyncUs > 60_000_000 {
 		return Bad.New("test_sync_us: must lie between 0 and 60000000")
 	}
+	if o.Losses > maxLosses {
+		return Bad.New("losses: must be at most %d", maxLosses)
+	}
+	return checkBounds(o.Bounds)
+}
+
+// checkBounds names the first bound that is negative.
+func checkBounds(bounds *schema.Bounds) error {
+	reflected := bounds.ProtoReflect()
+	fields := reflected.Descriptor().Fields()
+	for k := range fields.Len() {
+		field := fields.Get(k)
+		if value := reflected.Get(field).Int(); value < 0 {
+			return Bad.New("bounds.%s: %d is negative", field.Name(), value)
+		}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/options/options_test.go
@@ -0,0 +1,71 @@
+package options
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/schema"
+)
+
+func load(args ...string) (*schema.Options, error) {
+	var flags Flags
+	set := flag.NewFlagSet("test", flag.ContinueOnError)
+	flags.Register(set, true)
+	So(set.Parse(args), ShouldBeNil)
+	return flags.Load(set)
+}
+
+func TestOptions(t *testing.T) {
+	good := []string{"-cell", "c1", "-inner", "127.0.0.1:7001", "-outer", "127.0.0.1:8001", "-seeds", "127.0.0.1:7001,127.0.0.2:7001,127.0.0.3:7001"}
+	Convey("Flags win over the file, and both know who is first and what may be lost", t, func() {
+		file := filepath.Join(t.TempDir(), "options.json")
+		So(os.WriteFile(file, []byte(`{"first":true,"losses":2,"bounds":{"gatherUs":"5000","beat_us":7}}`), 0o600), ShouldBeNil)
+		loaded, err := load(append(good, "-options", file)...)
+		So(err, ShouldBeNil)
+		So(loaded.First, ShouldBeTrue)
+		So(loaded.Losses, ShouldEqual, 2)
+		So(loaded.Bounds.GatherUs, ShouldEqual, 5000)
+		So(loaded.Bounds.BeatUs, ShouldEqual, 7)
+		loaded, err = load(append(good, "-options", file, "-first=false", "-losses", "1")...)
+		So(err, ShouldBeNil)
+		So(loaded.First, ShouldBeFalse)
+		So(loaded.Losses, ShouldEqual, 1)
+	})
+	Convey("What can't be taken is named", t, func() {
+		base, err := load(good...)
+		So(err, ShouldBeNil)
+		for _, each := range []struct {
+			change func(o *schema.Options)
+			named  string // empty: can be taken
+		}{
+			{func(o *schema.Options) {}, ""},
+			{func(o *schema.Options) { o.Seeds = o.Seeds[:1] }, ""},
+			{func(o *schema.Options) { o.Seeds = o.Seeds[1:] }, ""},
+			{func(o *schema.Options) { o.Seeds = nil }, "seeds: one to three"},
+			{func(o *schema.Options) { o.Seeds = append(o.Seeds, "127.0.0.4:7001") }, "seeds: one to three"},
+			{func(o *schema.Options) { o.Seeds = []string{"127.0.0.1:7001", "nowhere"} }, "seeds[1]"},
+			{func(o *schema.Options) { o.Seeds = []string{"127.0.0.1:7001", "127.0.0.1:7001"} }, "seeds[1]"},
+			{func(o *schema.Options) { o.Losses = 9 }, ""},
+			{func(o *schema.Options) { o.Losses = 10 }, "losses"},
+			{func(o *schema.Options) { o.Bounds = &schema.Bounds{} }, ""},
+			{func(o *schema.Options) { o.Bounds = &schema.Bounds{HoldMostUs: 1, DrainUs: 2} }, ""},
+			{func(o *schema.Options) { o.Bounds = &schema.Bounds{HoldMostUs: -1} }, "bounds.hold_most_us"},
+			{func(o *schema.Options) { o.Bounds = &schema.Bounds{DrainUs: -1} }, "bounds.drain_us"},
+		} {
+			o := proto.Clone(base).(*schema.Options)
+			each.change(o)
+			err := Check(o)
+			if each.named == "" {
+				So(err, ShouldBeNil)
+				continue
+			}
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, each.named)
+		}
+	})
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -12,9 +12,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/sys/unix"
 
 	"sparnotch/loop"
 	"sparnotch/schema"
@@ -37,6 +39,10 @@
 	ringSize   = 2048
 	dialSpan   = time.Second
 	writeSpan  = 2 * time.Second
+	staleSpan  = 2 * time.Second // what has waited longer is resent by whoever still needs it
+	ackSpan    = 3 * time.Second // a peer that acknowledges nothing for so long is gone
+	batchMost  = 256             // messages written in one go
+	bufferSize = 16 << 10
 	quietSpan  = 20 * time.Second // a wire unused this long is closed by its sender
 	deafSpan   = 60 * time.Second // and later by its receiver
 )
@@ -52,9 +58,16 @@
 	}
 }
 
-// Counts says what the wires have carried.
+// Counts says what the wires have carried. Writes are system calls, each of
+// which may carry several messages; Lost counts also what was given up as stale.
 type Counts struct {
-	Sent, Received, Bytes, Lost, Dials, Garbage uint64
+	Sent, Received, Bytes, Writes, Lost, Dials, Garbage uint64
+}
+
+// queued is a message that waits for its wire.
+type queued struct {
+	envelope Envelope
+	at       time.Time
 }
 
 // Net is a process's wires.
@@ -64,24 +77,26 @@
 	// IsCut, where a test asks for it, tells that nothing may go to an address.
 	IsCut func(address string) bool
 
+	now      func() time.Time
 	ctx      context.Context
 	stop     context.CancelFunc
 	listener net.Listener
 	mu       sync.Mutex
-	wires    map[string]*loop.Ring[Envelope]
+	wires    map[string]*loop.Ring[queued]
 	inbound  map[net.Conn]bool
 	running  sync.WaitGroup
 
-	sent, received, bytes, lost, dials, garbage atomic.Uint64
+	sent, received, bytes, writes, lost, dials, garbage atomic.Uint64
 }
 
 // Listen opens the inner port. Every message that comes in goes to deliver.
 func Listen(self, address string, deliver func(from string, body any)) (*Net, error) {
-	listener, err := net.Listen("tcp", address)
+	listening := net.ListenConfig{KeepAliveConfig: probes}
+	listener, err := listening.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "inner address")
 	}
-	n := &Net{self: self, deliver: deliver, listener: listener, wires: map[string]*loop.Ring[Envelope]{}, inbound: map[net.Conn]bool{}}
+	n := &Net{self: self, deliver: deliver, listener: listener, now: time.Now, wires: map[string]*loop.Ring[queued]{}, inbound: map[net.Conn]bool{}}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.running.Add(1)
 	go n.accept()
@@ -91,7 +106,7 @@
 func (n *Net) Address() string { return n.listener.Addr().String() }
 
 func (n *Net) Counts() Counts {
-	return Counts{n.sent.Load(), n.received.Load(), n.bytes.Load(), n.lost.Load(), n.dials.Load(), n.garbage.Load()}
+	return Counts{n.sent.Load(), n.received.Load(), n.bytes.Load(), n.writes.Load(), n.lost.Load(), n.dials.Load(), n.garbage.Load()}
 }
 
 // Close ends every wire.
@@ -115,17 +130,30 @@
 	n.mu.Lock()
 	ring := n.wires[address]
 	if ring == nil {
-		ring = loop.NewRing[Envelope](ringSize)
+		ring = loop.NewRing[queued](ringSize)
 		n.wires[address] = ring
 		n.running.Add(1)
 		go n.carry(address, ring)
 	}
 	n.mu.Unlock()
-	if !ring.Offer(Envelope{From: n.self, Body: body}) {
+	if !ring.Offer(queued{Envelope{From: n.self, Body: body}, n.now()}) {
 		n.lost.Add(1)
 	}
 }
 
+// probes: a machine without power or behind a cut says nothing, so it is asked.
+var probes = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
+// tune has the kernel give a connection up when what was sent stays
+// unacknowledged (tcp(7), TCP_USER_TIMEOUT). A kernel that won't only makes us
+// slower to notice.
+func tune(_, _ string, raw syscall.RawConn) error {
+	_ = raw.Control(func(handle uintptr) {
+		_ = unix.SetsockoptInt(int(handle), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackSpan.Milliseconds()))
+	})
+	return nil
+}
+
 // outgoing is one wire's sending side.
 type outgoing struct {
 	conn    net.Conn
@@ -135,25 +163,52 @@
 	failed  time.Time
 }
 
-func (n *Net) carry(address string, ring *loop.Ring[Envelope]) {
+func (n *Net) carry(address string, ring *loop.Ring[queued]) {
 	defer n.running.Done()
 	out := &outgoing{}
 	defer out.close()
-	send := func(envelope Envelope) {
-		if n.IsCut != nil && n.IsCut(address) {
-			out.close()
+	buffered := uint64(0)
+	fail := func() {
+		out.close()
+		n.lost.Add(buffered)
+		buffered = 0
+	}
+	put := func(item queued) {
+		buffered++
+		switch {
+		case n.IsCut != nil && n.IsCut(address):
+			fail()
+		case n.now().Sub(item.at) > staleSpan:
+			// A peer that was away isn't flooded with what is long past.
+			buffered--
 			n.lost.Add(1)
+		default:
+			if err := n.write(out, address, item.envelope); err != nil {
+				fail()
+			}
+		}
+	}
+	// Whatever waits is written in one go; nothing waits for more to come.
+	ring.Drain(n.ctx, loop.Second, func(item queued) {
+		put(item)
+		for k := 1; k < batchMost; k++ {
+			next, isThere := ring.Take()
+			if !isThere {
+				break
+			}
+			put(next)
+		}
+		if buffered == 0 {
 			return
 		}
-		if err := n.write(out, address, envelope); err != nil {
-			out.close()
-			n.lost.Add(1)
+		if err := out.writer.Flush(); err != nil {
+			fail()
+			return
 		}
-	}
-	// Flushing on the pace would delay what matters; each message is flushed,
-	// and the kernel joins what is written in a row.
-	ring.Drain(n.ctx, loop.Second, send, func() {
-		if out.conn != nil && time.Since(out.used) > quietSpan {
+		n.sent.Add(buffered)
+		buffered = 0
+	}, func() {
+		if out.conn != nil && n.now().Sub(out.used) > quietSpan {
 			out.close()
 		}
 	})
@@ -169,44 +224,41 @@
 func (n *Net) write(out *outgoing, address string, envelope Envelope) error {
 	if out.conn == nil {
 		// A process that is gone must not cost a dial for each message.
-		if time.Since(out.failed) < 100*time.Millisecond {
+		if n.now().Sub(out.failed) < 100*time.Millisecond {
 			return Closed.New("%s failed a moment ago", address)
 		}
 		n.dials.Add(1)
-		dialer := net.Dialer{Timeout: dialSpan}
+		dialer := net.Dialer{Timeout: dialSpan, KeepAliveConfig: probes, Control: tune}
 		conn, err := dialer.DialContext(n.ctx, "tcp", address)
 		if err != nil {
-			out.failed = time.Now()
+			out.failed = n.now()
 			return Closed.Wrap(err, "dialling")
 		}
-		out.conn, out.writer = conn, bufio.NewWriter(&countingWriter{conn, &n.bytes})
+		out.conn, out.writer = conn, bufio.NewWriterSize(&countingWriter{conn, &n.bytes, &n.writes}, bufferSize)
 		out.encoder = gob.NewEncoder(out.writer)
 		if _, err := out.writer.WriteString(preamble); err != nil {
 			return Closed.Wrap(err, "writing")
 		}
 	}
-	out.used = time.Now()
-	if err := out.conn.SetWriteDeadline(out.used.Add(writeSpan)); err != nil {
+	out.used = n.now()
+	if err := out.conn.SetWriteDeadline(time.Now().Add(writeSpan)); err != nil {
 		return Closed.Wrap(err, "writing")
 	}
 	if err := out.encoder.Encode(&envelope); err != nil {
 		return Closed.Wrap(err, "writing")
 	}
-	if err := out.writer.Flush(); err != nil {
-		return Closed.Wrap(err, "writing")
-	}
-	n.sent.Add(1)
 	return nil
 }
 
 type countingWriter struct {
 	io.Writer
-	count *atomic.Uint64
+	bytes, writes *atomic.Uint64
 }
 
 func (c *countingWriter) Write(data []byte) (int, error) {
 	written, err := c.Writer.Write(data)
-	c.count.Add(uint64(written))
+	c.bytes.Add(uint64(written))
+	c.writes.Add(1)
 	return written, err
 }
 
@@ -280,7 +332,9 @@
 		conn.SetReadDeadline(time.Now().Add(deafSpan))
 		var envelope Envelope
 		if err := decoder.Decode(&envelope); err != nil {
-			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+			// A wire that broke or went quiet says nothing of what it carried.
+			var broken *net.OpError
+			if !errors.Is(err, io.EOF) && !errors.As(err, &broken) {
 				n.garbage.Add(1)
 			}
 			return
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"sparnotch/schema"
 )
@@ -106,3 +107,73 @@
 		So(next(atB).body.(*schema.Urge).Group, ShouldEqual, "whole")
 	})
 }
+
+func TestHangingPeers(t *testing.T) {
+	Convey("A peer that doesn't read holds nobody up", t, func() {
+		a, _ := open("a")
+		b, atB := open("b")
+		deaf, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		Reset(func() { deaf.Close(); a.Close(); b.Close() })
+		large := &schema.Append{Records: []*schema.Record{{Data: make([]byte, 1<<20)}}}
+		for range 2 * ringSize {
+			a.Send(deaf.Addr().String(), large)
+		}
+		So(a.Counts().Lost, ShouldBeGreaterThan, 0)
+		a.Send(b.Address(), &schema.Urge{Group: "g"})
+		So(next(atB).from, ShouldEqual, "a")
+	})
+	Convey("What waits goes out in one write, and what waited too long not at all", t, func() {
+		a, _ := open("a")
+		b, atB := open("b")
+		start := time.Now()
+		var later atomic.Int64
+		a.now = func() time.Time { return start.Add(time.Duration(later.Load())) }
+		entered, release := make(chan bool), make(chan bool)
+		var isHeld atomic.Bool
+		isHeld.Store(true)
+		a.IsCut = func(string) bool {
+			if isHeld.CompareAndSwap(true, false) {
+				entered <- true
+				<-release
+			}
+			return false
+		}
+		Reset(func() { a.Close(); b.Close() })
+		a.Send(b.Address(), &schema.Urge{Group: "held"})
+		<-entered
+		for range 5 {
+			a.Send(b.Address(), &schema.Urge{Group: "stale"})
+		}
+		later.Store(int64(staleSpan + time.Millisecond))
+		for range 50 {
+			a.Send(b.Address(), &schema.Urge{Group: "fresh"})
+		}
+		close(release)
+		for range 50 {
+			So(next(atB).body.(*schema.Urge).Group, ShouldEqual, "fresh")
+		}
+		// What is counted after the write may come after what arrived.
+		for a.Counts().Sent < 50 {
+			runtime.Gosched()
+		}
+		So(a.Counts().Lost, ShouldEqual, 6)
+		So(a.Counts().Writes, ShouldEqual, 1)
+	})
+	Convey("A connection whose peer acknowledges nothing is given up", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		Reset(func() { listener.Close() })
+		conn, err := (&net.Dialer{Control: tune}).Dial("tcp", listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		raw, err := conn.(*net.TCPConn).SyscallConn()
+		So(err, ShouldBeNil)
+		var span int
+		So(raw.Control(func(handle uintptr) {
+			span, err = unix.GetsockoptInt(int(handle), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		}), ShouldBeNil)
+		So(err, ShouldBeNil)
+		So(span, ShouldEqual, 3000)
+	})
+}
