--- a/duty/duty.go
+++ b/duty/duty.go
@@ -97,6 +97,8 @@
 // Serve runs a process until it fails or has left after a warning; name stands
 // before what goes to standard error. The hands carry calls of a worker.
 func Serve(name string, loaded *schema.Options, role schema.Role, open Opening, hands ...agent.Caller) subcommands.ExitStatus {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	log, ring := trace.New(loaded.Trace)
 	// A crash writes the ring out before it takes the process down.
 	defer func() {
@@ -105,7 +107,7 @@
 			os.Exit(int(ExitFailed))
 		}
 	}()
-	if err := serve(loaded, role, log, ring, open, hands); err != nil {
+	if err := serve(loaded, role, signals, log, ring, open, hands); err != nil {
 		log.Error("failed", zap.Error(err))
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return ExitFailed
@@ -113,9 +115,7 @@
 	return subcommands.ExitSuccess
 }
 
-func serve(loaded *schema.Options, role schema.Role, log *zap.Logger, ring *trace.Ring, open Opening, hands []agent.Caller) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+func serve(loaded *schema.Options, role schema.Role, signals chan os.Signal, log *zap.Logger, ring *trace.Ring, open Opening, hands []agent.Caller) error {
 	real, err := crew.Start(loaded, role, log, hands...)
 	if err != nil {
 		return err
@@ -132,26 +132,46 @@
 			// once, as if killed, and finds out on its next start.
 			return err
 		case got := <-signals:
-			if got == syscall.SIGUSR1 {
-				ring.Spill()
+			if !isWarning(got, log, ring.Spill) {
 				continue
 			}
 			log.Info("warned", zap.String("signal", got.String()))
-			return leave(real, server, loaded, signals, log)
+			return leave(real, server, loaded, signals, log, ring)
 		}
 	}
 }
 
+// isWarning tells whether a signal asks us to leave; the others are seen to.
+func isWarning(got os.Signal, log *zap.Logger, spill func() error) bool {
+	switch got {
+	case syscall.SIGUSR1:
+		if err := spill(); err != nil {
+			log.Warn("the log couldn't be written out", zap.Error(err))
+		}
+		return false
+	case syscall.SIGHUP:
+		// Many a supervisor sends it, and it mustn't end us.
+		log.Info("taken; the settings are read again at the next start", zap.String("signal", got.String()))
+		return false
+	}
+	return true
+}
+
 // leave: not ready at once, keepers passed on, open errands finished, and out
 // within the limit. A second signal ends it at once.
-func leave(real *crew.Real, server Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger) error {
+func leave(real *crew.Real, server Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger, ring *trace.Ring) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.WarnUs)*time.Microsecond)
 	defer cancel()
 	go func() {
-		select {
-		case <-signals:
-			cancel()
-		case <-ctx.Done():
+		for {
+			select {
+			case got := <-signals:
+				if isWarning(got, log, ring.Spill) {
+					cancel()
+				}
+			case <-ctx.Done():
+				return
+			}
 		}
 	}()
 	real.Warn()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -54,8 +54,6 @@
 	Digest   []byte
 	Job      *schema.Job
 	Deadline loop.Micros
-	Host     string // with Path, which lane is meant, where Lane is empty
-	Path     string
 }
 
 // Ask is any other errand that a group's leader answers. Where no group is
@@ -71,8 +69,6 @@
 	Most     uint32
 	Body     []byte
 	Deadline loop.Micros
-	Host     string // with Path, which lane is meant, where Group is empty
-	Path     string
 }
 
 // PollIn is a worker's announce.
