An agent owns the worker that is called: its life, inventory and orders

The users' workers take calls instead of sending announces, so a table on the side machine speaks for its worker: it announces to the ward's placer and turns the difference into starts, stops and looks. Processes without a caller have no such table.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,363 @@
+package agent
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"sparnotch/charter"
+	"sparnotch/keep"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// Pace is the tick of the table.
+const Pace = 20 * loop.Milli
+
+const (
+	meetSpan    = 500 * loop.Milli // between two words to the charter of a worker it doesn't know
+	pollSpan    = 700 * loop.Milli // an announce not answered by then is sent anew
+	waitSpan    = 400 * loop.Milli // how long an answer may be held back
+	refusedSpan = 100 * loop.Milli // an announce turned away is sent again after this
+	hurrySpan   = 10 * loop.Milli  // between two announces of changes at least
+	idleSpan    = 50 * loop.Milli  // rest after an early answer that said nothing new
+	staleSpan   = loop.Second      // orders asked for longer ago are not obeyed
+	frozenSpan  = loop.Second      // after a longer pause the worker is looked at first
+	retrySpan   = 100 * loop.Milli // first rest after a failed look or stop
+	restMost    = 400 * loop.Milli // and the longest
+	startSpan   = 900 * loop.Milli // a start is tried for so long
+	againSpan   = 50 * loop.Milli  // between two tries of it, at least
+	lateSpan    = 50 * loop.Milli  // no start when the licence ends sooner
+	youngSpan   = 10 * loop.Second // calls of this process's forerunner may still be carried out
+	callSpan    = 3 * loop.Second  // a call whose reply never came was silent
+	lookSpan    = loop.Second      // how long a look waits while something runs
+	quietSpan   = 2 * loop.Second  // and while nothing does
+	listSpan    = 300 * loop.Milli // a worker that has seen a higher fence is left alone for so long
+	goneSpan    = 10 * loop.Second // the ends of a worker that has departed are told for so long
+	stopUsual   = 2 * loop.Second
+	holdUsual   = 4 * loop.Second // a licence, until one is heard of
+	listMost    = 500             // ends in one look
+	deadMost    = 16              // former lives remembered
+	refusedMost = 8               // announces turned away in a row before their number leaps
+	refusedLeap = 1 << 32
+)
+
+// runKey names one start of a task.
+type runKey struct {
+	task    TaskName
+	attempt uint32
+}
+
+func compareKeys(a, b runKey) int {
+	return cmp.Or(
+		cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Round, b.task.Round), cmp.Compare(a.task.Part, b.task.Part),
+		cmp.Compare(a.task.Task, b.task.Task), cmp.Compare(a.attempt, b.attempt),
+	)
+}
+
+func sortedKeys[V any](set map[runKey]V) []runKey { return slices.SortedFunc(maps.Keys(set), compareKeys) }
+
+// standing is what is known of a run.
+type standing int
+
+const (
+	starting standing = iota + 1 // ordered; no answer yet
+	running                      // by the worker's own word
+	stopping                     // a stop is to be answered
+	deciding                     // it can't begin any more: a look tells whether it ever did
+)
+
+type run struct {
+	key       runKey
+	standing  standing
+	text      string
+	saved     string // as a start carries it, then as the worker tells
+	percent   int64
+	cores     int64
+	memory    int64
+	began     loop.Micros // when we first heard of it
+	fence     uint64      // of the newest try to start it
+	first     loop.Micros // first try to start it
+	call      uint64      // that is open
+	tries     int
+	retryAt   loop.Micros
+	touched   uint64 // number of the last call, or reply, about it
+	stoppedAt loop.Micros
+	isCounted bool // takes room, as far as we know
+	isSeen    bool // the worker has told that it runs
+	isUnsure  bool // a start may yet be carried out
+	isStopped bool // a stop was answered
+}
+
+// end is one that the placer hasn't noted.
+type end struct {
+	number  uint64 // 0: the worker never listed it
+	note    *schema.TaskNote
+	isNoted bool
+}
+
+// pending is a call whose reply is awaited.
+type pending struct {
+	act   Act
+	key   runKey
+	sent  loop.Micros
+	fence uint64
+	wait  loop.Micros
+}
+
+type poll struct {
+	seq    uint64
+	sent   loop.Micros
+	placer string
+	over   []string
+}
+
+// life is what is known of the worker that lives now.
+type life struct {
+	worker     string
+	beat       Beat
+	heard      loop.Micros
+	isLeaving  bool
+	leftAt     loop.Micros // when the last word of the departure was heard
+	isOver     bool        // another life answers where it was
+	departedAt loop.Micros
+	clock      loop.Micros // of the worker, at least, as of clockAt
+	clockAt    loop.Micros
+
+	placer   string
+	fence    uint64 // newest generation of the ward
+	surveyed uint64 // the inventory is from a look with this one; 0: one is due
+	after    uint64 // and from one later than this
+	fencedTo loop.Micros
+	metAt    loop.Micros
+	licence  loop.Micros // ends, by our clock
+	span     loop.Micros // that a licence lasts
+
+	runs    map[runKey]*run
+	ended   map[runKey]*end // not noted
+	listed  map[uint64]*end // above notedTo
+	notedTo uint64
+	highest uint64 // end listed
+
+	calls    map[uint64]*pending
+	look     uint64 // the long look that is open
+	glance   uint64 // the short one
+	newest   uint64 // look whose list was taken
+	lookAt   loop.Micros
+	rest     loop.Micros
+	glanceAt loop.Micros
+	isAsked  bool // a glance is wanted
+
+	poll     *poll
+	pollAt   loop.Micros
+	polledAt loop.Micros
+	isDirty  bool
+	refusals int
+}
+
+// Table is the agent's table.
+type Table struct {
+	bounds  *schema.Bounds
+	state   *schema.CharterState
+	leader  string // of the charter
+	life    *life
+	dead    []string // former lives, newest last
+	over    []string // those of them that no placer has heard of yet
+	seq     uint64   // of announces; above those of this process's forerunners
+	number  uint64   // of calls and of their replies, in the order they were seen
+	born    loop.Micros
+	last    loop.Micros
+}
+
+// New makes the table. Bounds are what the deployment promises; first is a
+// number above that of any announce a forerunner of this process sent, such as
+// the wall clock in microseconds.
+func New(bounds *schema.Bounds, first uint64) *Table {
+	if bounds == nil {
+		bounds = &schema.Bounds{}
+	}
+	return &Table{bounds: bounds, state: &schema.CharterState{}, seq: first}
+}
+
+func (t *Table) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+	if t.born == 0 {
+		t.born = now
+	}
+	if t.last > 0 && now-t.last > frozenSpan && t.life != nil {
+		// Much may have ended meanwhile, and others may have our orders' work.
+		t.resurvey(t.life)
+	}
+	t.last = now
+	switch body := mail.Body.(type) {
+	case loop.Tick:
+		t.expire(now)
+	case Beat:
+		t.beat(now, body)
+	case Departed:
+		t.departed(now, body)
+	case Reply:
+		t.replied(now, body)
+	case *schema.CharterTell:
+		t.charter(now, body)
+	case *schema.PollReply:
+		t.answered(now, mail.From, body)
+	}
+	t.act(now, out)
+}
+
+// act does what is due. The order matters: nothing is announced before the
+// worker was looked at under the current fence.
+func (t *Table) act(now loop.Micros, out loop.Out) {
+	l := t.life
+	if l == nil || l.isOver {
+		return
+	}
+	t.meet(now, l, out)
+	if l.departedAt == 0 {
+		t.lookOut(now, l, out)
+		t.carryOut(now, l, out)
+	}
+	t.announce(now, l, out)
+}
+
+// --- the worker's lives ---
+
+func (t *Table) beat(now loop.Micros, m Beat) {
+	if slices.Contains(t.dead, m.Worker) {
+		return
+	}
+	l := t.life
+	if l != nil && l.worker != m.Worker {
+		// One worker stands on a machine: whoever was here before is dead, and
+		// all that ran there with it.
+		t.bury(l.worker)
+		t.over = append(t.over, l.worker)
+		if len(t.over) > deadMost {
+			t.over = t.over[1:]
+		}
+		l = nil
+	}
+	if l == nil {
+		l = &life{
+			worker: m.Worker, runs: map[runKey]*run{}, ended: map[runKey]*end{}, listed: map[uint64]*end{},
+			calls: map[uint64]*pending{}, span: holdUsual, rest: retrySpan,
+		}
+		t.life = l
+		t.rewardLife(l)
+	} else if m.Number <= l.beat.Number {
+		return
+	}
+	isOther := l.beat.Cores != m.Cores || l.beat.Memory != m.Memory || l.beat.Accelerators != m.Accelerators ||
+		l.beat.Pool != m.Pool || l.beat.Rack != m.Rack || !slices.Equal(l.beat.Labels, m.Labels)
+	l.beat, l.heard = m, now
+	t.sample(now, l, m.Clock)
+	if m.IsLeaving {
+		isOther = isOther || !l.isLeaving
+		l.isLeaving, l.leftAt = true, now
+	}
+	l.isDirty = l.isDirty || isOther
+}
+
+func (t *Table) bury(worker string) {
+	if !slices.Contains(t.dead, worker) {
+		t.dead = append(t.dead, worker)
+	}
+	if len(t.dead) > deadMost {
+		t.dead = t.dead[1:]
+	}
+}
+
+// departed takes the word of a worker that has ended in order: nothing runs
+// there any more, so its tasks can be given back at once.
+func (t *Table) departed(now loop.Micros, m Departed) {
+	t.bury(m.Worker)
+	l := t.life
+	if l == nil || l.worker != m.Worker || l.departedAt > 0 {
+		return
+	}
+	l.isLeaving, l.departedAt, l.isDirty = true, now, true
+	for _, key := range sortedKeys(l.runs) {
+		t.neverRan(l, l.runs[key])
+	}
+}
+
+// lifeOver: another life answered where this one was. Its successor's beat
+// tells who.
+func (t *Table) lifeOver(l *life) {
+	l.isOver = true
+	t.bury(l.worker)
+}
+
+// sample keeps what the worker's clock shows at least. It showed that much when
+// it answered, so it shows no less when the answer is here; and it may run 2%
+// slow, which counts against old samples.
+func (t *Table) sample(now loop.Micros, l *life, clock loop.Micros) {
+	if clock > 0 && clock >= l.clockBy(now) {
+		l.clock, l.clockAt = clock, now
+	}
+}
+
+func (l *life) clockBy(now loop.Micros) loop.Micros {
+	if l.clockAt == 0 {
+		return 0
+	}
+	return l.clock + (now-l.clockAt)*49/50
+}
+
+// until is the end of our licence on the worker's clock: never later, but for
+// what that clock may run slow from here on. 0: there is none to tell.
+func (l *life) until(now loop.Micros) loop.Micros {
+	if l.clockAt == 0 || now >= l.licence {
+		return 0
+	}
+	return l.clockBy(now) + l.licence - now
+}
+
+// --- whose ward it is ---
+
+func (t *Table) charter(now loop.Micros, m *schema.CharterTell) {
+	if leader := m.Leaders[charter.Group]; leader != "" {
+		t.leader = leader
+	}
+	if m.State == nil || m.State.Version <= t.state.Version {
+		return
+	}
+	t.state = m.State
+	if t.life != nil {
+		t.rewardLife(t.life)
+	}
+}
+
+// rewardLife takes over what the charter says of the worker's ward.
+func (t *Table) rewardLife(l *life) {
+	ward := charter.WardOf(t.state, l.worker)
+	if ward == nil || ward.Generation < l.fence {
+		return
+	}
+	l.raise(ward.Generation)
+	if ward.Placer != l.placer {
+		l.placer, l.poll, l.isDirty = ward.Placer, nil, true
+	}
+}
+
+// raise notes a newer ward: the worker is looked at with its fence first, after
+// which no older ward's order can be carried out any more.
+func (l *life) raise(fence uint64) {
+	if fence > l.fence {
+		l.fence, l.fencedTo, l.poll, l.isDirty, l.glanceAt = fence, 0, nil, true, 0
+	}
+}
+
+// resurvey has the worker looked at before anything else is said of it.
+func (t *Table) resurvey(l *life) {
+	l.surveyed, l.after, l.poll = 0, t.number, nil
+}
+
+func (t *Table) meet(now loop.Micros, l *life, out loop.Out) {
+	if t.state.Version == 0 || t.leader == "" || l.metAt > 0 && now-l.metAt < meetSpan || charter.WardOf(t.state, l.worker) != nil {
+		return
+	}
+	l.metAt = now
+	command := &schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: l.worker}}}
+	out.Send(t.leader, &schema.Errand{Kind: "charter", Group: charter.Group, Body: keep.CharterBody(command)})
+}
--- /dev/null
+++ b/agent/announce.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"slices"
+
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// announce keeps one announce open at the ward's placer, and sends a new one at
+// once when something has changed.
+func (t *Table) announce(now loop.Micros, l *life, out loop.Out) {
+	if l.placer == "" || l.fence == 0 || l.surveyed != l.fence && l.departedAt == 0 {
+		return
+	}
+	if l.departedAt > 0 && (len(l.ended) == 0 || now-l.departedAt > goneSpan) {
+		return
+	}
+	isDue := l.poll == nil && now >= l.pollAt || l.poll != nil && now-l.poll.sent >= pollSpan
+	if !isDue && !(l.isDirty && now-l.polledAt >= hurrySpan) {
+		return
+	}
+	t.seq++
+	a := &schema.Announce{
+		Incarnation: 1, Seq: t.seq, CoresMilli: l.beat.Cores, MemoryMb: l.beat.Memory, Accelerators: l.beat.Accelerators,
+		Rack: l.beat.Rack, Labels: l.beat.Labels, Pool: l.beat.Pool, Leaving: l.isLeaving, Ward: l.fence,
+		WaitUs: int64(waitSpan), Gathers: true, Named: true, Over: slices.Clone(t.over),
+		ColdUs: int64(max(0, l.beat.Cold-(now-l.heard))),
+	}
+	if l.isLeaving {
+		a.DepartureUs = int64(max(0, l.beat.Departure-(now-l.leftAt)))
+	}
+	for _, key := range sortedKeys(l.runs) {
+		r := l.runs[key]
+		if !r.isCounted {
+			continue
+		}
+		note := l.note(key, "running", r.saved)
+		note.RunUs = int64(now - r.began)
+		a.Running = append(a.Running, note)
+	}
+	for _, key := range sortedKeys(l.ended) {
+		a.Ended = append(a.Ended, l.ended[key].note)
+	}
+	l.poll = &poll{seq: t.seq, sent: now, placer: l.placer, over: a.Over}
+	l.polledAt, l.isDirty = now, false
+	out.Send(l.placer, &schema.Poll{Id: t.seq, Worker: l.worker, Announce: a})
+}
+
+// answered takes the answer to the announce that stands; whatever an older one
+// says, the next says again.
+func (t *Table) answered(now loop.Micros, from string, m *schema.PollReply) {
+	l := t.life
+	if l == nil || l.isOver || l.poll == nil || m.Id != l.poll.seq || from != l.poll.placer {
+		return
+	}
+	p := l.poll
+	l.poll = nil
+	if m.Orders == nil || m.Orders.Ward < l.fence {
+		l.pollAt = now + refusedSpan
+		if l.refusals++; l.refusals%refusedMost == 0 {
+			// Should a forerunner's number have been higher, it would stay so.
+			t.seq += refusedLeap
+		}
+		return
+	}
+	l.refusals = 0
+	if m.Orders.Ward > l.fence {
+		// Its inventory was taken before older orders were shut out.
+		l.raise(m.Orders.Ward)
+		return
+	}
+	for _, worker := range p.over {
+		if k := slices.Index(t.over, worker); k >= 0 {
+			t.over = slices.Delete(t.over, k, k+1)
+		}
+	}
+	if span := loop.Micros(m.Orders.LicenceUs); span > 0 {
+		l.licence, l.span = max(l.licence, p.sent+span), span
+	}
+	isNews := t.noted(now, l, m.Orders.Noted)
+	if now-p.sent <= staleSpan {
+		for _, order := range m.Orders.Orders {
+			isNews = t.obey(now, l, order) || isNews
+		}
+	}
+	l.pollAt = now
+	if !isNews && now-p.sent < waitSpan/2 {
+		l.pollAt = now + idleSpan
+	}
+}
+
+func (t *Table) noted(now loop.Micros, l *life, notes []*schema.TaskNote) bool {
+	isNews := false
+	for _, note := range notes {
+		key := runKey{TaskName{note.Name, note.Round, note.Part, note.Task}, note.Attempt}
+		if e := l.ended[key]; e != nil {
+			e.isNoted, isNews = true, true
+			delete(l.ended, key)
+		}
+	}
+	if isNews {
+		l.advance()
+		if !l.hasUnnoted() {
+			l.lookAt, l.rest = min(l.lookAt, now), retrySpan
+		}
+	}
+	return isNews
+}
+
+// obey takes an order, a difference that repeats until we announce that it is
+// none any more; it tells whether that was new.
+func (t *Table) obey(now loop.Micros, l *life, order *schema.Order) bool {
+	key := runKey{TaskName{order.Name, order.Round, order.Part, order.Task}, order.Attempt}
+	r := l.runs[key]
+	if l.ended[key] != nil || l.departedAt > 0 {
+		return false
+	}
+	switch order.Act {
+	case "start":
+		if r != nil {
+			return false
+		}
+		l.runs[key] = &run{
+			key: key, standing: starting, text: order.Text, saved: order.Saved, cores: order.CoresMilli, memory: order.MemoryMb,
+			began: now, isCounted: true,
+		}
+		return true
+	case "stop":
+		if r == nil {
+			// Not heard of here; that it never will be is what the placer asks.
+			l.runs[key] = &run{key: key, standing: stopping, began: now, retryAt: now}
+			return true
+		}
+		if r.standing == starting && r.tries == 0 && now-t.born >= youngSpan {
+			t.neverRan(l, r)
+			return true
+		}
+		if r.standing == starting || r.standing == running || r.standing == deciding && !r.isStopped {
+			// A start that is still open makes no difference: after the stop it
+			// is turned away.
+			r.standing, r.call, r.tries, r.retryAt = stopping, 0, 0, now
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/agent/calls.go
@@ -0,0 +1,377 @@
+package agent
+
+import (
+	"slices"
+
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// --- calls ---
+
+func (t *Table) issue(now loop.Micros, l *life, call Call, out loop.Out) uint64 {
+	t.number++
+	call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, l.fence
+	l.calls[call.Number] = &pending{
+		act: call.Act, key: runKey{call.Task, call.Attempt}, sent: now, fence: l.fence, wait: call.Wait,
+	}
+	out.Tell("caller", call)
+	return call.Number
+}
+
+// expire takes calls as silent whose replies never came.
+func (t *Table) expire(now loop.Micros) {
+	if t.life == nil {
+		return
+	}
+	var lost []uint64
+	for number, p := range t.life.calls {
+		if now-p.sent > p.wait+callSpan {
+			lost = append(lost, number)
+		}
+	}
+	slices.Sort(lost)
+	for _, number := range lost {
+		t.replied(now, Reply{Number: number, Verdict: Silent})
+	}
+}
+
+func (t *Table) replied(now loop.Micros, m Reply) {
+	l := t.life
+	if l == nil || l.isOver || l.calls[m.Number] == nil {
+		return
+	}
+	p := l.calls[m.Number]
+	delete(l.calls, m.Number)
+	t.number++
+	if m.Verdict == OtherLife {
+		t.lifeOver(l)
+		return
+	}
+	t.sample(now, l, m.Clock)
+	if m.Verdict == TurnedAway && m.Reason == Fenced && p.fence == l.fence {
+		l.fencedTo = now + listSpan
+	}
+	if p.act == Look {
+		t.looked(now, l, m, p)
+		return
+	}
+	r := l.runs[p.key]
+	if r == nil || r.call != m.Number {
+		return
+	}
+	r.call, r.touched = 0, t.number
+	if p.act == Start {
+		t.started(now, l, r, m)
+	} else {
+		t.stopped(now, l, r, m)
+	}
+}
+
+// carryOut issues the starts and stops that are due.
+func (t *Table) carryOut(now loop.Micros, l *life, out loop.Out) {
+	if now < l.fencedTo || l.fence == 0 {
+		return
+	}
+	for _, key := range sortedKeys(l.runs) {
+		r := l.runs[key]
+		if r.call != 0 || now < r.retryAt {
+			continue
+		}
+		switch r.standing {
+		case starting:
+			t.start(now, l, r, out)
+		case stopping:
+			r.call = t.issue(now, l, Call{Act: Stop, Task: key.task, Attempt: key.attempt}, out)
+			r.touched = r.call
+		}
+	}
+}
+
+func (t *Table) start(now loop.Micros, l *life, r *run, out loop.Out) {
+	// What an older ward ordered is for the survey to decide.
+	if l.surveyed != l.fence || r.fence != 0 && r.fence != l.fence {
+		return
+	}
+	isTried := r.tries > 0 && now-r.first >= startSpan
+	if isTried || l.isLeaving || now+lateSpan >= l.licence || l.clockAt == 0 {
+		t.giveUp(now, l, r)
+		if r.standing == stopping {
+			r.call = t.issue(now, l, Call{Act: Stop, Task: r.key.task, Attempt: r.key.attempt}, out)
+			r.touched = r.call
+		}
+		return
+	}
+	if r.tries == 0 {
+		r.first = now
+	}
+	r.tries++
+	r.fence = l.fence
+	r.call = t.issue(now, l, Call{
+		Act: Start, Task: r.key.task, Attempt: r.key.attempt, Text: r.text, Saved: r.saved, Until: l.until(now),
+	}, out)
+	r.touched = r.call
+}
+
+func (t *Table) started(now loop.Micros, l *life, r *run, m Reply) {
+	if r.standing != starting {
+		return
+	}
+	switch m.Verdict {
+	case Answered:
+		r.standing, r.isSeen = running, true
+	case Silent:
+		r.isUnsure = true
+		r.retryAt = now + againSpan
+	case Busy:
+		// Spread, so that all that was turned away together doesn't come back so.
+		r.retryAt = now + againSpan + loop.Micros(m.Number*7919%50)*loop.Milli
+	case TurnedAway:
+		switch m.Reason {
+		case Fenced:
+			// A newer ward exists: it is for that one to say.
+			delete(l.runs, r.key)
+			l.isDirty = true
+		case Past:
+			t.decide(l, r)
+		default:
+			t.giveUp(now, l, r)
+		}
+	}
+}
+
+// giveUp ends an attempt that isn't to begin here. Where a start may yet be
+// carried out, the worker must first be told that it is not to.
+func (t *Table) giveUp(now loop.Micros, l *life, r *run) {
+	if r.isUnsure || now-t.born < youngSpan {
+		r.standing, r.tries, r.retryAt = stopping, 0, now
+		return
+	}
+	t.neverRan(l, r)
+}
+
+// decide leaves it to a look, sent from now on, whether the run is there, has
+// ended, or never was.
+func (t *Table) decide(l *life, r *run) {
+	r.standing = deciding
+	if !r.isSeen {
+		l.isAsked = true
+	}
+}
+
+func (t *Table) stopped(now loop.Micros, l *life, r *run, m Reply) {
+	if r.standing != stopping {
+		return
+	}
+	r.tries++
+	rest := min(retrySpan<<min(r.tries-1, 4), restMost)
+	switch {
+	case m.Verdict == Answered, m.Verdict == TurnedAway && m.Reason == Past:
+		// The end, and with it the room, comes when the worker lists it.
+		r.isStopped, r.stoppedAt, r.tries = true, now, 0
+		t.decide(l, r)
+	case m.Verdict == Busy:
+		r.retryAt = now + againSpan + loop.Micros(m.Number*7919%50)*loop.Milli
+	default:
+		r.retryAt = now + rest
+	}
+}
+
+// --- looks ---
+
+// lookOut keeps one long look open, by which ends come at once and what runs
+// is held; and sends a short one where something waits for the worker's word.
+func (t *Table) lookOut(now loop.Micros, l *life, out loop.Out) {
+	if now < l.fencedTo || l.fence == 0 {
+		return
+	}
+	isUnsurveyed := l.surveyed != l.fence
+	isOpen := l.glance != 0 && (!isUnsurveyed || l.calls[l.glance].fence == l.fence)
+	if (isUnsurveyed || l.isAsked) && !isOpen && now >= l.glanceAt {
+		l.isAsked = false
+		l.glance = t.issue(now, l, Call{Act: Look, Until: l.until(now), Noted: l.notedTo}, out)
+	}
+	if isUnsurveyed || l.look != 0 || now < l.lookAt {
+		return
+	}
+	span := l.span
+	if most := loop.Micros(t.bounds.HoldMostUs); most > 0 {
+		span = min(span, most)
+	}
+	// Renewed before the last third of the hold, with time for a second try.
+	wait := min(lookSpan, span/3)
+	if len(l.runs) == 0 {
+		wait = min(quietSpan, span/2)
+	}
+	wait = max(wait-wait%loop.Milli, retrySpan)
+	l.look = t.issue(now, l, Call{Act: Look, Until: l.until(now), Noted: l.notedTo, Wait: wait}, out)
+}
+
+func (t *Table) looked(now loop.Micros, l *life, m Reply, p *pending) {
+	isLong := m.Number == l.look
+	if isLong {
+		l.look = 0
+	}
+	if m.Number == l.glance {
+		l.glance = 0
+	}
+	if m.Verdict != Answered {
+		l.rest = min(max(l.rest, retrySpan), restMost)
+		if isLong {
+			l.lookAt = now + l.rest
+		} else {
+			l.glanceAt, l.isAsked = now+l.rest, true
+		}
+		l.rest = min(2*l.rest, restMost)
+		// Whoever doesn't answer isn't spoken for: what it holds isn't renewed
+		// either, so the placer may give it to others when the licence is over.
+		t.resurvey(l)
+		return
+	}
+	isNews := false
+	for _, e := range m.Ended {
+		isNews = t.listed(l, e) || isNews
+	}
+	if m.Number > l.newest {
+		l.newest = m.Number
+		t.takeList(now, l, m, p)
+	}
+	if p.fence == l.fence && l.surveyed != l.fence && m.Number > l.after {
+		l.surveyed, l.isDirty = l.fence, true
+	}
+	if isNews {
+		l.rest = retrySpan
+	}
+	if !isLong {
+		return
+	}
+	switch {
+	case l.hasUnnoted():
+		// It would list the same again at once: the placer's word is awaited,
+		// and for a while only.
+		l.lookAt = now + l.rest
+		l.rest = min(2*l.rest, restMost)
+	case !isNews && now-p.sent < p.wait/2:
+		l.lookAt = now + l.rest
+	default:
+		l.lookAt, l.rest = now, retrySpan
+	}
+}
+
+func (l *life) hasUnnoted() bool {
+	for _, e := range l.listed {
+		if !e.isNoted {
+			return true
+		}
+	}
+	return false
+}
+
+// listed takes in an end that the worker lists, and tells whether it is new.
+// Whenever the look was sent, an end is an end.
+func (t *Table) listed(l *life, m Ending) bool {
+	if m.Number <= l.notedTo || l.listed[m.Number] != nil {
+		return false
+	}
+	key := runKey{m.Task, m.Attempt}
+	e := &end{number: m.Number, note: l.note(key, m.How, m.Saved)}
+	l.listed[m.Number] = e
+	l.highest = max(l.highest, m.Number)
+	if former := l.ended[key]; former != nil && former.number != 0 {
+		e.isNoted = true
+		l.advance()
+		return true
+	}
+	l.ended[key] = e
+	delete(l.runs, key)
+	l.isDirty = true
+	return true
+}
+
+func (l *life) note(key runKey, state, saved string) *schema.TaskNote {
+	note := &schema.TaskNote{
+		Name: key.task.Job, Round: key.task.Round, Part: key.task.Part, Task: key.task.Task, Attempt: key.attempt,
+		State: state, Saved: saved,
+	}
+	if r := l.runs[key]; r != nil {
+		note.CoresMilli, note.MemoryMb, note.Percent = r.cores, r.memory, r.percent
+	}
+	return note
+}
+
+// neverRan reports an attempt that runs here no more though the worker lists no
+// end of it.
+func (t *Table) neverRan(l *life, r *run) {
+	l.ended[r.key] = &end{note: l.note(r.key, "stopped", r.saved)}
+	delete(l.runs, r.key)
+	l.isDirty = true
+}
+
+// takeList compares the worker's list of what runs with ours. A look says
+// nothing about what was ordered, or answered, after it was sent.
+func (t *Table) takeList(now loop.Micros, l *life, m Reply, p *pending) {
+	isListed := map[runKey]bool{}
+	for _, each := range m.Running {
+		key := runKey{each.Task, each.Attempt}
+		isListed[key] = true
+		r := l.runs[key]
+		switch e := l.ended[key]; {
+		case e != nil && e.number != 0:
+			continue
+		case e != nil:
+			// We gave it up, and it runs: that must not be.
+			delete(l.ended, key)
+			r = &run{key: key, standing: stopping, began: now}
+			l.runs[key] = r
+		case r == nil:
+			r = &run{key: key, standing: running, began: now}
+			l.runs[key], l.isDirty = r, true
+		}
+		r.saved, r.percent, r.isCounted, r.isSeen = each.Saved, each.Percent, true, true
+		switch {
+		case r.standing == starting:
+			r.standing, r.call = running, 0
+		case r.standing == deciding && !r.isStopped:
+			r.standing = running
+		case r.standing == deciding && now-r.stoppedAt > t.stopMost()+loop.Second:
+			r.standing, r.retryAt = stopping, now
+		}
+	}
+	isWhole := len(m.Ended) < listMost
+	for _, key := range sortedKeys(l.runs) {
+		r := l.runs[key]
+		switch {
+		case isListed[key]:
+		case r.standing == starting && r.fence != 0 && r.fence < p.fence:
+			// Whatever of it is still on its way will be turned away, and the
+			// new ward orders what it wants.
+			delete(l.runs, key)
+			l.isDirty = true
+		case r.touched >= m.Number || !isWhole:
+		case r.standing == running, r.standing == deciding:
+			t.neverRan(l, r)
+		}
+	}
+}
+
+func (t *Table) stopMost() loop.Micros {
+	if t.bounds.StopUs > 0 {
+		return loop.Micros(t.bounds.StopUs)
+	}
+	return stopUsual
+}
+
+// advance reckons up to where all ends are noted.
+func (l *life) advance() {
+	l.notedTo = max(l.notedTo, l.highest)
+	for number, e := range l.listed {
+		if !e.isNoted {
+			l.notedTo = min(l.notedTo, number-1)
+		}
+	}
+	for number := range l.listed {
+		if number <= l.notedTo {
+			delete(l.listed, number)
+		}
+	}
+}
--- /dev/null
+++ b/crew/caller.go
@@ -0,0 +1,46 @@
+package crew
+
+import (
+	"sparnotch/agent"
+	"sparnotch/loop"
+)
+
+const (
+	mostCalls = 64 // starts and stops at once
+	mostLooks = 4  // looks wait at the worker, so they have room of their own
+)
+
+// callerTable puts each call to a goroutine, for calls may block.
+type callerTable struct {
+	hand         agent.Caller
+	reply        func(agent.Reply)
+	calls, looks chan struct{}
+}
+
+func newCallerTable(hand agent.Caller, reply func(agent.Reply)) *callerTable {
+	return &callerTable{hand: hand, reply: reply, calls: make(chan struct{}, mostCalls), looks: make(chan struct{}, mostLooks)}
+}
+
+func (c *callerTable) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+	call, isCall := mail.Body.(agent.Call)
+	if !isCall {
+		return
+	}
+	room := c.calls
+	if call.Act == agent.Look {
+		room = c.looks
+	}
+	select {
+	case room <- struct{}{}:
+	default:
+		// Nothing was done, and it may be tried again.
+		go c.reply(agent.Reply{Number: call.Number, Verdict: agent.Busy})
+		return
+	}
+	go func() {
+		defer func() { <-room }()
+		reply := c.hand.Call(call)
+		reply.Number = call.Number
+		c.reply(reply)
+	}()
+}
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/agent"
 	"sparnotch/heed"
 	"sparnotch/intake"
 	"sparnotch/keep"
@@ -34,6 +35,8 @@
 	Wall   func() int64
 	Seed   uint64
 	Now    loop.Micros
+	Bounds *schema.Bounds
+	Calls  bool // a side process that calls the worker on its machine: there is a "caller"
 }
 
 func (p *Papers) rng(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.Seed, stream)) }
@@ -62,10 +65,16 @@
 
 // Heed makes a side process's tables.
 func Heed(p *Papers) []Berth {
-	return []Berth{
-		{"kin", kin.New(proto.Clone(p.Member).(*schema.Member), p.Seeds, nil, p.Book, []string{"heed"}, true, p.rng(1)), kin.Pace},
-		{"heed", heed.New(p.Member.Id), heed.Pace},
+	var readers []string
+	var berths []Berth
+	if p.Calls {
+		readers = []string{"agent"}
+		berths = []Berth{{"agent", agent.New(p.Bounds, uint64(p.Wall())), agent.Pace}}
 	}
+	return append([]Berth{
+		{"kin", kin.New(proto.Clone(p.Member).(*schema.Member), p.Seeds, nil, p.Book, []string{"heed"}, true, p.rng(1)), kin.Pace},
+		{"heed", heed.New(p.Member.Id, readers...), heed.Pace},
+	}, berths...)
 }
 
 // Table names the table a message from another process is for.
@@ -73,7 +82,12 @@
 	switch body.(type) {
 	case *schema.Hello:
 		return "kin"
-	case *schema.Applied, *schema.PollReply:
+	case *schema.Applied:
+		return "intake"
+	case *schema.PollReply:
+		if role == schema.Role_ROLE_HEED {
+			return "agent"
+		}
 		return "intake"
 	case *schema.ErrandReply, *schema.CharterTell:
 		if role == schema.Role_ROLE_HEED {
--- a/crew/real.go
+++ b/crew/real.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/agent"
 	"sparnotch/intake"
 	"sparnotch/keep"
 	"sparnotch/kin"
@@ -63,8 +64,9 @@
 	return hex.EncodeToString(raw[:])
 }
 
-// Start brings a process up.
-func Start(options *schema.Options, role schema.Role, log *zap.Logger) (*Real, error) {
+// Start brings a process up. A side process that is given a hand calls the
+// worker on its machine with it.
+func Start(options *schema.Options, role schema.Role, log *zap.Logger, hands ...agent.Caller) (*Real, error) {
 	r := &Real{
 		Options: options, Clock: loop.RealClock(), Failed: make(chan error, 4), log: log, book: &kin.Book{},
 		waiting: map[uint64]chan any{}, writes: loop.NewRing[keep.Batch](4),
@@ -83,6 +85,7 @@
 	}
 	papers := &Papers{
 		Member: r.Member, Seeds: options.Seeds, Book: r.book, Wall: r.Clock.Wall, Seed: randomSeed(), Now: r.Clock.Now(),
+		Bounds: options.Bounds, Calls: role == schema.Role_ROLE_HEED && len(hands) > 0,
 	}
 	if r.store != nil {
 		papers.Store = r.store.Content()
@@ -95,6 +98,11 @@
 		r.process.Add(berth.Name, berth.Table, berth.Pace)
 	}
 	r.process.Add("vault", (*vaultTable)(r), 0)
+	if papers.Calls {
+		r.process.Add("caller", newCallerTable(hands[0], func(reply agent.Reply) {
+			r.process.PostWait("agent", loop.Mail{Body: reply})
+		}), 0)
+	}
 	// From here on messages come in, so the mailboxes must stand by now.
 	net, err := wire.Listen(r.Member.Id, options.Inner, r.deliver)
 	if err != nil {
@@ -230,6 +238,15 @@
 	r.process.Post(Table(r.Member.Role, body), loop.Mail{From: from, Body: body})
 }
 
+// Beat takes a worker's word of itself; false when it couldn't be taken.
+func (r *Real) Beat(beat agent.Beat) bool { return r.process.Post("agent", loop.Mail{Body: beat}) }
+
+// Depart takes a worker's word that it has ended; false when it couldn't be
+// taken.
+func (r *Real) Depart(departed agent.Departed) bool {
+	return r.process.Post("agent", loop.Mail{Body: departed})
+}
+
 // outside carries what leaves the tables.
 type outside Real
 
--- a/heed/heed.go
+++ b/heed/heed.go
@@ -56,12 +56,14 @@
 	movedAt loop.Micros
 	gone    map[string]loop.Micros
 	number  uint64
+	readers []string
 }
 
-// New makes the table of a side machine.
-func New(id string) *Table {
+// New makes the table of a side machine. Readers are the tables of this process
+// that want the charter.
+func New(id string, readers ...string) *Table {
 	return &Table{
-		id: id, state: &schema.CharterState{}, values: charter.Read(nil), told: map[string]told{}, claims: map[uint64]loop.Micros{},
+		id: id, readers: readers, state: &schema.CharterState{}, values: charter.Read(nil), told: map[string]told{}, claims: map[uint64]loop.Micros{},
 		acted: map[string]loop.Micros{}, gone: map[string]loop.Micros{},
 	}
 }
@@ -109,6 +111,10 @@
 	// An answer from before a change must not undo what we know.
 	if m.Version >= t.state.Version {
 		t.told[from] = told{at: now, tell: m}
+		// The whole each time: a reader that missed one isn't told of it again.
+		for _, reader := range t.readers {
+			out.Tell(reader, &schema.CharterTell{State: t.state, Version: t.state.Version, Leaders: m.Leaders})
+		}
 	}
 }
 
