--- a/agent/agent.go
+++ b/agent/agent.go
@@ -55,7 +55,9 @@
 	)
 }
 
-func sortedKeys[V any](set map[runKey]V) []runKey { return slices.SortedFunc(maps.Keys(set), compareKeys) }
+func sortedKeys[V any](set map[runKey]V) []runKey {
+	return slices.SortedFunc(maps.Keys(set), compareKeys)
+}
 
 // standing is what is known of a run.
 type standing int
@@ -157,16 +159,16 @@
 
 // Table is the agent's table.
 type Table struct {
-	bounds  *schema.Bounds
-	state   *schema.CharterState
-	leader  string // of the charter
-	life    *life
-	dead    []string // former lives, newest last
-	over    []string // those of them that no placer has heard of yet
-	seq     uint64   // of announces; above those of this process's forerunners
-	number  uint64   // of calls and of their replies, in the order they were seen
-	born    loop.Micros
-	last    loop.Micros
+	bounds *schema.Bounds
+	state  *schema.CharterState
+	leader string // of the charter
+	life   *life
+	dead   []string // former lives, newest last
+	over   []string // those of them that no placer has heard of yet
+	seq    uint64   // of announces; above those of this process's forerunners
+	number uint64   // of calls and of their replies, in the order they were seen
+	born   loop.Micros
+	last   loop.Micros
 }
 
 // New makes the table. Bounds are what the deployment promises; first is a
--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,758 @@
+package agent_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/agent"
+	"sparnotch/charter"
+	"sparnotch/loop"
+	"sparnotch/schema"
+	"sparnotch/toil"
+)
+
+const hop = loop.Milli // every message takes so long
+
+// ward is a scripted placer: it wants some runs there and some not.
+type ward struct {
+	id         string
+	generation uint64
+	licence    loop.Micros
+	noteAfter  loop.Micros // an end is noted so long after it was heard; below 0: never
+	isSilent   bool
+	loses      func() bool // tells of each answer whether it is lost
+	starts     []*schema.Order
+	stops      []*schema.Order
+	announces  []*schema.Announce
+	heard      map[string]loop.Micros // ends, by name
+	ends       []string
+	poll       *schema.Poll
+	pollUntil  loop.Micros
+	seq        uint64
+	refused    int
+	granted    loop.Micros // end of the licence as the ward must reckon it
+}
+
+func newWard(id string, generation uint64) *ward {
+	return &ward{id: id, generation: generation, licence: 4 * loop.Second, heard: map[string]loop.Micros{}}
+}
+
+func name(job string, round, part, task, attempt uint32) string {
+	return fmt.Sprintf("%s.%d.%d.%d/%d", job, round, part, task, attempt)
+}
+
+func noteName(n *schema.TaskNote) string { return name(n.Name, n.Round, n.Part, n.Task, n.Attempt) }
+func orderName(o *schema.Order) string   { return name(o.Name, o.Round, o.Part, o.Task, o.Attempt) }
+func callName(c agent.Call) string {
+	return name(c.Task.Job, c.Task.Round, c.Task.Part, c.Task.Task, c.Attempt)
+}
+
+func order(act, job string, task, attempt uint32, text string) *schema.Order {
+	return &schema.Order{Act: act, Name: job, Task: task, Attempt: attempt, Text: text, CoresMilli: 100}
+}
+
+// bench joins an agent, a called worker and wards in virtual time.
+type bench struct {
+	now      loop.Micros
+	events   []func()
+	at       []loop.Micros
+	table    *agent.Table
+	worker   *toil.Called
+	wards    map[string]*ward
+	calls    []agent.Call
+	callAt   []loop.Micros
+	log      []string // calls and announces in the order they were sent
+	meets    int
+	begun    map[string]int
+	began    map[string]loop.Micros
+	isMute   bool // the worker sends no beats
+	isFrozen bool
+	mailbox  []loop.Mail
+	beatAt   loop.Micros
+	tickAt   loop.Micros
+	state    *schema.CharterState
+	sent     map[uint64]loop.Micros // announces
+}
+
+func newBench(setup toil.Setup, bounds *schema.Bounds) *bench {
+	b := &bench{
+		now: 20 * loop.Second, table: agent.New(bounds, 1000), wards: map[string]*ward{}, begun: map[string]int{}, began: map[string]loop.Micros{},
+		state: &schema.CharterState{Version: 1}, sent: map[uint64]loop.Micros{},
+	}
+	setup.Bounds, setup.Address = bounds, "side:1"
+	if setup.Cores == 0 {
+		setup.Cores, setup.Memory = 1000, 1000
+	}
+	setup.Tell = func(now loop.Micros, kind string, run toil.Run, how string) {
+		if kind == "begin" {
+			key := name(run.Task.Job, run.Task.Round, run.Task.Part, run.Task.Task, run.Attempt)
+			b.begun[key]++
+			b.began[key] = now
+		}
+	}
+	b.worker = toil.NewCalled(b.now, "w1", setup, nil)
+	return b
+}
+
+// usual is a bench with one ward that the charter knows.
+func usual(setup toil.Setup, bounds *schema.Bounds) (*bench, *ward) {
+	b := newBench(setup, bounds)
+	w := b.ward("p1", 5, "w1")
+	return b, w
+}
+
+func (b *bench) ward(id string, generation uint64, worker string) *ward {
+	w := newWard(id, generation)
+	b.wards[id] = w
+	b.move(id, generation, worker)
+	return w
+}
+
+// move puts a worker in the charter's words.
+func (b *bench) move(id string, generation uint64, worker string) {
+	state := proto.Clone(b.state).(*schema.CharterState)
+	state.Version++
+	state.Wards = slices.DeleteFunc(state.Wards, func(w *schema.Ward) bool { return w.Worker == worker })
+	state.Wards = append(state.Wards, &schema.Ward{Worker: worker, Placer: id, Generation: generation})
+	b.state = state
+	b.tellCharter()
+}
+
+func (b *bench) tellCharter() {
+	b.after(hop, func() {
+		b.mail("", &schema.CharterTell{State: b.state, Version: b.state.Version, Leaders: map[string]string{charter.Group: "p1"}})
+	})
+}
+
+func (b *bench) after(span loop.Micros, call func()) {
+	k := sort.Search(len(b.at), func(k int) bool { return b.at[k] > b.now+span })
+	b.at, b.events = slices.Insert(b.at, k, b.now+span), slices.Insert(b.events, k, call)
+}
+
+func (b *bench) mail(from string, body any) {
+	b.mailbox = append(b.mailbox, loop.Mail{From: from, Body: body})
+}
+
+func (b *bench) run(span loop.Micros) {
+	for end := b.now + span; b.now < end; {
+		b.now += loop.Milli
+		for len(b.at) > 0 && b.at[0] <= b.now {
+			call := b.events[0]
+			b.at, b.events = b.at[1:], b.events[1:]
+			call()
+		}
+		b.worker.Step(b.now)
+		if b.now >= b.beatAt && !b.isMute && !b.worker.IsDead() {
+			b.beatAt = b.now + 500*loop.Milli
+			beat := b.worker.Beat(b.now)
+			b.after(hop, func() { b.mail("", beat) })
+		}
+		for _, id := range slices.Sorted(maps.Keys(b.wards)) {
+			b.answer(b.wards[id])
+		}
+		if b.isFrozen {
+			continue
+		}
+		list := b.mailbox
+		b.mailbox = nil
+		for _, mail := range list {
+			b.table.Step(b.now, mail, b)
+		}
+		if b.now >= b.tickAt {
+			b.tickAt = b.now + agent.Pace
+			b.table.Step(b.now, loop.Mail{Body: loop.Tick{}}, b)
+		}
+	}
+}
+
+func (b *bench) Dial(string, any)   {}
+func (b *bench) Answer(uint64, any) {}
+
+func (b *bench) Tell(table string, body any) {
+	call := body.(agent.Call)
+	b.calls, b.callAt = append(b.calls, call), append(b.callAt, b.now)
+	b.log = append(b.log, fmt.Sprintf("call %d fence %d", call.Act, call.Fence))
+	b.after(hop, func() {
+		b.worker.Take(b.now, call, func(reply agent.Reply) { b.after(hop, func() { b.mail("", reply) }) })
+	})
+}
+
+func (b *bench) Send(to string, body any) {
+	switch m := body.(type) {
+	case *schema.Errand:
+		b.meets++
+	case *schema.Poll:
+		b.log = append(b.log, fmt.Sprintf("announce %s ward %d", to, m.Announce.Ward))
+		b.sent[m.Id] = b.now
+		if w := b.wards[to]; w != nil {
+			m = proto.Clone(m).(*schema.Poll)
+			b.after(hop, func() { b.polled(w, m) })
+		}
+	}
+}
+
+func (b *bench) polled(w *ward, m *schema.Poll) {
+	if w.isSilent {
+		return
+	}
+	a := m.Announce
+	if a.Seq <= w.seq || a.Ward > w.generation {
+		w.refused++
+		b.after(hop, func() { b.mail(w.id, &schema.PollReply{Id: m.Id, Placer: w.id}) })
+		return
+	}
+	w.seq = a.Seq
+	w.announces = append(w.announces, a)
+	for _, note := range a.Ended {
+		if key := noteName(note); w.heard[key] == 0 {
+			w.heard[key] = b.now
+			w.ends = append(w.ends, key+" "+note.State)
+		}
+	}
+	w.poll, w.pollUntil = m, b.now+loop.Micros(a.WaitUs)
+}
+
+// answer holds the open announce back until there is something to say.
+func (b *bench) answer(w *ward) {
+	if w.poll == nil || w.isSilent {
+		return
+	}
+	a := w.poll.Announce
+	orders := &schema.Orders{Ward: w.generation, LicenceUs: int64(w.licence), Placer: w.id}
+	isRunning, hasEnded := map[string]bool{}, map[string]bool{}
+	for _, note := range a.Running {
+		isRunning[noteName(note)] = true
+	}
+	for _, note := range a.Ended {
+		key := noteName(note)
+		hasEnded[key] = true
+		if w.noteAfter >= 0 && b.now-w.heard[key] >= w.noteAfter {
+			orders.Noted = append(orders.Noted, &schema.TaskNote{Name: note.Name, Round: note.Round, Part: note.Part, Task: note.Task, Attempt: note.Attempt})
+		}
+	}
+	for _, o := range w.starts {
+		if key := orderName(o); !isRunning[key] && !hasEnded[key] && w.heard[key] == 0 {
+			orders.Orders = append(orders.Orders, o)
+		}
+	}
+	for _, o := range w.stops {
+		if key := orderName(o); !hasEnded[key] && w.heard[key] == 0 {
+			orders.Orders = append(orders.Orders, o)
+		}
+	}
+	if len(orders.Orders)+len(orders.Noted) == 0 && b.now < w.pollUntil {
+		return
+	}
+	id := w.poll.Id
+	w.poll = nil
+	if w.loses != nil && w.loses() {
+		return
+	}
+	w.granted = b.sent[id] + w.licence
+	b.after(hop, func() { b.mail(w.id, &schema.PollReply{Id: id, Code: 200, Orders: orders, Placer: w.id}) })
+}
+
+func (b *bench) count(act agent.Act) int {
+	count := 0
+	for _, call := range b.calls {
+		if call.Act == act {
+			count++
+		}
+	}
+	return count
+}
+
+// first is where a line stands in the log.
+func (b *bench) first(line string) int { return slices.Index(b.log, line) }
+
+func (w *ward) last() *schema.Announce { return w.announces[len(w.announces)-1] }
+
+// faults gives each call of one act the fault of its turn, and none after.
+func faults(act agent.Act, list ...toil.Fault) func(loop.Micros, agent.Call) toil.Fault {
+	return func(_ loop.Micros, call agent.Call) toil.Fault {
+		if call.Act != act || len(list) == 0 {
+			return toil.NoFault
+		}
+		next := list[0]
+		list = list[1:]
+		return next
+	}
+}
+
+func always(act agent.Act, fault toil.Fault) func(loop.Micros, agent.Call) toil.Fault {
+	return func(_ loop.Micros, call agent.Call) toil.Fault {
+		if call.Act == act {
+			return fault
+		}
+		return toil.NoFault
+	}
+}
+
+func TestOrdinaryPath(t *testing.T) {
+	Convey("A worker is met, looked at under its ward's fence, announced, and given work whose end is noted", t, func() {
+		b := newBench(toil.Setup{Pool: "pool", Rack: "r1", Labels: []string{"a"}}, nil)
+		b.tellCharter()
+		b.run(1200 * loop.Milli)
+		So(b.meets, ShouldBeBetweenOrEqual, 2, 3)
+		So(b.calls, ShouldBeEmpty)
+		w := b.ward("p1", 5, "w1")
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=300000")}
+		w.starts[0].Round, w.starts[0].Part = 2, 1
+		b.run(100 * loop.Milli)
+		So(b.first("call 3 fence 5"), ShouldEqual, 0)
+		a := w.announces[0]
+		So(a.Named && a.Gathers, ShouldBeTrue)
+		So([]any{a.Pool, a.Rack, a.Labels[0], a.CoresMilli, a.Incarnation, a.Ward}, ShouldResemble, []any{"pool", "r1", "a", int64(1000), uint64(1), uint64(5)})
+		So(b.worker.Running(), ShouldEqual, 1)
+		So(noteName(w.last().Running[0]), ShouldEqual, "j.2.1.0/1")
+		start := b.calls[slices.IndexFunc(b.calls, func(c agent.Call) bool { return c.Act == agent.Start })]
+		So(start.Fence, ShouldEqual, 5)
+		So(start.Address, ShouldEqual, "side:1")
+		b.run(400 * loop.Milli)
+		So(w.ends, ShouldResemble, []string{"j.2.1.0/1 done"})
+		b.run(200 * loop.Milli)
+		So(w.last().Ended, ShouldBeEmpty)
+		So(b.worker.Unnoted(), ShouldEqual, 0)
+		So(b.count(agent.Start), ShouldEqual, 1)
+		So(b.count(agent.Stop), ShouldEqual, 0)
+	})
+	Convey("An end is announced within a few messages of when it happened", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=700000")}
+		b.run(300 * loop.Milli)
+		b.run(b.began["j.0.0.0/1"] + 700*loop.Milli + 8*hop - b.now)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 done"})
+	})
+}
+
+func TestHowLongAWorkerHolds(t *testing.T) {
+	for _, drift := range []float64{1, 0.98} {
+		Convey(fmt.Sprintf("The hold ends with the licence, whatever the worker's clock shows, drift %v", drift), t, func() {
+			b, w := usual(toil.Setup{Drift: drift}, nil)
+			w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+			b.run(5 * loop.Second)
+			So(b.worker.Running(), ShouldEqual, 1)
+			for k := 0; k < 4000; k++ {
+				b.run(loop.Milli)
+				// A clock that runs slow ends the hold later by that much of a licence.
+				left := loop.Micros(float64(b.worker.HeldTo()-b.worker.Clock(b.now)) / drift)
+				So(b.now+left, ShouldBeLessThanOrEqualTo, w.granted+loop.Micros(float64(w.licence)*(1/drift-1))+2)
+				So(left, ShouldBeGreaterThan, w.licence/3)
+			}
+			w.isSilent = true
+			b.run(w.licence + w.licence/40)
+			So(b.worker.Running(), ShouldEqual, 0)
+		})
+	}
+	Convey("Without an answered announce nothing is renewed: the worker ends everything, and that is told later", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(2 * loop.Second)
+		w.isSilent, w.starts = true, nil
+		silentAt := b.now
+		b.run(w.licence)
+		So(b.worker.Running(), ShouldEqual, 0)
+		So(b.now, ShouldBeLessThanOrEqualTo, silentAt+w.licence)
+		w.isSilent = false
+		b.run(loop.Second)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 lapsed"})
+		So(b.worker.Unnoted(), ShouldEqual, 0)
+	})
+	Convey("A hold that the worker cuts short is renewed in time", t, func() {
+		b, w := usual(toil.Setup{}, &schema.Bounds{HoldMostUs: int64(1500 * loop.Milli)})
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(10 * loop.Second)
+		So(b.worker.Running(), ShouldEqual, 1)
+	})
+}
+
+func TestLooksAreFew(t *testing.T) {
+	Convey("One long look at a time", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		b.run(loop.Second)
+		before := b.count(agent.Look)
+		b.run(10 * loop.Second)
+		So(b.count(agent.Look)-before, ShouldBeLessThanOrEqualTo, 6)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(2 * loop.Second)
+		before = b.count(agent.Look)
+		b.run(10 * loop.Second)
+		So(b.count(agent.Look)-before, ShouldBeBetweenOrEqual, 9, 11)
+	})
+	Convey("While an end waits to be noted, the worker isn't asked again and again", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		w.noteAfter = -1
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=100000"), order("start", "j", 1, 1, "run_us=60000000")}
+		b.run(loop.Second)
+		before, announces := b.count(agent.Look), len(w.announces)
+		b.run(10 * loop.Second)
+		So(b.count(agent.Look)-before, ShouldBeLessThanOrEqualTo, 26)
+		So(len(w.announces)-announces, ShouldBeLessThanOrEqualTo, 26)
+		So(b.worker.Running(), ShouldEqual, 1)
+		w.noteAfter = 0
+		b.run(loop.Second)
+		So(b.worker.Unnoted(), ShouldEqual, 0)
+	})
+	Convey("Many ends come in pages, and all are noted", t, func() {
+		b, w := usual(toil.Setup{Cores: 1 << 40}, nil)
+		for k := uint32(0); k < 1200; k++ {
+			w.starts = append(w.starts, order("start", "j", k, 1, "run_us=50000"))
+		}
+		b.run(3 * loop.Second)
+		So(w.ends, ShouldHaveLength, 1200)
+		So(b.worker.Unnoted(), ShouldEqual, 0)
+		So(b.count(agent.Start), ShouldEqual, 1200)
+		So(b.count(agent.Stop), ShouldEqual, 0)
+		for _, end := range w.ends {
+			So(end, ShouldEndWith, "done")
+		}
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	Convey("When answers of the placer are lost, every run begins once and every end is noted", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		number := 0
+		w.loses = func() bool { number++; return number%3 != 0 }
+		for k := uint32(0); k < 6; k++ {
+			w.starts = append(w.starts, order("start", "j", k, 1, "run_us=200000"))
+		}
+		b.run(10 * loop.Second)
+		So(w.ends, ShouldHaveLength, 6)
+		So(b.worker.Unnoted(), ShouldEqual, 0)
+		So(w.last().Ended, ShouldBeEmpty)
+		So(b.count(agent.Start), ShouldEqual, 6)
+		for seq, a := range w.announces[1:] {
+			So(a.Seq, ShouldBeGreaterThan, w.announces[seq].Seq)
+		}
+	})
+	Convey("An announce without an answer is sent anew within 0.7 s", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		b.run(loop.Second)
+		w.loses = func() bool { return true }
+		before := len(w.announces)
+		b.run(7 * loop.Second)
+		So(len(w.announces)-before, ShouldBeBetweenOrEqual, 9, 11)
+	})
+	Convey("When replies of the worker are lost, nothing is begun twice and no end is missed", t, func() {
+		number := 0
+		lossy := func(_ loop.Micros, call agent.Call) toil.Fault {
+			number++
+			return []toil.Fault{toil.Unheard, toil.NoFault, toil.Lost, toil.NoFault, toil.Refused, toil.NoFault}[number%6]
+		}
+		b, w := usual(toil.Setup{Fault: lossy}, nil)
+		for k := uint32(0); k < 6; k++ {
+			w.starts = append(w.starts, order("start", "j", k, 1, "run_us=200000"))
+		}
+		b.run(12 * loop.Second)
+		So(w.ends, ShouldHaveLength, 6)
+		So(b.worker.Unnoted(), ShouldEqual, 0)
+		for _, count := range b.begun {
+			So(count, ShouldEqual, 1)
+		}
+	})
+}
+
+func TestStarts(t *testing.T) {
+	long := func(w *ward) { w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")} }
+	Convey("A start that was done though nothing came back is found done", t, func() {
+		b, w := usual(toil.Setup{Fault: faults(agent.Start, toil.Unheard)}, nil)
+		long(w)
+		b.run(3 * loop.Second)
+		So(b.begun["j.0.0.0/1"], ShouldEqual, 1)
+		So(b.worker.Running(), ShouldEqual, 1)
+		So(w.ends, ShouldBeEmpty)
+		So(b.count(agent.Stop), ShouldEqual, 0)
+	})
+	Convey("A start that stays silent is stopped and told, and carried out later it does nothing", t, func() {
+		b, w := usual(toil.Setup{Fault: always(agent.Start, toil.Belated), Belated: 3 * loop.Second}, nil)
+		long(w)
+		b.run(2 * loop.Second)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.count(agent.Stop), ShouldEqual, 1)
+		b.run(5 * loop.Second)
+		So(b.begun, ShouldBeEmpty)
+		So(w.last().Running, ShouldBeEmpty)
+	})
+	Convey("A silent start that was carried out before the stop ends there, and only then is told", t, func() {
+		b, w := usual(toil.Setup{
+			Fault: always(agent.Start, toil.Unheard),
+			Stops: func(agent.TaskName, uint32) loop.Micros { return 700 * loop.Milli },
+		}, &schema.Bounds{StopUs: int64(loop.Second)})
+		long(w)
+		b.run(1300 * loop.Milli)
+		So(b.count(agent.Stop), ShouldEqual, 1)
+		So(w.ends, ShouldBeEmpty)
+		So(w.last().Running, ShouldHaveLength, 1)
+		b.run(loop.Second)
+		So(b.begun["j.0.0.0/1"], ShouldEqual, 1)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.worker.Running(), ShouldEqual, 0)
+	})
+	Convey("What finds no room is told as stopped", t, func() {
+		b, w := usual(toil.Setup{IsGuarding: true}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "cores=1001")}
+		b.run(loop.Second)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.begun, ShouldBeEmpty)
+	})
+	Convey("What finds no room after a silent try is stopped first", t, func() {
+		b, w := usual(toil.Setup{IsGuarding: true, Fault: faults(agent.Start, toil.Belated)}, nil)
+		b.run(12 * loop.Second)
+		So(b.count(agent.Stop), ShouldEqual, 0)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "cores=1001")}
+		b.run(2 * loop.Second)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.count(agent.Stop), ShouldEqual, 1)
+	})
+	Convey("A worker that is busy is tried again, and given up after 0.9 s", t, func() {
+		b, w := usual(toil.Setup{Fault: faults(agent.Start, toil.Refused, toil.Refused, toil.Refused)}, nil)
+		long(w)
+		b.run(loop.Second)
+		So(b.worker.Running(), ShouldEqual, 1)
+		So(b.count(agent.Start), ShouldEqual, 4)
+		b, w = usual(toil.Setup{Fault: always(agent.Start, toil.Refused)}, nil)
+		b.run(12 * loop.Second)
+		long(w)
+		b.run(1200 * loop.Milli)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.count(agent.Stop), ShouldEqual, 0)
+		So(b.count(agent.Start), ShouldBeBetweenOrEqual, 9, 18)
+	})
+	Convey("Past a start: whether it ended is the next look's to say", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		b.run(100 * loop.Milli)
+		b.worker.Take(b.now, agent.Call{Act: agent.Stop, Worker: "w1", Task: agent.TaskName{Job: "j"}, Attempt: 1, Fence: 5}, func(agent.Reply) {})
+		long(w)
+		b.run(loop.Second)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.begun, ShouldBeEmpty)
+	})
+}
+
+func TestStops(t *testing.T) {
+	bounds := &schema.Bounds{StopUs: int64(2 * loop.Second), SaveUs: int64(loop.Second)}
+	Convey("A stopped run is told when the worker lists its end, with what was saved", t, func() {
+		b, w := usual(toil.Setup{Stops: func(agent.TaskName, uint32) loop.Micros { return 600 * loop.Milli }}, bounds)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000 saves=1")}
+		b.run(2500 * loop.Milli)
+		So(w.last().Running[0].Saved, ShouldStartWith, "work=")
+		w.starts, w.stops = nil, []*schema.Order{order("stop", "j", 0, 1, "")}
+		b.run(500 * loop.Milli)
+		So(w.ends, ShouldBeEmpty)
+		b.run(300 * loop.Milli)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.count(agent.Stop), ShouldEqual, 1)
+	})
+	Convey("A stop that isn't heard is sent until it is", t, func() {
+		b, w := usual(toil.Setup{Fault: faults(agent.Stop, toil.Lost, toil.Refused, toil.Lost)}, bounds)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(loop.Second)
+		w.starts, w.stops = nil, []*schema.Order{order("stop", "j", 0, 1, "")}
+		b.run(3 * loop.Second)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.count(agent.Stop), ShouldEqual, 4)
+	})
+	Convey("A stop of what was never there is told as stopped, and nothing of it can begin any more", t, func() {
+		b, w := usual(toil.Setup{}, bounds)
+		b.run(loop.Second)
+		w.stops = []*schema.Order{order("stop", "j", 0, 1, "")}
+		b.run(100 * loop.Milli)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.count(agent.Stop), ShouldEqual, 1)
+	})
+}
+
+func TestWardChange(t *testing.T) {
+	Convey("The new ward hears an inventory that was taken under its fence, and work goes on", t, func() {
+		b, first := usual(toil.Setup{}, nil)
+		first.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(2 * loop.Second)
+		second := b.ward("p2", 9, "w1")
+		b.run(100 * loop.Milli)
+		So(b.worker.Fence(), ShouldEqual, 9)
+		So(b.first("call 3 fence 9"), ShouldBeBetween, -1, b.first("announce p2 ward 9"))
+		So(second.announces[0].Running, ShouldHaveLength, 1)
+		// The former ward's word counts for nothing any more.
+		orders := &schema.Orders{Ward: 5, LicenceUs: int64(9 * loop.Second), Orders: []*schema.Order{order("start", "x", 0, 1, "")}}
+		for id := uint64(1000); id < 1100; id++ {
+			b.mail("p1", &schema.PollReply{Id: id, Code: 200, Orders: orders})
+			b.mail("p2", &schema.PollReply{Id: id, Code: 200, Orders: orders})
+		}
+		b.run(2 * loop.Second)
+		So(b.begun, ShouldHaveLength, 1)
+		So(b.worker.Running(), ShouldEqual, 1)
+	})
+	Convey("An old ward's start that is still on its way does nothing, and the new ward's order begins it once", t, func() {
+		b, first := usual(toil.Setup{Fault: faults(agent.Start, toil.Belated), Belated: 700 * loop.Milli}, nil)
+		first.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(100 * loop.Milli)
+		So(b.count(agent.Start), ShouldEqual, 1)
+		first.isSilent = true
+		second := b.ward("p2", 9, "w1")
+		b.run(100 * loop.Milli)
+		So(second.announces[0].Running, ShouldBeEmpty)
+		So(second.announces[0].Ended, ShouldBeEmpty)
+		b.run(900 * loop.Milli)
+		So(b.begun, ShouldBeEmpty)
+		second.starts = first.starts
+		b.run(loop.Second)
+		So(b.begun, ShouldResemble, map[string]int{"j.0.0.0/1": 1})
+		So(second.ends, ShouldBeEmpty)
+	})
+	Convey("An answer of a ward that the charter's copy doesn't know yet has the worker looked at first", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		b.run(loop.Second)
+		w.generation = 7
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(loop.Second)
+		So(b.first("call 3 fence 7"), ShouldBeBetween, -1, b.first("call 1 fence 7"))
+		So(b.first("call 1 fence 5"), ShouldEqual, -1)
+		So(b.worker.Running(), ShouldEqual, 1)
+	})
+}
+
+func TestAgentRestart(t *testing.T) {
+	Convey("An agent that has forgotten all learns it from the worker", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		w.noteAfter = -1
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000"), order("start", "j", 1, 1, "run_us=100000")}
+		b.run(loop.Second)
+		So(w.ends, ShouldHaveLength, 1)
+		b.table = agent.New(nil, 2000)
+		b.tellCharter()
+		w.announces, w.ends, w.heard = nil, nil, map[string]loop.Micros{}
+		b.run(loop.Second)
+		So(w.announces[0].Running, ShouldHaveLength, 1)
+		So(w.announces[0].Ended, ShouldHaveLength, 1)
+		So(w.refused, ShouldEqual, 0)
+		w.noteAfter = 0
+		b.run(loop.Second)
+		So(b.worker.Unnoted(), ShouldEqual, 0)
+		So(b.begun, ShouldHaveLength, 2)
+		So(b.worker.Running(), ShouldEqual, 1)
+	})
+}
+
+func TestWorkerRestart(t *testing.T) {
+	Convey("A new life tells of the one that is over, until a placer has answered that", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(2 * loop.Second)
+		late := b.worker.Beat(b.now)
+		late.Number += 100
+		b.worker.Live(b.now, "w2")
+		b.isMute = true
+		sent := len(w.announces)
+		b.run(2 * loop.Second)
+		// Another life answers there: nothing is said for the old one, after what was on its way.
+		So(len(w.announces)-sent, ShouldBeLessThanOrEqualTo, 3)
+		w.starts, w.loses = nil, func() bool { return true }
+		b.isMute = false
+		b.move("p1", 6, "w2")
+		w.generation, w.announces = 6, nil
+		b.run(2 * loop.Second)
+		So(len(w.announces), ShouldBeGreaterThan, 1)
+		for _, a := range w.announces {
+			So(a.Over, ShouldResemble, []string{"w1"})
+			So(a.Running, ShouldBeEmpty)
+		}
+		w.loses = nil
+		b.run(2 * loop.Second)
+		So(w.last().Over, ShouldBeEmpty)
+		// A late word of the dead changes nothing.
+		b.mail("", late)
+		looks := b.count(agent.Look)
+		b.run(2 * loop.Second)
+		So(w.last().Over, ShouldBeEmpty)
+		So(b.count(agent.Look)-looks, ShouldBeLessThanOrEqualTo, 2)
+		for _, call := range b.calls[len(b.calls)-2:] {
+			So(call.Worker, ShouldEqual, "w2")
+		}
+	})
+	Convey("A worker that doesn't answer isn't spoken for, and is again when it does", t, func() {
+		isDeaf := false
+		b, w := usual(toil.Setup{Fault: func(loop.Micros, agent.Call) toil.Fault {
+			if isDeaf {
+				return toil.Lost
+			}
+			return toil.NoFault
+		}}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(2 * loop.Second)
+		isDeaf = true
+		b.run(3 * loop.Second)
+		announces, looks := len(w.announces), b.count(agent.Look)
+		b.run(5 * loop.Second)
+		So(len(w.announces), ShouldEqual, announces)
+		So(b.count(agent.Look)-looks, ShouldBeLessThanOrEqualTo, 8)
+		isDeaf, w.starts = false, nil
+		b.run(2 * loop.Second)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 lapsed"})
+	})
+	Convey("Beats out of order are dropped", t, func() {
+		b, w := usual(toil.Setup{Cold: 10 * loop.Second}, nil)
+		old := b.worker.Beat(b.now)
+		old.Cores = 7
+		b.run(2 * loop.Second)
+		b.mail("", old)
+		b.run(loop.Second)
+		So(w.last().CoresMilli, ShouldEqual, 1000)
+		So(w.last().ColdUs, ShouldBeBetween, int64(6*loop.Second), int64(8*loop.Second))
+	})
+}
+
+func TestLeaving(t *testing.T) {
+	Convey("A worker that leaves is told of at once and given nothing more; its runs go on until it departs", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(2 * loop.Second)
+		b.worker.Leave(b.now, 5*loop.Second)
+		beat := b.worker.Beat(b.now)
+		b.mail("", beat)
+		b.run(4 * hop)
+		So(w.last().Leaving, ShouldBeTrue)
+		So(w.last().DepartureUs, ShouldBeBetween, int64(4900*loop.Milli), int64(5000*loop.Milli)+1)
+		w.starts = append(w.starts, order("start", "j", 1, 1, "run_us=60000000"))
+		b.run(2 * loop.Second)
+		So(b.count(agent.Start), ShouldEqual, 1)
+		So(w.ends, ShouldResemble, []string{"j.0.0.1/1 stopped"})
+		So(b.worker.Running(), ShouldEqual, 1)
+		// The last announce may be as old as its answer may be held back.
+		So(w.last().DepartureUs, ShouldBeBetween, int64(3*loop.Second), int64(3450*loop.Milli))
+		w.starts = nil
+		b.run(3 * loop.Second)
+		b.mail("", agent.Departed{Worker: "w1"})
+		b.run(4 * hop)
+		So(w.ends, ShouldResemble, []string{"j.0.0.1/1 stopped", "j.0.0.0/1 stopped"})
+		b.mail("", beat)
+		calls := len(b.calls)
+		b.run(loop.Second)
+		So(b.calls, ShouldHaveLength, calls)
+	})
+}
+
+func TestFrozenAgent(t *testing.T) {
+	Convey("After a pause the worker is looked at before anything is announced or begun", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000"), order("start", "j", 1, 1, "run_us=3000000")}
+		b.run(2 * loop.Second)
+		b.isFrozen = true
+		w.starts = append(w.starts, order("start", "j", 2, 1, "run_us=60000000"))
+		b.run(6 * loop.Second)
+		b.isFrozen = false
+		sent := len(b.log)
+		b.run(loop.Second)
+		So(b.log[sent], ShouldEqual, "call 3 fence 5")
+		sort.Strings(w.ends)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 lapsed", "j.0.0.1/1 done"})
+		So(b.worker.Running(), ShouldEqual, 1)
+		So(b.begun["j.0.0.2/1"], ShouldEqual, 1)
+	})
+}
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -217,11 +217,7 @@
 	}
 	if m.Verdict != Answered {
 		l.rest = min(max(l.rest, retrySpan), restMost)
-		if isLong {
-			l.lookAt = now + l.rest
-		} else {
-			l.glanceAt, l.isAsked = now+l.rest, true
-		}
+		l.lookAt, l.glanceAt = now+l.rest, now+l.rest
 		l.rest = min(2*l.rest, restMost)
 		// Whoever doesn't answer isn't spoken for: what it holds isn't renewed
 		// either, so the placer may give it to others when the licence is over.
--- /dev/null
+++ b/toil/called.go
@@ -0,0 +1,593 @@
+package toil
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"sparnotch/agent"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+const (
+	patience = 400 * loop.Milli // a call without an answer is silent after this
+	endsMost = 500              // in one look
+)
+
+// Need is what a called worker reads of a task.
+type Need struct {
+	Cores, Memory, Accelerators int64
+	Work                        loop.Micros // at a factor of 1; 0: it lasts until it is stopped
+	Members                     int         // of its group; 0 and 1: none
+	Rack                        string      // that holds its data
+	IsOneRack                   bool
+	IsSaving                    bool
+}
+
+// Fault is what becomes of one call.
+type Fault int
+
+const (
+	NoFault Fault = iota
+	Refused       // busy: nothing is done
+	Lost          // nothing is done and nothing answered
+	Unheard       // it is done, and nothing answered
+	Belated       // nothing is answered, and it is done seconds later
+)
+
+// Setup is what a called worker is. The hooks decide what happens to it, so
+// that a run is the same each time; each may be nil.
+type Setup struct {
+	Pool, Cell, Rack string
+	Address          string
+	Labels           []string
+	Cores            int64 // thousandths
+	Memory           int64 // MB
+	Accelerators     int64
+	Bounds           *schema.Bounds
+	IsGuarding       bool        // turns away what doesn't fit
+	Drift            float64     // of its clock; 0: true
+	Cold             loop.Micros // it is slow for so long after its start
+	Belated          loop.Micros // how much later belated calls are done; 0: 2 s
+
+	Read     func(task agent.TaskName, text string) Need             // nil: from words such as run_us=30000
+	Fails    func(task agent.TaskName, attempt uint32) bool          // ends failed after half its work
+	Slowness func(now loop.Micros) float64                           // factor on work that begins now
+	Fault    func(now loop.Micros, call agent.Call) Fault            // of a call
+	Stops    func(task agent.TaskName, attempt uint32) loop.Micros   // how long a stop takes; nil: a quarter of the bound
+	Tell     func(now loop.Micros, kind string, run Run, how string) // begin, end
+}
+
+// Run names one start of a task.
+type Run struct {
+	Task    agent.TaskName
+	Attempt uint32
+}
+
+func compareRuns(a, b Run) int {
+	return cmp.Or(
+		cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Round, b.Task.Round), cmp.Compare(a.Task.Part, b.Task.Part),
+		cmp.Compare(a.Task.Task, b.Task.Task), cmp.Compare(a.Attempt, b.Attempt),
+	)
+}
+
+// Gangs are the groups that gather at the called workers of one fleet.
+type Gangs struct{ all map[gangKey]*gang }
+
+// NewGangs makes them.
+func NewGangs() *Gangs { return &Gangs{all: map[gangKey]*gang{}} }
+
+type gangKey struct {
+	job         string
+	round, part uint32
+	attempt     uint32
+}
+
+type gang struct {
+	members  map[uint32]*called // by task
+	racks    map[string]bool
+	whole    loop.Micros // when all were there
+	until    loop.Micros // they are done together
+	isDone   bool
+	isBroken bool
+}
+
+// called is a run of a called worker.
+type called struct {
+	run     Run
+	need    Need
+	arrived loop.Micros
+	began   loop.Micros // of its work
+	until   loop.Micros // it ends by itself; 0: not by itself, or not yet
+	factor  float64
+	before  loop.Micros // work done before this start
+	isBad   bool        // will end failed
+	gang    *gang
+	stopAt  loop.Micros
+}
+
+type waiting struct {
+	call  agent.Call
+	until loop.Micros
+	reply func(agent.Reply)
+}
+
+type belated struct {
+	at       loop.Micros
+	apply    func(now loop.Micros)
+	isSilent bool // only the caller's own patience: that doesn't die with the worker
+}
+
+// Called is a stand-in of a worker that is called: it knows its agent by fences
+// alone, holds what it runs as long as it was told, and lists ends until they
+// are noted. Times are of one true clock; its own is derived.
+type Called struct {
+	setup   Setup
+	gangs   *Gangs
+	worker  string
+	born    loop.Micros
+	isDead  bool
+	fence   uint64
+	until   loop.Micros // by its own clock
+	runs    map[Run]*called
+	past    map[agent.TaskName]uint32 // highest attempt seen to end or stopped
+	newest  map[agent.TaskName]uint32 // highest started
+	ended   []agent.Ending
+	number  uint64
+	beats   uint64
+	leaveAt loop.Micros // it ends then
+	looks   []waiting
+	later   []belated
+}
+
+// NewCalled makes a worker's first life.
+func NewCalled(now loop.Micros, worker string, setup Setup, gangs *Gangs) *Called {
+	if setup.Bounds == nil {
+		setup.Bounds = &schema.Bounds{}
+	}
+	if setup.Drift == 0 {
+		setup.Drift = 1
+	}
+	if setup.Read == nil {
+		setup.Read = readNeed
+	}
+	if gangs == nil {
+		gangs = NewGangs()
+	}
+	w := &Called{setup: setup, gangs: gangs}
+	w.Live(now, worker)
+	return w
+}
+
+// Live begins another life: nothing runs and no fence was seen.
+func (w *Called) Live(now loop.Micros, worker string) {
+	w.Crash(now)
+	w.worker, w.born, w.isDead = worker, now, false
+	w.fence, w.until, w.number, w.beats, w.leaveAt = 0, 0, 0, 0, 0
+	w.runs, w.past, w.newest, w.ended = map[Run]*called{}, map[agent.TaskName]uint32{}, map[agent.TaskName]uint32{}, nil
+}
+
+// Crash ends a life without a word; all that ran dies with it.
+func (w *Called) Crash(now loop.Micros) {
+	for _, key := range w.keys() {
+		w.tell(now, "end", key, "gone")
+		w.breakUp(w.runs[key])
+	}
+	w.runs, w.isDead = nil, true
+	w.later = slices.DeleteFunc(w.later, func(each belated) bool { return !each.isSilent })
+	for _, each := range w.looks {
+		each.reply(agent.Reply{Number: each.call.Number, Verdict: agent.Silent})
+	}
+	w.looks = nil
+}
+
+// Leave has the worker say that it leaves, and go after a span.
+func (w *Called) Leave(now, span loop.Micros) { w.leaveAt = now + span }
+
+// Worker names the life.
+func (w *Called) Worker() string { return w.worker }
+
+// IsDead tells whether it has crashed or gone.
+func (w *Called) IsDead() bool { return w.isDead }
+
+// Running counts what runs.
+func (w *Called) Running() int { return len(w.runs) }
+
+// Runs tells whether a run is there.
+func (w *Called) Runs(run Run) bool { return w.runs[run] != nil }
+
+// Unnoted counts the ends that it lists.
+func (w *Called) Unnoted() int { return len(w.ended) }
+
+// Fence is the highest seen.
+func (w *Called) Fence() uint64 { return w.fence }
+
+// Clock is what its own clock shows.
+func (w *Called) Clock(now loop.Micros) loop.Micros {
+	return loop.Second + loop.Micros(float64(now-w.born)*w.setup.Drift)
+}
+
+// HeldTo is when all that runs is killed, by its own clock.
+func (w *Called) HeldTo() loop.Micros { return w.until }
+
+// Beat is its word of itself.
+func (w *Called) Beat(now loop.Micros) agent.Beat {
+	w.beats++
+	s := w.setup
+	beat := agent.Beat{
+		Worker: w.worker, Pool: s.Pool, Cell: s.Cell, Rack: s.Rack, Labels: s.Labels, Cores: s.Cores, Memory: s.Memory,
+		Accelerators: s.Accelerators, Cold: max(0, s.Cold-(now-w.born)), Clock: w.Clock(now), Number: w.beats, Address: s.Address,
+	}
+	if w.leaveAt > 0 {
+		beat.IsLeaving, beat.Departure = true, max(0, w.leaveAt-now)
+	}
+	return beat
+}
+
+// Take carries a call out. The reply may come at once or in a later step.
+func (w *Called) Take(now loop.Micros, call agent.Call, reply func(agent.Reply)) {
+	w.Step(now)
+	fault := NoFault
+	if w.setup.Fault != nil {
+		fault = w.setup.Fault(now, call)
+	}
+	silent := func(span loop.Micros) {
+		w.later = append(w.later, belated{now + span, func(loop.Micros) {
+			reply(agent.Reply{Number: call.Number, Verdict: agent.Silent})
+		}, true})
+	}
+	switch {
+	case w.isDead, fault == Lost:
+		silent(patience + call.Wait)
+	case fault == Refused:
+		reply(agent.Reply{Number: call.Number, Verdict: agent.Busy})
+	case fault == Unheard:
+		w.apply(now, call, func(agent.Reply) {})
+		silent(patience + call.Wait)
+	case fault == Belated:
+		span := w.setup.Belated
+		if span == 0 {
+			span = 2 * loop.Second
+		}
+		silent(patience + call.Wait)
+		w.later = append(w.later, belated{now + span, func(at loop.Micros) { w.apply(at, call, func(agent.Reply) {}) }, false})
+	default:
+		w.apply(now, call, reply)
+	}
+}
+
+func (w *Called) apply(now loop.Micros, call agent.Call, reply func(agent.Reply)) {
+	answer := agent.Reply{Number: call.Number, Verdict: agent.Answered, Clock: w.Clock(now)}
+	away := func(reason agent.Reason) {
+		answer.Verdict, answer.Reason = agent.TurnedAway, reason
+		reply(answer)
+	}
+	if call.Worker != w.worker {
+		reply(agent.Reply{Number: call.Number, Verdict: agent.OtherLife})
+		return
+	}
+	if call.Fence < w.fence {
+		away(agent.Fenced)
+		return
+	}
+	w.fence = call.Fence
+	if call.Until > 0 {
+		most := loop.Micros(w.setup.Bounds.HoldMostUs)
+		until := call.Until
+		if most > 0 {
+			until = min(until, w.Clock(now)+most)
+		}
+		w.until = max(w.until, until)
+	}
+	switch call.Act {
+	case agent.Start:
+		if why := w.begin(now, call); why != agent.NoReason {
+			away(why)
+			return
+		}
+		reply(answer)
+	case agent.Stop:
+		w.stop(now, Run{call.Task, call.Attempt})
+		reply(answer)
+	case agent.Look:
+		w.ended = slices.DeleteFunc(w.ended, func(e agent.Ending) bool { return e.Number <= call.Noted })
+		if call.Wait > 0 && len(w.ended) == 0 {
+			w.looks = append(w.looks, waiting{call, now + min(call.Wait, 2*loop.Second), reply})
+			return
+		}
+		w.list(now, call, reply)
+	}
+}
+
+func (w *Called) list(now loop.Micros, call agent.Call, reply func(agent.Reply)) {
+	answer := agent.Reply{Number: call.Number, Verdict: agent.Answered, Clock: w.Clock(now)}
+	for _, key := range w.keys() {
+		r := w.runs[key]
+		each := agent.Running{Task: key.Task, Attempt: key.Attempt, Saved: w.saved(now, r, false)}
+		if r.need.Work > 0 {
+			each.Percent = int64(100 * w.done(now, r) / r.need.Work)
+		}
+		answer.Running = append(answer.Running, each)
+	}
+	answer.Ended = slices.Clone(w.ended[:min(len(w.ended), endsMost)])
+	reply(answer)
+}
+
+func (w *Called) begin(now loop.Micros, call agent.Call) agent.Reason {
+	key := Run{call.Task, call.Attempt}
+	if call.Attempt == 0 || call.Task.Job == "" {
+		return agent.Bad
+	}
+	if w.runs[key] != nil {
+		return agent.NoReason
+	}
+	if past, isPast := w.past[call.Task]; isPast && call.Attempt <= past || call.Attempt <= w.newest[call.Task] {
+		return agent.Past
+	}
+	if w.Clock(now) >= w.until || call.Until > 0 && w.Clock(now) >= call.Until {
+		return agent.Late
+	}
+	need := w.setup.Read(call.Task, call.Text)
+	if w.setup.IsGuarding && !w.hasRoom(need) {
+		return agent.NoRoom
+	}
+	w.newest[call.Task] = call.Attempt
+	r := &called{run: key, need: need, arrived: now, factor: w.factor(now, need)}
+	if need.IsSaving {
+		fmt.Sscanf(call.Saved, "work=%d", &r.before)
+	}
+	r.isBad = w.setup.Fails != nil && w.setup.Fails(call.Task, call.Attempt)
+	w.runs[key] = r
+	w.tell(now, "begin", key, "")
+	if need.Members > 1 {
+		w.gather(now, r)
+		return agent.NoReason
+	}
+	w.work(now, r)
+	return agent.NoReason
+}
+
+func (w *Called) factor(now loop.Micros, need Need) float64 {
+	factor := 1.0
+	if w.setup.Slowness != nil {
+		factor = w.setup.Slowness(now)
+	}
+	if need.Rack != "" && need.Rack != w.setup.Rack {
+		factor *= w.away()
+	}
+	return factor
+}
+
+// away is how much longer work takes away from its data or its group's rack.
+func (w *Called) away() float64 {
+	if milli := w.setup.Bounds.AwayMilli; milli > 0 {
+		return float64(milli) / 1000
+	}
+	return 1
+}
+
+func (w *Called) work(now loop.Micros, r *called) {
+	r.began = now
+	if r.before > 0 {
+		r.began += loop.Micros(w.setup.Bounds.RestoreUs)
+	}
+	if r.need.Work > 0 {
+		r.until = r.began + loop.Micros(float64(r.need.Work-r.before)*r.factor)
+	}
+	if r.isBad {
+		r.until = r.began + loop.Micros(float64(max(r.need.Work-r.before, 2))*r.factor/2)
+	}
+}
+
+func (w *Called) hasRoom(need Need) bool {
+	cores, memory, accelerators := w.setup.Cores-need.Cores, w.setup.Memory-need.Memory, w.setup.Accelerators-need.Accelerators
+	for _, r := range w.runs {
+		cores, memory, accelerators = cores-r.need.Cores, memory-r.need.Memory, accelerators-r.need.Accelerators
+	}
+	return cores >= 0 && memory >= 0 && accelerators >= 0
+}
+
+// gather joins a run to its group, which begins when its last member is there.
+func (w *Called) gather(now loop.Micros, r *called) {
+	key := gangKey{r.run.Task.Job, r.run.Task.Round, r.run.Task.Part, r.run.Attempt}
+	g := w.gangs.all[key]
+	if g == nil {
+		g = &gang{members: map[uint32]*called{}, racks: map[string]bool{}}
+		w.gangs.all[key] = g
+	}
+	r.gang = g
+	g.members[r.run.Task.Task] = r
+	g.racks[w.setup.Rack] = true
+	if len(g.members) < r.need.Members || g.isBroken {
+		return
+	}
+	g.whole = now
+	factor, before := 1.0, loop.Micros(0)
+	for _, member := range g.members {
+		factor, before = max(factor, member.factor), max(before, member.before)
+	}
+	if r.need.IsOneRack && len(g.racks) > 1 {
+		factor *= w.away()
+	}
+	for _, member := range g.members {
+		member.factor, member.before = factor, before
+		w.work(now, member)
+		if !member.isBad {
+			g.until = max(g.until, member.until)
+		}
+	}
+}
+
+func (w *Called) breakUp(r *called) {
+	if r.gang != nil && !r.gang.isDone {
+		r.gang.isBroken = true
+	}
+}
+
+// stop has a run end soon; one that isn't there never will be.
+func (w *Called) stop(now loop.Micros, key Run) {
+	r := w.runs[key]
+	if r == nil {
+		w.past[key.Task] = max(w.past[key.Task], key.Attempt)
+		return
+	}
+	if r.stopAt > 0 {
+		return
+	}
+	span := loop.Micros(w.setup.Bounds.StopUs / 4)
+	if w.setup.Stops != nil {
+		span = w.setup.Stops(key.Task, key.Attempt)
+	}
+	r.stopAt = now + span
+}
+
+// done is how much work a run has behind it.
+func (w *Called) done(now loop.Micros, r *called) loop.Micros {
+	if r.began == 0 || now <= r.began {
+		return r.before
+	}
+	return r.before + loop.Micros(float64(now-r.began)/max(r.factor, 0.001))
+}
+
+// saved is what is kept of a run's work: each so much, or all at a stop.
+func (w *Called) saved(now loop.Micros, r *called, isAll bool) string {
+	if !r.need.IsSaving {
+		return ""
+	}
+	done := w.done(now, r)
+	if every := loop.Micros(w.setup.Bounds.SaveUs); !isAll && every > 0 {
+		done = max(r.before, done-done%every)
+	}
+	if done == 0 {
+		return ""
+	}
+	return fmt.Sprintf("work=%d", done)
+}
+
+func (w *Called) end(now loop.Micros, r *called, how string) {
+	delete(w.runs, r.run)
+	if how != "done" {
+		w.breakUp(r)
+	}
+	saved := ""
+	if how != "done" {
+		saved = w.saved(now, r, how == "stopped")
+	}
+	w.past[r.run.Task] = max(w.past[r.run.Task], r.run.Attempt)
+	w.number++
+	w.ended = append(w.ended, agent.Ending{Number: w.number, Task: r.run.Task, Attempt: r.run.Attempt, How: how, Saved: saved})
+	w.tell(now, "end", r.run, how)
+}
+
+// Step does what is due.
+func (w *Called) Step(now loop.Micros) {
+	later := w.later
+	w.later = nil
+	for _, each := range later {
+		if now < each.at {
+			w.later = append(w.later, each)
+			continue
+		}
+		each.apply(now)
+	}
+	if w.isDead {
+		return
+	}
+	isOver := w.Clock(now) >= w.until
+	gather := loop.Micros(w.setup.Bounds.GatherUs)
+	for _, key := range w.keys() {
+		r := w.runs[key]
+		g := r.gang
+		switch {
+		case isOver:
+			w.end(now, r, "lapsed")
+		case r.stopAt > 0 && now >= r.stopAt:
+			w.end(now, r, "stopped")
+		case g != nil && g.isBroken:
+			w.end(now, r, "broken")
+		case g != nil && g.whole == 0:
+			if gather > 0 && now-r.arrived >= gather {
+				w.end(now, r, "alone")
+			}
+		case r.isBad && now >= r.until:
+			w.end(now, r, "failed")
+		case g != nil:
+			if g.until > 0 && now >= g.until {
+				g.isDone = true
+				w.end(now, r, "done")
+			}
+		case r.until > 0 && now >= r.until:
+			w.end(now, r, "done")
+		}
+	}
+	looks := w.looks
+	w.looks = nil
+	for _, each := range looks {
+		if len(w.ended) == 0 && now < each.until {
+			w.looks = append(w.looks, each)
+			continue
+		}
+		w.list(now, each.call, each.reply)
+	}
+	if w.leaveAt > 0 && now >= w.leaveAt {
+		w.Crash(now)
+	}
+}
+
+// Next is when something is due by itself; what other members of a group do
+// may be due sooner.
+func (w *Called) Next() loop.Micros {
+	next := loop.Micros(1) << 62
+	sooner := func(at loop.Micros) {
+		if at > 0 {
+			next = min(next, at)
+		}
+	}
+	for _, each := range w.later {
+		sooner(each.at)
+	}
+	for _, each := range w.looks {
+		sooner(each.until)
+	}
+	for _, r := range w.runs {
+		sooner(r.stopAt)
+		switch g := r.gang; {
+		case g == nil || r.isBad:
+			sooner(r.until)
+		case g.whole > 0:
+			sooner(g.until)
+		case w.setup.Bounds.GatherUs > 0:
+			sooner(r.arrived + loop.Micros(w.setup.Bounds.GatherUs))
+		}
+		sooner(w.born + loop.Micros(float64(w.until-loop.Second)/w.setup.Drift) + 1)
+	}
+	sooner(w.leaveAt)
+	return next
+}
+
+func (w *Called) keys() []Run { return slices.SortedFunc(maps.Keys(w.runs), compareRuns) }
+
+func (w *Called) tell(now loop.Micros, kind string, run Run, how string) {
+	if w.setup.Tell != nil {
+		w.setup.Tell(now, kind, run, how)
+	}
+}
+
+// readNeed reads a task's text: "run_us=30000 cores=500 memory=100 members=3
+// saves=1 one_rack=1 rack=r1".
+func readNeed(_ agent.TaskName, text string) Need {
+	need := Need{
+		Work: loop.Micros(number(text, "run_us", 20_000)), Cores: int64(number(text, "cores", 0)), Memory: int64(number(text, "memory", 0)),
+		Accelerators: int64(number(text, "accelerators", 0)), Members: int(number(text, "members", 0)),
+		IsSaving: number(text, "saves", 0) > 0, IsOneRack: number(text, "one_rack", 0) > 0,
+	}
+	for _, word := range strings.Fields(text) {
+		if rack, isIt := strings.CutPrefix(word, "rack="); isIt {
+			need.Rack = rack
+		}
+	}
+	return need
+}
