--- a/charter/plan.go
+++ b/charter/plan.go
@@ -41,6 +41,9 @@
 	{"rack", "weight", 100, 0, 10_000, "percent: how gladly the rack is used; 0: not at all"},
 }
 
+// textKeys are keys whose value is a text; without a row it is empty.
+var textKeys = map[[2]string]bool{{"lane", "pool"}: true, {"lane", "host"}: true, {"lane", "prefix"}: true}
+
 func findKey(kind, name string) *key {
 	for k := range keys {
 		if keys[k].kind == kind && keys[k].name == name {
@@ -79,6 +82,9 @@
 		default:
 			return fault(at, "kind", "%q is neither fleet, lane nor rack", row.GetKind())
 		}
+		if textKeys[[2]string{row.Kind, row.Key}] {
+			continue
+		}
 		k := findKey(row.Kind, row.Key)
 		if k == nil {
 			return fault(at, "key", "%q is no key of kind %s", row.Key, row.Kind)
@@ -124,17 +130,20 @@
 // Values are a plan's weights and limits, read once.
 type Values struct {
 	set   map[[3]string]int64
+	texts map[[3]string]string
 	lanes map[string]bool
 }
 
 // Read makes a plan's values.
 func Read(plan *schema.Plan) *Values {
-	v := &Values{set: map[[3]string]int64{}, lanes: map[string]bool{}}
+	v := &Values{set: map[[3]string]int64{}, texts: map[[3]string]string{}, lanes: map[string]bool{}}
 	for _, row := range plan.GetRows() {
 		if row.Kind == "lane" {
 			v.lanes[row.Name] = true
 		}
-		if value, err := strconv.ParseInt(row.Value, 10, 64); err == nil {
+		if textKeys[[2]string{row.Kind, row.Key}] {
+			v.texts[[3]string{row.Kind, row.Name, row.Key}] = row.Value
+		} else if value, err := strconv.ParseInt(row.Value, 10, 64); err == nil {
 			v.set[[3]string{row.Kind, row.Name, row.Key}] = value
 		}
 	}
@@ -153,6 +162,11 @@
 	return k.usual
 }
 
+// Text reads a text of the plan, empty where no row states it.
+func (v *Values) Text(kind, name, keyName string) string {
+	return v.texts[[3]string{kind, name, keyName}]
+}
+
 // Fleet reads a value of the fleet.
 func (v *Values) Fleet(keyName string) int64 { return v.Of("fleet", "", keyName) }
 
--- a/lane/machine.go
+++ b/lane/machine.go
@@ -81,8 +81,11 @@
 	Worker      string
 	Incarnation uint64
 	Name        string
+	Round       uint32
+	Part        uint32 // the step's number within its round
 	Spec        *schema.Step
 	Text        string
+	Saved       string // progress that the next start carries
 	IsLaunched  bool
 }
 
@@ -420,7 +423,7 @@
 	return &Shift{
 		Hand: hand, Key: schema.TaskKey{Job: j.id, Step: uint32(s), Task: uint32(t)}, State: j.standing(s, t),
 		Attempt: each.attempt, Worker: each.worker, Incarnation: each.incarnation,
-		Name: j.name, Spec: j.spec.Steps[s], Text: j.spec.Text, IsLaunched: each.isLaunched,
+		Name: j.name, Part: uint32(s), Spec: j.spec.Steps[s], Text: j.spec.Text, IsLaunched: each.isLaunched,
 	}
 }
 
--- /dev/null
+++ b/placer/name.go
@@ -0,0 +1,165 @@
+package placer
+
+import (
+	"maps"
+	"slices"
+
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// nameKey is a task as an agent names it, which knows no lane.
+type nameKey struct {
+	name        string
+	round, part uint32
+	task        uint32
+}
+
+type nameAttempt struct {
+	nameKey
+	attempt uint32
+}
+
+func nameOf(note *schema.TaskNote) nameAttempt {
+	return nameAttempt{nameKey{note.Name, note.Round, note.Part, note.Task}, note.Attempt}
+}
+
+// resolve finds the lane and key of every note of a named announce. What can't
+// be found stays with the worker as strange runs and unknown ends.
+func (t *Table) resolve(w *worker, a *schema.Announce) (running, over []*schema.TaskNote) {
+	if !a.Named {
+		w.strange, w.unknown = nil, nil
+		return a.Running, a.Ended
+	}
+	kept := make(map[nameAttempt]attemptKey, len(a.Running)+len(a.Ended))
+	find := func(notes []*schema.TaskNote) (found, lost []*schema.TaskNote) {
+		for _, note := range notes {
+			key, isFound := t.find(w, note)
+			if !isFound {
+				lost = append(lost, note)
+				continue
+			}
+			kept[nameOf(note)] = key
+			found = append(found, &schema.TaskNote{
+				Lane: key.lane, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt, State: note.State,
+				RunUs: note.RunUs, StillUs: note.StillUs, CoresMilli: note.CoresMilli, MemoryMb: note.MemoryMb,
+				Name: note.Name, Round: note.Round, Part: note.Part, Saved: note.Saved, Percent: note.Percent,
+			})
+		}
+		return found, lost
+	}
+	running, w.strange = find(a.Running)
+	over, w.unknown = find(a.Ended)
+	w.resolved = kept
+	return running, over
+}
+
+func (t *Table) find(w *worker, note *schema.TaskNote) (attemptKey, bool) {
+	name := nameOf(note)
+	candidates := t.names[name.nameKey]
+	for _, each := range candidates {
+		if each.worker == w.id && each.attempt == note.Attempt {
+			return attemptKey{each.key, note.Attempt}, true
+		}
+	}
+	// What it stood for once it stands for still, also after the task is gone.
+	if key, isKnown := w.resolved[name]; isKnown {
+		return key, true
+	}
+	for _, each := range candidates {
+		if each.attempt >= note.Attempt {
+			return attemptKey{each.key, note.Attempt}, true
+		}
+	}
+	return attemptKey{}, false
+}
+
+// forgotten lists those of a worker's notes that no lane can know: every lane
+// of the plan is led here, and none has such a task. Before that is sure they
+// are left alone.
+func (t *Table) forgotten(now loop.Micros, notes []*schema.TaskNote) []*schema.TaskNote {
+	if len(notes) == 0 || !t.isAllHere(now) {
+		return nil
+	}
+	var list []*schema.TaskNote
+	for _, note := range notes {
+		// A task that has come since is for the next announce.
+		if len(t.names[nameOf(note).nameKey]) == 0 {
+			list = append(list, &schema.TaskNote{Name: note.Name, Round: note.Round, Part: note.Part, Task: note.Task, Attempt: note.Attempt})
+		}
+	}
+	return list
+}
+
+// isAllHere tells whether every lane of the plan that stands in the charter is
+// led here and may be acted for.
+func (t *Table) isAllHere(now loop.Micros) bool {
+	if t.state.Version == 0 || !t.isSure(now) {
+		return false
+	}
+	for _, place := range t.state.Lanes {
+		if !t.values.HasLane(place.Lane) {
+			continue
+		}
+		if v := t.views[place.Lane]; v == nil || !t.mayAct(now, v) {
+			return false
+		}
+	}
+	return true
+}
+
+// look takes down what is seen of a running task.
+func (t *Table) look(now loop.Micros, w *worker, note *schema.TaskNote) {
+	each := w.tasks[noteKey(note).taskKey]
+	if each == nil || each.attempt != note.Attempt || note.State == "held" {
+		return
+	}
+	if each.beganAt == 0 {
+		each.beganAt = now - loop.Micros(note.RunUs)
+		each.movedAt, each.percent = now, note.Percent
+	}
+	if note.Percent != each.percent {
+		each.movedAt, each.percent = now, note.Percent
+	}
+	if note.Saved != "" && note.Saved != each.seen {
+		each.seen, each.savedAt = note.Saved, now
+	}
+}
+
+// buried takes an agent's word for the workers that stood on its machine
+// before: nothing of theirs runs, so their tasks are given back at once.
+func (t *Table) buried(now loop.Micros, list []string, teller string, out loop.Out) {
+	for _, id := range list {
+		if id == teller {
+			continue
+		}
+		_, isKnown := t.over[id]
+		t.over[id] = now
+		if w := t.workers[id]; w != nil && !w.isOver {
+			w.isOver = true
+			t.dismiss(w, out)
+		}
+		if !isKnown {
+			t.buryOne(now, id, out)
+		}
+	}
+}
+
+func (t *Table) buryOne(now loop.Micros, id string, out loop.Out) {
+	for _, key := range slices.SortedFunc(maps.Keys(t.placed[id]), compareKeys) {
+		each := t.placed[id][key]
+		t.giveBack(now, each, "lost", out)
+	}
+}
+
+// bury gives back what has come to be known of dead workers since.
+func (t *Table) bury(now loop.Micros, out loop.Out) {
+	for _, id := range slices.Sorted(maps.Keys(t.over)) {
+		at := t.over[id]
+		if len(t.placed[id]) > 0 {
+			t.buryOne(now, id, out)
+		} else if now-at > overSpan {
+			delete(t.over, id)
+		}
+	}
+}
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -1,224 +1,299 @@
 package placer
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 
-	"sparnotch/charter"
 	"sparnotch/keep"
 	"sparnotch/lane"
 	"sparnotch/loop"
 	"sparnotch/schema"
 )
 
-// room is what a pass reckons a worker has left.
-type room struct {
-	w             *worker
-	cores, memory int64
-	mostTasks     int // while it is being tried again
-	racks         int64
-}
-
-func (r *room) fits(step *schema.Step) bool {
-	return r.mostTasks > 0 && r.cores >= step.CoresMilli && r.memory >= step.MemoryMb
-}
+const (
+	weightData  = 2000 // of the rack that holds a step's data
+	weightOne   = 1000 // of the rack that a step keeps together in
+	weightSlow  = 100  // against workers, for each time their runs take longer
+	weightCold  = 50   // against workers that have just started
+	wideQuarter = 4    // what takes over a quarter of a worker is wide
+)
 
-func (r *room) take(step *schema.Step) {
-	r.cores -= step.CoresMilli
-	r.memory -= step.MemoryMb
-	r.mostTasks--
+// wish is what a pass knows of a step while it looks for room for it.
+type wish struct {
+	step    stepKey
+	spec    *schema.Step
+	need    amount
+	workers map[string]int // its tasks by worker
+	racks   map[string]int // its tasks by rack
+	favour  string         // the rack it keeps together in
+	mayRest bool           // it has waited long enough for workers that are set aside
 }
 
-func (r *room) give(step *schema.Step) {
-	r.cores += step.CoresMilli
-	r.memory += step.MemoryMb
-	r.mostTasks++
+func (t *Table) wishOf(now loop.Micros, v *view, b *band, list []*room) *wish {
+	first, _ := b.ready.Min()
+	x := &wish{
+		step: b.key, spec: b.spec, need: sizeOf(b.spec), workers: map[string]int{}, racks: map[string]int{},
+		mayRest: now-first.since > asideAfter,
+	}
+	for id, count := range v.places[b.key] {
+		x.workers[id] = count
+		if w := t.workers[id]; w != nil {
+			x.racks[w.rack] += count
+		}
+	}
+	if b.spec.OneRack {
+		x.favour = t.favourite(x, list)
+	}
+	return x
 }
 
-// rooms counts what each worker that may be given work has left: its room less
-// what is out there, what is on its way, and what it says it runs besides.
-func (t *Table) rooms(now loop.Micros) []*room {
-	reserved := map[string][]*schema.Step{}
-	for _, v := range t.views {
-		for _, each := range v.reserved {
-			reserved[each.reserved] = append(reserved[each.reserved], each.spec)
-		}
+// favourite is the rack where most of a step stands, else the one with most
+// room for it.
+func (t *Table) favourite(x *wish, list []*room) string {
+	counts := map[string]int64{}
+	for rack, count := range x.racks {
+		counts[rack] += int64(count) << 32
 	}
-	median := t.medianFailure()
-	var list []*room
-	for _, id := range t.workerIds() {
-		w := t.workers[id]
-		if !w.isKnown || w.isLeaving || now-w.heard > silentSpan {
-			continue
-		}
-		weight := t.values.Of("rack", w.rack, "weight")
-		if !charter.GoodName(w.rack) || weight == 0 {
-			if w.rack != "" {
-				continue
-			}
-			weight = 100
-		}
-		r := &room{w: w, cores: w.cores, memory: w.memory, mostTasks: math.MaxInt32, racks: weight}
-		running := 0
-		for key, each := range w.tasks {
-			// By its own word it doesn't run what it has reported ended.
-			if w.ended[attemptKey{key, each.attempt}] == nil {
-				r.take(each.spec)
-				running++
-			}
-		}
-		for key, note := range w.running {
-			if each := w.tasks[key.taskKey]; each == nil || each.attempt != key.attempt {
-				r.cores -= note.CoresMilli
-				r.memory -= note.MemoryMb
-				running++
-			}
-		}
-		for _, step := range reserved[id] {
-			r.take(step)
-			running++
+	for _, r := range list {
+		if t.suits(r, x) {
+			counts[r.w.rack] += min(r.free.times(x.need), int64(x.spec.Tasks))
 		}
-		r.mostTasks = math.MaxInt32
-		if t.isSuspect(w, median) {
-			// It fails far more than others: a rest, then few tasks at a time.
-			if w.asideUntil == 0 {
-				w.asideUntil = now + 10*loop.Second
-			}
-			if now < w.asideUntil {
-				continue
-			}
-			r.mostTasks = max(0, 1-running)
-		} else {
-			w.asideUntil = 0
+	}
+	best := ""
+	for rack, count := range counts {
+		if best == "" || count > counts[best] || count == counts[best] && rack < best {
+			best = rack
 		}
-		list = append(list, r)
 	}
-	return list
+	return best
 }
 
-func failureRate(w *worker) float64 { return w.bad / (w.good + w.bad + 2) }
+// suits tells whether a worker may run a step's tasks at all.
+func (t *Table) suits(r *room, x *wish) bool {
+	if r.isClaimed || r.isAside && !x.mayRest {
+		return false
+	}
+	for _, label := range x.spec.Labels {
+		if !slices.Contains(r.w.labels, label) {
+			return false
+		}
+	}
+	return true
+}
 
-func (t *Table) medianFailure() float64 {
-	var rates []float64
-	for _, w := range t.workers {
-		rates = append(rates, failureRate(w))
+// hasLeave tells whether the worker may have one more of a step's tasks.
+func (t *Table) hasLeave(r *room, x *wish) bool {
+	if x.spec.PerWorker == 0 {
+		return true
 	}
-	if len(rates) == 0 {
-		return 0
+	count := x.workers[r.w.id]
+	for key := range r.w.running {
+		if key.ofStep() == x.step {
+			if each := r.w.tasks[key.taskKey]; each == nil || each.attempt != key.attempt {
+				count++
+			}
+		}
 	}
-	sort.Float64s(rates)
-	return rates[(len(rates)-1)/2]
+	return count < int(x.spec.PerWorker)
 }
 
-func (t *Table) isSuspect(w *worker, median float64) bool {
-	return w.bad >= 4 && failureRate(w) > 0.3 && failureRate(w) > 3*median
+func (t *Table) fits(r *room, x *wish) bool {
+	// Room that is being freed for somebody is given to nobody else.
+	return r.mostTasks > 0 && r.free.has(x.need) && r.later.has(x.need) && t.suits(r, x) && t.hasLeave(r, x)
 }
 
 // score weighs a worker for a step: room left in its scarcer kind, spread over
-// racks, failures.
-func (t *Table) score(r *room, step *schema.Step, racks map[string]int) float64 {
+// racks, failures, pace, and where the data is.
+func (t *Table) score(now loop.Micros, r *room, x *wish) float64 {
 	left := func(free, need, whole int64) float64 {
 		if whole <= 0 {
 			return 0
 		}
 		return float64(free-need) / float64(whole)
 	}
-	free := math.Min(left(r.cores, step.CoresMilli, r.w.cores), left(r.memory, max(step.MemoryMb, 1), r.w.memory))
+	free := math.Min(left(r.free.cores, x.need.cores, r.w.cores), left(r.free.memory, max(x.need.memory, 1), r.w.memory))
 	score := float64(t.plan("weight_room")) * free
-	score -= float64(t.plan("weight_rack")) * float64(racks[r.w.rack]) / float64(max(step.Tasks, 1))
 	score -= float64(t.plan("weight_failures")) * failureRate(r.w)
-	return score * float64(r.racks) / 100
+	score -= weightSlow * math.Max(0, math.Exp(math.Min(r.w.slow, 3))-1)
+	if now < r.w.coldUntil {
+		score -= weightCold
+	}
+	// Accelerators are kept for who asks for them.
+	if x.need.accelerators == 0 && r.w.accelerators > 0 {
+		score -= float64(t.plan("weight_room"))
+	}
+	if x.spec.OneRack {
+		if r.w.rack == x.favour {
+			score += weightOne
+		}
+	} else {
+		score -= float64(t.plan("weight_rack")) * float64(x.racks[r.w.rack]) / float64(max(x.spec.Tasks, 1))
+	}
+	if x.spec.DataRack != "" && r.w.rack == x.spec.DataRack {
+		score += weightData
+	}
+	if score > 0 {
+		score = score * float64(r.weight) / 100
+	}
+	return score
 }
 
-func (t *Table) best(list []*room, step *schema.Step, racks map[string]int) (*room, float64) {
+func (t *Table) best(now loop.Micros, list []*room, x *wish) (*room, float64) {
 	var best *room
 	top := math.Inf(-1)
 	for _, r := range list {
-		if !r.fits(step) {
+		if !t.fits(r, x) {
 			continue
 		}
-		if score := t.score(r, step, racks); score > top {
+		if score := t.score(now, r, x); score > top {
 			best, top = r, score
 		}
 	}
 	return best, top
 }
 
+// put takes room for one task of a step; the answer gives it back.
+func (t *Table) put(r *room, x *wish) (undo func()) {
+	r.take(x.need)
+	x.workers[r.w.id]++
+	x.racks[r.w.rack]++
+	return func() {
+		r.give(x.need)
+		x.workers[r.w.id]--
+		x.racks[r.w.rack]--
+	}
+}
+
 // pass runs over the ready tasks, most urgent lane first, and checks out what
 // finds room.
 func (t *Table) pass(now loop.Micros, out loop.Out) {
 	var views []*view
+	oldest := map[*view]loop.Micros{}
 	for _, v := range t.views {
-		if v.ready.Len() > 0 && t.mayAct(now, v) {
+		if v.waits > 0 && t.mayAct(now, v) {
 			views = append(views, v)
+			if b, isThere := v.ready.Min(); isThere {
+				if first, isReady := b.ready.Min(); isReady {
+					oldest[v] = first.since
+				}
+			}
 		}
 	}
 	if len(views) == 0 {
 		return
 	}
-	sort.Slice(views, func(a, b int) bool {
-		if views[a].urgency != views[b].urgency {
-			return views[a].urgency > views[b].urgency
-		}
-		return views[a].lane < views[b].lane
+	// Among equals goes first who has waited longest.
+	slices.SortFunc(views, func(a, b *view) int {
+		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(oldest[a], oldest[b]), cmp.Compare(a.lane, b.lane))
 	})
 	list := t.rooms(now)
+	p := &passage{least: math.MaxInt64, groups: map[stepKey]*unit{}}
+	for _, v := range t.views {
+		if v.out > 0 {
+			p.least = min(p.least, v.urgency)
+		}
+	}
 	for _, v := range views {
-		t.passLane(now, v, list, out)
+		pool := t.values.Text("lane", v.lane, "pool")
+		var own []*room
+		for _, r := range list {
+			if r.w.pool == pool {
+				own = append(own, r)
+			}
+		}
+		t.passLane(now, v, own, list, p, out)
+	}
+	if p.isFutile {
+		t.futileAt = now
 	}
 }
 
-func (t *Table) passLane(now loop.Micros, v *view, list []*room, out loop.Out) {
+// passage is what a pass has done so far.
+type passage struct {
+	least    int64 // lowest urgency of what is out
+	hasClaim bool
+	isFutile bool              // something that may displace found nothing to displace
+	groups   map[stepKey]*unit // what may be displaced only whole
+}
+
+// shape is all that decides whether a plain task fits anywhere.
+type shape struct {
+	need    amount
+	labels  string
+	mayRest bool
+}
+
+func (t *Table) passLane(now loop.Micros, v *view, list, all []*room, p *passage, out loop.Out) {
 	var picks []*schema.Pick
-	left := v.running - int64(v.out+len(v.reserved))
-	var taken []*task
+	left := int(v.running) - v.out - len(v.reserved)
 	misses := 0
-	racks := map[taskKey]map[string]int{} // by step
-	tooBig := map[*schema.Step]bool{}
-	v.ready.Ascend(func(each *task) bool {
-		if left <= 0 || len(picks) >= maxPicks {
+	missed := map[shape]bool{}
+	pivot := &band{}
+	isFirst := true
+	next := func() *band {
+		var found *band
+		v.ready.AscendGreaterOrEqual(pivot, func(b *band) bool {
+			if !isFirst && b.key == pivot.key {
+				return true
+			}
+			found = b
 			return false
+		})
+		return found
+	}
+	for b := next(); b != nil && left > 0 && len(picks) < maxPicks && misses < maxMisses; b = next() {
+		pivot, isFirst = &band{key: b.key}, false
+		first, _ := b.ready.Min()
+		form := shape{need: sizeOf(b.spec), labels: fmt.Sprint(b.spec.Labels), mayRest: now-first.since > asideAfter}
+		if missed[form] {
+			continue
 		}
-		step := taskKey{each.key.lane, each.key.job, each.key.step, 0}
-		if tooBig[each.spec] {
-			return true
-		}
-		if racks[step] == nil {
-			racks[step] = t.rackCount(v, each)
-		}
-		group := []*task{each}
-		if each.spec.Together {
-			// Members are ready together, so the first one stands for all.
-			if each.key.task != 0 {
-				return true
+		x := t.wishOf(now, v, b, list)
+		var group []*task
+		if b.spec.Together {
+			// Members are ready together, or the group isn't whole yet.
+			if b.ready.Len() != int(b.spec.Tasks) || left < b.ready.Len() {
+				continue
 			}
-			if group = t.members(each); len(group) != int(each.spec.Tasks) {
+			b.ready.Ascend(func(each *task) bool {
+				group = append(group, each)
 				return true
+			})
+		}
+		isMissed := false
+		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 {
+			members := group
+			if !b.spec.Together {
+				first, _ = b.ready.Min()
+				members = []*task{first}
+			}
+			chosen := t.chooseFor(now, members, list, x)
+			if chosen == nil {
+				isMissed = true
+				break
+			}
+			for k, member := range members {
+				t.reserve(v, member, chosen[k].w.id, now)
+				picks = append(picks, &schema.Pick{
+					Key:    &schema.TaskKey{Job: member.key.job, Step: member.key.step, Task: member.key.task},
+					Worker: chosen[k].w.id, Incarnation: chosen[k].w.incarnation,
+				})
+				left--
 			}
 		}
-		chosen := t.chooseFor(group, list, racks[step])
-		if chosen == nil {
-			tooBig[each.spec] = true
-			t.preempt(now, v, each, list)
-			// Whoever stands behind a few that don't fit waits its turn: a long
-			// row must not be looked through at every pass.
-			misses++
-			return misses < maxMisses
+		if !isMissed {
+			continue
 		}
-		for k, member := range group {
-			taken = append(taken, member)
-			member.reserved = chosen[k].w.id
-			picks = append(picks, &schema.Pick{
-				Key:    &schema.TaskKey{Job: member.key.job, Step: member.key.step, Task: member.key.task},
-				Worker: chosen[k].w.id, Incarnation: chosen[k].w.incarnation,
-			})
-			left--
+		// Whoever stands behind many that don't fit waits its turn: a long row
+		// must not be looked through at every pass.
+		misses++
+		if !b.spec.Together && b.spec.PerWorker == 0 {
+			missed[form] = true
 		}
-		return true
-	})
-	for _, member := range taken {
-		v.reserve(member, member.reserved, now)
+		t.await(now, v, b, x, left, list, all, p)
 	}
 	if len(picks) > 0 {
 		out.Tell("keep", keep.Propose{Group: v.group, Term: v.term, Command: &schema.LaneCommand{
@@ -227,88 +302,133 @@
 	}
 }
 
-func (t *Table) rackCount(v *view, each *task) map[string]int {
-	counts := map[string]int{}
-	for k := uint32(0); k < each.spec.Tasks; k++ {
-		if other := v.tasks[taskKey{each.key.lane, each.key.job, each.key.step, k}]; other != nil && other.worker != "" {
-			if w := t.workers[other.worker]; w != nil {
-				counts[w.rack]++
+// chooseFor finds a worker for every task of the group, or none for any.
+func (t *Table) chooseFor(now loop.Micros, group []*task, list []*room, x *wish) []*room {
+	if !x.spec.Together {
+		return t.chooseAmong(now, group, list, x)
+	}
+	// Members wait for each other at their workers or are held: all alike.
+	for _, gathers := range []bool{true, false} {
+		var alike []*room
+		for _, r := range list {
+			if r.w.gathers == gathers {
+				alike = append(alike, r)
 			}
 		}
+		if len(alike) == 0 {
+			continue
+		}
+		if x.spec.OneRack {
+			if chosen := t.chooseRack(now, group, alike, x); chosen != nil {
+				return chosen
+			}
+		}
+		if chosen := t.chooseAmong(now, group, alike, x); chosen != nil {
+			return chosen
+		}
 	}
-	return counts
+	return nil
 }
 
-// chooseFor finds a worker for every task of the group, or none for any.
-func (t *Table) chooseFor(group []*task, list []*room, racks map[string]int) []*room {
-	var chosen []*room
+// chooseRack finds one rack that holds a whole group, the roomiest first.
+func (t *Table) chooseRack(now loop.Micros, group []*task, list []*room, x *wish) []*room {
+	byRack := map[string][]*room{}
+	counts := map[string]int64{}
+	for _, r := range list {
+		if t.suits(r, x) {
+			byRack[r.w.rack] = append(byRack[r.w.rack], r)
+			counts[r.w.rack] += min(r.free.times(x.need), int64(len(group)))
+			if r.w.rack == x.spec.DataRack {
+				counts[r.w.rack] += 1 << 32
+			}
+		}
+	}
+	var racks []string
+	for rack := range byRack {
+		racks = append(racks, rack)
+	}
+	sort.Slice(racks, func(a, b int) bool {
+		if counts[racks[a]] != counts[racks[b]] {
+			return counts[racks[a]] > counts[racks[b]]
+		}
+		return racks[a] < racks[b]
+	})
+	for _, rack := range racks {
+		if chosen := t.chooseAmong(now, group, byRack[rack], x); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
+}
+
+func (t *Table) chooseAmong(now loop.Micros, group []*task, list []*room, x *wish) []*room {
+	chosen := make([]*room, 0, len(group))
+	undos := make([]func(), 0, len(group))
 	for _, member := range group {
-		r, score := t.best(list, member.spec, racks)
+		r, score := t.best(now, list, x)
 		if r == nil {
-			for k, taken := range chosen {
-				taken.give(group[k].spec)
-				racks[taken.w.rack]--
+			for _, undo := range undos {
+				undo()
 			}
 			return nil
 		}
-		r.take(member.spec)
-		racks[r.w.rack]++
+		undos = append(undos, t.put(r, x))
 		member.why = fmt.Sprintf("score %.2f on %s: %d milli cores and %d MB left, rack %s has %d of this step",
-			score, r.w.id, r.cores, r.memory, r.w.rack, racks[r.w.rack])
+			score, r.w.id, r.free.cores, r.free.memory, r.w.rack, x.racks[r.w.rack])
 		chosen = append(chosen, r)
 	}
 	return chosen
 }
 
-// preempt displaces less urgent tasks for one that has waited: by stop,
-// confirmed end, and return.
-func (t *Table) preempt(now loop.Micros, v *view, each *task, list []*room) {
-	if t.plan("preempt") == 0 || each.spec.Together || now-each.since < preemptAfter || now-t.preemptAt < preemptAfter {
-		return
-	}
+// claim keeps workers free for something wide that would else wait for ever
+// behind narrower work: those that are nearest to being free.
+func (t *Table) claim(x *wish, count int, list []*room) bool {
 	type offer struct {
-		victims []*task
-		cost    int64
+		r     *room
+		free  float64
+		times int64
 	}
-	var best *offer
+	var offers []offer
 	for _, r := range list {
-		var others []*task
-		for _, other := range t.tasksOf(r.w) {
-			ov := t.views[other.key.lane]
-			if other.standing == lane.Out && other.evict == "" && !other.spec.Together && ov.urgency < v.urgency {
-				others = append(others, other)
-			}
+		whole := r.w.whole()
+		whole.sub(r.w.fixed)
+		times := whole.times(x.need)
+		if x.spec.PerWorker > 0 {
+			times = min(times, int64(x.spec.PerWorker)-int64(x.workers[r.w.id]))
 		}
-		// The least urgent and the youngest lose least.
-		sort.SliceStable(others, func(a, b int) bool {
-			x, y := t.views[others[a].key.lane].urgency, t.views[others[b].key.lane].urgency
-			if x != y {
-				return x < y
-			}
-			return others[a].since > others[b].since
-		})
-		trial := *r
-		o := &offer{}
-		for _, other := range others {
-			if trial.fits(each.spec) {
-				break
-			}
-			trial.give(other.spec)
-			o.victims = append(o.victims, other)
-			o.cost += t.views[other.key.lane].urgency + 1
+		if times > 0 && t.suits(r, x) {
+			offers = append(offers, offer{r, float64(r.later.cores) / float64(max(r.w.cores, 1)), times})
 		}
-		if trial.fits(each.spec) && len(o.victims) > 0 && (best == nil || o.cost < best.cost) {
-			best = o
+	}
+	slices.SortStableFunc(offers, func(a, b offer) int { return cmp.Compare(b.free, a.free) })
+	var taken []*room
+	for _, o := range offers {
+		if count <= 0 {
+			break
 		}
+		count -= int(min(o.times, math.MaxInt32))
+		taken = append(taken, o.r)
 	}
-	if best == nil {
-		return
+	if count > 0 {
+		return false
+	}
+	for _, r := range taken {
+		r.isClaimed = true
 	}
-	t.preemptAt = now
-	for _, victim := range best.victims {
-		victim.evict = "stopped"
-		t.counts.Preempted++
+	return true
+}
+
+// isWide tells whether a step's tasks can be starved by narrower ones.
+func isWide(x *wish, list []*room) bool {
+	if x.spec.Together {
+		return true
+	}
+	for _, r := range list {
+		if r.w.whole().times(x.need) >= wideQuarter {
+			return false
+		}
 	}
+	return true
 }
 
 // Placement is one task's place and the reason for it.
@@ -324,17 +444,22 @@
 
 // WorkerBelief is what the ward believes of a worker.
 type WorkerBelief struct {
-	Worker      string `json:"worker"`
-	Generation  uint64 `json:"ward_generation"`
-	HeardUs     int64  `json:"heard_us_ago"`
-	Rack        string `json:"rack"`
-	Cores       int64  `json:"cores_milli"`
-	Memory      int64  `json:"memory_mb"`
-	Leaving     bool   `json:"leaving"`
-	Out         int    `json:"tasks_out"`
-	Running     int    `json:"tasks_running"`
-	FailureRate string `json:"failure_rate"`
-	SetAside    bool   `json:"set_aside"`
+	Worker       string `json:"worker"`
+	Generation   uint64 `json:"ward_generation"`
+	HeardUs      int64  `json:"heard_us_ago"`
+	Rack         string `json:"rack"`
+	Pool         string `json:"pool"`
+	Cores        int64  `json:"cores_milli"`
+	Memory       int64  `json:"memory_mb"`
+	Accelerators int64  `json:"accelerators"`
+	Leaving      bool   `json:"leaving"`
+	Over         bool   `json:"over"`
+	Out          int    `json:"tasks_out"`
+	Running      int    `json:"tasks_running"`
+	Strange      int    `json:"tasks_unknown"`
+	FailureRate  string `json:"failure_rate"`
+	Pace         string `json:"times_slower"`
+	SetAside     bool   `json:"set_aside"`
 }
 
 // Placements is the placer's belief.
@@ -350,9 +475,9 @@
 	for _, id := range t.workerIds() {
 		w := t.workers[id]
 		p.Workers = append(p.Workers, &WorkerBelief{
-			Worker: id, Generation: w.generation, HeardUs: int64(now - w.heard), Rack: w.rack, Cores: w.cores, Memory: w.memory,
-			Leaving: w.isLeaving, Out: len(w.tasks), Running: len(w.running),
-			FailureRate: fmt.Sprintf("%.2f", failureRate(w)), SetAside: now < w.asideUntil,
+			Worker: id, Generation: w.generation, HeardUs: int64(now - w.heard), Rack: w.rack, Pool: w.pool, Cores: w.cores, Memory: w.memory,
+			Accelerators: w.accelerators, Leaving: w.isLeaving, Over: w.isOver, Out: len(w.tasks), Running: len(w.running), Strange: len(w.strange),
+			FailureRate: fmt.Sprintf("%.2f", failureRate(w)), Pace: fmt.Sprintf("%.2f", math.Exp(w.slow)), SetAside: now < w.asideUntil,
 		})
 		for _, each := range t.tasksOf(w) {
 			state := "out"
@@ -363,7 +488,7 @@
 		}
 	}
 	for name, v := range t.views {
-		p.Ready[name] = v.ready.Len() + len(v.reserved)
+		p.Ready[name] = v.waits + len(v.reserved)
 	}
 	return p
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -33,9 +33,14 @@
 	wholeSpan    = loop.Second       // how long a failure in a group waits for the others to begin
 	leaveSpan    = 500 * loop.Milli  // a decided start may still reach a worker that has just said it leaves
 	groupSpan    = 3 * loop.Second   // a group that isn't held by then is let go
-	preemptAfter = 300 * loop.Milli  // how long urgent work waits before it displaces
+	gatherSpan   = 2 * loop.Second   // a member that hasn't begun by then lets the others go, unless the bounds say more
+	preemptAfter = 100 * loop.Milli  // how long urgent work waits before it displaces
+	claimAfter   = 1500 * loop.Milli // how long wide work waits before workers are kept free for it
+	asideAfter   = 3 * loop.Second   // how long work waits before it goes to workers that are set aside
+	departLead   = 500 * loop.Milli  // how long before its worker goes a task is stopped to keep its progress
+	overSpan     = 60 * loop.Second  // how long a worker stays known as dead after the last word of it
 	maxPicks     = 64                // of one checkout, groups apart
-	maxMisses    = 8                 // steps that find no room, of one lane and pass
+	maxMisses    = 32                // steps that find no room, of one lane and pass
 )
 
 type taskKey struct {
@@ -45,6 +50,15 @@
 	task uint32
 }
 
+// stepKey is a step of a job, of one of its rounds.
+type stepKey struct {
+	lane string
+	job  uint64
+	step uint32
+}
+
+func (k taskKey) ofStep() stepKey { return stepKey{k.lane, k.job, k.step} }
+
 type attemptKey struct {
 	taskKey
 	attempt uint32
@@ -69,6 +83,38 @@
 	isLaunched  bool        // its group is decided to begin
 	launchAt    loop.Micros // when that was proposed
 	heldAt      loop.Micros // when the whole group was first seen held
+	round, part uint32
+	saved       string // progress its next start carries
+	trail
+}
+
+// trail is what was seen of one attempt.
+type trail struct {
+	beganAt loop.Micros // first seen running
+	movedAt loop.Micros // its progress was last seen to change
+	savedAt loop.Micros // its kept progress was last seen to change
+	percent int64
+	seen    string // kept progress last seen
+	strikes uint32 // times it was stopped for standing still
+}
+
+// keptProgress is the newest progress known, for steps that keep any.
+func (t *task) keptProgress() string {
+	if !t.spec.Saves {
+		return ""
+	}
+	return cmp.Or(t.seen, t.saved)
+}
+
+// band is the ready tasks of one step.
+type band struct {
+	key   stepKey
+	spec  *schema.Step
+	ready *btree.BTreeG[*task]
+}
+
+func beforeBand(a, b *band) bool {
+	return cmp.Or(cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.step, b.key.step)) < 0
 }
 
 type view struct {
@@ -77,10 +123,12 @@
 	urgency     int64
 	running     int64
 	tasks       map[taskKey]*task
-	ready       *btree.BTreeG[*task]
-	reserved    map[taskKey]*task // ready, with a checkout on its way
-	gangs       map[taskKey]*task // first members of groups that are out and not decided to begin
+	ready       *btree.BTreeG[*band]
+	places      map[stepKey]map[string]int // tasks by worker, out or on their way
+	reserved    map[taskKey]*task          // ready, with a checkout on its way
+	gangs       map[taskKey]*task          // first members of groups that are out and not decided to begin
 	out         int
+	waits       int // ready tasks without a checkout on its way
 }
 
 type ended struct {
@@ -117,21 +165,46 @@
 	poll        *poll
 	isDirty     bool    // there may be something to tell it
 	good, bad   float64 // decayed counts of ended tasks
-	asideUntil  loop.Micros
+	quality
+
+	accelerators int64
+	labels       []string
+	pool         string
+	gathers      bool
+	isNamed      bool
+	isOver       bool        // dead, by its successor's agent's word
+	departAt     loop.Micros // while it leaves; 0: not told
+	coldUntil    loop.Micros
+	resolved     map[nameAttempt]attemptKey // what its named notes stand for
+	strange      []*schema.TaskNote         // runs that no task is known for
+	unknown      []*schema.TaskNote         // ends that no task is known for
+
+	reserved map[taskKey]*task // checkouts on their way
+	isStale  bool              // the sums below are to be made anew
+	used     amount            // by all that is there or on its way
+	coming   amount            // of that, what is being stopped
+	fixed    amount            // of that, what never ends by itself
+	count    int
+	isBlurry bool // it runs something of unknown size
 }
 
 // Table is the placer's table.
 type Table struct {
-	id        string
-	state     *schema.CharterState
-	values    *charter.Values
-	views     map[string]*view
-	workers   map[string]*worker
-	fresh     keep.Fresh
-	freshAt   loop.Micros
-	isDirty   bool
-	preemptAt loop.Micros
-	counts    Counts
+	id       string
+	state    *schema.CharterState
+	values   *charter.Values
+	views    map[string]*view
+	workers  map[string]*worker
+	fresh    keep.Fresh
+	freshAt  loop.Micros
+	isDirty  bool
+	futileAt loop.Micros // nothing was found to displace
+	counts   Counts
+	bounds   *schema.Bounds
+	placed   map[string]map[taskKey]*task // by worker, whoever wards it
+	names    map[nameKey][]*task
+	over     map[string]loop.Micros // dead workers, and when that was last told
+	paces    map[paceKey]*pace
 }
 
 // Counts says what the placer has done.
@@ -141,7 +214,16 @@
 
 // New makes the table of the placer with this process id.
 func New(id string) *Table {
-	return &Table{id: id, state: &schema.CharterState{}, values: charter.Read(nil), views: map[string]*view{}, workers: map[string]*worker{}}
+	return &Table{
+		id: id, state: &schema.CharterState{}, values: charter.Read(nil), views: map[string]*view{}, workers: map[string]*worker{},
+		placed: map[string]map[taskKey]*task{}, names: map[nameKey][]*task{}, over: map[string]loop.Micros{}, paces: map[paceKey]*pace{},
+	}
+}
+
+// Bind sets what the deployment promises and asks; nil or zero: the defaults.
+func (t *Table) Bind(bounds *schema.Bounds) *Table {
+	t.bounds = bounds
+	return t
 }
 
 // Why asks for the reason of a task's placement.
@@ -196,6 +278,9 @@
 		if ward := mine[id]; ward == nil || ward.Generation != w.generation {
 			t.dismiss(w, out)
 			delete(t.workers, id)
+			if len(w.tasks) == 0 {
+				delete(t.placed, id)
+			}
 		}
 	}
 	for id, ward := range mine {
@@ -204,20 +289,30 @@
 		}
 		w := &worker{
 			id: id, generation: ward.Generation, since: now, running: map[attemptKey]*schema.TaskNote{},
-			ended: map[attemptKey]*ended{}, tasks: map[taskKey]*task{},
+			ended: map[attemptKey]*ended{}, tasks: t.placedOn(id), resolved: map[nameAttempt]attemptKey{},
+			reserved: map[taskKey]*task{}, isStale: true,
 		}
 		t.workers[id] = w
 		for _, v := range t.views {
-			for key, each := range v.tasks {
-				if each.worker == id {
-					w.tasks[key] = each
+			for key, each := range v.reserved {
+				if each.reserved == id {
+					w.reserved[key] = each
 				}
 			}
 		}
+		_, w.isOver = t.over[id]
 	}
 	t.isDirty = true
 }
 
+// placedOn is the tasks out on a worker.
+func (t *Table) placedOn(id string) map[taskKey]*task {
+	if t.placed[id] == nil {
+		t.placed[id] = map[taskKey]*task{}
+	}
+	return t.placed[id]
+}
+
 func (t *Table) dismiss(w *worker, out loop.Out) {
 	if w.poll != nil {
 		out.Send(w.poll.front, &schema.PollReply{Id: w.poll.id, Placer: t.id})
@@ -236,15 +331,20 @@
 func (t *Table) shifts(now loop.Micros, m keep.Shifts, out loop.Out) {
 	v := t.views[m.Lane]
 	if m.IsWhole {
-		old := v
-		v = &view{lane: m.Lane, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, ready: btree.NewG(16, before)}
+		was := map[taskKey]task{}
+		if v != nil && v.group == m.Group {
+			for key, each := range v.tasks {
+				was[key] = *each
+			}
+		}
+		v = &view{lane: m.Lane, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, ready: btree.NewG(16, beforeBand), places: map[stepKey]map[string]int{}}
 		t.lose(m.Lane)
 		t.views[m.Lane] = v
 		v.urgency, v.running = m.Urgency, m.Running
 		for _, shift := range m.List {
 			t.shift(now, v, shift)
 		}
-		t.inherit(old, v)
+		t.inherit(was, v)
 		v.hand = m.Hand
 	} else {
 		if v == nil || v.term != m.Term {
@@ -268,15 +368,15 @@
 }
 
 // inherit keeps what only this table knew of tasks that are still the same.
-func (t *Table) inherit(old, v *view) {
-	if old == nil || old.group != v.group {
-		return
-	}
+func (t *Table) inherit(old map[taskKey]task, v *view) {
 	for key, each := range v.tasks {
-		if was := old.tasks[key]; was != nil && was.attempt == each.attempt {
-			each.since, each.evict, each.why = was.since, was.evict, was.why
+		if was, isThere := old[key]; isThere && was.attempt == each.attempt {
+			if (each.standing == lane.Ready) == (was.standing == lane.Ready) {
+				each.since = was.since
+			}
+			each.evict, each.why, each.trail = was.evict, was.why, was.trail
 			if each.standing == lane.Ready && was.reserved != "" {
-				v.reserve(each, was.reserved, was.reservedAt)
+				t.reserve(v, each, was.reserved, was.reservedAt)
 			}
 		}
 	}
@@ -292,26 +392,33 @@
 	each := &task{
 		key: key, standing: s.State, attempt: s.Attempt, worker: s.Worker, incarnation: s.Incarnation,
 		hand: s.Hand, name: s.Name, spec: s.Spec, text: s.Text, since: now, isLaunched: s.IsLaunched,
+		round: s.Round, part: s.Part, saved: s.Saved,
 	}
 	if old != nil {
-		each.why = old.why
+		each.why, each.strikes = old.why, old.strikes
 		if old.attempt == each.attempt {
-			each.evict, each.since = old.evict, old.since
+			each.evict, each.trail = old.evict, old.trail
+			if (each.standing == lane.Ready) == (old.standing == lane.Ready) {
+				each.since = old.since
+			}
 		}
 	}
 	v.tasks[key] = each
+	name := nameKey{each.name, each.round, each.part, each.key.task}
+	t.names[name] = append(t.names[name], each)
 	if s.State == lane.Ready {
 		each.worker = ""
-		v.ready.ReplaceOrInsert(each)
+		v.addReady(each)
 		return
 	}
 	v.out++
+	v.place(each, each.worker, 1)
+	t.placedOn(each.worker)[key] = each
 	if each.spec.Together && key.task == 0 && each.standing == lane.Out && !each.isLaunched {
 		v.gangs[key] = each
 	}
 	if w := t.workers[each.worker]; w != nil {
-		w.tasks[key] = each
-		w.isDirty = true
+		w.isDirty, w.isStale = true, true
 		if each.spec.Together {
 			t.touchGroup(each)
 		}
@@ -333,15 +440,68 @@
 		return
 	}
 	delete(v.tasks, key)
+	t.forget(old)
 	if old.standing == lane.Ready {
-		v.ready.Delete(old)
-		delete(v.reserved, key)
+		if old.reserved != "" {
+			t.unreserve(v, old)
+		}
+		v.dropReady(old)
 		return
 	}
 	v.out--
+	v.place(old, old.worker, -1)
 	delete(v.gangs, key)
+	delete(t.placed[old.worker], key)
 	if w := t.workers[old.worker]; w != nil {
-		delete(w.tasks, key)
+		w.isStale = true
+	} else if len(t.placed[old.worker]) == 0 {
+		delete(t.placed, old.worker)
+	}
+}
+
+// forget takes a task out of the names.
+func (t *Table) forget(each *task) {
+	name := nameKey{each.name, each.round, each.part, each.key.task}
+	list := slices.DeleteFunc(t.names[name], func(other *task) bool { return other == each })
+	if len(list) == 0 {
+		delete(t.names, name)
+	} else {
+		t.names[name] = list
+	}
+}
+
+func (v *view) addReady(each *task) {
+	b, isThere := v.ready.Get(&band{key: each.key.ofStep()})
+	if !isThere {
+		b = &band{key: each.key.ofStep(), spec: each.spec, ready: btree.NewG(16, before)}
+		v.ready.ReplaceOrInsert(b)
+	}
+	b.ready.ReplaceOrInsert(each)
+	v.waits++
+}
+
+func (v *view) dropReady(each *task) {
+	if b, isThere := v.ready.Get(&band{key: each.key.ofStep()}); isThere {
+		if _, isReady := b.ready.Delete(each); isReady {
+			v.waits--
+		}
+		if b.ready.Len() == 0 {
+			v.ready.Delete(b)
+		}
+	}
+}
+
+// place counts a task of a step on a worker.
+func (v *view) place(each *task, worker string, by int) {
+	key := each.key.ofStep()
+	if v.places[key] == nil {
+		v.places[key] = map[string]int{}
+	}
+	if v.places[key][worker] += by; v.places[key][worker] <= 0 {
+		delete(v.places[key], worker)
+	}
+	if len(v.places[key]) == 0 {
+		delete(v.places, key)
 	}
 }
 
@@ -374,7 +534,7 @@
 	w := t.workers[m.Worker]
 	a := m.Announce
 	// Who isn't sure of being the ward gives no licence.
-	if w == nil || a == nil || !t.isSure(now) || a.Ward > w.generation {
+	if w == nil || a == nil || w.isOver || !t.isSure(now) || a.Ward > w.generation {
 		out.Send(front, &schema.PollReply{Id: m.Id, Placer: t.id})
 		return
 	}
@@ -384,7 +544,8 @@
 	}
 	if a.Incarnation > w.incarnation {
 		w.ended = map[attemptKey]*ended{}
-		w.good, w.bad, w.asideUntil = 0, 0, 0
+		w.good, w.bad, w.quality = 0, 0, quality{}
+		w.resolved = map[nameAttempt]attemptKey{}
 	}
 	isFirst := !w.isKnown || a.Incarnation != w.incarnation
 	w.incarnation, w.seq, w.heard, w.isKnown = a.Incarnation, a.Seq, now, true
@@ -393,12 +554,20 @@
 		w.leftAt = now
 	}
 	w.isLeaving = a.Leaving
+	w.accelerators, w.labels, w.pool, w.gathers, w.isNamed = a.Accelerators, a.Labels, a.Pool, a.Gathers, a.Named
+	w.departAt, w.coldUntil, w.isStale = 0, now+loop.Micros(a.ColdUs), true
+	if a.Leaving && a.DepartureUs > 0 {
+		w.departAt = now + loop.Micros(a.DepartureUs)
+	}
+	running, over := t.resolve(w, a)
 	w.running = map[attemptKey]*schema.TaskNote{}
-	for _, note := range a.Running {
+	for _, note := range running {
 		w.running[noteKey(note)] = note
+		t.look(now, w, note)
 	}
-	t.reports(now, w, a.Ended, out)
+	t.reports(now, w, over, out)
 	t.forsaken(now, w, out)
+	t.buried(now, a.Over, m.Worker, out)
 	// The older announce is overtaken; its answer would say less.
 	if w.poll != nil {
 		t.answer(now, w, out)
@@ -407,6 +576,9 @@
 	w.poll, w.isDirty = &poll{front: front, id: m.Id, seq: a.Seq, until: now + wait}, true
 	for _, each := range w.tasks {
 		if each.spec.Together {
+			if w.gathers {
+				t.gather(now, each)
+			}
 			t.touchGroup(each)
 		}
 	}
@@ -425,14 +597,7 @@
 		e := w.ended[key]
 		if e == nil {
 			e = &ended{note: note, at: now, sentAt: -endSpan}
-			switch note.State {
-			case "done":
-				w.good = w.good*0.98 + 1
-				w.bad *= 0.98
-			case "failed":
-				w.bad = w.bad*0.98 + 1
-				w.good *= 0.98
-			}
+			t.judge(now, w, key, note)
 		}
 		fresh[key] = e
 	}
@@ -447,6 +612,10 @@
 			continue
 		}
 		outcome := e.note.State
+		end := &schema.End{
+			Lane: key.lane, Key: &schema.TaskKey{Job: key.job, Step: key.step, Task: key.task},
+			Attempt: key.attempt, Worker: w.id, Saved: e.note.Saved, Whole: outcome == "done" && w.gathers,
+		}
 		if v := t.views[key.lane]; v != nil && t.mayAct(now, v) {
 			each := v.tasks[key.taskKey]
 			// It isn't out under that attempt any more, so nothing is left to
@@ -465,12 +634,23 @@
 			if !isPast && each.attempt == key.attempt && each.evict != "" && outcome == "stopped" {
 				outcome = each.evict
 			}
+			if each != nil {
+				end.Whole = end.Whole && each.spec.Together
+				// A run that ends before it has kept anything new leaves what there was.
+				if end.Saved == "" && each.attempt == key.attempt {
+					end.Saved = each.keptProgress()
+				}
+				if !each.spec.Saves {
+					end.Saved = ""
+				}
+			}
+		}
+		if outcome == "done" {
+			end.Saved = ""
 		}
 		e.sentAt = now
-		out.Tell("keep", keep.Ended{End: &schema.End{
-			Lane: key.lane, Key: &schema.TaskKey{Job: key.job, Step: key.step, Task: key.task},
-			Attempt: key.attempt, Outcome: outcome, Worker: w.id,
-		}})
+		end.Outcome = outcome
+		out.Tell("keep", keep.Ended{End: end})
 	}
 }
 
@@ -504,7 +684,7 @@
 	for _, each := range w.tasks {
 		list = append(list, each)
 	}
-	sort.Slice(list, func(a, b int) bool { return lessKey(list[a].key, list[b].key) })
+	slices.SortFunc(list, func(a, b *task) int { return compareKeys(a.key, b.key) })
 	return list
 }
 
@@ -516,7 +696,7 @@
 	t.counts.LostTasks++
 	out.Tell("keep", keep.Ended{End: &schema.End{
 		Lane: each.key.lane, Key: &schema.TaskKey{Job: each.key.job, Step: each.key.step, Task: each.key.task},
-		Attempt: each.attempt, Outcome: outcome, Worker: each.worker,
+		Attempt: each.attempt, Outcome: outcome, Worker: each.worker, Saved: each.keptProgress(),
 	}})
 }
 
@@ -546,12 +726,12 @@
 		}
 		t.limits(now, w)
 	}
+	t.bury(now, out)
 	for _, v := range t.views {
-		for key, each := range v.reserved {
+		for _, each := range v.reserved {
 			if now-each.reservedAt > reserveSpan {
-				each.reserved = ""
-				delete(v.reserved, key)
-				v.ready.ReplaceOrInsert(each)
+				t.unreserve(v, each)
+				v.addReady(each)
 			}
 		}
 	}
@@ -559,10 +739,45 @@
 }
 
 // reserve takes a ready task for a worker while its checkout is on its way.
-func (v *view) reserve(each *task, worker string, now loop.Micros) {
+func (t *Table) reserve(v *view, each *task, worker string, now loop.Micros) {
+	v.dropReady(each)
 	each.reserved, each.reservedAt = worker, now
-	v.ready.Delete(each)
 	v.reserved[each.key] = each
+	v.place(each, worker, 1)
+	if w := t.workers[worker]; w != nil {
+		w.reserved[each.key], w.isStale = each, true
+	}
+}
+
+func (t *Table) unreserve(v *view, each *task) {
+	delete(v.reserved, each.key)
+	v.place(each, each.reserved, -1)
+	if w := t.workers[each.reserved]; w != nil {
+		delete(w.reserved, each.key)
+		w.isStale = true
+	}
+	each.reserved = ""
+}
+
+// evict has a task stopped; the outcome is what its end will be told as.
+func (t *Table) evict(each *task, outcome string) {
+	each.evict = outcome
+	if w := t.workers[each.worker]; w != nil {
+		w.isDirty, w.isStale = true, true
+	}
+}
+
+// evictWhole has a task stopped, and its group with it.
+func (t *Table) evictWhole(each *task, outcome string) {
+	if !each.spec.Together {
+		t.evict(each, outcome)
+		return
+	}
+	for _, member := range t.members(each) {
+		if member.standing == lane.Out && member.evict == "" {
+			t.evict(member, outcome)
+		}
+	}
 }
 
 // limits marks tasks that have run too long, stood still, or wait in a group
@@ -581,17 +796,35 @@
 			return t.values.Of("lane", key.lane, usual) * int64(loop.Milli)
 		}
 		if limit := stated(each.spec.TimeLimitUs, "limit_ms"); limit > 0 && note.State == "running" && note.RunUs+age > limit {
-			each.evict = "failed"
+			t.evict(each, "failed")
 		}
 		if limit := stated(each.spec.StillUs, "still_ms"); limit > 0 && note.State == "running" && note.StillUs+age > limit {
-			each.evict = "failed"
+			t.evict(each, "failed")
+		}
+		if each.evict != "" || each.standing != lane.Out {
+			continue
+		}
+		if t.isStuck(now, w, each, note) {
+			each.strikes++
+			t.evictWhole(each, "stopped")
+			w.setAside(now)
+			continue
+		}
+		// What can't end in time keeps its progress; what keeps none may as well
+		// try.
+		if w.isLeaving && w.departAt > 0 && each.spec.Saves && now+departLead >= w.departAt && now+t.remaining(now, w, each) > w.departAt {
+			t.evictWhole(each, "stopped")
 		}
 	}
 	for _, each := range w.tasks {
+		if each.spec.Together && w.gathers {
+			t.gather(now, each)
+			continue
+		}
 		isWaiting := each.spec.Together && each.standing == lane.Out && !each.isLaunched && each.evict == ""
 		// Once its start has been proposed, only the log knows what becomes of it.
 		if isWaiting && now-each.since > groupSpan && (each.launchAt == 0 || now-each.launchAt > groupSpan) {
-			each.evict = "stopped"
+			t.evict(each, "stopped")
 		}
 	}
 }
@@ -656,7 +889,7 @@
 func (t *Table) isHeld(members []*task) bool {
 	for _, member := range members {
 		w := t.workers[member.worker]
-		if member.standing != lane.Out || member.evict != "" || w == nil || w.isLeaving {
+		if member.standing != lane.Out || member.evict != "" || w == nil || w.isLeaving || w.gathers {
 			return false
 		}
 		if t.noteOf(member) == nil {
@@ -700,34 +933,42 @@
 			continue
 		}
 		w.isDirty = false
-		if now >= w.poll.until || len(t.orders(now, w)) > 0 || t.hasNoted(w) {
-			t.answer(now, w, out)
+		if list := t.orders(now, w); now >= w.poll.until || len(list) > 0 || t.hasNoted(now, w) {
+			t.answerWith(now, w, list, out)
 		}
 	}
 }
 
-func (t *Table) hasNoted(w *worker) bool {
+func (t *Table) hasNoted(now loop.Micros, w *worker) bool {
 	for _, e := range w.ended {
 		if e.isNoted {
 			return true
 		}
 	}
-	return false
+	return len(w.unknown) > 0 && len(t.forgotten(now, w.unknown)) > 0
 }
 
 func (t *Table) answer(now loop.Micros, w *worker, out loop.Out) {
+	t.answerWith(now, w, t.orders(now, w), out)
+}
+
+func (t *Table) answerWith(now loop.Micros, w *worker, list []*schema.Order, out loop.Out) {
 	p := w.poll
 	w.poll = nil
 	if !t.isSure(now) || now-w.heard > silentSpan {
 		out.Send(p.front, &schema.PollReply{Id: p.id, Placer: t.id})
 		return
 	}
-	orders := &schema.Orders{Ward: w.generation, LicenceUs: t.plan("licence_ms") * 1000, Placer: t.id, Orders: t.orders(now, w)}
+	orders := &schema.Orders{Ward: w.generation, LicenceUs: t.plan("licence_ms") * 1000, Placer: t.id, Orders: list}
 	for _, key := range endedKeys(w) {
-		if w.ended[key].isNoted {
-			orders.Noted = append(orders.Noted, &schema.TaskNote{Lane: key.lane, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt})
+		if e := w.ended[key]; e.isNoted {
+			orders.Noted = append(orders.Noted, &schema.TaskNote{
+				Lane: key.lane, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt,
+				Name: e.note.Name, Round: e.note.Round, Part: e.note.Part,
+			})
 		}
 	}
+	orders.Noted = append(orders.Noted, t.forgotten(now, w.unknown)...)
 	for _, order := range orders.Orders {
 		switch order.Act {
 		case "start":
@@ -746,14 +987,14 @@
 // it says it has.
 func (t *Table) orders(now loop.Micros, w *worker) []*schema.Order {
 	var list []*schema.Order
-	cores, memory := w.cores, w.memory
-	for _, note := range w.running {
-		cores -= note.CoresMilli
-		memory -= note.MemoryMb
+	left := w.whole()
+	for key, note := range w.running {
+		left.sub(t.sizeOf(w, key, note))
 	}
+	isBlurry := t.isBlurry(w)
 	for _, each := range t.tasksOf(w) {
 		key := attemptKey{each.key, each.attempt}
-		if each.incarnation != w.incarnation || w.ended[key] != nil {
+		if each.incarnation != w.incarnation || w.ended[key] != nil || w.isOver {
 			continue
 		}
 		v := t.views[each.key.lane]
@@ -763,11 +1004,16 @@
 			list = append(list, t.order("stop", v, each))
 		case !t.mayAct(now, v):
 		case note == nil:
+			// The plan may have given the lane to other workers since.
+			if t.values.Text("lane", v.lane, "pool") != w.pool {
+				list = append(list, t.order("stop", v, each))
+				continue
+			}
 			// The worker's own room is the last word, whatever we counted.
-			if cores >= each.spec.CoresMilli && memory >= each.spec.MemoryMb {
-				cores, memory = cores-each.spec.CoresMilli, memory-each.spec.MemoryMb
+			if need := sizeOf(each.spec); left.has(need) && !isBlurry && (!w.gathers || t.mayGather(each)) {
+				left.sub(need)
 				act := "start"
-				if each.spec.Together && !each.isLaunched {
+				if each.spec.Together && !each.isLaunched && !w.gathers {
 					act = "hold"
 				}
 				list = append(list, t.order(act, v, each))
@@ -790,7 +1036,10 @@
 }
 
 func lessOrder(x, y *schema.Order) bool {
-	return lessKey(taskKey{x.Lane, x.Job, x.Step, x.Task}, taskKey{y.Lane, y.Job, y.Step, y.Task})
+	return cmp.Or(
+		compareKeys(taskKey{x.Lane, x.Job, x.Step, x.Task}, taskKey{y.Lane, y.Job, y.Step, y.Task}),
+		cmp.Compare(x.Name, y.Name), cmp.Compare(x.Round, y.Round), cmp.Compare(x.Part, y.Part), cmp.Compare(x.Attempt, y.Attempt),
+	) < 0
 }
 
 // strays are tasks that run on the worker though their lane, which is led
@@ -805,14 +1054,22 @@
 		if each := v.tasks[key.taskKey]; each != nil && each.attempt <= key.attempt && each.standing != lane.Ready && each.worker == w.id {
 			continue
 		}
-		list = append(list, &schema.Order{Act: "stop", Lane: key.lane, Job: key.job, Step: key.step, Task: key.task, Attempt: note.Attempt, Term: v.term})
+		list = append(list, &schema.Order{Act: "stop", Lane: key.lane, Job: key.job, Step: key.step, Task: key.task, Attempt: note.Attempt, Term: v.term, Name: note.Name, Round: note.Round, Part: note.Part})
+	}
+	for _, note := range t.forgotten(now, w.strange) {
+		list = append(list, &schema.Order{Act: "stop", Name: note.Name, Round: note.Round, Part: note.Part, Task: note.Task, Attempt: note.Attempt})
 	}
 	sort.Slice(list, func(a, b int) bool { return lessOrder(list[a], list[b]) })
 	return list
 }
 
 func (t *Table) order(act string, v *view, each *task) *schema.Order {
+	saved := ""
+	if each.spec.Saves {
+		saved = each.saved
+	}
 	return &schema.Order{
+		Round: each.round, Part: each.part, Saved: saved, Accelerators: each.spec.Accelerators,
 		Act: act, Lane: v.lane, Name: each.name, Job: each.key.job, Step: each.key.step, Task: each.key.task, Attempt: each.attempt,
 		Hand: each.hand, Term: v.term, StepName: each.spec.Name, Text: each.text,
 		CoresMilli: each.spec.CoresMilli, MemoryMb: each.spec.MemoryMb,
--- /dev/null
+++ b/placer/preempt.go
@@ -0,0 +1,245 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+
+	"sparnotch/lane"
+	"sparnotch/loop"
+)
+
+const (
+	mostAwaits      = 64               // tasks of one step that room is kept for at once
+	acceleratorCost = 8000             // milli cores that an accelerator counts as
+	lastingCost     = 30 * loop.Second // work that stopping a lasting task counts as at least
+)
+
+// unit is what can be displaced: a task, or a group as a whole.
+type unit struct {
+	members []*task
+	urgency int64
+	cost    float64 // core-microseconds of work that are lost
+	isTaken bool
+}
+
+// await keeps room for tasks that find none now: room that is being freed, else
+// room of less urgent work that is displaced for them, else, for what is wide,
+// whole workers until they are free.
+func (t *Table) await(now loop.Micros, v *view, b *band, x *wish, left int, list, all []*room, p *passage) {
+	first, _ := b.ready.Min()
+	mayDisplace := t.plan("preempt") != 0 && now-first.since >= preemptAfter && p.least < v.urgency && now-t.futileAt >= Pace
+	count := min(b.ready.Len(), left, mostAwaits)
+	if x.spec.Together {
+		count = b.ready.Len()
+	}
+	hasComing := slices.ContainsFunc(list, func(r *room) bool { return r.later != r.free })
+	got := 0
+	if hasComing || mayDisplace {
+		j := &journal{table: t, now: now, passage: p}
+		for got < count && j.place(v, x, list, all, mayDisplace) {
+			got++
+			if !x.spec.Together {
+				j.commit()
+			}
+		}
+		switch {
+		case !x.spec.Together:
+		case got == count:
+			j.commit()
+		default:
+			j.undo()
+			got = 0
+		}
+		if mayDisplace && got < count {
+			p.isFutile = true
+		}
+	}
+	if got == 0 && !p.hasClaim && now-first.since >= claimAfter && isWide(x, list) {
+		count := 1
+		if x.spec.Together {
+			count = b.ready.Len()
+		}
+		p.hasClaim = t.claim(x, count, list)
+	}
+}
+
+// journal is a trial: what it takes and displaces stands once it is committed.
+type journal struct {
+	table   *Table
+	now     loop.Micros
+	passage *passage
+	undos   []func()
+	units   []*unit
+}
+
+func (j *journal) commit() {
+	for _, u := range j.units {
+		for _, member := range u.members {
+			j.table.evict(member, "stopped")
+			j.table.counts.Preempted++
+		}
+	}
+	j.undos, j.units = nil, nil
+}
+
+func (j *journal) undo() {
+	for _, undo := range slices.Backward(j.undos) {
+		undo()
+	}
+	j.undos, j.units = nil, nil
+}
+
+// place keeps room for one task.
+func (j *journal) place(v *view, x *wish, list, all []*room, mayDisplace bool) bool {
+	t := j.table
+	var best *room
+	var units []*unit
+	cost := 0.0
+	for _, r := range list {
+		if r.mostTasks <= 0 || !t.suits(r, x) || !t.hasLeave(r, x) {
+			continue
+		}
+		if r.later.has(x.need) {
+			best, units = r, nil
+			break
+		}
+		if !mayDisplace {
+			continue
+		}
+		if found, sum := t.displace(j.now, r, v.urgency, x.need, j.passage); found != nil && (best == nil || sum < cost) {
+			best, units, cost = r, found, sum
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, u := range units {
+		u.isTaken = true
+		j.units = append(j.units, u)
+		j.undos = append(j.undos, func() { u.isTaken = false })
+		for _, member := range u.members {
+			if at := slices.IndexFunc(all, func(r *room) bool { return r.w.id == member.worker }); at >= 0 {
+				r, size := all[at], sizeOf(member.spec)
+				r.later.add(size)
+				j.undos = append(j.undos, func() { r.later.sub(size) })
+			}
+		}
+	}
+	best.later.sub(x.need)
+	x.workers[best.w.id]++
+	x.racks[best.w.rack]++
+	j.undos = append(j.undos, func() {
+		best.later.add(x.need)
+		x.workers[best.w.id]--
+		x.racks[best.w.rack]--
+	})
+	return true
+}
+
+// displace finds what of less urgency must go from a worker for a task to fit,
+// with the least work lost; nil if even all of it isn't enough.
+func (t *Table) displace(now loop.Micros, r *room, urgency int64, need amount, p *passage) (units []*unit, cost float64) {
+	if !r.hasUnits {
+		r.hasUnits, r.units = true, t.unitsOf(now, r.w, p)
+	}
+	trial := r.later
+	for _, u := range r.units {
+		if trial.has(need) {
+			break
+		}
+		if u.isTaken || u.urgency >= urgency || u.members[0].evict != "" {
+			continue
+		}
+		trial.add(u.on(r.w.id))
+		units = append(units, u)
+	}
+	if !trial.has(need) {
+		return nil, 0
+	}
+	// What has become needless by those after it stays, the dearest first.
+	for k := len(units) - 1; k >= 0; k-- {
+		less := trial
+		if less.sub(units[k].on(r.w.id)); less.has(need) {
+			trial = less
+			units = slices.Delete(units, k, k+1)
+		}
+	}
+	for _, u := range units {
+		cost += u.cost
+	}
+	return units, cost
+}
+
+// on is the room a unit takes on one worker.
+func (u *unit) on(worker string) (size amount) {
+	for _, member := range u.members {
+		if member.worker == worker {
+			size.add(sizeOf(member.spec))
+		}
+	}
+	return size
+}
+
+// unitsOf lists what may be displaced on a worker, the least loss first.
+func (t *Table) unitsOf(now loop.Micros, w *worker, p *passage) []*unit {
+	var units []*unit
+	seen := map[stepKey]bool{}
+	for _, each := range t.tasksOf(w) {
+		if !t.isDisplaceable(each) {
+			continue
+		}
+		u := &unit{members: []*task{each}, urgency: t.views[each.key.lane].urgency}
+		if each.spec.Together {
+			if seen[each.key.ofStep()] {
+				continue
+			}
+			seen[each.key.ofStep()] = true
+			if known := p.groups[each.key.ofStep()]; known != nil {
+				units = append(units, known)
+				continue
+			}
+			p.groups[each.key.ofStep()] = u
+			if u.members = t.members(each); !allOf(u.members, t.isDisplaceable) {
+				u.isTaken = true
+				continue
+			}
+		}
+		for _, member := range u.members {
+			u.cost += loss(now, member)
+		}
+		units = append(units, u)
+	}
+	slices.SortStableFunc(units, func(a, b *unit) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.urgency, b.urgency), -cmp.Compare(a.members[0].since, b.members[0].since))
+	})
+	return units
+}
+
+func allOf(list []*task, is func(*task) bool) bool {
+	return !slices.ContainsFunc(list, func(each *task) bool { return !is(each) })
+}
+
+func (t *Table) isDisplaceable(each *task) bool {
+	if each.standing != lane.Out || each.evict != "" {
+		return false
+	}
+	w := t.workers[each.worker]
+	return w == nil || w.ended[attemptKey{each.key, each.attempt}] == nil
+}
+
+// loss is the work that is lost when a task is stopped now: since its progress
+// was last kept, else since it began.
+func loss(now loop.Micros, each *task) float64 {
+	cores := float64(each.spec.CoresMilli+acceleratorCost*each.spec.Accelerators) / 1000
+	if each.spec.Lasting {
+		return cores * float64(lastingCost)
+	}
+	if each.beganAt == 0 {
+		return 0
+	}
+	from := each.beganAt
+	if each.spec.Saves {
+		from = max(from, each.savedAt)
+	}
+	return cores * float64(now-from)
+}
