Placer: tests of named notes, groups that gather, displacing, claims and bad workers

They found that a worker that isn't cold counted as cold until now, that a second step of a shape that fits nowhere had no room made for it, and that what is overdue was taken to end at once.

--- /dev/null
+++ b/placer/agent_test.go
@@ -0,0 +1,682 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/keep"
+	"sparnotch/lane"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// told is a charter with rows; every lane named in them stands in it.
+func (d *desk) told(rows []*schema.Row, workers ...string) {
+	state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Rows: rows}}
+	for k, w := range workers {
+		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Placer: "me", Generation: uint64(k + 1)})
+	}
+	seen := map[string]bool{}
+	for _, row := range rows {
+		if row.Kind == "lane" && !seen[row.Name] {
+			seen[row.Name] = true
+			state.Lanes = append(state.Lanes, &schema.LanePlace{Lane: row.Name, Generation: 1})
+		}
+	}
+	d.step(&schema.CharterTell{State: state, Version: 2})
+}
+
+func row(name, key, value string) *schema.Row {
+	return &schema.Row{Kind: "lane", Name: name, Key: key, Value: value}
+}
+
+// pass lets time go by with every keeper's word fresh and every worker heard.
+func (d *desk) pass(span loop.Micros) {
+	for end := d.now + span; d.now < end; {
+		d.now += min(Pace, end-d.now)
+		d.step(keep.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, Charter: true})
+		d.step(loop.Tick{})
+	}
+}
+
+// lane tells the whole list of a lane.
+func (d *desk) lane(name string, urgency int64, list ...*lane.Shift) {
+	d.step(keep.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, Charter: true})
+	d.step(keep.Shifts{Lane: name, Group: name + "#1", Term: 1, Hand: 1, List: list, IsWhole: true, Running: 1000, Urgency: urgency})
+}
+
+// named is an agent's announce.
+func named(change func(*schema.Announce)) func(*schema.Announce) {
+	return func(a *schema.Announce) {
+		a.Named = true
+		if change != nil {
+			change(a)
+		}
+	}
+}
+
+func runs(notes ...*schema.TaskNote) func(*schema.Announce) {
+	return named(func(a *schema.Announce) { a.Running = notes })
+}
+
+func ends(notes ...*schema.TaskNote) func(*schema.Announce) {
+	return named(func(a *schema.Announce) { a.Ended = notes })
+}
+
+// acts lists the orders of one kind in all answers since a point.
+func (d *desk) acts(from int, act string) []*schema.Order {
+	var list []*schema.Order
+	for _, reply := range d.replies[from:] {
+		for _, order := range reply.GetOrders().GetOrders() {
+			if order.Act == act {
+				list = append(list, order)
+			}
+		}
+	}
+	return list
+}
+
+func TestNamedNotes(t *testing.T) {
+	rows := []*schema.Row{row("l", "urgency", "10"), row("m", "urgency", "10")}
+	out := func() *lane.Shift {
+		s := shift(1, 7, 3, lane.Out, "w", &schema.Step{Name: "s", Tasks: 4, CoresMilli: 600, Saves: true})
+		s.Key.Step, s.Round, s.Part, s.Saved = 5, 2, 1, "before"
+		return s
+	}
+	note := func(state string) *schema.TaskNote {
+		return &schema.TaskNote{Name: "j7", Round: 2, Part: 1, Task: 3, Attempt: 1, State: state}
+	}
+	Convey("An agent's notes are found by job, round and part", t, func() {
+		d := newDesk("w")
+		d.told(rows, "w")
+		d.lane("l", 10, out())
+		d.announce("w", named(nil))
+		start := d.last().Orders.Orders[0]
+		So(start.Act, ShouldEqual, "start")
+		So([]any{start.Name, start.Round, start.Part, start.Task, start.Attempt, start.Saved}, ShouldResemble, []any{"j7", uint32(2), uint32(1), uint32(3), uint32(1), "before"})
+		from := len(d.replies)
+		d.announce("w", runs(note("running")))
+		So(d.acts(from, "start"), ShouldBeEmpty)
+		So(d.acts(from, "stop"), ShouldBeEmpty)
+		Convey("and so are their ends, which are noted by name also once the task is gone", func() {
+			d.announce("w", ends(note("done")))
+			So(d.ended()[0].Key, ShouldResemble, &schema.TaskKey{Job: 7, Step: 5, Task: 3})
+			So(d.ended()[0].Outcome, ShouldEqual, "done")
+			d.lane("l", 10)
+			d.announce("w", ends(note("done")))
+			d.step(&schema.EndReply{Lane: "l", Key: &schema.TaskKey{Job: 7, Step: 5, Task: 3}, Attempt: 1, Worker: "w"})
+			noted := d.last().Orders.Noted
+			So(len(noted), ShouldEqual, 1)
+			So([]any{noted[0].Name, noted[0].Round, noted[0].Part, noted[0].Task, noted[0].Attempt}, ShouldResemble, []any{"j7", uint32(2), uint32(1), uint32(3), uint32(1)})
+		})
+		Convey("with their progress: the end's own, else the last seen, else what it began with", func() {
+			for _, each := range []struct{ seen, told, want string }{{"", "", "before"}, {"mid", "", "mid"}, {"mid", "last", "last"}} {
+				d := newDesk("w")
+				d.told(rows, "w")
+				d.lane("l", 10, out())
+				running, over := note("running"), note("stopped")
+				running.Saved, over.Saved = each.seen, each.told
+				d.announce("w", runs(running))
+				d.announce("w", ends(over))
+				So(d.ended()[0].Saved, ShouldEqual, each.want)
+			}
+		})
+	})
+	Convey("What no task is known for is left alone until every lane of the plan is led here", t, func() {
+		stray, over := note("running"), note("done")
+		over.Task = 2
+		both := named(func(a *schema.Announce) { a.Running, a.Ended = []*schema.TaskNote{stray}, []*schema.TaskNote{over} })
+		d := newDesk("w")
+		d.told(rows, "w")
+		d.lane("l", 10)
+		d.announce("w", both)
+		d.announce("w", both)
+		So(d.acts(0, "stop"), ShouldBeEmpty)
+		So(d.last().GetOrders().GetNoted(), ShouldBeEmpty)
+		Convey("then the run is stopped and the end noted", func() {
+			d.lane("m", 10)
+			d.announce("w", both)
+			stops := d.acts(0, "stop")
+			So(len(stops), ShouldBeGreaterThan, 0)
+			So([]any{stops[0].Name, stops[0].Round, stops[0].Part, stops[0].Task, stops[0].Attempt}, ShouldResemble, []any{"j7", uint32(2), uint32(1), uint32(3), uint32(1)})
+			So(len(d.last().Orders.Noted), ShouldEqual, 1)
+			So(d.last().Orders.Noted[0].Task, ShouldEqual, 2)
+		})
+		Convey("and a worker that runs what has no known size is given nothing", func() {
+			d.lane("l", 10, shift(1, 9, 0, lane.Ready, "", one))
+			So(d.picks(), ShouldBeEmpty)
+			d.announce("w", named(nil))
+			So(len(d.picks()), ShouldEqual, 1)
+		})
+	})
+}
+
+func TestDeadByWord(t *testing.T) {
+	Convey("What an agent says is dead gives back its tasks at once and gets nothing more", t, func() {
+		d := newDesk("old", "new")
+		saving := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 600, Saves: true}
+		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "old", saving))
+		d.announce("old", runs(&schema.TaskNote{Name: "j1", Attempt: 1, State: "running", Saved: "half"}))
+		d.announce("old", runs(&schema.TaskNote{Name: "j1", Attempt: 1, State: "running", Saved: "half"}))
+		d.announce("new", named(func(a *schema.Announce) { a.Over = []string{"old"} }))
+		So(d.ended()[0].Outcome, ShouldEqual, "lost")
+		So(d.ended()[0].Saved, ShouldEqual, "half")
+		d.announce("old", named(nil))
+		So(d.last().Orders, ShouldBeNil)
+		Convey("also what turns out to be there later", func() {
+			d.tells = nil
+			d.shifts(false, 2, shift(2, 2, 0, lane.Out, "old", saving))
+			d.step(loop.Tick{})
+			So(d.ended()[0].Key.Job, ShouldEqual, 2)
+		})
+	})
+}
+
+func TestGroupsThatGather(t *testing.T) {
+	gang := &schema.Step{Name: "g", Tasks: 2, CoresMilli: 600, Together: true}
+	gathering := func(change func(*schema.Announce)) func(*schema.Announce) {
+		return named(func(a *schema.Announce) {
+			a.Gathers = true
+			if change != nil {
+				change(a)
+			}
+		})
+	}
+	member := func(task uint32, state string) *schema.TaskNote {
+		return &schema.TaskNote{Name: "j1", Task: task, Attempt: 1, State: state}
+	}
+	run := func(task uint32) func(*schema.Announce) {
+		return gathering(func(a *schema.Announce) { a.Running = []*schema.TaskNote{member(task, "running")} })
+	}
+	over := func(task uint32, state string) func(*schema.Announce) {
+		return gathering(func(a *schema.Announce) { a.Ended = []*schema.TaskNote{member(task, state)} })
+	}
+	begin := func() *desk {
+		d := newDesk("v", "w")
+		d.announce("v", gathering(nil))
+		d.shifts(true, 2, shift(1, 1, 0, lane.Ready, "", gang), shift(2, 1, 1, lane.Ready, "", gang))
+		So(d.picks(), ShouldBeEmpty)
+		d.announce("w", gathering(nil))
+		So(len(d.picks()), ShouldEqual, 2)
+		d.announce("v", gathering(nil))
+		d.announce("w", gathering(nil))
+		count := len(d.replies)
+		d.shifts(false, 4, shift(3, 1, 0, lane.Out, "v", gang), shift(4, 1, 1, lane.Out, "w", gang))
+		So(len(d.acts(count, "start")), ShouldEqual, 2)
+		So(d.acts(0, "hold"), ShouldBeEmpty)
+		return d
+	}
+	Convey("A group whose workers gather starts whole, directly after its checkout, without launch", t, func() {
+		d := begin()
+		d.announce("v", run(0))
+		d.announce("w", run(1))
+		d.pass(100 * loop.Milli)
+		for _, tell := range d.tells {
+			if propose, isPropose := tell.(keep.Propose); isPropose {
+				So(propose.Command.GetLaunch(), ShouldBeNil)
+			}
+		}
+		Convey("and one end stands for all", func() {
+			d.announce("v", over(0, "done"))
+			So(d.ended()[0].Whole, ShouldBeTrue)
+			So(d.acts(0, "stop"), ShouldBeEmpty)
+		})
+	})
+	Convey("Who turns a member away has the others stopped at once", t, func() {
+		for _, outcome := range []string{"stopped", "failed", "alone", "broken", "lapsed"} {
+			d := begin()
+			d.announce("v", run(0))
+			count := len(d.replies)
+			d.announce("w", over(1, outcome))
+			So(d.ended()[0].Outcome, ShouldEqual, outcome)
+			So(d.ended()[0].Whole, ShouldBeFalse)
+			So(len(d.acts(count, "stop")), ShouldEqual, 1)
+			So(d.acts(count, "stop")[0].Task, ShouldEqual, 0)
+		}
+	})
+	Convey("A member's worker that leaves before it began has the others stopped, and starts nothing", t, func() {
+		d := begin()
+		d.announce("v", run(0))
+		count := len(d.replies)
+		d.announce("w", gathering(func(a *schema.Announce) { a.Leaving = true }))
+		So(len(d.acts(count, "stop")), ShouldEqual, 2)
+		So(d.acts(count, "start"), ShouldBeEmpty)
+	})
+	Convey("A member that doesn't begin in time has the others stopped", t, func() {
+		d := begin()
+		count := len(d.replies)
+		for k := 0; k < 25; k++ {
+			d.announce("v", run(0))
+			d.announce("w", gathering(nil))
+			d.pass(100 * loop.Milli)
+		}
+		stops := map[uint32]bool{}
+		for _, order := range d.acts(count, "stop") {
+			stops[order.Task] = true
+		}
+		So(len(stops), ShouldEqual, 2)
+	})
+	Convey("Nothing is started when the worker of another member has left", t, func() {
+		d := newDesk("v", "w")
+		d.announce("w", gathering(func(a *schema.Announce) { a.Leaving = true }))
+		d.shifts(true, 2, shift(1, 1, 0, lane.Out, "v", gang), shift(2, 1, 1, lane.Out, "w", gang))
+		d.announce("v", gathering(nil))
+		d.announce("v", gathering(nil))
+		So(d.acts(0, "start"), ShouldBeEmpty)
+		So(len(d.acts(0, "stop")), ShouldBeGreaterThan, 1)
+	})
+}
+
+func TestWhereWorkMayGo(t *testing.T) {
+	plain := func(a *schema.Announce) {}
+	for _, each := range []struct {
+		what   string
+		rows   []*schema.Row
+		step   *schema.Step
+		v, w   func(*schema.Announce)
+		tasks  int
+		want   map[string]int
+		bounds *schema.Bounds
+	}{
+		{what: "only the lane's pool", rows: []*schema.Row{row("l", "pool", "p")}, step: &schema.Step{CoresMilli: 100}, v: plain,
+			w: func(a *schema.Announce) { a.Pool = "p" }, tasks: 1, want: map[string]int{"w": 1}},
+		{what: "a lane without a pool isn't for the workers of one", step: &schema.Step{CoresMilli: 100}, v: plain,
+			w: func(a *schema.Announce) { a.Pool = "p" }, tasks: 1, want: map[string]int{"v": 1}},
+		{what: "all labels", step: &schema.Step{CoresMilli: 100, Labels: []string{"a", "b"}},
+			v: func(a *schema.Announce) { a.Labels = []string{"a"} }, w: func(a *schema.Announce) { a.Labels = []string{"c", "b", "a"} },
+			tasks: 2, want: map[string]int{"w": 2}},
+		{what: "accelerators", step: &schema.Step{CoresMilli: 100, Accelerators: 2},
+			v: plain, w: func(a *schema.Announce) { a.Accelerators = 5 }, tasks: 4, want: map[string]int{"w": 2}},
+		{what: "workers with accelerators last", step: &schema.Step{CoresMilli: 100},
+			v: plain, w: func(a *schema.Announce) { a.Accelerators = 5 }, tasks: 1, want: map[string]int{"v": 1}},
+		{what: "so many on one worker", step: &schema.Step{CoresMilli: 100, PerWorker: 2},
+			v: plain, w: plain, tasks: 6, want: map[string]int{"v": 2, "w": 2}},
+		{what: "its data's rack first, then elsewhere", step: &schema.Step{CoresMilli: 400, DataRack: "r2"},
+			v: plain, w: func(a *schema.Announce) { a.Rack = "r2" }, tasks: 3, want: map[string]int{"w": 2, "v": 1}},
+		{what: "one rack where it fits", step: &schema.Step{CoresMilli: 400, OneRack: true},
+			v: plain, w: func(a *schema.Announce) { a.Rack, a.CoresMilli = "r2", 1200 }, tasks: 3, want: map[string]int{"w": 3}},
+		{what: "several racks else", step: &schema.Step{CoresMilli: 400, OneRack: true},
+			v: plain, w: func(a *schema.Announce) { a.Rack = "r2" }, tasks: 4, want: map[string]int{"v": 2, "w": 2}},
+		{what: "a group in one rack", step: &schema.Step{CoresMilli: 300, OneRack: true, Together: true},
+			v: plain, w: func(a *schema.Announce) { a.Rack, a.CoresMilli = "r2", 950 }, tasks: 3, want: map[string]int{"v": 3}},
+		{what: "a group in several", step: &schema.Step{CoresMilli: 400, OneRack: true, Together: true},
+			v: plain, w: func(a *schema.Announce) { a.Rack = "r2" }, tasks: 4, want: map[string]int{"v": 2, "w": 2}},
+		{what: "a cold worker last", step: &schema.Step{CoresMilli: 100},
+			v: func(a *schema.Announce) { a.ColdUs = 5_000_000 }, w: plain, tasks: 1, want: map[string]int{"w": 1}},
+	} {
+		Convey("Work goes to "+each.what, t, func() {
+			d := newDesk("v", "w")
+			if each.rows != nil {
+				d.told(each.rows, "v", "w")
+			}
+			d.announce("v", each.v)
+			d.announce("w", each.w)
+			each.step.Tasks = uint32(each.tasks)
+			var list []*lane.Shift
+			for k := 0; k < each.tasks; k++ {
+				list = append(list, shift(uint64(k+1), 1, uint32(k), lane.Ready, "", each.step))
+			}
+			d.shifts(true, uint64(each.tasks), list...)
+			got := map[string]int{}
+			for _, pick := range d.picks() {
+				got[pick.Worker]++
+			}
+			So(got, ShouldResemble, each.want)
+		})
+	}
+	Convey("So many on one worker counts what is out there and what it still runs", t, func() {
+		step := &schema.Step{Name: "s", Tasks: 4, CoresMilli: 100, PerWorker: 2}
+		d := newDesk("w")
+		again := shift(3, 1, 2, lane.Ready, "", step)
+		again.Attempt = 1
+		d.announce("w", func(a *schema.Announce) {
+			a.Running = []*schema.TaskNote{{Lane: "l", Job: 1, Task: 2, Attempt: 1, State: "running", CoresMilli: 100}}
+		})
+		d.shifts(true, 4, shift(1, 1, 0, lane.Out, "w", step), shift(2, 1, 1, lane.Ready, "", step), again)
+		So(d.picks(), ShouldBeEmpty)
+	})
+	Convey("A task isn't started where its lane's pool is another by now", t, func() {
+		d := newDesk("w")
+		d.told([]*schema.Row{row("l", "pool", "p")}, "w")
+		d.lane("l", 10, shift(1, 1, 0, lane.Out, "w", one))
+		d.announce("w", nil)
+		So(d.last().Orders.Orders[0].Act, ShouldEqual, "stop")
+	})
+}
+
+func TestRoomIsFreeOnceTheEndIsTold(t *testing.T) {
+	Convey("What is being stopped keeps its room until its end is listed", t, func() {
+		d := newDesk("w")
+		note := &schema.TaskNote{Name: "j1", Attempt: 1, State: "running"}
+		d.announce("w", named(nil))
+		stopping := shift(1, 1, 0, lane.Stopping, "w", one)
+		d.shifts(true, 2, stopping, shift(2, 2, 0, lane.Ready, "", one))
+		d.announce("w", runs(note))
+		So(d.picks(), ShouldBeEmpty)
+		d.announce("w", ends(&schema.TaskNote{Name: "j1", Attempt: 1, State: "stopped"}))
+		So(len(d.picks()), ShouldEqual, 1)
+	})
+}
+
+func TestDepartures(t *testing.T) {
+	for _, each := range []struct {
+		what    string
+		step    *schema.Step
+		percent int64
+		isSaved bool
+	}{
+		{"what ends in time runs out", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, Saves: true, EstimateUs: 3_000_000}, 0, false},
+		{"what can't keeps its progress just before", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, Saves: true, EstimateUs: 60_000_000}, 0, true},
+		{"by what it has done, where that is told", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, Saves: true, EstimateUs: 60_000_000}, 95, false},
+		{"what keeps none is left alone", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, EstimateUs: 60_000_000}, 0, false},
+	} {
+		Convey("On a worker with a time to go "+each.what, t, func() {
+			d := newDesk("w")
+			d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", each.step))
+			began := d.now
+			stoppedAt := loop.Micros(0)
+			percent := int64(0)
+			for d.now < began+3600*loop.Milli {
+				d.announce("w", named(func(a *schema.Announce) {
+					a.Leaving, a.DepartureUs = true, int64(began+4*loop.Second-d.now)
+					a.Running = []*schema.TaskNote{{Name: "j1", Attempt: 1, State: "running", Percent: percent}}
+				}))
+				d.pass(100 * loop.Milli)
+				percent = each.percent
+				if stoppedAt == 0 && len(d.acts(0, "stop")) > 0 {
+					stoppedAt = d.now
+				}
+			}
+			if each.isSaved {
+				So(stoppedAt, ShouldBeBetween, began+3300*loop.Milli, began+4*loop.Second)
+			} else {
+				So(stoppedAt, ShouldEqual, 0)
+			}
+		})
+	}
+}
+
+func TestDisplacing(t *testing.T) {
+	big := &schema.Step{Name: "b", Tasks: 1, CoresMilli: 800}
+	mid := &schema.Step{Name: "m", Tasks: 1, CoresMilli: 400}
+	saving := &schema.Step{Name: "m", Tasks: 1, CoresMilli: 400, Saves: true}
+	lasting := &schema.Step{Name: "m", Tasks: 1, CoresMilli: 400, Lasting: true}
+	group := &schema.Step{Name: "m", Tasks: 2, CoresMilli: 400, Together: true}
+	run := func(job uint64, task uint32, run loop.Micros) *schema.TaskNote {
+		return &schema.TaskNote{Lane: "l", Job: job, Task: task, Attempt: 1, State: "running", RunUs: int64(run), CoresMilli: 400}
+	}
+	stops := func(d *desk) map[uint64]int {
+		got := map[uint64]int{}
+		for _, v := range d.t.views {
+			for _, each := range v.tasks {
+				if each.evict != "" {
+					got[each.key.job]++
+				}
+			}
+		}
+		return got
+	}
+	for _, each := range []struct {
+		what         string
+		less         []*lane.Shift
+		running      map[string][]*schema.TaskNote
+		urgent       []*lane.Shift
+		want         map[uint64]int
+		lessUrgently int64
+	}{
+		{what: "what has run least", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", mid), shift(1, 3, 0, lane.Out, "w", mid), shift(1, 4, 0, lane.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*loop.Second), run(2, 0, 9*loop.Second)}, "w": {run(3, 0, 8*loop.Second), run(4, 0, 9*loop.Second)}},
+			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{3: 1}},
+		{what: "what has kept its progress", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", saving), shift(1, 3, 0, lane.Out, "w", mid), shift(1, 4, 0, lane.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*loop.Second), {Lane: "l", Job: 2, Attempt: 1, State: "running", RunUs: 20_000_000, Saved: "x", CoresMilli: 400}}, "w": {run(3, 0, 8*loop.Second), run(4, 0, 9*loop.Second)}},
+			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{2: 1}},
+		{what: "lasting tasks late", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", lasting), shift(1, 3, 0, lane.Out, "w", lasting), shift(1, 4, 0, lane.Out, "w", lasting)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*loop.Second), run(2, 0, loop.Milli)}, "w": {run(3, 0, loop.Milli), run(4, 0, loop.Milli)}},
+			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{1: 1}},
+		{what: "no more than is needed, but enough for all that waits", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", mid), shift(1, 3, 0, lane.Out, "w", mid), shift(1, 4, 0, lane.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second), run(2, 0, 3*loop.Second)}, "w": {run(3, 0, 8*loop.Second), run(4, 0, 9*loop.Second)}},
+			urgent:  []*lane.Shift{shift(1, 8, 0, lane.Ready, "", mid), shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{1: 1, 2: 1}},
+		{what: "a group as a whole, which costs all of it", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", group), shift(1, 1, 1, lane.Out, "w", group), shift(1, 2, 0, lane.Out, "v", mid), shift(1, 3, 0, lane.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 5*loop.Second), run(2, 0, 20*loop.Second)}, "w": {run(1, 1, 5*loop.Second), run(3, 0, 9*loop.Second)}},
+			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{3: 1}},
+		{what: "for a group as well", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", mid), shift(1, 3, 0, lane.Out, "w", mid), shift(1, 4, 0, lane.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second), run(2, 0, 3*loop.Second)}, "w": {run(3, 0, 8*loop.Second), run(4, 0, 9*loop.Second)}},
+			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "g", Tasks: 2, CoresMilli: 600, Together: true}), shift(1, 9, 1, lane.Ready, "", &schema.Step{Name: "g", Tasks: 2, CoresMilli: 600, Together: true})}, want: map[uint64]int{1: 1, 3: 1}},
+		{what: "nothing for what then doesn't fit", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second)}, "w": {run(2, 0, 8*loop.Second)}},
+			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1200})}, want: map[uint64]int{}},
+		{what: "nothing for a group of which one doesn't fit", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second)}, "w": {run(2, 0, 8*loop.Second)}},
+			urgent: []*lane.Shift{shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "g", Tasks: 3, CoresMilli: 800, Together: true}), shift(1, 9, 1, lane.Ready, "", &schema.Step{Name: "g", Tasks: 3, CoresMilli: 800, Together: true}),
+				shift(1, 9, 2, lane.Ready, "", &schema.Step{Name: "g", Tasks: 3, CoresMilli: 800, Together: true})}, want: map[uint64]int{}},
+		{what: "nothing of the same urgency", lessUrgently: 50, less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second)}, "w": {run(2, 0, 8*loop.Second)}},
+			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", big)}, want: map[uint64]int{}},
+	} {
+		Convey("Urgent work displaces "+each.what, t, func() {
+			d := newDesk("v", "w")
+			d.step(keep.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1}, Charter: true})
+			d.lane("l", max(each.lessUrgently, 10), each.less...)
+			say := func() {
+				for _, id := range []string{"v", "w"} {
+					d.announce(id, func(a *schema.Announce) { a.Running = each.running[id] })
+				}
+			}
+			say()
+			d.lane("m", 50, each.urgent...)
+			d.pass(80 * loop.Milli)
+			So(stops(d), ShouldBeEmpty) // it waits a little first
+			d.pass(60 * loop.Milli)
+			say()
+			d.pass(100 * loop.Milli)
+			So(stops(d), ShouldResemble, each.want)
+		})
+	}
+	Convey("The room that was freed goes to whom it was freed for", t, func() {
+		d := newDesk("w")
+		d.lane("l", 10, shift(1, 1, 0, lane.Out, "w", mid), shift(1, 2, 0, lane.Out, "w", mid), shift(1, 3, 0, lane.Ready, "", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 300}))
+		both := []*schema.TaskNote{run(1, 0, loop.Second), run(2, 0, loop.Second)}
+		d.announce("w", func(a *schema.Announce) { a.Running = both })
+		d.lane("m", 50, shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1000}))
+		d.pass(150 * loop.Milli)
+		So(stops(d), ShouldResemble, map[uint64]int{1: 1, 2: 1})
+		d.announce("w", func(a *schema.Announce) {
+			a.Running, a.Ended = both[1:], []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}}
+		})
+		So(d.picks(), ShouldBeEmpty)
+		d.announce("w", func(a *schema.Announce) {
+			a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}, {Lane: "l", Job: 2, Attempt: 1, State: "stopped"}}
+		})
+		So(len(d.picks()), ShouldEqual, 1)
+		So(d.picks()[0].Key.Job, ShouldEqual, 9)
+	})
+}
+
+func TestWideWorkIsntStarved(t *testing.T) {
+	Convey("A group that has waited keeps workers free from what comes after it", t, func() {
+		for _, urgency := range []int64{10, 5} {
+			d := newDesk("v", "w")
+			gang := &schema.Step{Name: "g", Tasks: 2, CoresMilli: 900, Together: true}
+			small := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 500}
+			d.lane("k", 10, shift(1, 1, 0, lane.Out, "v", small))
+			busy := func(a *schema.Announce) {
+				a.Running = []*schema.TaskNote{{Lane: "k", Job: 1, Attempt: 1, State: "running", CoresMilli: 500}}
+			}
+			d.announce("v", busy)
+			d.announce("w", nil)
+			d.lane("l", 10, shift(1, 5, 0, lane.Ready, "", gang), shift(1, 5, 1, lane.Ready, "", gang))
+			So(d.picks(), ShouldBeEmpty)
+			d.pass(1600 * loop.Milli)
+			d.announce("v", busy)
+			d.announce("w", nil)
+			d.lane("m", urgency, shift(1, 6, 0, lane.Ready, "", small))
+			So(d.picks(), ShouldBeEmpty)
+			Convey(fmt.Sprint("until it fits, before urgency ", urgency), func() {
+				d.announce("v", func(a *schema.Announce) {
+					a.Ended = []*schema.TaskNote{{Lane: "k", Job: 1, Attempt: 1, State: "done"}}
+				})
+				So(len(d.picks()), ShouldEqual, 2)
+				So(d.picks()[0].Key.Job, ShouldEqual, 5)
+			})
+			Convey(fmt.Sprint("but not from what is more urgent than ", urgency), func() {
+				d.lane("m", 20, shift(1, 6, 0, lane.Ready, "", small))
+				So(len(d.picks()), ShouldEqual, 1)
+				So(d.picks()[0].Key.Job, ShouldEqual, 6)
+			})
+		}
+	})
+	Convey("What doesn't fit holds up nothing that does", t, func() {
+		d := newDesk("w")
+		d.announce("w", nil)
+		var list []*lane.Shift
+		for job := uint64(1); job <= 40; job++ {
+			list = append(list, shift(job, job, 0, lane.Ready, "", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 5000}))
+		}
+		d.shifts(true, 41, append(list, shift(41, 50, 0, lane.Ready, "", one))...)
+		So(len(d.picks()), ShouldEqual, 1)
+		So(d.picks()[0].Key.Job, ShouldEqual, 50)
+	})
+}
+
+func TestBadWorkers(t *testing.T) {
+	step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, EstimateUs: 1_000_000}
+	// finish lets a worker end one task after a run of so long.
+	job := uint64(100)
+	finish := func(d *desk, worker string, run loop.Micros) {
+		job++
+		hand := d.t.views["l"].hand
+		d.shifts(false, hand+1, shift(hand+1, job, 0, lane.Out, worker, step))
+		d.announce(worker, named(func(a *schema.Announce) {
+			a.Ended = []*schema.TaskNote{{Name: fmt.Sprint("j", job), Attempt: 1, State: "done", RunUs: int64(run)}}
+		}))
+		d.shifts(false, hand+2, shift(hand+2, job, 0, lane.Gone, "", step))
+	}
+	ready := func(d *desk, step *schema.Step) string {
+		job++
+		d.tells = nil
+		hand := d.t.views["l"].hand
+		d.shifts(false, hand+1, shift(hand+1, job, 0, lane.Ready, "", step))
+		So(len(d.picks()), ShouldEqual, 1)
+		return d.picks()[0].Worker
+	}
+	setUp := func() *desk {
+		d := newDesk("a", "b", "c")
+		d.shifts(true, 0)
+		for _, id := range []string{"a", "b", "c"} {
+			d.announce(id, named(nil))
+		}
+		for k := 0; k < 4; k++ {
+			finish(d, "b", loop.Second)
+			finish(d, "c", loop.Second)
+		}
+		return d
+	}
+	Convey("A worker whose runs take longer than others' is used last", t, func() {
+		d := setUp()
+		for k := 0; k < 4; k++ {
+			finish(d, "a", 4*loop.Second)
+		}
+		d.announce("b", runs(&schema.TaskNote{Lane: "x", Name: "z", Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}))
+		d.announce("c", runs(&schema.TaskNote{Lane: "x", Name: "z", Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}))
+		So(ready(d, step), ShouldNotEqual, "a")
+		Convey("but the others aren't taken for quick", func() {
+			So(d.t.workers["b"].slow, ShouldBeBetween, -0.1, 0.1)
+		})
+	})
+	Convey("A task that stands still while others end alike ones is displaced, and its worker rests", t, func() {
+		d := setUp()
+		hand := d.t.views["l"].hand
+		d.shifts(false, hand+1, shift(hand+1, 7, 0, lane.Out, "a", step))
+		began := d.now
+		percent := int64(0)
+		play := func(span loop.Micros, moves int64) {
+			for end := d.now + span; d.now < end; {
+				percent += moves
+				d.announce("a", runs(&schema.TaskNote{Name: "j7", Attempt: 1, State: "running", Percent: percent}))
+				finish(d, "b", loop.Second)
+				finish(d, "c", loop.Second)
+				d.pass(100 * loop.Milli)
+			}
+		}
+		isStopped := func() bool { return len(d.acts(0, "stop")) > 0 }
+		Convey("where nothing moves", func() {
+			play(1900*loop.Milli, 0)
+			So(isStopped(), ShouldBeFalse)
+			play(500*loop.Milli, 0)
+			So(isStopped(), ShouldBeTrue)
+			d.tells = nil
+			d.announce("a", ends(&schema.TaskNote{Name: "j7", Attempt: 1, State: "stopped"}))
+			So(d.ended()[0].Outcome, ShouldEqual, "stopped")
+			for k := 0; k < 3; k++ {
+				So(ready(d, step), ShouldNotEqual, "a")
+			}
+		})
+		Convey("not where it just is long", func() {
+			play(8*loop.Second, 1)
+			So(isStopped(), ShouldBeFalse)
+			So(d.now-began, ShouldBeGreaterThan, 7*loop.Second)
+		})
+	})
+	fail := func(d *desk, worker string, jobs ...uint64) {
+		for _, each := range jobs {
+			d.announce(worker, func(a *schema.Announce) {
+				a.Ended = []*schema.TaskNote{{Lane: "l", Job: each, Attempt: 1, State: "failed"}}
+			})
+		}
+	}
+	Convey("A worker that fails a few in a row where others don't rests, longer each time", t, func() {
+		d := setUp()
+		fail(d, "a", 1, 2)
+		So(ready(d, step), ShouldNotEqual, "a")
+		So(d.t.workers["a"].asideUntil-d.now, ShouldEqual, firstRest)
+		d.pass(firstRest)
+		fail(d, "a", 3)
+		d.announce("b", named(nil))
+		d.announce("c", named(nil))
+		So(ready(d, step), ShouldNotEqual, "a")
+		So(d.t.workers["a"].asideUntil-d.now, ShouldEqual, 2*firstRest)
+		Convey("and is still used when nothing else has room for long", func() {
+			hand := d.t.views["l"].hand
+			only := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, Labels: []string{"x"}}
+			d.tells = nil
+			d.shifts(false, hand+1, shift(hand+1, 900, 0, lane.Ready, "", only))
+			d.pass(2 * loop.Second)
+			has := named(func(a *schema.Announce) { a.Labels = []string{"x"} })
+			d.announce("a", has)
+			So(d.picks(), ShouldBeEmpty)
+			d.pass(1100 * loop.Milli)
+			d.announce("a", has)
+			So(len(d.picks()), ShouldEqual, 1)
+		})
+	})
+	Convey("One task that fails again and again says nothing of its worker", t, func() {
+		d := setUp()
+		for k := uint32(1); k < 4; k++ {
+			d.announce("a", func(a *schema.Announce) {
+				a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: k, State: "failed"}}
+			})
+		}
+		d.step(loop.Tick{})
+		So(d.t.workers["a"].isOnTrial, ShouldBeFalse)
+	})
+}
+
+func TestUrgentLanesComeFirst(t *testing.T) {
+	Convey("Lanes are served by urgency, equals by who has waited longest", t, func() {
+		d := newDesk("w")
+		d.announce("w", func(a *schema.Announce) { a.Leaving = true })
+		d.lane("m", 10, shift(1, 1, 0, lane.Ready, "", one))
+		d.pass(100 * loop.Milli)
+		d.lane("k", 10, shift(1, 2, 0, lane.Ready, "", one))
+		d.lane("l", 20, shift(1, 3, 0, lane.Ready, "", one))
+		for _, want := range []uint64{3, 1} {
+			d.tells = nil
+			d.announce("w", nil)
+			So(len(d.picks()), ShouldEqual, 1)
+			So(d.picks()[0].Key.Job, ShouldEqual, want)
+			d.step(keep.Lost{Lane: map[uint64]string{3: "l", 1: "m"}[want]})
+		}
+	})
+}
--- a/placer/name.go
+++ b/placer/name.go
@@ -148,6 +148,10 @@
 func (t *Table) buryOne(now loop.Micros, id string, out loop.Out) {
 	for _, key := range slices.SortedFunc(maps.Keys(t.placed[id]), compareKeys) {
 		each := t.placed[id][key]
+		// What it had told before it died goes its own way.
+		if w := t.workers[id]; w != nil && w.ended[attemptKey{key, each.attempt}] != nil {
+			continue
+		}
 		t.giveBack(now, each, "lost", out)
 	}
 }
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -85,7 +85,8 @@
 	if expected == 0 || each.spec.Lasting {
 		return math.MaxInt64 / 4
 	}
-	return max(expected-run, 0)
+	// What is overdue ends at any time, but not surely at once.
+	return max(expected-run, run/10)
 }
 
 // judge learns from a task's end.
@@ -192,10 +193,20 @@
 }
 
 // setAside gives a worker a rest, twice as long as the one before.
-func (w *worker) setAside(now loop.Micros) {
+func (t *Table) setAside(now loop.Micros, w *worker) {
 	if now < w.asideUntil {
 		return
 	}
+	// Where half of the workers look bad, it isn't the workers.
+	others := 0
+	for _, other := range t.workers {
+		if other != w && other.isOnTrial {
+			others++
+		}
+	}
+	if 2*(others+1) > len(t.workers) {
+		return
+	}
 	w.rest = min(max(2*w.rest, firstRest), mostRest)
 	w.asideUntil, w.isOnTrial, w.trials, w.row = now+w.rest, true, 0, 0
 }
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"sort"
+	"strings"
 
 	"sparnotch/keep"
 	"sparnotch/lane"
@@ -190,7 +191,7 @@
 		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(oldest[a], oldest[b]), cmp.Compare(a.lane, b.lane))
 	})
 	list := t.rooms(now)
-	p := &passage{least: math.MaxInt64, groups: map[stepKey]*unit{}}
+	p := &passage{least: math.MaxInt64, groups: map[stepKey]*unit{}, claims: map[string]bool{}}
 	for _, v := range t.views {
 		if v.out > 0 {
 			p.least = min(p.least, v.urgency)
@@ -213,8 +214,8 @@
 
 // passage is what a pass has done so far.
 type passage struct {
-	least    int64 // lowest urgency of what is out
-	hasClaim bool
+	least    int64             // lowest urgency of what is out
+	claims   map[string]bool   // pools in which workers are kept free
 	isFutile bool              // something that may displace found nothing to displace
 	groups   map[stepKey]*unit // what may be displaced only whole
 }
@@ -229,7 +230,7 @@
 func (t *Table) passLane(now loop.Micros, v *view, list, all []*room, p *passage, out loop.Out) {
 	var picks []*schema.Pick
 	left := int(v.running) - v.out - len(v.reserved)
-	misses := 0
+	misses, behind, looked := 0, 0, 0
 	missed := map[shape]bool{}
 	pivot := &band{}
 	isFirst := true
@@ -244,11 +245,16 @@
 		})
 		return found
 	}
-	for b := next(); b != nil && left > 0 && len(picks) < maxPicks && misses < maxMisses; b = next() {
+	for b := next(); b != nil && left > 0 && len(picks) < maxPicks && misses < maxMisses && looked < maxLooks; b = next() {
+		looked++
 		pivot, isFirst = &band{key: b.key}, false
 		first, _ := b.ready.Min()
-		form := shape{need: sizeOf(b.spec), labels: fmt.Sprint(b.spec.Labels), mayRest: now-first.since > asideAfter}
+		form := shape{need: sizeOf(b.spec), labels: strings.Join(b.spec.Labels, " "), mayRest: now-first.since > asideAfter}
 		if missed[form] {
+			// It fits nowhere either, but room may be made for it.
+			if behind++; behind <= maxMisses {
+				t.await(now, v, b, t.wishOf(now, v, b, list), left, list, all, p)
+			}
 			continue
 		}
 		x := t.wishOf(now, v, b, list)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -41,6 +41,7 @@
 	overSpan     = 60 * loop.Second  // how long a worker stays known as dead after the last word of it
 	maxPicks     = 64                // of one checkout, groups apart
 	maxMisses    = 32                // steps that find no room, of one lane and pass
+	maxLooks     = 512               // steps looked at, of one lane and pass
 )
 
 type taskKey struct {
@@ -205,6 +206,7 @@
 	names    map[nameKey][]*task
 	over     map[string]loop.Micros // dead workers, and when that was last told
 	paces    map[paceKey]*pace
+	ids      []string // of the workers, in order; nil: to be made anew
 }
 
 // Counts says what the placer has done.
@@ -278,6 +280,7 @@
 		if ward := mine[id]; ward == nil || ward.Generation != w.generation {
 			t.dismiss(w, out)
 			delete(t.workers, id)
+			t.ids = nil
 			if len(w.tasks) == 0 {
 				delete(t.placed, id)
 			}
@@ -292,7 +295,7 @@
 			ended: map[attemptKey]*ended{}, tasks: t.placedOn(id), resolved: map[nameAttempt]attemptKey{},
 			reserved: map[taskKey]*task{}, isStale: true,
 		}
-		t.workers[id] = w
+		t.workers[id], t.ids = w, nil
 		for _, v := range t.views {
 			for key, each := range v.reserved {
 				if each.reserved == id {
@@ -321,7 +324,10 @@
 }
 
 func (t *Table) workerIds() []string {
-	return slices.Sorted(maps.Keys(t.workers))
+	if t.ids == nil {
+		t.ids = slices.Sorted(maps.Keys(t.workers))
+	}
+	return t.ids
 }
 
 // --- the lanes: what is ready and out ---
@@ -555,7 +561,12 @@
 	}
 	w.isLeaving = a.Leaving
 	w.accelerators, w.labels, w.pool, w.gathers, w.isNamed = a.Accelerators, a.Labels, a.Pool, a.Gathers, a.Named
-	w.departAt, w.coldUntil, w.isStale = 0, now+loop.Micros(a.ColdUs), true
+	w.departAt, w.isStale = 0, true
+	if a.ColdUs > 0 {
+		w.coldUntil = now + loop.Micros(a.ColdUs)
+	} else {
+		w.coldUntil = min(w.coldUntil, now)
+	}
 	if a.Leaving && a.DepartureUs > 0 {
 		w.departAt = now + loop.Micros(a.DepartureUs)
 	}
@@ -806,8 +817,13 @@
 		}
 		if t.isStuck(now, w, each, note) {
 			each.strikes++
+			if each.spec.Together {
+				for _, member := range t.members(each) {
+					member.strikes = max(member.strikes, each.strikes)
+				}
+			}
 			t.evictWhole(each, "stopped")
-			w.setAside(now)
+			t.setAside(now, w)
 			continue
 		}
 		// What can't end in time keeps its progress; what keeps none may as well
@@ -991,6 +1007,9 @@
 	for key, note := range w.running {
 		left.sub(t.sizeOf(w, key, note))
 	}
+	for _, note := range w.strange {
+		left.sub(amount{cores: note.CoresMilli, memory: note.MemoryMb})
+	}
 	isBlurry := t.isBlurry(w)
 	for _, each := range t.tasksOf(w) {
 		key := attemptKey{each.key, each.attempt}
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -54,12 +54,13 @@
 			p.isFutile = true
 		}
 	}
-	if got == 0 && !p.hasClaim && now-first.since >= claimAfter && isWide(x, list) {
+	pool := t.values.Text("lane", v.lane, "pool")
+	if got == 0 && !p.claims[pool] && now-first.since >= claimAfter && isWide(x, list) {
 		count := 1
 		if x.spec.Together {
 			count = b.ready.Len()
 		}
-		p.hasClaim = t.claim(x, count, list)
+		p.claims[pool] = t.claim(x, count, list)
 	}
 }
 
--- a/placer/room.go
+++ b/placer/room.go
@@ -176,7 +176,7 @@
 		r.later.add(w.coming)
 		// It fails far more than others: a rest, then few tasks at a time.
 		if now >= w.asideUntil && (t.isSuspect(w, median) || w.isOnTrial && w.row > 0) {
-			w.setAside(now)
+			t.setAside(now, w)
 		}
 		r.isAside = now < w.asideUntil
 		if w.isOnTrial {
