Placer: ready steps stand in rows of one shape, and most mails need no pass

Where one of a shape fits nowhere those behind it aren't tried; announces that free no room and shifts that only tell what was picked start no pass. BenchmarkStart measures a task's whole way.

--- a/placer/agent_test.go
+++ b/placer/agent_test.go
@@ -28,7 +28,7 @@
 	d.step(&schema.CharterTell{State: state, Version: 2})
 }
 
-func row(name, key, value string) *schema.Row {
+func laneRow(name, key, value string) *schema.Row {
 	return &schema.Row{Kind: "lane", Name: name, Key: key, Value: value}
 }
 
@@ -79,7 +79,7 @@
 }
 
 func TestNamedNotes(t *testing.T) {
-	rows := []*schema.Row{row("l", "urgency", "10"), row("m", "urgency", "10")}
+	rows := []*schema.Row{laneRow("l", "urgency", "10"), laneRow("m", "urgency", "10")}
 	out := func() *lane.Shift {
 		s := shift(1, 7, 3, lane.Out, "w", &schema.Step{Name: "s", Tasks: 4, CoresMilli: 600, Saves: true})
 		s.Key.Step, s.Round, s.Part, s.Saved = 5, 2, 1, "before"
@@ -280,7 +280,7 @@
 		want   map[string]int
 		bounds *schema.Bounds
 	}{
-		{what: "only the lane's pool", rows: []*schema.Row{row("l", "pool", "p")}, step: &schema.Step{CoresMilli: 100}, v: plain,
+		{what: "only the lane's pool", rows: []*schema.Row{laneRow("l", "pool", "p")}, step: &schema.Step{CoresMilli: 100}, v: plain,
 			w: func(a *schema.Announce) { a.Pool = "p" }, tasks: 1, want: map[string]int{"w": 1}},
 		{what: "a lane without a pool isn't for the workers of one", step: &schema.Step{CoresMilli: 100}, v: plain,
 			w: func(a *schema.Announce) { a.Pool = "p" }, tasks: 1, want: map[string]int{"v": 1}},
@@ -339,7 +339,7 @@
 	})
 	Convey("A task isn't started where its lane's pool is another by now", t, func() {
 		d := newDesk("w")
-		d.told([]*schema.Row{row("l", "pool", "p")}, "w")
+		d.told([]*schema.Row{laneRow("l", "pool", "p")}, "w")
 		d.lane("l", 10, shift(1, 1, 0, lane.Out, "w", one))
 		d.announce("w", nil)
 		So(d.last().Orders.Orders[0].Act, ShouldEqual, "stop")
--- /dev/null
+++ b/placer/bench_test.go
@@ -0,0 +1,82 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"sparnotch/keep"
+	"sparnotch/lane"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// BenchmarkStart is what a task costs from its hand-over to its noted end, on
+// 40 workers that are full, with a backlog behind it.
+func BenchmarkStart(b *testing.B) {
+	for _, backlog := range []int{0, 2000} {
+		b.Run(fmt.Sprint("backlog ", backlog), func(b *testing.B) {
+			var ids []string
+			for k := 0; k < 40; k++ {
+				ids = append(ids, fmt.Sprintf("w%02d", k))
+			}
+			d := newDesk(ids...)
+			spec := func() *schema.Step { return &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, MemoryMb: 10} }
+			running := map[string][]*schema.TaskNote{}
+			over := map[string][]*schema.TaskNote{}
+			say := func(id string) {
+				d.announce(id, func(a *schema.Announce) { a.Named, a.Running, a.Ended = true, running[id], over[id] })
+			}
+			for _, id := range ids {
+				say(id)
+				say(id)
+			}
+			d.shifts(true, 0)
+			hand, job := uint64(0), uint64(0)
+			ready := func() {
+				job++
+				hand++
+				d.shifts(false, hand, shift(hand, job, 0, lane.Ready, "", spec()))
+			}
+			for k := 0; k < 300+backlog; k++ {
+				ready()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for k := 0; k < b.N; k++ {
+				ready()
+				tells := d.tells
+				d.tells = nil
+				for _, tell := range tells {
+					switch m := tell.(type) {
+					case keep.Propose:
+						for _, pick := range m.Command.GetCheckout().GetPicks() {
+							hand++
+							d.shifts(false, hand, shift(hand, pick.Key.Job, 0, lane.Out, pick.Worker, spec()))
+							running[pick.Worker] = append(running[pick.Worker], &schema.TaskNote{Name: fmt.Sprint("j", pick.Key.Job), Attempt: 1, State: "running"})
+							say(pick.Worker)
+						}
+					case keep.Ended:
+						hand++
+						d.shifts(false, hand, shift(hand, m.End.Key.Job, 0, lane.Gone, "", spec()))
+						d.step(&schema.EndReply{Lane: "l", Key: m.End.Key, Attempt: m.End.Attempt, Worker: m.End.Worker})
+						over[m.End.Worker] = nil
+						say(m.End.Worker)
+					}
+				}
+				d.replies = d.replies[:0]
+				id := ids[k%len(ids)]
+				if list := running[id]; len(list) > 0 {
+					running[id], over[id] = list[1:], append(over[id], list[0])
+				}
+				over[id] = over[id][:len(over[id]):len(over[id])]
+				say(id)
+				d.now += loop.Milli
+				if k%20 == 0 {
+					d.fresh(true)
+					d.step(loop.Tick{})
+				}
+			}
+			b.ReportMetric(float64(d.t.counts.Starts)/float64(b.N), "starts/op")
+		})
+	}
+}
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"fmt"
 	"math"
 	"slices"
 	"sort"
-	"strings"
 
 	"sparnotch/keep"
 	"sparnotch/lane"
@@ -176,11 +176,7 @@
 	for _, v := range t.views {
 		if v.waits > 0 && t.mayAct(now, v) {
 			views = append(views, v)
-			if b, isThere := v.ready.Min(); isThere {
-				if first, isReady := b.ready.Min(); isReady {
-					oldest[v] = first.since
-				}
-			}
+			oldest[v] = v.oldest()
 		}
 	}
 	if len(views) == 0 {
@@ -212,6 +208,19 @@
 	}
 }
 
+// oldest is since when the first steps of the lane have waited.
+func (v *view) oldest() loop.Micros {
+	at := loop.Micros(math.MaxInt64)
+	for _, r := range v.rows {
+		if b, isThere := r.bands.Min(); isThere {
+			if first, isReady := b.ready.Min(); isReady {
+				at = min(at, first.since)
+			}
+		}
+	}
+	return at
+}
+
 // passage is what a pass has done so far.
 type passage struct {
 	least    int64             // lowest urgency of what is out
@@ -220,42 +229,60 @@
 	groups   map[stepKey]*unit // what may be displaced only whole
 }
 
-// shape is all that decides whether a plain task fits anywhere.
-type shape struct {
-	need    amount
-	labels  string
-	mayRest bool
+// heads are the first steps of each shape that are still to be looked at, in
+// the lane's order.
+type heads []*head
+
+type head struct {
+	row *row
+	at  *band
+}
+
+func (h heads) Len() int           { return len(h) }
+func (h heads) Less(a, b int) bool { return beforeBand(h[a].at, h[b].at) }
+func (h heads) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+func (h *heads) Push(x any)        { *h = append(*h, x.(*head)) }
+func (h *heads) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// after is the step behind one in its row, which it may have left by now.
+func (r *row) after(at *band) *band {
+	var found *band
+	r.bands.AscendGreaterOrEqual(at, func(b *band) bool {
+		if b.key == at.key {
+			return true
+		}
+		found = b
+		return false
+	})
+	return found
+}
+
+func (v *view) heads() *heads {
+	list := make(heads, 0, len(v.rows))
+	for _, r := range v.rows {
+		if first, isThere := r.bands.Min(); isThere {
+			list = append(list, &head{r, first})
+		}
+	}
+	heap.Init(&list)
+	return &list
 }
 
 func (t *Table) passLane(now loop.Micros, v *view, list, all []*room, p *passage, out loop.Out) {
 	var picks []*schema.Pick
 	left := int(v.running) - v.out - len(v.reserved)
-	misses, behind, looked := 0, 0, 0
-	missed := map[shape]bool{}
-	pivot := &band{}
-	isFirst := true
-	next := func() *band {
-		var found *band
-		v.ready.AscendGreaterOrEqual(pivot, func(b *band) bool {
-			if !isFirst && b.key == pivot.key {
-				return true
-			}
-			found = b
-			return false
-		})
-		return found
-	}
-	for b := next(); b != nil && left > 0 && len(picks) < maxPicks && misses < maxMisses && looked < maxLooks; b = next() {
-		looked++
-		pivot, isFirst = &band{key: b.key}, false
-		first, _ := b.ready.Min()
-		form := shape{need: sizeOf(b.spec), labels: strings.Join(b.spec.Labels, " "), mayRest: now-first.since > asideAfter}
-		if missed[form] {
-			// It fits nowhere either, but room may be made for it.
-			if behind++; behind <= maxMisses {
-				t.await(now, v, b, t.wishOf(now, v, b, list), left, list, all, p)
-			}
-			continue
+	misses := 0
+	for queue := v.heads(); queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < maxMisses; {
+		h := (*queue)[0]
+		b := h.at
+		if h.at = h.row.after(b); h.at == nil {
+			heap.Pop(queue)
+		} else {
+			heap.Fix(queue, 0)
 		}
 		x := t.wishOf(now, v, b, list)
 		var group []*task
@@ -273,7 +300,7 @@
 		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 {
 			members := group
 			if !b.spec.Together {
-				first, _ = b.ready.Min()
+				first, _ := b.ready.Min()
 				members = []*task{first}
 			}
 			chosen := t.chooseFor(now, members, list, x)
@@ -296,10 +323,19 @@
 		// Whoever stands behind many that don't fit waits its turn: a long row
 		// must not be looked through at every pass.
 		misses++
-		if !b.spec.Together && b.spec.PerWorker == 0 {
-			missed[form] = true
-		}
 		t.await(now, v, b, x, left, list, all, p)
+		// Those of the same shape fit nowhere either, but room may be made for
+		// them.
+		if h.at == nil {
+			continue
+		}
+		heap.Remove(queue, slices.Index(*queue, h))
+		for k := 1; h.at != nil && k < maxMisses && t.mayAwait(now, v, list, p); k++ {
+			if next := h.at; !next.spec.Together || next.ready.Len() == int(next.spec.Tasks) {
+				t.await(now, v, next, t.wishOf(now, v, next, list), left, list, all, p)
+			}
+			h.at = h.row.after(h.at)
+		}
 	}
 	if len(picks) > 0 {
 		out.Tell("keep", keep.Propose{Group: v.group, Term: v.term, Command: &schema.LaneCommand{
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"strings"
 
 	"github.com/google/btree"
 
@@ -41,7 +42,6 @@
 	overSpan     = 60 * loop.Second  // how long a worker stays known as dead after the last word of it
 	maxPicks     = 64                // of one checkout, groups apart
 	maxMisses    = 32                // steps that find no room, of one lane and pass
-	maxLooks     = 512               // steps looked at, of one lane and pass
 )
 
 type taskKey struct {
@@ -114,6 +114,35 @@
 	ready *btree.BTreeG[*task]
 }
 
+// shape is all that decides whether steps fit anywhere: where one doesn't,
+// those of the same shape behind it needn't be tried.
+type shape struct {
+	need     amount
+	labels   string
+	together uint32  // members of a group
+	own      stepKey // of a step whose other tasks matter
+}
+
+func shapeOf(key stepKey, spec *schema.Step) shape {
+	form := shape{need: sizeOf(spec)}
+	if len(spec.Labels) > 0 {
+		form.labels = strings.Join(spec.Labels, " ")
+	}
+	if spec.Together {
+		form.together = spec.Tasks
+	}
+	if spec.PerWorker > 0 {
+		form.own = key
+	}
+	return form
+}
+
+// row is the ready steps of one shape, in order.
+type row struct {
+	form  shape
+	bands *btree.BTreeG[*band]
+}
+
 func beforeBand(a, b *band) bool {
 	return cmp.Or(cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.step, b.key.step)) < 0
 }
@@ -124,7 +153,7 @@
 	urgency     int64
 	running     int64
 	tasks       map[taskKey]*task
-	ready       *btree.BTreeG[*band]
+	rows        map[shape]*row
 	places      map[stepKey]map[string]int // tasks by worker, out or on their way
 	reserved    map[taskKey]*task          // ready, with a checkout on its way
 	gangs       map[taskKey]*task          // first members of groups that are out and not decided to begin
@@ -191,22 +220,24 @@
 
 // Table is the placer's table.
 type Table struct {
-	id       string
-	state    *schema.CharterState
-	values   *charter.Values
-	views    map[string]*view
-	workers  map[string]*worker
-	fresh    keep.Fresh
-	freshAt  loop.Micros
-	isDirty  bool
-	futileAt loop.Micros // nothing was found to displace
-	counts   Counts
-	bounds   *schema.Bounds
-	placed   map[string]map[taskKey]*task // by worker, whoever wards it
-	names    map[nameKey][]*task
-	over     map[string]loop.Micros // dead workers, and when that was last told
-	paces    map[paceKey]*pace
-	ids      []string // of the workers, in order; nil: to be made anew
+	id        string
+	state     *schema.CharterState
+	values    *charter.Values
+	views     map[string]*view
+	workers   map[string]*worker
+	fresh     keep.Fresh
+	freshAt   loop.Micros
+	isDirty   bool
+	isStirred bool        // a group may have come to be held
+	list      []*room     // of the latest pass, used again
+	futileAt  loop.Micros // nothing was found to displace
+	counts    Counts
+	bounds    *schema.Bounds
+	placed    map[string]map[taskKey]*task // by worker, whoever wards it
+	names     map[nameKey][]*task
+	over      map[string]loop.Micros // dead workers, and when that was last told
+	paces     map[paceKey]*pace
+	ids       []string // of the workers, in order; nil: to be made anew
 }
 
 // Counts says what the placer has done.
@@ -255,6 +286,9 @@
 	if t.isDirty {
 		t.isDirty = false
 		t.pass(now, out)
+	}
+	if t.isStirred {
+		t.isStirred = false
 		t.launch(now, out)
 	}
 	t.answerAll(now, out)
@@ -343,7 +377,7 @@
 				was[key] = *each
 			}
 		}
-		v = &view{lane: m.Lane, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, ready: btree.NewG(16, beforeBand), places: map[stepKey]map[string]int{}}
+		v = &view{lane: m.Lane, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, rows: map[shape]*row{}, places: map[stepKey]map[string]int{}}
 		t.lose(m.Lane)
 		t.views[m.Lane] = v
 		v.urgency, v.running = m.Urgency, m.Running
@@ -370,7 +404,11 @@
 			t.shift(now, v, shift)
 		}
 	}
-	t.isDirty = true
+	// What is out now took its room when it was picked.
+	if m.IsWhole || slices.ContainsFunc(m.List, func(s *lane.Shift) bool { return s.State == lane.Ready }) {
+		t.isDirty = true
+	}
+	t.isStirred = true
 }
 
 // inherit keeps what only this table knew of tasks that are still the same.
@@ -477,22 +515,36 @@
 }
 
 func (v *view) addReady(each *task) {
-	b, isThere := v.ready.Get(&band{key: each.key.ofStep()})
+	form := shapeOf(each.key.ofStep(), each.spec)
+	r := v.rows[form]
+	if r == nil {
+		r = &row{form, btree.NewG(16, beforeBand)}
+		v.rows[form] = r
+	}
+	b, isThere := r.bands.Get(&band{key: each.key.ofStep()})
 	if !isThere {
-		b = &band{key: each.key.ofStep(), spec: each.spec, ready: btree.NewG(16, before)}
-		v.ready.ReplaceOrInsert(b)
+		b = &band{key: each.key.ofStep(), spec: each.spec, ready: btree.NewG(4, before)}
+		r.bands.ReplaceOrInsert(b)
 	}
 	b.ready.ReplaceOrInsert(each)
 	v.waits++
 }
 
 func (v *view) dropReady(each *task) {
-	if b, isThere := v.ready.Get(&band{key: each.key.ofStep()}); isThere {
+	form := shapeOf(each.key.ofStep(), each.spec)
+	r := v.rows[form]
+	if r == nil {
+		return
+	}
+	if b, isThere := r.bands.Get(&band{key: each.key.ofStep()}); isThere {
 		if _, isReady := b.ready.Delete(each); isReady {
 			v.waits--
 		}
 		if b.ready.Len() == 0 {
-			v.ready.Delete(b)
+			r.bands.Delete(b)
+		}
+		if r.bands.Len() == 0 {
+			delete(v.rows, form)
 		}
 	}
 }
@@ -517,6 +569,7 @@
 			t.remove(v, key)
 		}
 		delete(t.views, name)
+		t.isDirty = true
 	}
 }
 
@@ -553,7 +606,15 @@
 		w.good, w.bad, w.quality = 0, 0, quality{}
 		w.resolved = map[nameAttempt]attemptKey{}
 	}
+	type state struct {
+		used, whole         amount
+		isLeaving, isBlurry bool
+	}
+	stateOf := func() state { return state{w.used, w.whole(), w.isLeaving, w.isBlurry} }
+	t.count(w)
+	was := stateOf()
 	isFirst := !w.isKnown || a.Incarnation != w.incarnation
+	wasSilent := now-w.heard > silentSpan
 	w.incarnation, w.seq, w.heard, w.isKnown = a.Incarnation, a.Seq, now, true
 	w.cores, w.memory, w.rack = a.CoresMilli, a.MemoryMb, a.Rack
 	if a.Leaving && (!w.isLeaving || isFirst) {
@@ -597,7 +658,10 @@
 		// The worker must learn of its ward at once, and we have its inventory.
 		t.answer(now, w, out)
 	}
-	t.isDirty = true
+	// Most announces bring no room.
+	t.count(w)
+	t.isDirty = t.isDirty || isFirst || wasSilent || was != stateOf()
+	t.isStirred = true
 }
 
 // reports passes ended tasks on to their lanes' leaders until they are noted.
@@ -746,7 +810,7 @@
 			}
 		}
 	}
-	t.isDirty = true
+	t.isDirty, t.isStirred = true, true
 }
 
 // reserve takes a ready task for a worker while its checkout is on its way.
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -27,14 +27,13 @@
 // whole workers until they are free.
 func (t *Table) await(now loop.Micros, v *view, b *band, x *wish, left int, list, all []*room, p *passage) {
 	first, _ := b.ready.Min()
-	mayDisplace := t.plan("preempt") != 0 && now-first.since >= preemptAfter && p.least < v.urgency && now-t.futileAt >= Pace
+	mayDisplace := t.mayDisplace(now, v, p) && now-first.since >= preemptAfter
 	count := min(b.ready.Len(), left, mostAwaits)
 	if x.spec.Together {
 		count = b.ready.Len()
 	}
-	hasComing := slices.ContainsFunc(list, func(r *room) bool { return r.later != r.free })
 	got := 0
-	if hasComing || mayDisplace {
+	if hasComing(list) || mayDisplace {
 		j := &journal{table: t, now: now, passage: p}
 		for got < count && j.place(v, x, list, all, mayDisplace) {
 			got++
@@ -64,6 +63,19 @@
 	}
 }
 
+func hasComing(list []*room) bool {
+	return slices.ContainsFunc(list, func(r *room) bool { return r.later != r.free })
+}
+
+func (t *Table) mayDisplace(now loop.Micros, v *view, p *passage) bool {
+	return t.plan("preempt") != 0 && p.least < v.urgency && !p.isFutile && now-t.futileAt >= Pace
+}
+
+// mayAwait tells whether room may come about for what finds none.
+func (t *Table) mayAwait(now loop.Micros, v *view, list []*room, p *passage) bool {
+	return hasComing(list) || t.mayDisplace(now, v, p)
+}
+
 // journal is a trial: what it takes and displaces stands once it is committed.
 type journal struct {
 	table   *Table
--- a/placer/room.go
+++ b/placer/room.go
@@ -153,7 +153,7 @@
 // rooms lists the workers that may be given work.
 func (t *Table) rooms(now loop.Micros) []*room {
 	median := t.medianFailure()
-	list := make([]*room, 0, len(t.workers))
+	list := t.list[:0]
 	for _, id := range t.workerIds() {
 		w := t.workers[id]
 		if !w.isKnown || w.isLeaving || w.isOver || now-w.heard > silentSpan {
@@ -170,7 +170,14 @@
 		if w.isBlurry {
 			continue
 		}
-		r := &room{w: w, free: w.whole(), mostTasks: math.MaxInt32, weight: weight}
+		// Rooms of the pass before are used again.
+		r := &room{}
+		if len(list) < cap(list) {
+			if spare := list[:len(list)+1][len(list)]; spare != nil {
+				r = spare
+			}
+		}
+		*r = room{w: w, free: w.whole(), mostTasks: math.MaxInt32, weight: weight}
 		r.free.sub(w.used)
 		r.later = r.free
 		r.later.add(w.coming)
@@ -184,5 +191,6 @@
 		}
 		list = append(list, r)
 	}
+	t.list = list
 	return list
 }
