--- a/placer/name.go
+++ b/placer/name.go
@@ -116,6 +116,9 @@
 	}
 	if each.beganAt == 0 {
 		each.beganAt = now - loop.Micros(note.RunUs)
+		if note.RunUs == 0 && each.orderAt > 0 {
+			each.beganAt = each.orderAt
+		}
 		each.movedAt, each.percent = now, note.Percent
 	}
 	if note.Percent != each.percent {
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"sort"
 
@@ -14,7 +15,9 @@
 	stuckSpan  = 2 * loop.Second
 	stuckTimes = 4
 	alikeSpan  = 10 * loop.Second
-	shortRun   = 200 * loop.Milli // shorter runs say nothing of a worker's pace
+	stillSpan  = 3 * loop.Second  // without progress; an agent looks only now and then
+	frozenSpan = 4 * loop.Second  // without progress, for tasks that tell it
+	shortRun   = 500 * loop.Milli // shorter runs say nothing of a worker's pace
 	rowMost    = 3                // failures in a row that set a worker aside where others fail seldom
 	rowQuiet   = 2                // the same where others hardly ever fail
 )
@@ -121,8 +124,8 @@
 // compare sets a run against those of others.
 func (t *Table) compare(now loop.Micros, w *worker, each *task, note *schema.TaskNote) {
 	run := loop.Micros(note.RunUs)
-	if run == 0 && each.beganAt > 0 {
-		run = now - each.beganAt
+	if from := cmp.Or(each.beganAt, each.orderAt); run == 0 && from > 0 {
+		run = now - from
 	}
 	if run <= 0 || each.spec.Lasting || w.coldUntil > now-run {
 		return
@@ -185,9 +188,10 @@
 	still := loop.Micros(note.StillUs) + now - w.heard
 	if w.isNamed {
 		still = now - each.movedAt
-		if still > max(stuckSpan, expected/4)*patience && run > max(stuckSpan, expected)*patience {
+		if still > max(frozenSpan, expected/4)*patience && run > max(frozenSpan, expected)*patience {
 			return true
 		}
+		return run > stuckTimes*expected*patience && run > stuckSpan && still > stillSpan
 	}
 	return run > stuckTimes*expected*patience && run > stuckSpan && still > loop.Second
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -38,6 +38,7 @@
 	preemptAfter = 100 * loop.Milli  // how long urgent work waits before it displaces
 	claimAfter   = 1500 * loop.Milli // how long wide work waits before workers are kept free for it
 	asideAfter   = 3 * loop.Second   // how long work waits before it goes to workers that are set aside
+	stopSpan     = 3 * loop.Second   // a stop that takes longer is waited for no more, unless the bounds say more
 	departLead   = 500 * loop.Milli  // how long before its worker goes a task is stopped to keep its progress
 	overSpan     = 60 * loop.Second  // how long a worker stays known as dead after the last word of it
 	maxPicks     = 64                // of one checkout, groups apart
@@ -95,8 +96,11 @@
 	movedAt loop.Micros // its progress was last seen to change
 	savedAt loop.Micros // its kept progress was last seen to change
 	percent int64
-	seen    string // kept progress last seen
-	strikes uint32 // times it was stopped for standing still
+	seen    string      // kept progress last seen
+	strikes uint32      // times it was stopped for standing still
+	orderAt loop.Micros // its start order left last
+	stopAt  loop.Micros // it was first seen wanting to be stopped
+	isLate  bool        // its stop takes too long to wait for the room
 }
 
 // keptProgress is the newest progress known, for steps that keep any.
@@ -897,6 +901,14 @@
 		}
 	}
 	for _, each := range w.tasks {
+		if each.standing == lane.Stopping || each.evict != "" {
+			if each.stopAt == 0 {
+				each.stopAt = now
+			}
+			if !each.isLate && now-each.stopAt > t.stopSpan() {
+				each.isLate, w.isStale = true, true
+			}
+		}
 		if each.spec.Together && w.gathers {
 			t.gather(now, each)
 			continue
@@ -909,6 +921,12 @@
 	}
 }
 
+// stopSpan is how long a stop may take before nobody waits for its room any
+// more.
+func (t *Table) stopSpan() loop.Micros {
+	return max(2*loop.Micros(t.bounds.GetStopUs()), stopSpan)
+}
+
 // --- groups that must run together ---
 
 func (t *Table) members(each *task) []*task {
@@ -1053,6 +1071,9 @@
 		switch order.Act {
 		case "start":
 			t.counts.Starts++
+			if each := w.tasks[taskKey{order.Lane, order.Job, order.Step, order.Task}]; each != nil {
+				each.orderAt = now
+			}
 		case "hold":
 			t.counts.Holds++
 		default:
--- a/placer/room.go
+++ b/placer/room.go
@@ -102,9 +102,11 @@
 		size := sizeOf(each.spec)
 		w.used.add(size)
 		w.count++
-		if each.standing == lane.Stopping || each.evict != "" {
+		switch {
+		case each.isLate:
+		case each.standing == lane.Stopping || each.evict != "":
 			w.coming.add(size)
-		} else if each.spec.Lasting {
+		case each.spec.Lasting:
 			w.fixed.add(size)
 		}
 	}
