--- a/placer/pass.go
+++ b/placer/pass.go
@@ -323,16 +323,16 @@
 		// Whoever stands behind many that don't fit waits its turn: a long row
 		// must not be looked through at every pass.
 		misses++
-		t.await(now, v, b, x, left, list, all, p)
+		got := t.await(now, v, b, x, left, list, all, p)
 		// Those of the same shape fit nowhere either, but room may be made for
 		// them.
 		if h.at == nil {
 			continue
 		}
 		heap.Remove(queue, slices.Index(*queue, h))
-		for k := 1; h.at != nil && k < maxMisses && t.mayAwait(now, v, list, p); k++ {
+		for k := 1; got > 0 && h.at != nil && k < maxMisses && t.mayAwait(now, v, list, p); k++ {
 			if next := h.at; !next.spec.Together || next.ready.Len() == int(next.spec.Tasks) {
-				t.await(now, v, next, t.wishOf(now, v, next, list), left, list, all, p)
+				got = t.await(now, v, next, t.wishOf(now, v, next, list), left, list, all, p)
 			}
 			h.at = h.row.after(h.at)
 		}
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -24,15 +24,14 @@
 
 // await keeps room for tasks that find none now: room that is being freed, else
 // room of less urgent work that is displaced for them, else, for what is wide,
-// whole workers until they are free.
-func (t *Table) await(now loop.Micros, v *view, b *band, x *wish, left int, list, all []*room, p *passage) {
+// whole workers until they are free. It tells for how many of them.
+func (t *Table) await(now loop.Micros, v *view, b *band, x *wish, left int, list, all []*room, p *passage) (got int) {
 	first, _ := b.ready.Min()
 	mayDisplace := t.mayDisplace(now, v, p) && now-first.since >= preemptAfter
 	count := min(b.ready.Len(), left, mostAwaits)
 	if x.spec.Together {
 		count = b.ready.Len()
 	}
-	got := 0
 	if hasComing(list) || mayDisplace {
 		j := &journal{table: t, now: now, passage: p}
 		for got < count && j.place(v, x, list, all, mayDisplace) {
@@ -61,6 +60,7 @@
 		}
 		p.claims[pool] = t.claim(x, count, list)
 	}
+	return got
 }
 
 func hasComing(list []*room) bool {
@@ -68,7 +68,7 @@
 }
 
 func (t *Table) mayDisplace(now loop.Micros, v *view, p *passage) bool {
-	return t.plan("preempt") != 0 && p.least < v.urgency && !p.isFutile && now-t.futileAt >= Pace
+	return t.plan("preempt") != 0 && p.least < v.urgency && now-t.futileAt >= Pace
 }
 
 // mayAwait tells whether room may come about for what finds none.
