--- a/agent/agent.go
+++ b/agent/agent.go
@@ -104,6 +104,7 @@
 	sent  loop.Micros
 	fence uint64
 	wait  loop.Micros
+	held  loop.Micros
 }
 
 type poll struct {
@@ -113,17 +114,26 @@
 	over   []string
 }
 
+// former is a life that is over: surely by its own word or that of another life
+// in its place, else because another worker's beat came.
+type former struct {
+	worker string
+	number uint64 // of its last beat
+	isSure bool
+}
+
 // life is what is known of the worker that lives now.
 type life struct {
-	worker     string
-	beat       Beat
-	heard      loop.Micros
-	isLeaving  bool
-	leftAt     loop.Micros // when the last word of the departure was heard
-	isOver     bool        // another life answers where it was
-	departedAt loop.Micros
-	clock      loop.Micros // of the worker, at least, as of clockAt
-	clockAt    loop.Micros
+	worker      string
+	beat        Beat
+	heard       loop.Micros
+	isLeaving   bool
+	leftAt      loop.Micros // when the last word of the departure was heard
+	isOver      bool        // another life answers where it was
+	hasAnswered bool        // a call
+	departedAt  loop.Micros
+	clock       loop.Micros // of the worker, at least, as of clockAt
+	clockAt     loop.Micros
 
 	placer   string
 	fence    uint64 // newest generation of the ward
@@ -133,6 +143,7 @@
 	metAt    loop.Micros
 	licence  loop.Micros // ends, by our clock
 	span     loop.Micros // that a licence lasts
+	held     loop.Micros // what runs is held so long, as far as the worker has answered
 
 	runs    map[runKey]*run
 	ended   map[runKey]*end // not noted
@@ -162,7 +173,7 @@
 	state  *schema.CharterState
 	leader string // of the charter
 	life   *life
-	dead   []string // former lives, newest last
+	dead   []former // newest last
 	over   []string // those of them that no placer has heard of yet
 	seq    uint64   // of announces; above those of this process's forerunners
 	number uint64   // of calls and of their replies, in the order they were seen
@@ -224,14 +235,21 @@
 // --- the worker's lives ---
 
 func (t *Table) beat(now loop.Micros, m Beat) {
-	if slices.Contains(t.dead, m.Worker) {
-		return
-	}
 	l := t.life
+	if k := t.buried(m.Worker); k >= 0 {
+		// A late word of the dead can push the living aside in a young agent.
+		// Whoever has never answered a call gives way to the one that goes on.
+		former := t.dead[k]
+		if former.isSure || m.Number <= former.number || l == nil || l.hasAnswered || l.departedAt > 0 {
+			return
+		}
+		t.dead = slices.Delete(t.dead, k, k+1)
+		t.over = slices.DeleteFunc(t.over, func(worker string) bool { return worker == m.Worker })
+	}
 	if l != nil && l.worker != m.Worker {
 		// One worker stands on a machine: whoever was here before is dead, and
 		// all that ran there with it.
-		t.bury(l.worker)
+		t.bury(l.worker, l.beat.Number, false)
 		t.over = append(t.over, l.worker)
 		if len(t.over) > deadMost {
 			t.over = t.over[1:]
@@ -244,7 +262,7 @@
 			calls: map[uint64]*pending{}, span: holdUsual, rest: retrySpan,
 		}
 		t.life = l
-		t.rewardLife(l)
+		t.takeWard(l)
 	} else if m.Number <= l.beat.Number {
 		return
 	}
@@ -259,10 +277,16 @@
 	l.isDirty = l.isDirty || isOther
 }
 
-func (t *Table) bury(worker string) {
-	if !slices.Contains(t.dead, worker) {
-		t.dead = append(t.dead, worker)
+func (t *Table) buried(worker string) int {
+	return slices.IndexFunc(t.dead, func(each former) bool { return each.worker == worker })
+}
+
+func (t *Table) bury(worker string, number uint64, isSure bool) {
+	if k := t.buried(worker); k >= 0 {
+		t.dead[k].isSure = t.dead[k].isSure || isSure
+		return
 	}
+	t.dead = append(t.dead, former{worker, number, isSure})
 	if len(t.dead) > deadMost {
 		t.dead = t.dead[1:]
 	}
@@ -271,7 +295,7 @@
 // departed takes the word of a worker that has ended in order: nothing runs
 // there any more, so its tasks can be given back at once.
 func (t *Table) departed(now loop.Micros, m Departed) {
-	t.bury(m.Worker)
+	t.bury(m.Worker, 0, true)
 	l := t.life
 	if l == nil || l.worker != m.Worker || l.departedAt > 0 {
 		return
@@ -286,7 +310,7 @@
 // tells who.
 func (t *Table) lifeOver(l *life) {
 	l.isOver = true
-	t.bury(l.worker)
+	t.bury(l.worker, l.beat.Number, true)
 }
 
 // sample keeps what the worker's clock shows at least. It showed that much when
@@ -325,12 +349,12 @@
 	}
 	t.state = m.State
 	if t.life != nil {
-		t.rewardLife(t.life)
+		t.takeWard(t.life)
 	}
 }
 
-// rewardLife takes over what the charter says of the worker's ward.
-func (t *Table) rewardLife(l *life) {
+// takeWard takes over what the charter says of the worker's ward.
+func (t *Table) takeWard(l *life) {
 	ward := charter.WardOf(t.state, l.worker)
 	if ward == nil || ward.Generation < l.fence {
 		return
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -398,6 +398,17 @@
 		b.run(10 * loop.Second)
 		So(b.count(agent.Look)-before, ShouldBeBetweenOrEqual, 9, 11)
 	})
+	Convey("Work that begins on a worker that had none asks for no look of its own", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		b.run(20 * loop.Second)
+		before := b.count(agent.Look)
+		for k := uint32(0); k < 10; k++ {
+			w.starts = append(w.starts, order("start", "j", k, 1, "run_us=60000000"))
+			b.run(20 * loop.Milli)
+		}
+		So(b.worker.Running(), ShouldEqual, 10)
+		So(b.count(agent.Look)-before, ShouldBeLessThanOrEqualTo, 1)
+	})
 	Convey("While an end waits to be noted, the worker isn't asked again and again", t, func() {
 		b, w := usual(toil.Setup{}, nil)
 		w.noteAfter = -1
@@ -768,6 +779,37 @@
 		b.run(2 * loop.Second)
 		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 lapsed"})
 	})
+	Convey("A worker that didn't answer for a while is renewed in time when it does again", t, func() {
+		isDeaf := false
+		b, w := usual(toil.Setup{Fault: func(loop.Micros, agent.Call) toil.Fault {
+			if isDeaf {
+				return toil.Lost
+			}
+			return toil.NoFault
+		}}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		for k := loop.Micros(0); k < 10; k++ {
+			isDeaf = false
+			b.run(3*loop.Second + k*100*loop.Milli)
+			isDeaf = true
+			b.run(1700 * loop.Milli)
+		}
+		So(w.ends, ShouldBeEmpty)
+		So(b.worker.Running(), ShouldEqual, 1)
+	})
+	Convey("A late word of the dead doesn't push the living aside for good, nor has it told as dead", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(2 * loop.Second)
+		for _, address := range []string{"side:1", "nowhere"} {
+			b.mail("", agent.Beat{Worker: "w0-" + address, Number: 99, Clock: loop.Second, Address: address})
+			b.run(3 * loop.Second)
+			So(w.last().Over, ShouldNotContain, "w1")
+			So(w.last().Running, ShouldHaveLength, 1)
+			So(b.calls[len(b.calls)-1].Worker, ShouldEqual, "w1")
+		}
+		So(b.worker.Running(), ShouldEqual, 1)
+	})
 	Convey("Beats out of order are dropped", t, func() {
 		b, w := usual(toil.Setup{Cold: 10 * loop.Second}, nil)
 		old := b.worker.Beat(b.now)
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -27,6 +27,10 @@
 		WaitUs: int64(waitSpan), Gathers: true, Named: true, Over: slices.Clone(t.over),
 		ColdUs: int64(max(0, l.beat.Cold-(now-l.heard))),
 	}
+	if l.licence-now < l.span/2 {
+		// What runs there may not wait for the answer to be worth something.
+		a.WaitUs = 0
+	}
 	if l.isLeaving {
 		a.DepartureUs = int64(max(0, l.beat.Departure-(now-l.leftAt)))
 	}
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -12,9 +12,11 @@
 func (t *Table) issue(now loop.Micros, l *life, call Call, out loop.Out) uint64 {
 	t.number++
 	call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, l.fence
-	l.calls[call.Number] = &pending{
-		act: call.Act, key: runKey{call.Task, call.Attempt}, sent: now, fence: l.fence, wait: call.Wait,
+	p := &pending{act: call.Act, key: runKey{call.Task, call.Attempt}, sent: now, fence: l.fence, wait: call.Wait}
+	if call.Until > 0 {
+		p.held = t.couldHold(now, l)
 	}
+	l.calls[call.Number] = p
 	out.Tell("caller", call)
 	return call.Number
 }
@@ -49,6 +51,10 @@
 		return
 	}
 	t.sample(now, l, m.Clock)
+	l.hasAnswered = l.hasAnswered || m.Verdict == Answered || m.Verdict == TurnedAway
+	if m.Verdict == Answered {
+		l.held = max(l.held, p.held)
+	}
 	if m.Verdict == TurnedAway && m.Reason == Fenced && p.fence == l.fence {
 		l.fencedTo = now + listSpan
 	}
@@ -187,19 +193,18 @@
 	}
 	isUnsurveyed := l.surveyed != l.fence
 	isOpen := l.glance != 0 && (!isUnsurveyed || l.calls[l.glance].fence == l.fence)
-	if (isUnsurveyed || l.isAsked) && !isOpen && now >= l.glanceAt {
+	span := t.holdSpan(l)
+	// The long look that is open may have been sent with a licence about to end.
+	isShort := l.held-now < span/5 && t.couldHold(now, l) > l.held+span/8 && l.hasBegun()
+	if (isUnsurveyed || l.isAsked || isShort) && !isOpen && now >= l.glanceAt {
 		l.isAsked = false
 		l.glance = t.issue(now, l, Call{Act: Look, Until: l.until(now), Noted: l.notedTo}, out)
 	}
 	if isUnsurveyed || l.look != 0 || now < l.lookAt {
 		return
 	}
-	span := l.span
-	if most := loop.Micros(t.bounds.HoldMostUs); most > 0 {
-		span = min(span, most)
-	}
-	// Renewed before the last third of the hold, with time for a second try.
-	wait := min(lookSpan, span/3)
+	// Renewed long before the hold's end, with time for a second try.
+	wait := min(lookSpan, span/4)
 	if len(l.runs) == 0 {
 		wait = min(quietSpan, span/2)
 	}
@@ -207,6 +212,30 @@
 	l.look = t.issue(now, l, Call{Act: Look, Until: l.until(now), Noted: l.notedTo, Wait: wait}, out)
 }
 
+// hasBegun tells whether anything may run there that no start of ours, still
+// open, is about to hold.
+func (l *life) hasBegun() bool {
+	for _, r := range l.runs {
+		if r.standing != starting {
+			return true
+		}
+	}
+	return false
+}
+
+// holdSpan is how long the worker holds its work when told now.
+func (t *Table) holdSpan(l *life) loop.Micros {
+	if most := loop.Micros(t.bounds.HoldMostUs); most > 0 {
+		return min(l.span, most)
+	}
+	return l.span
+}
+
+// couldHold is until when it would hold it.
+func (t *Table) couldHold(now loop.Micros, l *life) loop.Micros {
+	return min(l.licence, now+t.holdSpan(l))
+}
+
 func (t *Table) looked(now loop.Micros, l *life, m Reply, p *pending) {
 	isLong := m.Number == l.look
 	if isLong {
