--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -797,6 +797,26 @@
 		So(w.ends, ShouldBeEmpty)
 		So(b.worker.Running(), ShouldEqual, 1)
 	})
+	Convey("A late word of a life that its successor's beat alone told of changes nothing", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		b.run(2 * loop.Second)
+		late := b.worker.Beat(b.now)
+		late.Number += 100
+		b.worker.Live(b.now, "w2")
+		b.beatAt, w.generation = 0, 6
+		b.move("p1", 6, "w2")
+		b.run(loop.Second)
+		So(w.last().Ward, ShouldEqual, 6)
+		from, calls := len(w.announces), len(b.calls)
+		b.mail("", late)
+		b.run(3 * loop.Second)
+		for _, a := range w.announces[from:] {
+			So(a.Over, ShouldBeEmpty)
+		}
+		for _, call := range b.calls[calls:] {
+			So(call.Worker, ShouldEqual, "w2")
+		}
+	})
 	Convey("A late word of the dead doesn't push the living aside for good, nor has it told as dead", t, func() {
 		b, w := usual(toil.Setup{}, nil)
 		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
@@ -853,6 +873,21 @@
 }
 
 func TestFrozenAgent(t *testing.T) {
+	Convey("After a pause that its licence outlasts, the hold is renewed before it ends", t, func() {
+		b, w := usual(toil.Setup{}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=600000000")}
+		b.run(loop.Second)
+		for k := loop.Micros(0); k < 20; k++ {
+			b.run(3*loop.Second + k*70*loop.Milli)
+			b.isFrozen = true
+			// As late as there is time for a look, an announce and a look.
+			left := b.worker.HeldTo() - b.worker.Clock(b.now)
+			b.run(left - 10*hop - agent.Pace)
+			b.isFrozen = false
+		}
+		So(w.ends, ShouldBeEmpty)
+		So(b.worker.Running(), ShouldEqual, 1)
+	})
 	Convey("After a pause the worker is looked at before anything is announced or begun", t, func() {
 		b, w := usual(toil.Setup{}, nil)
 		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000"), order("start", "j", 1, 1, "run_us=3000000")}
