feign hollow and feign slope: what each role costs, as one size is swept

Stores and fronts are whole processes; sides share a few, each with its own book, steward's table, wire and an announcing worker that runs nothing. The wire counts what it reads besides what it writes, for a node's budget holds for both.

--- /dev/null
+++ b/cmd/feign/hollow.go
@@ -0,0 +1,577 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/subcommands"
+
+	"sparnotch/gauge"
+)
+
+const (
+	storeCount = 3
+	sidesFrom  = 200 // hosts below are stores and fronts
+	hostsMost  = 60_000
+)
+
+// hollowSetup is a hollow deployment and its load.
+type hollowSetup struct {
+	Net      string  // first two numbers of its loopback addresses
+	Folder   string  // of the stores' data
+	Workers  int     // sides, each with an agent's stead and a worker
+	Fronts   int     // without data
+	Lanes    int     // all on the same three stores
+	Starts   float64 // task starts a second
+	RunUs    int64   // how long a task runs
+	Width    int     // tasks of a job's one step
+	Together bool    // and whether they are a group
+	Changes  float64 // of the plan, a minute
+	Rows     int     // of the plan, at least
+	Zones    int
+	PerRack  int
+	Stewards int // sides with the steward's table; 0: all
+	SyncUs   int64
+	Shares   int // operating system's processes the sides share
+}
+
+func usualHollow() hollowSetup {
+	return hollowSetup{
+		Net: "127.11", Workers: 24, Fronts: 2, Lanes: 4, Starts: 20, RunUs: 100_000, Width: 1, Zones: 3, PerRack: 3, SyncUs: 500, Shares: 2,
+	}
+}
+
+func (s *hollowSetup) address(host, port int) string {
+	return fmt.Sprintf("%s.%d.%d:%d", s.Net, host/250, host%250+1, port)
+}
+
+func (s *hollowSetup) cell(k int) string { return fmt.Sprintf("c%d", k%s.Zones+1) }
+
+func (s *hollowSetup) seeds() []string {
+	var list []string
+	for k := range storeCount {
+		list = append(list, s.address(k, 7400))
+	}
+	return list
+}
+
+// frontOf picks the host of a front; with none apart, a store.
+func (s *hollowSetup) frontOf(draw int) int {
+	if s.Fronts == 0 {
+		return draw % storeCount
+	}
+	return storeCount + draw%s.Fronts
+}
+
+// check names the first field that can't be taken.
+func (s *hollowSetup) check() error {
+	numbers := strings.Split(s.Net, ".")
+	switch {
+	case len(numbers) != 2 || numbers[0] != "127":
+		return fmt.Errorf("net: %q is not two numbers of a loopback address, like 127.11", s.Net)
+	case s.Workers < 1 || s.Workers > hostsMost-sidesFrom:
+		return fmt.Errorf("workers: must lie between 1 and %d", hostsMost-sidesFrom)
+	case s.Fronts < 0 || s.Fronts > sidesFrom-storeCount:
+		return fmt.Errorf("fronts: must lie between 0 and %d", sidesFrom-storeCount)
+	case s.Lanes < 1 || s.Lanes > 1000:
+		return fmt.Errorf("lanes: must lie between 1 and 1000")
+	case s.Starts < 0 || s.Starts > 10_000:
+		return fmt.Errorf("starts: must lie between 0 and 10000 a second")
+	case s.RunUs < 1:
+		return fmt.Errorf("run_us: must be 1 or more")
+	case s.Width < 1 || s.Width > 1000:
+		return fmt.Errorf("width: must lie between 1 and 1000")
+	case s.Changes < 0 || s.Changes > 600:
+		return fmt.Errorf("changes: must lie between 0 and 600 a minute")
+	case s.Rows < 0 || s.Rows > 9000:
+		return fmt.Errorf("rows: must lie between 0 and 9000")
+	case s.Zones < 1 || s.Zones > 100:
+		return fmt.Errorf("zones: must lie between 1 and 100")
+	case s.PerRack < 1:
+		return fmt.Errorf("per_rack: must be 1 or more")
+	case s.Stewards < 0:
+		return fmt.Errorf("stewards: must not be negative")
+	case s.Shares < 1 || s.Shares > 100:
+		return fmt.Errorf("shares: must lie between 1 and 100")
+	case s.SyncUs < 0 || s.SyncUs > 60_000_000:
+		return fmt.Errorf("sync_us: must lie between 0 and 60000000")
+	}
+	return nil
+}
+
+func (s *hollowSetup) register(set *flag.FlagSet) {
+	usual := usualHollow()
+	set.StringVar(&s.Net, "net", usual.Net, "first two numbers of the loopback addresses to use")
+	set.IntVar(&s.Workers, "workers", usual.Workers, "sides, each with an agent's stead and a worker without work behind it")
+	set.IntVar(&s.Fronts, "fronts", usual.Fronts, "fronts without data")
+	set.IntVar(&s.Lanes, "lanes", usual.Lanes, "lanes")
+	set.Float64Var(&s.Starts, "starts", usual.Starts, "task starts a second")
+	set.Int64Var(&s.RunUs, "run_us", usual.RunUs, "how long a task runs")
+	set.IntVar(&s.Width, "width", usual.Width, "tasks of a job")
+	set.BoolVar(&s.Together, "together", usual.Together, "a job's tasks are a group")
+	set.Float64Var(&s.Changes, "changes", usual.Changes, "changes of the plan a minute")
+	set.IntVar(&s.Rows, "rows", usual.Rows, "rows of the plan, at least")
+	set.IntVar(&s.Zones, "zones", usual.Zones, "zones, over which all stand in turn")
+	set.IntVar(&s.PerRack, "per_rack", usual.PerRack, "workers of a rack")
+	set.IntVar(&s.Stewards, "stewards", usual.Stewards, "sides with the steward's table; 0: all")
+	set.Int64Var(&s.SyncUs, "sync_us", usual.SyncUs, "a store's sync takes at least this long")
+	set.IntVar(&s.Shares, "shares", usual.Shares, "processes of the operating system that the sides share")
+}
+
+// hollowPart is a part as its parent holds it.
+type hollowPart struct {
+	role         string
+	first, count int
+	command      *exec.Cmd
+	in           io.WriteCloser
+	out          *bufio.Reader
+	exited       chan struct{}
+}
+
+func (p *hollowPart) start(setup *hollowSetup) error {
+	text, err := json.Marshal(setup)
+	if err != nil {
+		return err
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	p.command = exec.Command(own, "hollow", "-part", p.role, "-first", fmt.Sprint(p.first), "-count", fmt.Sprint(p.count), "-setup", string(text))
+	// One processor a part: what a process costs is read off, not how wide it spreads.
+	p.command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	p.command.Stderr = os.Stderr
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if p.in, err = p.command.StdinPipe(); err != nil {
+		return err
+	}
+	out, err := p.command.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	p.out = bufio.NewReaderSize(out, 1<<20)
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	p.exited = make(chan struct{})
+	go func(command *exec.Cmd, exited chan struct{}) {
+		_ = command.Wait()
+		close(exited)
+	}(p.command, p.exited)
+	return nil
+}
+
+func (p *hollowPart) ask(line string) (*partReading, error) {
+	if _, err := io.WriteString(p.in, line+"\n"); err != nil {
+		return nil, fmt.Errorf("part %s: %w", p.role, err)
+	}
+	data, err := p.out.ReadBytes('\n')
+	if err != nil {
+		return nil, fmt.Errorf("part %s: %w", p.role, err)
+	}
+	reading := &partReading{}
+	return reading, json.Unmarshal(data, reading)
+}
+
+func (p *hollowPart) kill() {
+	if p.command != nil && p.command.Process != nil {
+		_ = p.command.Process.Kill()
+		<-p.exited
+	}
+}
+
+// hollowRun is a hollow deployment that runs.
+type hollowRun struct {
+	setup *hollowSetup
+	parts []*hollowPart
+}
+
+func startHollow(setup *hollowSetup) (*hollowRun, error) {
+	r := &hollowRun{setup: setup}
+	for k := range storeCount {
+		r.parts = append(r.parts, &hollowPart{role: "store", first: k, count: 1})
+	}
+	// A front in a process of its own as far as a few go.
+	for k := 0; k < setup.Fronts; k++ {
+		r.parts = append(r.parts, &hollowPart{role: "front", first: storeCount + k, count: 1})
+	}
+	shares := min(setup.Shares, setup.Workers)
+	for k := range shares {
+		first, next := setup.Workers*k/shares, setup.Workers*(k+1)/shares
+		r.parts = append(r.parts, &hollowPart{role: "side", first: first, count: next - first})
+	}
+	r.parts = append(r.parts, &hollowPart{role: "caller", count: 1})
+	for _, p := range r.parts {
+		if err := p.start(setup); err != nil {
+			r.stop()
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+func (r *hollowRun) stop() {
+	for _, p := range r.parts {
+		p.kill()
+	}
+}
+
+func (r *hollowRun) ask(line string) ([]*partReading, error) {
+	list := make([]*partReading, len(r.parts))
+	for k, p := range r.parts {
+		reading, err := p.ask(line)
+		if err != nil {
+			return nil, err
+		}
+		list[k] = reading
+	}
+	return list, nil
+}
+
+// wait lets the deployment come up: a keeper for each lane, a ward for each
+// worker, and hand-ins accepted.
+func (r *hollowRun) wait(ctx context.Context, span time.Duration) error {
+	last := ""
+	for deadline := time.Now().Add(span); time.Now().Before(deadline) && ctx.Err() == nil; rest(ctx, 300*time.Millisecond) {
+		readings, err := r.ask("read")
+		if err != nil {
+			return err
+		}
+		leads, wards, accepted := 0, 0, uint64(0)
+		for _, reading := range readings {
+			accepted += reading.Accepted
+			if reading.Belief == nil {
+				continue
+			}
+			for _, group := range reading.Belief.Groups {
+				if group.Role == "leader" && group.Group != "charter" {
+					leads++
+				}
+			}
+			warded := 0
+			for _, ward := range reading.Belief.Wards {
+				if ward.Placer != "" {
+					warded++
+				}
+			}
+			wards = max(wards, warded)
+		}
+		last = fmt.Sprintf("%d of %d lanes led, %d of %d workers warded, %d jobs accepted", leads, r.setup.Lanes, wards, r.setup.Workers, accepted)
+		if leads >= r.setup.Lanes && wards >= r.setup.Workers && (accepted > 0 || r.setup.Starts == 0) {
+			return nil
+		}
+	}
+	return errors.New("the deployment didn't come up: " + last)
+}
+
+// outcome is what one run has shown.
+type outcome struct {
+	role, what string
+	amount     float64
+}
+
+// measure reads everything over a span.
+func (r *hollowRun) measure(ctx context.Context, span time.Duration) ([]outcome, error) {
+	before, err := r.ask("reset")
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	rest(ctx, span)
+	after, err := r.ask("read")
+	if err != nil {
+		return nil, err
+	}
+	seconds := time.Since(began).Seconds()
+	type sums struct {
+		processes                                            int
+		cpu, rss, sent, received, out, in, disk, syncs, lost float64
+	}
+	roles := map[string]*sums{}
+	start, confirm := newSpread(), newSpread()
+	whole := map[string]float64{}
+	for k, p := range r.parts {
+		a, b := before[k], after[k]
+		role := p.role
+		// The keeper's load isn't its fellows'.
+		if role == "store" && b.Belief != nil && r.leads(b) > 0 {
+			role = "keeper"
+		}
+		s := roles[role]
+		if s == nil {
+			s = &sums{}
+			roles[role] = s
+		}
+		s.processes += b.Processes
+		s.cpu += float64(b.CpuUs-a.CpuUs) / 1000 / seconds
+		s.rss += float64(b.RssBytes) / (1 << 20)
+		s.sent += float64(b.Wire.Sent-a.Wire.Sent) / seconds
+		s.received += float64(b.Wire.Received-a.Wire.Received) / seconds
+		s.out += float64(b.Wire.Bytes-a.Wire.Bytes) / seconds
+		s.in += float64(b.Wire.BytesIn-a.Wire.BytesIn) / seconds
+		s.disk += float64(b.VaultBytes-a.VaultBytes) / seconds
+		s.syncs += float64(b.Syncs-a.Syncs) / seconds
+		s.lost += float64(b.LostMails - a.LostMails + b.Wire.Lost - a.Wire.Lost)
+		whole["starts_s"] += float64(b.Begun-a.Begun) / seconds
+		whole["accepted_s"] += float64(b.Accepted-a.Accepted) / seconds
+		whole["refused_s"] += float64(b.Refused-a.Refused) / seconds
+		whole["running"] += float64(b.Running)
+		start.Merge(hdrhistogram.Import(b.Start))
+		confirm.Merge(hdrhistogram.Import(b.Confirm))
+		whole["cpu_milli"] += float64(b.CpuUs-a.CpuUs) / 1000 / seconds
+		if b.Belief != nil {
+			records, live, kept := 0.0, 0.0, 0.0
+			for _, group := range b.Belief.Groups {
+				records += float64(group.Last - group.Released)
+				live, kept = live+float64(group.Live), kept+float64(group.Kept)
+			}
+			whole["records"] = max(whole["records"], records)
+			whole["live_jobs"], whole["kept_jobs"] = max(whole["live_jobs"], live), max(whole["kept_jobs"], kept)
+		}
+	}
+	var list []outcome
+	for role, s := range roles {
+		n := float64(s.processes)
+		list = append(list,
+			outcome{role, "cpu_milli", s.cpu / n}, outcome{role, "rss_mb", s.rss / n}, outcome{role, "sent_s", s.sent / n},
+			outcome{role, "received_s", s.received / n}, outcome{role, "bytes_out_s", s.out / n}, outcome{role, "bytes_in_s", s.in / n},
+			outcome{role, "lost", s.lost},
+		)
+		if s.disk > 0 {
+			list = append(list, outcome{role, "disk_bytes_s", s.disk / n}, outcome{role, "syncs_s", s.syncs / n})
+		}
+	}
+	for what, amount := range whole {
+		list = append(list, outcome{"whole", what, amount})
+	}
+	for name, spread := range map[string]*hdrhistogram.Histogram{"start": start, "confirm": confirm} {
+		if spread.TotalCount() > 0 {
+			list = append(list,
+				outcome{"whole", name + "_p50_ms", float64(spread.ValueAtQuantile(50)) / 1000},
+				outcome{"whole", name + "_p95_ms", float64(spread.ValueAtQuantile(95)) / 1000},
+				outcome{"whole", name + "_p99_ms", float64(spread.ValueAtQuantile(99)) / 1000},
+			)
+		}
+	}
+	if spread, isAll := r.inForce(after); spread.TotalCount() > 0 {
+		list = append(list, outcome{"whole", "plan_p50_ms", float64(spread.ValueAtQuantile(50)) / 1000}, outcome{"whole", "plan_max_ms", float64(spread.Max()) / 1000})
+		missed := 0.0
+		if !isAll {
+			missed = 1
+		}
+		list = append(list, outcome{"whole", "plan_missed", missed})
+	}
+	slices.SortFunc(list, func(a, b outcome) int { return cmp.Or(cmp.Compare(a.role, b.role), cmp.Compare(a.what, b.what)) })
+	return list, ctx.Err()
+}
+
+func (r *hollowRun) leads(reading *partReading) int {
+	count := 0
+	for _, group := range reading.Belief.Groups {
+		if group.Role == "leader" && group.Group != "charter" {
+			count++
+		}
+	}
+	return count
+}
+
+// inForce is how long each generation of the plan took from its put to the last
+// side that has seen it. A generation that some side skipped for a newer one
+// counts as not seen by all.
+func (r *hollowRun) inForce(readings []*partReading) (*hdrhistogram.Histogram, bool) {
+	spread, isAll := newSpread(), true
+	put, seen, by := map[uint64]int64{}, map[uint64]int64{}, map[uint64]int{}
+	for _, reading := range readings {
+		for generation, at := range reading.Put {
+			put[generation] = at
+		}
+		for generation, at := range reading.Seen {
+			seen[generation] = max(seen[generation], at)
+			by[generation] += reading.SeenBy[generation]
+		}
+	}
+	for generation, at := range put {
+		// The first ones are put while the sides still come up.
+		if generation <= 1 || seen[generation] == 0 {
+			continue
+		}
+		if by[generation] < r.setup.Workers {
+			isAll = false
+			continue
+		}
+		_ = spread.RecordValue(min(max(seen[generation]-at, 1), 60_000_000))
+	}
+	return spread, isAll
+}
+
+// recover kills the keeper, and tells how long it takes until a job that was
+// handed in after that has a task that runs; the store comes back afterwards.
+func (r *hollowRun) recover(ctx context.Context) (time.Duration, error) {
+	readings, err := r.ask("read")
+	if err != nil {
+		return 0, err
+	}
+	var keeper *hollowPart
+	most := 0
+	for k, reading := range readings {
+		if reading.Belief != nil && r.leads(reading) > most {
+			keeper, most = r.parts[k], r.leads(reading)
+		}
+	}
+	if keeper == nil {
+		return 0, errors.New("no keeper to kill")
+	}
+	keeper.kill()
+	killed := time.Now().UnixMicro()
+	rest(ctx, 15*time.Second)
+	if err := keeper.start(r.setup); err != nil {
+		return 0, err
+	}
+	if readings, err = r.ask("read"); err != nil {
+		return 0, err
+	}
+	first := int64(0)
+	for _, reading := range readings {
+		for _, begin := range reading.Begins {
+			if begin[0] > killed && (first == 0 || begin[1] < first) {
+				first = begin[1]
+			}
+		}
+	}
+	if first == 0 {
+		return 0, errors.New("nothing ran within 15 s of the kill")
+	}
+	return time.Duration(first-killed) * time.Microsecond, nil
+}
+
+// hollowSpan is how a hollow deployment is looked at.
+type hollowSpan struct {
+	warm, span time.Duration
+	isKilled   bool
+}
+
+// playHollow brings a hollow deployment up, measures it and takes it down.
+func playHollow(ctx context.Context, setup hollowSetup, look hollowSpan) ([]outcome, error) {
+	folder, err := os.MkdirTemp("", "feign-hollow-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(folder)
+	setup.Folder = folder
+	run, err := startHollow(&setup)
+	if err != nil {
+		return nil, err
+	}
+	defer run.stop()
+	began := time.Now()
+	if err := run.wait(ctx, 90*time.Second); err != nil {
+		return nil, err
+	}
+	up := time.Since(began)
+	rest(ctx, look.warm)
+	list, err := run.measure(ctx, look.span)
+	if err != nil {
+		return nil, err
+	}
+	list = append(list, outcome{"whole", "up_ms", float64(up.Milliseconds())})
+	if look.isKilled {
+		took, err := run.recover(ctx)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, outcome{"whole", "recovery_ms", float64(took.Milliseconds())})
+	}
+	return list, nil
+}
+
+// --- the command ---
+
+type hollowCommand struct {
+	setup        hollowSetup
+	warm, span   time.Duration
+	isKilled     bool
+	part, text   string
+	first, count int
+}
+
+func (*hollowCommand) Name() string { return "hollow" }
+func (*hollowCommand) Synopsis() string {
+	return "run hundreds of hollow processes against real stores, and say what each role costs"
+}
+func (*hollowCommand) Usage() string {
+	return `feign hollow [-workers 100] [-lanes 4] [-starts 20] [-changes 6] [-kill] ...
+  Three stores with data, some fronts, sides that share a few processes of the
+  operating system, and callers; the product's own tables and wire over loopback
+  addresses. Workers run nothing: a task lasts run_us and is done. Prints what one
+  process of each role costs, and what callers saw.
+  Exit codes: 0 measured, 1 it didn't come up, 2 bad flags (the field is named).
+`
+}
+
+func (c *hollowCommand) SetFlags(set *flag.FlagSet) {
+	c.setup.register(set)
+	set.DurationVar(&c.warm, "warm", 5*time.Second, "let it run so long first")
+	set.DurationVar(&c.span, "span", 15*time.Second, "how long it is measured")
+	set.BoolVar(&c.isKilled, "kill", false, "kill the keeper at the end, and measure the recovery")
+	set.StringVar(&c.part, "part", "", "for its own parts")
+	set.StringVar(&c.text, "setup", "", "for its own parts")
+	set.IntVar(&c.first, "first", 0, "for its own parts")
+	set.IntVar(&c.count, "count", 0, "for its own parts")
+}
+
+func (c *hollowCommand) Execute(ctx context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.part != "" {
+		setup := &hollowSetup{}
+		err := json.Unmarshal([]byte(c.text), setup)
+		if err == nil {
+			err = runPart(ctx, setup, c.part, c.first, c.count)
+		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "feign: part %s: %v\n", c.part, err)
+			return 1
+		}
+		return 0
+	}
+	err := c.setup.check()
+	if err == nil && (c.span <= 0 || c.warm < 0) {
+		err = errors.New("span and warm: must be above 0")
+	}
+	if err == nil && set.NArg() > 0 {
+		err = fmt.Errorf("%s: is no flag", set.Arg(0))
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign:", err)
+		return 2
+	}
+	list, err := playHollow(ctx, c.setup, hollowSpan{c.warm, c.span, c.isKilled})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign:", err)
+		return 1
+	}
+	for _, each := range list {
+		fmt.Printf("%-7s %-14s %12.4g\n", each.role, each.what, each.amount)
+	}
+	return 0
+}
+
+// readingsOf turns a run's outcomes into readings.
+func readingsOf(size string, value float64, repeat int, list []outcome) []gauge.Reading {
+	var readings []gauge.Reading
+	for _, each := range list {
+		readings = append(readings, gauge.Reading{Size: size, Value: value, Repeat: repeat, Role: each.role, What: each.what, Amount: each.amount})
+	}
+	return readings
+}
--- /dev/null
+++ b/cmd/feign/hollow_part.go
@@ -0,0 +1,540 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"sparnotch/charter"
+	"sparnotch/check"
+	"sparnotch/crew"
+	"sparnotch/front"
+	"sparnotch/keep"
+	"sparnotch/kin"
+	"sparnotch/loop"
+	"sparnotch/schema"
+	"sparnotch/toil"
+	"sparnotch/wire"
+)
+
+// A part is one operating system's process of a hollow deployment. It carries
+// some hollow processes, and answers each line on its standard input with one
+// line of JSON: what it has done so far.
+
+// partReading is what a part says of itself. Counts grow from its start.
+type partReading struct {
+	Processes  int
+	CpuUs      int64
+	RssBytes   int64
+	Wire       wire.Counts
+	VaultBytes uint64
+	Syncs      uint64
+	LostMails  uint64
+	Begun      uint64 // tasks begun
+	Ended      uint64
+	Running    int64
+	Accepted   uint64
+	Refused    uint64
+	Start      *hdrhistogram.Snapshot // microseconds from hand-in sent to task begun
+	Confirm    *hdrhistogram.Snapshot // microseconds from hand-in sent to confirmed
+	Begins     [][2]int64             // of the latest tasks begun: handed in at, begun at, by the wall
+	Seen       map[uint64]int64       // plan generation: when the last process of this part saw it, by the wall
+	SeenBy     map[uint64]int         // and how many did
+	Put        map[uint64]int64       // when its put was sent
+	Belief     *keep.NodeBelief       `json:",omitempty"`
+}
+
+// newSpread holds microseconds up to a minute, to three figures.
+func newSpread() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
+
+// part is what a part has counted.
+type part struct {
+	setup   *hollowSetup
+	first   int
+	count   int
+	mu      sync.Mutex
+	start   *hdrhistogram.Histogram
+	confirm *hdrhistogram.Histogram
+	begins  [][2]int64
+	seen    map[uint64]int64
+	seenBy  map[uint64]int
+	put     map[uint64]int64
+	begun   atomic.Uint64
+	ended   atomic.Uint64
+	running atomic.Int64
+	taken   atomic.Uint64
+	refused atomic.Uint64
+	reals   []*crew.Real
+	nets    []*wire.Net
+	lost    []*loop.Process
+}
+
+const beginsKept = 4096
+
+// sawBegin notes a task's start; callers write the time of the hand-in into
+// the job's name, which is the one thing that reaches the worker.
+func (p *part) sawBegin(name string) {
+	p.begun.Add(1)
+	words := strings.Split(name, "-")
+	sent, err := strconv.ParseInt(words[len(words)-1], 10, 64)
+	if err != nil {
+		return
+	}
+	now := time.Now().UnixMicro()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.start.RecordValue(min(max(now-sent, 1), 60_000_000))
+	p.begins = append(p.begins, [2]int64{sent, now})
+	if len(p.begins) > beginsKept {
+		p.begins = p.begins[len(p.begins)-beginsKept/2:]
+	}
+}
+
+func (p *part) sawPlan(generation uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seen[generation] = time.Now().UnixMicro()
+	p.seenBy[generation]++
+}
+
+func (p *part) reading(ctx context.Context) *partReading {
+	r := &partReading{Processes: p.count}
+	var used syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &used) == nil {
+		r.CpuUs = used.Utime.Nano()/1000 + used.Stime.Nano()/1000
+	}
+	if data, err := os.ReadFile("/proc/self/statm"); err == nil {
+		if words := strings.Fields(string(data)); len(words) > 1 {
+			pages, _ := strconv.ParseInt(words[1], 10, 64)
+			r.RssBytes = pages * int64(os.Getpagesize())
+		}
+	}
+	add := func(c wire.Counts) {
+		r.Wire.Sent += c.Sent
+		r.Wire.Received += c.Received
+		r.Wire.Bytes += c.Bytes
+		r.Wire.BytesIn += c.BytesIn
+		r.Wire.Lost += c.Lost
+		r.Wire.Dials += c.Dials
+		r.Wire.Garbage += c.Garbage
+	}
+	for _, real := range p.reals {
+		counts := real.Counts()
+		add(counts.Wire)
+		r.VaultBytes, r.Syncs = r.VaultBytes+counts.Vault.Bytes, r.Syncs+counts.Vault.Syncs
+		for _, lost := range counts.Lost {
+			r.LostMails += lost
+		}
+		if real.Member.Stores {
+			r.Belief, _ = real.Run(ctx, "keep", loop.Second, func(id uint64, _ loop.Micros) any { return keep.Belief{Errand: id} }).(*keep.NodeBelief)
+		}
+	}
+	for _, net := range p.nets {
+		add(net.Counts())
+	}
+	for _, process := range p.lost {
+		for _, lost := range process.Lost() {
+			r.LostMails += lost
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.Begun, r.Ended, r.Running = p.begun.Load(), p.ended.Load(), p.running.Load()
+	r.Accepted, r.Refused = p.taken.Load(), p.refused.Load()
+	r.Start, r.Confirm = p.start.Export(), p.confirm.Export()
+	r.Begins = p.begins
+	r.Seen, r.SeenBy, r.Put = map[uint64]int64{}, map[uint64]int{}, map[uint64]int64{}
+	for generation, at := range p.seen {
+		r.Seen[generation], r.SeenBy[generation] = at, p.seenBy[generation]
+	}
+	for generation, at := range p.put {
+		r.Put[generation] = at
+	}
+	return r
+}
+
+// runPart carries a part until its standard input ends.
+func runPart(ctx context.Context, setup *hollowSetup, role string, first, count int) error {
+	p := &part{
+		setup: setup, first: first, count: count, start: newSpread(), confirm: newSpread(),
+		seen: map[uint64]int64{}, seenBy: map[uint64]int{}, put: map[uint64]int64{},
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var err error
+	switch role {
+	case "store", "front":
+		err = p.startFronts(role == "store")
+	case "side":
+		err = p.startSides(ctx)
+	case "caller":
+		go p.call(ctx)
+		go p.operate(ctx)
+	default:
+		err = fmt.Errorf("part: %q is none of store, front, side, caller", role)
+	}
+	if err != nil {
+		return err
+	}
+	lines := bufio.NewScanner(os.Stdin)
+	out := json.NewEncoder(os.Stdout)
+	for lines.Scan() {
+		reading := p.reading(ctx)
+		if lines.Text() == "reset" {
+			p.mu.Lock()
+			p.start.Reset()
+			p.confirm.Reset()
+			p.mu.Unlock()
+		}
+		if err := out.Encode(reading); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// --- stores and fronts: whole processes ---
+
+func (p *part) startFronts(isStore bool) error {
+	for k := p.first; k < p.first+p.count; k++ {
+		options := &schema.Options{
+			Cell: p.setup.cell(k), Inner: p.setup.address(k, 7400), Outer: p.setup.address(k, 8400), Seeds: p.setup.seeds(), WarnUs: 1_000_000,
+		}
+		if isStore {
+			options.Data, options.TestSyncUs, options.First = fmt.Sprintf("%s/store%d", p.setup.Folder, k), p.setup.SyncUs, true
+		}
+		real, err := crew.Start(options, schema.Role_ROLE_KEEP, zap.NewNop())
+		if err != nil {
+			return err
+		}
+		if _, err := front.Serve(real, zap.NewNop()); err != nil {
+			return err
+		}
+		p.reals = append(p.reals, real)
+	}
+	return nil
+}
+
+// --- sides: the steward's tables, and an agent with a worker that is hollow ---
+
+const (
+	handPace = 50 * loop.Milli
+	pollSpan = 1200 * loop.Milli
+)
+
+// hand is the table of an agent's stead: it announces to the ward's placer and
+// takes the answers, with no work behind it.
+type hand struct {
+	part   *part
+	worker *toil.Worker
+	state  *schema.CharterState
+	leader string
+	next   uint64
+	open   map[uint64]openPoll
+	metAt  loop.Micros
+}
+
+type openPoll struct {
+	seq  uint64
+	sent loop.Micros
+}
+
+func (h *hand) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+	switch body := mail.Body.(type) {
+	case loop.Tick:
+		h.worker.Tick(now)
+		for id, poll := range h.open {
+			if now-poll.sent > pollSpan {
+				delete(h.open, id)
+				h.worker.Unanswered(now)
+			}
+		}
+	case *schema.CharterTell:
+		if body.State != nil && body.State.Version > h.state.GetVersion() {
+			if was := h.state.GetPlan().GetGeneration(); was < body.State.Plan.GetGeneration() {
+				h.part.sawPlan(body.State.Plan.Generation)
+			}
+			h.state = body.State
+		}
+		if leader := body.Leaders[charter.Group]; leader != "" {
+			h.leader = leader
+		}
+	case *schema.PollReply:
+		poll, isOpen := h.open[body.Id]
+		delete(h.open, body.Id)
+		switch {
+		case !isOpen:
+		case body.Orders == nil:
+			h.worker.Unanswered(now)
+		default:
+			h.worker.Take(now, poll.sent, poll.seq, body.Orders)
+		}
+	}
+	h.announce(now, out)
+}
+
+func (h *hand) announce(now loop.Micros, out loop.Out) {
+	if !h.worker.Due(now) || len(h.open) >= 2 || h.state == nil {
+		return
+	}
+	ward := charter.WardOf(h.state, h.worker.Name)
+	if ward == nil || ward.Placer == "" {
+		if now-h.metAt > loop.Second && h.leader != "" {
+			h.metAt = now
+			out.Send(h.leader, &schema.Errand{Kind: "charter", Group: charter.Group, Body: keep.CharterBody(
+				&schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: h.worker.Name}}})})
+		}
+		return
+	}
+	a := h.worker.Announce(now)
+	h.next++
+	h.open[h.next] = openPoll{a.Seq, now}
+	out.Send(ward.Placer, &schema.Poll{Id: h.next, Worker: h.worker.Name, Announce: a})
+}
+
+// hollowNet carries what leaves a hollow process's tables.
+type hollowNet struct {
+	id      string
+	net     *wire.Net
+	book    *kin.Book
+	process *loop.Process
+}
+
+func (n *hollowNet) Send(to string, body any)       { n.net.Send(n.book.Address(to), body) }
+func (n *hollowNet) Dial(address string, body any)  { n.net.Send(address, body) }
+func (n *hollowNet) Tell(table string, body any)    { n.process.Tell(table, body) }
+func (n *hollowNet) Answer(errand uint64, body any) {}
+
+func (n *hollowNet) deliver(from string, body any) {
+	mail := loop.Mail{From: from, Body: body}
+	switch body.(type) {
+	case *schema.PollReply:
+		n.process.Post("hand", mail)
+	case *schema.CharterTell:
+		n.process.Post("hand", mail)
+		n.process.Post("heed", mail)
+	default:
+		n.process.Post(crew.Table(schema.Role_ROLE_HEED, body), mail)
+	}
+}
+
+func (p *part) startSides(ctx context.Context) error {
+	for k := p.first; k < p.first+p.count; k++ {
+		if err := p.startSide(ctx, k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *part) startSide(ctx context.Context, k int) error {
+	host := sidesFrom + k
+	clock := loop.RealClock()
+	seed := rand.Uint64()
+	member := &schema.Member{
+		Id: fmt.Sprintf("%016x", seed), Boot: 1, Role: schema.Role_ROLE_HEED, Cell: p.setup.cell(k),
+		Inner: p.setup.address(host, 7400), Outer: p.setup.address(host, 8400),
+	}
+	book := &kin.Book{}
+	papers := &crew.Papers{Member: member, Seeds: p.setup.seeds(), Book: book, Wall: clock.Wall, Seed: seed, Now: clock.Now()}
+	process := loop.NewProcess(clock)
+	out := &hollowNet{id: member.Id, book: book, process: process}
+	process.Out = out
+	for _, berth := range crew.Heed(papers) {
+		// Beyond the stewards wanted, a side is only its agent and the book.
+		if berth.Name == "heed" && p.setup.Stewards > 0 && k >= p.setup.Stewards {
+			process.Add(berth.Name, &onlooker{}, 250*loop.Milli)
+			continue
+		}
+		process.Add(berth.Name, berth.Table, berth.Pace)
+	}
+	name := fmt.Sprintf("w%04d", k)
+	tell := func(e check.Event) {
+		switch e.Kind {
+		case check.Begin:
+			p.running.Add(1)
+			p.sawBegin(e.Name)
+		case check.End:
+			p.running.Add(-1)
+			p.ended.Add(1)
+		}
+	}
+	worker := toil.New(clock.Now(), name, fmt.Sprintf("r%d", k/p.setup.PerRack), 64_000, 128_000, uint64(time.Now().UnixMicro()), rand.New(rand.NewPCG(seed, 2)), tell)
+	process.Add("hand", &hand{part: p, worker: worker, open: map[uint64]openPoll{}}, handPace)
+	net, err := wire.Listen(member.Id, member.Inner, out.deliver)
+	if err != nil {
+		return err
+	}
+	out.net = net
+	p.nets, p.lost = append(p.nets, net), append(p.lost, process)
+	process.Run(ctx)
+	return nil
+}
+
+// onlooker stands where the steward's table would on a side that is none: it
+// asks one store for the charter, and does nothing with it.
+type onlooker struct {
+	roll    *kin.Roll
+	version uint64
+	store   string
+}
+
+func (o *onlooker) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+	switch body := mail.Body.(type) {
+	case *kin.Roll:
+		o.roll = body
+	case *schema.CharterTell:
+		o.version = max(o.version, body.Version)
+	case loop.Tick:
+		if o.roll == nil {
+			return
+		}
+		if o.store == "" || !o.roll.Live(o.store, now, 1500*loop.Milli) {
+			for id, known := range o.roll.Known {
+				if known.Member.Stores {
+					o.store = id
+					break
+				}
+			}
+		}
+		out.Send(o.store, &schema.CharterAsk{Version: o.version})
+	}
+}
+
+// --- callers and the operator ---
+
+type stepShape struct {
+	Name       string `json:"name"`
+	Tasks      int    `json:"tasks"`
+	CoresMilli int    `json:"cores_milli"`
+	MemoryMb   int    `json:"memory_mb"`
+	Together   bool   `json:"together,omitempty"`
+}
+
+func (p *part) send(ctx context.Context, client *http.Client, method, path string, body []byte) (int, []byte) {
+	address := p.setup.address(p.setup.frontOf(rand.IntN(1<<30)), 8400)
+	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	request.Header.Set("Sparnotch-Client", "c"+strconv.Itoa(rand.IntN(16)))
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	data, _ := io.ReadAll(io.LimitReader(response.Body, 16<<20))
+	return response.StatusCode, data
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}}
+}
+
+const callersMost = 256 // hand-ins under way at once
+
+// call hands in jobs at the wanted rate; each is one step of Width tasks.
+func (p *part) call(ctx context.Context) {
+	if p.setup.Starts <= 0 {
+		return
+	}
+	client := newClient()
+	gate := make(chan bool, callersMost)
+	rng := rand.New(rand.NewPCG(7, 8))
+	every := float64(p.setup.Width) / p.setup.Starts * float64(time.Second)
+	next := time.Now()
+	for number := 0; ctx.Err() == nil; number++ {
+		next = next.Add(time.Duration(rng.ExpFloat64() * every))
+		rest(ctx, time.Until(next))
+		select {
+		case gate <- true:
+		case <-ctx.Done():
+			return
+		}
+		go func() {
+			defer func() { <-gate }()
+			sent := time.Now()
+			lane := laneName(number % p.setup.Lanes)
+			body, _ := json.Marshal(map[string]any{
+				"text":  fmt.Sprintf("run_us=%d", p.setup.RunUs),
+				"steps": []stepShape{{Name: "s", Tasks: p.setup.Width, CoresMilli: 10, MemoryMb: 1, Together: p.setup.Together}},
+			})
+			path := fmt.Sprintf("/v1/lanes/%s/jobs/h%d-%d", lane, number, sent.UnixMicro())
+			for ctx.Err() == nil {
+				code, _ := p.send(ctx, client, "PUT", path, body)
+				if code == 200 || code == 201 {
+					p.taken.Add(1)
+					p.mu.Lock()
+					_ = p.confirm.RecordValue(min(time.Since(sent).Microseconds(), 60_000_000))
+					p.mu.Unlock()
+					return
+				}
+				p.refused.Add(1)
+				if code != 0 && code < 500 && code != 429 && code != 404 {
+					fmt.Fprintln(os.Stderr, "feign: a hand-in is turned away:", code)
+					return
+				}
+				rest(ctx, 100*time.Millisecond)
+			}
+		}()
+	}
+}
+
+func laneName(k int) string { return fmt.Sprintf("l%03d", k) }
+
+// rows is the plan: its lanes, racks to fill it up, and one row that changes.
+func (s *hollowSetup) rows(change int) []*schema.Row {
+	rows := []*schema.Row{{Kind: "fleet", Key: "live_jobs", Value: "1000000"}, {Kind: "fleet", Key: "window", Value: "65536"}}
+	for k := 0; k < s.Lanes; k++ {
+		rows = append(rows, &schema.Row{Kind: "lane", Name: laneName(k), Key: "urgency", Value: "50"})
+	}
+	for k := len(rows); k < s.Rows; k++ {
+		rows = append(rows, &schema.Row{Kind: "rack", Name: fmt.Sprintf("x%04d", k), Key: "weight", Value: "100"})
+	}
+	return append(rows, &schema.Row{Kind: "fleet", Key: "weight_rack", Value: strconv.Itoa(30 + change%10)})
+}
+
+// operate puts the plan, and then changes it at the wanted pace.
+func (p *part) operate(ctx context.Context) {
+	client := newClient()
+	every := time.Hour
+	if p.setup.Changes > 0 {
+		every = time.Duration(float64(time.Minute) / p.setup.Changes)
+	}
+	for change := 0; ctx.Err() == nil; change++ {
+		for ctx.Err() == nil {
+			code, data := p.send(ctx, client, "GET", "/v1/plan", nil)
+			plan := &schema.Plan{}
+			if code == 200 && protojson.Unmarshal(data, plan) == nil {
+				body, _ := json.Marshal(map[string]any{"generation": plan.Generation, "rows": p.setup.rows(change)})
+				sent := time.Now().UnixMicro()
+				if code, _ = p.send(ctx, client, "PUT", "/v1/plan", body); code == 200 {
+					p.mu.Lock()
+					p.put[plan.Generation+1] = sent
+					p.mu.Unlock()
+					break
+				}
+			}
+			rest(ctx, 100*time.Millisecond)
+		}
+		rest(ctx, every)
+	}
+}
--- a/cmd/feign/main.go
+++ b/cmd/feign/main.go
@@ -18,6 +18,8 @@
 	subcommands.Register(&callersCommand{}, "")
 	subcommands.Register(&judgeCommand{}, "")
 	subcommands.Register(&simulateCommand{}, "")
+	subcommands.Register(&hollowCommand{}, "")
+	subcommands.Register(&slopeCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/cmd/feign/slope.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"sparnotch/gauge"
+)
+
+// sweeps are the sizes that can be swept, each with how it is set.
+var sweeps = map[string]func(s *hollowSetup, value float64){
+	"workers": func(s *hollowSetup, value float64) { s.Workers = int(value) },
+	"lanes":   func(s *hollowSetup, value float64) { s.Lanes = int(value) },
+	"starts":  func(s *hollowSetup, value float64) { s.Starts = value },
+	// Running tasks at one rate of starts: they only last longer.
+	"running":  func(s *hollowSetup, value float64) { s.RunUs = int64(value / s.Starts * 1e6) },
+	"width":    func(s *hollowSetup, value float64) { s.Width, s.Together = int(value), true },
+	"changes":  func(s *hollowSetup, value float64) { s.Changes = value },
+	"rows":     func(s *hollowSetup, value float64) { s.Rows = int(value) },
+	"zones":    func(s *hollowSetup, value float64) { s.Zones = int(value) },
+	"fronts":   func(s *hollowSetup, value float64) { s.Fronts = int(value) },
+	"stewards": func(s *hollowSetup, value float64) { s.Stewards = int(value) },
+}
+
+func sweepNames() []string {
+	var names []string
+	for name := range sweeps {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+type slopeCommand struct {
+	setup      hollowSetup
+	size, over string
+	out        string
+	repeats    int
+	warm, span time.Duration
+	isKilled   bool
+}
+
+func (*slopeCommand) Name() string { return "slope" }
+func (*slopeCommand) Synopsis() string {
+	return "sweep one size of a hollow deployment, and fit what each role costs"
+}
+func (*slopeCommand) Usage() string {
+	return `feign slope -size workers -over 12,24,48,96 [-repeats 3] [-out FOLDER] [any of hollow's sizes]
+  Runs a hollow deployment at each value, as often as repeats says, in turns (all
+  values, then all again, so that a busy minute of the machine doesn't strike one
+  value alone). Appends to FOLDER/SIZE.csv, draws FOLDER/SIZE.png, and prints the
+  fits. Sizes: ` + strings.Join(sweepNames(), ", ") + `.
+  Exit codes: 0 measured, 1 a run didn't come up, 2 bad flags (the field is named).
+`
+}
+
+func (c *slopeCommand) SetFlags(set *flag.FlagSet) {
+	c.setup.register(set)
+	set.StringVar(&c.size, "size", "", "what is swept")
+	set.StringVar(&c.over, "over", "", "its values, joined by commas")
+	set.StringVar(&c.out, "out", ".", "folder for the CSV and the plot")
+	set.IntVar(&c.repeats, "repeats", 3, "runs at each value")
+	set.DurationVar(&c.warm, "warm", 5*time.Second, "let each run so long first")
+	set.DurationVar(&c.span, "span", 10*time.Second, "how long each is measured")
+	set.BoolVar(&c.isKilled, "kill", false, "kill the keeper at the end of each, and measure the recovery")
+}
+
+// values reads the swept values, and checks the setup at each.
+func (c *slopeCommand) values() ([]float64, error) {
+	set, isKnown := sweeps[c.size]
+	if !isKnown {
+		return nil, fmt.Errorf("size: %q is none of %s", c.size, strings.Join(sweepNames(), ", "))
+	}
+	if c.repeats < 1 || c.repeats > 100 {
+		return nil, fmt.Errorf("repeats: must lie between 1 and 100")
+	}
+	if c.span <= 0 || c.warm < 0 {
+		return nil, fmt.Errorf("span and warm: must be above 0")
+	}
+	var list []float64
+	for _, word := range strings.Split(c.over, ",") {
+		value, err := strconv.ParseFloat(word, 64)
+		if err != nil {
+			return nil, fmt.Errorf("over: %q is no number", word)
+		}
+		setup := c.setup
+		set(&setup, value)
+		if err := setup.check(); err != nil {
+			return nil, fmt.Errorf("over: at %s: %w", word, err)
+		}
+		list = append(list, value)
+	}
+	return list, nil
+}
+
+func (c *slopeCommand) Execute(ctx context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	values, err := c.values()
+	if err == nil && set.NArg() > 0 {
+		err = fmt.Errorf("%s: is no flag", set.Arg(0))
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign:", err)
+		return 2
+	}
+	path := filepath.Join(c.out, c.size+".csv")
+	var readings []gauge.Reading
+	if file, err := os.Open(path); err == nil {
+		readings, err = gauge.Read(file)
+		file.Close()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "feign: out:", path, err)
+			return 2
+		}
+	}
+	// Runs are numbered on, so that another call adds to the file.
+	done := 0
+	for _, r := range readings {
+		done = max(done, r.Repeat)
+	}
+	isWhole := true
+	for repeat := done + 1; repeat <= done+c.repeats; repeat++ {
+		for _, value := range values {
+			setup := c.setup
+			sweeps[c.size](&setup, value)
+			list, err := playHollow(ctx, setup, hollowSpan{c.warm, c.span, c.isKilled})
+			if err != nil {
+				// A size that can't be carried is a finding too: the rest goes on.
+				fmt.Printf("%s %g, run %d: %v\n", c.size, value, repeat, err)
+				isWhole = false
+				continue
+			}
+			cpu := 0.0
+			for _, each := range list {
+				if each.role == "whole" && each.what == "cpu_milli" {
+					cpu = each.amount
+				}
+			}
+			fmt.Printf("%s %g, run %d: %.0f thousandths of a core in all\n", c.size, value, repeat, cpu)
+			readings = append(readings, readingsOf(c.size, value, repeat, list)...)
+			if err := writeReadings(path, readings); err != nil {
+				fmt.Fprintln(os.Stderr, "feign:", err)
+				return 1
+			}
+		}
+	}
+	for _, fit := range gauge.Fits(readings) {
+		fmt.Printf("%-7s %-14s %s\n", fit.Role, fit.What, fit.String())
+	}
+	if err := gauge.Plot(filepath.Join(c.out, c.size+".png"), c.size, readings, []string{"cpu_milli", "rss_mb", "sent_s", "bytes_out_s"}); err != nil {
+		fmt.Fprintln(os.Stderr, "feign:", err)
+		return 1
+	}
+	if !isWhole {
+		return 1
+	}
+	return 0
+}
+
+func writeReadings(path string, readings []gauge.Reading) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := gauge.Write(file, readings); err != nil {
+		file.Close()
+		return err
+	}
+	return file.Close()
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -55,6 +55,7 @@
 // Counts says what the wires have carried.
 type Counts struct {
 	Sent, Received, Bytes, Lost, Dials, Garbage uint64
+	BytesIn                                     uint64 // read from other processes; Bytes is what was written
 }
 
 // Net is a process's wires.
@@ -72,7 +73,7 @@
 	inbound  map[net.Conn]bool
 	running  sync.WaitGroup
 
-	sent, received, bytes, lost, dials, garbage atomic.Uint64
+	sent, received, bytes, bytesIn, lost, dials, garbage atomic.Uint64
 }
 
 // Listen opens the inner port. Every message that comes in goes to deliver.
@@ -91,7 +92,7 @@
 func (n *Net) Address() string { return n.listener.Addr().String() }
 
 func (n *Net) Counts() Counts {
-	return Counts{n.sent.Load(), n.received.Load(), n.bytes.Load(), n.lost.Load(), n.dials.Load(), n.garbage.Load()}
+	return Counts{n.sent.Load(), n.received.Load(), n.bytes.Load(), n.lost.Load(), n.dials.Load(), n.garbage.Load(), n.bytesIn.Load()}
 }
 
 // Close ends every wire.
@@ -238,8 +239,9 @@
 // limited turns away a message larger than any we send, before memory is
 // given to it.
 type limited struct {
-	conn net.Conn
-	left int
+	conn  net.Conn
+	left  int
+	count *atomic.Uint64
 }
 
 func (l *limited) Read(data []byte) (int, error) {
@@ -251,6 +253,7 @@
 	}
 	count, err := l.conn.Read(data)
 	l.left -= count
+	l.count.Add(uint64(count))
 	return count, err
 }
 
@@ -266,7 +269,7 @@
 		delete(n.inbound, conn)
 		n.mu.Unlock()
 	}()
-	source := &limited{conn: conn, left: maxMessage}
+	source := &limited{conn: conn, left: maxMessage, count: &n.bytesIn}
 	reader := bufio.NewReader(source)
 	conn.SetReadDeadline(time.Now().Add(writeSpan))
 	hello := make([]byte, len(preamble))
