--- a/cmd/feign/hollow.go
+++ b/cmd/feign/hollow.go
@@ -45,12 +45,14 @@
 	PerRack  int
 	Stewards int // sides with the steward's table; 0: all
 	SyncUs   int64
+	Regions  int // in the simulator only
+	FarUs    int64
 	Shares   int // operating system's processes the sides share
 }
 
 func usualHollow() hollowSetup {
 	return hollowSetup{
-		Net: "127.11", Workers: 24, Fronts: 2, Lanes: 4, Starts: 20, RunUs: 100_000, Width: 1, Zones: 3, PerRack: 3, SyncUs: 500, Shares: 2,
+		Net: "127.11", Workers: 24, Fronts: 2, Lanes: 4, Starts: 20, RunUs: 100_000, Width: 1, Zones: 3, PerRack: 3, SyncUs: 500, Regions: 1, FarUs: 6000, Shares: 2,
 	}
 }
 
@@ -100,6 +102,10 @@
 		return fmt.Errorf("rows: must lie between 0 and 9000")
 	case s.Zones < 1 || s.Zones > 100:
 		return fmt.Errorf("zones: must lie between 1 and 100")
+	case s.Regions < 1 || s.Regions > s.Zones:
+		return fmt.Errorf("regions: must lie between 1 and the zones, %d", s.Zones)
+	case s.FarUs < 0 || s.FarUs > 1_000_000:
+		return fmt.Errorf("far_us: must lie between 0 and 1000000")
 	case s.PerRack < 1:
 		return fmt.Errorf("per_rack: must be 1 or more")
 	case s.Stewards < 0:
@@ -545,6 +551,7 @@
 		}
 		return 0
 	}
+	c.setup.Regions = 1
 	err := c.setup.check()
 	if err == nil && (c.span <= 0 || c.warm < 0) {
 		err = errors.New("span and warm: must be above 0")
--- a/cmd/feign/hollow_part.go
+++ b/cmd/feign/hollow_part.go
@@ -21,15 +21,13 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"sparnotch/charter"
-	"sparnotch/check"
 	"sparnotch/crew"
 	"sparnotch/front"
+	"sparnotch/hollow"
 	"sparnotch/keep"
 	"sparnotch/kin"
 	"sparnotch/loop"
 	"sparnotch/schema"
-	"sparnotch/toil"
 	"sparnotch/wire"
 )
 
@@ -233,81 +231,6 @@
 
 // --- sides: the steward's tables, and an agent with a worker that is hollow ---
 
-const (
-	handPace = 50 * loop.Milli
-	pollSpan = 1200 * loop.Milli
-)
-
-// hand is the table of an agent's stead: it announces to the ward's placer and
-// takes the answers, with no work behind it.
-type hand struct {
-	part   *part
-	worker *toil.Worker
-	state  *schema.CharterState
-	leader string
-	next   uint64
-	open   map[uint64]openPoll
-	metAt  loop.Micros
-}
-
-type openPoll struct {
-	seq  uint64
-	sent loop.Micros
-}
-
-func (h *hand) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
-	switch body := mail.Body.(type) {
-	case loop.Tick:
-		h.worker.Tick(now)
-		for id, poll := range h.open {
-			if now-poll.sent > pollSpan {
-				delete(h.open, id)
-				h.worker.Unanswered(now)
-			}
-		}
-	case *schema.CharterTell:
-		if body.State != nil && body.State.Version > h.state.GetVersion() {
-			if was := h.state.GetPlan().GetGeneration(); was < body.State.Plan.GetGeneration() {
-				h.part.sawPlan(body.State.Plan.Generation)
-			}
-			h.state = body.State
-		}
-		if leader := body.Leaders[charter.Group]; leader != "" {
-			h.leader = leader
-		}
-	case *schema.PollReply:
-		poll, isOpen := h.open[body.Id]
-		delete(h.open, body.Id)
-		switch {
-		case !isOpen:
-		case body.Orders == nil:
-			h.worker.Unanswered(now)
-		default:
-			h.worker.Take(now, poll.sent, poll.seq, body.Orders)
-		}
-	}
-	h.announce(now, out)
-}
-
-func (h *hand) announce(now loop.Micros, out loop.Out) {
-	if !h.worker.Due(now) || len(h.open) >= 2 || h.state == nil {
-		return
-	}
-	ward := charter.WardOf(h.state, h.worker.Name)
-	if ward == nil || ward.Placer == "" {
-		if now-h.metAt > loop.Second && h.leader != "" {
-			h.metAt = now
-			out.Send(h.leader, &schema.Errand{Kind: "charter", Group: charter.Group, Body: keep.CharterBody(
-				&schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: h.worker.Name}}})})
-		}
-		return
-	}
-	a := h.worker.Announce(now)
-	h.next++
-	h.open[h.next] = openPoll{a.Seq, now}
-	out.Send(ward.Placer, &schema.Poll{Id: h.next, Worker: h.worker.Name, Announce: a})
-}
-
 // hollowNet carries what leaves a hollow process's tables.
 type hollowNet struct {
 	id      string
@@ -322,15 +245,8 @@
 func (n *hollowNet) Answer(errand uint64, body any) {}
 
 func (n *hollowNet) deliver(from string, body any) {
-	mail := loop.Mail{From: from, Body: body}
-	switch body.(type) {
-	case *schema.PollReply:
-		n.process.Post("hand", mail)
-	case *schema.CharterTell:
-		n.process.Post("hand", mail)
-		n.process.Post("heed", mail)
-	default:
-		n.process.Post(crew.Table(schema.Role_ROLE_HEED, body), mail)
+	for _, table := range hollow.Routes(body) {
+		n.process.Post(table, loop.Mail{From: from, Body: body})
 	}
 }
 
@@ -359,24 +275,26 @@
 	for _, berth := range crew.Heed(papers) {
 		// Beyond the stewards wanted, a side is only its agent and the book.
 		if berth.Name == "heed" && p.setup.Stewards > 0 && k >= p.setup.Stewards {
-			process.Add(berth.Name, &onlooker{}, 250*loop.Milli)
+			process.Add(berth.Name, &hollow.Onlooker{}, hollow.OnlookerPace)
 			continue
 		}
 		process.Add(berth.Name, berth.Table, berth.Pace)
 	}
 	name := fmt.Sprintf("w%04d", k)
-	tell := func(e check.Event) {
-		switch e.Kind {
-		case check.Begin:
+	watch := hollow.Watch{
+		Began: func(_ loop.Micros, job string, _, _ uint32) {
 			p.running.Add(1)
-			p.sawBegin(e.Name)
-		case check.End:
+			p.sawBegin(job)
+		},
+		Ended: func() {
 			p.running.Add(-1)
 			p.ended.Add(1)
-		}
+		},
+		Plan: func(_ loop.Micros, generation uint64) { p.sawPlan(generation) },
 	}
-	worker := toil.New(clock.Now(), name, fmt.Sprintf("r%d", k/p.setup.PerRack), 64_000, 128_000, uint64(time.Now().UnixMicro()), rand.New(rand.NewPCG(seed, 2)), tell)
-	process.Add("hand", &hand{part: p, worker: worker, open: map[uint64]openPoll{}}, handPace)
+	rack := fmt.Sprintf("r%d", k/p.setup.PerRack)
+	room := hollow.Room{Cores: 64_000, Memory: 128_000}
+	process.Add(hollow.Name, hollow.New(clock.Now(), name, rack, room, uint64(time.Now().UnixMicro()), rand.New(rand.NewPCG(seed, 2)), watch), hollow.Pace)
 	net, err := wire.Listen(member.Id, member.Inner, out.deliver)
 	if err != nil {
 		return err
@@ -387,36 +305,6 @@
 	return nil
 }
 
-// onlooker stands where the steward's table would on a side that is none: it
-// asks one store for the charter, and does nothing with it.
-type onlooker struct {
-	roll    *kin.Roll
-	version uint64
-	store   string
-}
-
-func (o *onlooker) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
-	switch body := mail.Body.(type) {
-	case *kin.Roll:
-		o.roll = body
-	case *schema.CharterTell:
-		o.version = max(o.version, body.Version)
-	case loop.Tick:
-		if o.roll == nil {
-			return
-		}
-		if o.store == "" || !o.roll.Live(o.store, now, 1500*loop.Milli) {
-			for id, known := range o.roll.Known {
-				if known.Member.Stores {
-					o.store = id
-					break
-				}
-			}
-		}
-		out.Send(o.store, &schema.CharterAsk{Version: o.version})
-	}
-}
-
 // --- callers and the operator ---
 
 type stepShape struct {
--- a/cmd/feign/hollow_test.go
+++ b/cmd/feign/hollow_test.go
@@ -21,6 +21,8 @@
 			"changes":  func(s *hollowSetup) { s.Changes = 1e6 },
 			"rows":     func(s *hollowSetup) { s.Rows = 10_000 },
 			"zones":    func(s *hollowSetup) { s.Zones = 0 },
+			"regions":  func(s *hollowSetup) { s.Regions = 9 },
+			"far_us":   func(s *hollowSetup) { s.FarUs = -1 },
 			"per_rack": func(s *hollowSetup) { s.PerRack = 0 },
 			"stewards": func(s *hollowSetup) { s.Stewards = -1 },
 			"shares":   func(s *hollowSetup) { s.Shares = 0 },
--- a/cmd/feign/slope.go
+++ b/cmd/feign/slope.go
@@ -14,6 +14,8 @@
 	"github.com/google/subcommands"
 
 	"sparnotch/gauge"
+	"sparnotch/loop"
+	"sparnotch/sim"
 )
 
 // sweeps are the sizes that can be swept, each with how it is set.
@@ -29,6 +31,8 @@
 	"zones":    func(s *hollowSetup, value float64) { s.Zones = int(value) },
 	"fronts":   func(s *hollowSetup, value float64) { s.Fronts = int(value) },
 	"stewards": func(s *hollowSetup, value float64) { s.Stewards = int(value) },
+	// One way, in milliseconds; only the simulator's regions lie apart.
+	"far": func(s *hollowSetup, value float64) { s.FarUs = int64(value * 1000) },
 }
 
 func sweepNames() []string {
@@ -47,6 +51,8 @@
 	repeats    int
 	warm, span time.Duration
 	isKilled   bool
+	isVirtual  bool
+	lose       string
 }
 
 func (*slopeCommand) Name() string { return "slope" }
@@ -71,6 +77,10 @@
 	set.IntVar(&c.repeats, "repeats", 3, "runs at each value")
 	set.DurationVar(&c.warm, "warm", 5*time.Second, "let each run so long first")
 	set.DurationVar(&c.span, "span", 10*time.Second, "how long each is measured")
+	set.BoolVar(&c.isVirtual, "virtual", false, "in the simulator: messages, bytes and recovery in virtual time, past what a machine carries")
+	set.IntVar(&c.setup.Regions, "regions", 1, "with -virtual: regions, in which the zones stand in turn")
+	set.Int64Var(&c.setup.FarUs, "far_us", 6000, "with -virtual: one way between regions")
+	set.StringVar(&c.lose, "lose", "", "with -virtual: what is lost at the end: "+strings.Join(losses, ", "))
 	set.BoolVar(&c.isKilled, "kill", false, "kill the keeper at the end of each, and measure the recovery")
 }
 
@@ -86,6 +96,15 @@
 	if c.span <= 0 || c.warm < 0 {
 		return nil, fmt.Errorf("span and warm: must be above 0")
 	}
+	if !c.isVirtual && (c.lose != "" || c.setup.Regions != 1 || c.size == "far") {
+		return nil, fmt.Errorf("lose, regions and the size far: only with -virtual")
+	}
+	if c.isVirtual && c.isKilled {
+		return nil, fmt.Errorf("kill: with -virtual it is called lose")
+	}
+	if c.lose != "" && !slices.Contains(losses, c.lose) {
+		return nil, fmt.Errorf("lose: %q is none of %s", c.lose, strings.Join(losses, ", "))
+	}
 	var list []float64
 	for _, word := range strings.Split(c.over, ",") {
 		value, err := strconv.ParseFloat(word, 64)
@@ -131,7 +150,7 @@
 		for _, value := range values {
 			setup := c.setup
 			sweeps[c.size](&setup, value)
-			list, err := playHollow(ctx, setup, hollowSpan{c.warm, c.span, c.isKilled})
+			list, err := c.play(ctx, setup, repeat)
 			if err != nil {
 				// A size that can't be carried is a finding too: the rest goes on.
 				fmt.Printf("%s %g, run %d: %v\n", c.size, value, repeat, err)
@@ -144,7 +163,11 @@
 					cpu = each.amount
 				}
 			}
-			fmt.Printf("%s %g, run %d: %.0f thousandths of a core in all\n", c.size, value, repeat, cpu)
+			fmt.Printf("%s %g, run %d", c.size, value, repeat)
+			if !c.isVirtual {
+				fmt.Printf(": %.0f thousandths of a core in all", cpu)
+			}
+			fmt.Println()
 			readings = append(readings, readingsOf(c.size, value, repeat, list)...)
 			if err := writeReadings(path, readings); err != nil {
 				fmt.Fprintln(os.Stderr, "feign:", err)
@@ -165,6 +188,25 @@
 	return 0
 }
 
+var losses = []string{"node", "worker", "rack", "zone", "region", "link"}
+
+// play is one run at one value.
+func (c *slopeCommand) play(ctx context.Context, setup hollowSetup, repeat int) ([]outcome, error) {
+	if !c.isVirtual {
+		return playHollow(ctx, setup, hollowSpan{c.warm, c.span, c.isKilled})
+	}
+	var list []outcome
+	for _, each := range sim.PlayHollow(sim.Hollow{
+		Workers: setup.Workers, Fronts: setup.Fronts, Lanes: setup.Lanes, Starts: setup.Starts, RunUs: setup.RunUs, Width: setup.Width,
+		Together: setup.Together, Changes: setup.Changes, Rows: setup.Rows, Zones: setup.Zones, Regions: setup.Regions,
+		Far: loop.Micros(setup.FarUs), PerRack: setup.PerRack, Stewards: setup.Stewards, Seed: uint64(repeat),
+		Warm: loop.Micros(c.warm.Microseconds()), Span: loop.Micros(c.span.Microseconds()), Lose: c.lose,
+	}) {
+		list = append(list, outcome{each.Role, each.What, each.Amount})
+	}
+	return list, ctx.Err()
+}
+
 func writeReadings(path string, readings []gauge.Reading) error {
 	file, err := os.Create(path)
 	if err != nil {
--- /dev/null
+++ b/hollow/hollow.go
@@ -0,0 +1,193 @@
+// Package hollow owns the tables of processes with nothing behind them: the
+// stead of a side's agent with a worker whose tasks only take their time, and
+// that of a steward on a side that is none. Real wires and simulated ones carry
+// the same.
+package hollow
+
+import (
+	"math/rand/v2"
+
+	"sparnotch/charter"
+	"sparnotch/check"
+	"sparnotch/crew"
+	"sparnotch/keep"
+	"sparnotch/kin"
+	"sparnotch/loop"
+	"sparnotch/schema"
+	"sparnotch/toil"
+)
+
+// Hand is the name of the agent's stead among a process's tables, and its tick.
+const (
+	Name = "hand"
+	Pace = 50 * loop.Milli
+)
+
+const (
+	pollSpan = 1200 * loop.Milli
+	openMost = 2
+)
+
+// Watch is told what the worker does; any of it may be nil.
+type Watch struct {
+	Began func(now loop.Micros, job string, step, task uint32)
+	Ended func()
+	Plan  func(now loop.Micros, generation uint64) // a newer plan has come to this process
+}
+
+// Hand announces to the ward's placer and takes the answers.
+type Hand struct {
+	watch  Watch
+	worker *toil.Worker
+	state  *schema.CharterState
+	leader string
+	next   uint64
+	open   map[uint64]openPoll
+	metAt  loop.Micros
+}
+
+type openPoll struct {
+	seq  uint64
+	sent loop.Micros
+}
+
+// Room is what a worker has: thousandths of a core, and MB.
+type Room struct{ Cores, Memory int64 }
+
+// New makes a side's table with a worker of this name. The incarnation grows
+// with each start of it.
+func New(now loop.Micros, name, rack string, room Room, incarnation uint64, rng *rand.Rand, watch Watch) *Hand {
+	h := &Hand{watch: watch, open: map[uint64]openPoll{}}
+	h.worker = toil.New(now, name, rack, room.Cores, room.Memory, incarnation, rng, func(e check.Event) {
+		switch {
+		case e.Kind == check.Begin && watch.Began != nil:
+			watch.Began(e.At, e.Name, e.Step, e.Task)
+		case e.Kind == check.End && watch.Ended != nil:
+			watch.Ended()
+		}
+	})
+	return h
+}
+
+func (h *Hand) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+	switch body := mail.Body.(type) {
+	case loop.Tick:
+		h.worker.Tick(now)
+		for id, poll := range h.open {
+			if now-poll.sent > pollSpan {
+				delete(h.open, id)
+				h.worker.Unanswered(now)
+			}
+		}
+	case *schema.CharterTell:
+		h.hear(now, body)
+	case *schema.PollReply:
+		poll, isOpen := h.open[body.Id]
+		delete(h.open, body.Id)
+		switch {
+		case !isOpen:
+		case body.Orders == nil:
+			h.worker.Unanswered(now)
+		default:
+			h.worker.Take(now, poll.sent, poll.seq, body.Orders)
+		}
+	}
+	h.announce(now, out)
+}
+
+func (h *Hand) hear(now loop.Micros, m *schema.CharterTell) {
+	if m.State != nil && m.State.Version > h.state.GetVersion() {
+		if h.watch.Plan != nil && h.state.GetPlan().GetGeneration() < m.State.Plan.GetGeneration() {
+			h.watch.Plan(now, m.State.Plan.Generation)
+		}
+		h.state = m.State
+	}
+	if leader := m.Leaders[charter.Group]; leader != "" {
+		h.leader = leader
+	}
+}
+
+func (h *Hand) announce(now loop.Micros, out loop.Out) {
+	if !h.worker.Due(now) || len(h.open) >= openMost || h.state == nil {
+		return
+	}
+	ward := charter.WardOf(h.state, h.worker.Name)
+	if ward == nil || ward.Placer == "" {
+		if now-h.metAt > loop.Second && h.leader != "" {
+			h.metAt = now
+			out.Send(h.leader, &schema.Errand{Kind: "charter", Group: charter.Group, Body: keep.CharterBody(
+				&schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: h.worker.Name}}})})
+		}
+		return
+	}
+	a := h.worker.Announce(now)
+	h.next++
+	h.open[h.next] = openPoll{a.Seq, now}
+	out.Send(ward.Placer, &schema.Poll{Id: h.next, Worker: h.worker.Name, Announce: a})
+}
+
+// Routes names the tables of a side that a message is for.
+func Routes(body any) []string {
+	switch body.(type) {
+	case *schema.PollReply:
+		return []string{Name}
+	case *schema.CharterTell:
+		return []string{Name, "heed"}
+	}
+	return []string{crew.Table(schema.Role_ROLE_HEED, body)}
+}
+
+// Onlooker stands where the steward's table would on a side that is none: it
+// asks one store for the charter, and does nothing with it.
+type Onlooker struct {
+	roll    *kin.Roll
+	version uint64
+	store   string
+}
+
+// OnlookerPace is how often it asks.
+const OnlookerPace = 250 * loop.Milli
+
+const deadSpan = 1500 * loop.Milli
+
+func (o *Onlooker) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+	switch body := mail.Body.(type) {
+	case *kin.Roll:
+		o.roll = body
+	case *schema.CharterTell:
+		if body.State != nil {
+			o.version = max(o.version, body.State.Version)
+		}
+	case loop.Tick:
+		if o.roll == nil {
+			return
+		}
+		if o.store == "" || !o.roll.Live(o.store, now, deadSpan) {
+			o.store = o.pick(now)
+		}
+		if o.store != "" {
+			out.Send(o.store, &schema.CharterAsk{Version: o.version})
+		}
+	}
+}
+
+// pick takes the lowest live store's id above its own, so that sides spread
+// over the stores.
+func (o *Onlooker) pick(now loop.Micros) string {
+	least, next := "", ""
+	for id, known := range o.roll.Known {
+		if !known.Member.Stores || !o.roll.Live(id, now, deadSpan) {
+			continue
+		}
+		if least == "" || id < least {
+			least = id
+		}
+		if id > o.roll.Self.Id && (next == "" || id < next) {
+			next = id
+		}
+	}
+	if next == "" {
+		return least
+	}
+	return next
+}
--- /dev/null
+++ b/sim/sweep.go
@@ -0,0 +1,434 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/charter"
+	"sparnotch/crew"
+	"sparnotch/hollow"
+	"sparnotch/intake"
+	"sparnotch/keep"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// Hollow is a hollow deployment in virtual time, past what one machine carries.
+type Hollow struct {
+	Workers  int
+	Fronts   int
+	Lanes    int
+	Starts   float64 // task starts a second
+	RunUs    int64
+	Width    int  // tasks of a job's one step
+	Together bool // and whether they are a group
+	Changes  float64
+	Rows     int // of the plan, at least
+	Zones    int
+	Regions  int         // zones stand in them in turn
+	Far      loop.Micros // one way between regions
+	PerRack  int
+	Stewards int // sides with the steward's table; 0: all
+	Seed     uint64
+	Warm     loop.Micros
+	Span     loop.Micros
+	Lose     string // node, rack, zone, region, link; empty: nothing
+}
+
+// zoneWay is a message's way within a region, between zones.
+const zoneWay = 450 * loop.Micros(1)
+
+// Result is one quantity of one process of a role, or of all (whole).
+type Result struct {
+	Role, What string
+	Amount     float64
+}
+
+// hollowRun is a Hollow that runs.
+type hollowRun struct {
+	*World
+	setup   Hollow
+	region  map[string]int // of a cell
+	sent    map[string]float64
+	bytes   map[string]float64
+	got     map[string]float64
+	gotten  map[string]float64
+	kinds   map[string]float64 // bytes by message
+	far     float64            // bytes between regions
+	isOn    bool
+	begins  []begin
+	ends    map[string]loop.Micros
+	handed  map[string]loop.Micros
+	seen    map[uint64]int
+	seenAt  map[uint64]loop.Micros
+	put     map[uint64]loop.Micros
+	where   map[string]*Host // last worker a task began on
+	wanted  map[string]bool  // tasks that ran where something was lost
+	lostAt  loop.Micros
+	firstAt loop.Micros // a job handed in after the loss has begun
+	lastAt  loop.Micros // the last of the wanted has begun again
+	number  int
+}
+
+type begin struct{ took loop.Micros }
+
+func roleOf(h *Host) string {
+	switch {
+	case h.Role == schema.Role_ROLE_HEED:
+		return "side"
+	case h.Disk != nil:
+		return "store"
+	}
+	return "front"
+}
+
+// PlayHollow runs it and tells what each role sent and kept; bytes are those of
+// the messages themselves, without the wire's frames.
+func PlayHollow(setup Hollow) []Result {
+	r := &hollowRun{
+		World: NewWorld(setup.Seed, CalmNet, 500), setup: setup, region: map[string]int{},
+		sent: map[string]float64{}, bytes: map[string]float64{}, got: map[string]float64{}, gotten: map[string]float64{},
+		kinds: map[string]float64{}, ends: map[string]loop.Micros{}, handed: map[string]loop.Micros{}, seen: map[uint64]int{}, seenAt: map[uint64]loop.Micros{},
+		put: map[uint64]loop.Micros{}, where: map[string]*Host{}, wanted: map[string]bool{},
+	}
+	r.Storm = 1 << 30
+	for zone := 0; zone < setup.Zones; zone++ {
+		r.region[r.cell(zone)] = zone % max(setup.Regions, 1)
+	}
+	r.Way = func(from, to string) loop.Micros {
+		switch {
+		case from == to:
+			return CalmNet.Near
+		case r.region[from] != r.region[to]:
+			return setup.Far
+		}
+		return zoneWay
+	}
+	r.Tap = r.tap
+	r.build()
+	r.After(500*loop.Milli, func() { r.plan(0) })
+	ready := r.untilReady()
+	r.call()
+	r.Run(r.Now + setup.Warm)
+	r.isOn = true
+	from, beginsFrom := r.Now, len(r.begins)
+	r.Run(r.Now + setup.Span)
+	r.isOn = false
+	list := r.results(from, beginsFrom)
+	list = append(list, Result{"whole", "up_ms", float64(ready) / 1000})
+	if setup.Lose != "" {
+		list = append(list, r.lose()...)
+	}
+	return list
+}
+
+func (r *hollowRun) cell(k int) string { return fmt.Sprintf("c%d", k%r.setup.Zones+1) }
+
+func (r *hollowRun) build() {
+	s := r.setup
+	for k := 0; k < 3; k++ {
+		r.AddHost(fmt.Sprintf("store%d", k), r.cell(k), schema.Role_ROLE_KEEP, true)
+	}
+	for k := 0; k < s.Fronts; k++ {
+		r.AddHost(fmt.Sprintf("front%d", k), r.cell(k), schema.Role_ROLE_KEEP, false)
+	}
+	for k := 0; k < s.Workers; k++ {
+		rack := k / s.PerRack
+		h := r.AddHost(fmt.Sprintf("side%d", k), r.cell(rack), schema.Role_ROLE_HEED, false)
+		h.Routes = hollow.Routes
+		h.Also = func(papers *crew.Papers, berths []crew.Berth) []crew.Berth { return r.side(h, k, rack, papers, berths) }
+	}
+	// As at a start after a power cut: within a few seconds, whole racks at a time.
+	for k, h := range r.Hosts {
+		r.After(loop.Micros(k)*2*loop.Milli, h.Start)
+	}
+}
+
+func (r *hollowRun) side(h *Host, k, rack int, papers *crew.Papers, berths []crew.Berth) []crew.Berth {
+	for at := range berths {
+		if berths[at].Name == "heed" && r.setup.Stewards > 0 && k >= r.setup.Stewards {
+			berths[at] = crew.Berth{Name: "heed", Table: &hollow.Onlooker{}, Pace: hollow.OnlookerPace}
+		}
+	}
+	watch := hollow.Watch{
+		Began: func(_ loop.Micros, job string, step, task uint32) { r.began(h, job, task) },
+		Plan: func(_ loop.Micros, generation uint64) {
+			r.seen[generation]++
+			r.seenAt[generation] = r.Now
+		},
+	}
+	hand := hollow.New(papers.Now, fmt.Sprintf("w%04d", k), fmt.Sprintf("r%d", rack), hollow.Room{Cores: 64_000, Memory: 128_000},
+		uint64(r.Now), rand.New(rand.NewPCG(papers.Seed, 9)), watch)
+	return append(berths, crew.Berth{Name: hollow.Name, Table: hand, Pace: hollow.Pace})
+}
+
+func (r *hollowRun) tap(from, to *Host, body any) {
+	if !r.isOn {
+		return
+	}
+	message, isMessage := body.(proto.Message)
+	if !isMessage {
+		return
+	}
+	size := float64(proto.Size(message))
+	role := roleOf(from)
+	r.sent[role]++
+	r.bytes[role] += size
+	r.kinds[string(message.ProtoReflect().Descriptor().Name())] += size
+	if to != nil {
+		r.got[roleOf(to)]++
+		r.gotten[roleOf(to)] += size
+		if r.region[from.Cell] != r.region[to.Cell] {
+			r.far += size
+		}
+	}
+}
+
+// untilReady lets everything come up: a ward for each worker, a keeper for each
+// lane; at most two minutes.
+func (r *hollowRun) untilReady() loop.Micros {
+	from := r.Now
+	for r.Now < from+120*loop.Second {
+		r.Run(r.Now + 500*loop.Milli)
+		leads, wards := 0, 0
+		for _, h := range r.Stores() {
+			belief := h.Belief()
+			if belief == nil {
+				continue
+			}
+			for _, group := range belief.Groups {
+				if group.Role == "leader" && group.Group != charter.Group {
+					leads++
+				}
+			}
+			warded := 0
+			for _, ward := range belief.Wards {
+				if ward.Placer != "" {
+					warded++
+				}
+			}
+			wards = max(wards, warded)
+		}
+		if leads >= r.setup.Lanes && wards >= r.setup.Workers {
+			break
+		}
+	}
+	return r.Now - from
+}
+
+// --- load ---
+
+func laneName(k int) string { return fmt.Sprintf("l%03d", k) }
+
+func (r *hollowRun) planRows(change int) []*schema.Row {
+	rows := []*schema.Row{{Kind: "fleet", Key: "live_jobs", Value: "1000000"}, {Kind: "fleet", Key: "window", Value: "65536"}}
+	for k := 0; k < r.setup.Lanes; k++ {
+		rows = append(rows, &schema.Row{Kind: "lane", Name: laneName(k), Key: "urgency", Value: "50"})
+	}
+	for k := len(rows); k < r.setup.Rows; k++ {
+		rows = append(rows, &schema.Row{Kind: "rack", Name: fmt.Sprintf("x%04d", k), Key: "weight", Value: "100"})
+	}
+	return append(rows, &schema.Row{Kind: "fleet", Key: "weight_rack", Value: fmt.Sprint(30 + change%10)})
+}
+
+func (r *hollowRun) anyFront() *Host {
+	var list []*Host
+	for _, h := range r.Fronts() {
+		if h.isHere() && h.canServe {
+			list = append(list, h)
+		}
+	}
+	if len(list) == 0 {
+		return r.Hosts[0]
+	}
+	return list[r.Rng.IntN(len(list))]
+}
+
+// plan puts the plan until it is taken, and changes it at the wanted pace.
+func (r *hollowRun) plan(change int) {
+	generation := uint64(change)
+	sheet := &schema.Sheet{Generation: &generation, Rows: r.planRows(change)}
+	sent := r.Now
+	r.Ask(r.anyFront(), 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
+		return intake.Ask{Errand: errand, Kind: "charter", Group: charter.Group, Deadline: deadline, Body: keep.CharterBody(
+			&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
+	}, func(answer any) {
+		reply, _ := answer.(intake.Answer)
+		if reply.Code != 200 && reply.Code != 412 {
+			r.After(200*loop.Milli, func() { r.plan(change) })
+			return
+		}
+		r.put[generation+1] = sent
+		if r.setup.Changes > 0 {
+			r.After(loop.Micros(60e6/r.setup.Changes), func() { r.plan(change + 1) })
+		}
+	})
+}
+
+// call hands in jobs at the wanted rate from now on.
+func (r *hollowRun) call() {
+	if r.setup.Starts <= 0 {
+		return
+	}
+	every := float64(r.setup.Width) / r.setup.Starts * float64(loop.Second)
+	var next func()
+	next = func() {
+		r.number++
+		name := fmt.Sprintf("h%d", r.number)
+		r.handed[name] = r.Now
+		r.handInHollow(laneName(r.number%r.setup.Lanes), name)
+		r.After(loop.Micros(r.Rng.ExpFloat64()*every), next)
+	}
+	next()
+}
+
+func (r *hollowRun) handInHollow(lane, name string) {
+	job := &schema.Job{Text: fmt.Sprintf("run_us=%d", r.setup.RunUs), Steps: []*schema.Step{
+		{Name: "s", Tasks: uint32(r.setup.Width), CoresMilli: 10, MemoryMb: 1, Together: r.setup.Together},
+	}}
+	front := r.anyFront()
+	r.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
+		return intake.HandIn{Errand: errand, Lane: lane, Client: "c-" + front.Name, Name: name, Digest: intake.Digest(job), Job: job, Deadline: deadline}
+	}, func(answer any) {
+		if reply, _ := answer.(intake.Answer); reply.Code != 200 && reply.Code != 201 {
+			r.After(200*loop.Milli, func() { r.handInHollow(lane, name) })
+		}
+	})
+}
+
+func (r *hollowRun) began(h *Host, job string, task uint32) {
+	r.begins = append(r.begins, begin{r.Now - r.handed[job]})
+	key := fmt.Sprintf("%s/%d", job, task)
+	r.where[key] = h
+	r.ends[key] = r.Now + loop.Micros(r.setup.RunUs)
+	if r.lostAt == 0 {
+		return
+	}
+	if r.handed[job] > r.lostAt && r.firstAt == 0 {
+		r.firstAt = r.Now
+	}
+	if r.wanted[key] {
+		delete(r.wanted, key)
+		r.lastAt = r.Now
+	}
+}
+
+// --- what came of it ---
+
+func (r *hollowRun) results(from loop.Micros, beginsFrom int) []Result {
+	seconds := float64(r.Now-from) / float64(loop.Second)
+	var list []Result
+	counts := map[string]float64{}
+	for _, h := range r.Hosts {
+		counts[roleOf(h)]++
+	}
+	for _, role := range []string{"store", "front", "side"} {
+		n := counts[role]
+		if n == 0 {
+			continue
+		}
+		list = append(list,
+			Result{role, "sent_s", r.sent[role] / seconds / n}, Result{role, "received_s", r.got[role] / seconds / n},
+			Result{role, "bytes_out_s", r.bytes[role] / seconds / n}, Result{role, "bytes_in_s", r.gotten[role] / seconds / n},
+		)
+	}
+	for kind, bytes := range r.kinds {
+		list = append(list, Result{"whole", strings.ToLower(kind) + "_bytes_s", bytes / seconds})
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Role+list[a].What < list[b].Role+list[b].What })
+	var took []loop.Micros
+	for _, each := range r.begins[beginsFrom:] {
+		took = append(took, each.took)
+	}
+	sort.Slice(took, func(a, b int) bool { return took[a] < took[b] })
+	list = append(list, Result{"whole", "starts_s", float64(len(took)) / seconds}, Result{"whole", "between_regions_bytes_s", r.far / seconds})
+	if len(took) > 0 {
+		list = append(list, Result{"whole", "start_p50_ms", float64(took[len(took)/2]) / 1000}, Result{"whole", "start_p99_ms", float64(took[len(took)*99/100]) / 1000})
+	}
+	plans, slowest, missed := 0, loop.Micros(0), 0.0
+	for generation, sent := range r.put {
+		// The first ones are put while the sides come up, the last may be on its way.
+		if sent < from || sent > r.Now-8*loop.Second {
+			continue
+		}
+		plans++
+		if r.seen[generation] < r.setup.Workers {
+			missed++
+			continue
+		}
+		slowest = max(slowest, r.seenAt[generation]-sent)
+	}
+	if plans > 0 {
+		list = append(list, Result{"whole", "plan_max_ms", float64(slowest) / 1000}, Result{"whole", "plan_missed", missed})
+	}
+	return list
+}
+
+// lose takes away what the setup says and tells how long until a job handed in
+// after that runs, and until the last task that ran there runs again.
+func (r *hollowRun) lose() []Result {
+	keeper := r.Keeper()
+	isLost := func(h *Host) bool { return false }
+	switch r.setup.Lose {
+	case "node":
+		isLost = func(h *Host) bool { return h == keeper }
+	case "worker":
+		isLost = func(h *Host) bool { return h.Name == "side0" }
+	case "rack":
+		isLost = func(h *Host) bool {
+			var k int
+			count, _ := fmt.Sscanf(h.Name, "side%d", &k)
+			return count == 1 && k/r.setup.PerRack == 0
+		}
+	case "zone":
+		isLost = func(h *Host) bool { return h.Cell == keeper.Cell }
+	case "region", "link":
+		isLost = func(h *Host) bool { return r.region[h.Cell] == r.region[keeper.Cell] }
+	}
+	hit := 0
+	for _, h := range r.Hosts {
+		if isLost(h) {
+			hit++
+		}
+	}
+	r.lostAt = r.Now
+	for key, at := range r.where {
+		// What a keeper's region loses of the other one is lost to it all the same.
+		isOut := r.ends[key] > r.Now
+		if isOut && isLost(at) && r.setup.Lose != "link" {
+			r.wanted[key] = true
+		}
+	}
+	wanted := len(r.wanted)
+	if r.setup.Lose == "link" {
+		for _, a := range r.Hosts {
+			for _, b := range r.Hosts {
+				if r.region[a.Cell] != r.region[b.Cell] {
+					r.cuts[[2]string{a.Address, b.Address}] = true
+				}
+			}
+		}
+		r.reckon()
+	} else {
+		for _, h := range r.Hosts {
+			if isLost(h) {
+				h.Kill()
+			}
+		}
+	}
+	for r.Now < r.lostAt+40*loop.Second && (r.firstAt == 0 || len(r.wanted) > 0) {
+		r.Run(r.Now + 500*loop.Milli)
+	}
+	list := []Result{{"whole", "lost_processes", float64(hit)}, {"whole", "lost_tasks", float64(wanted)}, {"whole", "not_again", float64(len(r.wanted))}}
+	if r.firstAt > 0 {
+		list = append(list, Result{"whole", "first_ms", float64(r.firstAt-r.lostAt) / 1000})
+	}
+	if r.lastAt > 0 {
+		list = append(list, Result{"whole", "again_ms", float64(r.lastAt-r.lostAt) / 1000})
+	}
+	return list
+}
