--- a/cmd/feign/slope.go
+++ b/cmd/feign/slope.go
@@ -140,6 +140,10 @@
 			return 2
 		}
 	}
+	if err := os.MkdirAll(c.out, 0o755); err != nil {
+		fmt.Fprintln(os.Stderr, "feign: out:", err)
+		return 2
+	}
 	// Runs are numbered on, so that another call adds to the file.
 	done := 0
 	for _, r := range readings {
