--- a/cmd/feign/main.go
+++ b/cmd/feign/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&simulateCommand{}, "")
 	subcommands.Register(&hollowCommand{}, "")
 	subcommands.Register(&slopeCommand{}, "")
+	subcommands.Register(&costCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/cmd/feign/slope.go
+++ b/cmd/feign/slope.go
@@ -236,3 +236,61 @@
 	}
 	return file.Close()
 }
+
+// costCommand sets real sweeps beside simulated ones.
+type costCommand struct{ real, simulated string }
+
+func (*costCommand) Name() string { return "cost" }
+func (*costCommand) Synopsis() string {
+	return "say what a message, a byte and a sync cost, from real and simulated sweeps"
+}
+func (*costCommand) Usage() string {
+	return `feign cost -real workers.csv,lanes.csv -simulated workers.csv,lanes.csv
+  Each simulated sweep must have run at the values of the real one. What a real
+  process spent beyond its tables' steps is laid on what it carried and kept.
+  Exit codes: 0 worked out, 2 bad flags or files.
+`
+}
+
+func (c *costCommand) SetFlags(set *flag.FlagSet) {
+	set.StringVar(&c.real, "real", "", "files of feign slope, joined by commas")
+	set.StringVar(&c.simulated, "simulated", "", "files of feign slope -virtual, joined by commas")
+}
+
+func readAll(files string) ([]gauge.Reading, error) {
+	var all []gauge.Reading
+	for _, path := range strings.Split(files, ",") {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		list, err := gauge.Read(file)
+		file.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
+func (c *costCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	real, err := readAll(c.real)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign: real:", err)
+		return 2
+	}
+	simulated, err := readAll(c.simulated)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign: simulated:", err)
+		return 2
+	}
+	cost, err := gauge.CostOf(real, simulated)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign:", err)
+		return 2
+	}
+	fmt.Printf("microseconds: %.0f a second, %.1f a message, %.4f a byte, %.0f a sync; ±%.0f a second, %d readings\n",
+		cost.Ground, cost.Message, cost.Byte, cost.Sync, cost.Error, cost.Points)
+	return 0
+}
--- a/gauge/gauge_test.go
+++ b/gauge/gauge_test.go
@@ -71,3 +71,29 @@
 		So(Plot(path, "lanes", list, []string{"cpu_milli", "rss_mb", "sent_s"}), ShouldBeNil)
 	})
 }
+
+func TestCost(t *testing.T) {
+	Convey("What is spent beyond the tables is laid on messages, bytes and syncs", t, func() {
+		var real, simulated []Reading
+		for k, role := range []string{"keeper", "store", "side"} {
+			for _, x := range []float64{12, 24, 48, 96} {
+				sent, bytes, syncs := 10*x+float64(k), 1000*x*float64(k+1), float64(50*(k%2))+x*float64(k%2)
+				// Thousandths of a core are a thousand microseconds a second.
+				cpu := (3000 + 20*sent + 0.05*bytes + 300*syncs) / 1000
+				real = append(real,
+					Reading{"workers", x, 1, role, "cpu_milli", cpu + 7}, Reading{"workers", x, 1, role, "sent_s", sent},
+					Reading{"workers", x, 1, role, "bytes_out_s", bytes}, Reading{"workers", x, 1, role, "syncs_s", syncs},
+				)
+				simulated = append(simulated, Reading{"workers", x, 1, role, "cpu_tables_milli", 7})
+			}
+		}
+		cost, err := CostOf(real, simulated)
+		So(err, ShouldBeNil)
+		So(cost.Ground, ShouldAlmostEqual, 3000, 1)
+		So(cost.Message, ShouldAlmostEqual, 20, 0.01)
+		So(cost.Byte, ShouldAlmostEqual, 0.05, 0.0001)
+		So(cost.Sync, ShouldAlmostEqual, 300, 0.1)
+		_, err = CostOf(real, nil)
+		So(err, ShouldNotBeNil)
+	})
+}
