--- a/keep/keep.go
+++ b/keep/keep.go
@@ -553,7 +553,13 @@
 	case job.DelayUs > 0:
 		return at + job.DelayUs
 	case job.StartWallUs > 0:
-		return max(at, at+job.StartWallUs-r.group.WallTime(now, t.wall()))
+		start := at + job.StartWallUs - r.group.WallTime(now, t.wall())
+		// The rounds of a job are counted from its start, though that be past;
+		// zero alone would mean the moment of its admission.
+		if job.Rounds > 1 && start != 0 {
+			return start
+		}
+		return max(at, start)
 	}
 	return 0
 }
@@ -595,22 +601,27 @@
 	if t.isFull(r) || m.Key == nil {
 		return
 	}
-	command := &schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: m.Key, Attempt: m.Attempt}}}
-	if m.Outcome != "done" {
-		cause := schema.Cause_CAUSE_DISPLACED
-		switch m.Outcome {
-		case "failed":
-			cause = schema.Cause_CAUSE_FAILED
-		case "lost":
-			cause = schema.Cause_CAUSE_LOST
-		}
-		command.Body = &schema.LaneCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause}}
-	}
-	if index := t.proposeLane(now, r, command); index > 0 {
+	if index := t.proposeLane(now, r, commandOf(m)); index > 0 {
 		r.waiting[index] = waiter{term: r.group.Term(), from: from, end: m}
 	}
 }
 
+// commandOf is what a worker's report asks of the lane. Ends other than done,
+// failed and lost (stopped, lapsed, broken by another member, alone without the
+// others) are no fault of the task's.
+func commandOf(m *schema.End) *schema.LaneCommand {
+	cause := schema.Cause_CAUSE_DISPLACED
+	switch m.Outcome {
+	case "done":
+		return &schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: m.Key, Attempt: m.Attempt, Whole: m.Whole}}}
+	case "failed":
+		cause = schema.Cause_CAUSE_FAILED
+	case "lost":
+		cause = schema.Cause_CAUSE_LOST
+	}
+	return &schema.LaneCommand{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause, Saved: m.Saved}}}
+}
+
 func (t *Table) endNoted(from string, m *schema.End, out loop.Out) {
 	reply := &schema.EndReply{Lane: m.Lane, Key: m.Key, Attempt: m.Attempt, Worker: m.Worker}
 	if from == "" {
--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -81,8 +82,48 @@
 	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: k, Attempt: attempt}}})
 }
 
+func (b *bench) settleWhole(k *schema.TaskKey, attempt uint32) *Effects {
+	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: k, Attempt: attempt, Whole: true}}})
+}
+
 func (b *bench) giveBack(k *schema.TaskKey, attempt uint32, cause schema.Cause) *Effects {
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: k, Attempt: attempt, Cause: cause}}})
+	return b.giveBackSaved(k, attempt, cause, "")
+}
+
+func (b *bench) giveBackSaved(k *schema.TaskKey, attempt uint32, cause schema.Cause, saved string) *Effects {
+	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: k, Attempt: attempt, Cause: cause, Saved: saved}}})
+}
+
+// again replaces the machine by one made from its own state at rest.
+func (b *bench) again() {
+	m, err := Restore("l", b.index, b.m.Rest(false))
+	if err != nil {
+		panic(err)
+	}
+	if !bytes.Equal(m.Rest(false), b.m.Rest(false)) {
+		panic("restored to another state")
+	}
+	b.m = m
+}
+
+// seen lists the tasks the placer must know of, as "part round task standing".
+func (b *bench) seen() string {
+	list, _ := b.m.Standings()
+	text := ""
+	for _, s := range list {
+		text += fmt.Sprint(s.Spec.Name, s.Round, ".", s.Key.Task, []string{"", "", "-out", "-stop"}[s.State], " ")
+	}
+	return text
+}
+
+func (b *bench) shiftOf(k *schema.TaskKey) *Shift {
+	list, _ := b.m.Standings()
+	for _, s := range list {
+		if proto.Equal(&s.Key, k) {
+			return s
+		}
+	}
+	return nil
 }
 
 func (b *bench) cancel(name string) *Effects {
@@ -404,6 +445,334 @@
 	})
 }
 
+func TestRounds(t *testing.T) {
+	// b waits for a, twice over.
+	rounds := func(count uint32, every int64) *schema.Job {
+		return &schema.Job{Text: "x", DelayUs: 1_000_000, Rounds: count, EveryUs: every, Steps: []*schema.Step{
+			{Name: "a", Tasks: 2}, {Name: "b", Tasks: 1, After: []string{"a"}},
+		}}
+	}
+	run := func(b *bench, keys ...*schema.TaskKey) {
+		b.checkout(keys...)
+		for _, k := range keys {
+			b.settle(k, 1)
+		}
+	}
+	Convey("A round opens when it is due and never before, beside those still under way", t, func() {
+		b := newBench()
+		b.enqueue("c", 1, "j", rounds(3, 500_000))
+		view, _ := b.m.View("j")
+		So(view.Tasks, ShouldEqual, 9)
+		for round := int64(0); round < 3; round++ {
+			due, any := b.m.NextStart()
+			So(any, ShouldBeTrue)
+			So(due, ShouldEqual, 1_000_000+round*500_000)
+			b.at = due - 1
+			b.tick()
+			So(b.m.jobs[1].opened, ShouldEqual, int(round))
+			b.checkout(key(1, uint32(round)*2, 0))
+			So(b.m.jobs[1].outs, ShouldEqual, 0)
+			So(b.m.Timed(), ShouldEqual, 1)
+			b.at = due
+			b.tick()
+			b.again()
+		}
+		_, any := b.m.NextStart()
+		So(any, ShouldBeFalse)
+		So(b.seen(), ShouldEqual, "a0.0 a0.1 a1.0 a1.1 a2.0 a2.1 ")
+		So(b.shiftOf(key(1, 4, 1)).Round, ShouldEqual, 2)
+		So(b.shiftOf(key(1, 4, 1)).Part, ShouldEqual, 0)
+		Convey("what a step waits for is of its own round", func() {
+			run(b, key(1, 2, 0), key(1, 2, 1))
+			So(b.seen(), ShouldEqual, "a0.0 a0.1 b1.0 a2.0 a2.1 ")
+			view, _ := b.m.View("j")
+			So(view.Steps[0].State, ShouldEqual, "open")
+			So(view.Steps[1].State, ShouldEqual, "open")
+			So(view.Done, ShouldEqual, 2)
+			Convey("and the job is complete when every round is", func() {
+				run(b, key(1, 3, 0))
+				run(b, key(1, 0, 0), key(1, 0, 1))
+				run(b, key(1, 1, 0))
+				run(b, key(1, 4, 0), key(1, 4, 1))
+				So(b.state("j"), ShouldEqual, "running")
+				run(b, key(1, 5, 0))
+				view, _ := b.m.View("j")
+				So(view.State, ShouldEqual, "complete")
+				So(view.Done, ShouldEqual, 9)
+			})
+		})
+	})
+	Convey("A job whose open rounds are done goes on with the next one", t, func() {
+		b := newBench()
+		job := rounds(2, 500_000)
+		job.DelayUs = 0
+		b.at = 7_000_000
+		b.enqueue("c", 1, "j", job) // at once: the rounds are counted from here
+		run(b, key(1, 0, 0), key(1, 0, 1))
+		run(b, key(1, 1, 0))
+		So(b.state("j"), ShouldEqual, "running")
+		So(b.seen(), ShouldEqual, "")
+		due, _ := b.m.NextStart()
+		So(due, ShouldEqual, 7_500_000)
+		Convey("unless it is cancelled meanwhile", func() {
+			b.cancel("j")
+			So(b.state("j"), ShouldEqual, "cancelled")
+			So(b.m.Timed(), ShouldEqual, 0)
+		})
+		Convey("also from a released checkpoint", func() {
+			next, err := Restore("l", b.index, b.m.Rest(true))
+			So(err, ShouldBeNil)
+			due, any := next.NextStart()
+			So(any, ShouldBeTrue)
+			So(due, ShouldEqual, 7_500_000)
+			b.m, b.at = next, 7_500_000
+			b.tick()
+			So(b.seen(), ShouldEqual, "a1.0 a1.1 ")
+		})
+	})
+	Convey("Rounds that are overdue open all at once, and a stopping job opens none", t, func() {
+		b := newBench()
+		b.enqueue("c", 1, "j", rounds(4, 500_000))
+		b.at = 2_100_000
+		b.tick()
+		So(b.seen(), ShouldEqual, "a0.0 a0.1 a1.0 a1.1 a2.0 a2.1 ")
+		b.checkout(key(1, 0, 0))
+		b.cancel("j")
+		So(b.m.Timed(), ShouldEqual, 0)
+		b.again()
+		b.at = 9_000_000
+		b.tick()
+		So(b.seen(), ShouldEqual, "a0.0-stop ")
+		So(b.m.jobs[1].opened, ShouldEqual, 3)
+		b.giveBack(key(1, 0, 0), 1, schema.Cause_CAUSE_DISPLACED)
+		So(b.state("j"), ShouldEqual, "cancelled")
+	})
+}
+
+func TestWholeGroups(t *testing.T) {
+	gang := func(allowed uint32) *schema.Job {
+		return &schema.Job{Text: "x", Steps: []*schema.Step{
+			{Name: "g", Tasks: 3, Together: true, Saves: true, AllowedFailures: allowed}, {Name: "z", Tasks: 1, After: []string{"g"}},
+		}}
+	}
+	all := []*schema.TaskKey{key(1, 0, 0), key(1, 0, 1), key(1, 0, 2)}
+	begin := func(job *schema.Job) *bench {
+		b := newBench()
+		b.enqueue("c", 1, "j", job)
+		b.checkout(all...)
+		return b
+	}
+	Convey("One member's end is the end of all, and later reports change nothing", t, func() {
+		b := begin(gang(0))
+		b.settleWhole(all[1], 1)
+		So(b.seen(), ShouldEqual, "z0.0 ")
+		before := b.m.Rest(false)
+		b.settleWhole(all[0], 1)
+		b.settle(all[0], 1)
+		b.giveBack(all[2], 1, schema.Cause_CAUSE_FAILED)
+		So(bytes.Equal(before, b.m.Rest(false)), ShouldBeTrue)
+	})
+	Convey("It is so too where members were taken for lost meanwhile", t, func() {
+		b := begin(gang(0))
+		b.giveBack(all[0], 1, schema.Cause_CAUSE_LOST)
+		So(b.seen(), ShouldEqual, "g0.1-stop g0.2-stop ")
+		b.settleWhole(all[2], 1)
+		So(b.seen(), ShouldEqual, "z0.0 ")
+	})
+	Convey("The end of an older start says nothing of the one that is out", t, func() {
+		b := begin(gang(0))
+		for _, k := range all {
+			b.giveBack(k, 1, schema.Cause_CAUSE_DISPLACED)
+		}
+		b.checkout(all...)
+		b.settleWhole(all[0], 1)
+		So(b.seen(), ShouldEqual, "g0.0-out g0.1-out g0.2-out ")
+	})
+	Convey("Without the word that it is whole, every member tells its own end", t, func() {
+		b := begin(gang(0))
+		b.settle(all[0], 1)
+		So(b.seen(), ShouldEqual, "g0.1-out g0.2-out ")
+	})
+	Convey("However many members fail in one start, the group has failed once", t, func() {
+		b := begin(gang(1))
+		b.giveBack(all[0], 1, schema.Cause_CAUSE_LOST)
+		b.giveBack(all[1], 1, schema.Cause_CAUSE_FAILED)
+		b.giveBack(all[2], 1, schema.Cause_CAUSE_FAILED)
+		b.again()
+		So(b.seen(), ShouldEqual, "g0.0 g0.1 g0.2 ")
+		So(b.shiftOf(all[2]).Failures, ShouldEqual, 1)
+		b.checkout(all...)
+		b.giveBack(all[0], 1, schema.Cause_CAUSE_FAILED) // of the start that has been counted
+		So(b.state("j"), ShouldEqual, "running")
+		view, _ := b.m.View("j")
+		So(view.Steps[0].Failures, ShouldEqual, 1)
+		So(view.Started, ShouldEqual, 6)
+		Convey("and one failed start too many fails the job, to be seen at once", func() {
+			b.giveBack(all[1], 2, schema.Cause_CAUSE_FAILED)
+			view, _ := b.m.View("j")
+			So(view.State, ShouldEqual, "stopping")
+			So(view.Verdict, ShouldEqual, "failed")
+			b.giveBack(all[0], 2, schema.Cause_CAUSE_DISPLACED)
+			b.giveBack(all[2], 2, schema.Cause_CAUSE_DISPLACED)
+			view, _ = b.m.View("j")
+			So(view.State, ShouldEqual, "failed")
+			So(view.Why, ShouldContainSubstring, "allowed failures")
+		})
+	})
+	Convey("A failure of a lost member that nobody counted yet counts when it is told", t, func() {
+		b := begin(gang(0))
+		b.giveBack(all[0], 1, schema.Cause_CAUSE_LOST)
+		b.giveBack(all[1], 1, schema.Cause_CAUSE_DISPLACED)
+		b.giveBack(all[2], 1, schema.Cause_CAUSE_DISPLACED)
+		b.checkout(all...)
+		b.again()
+		b.giveBack(all[0], 1, schema.Cause_CAUSE_FAILED)
+		view, _ := b.m.View("j")
+		So(view.Verdict, ShouldEqual, "failed")
+	})
+	Convey("Members that end because another did break the group once and count nothing", t, func() {
+		b := begin(gang(0))
+		for attempt := uint32(1); attempt <= 5; attempt++ {
+			b.giveBack(all[2], attempt, schema.Cause_CAUSE_DISPLACED)
+			b.giveBack(all[1], attempt, schema.Cause_CAUSE_DISPLACED)
+			b.giveBack(all[0], attempt, schema.Cause_CAUSE_DISPLACED)
+			b.checkout(all...)
+		}
+		So(b.state("j"), ShouldEqual, "running")
+		So(b.m.jobs[1].tasks[0][2].circles, ShouldEqual, 5)
+		So(b.m.jobs[1].tasks[0][0].circles, ShouldEqual, 0)
+		for _, k := range all {
+			So(b.shiftOf(k).Attempt, ShouldEqual, 6)
+		}
+	})
+	Convey("A group isn't whole by one member named twice", t, func() {
+		b := newBench()
+		b.enqueue("c", 1, "j", gang(0))
+		b.checkout(all[0], all[0], all[1])
+		So(b.seen(), ShouldEqual, "g0.0 g0.1 g0.2 ")
+	})
+	Convey("The newest text any member saved is carried to all", t, func() {
+		b := begin(gang(3))
+		b.giveBackSaved(all[0], 1, schema.Cause_CAUSE_LOST, "early")
+		b.giveBackSaved(all[1], 1, schema.Cause_CAUSE_DISPLACED, "late")
+		b.giveBackSaved(all[2], 1, schema.Cause_CAUSE_FAILED, "")
+		b.again()
+		b.checkout(all...)
+		for _, k := range all {
+			So(b.shiftOf(k).Saved, ShouldEqual, "late")
+		}
+		b.settleWhole(all[2], 2)
+		So(b.m.jobs[1].tasks[0][0].saved, ShouldEqual, "")
+	})
+}
+
+func TestLasting(t *testing.T) {
+	Convey("What lasts is ready again however it ends, without limit, until it is cancelled", t, func() {
+		b := newBench()
+		b.m.adopt = &schema.Adopt{StatusUs: DefaultStatusUs, Every: 64, Circles: 3}
+		b.enqueue("c", 1, "j", &schema.Job{Text: "x", Steps: []*schema.Step{{Name: "s", Tasks: 1, Lasting: true, Saves: true}}})
+		k := key(1, 0, 0)
+		attempt := uint32(0)
+		for turn := 0; turn < 30; turn++ {
+			for _, cause := range []schema.Cause{schema.Cause_CAUSE_NONE, schema.Cause_CAUSE_FAILED, schema.Cause_CAUSE_LOST, schema.Cause_CAUSE_DISPLACED} {
+				b.checkout(k)
+				attempt++
+				So(b.seen(), ShouldEqual, "s0.0-out ")
+				if cause == schema.Cause_CAUSE_NONE {
+					b.settle(k, attempt)
+				} else {
+					b.giveBackSaved(k, attempt, cause, "so far")
+				}
+				So(b.seen(), ShouldEqual, "s0.0 ")
+			}
+		}
+		So(b.m.jobs[1].tasks[0][0].lost, ShouldBeEmpty)
+		So(b.shiftOf(k).Failures, ShouldEqual, 0)
+		So(b.shiftOf(k).Saved, ShouldEqual, "so far")
+		b.checkout(k)
+		So(b.cancel("j").View.Verdict, ShouldEqual, "cancelled")
+		b.settle(k, attempt+1)
+		So(b.state("j"), ShouldEqual, "cancelled")
+	})
+	Convey("A lasting group begins anew as a whole", t, func() {
+		for _, isWhole := range []bool{true, false} {
+			b := newBench()
+			b.enqueue("c", 1, "j", &schema.Job{Text: "x", Steps: []*schema.Step{{Name: "g", Tasks: 2, Together: true, Lasting: true}}})
+			b.checkout(key(1, 0, 0), key(1, 0, 1))
+			if isWhole {
+				b.settleWhole(key(1, 0, 1), 1)
+			} else {
+				b.settle(key(1, 0, 1), 1)
+				So(b.seen(), ShouldEqual, "g0.0-stop ")
+				b.settle(key(1, 0, 0), 1)
+			}
+			So(b.seen(), ShouldEqual, "g0.0 g0.1 ")
+			b.checkout(key(1, 0, 0), key(1, 0, 1))
+			So(b.seen(), ShouldEqual, "g0.0-out g0.1-out ")
+			b.giveBack(key(1, 0, 0), 2, schema.Cause_CAUSE_FAILED)
+			b.giveBack(key(1, 0, 1), 2, schema.Cause_CAUSE_DISPLACED)
+			So(b.seen(), ShouldEqual, "g0.0 g0.1 ")
+		}
+	})
+}
+
+func TestSaved(t *testing.T) {
+	Convey("Kept progress goes with the next start, whatever ended the last one", t, func() {
+		b := newBench()
+		job := simple(1)
+		job.Steps[0].Saves = true
+		job.Steps = append(job.Steps, &schema.Step{Name: "plain", Tasks: 1, CoresMilli: 1})
+		b.enqueue("c", 1, "j", job)
+		k := key(1, 0, 0)
+		saved := func() string { return b.shiftOf(k).Saved }
+		back := func(attempt uint32, cause schema.Cause, text string) {
+			b.checkout(k)
+			b.giveBackSaved(k, attempt, cause, text)
+			b.again()
+		}
+		back(1, schema.Cause_CAUSE_LOST, "one")
+		So(saved(), ShouldEqual, "one")
+		back(2, schema.Cause_CAUSE_DISPLACED, "two")
+		So(saved(), ShouldEqual, "two")
+		back(3, schema.Cause_CAUSE_DISPLACED, "")
+		So(saved(), ShouldEqual, "two")
+		back(4, schema.Cause_CAUSE_FAILED, strings.Repeat("x", 257))
+		So(saved(), ShouldEqual, "two")
+		b.giveBackSaved(k, 1, schema.Cause_CAUSE_DISPLACED, "stale")
+		So(saved(), ShouldEqual, "two")
+		b.checkout(k)
+		So(saved(), ShouldEqual, "two")
+		b.settle(k, 5)
+		So(b.m.jobs[1].tasks[0][0].saved, ShouldEqual, "")
+		Convey("and a step that keeps none gets none", func() {
+			k := key(1, 1, 0)
+			b.checkout(k)
+			b.giveBackSaved(k, 1, schema.Cause_CAUSE_DISPLACED, "text")
+			So(b.shiftOf(k).Saved, ShouldEqual, "")
+		})
+	})
+}
+
+func TestCounts(t *testing.T) {
+	Convey("Waiting are the tasks that could be checked out now", t, func() {
+		b := newBench()
+		b.enqueue("c", 1, "j", &schema.Job{Text: "x", Steps: []*schema.Step{
+			{Name: "a", Tasks: 3}, {Name: "b", Tasks: 5, After: []string{"a"}}, {Name: "g", Tasks: 2, Together: true},
+		}})
+		later := simple(7)
+		later.DelayUs = 1_000_000
+		b.enqueue("c", 2, "k", later)
+		So(proto.Equal(b.m.Counts(), &schema.LaneCounts{Live: 2, Waiting: 5}), ShouldBeTrue)
+		b.checkout(key(1, 0, 0), key(1, 2, 0), key(1, 2, 1))
+		So(proto.Equal(b.m.Counts(), &schema.LaneCounts{Live: 2, Waiting: 2, Out: 3}), ShouldBeTrue)
+		b.cancel("j")
+		So(proto.Equal(b.m.Counts(), &schema.LaneCounts{Live: 2, Out: 3}), ShouldBeTrue)
+		view, _ := b.m.View("j")
+		So(view.Started, ShouldEqual, 3)
+		So(view.Verdict, ShouldEqual, "cancelled")
+	})
+}
+
 func TestShiftNumbersHaveNoGaps(t *testing.T) {
 	Convey("Hand-overs and all other shifts are numbered one by one", t, func() {
 		b := newBench()
@@ -455,7 +824,7 @@
 // checkpoint gives the state that the whole log gives.
 func TestReplayEquivalence(t *testing.T) {
 	releases := 0
-	for seed := uint64(1); seed <= 60; seed++ {
+	for seed := uint64(1); seed <= 150; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		b := newBench()
 		b.m.adopt = &schema.Adopt{StatusUs: 3_000_000, Every: 4, Circles: 3}
@@ -464,6 +833,9 @@
 		for k := 0; k < 600; k++ {
 			b.at += rng.Int64N(100_000)
 			randomCommand(b, rng, numbers)
+			if fault := unsound(b.m); fault != "" {
+				t.Fatalf("seed %d: at index %d, %s", seed, b.index, fault)
+			}
 			if b.released == nil || b.released == last {
 				continue
 			}
@@ -488,6 +860,61 @@
 	}
 }
 
+// unsound names what the running numbers of a machine say wrongly.
+func unsound(m *Machine) string {
+	waiting, out, pending := uint32(0), uint32(0), 0
+	for _, j := range m.ordered() {
+		outs, unfinished := 0, 0
+		for s, list := range j.tasks {
+			left, outOf, failures := int(j.step(s).Tasks), 0, uint32(0)
+			for t := range list {
+				switch list[t].state {
+				case schema.TaskState_TASK_DONE:
+					left--
+				case schema.TaskState_TASK_OUT:
+					outOf++
+				}
+				if j.standing(s, t) == Ready {
+					waiting++
+				}
+				failures += list[t].failures
+				if j.step(s).Together && list[t].state == schema.TaskState_TASK_OUT && list[t].attempt != list[0].attempt {
+					return "members of one start have other numbers"
+				}
+			}
+			if left != j.left[s] || outOf != j.out[s] || failures != j.failures[s] {
+				return fmt.Sprint("step ", s, " has ", left, " left, ", outOf, " out and ", failures, " failures, noted ", j.left[s], ", ", j.out[s], " and ", j.failures[s])
+			}
+			if left > 0 {
+				unfinished++
+			}
+			outs += outOf
+			if list != nil && j.startUs+int64(s/j.parts())*j.spec.EveryUs > m.now {
+				return "a round is open before its time"
+			}
+		}
+		if outs != j.outs || unfinished != j.unfinished || unfinished == 0 {
+			return fmt.Sprint("job ", j.id, " has ", outs, " out and ", unfinished, " steps unfinished, noted ", j.outs, " and ", j.unfinished)
+		}
+		if j.opened < j.rounds() && j.state != schema.JobState_JOB_STOPPING {
+			pending++
+			if j.dueUs() <= m.now {
+				return "a due round isn't open"
+			}
+		}
+		out += uint32(outs)
+	}
+	held := 0
+	for _, s := range m.sessions {
+		held += len(s.held)
+	}
+	counts := m.Counts()
+	if counts.Waiting != waiting || counts.Out != out || int(counts.Live) != len(m.jobs) || pending != m.Timed() || held != m.held {
+		return fmt.Sprint("counts ", counts, " for ", waiting, " waiting and ", out, " out; ", pending, " pending of ", m.Timed(), "; held ", held, " of ", m.held)
+	}
+	return ""
+}
+
 func randomCommand(b *bench, rng *rand.Rand, numbers map[string]uint64) {
 	pick := func() *schema.TaskKey {
 		jobs := b.m.ordered()
@@ -495,12 +922,22 @@
 			return key(1, 0, 0)
 		}
 		j := jobs[rng.IntN(min(len(jobs), 4))]
-		s := rng.IntN(len(j.tasks))
+		s := rng.IntN(max(1, j.first(j.opened)))
+		if len(j.tasks[s]) == 0 {
+			return key(j.id, uint32(s), 0)
+		}
 		return key(j.id, uint32(s), uint32(rng.IntN(len(j.tasks[s]))))
 	}
-	attempt := func(k *schema.TaskKey) uint32 {
+	tasks := func(k *schema.TaskKey) []task {
 		if j := b.m.jobs[k.Job]; j != nil {
-			return j.tasks[k.Step][k.Task].attempt
+			return j.tasks[k.Step]
+		}
+		return nil
+	}
+	attempt := func(k *schema.TaskKey) uint32 {
+		if list := tasks(k); len(list) > 0 {
+			// Now and then a report comes late.
+			return max(list[k.Task].attempt, 1) - uint32(rng.IntN(6)/5)
 		}
 		return 1
 	}
@@ -508,10 +945,8 @@
 	case 14:
 		k := pick()
 		var attempts []uint32
-		if j := b.m.jobs[k.Job]; j != nil {
-			for i := range j.tasks[k.Step] {
-				attempts = append(attempts, j.tasks[k.Step][i].attempt)
-			}
+		for _, each := range tasks(k) {
+			attempts = append(attempts, each.attempt)
 		}
 		b.launch(k.Job, k.Step, attempts...)
 	case 0, 1:
@@ -529,11 +964,18 @@
 		if rng.IntN(5) == 0 {
 			job.DelayUs = b.at + rng.Int64N(400_000)
 		}
+		if rng.IntN(3) == 0 {
+			job.Rounds, job.EveryUs = uint32(1+rng.IntN(4)), rng.Int64N(300_000)
+		}
+		for _, step := range job.Steps {
+			step.Saves, step.Lasting = rng.IntN(2) == 0, rng.IntN(12) == 0
+			step.Together = step.Together || rng.IntN(4) == 0
+		}
 		b.enqueue(client, number, fmt.Sprint("j", rng.IntN(200)), job)
 	case 2, 3, 4, 5:
 		k := pick()
 		keys := []*schema.TaskKey{k}
-		if j := b.m.jobs[k.Job]; j != nil && j.spec.Steps[k.Step].Together {
+		if j := b.m.jobs[k.Job]; j != nil && j.step(int(k.Step)).Together {
 			keys = nil
 			for i := range j.tasks[k.Step] {
 				keys = append(keys, key(k.Job, k.Step, uint32(i)))
@@ -542,10 +984,18 @@
 		b.checkout(keys...)
 	case 6, 7, 8, 9:
 		k := pick()
+		if rng.IntN(2) == 0 {
+			b.settleWhole(k, attempt(k))
+			return
+		}
 		b.settle(k, attempt(k))
 	case 10:
 		k := pick()
-		b.giveBack(k, attempt(k), schema.Cause(1+rng.IntN(3)))
+		saved := ""
+		if rng.IntN(2) == 0 {
+			saved = fmt.Sprint("at ", b.index)
+		}
+		b.giveBackSaved(k, attempt(k), schema.Cause(1+rng.IntN(3)), saved)
 	case 11:
 		b.cancel(fmt.Sprint("j", rng.IntN(200)))
 	case 12:
