--- a/hollow/hollow.go
+++ b/hollow/hollow.go
@@ -5,7 +5,9 @@
 package hollow
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 
 	"sparnotch/charter"
 	"sparnotch/check"
@@ -171,23 +173,20 @@
 	}
 }
 
-// pick takes the lowest live store's id above its own, so that sides spread
-// over the stores.
+// pick takes one of the live stores by its own id, so that sides spread over
+// them.
 func (o *Onlooker) pick(now loop.Micros) string {
-	least, next := "", ""
+	var stores []string
 	for id, known := range o.roll.Known {
-		if !known.Member.Stores || !o.roll.Live(id, now, deadSpan) {
-			continue
-		}
-		if least == "" || id < least {
-			least = id
-		}
-		if id > o.roll.Self.Id && (next == "" || id < next) {
-			next = id
+		if known.Member.Stores && o.roll.Live(id, now, deadSpan) {
+			stores = append(stores, id)
 		}
 	}
-	if next == "" {
-		return least
+	if len(stores) == 0 {
+		return ""
 	}
-	return next
+	slices.Sort(stores)
+	hash := fnv.New32a()
+	hash.Write([]byte(o.roll.Self.Id))
+	return stores[int(hash.Sum32()%uint32(len(stores)))]
 }
--- /dev/null
+++ b/hollow/hollow_test.go
@@ -0,0 +1,84 @@
+package hollow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/kin"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+type sent struct {
+	to   string
+	body any
+}
+
+// outlet keeps what a step sends.
+type outlet struct{ list []sent }
+
+func (o *outlet) Send(to string, body any)       { o.list = append(o.list, sent{to, body}) }
+func (o *outlet) Dial(address string, body any)  {}
+func (o *outlet) Tell(table string, body any)    {}
+func (o *outlet) Answer(errand uint64, body any) {}
+
+func TestHand(t *testing.T) {
+	Convey("A hollow side makes its worker known, announces to its ward, and runs what it is told", t, func() {
+		var begun []string
+		ended, plans := 0, []uint64{}
+		now := loop.Second
+		h := New(now, "w1", "r1", Room{4000, 4000}, 1, rand.New(rand.NewPCG(1, 1)), Watch{
+			Began: func(_ loop.Micros, job string, _, _ uint32) { begun = append(begun, job) },
+			Ended: func() { ended++ },
+			Plan:  func(_ loop.Micros, generation uint64) { plans = append(plans, generation) },
+		})
+		step := func(from string, body any) []sent {
+			out := &outlet{}
+			h.Step(now, loop.Mail{From: from, Body: body}, out)
+			return out.list
+		}
+		So(step("", loop.Tick{}), ShouldBeEmpty)
+		state := &schema.CharterState{Version: 3, Plan: &schema.Plan{Generation: 2}}
+		list := step("s1", &schema.CharterTell{State: state, Leaders: map[string]string{"charter": "s2"}})
+		So(list, ShouldHaveLength, 1)
+		So(list[0].to, ShouldEqual, "s2")
+		So(list[0].body.(*schema.Errand).Kind, ShouldEqual, "charter")
+		So(plans, ShouldResemble, []uint64{2})
+
+		warded := &schema.CharterState{Version: 4, Plan: state.Plan, Wards: []*schema.Ward{{Worker: "w1", Placer: "s3", Generation: 7}}}
+		list = step("s1", &schema.CharterTell{State: warded})
+		So(list, ShouldHaveLength, 1)
+		So(list[0].to, ShouldEqual, "s3")
+		poll := list[0].body.(*schema.Poll)
+		So(poll.Worker, ShouldEqual, "w1")
+		So(plans, ShouldHaveLength, 1)
+
+		order := &schema.Order{Act: "start", Lane: "l", Name: "job-1", Job: 1, Attempt: 1, Text: "run_us=10000", CoresMilli: 10, MemoryMb: 1}
+		step("s3", &schema.PollReply{Id: poll.Id, Orders: &schema.Orders{Ward: 7, LicenceUs: 4_000_000, Orders: []*schema.Order{order}}})
+		So(begun, ShouldResemble, []string{"job-1"})
+		now += 50 * loop.Milli
+		step("", loop.Tick{})
+		So(ended, ShouldEqual, 1)
+	})
+}
+
+func TestOnlooker(t *testing.T) {
+	Convey("Sides that are no stewards spread over the stores", t, func() {
+		asked := map[string]int{}
+		for k := range 30 {
+			roll := &kin.Roll{Self: &schema.Member{Id: fmt.Sprintf("p%03d", k)}, Known: map[string]kin.Known{}}
+			for _, id := range []string{"a", "b", "c"} {
+				roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: loop.Second}
+			}
+			o, out := &Onlooker{}, &outlet{}
+			o.Step(loop.Second, loop.Mail{Body: roll}, out)
+			o.Step(loop.Second, loop.Mail{Body: loop.Tick{}}, out)
+			So(out.list, ShouldHaveLength, 1)
+			asked[out.list[0].to]++
+		}
+		So(asked, ShouldHaveLength, 3)
+	})
+}
