--- a/hollow/hollow_test.go
+++ b/hollow/hollow_test.go
@@ -29,7 +29,7 @@
 	Convey("A hollow side makes its worker known, announces to its ward, and runs what it is told", t, func() {
 		var begun []string
 		ended, plans := 0, []uint64{}
-		now := loop.Second
+		now := 2 * loop.Second
 		h := New(now, "w1", "r1", Room{4000, 4000}, 1, rand.New(rand.NewPCG(1, 1)), Watch{
 			Began: func(_ loop.Micros, job string, _, _ uint32) { begun = append(begun, job) },
 			Ended: func() { ended++ },
