--- a/intake/intake.go
+++ b/intake/intake.go
@@ -11,6 +11,8 @@
 	"sort"
 	"strconv"
 
+	"google.golang.org/protobuf/proto"
+
 	"sparnotch/charter"
 	"sparnotch/kin"
 	"sparnotch/loop"
@@ -28,6 +30,7 @@
 	maxParked    = 256
 	storeSpan    = 1200 * loop.Milli // a store unheard for longer is asked only for want of others
 	askSpan      = 250 * loop.Milli  // between looks at the charter
+	newSpan      = 2 * loop.Second   // after a lane lost its leader the charter is looked at more often
 	quietSpan    = 30 * loop.Second  // a client session that rests this long is ended
 	frozenSpan   = 20 * loop.Second  // after a longer pause this front starts afresh
 	freshSpan    = 5 * loop.Second   // a front that saw no charter for so long isn't ready
@@ -36,33 +39,36 @@
 	longestRetry = 30                // seconds
 	maxResend    = 64                // submissions resent a lane and tick
 	quietedMost  = 64
+	ledSpan      = 300 * loop.Milli // a lane without a leader for so long takes no new hand-ins here
 )
 
-// HandIn is a submission from HTTP.
+// HandIn is a submission from HTTP. Where no lane is named, host and path lead to
+// it by the plan's entries, and what follows the prefix is the job's name.
 type HandIn struct {
 	Errand   uint64
 	Lane     string
+	Host     string
+	Path     string
 	Client   string
 	Name     string
 	Digest   []byte
 	Job      *schema.Job
 	Deadline loop.Micros
-	Host     string // with Path, which lane is meant, where Lane is empty
-	Path     string
 }
 
-// Ask is any other errand that a group's leader answers.
+// Ask is any other errand that a group's leader answers. Where no group is
+// named, host and path lead to a lane as for HandIn.
 type Ask struct {
 	Errand   uint64
 	Kind     string
 	Group    string
+	Host     string
+	Path     string
 	Name     string
 	After    string
 	Most     uint32
 	Body     []byte
 	Deadline loop.Micros
-	Host     string // with Path, which lane is meant, where Group is empty
-	Path     string
 }
 
 // PollIn is a worker's announce.
@@ -124,6 +130,8 @@
 
 type laneClient struct{ lane, client string }
 
+type laneStore struct{ lane, store string }
+
 // Table is the intake's table.
 type Table struct {
 	id         string
@@ -134,6 +142,7 @@
 	values     *charter.Values
 	heardAt    loop.Micros // last word of the charter
 	leaders    map[string]string
+	unled      map[string]loop.Micros // lanes that nobody is known to lead, and since when
 	waits      map[string]*schema.WaitNote
 	roll       *kin.Roll
 	sessions   map[laneClient]*session
@@ -148,8 +157,9 @@
 	laneHas    map[string]int         // unconfirmed by lane
 	asked      map[uint64]*submission // by errand
 	askedAt    loop.Micros
-	redirected map[string]loop.Micros // by lane
-	owed       map[string]bool        // lanes whose redirect waits for the next tick
+	redirected map[string]loop.Micros    // by lane
+	owed       map[string]bool           // lanes whose redirect waits for the next tick
+	denied     map[laneStore]loop.Micros // when a store last said that it doesn't lead a lane
 	last       loop.Micros
 	paces      map[string]*pace
 	wasFresh   bool
@@ -161,9 +171,9 @@
 func New(id string, boot uint64, isLocal bool, rng *rand.Rand) *Table {
 	return &Table{
 		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.CharterState{}, values: charter.Read(nil),
-		leaders: map[string]string{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
+		leaders: map[string]string{}, unled: map[string]loop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
 		errands: map[uint64]*errand{}, polls: map[uint64]PollIn{}, met: map[string]loop.Micros{}, quitting: map[string][]*schema.Session{},
-		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]loop.Micros{}, owed: map[string]bool{},
+		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]loop.Micros{}, owed: map[string]bool{}, denied: map[laneStore]loop.Micros{},
 		paces: map[string]*pace{},
 	}
 }
@@ -185,7 +195,7 @@
 	case Forget:
 		t.forget(body.Errand)
 	case *schema.Applied:
-		t.applied(now, body, out)
+		t.applied(now, mail.From, body, out)
 	case *schema.ErrandReply:
 		t.replied(now, body, out)
 	case *schema.PollReply:
@@ -196,7 +206,7 @@
 		t.roll = body
 		for group, id := range t.leaders {
 			if known, isKnown := body.Known[id]; isKnown && known.Member.Leaving {
-				delete(t.leaders, group)
+				t.unlead(now, group)
 			}
 		}
 	case Warned:
@@ -221,21 +231,32 @@
 
 func (t *Table) charter(now loop.Micros, from string, m *schema.CharterTell, out loop.Out) {
 	if m.State != nil && m.State.Version >= t.state.Version {
-		t.state, t.values = m.State, charter.Read(m.State.Plan)
+		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
+		t.countUnled(now)
 	}
 	// Our own replica tells of every change, also while it is still catching up
 	// after a start; only an answer comes from one that has.
 	if m.Leaders != nil && m.Version >= t.state.Version {
 		t.heardAt = now
 	}
+	isNews := false
 	for lane, leader := range m.Leaders {
 		if leader != t.leaders[lane] && t.mayLead(now, leader) {
-			t.leaders[lane] = leader
+			isNews = true
+			t.lead(lane, leader)
 			if t.laneHas[lane] > 0 {
 				t.owed[lane] = true
 			}
 		}
 	}
+	if isNews {
+		// What was asked of somebody else needn't wait until it is asked again.
+		for _, each := range t.errands {
+			if leader, isKnown := m.Leaders[each.ask.Group]; isKnown && leader == t.leaders[each.ask.Group] && each.to != leader {
+				each.isOwed = true
+			}
+		}
+	}
 	for _, note := range m.Waits {
 		if note.Lane != "" {
 			t.waits[note.Lane] = note
@@ -247,6 +268,53 @@
 	}
 }
 
+// --- who leads ---
+
+func (t *Table) lead(group, id string) {
+	t.leaders[group] = id
+	delete(t.unled, group)
+}
+
+func (t *Table) unlead(now loop.Micros, group string) {
+	delete(t.leaders, group)
+	if _, isKnown := t.unled[group]; !isKnown && charter.Place(t.state, group) != nil {
+		t.unled[group] = now
+	}
+}
+
+// askRest is how long to wait between two looks at the charter: less while
+// somebody may just have come to lead a lane.
+func (t *Table) askRest(now loop.Micros) loop.Micros {
+	for _, since := range t.unled {
+		if now-since < newSpan {
+			return Pace
+		}
+	}
+	return askSpan
+}
+
+// countUnled starts the clock of lanes that are new here, and forgets it of
+// those that are gone.
+func (t *Table) countUnled(now loop.Micros) {
+	for _, place := range t.state.Lanes {
+		if _, isKnown := t.unled[place.Lane]; !isKnown && t.leaders[place.Lane] == "" {
+			t.unled[place.Lane] = now
+		}
+	}
+	for lane := range t.unled {
+		if charter.Place(t.state, lane) == nil {
+			delete(t.unled, lane)
+		}
+	}
+}
+
+// isUnled tells whether nobody has been known to lead a lane for too long to
+// take more for it: what has a number can't be turned away any more.
+func (t *Table) isUnled(now loop.Micros, lane string) bool {
+	since, isKnown := t.unled[lane]
+	return isKnown && now-since > ledSpan
+}
+
 // --- lanes that this front doesn't know ---
 
 // park holds an errand for a lane that our copy of the plan lacks until the
@@ -279,15 +347,20 @@
 }
 
 // unknownLane answers for a lane that isn't placed, or parks the errand first.
+// The lane is empty where host and path lead to none.
 func (t *Table) unknownLane(now loop.Micros, errand uint64, lane string, mail any, isFinal bool, out loop.Out) {
 	if !isFinal && t.isFresh(now) && t.park(now, mail, out) {
 		return
 	}
-	if !t.isFresh(now) || t.values.HasLane(lane) {
+	switch {
+	// Before the first plan nobody knows what lanes there are to be.
+	case !t.isFresh(now) || t.state.Plan.GetGeneration() == 0 || t.values.HasLane(lane):
 		t.refuse(errand, 503, "not_ready", "this front doesn't hold the plan yet, or the lane is being made", 1, out)
-		return
+	case lane == "":
+		out.Answer(errand, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane for this host and path", "path")})
+	default:
+		out.Answer(errand, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane "+strconv.Quote(lane), "lane")})
 	}
-	out.Answer(errand, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane "+strconv.Quote(lane), "lane")})
 }
 
 // isFresh tells whether this front has had word of the charter lately; a young
@@ -297,19 +370,32 @@
 // --- hand-ins ---
 
 func (t *Table) handIn(now loop.Micros, m HandIn, isFinal bool, out loop.Out) {
+	// What is parked must be looked up anew, so the mail stays as it came.
+	mail := m
+	if m.Lane == "" {
+		m.Lane, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
+	}
 	if !t.values.HasLane(m.Lane) || charter.Place(t.state, m.Lane) == nil {
-		t.unknownLane(now, m.Errand, m.Lane, m, isFinal, out)
+		t.unknownLane(now, m.Errand, m.Lane, mail, isFinal, out)
+		return
+	}
+	if !GoodName(m.Name) {
+		out.Answer(m.Errand, Answer{Code: 422, Body: Fault("bad_name", "letters, digits, '.', '_', ':' and '-', at most 128", "name")})
 		return
 	}
 	if !t.isFresh(now) {
 		t.notReady(now, m.Errand, out)
 		return
 	}
-	if fault := tooLarge(t.values, m.Job); fault != nil {
+	if fault := tooLarge(t.values, m.Lane, m.Job); fault != nil {
 		data, _ := json.Marshal(fault)
 		out.Answer(m.Errand, Answer{Code: 422, Body: data})
 		return
 	}
+	if t.isUnled(now, m.Lane) {
+		t.refuse(m.Errand, 503, "not_ready", "nobody is known to lead the lane at the moment", 1, out)
+		return
+	}
 	// Turning away is final, so it happens before the submission has a number.
 	s := t.sessions[laneClient{m.Lane, m.Client}]
 	window := int(t.values.Fleet("window"))
@@ -339,7 +425,7 @@
 	}
 	each := &submission{
 		errand:  m.Errand,
-		enqueue: &schema.Enqueue{Session: s.id, Number: s.next, Name: m.Name, Digest: m.Digest, Job: m.Job},
+		enqueue: &schema.Enqueue{Session: s.id, Number: s.next, Name: m.Name, Digest: m.Digest, Job: withAttempts(t.values, m.Lane, m.Job)},
 	}
 	s.next++
 	s.used = now
@@ -425,8 +511,29 @@
 	}
 }
 
-// tooLarge finds a task that no worker of the plan could ever hold.
-func tooLarge(values *charter.Values, job *schema.Job) *schema.Fault {
+// withAttempts states what the lane allows where a step states nothing. The
+// digest is of what the caller gave, so a resend is the same job whatever the
+// plan has become.
+func withAttempts(values *charter.Values, lane string, job *schema.Job) *schema.Job {
+	attempts := values.Of("lane", lane, "attempts")
+	if !values.IsStated("lane", lane, "attempts") || attempts <= 1 {
+		return job
+	}
+	job = proto.Clone(job).(*schema.Job)
+	for _, step := range job.Steps {
+		if step.AllowedFailures == 0 {
+			step.AllowedFailures = uint32(attempts - 1)
+		}
+	}
+	return job
+}
+
+// tooLarge finds a task that no worker of the plan could ever hold. Of a pool's
+// workers the plan says nothing: the placer sees what they are.
+func tooLarge(values *charter.Values, lane string, job *schema.Job) *schema.Fault {
+	if values.Text("lane", lane, "pool") != "" {
+		return nil
+	}
 	cores, memory := values.Fleet("worker_cores_milli"), values.Fleet("worker_memory_mb")
 	for k, step := range job.Steps {
 		field := "steps[" + strconv.Itoa(k) + "]."
@@ -502,12 +609,15 @@
 	return all[t.rng.IntN(len(all))]
 }
 
-func (t *Table) applied(now loop.Micros, m *schema.Applied, out loop.Out) {
+func (t *Table) applied(now loop.Micros, from string, m *schema.Applied, out loop.Out) {
+	if len(m.Outcomes) == 0 && from != "" && m.Leader != from {
+		t.denied[laneStore{m.Lane, from}] = now
+	}
 	if len(m.Outcomes) > 0 || t.mayLead(now, m.Leader) {
-		t.leaders[m.Lane] = m.Leader
+		t.lead(m.Lane, m.Leader)
 	} else if len(m.Outcomes) == 0 {
 		// It leads no more and knows nobody: ask around.
-		delete(t.leaders, m.Lane)
+		t.unlead(now, m.Lane)
 	}
 	var again []*submission
 	for _, outcome := range m.Outcomes {
@@ -601,9 +711,11 @@
 }
 
 // elsewhere lists a lane's submissions that were last sent to another than who
-// is now believed to lead it.
+// is now believed to lead it, or to the same before it came to.
 func (t *Table) elsewhere(lane string) []*submission {
-	return t.unconfirmed(lane, func(each *submission) bool { return each.to != t.leaders[lane] })
+	leader := t.leaders[lane]
+	denied, hasDenied := t.denied[laneStore{lane, leader}]
+	return t.unconfirmed(lane, func(each *submission) bool { return each.to != leader || hasDenied && each.sent < denied })
 }
 
 // restart gives up every session: whatever they hold is unknown.
@@ -636,8 +748,12 @@
 		t.notReady(now, m.Errand, out)
 		return
 	}
+	mail := m
+	if m.Group == "" {
+		m.Group, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
+	}
 	if m.Group != charter.Group && charter.Place(t.state, m.Group) == nil {
-		t.unknownLane(now, m.Errand, m.Group, m, isFinal, out)
+		t.unknownLane(now, m.Errand, m.Group, mail, isFinal, out)
 		return
 	}
 	each := &errand{ask: m}
@@ -661,20 +777,22 @@
 	if m.Code != 0 {
 		delete(t.errands, m.Id)
 		if m.Leader != "" {
-			t.leaders[m.Group] = m.Leader
+			t.lead(m.Group, m.Leader)
 		}
 		out.Answer(m.Id, Answer{Code: m.Code, Body: m.Body})
 		return
 	}
 	if m.Leader != each.to && t.mayLead(now, m.Leader) {
-		t.leaders[m.Group] = m.Leader
+		t.lead(m.Group, m.Leader)
 		if each.isOwed = now-each.redirected <= redirectSpan; !each.isOwed {
 			each.redirected = now
 			t.carry(now, each, out)
 		}
 		return
 	}
-	delete(t.leaders, m.Group)
+	// Whoever said so may come to lead: then it is asked again.
+	each.to = ""
+	t.unlead(now, m.Group)
 }
 
 // --- workers ---
@@ -734,7 +852,7 @@
 	t.last = now
 	if !t.isLocal || t.state.Version == 0 || len(t.leaders) == 0 {
 		t.askCharter(now, out)
-	} else if now-t.askedAt > askSpan {
+	} else if now-t.askedAt >= t.askRest(now) {
 		t.askedAt = now
 		out.Send(t.id, &schema.CharterAsk{Version: t.state.Version})
 	}
@@ -755,7 +873,7 @@
 		isOverdue := func(each *submission) bool { return now-each.sent >= resendSpan }
 		if list := t.unconfirmed(lane, isOverdue); len(list) > 0 {
 			// Whoever doesn't answer may be gone: ask around.
-			delete(t.leaders, lane)
+			t.unlead(now, lane)
 			t.send(now, lane, list, out)
 		}
 	}
@@ -777,6 +895,11 @@
 			delete(t.polls, id)
 		}
 	}
+	for key, at := range t.denied {
+		if now-at > resendSpan {
+			delete(t.denied, key)
+		}
+	}
 	for worker, at := range t.met {
 		if now-at > 10*loop.Second {
 			delete(t.met, worker)
@@ -789,7 +912,7 @@
 }
 
 func (t *Table) askCharter(now loop.Micros, out loop.Out) {
-	if now-t.askedAt < askSpan {
+	if now-t.askedAt < t.askRest(now) {
 		return
 	}
 	t.askedAt = now
@@ -814,7 +937,7 @@
 			continue
 		}
 		if !each.isOwed {
-			delete(t.leaders, each.ask.Group)
+			t.unlead(now, each.ask.Group)
 		}
 		each.isOwed = false
 		t.carry(now, each, out)
