--- a/cmd/feign/slope.go
+++ b/cmd/feign/slope.go
@@ -204,6 +204,14 @@
 	// The thread's own clock counts nothing that others do meanwhile.
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
+	profile := &profiler{}
+	if setup.Profile != "" {
+		profile.path = filepath.Join(setup.Profile, fmt.Sprintf("%s%d.pprof", c.size, repeat))
+	}
+	if err := profile.start(); err != nil {
+		return nil, err
+	}
+	defer profile.stop()
 	var list []outcome
 	for _, each := range sim.PlayHollow(sim.Hollow{
 		Workers: setup.Workers, Fronts: setup.Fronts, Lanes: setup.Lanes, Starts: setup.Starts, RunUs: setup.RunUs, Width: setup.Width,
