--- a/cmd/feign/simulate.go
+++ b/cmd/feign/simulate.go
@@ -56,7 +56,7 @@
 	set.IntVar(&c.day, "day", 0, "play a day of so many hours, 4 at least")
 	set.Float64Var(&c.share, "share", 0.25, "with -day: share of the load")
 	set.IntVar(&c.random, "random", 0, "draw and play so many schedules")
-	set.StringVar(&c.size, "size", "small", "of the fleet: small, bank or skema")
+	set.StringVar(&c.size, "size", "small", "of the fleet: small, bank or skema, or these with -called")
 	set.Uint64Var(&c.seed, "seed", 1, "the seed")
 }
 
@@ -88,7 +88,7 @@
 		}
 		return c.play(schedule.Scenario(), size)
 	}
-	for _, s := range sim.Scenarios {
+	for _, s := range sim.ScenariosOf(size) {
 		if c.scenario == "" {
 			fmt.Println(s.Name)
 		} else if s.Name == c.scenario {
@@ -103,12 +103,14 @@
 }
 
 func findSize(name string) (sim.Size, error) {
+	var names []string
 	for _, size := range sim.Sizes() {
 		if size.Name == name {
 			return size, nil
 		}
+		names = append(names, size.Name)
 	}
-	return sim.Size{}, fmt.Errorf("size: %q is none of small, bank, skema", name)
+	return sim.Size{}, fmt.Errorf("size: %q is none of %s", name, strings.Join(names, ", "))
 }
 
 func (c *simulateCommand) play(s sim.Scenario, size sim.Size) subcommands.ExitStatus {
--- a/foil/foil_test.go
+++ b/foil/foil_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -13,7 +14,7 @@
 )
 
 var seek = flag.String("seek", "", "look for runs that show the mutants whose guard has this in its name")
-var seeds = flag.Int("seeds", 4, "with -seek: how many seeds of each scenario")
+var seeds = flag.Int("seeds", 4, "with -seek: how many seeds of each scenario; 0: the tests of the packages it changes instead")
 var first = flag.Uint64("seed", 1, "with -seek: the first of them")
 
 func root(t *testing.T) string {
@@ -35,6 +36,10 @@
 		if *seek == "all" && isShown || *seek != "all" && !strings.Contains(m.Guard, *seek) {
 			continue
 		}
+		if *seeds == 0 {
+			fmt.Printf("== %s (rule %d): tests %v\n", m.Guard, m.Rule, failing(t, m))
+			continue
+		}
 		feign, err := Build(m, root(t), t.TempDir())
 		if err != nil {
 			t.Error(err)
@@ -67,6 +72,35 @@
 	}
 }
 
+var hasFailed = regexp.MustCompile(`(?m)^--- FAIL: (\w+)`)
+
+// failing lists the tests that fail with a mutant, of the packages it changes.
+func failing(t *testing.T, m *Mutant) []string {
+	list, err := m.Overlay(root(t), t.TempDir())
+	if err != nil {
+		return []string{err.Error()}
+	}
+	var found []string
+	isDone := map[string]bool{}
+	for _, each := range m.Edits {
+		folder := filepath.Dir(each.File)
+		if isDone[folder] {
+			continue
+		}
+		isDone[folder] = true
+		command := exec.Command("go", "test", "-overlay", list, "./"+folder)
+		command.Dir = root(t)
+		out, err := command.CombinedOutput()
+		for _, name := range hasFailed.FindAllStringSubmatch(string(out), -1) {
+			found = append(found, folder+" "+name[1])
+		}
+		if err != nil && len(found) == 0 {
+			found = append(found, string(out[:min(len(out), 400)]))
+		}
+	}
+	return found
+}
+
 // TestMutants: each run breaks its rule without the guard, and none with it.
 func TestMutants(t *testing.T) {
 	plain, err := Build(nil, root(t), t.TempDir())
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -16,14 +16,15 @@
 type Fleet struct {
 	*World
 	Size    Size
-	Workers []*Worker
+	Workers []Hand
 	sides   []*Host
 	lean    []*Host // fronts without a disk
 	Began   loop.Micros
 	Over    loop.Micros
 	Again   loop.Micros // until the last task of a lost worker was begun elsewhere
 	struck  loop.Micros
-	slow    *Host // whose disk was slowed
+	lost    string // worker that was then
+	slow    *Host  // whose disk was slowed
 	warned  []loop.Micros
 	groups  []string
 	later   []string
@@ -77,6 +78,7 @@
 	Weak, Side    float64     // processors' shares; 0: steps cost nothing
 	Kinds         []Kind
 	Rows          func(urgency int) []*schema.Row
+	Bounds        *schema.Bounds // of a fleet whose workers are called; nil: they ask
 }
 
 // Small is large enough for every fault and rule.
@@ -110,6 +112,10 @@
 	for _, d := range scale.Deployments {
 		sizes = append(sizes, Whole(d))
 	}
+	sizes = append(sizes, SmallCalled)
+	for _, d := range scale.Deployments {
+		sizes = append(sizes, WholeCalled(d))
+	}
 	return sizes
 }
 
@@ -133,12 +139,15 @@
 		h.Share = size.Side
 		f.sides = append(f.sides, h)
 	}
+	if size.Bounds != nil {
+		f.addCalled()
+	}
 	for _, h := range f.Hosts {
 		f.After(loop.Micros(f.Rng.Int64N(int64(300*loop.Milli))), h.Start)
 	}
 	f.After(500*loop.Milli, func() { f.Put("operator", f.Rows(60)) })
 	f.After(loop.Second, func() {
-		for k := 0; k < size.Workers; k++ {
+		for k := 0; k < size.Workers && size.Bounds == nil; k++ {
 			rack := k / size.PerRack
 			f.Workers = append(f.Workers, f.AddWorker(fmt.Sprintf("w%d", k), fmt.Sprintf("r%d", rack), cell(rack), size.Cores, size.Memory))
 		}
@@ -168,6 +177,9 @@
 		f.Run(f.Now + 20*loop.Second)
 	}
 	f.Tell(check.Event{Kind: check.Close})
+	if f.Size.Bounds != nil {
+		return check.Judge(f.History, check.OfCalled)
+	}
 	return check.Judge(f.History, check.Usual)
 }
 
--- a/sim/people.go
+++ b/sim/people.go
@@ -26,7 +26,6 @@
 	name, rack  string
 	cell        string
 	cores, mem  int64
-	Habits      toil.Habits
 	hand        *toil.Worker
 	front       *Host
 	incarnation uint64
@@ -37,6 +36,31 @@
 	run         int
 }
 
+// Hand is a machine that runs tasks, whether it asks for orders or is called.
+type Hand interface {
+	Name() string  // of the worker that lives there
+	Place() string // of the machine
+	Start()
+	Crash()
+	Leave()
+	Cut(isCut bool)
+	Freeze(span loop.Micros)
+	Habits() *toil.Habits
+	Room(cores, memory int64) // that its next life has
+}
+
+// Name and Place are one for a worker that asks.
+func (k *Worker) Name() string { return k.name }
+
+// Place names its machine.
+func (k *Worker) Place() string { return k.name }
+
+// Habits are those of this life.
+func (k *Worker) Habits() *toil.Habits { return &k.hand.Habits }
+
+// Room is what its next life has.
+func (k *Worker) Room(cores, memory int64) { k.cores, k.mem = cores, memory }
+
 // AddWorker adds a worker and starts it.
 func (w *World) AddWorker(name, rack, cell string, cores, mem int64) *Worker {
 	k := &Worker{world: w, name: name, rack: rack, cell: cell, cores: cores, mem: mem}
@@ -51,7 +75,6 @@
 	k.incarnation++
 	k.open, k.frozen = 0, false
 	k.hand = toil.New(w.Now, k.name, k.rack, k.cores, k.mem, k.incarnation, rand.New(rand.NewPCG(w.Rng.Uint64(), 1)), w.Tell)
-	k.hand.Habits = k.Habits
 	k.front = w.pickFront(k.cell)
 	k.pace(k.run)
 }
@@ -184,6 +207,29 @@
 	Job    *schema.Job
 	Cancel float64     // share that is cancelled again
 	Wall   loop.Micros // starts so long after it is handed in, by the wall clock
+
+	CancelAfter loop.Micros // when a cancelled one is; 0: within 300 ms
+	Attempts    uint32      // that its lane's row allows where a step says nothing
+}
+
+// allowed is the job with what its lane's row allows.
+func (k Kind) allowed() *schema.Job {
+	if k.Attempts <= 1 {
+		return k.Job
+	}
+	job := proto.Clone(k.Job).(*schema.Job)
+	for _, step := range job.Steps {
+		if step.AllowedFailures == 0 {
+			step.AllowedFailures = k.Attempts - 1
+		}
+	}
+	return job
+}
+
+// handed is a job as its caller knows it.
+type handed struct {
+	lane string
+	job  *schema.Job
 }
 
 // Load hands in jobs of a kind until a moment.
@@ -212,7 +258,8 @@
 }
 
 func (w *World) handIn(kind Kind, name, cell string) {
-	w.Tell(check.Event{Kind: check.HandIn, Who: "caller", Lane: kind.Lane, Name: name, Spec: kind.Job})
+	w.known[name] = handed{kind.Lane, kind.Job}
+	w.Tell(check.Event{Kind: check.HandIn, Who: "caller", Lane: kind.Lane, Name: name, Spec: kind.allowed()})
 	front, sent := w.pickFront(cell), w.Now
 	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
 		return intake.HandIn{
@@ -229,7 +276,7 @@
 		switch {
 		case reply.Code == 200 || reply.Code == 201:
 			if w.Rng.Float64() < kind.Cancel {
-				w.After(loop.Micros(w.Rng.Int64N(int64(300*loop.Milli))), func() { w.cancel(kind, name) })
+				w.After(kind.CancelAfter+loop.Micros(w.Rng.Int64N(int64(300*loop.Milli))), func() { w.cancel(kind, name) })
 			}
 			// Who has just been told that it is taken may ask at once, anywhere.
 			w.ask(kind, "status", name, nil)
@@ -315,6 +362,10 @@
 // Put has an operator put a table, built on the generation it reads, until it
 // is taken.
 func (w *World) Put(who string, rows []*schema.Row) {
+	if w.isNumbering {
+		w.putEdition(who, rows)
+		return
+	}
 	again := func() { w.After(200*loop.Milli, func() { w.Put(who, rows) }) }
 	w.readPlan(w.pickFront(w.anyCell()), func(plan *schema.Plan) {
 		if plan == nil {
@@ -359,12 +410,15 @@
 			reply.Code = 0
 		}
 		e := check.Event{Kind: check.PlanRead, Who: "reader", Code: reply.Code, Generation: plan.Generation, Front: front.Name, Sent: sent}
+		if w.isNumbering {
+			e.Generation = plan.Edition
+		}
 		if reply.Code != 200 {
 			plan = nil
-		} else if w.shown != plan.Generation {
+		} else if w.shown != e.Generation {
 			// The same content again and again would only swell the history.
-			w.shown = plan.Generation
-			e.Rows = plan.Rows
+			w.shown = e.Generation
+			e.Rows, e.Document = plan.Rows, string(plan.Document)
 		}
 		w.Tell(e)
 		if back != nil {
--- a/sim/scenarios.go
+++ b/sim/scenarios.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"sparnotch/check"
 	"sparnotch/loop"
 	"sparnotch/schema"
+	"sparnotch/toil"
 )
 
 // Scenario is a fault, or several, brought about during a run.
@@ -282,9 +284,9 @@
 	}},
 	{Name: "workers fail, slow down, stand still", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began, func() {
-			f.Workers[0].hand.Habits.FailShare = 0.6
-			f.Workers[1].hand.Habits.Slowness = 5
-			f.Workers[2].hand.Habits.StillRate = 0.1
+			f.Workers[0].Habits().FailShare = 0.6
+			f.Workers[1].Habits().Slowness = 5
+			f.Workers[2].Habits().StillRate = 0.1
 		})
 	}},
 	{Name: "worker cut off while its keeper dies", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
@@ -327,6 +329,7 @@
 				f.killed(keeper, 20*loop.Second)
 				steward := f.steward()
 				f.killed(steward, 20*loop.Second)
+				f.lost = f.Workers[0].Name()
 				f.Workers[0].Crash()
 				f.struck = f.Now
 			})
@@ -336,9 +339,9 @@
 		var wrong []string
 		out := map[[3]any]bool{}
 		for _, e := range f.History {
-			key := [3]any{e.Lane, e.Job, [2]uint32{e.Step, e.Task}}
+			key := [3]any{e.Lane, fmt.Sprint(e.Job, e.Name), [2]uint32{e.Step, e.Task}}
 			switch {
-			case e.Who == "w0" && e.Kind == check.Begin && e.At <= f.struck:
+			case e.Who == f.lost && e.Kind == check.Begin && e.At <= f.struck:
 				out[key] = true
 			case e.Kind == check.End && e.At <= f.struck:
 				delete(out, key)
@@ -355,15 +358,19 @@
 	{Name: "a leave told only to a front that is cut off", Net: CalmNet, Sync: 500, Span: 25 * loop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began+4*loop.Second, func() {
 			front := f.lean[len(f.lean)-1]
+			worker, isAsking := f.Workers[2].(*Worker)
+			if !isAsking {
+				return
+			}
 			f.Isolate(front, true)
-			f.Workers[2].front = front
-			f.Workers[2].isStuck = true
-			f.Tell(check.Event{Kind: check.Cut, Who: f.Workers[2].name})
-			f.Workers[2].Leave()
+			worker.front = front
+			worker.isStuck = true
+			f.Tell(check.Event{Kind: check.Cut, Who: worker.name})
+			worker.Leave()
 			f.After(8*loop.Second, func() {
 				f.Isolate(front, false)
-				f.Workers[2].isStuck = false
-				f.Tell(check.Event{Kind: check.Cut, Who: f.Workers[2].name, State: check.Mended})
+				worker.isStuck = false
+				f.Tell(check.Event{Kind: check.Cut, Who: worker.name, State: check.Mended})
 			})
 		})
 	}},
@@ -521,6 +528,80 @@
 	}},
 }
 
+// CalledScenarios are faults of workers that are called.
+var CalledScenarios = []Scenario{
+	{Name: "side machines killed, frozen, cut", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+2*loop.Second, func() { f.killed(f.sides[0], 3*loop.Second) })
+		f.At(f.Began+8*loop.Second, func() { f.frozen(f.sides[1], 7*loop.Second) })
+		f.At(f.Began+9*loop.Second, func() { f.frozen(f.sides[4], 2*loop.Second) })
+		f.At(f.Began+18*loop.Second, func() { f.isolated(f.sides[2], 9*loop.Second) })
+		f.At(f.Began+20*loop.Second, func() { f.killed(f.sides[3], 12*loop.Second) })
+		f.At(f.Began+30*loop.Second, func() { f.isolated(f.sides[0], 2*loop.Second) })
+	}},
+	{Name: "orders are left unanswered and carried out late", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
+		for k, worker := range f.Workers {
+			f.At(f.Began+loop.Micros(2+3*k)*loop.Second, func() { worker.(*CalledWorker).Sick(0, 0.4) })
+			f.At(f.Began+loop.Micros(10+3*k)*loop.Second, func() { worker.(*CalledWorker).Sick(0, 0) })
+		}
+	}},
+	{Name: "called workers crash, vanish, leave at once, fail, stand still", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
+		w := func(k int) *CalledWorker { return f.Workers[k].(*CalledWorker) }
+		f.At(f.Began+2*loop.Second, func() { w(0).Start() })
+		f.At(f.Began+4*loop.Second, func() { w(1).Crash(); f.After(9*loop.Second, w(1).Start) })
+		f.At(f.Began+6*loop.Second, func() { w(2).leave(700*loop.Milli, false); f.After(4*loop.Second, w(2).Start) })
+		f.At(f.Began+12*loop.Second, func() { w(3).Leave(); f.After(8*loop.Second, w(3).Start) })
+		f.At(f.Began+15*loop.Second, func() { w(0).ail(); w(0).habits.FailShare = 0.5; w(2).ail(); w(2).habits.StillRate = 0.2 })
+		f.At(f.Began+22*loop.Second, func() { w(1).Sick(0.5, 0); w(3).ail(); w(3).habits.Slowness = 6 })
+		f.At(f.Began+30*loop.Second, func() {
+			for k := range f.Workers {
+				w(k).habits = toil.Habits{}
+				w(k).Sick(0, 0)
+			}
+		})
+	}},
+	{Name: "keeper, a worker and its neighbour's agent lost at once", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
+		during(f, 4*loop.Second, func(keeper *Host) {
+			f.killed(keeper, 8*loop.Second)
+			f.Workers[0].Crash()
+			f.After(15*loop.Second, f.Workers[0].Start)
+			f.killed(f.sides[1], 5*loop.Second)
+		})
+	}},
+	{Name: "disks lost after all were killed", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+5*loop.Second, func() {
+			f.Fault("every process killed, one disk lost")
+			for k, h := range f.Hosts {
+				if k == 1 {
+					h.Wipe()
+				}
+				h.Kill()
+				f.After(loop.Second, h.Start)
+			}
+		})
+	}},
+	{Name: "urgent work while called workers are full", Net: CalmNet, Sync: 500, Span: 25 * loop.Second, Plan: func(f *Fleet) {
+		full := &schema.Job{Text: "fill", Steps: []*schema.Step{{Name: "fill", Tasks: 30, CoresMilli: 2000, MemoryMb: 100, EstimateUs: int64(5 * loop.Second), Saves: true}}}
+		f.At(f.Began+2*loop.Second, func() {
+			for k := 0; k < 3; k++ {
+				f.HandIn(Kind{Lane: "slow", Attempts: 4, Job: full}, fmt.Sprint("fill-", k))
+			}
+		})
+		f.At(f.Began+5*loop.Second, func() {
+			for k := 0; k < 30; k++ {
+				f.HandIn(f.Size.Kinds[0], fmt.Sprint("burst-", k))
+			}
+		})
+	}},
+}
+
+// ScenariosOf are those that a fleet of a size can be put through.
+func ScenariosOf(size Size) []Scenario {
+	if size.Bounds == nil {
+		return Scenarios
+	}
+	return append(slices.Clone(Scenarios), CalledScenarios...)
+}
+
 func maxKey(set map[uint64]bool) uint64 {
 	most := uint64(0)
 	for key := range set {
--- a/sim/schedule.go
+++ b/sim/schedule.go
@@ -108,16 +108,15 @@
 	"shrink": {"worker", false, func(f *Fleet, n string, span loop.Micros) {
 		// It comes back with a quarter of its room.
 		w := f.worker(n)
-		cores, memory := w.cores, w.mem
 		w.Crash()
-		w.cores, w.mem = cores/4, memory/4
+		w.Room(f.Size.Cores/4, f.Size.Memory/4)
 		w.Start()
-		f.After(span, func() { w.Crash(); w.cores, w.mem = cores, memory; w.Start() })
+		f.After(span, func() { w.Crash(); w.Room(f.Size.Cores, f.Size.Memory); w.Start() })
 	}},
 	"fail": {"worker", false, func(f *Fleet, n string, span loop.Micros) {
 		w := f.worker(n)
-		w.hand.Habits.FailShare = 0.6
-		f.After(span, func() { w.hand.Habits.FailShare = 0 })
+		w.Habits().FailShare = 0.6
+		f.After(span, func() { w.Habits().FailShare = 0 })
 	}},
 	"table": {"all", false, func(f *Fleet, _ string, _ loop.Micros) { f.Put("one", f.Rows(20+f.Rng.IntN(60))) }},
 	"race": {"all", false, func(f *Fleet, _ string, _ loop.Micros) {
@@ -186,9 +185,9 @@
 	return f.Hosts[0]
 }
 
-func (f *Fleet) worker(name string) *Worker {
+func (f *Fleet) worker(name string) Hand {
 	for _, w := range f.Workers {
-		if w.name == name {
+		if w.Place() == name {
 			return w
 		}
 	}
--- a/sim/world.go
+++ b/sim/world.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/agent"
 	"sparnotch/check"
 	"sparnotch/crew"
 	"sparnotch/intake"
@@ -20,6 +21,7 @@
 	"sparnotch/kin"
 	"sparnotch/loop"
 	"sparnotch/schema"
+	"sparnotch/toil"
 	"sparnotch/vault"
 )
 
@@ -90,6 +92,12 @@
 	// told of each step's.
 	Cpu   func() int64
 	Spent func(h *Host, table string, nanos int64)
+
+	known       map[string]handed        // jobs by name
+	called      map[string]*CalledWorker // by the name of the side machine they stand on
+	gangs       *toil.Gangs
+	bounds      *schema.Bounds
+	isNumbering bool // operators number editions
 }
 
 // Host is a machine with one process, or with none while it is down.
@@ -134,7 +142,7 @@
 
 // NewWorld makes an empty world.
 func NewWorld(seed uint64, net Net, sync loop.Micros) *World {
-	return &World{Now: loop.Second, Rng: rand.New(rand.NewPCG(seed, 0x5eed)), Net: net, SyncUs: sync, cuts: map[[2]string]bool{}}
+	return &World{Now: loop.Second, Rng: rand.New(rand.NewPCG(seed, 0x5eed)), Net: net, SyncUs: sync, cuts: map[[2]string]bool{}, known: map[string]handed{}, called: map[string]*CalledWorker{}, gangs: toil.NewGangs()}
 }
 
 // At plans a call.
@@ -240,6 +248,7 @@
 		seeds = w.seeds
 	}
 	papers := &crew.Papers{Member: h.Member, Seeds: seeds, Book: h.book, Seed: w.Rng.Uint64(), Now: h.now()}
+	papers.Bounds, papers.Calls = w.bounds, h.Role == schema.Role_ROLE_HEED && w.called[h.place()] != nil
 	papers.Wall = func() int64 { return wallZero + int64(w.Now) + h.WallOff }
 	if h.Disk != nil {
 		h.openStore()
@@ -488,6 +497,10 @@
 
 func (o *outlet) Tell(table string, body any) {
 	h := o.host
+	if call, isCall := body.(agent.Call); isCall {
+		h.call(call)
+		return
+	}
 	if batch, isBatch := body.(keep.Batch); isBatch {
 		h.write(batch)
 		return
--- a/toil/called.go
+++ b/toil/called.go
@@ -59,6 +59,8 @@
 	Fault    func(now loop.Micros, call agent.Call) Fault            // of a call
 	Stops    func(task agent.TaskName, attempt uint32) loop.Micros   // how long a stop takes; nil: a quarter of the bound
 	Tell     func(now loop.Micros, kind string, run Run, how string) // begin, end
+	Begun    func(now loop.Micros, call agent.Call, isLate bool)     // a start was carried out, perhaps long after the call
+	Noted    func(now loop.Micros, ending agent.Ending)              // an end needn't be listed any more
 }
 
 // Run names one start of a task.
@@ -141,6 +143,7 @@
 	leaveAt loop.Micros // it ends then
 	looks   []waiting
 	later   []belated
+	isLate  bool // what is being done was called for earlier
 }
 
 // NewCalled makes a worker's first life.
@@ -253,7 +256,11 @@
 			span = 2 * loop.Second
 		}
 		silent(patience + call.Wait)
-		w.later = append(w.later, belated{now + span, func(at loop.Micros) { w.apply(at, call, func(agent.Reply) {}) }, false})
+		w.later = append(w.later, belated{now + span, func(at loop.Micros) {
+			w.isLate = true
+			w.apply(at, call, func(agent.Reply) {})
+			w.isLate = false
+		}, false})
 	default:
 		w.apply(now, call, reply)
 	}
@@ -293,7 +300,12 @@
 		w.stop(now, Run{call.Task, call.Attempt})
 		reply(answer)
 	case agent.Look:
-		w.ended = slices.DeleteFunc(w.ended, func(e agent.Ending) bool { return e.Number <= call.Noted })
+		for len(w.ended) > 0 && w.ended[0].Number <= call.Noted {
+			if w.setup.Noted != nil {
+				w.setup.Noted(now, w.ended[0])
+			}
+			w.ended = w.ended[1:]
+		}
 		if call.Wait > 0 && len(w.ended) == 0 {
 			w.looks = append(w.looks, waiting{call, now + min(call.Wait, 2*loop.Second), reply})
 			return
@@ -342,6 +354,9 @@
 	r.isBad = w.setup.Fails != nil && w.setup.Fails(call.Task, call.Attempt)
 	w.runs[key] = r
 	w.tell(now, "begin", key, "")
+	if w.setup.Begun != nil {
+		w.setup.Begun(now, call, w.isLate)
+	}
 	if need.Members > 1 {
 		w.gather(now, r)
 		return agent.NoReason
@@ -377,7 +392,7 @@
 	if r.need.Work > 0 {
 		r.until = r.began + loop.Micros(float64(r.need.Work-r.before)*r.factor)
 	}
-	if r.isBad {
+	if r.isBad && r.need.Work > 0 {
 		r.until = r.began + loop.Micros(float64(max(r.need.Work-r.before, 2))*r.factor/2)
 	}
 }
@@ -464,7 +479,8 @@
 	if done == 0 {
 		return ""
 	}
-	return fmt.Sprintf("work=%d", done)
+	of := r.run.Task
+	return fmt.Sprintf("work=%d of=%s.%d.%d.%d", done, of.Job, of.Round, of.Part, of.Task)
 }
 
 func (w *Called) end(now loop.Micros, r *called, how string) {
--- a/toil/called_test.go
+++ b/toil/called_test.go
@@ -145,14 +145,14 @@
 		p := newPair("w", Setup{}, nil)
 		p.ask(now, startOf(0, 1, p.Clock(now)+5*loop.Second, "run_us=3000000 saves=1"))
 		at := now + 1500*loop.Milli
-		So(p.ask(at, look(0, 0)).Running[0].Saved, ShouldEqual, "work=1000000")
+		So(p.ask(at, look(0, 0)).Running[0].Saved, ShouldEqual, "work=1000000 of=j.0.0.0")
 		p.ask(at, stopOf(0, 1))
 		p.Step(at + 99*loop.Milli)
 		So(p.Running(), ShouldEqual, 1)
 		at += 100 * loop.Milli
 		p.Step(at)
 		ended := p.ask(at, look(0, 0)).Ended
-		So([]any{ended[0].How, ended[0].Saved}, ShouldResemble, []any{"stopped", "work=1600000"})
+		So([]any{ended[0].How, ended[0].Saved}, ShouldResemble, []any{"stopped", "work=1600000 of=j.0.0.0"})
 		next := startOf(0, 2, p.Clock(at)+5*loop.Second, "run_us=3000000 saves=1")
 		next.Saved = ended[0].Saved
 		p.ask(at, next)
