--- /dev/null
+++ b/sim/called.go
@@ -0,0 +1,574 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/agent"
+	"sparnotch/charter"
+	"sparnotch/check"
+	"sparnotch/intake"
+	"sparnotch/keep"
+	"sparnotch/loop"
+	"sparnotch/scale"
+	"sparnotch/schema"
+	"sparnotch/toil"
+)
+
+const (
+	calledPace = 5 * loop.Milli
+	beatUsual  = 1500 * loop.Milli
+	stillness  = 30 // a task that stands still takes so much longer
+)
+
+// CalledWorker is a simulated worker that the agent on its machine calls.
+type CalledWorker struct {
+	world        *World
+	place        string // the machine it stands on
+	cell, rack   string
+	cores, mem   int64
+	accelerators int64
+	pool         string
+	labels       []string
+	habits       toil.Habits
+	Refusing     float64 // share of calls that it answers as busy
+	Silence      float64 // share that it leaves unanswered: not done, done, or done late
+	rng          *rand.Rand
+	hand         *toil.Called
+	lives        int
+	isUp         bool
+	isLeaving    bool
+	isLeaveHeard bool
+	isOrderly    bool // waits until it was heard that it leaves
+	isOff        bool // the agent can't speak to the rest
+	beatAt       loop.Micros
+	heardAt      loop.Micros
+	lapsedAt     loop.Micros // its hold was last seen ended
+	cold         loop.Micros // until then it is slow
+	endedAt      map[toil.Run]loop.Micros
+	kept         map[toil.Run]string
+}
+
+// AddCalled adds a worker to a side machine; it comes up with Start.
+func (w *World) AddCalled(k *CalledWorker) *CalledWorker {
+	k.world = w
+	k.rng = rand.New(rand.NewPCG(w.Rng.Uint64(), 2))
+	if len(w.called) == 0 {
+		w.After(calledPace, w.stepCalled)
+	}
+	w.called[k.place] = k
+	return k
+}
+
+// Name is that of the life.
+func (k *CalledWorker) Name() string { return fmt.Sprintf("%s.%d", k.place, k.lives) }
+
+// Place names its machine.
+func (k *CalledWorker) Place() string { return k.place }
+
+// Habits are those of the machine.
+func (k *CalledWorker) Habits() *toil.Habits { return &k.habits }
+
+// Room is what its next life has.
+func (k *CalledWorker) Room(cores, memory int64) { k.cores, k.mem = cores, memory }
+
+// host is the machine, whichever process runs there now.
+func (k *CalledWorker) host() *Host {
+	var last *Host
+	for _, h := range k.world.Hosts {
+		if h.place() == k.place && (last == nil || h.IsUp || !last.IsUp) {
+			last = h
+		}
+	}
+	return last
+}
+
+// place is the machine's name; one that replaced another has nearly its name.
+func (h *Host) place() string { return strings.TrimRight(h.Name, "'") }
+
+// Start begins another life, with an id of its own.
+func (k *CalledWorker) Start() {
+	w := k.world
+	if k.isUp {
+		k.Crash()
+	}
+	k.lives++
+	k.isUp, k.isLeaving, k.isLeaveHeard = true, false, false
+	k.beatAt, k.heardAt, k.lapsedAt = w.Now, 0, w.Now
+	k.endedAt, k.kept = map[toil.Run]loop.Micros{}, map[toil.Run]string{}
+	span := 2 * loop.Second
+	k.cold = w.Now + span
+	drift := 0.98 + 0.02*k.rng.Float64()
+	k.hand = toil.NewCalled(w.Now, k.Name(), toil.Setup{
+		Pool: k.pool, Cell: k.cell, Rack: k.rack, Address: k.place, Labels: k.labels, Cores: k.cores, Memory: k.mem,
+		Accelerators: k.accelerators, Bounds: w.bounds, Drift: drift, Cold: span, IsGuarding: w.isGuarded(k.pool),
+		Read: k.read, Fails: k.fails, Slowness: k.slowness, Fault: k.fault, Stops: k.stops, Tell: k.tell, Begun: k.begun, Noted: k.noted,
+	}, w.gangs)
+	w.Tell(check.Event{
+		Kind: check.Up, Who: k.Name(), Cores: k.cores, Memory: k.mem, Accelerators: k.accelerators, Rack: k.rack, Pool: k.pool,
+		Labels: k.labels, IsCalled: true,
+	})
+	k.isOff = false
+}
+
+// isGuarded tells whether a pool's workers turn away what doesn't fit.
+func (w *World) isGuarded(pool string) bool { return pool != "main" }
+
+// Crash ends the life without a word.
+func (k *CalledWorker) Crash() {
+	if !k.isUp {
+		return
+	}
+	k.hand.Crash(k.world.Now)
+	k.gone()
+}
+
+func (k *CalledWorker) gone() {
+	k.isUp = false
+	k.world.Tell(check.Event{Kind: check.Gone, Who: k.Name()})
+}
+
+// Leave has it say that it leaves; it goes when that was heard and the usual
+// time is over, or after a while all the same.
+func (k *CalledWorker) Leave() { k.leave(5*loop.Second, true) }
+
+func (k *CalledWorker) leave(span loop.Micros, isOrderly bool) {
+	if k.isUp && !k.isLeaving {
+		k.isLeaving, k.isOrderly, k.beatAt = true, isOrderly, k.world.Now
+		k.hand.Leave(k.world.Now, span)
+	}
+}
+
+// Cut cuts its machine off while the worker runs on, or mends that.
+func (k *CalledWorker) Cut(isCut bool) { k.world.Isolate(k.host(), isCut) }
+
+// Freeze stops the agent's process for a span; the worker runs on.
+func (k *CalledWorker) Freeze(span loop.Micros) { k.host().Freeze(span) }
+
+// Sick makes it refuse and miss calls; shares of 0 make it well again.
+func (k *CalledWorker) Sick(refusing, silence float64) {
+	k.Refusing, k.Silence = refusing, silence
+	k.ail()
+}
+
+func (k *CalledWorker) ail() { k.world.Tell(check.Event{Kind: check.Sick, Who: k.Name()}) }
+
+func (w *World) stepCalled() {
+	for _, h := range w.Hosts {
+		if k := w.called[h.place()]; k != nil && h.Name == k.place {
+			k.step()
+		}
+	}
+	w.After(calledPace, w.stepCalled)
+}
+
+func (k *CalledWorker) step() {
+	w := k.world
+	if !k.isUp {
+		return
+	}
+	if k.hand.Clock(w.Now) >= k.hand.HeldTo() {
+		k.lapsedAt = w.Now
+	}
+	k.hand.Step(w.Now)
+	h := k.host()
+	if k.hand.IsDead() {
+		worker := k.Name()
+		k.gone()
+		if h.isHere() {
+			h.mail("agent", loop.Mail{Body: agent.Departed{Worker: worker}})
+		}
+		return
+	}
+	if isOff := !w.isReaching(h); isOff != k.isOff {
+		k.isOff = isOff
+		e := check.Event{Kind: check.Cut, Who: k.Name()}
+		if !isOff {
+			e.State = check.Mended
+		}
+		w.Tell(e)
+	}
+	if w.Now < k.beatAt {
+		return
+	}
+	every := beatUsual
+	if us := loop.Micros(w.bounds.BeatUs); us > 0 {
+		every = us
+	}
+	k.beatAt = w.Now + every*9/10 + loop.Micros(k.rng.Int64N(int64(every)/5))
+	if !h.isHere() {
+		// Nobody acknowledges it; a frozen process finds it when it wakes.
+		k.beatAt = w.Now + 500*loop.Milli
+		if h.frozen && h.IsUp {
+			beat := k.hand.Beat(w.Now)
+			h.do(h.run, func() { h.mail("agent", loop.Mail{Body: beat}) })
+		}
+		return
+	}
+	h.mail("agent", loop.Mail{Body: k.hand.Beat(w.Now)})
+	if k.isLeaving && !k.isLeaveHeard {
+		k.isLeaveHeard = true
+		if k.isOrderly {
+			k.hand.Leave(w.Now, loop.Micros(w.bounds.DrainUs)+500*loop.Milli)
+		}
+		w.Tell(check.Event{Kind: check.Leave, Who: k.Name()})
+	}
+}
+
+// isReaching tells whether a host is up and reaches a quorum of the stores.
+func (w *World) isReaching(h *Host) bool {
+	if !h.isHere() {
+		return false
+	}
+	count := 0
+	for _, store := range w.Stores() {
+		if store.isHere() && !w.cuts[[2]string{h.Address, store.Address}] && !w.cuts[[2]string{store.Address, h.Address}] {
+			count++
+		}
+	}
+	return count >= 2
+}
+
+// call carries an agent's call to the worker on its machine, and the reply back.
+func (h *Host) call(call agent.Call) {
+	w, run := h.world, h.run
+	k := w.called[h.place()]
+	way := func() loop.Micros { return 100 + loop.Micros(w.Rng.Int64N(300)) }
+	back := func(reply agent.Reply) {
+		w.After(way(), func() { h.do(run, func() { h.mail("agent", loop.Mail{Body: reply}) }) })
+	}
+	w.After(way(), func() {
+		if k.hand == nil {
+			w.After(400*loop.Milli, func() { back(agent.Reply{Number: call.Number, Verdict: agent.Silent}) })
+			return
+		}
+		k.hand.Take(w.Now, call, func(reply agent.Reply) {
+			if reply.Verdict == agent.Answered {
+				k.heard(reply)
+			}
+			back(reply)
+		})
+	})
+}
+
+// heard notes that the worker was spoken to, and the progress that it showed.
+func (k *CalledWorker) heard(reply agent.Reply) {
+	w := k.world
+	if k.isUp && w.Now >= k.heardAt+loop.Second {
+		k.heardAt = w.Now
+		w.Tell(check.Event{Kind: check.Heard, Who: k.Name()})
+	}
+	for _, each := range reply.Running {
+		run := toil.Run{Task: each.Task, Attempt: each.Attempt}
+		if each.Saved != "" && k.kept[run] != each.Saved {
+			k.kept[run] = each.Saved
+			e := k.event(check.Kept, run)
+			e.Saved = each.Saved
+			w.Tell(e)
+		}
+	}
+}
+
+// --- what decides about its runs ---
+
+func (k *CalledWorker) spec(task agent.TaskName) (handed, *schema.Step) {
+	of, isKnown := k.world.known[task.Job]
+	if !isKnown || int(task.Part) >= len(of.job.Steps) {
+		return of, nil
+	}
+	return of, of.job.Steps[task.Part]
+}
+
+func (k *CalledWorker) read(task agent.TaskName, text string) toil.Need {
+	_, step := k.spec(task)
+	if step == nil {
+		return toil.Need{}
+	}
+	need := toil.Need{
+		Cores: step.CoresMilli, Memory: step.MemoryMb, Accelerators: step.Accelerators, Rack: step.DataRack, IsOneRack: step.OneRack,
+		IsSaving: step.Saves, Work: loop.Micros(step.EstimateUs),
+	}
+	if step.Together {
+		need.Members = int(step.Tasks)
+	}
+	if need.Work == 0 {
+		need.Work = loop.Micros(word(text, "run_us", 20_000))
+	}
+	need.Work = max(1, need.Work*loop.Micros(80+k.rng.Int64N(40))/100)
+	if step.Lasting {
+		need.Work = 0
+	}
+	return need
+}
+
+// word finds NAME=NUMBER in a text.
+func word(text, name string, usual float64) float64 {
+	for _, each := range strings.Fields(text) {
+		if value, isIt := strings.CutPrefix(each, name+"="); isIt {
+			if number, err := strconv.ParseFloat(value, 64); err == nil {
+				return number
+			}
+		}
+	}
+	return usual
+}
+
+func (k *CalledWorker) fails(task agent.TaskName, _ uint32) bool {
+	of, _ := k.spec(task)
+	share := k.habits.FailShare
+	if of.job != nil {
+		share = max(share, word(of.job.Text, "fail", 0))
+	}
+	return share > 0 && k.rng.Float64() < share
+}
+
+func (k *CalledWorker) slowness(now loop.Micros) float64 {
+	factor := max(1, k.habits.Slowness)
+	if now < k.cold {
+		factor *= 2
+	}
+	if k.habits.StillRate > 0 && k.rng.Float64() < k.habits.StillRate {
+		factor *= stillness
+	}
+	return factor
+}
+
+func (k *CalledWorker) fault(loop.Micros, agent.Call) toil.Fault {
+	switch {
+	case k.Refusing > 0 && k.rng.Float64() < k.Refusing:
+		return toil.Refused
+	case k.Silence > 0 && k.rng.Float64() < k.Silence:
+		return []toil.Fault{toil.Lost, toil.Unheard, toil.Belated}[k.rng.IntN(3)]
+	}
+	return toil.NoFault
+}
+
+func (k *CalledWorker) stops(agent.TaskName, uint32) loop.Micros {
+	return loop.Micros(k.rng.Int64N(max(k.world.bounds.StopUs, 1)))
+}
+
+// --- what is told of its runs ---
+
+// event names a run as callers know it.
+func (k *CalledWorker) event(kind string, run toil.Run) check.Event {
+	of, step := k.spec(run.Task)
+	e := check.Event{
+		Kind: kind, Who: k.Name(), Lane: of.lane, Name: run.Task.Job, Step: run.Task.Part, Task: run.Task.Task, Attempt: run.Attempt, IsCalled: true,
+	}
+	if step != nil {
+		e.Step += run.Task.Round * uint32(len(of.job.Steps))
+		e.Cores, e.Memory, e.Accelerators = step.CoresMilli, step.MemoryMb, step.Accelerators
+	}
+	return e
+}
+
+func (k *CalledWorker) begun(now loop.Micros, call agent.Call, isLate bool) {
+	e := k.event(check.Begin, toil.Run{Task: call.Task, Attempt: call.Attempt})
+	e.At, e.Text, e.Saved, e.IsLate = now, call.Text, call.Saved, isLate
+	k.world.Tell(e)
+}
+
+func (k *CalledWorker) tell(now loop.Micros, kind string, run toil.Run, how string) {
+	if kind != "end" {
+		return
+	}
+	k.endedAt[run] = now
+	e := k.event(check.End, run)
+	e.At, e.State = now, how
+	k.world.Tell(e)
+}
+
+func (k *CalledWorker) noted(now loop.Micros, ending agent.Ending) {
+	run := toil.Run{Task: ending.Task, Attempt: ending.Attempt}
+	e := k.event(check.Noted, run)
+	e.At = now
+	if ended, isThere := k.endedAt[run]; !isThere || k.lapsedAt >= ended {
+		e.State = "lapsed"
+	}
+	k.world.Tell(e)
+	if ending.Saved != "" {
+		e.Kind, e.State, e.Saved = check.Kept, "", ending.Saved
+		k.world.Tell(e)
+	}
+}
+
+// --- operators ---
+
+// putEdition has an operator number its own editions, each built on the one it
+// read, and send one again as it was after no clear answer.
+func (w *World) putEdition(who string, rows []*schema.Row) {
+	rows = w.withPools(rows)
+	again := func() { w.After(200*loop.Milli, func() { w.putEdition(who, rows) }) }
+	w.readPlan(w.pickFront(w.anyCell()), func(plan *schema.Plan) {
+		if plan == nil {
+			again()
+			return
+		}
+		if charter.SameRows(plan.Rows, rows) {
+			return
+		}
+		edition := plan.Edition + 1 + uint64(w.Rng.IntN(3))
+		sheet := &schema.Sheet{
+			Rows: rows, Edition: edition, BaseEdition: plan.Edition, Document: []byte(fmt.Sprintf("%s %d %x", who, edition, w.Rng.Uint32())),
+		}
+		w.Tell(check.Event{Kind: check.PlanSent, Who: who, Rows: rows, Document: string(sheet.Document)})
+		w.sendEdition(who, sheet, again)
+	})
+}
+
+func (w *World) sendEdition(who string, sheet *schema.Sheet, again func()) {
+	front, sent := w.pickFront(w.anyCell()), w.Now
+	told := check.Event{
+		Kind: check.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: sheet.BaseEdition, Rows: sheet.Rows, Document: string(sheet.Document),
+	}
+	w.Ask(front, 4*loop.Second, func(errand uint64, deadline loop.Micros) any {
+		return intake.Ask{Errand: errand, Kind: "charter", Group: charter.Group, Deadline: deadline, Body: keep.CharterBody(
+			&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
+	}, func(answer any) {
+		reply, _ := answer.(intake.Answer)
+		told.Code = reply.Code
+		if reply.Code == 200 {
+			told.Generation = sheet.Edition
+		}
+		w.Tell(told)
+		switch {
+		case reply.Code == 200:
+		case reply.Code == 0 || reply.Code >= 500 || reply.Code == 429:
+			w.After(200*loop.Milli, func() { w.sendEdition(who, sheet, again) })
+		default:
+			again()
+		}
+	})
+}
+
+// withPools directs lanes that say nothing else to the main pool.
+func (w *World) withPools(rows []*schema.Row) []*schema.Row {
+	isTold, lanes := map[string]bool{}, []string{}
+	for _, row := range rows {
+		if row.Kind == "lane" && row.Key == "pool" {
+			isTold[row.Name] = true
+		}
+	}
+	for _, row := range rows {
+		if row.Kind == "lane" && !isTold[row.Name] {
+			isTold[row.Name] = true
+			lanes = append(lanes, row.Name)
+		}
+	}
+	rows = append([]*schema.Row(nil), rows...)
+	for _, lane := range lanes {
+		rows = append(rows, &schema.Row{Kind: "lane", Name: lane, Key: "pool", Value: "main"})
+	}
+	return rows
+}
+
+// --- fleets ---
+
+// CalledKinds are a load that touches what the rules say of called workers.
+func CalledKinds() []Kind {
+	plain := func(name string, tasks uint32, cores int64, run loop.Micros, after ...string) *schema.Step {
+		return &schema.Step{Name: name, Tasks: tasks, CoresMilli: cores, MemoryMb: 256, After: after, EstimateUs: int64(run)}
+	}
+	saving := plain("rows", 8, 2000, 1500*loop.Milli, "load")
+	saving.Saves, saving.DataRack = true, "r1"
+	gang := plain("gang", 4, 1000, 600*loop.Milli)
+	gang.Together, gang.OneRack, gang.Saves = true, true, true
+	spread := plain("spread", 3, 500, 300*loop.Milli)
+	spread.PerWorker, spread.Labels, spread.Accelerators = 1, []string{"a"}, 1
+	lasting := plain("lasting", 2, 500, 0)
+	lasting.Lasting = true
+	return []Kind{
+		{Lane: "quick", Every: 250 * loop.Milli, Attempts: 4, Job: &schema.Job{Text: "quick", Steps: []*schema.Step{plain("rates", 3, 500, 40*loop.Milli), plain("sum", 1, 500, 30*loop.Milli, "rates")}}},
+		{Lane: "slow", Every: 2 * loop.Second, Attempts: 4, Cancel: 0.2, Job: &schema.Job{Text: "slow", Steps: []*schema.Step{plain("load", 3, 2000, 400*loop.Milli), saving, plain("pack", 1, 1000, 100*loop.Milli, "rows")}}},
+		{Lane: "group", Every: loop.Second, Attempts: 4, Cancel: 0.1, Job: &schema.Job{Text: "gang fail=0.03", Steps: []*schema.Step{gang, plain("after", 1, 500, 50*loop.Milli, "gang")}}},
+		{Name: "spread", Lane: "group", Every: 1500 * loop.Milli, Attempts: 4, Job: &schema.Job{Text: "spread", Steps: []*schema.Step{spread}}},
+		{Lane: "timed", Every: 2 * loop.Second, Attempts: 3, Cancel: 0.1, Wall: 1500 * loop.Milli, Job: &schema.Job{Text: "rounds fail=0.05", Rounds: 3, EveryUs: int64(900 * loop.Milli), Steps: []*schema.Step{plain("one", 2, 500, 500*loop.Milli), plain("two", 1, 500, 600*loop.Milli, "one")}}},
+		{Name: "lasting", Lane: "timed", Every: 6 * loop.Second, Attempts: 3, Cancel: 1, CancelAfter: 8 * loop.Second, Job: &schema.Job{Text: "lasting", Steps: []*schema.Step{lasting}}},
+		{Name: "poison", Lane: "timed", Every: 4 * loop.Second, Attempts: 3, Job: &schema.Job{Text: "poison fail=1", Steps: []*schema.Step{plain("bad", 2, 500, 60*loop.Milli), plain("never", 1, 500, 60*loop.Milli, "bad")}}},
+		{Name: "bad-gang", Lane: "group", Every: 9 * loop.Second, Attempts: 4, Job: &schema.Job{Text: "poison fail=0.7", Steps: []*schema.Step{{Name: "bad", Tasks: 3, CoresMilli: 500, MemoryMb: 128, Together: true, EstimateUs: 100_000}}}},
+		{Lane: "far", Every: 700 * loop.Milli, Attempts: 2, Job: &schema.Job{Text: "far", Steps: []*schema.Step{plain("far", 2, 500, 100*loop.Milli)}}},
+	}
+}
+
+// CalledRows is the table of that load.
+func CalledRows(urgency int) []*schema.Row {
+	rows := Rows(urgency)
+	rows = rows[:5]
+	add := func(kind, name, key, value string) {
+		rows = append(rows, &schema.Row{Kind: kind, Name: name, Key: key, Value: value})
+	}
+	add("lane", "far", "urgency", "50")
+	add("lane", "far", "pool", "far")
+	for _, lane := range []string{"quick", "slow", "group"} {
+		add("lane", lane, "attempts", "4")
+	}
+	add("lane", "timed", "attempts", "3")
+	add("lane", "far", "attempts", "2")
+	add("pool", "main", "guards", "0")
+	return rows
+}
+
+// SmallCalled is the small fleet with workers that are called.
+var SmallCalled = Size{
+	Name: "small-called", Fronts: 5, Sides: 6, Workers: 6, PerRack: 2, Cores: 8000, Memory: 16000, Kinds: CalledKinds(), Rows: CalledRows,
+	Bounds: &schema.Bounds{
+		HoldMostUs: int64(6 * loop.Second), StopUs: int64(400 * loop.Milli), GatherUs: int64(3 * loop.Second), StatusUs: int64(120 * loop.Second),
+		ApplyUs: int64(2 * loop.Second), AwayMilli: 1500, SaveUs: int64(300 * loop.Milli), RestoreUs: int64(50 * loop.Milli),
+		BeatUs: int64(1500 * loop.Milli), DrainUs: int64(2 * loop.Second),
+	},
+}
+
+// WholeCalled is a deployment with workers that are called, and its callers'
+// jobs; the kinds that touch the other rules come more seldom.
+func WholeCalled(d *scale.Deployment) Size {
+	size := Whole(d)
+	size.Name, size.Kinds, size.Bounds = d.Name+"-called", nil, d.Bounds
+	for _, k := range d.Called {
+		steps := make([]*schema.Step, len(k.Steps))
+		for n, step := range k.Steps {
+			steps[n] = proto.Clone(step).(*schema.Step)
+			// Long work keeps its progress.
+			steps[n].Saves = step.EstimateUs > int64(3*loop.Second)
+		}
+		size.Kinds = append(size.Kinds, Kind{
+			Name: k.Name, Lane: k.Lane, Every: loop.Micros(k.Every * float64(loop.Second)), Attempts: d.Attempts, Job: &schema.Job{Text: k.Text, Steps: steps},
+		})
+	}
+	for _, k := range CalledKinds() {
+		k.Every *= 4
+		size.Kinds = append(size.Kinds, k)
+	}
+	size.Rows = func(urgency int) []*schema.Row {
+		rows := append(d.Rows(), CalledRows(urgency)...)
+		for _, k := range d.Kinds {
+			rows = append(rows, &schema.Row{Kind: "lane", Name: k.Lane, Key: "attempts", Value: fmt.Sprint(d.Attempts)})
+		}
+		return rows
+	}
+	return size
+}
+
+// addCalled puts a worker on each side machine that has one. The last two of
+// the small fleet are another pool's.
+func (f *Fleet) addCalled() {
+	f.bounds, f.isNumbering = f.Size.Bounds, true
+	for k := 0; k < f.Size.Workers; k++ {
+		h := f.sides[k]
+		worker := &CalledWorker{
+			place: h.Name, cell: h.Cell, rack: fmt.Sprintf("r%d", k/f.Size.PerRack), cores: f.Size.Cores, mem: f.Size.Memory, accelerators: 1, pool: "main",
+		}
+		worker.labels = []string{"a", worker.rack}
+		if k%4 == 3 {
+			worker.labels[0] = "b"
+		}
+		if f.Size.Workers > 4 && k >= f.Size.Workers-2 {
+			worker.pool = "far"
+		}
+		f.Workers = append(f.Workers, f.AddCalled(worker))
+		f.After(loop.Second, worker.Start)
+	}
+}
