--- a/sim/called.go
+++ b/sim/called.go
@@ -509,6 +509,7 @@
 	add("lane", "timed", "attempts", "3")
 	add("lane", "far", "attempts", "2")
 	add("pool", "main", "guards", "0")
+	add("pool", "far", "guards", "1")
 	return rows
 }
 
