--- a/sim/people.go
+++ b/sim/people.go
@@ -254,13 +254,18 @@
 		kind.Job = proto.Clone(kind.Job).(*schema.Job)
 		kind.Job.StartWallUs = wallZero + int64(w.Now+kind.Wall)
 	}
-	w.handIn(kind, name, w.anyCell())
+	w.handIn(kind, name, w.anyCell(), nil)
 }
 
-func (w *World) handIn(kind Kind, name, cell string) {
+// handIn hands in through a front of a cell, rather another than one that has
+// just broken off.
+func (w *World) handIn(kind Kind, name, cell string, broken *Host) {
 	w.known[name] = handed{kind.Lane, kind.Job}
 	w.Tell(check.Event{Kind: check.HandIn, Who: "caller", Lane: kind.Lane, Name: name, Spec: kind.allowed()})
 	front, sent := w.pickFront(cell), w.Now
+	if broken != nil && front == broken {
+		front = w.pickFront("")
+	}
 	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
 		return intake.HandIn{
 			Errand: errand, Lane: kind.Lane, Client: "c-" + front.Name, Name: name, Digest: intake.Digest(kind.Job), Job: kind.Job, Deadline: deadline,
@@ -283,7 +288,10 @@
 			w.After(150*loop.Milli, func() { w.follow(kind, name, 200*loop.Milli) })
 		case reply.Code >= 400 && reply.Code < 500 && reply.Code != 429:
 		default:
-			w.After(max(300*loop.Milli, loop.Micros(reply.Retry)*loop.Second), func() { w.handIn(kind, name, cell) })
+			if reply.Code != 0 {
+				front = nil
+			}
+			w.After(max(300*loop.Milli, loop.Micros(reply.Retry)*loop.Second), func() { w.handIn(kind, name, cell, front) })
 		}
 	})
 }
