The agent's scripted charter lists wards sorted, as the charter does

Cause: wards are searched by halving since the charter's lists grew, so a scripted state in the order of arrival hid the newest ward from the agent.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -125,6 +126,8 @@
 	state.Version++
 	state.Wards = slices.DeleteFunc(state.Wards, func(w *schema.Ward) bool { return w.Worker == worker })
 	state.Wards = append(state.Wards, &schema.Ward{Worker: worker, Placer: id, Generation: generation})
+	// The charter lists them by worker, and they are searched for so.
+	slices.SortFunc(state.Wards, func(x, y *schema.Ward) int { return cmp.Compare(x.Worker, y.Worker) })
 	b.state = state
 	b.tellCharter()
 }
