--- a/crew/crew.go
+++ b/crew/crew.go
@@ -63,7 +63,7 @@
 	if p.Store != nil {
 		berths = append(berths,
 			Berth{"keep", keep.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now), keep.Pace},
-			Berth{"placer", placer.New(member.Id), placer.Pace},
+			Berth{"placer", placer.New(member.Id).Bind(p.Bounds), placer.Pace},
 		)
 	}
 	return berths
