--- /dev/null
+++ b/cmd/feign/slope.go
@@ -0,0 +1,304 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"golang.org/x/sys/unix"
+
+	"sparnotch/gauge"
+	"sparnotch/loop"
+	"sparnotch/sim"
+)
+
+// sweeps are the sizes that can be swept, each with how it is set.
+var sweeps = map[string]func(s *hollowSetup, value float64){
+	"workers": func(s *hollowSetup, value float64) { s.Workers = int(value) },
+	"lanes":   func(s *hollowSetup, value float64) { s.Lanes = int(value) },
+	"starts":  func(s *hollowSetup, value float64) { s.Starts = value },
+	// Running tasks at one rate of starts: they only last longer.
+	"running":  func(s *hollowSetup, value float64) { s.RunUs = int64(value / s.Starts * 1e6) },
+	"width":    func(s *hollowSetup, value float64) { s.Width, s.Together = int(value), true },
+	"changes":  func(s *hollowSetup, value float64) { s.Changes = value },
+	"rows":     func(s *hollowSetup, value float64) { s.Rows = int(value) },
+	"zones":    func(s *hollowSetup, value float64) { s.Zones = int(value) },
+	"fronts":   func(s *hollowSetup, value float64) { s.Fronts = int(value) },
+	"stewards": func(s *hollowSetup, value float64) { s.Stewards = int(value) },
+	// One way, in milliseconds; only the simulator's regions lie apart.
+	"far": func(s *hollowSetup, value float64) { s.FarUs = int64(value * 1000) },
+}
+
+func sweepNames() []string {
+	var names []string
+	for name := range sweeps {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+type slopeCommand struct {
+	setup      hollowSetup
+	size, over string
+	out        string
+	repeats    int
+	warm, span time.Duration
+	isKilled   bool
+	isVirtual  bool
+	lose       string
+}
+
+func (*slopeCommand) Name() string { return "slope" }
+func (*slopeCommand) Synopsis() string {
+	return "sweep one size of a hollow deployment, and fit what each role costs"
+}
+func (*slopeCommand) Usage() string {
+	return `feign slope -size workers -over 12,24,48,96 [-repeats 3] [-out FOLDER] [any of hollow's sizes]
+  Runs a hollow deployment at each value, as often as repeats says, in turns (all
+  values, then all again, so that a busy minute of the machine doesn't strike one
+  value alone). Appends to FOLDER/SIZE.csv, draws FOLDER/SIZE.png, and prints the
+  fits. Sizes: ` + strings.Join(sweepNames(), ", ") + `.
+  Exit codes: 0 measured, 1 a run didn't come up, 2 bad flags (the field is named).
+`
+}
+
+func (c *slopeCommand) SetFlags(set *flag.FlagSet) {
+	c.setup.register(set)
+	set.StringVar(&c.size, "size", "", "what is swept")
+	set.StringVar(&c.over, "over", "", "its values, joined by commas")
+	set.StringVar(&c.out, "out", ".", "folder for the CSV and the plot")
+	set.IntVar(&c.repeats, "repeats", 3, "runs at each value")
+	set.DurationVar(&c.warm, "warm", 5*time.Second, "let each run so long first")
+	set.DurationVar(&c.span, "span", 10*time.Second, "how long each is measured")
+	set.BoolVar(&c.isVirtual, "virtual", false, "in the simulator: messages, bytes and recovery in virtual time, past what a machine carries")
+	set.IntVar(&c.setup.Regions, "regions", 1, "with -virtual: regions, in which the zones stand in turn")
+	set.Int64Var(&c.setup.FarUs, "far_us", 6000, "with -virtual: one way between regions")
+	set.StringVar(&c.lose, "lose", "", "with -virtual: what is lost at the end: "+strings.Join(losses, ", "))
+	set.BoolVar(&c.isKilled, "kill", false, "kill the keeper at the end of each, and measure the recovery")
+}
+
+// values reads the swept values, and checks the setup at each.
+func (c *slopeCommand) values() ([]float64, error) {
+	set, isKnown := sweeps[c.size]
+	if !isKnown {
+		return nil, fmt.Errorf("size: %q is none of %s", c.size, strings.Join(sweepNames(), ", "))
+	}
+	if c.repeats < 1 || c.repeats > 100 {
+		return nil, fmt.Errorf("repeats: must lie between 1 and 100")
+	}
+	if c.span <= 0 || c.warm < 0 {
+		return nil, fmt.Errorf("span and warm: must be above 0")
+	}
+	if !c.isVirtual && (c.lose != "" || c.setup.Regions != 1 || c.size == "far") {
+		return nil, fmt.Errorf("lose, regions and the size far: only with -virtual")
+	}
+	if c.isVirtual && c.isKilled {
+		return nil, fmt.Errorf("kill: with -virtual it is called lose")
+	}
+	if c.lose != "" && !slices.Contains(losses, c.lose) {
+		return nil, fmt.Errorf("lose: %q is none of %s", c.lose, strings.Join(losses, ", "))
+	}
+	var list []float64
+	for _, word := range strings.Split(c.over, ",") {
+		value, err := strconv.ParseFloat(word, 64)
+		if err != nil {
+			return nil, fmt.Errorf("over: %q is no number", word)
+		}
+		setup := c.setup
+		set(&setup, value)
+		if err := setup.check(); err != nil {
+			return nil, fmt.Errorf("over: at %s: %w", word, err)
+		}
+		list = append(list, value)
+	}
+	return list, nil
+}
+
+func (c *slopeCommand) Execute(ctx context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	values, err := c.values()
+	if err == nil && set.NArg() > 0 {
+		err = fmt.Errorf("%s: is no flag", set.Arg(0))
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign:", err)
+		return 2
+	}
+	path := filepath.Join(c.out, c.size+".csv")
+	var readings []gauge.Reading
+	if file, err := os.Open(path); err == nil {
+		readings, err = gauge.Read(file)
+		file.Close()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "feign: out:", path, err)
+			return 2
+		}
+	}
+	if err := os.MkdirAll(c.out, 0o755); err != nil {
+		fmt.Fprintln(os.Stderr, "feign: out:", err)
+		return 2
+	}
+	// Runs are numbered on, so that another call adds to the file.
+	done := 0
+	for _, r := range readings {
+		done = max(done, r.Repeat)
+	}
+	isWhole := true
+	for repeat := done + 1; repeat <= done+c.repeats; repeat++ {
+		for _, value := range values {
+			setup := c.setup
+			sweeps[c.size](&setup, value)
+			list, err := c.play(ctx, setup, repeat)
+			if err != nil {
+				// A size that can't be carried is a finding too: the rest goes on.
+				fmt.Printf("%s %g, run %d: %v\n", c.size, value, repeat, err)
+				isWhole = false
+				continue
+			}
+			cpu := 0.0
+			for _, each := range list {
+				if each.role == "whole" && each.what == "cpu_milli" {
+					cpu = each.amount
+				}
+			}
+			fmt.Printf("%s %g, run %d", c.size, value, repeat)
+			if !c.isVirtual {
+				fmt.Printf(": %.0f thousandths of a core in all", cpu)
+			}
+			fmt.Println()
+			readings = append(readings, readingsOf(c.size, value, repeat, list)...)
+			if err := writeReadings(path, readings); err != nil {
+				fmt.Fprintln(os.Stderr, "feign:", err)
+				return 1
+			}
+		}
+	}
+	for _, fit := range gauge.Fits(readings) {
+		fmt.Printf("%-7s %-14s %s\n", fit.Role, fit.What, fit.String())
+	}
+	if err := gauge.Plot(filepath.Join(c.out, c.size+".png"), c.size, readings, []string{"cpu_milli", "rss_mb", "sent_s", "bytes_out_s"}); err != nil {
+		fmt.Fprintln(os.Stderr, "feign:", err)
+		return 1
+	}
+	if !isWhole {
+		return 1
+	}
+	return 0
+}
+
+var losses = []string{"node", "worker", "rack", "zone", "region", "link"}
+
+// play is one run at one value.
+func (c *slopeCommand) play(ctx context.Context, setup hollowSetup, repeat int) ([]outcome, error) {
+	if !c.isVirtual {
+		return playHollow(ctx, setup, hollowSpan{c.warm, c.span, c.isKilled})
+	}
+	// The thread's own clock counts nothing that others do meanwhile.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	profile := &profiler{}
+	if setup.Profile != "" {
+		profile.path = filepath.Join(setup.Profile, fmt.Sprintf("%s%d.pprof", c.size, repeat))
+	}
+	if err := profile.start(); err != nil {
+		return nil, err
+	}
+	defer profile.stop()
+	var list []outcome
+	for _, each := range sim.PlayHollow(sim.Hollow{
+		Workers: setup.Workers, Fronts: setup.Fronts, Lanes: setup.Lanes, Starts: setup.Starts, RunUs: setup.RunUs, Width: setup.Width,
+		Together: setup.Together, Changes: setup.Changes, Rows: setup.Rows, Zones: setup.Zones, Regions: setup.Regions,
+		Far: loop.Micros(setup.FarUs), PerRack: setup.PerRack, Stewards: setup.Stewards, Seed: uint64(repeat),
+		Warm: loop.Micros(c.warm.Microseconds()), Span: loop.Micros(c.span.Microseconds()), Lose: c.lose, Cpu: threadCpu,
+	}) {
+		list = append(list, outcome{each.Role, each.What, each.Amount})
+	}
+	return list, ctx.Err()
+}
+
+// threadCpu is the processor time of the calling thread, in nanoseconds.
+func threadCpu() int64 {
+	var spent unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &spent) != nil {
+		return 0
+	}
+	return spent.Nano()
+}
+
+func writeReadings(path string, readings []gauge.Reading) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := gauge.Write(file, readings); err != nil {
+		file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+// costCommand sets real sweeps beside simulated ones.
+type costCommand struct{ real, simulated string }
+
+func (*costCommand) Name() string { return "cost" }
+func (*costCommand) Synopsis() string {
+	return "say what a message, a byte and a sync cost, from real and simulated sweeps"
+}
+func (*costCommand) Usage() string {
+	return `feign cost -real workers.csv,lanes.csv -simulated workers.csv,lanes.csv
+  Each simulated sweep must have run at the values of the real one. What a real
+  process spent beyond its tables' steps is laid on what it carried and kept.
+  Exit codes: 0 worked out, 2 bad flags or files.
+`
+}
+
+func (c *costCommand) SetFlags(set *flag.FlagSet) {
+	set.StringVar(&c.real, "real", "", "files of feign slope, joined by commas")
+	set.StringVar(&c.simulated, "simulated", "", "files of feign slope -virtual, joined by commas")
+}
+
+func readAll(files string) ([]gauge.Reading, error) {
+	var all []gauge.Reading
+	for _, path := range strings.Split(files, ",") {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		list, err := gauge.Read(file)
+		file.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
+func (c *costCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	real, err := readAll(c.real)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign: real:", err)
+		return 2
+	}
+	simulated, err := readAll(c.simulated)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign: simulated:", err)
+		return 2
+	}
+	cost, err := gauge.CostOf(real, simulated)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "feign:", err)
+		return 2
+	}
+	fmt.Printf("microseconds: %.0f a second, %.1f a message, %.4f a byte, %.0f a sync; ±%.0f a second, %d readings\n",
+		cost.Ground, cost.Message, cost.Byte, cost.Sync, cost.Error, cost.Points)
+	return 0
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -62,6 +62,7 @@
 // which may carry several messages; Lost counts also what was given up as stale.
 type Counts struct {
 	Sent, Received, Bytes, Writes, Lost, Dials, Garbage uint64
+	BytesIn                                             uint64 // read from other processes; Bytes is what was written
 }
 
 // queued is a message that waits for its wire.
@@ -86,7 +87,7 @@
 	inbound  map[net.Conn]bool
 	running  sync.WaitGroup
 
-	sent, received, bytes, writes, lost, dials, garbage atomic.Uint64
+	sent, received, bytes, writes, bytesIn, lost, dials, garbage atomic.Uint64
 }
 
 // Listen opens the inner port. Every message that comes in goes to deliver.
@@ -106,7 +107,7 @@
 func (n *Net) Address() string { return n.listener.Addr().String() }
 
 func (n *Net) Counts() Counts {
-	return Counts{n.sent.Load(), n.received.Load(), n.bytes.Load(), n.writes.Load(), n.lost.Load(), n.dials.Load(), n.garbage.Load()}
+	return Counts{n.sent.Load(), n.received.Load(), n.bytes.Load(), n.writes.Load(), n.lost.Load(), n.dials.Load(), n.garbage.Load(), n.bytesIn.Load()}
 }
 
 // Close ends every wire.
@@ -290,8 +291,9 @@
 // limited turns away a message larger than any we send, before memory is
 // given to it.
 type limited struct {
-	conn net.Conn
-	left int
+	conn  net.Conn
+	left  int
+	count *atomic.Uint64
 }
 
 func (l *limited) Read(data []byte) (int, error) {
@@ -303,6 +305,7 @@
 	}
 	count, err := l.conn.Read(data)
 	l.left -= count
+	l.count.Add(uint64(count))
 	return count, err
 }
 
@@ -318,7 +321,7 @@
 		delete(n.inbound, conn)
 		n.mu.Unlock()
 	}()
-	source := &limited{conn: conn, left: maxMessage}
+	source := &limited{conn: conn, left: maxMessage, count: &n.bytesIn}
 	reader := bufio.NewReader(source)
 	conn.SetReadDeadline(time.Now().Add(writeSpan))
 	hello := make([]byte, len(preamble))
