Placer: gone workers don't count among the others; long waits end a trial's limit

Cause: the charter keeps the ids of dead workers. Also looked at twice a second: what stands behind many steps that fit nowhere.

--- a/placer/agent_test.go
+++ b/placer/agent_test.go
@@ -651,6 +651,64 @@
 			So(len(d.picks()), ShouldEqual, 1)
 		})
 	})
+	Convey("Workers that are gone don't count where it is asked how the others do", t, func() {
+		d := newDesk("a", "b", "c", "gone1", "gone2", "gone3", "gone4", "gone5")
+		d.shifts(true, 0)
+		for _, id := range []string{"a", "b", "c"} {
+			d.announce(id, named(nil))
+		}
+		Convey("so half of those that are left are never set aside", func() {
+			fail(d, "a", 1, 2)
+			ready(d, step)
+			fail(d, "b", 3, 4)
+			ready(d, step)
+			trials := 0
+			for _, id := range []string{"a", "b", "c"} {
+				if d.t.workers[id].isOnTrial {
+					trials++
+				}
+			}
+			So(trials, ShouldEqual, 1)
+		})
+		Convey("and few failures are no sign where all fail now and then", func() {
+			for _, id := range []string{"a", "b", "c"} {
+				for k := uint64(1); k <= 4; k++ {
+					finish(d, id, loop.Second)
+				}
+				fail(d, id, 1)
+				finish(d, id, loop.Second)
+			}
+			fail(d, "a", 2, 3)
+			ready(d, step)
+			So(d.t.workers["a"].isOnTrial, ShouldBeFalse)
+		})
+	})
+	Convey("A worker on trial gets one task at a time, but what has waited long goes there too", t, func() {
+		d := setUp()
+		fail(d, "a", 1, 2)
+		ready(d, step)
+		hand := d.t.views["l"].hand
+		d.shifts(false, hand+1, shift(hand+1, job, 0, lane.Gone, "", step))
+		d.pass(firstRest)
+		has := func(notes ...*schema.TaskNote) func(*schema.Announce) {
+			return named(func(a *schema.Announce) { a.Labels, a.Running = []string{"x"}, notes })
+		}
+		only := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, Labels: []string{"x"}}
+		hand = d.t.views["l"].hand
+		d.tells = nil
+		d.shifts(false, hand+1, shift(hand+1, 900, 0, lane.Out, "a", only))
+		runs := &schema.TaskNote{Name: "j900", Attempt: 1, State: "running"}
+		d.announce("a", has(runs))
+		d.shifts(false, hand+2, shift(hand+2, 901, 0, lane.Ready, "", only))
+		d.announce("a", has(runs))
+		So(d.t.workers["a"].isOnTrial, ShouldBeTrue)
+		So(d.picks(), ShouldBeEmpty)
+		for k := 0; k < 6; k++ {
+			d.pass(500 * loop.Milli)
+			d.announce("a", has(runs))
+		}
+		So(len(d.picks()), ShouldEqual, 1)
+	})
 	Convey("One task that fails again and again says nothing of its worker", t, func() {
 		d := setUp()
 		for k := uint32(1); k < 4; k++ {
@@ -663,6 +721,25 @@
 	})
 }
 
+func TestManyThatFitNowhere(t *testing.T) {
+	Convey("However many steps fit nowhere, what stands behind them is looked at before long", t, func() {
+		d := newDesk("w")
+		d.announce("w", nil)
+		var list []*lane.Shift
+		for k := uint64(1); k <= 100; k++ {
+			huge := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 10_000 + int64(k)}
+			list = append(list, shift(k, k, 0, lane.Ready, "", huge))
+		}
+		d.shifts(true, 100, append(list, shift(101, 101, 0, lane.Ready, "", one))...)
+		for k := 0; k < 3; k++ {
+			d.pass(200 * loop.Milli)
+			d.announce("w", nil)
+		}
+		So(len(d.picks()), ShouldEqual, 1)
+		So(d.picks()[0].Key.Job, ShouldEqual, 101)
+	})
+}
+
 func TestUrgentLanesComeFirst(t *testing.T) {
 	Convey("Lanes are served by urgency, equals by who has waited longest", t, func() {
 		d := newDesk("w")
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -201,14 +201,19 @@
 	if now < w.asideUntil {
 		return
 	}
-	// Where half of the workers look bad, it isn't the workers.
-	others := 0
+	// Where half of the workers look bad, it isn't the workers. Those that are
+	// gone say nothing of it, though the charter still knows them.
+	others, all := 0, 1
 	for _, other := range t.workers {
-		if other != w && other.isOnTrial {
+		if other == w || !other.isHere(now) {
+			continue
+		}
+		all++
+		if other.isOnTrial {
 			others++
 		}
 	}
-	if 2*(others+1) > len(t.workers) {
+	if 2*(others+1) > all {
 		return
 	}
 	w.rest = min(max(2*w.rest, firstRest), mostRest)
@@ -217,10 +222,17 @@
 
 func failureRate(w *worker) float64 { return w.bad / (w.good + w.bad + 2) }
 
-func (t *Table) medianFailure() float64 {
+// isHere tells whether a worker lives and has been heard lately.
+func (w *worker) isHere(now loop.Micros) bool {
+	return w.isKnown && !w.isOver && now-w.heard <= silentSpan
+}
+
+func (t *Table) medianFailure(now loop.Micros) float64 {
 	var rates []float64
 	for _, w := range t.workers {
-		rates = append(rates, failureRate(w))
+		if w.isHere(now) {
+			rates = append(rates, failureRate(w))
+		}
 	}
 	if len(rates) == 0 {
 		return 0
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -30,7 +30,7 @@
 	workers map[string]int // its tasks by worker
 	racks   map[string]int // its tasks by rack
 	favour  string         // the rack it keeps together in
-	mayRest bool           // it has waited long enough for workers that are set aside
+	mayRest bool           // it has waited long enough for workers that are set aside or on trial
 }
 
 func (t *Table) wishOf(now loop.Micros, v *view, b *band, list []*room) *wish {
@@ -101,9 +101,13 @@
 	return count < int(x.spec.PerWorker)
 }
 
+// isOpen tells whether a worker that is being tried again may have one more
+// task: what has waited long needn't wait for the end of the trial as well.
+func (r *room) isOpen(x *wish) bool { return r.mostTasks > 0 || x.mayRest && !r.isAside }
+
 func (t *Table) fits(r *room, x *wish) bool {
 	// Room that is being freed for somebody is given to nobody else.
-	return r.mostTasks > 0 && r.free.has(x.need) && r.later.has(x.need) && t.suits(r, x) && t.hasLeave(r, x)
+	return r.isOpen(x) && r.free.has(x.need) && r.later.has(x.need) && t.suits(r, x) && t.hasLeave(r, x)
 }
 
 // score weighs a worker for a step: room left in its scarcer kind, spread over
@@ -187,7 +191,11 @@
 		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(oldest[a], oldest[b]), cmp.Compare(a.lane, b.lane))
 	})
 	list := t.rooms(now)
-	p := &passage{least: math.MaxInt64, groups: map[stepKey]*unit{}, claims: map[string]bool{}}
+	misses := maxMisses
+	if now-t.wholeAt >= wholePass {
+		t.wholeAt, misses = now, math.MaxInt
+	}
+	p := &passage{misses: misses, least: math.MaxInt64, groups: map[stepKey]*unit{}, claims: map[string]bool{}}
 	for _, v := range t.views {
 		if v.out > 0 {
 			p.least = min(p.least, v.urgency)
@@ -223,6 +231,7 @@
 
 // passage is what a pass has done so far.
 type passage struct {
+	misses   int               // of one lane, after which those behind aren't looked at
 	least    int64             // lowest urgency of what is out
 	claims   map[string]bool   // pools in which workers are kept free
 	isFutile bool              // something that may displace found nothing to displace
@@ -276,7 +285,7 @@
 	var picks []*schema.Pick
 	left := int(v.running) - v.out - len(v.reserved)
 	misses := 0
-	for queue := v.heads(); queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < maxMisses; {
+	for queue := v.heads(); queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses; {
 		h := (*queue)[0]
 		b := h.at
 		if h.at = h.row.after(b); h.at == nil {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,12 +37,13 @@
 	gatherSpan   = 2 * loop.Second   // a member that hasn't begun by then lets the others go, unless the bounds say more
 	preemptAfter = 100 * loop.Milli  // how long urgent work waits before it displaces
 	claimAfter   = 1500 * loop.Milli // how long wide work waits before workers are kept free for it
-	asideAfter   = 3 * loop.Second   // how long work waits before it goes to workers that are set aside
+	asideAfter   = 2500 * loop.Milli // how long work waits before it goes to workers that are set aside
 	stopSpan     = 3 * loop.Second   // a stop that takes longer is waited for no more, unless the bounds say more
 	departLead   = 500 * loop.Milli  // how long before its worker goes a task is stopped to keep its progress
 	overSpan     = 60 * loop.Second  // how long a worker stays known as dead after the last word of it
 	maxPicks     = 64                // of one checkout, groups apart
 	maxMisses    = 32                // steps that find no room, of one lane and pass
+	wholePass    = loop.Second / 2   // between two passes that look at every step
 )
 
 type taskKey struct {
@@ -235,6 +236,7 @@
 	isStirred bool        // a group may have come to be held
 	list      []*room     // of the latest pass, used again
 	futileAt  loop.Micros // nothing was found to displace
+	wholeAt   loop.Micros // the latest pass over every step
 	counts    Counts
 	bounds    *schema.Bounds
 	placed    map[string]map[taskKey]*task // by worker, whoever wards it
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -109,7 +109,7 @@
 	var units []*unit
 	cost := 0.0
 	for _, r := range list {
-		if r.mostTasks <= 0 || !t.suits(r, x) || !t.hasLeave(r, x) {
+		if !r.isOpen(x) || !t.suits(r, x) || !t.hasLeave(r, x) {
 			continue
 		}
 		if r.later.has(x.need) {
--- a/placer/room.go
+++ b/placer/room.go
@@ -132,7 +132,7 @@
 	w         *worker
 	free      amount // now
 	later     amount // once all that is being stopped there has ended, less what waits for that
-	mostTasks int    // while it is being tried again
+	mostTasks int    // while it is being tried again: of work that can wait
 	weight    int64  // of its rack
 	isAside   bool   // it rests: only for who has waited long
 	isClaimed bool   // it is kept free for something wide
@@ -154,11 +154,11 @@
 
 // rooms lists the workers that may be given work.
 func (t *Table) rooms(now loop.Micros) []*room {
-	median := t.medianFailure()
+	median := t.medianFailure(now)
 	list := t.list[:0]
 	for _, id := range t.workerIds() {
 		w := t.workers[id]
-		if !w.isKnown || w.isLeaving || w.isOver || now-w.heard > silentSpan {
+		if !w.isHere(now) || w.isLeaving {
 			continue
 		}
 		weight := t.values.Of("rack", w.rack, "weight")
