Raft: a new leader of a long log asks with one Append, and acts at once

Cause: a new leader takes every follower as matching nothing, and no Append may go out further than 1024 records beyond that. So in a longer log its first record wasn't sent at all; two beats later the whole log was sent anew. Change: progress begins as a probe at the log's end; a lost probe is made again where it was.

--- a/raft/raft.go
+++ b/raft/raft.go
@@ -531,7 +531,8 @@
 func (g *Group) syncPeers(now loop.Micros) {
 	for _, id := range g.others() {
 		if g.peers[id] == nil {
-			g.peers[id] = &progress{next: g.lastIndex() + 1, moved: now}
+			// Nothing is known of its log yet: one Append asks whether it is ours.
+			g.peers[id] = &progress{next: g.lastIndex() + 1, moved: now, probing: true}
 		}
 	}
 	for id := range g.peers {
@@ -835,7 +836,9 @@
 	if p.probing && p.probed {
 		return
 	}
-	for p.next <= g.lastIndex() && p.next <= p.match+maxFlight {
+	// Where nothing is known to match, the end of a long log lies further away
+	// than that, and a probe is a single Append anyway.
+	for p.next <= g.lastIndex() && (p.probing || p.next <= p.match+maxFlight) {
 		high := min(g.lastIndex(), p.next+maxBatch-1)
 		records := g.between(p.next-1, high)
 		size := 0
@@ -931,7 +934,13 @@
 		if now-p.moved > g.times.ElectionLeast {
 			p.installing = false
 		}
-		g.probe(now, from, p, p.match+1)
+		// A probe that was lost is made again where it was: from what is known,
+		// which may be nothing, all of a long log would go out once more.
+		next := p.match + 1
+		if p.probing {
+			next = max(next, min(p.next, g.lastIndex()))
+		}
+		g.probe(now, from, p, next)
 	}
 	g.countRounds(now)
 }
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -331,6 +331,41 @@
 	})
 }
 
+func TestNewLeaderOfALongLog(t *testing.T) {
+	Convey("A new leader of a log longer than what may be on its way acts at once, and sends nothing anew", t, func() {
+		r := newRig(9, ids...)
+		r.run(4 * loop.Second)
+		for k := 0; k < maxFlight+500; k++ {
+			r.propose(fmt.Sprint(k))
+		}
+		r.run(2 * loop.Second)
+		old := r.leader()
+		to := "a"
+		if old.self == "a" {
+			to = "b"
+		}
+		r.appends = 0
+		Convey("as one that was handed the group", func() {
+			old.Pass(r.now, to)
+			r.collect(old.self)
+			r.run(50 * loop.Milli)
+			So(r.groups[to].Acting(r.now), ShouldBeTrue)
+			So(r.appends, ShouldBeLessThan, 10)
+		})
+		Convey("also where the first Append was lost", func() {
+			r.cut = func(from, other string) bool { return len(r.applied[to]) > 0 && r.groups[to].IsLeader() }
+			old.Pass(r.now, to)
+			r.collect(old.self)
+			r.run(50 * loop.Milli)
+			So(r.groups[to].IsLeader(), ShouldBeTrue)
+			r.cut = func(string, string) bool { return false }
+			r.run(500 * loop.Milli)
+			So(r.groups[to].Acting(r.now), ShouldBeTrue)
+			So(r.appends, ShouldBeLessThan, 20)
+		})
+	})
+}
+
 func TestMembersChangeByOne(t *testing.T) {
 	Convey("A fresh replica learns, is promoted, and the lost one is dropped", t, func() {
 		r := newRig(6, ids...)
