--- a/keep/keep.go
+++ b/keep/keep.go
@@ -104,6 +104,7 @@
 	carryIdx uint64
 	adoptIdx uint64
 	passAt   loop.Micros
+	keeperAt string // whom the charter named as keeper then
 }
 
 type pending struct {
@@ -297,7 +298,7 @@
 		return
 	}
 	if r := t.groups[m.Group]; r != nil {
-		r.passAt = now
+		r.passAt, r.keeperAt = now, t.keeperOf(r)
 	}
 	t.toGroup(now, from, m.Group, m)
 }
@@ -435,16 +436,15 @@
 // passOn hands a group over when this process is warned, when its disk
 // stalls, or when the charter wants the lane elsewhere.
 func (t *Table) passOn(now loop.Micros, r *replica) {
-	if now-r.passAt < passRest && !t.isWarned || now-r.passAt < loop.Second {
+	wanted := t.keeperOf(r)
+	// A keeper that was named since is given the lane at once: its workers have
+	// gone to it already, and nobody else can start anything on them.
+	isRested := now-r.passAt >= passRest || t.isWarned || wanted != r.keeperAt
+	if !isRested || now-r.passAt < loop.Second {
 		return
 	}
 	isStalled := t.writing != nil && now-t.began > stallSpan
-	wanted := ""
-	if r.lane != nil {
-		if place := charter.Place(t.state, r.name); place != nil {
-			wanted = place.Keeper
-		}
-	}
+	keeper := wanted
 	switch {
 	case t.isWarned || isStalled:
 		if wanted == t.id || !t.isFit(now, r, wanted) {
@@ -459,11 +459,19 @@
 		return
 	}
 	if wanted != "" {
-		r.passAt = now
+		r.passAt, r.keeperAt = now, keeper
 		r.group.Pass(now, wanted)
 	}
 }
 
+// keeperOf is whom the charter names as keeper of a lane.
+func (t *Table) keeperOf(r *replica) string {
+	if r.lane == nil {
+		return ""
+	}
+	return charter.Place(t.state, r.name).GetKeeper()
+}
+
 // isFit tells whether a voter is near enough to take a group over.
 func (t *Table) isFit(now loop.Micros, r *replica, id string) bool {
 	match, heard := r.group.Match(id)
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -1,11 +1,14 @@
 package keep
 
 import (
+	"encoding/json"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/kin"
+	"sparnotch/loop"
 	"sparnotch/schema"
 )
 
@@ -28,3 +31,44 @@
 		}
 	})
 }
+
+func TestNewKeepers(t *testing.T) {
+	Convey("A lane goes to a keeper that is named while it has only just been taken over", t, func() {
+		c := newCore()
+		place := func(keeper string) {
+			lanes := []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: keeper}}
+			command := &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: &schema.PlaceLanes{Licence: c.licence(), Lanes: lanes}}}
+			So(c.ask("charter", command).Code, ShouldEqual, 200)
+		}
+		run := func(span loop.Micros) {
+			for end := c.now + span; c.now < end; {
+				roll := &kin.Roll{Known: map[string]kin.Known{}}
+				for _, id := range stores {
+					roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: c.now}
+				}
+				for _, id := range stores {
+					c.step(id, "", roll)
+				}
+				c.run(100 * loop.Milli)
+			}
+		}
+		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		place("a")
+		run(loop.Second)
+		So(c.leader("l"), ShouldEqual, "a")
+		place("b")
+		run(1500 * loop.Milli)
+		So(c.leader("l"), ShouldEqual, "b")
+		place("c")
+		run(1500 * loop.Milli)
+		So(c.leader("l"), ShouldEqual, "c")
+	})
+}
+
+// licence makes the steward "h" and gives its licence.
+func (c *core) licence() uint64 {
+	reply := c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
+	var claimed struct{ Licence uint64 }
+	So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
+	return claimed.Licence
+}
