Whole restarts and lost leaders: elections within 0.3 to 0.75 s, all groups at once

Change: elections at 450 to 750 ms; a replica that has just started asks by pre-vote after 300 ms (a leader acts no longer than that after its quorum's word), whoever voted for itself last first, so that it takes up what it led; one draw for all groups of a process; of two that ask at once with equal logs one goes first; the book looks at once and publishes who is new at once; a lane that the charter wants elsewhere is passed on at once after a start.

--- a/crew/real.go
+++ b/crew/real.go
@@ -117,6 +117,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.process.Run(ctx)
+	// The first look for the others needn't wait for the pace.
+	r.process.Post("kin", loop.Mail{Body: loop.Tick{}})
 	r.duty(func() { r.writes.Drain(ctx, 0, r.commit, nil) })
 	r.duty(func() {
 		loop.NewRing[int](1).Drain(ctx, 250*loop.Milli, nil, func() {
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -106,6 +106,18 @@
 	passAt   loop.Micros
 }
 
+// patience is one draw for all groups of a process: whoever stops hearing a
+// machine that led many calls for votes in all of them at once, so that one
+// machine comes to lead them together.
+type patience struct {
+	rng   *rand.Rand
+	share uint64 // of 1 << 16
+}
+
+func (p *patience) draw() { p.share = p.rng.Uint64N(1 << 16) }
+
+func (p *patience) Int64N(n int64) int64 { return n * int64(p.share) >> 16 }
+
 type pending struct {
 	changes []*schema.Change
 	posts   []raft.Post
@@ -119,7 +131,7 @@
 	self     *schema.Self
 	wall     func() int64
 	times    raft.Times
-	seed     uint64
+	patience *patience
 	groups   map[string]*replica
 	charter  *charter.Machine
 	values   *charter.Values
@@ -137,9 +149,13 @@
 // New makes the table from a store's content.
 func New(id string, content *vault.Content, wall func() int64, times raft.Times, seed uint64, now loop.Micros) *Table {
 	t := &Table{
-		id: id, self: content.Self, wall: wall, times: times, seed: seed, groups: map[string]*replica{},
+		id: id, self: content.Self, wall: wall, times: times, groups: map[string]*replica{},
 		charter: charter.New(), applied: map[string]*schema.Applied{},
 	}
+	hash := fnv.New64a()
+	hash.Write([]byte(id))
+	t.patience = &patience{rng: rand.New(rand.NewPCG(seed, hash.Sum64()))}
+	t.patience.draw()
 	t.setState(t.charter.Copy())
 	t.next.marks = map[string]raft.Mark{}
 	for name, image := range content.Groups {
@@ -149,10 +165,8 @@
 }
 
 func (t *Table) open(now loop.Micros, name string, image *vault.Image) *replica {
-	hash := fnv.New64a()
-	hash.Write([]byte(name + t.id))
 	r := &replica{
-		group:   raft.New(name, t.id, image, t.times, rand.New(rand.NewPCG(t.seed, hash.Sum64())), now),
+		group:   raft.New(name, t.id, image, t.times, t.patience, now),
 		waiting: map[uint64]waiter{}, reading: map[uint64]waiter{},
 	}
 	t.groups[name] = r
@@ -356,15 +370,22 @@
 // --- time ---
 
 func (t *Table) tick(now loop.Micros, out loop.Out) {
+	hasAsked := false
 	for _, name := range t.names() {
 		r := t.groups[name]
+		wasAsked := r.group.Asks()
 		r.group.Tick(now)
+		hasAsked = hasAsked || r.group.Asks() != wasAsked
 		if r.group.IsLeader() {
 			r.group.AgreeWall(now, t.wall())
 			t.tend(now, r)
 			t.passOn(now, r)
 		}
 	}
+	if hasAsked {
+		// Two machines with the same patience shouldn't call at once again.
+		t.patience.draw()
+	}
 	t.lanes(now, out)
 	fresh := Fresh{Groups: map[string]uint64{}}
 	for name, r := range t.groups {
@@ -435,7 +456,7 @@
 // passOn hands a group over when this process is warned, when its disk
 // stalls, or when the charter wants the lane elsewhere.
 func (t *Table) passOn(now loop.Micros, r *replica) {
-	if now-r.passAt < passRest && !t.isWarned || now-r.passAt < loop.Second {
+	if r.passAt > 0 && (now-r.passAt < passRest && !t.isWarned || now-r.passAt < loop.Second) {
 		return
 	}
 	isStalled := t.writing != nil && now-t.began > stallSpan
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -384,7 +384,7 @@
 	if hello.Self == nil || hello.Self.Id != from || from == t.self.Id {
 		return
 	}
-	wasSystem, seen := t.isSystem, len(t.seen)
+	wasSystem, seen, known := t.isSystem, len(t.seen), len(t.known)
 	t.isSystem = t.isSystem || hello.Belongs
 	t.note(now, hello.Self)
 	t.told[from] = word{at: now, hello: hello}
@@ -420,6 +420,10 @@
 		t.rushedAt = now
 		t.greet(now, out)
 	}
+	// Whoever is new here can be reached from now on.
+	if len(t.known) > known {
+		t.publish(now, out)
+	}
 	t.found(now, out)
 }
 
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -4,7 +4,6 @@
 package raft
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sort"
 
@@ -30,7 +29,14 @@
 }
 
 // UsualTimes are the defaults of the chosen design.
-var UsualTimes = Times{ElectionLeast: loop.Second, ElectionMost: 2 * loop.Second, Beat: 150 * loop.Milli}
+var UsualTimes = Times{ElectionLeast: 450 * loop.Milli, ElectionMost: 750 * loop.Milli, Beat: 100 * loop.Milli}
+
+// acting is how long after a round that a quorum answered a leader may act
+// outward: less than any of those waits before it votes for another.
+func (t Times) acting() loop.Micros { return 3 * t.Beat }
+
+// Source draws a number below n.
+type Source interface{ Int64N(n int64) int64 }
 
 const (
 	maxBatch  = 64      // records in one Append
@@ -41,6 +47,10 @@
 
 	callRest  = 50 * loop.Milli // between two calls of a founder that stands
 	mostCalls = 12
+
+	yieldSpan  = 150 * loop.Milli // how much longer others wait after a start than whoever led last
+	youngSpan  = 150 * loop.Milli // spread of their waits
+	youngAgain = 100 * loop.Milli // and between two pre-votes of one, until somebody leads
 )
 
 type role int
@@ -102,7 +112,7 @@
 type Group struct {
 	name, self string
 	times      Times
-	rng        *rand.Rand
+	rng        Source
 
 	term uint64
 	vote string
@@ -120,6 +130,8 @@
 	hardDone uint64 // hard states synced
 	matched  uint64 // as follower: how far the log is the leader's
 	deadline loop.Micros
+	asks     int
+	isYoung  bool // no leader was heard since this start
 	heard    loop.Micros
 	caught   loop.Micros
 	votes    map[string]bool
@@ -144,7 +156,7 @@
 }
 
 // New makes a replica from what its store holds.
-func New(name, self string, image *vault.Image, times Times, rng *rand.Rand, now loop.Micros) *Group {
+func New(name, self string, image *vault.Image, times Times, rng Source, now loop.Micros) *Group {
 	g := &Group{name: name, self: self, times: times, rng: rng, base: image.Checkpoint}
 	g.term, g.vote = image.Hard.Term, image.Hard.Vote
 	g.log = append(g.log, image.Records...)
@@ -152,6 +164,16 @@
 	g.stable = g.lastIndex()
 	g.findRoster()
 	g.resetDeadline(now)
+	// Whatever leader there was, this replica hasn't answered it since before its
+	// start, so it needn't wait as long as one that has. A pre-vote harms nobody,
+	// and who led last, as its own vote says, is let go first: so one machine
+	// takes up again all that it led.
+	if g.isYoung = g.term > 0; g.isYoung {
+		g.deadline = now + times.acting()
+		if g.vote != self {
+			g.deadline += yieldSpan + loop.Micros(rng.Int64N(int64(youngSpan)))
+		}
+	}
 	return g
 }
 
@@ -168,11 +190,14 @@
 func (g *Group) Roster() *schema.Roster { return g.roster }
 func (g *Group) First() uint64          { return g.first }
 
+// Asks is how often this replica has missed a leader and asked for votes.
+func (g *Group) Asks() int { return g.asks }
+
 // Acting tells whether this leader may act outward: it has applied its own
-// first record, and a quorum has answered it within two beats. One that was
+// first record, and a quorum has answered it within three beats. One that was
 // frozen finds itself silent on waking, before it knows of its successor.
 func (g *Group) Acting(now loop.Micros) bool {
-	return g.role == leader && g.applied >= g.first && now-g.quorumAt <= 2*g.times.Beat+g.times.Beat/2
+	return g.role == leader && g.applied >= g.first && now-g.quorumAt <= g.times.acting()
 }
 
 // Fresh is when this replica last held all that its leader had committed, or
@@ -383,6 +408,7 @@
 		g.matched = 0
 	}
 	g.role, g.lead = follower, lead
+	g.isYoung = g.isYoung && lead == ""
 	g.peers, g.votes, g.reads, g.rounds, g.passTo, g.replies, g.calls = nil, nil, nil, nil, "", nil, 0
 	g.resetDeadline(now)
 }
@@ -403,6 +429,9 @@
 	}
 	g.lead = ""
 	g.resetDeadline(now)
+	if g.isYoung {
+		g.deadline = now + youngAgain + loop.Micros(g.rng.Int64N(int64(youngAgain)))
+	}
 	if g.isVoter(g.self) {
 		g.ask(now)
 	}
@@ -448,6 +477,7 @@
 }
 
 func (g *Group) ask(now loop.Micros) {
+	g.asks++
 	g.role = asking
 	g.votes = map[string]bool{g.self: true}
 	g.canvass(g.term+1, true, false)
@@ -515,7 +545,7 @@
 }
 
 func (g *Group) takeLead(now loop.Micros) {
-	g.role, g.lead = leader, g.self
+	g.role, g.lead, g.isYoung = leader, g.self, false
 	g.peers = map[string]*progress{}
 	g.rounds = map[uint64]loop.Micros{}
 	g.reads = nil
@@ -685,7 +715,10 @@
 	}
 	isFresh := m.LastTerm > g.lastTerm() || m.LastTerm == g.lastTerm() && m.LastIndex >= g.lastIndex()
 	if m.Pre {
-		if m.Term > g.term && isFresh {
+		// Of two that ask at once with equal logs one goes first, or the two of
+		// three that are left would split the vote.
+		isFirst := g.role == asking && g.self < from && m.LastTerm == g.lastTerm() && m.LastIndex == g.lastIndex()
+		if m.Term > g.term && isFresh && !isFirst {
 			g.post(from, &schema.VoteReply{Group: g.name, Term: m.Term, Granted: true, Pre: true})
 		} else {
 			g.post(from, &schema.VoteReply{Group: g.name, Term: g.term, Pre: true})
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -366,6 +366,56 @@
 	})
 }
 
+func TestStartingAnew(t *testing.T) {
+	Convey("When all start anew whoever led last leads again, without an election's time", t, func() {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := newRig(seed, ids...)
+			r.run(4 * loop.Second)
+			r.propose("one")
+			r.run(loop.Second)
+			old := r.leader().self
+			isSplit := false
+			for _, id := range ids {
+				// Who stood against the leader has voted for itself as well.
+				isSplit = isSplit || id != old && r.images[id].Hard.Vote == id
+				r.start(id)
+			}
+			r.run(UsualTimes.acting() + 50*loop.Milli)
+			if !isSplit {
+				So(r.leader().self, ShouldEqual, old)
+			}
+			So(r.leader().Acting(r.now), ShouldBeTrue)
+		}
+	})
+	Convey("and another does a moment later if that one stays away", t, func() {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := newRig(seed, ids...)
+			r.run(4 * loop.Second)
+			old := r.leader().self
+			for _, id := range ids {
+				r.start(id)
+			}
+			r.isDown[old] = true
+			r.run(loop.Second)
+			So(r.leader(), ShouldNotBeNil)
+		}
+	})
+	Convey("One that starts alone disturbs nobody, nor does it lead before the last leader acts no more", t, func() {
+		r := newRig(1, ids...)
+		r.run(4 * loop.Second)
+		lead := r.leader()
+		term := lead.Term()
+		for _, id := range ids {
+			if id != lead.self {
+				r.start(id)
+				r.run(3 * loop.Second)
+			}
+		}
+		So(r.leader(), ShouldEqual, lead)
+		So(lead.Term(), ShouldEqual, term)
+	})
+}
+
 func TestMembersChangeByOne(t *testing.T) {
 	Convey("A fresh replica learns, is promoted, and the lost one is dropped", t, func() {
 		r := newRig(6, ids...)
@@ -537,10 +587,25 @@
 		g := r.leader()
 		So(g.Acting(r.now), ShouldBeTrue)
 		r.cut = func(from, to string) bool { return from == g.self || to == g.self }
-		r.run(500 * loop.Milli)
+		r.run(UsualTimes.ElectionLeast - UsualTimes.Beat)
 		So(g.IsLeader(), ShouldBeTrue)
 		So(g.Acting(r.now), ShouldBeFalse)
 	})
+	Convey("and acts no more when another may lead, however soon that is", t, func() {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := newRig(seed, ids...)
+			r.run(3 * loop.Second)
+			g := r.leader()
+			r.cut = func(from, to string) bool { return from == g.self || to == g.self }
+			for k := 0; k < 200 && g.Acting(r.now); k++ {
+				for id, other := range r.groups {
+					So(id == g.self || !other.IsLeader(), ShouldBeTrue)
+				}
+				r.run(10 * loop.Milli)
+			}
+			So(g.Acting(r.now), ShouldBeFalse)
+		}
+	})
 	Convey("A beat that lay in a buffer makes no copy fresh", t, func() {
 		r := newRig(1, ids...)
 		r.run(3 * loop.Second)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -43,8 +43,9 @@
 	ackSpan    = 3 * time.Second // a peer that acknowledges nothing for so long is gone
 	batchMost  = 256             // messages written in one go
 	bufferSize = 16 << 10
-	quietSpan  = 20 * time.Second // a wire unused this long is closed by its sender
-	deafSpan   = 60 * time.Second // and later by its receiver
+	failedSpan = 30 * time.Millisecond // between two dials of an address that doesn't answer
+	quietSpan  = 20 * time.Second      // a wire unused this long is closed by its sender
+	deafSpan   = 60 * time.Second      // and later by its receiver
 )
 
 func init() {
@@ -224,7 +225,7 @@
 func (n *Net) write(out *outgoing, address string, envelope Envelope) error {
 	if out.conn == nil {
 		// A process that is gone must not cost a dial for each message.
-		if n.now().Sub(out.failed) < 100*time.Millisecond {
+		if n.now().Sub(out.failed) < failedSpan {
 			return Closed.New("%s failed a moment ago", address)
 		}
 		n.dials.Add(1)
