Timed jobs keep to the time of day: after a gap without a leader, and when most clocks jump

Cause: lane time stands still while nobody leads, so after a power cut timed jobs were late by all of it, for good; and the middle of three clocks is wrong when two are set wrong at once. A tick now tells the lane how the time of day stands to lane time, and rounds still to come are set anew. A jump of the middle clock within a leadership isn't believed for 20 s.

--- a/keep/keep.go
+++ b/keep/keep.go
@@ -33,6 +33,7 @@
 	waitMost     = 400 * loop.Milli // how long passing on waits for that
 	maxUnsettled = 8192             // proposals of one group not applied yet
 	tickTimed    = loop.Second
+	wallMost     = 100 * loop.Milli // a lane's timed jobs may be away from the time of day by so much
 	tickKept     = 5 * loop.Second
 )
 
@@ -408,6 +409,14 @@
 		r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
 		r.tickAt = now
 	}
+	// Jobs that are to start at a time of day keep to it, though lane time has
+	// stood still without a leader.
+	if offset, isKnown := g.WallOffset(now, t.wall()); isKnown && m.Timed() > 0 && r.tickIdx <= g.Applied() {
+		if away := offset - m.WallOffset(); away > int64(wallMost) || away < -int64(wallMost) {
+			r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{WallOffsetUs: offset}}})
+			r.tickAt = now
+		}
+	}
 	wanted := &schema.Adopt{
 		StatusUs: t.values.Fleet("status_s") * 1_000_000,
 		Every:    uint32(t.values.Fleet("cache_every")),
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/charter"
 	"sparnotch/kin"
 	"sparnotch/loop"
 	"sparnotch/schema"
@@ -72,3 +74,34 @@
 	So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
 	return claimed.Licence
 }
+
+func TestTimedJobsAfterALeader(t *testing.T) {
+	Convey("A lane that had no leader for a while keeps its timed jobs to the time of day", t, func() {
+		c := newCore()
+		c.day = 1_800_000_000_000_000
+		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		lanes := &schema.PlaceLanes{Licence: c.licence(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
+		c.run(loop.Second)
+		due := c.now + 8*loop.Second
+		job := &schema.Job{StartWallUs: c.day + int64(due), Rounds: 1, Steps: []*schema.Step{{Name: "s", Tasks: 1}}}
+		c.step("a", "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
+			Session: &schema.Session{Intake: "f", Boot: 1, Client: "c"}, Number: 1, Name: "j", Digest: []byte("d"), Job: job,
+		}}})
+		c.run(500 * loop.Milli)
+		// Nobody is left who could lead.
+		c.isDown["a"], c.isDown["b"] = true, true
+		c.run(4 * loop.Second)
+		c.isDown["b"] = false
+		c.run(due - c.now - 200*loop.Milli)
+		lane := c.tables[c.leader("l")].groups["l#"+c.generation("l")].lane
+		So(lane.Counts().Waiting, ShouldEqual, 0)
+		c.run(400 * loop.Milli)
+		So(lane.Counts().Waiting, ShouldEqual, 1)
+	})
+}
+
+// generation is that of a lane's place.
+func (c *core) generation(lane string) string {
+	return strconv.FormatUint(charter.Place(c.tables["c"].state, lane).GetGeneration(), 10)
+}
--- a/keep/plan_test.go
+++ b/keep/plan_test.go
@@ -29,6 +29,8 @@
 	tables map[string]*Table
 	mail   []letter
 	heard  map[string][]any // by process outside, or by table of a store
+	day    int64            // time of day at time 0; 0: every clock stands still
+	isDown map[string]bool
 }
 
 type letter struct {
@@ -58,10 +60,16 @@
 var stores = []string{"a", "b", "c"}
 
 func newCore() *core {
-	c := &core{now: loop.Second, tables: map[string]*Table{}, heard: map[string][]any{}}
+	c := &core{now: loop.Second, tables: map[string]*Table{}, heard: map[string][]any{}, isDown: map[string]bool{}}
+	wall := func() int64 {
+		if c.day == 0 {
+			return 0
+		}
+		return c.day + int64(c.now)
+	}
 	for k, id := range stores {
 		content := &vault.Content{Self: &schema.Self{Id: id}, Groups: map[string]*vault.Image{}}
-		c.tables[id] = New(id, content, func() int64 { return 0 }, raft.UsualTimes, uint64(k+1), c.now)
+		c.tables[id] = New(id, content, wall, raft.UsualTimes, uint64(k+1), c.now)
 	}
 	for _, id := range stores {
 		c.step(id, "", kin.KeepSelf{Self: &schema.Self{Id: id, Belongs: true}, Found: stores})
@@ -84,6 +92,9 @@
 			return l.at <= c.now
 		})
 		for _, l := range due {
+			if c.isDown[l.to] || c.isDown[l.from] {
+				continue
+			}
 			if c.tables[l.to] != nil {
 				c.step(l.to, l.from, l.body)
 			} else {
@@ -92,7 +103,9 @@
 		}
 		if c.now%Pace < stepTime {
 			for _, id := range stores {
-				c.step(id, "", loop.Tick{})
+				if !c.isDown[id] {
+					c.step(id, "", loop.Tick{})
+				}
 			}
 		}
 	}
@@ -101,7 +114,7 @@
 func (c *core) leader(lane string) string {
 	for _, id := range stores {
 		for _, r := range c.tables[id].groups {
-			if r.name == lane && r.group.IsLeader() {
+			if r.name == lane && r.group.IsLeader() && !c.isDown[id] {
 				return id
 			}
 		}
--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -549,6 +549,58 @@
 	})
 }
 
+func TestTimeOfDay(t *testing.T) {
+	const day = int64(1_800_000_000_000_000) // of the time of day, at lane time 0
+	job := func(wall, delay int64) *schema.Job {
+		return &schema.Job{Text: "x", StartWallUs: wall, DelayUs: delay, Rounds: 3, EveryUs: 1_000_000, Steps: []*schema.Step{{Name: "a", Tasks: 1}}}
+	}
+	clock := func(b *bench, offset int64) {
+		b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{WallOffsetUs: offset}}})
+	}
+	enter := func(b *bench, number uint64, job *schema.Job, start int64) {
+		b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: &schema.Enqueue{
+			Session: who("c"), Number: number, Name: fmt.Sprint("j", number), Digest: []byte("d"), Job: job, StartUs: start,
+		}}})
+	}
+	Convey("Rounds keep to the time of day, though lane time stood still", t, func() {
+		b := newBench()
+		clock(b, day)
+		enter(b, 1, job(day+1_000_000, 0), 1_000_000)
+		enter(b, 2, job(0, 1_000_000), 1_000_000)
+		b.at = 1_000_000
+		b.tick()
+		So(b.seen(), ShouldEqual, "a0.0 a0.0 ")
+		// Nobody led for 1.6 s.
+		b.at = 1_300_000
+		clock(b, day+1_600_000)
+		So(b.m.WallOffset(), ShouldEqual, day+1_600_000)
+		So(b.m.jobs[1].opened, ShouldEqual, 2)
+		b.again()
+		b.at = 1_399_999
+		b.tick()
+		So(b.m.jobs[1].opened, ShouldEqual, 2)
+		b.at = 1_400_000
+		b.tick()
+		So(b.m.jobs[1].opened, ShouldEqual, 3)
+		Convey("but a delay is one of lane time", func() {
+			So(b.m.jobs[2].opened, ShouldEqual, 1)
+			b.at = 2_000_000
+			b.tick()
+			So(b.m.jobs[2].opened, ShouldEqual, 2)
+		})
+	})
+	Convey("A clock that comes right puts off what is still to come and closes nothing", t, func() {
+		b := newBench()
+		enter(b, 1, job(day+1_000_000, 0), 1_000_000)
+		b.at = 1_000_000
+		b.tick()
+		clock(b, day-5_000_000)
+		So(b.m.jobs[1].opened, ShouldEqual, 1)
+		next, _ := b.m.NextStart()
+		So(next, ShouldEqual, 7_000_000)
+	})
+}
+
 func TestWholeGroups(t *testing.T) {
 	gang := func(allowed uint32) *schema.Job {
 		return &schema.Job{Text: "x", Steps: []*schema.Step{
--- a/lane/machine.go
+++ b/lane/machine.go
@@ -152,6 +152,9 @@
 	cachedAt uint64
 	index    uint64
 	effects  *Effects
+	// What the latest tick told of the time of day; for the leader to know
+	// whether it is to tell anew, so not part of the state at rest.
+	wallOffset int64
 }
 
 // New makes an empty lane.
@@ -175,6 +178,7 @@
 func (m *Machine) Kept() int              { return len(m.fading) }
 func (m *Machine) Timed() int             { return m.byStart.Len() }
 func (m *Machine) Carries() uint64        { return m.carries }
+func (m *Machine) WallOffset() int64      { return m.wallOffset }
 func (m *Machine) Adopted() *schema.Adopt { return m.adopt }
 
 // Oldest is the job whose payload stands lowest in the log.
@@ -237,6 +241,10 @@
 		m.down(body.Down)
 	case *schema.LaneCommand_Carry:
 		m.carry(index, body.Carry)
+	case *schema.LaneCommand_Tick:
+		if body.Tick.WallOffsetUs != 0 {
+			m.setClock(body.Tick.WallOffsetUs)
+		}
 	case *schema.LaneCommand_Adopt:
 		m.adopt = body.Adopt
 		m.passTime()
@@ -270,6 +278,26 @@
 	}
 }
 
+// setClock takes in how the time of day stands to lane time, which stands still
+// while nobody leads: rounds that are still to come keep to the time of day they
+// were asked for. What has opened stays open.
+func (m *Machine) setClock(offset int64) {
+	m.wallOffset = offset
+	var moved []*job
+	m.byStart.Ascend(func(j *job) bool {
+		if j.spec.GetStartWallUs() > 0 && j.spec.GetDelayUs() == 0 && j.startUs != j.spec.StartWallUs-offset {
+			moved = append(moved, j)
+		}
+		return true
+	})
+	for _, j := range moved {
+		m.byStart.Delete(j)
+		j.startUs = j.spec.StartWallUs - offset
+		m.byStart.ReplaceOrInsert(j)
+	}
+	m.passTime()
+}
+
 // --- enqueue ---
 
 func (m *Machine) enqueue(index uint64, e *schema.Enqueue) {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -139,8 +139,10 @@
 	timeMono  loop.Micros
 	out       Effects
 
-	replies    []reply // beats answered of this term, the latest last
-	wallOffset int64   // wall less group time, when three clocks last agreed
+	replies    []reply     // beats answered of this term, the latest last
+	wallOffset int64       // wall less group time, when three clocks last agreed
+	wallTerm   uint64      // as whose leader we found that
+	steppedAt  loop.Micros // the middle clock has jumped, and isn't believed yet
 }
 
 // New makes a replica from what its store holds.
@@ -210,6 +212,11 @@
 // right; group time stands still without a leader, so a right one is later.
 const wallSlack = 50 * loop.Milli
 
+const (
+	stepLeast = 300 * loop.Milli // a jump of the middle clock that isn't believed at once
+	stepSpan  = 20 * loop.Second // for so long
+)
+
 // WallTime is the median of the voters' wall clocks, so that one clock that
 // jumped moves nothing. Our own counts as one of them. While only two are known,
 // as for a new leader with a voter away, either may be the wrong one: the lower
@@ -217,6 +224,9 @@
 func (g *Group) WallTime(now loop.Micros, own int64) int64 {
 	walls := g.walls(now, own)
 	if len(walls) >= 3 {
+		if wall := walls[len(walls)/2]; g.isStep(now, wall) {
+			return g.GroupTime(now) + g.wallOffset
+		}
 		return walls[len(walls)/2]
 	}
 	if g.wallOffset == 0 {
@@ -245,9 +255,39 @@
 // AgreeWall notes, while three clocks are known, how wall and group time stand
 // to each other; beats carry that to whoever may lead next.
 func (g *Group) AgreeWall(now loop.Micros, own int64) {
-	if walls := g.walls(now, own); g.role == leader && len(walls) >= 3 {
-		g.wallOffset = walls[len(walls)/2] - g.GroupTime(now)
+	walls := g.walls(now, own)
+	if g.role != leader || len(walls) < 3 {
+		return
+	}
+	wall := walls[len(walls)/2]
+	if g.isStep(now, wall) {
+		if g.steppedAt == 0 {
+			g.steppedAt = now
+		}
+		return
+	}
+	g.wallOffset, g.wallTerm, g.steppedAt = wall-g.GroupTime(now), g.term, 0
+}
+
+// isStep tells whether the middle clock has jumped against our steady one, as
+// when most clocks are set wrong at once. That isn't believed for a while: a
+// clock that was set wrong comes right again. Only where group time may have
+// stood still since the last agreement is a later clock no wonder.
+func (g *Group) isStep(now loop.Micros, wall int64) bool {
+	if g.wallOffset == 0 || g.steppedAt > 0 && now-g.steppedAt >= stepSpan {
+		return false
+	}
+	jump := wall - g.GroupTime(now) - g.wallOffset
+	return jump < -int64(stepLeast) || jump > int64(stepLeast) && g.wallTerm == g.term
+}
+
+// WallOffset is what is to be added to group time for the time of day; false
+// while too few clocks are known.
+func (g *Group) WallOffset(now loop.Micros, own int64) (int64, bool) {
+	if g.role != leader || len(g.walls(now, own)) < min(2, len(g.roster.Voters)) {
+		return 0, false
 	}
+	return g.WallTime(now, own) - g.GroupTime(now), true
 }
 
 // Take hands over what the steps since the last call have left.
@@ -520,7 +560,7 @@
 	g.rounds = map[uint64]loop.Micros{}
 	g.reads = nil
 	g.quorumAt = now
-	g.timeBase, g.timeMono = g.lastAt(), now
+	g.timeBase, g.timeMono, g.steppedAt = g.lastAt(), now, 0
 	g.syncPeers(now)
 	g.first = g.lastIndex() + 1
 	// A leader knows what is committed only through a record of its own term.
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -462,6 +462,49 @@
 		So(g.WallTime(0, right), ShouldEqual, right)
 		So(g.WallTime(0, right-jump), ShouldEqual, right)
 	})
+	Convey("Most clocks that jump together aren't believed for a while", t, func() {
+		r := newRig(1, ids...)
+		r.run(3 * loop.Second)
+		g := r.leader()
+		now, others := r.now, g.others()
+		at := func(jump int64, span loop.Micros) int64 {
+			walls := map[string]int64{}
+			for _, id := range others {
+				walls[id] = right + jump - int64(now)
+			}
+			clock(g, walls)
+			g.AgreeWall(now+span, right+jump+int64(span))
+			return g.WallTime(now+span, right+jump+int64(span)) - int64(span)
+		}
+		So(at(0, 0), ShouldEqual, right)
+		for _, each := range []int64{jump, -jump, 5_000_000, -5_000_000} {
+			So(at(each, loop.Second), ShouldEqual, right)
+			So(at(each, 7*loop.Second), ShouldEqual, right)
+			So(at(0, 8*loop.Second), ShouldEqual, right)
+		}
+		So(at(200_000, 9*loop.Second), ShouldEqual, right+200_000)
+		So(at(jump, 10*loop.Second), ShouldEqual, right+200_000)
+		So(at(jump, 29*loop.Second), ShouldEqual, right+200_000)
+		So(at(jump, 30*loop.Second), ShouldEqual, right+jump)
+	})
+	Convey("A later time than a former leader's is no jump: group time may have stood still", t, func() {
+		r := newRig(1, ids...)
+		r.run(3 * loop.Second)
+		g := r.leader()
+		walls := map[string]int64{}
+		for _, id := range g.others() {
+			walls[id] = right - int64(r.now)
+		}
+		clock(g, walls)
+		g.wallOffset = right - g.GroupTime(r.now) - 13*int64(loop.Second)
+		So(g.WallTime(r.now, right), ShouldEqual, right)
+		offset, isKnown := g.WallOffset(r.now, right)
+		So(isKnown, ShouldBeTrue)
+		So(offset, ShouldEqual, right-g.GroupTime(r.now))
+		clock(g, map[string]int64{g.others()[0]: 0, g.others()[1]: 0})
+		_, isKnown = g.WallOffset(r.now, right)
+		So(isKnown, ShouldBeFalse)
+	})
 	Convey("Of two, the one that fits what three agreed on, and never an earlier start", t, func() {
 		r := newRig(1, ids...)
 		r.run(3 * loop.Second)
