--- a/keep/keep.go
+++ b/keep/keep.go
@@ -108,6 +108,18 @@
 	keeperAt string // whom the charter named as keeper then
 }
 
+// patience is one draw for all groups of a process: whoever stops hearing a
+// machine that led many calls for votes in all of them at once, so that one
+// machine comes to lead them together.
+type patience struct {
+	rng   *rand.Rand
+	share uint64 // of 1 << 16
+}
+
+func (p *patience) draw() { p.share = p.rng.Uint64N(1 << 16) }
+
+func (p *patience) Int64N(n int64) int64 { return n * int64(p.share) >> 16 }
+
 type pending struct {
 	changes []*schema.Change
 	posts   []raft.Post
@@ -121,7 +133,7 @@
 	self     *schema.Self
 	wall     func() int64
 	times    raft.Times
-	seed     uint64
+	patience *patience
 	groups   map[string]*replica
 	charter  *charter.Machine
 	values   *charter.Values
@@ -139,9 +151,13 @@
 // New makes the table from a store's content.
 func New(id string, content *vault.Content, wall func() int64, times raft.Times, seed uint64, now loop.Micros) *Table {
 	t := &Table{
-		id: id, self: content.Self, wall: wall, times: times, seed: seed, groups: map[string]*replica{},
+		id: id, self: content.Self, wall: wall, times: times, groups: map[string]*replica{},
 		charter: charter.New(), applied: map[string]*schema.Applied{},
 	}
+	hash := fnv.New64a()
+	hash.Write([]byte(id))
+	t.patience = &patience{rng: rand.New(rand.NewPCG(seed, hash.Sum64()))}
+	t.patience.draw()
 	t.setState(t.charter.Copy())
 	t.next.marks = map[string]raft.Mark{}
 	for name, image := range content.Groups {
@@ -151,10 +167,8 @@
 }
 
 func (t *Table) open(now loop.Micros, name string, image *vault.Image) *replica {
-	hash := fnv.New64a()
-	hash.Write([]byte(name + t.id))
 	r := &replica{
-		group:   raft.New(name, t.id, image, t.times, rand.New(rand.NewPCG(t.seed, hash.Sum64())), now),
+		group:   raft.New(name, t.id, image, t.times, t.patience, now),
 		waiting: map[uint64]waiter{}, reading: map[uint64]waiter{},
 	}
 	t.groups[name] = r
@@ -358,15 +372,22 @@
 // --- time ---
 
 func (t *Table) tick(now loop.Micros, out loop.Out) {
+	hasAsked := false
 	for _, name := range t.names() {
 		r := t.groups[name]
+		wasAsked := r.group.Asks()
 		r.group.Tick(now)
+		hasAsked = hasAsked || r.group.Asks() != wasAsked
 		if r.group.IsLeader() {
 			r.group.AgreeWall(now, t.wall())
 			t.tend(now, r)
 			t.passOn(now, r)
 		}
 	}
+	if hasAsked {
+		// Two machines with the same patience shouldn't call at once again.
+		t.patience.draw()
+	}
 	t.lanes(now, out)
 	fresh := Fresh{Groups: map[string]uint64{}}
 	for name, r := range t.groups {
@@ -449,7 +470,7 @@
 	// A keeper that was named since is given the lane at once: its workers have
 	// gone to it already, and nobody else can start anything on them.
 	isRested := now-r.passAt >= passRest || t.isWarned || wanted != r.keeperAt
-	if !isRested || now-r.passAt < loop.Second {
+	if r.passAt > 0 && (!isRested || now-r.passAt < loop.Second) {
 		return
 	}
 	isStalled := t.writing != nil && now-t.began > stallSpan
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -331,6 +331,91 @@
 	})
 }
 
+func TestNewLeaderOfALongLog(t *testing.T) {
+	Convey("A new leader of a log longer than what may be on its way acts at once, and sends nothing anew", t, func() {
+		r := newRig(9, ids...)
+		r.run(4 * loop.Second)
+		for k := 0; k < maxFlight+500; k++ {
+			r.propose(fmt.Sprint(k))
+		}
+		r.run(2 * loop.Second)
+		old := r.leader()
+		to := "a"
+		if old.self == "a" {
+			to = "b"
+		}
+		r.appends = 0
+		Convey("as one that was handed the group", func() {
+			old.Pass(r.now, to)
+			r.collect(old.self)
+			r.run(50 * loop.Milli)
+			So(r.groups[to].Acting(r.now), ShouldBeTrue)
+			So(r.appends, ShouldBeLessThan, 10)
+		})
+		Convey("also where the first Append was lost", func() {
+			r.cut = func(from, other string) bool { return len(r.applied[to]) > 0 && r.groups[to].IsLeader() }
+			old.Pass(r.now, to)
+			r.collect(old.self)
+			r.run(50 * loop.Milli)
+			So(r.groups[to].IsLeader(), ShouldBeTrue)
+			r.cut = func(string, string) bool { return false }
+			r.run(500 * loop.Milli)
+			So(r.groups[to].Acting(r.now), ShouldBeTrue)
+			So(r.appends, ShouldBeLessThan, 20)
+		})
+	})
+}
+
+func TestStartingAnew(t *testing.T) {
+	Convey("When all start anew whoever led last leads again, without an election's time", t, func() {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := newRig(seed, ids...)
+			r.run(4 * loop.Second)
+			r.propose("one")
+			r.run(loop.Second)
+			old := r.leader().self
+			isSplit := false
+			for _, id := range ids {
+				// Who stood against the leader has voted for itself as well.
+				isSplit = isSplit || id != old && r.images[id].Hard.Vote == id
+				r.start(id)
+			}
+			r.run(UsualTimes.acting() + 50*loop.Milli)
+			if !isSplit {
+				So(r.leader().self, ShouldEqual, old)
+			}
+			So(r.leader().Acting(r.now), ShouldBeTrue)
+		}
+	})
+	Convey("and another does a moment later if that one stays away", t, func() {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := newRig(seed, ids...)
+			r.run(4 * loop.Second)
+			old := r.leader().self
+			for _, id := range ids {
+				r.start(id)
+			}
+			r.isDown[old] = true
+			r.run(loop.Second)
+			So(r.leader(), ShouldNotBeNil)
+		}
+	})
+	Convey("One that starts alone disturbs nobody, nor does it lead before the last leader acts no more", t, func() {
+		r := newRig(1, ids...)
+		r.run(4 * loop.Second)
+		lead := r.leader()
+		term := lead.Term()
+		for _, id := range ids {
+			if id != lead.self {
+				r.start(id)
+				r.run(3 * loop.Second)
+			}
+		}
+		So(r.leader(), ShouldEqual, lead)
+		So(lead.Term(), ShouldEqual, term)
+	})
+}
+
 func TestMembersChangeByOne(t *testing.T) {
 	Convey("A fresh replica learns, is promoted, and the lost one is dropped", t, func() {
 		r := newRig(6, ids...)
@@ -545,10 +630,25 @@
 		g := r.leader()
 		So(g.Acting(r.now), ShouldBeTrue)
 		r.cut = func(from, to string) bool { return from == g.self || to == g.self }
-		r.run(500 * loop.Milli)
+		r.run(UsualTimes.ElectionLeast - UsualTimes.Beat)
 		So(g.IsLeader(), ShouldBeTrue)
 		So(g.Acting(r.now), ShouldBeFalse)
 	})
+	Convey("and acts no more when another may lead, however soon that is", t, func() {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := newRig(seed, ids...)
+			r.run(3 * loop.Second)
+			g := r.leader()
+			r.cut = func(from, to string) bool { return from == g.self || to == g.self }
+			for k := 0; k < 200 && g.Acting(r.now); k++ {
+				for id, other := range r.groups {
+					So(id == g.self || !other.IsLeader(), ShouldBeTrue)
+				}
+				r.run(10 * loop.Milli)
+			}
+			So(g.Acting(r.now), ShouldBeFalse)
+		}
+	})
 	Convey("A beat that lay in a buffer makes no copy fresh", t, func() {
 		r := newRig(1, ids...)
 		r.run(3 * loop.Second)
