A worker is bad by evidence against the lane's own share of failures

Change: each end is weighed against the share of the lane's runs that fail on other workers; a worker rests once the evidence is strong, sooner on trial.

--- a/placer/agent_test.go
+++ b/placer/agent_test.go
@@ -709,6 +709,25 @@
 		}
 		So(len(d.picks()), ShouldEqual, 1)
 	})
+	Convey("Where a lane's tasks often fail by their own fault, a few failures in a row say nothing of their worker", t, func() {
+		d := setUp()
+		for k := uint64(1); k <= 65; k++ {
+			for _, id := range []string{"a", "b", "c"} {
+				finish(d, id, loop.Second)
+				if k%10 == 0 {
+					fail(d, id, 1000+k)
+				}
+			}
+		}
+		fail(d, "a", 1, 2, 3)
+		ready(d, step)
+		So(d.t.workers["a"].isOnTrial, ShouldBeFalse)
+		Convey("but many do", func() {
+			fail(d, "a", 4, 5, 6, 7)
+			ready(d, step)
+			So(d.t.workers["a"].isOnTrial, ShouldBeTrue)
+		})
+	})
 	Convey("One task that fails again and again says nothing of its worker", t, func() {
 		d := setUp()
 		for k := uint32(1); k < 4; k++ {
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"sort"
 
 	"sparnotch/loop"
 	"sparnotch/schema"
@@ -18,21 +17,65 @@
 	stillSpan  = 3 * loop.Second  // without progress; an agent looks only now and then
 	frozenSpan = 4 * loop.Second  // without progress, for tasks that tell it
 	shortRun   = 500 * loop.Milli // shorter runs say nothing of a worker's pace
-	rowMost    = 3                // failures in a row that set a worker aside where others fail seldom
-	rowQuiet   = 2                // the same where others hardly ever fail
+
+	badShare    = 0.5  // of its runs a bad worker fails about so many
+	leastShare  = 0.01 // of the runs that sound workers fail is at least taken for granted
+	shareWeight = 20   // runs that the least share counts as until there are more
+	mostDoubt   = 7.5  // evidence, as a logarithm, by which a worker is bad
+	trialDoubt  = 3.5  // the same for one that has been bad before
 )
 
 // quality is what a worker's runs so far say of it.
 type quality struct {
 	slow       float64 // decayed mean of how much longer its runs took, as a logarithm
-	row        int     // tasks failed in a row
-	rowJob     taskKey // the latest of them
+	doubt      float64 // evidence that it fails more than others, as a logarithm; never below 0
+	failedKey  taskKey // the task that failed here last
+	tallies    map[string]*tally
 	asideUntil loop.Micros
 	rest       loop.Micros // its latest rest
 	isOnTrial  bool        // it has been set aside and hasn't shown itself sound since
 	trials     int         // sound runs since
 }
 
+// tally is decayed counts of a lane's tasks that ended on one worker.
+type tally struct{ good, bad float64 }
+
+// usualShare is the share of a lane's runs that fail on other workers.
+func (t *Table) usualShare(w *worker, lane string) float64 {
+	good, bad := 0.0, 0.0
+	for _, id := range t.workerIds() {
+		if other := t.workers[id]; other != w && other.tallies[lane] != nil {
+			good += other.tallies[lane].good
+			bad += other.tallies[lane].bad
+		}
+	}
+	share := (bad + leastShare*shareWeight) / (good + bad + shareWeight)
+	return math.Min(math.Max(share, leastShare), badShare)
+}
+
+// weigh sets an end against how often the lane's tasks fail elsewhere: what
+// fails by its own fault does so everywhere.
+func (t *Table) weigh(w *worker, lane string, isFailed bool) {
+	share := t.usualShare(w, lane)
+	if w.tallies == nil {
+		w.tallies = map[string]*tally{}
+	}
+	own := w.tallies[lane]
+	if own == nil {
+		own = &tally{}
+		w.tallies[lane] = own
+	}
+	own.good *= 0.98
+	own.bad *= 0.98
+	if isFailed {
+		own.bad++
+		w.doubt += math.Log(badShare / share)
+	} else {
+		own.good++
+		w.doubt = math.Max(0, w.doubt+math.Log((1-badShare)/(1-share)))
+	}
+}
+
 // paceKey names tasks whose runs can be compared: those of a lane by their
 // estimates, others by their step.
 type paceKey struct {
@@ -98,7 +141,7 @@
 	case "done":
 		w.good = w.good*0.98 + 1
 		w.bad *= 0.98
-		w.row = 0
+		t.weigh(w, key.lane, false)
 		if w.isOnTrial && now >= w.asideUntil {
 			if w.trials++; w.trials >= 2 {
 				w.isOnTrial, w.trials = false, 0
@@ -112,12 +155,13 @@
 	case "failed":
 		w.bad = w.bad*0.98 + 1
 		w.good *= 0.98
-		// A task that fails by its own fault does so again and again, which says
-		// nothing of the worker.
-		if w.row == 0 || w.rowJob != key.taskKey {
-			w.row++
-			w.rowJob = key.taskKey
+		// A task that fails by its own fault does so again and again, here and
+		// elsewhere, which says nothing of the worker.
+		each := w.tasks[key.taskKey]
+		if isKnown := each != nil && each.failures > 0; !isKnown && w.failedKey != key.taskKey {
+			t.weigh(w, key.lane, true)
 		}
+		w.failedKey = key.taskKey
 	}
 }
 
@@ -217,7 +261,7 @@
 		return
 	}
 	w.rest = min(max(2*w.rest, firstRest), mostRest)
-	w.asideUntil, w.isOnTrial, w.trials, w.row = now+w.rest, true, 0, 0
+	w.asideUntil, w.isOnTrial, w.trials, w.doubt = now+w.rest, true, 0, 0
 }
 
 func failureRate(w *worker) float64 { return w.bad / (w.good + w.bad + 2) }
@@ -227,26 +271,10 @@
 	return w.isKnown && !w.isOver && now-w.heard <= silentSpan
 }
 
-func (t *Table) medianFailure(now loop.Micros) float64 {
-	var rates []float64
-	for _, w := range t.workers {
-		if w.isHere(now) {
-			rates = append(rates, failureRate(w))
-		}
-	}
-	if len(rates) == 0 {
-		return 0
-	}
-	sort.Float64s(rates)
-	return rates[(len(rates)-1)/2]
-}
-
-// isSuspect tells whether a worker fails far more than others. Few failures
-// will do where others hardly fail.
-func (t *Table) isSuspect(w *worker, median float64) bool {
-	switch {
-	case len(t.workers) > 1 && median < 0.05 && w.row >= rowQuiet, median < 0.1 && w.row >= rowMost:
-		return true
+// isSuspect tells whether a worker fails far more than others.
+func (w *worker) isSuspect() bool {
+	if w.isOnTrial {
+		return w.doubt >= trialDoubt
 	}
-	return w.bad >= 4 && w.row > 0 && failureRate(w) > 0.3 && failureRate(w) > 3*median
+	return w.doubt >= mostDoubt
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -88,6 +88,7 @@
 	heldAt      loop.Micros // when the whole group was first seen held
 	round, part uint32
 	saved       string // progress its next start carries
+	failures    uint32 // counted so far
 	trail
 }
 
@@ -442,7 +443,7 @@
 	each := &task{
 		key: key, standing: s.State, attempt: s.Attempt, worker: s.Worker, incarnation: s.Incarnation,
 		hand: s.Hand, name: s.Name, spec: s.Spec, text: s.Text, since: now, isLaunched: s.IsLaunched,
-		round: s.Round, part: s.Part, saved: s.Saved,
+		round: s.Round, part: s.Part, saved: s.Saved, failures: s.Failures,
 	}
 	if old != nil {
 		each.why, each.strikes = old.why, old.strikes
--- a/placer/room.go
+++ b/placer/room.go
@@ -154,7 +154,6 @@
 
 // rooms lists the workers that may be given work.
 func (t *Table) rooms(now loop.Micros) []*room {
-	median := t.medianFailure(now)
 	list := t.list[:0]
 	for _, id := range t.workerIds() {
 		w := t.workers[id]
@@ -184,7 +183,7 @@
 		r.later = r.free
 		r.later.add(w.coming)
 		// It fails far more than others: a rest, then few tasks at a time.
-		if now >= w.asideUntil && (t.isSuspect(w, median) || w.isOnTrial && w.row > 0) {
+		if now >= w.asideUntil && w.isSuspect() {
 			t.setAside(now, w)
 		}
 		r.isAside = now < w.asideUntil
