--- a/lane/machine.go
+++ b/lane/machine.go
@@ -37,15 +37,17 @@
 	// Its steps are expanded: step e is part e%parts of round e/parts. A
 	// round's tasks are made when it opens.
 	tasks      [][]task
-	left       []int    // unfinished tasks of each step
-	out        []int    // tasks of each step that are out
-	failures   []uint32 // counted failures of each step
-	opened     int      // rounds that have been due so far
-	unfinished int      // steps with unfinished tasks
-	outs       int      // tasks that are out
-	started    uint64   // tasks checked out so far
-	after      [][]int  // of each part: the parts it waits for
-	before     [][]int  // of each part: the parts that wait for it
+	left       []int     // unfinished tasks of each step
+	out        []int     // tasks of each step that are out
+	failures   []uint32  // counted failures of each step
+	opened     int       // rounds that have been due so far
+	unfinished int       // steps with unfinished tasks
+	outs       int       // tasks that are out
+	started    uint64    // tasks checked out so far
+	after      [][]int   // of each part: the parts it waits for
+	before     [][]int   // of each part: the parts that wait for it
+	ahead      [][]int64 // of each part: estimates on the longest way from it on
+	span       []int64   // the longest of these
 }
 
 type task struct {
@@ -102,6 +104,9 @@
 	Saved       string // progress that the next start carries
 	Failures    uint32 // counted so far, of the task or its whole group
 	IsLaunched  bool
+	AgeUs       int64   // since its round was due
+	Span        []int64 // estimates of the steps on the longest way through the round
+	Ahead       []int64 // the same from this step on, itself first
 }
 
 // Standing is a task as the placer sees it.
@@ -371,8 +376,8 @@
 		id: m.nextJob, name: e.Name, digest: e.Digest, index: index, startUs: e.StartUs,
 		spec: e.Job,
 	}
-	if j.startUs == 0 && j.spec.Rounds > 1 {
-		j.startUs = m.now // the later rounds are counted from it
+	if j.startUs == 0 {
+		j.startUs = m.now // its age and the later rounds are counted from it
 	}
 	j.expand()
 	m.jobs[j.id], m.names[j.name] = j, j
@@ -427,6 +432,12 @@
 			}
 		}
 	}
+	j.ahead = make([][]int64, parts)
+	for part := range j.spec.GetSteps() {
+		if way := j.way(part, parts); sumOf(way) > sumOf(j.span) {
+			j.span = way
+		}
+	}
 	steps := j.rounds() * parts
 	j.tasks, j.left, j.out, j.failures = make([][]task, steps), make([]int, steps), make([]int, steps), make([]uint32, steps)
 	for s := range j.left {
@@ -437,6 +448,34 @@
 	}
 }
 
+// way is the estimates on the longest way from a part on, through at most so
+// many parts.
+func (j *job) way(part, most int) []int64 {
+	if j.ahead[part] != nil || most == 0 {
+		return j.ahead[part]
+	}
+	var longest []int64
+	for _, next := range j.before[part] {
+		if way := j.way(next, most-1); sumOf(way) > sumOf(longest) {
+			longest = way
+		}
+	}
+	j.ahead[part] = append([]int64{j.spec.Steps[part].EstimateUs}, longest...)
+	return j.ahead[part]
+}
+
+func sumOf(list []int64) (sum int64) {
+	for _, each := range list {
+		sum += each
+	}
+	return sum
+}
+
+// ageUs is how long ago a round was due.
+func (j *job) ageUs(round int, now int64) int64 {
+	return now - j.startUs - int64(round)*max(0, j.spec.GetEveryUs())
+}
+
 // makeRound makes the tasks of the next round.
 func (j *job) makeRound() {
 	for part, step := range j.spec.GetSteps() {
@@ -503,6 +542,7 @@
 		Attempt: each.attempt, Worker: each.worker, Incarnation: each.incarnation,
 		Name: j.name, Order: j.id, Round: uint32(s / parts), Part: uint32(s % parts), Spec: j.step(s), Text: j.spec.Text,
 		Saved: account.saved, Failures: account.failures, IsLaunched: each.isLaunched,
+		AgeUs: j.ageUs(s/parts, m.now), Span: j.span, Ahead: j.ahead[s%parts],
 	}
 }
 
--- /dev/null
+++ b/placer/chance.go
@@ -0,0 +1,84 @@
+package placer
+
+import (
+	"math"
+
+	"sparnotch/lane"
+	"sparnotch/loop"
+)
+
+// chance is what a job can still be ended by. Work that comes in time goes
+// first, whatever its lane: while there is more to do than room, what is late
+// anyhow would else make late what follows it.
+type chance int
+
+const (
+	inTime chance = iota
+	late          // it misses its aim, but not by far
+	lost          // by far
+)
+
+const (
+	lateTimes  = 3   // so many times its aim a job is worth having at all
+	chanceEase = 1.2 // estimates are rough
+	lostShare  = 0.6 // what is lost is begun while less of the room than this is in use
+)
+
+// course is estimates of the steps on the longest way through a round, and of
+// those from a step on, itself first; in microseconds.
+type course struct{ span, ahead []int64 }
+
+// aim is how long a lane's jobs should take at most: so many times their
+// longest way, and so much besides.
+type aim struct {
+	stretch float64
+	target  loop.Micros
+}
+
+func (t *Table) aimOf(name string) aim {
+	return aim{
+		stretch: float64(t.values.Of("lane", name, "stretch_milli")) / 1000,
+		target:  loop.Micros(t.values.Of("lane", name, "target_ms")) * loop.Milli,
+	}
+}
+
+// usual is how long the steps of a course should take.
+func (t *Table) usual(name string, estimates []int64) (sum loop.Micros) {
+	p := t.paces[paceKey{name, ""}]
+	for _, each := range estimates {
+		if each <= 0 {
+			continue
+		}
+		span := float64(each)
+		if p != nil && p.count >= leastCount {
+			span = math.Exp(p.at(math.Log(span)))
+		}
+		sum += loop.Micros(span)
+	}
+	return sum
+}
+
+// chanceOf tells what a task's job can still come to.
+func (t *Table) chanceOf(now loop.Micros, v *view, each *task) chance {
+	if each.spec.Lasting || len(each.ahead) == 0 {
+		return inTime
+	}
+	span := t.usual(v.lane, each.span)
+	if span == 0 {
+		return inTime
+	}
+	rest := t.usual(v.lane, each.ahead)
+	if each.standing == lane.Out && each.beganAt > 0 {
+		if w := t.workers[each.worker]; w != nil {
+			rest = min(rest, t.remaining(now, w, each)+t.usual(v.lane, each.ahead[1:]))
+		}
+	}
+	most := chanceEase * (v.stretch*float64(span) + float64(v.target))
+	switch end := float64(now + rest - each.dueAt); {
+	case end <= most:
+		return inTime
+	case end <= lateTimes*most:
+		return late
+	}
+	return lost
+}
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -82,16 +82,44 @@
 	lane, step string
 }
 
-// pace is how long such tasks take, as a logarithm of times their estimate (or
-// of seconds, where there is none). It follows the median: one bad worker
-// doesn't move it.
+// pace is how long such tasks take, as a line through the logarithms of their
+// estimates (a second, where there is none) and of their runs, both in
+// microseconds: rough estimates say less than what others took. What lies far
+// off moves it little, so that one bad worker doesn't.
 type pace struct {
-	value             float64
+	x, y, xx, xy      float64 // decayed means, variance and covariance
 	count             int
 	worker, other     string // the latest two workers one ended on
 	workerAt, otherAt loop.Micros
 }
 
+const (
+	paceDecay  = 0.99
+	leastCount = 3
+	lineWeight = 0.05 // how much variance of the estimates they are trusted for at first
+	mostOff    = 0.7  // how far off a run may move the line, as a logarithm
+)
+
+// at is where the line stands, for the logarithm of an estimate.
+func (p *pace) at(x float64) float64 {
+	slope := math.Max(0, math.Min(1, (p.xy+lineWeight)/(p.xx+lineWeight)))
+	return p.y + slope*(x-p.x)
+}
+
+// learn moves the line by one run.
+func (p *pace) learn(x, y float64) {
+	if p.count > 0 {
+		y = math.Max(p.at(x)-mostOff, math.Min(p.at(x)+mostOff, y))
+	}
+	p.count++
+	part := math.Max(1-paceDecay, 1/float64(p.count))
+	dx, dy := x-p.x, y-p.y
+	p.x += part * dx
+	p.y += part * dy
+	p.xx += part * (dx*(x-p.x) - p.xx)
+	p.xy += part * (dx*(y-p.y) - p.xy)
+}
+
 func paceOf(each *task) (paceKey, float64) {
 	if each.spec.EstimateUs > 0 {
 		return paceKey{each.key.lane, ""}, float64(each.spec.EstimateUs)
@@ -102,13 +130,13 @@
 // expected is how long a task should run on a worker; 0: unknown.
 func (t *Table) expected(w *worker, each *task) loop.Micros {
 	key, unit := paceOf(each)
-	value := 0.0
-	if p := t.paces[key]; p != nil && p.count >= 3 {
-		value = p.value
+	span := unit
+	if p := t.paces[key]; p != nil && p.count >= leastCount {
+		span = math.Exp(p.at(math.Log(unit)))
 	} else if each.spec.EstimateUs == 0 {
 		return 0
 	}
-	return loop.Micros(unit * math.Exp(value) * t.away(w, each.spec))
+	return loop.Micros(span * t.away(w, each.spec))
 }
 
 // away is how many times as long a step's tasks take on this worker for want of
@@ -175,20 +203,19 @@
 		return
 	}
 	key, unit := paceOf(each)
-	x := math.Log(float64(run) / unit / t.away(w, each.spec))
+	x, y := math.Log(unit), math.Log(float64(run)/t.away(w, each.spec))
 	p := t.paces[key]
 	if p == nil {
 		if len(t.paces) > 4096 {
 			t.paces = map[paceKey]*pace{}
 		}
-		p = &pace{value: x}
+		p = &pace{}
 		t.paces[key] = p
 	}
-	if run >= shortRun && p.count >= 3 {
-		w.slow = 0.8*w.slow + 0.2*(x-p.value)
+	if run >= shortRun && p.count >= leastCount {
+		w.slow = 0.8*w.slow + 0.2*(y-p.at(x))
 	}
-	p.value += math.Max(-0.1, math.Min(0.1, x-p.value))
-	p.count++
+	p.learn(x, y)
 	if p.worker != w.id {
 		p.other, p.otherAt = p.worker, p.workerAt
 	}
@@ -211,7 +238,7 @@
 	}
 	key, _ := paceOf(each)
 	p := t.paces[key]
-	if p == nil || p.count < 3 {
+	if p == nil || p.count < leastCount {
 		return false
 	}
 	expected := t.expected(w, each)
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -31,6 +31,7 @@
 	racks   map[string]int // its tasks by rack
 	favour  string         // the rack it keeps together in
 	mayRest bool           // it has waited long enough for workers that are set aside or on trial
+	chance  chance
 }
 
 func (t *Table) wishOf(now loop.Micros, v *view, b *band, list []*room) *wish {
@@ -182,6 +183,7 @@
 			views = append(views, v)
 			oldest[v] = v.oldest()
 		}
+		v.aim = t.aimOf(v.lane)
 	}
 	if len(views) == 0 {
 		return
@@ -201,15 +203,14 @@
 			p.least = min(p.least, v.urgency)
 		}
 	}
-	for _, v := range views {
-		pool := t.values.Text("lane", v.lane, "pool")
-		var own []*room
-		for _, r := range list {
-			if r.w.pool == pool {
-				own = append(own, r)
-			}
+	own := map[string][]*room{}
+	for _, r := range list {
+		own[r.w.pool] = append(own[r.w.pool], r)
+	}
+	for _, each := range []chance{inTime, late, lost} {
+		for _, v := range views {
+			t.passLane(now, v, each, own[t.values.Text("lane", v.lane, "pool")], list, p, out)
 		}
-		t.passLane(now, v, own, list, p, out)
 	}
 	if p.isFutile {
 		t.futileAt = now
@@ -281,11 +282,19 @@
 	return &list
 }
 
-func (t *Table) passLane(now loop.Micros, v *view, list, all []*room, p *passage, out loop.Out) {
+func (t *Table) passLane(now loop.Micros, v *view, turn chance, list, all []*room, p *passage, out loop.Out) {
 	var picks []*schema.Pick
+	spare := math.MaxInt64
+	if turn == lost {
+		spare = spareOf(list)
+	}
+	isTurn := func(b *band) bool {
+		first, _ := b.ready.Min()
+		return t.chanceOf(now, v, first) == turn
+	}
 	left := int(v.running) - v.out - len(v.reserved)
 	misses := 0
-	for queue := v.heads(); queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses; {
+	for queue := v.heads(); queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses && spare > 0; {
 		h := (*queue)[0]
 		b := h.at
 		if h.at = h.row.after(b); h.at == nil {
@@ -293,7 +302,11 @@
 		} else {
 			heap.Fix(queue, 0)
 		}
+		if !isTurn(b) {
+			continue
+		}
 		x := t.wishOf(now, v, b, list)
+		x.chance = turn
 		var group []*task
 		if b.spec.Together {
 			// Members are ready together, or the group isn't whole yet.
@@ -306,7 +319,7 @@
 			})
 		}
 		isMissed := false
-		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 {
+		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 && spare > 0 {
 			members := group
 			if !b.spec.Together {
 				first, _ := b.ready.Min()
@@ -324,6 +337,7 @@
 					Worker: chosen[k].w.id, Incarnation: chosen[k].w.incarnation,
 				})
 				left--
+				spare -= int(x.need.cores)
 			}
 		}
 		if !isMissed {
@@ -340,8 +354,10 @@
 		}
 		heap.Remove(queue, slices.Index(*queue, h))
 		for k := 1; got > 0 && h.at != nil && k < maxMisses && t.mayAwait(now, v, list, p); k++ {
-			if next := h.at; !next.spec.Together || next.ready.Len() == int(next.spec.Tasks) {
-				got = t.await(now, v, next, t.wishOf(now, v, next, list), left, list, all, p)
+			if next := h.at; isTurn(next) && (!next.spec.Together || next.ready.Len() == int(next.spec.Tasks)) {
+				y := t.wishOf(now, v, next, list)
+				y.chance = turn
+				got = t.await(now, v, next, y, left, list, all, p)
 			}
 			h.at = h.row.after(h.at)
 		}
@@ -353,6 +369,16 @@
 	}
 }
 
+// spareOf is how many milli cores may still be taken by what is lost.
+func spareOf(list []*room) int {
+	free, whole := int64(0), int64(0)
+	for _, r := range list {
+		free += r.free.cores
+		whole += r.w.cores
+	}
+	return int(free) - int((1-lostShare)*float64(whole))
+}
+
 // chooseFor finds a worker for every task of the group, or none for any.
 func (t *Table) chooseFor(now loop.Micros, group []*task, list []*room, x *wish) []*room {
 	if !x.spec.Together {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -89,6 +89,8 @@
 	round, part uint32
 	saved       string // progress its next start carries
 	failures    uint32 // counted so far
+	dueAt       loop.Micros
+	course
 	trail
 }
 
@@ -158,13 +160,14 @@
 	term, hand  uint64
 	urgency     int64
 	running     int64
-	tasks       map[taskKey]*task
-	rows        map[shape]*row
-	places      map[stepKey]map[string]int // tasks by worker, out or on their way
-	reserved    map[taskKey]*task          // ready, with a checkout on its way
-	gangs       map[taskKey]*task          // first members of groups that are out and not decided to begin
-	out         int
-	waits       int // ready tasks without a checkout on its way
+	aim
+	tasks    map[taskKey]*task
+	rows     map[shape]*row
+	places   map[stepKey]map[string]int // tasks by worker, out or on their way
+	reserved map[taskKey]*task          // ready, with a checkout on its way
+	gangs    map[taskKey]*task          // first members of groups that are out and not decided to begin
+	out      int
+	waits    int // ready tasks without a checkout on its way
 }
 
 type ended struct {
@@ -444,6 +447,7 @@
 		key: key, standing: s.State, attempt: s.Attempt, worker: s.Worker, incarnation: s.Incarnation,
 		hand: s.Hand, name: s.Name, spec: s.Spec, text: s.Text, since: now, isLaunched: s.IsLaunched,
 		round: s.Round, part: s.Part, saved: s.Saved, failures: s.Failures,
+		dueAt: now - loop.Micros(s.AgeUs), course: course{s.Span, s.Ahead},
 	}
 	if old != nil {
 		each.why, each.strikes = old.why, old.strikes
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -18,6 +18,7 @@
 type unit struct {
 	members []*task
 	urgency int64
+	chance  chance
 	cost    float64 // core-microseconds of work that are lost
 	isTaken bool
 }
@@ -27,7 +28,7 @@
 // whole workers until they are free. It tells for how many of them.
 func (t *Table) await(now loop.Micros, v *view, b *band, x *wish, left int, list, all []*room, p *passage) (got int) {
 	first, _ := b.ready.Min()
-	mayDisplace := t.mayDisplace(now, v, p) && now-first.since >= preemptAfter
+	mayDisplace := x.chance != lost && t.mayDisplace(now, v, p) && now-first.since >= preemptAfter
 	count := min(b.ready.Len(), left, mostAwaits)
 	if x.spec.Together {
 		count = b.ready.Len()
@@ -119,7 +120,7 @@
 		if !mayDisplace {
 			continue
 		}
-		if found, sum := t.displace(j.now, r, v.urgency, x.need, j.passage); found != nil && (best == nil || sum < cost) {
+		if found, sum := t.displace(j.now, r, v.urgency, x, j.passage); found != nil && (best == nil || sum < cost) {
 			best, units, cost = r, found, sum
 		}
 	}
@@ -151,16 +152,16 @@
 
 // displace finds what of less urgency must go from a worker for a task to fit,
 // with the least work lost; nil if even all of it isn't enough.
-func (t *Table) displace(now loop.Micros, r *room, urgency int64, need amount, p *passage) (units []*unit, cost float64) {
+func (t *Table) displace(now loop.Micros, r *room, urgency int64, x *wish, p *passage) (units []*unit, cost float64) {
 	if !r.hasUnits {
 		r.hasUnits, r.units = true, t.unitsOf(now, r.w, p)
 	}
-	trial := r.later
+	trial, need := r.later, x.need
 	for _, u := range r.units {
 		if trial.has(need) {
 			break
 		}
-		if u.isTaken || u.urgency >= urgency || u.members[0].evict != "" {
+		if u.isTaken || u.urgency >= urgency || u.chance < x.chance || u.members[0].evict != "" {
 			continue
 		}
 		trial.add(u.on(r.w.id))
@@ -217,6 +218,7 @@
 				continue
 			}
 		}
+		u.chance = t.chanceOf(now, t.views[each.key.lane], each)
 		for _, member := range u.members {
 			u.cost += loss(now, member)
 		}
