--- a/lane/machine.go
+++ b/lane/machine.go
@@ -37,17 +37,17 @@
 	// Its steps are expanded: step e is part e%parts of round e/parts. A
 	// round's tasks are made when it opens.
 	tasks      [][]task
-	left       []int     // unfinished tasks of each step
-	out        []int     // tasks of each step that are out
-	failures   []uint32  // counted failures of each step
-	opened     int       // rounds that have been due so far
-	unfinished int       // steps with unfinished tasks
-	outs       int       // tasks that are out
-	started    uint64    // tasks checked out so far
-	after      [][]int   // of each part: the parts it waits for
-	before     [][]int   // of each part: the parts that wait for it
-	ahead      [][]int64 // of each part: estimates on the longest way from it on
-	span       []int64   // the longest of these
+	left       []int    // unfinished tasks of each step
+	out        []int    // tasks of each step that are out
+	failures   []uint32 // counted failures of each step
+	opened     int      // rounds that have been due so far
+	unfinished int      // steps with unfinished tasks
+	outs       int      // tasks that are out
+	started    uint64   // tasks checked out so far
+	after      [][]int  // of each part: the parts it waits for
+	before     [][]int  // of each part: the parts that wait for it
+	ahead      [][]Leg  // of each part: the longest way from it on
+	span       []Leg    // the longest of these
 }
 
 type task struct {
@@ -104,9 +104,15 @@
 	Saved       string // progress that the next start carries
 	Failures    uint32 // counted so far, of the task or its whole group
 	IsLaunched  bool
-	AgeUs       int64   // since its round was due
-	Span        []int64 // estimates of the steps on the longest way through the round
-	Ahead       []int64 // the same from this step on, itself first
+	AgeUs       int64 // since its round was due
+	Span        []Leg // the steps on the longest way through the round
+	Ahead       []Leg // the same from this step on, itself first
+}
+
+// Leg is one step on a way through a round.
+type Leg struct {
+	EstimateUs int64 // of one task; 0: none
+	CoresMilli int64 // of all its tasks
 }
 
 // Standing is a task as the placer sees it.
@@ -432,7 +438,7 @@
 			}
 		}
 	}
-	j.ahead = make([][]int64, parts)
+	j.ahead = make([][]Leg, parts)
 	for part := range j.spec.GetSteps() {
 		if way := j.way(part, parts); sumOf(way) > sumOf(j.span) {
 			j.span = way
@@ -448,25 +454,26 @@
 	}
 }
 
-// way is the estimates on the longest way from a part on, through at most so
+// way is the longest way from a part on, through at most so
 // many parts.
-func (j *job) way(part, most int) []int64 {
+func (j *job) way(part, most int) []Leg {
 	if j.ahead[part] != nil || most == 0 {
 		return j.ahead[part]
 	}
-	var longest []int64
+	var longest []Leg
 	for _, next := range j.before[part] {
 		if way := j.way(next, most-1); sumOf(way) > sumOf(longest) {
 			longest = way
 		}
 	}
-	j.ahead[part] = append([]int64{j.spec.Steps[part].EstimateUs}, longest...)
+	step := j.spec.Steps[part]
+	j.ahead[part] = append([]Leg{{step.EstimateUs, step.CoresMilli * int64(step.Tasks)}}, longest...)
 	return j.ahead[part]
 }
 
-func sumOf(list []int64) (sum int64) {
+func sumOf(list []Leg) (sum int64) {
 	for _, each := range list {
-		sum += each
+		sum += each.EstimateUs
 	}
 	return sum
 }
--- a/placer/chance.go
+++ b/placer/chance.go
@@ -24,9 +24,9 @@
 	lostShare  = 0.6 // what is lost is begun while less of the room than this is in use
 )
 
-// course is estimates of the steps on the longest way through a round, and of
-// those from a step on, itself first; in microseconds.
-type course struct{ span, ahead []int64 }
+// course is the longest way through a round, and that from a step on, itself
+// first.
+type course struct{ span, ahead []lane.Leg }
 
 // aim is how long a lane's jobs should take at most: so many times their
 // longest way, and so much besides.
@@ -42,17 +42,21 @@
 	}
 }
 
-// usual is how long the steps of a course should take.
-func (t *Table) usual(name string, estimates []int64) (sum loop.Micros) {
+// usual is how long a way should take, where no step may have more cores at
+// once than so many (0: any number); what is wider goes in waves.
+func (t *Table) usual(name string, way []lane.Leg, cores int64) (sum loop.Micros) {
 	p := t.paces[paceKey{name, ""}]
-	for _, each := range estimates {
-		if each <= 0 {
+	for _, each := range way {
+		if each.EstimateUs <= 0 {
 			continue
 		}
-		span := float64(each)
+		span := float64(each.EstimateUs)
 		if p != nil && p.count >= leastCount {
 			span = math.Exp(p.at(math.Log(span)))
 		}
+		if cores > 0 {
+			span *= math.Ceil(math.Max(1, float64(each.CoresMilli)/float64(cores)))
+		}
 		sum += loop.Micros(span)
 	}
 	return sum
@@ -63,14 +67,14 @@
 	if each.spec.Lasting || len(each.ahead) == 0 {
 		return inTime
 	}
-	span := t.usual(v.lane, each.span)
+	span := t.usual(v.lane, each.span, t.cores/wideQuarter)
 	if span == 0 {
 		return inTime
 	}
-	rest := t.usual(v.lane, each.ahead)
+	rest := t.usual(v.lane, each.ahead, 0)
 	if each.standing == lane.Out && each.beganAt > 0 {
 		if w := t.workers[each.worker]; w != nil {
-			rest = min(rest, t.remaining(now, w, each)+t.usual(v.lane, each.ahead[1:]))
+			rest = min(rest, t.remaining(now, w, each)+t.usual(v.lane, each.ahead[1:], 0))
 		}
 	}
 	most := chanceEase * (v.stretch*float64(span) + float64(v.target))
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -247,6 +247,7 @@
 	names     map[nameKey][]*task
 	over      map[string]loop.Micros // dead workers, and when that was last told
 	paces     map[paceKey]*pace
+	cores     int64    // milli cores of all workers that may be given work
 	ids       []string // of the workers, in order; nil: to be made anew
 }
 
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -222,6 +222,10 @@
 		for _, member := range u.members {
 			u.cost += loss(now, member)
 		}
+		// What ends about as soon as it would stop frees its room all the same.
+		if t.remaining(now, w, each) < loop.Micros(t.bounds.GetStopUs())/2 && each.beganAt > 0 {
+			continue
+		}
 		units = append(units, u)
 	}
 	slices.SortStableFunc(units, func(a, b *unit) int {
--- a/placer/room.go
+++ b/placer/room.go
@@ -192,6 +192,9 @@
 		}
 		list = append(list, r)
 	}
-	t.list = list
+	t.list, t.cores = list, 0
+	for _, r := range list {
+		t.cores += r.w.cores
+	}
 	return list
 }
