What takes long leaves free what more urgent lanes have lately used at their most

Change: a step whose tasks aren't brief (over two stops, a second at least) is begun only while the room left is over 0.8 of the more urgent lanes' faded peak of use less their present use, at most half of all.

--- a/placer/pass.go
+++ b/placer/pass.go
@@ -292,6 +292,7 @@
 		first, _ := b.ready.Min()
 		return t.chanceOf(now, v, first) == turn
 	}
+	head := t.headroom(v, list)
 	left := int(v.running) - v.out - len(v.reserved)
 	misses := 0
 	for queue := v.heads(); queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses && spare > 0; {
@@ -319,7 +320,12 @@
 			})
 		}
 		isMissed := false
-		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 && spare > 0 {
+		first, _ := b.ready.Min()
+		isBrief := t.isBrief(v, first)
+		if !isBrief && head.times(x.need) < int64(max(1, len(group))) {
+			continue
+		}
+		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 && spare > 0 && (isBrief || head.has(x.need)) {
 			members := group
 			if !b.spec.Together {
 				first, _ := b.ready.Min()
@@ -338,6 +344,7 @@
 				})
 				left--
 				spare -= int(x.need.cores)
+				head.sub(x.need)
 			}
 		}
 		if !isMissed {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -161,6 +161,8 @@
 	urgency     int64
 	running     int64
 	aim
+	use      amount // by what is out
+	peak     swing  // of that
 	tasks    map[taskKey]*task
 	rows     map[shape]*row
 	places   map[stepKey]map[string]int // tasks by worker, out or on their way
@@ -383,6 +385,10 @@
 	v := t.views[m.Lane]
 	if m.IsWhole {
 		was := map[taskKey]task{}
+		peak := swing{}
+		if v != nil {
+			peak = v.peak
+		}
 		if v != nil && v.group == m.Group {
 			for key, each := range v.tasks {
 				was[key] = *each
@@ -391,7 +397,7 @@
 		v = &view{lane: m.Lane, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, rows: map[shape]*row{}, places: map[stepKey]map[string]int{}}
 		t.lose(m.Lane)
 		t.views[m.Lane] = v
-		v.urgency, v.running = m.Urgency, m.Running
+		v.urgency, v.running, v.peak = m.Urgency, m.Running, peak
 		for _, shift := range m.List {
 			t.shift(now, v, shift)
 		}
@@ -468,6 +474,7 @@
 		return
 	}
 	v.out++
+	v.use.add(sizeOf(each.spec))
 	v.place(each, each.worker, 1)
 	t.placedOn(each.worker)[key] = each
 	if each.spec.Together && key.task == 0 && each.standing == lane.Out && !each.isLaunched {
@@ -505,6 +512,7 @@
 		return
 	}
 	v.out--
+	v.use.sub(sizeOf(old.spec))
 	v.place(old, old.worker, -1)
 	delete(v.gangs, key)
 	delete(t.placed[old.worker], key)
@@ -815,6 +823,7 @@
 	}
 	t.bury(now, out)
 	for _, v := range t.views {
+		v.peak.follow(v.use)
 		for _, each := range v.reserved {
 			if now-each.reservedAt > reserveSpan {
 				t.unreserve(v, each)
