--- a/lane/machine.go
+++ b/lane/machine.go
@@ -46,6 +46,8 @@
 	started    uint64   // tasks checked out so far
 	after      [][]int  // of each part: the parts it waits for
 	before     [][]int  // of each part: the parts that wait for it
+	ahead      [][]Leg  // of each part: the longest way from it on
+	span       []Leg    // the longest of these
 }
 
 type task struct {
@@ -102,6 +104,15 @@
 	Saved       string // progress that the next start carries
 	Failures    uint32 // counted so far, of the task or its whole group
 	IsLaunched  bool
+	AgeUs       int64 // since its round was due
+	Span        []Leg // the steps on the longest way through the round
+	Ahead       []Leg // the same from this step on, itself first
+}
+
+// Leg is one step on a way through a round.
+type Leg struct {
+	EstimateUs int64 // of one task; 0: none
+	CoresMilli int64 // of all its tasks
 }
 
 // Standing is a task as the placer sees it.
@@ -399,8 +410,8 @@
 		id: m.nextJob, name: e.Name, digest: e.Digest, index: index, startUs: e.StartUs,
 		spec: e.Job,
 	}
-	if j.startUs == 0 && j.spec.Rounds > 1 {
-		j.startUs = m.now // the later rounds are counted from it
+	if j.startUs == 0 {
+		j.startUs = m.now // its age and the later rounds are counted from it
 	}
 	j.expand()
 	m.jobs[j.id], m.names[j.name] = j, j
@@ -455,6 +466,12 @@
 			}
 		}
 	}
+	j.ahead = make([][]Leg, parts)
+	for part := range j.spec.GetSteps() {
+		if way := j.way(part, parts); sumOf(way) > sumOf(j.span) {
+			j.span = way
+		}
+	}
 	steps := j.rounds() * parts
 	j.tasks, j.left, j.out, j.failures = make([][]task, steps), make([]int, steps), make([]int, steps), make([]uint32, steps)
 	for s := range j.left {
@@ -465,6 +482,35 @@
 	}
 }
 
+// way is the longest way from a part on, through at most so
+// many parts.
+func (j *job) way(part, most int) []Leg {
+	if j.ahead[part] != nil || most == 0 {
+		return j.ahead[part]
+	}
+	var longest []Leg
+	for _, next := range j.before[part] {
+		if way := j.way(next, most-1); sumOf(way) > sumOf(longest) {
+			longest = way
+		}
+	}
+	step := j.spec.Steps[part]
+	j.ahead[part] = append([]Leg{{step.EstimateUs, step.CoresMilli * int64(step.Tasks)}}, longest...)
+	return j.ahead[part]
+}
+
+func sumOf(list []Leg) (sum int64) {
+	for _, each := range list {
+		sum += each.EstimateUs
+	}
+	return sum
+}
+
+// ageUs is how long ago a round was due.
+func (j *job) ageUs(round int, now int64) int64 {
+	return now - j.startUs - int64(round)*max(0, j.spec.GetEveryUs())
+}
+
 // makeRound makes the tasks of the next round.
 func (j *job) makeRound() {
 	for part, step := range j.spec.GetSteps() {
@@ -531,6 +577,7 @@
 		Attempt: each.attempt, Worker: each.worker, Incarnation: each.incarnation,
 		Name: j.name, Order: j.id, Round: uint32(s / parts), Part: uint32(s % parts), Spec: j.step(s), Text: j.spec.Text,
 		Saved: account.saved, Failures: account.failures, IsLaunched: each.isLaunched,
+		AgeUs: j.ageUs(s/parts, m.now), Span: j.span, Ahead: j.ahead[s%parts],
 	}
 }
 
