--- a/cmd/feign/main.go
+++ b/cmd/feign/main.go
@@ -18,6 +18,9 @@
 	subcommands.Register(&callersCommand{}, "")
 	subcommands.Register(&judgeCommand{}, "")
 	subcommands.Register(&simulateCommand{}, "")
+	subcommands.Register(&hollowCommand{}, "")
+	subcommands.Register(&slopeCommand{}, "")
+	subcommands.Register(&costCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
