--- a/gauge/fit.go
+++ b/gauge/fit.go
@@ -44,6 +44,10 @@
 	}
 	fit.Base, fit.Slope = stat.LinearRegression(s.X, s.Y, nil, false)
 	line := fit.left(s)
+	if !fit.isSlope(s, line) {
+		// Drawn out to ten times the range, noise would say anything.
+		fit.Base, fit.Slope = stat.Mean(s.Y, nil), 0
+	}
 	if len(distinct) >= 4 {
 		bent := fit
 		if bent.solve(s) && bent.Curve > 0 && bent.left(s) < curveGain*line {
@@ -54,6 +58,21 @@
 	return fit
 }
 
+// slopeErrors: a slope within so many of its own standard errors is none.
+const slopeErrors = 2
+
+func (f *Fit) isSlope(s *Series, left float64) bool {
+	if len(s.X) < 3 {
+		return true
+	}
+	mean, spread := stat.Mean(s.X, nil), 0.0
+	for _, x := range s.X {
+		spread += (x - mean) * (x - mean)
+	}
+	err := math.Sqrt(left / float64(len(s.X)-2) / spread)
+	return math.Abs(f.Slope) > slopeErrors*err
+}
+
 func (f *Fit) solve(s *Series) bool {
 	// Columns of like size, or the square drowns the rest.
 	scale := f.Most
--- a/gauge/gauge_test.go
+++ b/gauge/gauge_test.go
@@ -58,6 +58,11 @@
 		So(fit.Curve, ShouldAlmostEqual, 0.01, 0.0001)
 		So(fit.Error, ShouldBeLessThan, 0.001)
 	})
+	Convey("A slope that can't be told from noise is none", t, func() {
+		fit := FitOf(&Series{X: []float64{10, 20, 40, 80, 10, 20, 40, 80}, Y: []float64{5, 6, 5.5, 5.2, 6, 5, 5.4, 5.9}})
+		So(fit.Slope, ShouldEqual, 0)
+		So(fit.At(1200), ShouldAlmostEqual, 5.5, 0.01)
+	})
 	Convey("One value of x gives a flat line", t, func() {
 		fit := FitOf(&Series{X: []float64{5, 5}, Y: []float64{1, 3}})
 		So(fit.At(100), ShouldEqual, 2)
--- a/gauge/size.go
+++ b/gauge/size.go
@@ -81,6 +81,25 @@
 	return m, nil
 }
 
+// processor is what a role spends for its workers: its tables' steps where those
+// were timed by themselves, which shows their square, and what its messages cost
+// besides; else what the real runs show.
+func (m *model) processor(role string, w Wanted) float64 {
+	workers := float64(w.Workers)
+	of := func(what string) (Fit, bool) {
+		fit, isKnown := m.fits[[3]string{"workers", role, what}]
+		return fit, isKnown
+	}
+	tables, isTimed := of("cpu_tables_milli")
+	if !isTimed {
+		whole, _ := of("cpu_milli")
+		return whole.At(workers)
+	}
+	sent, _ := of("sent_s")
+	received, _ := of("received_s")
+	return m.base["ground_milli"] + tables.At(workers) + m.base["message_us"]/1000*(sent.At(workers)+received.At(workers))
+}
+
 // at is a quantity of a role: the sweep over workers gives the ground, the other
 // two what they add to it. What two sizes cost together beyond that isn't known.
 func (m *model) at(role, what string, w Wanted) float64 {
@@ -90,6 +109,10 @@
 		value float64
 	}{{"workers", float64(w.Workers)}, {"lanes", float64(w.Lanes)}, {"starts", w.Starts}} {
 		fit, isKnown := m.fits[[3]string{each.size, role, what}]
+		if each.size == "workers" && what == "cpu_milli" {
+			sum += m.processor(role, w)
+			continue
+		}
 		if !isKnown {
 			continue
 		}
--- a/gauge/size_test.go
+++ b/gauge/size_test.go
@@ -41,6 +41,18 @@
 		So(needs[2].Machines, ShouldEqual, 60)
 		So(needs[2].Bytes, ShouldAlmostEqual, 1200, 0.001)
 	})
+	Convey("Tables that were timed by themselves go before the whole, with what their messages cost", t, func() {
+		list := append(plain(), Reading{"base", 1, 0, "message_us", "value", 100}, Reading{"base", 1, 0, "ground_milli", "value", 7})
+		for _, x := range []float64{10, 20, 40, 80} {
+			list = append(list,
+				Reading{"workers", x, 1, "keeper", "cpu_tables_milli", 0.01 * x * x},
+				Reading{"workers", x, 1, "keeper", "sent_s", 2 * x}, Reading{"workers", x, 1, "keeper", "received_s", 3 * x},
+			)
+		}
+		needs, err := Size(list, wanted)
+		So(err, ShouldBeNil)
+		So(needs[0].Cpu, ShouldAlmostEqual, 7+36+0.1*5*60+2*(7-2)+3*(30-5), 0.001)
+	})
 	Convey("What a machine can't give is said", t, func() {
 		more := wanted
 		more.Starts, more.Workers = 400, 200
