--- a/cmd/feign/slope.go
+++ b/cmd/feign/slope.go
@@ -76,7 +76,7 @@
 	set.StringVar(&c.size, "size", "", "what is swept")
 	set.StringVar(&c.over, "over", "", "its values, joined by commas")
 	set.StringVar(&c.out, "out", ".", "folder for the CSV and the plot")
-	set.IntVar(&c.repeats, "repeats", 3, "runs at each value")
+	set.IntVar(&c.repeats, "repeats", 3, "runs at each value; 0: only fit and draw what the file holds")
 	set.DurationVar(&c.warm, "warm", 5*time.Second, "let each run so long first")
 	set.DurationVar(&c.span, "span", 10*time.Second, "how long each is measured")
 	set.BoolVar(&c.isVirtual, "virtual", false, "in the simulator: messages, bytes and recovery in virtual time, past what a machine carries")
@@ -92,8 +92,8 @@
 	if !isKnown {
 		return nil, fmt.Errorf("size: %q is none of %s", c.size, strings.Join(sweepNames(), ", "))
 	}
-	if c.repeats < 1 || c.repeats > 100 {
-		return nil, fmt.Errorf("repeats: must lie between 1 and 100")
+	if c.repeats < 0 || c.repeats > 100 {
+		return nil, fmt.Errorf("repeats: must lie between 0 and 100")
 	}
 	if c.span <= 0 || c.warm < 0 {
 		return nil, fmt.Errorf("span and warm: must be above 0")
@@ -184,7 +184,7 @@
 	for _, fit := range gauge.Fits(readings) {
 		fmt.Printf("%-7s %-14s %s\n", fit.Role, fit.What, fit.String())
 	}
-	if err := gauge.Plot(filepath.Join(c.out, c.size+".png"), c.size, readings, []string{"cpu_milli", "rss_mb", "sent_s", "bytes_out_s"}); err != nil {
+	if err := gauge.Plot(filepath.Join(c.out, c.size+".png"), c.size, readings, c.drawn()); err != nil {
 		fmt.Fprintln(os.Stderr, "feign:", err)
 		return 1
 	}
@@ -233,6 +233,14 @@
 	return spent.Nano()
 }
 
+// drawn are the quantities of the plot.
+func (c *slopeCommand) drawn() []string {
+	if c.isVirtual {
+		return []string{"cpu_tables_milli", "sent_s", "bytes_out_s", "bytes_in_s"}
+	}
+	return []string{"cpu_milli", "rss_mb", "sent_s", "bytes_out_s"}
+}
+
 func writeReadings(path string, readings []gauge.Reading) error {
 	file, err := os.Create(path)
 	if err != nil {
