--- a/gauge/size.go
+++ b/gauge/size.go
@@ -101,7 +101,8 @@
 }
 
 // at is a quantity of a role: the sweep over workers gives the ground, the other
-// two what they add to it. What two sizes cost together beyond that isn't known.
+// two what they add to it. What workers and starts cost a keeper together beyond
+// that was measured once, at the whole size; of other pairs it isn't known.
 func (m *model) at(role, what string, w Wanted) float64 {
 	sum := 0.0
 	for _, each := range []struct {
@@ -121,6 +122,9 @@
 			sum -= fit.At(m.base[each.size])
 		}
 	}
+	if role == "keeper" && what == "cpu_milli" {
+		sum += m.base["together_milli"] * max(float64(w.Workers)-m.base["workers"], 0) * max(w.Starts-m.base["starts"], 0)
+	}
 	return max(sum, 0)
 }
 
--- a/gauge/size_test.go
+++ b/gauge/size_test.go
@@ -52,6 +52,10 @@
 		needs, err := Size(list, wanted)
 		So(err, ShouldBeNil)
 		So(needs[0].Cpu, ShouldAlmostEqual, 7+36+0.1*5*60+2*(7-2)+3*(30-5), 0.001)
+		list = append(list, Reading{"base", 1, 0, "together_milli", "value", 0.2})
+		more, err := Size(list, wanted)
+		So(err, ShouldBeNil)
+		So(more[0].Cpu, ShouldAlmostEqual, needs[0].Cpu+0.2*(60-10)*(30-5), 0.001)
 	})
 	Convey("What a machine can't give is said", t, func() {
 		more := wanted
