A lost look is missed after 80 ms where calls get lost; a lost start goes again at once

Cause: with 3 to 5 of 100 orders unanswered, a lost look hid a worker's ends for 340 ms each 2 s or so, longer than the slack of the urgent jobs' aims, and a lost start waited 90 ms.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -30,7 +30,7 @@
 	youngSpan   = 10 * loop.Second // calls of this process's forerunner may still be carried out
 	callSpan    = 3 * loop.Second  // a call whose reply never came was silent
 	lookSpan    = loop.Second      // how long a look waits while something runs
-	waryLook    = 300 * loop.Milli // and where calls have been lost of late, for a lost one is missed so late
+	waryLook    = 80 * loop.Milli  // and where calls have been lost of late, for a lost one is missed so late
 	warySpan    = 5 * loop.Second  // how long that is borne in mind
 	patientMost = 400 * loop.Milli // how long an answer is waited for at most
 	patientBase = 40 * loop.Milli  // and at least
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -136,8 +136,11 @@
 	case Answered:
 		r.standing, r.isSeen = running, true
 	case Silent:
+		// Lost on its way, most likely: the worker takes a second one as the same.
 		r.isUnsure = true
-		r.retryAt = now + againSpan
+		if r.retryAt = now; r.tries > 1 {
+			r.retryAt += 2 * againSpan
+		}
 	case Busy:
 		// Spread, so that all that was turned away together doesn't come back so.
 		r.retryAt = now + againSpan + loop.Micros(m.Number*7919%50)*loop.Milli
