--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,12 +37,13 @@
 	gatherSpan   = 2 * loop.Second   // a member that hasn't begun by then lets the others go, unless the bounds say more
 	preemptAfter = 100 * loop.Milli  // how long urgent work waits before it displaces
 	claimAfter   = 1500 * loop.Milli // how long wide work waits before workers are kept free for it
-	asideAfter   = 3 * loop.Second   // how long work waits before it goes to workers that are set aside
+	asideAfter   = 2500 * loop.Milli // how long work waits before it goes to workers that are set aside
 	stopSpan     = 3 * loop.Second   // a stop that takes longer is waited for no more, unless the bounds say more
 	departLead   = 500 * loop.Milli  // how long before its worker goes a task is stopped to keep its progress
 	overSpan     = 60 * loop.Second  // how long a worker stays known as dead after the last word of it
 	maxPicks     = 64                // of one checkout, groups apart
 	maxMisses    = 32                // steps that find no room, of one lane and pass
+	wholePass    = loop.Second / 2   // between two passes that look at every step
 )
 
 type taskKey struct {
@@ -87,6 +88,9 @@
 	heldAt      loop.Micros // when the whole group was first seen held
 	round, part uint32
 	saved       string // progress its next start carries
+	failures    uint32 // counted so far
+	dueAt       loop.Micros
+	course
 	trail
 }
 
@@ -156,13 +160,16 @@
 	term, hand  uint64
 	urgency     int64
 	running     int64
-	tasks       map[taskKey]*task
-	rows        map[shape]*row
-	places      map[stepKey]map[string]int // tasks by worker, out or on their way
-	reserved    map[taskKey]*task          // ready, with a checkout on its way
-	gangs       map[taskKey]*task          // first members of groups that are out and not decided to begin
-	out         int
-	waits       int // ready tasks without a checkout on its way
+	aim
+	use      amount // by what is out
+	peak     swing  // of that
+	tasks    map[taskKey]*task
+	rows     map[shape]*row
+	places   map[stepKey]map[string]int // tasks by worker, out or on their way
+	reserved map[taskKey]*task          // ready, with a checkout on its way
+	gangs    map[taskKey]*task          // first members of groups that are out and not decided to begin
+	out      int
+	waits    int // ready tasks without a checkout on its way
 }
 
 type ended struct {
@@ -235,12 +242,14 @@
 	isStirred bool        // a group may have come to be held
 	list      []*room     // of the latest pass, used again
 	futileAt  loop.Micros // nothing was found to displace
+	wholeAt   loop.Micros // the latest pass over every step
 	counts    Counts
 	bounds    *schema.Bounds
 	placed    map[string]map[taskKey]*task // by worker, whoever wards it
 	names     map[nameKey][]*task
 	over      map[string]loop.Micros // dead workers, and when that was last told
 	paces     map[paceKey]*pace
+	cores     int64    // milli cores of all workers that may be given work
 	ids       []string // of the workers, in order; nil: to be made anew
 }
 
@@ -376,6 +385,10 @@
 	v := t.views[m.Lane]
 	if m.IsWhole {
 		was := map[taskKey]task{}
+		peak := swing{}
+		if v != nil {
+			peak = v.peak
+		}
 		if v != nil && v.group == m.Group {
 			for key, each := range v.tasks {
 				was[key] = *each
@@ -384,7 +397,7 @@
 		v = &view{lane: m.Lane, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, rows: map[shape]*row{}, places: map[stepKey]map[string]int{}}
 		t.lose(m.Lane)
 		t.views[m.Lane] = v
-		v.urgency, v.running = m.Urgency, m.Running
+		v.urgency, v.running, v.peak = m.Urgency, m.Running, peak
 		for _, shift := range m.List {
 			t.shift(now, v, shift)
 		}
@@ -440,7 +453,8 @@
 	each := &task{
 		key: key, standing: s.State, attempt: s.Attempt, worker: s.Worker, incarnation: s.Incarnation,
 		hand: s.Hand, name: s.Name, spec: s.Spec, text: s.Text, since: now, isLaunched: s.IsLaunched,
-		round: s.Round, part: s.Part, saved: s.Saved,
+		round: s.Round, part: s.Part, saved: s.Saved, failures: s.Failures,
+		dueAt: now - loop.Micros(s.AgeUs), course: course{s.Span, s.Ahead},
 	}
 	if old != nil {
 		each.why, each.strikes = old.why, old.strikes
@@ -460,6 +474,7 @@
 		return
 	}
 	v.out++
+	v.use.add(sizeOf(each.spec))
 	v.place(each, each.worker, 1)
 	t.placedOn(each.worker)[key] = each
 	if each.spec.Together && key.task == 0 && each.standing == lane.Out && !each.isLaunched {
@@ -497,6 +512,7 @@
 		return
 	}
 	v.out--
+	v.use.sub(sizeOf(old.spec))
 	v.place(old, old.worker, -1)
 	delete(v.gangs, key)
 	delete(t.placed[old.worker], key)
@@ -807,6 +823,7 @@
 	}
 	t.bury(now, out)
 	for _, v := range t.views {
+		v.peak.follow(v.use)
 		for _, each := range v.reserved {
 			if now-each.reservedAt > reserveSpan {
 				t.unreserve(v, each)
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -4,7 +4,6 @@
 package raft
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sort"
 
@@ -30,7 +29,14 @@
 }
 
 // UsualTimes are the defaults of the chosen design.
-var UsualTimes = Times{ElectionLeast: loop.Second, ElectionMost: 2 * loop.Second, Beat: 150 * loop.Milli}
+var UsualTimes = Times{ElectionLeast: 450 * loop.Milli, ElectionMost: 750 * loop.Milli, Beat: 100 * loop.Milli}
+
+// acting is how long after a round that a quorum answered a leader may act
+// outward: less than any of those waits before it votes for another.
+func (t Times) acting() loop.Micros { return 3 * t.Beat }
+
+// Source draws a number below n.
+type Source interface{ Int64N(n int64) int64 }
 
 const (
 	maxBatch  = 64      // records in one Append
@@ -41,6 +47,10 @@
 
 	callRest  = 50 * loop.Milli // between two calls of a founder that stands
 	mostCalls = 12
+
+	yieldSpan  = 150 * loop.Milli // how much longer others wait after a start than whoever led last
+	youngSpan  = 150 * loop.Milli // spread of their waits
+	youngAgain = 100 * loop.Milli // and between two pre-votes of one, until somebody leads
 )
 
 type role int
@@ -102,7 +112,7 @@
 type Group struct {
 	name, self string
 	times      Times
-	rng        *rand.Rand
+	rng        Source
 
 	term uint64
 	vote string
@@ -120,6 +130,8 @@
 	hardDone uint64 // hard states synced
 	matched  uint64 // as follower: how far the log is the leader's
 	deadline loop.Micros
+	asks     int
+	isYoung  bool // no leader was heard since this start
 	heard    loop.Micros
 	caught   loop.Micros
 	votes    map[string]bool
@@ -139,12 +151,14 @@
 	timeMono  loop.Micros
 	out       Effects
 
-	replies    []reply // beats answered of this term, the latest last
-	wallOffset int64   // wall less group time, when three clocks last agreed
+	replies    []reply     // beats answered of this term, the latest last
+	wallOffset int64       // wall less group time, when three clocks last agreed
+	wallTerm   uint64      // as whose leader we found that
+	steppedAt  loop.Micros // the middle clock has jumped, and isn't believed yet
 }
 
 // New makes a replica from what its store holds.
-func New(name, self string, image *vault.Image, times Times, rng *rand.Rand, now loop.Micros) *Group {
+func New(name, self string, image *vault.Image, times Times, rng Source, now loop.Micros) *Group {
 	g := &Group{name: name, self: self, times: times, rng: rng, base: image.Checkpoint}
 	g.term, g.vote = image.Hard.Term, image.Hard.Vote
 	g.log = append(g.log, image.Records...)
@@ -152,6 +166,16 @@
 	g.stable = g.lastIndex()
 	g.findRoster()
 	g.resetDeadline(now)
+	// Whatever leader there was, this replica hasn't answered it since before its
+	// start, so it needn't wait as long as one that has. A pre-vote harms nobody,
+	// and who led last, as its own vote says, is let go first: so one machine
+	// takes up again all that it led.
+	if g.isYoung = g.term > 0; g.isYoung {
+		g.deadline = now + times.acting()
+		if g.vote != self {
+			g.deadline += yieldSpan + loop.Micros(rng.Int64N(int64(youngSpan)))
+		}
+	}
 	return g
 }
 
@@ -168,11 +192,14 @@
 func (g *Group) Roster() *schema.Roster { return g.roster }
 func (g *Group) First() uint64          { return g.first }
 
+// Asks is how often this replica has missed a leader and asked for votes.
+func (g *Group) Asks() int { return g.asks }
+
 // Acting tells whether this leader may act outward: it has applied its own
-// first record, and a quorum has answered it within two beats. One that was
+// first record, and a quorum has answered it within three beats. One that was
 // frozen finds itself silent on waking, before it knows of its successor.
 func (g *Group) Acting(now loop.Micros) bool {
-	return g.role == leader && g.applied >= g.first && now-g.quorumAt <= 2*g.times.Beat+g.times.Beat/2
+	return g.role == leader && g.applied >= g.first && now-g.quorumAt <= g.times.acting()
 }
 
 // Fresh is when this replica last held all that its leader had committed, or
@@ -210,6 +237,11 @@
 // right; group time stands still without a leader, so a right one is later.
 const wallSlack = 50 * loop.Milli
 
+const (
+	stepLeast = 300 * loop.Milli // a jump of the middle clock that isn't believed at once
+	stepSpan  = 20 * loop.Second // for so long
+)
+
 // WallTime is the median of the voters' wall clocks, so that one clock that
 // jumped moves nothing. Our own counts as one of them. While only two are known,
 // as for a new leader with a voter away, either may be the wrong one: the lower
@@ -217,6 +249,9 @@
 func (g *Group) WallTime(now loop.Micros, own int64) int64 {
 	walls := g.walls(now, own)
 	if len(walls) >= 3 {
+		if wall := walls[len(walls)/2]; g.isStep(now, wall) {
+			return g.GroupTime(now) + g.wallOffset
+		}
 		return walls[len(walls)/2]
 	}
 	if g.wallOffset == 0 {
@@ -245,9 +280,39 @@
 // AgreeWall notes, while three clocks are known, how wall and group time stand
 // to each other; beats carry that to whoever may lead next.
 func (g *Group) AgreeWall(now loop.Micros, own int64) {
-	if walls := g.walls(now, own); g.role == leader && len(walls) >= 3 {
-		g.wallOffset = walls[len(walls)/2] - g.GroupTime(now)
+	walls := g.walls(now, own)
+	if g.role != leader || len(walls) < 3 {
+		return
 	}
+	wall := walls[len(walls)/2]
+	if g.isStep(now, wall) {
+		if g.steppedAt == 0 {
+			g.steppedAt = now
+		}
+		return
+	}
+	g.wallOffset, g.wallTerm, g.steppedAt = wall-g.GroupTime(now), g.term, 0
+}
+
+// isStep tells whether the middle clock has jumped against our steady one, as
+// when most clocks are set wrong at once. That isn't believed for a while: a
+// clock that was set wrong comes right again. Only where group time may have
+// stood still since the last agreement is a later clock no wonder.
+func (g *Group) isStep(now loop.Micros, wall int64) bool {
+	if g.wallOffset == 0 || g.steppedAt > 0 && now-g.steppedAt >= stepSpan {
+		return false
+	}
+	jump := wall - g.GroupTime(now) - g.wallOffset
+	return jump < -int64(stepLeast) || jump > int64(stepLeast) && g.wallTerm == g.term
+}
+
+// WallOffset is what is to be added to group time for the time of day; false
+// while too few clocks are known.
+func (g *Group) WallOffset(now loop.Micros, own int64) (int64, bool) {
+	if g.role != leader || len(g.walls(now, own)) < min(2, len(g.roster.Voters)) {
+		return 0, false
+	}
+	return g.WallTime(now, own) - g.GroupTime(now), true
 }
 
 // Take hands over what the steps since the last call have left.
@@ -383,6 +448,7 @@
 		g.matched = 0
 	}
 	g.role, g.lead = follower, lead
+	g.isYoung = g.isYoung && lead == ""
 	g.peers, g.votes, g.reads, g.rounds, g.passTo, g.replies, g.calls = nil, nil, nil, nil, "", nil, 0
 	g.resetDeadline(now)
 }
@@ -403,6 +469,9 @@
 	}
 	g.lead = ""
 	g.resetDeadline(now)
+	if g.isYoung {
+		g.deadline = now + youngAgain + loop.Micros(g.rng.Int64N(int64(youngAgain)))
+	}
 	if g.isVoter(g.self) {
 		g.ask(now)
 	}
@@ -448,6 +517,7 @@
 }
 
 func (g *Group) ask(now loop.Micros) {
+	g.asks++
 	g.role = asking
 	g.votes = map[string]bool{g.self: true}
 	g.canvass(g.term+1, true, false)
@@ -515,12 +585,12 @@
 }
 
 func (g *Group) takeLead(now loop.Micros) {
-	g.role, g.lead = leader, g.self
+	g.role, g.lead, g.isYoung = leader, g.self, false
 	g.peers = map[string]*progress{}
 	g.rounds = map[uint64]loop.Micros{}
 	g.reads = nil
 	g.quorumAt = now
-	g.timeBase, g.timeMono = g.lastAt(), now
+	g.timeBase, g.timeMono, g.steppedAt = g.lastAt(), now, 0
 	g.syncPeers(now)
 	g.first = g.lastIndex() + 1
 	// A leader knows what is committed only through a record of its own term.
@@ -531,7 +601,8 @@
 func (g *Group) syncPeers(now loop.Micros) {
 	for _, id := range g.others() {
 		if g.peers[id] == nil {
-			g.peers[id] = &progress{next: g.lastIndex() + 1, moved: now}
+			// Nothing is known of its log yet: one Append asks whether it is ours.
+			g.peers[id] = &progress{next: g.lastIndex() + 1, moved: now, probing: true}
 		}
 	}
 	for id := range g.peers {
@@ -684,7 +755,10 @@
 	}
 	isFresh := m.LastTerm > g.lastTerm() || m.LastTerm == g.lastTerm() && m.LastIndex >= g.lastIndex()
 	if m.Pre {
-		if m.Term > g.term && isFresh {
+		// Of two that ask at once with equal logs one goes first, or the two of
+		// three that are left would split the vote.
+		isFirst := g.role == asking && g.self < from && m.LastTerm == g.lastTerm() && m.LastIndex == g.lastIndex()
+		if m.Term > g.term && isFresh && !isFirst {
 			g.post(from, &schema.VoteReply{Group: g.name, Term: m.Term, Granted: true, Pre: true})
 		} else {
 			g.post(from, &schema.VoteReply{Group: g.name, Term: g.term, Pre: true})
@@ -835,7 +909,9 @@
 	if p.probing && p.probed {
 		return
 	}
-	for p.next <= g.lastIndex() && p.next <= p.match+maxFlight {
+	// Where nothing is known to match, the end of a long log lies further away
+	// than that, and a probe is a single Append anyway.
+	for p.next <= g.lastIndex() && (p.probing || p.next <= p.match+maxFlight) {
 		high := min(g.lastIndex(), p.next+maxBatch-1)
 		records := g.between(p.next-1, high)
 		size := 0
@@ -931,7 +1007,13 @@
 		if now-p.moved > g.times.ElectionLeast {
 			p.installing = false
 		}
-		g.probe(now, from, p, p.match+1)
+		// A probe that was lost is made again where it was: from what is known,
+		// which may be nothing, all of a long log would go out once more.
+		next := p.match + 1
+		if p.probing {
+			next = max(next, min(p.next, g.lastIndex()))
+		}
+		g.probe(now, from, p, next)
 	}
 	g.countRounds(now)
 }
