--- /dev/null
+++ b/keep/fresh_test.go
@@ -0,0 +1,43 @@
+package keep
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+func TestFreshCharter(t *testing.T) {
+	Convey("Whose copy of the charter may be behind tells nobody of it, and gives its placer no leave to act", t, func() {
+		c := newCore()
+		// The last word of a store to its placer, and what it answers who asks.
+		look := func(id string) (isFresh, isTold bool) {
+			c.heard["h"] = nil
+			c.step(id, "h", &schema.CharterAsk{})
+			c.run(200 * loop.Milli)
+			for _, each := range c.heard[id+"/placer"] {
+				if fresh, isIt := each.(Fresh); isIt {
+					isFresh = fresh.Charter
+				}
+			}
+			for _, each := range c.heard["h"] {
+				if _, isIt := each.(*schema.CharterTell); isIt {
+					isTold = true
+				}
+			}
+			return isFresh, isTold
+		}
+		for _, id := range stores {
+			isFresh, isTold := look(id)
+			So(isFresh, ShouldBeTrue)
+			So(isTold, ShouldBeTrue)
+		}
+		c.isDown["a"], c.isDown["b"] = true, true
+		c.run(freshSpan + 2*loop.Second)
+		isFresh, isTold := look("c")
+		So(isFresh, ShouldBeFalse)
+		So(isTold, ShouldBeFalse)
+	})
+}
