--- a/foil/ledger_test.go
+++ b/foil/ledger_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	var scenarios, guards []string
-	for _, s := range sim.Scenarios {
+	for _, s := range append(slices.Clone(sim.Scenarios), sim.CalledScenarios...) {
 		scenarios = append(scenarios, s.Name)
 	}
 	for _, m := range Mutants {
