A deaf worker's work is given out again when its hold is over, 3 s after its last word

Cause: a hung, dark or cut off worker's tasks waited for the placer's licence and margin, 5 s, and the agent's own silence before. Change: the agent holds work for 3 s at a time within its licence, knows by when every hold it may have given is over (a clock 2 % slow allowed for), and tells what ran as lapsed then, and no room; a silent look no longer moves the end of the hold.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -40,6 +40,8 @@
 	goneSpan    = 10 * loop.Second // the ends of a worker that has departed are told for so long
 	stopUsual   = 2 * loop.Second
 	holdUsual   = 4 * loop.Second // a licence, until one is heard of
+	holdShort   = 3 * loop.Second // a worker holds its work for so long at a time: a deaf one's is given out again then
+	holdSlack   = 20 * loop.Milli
 	listMost    = 500             // ends in one look
 	deadMost    = 16              // former lives remembered
 	refusedMost = 8               // announces turned away in a row before their number leaps
@@ -149,6 +151,8 @@
 	licence  loop.Micros // ends, by our clock
 	span     loop.Micros // that a licence lasts
 	held     loop.Micros // what runs is held so long, as far as the worker has answered
+	heldOut  loop.Micros // by then, whatever we have sent, its hold is over
+	isLapsed bool        // it was deaf until then, so nothing runs there
 	slowest  loop.Micros // answer of late
 	mutes    int         // looks in a row that nothing answered
 	lostAt   loop.Micros // when a call was last found lost
@@ -204,8 +208,10 @@
 		t.born = now
 	}
 	if t.last > 0 && now-t.last > frozenSpan && t.life != nil {
-		// Much may have ended meanwhile, and others may have our orders' work.
+		// Much may have ended meanwhile, and others may have our orders' work. It was
+		// we who were deaf.
 		t.resurvey(t.life)
+		t.life.mutes = 0
 	}
 	t.last = now
 	switch body := mail.Body.(type) {
@@ -234,6 +240,7 @@
 	}
 	t.meet(now, l, out)
 	if l.departedAt == 0 {
+		t.lapse(now, l)
 		t.lookOut(now, l, out)
 		t.carryOut(now, l, out)
 	}
@@ -267,7 +274,7 @@
 	if l == nil {
 		l = &life{
 			worker: m.Worker, runs: map[runKey]*run{}, ended: map[runKey]*end{}, listed: map[uint64]*end{},
-			calls: map[uint64]*pending{}, span: holdUsual, rest: retrySpan,
+			calls: map[uint64]*pending{}, span: holdUsual, rest: retrySpan, heldOut: t.born + holdUsual,
 		}
 		t.life = l
 		t.takeWard(l)
@@ -337,13 +344,16 @@
 	return l.clock + (now-l.clockAt)*49/50
 }
 
-// until is the end of our licence on the worker's clock: never later, but for
-// what that clock may run slow from here on. 0: there is none to tell.
-func (l *life) until(now loop.Micros) loop.Micros {
-	if l.clockAt == 0 || now >= l.licence {
+// until is what a call holds the worker's work to, on the worker's clock: never
+// later than our licence, but for what that clock may run slow from here on. 0:
+// there is none to tell.
+func (t *Table) until(now loop.Micros, l *life) loop.Micros {
+	// Of a worker that seems deaf nobody knows whether it is held any longer, so
+	// that the end of its hold doesn't move away.
+	if l.clockAt == 0 || now >= l.licence || l.mutes > 0 {
 		return 0
 	}
-	return l.clockBy(now) + l.licence - now
+	return l.clockBy(now) + t.couldHold(now, l) - now
 }
 
 // --- whose ward it is ---
@@ -381,6 +391,19 @@
 	}
 }
 
+// lapse gives up what a deaf worker held: no call of ours held it any longer, and
+// starts that are still on their way come too late, all of them ended by its own
+// clock. One that runs slow has been allowed for.
+func (t *Table) lapse(now loop.Micros, l *life) {
+	if l.surveyed == l.fence || l.mutes < 2 || now <= l.heldOut || len(l.runs) == 0 {
+		return
+	}
+	for _, key := range sortedKeys(l.runs) {
+		t.ranOut(l, l.runs[key], "lapsed")
+	}
+	l.isLapsed = true
+}
+
 // resurvey has the worker looked at before anything else is said of it.
 func (t *Table) resurvey(l *life) {
 	l.surveyed, l.after, l.poll = 0, t.number, nil
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -773,7 +773,15 @@
 		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
 		b.run(2 * loop.Second)
 		isDeaf = true
-		b.run(3 * loop.Second)
+		// When what it held is over, whatever its clock, that alone is told, and that
+		// it has no room.
+		for k := 0; k < 4000 && len(w.ends) == 0; k++ {
+			b.run(loop.Milli)
+		}
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 lapsed"})
+		So(b.worker.Running(), ShouldEqual, 0)
+		So(w.last().CoresMilli+w.last().MemoryMb, ShouldEqual, 0)
+		b.run(200 * loop.Milli)
 		announces, looks := len(w.announces), b.count(agent.Look)
 		b.run(5 * loop.Second)
 		So(len(w.announces), ShouldEqual, announces)
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -10,10 +10,11 @@
 // announce keeps one announce open at the ward's placer, and sends a new one at
 // once when something has changed.
 func (t *Table) announce(now loop.Micros, l *life, out loop.Out) {
-	if l.placer == "" || l.fence == 0 || l.surveyed != l.fence && l.departedAt == 0 {
+	if l.placer == "" || l.fence == 0 || l.surveyed != l.fence && l.departedAt == 0 && !l.isLapsed {
 		return
 	}
-	if l.departedAt > 0 && (len(l.ended) == 0 || now-l.departedAt > goneSpan) {
+	// Of one that has left, or is deaf, only what is over is told.
+	if l.departedAt > 0 && now-l.departedAt > goneSpan || (l.departedAt > 0 || l.isLapsed) && len(l.ended) == 0 {
 		return
 	}
 	isDue := l.poll == nil && now >= l.pollAt || l.poll != nil && now-l.poll.sent >= pollSpan
@@ -27,6 +28,10 @@
 		WaitUs: int64(waitSpan), Gathers: true, Named: true, Over: slices.Clone(t.over),
 		ColdUs: int64(max(0, l.beat.Cold-(now-l.heard))),
 	}
+	if l.isLapsed {
+		// It is spoken for only to tell what is over there; it gets nothing new.
+		a.CoresMilli, a.MemoryMb, a.Accelerators = 0, 0, 0
+	}
 	if l.licence-now < l.span/2 {
 		// What runs there may not wait for the answer to be worth something.
 		a.WaitUs = 0
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -15,6 +15,7 @@
 	p := &pending{act: call.Act, key: runKey{call.Task, call.Attempt}, sent: now, fence: l.fence, wait: call.Wait}
 	if call.Until > 0 {
 		p.held = t.couldHold(now, l)
+		l.heldOut = max(l.heldOut, l.clockAt+(call.Until-l.clock)*50/49+holdSlack)
 	}
 	// An order or its answer that is lost costs as long as it is waited for, and
 	// a second one does no harm.
@@ -108,6 +109,10 @@
 	if l.surveyed != l.fence || r.fence != 0 && r.fence != l.fence {
 		return
 	}
+	// Of a worker that seems deaf nothing can be said to be held.
+	if l.mutes > 0 {
+		return
+	}
 	isTried := r.tries > 0 && now-r.first >= startSpan
 	if isTried || l.isLeaving || now+lateSpan >= l.licence || l.clockAt == 0 {
 		t.giveUp(now, l, r)
@@ -123,7 +128,7 @@
 	r.tries++
 	r.fence = l.fence
 	r.call = t.issue(now, l, Call{
-		Act: Start, Task: r.key.task, Attempt: r.key.attempt, Text: r.text, Saved: r.saved, Until: l.until(now),
+		Act: Start, Task: r.key.task, Attempt: r.key.attempt, Text: r.text, Saved: r.saved, Until: t.until(now, l),
 	}, out)
 	r.touched = r.call
 }
@@ -207,24 +212,31 @@
 	isOpen := l.glance != 0 && (!isUnsurveyed || l.calls[l.glance].fence == l.fence)
 	span := t.holdSpan(l)
 	// The long look that is open may have been sent with a licence about to end.
-	isShort := l.held-now < span/5 && t.couldHold(now, l) > l.held+span/8 && l.hasBegun()
-	if (isUnsurveyed || l.isAsked || isShort) && !isOpen && now >= l.glanceAt {
+	least := span / 5
+	if open := l.calls[l.look]; open != nil && open.wait > lookSpan {
+		// And it may have been sent to wait long, when nothing ran there yet.
+		least = 2 * span / 3
+	}
+	isShort := l.held-now < least && t.couldHold(now, l) > l.held+span/8 && l.hasBegun()
+	if (isUnsurveyed || l.isAsked || isShort || l.mutes > 0) && !isOpen && now >= l.glanceAt {
 		l.isAsked = false
-		l.glance = t.issue(now, l, Call{Act: Look, Until: l.until(now), Noted: l.notedTo}, out)
+		l.glance = t.issue(now, l, Call{Act: Look, Until: t.until(now, l), Noted: l.notedTo}, out)
 	}
-	if isUnsurveyed || l.look != 0 || now < l.lookAt {
+	// Of one that seems deaf a short look must be answered first: the next renews
+	// what it holds.
+	if isUnsurveyed || l.look != 0 || now < l.lookAt || l.mutes > 0 {
 		return
 	}
 	// Renewed long before the hold's end, with time for a second try.
-	wait := min(lookSpan, span/4)
+	wait := min(lookSpan, span/3)
 	if l.lostAt > 0 && now-l.lostAt < warySpan {
 		wait = min(wait, waryLook)
 	}
 	if len(l.runs) == 0 {
-		wait = min(quietSpan, span/2)
+		wait = min(quietSpan, l.span/2)
 	}
 	wait = max(wait-wait%loop.Milli, retrySpan)
-	l.look = t.issue(now, l, Call{Act: Look, Until: l.until(now), Noted: l.notedTo, Wait: wait}, out)
+	l.look = t.issue(now, l, Call{Act: Look, Until: t.until(now, l), Noted: l.notedTo, Wait: wait}, out)
 }
 
 // hasBegun tells whether anything may run there that no start of ours, still
@@ -240,10 +252,11 @@
 
 // holdSpan is how long the worker holds its work when told now.
 func (t *Table) holdSpan(l *life) loop.Micros {
+	span := min(l.span, holdShort)
 	if most := loop.Micros(t.bounds.HoldMostUs); most > 0 {
-		return min(l.span, most)
+		return min(span, most)
 	}
-	return l.span
+	return span
 }
 
 // couldHold is until when it would hold it.
@@ -259,7 +272,11 @@
 	if m.Number == l.glance {
 		l.glance = 0
 	}
-	if l.mutes++; m.Verdict == Silent && l.mutes == 1 {
+	// One sent before a pause of ours says nothing of the worker.
+	if m.Number > l.after {
+		l.mutes++
+	}
+	if m.Verdict == Silent && l.mutes <= 1 {
 		// One may have been lost on its way: a second is sent at once.
 		l.lookAt, l.glanceAt, l.isAsked = now, now, true
 		return
@@ -283,7 +300,7 @@
 		t.takeList(now, l, m, p)
 	}
 	if p.fence == l.fence && l.surveyed != l.fence && m.Number > l.after {
-		l.surveyed, l.isDirty = l.fence, true
+		l.surveyed, l.isDirty, l.isLapsed = l.fence, true, false
 	}
 	if isNews {
 		l.rest = retrySpan
@@ -347,8 +364,10 @@
 
 // neverRan reports an attempt that runs here no more though the worker lists no
 // end of it.
-func (t *Table) neverRan(l *life, r *run) {
-	l.ended[r.key] = &end{note: l.note(r.key, "stopped", r.saved)}
+func (t *Table) neverRan(l *life, r *run) { t.ranOut(l, r, "stopped") }
+
+func (t *Table) ranOut(l *life, r *run, how string) {
+	l.ended[r.key] = &end{note: l.note(r.key, how, r.saved)}
 	delete(l.runs, r.key)
 	l.isDirty = true
 }
