--- a/placer/pass.go
+++ b/placer/pass.go
@@ -32,6 +32,8 @@
 	favour  string         // the rack it keeps together in
 	mayRest bool           // it has waited long enough for workers that are set aside or on trial
 	chance  chance
+	// core-microseconds that may be thrown away for one task
+	worthwhile float64
 }
 
 func (t *Table) wishOf(now loop.Micros, v *view, b *band, list []*room) *wish {
@@ -40,6 +42,7 @@
 		step: b.key, spec: b.spec, need: sizeOf(b.spec), workers: map[string]int{}, racks: map[string]int{},
 		mayRest: now-first.since > asideAfter,
 	}
+	x.worthwhile = t.worthwhile(v, first)
 	for id, count := range v.places[b.key] {
 		x.workers[id] = count
 		if w := t.workers[id]; w != nil {
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -2,15 +2,18 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"sparnotch/lane"
 	"sparnotch/loop"
+	"sparnotch/schema"
 )
 
 const (
 	mostAwaits      = 64               // tasks of one step that room is kept for at once
 	acceleratorCost = 8000             // milli cores that an accelerator counts as
+	lossTimes       = 2                // so many times its own work may be thrown away for a task
 	lastingCost     = 30 * loop.Second // work that stopping a lasting task counts as at least
 )
 
@@ -120,7 +123,7 @@
 		if !mayDisplace {
 			continue
 		}
-		if found, sum := t.displace(j.now, r, v.urgency, x, j.passage); found != nil && (best == nil || sum < cost) {
+		if found, sum := t.displace(j.now, r, v.urgency, x, j.passage); found != nil && sum <= x.worthwhile && (best == nil || sum < cost) {
 			best, units, cost = r, found, sum
 		}
 	}
@@ -249,7 +252,7 @@
 // loss is the work that is lost when a task is stopped now: since its progress
 // was last kept, else since it began.
 func loss(now loop.Micros, each *task) float64 {
-	cores := float64(each.spec.CoresMilli+acceleratorCost*each.spec.Accelerators) / 1000
+	cores := cost(each.spec)
 	if each.spec.Lasting {
 		return cores * float64(lastingCost)
 	}
@@ -262,3 +265,18 @@
 	}
 	return cores * float64(now-from)
 }
+
+// worthwhile is how much work may be thrown away to begin a task at once: more
+// than about its own isn't gained by it.
+func (t *Table) worthwhile(v *view, each *task) float64 {
+	span := t.usual(v.lane, each.ahead[:min(1, len(each.ahead))], 0)
+	if span == 0 || each.spec.Lasting {
+		return math.Inf(1)
+	}
+	return lossTimes * cost(each.spec) * float64(span)
+}
+
+// cost is what a step's tasks take, in cores.
+func cost(spec *schema.Step) float64 {
+	return float64(spec.CoresMilli+acceleratorCost*spec.Accelerators) / 1000
+}
