--- a/gauge/size.go
+++ b/gauge/size.go
@@ -81,8 +81,28 @@
 	return m, nil
 }
 
+// processor is what a role spends for its workers: its tables' steps where those
+// were timed by themselves, which shows their square, and what its messages cost
+// besides; else what the real runs show.
+func (m *model) processor(role string, w Wanted) float64 {
+	workers := float64(w.Workers)
+	of := func(what string) (Fit, bool) {
+		fit, isKnown := m.fits[[3]string{"workers", role, what}]
+		return fit, isKnown
+	}
+	tables, isTimed := of("cpu_tables_milli")
+	if !isTimed {
+		whole, _ := of("cpu_milli")
+		return whole.At(workers)
+	}
+	sent, _ := of("sent_s")
+	received, _ := of("received_s")
+	return m.base["ground_milli"] + tables.At(workers) + m.base["message_us"]/1000*(sent.At(workers)+received.At(workers))
+}
+
 // at is a quantity of a role: the sweep over workers gives the ground, the other
-// two what they add to it. What two sizes cost together beyond that isn't known.
+// two what they add to it. What workers and starts cost a keeper together beyond
+// that was measured once, at the whole size; of other pairs it isn't known.
 func (m *model) at(role, what string, w Wanted) float64 {
 	sum := 0.0
 	for _, each := range []struct {
@@ -90,6 +110,10 @@
 		value float64
 	}{{"workers", float64(w.Workers)}, {"lanes", float64(w.Lanes)}, {"starts", w.Starts}} {
 		fit, isKnown := m.fits[[3]string{each.size, role, what}]
+		if each.size == "workers" && what == "cpu_milli" {
+			sum += m.processor(role, w)
+			continue
+		}
 		if !isKnown {
 			continue
 		}
@@ -98,6 +122,9 @@
 			sum -= fit.At(m.base[each.size])
 		}
 	}
+	if role == "keeper" && what == "cpu_milli" {
+		sum += m.base["together_milli"] * max(float64(w.Workers)-m.base["workers"], 0) * max(w.Starts-m.base["starts"], 0)
+	}
 	return max(sum, 0)
 }
 
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -1,11 +1,16 @@
 package keep
 
 import (
+	"encoding/json"
+	"strconv"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/charter"
+	"sparnotch/kin"
+	"sparnotch/loop"
 	"sparnotch/schema"
 )
 
@@ -28,3 +33,75 @@
 		}
 	})
 }
+
+func TestNewKeepers(t *testing.T) {
+	Convey("A lane goes to a keeper that is named while it has only just been taken over", t, func() {
+		c := newCore()
+		place := func(keeper string) {
+			lanes := []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: keeper}}
+			command := &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: &schema.PlaceLanes{Licence: c.licence(), Lanes: lanes}}}
+			So(c.ask("charter", command).Code, ShouldEqual, 200)
+		}
+		run := func(span loop.Micros) {
+			for end := c.now + span; c.now < end; {
+				roll := &kin.Roll{Known: map[string]kin.Known{}}
+				for _, id := range stores {
+					roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: c.now}
+				}
+				for _, id := range stores {
+					c.step(id, "", roll)
+				}
+				c.run(100 * loop.Milli)
+			}
+		}
+		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		place("a")
+		run(loop.Second)
+		So(c.leader("l"), ShouldEqual, "a")
+		place("b")
+		run(1500 * loop.Milli)
+		So(c.leader("l"), ShouldEqual, "b")
+		place("c")
+		run(1500 * loop.Milli)
+		So(c.leader("l"), ShouldEqual, "c")
+	})
+}
+
+// licence makes the steward "h" and gives its licence.
+func (c *core) licence() uint64 {
+	reply := c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
+	var claimed struct{ Licence uint64 }
+	So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
+	return claimed.Licence
+}
+
+func TestTimedJobsAfterALeader(t *testing.T) {
+	Convey("A lane that had no leader for a while keeps its timed jobs to the time of day", t, func() {
+		c := newCore()
+		c.day = 1_800_000_000_000_000
+		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		lanes := &schema.PlaceLanes{Licence: c.licence(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
+		c.run(loop.Second)
+		due := c.now + 8*loop.Second
+		job := &schema.Job{StartWallUs: c.day + int64(due), Rounds: 1, Steps: []*schema.Step{{Name: "s", Tasks: 1}}}
+		c.step("a", "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
+			Session: &schema.Session{Intake: "f", Boot: 1, Client: "c"}, Number: 1, Name: "j", Digest: []byte("d"), Job: job,
+		}}})
+		c.run(500 * loop.Milli)
+		// Nobody is left who could lead.
+		c.isDown["a"], c.isDown["b"] = true, true
+		c.run(4 * loop.Second)
+		c.isDown["b"] = false
+		c.run(due - c.now - 200*loop.Milli)
+		lane := c.tables[c.leader("l")].groups["l#"+c.generation("l")].lane
+		So(lane.Counts().Waiting, ShouldEqual, 0)
+		c.run(400 * loop.Milli)
+		So(lane.Counts().Waiting, ShouldEqual, 1)
+	})
+}
+
+// generation is that of a lane's place.
+func (c *core) generation(lane string) string {
+	return strconv.FormatUint(charter.Place(c.tables["c"].state, lane).GetGeneration(), 10)
+}
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -366,6 +366,56 @@
 	})
 }
 
+func TestStartingAnew(t *testing.T) {
+	Convey("When all start anew whoever led last leads again, without an election's time", t, func() {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := newRig(seed, ids...)
+			r.run(4 * loop.Second)
+			r.propose("one")
+			r.run(loop.Second)
+			old := r.leader().self
+			isSplit := false
+			for _, id := range ids {
+				// Who stood against the leader has voted for itself as well.
+				isSplit = isSplit || id != old && r.images[id].Hard.Vote == id
+				r.start(id)
+			}
+			r.run(UsualTimes.acting() + 50*loop.Milli)
+			if !isSplit {
+				So(r.leader().self, ShouldEqual, old)
+			}
+			So(r.leader().Acting(r.now), ShouldBeTrue)
+		}
+	})
+	Convey("and another does a moment later if that one stays away", t, func() {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := newRig(seed, ids...)
+			r.run(4 * loop.Second)
+			old := r.leader().self
+			for _, id := range ids {
+				r.start(id)
+			}
+			r.isDown[old] = true
+			r.run(loop.Second)
+			So(r.leader(), ShouldNotBeNil)
+		}
+	})
+	Convey("One that starts alone disturbs nobody, nor does it lead before the last leader acts no more", t, func() {
+		r := newRig(1, ids...)
+		r.run(4 * loop.Second)
+		lead := r.leader()
+		term := lead.Term()
+		for _, id := range ids {
+			if id != lead.self {
+				r.start(id)
+				r.run(3 * loop.Second)
+			}
+		}
+		So(r.leader(), ShouldEqual, lead)
+		So(lead.Term(), ShouldEqual, term)
+	})
+}
+
 func TestMembersChangeByOne(t *testing.T) {
 	Convey("A fresh replica learns, is promoted, and the lost one is dropped", t, func() {
 		r := newRig(6, ids...)
@@ -497,6 +547,49 @@
 		So(g.WallTime(0, right), ShouldEqual, right)
 		So(g.WallTime(0, right-jump), ShouldEqual, right)
 	})
+	Convey("Most clocks that jump together aren't believed for a while", t, func() {
+		r := newRig(1, ids...)
+		r.run(3 * loop.Second)
+		g := r.leader()
+		now, others := r.now, g.others()
+		at := func(jump int64, span loop.Micros) int64 {
+			walls := map[string]int64{}
+			for _, id := range others {
+				walls[id] = right + jump - int64(now)
+			}
+			clock(g, walls)
+			g.AgreeWall(now+span, right+jump+int64(span))
+			return g.WallTime(now+span, right+jump+int64(span)) - int64(span)
+		}
+		So(at(0, 0), ShouldEqual, right)
+		for _, each := range []int64{jump, -jump, 5_000_000, -5_000_000} {
+			So(at(each, loop.Second), ShouldEqual, right)
+			So(at(each, 7*loop.Second), ShouldEqual, right)
+			So(at(0, 8*loop.Second), ShouldEqual, right)
+		}
+		So(at(200_000, 9*loop.Second), ShouldEqual, right+200_000)
+		So(at(jump, 10*loop.Second), ShouldEqual, right+200_000)
+		So(at(jump, 29*loop.Second), ShouldEqual, right+200_000)
+		So(at(jump, 30*loop.Second), ShouldEqual, right+jump)
+	})
+	Convey("A later time than a former leader's is no jump: group time may have stood still", t, func() {
+		r := newRig(1, ids...)
+		r.run(3 * loop.Second)
+		g := r.leader()
+		walls := map[string]int64{}
+		for _, id := range g.others() {
+			walls[id] = right - int64(r.now)
+		}
+		clock(g, walls)
+		g.wallOffset = right - g.GroupTime(r.now) - 13*int64(loop.Second)
+		So(g.WallTime(r.now, right), ShouldEqual, right)
+		offset, isKnown := g.WallOffset(r.now, right)
+		So(isKnown, ShouldBeTrue)
+		So(offset, ShouldEqual, right-g.GroupTime(r.now))
+		clock(g, map[string]int64{g.others()[0]: 0, g.others()[1]: 0})
+		_, isKnown = g.WallOffset(r.now, right)
+		So(isKnown, ShouldBeFalse)
+	})
 	Convey("Of two, the one that fits what three agreed on, and never an earlier start", t, func() {
 		r := newRig(1, ids...)
 		r.run(3 * loop.Second)
@@ -537,10 +630,25 @@
 		g := r.leader()
 		So(g.Acting(r.now), ShouldBeTrue)
 		r.cut = func(from, to string) bool { return from == g.self || to == g.self }
-		r.run(500 * loop.Milli)
+		r.run(UsualTimes.ElectionLeast - UsualTimes.Beat)
 		So(g.IsLeader(), ShouldBeTrue)
 		So(g.Acting(r.now), ShouldBeFalse)
 	})
+	Convey("and acts no more when another may lead, however soon that is", t, func() {
+		for seed := uint64(1); seed <= 50; seed++ {
+			r := newRig(seed, ids...)
+			r.run(3 * loop.Second)
+			g := r.leader()
+			r.cut = func(from, to string) bool { return from == g.self || to == g.self }
+			for k := 0; k < 200 && g.Acting(r.now); k++ {
+				for id, other := range r.groups {
+					So(id == g.self || !other.IsLeader(), ShouldBeTrue)
+				}
+				r.run(10 * loop.Milli)
+			}
+			So(g.Acting(r.now), ShouldBeFalse)
+		}
+	})
 	Convey("A beat that lay in a buffer makes no copy fresh", t, func() {
 		r := newRig(1, ids...)
 		r.run(3 * loop.Second)
