Workers that turn slow or stand still are told by the progress of their tasks

Change: progress made is set against progress to be expected; slow and frozen workers rest, and of their tasks those are stopped that end sooner elsewhere.

--- a/placer/pace.go
+++ b/placer/pace.go
@@ -34,7 +34,8 @@
 	asideUntil loop.Micros
 	rest       loop.Micros // its latest rest
 	isOnTrial  bool        // it has been set aside and hasn't shown itself sound since
-	trials     int         // sound runs since
+	meter      meter
+	trials     int // sound runs since
 }
 
 // tally is decayed counts of a lane's tasks that ended on one worker.
@@ -88,6 +89,7 @@
 // off moves it little, so that one bad worker doesn't.
 type pace struct {
 	x, y, xx, xy      float64 // decayed means, variance and covariance
+	isEstimated       bool
 	count             int
 	worker, other     string // the latest two workers one ended on
 	workerAt, otherAt loop.Micros
@@ -96,14 +98,20 @@
 const (
 	paceDecay  = 0.99
 	leastCount = 3
-	lineWeight = 0.05 // how much variance of the estimates they are trusted for at first
+	trustCount = 5    // runs that the estimates themselves count as
+	lineWeight = 0.05 // the variance of estimates that goes with that
 	mostOff    = 0.7  // how far off a run may move the line, as a logarithm
 )
 
 // at is where the line stands, for the logarithm of an estimate.
 func (p *pace) at(x float64) float64 {
 	slope := math.Max(0, math.Min(1, (p.xy+lineWeight)/(p.xx+lineWeight)))
-	return p.y + slope*(x-p.x)
+	line := p.y + slope*(x-p.x)
+	if !p.isEstimated {
+		return line
+	}
+	// The first to end are the short ones: they don't say much of the others.
+	return line + (x-line)*trustCount/float64(trustCount+p.count)
 }
 
 // learn moves the line by one run.
@@ -179,6 +187,7 @@
 		}
 		if each := w.tasks[key.taskKey]; each != nil && each.attempt == key.attempt {
 			t.compare(now, w, each, note)
+			t.gaugeEnd(now, w, each, note)
 		}
 	case "failed":
 		w.bad = w.bad*0.98 + 1
@@ -209,7 +218,7 @@
 		if len(t.paces) > 4096 {
 			t.paces = map[paceKey]*pace{}
 		}
-		p = &pace{}
+		p = &pace{isEstimated: key.step == ""}
 		t.paces[key] = p
 	}
 	if run >= shortRun && p.count >= leastCount {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -103,6 +103,7 @@
 	seen    string      // kept progress last seen
 	strikes uint32      // times it was stopped for standing still
 	orderAt loop.Micros // its start order left last
+	mark    mark
 	stopAt  loop.Micros // it was first seen wanting to be stopped
 	isLate  bool        // its stop takes too long to wait for the room
 }
@@ -657,6 +658,7 @@
 		w.running[noteKey(note)] = note
 		t.look(now, w, note)
 	}
+	t.gauge(now, w)
 	t.reports(now, w, over, out)
 	t.forsaken(now, w, out)
 	t.buried(now, a.Over, m.Worker, out)
@@ -820,6 +822,9 @@
 			}
 		}
 		t.limits(now, w)
+		if t.isFrozen(now, w) {
+			t.rescue(now, w, crawl)
+		}
 	}
 	t.bury(now, out)
 	for _, v := range t.views {
