--- a/placer/meter.go
+++ b/placer/meter.go
@@ -113,7 +113,7 @@
 	if now < w.asideUntil {
 		return
 	}
-	if t.setAside(now, w); now >= w.asideUntil {
+	if t.setAside(now, w, slowRest, slowTasks); now >= w.asideUntil {
 		return
 	}
 	for _, each := range t.tasksOf(w) {
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -10,6 +10,8 @@
 
 const (
 	firstRest  = 5 * loop.Second
+	slowRest   = 1500 * loop.Milli // of a worker that is slow: whether it still is shows soon
+	slowTasks  = 3                 // at a time, that it is tried with
 	mostRest   = 60 * loop.Second
 	stuckSpan  = 2 * loop.Second
 	stuckTimes = 4
@@ -35,6 +37,7 @@
 	rest       loop.Micros // its latest rest
 	isOnTrial  bool        // it has been set aside and hasn't shown itself sound since
 	meter      meter
+	trialTasks int // that it is tried with at a time
 	trials     int // sound runs since
 }
 
@@ -178,14 +181,15 @@
 		w.good = w.good*0.98 + 1
 		w.bad *= 0.98
 		t.weigh(w, key.lane, false)
-		if w.isOnTrial && now >= w.asideUntil {
+		each := w.tasks[key.taskKey]
+		if w.isOnTrial && (each == nil || each.beganAt >= w.asideUntil) {
 			if w.trials++; w.trials >= 2 {
 				w.isOnTrial, w.trials = false, 0
 			}
 		} else if !w.isOnTrial && w.rest > 0 {
 			w.rest = w.rest * 9 / 10
 		}
-		if each := w.tasks[key.taskKey]; each != nil && each.attempt == key.attempt {
+		if each != nil && each.attempt == key.attempt {
 			t.compare(now, w, each, note)
 			t.gaugeEnd(now, w, each, note)
 		}
@@ -276,8 +280,9 @@
 	return run > stuckTimes*expected*patience && run > stuckSpan && still > loop.Second
 }
 
-// setAside gives a worker a rest, twice as long as the one before.
-func (t *Table) setAside(now loop.Micros, w *worker) {
+// setAside gives a worker a rest, twice as long as the one before, and at least
+// so long; then it is tried with so many tasks at a time.
+func (t *Table) setAside(now loop.Micros, w *worker, first loop.Micros, tasks int) {
 	if now < w.asideUntil {
 		return
 	}
@@ -296,8 +301,8 @@
 	if 2*(others+1) > all {
 		return
 	}
-	w.rest = min(max(2*w.rest, firstRest), mostRest)
-	w.asideUntil, w.isOnTrial, w.trials, w.doubt = now+w.rest, true, 0, 0
+	w.rest = min(max(2*w.rest, first), mostRest)
+	w.asideUntil, w.isOnTrial, w.trials, w.doubt, w.trialTasks = now+w.rest, true, 0, 0, tasks
 }
 
 func failureRate(w *worker) float64 { return w.bad / (w.good + w.bad + 2) }
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -32,6 +32,7 @@
 	favour  string         // the rack it keeps together in
 	mayRest bool           // it has waited long enough for workers that are set aside or on trial
 	chance  chance
+	isBrief bool // its tasks end about as soon as they could be stopped
 	// core-microseconds that may be thrown away for one task
 	worthwhile float64
 }
@@ -40,8 +41,9 @@
 	first, _ := b.ready.Min()
 	x := &wish{
 		step: b.key, spec: b.spec, need: sizeOf(b.spec), workers: map[string]int{}, racks: map[string]int{},
-		mayRest: now-first.since > asideAfter,
+		isBrief: t.isBrief(v, first),
 	}
+	x.mayRest = now-first.since > outAfter || now-first.since > asideAfter && !t.hasHome(list, x)
 	x.worthwhile = t.worthwhile(v, first)
 	for id, count := range v.places[b.key] {
 		x.workers[id] = count
@@ -76,11 +78,23 @@
 	return best
 }
 
+// hasHome tells whether a worker that isn't set aside or on trial could run the
+// step's tasks once it has room.
+func (t *Table) hasHome(list []*room, x *wish) bool {
+	return slices.ContainsFunc(list, func(r *room) bool {
+		return !r.w.isOnTrial && r.w.whole().has(x.need) && t.hasLabels(r, x)
+	})
+}
+
 // suits tells whether a worker may run a step's tasks at all.
 func (t *Table) suits(r *room, x *wish) bool {
-	if r.isClaimed || r.isAside && !x.mayRest {
+	if r.isClaimed || r.isAside && !x.mayRest || r.w.isOnTrial && !x.isBrief && !x.mayRest {
 		return false
 	}
+	return t.hasLabels(r, x)
+}
+
+func (t *Table) hasLabels(r *room, x *wish) bool {
 	for _, label := range x.spec.Labels {
 		if !slices.Contains(r.w.labels, label) {
 			return false
--- a/placer/room.go
+++ b/placer/room.go
@@ -184,11 +184,11 @@
 		r.later.add(w.coming)
 		// It fails far more than others: a rest, then few tasks at a time.
 		if now >= w.asideUntil && w.isSuspect() {
-			t.setAside(now, w)
+			t.setAside(now, w, firstRest, 1)
 		}
 		r.isAside = now < w.asideUntil
 		if w.isOnTrial {
-			r.mostTasks = max(0, 1-w.count)
+			r.mostTasks = max(0, w.trialTasks-w.count)
 		}
 		list = append(list, r)
 	}
