--- a/placer/pace.go
+++ b/placer/pace.go
@@ -284,6 +284,7 @@
 // so long; then it is tried with so many tasks at a time.
 func (t *Table) setAside(now loop.Micros, w *worker, first loop.Micros, tasks int) {
 	if now < w.asideUntil {
+		w.asideUntil = max(w.asideUntil, now+first)
 		return
 	}
 	// Where half of the workers look bad, it isn't the workers. Those that are
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,7 +37,7 @@
 	gatherSpan   = 2 * loop.Second   // a member that hasn't begun by then lets the others go, unless the bounds say more
 	preemptAfter = 100 * loop.Milli  // how long urgent work waits before it displaces
 	claimAfter   = 1500 * loop.Milli // how long wide work waits before workers are kept free for it
-	asideAfter   = 3 * loop.Second   // how long work that nobody else could run waits before it goes to workers that are set aside
+	asideAfter   = 2500 * loop.Milli // how long work that nobody else could run waits before it goes to workers that are set aside
 	outAfter     = 12 * loop.Second  // the same for other work
 	stopSpan     = 3 * loop.Second   // a stop that takes longer is waited for no more, unless the bounds say more
 	departLead   = 500 * loop.Milli  // how long before its worker goes a task is stopped to keep its progress
