--- a/placer/pace.go
+++ b/placer/pace.go
@@ -10,6 +10,8 @@
 
 const (
 	firstRest  = 5 * loop.Second
+	slowRest   = 1500 * loop.Milli // of a worker that is slow: whether it still is shows soon
+	slowTasks  = 3                 // at a time, that it is tried with
 	mostRest   = 60 * loop.Second
 	stuckSpan  = 2 * loop.Second
 	stuckTimes = 4
@@ -34,7 +36,9 @@
 	asideUntil loop.Micros
 	rest       loop.Micros // its latest rest
 	isOnTrial  bool        // it has been set aside and hasn't shown itself sound since
-	trials     int         // sound runs since
+	meter      meter
+	trialTasks int // that it is tried with at a time
+	trials     int // sound runs since
 }
 
 // tally is decayed counts of a lane's tasks that ended on one worker.
@@ -88,6 +92,7 @@
 // off moves it little, so that one bad worker doesn't.
 type pace struct {
 	x, y, xx, xy      float64 // decayed means, variance and covariance
+	isEstimated       bool
 	count             int
 	worker, other     string // the latest two workers one ended on
 	workerAt, otherAt loop.Micros
@@ -96,14 +101,20 @@
 const (
 	paceDecay  = 0.99
 	leastCount = 3
-	lineWeight = 0.05 // how much variance of the estimates they are trusted for at first
+	trustCount = 5    // runs that the estimates themselves count as
+	lineWeight = 0.05 // the variance of estimates that goes with that
 	mostOff    = 0.7  // how far off a run may move the line, as a logarithm
 )
 
 // at is where the line stands, for the logarithm of an estimate.
 func (p *pace) at(x float64) float64 {
 	slope := math.Max(0, math.Min(1, (p.xy+lineWeight)/(p.xx+lineWeight)))
-	return p.y + slope*(x-p.x)
+	line := p.y + slope*(x-p.x)
+	if !p.isEstimated {
+		return line
+	}
+	// The first to end are the short ones: they don't say much of the others.
+	return line + (x-line)*trustCount/float64(trustCount+p.count)
 }
 
 // learn moves the line by one run.
@@ -170,15 +181,17 @@
 		w.good = w.good*0.98 + 1
 		w.bad *= 0.98
 		t.weigh(w, key.lane, false)
-		if w.isOnTrial && now >= w.asideUntil {
+		each := w.tasks[key.taskKey]
+		if w.isOnTrial && (each == nil || each.beganAt >= w.asideUntil) {
 			if w.trials++; w.trials >= 2 {
 				w.isOnTrial, w.trials = false, 0
 			}
 		} else if !w.isOnTrial && w.rest > 0 {
 			w.rest = w.rest * 9 / 10
 		}
-		if each := w.tasks[key.taskKey]; each != nil && each.attempt == key.attempt {
+		if each != nil && each.attempt == key.attempt {
 			t.compare(now, w, each, note)
+			t.gaugeEnd(now, w, each, note)
 		}
 	case "failed":
 		w.bad = w.bad*0.98 + 1
@@ -209,7 +222,7 @@
 		if len(t.paces) > 4096 {
 			t.paces = map[paceKey]*pace{}
 		}
-		p = &pace{}
+		p = &pace{isEstimated: key.step == ""}
 		t.paces[key] = p
 	}
 	if run >= shortRun && p.count >= leastCount {
@@ -267,9 +280,11 @@
 	return run > stuckTimes*expected*patience && run > stuckSpan && still > loop.Second
 }
 
-// setAside gives a worker a rest, twice as long as the one before.
-func (t *Table) setAside(now loop.Micros, w *worker) {
+// setAside gives a worker a rest, twice as long as the one before, and at least
+// so long; then it is tried with so many tasks at a time.
+func (t *Table) setAside(now loop.Micros, w *worker, first loop.Micros, tasks int) {
 	if now < w.asideUntil {
+		w.asideUntil = max(w.asideUntil, now+first)
 		return
 	}
 	// Where half of the workers look bad, it isn't the workers. Those that are
@@ -287,8 +302,8 @@
 	if 2*(others+1) > all {
 		return
 	}
-	w.rest = min(max(2*w.rest, firstRest), mostRest)
-	w.asideUntil, w.isOnTrial, w.trials, w.doubt = now+w.rest, true, 0, 0
+	w.rest = min(max(2*w.rest, first), mostRest)
+	w.asideUntil, w.isOnTrial, w.trials, w.doubt, w.trialTasks = now+w.rest, true, 0, 0, tasks
 }
 
 func failureRate(w *worker) float64 { return w.bad / (w.good + w.bad + 2) }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,7 +37,8 @@
 	gatherSpan   = 2 * loop.Second   // a member that hasn't begun by then lets the others go, unless the bounds say more
 	preemptAfter = 100 * loop.Milli  // how long urgent work waits before it displaces
 	claimAfter   = 1500 * loop.Milli // how long wide work waits before workers are kept free for it
-	asideAfter   = 2500 * loop.Milli // how long work waits before it goes to workers that are set aside
+	asideAfter   = 2500 * loop.Milli // how long work that nobody else could run waits before it goes to workers that are set aside
+	outAfter     = 12 * loop.Second  // the same for other work
 	stopSpan     = 3 * loop.Second   // a stop that takes longer is waited for no more, unless the bounds say more
 	departLead   = 500 * loop.Milli  // how long before its worker goes a task is stopped to keep its progress
 	overSpan     = 60 * loop.Second  // how long a worker stays known as dead after the last word of it
@@ -103,6 +104,7 @@
 	seen    string      // kept progress last seen
 	strikes uint32      // times it was stopped for standing still
 	orderAt loop.Micros // its start order left last
+	mark    mark
 	stopAt  loop.Micros // it was first seen wanting to be stopped
 	isLate  bool        // its stop takes too long to wait for the room
 }
@@ -657,6 +659,7 @@
 		w.running[noteKey(note)] = note
 		t.look(now, w, note)
 	}
+	t.gauge(now, w)
 	t.reports(now, w, over, out)
 	t.forsaken(now, w, out)
 	t.buried(now, a.Over, m.Worker, out)
@@ -820,6 +823,9 @@
 			}
 		}
 		t.limits(now, w)
+		if t.isFrozen(now, w) {
+			t.rescue(now, w, crawl)
+		}
 	}
 	t.bury(now, out)
 	for _, v := range t.views {
@@ -908,7 +914,7 @@
 				}
 			}
 			t.evictWhole(each, "stopped")
-			t.setAside(now, w)
+			t.setAside(now, w, firstRest, 1)
 			continue
 		}
 		// What can't end in time keeps its progress; what keeps none may as well
