Wires notice that their peer has started anew; a front without word asks more often

Change: a connection that its peer closed is let go before the next message; a front without fresh word looks at the charter each 100 ms.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -285,6 +285,10 @@
 // askRest is how long to wait between two looks at the charter: less while
 // somebody may just have come to lead a lane.
 func (t *Table) askRest(now loop.Micros) loop.Micros {
+	// Whoever has no word serves nobody.
+	if !t.isFresh(now) {
+		return 2 * Pace
+	}
 	for _, since := range t.unled {
 		if now-since < newSpan {
 			return Pace
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -163,6 +163,7 @@
 	encoder *gob.Encoder
 	used    time.Time
 	failed  time.Time
+	isOver  *atomic.Bool // the peer has closed the connection
 }
 
 func (n *Net) carry(address string, ring *loop.Ring[queued]) {
@@ -192,6 +193,7 @@
 	}
 	// Whatever waits is written in one go; nothing waits for more to come.
 	ring.Drain(n.ctx, loop.Second, func(item queued) {
+		out.letGo()
 		put(item)
 		for k := 1; k < batchMost; k++ {
 			next, isThere := ring.Take()
@@ -216,6 +218,13 @@
 	})
 }
 
+// letGo closes a connection that the peer has closed; the next message dials.
+func (o *outgoing) letGo() {
+	if o.conn != nil && o.isOver.Load() {
+		o.close()
+	}
+}
+
 func (o *outgoing) close() {
 	if o.conn != nil {
 		o.conn.Close()
@@ -223,6 +232,14 @@
 	}
 }
 
+// watch notes that a peer has closed its end, as one does that starts anew: the
+// next message would else be written into nothing, without an error.
+func (n *Net) watch(conn net.Conn, isOver *atomic.Bool) {
+	defer n.running.Done()
+	_, _ = conn.Read(make([]byte, 1))
+	isOver.Store(true)
+}
+
 func (n *Net) write(out *outgoing, address string, envelope Envelope) error {
 	if out.conn == nil {
 		// A process that is gone must not cost a dial for each message.
@@ -238,6 +255,9 @@
 		}
 		out.conn, out.writer = conn, bufio.NewWriterSize(&countingWriter{conn, &n.bytes, &n.writes}, bufferSize)
 		out.encoder = gob.NewEncoder(out.writer)
+		out.isOver = &atomic.Bool{}
+		n.running.Add(1)
+		go n.watch(conn, out.isOver)
 		if _, err := out.writer.WriteString(preamble); err != nil {
 			return Closed.Wrap(err, "writing")
 		}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -177,3 +177,26 @@
 		So(span, ShouldEqual, 3000)
 	})
 }
+
+func TestPeersThatStartAnew(t *testing.T) {
+	Convey("A connection that its peer has closed is let go before the next message is written into it", t, func() {
+		a, _ := open("a")
+		out := &outgoing{}
+		Reset(func() { out.close(); a.Close() })
+		peer, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		Reset(func() { peer.Close() })
+		So(a.write(out, peer.Addr().String(), Envelope{From: "a", Body: &schema.Hello{}}), ShouldBeNil)
+		conn, err := peer.Accept()
+		So(err, ShouldBeNil)
+		out.letGo()
+		So(out.conn, ShouldNotBeNil)
+		So(conn.Close(), ShouldBeNil)
+		for end := time.Now().Add(30 * time.Second); !out.isOver.Load() && time.Now().Before(end); {
+			runtime.Gosched()
+		}
+		out.letGo()
+		So(out.conn, ShouldBeNil)
+		So(a.write(out, peer.Addr().String(), Envelope{From: "a", Body: &schema.Hello{}}), ShouldBeNil)
+	})
+}
