A front without word of the charter for 1 s takes nothing new and isn't ready

Change: 1 s without word instead of 5; what it has taken it keeps for 5 s as before, and an operator's call still waits for a charter's leader.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -33,7 +33,8 @@
 	newSpan      = 2 * loop.Second   // after a lane lost its leader the charter is looked at more often
 	quietSpan    = 30 * loop.Second  // a client session that rests this long is ended
 	frozenSpan   = 20 * loop.Second  // after a longer pause this front starts afresh
-	freshSpan    = 5 * loop.Second   // a front that saw no charter for so long isn't ready
+	wordSpan     = loop.Second       // a front that saw no charter for so long isn't ready, and takes nothing new
+	freshSpan    = 5 * loop.Second   // and after so long gives up what it has taken
 	maxPending   = 4096              // errands of all kinds at once
 	rateSpan     = loop.Second       // over which what a lane gets done is counted
 	longestRetry = 30                // seconds
@@ -286,7 +287,7 @@
 // somebody may just have come to lead a lane.
 func (t *Table) askRest(now loop.Micros) loop.Micros {
 	// Whoever has no word serves nobody.
-	if !t.isFresh(now) {
+	if t.heardAt == 0 || now-t.heardAt > wordSpan/2 {
 		return 2 * Pace
 	}
 	for _, since := range t.unled {
@@ -371,6 +372,11 @@
 // process has had none at all.
 func (t *Table) isFresh(now loop.Micros) bool { return t.heardAt > 0 && now-t.heardAt <= freshSpan }
 
+// hasWord tells whether this front had word of the charter just now. One that
+// hadn't is cut off, most likely: what it took would wait here in vain, while
+// another front could serve it.
+func (t *Table) hasWord(now loop.Micros) bool { return t.heardAt > 0 && now-t.heardAt <= wordSpan }
+
 // --- hand-ins ---
 
 func (t *Table) handIn(now loop.Micros, m HandIn, isFinal bool, out loop.Out) {
@@ -387,7 +393,7 @@
 		out.Answer(m.Errand, Answer{Code: 422, Body: Fault("bad_name", "letters, digits, '.', '_', ':' and '-', at most 128", "name")})
 		return
 	}
-	if !t.isFresh(now) {
+	if !t.hasWord(now) {
 		t.notReady(now, m.Errand, out)
 		return
 	}
@@ -748,7 +754,9 @@
 		t.refuse(m.Errand, 429, "front_full", "this front has too much in hand", t.pace("").turn(now), out)
 		return
 	}
-	if t.heardAt > 0 && !t.isFresh(now) {
+	// The charter's leader may just be missing: an operator's call waits for it.
+	isLost := !t.hasWord(now) && m.Group != charter.Group || !t.isFresh(now)
+	if t.heardAt > 0 && isLost {
 		t.notReady(now, m.Errand, out)
 		return
 	}
@@ -997,7 +1005,7 @@
 	switch {
 	case t.isWarned:
 		t.refuse(m.Errand, 503, "leaving", "this process is leaving", 0, out)
-	case !t.isFresh(now):
+	case !t.hasWord(now):
 		t.refuse(m.Errand, 503, "not_ready", "no fresh word of the charter", 1, out)
 	default:
 		out.Answer(m.Errand, Answer{Code: 200, Body: []byte(`{"ready":true}`)})
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/charter"
 	"sparnotch/kin"
 	"sparnotch/loop"
 	"sparnotch/schema"
@@ -284,6 +285,28 @@
 		}
 		So(told, ShouldBeBetweenOrEqual, 5, 6)
 	})
+	Convey("A front that had no word a moment ago takes nothing new, so that clients go to another; what it has it keeps", t, func() {
+		d := newDesk()
+		d.step(loop.Tick{})
+		id := d.handIn("c", "one")
+		d.now += wordSpan + loop.Milli
+		d.step(loop.Tick{})
+		d.step(Ready{Errand: 900})
+		So(d.answers[900].Code, ShouldEqual, 503)
+		So(d.answers[d.handIn("c", "two")].Code, ShouldEqual, 503)
+		d.step(Ask{Errand: 901, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*loop.Second})
+		So(d.answers[901].Code, ShouldEqual, 503)
+		_, isAnswered := d.answers[id]
+		So(isAnswered, ShouldBeFalse)
+		d.step(Ask{Errand: 902, Kind: "plan", Group: charter.Group, Deadline: d.now + 60*loop.Second})
+		_, isAnswered = d.answers[902]
+		So(isAnswered, ShouldBeFalse)
+		Convey("and with a word it is ready again", func() {
+			d.step(&schema.CharterTell{Version: d.t.state.Version, Leaders: map[string]string{"l": "a"}})
+			d.step(Ready{Errand: 903})
+			So(d.answers[903].Code, ShouldEqual, 200)
+		})
+	})
 	Convey("A front that has lost touch answers at once what it holds and what comes, with when to come back", t, func() {
 		d := newDesk()
 		d.step(loop.Tick{})
