An attempt that was told to be over isn't started again; only a sure ward takes workers for lost

The keeper's word that an end is noted may reach the placer before the shift that goes with it, as after each change of the charter; the placer then ordered the same attempt anew, and the agent, which had given it up on a busy worker, had forgotten that. And a ward that had lost the charter could give back a worker's tasks as lost while its successor licensed it. The agent now remembers what it gave up, the placer what was noted, and who isn't sure of its wards takes nobody for lost.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -39,10 +39,12 @@
 	listSpan    = 300 * loop.Milli // a worker that has seen a higher fence is left alone for so long
 	goneSpan    = 10 * loop.Second // the ends of a worker that has departed are told for so long
 	stopUsual   = 2 * loop.Second
-	holdUsual   = 4 * loop.Second // a licence, until one is heard of
-	listMost    = 500             // ends in one look
-	deadMost    = 16              // former lives remembered
-	refusedMost = 8               // announces turned away in a row before their number leaps
+	holdUsual   = 4 * loop.Second  // a licence, until one is heard of
+	listMost    = 500              // ends in one look
+	deadMost    = 16               // former lives remembered
+	spentSpan   = 60 * loop.Second // attempts given up are remembered for so long at least
+	spentMost   = 4096             // and all of them up to so many
+	refusedMost = 8                // announces turned away in a row before their number leaps
 	refusedLeap = 1 << 32
 )
 
@@ -157,7 +159,8 @@
 	ended   map[runKey]*end // not noted
 	listed  map[uint64]*end // above notedTo
 	notedTo uint64
-	highest uint64 // end listed
+	highest uint64                 // end listed
+	spent   map[runKey]loop.Micros // attempts that we told to be over; the worker may not know them
 
 	calls    map[uint64]*pending
 	look     uint64 // the long look that is open
@@ -267,7 +270,7 @@
 	if l == nil {
 		l = &life{
 			worker: m.Worker, runs: map[runKey]*run{}, ended: map[runKey]*end{}, listed: map[uint64]*end{},
-			calls: map[uint64]*pending{}, span: holdUsual, rest: retrySpan,
+			calls: map[uint64]*pending{}, span: holdUsual, rest: retrySpan, spent: map[runKey]loop.Micros{},
 		}
 		t.life = l
 		t.takeWard(l)
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -27,6 +27,7 @@
 	licence    loop.Micros
 	noteAfter  loop.Micros // an end is noted so long after it was heard; below 0: never
 	isSilent   bool
+	isBehind   bool        // it orders what has ended and was noted, as it hasn't heard of that yet
 	loses      func() bool // tells of each answer whether it is lost
 	starts     []*schema.Order
 	stops      []*schema.Order
@@ -252,7 +253,7 @@
 		}
 	}
 	for _, o := range w.starts {
-		if key := orderName(o); !isRunning[key] && !hasEnded[key] && w.heard[key] == 0 {
+		if key := orderName(o); !isRunning[key] && !hasEnded[key] && (w.heard[key] == 0 || w.isBehind) {
 			orders.Orders = append(orders.Orders, o)
 		}
 	}
@@ -552,6 +553,27 @@
 		So(b.count(agent.Stop), ShouldEqual, 0)
 		So(b.count(agent.Start), ShouldBeBetweenOrEqual, 9, 18)
 	})
+	Convey("What was given up is never tried again, whoever orders it", t, func() {
+		isBusy := true
+		b, w := usual(toil.Setup{Fault: func(_ loop.Micros, call agent.Call) toil.Fault {
+			if call.Act == agent.Start && isBusy {
+				return toil.Refused
+			}
+			return toil.NoFault
+		}}, nil)
+		b.run(12 * loop.Second)
+		w.isBehind = true
+		long(w)
+		b.run(1500 * loop.Milli)
+		isBusy = false
+		b.run(3 * loop.Second)
+		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 stopped"})
+		So(b.count(agent.Start), ShouldBeLessThan, 20)
+		So(b.begun, ShouldBeEmpty)
+		w.starts = []*schema.Order{order("start", "j", 0, 2, "run_us=60000000")}
+		b.run(2 * loop.Second)
+		So(b.begun["j.0.0.0/2"], ShouldEqual, 1)
+	})
 	Convey("Past a start: whether it ended is the next look's to say", t, func() {
 		b, w := usual(toil.Setup{}, nil)
 		b.run(100 * loop.Milli)
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -123,6 +123,13 @@
 		if r != nil {
 			return false
 		}
+		if _, isSpent := l.spent[key]; isSpent {
+			// A placer that hasn't heard yet what became of it: others may have
+			// the task by now.
+			l.ended[key] = &end{note: l.note(key, "stopped", order.Saved)}
+			l.isDirty = true
+			return true
+		}
 		l.runs[key] = &run{
 			key: key, standing: starting, text: order.Text, saved: order.Saved, cores: order.CoresMilli, memory: order.MemoryMb,
 			began: now, isCounted: true,
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"slices"
 
 	"sparnotch/loop"
@@ -348,6 +349,10 @@
 	l.ended[r.key] = &end{note: l.note(r.key, "stopped", r.saved)}
 	delete(l.runs, r.key)
 	l.isDirty = true
+	if len(l.spent) >= spentMost {
+		maps.DeleteFunc(l.spent, func(_ runKey, at loop.Micros) bool { return t.last-at > spentSpan })
+	}
+	l.spent[r.key] = t.last
 }
 
 // takeList compares the worker's list of what runs with ours. A look says
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -86,6 +86,7 @@
 	isLaunched  bool        // its group is decided to begin
 	launchAt    loop.Micros // when that was proposed
 	heldAt      loop.Micros // when the whole group was first seen held
+	isOver      bool        // its end has been noted, by more than we have heard of the lane
 	round, part uint32
 	saved       string // progress its next start carries
 	failures    uint32 // counted so far
@@ -801,6 +802,13 @@
 			e.isNoted, w.isDirty = true, true
 		}
 	}
+	// The lane has taken the end in, though its shift may not be here yet: this
+	// attempt isn't started any more.
+	if v := t.views[m.Lane]; v != nil && m.Key != nil {
+		if each := v.tasks[taskKey{m.Lane, m.Key.Job, m.Key.Step, m.Key.Task}]; each != nil && each.attempt == m.Attempt && each.worker == m.Worker {
+			each.isOver = true
+		}
+	}
 }
 
 // --- time ---
@@ -814,7 +822,9 @@
 		// Whoever warded it before us may have answered it a little longer
 		// than we know.
 		last := max(w.answered, w.since+wardSpan)
-		if now-w.heard > silentSpan && now-last > licence {
+		// Who isn't sure of being the ward may have a successor that the worker
+		// answers to.
+		if now-w.heard > silentSpan && now-last > licence && t.isSure(now) {
 			for _, each := range t.tasksOf(w) {
 				t.giveBack(now, each, "lost", out)
 			}
@@ -1115,7 +1125,7 @@
 	isBlurry := t.isBlurry(w)
 	for _, each := range t.tasksOf(w) {
 		key := attemptKey{each.key, each.attempt}
-		if each.incarnation != w.incarnation || w.ended[key] != nil || w.isOver {
+		if each.incarnation != w.incarnation || w.ended[key] != nil || w.isOver || each.isOver {
 			continue
 		}
 		v := t.views[each.key.lane]
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -134,6 +134,46 @@
 	})
 }
 
+func TestNotedBeforeItsShift(t *testing.T) {
+	Convey("What has been noted as ended isn't started again while its shift is on its way", t, func() {
+		d := newDesk("w")
+		d.announce("w", nil)
+		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", one))
+		d.announce("w", func(a *schema.Announce) {
+			a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}}
+		})
+		d.step(&schema.EndReply{Lane: "l", Key: &schema.TaskKey{Job: 1}, Attempt: 1, Worker: "w"})
+		So(len(d.last().Orders.Noted), ShouldEqual, 1)
+		from := len(d.replies)
+		d.announce("w", nil)
+		d.pass(600 * loop.Milli)
+		So(d.acts(from, "start"), ShouldBeEmpty)
+		next := shift(2, 1, 0, lane.Out, "w", one)
+		next.Attempt = 2
+		d.shifts(false, 2, next)
+		d.announce("w", nil)
+		So(len(d.acts(from, "start")), ShouldEqual, 1)
+	})
+}
+
+func TestLostOnlyByTheWord(t *testing.T) {
+	Convey("A ward that has no fresh word of the charter takes no worker for lost", t, func() {
+		d := newDesk("w")
+		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", one))
+		d.announce("w", nil)
+		for k := 0; k < 100; k++ {
+			d.now += 100 * loop.Milli
+			d.fresh(false)
+			d.step(loop.Tick{})
+		}
+		So(d.ended(), ShouldBeEmpty)
+		d.fresh(true)
+		d.step(loop.Tick{})
+		So(len(d.ended()), ShouldEqual, 1)
+		So(d.ended()[0].Outcome, ShouldEqual, "lost")
+	})
+}
+
 func TestGapIsFilledByAQuery(t *testing.T) {
 	Convey("A hand-over that went missing is asked for, and none after it is acted on before", t, func() {
 		d := newDesk("w")
