--- a/foil/mutants.go
+++ b/foil/mutants.go
@@ -17,7 +17,7 @@
 	{Guard: "an intake that was given up can't come back", Rule: 2, Test: "lane TestSessions", Edits: []Edit{{"lane/machine.go", "isGone := m.gone[bootKey{key.intake, key.boot}]; isGone {", "isGone := m.gone[bootKey{key.intake, key.boot}]; isGone && false {"}}},
 	{Guard: "a report names its attempt", Rule: 9, Test: "lane TestAttempts", Edits: []Edit{
 		{"lane/machine.go", "	// A report on another attempt than the one that is out changes nothing.\n	if each.state != schema.TaskState_TASK_OUT || each.attempt != c.Attempt {", "	if each.state != schema.TaskState_TASK_OUT {"}}},
-	{Guard: "a silent worker's tasks wait for its licence", Rule: 2, Test: "placer TestLostOnlyAfterTheLicence", Edits: []Edit{{"placer/placer.go", "now-last > licence {", "now-last > 0*licence {"}}},
+	{Guard: "a silent worker's tasks wait for its licence", Rule: 2, Test: "placer TestLostOnlyAfterTheLicence", Edits: []Edit{{"placer/placer.go", "now-last > licence &&", "now-last > 0*licence &&"}}},
 	{Guard: "a worker stops when its licence ends", Rule: 2, Test: "toil TestWhomAWorkerHeeds", Edits: []Edit{{"toil/toil.go", "isOver := now >= w.licence", "isOver := false"}}},
 	{Guard: "a new ward waits for what the former granted", Rule: 2, Scenario: "keeper, steward and worker lost at once", Seed: 1, Edits: []Edit{{"placer/placer.go", "last := max(w.answered, w.since+wardSpan)", "last := w.answered"}}},
 	{Guard: "an older ward's word is turned away", Rule: 2, Test: "toil TestWhomAWorkerHeeds", Edits: []Edit{{"toil/toil.go", "orders.Ward < w.ward", "false"}, {"placer/placer.go", "|| a.Ward > w.generation", ""}}},
@@ -33,7 +33,7 @@
 	{Guard: "room that is out counts", Rule: 6, Test: "placer TestCheckoutBeforeOrder", Edits: []Edit{{"placer/room.go", "		size := sizeOf(each.spec)\n		w.used.add(size)\n", "		size := sizeOf(each.spec)\n"}}},
 	{Guard: "room on its way counts", Rule: 6, Test: "placer TestRoomOnItsWay", Edits: []Edit{{"placer/room.go", "	for _, each := range w.reserved {\n		w.used.add(sizeOf(each.spec))\n", "	for range w.reserved {\n"}}},
 	{Guard: "the worker's own account is the last word", Rule: 6, Test: "placer TestWorkersOwnAccount", Edits: []Edit{{"placer/placer.go", "left.has(need) && !isBlurry &&", "!isBlurry &&"}}},
-	{Guard: "a leaving worker gets nothing new", Rule: 7, Scenario: "workers crash, vanish, leave, are cut off", Seed: 1, Edits: []Edit{{"placer/room.go", "!w.isKnown || w.isLeaving ||", "!w.isKnown ||"}, {"placer/placer.go", "|| w.isLeaving && !t.isBound(now, w, each, note):", ":"}}},
+	{Guard: "a leaving worker gets nothing new", Rule: 7, Scenario: "workers crash, vanish, leave, are cut off", Seed: 1, Edits: []Edit{{"placer/room.go", "!w.isHere(now) || w.isLeaving {", "!w.isHere(now) {"}, {"placer/placer.go", "|| w.isLeaving && !t.isBound(now, w, each, note):", ":"}}},
 	{Guard: "what a leaving worker never began is taken back", Rule: 7, Test: "placer TestGroupsAreHeldFirst", Edits: []Edit{{"placer/placer.go", "|| w.isLeaving && !t.isBound(now, w, each, note):", ":"}}},
 	{Guard: "cancelled tasks are told to stop", Rule: 8, Scenario: "long work is cancelled", Seed: 1, Edits: []Edit{{"placer/placer.go", "case each.standing == lane.Stopping || each.evict", "case each.evict"}}},
 	{Guard: "a job that doesn't run offers nothing", Rule: 8, Test: "lane TestCancel", Edits: []Edit{{"lane/machine.go", "case each.state == schema.TaskState_TASK_DONE || j.state != schema.JobState_JOB_RUNNING || !j.isOpen(s):", "case each.state == schema.TaskState_TASK_DONE || !j.isOpen(s):"}}},
