--- a/foil/mutants.go
+++ b/foil/mutants.go
@@ -17,7 +17,7 @@
 	{Guard: "an intake that was given up can't come back", Rule: 2, Test: "lane TestSessions", Edits: []Edit{{"lane/machine.go", "isGone := m.gone[bootKey{key.intake, key.boot}]; isGone {", "isGone := m.gone[bootKey{key.intake, key.boot}]; isGone && false {"}}},
 	{Guard: "a report names its attempt", Rule: 9, Test: "lane TestAttempts", Edits: []Edit{
 		{"lane/machine.go", "	// A report on another attempt than the one that is out changes nothing.\n	if each.state != schema.TaskState_TASK_OUT || each.attempt != c.Attempt {", "	if each.state != schema.TaskState_TASK_OUT {"}}},
-	{Guard: "a silent worker's tasks wait for its licence", Rule: 2, Test: "placer TestLostOnlyAfterTheLicence", Edits: []Edit{{"placer/placer.go", "now-last > licence {", "now-last > 0*licence {"}}},
+	{Guard: "a silent worker's tasks wait for its licence", Rule: 2, Test: "placer TestLostOnlyAfterTheLicence", Edits: []Edit{{"placer/placer.go", "now-last > licence &&", "now-last > 0*licence &&"}}},
 	{Guard: "a worker stops when its licence ends", Rule: 2, Test: "toil TestWhomAWorkerHeeds", Edits: []Edit{{"toil/toil.go", "isOver := now >= w.licence", "isOver := false"}}},
 	{Guard: "a new ward waits for what the former granted", Rule: 2, Scenario: "keeper, steward and worker lost at once", Seed: 1, Edits: []Edit{{"placer/placer.go", "last := max(w.answered, w.since+wardSpan)", "last := w.answered"}}},
 	{Guard: "an older ward's word is turned away", Rule: 2, Test: "toil TestWhomAWorkerHeeds", Edits: []Edit{{"toil/toil.go", "orders.Ward < w.ward", "false"}, {"placer/placer.go", "|| a.Ward > w.generation", ""}}},
