--- a/sim/day.go
+++ b/sim/day.go
@@ -28,6 +28,7 @@
 func (f *Fleet) sample() Sample {
 	s := Sample{At: f.Now}
 	var moves []string
+	isTold := false // the charter's word, by one of them
 	for _, h := range f.Stores() {
 		belief := h.Belief()
 		if belief == nil {
@@ -45,12 +46,12 @@
 				moves = append(moves, fmt.Sprint(group.Group, " ", group.Leader, " ", group.Term))
 			}
 		}
-		if belief.Fresh && len(moves) > 0 {
+		if belief.Fresh && !isTold {
+			isTold = true
 			moves = append(moves, fmt.Sprint("steward ", belief.Steward, " ", belief.Licence))
 			for _, ward := range belief.Wards {
 				moves = append(moves, fmt.Sprint(ward.Worker, " ", ward.Placer, " ", ward.Generation))
 			}
-			break
 		}
 	}
 	s.Moves = strings.Join(moves, "; ")
