--- a/check/called.go
+++ b/check/called.go
@@ -12,6 +12,7 @@
 var OfCalled = Bounds{
 	Kept: 120 * loop.Second, Early: 250 * loop.Milli, Leave: 2 * loop.Second, Cancel: 3 * loop.Second,
 	Stop: loop.Second, Plan: 2 * loop.Second, Away: 12 * loop.Second, Together: 5 * loop.Second, Struck: loop.Second, Settle: 5 * loop.Second,
+	Idle: 3 * loop.Second,
 }
 
 // judgeCalled is what holds of a job whose workers are called: they name tasks
--- a/check/called_test.go
+++ b/check/called_test.go
@@ -39,6 +39,7 @@
 func job(steps ...*schema.Step) *schema.Job { return &schema.Job{Text: "t", Steps: steps} }
 
 func TestCalledRules(t *testing.T) {
+	const idle = "a job stands still though there is room"
 	closed := Event{At: 300 * s, Kind: Close}
 	one := job(&schema.Step{Name: "a", Tasks: 2, AllowedFailures: 1})
 	single := job(&schema.Step{Name: "a", Tasks: 1, AllowedFailures: 1})
@@ -131,6 +132,9 @@
 		{"work on a pool that the table doesn't direct it to", 11,
 			with(taken(single, table(1*s+2, "lane l pool p", "pool p guards 1")), done(5*s, "w", 0, 0, 1), []Event{status(100*s, 200, "complete"), readBack, closed}),
 			with(taken(single, calledUp(1*s+2, "p1", "p"), table(1*s+2, "lane l pool p", "pool p guards 1")), done(3*s, "w", 0, 0, 1), []Event{status(100*s, 200, "complete"), readBack, closed})},
+		{idle, 1,
+			with(taken(single), done(14*s, "w", 0, 0, 1), over("complete")),
+			with(taken(single, Event{At: 2 * s, Kind: Sick, Who: "v"}), done(14*s, "w", 0, 0, 1), over("complete"))},
 		{"shown failed without a cause", 1,
 			with(taken(single, starts(2*s, "w", 0, 0, 1), ends(3*s, "w", 0, 0, 1, "failed")), over("failed")),
 			with(taken(single, starts(2*s, "w", 0, 0, 1), ends(3*s, "w", 0, 0, 1, "failed"), starts(4*s, "w", 0, 0, 2), ends(5*s, "w", 0, 0, 2, "failed")), over("failed"))},
@@ -145,12 +149,17 @@
 			[]Event{{At: 1 * s, Kind: PlanPut, Code: 200, Generation: 5, Rows: rows("lane l urgency 1"), Document: "d"}, {At: 2 * s, Kind: PlanRead, Code: 200, Generation: 5, Rows: rows("lane l urgency 1"), Document: "d"}, closed}},
 	} {
 		Convey("Found: "+each.what, t, func() {
+			bounds := OfCalled
+			if each.what != idle {
+				// The other histories are drawn out.
+				bounds.Idle = 0
+			}
 			broken := map[int]bool{}
-			for _, b := range Judge(each.broken, OfCalled) {
+			for _, b := range Judge(each.broken, bounds) {
 				broken[b.Rule] = true
 			}
 			So(broken, ShouldResemble, map[int]bool{each.rule: true})
-			So(Judge(each.near, OfCalled), ShouldBeEmpty)
+			So(Judge(each.near, bounds), ShouldBeEmpty)
 		})
 	}
 }
--- a/check/check.go
+++ b/check/check.go
@@ -116,6 +116,7 @@
 	Together loop.Micros // members of a group begin within this
 	Struck   loop.Micros // before a group's first start: a worker lost then wasn't missed yet
 	Settle   loop.Micros // a front that is back serves by then
+	Idle     loop.Micros // a job with nothing running begins something where there is room; 0: not judged
 }
 
 // Usual are the brief's bounds.
@@ -221,6 +222,9 @@
 	j.plans(history)
 	j.effects(history)
 	j.places(history)
+	if bounds.Idle > 0 {
+		j.idle(history)
+	}
 	j.away(history)
 	j.served(history)
 	j.answered(history)
