--- a/sim/called.go
+++ b/sim/called.go
@@ -47,6 +47,7 @@
 	isOff        bool // the agent can't speak to the rest
 	beatAt       loop.Micros
 	heardAt      loop.Micros
+	ailedAt      loop.Micros
 	lapsedAt     loop.Micros // its hold was last seen ended
 	cold         loop.Micros // until then it is slow
 	endedAt      map[toil.Run]loop.Micros
@@ -155,7 +156,11 @@
 	k.ail()
 }
 
-func (k *CalledWorker) ail() { k.world.Tell(check.Event{Kind: check.Sick, Who: k.Name()}) }
+// ail tells that it isn't well, now and then as long as that lasts.
+func (k *CalledWorker) ail() {
+	k.ailedAt = k.world.Now
+	k.world.Tell(check.Event{Kind: check.Sick, Who: k.Name()})
+}
 
 func (w *World) stepCalled() {
 	for _, h := range w.Hosts {
@@ -171,6 +176,9 @@
 	if !k.isUp {
 		return
 	}
+	if (k.habits != toil.Habits{} || k.Refusing > 0 || k.Silence > 0) && w.Now >= k.ailedAt+loop.Second {
+		k.ail()
+	}
 	if k.hand.Clock(w.Now) >= k.hand.HeldTo() {
 		k.lapsedAt = w.Now
 	}
