--- a/heed/heed.go
+++ b/heed/heed.go
@@ -450,7 +450,20 @@
 		delete(t.gone, id)
 		return false
 	}
-	return t.lostFor(now, id) > lostSpan-deadSpan
+	return t.isSucceeded(now, id) || t.lostFor(now, id) > lostSpan-deadSpan
+}
+
+// isSucceeded tells whether another store lives at a silent one's address: its
+// disk is gone, so it won't come back, and waiting for it would only leave its
+// groups a voter short when the next machine goes.
+func (t *Table) isSucceeded(now loop.Micros, id string) bool {
+	old := t.roll.Known[id]
+	for other, known := range t.roll.Known {
+		if other != id && known.Member.Inner == old.Member.Inner && known.Member.Inner != "" && known.Heard > old.Heard && t.roll.Live(other, now, deadSpan) {
+			return true
+		}
+	}
+	return false
 }
 
 func (t *Table) lostFor(now loop.Micros, id string) loop.Micros {
--- a/heed/heed_test.go
+++ b/heed/heed_test.go
@@ -15,14 +15,20 @@
 
 // desk drives a steward by hand; three stores stand, "a" leads the charter.
 type desk struct {
-	t     *Table
-	now   loop.Micros
-	state *schema.CharterState
-	acts  []*schema.CharterCommand
-	mail  []*schema.ErrandReply // on its way back
+	silent map[string]loop.Micros // since when nobody hears them
+	others map[string]*schema.Member
+	asks   []*schema.Reroster
+	t      *Table
+	now    loop.Micros
+	state  *schema.CharterState
+	acts   []*schema.CharterCommand
+	mail   []*schema.ErrandReply // on its way back
 }
 
 func (d *desk) Send(to string, body any) {
+	if act, isAct := body.(*schema.Reroster); isAct {
+		d.asks = append(d.asks, act)
+	}
 	if errand, isErrand := body.(*schema.Errand); isErrand {
 		command := &schema.CharterCommand{}
 		So(proto.Unmarshal(errand.Body, command), ShouldBeNil)
@@ -51,7 +57,14 @@
 func (d *desk) roll() {
 	roll := &kin.Roll{Known: map[string]kin.Known{}}
 	for _, id := range []string{"a", "b", "c"} {
-		roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: d.now}
+		heard := d.now
+		if since, isSilent := d.silent[id]; isSilent {
+			heard = since
+		}
+		roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0." + id}, Heard: heard}
+	}
+	for id, member := range d.others {
+		roll.Known[id] = kin.Known{Member: member, Heard: d.now}
 	}
 	d.t.Step(d.now, loop.Mail{Body: roll}, d)
 }
@@ -154,3 +167,33 @@
 		So(d.placed(), ShouldBeEmpty)
 	})
 }
+
+func TestSucceededStore(t *testing.T) {
+	Convey("Given a store that lost its disk and is back as another one", t, func() {
+		d := &desk{t: New("h"), now: loop.Second, state: charter.New().State(), silent: map[string]loop.Micros{}, others: map[string]*schema.Member{}}
+		d.state.Version = 1
+		run := func(span loop.Micros) {
+			for end := d.now + span; d.now < end; {
+				d.tick()
+				if d.now%(250*loop.Milli) == 0 {
+					d.tell()
+				}
+			}
+		}
+		run(3 * loop.Second)
+		d.silent["c"] = d.now
+		Convey("Its place is given to the new one within 2 s, not after the wait for one that is only silent", func() {
+			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0.c"}
+			run(2 * loop.Second)
+			So(d.asks, ShouldNotBeEmpty)
+			So(d.asks[0].Learn, ShouldEqual, "d")
+		})
+		Convey("A store elsewhere doesn't stand for one that is only silent", func() {
+			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0.d"}
+			run(4 * loop.Second)
+			So(d.asks, ShouldBeEmpty)
+			run(3 * loop.Second)
+			So(d.asks, ShouldNotBeEmpty)
+		})
+	})
+}
