--- a/placer/headroom.go
+++ b/placer/headroom.go
@@ -14,6 +14,7 @@
 	swingSpan   = 10 * loop.Second // within which a peak is mostly forgotten
 	headShare   = 0.8              // of a peak is kept free
 	headMost    = 0.5              // of all room is kept free at most
+	roomyShare  = 0.55             // of the cores in use: less is little
 	briefTimes  = 2                // so many times a stop is soon over
 	briefAtMost = loop.Second      // what takes no longer is brief in any case
 )
@@ -58,6 +59,16 @@
 	return free
 }
 
+// isRoomy tells whether little of the cores is in use.
+func isRoomy(list []*room) bool {
+	free, whole := int64(0), int64(0)
+	for _, r := range list {
+		free += max(r.free.cores, 0)
+		whole += r.w.cores
+	}
+	return float64(whole-free) < roomyShare*float64(whole)
+}
+
 // isBrief tells whether a step's tasks end about as soon as they could be
 // stopped.
 func (t *Table) isBrief(v *view, first *task) bool {
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -24,15 +24,16 @@
 
 // wish is what a pass knows of a step while it looks for room for it.
 type wish struct {
-	step    stepKey
-	spec    *schema.Step
-	need    amount
-	workers map[string]int // its tasks by worker
-	racks   map[string]int // its tasks by rack
-	favour  string         // the rack it keeps together in
-	mayRest bool           // it has waited long enough for workers that are set aside or on trial
-	chance  chance
-	isBrief bool // its tasks end about as soon as they could be stopped
+	step      stepKey
+	spec      *schema.Step
+	need      amount
+	workers   map[string]int // its tasks by worker
+	racks     map[string]int // its tasks by rack
+	favour    string         // the rack it keeps together in
+	mayRest   bool           // it has waited long enough for workers that are set aside or on trial
+	chance    chance
+	isPatient bool // it hasn't waited long
+	isBrief   bool // its tasks end about as soon as they could be stopped
 	// core-microseconds that may be thrown away for one task
 	worthwhile float64
 }
@@ -43,7 +44,8 @@
 		step: b.key, spec: b.spec, need: sizeOf(b.spec), workers: map[string]int{}, racks: map[string]int{},
 		isBrief: t.isBrief(v, first),
 	}
-	x.mayRest = now-first.since > outAfter || now-first.since > asideAfter && !t.hasHome(list, x)
+	x.isPatient = now-first.since <= asideAfter
+	x.mayRest = !x.isPatient && (isRoomy(list) || !t.hasHome(list, x)) || now-first.since > outAfter
 	x.worthwhile = t.worthwhile(v, first)
 	for id, count := range v.places[b.key] {
 		x.workers[id] = count
@@ -337,12 +339,13 @@
 			})
 		}
 		isMissed := false
-		first, _ := b.ready.Min()
-		isBrief := t.isBrief(v, first)
-		if !isBrief && head.times(x.need) < int64(max(1, len(group))) {
+		// What has waited long while much is free isn't kept waiting for what may
+		// come.
+		mayFill := x.isBrief || !x.isPatient && isRoomy(list)
+		if !mayFill && head.times(x.need) < int64(max(1, len(group))) {
 			continue
 		}
-		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 && spare > 0 && (isBrief || head.has(x.need)) {
+		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 && spare > 0 && (mayFill || head.has(x.need)) {
 			members := group
 			if !b.spec.Together {
 				first, _ := b.ready.Min()
