Steward: a silent keeper is replaced once its peers lead what it led

Cause: a keeper that is gone was suspected after 1.5 s unheard, though the other replicas have elected its successor after some 0.6 s; and its own last word still counted as its claim to lead. Change: who hasn't answered for 0.6 s, and whose groups others say later that they lead, is passed over; of two claims the later counts; the charter's leader tells the agents at once when wards have moved.

--- a/heed/heed.go
+++ b/heed/heed.go
@@ -27,6 +27,7 @@
 	claimSpan  = 500 * loop.Milli
 	guardSpan  = 300 * loop.Milli  // a licence is let go this long before it ends
 	deadSpan   = 1500 * loop.Milli // a process unheard by anybody for so long is suspected
+	missSpan   = 600 * loop.Milli  // one that doesn't answer for so long, while others lead what it led, is passed over
 	lostSpan   = 6 * loop.Second   // and for so long its place may be given to another
 	actSpan    = 200 * loop.Milli  // between two acts on one thing
 	strainMost = int64(300 * loop.Milli)
@@ -247,23 +248,53 @@
 }
 
 func (t *Table) leaderAmong(now loop.Micros, stores []string, group string) string {
-	named := ""
+	named, claimant := "", ""
+	var claimed loop.Micros
 	for _, id := range stores {
 		word, isKnown := t.told[id]
 		if !isKnown || now-word.at > deadSpan {
 			continue
 		}
 		leader := word.tell.Leaders[group]
-		if leader == id {
-			return id
+		// Of two that say so the later one does: the other may be gone.
+		if leader == id && (claimant == "" || word.at > claimed) {
+			claimant, claimed = id, word.at
 		}
 		if leader != "" {
 			named = leader
 		}
 	}
+	if claimant != "" {
+		return claimant
+	}
 	return named
 }
 
+// isDeposed tells that a store which doesn't answer has lost all that it led:
+// its peers have missed it already and say so, which is sooner than we would
+// suspect it ourselves.
+func (t *Table) isDeposed(now loop.Micros, id string) bool {
+	last := t.told[id]
+	if last.tell == nil || now-last.at <= missSpan {
+		return false
+	}
+	hasLed := false
+	for group, leader := range last.tell.Leaders {
+		if leader != id {
+			continue
+		}
+		hasLed = true
+		isTaken := false
+		for other, word := range t.told {
+			isTaken = isTaken || other != id && word.at > last.at && word.tell.Leaders[group] == other
+		}
+		if !isTaken {
+			return false
+		}
+	}
+	return hasLed
+}
+
 // notes are what the leaders say of their groups.
 func (t *Table) notes(now loop.Micros) map[string]*schema.WaitNote {
 	notes := map[string]*schema.WaitNote{}
@@ -359,7 +390,7 @@
 		word, isKnown := t.told[id]
 		// Who can't say how the charter stands is cut off from it, and could
 		// neither lead nor ward.
-		if !isKnown || now-word.at > deadSpan || !t.roll.Live(id, now, deadSpan) || t.roll.Known[id].Member.Leaving {
+		if !isKnown || now-word.at > deadSpan || !t.roll.Live(id, now, deadSpan) || t.roll.Known[id].Member.Leaving || t.isDeposed(now, id) {
 			continue
 		}
 		list = append(list, candidate{id, t.roll.Known[id].Member.StrainUs})
--- a/heed/heed_test.go
+++ b/heed/heed_test.go
@@ -154,3 +154,50 @@
 		So(d.placed(), ShouldBeEmpty)
 	})
 }
+
+func TestASilentKeeperIsReplaced(t *testing.T) {
+	Convey("Once its peers lead what a silent store led, its lanes and wards move, before we suspect it ourselves", t, func() {
+		d := newDesk()
+		d.put("l")
+		d.state.Lanes = []*schema.LanePlace{{Lane: "l", Generation: 3, Keeper: "c"}}
+		d.state.Wards = []*schema.Ward{{Worker: "w", Placer: "c"}}
+		word := func(from string, leaders map[string]string) {
+			var notes []*schema.WaitNote
+			if from == "a" {
+				notes = append(notes, &schema.WaitNote{Group: charter.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
+			}
+			d.t.Step(d.now, loop.Mail{From: from, Body: &schema.CharterTell{
+				State: proto.Clone(d.state).(*schema.CharterState), Version: d.state.Version, Leaders: leaders, Waits: notes,
+			}}, d)
+		}
+		before := map[string]string{charter.Group: "a", "l": "c"}
+		for _, id := range []string{"a", "b", "c"} {
+			word(id, before)
+		}
+		d.tick()
+		So(d.acts, ShouldBeEmpty)
+		Convey("as soon as that is so", func() {
+			last := d.now
+			for len(d.acts) == 0 && d.now-last < 2*loop.Second {
+				d.tick()
+				after := before
+				if d.now-last > 500*loop.Milli {
+					after = map[string]string{charter.Group: "a", "l": "b"}
+				}
+				word("a", after)
+				word("b", after)
+			}
+			So(d.now-last, ShouldBeBetweenOrEqual, missSpan, missSpan+150*loop.Milli)
+			So(d.acts[0].GetLanes().GetLanes()[0].Keeper, ShouldEqual, "b")
+			So(d.acts[1].GetWards().GetWards()[0].Placer, ShouldEqual, "b")
+		})
+		Convey("but not while nobody else leads it", func() {
+			for k := 0; k < 20; k++ {
+				d.tick()
+				word("a", before)
+				word("b", before)
+			}
+			So(d.acts, ShouldBeEmpty)
+		})
+	})
+}
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -939,7 +939,31 @@
 	if len(old.Lanes) != len(t.state.Lanes) {
 		r.group.Announce(now)
 	}
+	// Workers whose ward went elsewhere are served again as soon as their agents
+	// have heard.
+	if t.roll != nil && areMoved(old.Wards, t.state.Wards) {
+		for _, id := range slices.Sorted(maps.Keys(t.roll.Known)) {
+			if t.roll.Known[id].Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, 2*loop.Second) {
+				t.tellCharter(now, id, &schema.CharterAsk{Version: old.Version}, out)
+			}
+		}
+		return
+	}
 	if steward := t.state.Steward.GetId(); steward != "" && old.Plan != t.state.Plan {
 		t.tellCharter(now, steward, &schema.CharterAsk{Version: old.Version}, out)
 	}
 }
+
+// areMoved tells whether a ward that was there is with another placer now.
+func areMoved(old, list []*schema.Ward) bool {
+	placers := map[string]string{}
+	for _, ward := range old {
+		placers[ward.Worker] = ward.Placer
+	}
+	for _, ward := range list {
+		if placer, isKnown := placers[ward.Worker]; isKnown && placer != ward.Placer {
+			return true
+		}
+	}
+	return false
+}
