--- a/intake/intake.go
+++ b/intake/intake.go
@@ -862,7 +862,10 @@
 		t.restart(now, out)
 	}
 	t.last = now
-	if !t.isLocal || t.state.Version == 0 || len(t.leaders) == 0 {
+	// A replica of our own may not be one of the voters, as after its disk was
+	// lost, or may be cut off from them: then others are asked.
+	isLate := t.heardAt == 0 || now-t.heardAt > wordSpan/2
+	if !t.isLocal || isLate || t.state.Version == 0 || len(t.leaders) == 0 {
 		t.askCharter(now, out)
 	} else if now-t.askedAt >= t.askRest(now) {
 		t.askedAt = now
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -307,6 +307,35 @@
 			So(d.answers[903].Code, ShouldEqual, 200)
 		})
 	})
+	Convey("A front whose own replica has no word asks other stores", t, func() {
+		d := newDesk()
+		d.t.isLocal = true
+		known := map[string]kin.Known{}
+		for _, id := range []string{"me", "a", "b"} {
+			known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: d.now}
+		}
+		d.step(&kin.Roll{Known: known})
+		d.step(&schema.CharterTell{Version: d.t.state.Version, Leaders: map[string]string{"l": "a"}})
+		asked := func() map[string]bool {
+			to := map[string]bool{}
+			for _, each := range d.sent {
+				if _, isAsk := each.body.(*schema.CharterAsk); isAsk {
+					to[each.to] = true
+				}
+			}
+			return to
+		}
+		d.sent = nil
+		d.now += askSpan
+		d.step(loop.Tick{})
+		So(asked(), ShouldResemble, map[string]bool{"me": true})
+		d.sent = nil
+		for k := 0; k < 20; k++ {
+			d.now += Pace
+			d.step(loop.Tick{})
+		}
+		So(asked()["a"] || asked()["b"], ShouldBeTrue)
+	})
 	Convey("A front that has lost touch answers at once what it holds and what comes, with when to come back", t, func() {
 		d := newDesk()
 		d.step(loop.Tick{})
