--- a/keep/keep.go
+++ b/keep/keep.go
@@ -33,6 +33,7 @@
 	waitMost     = 400 * loop.Milli // how long passing on waits for that
 	maxUnsettled = 8192             // proposals of one group not applied yet
 	tickTimed    = loop.Second
+	wallMost     = 100 * loop.Milli // a lane's timed jobs may be away from the time of day by so much
 	tickKept     = 5 * loop.Second
 )
 
@@ -74,6 +75,7 @@
 type Fresh struct {
 	Groups  map[string]uint64 // group -> term
 	Charter bool              // the charter's word is fresh
+	At      loop.Micros       // when that was so, by the clock of the process; 0: now
 }
 
 // Ended is a worker's report for the lane's leader; Noted answers it.
@@ -388,7 +390,7 @@
 		t.patience.draw()
 	}
 	t.lanes(now, out)
-	fresh := Fresh{Groups: map[string]uint64{}}
+	fresh := Fresh{Groups: map[string]uint64{}, At: now}
 	for name, r := range t.groups {
 		if r.lane != nil && r.group.Acting(now) {
 			fresh.Groups[name] = r.group.Term()
@@ -429,6 +431,14 @@
 		r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
 		r.tickAt = now
 	}
+	// Jobs that are to start at a time of day keep to it, though lane time has
+	// stood still without a leader.
+	if offset, isKnown := g.WallOffset(now, t.wall()); isKnown && m.Timed() > 0 && r.tickIdx <= g.Applied() {
+		if away := offset - m.WallOffset(); away > int64(wallMost) || away < -int64(wallMost) {
+			r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{WallOffsetUs: offset}}})
+			r.tickAt = now
+		}
+	}
 	wanted := &schema.Adopt{
 		StatusUs: t.values.Fleet("status_s") * 1_000_000,
 		Every:    uint32(t.values.Fleet("cache_every")),
@@ -461,7 +471,7 @@
 	// A keeper that was named since is given the lane at once: its workers have
 	// gone to it already, and nobody else can start anything on them.
 	isRested := now-r.passAt >= passRest || t.isWarned || wanted != r.keeperAt
-	if !isRested || now-r.passAt < loop.Second {
+	if r.passAt > 0 && (!isRested || now-r.passAt < loop.Second) {
 		return
 	}
 	isStalled := t.writing != nil && now-t.began > stallSpan
