--- a/keep/keep.go
+++ b/keep/keep.go
@@ -75,6 +75,7 @@
 type Fresh struct {
 	Groups  map[string]uint64 // group -> term
 	Charter bool              // the charter's word is fresh
+	At      loop.Micros       // when that was so, by the clock of the process; 0: now
 }
 
 // Ended is a worker's report for the lane's leader; Noted answers it.
@@ -389,7 +390,7 @@
 		t.patience.draw()
 	}
 	t.lanes(now, out)
-	fresh := Fresh{Groups: map[string]uint64{}}
+	fresh := Fresh{Groups: map[string]uint64{}, At: now}
 	for name, r := range t.groups {
 		if r.lane != nil && r.group.Acting(now) {
 			fresh.Groups[name] = r.group.Term()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -285,7 +285,8 @@
 	case *schema.CharterTell:
 		t.charter(now, body, out)
 	case keep.Fresh:
-		t.fresh, t.freshAt = body, now
+		// A process that was frozen finds word from before in its mail.
+		t.fresh, t.freshAt = body, cmp.Or(body.At, now)
 	case keep.Shifts:
 		t.shifts(now, body, out)
 	case keep.Lost:
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -167,6 +167,10 @@
 			d.step(loop.Tick{})
 		}
 		So(d.ended(), ShouldBeEmpty)
+		// Nor does one that has just thawed, and finds old word in its mail.
+		d.step(keep.Fresh{Groups: map[string]uint64{"l#1": 1}, Charter: true, At: d.now - 3*loop.Second})
+		d.step(loop.Tick{})
+		So(d.ended(), ShouldBeEmpty)
 		d.fresh(true)
 		d.step(loop.Tick{})
 		So(len(d.ended()), ShouldEqual, 1)
