--- a/placer/chance_test.go
+++ b/placer/chance_test.go
@@ -93,6 +93,14 @@
 			d.announce("w", named(nil))
 			So(len(d.picks()), ShouldEqual, 1)
 		})
+		Convey("nor while it mostly lies idle and the work has waited for 2.5 s", func() {
+			for k := 0; k < 5; k++ {
+				d.pass(500 * loop.Milli)
+				d.announce("w", named(nil))
+			}
+			So(d.picks(), ShouldHaveLength, 1)
+			So(d.picks()[0].Key.Job, ShouldEqual, 2)
+		})
 		Convey("and not for long", func() {
 			for k := 0; k < 24; k++ {
 				d.pass(500 * loop.Milli)
--- a/placer/headroom.go
+++ b/placer/headroom.go
@@ -58,6 +58,16 @@
 	return free
 }
 
+// isMostlyIdle tells whether less than half of the room is in use.
+func isMostlyIdle(list []*room) bool {
+	var free, whole amount
+	for _, r := range list {
+		free.add(amount{max(r.free.cores, 0), max(r.free.memory, 0), 0})
+		whole.add(r.w.whole())
+	}
+	return 2*free.cores > whole.cores || 2*free.memory > whole.memory
+}
+
 // isBrief tells whether a step's tasks end about as soon as they could be
 // stopped.
 func (t *Table) isBrief(v *view, first *task) bool {
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -309,7 +309,7 @@
 		first, _ := b.ready.Min()
 		return t.chanceOf(now, v, first) == turn
 	}
-	head := t.headroom(v, list)
+	head, isIdle := t.headroom(v, list), isMostlyIdle(list)
 	left := int(v.running) - v.out - len(v.reserved)
 	misses := 0
 	for queue := v.heads(); queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses && spare > 0; {
@@ -339,10 +339,13 @@
 		isMissed := false
 		first, _ := b.ready.Min()
 		isBrief := t.isBrief(v, first)
-		if !isBrief && head.times(x.need) < int64(max(1, len(group))) {
+		// What has waited long isn't left standing beside room that mostly lies
+		// idle, whatever may come.
+		isFree := isBrief || isIdle && now-first.since >= asideAfter
+		if !isFree && head.times(x.need) < int64(max(1, len(group))) {
 			continue
 		}
-		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 && spare > 0 && (isBrief || head.has(x.need)) {
+		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 && spare > 0 && (isFree || head.has(x.need)) {
 			members := group
 			if !b.spec.Together {
 				first, _ := b.ready.Min()
