Steward: an empty store that has come takes a silent one's place after 2.5 s

Cause, by reading: a lost store's place was given away 6 s after a steward had noticed, and each new steward began to count anew. Every side machine now watches, and a store that never ran before is reason to wait no longer.

--- a/heed/heed.go
+++ b/heed/heed.go
@@ -22,15 +22,18 @@
 const Pace = 50 * loop.Milli
 
 const (
-	askSpan    = 250 * loop.Milli
-	renewSpan  = 800 * loop.Milli
-	claimSpan  = 500 * loop.Milli
-	guardSpan  = 300 * loop.Milli  // a licence is let go this long before it ends
-	deadSpan   = 1500 * loop.Milli // a process unheard by anybody for so long is suspected
-	lostSpan   = 6 * loop.Second   // and for so long its place may be given to another
-	actSpan    = 200 * loop.Milli  // between two acts on one thing
-	strainMost = int64(300 * loop.Milli)
-	strainRest = 15 * loop.Second // between two moves for strain alone
+	askSpan   = 250 * loop.Milli
+	renewSpan = 800 * loop.Milli
+	claimSpan = 500 * loop.Milli
+	guardSpan = 300 * loop.Milli  // a licence is let go this long before it ends
+	deadSpan  = 1500 * loop.Milli // a process unheard by anybody for so long is suspected
+	lostSpan  = 6 * loop.Second   // and for so long its place may be given to another
+	// For so long where an empty store has come since: until it is counted in, no
+	// other may be lost.
+	replacedSpan = 2500 * loop.Milli
+	actSpan      = 200 * loop.Milli // between two acts on one thing
+	strainMost   = int64(300 * loop.Milli)
+	strainRest   = 15 * loop.Second // between two moves for strain alone
 )
 
 // told is the last word of one store.
@@ -57,6 +60,7 @@
 	lanesIn string // the lanes of the last act on lanes
 	movedAt loop.Micros
 	gone    map[string]loop.Micros
+	came    map[string]loop.Micros // when a process was first heard of here
 	number  uint64
 	readers []string
 }
@@ -66,7 +70,7 @@
 func New(id string, readers ...string) *Table {
 	return &Table{
 		id: id, readers: readers, state: &schema.CharterState{}, values: charter.Read(nil), told: map[string]told{}, claims: map[uint64]loop.Micros{},
-		acted: map[string]loop.Micros{}, gone: map[string]loop.Micros{},
+		acted: map[string]loop.Micros{}, gone: map[string]loop.Micros{}, came: map[string]loop.Micros{},
 	}
 }
 
@@ -155,6 +159,7 @@
 		for _, id := range t.stores(now) {
 			out.Send(id, &schema.CharterAsk{Version: t.state.Version})
 		}
+		t.watch(now)
 	}
 	t.seek(now, out)
 	if !t.isSteward(now) {
@@ -439,18 +444,20 @@
 	}
 }
 
+// isLost tells whether a store has been silent for so long that its place may be
+// given to another. Where an empty store has come since, it is the other.
 func (t *Table) isLost(now loop.Micros, id string) bool {
 	known, isKnown := t.roll.Known[id]
-	if !isKnown {
-		// Never heard of by us: another machine may stand at its address, or
-		// we have just come up ourselves.
-		return t.lostFor(now, id) > lostSpan
-	}
-	if now-known.Heard < deadSpan {
+	if isKnown && now-known.Heard < deadSpan {
 		delete(t.gone, id)
 		return false
 	}
-	return t.lostFor(now, id) > lostSpan-deadSpan
+	silent, noticed := t.lostFor(now, id), deadSpan
+	if isKnown {
+		// Its last word is older than our notice of that.
+		silent, noticed = silent+deadSpan, 0
+	}
+	return silent > lostSpan || silent > replacedSpan && t.hasCome(now-silent-noticed)
 }
 
 func (t *Table) lostFor(now loop.Micros, id string) loop.Micros {
@@ -462,6 +469,37 @@
 	return now - since
 }
 
+// hasCome tells whether a store that has never run before was first heard of
+// after that.
+func (t *Table) hasCome(after loop.Micros) bool {
+	for id, at := range t.came {
+		if known, isKnown := t.roll.Known[id]; isKnown && at > after && known.Member.Stores && known.Member.Boot <= 1 && known.Heard >= at {
+			return true
+		}
+	}
+	return false
+}
+
+// watch keeps in mind who has come and who is silent, also before this machine
+// becomes the steward.
+func (t *Table) watch(now loop.Micros) {
+	for id := range t.roll.Known {
+		if _, isKnown := t.came[id]; !isKnown {
+			t.came[id] = now
+		}
+	}
+	for id := range t.came {
+		if _, isKnown := t.roll.Known[id]; !isKnown {
+			delete(t.came, id)
+		}
+	}
+	for id, known := range t.roll.Known {
+		if known.Member.Stores {
+			t.isLost(now, id)
+		}
+	}
+}
+
 func (t *Table) nextMember(now loop.Micros, note, root *schema.WaitNote) *schema.Reroster {
 	var lost []string
 	for _, id := range note.Voters {
--- a/heed/heed_test.go
+++ b/heed/heed_test.go
@@ -20,9 +20,13 @@
 	state *schema.CharterState
 	acts  []*schema.CharterCommand
 	mail  []*schema.ErrandReply // on its way back
+	moves []*schema.Reroster
 }
 
 func (d *desk) Send(to string, body any) {
+	if move, isMove := body.(*schema.Reroster); isMove {
+		d.moves = append(d.moves, move)
+	}
 	if errand, isErrand := body.(*schema.Errand); isErrand {
 		command := &schema.CharterCommand{}
 		So(proto.Unmarshal(errand.Body, command), ShouldBeNil)
@@ -154,3 +158,53 @@
 		So(d.placed(), ShouldBeEmpty)
 	})
 }
+
+func TestLostStores(t *testing.T) {
+	// learns lets "c" fall silent and "d" come, and tells when "d" is to learn, after
+	// the last word of "c".
+	learns := func(boot uint64, isSteward bool) loop.Micros {
+		d := newDesk()
+		if !isSteward {
+			d = &desk{t: New("h"), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
+		}
+		silentAt := d.now + 3*loop.Second
+		for d.now < silentAt+10*loop.Second && len(d.moves) == 0 {
+			d.now += Pace
+			roll := &kin.Roll{Known: map[string]kin.Known{}}
+			hear := func(id string, boot uint64, at loop.Micros) {
+				roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Boot: boot, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: at}
+			}
+			hear("a", 1, d.now)
+			hear("b", 1, d.now)
+			hear("c", 1, min(silentAt, d.now))
+			if boot > 0 && d.now > silentAt+loop.Second {
+				hear("d", boot, d.now)
+			}
+			d.t.Step(d.now, loop.Mail{Body: roll}, d)
+			// Before its turn it hears nothing of the licence, so it can't be steward.
+			if isSteward || d.now > silentAt+2*loop.Second {
+				for _, reply := range d.mail {
+					d.t.Step(d.now, loop.Mail{From: "a", Body: reply}, d)
+				}
+				d.mail = nil
+			}
+			d.t.Step(d.now, loop.Mail{Body: loop.Tick{}}, d)
+			d.tell()
+		}
+		if len(d.moves) == 0 {
+			return 0
+		}
+		So(d.moves[0].Learn, ShouldEqual, "d")
+		return d.now - silentAt
+	}
+	Convey("The place of a silent store goes to another after 6 s", t, func() {
+		So(learns(0, true), ShouldEqual, 0)
+		So(learns(2, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+		Convey("and after 2.5 s where an empty one has come since", func() {
+			So(learns(1, true), ShouldBeBetween, 2400*loop.Milli, 3*loop.Second)
+		})
+		Convey("however late the steward came to be one", func() {
+			So(learns(2, false), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+		})
+	})
+}
