Steward: a store that came before the lost one fell silent takes its place as well

A planned replacement comes up first and only then the old store is stopped: its place too is given away 2.5 s after its last word, not 6 s.

--- a/heed/heed.go
+++ b/heed/heed.go
@@ -31,6 +31,8 @@
 	// For so long where an empty store has come since: until it is counted in, no
 	// other may be lost.
 	replacedSpan = 2500 * loop.Milli
+	beginSpan    = 8 * loop.Second  // who is first heard of within so long was there when all began
+	newSpan      = 30 * loop.Second // a store has come of late for so long
 	actSpan      = 200 * loop.Milli // between two acts on one thing
 	strainMost   = int64(300 * loop.Milli)
 	strainRest   = 15 * loop.Second // between two moves for strain alone
@@ -61,6 +63,7 @@
 	movedAt loop.Micros
 	gone    map[string]loop.Micros
 	came    map[string]loop.Micros // when a process was first heard of here
+	first   loop.Micros            // when any was
 	number  uint64
 	readers []string
 }
@@ -445,19 +448,19 @@
 }
 
 // isLost tells whether a store has been silent for so long that its place may be
-// given to another. Where an empty store has come since, it is the other.
+// given to another. Where an empty store has come of late, it is the other.
 func (t *Table) isLost(now loop.Micros, id string) bool {
 	known, isKnown := t.roll.Known[id]
 	if isKnown && now-known.Heard < deadSpan {
 		delete(t.gone, id)
 		return false
 	}
-	silent, noticed := t.lostFor(now, id), deadSpan
+	silent := t.lostFor(now, id)
 	if isKnown {
 		// Its last word is older than our notice of that.
-		silent, noticed = silent+deadSpan, 0
+		silent += deadSpan
 	}
-	return silent > lostSpan || silent > replacedSpan && t.hasCome(now-silent-noticed)
+	return silent > lostSpan || silent > replacedSpan && t.hasCome(now)
 }
 
 func (t *Table) lostFor(now loop.Micros, id string) loop.Micros {
@@ -469,11 +472,12 @@
 	return now - since
 }
 
-// hasCome tells whether a store that has never run before was first heard of
-// after that.
-func (t *Table) hasCome(after loop.Micros) bool {
+// hasCome tells whether a store that has never run before was first heard of of
+// late, and not when all began.
+func (t *Table) hasCome(now loop.Micros) bool {
 	for id, at := range t.came {
-		if known, isKnown := t.roll.Known[id]; isKnown && at > after && known.Member.Stores && known.Member.Boot <= 1 && known.Heard >= at {
+		known, isKnown := t.roll.Known[id]
+		if isKnown && known.Member.Stores && known.Member.Boot <= 1 && at-t.first > beginSpan && now-at < newSpan {
 			return true
 		}
 	}
@@ -483,6 +487,9 @@
 // watch keeps in mind who has come and who is silent, also before this machine
 // becomes the steward.
 func (t *Table) watch(now loop.Micros) {
+	if t.first == 0 {
+		t.first = now
+	}
 	for id := range t.roll.Known {
 		if _, isKnown := t.came[id]; !isKnown {
 			t.came[id] = now
--- a/heed/heed_test.go
+++ b/heed/heed_test.go
@@ -160,14 +160,14 @@
 }
 
 func TestLostStores(t *testing.T) {
-	// learns lets "c" fall silent and "d" come, and tells when "d" is to learn, after
-	// the last word of "c".
-	learns := func(boot uint64, isSteward bool) loop.Micros {
+	// learns lets "c" fall silent and "d" come so long after that, and tells when "d"
+	// is to learn, from the last word of "c" on.
+	learns := func(boot uint64, comes loop.Micros, isSteward bool) loop.Micros {
 		d := newDesk()
 		if !isSteward {
 			d = &desk{t: New("h"), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
 		}
-		silentAt := d.now + 3*loop.Second
+		silentAt := d.now + 12*loop.Second
 		for d.now < silentAt+10*loop.Second && len(d.moves) == 0 {
 			d.now += Pace
 			roll := &kin.Roll{Known: map[string]kin.Known{}}
@@ -177,7 +177,7 @@
 			hear("a", 1, d.now)
 			hear("b", 1, d.now)
 			hear("c", 1, min(silentAt, d.now))
-			if boot > 0 && d.now > silentAt+loop.Second {
+			if boot > 0 && d.now > silentAt+comes {
 				hear("d", boot, d.now)
 			}
 			d.t.Step(d.now, loop.Mail{Body: roll}, d)
@@ -198,13 +198,17 @@
 		return d.now - silentAt
 	}
 	Convey("The place of a silent store goes to another after 6 s", t, func() {
-		So(learns(0, true), ShouldEqual, 0)
-		So(learns(2, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+		So(learns(0, 0, true), ShouldEqual, 0)
+		So(learns(2, loop.Second, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
 		Convey("and after 2.5 s where an empty one has come since", func() {
-			So(learns(1, true), ShouldBeBetween, 2400*loop.Milli, 3*loop.Second)
+			So(learns(1, loop.Second, true), ShouldBeBetween, 2400*loop.Milli, 3*loop.Second)
+		})
+		Convey("also where it came before; not where it was there when all began", func() {
+			So(learns(1, -loop.Second, true), ShouldBeBetween, 2400*loop.Milli, 3*loop.Second)
+			So(learns(1, -11*loop.Second, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
 		})
 		Convey("however late the steward came to be one", func() {
-			So(learns(2, false), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+			So(learns(2, loop.Second, false), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
 		})
 	})
 }
