--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -1068,3 +1068,33 @@
 		b.tick()
 	}
 }
+
+func TestWayAndAge(t *testing.T) {
+	Convey("The placer is told a round's age and the longest way through it", t, func() {
+		b := newBench()
+		b.at = 5_000_000
+		b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
+		effects := b.enqueue("c", 1, "j", &schema.Job{Text: "x", Rounds: 2, EveryUs: 1_000_000, Steps: []*schema.Step{
+			{Name: "a", Tasks: 2, CoresMilli: 100, EstimateUs: 10},
+			{Name: "b", Tasks: 1, CoresMilli: 100, EstimateUs: 50},
+			{Name: "c", Tasks: 3, CoresMilli: 200, EstimateUs: 20, After: []string{"a"}},
+			{Name: "d", Tasks: 1, CoresMilli: 100, EstimateUs: 30, After: []string{"b", "c"}},
+		}})
+		legA, legB, legC, legD := Leg{10, 200}, Leg{50, 100}, Leg{20, 600}, Leg{30, 100}
+		So(len(effects.Shifts), ShouldEqual, 3)
+		So(effects.Shifts[0].Ahead, ShouldResemble, []Leg{legA, legC, legD})
+		So(effects.Shifts[2].Ahead, ShouldResemble, []Leg{legB, legD})
+		for _, shift := range effects.Shifts {
+			So(shift.Span, ShouldResemble, []Leg{legB, legD})
+			So(shift.AgeUs, ShouldEqual, 0)
+		}
+		b.at += 3_000_000
+		b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
+		list, _ := b.m.Standings()
+		ages := map[uint32]int64{}
+		for _, shift := range list {
+			ages[shift.Round] = shift.AgeUs
+		}
+		So(ages, ShouldResemble, map[uint32]int64{0: 3_000_000, 1: 2_000_000})
+	})
+}
