A pass sorts a lane's steps by their chance in one look at each

Change: one look at each step makes the rows of all three chances; the tests of displacing take the wait before it from the constant.

--- a/placer/agent_test.go
+++ b/placer/agent_test.go
@@ -466,7 +466,7 @@
 			}
 			say()
 			d.lane("m", 50, each.urgent...)
-			d.pass(80 * loop.Milli)
+			d.pass(preemptAfter - Pace)
 			So(stops(d), ShouldBeEmpty) // it waits a little first
 			d.pass(60 * loop.Milli)
 			say()
@@ -480,7 +480,7 @@
 		both := []*schema.TaskNote{run(1, 0, loop.Second), run(2, 0, loop.Second)}
 		d.announce("w", func(a *schema.Announce) { a.Running = both })
 		d.lane("m", 50, shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1000}))
-		d.pass(150 * loop.Milli)
+		d.pass(preemptAfter + 2*Pace)
 		So(stops(d), ShouldResemble, map[uint64]int{1: 1, 2: 1})
 		d.announce("w", func(a *schema.Announce) {
 			a.Running, a.Ended = both[1:], []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}}
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -226,9 +226,14 @@
 	for _, r := range list {
 		own[r.w.pool] = append(own[r.w.pool], r)
 	}
+	queues := map[*view]*[lost + 1]heads{}
+	for _, v := range views {
+		list := t.heads(now, v)
+		queues[v] = &list
+	}
 	for _, each := range []chance{inTime, late, lost} {
 		for _, v := range views {
-			t.passLane(now, v, each, own[t.values.Text("lane", v.lane, "pool")], list, p, out)
+			t.passLane(now, v, each, &queues[v][each], own[t.values.Text("lane", v.lane, "pool")], list, p, out)
 		}
 	}
 	if p.isFutile {
@@ -263,8 +268,15 @@
 type heads []*head
 
 type head struct {
-	row *row
-	at  *band
+	bands []*band // of one shape and chance
+	at    *band   // the first of them that is still to be looked at; nil: none
+}
+
+// next goes on to the step behind.
+func (h *head) next() {
+	if h.bands, h.at = h.bands[1:], nil; len(h.bands) > 0 {
+		h.at = h.bands[0]
+	}
 }
 
 func (h heads) Len() int           { return len(h) }
@@ -277,54 +289,48 @@
 	return last
 }
 
-// after is the step behind one in its row, which it may have left by now.
-func (r *row) after(at *band) *band {
-	var found *band
-	r.bands.AscendGreaterOrEqual(at, func(b *band) bool {
-		if b.key == at.key {
-			return true
-		}
-		found = b
-		return false
-	})
-	return found
-}
-
-func (v *view) heads() *heads {
-	list := make(heads, 0, len(v.rows))
+// heads sorts a lane's ready steps by their chance, in one look at each.
+func (t *Table) heads(now loop.Micros, v *view) (queues [lost + 1]heads) {
 	for _, r := range v.rows {
-		if first, isThere := r.bands.Min(); isThere {
-			list = append(list, &head{r, first})
+		var bands [lost + 1][]*band
+		r.bands.Ascend(func(b *band) bool {
+			first, _ := b.ready.Min()
+			turn := t.chanceOf(now, v, first)
+			bands[turn] = append(bands[turn], b)
+			return true
+		})
+		for turn, list := range bands {
+			if len(list) > 0 {
+				queues[turn] = append(queues[turn], &head{list, list[0]})
+			}
 		}
 	}
-	heap.Init(&list)
-	return &list
+	for turn := range queues {
+		heap.Init(&queues[turn])
+	}
+	return queues
 }
 
-func (t *Table) passLane(now loop.Micros, v *view, turn chance, list, all []*room, p *passage, out loop.Out) {
+func (t *Table) passLane(now loop.Micros, v *view, turn chance, queue *heads, list, all []*room, p *passage, out loop.Out) {
 	var picks []*schema.Pick
 	spare := math.MaxInt64
 	if turn == lost {
 		spare = spareOf(list)
 	}
-	isTurn := func(b *band) bool {
-		first, _ := b.ready.Min()
-		return t.chanceOf(now, v, first) == turn
+	if queue.Len() == 0 {
+		return
 	}
 	head := t.headroom(v, list)
 	left := int(v.running) - v.out - len(v.reserved)
 	misses := 0
-	for queue := v.heads(); queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses && spare > 0; {
+	for queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses && spare > 0 {
 		h := (*queue)[0]
 		b := h.at
-		if h.at = h.row.after(b); h.at == nil {
+		if h.next(); h.at == nil {
 			heap.Pop(queue)
 		} else {
 			heap.Fix(queue, 0)
 		}
-		if !isTurn(b) {
-			continue
-		}
 		x := t.wishOf(now, v, b, list)
 		x.chance = turn
 		var group []*task
@@ -381,12 +387,12 @@
 		}
 		heap.Remove(queue, slices.Index(*queue, h))
 		for k := 1; got > 0 && h.at != nil && k < maxMisses && t.mayAwait(now, v, list, p); k++ {
-			if next := h.at; isTurn(next) && (!next.spec.Together || next.ready.Len() == int(next.spec.Tasks)) {
+			if next := h.at; !next.spec.Together || next.ready.Len() == int(next.spec.Tasks) {
 				y := t.wishOf(now, v, next, list)
 				y.chance = turn
 				got = t.await(now, v, next, y, left, list, all, p)
 			}
-			h.at = h.row.after(h.at)
+			h.next()
 		}
 	}
 	if len(picks) > 0 {
