--- a/heed/heed.go
+++ b/heed/heed.go
@@ -22,15 +22,21 @@
 const Pace = 50 * loop.Milli
 
 const (
-	askSpan    = 250 * loop.Milli
-	renewSpan  = 800 * loop.Milli
-	claimSpan  = 500 * loop.Milli
-	guardSpan  = 300 * loop.Milli  // a licence is let go this long before it ends
-	deadSpan   = 1500 * loop.Milli // a process unheard by anybody for so long is suspected
-	lostSpan   = 6 * loop.Second   // and for so long its place may be given to another
-	actSpan    = 200 * loop.Milli  // between two acts on one thing
-	strainMost = int64(300 * loop.Milli)
-	strainRest = 15 * loop.Second // between two moves for strain alone
+	askSpan   = 250 * loop.Milli
+	renewSpan = 800 * loop.Milli
+	claimSpan = 500 * loop.Milli
+	guardSpan = 300 * loop.Milli  // a licence is let go this long before it ends
+	deadSpan  = 1500 * loop.Milli // a process unheard by anybody for so long is suspected
+	missSpan  = 600 * loop.Milli  // one that doesn't answer for so long, while others lead what it led, is passed over
+	lostSpan  = 6 * loop.Second   // and for so long its place may be given to another
+	// For so long where an empty store has come since: until it is counted in, no
+	// other may be lost.
+	replacedSpan = 2500 * loop.Milli
+	beginSpan    = 8 * loop.Second  // who is first heard of within so long was there when all began
+	newSpan      = 30 * loop.Second // a store has come of late for so long
+	actSpan      = 200 * loop.Milli // between two acts on one thing
+	strainMost   = int64(300 * loop.Milli)
+	strainRest   = 15 * loop.Second // between two moves for strain alone
 )
 
 // told is the last word of one store.
@@ -57,6 +63,8 @@
 	lanesIn string // the lanes of the last act on lanes
 	movedAt loop.Micros
 	gone    map[string]loop.Micros
+	came    map[string]loop.Micros // when a process was first heard of here
+	first   loop.Micros            // when any was
 	number  uint64
 	readers []string
 }
@@ -66,7 +74,7 @@
 func New(id string, readers ...string) *Table {
 	return &Table{
 		id: id, readers: readers, state: &schema.CharterState{}, values: charter.Read(nil), told: map[string]told{}, claims: map[uint64]loop.Micros{},
-		acted: map[string]loop.Micros{}, gone: map[string]loop.Micros{},
+		acted: map[string]loop.Micros{}, gone: map[string]loop.Micros{}, came: map[string]loop.Micros{},
 	}
 }
 
@@ -155,6 +163,7 @@
 		for _, id := range t.stores(now) {
 			out.Send(id, &schema.CharterAsk{Version: t.state.Version})
 		}
+		t.watch(now)
 	}
 	t.seek(now, out)
 	if !t.isSteward(now) {
@@ -247,23 +256,53 @@
 }
 
 func (t *Table) leaderAmong(now loop.Micros, stores []string, group string) string {
-	named := ""
+	named, claimant := "", ""
+	var claimed loop.Micros
 	for _, id := range stores {
 		word, isKnown := t.told[id]
 		if !isKnown || now-word.at > deadSpan {
 			continue
 		}
 		leader := word.tell.Leaders[group]
-		if leader == id {
-			return id
+		// Of two that say so the later one does: the other may be gone.
+		if leader == id && (claimant == "" || word.at > claimed) {
+			claimant, claimed = id, word.at
 		}
 		if leader != "" {
 			named = leader
 		}
 	}
+	if claimant != "" {
+		return claimant
+	}
 	return named
 }
 
+// isDeposed tells that a store which doesn't answer has lost all that it led:
+// its peers have missed it already and say so, which is sooner than we would
+// suspect it ourselves.
+func (t *Table) isDeposed(now loop.Micros, id string) bool {
+	last := t.told[id]
+	if last.tell == nil || now-last.at <= missSpan {
+		return false
+	}
+	hasLed := false
+	for group, leader := range last.tell.Leaders {
+		if leader != id {
+			continue
+		}
+		hasLed = true
+		isTaken := false
+		for other, word := range t.told {
+			isTaken = isTaken || other != id && word.at > last.at && word.tell.Leaders[group] == other
+		}
+		if !isTaken {
+			return false
+		}
+	}
+	return hasLed
+}
+
 // notes are what the leaders say of their groups.
 func (t *Table) notes(now loop.Micros) map[string]*schema.WaitNote {
 	notes := map[string]*schema.WaitNote{}
@@ -359,7 +398,7 @@
 		word, isKnown := t.told[id]
 		// Who can't say how the charter stands is cut off from it, and could
 		// neither lead nor ward.
-		if !isKnown || now-word.at > deadSpan || !t.roll.Live(id, now, deadSpan) || t.roll.Known[id].Member.Leaving {
+		if !isKnown || now-word.at > deadSpan || !t.roll.Live(id, now, deadSpan) || t.roll.Known[id].Member.Leaving || t.isDeposed(now, id) {
 			continue
 		}
 		list = append(list, candidate{id, t.roll.Known[id].Member.StrainUs})
@@ -439,18 +478,33 @@
 	}
 }
 
+// isLost tells whether a store has been silent for so long that its place may be
+// given to another. Where an empty store has come of late, it is the other.
 func (t *Table) isLost(now loop.Micros, id string) bool {
 	known, isKnown := t.roll.Known[id]
-	if !isKnown {
-		// Never heard of by us: another machine may stand at its address, or
-		// we have just come up ourselves.
-		return t.lostFor(now, id) > lostSpan
-	}
-	if now-known.Heard < deadSpan {
+	if isKnown && now-known.Heard < deadSpan {
 		delete(t.gone, id)
 		return false
 	}
-	return t.lostFor(now, id) > lostSpan-deadSpan
+	silent := t.lostFor(now, id)
+	if isKnown {
+		// Its last word is older than our notice of that.
+		silent += deadSpan
+	}
+	return isKnown && t.isSucceeded(now, id) || silent > lostSpan || silent > replacedSpan && t.hasCome(now)
+}
+
+// isSucceeded tells whether another store lives at a silent one's address: its
+// disk is gone, so it won't come back, and waiting for it would only leave its
+// groups a voter short when the next machine goes.
+func (t *Table) isSucceeded(now loop.Micros, id string) bool {
+	old := t.roll.Known[id]
+	for other, known := range t.roll.Known {
+		if other != id && known.Member.Inner == old.Member.Inner && known.Member.Inner != "" && known.Heard > old.Heard && t.roll.Live(other, now, deadSpan) {
+			return true
+		}
+	}
+	return false
 }
 
 func (t *Table) lostFor(now loop.Micros, id string) loop.Micros {
@@ -462,6 +516,41 @@
 	return now - since
 }
 
+// hasCome tells whether a store that has never run before was first heard of of
+// late, and not when all began.
+func (t *Table) hasCome(now loop.Micros) bool {
+	for id, at := range t.came {
+		known, isKnown := t.roll.Known[id]
+		if isKnown && known.Member.Stores && known.Member.Boot <= 1 && at-t.first > beginSpan && now-at < newSpan {
+			return true
+		}
+	}
+	return false
+}
+
+// watch keeps in mind who has come and who is silent, also before this machine
+// becomes the steward.
+func (t *Table) watch(now loop.Micros) {
+	if t.first == 0 {
+		t.first = now
+	}
+	for id := range t.roll.Known {
+		if _, isKnown := t.came[id]; !isKnown {
+			t.came[id] = now
+		}
+	}
+	for id := range t.came {
+		if _, isKnown := t.roll.Known[id]; !isKnown {
+			delete(t.came, id)
+		}
+	}
+	for id, known := range t.roll.Known {
+		if known.Member.Stores {
+			t.isLost(now, id)
+		}
+	}
+}
+
 func (t *Table) nextMember(now loop.Micros, note, root *schema.WaitNote) *schema.Reroster {
 	var lost []string
 	for _, id := range note.Voters {
