--- a/foil/mutants.go
+++ b/foil/mutants.go
@@ -2,7 +2,7 @@
 
 // Mutants are the guards, one taken out at a time.
 var Mutants = []*Mutant{
-	{Guard: "confirm after apply", Rule: 1, Scenario: "core split each way", Seed: 1, Edits: []Edit{{"keep/keep.go",
+	{Guard: "confirm after apply", Rule: 1, Scenario: "one-way cuts", Seed: 1, Edits: []Edit{{"keep/keep.go",
 		"		t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: entered}})\n",
 		"		t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: entered}})\n" +
 			"		out.Send(from, &schema.Applied{Lane: m.Lane, Leader: t.id, Outcomes: []*schema.Outcome{{Session: e.Session, Number: e.Number, Code: 201, View: &schema.JobView{Name: e.Name, State: \"running\"}}}})\n"}}},
@@ -19,7 +19,7 @@
 		{"lane/machine.go", "	// A report on another attempt than the one that is out changes nothing.\n	if each.state != schema.TaskState_TASK_OUT || each.attempt != c.Attempt {", "	if each.state != schema.TaskState_TASK_OUT {"}}},
 	{Guard: "a silent worker's tasks wait for its licence", Rule: 2, Test: "placer TestLostOnlyAfterTheLicence", Edits: []Edit{{"placer/placer.go", "now-last > licence &&", "now-last > 0*licence &&"}}},
 	{Guard: "a worker stops when its licence ends", Rule: 2, Test: "toil TestWhomAWorkerHeeds", Edits: []Edit{{"toil/toil.go", "isOver := now >= w.licence", "isOver := false"}}},
-	{Guard: "a new ward waits for what the former granted", Rule: 2, Scenario: "keeper, steward and worker lost at once", Seed: 1, Edits: []Edit{{"placer/placer.go", "last := max(w.answered, w.since+wardSpan)", "last := w.answered"}}},
+	{Guard: "a new ward waits for what the former granted", Rule: 2, Test: "placer TestLostOnlyAfterTheLicence", Edits: []Edit{{"placer/placer.go", "last := max(w.answered, w.since+wardSpan)", "last := w.answered"}}},
 	{Guard: "an older ward's word is turned away", Rule: 2, Test: "toil TestWhomAWorkerHeeds", Edits: []Edit{{"toil/toil.go", "orders.Ward < w.ward", "false"}, {"placer/placer.go", "|| a.Ward > w.generation", ""}}},
 	{Guard: "a ward acts on a fresh charter only", Rule: 1, Test: "keep TestFreshCharter", Edits: []Edit{{"keep/keep.go", "return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < freshSpan", "return r != nil"}}},
 	{Guard: "a keeper acts while its quorum answers", Rule: 2, Test: "raft TestActing", Edits: []Edit{{"raft/raft.go", "g.applied >= g.first && now-g.quorumAt <= g.times.acting()", "true"}}},
@@ -57,7 +57,7 @@
 	{Guard: "a licence that isn't renewed is claimed", Rule: 0, Scenario: "keeper, steward and worker lost at once", Seed: 1, Edits: []Edit{{"heed/heed.go", "isVacant := t.until == 0 || stale > loop.Micros(charter.LicenceUs)", "isVacant := t.until == 0"}}},
 	// What workers that are called rest on.
 	{Guard: "a call carries its ward's fence", Rule: 2, Test: "agent TestWardChange", Edits: []Edit{{"agent/calls.go", "call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, l.fence", "call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, 0"}}},
-	{Guard: "work is held as long as the licence, by the worker's clock", Rule: 2, Test: "agent TestHowLongAWorkerHolds", Edits: []Edit{{"agent/agent.go", "	return l.clockBy(now) + l.licence - now\n", "	return l.clockBy(now) + 2*l.span\n"}}},
+	{Guard: "work is held as long as the licence, by the worker's clock", Rule: 2, Test: "agent TestHowLongAWorkerHolds", Edits: []Edit{{"agent/agent.go", "	return l.clockBy(now) + t.couldHold(now, l) - now\n", "	return l.clockBy(now) + 2*l.span\n"}}},
 	{Guard: "each start has a higher number", Rule: 2, Test: "lane TestAttempts", Edits: []Edit{{"lane/machine.go", "schema.TaskState_TASK_OUT, max(each.attempt+1, attempts[g])", "schema.TaskState_TASK_OUT, max(each.attempt, 1, attempts[g])"}}},
 	{Guard: "an end is noted when it was applied", Rule: 2, Test: "placer TestEndsAreNotedWhenApplied", Edits: []Edit{{"placer/placer.go", "		if e.isNoted || now-e.sentAt < endSpan {\n", "		e.isNoted = true\n		if now-e.sentAt < endSpan {\n"}}},
 	{Guard: "a group that gathers is started whole", Rule: 10, Test: "placer TestGatheringStartsWhole", Edits: []Edit{{"placer/placer.go", "(!w.gathers || t.mayGather(each)) {", "(!w.gathers || t.mayGather(each) || true) {"}}},
@@ -74,5 +74,5 @@
 	{Guard: "a start that wasn't answered is stopped before it is given up", Rule: 2, Test: "agent TestStarts", Edits: []Edit{{"agent/calls.go", "	if r.isUnsure || now-t.born < youngSpan {", "	if now-t.born < youngSpan {"}}},
 	{Guard: "a dead worker's word counts no more", Rule: 2, Test: "placer TestDeadByWord", Edits: []Edit{{"placer/placer.go", "if w == nil || a == nil || w.isOver || !t.isSure(now)", "if w == nil || a == nil || !t.isSure(now)"}}},
 	{Guard: "a dead worker's tasks are given back by its successor's word", Rule: 12, Test: "placer TestDeadByWord", Edits: []Edit{{"placer/placer.go", "	t.buried(now, a.Over, m.Worker, out)\n", ""}}},
-	{Guard: "after a new ward an inventory is taken first", Rule: 2, Test: "agent TestWardChange", Edits: []Edit{{"agent/calls.go", "	if l.surveyed != l.fence || r.fence != 0 && r.fence != l.fence {\n", "	if false {\n"}, {"agent/announce.go", "l.fence == 0 || l.surveyed != l.fence && l.departedAt == 0 {", "l.fence == 0 {"}}},
+	{Guard: "after a new ward an inventory is taken first", Rule: 2, Test: "agent TestWardChange", Edits: []Edit{{"agent/calls.go", "	if l.surveyed != l.fence || r.fence != 0 && r.fence != l.fence {\n", "	if false {\n"}, {"agent/announce.go", "l.fence == 0 || l.surveyed != l.fence && l.departedAt == 0 && !l.isLapsed {", "l.fence == 0 {"}}},
 }
