--- a/wire/wire.go
+++ b/wire/wire.go
@@ -37,7 +37,9 @@
 	preamble   = "sparnotch/1\n"
 	maxMessage = 64 << 20
 	ringSize   = 2048
-	dialSpan   = time.Second
+	// The kernel sends a lost opening packet again after a second; a new dial is
+	// sooner, for a machine that has no power yet when its peers are back.
+	dialSpan   = 400 * time.Millisecond
 	writeSpan  = 2 * time.Second
 	staleSpan  = 2 * time.Second // what has waited longer is resent by whoever still needs it
 	ackSpan    = 3 * time.Second // a peer that acknowledges nothing for so long is gone
