--- a/placer/headroom.go
+++ b/placer/headroom.go
@@ -14,6 +14,7 @@
 	swingSpan   = 10 * loop.Second // within which a peak is mostly forgotten
 	headShare   = 0.8              // of a peak is kept free
 	headMost    = 0.5              // of all room is kept free at most
+	roomyShare  = 0.55             // of the cores in use: less is little
 	briefTimes  = 2                // so many times a stop is soon over
 	briefAtMost = loop.Second      // what takes no longer is brief in any case
 )
@@ -58,14 +59,14 @@
 	return free
 }
 
-// isMostlyIdle tells whether less than half of the room is in use.
-func isMostlyIdle(list []*room) bool {
-	var free, whole amount
+// isRoomy tells whether little of the cores is in use.
+func isRoomy(list []*room) bool {
+	free, whole := int64(0), int64(0)
 	for _, r := range list {
-		free.add(amount{max(r.free.cores, 0), max(r.free.memory, 0), 0})
-		whole.add(r.w.whole())
+		free += max(r.free.cores, 0)
+		whole += r.w.cores
 	}
-	return 2*free.cores > whole.cores || 2*free.memory > whole.memory
+	return float64(whole-free) < roomyShare*float64(whole)
 }
 
 // isBrief tells whether a step's tasks end about as soon as they could be
