--- a/heed/heed_test.go
+++ b/heed/heed_test.go
@@ -210,6 +210,7 @@
 		return d.now - silentAt
 	}
 	Convey("The place of a silent store goes to another after 6 s", t, func() {
+		isForgotten = false
 		So(learns(0, 0, true), ShouldEqual, 0)
 		So(learns(2, loop.Second, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
 		Convey("and after 2.5 s where an empty one has come since", func() {
