--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,7 +35,7 @@
 	leaveSpan    = 500 * loop.Milli  // a decided start may still reach a worker that has just said it leaves
 	groupSpan    = 3 * loop.Second   // a group that isn't held by then is let go
 	gatherSpan   = 2 * loop.Second   // a member that hasn't begun by then lets the others go, unless the bounds say more
-	preemptAfter = 250 * loop.Milli  // how long urgent work waits before it displaces
+	preemptAfter = 500 * loop.Milli  // how long urgent work waits before it displaces
 	claimAfter   = 1500 * loop.Milli // how long wide work waits before workers are kept free for it
 	asideAfter   = 2500 * loop.Milli // how long work that nobody else could run waits before it goes to workers that are set aside
 	outAfter     = 12 * loop.Second  // the same for other work
