--- a/foil/mutants.go
+++ b/foil/mutants.go
@@ -2,7 +2,7 @@
 
 // Mutants are the guards, one taken out at a time.
 var Mutants = []*Mutant{
-	{Guard: "confirm after apply", Rule: 1, Scenario: "one-way cuts", Seed: 1, Edits: []Edit{{"keep/keep.go",
+	{Guard: "confirm after apply", Rule: 1, Test: "keep TestConfirmAfterApply", Edits: []Edit{{"keep/keep.go",
 		"		t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: entered}})\n",
 		"		t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: entered}})\n" +
 			"		out.Send(from, &schema.Applied{Lane: m.Lane, Leader: t.id, Outcomes: []*schema.Outcome{{Session: e.Session, Number: e.Number, Code: 201, View: &schema.JobView{Name: e.Name, State: \"running\"}}}})\n"}}},
--- /dev/null
+++ b/keep/confirm_test.go
@@ -0,0 +1,43 @@
+package keep
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+func TestConfirmAfterApply(t *testing.T) {
+	Convey("A submission is confirmed when a quorum holds it, and by nothing less", t, func() {
+		c := newCore()
+		So(c.put(lanesSheet(1, "one", "l")).Code, ShouldEqual, 200)
+		place := &schema.PlaceLanes{Licence: c.licence(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: place}}).Code, ShouldEqual, 200)
+		c.run(2 * loop.Second)
+		keeper := c.leader("l")
+		So(keeper, ShouldNotBeEmpty)
+		confirmed := func(number uint64) (codes []int32) {
+			job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
+			c.heard["f"] = nil
+			c.step(keeper, "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
+				Session: &schema.Session{Intake: "f", Boot: 1, Client: "c"}, Number: number, Lowest: number, Name: "j" + string(rune('0'+number)), Job: job,
+			}}})
+			c.run(200 * loop.Milli)
+			for _, each := range c.heard["f"] {
+				if applied, isIt := each.(*schema.Applied); isIt {
+					for _, outcome := range applied.Outcomes {
+						codes = append(codes, outcome.Code)
+					}
+				}
+			}
+			return codes
+		}
+		So(confirmed(1), ShouldResemble, []int32{201})
+		for _, id := range stores {
+			c.isDown[id] = id != keeper
+		}
+		So(confirmed(2), ShouldBeEmpty)
+	})
+}
