--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -13,14 +13,19 @@
 // BenchmarkStart is what a task costs from its hand-over to its noted end, on
 // 40 workers that are full, with a backlog behind it.
 func BenchmarkStart(b *testing.B) {
-	for _, backlog := range []int{0, 2000} {
-		b.Run(fmt.Sprint("backlog ", backlog), func(b *testing.B) {
+	for _, size := range []struct{ backlog, shapes int }{{0, 1}, {2000, 1}, {4000, 400}} {
+		backlog, shapes := size.backlog, size.shapes
+		b.Run(fmt.Sprint("backlog ", backlog, " of ", shapes), func(b *testing.B) {
 			var ids []string
 			for k := 0; k < 40; k++ {
 				ids = append(ids, fmt.Sprintf("w%02d", k))
 			}
 			d := newDesk(ids...)
-			spec := func() *schema.Step { return &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, MemoryMb: 10} }
+			made := 0
+			spec := func() *schema.Step {
+				made++
+				return &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, MemoryMb: int64(10 + made%shapes)}
+			}
 			running := map[string][]*schema.TaskNote{}
 			over := map[string][]*schema.TaskNote{}
 			say := func(id string) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -45,6 +45,7 @@
 	maxPicks     = 64                // of one checkout, groups apart
 	maxMisses    = 32                // steps that find no room, of one lane and pass
 	wholePass    = loop.Second / 2   // between two passes that look at every step
+	passRest     = 10 * loop.Milli   // after a pass that has left much waiting
 )
 
 type taskKey struct {
@@ -246,6 +247,7 @@
 	list      []*room     // of the latest pass, used again
 	futileAt  loop.Micros // nothing was found to displace
 	wholeAt   loop.Micros // the latest pass over every step
+	passAt    loop.Micros // no pass before
 	counts    Counts
 	bounds    *schema.Bounds
 	placed    map[string]map[taskKey]*task // by worker, whoever wards it
@@ -300,9 +302,14 @@
 	case Why:
 		out.Answer(body.Errand, t.placements(now))
 	}
-	if t.isDirty {
+	if t.isDirty && now >= t.passAt {
 		t.isDirty = false
 		t.pass(now, out)
+		// What stands in a row loses nothing by a moment more, and a pass over a
+		// long row costs far more than the mail that asks for it.
+		if t.hasBacklog() {
+			t.passAt = now + passRest
+		}
 	}
 	if t.isStirred {
 		t.isStirred = false
@@ -311,6 +318,15 @@
 	t.answerAll(now, out)
 }
 
+// hasBacklog tells whether more waits for room than one checkout takes.
+func (t *Table) hasBacklog() bool {
+	waits := 0
+	for _, v := range t.views {
+		waits += v.waits
+	}
+	return waits > maxPicks
+}
+
 func (t *Table) plan(key string) int64 { return t.values.Fleet(key) }
 
 // --- the charter: whom we ward ---
