--- /dev/null
+++ b/keep/list_test.go
@@ -0,0 +1,64 @@
+package keep
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/charter"
+	"sparnotch/kin"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+func TestWholeLists(t *testing.T) {
+	Convey("The placer gets a lane's whole list anew when the plan has changed, not for each worker that comes", t, func() {
+		c := newCore()
+		whole := func() (count int) {
+			for _, each := range c.heard["a/placer"] {
+				if shifts, isIt := each.(Shifts); isIt && shifts.IsWhole {
+					count++
+				}
+			}
+			return count
+		}
+		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		licence := c.licence()
+		lanes := &schema.PlaceLanes{Licence: licence, Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
+		c.run(loop.Second)
+		So(c.leader("l"), ShouldEqual, "a")
+		before := whole()
+		So(before, ShouldBeGreaterThan, 0)
+		wards := &schema.MoveWards{Licence: licence, Wards: []*schema.Ward{{Worker: "w", Placer: "a"}}}
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Wards{Wards: wards}}).Code, ShouldEqual, 200)
+		c.run(loop.Second)
+		So(whole(), ShouldEqual, before)
+		So(c.put(lanesSheet(2, "", "l")).Code, ShouldEqual, 200)
+		c.run(loop.Second)
+		So(whole(), ShouldEqual, before+1)
+	})
+}
+
+func TestNotesOfGroups(t *testing.T) {
+	Convey("Of the sides only the steward is told how the groups stand", t, func() {
+		c := newCore()
+		So(c.licence(), ShouldBeGreaterThan, 0)
+		roll := &kin.Roll{Known: map[string]kin.Known{
+			"h": {Member: &schema.Member{Id: "h", Role: schema.Role_ROLE_HEED}},
+			"s": {Member: &schema.Member{Id: "s", Role: schema.Role_ROLE_HEED}},
+			"f": {Member: &schema.Member{Id: "f", Role: schema.Role_ROLE_KEEP}},
+		}}
+		lead := c.leader("")
+		c.step(lead, "", roll)
+		for id, isTold := range map[string]bool{"h": true, "s": false, "f": true, "unknown": true} {
+			c.heard[id] = nil
+			c.step(lead, id, &schema.CharterAsk{})
+			c.run(20 * loop.Milli)
+			So(c.heard[id], ShouldHaveLength, 1)
+			tell := c.heard[id][0].(*schema.CharterTell)
+			So(tell.Leaders[charter.Group], ShouldEqual, lead)
+			So(len(tell.Waits) > 0, ShouldEqual, isTold)
+		}
+	})
+}
