Steward: groups are refilled to 2*losses+1 voters; a wiped one goes when its spare has caught up

nextMember had three voters built in, so a group of five that lost one stayed at four or three. The number comes from the settings' losses through crew.Papers, as for founders. A voter whose disk is gone is dropped between the spare's catching up and its promotion: an odd group's quorum is the same without it, and the group bears a loss one step sooner. One only silent is dropped last, as before. A spare comes from the cell with the fewest voters; a voter too many with all live is let go.

--- a/crew/crew.go
+++ b/crew/crew.go
@@ -79,7 +79,7 @@
 	}
 	return append([]Berth{
 		{"kin", kin.New(proto.Clone(p.Member).(*schema.Member), p.terms(true), nil, p.Book, []string{"heed"}, p.rng(1)), kin.Pace},
-		{"heed", heed.New(p.Member.Id, readers...), heed.Pace},
+		{"heed", heed.New(p.Member.Id, p.Losses, readers...), heed.Pace},
 	}, berths...)
 }
 
--- a/heed/heed.go
+++ b/heed/heed.go
@@ -66,14 +66,15 @@
 	came    map[string]loop.Micros // when a process was first heard of here
 	first   loop.Micros            // when any was
 	number  uint64
+	voters  int // how many each group is to have
 	readers []string
 }
 
-// New makes the table of a side machine. Readers are the tables of this process
-// that want the charter.
-func New(id string, readers ...string) *Table {
+// New makes the table of a side machine. Losses are the stores that may be lost
+// at once (0: one). Readers are the tables of this process that want the charter.
+func New(id string, losses uint32, readers ...string) *Table {
 	return &Table{
-		id: id, readers: readers, state: &schema.CharterState{}, values: charter.Read(nil), told: map[string]told{}, claims: map[uint64]loop.Micros{},
+		id: id, voters: kin.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.CharterState{}, values: charter.Read(nil), told: map[string]told{}, claims: map[uint64]loop.Micros{},
 		acted: map[string]loop.Micros{}, gone: map[string]loop.Micros{}, came: map[string]loop.Micros{},
 	}
 }
@@ -462,8 +463,8 @@
 
 // --- loop: members ---
 
-// members gives a lost voter's place to a spare store: it learns, catches up,
-// votes, and only then the lost one is dropped.
+// members gives a lost voter's place to a spare store, which learns, catches up
+// and votes.
 func (t *Table) members(now loop.Micros, out loop.Out) {
 	notes := t.notes(now)
 	root := notes[charter.Group]
@@ -551,16 +552,25 @@
 	}
 }
 
+// nextMember is the next change of a group's members, one server at a time.
+//
+// An odd group's quorum is as large without one of its voters, so neither order
+// of dropping the lost one and promoting the spare puts a quorum at risk, nor has
+// a record fewer copies. Who is only silent may come back and count, so it is
+// dropped last. Whose disk is gone won't, so it is dropped as soon as the spare
+// has caught up: then the group bears its losses from the promotion on. Two are
+// never dropped before a promotion.
 func (t *Table) nextMember(now loop.Micros, note, root *schema.WaitNote) *schema.Reroster {
 	var lost []string
+	succeeded := ""
 	for _, id := range note.Voters {
-		if t.isLost(now, id) {
-			lost = append(lost, id)
+		if !t.isLost(now, id) {
+			continue
+		}
+		lost = append(lost, id)
+		if _, isKnown := t.roll.Known[id]; isKnown && t.isSucceeded(now, id) {
+			succeeded = id
 		}
-	}
-	isMember := map[string]bool{}
-	for _, id := range append(append([]string(nil), note.Voters...), note.Learners...) {
-		isMember[id] = true
 	}
 	if len(note.Learners) > 0 {
 		// One change at a time: whoever learns is seen through first.
@@ -568,29 +578,87 @@
 		switch {
 		case t.isLost(now, id):
 			return &schema.Reroster{Drop: id}
-		case len(lost) == 0 && len(note.Voters) >= 3:
+		case len(lost) == 0 && len(note.Voters) >= t.voters:
 			// Whoever it was to stand for is back.
 			return &schema.Reroster{Drop: id}
-		case note.Behind[id] <= 64:
-			return &schema.Reroster{Promote: id}
+		case note.Behind[id] > 64:
+			return nil
+		case succeeded != "" && len(note.Voters) >= t.voters:
+			return &schema.Reroster{Drop: succeeded}
 		}
-		return nil
+		return &schema.Reroster{Promote: id}
 	}
-	if len(lost) > 0 && len(note.Voters) > 3 {
-		return &schema.Reroster{Drop: lost[0]}
+	if len(note.Voters) > t.voters {
+		if succeeded != "" {
+			return &schema.Reroster{Drop: succeeded}
+		}
+		if len(lost) > 0 {
+			return &schema.Reroster{Drop: lost[0]}
+		}
+		// All are back, and an even group bears no more than one less.
+		if id := t.surplus(note, root); id != "" {
+			return &schema.Reroster{Drop: id}
+		}
+		return nil
 	}
-	if len(lost) == 0 && len(note.Voters) >= 3 {
+	if len(lost) == 0 && len(note.Voters) >= t.voters {
 		return nil
 	}
-	// Lanes follow the charter's voters, so that a few machines hold all.
-	for _, id := range append(append([]string(nil), root.Voters...), t.stores(now)...) {
-		if !isMember[id] && t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving {
-			return &schema.Reroster{Learn: id}
-		}
+	if id := t.spare(now, note, root); id != "" {
+		return &schema.Reroster{Learn: id}
 	}
 	return nil
 }
 
+// spare is a store to learn next. Lanes follow the charter's voters, so that a
+// few machines hold all; the charter's are spread over the cells.
+func (t *Table) spare(now loop.Micros, note, root *schema.WaitNote) string {
+	mayLearn := func(id string) bool {
+		return !slices.Contains(note.Voters, id) && !slices.Contains(note.Learners, id) &&
+			t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving
+	}
+	for _, id := range root.Voters {
+		if mayLearn(id) {
+			return id
+		}
+	}
+	inCell := map[string]int{}
+	for _, id := range note.Voters {
+		if !t.isLost(now, id) {
+			inCell[t.cellOf(id)]++
+		}
+	}
+	best := ""
+	for _, id := range t.stores(now) {
+		if mayLearn(id) && (best == "" || inCell[t.cellOf(id)] < inCell[t.cellOf(best)]) {
+			best = id
+		}
+	}
+	return best
+}
+
+// surplus is the voter to do without: one that doesn't vote on the charter, else
+// one of the fullest cell; never the leader.
+func (t *Table) surplus(note, root *schema.WaitNote) string {
+	inCell := map[string]int{}
+	for _, id := range note.Voters {
+		inCell[t.cellOf(id)]++
+	}
+	best := ""
+	for _, id := range note.Voters {
+		switch {
+		case id == note.Leader:
+		case !slices.Contains(root.Voters, id):
+			return id
+		case best == "" || inCell[t.cellOf(id)] > inCell[t.cellOf(best)]:
+			best = id
+		}
+	}
+	return best
+}
+
+func (t *Table) cellOf(id string) string { return t.roll.Known[id].Member.GetCell() }
+
 // --- loop: sessions ---
 
 // sessions ends those of intakes that have been gone longer than the plan lets
--- a/heed/heed_test.go
+++ b/heed/heed_test.go
@@ -101,7 +101,7 @@
 }
 
 func newDesk() *desk {
-	d := &desk{t: New("h"), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
+	d := &desk{t: New("h", 0), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
 	d.roll()
 	d.tell()
 	for k := 0; k < 20 && !d.t.isSteward(d.now); k++ {
@@ -175,7 +175,7 @@
 	learns := func(boot uint64, comes loop.Micros, isSteward bool) loop.Micros {
 		d := newDesk()
 		if !isSteward {
-			d = &desk{t: New("h"), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
+			d = &desk{t: New("h", 0), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
 		}
 		silentAt := d.now + 12*loop.Second
 		for d.now < silentAt+10*loop.Second && len(d.asks) == 0 {
@@ -233,7 +233,7 @@
 
 func TestSucceededStore(t *testing.T) {
 	Convey("Given a store that lost its disk and is back as another one", t, func() {
-		d := &desk{t: New("h"), now: loop.Second, state: charter.New().State(), silent: map[string]loop.Micros{}, others: map[string]*schema.Member{}}
+		d := &desk{t: New("h", 0), now: loop.Second, state: charter.New().State(), silent: map[string]loop.Micros{}, others: map[string]*schema.Member{}}
 		d.state.Version = 1
 		run := func(span loop.Micros) {
 			for end := d.now + span; d.now < end; {
--- /dev/null
+++ b/heed/voters_test.go
@@ -0,0 +1,159 @@
+package heed
+
+import (
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/charter"
+	"sparnotch/kin"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// council is a group whose members change as the steward asks; one change takes
+// until it is asked again.
+type council struct {
+	t       *Table
+	now     loop.Micros
+	note    *schema.WaitNote
+	members map[string]*schema.Member
+	silent  map[string]loop.Micros // since when
+	steps   []string
+	least   int // by how many live voters a quorum was exceeded at the least
+}
+
+func newCouncil(losses uint32, voters ...string) *council {
+	c := &council{
+		t: New("h", losses), now: 100 * loop.Second, members: map[string]*schema.Member{}, silent: map[string]loop.Micros{},
+		note: &schema.WaitNote{Group: charter.Group, Leader: voters[0], Voters: voters, Behind: map[string]uint64{}}, least: len(voters),
+	}
+	for _, id := range voters {
+		c.add(id, "10.0.0."+id, "")
+	}
+	return c
+}
+
+func (c *council) add(id, inner, cell string) {
+	c.members[id] = &schema.Member{Id: id, Boot: 2, Stores: true, Role: schema.Role_ROLE_KEEP, Inner: inner, Cell: cell}
+}
+
+func (c *council) live() int {
+	live := 0
+	for _, id := range c.note.Voters {
+		if _, isSilent := c.silent[id]; !isSilent {
+			live++
+		}
+	}
+	return live
+}
+
+// run lets so long pass, with a look at the members each 250 ms.
+func (c *council) run(span loop.Micros) {
+	for end := c.now + span; c.now < end; {
+		c.now += 250 * loop.Milli
+		roll := &kin.Roll{Known: map[string]kin.Known{}}
+		for id, member := range c.members {
+			heard := c.now
+			if since, isSilent := c.silent[id]; isSilent {
+				heard = since
+			}
+			roll.Known[id] = kin.Known{Member: member, Heard: heard}
+		}
+		c.t.roll = roll
+		c.t.watch(c.now)
+		act := c.t.nextMember(c.now, c.note, c.note)
+		if act == nil {
+			continue
+		}
+		without := func(list []string, id string) []string {
+			return slices.DeleteFunc(slices.Clone(list), func(each string) bool { return each == id })
+		}
+		switch {
+		case act.Learn != "":
+			c.steps = append(c.steps, "learn "+act.Learn)
+			c.note.Learners = append(c.note.Learners, act.Learn)
+		case act.Promote != "":
+			c.steps = append(c.steps, "promote "+act.Promote)
+			c.note.Learners = without(c.note.Learners, act.Promote)
+			c.note.Voters = append(c.note.Voters, act.Promote)
+		case act.Drop != "":
+			c.steps = append(c.steps, "drop "+act.Drop)
+			c.note.Learners = without(c.note.Learners, act.Drop)
+			c.note.Voters = without(c.note.Voters, act.Drop)
+		}
+		c.least = min(c.least, c.live()-(len(c.note.Voters)/2+1))
+	}
+}
+
+func TestVoters(t *testing.T) {
+	Convey("Where two may be lost at once, a group of five stays five", t, func() {
+		c := newCouncil(2, "a", "b", "c", "d", "e")
+		c.run(3 * loop.Second)
+		c.silent["e"] = c.now
+		Convey("also with no spare: the lost one is not dropped", func() {
+			c.run(20 * loop.Second)
+			So(c.steps, ShouldBeEmpty)
+		})
+		Convey("one that is only silent is dropped when its spare votes", func() {
+			c.add("f", "10.0.0.f", "")
+			c.run(20 * loop.Second)
+			So(c.steps, ShouldResemble, []string{"learn f", "promote f", "drop e"})
+			So(c.least, ShouldEqual, 1)
+		})
+		Convey("one whose disk is gone is dropped when its spare has caught up, and not before", func() {
+			c.add("f", "10.0.0.e", "")
+			c.note.Behind["f"] = 1000
+			c.run(20 * loop.Second)
+			So(c.steps, ShouldResemble, []string{"learn f"})
+			c.note.Behind["f"] = 0
+			c.run(5 * loop.Second)
+			So(c.steps, ShouldResemble, []string{"learn f", "drop e", "promote f"})
+			So(c.least, ShouldEqual, 1)
+		})
+		Convey("two lost ones are replaced one after another, the quorum never larger than those that live", func() {
+			c.silent["d"] = c.now
+			c.add("f", "10.0.0.e", "")
+			c.add("g", "10.0.0.d", "")
+			c.run(20 * loop.Second)
+			So(c.least, ShouldEqual, 0)
+			slices.Sort(c.note.Voters)
+			So(c.note.Voters, ShouldResemble, []string{"a", "b", "c", "f", "g"})
+			So(c.live(), ShouldEqual, 5)
+		})
+		Convey("who comes back while its spare learns keeps its place", func() {
+			c.add("f", "10.0.0.f", "")
+			c.note.Behind["f"] = 1000
+			c.run(8 * loop.Second)
+			delete(c.silent, "e")
+			c.run(2 * loop.Second)
+			So(c.steps, ShouldResemble, []string{"learn f", "drop f"})
+		})
+	})
+	Convey("A group of three that bears one is refilled to three", t, func() {
+		c := newCouncil(0, "a", "b", "c")
+		c.run(3 * loop.Second)
+		c.silent["c"] = c.now
+		c.add("d", "10.0.0.c", "")
+		c.run(5 * loop.Second)
+		So(c.steps, ShouldResemble, []string{"learn d", "drop c", "promote d"})
+		So(c.least, ShouldEqual, 0)
+	})
+	Convey("A group founded with too few grows to its number, in the cells that hold the fewest", t, func() {
+		c := newCouncil(2, "a", "b", "c")
+		for id, cell := range map[string]string{"a": "x", "b": "y", "c": "y", "d": "y", "e": "x", "f": "z", "g": "z"} {
+			c.add(id, "10.0.0."+id, cell)
+		}
+		c.run(5 * loop.Second)
+		So(c.steps, ShouldResemble, []string{"learn f", "promote f", "learn e", "promote e"})
+	})
+	Convey("A voter too many, all of them live, is let go: of the fullest cell and not the leader", t, func() {
+		c := newCouncil(0, "a", "b", "c", "d")
+		for id, cell := range map[string]string{"a": "x", "b": "y", "c": "x", "d": "z"} {
+			c.add(id, "10.0.0."+id, cell)
+		}
+		c.run(5 * loop.Second)
+		So(c.steps, ShouldResemble, []string{"drop c"})
+	})
+}
--- a/kin/found.go
+++ b/kin/found.go
@@ -148,7 +148,7 @@
 			cells[id] = w.hello.Self.Cell
 		}
 	}
-	wished := t.terms.founders()
+	wished := t.terms.Founders()
 	if !t.terms.First {
 		wished = min(wished, len(t.terms.Seeds))
 	}
@@ -165,7 +165,7 @@
 			return nil, 0
 		}
 	}
-	return Founders(cells, t.terms.founders()), wished
+	return Founders(cells, t.terms.Founders()), wished
 }
 
 // at is the last word heard from an address.
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -88,8 +88,9 @@
 	IsSide bool   // a side machine, which watches the stores
 }
 
-// founders is how many stores the group is founded with if there are so many.
-func (t Terms) founders() int { return 2*int(max(t.Losses, 1)) + 1 }
+// Founders is how many stores the group is founded with if there are so many,
+// and how many voters each group is to have: a majority outlives the losses.
+func (t Terms) Founders() int { return 2*int(max(t.Losses, 1)) + 1 }
 
 // word is the last hello a process sent us itself.
 type word struct {
