Book: only stores are told of all side machines

A side machine now reports to stores itself alone, and those that ask it because they reach no store; whoever is no store is told of stores, fronts and the seven side machines that stand for steward, spread over the cells. Founding is as before. Tests: what kin_test asserted for stores and fronts holds on; of other side machines only stores hear.

--- a/kin/found.go
+++ b/kin/found.go
@@ -165,7 +165,7 @@
 			return nil, 0
 		}
 	}
-	return Founders(cells, t.terms.Founders()), wished
+	return Spread(cells, t.terms.Founders()), wished
 }
 
 // at is the last word heard from an address.
@@ -179,9 +179,9 @@
 	return last, last.hello != nil
 }
 
-// Founders chooses so many of the stores, whose cells are given by id: spread
+// Spread chooses so many of the processes, whose cells are given by id: spread
 // over the cells, lowest ids first. All choose alike.
-func Founders(cells map[string]string, count int) []string {
+func Spread(cells map[string]string, count int) []string {
 	byCell := map[string][]string{}
 	for _, id := range slices.Sorted(maps.Keys(cells)) {
 		byCell[cells[id]] = append(byCell[cells[id]], id)
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -32,6 +32,10 @@
 	rushSpan   = 20 * loop.Milli  // between two greetings out of turn
 )
 
+// Candidates is how many side machines stand for steward, and how many of them
+// those that are no stores are told of: each more would be one more that all ask after.
+const Candidates = 7
+
 // Book resolves ids to inner addresses for the wires; it is written by the
 // table alone and read by anyone.
 type Book struct {
@@ -107,6 +111,7 @@
 	book     *Book
 	known    map[string]Known
 	told     map[string]word        // of each process, by id
+	askers   map[string]loop.Micros // who asked us, who are no store, and when last
 	seen     map[string]loop.Micros // ids of the stores heard of, and when last
 	frozen   []string               // the stores told of since we asked for our promise to be kept
 	readers  []string
@@ -131,7 +136,7 @@
 func New(self *schema.Member, terms Terms, account *schema.Self, book *Book, readers []string, rng *rand.Rand) *Table {
 	t := &Table{
 		self: self, terms: terms, account: account, book: book, readers: readers, rng: rng,
-		known: map[string]Known{}, told: map[string]word{}, seen: map[string]loop.Micros{},
+		known: map[string]Known{}, told: map[string]word{}, askers: map[string]loop.Micros{}, seen: map[string]loop.Micros{},
 	}
 	t.isSystem = account != nil && account.Belongs
 	if account != nil {
@@ -185,6 +190,11 @@
 			delete(t.seen, id)
 		}
 	}
+	for id, at := range t.askers {
+		if now-at > toldSpan {
+			delete(t.askers, id)
+		}
+	}
 	t.ticks++
 	t.greet(now, out)
 	t.found(now, out)
@@ -245,15 +255,69 @@
 		if now-known.Heard >= freshSpan {
 			continue
 		}
-		member := known.Member
-		if much == beats {
-			member = &schema.Member{Id: id, Boot: member.Boot, Beat: member.Beat, Leaving: member.Leaving, StrainUs: member.StrainUs}
-		}
-		hello.Book = append(hello.Book, member)
+		hello.Book = append(hello.Book, entry(known.Member, much))
 	}
 	return hello
 }
 
+// entry is a member as a book tells of it.
+func entry(member *schema.Member, much detail) *schema.Member {
+	if much == whole {
+		return member
+	}
+	return &schema.Member{Id: member.Id, Boot: member.Boot, Beat: member.Beat, Leaving: member.Leaving, StrainUs: member.StrainUs}
+}
+
+// report is the hello to a store or seed. Once a store is heard, what a side
+// machine knows the stores know better, but for who asks it because they reach
+// no store.
+func (t *Table) report(now loop.Micros, much detail) *schema.Hello {
+	if !t.isSystem || !t.terms.IsSide || len(t.hubs(now)) == 0 {
+		return t.hello(now, much)
+	}
+	report := t.hello(now, alone)
+	if much == alone {
+		return report
+	}
+	if much == whole {
+		// Who tells a whole member is answered with whole ones.
+		report.Book = append(report.Book, report.Self)
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.askers)) {
+		if known, isKnown := t.known[id]; isKnown && now-known.Heard < freshSpan {
+			report.Book = append(report.Book, entry(known.Member, much))
+		}
+	}
+	return report
+}
+
+// answer is the hello to one that asks. Only stores need to know of all side
+// machines; whoever else asks within a system is told of the stores, the fronts
+// and the candidates: what all know of all would grow with the square of them.
+func (t *Table) answer(now loop.Micros, much detail, asker *schema.Hello) *schema.Hello {
+	answer := t.hello(now, much)
+	answer.Answer = true
+	if t.isSystem && asker.Belongs && !asker.Self.Stores {
+		t.leaveOut(now, answer)
+	}
+	return answer
+}
+
+// leaveOut takes the side machines out of a hello that don't stand for steward.
+func (t *Table) leaveOut(now loop.Micros, hello *schema.Hello) {
+	cells := map[string]string{}
+	for id, known := range t.known {
+		if known.Member.Role == schema.Role_ROLE_HEED && now-known.Heard < hubSpan {
+			cells[id] = known.Member.Cell
+		}
+	}
+	candidates := Spread(cells, Candidates)
+	hello.Book = slices.DeleteFunc(hello.Book, func(member *schema.Member) bool {
+		known, isKnown := t.known[member.Id]
+		return isKnown && known.Member.Role == schema.Role_ROLE_HEED && !slices.Contains(candidates, member.Id)
+	})
+}
+
 func (t *Table) ids() []string {
 	return slices.Sorted(maps.Keys(t.known))
 }
@@ -347,7 +411,11 @@
 		// each other.
 		t.isMissing, t.wholeAt = false, now
 		if seed := t.someSeed(); seed != "" {
-			out.Dial(seed, t.hello(now, whole))
+			report := t.report(now, whole)
+			if !t.isStoreAt(seed) {
+				t.leaveOut(now, report)
+			}
+			out.Dial(seed, report)
 		}
 	}
 	isStore, isTurn := t.account != nil, t.ticks%2 == 0
@@ -373,11 +441,21 @@
 		t.spread(now, much, out)
 	} else if len(hubs) > 0 {
 		t.turn++
-		out.Dial(hubs[t.turn%uint64(len(hubs))], t.hello(now, much))
+		out.Dial(hubs[t.turn%uint64(len(hubs))], t.report(now, much))
 	}
 	t.isWaiting, t.isNews = true, false
 }
 
+// isStoreAt tells whether a store, or nobody we know, lives at an address.
+func (t *Table) isStoreAt(address string) bool {
+	for _, known := range t.known {
+		if known.Member.Inner == address {
+			return known.Member.Stores
+		}
+	}
+	return true
+}
+
 // spread tells every store without asking anything.
 func (t *Table) spread(now loop.Micros, much detail, out loop.Out) {
 	word := t.hello(now, much)
@@ -412,13 +490,14 @@
 		if isWhole || !t.isSystem || !hello.Belongs {
 			much = whole
 		}
-		answer := t.hello(now, much)
-		answer.Answer = true
-		out.Dial(hello.Self.Inner, answer)
+		if t.account == nil {
+			t.askers[from] = now
+		}
+		out.Dial(hello.Self.Inner, t.answer(now, much, hello))
 	}
 	if isMissing && now-t.wholeAt >= Pace {
 		t.wholeAt = now
-		out.Dial(hello.Self.Inner, t.hello(now, whole))
+		out.Dial(hello.Self.Inner, t.report(now, whole))
 	} else if isMissing {
 		t.isMissing = true
 	}
