Steward: seven side machines stand for it; the others ask one store at a time

Now the seven that all agree on (lowest ids, spread over the cells, as the book tells them) ask all stores and claim; the others ask one store at a time, in turn, as often as before; a moved ward is still pushed.

--- a/heed/heed.go
+++ b/heed/heed.go
@@ -66,6 +66,7 @@
 	came    map[string]loop.Micros // when a process was first heard of here
 	first   loop.Micros            // when any was
 	number  uint64
+	turn    int // whose turn it is to be asked
 	voters  int // how many each group is to have
 	readers []string
 }
@@ -161,9 +162,7 @@
 	}
 	if now-t.askedAt >= askSpan {
 		t.askedAt = now
-		for _, id := range t.stores(now) {
-			out.Send(id, &schema.CharterAsk{Version: t.state.Version})
-		}
+		t.ask(now, out)
 		t.watch(now)
 	}
 	t.seek(now, out)
@@ -176,6 +175,35 @@
 	t.sessions(now, out)
 }
 
+// ask asks after the charter: a candidate asks every store, for it must know what
+// each of them says once it is steward; the others take turns, for all asking all
+// would cost the stores more than what they are there for.
+func (t *Table) ask(now loop.Micros, out loop.Out) {
+	stores := t.stores(now)
+	if len(stores) == 0 {
+		return
+	}
+	if _, isCandidate := t.rank(now); !isCandidate && !t.isSteward(now) {
+		t.turn++
+		stores = stores[t.turn%len(stores):][:1]
+	}
+	for _, id := range stores {
+		out.Send(id, &schema.CharterAsk{Version: t.state.Version})
+	}
+}
+
+// rank is our place among the side machines that stand for steward, if we do.
+func (t *Table) rank(now loop.Micros) (int, bool) {
+	cells := map[string]string{t.id: t.roll.Self.GetCell()}
+	for id, known := range t.roll.Known {
+		if known.Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, deadSpan) {
+			cells[id] = known.Member.Cell
+		}
+	}
+	rank := slices.Index(kin.Spread(cells, kin.Candidates), t.id)
+	return rank, rank >= 0
+}
+
 // --- the licence ---
 
 func (t *Table) isSteward(now loop.Micros) bool { return t.licence != 0 && now < t.mine }
@@ -197,11 +225,9 @@
 	if len(t.told) == 0 || now-t.claimAt < claimSpan {
 		return
 	}
-	rank := 0
-	for _, id := range t.memberIds() {
-		if id < t.id && t.roll.Known[id].Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, deadSpan) {
-			rank++
-		}
+	rank, isCandidate := t.rank(now)
+	if !isCandidate {
+		return
 	}
 	stale := now - t.untilAt
 	isVacant := t.until == 0 || stale > loop.Micros(charter.LicenceUs)
--- a/heed/voters_test.go
+++ b/heed/voters_test.go
@@ -1,6 +1,7 @@
 package heed
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -157,3 +158,69 @@
 		So(c.steps, ShouldResemble, []string{"drop c"})
 	})
 }
+
+// asked counts whom a side machine asks after the charter, and its claims.
+type asked struct {
+	stores map[string]int
+	claims int
+}
+
+func (a *asked) Send(to string, body any) {
+	switch body.(type) {
+	case *schema.CharterAsk:
+		a.stores[to]++
+	case *schema.Errand:
+		a.claims++
+	}
+}
+func (a *asked) Dial(string, any)   {}
+func (a *asked) Tell(string, any)   {}
+func (a *asked) Answer(uint64, any) {}
+
+func TestCandidates(t *testing.T) {
+	// play is what side machine "sN" does in 10 s of a system without a steward, of
+	// twenty side machines in four cells, of which some are gone.
+	play := func(self int, gone ...int) *asked {
+		a := &asked{stores: map[string]int{}}
+		side := func(k int) *schema.Member {
+			return &schema.Member{Id: fmt.Sprintf("s%02d", k), Role: schema.Role_ROLE_HEED, Cell: fmt.Sprintf("c%d", k%4)}
+		}
+		h := New(side(self).Id, 2)
+		for now := 100 * loop.Second; now < 110*loop.Second; now += Pace {
+			roll := &kin.Roll{Self: side(self), Known: map[string]kin.Known{}}
+			for _, id := range []string{"a", "b", "c", "d", "e"} {
+				roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: now}
+			}
+			for k := range 20 {
+				heard := now
+				if slices.Contains(gone, k) {
+					heard = 95 * loop.Second
+				}
+				roll.Known[side(k).Id] = kin.Known{Member: side(k), Heard: heard}
+			}
+			h.Step(now, loop.Mail{Body: roll}, a)
+			h.Step(now, loop.Mail{From: "a", Body: &schema.CharterTell{Version: 1, Leaders: map[string]string{charter.Group: "a"}}}, a)
+			h.Step(now, loop.Mail{Body: loop.Tick{}}, a)
+		}
+		return a
+	}
+	Convey("A candidate asks every store four times a second, and claims", t, func() {
+		a := play(6)
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			So(a.stores[id], ShouldEqual, 40)
+		}
+		So(a.claims, ShouldBeGreaterThan, 0)
+	})
+	Convey("The others ask one store in turn, and claim nothing", t, func() {
+		a := play(7)
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			So(a.stores[id], ShouldEqual, 8)
+		}
+		So(a.claims, ShouldEqual, 0)
+	})
+	Convey("until a candidate of its cell is gone", t, func() {
+		a := play(7, 3)
+		So(a.stores["a"], ShouldEqual, 40)
+		So(a.claims, ShouldBeGreaterThan, 0)
+	})
+}
