Placer: an agent's overtaken announce isn't answered

An agent takes the answer to its newest announce alone, but each announce that overtook an open one had the older answered too: orders counted out and a message for nothing, at every end of a task. The newest is answered as before. Workers behind a front are too.

--- /dev/null
+++ b/placer/overtaken_test.go
@@ -0,0 +1,27 @@
+package placer
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/schema"
+)
+
+func TestOvertakenAnnounces(t *testing.T) {
+	// replies are the answers to two announces of which the second follows at once.
+	replies := func(change func(*schema.Announce)) int {
+		d := newDesk("w")
+		d.announce("w", change)
+		So(d.replies, ShouldHaveLength, 1)
+		d.announce("w", change)
+		d.announce("w", change)
+		return len(d.replies) - 1
+	}
+	Convey("An announce that an agent has overtaken isn't answered, for it takes none but the newest's", t, func() {
+		So(replies(named(nil)), ShouldEqual, 0)
+	})
+	Convey("Of a worker behind a front each is, for its call is open", t, func() {
+		So(replies(nil), ShouldEqual, 1)
+	})
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -665,8 +665,9 @@
 	t.reports(now, w, over, out)
 	t.forsaken(now, w, out)
 	t.buried(now, a.Over, m.Worker, out)
-	// The older announce is overtaken; its answer would say less.
-	if w.poll != nil {
+	// The older announce is overtaken; its answer would say less, and an agent,
+	// which has one open at a time, doesn't take it.
+	if w.poll != nil && !a.Named {
 		t.answer(now, w, out)
 	}
 	wait := loop.Micros(min(max(a.WaitUs, 0), int64(holdSpan)))
