--- /dev/null
+++ b/vault/bench_test.go
@@ -0,0 +1,28 @@
+package vault
+
+import (
+	"testing"
+
+	"sparnotch/schema"
+)
+
+// BenchmarkApply is one record that is added to a log of 2,000.
+func BenchmarkApply(b *testing.B) {
+	content := newContent()
+	index := uint64(0)
+	add := func() {
+		index++
+		content.Apply(&schema.Change{Group: "g", Records: []*schema.Record{{Index: index, Term: 1}}})
+	}
+	for index < 2000 {
+		add()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for k := 0; k < b.N; k++ {
+		if index%512 == 0 {
+			content.Apply(&schema.Change{Group: "g", Checkpoint: &schema.Checkpoint{Index: index - 2000}})
+		}
+		add()
+	}
+}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -94,6 +94,11 @@
 
 func before(records []*schema.Record, index uint64) []*schema.Record {
 	at := sort.Search(len(records), func(k int) bool { return records[k].Index >= index })
+	if at == len(records) {
+		// What follows them is added in place: a long log isn't copied for each
+		// batch. Nobody else adds to this list.
+		return records
+	}
 	return records[:at:at]
 }
 
