--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1003,11 +1003,16 @@
 // it out instead of breaking it; and it waits for a moment until every worker
 // has an announce open, so that all starts leave in one step.
 func (t *Table) launch(now loop.Micros, out loop.Out) {
-	for _, name := range slices.Sorted(maps.Keys(t.views)) {
-		v := t.views[name]
-		if len(v.gangs) == 0 || !t.mayAct(now, v) {
-			continue
+	// Few of many lanes have a group that isn't decided on.
+	var names []string
+	for name, v := range t.views {
+		if len(v.gangs) > 0 && t.mayAct(now, v) {
+			names = append(names, name)
 		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		v := t.views[name]
 		for _, key := range slices.SortedFunc(maps.Keys(v.gangs), compareKeys) {
 			first := v.gangs[key]
 			members := t.members(first)
