Placer: aims are read with the plan, workers held in order

Every pass read the aims of all lanes from the plan, and every mail looked each worker up by name. BenchmarkStart with 50 lanes and none waiting, median of three: 141 to 113 us a start; with one lane 112 to 100 us.

--- a/placer/pace.go
+++ b/placer/pace.go
@@ -47,8 +47,8 @@
 // usualShare is the share of a lane's runs that fail on other workers.
 func (t *Table) usualShare(w *worker, lane string) float64 {
 	good, bad := 0.0, 0.0
-	for _, id := range t.workerIds() {
-		if other := t.workers[id]; other != w && other.tallies[lane] != nil {
+	for _, other := range t.inOrder() {
+		if other != w && other.tallies[lane] != nil {
 			good += other.tallies[lane].good
 			bad += other.tallies[lane].bad
 		}
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -202,7 +202,6 @@
 			views = append(views, v)
 			oldest[v] = v.oldest()
 		}
-		v.aim = t.aimOf(v.lane)
 	}
 	if len(views) == 0 {
 		return
@@ -582,8 +581,8 @@
 
 func (t *Table) placements(now loop.Micros) *Placements {
 	p := &Placements{Ready: map[string]int{}, Counts: t.counts}
-	for _, id := range t.workerIds() {
-		w := t.workers[id]
+	for _, w := range t.inOrder() {
+		id := w.id
 		p.Workers = append(p.Workers, &WorkerBelief{
 			Worker: id, Generation: w.generation, HeardUs: int64(now - w.heard), Rack: w.rack, Pool: w.pool, Cores: w.cores, Memory: w.memory,
 			Accelerators: w.accelerators, Leaving: w.isLeaving, Over: w.isOver, Out: len(w.tasks), Running: len(w.running), Strange: len(w.strange),
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -254,8 +254,8 @@
 	names     map[nameKey][]*task
 	over      map[string]loop.Micros // dead workers, and when that was last told
 	paces     map[paceKey]*pace
-	cores     int64    // milli cores of all workers that may be given work
-	ids       []string // of the workers, in order; nil: to be made anew
+	cores     int64     // milli cores of all workers that may be given work
+	ordered   []*worker // by name; nil: to be made anew
 }
 
 // Counts says what the placer has done.
@@ -342,12 +342,12 @@
 			mine[ward.Worker] = ward
 		}
 	}
-	for _, id := range t.workerIds() {
-		w := t.workers[id]
+	for _, w := range t.inOrder() {
+		id := w.id
 		if ward := mine[id]; ward == nil || ward.Generation != w.generation {
 			t.dismiss(w, out)
 			delete(t.workers, id)
-			t.ids = nil
+			t.ordered = nil
 			if len(w.tasks) == 0 {
 				delete(t.placed, id)
 			}
@@ -362,7 +362,7 @@
 			ended: map[attemptKey]*ended{}, tasks: t.placedOn(id), resolved: map[nameAttempt]attemptKey{},
 			reserved: map[taskKey]*task{}, isStale: true,
 		}
-		t.workers[id], t.ids = w, nil
+		t.workers[id], t.ordered = w, nil
 		for _, v := range t.views {
 			for key, each := range v.reserved {
 				if each.reserved == id {
@@ -372,6 +372,9 @@
 		}
 		_, w.isOver = t.over[id]
 	}
+	for _, v := range t.views {
+		v.aim = t.aimOf(v.lane)
+	}
 	t.isDirty = true
 }
 
@@ -390,11 +393,14 @@
 	}
 }
 
-func (t *Table) workerIds() []string {
-	if t.ids == nil {
-		t.ids = slices.Sorted(maps.Keys(t.workers))
+// inOrder lists the workers by name; every mail goes over them.
+func (t *Table) inOrder() []*worker {
+	if t.ordered == nil {
+		for _, id := range slices.Sorted(maps.Keys(t.workers)) {
+			t.ordered = append(t.ordered, t.workers[id])
+		}
 	}
-	return t.ids
+	return t.ordered
 }
 
 // --- the lanes: what is ready and out ---
@@ -417,7 +423,7 @@
 		v = &view{lane: m.Lane, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, rows: map[shape]*row{}, places: map[stepKey]map[string]int{}}
 		t.lose(m.Lane)
 		t.views[m.Lane] = v
-		v.urgency, v.running, v.peak = m.Urgency, m.Running, peak
+		v.urgency, v.running, v.peak, v.aim = m.Urgency, m.Running, peak, t.aimOf(m.Lane)
 		for _, shift := range m.List {
 			t.shift(now, v, shift)
 		}
@@ -835,8 +841,7 @@
 
 func (t *Table) tick(now loop.Micros, out loop.Out) {
 	licence := loop.Micros(t.plan("licence_ms")+t.plan("margin_ms")) * loop.Milli
-	for _, id := range t.workerIds() {
-		w := t.workers[id]
+	for _, w := range t.inOrder() {
 		w.isDirty = true
 		t.passReports(now, w, out)
 		// Whoever warded it before us may have answered it a little longer
@@ -1080,8 +1085,7 @@
 // --- answers ---
 
 func (t *Table) answerAll(now loop.Micros, out loop.Out) {
-	for _, id := range t.workerIds() {
-		w := t.workers[id]
+	for _, w := range t.inOrder() {
 		if w.poll == nil || !w.isDirty && now < w.poll.until {
 			continue
 		}
--- a/placer/room.go
+++ b/placer/room.go
@@ -155,8 +155,7 @@
 // rooms lists the workers that may be given work.
 func (t *Table) rooms(now loop.Micros) []*room {
 	list := t.list[:0]
-	for _, id := range t.workerIds() {
-		w := t.workers[id]
+	for _, w := range t.inOrder() {
 		if !w.isHere(now) || w.isLeaving {
 			continue
 		}
