--- /dev/null
+++ b/keep/bench_test.go
@@ -0,0 +1,38 @@
+package keep
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/kin"
+	"sparnotch/loop"
+	"sparnotch/schema"
+)
+
+// BenchmarkManyLanes is a mail that changes nothing, and a tick, on the keeper of
+// 50 lanes.
+func BenchmarkManyLanes(b *testing.B) {
+	Convey("Fifty lanes led by one store", b, func() {
+		c := newCore()
+		var lanes []string
+		places := &schema.PlaceLanes{Licence: c.licence()}
+		for k := 0; k < 50; k++ {
+			lanes = append(lanes, fmt.Sprintf("l%02d", k))
+			places.Lanes = append(places.Lanes, &schema.LanePlace{Lane: lanes[k], Founders: stores, Keeper: "a"})
+		}
+		So(c.put(lanesSheet(1, "", lanes...)).Code, ShouldEqual, 200)
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: places}}).Code, ShouldEqual, 200)
+		c.run(loop.Second)
+		So(c.leader("l49"), ShouldEqual, "a")
+		for name, body := range map[string]any{"mail": &kin.Roll{}, "tick": loop.Tick{}} {
+			b.Run(name, func(b *testing.B) {
+				b.ReportAllocs()
+				for k := 0; k < b.N; k++ {
+					c.step("a", "", body)
+				}
+			})
+		}
+	})
+}
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -139,6 +139,7 @@
 	listed   []string // names of the groups, in order; nil: to be made anew
 	charter  *charter.Machine
 	values   *charter.Values
+	adopt    *schema.Adopt        // what the plan asks of every lane
 	state    *schema.CharterState // copy of the charter that others may hold
 	roll     *kin.Roll
 	next     pending
@@ -213,6 +214,11 @@
 
 func (t *Table) setState(state *schema.CharterState) {
 	t.state, t.values = state, t.charter.Values()
+	t.adopt = &schema.Adopt{
+		StatusUs: t.values.Fleet("status_s") * 1_000_000,
+		Every:    uint32(t.values.Fleet("cache_every")),
+		Circles:  uint32(t.values.Fleet("circles")),
+	}
 }
 
 // names lists the groups in order; every mail asks for that, and groups seldom
@@ -439,18 +445,14 @@
 	}
 	// Jobs that are to start at a time of day keep to it, though lane time has
 	// stood still without a leader.
-	if offset, isKnown := g.WallOffset(now, t.wall()); isKnown && m.Timed() > 0 && r.tickIdx <= g.Applied() {
-		if away := offset - m.WallOffset(); away > int64(wallMost) || away < -int64(wallMost) {
+	if m.Timed() > 0 && r.tickIdx <= g.Applied() {
+		offset, isKnown := g.WallOffset(now, t.wall())
+		if away := offset - m.WallOffset(); isKnown && (away > int64(wallMost) || away < -int64(wallMost)) {
 			r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{WallOffsetUs: offset}}})
 			r.tickAt = now
 		}
 	}
-	wanted := &schema.Adopt{
-		StatusUs: t.values.Fleet("status_s") * 1_000_000,
-		Every:    uint32(t.values.Fleet("cache_every")),
-		Circles:  uint32(t.values.Fleet("circles")),
-	}
-	if !proto.Equal(wanted, m.Adopted()) && r.adoptIdx <= g.Applied() {
+	if wanted := t.adopt; !proto.Equal(wanted, m.Adopted()) && r.adoptIdx <= g.Applied() {
 		r.adoptIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Adopt{Adopt: wanted}})
 	}
 	// One old job must not pin the log for ever: it enters it anew.
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -267,13 +267,13 @@
 }
 
 func (g *Group) walls(now loop.Micros, own int64) []int64 {
-	walls := []int64{own}
+	walls := append(make([]int64, 0, len(g.roster.Voters)+1), own)
 	for _, id := range g.roster.Voters {
 		if p := g.peers[id]; p != nil && id != g.self && p.wall != 0 {
 			walls = append(walls, p.wall+int64(now))
 		}
 	}
-	sort.Slice(walls, func(i, j int) bool { return walls[i] < walls[j] })
+	slices.Sort(walls)
 	return walls
 }
 
