--- a/kin/kin.go
+++ b/kin/kin.go
@@ -19,12 +19,13 @@
 const Pace = 250 * loop.Milli
 
 const (
-	forgotten = 60 * loop.Second
-	freshSpan = 10 * loop.Second // what wasn't heard of for so long isn't news to anybody
-	hubSpan   = 2 * loop.Second  // a store unheard of for longer is asked only for want of others
-	wholeSpan = 4 * loop.Second  // between two whole books
-	metSpan   = 5 * loop.Second
-	maxMet    = 12
+	forgotten  = 60 * loop.Second
+	freshSpan  = 10 * loop.Second // what wasn't heard of for so long isn't news to anybody
+	hubSpan    = 2 * loop.Second  // a store unheard of for longer is asked only for want of others
+	wholeSpan  = 4 * loop.Second  // between two whole books
+	youngPaces = 40               // how many a process is young
+	metSpan    = 5 * loop.Second
+	maxMet     = 12
 
 	settleSpan = 700 * loop.Milli // what stores promise on has held so long
 	fewSpan    = 6 * loop.Second  // and so long when there are fewer stores than wished for
@@ -406,7 +407,9 @@
 // and not from others.
 func (t *Table) tell(now loop.Micros, out loop.Out) {
 	hubs := t.hubs(now)
-	if t.isMissing || now-t.wholeAt >= wholeSpan {
+	// Whoever hears of no store asks at each pace: the seed asked before may have
+	// known none itself, as when all have just started.
+	if t.isMissing || len(hubs) == 0 || now-t.wholeAt >= wholeSpan {
 		// A seed in turn: that is how two halves that met different seeds find
 		// each other.
 		t.isMissing, t.wholeAt = false, now
@@ -418,6 +421,9 @@
 			out.Dial(seed, report)
 		}
 	}
+	if t.ticks < youngPaces {
+		t.callSeeds(now, out)
+	}
 	isStore, isTurn := t.account != nil, t.ticks%2 == 0
 	if !isTurn && !isStore && !t.terms.IsSide && !t.isWaiting && !t.isNews {
 		return
@@ -446,6 +452,24 @@
 	t.isWaiting, t.isNews = true, false
 }
 
+// callSeeds: a young process calls every seed that it hasn't heard of yet. They may
+// come up after it, as when all have just been restarted, and others who know only
+// them hear of nobody until they do.
+func (t *Table) callSeeds(now loop.Micros, out loop.Out) {
+	heard := map[string]bool{t.self.Inner: true}
+	for _, known := range t.known {
+		if now-known.Heard < hubSpan {
+			heard[known.Member.Inner] = true
+		}
+	}
+	for _, seed := range t.terms.Seeds {
+		if !heard[seed] {
+			heard[seed] = true
+			out.Dial(seed, t.report(now, whole))
+		}
+	}
+}
+
 // isStoreAt tells whether a store, or nobody we know, lives at an address.
 func (t *Table) isStoreAt(address string) bool {
 	for _, known := range t.known {
--- a/kin/kin_test.go
+++ b/kin/kin_test.go
@@ -599,3 +599,28 @@
 		So(h.table.told, ShouldBeEmpty)
 	})
 }
+
+func TestWholeRestart(t *testing.T) {
+	Convey("After a whole restart sides behind seeds without a disk hear of a store soon, in whatever order all come up", t, func() {
+		for seed := range uint64(60) {
+			n := newNetwork(seed)
+			n.fleet("FFFSSShhhhhh", true, 1)
+			for _, k := range []int{3, 4, 5} {
+				n.hosts[k].account = &schema.Self{
+					Id: fmt.Sprintf("old%d", k), Belongs: true, Promise: []string{"old3", "old4", "old5"}, Met: []string{"10.0.0.03:1", "10.0.0.04:1", "10.0.0.05:1"},
+				}
+			}
+			// The stores find each other by whom they met before, the seeds come last.
+			for _, h := range n.hosts[:3] {
+				h.at = 300*loop.Milli + n.draw(300*loop.Milli)
+			}
+			n.startAll(100 * loop.Milli)
+			n.runTo(n.now + 2*loop.Second)
+			for _, h := range n.hosts {
+				if h.terms.IsSide {
+					So(h.table.hubs(n.now), ShouldNotBeEmpty)
+				}
+			}
+		}
+	})
+}
