--- a/heed/heed_test.go
+++ b/heed/heed_test.go
@@ -15,14 +15,20 @@
 
 // desk drives a steward by hand; three stores stand, "a" leads the charter.
 type desk struct {
-	t     *Table
-	now   loop.Micros
-	state *schema.CharterState
-	acts  []*schema.CharterCommand
-	mail  []*schema.ErrandReply // on its way back
+	silent map[string]loop.Micros // since when nobody hears them
+	others map[string]*schema.Member
+	moves  []*schema.Reroster
+	t      *Table
+	now    loop.Micros
+	state  *schema.CharterState
+	acts   []*schema.CharterCommand
+	mail   []*schema.ErrandReply // on its way back
 }
 
 func (d *desk) Send(to string, body any) {
+	if act, isAct := body.(*schema.Reroster); isAct {
+		d.moves = append(d.moves, act)
+	}
 	if errand, isErrand := body.(*schema.Errand); isErrand {
 		command := &schema.CharterCommand{}
 		So(proto.Unmarshal(errand.Body, command), ShouldBeNil)
@@ -51,7 +57,14 @@
 func (d *desk) roll() {
 	roll := &kin.Roll{Known: map[string]kin.Known{}}
 	for _, id := range []string{"a", "b", "c"} {
-		roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: d.now}
+		heard := d.now
+		if since, isSilent := d.silent[id]; isSilent {
+			heard = since
+		}
+		roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0." + id}, Heard: heard}
+	}
+	for id, member := range d.others {
+		roll.Known[id] = kin.Known{Member: member, Heard: d.now}
 	}
 	d.t.Step(d.now, loop.Mail{Body: roll}, d)
 }
@@ -154,3 +167,134 @@
 		So(d.placed(), ShouldBeEmpty)
 	})
 }
+
+func TestSucceededStore(t *testing.T) {
+	Convey("Given a store that lost its disk and is back as another one", t, func() {
+		d := &desk{t: New("h"), now: loop.Second, state: charter.New().State(), silent: map[string]loop.Micros{}, others: map[string]*schema.Member{}}
+		d.state.Version = 1
+		run := func(span loop.Micros) {
+			for end := d.now + span; d.now < end; {
+				d.tick()
+				if d.now%(250*loop.Milli) == 0 {
+					d.tell()
+				}
+			}
+		}
+		run(3 * loop.Second)
+		d.silent["c"] = d.now
+		Convey("Its place is given to the new one within 2 s, not after the wait for one that is only silent", func() {
+			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0.c"}
+			run(2 * loop.Second)
+			So(d.moves, ShouldNotBeEmpty)
+			So(d.moves[0].Learn, ShouldEqual, "d")
+		})
+		Convey("A store elsewhere doesn't stand for one that is only silent", func() {
+			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0.d"}
+			run(4 * loop.Second)
+			So(d.moves, ShouldBeEmpty)
+			run(3 * loop.Second)
+			So(d.moves, ShouldNotBeEmpty)
+		})
+	})
+}
+
+func TestASilentKeeperIsReplaced(t *testing.T) {
+	Convey("Once its peers lead what a silent store led, its lanes and wards move, before we suspect it ourselves", t, func() {
+		d := newDesk()
+		d.put("l")
+		d.state.Lanes = []*schema.LanePlace{{Lane: "l", Generation: 3, Keeper: "c"}}
+		d.state.Wards = []*schema.Ward{{Worker: "w", Placer: "c"}}
+		word := func(from string, leaders map[string]string) {
+			var notes []*schema.WaitNote
+			if from == "a" {
+				notes = append(notes, &schema.WaitNote{Group: charter.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
+			}
+			d.t.Step(d.now, loop.Mail{From: from, Body: &schema.CharterTell{
+				State: proto.Clone(d.state).(*schema.CharterState), Version: d.state.Version, Leaders: leaders, Waits: notes,
+			}}, d)
+		}
+		before := map[string]string{charter.Group: "a", "l": "c"}
+		for _, id := range []string{"a", "b", "c"} {
+			word(id, before)
+		}
+		d.tick()
+		So(d.acts, ShouldBeEmpty)
+		Convey("as soon as that is so", func() {
+			last := d.now
+			for len(d.acts) == 0 && d.now-last < 2*loop.Second {
+				d.tick()
+				after := before
+				if d.now-last > 500*loop.Milli {
+					after = map[string]string{charter.Group: "a", "l": "b"}
+				}
+				word("a", after)
+				word("b", after)
+			}
+			So(d.now-last, ShouldBeBetweenOrEqual, missSpan, missSpan+150*loop.Milli)
+			So(d.acts[0].GetLanes().GetLanes()[0].Keeper, ShouldEqual, "b")
+			So(d.acts[1].GetWards().GetWards()[0].Placer, ShouldEqual, "b")
+		})
+		Convey("but not while nobody else leads it", func() {
+			for k := 0; k < 20; k++ {
+				d.tick()
+				word("a", before)
+				word("b", before)
+			}
+			So(d.acts, ShouldBeEmpty)
+		})
+	})
+}
+
+func TestLostStores(t *testing.T) {
+	// learns lets "c" fall silent and "d" come so long after that, and tells when "d"
+	// is to learn, from the last word of "c" on.
+	learns := func(boot uint64, comes loop.Micros, isSteward bool) loop.Micros {
+		d := newDesk()
+		if !isSteward {
+			d = &desk{t: New("h"), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
+		}
+		silentAt := d.now + 12*loop.Second
+		for d.now < silentAt+10*loop.Second && len(d.moves) == 0 {
+			d.now += Pace
+			roll := &kin.Roll{Known: map[string]kin.Known{}}
+			hear := func(id string, boot uint64, at loop.Micros) {
+				roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Boot: boot, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: at}
+			}
+			hear("a", 1, d.now)
+			hear("b", 1, d.now)
+			hear("c", 1, min(silentAt, d.now))
+			if boot > 0 && d.now > silentAt+comes {
+				hear("d", boot, d.now)
+			}
+			d.t.Step(d.now, loop.Mail{Body: roll}, d)
+			// Before its turn it hears nothing of the licence, so it can't be steward.
+			if isSteward || d.now > silentAt+2*loop.Second {
+				for _, reply := range d.mail {
+					d.t.Step(d.now, loop.Mail{From: "a", Body: reply}, d)
+				}
+				d.mail = nil
+			}
+			d.t.Step(d.now, loop.Mail{Body: loop.Tick{}}, d)
+			d.tell()
+		}
+		if len(d.moves) == 0 {
+			return 0
+		}
+		So(d.moves[0].Learn, ShouldEqual, "d")
+		return d.now - silentAt
+	}
+	Convey("The place of a silent store goes to another after 6 s", t, func() {
+		So(learns(0, 0, true), ShouldEqual, 0)
+		So(learns(2, loop.Second, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+		Convey("and after 2.5 s where an empty one has come since", func() {
+			So(learns(1, loop.Second, true), ShouldBeBetween, 2400*loop.Milli, 3*loop.Second)
+		})
+		Convey("also where it came before; not where it was there when all began", func() {
+			So(learns(1, -loop.Second, true), ShouldBeBetween, 2400*loop.Milli, 3*loop.Second)
+			So(learns(1, -11*loop.Second, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+		})
+		Convey("however late the steward came to be one", func() {
+			So(learns(2, loop.Second, false), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+		})
+	})
+}
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -33,6 +33,7 @@
 	waitMost     = 400 * loop.Milli // how long passing on waits for that
 	maxUnsettled = 8192             // proposals of one group not applied yet
 	tickTimed    = loop.Second
+	wallMost     = 100 * loop.Milli // a lane's timed jobs may be away from the time of day by so much
 	tickKept     = 5 * loop.Second
 )
 
@@ -74,6 +75,7 @@
 type Fresh struct {
 	Groups  map[string]uint64 // group -> term
 	Charter bool              // the charter's word is fresh
+	At      loop.Micros       // when that was so, by the clock of the process; 0: now
 }
 
 // Ended is a worker's report for the lane's leader; Noted answers it.
@@ -388,7 +390,7 @@
 		t.patience.draw()
 	}
 	t.lanes(now, out)
-	fresh := Fresh{Groups: map[string]uint64{}}
+	fresh := Fresh{Groups: map[string]uint64{}, At: now}
 	for name, r := range t.groups {
 		if r.lane != nil && r.group.Acting(now) {
 			fresh.Groups[name] = r.group.Term()
@@ -429,6 +431,14 @@
 		r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
 		r.tickAt = now
 	}
+	// Jobs that are to start at a time of day keep to it, though lane time has
+	// stood still without a leader.
+	if offset, isKnown := g.WallOffset(now, t.wall()); isKnown && m.Timed() > 0 && r.tickIdx <= g.Applied() {
+		if away := offset - m.WallOffset(); away > int64(wallMost) || away < -int64(wallMost) {
+			r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{WallOffsetUs: offset}}})
+			r.tickAt = now
+		}
+	}
 	wanted := &schema.Adopt{
 		StatusUs: t.values.Fleet("status_s") * 1_000_000,
 		Every:    uint32(t.values.Fleet("cache_every")),
@@ -939,7 +949,31 @@
 	if len(old.Lanes) != len(t.state.Lanes) {
 		r.group.Announce(now)
 	}
+	// Workers whose ward went elsewhere are served again as soon as their agents
+	// have heard.
+	if t.roll != nil && areMoved(old.Wards, t.state.Wards) {
+		for _, id := range slices.Sorted(maps.Keys(t.roll.Known)) {
+			if t.roll.Known[id].Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, 2*loop.Second) {
+				t.tellCharter(now, id, &schema.CharterAsk{Version: old.Version}, out)
+			}
+		}
+		return
+	}
 	if steward := t.state.Steward.GetId(); steward != "" && old.Plan != t.state.Plan {
 		t.tellCharter(now, steward, &schema.CharterAsk{Version: old.Version}, out)
 	}
 }
+
+// areMoved tells whether a ward that was there is with another placer now.
+func areMoved(old, list []*schema.Ward) bool {
+	placers := map[string]string{}
+	for _, ward := range old {
+		placers[ward.Worker] = ward.Placer
+	}
+	for _, ward := range list {
+		if placer, isKnown := placers[ward.Worker]; isKnown && placer != ward.Placer {
+			return true
+		}
+	}
+	return false
+}
--- a/lane/machine.go
+++ b/lane/machine.go
@@ -46,6 +46,8 @@
 	started    uint64   // tasks checked out so far
 	after      [][]int  // of each part: the parts it waits for
 	before     [][]int  // of each part: the parts that wait for it
+	ahead      [][]Leg  // of each part: the longest way from it on
+	span       []Leg    // the longest of these
 }
 
 type task struct {
@@ -102,6 +104,15 @@
 	Saved       string // progress that the next start carries
 	Failures    uint32 // counted so far, of the task or its whole group
 	IsLaunched  bool
+	AgeUs       int64 // since its round was due
+	Span        []Leg // the steps on the longest way through the round
+	Ahead       []Leg // the same from this step on, itself first
+}
+
+// Leg is one step on a way through a round.
+type Leg struct {
+	EstimateUs int64 // of one task; 0: none
+	CoresMilli int64 // of all its tasks
 }
 
 // Standing is a task as the placer sees it.
@@ -152,6 +163,9 @@
 	cachedAt uint64
 	index    uint64
 	effects  *Effects
+	// What the latest tick told of the time of day; for the leader to know
+	// whether it is to tell anew, so not part of the state at rest.
+	wallOffset int64
 }
 
 // New makes an empty lane.
@@ -175,6 +189,7 @@
 func (m *Machine) Kept() int              { return len(m.fading) }
 func (m *Machine) Timed() int             { return m.byStart.Len() }
 func (m *Machine) Carries() uint64        { return m.carries }
+func (m *Machine) WallOffset() int64      { return m.wallOffset }
 func (m *Machine) Adopted() *schema.Adopt { return m.adopt }
 
 // Oldest is the job whose payload stands lowest in the log.
@@ -237,6 +252,10 @@
 		m.down(body.Down)
 	case *schema.LaneCommand_Carry:
 		m.carry(index, body.Carry)
+	case *schema.LaneCommand_Tick:
+		if body.Tick.WallOffsetUs != 0 {
+			m.setClock(body.Tick.WallOffsetUs)
+		}
 	case *schema.LaneCommand_Adopt:
 		m.adopt = body.Adopt
 		m.passTime()
@@ -270,6 +289,26 @@
 	}
 }
 
+// setClock takes in how the time of day stands to lane time, which stands still
+// while nobody leads: rounds that are still to come keep to the time of day they
+// were asked for. What has opened stays open.
+func (m *Machine) setClock(offset int64) {
+	m.wallOffset = offset
+	var moved []*job
+	m.byStart.Ascend(func(j *job) bool {
+		if j.spec.GetStartWallUs() > 0 && j.spec.GetDelayUs() == 0 && j.startUs != j.spec.StartWallUs-offset {
+			moved = append(moved, j)
+		}
+		return true
+	})
+	for _, j := range moved {
+		m.byStart.Delete(j)
+		j.startUs = j.spec.StartWallUs - offset
+		m.byStart.ReplaceOrInsert(j)
+	}
+	m.passTime()
+}
+
 // --- enqueue ---
 
 func (m *Machine) enqueue(index uint64, e *schema.Enqueue) {
@@ -371,8 +410,8 @@
 		id: m.nextJob, name: e.Name, digest: e.Digest, index: index, startUs: e.StartUs,
 		spec: e.Job,
 	}
-	if j.startUs == 0 && j.spec.Rounds > 1 {
-		j.startUs = m.now // the later rounds are counted from it
+	if j.startUs == 0 {
+		j.startUs = m.now // its age and the later rounds are counted from it
 	}
 	j.expand()
 	m.jobs[j.id], m.names[j.name] = j, j
@@ -427,6 +466,12 @@
 			}
 		}
 	}
+	j.ahead = make([][]Leg, parts)
+	for part := range j.spec.GetSteps() {
+		if way := j.way(part, parts); sumOf(way) > sumOf(j.span) {
+			j.span = way
+		}
+	}
 	steps := j.rounds() * parts
 	j.tasks, j.left, j.out, j.failures = make([][]task, steps), make([]int, steps), make([]int, steps), make([]uint32, steps)
 	for s := range j.left {
@@ -437,6 +482,35 @@
 	}
 }
 
+// way is the longest way from a part on, through at most so
+// many parts.
+func (j *job) way(part, most int) []Leg {
+	if j.ahead[part] != nil || most == 0 {
+		return j.ahead[part]
+	}
+	var longest []Leg
+	for _, next := range j.before[part] {
+		if way := j.way(next, most-1); sumOf(way) > sumOf(longest) {
+			longest = way
+		}
+	}
+	step := j.spec.Steps[part]
+	j.ahead[part] = append([]Leg{{step.EstimateUs, step.CoresMilli * int64(step.Tasks)}}, longest...)
+	return j.ahead[part]
+}
+
+func sumOf(list []Leg) (sum int64) {
+	for _, each := range list {
+		sum += each.EstimateUs
+	}
+	return sum
+}
+
+// ageUs is how long ago a round was due.
+func (j *job) ageUs(round int, now int64) int64 {
+	return now - j.startUs - int64(round)*max(0, j.spec.GetEveryUs())
+}
+
 // makeRound makes the tasks of the next round.
 func (j *job) makeRound() {
 	for part, step := range j.spec.GetSteps() {
@@ -503,6 +577,7 @@
 		Attempt: each.attempt, Worker: each.worker, Incarnation: each.incarnation,
 		Name: j.name, Order: j.id, Round: uint32(s / parts), Part: uint32(s % parts), Spec: j.step(s), Text: j.spec.Text,
 		Saved: account.saved, Failures: account.failures, IsLaunched: each.isLaunched,
+		AgeUs: j.ageUs(s/parts, m.now), Span: j.span, Ahead: j.ahead[s%parts],
 	}
 }
 
--- a/placer/agent_test.go
+++ b/placer/agent_test.go
@@ -466,7 +466,7 @@
 			}
 			say()
 			d.lane("m", 50, each.urgent...)
-			d.pass(80 * loop.Milli)
+			d.pass(preemptAfter - Pace)
 			So(stops(d), ShouldBeEmpty) // it waits a little first
 			d.pass(60 * loop.Milli)
 			say()
@@ -480,7 +480,7 @@
 		both := []*schema.TaskNote{run(1, 0, loop.Second), run(2, 0, loop.Second)}
 		d.announce("w", func(a *schema.Announce) { a.Running = both })
 		d.lane("m", 50, shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1000}))
-		d.pass(150 * loop.Milli)
+		d.pass(preemptAfter + 2*Pace)
 		So(stops(d), ShouldResemble, map[uint64]int{1: 1, 2: 1})
 		d.announce("w", func(a *schema.Announce) {
 			a.Running, a.Ended = both[1:], []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}}
@@ -709,6 +709,25 @@
 		}
 		So(len(d.picks()), ShouldEqual, 1)
 	})
+	Convey("Where a lane's tasks often fail by their own fault, a few failures in a row say nothing of their worker", t, func() {
+		d := setUp()
+		for k := uint64(1); k <= 65; k++ {
+			for _, id := range []string{"a", "b", "c"} {
+				finish(d, id, loop.Second)
+				if k%10 == 0 {
+					fail(d, id, 1000+k)
+				}
+			}
+		}
+		fail(d, "a", 1, 2, 3)
+		ready(d, step)
+		So(d.t.workers["a"].isOnTrial, ShouldBeFalse)
+		Convey("but many do", func() {
+			fail(d, "a", 4, 5, 6, 7)
+			ready(d, step)
+			So(d.t.workers["a"].isOnTrial, ShouldBeTrue)
+		})
+	})
 	Convey("One task that fails again and again says nothing of its worker", t, func() {
 		d := setUp()
 		for k := uint32(1); k < 4; k++ {
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"sort"
 
 	"sparnotch/loop"
 	"sparnotch/schema"
@@ -11,6 +10,8 @@
 
 const (
 	firstRest  = 5 * loop.Second
+	slowRest   = 1500 * loop.Milli // of a worker that is slow: whether it still is shows soon
+	slowTasks  = 3                 // at a time, that it is tried with
 	mostRest   = 60 * loop.Second
 	stuckSpan  = 2 * loop.Second
 	stuckTimes = 4
@@ -18,19 +19,65 @@
 	stillSpan  = 3 * loop.Second  // without progress; an agent looks only now and then
 	frozenSpan = 4 * loop.Second  // without progress, for tasks that tell it
 	shortRun   = 500 * loop.Milli // shorter runs say nothing of a worker's pace
-	rowMost    = 3                // failures in a row that set a worker aside where others fail seldom
-	rowQuiet   = 2                // the same where others hardly ever fail
+
+	badShare    = 0.5  // of its runs a bad worker fails about so many
+	leastShare  = 0.01 // of the runs that sound workers fail is at least taken for granted
+	shareWeight = 20   // runs that the least share counts as until there are more
+	mostDoubt   = 7.5  // evidence, as a logarithm, by which a worker is bad
+	trialDoubt  = 3.5  // the same for one that has been bad before
 )
 
 // quality is what a worker's runs so far say of it.
 type quality struct {
 	slow       float64 // decayed mean of how much longer its runs took, as a logarithm
-	row        int     // tasks failed in a row
-	rowJob     taskKey // the latest of them
+	doubt      float64 // evidence that it fails more than others, as a logarithm; never below 0
+	failedKey  taskKey // the task that failed here last
+	tallies    map[string]*tally
 	asideUntil loop.Micros
 	rest       loop.Micros // its latest rest
 	isOnTrial  bool        // it has been set aside and hasn't shown itself sound since
-	trials     int         // sound runs since
+	meter      meter
+	trialTasks int // that it is tried with at a time
+	trials     int // sound runs since
+}
+
+// tally is decayed counts of a lane's tasks that ended on one worker.
+type tally struct{ good, bad float64 }
+
+// usualShare is the share of a lane's runs that fail on other workers.
+func (t *Table) usualShare(w *worker, lane string) float64 {
+	good, bad := 0.0, 0.0
+	for _, id := range t.workerIds() {
+		if other := t.workers[id]; other != w && other.tallies[lane] != nil {
+			good += other.tallies[lane].good
+			bad += other.tallies[lane].bad
+		}
+	}
+	share := (bad + leastShare*shareWeight) / (good + bad + shareWeight)
+	return math.Min(math.Max(share, leastShare), badShare)
+}
+
+// weigh sets an end against how often the lane's tasks fail elsewhere: what
+// fails by its own fault does so everywhere.
+func (t *Table) weigh(w *worker, lane string, isFailed bool) {
+	share := t.usualShare(w, lane)
+	if w.tallies == nil {
+		w.tallies = map[string]*tally{}
+	}
+	own := w.tallies[lane]
+	if own == nil {
+		own = &tally{}
+		w.tallies[lane] = own
+	}
+	own.good *= 0.98
+	own.bad *= 0.98
+	if isFailed {
+		own.bad++
+		w.doubt += math.Log(badShare / share)
+	} else {
+		own.good++
+		w.doubt = math.Max(0, w.doubt+math.Log((1-badShare)/(1-share)))
+	}
 }
 
 // paceKey names tasks whose runs can be compared: those of a lane by their
@@ -39,16 +86,51 @@
 	lane, step string
 }
 
-// pace is how long such tasks take, as a logarithm of times their estimate (or
-// of seconds, where there is none). It follows the median: one bad worker
-// doesn't move it.
+// pace is how long such tasks take, as a line through the logarithms of their
+// estimates (a second, where there is none) and of their runs, both in
+// microseconds: rough estimates say less than what others took. What lies far
+// off moves it little, so that one bad worker doesn't.
 type pace struct {
-	value             float64
+	x, y, xx, xy      float64 // decayed means, variance and covariance
+	isEstimated       bool
 	count             int
 	worker, other     string // the latest two workers one ended on
 	workerAt, otherAt loop.Micros
 }
 
+const (
+	paceDecay  = 0.99
+	leastCount = 3
+	trustCount = 5    // runs that the estimates themselves count as
+	lineWeight = 0.05 // the variance of estimates that goes with that
+	mostOff    = 0.7  // how far off a run may move the line, as a logarithm
+)
+
+// at is where the line stands, for the logarithm of an estimate.
+func (p *pace) at(x float64) float64 {
+	slope := math.Max(0, math.Min(1, (p.xy+lineWeight)/(p.xx+lineWeight)))
+	line := p.y + slope*(x-p.x)
+	if !p.isEstimated {
+		return line
+	}
+	// The first to end are the short ones: they don't say much of the others.
+	return line + (x-line)*trustCount/float64(trustCount+p.count)
+}
+
+// learn moves the line by one run.
+func (p *pace) learn(x, y float64) {
+	if p.count > 0 {
+		y = math.Max(p.at(x)-mostOff, math.Min(p.at(x)+mostOff, y))
+	}
+	p.count++
+	part := math.Max(1-paceDecay, 1/float64(p.count))
+	dx, dy := x-p.x, y-p.y
+	p.x += part * dx
+	p.y += part * dy
+	p.xx += part * (dx*(x-p.x) - p.xx)
+	p.xy += part * (dx*(y-p.y) - p.xy)
+}
+
 func paceOf(each *task) (paceKey, float64) {
 	if each.spec.EstimateUs > 0 {
 		return paceKey{each.key.lane, ""}, float64(each.spec.EstimateUs)
@@ -59,13 +141,13 @@
 // expected is how long a task should run on a worker; 0: unknown.
 func (t *Table) expected(w *worker, each *task) loop.Micros {
 	key, unit := paceOf(each)
-	value := 0.0
-	if p := t.paces[key]; p != nil && p.count >= 3 {
-		value = p.value
+	span := unit
+	if p := t.paces[key]; p != nil && p.count >= leastCount {
+		span = math.Exp(p.at(math.Log(unit)))
 	} else if each.spec.EstimateUs == 0 {
 		return 0
 	}
-	return loop.Micros(unit * math.Exp(value) * t.away(w, each.spec))
+	return loop.Micros(span * t.away(w, each.spec))
 }
 
 // away is how many times as long a step's tasks take on this worker for want of
@@ -98,26 +180,29 @@
 	case "done":
 		w.good = w.good*0.98 + 1
 		w.bad *= 0.98
-		w.row = 0
-		if w.isOnTrial && now >= w.asideUntil {
+		t.weigh(w, key.lane, false)
+		each := w.tasks[key.taskKey]
+		if w.isOnTrial && (each == nil || each.beganAt >= w.asideUntil) {
 			if w.trials++; w.trials >= 2 {
 				w.isOnTrial, w.trials = false, 0
 			}
 		} else if !w.isOnTrial && w.rest > 0 {
 			w.rest = w.rest * 9 / 10
 		}
-		if each := w.tasks[key.taskKey]; each != nil && each.attempt == key.attempt {
+		if each != nil && each.attempt == key.attempt {
 			t.compare(now, w, each, note)
+			t.gaugeEnd(now, w, each, note)
 		}
 	case "failed":
 		w.bad = w.bad*0.98 + 1
 		w.good *= 0.98
-		// A task that fails by its own fault does so again and again, which says
-		// nothing of the worker.
-		if w.row == 0 || w.rowJob != key.taskKey {
-			w.row++
-			w.rowJob = key.taskKey
+		// A task that fails by its own fault does so again and again, here and
+		// elsewhere, which says nothing of the worker.
+		each := w.tasks[key.taskKey]
+		if isKnown := each != nil && each.failures > 0; !isKnown && w.failedKey != key.taskKey {
+			t.weigh(w, key.lane, true)
 		}
+		w.failedKey = key.taskKey
 	}
 }
 
@@ -131,20 +216,19 @@
 		return
 	}
 	key, unit := paceOf(each)
-	x := math.Log(float64(run) / unit / t.away(w, each.spec))
+	x, y := math.Log(unit), math.Log(float64(run)/t.away(w, each.spec))
 	p := t.paces[key]
 	if p == nil {
 		if len(t.paces) > 4096 {
 			t.paces = map[paceKey]*pace{}
 		}
-		p = &pace{value: x}
+		p = &pace{isEstimated: key.step == ""}
 		t.paces[key] = p
 	}
-	if run >= shortRun && p.count >= 3 {
-		w.slow = 0.8*w.slow + 0.2*(x-p.value)
+	if run >= shortRun && p.count >= leastCount {
+		w.slow = 0.8*w.slow + 0.2*(y-p.at(x))
 	}
-	p.value += math.Max(-0.1, math.Min(0.1, x-p.value))
-	p.count++
+	p.learn(x, y)
 	if p.worker != w.id {
 		p.other, p.otherAt = p.worker, p.workerAt
 	}
@@ -167,7 +251,7 @@
 	}
 	key, _ := paceOf(each)
 	p := t.paces[key]
-	if p == nil || p.count < 3 {
+	if p == nil || p.count < leastCount {
 		return false
 	}
 	expected := t.expected(w, each)
@@ -196,9 +280,11 @@
 	return run > stuckTimes*expected*patience && run > stuckSpan && still > loop.Second
 }
 
-// setAside gives a worker a rest, twice as long as the one before.
-func (t *Table) setAside(now loop.Micros, w *worker) {
+// setAside gives a worker a rest, twice as long as the one before, and at least
+// so long; then it is tried with so many tasks at a time.
+func (t *Table) setAside(now loop.Micros, w *worker, first loop.Micros, tasks int) {
 	if now < w.asideUntil {
+		w.asideUntil = max(w.asideUntil, now+first)
 		return
 	}
 	// Where half of the workers look bad, it isn't the workers. Those that are
@@ -216,8 +302,8 @@
 	if 2*(others+1) > all {
 		return
 	}
-	w.rest = min(max(2*w.rest, firstRest), mostRest)
-	w.asideUntil, w.isOnTrial, w.trials, w.row = now+w.rest, true, 0, 0
+	w.rest = min(max(2*w.rest, first), mostRest)
+	w.asideUntil, w.isOnTrial, w.trials, w.doubt, w.trialTasks = now+w.rest, true, 0, 0, tasks
 }
 
 func failureRate(w *worker) float64 { return w.bad / (w.good + w.bad + 2) }
@@ -227,26 +313,10 @@
 	return w.isKnown && !w.isOver && now-w.heard <= silentSpan
 }
 
-func (t *Table) medianFailure(now loop.Micros) float64 {
-	var rates []float64
-	for _, w := range t.workers {
-		if w.isHere(now) {
-			rates = append(rates, failureRate(w))
-		}
-	}
-	if len(rates) == 0 {
-		return 0
-	}
-	sort.Float64s(rates)
-	return rates[(len(rates)-1)/2]
-}
-
-// isSuspect tells whether a worker fails far more than others. Few failures
-// will do where others hardly fail.
-func (t *Table) isSuspect(w *worker, median float64) bool {
-	switch {
-	case len(t.workers) > 1 && median < 0.05 && w.row >= rowQuiet, median < 0.1 && w.row >= rowMost:
-		return true
+// isSuspect tells whether a worker fails far more than others.
+func (w *worker) isSuspect() bool {
+	if w.isOnTrial {
+		return w.doubt >= trialDoubt
 	}
-	return w.bad >= 4 && w.row > 0 && failureRate(w) > 0.3 && failureRate(w) > 3*median
+	return w.doubt >= mostDoubt
 }
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -24,21 +24,29 @@
 
 // wish is what a pass knows of a step while it looks for room for it.
 type wish struct {
-	step    stepKey
-	spec    *schema.Step
-	need    amount
-	workers map[string]int // its tasks by worker
-	racks   map[string]int // its tasks by rack
-	favour  string         // the rack it keeps together in
-	mayRest bool           // it has waited long enough for workers that are set aside or on trial
+	step      stepKey
+	spec      *schema.Step
+	need      amount
+	workers   map[string]int // its tasks by worker
+	racks     map[string]int // its tasks by rack
+	favour    string         // the rack it keeps together in
+	mayRest   bool           // it has waited long enough for workers that are set aside or on trial
+	chance    chance
+	isPatient bool // it hasn't waited long
+	isBrief   bool // its tasks end about as soon as they could be stopped
+	// core-microseconds that may be thrown away for one task
+	worthwhile float64
 }
 
 func (t *Table) wishOf(now loop.Micros, v *view, b *band, list []*room) *wish {
 	first, _ := b.ready.Min()
 	x := &wish{
 		step: b.key, spec: b.spec, need: sizeOf(b.spec), workers: map[string]int{}, racks: map[string]int{},
-		mayRest: now-first.since > asideAfter,
+		isBrief: t.isBrief(v, first),
 	}
+	x.isPatient = now-first.since <= asideAfter
+	x.mayRest = !x.isPatient && (isRoomy(list) || !t.hasHome(list, x)) || now-first.since > outAfter
+	x.worthwhile = t.worthwhile(v, first)
 	for id, count := range v.places[b.key] {
 		x.workers[id] = count
 		if w := t.workers[id]; w != nil {
@@ -72,11 +80,23 @@
 	return best
 }
 
+// hasHome tells whether a worker that isn't set aside or on trial could run the
+// step's tasks once it has room.
+func (t *Table) hasHome(list []*room, x *wish) bool {
+	return slices.ContainsFunc(list, func(r *room) bool {
+		return !r.w.isOnTrial && r.w.whole().has(x.need) && t.hasLabels(r, x)
+	})
+}
+
 // suits tells whether a worker may run a step's tasks at all.
 func (t *Table) suits(r *room, x *wish) bool {
-	if r.isClaimed || r.isAside && !x.mayRest {
+	if r.isClaimed || r.isAside && !x.mayRest || r.w.isOnTrial && !x.isBrief && !x.mayRest {
 		return false
 	}
+	return t.hasLabels(r, x)
+}
+
+func (t *Table) hasLabels(r *room, x *wish) bool {
 	for _, label := range x.spec.Labels {
 		if !slices.Contains(r.w.labels, label) {
 			return false
@@ -182,6 +202,7 @@
 			views = append(views, v)
 			oldest[v] = v.oldest()
 		}
+		v.aim = t.aimOf(v.lane)
 	}
 	if len(views) == 0 {
 		return
@@ -201,15 +222,19 @@
 			p.least = min(p.least, v.urgency)
 		}
 	}
+	own := map[string][]*room{}
+	for _, r := range list {
+		own[r.w.pool] = append(own[r.w.pool], r)
+	}
+	queues := map[*view]*[lost + 1]heads{}
 	for _, v := range views {
-		pool := t.values.Text("lane", v.lane, "pool")
-		var own []*room
-		for _, r := range list {
-			if r.w.pool == pool {
-				own = append(own, r)
-			}
+		list := t.heads(now, v)
+		queues[v] = &list
+	}
+	for _, each := range []chance{inTime, late, lost} {
+		for _, v := range views {
+			t.passLane(now, v, each, &queues[v][each], own[t.values.Text("lane", v.lane, "pool")], list, p, out)
 		}
-		t.passLane(now, v, own, list, p, out)
 	}
 	if p.isFutile {
 		t.futileAt = now
@@ -243,8 +268,15 @@
 type heads []*head
 
 type head struct {
-	row *row
-	at  *band
+	bands []*band // of one shape and chance
+	at    *band   // the first of them that is still to be looked at; nil: none
+}
+
+// next goes on to the step behind.
+func (h *head) next() {
+	if h.bands, h.at = h.bands[1:], nil; len(h.bands) > 0 {
+		h.at = h.bands[0]
+	}
 }
 
 func (h heads) Len() int           { return len(h) }
@@ -257,43 +289,50 @@
 	return last
 }
 
-// after is the step behind one in its row, which it may have left by now.
-func (r *row) after(at *band) *band {
-	var found *band
-	r.bands.AscendGreaterOrEqual(at, func(b *band) bool {
-		if b.key == at.key {
-			return true
-		}
-		found = b
-		return false
-	})
-	return found
-}
-
-func (v *view) heads() *heads {
-	list := make(heads, 0, len(v.rows))
+// heads sorts a lane's ready steps by their chance, in one look at each.
+func (t *Table) heads(now loop.Micros, v *view) (queues [lost + 1]heads) {
 	for _, r := range v.rows {
-		if first, isThere := r.bands.Min(); isThere {
-			list = append(list, &head{r, first})
+		var bands [lost + 1][]*band
+		r.bands.Ascend(func(b *band) bool {
+			first, _ := b.ready.Min()
+			turn := t.chanceOf(now, v, first)
+			bands[turn] = append(bands[turn], b)
+			return true
+		})
+		for turn, list := range bands {
+			if len(list) > 0 {
+				queues[turn] = append(queues[turn], &head{list, list[0]})
+			}
 		}
 	}
-	heap.Init(&list)
-	return &list
+	for turn := range queues {
+		heap.Init(&queues[turn])
+	}
+	return queues
 }
 
-func (t *Table) passLane(now loop.Micros, v *view, list, all []*room, p *passage, out loop.Out) {
+func (t *Table) passLane(now loop.Micros, v *view, turn chance, queue *heads, list, all []*room, p *passage, out loop.Out) {
 	var picks []*schema.Pick
+	spare := math.MaxInt64
+	if turn == lost {
+		spare = spareOf(list)
+	}
+	if queue.Len() == 0 {
+		return
+	}
+	head := t.headroom(v, list)
 	left := int(v.running) - v.out - len(v.reserved)
 	misses := 0
-	for queue := v.heads(); queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses; {
+	for queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses && spare > 0 {
 		h := (*queue)[0]
 		b := h.at
-		if h.at = h.row.after(b); h.at == nil {
+		if h.next(); h.at == nil {
 			heap.Pop(queue)
 		} else {
 			heap.Fix(queue, 0)
 		}
 		x := t.wishOf(now, v, b, list)
+		x.chance = turn
 		var group []*task
 		if b.spec.Together {
 			// Members are ready together, or the group isn't whole yet.
@@ -306,7 +345,13 @@
 			})
 		}
 		isMissed := false
-		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 {
+		// What has waited long while much is free isn't kept waiting for what may
+		// come.
+		mayFill := x.isBrief || !x.isPatient && isRoomy(list)
+		if !mayFill && head.times(x.need) < int64(max(1, len(group))) {
+			continue
+		}
+		for left > 0 && len(picks) < maxPicks && b.ready.Len() > 0 && spare > 0 && (mayFill || head.has(x.need)) {
 			members := group
 			if !b.spec.Together {
 				first, _ := b.ready.Min()
@@ -324,6 +369,8 @@
 					Worker: chosen[k].w.id, Incarnation: chosen[k].w.incarnation,
 				})
 				left--
+				spare -= int(x.need.cores)
+				head.sub(x.need)
 			}
 		}
 		if !isMissed {
@@ -341,9 +388,11 @@
 		heap.Remove(queue, slices.Index(*queue, h))
 		for k := 1; got > 0 && h.at != nil && k < maxMisses && t.mayAwait(now, v, list, p); k++ {
 			if next := h.at; !next.spec.Together || next.ready.Len() == int(next.spec.Tasks) {
-				got = t.await(now, v, next, t.wishOf(now, v, next, list), left, list, all, p)
+				y := t.wishOf(now, v, next, list)
+				y.chance = turn
+				got = t.await(now, v, next, y, left, list, all, p)
 			}
-			h.at = h.row.after(h.at)
+			h.next()
 		}
 	}
 	if len(picks) > 0 {
@@ -353,6 +402,16 @@
 	}
 }
 
+// spareOf is how many milli cores may still be taken by what is lost.
+func spareOf(list []*room) int {
+	free, whole := int64(0), int64(0)
+	for _, r := range list {
+		free += r.free.cores
+		whole += r.w.cores
+	}
+	return int(free) - int((1-lostShare)*float64(whole))
+}
+
 // chooseFor finds a worker for every task of the group, or none for any.
 func (t *Table) chooseFor(now loop.Micros, group []*task, list []*room, x *wish) []*room {
 	if !x.spec.Together {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,9 +35,10 @@
 	leaveSpan    = 500 * loop.Milli  // a decided start may still reach a worker that has just said it leaves
 	groupSpan    = 3 * loop.Second   // a group that isn't held by then is let go
 	gatherSpan   = 2 * loop.Second   // a member that hasn't begun by then lets the others go, unless the bounds say more
-	preemptAfter = 100 * loop.Milli  // how long urgent work waits before it displaces
+	preemptAfter = 250 * loop.Milli  // how long urgent work waits before it displaces
 	claimAfter   = 1500 * loop.Milli // how long wide work waits before workers are kept free for it
-	asideAfter   = 2500 * loop.Milli // how long work waits before it goes to workers that are set aside
+	asideAfter   = 2500 * loop.Milli // how long work that nobody else could run waits before it goes to workers that are set aside
+	outAfter     = 12 * loop.Second  // the same for other work
 	stopSpan     = 3 * loop.Second   // a stop that takes longer is waited for no more, unless the bounds say more
 	departLead   = 500 * loop.Milli  // how long before its worker goes a task is stopped to keep its progress
 	overSpan     = 60 * loop.Second  // how long a worker stays known as dead after the last word of it
@@ -86,8 +87,12 @@
 	isLaunched  bool        // its group is decided to begin
 	launchAt    loop.Micros // when that was proposed
 	heldAt      loop.Micros // when the whole group was first seen held
+	isOver      bool        // its end has been noted, by more than we have heard of the lane
 	round, part uint32
 	saved       string // progress its next start carries
+	failures    uint32 // counted so far
+	dueAt       loop.Micros
+	course
 	trail
 }
 
@@ -100,6 +105,7 @@
 	seen    string      // kept progress last seen
 	strikes uint32      // times it was stopped for standing still
 	orderAt loop.Micros // its start order left last
+	mark    mark
 	stopAt  loop.Micros // it was first seen wanting to be stopped
 	isLate  bool        // its stop takes too long to wait for the room
 }
@@ -157,13 +163,16 @@
 	term, hand  uint64
 	urgency     int64
 	running     int64
-	tasks       map[taskKey]*task
-	rows        map[shape]*row
-	places      map[stepKey]map[string]int // tasks by worker, out or on their way
-	reserved    map[taskKey]*task          // ready, with a checkout on its way
-	gangs       map[taskKey]*task          // first members of groups that are out and not decided to begin
-	out         int
-	waits       int // ready tasks without a checkout on its way
+	aim
+	use      amount // by what is out
+	peak     swing  // of that
+	tasks    map[taskKey]*task
+	rows     map[shape]*row
+	places   map[stepKey]map[string]int // tasks by worker, out or on their way
+	reserved map[taskKey]*task          // ready, with a checkout on its way
+	gangs    map[taskKey]*task          // first members of groups that are out and not decided to begin
+	out      int
+	waits    int // ready tasks without a checkout on its way
 }
 
 type ended struct {
@@ -243,6 +252,7 @@
 	names     map[nameKey][]*task
 	over      map[string]loop.Micros // dead workers, and when that was last told
 	paces     map[paceKey]*pace
+	cores     int64    // milli cores of all workers that may be given work
 	ids       []string // of the workers, in order; nil: to be made anew
 }
 
@@ -277,7 +287,8 @@
 	case *schema.CharterTell:
 		t.charter(now, body, out)
 	case keep.Fresh:
-		t.fresh, t.freshAt = body, now
+		// A process that was frozen finds word from before in its mail.
+		t.fresh, t.freshAt = body, cmp.Or(body.At, now)
 	case keep.Shifts:
 		t.shifts(now, body, out)
 	case keep.Lost:
@@ -378,6 +389,10 @@
 	v := t.views[m.Lane]
 	if m.IsWhole {
 		was := map[taskKey]task{}
+		peak := swing{}
+		if v != nil {
+			peak = v.peak
+		}
 		if v != nil && v.group == m.Group {
 			for key, each := range v.tasks {
 				was[key] = *each
@@ -386,7 +401,7 @@
 		v = &view{lane: m.Lane, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, rows: map[shape]*row{}, places: map[stepKey]map[string]int{}}
 		t.lose(m.Lane)
 		t.views[m.Lane] = v
-		v.urgency, v.running = m.Urgency, m.Running
+		v.urgency, v.running, v.peak = m.Urgency, m.Running, peak
 		for _, shift := range m.List {
 			t.shift(now, v, shift)
 		}
@@ -442,7 +457,8 @@
 	each := &task{
 		key: key, standing: s.State, attempt: s.Attempt, worker: s.Worker, incarnation: s.Incarnation,
 		hand: s.Hand, name: s.Name, spec: s.Spec, text: s.Text, since: now, isLaunched: s.IsLaunched,
-		round: s.Round, part: s.Part, saved: s.Saved,
+		round: s.Round, part: s.Part, saved: s.Saved, failures: s.Failures,
+		dueAt: now - loop.Micros(s.AgeUs), course: course{s.Span, s.Ahead},
 	}
 	if old != nil {
 		each.why, each.strikes = old.why, old.strikes
@@ -462,6 +478,7 @@
 		return
 	}
 	v.out++
+	v.use.add(sizeOf(each.spec))
 	v.place(each, each.worker, 1)
 	t.placedOn(each.worker)[key] = each
 	if each.spec.Together && key.task == 0 && each.standing == lane.Out && !each.isLaunched {
@@ -499,6 +516,7 @@
 		return
 	}
 	v.out--
+	v.use.sub(sizeOf(old.spec))
 	v.place(old, old.worker, -1)
 	delete(v.gangs, key)
 	delete(t.placed[old.worker], key)
@@ -643,6 +661,7 @@
 		w.running[noteKey(note)] = note
 		t.look(now, w, note)
 	}
+	t.gauge(now, w)
 	t.reports(now, w, over, out)
 	t.forsaken(now, w, out)
 	t.buried(now, a.Over, m.Worker, out)
@@ -787,6 +806,13 @@
 			e.isNoted, w.isDirty = true, true
 		}
 	}
+	// The lane has taken the end in, though its shift may not be here yet: this
+	// attempt isn't started any more.
+	if v := t.views[m.Lane]; v != nil && m.Key != nil {
+		if each := v.tasks[taskKey{m.Lane, m.Key.Job, m.Key.Step, m.Key.Task}]; each != nil && each.attempt == m.Attempt && each.worker == m.Worker {
+			each.isOver = true
+		}
+	}
 }
 
 // --- time ---
@@ -800,15 +826,21 @@
 		// Whoever warded it before us may have answered it a little longer
 		// than we know.
 		last := max(w.answered, w.since+wardSpan)
-		if now-w.heard > silentSpan && now-last > licence {
+		// Who isn't sure of being the ward may have a successor that the worker
+		// answers to.
+		if now-w.heard > silentSpan && now-last > licence && t.isSure(now) {
 			for _, each := range t.tasksOf(w) {
 				t.giveBack(now, each, "lost", out)
 			}
 		}
 		t.limits(now, w)
+		if t.isFrozen(now, w) {
+			t.rescue(now, w, crawl)
+		}
 	}
 	t.bury(now, out)
 	for _, v := range t.views {
+		v.peak.follow(v.use)
 		for _, each := range v.reserved {
 			if now-each.reservedAt > reserveSpan {
 				t.unreserve(v, each)
@@ -893,7 +925,7 @@
 				}
 			}
 			t.evictWhole(each, "stopped")
-			t.setAside(now, w)
+			t.setAside(now, w, firstRest, 1)
 			continue
 		}
 		// What can't end in time keeps its progress; what keeps none may as well
@@ -1100,7 +1132,7 @@
 	isBlurry := t.isBlurry(w)
 	for _, each := range t.tasksOf(w) {
 		key := attemptKey{each.key, each.attempt}
-		if each.incarnation != w.incarnation || w.ended[key] != nil || w.isOver {
+		if each.incarnation != w.incarnation || w.ended[key] != nil || w.isOver || each.isOver {
 			continue
 		}
 		v := t.views[each.key.lane]
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -2,15 +2,18 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"sparnotch/lane"
 	"sparnotch/loop"
+	"sparnotch/schema"
 )
 
 const (
 	mostAwaits      = 64               // tasks of one step that room is kept for at once
 	acceleratorCost = 8000             // milli cores that an accelerator counts as
+	lossTimes       = 2                // so many times its own work may be thrown away for a task
 	lastingCost     = 30 * loop.Second // work that stopping a lasting task counts as at least
 )
 
@@ -18,6 +21,7 @@
 type unit struct {
 	members []*task
 	urgency int64
+	chance  chance
 	cost    float64 // core-microseconds of work that are lost
 	isTaken bool
 }
@@ -27,7 +31,7 @@
 // whole workers until they are free. It tells for how many of them.
 func (t *Table) await(now loop.Micros, v *view, b *band, x *wish, left int, list, all []*room, p *passage) (got int) {
 	first, _ := b.ready.Min()
-	mayDisplace := t.mayDisplace(now, v, p) && now-first.since >= preemptAfter
+	mayDisplace := x.chance != lost && t.mayDisplace(now, v, p) && now-first.since >= preemptAfter
 	count := min(b.ready.Len(), left, mostAwaits)
 	if x.spec.Together {
 		count = b.ready.Len()
@@ -119,7 +123,7 @@
 		if !mayDisplace {
 			continue
 		}
-		if found, sum := t.displace(j.now, r, v.urgency, x.need, j.passage); found != nil && (best == nil || sum < cost) {
+		if found, sum := t.displace(j.now, r, v.urgency, x, j.passage); found != nil && sum <= x.worthwhile && (best == nil || sum < cost) {
 			best, units, cost = r, found, sum
 		}
 	}
@@ -151,16 +155,16 @@
 
 // displace finds what of less urgency must go from a worker for a task to fit,
 // with the least work lost; nil if even all of it isn't enough.
-func (t *Table) displace(now loop.Micros, r *room, urgency int64, need amount, p *passage) (units []*unit, cost float64) {
+func (t *Table) displace(now loop.Micros, r *room, urgency int64, x *wish, p *passage) (units []*unit, cost float64) {
 	if !r.hasUnits {
 		r.hasUnits, r.units = true, t.unitsOf(now, r.w, p)
 	}
-	trial := r.later
+	trial, need := r.later, x.need
 	for _, u := range r.units {
 		if trial.has(need) {
 			break
 		}
-		if u.isTaken || u.urgency >= urgency || u.members[0].evict != "" {
+		if u.isTaken || u.urgency >= urgency || u.chance < x.chance || u.members[0].evict != "" {
 			continue
 		}
 		trial.add(u.on(r.w.id))
@@ -217,9 +221,14 @@
 				continue
 			}
 		}
+		u.chance = t.chanceOf(now, t.views[each.key.lane], each)
 		for _, member := range u.members {
 			u.cost += loss(now, member)
 		}
+		// What ends about as soon as it would stop frees its room all the same.
+		if t.remaining(now, w, each) < loop.Micros(t.bounds.GetStopUs())/2 && each.beganAt > 0 {
+			continue
+		}
 		units = append(units, u)
 	}
 	slices.SortStableFunc(units, func(a, b *unit) int {
@@ -243,7 +252,7 @@
 // loss is the work that is lost when a task is stopped now: since its progress
 // was last kept, else since it began.
 func loss(now loop.Micros, each *task) float64 {
-	cores := float64(each.spec.CoresMilli+acceleratorCost*each.spec.Accelerators) / 1000
+	cores := cost(each.spec)
 	if each.spec.Lasting {
 		return cores * float64(lastingCost)
 	}
@@ -256,3 +265,18 @@
 	}
 	return cores * float64(now-from)
 }
+
+// worthwhile is how much work may be thrown away to begin a task at once: more
+// than about its own isn't gained by it.
+func (t *Table) worthwhile(v *view, each *task) float64 {
+	span := t.usual(v.lane, each.ahead[:min(1, len(each.ahead))], 0)
+	if span == 0 || each.spec.Lasting {
+		return math.Inf(1)
+	}
+	return lossTimes * cost(each.spec) * float64(span)
+}
+
+// cost is what a step's tasks take, in cores.
+func cost(spec *schema.Step) float64 {
+	return float64(spec.CoresMilli+acceleratorCost*spec.Accelerators) / 1000
+}
