--- a/cmd/feign/hollow_part.go
+++ b/cmd/feign/hollow_part.go
@@ -148,8 +148,8 @@
 	for _, net := range p.nets {
 		add(net.Counts())
 	}
-	for _, process := range p.lost {
-		for _, lost := range process.Lost() {
+	for _, running := range p.lost {
+		for _, lost := range running.Lost() {
 			r.LostMails += lost
 		}
 	}
@@ -267,22 +267,22 @@
 
 // --- sides: the steward's tables, and an agent with a worker that is hollow ---
 
-// hollowNet carries what leaves a hollow process's tables.
+// hollowNet carries what leaves a hollow running's tables.
 type hollowNet struct {
 	id      string
 	net     *wire.Net
 	book    *kin.Book
-	process *loop.Process
+	running *loop.Process
 }
 
 func (n *hollowNet) Send(to string, body any)       { n.net.Send(n.book.Address(to), body) }
 func (n *hollowNet) Dial(address string, body any)  { n.net.Send(address, body) }
-func (n *hollowNet) Tell(table string, body any)    { n.process.Tell(table, body) }
+func (n *hollowNet) Tell(table string, body any)    { n.running.Tell(table, body) }
 func (n *hollowNet) Answer(errand uint64, body any) {}
 
 func (n *hollowNet) deliver(from string, body any) {
 	for _, table := range hollow.Routes(body) {
-		n.process.Post(table, loop.Mail{From: from, Body: body})
+		n.running.Post(table, loop.Mail{From: from, Body: body})
 	}
 }
 
@@ -305,16 +305,16 @@
 	}
 	book := &kin.Book{}
 	papers := &crew.Papers{Member: member, Seeds: p.setup.seeds(), Book: book, Wall: clock.Wall, Seed: seed, Now: clock.Now()}
-	process := loop.NewProcess(clock)
-	out := &hollowNet{id: member.Id, book: book, process: process}
-	process.Out = out
+	running := loop.NewProcess(clock)
+	out := &hollowNet{id: member.Id, book: book, running: running}
+	running.Out = out
 	for _, berth := range crew.Heed(papers) {
 		// Beyond the stewards wanted, a side is only its agent and the book.
 		if berth.Name == "heed" && p.setup.Stewards > 0 && k >= p.setup.Stewards {
-			process.Add(berth.Name, &hollow.Onlooker{}, hollow.OnlookerPace)
+			running.Add(berth.Name, &hollow.Onlooker{}, hollow.OnlookerPace)
 			continue
 		}
-		process.Add(berth.Name, berth.Table, berth.Pace)
+		running.Add(berth.Name, berth.Table, berth.Pace)
 	}
 	name := fmt.Sprintf("w%04d", k)
 	watch := hollow.Watch{
@@ -330,14 +330,14 @@
 	}
 	rack := fmt.Sprintf("r%d", k/p.setup.PerRack)
 	room := hollow.Room{Cores: 64_000, Memory: 128_000}
-	process.Add(hollow.Name, hollow.New(clock.Now(), name, rack, room, uint64(time.Now().UnixMicro()), rand.New(rand.NewPCG(seed, 2)), watch), hollow.Pace)
+	running.Add(hollow.Name, hollow.New(clock.Now(), name, rack, room, uint64(time.Now().UnixMicro()), rand.New(rand.NewPCG(seed, 2)), watch), hollow.Pace)
 	net, err := wire.Listen(member.Id, member.Inner, out.deliver)
 	if err != nil {
 		return err
 	}
 	out.net = net
-	p.nets, p.lost = append(p.nets, net), append(p.lost, process)
-	process.Run(ctx)
+	p.nets, p.lost = append(p.nets, net), append(p.lost, running)
+	running.Run(ctx)
 	return nil
 }
 
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -310,25 +310,25 @@
 	return queues
 }
 
-func (t *Table) passLane(now loop.Micros, v *view, turn chance, queue *heads, list, all []*room, p *passage, out loop.Out) {
+func (t *Table) passLane(now loop.Micros, v *view, turn chance, waiting *heads, list, all []*room, p *passage, out loop.Out) {
 	var picks []*schema.Pick
 	spare := math.MaxInt64
 	if turn == lost {
 		spare = spareOf(list)
 	}
-	if queue.Len() == 0 {
+	if waiting.Len() == 0 {
 		return
 	}
 	head := t.headroom(v, list)
 	left := int(v.running) - v.out - len(v.reserved)
 	misses := 0
-	for queue.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses && spare > 0 {
-		h := (*queue)[0]
+	for waiting.Len() > 0 && left > 0 && len(picks) < maxPicks && misses < p.misses && spare > 0 {
+		h := (*waiting)[0]
 		b := h.at
 		if h.next(); h.at == nil {
-			heap.Pop(queue)
+			heap.Pop(waiting)
 		} else {
-			heap.Fix(queue, 0)
+			heap.Fix(waiting, 0)
 		}
 		x := t.wishOf(now, v, b, list)
 		x.chance = turn
@@ -384,7 +384,7 @@
 		if h.at == nil {
 			continue
 		}
-		heap.Remove(queue, slices.Index(*queue, h))
+		heap.Remove(waiting, slices.Index(*waiting, h))
 		for k := 1; got > 0 && h.at != nil && k < maxMisses && t.mayAwait(now, v, list, p); k++ {
 			if next := h.at; !next.spec.Together || next.ready.Len() == int(next.spec.Tasks) {
 				y := t.wishOf(now, v, next, list)
--- a/sim/transport_test.go
+++ b/sim/transport_test.go
@@ -13,8 +13,8 @@
 	"sparnotch/wire"
 )
 
-// transport is what tables are given to reach other processes with.
-type transport interface {
+// network is what tables are given to reach other processes with.
+type network interface {
 	// dial sends from one of two ends to an address.
 	dial(from int, address string, body any)
 	address(end int) string
@@ -23,8 +23,8 @@
 	cut(isCut bool) // both ways
 }
 
-// transportContract: whoever writes another transport runs this over it.
-func transportContract(t transport) {
+// transportContract: whoever writes another network runs this over it.
+func transportContract(t network) {
 	for number := uint64(1); number <= 50; number++ {
 		t.dial(0, t.address(1), &schema.Urge{Group: "g", Term: number})
 	}
@@ -135,10 +135,10 @@
 }
 
 func TestEveryTransport(t *testing.T) {
-	Convey("The real transport keeps the contract", t, func() {
+	Convey("The real network keeps the contract", t, func() {
 		r := openReal()
 		Reset(func() { r.ends[0].Close(); r.ends[1].Close() })
 		transportContract(r)
 	})
-	Convey("The simulated transport keeps the contract", t, func() { transportContract(openSim()) })
+	Convey("The simulated network keeps the contract", t, func() { transportContract(openSim()) })
 }
