--- a/cmd/dock/main.go
+++ b/cmd/dock/main.go
@@ -13,10 +13,10 @@
 
 	"github.com/google/subcommands"
 
-	"sparnotch/agent"
-	"sparnotch/duty"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/daemon"
+	"sparnotch/internal/schema"
 	"sparnotch/platform"
-	"sparnotch/schema"
 )
 
 func main() {
@@ -52,7 +52,7 @@
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "dock: %v\n", err)
-		return duty.ExitOptions
+		return daemon.ExitOptions
 	}
 	if c.role == schema.Role_ROLE_NONE {
 		fmt.Println("settings are good")
@@ -69,5 +69,5 @@
 	if c.role == schema.Role_ROLE_HEED {
 		hands = append(hands, platform.NewCaller(settings.App))
 	}
-	return duty.Serve("dock", settings.Options, c.role, platform.Open(settings), hands...)
+	return daemon.Serve("dock", settings.Options, c.role, platform.Open(settings), hands...)
 }
--- a/cmd/feign/alone.go
+++ b/cmd/feign/alone.go
@@ -13,9 +13,9 @@
 
 	"github.com/google/subcommands"
 
-	"sparnotch/loop"
-	"sparnotch/scale"
-	"sparnotch/toil"
+	"sparnotch/internal/deployments"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
 )
 
 func gatesOf(fronts, cell string) []*gate {
@@ -59,11 +59,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h := &history{clock: loop.RealClock()}
+	h := &history{clock: eventloop.RealClock()}
 	// The incarnation only has to grow from start to start.
 	incarnation := uint64(time.Now().UnixMicro())
-	w := toil.New(h.now(), c.name, c.rack, c.cores, c.memory, incarnation, rand.New(rand.NewPCG(incarnation, 1)), h.add)
-	w.Habits = toil.Habits{FailShare: c.fail, Slowness: c.slow}
+	w := fakeworker.New(h.now(), c.name, c.rack, c.cores, c.memory, incarnation, rand.New(rand.NewPCG(incarnation, 1)), h.add)
+	w.Habits = fakeworker.Habits{FailShare: c.fail, Slowness: c.slow}
 	runner := &workerRunner{platform: newPlatform(gates), history: h, worker: w}
 	go runner.platform.learn(ctx)
 	signals := make(chan os.Signal, 2)
@@ -77,7 +77,7 @@
 			<-signals
 			cancel()
 		}()
-		loop.NewRing[int](1).Drain(ctx, 100*loop.Milli, nil, func() {
+		eventloop.NewRing[int](1).Drain(ctx, 100*eventloop.Milli, nil, func() {
 			runner.mu.Lock()
 			defer runner.mu.Unlock()
 			if w.Idle() {
@@ -111,13 +111,13 @@
 }
 
 func (c *callersCommand) Execute(ctx context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	p, err := scale.Find(c.profile)
+	p, err := deployments.Find(c.profile)
 	gates := gatesOf(c.fronts, "")
 	if err != nil || len(gates) == 0 || c.rate <= 0 {
 		fmt.Fprintln(os.Stderr, "feign: fronts, profile and a rate above 0 are needed", err)
 		return 2
 	}
-	people := newCallers(newPlatform(gates), &history{clock: loop.RealClock()}, c.prefix)
+	people := newCallers(newPlatform(gates), &history{clock: eventloop.RealClock()}, c.prefix)
 	loading, stop := context.WithTimeout(ctx, c.span)
 	defer stop()
 	drained, stopAll := context.WithTimeout(ctx, c.span+30*time.Second)
--- a/cmd/feign/fleet.go
+++ b/cmd/feign/fleet.go
@@ -19,12 +19,12 @@
 
 	"github.com/google/subcommands"
 
-	"sparnotch/check"
-	"sparnotch/keep"
-	"sparnotch/loop"
-	"sparnotch/scale"
-	"sparnotch/schema"
-	"sparnotch/toil"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/deployments"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // proc is one daemon that this command started.
@@ -91,7 +91,7 @@
 
 // fleet is a whole deployment on one machine, over loopback addresses.
 type fleet struct {
-	profile  *scale.Deployment
+	profile  *deployments.Deployment
 	folder   string
 	bin      string
 	net      string // first three numbers of its addresses
@@ -103,8 +103,8 @@
 	workers  map[string]*workerRunner
 	running  sync.WaitGroup
 	people   *callers
-	drained  context.Context // ends when callers give up
-	extra    []scale.Kind    // what faults made callers hand in besides
+	drained  context.Context    // ends when callers give up
+	extra    []deployments.Kind // what faults made callers hand in besides
 	next     int
 	splits   int // so far; each strikes the next cell
 	mu       sync.Mutex
@@ -173,14 +173,14 @@
 	return isClean
 }
 
-func (f *fleet) startWorker(ctx context.Context, k int, habits toil.Habits) {
+func (f *fleet) startWorker(ctx context.Context, k int, habits fakeworker.Habits) {
 	name := fmt.Sprintf("w%02d", k)
 	ctx, cancel := context.WithCancel(ctx)
 	f.mu.Lock()
 	f.cancels[name] = cancel
 	f.next++
 	incarnation := uint64(f.next)
-	w := toil.New(f.history.now(), name, fmt.Sprintf("r%d", k/3+1), f.profile.Cores, f.profile.Memory, incarnation,
+	w := fakeworker.New(f.history.now(), name, fmt.Sprintf("r%d", k/3+1), f.profile.Cores, f.profile.Memory, incarnation,
 		rand.New(rand.NewPCG(uint64(k), incarnation)), f.history.add)
 	w.Habits = habits
 	runner := &workerRunner{platform: f.platform, history: f.history, cell: fmt.Sprintf("c%d", k%3+1), worker: w}
@@ -203,7 +203,7 @@
 		if err != nil {
 			continue
 		}
-		belief := &keep.NodeBelief{}
+		belief := &replica.NodeBelief{}
 		if json.Unmarshal(data, belief) != nil {
 			continue
 		}
@@ -218,17 +218,17 @@
 
 func (f *fleet) note(what string) {
 	fmt.Printf("%8.1fs  %s\n", float64(f.history.now())/1e6, what)
-	f.history.add(check.Event{Kind: check.Fault, State: what})
+	f.history.add(checker.Event{Kind: checker.Fault, State: what})
 }
 
 // turn notes that a front can serve again, or can't.
 func (f *fleet) turn(p *proc, canServe bool) {
-	kind := check.Away
+	kind := checker.Away
 	if canServe {
-		kind = check.Back
+		kind = checker.Back
 	}
 	if slices.Contains(f.fronts, p) {
-		f.history.add(check.Event{Kind: kind, Front: p.outer})
+		f.history.add(checker.Event{Kind: kind, Front: p.outer})
 	}
 }
 
@@ -302,10 +302,10 @@
 		f.note("worker w02 is cut off and runs on, for " + span.String())
 		w := f.workers["w02"]
 		w.setOff(true)
-		f.history.add(check.Event{Kind: check.Cut, Who: "w02"})
+		f.history.add(checker.Event{Kind: checker.Cut, Who: "w02"})
 		rest(ctx, span)
 		w.setOff(false)
-		f.history.add(check.Event{Kind: check.Cut, Who: "w02", State: check.Mended})
+		f.history.add(checker.Event{Kind: checker.Cut, Who: "w02", State: checker.Mended})
 	case "sides":
 		f.note("all side machines swapped out, one after another")
 		for _, p := range f.sides {
@@ -317,7 +317,7 @@
 		f.note("worker w00 crashes, and comes back")
 		f.cancels["w00"]()
 		rest(ctx, span)
-		f.startWorker(ctx, 0, toil.Habits{})
+		f.startWorker(ctx, 0, fakeworker.Habits{})
 	case "leave":
 		f.note("worker w01 leaves")
 		w := f.workers["w01"]
@@ -326,10 +326,10 @@
 		w.mu.Unlock()
 	case "rush":
 		f.note("a rush: twenty times the load for " + span.String())
-		f.crowd(ctx, span, "rush", func(k *scale.Kind) { k.Every /= 20 })
+		f.crowd(ctx, span, "rush", func(k *deployments.Kind) { k.Every /= 20 })
 	case "flood":
 		f.note("a flood of jobs that can never run, for " + span.String())
-		f.crowd(ctx, span, "flood", func(k *scale.Kind) {
+		f.crowd(ctx, span, "flood", func(k *deployments.Kind) {
 			k.Every = 0.02
 			k.Steps = []*schema.Step{{Name: "huge", Tasks: 1, CoresMilli: f.profile.Cores + 1, MemoryMb: 1}}
 		})
@@ -348,7 +348,7 @@
 }
 
 // crowd has more callers come for a span, with kinds changed as told.
-func (f *fleet) crowd(ctx context.Context, span time.Duration, name string, change func(*scale.Kind)) {
+func (f *fleet) crowd(ctx context.Context, span time.Duration, name string, change func(*deployments.Kind)) {
 	loading, stop := context.WithTimeout(ctx, span)
 	defer stop()
 	var sending sync.WaitGroup
@@ -464,7 +464,7 @@
 		fmt.Fprintln(os.Stderr, "feign:", err)
 		return 2
 	}
-	p, err := scale.Find(c.profile)
+	p, err := deployments.Find(c.profile)
 	if err != nil {
 		return usage(err)
 	}
@@ -495,7 +495,7 @@
 		return usage(err)
 	}
 	f := c.fleet(p)
-	isGood := c.run(ctx, f, faults, check.Usual)
+	isGood := c.run(ctx, f, faults, checker.Usual)
 	if isGood && isOwn {
 		_ = os.RemoveAll(c.folder)
 	} else {
@@ -507,14 +507,14 @@
 	return 0
 }
 
-func (c *fleetCommand) fleet(p *scale.Deployment) *fleet {
+func (c *fleetCommand) fleet(p *deployments.Deployment) *fleet {
 	return &fleet{
-		profile: p, folder: c.folder, bin: c.bin, net: c.net, history: &history{clock: loop.RealClock()},
+		profile: p, folder: c.folder, bin: c.bin, net: c.net, history: &history{clock: eventloop.RealClock()},
 		cancels: map[string]context.CancelFunc{}, workers: map[string]*workerRunner{},
 	}
 }
 
-func (c *fleetCommand) run(ctx context.Context, f *fleet, faults []plannedFault, bounds check.Bounds) (isGood bool) {
+func (c *fleetCommand) run(ctx context.Context, f *fleet, faults []plannedFault, bounds checker.Bounds) (isGood bool) {
 	whole, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { isGood = f.down() && isGood }()
@@ -528,7 +528,7 @@
 	go f.platform.watch(whole)
 	working, stopWorkers := context.WithCancel(whole)
 	for k := 0; k < f.profile.Workers; k++ {
-		f.startWorker(working, k, toil.Habits{})
+		f.startWorker(working, k, fakeworker.Habits{})
 	}
 	rest(whole, 2*time.Second)
 	if c.weak {
@@ -556,7 +556,7 @@
 		}()
 	}
 	go func() {
-		loop.NewRing[int](1).Drain(loading, loop.Second, nil, func() {
+		eventloop.NewRing[int](1).Drain(loading, eventloop.Second, nil, func() {
 			readPlan(loading, f.platform, f.history, f.platform.pick("c2"))
 		})
 	}()
@@ -574,7 +574,7 @@
 	for _, p := range f.fronts {
 		readPlan(whole, f.platform, f.history, p.outer)
 	}
-	f.history.add(check.Event{Kind: check.Close})
+	f.history.add(checker.Event{Kind: checker.Close})
 	counts := f.counts(whole)
 	reportPeaks(f.peak())
 	stopWorkers()
--- a/cmd/feign/history.go
+++ b/cmd/feign/history.go
@@ -9,36 +9,36 @@
 	"sort"
 	"sync"
 
-	"sparnotch/check"
-	"sparnotch/loop"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
 )
 
 // history gathers what everybody saw, by one clock.
 type history struct {
-	clock  loop.Clock
+	clock  eventloop.Clock
 	mu     sync.Mutex
-	events []check.Event
+	events []checker.Event
 }
 
-func (h *history) now() loop.Micros { return h.clock.Now() }
+func (h *history) now() eventloop.Micros { return h.clock.Now() }
 
-func (h *history) add(e check.Event) {
+func (h *history) add(e checker.Event) {
 	if e.At == 0 {
 		e.At = h.now()
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	// What the end of the run does to the workers is no part of it.
-	if len(h.events) > 0 && h.events[len(h.events)-1].Kind == check.Close {
+	if len(h.events) > 0 && h.events[len(h.events)-1].Kind == checker.Close {
 		return
 	}
 	h.events = append(h.events, e)
 }
 
-func (h *history) sorted() []check.Event {
+func (h *history) sorted() []checker.Event {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := append([]check.Event(nil), h.events...)
+	list := append([]checker.Event(nil), h.events...)
 	sort.SliceStable(list, func(a, b int) bool { return list[a].At < list[b].At })
 	return list
 }
@@ -66,17 +66,17 @@
 // readHistory reads what write has written. A line that isn't an event, and a
 // history that was cut off before its close, are told with the line: they can't
 // be judged, least of all as good.
-func readHistory(path string) ([]check.Event, error) {
+func readHistory(path string) ([]checker.Event, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, err
 	}
 	defer file.Close()
-	var list []check.Event
+	var list []checker.Event
 	scanner := bufio.NewScanner(file)
 	scanner.Buffer(nil, 64<<20)
 	for number := 1; scanner.Scan(); number++ {
-		var e check.Event
+		var e checker.Event
 		decoder := json.NewDecoder(bytes.NewReader(scanner.Bytes()))
 		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&e); err != nil {
@@ -93,7 +93,7 @@
 	if err := scanner.Err(); err != nil {
 		return nil, fmt.Errorf("%s: line %d: %w", path, len(list)+1, err)
 	}
-	if len(list) == 0 || list[len(list)-1].Kind != check.Close {
+	if len(list) == 0 || list[len(list)-1].Kind != checker.Close {
 		return nil, fmt.Errorf("%s: line %d: cut off: a whole history ends with its close", path, len(list)+1)
 	}
 	return list, nil
--- a/cmd/feign/hollow.go
+++ b/cmd/feign/hollow.go
@@ -19,7 +19,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/subcommands"
 
-	"sparnotch/gauge"
+	"sparnotch/internal/capacity"
 )
 
 const (
@@ -577,10 +577,10 @@
 }
 
 // readingsOf turns a run's outcomes into readings.
-func readingsOf(size string, value float64, repeat int, list []outcome) []gauge.Reading {
-	var readings []gauge.Reading
+func readingsOf(size string, value float64, repeat int, list []outcome) []capacity.Reading {
+	var readings []capacity.Reading
 	for _, each := range list {
-		readings = append(readings, gauge.Reading{Size: size, Value: value, Repeat: repeat, Role: each.role, What: each.what, Amount: each.amount})
+		readings = append(readings, capacity.Reading{Size: size, Value: value, Repeat: repeat, Role: each.role, What: each.what, Amount: each.amount})
 	}
 	return readings
 }
--- a/cmd/feign/hollow_part.go
+++ b/cmd/feign/hollow_part.go
@@ -23,14 +23,14 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"sparnotch/crew"
-	"sparnotch/front"
-	"sparnotch/hollow"
-	"sparnotch/keep"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/wire"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/hollow"
+	"sparnotch/internal/httpapi"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/process"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/transport"
 )
 
 // A part is one operating system's process of a hollow deployment. It carries
@@ -42,7 +42,7 @@
 	Processes  int
 	CpuUs      int64
 	RssBytes   int64
-	Wire       wire.Counts
+	Wire       transport.Counts
 	VaultBytes uint64
 	Syncs      uint64
 	LostMails  uint64
@@ -57,7 +57,7 @@
 	Seen       map[uint64]int64       // plan generation: when the last process of this part saw it, by the wall
 	SeenBy     map[uint64]int         // and how many did
 	Put        map[uint64]int64       // when its put was sent
-	Belief     *keep.NodeBelief       `json:",omitempty"`
+	Belief     *replica.NodeBelief    `json:",omitempty"`
 }
 
 // newSpread holds microseconds up to a minute, to three figures.
@@ -80,9 +80,9 @@
 	running atomic.Int64
 	taken   atomic.Uint64
 	refused atomic.Uint64
-	reals   []*crew.Real
-	nets    []*wire.Net
-	lost    []*loop.Process
+	reals   []*process.Real
+	nets    []*transport.Net
+	lost    []*eventloop.Process
 }
 
 const beginsKept = 4096
@@ -125,7 +125,7 @@
 			r.RssBytes = pages * int64(os.Getpagesize())
 		}
 	}
-	add := func(c wire.Counts) {
+	add := func(c transport.Counts) {
 		r.Wire.Sent += c.Sent
 		r.Wire.Received += c.Received
 		r.Wire.Bytes += c.Bytes
@@ -142,7 +142,7 @@
 			r.LostMails += lost
 		}
 		if real.Member.Stores {
-			r.Belief, _ = real.Run(ctx, "keep", loop.Second, func(id uint64, _ loop.Micros) any { return keep.Belief{Errand: id} }).(*keep.NodeBelief)
+			r.Belief, _ = real.Run(ctx, "keep", eventloop.Second, func(id uint64, _ eventloop.Micros) any { return replica.Belief{Errand: id} }).(*replica.NodeBelief)
 		}
 	}
 	for _, net := range p.nets {
@@ -253,11 +253,11 @@
 		if isStore {
 			options.Data, options.TestSyncUs, options.First = fmt.Sprintf("%s/store%d", p.setup.Folder, k), p.setup.SyncUs, true
 		}
-		real, err := crew.Start(options, schema.Role_ROLE_KEEP, zap.NewNop())
+		real, err := process.Start(options, schema.Role_ROLE_KEEP, zap.NewNop())
 		if err != nil {
 			return err
 		}
-		if _, err := front.Serve(real, zap.NewNop()); err != nil {
+		if _, err := httpapi.Serve(real, zap.NewNop()); err != nil {
 			return err
 		}
 		p.reals = append(p.reals, real)
@@ -270,9 +270,9 @@
 // hollowNet carries what leaves a hollow running's tables.
 type hollowNet struct {
 	id      string
-	net     *wire.Net
-	book    *kin.Book
-	running *loop.Process
+	net     *transport.Net
+	book    *membership.Book
+	running *eventloop.Process
 }
 
 func (n *hollowNet) Send(to string, body any)       { n.net.Send(n.book.Address(to), body) }
@@ -282,7 +282,7 @@
 
 func (n *hollowNet) deliver(from string, body any) {
 	for _, table := range hollow.Routes(body) {
-		n.running.Post(table, loop.Mail{From: from, Body: body})
+		n.running.Post(table, eventloop.Mail{From: from, Body: body})
 	}
 }
 
@@ -297,18 +297,18 @@
 
 func (p *part) startSide(ctx context.Context, k int) error {
 	host := sidesFrom + k
-	clock := loop.RealClock()
+	clock := eventloop.RealClock()
 	seed := rand.Uint64()
 	member := &schema.Member{
 		Id: fmt.Sprintf("%016x", seed), Boot: 1, Role: schema.Role_ROLE_HEED, Cell: p.setup.cell(k),
 		Inner: p.setup.address(host, 7400), Outer: p.setup.address(host, 8400),
 	}
-	book := &kin.Book{}
-	papers := &crew.Papers{Member: member, Seeds: p.setup.seeds(), Book: book, Wall: clock.Wall, Seed: seed, Now: clock.Now()}
-	running := loop.NewProcess(clock)
+	book := &membership.Book{}
+	papers := &process.Papers{Member: member, Seeds: p.setup.seeds(), Book: book, Wall: clock.Wall, Seed: seed, Now: clock.Now()}
+	running := eventloop.NewProcess(clock)
 	out := &hollowNet{id: member.Id, book: book, running: running}
 	running.Out = out
-	for _, berth := range crew.Heed(papers) {
+	for _, berth := range process.Heed(papers) {
 		// Beyond the stewards wanted, a side is only its agent and the book.
 		if berth.Name == "heed" && p.setup.Stewards > 0 && k >= p.setup.Stewards {
 			running.Add(berth.Name, &hollow.Onlooker{}, hollow.OnlookerPace)
@@ -318,7 +318,7 @@
 	}
 	name := fmt.Sprintf("w%04d", k)
 	watch := hollow.Watch{
-		Began: func(_ loop.Micros, job string, _, _ uint32) {
+		Began: func(_ eventloop.Micros, job string, _, _ uint32) {
 			p.running.Add(1)
 			p.sawBegin(job)
 		},
@@ -326,12 +326,12 @@
 			p.running.Add(-1)
 			p.ended.Add(1)
 		},
-		Plan: func(_ loop.Micros, generation uint64) { p.sawPlan(generation) },
+		Plan: func(_ eventloop.Micros, generation uint64) { p.sawPlan(generation) },
 	}
 	rack := fmt.Sprintf("r%d", k/p.setup.PerRack)
 	room := hollow.Room{Cores: 64_000, Memory: 128_000}
 	running.Add(hollow.Name, hollow.New(clock.Now(), name, rack, room, uint64(time.Now().UnixMicro()), rand.New(rand.NewPCG(seed, 2)), watch), hollow.Pace)
-	net, err := wire.Listen(member.Id, member.Inner, out.deliver)
+	net, err := transport.Listen(member.Id, member.Inner, out.deliver)
 	if err != nil {
 		return err
 	}
--- a/cmd/feign/outside.go
+++ b/cmd/feign/outside.go
@@ -14,11 +14,11 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"sparnotch/check"
-	"sparnotch/loop"
-	"sparnotch/scale"
-	"sparnotch/schema"
-	"sparnotch/toil"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/deployments"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/schema"
 )
 
 // platform passes clients to fronts, as the users' platform does: by cell, and
@@ -45,7 +45,7 @@
 }
 
 func (p *platform) watch(ctx context.Context) {
-	loop.NewRing[int](1).Drain(ctx, loop.Second, nil, func() {
+	eventloop.NewRing[int](1).Drain(ctx, eventloop.Second, nil, func() {
 		p.mu.Lock()
 		fronts := append([]*gate(nil), p.fronts...)
 		p.mu.Unlock()
@@ -69,7 +69,7 @@
 // learn asks the fronts for the others, so that a client needs to know only a
 // few at its start.
 func (p *platform) learn(ctx context.Context) {
-	loop.NewRing[int](1).Drain(ctx, 3*loop.Second, nil, func() {
+	eventloop.NewRing[int](1).Drain(ctx, 3*eventloop.Second, nil, func() {
 		_, data, err := p.call(ctx, 2*time.Second, "GET", p.pick(""), "/v1/fronts", nil, "")
 		list := &schema.FrontList{}
 		if err != nil || json.Unmarshal(data, list) != nil {
@@ -163,7 +163,7 @@
 	history  *history
 	cell     string
 	mu       sync.Mutex
-	worker   *toil.Worker
+	worker   *fakeworker.Worker
 	isOff    bool // reaches no front
 }
 
@@ -216,7 +216,7 @@
 			}(address)
 			continue
 		}
-		timer := time.NewTimer(max(next-now, 2*loop.Milli).Span())
+		timer := time.NewTimer(max(next-now, 2*eventloop.Milli).Span())
 		select {
 		case <-ctx.Done():
 		case <-poke:
@@ -226,7 +226,7 @@
 	}
 }
 
-func (w *workerRunner) announce(ctx context.Context, front string, a *schema.Announce, sent loop.Micros) bool {
+func (w *workerRunner) announce(ctx context.Context, front string, a *schema.Announce, sent eventloop.Micros) bool {
 	body, err := json.Marshal(a)
 	if err != nil {
 		return false
@@ -271,8 +271,8 @@
 type kindStats struct {
 	sent, accepted, ended int
 	turnedAway            int // for good
-	confirm               []loop.Micros
-	refused               []loop.Micros // how long until a hand-in was turned away
+	confirm               []eventloop.Micros
+	refused               []eventloop.Micros // how long until a hand-in was turned away
 	codes                 map[int32]int
 }
 
@@ -281,7 +281,7 @@
 }
 
 // load hands in one kind of job at its rate until the context ends.
-func (c *callers) load(ctx, whole context.Context, k scale.Kind, rng *rand.Rand) {
+func (c *callers) load(ctx, whole context.Context, k deployments.Kind, rng *rand.Rand) {
 	c.mu.Lock()
 	c.stats[k.Name] = &kindStats{codes: map[int32]int{}}
 	c.mu.Unlock()
@@ -304,7 +304,7 @@
 
 // job is one caller with one job: it resends after any silence, and asks how
 // the job is doing until it has ended, and once more after that.
-func (c *callers) job(ctx context.Context, k scale.Kind, name, cell, who string) {
+func (c *callers) job(ctx context.Context, k deployments.Kind, name, cell, who string) {
 	spec := &schema.Job{Text: k.Text, Steps: k.Steps}
 	body, err := json.Marshal(spec)
 	if err != nil {
@@ -315,7 +315,7 @@
 	c.count(k, func(s *kindStats) { s.sent++ })
 	for ctx.Err() == nil {
 		address, sent := c.platform.pick(cell), c.history.now()
-		c.history.add(check.Event{At: sent, Kind: check.HandIn, Who: who, Lane: k.Lane, Name: name, Spec: spec})
+		c.history.add(checker.Event{At: sent, Kind: checker.HandIn, Who: who, Lane: k.Lane, Name: name, Spec: spec})
 		reply, err := c.platform.send(ctx, 3*time.Second, "PUT", address, path, body, who)
 		if ctx.Err() != nil {
 			break
@@ -324,7 +324,7 @@
 		if err != nil {
 			code = 0
 		}
-		e := check.Event{Kind: check.HandInReply, Who: who, Lane: k.Lane, Name: name, Code: code, Front: address, Sent: sent}
+		e := checker.Event{Kind: checker.HandInReply, Who: who, Lane: k.Lane, Name: name, Code: code, Front: address, Sent: sent}
 		view := &schema.JobView{}
 		if code == 200 || code == 201 {
 			if json.Unmarshal(reply.body, view) == nil {
@@ -373,7 +373,7 @@
 	}
 }
 
-func (c *callers) ask(ctx context.Context, k scale.Kind, name, cell, who, path string) string {
+func (c *callers) ask(ctx context.Context, k deployments.Kind, name, cell, who, path string) string {
 	address, sent := c.platform.pick(cell), c.history.now()
 	code, data, err := c.platform.call(ctx, 3*time.Second, "GET", address, path, nil, who)
 	if ctx.Err() != nil {
@@ -383,11 +383,11 @@
 	if err != nil || code == 200 && json.Unmarshal(data, view) != nil {
 		code = 0
 	}
-	c.history.add(check.Event{Kind: check.Status, Who: who, Lane: k.Lane, Name: name, Code: code, State: view.State, Front: address, Sent: sent})
+	c.history.add(checker.Event{Kind: checker.Status, Who: who, Lane: k.Lane, Name: name, Code: code, State: view.State, Front: address, Sent: sent})
 	return view.State
 }
 
-func (c *callers) count(k scale.Kind, change func(*kindStats)) {
+func (c *callers) count(k deployments.Kind, change func(*kindStats)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	change(c.stats[k.Name])
@@ -411,7 +411,7 @@
 				return err
 			}
 			sent := h.now()
-			h.add(check.Event{At: sent, Kind: check.PlanSent, Who: who, Rows: rows})
+			h.add(checker.Event{At: sent, Kind: checker.PlanSent, Who: who, Rows: rows})
 			code, data, err = p.call(ctx, 5*time.Second, "PUT", address, "/v1/plan", body, "")
 			if err != nil {
 				code = 0
@@ -419,7 +419,7 @@
 			if ctx.Err() != nil {
 				break
 			}
-			e := check.Event{Kind: check.PlanPut, Who: who, Code: code, Built: plan.Generation, Rows: rows, Front: address, Sent: sent}
+			e := checker.Event{Kind: checker.PlanPut, Who: who, Code: code, Built: plan.Generation, Rows: rows, Front: address, Sent: sent}
 			if code == 200 {
 				e.Generation = plan.Generation + 1
 			}
@@ -445,5 +445,5 @@
 	if err != nil || code == 200 && protojson.Unmarshal(data, plan) != nil {
 		code = 0
 	}
-	h.add(check.Event{Kind: check.PlanRead, Who: "reader", Front: address, Sent: sent, Code: code, Generation: plan.Generation, Rows: plan.Rows})
+	h.add(checker.Event{Kind: checker.PlanRead, Who: "reader", Front: address, Sent: sent, Code: code, Generation: plan.Generation, Rows: plan.Rows})
 }
--- a/cmd/feign/report.go
+++ b/cmd/feign/report.go
@@ -15,17 +15,17 @@
 
 	"github.com/google/subcommands"
 
-	"sparnotch/check"
-	"sparnotch/crew"
-	"sparnotch/loop"
-	"sparnotch/scale"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/deployments"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/process"
 )
 
-func (f *fleet) counts(ctx context.Context) map[string]crew.Counts {
-	counts := map[string]crew.Counts{}
+func (f *fleet) counts(ctx context.Context) map[string]process.Counts {
+	counts := map[string]process.Counts{}
 	for _, p := range f.fronts {
 		_, data, err := f.platform.call(ctx, 2*time.Second, "GET", p.outer, "/v1/counts", nil, "")
-		var each crew.Counts
+		var each process.Counts
 		if err == nil && json.Unmarshal(data, &each) == nil {
 			counts[p.name] = each
 		}
@@ -33,41 +33,41 @@
 	return counts
 }
 
-func quantile(list []loop.Micros, q float64) float64 {
+func quantile(list []eventloop.Micros, q float64) float64 {
 	if len(list) == 0 {
 		return 0
 	}
-	sorted := append([]loop.Micros(nil), list...)
+	sorted := append([]eventloop.Micros(nil), list...)
 	slices.Sort(sorted)
 	return float64(sorted[int(q*float64(len(sorted)-1))]) / 1000
 }
 
 // wholeTimes are, by kind, the spans from the first hand-in to the last end of
 // a task, as the workers saw it.
-func wholeTimes(f *fleet, events []check.Event) (first, whole map[string][]loop.Micros) {
+func wholeTimes(f *fleet, events []checker.Event) (first, whole map[string][]eventloop.Micros) {
 	// A job's name tells its kind: PREFIX-KIND-NUMBER.
 	kindOf := func(lane, name string) string {
 		_, rest, _ := strings.Cut(name, "-")
 		return lane + rest[:max(strings.LastIndex(rest, "-"), 0)]
 	}
-	sent, began, ended := map[string]loop.Micros{}, map[string]loop.Micros{}, map[string]loop.Micros{}
+	sent, began, ended := map[string]eventloop.Micros{}, map[string]eventloop.Micros{}, map[string]eventloop.Micros{}
 	kinds := map[string]string{}
 	for _, e := range events {
 		key := e.Lane + "/" + e.Name
 		switch e.Kind {
-		case check.HandIn:
+		case checker.HandIn:
 			if _, isKnown := sent[key]; !isKnown {
 				sent[key], kinds[key] = e.At, kindOf(e.Lane, e.Name)
 			}
-		case check.Begin:
+		case checker.Begin:
 			if _, isKnown := began[key]; !isKnown {
 				began[key] = e.At
 			}
-		case check.End:
+		case checker.End:
 			ended[key] = e.At
 		}
 	}
-	first, whole = map[string][]loop.Micros{}, map[string][]loop.Micros{}
+	first, whole = map[string][]eventloop.Micros{}, map[string][]eventloop.Micros{}
 	for key, at := range sent {
 		if end, isEnded := ended[key]; isEnded {
 			kind := kinds[key]
@@ -78,7 +78,7 @@
 	return first, whole
 }
 
-func report(f *fleet, people *callers, spent loop.Micros, before, after map[string]time.Duration, counts map[string]crew.Counts, folder string, bounds check.Bounds) bool {
+func report(f *fleet, people *callers, spent eventloop.Micros, before, after map[string]time.Duration, counts map[string]process.Counts, folder string, bounds checker.Bounds) bool {
 	events := f.history.sorted()
 	path := filepath.Join(folder, "history.jsonl")
 	if err := f.history.write(path); err != nil {
@@ -89,11 +89,11 @@
 	fmt.Printf("%-12s %6s %8s %6s   %-26s %-26s %s\n", "kind", "sent", "accepted", "ended", "confirm ms 50/95/99", "first task ms 50/95/99", "last task's end ms 50/95/99")
 	total := 0
 	isWhole := true
-	for _, k := range append(append([]scale.Kind(nil), f.profile.Kinds...), f.extra...) {
+	for _, k := range append(append([]deployments.Kind(nil), f.profile.Kinds...), f.extra...) {
 		s := people.stats[k.Name]
 		total += s.accepted
 		isWhole = isWhole && s.sent == s.accepted+s.turnedAway && s.accepted == s.ended
-		three := func(list []loop.Micros) string {
+		three := func(list []eventloop.Micros) string {
 			return fmt.Sprintf("%.1f/%.1f/%.1f", quantile(list, .5), quantile(list, .95), quantile(list, .99))
 		}
 		fmt.Printf("%-12s %6d %8d %6d   %-26s %-26s %s\n", k.Name, s.sent, s.accepted, s.ended, three(s.confirm), three(first[k.Lane+k.Name]), three(whole[k.Lane+k.Name]))
@@ -120,13 +120,13 @@
 	}
 	reportFaults(events)
 	reportCrowds(f, events)
-	breaches := check.Judge(events, bounds)
+	breaches := checker.Judge(events, bounds)
 	printBreaches(breaches)
 	fmt.Printf("check: %d events, %d rules broken; every job accepted and ended: %v\n", len(events), len(breaches), isWhole)
 	return len(breaches) == 0 && isWhole
 }
 
-func reportUsage(spent loop.Micros, before, after map[string]time.Duration) {
+func reportUsage(spent eventloop.Micros, before, after map[string]time.Duration) {
 	var names []string
 	for name := range after {
 		names = append(names, name)
@@ -149,23 +149,23 @@
 
 // reportFaults tells, for each fault, when the first hand-in sent after it was
 // confirmed, and the longest time without any confirmation around it.
-func reportFaults(events []check.Event) {
+func reportFaults(events []checker.Event) {
 	for k, fault := range events {
-		if fault.Kind != check.Fault {
+		if fault.Kind != checker.Fault {
 			continue
 		}
 		sent := map[string]bool{}
-		last, longest := fault.At, loop.Micros(0)
-		first := loop.Micros(-1)
+		last, longest := fault.At, eventloop.Micros(0)
+		first := eventloop.Micros(-1)
 		for _, e := range events[k:] {
-			if e.At > fault.At+20*loop.Second {
+			if e.At > fault.At+20*eventloop.Second {
 				break
 			}
 			key := e.Lane + "/" + e.Name
-			if e.Kind == check.HandIn {
+			if e.Kind == checker.HandIn {
 				sent[key] = true
 			}
-			if e.Kind == check.HandInReply && sent[key] && (e.Code == 200 || e.Code == 201) {
+			if e.Kind == checker.HandInReply && sent[key] && (e.Code == 200 || e.Code == 201) {
 				if first < 0 {
 					first = e.At - fault.At
 				}
@@ -179,13 +179,13 @@
 
 // reportCrowds sets the ordinary callers' confirmations during a rush or flood
 // against those before it, in the same run.
-func reportCrowds(f *fleet, events []check.Event) {
+func reportCrowds(f *fleet, events []checker.Event) {
 	for _, fault := range events {
-		if fault.Kind != check.Fault || !strings.HasPrefix(fault.State, "a rush") && !strings.HasPrefix(fault.State, "a flood") {
+		if fault.Kind != checker.Fault || !strings.HasPrefix(fault.State, "a rush") && !strings.HasPrefix(fault.State, "a flood") {
 			continue
 		}
 		for _, k := range f.profile.Kinds {
-			before, during := confirmations(events, k, 0, fault.At), confirmations(events, k, fault.At, fault.At+5*loop.Second)
+			before, during := confirmations(events, k, 0, fault.At), confirmations(events, k, fault.At, fault.At+5*eventloop.Second)
 			if quiet := quantile(before, .95); quiet > 0 && len(during) > 0 {
 				fmt.Printf("%s while there was %s: %d hand-ins, confirm 95th %.2f times that of the %d before\n", k.Name, fault.State, len(during), quantile(during, .95)/quiet, len(before))
 			}
@@ -193,19 +193,19 @@
 	}
 }
 
-func confirmations(events []check.Event, k scale.Kind, from, until loop.Micros) []loop.Micros {
-	sent := map[string]loop.Micros{}
-	var list []loop.Micros
+func confirmations(events []checker.Event, k deployments.Kind, from, until eventloop.Micros) []eventloop.Micros {
+	sent := map[string]eventloop.Micros{}
+	var list []eventloop.Micros
 	for _, e := range events {
 		if e.Lane != k.Lane || !strings.Contains(e.Name, "-"+k.Name+"-") || strings.Contains(e.Name, "rush-") || strings.Contains(e.Name, "flood-") {
 			continue
 		}
 		switch e.Kind {
-		case check.HandIn:
+		case checker.HandIn:
 			if _, isKnown := sent[e.Name]; !isKnown {
 				sent[e.Name] = e.At
 			}
-		case check.HandInReply:
+		case checker.HandInReply:
 			if at := sent[e.Name]; at >= from && at < until && (e.Code == 200 || e.Code == 201) {
 				list = append(list, e.At-at)
 				sent[e.Name] = -1
@@ -215,7 +215,7 @@
 	return list
 }
 
-func printBreaches(breaches []check.Breach) {
+func printBreaches(breaches []checker.Breach) {
 	for _, b := range breaches {
 		fmt.Println("BROKEN", b)
 	}
@@ -242,7 +242,7 @@
 		fmt.Fprintln(os.Stderr, "feign:", err)
 		return 2
 	}
-	breaches := check.Judge(events, check.Usual)
+	breaches := checker.Judge(events, checker.Usual)
 	printBreaches(breaches)
 	fmt.Printf("check: %d events, %d rules broken\n", len(events), len(breaches))
 	if len(breaches) > 0 {
--- a/cmd/feign/simulate.go
+++ b/cmd/feign/simulate.go
@@ -13,8 +13,8 @@
 
 	"github.com/google/subcommands"
 
-	"sparnotch/check"
-	"sparnotch/sim"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/sim"
 )
 
 // simulateCommand plays one of the simulator's scenarios again, to look into
@@ -124,7 +124,7 @@
 		}
 	}
 	for _, e := range f.History {
-		if c.job != "" && (e.Name == c.job || e.Kind == check.Fault) {
+		if c.job != "" && (e.Name == c.job || e.Kind == checker.Fault) {
 			e.Spec = nil
 			line, err := json.Marshal(e)
 			if err != nil {
@@ -136,7 +136,7 @@
 	return c.verdict(f, breaches, wrong)
 }
 
-func (c *simulateCommand) verdict(f *sim.Fleet, breaches []check.Breach, wrong []string) subcommands.ExitStatus {
+func (c *simulateCommand) verdict(f *sim.Fleet, breaches []checker.Breach, wrong []string) subcommands.ExitStatus {
 	printBreaches(breaches)
 	for _, each := range wrong {
 		fmt.Println("WRONG", each)
@@ -153,7 +153,7 @@
 	type find struct {
 		seed     uint64
 		schedule sim.Schedule
-		breach   check.Breach
+		breach   checker.Breach
 	}
 	var mu sync.Mutex
 	var finds []find
--- a/cmd/feign/slope.go
+++ b/cmd/feign/slope.go
@@ -15,9 +15,9 @@
 	"github.com/google/subcommands"
 	"golang.org/x/sys/unix"
 
-	"sparnotch/gauge"
-	"sparnotch/loop"
-	"sparnotch/sim"
+	"sparnotch/internal/capacity"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/sim"
 )
 
 // sweeps are the sizes that can be swept, each with how it is set.
@@ -133,9 +133,9 @@
 		return 2
 	}
 	path := filepath.Join(c.out, c.size+".csv")
-	var readings []gauge.Reading
+	var readings []capacity.Reading
 	if file, err := os.Open(path); err == nil {
-		readings, err = gauge.Read(file)
+		readings, err = capacity.Read(file)
 		file.Close()
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "feign: out:", path, err)
@@ -181,10 +181,10 @@
 			}
 		}
 	}
-	for _, fit := range gauge.Fits(readings) {
+	for _, fit := range capacity.Fits(readings) {
 		fmt.Printf("%-7s %-14s %s\n", fit.Role, fit.What, fit.String())
 	}
-	if err := gauge.Plot(filepath.Join(c.out, c.size+".png"), c.size, readings, c.drawn()); err != nil {
+	if err := capacity.Plot(filepath.Join(c.out, c.size+".png"), c.size, readings, c.drawn()); err != nil {
 		fmt.Fprintln(os.Stderr, "feign:", err)
 		return 1
 	}
@@ -216,8 +216,8 @@
 	for _, each := range sim.PlayHollow(sim.Hollow{
 		Workers: setup.Workers, Fronts: setup.Fronts, Lanes: setup.Lanes, Starts: setup.Starts, RunUs: setup.RunUs, Width: setup.Width,
 		Together: setup.Together, Changes: setup.Changes, Rows: setup.Rows, Zones: setup.Zones, Regions: setup.Regions,
-		Far: loop.Micros(setup.FarUs), PerRack: setup.PerRack, Stewards: setup.Stewards, Seed: uint64(repeat),
-		Warm: loop.Micros(c.warm.Microseconds()), Span: loop.Micros(c.span.Microseconds()), Lose: c.lose, Cpu: threadCpu,
+		Far: eventloop.Micros(setup.FarUs), PerRack: setup.PerRack, Stewards: setup.Stewards, Seed: uint64(repeat),
+		Warm: eventloop.Micros(c.warm.Microseconds()), Span: eventloop.Micros(c.span.Microseconds()), Lose: c.lose, Cpu: threadCpu,
 	}) {
 		list = append(list, outcome{each.Role, each.What, each.Amount})
 	}
@@ -241,12 +241,12 @@
 	return []string{"cpu_milli", "rss_mb", "sent_s", "bytes_out_s"}
 }
 
-func writeReadings(path string, readings []gauge.Reading) error {
+func writeReadings(path string, readings []capacity.Reading) error {
 	file, err := os.Create(path)
 	if err != nil {
 		return err
 	}
-	if err := gauge.Write(file, readings); err != nil {
+	if err := capacity.Write(file, readings); err != nil {
 		file.Close()
 		return err
 	}
@@ -273,14 +273,14 @@
 	set.StringVar(&c.simulated, "simulated", "", "files of feign slope -virtual, joined by commas")
 }
 
-func readAll(files string) ([]gauge.Reading, error) {
-	var all []gauge.Reading
+func readAll(files string) ([]capacity.Reading, error) {
+	var all []capacity.Reading
 	for _, path := range strings.Split(files, ",") {
 		file, err := os.Open(path)
 		if err != nil {
 			return nil, err
 		}
-		list, err := gauge.Read(file)
+		list, err := capacity.Read(file)
 		file.Close()
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", path, err)
@@ -301,7 +301,7 @@
 		fmt.Fprintln(os.Stderr, "feign: simulated:", err)
 		return 2
 	}
-	cost, err := gauge.CostOf(real, simulated)
+	cost, err := capacity.CostOf(real, simulated)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "feign:", err)
 		return 2
--- a/cmd/feign/whole_test.go
+++ b/cmd/feign/whole_test.go
@@ -15,17 +15,17 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/check"
-	"sparnotch/loop"
-	"sparnotch/scale"
-	"sparnotch/schema"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/deployments"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // Wide are bounds for a machine that may be busy with anything: what happens
 // is judged, not how fast.
-var wide = check.Bounds{
-	Kept: 100 * loop.Second, Early: check.Usual.Early, Leave: 120 * loop.Second, Cancel: 120 * loop.Second, Stop: 120 * loop.Second,
-	Plan: 120 * loop.Second, Away: 300 * loop.Second, Together: 120 * loop.Second, Struck: loop.Second, Settle: 300 * loop.Second,
+var wide = checker.Bounds{
+	Kept: 100 * eventloop.Second, Early: checker.Usual.Early, Leave: 120 * eventloop.Second, Cancel: 120 * eventloop.Second, Stop: 120 * eventloop.Second,
+	Plan: 120 * eventloop.Second, Away: 300 * eventloop.Second, Together: 120 * eventloop.Second, Struck: eventloop.Second, Settle: 300 * eventloop.Second,
 }
 
 func build(t *testing.T) string {
@@ -56,7 +56,7 @@
 	bin := build(t)
 	Convey("A whole fleet takes jobs, loses its keeper to a kill -9, and loses nothing else", t, func() {
 		c := &fleetCommand{span: 8 * time.Second, bin: bin, folder: t.TempDir(), net: freeNet(t), rate: 1, seed: 1}
-		p, err := scale.Find("bank")
+		p, err := deployments.Find("bank")
 		So(err, ShouldBeNil)
 		faults, err := parseFaults("race@1s,kill:1s@2s,leave@5s,mute:2s@6s")
 		So(err, ShouldBeNil)
@@ -116,7 +116,7 @@
 	bin := build(t)
 	Convey("Bad input is answered with its code and field", t, func() {
 		c := &fleetCommand{bin: bin, folder: t.TempDir(), net: freeNet(t)}
-		p := *scale.Deployments[0]
+		p := *deployments.Deployments[0]
 		p.Sides = 1
 		f := c.fleet(&p)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
--- a/cmd/heed/main.go
+++ b/cmd/heed/main.go
@@ -2,10 +2,10 @@
 package main
 
 import (
-	"sparnotch/duty"
-	"sparnotch/schema"
+	"sparnotch/internal/daemon"
+	"sparnotch/internal/schema"
 )
 
 func main() {
-	duty.Main("heed", "run a side process: liveness, and the steward's loops", schema.Role_ROLE_HEED)
+	daemon.Main("heed", "run a side process: liveness, and the steward's loops", schema.Role_ROLE_HEED)
 }
--- a/cmd/keep/main.go
+++ b/cmd/keep/main.go
@@ -3,10 +3,10 @@
 package main
 
 import (
-	"sparnotch/duty"
-	"sparnotch/schema"
+	"sparnotch/internal/daemon"
+	"sparnotch/internal/schema"
 )
 
 func main() {
-	duty.Main("keep", "run a front process; with -data it holds replicas of the lanes as well", schema.Role_ROLE_KEEP)
+	daemon.Main("keep", "run a front process; with -data it holds replicas of the lanes as well", schema.Role_ROLE_KEEP)
 }
--- a/cmd/tell/call.go
+++ b/cmd/tell/call.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/subcommands"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // Exit codes.
--- a/cmd/tell/folder.go
+++ b/cmd/tell/folder.go
@@ -12,23 +12,23 @@
 	"github.com/google/subcommands"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/keep"
-	"sparnotch/lane"
-	"sparnotch/schema"
-	"sparnotch/vault"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 // A store's folder can be looked into while its process is stopped; nothing is
 // written there.
 const exitBroken = 1
 
-func openFolder(set *flag.FlagSet, name string) (*vault.Content, subcommands.ExitStatus) {
+func openFolder(set *flag.FlagSet, name string) (*storage.Content, subcommands.ExitStatus) {
 	if set.NArg() != 1 {
 		fmt.Fprintf(os.Stderr, "tell: %s takes one data folder\n", name)
 		return nil, exitUsage
 	}
-	store, err := vault.Glance(set.Arg(0))
+	store, err := storage.Glance(set.Arg(0))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "tell:", err)
 		return nil, exitUsage
@@ -75,7 +75,7 @@
 	return subcommands.ExitSuccess
 }
 
-func checkGroup(group string, image *vault.Image) error {
+func checkGroup(group string, image *storage.Image) error {
 	index, term := image.Checkpoint.GetIndex(), image.Checkpoint.GetTerm()
 	for _, record := range image.Records {
 		if record.Index != index+1 {
@@ -89,8 +89,8 @@
 	if term > image.Hard.GetTerm() {
 		return fmt.Errorf("record %d is of term %d, and the store knows of %d only", index, term, image.Hard.GetTerm())
 	}
-	if group == charter.Group {
-		machine, err := charter.Restore(image.Checkpoint.GetData())
+	if group == clusterstate.Group {
+		machine, err := clusterstate.Restore(image.Checkpoint.GetData())
 		for k := 0; err == nil && k < len(image.Records); k++ {
 			if record := image.Records[k]; record.Kind == schema.RecordKind_RECORD_COMMAND {
 				if _, err = machine.Apply(record.AtUs, record.Data); err != nil {
@@ -105,8 +105,8 @@
 }
 
 // replay runs a lane's records through its machine up to an index, 0 for all.
-func replay(group string, image *vault.Image, to uint64, see func(*schema.Record, *schema.LaneCommand, *lane.Effects)) (*lane.Machine, uint64, error) {
-	machine, err := lane.Restore(keep.LaneOf(group), image.Checkpoint.GetIndex(), image.Checkpoint.GetData())
+func replay(group string, image *storage.Image, to uint64, see func(*schema.Record, *schema.LaneCommand, *queue.Effects)) (*queue.Machine, uint64, error) {
+	machine, err := queue.Restore(replica.LaneOf(group), image.Checkpoint.GetIndex(), image.Checkpoint.GetData())
 	if err != nil {
 		return nil, 0, fmt.Errorf("checkpoint at %d: %w", image.Checkpoint.GetIndex(), err)
 	}
@@ -167,7 +167,7 @@
 	var group string
 	var lanes []string
 	for _, name := range slices.Sorted(maps.Keys(content.Groups)) {
-		if lane := keep.LaneOf(name); lane != "" {
+		if lane := replica.LaneOf(name); lane != "" {
 			lanes = append(lanes, lane)
 			if lane == c.lane {
 				group = name
@@ -189,13 +189,13 @@
 		fmt.Fprintln(os.Stderr, "tell:", err)
 		return exitBroken
 	}
-	fmt.Printf("at %d: %d live and %d kept jobs, digest %s\n", at, machine.Live(), machine.Kept(), keep.Digest(machine.Rest(true)))
+	fmt.Printf("at %d: %d live and %d kept jobs, digest %s\n", at, machine.Live(), machine.Kept(), replica.Digest(machine.Rest(true)))
 	return subcommands.ExitSuccess
 }
 
-var standings = map[lane.Standing]string{lane.Gone: "is closed", lane.Ready: "is ready", lane.Out: "is out", lane.Stopping: "is to stop"}
+var standings = map[queue.Standing]string{queue.Gone: "is closed", queue.Ready: "is ready", queue.Out: "is out", queue.Stopping: "is to stop"}
 
-func (c *replayCommand) show(record *schema.Record, command *schema.LaneCommand, effects *lane.Effects) {
+func (c *replayCommand) show(record *schema.Record, command *schema.LaneCommand, effects *queue.Effects) {
 	var lines []string
 	if e := command.GetEnqueue(); e != nil && (c.job == "" || c.job == e.Name) {
 		lines = append(lines, fmt.Sprintf("  %s, number %d of %s", e.Name, e.Number, e.Session.GetClient()))
@@ -210,7 +210,7 @@
 			continue
 		}
 		line := fmt.Sprintf("  %s %s/%d %s", shift.Name, shift.Spec.GetName(), shift.Key.Task, standings[shift.State])
-		if shift.State == lane.Out || shift.State == lane.Stopping {
+		if shift.State == queue.Out || shift.State == queue.Stopping {
 			line += fmt.Sprintf(" on %s, attempt %d", shift.Worker, shift.Attempt)
 		}
 		if shift.IsLaunched {
--- a/cmd/tell/folder_test.go
+++ b/cmd/tell/folder_test.go
@@ -12,10 +12,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/keep"
-	"sparnotch/lane"
-	"sparnotch/schema"
-	"sparnotch/vault"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 // run calls a command and gives what it prints.
@@ -36,7 +36,7 @@
 }
 
 // fill writes a store with one lane, in which one task fails and is run again.
-func fill(path string, change func([]*schema.Record) []*schema.Record) (*vault.Folder, *lane.Machine) {
+func fill(path string, change func([]*schema.Record) []*schema.Record) (*storage.Folder, *queue.Machine) {
 	key := &schema.TaskKey{Job: 1}
 	pick := &schema.LaneCommand{Body: &schema.LaneCommand_Checkout{Checkout: &schema.Checkout{Picks: []*schema.Pick{{Key: key, Worker: "w1", Incarnation: 1}}}}}
 	commands := []*schema.LaneCommand{
@@ -49,7 +49,7 @@
 		pick,
 		{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: key, Attempt: 2}}},
 	}
-	machine := lane.New("quotes")
+	machine := queue.New("quotes")
 	records := []*schema.Record{{Index: 1, Term: 1, Kind: schema.RecordKind_RECORD_FIRST}}
 	for k, command := range commands {
 		data, err := proto.Marshal(command)
@@ -59,9 +59,9 @@
 		_, err = machine.Apply(record.Index, record.AtUs, record.Data)
 		So(err, ShouldBeNil)
 	}
-	folder, err := vault.OpenFolder(path)
+	folder, err := storage.OpenFolder(path)
 	So(err, ShouldBeNil)
-	store, err := vault.Open(folder)
+	store, err := storage.Open(folder)
 	So(err, ShouldBeNil)
 	So(store.Commit([]*schema.Change{
 		{Self: &schema.Self{Id: "a", Boots: 1, Belongs: true}},
@@ -101,7 +101,7 @@
 		So(code, ShouldEqual, 0)
 		So(text, ShouldContainSubstring, "Return failed")
 		So(text, ShouldContainSubstring, "first s/0 is out on w1, attempt 2")
-		So(text, ShouldContainSubstring, "digest "+keep.Digest(machine.Rest(true)))
+		So(text, ShouldContainSubstring, "digest "+replica.Digest(machine.Rest(true)))
 		code, text = run(&replayCommand{}, "-lane", "quotes", "-to", "3", path)
 		So(code, ShouldEqual, 0)
 		So(text, ShouldContainSubstring, "at 3: 1 live and 0 kept")
--- a/cmd/tell/nodes.go
+++ b/cmd/tell/nodes.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/subcommands"
 
-	"sparnotch/keep"
+	"sparnotch/internal/replica"
 )
 
 // show prints what one node says of itself.
@@ -65,10 +65,10 @@
 		complain("two addresses are needed")
 		return exitUsage
 	}
-	var beliefs [2]*keep.NodeBelief
+	var beliefs [2]*replica.NodeBelief
 	for k := range beliefs {
 		code, data, err := once(c.span, "GET", set.Arg(k), "/v1/belief", nil)
-		beliefs[k] = &keep.NodeBelief{}
+		beliefs[k] = &replica.NodeBelief{}
 		if err == nil && code == 200 {
 			err = json.Unmarshal(data, beliefs[k])
 		}
@@ -86,7 +86,7 @@
 	return exitDiffers
 }
 
-func differences(a, b *keep.NodeBelief) []string {
+func differences(a, b *replica.NodeBelief) []string {
 	var lines []string
 	say := func(what string, x, y any) {
 		if fmt.Sprint(x) != fmt.Sprint(y) {
@@ -98,8 +98,8 @@
 	say("charter fresh", a.Fresh, b.Fresh)
 	say("steward", a.Steward, b.Steward)
 	say("steward licence", a.Licence, b.Licence)
-	groups := map[string][2]*keep.GroupBelief{}
-	for k, belief := range []*keep.NodeBelief{a, b} {
+	groups := map[string][2]*replica.GroupBelief{}
+	for k, belief := range []*replica.NodeBelief{a, b} {
 		for _, group := range belief.Groups {
 			pair := groups[group.Group]
 			pair[k] = group
@@ -123,7 +123,7 @@
 		say(name+" applied", x.Applied, y.Applied)
 	}
 	wards := map[string][2]string{}
-	for k, belief := range []*keep.NodeBelief{a, b} {
+	for k, belief := range []*replica.NodeBelief{a, b} {
 		for _, ward := range belief.Wards {
 			pair := wards[ward.Worker]
 			pair[k] = fmt.Sprintf("%s@%d", ward.Placer, ward.Generation)
@@ -135,7 +135,7 @@
 		say("ward of "+worker, wards[worker][0], wards[worker][1])
 	}
 	members := map[string][2]bool{}
-	for k, belief := range []*keep.NodeBelief{a, b} {
+	for k, belief := range []*replica.NodeBelief{a, b} {
 		for _, member := range belief.Members {
 			pair := members[member.Id+" at "+member.Inner]
 			pair[k] = true
--- a/cmd/tell/plan.go
+++ b/cmd/tell/plan.go
@@ -18,8 +18,8 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/schema"
 )
 
 // The sheet: a first line with the generation it was built on, a head, rows. The
@@ -127,7 +127,7 @@
 		complain("%s: %v", set.Arg(0), err)
 		return nil, exitTurnedAway
 	}
-	if fault := charter.CheckRows(sheet.Rows); fault != nil {
+	if fault := clusterstate.CheckRows(sheet.Rows); fault != nil {
 		complain("%s: %s [%s]", set.Arg(0), fault.Message, fault.Field)
 		return nil, exitTurnedAway
 	}
@@ -201,14 +201,14 @@
 		return status
 	}
 	if sheet.Edition > 0 {
-		fmt.Printf("good: %d rows, edition %d built on %d, lanes %s\n", len(sheet.Rows), sheet.Edition, sheet.BaseEdition, strings.Join(charter.LaneNames(&schema.Plan{Rows: sheet.Rows}), " "))
+		fmt.Printf("good: %d rows, edition %d built on %d, lanes %s\n", len(sheet.Rows), sheet.Edition, sheet.BaseEdition, strings.Join(clusterstate.LaneNames(&schema.Plan{Rows: sheet.Rows}), " "))
 		return status
 	}
 	if sheet.Generation == nil {
 		complain("%s: the line %q is missing: get the sheet with plan-get", set.Arg(0), generationMark)
 		return exitTurnedAway
 	}
-	fmt.Printf("good: %d rows, built on generation %d, lanes %s\n", len(sheet.Rows), sheet.GetGeneration(), strings.Join(charter.LaneNames(&schema.Plan{Rows: sheet.Rows}), " "))
+	fmt.Printf("good: %d rows, built on generation %d, lanes %s\n", len(sheet.Rows), sheet.GetGeneration(), strings.Join(clusterstate.LaneNames(&schema.Plan{Rows: sheet.Rows}), " "))
 	return status
 }
 
@@ -349,6 +349,6 @@
 func (*planForm) Usage() string          { return "tell plan-form\n" }
 func (*planForm) SetFlags(*flag.FlagSet) {}
 func (*planForm) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	fmt.Println(strings.Join(charter.Form(), "\n"))
+	fmt.Println(strings.Join(clusterstate.Form(), "\n"))
 	return subcommands.ExitSuccess
 }
--- a/cmd/tell/plan_test.go
+++ b/cmd/tell/plan_test.go
@@ -7,7 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 func TestSheets(t *testing.T) {
--- a/cmd/tell/size.go
+++ b/cmd/tell/size.go
@@ -8,12 +8,12 @@
 
 	"github.com/google/subcommands"
 
-	"sparnotch/gauge"
+	"sparnotch/internal/capacity"
 )
 
 // sizeCommand says what machines a deployment needs.
 type sizeCommand struct {
-	wanted gauge.Wanted
+	wanted capacity.Wanted
 	slopes string
 }
 
@@ -48,7 +48,7 @@
 		complain("slopes: %v", err)
 		return exitUsage
 	}
-	needs, err := gauge.Size(readings, c.wanted)
+	needs, err := capacity.Size(readings, c.wanted)
 	if err != nil {
 		complain("%v", err)
 		return exitUsage
@@ -64,14 +64,14 @@
 	return subcommands.ExitSuccess
 }
 
-func (c *sizeCommand) read() ([]gauge.Reading, error) {
+func (c *sizeCommand) read() ([]capacity.Reading, error) {
 	if c.slopes == "" {
-		return gauge.Slopes()
+		return capacity.Slopes()
 	}
 	file, err := os.Open(c.slopes)
 	if err != nil {
 		return nil, err
 	}
 	defer file.Close()
-	return gauge.Read(file)
+	return capacity.Read(file)
 }
--- a/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,48 +5,48 @@
 	"maps"
 	"slices"
 
-	"sparnotch/charter"
-	"sparnotch/keep"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // Pace is the tick of the table.
-const Pace = 20 * loop.Milli
+const Pace = 20 * eventloop.Milli
 
 const (
-	meetSpan    = 500 * loop.Milli // between two words to the charter of a worker it doesn't know
-	pollSpan    = 700 * loop.Milli // an announce not answered by then is sent anew
-	waitSpan    = 400 * loop.Milli // how long an answer may be held back
-	refusedSpan = 100 * loop.Milli // an announce turned away is sent again after this
-	hurrySpan   = 10 * loop.Milli  // between two announces of changes at least
-	idleSpan    = 50 * loop.Milli  // rest after an early answer that said nothing new
-	frozenSpan  = loop.Second      // after a longer pause the worker is looked at first
-	retrySpan   = 100 * loop.Milli // first rest after a failed look or stop
-	restMost    = 400 * loop.Milli // and the longest
-	startSpan   = 900 * loop.Milli // a start is tried for so long
-	againSpan   = 50 * loop.Milli  // between two tries of it, at least
-	lateSpan    = 50 * loop.Milli  // no start when the licence ends sooner
-	youngSpan   = 10 * loop.Second // calls of this process's forerunner may still be carried out
-	callSpan    = 3 * loop.Second  // a call whose reply never came was silent
-	lookSpan    = loop.Second      // how long a look waits while something runs
-	waryLook    = 80 * loop.Milli  // and where calls have been lost of late, for a lost one is missed so late
-	warySpan    = 5 * loop.Second  // how long that is borne in mind
-	patientMost = 400 * loop.Milli // how long an answer is waited for at most
-	patientBase = 40 * loop.Milli  // and at least
-	patientFold = 4                // times the slowest of late
-	quietSpan   = 2 * loop.Second  // and while nothing does
-	listSpan    = 300 * loop.Milli // a worker that has seen a higher fence is left alone for so long
-	goneSpan    = 10 * loop.Second // the ends of a worker that has departed are told for so long
-	stopUsual   = 2 * loop.Second
-	holdUsual   = 4 * loop.Second // a licence, until one is heard of
-	holdShort   = 3 * loop.Second // a worker holds its work for so long at a time: a deaf one's is given out again then
-	holdSlack   = 20 * loop.Milli
-	listMost    = 500              // ends in one look
-	deadMost    = 16               // former lives remembered
-	spentSpan   = 60 * loop.Second // attempts given up are remembered for so long at least
-	spentMost   = 4096             // and all of them up to so many
-	refusedMost = 8                // announces turned away in a row before their number leaps
+	meetSpan    = 500 * eventloop.Milli // between two words to the charter of a worker it doesn't know
+	pollSpan    = 700 * eventloop.Milli // an announce not answered by then is sent anew
+	waitSpan    = 400 * eventloop.Milli // how long an answer may be held back
+	refusedSpan = 100 * eventloop.Milli // an announce turned away is sent again after this
+	hurrySpan   = 10 * eventloop.Milli  // between two announces of changes at least
+	idleSpan    = 50 * eventloop.Milli  // rest after an early answer that said nothing new
+	frozenSpan  = eventloop.Second      // after a longer pause the worker is looked at first
+	retrySpan   = 100 * eventloop.Milli // first rest after a failed look or stop
+	restMost    = 400 * eventloop.Milli // and the longest
+	startSpan   = 900 * eventloop.Milli // a start is tried for so long
+	againSpan   = 50 * eventloop.Milli  // between two tries of it, at least
+	lateSpan    = 50 * eventloop.Milli  // no start when the licence ends sooner
+	youngSpan   = 10 * eventloop.Second // calls of this process's forerunner may still be carried out
+	callSpan    = 3 * eventloop.Second  // a call whose reply never came was silent
+	lookSpan    = eventloop.Second      // how long a look waits while something runs
+	waryLook    = 80 * eventloop.Milli  // and where calls have been lost of late, for a lost one is missed so late
+	warySpan    = 5 * eventloop.Second  // how long that is borne in mind
+	patientMost = 400 * eventloop.Milli // how long an answer is waited for at most
+	patientBase = 40 * eventloop.Milli  // and at least
+	patientFold = 4                     // times the slowest of late
+	quietSpan   = 2 * eventloop.Second  // and while nothing does
+	listSpan    = 300 * eventloop.Milli // a worker that has seen a higher fence is left alone for so long
+	goneSpan    = 10 * eventloop.Second // the ends of a worker that has departed are told for so long
+	stopUsual   = 2 * eventloop.Second
+	holdUsual   = 4 * eventloop.Second // a licence, until one is heard of
+	holdShort   = 3 * eventloop.Second // a worker holds its work for so long at a time: a deaf one's is given out again then
+	holdSlack   = 20 * eventloop.Milli
+	listMost    = 500                   // ends in one look
+	deadMost    = 16                    // former lives remembered
+	spentSpan   = 60 * eventloop.Second // attempts given up are remembered for so long at least
+	spentMost   = 4096                  // and all of them up to so many
+	refusedMost = 8                     // announces turned away in a row before their number leaps
 	refusedLeap = 1 << 32
 )
 
@@ -85,14 +85,14 @@
 	percent   int64
 	cores     int64
 	memory    int64
-	began     loop.Micros // when we first heard of it
-	fence     uint64      // of the newest try to start it
-	first     loop.Micros // first try to start it
-	call      uint64      // that is open
+	began     eventloop.Micros // when we first heard of it
+	fence     uint64           // of the newest try to start it
+	first     eventloop.Micros // first try to start it
+	call      uint64           // that is open
 	tries     int
-	retryAt   loop.Micros
+	retryAt   eventloop.Micros
 	touched   uint64 // number of the last call, or reply, about it
-	stoppedAt loop.Micros
+	stoppedAt eventloop.Micros
 	isCounted bool // takes room, as far as we know
 	isSeen    bool // the worker has told that it runs
 	isUnsure  bool // a start may yet be carried out
@@ -110,15 +110,15 @@
 type pending struct {
 	act   Act
 	key   runKey
-	sent  loop.Micros
+	sent  eventloop.Micros
 	fence uint64
-	wait  loop.Micros
-	held  loop.Micros
+	wait  eventloop.Micros
+	held  eventloop.Micros
 }
 
 type poll struct {
 	seq    uint64
-	sent   loop.Micros
+	sent   eventloop.Micros
 	placer string
 	over   []string
 }
@@ -135,49 +135,49 @@
 type life struct {
 	worker      string
 	beat        Beat
-	heard       loop.Micros
+	heard       eventloop.Micros
 	isLeaving   bool
-	leftAt      loop.Micros // when the last word of the departure was heard
-	isOver      bool        // another life answers where it was
-	hasAnswered bool        // a call
-	departedAt  loop.Micros
-	clock       loop.Micros // of the worker, at least, as of clockAt
-	clockAt     loop.Micros
+	leftAt      eventloop.Micros // when the last word of the departure was heard
+	isOver      bool             // another life answers where it was
+	hasAnswered bool             // a call
+	departedAt  eventloop.Micros
+	clock       eventloop.Micros // of the worker, at least, as of clockAt
+	clockAt     eventloop.Micros
 
 	placer   string
 	fence    uint64 // newest generation of the ward
 	surveyed uint64 // the inventory is from a look with this one; 0: one is due
 	after    uint64 // and from one later than this
-	fencedTo loop.Micros
-	metAt    loop.Micros
-	licence  loop.Micros // ends, by our clock
-	span     loop.Micros // that a licence lasts
-	held     loop.Micros // what runs is held so long, as far as the worker has answered
-	heldOut  loop.Micros // by then, whatever we have sent, its hold is over
-	isLapsed bool        // it was deaf until then, so nothing runs there
-	slowest  loop.Micros // answer of late
-	mutes    int         // looks in a row that nothing answered
-	lostAt   loop.Micros // when a call was last found lost
+	fencedTo eventloop.Micros
+	metAt    eventloop.Micros
+	licence  eventloop.Micros // ends, by our clock
+	span     eventloop.Micros // that a licence lasts
+	held     eventloop.Micros // what runs is held so long, as far as the worker has answered
+	heldOut  eventloop.Micros // by then, whatever we have sent, its hold is over
+	isLapsed bool             // it was deaf until then, so nothing runs there
+	slowest  eventloop.Micros // answer of late
+	mutes    int              // looks in a row that nothing answered
+	lostAt   eventloop.Micros // when a call was last found lost
 
 	runs    map[runKey]*run
 	ended   map[runKey]*end // not noted
 	listed  map[uint64]*end // above notedTo
 	notedTo uint64
-	highest uint64                 // end listed
-	spent   map[runKey]loop.Micros // attempts that we told to be over; the worker may not know them
+	highest uint64                      // end listed
+	spent   map[runKey]eventloop.Micros // attempts that we told to be over; the worker may not know them
 
 	calls    map[uint64]*pending
 	look     uint64 // the long look that is open
 	glance   uint64 // the short one
 	newest   uint64 // look whose list was taken
-	lookAt   loop.Micros
-	rest     loop.Micros
-	glanceAt loop.Micros
+	lookAt   eventloop.Micros
+	rest     eventloop.Micros
+	glanceAt eventloop.Micros
 	isAsked  bool // a glance is wanted
 
 	poll     *poll
-	pollAt   loop.Micros
-	polledAt loop.Micros
+	pollAt   eventloop.Micros
+	polledAt eventloop.Micros
 	isDirty  bool
 	refusals int
 }
@@ -192,8 +192,8 @@
 	over   []string // those of them that no placer has heard of yet
 	seq    uint64   // of announces; above those of this process's forerunners
 	number uint64   // of calls and of their replies, in the order they were seen
-	born   loop.Micros
-	last   loop.Micros
+	born   eventloop.Micros
+	last   eventloop.Micros
 }
 
 // New makes the table. Bounds are what the deployment promises; first is a
@@ -206,7 +206,7 @@
 	return &Table{bounds: bounds, state: &schema.CharterState{}, seq: first}
 }
 
-func (t *Table) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	if t.born == 0 {
 		t.born = now
 	}
@@ -218,7 +218,7 @@
 	}
 	t.last = now
 	switch body := mail.Body.(type) {
-	case loop.Tick:
+	case eventloop.Tick:
 		t.expire(now)
 	case Beat:
 		t.beat(now, body)
@@ -236,7 +236,7 @@
 
 // act does what is due. The order matters: nothing is announced before the
 // worker was looked at under the current fence.
-func (t *Table) act(now loop.Micros, out loop.Out) {
+func (t *Table) act(now eventloop.Micros, out eventloop.Out) {
 	l := t.life
 	if l == nil || l.isOver {
 		return
@@ -252,7 +252,7 @@
 
 // --- the worker's lives ---
 
-func (t *Table) beat(now loop.Micros, m Beat) {
+func (t *Table) beat(now eventloop.Micros, m Beat) {
 	l := t.life
 	if k := t.buried(m.Worker); k >= 0 {
 		// A late word of the dead can push the living aside in a young agent.
@@ -277,7 +277,7 @@
 	if l == nil {
 		l = &life{
 			worker: m.Worker, runs: map[runKey]*run{}, ended: map[runKey]*end{}, listed: map[uint64]*end{},
-			calls: map[uint64]*pending{}, span: holdUsual, rest: retrySpan, heldOut: t.born + holdUsual, spent: map[runKey]loop.Micros{},
+			calls: map[uint64]*pending{}, span: holdUsual, rest: retrySpan, heldOut: t.born + holdUsual, spent: map[runKey]eventloop.Micros{},
 		}
 		t.life = l
 		t.takeWard(l)
@@ -312,7 +312,7 @@
 
 // departed takes the word of a worker that has ended in order: nothing runs
 // there any more, so its tasks can be given back at once.
-func (t *Table) departed(now loop.Micros, m Departed) {
+func (t *Table) departed(now eventloop.Micros, m Departed) {
 	t.bury(m.Worker, 0, true)
 	l := t.life
 	if l == nil || l.worker != m.Worker || l.departedAt > 0 {
@@ -334,13 +334,13 @@
 // sample keeps what the worker's clock shows at least. It showed that much when
 // it answered, so it shows no less when the answer is here; and it may run 2%
 // slow, which counts against old samples.
-func (t *Table) sample(now loop.Micros, l *life, clock loop.Micros) {
+func (t *Table) sample(now eventloop.Micros, l *life, clock eventloop.Micros) {
 	if clock > 0 && clock >= l.clockBy(now) {
 		l.clock, l.clockAt = clock, now
 	}
 }
 
-func (l *life) clockBy(now loop.Micros) loop.Micros {
+func (l *life) clockBy(now eventloop.Micros) eventloop.Micros {
 	if l.clockAt == 0 {
 		return 0
 	}
@@ -350,7 +350,7 @@
 // until is what a call holds the worker's work to, on the worker's clock: never
 // later than our licence, but for what that clock may run slow from here on. 0:
 // there is none to tell.
-func (t *Table) until(now loop.Micros, l *life) loop.Micros {
+func (t *Table) until(now eventloop.Micros, l *life) eventloop.Micros {
 	// Of a worker that seems deaf nobody knows whether it is held any longer, so
 	// that the end of its hold doesn't move away.
 	if l.clockAt == 0 || now >= l.licence || l.mutes > 0 {
@@ -361,8 +361,8 @@
 
 // --- whose ward it is ---
 
-func (t *Table) charter(now loop.Micros, m *schema.CharterTell) {
-	if leader := m.Leaders[charter.Group]; leader != "" {
+func (t *Table) charter(now eventloop.Micros, m *schema.CharterTell) {
+	if leader := m.Leaders[clusterstate.Group]; leader != "" {
 		t.leader = leader
 	}
 	if m.State == nil || m.State.Version <= t.state.Version {
@@ -376,7 +376,7 @@
 
 // takeWard takes over what the charter says of the worker's ward.
 func (t *Table) takeWard(l *life) {
-	ward := charter.WardOf(t.state, l.worker)
+	ward := clusterstate.WardOf(t.state, l.worker)
 	if ward == nil || ward.Generation < l.fence {
 		return
 	}
@@ -397,7 +397,7 @@
 // lapse gives up what a deaf worker held: no call of ours held it any longer, and
 // starts that are still on their way come too late, all of them ended by its own
 // clock. One that runs slow has been allowed for.
-func (t *Table) lapse(now loop.Micros, l *life) {
+func (t *Table) lapse(now eventloop.Micros, l *life) {
 	if l.surveyed == l.fence || l.mutes < 2 || now <= l.heldOut || len(l.runs) == 0 {
 		return
 	}
@@ -412,11 +412,11 @@
 	l.surveyed, l.after, l.poll = 0, t.number, nil
 }
 
-func (t *Table) meet(now loop.Micros, l *life, out loop.Out) {
-	if t.state.Version == 0 || t.leader == "" || l.metAt > 0 && now-l.metAt < meetSpan || charter.WardOf(t.state, l.worker) != nil {
+func (t *Table) meet(now eventloop.Micros, l *life, out eventloop.Out) {
+	if t.state.Version == 0 || t.leader == "" || l.metAt > 0 && now-l.metAt < meetSpan || clusterstate.WardOf(t.state, l.worker) != nil {
 		return
 	}
 	l.metAt = now
 	command := &schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: l.worker}}}
-	out.Send(t.leader, &schema.Errand{Kind: "charter", Group: charter.Group, Body: keep.CharterBody(command)})
+	out.Send(t.leader, &schema.Errand{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(command)})
 }
--- a/agent/announce.go
+++ b/internal/agent/announce.go
@@ -3,13 +3,13 @@
 import (
 	"slices"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // announce keeps one announce open at the ward's placer, and sends a new one at
 // once when something has changed.
-func (t *Table) announce(now loop.Micros, l *life, out loop.Out) {
+func (t *Table) announce(now eventloop.Micros, l *life, out eventloop.Out) {
 	if l.placer == "" || l.fence == 0 || l.surveyed != l.fence && l.departedAt == 0 && !l.isLapsed {
 		return
 	}
@@ -58,7 +58,7 @@
 
 // answered takes the answer to the announce that stands; whatever an older one
 // says, the next says again.
-func (t *Table) answered(now loop.Micros, from string, m *schema.PollReply) {
+func (t *Table) answered(now eventloop.Micros, from string, m *schema.PollReply) {
 	l := t.life
 	if l == nil || l.isOver || l.poll == nil || m.Id != l.poll.seq || from != l.poll.placer {
 		return
@@ -84,7 +84,7 @@
 			t.over = slices.Delete(t.over, k, k+1)
 		}
 	}
-	if span := loop.Micros(m.Orders.LicenceUs); span > 0 {
+	if span := eventloop.Micros(m.Orders.LicenceUs); span > 0 {
 		l.licence, l.span = max(l.licence, p.sent+span), span
 	}
 	isNews := t.noted(now, l, m.Orders.Noted)
@@ -97,7 +97,7 @@
 	}
 }
 
-func (t *Table) noted(now loop.Micros, l *life, notes []*schema.TaskNote) bool {
+func (t *Table) noted(now eventloop.Micros, l *life, notes []*schema.TaskNote) bool {
 	isNews := false
 	for _, note := range notes {
 		key := runKey{TaskName{note.Name, note.Round, note.Part, note.Task}, note.Attempt}
@@ -117,7 +117,7 @@
 
 // obey takes an order, a difference that repeats until we announce that it is
 // none any more; it tells whether that was new.
-func (t *Table) obey(now loop.Micros, l *life, order *schema.Order) bool {
+func (t *Table) obey(now eventloop.Micros, l *life, order *schema.Order) bool {
 	key := runKey{TaskName{order.Name, order.Round, order.Part, order.Task}, order.Attempt}
 	r := l.runs[key]
 	if l.ended[key] != nil || l.departedAt > 0 {
--- a/agent/call.go
+++ b/internal/agent/call.go
@@ -4,7 +4,7 @@
 // forgotten, the worker lists again.
 package agent
 
-import "sparnotch/loop"
+import "sparnotch/internal/eventloop"
 
 // Beat is a worker's own word, told now and then to the agent on its machine.
 type Beat struct {
@@ -17,11 +17,11 @@
 	Memory       int64 // MB
 	Accelerators int64
 	IsLeaving    bool
-	Departure    loop.Micros // while leaving: the time that is left at least
-	Cold         loop.Micros // how much longer it is slow from its start
-	Clock        loop.Micros // of the worker, steady
-	Number       uint64      // rises with each beat of a life
-	Address      string      // where the worker takes calls
+	Departure    eventloop.Micros // while leaving: the time that is left at least
+	Cold         eventloop.Micros // how much longer it is slow from its start
+	Clock        eventloop.Micros // of the worker, steady
+	Number       uint64           // rises with each beat of a life
+	Address      string           // where the worker takes calls
 }
 
 // Departed says that a worker has ended in order.
@@ -55,13 +55,13 @@
 	Attempt uint32
 	Text    string
 	Saved   string
-	Until   loop.Micros // of the worker's clock; everything is killed then; 0: left as it is
+	Until   eventloop.Micros // of the worker's clock; everything is killed then; 0: left as it is
 	Fence   uint64
-	Noted   uint64      // ends up to this number may be forgotten
-	Wait    loop.Micros // how long a look waits for an end
+	Noted   uint64           // ends up to this number may be forgotten
+	Wait    eventloop.Micros // how long a look waits for an end
 	// Patience is how long the answer is waited for, besides Wait. The worker
 	// stands on the same machine, and every call may be made again.
-	Patience loop.Micros
+	Patience eventloop.Micros
 }
 
 // Verdict is how a call ended.
@@ -109,9 +109,9 @@
 	Number  uint64 // of the call
 	Verdict Verdict
 	Reason  Reason
-	Clock   loop.Micros // of the worker, 0 when not told
-	Running []Running   // of a look
-	Ended   []Ending    // of a look
+	Clock   eventloop.Micros // of the worker, 0 when not told
+	Running []Running        // of a look
+	Ended   []Ending         // of a look
 }
 
 // Caller carries a call out and returns what came of it; it may block.
--- a/agent/calls.go
+++ b/internal/agent/calls.go
@@ -4,13 +4,13 @@
 	"maps"
 	"slices"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // --- calls ---
 
-func (t *Table) issue(now loop.Micros, l *life, call Call, out loop.Out) uint64 {
+func (t *Table) issue(now eventloop.Micros, l *life, call Call, out eventloop.Out) uint64 {
 	t.number++
 	call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, l.fence
 	p := &pending{act: call.Act, key: runKey{call.Task, call.Attempt}, sent: now, fence: l.fence, wait: call.Wait}
@@ -27,7 +27,7 @@
 }
 
 // expire takes calls as silent whose replies never came.
-func (t *Table) expire(now loop.Micros) {
+func (t *Table) expire(now eventloop.Micros) {
 	if t.life == nil {
 		return
 	}
@@ -43,7 +43,7 @@
 	}
 }
 
-func (t *Table) replied(now loop.Micros, m Reply) {
+func (t *Table) replied(now eventloop.Micros, m Reply) {
 	l := t.life
 	if l == nil || l.isOver || l.calls[m.Number] == nil {
 		return
@@ -86,7 +86,7 @@
 }
 
 // carryOut issues the starts and stops that are due.
-func (t *Table) carryOut(now loop.Micros, l *life, out loop.Out) {
+func (t *Table) carryOut(now eventloop.Micros, l *life, out eventloop.Out) {
 	if now < l.fencedTo || l.fence == 0 {
 		return
 	}
@@ -105,7 +105,7 @@
 	}
 }
 
-func (t *Table) start(now loop.Micros, l *life, r *run, out loop.Out) {
+func (t *Table) start(now eventloop.Micros, l *life, r *run, out eventloop.Out) {
 	// What an older ward ordered is for the survey to decide.
 	if l.surveyed != l.fence || r.fence != 0 && r.fence != l.fence {
 		return
@@ -134,7 +134,7 @@
 	r.touched = r.call
 }
 
-func (t *Table) started(now loop.Micros, l *life, r *run, m Reply) {
+func (t *Table) started(now eventloop.Micros, l *life, r *run, m Reply) {
 	if r.standing != starting {
 		return
 	}
@@ -149,7 +149,7 @@
 		}
 	case Busy:
 		// Spread, so that all that was turned away together doesn't come back so.
-		r.retryAt = now + againSpan + loop.Micros(m.Number*7919%50)*loop.Milli
+		r.retryAt = now + againSpan + eventloop.Micros(m.Number*7919%50)*eventloop.Milli
 	case TurnedAway:
 		switch m.Reason {
 		case Fenced:
@@ -166,7 +166,7 @@
 
 // giveUp ends an attempt that isn't to begin here. Where a start may yet be
 // carried out, the worker must first be told that it is not to.
-func (t *Table) giveUp(now loop.Micros, l *life, r *run) {
+func (t *Table) giveUp(now eventloop.Micros, l *life, r *run) {
 	if r.isUnsure || now-t.born < youngSpan {
 		r.standing, r.tries, r.retryAt = stopping, 0, now
 		return
@@ -183,7 +183,7 @@
 	}
 }
 
-func (t *Table) stopped(now loop.Micros, l *life, r *run, m Reply) {
+func (t *Table) stopped(now eventloop.Micros, l *life, r *run, m Reply) {
 	if r.standing != stopping {
 		return
 	}
@@ -195,7 +195,7 @@
 		r.isStopped, r.stoppedAt, r.tries = true, now, 0
 		t.decide(l, r)
 	case m.Verdict == Busy:
-		r.retryAt = now + againSpan + loop.Micros(m.Number*7919%50)*loop.Milli
+		r.retryAt = now + againSpan + eventloop.Micros(m.Number*7919%50)*eventloop.Milli
 	default:
 		r.retryAt = now + rest
 	}
@@ -205,7 +205,7 @@
 
 // lookOut keeps one long look open, by which ends come at once and what runs
 // is held; and sends a short one where something waits for the worker's word.
-func (t *Table) lookOut(now loop.Micros, l *life, out loop.Out) {
+func (t *Table) lookOut(now eventloop.Micros, l *life, out eventloop.Out) {
 	if now < l.fencedTo || l.fence == 0 {
 		return
 	}
@@ -236,7 +236,7 @@
 	if len(l.runs) == 0 {
 		wait = min(quietSpan, l.span/2)
 	}
-	wait = max(wait-wait%loop.Milli, retrySpan)
+	wait = max(wait-wait%eventloop.Milli, retrySpan)
 	l.look = t.issue(now, l, Call{Act: Look, Until: t.until(now, l), Noted: l.notedTo, Wait: wait}, out)
 }
 
@@ -252,20 +252,20 @@
 }
 
 // holdSpan is how long the worker holds its work when told now.
-func (t *Table) holdSpan(l *life) loop.Micros {
+func (t *Table) holdSpan(l *life) eventloop.Micros {
 	span := min(l.span, holdShort)
-	if most := loop.Micros(t.bounds.HoldMostUs); most > 0 {
+	if most := eventloop.Micros(t.bounds.HoldMostUs); most > 0 {
 		return min(span, most)
 	}
 	return span
 }
 
 // couldHold is until when it would hold it.
-func (t *Table) couldHold(now loop.Micros, l *life) loop.Micros {
+func (t *Table) couldHold(now eventloop.Micros, l *life) eventloop.Micros {
 	return min(l.licence, now+t.holdSpan(l))
 }
 
-func (t *Table) looked(now loop.Micros, l *life, m Reply, p *pending) {
+func (t *Table) looked(now eventloop.Micros, l *life, m Reply, p *pending) {
 	isLong := m.Number == l.look
 	if isLong {
 		l.look = 0
@@ -372,14 +372,14 @@
 	delete(l.runs, r.key)
 	l.isDirty = true
 	if len(l.spent) >= spentMost {
-		maps.DeleteFunc(l.spent, func(_ runKey, at loop.Micros) bool { return t.last-at > spentSpan })
+		maps.DeleteFunc(l.spent, func(_ runKey, at eventloop.Micros) bool { return t.last-at > spentSpan })
 	}
 	l.spent[r.key] = t.last
 }
 
 // takeList compares the worker's list of what runs with ours. A look says
 // nothing about what was ordered, or answered, after it was sent.
-func (t *Table) takeList(now loop.Micros, l *life, m Reply, p *pending) {
+func (t *Table) takeList(now eventloop.Micros, l *life, m Reply, p *pending) {
 	isListed := map[runKey]bool{}
 	for _, each := range m.Running {
 		key := runKey{each.Task, each.Attempt}
@@ -403,7 +403,7 @@
 			r.standing, r.call = running, 0
 		case r.standing == deciding && !r.isStopped:
 			r.standing = running
-		case r.standing == deciding && now-r.stoppedAt > t.stopMost()+loop.Second:
+		case r.standing == deciding && now-r.stoppedAt > t.stopMost()+eventloop.Second:
 			r.standing, r.retryAt = stopping, now
 		}
 	}
@@ -424,9 +424,9 @@
 	}
 }
 
-func (t *Table) stopMost() loop.Micros {
+func (t *Table) stopMost() eventloop.Micros {
 	if t.bounds.StopUs > 0 {
-		return loop.Micros(t.bounds.StopUs)
+		return eventloop.Micros(t.bounds.StopUs)
 	}
 	return stopUsual
 }
--- a/agent/storm_test.go
+++ b/internal/agent/storm_test.go
@@ -7,38 +7,40 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/agent"
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/toil"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/schema"
 )
 
 // storm is a run under every fault at once, the same for the same seed.
 func storm(seed uint64) (breaches []string, ends int) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	isCalm := false
-	setup := toil.Setup{
+	setup := fakeworker.Setup{
 		IsGuarding: seed%2 == 0, Drift: 0.98 + 0.02*rng.Float64(),
-		Fault: func(loop.Micros, agent.Call) toil.Fault {
+		Fault: func(eventloop.Micros, agent.Call) fakeworker.Fault {
 			if isCalm || rng.IntN(4) > 0 {
-				return toil.NoFault
+				return fakeworker.NoFault
 			}
-			return toil.Fault(1 + rng.IntN(4))
+			return fakeworker.Fault(1 + rng.IntN(4))
 		},
 		Fails: func(agent.TaskName, uint32) bool { return rng.IntN(10) == 0 },
-		Stops: func(agent.TaskName, uint32) loop.Micros { return loop.Micros(rng.Int64N(int64(800 * loop.Milli))) },
+		Stops: func(agent.TaskName, uint32) eventloop.Micros {
+			return eventloop.Micros(rng.Int64N(int64(800 * eventloop.Milli)))
+		},
 	}
-	bounds := &schema.Bounds{StopUs: int64(800 * loop.Milli), HoldMostUs: int64(3 * loop.Second)}
+	bounds := &schema.Bounds{StopUs: int64(800 * eventloop.Milli), HoldMostUs: int64(3 * eventloop.Second)}
 	b := newBench(setup, bounds)
-	b.delay = func(any) loop.Micros {
+	b.delay = func(any) eventloop.Micros {
 		if isCalm || rng.IntN(8) > 0 {
-			return loop.Micros(1+rng.IntN(4)) * loop.Milli
+			return eventloop.Micros(1+rng.IntN(4)) * eventloop.Milli
 		}
-		return loop.Micros(rng.IntN(300)) * loop.Milli
+		return eventloop.Micros(rng.IntN(300)) * eventloop.Milli
 	}
 	w := b.ward("p1", 5, "w1")
 	arm := func(w *ward) {
-		w.noteAfter = loop.Micros(rng.Int64N(int64(200 * loop.Milli)))
+		w.noteAfter = eventloop.Micros(rng.Int64N(int64(200 * eventloop.Milli)))
 		w.loses = func() bool { return !isCalm && rng.IntN(5) == 0 }
 	}
 	arm(w)
@@ -94,7 +96,7 @@
 			stop := w.starts[rng.IntN(len(w.starts))]
 			w.stops = append(w.stops, order("stop", "j", stop.Task, stop.Attempt, ""))
 		}
-		b.run(loop.Milli)
+		b.run(eventloop.Milli)
 		// Whatever was told as ended doesn't run, then or later, and its task is
 		// given out again as the next attempt.
 		for ; checked < len(w.ends); checked++ {
@@ -108,7 +110,7 @@
 				breach("%s told twice", key)
 			}
 			told[key] = true
-			if b.worker.Runs(toil.Run{Task: agent.TaskName{Job: "j", Task: task}, Attempt: attempt}) {
+			if b.worker.Runs(fakeworker.Run{Task: agent.TaskName{Job: "j", Task: task}, Attempt: attempt}) {
 				breach("%s runs at %d though it was told as ended", key, k)
 			}
 			ends++
--- a/gauge/gauge.go
+++ b/internal/capacity/capacity.go
@@ -1,7 +1,7 @@
-// Package gauge owns what capacity is worked out from: readings taken while one
+// Package capacity owns what capacity is worked out from: readings taken while one
 // size of a deployment is swept, the curves fitted to them, and the sums that
 // lead from those to machines.
-package gauge
+package capacity
 
 import (
 	"encoding/csv"
--- a/gauge/size.go
+++ b/internal/capacity/size.go
@@ -1,4 +1,4 @@
-package gauge
+package capacity
 
 import (
 	"bytes"
--- a/check/called.go
+++ b/internal/checker/called.go
@@ -1,18 +1,18 @@
-package check
+package checker
 
 import (
 	"slices"
 	"sort"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // OfCalled are the bounds where workers are called.
 var OfCalled = Bounds{
-	Kept: 120 * loop.Second, Early: 250 * loop.Milli, Leave: 2 * loop.Second, Cancel: 3 * loop.Second,
-	Stop: loop.Second, Plan: 2 * loop.Second, Away: 12 * loop.Second, Together: 5 * loop.Second, Struck: loop.Second, Settle: 5 * loop.Second,
-	Idle: 3 * loop.Second,
+	Kept: 120 * eventloop.Second, Early: 250 * eventloop.Milli, Leave: 2 * eventloop.Second, Cancel: 3 * eventloop.Second,
+	Stop: eventloop.Second, Plan: 2 * eventloop.Second, Away: 12 * eventloop.Second, Together: 5 * eventloop.Second, Struck: eventloop.Second, Settle: 5 * eventloop.Second,
+	Idle: 3 * eventloop.Second,
 }
 
 // judgeCalled is what holds of a job whose workers are called: they name tasks
@@ -85,7 +85,7 @@
 }
 
 // hasSaved tells whether a text was left by a run of the task, or of its group.
-func (a *account) hasSaved(id taskId, step *schema.Step, saved string, at loop.Micros) bool {
+func (a *account) hasSaved(id taskId, step *schema.Step, saved string, at eventloop.Micros) bool {
 	for t := uint32(0); t < step.Tasks; t++ {
 		if t != id.task && !a.isGathered(step) {
 			continue
@@ -100,8 +100,8 @@
 }
 
 // isNear tells whether a fault or the trouble of any worker lies near.
-func (j *judge) isNear(from, to loop.Micros) bool {
-	for _, list := range [][]loop.Micros{j.faults, j.sick} {
+func (j *judge) isNear(from, to eventloop.Micros) bool {
+	for _, list := range [][]eventloop.Micros{j.faults, j.sick} {
 		for _, at := range list {
 			if at > from-j.bounds.Away && at <= to {
 				return true
@@ -126,7 +126,7 @@
 	}
 }
 
-func (a *account) isFailed(ids []taskId, at loop.Micros) bool {
+func (a *account) isFailed(ids []taskId, at eventloop.Micros) bool {
 	failed := map[taskId]map[uint32]bool{}
 	for _, id := range ids {
 		step := a.step(id.step)
--- a/check/called_test.go
+++ b/internal/checker/called_test.go
@@ -1,38 +1,38 @@
-package check
+package checker
 
 import (
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // calledUp is a called worker; its events say so.
-func calledUp(at loop.Micros, who, pool string, labels ...string) Event {
+func calledUp(at eventloop.Micros, who, pool string, labels ...string) Event {
 	return Event{At: at, Kind: Up, Who: who, Cores: 25, Accelerators: 1, Pool: pool, Labels: labels, IsCalled: true}
 }
 
-func starts(at loop.Micros, who string, step, task, attempt uint32) Event {
+func starts(at eventloop.Micros, who string, step, task, attempt uint32) Event {
 	return Event{At: at, Kind: Begin, Who: who, Lane: "l", Name: "j", Step: step, Task: task, Attempt: attempt, Cores: 10, Text: "t", IsCalled: true}
 }
 
-func startsFrom(at loop.Micros, who string, task, attempt uint32, saved string) Event {
+func startsFrom(at eventloop.Micros, who string, task, attempt uint32, saved string) Event {
 	e := starts(at, who, 0, task, attempt)
 	e.Saved = saved
 	return e
 }
 
-func ends(at loop.Micros, who string, step, task, attempt uint32, how string) Event {
+func ends(at eventloop.Micros, who string, step, task, attempt uint32, how string) Event {
 	return Event{At: at, Kind: End, Who: who, Lane: "l", Name: "j", Step: step, Task: task, Attempt: attempt, State: how, IsCalled: true}
 }
 
-func kept(at loop.Micros, who string, task, attempt uint32, saved string) Event {
+func kept(at eventloop.Micros, who string, task, attempt uint32, saved string) Event {
 	return Event{At: at, Kind: Kept, Who: who, Lane: "l", Name: "j", Task: task, Attempt: attempt, Saved: saved, IsCalled: true}
 }
 
-func noted(at loop.Micros, who string, step, task, attempt uint32, state string) Event {
+func noted(at eventloop.Micros, who string, step, task, attempt uint32, state string) Event {
 	return Event{At: at, Kind: Noted, Who: who, Lane: "l", Name: "j", Step: step, Task: task, Attempt: attempt, State: state, IsCalled: true}
 }
 
@@ -57,10 +57,10 @@
 		}
 		return list
 	}
-	done := func(at loop.Micros, who string, step, task, attempt uint32) []Event {
+	done := func(at eventloop.Micros, who string, step, task, attempt uint32) []Event {
 		return []Event{starts(at, who, step, task, attempt), ends(at+s, who, step, task, attempt, "done"), noted(at+s+1, who, step, task, attempt, "")}
 	}
-	table := func(at loop.Micros, list ...string) Event {
+	table := func(at eventloop.Micros, list ...string) Event {
 		return Event{At: at, Kind: PlanPut, Code: 200, Generation: 1, Rows: rows(list...)}
 	}
 	readBack := Event{At: 200 * s, Kind: PlanRead, Code: 200, Generation: 1}
@@ -98,7 +98,7 @@
 			with(taken(group, starts(2*s, "w", 0, 0, 1), starts(2*s, "v", 0, 1, 1), kept(3*s, "w", 0, 1, "p"), ends(4*s, "w", 0, 0, 1, "stopped"), ends(4*s, "v", 0, 1, 1, "broken"), startsFrom(5*s, "w", 0, 2, "p"), startsFrom(5*s, "v", 1, 2, "p"), ends(6*s, "w", 0, 0, 2, "done"), ends(6*s, "v", 0, 1, 2, "done")), over("complete"))},
 		{"a round starts early", 4,
 			with(taken(rounds), done(3*s, "w", 0, 0, 1), done(5*s, "w", 1, 0, 1), done(6*s, "v", 2, 0, 1), done(8*s, "v", 3, 0, 1), over("complete")),
-			with(taken(rounds), done(3*s, "w", 0, 0, 1), done(5*s, "w", 1, 0, 1), done(7*s-200*loop.Milli, "v", 2, 0, 1), done(9*s, "v", 3, 0, 1), over("complete"))},
+			with(taken(rounds), done(3*s, "w", 0, 0, 1), done(5*s, "w", 1, 0, 1), done(7*s-200*eventloop.Milli, "v", 2, 0, 1), done(9*s, "v", 3, 0, 1), over("complete"))},
 		{"a step starts before what it waits for in its own round", 4,
 			with(taken(rounds), done(3*s, "w", 0, 0, 1), done(5*s, "w", 1, 0, 1), done(8*s, "v", 3, 0, 1), done(10*s, "v", 2, 0, 1), over("complete")),
 			with(taken(rounds), done(7*s, "v", 2, 0, 1), done(9*s, "v", 3, 0, 1), done(11*s, "w", 0, 0, 1), done(13*s, "w", 1, 0, 1), over("complete"))},
--- a/check/check.go
+++ b/internal/checker/checker.go
@@ -1,6 +1,6 @@
-// Package check judges a run by the brief's rules. It reads only the history
+// Package checker judges a run by the brief's rules. It reads only the history
 // of what callers, workers and operators saw; it knows nothing of the system.
-package check
+package checker
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 	"strconv"
 	"strings"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // Kinds of events.
@@ -49,29 +49,29 @@
 
 // Event is one thing somebody saw.
 type Event struct {
-	At          loop.Micros `json:"at"`
-	Kind        string      `json:"kind"`
-	Who         string      `json:"who,omitempty"`
-	Lane        string      `json:"lane,omitempty"`
-	Name        string      `json:"name,omitempty"`
-	Job         uint64      `json:"job,omitempty"`
-	Step        uint32      `json:"step"`
-	Task        uint32      `json:"task"`
-	Attempt     uint32      `json:"attempt,omitempty"`
-	Code        int32       `json:"code,omitempty"`
-	State       string      `json:"state,omitempty"` // of a job, of an end, or an order's act
-	Generation  uint64      `json:"generation,omitempty"`
-	Cores       int64       `json:"cores,omitempty"`
-	Memory      int64       `json:"memory,omitempty"`
-	Incarnation uint64      `json:"incarnation,omitempty"`
-	Spec        *schema.Job `json:"spec,omitempty"`
+	At          eventloop.Micros `json:"at"`
+	Kind        string           `json:"kind"`
+	Who         string           `json:"who,omitempty"`
+	Lane        string           `json:"lane,omitempty"`
+	Name        string           `json:"name,omitempty"`
+	Job         uint64           `json:"job,omitempty"`
+	Step        uint32           `json:"step"`
+	Task        uint32           `json:"task"`
+	Attempt     uint32           `json:"attempt,omitempty"`
+	Code        int32            `json:"code,omitempty"`
+	State       string           `json:"state,omitempty"` // of a job, of an end, or an order's act
+	Generation  uint64           `json:"generation,omitempty"`
+	Cores       int64            `json:"cores,omitempty"`
+	Memory      int64            `json:"memory,omitempty"`
+	Incarnation uint64           `json:"incarnation,omitempty"`
+	Spec        *schema.Job      `json:"spec,omitempty"`
 
-	Front string        `json:"front,omitempty"` // through which an errand went
-	Sent  loop.Micros   `json:"sent,omitempty"`  // when the errand was sent that this answers
-	Rack  string        `json:"rack,omitempty"`
-	Built uint64        `json:"built,omitempty"` // the generation a sheet was built on
-	Rows  []*schema.Row `json:"rows,omitempty"`  // of a table that was put or read
-	Wall  int64         `json:"wall,omitempty"`
+	Front string           `json:"front,omitempty"` // through which an errand went
+	Sent  eventloop.Micros `json:"sent,omitempty"`  // when the errand was sent that this answers
+	Rack  string           `json:"rack,omitempty"`
+	Built uint64           `json:"built,omitempty"` // the generation a sheet was built on
+	Rows  []*schema.Row    `json:"rows,omitempty"`  // of a table that was put or read
+	Wall  int64            `json:"wall,omitempty"`
 
 	IsCalled     bool     `json:"called,omitempty"` // of a worker that is called: its groups gather, its ends are noted
 	IsLate       bool     `json:"late,omitempty"`   // carried out late by the worker
@@ -84,7 +84,7 @@
 }
 
 // sent is when the errand was sent that an event answers.
-func (e *Event) sent() loop.Micros {
+func (e *Event) sent() eventloop.Micros {
 	if e.Sent > 0 {
 		return e.Sent
 	}
@@ -98,7 +98,7 @@
 // Breach is one broken rule.
 type Breach struct {
 	Rule int
-	At   loop.Micros
+	At   eventloop.Micros
 	What string
 }
 
@@ -106,23 +106,23 @@
 
 // Bounds are the brief's spans.
 type Bounds struct {
-	Kept     loop.Micros // an ended job is known at least so long
-	Early    loop.Micros // a timed job may start so much early
-	Leave    loop.Micros // work reaches a leaving worker at most so late
-	Cancel   loop.Micros
-	Stop     loop.Micros // a task told to stop has ended by then
-	Plan     loop.Micros
-	Away     loop.Micros
-	Together loop.Micros // members of a group begin within this
-	Struck   loop.Micros // before a group's first start: a worker lost then wasn't missed yet
-	Settle   loop.Micros // a front that is back serves by then
-	Idle     loop.Micros // a job with nothing running begins something where there is room; 0: not judged
+	Kept     eventloop.Micros // an ended job is known at least so long
+	Early    eventloop.Micros // a timed job may start so much early
+	Leave    eventloop.Micros // work reaches a leaving worker at most so late
+	Cancel   eventloop.Micros
+	Stop     eventloop.Micros // a task told to stop has ended by then
+	Plan     eventloop.Micros
+	Away     eventloop.Micros
+	Together eventloop.Micros // members of a group begin within this
+	Struck   eventloop.Micros // before a group's first start: a worker lost then wasn't missed yet
+	Settle   eventloop.Micros // a front that is back serves by then
+	Idle     eventloop.Micros // a job with nothing running begins something where there is room; 0: not judged
 }
 
 // Usual are the brief's bounds.
 var Usual = Bounds{
-	Kept: 120 * loop.Second, Early: 100 * loop.Milli, Leave: 2 * loop.Second, Cancel: 3 * loop.Second,
-	Stop: loop.Second, Plan: 2 * loop.Second, Away: 12 * loop.Second, Together: 5 * loop.Second, Struck: loop.Second, Settle: 5 * loop.Second,
+	Kept: 120 * eventloop.Second, Early: 100 * eventloop.Milli, Leave: 2 * eventloop.Second, Cancel: 3 * eventloop.Second,
+	Stop: eventloop.Second, Plan: 2 * eventloop.Second, Away: 12 * eventloop.Second, Together: 5 * eventloop.Second, Struck: eventloop.Second, Settle: 5 * eventloop.Second,
 }
 
 type jobKey struct{ lane, name string }
@@ -134,16 +134,16 @@
 }
 
 type stint struct {
-	begin, end  loop.Micros // end 0: still running at the close
+	begin, end  eventloop.Micros // end 0: still running at the close
 	worker      string
 	incarnation uint64
 	attempt     uint32
 	outcome     string
 	cores, mem  int64
-	told        loop.Micros // told to stop
-	reported    loop.Micros // its failure, and that was answered
-	isResumed   bool        // goes on after its worker was frozen
-	noted       loop.Micros // its end, and the worker's hold hadn't ended in between
+	told        eventloop.Micros // told to stop
+	reported    eventloop.Micros // its failure, and that was answered
+	isResumed   bool             // goes on after its worker was frozen
+	noted       eventloop.Micros // its end, and the worker's hold hadn't ended in between
 	isLate      bool
 	text, saved string
 }
@@ -151,16 +151,16 @@
 type account struct {
 	key       jobKey
 	spec      *schema.Job
-	firstSent loop.Micros
+	firstSent eventloop.Micros
 	sent      int
 	refused   int // answered with a final no
-	accepted  loop.Micros
+	accepted  eventloop.Micros
 	isTaken   bool
 	created   int // answers of 201
 	isOver    bool
-	overAt    loop.Micros
-	askedEnd  loop.Micros // when a cancel was first asked for
-	cancelled loop.Micros // and confirmed
+	overAt    eventloop.Micros
+	askedEnd  eventloop.Micros // when a cancel was first asked for
+	cancelled eventloop.Micros // and confirmed
 	ids       map[uint64]bool
 	stints    map[taskId][]*stint
 	statuses  []Event
@@ -191,18 +191,18 @@
 	accounts map[jobKey]*account
 	byTask   map[taskId]*account // names are missing in stops
 	breaches []Breach
-	troubles map[string][]loop.Micros // when a worker crashed, froze or was cut off
-	faults   []loop.Micros
-	leaves   map[string][]loop.Micros
-	walls    []Event       // right clocks
-	sick     []loop.Micros // when any worker had trouble or left
+	troubles map[string][]eventloop.Micros // when a worker crashed, froze or was cut off
+	faults   []eventloop.Micros
+	leaves   map[string][]eventloop.Micros
+	walls    []Event            // right clocks
+	sick     []eventloop.Micros // when any worker had trouble or left
 }
 
 // Judge finds every broken rule in a history, which must be in order of time.
 func Judge(history []Event, bounds Bounds) []Breach {
 	j := &judge{
-		bounds: bounds, accounts: map[jobKey]*account{}, byTask: map[taskId]*account{}, troubles: map[string][]loop.Micros{},
-		leaves: map[string][]loop.Micros{},
+		bounds: bounds, accounts: map[jobKey]*account{}, byTask: map[taskId]*account{}, troubles: map[string][]eventloop.Micros{},
+		leaves: map[string][]eventloop.Micros{},
 	}
 	j.read(history)
 	keys := make([]jobKey, 0, len(j.accounts))
@@ -210,7 +210,7 @@
 		keys = append(keys, key)
 	}
 	sort.Slice(keys, func(a, b int) bool { return keys[a].lane+"/"+keys[a].name < keys[b].lane+"/"+keys[b].name })
-	closed := loop.Micros(0)
+	closed := eventloop.Micros(0)
 	if len(history) > 0 {
 		closed = history[len(history)-1].At
 	}
@@ -235,7 +235,7 @@
 	return j.breaches
 }
 
-func (j *judge) breach(rule int, at loop.Micros, form string, args ...any) {
+func (j *judge) breach(rule int, at eventloop.Micros, form string, args ...any) {
 	j.breaches = append(j.breaches, Breach{rule, at, fmt.Sprintf(form, args...)})
 }
 
@@ -420,7 +420,7 @@
 	}
 }
 
-func (j *judge) judgeJob(a *account, closed loop.Micros) {
+func (j *judge) judgeJob(a *account, closed eventloop.Micros) {
 	name := a.key.lane + "/" + a.key.name
 	// 1: accepted, so it ends; and until well after its end it is known.
 	if a.isTaken && !a.isOver {
@@ -472,8 +472,8 @@
 
 // endAt is when the job's last task ended, as far as it was seen; without any,
 // when somebody was first told that it is over.
-func (a *account) endAt() loop.Micros {
-	last := loop.Micros(0)
+func (a *account) endAt() eventloop.Micros {
+	last := eventloop.Micros(0)
 	for _, list := range a.stints {
 		for _, s := range list {
 			if s.end > last && s.end <= a.overAt {
@@ -489,8 +489,8 @@
 
 // isAmid tells whether a fault, or trouble of the worker, lies so near that
 // what is asked of the system may take a whole recovery.
-func (j *judge) isAmid(worker string, from, to loop.Micros) bool {
-	for _, list := range [][]loop.Micros{j.faults, j.troubles[worker]} {
+func (j *judge) isAmid(worker string, from, to eventloop.Micros) bool {
+	for _, list := range [][]eventloop.Micros{j.faults, j.troubles[worker]} {
 		for _, at := range list {
 			if at > from-j.bounds.Away && at < to {
 				return true
@@ -500,7 +500,7 @@
 	return false
 }
 
-func (j *judge) judgeTask(a *account, id taskId, list []*stint, closed loop.Micros) {
+func (j *judge) judgeTask(a *account, id taskId, list []*stint, closed eventloop.Micros) {
 	what := fmt.Sprintf("%s/%s step %d task %d", id.lane, id.name, id.step, id.task)
 	sort.SliceStable(list, func(x, y int) bool { return list[x].begin < list[y].begin })
 	failures := uint32(0)
@@ -565,7 +565,7 @@
 		}
 		round := int(id.step) / len(a.spec.Steps)
 		for _, s := range a.stints[id] {
-			due := a.firstSent + loop.Micros(a.spec.DelayUs+int64(round)*a.spec.EveryUs)
+			due := a.firstSent + eventloop.Micros(a.spec.DelayUs+int64(round)*a.spec.EveryUs)
 			if due > a.firstSent && a.spec.StartWallUs == 0 && s.begin < due-j.bounds.Early {
 				j.breach(4, s.begin, "%s starts round %d %d us early", name, round, due-s.begin)
 			}
@@ -586,14 +586,14 @@
 }
 
 // wallAt is what a right clock showed at a moment.
-func (j *judge) wallAt(at loop.Micros) (int64, bool) {
+func (j *judge) wallAt(at eventloop.Micros) (int64, bool) {
 	if len(j.walls) == 0 {
 		return 0, false
 	}
 	return j.walls[0].Wall + int64(at-j.walls[0].At), true
 }
 
-func (a *account) doneBy(id taskId, at loop.Micros) bool {
+func (a *account) doneBy(id taskId, at eventloop.Micros) bool {
 	if step := a.step(id.step); step != nil && a.isGathered(step) {
 		for t := uint32(0); t < step.Tasks; t++ {
 			id.task = t
@@ -606,7 +606,7 @@
 	return a.isDoneBy(id, at)
 }
 
-func (a *account) isDoneBy(id taskId, at loop.Micros) bool {
+func (a *account) isDoneBy(id taskId, at eventloop.Micros) bool {
 	for _, s := range a.stints[id] {
 		if s.outcome == "done" && s.end <= at {
 			return true
@@ -657,7 +657,7 @@
 }
 
 // judgeGroups: 10, whoever begins sees all the others begin.
-func (j *judge) judgeGroups(a *account, name string, closed loop.Micros) {
+func (j *judge) judgeGroups(a *account, name string, closed eventloop.Micros) {
 	for k := range a.steps() {
 		step := a.step(uint32(k))
 		if !step.Together || step.Tasks < 2 || a.isCalled {
@@ -694,7 +694,7 @@
 	if a.askedEnd > 0 && a.askedEnd < s.begin+j.bounds.Together {
 		return true
 	}
-	if s.outcome == "failed" && s.end < s.begin+100*loop.Milli {
+	if s.outcome == "failed" && s.end < s.begin+100*eventloop.Milli {
 		return true
 	}
 	for k := len(holds) - 1; k >= 0; k-- {
@@ -711,7 +711,7 @@
 	return false
 }
 
-func (a *account) beganNear(id taskId, at, span loop.Micros) bool {
+func (a *account) beganNear(id taskId, at, span eventloop.Micros) bool {
 	for _, s := range a.stints[id] {
 		if s.begin > at-span && s.begin < at+span {
 			return true
@@ -773,7 +773,7 @@
 
 // leaving: 7, no work reaches a worker long after it said that it leaves.
 func (j *judge) leaving(history []Event) {
-	said := map[string]loop.Micros{}
+	said := map[string]eventloop.Micros{}
 	for _, e := range history {
 		switch e.Kind {
 		case Up:
@@ -807,7 +807,7 @@
 // and stays; of two built on the same generation only one is taken.
 func (j *judge) plans(history []Event) {
 	type taken struct {
-		at         loop.Micros
+		at         eventloop.Micros
 		generation uint64
 	}
 	var puts []taken
@@ -933,7 +933,7 @@
 	// holds tells whether something is so in every table that may count at a
 	// moment: those of the last span, and the newest before it. A table whose
 	// answer was late counts from when it was sent.
-	holds := func(from, to loop.Micros, isSo func(rows []*schema.Row) bool) bool {
+	holds := func(from, to eventloop.Micros, isSo func(rows []*schema.Row) bool) bool {
 		isAny := false
 		for k, p := range puts {
 			isStill := k+1 == len(puts) || puts[k+1].At+j.bounds.Plan > from
@@ -1050,7 +1050,7 @@
 type attempt struct {
 	service
 	front    string
-	sent, at loop.Micros
+	sent, at eventloop.Micros
 	isServed bool
 }
 
@@ -1085,11 +1085,11 @@
 // faults every errand through a front that can serve is served.
 func (j *judge) served(history []Event) {
 	list := attempts(history)
-	var closed loop.Micros
+	var closed eventloop.Micros
 	if len(history) > 0 {
 		closed = history[len(history)-1].At
 	}
-	last := loop.Micros(0)
+	last := eventloop.Micros(0)
 	for k, at := range j.faults {
 		until := at + j.bounds.Away
 		if until > closed || k+1 < len(j.faults) && j.faults[k+1] < until {
@@ -1098,7 +1098,7 @@
 		asked, back := map[service]bool{}, map[service]bool{}
 		for _, each := range list {
 			// Who asks shortly before the span is over may be answered after it.
-			if each.sent >= at && each.sent < until-3*loop.Second {
+			if each.sent >= at && each.sent < until-3*eventloop.Second {
 				asked[each.service] = true
 			}
 			if each.sent >= at && each.at <= until && each.isServed {
@@ -1114,7 +1114,7 @@
 	}
 	// Which fronts could serve when.
 	type turn struct {
-		at     loop.Micros
+		at     eventloop.Micros
 		isAway bool
 	}
 	turns := map[string][]turn{}
@@ -1123,7 +1123,7 @@
 			turns[e.Front] = append(turns[e.Front], turn{e.At, e.Kind == Away})
 		}
 	}
-	canServe := func(front string, from, to loop.Micros) bool {
+	canServe := func(front string, from, to eventloop.Micros) bool {
 		isHere := false
 		for _, each := range turns[front] {
 			switch {
@@ -1155,10 +1155,10 @@
 
 // begun: work that waits after a fault is begun again in the span, in every
 // lane where some waits.
-func (j *judge) begun(at, until loop.Micros) {
+func (j *judge) begun(at, until eventloop.Micros) {
 	waits, isBegun := map[string]string{}, map[string]bool{}
 	for key, a := range j.accounts {
-		first := loop.Micros(0)
+		first := eventloop.Micros(0)
 		for _, list := range a.stints {
 			for _, s := range list {
 				if first == 0 || s.begin < first {
@@ -1170,7 +1170,7 @@
 			}
 		}
 		isPlain := a.spec != nil && a.spec.DelayUs == 0 && a.spec.StartWallUs == 0 && a.askedEnd == 0
-		if isPlain && a.isTaken && a.accepted > at && a.accepted < until-3*loop.Second && (first == 0 || first > at) {
+		if isPlain && a.isTaken && a.accepted > at && a.accepted < until-3*eventloop.Second && (first == 0 || first > at) {
 			waits[key.lane] = key.name
 		}
 	}
@@ -1183,9 +1183,9 @@
 
 // answered: 12 for workers: whoever is up and not cut off is answered.
 func (j *judge) answered(history []Event) {
-	heard := map[string]loop.Micros{}
+	heard := map[string]eventloop.Micros{}
 	isOff := map[string]bool{}
-	look := func(who string, now loop.Micros) {
+	look := func(who string, now eventloop.Micros) {
 		if at, isUp := heard[who]; isUp && !isOff[who] && now > at+j.bounds.Away {
 			j.breach(12, at, "the worker %s has no answer for %d us", who, now-at)
 		}
--- a/check/check_test.go
+++ b/internal/checker/checker_test.go
@@ -1,4 +1,4 @@
-package check
+package checker
 
 import (
 	"strings"
@@ -6,38 +6,38 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
-const s = loop.Second
+const s = eventloop.Second
 
 var twoSteps = &schema.Job{Steps: []*schema.Step{{Name: "a", Tasks: 1, AllowedFailures: 1}, {Name: "b", Tasks: 1, After: []string{"a"}}}}
 var gang = &schema.Job{Steps: []*schema.Step{{Name: "g", Tasks: 2, Together: true}}}
 var timed = &schema.Job{DelayUs: int64(5 * s), Steps: []*schema.Step{{Name: "a", Tasks: 1}}}
 
-func in(at loop.Micros, spec *schema.Job) Event {
+func in(at eventloop.Micros, spec *schema.Job) Event {
 	return Event{At: at, Kind: HandIn, Lane: "l", Name: "j", Spec: spec}
 }
-func reply(at loop.Micros, code int32) Event {
+func reply(at eventloop.Micros, code int32) Event {
 	return Event{At: at, Kind: HandInReply, Lane: "l", Name: "j", Code: code}
 }
-func status(at loop.Micros, code int32, state string) Event {
+func status(at eventloop.Micros, code int32, state string) Event {
 	return Event{At: at, Kind: Status, Lane: "l", Name: "j", Code: code, State: state}
 }
-func begin(at loop.Micros, who string, step, task, attempt uint32) Event {
+func begin(at eventloop.Micros, who string, step, task, attempt uint32) Event {
 	return Event{At: at, Kind: Begin, Who: who, Lane: "l", Name: "j", Job: 1, Step: step, Task: task, Attempt: attempt, Cores: 10}
 }
-func end(at loop.Micros, who string, step, task, attempt uint32, outcome string) Event {
+func end(at eventloop.Micros, who string, step, task, attempt uint32, outcome string) Event {
 	return Event{At: at, Kind: End, Who: who, Lane: "l", Name: "j", Job: 1, Step: step, Task: task, Attempt: attempt, State: outcome}
 }
-func order(at loop.Micros, who, act string, attempt uint32) Event {
+func order(at eventloop.Micros, who, act string, attempt uint32) Event {
 	return Event{At: at, Kind: Order, Who: who, Lane: "l", Name: "j", Job: 1, Attempt: attempt, State: act}
 }
-func told(at loop.Micros, who string, attempt uint32) Event {
+func told(at eventloop.Micros, who string, attempt uint32) Event {
 	return Event{At: at, Kind: Reported, Who: who, Lane: "l", Job: 1, Attempt: attempt, State: "failed"}
 }
-func up(at loop.Micros, who string) Event { return Event{At: at, Kind: Up, Who: who, Cores: 25} }
+func up(at eventloop.Micros, who string) Event { return Event{At: at, Kind: Up, Who: who, Cores: 25} }
 
 func good() []Event {
 	return []Event{
@@ -71,7 +71,7 @@
 		{"a frozen worker's task runs on after another took it", 2, []Event{in(1*s, twoSteps), reply(1*s, 201), begin(2*s, "w", 0, 0, 1), {At: 3 * s, Kind: Pause, Who: "w"}, begin(4*s, "v", 0, 0, 2), {At: 5 * s, Kind: Resume, Who: "w"}, end(6*s, "w", 0, 0, 1, "done"), end(7*s, "v", 0, 0, 2, "done"), status(8*s, 200, "failed"), closed}},
 		{"a task runs though every hand-in was turned away", 3, []Event{in(1*s, twoSteps), reply(1*s, 429), begin(2*s, "w", 0, 0, 1), end(3*s, "w", 0, 0, 1, "done"), closed}},
 		{"a step starts before its dependencies", 4, []Event{in(1*s, twoSteps), reply(1*s, 201), begin(2*s, "w", 1, 0, 1), end(3*s, "w", 1, 0, 1, "done"), status(6*s, 200, "failed"), closed}},
-		{"a timed job starts early", 4, []Event{in(1*s, timed), reply(1*s, 201), begin(5*s+800*loop.Milli, "w", 0, 0, 1), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "complete"), closed}},
+		{"a timed job starts early", 4, []Event{in(1*s, timed), reply(1*s, 201), begin(5*s+800*eventloop.Milli, "w", 0, 0, 1), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "complete"), closed}},
 		{"a retry beyond the allowed failures", 5, append(good()[:6:6], told(3*s, "w", 1), begin(3*s+1, "v", 0, 0, 2), end(4*s, "v", 0, 0, 2, "failed"), told(4*s, "v", 2), begin(4*s+1, "v", 0, 0, 3), end(5*s, "v", 0, 0, 3, "done"), status(6*s, 200, "failed"), closed)},
 		{"a worker gets more than its room", 6, []Event{up(0, "w"), begin(1*s, "w", 0, 0, 1), begin(1*s, "w", 0, 1, 1), begin(1*s, "w", 0, 2, 1), closed}},
 		{"work reaches a leaving worker", 7, []Event{up(0, "w"), {At: 1 * s, Kind: Leave, Who: "w"}, order(3*s+1, "w", "start", 1), closed}},
@@ -98,7 +98,7 @@
 	})
 }
 
-func answer(kind string, sent, at loop.Micros, front string, code int32, state string) Event {
+func answer(kind string, sent, at eventloop.Micros, front string, code int32, state string) Event {
 	return Event{At: at, Sent: sent, Kind: kind, Lane: "l", Name: "j", Front: front, Code: code, State: state}
 }
 func rows(list ...string) (table []*schema.Row) {
@@ -108,16 +108,16 @@
 	}
 	return table
 }
-func sent(at loop.Micros, table []*schema.Row) Event {
+func sent(at eventloop.Micros, table []*schema.Row) Event {
 	return Event{At: at, Kind: PlanSent, Rows: table}
 }
-func put(at loop.Micros, generation uint64, table []*schema.Row) Event {
+func put(at eventloop.Micros, generation uint64, table []*schema.Row) Event {
 	return Event{At: at, Kind: PlanPut, Code: 200, Generation: generation, Built: generation - 1, Rows: table}
 }
-func read(sent loop.Micros, front string, generation uint64, table []*schema.Row) Event {
+func read(sent eventloop.Micros, front string, generation uint64, table []*schema.Row) Event {
 	return Event{At: sent + 5, Sent: sent, Kind: PlanRead, Front: front, Code: 200, Generation: generation, Rows: table}
 }
-func trouble(at loop.Micros, kind, who string) Event { return Event{At: at, Kind: kind, Who: who} }
+func trouble(at eventloop.Micros, kind, who string) Event { return Event{At: at, Kind: kind, Who: who} }
 
 // TestNearMisses: each history breaks just one rule, and one close to it, which
 // differs in a single event, breaks none.
@@ -152,8 +152,8 @@
 			done(status(6*s, 200, "complete"), answer(Status, 126*s, 126*s, "f", 404, ""))},
 		{"a resend makes the job anew", 1, done(status(6*s, 200, "complete"), answer(HandInReply, 7*s, 7*s, "f", 201, ""), Event{At: 8 * s, Kind: Close}),
 			done(status(6*s, 200, "complete"), answer(HandInReply, 7*s, 7*s, "f", 200, "complete"), Event{At: 8 * s, Kind: Close})},
-		{"a start by the wall clock comes early", 4, []Event{{At: 1 * s, Kind: Clock, Wall: int64(995 * s)}, in(1*s, wall), reply(1*s, 201), begin(5*s+800*loop.Milli, "w", 0, 0, 1), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "complete"), closed},
-			[]Event{{At: 1 * s, Kind: Clock, Wall: int64(995 * s)}, in(1*s, wall), reply(1*s, 201), begin(5*s+950*loop.Milli, "w", 0, 0, 1), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "complete"), closed}},
+		{"a start by the wall clock comes early", 4, []Event{{At: 1 * s, Kind: Clock, Wall: int64(995 * s)}, in(1*s, wall), reply(1*s, 201), begin(5*s+800*eventloop.Milli, "w", 0, 0, 1), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "complete"), closed},
+			[]Event{{At: 1 * s, Kind: Clock, Wall: int64(995 * s)}, in(1*s, wall), reply(1*s, 201), begin(5*s+950*eventloop.Milli, "w", 0, 0, 1), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "complete"), closed}},
 		{"a cancelled job's task is never told to stop", 8, job(reply(1*s, 201), runs[0], answer(CancelReply, 2*s, 2*s+5, "f", 200, "stopping"), end(7*s, "w", 0, 0, 1, "done"), status(8*s, 200, "cancelled"), closed),
 			job(reply(1*s, 201), runs[0], answer(CancelReply, 2*s, 2*s+5, "f", 200, "stopping"), end(5*s, "w", 0, 0, 1, "done"), status(8*s, 200, "cancelled"), closed)},
 		{"a hand-in's answer shows complete too early", 9, job(reply(1*s+1, 201), runs[0], runs[1], answer(HandInReply, 3*s, 3*s+5, "f", 200, "complete"), runs[2], runs[3], status(6*s, 200, "complete"), closed),
@@ -161,7 +161,7 @@
 		{"complete is shown and taken back", 9, done(status(6*s, 200, "complete"), answer(Status, 7*s, 7*s, "f", 200, "running")),
 			done(status(6*s, 200, "complete"), answer(Status, 6*s, 7*s, "f", 200, "running"))},
 		{"a group's member begins, is stopped at once, and nobody was lost", 10, part(end(3*s, "w", 0, 0, 1, "stopped"), status(10*s, 200, "failed"), closed),
-			part(trouble(2*s+900*loop.Milli, Gone, "v"), end(3*s, "w", 0, 0, 1, "stopped"), status(10*s, 200, "failed"), closed)},
+			part(trouble(2*s+900*eventloop.Milli, Gone, "v"), end(3*s, "w", 0, 0, 1, "stopped"), status(10*s, 200, "failed"), closed)},
 		{"a group's member begins, and the other's worker is lost only later", 10, part(end(3*s, "w", 0, 0, 1, "stopped"), trouble(4*s, Gone, "v"), status(10*s, 200, "failed"), closed),
 			part(end(3*s, "w", 0, 0, 1, "stopped"), begin(3*s, "v", 0, 1, 1), trouble(4*s, Gone, "v"), status(10*s, 200, "failed"), closed)},
 		{"a group's member runs to its end though another was lost before it began", 10, part(trouble(2*s+1, Gone, "v"), end(15*s, "w", 0, 0, 1, "done"), status(16*s, 200, "failed"), closed),
--- a/check/idle.go
+++ b/internal/checker/idle.go
@@ -1,14 +1,14 @@
-package check
+package checker
 
 import (
 	"slices"
 	"sort"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
-const idleGrid = 250 * loop.Milli // how often it is looked at
+const idleGrid = 250 * eventloop.Milli // how often it is looked at
 
 // shop is a called worker as the history shows it at a moment.
 type shop struct {
@@ -52,10 +52,10 @@
 	pools := map[string]string{}   // of lanes, by the newest table
 	isNarrow := map[string]bool{}  // lanes that may only run so much
 	isEmptied := map[string]bool{} // racks without weight
-	since := map[jobKey]loop.Micros{}
+	since := map[jobKey]eventloop.Micros{}
 	isTold := map[jobKey]bool{}
 	var open []jobKey
-	next, changed := loop.Micros(0), loop.Micros(0)
+	next, changed := eventloop.Micros(0), eventloop.Micros(0)
 	for k := range history {
 		e := &history[k]
 		for ; next <= e.At && len(shops) > 0; next += idleGrid {
@@ -126,13 +126,13 @@
 }
 
 // isClosed tells whether nothing more is owed to a job from a moment on.
-func (a *account) isClosed(at loop.Micros) bool {
+func (a *account) isClosed(at eventloop.Micros) bool {
 	return a.isOver && a.overAt <= at || a.askedEnd > 0 && a.askedEnd <= at
 }
 
 // hasRoom tells whether a task's turn has come and its pool has room for it, or
 // for its group, twice over, with less than half in use.
-func (j *judge) hasRoom(a *account, at loop.Micros, shops map[string]*shop, pool string, isEmptied map[string]bool) bool {
+func (j *judge) hasRoom(a *account, at eventloop.Micros, shops map[string]*shop, pool string, isEmptied map[string]bool) bool {
 	if a.isFailed(a.ids0(), at) {
 		return false
 	}
@@ -191,16 +191,16 @@
 }
 
 // isDue tells whether a round's time has surely come.
-func (j *judge) isDue(a *account, round int, at loop.Micros) bool {
-	later := loop.Micros(int64(round) * a.spec.EveryUs)
+func (j *judge) isDue(a *account, round int, at eventloop.Micros) bool {
+	later := eventloop.Micros(int64(round) * a.spec.EveryUs)
 	if a.spec.StartWallUs > 0 {
 		wall, isKnown := j.wallAt(at)
 		return isKnown && wall >= a.spec.StartWallUs+int64(later)
 	}
-	return at >= a.accepted+loop.Micros(a.spec.DelayUs)+later
+	return at >= a.accepted+eventloop.Micros(a.spec.DelayUs)+later
 }
 
-func (a *account) isReady(step *schema.Step, round int, index map[string]int, at loop.Micros) bool {
+func (a *account) isReady(step *schema.Step, round int, index map[string]int, at eventloop.Micros) bool {
 	for _, dependency := range step.After {
 		d := index[dependency]
 		for t := uint32(0); t < a.spec.Steps[d].Tasks; t++ {
--- a/charter/charter.go
+++ b/internal/clusterstate/clusterstate.go
@@ -1,8 +1,8 @@
-// Package charter is the pure machine of the system's own group: the plan and
+// Package clusterstate is the pure machine of the system's own group: the plan and
 // its generation, where lanes stand, who wards which worker, and the steward's
 // licence. Every change is checked when it is applied, so that whoever acts on
 // an old view is fenced by the log itself.
-package charter
+package clusterstate
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // Group is the name of the system's own group.
--- a/charter/charter_test.go
+++ b/internal/clusterstate/clusterstate_test.go
@@ -1,4 +1,4 @@
-package charter
+package clusterstate
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 func apply(m *Machine, at int64, command *schema.CharterCommand) *Result {
--- a/charter/plan.go
+++ b/internal/clusterstate/plan.go
@@ -1,4 +1,4 @@
-package charter
+package clusterstate
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // A key is one weight or limit of the plan.
--- a/options/options.go
+++ b/internal/config/config.go
@@ -1,6 +1,6 @@
-// Package options reads a process's settings from a file and from flags, a
+// Package config reads a process's settings from a file and from flags, a
 // flag wins, and checks them before anything starts.
-package options
+package config
 
 import (
 	"flag"
@@ -14,7 +14,7 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 var (
--- a/options/options_test.go
+++ b/internal/config/config_test.go
@@ -1,4 +1,4 @@
-package options
+package config
 
 import (
 	"flag"
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 func load(args ...string) (*schema.Options, error) {
--- a/heed/heed.go
+++ b/internal/controller/controller.go
@@ -1,8 +1,8 @@
-// Package heed owns control: it compares what is wanted with what is, and acts
+// Package controller owns control: it compares what is wanted with what is, and acts
 // once at a time, under a steward's licence that the charter gives and checks.
 // It holds nothing durable; with every side machine gone the rest goes on as
 // the charter last said.
-package heed
+package controller
 
 import (
 	"encoding/json"
@@ -11,37 +11,37 @@
 	"sort"
 	"strings"
 
-	"sparnotch/charter"
-	"sparnotch/keep"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // Pace is the tick of the table.
-const Pace = 50 * loop.Milli
+const Pace = 50 * eventloop.Milli
 
 const (
-	askSpan   = 250 * loop.Milli
-	renewSpan = 800 * loop.Milli
-	claimSpan = 500 * loop.Milli
-	guardSpan = 300 * loop.Milli  // a licence is let go this long before it ends
-	deadSpan  = 1500 * loop.Milli // a process unheard by anybody for so long is suspected
-	missSpan  = 600 * loop.Milli  // one that doesn't answer for so long, while others lead what it led, is passed over
-	lostSpan  = 6 * loop.Second   // and for so long its place may be given to another
+	askSpan   = 250 * eventloop.Milli
+	renewSpan = 800 * eventloop.Milli
+	claimSpan = 500 * eventloop.Milli
+	guardSpan = 300 * eventloop.Milli  // a licence is let go this long before it ends
+	deadSpan  = 1500 * eventloop.Milli // a process unheard by anybody for so long is suspected
+	missSpan  = 600 * eventloop.Milli  // one that doesn't answer for so long, while others lead what it led, is passed over
+	lostSpan  = 6 * eventloop.Second   // and for so long its place may be given to another
 	// For so long where an empty store has come since: until it is counted in, no
 	// other may be lost.
-	replacedSpan = 2500 * loop.Milli
-	beginSpan    = 8 * loop.Second  // who is first heard of within so long was there when all began
-	newSpan      = 30 * loop.Second // a store has come of late for so long
-	actSpan      = 200 * loop.Milli // between two acts on one thing
-	strainMost   = int64(300 * loop.Milli)
-	strainRest   = 15 * loop.Second // between two moves for strain alone
+	replacedSpan = 2500 * eventloop.Milli
+	beginSpan    = 8 * eventloop.Second  // who is first heard of within so long was there when all began
+	newSpan      = 30 * eventloop.Second // a store has come of late for so long
+	actSpan      = 200 * eventloop.Milli // between two acts on one thing
+	strainMost   = int64(300 * eventloop.Milli)
+	strainRest   = 15 * eventloop.Second // between two moves for strain alone
 )
 
 // told is the last word of one store.
 type told struct {
-	at   loop.Micros
+	at   eventloop.Micros
 	tell *schema.CharterTell
 }
 
@@ -49,22 +49,22 @@
 type Table struct {
 	id      string
 	state   *schema.CharterState
-	values  *charter.Values
-	roll    *kin.Roll
+	values  *clusterstate.Values
+	roll    *membership.Roll
 	told    map[string]told
 	until   int64 // the licence's end as last seen, in the charter's time
-	untilAt loop.Micros
-	askedAt loop.Micros
-	claimAt loop.Micros
-	claims  map[uint64]loop.Micros
+	untilAt eventloop.Micros
+	askedAt eventloop.Micros
+	claimAt eventloop.Micros
+	claims  map[uint64]eventloop.Micros
 	licence uint64
-	mine    loop.Micros // my licence ends, by my clock
-	acted   map[string]loop.Micros
+	mine    eventloop.Micros // my licence ends, by my clock
+	acted   map[string]eventloop.Micros
 	lanesIn string // the lanes of the last act on lanes
-	movedAt loop.Micros
-	gone    map[string]loop.Micros
-	came    map[string]loop.Micros // when a process was first heard of here
-	first   loop.Micros            // when any was
+	movedAt eventloop.Micros
+	gone    map[string]eventloop.Micros
+	came    map[string]eventloop.Micros // when a process was first heard of here
+	first   eventloop.Micros            // when any was
 	number  uint64
 	turn    int // whose turn it is to be asked
 	voters  int // how many each group is to have
@@ -75,8 +75,8 @@
 // at once (0: one). Readers are the tables of this process that want the charter.
 func New(id string, losses uint32, readers ...string) *Table {
 	return &Table{
-		id: id, voters: kin.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.CharterState{}, values: charter.Read(nil), told: map[string]told{}, claims: map[uint64]loop.Micros{},
-		acted: map[string]loop.Micros{}, gone: map[string]loop.Micros{}, came: map[string]loop.Micros{},
+		id: id, voters: membership.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.CharterState{}, values: clusterstate.Read(nil), told: map[string]told{}, claims: map[uint64]eventloop.Micros{},
+		acted: map[string]eventloop.Micros{}, gone: map[string]eventloop.Micros{}, came: map[string]eventloop.Micros{},
 	}
 }
 
@@ -93,11 +93,11 @@
 	Members []*schema.Member `json:"members"`
 }
 
-func (t *Table) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
-	case loop.Tick:
+	case eventloop.Tick:
 		t.tick(now, out)
-	case *kin.Roll:
+	case *membership.Roll:
 		t.roll = body
 	case *schema.CharterTell:
 		t.hear(now, mail.From, body, out)
@@ -112,11 +112,11 @@
 	}
 }
 
-func (t *Table) hear(now loop.Micros, from string, m *schema.CharterTell, out loop.Out) {
+func (t *Table) hear(now eventloop.Micros, from string, m *schema.CharterTell, out eventloop.Out) {
 	isNew := m.State != nil && m.State.Version > t.state.Version
 	if m.State != nil && m.State.Version >= t.state.Version {
 		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
-		out.Tell("kin", kin.Charter{Version: m.State.Version})
+		out.Tell("kin", membership.Charter{Version: m.State.Version})
 	}
 	if m.StewardUntilUs > t.until {
 		t.until, t.untilAt = m.StewardUntilUs, now
@@ -146,7 +146,7 @@
 	return ids
 }
 
-func (t *Table) stores(now loop.Micros) []string {
+func (t *Table) stores(now eventloop.Micros) []string {
 	var ids []string
 	for _, id := range t.memberIds() {
 		if known := t.roll.Known[id]; known.Member.Stores && t.roll.Live(id, now, deadSpan) {
@@ -156,7 +156,7 @@
 	return ids
 }
 
-func (t *Table) tick(now loop.Micros, out loop.Out) {
+func (t *Table) tick(now eventloop.Micros, out eventloop.Out) {
 	if t.roll == nil {
 		return
 	}
@@ -178,7 +178,7 @@
 // ask asks after the charter: a candidate asks every store, for it must know what
 // each of them says once it is steward; the others take turns, for all asking all
 // would cost the stores more than what they are there for.
-func (t *Table) ask(now loop.Micros, out loop.Out) {
+func (t *Table) ask(now eventloop.Micros, out eventloop.Out) {
 	stores := t.stores(now)
 	if len(stores) == 0 {
 		return
@@ -193,26 +193,26 @@
 }
 
 // rank is our place among the side machines that stand for steward, if we do.
-func (t *Table) rank(now loop.Micros) (int, bool) {
+func (t *Table) rank(now eventloop.Micros) (int, bool) {
 	cells := map[string]string{t.id: t.roll.Self.GetCell()}
 	for id, known := range t.roll.Known {
 		if known.Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, deadSpan) {
 			cells[id] = known.Member.Cell
 		}
 	}
-	rank := slices.Index(kin.Spread(cells, kin.Candidates), t.id)
+	rank := slices.Index(membership.Spread(cells, membership.Candidates), t.id)
 	return rank, rank >= 0
 }
 
 // --- the licence ---
 
-func (t *Table) isSteward(now loop.Micros) bool { return t.licence != 0 && now < t.mine }
+func (t *Table) isSteward(now eventloop.Micros) bool { return t.licence != 0 && now < t.mine }
 
 // seek renews the licence, or claims one that nobody renews. Candidates wait
 // by rank, so that seldom two try at once.
-func (t *Table) seek(now loop.Micros, out loop.Out) {
+func (t *Table) seek(now eventloop.Micros, out eventloop.Out) {
 	for id, at := range t.claims {
-		if now-at > 3*loop.Second {
+		if now-at > 3*eventloop.Second {
 			delete(t.claims, id)
 		}
 	}
@@ -230,25 +230,25 @@
 		return
 	}
 	stale := now - t.untilAt
-	isVacant := t.until == 0 || stale > loop.Micros(charter.LicenceUs)
+	isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LicenceUs)
 	// A steward that nobody hears needn't be waited for, but the charter will
 	// only give its licence away when it has run out.
 	// Whoever held it last may take it up again at once: while the charter had no
 	// leader nobody could renew anything.
 	isLast := t.state.Steward.GetId() == t.id
-	if isLast || isVacant && stale > loop.Micros(charter.LicenceUs)+loop.Micros(rank)*300*loop.Milli || t.until == 0 && now > loop.Micros(rank)*300*loop.Milli {
+	if isLast || isVacant && stale > eventloop.Micros(clusterstate.LicenceUs)+eventloop.Micros(rank)*300*eventloop.Milli || t.until == 0 && now > eventloop.Micros(rank)*300*eventloop.Milli {
 		t.claim(now, out)
 	}
 }
 
-func (t *Table) claim(now loop.Micros, out loop.Out) {
+func (t *Table) claim(now eventloop.Micros, out eventloop.Out) {
 	t.claimAt = now
 	if id := t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: t.id}}}, out); id != 0 {
 		t.claims[id] = now
 	}
 }
 
-func (t *Table) replied(now loop.Micros, m *schema.ErrandReply) {
+func (t *Table) replied(now eventloop.Micros, m *schema.ErrandReply) {
 	sent, isClaim := t.claims[m.Id]
 	if !isClaim || m.Code == 0 {
 		return
@@ -263,28 +263,28 @@
 	}
 	// Counted from when it was asked for, so it ends here before it ends there.
 	t.licence = result.Licence
-	t.mine = max(t.mine, sent+loop.Micros(charter.LicenceUs)-guardSpan)
+	t.mine = max(t.mine, sent+eventloop.Micros(clusterstate.LicenceUs)-guardSpan)
 }
 
 // send gives a command to the charter's leader.
-func (t *Table) send(now loop.Micros, command *schema.CharterCommand, out loop.Out) uint64 {
-	to := t.leaderOf(now, charter.Group)
+func (t *Table) send(now eventloop.Micros, command *schema.CharterCommand, out eventloop.Out) uint64 {
+	to := t.leaderOf(now, clusterstate.Group)
 	if to == "" {
 		return 0
 	}
 	t.number++
-	out.Send(to, &schema.Errand{Id: t.number, Kind: "charter", Group: charter.Group, Body: keep.CharterBody(command)})
+	out.Send(to, &schema.Errand{Id: t.number, Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(command)})
 	return t.number
 }
 
 // leaderOf is who says itself that it leads a group, else whom others name.
-func (t *Table) leaderOf(now loop.Micros, group string) string {
+func (t *Table) leaderOf(now eventloop.Micros, group string) string {
 	return t.leaderAmong(now, t.stores(now), group)
 }
 
-func (t *Table) leaderAmong(now loop.Micros, stores []string, group string) string {
+func (t *Table) leaderAmong(now eventloop.Micros, stores []string, group string) string {
 	named, claimant := "", ""
-	var claimed loop.Micros
+	var claimed eventloop.Micros
 	for _, id := range stores {
 		word, isKnown := t.told[id]
 		if !isKnown || now-word.at > deadSpan {
@@ -308,7 +308,7 @@
 // isDeposed tells that a store which doesn't answer has lost all that it led:
 // its peers have missed it already and say so, which is sooner than we would
 // suspect it ourselves.
-func (t *Table) isDeposed(now loop.Micros, id string) bool {
+func (t *Table) isDeposed(now eventloop.Micros, id string) bool {
 	last := t.told[id]
 	if last.tell == nil || now-last.at <= missSpan {
 		return false
@@ -331,7 +331,7 @@
 }
 
 // notes are what the leaders say of their groups.
-func (t *Table) notes(now loop.Micros) map[string]*schema.WaitNote {
+func (t *Table) notes(now eventloop.Micros) map[string]*schema.WaitNote {
 	notes := map[string]*schema.WaitNote{}
 	for _, id := range t.stores(now) {
 		word, isKnown := t.told[id]
@@ -345,7 +345,7 @@
 	return notes
 }
 
-func (t *Table) may(now loop.Micros, what string, rest loop.Micros) bool {
+func (t *Table) may(now eventloop.Micros, what string, rest eventloop.Micros) bool {
 	if last, isKnown := t.acted[what]; isKnown && now-last < rest {
 		return false
 	}
@@ -355,16 +355,16 @@
 
 // --- loop: lanes ---
 
-func (t *Table) lanes(now loop.Micros, out loop.Out) {
+func (t *Table) lanes(now eventloop.Micros, out eventloop.Out) {
 	notes := t.notes(now)
-	root := notes[charter.Group]
+	root := notes[clusterstate.Group]
 	if root == nil {
 		return
 	}
 	command := &schema.PlaceLanes{Licence: t.licence}
 	keeper := ""
 	for _, name := range t.values.Lanes() {
-		if charter.Place(t.state, name) != nil {
+		if clusterstate.Place(t.state, name) != nil {
 			continue
 		}
 		if len(command.Lanes) == 0 {
@@ -373,7 +373,7 @@
 		command.Lanes = append(command.Lanes, &schema.LanePlace{Lane: name, Founders: root.Voters, Keeper: keeper})
 	}
 	for _, place := range t.state.Lanes {
-		note := notes[keep.GroupOf(place)]
+		note := notes[replica.GroupOf(place)]
 		if !t.values.HasLane(place.Lane) && note != nil && note.Live == 0 && note.Kept == 0 {
 			command.Gone = append(command.Gone, place.Lane)
 		}
@@ -392,7 +392,7 @@
 		delete(t.acted, "lanes")
 	}
 	// One that finds no leader is tried again at the next tick.
-	if t.leaderOf(now, charter.Group) != "" && t.may(now, "lanes", actSpan) {
+	if t.leaderOf(now, clusterstate.Group) != "" && t.may(now, "lanes", actSpan) {
 		t.lanesIn = set
 		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: command}}, out)
 	}
@@ -402,8 +402,8 @@
 
 // sturdiest is the store where lanes and wards should be: the present one as
 // long as it serves, for moving costs more than it gains.
-func (t *Table) sturdiest(now loop.Micros) string {
-	root := t.notes(now)[charter.Group]
+func (t *Table) sturdiest(now eventloop.Micros) string {
+	root := t.notes(now)[clusterstate.Group]
 	if root == nil {
 		return ""
 	}
@@ -458,7 +458,7 @@
 	return best.id
 }
 
-func (t *Table) keepers(now loop.Micros, out loop.Out) {
+func (t *Table) keepers(now eventloop.Micros, out eventloop.Out) {
 	sturdy := t.sturdiest(now)
 	if sturdy == "" {
 		return
@@ -491,9 +491,9 @@
 
 // members gives a lost voter's place to a spare store, which learns, catches up
 // and votes.
-func (t *Table) members(now loop.Micros, out loop.Out) {
+func (t *Table) members(now eventloop.Micros, out eventloop.Out) {
 	notes := t.notes(now)
-	root := notes[charter.Group]
+	root := notes[clusterstate.Group]
 	if root == nil {
 		return
 	}
@@ -507,7 +507,7 @@
 
 // isLost tells whether a store has been silent for so long that its place may be
 // given to another. Where an empty store has come of late, it is the other.
-func (t *Table) isLost(now loop.Micros, id string) bool {
+func (t *Table) isLost(now eventloop.Micros, id string) bool {
 	known, isKnown := t.roll.Known[id]
 	if isKnown && now-known.Heard < deadSpan {
 		delete(t.gone, id)
@@ -524,7 +524,7 @@
 // isSucceeded tells whether another store lives at a silent one's address: its
 // disk is gone, so it won't come back, and waiting for it would only leave its
 // groups a voter short when the next machine goes.
-func (t *Table) isSucceeded(now loop.Micros, id string) bool {
+func (t *Table) isSucceeded(now eventloop.Micros, id string) bool {
 	old := t.roll.Known[id]
 	for other, known := range t.roll.Known {
 		if other != id && known.Member.Inner == old.Member.Inner && known.Member.Inner != "" && known.Heard > old.Heard && t.roll.Live(other, now, deadSpan) {
@@ -534,7 +534,7 @@
 	return false
 }
 
-func (t *Table) lostFor(now loop.Micros, id string) loop.Micros {
+func (t *Table) lostFor(now eventloop.Micros, id string) eventloop.Micros {
 	since, isKnown := t.gone[id]
 	if !isKnown {
 		t.gone[id] = now
@@ -545,7 +545,7 @@
 
 // hasCome tells whether a store that has never run before was first heard of of
 // late, and not when all began.
-func (t *Table) hasCome(now loop.Micros) bool {
+func (t *Table) hasCome(now eventloop.Micros) bool {
 	for id, at := range t.came {
 		known, isKnown := t.roll.Known[id]
 		if isKnown && known.Member.Stores && known.Member.Boot <= 1 && at-t.first > beginSpan && now-at < newSpan {
@@ -557,7 +557,7 @@
 
 // watch keeps in mind who has come and who is silent, also before this machine
 // becomes the steward.
-func (t *Table) watch(now loop.Micros) {
+func (t *Table) watch(now eventloop.Micros) {
 	if t.first == 0 {
 		t.first = now
 	}
@@ -586,7 +586,7 @@
 // dropped last. Whose disk is gone won't, so it is dropped as soon as the spare
 // has caught up: then the group bears its losses from the promotion on. Two are
 // never dropped before a promotion.
-func (t *Table) nextMember(now loop.Micros, note, root *schema.WaitNote) *schema.Reroster {
+func (t *Table) nextMember(now eventloop.Micros, note, root *schema.WaitNote) *schema.Reroster {
 	var lost []string
 	succeeded := ""
 	for _, id := range note.Voters {
@@ -638,7 +638,7 @@
 
 // spare is a store to learn next. Lanes follow the charter's voters, so that a
 // few machines hold all; the charter's are spread over the cells.
-func (t *Table) spare(now loop.Micros, note, root *schema.WaitNote) string {
+func (t *Table) spare(now eventloop.Micros, note, root *schema.WaitNote) string {
 	mayLearn := func(id string) bool {
 		return !slices.Contains(note.Voters, id) && !slices.Contains(note.Learners, id) &&
 			t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving
@@ -689,8 +689,8 @@
 
 // sessions ends those of intakes that have been gone longer than the plan lets
 // them linger.
-func (t *Table) sessions(now loop.Micros, out loop.Out) {
-	linger := loop.Micros(t.values.Fleet("linger_s")) * loop.Second
+func (t *Table) sessions(now eventloop.Micros, out eventloop.Out) {
+	linger := eventloop.Micros(t.values.Fleet("linger_s")) * eventloop.Second
 	notes := t.notes(now)
 	for _, group := range slices.Sorted(maps.Keys(notes)) {
 		note := notes[group]
@@ -707,7 +707,7 @@
 				over = append(over, &schema.Gone{Intake: boot.Intake, Boot: boot.Boot})
 			}
 		}
-		if len(over) > 0 && t.may(now, "sessions/"+note.Lane, loop.Second) {
+		if len(over) > 0 && t.may(now, "sessions/"+note.Lane, eventloop.Second) {
 			out.Send(note.Leader, &schema.Quit{Lane: note.Lane, Boots: over})
 		}
 	}
--- a/heed/heed_test.go
+++ b/internal/controller/controller_test.go
@@ -1,4 +1,4 @@
-package heed
+package controller
 
 import (
 	"fmt"
@@ -7,19 +7,19 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
 )
 
 // desk drives a steward by hand; three stores stand, "a" leads the charter.
 type desk struct {
-	silent map[string]loop.Micros // since when nobody hears them
+	silent map[string]eventloop.Micros // since when nobody hears them
 	others map[string]*schema.Member
 	asks   []*schema.Reroster
 	t      *Table
-	now    loop.Micros
+	now    eventloop.Micros
 	state  *schema.CharterState
 	acts   []*schema.CharterCommand
 	mail   []*schema.ErrandReply // on its way back
@@ -47,33 +47,33 @@
 func (d *desk) tick() {
 	d.now += Pace
 	for _, reply := range d.mail {
-		d.t.Step(d.now, loop.Mail{From: "a", Body: reply}, d)
+		d.t.Step(d.now, eventloop.Mail{From: "a", Body: reply}, d)
 	}
 	d.mail = nil
 	d.roll()
-	d.t.Step(d.now, loop.Mail{Body: loop.Tick{}}, d)
+	d.t.Step(d.now, eventloop.Mail{Body: eventloop.Tick{}}, d)
 }
 
 func (d *desk) roll() {
-	roll := &kin.Roll{Known: map[string]kin.Known{}}
+	roll := &membership.Roll{Known: map[string]membership.Known{}}
 	for _, id := range []string{"a", "b", "c"} {
 		heard := d.now
 		if since, isSilent := d.silent[id]; isSilent {
 			heard = since
 		}
-		roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0." + id}, Heard: heard}
+		roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0." + id}, Heard: heard}
 	}
 	for id, member := range d.others {
-		roll.Known[id] = kin.Known{Member: member, Heard: d.now}
+		roll.Known[id] = membership.Known{Member: member, Heard: d.now}
 	}
-	d.t.Step(d.now, loop.Mail{Body: roll}, d)
+	d.t.Step(d.now, eventloop.Mail{Body: roll}, d)
 }
 
 // tell is the charter leader's word, with its state as it is.
 func (d *desk) tell(notes ...*schema.WaitNote) {
-	notes = append(notes, &schema.WaitNote{Group: charter.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
-	d.t.Step(d.now, loop.Mail{From: "a", Body: &schema.CharterTell{
-		State: proto.Clone(d.state).(*schema.CharterState), Version: d.state.Version, Leaders: map[string]string{charter.Group: "a"}, Waits: notes,
+	notes = append(notes, &schema.WaitNote{Group: clusterstate.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
+	d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{
+		State: proto.Clone(d.state).(*schema.CharterState), Version: d.state.Version, Leaders: map[string]string{clusterstate.Group: "a"}, Waits: notes,
 	}}, d)
 }
 
@@ -101,7 +101,7 @@
 }
 
 func newDesk() *desk {
-	d := &desk{t: New("h", 0), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
+	d := &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
 	d.roll()
 	d.tell()
 	for k := 0; k < 20 && !d.t.isSteward(d.now); k++ {
@@ -161,7 +161,7 @@
 	})
 	Convey("Who isn't the steward places nothing", t, func() {
 		d := newDesk()
-		d.now += 3 * loop.Second
+		d.now += 3 * eventloop.Second
 		d.put("l")
 		d.tell()
 		So(d.placed(), ShouldBeEmpty)
@@ -172,17 +172,17 @@
 	// learns lets "c" fall silent and "d" come so long after that, and tells when "d"
 	// is to learn, from the last word of "c" on.
 	isForgotten := false
-	learns := func(boot uint64, comes loop.Micros, isSteward bool) loop.Micros {
+	learns := func(boot uint64, comes eventloop.Micros, isSteward bool) eventloop.Micros {
 		d := newDesk()
 		if !isSteward {
-			d = &desk{t: New("h", 0), now: 100 * loop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
+			d = &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
 		}
-		silentAt := d.now + 12*loop.Second
-		for d.now < silentAt+10*loop.Second && len(d.asks) == 0 {
+		silentAt := d.now + 12*eventloop.Second
+		for d.now < silentAt+10*eventloop.Second && len(d.asks) == 0 {
 			d.now += Pace
-			roll := &kin.Roll{Known: map[string]kin.Known{}}
-			hear := func(id string, boot uint64, at loop.Micros) {
-				roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Boot: boot, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: at}
+			roll := &membership.Roll{Known: map[string]membership.Known{}}
+			hear := func(id string, boot uint64, at eventloop.Micros) {
+				roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Boot: boot, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: at}
 			}
 			hear("a", 1, d.now)
 			hear("b", 1, d.now)
@@ -192,15 +192,15 @@
 			if boot > 0 && d.now > silentAt+comes {
 				hear("d", boot, d.now)
 			}
-			d.t.Step(d.now, loop.Mail{Body: roll}, d)
+			d.t.Step(d.now, eventloop.Mail{Body: roll}, d)
 			// Before its turn it hears nothing of the licence, so it can't be steward.
-			if isSteward || d.now > silentAt+2*loop.Second {
+			if isSteward || d.now > silentAt+2*eventloop.Second {
 				for _, reply := range d.mail {
-					d.t.Step(d.now, loop.Mail{From: "a", Body: reply}, d)
+					d.t.Step(d.now, eventloop.Mail{From: "a", Body: reply}, d)
 				}
 				d.mail = nil
 			}
-			d.t.Step(d.now, loop.Mail{Body: loop.Tick{}}, d)
+			d.t.Step(d.now, eventloop.Mail{Body: eventloop.Tick{}}, d)
 			d.tell()
 		}
 		if len(d.asks) == 0 {
@@ -212,50 +212,50 @@
 	Convey("The place of a silent store goes to another after 6 s", t, func() {
 		isForgotten = false
 		So(learns(0, 0, true), ShouldEqual, 0)
-		So(learns(2, loop.Second, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+		So(learns(2, eventloop.Second, true), ShouldBeBetween, 5900*eventloop.Milli, 6500*eventloop.Milli)
 		Convey("and after 2.5 s where an empty one has come since", func() {
-			So(learns(1, loop.Second, true), ShouldBeBetween, 2400*loop.Milli, 3*loop.Second)
+			So(learns(1, eventloop.Second, true), ShouldBeBetween, 2400*eventloop.Milli, 3*eventloop.Second)
 		})
 		Convey("also where it came before; not where it was there when all began", func() {
-			So(learns(1, -loop.Second, true), ShouldBeBetween, 2400*loop.Milli, 3*loop.Second)
-			So(learns(1, -11*loop.Second, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+			So(learns(1, -eventloop.Second, true), ShouldBeBetween, 2400*eventloop.Milli, 3*eventloop.Second)
+			So(learns(1, -11*eventloop.Second, true), ShouldBeBetween, 5900*eventloop.Milli, 6500*eventloop.Milli)
 		})
 		Convey("also where nobody knows it any more", func() {
 			isForgotten = true
-			So(learns(2, loop.Second, true), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
-			So(learns(1, loop.Second, true), ShouldBeBetween, 2400*loop.Milli, 3*loop.Second)
+			So(learns(2, eventloop.Second, true), ShouldBeBetween, 5900*eventloop.Milli, 6500*eventloop.Milli)
+			So(learns(1, eventloop.Second, true), ShouldBeBetween, 2400*eventloop.Milli, 3*eventloop.Second)
 		})
 		Convey("however late the steward came to be one", func() {
-			So(learns(2, loop.Second, false), ShouldBeBetween, 5900*loop.Milli, 6500*loop.Milli)
+			So(learns(2, eventloop.Second, false), ShouldBeBetween, 5900*eventloop.Milli, 6500*eventloop.Milli)
 		})
 	})
 }
 
 func TestSucceededStore(t *testing.T) {
 	Convey("Given a store that lost its disk and is back as another one", t, func() {
-		d := &desk{t: New("h", 0), now: loop.Second, state: charter.New().State(), silent: map[string]loop.Micros{}, others: map[string]*schema.Member{}}
+		d := &desk{t: New("h", 0), now: eventloop.Second, state: clusterstate.New().State(), silent: map[string]eventloop.Micros{}, others: map[string]*schema.Member{}}
 		d.state.Version = 1
-		run := func(span loop.Micros) {
+		run := func(span eventloop.Micros) {
 			for end := d.now + span; d.now < end; {
 				d.tick()
-				if d.now%(250*loop.Milli) == 0 {
+				if d.now%(250*eventloop.Milli) == 0 {
 					d.tell()
 				}
 			}
 		}
-		run(3 * loop.Second)
+		run(3 * eventloop.Second)
 		d.silent["c"] = d.now
 		Convey("Its place is given to the new one within 2 s, not after the wait for one that is only silent", func() {
 			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0.c"}
-			run(2 * loop.Second)
+			run(2 * eventloop.Second)
 			So(d.asks, ShouldNotBeEmpty)
 			So(d.asks[0].Learn, ShouldEqual, "d")
 		})
 		Convey("A store elsewhere doesn't stand for one that is only silent", func() {
 			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0.d"}
-			run(4 * loop.Second)
+			run(4 * eventloop.Second)
 			So(d.asks, ShouldBeEmpty)
-			run(3 * loop.Second)
+			run(3 * eventloop.Second)
 			So(d.asks, ShouldNotBeEmpty)
 		})
 	})
@@ -270,13 +270,13 @@
 		word := func(from string, leaders map[string]string) {
 			var notes []*schema.WaitNote
 			if from == "a" {
-				notes = append(notes, &schema.WaitNote{Group: charter.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
+				notes = append(notes, &schema.WaitNote{Group: clusterstate.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
 			}
-			d.t.Step(d.now, loop.Mail{From: from, Body: &schema.CharterTell{
+			d.t.Step(d.now, eventloop.Mail{From: from, Body: &schema.CharterTell{
 				State: proto.Clone(d.state).(*schema.CharterState), Version: d.state.Version, Leaders: leaders, Waits: notes,
 			}}, d)
 		}
-		before := map[string]string{charter.Group: "a", "l": "c"}
+		before := map[string]string{clusterstate.Group: "a", "l": "c"}
 		for _, id := range []string{"a", "b", "c"} {
 			word(id, before)
 		}
@@ -284,16 +284,16 @@
 		So(d.acts, ShouldBeEmpty)
 		Convey("as soon as that is so", func() {
 			last := d.now
-			for len(d.acts) == 0 && d.now-last < 2*loop.Second {
+			for len(d.acts) == 0 && d.now-last < 2*eventloop.Second {
 				d.tick()
 				after := before
-				if d.now-last > 500*loop.Milli {
-					after = map[string]string{charter.Group: "a", "l": "b"}
+				if d.now-last > 500*eventloop.Milli {
+					after = map[string]string{clusterstate.Group: "a", "l": "b"}
 				}
 				word("a", after)
 				word("b", after)
 			}
-			So(d.now-last, ShouldBeBetweenOrEqual, missSpan, missSpan+150*loop.Milli)
+			So(d.now-last, ShouldBeBetweenOrEqual, missSpan, missSpan+150*eventloop.Milli)
 			So(d.acts[0].GetLanes().GetLanes()[0].Keeper, ShouldEqual, "b")
 			So(d.acts[1].GetWards().GetWards()[0].Placer, ShouldEqual, "b")
 		})
--- a/heed/voters_test.go
+++ b/internal/controller/voters_test.go
@@ -1,4 +1,4 @@
-package heed
+package controller
 
 import (
 	"fmt"
@@ -7,28 +7,28 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/charter"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
 )
 
 // council is a group whose members change as the steward asks; one change takes
 // until it is asked again.
 type council struct {
 	t       *Table
-	now     loop.Micros
+	now     eventloop.Micros
 	note    *schema.WaitNote
 	members map[string]*schema.Member
-	silent  map[string]loop.Micros // since when
+	silent  map[string]eventloop.Micros // since when
 	steps   []string
 	least   int // by how many live voters a quorum was exceeded at the least
 }
 
 func newCouncil(losses uint32, voters ...string) *council {
 	c := &council{
-		t: New("h", losses), now: 100 * loop.Second, members: map[string]*schema.Member{}, silent: map[string]loop.Micros{},
-		note: &schema.WaitNote{Group: charter.Group, Leader: voters[0], Voters: voters, Behind: map[string]uint64{}}, least: len(voters),
+		t: New("h", losses), now: 100 * eventloop.Second, members: map[string]*schema.Member{}, silent: map[string]eventloop.Micros{},
+		note: &schema.WaitNote{Group: clusterstate.Group, Leader: voters[0], Voters: voters, Behind: map[string]uint64{}}, least: len(voters),
 	}
 	for _, id := range voters {
 		c.add(id, "10.0.0."+id, "")
@@ -51,16 +51,16 @@
 }
 
 // run lets so long pass, with a look at the members each 250 ms.
-func (c *council) run(span loop.Micros) {
+func (c *council) run(span eventloop.Micros) {
 	for end := c.now + span; c.now < end; {
-		c.now += 250 * loop.Milli
-		roll := &kin.Roll{Known: map[string]kin.Known{}}
+		c.now += 250 * eventloop.Milli
+		roll := &membership.Roll{Known: map[string]membership.Known{}}
 		for id, member := range c.members {
 			heard := c.now
 			if since, isSilent := c.silent[id]; isSilent {
 				heard = since
 			}
-			roll.Known[id] = kin.Known{Member: member, Heard: heard}
+			roll.Known[id] = membership.Known{Member: member, Heard: heard}
 		}
 		c.t.roll = roll
 		c.t.watch(c.now)
@@ -91,25 +91,25 @@
 func TestVoters(t *testing.T) {
 	Convey("Where two may be lost at once, a group of five stays five", t, func() {
 		c := newCouncil(2, "a", "b", "c", "d", "e")
-		c.run(3 * loop.Second)
+		c.run(3 * eventloop.Second)
 		c.silent["e"] = c.now
 		Convey("also with no spare: the lost one is not dropped", func() {
-			c.run(20 * loop.Second)
+			c.run(20 * eventloop.Second)
 			So(c.steps, ShouldBeEmpty)
 		})
 		Convey("one that is only silent is dropped when its spare votes", func() {
 			c.add("f", "10.0.0.f", "")
-			c.run(20 * loop.Second)
+			c.run(20 * eventloop.Second)
 			So(c.steps, ShouldResemble, []string{"learn f", "promote f", "drop e"})
 			So(c.least, ShouldEqual, 1)
 		})
 		Convey("one whose disk is gone is dropped when its spare has caught up, and not before", func() {
 			c.add("f", "10.0.0.e", "")
 			c.note.Behind["f"] = 1000
-			c.run(20 * loop.Second)
+			c.run(20 * eventloop.Second)
 			So(c.steps, ShouldResemble, []string{"learn f"})
 			c.note.Behind["f"] = 0
-			c.run(5 * loop.Second)
+			c.run(5 * eventloop.Second)
 			So(c.steps, ShouldResemble, []string{"learn f", "drop e", "promote f"})
 			So(c.least, ShouldEqual, 1)
 		})
@@ -117,7 +117,7 @@
 			c.silent["d"] = c.now
 			c.add("f", "10.0.0.e", "")
 			c.add("g", "10.0.0.d", "")
-			c.run(20 * loop.Second)
+			c.run(20 * eventloop.Second)
 			So(c.least, ShouldEqual, 0)
 			slices.Sort(c.note.Voters)
 			So(c.note.Voters, ShouldResemble, []string{"a", "b", "c", "f", "g"})
@@ -126,18 +126,18 @@
 		Convey("who comes back while its spare learns keeps its place", func() {
 			c.add("f", "10.0.0.f", "")
 			c.note.Behind["f"] = 1000
-			c.run(8 * loop.Second)
+			c.run(8 * eventloop.Second)
 			delete(c.silent, "e")
-			c.run(2 * loop.Second)
+			c.run(2 * eventloop.Second)
 			So(c.steps, ShouldResemble, []string{"learn f", "drop f"})
 		})
 	})
 	Convey("A group of three that bears one is refilled to three", t, func() {
 		c := newCouncil(0, "a", "b", "c")
-		c.run(3 * loop.Second)
+		c.run(3 * eventloop.Second)
 		c.silent["c"] = c.now
 		c.add("d", "10.0.0.c", "")
-		c.run(5 * loop.Second)
+		c.run(5 * eventloop.Second)
 		So(c.steps, ShouldResemble, []string{"learn d", "drop c", "promote d"})
 		So(c.least, ShouldEqual, 0)
 	})
@@ -146,7 +146,7 @@
 		for id, cell := range map[string]string{"a": "x", "b": "y", "c": "y", "d": "y", "e": "x", "f": "z", "g": "z"} {
 			c.add(id, "10.0.0."+id, cell)
 		}
-		c.run(5 * loop.Second)
+		c.run(5 * eventloop.Second)
 		So(c.steps, ShouldResemble, []string{"learn f", "promote f", "learn e", "promote e"})
 	})
 	Convey("A voter too many, all of them live, is let go: of the fullest cell and not the leader", t, func() {
@@ -154,7 +154,7 @@
 		for id, cell := range map[string]string{"a": "x", "b": "y", "c": "x", "d": "z"} {
 			c.add(id, "10.0.0."+id, cell)
 		}
-		c.run(5 * loop.Second)
+		c.run(5 * eventloop.Second)
 		So(c.steps, ShouldResemble, []string{"drop c"})
 	})
 }
@@ -186,21 +186,21 @@
 			return &schema.Member{Id: fmt.Sprintf("s%02d", k), Role: schema.Role_ROLE_HEED, Cell: fmt.Sprintf("c%d", k%4)}
 		}
 		h := New(side(self).Id, 2)
-		for now := 100 * loop.Second; now < 110*loop.Second; now += Pace {
-			roll := &kin.Roll{Self: side(self), Known: map[string]kin.Known{}}
+		for now := 100 * eventloop.Second; now < 110*eventloop.Second; now += Pace {
+			roll := &membership.Roll{Self: side(self), Known: map[string]membership.Known{}}
 			for _, id := range []string{"a", "b", "c", "d", "e"} {
-				roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: now}
+				roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: now}
 			}
 			for k := range 20 {
 				heard := now
 				if slices.Contains(gone, k) {
-					heard = 95 * loop.Second
+					heard = 95 * eventloop.Second
 				}
-				roll.Known[side(k).Id] = kin.Known{Member: side(k), Heard: heard}
+				roll.Known[side(k).Id] = membership.Known{Member: side(k), Heard: heard}
 			}
-			h.Step(now, loop.Mail{Body: roll}, a)
-			h.Step(now, loop.Mail{From: "a", Body: &schema.CharterTell{Version: 1, Leaders: map[string]string{charter.Group: "a"}}}, a)
-			h.Step(now, loop.Mail{Body: loop.Tick{}}, a)
+			h.Step(now, eventloop.Mail{Body: roll}, a)
+			h.Step(now, eventloop.Mail{From: "a", Body: &schema.CharterTell{Version: 1, Leaders: map[string]string{clusterstate.Group: "a"}}}, a)
+			h.Step(now, eventloop.Mail{Body: eventloop.Tick{}}, a)
 		}
 		return a
 	}
--- a/duty/duty.go
+++ b/internal/daemon/daemon.go
@@ -1,6 +1,6 @@
-// Package duty runs a daemon: settings, start, signals, and leaving when
+// Package daemon runs a daemon: settings, start, signals, and leaving when
 // warned.
-package duty
+package daemon
 
 import (
 	"context"
@@ -14,12 +14,12 @@
 	"github.com/google/subcommands"
 	"go.uber.org/zap"
 
-	"sparnotch/agent"
-	"sparnotch/crew"
-	"sparnotch/front"
-	"sparnotch/options"
-	"sparnotch/schema"
-	"sparnotch/trace"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/config"
+	"sparnotch/internal/httpapi"
+	"sparnotch/internal/logring"
+	"sparnotch/internal/process"
+	"sparnotch/internal/schema"
 )
 
 // Exit codes of the daemons.
@@ -42,7 +42,7 @@
 	name, synopsis string
 	role           schema.Role
 	isCheck        bool
-	flags          options.Flags
+	flags          config.Flags
 }
 
 func (r *run) Name() string {
@@ -69,7 +69,7 @@
 func (r *run) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	loaded, err := r.flags.Load(set)
 	if err == nil && r.role == schema.Role_ROLE_HEED && loaded.Data != "" {
-		err = options.Bad.New("data: %s holds nothing durable", r.name)
+		err = config.Bad.New("data: %s holds nothing durable", r.name)
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", r.name, err)
@@ -79,7 +79,7 @@
 		fmt.Println("settings are good")
 		return subcommands.ExitSuccess
 	}
-	return Serve(r.name, loaded, r.role, func(real *crew.Real, log *zap.Logger) (Server, error) { return front.Serve(real, log) })
+	return Serve(r.name, loaded, r.role, func(real *process.Real, log *zap.Logger) (Server, error) { return httpapi.Serve(real, log) })
 }
 
 // Server takes calls from outside on behalf of a process.
@@ -92,14 +92,14 @@
 }
 
 // Opening makes the server of a process that has started.
-type Opening func(real *crew.Real, log *zap.Logger) (Server, error)
+type Opening func(real *process.Real, log *zap.Logger) (Server, error)
 
 // Serve runs a process until it fails or has left after a warning; name stands
 // before what goes to standard error. The hands carry calls of a worker.
 func Serve(name string, loaded *schema.Options, role schema.Role, open Opening, hands ...agent.Caller) subcommands.ExitStatus {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	log, ring := trace.New(loaded.Trace)
+	log, ring := logring.New(loaded.Trace)
 	// A crash writes the ring out before it takes the process down.
 	defer func() {
 		if broken := recover(); broken != nil {
@@ -115,8 +115,8 @@
 	return subcommands.ExitSuccess
 }
 
-func serve(loaded *schema.Options, role schema.Role, signals chan os.Signal, log *zap.Logger, ring *trace.Ring, open Opening, hands []agent.Caller) error {
-	real, err := crew.Start(loaded, role, log, hands...)
+func serve(loaded *schema.Options, role schema.Role, signals chan os.Signal, log *zap.Logger, ring *logring.Ring, open Opening, hands []agent.Caller) error {
+	real, err := process.Start(loaded, role, log, hands...)
 	if err != nil {
 		return err
 	}
@@ -159,7 +159,7 @@
 
 // leave: not ready at once, keepers passed on, open errands finished, and out
 // within the limit. A second signal ends it at once.
-func leave(real *crew.Real, server Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger, ring *trace.Ring) error {
+func leave(real *process.Real, server Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger, ring *logring.Ring) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.WarnUs)*time.Microsecond)
 	defer cancel()
 	go func() {
--- a/duty/duty_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,4 +1,4 @@
-package duty
+package daemon
 
 import (
 	"errors"
--- a/scale/scale.go
+++ b/internal/deployments/deployments.go
@@ -1,12 +1,12 @@
-// Package scale owns the two deployments that must be served: their machines,
+// Package deployments owns the two deployments that must be served: their machines,
 // their disks and their callers, as sizes for simulated and real fleets.
-package scale
+package deployments
 
 import (
 	"fmt"
 	"strings"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // Kind is one sort of job that a deployment's callers hand in.
--- a/loop/loop.go
+++ b/internal/eventloop/eventloop.go
@@ -1,6 +1,6 @@
-// Package loop holds the one mailbox loop that every table runs in, and the
+// Package eventloop holds the one mailbox loop that every table runs in, and the
 // bounded rings that join the goroutines of a process.
-package loop
+package eventloop
 
 import (
 	"context"
--- a/loop/loop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -1,4 +1,4 @@
-package loop
+package eventloop
 
 import (
 	"context"
--- a/toil/called.go
+++ b/internal/fakeworker/called.go
@@ -1,4 +1,4 @@
-package toil
+package fakeworker
 
 import (
 	"cmp"
@@ -7,22 +7,22 @@
 	"slices"
 	"strings"
 
-	"sparnotch/agent"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 const (
-	patience = 400 * loop.Milli // a call without an answer is silent after this
-	endsMost = 500              // in one look
+	patience = 400 * eventloop.Milli // a call without an answer is silent after this
+	endsMost = 500                   // in one look
 )
 
 // Need is what a called worker reads of a task.
 type Need struct {
 	Cores, Memory, Accelerators int64
-	Work                        loop.Micros // at a factor of 1; 0: it lasts until it is stopped
-	Members                     int         // of its group; 0 and 1: none
-	Rack                        string      // that holds its data
+	Work                        eventloop.Micros // at a factor of 1; 0: it lasts until it is stopped
+	Members                     int              // of its group; 0 and 1: none
+	Rack                        string           // that holds its data
 	IsOneRack                   bool
 	IsSaving                    bool
 }
@@ -48,19 +48,19 @@
 	Memory           int64 // MB
 	Accelerators     int64
 	Bounds           *schema.Bounds
-	IsGuarding       bool        // turns away what doesn't fit
-	Drift            float64     // of its clock; 0: true
-	Cold             loop.Micros // it is slow for so long after its start
-	Belated          loop.Micros // how much later belated calls are done; 0: 2 s
+	IsGuarding       bool             // turns away what doesn't fit
+	Drift            float64          // of its clock; 0: true
+	Cold             eventloop.Micros // it is slow for so long after its start
+	Belated          eventloop.Micros // how much later belated calls are done; 0: 2 s
 
-	Read     func(task agent.TaskName, text string) Need             // nil: from words such as run_us=30000
-	Fails    func(task agent.TaskName, attempt uint32) bool          // ends failed after half its work
-	Slowness func(now loop.Micros) float64                           // factor on work that begins now
-	Fault    func(now loop.Micros, call agent.Call) Fault            // of a call
-	Stops    func(task agent.TaskName, attempt uint32) loop.Micros   // how long a stop takes; nil: a quarter of the bound
-	Tell     func(now loop.Micros, kind string, run Run, how string) // begin, end
-	Begun    func(now loop.Micros, call agent.Call, isLate bool)     // a start was carried out, perhaps long after the call
-	Noted    func(now loop.Micros, ending agent.Ending)              // an end needn't be listed any more
+	Read     func(task agent.TaskName, text string) Need                  // nil: from words such as run_us=30000
+	Fails    func(task agent.TaskName, attempt uint32) bool               // ends failed after half its work
+	Slowness func(now eventloop.Micros) float64                           // factor on work that begins now
+	Fault    func(now eventloop.Micros, call agent.Call) Fault            // of a call
+	Stops    func(task agent.TaskName, attempt uint32) eventloop.Micros   // how long a stop takes; nil: a quarter of the bound
+	Tell     func(now eventloop.Micros, kind string, run Run, how string) // begin, end
+	Begun    func(now eventloop.Micros, call agent.Call, isLate bool)     // a start was carried out, perhaps long after the call
+	Noted    func(now eventloop.Micros, ending agent.Ending)              // an end needn't be listed any more
 }
 
 // Run names one start of a task.
@@ -91,8 +91,8 @@
 type gang struct {
 	members  map[uint32]*called // by task
 	racks    map[string]bool
-	whole    loop.Micros // when all were there
-	until    loop.Micros // they are done together
+	whole    eventloop.Micros // when all were there
+	until    eventloop.Micros // they are done together
 	isDone   bool
 	isBroken bool
 }
@@ -101,25 +101,25 @@
 type called struct {
 	run     Run
 	need    Need
-	arrived loop.Micros
-	began   loop.Micros // of its work
-	until   loop.Micros // it ends by itself; 0: not by itself, or not yet
+	arrived eventloop.Micros
+	began   eventloop.Micros // of its work
+	until   eventloop.Micros // it ends by itself; 0: not by itself, or not yet
 	factor  float64
-	before  loop.Micros // work done before this start
-	isBad   bool        // will end failed
+	before  eventloop.Micros // work done before this start
+	isBad   bool             // will end failed
 	gang    *gang
-	stopAt  loop.Micros
+	stopAt  eventloop.Micros
 }
 
 type waiting struct {
 	call  agent.Call
-	until loop.Micros
+	until eventloop.Micros
 	reply func(agent.Reply)
 }
 
 type belated struct {
-	at       loop.Micros
-	apply    func(now loop.Micros)
+	at       eventloop.Micros
+	apply    func(now eventloop.Micros)
 	isSilent bool // only the caller's own patience: that doesn't die with the worker
 }
 
@@ -130,24 +130,24 @@
 	setup   Setup
 	gangs   *Gangs
 	worker  string
-	born    loop.Micros
+	born    eventloop.Micros
 	isDead  bool
 	fence   uint64
-	until   loop.Micros // by its own clock
+	until   eventloop.Micros // by its own clock
 	runs    map[Run]*called
 	past    map[agent.TaskName]uint32 // highest attempt seen to end or stopped
 	newest  map[agent.TaskName]uint32 // highest started
 	ended   []agent.Ending
 	number  uint64
 	beats   uint64
-	leaveAt loop.Micros // it ends then
+	leaveAt eventloop.Micros // it ends then
 	looks   []waiting
 	later   []belated
 	isLate  bool // what is being done was called for earlier
 }
 
 // NewCalled makes a worker's first life.
-func NewCalled(now loop.Micros, worker string, setup Setup, gangs *Gangs) *Called {
+func NewCalled(now eventloop.Micros, worker string, setup Setup, gangs *Gangs) *Called {
 	if setup.Bounds == nil {
 		setup.Bounds = &schema.Bounds{}
 	}
@@ -166,7 +166,7 @@
 }
 
 // Live begins another life: nothing runs and no fence was seen.
-func (w *Called) Live(now loop.Micros, worker string) {
+func (w *Called) Live(now eventloop.Micros, worker string) {
 	w.Crash(now)
 	w.worker, w.born, w.isDead = worker, now, false
 	w.fence, w.until, w.number, w.beats, w.leaveAt = 0, 0, 0, 0, 0
@@ -174,7 +174,7 @@
 }
 
 // Crash ends a life without a word; all that ran dies with it.
-func (w *Called) Crash(now loop.Micros) {
+func (w *Called) Crash(now eventloop.Micros) {
 	for _, key := range w.keys() {
 		w.tell(now, "end", key, "gone")
 		w.breakUp(w.runs[key])
@@ -188,7 +188,7 @@
 }
 
 // Leave has the worker say that it leaves, and go after a span.
-func (w *Called) Leave(now, span loop.Micros) { w.leaveAt = now + span }
+func (w *Called) Leave(now, span eventloop.Micros) { w.leaveAt = now + span }
 
 // Worker names the life.
 func (w *Called) Worker() string { return w.worker }
@@ -209,15 +209,15 @@
 func (w *Called) Fence() uint64 { return w.fence }
 
 // Clock is what its own clock shows.
-func (w *Called) Clock(now loop.Micros) loop.Micros {
-	return loop.Second + loop.Micros(float64(now-w.born)*w.setup.Drift)
+func (w *Called) Clock(now eventloop.Micros) eventloop.Micros {
+	return eventloop.Second + eventloop.Micros(float64(now-w.born)*w.setup.Drift)
 }
 
 // HeldTo is when all that runs is killed, by its own clock.
-func (w *Called) HeldTo() loop.Micros { return w.until }
+func (w *Called) HeldTo() eventloop.Micros { return w.until }
 
 // Beat is its word of itself.
-func (w *Called) Beat(now loop.Micros) agent.Beat {
+func (w *Called) Beat(now eventloop.Micros) agent.Beat {
 	w.beats++
 	s := w.setup
 	beat := agent.Beat{
@@ -231,14 +231,14 @@
 }
 
 // Take carries a call out. The reply may come at once or in a later step.
-func (w *Called) Take(now loop.Micros, call agent.Call, reply func(agent.Reply)) {
+func (w *Called) Take(now eventloop.Micros, call agent.Call, reply func(agent.Reply)) {
 	w.Step(now)
 	fault := NoFault
 	if w.setup.Fault != nil {
 		fault = w.setup.Fault(now, call)
 	}
-	silent := func(span loop.Micros) {
-		w.later = append(w.later, belated{now + span, func(loop.Micros) {
+	silent := func(span eventloop.Micros) {
+		w.later = append(w.later, belated{now + span, func(eventloop.Micros) {
 			reply(agent.Reply{Number: call.Number, Verdict: agent.Silent})
 		}, true})
 	}
@@ -253,10 +253,10 @@
 	case fault == Belated:
 		span := w.setup.Belated
 		if span == 0 {
-			span = 2 * loop.Second
+			span = 2 * eventloop.Second
 		}
 		silent(patience + call.Wait)
-		w.later = append(w.later, belated{now + span, func(at loop.Micros) {
+		w.later = append(w.later, belated{now + span, func(at eventloop.Micros) {
 			w.isLate = true
 			w.apply(at, call, func(agent.Reply) {})
 			w.isLate = false
@@ -266,7 +266,7 @@
 	}
 }
 
-func (w *Called) apply(now loop.Micros, call agent.Call, reply func(agent.Reply)) {
+func (w *Called) apply(now eventloop.Micros, call agent.Call, reply func(agent.Reply)) {
 	answer := agent.Reply{Number: call.Number, Verdict: agent.Answered, Clock: w.Clock(now)}
 	away := func(reason agent.Reason) {
 		answer.Verdict, answer.Reason = agent.TurnedAway, reason
@@ -282,7 +282,7 @@
 	}
 	w.fence = call.Fence
 	if call.Until > 0 {
-		most := loop.Micros(w.setup.Bounds.HoldMostUs)
+		most := eventloop.Micros(w.setup.Bounds.HoldMostUs)
 		until := call.Until
 		if most > 0 {
 			until = min(until, w.Clock(now)+most)
@@ -307,14 +307,14 @@
 			w.ended = w.ended[1:]
 		}
 		if call.Wait > 0 && len(w.ended) == 0 {
-			w.looks = append(w.looks, waiting{call, now + min(call.Wait, 2*loop.Second), reply})
+			w.looks = append(w.looks, waiting{call, now + min(call.Wait, 2*eventloop.Second), reply})
 			return
 		}
 		w.list(now, call, reply)
 	}
 }
 
-func (w *Called) list(now loop.Micros, call agent.Call, reply func(agent.Reply)) {
+func (w *Called) list(now eventloop.Micros, call agent.Call, reply func(agent.Reply)) {
 	answer := agent.Reply{Number: call.Number, Verdict: agent.Answered, Clock: w.Clock(now)}
 	for _, key := range w.keys() {
 		r := w.runs[key]
@@ -328,7 +328,7 @@
 	reply(answer)
 }
 
-func (w *Called) begin(now loop.Micros, call agent.Call) agent.Reason {
+func (w *Called) begin(now eventloop.Micros, call agent.Call) agent.Reason {
 	key := Run{call.Task, call.Attempt}
 	if call.Attempt == 0 || call.Task.Job == "" {
 		return agent.Bad
@@ -365,7 +365,7 @@
 	return agent.NoReason
 }
 
-func (w *Called) factor(now loop.Micros, need Need) float64 {
+func (w *Called) factor(now eventloop.Micros, need Need) float64 {
 	factor := 1.0
 	if w.setup.Slowness != nil {
 		factor = w.setup.Slowness(now)
@@ -384,16 +384,16 @@
 	return 1
 }
 
-func (w *Called) work(now loop.Micros, r *called) {
+func (w *Called) work(now eventloop.Micros, r *called) {
 	r.began = now
 	if r.before > 0 {
-		r.began += loop.Micros(w.setup.Bounds.RestoreUs)
+		r.began += eventloop.Micros(w.setup.Bounds.RestoreUs)
 	}
 	if r.need.Work > 0 {
-		r.until = r.began + loop.Micros(float64(r.need.Work-r.before)*r.factor)
+		r.until = r.began + eventloop.Micros(float64(r.need.Work-r.before)*r.factor)
 	}
 	if r.isBad && r.need.Work > 0 {
-		r.until = r.began + loop.Micros(float64(max(r.need.Work-r.before, 2))*r.factor/2)
+		r.until = r.began + eventloop.Micros(float64(max(r.need.Work-r.before, 2))*r.factor/2)
 	}
 }
 
@@ -406,7 +406,7 @@
 }
 
 // gather joins a run to its group, which begins when its last member is there.
-func (w *Called) gather(now loop.Micros, r *called) {
+func (w *Called) gather(now eventloop.Micros, r *called) {
 	key := gangKey{r.run.Task.Job, r.run.Task.Round, r.run.Task.Part, r.run.Attempt}
 	g := w.gangs.all[key]
 	if g == nil {
@@ -420,7 +420,7 @@
 		return
 	}
 	g.whole = now
-	factor, before := 1.0, loop.Micros(0)
+	factor, before := 1.0, eventloop.Micros(0)
 	for _, member := range g.members {
 		factor, before = max(factor, member.factor), max(before, member.before)
 	}
@@ -443,7 +443,7 @@
 }
 
 // stop has a run end soon; one that isn't there never will be.
-func (w *Called) stop(now loop.Micros, key Run) {
+func (w *Called) stop(now eventloop.Micros, key Run) {
 	r := w.runs[key]
 	if r == nil {
 		w.past[key.Task] = max(w.past[key.Task], key.Attempt)
@@ -452,7 +452,7 @@
 	if r.stopAt > 0 {
 		return
 	}
-	span := loop.Micros(w.setup.Bounds.StopUs / 4)
+	span := eventloop.Micros(w.setup.Bounds.StopUs / 4)
 	if w.setup.Stops != nil {
 		span = w.setup.Stops(key.Task, key.Attempt)
 	}
@@ -460,20 +460,20 @@
 }
 
 // done is how much work a run has behind it.
-func (w *Called) done(now loop.Micros, r *called) loop.Micros {
+func (w *Called) done(now eventloop.Micros, r *called) eventloop.Micros {
 	if r.began == 0 || now <= r.began {
 		return r.before
 	}
-	return r.before + loop.Micros(float64(now-r.began)/max(r.factor, 0.001))
+	return r.before + eventloop.Micros(float64(now-r.began)/max(r.factor, 0.001))
 }
 
 // saved is what is kept of a run's work: each so much, or all at a stop.
-func (w *Called) saved(now loop.Micros, r *called, isAll bool) string {
+func (w *Called) saved(now eventloop.Micros, r *called, isAll bool) string {
 	if !r.need.IsSaving {
 		return ""
 	}
 	done := w.done(now, r)
-	if every := loop.Micros(w.setup.Bounds.SaveUs); !isAll && every > 0 {
+	if every := eventloop.Micros(w.setup.Bounds.SaveUs); !isAll && every > 0 {
 		done = max(r.before, done-done%every)
 	}
 	if done == 0 {
@@ -483,7 +483,7 @@
 	return fmt.Sprintf("work=%d of=%s.%d.%d.%d", done, of.Job, of.Round, of.Part, of.Task)
 }
 
-func (w *Called) end(now loop.Micros, r *called, how string) {
+func (w *Called) end(now eventloop.Micros, r *called, how string) {
 	delete(w.runs, r.run)
 	if how != "done" {
 		w.breakUp(r)
@@ -499,7 +499,7 @@
 }
 
 // Step does what is due.
-func (w *Called) Step(now loop.Micros) {
+func (w *Called) Step(now eventloop.Micros) {
 	later := w.later
 	w.later = nil
 	for _, each := range later {
@@ -513,7 +513,7 @@
 		return
 	}
 	isOver := w.Clock(now) >= w.until
-	gather := loop.Micros(w.setup.Bounds.GatherUs)
+	gather := eventloop.Micros(w.setup.Bounds.GatherUs)
 	for _, key := range w.keys() {
 		r := w.runs[key]
 		g := r.gang
@@ -555,9 +555,9 @@
 
 // Next is when something is due by itself; what other members of a group do
 // may be due sooner.
-func (w *Called) Next() loop.Micros {
-	next := loop.Micros(1) << 62
-	sooner := func(at loop.Micros) {
+func (w *Called) Next() eventloop.Micros {
+	next := eventloop.Micros(1) << 62
+	sooner := func(at eventloop.Micros) {
 		if at > 0 {
 			next = min(next, at)
 		}
@@ -576,9 +576,9 @@
 		case g.whole > 0:
 			sooner(g.until)
 		case w.setup.Bounds.GatherUs > 0:
-			sooner(r.arrived + loop.Micros(w.setup.Bounds.GatherUs))
+			sooner(r.arrived + eventloop.Micros(w.setup.Bounds.GatherUs))
 		}
-		sooner(w.born + loop.Micros(float64(w.until-loop.Second)/w.setup.Drift) + 1)
+		sooner(w.born + eventloop.Micros(float64(w.until-eventloop.Second)/w.setup.Drift) + 1)
 	}
 	sooner(w.leaveAt)
 	return next
@@ -586,7 +586,7 @@
 
 func (w *Called) keys() []Run { return slices.SortedFunc(maps.Keys(w.runs), compareRuns) }
 
-func (w *Called) tell(now loop.Micros, kind string, run Run, how string) {
+func (w *Called) tell(now eventloop.Micros, kind string, run Run, how string) {
 	if w.setup.Tell != nil {
 		w.setup.Tell(now, kind, run, how)
 	}
@@ -596,7 +596,7 @@
 // saves=1 one_rack=1 rack=r1".
 func readNeed(_ agent.TaskName, text string) Need {
 	need := Need{
-		Work: loop.Micros(number(text, "run_us", 20_000)), Cores: int64(number(text, "cores", 0)), Memory: int64(number(text, "memory", 0)),
+		Work: eventloop.Micros(number(text, "run_us", 20_000)), Cores: int64(number(text, "cores", 0)), Memory: int64(number(text, "memory", 0)),
 		Accelerators: int64(number(text, "accelerators", 0)), Members: int(number(text, "members", 0)),
 		IsSaving: number(text, "saves", 0) > 0, IsOneRack: number(text, "one_rack", 0) > 0,
 	}
--- a/toil/called_test.go
+++ b/internal/fakeworker/called_test.go
@@ -1,18 +1,18 @@
-package toil
+package fakeworker
 
 import (
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/agent"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 var calledBounds = &schema.Bounds{
-	HoldMostUs: int64(5 * loop.Second), StopUs: int64(400 * loop.Milli), GatherUs: int64(2 * loop.Second), AwayMilli: 1500,
-	SaveUs: int64(loop.Second), RestoreUs: int64(100 * loop.Milli),
+	HoldMostUs: int64(5 * eventloop.Second), StopUs: int64(400 * eventloop.Milli), GatherUs: int64(2 * eventloop.Second), AwayMilli: 1500,
+	SaveUs: int64(eventloop.Second), RestoreUs: int64(100 * eventloop.Milli),
 }
 
 // pair is a worker and the replies it gave.
@@ -24,11 +24,11 @@
 
 func newPair(worker string, setup Setup, gangs *Gangs) *pair {
 	setup.Bounds, setup.Cores, setup.Memory = calledBounds, 1000, 1000
-	return &pair{Called: NewCalled(loop.Second, worker, setup, gangs), replies: map[uint64]agent.Reply{}}
+	return &pair{Called: NewCalled(eventloop.Second, worker, setup, gangs), replies: map[uint64]agent.Reply{}}
 }
 
 // do sends a call and gives its number.
-func (p *pair) do(now loop.Micros, call agent.Call) uint64 {
+func (p *pair) do(now eventloop.Micros, call agent.Call) uint64 {
 	p.number++
 	call.Number = p.number
 	if call.Worker == "" {
@@ -39,9 +39,11 @@
 }
 
 // ask is do with the reply that came at once.
-func (p *pair) ask(now loop.Micros, call agent.Call) agent.Reply { return p.replies[p.do(now, call)] }
+func (p *pair) ask(now eventloop.Micros, call agent.Call) agent.Reply {
+	return p.replies[p.do(now, call)]
+}
 
-func startOf(task, attempt uint32, until loop.Micros, text string) agent.Call {
+func startOf(task, attempt uint32, until eventloop.Micros, text string) agent.Call {
 	return agent.Call{Act: agent.Start, Task: agent.TaskName{Job: "j", Task: task}, Attempt: attempt, Text: text, Until: until, Fence: 3}
 }
 
@@ -49,16 +51,16 @@
 	return agent.Call{Act: agent.Stop, Task: agent.TaskName{Job: "j", Task: task}, Attempt: attempt, Fence: 3}
 }
 
-func look(noted uint64, wait loop.Micros) agent.Call {
+func look(noted uint64, wait eventloop.Micros) agent.Call {
 	return agent.Call{Act: agent.Look, Fence: 3, Noted: noted, Wait: wait}
 }
 
 func TestWhatACalledWorkerTurnsAway(t *testing.T) {
-	const now = 2 * loop.Second
+	const now = 2 * eventloop.Second
 	const long = "run_us=60000000"
 	Convey("Lower fences, what is past, what is late, what has no room, what is meant for another life", t, func() {
 		p := newPair("w", Setup{IsGuarding: true}, nil)
-		until := p.Clock(now) + 4*loop.Second
+		until := p.Clock(now) + 4*eventloop.Second
 		So(p.ask(now, startOf(0, 2, until, long+" cores=600")).Verdict, ShouldEqual, agent.Answered)
 		So(p.ask(now, startOf(0, 2, until, long)).Verdict, ShouldEqual, agent.Answered)
 		So(p.Running(), ShouldEqual, 1)
@@ -77,7 +79,7 @@
 	})
 	Convey("A run that was stopped or ended there never begins again", t, func() {
 		p := newPair("w", Setup{}, nil)
-		until := p.Clock(now) + 4*loop.Second
+		until := p.Clock(now) + 4*eventloop.Second
 		So(p.ask(now, stopOf(0, 2)).Verdict, ShouldEqual, agent.Answered)
 		So(p.ask(now, startOf(0, 2, until, long)).Reason, ShouldEqual, agent.Past)
 		So(p.ask(now, startOf(0, 3, until, "run_us=1000")).Verdict, ShouldEqual, agent.Answered)
@@ -87,47 +89,47 @@
 	Convey("A start that is turned away for want of room still lengthens the hold; one of a lower fence doesn't", t, func() {
 		p := newPair("w", Setup{IsGuarding: true}, nil)
 		clock := p.Clock(now)
-		p.ask(now, startOf(0, 1, clock+loop.Second, long))
-		So(p.HeldTo(), ShouldEqual, clock+loop.Second)
-		p.ask(now, startOf(1, 1, clock+2*loop.Second, "cores=5000"))
-		So(p.HeldTo(), ShouldEqual, clock+2*loop.Second)
-		old := startOf(1, 1, clock+3*loop.Second, "")
+		p.ask(now, startOf(0, 1, clock+eventloop.Second, long))
+		So(p.HeldTo(), ShouldEqual, clock+eventloop.Second)
+		p.ask(now, startOf(1, 1, clock+2*eventloop.Second, "cores=5000"))
+		So(p.HeldTo(), ShouldEqual, clock+2*eventloop.Second)
+		old := startOf(1, 1, clock+3*eventloop.Second, "")
 		old.Fence = 1
 		p.ask(now, old)
-		So(p.HeldTo(), ShouldEqual, clock+2*loop.Second)
-		p.ask(now, startOf(0, 1, clock+loop.Second, long))
-		So(p.HeldTo(), ShouldEqual, clock+2*loop.Second)
-		p.ask(now, startOf(0, 1, clock+20*loop.Second, long))
-		So(p.HeldTo(), ShouldEqual, clock+5*loop.Second)
+		So(p.HeldTo(), ShouldEqual, clock+2*eventloop.Second)
+		p.ask(now, startOf(0, 1, clock+eventloop.Second, long))
+		So(p.HeldTo(), ShouldEqual, clock+2*eventloop.Second)
+		p.ask(now, startOf(0, 1, clock+20*eventloop.Second, long))
+		So(p.HeldTo(), ShouldEqual, clock+5*eventloop.Second)
 	})
 }
 
 func TestHowCalledRunsEnd(t *testing.T) {
-	const now = 2 * loop.Second
+	const now = 2 * eventloop.Second
 	Convey("Ends have rising numbers, are listed until noted, and answer a look that waits", t, func() {
 		p := newPair("w", Setup{Fails: func(task agent.TaskName, _ uint32) bool { return task.Task == 1 }}, nil)
-		until := p.Clock(now) + 4*loop.Second
+		until := p.Clock(now) + 4*eventloop.Second
 		p.ask(now, startOf(0, 1, until, "run_us=300000"))
 		p.ask(now, startOf(1, 1, until, "run_us=400000"))
-		first := p.do(now, look(0, loop.Second))
-		p.Step(now + 199*loop.Milli)
+		first := p.do(now, look(0, eventloop.Second))
+		p.Step(now + 199*eventloop.Milli)
 		So(p.replies, ShouldNotContainKey, first)
-		p.Step(now + 200*loop.Milli)
+		p.Step(now + 200*eventloop.Milli)
 		So(p.replies[first].Ended, ShouldResemble, []agent.Ending{{Number: 1, Task: agent.TaskName{Job: "j", Task: 1}, Attempt: 1, How: "failed"}})
-		p.Step(now + 300*loop.Milli)
-		So(p.ask(now+300*loop.Milli, look(0, 0)).Ended, ShouldHaveLength, 2)
-		left := p.ask(now+300*loop.Milli, look(1, 0)).Ended
+		p.Step(now + 300*eventloop.Milli)
+		So(p.ask(now+300*eventloop.Milli, look(0, 0)).Ended, ShouldHaveLength, 2)
+		left := p.ask(now+300*eventloop.Milli, look(1, 0)).Ended
 		So(left, ShouldHaveLength, 1)
 		So([]any{left[0].Number, left[0].How}, ShouldResemble, []any{uint64(2), "done"})
-		second := p.do(now+loop.Second, look(2, loop.Second))
-		p.Step(now + 2*loop.Second)
+		second := p.do(now+eventloop.Second, look(2, eventloop.Second))
+		p.Step(now + 2*eventloop.Second)
 		So(p.replies[second].Ended, ShouldBeEmpty)
 		So(p.replies, ShouldContainKey, second)
 	})
 	Convey("A look lists 500 ends", t, func() {
 		p := newPair("w", Setup{}, nil)
 		for k := uint32(0); k < 700; k++ {
-			p.ask(now, startOf(k, 1, p.Clock(now)+loop.Second, "run_us=1000"))
+			p.ask(now, startOf(k, 1, p.Clock(now)+eventloop.Second, "run_us=1000"))
 		}
 		p.Step(now + 1000)
 		So(p.ask(now+1000, look(0, 0)).Ended, ShouldHaveLength, 500)
@@ -135,40 +137,40 @@
 	})
 	Convey("When the hold is over by its own clock everything is killed", t, func() {
 		p := newPair("w", Setup{Drift: 0.98}, nil)
-		p.ask(now, startOf(0, 1, p.Clock(now)+980*loop.Milli, "run_us=60000000"))
-		p.Step(now + 999*loop.Milli)
+		p.ask(now, startOf(0, 1, p.Clock(now)+980*eventloop.Milli, "run_us=60000000"))
+		p.Step(now + 999*eventloop.Milli)
 		So(p.Running(), ShouldEqual, 1)
-		p.Step(now + 1001*loop.Milli)
-		So(p.ask(now+1001*loop.Milli, look(0, 0)).Ended[0].How, ShouldEqual, "lapsed")
+		p.Step(now + 1001*eventloop.Milli)
+		So(p.ask(now+1001*eventloop.Milli, look(0, 0)).Ended[0].How, ShouldEqual, "lapsed")
 	})
 	Convey("A stop takes its time and keeps all progress; the next start goes on from there, at the price of a restore", t, func() {
 		p := newPair("w", Setup{}, nil)
-		p.ask(now, startOf(0, 1, p.Clock(now)+5*loop.Second, "run_us=3000000 saves=1"))
-		at := now + 1500*loop.Milli
+		p.ask(now, startOf(0, 1, p.Clock(now)+5*eventloop.Second, "run_us=3000000 saves=1"))
+		at := now + 1500*eventloop.Milli
 		So(p.ask(at, look(0, 0)).Running[0].Saved, ShouldEqual, "work=1000000 of=j.0.0.0")
 		p.ask(at, stopOf(0, 1))
-		p.Step(at + 99*loop.Milli)
+		p.Step(at + 99*eventloop.Milli)
 		So(p.Running(), ShouldEqual, 1)
-		at += 100 * loop.Milli
+		at += 100 * eventloop.Milli
 		p.Step(at)
 		ended := p.ask(at, look(0, 0)).Ended
 		So([]any{ended[0].How, ended[0].Saved}, ShouldResemble, []any{"stopped", "work=1600000 of=j.0.0.0"})
-		next := startOf(0, 2, p.Clock(at)+5*loop.Second, "run_us=3000000 saves=1")
+		next := startOf(0, 2, p.Clock(at)+5*eventloop.Second, "run_us=3000000 saves=1")
 		next.Saved = ended[0].Saved
 		p.ask(at, next)
-		p.Step(at + 1499*loop.Milli)
+		p.Step(at + 1499*eventloop.Milli)
 		So(p.Running(), ShouldEqual, 1)
-		p.Step(at + 1500*loop.Milli)
+		p.Step(at + 1500*eventloop.Milli)
 		So(p.Running(), ShouldEqual, 0)
 	})
 }
 
 func TestCalledGangs(t *testing.T) {
-	const now = 2 * loop.Second
+	const now = 2 * eventloop.Second
 	member := func(task uint32, text string) agent.Call {
-		return startOf(task, 1, 6*loop.Second, "members=2 run_us=1000000 "+text)
+		return startOf(task, 1, 6*eventloop.Second, "members=2 run_us=1000000 "+text)
 	}
-	hows := func(at loop.Micros, list ...*pair) []string {
+	hows := func(at eventloop.Micros, list ...*pair) []string {
 		var all []string
 		for _, p := range list {
 			p.Step(at)
@@ -185,18 +187,18 @@
 		gangs := NewGangs()
 		a, b := newPair("a", Setup{Rack: "r1"}, gangs), newPair("b", Setup{Rack: "r2"}, gangs)
 		a.ask(now, member(0, "one_rack=1"))
-		b.ask(now+loop.Second, member(1, "one_rack=1"))
-		So(hows(now+2499*loop.Milli, a, b), ShouldBeEmpty)
-		So(hows(now+2500*loop.Milli, a, b), ShouldResemble, []string{"done", "done"})
+		b.ask(now+eventloop.Second, member(1, "one_rack=1"))
+		So(hows(now+2499*eventloop.Milli, a, b), ShouldBeEmpty)
+		So(hows(now+2500*eventloop.Milli, a, b), ShouldResemble, []string{"done", "done"})
 	})
 	Convey("Who waits too long ends alone, and whoever comes then is broken", t, func() {
 		gangs := NewGangs()
 		a, b := newPair("a", Setup{}, gangs), newPair("b", Setup{}, gangs)
 		a.ask(now, member(0, ""))
-		So(hows(now+1999*loop.Milli, a, b), ShouldBeEmpty)
-		So(hows(now+2*loop.Second, a, b), ShouldResemble, []string{"alone"})
-		b.ask(now+2*loop.Second, member(1, ""))
-		So(hows(now+2*loop.Second, a, b), ShouldResemble, []string{"alone", "broken"})
+		So(hows(now+1999*eventloop.Milli, a, b), ShouldBeEmpty)
+		So(hows(now+2*eventloop.Second, a, b), ShouldResemble, []string{"alone"})
+		b.ask(now+2*eventloop.Second, member(1, ""))
+		So(hows(now+2*eventloop.Second, a, b), ShouldResemble, []string{"alone", "broken"})
 	})
 	Convey("When one member ends otherwise, the others are broken", t, func() {
 		for _, how := range []string{"failed", "stopped", "gone"} {
@@ -211,23 +213,23 @@
 			case "gone":
 				a.Crash(now)
 			}
-			b.Step(now + 600*loop.Milli)
-			a.Step(now + 600*loop.Milli)
-			So(hows(now+600*loop.Milli, b), ShouldResemble, []string{"broken"})
+			b.Step(now + 600*eventloop.Milli)
+			a.Step(now + 600*eventloop.Milli)
+			So(hows(now+600*eventloop.Milli, b), ShouldResemble, []string{"broken"})
 		}
 	})
 }
 
 func TestCalledFaults(t *testing.T) {
-	const now = 2 * loop.Second
+	const now = 2 * eventloop.Second
 	Convey("A call may be refused, lost, done unheard, or done seconds later", t, func() {
 		fault := NoFault
-		p := newPair("w", Setup{Fault: func(loop.Micros, agent.Call) Fault { return fault }}, nil)
+		p := newPair("w", Setup{Fault: func(eventloop.Micros, agent.Call) Fault { return fault }}, nil)
 		fault = Refused
-		So(p.ask(now, startOf(0, 1, 9*loop.Second, "run_us=60000000")).Verdict, ShouldEqual, agent.Busy)
+		So(p.ask(now, startOf(0, 1, 9*eventloop.Second, "run_us=60000000")).Verdict, ShouldEqual, agent.Busy)
 		numbers := map[Fault]uint64{}
 		for _, fault = range []Fault{Lost, Unheard, Belated} {
-			numbers[fault] = p.do(now, startOf(uint32(fault), 1, 9*loop.Second, "run_us=60000000"))
+			numbers[fault] = p.do(now, startOf(uint32(fault), 1, 9*eventloop.Second, "run_us=60000000"))
 		}
 		p.Step(now + patience - 1)
 		So(p.replies, ShouldHaveLength, 1)
@@ -237,16 +239,16 @@
 		}
 		So(p.Runs(Run{agent.TaskName{Job: "j", Task: uint32(Unheard)}, 1}), ShouldBeTrue)
 		So(p.Running(), ShouldEqual, 1)
-		p.Step(now + 2*loop.Second)
+		p.Step(now + 2*eventloop.Second)
 		So(p.Runs(Run{agent.TaskName{Job: "j", Task: uint32(Belated)}, 1}), ShouldBeTrue)
 		So(p.Running(), ShouldEqual, 2)
 	})
 	Convey("A new life runs nothing, has seen no fence, and what was on its way to the former one is lost", t, func() {
-		p := newPair("w", Setup{Fault: func(loop.Micros, agent.Call) Fault { return Belated }}, nil)
-		p.do(now, startOf(0, 1, 9*loop.Second, "run_us=60000000"))
+		p := newPair("w", Setup{Fault: func(eventloop.Micros, agent.Call) Fault { return Belated }}, nil)
+		p.do(now, startOf(0, 1, 9*eventloop.Second, "run_us=60000000"))
 		p.Live(now, "v")
 		So(p.IsDead(), ShouldBeFalse)
-		p.Step(now + 3*loop.Second)
+		p.Step(now + 3*eventloop.Second)
 		So(p.Running(), ShouldEqual, 0)
 		So(p.Fence(), ShouldEqual, 0)
 		So(p.Beat(now).Worker, ShouldEqual, "v")
--- a/toil/toil.go
+++ b/internal/fakeworker/fakeworker.go
@@ -1,7 +1,7 @@
-// Package toil is the stand-in worker as a step machine: it guards its room,
+// Package fakeworker is the stand-in worker as a step machine: it guards its room,
 // honours its licence, turns away old wards, and tells what it does. Real
 // stand-ins and simulated ones run the same.
-package toil
+package fakeworker
 
 import (
 	"math/rand/v2"
@@ -9,15 +9,15 @@
 	"strconv"
 	"strings"
 
-	"sparnotch/check"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 const (
-	announceSpan = 500 * loop.Milli
-	hurrySpan    = 20 * loop.Milli // between two announces at least
-	doneKept     = 120 * loop.Second
+	announceSpan = 500 * eventloop.Milli
+	hurrySpan    = 20 * eventloop.Milli // between two announces at least
+	doneKept     = 120 * eventloop.Second
 )
 
 type key struct {
@@ -32,14 +32,14 @@
 	name          string
 	cores, memory int64
 	isHeld        bool
-	began         loop.Micros
-	until         loop.Micros
+	began         eventloop.Micros
+	until         eventloop.Micros
 	outcome       string
 	isStill       bool
 }
 
 type past struct {
-	at      loop.Micros
+	at      eventloop.Micros
 	outcome string
 }
 
@@ -59,36 +59,36 @@
 	cores       int64
 	memory      int64
 	rng         *rand.Rand
-	tell        func(check.Event)
+	tell        func(checker.Event)
 	seq         uint64
 	taken       uint64 // seq of the newest answer taken
 	ward        uint64
-	licence     loop.Micros
+	licence     eventloop.Micros
 	isLeaving   bool
 	runs        map[key]*run
 	ended       map[key]*schema.TaskNote // not noted yet
 	carried     map[key]uint64           // failures not known to be reported, and the first announce with them
 	over        map[key]past             // attempts that must not start again
-	lastSent    loop.Micros
+	lastSent    eventloop.Micros
 	isHurried   bool
-	toldHeard   loop.Micros
+	toldHeard   eventloop.Micros
 }
 
 // New makes a worker and tells that it is up.
-func New(now loop.Micros, name, rack string, cores, memory int64, incarnation uint64, rng *rand.Rand, tell func(check.Event)) *Worker {
+func New(now eventloop.Micros, name, rack string, cores, memory int64, incarnation uint64, rng *rand.Rand, tell func(checker.Event)) *Worker {
 	w := &Worker{
 		Name: name, Incarnation: incarnation, rack: rack, cores: cores, memory: memory, rng: rng, tell: tell,
 		runs: map[key]*run{}, ended: map[key]*schema.TaskNote{}, over: map[key]past{}, carried: map[key]uint64{}, isHurried: true, lastSent: -announceSpan,
 	}
-	tell(check.Event{At: now, Kind: check.Up, Who: name, Cores: cores, Memory: memory, Rack: rack, Incarnation: incarnation})
+	tell(checker.Event{At: now, Kind: checker.Up, Who: name, Cores: cores, Memory: memory, Rack: rack, Incarnation: incarnation})
 	return w
 }
 
 // Leave makes the worker say that it leaves.
-func (w *Worker) Leave(now loop.Micros) {
+func (w *Worker) Leave(now eventloop.Micros) {
 	if !w.isLeaving {
 		w.isLeaving, w.isHurried = true, true
-		w.tell(check.Event{At: now, Kind: check.Leave, Who: w.Name})
+		w.tell(checker.Event{At: now, Kind: checker.Leave, Who: w.Name})
 	}
 }
 
@@ -96,12 +96,12 @@
 func (w *Worker) Idle() bool { return len(w.runs)+len(w.ended) == 0 }
 
 // Crash tells that all that ran has ended with the worker.
-func (w *Worker) Crash(now loop.Micros) {
-	w.tell(check.Event{At: now, Kind: check.Gone, Who: w.Name, Incarnation: w.Incarnation})
+func (w *Worker) Crash(now eventloop.Micros) {
+	w.tell(checker.Event{At: now, Kind: checker.Gone, Who: w.Name, Incarnation: w.Incarnation})
 }
 
-func (w *Worker) event(now loop.Micros, kind string, r *run, state string) {
-	w.tell(check.Event{
+func (w *Worker) event(now eventloop.Micros, kind string, r *run, state string) {
+	w.tell(checker.Event{
 		At: now, Kind: kind, Who: w.Name, Lane: r.key.lane, Name: r.name, Job: r.key.job, Step: r.key.step, Task: r.key.task,
 		Attempt: r.key.attempt, State: state, Cores: r.cores, Memory: r.memory, Incarnation: w.Incarnation,
 	})
@@ -133,7 +133,7 @@
 }
 
 // Tick ends what has run its time, and everything when the licence is over.
-func (w *Worker) Tick(now loop.Micros) {
+func (w *Worker) Tick(now eventloop.Micros) {
 	isOver := now >= w.licence
 	for _, r := range w.sorted() {
 		switch {
@@ -153,7 +153,7 @@
 }
 
 // Next is when something is due: an announce, an end, the licence's.
-func (w *Worker) Next() loop.Micros {
+func (w *Worker) Next() eventloop.Micros {
 	next := w.due()
 	for _, r := range w.runs {
 		if !r.isHeld && !r.isStill && r.until < next {
@@ -163,7 +163,7 @@
 	return next
 }
 
-func (w *Worker) due() loop.Micros {
+func (w *Worker) due() eventloop.Micros {
 	if w.isHurried {
 		return w.lastSent + hurrySpan
 	}
@@ -171,14 +171,14 @@
 }
 
 // Due tells whether an announce is due.
-func (w *Worker) Due(now loop.Micros) bool { return now >= w.due() }
+func (w *Worker) Due(now eventloop.Micros) bool { return now >= w.due() }
 
-func (w *Worker) end(now loop.Micros, r *run, outcome string) {
+func (w *Worker) end(now eventloop.Micros, r *run, outcome string) {
 	delete(w.runs, r.key)
 	if !r.isHeld {
-		w.event(now, check.End, r, outcome)
+		w.event(now, checker.End, r, outcome)
 	} else {
-		w.event(now, check.LetGo, r, outcome)
+		w.event(now, checker.LetGo, r, outcome)
 	}
 	w.over[r.key] = past{now, outcome}
 	if outcome == "failed" {
@@ -193,12 +193,12 @@
 }
 
 // Announce says what the worker has and does.
-func (w *Worker) Announce(now loop.Micros) *schema.Announce {
+func (w *Worker) Announce(now eventloop.Micros) *schema.Announce {
 	w.seq++
 	w.lastSent, w.isHurried = now, false
 	a := &schema.Announce{
 		Incarnation: w.Incarnation, Seq: w.seq, CoresMilli: w.cores, MemoryMb: w.memory, Rack: w.rack, Leaving: w.isLeaving,
-		Ward: w.ward, WaitUs: int64(400 * loop.Milli),
+		Ward: w.ward, WaitUs: int64(400 * eventloop.Milli),
 	}
 	for _, r := range w.sorted() {
 		note := &schema.TaskNote{
@@ -233,31 +233,31 @@
 
 // Unanswered says that an announce came to nothing; the next may go at once
 // to another front.
-func (w *Worker) Unanswered(now loop.Micros) {
-	if w.lastSent+100*loop.Milli < now {
+func (w *Worker) Unanswered(now eventloop.Micros) {
+	if w.lastSent+100*eventloop.Milli < now {
 		w.isHurried = true
 	} else {
-		w.lastSent = now - announceSpan + 100*loop.Milli
+		w.lastSent = now - announceSpan + 100*eventloop.Milli
 	}
 }
 
 // Take carries out the answer to the announce numbered seq, sent at `sent`.
-func (w *Worker) Take(now, sent loop.Micros, seq uint64, orders *schema.Orders) {
+func (w *Worker) Take(now, sent eventloop.Micros, seq uint64, orders *schema.Orders) {
 	// An older answer than one taken may tell to start what is long over; an
 	// older ward has been succeeded.
 	if seq <= w.taken || orders.Ward < w.ward {
 		return
 	}
 	w.taken, w.ward = seq, orders.Ward
-	if w.toldHeard == 0 || now >= w.toldHeard+loop.Second {
+	if w.toldHeard == 0 || now >= w.toldHeard+eventloop.Second {
 		w.toldHeard = now
-		w.tell(check.Event{At: now, Kind: check.Heard, Who: w.Name, Incarnation: w.Incarnation})
+		w.tell(checker.Event{At: now, Kind: checker.Heard, Who: w.Name, Incarnation: w.Incarnation})
 	}
-	w.licence = max(w.licence, sent+loop.Micros(orders.LicenceUs))
+	w.licence = max(w.licence, sent+eventloop.Micros(orders.LicenceUs))
 	for _, k := range sortedKeys(w.carried) {
 		if first := w.carried[k]; first > 0 && first <= seq {
 			delete(w.carried, k)
-			w.event(now, check.Reported, &run{key: k}, "failed")
+			w.event(now, checker.Reported, &run{key: k}, "failed")
 		}
 	}
 	for _, note := range orders.Noted {
@@ -271,14 +271,14 @@
 	}
 }
 
-func (w *Worker) obey(now loop.Micros, order *schema.Order) {
+func (w *Worker) obey(now eventloop.Micros, order *schema.Order) {
 	k := key{order.Lane, order.Job, order.Step, order.Task, order.Attempt}
 	r := w.runs[k]
 	fresh := &run{key: k, name: order.Name, cores: order.CoresMilli, memory: order.MemoryMb}
-	w.event(now, check.Order, fresh, order.Act)
+	w.event(now, checker.Order, fresh, order.Act)
 	if p, isOver := w.over[k]; isOver {
 		// Whoever still wants it hasn't heard how it ended.
-		w.event(now, check.LetGo, fresh, p.outcome)
+		w.event(now, checker.LetGo, fresh, p.outcome)
 		w.report(k, p.outcome)
 		return
 	}
@@ -338,11 +338,11 @@
 
 // begin runs a task: the stand-ins' texts say how long ("run_us=30000") and
 // how often it fails ("fail=0.1").
-func (w *Worker) begin(now loop.Micros, r *run, text string) {
+func (w *Worker) begin(now eventloop.Micros, r *run, text string) {
 	r.isHeld, r.began, r.outcome = false, now, "done"
-	span := loop.Micros(number(text, "run_us", 20_000))
+	span := eventloop.Micros(number(text, "run_us", 20_000))
 	if w.Habits.Slowness > 0 {
-		span = loop.Micros(float64(span) * w.Habits.Slowness)
+		span = eventloop.Micros(float64(span) * w.Habits.Slowness)
 	}
 	r.until = now + span
 	share := max(w.Habits.FailShare, number(text, "fail", 0))
@@ -350,7 +350,7 @@
 		r.outcome = "failed"
 	}
 	r.isStill = w.Habits.StillRate > 0 && w.rng.Float64() < w.Habits.StillRate
-	w.event(now, check.Begin, r, "")
+	w.event(now, checker.Begin, r, "")
 }
 
 func number(text, name string, usual float64) float64 {
