--- a/intake/intake.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,7 @@
-// Package intake owns what a front does for callers, workers and operators:
+// Package gateway owns what a front does for callers, workers and operators:
 // it numbers each client session's submissions, resends what isn't confirmed,
 // and carries other errands to whoever leads.
-package intake
+package gateway
 
 import (
 	"encoding/json"
@@ -13,34 +13,34 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
 )
 
 // Pace is the tick of the table.
-const Pace = 50 * loop.Milli
+const Pace = 50 * eventloop.Milli
 
 const (
-	resendSpan   = 700 * loop.Milli // an unconfirmed submission is sent again after this
-	redirectSpan = 40 * loop.Milli  // between two redirects of one thing
-	retrySpan    = 400 * loop.Milli // another errand is sent again after this
-	parkSpan     = 500 * loop.Milli // an errand for an unknown lane waits so long for the charter's leader
+	resendSpan   = 700 * eventloop.Milli // an unconfirmed submission is sent again after this
+	redirectSpan = 40 * eventloop.Milli  // between two redirects of one thing
+	retrySpan    = 400 * eventloop.Milli // another errand is sent again after this
+	parkSpan     = 500 * eventloop.Milli // an errand for an unknown lane waits so long for the charter's leader
 	maxParked    = 256
-	storeSpan    = 1200 * loop.Milli // a store unheard for longer is asked only for want of others
-	askSpan      = 250 * loop.Milli  // between looks at the charter
-	newSpan      = 2 * loop.Second   // after a lane lost its leader the charter is looked at more often
-	quietSpan    = 30 * loop.Second  // a client session that rests this long is ended
-	frozenSpan   = 20 * loop.Second  // after a longer pause this front starts afresh
-	wordSpan     = loop.Second       // a front that saw no charter for so long isn't ready, and takes nothing new
-	freshSpan    = 5 * loop.Second   // and after so long gives up what it has taken
-	maxPending   = 4096              // errands of all kinds at once
-	rateSpan     = loop.Second       // over which what a lane gets done is counted
-	longestRetry = 30                // seconds
-	maxResend    = 64                // submissions resent a lane and tick
+	storeSpan    = 1200 * eventloop.Milli // a store unheard for longer is asked only for want of others
+	askSpan      = 250 * eventloop.Milli  // between looks at the charter
+	newSpan      = 2 * eventloop.Second   // after a lane lost its leader the charter is looked at more often
+	quietSpan    = 30 * eventloop.Second  // a client session that rests this long is ended
+	frozenSpan   = 20 * eventloop.Second  // after a longer pause this front starts afresh
+	wordSpan     = eventloop.Second       // a front that saw no charter for so long isn't ready, and takes nothing new
+	freshSpan    = 5 * eventloop.Second   // and after so long gives up what it has taken
+	maxPending   = 4096                   // errands of all kinds at once
+	rateSpan     = eventloop.Second       // over which what a lane gets done is counted
+	longestRetry = 30                     // seconds
+	maxResend    = 64                     // submissions resent a lane and tick
 	quietedMost  = 64
-	ledSpan      = 300 * loop.Milli // a lane without a leader for so long takes no new hand-ins here
+	ledSpan      = 300 * eventloop.Milli // a lane without a leader for so long takes no new hand-ins here
 )
 
 // HandIn is a submission from HTTP. Where no lane is named, host and path lead to
@@ -54,7 +54,7 @@
 	Name     string
 	Digest   []byte
 	Job      *schema.Job
-	Deadline loop.Micros
+	Deadline eventloop.Micros
 }
 
 // Ask is any other errand that a group's leader answers. Where no group is
@@ -69,7 +69,7 @@
 	After    string
 	Most     uint32
 	Body     []byte
-	Deadline loop.Micros
+	Deadline eventloop.Micros
 }
 
 // PollIn is a worker's announce.
@@ -77,7 +77,7 @@
 	Errand   uint64
 	Worker   string
 	Announce *schema.Announce
-	Deadline loop.Micros
+	Deadline eventloop.Micros
 }
 
 // Ready asks whether this front can serve.
@@ -102,7 +102,7 @@
 type submission struct {
 	enqueue *schema.Enqueue
 	errand  uint64
-	sent    loop.Micros
+	sent    eventloop.Micros
 	to      string
 }
 
@@ -111,7 +111,7 @@
 	id      *schema.Session
 	next    uint64
 	waiting []*submission // unconfirmed, by number
-	used    loop.Micros
+	used    eventloop.Micros
 }
 
 func (s *session) lowest() uint64 {
@@ -123,9 +123,9 @@
 
 type errand struct {
 	ask        Ask
-	sent       loop.Micros
+	sent       eventloop.Micros
 	to         string
-	redirected loop.Micros
+	redirected eventloop.Micros
 	isOwed     bool
 }
 
@@ -140,28 +140,28 @@
 	epoch      uint64 // of sessions made here, so that none is ever taken up again
 	rng        *rand.Rand
 	state      *schema.CharterState
-	values     *charter.Values
-	heardAt    loop.Micros // last word of the charter
+	values     *clusterstate.Values
+	heardAt    eventloop.Micros // last word of the charter
 	leaders    map[string]string
-	unled      map[string]loop.Micros // lanes that nobody is known to lead, and since when
+	unled      map[string]eventloop.Micros // lanes that nobody is known to lead, and since when
 	waits      map[string]*schema.WaitNote
-	roll       *kin.Roll
+	roll       *membership.Roll
 	sessions   map[laneClient]*session
 	byId       map[string]*session
 	errands    map[uint64]*errand
 	polls      map[uint64]PollIn
-	met        map[string]loop.Micros
+	met        map[string]eventloop.Micros
 	quitting   map[string][]*schema.Session
 	parked     []any // errands for lanes that our copy of the plan lacks
-	parkedAt   loop.Micros
+	parkedAt   eventloop.Micros
 	pending    int
 	laneHas    map[string]int         // unconfirmed by lane
 	asked      map[uint64]*submission // by errand
-	askedAt    loop.Micros
-	redirected map[string]loop.Micros    // by lane
-	owed       map[string]bool           // lanes whose redirect waits for the next tick
-	denied     map[laneStore]loop.Micros // when a store last said that it doesn't lead a lane
-	last       loop.Micros
+	askedAt    eventloop.Micros
+	redirected map[string]eventloop.Micros    // by lane
+	owed       map[string]bool                // lanes whose redirect waits for the next tick
+	denied     map[laneStore]eventloop.Micros // when a store last said that it doesn't lead a lane
+	last       eventloop.Micros
 	paces      map[string]*pace
 	wasFresh   bool
 	isWarned   bool
@@ -171,17 +171,17 @@
 // New makes the table of the front with this id and boot.
 func New(id string, boot uint64, isLocal bool, rng *rand.Rand) *Table {
 	return &Table{
-		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.CharterState{}, values: charter.Read(nil),
-		leaders: map[string]string{}, unled: map[string]loop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
-		errands: map[uint64]*errand{}, polls: map[uint64]PollIn{}, met: map[string]loop.Micros{}, quitting: map[string][]*schema.Session{},
-		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]loop.Micros{}, owed: map[string]bool{}, denied: map[laneStore]loop.Micros{},
+		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.CharterState{}, values: clusterstate.Read(nil),
+		leaders: map[string]string{}, unled: map[string]eventloop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
+		errands: map[uint64]*errand{}, polls: map[uint64]PollIn{}, met: map[string]eventloop.Micros{}, quitting: map[string][]*schema.Session{},
+		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]eventloop.Micros{}, owed: map[string]bool{}, denied: map[laneStore]eventloop.Micros{},
 		paces: map[string]*pace{},
 	}
 }
 
-func (t *Table) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
-	case loop.Tick:
+	case eventloop.Tick:
 		t.tick(now, out)
 	case HandIn:
 		t.handIn(now, body, false, out)
@@ -203,7 +203,7 @@
 		t.polled(body, out)
 	case *schema.CharterTell:
 		t.charter(now, mail.From, body, out)
-	case *kin.Roll:
+	case *membership.Roll:
 		t.roll = body
 		for group, id := range t.leaders {
 			if known, isKnown := body.Known[id]; isKnown && known.Member.Leaving {
@@ -224,13 +224,13 @@
 	return data
 }
 
-func (t *Table) refuse(errand uint64, code int32, name, message string, retry int, out loop.Out) {
+func (t *Table) refuse(errand uint64, code int32, name, message string, retry int, out eventloop.Out) {
 	out.Answer(errand, Answer{Code: code, Body: Fault(name, message, ""), Retry: retry})
 }
 
 // --- the charter ---
 
-func (t *Table) charter(now loop.Micros, from string, m *schema.CharterTell, out loop.Out) {
+func (t *Table) charter(now eventloop.Micros, from string, m *schema.CharterTell, out eventloop.Out) {
 	if m.State != nil && m.State.Version >= t.state.Version {
 		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
 		t.countUnled(now)
@@ -264,7 +264,7 @@
 			t.pace("live/"+note.Lane).count(now, note.Ended)
 		}
 	}
-	if from != "" && m.Leaders[charter.Group] == from {
+	if from != "" && m.Leaders[clusterstate.Group] == from {
 		t.unpark(now, out)
 	}
 }
@@ -276,16 +276,16 @@
 	delete(t.unled, group)
 }
 
-func (t *Table) unlead(now loop.Micros, group string) {
+func (t *Table) unlead(now eventloop.Micros, group string) {
 	delete(t.leaders, group)
-	if _, isKnown := t.unled[group]; !isKnown && charter.Place(t.state, group) != nil {
+	if _, isKnown := t.unled[group]; !isKnown && clusterstate.Place(t.state, group) != nil {
 		t.unled[group] = now
 	}
 }
 
 // askRest is how long to wait between two looks at the charter: less while
 // somebody may just have come to lead a lane.
-func (t *Table) askRest(now loop.Micros) loop.Micros {
+func (t *Table) askRest(now eventloop.Micros) eventloop.Micros {
 	// Whoever has no word serves nobody.
 	if t.heardAt == 0 || now-t.heardAt > wordSpan/2 {
 		return 2 * Pace
@@ -300,14 +300,14 @@
 
 // countUnled starts the clock of lanes that are new here, and forgets it of
 // those that are gone.
-func (t *Table) countUnled(now loop.Micros) {
+func (t *Table) countUnled(now eventloop.Micros) {
 	for _, place := range t.state.Lanes {
 		if _, isKnown := t.unled[place.Lane]; !isKnown && t.leaders[place.Lane] == "" {
 			t.unled[place.Lane] = now
 		}
 	}
 	for lane := range t.unled {
-		if charter.Place(t.state, lane) == nil {
+		if clusterstate.Place(t.state, lane) == nil {
 			delete(t.unled, lane)
 		}
 	}
@@ -315,7 +315,7 @@
 
 // isUnled tells whether nobody has been known to lead a lane for too long to
 // take more for it: what has a number can't be turned away any more.
-func (t *Table) isUnled(now loop.Micros, lane string) bool {
+func (t *Table) isUnled(now eventloop.Micros, lane string) bool {
 	since, isKnown := t.unled[lane]
 	return isKnown && now-since > ledSpan
 }
@@ -326,19 +326,19 @@
 // charter's leader has said what the plan is now: whoever has just put a table
 // may use it at once, and who asks for a lane that isn't there is told so
 // within a round trip.
-func (t *Table) park(now loop.Micros, mail any, out loop.Out) bool {
+func (t *Table) park(now eventloop.Micros, mail any, out eventloop.Out) bool {
 	if len(t.parked) >= maxParked {
 		return false
 	}
 	if len(t.parked) == 0 {
 		t.parkedAt = now
-		out.Send(t.leader(now, charter.Group), &schema.CharterAsk{Version: t.state.Version})
+		out.Send(t.leader(now, clusterstate.Group), &schema.CharterAsk{Version: t.state.Version})
 	}
 	t.parked = append(t.parked, mail)
 	return true
 }
 
-func (t *Table) unpark(now loop.Micros, out loop.Out) {
+func (t *Table) unpark(now eventloop.Micros, out eventloop.Out) {
 	list := t.parked
 	t.parked = nil
 	for _, mail := range list {
@@ -353,7 +353,7 @@
 
 // unknownLane answers for a lane that isn't placed, or parks the errand first.
 // The lane is empty where host and path lead to none.
-func (t *Table) unknownLane(now loop.Micros, errand uint64, lane string, mail any, isFinal bool, out loop.Out) {
+func (t *Table) unknownLane(now eventloop.Micros, errand uint64, lane string, mail any, isFinal bool, out eventloop.Out) {
 	if !isFinal && t.isFresh(now) && t.park(now, mail, out) {
 		return
 	}
@@ -370,22 +370,24 @@
 
 // isFresh tells whether this front has had word of the charter lately; a young
 // process has had none at all.
-func (t *Table) isFresh(now loop.Micros) bool { return t.heardAt > 0 && now-t.heardAt <= freshSpan }
+func (t *Table) isFresh(now eventloop.Micros) bool {
+	return t.heardAt > 0 && now-t.heardAt <= freshSpan
+}
 
 // hasWord tells whether this front had word of the charter just now. One that
 // hadn't is cut off, most likely: what it took would wait here in vain, while
 // another front could serve it.
-func (t *Table) hasWord(now loop.Micros) bool { return t.heardAt > 0 && now-t.heardAt <= wordSpan }
+func (t *Table) hasWord(now eventloop.Micros) bool { return t.heardAt > 0 && now-t.heardAt <= wordSpan }
 
 // --- hand-ins ---
 
-func (t *Table) handIn(now loop.Micros, m HandIn, isFinal bool, out loop.Out) {
+func (t *Table) handIn(now eventloop.Micros, m HandIn, isFinal bool, out eventloop.Out) {
 	// What is parked must be looked up anew, so the mail stays as it came.
 	mail := m
 	if m.Lane == "" {
 		m.Lane, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
 	}
-	if !t.values.HasLane(m.Lane) || charter.Place(t.state, m.Lane) == nil {
+	if !t.values.HasLane(m.Lane) || clusterstate.Place(t.state, m.Lane) == nil {
 		t.unknownLane(now, m.Errand, m.Lane, mail, isFinal, out)
 		return
 	}
@@ -449,7 +451,7 @@
 // turnAway says no before the submission has a number, and when there should be
 // room: each who is told so is given the next turn, at the pace at which room
 // has been coming of late.
-func (t *Table) turnAway(now loop.Micros, m HandIn, code, message, what string, out loop.Out) {
+func (t *Table) turnAway(now eventloop.Micros, m HandIn, code, message, what string, out eventloop.Out) {
 	t.refuse(m.Errand, 429, code, message, t.pace(what).turn(now), out)
 }
 
@@ -457,9 +459,9 @@
 type pace struct {
 	done   uint64 // so far
 	before uint64 // at the last look
-	at     loop.Micros
-	rate   float64     // a second
-	next   loop.Micros // when the last who was told to come back may
+	at     eventloop.Micros
+	rate   float64          // a second
+	next   eventloop.Micros // when the last who was told to come back may
 }
 
 func (t *Table) pace(what string) *pace {
@@ -470,41 +472,41 @@
 }
 
 // count takes in how much has been done, in all, by now.
-func (p *pace) count(now loop.Micros, done uint64) {
+func (p *pace) count(now eventloop.Micros, done uint64) {
 	p.done = max(p.done, done)
 	if p.at == 0 {
 		p.at, p.before = now, p.done
 		return
 	}
 	if span := now - p.at; span >= rateSpan {
-		rate := float64(p.done-p.before) * float64(loop.Second) / float64(span)
+		rate := float64(p.done-p.before) * float64(eventloop.Second) / float64(span)
 		p.rate = (p.rate + rate) / 2
 		p.at, p.before = now, p.done
 	}
 }
 
 // turn gives the next turn, in whole seconds from now.
-func (p *pace) turn(now loop.Micros) int {
+func (p *pace) turn(now eventloop.Micros) int {
 	// Where nothing gets done, nobody knows; a few seconds are worth a try.
-	wait := 5 * loop.Second
+	wait := 5 * eventloop.Second
 	if p.rate > 0.2 {
-		wait = loop.Micros(float64(loop.Second) / p.rate)
+		wait = eventloop.Micros(float64(eventloop.Second) / p.rate)
 	}
-	p.next = min(max(p.next, now)+wait, now+longestRetry*loop.Second)
-	return max(1, int((p.next-now+loop.Second-1)/loop.Second))
+	p.next = min(max(p.next, now)+wait, now+longestRetry*eventloop.Second)
+	return max(1, int((p.next-now+eventloop.Second-1)/eventloop.Second))
 }
 
 // notReady is the answer of a front that has no word of the charter: the longer
 // it lasts, the less soon it is worth asking here again.
-func (t *Table) notReady(now loop.Micros, errand uint64, out loop.Out) {
-	retry := min(max(int((now-t.heardAt)/(2*loop.Second)), 1), 10)
+func (t *Table) notReady(now eventloop.Micros, errand uint64, out eventloop.Out) {
+	retry := min(max(int((now-t.heardAt)/(2*eventloop.Second)), 1), 10)
 	t.refuse(errand, 503, "not_ready", "this front has no fresh word of the charter: ask another", retry, out)
 }
 
 // giveUp answers at once, when this front has lost touch, all that it can't
 // carry any more. What was handed in has its number and goes on being resent,
 // so whether it takes effect is unknown.
-func (t *Table) giveUp(now loop.Micros, out loop.Out) {
+func (t *Table) giveUp(now eventloop.Micros, out eventloop.Out) {
 	for _, id := range slices.Sorted(maps.Keys(t.asked)) {
 		t.asked[id].errand = 0
 		delete(t.asked, id)
@@ -524,7 +526,7 @@
 // withAttempts states what the lane allows where a step states nothing. The
 // digest is of what the caller gave, so a resend is the same job whatever the
 // plan has become.
-func withAttempts(values *charter.Values, lane string, job *schema.Job) *schema.Job {
+func withAttempts(values *clusterstate.Values, lane string, job *schema.Job) *schema.Job {
 	attempts := values.Of("lane", lane, "attempts")
 	if !values.IsStated("lane", lane, "attempts") || attempts <= 1 {
 		return job
@@ -540,7 +542,7 @@
 
 // tooLarge finds a task that no worker of the plan could ever hold. Of a pool's
 // workers the plan says nothing: the placer sees what they are.
-func tooLarge(values *charter.Values, lane string, job *schema.Job) *schema.Fault {
+func tooLarge(values *clusterstate.Values, lane string, job *schema.Job) *schema.Fault {
 	if values.Text("lane", lane, "pool") != "" {
 		return nil
 	}
@@ -557,7 +559,7 @@
 	return nil
 }
 
-func (t *Table) send(now loop.Micros, lane string, list []*submission, out loop.Out) {
+func (t *Table) send(now eventloop.Micros, lane string, list []*submission, out eventloop.Out) {
 	to := t.leader(now, lane)
 	m := &schema.Submit{Lane: lane}
 	for _, each := range list {
@@ -574,7 +576,7 @@
 }
 
 // leader is who is believed to lead a lane, or somebody who may know.
-func (t *Table) leader(now loop.Micros, group string) string {
+func (t *Table) leader(now eventloop.Micros, group string) string {
 	if id := t.leaders[group]; id != "" {
 		return id
 	}
@@ -583,7 +585,7 @@
 
 // mayLead tells whether somebody named as leader is worth believing in: whoever
 // names one that leaves, or that nobody has heard of for a while, has old word.
-func (t *Table) mayLead(now loop.Micros, id string) bool {
+func (t *Table) mayLead(now eventloop.Micros, id string) bool {
 	if id == "" {
 		return false
 	}
@@ -595,7 +597,7 @@
 }
 
 // someStore is any store, one that was heard of lately and stays if there is.
-func (t *Table) someStore(now loop.Micros) string {
+func (t *Table) someStore(now eventloop.Micros) string {
 	if t.roll == nil {
 		return ""
 	}
@@ -619,7 +621,7 @@
 	return all[t.rng.IntN(len(all))]
 }
 
-func (t *Table) applied(now loop.Micros, from string, m *schema.Applied, out loop.Out) {
+func (t *Table) applied(now eventloop.Micros, from string, m *schema.Applied, out eventloop.Out) {
 	if len(m.Outcomes) == 0 && from != "" && m.Leader != from {
 		t.denied[laneStore{m.Lane, from}] = now
 	}
@@ -650,7 +652,7 @@
 
 // confirmed settles one submission, and returns those below it that must have
 // been lost on the way.
-func (t *Table) confirmed(now loop.Micros, lane string, outcome *schema.Outcome, out loop.Out) []*submission {
+func (t *Table) confirmed(now eventloop.Micros, lane string, outcome *schema.Outcome, out eventloop.Out) []*submission {
 	if outcome.Session == nil || outcome.Session.Boot != t.boot {
 		return nil
 	}
@@ -729,7 +731,7 @@
 }
 
 // restart gives up every session: whatever they hold is unknown.
-func (t *Table) restart(now loop.Micros, out loop.Out) {
+func (t *Table) restart(now eventloop.Micros, out eventloop.Out) {
 	lanes := map[string]bool{}
 	for _, s := range t.sessions {
 		lanes[s.lane] = true
@@ -749,13 +751,13 @@
 
 // --- other errands ---
 
-func (t *Table) ask(now loop.Micros, m Ask, isFinal bool, out loop.Out) {
+func (t *Table) ask(now eventloop.Micros, m Ask, isFinal bool, out eventloop.Out) {
 	if len(t.errands) >= maxPending {
 		t.refuse(m.Errand, 429, "front_full", "this front has too much in hand", t.pace("").turn(now), out)
 		return
 	}
 	// The charter's leader may just be missing: an operator's call waits for it.
-	isLost := !t.hasWord(now) && m.Group != charter.Group || !t.isFresh(now)
+	isLost := !t.hasWord(now) && m.Group != clusterstate.Group || !t.isFresh(now)
 	if t.heardAt > 0 && isLost {
 		t.notReady(now, m.Errand, out)
 		return
@@ -764,7 +766,7 @@
 	if m.Group == "" {
 		m.Group, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
 	}
-	if m.Group != charter.Group && charter.Place(t.state, m.Group) == nil {
+	if m.Group != clusterstate.Group && clusterstate.Place(t.state, m.Group) == nil {
 		t.unknownLane(now, m.Errand, m.Group, mail, isFinal, out)
 		return
 	}
@@ -773,7 +775,7 @@
 	t.carry(now, each, out)
 }
 
-func (t *Table) carry(now loop.Micros, each *errand, out loop.Out) {
+func (t *Table) carry(now eventloop.Micros, each *errand, out eventloop.Out) {
 	m := each.ask
 	each.sent, each.to = now, t.leader(now, m.Group)
 	if to := each.to; to != "" {
@@ -781,7 +783,7 @@
 	}
 }
 
-func (t *Table) replied(now loop.Micros, m *schema.ErrandReply, out loop.Out) {
+func (t *Table) replied(now eventloop.Micros, m *schema.ErrandReply, out eventloop.Out) {
 	each := t.errands[m.Id]
 	if each == nil {
 		return
@@ -809,13 +811,13 @@
 
 // --- workers ---
 
-func (t *Table) poll(now loop.Micros, m PollIn, out loop.Out) {
-	ward := charter.WardOf(t.state, m.Worker)
-	if ward == nil && t.state.Version > 0 && now-t.met[m.Worker] > loop.Second {
+func (t *Table) poll(now eventloop.Micros, m PollIn, out eventloop.Out) {
+	ward := clusterstate.WardOf(t.state, m.Worker)
+	if ward == nil && t.state.Version > 0 && now-t.met[m.Worker] > eventloop.Second {
 		t.met[m.Worker] = now
-		if to := t.leader(now, charter.Group); to != "" {
+		if to := t.leader(now, clusterstate.Group); to != "" {
 			command := &schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: m.Worker}}}
-			out.Send(to, &schema.Errand{Kind: "charter", Group: charter.Group, Body: marshal(command)})
+			out.Send(to, &schema.Errand{Kind: "charter", Group: clusterstate.Group, Body: marshal(command)})
 		}
 	}
 	if ward == nil || ward.Placer == "" || len(t.polls) >= maxPending {
@@ -826,7 +828,7 @@
 	out.Send(ward.Placer, &schema.Poll{Id: m.Errand, Worker: m.Worker, Announce: m.Announce})
 }
 
-func (t *Table) polled(m *schema.PollReply, out loop.Out) {
+func (t *Table) polled(m *schema.PollReply, out eventloop.Out) {
 	if _, isKnown := t.polls[m.Id]; !isKnown {
 		return
 	}
@@ -856,7 +858,7 @@
 	}
 }
 
-func (t *Table) tick(now loop.Micros, out loop.Out) {
+func (t *Table) tick(now eventloop.Micros, out eventloop.Out) {
 	if t.last > 0 && now-t.last > frozenSpan {
 		// Others may have given us up meanwhile, and our callers have.
 		t.restart(now, out)
@@ -916,7 +918,7 @@
 		}
 	}
 	for worker, at := range t.met {
-		if now-at > 10*loop.Second {
+		if now-at > 10*eventloop.Second {
 			delete(t.met, worker)
 		}
 	}
@@ -926,7 +928,7 @@
 	return slices.Sorted(maps.Keys(set))
 }
 
-func (t *Table) askCharter(now loop.Micros, out loop.Out) {
+func (t *Table) askCharter(now eventloop.Micros, out eventloop.Out) {
 	if now-t.askedAt < t.askRest(now) {
 		return
 	}
@@ -936,7 +938,7 @@
 	}
 }
 
-func (t *Table) tickErrands(now loop.Micros, out loop.Out) {
+func (t *Table) tickErrands(now eventloop.Micros, out eventloop.Out) {
 	var ids []uint64
 	for id, each := range t.errands {
 		if now-each.sent > retrySpan || each.isOwed {
@@ -961,7 +963,7 @@
 
 // endQuiet ends sessions of clients that rest, by our own word, so that the
 // lane doesn't hold them for ever.
-func (t *Table) endQuiet(now loop.Micros, out loop.Out) {
+func (t *Table) endQuiet(now eventloop.Micros, out eventloop.Out) {
 	for key, s := range t.sessions {
 		if len(s.waiting) == 0 && now-s.used > quietSpan {
 			delete(t.sessions, key)
@@ -971,7 +973,7 @@
 	}
 	lanes := map[string]bool{}
 	for lane, list := range t.quitting {
-		if len(list) >= quietedMost || now%(10*loop.Second) < Pace {
+		if len(list) >= quietedMost || now%(10*eventloop.Second) < Pace {
 			lanes[lane] = true
 		}
 	}
@@ -985,7 +987,7 @@
 
 // fronts lists the fronts heard of lately, so that whoever knows one of them
 // finds the others.
-func (t *Table) fronts(now loop.Micros, m Fronts, out loop.Out) {
+func (t *Table) fronts(now eventloop.Micros, m Fronts, out eventloop.Out) {
 	list := &schema.FrontList{Fronts: []*schema.FrontNote{}}
 	if t.roll != nil {
 		ids := slices.Sorted(maps.Keys(t.roll.Known))
@@ -1004,7 +1006,7 @@
 }
 
 // ready tells whether this front can take errands and carry them.
-func (t *Table) ready(now loop.Micros, m Ready, out loop.Out) {
+func (t *Table) ready(now eventloop.Micros, m Ready, out eventloop.Out) {
 	switch {
 	case t.isWarned:
 		t.refuse(m.Errand, 503, "leaving", "this process is leaving", 0, out)
--- a/intake/intake_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,4 +1,4 @@
-package intake
+package gateway
 
 import (
 	"encoding/json"
@@ -9,16 +9,16 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
 )
 
 // desk drives an intake by hand.
 type desk struct {
 	t       *Table
-	now     loop.Micros
+	now     eventloop.Micros
 	sent    []sending
 	answers map[uint64]Answer
 	errand  uint64
@@ -37,10 +37,10 @@
 		d.answers[errand] = answer
 	}
 }
-func (d *desk) step(body any) { d.t.Step(d.now, loop.Mail{Body: body}, d) }
+func (d *desk) step(body any) { d.t.Step(d.now, eventloop.Mail{Body: body}, d) }
 
 func newDesk(rows ...*schema.Row) *desk {
-	d := &desk{t: New("me", 1, false, rand.New(rand.NewPCG(1, 1))), now: 100 * loop.Second, answers: map[uint64]Answer{}}
+	d := &desk{t: New("me", 1, false, rand.New(rand.NewPCG(1, 1))), now: 100 * eventloop.Second, answers: map[uint64]Answer{}}
 	rows = append(rows, &schema.Row{Kind: "lane", Name: "l", Key: "urgency", Value: "1"})
 	d.step(&schema.CharterTell{
 		Version: 1, Leaders: map[string]string{"l": "a"},
@@ -113,8 +113,8 @@
 				d.step(&schema.Applied{Lane: "l", Leader: "b"})
 			}
 			So(len(d.sent), ShouldBeLessThan, count+3)
-			d.now += 60 * loop.Milli
-			d.step(loop.Tick{})
+			d.now += 60 * eventloop.Milli
+			d.step(eventloop.Tick{})
 			_, submit := d.lastSubmit()
 			So(submit.Enqueues[0].Name, ShouldEqual, "one")
 		})
@@ -133,10 +133,10 @@
 	})
 	Convey("So does one that was frozen for long", t, func() {
 		d := newDesk()
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		errand := d.handIn("c", "one")
-		d.now += frozenSpan + loop.Second
-		d.step(loop.Tick{})
+		d.now += frozenSpan + eventloop.Second
+		d.step(eventloop.Tick{})
 		So(d.answers[errand].Code, ShouldEqual, 504)
 	})
 }
@@ -182,7 +182,7 @@
 		d := newDesk()
 		d.step(Ready{Errand: 900})
 		So(d.answers[900].Code, ShouldEqual, 200)
-		d.now += freshSpan + loop.Second
+		d.now += freshSpan + eventloop.Second
 		d.step(Ready{Errand: 901})
 		So(d.answers[901].Code, ShouldEqual, 503)
 		d.step(HandIn{Errand: 902, Lane: "new", Client: "c", Name: "x", Job: &schema.Job{}})
@@ -205,7 +205,7 @@
 				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "lane", Name: lane, Key: "urgency", Value: "1"})
 				state.Lanes = append(state.Lanes, &schema.LanePlace{Lane: lane, Generation: 2})
 			}
-			d.t.Step(d.now, loop.Mail{From: from, Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "new": "a"}}}, d)
+			d.t.Step(d.now, eventloop.Mail{From: from, Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "new": "a"}}}, d)
 		}
 		d.step(Ask{Errand: 5, Kind: "status", Group: "new", Name: "j"})
 		_, isAnswered := d.answers[5]
@@ -224,8 +224,8 @@
 			So(d.answers[5].Code, ShouldEqual, 404)
 		})
 		Convey("no answer: what our copy says holds after a moment", func() {
-			d.now += parkSpan + loop.Milli
-			d.step(loop.Tick{})
+			d.now += parkSpan + eventloop.Milli
+			d.step(eventloop.Tick{})
 			So(d.answers[5].Code, ShouldEqual, 404)
 		})
 	})
@@ -240,8 +240,8 @@
 			d.handIn("c", "n")
 			_, submit := d.lastSubmit()
 			d.applied("a", submit.Enqueues[0].Number)
-			d.now += 250 * loop.Milli
-			d.step(loop.Tick{})
+			d.now += 250 * eventloop.Milli
+			d.step(eventloop.Tick{})
 			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
 		}
 		for k := 0; k < 8; k++ {
@@ -256,7 +256,7 @@
 		So(told[0], ShouldEqual, 1)
 		So(told[11], ShouldBeBetweenOrEqual, 3, 4)
 		// Turns that have passed are given anew.
-		d.now += 4 * loop.Second
+		d.now += 4 * eventloop.Second
 		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
 		So(d.answers[d.handIn("c", "more")].Retry, ShouldEqual, 1)
 	})
@@ -275,7 +275,7 @@
 		d := newDesk(&schema.Row{Kind: "fleet", Key: "live_jobs", Value: "100"})
 		for k := uint64(0); k < 8; k++ {
 			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}, Waits: []*schema.WaitNote{{Lane: "l", Live: 100, Ended: 2 * k}}})
-			d.now += loop.Second
+			d.now += eventloop.Second
 		}
 		told := 0
 		for k := 0; k < 10; k++ {
@@ -287,18 +287,18 @@
 	})
 	Convey("A front that had no word a moment ago takes nothing new, so that clients go to another; what it has it keeps", t, func() {
 		d := newDesk()
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		id := d.handIn("c", "one")
-		d.now += wordSpan + loop.Milli
-		d.step(loop.Tick{})
+		d.now += wordSpan + eventloop.Milli
+		d.step(eventloop.Tick{})
 		d.step(Ready{Errand: 900})
 		So(d.answers[900].Code, ShouldEqual, 503)
 		So(d.answers[d.handIn("c", "two")].Code, ShouldEqual, 503)
-		d.step(Ask{Errand: 901, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*loop.Second})
+		d.step(Ask{Errand: 901, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
 		So(d.answers[901].Code, ShouldEqual, 503)
 		_, isAnswered := d.answers[id]
 		So(isAnswered, ShouldBeFalse)
-		d.step(Ask{Errand: 902, Kind: "plan", Group: charter.Group, Deadline: d.now + 60*loop.Second})
+		d.step(Ask{Errand: 902, Kind: "plan", Group: clusterstate.Group, Deadline: d.now + 60*eventloop.Second})
 		_, isAnswered = d.answers[902]
 		So(isAnswered, ShouldBeFalse)
 		Convey("and with a word it is ready again", func() {
@@ -310,11 +310,11 @@
 	Convey("A front whose own replica has no word asks other stores", t, func() {
 		d := newDesk()
 		d.t.isLocal = true
-		known := map[string]kin.Known{}
+		known := map[string]membership.Known{}
 		for _, id := range []string{"me", "a", "b"} {
-			known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: d.now}
+			known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: d.now}
 		}
-		d.step(&kin.Roll{Known: known})
+		d.step(&membership.Roll{Known: known})
 		d.step(&schema.CharterTell{Version: d.t.state.Version, Leaders: map[string]string{"l": "a"}})
 		asked := func() map[string]bool {
 			to := map[string]bool{}
@@ -327,23 +327,23 @@
 		}
 		d.sent = nil
 		d.now += askSpan
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		So(asked(), ShouldResemble, map[string]bool{"me": true})
 		d.sent = nil
 		for k := 0; k < 20; k++ {
 			d.now += Pace
-			d.step(loop.Tick{})
+			d.step(eventloop.Tick{})
 		}
 		So(asked()["a"] || asked()["b"], ShouldBeTrue)
 	})
 	Convey("A front that has lost touch answers at once what it holds and what comes, with when to come back", t, func() {
 		d := newDesk()
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		id := d.handIn("c", "one")
-		d.step(Ask{Errand: 900, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*loop.Second})
-		d.step(Ask{Errand: 901, Kind: "cancel", Group: "l", Name: "one", Deadline: d.now + 60*loop.Second})
-		d.now += freshSpan + loop.Milli
-		d.step(loop.Tick{})
+		d.step(Ask{Errand: 900, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
+		d.step(Ask{Errand: 901, Kind: "cancel", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
+		d.now += freshSpan + eventloop.Milli
+		d.step(eventloop.Tick{})
 		// Numbered, so whether it takes effect isn't known; and it goes on being sent.
 		So(d.answers[id].Code, ShouldEqual, 504)
 		So(d.answers[900].Code, ShouldEqual, 503)
@@ -351,7 +351,7 @@
 		So(d.t.sessions[laneClient{"l", "c"}].waiting, ShouldHaveLength, 1)
 		late := d.answers[d.handIn("c", "two")]
 		So(late.Code, ShouldEqual, 503)
-		d.now += 12 * loop.Second
+		d.now += 12 * eventloop.Second
 		So(d.answers[d.handIn("c", "two")].Retry, ShouldBeGreaterThan, late.Retry)
 	})
 }
@@ -387,7 +387,7 @@
 		d := newDesk()
 		fresh := func(rows []*schema.Row) {
 			state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Generation: 2, Rows: rows}, Lanes: []*schema.LanePlace{{Lane: "l", Generation: 1}}}
-			d.t.Step(d.now, loop.Mail{From: "a", Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "l": "a"}}}, d)
+			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "l": "a"}}}, d)
 		}
 		d.step(HandIn{Errand: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
 		d.step(Ask{Errand: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
@@ -410,19 +410,19 @@
 			So(d.answers[1].Code, ShouldEqual, 404)
 			d.step(HandIn{Errand: 3, Lane: "l", Client: "c", Name: "j", Job: job()})
 			So(d.answers, ShouldNotContainKey, uint64(3))
-			d.t.Step(d.now, loop.Mail{From: "a", Body: &schema.CharterTell{Version: 2, Leaders: map[string]string{"charter": "a"}}}, d)
+			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{Version: 2, Leaders: map[string]string{"charter": "a"}}}, d)
 			So(d.answers[3].Code, ShouldEqual, 404)
 		})
 	})
 	Convey("Before the first plan, and without fresh word, nothing is called unknown", t, func() {
-		d := &desk{t: New("me", 1, false, rand.New(rand.NewPCG(1, 1))), now: 100 * loop.Second, answers: map[uint64]Answer{}}
+		d := &desk{t: New("me", 1, false, rand.New(rand.NewPCG(1, 1))), now: 100 * eventloop.Second, answers: map[uint64]Answer{}}
 		d.step(HandIn{Errand: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
 		d.step(Ask{Errand: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
 		So([]int32{d.answers[1].Code, d.answers[2].Code}, ShouldResemble, []int32{503, 503})
 		tell := &schema.CharterTell{Version: 1, State: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}, Leaders: map[string]string{"charter": "a"}}
-		d.t.Step(d.now, loop.Mail{From: "a", Body: tell}, d)
+		d.t.Step(d.now, eventloop.Mail{From: "a", Body: tell}, d)
 		d.step(HandIn{Errand: 3, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
-		d.t.Step(d.now, loop.Mail{From: "a", Body: tell}, d)
+		d.t.Step(d.now, eventloop.Mail{From: "a", Body: tell}, d)
 		So(d.answers[3].Code, ShouldEqual, 503)
 		So(d.answers[3].Retry, ShouldEqual, 1)
 	})
@@ -456,7 +456,7 @@
 		// It leads no more and knows nobody.
 		d.step(&schema.Applied{Lane: "l"})
 		second := d.handIn("c", "two")
-		d.now += ledSpan + loop.Milli
+		d.now += ledSpan + eventloop.Milli
 		third := d.handIn("c", "three")
 		So(d.answers[third].Code, ShouldEqual, 503)
 		So(d.answers[third].Retry, ShouldEqual, 1)
@@ -476,17 +476,17 @@
 	})
 	Convey("The charter is looked at more often then, and what was asked goes to whoever leads now", t, func() {
 		d := newDesk()
-		known := func(id string) kin.Known {
-			return kin.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: d.now}
+		known := func(id string) membership.Known {
+			return membership.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: d.now}
 		}
-		d.step(&kin.Roll{Known: map[string]kin.Known{"b": known("b")}})
-		d.step(Ask{Errand: 1, Kind: "status", Group: "l", Name: "j", Deadline: d.now + 9*loop.Second})
+		d.step(&membership.Roll{Known: map[string]membership.Known{"b": known("b")}})
+		d.step(Ask{Errand: 1, Kind: "status", Group: "l", Name: "j", Deadline: d.now + 9*eventloop.Second})
 		errands, looks := 0, 0
 		pass := func() {
 			before := len(d.sent)
 			d.now += Pace
-			d.step(&kin.Roll{Known: map[string]kin.Known{"b": known("b")}})
-			d.step(loop.Tick{})
+			d.step(&membership.Roll{Known: map[string]membership.Known{"b": known("b")}})
+			d.step(eventloop.Tick{})
 			errands, looks = 0, 0
 			for _, each := range d.sent[before:] {
 				switch each.body.(type) {
@@ -512,14 +512,14 @@
 	Convey("A hand-in that a store turned away before it came to lead is sent there again at once", t, func() {
 		d := newDesk()
 		d.handIn("c", "one")
-		d.now += 5 * loop.Milli
-		d.t.Step(d.now, loop.Mail{From: "a", Body: &schema.Applied{Lane: "l"}}, d)
-		d.now += 100 * loop.Milli
+		d.now += 5 * eventloop.Milli
+		d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.Applied{Lane: "l"}}, d)
+		d.now += 100 * eventloop.Milli
 		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
 		before := len(d.sent)
 		for k := 0; k < 3; k++ {
 			d.now += Pace
-			d.step(loop.Tick{})
+			d.step(eventloop.Tick{})
 		}
 		count := 0
 		for _, each := range d.sent[before:] {
@@ -543,7 +543,7 @@
 		lanes(2, "l", "new")
 		job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
 		d.step(HandIn{Errand: 1, Lane: "new", Client: "c", Name: "j", Job: job})
-		d.now += ledSpan + loop.Milli
+		d.now += ledSpan + eventloop.Milli
 		d.step(HandIn{Errand: 2, Lane: "new", Client: "c", Name: "j", Job: job})
 		So(d.answers, ShouldNotContainKey, uint64(1))
 		So(d.answers[2].Code, ShouldEqual, 503)
--- a/intake/validate.go
+++ b/internal/gateway/validate.go
@@ -1,4 +1,4 @@
-package intake
+package gateway
 
 import (
 	"crypto/sha256"
@@ -8,7 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // Limits of one job; they bound what one record may cost.
--- a/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -9,48 +9,48 @@
 	"math/rand/v2"
 	"slices"
 
-	"sparnotch/charter"
-	"sparnotch/check"
-	"sparnotch/crew"
-	"sparnotch/keep"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/toil"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/process"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // Hand is the name of the agent's stead among a process's tables, and its tick.
 const (
 	Name = "hand"
-	Pace = 50 * loop.Milli
+	Pace = 50 * eventloop.Milli
 )
 
 const (
-	pollSpan = 1200 * loop.Milli
+	pollSpan = 1200 * eventloop.Milli
 	openMost = 2
 )
 
 // Watch is told what the worker does; any of it may be nil.
 type Watch struct {
-	Began func(now loop.Micros, job string, step, task uint32)
+	Began func(now eventloop.Micros, job string, step, task uint32)
 	Ended func()
-	Plan  func(now loop.Micros, generation uint64) // a newer plan has come to this process
+	Plan  func(now eventloop.Micros, generation uint64) // a newer plan has come to this process
 }
 
 // Hand announces to the ward's placer and takes the answers.
 type Hand struct {
 	watch  Watch
-	worker *toil.Worker
+	worker *fakeworker.Worker
 	state  *schema.CharterState
 	leader string
 	next   uint64
 	open   map[uint64]openPoll
-	metAt  loop.Micros
+	metAt  eventloop.Micros
 }
 
 type openPoll struct {
 	seq  uint64
-	sent loop.Micros
+	sent eventloop.Micros
 }
 
 // Room is what a worker has: thousandths of a core, and MB.
@@ -58,22 +58,22 @@
 
 // New makes a side's table with a worker of this name. The incarnation grows
 // with each start of it.
-func New(now loop.Micros, name, rack string, room Room, incarnation uint64, rng *rand.Rand, watch Watch) *Hand {
+func New(now eventloop.Micros, name, rack string, room Room, incarnation uint64, rng *rand.Rand, watch Watch) *Hand {
 	h := &Hand{watch: watch, open: map[uint64]openPoll{}}
-	h.worker = toil.New(now, name, rack, room.Cores, room.Memory, incarnation, rng, func(e check.Event) {
+	h.worker = fakeworker.New(now, name, rack, room.Cores, room.Memory, incarnation, rng, func(e checker.Event) {
 		switch {
-		case e.Kind == check.Begin && watch.Began != nil:
+		case e.Kind == checker.Begin && watch.Began != nil:
 			watch.Began(e.At, e.Name, e.Step, e.Task)
-		case e.Kind == check.End && watch.Ended != nil:
+		case e.Kind == checker.End && watch.Ended != nil:
 			watch.Ended()
 		}
 	})
 	return h
 }
 
-func (h *Hand) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+func (h *Hand) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
-	case loop.Tick:
+	case eventloop.Tick:
 		h.worker.Tick(now)
 		for id, poll := range h.open {
 			if now-poll.sent > pollSpan {
@@ -97,27 +97,27 @@
 	h.announce(now, out)
 }
 
-func (h *Hand) hear(now loop.Micros, m *schema.CharterTell) {
+func (h *Hand) hear(now eventloop.Micros, m *schema.CharterTell) {
 	if m.State != nil && m.State.Version > h.state.GetVersion() {
 		if h.watch.Plan != nil && h.state.GetPlan().GetGeneration() < m.State.Plan.GetGeneration() {
 			h.watch.Plan(now, m.State.Plan.Generation)
 		}
 		h.state = m.State
 	}
-	if leader := m.Leaders[charter.Group]; leader != "" {
+	if leader := m.Leaders[clusterstate.Group]; leader != "" {
 		h.leader = leader
 	}
 }
 
-func (h *Hand) announce(now loop.Micros, out loop.Out) {
+func (h *Hand) announce(now eventloop.Micros, out eventloop.Out) {
 	if !h.worker.Due(now) || len(h.open) >= openMost || h.state == nil {
 		return
 	}
-	ward := charter.WardOf(h.state, h.worker.Name)
+	ward := clusterstate.WardOf(h.state, h.worker.Name)
 	if ward == nil || ward.Placer == "" {
-		if now-h.metAt > loop.Second && h.leader != "" {
+		if now-h.metAt > eventloop.Second && h.leader != "" {
 			h.metAt = now
-			out.Send(h.leader, &schema.Errand{Kind: "charter", Group: charter.Group, Body: keep.CharterBody(
+			out.Send(h.leader, &schema.Errand{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(
 				&schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: h.worker.Name}}})})
 		}
 		return
@@ -136,31 +136,31 @@
 	case *schema.CharterTell:
 		return []string{Name, "heed"}
 	}
-	return []string{crew.Table(schema.Role_ROLE_HEED, body)}
+	return []string{process.Table(schema.Role_ROLE_HEED, body)}
 }
 
 // Onlooker stands where the steward's table would on a side that is none: it
 // asks one store for the charter, and does nothing with it.
 type Onlooker struct {
-	roll    *kin.Roll
+	roll    *membership.Roll
 	version uint64
 	store   string
 }
 
 // OnlookerPace is how often it asks.
-const OnlookerPace = 250 * loop.Milli
+const OnlookerPace = 250 * eventloop.Milli
 
-const deadSpan = 1500 * loop.Milli
+const deadSpan = 1500 * eventloop.Milli
 
-func (o *Onlooker) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+func (o *Onlooker) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
-	case *kin.Roll:
+	case *membership.Roll:
 		o.roll = body
 	case *schema.CharterTell:
 		if body.State != nil {
 			o.version = max(o.version, body.State.Version)
 		}
-	case loop.Tick:
+	case eventloop.Tick:
 		if o.roll == nil {
 			return
 		}
@@ -175,7 +175,7 @@
 
 // pick takes one of the live stores by its own id, so that sides spread over
 // them.
-func (o *Onlooker) pick(now loop.Micros) string {
+func (o *Onlooker) pick(now eventloop.Micros) string {
 	var stores []string
 	for id, known := range o.roll.Known {
 		if known.Member.Stores && o.roll.Live(id, now, deadSpan) {
--- a/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -7,9 +7,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
 )
 
 type sent struct {
@@ -29,18 +29,18 @@
 	Convey("A hollow side makes its worker known, announces to its ward, and runs what it is told", t, func() {
 		var begun []string
 		ended, plans := 0, []uint64{}
-		now := 2 * loop.Second
+		now := 2 * eventloop.Second
 		h := New(now, "w1", "r1", Room{4000, 4000}, 1, rand.New(rand.NewPCG(1, 1)), Watch{
-			Began: func(_ loop.Micros, job string, _, _ uint32) { begun = append(begun, job) },
+			Began: func(_ eventloop.Micros, job string, _, _ uint32) { begun = append(begun, job) },
 			Ended: func() { ended++ },
-			Plan:  func(_ loop.Micros, generation uint64) { plans = append(plans, generation) },
+			Plan:  func(_ eventloop.Micros, generation uint64) { plans = append(plans, generation) },
 		})
 		step := func(from string, body any) []sent {
 			out := &outlet{}
-			h.Step(now, loop.Mail{From: from, Body: body}, out)
+			h.Step(now, eventloop.Mail{From: from, Body: body}, out)
 			return out.list
 		}
-		So(step("", loop.Tick{}), ShouldBeEmpty)
+		So(step("", eventloop.Tick{}), ShouldBeEmpty)
 		state := &schema.CharterState{Version: 3, Plan: &schema.Plan{Generation: 2}}
 		list := step("s1", &schema.CharterTell{State: state, Leaders: map[string]string{"charter": "s2"}})
 		So(list, ShouldHaveLength, 1)
@@ -59,8 +59,8 @@
 		order := &schema.Order{Act: "start", Lane: "l", Name: "job-1", Job: 1, Attempt: 1, Text: "run_us=10000", CoresMilli: 10, MemoryMb: 1}
 		step("s3", &schema.PollReply{Id: poll.Id, Orders: &schema.Orders{Ward: 7, LicenceUs: 4_000_000, Orders: []*schema.Order{order}}})
 		So(begun, ShouldResemble, []string{"job-1"})
-		now += 50 * loop.Milli
-		step("", loop.Tick{})
+		now += 50 * eventloop.Milli
+		step("", eventloop.Tick{})
 		So(ended, ShouldEqual, 1)
 	})
 }
@@ -69,13 +69,13 @@
 	Convey("Sides that are no stewards spread over the stores", t, func() {
 		asked := map[string]int{}
 		for k := range 30 {
-			roll := &kin.Roll{Self: &schema.Member{Id: fmt.Sprintf("p%03d", k)}, Known: map[string]kin.Known{}}
+			roll := &membership.Roll{Self: &schema.Member{Id: fmt.Sprintf("p%03d", k)}, Known: map[string]membership.Known{}}
 			for _, id := range []string{"a", "b", "c"} {
-				roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: loop.Second}
+				roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: eventloop.Second}
 			}
 			o, out := &Onlooker{}, &outlet{}
-			o.Step(loop.Second, loop.Mail{Body: roll}, out)
-			o.Step(loop.Second, loop.Mail{Body: loop.Tick{}}, out)
+			o.Step(eventloop.Second, eventloop.Mail{Body: roll}, out)
+			o.Step(eventloop.Second, eventloop.Mail{Body: eventloop.Tick{}}, out)
 			So(out.list, ShouldHaveLength, 1)
 			asked[out.list[0].to]++
 		}
--- a/front/front.go
+++ b/internal/httpapi/httpapi.go
@@ -1,5 +1,5 @@
-// Package front is the HTTP interface for callers, workers and operators.
-package front
+// Package httpapi is the HTTP interface for callers, workers and operators.
+package httpapi
 
 import (
 	"bytes"
@@ -20,36 +20,36 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"sparnotch/charter"
-	"sparnotch/crew"
-	"sparnotch/heed"
-	"sparnotch/intake"
-	"sparnotch/keep"
-	"sparnotch/loop"
-	"sparnotch/placer"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/controller"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/process"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/scheduler"
+	"sparnotch/internal/schema"
 )
 
 const (
 	jobBytes      = 256 << 10
 	announceBytes = 4 << 20
 	planBytes     = 4 << 20
-	handInSpan    = 10 * loop.Second
-	readSpan      = 5 * loop.Second
-	planSpan      = 8 * loop.Second
-	pollSpan      = 1200 * loop.Milli
+	handInSpan    = 10 * eventloop.Second
+	readSpan      = 5 * eventloop.Second
+	planSpan      = 8 * eventloop.Second
+	pollSpan      = 1200 * eventloop.Milli
 	usualPage     = 100
 	mostPage      = 1000
 )
 
 // Server serves one process's HTTP.
 type Server struct {
-	real *crew.Real
+	real *process.Real
 	http *http.Server
 }
 
 // Serve starts listening.
-func Serve(real *crew.Real, log *zap.Logger) (*Server, error) {
+func Serve(real *process.Real, log *zap.Logger) (*Server, error) {
 	s := &Server{real: real}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
@@ -86,40 +86,40 @@
 		if ctx.GetStatusCode() == http.StatusMethodNotAllowed {
 			code = "no_such_method"
 		}
-		write(ctx, intake.Answer{Code: int32(ctx.GetStatusCode()), Body: intake.Fault(code, http.StatusText(ctx.GetStatusCode()), "")})
+		write(ctx, gateway.Answer{Code: int32(ctx.GetStatusCode()), Body: gateway.Fault(code, http.StatusText(ctx.GetStatusCode()), "")})
 	})
-	app.Get("/livez", func(ctx iris.Context) { write(ctx, intake.Answer{Code: 200, Body: []byte(`{"alive":true}`)}) })
+	app.Get("/livez", func(ctx iris.Context) { write(ctx, gateway.Answer{Code: 200, Body: []byte(`{"alive":true}`)}) })
 	app.Get("/v1/counts", func(ctx iris.Context) { writeValue(ctx, s.real.Counts()) })
 	if s.real.Member.Role == schema.Role_ROLE_HEED {
-		app.Get("/readyz", func(ctx iris.Context) { write(ctx, intake.Answer{Code: 200, Body: []byte(`{"ready":true}`)}) })
+		app.Get("/readyz", func(ctx iris.Context) { write(ctx, gateway.Answer{Code: 200, Body: []byte(`{"ready":true}`)}) })
 		app.Get("/v1/belief", func(ctx iris.Context) {
-			s.belief(ctx, "heed", func(id uint64, _ loop.Micros) any { return heed.Belief{Errand: id} })
+			s.belief(ctx, "heed", func(id uint64, _ eventloop.Micros) any { return controller.Belief{Errand: id} })
 		})
 		return
 	}
 	app.Get("/readyz", func(ctx iris.Context) {
-		s.run(ctx, loop.Second, func(id uint64, _ loop.Micros) any { return intake.Ready{Errand: id} })
+		s.run(ctx, eventloop.Second, func(id uint64, _ eventloop.Micros) any { return gateway.Ready{Errand: id} })
 	})
 	app.Get("/v1/fronts", func(ctx iris.Context) {
-		s.run(ctx, loop.Second, func(id uint64, _ loop.Micros) any { return intake.Fronts{Errand: id} })
+		s.run(ctx, eventloop.Second, func(id uint64, _ eventloop.Micros) any { return gateway.Fronts{Errand: id} })
 	})
 	app.Get("/v1/belief", func(ctx iris.Context) {
-		s.belief(ctx, "keep", func(id uint64, _ loop.Micros) any { return keep.Belief{Errand: id} })
+		s.belief(ctx, "keep", func(id uint64, _ eventloop.Micros) any { return replica.Belief{Errand: id} })
 	})
 	app.Get("/v1/placements", func(ctx iris.Context) {
-		s.belief(ctx, "placer", func(id uint64, _ loop.Micros) any { return placer.Why{Errand: id} })
+		s.belief(ctx, "placer", func(id uint64, _ eventloop.Micros) any { return scheduler.Why{Errand: id} })
 	})
 	app.Put("/v1/lanes/{lane}/jobs/{name}", s.handIn)
 	app.Get("/v1/lanes/{lane}/jobs/{name}", func(ctx iris.Context) { s.ofJob(ctx, "status") })
 	app.Post("/v1/lanes/{lane}/jobs/{name}/cancel", func(ctx iris.Context) { s.ofJob(ctx, "cancel") })
 	app.Get("/v1/lanes/{lane}/jobs", s.list)
-	app.Get("/v1/plan", func(ctx iris.Context) { s.ask(ctx, planSpan, intake.Ask{Kind: "plan", Group: charter.Group}) })
-	app.Get("/v1/plan/history", func(ctx iris.Context) { s.ask(ctx, planSpan, intake.Ask{Kind: "history", Group: charter.Group}) })
+	app.Get("/v1/plan", func(ctx iris.Context) { s.ask(ctx, planSpan, gateway.Ask{Kind: "plan", Group: clusterstate.Group}) })
+	app.Get("/v1/plan/history", func(ctx iris.Context) { s.ask(ctx, planSpan, gateway.Ask{Kind: "history", Group: clusterstate.Group}) })
 	app.Put("/v1/plan", s.putPlan)
 	app.Post("/v1/workers/{worker}/announce", s.announce)
 }
 
-func write(ctx iris.Context, answer intake.Answer) {
+func write(ctx iris.Context, answer gateway.Answer) {
 	header := ctx.ResponseWriter().Header()
 	header.Set("Content-Type", "application/json")
 	if answer.Retry > 0 {
@@ -133,35 +133,35 @@
 func writeValue(ctx iris.Context, value any) {
 	data, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
-		write(ctx, intake.Answer{Code: 500, Body: intake.Fault("internal", err.Error(), "")})
+		write(ctx, gateway.Answer{Code: 500, Body: gateway.Fault("internal", err.Error(), "")})
 		return
 	}
-	write(ctx, intake.Answer{Code: 200, Body: data})
+	write(ctx, gateway.Answer{Code: 200, Body: data})
 }
 
 func fault(ctx iris.Context, code int32, name, message, field string) {
-	write(ctx, intake.Answer{Code: code, Body: intake.Fault(name, message, field)})
+	write(ctx, gateway.Answer{Code: code, Body: gateway.Fault(name, message, field)})
 }
 
-func (s *Server) run(ctx iris.Context, span loop.Micros, mail func(id uint64, deadline loop.Micros) any) {
-	answer, isAnswered := s.real.Run(ctx.Request().Context(), "intake", span, mail).(intake.Answer)
+func (s *Server) run(ctx iris.Context, span eventloop.Micros, mail func(id uint64, deadline eventloop.Micros) any) {
+	answer, isAnswered := s.real.Run(ctx.Request().Context(), "intake", span, mail).(gateway.Answer)
 	if !isAnswered {
-		answer = intake.Answer{Code: 504, Retry: 1, Body: intake.Fault("unknown", "no answer in time: whether this took effect is not known; send it again", "")}
+		answer = gateway.Answer{Code: 504, Retry: 1, Body: gateway.Fault("unknown", "no answer in time: whether this took effect is not known; send it again", "")}
 	}
 	write(ctx, answer)
 }
 
-func (s *Server) belief(ctx iris.Context, table string, mail func(id uint64, deadline loop.Micros) any) {
+func (s *Server) belief(ctx iris.Context, table string, mail func(id uint64, deadline eventloop.Micros) any) {
 	belief := s.real.Run(ctx.Request().Context(), table, readSpan, mail)
-	if _, isTurnedAway := belief.(intake.Answer); belief == nil || isTurnedAway {
+	if _, isTurnedAway := belief.(gateway.Answer); belief == nil || isTurnedAway {
 		fault(ctx, 404, "nothing_here", "this process holds no replicas", "")
 		return
 	}
 	writeValue(ctx, belief)
 }
 
-func (s *Server) ask(ctx iris.Context, span loop.Micros, ask intake.Ask) {
-	s.run(ctx, span, func(id uint64, deadline loop.Micros) any {
+func (s *Server) ask(ctx iris.Context, span eventloop.Micros, ask gateway.Ask) {
+	s.run(ctx, span, func(id uint64, deadline eventloop.Micros) any {
 		ask.Errand, ask.Deadline = id, deadline
 		return ask
 	})
@@ -222,7 +222,7 @@
 		}
 		return strings.ReplaceAll(host, ":", "."), true
 	}
-	if !intake.GoodName(name) {
+	if !gateway.GoodName(name) {
 		fault(ctx, 400, "bad_client", "letters, digits, '.', '_', ':' and '-', at most 128", "Sparnotch-Client")
 		return "", false
 	}
@@ -231,7 +231,7 @@
 
 func (s *Server) handIn(ctx iris.Context) {
 	lane, name := ctx.Params().Get("lane"), ctx.Params().Get("name")
-	if !intake.GoodName(name) {
+	if !gateway.GoodName(name) {
 		fault(ctx, 422, "bad_name", "letters, digits, '.', '_', ':' and '-', at most 128", "name")
 		return
 	}
@@ -247,18 +247,18 @@
 	if !decode(ctx, data, job) {
 		return
 	}
-	if bad := intake.Check(job); bad != nil {
+	if bad := gateway.Check(job); bad != nil {
 		text, _ := json.Marshal(bad)
-		write(ctx, intake.Answer{Code: 422, Body: text})
+		write(ctx, gateway.Answer{Code: 422, Body: text})
 		return
 	}
-	s.run(ctx, handInSpan, func(id uint64, deadline loop.Micros) any {
-		return intake.HandIn{Errand: id, Lane: lane, Client: who, Name: name, Digest: intake.Digest(job), Job: job, Deadline: deadline}
+	s.run(ctx, handInSpan, func(id uint64, deadline eventloop.Micros) any {
+		return gateway.HandIn{Errand: id, Lane: lane, Client: who, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
 	})
 }
 
 func (s *Server) ofJob(ctx iris.Context, kind string) {
-	s.ask(ctx, readSpan, intake.Ask{Kind: kind, Group: ctx.Params().Get("lane"), Name: ctx.Params().Get("name")})
+	s.ask(ctx, readSpan, gateway.Ask{Kind: kind, Group: ctx.Params().Get("lane"), Name: ctx.Params().Get("name")})
 }
 
 func (s *Server) list(ctx iris.Context) {
@@ -271,7 +271,7 @@
 		}
 		most = number
 	}
-	s.ask(ctx, readSpan, intake.Ask{Kind: "list", Group: ctx.Params().Get("lane"), After: ctx.URLParam("after"), Most: uint32(most)})
+	s.ask(ctx, readSpan, gateway.Ask{Kind: "list", Group: ctx.Params().Get("lane"), After: ctx.URLParam("after"), Most: uint32(most)})
 }
 
 var unknownField = regexp.MustCompile(`unknown field "([^"]*)"`)
@@ -291,18 +291,18 @@
 		fault(ctx, 400, "bad_json", message, "")
 		return
 	}
-	if bad := charter.CheckRows(sheet.Rows); bad != nil {
+	if bad := clusterstate.CheckRows(sheet.Rows); bad != nil {
 		text, _ := json.Marshal(bad)
-		write(ctx, intake.Answer{Code: 422, Body: text})
+		write(ctx, gateway.Answer{Code: 422, Body: text})
 		return
 	}
-	s.ask(ctx, planSpan, intake.Ask{Kind: "charter", Group: charter.Group, Body: keep.CharterBody(
+	s.ask(ctx, planSpan, gateway.Ask{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(
 		&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})})
 }
 
 func (s *Server) announce(ctx iris.Context) {
 	worker := ctx.Params().Get("worker")
-	if !charter.GoodName(worker) {
+	if !clusterstate.GoodName(worker) {
 		fault(ctx, 422, "bad_name", "lower-case letters, digits, '.', '_' and '-', at most 63", "worker")
 		return
 	}
@@ -323,11 +323,11 @@
 		fault(ctx, 422, "bad_value", "must not be negative", "cores_milli")
 	case announce.MemoryMb < 0:
 		fault(ctx, 422, "bad_value", "must not be negative", "memory_mb")
-	case announce.Rack != "" && !charter.GoodName(announce.Rack):
+	case announce.Rack != "" && !clusterstate.GoodName(announce.Rack):
 		fault(ctx, 422, "bad_name", "lower-case letters, digits, '.', '_' and '-', at most 63", "rack")
 	default:
-		s.run(ctx, pollSpan, func(id uint64, deadline loop.Micros) any {
-			return intake.PollIn{Errand: id, Worker: worker, Announce: announce, Deadline: deadline}
+		s.run(ctx, pollSpan, func(id uint64, deadline eventloop.Micros) any {
+			return gateway.PollIn{Errand: id, Worker: worker, Announce: announce, Deadline: deadline}
 		})
 	}
 }
--- a/trace/trace.go
+++ b/internal/logring/logring.go
@@ -1,6 +1,6 @@
-// Package trace keeps the log in memory, as a ring, and writes it out when
+// Package logring keeps the log in memory, as a ring, and writes it out when
 // something goes wrong.
-package trace
+package logring
 
 import (
 	"io"
--- a/kin/found.go
+++ b/internal/membership/bootstrap.go
@@ -1,4 +1,4 @@
-package kin
+package membership
 
 import (
 	"maps"
@@ -7,8 +7,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // Founding. Nobody tells how many stores there are, and the seeds may have no
@@ -60,7 +60,7 @@
 // so mean it: a store that comes back empty to a seed's address never founds.
 func (t *Table) isUntold() bool { return !t.terms.First && t.terms.Losses == 0 }
 
-func (t *Table) found(now loop.Micros, out loop.Out) {
+func (t *Table) found(now eventloop.Micros, out eventloop.Out) {
 	if t.account == nil || t.account.Belongs || t.asked != nil {
 		return
 	}
@@ -103,7 +103,7 @@
 }
 
 // settled is the set to promise once all have agreed for long enough.
-func (t *Table) settled(now loop.Micros) []string {
+func (t *Table) settled(now eventloop.Micros) []string {
 	founders, wished := t.agreement(now)
 	key := strings.Join(founders, " ") + "/" + strings.Join(t.stores(), " ")
 	if len(founders) == 0 {
@@ -125,7 +125,7 @@
 
 // agreement is the founders if all who must have told of the same stores, and
 // how many founders are wished for.
-func (t *Table) agreement(now loop.Micros) ([]string, int) {
+func (t *Table) agreement(now eventloop.Micros) ([]string, int) {
 	if t.isSystem || !t.isFounder() {
 		return nil, 0
 	}
--- a/kin/kin.go
+++ b/internal/membership/members.go
@@ -1,7 +1,7 @@
-// Package kin owns the book of processes: who there is, where, and whether
+// Package membership owns the book of processes: who there is, where, and whether
 // they were heard. From three seeds a process finds all others, keeps telling
 // what it knows, and three empty stores found the system's group.
-package kin
+package membership
 
 import (
 	"maps"
@@ -11,26 +11,26 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // Pace is how often a process counts its beat and looks at what is due.
-const Pace = 250 * loop.Milli
+const Pace = 250 * eventloop.Milli
 
 const (
-	forgotten  = 60 * loop.Second
-	freshSpan  = 10 * loop.Second // what wasn't heard of for so long isn't news to anybody
-	hubSpan    = 2 * loop.Second  // a store unheard of for longer is asked only for want of others
-	wholeSpan  = 4 * loop.Second  // between two whole books
-	youngPaces = 40               // how many a process is young
-	metSpan    = 5 * loop.Second
+	forgotten  = 60 * eventloop.Second
+	freshSpan  = 10 * eventloop.Second // what wasn't heard of for so long isn't news to anybody
+	hubSpan    = 2 * eventloop.Second  // a store unheard of for longer is asked only for want of others
+	wholeSpan  = 4 * eventloop.Second  // between two whole books
+	youngPaces = 40                    // how many a process is young
+	metSpan    = 5 * eventloop.Second
 	maxMet     = 12
 
-	settleSpan = 700 * loop.Milli // what stores promise on has held so long
-	fewSpan    = 6 * loop.Second  // and so long when there are fewer stores than wished for
-	toldSpan   = 2 * loop.Second  // an older word of a process isn't promised on
-	rushSpan   = 20 * loop.Milli  // between two greetings out of turn
+	settleSpan = 700 * eventloop.Milli // what stores promise on has held so long
+	fewSpan    = 6 * eventloop.Second  // and so long when there are fewer stores than wished for
+	toldSpan   = 2 * eventloop.Second  // an older word of a process isn't promised on
+	rushSpan   = 20 * eventloop.Milli  // between two greetings out of turn
 )
 
 // Candidates is how many side machines stand for steward, and how many of them
@@ -53,7 +53,7 @@
 // Known is a member and when it was last heard of.
 type Known struct {
 	Member *schema.Member
-	Heard  loop.Micros
+	Heard  eventloop.Micros
 }
 
 // Roll tells the other tables of this process who there is.
@@ -63,7 +63,7 @@
 }
 
 // Live tells whether a process was heard of within a span.
-func (r *Roll) Live(id string, now, span loop.Micros) bool {
+func (r *Roll) Live(id string, now, span eventloop.Micros) bool {
 	known, found := r.Known[id]
 	return found && now-known.Heard < span
 }
@@ -77,7 +77,7 @@
 type SelfKept struct{ Self *schema.Self }
 
 // Strain is this process's own worst recent delay.
-type Strain struct{ Worst loop.Micros }
+type Strain struct{ Worst eventloop.Micros }
 
 // Leaving says that this process was warned.
 type Leaving struct{}
@@ -99,7 +99,7 @@
 
 // word is the last hello a process sent us itself.
 type word struct {
-	at    loop.Micros
+	at    eventloop.Micros
 	hello *schema.Hello
 }
 
@@ -111,33 +111,33 @@
 	asked    *schema.Self // our account as it is being kept
 	book     *Book
 	known    map[string]Known
-	told     map[string]word        // of each process, by id
-	askers   map[string]loop.Micros // who asked us, who are no store, and when last
-	seen     map[string]loop.Micros // ids of the stores heard of, and when last
-	frozen   []string               // the stores told of since we asked for our promise to be kept
+	told     map[string]word             // of each process, by id
+	askers   map[string]eventloop.Micros // who asked us, who are no store, and when last
+	seen     map[string]eventloop.Micros // ids of the stores heard of, and when last
+	frozen   []string                    // the stores told of since we asked for our promise to be kept
 	readers  []string
 	rng      *rand.Rand
-	last     loop.Micros
+	last     eventloop.Micros
 	isSystem bool     // a system exists
 	met      []string // addresses known from before this start
-	metAt    loop.Micros
+	metAt    eventloop.Micros
 
 	ticks     uint64
 	turn      uint64 // whose turn it is to be asked
 	isWaiting bool   // asked, and nobody has answered yet
 	isNews    bool   // the hubs may not know yet what we know
 	isMissing bool   // a beat was heard of somebody we know nothing else about
-	wholeAt   loop.Micros
-	rushedAt  loop.Micros
-	agreed    string      // what all seem to agree on
-	agreedAt  loop.Micros // and since when
+	wholeAt   eventloop.Micros
+	rushedAt  eventloop.Micros
+	agreed    string           // what all seem to agree on
+	agreedAt  eventloop.Micros // and since when
 }
 
 // New makes the table. Readers are the tables that want the roll.
 func New(self *schema.Member, terms Terms, account *schema.Self, book *Book, readers []string, rng *rand.Rand) *Table {
 	t := &Table{
 		self: self, terms: terms, account: account, book: book, readers: readers, rng: rng,
-		known: map[string]Known{}, told: map[string]word{}, askers: map[string]loop.Micros{}, seen: map[string]loop.Micros{},
+		known: map[string]Known{}, told: map[string]word{}, askers: map[string]eventloop.Micros{}, seen: map[string]eventloop.Micros{},
 	}
 	t.isSystem = account != nil && account.Belongs
 	if account != nil {
@@ -146,9 +146,9 @@
 	return t
 }
 
-func (t *Table) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
-	case loop.Tick:
+	case eventloop.Tick:
 		t.tick(now, out)
 	case *schema.Hello:
 		t.hear(now, mail.From, body, out)
@@ -168,7 +168,7 @@
 	}
 }
 
-func (t *Table) tick(now loop.Micros, out loop.Out) {
+func (t *Table) tick(now eventloop.Micros, out eventloop.Out) {
 	// After a freeze everybody looks unheard, though it was we who were gone:
 	// let them be heard anew before anything is concluded.
 	if t.last > 0 && now-t.last > 4*Pace {
@@ -204,7 +204,7 @@
 }
 
 // remember keeps the addresses of some processes durably.
-func (t *Table) remember(now loop.Micros, out loop.Out) {
+func (t *Table) remember(now eventloop.Micros, out eventloop.Out) {
 	if t.account == nil || !t.account.Belongs || t.asked != nil || now-t.metAt < metSpan {
 		return
 	}
@@ -212,7 +212,7 @@
 	var stores, others []string
 	for _, id := range t.ids() {
 		switch known := t.known[id]; {
-		case now-known.Heard > 2*loop.Second:
+		case now-known.Heard > 2*eventloop.Second:
 		case known.Member.Stores:
 			stores = append(stores, known.Member.Inner)
 		default:
@@ -239,7 +239,7 @@
 	whole
 )
 
-func (t *Table) hello(now loop.Micros, much detail) *schema.Hello {
+func (t *Table) hello(now eventloop.Micros, much detail) *schema.Hello {
 	hello := &schema.Hello{Self: proto.Clone(t.self).(*schema.Member), Belongs: t.isSystem}
 	if t.account != nil {
 		hello.Empty = t.isFounder()
@@ -272,7 +272,7 @@
 // report is the hello to a store or seed. Once a store is heard, what a side
 // machine knows the stores know better, but for who asks it because they reach
 // no store.
-func (t *Table) report(now loop.Micros, much detail) *schema.Hello {
+func (t *Table) report(now eventloop.Micros, much detail) *schema.Hello {
 	if !t.isSystem || !t.terms.IsSide || len(t.hubs(now)) == 0 {
 		return t.hello(now, much)
 	}
@@ -295,7 +295,7 @@
 // answer is the hello to one that asks. Only stores need to know of all side
 // machines; whoever else asks within a system is told of the stores, the fronts
 // and the candidates: what all know of all would grow with the square of them.
-func (t *Table) answer(now loop.Micros, much detail, asker *schema.Hello) *schema.Hello {
+func (t *Table) answer(now eventloop.Micros, much detail, asker *schema.Hello) *schema.Hello {
 	answer := t.hello(now, much)
 	answer.Answer = true
 	if t.isSystem && asker.Belongs && !asker.Self.Stores {
@@ -305,7 +305,7 @@
 }
 
 // leaveOut takes the side machines out of a hello that don't stand for steward.
-func (t *Table) leaveOut(now loop.Micros, hello *schema.Hello) {
+func (t *Table) leaveOut(now eventloop.Micros, hello *schema.Hello) {
 	cells := map[string]string{}
 	for id, known := range t.known {
 		if known.Member.Role == schema.Role_ROLE_HEED && now-known.Heard < hubSpan {
@@ -325,7 +325,7 @@
 
 // hubs are the other stores, those heard of lately. Everybody asks them in
 // turn, so a beat takes two hops from anybody to anybody.
-func (t *Table) hubs(now loop.Micros) []string {
+func (t *Table) hubs(now eventloop.Micros) []string {
 	var hubs []string
 	for _, id := range t.ids() {
 		if known := t.known[id]; known.Member.Stores && now-known.Heard < hubSpan {
@@ -351,7 +351,7 @@
 	return others[t.rng.IntN(len(others))]
 }
 
-func (t *Table) greet(now loop.Micros, out loop.Out) {
+func (t *Table) greet(now eventloop.Micros, out eventloop.Out) {
 	t.self.Beat++
 	switch {
 	case len(t.known) == 0:
@@ -375,7 +375,7 @@
 
 // gather: before a system exists, seeds and stores all tell each other whom
 // they see; the others ask a seed.
-func (t *Table) gather(now loop.Micros, out loop.Out) {
+func (t *Table) gather(now eventloop.Micros, out eventloop.Out) {
 	hello := t.hello(now, whole)
 	if t.account == nil && !t.isSeed() {
 		if seed := t.someSeed(); seed != "" {
@@ -405,7 +405,7 @@
 // asks one store at each pace, the others at each second one. Whoever
 // got no word asks one of all besides, for the stores may be cut off from us
 // and not from others.
-func (t *Table) tell(now loop.Micros, out loop.Out) {
+func (t *Table) tell(now eventloop.Micros, out eventloop.Out) {
 	hubs := t.hubs(now)
 	// Whoever hears of no store asks at each pace: the seed asked before may have
 	// known none itself, as when all have just started.
@@ -455,7 +455,7 @@
 // callSeeds: a young process calls every seed that it hasn't heard of yet. They may
 // come up after it, as when all have just been restarted, and others who know only
 // them hear of nobody until they do.
-func (t *Table) callSeeds(now loop.Micros, out loop.Out) {
+func (t *Table) callSeeds(now eventloop.Micros, out eventloop.Out) {
 	heard := map[string]bool{t.self.Inner: true}
 	for _, known := range t.known {
 		if now-known.Heard < hubSpan {
@@ -481,7 +481,7 @@
 }
 
 // spread tells every store without asking anything.
-func (t *Table) spread(now loop.Micros, much detail, out loop.Out) {
+func (t *Table) spread(now eventloop.Micros, much detail, out eventloop.Out) {
 	word := t.hello(now, much)
 	word.Answer = true
 	for _, hub := range t.hubs(now) {
@@ -489,7 +489,7 @@
 	}
 }
 
-func (t *Table) hear(now loop.Micros, from string, hello *schema.Hello, out loop.Out) {
+func (t *Table) hear(now eventloop.Micros, from string, hello *schema.Hello, out eventloop.Out) {
 	if hello.Self == nil || hello.Self.Id != from || from == t.self.Id {
 		return
 	}
@@ -539,7 +539,7 @@
 
 // note takes in what is told of a member; false if it is a mere beat of one
 // whom we don't know.
-func (t *Table) note(now loop.Micros, member *schema.Member) bool {
+func (t *Table) note(now eventloop.Micros, member *schema.Member) bool {
 	if member.GetId() == "" {
 		return true
 	}
@@ -559,7 +559,7 @@
 	// An address belongs to whoever was heard there last.
 	if !isKnown || old.Member.Inner != member.Inner {
 		for id, other := range t.known {
-			if id != member.Id && other.Member.Inner == member.Inner && now-other.Heard > loop.Second {
+			if id != member.Id && other.Member.Inner == member.Inner && now-other.Heard > eventloop.Second {
 				delete(t.known, id)
 				delete(t.told, id)
 			}
@@ -572,7 +572,7 @@
 	return true
 }
 
-func (t *Table) publish(now loop.Micros, out loop.Out) {
+func (t *Table) publish(now eventloop.Micros, out eventloop.Out) {
 	addresses := map[string]string{t.self.Id: t.self.Inner}
 	roll := &Roll{Self: proto.Clone(t.self).(*schema.Member), Known: map[string]Known{}}
 	for id, known := range t.known {
--- a/kin/kin_test.go
+++ b/internal/membership/members_test.go
@@ -1,4 +1,4 @@
-package kin
+package membership
 
 import (
 	"container/heap"
@@ -13,8 +13,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // host is a machine with one process, whose book alone is played.
@@ -24,8 +24,8 @@
 	cell    string
 	terms   Terms
 	hasDisk bool
-	account *schema.Self // as it is on disk
-	at      loop.Micros  // starts then
+	account *schema.Self     // as it is on disk
+	at      eventloop.Micros // starts then
 
 	id    string
 	run   int // 0: not up
@@ -36,7 +36,7 @@
 }
 
 type event struct {
-	at   loop.Micros
+	at   eventloop.Micros
 	seq  int
 	deed func()
 }
@@ -59,17 +59,17 @@
 // drawn from its seed.
 type network struct {
 	rng      *rand.Rand
-	now      loop.Micros
+	now      eventloop.Micros
 	seq      int
 	queue    events
 	hosts    []*host
 	loss     float64 // of messages, until lossEnd
-	lossEnd  loop.Micros
-	delay    loop.Micros // the longest
+	lossEnd  eventloop.Micros
+	delay    eventloop.Micros // the longest
 	isCut    func(from, to *host) bool
 	promises map[string]bool // ever kept
 	founded  map[string]bool
-	foundAt  loop.Micros // when the last store did
+	foundAt  eventloop.Micros // when the last store did
 	messages int
 	bytes    int
 	wires    map[string]*gob.Encoder // nil: bytes aren't counted
@@ -78,17 +78,17 @@
 
 func newNetwork(seed uint64) *network {
 	return &network{
-		rng: rand.New(rand.NewPCG(seed, 7)), now: loop.Second, delay: 20 * loop.Milli,
+		rng: rand.New(rand.NewPCG(seed, 7)), now: eventloop.Second, delay: 20 * eventloop.Milli,
 		promises: map[string]bool{}, founded: map[string]bool{},
 	}
 }
 
-func (n *network) after(span loop.Micros, deed func()) {
+func (n *network) after(span eventloop.Micros, deed func()) {
 	n.seq++
 	heap.Push(&n.queue, event{n.now + span, n.seq, deed})
 }
 
-func (n *network) runTo(end loop.Micros) {
+func (n *network) runTo(end eventloop.Micros) {
 	for len(n.queue) > 0 && n.queue[0].at <= end {
 		next := heap.Pop(&n.queue).(event)
 		n.now = next.at
@@ -97,8 +97,8 @@
 	n.now = end
 }
 
-func (n *network) draw(most loop.Micros) loop.Micros {
-	return loop.Micros(n.rng.Int64N(int64(most) + 1))
+func (n *network) draw(most eventloop.Micros) eventloop.Micros {
+	return eventloop.Micros(n.rng.Int64N(int64(most) + 1))
 }
 
 func (h *host) start() {
@@ -125,7 +125,7 @@
 	var tick func()
 	tick = func() {
 		if h.run == run {
-			h.step(loop.Mail{Body: loop.Tick{}})
+			h.step(eventloop.Mail{Body: eventloop.Tick{}})
 			n.after(Pace, tick)
 		}
 	}
@@ -134,7 +134,7 @@
 
 func (h *host) stop() { h.run = 0 }
 
-func (h *host) step(mail loop.Mail) { h.table.Step(h.net.now, mail, h) }
+func (h *host) step(mail eventloop.Mail) { h.table.Step(h.net.now, mail, h) }
 
 func (h *host) Send(string, any)   {}
 func (h *host) Answer(uint64, any) {}
@@ -160,9 +160,9 @@
 			continue
 		}
 		run, from, copied := to.run, h.id, proto.Clone(body.(*schema.Hello))
-		n.after(loop.Milli/5+n.draw(n.delay), func() {
+		n.after(eventloop.Milli/5+n.draw(n.delay), func() {
 			if run > 0 && to.run == run {
-				to.step(loop.Mail{From: from, Body: copied})
+				to.step(eventloop.Mail{From: from, Body: copied})
 			}
 		})
 	}
@@ -200,7 +200,7 @@
 		h.roll = body
 	case KeepSelf:
 		run := h.run
-		n.after(loop.Milli+n.draw(30*loop.Milli), func() {
+		n.after(eventloop.Milli+n.draw(30*eventloop.Milli), func() {
 			if h.run != run {
 				return
 			}
@@ -213,9 +213,9 @@
 				n.foundAt = n.now
 			}
 			// It may end between the sync and its word.
-			n.after(n.draw(5*loop.Milli), func() {
+			n.after(n.draw(5*eventloop.Milli), func() {
 				if h.run == run {
-					h.step(loop.Mail{Body: SelfKept{Self: body.Self}})
+					h.step(eventloop.Mail{Body: SelfKept{Self: body.Self}})
 				}
 			})
 		})
@@ -240,7 +240,7 @@
 	}
 }
 
-func (n *network) startAll(within loop.Micros) {
+func (n *network) startAll(within eventloop.Micros) {
 	for _, h := range n.hosts {
 		if h.run == 0 && h.runs == 0 {
 			n.after(h.at+n.draw(within), h.start)
@@ -275,43 +275,43 @@
 
 func TestFounding(t *testing.T) {
 	const rounds = 40
-	never := loop.Micros(-1)
+	never := eventloop.Micros(-1)
 	for _, each := range []struct {
 		name     string
 		shape    string
 		first    bool
 		losses   uint32
-		loss     float64     // of messages in the first 4 s
-		delay    loop.Micros // of a message, at most
-		within   loop.Micros // all start in this span
-		late     loop.Micros // the last store starts so much later
-		restarts int         // of any process in the first 3 s
-		founders int         // 0: depends on the draw
-		by       loop.Micros // founded so long after the start; -1: never
+		loss     float64          // of messages in the first 4 s
+		delay    eventloop.Micros // of a message, at most
+		within   eventloop.Micros // all start in this span
+		late     eventloop.Micros // the last store starts so much later
+		restarts int              // of any process in the first 3 s
+		founders int              // 0: depends on the draw
+		by       eventloop.Micros // founded so long after the start; -1: never
 	}{
-		{"three stores, each other's seeds, nothing said", "sssfhh", false, 0, 0, 20 * loop.Milli, 100 * loop.Milli, 0, 0, 3, 2 * loop.Second},
-		{"a spare store beside them", "sssSfhh", false, 0, 0, 20 * loop.Milli, 100 * loop.Milli, 0, 0, 3, 2 * loop.Second},
-		{"two seeds, nothing said", "ssfh", false, 0, 0, 20 * loop.Milli, 100 * loop.Milli, 0, 0, 2, 2 * loop.Second},
-		{"one seed, nothing said", "sfh", false, 0, 0, 20 * loop.Milli, 100 * loop.Milli, 0, 0, 1, 2 * loop.Second},
-		{"seeds without disks", "FFFSSShhh", true, 1, 0, 20 * loop.Milli, 100 * loop.Milli, 0, 0, 3, 2 * loop.Second},
-		{"one seed with a disk, six stores", "FsFSSSSSfhhh", true, 1, 0, 20 * loop.Milli, 100 * loop.Milli, 0, 0, 3, 2 * loop.Second},
-		{"two losses, six stores", "sssSSShhh", true, 2, 0, 20 * loop.Milli, 100 * loop.Milli, 0, 0, 5, 2 * loop.Second},
-		{"fewer stores than wished for", "FFsShh", true, 1, 0, 20 * loop.Milli, 100 * loop.Milli, 0, 0, 2, 8 * loop.Second},
-		{"messages lost", "FsFSSSfhh", true, 1, 0.4, 60 * loop.Milli, loop.Second, 0, 0, 3, 10 * loop.Second},
-		{"messages late", "FsFSSSfhh", true, 1, 0.1, 900 * loop.Milli, loop.Second, 0, 0, 3, 20 * loop.Second},
-		{"a late store that is needed", "FFFSSSh", true, 1, 0.1, 50 * loop.Milli, 200 * loop.Milli, 3 * loop.Second, 0, 3, 12 * loop.Second},
-		{"a late store that isn't", "sFFSSSSh", true, 1, 0.2, 50 * loop.Milli, loop.Second, 1200 * loop.Milli, 0, 3, 12 * loop.Second},
-		{"restarts", "FsFSSSfhh", true, 1, 0.2, 50 * loop.Milli, loop.Second, 0, 6, 3, 14 * loop.Second},
-		{"restarts, nothing said", "sssSfhh", false, 0, 0.2, 50 * loop.Milli, loop.Second, 0, 6, 3, 14 * loop.Second},
-		{"restarts, two losses, late", "sFsSSSSh", true, 2, 0.3, 300 * loop.Milli, 2 * loop.Second, 2 * loop.Second, 8, 0, 20 * loop.Second},
-		{"empty stores that weren't told that all begins", "sssSSh", false, 1, 0, 20 * loop.Milli, loop.Second, 0, 0, 0, never},
-		{"a front at a seed's address, nothing said", "ssFSh", false, 0, 0, 20 * loop.Milli, loop.Second, 0, 0, 0, never},
+		{"three stores, each other's seeds, nothing said", "sssfhh", false, 0, 0, 20 * eventloop.Milli, 100 * eventloop.Milli, 0, 0, 3, 2 * eventloop.Second},
+		{"a spare store beside them", "sssSfhh", false, 0, 0, 20 * eventloop.Milli, 100 * eventloop.Milli, 0, 0, 3, 2 * eventloop.Second},
+		{"two seeds, nothing said", "ssfh", false, 0, 0, 20 * eventloop.Milli, 100 * eventloop.Milli, 0, 0, 2, 2 * eventloop.Second},
+		{"one seed, nothing said", "sfh", false, 0, 0, 20 * eventloop.Milli, 100 * eventloop.Milli, 0, 0, 1, 2 * eventloop.Second},
+		{"seeds without disks", "FFFSSShhh", true, 1, 0, 20 * eventloop.Milli, 100 * eventloop.Milli, 0, 0, 3, 2 * eventloop.Second},
+		{"one seed with a disk, six stores", "FsFSSSSSfhhh", true, 1, 0, 20 * eventloop.Milli, 100 * eventloop.Milli, 0, 0, 3, 2 * eventloop.Second},
+		{"two losses, six stores", "sssSSShhh", true, 2, 0, 20 * eventloop.Milli, 100 * eventloop.Milli, 0, 0, 5, 2 * eventloop.Second},
+		{"fewer stores than wished for", "FFsShh", true, 1, 0, 20 * eventloop.Milli, 100 * eventloop.Milli, 0, 0, 2, 8 * eventloop.Second},
+		{"messages lost", "FsFSSSfhh", true, 1, 0.4, 60 * eventloop.Milli, eventloop.Second, 0, 0, 3, 10 * eventloop.Second},
+		{"messages late", "FsFSSSfhh", true, 1, 0.1, 900 * eventloop.Milli, eventloop.Second, 0, 0, 3, 20 * eventloop.Second},
+		{"a late store that is needed", "FFFSSSh", true, 1, 0.1, 50 * eventloop.Milli, 200 * eventloop.Milli, 3 * eventloop.Second, 0, 3, 12 * eventloop.Second},
+		{"a late store that isn't", "sFFSSSSh", true, 1, 0.2, 50 * eventloop.Milli, eventloop.Second, 1200 * eventloop.Milli, 0, 3, 12 * eventloop.Second},
+		{"restarts", "FsFSSSfhh", true, 1, 0.2, 50 * eventloop.Milli, eventloop.Second, 0, 6, 3, 14 * eventloop.Second},
+		{"restarts, nothing said", "sssSfhh", false, 0, 0.2, 50 * eventloop.Milli, eventloop.Second, 0, 6, 3, 14 * eventloop.Second},
+		{"restarts, two losses, late", "sFsSSSSh", true, 2, 0.3, 300 * eventloop.Milli, 2 * eventloop.Second, 2 * eventloop.Second, 8, 0, 20 * eventloop.Second},
+		{"empty stores that weren't told that all begins", "sssSSh", false, 1, 0, 20 * eventloop.Milli, eventloop.Second, 0, 0, 0, never},
+		{"a front at a seed's address, nothing said", "ssFSh", false, 0, 0, 20 * eventloop.Milli, eventloop.Second, 0, 0, 0, never},
 	} {
 		Convey(each.name, t, func() {
-			var slowest loop.Micros
+			var slowest eventloop.Micros
 			for seed := range uint64(rounds) {
 				n := newNetwork(seed)
-				n.loss, n.lossEnd, n.delay = each.loss, 5*loop.Second, each.delay
+				n.loss, n.lossEnd, n.delay = each.loss, 5*eventloop.Second, each.delay
 				n.fleet(each.shape, each.first, each.losses)
 				var stores []*host
 				for _, h := range n.hosts {
@@ -323,10 +323,10 @@
 				n.startAll(each.within)
 				for range each.restarts {
 					h := n.hosts[n.rng.IntN(len(n.hosts))]
-					n.after(n.draw(3*loop.Second), func() {
+					n.after(n.draw(3*eventloop.Second), func() {
 						if h.run > 0 {
 							h.stop()
-							n.after(n.draw(500*loop.Milli), func() {
+							n.after(n.draw(500*eventloop.Milli), func() {
 								if h.run == 0 {
 									h.start()
 								}
@@ -335,8 +335,8 @@
 					})
 				}
 				// Whatever is on the way a while after founding could still do harm.
-				for end := loop.Second + max(each.by, 8*loop.Second); n.now < end && (n.foundAt == 0 || !n.isFounded() || n.now < n.foundAt+3*loop.Second); {
-					n.runTo(n.now + 250*loop.Milli)
+				for end := eventloop.Second + max(each.by, 8*eventloop.Second); n.now < end && (n.foundAt == 0 || !n.isFounded() || n.now < n.foundAt+3*eventloop.Second); {
+					n.runTo(n.now + 250*eventloop.Milli)
 				}
 				if each.by == never {
 					if len(n.promises) != 0 {
@@ -344,13 +344,13 @@
 					}
 					continue
 				}
-				slowest = max(slowest, n.foundAt-loop.Second)
+				slowest = max(slowest, n.foundAt-eventloop.Second)
 				isRight := len(n.promises) == 1 && n.isFounded() && (each.founders == 0 || n.founders() == each.founders)
-				if !isRight || n.foundAt-loop.Second > each.by {
-					So(fmt.Sprintf("seed %d: promised %v, founded %v after %d us", seed, n.promises, n.founded, n.foundAt-loop.Second), ShouldEqual, "")
+				if !isRight || n.foundAt-eventloop.Second > each.by {
+					So(fmt.Sprintf("seed %d: promised %v, founded %v after %d us", seed, n.promises, n.founded, n.foundAt-eventloop.Second), ShouldEqual, "")
 				}
 			}
-			t.Logf("%s: founded after %d ms at the latest", each.name, slowest/loop.Milli)
+			t.Logf("%s: founded after %d ms at the latest", each.name, slowest/eventloop.Milli)
 		})
 	}
 }
@@ -360,7 +360,7 @@
 		for _, first := range []bool{false, true} {
 			for seed := range uint64(30) {
 				n := newNetwork(seed)
-				n.loss, n.lossEnd = 0.3, 20*loop.Second
+				n.loss, n.lossEnd = 0.3, 20*eventloop.Second
 				n.fleet("FsFSSSSfhh", true, 1)
 				// The fourth to the sixth hold the system; the seed's store comes
 				// back empty, and one more is new.
@@ -370,8 +370,8 @@
 				for _, k := range []int{1, 6} {
 					n.hosts[k].terms.First = first
 				}
-				n.startAll(2 * loop.Second)
-				n.runTo(20 * loop.Second)
+				n.startAll(2 * eventloop.Second)
+				n.runTo(20 * eventloop.Second)
 				So(len(n.founded), ShouldEqual, 0)
 				for _, k := range []int{1, 6} {
 					So(n.hosts[k].account.Belongs, ShouldBeFalse)
@@ -384,9 +384,9 @@
 		n := newNetwork(1)
 		n.fleet("s", false, 1)
 		n.startAll(0)
-		n.runTo(2 * loop.Second)
+		n.runTo(2 * eventloop.Second)
 		h := n.hosts[0]
-		h.step(loop.Mail{Body: SelfKept{Self: &schema.Self{Id: h.id, Belongs: true}}})
+		h.step(eventloop.Mail{Body: SelfKept{Self: &schema.Self{Id: h.id, Belongs: true}}})
 		So(h.table.isSystem, ShouldBeTrue)
 	})
 }
@@ -420,19 +420,19 @@
 // nine side machines.
 func running(seed uint64) *network {
 	n := newNetwork(seed)
-	n.delay = 2 * loop.Milli
+	n.delay = 2 * eventloop.Milli
 	n.fleet("FsFSSSSSfhhhhhhhhh", true, 1)
-	n.startAll(200 * loop.Milli)
-	n.runTo(12 * loop.Second)
+	n.startAll(200 * eventloop.Milli)
+	n.runTo(12 * eventloop.Second)
 	return n
 }
 
 // oldest is how long ago, by any of the hosts, another was heard of, the worst
 // over a span.
-func (n *network) oldest(span loop.Micros, watches func(by, of *host) bool) loop.Micros {
-	var worst loop.Micros
+func (n *network) oldest(span eventloop.Micros, watches func(by, of *host) bool) eventloop.Micros {
+	var worst eventloop.Micros
 	for end := n.now + span; n.now < end; {
-		n.runTo(n.now + 50*loop.Milli)
+		n.runTo(n.now + 50*eventloop.Milli)
 		for _, by := range n.hosts {
 			for _, of := range n.hosts {
 				if by == of || by.run == 0 || !watches(by, of) {
@@ -462,50 +462,50 @@
 	}
 	each("In a system of eighteen everybody goes on hearing of the stores and fronts, and the stores of everybody", func(n *network) {
 		So(n.isFounded(), ShouldBeTrue)
-		So(n.oldest(20*loop.Second, isStore), ShouldBeLessThan, 1000*loop.Milli)
-		So(n.oldest(20*loop.Second, isOwed), ShouldBeLessThan, 1500*loop.Milli)
+		So(n.oldest(20*eventloop.Second, isStore), ShouldBeLessThan, 1000*eventloop.Milli)
+		So(n.oldest(20*eventloop.Second, isOwed), ShouldBeLessThan, 1500*eventloop.Milli)
 	})
 	each("also if one message in ten is lost", func(n *network) {
-		n.loss, n.lossEnd = 0.1, n.now+loop.Second*60
+		n.loss, n.lossEnd = 0.1, n.now+eventloop.Second*60
 		bySide := func(by, of *host) bool { return by.terms.IsSide && of.hasDisk }
-		So(n.oldest(20*loop.Second, bySide), ShouldBeLessThan, 1500*loop.Milli)
+		So(n.oldest(20*eventloop.Second, bySide), ShouldBeLessThan, 1500*eventloop.Milli)
 	})
 	each("also if a side machine is cut off from a store", func(n *network) {
 		store, side := n.hosts[1], n.hosts[12]
 		n.isCut = func(from, to *host) bool { return from == store && to == side || from == side && to == store }
-		So(n.oldest(20*loop.Second, isStore), ShouldBeLessThan, 1500*loop.Milli)
+		So(n.oldest(20*eventloop.Second, isStore), ShouldBeLessThan, 1500*eventloop.Milli)
 	})
 	each("A store that the other stores don't hear is heard of by way of others", func(n *network) {
 		store := n.hosts[4]
 		n.isCut = func(from, to *host) bool { return from == store && to.hasDisk || from.hasDisk && to == store }
-		n.runTo(n.now + 5*loop.Second)
-		So(n.oldest(20*loop.Second, func(by, of *host) bool { return of == store && by.terms.IsSide }), ShouldBeLessThan, 2500*loop.Milli)
+		n.runTo(n.now + 5*eventloop.Second)
+		So(n.oldest(20*eventloop.Second, func(by, of *host) bool { return of == store && by.terms.IsSide }), ShouldBeLessThan, 2500*eventloop.Milli)
 	})
 	each("A store that died is soon unheard of, and the others are not", func(n *network) {
 		store := n.hosts[5]
 		store.stop()
 		died := n.now
-		n.runTo(n.now + 3*loop.Second)
+		n.runTo(n.now + 3*eventloop.Second)
 		for _, by := range n.hosts {
 			if by.run > 0 {
-				So(by.table.known[store.id].Heard-died, ShouldBeLessThan, 600*loop.Milli)
+				So(by.table.known[store.id].Heard-died, ShouldBeLessThan, 600*eventloop.Milli)
 			}
 		}
-		So(n.oldest(20*loop.Second, func(_, of *host) bool { return of.hasDisk && of != store }), ShouldBeLessThan, 1500*loop.Milli)
+		So(n.oldest(20*eventloop.Second, func(_, of *host) bool { return of.hasDisk && of != store }), ShouldBeLessThan, 1500*eventloop.Milli)
 	})
 	each("A process that starts is soon known everywhere, and one that leaves too", func(n *network) {
 		front := n.hosts[8]
 		front.stop()
 		front.start()
-		n.runTo(n.now + 2500*loop.Milli)
+		n.runTo(n.now + 2500*eventloop.Milli)
 		for _, by := range n.hosts {
 			if by != front {
 				So(by.roll.Known, ShouldContainKey, front.id)
 				So(by.book.Address(front.id), ShouldEqual, front.address)
 			}
 		}
-		front.step(loop.Mail{Body: Leaving{}})
-		n.runTo(n.now + 600*loop.Milli)
+		front.step(eventloop.Mail{Body: Leaving{}})
+		n.runTo(n.now + 600*eventloop.Milli)
 		for _, by := range n.hosts {
 			if by != front && by.terms.IsSide {
 				So(by.table.known[front.id].Member.Leaving, ShouldBeTrue)
@@ -515,8 +515,8 @@
 	each("A front that reaches no store is heard of by way of others", func(n *network) {
 		front := n.hosts[8]
 		n.isCut = func(from, to *host) bool { return from == front && to.hasDisk || from.hasDisk && to == front }
-		n.runTo(n.now + 5*loop.Second)
-		So(n.oldest(20*loop.Second, func(by, of *host) bool { return of == front && by.hasDisk }), ShouldBeLessThan, 4*loop.Second)
+		n.runTo(n.now + 5*eventloop.Second)
+		So(n.oldest(20*eventloop.Second, func(by, of *host) bool { return of == front && by.hasDisk }), ShouldBeLessThan, 4*eventloop.Second)
 	})
 	each("All agree on the side machines that stand for steward, and one that dies is soon replaced", func(n *network) {
 		standing := func(by *host) []string {
@@ -545,15 +545,15 @@
 				h.stop()
 			}
 		}
-		n.runTo(n.now + 5*loop.Second)
+		n.runTo(n.now + 5*eventloop.Second)
 		So(agreed(), ShouldNotContain, first[0])
 	})
 	Convey("A system of 80 tells its side machines little", t, func() {
 		n := newNetwork(2)
-		n.delay = 2 * loop.Milli
+		n.delay = 2 * eventloop.Milli
 		n.fleet("FsFSSSSSffffffff"+strings.Repeat("h", 64), true, 1)
-		n.startAll(200 * loop.Milli)
-		n.runTo(12 * loop.Second)
+		n.startAll(200 * eventloop.Milli)
+		n.runTo(12 * eventloop.Second)
 		most, fronts := 0, 0
 		n.saw = func(_, to *host, hello *schema.Hello) {
 			if to.terms.IsSide {
@@ -564,9 +564,9 @@
 			}
 		}
 		n.wires = map[string]*gob.Encoder{}
-		n.runTo(n.now + 5*loop.Second)
+		n.runTo(n.now + 5*eventloop.Second)
 		n.messages, n.bytes = 0, 0
-		n.runTo(n.now + 10*loop.Second)
+		n.runTo(n.now + 10*eventloop.Second)
 		t.Logf("80 processes: %d messages/s, %d bytes/s; at most %d told at once to a side machine, %d to a front", n.messages/10, n.bytes/10, most, fronts)
 		So(most, ShouldBeLessThanOrEqualTo, 16+Candidates)
 		So(fronts, ShouldBeLessThanOrEqualTo, 16+Candidates)
@@ -574,9 +574,9 @@
 	Convey("What it costs", t, func() {
 		n := running(1)
 		n.messages, n.bytes, n.wires = 0, 0, map[string]*gob.Encoder{}
-		n.runTo(n.now + 5*loop.Second) // types go over each wire once
+		n.runTo(n.now + 5*eventloop.Second) // types go over each wire once
 		n.messages, n.bytes = 0, 0
-		n.runTo(n.now + 20*loop.Second)
+		n.runTo(n.now + 20*eventloop.Second)
 		t.Logf("18 processes: %d messages/s, %d bytes/s", n.messages/20, n.bytes/20)
 		So(n.messages/20, ShouldBeLessThan, 250)
 		So(n.bytes/20, ShouldBeLessThan, 100_000)
@@ -587,14 +587,14 @@
 	Convey("After a freeze nobody looks gone, and no word from before is promised on", t, func() {
 		n := newNetwork(3)
 		n.fleet("sss", false, 0)
-		n.startAll(100 * loop.Milli)
-		n.runTo(loop.Second + 400*loop.Milli)
+		n.startAll(100 * eventloop.Milli)
+		n.runTo(eventloop.Second + 400*eventloop.Milli)
 		h := n.hosts[0]
 		others := slices.Sorted(maps.Keys(h.table.known))
 		So(len(others), ShouldEqual, 2)
-		h.table.Step(n.now+30*loop.Second, loop.Mail{Body: loop.Tick{}}, h)
+		h.table.Step(n.now+30*eventloop.Second, eventloop.Mail{Body: eventloop.Tick{}}, h)
 		for _, id := range others {
-			So(h.roll.Live(id, n.now+30*loop.Second, loop.Second), ShouldBeTrue)
+			So(h.roll.Live(id, n.now+30*eventloop.Second, eventloop.Second), ShouldBeTrue)
 		}
 		So(h.table.told, ShouldBeEmpty)
 	})
@@ -612,10 +612,10 @@
 			}
 			// The stores find each other by whom they met before, the seeds come last.
 			for _, h := range n.hosts[:3] {
-				h.at = 300*loop.Milli + n.draw(300*loop.Milli)
+				h.at = 300*eventloop.Milli + n.draw(300*eventloop.Milli)
 			}
-			n.startAll(100 * loop.Milli)
-			n.runTo(n.now + 2*loop.Second)
+			n.startAll(100 * eventloop.Milli)
+			n.runTo(n.now + 2*eventloop.Second)
 			for _, h := range n.hosts {
 				if h.terms.IsSide {
 					So(h.table.hubs(n.now), ShouldNotBeEmpty)
--- a/foil/ledger_test.go
+++ b/internal/mutation/ledger_test.go
@@ -1,4 +1,4 @@
-package foil
+package mutation
 
 import (
 	"os"
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"sparnotch/sim"
+	"sparnotch/internal/sim"
 )
 
 var named = regexp.MustCompile("`(sim|test|mutant|fleet|fault):([^`]+)`")
@@ -16,7 +16,7 @@
 // TestLedger: every scenario, test, mutant and fault that docs/proof.md names
 // exists, and every mutant and scenario is named there.
 func TestLedger(t *testing.T) {
-	data, err := os.ReadFile("../docs/proof.md")
+	data, err := os.ReadFile("../../docs/proof.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -27,7 +27,7 @@
 	for _, m := range Mutants {
 		guards = append(guards, m.Guard)
 	}
-	fleet, err := os.ReadFile("../cmd/feign/fleet.go")
+	fleet, err := os.ReadFile("../../cmd/feign/fleet.go")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +47,7 @@
 			isThere = strings.Contains(string(fleet), `"`+name+`"`)
 		case "test":
 			folder, test, _ := strings.Cut(name, " ")
-			files, _ := filepath.Glob(filepath.Join("..", folder, "*_test.go"))
+			files, _ := filepath.Glob(filepath.Join("../..", folder, "*_test.go"))
 			for _, file := range files {
 				text, _ := os.ReadFile(file)
 				isThere = isThere || strings.Contains(string(text), "func "+test+"(")
--- a/foil/foil.go
+++ b/internal/mutation/mutation.go
@@ -1,6 +1,6 @@
-// Package foil owns the mutants: for each guard a rule rests on, the guard taken
+// Package mutation owns the mutants: for each guard a rule rests on, the guard taken
 // out, and the run that then breaks the rule. They show that a proof can fail.
-package foil
+package mutation
 
 import (
 	"cmp"
@@ -14,8 +14,9 @@
 	"strings"
 )
 
-// Edit replaces the one place in a file where Old stands.
-type Edit struct{ File, Old, New string }
+// Edit replaces the one place where Old stands in the files of a package, its
+// tests left out; Package is the folder from the repository's top.
+type Edit struct{ Package, Old, New string }
 
 // Mutant is the system without one guard. What shows it is a simulated run of a
 // scenario with a seed, which then breaks the rule; or, for what no caller could
@@ -34,28 +35,19 @@
 // Overlay writes the changed files into a folder, and the list of them that the
 // go command takes; the tree itself stays as it is.
 func (m *Mutant) Overlay(root, folder string) (string, error) {
-	replace := map[string]string{}
 	content := map[string]string{}
-	for _, each := range m.Edits {
-		text, isKnown := content[each.File]
-		if !isKnown {
-			data, err := os.ReadFile(filepath.Join(root, each.File))
-			if err != nil {
-				return "", fmt.Errorf("%s: %w", m.Guard, err)
-			}
-			text = string(data)
-		}
-		if count := strings.Count(text, each.Old); count != 1 {
-			return "", fmt.Errorf("%s: what it changes stands %d times in %s", m.Guard, count, each.File)
+	for _, edit := range m.Edits {
+		if err := edit.apply(root, content); err != nil {
+			return "", fmt.Errorf("%s: %w", m.Guard, err)
 		}
-		content[each.File] = strings.Replace(text, each.Old, each.New, 1)
 	}
+	replace := map[string]string{}
 	for file, text := range content {
-		path := filepath.Join(folder, strings.ReplaceAll(file, "/", "_"))
+		path := filepath.Join(folder, strings.ReplaceAll(strings.TrimPrefix(file, root+"/"), "/", "_"))
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return "", err
 		}
-		replace[filepath.Join(root, file)] = path
+		replace[file] = path
 	}
 	data, err := json.Marshal(map[string]any{"Replace": replace})
 	if err != nil {
@@ -65,6 +57,37 @@
 	return list, os.WriteFile(list, data, 0o600)
 }
 
+// apply makes the edit in the content of changed files, by path. It is an error
+// where Old doesn't stand exactly once in the package.
+func (e Edit) apply(root string, content map[string]string) error {
+	files, err := filepath.Glob(filepath.Join(root, e.Package, "*.go"))
+	if err != nil {
+		return err
+	}
+	found, count := "", 0
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		text, isChanged := content[file]
+		if !isChanged {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				return err
+			}
+			text = string(data)
+		}
+		if here := strings.Count(text, e.Old); here > 0 {
+			found, count = file, count+here
+			content[file] = strings.Replace(text, e.Old, e.New, 1)
+		}
+	}
+	if count != 1 {
+		return fmt.Errorf("what it changes stands %d times in %s (last in %q)", count, e.Package, found)
+	}
+	return nil
+}
+
 // Build makes feign with the mutant in it, or without one for nil.
 func Build(m *Mutant, root, folder string) (string, error) {
 	args := []string{"build", "-o", filepath.Join(folder, "feign")}
--- a/foil/foil_test.go
+++ b/internal/mutation/mutation_test.go
@@ -1,4 +1,4 @@
-package foil
+package mutation
 
 import (
 	"flag"
@@ -10,7 +10,7 @@
 	"sync"
 	"testing"
 
-	"sparnotch/sim"
+	"sparnotch/internal/sim"
 )
 
 var seek = flag.String("seek", "", "look for runs that show the mutants whose guard has this in its name")
@@ -19,7 +19,7 @@
 var first = flag.Uint64("seed", 1, "with -seek: the first of them")
 
 func root(t *testing.T) string {
-	path, err := filepath.Abs("..")
+	path, err := filepath.Abs("../..")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,7 +93,7 @@
 	var found []string
 	isDone := map[string]bool{}
 	for _, each := range m.Edits {
-		folder := filepath.Dir(each.File)
+		folder := each.Package
 		if isDone[folder] {
 			continue
 		}
--- a/crew/caller.go
+++ b/internal/process/caller.go
@@ -1,8 +1,8 @@
-package crew
+package process
 
 import (
-	"sparnotch/agent"
-	"sparnotch/loop"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/eventloop"
 )
 
 const (
@@ -21,7 +21,7 @@
 	return &callerTable{hand: hand, reply: reply, calls: make(chan struct{}, mostCalls), looks: make(chan struct{}, mostLooks)}
 }
 
-func (c *callerTable) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+func (c *callerTable) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	call, isCall := mail.Body.(agent.Call)
 	if !isCall {
 		return
--- a/crew/caller_test.go
+++ b/internal/process/caller_test.go
@@ -1,4 +1,4 @@
-package crew
+package process
 
 import (
 	"testing"
@@ -6,9 +6,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
-	"sparnotch/agent"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 type gate struct{ open, entered chan agent.Call }
@@ -27,7 +27,7 @@
 		number := uint64(0)
 		call := func(act agent.Act) {
 			number++
-			table.Step(0, loop.Mail{Body: agent.Call{Number: number, Act: act}}, nil)
+			table.Step(0, eventloop.Mail{Body: agent.Call{Number: number, Act: act}}, nil)
 		}
 		for k := 0; k < mostLooks; k++ {
 			call(agent.Look)
--- a/crew/crew.go
+++ b/internal/process/papers.go
@@ -1,50 +1,50 @@
-// Package crew owns which tables a process is made of and where each message
+// Package process owns which tables a process is made of and where each message
 // goes, for real processes and simulated ones alike.
-package crew
+package process
 
 import (
 	"math/rand/v2"
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/agent"
-	"sparnotch/heed"
-	"sparnotch/intake"
-	"sparnotch/keep"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/placer"
-	"sparnotch/raft"
-	"sparnotch/schema"
-	"sparnotch/vault"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/controller"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/raft"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/scheduler"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 // Berth is one table of a process and its pace.
 type Berth struct {
 	Name  string
-	Table loop.Table
-	Pace  loop.Micros
+	Table eventloop.Table
+	Pace  eventloop.Micros
 }
 
 // Papers are what a process starts with.
 type Papers struct {
 	Member *schema.Member
 	Seeds  []string
-	First  bool           // the whole system starts for the first time
-	Losses uint32         // stores that may be lost at once; 0: one
-	Store  *vault.Content // nil without a data folder
-	Book   *kin.Book
+	First  bool             // the whole system starts for the first time
+	Losses uint32           // stores that may be lost at once; 0: one
+	Store  *storage.Content // nil without a data folder
+	Book   *membership.Book
 	Wall   func() int64
 	Seed   uint64
-	Now    loop.Micros
+	Now    eventloop.Micros
 	Bounds *schema.Bounds
 	Calls  bool // a side process that calls the worker on its machine: there is a "caller"
 }
 
 func (p *Papers) rng(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.Seed, stream)) }
 
-func (p *Papers) terms(isSide bool) kin.Terms {
-	return kin.Terms{Seeds: p.Seeds, First: p.First, Losses: p.Losses, IsSide: isSide}
+func (p *Papers) terms(isSide bool) membership.Terms {
+	return membership.Terms{Seeds: p.Seeds, First: p.First, Losses: p.Losses, IsSide: isSide}
 }
 
 // Keep makes a front process's tables.
@@ -57,13 +57,13 @@
 	}
 	member := p.Member
 	berths := []Berth{
-		{"kin", kin.New(proto.Clone(member).(*schema.Member), p.terms(false), account, p.Book, readers, p.rng(1)), kin.Pace},
-		{"intake", intake.New(member.Id, member.Boot, p.Store != nil, p.rng(2)), intake.Pace},
+		{"kin", membership.New(proto.Clone(member).(*schema.Member), p.terms(false), account, p.Book, readers, p.rng(1)), membership.Pace},
+		{"intake", gateway.New(member.Id, member.Boot, p.Store != nil, p.rng(2)), gateway.Pace},
 	}
 	if p.Store != nil {
 		berths = append(berths,
-			Berth{"keep", keep.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now), keep.Pace},
-			Berth{"placer", placer.New(member.Id).Bind(p.Bounds), placer.Pace},
+			Berth{"keep", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now), replica.Pace},
+			Berth{"placer", scheduler.New(member.Id).Bind(p.Bounds), scheduler.Pace},
 		)
 	}
 	return berths
@@ -78,8 +78,8 @@
 		berths = []Berth{{"agent", agent.New(p.Bounds, uint64(p.Wall())), agent.Pace}}
 	}
 	return append([]Berth{
-		{"kin", kin.New(proto.Clone(p.Member).(*schema.Member), p.terms(true), nil, p.Book, []string{"heed"}, p.rng(1)), kin.Pace},
-		{"heed", heed.New(p.Member.Id, p.Losses, readers...), heed.Pace},
+		{"kin", membership.New(proto.Clone(p.Member).(*schema.Member), p.terms(true), nil, p.Book, []string{"heed"}, p.rng(1)), membership.Pace},
+		{"heed", controller.New(p.Member.Id, p.Losses, readers...), controller.Pace},
 	}, berths...)
 }
 
--- a/crew/real.go
+++ b/internal/process/real.go
@@ -1,4 +1,4 @@
-package crew
+package process
 
 import (
 	"context"
@@ -15,14 +15,14 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/agent"
-	"sparnotch/intake"
-	"sparnotch/keep"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/vault"
-	"sparnotch/wire"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
+	"sparnotch/internal/transport"
 )
 
 // Real is a process on a real machine: its tables on goroutines, its wires,
@@ -30,16 +30,16 @@
 type Real struct {
 	Options *schema.Options
 	Member  *schema.Member
-	Clock   loop.Clock
+	Clock   eventloop.Clock
 	Failed  chan error // something after which the process must end
 
 	log     *zap.Logger
-	process *loop.Process
-	net     *wire.Net
-	book    *kin.Book
-	folder  *vault.Folder
-	store   *vault.Store
-	writes  *loop.Ring[keep.Batch]
+	process *eventloop.Process
+	net     *transport.Net
+	book    *membership.Book
+	folder  *storage.Folder
+	store   *storage.Store
+	writes  *eventloop.Ring[replica.Batch]
 	mu      sync.Mutex
 	waiting map[uint64]chan any
 	next    atomic.Uint64
@@ -47,7 +47,7 @@
 	duties  sync.WaitGroup
 	worst   atomic.Int64 // recent worst sync, decayed
 	syncing atomic.Int64 // when the sync that is under way began
-	stats   atomic.Pointer[vault.Counts]
+	stats   atomic.Pointer[storage.Counts]
 }
 
 func randomSeed() uint64 {
@@ -68,8 +68,8 @@
 // worker on its machine with it.
 func Start(options *schema.Options, role schema.Role, log *zap.Logger, hands ...agent.Caller) (*Real, error) {
 	r := &Real{
-		Options: options, Clock: loop.RealClock(), Failed: make(chan error, 4), log: log, book: &kin.Book{},
-		waiting: map[uint64]chan any{}, writes: loop.NewRing[keep.Batch](4),
+		Options: options, Clock: eventloop.RealClock(), Failed: make(chan error, 4), log: log, book: &membership.Book{},
+		waiting: map[uint64]chan any{}, writes: eventloop.NewRing[replica.Batch](4),
 	}
 	r.Member = &schema.Member{Id: newId(), Boot: 1, Role: role, Cell: options.Cell, Inner: options.Inner, Outer: options.Outer}
 	if options.Data != "" {
@@ -77,7 +77,7 @@
 			return nil, err
 		}
 	}
-	r.process = loop.NewProcess(r.Clock)
+	r.process = eventloop.NewProcess(r.Clock)
 	r.process.Out = (*outside)(r)
 	r.process.Broken = func(table string, cause any, stack []byte) {
 		log.Error("panic", zap.String("table", table), zap.Any("cause", cause), zap.ByteString("stack", stack))
@@ -101,11 +101,11 @@
 	r.process.Add("vault", (*vaultTable)(r), 0)
 	if papers.Calls {
 		r.process.Add("caller", newCallerTable(hands[0], func(reply agent.Reply) {
-			r.process.PostWait("agent", loop.Mail{Body: reply})
+			r.process.PostWait("agent", eventloop.Mail{Body: reply})
 		}), 0)
 	}
 	// From here on messages come in, so the mailboxes must stand by now.
-	net, err := wire.Listen(r.Member.Id, options.Inner, r.deliver)
+	net, err := transport.Listen(r.Member.Id, options.Inner, r.deliver)
 	if err != nil {
 		r.closeStore()
 		return nil, err
@@ -118,17 +118,17 @@
 	r.cancel = cancel
 	r.process.Run(ctx)
 	// The first look for the others needn't wait for the pace.
-	r.process.Post("kin", loop.Mail{Body: loop.Tick{}})
+	r.process.Post("kin", eventloop.Mail{Body: eventloop.Tick{}})
 	r.duty(func() { r.writes.Drain(ctx, 0, r.commit, nil) })
 	r.duty(func() {
-		loop.NewRing[int](1).Drain(ctx, 250*loop.Milli, nil, func() {
+		eventloop.NewRing[int](1).Drain(ctx, 250*eventloop.Milli, nil, func() {
 			worst := max(int64(r.process.Strain()), r.worst.Load())
 			// A sync that hasn't come back yet counts as long as it lasts.
 			if began := r.syncing.Load(); began > 0 {
 				worst = max(worst, int64(r.Clock.Now())-began)
 			}
 			r.worst.Store(r.worst.Load() * 15 / 16)
-			r.process.Post("kin", loop.Mail{Body: kin.Strain{Worst: loop.Micros(worst)}})
+			r.process.Post("kin", eventloop.Mail{Body: membership.Strain{Worst: eventloop.Micros(worst)}})
 		})
 	})
 	log.Info("started", zap.String("id", r.Member.Id), zap.Uint64("boot", r.Member.Boot), zap.String("inner", options.Inner), zap.String("outer", options.Outer))
@@ -146,18 +146,18 @@
 // openStore opens the data folder. A damaged store never comes back under its
 // old id: it is put aside, the process says so, and goes on as a new member.
 func (r *Real) openStore() error {
-	folder, err := vault.OpenFolder(r.Options.Data)
+	folder, err := storage.OpenFolder(r.Options.Data)
 	if err != nil {
 		return err
 	}
-	store, err := vault.Open(folder)
-	if vault.IsDamaged(err) {
+	store, err := storage.Open(folder)
+	if storage.IsDamaged(err) {
 		r.log.Error("the store is damaged; it is put aside and this machine comes back as a new member", zap.Error(err))
 		if err := folder.Retire("damaged-" + newId()); err != nil {
 			folder.Close()
 			return err
 		}
-		store, err = vault.Open(folder)
+		store, err = storage.Open(folder)
 	}
 	if err != nil {
 		folder.Close()
@@ -207,14 +207,14 @@
 // vaultTable passes batches on to the duty that may block on the disk.
 type vaultTable Real
 
-func (v *vaultTable) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
-	if batch, isBatch := mail.Body.(keep.Batch); isBatch && !v.writes.Offer(batch) {
+func (v *vaultTable) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
+	if batch, isBatch := mail.Body.(replica.Batch); isBatch && !v.writes.Offer(batch) {
 		// There is never more than one batch out, so this can't be.
 		v.log.Error("the vault's ring is full")
 	}
 }
 
-func (r *Real) commit(batch keep.Batch) {
+func (r *Real) commit(batch replica.Batch) {
 	began := r.Clock.Now()
 	r.syncing.Store(int64(began))
 	err := r.store.Commit(batch.Changes)
@@ -234,20 +234,20 @@
 	}
 	counts := r.store.Counts()
 	r.stats.Store(&counts)
-	r.process.PostWait("keep", loop.Mail{Body: keep.Written{Number: batch.Number}})
+	r.process.PostWait("keep", eventloop.Mail{Body: replica.Written{Number: batch.Number}})
 }
 
 func (r *Real) deliver(from string, body any) {
-	r.process.Post(Table(r.Member.Role, body), loop.Mail{From: from, Body: body})
+	r.process.Post(Table(r.Member.Role, body), eventloop.Mail{From: from, Body: body})
 }
 
 // Beat takes a worker's word of itself; false when it couldn't be taken.
-func (r *Real) Beat(beat agent.Beat) bool { return r.process.Post("agent", loop.Mail{Body: beat}) }
+func (r *Real) Beat(beat agent.Beat) bool { return r.process.Post("agent", eventloop.Mail{Body: beat}) }
 
 // Depart takes a worker's word that it has ended; false when it couldn't be
 // taken.
 func (r *Real) Depart(departed agent.Departed) bool {
-	return r.process.Post("agent", loop.Mail{Body: departed})
+	return r.process.Post("agent", eventloop.Mail{Body: departed})
 }
 
 // outside carries what leaves the tables.
@@ -278,7 +278,7 @@
 
 // Run gives an errand to a table and waits for its answer; nil when the span
 // is over.
-func (r *Real) Run(ctx context.Context, table string, span loop.Micros, make_ func(errand uint64, deadline loop.Micros) any) any {
+func (r *Real) Run(ctx context.Context, table string, span eventloop.Micros, make_ func(errand uint64, deadline eventloop.Micros) any) any {
 	id := r.next.Add(1)
 	waiter := make(chan any, 1)
 	r.mu.Lock()
@@ -289,8 +289,8 @@
 		delete(r.waiting, id)
 		r.mu.Unlock()
 	}()
-	if !r.process.Post(table, loop.Mail{Body: make_(id, r.Clock.Now()+span)}) {
-		return intake.Answer{Code: 429, Body: intake.Fault("front_full", "this front has too much in hand", ""), Retry: 1}
+	if !r.process.Post(table, eventloop.Mail{Body: make_(id, r.Clock.Now()+span)}) {
+		return gateway.Answer{Code: 429, Body: gateway.Fault("front_full", "this front has too much in hand", ""), Retry: 1}
 	}
 	timer := time.NewTimer(span.Span())
 	defer timer.Stop()
@@ -300,14 +300,14 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	r.process.Post(table, loop.Mail{Body: intake.Forget{Errand: id}})
+	r.process.Post(table, eventloop.Mail{Body: gateway.Forget{Errand: id}})
 	return nil
 }
 
 // Counts are what a process has done so far.
 type Counts struct {
-	Wire  wire.Counts       `json:"wire"`
-	Vault vault.Counts      `json:"vault"`
+	Wire  transport.Counts  `json:"wire"`
+	Vault storage.Counts    `json:"vault"`
 	Lost  map[string]uint64 `json:"lost_mails"`
 }
 
@@ -322,9 +322,9 @@
 
 // Warn tells every table that this process is to leave.
 func (r *Real) Warn() {
-	r.process.Post("intake", loop.Mail{Body: intake.Warned{}})
-	r.process.Post("kin", loop.Mail{Body: kin.Leaving{}})
-	r.process.Post("keep", loop.Mail{Body: keep.Warned{}})
+	r.process.Post("intake", eventloop.Mail{Body: gateway.Warned{}})
+	r.process.Post("kin", eventloop.Mail{Body: membership.Leaving{}})
+	r.process.Post("keep", eventloop.Mail{Body: replica.Warned{}})
 }
 
 // Leads tells whether this process still leads a group.
@@ -332,7 +332,7 @@
 	if r.store == nil {
 		return false
 	}
-	belief, _ := r.Run(ctx, "keep", loop.Second, func(errand uint64, _ loop.Micros) any { return keep.Belief{Errand: errand} }).(*keep.NodeBelief)
+	belief, _ := r.Run(ctx, "keep", eventloop.Second, func(errand uint64, _ eventloop.Micros) any { return replica.Belief{Errand: errand} }).(*replica.NodeBelief)
 	if belief == nil {
 		return false
 	}
--- a/crew/real_test.go
+++ b/internal/process/real_test.go
@@ -1,4 +1,4 @@
-package crew
+package process
 
 import (
 	"net"
@@ -8,8 +8,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
-	"sparnotch/schema"
-	"sparnotch/wire"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/transport"
 )
 
 func freePort(t *testing.T) string {
@@ -24,7 +24,7 @@
 func TestStartingUnderFire(t *testing.T) {
 	Convey("A process that starts while others already send to it takes what comes, and stops cleanly", t, func() {
 		inner := freePort(t)
-		other, err := wire.Listen("other", "127.0.0.1:0", func(string, any) {})
+		other, err := transport.Listen("other", "127.0.0.1:0", func(string, any) {})
 		So(err, ShouldBeNil)
 		Reset(other.Close)
 		stop, stopped := make(chan struct{}), make(chan struct{})
--- a/lane/machine.go
+++ b/internal/queue/machine.go
@@ -1,7 +1,7 @@
-// Package lane is the pure queue machine of one lane: commands in, state and
+// Package queue is the pure queue machine of one lane: commands in, state and
 // effects out. No clock, no I/O, no random numbers, no order of map iteration:
 // every replica that applies the same records holds the same state.
-package lane
+package queue
 
 import (
 	"slices"
@@ -10,7 +10,7 @@
 	"github.com/google/btree"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // Defaults of what the plan may set.
--- a/lane/lane_test.go
+++ b/internal/queue/queue_test.go
@@ -1,4 +1,4 @@
-package lane
+package queue
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // bench applies commands to one machine and keeps the log.
--- a/lane/rest.go
+++ b/internal/queue/rest.go
@@ -1,11 +1,11 @@
-package lane
+package queue
 
 import (
 	"sort"
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // --- the state at rest: checkpoints and their release ---
--- a/raft/raft.go
+++ b/internal/raft/raft.go
@@ -10,9 +10,9 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/vault"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 var (
@@ -23,17 +23,17 @@
 
 // Times are a group's spans; see the sum in docs/design.md.
 type Times struct {
-	ElectionLeast loop.Micros
-	ElectionMost  loop.Micros
-	Beat          loop.Micros
+	ElectionLeast eventloop.Micros
+	ElectionMost  eventloop.Micros
+	Beat          eventloop.Micros
 }
 
 // UsualTimes are the defaults of the chosen design.
-var UsualTimes = Times{ElectionLeast: 450 * loop.Milli, ElectionMost: 750 * loop.Milli, Beat: 100 * loop.Milli}
+var UsualTimes = Times{ElectionLeast: 450 * eventloop.Milli, ElectionMost: 750 * eventloop.Milli, Beat: 100 * eventloop.Milli}
 
 // acting is how long after a round that a quorum answered a leader may act
 // outward: less than any of those waits before it votes for another.
-func (t Times) acting() loop.Micros { return 3 * t.Beat }
+func (t Times) acting() eventloop.Micros { return 3 * t.Beat }
 
 // Source draws a number below n.
 type Source interface{ Int64N(n int64) int64 }
@@ -45,12 +45,12 @@
 
 	keptReplies = 16 // beats whose answering is remembered
 
-	callRest  = 50 * loop.Milli // between two calls of a founder that stands
+	callRest  = 50 * eventloop.Milli // between two calls of a founder that stands
 	mostCalls = 12
 
-	yieldSpan  = 150 * loop.Milli // how much longer others wait after a start than whoever led last
-	youngSpan  = 150 * loop.Milli // spread of their waits
-	youngAgain = 100 * loop.Milli // and between two pre-votes of one, until somebody leads
+	yieldSpan  = 150 * eventloop.Milli // how much longer others wait after a start than whoever led last
+	youngSpan  = 150 * eventloop.Milli // spread of their waits
+	youngAgain = 100 * eventloop.Milli // and between two pre-votes of one, until somebody leads
 )
 
 type role int
@@ -90,18 +90,18 @@
 type progress struct {
 	next, match uint64
 	round       uint64
-	moved       loop.Micros // last time match or next went on
+	moved       eventloop.Micros // last time match or next went on
 	installing  bool
-	probing     bool        // it turned records away: one Append at a time until it takes one
-	probed      bool        // and that one is on its way
-	wall        int64       // the replica's wall clock, less our monotonic one
-	heard       loop.Micros // last answer of any kind
+	probing     bool             // it turned records away: one Append at a time until it takes one
+	probed      bool             // and that one is on its way
+	wall        int64            // the replica's wall clock, less our monotonic one
+	heard       eventloop.Micros // last answer of any kind
 }
 
 // reply is when a beat was answered.
 type reply struct {
 	round uint64
-	at    loop.Micros
+	at    eventloop.Micros
 }
 
 type read struct {
@@ -129,36 +129,36 @@
 	hardSeq  uint64 // hard states written
 	hardDone uint64 // hard states synced
 	matched  uint64 // as follower: how far the log is the leader's
-	deadline loop.Micros
+	deadline eventloop.Micros
 	asks     int
 	isYoung  bool // no leader was heard since this start
-	heard    loop.Micros
-	caught   loop.Micros
+	heard    eventloop.Micros
+	caught   eventloop.Micros
 	votes    map[string]bool
 
 	peers     map[string]*progress
 	round     uint64
-	rounds    map[uint64]loop.Micros
-	quorumAt  loop.Micros
-	nextBeat  loop.Micros
+	rounds    map[uint64]eventloop.Micros
+	quorumAt  eventloop.Micros
+	nextBeat  eventloop.Micros
 	first     uint64 // index of this leader's first record
 	reads     []read
 	passTo    string
-	passUntil loop.Micros
-	calls     int         // how often a founder that stands still calls for votes
-	callAt    loop.Micros // and when next
+	passUntil eventloop.Micros
+	calls     int              // how often a founder that stands still calls for votes
+	callAt    eventloop.Micros // and when next
 	timeBase  int64
-	timeMono  loop.Micros
+	timeMono  eventloop.Micros
 	out       Effects
 
-	replies    []reply     // beats answered of this term, the latest last
-	wallOffset int64       // wall less group time, when three clocks last agreed
-	wallTerm   uint64      // as whose leader we found that
-	steppedAt  loop.Micros // the middle clock has jumped, and isn't believed yet
+	replies    []reply          // beats answered of this term, the latest last
+	wallOffset int64            // wall less group time, when three clocks last agreed
+	wallTerm   uint64           // as whose leader we found that
+	steppedAt  eventloop.Micros // the middle clock has jumped, and isn't believed yet
 }
 
 // New makes a replica from what its store holds.
-func New(name, self string, image *vault.Image, times Times, rng Source, now loop.Micros) *Group {
+func New(name, self string, image *storage.Image, times Times, rng Source, now eventloop.Micros) *Group {
 	g := &Group{name: name, self: self, times: times, rng: rng, base: image.Checkpoint}
 	g.term, g.vote = image.Hard.Term, image.Hard.Vote
 	g.log = append(g.log, image.Records...)
@@ -173,7 +173,7 @@
 	if g.isYoung = g.term > 0; g.isYoung {
 		g.deadline = now + times.acting()
 		if g.vote != self {
-			g.deadline += yieldSpan + loop.Micros(rng.Int64N(int64(youngSpan)))
+			g.deadline += yieldSpan + eventloop.Micros(rng.Int64N(int64(youngSpan)))
 		}
 	}
 	return g
@@ -198,13 +198,13 @@
 // Acting tells whether this leader may act outward: it has applied its own
 // first record, and a quorum has answered it within three beats. One that was
 // frozen finds itself silent on waking, before it knows of its successor.
-func (g *Group) Acting(now loop.Micros) bool {
+func (g *Group) Acting(now eventloop.Micros) bool {
 	return g.role == leader && g.applied >= g.first && now-g.quorumAt <= g.times.acting()
 }
 
 // Fresh is when this replica last held all that its leader had committed, or
 // as leader last heard its quorum.
-func (g *Group) Fresh() loop.Micros {
+func (g *Group) Fresh() eventloop.Micros {
 	if g.role == leader {
 		// A new leader may hold committed records that it doesn't know to be.
 		if g.applied < g.first {
@@ -216,7 +216,7 @@
 }
 
 // Match tells how far a peer is known to hold the log, and when it last answered.
-func (g *Group) Match(peer string) (uint64, loop.Micros) {
+func (g *Group) Match(peer string) (uint64, eventloop.Micros) {
 	if p := g.peers[peer]; p != nil {
 		return p.match, p.heard
 	}
@@ -225,7 +225,7 @@
 
 // GroupTime is the group's own time: it goes on by the leader's monotonic
 // clock and never back.
-func (g *Group) GroupTime(now loop.Micros) int64 {
+func (g *Group) GroupTime(now eventloop.Micros) int64 {
 	at := g.timeBase + int64(now-g.timeMono)
 	if last := g.lastAt(); at < last {
 		return last
@@ -235,18 +235,18 @@
 
 // wallSlack is how much later than by the last agreement a clock may seem to be
 // right; group time stands still without a leader, so a right one is later.
-const wallSlack = 50 * loop.Milli
+const wallSlack = 50 * eventloop.Milli
 
 const (
-	stepLeast = 300 * loop.Milli // a jump of the middle clock that isn't believed at once
-	stepSpan  = 20 * loop.Second // for so long
+	stepLeast = 300 * eventloop.Milli // a jump of the middle clock that isn't believed at once
+	stepSpan  = 20 * eventloop.Second // for so long
 )
 
 // WallTime is the median of the voters' wall clocks, so that one clock that
 // jumped moves nothing. Our own counts as one of them. While only two are known,
 // as for a new leader with a voter away, either may be the wrong one: the lower
 // counts that isn't before the time last agreed on, for nothing may start early.
-func (g *Group) WallTime(now loop.Micros, own int64) int64 {
+func (g *Group) WallTime(now eventloop.Micros, own int64) int64 {
 	walls := g.walls(now, own)
 	if len(walls) >= 3 {
 		if wall := walls[len(walls)/2]; g.isStep(now, wall) {
@@ -266,7 +266,7 @@
 	return least
 }
 
-func (g *Group) walls(now loop.Micros, own int64) []int64 {
+func (g *Group) walls(now eventloop.Micros, own int64) []int64 {
 	walls := append(make([]int64, 0, len(g.roster.Voters)+1), own)
 	for _, id := range g.roster.Voters {
 		if p := g.peers[id]; p != nil && id != g.self && p.wall != 0 {
@@ -279,7 +279,7 @@
 
 // AgreeWall notes, while three clocks are known, how wall and group time stand
 // to each other; beats carry that to whoever may lead next.
-func (g *Group) AgreeWall(now loop.Micros, own int64) {
+func (g *Group) AgreeWall(now eventloop.Micros, own int64) {
 	walls := g.walls(now, own)
 	if g.role != leader || len(walls) < 3 {
 		return
@@ -298,7 +298,7 @@
 // when most clocks are set wrong at once. That isn't believed for a while: a
 // clock that was set wrong comes right again. Only where group time may have
 // stood still since the last agreement is a later clock no wonder.
-func (g *Group) isStep(now loop.Micros, wall int64) bool {
+func (g *Group) isStep(now eventloop.Micros, wall int64) bool {
 	if g.wallOffset == 0 || g.steppedAt > 0 && now-g.steppedAt >= stepSpan {
 		return false
 	}
@@ -308,7 +308,7 @@
 
 // WallOffset is what is to be added to group time for the time of day; false
 // while too few clocks are known.
-func (g *Group) WallOffset(now loop.Micros, own int64) (int64, bool) {
+func (g *Group) WallOffset(now eventloop.Micros, own int64) (int64, bool) {
 	if g.role != leader || len(g.walls(now, own)) < min(2, len(g.roster.Voters)) {
 		return 0, false
 	}
@@ -417,9 +417,9 @@
 
 func (g *Group) quorum() int { return len(g.roster.Voters)/2 + 1 }
 
-func (g *Group) resetDeadline(now loop.Micros) {
+func (g *Group) resetDeadline(now eventloop.Micros) {
 	spread := int64(g.times.ElectionMost - g.times.ElectionLeast)
-	g.deadline = now + g.times.ElectionLeast + loop.Micros(g.rng.Int64N(spread+1))
+	g.deadline = now + g.times.ElectionLeast + eventloop.Micros(g.rng.Int64N(spread+1))
 }
 
 func (g *Group) dirty() bool { return g.hardDone < g.hardSeq }
@@ -439,7 +439,7 @@
 	g.out.Changes = append(g.out.Changes, &schema.Change{Group: g.name, Hard: &schema.Hard{Term: term, Vote: vote}})
 }
 
-func (g *Group) follow(now loop.Micros, term uint64, lead string) {
+func (g *Group) follow(now eventloop.Micros, term uint64, lead string) {
 	if term > g.term {
 		g.setHard(term, "")
 		g.matched = 0
@@ -454,7 +454,7 @@
 }
 
 // Tick lets time pass.
-func (g *Group) Tick(now loop.Micros) {
+func (g *Group) Tick(now eventloop.Micros) {
 	if g.role == leader {
 		g.tickLeader(now)
 		return
@@ -470,14 +470,14 @@
 	g.lead = ""
 	g.resetDeadline(now)
 	if g.isYoung {
-		g.deadline = now + youngAgain + loop.Micros(g.rng.Int64N(int64(youngAgain)))
+		g.deadline = now + youngAgain + eventloop.Micros(g.rng.Int64N(int64(youngAgain)))
 	}
 	if g.isVoter(g.self) {
 		g.ask(now)
 	}
 }
 
-func (g *Group) tickLeader(now loop.Micros) {
+func (g *Group) tickLeader(now eventloop.Micros) {
 	// A leader that no quorum answers can commit nothing; stepping down lets
 	// callers look for its successor.
 	if now-g.quorumAt > g.times.ElectionLeast {
@@ -492,7 +492,7 @@
 	}
 }
 
-func (g *Group) beat(now loop.Micros) {
+func (g *Group) beat(now eventloop.Micros) {
 	g.nextBeat = now + g.times.Beat
 	g.round++
 	g.rounds[g.round] = now
@@ -516,7 +516,7 @@
 	return list
 }
 
-func (g *Group) ask(now loop.Micros) {
+func (g *Group) ask(now eventloop.Micros) {
 	g.asks++
 	g.role = asking
 	g.votes = map[string]bool{g.self: true}
@@ -524,7 +524,7 @@
 	g.tally(now)
 }
 
-func (g *Group) campaign(now loop.Micros, asked bool) {
+func (g *Group) campaign(now eventloop.Micros, asked bool) {
 	g.role = candidate
 	g.lead = ""
 	g.setHard(g.term+1, g.self)
@@ -539,7 +539,7 @@
 // no pre-vote is needed; whoever has lived through any term stays as it is.
 // Others may found the group a little later and drop the first calls, so they
 // are made again for a while.
-func (g *Group) Stand(now loop.Micros) {
+func (g *Group) Stand(now eventloop.Micros) {
 	if g.term > 0 || g.lastIndex() > 0 || g.role != follower || !g.isVoter(g.self) {
 		return
 	}
@@ -566,7 +566,7 @@
 	}
 }
 
-func (g *Group) tally(now loop.Micros) {
+func (g *Group) tally(now eventloop.Micros) {
 	count := 0
 	for _, id := range g.roster.Voters {
 		if g.votes[id] {
@@ -584,10 +584,10 @@
 	}
 }
 
-func (g *Group) takeLead(now loop.Micros) {
+func (g *Group) takeLead(now eventloop.Micros) {
 	g.role, g.lead, g.isYoung = leader, g.self, false
 	g.peers = map[string]*progress{}
-	g.rounds = map[uint64]loop.Micros{}
+	g.rounds = map[uint64]eventloop.Micros{}
 	g.reads = nil
 	g.quorumAt = now
 	g.timeBase, g.timeMono, g.steppedAt = g.lastAt(), now, 0
@@ -598,7 +598,7 @@
 	g.beat(now)
 }
 
-func (g *Group) syncPeers(now loop.Micros) {
+func (g *Group) syncPeers(now eventloop.Micros) {
 	for _, id := range g.others() {
 		if g.peers[id] == nil {
 			// Nothing is known of its log yet: one Append asks whether it is ours.
@@ -612,7 +612,7 @@
 	}
 }
 
-func (g *Group) add(now loop.Micros, record *schema.Record) uint64 {
+func (g *Group) add(now eventloop.Micros, record *schema.Record) uint64 {
 	record.Index, record.Term, record.AtUs = g.lastIndex()+1, g.term, g.GroupTime(now)
 	g.put([]*schema.Record{record})
 	if record.Kind == schema.RecordKind_RECORD_ROSTER {
@@ -626,7 +626,7 @@
 }
 
 // Propose appends a command; its index and term tell it apart when applied.
-func (g *Group) Propose(now loop.Micros, data []byte) (index, term uint64, err error) {
+func (g *Group) Propose(now eventloop.Micros, data []byte) (index, term uint64, err error) {
 	if g.role != leader {
 		return 0, 0, NotLeader.New("%s is led by %q", g.name, g.lead)
 	}
@@ -638,7 +638,7 @@
 
 // ProposeRoster changes the members by one; the next change waits until this
 // one is committed.
-func (g *Group) ProposeRoster(now loop.Micros, roster *schema.Roster) error {
+func (g *Group) ProposeRoster(now eventloop.Micros, roster *schema.Roster) error {
 	if g.role != leader {
 		return NotLeader.New("%s is led by %q", g.name, g.lead)
 	}
@@ -650,7 +650,7 @@
 }
 
 // Read asks that an errand be answered from a state no older than now.
-func (g *Group) Read(now loop.Micros, errand uint64) error {
+func (g *Group) Read(now eventloop.Micros, errand uint64) error {
 	if g.role != leader || g.commit < g.first {
 		return NotLeader.New("%s is led by %q", g.name, g.lead)
 	}
@@ -660,7 +660,7 @@
 
 // FlushReads starts a round for the reads that wait for one: all those of a
 // pass share it.
-func (g *Group) FlushReads(now loop.Micros) {
+func (g *Group) FlushReads(now eventloop.Micros) {
 	if g.role != leader || len(g.reads) == 0 || g.reads[len(g.reads)-1].round <= g.round {
 		return
 	}
@@ -673,14 +673,14 @@
 }
 
 // Announce tells at once what is committed, rather than with the next beat or record.
-func (g *Group) Announce(now loop.Micros) {
+func (g *Group) Announce(now eventloop.Micros) {
 	if g.role == leader {
 		g.beat(now)
 	}
 }
 
 // Pass hands the leadership to a voter that has the whole log.
-func (g *Group) Pass(now loop.Micros, to string) {
+func (g *Group) Pass(now eventloop.Micros, to string) {
 	if g.role != leader || to == g.self || !g.isVoter(to) || g.passTo != "" {
 		return
 	}
@@ -698,7 +698,7 @@
 }
 
 // Synced says that a batch with this mark lasts.
-func (g *Group) Synced(now loop.Micros, mark Mark) {
+func (g *Group) Synced(now eventloop.Micros, mark Mark) {
 	if mark.Hard > g.hardDone {
 		g.hardDone = mark.Hard
 		g.tally(now)
@@ -720,7 +720,7 @@
 }
 
 // Step takes a message of another replica.
-func (g *Group) Step(now loop.Micros, from string, body any) {
+func (g *Group) Step(now eventloop.Micros, from string, body any) {
 	switch m := body.(type) {
 	case *schema.Vote:
 		g.onVote(now, from, m)
@@ -743,7 +743,7 @@
 	}
 }
 
-func (g *Group) onVote(now loop.Micros, from string, m *schema.Vote) {
+func (g *Group) onVote(now eventloop.Micros, from string, m *schema.Vote) {
 	// Who hears a leader keeps it: a replica that was cut off and comes back
 	// disturbs nobody. A leader's own wish to pass goes through.
 	isLed := g.lead != "" && (g.role == leader || now-g.heard < g.times.ElectionLeast)
@@ -776,7 +776,7 @@
 	g.post(from, &schema.VoteReply{Group: g.name, Term: g.term, Granted: isGranted})
 }
 
-func (g *Group) onVoteReply(now loop.Micros, from string, m *schema.VoteReply) {
+func (g *Group) onVoteReply(now eventloop.Micros, from string, m *schema.VoteReply) {
 	if !m.Granted {
 		if m.Term > g.term {
 			g.follow(now, m.Term, "")
@@ -791,7 +791,7 @@
 }
 
 // led notes word of a term's leader and tells whether it is to be heeded.
-func (g *Group) led(now loop.Micros, from string, term uint64) bool {
+func (g *Group) led(now eventloop.Micros, from string, term uint64) bool {
 	if term < g.term {
 		return false
 	}
@@ -803,7 +803,7 @@
 	return true
 }
 
-func (g *Group) onAppend(now loop.Micros, from string, m *schema.Append) {
+func (g *Group) onAppend(now eventloop.Micros, from string, m *schema.Append) {
 	if !g.led(now, from, m.Term) {
 		g.post(from, &schema.AppendReply{Group: g.name, Term: g.term, Rejected: true})
 		return
@@ -837,7 +837,7 @@
 	}
 }
 
-func (g *Group) onInstall(now loop.Micros, from string, m *schema.Install) {
+func (g *Group) onInstall(now eventloop.Micros, from string, m *schema.Install) {
 	if !g.led(now, from, m.Term) {
 		g.post(from, &schema.AppendReply{Group: g.name, Term: g.term, Rejected: true})
 		return
@@ -862,7 +862,7 @@
 	g.out.Restore, g.out.Commits = point, nil
 }
 
-func (g *Group) onBeat(now loop.Micros, from string, m *schema.Beat) {
+func (g *Group) onBeat(now eventloop.Micros, from string, m *schema.Beat) {
 	if !g.led(now, from, m.Term) {
 		g.post(from, &schema.AppendReply{Group: g.name, Term: g.term, Rejected: true})
 		return
@@ -896,7 +896,7 @@
 
 // --- leader ---
 
-func (g *Group) feed(now loop.Micros, id string) {
+func (g *Group) feed(now eventloop.Micros, id string) {
 	p := g.peers[id]
 	if p == nil || p.installing {
 		return
@@ -935,12 +935,12 @@
 }
 
 // probe goes back to a place and sends from there one Append alone.
-func (g *Group) probe(now loop.Micros, id string, p *progress, next uint64) {
+func (g *Group) probe(now eventloop.Micros, id string, p *progress, next uint64) {
 	p.next, p.probing, p.probed = next, true, false
 	g.feed(now, id)
 }
 
-func (g *Group) heardFrom(now loop.Micros, from string, term uint64) *progress {
+func (g *Group) heardFrom(now eventloop.Micros, from string, term uint64) *progress {
 	if term > g.term {
 		g.follow(now, term, "")
 		return nil
@@ -955,7 +955,7 @@
 	return p
 }
 
-func (g *Group) onAppendReply(now loop.Micros, from string, m *schema.AppendReply) {
+func (g *Group) onAppendReply(now eventloop.Micros, from string, m *schema.AppendReply) {
 	p := g.heardFrom(now, from, m.Term)
 	if p == nil {
 		return
@@ -977,7 +977,7 @@
 	g.progressed(now, from, p, m.Match)
 }
 
-func (g *Group) progressed(now loop.Micros, from string, p *progress, match uint64) {
+func (g *Group) progressed(now eventloop.Micros, from string, p *progress, match uint64) {
 	if match > p.match {
 		p.match, p.moved = match, now
 		p.next = max(p.next, match+1)
@@ -993,7 +993,7 @@
 	}
 }
 
-func (g *Group) onBeatReply(now loop.Micros, from string, m *schema.BeatReply) {
+func (g *Group) onBeatReply(now eventloop.Micros, from string, m *schema.BeatReply) {
 	p := g.heardFrom(now, from, m.Term)
 	if p == nil {
 		return
@@ -1018,7 +1018,7 @@
 	g.countRounds(now)
 }
 
-func (g *Group) countRounds(now loop.Micros) {
+func (g *Group) countRounds(now eventloop.Micros) {
 	round := g.nth(func(id string) uint64 {
 		if id == g.self {
 			return g.round
@@ -1057,7 +1057,7 @@
 	return values[g.quorum()-1]
 }
 
-func (g *Group) advance(now loop.Micros) {
+func (g *Group) advance(now eventloop.Micros) {
 	if g.role != leader {
 		return
 	}
--- a/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -8,18 +8,18 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/vault"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 // rig is a group of replicas with a network that a test shapes by hand.
 type rig struct {
-	now     loop.Micros
+	now     eventloop.Micros
 	rng     *rand.Rand
 	groups  map[string]*Group
-	images  map[string]*vault.Image // what is durable
-	pending map[string][]Post       // posts that wait for a sync
+	images  map[string]*storage.Image // what is durable
+	pending map[string][]Post         // posts that wait for a sync
 	changes map[string][]*schema.Change
 	applied map[string][]string
 	reads   map[string][]uint64
@@ -42,12 +42,12 @@
 
 func newRig(seed uint64, members ...string) *rig {
 	r := &rig{
-		now: loop.Second, rng: rand.New(rand.NewPCG(seed, 1)), groups: map[string]*Group{}, images: map[string]*vault.Image{},
+		now: eventloop.Second, rng: rand.New(rand.NewPCG(seed, 1)), groups: map[string]*Group{}, images: map[string]*storage.Image{},
 		pending: map[string][]Post{}, changes: map[string][]*schema.Change{}, applied: map[string][]string{}, reads: map[string][]uint64{},
 		isDown: map[string]bool{}, noSync: map[string]bool{}, cut: func(string, string) bool { return false },
 	}
 	for _, id := range members {
-		r.images[id] = &vault.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{Roster: &schema.Roster{Voters: members}}}
+		r.images[id] = &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{Roster: &schema.Roster{Voters: members}}}
 		r.start(id)
 	}
 	return r
@@ -58,7 +58,7 @@
 	r.pending[id], r.changes[id] = nil, nil
 	r.applied[id] = nil
 	image := r.images[id]
-	copied := &vault.Image{Hard: image.Hard, Checkpoint: image.Checkpoint, Records: append([]*schema.Record(nil), image.Records...)}
+	copied := &storage.Image{Hard: image.Hard, Checkpoint: image.Checkpoint, Records: append([]*schema.Record(nil), image.Records...)}
 	r.groups[id] = New("g", id, copied, UsualTimes, rand.New(rand.NewPCG(r.rng.Uint64(), 2)), r.now)
 }
 
@@ -87,7 +87,7 @@
 	if r.noSync[id] {
 		return
 	}
-	content := &vault.Content{Groups: map[string]*vault.Image{"g": r.images[id]}}
+	content := &storage.Content{Groups: map[string]*storage.Image{"g": r.images[id]}}
 	changes := r.changes[id]
 	r.changes[id] = nil
 	for _, change := range changes {
@@ -104,8 +104,8 @@
 }
 
 // run lets time pass in steps of 10 ms, delivering everything each time.
-func (r *rig) run(span loop.Micros) {
-	for end := r.now + span; r.now < end; r.now += 10 * loop.Milli {
+func (r *rig) run(span eventloop.Micros) {
+	for end := r.now + span; r.now < end; r.now += 10 * eventloop.Milli {
 		for _, id := range sortedIds(r.groups) {
 			if !r.isDown[id] {
 				r.groups[id].Tick(r.now)
@@ -165,11 +165,11 @@
 func TestElection(t *testing.T) {
 	Convey("Three replicas elect one leader, and its records reach all", t, func() {
 		r := newRig(1, ids...)
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		So(r.leader(), ShouldNotBeNil)
 		So(r.propose("one"), ShouldBeTrue)
 		So(r.propose("two"), ShouldBeTrue)
-		r.run(loop.Second)
+		r.run(eventloop.Second)
 		for _, id := range ids {
 			So(r.applied[id], ShouldResemble, []string{"one", "two"})
 		}
@@ -182,11 +182,11 @@
 				}
 			}
 			r.cut = func(from, to string) bool { return from == far || to == far }
-			r.run(20 * loop.Second)
+			r.run(20 * eventloop.Second)
 			term := old.Term()
 			So(r.groups[far].Term(), ShouldEqual, term)
 			r.cut = func(string, string) bool { return false }
-			r.run(3 * loop.Second)
+			r.run(3 * eventloop.Second)
 			So(r.leader(), ShouldEqual, old)
 			So(old.Term(), ShouldEqual, term)
 		})
@@ -195,14 +195,14 @@
 			r.cut = func(from, to string) bool { return from == old.self || to == old.self }
 			r.propose("lost")
 			So(old.Acting(r.now), ShouldBeTrue)
-			r.run(500 * loop.Milli)
+			r.run(500 * eventloop.Milli)
 			So(old.Acting(r.now), ShouldBeFalse)
-			r.run(5 * loop.Second)
+			r.run(5 * eventloop.Second)
 			So(old.IsLeader(), ShouldBeFalse)
 			So(r.propose("three"), ShouldBeTrue)
-			r.run(loop.Second)
+			r.run(eventloop.Second)
 			r.cut = func(string, string) bool { return false }
-			r.run(4 * loop.Second)
+			r.run(4 * eventloop.Second)
 			for _, id := range ids {
 				So(r.applied[id], ShouldResemble, []string{"one", "two", "three"})
 			}
@@ -215,7 +215,7 @@
 			}
 			old.Pass(r.now, to)
 			r.collect(old.self)
-			r.run(50 * loop.Milli)
+			r.run(50 * eventloop.Milli)
 			So(r.leader().self, ShouldEqual, to)
 		})
 	})
@@ -224,7 +224,7 @@
 func TestNothingIsToldBeforeItLasts(t *testing.T) {
 	Convey("A follower whose disk doesn't answer acknowledges nothing, and votes for nobody", t, func() {
 		r := newRig(3, ids...)
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		lead := r.leader()
 		for _, id := range ids {
 			if id != lead.self {
@@ -232,14 +232,14 @@
 			}
 		}
 		r.propose("one")
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		So(len(r.applied[lead.self]), ShouldEqual, 0)
 		// Heartbeats go on meanwhile, so it still leads.
 		So(lead.IsLeader(), ShouldBeTrue)
 		for _, id := range ids {
 			r.noSync[id] = false
 		}
-		r.run(2 * loop.Second)
+		r.run(2 * eventloop.Second)
 		So(r.applied[lead.self], ShouldResemble, []string{"one"})
 	})
 	Convey("A vote isn't told before it lasts, nor does a candidate count its own", t, func() {
@@ -247,7 +247,7 @@
 		for _, id := range ids[1:] {
 			r.noSync[id] = true
 		}
-		r.run(6 * loop.Second)
+		r.run(6 * eventloop.Second)
 		So(r.leader(), ShouldBeNil)
 		// Votes that were never synced are lost with the power, and another may
 		// be given in the same term.
@@ -255,7 +255,7 @@
 			r.noSync[id] = false
 			r.start(id)
 		}
-		r.run(6 * loop.Second)
+		r.run(6 * eventloop.Second)
 		So(r.leader(), ShouldNotBeNil)
 	})
 	Convey("A sync that is reported for a record replaced meanwhile proves nothing", t, func() {
@@ -279,7 +279,7 @@
 func TestCheckpointReachesWhoLags(t *testing.T) {
 	Convey("A replica that was away beyond the released log gets the checkpoint, then the rest", t, func() {
 		r := newRig(5, ids...)
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		lead := r.leader()
 		var far string
 		for _, id := range ids {
@@ -291,11 +291,11 @@
 		for k := 0; k < 50; k++ {
 			r.propose(fmt.Sprint(k))
 		}
-		r.run(loop.Second)
+		r.run(eventloop.Second)
 		lead.Release(lead.Applied()-5, []byte("state"))
 		r.collect(lead.self)
 		r.start(far)
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		So(r.applied[far], ShouldResemble, []string{"state", "45", "46", "47", "48", "49"})
 		So(r.groups[far].GroupTime(r.now), ShouldBeGreaterThan, 0)
 	})
@@ -305,7 +305,7 @@
 	Convey("A replica that was away gets what it lacks about once, however much was on its way", t, func() {
 		for seed := uint64(1); seed < 20; seed++ {
 			r := newRig(seed, ids...)
-			r.run(4 * loop.Second)
+			r.run(4 * eventloop.Second)
 			lead := r.leader()
 			var far string
 			for _, id := range ids {
@@ -317,14 +317,14 @@
 			for k := 0; k < 900; k++ {
 				r.propose(fmt.Sprint(k))
 			}
-			r.run(3 * loop.Second)
+			r.run(3 * eventloop.Second)
 			r.cut = func(string, string) bool { return false }
 			// Many records come in the moment before it catches up.
 			r.appends, r.isOrdered = 0, true
 			for k := 0; k < 40; k++ {
 				r.propose(fmt.Sprint("n", k))
 			}
-			r.run(2 * loop.Second)
+			r.run(2 * eventloop.Second)
 			So(len(r.applied[far]), ShouldEqual, 940)
 			So(r.appends, ShouldBeLessThan, 120)
 		}
@@ -334,11 +334,11 @@
 func TestNewLeaderOfALongLog(t *testing.T) {
 	Convey("A new leader of a log longer than what may be on its way acts at once, and sends nothing anew", t, func() {
 		r := newRig(9, ids...)
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		for k := 0; k < maxFlight+500; k++ {
 			r.propose(fmt.Sprint(k))
 		}
-		r.run(2 * loop.Second)
+		r.run(2 * eventloop.Second)
 		old := r.leader()
 		to := "a"
 		if old.self == "a" {
@@ -348,7 +348,7 @@
 		Convey("as one that was handed the group", func() {
 			old.Pass(r.now, to)
 			r.collect(old.self)
-			r.run(50 * loop.Milli)
+			r.run(50 * eventloop.Milli)
 			So(r.groups[to].Acting(r.now), ShouldBeTrue)
 			So(r.appends, ShouldBeLessThan, 10)
 		})
@@ -356,10 +356,10 @@
 			r.cut = func(from, other string) bool { return len(r.applied[to]) > 0 && r.groups[to].IsLeader() }
 			old.Pass(r.now, to)
 			r.collect(old.self)
-			r.run(50 * loop.Milli)
+			r.run(50 * eventloop.Milli)
 			So(r.groups[to].IsLeader(), ShouldBeTrue)
 			r.cut = func(string, string) bool { return false }
-			r.run(500 * loop.Milli)
+			r.run(500 * eventloop.Milli)
 			So(r.groups[to].Acting(r.now), ShouldBeTrue)
 			So(r.appends, ShouldBeLessThan, 20)
 		})
@@ -370,9 +370,9 @@
 	Convey("When all start anew whoever led last leads again, without an election's time", t, func() {
 		for seed := uint64(1); seed <= 50; seed++ {
 			r := newRig(seed, ids...)
-			r.run(4 * loop.Second)
+			r.run(4 * eventloop.Second)
 			r.propose("one")
-			r.run(loop.Second)
+			r.run(eventloop.Second)
 			old := r.leader().self
 			isSplit := false
 			for _, id := range ids {
@@ -380,7 +380,7 @@
 				isSplit = isSplit || id != old && r.images[id].Hard.Vote == id
 				r.start(id)
 			}
-			r.run(UsualTimes.acting() + 50*loop.Milli)
+			r.run(UsualTimes.acting() + 50*eventloop.Milli)
 			if !isSplit {
 				So(r.leader().self, ShouldEqual, old)
 			}
@@ -390,25 +390,25 @@
 	Convey("and another does a moment later if that one stays away", t, func() {
 		for seed := uint64(1); seed <= 50; seed++ {
 			r := newRig(seed, ids...)
-			r.run(4 * loop.Second)
+			r.run(4 * eventloop.Second)
 			old := r.leader().self
 			for _, id := range ids {
 				r.start(id)
 			}
 			r.isDown[old] = true
-			r.run(loop.Second)
+			r.run(eventloop.Second)
 			So(r.leader(), ShouldNotBeNil)
 		}
 	})
 	Convey("One that starts alone disturbs nobody, nor does it lead before the last leader acts no more", t, func() {
 		r := newRig(1, ids...)
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		lead := r.leader()
 		term := lead.Term()
 		for _, id := range ids {
 			if id != lead.self {
 				r.start(id)
-				r.run(3 * loop.Second)
+				r.run(3 * eventloop.Second)
 			}
 		}
 		So(r.leader(), ShouldEqual, lead)
@@ -419,9 +419,9 @@
 func TestMembersChangeByOne(t *testing.T) {
 	Convey("A fresh replica learns, is promoted, and the lost one is dropped", t, func() {
 		r := newRig(6, ids...)
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		r.propose("one")
-		r.run(loop.Second)
+		r.run(eventloop.Second)
 		lead := r.leader()
 		lost, other := "", ""
 		for _, id := range ids {
@@ -433,25 +433,25 @@
 			lost = "a"
 		}
 		r.isDown[lost] = true
-		r.images["d"] = &vault.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}}
+		r.images["d"] = &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}}
 		r.start("d")
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		So(r.groups["d"].Term(), ShouldEqual, 0) // it never campaigns unasked
 		So(lead.ProposeRoster(r.now, &schema.Roster{Voters: ids, Learners: []string{"d"}}), ShouldBeNil)
 		r.collect(lead.self)
-		r.run(loop.Second)
+		r.run(eventloop.Second)
 		So(r.applied["d"], ShouldResemble, []string{"one"})
 		So(lead.ProposeRoster(r.now, &schema.Roster{Voters: append(append([]string{}, ids...), "d")}), ShouldBeNil)
 		So(lead.ProposeRoster(r.now, &schema.Roster{Voters: ids}), ShouldNotBeNil)
 		r.collect(lead.self)
-		r.run(loop.Second)
+		r.run(eventloop.Second)
 		So(lead.ProposeRoster(r.now, &schema.Roster{Voters: []string{lead.self, other, "d"}}), ShouldBeNil)
 		r.collect(lead.self)
-		r.run(loop.Second)
+		r.run(eventloop.Second)
 		// A second loss is survived now.
 		r.isDown[other] = true
 		r.propose("two")
-		r.run(loop.Second)
+		r.run(eventloop.Second)
 		So(r.applied["d"], ShouldResemble, []string{"one", "two"})
 	})
 }
@@ -459,16 +459,16 @@
 func TestReadsAreNotOlderThanAsked(t *testing.T) {
 	Convey("A read is answered only when a quorum has heard from this leader since", t, func() {
 		r := newRig(7, ids...)
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		lead := r.leader()
 		So(lead.Read(r.now, 1), ShouldBeNil)
 		r.collect(lead.self)
-		r.run(20 * loop.Milli)
+		r.run(20 * eventloop.Milli)
 		So(r.reads[lead.self], ShouldResemble, []uint64{1})
 		r.cut = func(from, to string) bool { return from == lead.self || to == lead.self }
 		So(lead.Read(r.now, 2), ShouldBeNil)
 		r.collect(lead.self)
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		So(r.reads[lead.self], ShouldResemble, []uint64{1})
 	})
 }
@@ -498,7 +498,7 @@
 			case 4:
 				r.cut = func(string, string) bool { return false }
 			}
-			r.run(loop.Micros(r.rng.Int64N(int64(loop.Second))))
+			r.run(eventloop.Micros(r.rng.Int64N(int64(eventloop.Second))))
 			for _, id := range ids {
 				got := r.applied[id]
 				for i := 0; i < min(len(got), len(longest)); i++ {
@@ -518,7 +518,7 @@
 				r.start(id)
 			}
 		}
-		r.run(8 * loop.Second)
+		r.run(8 * eventloop.Second)
 		if len(longest) == 0 {
 			t.Fatalf("seed %d: nothing was ever applied", seed)
 		}
@@ -531,7 +531,7 @@
 }
 
 func TestWallTime(t *testing.T) {
-	const right, jump = int64(1_800_000_000_000_000), int64(3600 * loop.Second)
+	const right, jump = int64(1_800_000_000_000_000), int64(3600 * eventloop.Second)
 	clock := func(g *Group, walls map[string]int64) {
 		for id, wall := range walls {
 			g.peers[id].wall = wall
@@ -539,7 +539,7 @@
 	}
 	Convey("Of three clocks the middle one counts", t, func() {
 		r := newRig(1, ids...)
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		g := r.leader()
 		for k, id := range g.others() {
 			clock(g, map[string]int64{id: []int64{right + jump, right}[k]})
@@ -549,10 +549,10 @@
 	})
 	Convey("Most clocks that jump together aren't believed for a while", t, func() {
 		r := newRig(1, ids...)
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		g := r.leader()
 		now, others := r.now, g.others()
-		at := func(jump int64, span loop.Micros) int64 {
+		at := func(jump int64, span eventloop.Micros) int64 {
 			walls := map[string]int64{}
 			for _, id := range others {
 				walls[id] = right + jump - int64(now)
@@ -563,25 +563,25 @@
 		}
 		So(at(0, 0), ShouldEqual, right)
 		for _, each := range []int64{jump, -jump, 5_000_000, -5_000_000} {
-			So(at(each, loop.Second), ShouldEqual, right)
-			So(at(each, 7*loop.Second), ShouldEqual, right)
-			So(at(0, 8*loop.Second), ShouldEqual, right)
-		}
-		So(at(200_000, 9*loop.Second), ShouldEqual, right+200_000)
-		So(at(jump, 10*loop.Second), ShouldEqual, right+200_000)
-		So(at(jump, 29*loop.Second), ShouldEqual, right+200_000)
-		So(at(jump, 30*loop.Second), ShouldEqual, right+jump)
+			So(at(each, eventloop.Second), ShouldEqual, right)
+			So(at(each, 7*eventloop.Second), ShouldEqual, right)
+			So(at(0, 8*eventloop.Second), ShouldEqual, right)
+		}
+		So(at(200_000, 9*eventloop.Second), ShouldEqual, right+200_000)
+		So(at(jump, 10*eventloop.Second), ShouldEqual, right+200_000)
+		So(at(jump, 29*eventloop.Second), ShouldEqual, right+200_000)
+		So(at(jump, 30*eventloop.Second), ShouldEqual, right+jump)
 	})
 	Convey("A later time than a former leader's is no jump: group time may have stood still", t, func() {
 		r := newRig(1, ids...)
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		g := r.leader()
 		walls := map[string]int64{}
 		for _, id := range g.others() {
 			walls[id] = right - int64(r.now)
 		}
 		clock(g, walls)
-		g.wallOffset = right - g.GroupTime(r.now) - 13*int64(loop.Second)
+		g.wallOffset = right - g.GroupTime(r.now) - 13*int64(eventloop.Second)
 		So(g.WallTime(r.now, right), ShouldEqual, right)
 		offset, isKnown := g.WallOffset(r.now, right)
 		So(isKnown, ShouldBeTrue)
@@ -592,7 +592,7 @@
 	})
 	Convey("Of two, the one that fits what three agreed on, and never an earlier start", t, func() {
 		r := newRig(1, ids...)
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		g := r.leader()
 		now := r.now
 		others := g.others()
@@ -600,10 +600,10 @@
 		g.AgreeWall(now, right)
 		g.beat(now)
 		r.collect(g.self)
-		r.run(20 * loop.Milli)
+		r.run(20 * eventloop.Milli)
 		// The leader goes; its successor has heard one clock besides its own.
 		r.isDown[g.self] = true
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		next := r.leader()
 		So(next.self, ShouldNotEqual, g.self)
 		for _, id := range next.others() {
@@ -613,7 +613,7 @@
 		if live == next.self {
 			live = others[1]
 		}
-		now, later := r.now, right+int64(4*loop.Second)
+		now, later := r.now, right+int64(4*eventloop.Second)
 		for _, each := range []struct{ own, other, want int64 }{
 			{later, later + jump, later}, {later + jump, later, later}, {later, later - jump, later}, {later - jump, later, later},
 		} {
@@ -626,7 +626,7 @@
 func TestActing(t *testing.T) {
 	Convey("A leader acts only while a quorum has answered it a moment ago, long before it steps down", t, func() {
 		r := newRig(1, ids...)
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		g := r.leader()
 		So(g.Acting(r.now), ShouldBeTrue)
 		r.cut = func(from, to string) bool { return from == g.self || to == g.self }
@@ -637,29 +637,29 @@
 	Convey("and acts no more when another may lead, however soon that is", t, func() {
 		for seed := uint64(1); seed <= 50; seed++ {
 			r := newRig(seed, ids...)
-			r.run(3 * loop.Second)
+			r.run(3 * eventloop.Second)
 			g := r.leader()
 			r.cut = func(from, to string) bool { return from == g.self || to == g.self }
 			for k := 0; k < 200 && g.Acting(r.now); k++ {
 				for id, other := range r.groups {
 					So(id == g.self || !other.IsLeader(), ShouldBeTrue)
 				}
-				r.run(10 * loop.Milli)
+				r.run(10 * eventloop.Milli)
 			}
 			So(g.Acting(r.now), ShouldBeFalse)
 		}
 	})
 	Convey("A beat that lay in a buffer makes no copy fresh", t, func() {
 		r := newRig(1, ids...)
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		g := r.leader()
 		other := r.groups[g.others()[0]]
 		beat := &schema.Beat{Group: "g", Term: g.term, Commit: g.commit, Round: g.round, Sure: true, Heard: g.peers[other.self].round}
 		before := other.Fresh()
-		So(r.now-before, ShouldBeLessThan, loop.Second)
+		So(r.now-before, ShouldBeLessThan, eventloop.Second)
 		// It is delivered an hour later.
-		other.Step(r.now+3600*loop.Second, g.self, beat)
-		So(other.Fresh()-before, ShouldBeLessThan, loop.Second)
+		other.Step(r.now+3600*eventloop.Second, g.self, beat)
+		So(other.Fresh()-before, ShouldBeLessThan, eventloop.Second)
 	})
 }
 
@@ -668,10 +668,10 @@
 		for seed := uint64(1); seed <= 20; seed++ {
 			r := newRig(seed, ids...)
 			r.groups["b"].Stand(r.now)
-			r.run(50 * loop.Milli)
+			r.run(50 * eventloop.Milli)
 			So(r.leader(), ShouldEqual, r.groups["b"])
 			So(r.propose("x"), ShouldBeTrue)
-			r.run(400 * loop.Milli)
+			r.run(400 * eventloop.Milli)
 			So(r.applied["a"], ShouldResemble, []string{"x"})
 		}
 	})
@@ -681,10 +681,10 @@
 		delete(r.groups, "a")
 		delete(r.groups, "c")
 		r.groups["b"].Stand(r.now)
-		r.run(230 * loop.Milli)
+		r.run(230 * eventloop.Milli)
 		So(r.leader(), ShouldBeNil)
 		r.groups["c"] = others["c"]
-		r.run(callRest + 20*loop.Milli)
+		r.run(callRest + 20*eventloop.Milli)
 		So(r.leader(), ShouldEqual, r.groups["b"])
 		So(r.groups["b"].Term(), ShouldEqual, 1)
 	})
@@ -693,9 +693,9 @@
 			r := newRig(seed, ids...)
 			r.loss = 0.5
 			r.groups["b"].Stand(r.now)
-			r.run(600 * loop.Milli)
+			r.run(600 * eventloop.Milli)
 			r.loss = 0
-			r.run(4 * loop.Second)
+			r.run(4 * eventloop.Second)
 			So(r.leader(), ShouldNotBeNil)
 		}
 	})
@@ -703,7 +703,7 @@
 		r := newRig(5, ids...)
 		r.groups["a"].Stand(r.now)
 		r.groups["b"].Stand(r.now)
-		r.run(4 * loop.Second)
+		r.run(4 * eventloop.Second)
 		So(r.leader(), ShouldNotBeNil)
 		leaders := 0
 		for _, g := range r.groups {
@@ -715,14 +715,14 @@
 	})
 	Convey("Who has lived through a term, leads, or has no vote doesn't stand", t, func() {
 		r := newRig(7, ids...)
-		r.run(3 * loop.Second)
+		r.run(3 * eventloop.Second)
 		term := r.leader().Term()
 		for _, id := range ids {
 			r.groups[id].Stand(r.now)
 		}
-		r.run(2 * loop.Second)
+		r.run(2 * eventloop.Second)
 		So(r.leader().Term(), ShouldEqual, term)
-		stranger := New("g", "x", &vault.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}}, UsualTimes, r.rng, r.now)
+		stranger := New("g", "x", &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}}, UsualTimes, r.rng, r.now)
 		stranger.Stand(r.now)
 		effects, _ := stranger.Take()
 		So(effects.Changes, ShouldBeEmpty)
@@ -730,23 +730,23 @@
 	Convey("A founder that its leader reached before it had founded becomes a voter, and stays one", t, func() {
 		r := newRig(9, ids...)
 		// c was opened empty, by the leader's first word.
-		r.images["c"] = &vault.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}}
+		r.images["c"] = &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}}
 		r.start("c")
 		r.groups["a"].Stand(r.now)
-		r.run(300 * loop.Milli)
+		r.run(300 * eventloop.Milli)
 		So(r.propose("x"), ShouldBeTrue)
-		r.run(300 * loop.Milli)
+		r.run(300 * eventloop.Milli)
 		So(r.applied["c"], ShouldResemble, []string{"x"})
 		r.groups["c"].Found(ids)
 		r.collect("c")
 		So(r.groups["c"].Roster().Voters, ShouldResemble, ids)
 		r.start("c")
 		So(r.propose("y"), ShouldBeTrue)
-		r.run(300 * loop.Milli)
+		r.run(300 * eventloop.Milli)
 		So(r.groups["c"].Roster().Voters, ShouldResemble, ids)
 		So(r.applied["c"], ShouldResemble, []string{"x", "y"})
 		r.groups["a"].Pass(r.now, "c")
-		r.run(100 * loop.Milli)
+		r.run(100 * eventloop.Milli)
 		So(r.leader(), ShouldEqual, r.groups["c"])
 	})
 }
--- a/keep/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -1,4 +1,4 @@
-package keep
+package replica
 
 import (
 	"fmt"
@@ -6,9 +6,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
 )
 
 // BenchmarkManyLanes is a mail that changes nothing, and a tick, on the keeper of
@@ -24,9 +24,9 @@
 		}
 		So(c.put(lanesSheet(1, "", lanes...)).Code, ShouldEqual, 200)
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: places}}).Code, ShouldEqual, 200)
-		c.run(loop.Second)
+		c.run(eventloop.Second)
 		So(c.leader("l49"), ShouldEqual, "a")
-		for name, body := range map[string]any{"mail": &kin.Roll{}, "tick": loop.Tick{}} {
+		for name, body := range map[string]any{"mail": &membership.Roll{}, "tick": eventloop.Tick{}} {
 			b.Run(name, func(b *testing.B) {
 				b.ReportAllocs()
 				for k := 0; k < b.N; k++ {
--- a/keep/confirm_test.go
+++ b/internal/replica/confirm_test.go
@@ -1,12 +1,12 @@
-package keep
+package replica
 
 import (
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 func TestConfirmAfterApply(t *testing.T) {
@@ -15,7 +15,7 @@
 		So(c.put(lanesSheet(1, "one", "l")).Code, ShouldEqual, 200)
 		place := &schema.PlaceLanes{Licence: c.licence(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: place}}).Code, ShouldEqual, 200)
-		c.run(2 * loop.Second)
+		c.run(2 * eventloop.Second)
 		keeper := c.leader("l")
 		So(keeper, ShouldNotBeEmpty)
 		confirmed := func(number uint64) (codes []int32) {
@@ -24,7 +24,7 @@
 			c.step(keeper, "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
 				Session: &schema.Session{Intake: "f", Boot: 1, Client: "c"}, Number: number, Lowest: number, Name: "j" + string(rune('0'+number)), Job: job,
 			}}})
-			c.run(200 * loop.Milli)
+			c.run(200 * eventloop.Milli)
 			for _, each := range c.heard["f"] {
 				if applied, isIt := each.(*schema.Applied); isIt {
 					for _, outcome := range applied.Outcomes {
--- a/keep/errand.go
+++ b/internal/replica/errand.go
@@ -1,4 +1,4 @@
-package keep
+package replica
 
 import (
 	"crypto/sha256"
@@ -10,15 +10,15 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/loop"
-	"sparnotch/raft"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/raft"
+	"sparnotch/internal/schema"
 )
 
 // --- errands: whatever a front does for somebody besides hand-ins ---
 
-func (t *Table) errand(now loop.Micros, from string, m *schema.Errand, out loop.Out) {
+func (t *Table) errand(now eventloop.Micros, from string, m *schema.Errand, out eventloop.Out) {
 	r := t.groupFor(m)
 	if r == nil || !r.group.IsLeader() || r.group.Passing() != "" {
 		out.Send(from, &schema.ErrandReply{Id: m.Id, Group: m.Group, Leader: leaderOf(r)})
@@ -46,16 +46,16 @@
 }
 
 func (t *Table) groupFor(m *schema.Errand) *replica {
-	if m.Group == charter.Group {
-		return t.groups[charter.Group]
+	if m.Group == clusterstate.Group {
+		return t.groups[clusterstate.Group]
 	}
-	if place := charter.Place(t.state, m.Group); place != nil {
+	if place := clusterstate.Place(t.state, m.Group); place != nil {
 		return t.groups[GroupOf(place)]
 	}
 	return nil
 }
 
-func (t *Table) read(now loop.Micros, r *replica, number uint64, out loop.Out) {
+func (t *Table) read(now eventloop.Micros, r *replica, number uint64, out eventloop.Out) {
 	asked, isKnown := r.reading[number]
 	if !isKnown {
 		return
@@ -79,25 +79,25 @@
 	case "history":
 		history := t.charter.History()
 		parts := make([]json.RawMessage, 0, len(history)+1)
-		for _, plan := range append(history[:len(history):len(history)], charter.Bare(t.charter.Plan())) {
+		for _, plan := range append(history[:len(history):len(history)], clusterstate.Bare(t.charter.Plan())) {
 			parts = append(parts, planBody(plan))
 		}
 		t.reply(asked, 200, mustJSON(parts), r.group, out)
 	}
 }
 
-func (t *Table) reply(asked waiter, code int32, body []byte, group *raft.Group, out loop.Out) {
+func (t *Table) reply(asked waiter, code int32, body []byte, group *raft.Group, out eventloop.Out) {
 	out.Send(asked.from, &schema.ErrandReply{Id: asked.errand.Id, Code: code, Body: body, Leader: t.id, Group: asked.errand.Group})
 }
 
-func (t *Table) answerCharter(asked waiter, result *charter.Result, r *replica, out loop.Out) {
+func (t *Table) answerCharter(asked waiter, result *clusterstate.Result, r *replica, out eventloop.Out) {
 	var body []byte
 	switch {
 	case result.Fault != nil:
 		body = mustJSON(result.Fault)
 	case result.Plan != nil:
 		// Who has sent the document needn't get it back.
-		body = planBody(charter.Bare(result.Plan))
+		body = planBody(clusterstate.Bare(result.Plan))
 	default:
 		body = mustJSON(map[string]uint64{"licence": result.Licence})
 	}
@@ -132,13 +132,13 @@
 }
 
 // tellCharter answers whoever carries a copy of the charter.
-func (t *Table) tellCharter(now loop.Micros, from string, m *schema.CharterAsk, out loop.Out) {
-	r := t.groups[charter.Group]
+func (t *Table) tellCharter(now eventloop.Micros, from string, m *schema.CharterAsk, out eventloop.Out) {
+	r := t.groups[clusterstate.Group]
 	// A copy that may be behind would only hold the asker back.
 	if !t.isCharterFresh(now) {
 		return
 	}
-	tell := &schema.CharterTell{Version: t.state.Version, Leaders: map[string]string{charter.Group: r.group.Leader()}, StewardUntilUs: t.charter.StewardUntil()}
+	tell := &schema.CharterTell{Version: t.state.Version, Leaders: map[string]string{clusterstate.Group: r.group.Leader()}, StewardUntilUs: t.charter.StewardUntil()}
 	if t.state.Version > m.Version {
 		tell.State = t.state
 	}
@@ -224,7 +224,7 @@
 	Members    []*schema.Member    `json:"members"`
 }
 
-func (t *Table) belief(now loop.Micros) *NodeBelief {
+func (t *Table) belief(now eventloop.Micros) *NodeBelief {
 	belief := &NodeBelief{
 		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Lanes: t.state.Lanes,
 		Steward: t.state.Steward.GetId(), Licence: t.state.Steward.GetLicence(),
--- a/keep/fresh_test.go
+++ b/internal/replica/fresh_test.go
@@ -1,12 +1,12 @@
-package keep
+package replica
 
 import (
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 func TestFreshCharter(t *testing.T) {
@@ -16,7 +16,7 @@
 		look := func(id string) (isFresh, isTold bool) {
 			c.heard["h"] = nil
 			c.step(id, "h", &schema.CharterAsk{})
-			c.run(200 * loop.Milli)
+			c.run(200 * eventloop.Milli)
 			for _, each := range c.heard[id+"/placer"] {
 				if fresh, isIt := each.(Fresh); isIt {
 					isFresh = fresh.Charter
@@ -35,7 +35,7 @@
 			So(isTold, ShouldBeTrue)
 		}
 		c.isDown["a"], c.isDown["b"] = true, true
-		c.run(freshSpan + 2*loop.Second)
+		c.run(freshSpan + 2*eventloop.Second)
 		isFresh, isTold := look("c")
 		So(isFresh, ShouldBeFalse)
 		So(isTold, ShouldBeFalse)
--- a/keep/list_test.go
+++ b/internal/replica/list_test.go
@@ -1,14 +1,14 @@
-package keep
+package replica
 
 import (
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/charter"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
 )
 
 func TestWholeLists(t *testing.T) {
@@ -26,16 +26,16 @@
 		licence := c.licence()
 		lanes := &schema.PlaceLanes{Licence: licence, Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
-		c.run(loop.Second)
+		c.run(eventloop.Second)
 		So(c.leader("l"), ShouldEqual, "a")
 		before := whole()
 		So(before, ShouldBeGreaterThan, 0)
 		wards := &schema.MoveWards{Licence: licence, Wards: []*schema.Ward{{Worker: "w", Placer: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Wards{Wards: wards}}).Code, ShouldEqual, 200)
-		c.run(loop.Second)
+		c.run(eventloop.Second)
 		So(whole(), ShouldEqual, before)
 		So(c.put(lanesSheet(2, "", "l")).Code, ShouldEqual, 200)
-		c.run(loop.Second)
+		c.run(eventloop.Second)
 		So(whole(), ShouldEqual, before+1)
 	})
 }
@@ -44,7 +44,7 @@
 	Convey("Of the sides only the steward is told how the groups stand", t, func() {
 		c := newCore()
 		So(c.licence(), ShouldBeGreaterThan, 0)
-		roll := &kin.Roll{Known: map[string]kin.Known{
+		roll := &membership.Roll{Known: map[string]membership.Known{
 			"h": {Member: &schema.Member{Id: "h", Role: schema.Role_ROLE_HEED}},
 			"s": {Member: &schema.Member{Id: "s", Role: schema.Role_ROLE_HEED}},
 			"f": {Member: &schema.Member{Id: "f", Role: schema.Role_ROLE_KEEP}},
@@ -54,10 +54,10 @@
 		for id, isTold := range map[string]bool{"h": true, "s": false, "f": true, "unknown": true} {
 			c.heard[id] = nil
 			c.step(lead, id, &schema.CharterAsk{})
-			c.run(20 * loop.Milli)
+			c.run(20 * eventloop.Milli)
 			So(c.heard[id], ShouldHaveLength, 1)
 			tell := c.heard[id][0].(*schema.CharterTell)
-			So(tell.Leaders[charter.Group], ShouldEqual, lead)
+			So(tell.Leaders[clusterstate.Group], ShouldEqual, lead)
 			So(len(tell.Waits) > 0, ShouldEqual, isTold)
 		}
 	})
--- a/keep/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -1,4 +1,4 @@
-package keep
+package replica
 
 import (
 	"encoding/json"
@@ -8,24 +8,24 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"sparnotch/charter"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/raft"
-	"sparnotch/schema"
-	"sparnotch/vault"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/raft"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 const (
-	syncSpan = 500            // of every disk
-	wayTime  = 1 * loop.Milli // of every message
-	stepTime = loop.Milli
+	syncSpan = 500                 // of every disk
+	wayTime  = 1 * eventloop.Milli // of every message
+	stepTime = eventloop.Milli
 )
 
 // core is three stores that hold the charter, with disks and a network that
 // take their time.
 type core struct {
-	now    loop.Micros
+	now    eventloop.Micros
 	tables map[string]*Table
 	mail   []letter
 	heard  map[string][]any // by process outside, or by table of a store
@@ -34,7 +34,7 @@
 }
 
 type letter struct {
-	at       loop.Micros
+	at       eventloop.Micros
 	from, to string
 	body     any
 }
@@ -60,7 +60,7 @@
 var stores = []string{"a", "b", "c"}
 
 func newCore() *core {
-	c := &core{now: loop.Second, tables: map[string]*Table{}, heard: map[string][]any{}, isDown: map[string]bool{}}
+	c := &core{now: eventloop.Second, tables: map[string]*Table{}, heard: map[string][]any{}, isDown: map[string]bool{}}
 	wall := func() int64 {
 		if c.day == 0 {
 			return 0
@@ -68,21 +68,21 @@
 		return c.day + int64(c.now)
 	}
 	for k, id := range stores {
-		content := &vault.Content{Self: &schema.Self{Id: id}, Groups: map[string]*vault.Image{}}
+		content := &storage.Content{Self: &schema.Self{Id: id}, Groups: map[string]*storage.Image{}}
 		c.tables[id] = New(id, content, wall, raft.UsualTimes, uint64(k+1), c.now)
 	}
 	for _, id := range stores {
-		c.step(id, "", kin.KeepSelf{Self: &schema.Self{Id: id, Belongs: true}, Found: stores})
+		c.step(id, "", membership.KeepSelf{Self: &schema.Self{Id: id, Belongs: true}, Found: stores})
 	}
-	c.run(4 * loop.Second)
+	c.run(4 * eventloop.Second)
 	return c
 }
 
 func (c *core) step(id, from string, body any) {
-	c.tables[id].Step(c.now, loop.Mail{From: from, Body: body}, port{c, id})
+	c.tables[id].Step(c.now, eventloop.Mail{From: from, Body: body}, port{c, id})
 }
 
-func (c *core) run(span loop.Micros) {
+func (c *core) run(span eventloop.Micros) {
 	for end := c.now + span; c.now < end; c.now += stepTime {
 		var due []letter
 		c.mail = slices.DeleteFunc(c.mail, func(l letter) bool {
@@ -104,7 +104,7 @@
 		if c.now%Pace < stepTime {
 			for _, id := range stores {
 				if !c.isDown[id] {
-					c.step(id, "", loop.Tick{})
+					c.step(id, "", eventloop.Tick{})
 				}
 			}
 		}
@@ -124,13 +124,13 @@
 
 // ask has the charter's leader do an errand, and gives what it says.
 func (c *core) ask(kind string, command *schema.CharterCommand) *schema.ErrandReply {
-	errand := &schema.Errand{Id: 1, Kind: kind, Group: charter.Group}
+	errand := &schema.Errand{Id: 1, Kind: kind, Group: clusterstate.Group}
 	if command != nil {
 		errand.Body = CharterBody(command)
 	}
 	c.heard["h"] = nil
 	c.step(c.leader(""), "h", errand)
-	c.run(20 * loop.Milli)
+	c.run(20 * eventloop.Milli)
 	for _, each := range c.heard["h"] {
 		if reply, isReply := each.(*schema.ErrandReply); isReply {
 			return reply
@@ -166,14 +166,14 @@
 		began := c.now
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: place}}).Code, ShouldEqual, 200)
 		for k, lane := range []string{"l", "m", "n"} {
-			for c.leader(lane) == "" && c.now < began+loop.Second {
-				c.run(loop.Milli)
+			for c.leader(lane) == "" && c.now < began+eventloop.Second {
+				c.run(eventloop.Milli)
 			}
 			So(c.leader(lane), ShouldEqual, stores[k])
 		}
-		So(c.now-began, ShouldBeLessThan, 150*loop.Milli)
+		So(c.now-began, ShouldBeLessThan, 150*eventloop.Milli)
 		Convey("and every founder is a voter of it, also one that its leader reached first", func() {
-			c.run(300 * loop.Milli)
+			c.run(300 * eventloop.Milli)
 			for _, id := range stores {
 				So(c.tables[id].groups, ShouldHaveLength, 4)
 				for _, r := range c.tables[id].groups {
@@ -189,7 +189,7 @@
 		table := c.tables["b"]
 		So(table.groups["l#1"].group.Roster().Voters, ShouldBeEmpty)
 		table.state.Lanes = []*schema.LanePlace{place}
-		c.step("b", "", loop.Tick{})
+		c.step("b", "", eventloop.Tick{})
 		So(table.groups["l#1"].group.Roster().Voters, ShouldResemble, stores)
 		So(table.groups["l#1"].group.Last(), ShouldEqual, 1)
 	})
@@ -205,11 +205,11 @@
 		So(protojson.Unmarshal(c.ask("plan", nil).Body, plan), ShouldBeNil)
 		So(string(plan.Document), ShouldEqual, "another")
 		So(plan.Edition, ShouldEqual, 2)
-		c.run(300 * loop.Milli)
+		c.run(300 * eventloop.Milli)
 		for _, id := range stores {
 			c.step(id, "f", &schema.CharterAsk{})
 		}
-		c.run(10 * loop.Milli)
+		c.run(10 * eventloop.Milli)
 		tells := append([]any{}, c.heard["f"]...)
 		for _, id := range stores {
 			tells = append(tells, c.heard[id+"/intake"]...)
--- a/keep/keep.go
+++ b/internal/replica/replica.go
@@ -1,7 +1,7 @@
-// Package keep owns the replicas of a process: the charter's and each lane's.
+// Package replica owns the replicas of a process: the charter's and each lane's.
 // It hands messages to them, applies what they commit, lets their changes reach
 // the vault together, and performs effects where this process leads.
-package keep
+package replica
 
 import (
 	"hash/fnv"
@@ -13,28 +13,28 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/kin"
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/raft"
-	"sparnotch/schema"
-	"sparnotch/vault"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/raft"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 // Pace is the tick of the replicas.
-const Pace = 25 * loop.Milli
+const Pace = 25 * eventloop.Milli
 
 const (
-	freshSpan    = loop.Second      // how old the charter's word may be for a keeper to order
-	stallSpan    = 600 * loop.Milli // a sync that takes longer makes a leader pass its lanes on
-	passRest     = 5 * loop.Second  // between two attempts to pass a lane on
-	launchSpan   = 200 * loop.Milli // the starts of a group that was decided on have left by then
-	waitMost     = 400 * loop.Milli // how long passing on waits for that
-	maxUnsettled = 8192             // proposals of one group not applied yet
-	tickTimed    = loop.Second
-	wallMost     = 100 * loop.Milli // a lane's timed jobs may be away from the time of day by so much
-	tickKept     = 5 * loop.Second
+	freshSpan    = eventloop.Second      // how old the charter's word may be for a keeper to order
+	stallSpan    = 600 * eventloop.Milli // a sync that takes longer makes a leader pass its lanes on
+	passRest     = 5 * eventloop.Second  // between two attempts to pass a lane on
+	launchSpan   = 200 * eventloop.Milli // the starts of a group that was decided on have left by then
+	waitMost     = 400 * eventloop.Milli // how long passing on waits for that
+	maxUnsettled = 8192                  // proposals of one group not applied yet
+	tickTimed    = eventloop.Second
+	wallMost     = 100 * eventloop.Milli // a lane's timed jobs may be away from the time of day by so much
+	tickKept     = 5 * eventloop.Second
 )
 
 // Batch goes to the vault; Written comes back when it lasts.
@@ -58,7 +58,7 @@
 type Shifts struct {
 	Lane, Group string
 	Term, Hand  uint64
-	List        []*lane.Shift
+	List        []*queue.Shift
 	IsWhole     bool
 	Urgency     int64
 	Running     int64
@@ -75,7 +75,7 @@
 type Fresh struct {
 	Groups  map[string]uint64 // group -> term
 	Charter bool              // the charter's word is fresh
-	At      loop.Micros       // when that was so, by the clock of the process; 0: now
+	At      eventloop.Micros  // when that was so, by the clock of the process; 0: now
 }
 
 // Ended is a worker's report for the lane's leader; Noted answers it.
@@ -97,15 +97,15 @@
 type replica struct {
 	group    *raft.Group
 	name     string // lane name, empty for the charter
-	lane     *lane.Machine
+	lane     *queue.Machine
 	waiting  map[uint64]waiter // by index
 	reading  map[uint64]waiter // by read number
 	termTold uint64            // term for which the placer has the whole list
-	tickAt   loop.Micros
+	tickAt   eventloop.Micros
 	tickIdx  uint64
 	carryIdx uint64
 	adoptIdx uint64
-	passAt   loop.Micros
+	passAt   eventloop.Micros
 	keeperAt string // whom the charter named as keeper then
 }
 
@@ -137,25 +137,25 @@
 	patience *patience
 	groups   map[string]*replica
 	listed   []string // names of the groups, in order; nil: to be made anew
-	charter  *charter.Machine
-	values   *charter.Values
+	charter  *clusterstate.Machine
+	values   *clusterstate.Values
 	adopt    *schema.Adopt        // what the plan asks of every lane
 	state    *schema.CharterState // copy of the charter that others may hold
-	roll     *kin.Roll
+	roll     *membership.Roll
 	next     pending
 	writing  *pending
 	number   uint64
-	began    loop.Micros // when the write that is out was handed over
+	began    eventloop.Micros // when the write that is out was handed over
 	reads    uint64
 	isWarned bool
 	applied  map[string]*schema.Applied // by intake, of this step
 }
 
 // New makes the table from a store's content.
-func New(id string, content *vault.Content, wall func() int64, times raft.Times, seed uint64, now loop.Micros) *Table {
+func New(id string, content *storage.Content, wall func() int64, times raft.Times, seed uint64, now eventloop.Micros) *Table {
 	t := &Table{
 		id: id, self: content.Self, wall: wall, times: times, groups: map[string]*replica{},
-		charter: charter.New(), applied: map[string]*schema.Applied{},
+		charter: clusterstate.New(), applied: map[string]*schema.Applied{},
 	}
 	hash := fnv.New64a()
 	hash.Write([]byte(id))
@@ -169,7 +169,7 @@
 	return t
 }
 
-func (t *Table) open(now loop.Micros, name string, image *vault.Image) *replica {
+func (t *Table) open(now eventloop.Micros, name string, image *storage.Image) *replica {
 	r := &replica{
 		group:   raft.New(name, t.id, image, t.times, t.patience, now),
 		waiting: map[uint64]waiter{}, reading: map[uint64]waiter{},
@@ -195,8 +195,8 @@
 }
 
 func (t *Table) restore(r *replica, point *schema.Checkpoint) {
-	if r.group.Name() == charter.Group {
-		machine, err := charter.Restore(point.Data)
+	if r.group.Name() == clusterstate.Group {
+		machine, err := clusterstate.Restore(point.Data)
 		if err != nil {
 			panic("keep: charter checkpoint: " + err.Error())
 		}
@@ -205,7 +205,7 @@
 		return
 	}
 	r.name = LaneOf(r.group.Name())
-	machine, err := lane.Restore(r.name, point.Index, point.Data)
+	machine, err := queue.Restore(r.name, point.Index, point.Data)
 	if err != nil {
 		panic("keep: checkpoint of " + r.group.Name() + ": " + err.Error())
 	}
@@ -230,15 +230,15 @@
 	return t.listed
 }
 
-func (t *Table) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
-	case loop.Tick:
+	case eventloop.Tick:
 		t.tick(now, out)
 	case Written:
 		t.written(now, body, out)
-	case kin.KeepSelf:
+	case membership.KeepSelf:
 		t.keepSelf(now, body)
-	case *kin.Roll:
+	case *membership.Roll:
 		t.roll = body
 	case *schema.Beats:
 		t.beats(now, mail.From, body)
@@ -282,7 +282,7 @@
 	t.flush(now, out)
 }
 
-func (t *Table) toGroup(now loop.Micros, from, name string, body any) {
+func (t *Table) toGroup(now eventloop.Micros, from, name string, body any) {
 	r := t.groups[name]
 	if r == nil {
 		// Somebody leads a group that counts us in: a new replica starts empty
@@ -292,13 +292,13 @@
 		default:
 			return
 		}
-		if name != charter.Group && LaneOf(name) == "" {
+		if name != clusterstate.Group && LaneOf(name) == "" {
 			return
 		}
-		if name != charter.Group && t.isEnded(name) {
+		if name != clusterstate.Group && t.isEnded(name) {
 			return
 		}
-		r = t.open(now, name, &vault.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}})
+		r = t.open(now, name, &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}})
 		if !t.self.Belongs {
 			// Counted in, so this store may found nothing any more.
 			self := proto.Clone(t.self).(*schema.Self)
@@ -314,14 +314,14 @@
 // isEnded tells that the charter we hold knows a newer lane of that name, or
 // none though it once was there.
 func (t *Table) isEnded(group string) bool {
-	place := charter.Place(t.state, LaneOf(group))
+	place := clusterstate.Place(t.state, LaneOf(group))
 	return place != nil && GroupOf(place) != group
 }
 
 // urged: somebody hands a group to us. Who is leaving takes none; who takes one
 // doesn't hand it back at once, though its copy of the charter or the book may
 // still speak for the one it came from.
-func (t *Table) urged(now loop.Micros, from string, m *schema.Urge) {
+func (t *Table) urged(now eventloop.Micros, from string, m *schema.Urge) {
 	if t.isWarned {
 		return
 	}
@@ -331,7 +331,7 @@
 	t.toGroup(now, from, m.Group, m)
 }
 
-func (t *Table) beats(now loop.Micros, from string, m *schema.Beats) {
+func (t *Table) beats(now eventloop.Micros, from string, m *schema.Beats) {
 	for _, beat := range m.Beats {
 		if r := t.groups[beat.GetGroup()]; r != nil {
 			r.group.Step(now, from, beat)
@@ -346,7 +346,7 @@
 
 // --- own account and founding ---
 
-func (t *Table) keepSelf(now loop.Micros, m kin.KeepSelf) {
+func (t *Table) keepSelf(now eventloop.Micros, m membership.KeepSelf) {
 	// We may have been counted in since the book made up its account.
 	if t.self.Belongs && !m.Self.Belongs {
 		m.Self.Belongs = true
@@ -354,20 +354,20 @@
 	t.self = m.Self
 	t.next.changes = append(t.next.changes, &schema.Change{Self: m.Self})
 	t.next.selfs = append(t.next.selfs, m.Self)
-	if len(m.Found) > 0 && t.groups[charter.Group] == nil {
-		t.found(now, charter.Group, m.Found)
+	if len(m.Found) > 0 && t.groups[clusterstate.Group] == nil {
+		t.found(now, clusterstate.Group, m.Found)
 	}
 }
 
-func (t *Table) found(now loop.Micros, name string, voters []string) {
-	image := &vault.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{Roster: &schema.Roster{Voters: voters}}}
+func (t *Table) found(now eventloop.Micros, name string, voters []string) {
+	image := &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{Roster: &schema.Roster{Voters: voters}}}
 	t.next.changes = append(t.next.changes, &schema.Change{Group: name, Checkpoint: image.Checkpoint})
 	t.open(now, name, image)
 }
 
 // foundLane makes the replica of a lane that this store is a founder of; who is
 // to keep the lane stands at once.
-func (t *Table) foundLane(now loop.Micros, place *schema.LanePlace) {
+func (t *Table) foundLane(now eventloop.Micros, place *schema.LanePlace) {
 	name := GroupOf(place)
 	if r := t.groups[name]; r != nil {
 		// Its leader was faster than our copy of the charter.
@@ -384,7 +384,7 @@
 
 // --- time ---
 
-func (t *Table) tick(now loop.Micros, out loop.Out) {
+func (t *Table) tick(now eventloop.Micros, out eventloop.Out) {
 	hasAsked := false
 	for _, name := range t.names() {
 		r := t.groups[name]
@@ -414,13 +414,13 @@
 
 // isCharterFresh tells whether our copy of the charter held, a moment ago, all
 // that was committed.
-func (t *Table) isCharterFresh(now loop.Micros) bool {
-	r := t.groups[charter.Group]
+func (t *Table) isCharterFresh(now eventloop.Micros) bool {
+	r := t.groups[clusterstate.Group]
 	return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < freshSpan
 }
 
 // tend proposes what a lane's leader owes to time and to the plan.
-func (t *Table) tend(now loop.Micros, r *replica) {
+func (t *Table) tend(now eventloop.Micros, r *replica) {
 	g := r.group
 	if !g.Acting(now) {
 		return
@@ -474,12 +474,12 @@
 
 // passOn hands a group over when this process is warned, when its disk
 // stalls, or when the charter wants the lane elsewhere.
-func (t *Table) passOn(now loop.Micros, r *replica) {
+func (t *Table) passOn(now eventloop.Micros, r *replica) {
 	wanted := t.keeperOf(r)
 	// A keeper that was named since is given the lane at once: its workers have
 	// gone to it already, and nobody else can start anything on them.
 	isRested := now-r.passAt >= passRest || t.isWarned || wanted != r.keeperAt
-	if r.passAt > 0 && (!isRested || now-r.passAt < loop.Second) {
+	if r.passAt > 0 && (!isRested || now-r.passAt < eventloop.Second) {
 		return
 	}
 	isStalled := t.writing != nil && now-t.began > stallSpan
@@ -508,22 +508,22 @@
 	if r.lane == nil {
 		return ""
 	}
-	return charter.Place(t.state, r.name).GetKeeper()
+	return clusterstate.Place(t.state, r.name).GetKeeper()
 }
 
 // isFit tells whether a voter is near enough to take a group over.
-func (t *Table) isFit(now loop.Micros, r *replica, id string) bool {
+func (t *Table) isFit(now eventloop.Micros, r *replica, id string) bool {
 	match, heard := r.group.Match(id)
-	isKnown := t.roll != nil && t.roll.Live(id, now, 2*loop.Second) && !t.roll.Known[id].Member.Leaving
-	return isKnown && heard > 0 && now-heard < 500*loop.Milli && r.group.Last()-match < 256
+	isKnown := t.roll != nil && t.roll.Live(id, now, 2*eventloop.Second) && !t.roll.Known[id].Member.Leaving
+	return isKnown && heard > 0 && now-heard < 500*eventloop.Milli && r.group.Last()-match < 256
 }
 
 // lanes makes what the charter says of lanes true here.
-func (t *Table) lanes(now loop.Micros, out loop.Out) {
-	if t.groups[charter.Group] == nil {
+func (t *Table) lanes(now eventloop.Micros, out eventloop.Out) {
+	if t.groups[clusterstate.Group] == nil {
 		return
 	}
-	wanted := map[string]bool{charter.Group: true}
+	wanted := map[string]bool{clusterstate.Group: true}
 	for _, place := range t.state.Lanes {
 		name := GroupOf(place)
 		wanted[name] = true
@@ -553,7 +553,7 @@
 
 // --- proposals ---
 
-func (t *Table) proposeLane(now loop.Micros, r *replica, command *schema.LaneCommand) uint64 {
+func (t *Table) proposeLane(now eventloop.Micros, r *replica, command *schema.LaneCommand) uint64 {
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return 0
@@ -569,8 +569,8 @@
 	return r.group.Last()-r.group.Applied() > maxUnsettled
 }
 
-func (t *Table) submit(now loop.Micros, from string, m *schema.Submit, out loop.Out) {
-	place := charter.Place(t.state, m.Lane)
+func (t *Table) submit(now eventloop.Micros, from string, m *schema.Submit, out eventloop.Out) {
+	place := clusterstate.Place(t.state, m.Lane)
 	if place == nil {
 		return
 	}
@@ -607,7 +607,7 @@
 }
 
 // startOf turns a start into lane time, once.
-func (t *Table) startOf(now loop.Micros, r *replica, job *schema.Job) int64 {
+func (t *Table) startOf(now eventloop.Micros, r *replica, job *schema.Job) int64 {
 	at := r.group.GroupTime(now)
 	switch {
 	case job.DelayUs > 0:
@@ -624,15 +624,15 @@
 	return 0
 }
 
-func (t *Table) quit(now loop.Micros, m *schema.Quit) {
-	if place := charter.Place(t.state, m.Lane); place != nil {
+func (t *Table) quit(now eventloop.Micros, m *schema.Quit) {
+	if place := clusterstate.Place(t.state, m.Lane); place != nil {
 		if r := t.groups[GroupOf(place)]; r != nil && r.group.Acting(now) {
 			t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Down{Down: &schema.Down{Sessions: m.Sessions, Boots: m.Boots}}})
 		}
 	}
 }
 
-func (t *Table) propose(now loop.Micros, m Propose) {
+func (t *Table) propose(now eventloop.Micros, m Propose) {
 	r := t.groups[m.Group]
 	// A placer that acts for an older term has an older list.
 	if r == nil || r.lane == nil || r.group.Term() != m.Term || !r.group.Acting(now) || t.isFull(r) {
@@ -641,8 +641,8 @@
 	t.proposeLane(now, r, m.Command)
 }
 
-func (t *Table) end(now loop.Micros, from string, m *schema.End, out loop.Out) {
-	place := charter.Place(t.state, m.Lane)
+func (t *Table) end(now eventloop.Micros, from string, m *schema.End, out eventloop.Out) {
+	place := clusterstate.Place(t.state, m.Lane)
 	if place == nil {
 		// The lane is over, and with it whatever the task was for. A charter
 		// that is still catching up says nothing of the kind.
@@ -682,7 +682,7 @@
 	return &schema.LaneCommand{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause, Saved: m.Saved}}}
 }
 
-func (t *Table) endNoted(from string, m *schema.End, out loop.Out) {
+func (t *Table) endNoted(from string, m *schema.End, out eventloop.Out) {
 	reply := &schema.EndReply{Lane: m.Lane, Key: m.Key, Attempt: m.Attempt, Worker: m.Worker}
 	if from == "" {
 		out.Tell("placer", reply)
@@ -691,7 +691,7 @@
 	}
 }
 
-func (t *Table) reroster(now loop.Micros, m *schema.Reroster) {
+func (t *Table) reroster(now eventloop.Micros, m *schema.Reroster) {
 	r := t.groups[m.Group]
 	if r == nil || !r.group.IsLeader() || !t.charter.IsSteward(m.Licence) {
 		return
@@ -732,7 +732,7 @@
 // --- effects ---
 
 // flush carries out what the groups have left, until nothing is left.
-func (t *Table) flush(now loop.Micros, out loop.Out) {
+func (t *Table) flush(now eventloop.Micros, out eventloop.Out) {
 	beats := map[string]*schema.Beats{}
 	for isMore := true; isMore; {
 		isMore = false
@@ -776,7 +776,7 @@
 	t.write(now, out)
 }
 
-func (t *Table) post(post raft.Post, beats map[string]*schema.Beats, out loop.Out) {
+func (t *Table) post(post raft.Post, beats map[string]*schema.Beats, out eventloop.Out) {
 	if beats[post.To] == nil {
 		beats[post.To] = &schema.Beats{}
 	}
@@ -791,7 +791,7 @@
 	}
 }
 
-func (t *Table) sendBeats(beats map[string]*schema.Beats, out loop.Out) {
+func (t *Table) sendBeats(beats map[string]*schema.Beats, out eventloop.Out) {
 	ids := slices.Sorted(maps.Keys(beats))
 	for _, id := range ids {
 		if len(beats[id].Beats)+len(beats[id].Replies) > 0 {
@@ -800,7 +800,7 @@
 	}
 }
 
-func (t *Table) sendApplied(out loop.Out) {
+func (t *Table) sendApplied(out eventloop.Out) {
 	ids := slices.Sorted(maps.Keys(t.applied))
 	for _, id := range ids {
 		applied := t.applied[id]
@@ -811,7 +811,7 @@
 
 // write hands everything that has gathered to the vault as one batch, so that
 // one sync serves every group; the next gathers meanwhile.
-func (t *Table) write(now loop.Micros, out loop.Out) {
+func (t *Table) write(now eventloop.Micros, out eventloop.Out) {
 	if t.writing != nil || len(t.next.changes)+len(t.next.posts)+len(t.next.selfs) == 0 {
 		return
 	}
@@ -828,7 +828,7 @@
 	out.Tell("vault", Batch{Number: t.number, Changes: batch.changes})
 }
 
-func (t *Table) written(now loop.Micros, m Written, out loop.Out) {
+func (t *Table) written(now eventloop.Micros, m Written, out eventloop.Out) {
 	if t.writing == nil || m.Number != t.number {
 		return
 	}
@@ -840,7 +840,7 @@
 	}
 	t.sendBeats(beats, out)
 	for _, self := range batch.selfs {
-		out.Tell("kin", kin.SelfKept{Self: self})
+		out.Tell("kin", membership.SelfKept{Self: self})
 	}
 	names := slices.Sorted(maps.Keys(batch.marks))
 	for _, name := range names {
@@ -850,7 +850,7 @@
 	}
 }
 
-func (t *Table) apply(now loop.Micros, r *replica, record *schema.Record, out loop.Out) {
+func (t *Table) apply(now eventloop.Micros, r *replica, record *schema.Record, out eventloop.Out) {
 	waiting, isWaited := r.waiting[record.Index]
 	delete(r.waiting, record.Index)
 	// What was asked for under another term was replaced in the log; its
@@ -899,7 +899,7 @@
 	}
 }
 
-func (t *Table) shifts(r *replica, list []*lane.Shift, isWhole bool, hand uint64) Shifts {
+func (t *Table) shifts(r *replica, list []*queue.Shift, isWhole bool, hand uint64) Shifts {
 	return Shifts{
 		Lane: r.name, Group: r.group.Name(), Term: r.group.Term(), Hand: hand, List: list, IsWhole: isWhole,
 		Urgency: t.values.Of("lane", r.name, "urgency"),
@@ -908,7 +908,7 @@
 }
 
 // standings tells the placer of lanes newly led, and of those led no more.
-func (t *Table) standings(now loop.Micros, out loop.Out) {
+func (t *Table) standings(now eventloop.Micros, out eventloop.Out) {
 	for _, name := range t.names() {
 		r := t.groups[name]
 		if r.lane == nil {
@@ -935,7 +935,7 @@
 	}
 }
 
-func (t *Table) charterChanged(now loop.Micros, out loop.Out) {
+func (t *Table) charterChanged(now eventloop.Micros, out eventloop.Out) {
 	if t.charter.Version() == t.state.Version && t.state.Version != 0 {
 		return
 	}
@@ -944,7 +944,7 @@
 	for _, table := range []string{"intake", "placer"} {
 		out.Tell(table, &schema.CharterTell{State: t.state, Version: t.state.Version})
 	}
-	out.Tell("kin", kin.Charter{Version: t.state.Version})
+	out.Tell("kin", membership.Charter{Version: t.state.Version})
 	if old.Plan != t.state.Plan {
 		for _, r := range t.groups {
 			// Urgency may have changed with the plan. Nothing else in the charter is
@@ -954,7 +954,7 @@
 	}
 	// New lanes are waited for: the steward places them, and their founders make
 	// them, when they hear of it.
-	r := t.groups[charter.Group]
+	r := t.groups[clusterstate.Group]
 	if !r.group.IsLeader() {
 		return
 	}
@@ -965,7 +965,7 @@
 	// have heard.
 	if t.roll != nil && areMoved(old.Wards, t.state.Wards) {
 		for _, id := range slices.Sorted(maps.Keys(t.roll.Known)) {
-			if t.roll.Known[id].Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, 2*loop.Second) {
+			if t.roll.Known[id].Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, 2*eventloop.Second) {
 				t.tellCharter(now, id, &schema.CharterAsk{Version: old.Version}, out)
 			}
 		}
--- a/keep/keep_test.go
+++ b/internal/replica/replica_test.go
@@ -1,4 +1,4 @@
-package keep
+package replica
 
 import (
 	"encoding/json"
@@ -8,10 +8,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
 )
 
 func TestCommandOf(t *testing.T) {
@@ -42,27 +42,27 @@
 			command := &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: &schema.PlaceLanes{Licence: c.licence(), Lanes: lanes}}}
 			So(c.ask("charter", command).Code, ShouldEqual, 200)
 		}
-		run := func(span loop.Micros) {
+		run := func(span eventloop.Micros) {
 			for end := c.now + span; c.now < end; {
-				roll := &kin.Roll{Known: map[string]kin.Known{}}
+				roll := &membership.Roll{Known: map[string]membership.Known{}}
 				for _, id := range stores {
-					roll.Known[id] = kin.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: c.now}
+					roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: c.now}
 				}
 				for _, id := range stores {
 					c.step(id, "", roll)
 				}
-				c.run(100 * loop.Milli)
+				c.run(100 * eventloop.Milli)
 			}
 		}
 		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
 		place("a")
-		run(loop.Second)
+		run(eventloop.Second)
 		So(c.leader("l"), ShouldEqual, "a")
 		place("b")
-		run(1500 * loop.Milli)
+		run(1500 * eventloop.Milli)
 		So(c.leader("l"), ShouldEqual, "b")
 		place("c")
-		run(1500 * loop.Milli)
+		run(1500 * eventloop.Milli)
 		So(c.leader("l"), ShouldEqual, "c")
 	})
 }
@@ -82,26 +82,26 @@
 		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
 		lanes := &schema.PlaceLanes{Licence: c.licence(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
-		c.run(loop.Second)
-		due := c.now + 8*loop.Second
+		c.run(eventloop.Second)
+		due := c.now + 8*eventloop.Second
 		job := &schema.Job{StartWallUs: c.day + int64(due), Rounds: 1, Steps: []*schema.Step{{Name: "s", Tasks: 1}}}
 		c.step("a", "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
 			Session: &schema.Session{Intake: "f", Boot: 1, Client: "c"}, Number: 1, Name: "j", Digest: []byte("d"), Job: job,
 		}}})
-		c.run(500 * loop.Milli)
+		c.run(500 * eventloop.Milli)
 		// Nobody is left who could lead.
 		c.isDown["a"], c.isDown["b"] = true, true
-		c.run(4 * loop.Second)
+		c.run(4 * eventloop.Second)
 		c.isDown["b"] = false
-		c.run(due - c.now - 200*loop.Milli)
+		c.run(due - c.now - 200*eventloop.Milli)
 		lane := c.tables[c.leader("l")].groups["l#"+c.generation("l")].lane
 		So(lane.Counts().Waiting, ShouldEqual, 0)
-		c.run(400 * loop.Milli)
+		c.run(400 * eventloop.Milli)
 		So(lane.Counts().Waiting, ShouldEqual, 1)
 	})
 }
 
 // generation is that of a lane's place.
 func (c *core) generation(lane string) string {
-	return strconv.FormatUint(charter.Place(c.tables["c"].state, lane).GetGeneration(), 10)
+	return strconv.FormatUint(clusterstate.Place(c.tables["c"].state, lane).GetGeneration(), 10)
 }
