--- a/placer/agent_test.go
+++ b/internal/scheduler/agent_test.go
@@ -1,4 +1,4 @@
-package placer
+package scheduler
 
 import (
 	"fmt"
@@ -6,10 +6,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/keep"
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // told is a charter with rows; every lane named in them stands in it.
@@ -33,18 +33,18 @@
 }
 
 // pass lets time go by with every keeper's word fresh and every worker heard.
-func (d *desk) pass(span loop.Micros) {
+func (d *desk) pass(span eventloop.Micros) {
 	for end := d.now + span; d.now < end; {
 		d.now += min(Pace, end-d.now)
-		d.step(keep.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, Charter: true})
-		d.step(loop.Tick{})
+		d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, Charter: true})
+		d.step(eventloop.Tick{})
 	}
 }
 
 // lane tells the whole list of a lane.
-func (d *desk) lane(name string, urgency int64, list ...*lane.Shift) {
-	d.step(keep.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, Charter: true})
-	d.step(keep.Shifts{Lane: name, Group: name + "#1", Term: 1, Hand: 1, List: list, IsWhole: true, Running: 1000, Urgency: urgency})
+func (d *desk) lane(name string, urgency int64, list ...*queue.Shift) {
+	d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, Charter: true})
+	d.step(replica.Shifts{Lane: name, Group: name + "#1", Term: 1, Hand: 1, List: list, IsWhole: true, Running: 1000, Urgency: urgency})
 }
 
 // named is an agent's announce.
@@ -80,8 +80,8 @@
 
 func TestNamedNotes(t *testing.T) {
 	rows := []*schema.Row{laneRow("l", "urgency", "10"), laneRow("m", "urgency", "10")}
-	out := func() *lane.Shift {
-		s := shift(1, 7, 3, lane.Out, "w", &schema.Step{Name: "s", Tasks: 4, CoresMilli: 600, Saves: true})
+	out := func() *queue.Shift {
+		s := shift(1, 7, 3, queue.Out, "w", &schema.Step{Name: "s", Tasks: 4, CoresMilli: 600, Saves: true})
 		s.Key.Step, s.Round, s.Part, s.Saved = 5, 2, 1, "before"
 		return s
 	}
@@ -145,7 +145,7 @@
 			So(d.last().Orders.Noted[0].Task, ShouldEqual, 2)
 		})
 		Convey("and a worker that runs what has no known size is given nothing", func() {
-			d.lane("l", 10, shift(1, 9, 0, lane.Ready, "", one))
+			d.lane("l", 10, shift(1, 9, 0, queue.Ready, "", one))
 			So(d.picks(), ShouldBeEmpty)
 			d.announce("w", named(nil))
 			So(len(d.picks()), ShouldEqual, 1)
@@ -157,7 +157,7 @@
 	Convey("What an agent says is dead gives back its tasks at once and gets nothing more", t, func() {
 		d := newDesk("old", "new")
 		saving := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 600, Saves: true}
-		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "old", saving))
+		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "old", saving))
 		d.announce("old", runs(&schema.TaskNote{Name: "j1", Attempt: 1, State: "running", Saved: "half"}))
 		d.announce("old", runs(&schema.TaskNote{Name: "j1", Attempt: 1, State: "running", Saved: "half"}))
 		d.announce("new", named(func(a *schema.Announce) { a.Over = []string{"old"} }))
@@ -167,8 +167,8 @@
 		So(d.last().Orders, ShouldBeNil)
 		Convey("also what turns out to be there later", func() {
 			d.tells = nil
-			d.shifts(false, 2, shift(2, 2, 0, lane.Out, "old", saving))
-			d.step(loop.Tick{})
+			d.shifts(false, 2, shift(2, 2, 0, queue.Out, "old", saving))
+			d.step(eventloop.Tick{})
 			So(d.ended()[0].Key.Job, ShouldEqual, 2)
 		})
 	})
@@ -196,14 +196,14 @@
 	begin := func() *desk {
 		d := newDesk("v", "w")
 		d.announce("v", gathering(nil))
-		d.shifts(true, 2, shift(1, 1, 0, lane.Ready, "", gang), shift(2, 1, 1, lane.Ready, "", gang))
+		d.shifts(true, 2, shift(1, 1, 0, queue.Ready, "", gang), shift(2, 1, 1, queue.Ready, "", gang))
 		So(d.picks(), ShouldBeEmpty)
 		d.announce("w", gathering(nil))
 		So(len(d.picks()), ShouldEqual, 2)
 		d.announce("v", gathering(nil))
 		d.announce("w", gathering(nil))
 		count := len(d.replies)
-		d.shifts(false, 4, shift(3, 1, 0, lane.Out, "v", gang), shift(4, 1, 1, lane.Out, "w", gang))
+		d.shifts(false, 4, shift(3, 1, 0, queue.Out, "v", gang), shift(4, 1, 1, queue.Out, "w", gang))
 		So(len(d.acts(count, "start")), ShouldEqual, 2)
 		So(d.acts(0, "hold"), ShouldBeEmpty)
 		return d
@@ -212,9 +212,9 @@
 		d := begin()
 		d.announce("v", run(0))
 		d.announce("w", run(1))
-		d.pass(100 * loop.Milli)
+		d.pass(100 * eventloop.Milli)
 		for _, tell := range d.tells {
-			if propose, isPropose := tell.(keep.Propose); isPropose {
+			if propose, isPropose := tell.(replica.Propose); isPropose {
 				So(propose.Command.GetLaunch(), ShouldBeNil)
 			}
 		}
@@ -250,7 +250,7 @@
 		for k := 0; k < 25; k++ {
 			d.announce("v", run(0))
 			d.announce("w", gathering(nil))
-			d.pass(100 * loop.Milli)
+			d.pass(100 * eventloop.Milli)
 		}
 		stops := map[uint32]bool{}
 		for _, order := range d.acts(count, "stop") {
@@ -261,7 +261,7 @@
 	Convey("Nothing is started when the worker of another member has left", t, func() {
 		d := newDesk("v", "w")
 		d.announce("w", gathering(func(a *schema.Announce) { a.Leaving = true }))
-		d.shifts(true, 2, shift(1, 1, 0, lane.Out, "v", gang), shift(2, 1, 1, lane.Out, "w", gang))
+		d.shifts(true, 2, shift(1, 1, 0, queue.Out, "v", gang), shift(2, 1, 1, queue.Out, "w", gang))
 		d.announce("v", gathering(nil))
 		d.announce("v", gathering(nil))
 		So(d.acts(0, "start"), ShouldBeEmpty)
@@ -314,9 +314,9 @@
 			d.announce("v", each.v)
 			d.announce("w", each.w)
 			each.step.Tasks = uint32(each.tasks)
-			var list []*lane.Shift
+			var list []*queue.Shift
 			for k := 0; k < each.tasks; k++ {
-				list = append(list, shift(uint64(k+1), 1, uint32(k), lane.Ready, "", each.step))
+				list = append(list, shift(uint64(k+1), 1, uint32(k), queue.Ready, "", each.step))
 			}
 			d.shifts(true, uint64(each.tasks), list...)
 			got := map[string]int{}
@@ -329,18 +329,18 @@
 	Convey("So many on one worker counts what is out there and what it still runs", t, func() {
 		step := &schema.Step{Name: "s", Tasks: 4, CoresMilli: 100, PerWorker: 2}
 		d := newDesk("w")
-		again := shift(3, 1, 2, lane.Ready, "", step)
+		again := shift(3, 1, 2, queue.Ready, "", step)
 		again.Attempt = 1
 		d.announce("w", func(a *schema.Announce) {
 			a.Running = []*schema.TaskNote{{Lane: "l", Job: 1, Task: 2, Attempt: 1, State: "running", CoresMilli: 100}}
 		})
-		d.shifts(true, 4, shift(1, 1, 0, lane.Out, "w", step), shift(2, 1, 1, lane.Ready, "", step), again)
+		d.shifts(true, 4, shift(1, 1, 0, queue.Out, "w", step), shift(2, 1, 1, queue.Ready, "", step), again)
 		So(d.picks(), ShouldBeEmpty)
 	})
 	Convey("A task isn't started where its lane's pool is another by now", t, func() {
 		d := newDesk("w")
 		d.told([]*schema.Row{laneRow("l", "pool", "p")}, "w")
-		d.lane("l", 10, shift(1, 1, 0, lane.Out, "w", one))
+		d.lane("l", 10, shift(1, 1, 0, queue.Out, "w", one))
 		d.announce("w", nil)
 		So(d.last().Orders.Orders[0].Act, ShouldEqual, "stop")
 	})
@@ -351,8 +351,8 @@
 		d := newDesk("w")
 		note := &schema.TaskNote{Name: "j1", Attempt: 1, State: "running"}
 		d.announce("w", named(nil))
-		stopping := shift(1, 1, 0, lane.Stopping, "w", one)
-		d.shifts(true, 2, stopping, shift(2, 2, 0, lane.Ready, "", one))
+		stopping := shift(1, 1, 0, queue.Stopping, "w", one)
+		d.shifts(true, 2, stopping, shift(2, 2, 0, queue.Ready, "", one))
 		d.announce("w", runs(note))
 		So(d.picks(), ShouldBeEmpty)
 		d.announce("w", ends(&schema.TaskNote{Name: "j1", Attempt: 1, State: "stopped"}))
@@ -374,23 +374,23 @@
 	} {
 		Convey("On a worker with a time to go "+each.what, t, func() {
 			d := newDesk("w")
-			d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", each.step))
+			d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", each.step))
 			began := d.now
-			stoppedAt := loop.Micros(0)
+			stoppedAt := eventloop.Micros(0)
 			percent := int64(0)
-			for d.now < began+3600*loop.Milli {
+			for d.now < began+3600*eventloop.Milli {
 				d.announce("w", named(func(a *schema.Announce) {
-					a.Leaving, a.DepartureUs = true, int64(began+4*loop.Second-d.now)
+					a.Leaving, a.DepartureUs = true, int64(began+4*eventloop.Second-d.now)
 					a.Running = []*schema.TaskNote{{Name: "j1", Attempt: 1, State: "running", Percent: percent}}
 				}))
-				d.pass(100 * loop.Milli)
+				d.pass(100 * eventloop.Milli)
 				percent = each.percent
 				if stoppedAt == 0 && len(d.acts(0, "stop")) > 0 {
 					stoppedAt = d.now
 				}
 			}
 			if each.isSaved {
-				So(stoppedAt, ShouldBeBetween, began+3300*loop.Milli, began+4*loop.Second)
+				So(stoppedAt, ShouldBeBetween, began+3300*eventloop.Milli, began+4*eventloop.Second)
 			} else {
 				So(stoppedAt, ShouldEqual, 0)
 			}
@@ -404,7 +404,7 @@
 	saving := &schema.Step{Name: "m", Tasks: 1, CoresMilli: 400, Saves: true}
 	lasting := &schema.Step{Name: "m", Tasks: 1, CoresMilli: 400, Lasting: true}
 	group := &schema.Step{Name: "m", Tasks: 2, CoresMilli: 400, Together: true}
-	run := func(job uint64, task uint32, run loop.Micros) *schema.TaskNote {
+	run := func(job uint64, task uint32, run eventloop.Micros) *schema.TaskNote {
 		return &schema.TaskNote{Lane: "l", Job: job, Task: task, Attempt: 1, State: "running", RunUs: int64(run), CoresMilli: 400}
 	}
 	stops := func(d *desk) map[uint64]int {
@@ -420,44 +420,44 @@
 	}
 	for _, each := range []struct {
 		what         string
-		less         []*lane.Shift
+		less         []*queue.Shift
 		running      map[string][]*schema.TaskNote
-		urgent       []*lane.Shift
+		urgent       []*queue.Shift
 		want         map[uint64]int
 		lessUrgently int64
 	}{
-		{what: "what has run least", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", mid), shift(1, 3, 0, lane.Out, "w", mid), shift(1, 4, 0, lane.Out, "w", mid)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*loop.Second), run(2, 0, 9*loop.Second)}, "w": {run(3, 0, 8*loop.Second), run(4, 0, 9*loop.Second)}},
-			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{3: 1}},
-		{what: "what has kept its progress", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", saving), shift(1, 3, 0, lane.Out, "w", mid), shift(1, 4, 0, lane.Out, "w", mid)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*loop.Second), {Lane: "l", Job: 2, Attempt: 1, State: "running", RunUs: 20_000_000, Saved: "x", CoresMilli: 400}}, "w": {run(3, 0, 8*loop.Second), run(4, 0, 9*loop.Second)}},
-			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{2: 1}},
-		{what: "lasting tasks late", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", lasting), shift(1, 3, 0, lane.Out, "w", lasting), shift(1, 4, 0, lane.Out, "w", lasting)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*loop.Second), run(2, 0, loop.Milli)}, "w": {run(3, 0, loop.Milli), run(4, 0, loop.Milli)}},
-			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{1: 1}},
-		{what: "no more than is needed, but enough for all that waits", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", mid), shift(1, 3, 0, lane.Out, "w", mid), shift(1, 4, 0, lane.Out, "w", mid)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second), run(2, 0, 3*loop.Second)}, "w": {run(3, 0, 8*loop.Second), run(4, 0, 9*loop.Second)}},
-			urgent:  []*lane.Shift{shift(1, 8, 0, lane.Ready, "", mid), shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{1: 1, 2: 1}},
-		{what: "a group as a whole, which costs all of it", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", group), shift(1, 1, 1, lane.Out, "w", group), shift(1, 2, 0, lane.Out, "v", mid), shift(1, 3, 0, lane.Out, "w", mid)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 5*loop.Second), run(2, 0, 20*loop.Second)}, "w": {run(1, 1, 5*loop.Second), run(3, 0, 9*loop.Second)}},
-			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", mid)}, want: map[uint64]int{3: 1}},
-		{what: "for a group as well", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "v", mid), shift(1, 3, 0, lane.Out, "w", mid), shift(1, 4, 0, lane.Out, "w", mid)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second), run(2, 0, 3*loop.Second)}, "w": {run(3, 0, 8*loop.Second), run(4, 0, 9*loop.Second)}},
-			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "g", Tasks: 2, CoresMilli: 600, Together: true}), shift(1, 9, 1, lane.Ready, "", &schema.Step{Name: "g", Tasks: 2, CoresMilli: 600, Together: true})}, want: map[uint64]int{1: 1, 3: 1}},
-		{what: "nothing for what then doesn't fit", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "w", mid)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second)}, "w": {run(2, 0, 8*loop.Second)}},
-			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1200})}, want: map[uint64]int{}},
-		{what: "nothing for a group of which one doesn't fit", less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "w", mid)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second)}, "w": {run(2, 0, 8*loop.Second)}},
-			urgent: []*lane.Shift{shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "g", Tasks: 3, CoresMilli: 800, Together: true}), shift(1, 9, 1, lane.Ready, "", &schema.Step{Name: "g", Tasks: 3, CoresMilli: 800, Together: true}),
-				shift(1, 9, 2, lane.Ready, "", &schema.Step{Name: "g", Tasks: 3, CoresMilli: 800, Together: true})}, want: map[uint64]int{}},
-		{what: "nothing of the same urgency", lessUrgently: 50, less: []*lane.Shift{shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "w", mid)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*loop.Second)}, "w": {run(2, 0, 8*loop.Second)}},
-			urgent:  []*lane.Shift{shift(1, 9, 0, lane.Ready, "", big)}, want: map[uint64]int{}},
+		{what: "what has run least", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "v", mid), shift(1, 3, 0, queue.Out, "w", mid), shift(1, 4, 0, queue.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*eventloop.Second), run(2, 0, 9*eventloop.Second)}, "w": {run(3, 0, 8*eventloop.Second), run(4, 0, 9*eventloop.Second)}},
+			urgent:  []*queue.Shift{shift(1, 9, 0, queue.Ready, "", mid)}, want: map[uint64]int{3: 1}},
+		{what: "what has kept its progress", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "v", saving), shift(1, 3, 0, queue.Out, "w", mid), shift(1, 4, 0, queue.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*eventloop.Second), {Lane: "l", Job: 2, Attempt: 1, State: "running", RunUs: 20_000_000, Saved: "x", CoresMilli: 400}}, "w": {run(3, 0, 8*eventloop.Second), run(4, 0, 9*eventloop.Second)}},
+			urgent:  []*queue.Shift{shift(1, 9, 0, queue.Ready, "", mid)}, want: map[uint64]int{2: 1}},
+		{what: "lasting tasks late", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "v", lasting), shift(1, 3, 0, queue.Out, "w", lasting), shift(1, 4, 0, queue.Out, "w", lasting)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*eventloop.Second), run(2, 0, eventloop.Milli)}, "w": {run(3, 0, eventloop.Milli), run(4, 0, eventloop.Milli)}},
+			urgent:  []*queue.Shift{shift(1, 9, 0, queue.Ready, "", mid)}, want: map[uint64]int{1: 1}},
+		{what: "no more than is needed, but enough for all that waits", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "v", mid), shift(1, 3, 0, queue.Out, "w", mid), shift(1, 4, 0, queue.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*eventloop.Second), run(2, 0, 3*eventloop.Second)}, "w": {run(3, 0, 8*eventloop.Second), run(4, 0, 9*eventloop.Second)}},
+			urgent:  []*queue.Shift{shift(1, 8, 0, queue.Ready, "", mid), shift(1, 9, 0, queue.Ready, "", mid)}, want: map[uint64]int{1: 1, 2: 1}},
+		{what: "a group as a whole, which costs all of it", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", group), shift(1, 1, 1, queue.Out, "w", group), shift(1, 2, 0, queue.Out, "v", mid), shift(1, 3, 0, queue.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 5*eventloop.Second), run(2, 0, 20*eventloop.Second)}, "w": {run(1, 1, 5*eventloop.Second), run(3, 0, 9*eventloop.Second)}},
+			urgent:  []*queue.Shift{shift(1, 9, 0, queue.Ready, "", mid)}, want: map[uint64]int{3: 1}},
+		{what: "for a group as well", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "v", mid), shift(1, 3, 0, queue.Out, "w", mid), shift(1, 4, 0, queue.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*eventloop.Second), run(2, 0, 3*eventloop.Second)}, "w": {run(3, 0, 8*eventloop.Second), run(4, 0, 9*eventloop.Second)}},
+			urgent:  []*queue.Shift{shift(1, 9, 0, queue.Ready, "", &schema.Step{Name: "g", Tasks: 2, CoresMilli: 600, Together: true}), shift(1, 9, 1, queue.Ready, "", &schema.Step{Name: "g", Tasks: 2, CoresMilli: 600, Together: true})}, want: map[uint64]int{1: 1, 3: 1}},
+		{what: "nothing for what then doesn't fit", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*eventloop.Second)}, "w": {run(2, 0, 8*eventloop.Second)}},
+			urgent:  []*queue.Shift{shift(1, 9, 0, queue.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1200})}, want: map[uint64]int{}},
+		{what: "nothing for a group of which one doesn't fit", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*eventloop.Second)}, "w": {run(2, 0, 8*eventloop.Second)}},
+			urgent: []*queue.Shift{shift(1, 9, 0, queue.Ready, "", &schema.Step{Name: "g", Tasks: 3, CoresMilli: 800, Together: true}), shift(1, 9, 1, queue.Ready, "", &schema.Step{Name: "g", Tasks: 3, CoresMilli: 800, Together: true}),
+				shift(1, 9, 2, queue.Ready, "", &schema.Step{Name: "g", Tasks: 3, CoresMilli: 800, Together: true})}, want: map[uint64]int{}},
+		{what: "nothing of the same urgency", lessUrgently: 50, less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "w", mid)},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 2*eventloop.Second)}, "w": {run(2, 0, 8*eventloop.Second)}},
+			urgent:  []*queue.Shift{shift(1, 9, 0, queue.Ready, "", big)}, want: map[uint64]int{}},
 	} {
 		Convey("Urgent work displaces "+each.what, t, func() {
 			d := newDesk("v", "w")
-			d.step(keep.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1}, Charter: true})
+			d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1}, Charter: true})
 			d.lane("l", max(each.lessUrgently, 10), each.less...)
 			say := func() {
 				for _, id := range []string{"v", "w"} {
@@ -468,18 +468,18 @@
 			d.lane("m", 50, each.urgent...)
 			d.pass(preemptAfter - Pace)
 			So(stops(d), ShouldBeEmpty) // it waits a little first
-			d.pass(60 * loop.Milli)
+			d.pass(60 * eventloop.Milli)
 			say()
-			d.pass(100 * loop.Milli)
+			d.pass(100 * eventloop.Milli)
 			So(stops(d), ShouldResemble, each.want)
 		})
 	}
 	Convey("The room that was freed goes to whom it was freed for", t, func() {
 		d := newDesk("w")
-		d.lane("l", 10, shift(1, 1, 0, lane.Out, "w", mid), shift(1, 2, 0, lane.Out, "w", mid), shift(1, 3, 0, lane.Ready, "", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 300}))
-		both := []*schema.TaskNote{run(1, 0, loop.Second), run(2, 0, loop.Second)}
+		d.lane("l", 10, shift(1, 1, 0, queue.Out, "w", mid), shift(1, 2, 0, queue.Out, "w", mid), shift(1, 3, 0, queue.Ready, "", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 300}))
+		both := []*schema.TaskNote{run(1, 0, eventloop.Second), run(2, 0, eventloop.Second)}
 		d.announce("w", func(a *schema.Announce) { a.Running = both })
-		d.lane("m", 50, shift(1, 9, 0, lane.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1000}))
+		d.lane("m", 50, shift(1, 9, 0, queue.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1000}))
 		d.pass(preemptAfter + 2*Pace)
 		So(stops(d), ShouldResemble, map[uint64]int{1: 1, 2: 1})
 		d.announce("w", func(a *schema.Announce) {
@@ -500,18 +500,18 @@
 			d := newDesk("v", "w")
 			gang := &schema.Step{Name: "g", Tasks: 2, CoresMilli: 900, Together: true}
 			small := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 500}
-			d.lane("k", 10, shift(1, 1, 0, lane.Out, "v", small))
+			d.lane("k", 10, shift(1, 1, 0, queue.Out, "v", small))
 			busy := func(a *schema.Announce) {
 				a.Running = []*schema.TaskNote{{Lane: "k", Job: 1, Attempt: 1, State: "running", CoresMilli: 500}}
 			}
 			d.announce("v", busy)
 			d.announce("w", nil)
-			d.lane("l", 10, shift(1, 5, 0, lane.Ready, "", gang), shift(1, 5, 1, lane.Ready, "", gang))
+			d.lane("l", 10, shift(1, 5, 0, queue.Ready, "", gang), shift(1, 5, 1, queue.Ready, "", gang))
 			So(d.picks(), ShouldBeEmpty)
-			d.pass(1600 * loop.Milli)
+			d.pass(1600 * eventloop.Milli)
 			d.announce("v", busy)
 			d.announce("w", nil)
-			d.lane("m", urgency, shift(1, 6, 0, lane.Ready, "", small))
+			d.lane("m", urgency, shift(1, 6, 0, queue.Ready, "", small))
 			So(d.picks(), ShouldBeEmpty)
 			Convey(fmt.Sprint("until it fits, before urgency ", urgency), func() {
 				d.announce("v", func(a *schema.Announce) {
@@ -521,7 +521,7 @@
 				So(d.picks()[0].Key.Job, ShouldEqual, 5)
 			})
 			Convey(fmt.Sprint("but not from what is more urgent than ", urgency), func() {
-				d.lane("m", 20, shift(1, 6, 0, lane.Ready, "", small))
+				d.lane("m", 20, shift(1, 6, 0, queue.Ready, "", small))
 				So(len(d.picks()), ShouldEqual, 1)
 				So(d.picks()[0].Key.Job, ShouldEqual, 6)
 			})
@@ -530,11 +530,11 @@
 	Convey("What doesn't fit holds up nothing that does", t, func() {
 		d := newDesk("w")
 		d.announce("w", nil)
-		var list []*lane.Shift
+		var list []*queue.Shift
 		for job := uint64(1); job <= 40; job++ {
-			list = append(list, shift(job, job, 0, lane.Ready, "", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 5000}))
+			list = append(list, shift(job, job, 0, queue.Ready, "", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 5000}))
 		}
-		d.shifts(true, 41, append(list, shift(41, 50, 0, lane.Ready, "", one))...)
+		d.shifts(true, 41, append(list, shift(41, 50, 0, queue.Ready, "", one))...)
 		So(len(d.picks()), ShouldEqual, 1)
 		So(d.picks()[0].Key.Job, ShouldEqual, 50)
 	})
@@ -544,20 +544,20 @@
 	step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, EstimateUs: 1_000_000}
 	// finish lets a worker end one task after a run of so long.
 	job := uint64(100)
-	finish := func(d *desk, worker string, run loop.Micros) {
+	finish := func(d *desk, worker string, run eventloop.Micros) {
 		job++
 		hand := d.t.views["l"].hand
-		d.shifts(false, hand+1, shift(hand+1, job, 0, lane.Out, worker, step))
+		d.shifts(false, hand+1, shift(hand+1, job, 0, queue.Out, worker, step))
 		d.announce(worker, named(func(a *schema.Announce) {
 			a.Ended = []*schema.TaskNote{{Name: fmt.Sprint("j", job), Attempt: 1, State: "done", RunUs: int64(run)}}
 		}))
-		d.shifts(false, hand+2, shift(hand+2, job, 0, lane.Gone, "", step))
+		d.shifts(false, hand+2, shift(hand+2, job, 0, queue.Gone, "", step))
 	}
 	ready := func(d *desk, step *schema.Step) string {
 		job++
 		d.tells = nil
 		hand := d.t.views["l"].hand
-		d.shifts(false, hand+1, shift(hand+1, job, 0, lane.Ready, "", step))
+		d.shifts(false, hand+1, shift(hand+1, job, 0, queue.Ready, "", step))
 		So(len(d.picks()), ShouldEqual, 1)
 		return d.picks()[0].Worker
 	}
@@ -568,15 +568,15 @@
 			d.announce(id, named(nil))
 		}
 		for k := 0; k < 4; k++ {
-			finish(d, "b", loop.Second)
-			finish(d, "c", loop.Second)
+			finish(d, "b", eventloop.Second)
+			finish(d, "c", eventloop.Second)
 		}
 		return d
 	}
 	Convey("A worker whose runs take longer than others' is used last", t, func() {
 		d := setUp()
 		for k := 0; k < 4; k++ {
-			finish(d, "a", 4*loop.Second)
+			finish(d, "a", 4*eventloop.Second)
 		}
 		d.announce("b", runs(&schema.TaskNote{Lane: "x", Name: "z", Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}))
 		d.announce("c", runs(&schema.TaskNote{Lane: "x", Name: "z", Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}))
@@ -588,23 +588,23 @@
 	Convey("A task that stands still while others end alike ones is displaced, and its worker rests", t, func() {
 		d := setUp()
 		hand := d.t.views["l"].hand
-		d.shifts(false, hand+1, shift(hand+1, 7, 0, lane.Out, "a", step))
+		d.shifts(false, hand+1, shift(hand+1, 7, 0, queue.Out, "a", step))
 		began := d.now
 		percent := int64(0)
-		play := func(span loop.Micros, moves int64) {
+		play := func(span eventloop.Micros, moves int64) {
 			for end := d.now + span; d.now < end; {
 				percent += moves
 				d.announce("a", runs(&schema.TaskNote{Name: "j7", Attempt: 1, State: "running", Percent: percent}))
-				finish(d, "b", loop.Second)
-				finish(d, "c", loop.Second)
-				d.pass(100 * loop.Milli)
+				finish(d, "b", eventloop.Second)
+				finish(d, "c", eventloop.Second)
+				d.pass(100 * eventloop.Milli)
 			}
 		}
 		isStopped := func() bool { return len(d.acts(0, "stop")) > 0 }
 		Convey("where nothing moves", func() {
-			play(3900*loop.Milli, 0)
+			play(3900*eventloop.Milli, 0)
 			So(isStopped(), ShouldBeFalse)
-			play(500*loop.Milli, 0)
+			play(500*eventloop.Milli, 0)
 			So(isStopped(), ShouldBeTrue)
 			d.tells = nil
 			d.announce("a", ends(&schema.TaskNote{Name: "j7", Attempt: 1, State: "stopped"}))
@@ -614,9 +614,9 @@
 			}
 		})
 		Convey("not where it just is long", func() {
-			play(8*loop.Second, 1)
+			play(8*eventloop.Second, 1)
 			So(isStopped(), ShouldBeFalse)
-			So(d.now-began, ShouldBeGreaterThan, 7*loop.Second)
+			So(d.now-began, ShouldBeGreaterThan, 7*eventloop.Second)
 		})
 	})
 	fail := func(d *desk, worker string, jobs ...uint64) {
@@ -641,12 +641,12 @@
 			hand := d.t.views["l"].hand
 			only := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, Labels: []string{"x"}}
 			d.tells = nil
-			d.shifts(false, hand+1, shift(hand+1, 900, 0, lane.Ready, "", only))
-			d.pass(2 * loop.Second)
+			d.shifts(false, hand+1, shift(hand+1, 900, 0, queue.Ready, "", only))
+			d.pass(2 * eventloop.Second)
 			has := named(func(a *schema.Announce) { a.Labels = []string{"x"} })
 			d.announce("a", has)
 			So(d.picks(), ShouldBeEmpty)
-			d.pass(1100 * loop.Milli)
+			d.pass(1100 * eventloop.Milli)
 			d.announce("a", has)
 			So(len(d.picks()), ShouldEqual, 1)
 		})
@@ -673,10 +673,10 @@
 		Convey("and few failures are no sign where all fail now and then", func() {
 			for _, id := range []string{"a", "b", "c"} {
 				for k := uint64(1); k <= 4; k++ {
-					finish(d, id, loop.Second)
+					finish(d, id, eventloop.Second)
 				}
 				fail(d, id, 1)
-				finish(d, id, loop.Second)
+				finish(d, id, eventloop.Second)
 			}
 			fail(d, "a", 2, 3)
 			ready(d, step)
@@ -688,7 +688,7 @@
 		fail(d, "a", 1, 2)
 		ready(d, step)
 		hand := d.t.views["l"].hand
-		d.shifts(false, hand+1, shift(hand+1, job, 0, lane.Gone, "", step))
+		d.shifts(false, hand+1, shift(hand+1, job, 0, queue.Gone, "", step))
 		d.pass(firstRest)
 		has := func(notes ...*schema.TaskNote) func(*schema.Announce) {
 			return named(func(a *schema.Announce) { a.Labels, a.Running = []string{"x"}, notes })
@@ -696,15 +696,15 @@
 		only := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, Labels: []string{"x"}}
 		hand = d.t.views["l"].hand
 		d.tells = nil
-		d.shifts(false, hand+1, shift(hand+1, 900, 0, lane.Out, "a", only))
+		d.shifts(false, hand+1, shift(hand+1, 900, 0, queue.Out, "a", only))
 		runs := &schema.TaskNote{Name: "j900", Attempt: 1, State: "running"}
 		d.announce("a", has(runs))
-		d.shifts(false, hand+2, shift(hand+2, 901, 0, lane.Ready, "", only))
+		d.shifts(false, hand+2, shift(hand+2, 901, 0, queue.Ready, "", only))
 		d.announce("a", has(runs))
 		So(d.t.workers["a"].isOnTrial, ShouldBeTrue)
 		So(d.picks(), ShouldBeEmpty)
 		for k := 0; k < 6; k++ {
-			d.pass(500 * loop.Milli)
+			d.pass(500 * eventloop.Milli)
 			d.announce("a", has(runs))
 		}
 		So(len(d.picks()), ShouldEqual, 1)
@@ -713,7 +713,7 @@
 		d := setUp()
 		for k := uint64(1); k <= 65; k++ {
 			for _, id := range []string{"a", "b", "c"} {
-				finish(d, id, loop.Second)
+				finish(d, id, eventloop.Second)
 				if k%10 == 0 {
 					fail(d, id, 1000+k)
 				}
@@ -735,7 +735,7 @@
 				a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: k, State: "failed"}}
 			})
 		}
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		So(d.t.workers["a"].isOnTrial, ShouldBeFalse)
 	})
 }
@@ -744,14 +744,14 @@
 	Convey("However many steps fit nowhere, what stands behind them is looked at before long", t, func() {
 		d := newDesk("w")
 		d.announce("w", nil)
-		var list []*lane.Shift
+		var list []*queue.Shift
 		for k := uint64(1); k <= 100; k++ {
 			huge := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 10_000 + int64(k)}
-			list = append(list, shift(k, k, 0, lane.Ready, "", huge))
+			list = append(list, shift(k, k, 0, queue.Ready, "", huge))
 		}
-		d.shifts(true, 100, append(list, shift(101, 101, 0, lane.Ready, "", one))...)
+		d.shifts(true, 100, append(list, shift(101, 101, 0, queue.Ready, "", one))...)
 		for k := 0; k < 3; k++ {
-			d.pass(200 * loop.Milli)
+			d.pass(200 * eventloop.Milli)
 			d.announce("w", nil)
 		}
 		So(len(d.picks()), ShouldEqual, 1)
@@ -763,10 +763,10 @@
 	Convey("Lanes are served by urgency, equals by who has waited longest", t, func() {
 		d := newDesk("w")
 		d.announce("w", func(a *schema.Announce) { a.Leaving = true })
-		d.lane("m", 10, shift(1, 1, 0, lane.Ready, "", one))
-		d.pass(100 * loop.Milli)
-		d.lane("k", 10, shift(1, 2, 0, lane.Ready, "", one))
-		d.lane("l", 20, shift(1, 3, 0, lane.Ready, "", one))
+		d.lane("m", 10, shift(1, 1, 0, queue.Ready, "", one))
+		d.pass(100 * eventloop.Milli)
+		d.lane("k", 10, shift(1, 2, 0, queue.Ready, "", one))
+		d.lane("l", 20, shift(1, 3, 0, queue.Ready, "", one))
 		d.announce("w", nil)
 		for _, want := range []struct {
 			job  uint64
@@ -776,7 +776,7 @@
 			So(d.picks()[0].Key.Job, ShouldEqual, want.job)
 			// Its lane is led elsewhere from now on, which leaves the room to the next.
 			d.tells = nil
-			d.step(keep.Lost{Lane: want.lane})
+			d.step(replica.Lost{Lane: want.lane})
 		}
 	})
 }
@@ -788,22 +788,22 @@
 		say := func() {
 			for k, id := range []string{"v", "w"} {
 				d.announce(id, func(a *schema.Announce) {
-					a.Running = []*schema.TaskNote{{Lane: "l", Job: uint64(k + 1), Attempt: 1, State: "running", RunUs: int64(k+1) * int64(loop.Second), CoresMilli: 900}}
+					a.Running = []*schema.TaskNote{{Lane: "l", Job: uint64(k + 1), Attempt: 1, State: "running", RunUs: int64(k+1) * int64(eventloop.Second), CoresMilli: 900}}
 				})
 			}
 		}
-		d.lane("l", 10, shift(1, 1, 0, lane.Out, "v", mid), shift(1, 2, 0, lane.Out, "w", mid))
+		d.lane("l", 10, shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "w", mid))
 		say()
-		d.lane("m", 50, shift(1, 9, 0, lane.Ready, "", mid))
+		d.lane("m", 50, shift(1, 9, 0, queue.Ready, "", mid))
 		other := d.t.views["l"].tasks[taskKey{"l", 2, 0, 0}]
 		for k := 0; k < 25; k++ {
-			d.pass(100 * loop.Milli)
+			d.pass(100 * eventloop.Milli)
 			say()
 		}
 		So(d.t.views["l"].tasks[taskKey{"l", 1, 0, 0}].evict, ShouldEqual, "stopped")
 		So(other.evict, ShouldEqual, "")
-		for end := d.now + preemptAfter + loop.Second; d.now < end; {
-			d.pass(100 * loop.Milli)
+		for end := d.now + preemptAfter + eventloop.Second; d.now < end; {
+			d.pass(100 * eventloop.Milli)
 			say()
 		}
 		So(other.evict, ShouldEqual, "stopped")
--- a/placer/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -1,13 +1,13 @@
-package placer
+package scheduler
 
 import (
 	"fmt"
 	"testing"
 
-	"sparnotch/keep"
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // BenchmarkStart is what a task costs from its hand-over to its noted end, on
@@ -37,13 +37,13 @@
 			}
 			d.shifts(true, 0)
 			for k := 1; k < size.lanes; k++ {
-				d.step(keep.Shifts{Lane: fmt.Sprint("idle", k), Group: fmt.Sprint("idle", k, "#1"), Term: 1, IsWhole: true})
+				d.step(replica.Shifts{Lane: fmt.Sprint("idle", k), Group: fmt.Sprint("idle", k, "#1"), Term: 1, IsWhole: true})
 			}
 			hand, job := uint64(0), uint64(0)
 			ready := func() {
 				job++
 				hand++
-				d.shifts(false, hand, shift(hand, job, 0, lane.Ready, "", spec()))
+				d.shifts(false, hand, shift(hand, job, 0, queue.Ready, "", spec()))
 			}
 			for k := 0; k < 300+backlog; k++ {
 				ready()
@@ -56,16 +56,16 @@
 				d.tells = nil
 				for _, tell := range tells {
 					switch m := tell.(type) {
-					case keep.Propose:
+					case replica.Propose:
 						for _, pick := range m.Command.GetCheckout().GetPicks() {
 							hand++
-							d.shifts(false, hand, shift(hand, pick.Key.Job, 0, lane.Out, pick.Worker, spec()))
+							d.shifts(false, hand, shift(hand, pick.Key.Job, 0, queue.Out, pick.Worker, spec()))
 							running[pick.Worker] = append(running[pick.Worker], &schema.TaskNote{Name: fmt.Sprint("j", pick.Key.Job), Attempt: 1, State: "running"})
 							say(pick.Worker)
 						}
-					case keep.Ended:
+					case replica.Ended:
 						hand++
-						d.shifts(false, hand, shift(hand, m.End.Key.Job, 0, lane.Gone, "", spec()))
+						d.shifts(false, hand, shift(hand, m.End.Key.Job, 0, queue.Gone, "", spec()))
 						d.step(&schema.EndReply{Lane: "l", Key: m.End.Key, Attempt: m.End.Attempt, Worker: m.End.Worker})
 						over[m.End.Worker] = nil
 						say(m.End.Worker)
@@ -78,10 +78,10 @@
 				}
 				over[id] = over[id][:len(over[id]):len(over[id])]
 				say(id)
-				d.now += loop.Milli
+				d.now += eventloop.Milli
 				if k%20 == 0 {
 					d.fresh(true)
-					d.step(loop.Tick{})
+					d.step(eventloop.Tick{})
 				}
 			}
 			b.ReportMetric(float64(d.t.counts.Starts)/float64(b.N), "starts/op")
--- a/placer/chance.go
+++ b/internal/scheduler/chance.go
@@ -1,10 +1,10 @@
-package placer
+package scheduler
 
 import (
 	"math"
 
-	"sparnotch/lane"
-	"sparnotch/loop"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
 )
 
 // chance is what a job can still be ended by. Work that comes in time goes
@@ -26,25 +26,25 @@
 
 // course is the longest way through a round, and that from a step on, itself
 // first.
-type course struct{ span, ahead []lane.Leg }
+type course struct{ span, ahead []queue.Leg }
 
 // aim is how long a lane's jobs should take at most: so many times their
 // longest way, and so much besides.
 type aim struct {
 	stretch float64
-	target  loop.Micros
+	target  eventloop.Micros
 }
 
 func (t *Table) aimOf(name string) aim {
 	return aim{
 		stretch: float64(t.values.Of("lane", name, "stretch_milli")) / 1000,
-		target:  loop.Micros(t.values.Of("lane", name, "target_ms")) * loop.Milli,
+		target:  eventloop.Micros(t.values.Of("lane", name, "target_ms")) * eventloop.Milli,
 	}
 }
 
 // usual is how long a way should take, where no step may have more cores at
 // once than so many (0: any number); what is wider goes in waves.
-func (t *Table) usual(name string, way []lane.Leg, cores int64) (sum loop.Micros) {
+func (t *Table) usual(name string, way []queue.Leg, cores int64) (sum eventloop.Micros) {
 	p := t.paces[paceKey{name, ""}]
 	for _, each := range way {
 		if each.EstimateUs <= 0 {
@@ -57,13 +57,13 @@
 		if cores > 0 {
 			span *= math.Ceil(math.Max(1, float64(each.CoresMilli)/float64(cores)))
 		}
-		sum += loop.Micros(span)
+		sum += eventloop.Micros(span)
 	}
 	return sum
 }
 
 // chanceOf tells what a task's job can still come to.
-func (t *Table) chanceOf(now loop.Micros, v *view, each *task) chance {
+func (t *Table) chanceOf(now eventloop.Micros, v *view, each *task) chance {
 	if each.spec.Lasting || len(each.ahead) == 0 {
 		return inTime
 	}
@@ -72,7 +72,7 @@
 		return inTime
 	}
 	rest := t.usual(v.lane, each.ahead, 0)
-	if each.standing == lane.Out && each.beganAt > 0 {
+	if each.standing == queue.Out && each.beganAt > 0 {
 		if w := t.workers[each.worker]; w != nil {
 			rest = min(rest, t.remaining(now, w, each)+t.usual(v.lane, each.ahead[1:], 0))
 		}
--- a/placer/chance_test.go
+++ b/internal/scheduler/chance_test.go
@@ -1,19 +1,19 @@
-package placer
+package scheduler
 
 import (
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/keep"
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // way gives a ready task its age and the estimates of the steps before it is done.
-func way(s *lane.Shift, age loop.Micros, estimate loop.Micros) *lane.Shift {
-	legs := []lane.Leg{{EstimateUs: int64(estimate), CoresMilli: s.Spec.CoresMilli}}
+func way(s *queue.Shift, age eventloop.Micros, estimate eventloop.Micros) *queue.Shift {
+	legs := []queue.Leg{{EstimateUs: int64(estimate), CoresMilli: s.Spec.CoresMilli}}
 	s.AgeUs, s.Span, s.Ahead = int64(age), legs, legs
 	return s
 }
@@ -25,9 +25,9 @@
 		{Kind: "lane", Name: "m", Key: "stretch_milli", Value: "1500"},
 		{Kind: "lane", Name: "m", Key: "target_ms", Value: "500"},
 	}
-	step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 1000, MemoryMb: 10, EstimateUs: int64(loop.Second)}
-	most := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 700, MemoryMb: 10, EstimateUs: int64(loop.Second)}
-	rest := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 300, MemoryMb: 10, EstimateUs: int64(loop.Second)}
+	step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 1000, MemoryMb: 10, EstimateUs: int64(eventloop.Second)}
+	most := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 700, MemoryMb: 10, EstimateUs: int64(eventloop.Second)}
+	rest := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 300, MemoryMb: 10, EstimateUs: int64(eventloop.Second)}
 	setUp := func() *desk {
 		d := newDesk("w")
 		d.told(rows, "w")
@@ -37,16 +37,16 @@
 	// A step as wide as the room goes in four waves: the aim is 6.5 s, with some ease.
 	Convey("Work that comes in time goes before what is late anyhow, also where that is more urgent", t, func() {
 		d := setUp()
-		d.lane("l", 20, way(shift(1, 1, 0, lane.Ready, "", step), 12*loop.Second, loop.Second))
-		d.lane("m", 10, way(shift(1, 2, 0, lane.Ready, "", step), 0, loop.Second))
+		d.lane("l", 20, way(shift(1, 1, 0, queue.Ready, "", step), 12*eventloop.Second, eventloop.Second))
+		d.lane("m", 10, way(shift(1, 2, 0, queue.Ready, "", step), 0, eventloop.Second))
 		d.announce("w", named(nil))
 		So(len(d.picks()), ShouldEqual, 1)
 		So(d.picks()[0].Key.Job, ShouldEqual, 2)
 	})
 	Convey("Among what comes in time urgency decides", t, func() {
 		d := setUp()
-		d.lane("m", 10, way(shift(1, 2, 0, lane.Ready, "", step), 100*loop.Milli, loop.Second))
-		d.lane("l", 20, way(shift(1, 1, 0, lane.Ready, "", step), 0, loop.Second))
+		d.lane("m", 10, way(shift(1, 2, 0, queue.Ready, "", step), 100*eventloop.Milli, eventloop.Second))
+		d.lane("l", 20, way(shift(1, 1, 0, queue.Ready, "", step), 0, eventloop.Second))
 		d.announce("w", named(nil))
 		So(len(d.picks()), ShouldEqual, 1)
 		So(d.picks()[0].Key.Job, ShouldEqual, 1)
@@ -54,8 +54,8 @@
 	Convey("What is lost is begun last, and only while much of the room is free", t, func() {
 		d := setUp()
 		d.lane("l", 20,
-			way(shift(1, 1, 0, lane.Ready, "", most), 60*loop.Second, loop.Second),
-			way(shift(1, 2, 0, lane.Ready, "", rest), 60*loop.Second, loop.Second),
+			way(shift(1, 1, 0, queue.Ready, "", most), 60*eventloop.Second, eventloop.Second),
+			way(shift(1, 2, 0, queue.Ready, "", rest), 60*eventloop.Second, eventloop.Second),
 		)
 		d.announce("w", named(nil))
 		So(len(d.picks()), ShouldEqual, 1)
@@ -65,8 +65,8 @@
 		d := setUp()
 		d.t.cores = 1000
 		v := &view{lane: "l", aim: d.t.aimOf("l")}
-		each := &task{spec: step, standing: lane.Ready, dueAt: d.now - 3*loop.Second}
-		legs := []lane.Leg{{EstimateUs: int64(loop.Second), CoresMilli: 250}}
+		each := &task{spec: step, standing: queue.Ready, dueAt: d.now - 3*eventloop.Second}
+		legs := []queue.Leg{{EstimateUs: int64(eventloop.Second), CoresMilli: 250}}
 		each.course = course{legs, legs}
 		So(d.t.chanceOf(d.now, v, each), ShouldEqual, late)
 		legs[0].CoresMilli = 500
@@ -83,13 +83,13 @@
 		for _, id := range []string{"w", "x", "y"} {
 			d.announce(id, named(nil))
 		}
-		d.lane("l", 20, shift(1, 1, 0, lane.Out, "w", long), shift(1, 2, 0, lane.Out, "x", long))
+		d.lane("l", 20, shift(1, 1, 0, queue.Out, "w", long), shift(1, 2, 0, queue.Out, "x", long))
 		d.t.setAside(d.now, d.t.workers["y"], firstRest, 1)
-		d.lane("m", 20, way(shift(1, 3, 0, lane.Ready, "", long), 0, 6*loop.Second))
+		d.lane("m", 20, way(shift(1, 3, 0, queue.Ready, "", long), 0, 6*eventloop.Second))
 		d.announce("y", named(nil))
 		So(d.picks(), ShouldBeEmpty)
 		for k := 0; k < 6; k++ {
-			d.pass(500 * loop.Milli)
+			d.pass(500 * eventloop.Milli)
 			for _, id := range []string{"w", "x", "y"} {
 				d.announce(id, named(nil))
 			}
@@ -99,21 +99,21 @@
 	Convey("Room that more urgent work has been using of late is left free by what takes long", t, func() {
 		d := newDesk("w")
 		d.announce("w", named(nil))
-		d.lane("l", 20, shift(1, 1, 0, lane.Out, "w", wide))
-		d.pass(100 * loop.Milli)
-		d.step(keep.Shifts{Lane: "l", Group: "l#1", Term: 1, Hand: 2, List: []*lane.Shift{shift(2, 1, 0, lane.Gone, "", wide)}, Running: 1000, Urgency: 20})
+		d.lane("l", 20, shift(1, 1, 0, queue.Out, "w", wide))
+		d.pass(100 * eventloop.Milli)
+		d.step(replica.Shifts{Lane: "l", Group: "l#1", Term: 1, Hand: 2, List: []*queue.Shift{shift(2, 1, 0, queue.Gone, "", wide)}, Running: 1000, Urgency: 20})
 		d.announce("w", named(nil))
-		d.lane("m", 10, way(shift(1, 2, 0, lane.Ready, "", long), 0, 6*loop.Second))
+		d.lane("m", 10, way(shift(1, 2, 0, queue.Ready, "", long), 0, 6*eventloop.Second))
 		d.announce("w", named(nil))
 		So(d.picks(), ShouldBeEmpty)
 		Convey("but not by what is soon over", func() {
-			d.lane("k", 10, way(shift(1, 3, 0, lane.Ready, "", brief), 0, 500*loop.Milli))
+			d.lane("k", 10, way(shift(1, 3, 0, queue.Ready, "", brief), 0, 500*eventloop.Milli))
 			d.announce("w", named(nil))
 			So(len(d.picks()), ShouldEqual, 1)
 		})
 		Convey("and not for long where little is in use", func() {
 			for k := 0; k < 6; k++ {
-				d.pass(500 * loop.Milli)
+				d.pass(500 * eventloop.Milli)
 				d.announce("w", named(nil))
 			}
 			So(d.picks()[0].Key.Job, ShouldEqual, 2)
@@ -124,22 +124,22 @@
 func TestLossIsWeighed(t *testing.T) {
 	low := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 1000, MemoryMb: 10, EstimateUs: 20_000_000}
 	high := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 1000, MemoryMb: 10, EstimateUs: 1_000_000}
-	runs := func(span loop.Micros) func(*schema.Announce) {
+	runs := func(span eventloop.Micros) func(*schema.Announce) {
 		return named(func(a *schema.Announce) {
 			a.Running = []*schema.TaskNote{{Name: "j1", Attempt: 1, State: "running", RunUs: int64(span)}}
 		})
 	}
-	play := func(span loop.Micros) *desk {
+	play := func(span eventloop.Micros) *desk {
 		d := newDesk("w")
-		d.lane("m", 10, way(shift(1, 1, 0, lane.Out, "w", low), 0, 20*loop.Second))
+		d.lane("m", 10, way(shift(1, 1, 0, queue.Out, "w", low), 0, 20*eventloop.Second))
 		d.announce("w", runs(span))
-		d.lane("l", 20, way(shift(1, 2, 0, lane.Ready, "", high), 0, loop.Second))
+		d.lane("l", 20, way(shift(1, 2, 0, queue.Ready, "", high), 0, eventloop.Second))
 		d.pass(preemptAfter + 2*Pace)
 		d.announce("w", runs(span+preemptAfter+2*Pace))
 		return d
 	}
 	Convey("No more work is thrown away for a task than twice its own", t, func() {
-		So(play(loop.Second).t.counts.Preempted, ShouldEqual, 1)
-		So(play(3*loop.Second).t.counts.Preempted, ShouldEqual, 0)
+		So(play(eventloop.Second).t.counts.Preempted, ShouldEqual, 1)
+		So(play(3*eventloop.Second).t.counts.Preempted, ShouldEqual, 0)
 	})
 }
--- a/placer/gather.go
+++ b/internal/scheduler/gather.go
@@ -1,10 +1,10 @@
-package placer
+package scheduler
 
 import (
 	"cmp"
 
-	"sparnotch/lane"
-	"sparnotch/loop"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
 )
 
 // Where workers have the members of a group wait for each other, a group needs
@@ -12,8 +12,8 @@
 // others go before they have waited for nothing.
 
 // gather stops the rest of a group one of whose members can't begin any more.
-func (t *Table) gather(now loop.Micros, each *task) {
-	if each.standing != lane.Out || each.evict != "" {
+func (t *Table) gather(now eventloop.Micros, each *task) {
+	if each.standing != queue.Out || each.evict != "" {
 		return
 	}
 	members := t.members(each)
@@ -32,7 +32,7 @@
 		}
 		_, isOver := t.over[member.worker]
 		switch {
-		case member.standing != lane.Out || member.evict != "" || isOver:
+		case member.standing != queue.Out || member.evict != "" || isOver:
 			isBroken = true
 		case member.beganAt > 0:
 		case now-member.since > t.gatherSpan():
@@ -45,16 +45,16 @@
 		return
 	}
 	for _, member := range members {
-		if member.standing == lane.Out && member.evict == "" {
+		if member.standing == queue.Out && member.evict == "" {
 			t.evict(member, "stopped")
 		}
 	}
 }
 
 // gatherSpan is how long a member may take to begin: less than the others wait.
-func (t *Table) gatherSpan() loop.Micros {
+func (t *Table) gatherSpan() eventloop.Micros {
 	if t.bounds.GetGatherUs() > 0 {
-		return loop.Micros(t.bounds.GatherUs) * 3 / 4
+		return eventloop.Micros(t.bounds.GatherUs) * 3 / 4
 	}
 	return gatherSpan
 }
@@ -71,7 +71,7 @@
 	}
 	for _, member := range members {
 		w := t.workers[member.worker]
-		if member.standing != lane.Out || member.evict != "" || w == nil || w.isOver {
+		if member.standing != queue.Out || member.evict != "" || w == nil || w.isOver {
 			return false
 		}
 		if w.ended[attemptKey{member.key, member.attempt}] != nil || member.beganAt == 0 && (!w.isKnown || w.isLeaving) {
--- a/placer/guard_test.go
+++ b/internal/scheduler/guard_test.go
@@ -1,20 +1,20 @@
-package placer
+package scheduler
 
 import (
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/schema"
 )
 
 func TestEndsAreNotedWhenApplied(t *testing.T) {
 	Convey("An end is told to its keeper until the keeper says that it was applied, and noted only then", t, func() {
 		d := newDesk("v")
 		d.announce("v", named(nil))
-		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "v", one))
+		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "v", one))
 		note := func(state string) *schema.TaskNote { return &schema.TaskNote{Name: "j1", Attempt: 1, State: state} }
 		d.announce("v", runs(note("running")))
 		isNoted := func() bool {
@@ -27,13 +27,13 @@
 		}
 		for k := 0; k < 3; k++ {
 			d.announce("v", ends(note("done")))
-			d.pass(holdSpan + loop.Second)
+			d.pass(holdSpan + eventloop.Second)
 			So(isNoted(), ShouldBeFalse)
 			So(len(d.ended()), ShouldBeGreaterThan, k)
 		}
 		d.step(&schema.EndReply{Lane: "l", Key: &schema.TaskKey{Job: 1}, Attempt: 1, Worker: "v"})
 		d.announce("v", ends(note("done")))
-		d.pass(holdSpan + loop.Second)
+		d.pass(holdSpan + eventloop.Second)
 		So(isNoted(), ShouldBeTrue)
 	})
 }
@@ -45,7 +45,7 @@
 		d := newDesk("v", "w")
 		d.announce("v", gathering)
 		d.announce("w", gathering)
-		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "v", gang))
+		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "v", gang))
 		d.announce("v", gathering)
 		So(d.acts(0, "start"), ShouldBeEmpty)
 	})
@@ -53,7 +53,7 @@
 		d := newDesk("v", "w")
 		d.announce("v", gathering)
 		d.announce("w", gathering)
-		d.shifts(true, 2, shift(1, 1, 0, lane.Out, "v", gang), shift(2, 1, 1, lane.Out, "w", gang))
+		d.shifts(true, 2, shift(1, 1, 0, queue.Out, "v", gang), shift(2, 1, 1, queue.Out, "w", gang))
 		d.pass(holdSpan)
 		d.announce("v", gathering)
 		d.announce("w", gathering)
@@ -62,7 +62,7 @@
 	Convey("nor while the worker of another hasn't been heard", t, func() {
 		d := newDesk("v", "w")
 		d.announce("v", gathering)
-		d.shifts(true, 2, shift(1, 1, 0, lane.Out, "v", gang), shift(2, 1, 1, lane.Out, "w", gang))
+		d.shifts(true, 2, shift(1, 1, 0, queue.Out, "v", gang), shift(2, 1, 1, queue.Out, "w", gang))
 		d.announce("v", gathering)
 		So(d.acts(0, "start"), ShouldBeEmpty)
 	})
--- a/placer/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -1,9 +1,9 @@
-package placer
+package scheduler
 
 import (
 	"math"
 
-	"sparnotch/loop"
+	"sparnotch/internal/eventloop"
 )
 
 // Urgent work comes in bursts, and room that less urgent work has filled comes
@@ -11,12 +11,12 @@
 // free what more urgent lanes have lately been using at their most.
 
 const (
-	swingSpan   = 10 * loop.Second // within which a peak is mostly forgotten
-	headShare   = 0.8              // of a peak is kept free
-	headMost    = 0.5              // of all room is kept free at most
-	roomyShare  = 0.55             // of the cores in use: less is little
-	briefTimes  = 2                // so many times a stop is soon over
-	briefAtMost = loop.Second      // what takes no longer is brief in any case
+	swingSpan   = 10 * eventloop.Second // within which a peak is mostly forgotten
+	headShare   = 0.8                   // of a peak is kept free
+	headMost    = 0.5                   // of all room is kept free at most
+	roomyShare  = 0.55                  // of the cores in use: less is little
+	briefTimes  = 2                     // so many times a stop is soon over
+	briefAtMost = eventloop.Second      // what takes no longer is brief in any case
 )
 
 // swing is a peak that fades.
@@ -73,5 +73,5 @@
 // stopped.
 func (t *Table) isBrief(v *view, first *task) bool {
 	span := t.usual(v.lane, first.ahead[:min(1, len(first.ahead))], 0)
-	return !first.spec.Lasting && span <= max(briefTimes*loop.Micros(t.bounds.GetStopUs()), briefAtMost)
+	return !first.spec.Lasting && span <= max(briefTimes*eventloop.Micros(t.bounds.GetStopUs()), briefAtMost)
 }
--- a/placer/meter.go
+++ b/internal/scheduler/meter.go
@@ -1,11 +1,11 @@
-package placer
+package scheduler
 
 import (
 	"math"
 
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/schema"
 )
 
 // A worker that has turned slow, or on which nothing moves, ends nothing for a
@@ -13,40 +13,40 @@
 // says it sooner, set against what alike tasks make elsewhere.
 
 const (
-	meterSpan  = 700 * loop.Milli  // within which what was seen is mostly forgotten
-	meterLeast = 2.0               // tasks' worth of progress to be expected before a worker is judged
-	meterCount = 20                // runs that alike tasks' pace must be known from
-	meterSlow  = 0.35              // of the progress expected: less is slow
-	frozenLook = 2200 * loop.Milli // without any progress on a worker; an agent looks about each second
-	frozenWant = 0.1               // tasks' worth of progress to be expected in that time
-	crawl      = 0.05              // of the usual pace, that a worker is taken to keep at least
+	meterSpan  = 700 * eventloop.Milli  // within which what was seen is mostly forgotten
+	meterLeast = 2.0                    // tasks' worth of progress to be expected before a worker is judged
+	meterCount = 20                     // runs that alike tasks' pace must be known from
+	meterSlow  = 0.35                   // of the progress expected: less is slow
+	frozenLook = 2200 * eventloop.Milli // without any progress on a worker; an agent looks about each second
+	frozenWant = 0.1                    // tasks' worth of progress to be expected in that time
+	crawl      = 0.05                   // of the usual pace, that a worker is taken to keep at least
 )
 
 // meter is the progress that a worker's tasks have made lately, and that which
 // was to be expected of them; in whole tasks.
 type meter struct {
 	got, want float64
-	at        loop.Micros // something last moved
+	at        eventloop.Micros // something last moved
 }
 
 // mark is the progress of a task when something on its worker last moved.
 type mark struct {
-	at      loop.Micros
+	at      eventloop.Micros
 	percent int64
 }
 
 // isMetered tells whether a task's progress says something of its worker.
-func (t *Table) isMetered(now loop.Micros, w *worker, each *task) bool {
+func (t *Table) isMetered(now eventloop.Micros, w *worker, each *task) bool {
 	if each.spec.Lasting || each.spec.Together || each.beganAt == 0 || now < w.coldUntil {
 		return false
 	}
 	key, _ := paceOf(each)
 	p := t.paces[key]
-	return p != nil && p.count >= meterCount && (each.saved == "" || now-each.beganAt > 2*loop.Micros(t.bounds.GetRestoreUs()))
+	return p != nil && p.count >= meterCount && (each.saved == "" || now-each.beganAt > 2*eventloop.Micros(t.bounds.GetRestoreUs()))
 }
 
 // gauge reads the progress that an announce tells.
-func (t *Table) gauge(now loop.Micros, w *worker) {
+func (t *Table) gauge(now eventloop.Micros, w *worker) {
 	isMoved := false
 	for key, note := range w.running {
 		if each := w.tasks[key.taskKey]; each != nil && each.attempt == key.attempt && each.mark.at > 0 && note.Percent != each.mark.percent {
@@ -73,14 +73,14 @@
 	}
 }
 
-func (t *Table) add(now loop.Micros, w *worker, each *task, percent int64) {
+func (t *Table) add(now eventloop.Micros, w *worker, each *task, percent int64) {
 	w.meter.want += float64(now-each.mark.at) / float64(t.expected(w, each))
 	w.meter.got += float64(percent-each.mark.percent) / 100
 	each.mark = mark{now, percent}
 }
 
 // gaugeEnd reads the progress up to a task's end.
-func (t *Table) gaugeEnd(now loop.Micros, w *worker, each *task, note *schema.TaskNote) {
+func (t *Table) gaugeEnd(now eventloop.Micros, w *worker, each *task, note *schema.TaskNote) {
 	if note.State == "done" && each.mark.at > 0 && t.isMetered(now, w, each) {
 		t.add(now, w, each, 100)
 		w.meter.at = now
@@ -88,7 +88,7 @@
 }
 
 // isFrozen tells whether nothing moves on a worker that is heard of.
-func (t *Table) isFrozen(now loop.Micros, w *worker) bool {
+func (t *Table) isFrozen(now eventloop.Micros, w *worker) bool {
 	if w.meter.at == 0 || now-w.meter.at < frozenLook || now-w.heard > holdSpan {
 		return false
 	}
@@ -108,7 +108,7 @@
 // rescue sets a worker aside that keeps only this share of the usual pace, and
 // has those of its tasks stopped that would end sooner elsewhere, where that
 // throws away no more than it is worth.
-func (t *Table) rescue(now loop.Micros, w *worker, share float64) {
+func (t *Table) rescue(now eventloop.Micros, w *worker, share float64) {
 	w.meter = meter{at: now}
 	if now < w.asideUntil {
 		return
@@ -117,7 +117,7 @@
 		return
 	}
 	for _, each := range t.tasksOf(w) {
-		if each.standing != lane.Out || each.evict != "" || !t.isMetered(now, w, each) {
+		if each.standing != queue.Out || each.evict != "" || !t.isMetered(now, w, each) {
 			continue
 		}
 		expected := float64(t.expected(w, each))
--- a/placer/meter_test.go
+++ b/internal/scheduler/meter_test.go
@@ -1,4 +1,4 @@
-package placer
+package scheduler
 
 import (
 	"fmt"
@@ -6,15 +6,15 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/schema"
 )
 
 func TestMeter(t *testing.T) {
 	step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, EstimateUs: 1_000_000}
 	job := uint64(100)
-	shifts := func(d *desk, list ...*lane.Shift) {
+	shifts := func(d *desk, list ...*queue.Shift) {
 		for _, each := range list {
 			each.Hand = d.t.views["l"].hand + 1
 			d.shifts(false, each.Hand, each)
@@ -22,11 +22,11 @@
 	}
 	finish := func(d *desk, worker string) {
 		job++
-		shifts(d, shift(0, job, 0, lane.Out, worker, step))
+		shifts(d, shift(0, job, 0, queue.Out, worker, step))
 		d.announce(worker, named(func(a *schema.Announce) {
-			a.Ended = []*schema.TaskNote{{Name: fmt.Sprint("j", job), Attempt: 1, State: "done", RunUs: int64(loop.Second)}}
+			a.Ended = []*schema.TaskNote{{Name: fmt.Sprint("j", job), Attempt: 1, State: "done", RunUs: int64(eventloop.Second)}}
 		}))
-		shifts(d, shift(0, job, 0, lane.Gone, "", step))
+		shifts(d, shift(0, job, 0, queue.Gone, "", step))
 	}
 	setUp := func() *desk {
 		d := newDesk("a", "b", "c")
@@ -39,12 +39,12 @@
 			finish(d, "c")
 		}
 		for k := uint64(1); k <= 3; k++ {
-			shifts(d, shift(0, k, 0, lane.Out, "a", step))
+			shifts(d, shift(0, k, 0, queue.Out, "a", step))
 		}
 		return d
 	}
 	// play lets three tasks run on a worker that makes so much progress in each 100 ms.
-	play := func(d *desk, span loop.Micros, percent float64) {
+	play := func(d *desk, span eventloop.Micros, percent float64) {
 		made := 0.0
 		for end := d.now + span; d.now < end; {
 			var notes []*schema.TaskNote
@@ -54,30 +54,30 @@
 			d.announce("a", named(func(a *schema.Announce) { a.Running = notes }))
 			d.announce("b", named(nil))
 			d.announce("c", named(nil))
-			d.pass(100 * loop.Milli)
+			d.pass(100 * eventloop.Milli)
 			made += percent
 		}
 	}
 	isAside := func(d *desk) bool { return d.now < d.t.workers["a"].asideUntil }
 	Convey("A worker whose tasks make a fifth of the usual progress rests, and they go elsewhere", t, func() {
 		d := setUp()
-		play(d, 1900*loop.Milli, 2)
+		play(d, 1900*eventloop.Milli, 2)
 		So(isAside(d), ShouldBeTrue)
 		So(len(d.acts(0, "stop")), ShouldBeGreaterThanOrEqualTo, 3)
 		So(d.t.workers["a"].rest, ShouldEqual, slowRest)
 	})
 	Convey("One whose tasks make nearly the usual progress doesn't", t, func() {
 		d := setUp()
-		play(d, 1500*loop.Milli, 6)
+		play(d, 1500*eventloop.Milli, 6)
 		So(isAside(d), ShouldBeFalse)
 		So(d.acts(0, "stop"), ShouldBeEmpty)
 	})
 	Convey("Progress that isn't told for a while says nothing yet", t, func() {
 		d := setUp()
-		play(d, 2*loop.Second, 0)
+		play(d, 2*eventloop.Second, 0)
 		So(isAside(d), ShouldBeFalse)
 		Convey("but when it isn't for long, the worker rests", func() {
-			play(d, 1000*loop.Milli, 0)
+			play(d, 1000*eventloop.Milli, 0)
 			So(isAside(d), ShouldBeTrue)
 		})
 	})
--- a/placer/name.go
+++ b/internal/scheduler/name.go
@@ -1,11 +1,11 @@
-package placer
+package scheduler
 
 import (
 	"maps"
 	"slices"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // nameKey is a task as an agent names it, which knows no lane.
@@ -77,7 +77,7 @@
 // forgotten lists those of a worker's notes that no lane can know: every lane
 // of the plan is led here, and none has such a task. Before that is sure they
 // are left alone.
-func (t *Table) forgotten(now loop.Micros, notes []*schema.TaskNote) []*schema.TaskNote {
+func (t *Table) forgotten(now eventloop.Micros, notes []*schema.TaskNote) []*schema.TaskNote {
 	if len(notes) == 0 || !t.isAllHere(now) {
 		return nil
 	}
@@ -93,7 +93,7 @@
 
 // isAllHere tells whether every lane of the plan that stands in the charter is
 // led here and may be acted for.
-func (t *Table) isAllHere(now loop.Micros) bool {
+func (t *Table) isAllHere(now eventloop.Micros) bool {
 	if t.state.Version == 0 || !t.isSure(now) {
 		return false
 	}
@@ -109,13 +109,13 @@
 }
 
 // look takes down what is seen of a running task.
-func (t *Table) look(now loop.Micros, w *worker, note *schema.TaskNote) {
+func (t *Table) look(now eventloop.Micros, w *worker, note *schema.TaskNote) {
 	each := w.tasks[noteKey(note).taskKey]
 	if each == nil || each.attempt != note.Attempt || note.State == "held" {
 		return
 	}
 	if each.beganAt == 0 {
-		each.beganAt = now - loop.Micros(note.RunUs)
+		each.beganAt = now - eventloop.Micros(note.RunUs)
 		if note.RunUs == 0 && each.orderAt > 0 {
 			each.beganAt = each.orderAt
 		}
@@ -131,7 +131,7 @@
 
 // buried takes an agent's word for the workers that stood on its machine
 // before: nothing of theirs runs, so their tasks are given back at once.
-func (t *Table) buried(now loop.Micros, list []string, teller string, out loop.Out) {
+func (t *Table) buried(now eventloop.Micros, list []string, teller string, out eventloop.Out) {
 	for _, id := range list {
 		if id == teller {
 			continue
@@ -148,7 +148,7 @@
 	}
 }
 
-func (t *Table) buryOne(now loop.Micros, id string, out loop.Out) {
+func (t *Table) buryOne(now eventloop.Micros, id string, out eventloop.Out) {
 	for _, key := range slices.SortedFunc(maps.Keys(t.placed[id]), compareKeys) {
 		each := t.placed[id][key]
 		// What it had told before it died goes its own way.
@@ -160,7 +160,7 @@
 }
 
 // bury gives back what has come to be known of dead workers since.
-func (t *Table) bury(now loop.Micros, out loop.Out) {
+func (t *Table) bury(now eventloop.Micros, out eventloop.Out) {
 	for _, id := range slices.Sorted(maps.Keys(t.over)) {
 		at := t.over[id]
 		if len(t.placed[id]) > 0 {
--- a/placer/overtaken_test.go
+++ b/internal/scheduler/overtaken_test.go
@@ -1,11 +1,11 @@
-package placer
+package scheduler
 
 import (
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 func TestOvertakenAnnounces(t *testing.T) {
--- a/placer/pace.go
+++ b/internal/scheduler/pace.go
@@ -1,24 +1,24 @@
-package placer
+package scheduler
 
 import (
 	"cmp"
 	"math"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 const (
-	firstRest  = 5 * loop.Second
-	slowRest   = 1500 * loop.Milli // of a worker that is slow: whether it still is shows soon
-	slowTasks  = 3                 // at a time, that it is tried with
-	mostRest   = 60 * loop.Second
-	stuckSpan  = 2 * loop.Second
+	firstRest  = 5 * eventloop.Second
+	slowRest   = 1500 * eventloop.Milli // of a worker that is slow: whether it still is shows soon
+	slowTasks  = 3                      // at a time, that it is tried with
+	mostRest   = 60 * eventloop.Second
+	stuckSpan  = 2 * eventloop.Second
 	stuckTimes = 4
-	alikeSpan  = 10 * loop.Second
-	stillSpan  = 3 * loop.Second  // without progress; an agent looks only now and then
-	frozenSpan = 4 * loop.Second  // without progress, for tasks that tell it
-	shortRun   = 500 * loop.Milli // shorter runs say nothing of a worker's pace
+	alikeSpan  = 10 * eventloop.Second
+	stillSpan  = 3 * eventloop.Second  // without progress; an agent looks only now and then
+	frozenSpan = 4 * eventloop.Second  // without progress, for tasks that tell it
+	shortRun   = 500 * eventloop.Milli // shorter runs say nothing of a worker's pace
 
 	badShare    = 0.5  // of its runs a bad worker fails about so many
 	leastShare  = 0.01 // of the runs that sound workers fail is at least taken for granted
@@ -33,9 +33,9 @@
 	doubt      float64 // evidence that it fails more than others, as a logarithm; never below 0
 	failedKey  taskKey // the task that failed here last
 	tallies    map[string]*tally
-	asideUntil loop.Micros
-	rest       loop.Micros // its latest rest
-	isOnTrial  bool        // it has been set aside and hasn't shown itself sound since
+	asideUntil eventloop.Micros
+	rest       eventloop.Micros // its latest rest
+	isOnTrial  bool             // it has been set aside and hasn't shown itself sound since
 	meter      meter
 	trialTasks int // that it is tried with at a time
 	trials     int // sound runs since
@@ -95,7 +95,7 @@
 	isEstimated       bool
 	count             int
 	worker, other     string // the latest two workers one ended on
-	workerAt, otherAt loop.Micros
+	workerAt, otherAt eventloop.Micros
 }
 
 const (
@@ -135,11 +135,11 @@
 	if each.spec.EstimateUs > 0 {
 		return paceKey{each.key.lane, ""}, float64(each.spec.EstimateUs)
 	}
-	return paceKey{each.key.lane, each.spec.Name}, float64(loop.Second)
+	return paceKey{each.key.lane, each.spec.Name}, float64(eventloop.Second)
 }
 
 // expected is how long a task should run on a worker; 0: unknown.
-func (t *Table) expected(w *worker, each *task) loop.Micros {
+func (t *Table) expected(w *worker, each *task) eventloop.Micros {
 	key, unit := paceOf(each)
 	span := unit
 	if p := t.paces[key]; p != nil && p.count >= leastCount {
@@ -147,7 +147,7 @@
 	} else if each.spec.EstimateUs == 0 {
 		return 0
 	}
-	return loop.Micros(span * t.away(w, each.spec))
+	return eventloop.Micros(span * t.away(w, each.spec))
 }
 
 // away is how many times as long a step's tasks take on this worker for want of
@@ -161,10 +161,10 @@
 
 // remaining is how much longer a running task should take; what isn't known is
 // taken to be long.
-func (t *Table) remaining(now loop.Micros, w *worker, each *task) loop.Micros {
+func (t *Table) remaining(now eventloop.Micros, w *worker, each *task) eventloop.Micros {
 	run := now - each.beganAt
 	if each.percent >= 5 && run > 0 {
-		return run * loop.Micros(max(100-each.percent, 0)) / loop.Micros(each.percent)
+		return run * eventloop.Micros(max(100-each.percent, 0)) / eventloop.Micros(each.percent)
 	}
 	expected := t.expected(w, each)
 	if expected == 0 || each.spec.Lasting {
@@ -175,7 +175,7 @@
 }
 
 // judge learns from a task's end.
-func (t *Table) judge(now loop.Micros, w *worker, key attemptKey, note *schema.TaskNote) {
+func (t *Table) judge(now eventloop.Micros, w *worker, key attemptKey, note *schema.TaskNote) {
 	switch note.State {
 	case "done":
 		w.good = w.good*0.98 + 1
@@ -207,8 +207,8 @@
 }
 
 // compare sets a run against those of others.
-func (t *Table) compare(now loop.Micros, w *worker, each *task, note *schema.TaskNote) {
-	run := loop.Micros(note.RunUs)
+func (t *Table) compare(now eventloop.Micros, w *worker, each *task, note *schema.TaskNote) {
+	run := eventloop.Micros(note.RunUs)
 	if from := cmp.Or(each.beganAt, each.orderAt); run == 0 && from > 0 {
 		run = now - from
 	}
@@ -236,7 +236,7 @@
 }
 
 // isAlikeDone tells whether another worker has ended tasks like this one lately.
-func (p *pace) isAlikeDone(now loop.Micros, worker string, span loop.Micros) bool {
+func (p *pace) isAlikeDone(now eventloop.Micros, worker string, span eventloop.Micros) bool {
 	if p.worker != worker {
 		return now-p.workerAt < span
 	}
@@ -245,7 +245,7 @@
 
 // isStuck tells whether a task stands still on its worker while others end what
 // is like it.
-func (t *Table) isStuck(now loop.Micros, w *worker, each *task, note *schema.TaskNote) bool {
+func (t *Table) isStuck(now eventloop.Micros, w *worker, each *task, note *schema.TaskNote) bool {
 	if each.spec.Lasting || each.beganAt == 0 || note.State != "running" {
 		return false
 	}
@@ -266,10 +266,10 @@
 		}
 	}
 	// Each strike doubles the patience: some tasks just are long.
-	patience := loop.Micros(1) << min(each.strikes, 10)
-	allowance := max(w.coldUntil-each.beganAt, 0) + loop.Micros(t.bounds.GetRestoreUs())
+	patience := eventloop.Micros(1) << min(each.strikes, 10)
+	allowance := max(w.coldUntil-each.beganAt, 0) + eventloop.Micros(t.bounds.GetRestoreUs())
 	run := now - each.beganAt - allowance
-	still := loop.Micros(note.StillUs) + now - w.heard
+	still := eventloop.Micros(note.StillUs) + now - w.heard
 	if w.isNamed {
 		still = now - each.movedAt
 		if still > max(frozenSpan, expected/4)*patience && run > max(frozenSpan, expected)*patience {
@@ -277,12 +277,12 @@
 		}
 		return run > stuckTimes*expected*patience && run > stuckSpan && still > stillSpan
 	}
-	return run > stuckTimes*expected*patience && run > stuckSpan && still > loop.Second
+	return run > stuckTimes*expected*patience && run > stuckSpan && still > eventloop.Second
 }
 
 // setAside gives a worker a rest, twice as long as the one before, and at least
 // so long; then it is tried with so many tasks at a time.
-func (t *Table) setAside(now loop.Micros, w *worker, first loop.Micros, tasks int) {
+func (t *Table) setAside(now eventloop.Micros, w *worker, first eventloop.Micros, tasks int) {
 	if now < w.asideUntil {
 		w.asideUntil = max(w.asideUntil, now+first)
 		return
@@ -309,7 +309,7 @@
 func failureRate(w *worker) float64 { return w.bad / (w.good + w.bad + 2) }
 
 // isHere tells whether a worker lives and has been heard lately.
-func (w *worker) isHere(now loop.Micros) bool {
+func (w *worker) isHere(now eventloop.Micros) bool {
 	return w.isKnown && !w.isOver && now-w.heard <= silentSpan
 }
 
--- a/placer/pass.go
+++ b/internal/scheduler/pass.go
@@ -1,4 +1,4 @@
-package placer
+package scheduler
 
 import (
 	"cmp"
@@ -8,10 +8,10 @@
 	"slices"
 	"sort"
 
-	"sparnotch/keep"
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 const (
@@ -38,7 +38,7 @@
 	worthwhile float64
 }
 
-func (t *Table) wishOf(now loop.Micros, v *view, b *band, list []*room) *wish {
+func (t *Table) wishOf(now eventloop.Micros, v *view, b *band, list []*room) *wish {
 	first, _ := b.ready.Min()
 	x := &wish{
 		step: b.key, spec: b.spec, need: sizeOf(b.spec), workers: map[string]int{}, racks: map[string]int{},
@@ -132,7 +132,7 @@
 
 // score weighs a worker for a step: room left in its scarcer kind, spread over
 // racks, failures, pace, and where the data is.
-func (t *Table) score(now loop.Micros, r *room, x *wish) float64 {
+func (t *Table) score(now eventloop.Micros, r *room, x *wish) float64 {
 	left := func(free, need, whole int64) float64 {
 		if whole <= 0 {
 			return 0
@@ -166,7 +166,7 @@
 	return score
 }
 
-func (t *Table) best(now loop.Micros, list []*room, x *wish) (*room, float64) {
+func (t *Table) best(now eventloop.Micros, list []*room, x *wish) (*room, float64) {
 	var best *room
 	top := math.Inf(-1)
 	for _, r := range list {
@@ -194,9 +194,9 @@
 
 // pass runs over the ready tasks, most urgent lane first, and checks out what
 // finds room.
-func (t *Table) pass(now loop.Micros, out loop.Out) {
+func (t *Table) pass(now eventloop.Micros, out eventloop.Out) {
 	var views []*view
-	oldest := map[*view]loop.Micros{}
+	oldest := map[*view]eventloop.Micros{}
 	for _, v := range t.views {
 		if v.waits > 0 && t.mayAct(now, v) {
 			views = append(views, v)
@@ -241,8 +241,8 @@
 }
 
 // oldest is since when the first steps of the lane have waited.
-func (v *view) oldest() loop.Micros {
-	at := loop.Micros(math.MaxInt64)
+func (v *view) oldest() eventloop.Micros {
+	at := eventloop.Micros(math.MaxInt64)
 	for _, r := range v.rows {
 		if b, isThere := r.bands.Min(); isThere {
 			if first, isReady := b.ready.Min(); isReady {
@@ -289,7 +289,7 @@
 }
 
 // heads sorts a lane's ready steps by their chance, in one look at each.
-func (t *Table) heads(now loop.Micros, v *view) (queues [lost + 1]heads) {
+func (t *Table) heads(now eventloop.Micros, v *view) (queues [lost + 1]heads) {
 	for _, r := range v.rows {
 		var bands [lost + 1][]*band
 		r.bands.Ascend(func(b *band) bool {
@@ -310,7 +310,7 @@
 	return queues
 }
 
-func (t *Table) passLane(now loop.Micros, v *view, turn chance, waiting *heads, list, all []*room, p *passage, out loop.Out) {
+func (t *Table) passLane(now eventloop.Micros, v *view, turn chance, waiting *heads, list, all []*room, p *passage, out eventloop.Out) {
 	var picks []*schema.Pick
 	spare := math.MaxInt64
 	if turn == lost {
@@ -395,7 +395,7 @@
 		}
 	}
 	if len(picks) > 0 {
-		out.Tell("keep", keep.Propose{Group: v.group, Term: v.term, Command: &schema.LaneCommand{
+		out.Tell("keep", replica.Propose{Group: v.group, Term: v.term, Command: &schema.LaneCommand{
 			Body: &schema.LaneCommand_Checkout{Checkout: &schema.Checkout{Picks: picks}},
 		}})
 	}
@@ -412,7 +412,7 @@
 }
 
 // chooseFor finds a worker for every task of the group, or none for any.
-func (t *Table) chooseFor(now loop.Micros, group []*task, list []*room, x *wish) []*room {
+func (t *Table) chooseFor(now eventloop.Micros, group []*task, list []*room, x *wish) []*room {
 	if !x.spec.Together {
 		return t.chooseAmong(now, group, list, x)
 	}
@@ -440,7 +440,7 @@
 }
 
 // chooseRack finds one rack that holds a whole group, the roomiest first.
-func (t *Table) chooseRack(now loop.Micros, group []*task, list []*room, x *wish) []*room {
+func (t *Table) chooseRack(now eventloop.Micros, group []*task, list []*room, x *wish) []*room {
 	byRack := map[string][]*room{}
 	counts := map[string]int64{}
 	for _, r := range list {
@@ -470,7 +470,7 @@
 	return nil
 }
 
-func (t *Table) chooseAmong(now loop.Micros, group []*task, list []*room, x *wish) []*room {
+func (t *Table) chooseAmong(now eventloop.Micros, group []*task, list []*room, x *wish) []*room {
 	chosen := make([]*room, 0, len(group))
 	undos := make([]func(), 0, len(group))
 	for _, member := range group {
@@ -579,7 +579,7 @@
 	Counts  Counts          `json:"counts"`
 }
 
-func (t *Table) placements(now loop.Micros) *Placements {
+func (t *Table) placements(now eventloop.Micros) *Placements {
 	p := &Placements{Ready: map[string]int{}, Counts: t.counts}
 	for _, w := range t.inOrder() {
 		id := w.id
@@ -590,7 +590,7 @@
 		})
 		for _, each := range t.tasksOf(w) {
 			state := "out"
-			if each.standing == lane.Stopping || each.evict != "" {
+			if each.standing == queue.Stopping || each.evict != "" {
 				state = "stopping"
 			}
 			p.Tasks = append(p.Tasks, &Placement{Lane: each.key.lane, Job: each.name, Step: each.spec.Name, Task: each.key.task, Worker: id, State: state, Why: each.why})
--- a/placer/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -1,20 +1,20 @@
-package placer
+package scheduler
 
 import (
 	"cmp"
 	"math"
 	"slices"
 
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/schema"
 )
 
 const (
-	mostAwaits      = 64               // tasks of one step that room is kept for at once
-	acceleratorCost = 8000             // milli cores that an accelerator counts as
-	lossTimes       = 2                // so many times its own work may be thrown away for a task
-	lastingCost     = 30 * loop.Second // work that stopping a lasting task counts as at least
+	mostAwaits      = 64                    // tasks of one step that room is kept for at once
+	acceleratorCost = 8000                  // milli cores that an accelerator counts as
+	lossTimes       = 2                     // so many times its own work may be thrown away for a task
+	lastingCost     = 30 * eventloop.Second // work that stopping a lasting task counts as at least
 )
 
 // unit is what can be displaced: a task, or a group as a whole.
@@ -29,7 +29,7 @@
 // await keeps room for tasks that find none now: room that is being freed, else
 // room of less urgent work that is displaced for them, else, for what is wide,
 // whole workers until they are free. It tells for how many of them.
-func (t *Table) await(now loop.Micros, v *view, b *band, x *wish, left int, list, all []*room, p *passage) (got int) {
+func (t *Table) await(now eventloop.Micros, v *view, b *band, x *wish, left int, list, all []*room, p *passage) (got int) {
 	first, _ := b.ready.Min()
 	mayDisplace := x.chance != lost && t.mayDisplace(now, v, p) && now-first.since >= preemptAfter
 	count := min(b.ready.Len(), left, mostAwaits)
@@ -71,19 +71,19 @@
 	return slices.ContainsFunc(list, func(r *room) bool { return r.later != r.free })
 }
 
-func (t *Table) mayDisplace(now loop.Micros, v *view, p *passage) bool {
+func (t *Table) mayDisplace(now eventloop.Micros, v *view, p *passage) bool {
 	return t.plan("preempt") != 0 && p.least < v.urgency && now-t.futileAt >= Pace
 }
 
 // mayAwait tells whether room may come about for what finds none.
-func (t *Table) mayAwait(now loop.Micros, v *view, list []*room, p *passage) bool {
+func (t *Table) mayAwait(now eventloop.Micros, v *view, list []*room, p *passage) bool {
 	return hasComing(list) || t.mayDisplace(now, v, p)
 }
 
 // journal is a trial: what it takes and displaces stands once it is committed.
 type journal struct {
 	table   *Table
-	now     loop.Micros
+	now     eventloop.Micros
 	passage *passage
 	undos   []func()
 	units   []*unit
@@ -155,7 +155,7 @@
 
 // displace finds what of less urgency must go from a worker for a task to fit,
 // with the least work lost; nil if even all of it isn't enough.
-func (t *Table) displace(now loop.Micros, r *room, urgency int64, x *wish, p *passage) (units []*unit, cost float64) {
+func (t *Table) displace(now eventloop.Micros, r *room, urgency int64, x *wish, p *passage) (units []*unit, cost float64) {
 	if !r.hasUnits {
 		r.hasUnits, r.units = true, t.unitsOf(now, r.w, p)
 	}
@@ -198,7 +198,7 @@
 }
 
 // unitsOf lists what may be displaced on a worker, the least loss first.
-func (t *Table) unitsOf(now loop.Micros, w *worker, p *passage) []*unit {
+func (t *Table) unitsOf(now eventloop.Micros, w *worker, p *passage) []*unit {
 	var units []*unit
 	seen := map[stepKey]bool{}
 	for _, each := range t.tasksOf(w) {
@@ -226,7 +226,7 @@
 			u.cost += loss(now, member)
 		}
 		// What ends about as soon as it would stop frees its room all the same.
-		if t.remaining(now, w, each) < loop.Micros(t.bounds.GetStopUs())/2 && each.beganAt > 0 {
+		if t.remaining(now, w, each) < eventloop.Micros(t.bounds.GetStopUs())/2 && each.beganAt > 0 {
 			continue
 		}
 		units = append(units, u)
@@ -242,7 +242,7 @@
 }
 
 func (t *Table) isDisplaceable(each *task) bool {
-	if each.standing != lane.Out || each.evict != "" {
+	if each.standing != queue.Out || each.evict != "" {
 		return false
 	}
 	w := t.workers[each.worker]
@@ -251,7 +251,7 @@
 
 // loss is the work that is lost when a task is stopped now: since its progress
 // was last kept, else since it began.
-func loss(now loop.Micros, each *task) float64 {
+func loss(now eventloop.Micros, each *task) float64 {
 	cores := cost(each.spec)
 	if each.spec.Lasting {
 		return cores * float64(lastingCost)
--- a/placer/rest_test.go
+++ b/internal/scheduler/rest_test.go
@@ -1,13 +1,13 @@
-package placer
+package scheduler
 
 import (
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/schema"
 )
 
 func TestPassesRest(t *testing.T) {
@@ -15,9 +15,9 @@
 	desk := func(ready int) *desk {
 		d := newDesk("w1", "w2")
 		d.announce("w1", nil)
-		var list []*lane.Shift
+		var list []*queue.Shift
 		for k := 1; k <= ready; k++ {
-			list = append(list, shift(uint64(k), uint64(k), 0, lane.Ready, "", one))
+			list = append(list, shift(uint64(k), uint64(k), 0, queue.Ready, "", one))
 		}
 		d.shifts(true, uint64(ready), list...)
 		So(d.picks(), ShouldHaveLength, 1)
@@ -44,7 +44,7 @@
 		d := desk(maxPicks + 2)
 		d.announce("w2", nil)
 		d.now += Pace
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		So(d.picks(), ShouldHaveLength, 2)
 	})
 }
--- a/placer/room.go
+++ b/internal/scheduler/room.go
@@ -1,13 +1,13 @@
-package placer
+package scheduler
 
 import (
 	"math"
 	"slices"
 
-	"sparnotch/charter"
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/schema"
 )
 
 // amount is room of all kinds.
@@ -104,7 +104,7 @@
 		w.count++
 		switch {
 		case each.isLate:
-		case each.standing == lane.Stopping || each.evict != "":
+		case each.standing == queue.Stopping || each.evict != "":
 			w.coming.add(size)
 		case each.spec.Lasting:
 			w.fixed.add(size)
@@ -153,14 +153,14 @@
 }
 
 // rooms lists the workers that may be given work.
-func (t *Table) rooms(now loop.Micros) []*room {
+func (t *Table) rooms(now eventloop.Micros) []*room {
 	list := t.list[:0]
 	for _, w := range t.inOrder() {
 		if !w.isHere(now) || w.isLeaving {
 			continue
 		}
 		weight := t.values.Of("rack", w.rack, "weight")
-		if !charter.GoodName(w.rack) || weight == 0 {
+		if !clusterstate.GoodName(w.rack) || weight == 0 {
 			if w.rack != "" {
 				continue
 			}
--- a/placer/placer.go
+++ b/internal/scheduler/scheduler.go
@@ -1,7 +1,7 @@
-// Package placer owns which worker runs which task. It holds a copy of what
+// Package scheduler owns which worker runs which task. It holds a copy of what
 // the lanes led here have ready and out, and of what its workers say of
 // themselves; the answer to a worker's announce is the difference.
-package placer
+package scheduler
 
 import (
 	"cmp"
@@ -12,40 +12,40 @@
 
 	"github.com/google/btree"
 
-	"sparnotch/charter"
-	"sparnotch/keep"
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // Pace is the tick of the table.
-const Pace = 20 * loop.Milli
+const Pace = 20 * eventloop.Milli
 
 const (
-	silentSpan   = loop.Second       // no order to a worker not heard for this long
-	actSpan      = 250 * loop.Milli  // how old a keeper's word may be for an order to leave
-	wardSpan     = 1250 * loop.Milli // how long a former ward may still have answered: the keeper's freshSpan and actSpan
-	holdSpan     = 400 * loop.Milli  // how long an announce is held back at most
-	endSpan      = 300 * loop.Milli  // a report that isn't settled is passed on again
-	reserveSpan  = 3 * loop.Second   // a checkout that was never heard of is given up
-	launchSpan   = 500 * loop.Milli  // a decision to begin a group that isn't heard of is proposed again
-	pollSpan     = 50 * loop.Milli   // an announce that is to be answered sooner may be gone by the decision
-	wholeSpan    = loop.Second       // how long a failure in a group waits for the others to begin
-	leaveSpan    = 500 * loop.Milli  // a decided start may still reach a worker that has just said it leaves
-	groupSpan    = 3 * loop.Second   // a group that isn't held by then is let go
-	gatherSpan   = 2 * loop.Second   // a member that hasn't begun by then lets the others go, unless the bounds say more
-	preemptAfter = 500 * loop.Milli  // how long urgent work waits before it displaces
-	claimAfter   = 1500 * loop.Milli // how long wide work waits before workers are kept free for it
-	asideAfter   = 2500 * loop.Milli // how long work that nobody else could run waits before it goes to workers that are set aside
-	outAfter     = 12 * loop.Second  // the same for other work
-	stopSpan     = 3 * loop.Second   // a stop that takes longer is waited for no more, unless the bounds say more
-	departLead   = 500 * loop.Milli  // how long before its worker goes a task is stopped to keep its progress
-	overSpan     = 60 * loop.Second  // how long a worker stays known as dead after the last word of it
-	maxPicks     = 64                // of one checkout, groups apart
-	maxMisses    = 32                // steps that find no room, of one lane and pass
-	wholePass    = loop.Second / 2   // between two passes that look at every step
-	passRest     = 10 * loop.Milli   // after a pass that has left much waiting
+	silentSpan   = eventloop.Second       // no order to a worker not heard for this long
+	actSpan      = 250 * eventloop.Milli  // how old a keeper's word may be for an order to leave
+	wardSpan     = 1250 * eventloop.Milli // how long a former ward may still have answered: the keeper's freshSpan and actSpan
+	holdSpan     = 400 * eventloop.Milli  // how long an announce is held back at most
+	endSpan      = 300 * eventloop.Milli  // a report that isn't settled is passed on again
+	reserveSpan  = 3 * eventloop.Second   // a checkout that was never heard of is given up
+	launchSpan   = 500 * eventloop.Milli  // a decision to begin a group that isn't heard of is proposed again
+	pollSpan     = 50 * eventloop.Milli   // an announce that is to be answered sooner may be gone by the decision
+	wholeSpan    = eventloop.Second       // how long a failure in a group waits for the others to begin
+	leaveSpan    = 500 * eventloop.Milli  // a decided start may still reach a worker that has just said it leaves
+	groupSpan    = 3 * eventloop.Second   // a group that isn't held by then is let go
+	gatherSpan   = 2 * eventloop.Second   // a member that hasn't begun by then lets the others go, unless the bounds say more
+	preemptAfter = 500 * eventloop.Milli  // how long urgent work waits before it displaces
+	claimAfter   = 1500 * eventloop.Milli // how long wide work waits before workers are kept free for it
+	asideAfter   = 2500 * eventloop.Milli // how long work that nobody else could run waits before it goes to workers that are set aside
+	outAfter     = 12 * eventloop.Second  // the same for other work
+	stopSpan     = 3 * eventloop.Second   // a stop that takes longer is waited for no more, unless the bounds say more
+	departLead   = 500 * eventloop.Milli  // how long before its worker goes a task is stopped to keep its progress
+	overSpan     = 60 * eventloop.Second  // how long a worker stays known as dead after the last word of it
+	maxPicks     = 64                     // of one checkout, groups apart
+	maxMisses    = 32                     // steps that find no room, of one lane and pass
+	wholePass    = eventloop.Second / 2   // between two passes that look at every step
+	passRest     = 10 * eventloop.Milli   // after a pass that has left much waiting
 )
 
 type taskKey struct {
@@ -71,7 +71,7 @@
 
 type task struct {
 	key         taskKey
-	standing    lane.Standing
+	standing    queue.Standing
 	attempt     uint32
 	worker      string
 	incarnation uint64
@@ -80,35 +80,35 @@
 	spec        *schema.Step
 	text        string
 	reserved    string // worker of a checkout on its way
-	reservedAt  loop.Micros
-	since       loop.Micros // ready or out since
-	evict       string      // outcome to report once the worker has stopped it
-	why         string      // of the placement
-	lostAt      loop.Micros
-	isLaunched  bool        // its group is decided to begin
-	launchAt    loop.Micros // when that was proposed
-	heldAt      loop.Micros // when the whole group was first seen held
-	isOver      bool        // its end has been noted, by more than we have heard of the lane
+	reservedAt  eventloop.Micros
+	since       eventloop.Micros // ready or out since
+	evict       string           // outcome to report once the worker has stopped it
+	why         string           // of the placement
+	lostAt      eventloop.Micros
+	isLaunched  bool             // its group is decided to begin
+	launchAt    eventloop.Micros // when that was proposed
+	heldAt      eventloop.Micros // when the whole group was first seen held
+	isOver      bool             // its end has been noted, by more than we have heard of the lane
 	round, part uint32
 	saved       string // progress its next start carries
 	failures    uint32 // counted so far
-	dueAt       loop.Micros
+	dueAt       eventloop.Micros
 	course
 	trail
 }
 
 // trail is what was seen of one attempt.
 type trail struct {
-	beganAt loop.Micros // first seen running
-	movedAt loop.Micros // its progress was last seen to change
-	savedAt loop.Micros // its kept progress was last seen to change
+	beganAt eventloop.Micros // first seen running
+	movedAt eventloop.Micros // its progress was last seen to change
+	savedAt eventloop.Micros // its kept progress was last seen to change
 	percent int64
-	seen    string      // kept progress last seen
-	strikes uint32      // times it was stopped for standing still
-	orderAt loop.Micros // its start order left last
+	seen    string           // kept progress last seen
+	strikes uint32           // times it was stopped for standing still
+	orderAt eventloop.Micros // its start order left last
 	mark    mark
-	stopAt  loop.Micros // it was first seen wanting to be stopped
-	isLate  bool        // its stop takes too long to wait for the room
+	stopAt  eventloop.Micros // it was first seen wanting to be stopped
+	isLate  bool             // its stop takes too long to wait for the room
 }
 
 // keptProgress is the newest progress known, for steps that keep any.
@@ -178,8 +178,8 @@
 
 type ended struct {
 	note    *schema.TaskNote
-	at      loop.Micros // when it was first heard
-	sentAt  loop.Micros
+	at      eventloop.Micros // when it was first heard
+	sentAt  eventloop.Micros
 	isNoted bool
 }
 
@@ -187,23 +187,23 @@
 	front string
 	id    uint64
 	seq   uint64
-	until loop.Micros
+	until eventloop.Micros
 }
 
 type worker struct {
 	id          string
 	generation  uint64
-	since       loop.Micros
+	since       eventloop.Micros
 	isKnown     bool // has announced itself to this ward's generation
 	incarnation uint64
 	seq         uint64
-	heard       loop.Micros
-	answered    loop.Micros
+	heard       eventloop.Micros
+	answered    eventloop.Micros
 	cores       int64
 	memory      int64
 	rack        string
 	isLeaving   bool
-	leftAt      loop.Micros // when that was first heard
+	leftAt      eventloop.Micros // when that was first heard
 	running     map[attemptKey]*schema.TaskNote
 	ended       map[attemptKey]*ended
 	tasks       map[taskKey]*task
@@ -217,9 +217,9 @@
 	pool         string
 	gathers      bool
 	isNamed      bool
-	isOver       bool        // dead, by its successor's agent's word
-	departAt     loop.Micros // while it leaves; 0: not told
-	coldUntil    loop.Micros
+	isOver       bool             // dead, by its successor's agent's word
+	departAt     eventloop.Micros // while it leaves; 0: not told
+	coldUntil    eventloop.Micros
 	resolved     map[nameAttempt]attemptKey // what its named notes stand for
 	strange      []*schema.TaskNote         // runs that no task is known for
 	unknown      []*schema.TaskNote         // ends that no task is known for
@@ -237,22 +237,22 @@
 type Table struct {
 	id        string
 	state     *schema.CharterState
-	values    *charter.Values
+	values    *clusterstate.Values
 	views     map[string]*view
 	workers   map[string]*worker
-	fresh     keep.Fresh
-	freshAt   loop.Micros
+	fresh     replica.Fresh
+	freshAt   eventloop.Micros
 	isDirty   bool
-	isStirred bool        // a group may have come to be held
-	list      []*room     // of the latest pass, used again
-	futileAt  loop.Micros // nothing was found to displace
-	wholeAt   loop.Micros // the latest pass over every step
-	passAt    loop.Micros // no pass before
+	isStirred bool             // a group may have come to be held
+	list      []*room          // of the latest pass, used again
+	futileAt  eventloop.Micros // nothing was found to displace
+	wholeAt   eventloop.Micros // the latest pass over every step
+	passAt    eventloop.Micros // no pass before
 	counts    Counts
 	bounds    *schema.Bounds
 	placed    map[string]map[taskKey]*task // by worker, whoever wards it
 	names     map[nameKey][]*task
-	over      map[string]loop.Micros // dead workers, and when that was last told
+	over      map[string]eventloop.Micros // dead workers, and when that was last told
 	paces     map[paceKey]*pace
 	cores     int64     // milli cores of all workers that may be given work
 	ordered   []*worker // by name; nil: to be made anew
@@ -266,8 +266,8 @@
 // New makes the table of the placer with this process id.
 func New(id string) *Table {
 	return &Table{
-		id: id, state: &schema.CharterState{}, values: charter.Read(nil), views: map[string]*view{}, workers: map[string]*worker{},
-		placed: map[string]map[taskKey]*task{}, names: map[nameKey][]*task{}, over: map[string]loop.Micros{}, paces: map[paceKey]*pace{},
+		id: id, state: &schema.CharterState{}, values: clusterstate.Read(nil), views: map[string]*view{}, workers: map[string]*worker{},
+		placed: map[string]map[taskKey]*task{}, names: map[nameKey][]*task{}, over: map[string]eventloop.Micros{}, paces: map[paceKey]*pace{},
 	}
 }
 
@@ -282,18 +282,18 @@
 	Errand uint64
 }
 
-func (t *Table) Step(now loop.Micros, mail loop.Mail, out loop.Out) {
+func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
-	case loop.Tick:
+	case eventloop.Tick:
 		t.tick(now, out)
 	case *schema.CharterTell:
 		t.charter(now, body, out)
-	case keep.Fresh:
+	case replica.Fresh:
 		// A process that was frozen finds word from before in its mail.
 		t.fresh, t.freshAt = body, cmp.Or(body.At, now)
-	case keep.Shifts:
+	case replica.Shifts:
 		t.shifts(now, body, out)
-	case keep.Lost:
+	case replica.Lost:
 		t.lose(body.Lane)
 	case *schema.Poll:
 		t.heard(now, mail.From, body, out)
@@ -331,11 +331,11 @@
 
 // --- the charter: whom we ward ---
 
-func (t *Table) charter(now loop.Micros, m *schema.CharterTell, out loop.Out) {
+func (t *Table) charter(now eventloop.Micros, m *schema.CharterTell, out eventloop.Out) {
 	if m.State == nil {
 		return
 	}
-	t.state, t.values = m.State, charter.Read(m.State.Plan)
+	t.state, t.values = m.State, clusterstate.Read(m.State.Plan)
 	mine := map[string]*schema.Ward{}
 	for _, ward := range t.state.Wards {
 		if ward.Placer == t.id {
@@ -386,7 +386,7 @@
 	return t.placed[id]
 }
 
-func (t *Table) dismiss(w *worker, out loop.Out) {
+func (t *Table) dismiss(w *worker, out eventloop.Out) {
 	if w.poll != nil {
 		out.Send(w.poll.front, &schema.PollReply{Id: w.poll.id, Placer: t.id})
 		w.poll = nil
@@ -407,7 +407,7 @@
 
 func before(a, b *task) bool { return lessKey(a.key, b.key) }
 
-func (t *Table) shifts(now loop.Micros, m keep.Shifts, out loop.Out) {
+func (t *Table) shifts(now eventloop.Micros, m replica.Shifts, out eventloop.Out) {
 	v := t.views[m.Lane]
 	if m.IsWhole {
 		was := map[taskKey]task{}
@@ -440,7 +440,7 @@
 			if shift.Hand != v.hand+1 {
 				// A hand-over is missing: ask for the whole list.
 				t.counts.Gaps++
-				out.Tell("keep", keep.Query{Group: m.Group})
+				out.Tell("keep", replica.Query{Group: m.Group})
 				break
 			}
 			v.hand = shift.Hand
@@ -448,7 +448,7 @@
 		}
 	}
 	// What is out now took its room when it was picked.
-	if m.IsWhole || slices.ContainsFunc(m.List, func(s *lane.Shift) bool { return s.State == lane.Ready }) {
+	if m.IsWhole || slices.ContainsFunc(m.List, func(s *queue.Shift) bool { return s.State == queue.Ready }) {
 		t.isDirty = true
 	}
 	t.isStirred = true
@@ -458,35 +458,35 @@
 func (t *Table) inherit(old map[taskKey]task, v *view) {
 	for key, each := range v.tasks {
 		if was, isThere := old[key]; isThere && was.attempt == each.attempt {
-			if (each.standing == lane.Ready) == (was.standing == lane.Ready) {
+			if (each.standing == queue.Ready) == (was.standing == queue.Ready) {
 				each.since = was.since
 			}
 			each.evict, each.why, each.trail = was.evict, was.why, was.trail
-			if each.standing == lane.Ready && was.reserved != "" {
+			if each.standing == queue.Ready && was.reserved != "" {
 				t.reserve(v, each, was.reserved, was.reservedAt)
 			}
 		}
 	}
 }
 
-func (t *Table) shift(now loop.Micros, v *view, s *lane.Shift) {
+func (t *Table) shift(now eventloop.Micros, v *view, s *queue.Shift) {
 	key := taskKey{v.lane, s.Key.Job, s.Key.Step, s.Key.Task}
 	old := v.tasks[key]
 	t.remove(v, key)
-	if s.State == lane.Gone {
+	if s.State == queue.Gone {
 		return
 	}
 	each := &task{
 		key: key, standing: s.State, attempt: s.Attempt, worker: s.Worker, incarnation: s.Incarnation,
 		hand: s.Hand, name: s.Name, spec: s.Spec, text: s.Text, since: now, isLaunched: s.IsLaunched,
 		round: s.Round, part: s.Part, saved: s.Saved, failures: s.Failures,
-		dueAt: now - loop.Micros(s.AgeUs), course: course{s.Span, s.Ahead},
+		dueAt: now - eventloop.Micros(s.AgeUs), course: course{s.Span, s.Ahead},
 	}
 	if old != nil {
 		each.why, each.strikes = old.why, old.strikes
 		if old.attempt == each.attempt {
 			each.evict, each.trail = old.evict, old.trail
-			if (each.standing == lane.Ready) == (old.standing == lane.Ready) {
+			if (each.standing == queue.Ready) == (old.standing == queue.Ready) {
 				each.since = old.since
 			}
 		}
@@ -494,7 +494,7 @@
 	v.tasks[key] = each
 	name := nameKey{each.name, each.round, each.part, each.key.task}
 	t.names[name] = append(t.names[name], each)
-	if s.State == lane.Ready {
+	if s.State == queue.Ready {
 		each.worker = ""
 		v.addReady(each)
 		return
@@ -503,7 +503,7 @@
 	v.use.add(sizeOf(each.spec))
 	v.place(each, each.worker, 1)
 	t.placedOn(each.worker)[key] = each
-	if each.spec.Together && key.task == 0 && each.standing == lane.Out && !each.isLaunched {
+	if each.spec.Together && key.task == 0 && each.standing == queue.Out && !each.isLaunched {
 		v.gangs[key] = each
 	}
 	if w := t.workers[each.worker]; w != nil {
@@ -530,7 +530,7 @@
 	}
 	delete(v.tasks, key)
 	t.forget(old)
-	if old.standing == lane.Ready {
+	if old.standing == queue.Ready {
 		if old.reserved != "" {
 			t.unreserve(v, old)
 		}
@@ -621,11 +621,11 @@
 
 // isSure tells whether the charter's word, by which this node is a ward, is
 // fresh.
-func (t *Table) isSure(now loop.Micros) bool { return now-t.freshAt < actSpan && t.fresh.Charter }
+func (t *Table) isSure(now eventloop.Micros) bool { return now-t.freshAt < actSpan && t.fresh.Charter }
 
 // mayAct tells whether orders for a lane may leave: its keeper has just heard
 // its quorum, and the charter's word is fresh.
-func (t *Table) mayAct(now loop.Micros, v *view) bool {
+func (t *Table) mayAct(now eventloop.Micros, v *view) bool {
 	return t.isSure(now) && t.fresh.Groups[v.group] == v.term
 }
 
@@ -635,7 +635,7 @@
 	return attemptKey{taskKey{note.Lane, note.Job, note.Step, note.Task}, note.Attempt}
 }
 
-func (t *Table) heard(now loop.Micros, front string, m *schema.Poll, out loop.Out) {
+func (t *Table) heard(now eventloop.Micros, front string, m *schema.Poll, out eventloop.Out) {
 	w := t.workers[m.Worker]
 	a := m.Announce
 	// Who isn't sure of being the ward gives no licence.
@@ -670,12 +670,12 @@
 	w.accelerators, w.labels, w.pool, w.gathers, w.isNamed = a.Accelerators, a.Labels, a.Pool, a.Gathers, a.Named
 	w.departAt, w.isStale = 0, true
 	if a.ColdUs > 0 {
-		w.coldUntil = now + loop.Micros(a.ColdUs)
+		w.coldUntil = now + eventloop.Micros(a.ColdUs)
 	} else {
 		w.coldUntil = min(w.coldUntil, now)
 	}
 	if a.Leaving && a.DepartureUs > 0 {
-		w.departAt = now + loop.Micros(a.DepartureUs)
+		w.departAt = now + eventloop.Micros(a.DepartureUs)
 	}
 	running, over := t.resolve(w, a)
 	w.running = map[attemptKey]*schema.TaskNote{}
@@ -692,7 +692,7 @@
 	if w.poll != nil && !a.Named {
 		t.answer(now, w, out)
 	}
-	wait := loop.Micros(min(max(a.WaitUs, 0), int64(holdSpan)))
+	wait := eventloop.Micros(min(max(a.WaitUs, 0), int64(holdSpan)))
 	w.poll, w.isDirty = &poll{front: front, id: m.Id, seq: a.Seq, until: now + wait}, true
 	for _, each := range w.tasks {
 		if each.spec.Together {
@@ -713,7 +713,7 @@
 }
 
 // reports passes ended tasks on to their lanes' leaders until they are noted.
-func (t *Table) reports(now loop.Micros, w *worker, notes []*schema.TaskNote, out loop.Out) {
+func (t *Table) reports(now eventloop.Micros, w *worker, notes []*schema.TaskNote, out eventloop.Out) {
 	fresh := map[attemptKey]*ended{}
 	for _, note := range notes {
 		key := noteKey(note)
@@ -728,7 +728,7 @@
 	t.passReports(now, w, out)
 }
 
-func (t *Table) passReports(now loop.Micros, w *worker, out loop.Out) {
+func (t *Table) passReports(now eventloop.Micros, w *worker, out eventloop.Out) {
 	for _, key := range endedKeys(w) {
 		e := w.ended[key]
 		if e.isNoted || now-e.sentAt < endSpan {
@@ -773,7 +773,7 @@
 		}
 		e.sentAt = now
 		end.Outcome = outcome
-		out.Tell("keep", keep.Ended{End: end})
+		out.Tell("keep", replica.Ended{End: end})
 	}
 }
 
@@ -794,7 +794,7 @@
 
 // forsaken returns what an earlier incarnation of the worker had: by its own
 // word nothing of that runs.
-func (t *Table) forsaken(now loop.Micros, w *worker, out loop.Out) {
+func (t *Table) forsaken(now eventloop.Micros, w *worker, out eventloop.Out) {
 	for _, each := range t.tasksOf(w) {
 		if each.incarnation < w.incarnation {
 			t.giveBack(now, each, "lost", out)
@@ -811,13 +811,13 @@
 	return list
 }
 
-func (t *Table) giveBack(now loop.Micros, each *task, outcome string, out loop.Out) {
+func (t *Table) giveBack(now eventloop.Micros, each *task, outcome string, out eventloop.Out) {
 	if now-each.lostAt < endSpan && each.lostAt > 0 {
 		return
 	}
 	each.lostAt = now
 	t.counts.LostTasks++
-	out.Tell("keep", keep.Ended{End: &schema.End{
+	out.Tell("keep", replica.Ended{End: &schema.End{
 		Lane: each.key.lane, Key: &schema.TaskKey{Job: each.key.job, Step: each.key.step, Task: each.key.task},
 		Attempt: each.attempt, Outcome: outcome, Worker: each.worker, Saved: each.keptProgress(),
 	}})
@@ -840,8 +840,8 @@
 
 // --- time ---
 
-func (t *Table) tick(now loop.Micros, out loop.Out) {
-	licence := loop.Micros(t.plan("licence_ms")+t.plan("margin_ms")) * loop.Milli
+func (t *Table) tick(now eventloop.Micros, out eventloop.Out) {
+	licence := eventloop.Micros(t.plan("licence_ms")+t.plan("margin_ms")) * eventloop.Milli
 	for _, w := range t.inOrder() {
 		w.isDirty = true
 		t.passReports(now, w, out)
@@ -874,7 +874,7 @@
 }
 
 // reserve takes a ready task for a worker while its checkout is on its way.
-func (t *Table) reserve(v *view, each *task, worker string, now loop.Micros) {
+func (t *Table) reserve(v *view, each *task, worker string, now eventloop.Micros) {
 	v.dropReady(each)
 	each.reserved, each.reservedAt = worker, now
 	v.reserved[each.key] = each
@@ -909,7 +909,7 @@
 		return
 	}
 	for _, member := range t.members(each) {
-		if member.standing == lane.Out && member.evict == "" {
+		if member.standing == queue.Out && member.evict == "" {
 			t.evict(member, outcome)
 		}
 	}
@@ -917,7 +917,7 @@
 
 // limits marks tasks that have run too long, stood still, or wait in a group
 // that doesn't come together.
-func (t *Table) limits(now loop.Micros, w *worker) {
+func (t *Table) limits(now eventloop.Micros, w *worker) {
 	for key, note := range w.running {
 		each := w.tasks[key.taskKey]
 		if each == nil || each.attempt != key.attempt || each.evict != "" {
@@ -928,7 +928,7 @@
 			if own > 0 {
 				return own
 			}
-			return t.values.Of("lane", key.lane, usual) * int64(loop.Milli)
+			return t.values.Of("lane", key.lane, usual) * int64(eventloop.Milli)
 		}
 		if limit := stated(each.spec.TimeLimitUs, "limit_ms"); limit > 0 && note.State == "running" && note.RunUs+age > limit {
 			t.evict(each, "failed")
@@ -936,7 +936,7 @@
 		if limit := stated(each.spec.StillUs, "still_ms"); limit > 0 && note.State == "running" && note.StillUs+age > limit {
 			t.evict(each, "failed")
 		}
-		if each.evict != "" || each.standing != lane.Out {
+		if each.evict != "" || each.standing != queue.Out {
 			continue
 		}
 		if t.isStuck(now, w, each, note) {
@@ -957,7 +957,7 @@
 		}
 	}
 	for _, each := range w.tasks {
-		if each.standing == lane.Stopping || each.evict != "" {
+		if each.standing == queue.Stopping || each.evict != "" {
 			if each.stopAt == 0 {
 				each.stopAt = now
 			}
@@ -969,7 +969,7 @@
 			t.gather(now, each)
 			continue
 		}
-		isWaiting := each.spec.Together && each.standing == lane.Out && !each.isLaunched && each.evict == ""
+		isWaiting := each.spec.Together && each.standing == queue.Out && !each.isLaunched && each.evict == ""
 		// Once its start has been proposed, only the log knows what becomes of it.
 		if isWaiting && now-each.since > groupSpan && (each.launchAt == 0 || now-each.launchAt > groupSpan) {
 			t.evict(each, "stopped")
@@ -979,8 +979,8 @@
 
 // stopSpan is how long a stop may take before nobody waits for its room any
 // more.
-func (t *Table) stopSpan() loop.Micros {
-	return max(2*loop.Micros(t.bounds.GetStopUs()), stopSpan)
+func (t *Table) stopSpan() eventloop.Micros {
+	return max(2*eventloop.Micros(t.bounds.GetStopUs()), stopSpan)
 }
 
 // --- groups that must run together ---
@@ -1008,7 +1008,7 @@
 // is a record of the lane before any start leaves, so that a successor carries
 // it out instead of breaking it; and it waits for a moment until every worker
 // has an announce open, so that all starts leave in one step.
-func (t *Table) launch(now loop.Micros, out loop.Out) {
+func (t *Table) launch(now eventloop.Micros, out eventloop.Out) {
 	// Few of many lanes have a group that isn't decided on.
 	var names []string
 	for name, v := range t.views {
@@ -1037,7 +1037,7 @@
 				member.launchAt = now
 				command.Attempts = append(command.Attempts, member.attempt)
 			}
-			out.Tell("keep", keep.Propose{Group: v.group, Term: v.term, Command: &schema.LaneCommand{
+			out.Tell("keep", replica.Propose{Group: v.group, Term: v.term, Command: &schema.LaneCommand{
 				Body: &schema.LaneCommand_Launch{Launch: command},
 			}})
 		}
@@ -1048,7 +1048,7 @@
 func (t *Table) isHeld(members []*task) bool {
 	for _, member := range members {
 		w := t.workers[member.worker]
-		if member.standing != lane.Out || member.evict != "" || w == nil || w.isLeaving || w.gathers {
+		if member.standing != queue.Out || member.evict != "" || w == nil || w.isLeaving || w.gathers {
 			return false
 		}
 		if t.noteOf(member) == nil {
@@ -1073,7 +1073,7 @@
 }
 
 // isOpen tells whether every member's worker can be answered at once.
-func (t *Table) isOpen(now loop.Micros, members []*task) bool {
+func (t *Table) isOpen(now eventloop.Micros, members []*task) bool {
 	for _, member := range members {
 		w := t.workers[member.worker]
 		if w.poll == nil || w.poll.until < now+pollSpan {
@@ -1085,7 +1085,7 @@
 
 // --- answers ---
 
-func (t *Table) answerAll(now loop.Micros, out loop.Out) {
+func (t *Table) answerAll(now eventloop.Micros, out eventloop.Out) {
 	for _, w := range t.inOrder() {
 		if w.poll == nil || !w.isDirty && now < w.poll.until {
 			continue
@@ -1097,7 +1097,7 @@
 	}
 }
 
-func (t *Table) hasNoted(now loop.Micros, w *worker) bool {
+func (t *Table) hasNoted(now eventloop.Micros, w *worker) bool {
 	for _, e := range w.ended {
 		if e.isNoted {
 			return true
@@ -1106,11 +1106,11 @@
 	return len(w.unknown) > 0 && len(t.forgotten(now, w.unknown)) > 0
 }
 
-func (t *Table) answer(now loop.Micros, w *worker, out loop.Out) {
+func (t *Table) answer(now eventloop.Micros, w *worker, out eventloop.Out) {
 	t.answerWith(now, w, t.orders(now, w), out)
 }
 
-func (t *Table) answerWith(now loop.Micros, w *worker, list []*schema.Order, out loop.Out) {
+func (t *Table) answerWith(now eventloop.Micros, w *worker, list []*schema.Order, out eventloop.Out) {
 	p := w.poll
 	w.poll = nil
 	if !t.isSure(now) || now-w.heard > silentSpan {
@@ -1146,7 +1146,7 @@
 
 // orders is the difference between what the lanes want on a worker and what
 // it says it has.
-func (t *Table) orders(now loop.Micros, w *worker) []*schema.Order {
+func (t *Table) orders(now eventloop.Micros, w *worker) []*schema.Order {
 	var list []*schema.Order
 	left := w.whole()
 	for key, note := range w.running {
@@ -1164,7 +1164,7 @@
 		v := t.views[each.key.lane]
 		note := w.running[key]
 		switch {
-		case each.standing == lane.Stopping || each.evict != "" || w.isLeaving && !t.isBound(now, w, each, note):
+		case each.standing == queue.Stopping || each.evict != "" || w.isLeaving && !t.isBound(now, w, each, note):
 			list = append(list, t.order("stop", v, each))
 		case !t.mayAct(now, v):
 		case note == nil:
@@ -1192,7 +1192,7 @@
 // isBound tells whether a task stays with a worker that leaves: what runs may
 // run out, and a member of a group that has been decided to begin is started if
 // the worker has only just said so, since others may have begun already.
-func (t *Table) isBound(now loop.Micros, w *worker, each *task, note *schema.TaskNote) bool {
+func (t *Table) isBound(now eventloop.Micros, w *worker, each *task, note *schema.TaskNote) bool {
 	if note == nil {
 		return false
 	}
@@ -1208,14 +1208,14 @@
 
 // strays are tasks that run on the worker though their lane, which is led
 // here, doesn't have them out there.
-func (t *Table) strays(now loop.Micros, w *worker) []*schema.Order {
+func (t *Table) strays(now eventloop.Micros, w *worker) []*schema.Order {
 	var list []*schema.Order
 	for key, note := range w.running {
 		v := t.views[key.lane]
 		if v == nil || !t.mayAct(now, v) {
 			continue
 		}
-		if each := v.tasks[key.taskKey]; each != nil && each.attempt <= key.attempt && each.standing != lane.Ready && each.worker == w.id {
+		if each := v.tasks[key.taskKey]; each != nil && each.attempt <= key.attempt && each.standing != queue.Ready && each.worker == w.id {
 			continue
 		}
 		list = append(list, &schema.Order{Act: "stop", Lane: key.lane, Job: key.job, Step: key.step, Task: key.task, Attempt: note.Attempt, Term: v.term, Name: note.Name, Round: note.Round, Part: note.Part})
--- a/placer/placer_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -1,4 +1,4 @@
-package placer
+package scheduler
 
 import (
 	"fmt"
@@ -6,16 +6,16 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/keep"
-	"sparnotch/lane"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // desk drives a placer by hand: it plays the keeper and the workers.
 type desk struct {
 	t       *Table
-	now     loop.Micros
+	now     eventloop.Micros
 	tells   []any
 	replies []*schema.PollReply
 	polls   uint64
@@ -29,14 +29,14 @@
 func (d *desk) Dial(string, any)     {}
 func (d *desk) Answer(uint64, any)   {}
 func (d *desk) Tell(_ string, m any) { d.tells = append(d.tells, m) }
-func (d *desk) step(body any)        { d.t.Step(d.now, loop.Mail{From: "front", Body: body}, d) }
+func (d *desk) step(body any)        { d.t.Step(d.now, eventloop.Mail{From: "front", Body: body}, d) }
 func (d *desk) fresh(isCharter bool) {
-	d.step(keep.Fresh{Groups: map[string]uint64{"l#1": 1}, Charter: isCharter})
+	d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1}, Charter: isCharter})
 }
 func (d *desk) last() *schema.PollReply { return d.replies[len(d.replies)-1] }
 
 func newDesk(workers ...string) *desk {
-	d := &desk{t: New("me"), now: 100 * loop.Second}
+	d := &desk{t: New("me"), now: 100 * eventloop.Second}
 	state := &schema.CharterState{Version: 1, Plan: &schema.Plan{}}
 	for k, w := range workers {
 		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Placer: "me", Generation: uint64(k + 1)})
@@ -55,25 +55,25 @@
 	d.step(&schema.Poll{Id: d.polls, Worker: worker, Announce: a})
 }
 
-func shift(hand, job uint64, task uint32, state lane.Standing, worker string, step *schema.Step) *lane.Shift {
+func shift(hand, job uint64, task uint32, state queue.Standing, worker string, step *schema.Step) *queue.Shift {
 	attempt := uint32(0)
-	if state != lane.Ready {
+	if state != queue.Ready {
 		attempt = 1
 	}
-	return &lane.Shift{
+	return &queue.Shift{
 		Hand: hand, Key: schema.TaskKey{Job: job, Task: task}, State: state, Attempt: attempt, Worker: worker, Incarnation: 1,
 		Name: fmt.Sprint("j", job), Spec: step,
 	}
 }
 
-func (d *desk) shifts(isWhole bool, hand uint64, list ...*lane.Shift) {
-	d.step(keep.Shifts{Lane: "l", Group: "l#1", Term: 1, Hand: hand, List: list, IsWhole: isWhole, Running: 1000})
+func (d *desk) shifts(isWhole bool, hand uint64, list ...*queue.Shift) {
+	d.step(replica.Shifts{Lane: "l", Group: "l#1", Term: 1, Hand: hand, List: list, IsWhole: isWhole, Running: 1000})
 }
 
 func (d *desk) picks() []*schema.Pick {
 	var picks []*schema.Pick
 	for _, tell := range d.tells {
-		if propose, isPropose := tell.(keep.Propose); isPropose {
+		if propose, isPropose := tell.(replica.Propose); isPropose {
 			picks = append(picks, propose.Command.GetCheckout().GetPicks()...)
 		}
 	}
@@ -83,7 +83,7 @@
 func (d *desk) ended() []*schema.End {
 	var list []*schema.End
 	for _, tell := range d.tells {
-		if e, isEnd := tell.(keep.Ended); isEnd {
+		if e, isEnd := tell.(replica.Ended); isEnd {
 			list = append(list, e.End)
 		}
 	}
@@ -98,17 +98,17 @@
 		d.announce("w", nil)
 		So(d.last().Orders.Ward, ShouldEqual, 1) // the worker learns of its ward at once
 		d.announce("w", nil)
-		d.shifts(true, 1, shift(1, 1, 0, lane.Ready, "", one))
+		d.shifts(true, 1, shift(1, 1, 0, queue.Ready, "", one))
 		So(len(d.picks()), ShouldEqual, 1)
 		So(len(d.replies), ShouldEqual, 1)
-		d.shifts(false, 2, shift(2, 1, 0, lane.Out, "w", one))
+		d.shifts(false, 2, shift(2, 1, 0, queue.Out, "w", one))
 		So(len(d.replies), ShouldEqual, 2)
 		So(d.last().Orders.Orders[0].Act, ShouldEqual, "start")
 		Convey("not without a quorum heard a moment ago", func() {
 			d := newDesk("w")
 			d.announce("w", nil)
 			d.announce("w", nil)
-			d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", one))
+			d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", one))
 			So(len(d.last().Orders.Orders), ShouldEqual, 1)
 			d.now += actSpan
 			d.announce("w", nil)
@@ -118,12 +118,12 @@
 			d.announce("w", func(a *schema.Announce) { a.Leaving = true })
 			So(d.last().Orders.Orders[0].Act, ShouldEqual, "stop")
 			d.tells = nil
-			d.shifts(false, 3, shift(3, 2, 0, lane.Ready, "", one))
+			d.shifts(false, 3, shift(3, 2, 0, queue.Ready, "", one))
 			So(len(d.picks()), ShouldEqual, 0)
 		})
 		Convey("and never two for the same room", func() {
 			d.tells = nil
-			d.shifts(false, 4, shift(3, 2, 0, lane.Ready, "", one), shift(4, 3, 0, lane.Ready, "", one))
+			d.shifts(false, 4, shift(3, 2, 0, queue.Ready, "", one), shift(4, 3, 0, queue.Ready, "", one))
 			So(len(d.picks()), ShouldEqual, 0)
 			d.announce("w", func(a *schema.Announce) {
 				a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "done"}}
@@ -138,7 +138,7 @@
 	Convey("What has been noted as ended isn't started again while its shift is on its way", t, func() {
 		d := newDesk("w")
 		d.announce("w", nil)
-		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", one))
+		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", one))
 		d.announce("w", func(a *schema.Announce) {
 			a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}}
 		})
@@ -146,9 +146,9 @@
 		So(len(d.last().Orders.Noted), ShouldEqual, 1)
 		from := len(d.replies)
 		d.announce("w", nil)
-		d.pass(600 * loop.Milli)
+		d.pass(600 * eventloop.Milli)
 		So(d.acts(from, "start"), ShouldBeEmpty)
-		next := shift(2, 1, 0, lane.Out, "w", one)
+		next := shift(2, 1, 0, queue.Out, "w", one)
 		next.Attempt = 2
 		d.shifts(false, 2, next)
 		d.announce("w", nil)
@@ -159,20 +159,20 @@
 func TestLostOnlyByTheWord(t *testing.T) {
 	Convey("A ward that has no fresh word of the charter takes no worker for lost", t, func() {
 		d := newDesk("w")
-		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", one))
+		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", one))
 		d.announce("w", nil)
 		for k := 0; k < 100; k++ {
-			d.now += 100 * loop.Milli
+			d.now += 100 * eventloop.Milli
 			d.fresh(false)
-			d.step(loop.Tick{})
+			d.step(eventloop.Tick{})
 		}
 		So(d.ended(), ShouldBeEmpty)
 		// Nor does one that has just thawed, and finds old word in its mail.
-		d.step(keep.Fresh{Groups: map[string]uint64{"l#1": 1}, Charter: true, At: d.now - 3*loop.Second})
-		d.step(loop.Tick{})
+		d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1}, Charter: true, At: d.now - 3*eventloop.Second})
+		d.step(eventloop.Tick{})
 		So(d.ended(), ShouldBeEmpty)
 		d.fresh(true)
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		So(len(d.ended()), ShouldEqual, 1)
 		So(d.ended()[0].Outcome, ShouldEqual, "lost")
 	})
@@ -184,15 +184,15 @@
 		d.announce("w", nil)
 		d.announce("w", nil)
 		d.shifts(true, 0)
-		d.shifts(false, 2, shift(2, 1, 0, lane.Out, "w", one))
-		query, isQuery := d.tells[len(d.tells)-1].(keep.Query)
+		d.shifts(false, 2, shift(2, 1, 0, queue.Out, "w", one))
+		query, isQuery := d.tells[len(d.tells)-1].(replica.Query)
 		So(isQuery, ShouldBeTrue)
 		So(query.Group, ShouldEqual, "l#1")
 		So(len(d.replies), ShouldEqual, 1)
-		d.shifts(true, 2, shift(2, 1, 0, lane.Out, "w", one))
+		d.shifts(true, 2, shift(2, 1, 0, queue.Out, "w", one))
 		So(d.last().Orders.Orders[0].Act, ShouldEqual, "start")
 		// What comes again is known.
-		d.shifts(false, 2, shift(2, 1, 0, lane.Gone, "", one))
+		d.shifts(false, 2, shift(2, 1, 0, queue.Gone, "", one))
 		So(len(d.t.views["l"].tasks), ShouldEqual, 1)
 	})
 }
@@ -200,41 +200,41 @@
 func TestLostOnlyAfterTheLicence(t *testing.T) {
 	Convey("A silent worker's task is given back after licence and margin, not before", t, func() {
 		d := newDesk("w")
-		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", one))
-		d.now += 2 * loop.Second
+		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", one))
+		d.now += 2 * eventloop.Second
 		d.fresh(true)
 		d.announce("w", nil)
 		answered := d.now
-		for d.now < answered+5*loop.Second {
-			d.now += 100 * loop.Milli
+		for d.now < answered+5*eventloop.Second {
+			d.now += 100 * eventloop.Milli
 			d.fresh(true)
-			d.step(loop.Tick{})
+			d.step(eventloop.Tick{})
 			So(len(d.ended()), ShouldEqual, 0)
 		}
-		d.now += 100 * loop.Milli
+		d.now += 100 * eventloop.Milli
 		d.fresh(true)
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		So(len(d.ended()), ShouldEqual, 1)
 		So(d.ended()[0].Outcome, ShouldEqual, "lost")
 	})
 	Convey("A new incarnation's word gives back the old one's tasks at once", t, func() {
 		d := newDesk("w")
-		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", one))
+		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", one))
 		d.announce("w", nil)
 		d.announce("w", func(a *schema.Announce) { a.Incarnation = 2 })
 		So(len(d.ended()), ShouldEqual, 1)
 	})
 	Convey("A new ward waits for what the former may still have granted", t, func() {
 		d := newDesk("w")
-		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", one))
+		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", one))
 		began := d.now
-		for len(d.ended()) == 0 && d.now < began+20*loop.Second {
-			d.now += 100 * loop.Milli
+		for len(d.ended()) == 0 && d.now < began+20*eventloop.Second {
+			d.now += 100 * eventloop.Milli
 			d.fresh(true)
-			d.step(loop.Tick{})
+			d.step(eventloop.Tick{})
 		}
-		So(d.now-began, ShouldBeGreaterThan, 6250*loop.Milli)
-		So(d.now-began, ShouldBeLessThan, 7*loop.Second)
+		So(d.now-began, ShouldBeGreaterThan, 6250*eventloop.Milli)
+		So(d.now-began, ShouldBeLessThan, 7*eventloop.Second)
 	})
 }
 
@@ -248,11 +248,11 @@
 	Convey("A group that must run together is checked out whole, held everywhere, then started", t, func() {
 		d := newDesk("v", "w")
 		d.announce("v", nil)
-		d.shifts(true, 2, shift(1, 1, 0, lane.Ready, "", gang), shift(2, 1, 1, lane.Ready, "", gang))
+		d.shifts(true, 2, shift(1, 1, 0, queue.Ready, "", gang), shift(2, 1, 1, queue.Ready, "", gang))
 		So(len(d.picks()), ShouldEqual, 0) // one worker isn't enough
 		d.announce("w", nil)
 		So(len(d.picks()), ShouldEqual, 2)
-		d.shifts(false, 4, shift(3, 1, 0, lane.Out, "v", gang), shift(4, 1, 1, lane.Out, "w", gang))
+		d.shifts(false, 4, shift(3, 1, 0, queue.Out, "v", gang), shift(4, 1, 1, queue.Out, "w", gang))
 		d.announce("v", nil)
 		So(d.last().Orders.Orders[0].Act, ShouldEqual, "hold")
 		d.announce("v", held(0))
@@ -263,17 +263,17 @@
 		d.step(&schema.EndReply{Lane: "l", Key: &schema.TaskKey{Job: 9}, Attempt: 1, Worker: "v"})
 		d.now += holdSpan
 		d.fresh(true)
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		d.tells = nil
 		d.announce("w", held(1))
 		So(d.tells, ShouldBeEmpty)
 		d.announce("v", held(0))
 		// Held everywhere, the decision is a record before any start leaves.
 		count := len(d.replies)
-		launch := d.tells[len(d.tells)-1].(keep.Propose).Command.GetLaunch()
+		launch := d.tells[len(d.tells)-1].(replica.Propose).Command.GetLaunch()
 		So(launch.GetAttempts(), ShouldResemble, []uint32{1, 1})
 		So(len(d.replies), ShouldEqual, count)
-		one, two := shift(5, 1, 0, lane.Out, "v", gang), shift(6, 1, 1, lane.Out, "w", gang)
+		one, two := shift(5, 1, 0, queue.Out, "v", gang), shift(6, 1, 1, queue.Out, "w", gang)
 		one.IsLaunched, two.IsLaunched = true, true
 		Convey("all at once when it is applied", func() {
 			d.shifts(false, 6, one, two)
@@ -302,8 +302,8 @@
 			d.announce("w", held(1))
 			So(d.last().Orders.Orders[0].Act, ShouldEqual, "start")
 			d.announce("w", func(a *schema.Announce) { held(1)(a); a.Running[0].State = "running" })
-			d.step(loop.Tick{})
-			So(d.tells[len(d.tells)-1].(keep.Ended).End.Outcome, ShouldEqual, "failed")
+			d.step(eventloop.Tick{})
+			So(d.tells[len(d.tells)-1].(replica.Ended).End.Outcome, ShouldEqual, "failed")
 		})
 		Convey("also on a worker that has just said that it leaves, but not later", func() {
 			d = newDesk("v", "w")
@@ -317,19 +317,19 @@
 		})
 		Convey("and a worker that leaves while only held lets the group go", func() {
 			d.announce("w", func(a *schema.Announce) { held(1)(a); a.Leaving = true })
-			d.step(loop.Tick{})
+			d.step(eventloop.Tick{})
 			So(d.last().Orders.Orders[0].Act, ShouldEqual, "stop")
 		})
 	})
 	Convey("A hold that doesn't come about lets all go", t, func() {
 		d := newDesk("v", "w")
-		d.shifts(true, 2, shift(1, 1, 0, lane.Out, "v", gang), shift(2, 1, 1, lane.Out, "w", gang))
+		d.shifts(true, 2, shift(1, 1, 0, queue.Out, "v", gang), shift(2, 1, 1, queue.Out, "w", gang))
 		d.announce("w", nil)
-		d.now += groupSpan + loop.Milli
+		d.now += groupSpan + eventloop.Milli
 		d.fresh(true)
 		d.announce("v", held(0))
 		d.announce("v", held(0))
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		So(d.last().Orders.Orders[0].Act, ShouldEqual, "stop")
 	})
 }
@@ -347,13 +347,13 @@
 		for job := uint64(1); job < 8; job++ {
 			fail(job)
 		}
-		d.shifts(true, 1, shift(1, 50, 0, lane.Ready, "", small))
+		d.shifts(true, 1, shift(1, 50, 0, queue.Ready, "", small))
 		So(d.picks()[0].Worker, ShouldEqual, "v")
-		d.now += 11 * loop.Second
+		d.now += 11 * eventloop.Second
 		d.fresh(true)
 		d.tells = nil
 		d.announce("w", nil)
-		d.shifts(true, 3, shift(1, 51, 0, lane.Ready, "", small), shift(2, 52, 0, lane.Ready, "", small), shift(3, 53, 0, lane.Ready, "", small))
+		d.shifts(true, 3, shift(1, 51, 0, queue.Ready, "", small), shift(2, 52, 0, queue.Ready, "", small), shift(3, 53, 0, queue.Ready, "", small))
 		So(len(d.picks()), ShouldEqual, 1)
 	})
 }
@@ -366,10 +366,10 @@
 		} {
 			d := newDesk("w")
 			limited := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 10, TimeLimitUs: 2_000_000, StillUs: 1_000_000}
-			d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", limited))
+			d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", limited))
 			d.announce("w", nil)
 			d.announce("w", func(a *schema.Announce) { a.Running = []*schema.TaskNote{each} })
-			d.step(loop.Tick{})
+			d.step(eventloop.Tick{})
 			So(d.last().Orders.Orders[0].Act, ShouldEqual, "stop")
 			d.announce("w", func(a *schema.Announce) {
 				a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}}
@@ -384,7 +384,7 @@
 		step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 600, MemoryMb: 1}
 		d := newDesk("w")
 		d.announce("w", nil)
-		d.shifts(true, 1, shift(1, 1, 0, lane.Out, "w", step))
+		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", step))
 		// Something of a lane that isn't led here runs there.
 		other := &schema.TaskNote{Lane: "other", Job: 9, Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}
 		count := len(d.replies)
@@ -400,11 +400,11 @@
 		step := &schema.Step{Name: "s", Tasks: 2, CoresMilli: 600, MemoryMb: 1}
 		d := newDesk("w")
 		d.announce("w", nil)
-		d.shifts(true, 2, shift(1, 1, 0, lane.Ready, "", step), shift(2, 1, 1, lane.Ready, "", step))
+		d.shifts(true, 2, shift(1, 1, 0, queue.Ready, "", step), shift(2, 1, 1, queue.Ready, "", step))
 		So(len(d.picks()), ShouldEqual, 1)
 		d.tells = nil
 		d.announce("w", nil)
-		d.step(loop.Tick{})
+		d.step(eventloop.Tick{})
 		So(len(d.picks()), ShouldEqual, 0)
 	})
 }
--- a/schema/gen/main.go
+++ b/internal/schema/gen/main.go
@@ -1,6 +1,6 @@
 // Command gen makes the Go code of the schema: it reads the .proto files and
 // drives protoc-gen-go at the version go.mod names, so no outside compiler is
-// needed. Run it from the repository's top: go run ./schema/gen
+// needed. Run it from the repository's top: go run ./internal/schema/gen
 package main
 
 import (
@@ -19,10 +19,10 @@
 )
 
 func main() {
-	files, err := Generate("schema")
+	files, err := Generate("internal/schema")
 	for name, content := range files {
 		if err == nil {
-			err = os.WriteFile(filepath.Join("schema", name), []byte(content), 0o644)
+			err = os.WriteFile(filepath.Join("internal/schema", name), []byte(content), 0o644)
 		}
 	}
 	if err != nil {
--- a/schema/gen/main_test.go
+++ b/internal/schema/gen/main_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestGeneratedCodeIsCurrent(t *testing.T) {
-	Convey("The generated code is what the schema makes today: else run go run ./schema/gen", t, func() {
+	Convey("The generated code is what the schema makes today: else run go run ./internal/schema/gen", t, func() {
 		files, err := Generate("..")
 		So(err, ShouldBeNil)
 		So(len(files), ShouldEqual, 4)
--- a/sim/again_test.go
+++ b/internal/sim/again_test.go
@@ -7,7 +7,7 @@
 	"sync"
 	"testing"
 
-	"sparnotch/loop"
+	"sparnotch/internal/eventloop"
 )
 
 var spread = flag.Int("spread", 0, "measure with so many seeds how long a lost worker's tasks take to begin again when keeper and steward go too")
@@ -17,7 +17,7 @@
 	if *spread == 0 {
 		t.Skip("only with -spread")
 	}
-	var list []loop.Micros
+	var list []eventloop.Micros
 	var mu sync.Mutex
 	var playing sync.WaitGroup
 	gate := make(chan bool, 8)
--- a/sim/called.go
+++ b/internal/sim/called.go
@@ -8,20 +8,20 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/agent"
-	"sparnotch/charter"
-	"sparnotch/check"
-	"sparnotch/intake"
-	"sparnotch/keep"
-	"sparnotch/loop"
-	"sparnotch/scale"
-	"sparnotch/schema"
-	"sparnotch/toil"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/deployments"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 const (
-	calledPace = 5 * loop.Milli
-	beatUsual  = 1500 * loop.Milli
+	calledPace = 5 * eventloop.Milli
+	beatUsual  = 1500 * eventloop.Milli
 	stillness  = 30 // a task that stands still takes so much longer
 )
 
@@ -34,24 +34,24 @@
 	accelerators int64
 	pool         string
 	labels       []string
-	habits       toil.Habits
+	habits       fakeworker.Habits
 	Refusing     float64 // share of calls that it answers as busy
 	Silence      float64 // share that it leaves unanswered: not done, done, or done late
 	rng          *rand.Rand
-	hand         *toil.Called
+	hand         *fakeworker.Called
 	lives        int
 	isUp         bool
 	isLeaving    bool
 	isLeaveHeard bool
 	isOrderly    bool // waits until it was heard that it leaves
 	isOff        bool // the agent can't speak to the rest
-	beatAt       loop.Micros
-	heardAt      loop.Micros
-	ailedAt      loop.Micros
-	lapsedAt     loop.Micros // its hold was last seen ended
-	cold         loop.Micros // until then it is slow
-	endedAt      map[toil.Run]loop.Micros
-	kept         map[toil.Run]string
+	beatAt       eventloop.Micros
+	heardAt      eventloop.Micros
+	ailedAt      eventloop.Micros
+	lapsedAt     eventloop.Micros // its hold was last seen ended
+	cold         eventloop.Micros // until then it is slow
+	endedAt      map[fakeworker.Run]eventloop.Micros
+	kept         map[fakeworker.Run]string
 }
 
 // AddCalled adds a worker to a side machine; it comes up with Start.
@@ -72,7 +72,7 @@
 func (k *CalledWorker) Place() string { return k.place }
 
 // Habits are those of the machine.
-func (k *CalledWorker) Habits() *toil.Habits { return &k.habits }
+func (k *CalledWorker) Habits() *fakeworker.Habits { return &k.habits }
 
 // Room is what its next life has.
 func (k *CalledWorker) Room(cores, memory int64) { k.cores, k.mem = cores, memory }
@@ -100,17 +100,17 @@
 	k.lives++
 	k.isUp, k.isLeaving, k.isLeaveHeard = true, false, false
 	k.beatAt, k.heardAt, k.lapsedAt = w.Now, 0, w.Now
-	k.endedAt, k.kept = map[toil.Run]loop.Micros{}, map[toil.Run]string{}
-	span := 2 * loop.Second
+	k.endedAt, k.kept = map[fakeworker.Run]eventloop.Micros{}, map[fakeworker.Run]string{}
+	span := 2 * eventloop.Second
 	k.cold = w.Now + span
 	drift := 0.98 + 0.02*k.rng.Float64()
-	k.hand = toil.NewCalled(w.Now, k.Name(), toil.Setup{
+	k.hand = fakeworker.NewCalled(w.Now, k.Name(), fakeworker.Setup{
 		Pool: k.pool, Cell: k.cell, Rack: k.rack, Address: k.place, Labels: k.labels, Cores: k.cores, Memory: k.mem,
 		Accelerators: k.accelerators, Bounds: w.bounds, Drift: drift, Cold: span, IsGuarding: w.isGuarded(k.pool),
 		Read: k.read, Fails: k.fails, Slowness: k.slowness, Fault: k.fault, Stops: k.stops, Tell: k.tell, Begun: k.begun, Noted: k.noted,
 	}, w.gangs)
-	w.Tell(check.Event{
-		Kind: check.Up, Who: k.Name(), Cores: k.cores, Memory: k.mem, Accelerators: k.accelerators, Rack: k.rack, Pool: k.pool,
+	w.Tell(checker.Event{
+		Kind: checker.Up, Who: k.Name(), Cores: k.cores, Memory: k.mem, Accelerators: k.accelerators, Rack: k.rack, Pool: k.pool,
 		Labels: k.labels, IsCalled: true,
 	})
 	k.isOff = false
@@ -130,14 +130,14 @@
 
 func (k *CalledWorker) gone() {
 	k.isUp = false
-	k.world.Tell(check.Event{Kind: check.Gone, Who: k.Name()})
+	k.world.Tell(checker.Event{Kind: checker.Gone, Who: k.Name()})
 }
 
 // Leave has it say that it leaves; it goes when that was heard and the usual
 // time is over, or after a while all the same.
-func (k *CalledWorker) Leave() { k.leave(5*loop.Second, true) }
+func (k *CalledWorker) Leave() { k.leave(5*eventloop.Second, true) }
 
-func (k *CalledWorker) leave(span loop.Micros, isOrderly bool) {
+func (k *CalledWorker) leave(span eventloop.Micros, isOrderly bool) {
 	if k.isUp && !k.isLeaving {
 		k.isLeaving, k.isOrderly, k.beatAt = true, isOrderly, k.world.Now
 		k.hand.Leave(k.world.Now, span)
@@ -148,7 +148,7 @@
 func (k *CalledWorker) Cut(isCut bool) { k.world.Isolate(k.host(), isCut) }
 
 // Freeze stops the agent's process for a span; the worker runs on.
-func (k *CalledWorker) Freeze(span loop.Micros) { k.host().Freeze(span) }
+func (k *CalledWorker) Freeze(span eventloop.Micros) { k.host().Freeze(span) }
 
 // Sick makes it refuse and miss calls; shares of 0 make it well again.
 func (k *CalledWorker) Sick(refusing, silence float64) {
@@ -159,7 +159,7 @@
 // ail tells that it isn't well, now and then as long as that lasts.
 func (k *CalledWorker) ail() {
 	k.ailedAt = k.world.Now
-	k.world.Tell(check.Event{Kind: check.Sick, Who: k.Name()})
+	k.world.Tell(checker.Event{Kind: checker.Sick, Who: k.Name()})
 }
 
 func (w *World) stepCalled() {
@@ -176,7 +176,7 @@
 	if !k.isUp {
 		return
 	}
-	if (k.habits != toil.Habits{} || k.Refusing > 0 || k.Silence > 0) && w.Now >= k.ailedAt+loop.Second {
+	if (k.habits != fakeworker.Habits{} || k.Refusing > 0 || k.Silence > 0) && w.Now >= k.ailedAt+eventloop.Second {
 		k.ail()
 	}
 	if k.hand.Clock(w.Now) >= k.hand.HeldTo() {
@@ -188,15 +188,15 @@
 		worker := k.Name()
 		k.gone()
 		if h.isHere() {
-			h.mail("agent", loop.Mail{Body: agent.Departed{Worker: worker}})
+			h.mail("agent", eventloop.Mail{Body: agent.Departed{Worker: worker}})
 		}
 		return
 	}
 	if isOff := !w.isReaching(h); isOff != k.isOff {
 		k.isOff = isOff
-		e := check.Event{Kind: check.Cut, Who: k.Name()}
+		e := checker.Event{Kind: checker.Cut, Who: k.Name()}
 		if !isOff {
-			e.State = check.Mended
+			e.State = checker.Mended
 		}
 		w.Tell(e)
 	}
@@ -204,26 +204,26 @@
 		return
 	}
 	every := beatUsual
-	if us := loop.Micros(w.bounds.BeatUs); us > 0 {
+	if us := eventloop.Micros(w.bounds.BeatUs); us > 0 {
 		every = us
 	}
-	k.beatAt = w.Now + every*9/10 + loop.Micros(k.rng.Int64N(int64(every)/5))
+	k.beatAt = w.Now + every*9/10 + eventloop.Micros(k.rng.Int64N(int64(every)/5))
 	if !h.isHere() {
 		// Nobody acknowledges it; a frozen process finds it when it wakes.
-		k.beatAt = w.Now + 500*loop.Milli
+		k.beatAt = w.Now + 500*eventloop.Milli
 		if h.frozen && h.IsUp {
 			beat := k.hand.Beat(w.Now)
-			h.do(h.run, func() { h.mail("agent", loop.Mail{Body: beat}) })
+			h.do(h.run, func() { h.mail("agent", eventloop.Mail{Body: beat}) })
 		}
 		return
 	}
-	h.mail("agent", loop.Mail{Body: k.hand.Beat(w.Now)})
+	h.mail("agent", eventloop.Mail{Body: k.hand.Beat(w.Now)})
 	if k.isLeaving && !k.isLeaveHeard {
 		k.isLeaveHeard = true
 		if k.isOrderly {
-			k.hand.Leave(w.Now, loop.Micros(w.bounds.DrainUs)+500*loop.Milli)
+			k.hand.Leave(w.Now, eventloop.Micros(w.bounds.DrainUs)+500*eventloop.Milli)
 		}
-		w.Tell(check.Event{Kind: check.Leave, Who: k.Name()})
+		w.Tell(checker.Event{Kind: checker.Leave, Who: k.Name()})
 	}
 }
 
@@ -245,13 +245,13 @@
 func (h *Host) call(call agent.Call) {
 	w, run := h.world, h.run
 	k := w.called[h.place()]
-	way := func() loop.Micros { return 100 + loop.Micros(w.Rng.Int64N(300)) }
+	way := func() eventloop.Micros { return 100 + eventloop.Micros(w.Rng.Int64N(300)) }
 	back := func(reply agent.Reply) {
-		w.After(way(), func() { h.do(run, func() { h.mail("agent", loop.Mail{Body: reply}) }) })
+		w.After(way(), func() { h.do(run, func() { h.mail("agent", eventloop.Mail{Body: reply}) }) })
 	}
 	w.After(way(), func() {
 		if k.hand == nil {
-			w.After(400*loop.Milli, func() { back(agent.Reply{Number: call.Number, Verdict: agent.Silent}) })
+			w.After(400*eventloop.Milli, func() { back(agent.Reply{Number: call.Number, Verdict: agent.Silent}) })
 			return
 		}
 		k.hand.Take(w.Now, call, func(reply agent.Reply) {
@@ -266,15 +266,15 @@
 // heard notes that the worker was spoken to, and the progress that it showed.
 func (k *CalledWorker) heard(reply agent.Reply) {
 	w := k.world
-	if k.isUp && w.Now >= k.heardAt+loop.Second {
+	if k.isUp && w.Now >= k.heardAt+eventloop.Second {
 		k.heardAt = w.Now
-		w.Tell(check.Event{Kind: check.Heard, Who: k.Name()})
+		w.Tell(checker.Event{Kind: checker.Heard, Who: k.Name()})
 	}
 	show := func(task agent.TaskName, attempt uint32, saved string) {
-		run := toil.Run{Task: task, Attempt: attempt}
+		run := fakeworker.Run{Task: task, Attempt: attempt}
 		if saved != "" && k.kept[run] != saved {
 			k.kept[run] = saved
-			e := k.event(check.Kept, run)
+			e := k.event(checker.Kept, run)
 			e.Saved = saved
 			w.Tell(e)
 		}
@@ -297,22 +297,22 @@
 	return of, of.job.Steps[task.Part]
 }
 
-func (k *CalledWorker) read(task agent.TaskName, text string) toil.Need {
+func (k *CalledWorker) read(task agent.TaskName, text string) fakeworker.Need {
 	_, step := k.spec(task)
 	if step == nil {
-		return toil.Need{}
+		return fakeworker.Need{}
 	}
-	need := toil.Need{
+	need := fakeworker.Need{
 		Cores: step.CoresMilli, Memory: step.MemoryMb, Accelerators: step.Accelerators, Rack: step.DataRack, IsOneRack: step.OneRack,
-		IsSaving: step.Saves, Work: loop.Micros(step.EstimateUs),
+		IsSaving: step.Saves, Work: eventloop.Micros(step.EstimateUs),
 	}
 	if step.Together {
 		need.Members = int(step.Tasks)
 	}
 	if need.Work == 0 {
-		need.Work = loop.Micros(word(text, "run_us", 20_000))
+		need.Work = eventloop.Micros(word(text, "run_us", 20_000))
 	}
-	need.Work = max(1, need.Work*loop.Micros(80+k.rng.Int64N(40))/100)
+	need.Work = max(1, need.Work*eventloop.Micros(80+k.rng.Int64N(40))/100)
 	if step.Lasting {
 		need.Work = 0
 	}
@@ -340,7 +340,7 @@
 	return share > 0 && k.rng.Float64() < share
 }
 
-func (k *CalledWorker) slowness(now loop.Micros) float64 {
+func (k *CalledWorker) slowness(now eventloop.Micros) float64 {
 	factor := max(1, k.habits.Slowness)
 	if now < k.cold {
 		factor *= 2
@@ -351,26 +351,26 @@
 	return factor
 }
 
-func (k *CalledWorker) fault(loop.Micros, agent.Call) toil.Fault {
+func (k *CalledWorker) fault(eventloop.Micros, agent.Call) fakeworker.Fault {
 	switch {
 	case k.Refusing > 0 && k.rng.Float64() < k.Refusing:
-		return toil.Refused
+		return fakeworker.Refused
 	case k.Silence > 0 && k.rng.Float64() < k.Silence:
-		return []toil.Fault{toil.Lost, toil.Unheard, toil.Belated}[k.rng.IntN(3)]
+		return []fakeworker.Fault{fakeworker.Lost, fakeworker.Unheard, fakeworker.Belated}[k.rng.IntN(3)]
 	}
-	return toil.NoFault
+	return fakeworker.NoFault
 }
 
-func (k *CalledWorker) stops(agent.TaskName, uint32) loop.Micros {
-	return loop.Micros(k.rng.Int64N(max(k.world.bounds.StopUs, 1)))
+func (k *CalledWorker) stops(agent.TaskName, uint32) eventloop.Micros {
+	return eventloop.Micros(k.rng.Int64N(max(k.world.bounds.StopUs, 1)))
 }
 
 // --- what is told of its runs ---
 
 // event names a run as callers know it.
-func (k *CalledWorker) event(kind string, run toil.Run) check.Event {
+func (k *CalledWorker) event(kind string, run fakeworker.Run) checker.Event {
 	of, step := k.spec(run.Task)
-	e := check.Event{
+	e := checker.Event{
 		Kind: kind, Who: k.Name(), Lane: of.lane, Name: run.Task.Job, Step: run.Task.Part, Task: run.Task.Task, Attempt: run.Attempt, IsCalled: true,
 	}
 	if step != nil {
@@ -380,25 +380,25 @@
 	return e
 }
 
-func (k *CalledWorker) begun(now loop.Micros, call agent.Call, isLate bool) {
-	e := k.event(check.Begin, toil.Run{Task: call.Task, Attempt: call.Attempt})
+func (k *CalledWorker) begun(now eventloop.Micros, call agent.Call, isLate bool) {
+	e := k.event(checker.Begin, fakeworker.Run{Task: call.Task, Attempt: call.Attempt})
 	e.At, e.Text, e.Saved, e.IsLate = now, call.Text, call.Saved, isLate
 	k.world.Tell(e)
 }
 
-func (k *CalledWorker) tell(now loop.Micros, kind string, run toil.Run, how string) {
+func (k *CalledWorker) tell(now eventloop.Micros, kind string, run fakeworker.Run, how string) {
 	if kind != "end" {
 		return
 	}
 	k.endedAt[run] = now
-	e := k.event(check.End, run)
+	e := k.event(checker.End, run)
 	e.At, e.State = now, how
 	k.world.Tell(e)
 }
 
-func (k *CalledWorker) noted(now loop.Micros, ending agent.Ending) {
-	run := toil.Run{Task: ending.Task, Attempt: ending.Attempt}
-	e := k.event(check.Noted, run)
+func (k *CalledWorker) noted(now eventloop.Micros, ending agent.Ending) {
+	run := fakeworker.Run{Task: ending.Task, Attempt: ending.Attempt}
+	e := k.event(checker.Noted, run)
 	e.At = now
 	if ended, isThere := k.endedAt[run]; !isThere || k.lapsedAt >= ended {
 		e.State = "lapsed"
@@ -412,34 +412,34 @@
 // read, and send one again as it was after no clear answer.
 func (w *World) putEdition(who string, rows []*schema.Row) {
 	rows = w.withPools(rows)
-	again := func() { w.After(200*loop.Milli, func() { w.putEdition(who, rows) }) }
+	again := func() { w.After(200*eventloop.Milli, func() { w.putEdition(who, rows) }) }
 	w.readPlan(w.pickFront(w.anyCell()), func(plan *schema.Plan) {
 		if plan == nil {
 			again()
 			return
 		}
-		if charter.SameRows(plan.Rows, rows) {
+		if clusterstate.SameRows(plan.Rows, rows) {
 			return
 		}
 		edition := plan.Edition + 1 + uint64(w.Rng.IntN(3))
 		sheet := &schema.Sheet{
 			Rows: rows, Edition: edition, BaseEdition: plan.Edition, Document: []byte(fmt.Sprintf("%s %d %x", who, edition, w.Rng.Uint32())),
 		}
-		w.Tell(check.Event{Kind: check.PlanSent, Who: who, Rows: rows, Document: string(sheet.Document)})
+		w.Tell(checker.Event{Kind: checker.PlanSent, Who: who, Rows: rows, Document: string(sheet.Document)})
 		w.sendEdition(who, sheet, again)
 	})
 }
 
 func (w *World) sendEdition(who string, sheet *schema.Sheet, again func()) {
 	front, sent := w.pickFront(w.anyCell()), w.Now
-	told := check.Event{
-		Kind: check.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: sheet.BaseEdition, Rows: sheet.Rows, Document: string(sheet.Document),
+	told := checker.Event{
+		Kind: checker.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: sheet.BaseEdition, Rows: sheet.Rows, Document: string(sheet.Document),
 	}
-	w.Ask(front, 4*loop.Second, func(errand uint64, deadline loop.Micros) any {
-		return intake.Ask{Errand: errand, Kind: "charter", Group: charter.Group, Deadline: deadline, Body: keep.CharterBody(
+	w.Ask(front, 4*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Errand: errand, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
 			&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 	}, func(answer any) {
-		reply, _ := answer.(intake.Answer)
+		reply, _ := answer.(gateway.Answer)
 		told.Code = reply.Code
 		if reply.Code == 200 {
 			told.Generation = sheet.Edition
@@ -448,7 +448,7 @@
 		switch {
 		case reply.Code == 200:
 		case reply.Code == 0 || reply.Code >= 500 || reply.Code == 429:
-			w.After(200*loop.Milli, func() { w.sendEdition(who, sheet, again) })
+			w.After(200*eventloop.Milli, func() { w.sendEdition(who, sheet, again) })
 		default:
 			again()
 		}
@@ -480,27 +480,27 @@
 
 // CalledKinds are a load that touches what the rules say of called workers.
 func CalledKinds() []Kind {
-	plain := func(name string, tasks uint32, cores int64, run loop.Micros, after ...string) *schema.Step {
+	plain := func(name string, tasks uint32, cores int64, run eventloop.Micros, after ...string) *schema.Step {
 		return &schema.Step{Name: name, Tasks: tasks, CoresMilli: cores, MemoryMb: 256, After: after, EstimateUs: int64(run)}
 	}
-	saving := plain("rows", 8, 2000, 1500*loop.Milli, "load")
+	saving := plain("rows", 8, 2000, 1500*eventloop.Milli, "load")
 	saving.Saves, saving.DataRack = true, "r1"
-	gang := plain("gang", 4, 1000, 600*loop.Milli)
+	gang := plain("gang", 4, 1000, 600*eventloop.Milli)
 	gang.Together, gang.OneRack, gang.Saves = true, true, true
-	spread := plain("spread", 3, 500, 300*loop.Milli)
+	spread := plain("spread", 3, 500, 300*eventloop.Milli)
 	spread.PerWorker, spread.Labels, spread.Accelerators = 1, []string{"a"}, 1
 	lasting := plain("lasting", 2, 500, 0)
 	lasting.Lasting = true
 	return []Kind{
-		{Lane: "quick", Every: 250 * loop.Milli, Attempts: 4, Job: &schema.Job{Text: "quick", Steps: []*schema.Step{plain("rates", 3, 500, 40*loop.Milli), plain("sum", 1, 500, 30*loop.Milli, "rates")}}},
-		{Lane: "slow", Every: 2 * loop.Second, Attempts: 4, Cancel: 0.2, Job: &schema.Job{Text: "slow", Steps: []*schema.Step{plain("load", 3, 2000, 400*loop.Milli), saving, plain("pack", 1, 1000, 100*loop.Milli, "rows")}}},
-		{Lane: "group", Every: loop.Second, Attempts: 4, Cancel: 0.1, Job: &schema.Job{Text: "gang fail=0.03", Steps: []*schema.Step{gang, plain("after", 1, 500, 50*loop.Milli, "gang")}}},
-		{Name: "spread", Lane: "group", Every: 1500 * loop.Milli, Attempts: 4, Job: &schema.Job{Text: "spread", Steps: []*schema.Step{spread}}},
-		{Lane: "timed", Every: 2 * loop.Second, Attempts: 3, Cancel: 0.1, Wall: 1500 * loop.Milli, Job: &schema.Job{Text: "rounds fail=0.05", Rounds: 3, EveryUs: int64(900 * loop.Milli), Steps: []*schema.Step{plain("one", 2, 500, 500*loop.Milli), plain("two", 1, 500, 600*loop.Milli, "one")}}},
-		{Name: "lasting", Lane: "timed", Every: 6 * loop.Second, Attempts: 3, Cancel: 1, CancelAfter: 8 * loop.Second, Job: &schema.Job{Text: "lasting", Steps: []*schema.Step{lasting}}},
-		{Name: "poison", Lane: "timed", Every: 4 * loop.Second, Attempts: 3, Job: &schema.Job{Text: "poison fail=1", Steps: []*schema.Step{plain("bad", 2, 500, 60*loop.Milli), plain("never", 1, 500, 60*loop.Milli, "bad")}}},
-		{Name: "bad-gang", Lane: "group", Every: 9 * loop.Second, Attempts: 4, Job: &schema.Job{Text: "poison fail=0.7", Steps: []*schema.Step{{Name: "bad", Tasks: 3, CoresMilli: 500, MemoryMb: 128, Together: true, EstimateUs: 100_000}}}},
-		{Lane: "far", Every: 700 * loop.Milli, Attempts: 2, Job: &schema.Job{Text: "far", Steps: []*schema.Step{plain("far", 2, 500, 100*loop.Milli)}}},
+		{Lane: "quick", Every: 250 * eventloop.Milli, Attempts: 4, Job: &schema.Job{Text: "quick", Steps: []*schema.Step{plain("rates", 3, 500, 40*eventloop.Milli), plain("sum", 1, 500, 30*eventloop.Milli, "rates")}}},
+		{Lane: "slow", Every: 2 * eventloop.Second, Attempts: 4, Cancel: 0.2, Job: &schema.Job{Text: "slow", Steps: []*schema.Step{plain("load", 3, 2000, 400*eventloop.Milli), saving, plain("pack", 1, 1000, 100*eventloop.Milli, "rows")}}},
+		{Lane: "group", Every: eventloop.Second, Attempts: 4, Cancel: 0.1, Job: &schema.Job{Text: "gang fail=0.03", Steps: []*schema.Step{gang, plain("after", 1, 500, 50*eventloop.Milli, "gang")}}},
+		{Name: "spread", Lane: "group", Every: 1500 * eventloop.Milli, Attempts: 4, Job: &schema.Job{Text: "spread", Steps: []*schema.Step{spread}}},
+		{Lane: "timed", Every: 2 * eventloop.Second, Attempts: 3, Cancel: 0.1, Wall: 1500 * eventloop.Milli, Job: &schema.Job{Text: "rounds fail=0.05", Rounds: 3, EveryUs: int64(900 * eventloop.Milli), Steps: []*schema.Step{plain("one", 2, 500, 500*eventloop.Milli), plain("two", 1, 500, 600*eventloop.Milli, "one")}}},
+		{Name: "lasting", Lane: "timed", Every: 6 * eventloop.Second, Attempts: 3, Cancel: 1, CancelAfter: 8 * eventloop.Second, Job: &schema.Job{Text: "lasting", Steps: []*schema.Step{lasting}}},
+		{Name: "poison", Lane: "timed", Every: 4 * eventloop.Second, Attempts: 3, Job: &schema.Job{Text: "poison fail=1", Steps: []*schema.Step{plain("bad", 2, 500, 60*eventloop.Milli), plain("never", 1, 500, 60*eventloop.Milli, "bad")}}},
+		{Name: "bad-gang", Lane: "group", Every: 9 * eventloop.Second, Attempts: 4, Job: &schema.Job{Text: "poison fail=0.7", Steps: []*schema.Step{{Name: "bad", Tasks: 3, CoresMilli: 500, MemoryMb: 128, Together: true, EstimateUs: 100_000}}}},
+		{Lane: "far", Every: 700 * eventloop.Milli, Attempts: 2, Job: &schema.Job{Text: "far", Steps: []*schema.Step{plain("far", 2, 500, 100*eventloop.Milli)}}},
 	}
 }
 
@@ -527,15 +527,15 @@
 var SmallCalled = Size{
 	Name: "small-called", Fronts: 5, Sides: 6, Workers: 6, PerRack: 2, Cores: 8000, Memory: 16000, Kinds: CalledKinds(), Rows: CalledRows,
 	Bounds: &schema.Bounds{
-		HoldMostUs: int64(6 * loop.Second), StopUs: int64(400 * loop.Milli), GatherUs: int64(3 * loop.Second), StatusUs: int64(120 * loop.Second),
-		ApplyUs: int64(2 * loop.Second), AwayMilli: 1500, SaveUs: int64(300 * loop.Milli), RestoreUs: int64(50 * loop.Milli),
-		BeatUs: int64(1500 * loop.Milli), DrainUs: int64(2 * loop.Second),
+		HoldMostUs: int64(6 * eventloop.Second), StopUs: int64(400 * eventloop.Milli), GatherUs: int64(3 * eventloop.Second), StatusUs: int64(120 * eventloop.Second),
+		ApplyUs: int64(2 * eventloop.Second), AwayMilli: 1500, SaveUs: int64(300 * eventloop.Milli), RestoreUs: int64(50 * eventloop.Milli),
+		BeatUs: int64(1500 * eventloop.Milli), DrainUs: int64(2 * eventloop.Second),
 	},
 }
 
 // WholeCalled is a deployment with workers that are called, and its callers'
 // jobs; the kinds that touch the other rules come more seldom.
-func WholeCalled(d *scale.Deployment) Size {
+func WholeCalled(d *deployments.Deployment) Size {
 	size := Whole(d)
 	size.Name, size.Kinds, size.Bounds = d.Name+"-called", nil, d.Bounds
 	for _, k := range d.Called {
@@ -543,10 +543,10 @@
 		for n, step := range k.Steps {
 			steps[n] = proto.Clone(step).(*schema.Step)
 			// Long work keeps its progress.
-			steps[n].Saves = step.EstimateUs > int64(3*loop.Second)
+			steps[n].Saves = step.EstimateUs > int64(3*eventloop.Second)
 		}
 		size.Kinds = append(size.Kinds, Kind{
-			Name: k.Name, Lane: k.Lane, Every: loop.Micros(k.Every * float64(loop.Second)), Attempts: d.Attempts, Job: &schema.Job{Text: k.Text, Steps: steps},
+			Name: k.Name, Lane: k.Lane, Every: eventloop.Micros(k.Every * float64(eventloop.Second)), Attempts: d.Attempts, Job: &schema.Job{Text: k.Text, Steps: steps},
 		})
 	}
 	for _, k := range CalledKinds() {
@@ -580,6 +580,6 @@
 			worker.pool = "far"
 		}
 		f.Workers = append(f.Workers, f.AddCalled(worker))
-		f.After(loop.Second, worker.Start)
+		f.After(eventloop.Second, worker.Start)
 	}
 }
--- a/sim/called_test.go
+++ b/internal/sim/called_test.go
@@ -7,8 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/check"
-	"sparnotch/loop"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
 )
 
 // inCI are the scenarios that run with called workers each time; feign simulate
@@ -22,7 +22,7 @@
 	count := map[string]int{}
 	for _, e := range f.History {
 		switch {
-		case e.Kind == check.Begin:
+		case e.Kind == checker.Begin:
 			count["begun"]++
 			if e.Attempt > 1 {
 				count["begun again"]++
@@ -33,13 +33,13 @@
 			if e.IsLate {
 				count["late"]++
 			}
-		case e.Kind == check.End:
+		case e.Kind == checker.End:
 			count[e.State]++
-		case e.Kind == check.Noted, e.Kind == check.Leave:
+		case e.Kind == checker.Noted, e.Kind == checker.Leave:
 			count[e.Kind]++
-		case e.Kind == check.PlanPut && e.Code == 200:
+		case e.Kind == checker.PlanPut && e.Code == 200:
 			count[e.Kind]++
-		case e.Kind == check.Status && (e.State == "complete" || e.State == "failed" || e.State == "cancelled"):
+		case e.Kind == checker.Status && (e.State == "complete" || e.State == "failed" || e.State == "cancelled"):
 			count["shown "+e.State]++
 		}
 	}
@@ -49,7 +49,7 @@
 func TestCalledScenarios(t *testing.T) {
 	shows := map[string][]string{
 		"calm": {"begun again", "failed", "broken", "shown complete", "shown failed", "shown cancelled"},
-		"called workers crash, vanish, leave at once, fail, stand still": {"gone", "from progress", "failed", check.Leave},
+		"called workers crash, vanish, leave at once, fail, stand still": {"gone", "from progress", "failed", checker.Leave},
 		"orders are left unanswered and carried out late":                {"late"},
 		"side machines killed, frozen, cut":                              {"lapsed", "begun again"},
 		"urgent work while called workers are full":                      {"stopped", "from progress"},
@@ -69,7 +69,7 @@
 				count := seen(playOn(t, s, SmallCalled, seed))
 				// A run in which nothing happened proves nothing; what is told above is
 				// of the seed that always runs.
-				wanted := []string{"begun", "done", check.Noted, check.PlanPut}
+				wanted := []string{"begun", "done", checker.Noted, checker.PlanPut}
 				if seed == 1 {
 					wanted = append(wanted, shows[s.Name]...)
 				}
@@ -125,6 +125,6 @@
 		So(kind.Job.Steps[0].AllowedFailures, ShouldEqual, 0)
 		kind.Job.Steps[0].AllowedFailures = 1
 		So(kind.allowed().Steps[0].AllowedFailures, ShouldEqual, 1)
-		So(loop.Micros(SmallCalled.Bounds.HoldMostUs), ShouldEqual, 6*loop.Second)
+		So(eventloop.Micros(SmallCalled.Bounds.HoldMostUs), ShouldEqual, 6*eventloop.Second)
 	})
 }
--- a/sim/day.go
+++ b/internal/sim/day.go
@@ -5,17 +5,17 @@
 	"slices"
 	"strings"
 
-	"sparnotch/check"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // Hour is a usual one.
-const Hour = 3600 * loop.Second
+const Hour = 3600 * eventloop.Second
 
 // Sample is how much a fleet holds at one moment.
 type Sample struct {
-	At       loop.Micros
+	At       eventloop.Micros
 	Records  uint64 // longest log of a group on a store
 	Live     int    // jobs of all lanes, as their leaders have them
 	Kept     int    // ended and not forgotten
@@ -61,16 +61,16 @@
 // Day is a whole day of a deployment in virtual time: its callers at a share of
 // their rate, a table every hour, jobs that last, every machine rolled, a quiet
 // part, and one last fault before the table is read back. Its hours may be short.
-func Day(size Size, seed uint64, hours int, hour loop.Micros, share float64) (*Fleet, []Sample, []check.Breach, []string) {
+func Day(size Size, seed uint64, hours int, hour eventloop.Micros, share float64) (*Fleet, []Sample, []checker.Breach, []string) {
 	size.Kinds = slices.Clone(size.Kinds)
 	for k := range size.Kinds {
-		size.Kinds[k].Every = loop.Micros(float64(size.Kinds[k].Every) / share)
+		size.Kinds[k].Every = eventloop.Micros(float64(size.Kinds[k].Every) / share)
 	}
-	span := loop.Micros(hours) * hour
+	span := eventloop.Micros(hours) * hour
 	f := NewFleet(seed, size, CalmNet, 500, span)
 	var samples []Sample
 	long := step("long", 1, 100)
-	f.At(f.Began+10*loop.Second, func() {
+	f.At(f.Began+10*eventloop.Second, func() {
 		f.HandIn(Kind{Lane: "slow", Job: &schema.Job{Text: "run_us=20000", DelayUs: int64(span - hour/2), Steps: []*schema.Step{long}}}, "till-evening")
 		f.HandIn(Kind{Lane: "slow", Job: &schema.Job{Text: fmt.Sprint("run_us=", int64(span/3)), Steps: []*schema.Step{long}}}, "all-morning")
 	})
@@ -86,7 +86,7 @@
 		})
 	}
 	for h := 2; h < hours; h++ {
-		f.At(f.Began+loop.Micros(h)*hour+90*loop.Second, func() { f.Put("operator", f.Rows(30+h)) })
+		f.At(f.Began+eventloop.Micros(h)*hour+90*eventloop.Second, func() { f.Put("operator", f.Rows(30+h)) })
 	}
 	// The roll: every machine is warned and comes back, one after another, in
 	// what is left of the day after the quiet part.
@@ -94,15 +94,15 @@
 	for _, h := range f.Hosts {
 		rolls = append(rolls, func() {
 			f.Fault("%s warned", h.Name)
-			h.Warn(10 * loop.Second)
-			f.After(12*loop.Second, func() { h.Kill(); h.Start() })
+			h.Warn(10 * eventloop.Second)
+			f.After(12*eventloop.Second, func() { h.Kill(); h.Start() })
 		})
 	}
 	f.At(f.Began, func() {
 		for k, w := range f.Workers {
 			f.At(f.Began+rollAt(span, hour, len(rolls)+k, len(rolls)+len(f.Workers)), func() {
 				w.Leave()
-				f.After(20*loop.Second, func() { w.Crash(); w.Start() })
+				f.After(20*eventloop.Second, func() { w.Crash(); w.Start() })
 			})
 		}
 	})
@@ -110,7 +110,7 @@
 		f.At(f.Began+rollAt(span, hour, k, len(rolls)+size.Workers), roll)
 	}
 	// The day ends with one last fault.
-	during(f, span-20*loop.Second, func(keeper *Host) { f.killed(keeper, 5*loop.Second) })
+	during(f, span-20*eventloop.Second, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
 	breaches := f.Finish()
 	var wrong []string
 	if len(quiet) != 1 {
@@ -124,7 +124,7 @@
 	return f, samples, breaches, wrong
 }
 
-func rollAt(span, hour loop.Micros, k, of int) loop.Micros {
+func rollAt(span, hour eventloop.Micros, k, of int) eventloop.Micros {
 	from := 2*hour + hour/4
-	return from + (span-from-hour/2)/loop.Micros(of)*loop.Micros(k)
+	return from + (span-from-hour/2)/eventloop.Micros(of)*eventloop.Micros(k)
 }
--- a/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -6,10 +6,10 @@
 	"encoding/json"
 	"fmt"
 
-	"sparnotch/check"
-	"sparnotch/loop"
-	"sparnotch/scale"
-	"sparnotch/schema"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/deployments"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // Fleet is a deployment in small, with a load that touches every rule.
@@ -19,13 +19,13 @@
 	Workers []Hand
 	sides   []*Host
 	lean    []*Host // fronts without a disk
-	Began   loop.Micros
-	Over    loop.Micros
-	Again   loop.Micros // until the last task of a lost worker was begun elsewhere
-	struck  loop.Micros
+	Began   eventloop.Micros
+	Over    eventloop.Micros
+	Again   eventloop.Micros // until the last task of a lost worker was begun elsewhere
+	struck  eventloop.Micros
 	lost    string // worker that was then
 	slow    *Host  // whose disk was slowed
-	warned  []loop.Micros
+	warned  []eventloop.Micros
 	groups  []string
 	later   []string
 }
@@ -41,15 +41,15 @@
 	together.Together = true
 	limited := step("work", 3, 500)
 	limited.AllowedFailures = 2
-	limited.TimeLimitUs, limited.StillUs = int64(4*loop.Second), int64(loop.Second)
+	limited.TimeLimitUs, limited.StillUs = int64(4*eventloop.Second), int64(eventloop.Second)
 	due := step("due", 1, 500)
-	due.StillUs = int64(loop.Second)
+	due.StillUs = int64(eventloop.Second)
 	return []Kind{
-		{Lane: "quick", Every: 250 * loop.Milli, Job: &schema.Job{Text: "run_us=30000", Steps: []*schema.Step{step("rates", 3, 500), step("sum", 1, 500, "rates")}}},
-		{Lane: "slow", Every: 2 * loop.Second, Cancel: 0.2, Job: &schema.Job{Text: "run_us=700000", Steps: []*schema.Step{step("load", 4, 2000), step("rows", 10, 2000, "load"), step("pack", 1, 1000, "rows")}}},
-		{Lane: "group", Every: loop.Second, Job: &schema.Job{Text: "run_us=200000 fail=0.05", Steps: []*schema.Step{together, step("after", 1, 500, "gang")}}},
-		{Name: "due", Lane: "timed", Every: 4 * loop.Second, Wall: 2 * loop.Second, Job: &schema.Job{Text: "run_us=20000", Steps: []*schema.Step{due}}},
-		{Lane: "timed", Every: 700 * loop.Milli, Cancel: 0.2, Job: &schema.Job{Text: "run_us=20000 fail=0.2", DelayUs: int64(1500 * loop.Milli), Steps: []*schema.Step{limited}}},
+		{Lane: "quick", Every: 250 * eventloop.Milli, Job: &schema.Job{Text: "run_us=30000", Steps: []*schema.Step{step("rates", 3, 500), step("sum", 1, 500, "rates")}}},
+		{Lane: "slow", Every: 2 * eventloop.Second, Cancel: 0.2, Job: &schema.Job{Text: "run_us=700000", Steps: []*schema.Step{step("load", 4, 2000), step("rows", 10, 2000, "load"), step("pack", 1, 1000, "rows")}}},
+		{Lane: "group", Every: eventloop.Second, Job: &schema.Job{Text: "run_us=200000 fail=0.05", Steps: []*schema.Step{together, step("after", 1, 500, "gang")}}},
+		{Name: "due", Lane: "timed", Every: 4 * eventloop.Second, Wall: 2 * eventloop.Second, Job: &schema.Job{Text: "run_us=20000", Steps: []*schema.Step{due}}},
+		{Lane: "timed", Every: 700 * eventloop.Milli, Cancel: 0.2, Job: &schema.Job{Text: "run_us=20000 fail=0.2", DelayUs: int64(1500 * eventloop.Milli), Steps: []*schema.Step{limited}}},
 	}
 }
 
@@ -74,8 +74,8 @@
 	Workers       int
 	PerRack       int
 	Cores, Memory int64
-	Sync          loop.Micros // 0: the scenario's
-	Weak, Side    float64     // processors' shares; 0: steps cost nothing
+	Sync          eventloop.Micros // 0: the scenario's
+	Weak, Side    float64          // processors' shares; 0: steps cost nothing
 	Kinds         []Kind
 	Rows          func(urgency int) []*schema.Row
 	Bounds        *schema.Bounds // of a fleet whose workers are called; nil: they ask
@@ -88,14 +88,14 @@
 
 // Whole is a deployment as it stands, with its own callers; the kinds that
 // touch the other rules come more seldom.
-func Whole(d *scale.Deployment) Size {
+func Whole(d *deployments.Deployment) Size {
 	size := Size{
 		Name: d.Name, Fronts: d.Fronts, Sides: d.Sides, Workers: d.Workers, PerRack: 3, Cores: d.Cores, Memory: d.Memory,
-		Sync: loop.Micros(d.SyncUs), Weak: d.Weak, Side: d.Side,
+		Sync: eventloop.Micros(d.SyncUs), Weak: d.Weak, Side: d.Side,
 	}
 	for _, k := range d.Kinds {
 		size.Kinds = append(size.Kinds, Kind{
-			Name: k.Name, Lane: k.Lane, Every: loop.Micros(k.Every * float64(loop.Second)), Job: &schema.Job{Text: k.Text, Steps: k.Steps},
+			Name: k.Name, Lane: k.Lane, Every: eventloop.Micros(k.Every * float64(eventloop.Second)), Job: &schema.Job{Text: k.Text, Steps: k.Steps},
 		})
 	}
 	for _, k := range Kinds() {
@@ -109,18 +109,18 @@
 // Sizes are what can be run.
 func Sizes() []Size {
 	sizes := []Size{Small}
-	for _, d := range scale.Deployments {
+	for _, d := range deployments.Deployments {
 		sizes = append(sizes, Whole(d))
 	}
 	sizes = append(sizes, SmallCalled)
-	for _, d := range scale.Deployments {
+	for _, d := range deployments.Deployments {
 		sizes = append(sizes, WholeCalled(d))
 	}
 	return sizes
 }
 
 // NewFleet brings a fleet up and starts its load; Began is when it does.
-func NewFleet(seed uint64, size Size, net Net, sync, span loop.Micros) *Fleet {
+func NewFleet(seed uint64, size Size, net Net, sync, span eventloop.Micros) *Fleet {
 	f := &Fleet{World: NewWorld(seed, net, cmp.Or(size.Sync, sync)), Size: size}
 	cell := func(k int) string { return fmt.Sprintf("c%d", k%3+1) }
 	for k := 0; k < size.Fronts; k++ {
@@ -143,24 +143,24 @@
 		f.addCalled()
 	}
 	for _, h := range f.Hosts {
-		f.After(loop.Micros(f.Rng.Int64N(int64(300*loop.Milli))), h.Start)
+		f.After(eventloop.Micros(f.Rng.Int64N(int64(300*eventloop.Milli))), h.Start)
 	}
-	f.After(500*loop.Milli, func() { f.Put("operator", f.Rows(60)) })
-	f.After(loop.Second, func() {
+	f.After(500*eventloop.Milli, func() { f.Put("operator", f.Rows(60)) })
+	f.After(eventloop.Second, func() {
 		for k := 0; k < size.Workers && size.Bounds == nil; k++ {
 			rack := k / size.PerRack
 			f.Workers = append(f.Workers, f.AddWorker(fmt.Sprintf("w%d", k), fmt.Sprintf("r%d", rack), cell(rack), size.Cores, size.Memory))
 		}
 	})
-	f.Began = f.Now + 7*loop.Second
+	f.Began = f.Now + 7*eventloop.Second
 	f.Over = f.Began + span
 	f.At(f.Began, func() {
-		f.Tell(check.Event{Kind: check.Clock, Wall: wallZero + int64(f.Now)})
-		f.Lists("quick", 5*loop.Second, f.Over)
+		f.Tell(checker.Event{Kind: checker.Clock, Wall: wallZero + int64(f.Now)})
+		f.Lists("quick", 5*eventloop.Second, f.Over)
 		for _, kind := range size.Kinds {
 			f.Load(kind, f.Over)
 		}
-		f.Read(500*loop.Milli, f.Over+20*loop.Second)
+		f.Read(500*eventloop.Milli, f.Over+20*eventloop.Second)
 	})
 	return f
 }
@@ -169,20 +169,20 @@
 func (f *Fleet) Rows(urgency int) []*schema.Row { return f.Size.Rows(urgency) }
 
 // Finish runs the load to its end, lets everything drain, and judges.
-func (f *Fleet) Finish() []check.Breach {
-	f.Run(f.Over + 40*loop.Second)
+func (f *Fleet) Finish() []checker.Breach {
+	f.Run(f.Over + 40*eventloop.Second)
 	// A rush may leave more than that can be worked off; what is stuck is so still
 	// after this.
 	for k := 0; k < 15 && f.sample().Live > 0; k++ {
-		f.Run(f.Now + 20*loop.Second)
+		f.Run(f.Now + 20*eventloop.Second)
 	}
 	// Whoever waits for the last of them asks once more.
-	f.Run(f.Now + 3*loop.Second)
-	f.Tell(check.Event{Kind: check.Close})
+	f.Run(f.Now + 3*eventloop.Second)
+	f.Tell(checker.Event{Kind: checker.Close})
 	if f.Size.Bounds != nil {
-		return check.Judge(f.History, check.OfCalled)
+		return checker.Judge(f.History, checker.OfCalled)
 	}
-	return check.Judge(f.History, check.Usual)
+	return checker.Judge(f.History, checker.Usual)
 }
 
 // Bytes is the history as it would be written.
--- a/sim/lanes_test.go
+++ b/internal/sim/lanes_test.go
@@ -6,17 +6,17 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/check"
-	"sparnotch/intake"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/schema"
 )
 
 // newLanes puts a table with eight lanes more, and gives how long after the
 // answer each front could first list each of them.
-func newLanes(seed uint64) (spans []loop.Micros) {
-	f := NewFleet(seed, Small, CalmNet, 500, 3*loop.Second)
-	f.Run(f.Began + loop.Second)
+func newLanes(seed uint64) (spans []eventloop.Micros) {
+	f := NewFleet(seed, Small, CalmNet, 500, 3*eventloop.Second)
+	f.Run(f.Began + eventloop.Second)
 	rows := f.Rows(60)
 	for k := 0; k < 8; k++ {
 		rows = append(rows, &schema.Row{Kind: "lane", Name: fmt.Sprintf("new%d", k), Key: "urgency", Value: "20"})
@@ -25,14 +25,14 @@
 	taken := func() bool {
 		last := len(f.History) - 1
 		for k := last; k >= 0 && k > last-200; k-- {
-			if e := f.History[k]; e.Kind == check.PlanPut && e.Code == 200 && len(e.Rows) == len(rows) {
+			if e := f.History[k]; e.Kind == checker.PlanPut && e.Code == 200 && len(e.Rows) == len(rows) {
 				return true
 			}
 		}
 		return false
 	}
 	for !taken() {
-		f.Run(f.Now + loop.Milli)
+		f.Run(f.Now + eventloop.Milli)
 	}
 	began := f.Now
 	open := 0
@@ -45,11 +45,11 @@
 			lane := fmt.Sprintf("new%d", k)
 			var try func()
 			try = func() {
-				f.Ask(front, 8*loop.Second, func(errand uint64, deadline loop.Micros) any {
-					return intake.Ask{Errand: errand, Kind: "list", Group: lane, Most: 1, Deadline: deadline}
+				f.Ask(front, 8*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+					return gateway.Ask{Errand: errand, Kind: "list", Group: lane, Most: 1, Deadline: deadline}
 				}, func(answer any) {
-					if reply, _ := answer.(intake.Answer); reply.Code != 200 {
-						f.After(10*loop.Milli, try)
+					if reply, _ := answer.(gateway.Answer); reply.Code != 200 {
+						f.After(10*eventloop.Milli, try)
 						return
 					}
 					open--
@@ -59,8 +59,8 @@
 			try()
 		}
 	}
-	for f.Now < began+10*loop.Second && open > 0 {
-		f.Run(f.Now + 10*loop.Milli)
+	for f.Now < began+10*eventloop.Second && open > 0 {
+		f.Run(f.Now + 10*eventloop.Milli)
 	}
 	So(open, ShouldEqual, 0)
 	return spans
@@ -68,13 +68,13 @@
 
 func TestNewLanesServeSoon(t *testing.T) {
 	Convey("Eight lanes that a table adds serve at every front well before an election's time", t, func() {
-		worst, sum, count := loop.Micros(0), loop.Micros(0), 0
+		worst, sum, count := eventloop.Micros(0), eventloop.Micros(0), 0
 		for seed := uint64(1); seed <= 8; seed++ {
 			for _, span := range newLanes(seed) {
 				worst, sum, count = max(worst, span), sum+span, count+1
 			}
 		}
-		t.Logf("%d lanes at fronts: mean %d us, worst %d us", count, sum/loop.Micros(count), worst)
-		So(worst, ShouldBeLessThan, 300*loop.Milli)
+		t.Logf("%d lanes at fronts: mean %d us, worst %d us", count, sum/eventloop.Micros(count), worst)
+		So(worst, ShouldBeLessThan, 300*eventloop.Milli)
 	})
 }
--- a/sim/people.go
+++ b/internal/sim/people.go
@@ -9,13 +9,13 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/check"
-	"sparnotch/intake"
-	"sparnotch/keep"
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/toil"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // --- workers ---
@@ -26,7 +26,7 @@
 	name, rack  string
 	cell        string
 	cores, mem  int64
-	hand        *toil.Worker
+	hand        *fakeworker.Worker
 	front       *Host
 	incarnation uint64
 	open        int
@@ -44,8 +44,8 @@
 	Crash()
 	Leave()
 	Cut(isCut bool)
-	Freeze(span loop.Micros)
-	Habits() *toil.Habits
+	Freeze(span eventloop.Micros)
+	Habits() *fakeworker.Habits
 	Room(cores, memory int64) // that its next life has
 }
 
@@ -56,7 +56,7 @@
 func (k *Worker) Place() string { return k.name }
 
 // Habits are those of this life.
-func (k *Worker) Habits() *toil.Habits { return &k.hand.Habits }
+func (k *Worker) Habits() *fakeworker.Habits { return &k.hand.Habits }
 
 // Room is what its next life has.
 func (k *Worker) Room(cores, memory int64) { k.cores, k.mem = cores, memory }
@@ -74,7 +74,7 @@
 	k.run++
 	k.incarnation++
 	k.open, k.frozen = 0, false
-	k.hand = toil.New(w.Now, k.name, k.rack, k.cores, k.mem, k.incarnation, rand.New(rand.NewPCG(w.Rng.Uint64(), 1)), w.Tell)
+	k.hand = fakeworker.New(w.Now, k.name, k.rack, k.cores, k.mem, k.incarnation, rand.New(rand.NewPCG(w.Rng.Uint64(), 1)), w.Tell)
 	k.front = w.pickFront(k.cell)
 	k.pace(k.run)
 }
@@ -91,22 +91,22 @@
 // Cut cuts it off from every front, or mends that.
 func (k *Worker) Cut(isCut bool) {
 	k.isCut = isCut
-	e := check.Event{Kind: check.Cut, Who: k.name}
+	e := checker.Event{Kind: checker.Cut, Who: k.name}
 	if !isCut {
-		e.State = check.Mended
+		e.State = checker.Mended
 	}
 	k.world.Tell(e)
 }
 
 // Freeze stops it for a span.
-func (k *Worker) Freeze(span loop.Micros) {
+func (k *Worker) Freeze(span eventloop.Micros) {
 	run := k.run
 	k.frozen = true
-	k.world.Tell(check.Event{Kind: check.Pause, Who: k.name})
+	k.world.Tell(checker.Event{Kind: checker.Pause, Who: k.name})
 	k.world.After(span, func() {
 		if k.run == run {
 			k.frozen = false
-			k.world.Tell(check.Event{Kind: check.Resume, Who: k.name})
+			k.world.Tell(checker.Event{Kind: checker.Resume, Who: k.name})
 			k.hand.Tick(k.world.Now)
 		}
 	})
@@ -123,7 +123,7 @@
 			k.announce(run)
 		}
 	}
-	w.After(5*loop.Milli, func() { k.pace(run) })
+	w.After(5*eventloop.Milli, func() { k.pace(run) })
 }
 
 func (k *Worker) announce(run int) {
@@ -136,7 +136,7 @@
 			return
 		}
 		k.open--
-		reply, isReply := answer.(intake.Answer)
+		reply, isReply := answer.(gateway.Answer)
 		orders := &schema.Orders{}
 		if k.frozen || !isReply || reply.Code != 200 || json.Unmarshal(reply.Body, orders) != nil {
 			k.hand.Unanswered(w.Now)
@@ -148,11 +148,11 @@
 		k.hand.Take(w.Now, sent, a.Seq, orders)
 	}
 	if k.isCut {
-		w.After(1200*loop.Milli, func() { back(nil) })
+		w.After(1200*eventloop.Milli, func() { back(nil) })
 		return
 	}
-	w.Ask(k.front, 1200*loop.Milli, func(errand uint64, deadline loop.Micros) any {
-		return intake.PollIn{Errand: errand, Worker: k.name, Announce: a, Deadline: deadline}
+	w.Ask(k.front, 1200*eventloop.Milli, func(errand uint64, deadline eventloop.Micros) any {
+		return gateway.PollIn{Errand: errand, Worker: k.name, Announce: a, Deadline: deadline}
 	}, func(answer any) {
 		if k.isCut {
 			answer = nil
@@ -166,11 +166,11 @@
 // watch asks every front each second whether it is ready, as the users'
 // platform does, and passes clients accordingly.
 func (w *World) watch(h *Host) {
-	w.Ask(h, loop.Second, func(errand uint64, _ loop.Micros) any { return intake.Ready{Errand: errand} }, func(answer any) {
-		reply, _ := answer.(intake.Answer)
+	w.Ask(h, eventloop.Second, func(errand uint64, _ eventloop.Micros) any { return gateway.Ready{Errand: errand} }, func(answer any) {
+		reply, _ := answer.(gateway.Answer)
 		h.isReady = reply.Code == 200
 	})
-	w.After(loop.Second, func() { w.watch(h) })
+	w.After(eventloop.Second, func() { w.watch(h) })
 }
 
 // pickFront gives a ready front of a cell, else any ready one, else any: the
@@ -203,13 +203,13 @@
 type Kind struct {
 	Name   string // start of its jobs' names; empty: the lane's
 	Lane   string
-	Every  loop.Micros
+	Every  eventloop.Micros
 	Job    *schema.Job
-	Cancel float64     // share that is cancelled again
-	Wall   loop.Micros // starts so long after it is handed in, by the wall clock
+	Cancel float64          // share that is cancelled again
+	Wall   eventloop.Micros // starts so long after it is handed in, by the wall clock
 
-	CancelAfter loop.Micros // when a cancelled one is; 0: within 300 ms
-	Attempts    uint32      // that its lane's row allows where a step says nothing
+	CancelAfter eventloop.Micros // when a cancelled one is; 0: within 300 ms
+	Attempts    uint32           // that its lane's row allows where a step says nothing
 }
 
 // allowed is the job with what its lane's row allows.
@@ -233,7 +233,7 @@
 }
 
 // Load hands in jobs of a kind until a moment.
-func (w *World) Load(kind Kind, until loop.Micros) {
+func (w *World) Load(kind Kind, until eventloop.Micros) {
 	number := 0
 	var next func()
 	next = func() {
@@ -242,9 +242,9 @@
 		}
 		number++
 		w.HandIn(kind, fmt.Sprintf("%s-%d", cmp.Or(kind.Name, kind.Lane), number))
-		w.After(loop.Micros(w.Rng.ExpFloat64()*float64(kind.Every)), next)
+		w.After(eventloop.Micros(w.Rng.ExpFloat64()*float64(kind.Every)), next)
 	}
-	w.After(loop.Micros(w.Rng.ExpFloat64()*float64(kind.Every)), next)
+	w.After(eventloop.Micros(w.Rng.ExpFloat64()*float64(kind.Every)), next)
 }
 
 // HandIn is one caller with one job: resent after any silence, then asked for
@@ -261,18 +261,18 @@
 // just broken off.
 func (w *World) handIn(kind Kind, name, cell string, broken *Host) {
 	w.known[name] = handed{kind.Lane, kind.Job}
-	w.Tell(check.Event{Kind: check.HandIn, Who: "caller", Lane: kind.Lane, Name: name, Spec: kind.allowed()})
+	w.Tell(checker.Event{Kind: checker.HandIn, Who: "caller", Lane: kind.Lane, Name: name, Spec: kind.allowed()})
 	front, sent := w.pickFront(cell), w.Now
 	if broken != nil && front == broken {
 		front = w.pickFront("")
 	}
-	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
-		return intake.HandIn{
-			Errand: errand, Lane: kind.Lane, Client: "c-" + front.Name, Name: name, Digest: intake.Digest(kind.Job), Job: kind.Job, Deadline: deadline,
+	w.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+		return gateway.HandIn{
+			Errand: errand, Lane: kind.Lane, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(kind.Job), Job: kind.Job, Deadline: deadline,
 		}
 	}, func(answer any) {
-		reply, _ := answer.(intake.Answer)
-		e := check.Event{Kind: check.HandInReply, Who: "caller", Lane: kind.Lane, Name: name, Code: reply.Code, Front: front.Name, Sent: sent}
+		reply, _ := answer.(gateway.Answer)
+		e := checker.Event{Kind: checker.HandInReply, Who: "caller", Lane: kind.Lane, Name: name, Code: reply.Code, Front: front.Name, Sent: sent}
 		view := &schema.JobView{}
 		if reply.Code < 300 && json.Unmarshal(reply.Body, view) == nil {
 			e.State = view.State
@@ -281,17 +281,17 @@
 		switch {
 		case reply.Code == 200 || reply.Code == 201:
 			if w.Rng.Float64() < kind.Cancel {
-				w.After(kind.CancelAfter+loop.Micros(w.Rng.Int64N(int64(300*loop.Milli))), func() { w.cancel(kind, name) })
+				w.After(kind.CancelAfter+eventloop.Micros(w.Rng.Int64N(int64(300*eventloop.Milli))), func() { w.cancel(kind, name) })
 			}
 			// Who has just been told that it is taken may ask at once, anywhere.
 			w.ask(kind, "status", name, nil)
-			w.After(150*loop.Milli, func() { w.follow(kind, name, 200*loop.Milli) })
+			w.After(150*eventloop.Milli, func() { w.follow(kind, name, 200*eventloop.Milli) })
 		case reply.Code >= 400 && reply.Code < 500 && reply.Code != 429:
 		default:
 			if reply.Code != 0 {
 				front = nil
 			}
-			w.After(max(300*loop.Milli, loop.Micros(reply.Retry)*loop.Second), func() { w.handIn(kind, name, cell, front) })
+			w.After(max(300*eventloop.Milli, eventloop.Micros(reply.Retry)*eventloop.Second), func() { w.handIn(kind, name, cell, front) })
 		}
 	})
 }
@@ -299,17 +299,17 @@
 // ask sends an errand about a job through any ready front, and notes the answer.
 func (w *World) ask(kind Kind, what, name string, back func(code int32, view *schema.JobView)) {
 	front, sent := w.pickFront(w.anyCell()), w.Now
-	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
-		return intake.Ask{Errand: errand, Kind: what, Group: kind.Lane, Name: name, Deadline: deadline}
+	w.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Errand: errand, Kind: what, Group: kind.Lane, Name: name, Deadline: deadline}
 	}, func(answer any) {
-		reply, _ := answer.(intake.Answer)
+		reply, _ := answer.(gateway.Answer)
 		view := &schema.JobView{}
 		if reply.Code == 200 && json.Unmarshal(reply.Body, view) != nil {
 			reply.Code = 0
 		}
-		e := check.Event{Kind: check.Status, Who: "caller", Lane: kind.Lane, Name: name, Code: reply.Code, State: view.State, Front: front.Name, Sent: sent}
+		e := checker.Event{Kind: checker.Status, Who: "caller", Lane: kind.Lane, Name: name, Code: reply.Code, State: view.State, Front: front.Name, Sent: sent}
 		if what == "cancel" {
-			e.Kind = check.CancelReply
+			e.Kind = checker.CancelReply
 		}
 		w.Tell(e)
 		switch {
@@ -317,50 +317,50 @@
 			back(reply.Code, view)
 		case reply.Code == 0 || reply.Code >= 500:
 			// Who gets no answer asks again.
-			w.After(400*loop.Milli, func() { w.ask(kind, what, name, nil) })
+			w.After(400*eventloop.Milli, func() { w.ask(kind, what, name, nil) })
 		}
 	})
 }
 
 // follow asks how a job is doing until it has ended, and after that.
-func (w *World) follow(kind Kind, name string, span loop.Micros) {
+func (w *World) follow(kind Kind, name string, span eventloop.Micros) {
 	w.ask(kind, "status", name, func(code int32, view *schema.JobView) {
 		if code == 200 && (view.State == "complete" || view.State == "failed" || view.State == "cancelled") {
-			for _, later := range []loop.Micros{1, 20 * loop.Milli, 300 * loop.Milli, 10 * loop.Second, 118 * loop.Second} {
+			for _, later := range []eventloop.Micros{1, 20 * eventloop.Milli, 300 * eventloop.Milli, 10 * eventloop.Second, 118 * eventloop.Second} {
 				w.After(later, func() { w.ask(kind, "status", name, nil) })
 			}
 			return
 		}
-		w.After(span, func() { w.follow(kind, name, min(span*3/2, loop.Second)) })
+		w.After(span, func() { w.follow(kind, name, min(span*3/2, eventloop.Second)) })
 	})
 }
 
 func (w *World) cancel(kind Kind, name string) {
-	w.Tell(check.Event{Kind: check.CancelSent, Who: "caller", Lane: kind.Lane, Name: name})
+	w.Tell(checker.Event{Kind: checker.CancelSent, Who: "caller", Lane: kind.Lane, Name: name})
 	w.ask(kind, "cancel", name, func(code int32, view *schema.JobView) {
 		if code == 0 || code >= 500 {
-			w.After(300*loop.Milli, func() { w.cancel(kind, name) })
+			w.After(300*eventloop.Milli, func() { w.cancel(kind, name) })
 		}
 	})
 }
 
 // Lists has somebody page through a lane every so often until a moment.
-func (w *World) Lists(lane string, every, until loop.Micros) {
+func (w *World) Lists(lane string, every, until eventloop.Micros) {
 	if w.Now >= until {
 		return
 	}
 	w.After(every, func() { w.Lists(lane, every, until) })
 	front, sent := w.pickFront(w.anyCell()), w.Now
-	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
-		return intake.Ask{Errand: errand, Kind: "list", Group: lane, Most: 200, Deadline: deadline}
+	w.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Errand: errand, Kind: "list", Group: lane, Most: 200, Deadline: deadline}
 	}, func(answer any) {
-		reply, _ := answer.(intake.Answer)
+		reply, _ := answer.(gateway.Answer)
 		list := &schema.JobList{}
 		if reply.Code != 200 || json.Unmarshal(reply.Body, list) != nil {
 			return
 		}
 		for _, view := range list.Jobs {
-			w.Tell(check.Event{Kind: check.Status, Who: "lister", Lane: lane, Name: view.Name, Code: 200, State: view.State, Front: front.Name, Sent: sent})
+			w.Tell(checker.Event{Kind: checker.Status, Who: "lister", Lane: lane, Name: view.Name, Code: 200, State: view.State, Front: front.Name, Sent: sent})
 		}
 	})
 }
@@ -374,25 +374,25 @@
 		w.putEdition(who, rows)
 		return
 	}
-	again := func() { w.After(200*loop.Milli, func() { w.Put(who, rows) }) }
+	again := func() { w.After(200*eventloop.Milli, func() { w.Put(who, rows) }) }
 	w.readPlan(w.pickFront(w.anyCell()), func(plan *schema.Plan) {
 		if plan == nil {
 			again()
 			return
 		}
-		if charter.SameRows(plan.Rows, rows) {
+		if clusterstate.SameRows(plan.Rows, rows) {
 			return
 		}
 		generation := plan.Generation
 		sheet := &schema.Sheet{Generation: &generation, Rows: rows}
 		front, sent := w.pickFront(w.anyCell()), w.Now
-		w.Tell(check.Event{Kind: check.PlanSent, Who: who, Rows: rows})
-		told := check.Event{Kind: check.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: generation, Rows: rows}
-		w.Ask(front, 8*loop.Second, func(errand uint64, deadline loop.Micros) any {
-			return intake.Ask{Errand: errand, Kind: "charter", Group: charter.Group, Deadline: deadline, Body: keep.CharterBody(
+		w.Tell(checker.Event{Kind: checker.PlanSent, Who: who, Rows: rows})
+		told := checker.Event{Kind: checker.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: generation, Rows: rows}
+		w.Ask(front, 8*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+			return gateway.Ask{Errand: errand, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
 				&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 		}, func(answer any) {
-			reply, _ := answer.(intake.Answer)
+			reply, _ := answer.(gateway.Answer)
 			told.Code = reply.Code
 			if reply.Code == 200 {
 				told.Generation = generation + 1
@@ -409,15 +409,15 @@
 // back; nil when it could not be read.
 func (w *World) readPlan(front *Host, back func(plan *schema.Plan)) {
 	sent := w.Now
-	w.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
-		return intake.Ask{Errand: errand, Kind: "plan", Group: charter.Group, Deadline: deadline}
+	w.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Errand: errand, Kind: "plan", Group: clusterstate.Group, Deadline: deadline}
 	}, func(answer any) {
-		reply, _ := answer.(intake.Answer)
+		reply, _ := answer.(gateway.Answer)
 		plan := &schema.Plan{}
 		if reply.Code == 200 && protojson.Unmarshal(reply.Body, plan) != nil {
 			reply.Code = 0
 		}
-		e := check.Event{Kind: check.PlanRead, Who: "reader", Code: reply.Code, Generation: plan.Generation, Front: front.Name, Sent: sent}
+		e := checker.Event{Kind: checker.PlanRead, Who: "reader", Code: reply.Code, Generation: plan.Generation, Front: front.Name, Sent: sent}
 		if w.isNumbering {
 			e.Generation = plan.Edition
 		}
@@ -437,7 +437,7 @@
 
 // Read has an operator look at the table every so often until a moment, and
 // then through every front.
-func (w *World) Read(every, until loop.Micros) {
+func (w *World) Read(every, until eventloop.Micros) {
 	if w.Now >= until {
 		for _, h := range w.Fronts() {
 			w.readPlan(h, nil)
@@ -450,5 +450,5 @@
 
 // Fault notes a major fault.
 func (w *World) Fault(form string, args ...any) {
-	w.Tell(check.Event{Kind: check.Fault, State: fmt.Sprintf(form, args...)})
+	w.Tell(checker.Event{Kind: checker.Fault, State: fmt.Sprintf(form, args...)})
 }
