--- a/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -5,50 +5,50 @@
 	"slices"
 	"strings"
 
-	"sparnotch/check"
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/toil"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/schema"
 )
 
 // Scenario is a fault, or several, brought about during a run.
 type Scenario struct {
 	Name  string
 	Net   Net
-	Sync  loop.Micros
-	Span  loop.Micros
+	Sync  eventloop.Micros
+	Span  eventloop.Micros
 	Plan  func(f *Fleet)
 	After func(f *Fleet) []string // what must hold at the end besides the rules
 }
 
 // during calls with the keeper of the moment, some time into the load.
-func during(f *Fleet, at loop.Micros, call func(keeper *Host)) {
+func during(f *Fleet, at eventloop.Micros, call func(keeper *Host)) {
 	f.At(f.Began+at, func() {
 		keeper := f.Keeper()
 		if keeper == nil {
 			// Between two keepers: a moment later there is one again.
-			during(f, f.Now-f.Began+200*loop.Milli, call)
+			during(f, f.Now-f.Began+200*eventloop.Milli, call)
 			return
 		}
 		call(keeper)
 	})
 }
 
-func (f *Fleet) killed(h *Host, back loop.Micros) {
+func (f *Fleet) killed(h *Host, back eventloop.Micros) {
 	f.Fault("%s killed", h.Name)
 	h.Kill()
 	f.After(back, h.Start)
 }
 
-func (f *Fleet) isolated(h *Host, span loop.Micros) {
+func (f *Fleet) isolated(h *Host, span eventloop.Micros) {
 	f.Fault("%s isolated", h.Name)
 	f.Isolate(h, true)
 	f.After(span, func() { f.Isolate(h, false) })
 }
 
-func freeze(span loop.Micros) func(f *Fleet) {
+func freeze(span eventloop.Micros) func(f *Fleet) {
 	return func(f *Fleet) {
-		during(f, 4*loop.Second, func(keeper *Host) {
+		during(f, 4*eventloop.Second, func(keeper *Host) {
 			f.Fault("%s frozen", keeper.Name)
 			keeper.Freeze(span)
 		})
@@ -78,7 +78,7 @@
 	f.Fault("%s lost for good", h.Name)
 	h.Wipe()
 	cell := h.Cell
-	f.After(3*loop.Second, func() {
+	f.After(3*eventloop.Second, func() {
 		fresh := f.AddHost(h.Name+"'", cell, h.Role, true)
 		// Its settings name machines of today; the first three may be long gone.
 		for _, other := range f.Hosts {
@@ -92,66 +92,66 @@
 
 // Scenarios are the brief's faults.
 var Scenarios = []Scenario{
-	{Name: "calm", Net: CalmNet, Sync: 500, Span: 15 * loop.Second},
-	{Name: "rough net", Net: RoughNet, Sync: 500, Span: 15 * loop.Second},
-	{Name: "slow disks", Net: CalmNet, Sync: 5 * loop.Milli, Span: 15 * loop.Second},
-	{Name: "keeper killed", Net: CalmNet, Sync: 500, Span: 25 * loop.Second, Plan: func(f *Fleet) {
-		during(f, 4*loop.Second, func(keeper *Host) { f.killed(keeper, 4*loop.Second) })
+	{Name: "calm", Net: CalmNet, Sync: 500, Span: 15 * eventloop.Second},
+	{Name: "rough net", Net: RoughNet, Sync: 500, Span: 15 * eventloop.Second},
+	{Name: "slow disks", Net: CalmNet, Sync: 5 * eventloop.Milli, Span: 15 * eventloop.Second},
+	{Name: "keeper killed", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(keeper *Host) { f.killed(keeper, 4*eventloop.Second) })
 	}},
-	{Name: "keepers killed in turn, rough net", Net: RoughNet, Sync: 5 * loop.Milli, Span: 45 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "keepers killed in turn, rough net", Net: RoughNet, Sync: 5 * eventloop.Milli, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 3; k++ {
-			during(f, loop.Micros(3+13*k)*loop.Second, func(keeper *Host) { f.killed(keeper, 3*loop.Second) })
+			during(f, eventloop.Micros(3+13*k)*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
 		}
 	}},
-	{Name: "all killed at once", Net: CalmNet, Sync: 500, Span: 25 * loop.Second, Plan: func(f *Fleet) {
-		f.At(f.Began+4*loop.Second, func() {
+	{Name: "all killed at once", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+4*eventloop.Second, func() {
 			f.Fault("every process killed")
 			for _, h := range f.Hosts {
 				h.Kill()
-				f.After(loop.Second, h.Start)
+				f.After(eventloop.Second, h.Start)
 			}
 		})
 	}},
-	{Name: "keeper frozen 1 s", Net: CalmNet, Sync: 500, Span: 20 * loop.Second, Plan: freeze(loop.Second)},
-	{Name: "keeper frozen 5 s", Net: CalmNet, Sync: 500, Span: 25 * loop.Second, Plan: freeze(5 * loop.Second)},
-	{Name: "keeper frozen 30 s", Net: CalmNet, Sync: 500, Span: 45 * loop.Second, Plan: freeze(30 * loop.Second)},
-	{Name: "keeper isolated", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
-		during(f, 4*loop.Second, func(keeper *Host) { f.isolated(keeper, 12*loop.Second) })
+	{Name: "keeper frozen 1 s", Net: CalmNet, Sync: 500, Span: 20 * eventloop.Second, Plan: freeze(eventloop.Second)},
+	{Name: "keeper frozen 5 s", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: freeze(5 * eventloop.Second)},
+	{Name: "keeper frozen 30 s", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: freeze(30 * eventloop.Second)},
+	{Name: "keeper isolated", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(keeper *Host) { f.isolated(keeper, 12*eventloop.Second) })
 	}},
-	{Name: "core split each way", Net: CalmNet, Sync: 500, Span: 60 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "core split each way", Net: CalmNet, Sync: 500, Span: 60 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 3; k++ {
-			f.At(f.Began+loop.Micros(3+18*k)*loop.Second, func() {
+			f.At(f.Began+eventloop.Micros(3+18*k)*eventloop.Second, func() {
 				cell := f.Stores()[k].Cell
 				side := func(h *Host) bool { return h.Cell == cell }
 				f.Fault("cell %s split off", cell)
 				f.Split(true, side)
-				f.After(8*loop.Second, func() { f.Split(false, side) })
+				f.After(8*eventloop.Second, func() { f.Split(false, side) })
 			})
 		}
 	}},
-	{Name: "one-way cuts", Net: CalmNet, Sync: 500, Span: 45 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "one-way cuts", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 2; k++ {
-			during(f, loop.Micros(3+20*k)*loop.Second, func(keeper *Host) {
-				f.oneWay(keeper, 10*loop.Second, k == 0)
+			during(f, eventloop.Micros(3+20*k)*eventloop.Second, func(keeper *Host) {
+				f.oneWay(keeper, 10*eventloop.Second, k == 0)
 			})
 		}
 	}},
-	{Name: "disk machine replaced", Net: CalmNet, Sync: 500, Span: 45 * loop.Second, Plan: func(f *Fleet) {
-		during(f, 4*loop.Second, func(keeper *Host) { f.replaced(keeper) })
+	{Name: "disk machine replaced", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(keeper *Host) { f.replaced(keeper) })
 	}, After: repaired},
-	{Name: "all disk machines replaced in turn", Net: CalmNet, Sync: 500, Span: 90 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "all disk machines replaced in turn", Net: CalmNet, Sync: 500, Span: 90 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 3; k++ {
-			f.At(f.Began+loop.Micros(3+27*k)*loop.Second, func() { f.replaced(f.Hosts[k]) })
+			f.At(f.Began+eventloop.Micros(3+27*k)*eventloop.Second, func() { f.replaced(f.Hosts[k]) })
 		}
 	}, After: repaired},
-	{Name: "a machine away while every seed is replaced", Net: CalmNet, Sync: 500, Span: 130 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "a machine away while every seed is replaced", Net: CalmNet, Sync: 500, Span: 130 * eventloop.Second, Plan: func(f *Fleet) {
 		// A store that is nobody's seed is away until nobody remembers it, and
 		// its own seeds are gone: its only way back is whom it knew.
-		f.At(f.Began+2*loop.Second, func() { f.replaced(f.Hosts[0]) })
-		f.At(f.Began+30*loop.Second, func() {
+		f.At(f.Began+2*eventloop.Second, func() { f.replaced(f.Hosts[0]) })
+		f.At(f.Began+30*eventloop.Second, func() {
 			away := f.newest()
 			away.Seeds = []string{f.Hosts[0].Address, "10.9.9.8:1", "10.9.9.9:1"}
-			f.killed(away, 70*loop.Second)
+			f.killed(away, 70*eventloop.Second)
 		})
 	}, After: func(f *Fleet) []string {
 		if len(f.newest().Belief().Members) < 5 {
@@ -159,16 +159,16 @@
 		}
 		return nil
 	}},
-	{Name: "disk stalls", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
-		during(f, 4*loop.Second, func(keeper *Host) {
+	{Name: "disk stalls", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(keeper *Host) {
 			f.Fault("the disk of %s stalls", keeper.Name)
-			keeper.Stall = f.Now + 8*loop.Second
+			keeper.Stall = f.Now + 8*eventloop.Second
 		})
 	}},
-	{Name: "slow disk", Net: CalmNet, Sync: 500, Span: 60 * loop.Second, Plan: func(f *Fleet) {
-		during(f, 4*loop.Second, func(keeper *Host) {
+	{Name: "slow disk", Net: CalmNet, Sync: 500, Span: 60 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(keeper *Host) {
 			f.Fault("the disk of %s is slow", keeper.Name)
-			keeper.SyncUs = 450 * loop.Milli
+			keeper.SyncUs = 450 * eventloop.Milli
 			f.slow = keeper
 		})
 	}, After: func(f *Fleet) []string {
@@ -188,54 +188,54 @@
 		}
 		return wrong
 	}},
-	{Name: "side machines swapped out", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "side machines swapped out", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 3; k++ {
-			f.At(f.Began+loop.Micros(3+3*k)*loop.Second, func() {
+			f.At(f.Began+eventloop.Micros(3+3*k)*eventloop.Second, func() {
 				old := f.sides[k]
 				f.Fault("%s swapped out", old.Name)
 				old.Kill()
 				fresh := f.AddHost(old.Name+"'", old.Cell, old.Role, false)
-				f.After(500*loop.Milli, fresh.Start)
+				f.After(500*eventloop.Milli, fresh.Start)
 			})
 		}
-		during(f, 18*loop.Second, func(keeper *Host) { f.killed(keeper, 3*loop.Second) })
+		during(f, 18*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
 	}},
-	{Name: "steward frozen and superseded", Net: CalmNet, Sync: 500, Span: 45 * loop.Second, Plan: func(f *Fleet) {
-		f.At(f.Began+3*loop.Second, func() {
+	{Name: "steward frozen and superseded", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+3*eventloop.Second, func() {
 			steward := f.steward()
 			f.Fault("the steward %s frozen", steward.Name)
-			steward.Freeze(12 * loop.Second)
+			steward.Freeze(12 * eventloop.Second)
 		})
 		// The keeper dies while nobody may act, and again when the old steward
 		// has woken beside its successor.
-		during(f, 3500*loop.Milli, func(keeper *Host) { f.killed(keeper, 5*loop.Second) })
-		during(f, 15100*loop.Milli, func(keeper *Host) { f.killed(keeper, 5*loop.Second) })
+		during(f, 3500*eventloop.Milli, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
+		during(f, 15100*eventloop.Milli, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
 	}},
-	{Name: "steward isolated", Net: CalmNet, Sync: 500, Span: 45 * loop.Second, Plan: func(f *Fleet) {
-		f.At(f.Began+3*loop.Second, func() { f.isolated(f.steward(), 15*loop.Second) })
-		during(f, 8*loop.Second, func(keeper *Host) { f.killed(keeper, 5*loop.Second) })
+	{Name: "steward isolated", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+3*eventloop.Second, func() { f.isolated(f.steward(), 15*eventloop.Second) })
+		during(f, 8*eventloop.Second, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
 	}},
-	{Name: "every side machine gone", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "every side machine gone", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
 		// The data plane goes on as the charter last said.
-		f.At(f.Began+3*loop.Second, func() {
+		f.At(f.Began+3*eventloop.Second, func() {
 			f.Fault("every side machine killed")
 			for _, h := range f.sides {
 				h.Kill()
-				f.After(15*loop.Second, h.Start)
+				f.After(15*eventloop.Second, h.Start)
 			}
 		})
 	}},
-	{Name: "a front dies with a gap in its numbers", Net: CalmNet, Sync: 500, Span: 60 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "a front dies with a gap in its numbers", Net: CalmNet, Sync: 500, Span: 60 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began, func() {
 			f.Put("operator", append(f.Rows(60), &schema.Row{Kind: "fleet", Key: "linger_s", Value: "10"}))
 		})
-		f.At(f.Began+3*loop.Second, func() {
+		f.At(f.Began+3*eventloop.Second, func() {
 			// Number 2 arrives, number 1 never will.
 			front := f.lean[len(f.lean)-1]
 			(&outlet{front}).Send(f.Keeper().Id, &schema.Submit{Lane: "quick", Enqueues: []*schema.Enqueue{{
 				Session: &schema.Session{Intake: front.Id, Boot: 1, Client: "stuck"}, Number: 2, Lowest: 1, Name: "stuck", Digest: []byte("x"), Job: Kinds()[0].Job,
 			}}})
-			f.After(100*loop.Milli, func() {
+			f.After(100*eventloop.Milli, func() {
 				f.Fault("%s killed", front.Name)
 				front.Kill()
 			})
@@ -256,9 +256,9 @@
 		}
 		return wrong
 	}},
-	{Name: "clocks jump", Net: CalmNet, Sync: 5 * loop.Milli, Span: 25 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "clocks jump", Net: CalmNet, Sync: 5 * eventloop.Milli, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 6; k++ {
-			f.At(f.Began+loop.Micros(2+3*k)*loop.Second, func() {
+			f.At(f.Began+eventloop.Micros(2+3*k)*eventloop.Second, func() {
 				h := f.Hosts[f.Rng.IntN(len(f.Hosts))]
 				if h.Disk != nil {
 					// One clock of the three that count is wrong at a time; with two
@@ -267,68 +267,68 @@
 						other.WallOff = 0
 					}
 				}
-				h.WallOff = (f.Rng.Int64N(2*6*3600) - 6*3600) * int64(loop.Second)
+				h.WallOff = (f.Rng.Int64N(2*6*3600) - 6*3600) * int64(eventloop.Second)
 			})
 		}
-		during(f, 9*loop.Second, func(keeper *Host) { f.killed(keeper, 2*loop.Second) })
+		during(f, 9*eventloop.Second, func(keeper *Host) { f.killed(keeper, 2*eventloop.Second) })
 	}},
-	{Name: "workers crash, vanish, leave, are cut off", Net: CalmNet, Sync: 500, Span: 35 * loop.Second, Plan: func(f *Fleet) {
-		f.At(f.Began+2*loop.Second, func() { f.Workers[0].Crash(); f.After(2*loop.Second, f.Workers[0].Start) })
-		f.At(f.Began+5*loop.Second, func() { f.Workers[1].Crash(); f.Workers[1].Start() })
-		f.At(f.Began+8*loop.Second, func() { f.Workers[2].Cut(true); f.After(9*loop.Second, func() { f.Workers[2].Cut(false) }) })
-		f.At(f.Began+12*loop.Second, func() { f.Workers[3].Leave() })
-		f.At(f.Began+20*loop.Second, func() { f.Workers[4].Freeze(7 * loop.Second) })
-		f.At(f.Began+24*loop.Second, func() { f.Workers[3].Crash(); f.Workers[3].Start() })
+	{Name: "workers crash, vanish, leave, are cut off", Net: CalmNet, Sync: 500, Span: 35 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+2*eventloop.Second, func() { f.Workers[0].Crash(); f.After(2*eventloop.Second, f.Workers[0].Start) })
+		f.At(f.Began+5*eventloop.Second, func() { f.Workers[1].Crash(); f.Workers[1].Start() })
+		f.At(f.Began+8*eventloop.Second, func() { f.Workers[2].Cut(true); f.After(9*eventloop.Second, func() { f.Workers[2].Cut(false) }) })
+		f.At(f.Began+12*eventloop.Second, func() { f.Workers[3].Leave() })
+		f.At(f.Began+20*eventloop.Second, func() { f.Workers[4].Freeze(7 * eventloop.Second) })
+		f.At(f.Began+24*eventloop.Second, func() { f.Workers[3].Crash(); f.Workers[3].Start() })
 		// Removed at short notice.
-		f.At(f.Began+28*loop.Second, func() { f.Workers[1].Leave(); f.After(loop.Second, f.Workers[1].Crash) })
+		f.At(f.Began+28*eventloop.Second, func() { f.Workers[1].Leave(); f.After(eventloop.Second, f.Workers[1].Crash) })
 	}},
-	{Name: "workers fail, slow down, stand still", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "workers fail, slow down, stand still", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began, func() {
 			f.Workers[0].Habits().FailShare = 0.6
 			f.Workers[1].Habits().Slowness = 5
 			f.Workers[2].Habits().StillRate = 0.1
 		})
 	}},
-	{Name: "worker cut off while its keeper dies", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
-		f.At(f.Began+4*loop.Second, func() { f.Workers[2].Cut(true); f.After(12*loop.Second, func() { f.Workers[2].Cut(false) }) })
-		during(f, 4500*loop.Milli, func(keeper *Host) { f.killed(keeper, 3*loop.Second) })
+	{Name: "worker cut off while its keeper dies", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+4*eventloop.Second, func() { f.Workers[2].Cut(true); f.After(12*eventloop.Second, func() { f.Workers[2].Cut(false) }) })
+		during(f, 4500*eventloop.Milli, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
 	}},
-	{Name: "the table takes effect", Net: CalmNet, Sync: 500, Span: 35 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "the table takes effect", Net: CalmNet, Sync: 500, Span: 35 * eventloop.Second, Plan: func(f *Fleet) {
 		row := func(kind, name, key, value string) *schema.Row {
 			return &schema.Row{Kind: kind, Name: name, Key: key, Value: value}
 		}
 		// A rack is emptied, a lane narrowed, a lane made, each acted on within
 		// the span, while the keeper goes.
-		f.At(f.Began+3*loop.Second, func() { f.Put("operator", append(f.Rows(60), row("rack", "r1", "weight", "0"))) })
-		f.At(f.Began+10*loop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "slow", "running", "2"))) })
-		f.At(f.Began+18*loop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "extra", "urgency", "5"))) })
-		during(f, 14*loop.Second, func(keeper *Host) { f.killed(keeper, 3*loop.Second) })
+		f.At(f.Began+3*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("rack", "r1", "weight", "0"))) })
+		f.At(f.Began+10*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "slow", "running", "2"))) })
+		f.At(f.Began+18*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "extra", "urgency", "5"))) })
+		during(f, 14*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
 		for k := range f.Fronts() {
-			f.At(f.Began+21*loop.Second+loop.Micros(k)*100*loop.Milli, func() {
+			f.At(f.Began+21*eventloop.Second+eventloop.Micros(k)*100*eventloop.Milli, func() {
 				f.HandIn(Kind{Lane: "extra", Job: Kinds()[0].Job}, fmt.Sprint("extra-", k))
 			})
 		}
 	}},
-	{Name: "long work is cancelled", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "long work is cancelled", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
 		long := &schema.Job{Text: "run_us=25000000", Steps: []*schema.Step{step("first", 3, 500), step("more", 60, 2000), step("last", 2, 500, "first")}}
 		for k := 0; k < 6; k++ {
-			f.At(f.Began+loop.Micros(1+3*k)*loop.Second, func() {
+			f.At(f.Began+eventloop.Micros(1+3*k)*eventloop.Second, func() {
 				kind, name := Kind{Lane: "slow", Job: long}, fmt.Sprint("long-", k)
 				f.HandIn(kind, name)
-				f.After(1500*loop.Milli, func() { f.cancel(kind, name) })
+				f.After(1500*eventloop.Milli, func() { f.cancel(kind, name) })
 			})
 		}
-		during(f, 8*loop.Second, func(keeper *Host) { f.killed(keeper, 3*loop.Second) })
+		during(f, 8*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
 	}},
-	{Name: "keeper, steward and worker lost at once", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
-		during(f, 6*loop.Second, func(keeper *Host) {
+	{Name: "keeper, steward and worker lost at once", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 6*eventloop.Second, func(keeper *Host) {
 			// Long work is out everywhere, so that the lost worker had some.
 			long := &schema.Job{Text: "run_us=6000000", Steps: []*schema.Step{step("long", uint32(2*len(f.Workers)), 500)}}
 			f.HandIn(Kind{Lane: "slow", Job: long}, "long-1")
-			f.After(2*loop.Second, func() {
-				f.killed(keeper, 20*loop.Second)
+			f.After(2*eventloop.Second, func() {
+				f.killed(keeper, 20*eventloop.Second)
 				steward := f.steward()
-				f.killed(steward, 20*loop.Second)
+				f.killed(steward, 20*eventloop.Second)
 				worker := f.busiest()
 				f.lost = worker.Name()
 				worker.Crash()
@@ -341,29 +341,29 @@
 		out := map[[3]any]bool{}
 		isOver := map[string]bool{} // not to be begun again
 		for _, e := range f.History {
-			if e.Kind == check.CancelSent || e.State == "failed" && e.Kind == check.Status {
+			if e.Kind == checker.CancelSent || e.State == "failed" && e.Kind == checker.Status {
 				isOver[e.Name] = true
 			}
 		}
 		for _, e := range f.History {
 			key := [3]any{e.Lane, fmt.Sprint(e.Job, e.Name), [2]uint32{e.Step, e.Task}}
 			switch {
-			case e.Who == f.lost && e.Kind == check.Begin && e.At <= f.struck && !isOver[e.Name]:
+			case e.Who == f.lost && e.Kind == checker.Begin && e.At <= f.struck && !isOver[e.Name]:
 				out[key] = true
-			case e.Kind == check.End && e.At <= f.struck && e.State != "gone":
+			case e.Kind == checker.End && e.At <= f.struck && e.State != "gone":
 				delete(out, key)
-			case e.Kind == check.Begin && out[key]:
+			case e.Kind == checker.Begin && out[key]:
 				delete(out, key)
 				f.Again = max(f.Again, e.At-f.struck)
 			}
 		}
-		if f.Again == 0 || len(out) > 0 || f.Again > 12*loop.Second {
+		if f.Again == 0 || len(out) > 0 || f.Again > 12*eventloop.Second {
 			wrong = append(wrong, fmt.Sprintf("%d tasks of the lost worker never begun again, the last of the others after %d us", len(out), f.Again))
 		}
 		return wrong
 	}},
-	{Name: "a leave told only to a front that is cut off", Net: CalmNet, Sync: 500, Span: 25 * loop.Second, Plan: func(f *Fleet) {
-		f.At(f.Began+4*loop.Second, func() {
+	{Name: "a leave told only to a front that is cut off", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+4*eventloop.Second, func() {
 			front := f.lean[len(f.lean)-1]
 			worker, isAsking := f.Workers[2].(*Worker)
 			if !isAsking {
@@ -372,23 +372,23 @@
 			f.Isolate(front, true)
 			worker.front = front
 			worker.isStuck = true
-			f.Tell(check.Event{Kind: check.Cut, Who: worker.name})
+			f.Tell(checker.Event{Kind: checker.Cut, Who: worker.name})
 			worker.Leave()
-			f.After(8*loop.Second, func() {
+			f.After(8*eventloop.Second, func() {
 				f.Isolate(front, false)
 				worker.isStuck = false
-				f.Tell(check.Event{Kind: check.Cut, Who: worker.name, State: check.Mended})
+				f.Tell(checker.Event{Kind: checker.Cut, Who: worker.name, State: checker.Mended})
 			})
 		})
 	}},
-	{Name: "urgent burst on a full fleet", Net: CalmNet, Sync: 500, Span: 25 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "urgent burst on a full fleet", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
 		full := &schema.Job{Text: "run_us=4000000", Steps: []*schema.Step{step("fill", 40, 2000)}}
-		f.At(f.Began+2*loop.Second, func() {
+		f.At(f.Began+2*eventloop.Second, func() {
 			for k := 0; k < 4; k++ {
 				f.HandIn(Kind{Lane: "slow", Job: full}, fmt.Sprint("fill-", k))
 			}
 		})
-		f.At(f.Began+5*loop.Second, func() {
+		f.At(f.Began+5*eventloop.Second, func() {
 			for k := 0; k < 30; k++ {
 				f.HandIn(Kinds()[0], fmt.Sprint("burst-", k))
 			}
@@ -396,42 +396,42 @@
 	}, After: func(f *Fleet) []string {
 		// Forty tasks of two cores fill the fleet for seconds; urgent ones
 		// must not wait for them.
-		sent, worst := map[string]loop.Micros{}, loop.Micros(0)
+		sent, worst := map[string]eventloop.Micros{}, eventloop.Micros(0)
 		for _, e := range f.History {
-			if e.Kind == check.HandIn && strings.HasPrefix(e.Name, "burst-") && sent[e.Name] == 0 {
+			if e.Kind == checker.HandIn && strings.HasPrefix(e.Name, "burst-") && sent[e.Name] == 0 {
 				sent[e.Name] = e.At
 			}
-			if e.Kind == check.Begin && sent[e.Name] != 0 && e.Step == 0 {
+			if e.Kind == checker.Begin && sent[e.Name] != 0 && e.Step == 0 {
 				worst = max(worst, e.At-sent[e.Name])
 			}
 		}
-		if len(sent) < 30 || worst == 0 || worst > 8*loop.Second {
+		if len(sent) < 30 || worst == 0 || worst > 8*eventloop.Second {
 			return []string{fmt.Sprintf("%d urgent jobs, the last begun after %d us", len(sent), worst)}
 		}
 		return nil
 	}},
-	{Name: "a flood of jobs that can never run", Net: CalmNet, Sync: 5 * loop.Milli, Span: 20 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "a flood of jobs that can never run", Net: CalmNet, Sync: 5 * eventloop.Milli, Span: 20 * eventloop.Second, Plan: func(f *Fleet) {
 		huge := &schema.Job{Text: "run_us=1000", Steps: []*schema.Step{step("huge", 1, max(60_000, f.Size.Cores+1))}}
 		for k := 0; k < 300; k++ {
-			f.At(f.Began+2*loop.Second+loop.Micros(k)*20*loop.Milli, func() {
+			f.At(f.Began+2*eventloop.Second+eventloop.Micros(k)*20*eventloop.Milli, func() {
 				name := fmt.Sprint("huge-", k)
 				f.HandIn(Kind{Lane: "timed", Job: huge}, name)
-				f.After(10*loop.Second, func() { f.cancel(Kind{Lane: "timed"}, name) })
+				f.After(10*eventloop.Second, func() { f.cancel(Kind{Lane: "timed"}, name) })
 			})
 		}
-		during(f, 6*loop.Second, func(keeper *Host) { f.killed(keeper, 2*loop.Second) })
+		during(f, 6*eventloop.Second, func(keeper *Host) { f.killed(keeper, 2*eventloop.Second) })
 	}},
-	{Name: "jobs that last, and the log", Net: CalmNet, Sync: 500, Span: 50 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "jobs that last, and the log", Net: CalmNet, Sync: 500, Span: 50 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began, func() {
 			rows := append(f.Rows(60), &schema.Row{Kind: "fleet", Key: "carry_records", Value: "200"})
 			f.Put("operator", rows)
 		})
-		long := &schema.Job{Text: "run_us=20000", DelayUs: int64(45 * loop.Second), Steps: []*schema.Step{step("late", 1, 100)}}
-		f.At(f.Began+loop.Second, func() {
+		long := &schema.Job{Text: "run_us=20000", DelayUs: int64(45 * eventloop.Second), Steps: []*schema.Step{step("late", 1, 100)}}
+		f.At(f.Began+eventloop.Second, func() {
 			f.HandIn(Kind{Lane: "quick", Job: long}, "long-1")
 			f.HandIn(Kind{Lane: "timed", Job: long}, "long-2")
 		})
-		during(f, 30*loop.Second, func(keeper *Host) { f.killed(keeper, 2*loop.Second) })
+		during(f, 30*eventloop.Second, func(keeper *Host) { f.killed(keeper, 2*eventloop.Second) })
 	}, After: func(f *Fleet) []string {
 		var wrong []string
 		carries := uint64(0)
@@ -448,12 +448,12 @@
 		}
 		return wrong
 	}},
-	{Name: "a store damaged in the middle", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
-		during(f, 5*loop.Second, func(keeper *Host) {
+	{Name: "a store damaged in the middle", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 5*eventloop.Second, func(keeper *Host) {
 			f.Fault("%s killed, its disk damaged", keeper.Name)
 			keeper.Kill()
 			keeper.Disk.Rot("log-0", keeper.Disk.Size("log-0")/2)
-			f.After(2*loop.Second, keeper.Start)
+			f.After(2*eventloop.Second, keeper.Start)
 		})
 	}, After: func(f *Fleet) []string {
 		wrong := repaired(f)
@@ -462,56 +462,56 @@
 		}
 		return wrong
 	}},
-	{Name: "keeper warned, then the next", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "keeper warned, then the next", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 2; k++ {
-			during(f, loop.Micros(4+15*k)*loop.Second, func(keeper *Host) {
+			during(f, eventloop.Micros(4+15*k)*eventloop.Second, func(keeper *Host) {
 				f.Fault("%s warned", keeper.Name)
 				f.warned = append(f.warned, f.Now)
-				keeper.Warn(10 * loop.Second)
-				f.After(8*loop.Second, keeper.Start)
+				keeper.Warn(10 * eventloop.Second)
+				f.After(8*eventloop.Second, keeper.Start)
 			})
 		}
 	}, After: func(f *Fleet) []string {
 		// Nobody waits for an election when leaving was announced: a hand-in
 		// costs a redirect or a resend at most.
 		var wrong []string
-		sent := map[string]loop.Micros{}
+		sent := map[string]eventloop.Micros{}
 		for _, e := range f.History {
-			if e.Kind == check.HandIn && sent[e.Name] == 0 {
+			if e.Kind == checker.HandIn && sent[e.Name] == 0 {
 				sent[e.Name] = e.At
 			}
-			if e.Kind != check.HandInReply || e.Code != 201 {
+			if e.Kind != checker.HandInReply || e.Code != 201 {
 				continue
 			}
 			for _, at := range f.warned {
-				if span := e.At - sent[e.Name]; sent[e.Name] >= at && sent[e.Name] < at+3*loop.Second && span > 1200*loop.Milli {
+				if span := e.At - sent[e.Name]; sent[e.Name] >= at && sent[e.Name] < at+3*eventloop.Second && span > 1200*eventloop.Milli {
 					wrong = append(wrong, fmt.Sprintf("%s waited %d us while a keeper left", e.Name, span))
 				}
 			}
 		}
 		return wrong
 	}},
-	{Name: "a lane removed and made anew", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "a lane removed and made anew", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
 		extra := &schema.Row{Kind: "lane", Name: "extra", Key: "urgency", Value: "5"}
 		fast := &schema.Row{Kind: "fleet", Key: "status_s", Value: "120"}
 		kind := Kind{Lane: "extra", Job: Kinds()[0].Job}
 		f.At(f.Began, func() { f.Put("operator", append(f.Rows(60), extra, fast)) })
-		f.At(f.Began+4*loop.Second, func() { f.HandIn(kind, "before") })
-		f.At(f.Began+8*loop.Second, func() { f.Put("operator", append(f.Rows(60), fast)) })
-		f.At(f.Began+20*loop.Second, func() {
+		f.At(f.Began+4*eventloop.Second, func() { f.HandIn(kind, "before") })
+		f.At(f.Began+8*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), fast)) })
+		f.At(f.Began+20*eventloop.Second, func() {
 			for _, h := range f.Stores() {
 				// It ends only when what it has ended has been kept for its time.
 				f.groups = append(f.groups, h.Groups("extra#")...)
 			}
 		})
-		f.Over += 130 * loop.Second
-		f.At(f.Began+150*loop.Second, func() {
+		f.Over += 130 * eventloop.Second
+		f.At(f.Began+150*eventloop.Second, func() {
 			for _, h := range f.Stores() {
 				f.later = append(f.later, h.Groups("extra#")...)
 			}
 			f.Put("operator", append(f.Rows(60), extra, fast))
 		})
-		f.At(f.Began+155*loop.Second, func() { f.HandIn(kind, "after") })
+		f.At(f.Began+155*eventloop.Second, func() { f.HandIn(kind, "after") })
 	}, After: func(f *Fleet) []string {
 		var wrong []string
 		if len(f.groups) != 3 || len(f.later) != 0 {
@@ -524,90 +524,90 @@
 		}
 		return wrong
 	}},
-	{Name: "operators race", Net: RoughNet, Sync: 500, Span: 25 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "operators race", Net: RoughNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 6; k++ {
-			f.At(f.Began+loop.Micros(2+3*k)*loop.Second, func() {
+			f.At(f.Began+eventloop.Micros(2+3*k)*eventloop.Second, func() {
 				f.Put("one", f.Rows(50+k))
 				f.Put("two", f.Rows(70+k))
 			})
 		}
-		during(f, 8*loop.Second, func(keeper *Host) { f.killed(keeper, 2*loop.Second) })
+		during(f, 8*eventloop.Second, func(keeper *Host) { f.killed(keeper, 2*eventloop.Second) })
 	}},
 }
 
 // CalledScenarios are faults of workers that are called.
 var CalledScenarios = []Scenario{
-	{Name: "side machines killed, frozen, cut", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "side machines killed, frozen, cut", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
 		// Long enough that some of it is there when a hold ends.
-		long := &schema.Job{Text: "long", Steps: []*schema.Step{{Name: "long", Tasks: 8, CoresMilli: 1000, MemoryMb: 100, EstimateUs: int64(9 * loop.Second), Saves: true, PerWorker: 2}}}
-		for k := loop.Micros(0); k < 3; k++ {
-			f.At(f.Began+(1+8*k)*loop.Second, func() { f.HandIn(Kind{Lane: "quick", Attempts: 4, Job: long}, fmt.Sprint("long-", k)) })
-		}
-		f.At(f.Began+2*loop.Second, func() { f.killed(f.sides[0], 3*loop.Second) })
-		f.At(f.Began+8*loop.Second, func() { f.frozen(f.sides[1], 7*loop.Second) })
-		f.At(f.Began+9*loop.Second, func() { f.frozen(f.sides[4], 2*loop.Second) })
-		f.At(f.Began+18*loop.Second, func() { f.isolated(f.sides[2], 9*loop.Second) })
-		f.At(f.Began+20*loop.Second, func() { f.killed(f.sides[3], 12*loop.Second) })
-		f.At(f.Began+30*loop.Second, func() { f.isolated(f.sides[0], 2*loop.Second) })
-	}},
-	{Name: "every side machine killed at once", Net: CalmNet, Sync: 500, Span: 25 * loop.Second, Plan: func(f *Fleet) {
-		f.At(f.Began+3*loop.Second, func() {
+		long := &schema.Job{Text: "long", Steps: []*schema.Step{{Name: "long", Tasks: 8, CoresMilli: 1000, MemoryMb: 100, EstimateUs: int64(9 * eventloop.Second), Saves: true, PerWorker: 2}}}
+		for k := eventloop.Micros(0); k < 3; k++ {
+			f.At(f.Began+(1+8*k)*eventloop.Second, func() { f.HandIn(Kind{Lane: "quick", Attempts: 4, Job: long}, fmt.Sprint("long-", k)) })
+		}
+		f.At(f.Began+2*eventloop.Second, func() { f.killed(f.sides[0], 3*eventloop.Second) })
+		f.At(f.Began+8*eventloop.Second, func() { f.frozen(f.sides[1], 7*eventloop.Second) })
+		f.At(f.Began+9*eventloop.Second, func() { f.frozen(f.sides[4], 2*eventloop.Second) })
+		f.At(f.Began+18*eventloop.Second, func() { f.isolated(f.sides[2], 9*eventloop.Second) })
+		f.At(f.Began+20*eventloop.Second, func() { f.killed(f.sides[3], 12*eventloop.Second) })
+		f.At(f.Began+30*eventloop.Second, func() { f.isolated(f.sides[0], 2*eventloop.Second) })
+	}},
+	{Name: "every side machine killed at once", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+3*eventloop.Second, func() {
 			f.Fault("every side machine killed")
 			for _, h := range f.sides {
 				h.Kill()
-				f.After(2*loop.Second, h.Start)
+				f.After(2*eventloop.Second, h.Start)
 			}
 		})
 	}},
-	{Name: "orders are left unanswered and carried out late", Net: CalmNet, Sync: 500, Span: 30 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "orders are left unanswered and carried out late", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
 		for k, worker := range f.Workers {
-			f.At(f.Began+loop.Micros(2+3*k)*loop.Second, func() { worker.(*CalledWorker).Sick(0, 0.6) })
-			f.At(f.Began+loop.Micros(10+3*k)*loop.Second, func() { worker.(*CalledWorker).Sick(0, 0) })
+			f.At(f.Began+eventloop.Micros(2+3*k)*eventloop.Second, func() { worker.(*CalledWorker).Sick(0, 0.6) })
+			f.At(f.Began+eventloop.Micros(10+3*k)*eventloop.Second, func() { worker.(*CalledWorker).Sick(0, 0) })
 		}
 	}},
-	{Name: "called workers crash, vanish, leave at once, fail, stand still", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
+	{Name: "called workers crash, vanish, leave at once, fail, stand still", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
 		w := func(k int) *CalledWorker { return f.Workers[k].(*CalledWorker) }
-		f.At(f.Began+2*loop.Second, func() { w(0).Start() })
-		f.At(f.Began+4*loop.Second, func() { w(1).Crash(); f.After(9*loop.Second, w(1).Start) })
-		f.At(f.Began+6*loop.Second, func() { w(2).leave(700*loop.Milli, false); f.After(4*loop.Second, w(2).Start) })
-		f.At(f.Began+12*loop.Second, func() { w(3).Leave(); f.After(8*loop.Second, w(3).Start) })
-		f.At(f.Began+15*loop.Second, func() { w(0).ail(); w(0).habits.FailShare = 0.5; w(2).ail(); w(2).habits.StillRate = 0.2 })
-		f.At(f.Began+22*loop.Second, func() { w(1).Sick(0.5, 0); w(3).ail(); w(3).habits.Slowness = 6 })
-		f.At(f.Began+30*loop.Second, func() {
+		f.At(f.Began+2*eventloop.Second, func() { w(0).Start() })
+		f.At(f.Began+4*eventloop.Second, func() { w(1).Crash(); f.After(9*eventloop.Second, w(1).Start) })
+		f.At(f.Began+6*eventloop.Second, func() { w(2).leave(700*eventloop.Milli, false); f.After(4*eventloop.Second, w(2).Start) })
+		f.At(f.Began+12*eventloop.Second, func() { w(3).Leave(); f.After(8*eventloop.Second, w(3).Start) })
+		f.At(f.Began+15*eventloop.Second, func() { w(0).ail(); w(0).habits.FailShare = 0.5; w(2).ail(); w(2).habits.StillRate = 0.2 })
+		f.At(f.Began+22*eventloop.Second, func() { w(1).Sick(0.5, 0); w(3).ail(); w(3).habits.Slowness = 6 })
+		f.At(f.Began+30*eventloop.Second, func() {
 			for k := range f.Workers {
-				w(k).habits = toil.Habits{}
+				w(k).habits = fakeworker.Habits{}
 				w(k).Sick(0, 0)
 			}
 		})
 	}},
-	{Name: "keeper, a worker and its neighbour's agent lost at once", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
-		during(f, 4*loop.Second, func(keeper *Host) {
-			f.killed(keeper, 8*loop.Second)
+	{Name: "keeper, a worker and its neighbour's agent lost at once", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(keeper *Host) {
+			f.killed(keeper, 8*eventloop.Second)
 			f.Workers[0].Crash()
-			f.After(15*loop.Second, f.Workers[0].Start)
-			f.killed(f.sides[1], 5*loop.Second)
+			f.After(15*eventloop.Second, f.Workers[0].Start)
+			f.killed(f.sides[1], 5*eventloop.Second)
 		})
 	}},
-	{Name: "disks lost after all were killed", Net: CalmNet, Sync: 500, Span: 40 * loop.Second, Plan: func(f *Fleet) {
-		f.At(f.Began+5*loop.Second, func() {
+	{Name: "disks lost after all were killed", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+5*eventloop.Second, func() {
 			f.Fault("every process killed, one disk lost")
 			for k, h := range f.Hosts {
 				if k == 1 {
 					h.Wipe()
 				}
 				h.Kill()
-				f.After(loop.Second, h.Start)
+				f.After(eventloop.Second, h.Start)
 			}
 		})
 	}},
-	{Name: "urgent work while called workers are full", Net: CalmNet, Sync: 500, Span: 25 * loop.Second, Plan: func(f *Fleet) {
-		full := &schema.Job{Text: "fill", Steps: []*schema.Step{{Name: "fill", Tasks: 30, CoresMilli: 2000, MemoryMb: 100, EstimateUs: int64(5 * loop.Second), Saves: true}}}
-		f.At(f.Began+2*loop.Second, func() {
+	{Name: "urgent work while called workers are full", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
+		full := &schema.Job{Text: "fill", Steps: []*schema.Step{{Name: "fill", Tasks: 30, CoresMilli: 2000, MemoryMb: 100, EstimateUs: int64(5 * eventloop.Second), Saves: true}}}
+		f.At(f.Began+2*eventloop.Second, func() {
 			for k := 0; k < 3; k++ {
 				f.HandIn(Kind{Lane: "slow", Attempts: 4, Job: full}, fmt.Sprint("fill-", k))
 			}
 		})
-		f.At(f.Began+5*loop.Second, func() {
+		f.At(f.Began+5*eventloop.Second, func() {
 			for k := 0; k < 30; k++ {
 				f.HandIn(f.Size.Kinds[0], fmt.Sprint("burst-", k))
 			}
@@ -671,7 +671,7 @@
 }
 
 // Play runs a scenario on a fleet of a size, with a seed.
-func Play(s Scenario, size Size, seed uint64) (*Fleet, []check.Breach, []string) {
+func Play(s Scenario, size Size, seed uint64) (*Fleet, []checker.Breach, []string) {
 	f := NewFleet(seed, size, s.Net, s.Sync, s.Span)
 	if s.Plan != nil {
 		s.Plan(f)
@@ -690,9 +690,9 @@
 	running := map[string]int{}
 	for _, e := range f.History {
 		switch e.Kind {
-		case check.Begin:
+		case checker.Begin:
 			running[e.Who]++
-		case check.End:
+		case checker.End:
 			running[e.Who]--
 		}
 	}
--- a/sim/schedule.go
+++ b/internal/sim/schedule.go
@@ -8,17 +8,17 @@
 	"strings"
 	"time"
 
-	"sparnotch/check"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 // Stroke is one fault of a schedule: what, to whom, for how long, when.
 type Stroke struct {
 	What string
 	Whom string // keeper, steward, or a machine's name
-	Span loop.Micros
-	At   loop.Micros // after the load began
+	Span eventloop.Micros
+	At   eventloop.Micros // after the load began
 }
 
 // String is the form that ReadSchedule takes.
@@ -42,70 +42,70 @@
 type deed struct {
 	targets string // keeper, store, lean, side, worker, called, all
 	isLoss  bool
-	strike  func(f *Fleet, name string, span loop.Micros)
+	strike  func(f *Fleet, name string, span eventloop.Micros)
 }
 
 // recovery is how long after a disk machine is back the next may be struck:
 // until then it may still be catching up, and with another away no quorum is
 // owed.
-const recovery = 12 * loop.Second
+const recovery = 12 * eventloop.Second
 
 var deeds = map[string]deed{
-	"kill":    {"keeper store lean side", true, func(f *Fleet, n string, span loop.Micros) { f.killed(f.host(n), span) }},
-	"freeze":  {"keeper store lean side", true, func(f *Fleet, n string, span loop.Micros) { f.frozen(f.host(n), span) }},
-	"isolate": {"keeper store lean side", true, func(f *Fleet, n string, span loop.Micros) { f.isolated(f.host(n), span) }},
-	"mute":    {"keeper store lean side", true, func(f *Fleet, n string, span loop.Micros) { f.oneWay(f.host(n), span, true) }},
-	"deaf":    {"keeper store lean side", true, func(f *Fleet, n string, span loop.Micros) { f.oneWay(f.host(n), span, false) }},
-	"replace": {"keeper store", true, func(f *Fleet, n string, _ loop.Micros) { f.replaced(f.host(n)) }},
-	"warn": {"keeper store lean", true, func(f *Fleet, n string, span loop.Micros) {
+	"kill":    {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.killed(f.host(n), span) }},
+	"freeze":  {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.frozen(f.host(n), span) }},
+	"isolate": {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.isolated(f.host(n), span) }},
+	"mute":    {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.oneWay(f.host(n), span, true) }},
+	"deaf":    {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.oneWay(f.host(n), span, false) }},
+	"replace": {"keeper store", true, func(f *Fleet, n string, _ eventloop.Micros) { f.replaced(f.host(n)) }},
+	"warn": {"keeper store lean", true, func(f *Fleet, n string, span eventloop.Micros) {
 		h := f.host(n)
 		f.Fault("%s warned", h.Name)
 		h.Warn(span)
-		f.After(span+loop.Second, h.Start)
+		f.After(span+eventloop.Second, h.Start)
 	}},
-	"stall": {"keeper store", true, func(f *Fleet, n string, span loop.Micros) {
+	"stall": {"keeper store", true, func(f *Fleet, n string, span eventloop.Micros) {
 		h := f.host(n)
 		f.Fault("the disk of %s stalls", h.Name)
 		h.Stall = f.Now + span
 	}},
-	"slow": {"keeper store", false, func(f *Fleet, n string, span loop.Micros) {
+	"slow": {"keeper store", false, func(f *Fleet, n string, span eventloop.Micros) {
 		h := f.host(n)
 		f.Fault("the disk of %s is slow", h.Name)
 		usual := h.SyncUs
-		h.SyncUs = 200 * loop.Milli
+		h.SyncUs = 200 * eventloop.Milli
 		f.After(span, func() { h.SyncUs = usual })
 	}},
-	"clock": {"store", false, func(f *Fleet, n string, span loop.Micros) {
+	"clock": {"store", false, func(f *Fleet, n string, span eventloop.Micros) {
 		for _, other := range f.Stores() {
 			other.WallOff = 0
 		}
 		h := f.host(n)
-		h.WallOff = (f.Rng.Int64N(2*6*3600) - 6*3600) * int64(loop.Second)
+		h.WallOff = (f.Rng.Int64N(2*6*3600) - 6*3600) * int64(eventloop.Second)
 		f.After(span, func() { h.WallOff = 0 })
 	}},
-	"split": {"cell", true, func(f *Fleet, n string, span loop.Micros) {
+	"split": {"cell", true, func(f *Fleet, n string, span eventloop.Micros) {
 		f.Fault("cell %s split off", n)
 		side := func(h *Host) bool { return h.Cell == n }
 		f.Split(true, side)
 		f.After(span, func() { f.Split(false, side) })
 	}},
-	"crash": {"worker", false, func(f *Fleet, n string, span loop.Micros) {
+	"crash": {"worker", false, func(f *Fleet, n string, span eventloop.Micros) {
 		w := f.worker(n)
 		w.Crash()
 		f.After(span, w.Start)
 	}},
-	"cut": {"worker", false, func(f *Fleet, n string, span loop.Micros) {
+	"cut": {"worker", false, func(f *Fleet, n string, span eventloop.Micros) {
 		w := f.worker(n)
 		w.Cut(true)
 		f.After(span, func() { w.Cut(false) })
 	}},
-	"sleep": {"worker", false, func(f *Fleet, n string, span loop.Micros) { f.worker(n).Freeze(span) }},
-	"leave": {"worker", false, func(f *Fleet, n string, span loop.Micros) {
+	"sleep": {"worker", false, func(f *Fleet, n string, span eventloop.Micros) { f.worker(n).Freeze(span) }},
+	"leave": {"worker", false, func(f *Fleet, n string, span eventloop.Micros) {
 		w := f.worker(n)
 		w.Leave()
 		f.After(span, func() { w.Crash(); w.Start() })
 	}},
-	"shrink": {"worker", false, func(f *Fleet, n string, span loop.Micros) {
+	"shrink": {"worker", false, func(f *Fleet, n string, span eventloop.Micros) {
 		// It comes back with a quarter of its room.
 		w := f.worker(n)
 		w.Crash()
@@ -113,7 +113,7 @@
 		w.Start()
 		f.After(span, func() { w.Crash(); w.Room(f.Size.Cores, f.Size.Memory); w.Start() })
 	}},
-	"fail": {"worker", false, func(f *Fleet, n string, span loop.Micros) {
+	"fail": {"worker", false, func(f *Fleet, n string, span eventloop.Micros) {
 		w := f.worker(n)
 		if called, isCalled := w.(*CalledWorker); isCalled {
 			called.ail()
@@ -121,41 +121,41 @@
 		w.Habits().FailShare = 0.6
 		f.After(span, func() { w.Habits().FailShare = 0 })
 	}},
-	"late": {"called", false, func(f *Fleet, n string, span loop.Micros) {
+	"late": {"called", false, func(f *Fleet, n string, span eventloop.Micros) {
 		w := f.worker(n).(*CalledWorker)
 		w.Sick(0, 0.4)
 		f.After(span, func() { w.Sick(0, 0) })
 	}},
-	"refuse": {"called", false, func(f *Fleet, n string, span loop.Micros) {
+	"refuse": {"called", false, func(f *Fleet, n string, span eventloop.Micros) {
 		w := f.worker(n).(*CalledWorker)
 		w.Sick(0.5, 0)
 		f.After(span, func() { w.Sick(0, 0) })
 	}},
-	"still": {"called", false, func(f *Fleet, n string, span loop.Micros) {
+	"still": {"called", false, func(f *Fleet, n string, span eventloop.Micros) {
 		w := f.worker(n).(*CalledWorker)
 		w.ail()
 		w.habits.StillRate = 0.3
 		f.After(span, func() { w.habits.StillRate = 0 })
 	}},
-	"creep": {"called", false, func(f *Fleet, n string, span loop.Micros) {
+	"creep": {"called", false, func(f *Fleet, n string, span eventloop.Micros) {
 		w := f.worker(n).(*CalledWorker)
 		w.ail()
 		w.habits.Slowness = 6
 		f.After(span, func() { w.habits.Slowness = 0 })
 	}},
-	"hurry": {"called", false, func(f *Fleet, n string, span loop.Micros) {
+	"hurry": {"called", false, func(f *Fleet, n string, span eventloop.Micros) {
 		w := f.worker(n).(*CalledWorker)
-		w.leave(700*loop.Milli, false)
-		f.After(max(span, loop.Second), w.Start)
+		w.leave(700*eventloop.Milli, false)
+		f.After(max(span, eventloop.Second), w.Start)
 	}},
-	"table": {"all", false, func(f *Fleet, _ string, _ loop.Micros) { f.Put("one", f.Rows(20+f.Rng.IntN(60))) }},
-	"race": {"all", false, func(f *Fleet, _ string, _ loop.Micros) {
+	"table": {"all", false, func(f *Fleet, _ string, _ eventloop.Micros) { f.Put("one", f.Rows(20+f.Rng.IntN(60))) }},
+	"race": {"all", false, func(f *Fleet, _ string, _ eventloop.Micros) {
 		f.Put("one", f.Rows(20+f.Rng.IntN(30)))
 		f.Put("two", f.Rows(60+f.Rng.IntN(30)))
 	}},
-	"rush": {"all", false, func(f *Fleet, _ string, span loop.Micros) {
+	"rush": {"all", false, func(f *Fleet, _ string, span eventloop.Micros) {
 		for n, kind := range f.Size.Kinds {
-			kind.Name, kind.Every = fmt.Sprintf("rush%d-%d", f.Now/loop.Second, n), kind.Every/20
+			kind.Name, kind.Every = fmt.Sprintf("rush%d-%d", f.Now/eventloop.Second, n), kind.Every/20
 			if f.Size.Bounds != nil {
 				// Their jobs are larger.
 				kind.Every *= 8
@@ -164,37 +164,37 @@
 				// What lasts ends only so.
 				kind.Cancel = 0
 			}
-			f.Load(kind, f.Now+min(span, 5*loop.Second))
+			f.Load(kind, f.Now+min(span, 5*eventloop.Second))
 		}
 	}},
-	"flood": {"all", false, func(f *Fleet, _ string, span loop.Micros) {
+	"flood": {"all", false, func(f *Fleet, _ string, span eventloop.Micros) {
 		huge := &schema.Job{Text: "run_us=1000", Steps: []*schema.Step{step("huge", 1, 65_000+f.Size.Cores)}}
-		kind := Kind{Name: fmt.Sprintf("huge%d", f.Now/loop.Second), Lane: "timed", Every: 10 * loop.Milli, Job: huge}
+		kind := Kind{Name: fmt.Sprintf("huge%d", f.Now/eventloop.Second), Lane: "timed", Every: 10 * eventloop.Milli, Job: huge}
 		if f.Size.Bounds != nil {
 			// Nobody knows how large the workers of a pool may become, so these wait.
-			kind.Cancel, kind.CancelAfter = 1, 8*loop.Second
+			kind.Cancel, kind.CancelAfter = 1, 8*eventloop.Second
 		}
-		f.Load(kind, f.Now+min(span, 5*loop.Second))
+		f.Load(kind, f.Now+min(span, 5*eventloop.Second))
 	}},
-	"power": {"all", true, func(f *Fleet, _ string, span loop.Micros) {
+	"power": {"all", true, func(f *Fleet, _ string, span eventloop.Micros) {
 		f.Fault("every process killed")
 		for _, h := range f.Hosts {
 			if h.IsUp {
 				h.Kill()
-				f.After(min(span, 2*loop.Second), h.Start)
+				f.After(min(span, 2*eventloop.Second), h.Start)
 			}
 		}
 	}},
 }
 
 // frozen stops a machine's process for a span.
-func (f *Fleet) frozen(h *Host, span loop.Micros) {
+func (f *Fleet) frozen(h *Host, span eventloop.Micros) {
 	f.Fault("%s frozen", h.Name)
 	h.Freeze(span)
 }
 
 // oneWay cuts what a machine says, or what it hears.
-func (f *Fleet) oneWay(h *Host, span loop.Micros, isMute bool) {
+func (f *Fleet) oneWay(h *Host, span eventloop.Micros, isMute bool) {
 	f.Fault("%s can't be heard, or can't hear", h.Name)
 	cut := func(isCut bool) {
 		for _, other := range f.Hosts {
@@ -279,9 +279,9 @@
 }
 
 // until is when what a stroke took away has been back for long enough.
-func (s Stroke) until() loop.Micros {
+func (s Stroke) until() eventloop.Micros {
 	if s.What == "replace" {
-		return s.At + 30*loop.Second
+		return s.At + 30*eventloop.Second
 	}
 	return s.At + s.Span + recovery
 }
@@ -301,14 +301,14 @@
 		if !isTarget {
 			return fmt.Errorf("faults[%d]: %s can't strike %q", k, stroke.What, stroke.Whom)
 		}
-		if stroke.Span < 0 || stroke.At < 0 || stroke.Span > 60*loop.Second {
+		if stroke.Span < 0 || stroke.At < 0 || stroke.Span > 60*eventloop.Second {
 			return fmt.Errorf("faults[%d]: %v: spans lie between 0 and 60 s, times at 0 or later", k, stroke)
 		}
 		for n, other := range s[:k] {
 			if stroke.isDisk() && other.isDisk() && stroke.At < other.until() && other.At < stroke.until() {
 				return fmt.Errorf("faults[%d]: %v and %v (faults[%d]) may take two of three disk machines away at once, which nothing can survive", k, stroke, other, n)
 			}
-			if stroke.Whom == other.Whom && stroke.Whom != "all" && stroke.At < other.At+other.Span+loop.Second && other.At < stroke.At+stroke.Span+loop.Second {
+			if stroke.Whom == other.Whom && stroke.Whom != "all" && stroke.At < other.At+other.Span+eventloop.Second && other.At < stroke.At+stroke.Span+eventloop.Second {
 				return fmt.Errorf("faults[%d]: %v strikes what %v (faults[%d]) has struck already", k, stroke, other, n)
 			}
 		}
@@ -328,7 +328,7 @@
 		if !isTold || !isSpan || !isAt || err1 != nil || err2 != nil {
 			return nil, fmt.Errorf("faults[%d]: %q is not WHAT/WHOM:SPAN@AT, as kill/keeper:3s@5s", k, each)
 		}
-		list = append(list, Stroke{what, whom, loop.Micros(length.Microseconds()), loop.Micros(moment.Microseconds())})
+		list = append(list, Stroke{what, whom, eventloop.Micros(length.Microseconds()), eventloop.Micros(moment.Microseconds())})
 	}
 	return list, list.Check(size)
 }
@@ -353,7 +353,7 @@
 		targets := deeds[what].names(size)
 		stroke := Stroke{
 			What: what, Whom: targets[rng.IntN(len(targets))],
-			Span: loop.Micros(1+rng.IntN(12)) * loop.Second / 2, At: loop.Micros(2+rng.IntN(80)) * loop.Second / 2,
+			Span: eventloop.Micros(1+rng.IntN(12)) * eventloop.Second / 2, At: eventloop.Micros(2+rng.IntN(80)) * eventloop.Second / 2,
 		}
 		if next := append(append(Schedule(nil), list...), stroke); next.Check(size) == nil {
 			list = next
@@ -367,11 +367,11 @@
 
 // Scenario brings a schedule about.
 func (s Schedule) Scenario() Scenario {
-	last := loop.Micros(0)
+	last := eventloop.Micros(0)
 	for _, stroke := range s {
 		last = max(last, stroke.At+stroke.Span)
 	}
-	return Scenario{Name: "schedule", Net: CalmNet, Sync: 500, Span: last + 15*loop.Second, Plan: func(f *Fleet) {
+	return Scenario{Name: "schedule", Net: CalmNet, Sync: 500, Span: last + 15*eventloop.Second, Plan: func(f *Fleet) {
 		for _, stroke := range s {
 			f.At(f.Began+stroke.At, func() { deeds[stroke.What].strike(f, stroke.Whom, stroke.Span) })
 		}
@@ -397,7 +397,7 @@
 	return s
 }
 
-func hasRule(breaches []check.Breach, rule int) bool {
+func hasRule(breaches []checker.Breach, rule int) bool {
 	for _, b := range breaches {
 		if b.Rule == rule {
 			return true
--- a/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -8,8 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/check"
-	"sparnotch/loop"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
 )
 
 var seeds = flag.Int("seeds", 1, "how many seeds to run each scenario with")
@@ -42,10 +42,10 @@
 				f := play(t, s, seed)
 				accepted, begun := 0, 0
 				for _, e := range f.History {
-					if e.Kind == check.HandInReply && e.Code == 201 {
+					if e.Kind == checker.HandInReply && e.Code == 201 {
 						accepted++
 					}
-					if e.Kind == check.Begin {
+					if e.Kind == checker.Begin {
 						begun++
 					}
 				}
@@ -95,7 +95,7 @@
 // TestDay is a day of short hours; feign simulate -day plays whole ones.
 func TestDay(t *testing.T) {
 	t.Parallel()
-	_, samples, breaches, wrong := Day(Small, 1, 4, 5*60*loop.Second, 0.3)
+	_, samples, breaches, wrong := Day(Small, 1, 4, 5*60*eventloop.Second, 0.3)
 	for _, b := range breaches[:min(len(breaches), 12)] {
 		t.Error(b)
 	}
--- a/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -8,13 +8,13 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/charter"
-	"sparnotch/crew"
-	"sparnotch/hollow"
-	"sparnotch/intake"
-	"sparnotch/keep"
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/hollow"
+	"sparnotch/internal/process"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
 // Hollow is a hollow deployment in virtual time, past what one machine carries.
@@ -29,22 +29,22 @@
 	Changes  float64
 	Rows     int // of the plan, at least
 	Zones    int
-	Regions  int         // zones stand in them in turn
-	Far      loop.Micros // one way between regions
+	Regions  int              // zones stand in them in turn
+	Far      eventloop.Micros // one way between regions
 	PerRack  int
 	Stewards int // sides with the steward's table; 0: all
 	Seed     uint64
-	Warm     loop.Micros
-	Span     loop.Micros
+	Warm     eventloop.Micros
+	Span     eventloop.Micros
 	Cpu      func() int64 // nanoseconds of this thread's processor time; nil: steps aren't timed
 	Lose     string       // node, rack, zone, region, link; empty: nothing
 }
 
 // zoneWay is a message's way within a region, between zones.
-const zoneWay = 450 * loop.Micros(1)
+const zoneWay = 450 * eventloop.Micros(1)
 
 // forceSpan is how long a plan may take, by the users' letter.
-const forceSpan = 8 * loop.Second
+const forceSpan = 8 * eventloop.Second
 
 // Result is one quantity of one process of a role, or of all (whole).
 type Result struct {
@@ -67,20 +67,20 @@
 	keeper  *Host // when the measuring began
 	spent   map[*Host]map[string]int64
 	begins  []begin
-	ends    map[string]loop.Micros
-	handed  map[string]loop.Micros
+	ends    map[string]eventloop.Micros
+	handed  map[string]eventloop.Micros
 	seen    map[uint64]int
-	seenAt  map[uint64]loop.Micros
-	put     map[uint64]loop.Micros
+	seenAt  map[uint64]eventloop.Micros
+	put     map[uint64]eventloop.Micros
 	where   map[string]*Host // last worker a task began on
 	wanted  map[string]bool  // tasks that ran where something was lost
-	lostAt  loop.Micros
-	firstAt loop.Micros // a job handed in after the loss has begun
-	lastAt  loop.Micros // the last of the wanted has begun again
+	lostAt  eventloop.Micros
+	firstAt eventloop.Micros // a job handed in after the loss has begun
+	lastAt  eventloop.Micros // the last of the wanted has begun again
 	number  int
 }
 
-type begin struct{ took loop.Micros }
+type begin struct{ took eventloop.Micros }
 
 func (r *hollowRun) roleOf(h *Host) string {
 	switch {
@@ -100,14 +100,14 @@
 	r := &hollowRun{
 		World: NewWorld(setup.Seed, CalmNet, 500), setup: setup, region: map[string]int{},
 		sent: map[string]float64{}, bytes: map[string]float64{}, got: map[string]float64{}, gotten: map[string]float64{},
-		kinds: map[string]float64{}, ends: map[string]loop.Micros{}, handed: map[string]loop.Micros{}, seen: map[uint64]int{}, seenAt: map[uint64]loop.Micros{},
-		spent: map[*Host]map[string]int64{}, put: map[uint64]loop.Micros{}, where: map[string]*Host{}, wanted: map[string]bool{},
+		kinds: map[string]float64{}, ends: map[string]eventloop.Micros{}, handed: map[string]eventloop.Micros{}, seen: map[uint64]int{}, seenAt: map[uint64]eventloop.Micros{},
+		spent: map[*Host]map[string]int64{}, put: map[uint64]eventloop.Micros{}, where: map[string]*Host{}, wanted: map[string]bool{},
 	}
 	r.Storm = 1 << 30
 	for zone := 0; zone < setup.Zones; zone++ {
 		r.region[r.cell(zone)] = zone % max(setup.Regions, 1)
 	}
-	r.Way = func(from, to string) loop.Micros {
+	r.Way = func(from, to string) eventloop.Micros {
 		switch {
 		case from == to:
 			return CalmNet.Near
@@ -128,7 +128,7 @@
 		r.spent[h][table] += nanos
 	}
 	r.build()
-	r.After(500*loop.Milli, func() { r.plan(0) })
+	r.After(500*eventloop.Milli, func() { r.plan(0) })
 	ready := r.untilReady()
 	r.call()
 	r.Run(r.Now + setup.Warm)
@@ -164,30 +164,32 @@
 		rack := k / s.PerRack
 		h := r.AddHost(fmt.Sprintf("side%d", k), r.cell(rack), schema.Role_ROLE_HEED, false)
 		h.Routes = hollow.Routes
-		h.Also = func(papers *crew.Papers, berths []crew.Berth) []crew.Berth { return r.side(h, k, rack, papers, berths) }
+		h.Also = func(papers *process.Papers, berths []process.Berth) []process.Berth {
+			return r.side(h, k, rack, papers, berths)
+		}
 	}
 	// As at a start after a power cut: within a few seconds, whole racks at a time.
 	for k, h := range r.Hosts {
-		r.After(loop.Micros(k)*2*loop.Milli, h.Start)
+		r.After(eventloop.Micros(k)*2*eventloop.Milli, h.Start)
 	}
 }
 
-func (r *hollowRun) side(h *Host, k, rack int, papers *crew.Papers, berths []crew.Berth) []crew.Berth {
+func (r *hollowRun) side(h *Host, k, rack int, papers *process.Papers, berths []process.Berth) []process.Berth {
 	for at := range berths {
 		if berths[at].Name == "heed" && r.setup.Stewards > 0 && k >= r.setup.Stewards {
-			berths[at] = crew.Berth{Name: "heed", Table: &hollow.Onlooker{}, Pace: hollow.OnlookerPace}
+			berths[at] = process.Berth{Name: "heed", Table: &hollow.Onlooker{}, Pace: hollow.OnlookerPace}
 		}
 	}
 	watch := hollow.Watch{
-		Began: func(_ loop.Micros, job string, step, task uint32) { r.began(h, job, task) },
-		Plan: func(_ loop.Micros, generation uint64) {
+		Began: func(_ eventloop.Micros, job string, step, task uint32) { r.began(h, job, task) },
+		Plan: func(_ eventloop.Micros, generation uint64) {
 			r.seen[generation]++
 			r.seenAt[generation] = r.Now
 		},
 	}
 	hand := hollow.New(papers.Now, fmt.Sprintf("w%04d", k), fmt.Sprintf("r%d", rack), hollow.Room{Cores: 64_000, Memory: 128_000},
 		uint64(r.Now), rand.New(rand.NewPCG(papers.Seed, 9)), watch)
-	return append(berths, crew.Berth{Name: hollow.Name, Table: hand, Pace: hollow.Pace})
+	return append(berths, process.Berth{Name: hollow.Name, Table: hand, Pace: hollow.Pace})
 }
 
 func (r *hollowRun) tap(from, to *Host, body any) {
@@ -214,10 +216,10 @@
 
 // untilReady lets everything come up: a ward for each worker, a keeper for each
 // lane; at most two minutes.
-func (r *hollowRun) untilReady() loop.Micros {
+func (r *hollowRun) untilReady() eventloop.Micros {
 	from := r.Now
-	for r.Now < from+120*loop.Second {
-		r.Run(r.Now + 500*loop.Milli)
+	for r.Now < from+120*eventloop.Second {
+		r.Run(r.Now + 500*eventloop.Milli)
 		leads, wards := 0, 0
 		for _, h := range r.Stores() {
 			belief := h.Belief()
@@ -225,7 +227,7 @@
 				continue
 			}
 			for _, group := range belief.Groups {
-				if group.Role == "leader" && group.Group != charter.Group {
+				if group.Role == "leader" && group.Group != clusterstate.Group {
 					leads++
 				}
 			}
@@ -277,18 +279,18 @@
 	generation := uint64(change)
 	sheet := &schema.Sheet{Generation: &generation, Rows: r.planRows(change)}
 	sent := r.Now
-	r.Ask(r.anyFront(), 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
-		return intake.Ask{Errand: errand, Kind: "charter", Group: charter.Group, Deadline: deadline, Body: keep.CharterBody(
+	r.Ask(r.anyFront(), 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Errand: errand, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
 			&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 	}, func(answer any) {
-		reply, _ := answer.(intake.Answer)
+		reply, _ := answer.(gateway.Answer)
 		if reply.Code != 200 && reply.Code != 412 {
-			r.After(200*loop.Milli, func() { r.plan(change) })
+			r.After(200*eventloop.Milli, func() { r.plan(change) })
 			return
 		}
 		r.put[generation+1] = sent
 		if r.setup.Changes > 0 {
-			r.After(loop.Micros(60e6/r.setup.Changes), func() { r.plan(change + 1) })
+			r.After(eventloop.Micros(60e6/r.setup.Changes), func() { r.plan(change + 1) })
 		}
 	})
 }
@@ -298,14 +300,14 @@
 	if r.setup.Starts <= 0 {
 		return
 	}
-	every := float64(r.setup.Width) / r.setup.Starts * float64(loop.Second)
+	every := float64(r.setup.Width) / r.setup.Starts * float64(eventloop.Second)
 	var next func()
 	next = func() {
 		r.number++
 		name := fmt.Sprintf("h%d", r.number)
 		r.handed[name] = r.Now
 		r.handInHollow(laneName(r.number%r.setup.Lanes), name)
-		r.After(loop.Micros(r.Rng.ExpFloat64()*every), next)
+		r.After(eventloop.Micros(r.Rng.ExpFloat64()*every), next)
 	}
 	next()
 }
@@ -315,11 +317,11 @@
 		{Name: "s", Tasks: uint32(r.setup.Width), CoresMilli: 10, MemoryMb: 1, Together: r.setup.Together},
 	}}
 	front := r.anyFront()
-	r.Ask(front, 3*loop.Second, func(errand uint64, deadline loop.Micros) any {
-		return intake.HandIn{Errand: errand, Lane: lane, Client: "c-" + front.Name, Name: name, Digest: intake.Digest(job), Job: job, Deadline: deadline}
+	r.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+		return gateway.HandIn{Errand: errand, Lane: lane, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
 	}, func(answer any) {
-		if reply, _ := answer.(intake.Answer); reply.Code != 200 && reply.Code != 201 {
-			r.After(200*loop.Milli, func() { r.handInHollow(lane, name) })
+		if reply, _ := answer.(gateway.Answer); reply.Code != 200 && reply.Code != 201 {
+			r.After(200*eventloop.Milli, func() { r.handInHollow(lane, name) })
 		}
 	})
 }
@@ -328,7 +330,7 @@
 	r.begins = append(r.begins, begin{r.Now - r.handed[job]})
 	key := fmt.Sprintf("%s/%d", job, task)
 	r.where[key] = h
-	r.ends[key] = r.Now + loop.Micros(r.setup.RunUs)
+	r.ends[key] = r.Now + eventloop.Micros(r.setup.RunUs)
 	if r.lostAt == 0 {
 		return
 	}
@@ -343,8 +345,8 @@
 
 // --- what came of it ---
 
-func (r *hollowRun) results(from loop.Micros, beginsFrom int) []Result {
-	seconds := float64(r.Now-from) / float64(loop.Second)
+func (r *hollowRun) results(from eventloop.Micros, beginsFrom int) []Result {
+	seconds := float64(r.Now-from) / float64(eventloop.Second)
 	var list []Result
 	counts := map[string]float64{}
 	for _, h := range r.Hosts {
@@ -365,7 +367,7 @@
 		list = append(list, Result{"whole", strings.ToLower(kind) + "_bytes_s", bytes / seconds})
 	}
 	sort.Slice(list, func(a, b int) bool { return list[a].Role+list[a].What < list[b].Role+list[b].What })
-	var took []loop.Micros
+	var took []eventloop.Micros
 	for _, each := range r.begins[beginsFrom:] {
 		took = append(took, each.took)
 	}
@@ -379,9 +381,9 @@
 
 // inForce is how long the plans put in a span took until the last side had seen
 // them; one that a side skipped for a newer one is missed.
-func (r *hollowRun) inForce(from, until loop.Micros) []Result {
+func (r *hollowRun) inForce(from, until eventloop.Micros) []Result {
 	var list []Result
-	plans, slowest, missed := 0, loop.Micros(0), 0.0
+	plans, slowest, missed := 0, eventloop.Micros(0), 0.0
 	for generation, sent := range r.put {
 		if sent < from || sent > until {
 			continue
@@ -473,8 +475,8 @@
 			}
 		}
 	}
-	for r.Now < r.lostAt+40*loop.Second && (r.firstAt == 0 || len(r.wanted) > 0) {
-		r.Run(r.Now + 500*loop.Milli)
+	for r.Now < r.lostAt+40*eventloop.Second && (r.firstAt == 0 || len(r.wanted) > 0) {
+		r.Run(r.Now + 500*eventloop.Milli)
 	}
 	list := []Result{{"whole", "lost_processes", float64(hit)}, {"whole", "lost_tasks", float64(wanted)}, {"whole", "not_again", float64(len(r.wanted))}}
 	if r.firstAt > 0 {
--- a/sim/transport_test.go
+++ b/internal/sim/transport_test.go
@@ -8,9 +8,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/wire"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/transport"
 )
 
 // network is what tables are given to reach other processes with.
@@ -56,16 +56,16 @@
 // --- the real one ---
 
 type realTransport struct {
-	ends  [2]*wire.Net
-	boxes [2]chan loop.Mail
+	ends  [2]*transport.Net
+	boxes [2]chan eventloop.Mail
 	isCut atomic.Bool
 }
 
 func openReal() *realTransport {
 	r := &realTransport{}
 	for k := range r.ends {
-		r.boxes[k] = make(chan loop.Mail, 256)
-		n, err := wire.Listen([]string{"end0", "end1"}[k], "127.0.0.1:0", func(from string, body any) { r.boxes[k] <- loop.Mail{From: from, Body: body} })
+		r.boxes[k] = make(chan eventloop.Mail, 256)
+		n, err := transport.Listen([]string{"end0", "end1"}[k], "127.0.0.1:0", func(from string, body any) { r.boxes[k] <- eventloop.Mail{From: from, Body: body} })
 		So(err, ShouldBeNil)
 		n.IsCut = func(string) bool { return r.isCut.Load() }
 		r.ends[k] = n
@@ -94,9 +94,11 @@
 
 // --- the simulated one ---
 
-type catcher struct{ mails []loop.Mail }
+type catcher struct{ mails []eventloop.Mail }
 
-func (c *catcher) Step(_ loop.Micros, mail loop.Mail, _ loop.Out) { c.mails = append(c.mails, mail) }
+func (c *catcher) Step(_ eventloop.Micros, mail eventloop.Mail, _ eventloop.Out) {
+	c.mails = append(c.mails, mail)
+}
 
 type simTransport struct {
 	world *World
@@ -110,7 +112,7 @@
 		h := s.world.AddHost([]string{"end0", "end1"}[k], "c1", schema.Role_ROLE_KEEP, false)
 		s.boxes[k] = &catcher{}
 		h.IsUp, h.Id = true, h.Name
-		h.tables = map[string]loop.Table{"keep": s.boxes[k], "intake": s.boxes[k]}
+		h.tables = map[string]eventloop.Table{"keep": s.boxes[k], "intake": s.boxes[k]}
 		s.ends[k] = h
 	}
 	return s
@@ -121,7 +123,7 @@
 }
 func (s *simTransport) address(end int) string { return s.ends[end].Address }
 func (s *simTransport) next(end int) (string, any, bool) {
-	s.world.Run(s.world.Now + loop.Second)
+	s.world.Run(s.world.Now + eventloop.Second)
 	box := s.boxes[end]
 	if len(box.mails) == 0 {
 		return "", nil, false
--- a/sim/world.go
+++ b/internal/sim/world.go
@@ -13,20 +13,20 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/agent"
-	"sparnotch/check"
-	"sparnotch/crew"
-	"sparnotch/intake"
-	"sparnotch/keep"
-	"sparnotch/kin"
-	"sparnotch/loop"
-	"sparnotch/schema"
-	"sparnotch/toil"
-	"sparnotch/vault"
+	"sparnotch/internal/agent"
+	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/process"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 type happening struct {
-	at   loop.Micros
+	at   eventloop.Micros
 	seq  uint64
 	call func()
 }
@@ -49,8 +49,8 @@
 
 // Net is how the network treats messages.
 type Net struct {
-	Near, Far loop.Micros // within a cell, and across
-	Jitter    loop.Micros
+	Near, Far eventloop.Micros // within a cell, and across
+	Jitter    eventloop.Micros
 	Loss      float64
 	Twice     float64
 }
@@ -60,19 +60,19 @@
 const stormLimit = 400_000
 
 // CalmNet is the brief's network.
-var CalmNet = Net{Near: 200, Far: loop.Milli, Jitter: 300}
+var CalmNet = Net{Near: 200, Far: eventloop.Milli, Jitter: 300}
 
 // RoughNet loses, doubles and reorders.
-var RoughNet = Net{Near: 200, Far: loop.Milli, Jitter: 20 * loop.Milli, Loss: 0.03, Twice: 0.02}
+var RoughNet = Net{Near: 200, Far: eventloop.Milli, Jitter: 20 * eventloop.Milli, Loss: 0.03, Twice: 0.02}
 
 // World is one simulated run.
 type World struct {
-	Now      loop.Micros
+	Now      eventloop.Micros
 	Rng      *rand.Rand
 	Net      Net
-	SyncUs   loop.Micros
+	SyncUs   eventloop.Micros
 	Hosts    []*Host
-	History  []check.Event
+	History  []checker.Event
 	agenda   agenda
 	seq      uint64
 	cuts     map[[2]string]bool // from address, to address
@@ -80,12 +80,12 @@
 	errand   uint64
 	seeds    []string
 	Damaged  []string // what opening a damaged store said
-	second   loop.Micros
+	second   eventloop.Micros
 	shown    uint64 // newest generation whose rows the history has
 	inSecond int
 	// Of sweeps: how far two cells lie apart, where Net doesn't say; what each
 	// message is told to; and how many happenings a second may hold.
-	Way   func(from, to string) loop.Micros
+	Way   func(from, to string) eventloop.Micros
 	Tap   func(from, to *Host, body any)
 	Storm int
 	// Where steps are to be timed: a clock of the processor's time, and who is
@@ -95,7 +95,7 @@
 
 	known       map[string]handed        // jobs by name
 	called      map[string]*CalledWorker // by the name of the side machine they stand on
-	gangs       *toil.Gangs
+	gangs       *fakeworker.Gangs
 	bounds      *schema.Bounds
 	isNumbering bool // operators number editions
 }
@@ -107,18 +107,18 @@
 	Address   string
 	Cell      string
 	Role      schema.Role
-	Disk      *Disk       // nil: keeps nothing
-	Stall     loop.Micros // syncs end no earlier
-	SyncUs    loop.Micros
+	Disk      *Disk            // nil: keeps nothing
+	Stall     eventloop.Micros // syncs end no earlier
+	SyncUs    eventloop.Micros
 	Share     float64 // of a core; 0: its steps cost no time
-	busy      loop.Micros
+	busy      eventloop.Micros
 	Steps     int
 	WallOff   int64
 	Seeds     []string // nil: the first stores
 	IsUp      bool
 	Id        string
-	run       int         // counts starts, so that what was meant for an old one goes nowhere
-	zero      loop.Micros // when its monotonic clock began; each process has its own
+	run       int              // counts starts, so that what was meant for an old one goes nowhere
+	zero      eventloop.Micros // when its monotonic clock began; each process has its own
 	frozen    bool
 	isReady   bool // by the platform's last look
 	isWatched bool
@@ -126,40 +126,40 @@
 	isLeaving bool // takes no new errands
 	backlog   []func()
 	ticking   map[string]bool
-	tables    map[string]loop.Table
-	last      map[string]loop.Micros // latest delivery to each table: mailboxes keep order
-	store     *vault.Store
-	book      *kin.Book
+	tables    map[string]eventloop.Table
+	last      map[string]eventloop.Micros // latest delivery to each table: mailboxes keep order
+	store     *storage.Store
+	book      *membership.Book
 	waiting   map[uint64]func(any)
 	isWrite   bool
-	began     loop.Micros // of the sync that is under way
-	worst     loop.Micros // recent worst sync, decayed
-	writing   keep.Batch
+	began     eventloop.Micros // of the sync that is under way
+	worst     eventloop.Micros // recent worst sync, decayed
+	writing   replica.Batch
 	Member    *schema.Member
-	Also      func(papers *crew.Papers, berths []crew.Berth) []crew.Berth // changes what its process is made of
-	Routes    func(body any) []string                                     // and where its messages go
+	Also      func(papers *process.Papers, berths []process.Berth) []process.Berth // changes what its process is made of
+	Routes    func(body any) []string                                              // and where its messages go
 }
 
 // NewWorld makes an empty world.
-func NewWorld(seed uint64, net Net, sync loop.Micros) *World {
-	return &World{Now: loop.Second, Rng: rand.New(rand.NewPCG(seed, 0x5eed)), Net: net, SyncUs: sync, cuts: map[[2]string]bool{}, known: map[string]handed{}, called: map[string]*CalledWorker{}, gangs: toil.NewGangs()}
+func NewWorld(seed uint64, net Net, sync eventloop.Micros) *World {
+	return &World{Now: eventloop.Second, Rng: rand.New(rand.NewPCG(seed, 0x5eed)), Net: net, SyncUs: sync, cuts: map[[2]string]bool{}, known: map[string]handed{}, called: map[string]*CalledWorker{}, gangs: fakeworker.NewGangs()}
 }
 
 // At plans a call.
-func (w *World) At(at loop.Micros, call func()) {
+func (w *World) At(at eventloop.Micros, call func()) {
 	w.seq++
 	heap.Push(&w.agenda, happening{max(at, w.Now), w.seq, call})
 }
 
 // After plans a call some time from now.
-func (w *World) After(span loop.Micros, call func()) { w.At(w.Now+span, call) }
+func (w *World) After(span eventloop.Micros, call func()) { w.At(w.Now+span, call) }
 
 // Run lets time pass until a moment.
-func (w *World) Run(until loop.Micros) {
+func (w *World) Run(until eventloop.Micros) {
 	for len(w.agenda) > 0 && w.agenda[0].at <= until {
 		next := heap.Pop(&w.agenda).(happening)
 		// Messages that beget messages would only show as a run that never ends.
-		if second := next.at / loop.Second; second != w.second {
+		if second := next.at / eventloop.Second; second != w.second {
 			w.second, w.inSecond = second, 0
 		}
 		if w.inSecond++; w.inSecond > max(stormLimit, w.Storm) {
@@ -172,7 +172,7 @@
 }
 
 // Tell adds to the history.
-func (w *World) Tell(e check.Event) {
+func (w *World) Tell(e checker.Event) {
 	if e.At == 0 {
 		e.At = w.Now
 	}
@@ -216,11 +216,11 @@
 		canServe = canServe && h.isHere()
 		if canServe != h.canServe {
 			h.canServe = canServe
-			kind := check.Away
+			kind := checker.Away
 			if canServe {
-				kind = check.Back
+				kind = checker.Back
 			}
-			w.Tell(check.Event{Kind: kind, Front: h.Name})
+			w.Tell(checker.Event{Kind: kind, Front: h.Name})
 		}
 	}
 }
@@ -237,17 +237,17 @@
 func (h *Host) Start() {
 	w := h.world
 	h.run++
-	h.zero = w.Now - loop.Second
+	h.zero = w.Now - eventloop.Second
 	h.IsUp, h.frozen, h.backlog, h.isLeaving = true, false, nil, false
-	h.ticking, h.last, h.waiting = map[string]bool{}, map[string]loop.Micros{}, map[uint64]func(any){}
-	h.book = &kin.Book{}
+	h.ticking, h.last, h.waiting = map[string]bool{}, map[string]eventloop.Micros{}, map[uint64]func(any){}
+	h.book = &membership.Book{}
 	h.store, h.isWrite = nil, false
 	h.Member = &schema.Member{Id: w.newId(), Boot: 1, Role: h.Role, Cell: h.Cell, Inner: h.Address, Outer: h.Address}
 	seeds := h.Seeds
 	if seeds == nil {
 		seeds = w.seeds
 	}
-	papers := &crew.Papers{Member: h.Member, Seeds: seeds, Book: h.book, Seed: w.Rng.Uint64(), Now: h.now()}
+	papers := &process.Papers{Member: h.Member, Seeds: seeds, Book: h.book, Seed: w.Rng.Uint64(), Now: h.now()}
 	papers.Bounds, papers.Calls = w.bounds, h.Role == schema.Role_ROLE_HEED && w.called[h.place()] != nil
 	papers.Wall = func() int64 { return wallZero + int64(w.Now) + h.WallOff }
 	if h.Disk != nil {
@@ -255,24 +255,24 @@
 		papers.Store = h.store.Content()
 	}
 	h.Id = h.Member.Id
-	berths := crew.Heed(papers)
+	berths := process.Heed(papers)
 	if h.Role == schema.Role_ROLE_KEEP {
-		berths = crew.Keep(papers)
+		berths = process.Keep(papers)
 	}
 	if h.Also != nil {
 		berths = h.Also(papers, berths)
 	}
-	h.tables = map[string]loop.Table{}
+	h.tables = map[string]eventloop.Table{}
 	h.worst = 0
 	h.noteStrain(h.run)
 	for _, berth := range berths {
 		h.tables[berth.Name] = berth.Table
-		h.pace(berth.Name, berth.Pace, loop.Micros(w.Rng.Int64N(int64(berth.Pace))))
+		h.pace(berth.Name, berth.Pace, eventloop.Micros(w.Rng.Int64N(int64(berth.Pace))))
 	}
 	w.reckon()
 	if h.Role == schema.Role_ROLE_KEEP && !h.isWatched {
 		h.isWatched = true
-		w.After(loop.Micros(w.Rng.Int64N(int64(loop.Second))), func() { w.watch(h) })
+		w.After(eventloop.Micros(w.Rng.Int64N(int64(eventloop.Second))), func() { w.watch(h) })
 	}
 }
 
@@ -287,20 +287,20 @@
 		worst = max(worst, h.world.Now-h.began)
 	}
 	h.worst = h.worst * 15 / 16
-	h.do(run, func() { h.step("kin", loop.Mail{Body: kin.Strain{Worst: worst}}) })
-	h.world.After(250*loop.Milli, func() { h.noteStrain(run) })
+	h.do(run, func() { h.step("kin", eventloop.Mail{Body: membership.Strain{Worst: worst}}) })
+	h.world.After(250*eventloop.Milli, func() { h.noteStrain(run) })
 }
 
 const wallZero = 1_800_000_000_000_000
 
 func (h *Host) openStore() {
 	w := h.world
-	store, err := vault.Open(h.Disk)
-	if vault.IsDamaged(err) {
+	store, err := storage.Open(h.Disk)
+	if storage.IsDamaged(err) {
 		// As a real process does: it says so and comes back as a new member.
 		w.Damaged = append(w.Damaged, err.Error())
 		h.Disk = NewDisk()
-		store, err = vault.Open(h.Disk)
+		store, err = storage.Open(h.Disk)
 	}
 	if err != nil {
 		panic(err)
@@ -350,14 +350,14 @@
 
 // Warn tells the process that it is to leave, as a signal does; it is killed
 // when it leads nothing any more, or when its time is over.
-func (h *Host) Warn(span loop.Micros) {
+func (h *Host) Warn(span eventloop.Micros) {
 	run := h.run
 	for _, each := range []struct {
 		table string
 		body  any
-	}{{"intake", intake.Warned{}}, {"kin", kin.Leaving{}}, {"keep", keep.Warned{}}} {
+	}{{"intake", gateway.Warned{}}, {"kin", membership.Leaving{}}, {"keep", replica.Warned{}}} {
 		if h.tables[each.table] != nil {
-			h.step(each.table, loop.Mail{Body: each.body})
+			h.step(each.table, eventloop.Mail{Body: each.body})
 		}
 	}
 	// Open errands are finished, new ones not taken.
@@ -379,7 +379,7 @@
 			h.Kill()
 			return
 		}
-		h.world.After(50*loop.Milli, look)
+		h.world.After(50*eventloop.Milli, look)
 	}
 	look()
 }
@@ -393,7 +393,7 @@
 }
 
 // Freeze stops the process for a span; it wakes with everything in hand.
-func (h *Host) Freeze(span loop.Micros) {
+func (h *Host) Freeze(span eventloop.Micros) {
 	if !h.IsUp || h.frozen {
 		return
 	}
@@ -408,7 +408,7 @@
 		backlog := h.backlog
 		h.backlog = nil
 		for k, call := range backlog {
-			h.world.After(loop.Micros(k), func() { h.do(run, call) })
+			h.world.After(eventloop.Micros(k), func() { h.do(run, call) })
 		}
 		h.world.reckon()
 	})
@@ -436,11 +436,11 @@
 		h.do(run, call)
 		return
 	}
-	h.busy = max(h.busy, h.world.Now) + loop.Micros(stepCost/h.Share)
+	h.busy = max(h.busy, h.world.Now) + eventloop.Micros(stepCost/h.Share)
 	h.world.At(h.busy, func() { h.do(run, call) })
 }
 
-func (h *Host) pace(name string, pace, first loop.Micros) {
+func (h *Host) pace(name string, pace, first eventloop.Micros) {
 	run := h.run
 	h.world.After(first, func() {
 		if h.run != run {
@@ -451,7 +451,7 @@
 			h.ticking[name] = true
 			h.work(run, func() {
 				h.ticking[name] = false
-				h.step(name, loop.Mail{Body: loop.Tick{}})
+				h.step(name, eventloop.Mail{Body: eventloop.Tick{}})
 			})
 		}
 		h.pace(name, pace, pace)
@@ -459,9 +459,9 @@
 }
 
 // now is the process's own monotonic clock: a young process has small times.
-func (h *Host) now() loop.Micros { return h.world.Now - h.zero }
+func (h *Host) now() eventloop.Micros { return h.world.Now - h.zero }
 
-func (h *Host) step(name string, mail loop.Mail) {
+func (h *Host) step(name string, mail eventloop.Mail) {
 	if table := h.tables[name]; table != nil {
 		h.Steps++
 		if h.world.Cpu == nil {
@@ -475,9 +475,9 @@
 }
 
 // mail puts a message into a table's mailbox: soon, and in order.
-func (h *Host) mail(name string, mail loop.Mail) {
+func (h *Host) mail(name string, mail eventloop.Mail) {
 	run := h.run
-	at := max(h.world.Now+loop.Micros(10+h.world.Rng.Int64N(60)), h.last[name])
+	at := max(h.world.Now+eventloop.Micros(10+h.world.Rng.Int64N(60)), h.last[name])
 	h.last[name] = at
 	h.world.At(at, func() { h.work(run, func() { h.step(name, mail) }) })
 }
@@ -487,7 +487,7 @@
 func (o *outlet) Send(to string, body any) {
 	h := o.host
 	if to == h.Id {
-		h.mail(crew.Table(h.Role, body), loop.Mail{From: to, Body: body})
+		h.mail(process.Table(h.Role, body), eventloop.Mail{From: to, Body: body})
 		return
 	}
 	o.Dial(h.book.Address(to), body)
@@ -501,12 +501,12 @@
 		h.call(call)
 		return
 	}
-	if batch, isBatch := body.(keep.Batch); isBatch {
+	if batch, isBatch := body.(replica.Batch); isBatch {
 		h.write(batch)
 		return
 	}
 	if h.tables[table] != nil {
-		h.mail(table, loop.Mail{Body: body})
+		h.mail(table, eventloop.Mail{Body: body})
 	}
 }
 
@@ -518,10 +518,10 @@
 }
 
 // write is the vault's duty: it takes its time and then the batch lasts.
-func (h *Host) write(batch keep.Batch) {
+func (h *Host) write(batch replica.Batch) {
 	w, run := h.world, h.run
 	h.isWrite, h.writing, h.began = true, batch, w.Now
-	span := h.SyncUs + loop.Micros(w.Rng.Int64N(int64(h.SyncUs)/4+1))
+	span := h.SyncUs + eventloop.Micros(w.Rng.Int64N(int64(h.SyncUs)/4+1))
 	w.At(max(w.Now+span, h.Stall), func() {
 		h.do(run, func() {
 			if err := h.store.Commit(batch.Changes); err != nil {
@@ -530,7 +530,7 @@
 			}
 			h.isWrite = false
 			h.worst = max(h.worst, h.world.Now-h.began)
-			h.mail("keep", loop.Mail{Body: keep.Written{Number: batch.Number}})
+			h.mail("keep", eventloop.Mail{Body: replica.Written{Number: batch.Number}})
 		})
 	})
 }
@@ -546,7 +546,7 @@
 	return nil
 }
 
-func (w *World) delay(from, to string) loop.Micros {
+func (w *World) delay(from, to string) eventloop.Micros {
 	base := w.Net.Far
 	if from == to {
 		base = w.Net.Near
@@ -554,7 +554,7 @@
 	if w.Way != nil {
 		base = w.Way(from, to)
 	}
-	return base + loop.Micros(w.Rng.Int64N(int64(w.Net.Jitter)+1))
+	return base + eventloop.Micros(w.Rng.Int64N(int64(w.Net.Jitter)+1))
 }
 
 func (w *World) carry(from *Host, address string, body any) {
@@ -579,7 +579,7 @@
 			if to := w.hostAt(address); to != nil {
 				run := to.run
 				for _, table := range to.routes(body) {
-					to.work(run, func() { to.step(table, loop.Mail{From: sender, Body: body}) })
+					to.work(run, func() { to.step(table, eventloop.Mail{From: sender, Body: body}) })
 				}
 			}
 		})
@@ -590,7 +590,7 @@
 	if h.Routes != nil {
 		return h.Routes(body)
 	}
-	return []string{crew.Table(h.Role, body)}
+	return []string{process.Table(h.Role, body)}
 }
 
 // Cut cuts or mends the way from one host to another.
@@ -619,7 +619,7 @@
 
 // Ask gives an errand to a front's intake and calls back with the answer, nil
 // for a connection that broke, or none in time.
-func (w *World) Ask(h *Host, span loop.Micros, mail func(errand uint64, deadline loop.Micros) any, back func(any)) {
+func (w *World) Ask(h *Host, span eventloop.Micros, mail func(errand uint64, deadline eventloop.Micros) any, back func(any)) {
 	w.errand++
 	id := w.errand
 	isDone := false
@@ -636,11 +636,11 @@
 		}
 		run := h.run
 		h.waiting[id] = func(answer any) { w.After(w.outside(), func() { finish(answer) }) }
-		h.mail("intake", loop.Mail{Body: mail(id, h.now()+span)})
+		h.mail("intake", eventloop.Mail{Body: mail(id, h.now()+span)})
 		w.After(span, func() {
 			if !isDone && h.run == run && h.waiting[id] != nil {
 				delete(h.waiting, id)
-				h.mail("intake", loop.Mail{Body: intake.Forget{Errand: id}})
+				h.mail("intake", eventloop.Mail{Body: gateway.Forget{Errand: id}})
 			}
 		})
 	})
@@ -648,7 +648,9 @@
 }
 
 // Clients are three milliseconds away.
-func (w *World) outside() loop.Micros { return 3*loop.Milli + loop.Micros(w.Rng.Int64N(500)) }
+func (w *World) outside() eventloop.Micros {
+	return 3*eventloop.Milli + eventloop.Micros(w.Rng.Int64N(500))
+}
 
 // Fronts lists the hosts that serve HTTP to callers.
 func (w *World) Fronts() []*Host {
@@ -673,13 +675,13 @@
 }
 
 // Belief asks a host's replicas what they believe, outside time.
-func (h *Host) Belief() *keep.NodeBelief {
+func (h *Host) Belief() *replica.NodeBelief {
 	table := h.tables["keep"]
 	if !h.IsUp || table == nil {
 		return nil
 	}
-	var belief *keep.NodeBelief
-	table.Step(h.now(), loop.Mail{Body: keep.Belief{Errand: 1}}, &grab{outlet{h}, func(body any) { belief, _ = body.(*keep.NodeBelief) }})
+	var belief *replica.NodeBelief
+	table.Step(h.now(), eventloop.Mail{Body: replica.Belief{Errand: 1}}, &grab{outlet{h}, func(body any) { belief, _ = body.(*replica.NodeBelief) }})
 	return belief
 }
 
--- a/vault/bench_test.go
+++ b/internal/storage/bench_test.go
@@ -1,9 +1,9 @@
-package vault
+package storage
 
 import (
 	"testing"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // BenchmarkApply is one record that is added to a log of 2,000.
--- a/vault/encoding_test.go
+++ b/internal/storage/encoding_test.go
@@ -1,4 +1,4 @@
-package vault_test
+package storage_test
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 // BenchmarkEncoding compares what a settle's record costs on disk in either
--- a/vault/glance.go
+++ b/internal/storage/glance.go
@@ -1,4 +1,4 @@
-package vault
+package storage
 
 import (
 	"os"
--- a/vault/vault.go
+++ b/internal/storage/storage.go
@@ -1,7 +1,7 @@
-// Package vault keeps a process's durable content: two slots written in turn,
+// Package storage keeps a process's durable content: two slots written in turn,
 // each followed by a short log. A store is the sum of its changes, so the same
 // Apply serves memory, the log and the slot.
-package vault
+package storage
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 var (
--- a/vault/vault_test.go
+++ b/internal/storage/storage_test.go
@@ -1,4 +1,4 @@
-package vault_test
+package storage_test
 
 import (
 	"fmt"
@@ -10,16 +10,16 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
-	"sparnotch/schema"
-	"sparnotch/sim"
-	"sparnotch/vault"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/sim"
+	"sparnotch/internal/storage"
 )
 
 func record(index uint64, size int) *schema.Record {
 	return &schema.Record{Index: index, Term: 1, Data: make([]byte, size)}
 }
 
-func say(s *vault.Store) string {
+func say(s *storage.Store) string {
 	image := s.Content().Groups["g"]
 	if image == nil {
 		return "nothing"
@@ -32,15 +32,15 @@
 }
 
 // contract is what every disk must give the vault.
-func contract(open func() vault.Disk, reopen func(vault.Disk) vault.Disk) {
+func contract(open func() storage.Disk, reopen func(storage.Disk) storage.Disk) {
 	disk := open()
-	s, err := vault.Open(disk)
+	s, err := storage.Open(disk)
 	So(err, ShouldBeNil)
 	So(s.Commit([]*schema.Change{{Group: "g", Hard: &schema.Hard{Term: 3, Vote: "x"}, Records: []*schema.Record{record(1, 5), record(2, 5), record(3, 5)}}}), ShouldBeNil)
 	So(s.Commit([]*schema.Change{{Group: "g", Records: []*schema.Record{record(2, 5)}}}), ShouldBeNil)
 	So(say(s), ShouldEqual, "term 3 base 0 records 1 2")
 	disk = reopen(disk)
-	s, err = vault.Open(disk)
+	s, err = storage.Open(disk)
 	So(err, ShouldBeNil)
 	So(say(s), ShouldEqual, "term 3 base 0 records 1 2")
 	So(s.Commit([]*schema.Change{{Group: "g", Checkpoint: &schema.Checkpoint{Index: 1}}}), ShouldBeNil)
@@ -51,7 +51,7 @@
 	}
 	So(s.Counts().Slots, ShouldBeGreaterThan, 2)
 	disk = reopen(disk)
-	s, err = vault.Open(disk)
+	s, err = storage.Open(disk)
 	So(err, ShouldBeNil)
 	So(say(s), ShouldEqual, "term 3 base 37 records 38 39")
 	So(s.Content().Groups["h"], ShouldBeNil)
@@ -60,15 +60,15 @@
 func TestEveryDisk(t *testing.T) {
 	Convey("The real disk keeps the contract", t, func() {
 		path := t.TempDir()
-		var held *vault.Folder
-		open := func() vault.Disk {
-			folder, err := vault.OpenFolder(path)
+		var held *storage.Folder
+		open := func() storage.Disk {
+			folder, err := storage.OpenFolder(path)
 			So(err, ShouldBeNil)
 			held = folder
 			return folder
 		}
-		contract(open, func(vault.Disk) vault.Disk {
-			_, err := vault.OpenFolder(path)
+		contract(open, func(storage.Disk) storage.Disk {
+			_, err := storage.OpenFolder(path)
 			So(err, ShouldNotBeNil) // one process at a time
 			held.Close()
 			return open()
@@ -77,7 +77,7 @@
 	})
 	Convey("The simulated disk keeps the contract, its power cut each time", t, func() {
 		rng := rand.New(rand.NewPCG(1, 1))
-		contract(func() vault.Disk { return sim.NewDisk() }, func(d vault.Disk) vault.Disk {
+		contract(func() storage.Disk { return sim.NewDisk() }, func(d storage.Disk) storage.Disk {
 			d.(*sim.Disk).PowerCut(rng)
 			return d
 		})
@@ -91,7 +91,7 @@
 		for seed := uint64(0); seed < 4; seed++ {
 			disk := sim.NewDisk()
 			rng := rand.New(rand.NewPCG(seed, uint64(cut)))
-			s, err := vault.OpenLimited(disk, 2000)
+			s, err := storage.OpenLimited(disk, 2000)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -110,7 +110,7 @@
 				acknowledged = k
 			}
 			disk.PowerCut(rng)
-			s, err = vault.OpenLimited(disk, 2000)
+			s, err = storage.OpenLimited(disk, 2000)
 			if err != nil {
 				t.Fatalf("cut at %d, seed %d: %v", cut, seed, err)
 			}
@@ -132,9 +132,9 @@
 // TestDamageIsNeverTakenForATornEnd: a bit turned round anywhere before the
 // end of what was acknowledged is reported, with file and offset, or harmless.
 func TestDamageIsNeverTakenForATornEnd(t *testing.T) {
-	build := func() (*sim.Disk, *vault.Store) {
+	build := func() (*sim.Disk, *storage.Store) {
 		disk := sim.NewDisk()
-		s, err := vault.Open(disk)
+		s, err := storage.Open(disk)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -151,8 +151,8 @@
 	for offset := 0; offset < size; offset += 3 {
 		disk, _ := build()
 		disk.Rot("log-0", offset)
-		s, err := vault.Open(disk)
-		if vault.IsDamaged(err) {
+		s, err := storage.Open(disk)
+		if storage.IsDamaged(err) {
 			reported++
 			continue
 		}
@@ -171,26 +171,26 @@
 func TestDamagedSlot(t *testing.T) {
 	Convey("A slot that rots after its log has grown is reported", t, func() {
 		disk := sim.NewDisk()
-		s, err := vault.Open(disk)
+		s, err := storage.Open(disk)
 		So(err, ShouldBeNil)
 		for k := uint64(1); s.Counts().Slots < 1; k++ {
 			So(s.Commit([]*schema.Change{{Group: "g", Records: []*schema.Record{record(k, 500_000)}}}), ShouldBeNil)
 		}
 		So(s.Commit([]*schema.Change{{Group: "g", Hard: &schema.Hard{Term: 9}}}), ShouldBeNil)
 		So(disk.Rot("slot-1", 100), ShouldBeTrue)
-		_, err = vault.Open(disk)
-		So(vault.IsDamaged(err), ShouldBeTrue)
+		_, err = storage.Open(disk)
+		So(storage.IsDamaged(err), ShouldBeTrue)
 		So(err.Error(), ShouldContainSubstring, "slot-1 at offset")
 	})
 	Convey("A damaged folder is put aside and the evidence kept", t, func() {
 		path := t.TempDir()
-		folder, err := vault.OpenFolder(path)
+		folder, err := storage.OpenFolder(path)
 		So(err, ShouldBeNil)
-		s, err := vault.Open(folder)
+		s, err := storage.Open(folder)
 		So(err, ShouldBeNil)
 		So(s.Commit([]*schema.Change{{Self: &schema.Self{Id: "old"}}}), ShouldBeNil)
 		So(folder.Retire("damaged-1"), ShouldBeNil)
-		s, err = vault.Open(folder)
+		s, err = storage.Open(folder)
 		So(err, ShouldBeNil)
 		So(proto.Equal(s.Content().Self, &schema.Self{}), ShouldBeTrue)
 		_, err = os.Stat(filepath.Join(path, "log-0.damaged-1"))
--- a/wire/wire.go
+++ b/internal/transport/transport.go
@@ -1,7 +1,7 @@
-// Package wire carries messages between the system's own processes: gob over
+// Package transport carries messages between the system's own processes: gob over
 // TCP, one wire a direction, nothing promised. Whatever matters is resent by
 // whoever needs it.
-package wire
+package transport
 
 import (
 	"bufio"
@@ -18,8 +18,8 @@
 	"github.com/joomcode/errorx"
 	"golang.org/x/sys/unix"
 
-	"sparnotch/loop"
-	"sparnotch/schema"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 var (
@@ -86,7 +86,7 @@
 	stop     context.CancelFunc
 	listener net.Listener
 	mu       sync.Mutex
-	wires    map[string]*loop.Ring[queued]
+	wires    map[string]*eventloop.Ring[queued]
 	inbound  map[net.Conn]bool
 	running  sync.WaitGroup
 
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "inner address")
 	}
-	n := &Net{self: self, deliver: deliver, listener: listener, now: time.Now, wires: map[string]*loop.Ring[queued]{}, inbound: map[net.Conn]bool{}}
+	n := &Net{self: self, deliver: deliver, listener: listener, now: time.Now, wires: map[string]*eventloop.Ring[queued]{}, inbound: map[net.Conn]bool{}}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.running.Add(1)
 	go n.accept()
@@ -134,7 +134,7 @@
 	n.mu.Lock()
 	ring := n.wires[address]
 	if ring == nil {
-		ring = loop.NewRing[queued](ringSize)
+		ring = eventloop.NewRing[queued](ringSize)
 		n.wires[address] = ring
 		n.running.Add(1)
 		go n.carry(address, ring)
@@ -168,7 +168,7 @@
 	isOver  *atomic.Bool // the peer has closed the connection
 }
 
-func (n *Net) carry(address string, ring *loop.Ring[queued]) {
+func (n *Net) carry(address string, ring *eventloop.Ring[queued]) {
 	defer n.running.Done()
 	out := &outgoing{}
 	defer out.close()
@@ -194,7 +194,7 @@
 		}
 	}
 	// Whatever waits is written in one go; nothing waits for more to come.
-	ring.Drain(n.ctx, loop.Second, func(item queued) {
+	ring.Drain(n.ctx, eventloop.Second, func(item queued) {
 		out.letGo()
 		put(item)
 		for k := 1; k < batchMost; k++ {
--- a/wire/wire_test.go
+++ b/internal/transport/transport_test.go
@@ -1,4 +1,4 @@
-package wire
+package transport
 
 import (
 	"net"
@@ -11,7 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sys/unix"
 
-	"sparnotch/schema"
+	"sparnotch/internal/schema"
 )
 
 type arrival struct {
