--- a/cmd/feign/hollow_part.go
+++ b/cmd/feign/hollow_part.go
@@ -142,7 +142,7 @@
 			r.LostMails += lost
 		}
 		if real.Member.Stores {
-			r.Belief, _ = real.Run(ctx, "keep", eventloop.Second, func(id uint64, _ eventloop.Micros) any { return replica.Belief{Errand: id} }).(*replica.NodeBelief)
+			r.Belief, _ = real.Run(ctx, "keep", eventloop.Second, func(id uint64, _ eventloop.Micros) any { return replica.Belief{Request: id} }).(*replica.NodeBelief)
 		}
 	}
 	for _, net := range p.nets {
@@ -275,10 +275,10 @@
 	running *eventloop.Process
 }
 
-func (n *hollowNet) Send(to string, body any)       { n.net.Send(n.book.Address(to), body) }
-func (n *hollowNet) Dial(address string, body any)  { n.net.Send(address, body) }
-func (n *hollowNet) Tell(table string, body any)    { n.running.Tell(table, body) }
-func (n *hollowNet) Answer(errand uint64, body any) {}
+func (n *hollowNet) Send(to string, body any)        { n.net.Send(n.book.Address(to), body) }
+func (n *hollowNet) Dial(address string, body any)   { n.net.Send(address, body) }
+func (n *hollowNet) Tell(table string, body any)     { n.running.Tell(table, body) }
+func (n *hollowNet) Answer(request uint64, body any) {}
 
 func (n *hollowNet) deliver(from string, body any) {
 	for _, table := range hollow.Routes(body) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -418,5 +418,5 @@
 	}
 	l.metAt = now
 	command := &schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: l.worker}}}
-	out.Send(t.leader, &schema.Errand{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(command)})
+	out.Send(t.leader, &schema.Request{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(command)})
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -201,7 +201,7 @@
 
 func (b *bench) Send(to string, body any) {
 	switch m := body.(type) {
-	case *schema.Errand:
+	case *schema.Request:
 		b.meets++
 	case *schema.Poll:
 		b.log = append(b.log, fmt.Sprintf("announce %s ward %d", to, m.Announce.Ward))
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -66,8 +66,8 @@
 	Incarnation uint64           `json:"incarnation,omitempty"`
 	Spec        *schema.Job      `json:"spec,omitempty"`
 
-	Front string           `json:"front,omitempty"` // through which an errand went
-	Sent  eventloop.Micros `json:"sent,omitempty"`  // when the errand was sent that this answers
+	Front string           `json:"front,omitempty"` // through which a request went
+	Sent  eventloop.Micros `json:"sent,omitempty"`  // when the request was sent that this answers
 	Rack  string           `json:"rack,omitempty"`
 	Built uint64           `json:"built,omitempty"` // the generation a sheet was built on
 	Rows  []*schema.Row    `json:"rows,omitempty"`  // of a table that was put or read
@@ -83,7 +83,7 @@
 	Document     string   `json:"document,omitempty"` // that came with a table
 }
 
-// sent is when the errand was sent that an event answers.
+// sent is when the request was sent that an event answers.
 func (e *Event) sent() eventloop.Micros {
 	if e.Sent > 0 {
 		return e.Sent
@@ -293,7 +293,7 @@
 				}
 				j.shown(a, e)
 			case e.Code >= 400 && e.Code < 500 || e.Code == 503:
-				// Either says that the errand was turned away.
+				// Either says that the request was turned away.
 				a.refused++
 			}
 		case Status:
@@ -1046,7 +1046,7 @@
 // service names one kind of service in one place.
 type service struct{ what, lane string }
 
-// attempt is an errand and how it was answered.
+// attempt is a request and how it was answered.
 type attempt struct {
 	service
 	front    string
@@ -1054,7 +1054,7 @@
 	isServed bool
 }
 
-// attempts lists every errand of the history that a running system answers.
+// attempts lists every request of the history that a running system answers.
 func attempts(history []Event) []attempt {
 	var list []attempt
 	for k := range history {
@@ -1082,7 +1082,7 @@
 
 // served: 12 in full. After a fault every kind of service, of every lane, is
 // back within the span, unless another fault followed in it; and away from
-// faults every errand through a front that can serve is served.
+// faults every request through a front that can serve is served.
 func (j *judge) served(history []Event) {
 	list := attempts(history)
 	var closed eventloop.Micros
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -81,7 +81,7 @@
 }
 
 // Belief asks what this side machine believes.
-type Belief struct{ Errand uint64 }
+type Belief struct{ Request uint64 }
 
 // SideBelief is what a side machine believes.
 type SideBelief struct {
@@ -101,14 +101,14 @@
 		t.roll = body
 	case *schema.CharterTell:
 		t.hear(now, mail.From, body, out)
-	case *schema.ErrandReply:
+	case *schema.RequestReply:
 		t.replied(now, body)
 	case Belief:
 		b := &SideBelief{Node: t.id, Version: t.state.Version, Steward: t.state.Steward.GetId(), Licence: t.state.Steward.GetLicence(), IsMine: t.isSteward(now)}
 		for _, id := range t.memberIds() {
 			b.Members = append(b.Members, t.roll.Known[id].Member)
 		}
-		out.Answer(body.Errand, b)
+		out.Answer(body.Request, b)
 	}
 }
 
@@ -248,7 +248,7 @@
 	}
 }
 
-func (t *Table) replied(now eventloop.Micros, m *schema.ErrandReply) {
+func (t *Table) replied(now eventloop.Micros, m *schema.RequestReply) {
 	sent, isClaim := t.claims[m.Id]
 	if !isClaim || m.Code == 0 {
 		return
@@ -273,7 +273,7 @@
 		return 0
 	}
 	t.number++
-	out.Send(to, &schema.Errand{Id: t.number, Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(command)})
+	out.Send(to, &schema.Request{Id: t.number, Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(command)})
 	return t.number
 }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -22,19 +22,19 @@
 	now    eventloop.Micros
 	state  *schema.CharterState
 	acts   []*schema.CharterCommand
-	mail   []*schema.ErrandReply // on its way back
+	mail   []*schema.RequestReply // on its way back
 }
 
 func (d *desk) Send(to string, body any) {
 	if act, isAct := body.(*schema.Reroster); isAct {
 		d.asks = append(d.asks, act)
 	}
-	if errand, isErrand := body.(*schema.Errand); isErrand {
+	if request, isRequest := body.(*schema.Request); isRequest {
 		command := &schema.CharterCommand{}
-		So(proto.Unmarshal(errand.Body, command), ShouldBeNil)
+		So(proto.Unmarshal(request.Body, command), ShouldBeNil)
 		So(to, ShouldEqual, "a")
 		if command.GetClaim() != nil {
-			d.mail = append(d.mail, &schema.ErrandReply{Id: errand.Id, Code: 200, Body: []byte(`{"licence":7}`)})
+			d.mail = append(d.mail, &schema.RequestReply{Id: request.Id, Code: 200, Body: []byte(`{"licence":7}`)})
 			return
 		}
 		d.acts = append(d.acts, command)
--- a/internal/controller/voters_test.go
+++ b/internal/controller/voters_test.go
@@ -169,7 +169,7 @@
 	switch body.(type) {
 	case *schema.CharterAsk:
 		a.stores[to]++
-	case *schema.Errand:
+	case *schema.Request:
 		a.claims++
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -157,7 +157,7 @@
 	return true
 }
 
-// leave: not ready at once, keepers passed on, open errands finished, and out
+// leave: not ready at once, keepers passed on, open requests finished, and out
 // within the limit. A second signal ends it at once.
 func leave(real *process.Real, server Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger, ring *logring.Ring) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.WarnUs)*time.Microsecond)
@@ -185,7 +185,7 @@
 		}
 	}
 	if err := server.Shutdown(ctx); err != nil {
-		log.Warn("errands were still open", zap.Error(err))
+		log.Warn("requests were still open", zap.Error(err))
 	}
 	real.Stop()
 	log.Info("left")
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -34,10 +34,10 @@
 
 // Out is where a table's step leaves its effects.
 type Out interface {
-	Send(to string, body any)       // to a process by id
-	Dial(address string, body any)  // to a process by its inner address
-	Tell(table string, body any)    // to another table of this process
-	Answer(errand uint64, body any) // to whoever waits for that errand
+	Send(to string, body any)        // to a process by id
+	Dial(address string, body any)   // to a process by its inner address
+	Tell(table string, body any)     // to another table of this process
+	Answer(request uint64, body any) // to whoever waits for that request
 }
 
 // Table is a step function with the state it owns. It never blocks, reads no
@@ -219,7 +219,7 @@
 	return counts
 }
 
-func (p *Process) Tell(table string, body any)    { p.Post(table, Mail{Body: body}) }
-func (p *Process) Send(to string, body any)       { p.Out.Send(to, body) }
-func (p *Process) Dial(address string, body any)  { p.Out.Dial(address, body) }
-func (p *Process) Answer(errand uint64, body any) { p.Out.Answer(errand, body) }
+func (p *Process) Tell(table string, body any)     { p.Post(table, Mail{Body: body}) }
+func (p *Process) Send(to string, body any)        { p.Out.Send(to, body) }
+func (p *Process) Dial(address string, body any)   { p.Out.Dial(address, body) }
+func (p *Process) Answer(request uint64, body any) { p.Out.Answer(request, body) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,6 @@
 // Package gateway owns what a front does for callers, workers and operators:
 // it numbers each client session's submissions, resends what isn't confirmed,
-// and carries other errands to whoever leads.
+// and carries other requests to whoever leads.
 package gateway
 
 import (
@@ -25,8 +25,8 @@
 const (
 	resendSpan   = 700 * eventloop.Milli // an unconfirmed submission is sent again after this
 	redirectSpan = 40 * eventloop.Milli  // between two redirects of one thing
-	retrySpan    = 400 * eventloop.Milli // another errand is sent again after this
-	parkSpan     = 500 * eventloop.Milli // an errand for an unknown lane waits so long for the charter's leader
+	retrySpan    = 400 * eventloop.Milli // another request is sent again after this
+	parkSpan     = 500 * eventloop.Milli // a request for an unknown lane waits so long for the charter's leader
 	maxParked    = 256
 	storeSpan    = 1200 * eventloop.Milli // a store unheard for longer is asked only for want of others
 	askSpan      = 250 * eventloop.Milli  // between looks at the charter
@@ -35,7 +35,7 @@
 	frozenSpan   = 20 * eventloop.Second  // after a longer pause this front starts afresh
 	wordSpan     = eventloop.Second       // a front that saw no charter for so long isn't ready, and takes nothing new
 	freshSpan    = 5 * eventloop.Second   // and after so long gives up what it has taken
-	maxPending   = 4096                   // errands of all kinds at once
+	maxPending   = 4096                   // requests of all kinds at once
 	rateSpan     = eventloop.Second       // over which what a lane gets done is counted
 	longestRetry = 30                     // seconds
 	maxResend    = 64                     // submissions resent a lane and tick
@@ -46,7 +46,7 @@
 // HandIn is a submission from HTTP. Where no lane is named, host and path lead to
 // it by the plan's entries, and what follows the prefix is the job's name.
 type HandIn struct {
-	Errand   uint64
+	Request  uint64
 	Lane     string
 	Host     string
 	Path     string
@@ -57,10 +57,10 @@
 	Deadline eventloop.Micros
 }
 
-// Ask is any other errand that a group's leader answers. Where no group is
+// Ask is any other request that a group's leader answers. Where no group is
 // named, host and path lead to a lane as for HandIn.
 type Ask struct {
-	Errand   uint64
+	Request  uint64
 	Kind     string
 	Group    string
 	Host     string
@@ -74,20 +74,20 @@
 
 // PollIn is a worker's announce.
 type PollIn struct {
-	Errand   uint64
+	Request  uint64
 	Worker   string
 	Announce *schema.Announce
 	Deadline eventloop.Micros
 }
 
 // Ready asks whether this front can serve.
-type Ready struct{ Errand uint64 }
+type Ready struct{ Request uint64 }
 
 // Fronts asks for all fronts this one knows.
-type Fronts struct{ Errand uint64 }
+type Fronts struct{ Request uint64 }
 
-// Forget says that nobody waits for an errand any more.
-type Forget struct{ Errand uint64 }
+// Forget says that nobody waits for a request any more.
+type Forget struct{ Request uint64 }
 
 // Warned says that this process is to leave.
 type Warned struct{}
@@ -101,7 +101,7 @@
 
 type submission struct {
 	enqueue *schema.Enqueue
-	errand  uint64
+	request uint64
 	sent    eventloop.Micros
 	to      string
 }
@@ -121,7 +121,7 @@
 	return s.next
 }
 
-type errand struct {
+type request struct {
 	ask        Ask
 	sent       eventloop.Micros
 	to         string
@@ -148,15 +148,15 @@
 	roll       *membership.Roll
 	sessions   map[laneClient]*session
 	byId       map[string]*session
-	errands    map[uint64]*errand
+	requests   map[uint64]*request
 	polls      map[uint64]PollIn
 	met        map[string]eventloop.Micros
 	quitting   map[string][]*schema.Session
-	parked     []any // errands for lanes that our copy of the plan lacks
+	parked     []any // requests for lanes that our copy of the plan lacks
 	parkedAt   eventloop.Micros
 	pending    int
 	laneHas    map[string]int         // unconfirmed by lane
-	asked      map[uint64]*submission // by errand
+	asked      map[uint64]*submission // by request
 	askedAt    eventloop.Micros
 	redirected map[string]eventloop.Micros    // by lane
 	owed       map[string]bool                // lanes whose redirect waits for the next tick
@@ -173,7 +173,7 @@
 	return &Table{
 		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.CharterState{}, values: clusterstate.Read(nil),
 		leaders: map[string]string{}, unled: map[string]eventloop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
-		errands: map[uint64]*errand{}, polls: map[uint64]PollIn{}, met: map[string]eventloop.Micros{}, quitting: map[string][]*schema.Session{},
+		requests: map[uint64]*request{}, polls: map[uint64]PollIn{}, met: map[string]eventloop.Micros{}, quitting: map[string][]*schema.Session{},
 		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]eventloop.Micros{}, owed: map[string]bool{}, denied: map[laneStore]eventloop.Micros{},
 		paces: map[string]*pace{},
 	}
@@ -194,10 +194,10 @@
 	case Fronts:
 		t.fronts(now, body, out)
 	case Forget:
-		t.forget(body.Errand)
+		t.forget(body.Request)
 	case *schema.Applied:
 		t.applied(now, mail.From, body, out)
-	case *schema.ErrandReply:
+	case *schema.RequestReply:
 		t.replied(now, body, out)
 	case *schema.PollReply:
 		t.polled(body, out)
@@ -224,8 +224,8 @@
 	return data
 }
 
-func (t *Table) refuse(errand uint64, code int32, name, message string, retry int, out eventloop.Out) {
-	out.Answer(errand, Answer{Code: code, Body: Fault(name, message, ""), Retry: retry})
+func (t *Table) refuse(request uint64, code int32, name, message string, retry int, out eventloop.Out) {
+	out.Answer(request, Answer{Code: code, Body: Fault(name, message, ""), Retry: retry})
 }
 
 // --- the charter ---
@@ -252,7 +252,7 @@
 	}
 	if isNews {
 		// What was asked of somebody else needn't wait until it is asked again.
-		for _, each := range t.errands {
+		for _, each := range t.requests {
 			if leader, isKnown := m.Leaders[each.ask.Group]; isKnown && leader == t.leaders[each.ask.Group] && each.to != leader {
 				each.isOwed = true
 			}
@@ -322,7 +322,7 @@
 
 // --- lanes that this front doesn't know ---
 
-// park holds an errand for a lane that our copy of the plan lacks until the
+// park holds a request for a lane that our copy of the plan lacks until the
 // charter's leader has said what the plan is now: whoever has just put a table
 // may use it at once, and who asks for a lane that isn't there is told so
 // within a round trip.
@@ -351,20 +351,20 @@
 	}
 }
 
-// unknownLane answers for a lane that isn't placed, or parks the errand first.
+// unknownLane answers for a lane that isn't placed, or parks the request first.
 // The lane is empty where host and path lead to none.
-func (t *Table) unknownLane(now eventloop.Micros, errand uint64, lane string, mail any, isFinal bool, out eventloop.Out) {
+func (t *Table) unknownLane(now eventloop.Micros, request uint64, lane string, mail any, isFinal bool, out eventloop.Out) {
 	if !isFinal && t.isFresh(now) && t.park(now, mail, out) {
 		return
 	}
 	switch {
 	// Before the first plan nobody knows what lanes there are to be.
 	case !t.isFresh(now) || t.state.Plan.GetGeneration() == 0 || t.values.HasLane(lane):
-		t.refuse(errand, 503, "not_ready", "this front doesn't hold the plan yet, or the lane is being made", 1, out)
+		t.refuse(request, 503, "not_ready", "this front doesn't hold the plan yet, or the lane is being made", 1, out)
 	case lane == "":
-		out.Answer(errand, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane for this host and path", "path")})
+		out.Answer(request, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane for this host and path", "path")})
 	default:
-		out.Answer(errand, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane "+strconv.Quote(lane), "lane")})
+		out.Answer(request, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane "+strconv.Quote(lane), "lane")})
 	}
 }
 
@@ -388,24 +388,24 @@
 		m.Lane, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
 	}
 	if !t.values.HasLane(m.Lane) || clusterstate.Place(t.state, m.Lane) == nil {
-		t.unknownLane(now, m.Errand, m.Lane, mail, isFinal, out)
+		t.unknownLane(now, m.Request, m.Lane, mail, isFinal, out)
 		return
 	}
 	if !GoodName(m.Name) {
-		out.Answer(m.Errand, Answer{Code: 422, Body: Fault("bad_name", "letters, digits, '.', '_', ':' and '-', at most 128", "name")})
+		out.Answer(m.Request, Answer{Code: 422, Body: Fault("bad_name", "letters, digits, '.', '_', ':' and '-', at most 128", "name")})
 		return
 	}
 	if !t.hasWord(now) {
-		t.notReady(now, m.Errand, out)
+		t.notReady(now, m.Request, out)
 		return
 	}
 	if fault := tooLarge(t.values, m.Lane, m.Job); fault != nil {
 		data, _ := json.Marshal(fault)
-		out.Answer(m.Errand, Answer{Code: 422, Body: data})
+		out.Answer(m.Request, Answer{Code: 422, Body: data})
 		return
 	}
 	if t.isUnled(now, m.Lane) {
-		t.refuse(m.Errand, 503, "not_ready", "nobody is known to lead the lane at the moment", 1, out)
+		t.refuse(m.Request, 503, "not_ready", "nobody is known to lead the lane at the moment", 1, out)
 		return
 	}
 	// Turning away is final, so it happens before the submission has a number.
@@ -436,7 +436,7 @@
 		t.byId[s.lane+"/"+s.id.Client] = s
 	}
 	each := &submission{
-		errand:  m.Errand,
+		request: m.Request,
 		enqueue: &schema.Enqueue{Session: s.id, Number: s.next, Name: m.Name, Digest: m.Digest, Job: withAttempts(t.values, m.Lane, m.Job)},
 	}
 	s.next++
@@ -444,7 +444,7 @@
 	s.waiting = append(s.waiting, each)
 	t.pending++
 	t.laneHas[m.Lane]++
-	t.asked[m.Errand] = each
+	t.asked[m.Request] = each
 	t.send(now, s.lane, []*submission{each}, out)
 }
 
@@ -452,7 +452,7 @@
 // room: each who is told so is given the next turn, at the pace at which room
 // has been coming of late.
 func (t *Table) turnAway(now eventloop.Micros, m HandIn, code, message, what string, out eventloop.Out) {
-	t.refuse(m.Errand, 429, code, message, t.pace(what).turn(now), out)
+	t.refuse(m.Request, 429, code, message, t.pace(what).turn(now), out)
 }
 
 // pace is how fast something gets done, and who is expected back.
@@ -498,9 +498,9 @@
 
 // notReady is the answer of a front that has no word of the charter: the longer
 // it lasts, the less soon it is worth asking here again.
-func (t *Table) notReady(now eventloop.Micros, errand uint64, out eventloop.Out) {
+func (t *Table) notReady(now eventloop.Micros, request uint64, out eventloop.Out) {
 	retry := min(max(int((now-t.heardAt)/(2*eventloop.Second)), 1), 10)
-	t.refuse(errand, 503, "not_ready", "this front has no fresh word of the charter: ask another", retry, out)
+	t.refuse(request, 503, "not_ready", "this front has no fresh word of the charter: ask another", retry, out)
 }
 
 // giveUp answers at once, when this front has lost touch, all that it can't
@@ -508,18 +508,18 @@
 // so whether it takes effect is unknown.
 func (t *Table) giveUp(now eventloop.Micros, out eventloop.Out) {
 	for _, id := range slices.Sorted(maps.Keys(t.asked)) {
-		t.asked[id].errand = 0
+		t.asked[id].request = 0
 		delete(t.asked, id)
 		out.Answer(id, unknown())
 	}
-	for _, id := range slices.Sorted(maps.Keys(t.errands)) {
-		switch t.errands[id].ask.Kind {
+	for _, id := range slices.Sorted(maps.Keys(t.requests)) {
+		switch t.requests[id].ask.Kind {
 		case "cancel", "charter":
 			out.Answer(id, unknown())
 		default:
 			t.notReady(now, id, out)
 		}
-		delete(t.errands, id)
+		delete(t.requests, id)
 	}
 }
 
@@ -671,9 +671,9 @@
 	t.laneHas[lane]--
 	t.pace("").done++
 	t.pace(lane).done++
-	if each.errand != 0 {
-		delete(t.asked, each.errand)
-		out.Answer(each.errand, answerOf(outcome))
+	if each.request != 0 {
+		delete(t.asked, each.request)
+		out.Answer(each.request, answerOf(outcome))
 	}
 	if outcome.Code == 410 {
 		// This front had been given up as dead. Its numbers mean nothing any
@@ -736,8 +736,8 @@
 	for _, s := range t.sessions {
 		lanes[s.lane] = true
 		for _, each := range s.waiting {
-			if each.errand != 0 {
-				out.Answer(each.errand, unknown())
+			if each.request != 0 {
+				out.Answer(each.request, unknown())
 			}
 		}
 	}
@@ -749,17 +749,17 @@
 	t.boot += 1 << 32
 }
 
-// --- other errands ---
+// --- other requests ---
 
 func (t *Table) ask(now eventloop.Micros, m Ask, isFinal bool, out eventloop.Out) {
-	if len(t.errands) >= maxPending {
-		t.refuse(m.Errand, 429, "front_full", "this front has too much in hand", t.pace("").turn(now), out)
+	if len(t.requests) >= maxPending {
+		t.refuse(m.Request, 429, "front_full", "this front has too much in hand", t.pace("").turn(now), out)
 		return
 	}
 	// The charter's leader may just be missing: an operator's call waits for it.
 	isLost := !t.hasWord(now) && m.Group != clusterstate.Group || !t.isFresh(now)
 	if t.heardAt > 0 && isLost {
-		t.notReady(now, m.Errand, out)
+		t.notReady(now, m.Request, out)
 		return
 	}
 	mail := m
@@ -767,29 +767,29 @@
 		m.Group, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
 	}
 	if m.Group != clusterstate.Group && clusterstate.Place(t.state, m.Group) == nil {
-		t.unknownLane(now, m.Errand, m.Group, mail, isFinal, out)
+		t.unknownLane(now, m.Request, m.Group, mail, isFinal, out)
 		return
 	}
-	each := &errand{ask: m}
-	t.errands[m.Errand] = each
+	each := &request{ask: m}
+	t.requests[m.Request] = each
 	t.carry(now, each, out)
 }
 
-func (t *Table) carry(now eventloop.Micros, each *errand, out eventloop.Out) {
+func (t *Table) carry(now eventloop.Micros, each *request, out eventloop.Out) {
 	m := each.ask
 	each.sent, each.to = now, t.leader(now, m.Group)
 	if to := each.to; to != "" {
-		out.Send(to, &schema.Errand{Id: m.Errand, Kind: m.Kind, Group: m.Group, Name: m.Name, After: m.After, Most: m.Most, Body: m.Body})
+		out.Send(to, &schema.Request{Id: m.Request, Kind: m.Kind, Group: m.Group, Name: m.Name, After: m.After, Most: m.Most, Body: m.Body})
 	}
 }
 
-func (t *Table) replied(now eventloop.Micros, m *schema.ErrandReply, out eventloop.Out) {
-	each := t.errands[m.Id]
+func (t *Table) replied(now eventloop.Micros, m *schema.RequestReply, out eventloop.Out) {
+	each := t.requests[m.Id]
 	if each == nil {
 		return
 	}
 	if m.Code != 0 {
-		delete(t.errands, m.Id)
+		delete(t.requests, m.Id)
 		if m.Leader != "" {
 			t.lead(m.Group, m.Leader)
 		}
@@ -817,15 +817,15 @@
 		t.met[m.Worker] = now
 		if to := t.leader(now, clusterstate.Group); to != "" {
 			command := &schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: m.Worker}}}
-			out.Send(to, &schema.Errand{Kind: "charter", Group: clusterstate.Group, Body: marshal(command)})
+			out.Send(to, &schema.Request{Kind: "charter", Group: clusterstate.Group, Body: marshal(command)})
 		}
 	}
 	if ward == nil || ward.Placer == "" || len(t.polls) >= maxPending {
-		t.refuse(m.Errand, 503, "no_ward", "nobody wards this worker yet", 1, out)
+		t.refuse(m.Request, 503, "no_ward", "nobody wards this worker yet", 1, out)
 		return
 	}
-	t.polls[m.Errand] = m
-	out.Send(ward.Placer, &schema.Poll{Id: m.Errand, Worker: m.Worker, Announce: m.Announce})
+	t.polls[m.Request] = m
+	out.Send(ward.Placer, &schema.Poll{Id: m.Request, Worker: m.Worker, Announce: m.Announce})
 }
 
 func (t *Table) polled(m *schema.PollReply, out eventloop.Out) {
@@ -848,12 +848,12 @@
 // --- time ---
 
 func (t *Table) forget(id uint64) {
-	delete(t.errands, id)
+	delete(t.requests, id)
 	delete(t.polls, id)
 	if each := t.asked[id]; each != nil {
 		// The submission itself has a number and goes on being resent: a gap
 		// would hold up all that comes after it.
-		each.errand = 0
+		each.request = 0
 		delete(t.asked, id)
 	}
 }
@@ -905,7 +905,7 @@
 		t.giveUp(now, out)
 	}
 	t.wasFresh = isFresh
-	t.tickErrands(now, out)
+	t.tickRequests(now, out)
 	t.endQuiet(now, out)
 	for id, m := range t.polls {
 		if now > m.Deadline {
@@ -938,18 +938,18 @@
 	}
 }
 
-func (t *Table) tickErrands(now eventloop.Micros, out eventloop.Out) {
+func (t *Table) tickRequests(now eventloop.Micros, out eventloop.Out) {
 	var ids []uint64
-	for id, each := range t.errands {
+	for id, each := range t.requests {
 		if now-each.sent > retrySpan || each.isOwed {
 			ids = append(ids, id)
 		}
 	}
 	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
 	for _, id := range ids {
-		each := t.errands[id]
+		each := t.requests[id]
 		if now > each.ask.Deadline {
-			delete(t.errands, id)
+			delete(t.requests, id)
 			out.Answer(id, unknown())
 			continue
 		}
@@ -999,20 +999,20 @@
 	}
 	data, err := json.Marshal(list)
 	if err != nil {
-		t.refuse(m.Errand, 500, "internal", err.Error(), 0, out)
+		t.refuse(m.Request, 500, "internal", err.Error(), 0, out)
 		return
 	}
-	out.Answer(m.Errand, Answer{Code: 200, Body: data})
+	out.Answer(m.Request, Answer{Code: 200, Body: data})
 }
 
-// ready tells whether this front can take errands and carry them.
+// ready tells whether this front can take requests and carry them.
 func (t *Table) ready(now eventloop.Micros, m Ready, out eventloop.Out) {
 	switch {
 	case t.isWarned:
-		t.refuse(m.Errand, 503, "leaving", "this process is leaving", 0, out)
+		t.refuse(m.Request, 503, "leaving", "this process is leaving", 0, out)
 	case !t.hasWord(now):
-		t.refuse(m.Errand, 503, "not_ready", "no fresh word of the charter", 1, out)
+		t.refuse(m.Request, 503, "not_ready", "no fresh word of the charter", 1, out)
 	default:
-		out.Answer(m.Errand, Answer{Code: 200, Body: []byte(`{"ready":true}`)})
+		out.Answer(m.Request, Answer{Code: 200, Body: []byte(`{"ready":true}`)})
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,7 +21,7 @@
 	now     eventloop.Micros
 	sent    []sending
 	answers map[uint64]Answer
-	errand  uint64
+	request uint64
 }
 
 type sending struct {
@@ -32,9 +32,9 @@
 func (d *desk) Send(to string, body any) { d.sent = append(d.sent, sending{to, body}) }
 func (d *desk) Dial(string, any)         {}
 func (d *desk) Tell(string, any)         {}
-func (d *desk) Answer(errand uint64, body any) {
+func (d *desk) Answer(request uint64, body any) {
 	if answer, isAnswer := body.(Answer); isAnswer {
-		d.answers[errand] = answer
+		d.answers[request] = answer
 	}
 }
 func (d *desk) step(body any) { d.t.Step(d.now, eventloop.Mail{Body: body}, d) }
@@ -50,10 +50,10 @@
 }
 
 func (d *desk) handIn(client, name string) uint64 {
-	d.errand++
+	d.request++
 	job := &schema.Job{Text: name, Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
-	d.step(HandIn{Errand: d.errand, Lane: "l", Client: client, Name: name, Digest: Digest(job), Job: job})
-	return d.errand
+	d.step(HandIn{Request: d.request, Lane: "l", Client: client, Name: name, Digest: Digest(job), Job: job})
+	return d.request
 }
 
 func (d *desk) lastSubmit() (string, *schema.Submit) {
@@ -100,8 +100,8 @@
 	})
 	Convey("The new keeper gets everything that isn't confirmed, also what nobody waits for any more", t, func() {
 		d := newDesk()
-		errand := d.handIn("c", "one")
-		d.step(Forget{Errand: errand})
+		request := d.handIn("c", "one")
+		d.step(Forget{Request: request})
 		d.step(&schema.Applied{Lane: "l", Leader: "b"})
 		to, submit := d.lastSubmit()
 		So(to, ShouldEqual, "b")
@@ -134,18 +134,18 @@
 	Convey("So does one that was frozen for long", t, func() {
 		d := newDesk()
 		d.step(eventloop.Tick{})
-		errand := d.handIn("c", "one")
+		request := d.handIn("c", "one")
 		d.now += frozenSpan + eventloop.Second
 		d.step(eventloop.Tick{})
-		So(d.answers[errand].Code, ShouldEqual, 504)
+		So(d.answers[request].Code, ShouldEqual, 504)
 	})
 }
 
 func TestTurningAway(t *testing.T) {
-	code := func(d *desk, errand uint64) (int32, string) {
+	code := func(d *desk, request uint64) (int32, string) {
 		fault := &schema.Fault{}
-		So(json.Unmarshal(d.answers[errand].Body, fault), ShouldBeNil)
-		return d.answers[errand].Code, fault.Code
+		So(json.Unmarshal(d.answers[request].Body, fault), ShouldBeNil)
+		return d.answers[request].Code, fault.Code
 	}
 	Convey("Overload is said at once, with when to come back, and before anything has a number", t, func() {
 		d := newDesk(&schema.Row{Kind: "fleet", Key: "window", Value: "2"})
@@ -159,8 +159,8 @@
 		So(d.answers[third].Retry, ShouldBeGreaterThan, 0)
 		So(len(d.sent), ShouldEqual, count)
 		Convey("another client isn't held up by it", func() {
-			errand := d.handIn("d", "four")
-			_, isAnswered := d.answers[errand]
+			request := d.handIn("d", "four")
+			_, isAnswered := d.answers[request]
 			So(isAnswered, ShouldBeFalse)
 		})
 		Convey("and the window opens again", func() {
@@ -180,17 +180,17 @@
 	})
 	Convey("A front without a fresh charter isn't ready, and says so rather than that a lane is unknown", t, func() {
 		d := newDesk()
-		d.step(Ready{Errand: 900})
+		d.step(Ready{Request: 900})
 		So(d.answers[900].Code, ShouldEqual, 200)
 		d.now += freshSpan + eventloop.Second
-		d.step(Ready{Errand: 901})
+		d.step(Ready{Request: 901})
 		So(d.answers[901].Code, ShouldEqual, 503)
-		d.step(HandIn{Errand: 902, Lane: "new", Client: "c", Name: "x", Job: &schema.Job{}})
+		d.step(HandIn{Request: 902, Lane: "new", Client: "c", Name: "x", Job: &schema.Job{}})
 		So(d.answers[902].Code, ShouldEqual, 503)
 		Convey("nor is one that was warned", func() {
 			d := newDesk()
 			d.step(Warned{})
-			d.step(Ready{Errand: 903})
+			d.step(Ready{Request: 903})
 			So(d.answers[903].Code, ShouldEqual, 503)
 		})
 	})
@@ -207,14 +207,14 @@
 			}
 			d.t.Step(d.now, eventloop.Mail{From: from, Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "new": "a"}}}, d)
 		}
-		d.step(Ask{Errand: 5, Kind: "status", Group: "new", Name: "j"})
+		d.step(Ask{Request: 5, Kind: "status", Group: "new", Name: "j"})
 		_, isAnswered := d.answers[5]
 		So(isAnswered, ShouldBeFalse)
 		Convey("there now: it goes on", func() {
 			fresh("a", "l", "new")
 			_, isAnswered := d.answers[5]
 			So(isAnswered, ShouldBeFalse)
-			So(d.sent[len(d.sent)-1].body.(*schema.Errand).Group, ShouldEqual, "new")
+			So(d.sent[len(d.sent)-1].body.(*schema.Request).Group, ShouldEqual, "new")
 		})
 		Convey("not there: told at once, but only by the leader's word", func() {
 			fresh("b", "l")
@@ -291,19 +291,19 @@
 		id := d.handIn("c", "one")
 		d.now += wordSpan + eventloop.Milli
 		d.step(eventloop.Tick{})
-		d.step(Ready{Errand: 900})
+		d.step(Ready{Request: 900})
 		So(d.answers[900].Code, ShouldEqual, 503)
 		So(d.answers[d.handIn("c", "two")].Code, ShouldEqual, 503)
-		d.step(Ask{Errand: 901, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
+		d.step(Ask{Request: 901, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
 		So(d.answers[901].Code, ShouldEqual, 503)
 		_, isAnswered := d.answers[id]
 		So(isAnswered, ShouldBeFalse)
-		d.step(Ask{Errand: 902, Kind: "plan", Group: clusterstate.Group, Deadline: d.now + 60*eventloop.Second})
+		d.step(Ask{Request: 902, Kind: "plan", Group: clusterstate.Group, Deadline: d.now + 60*eventloop.Second})
 		_, isAnswered = d.answers[902]
 		So(isAnswered, ShouldBeFalse)
 		Convey("and with a word it is ready again", func() {
 			d.step(&schema.CharterTell{Version: d.t.state.Version, Leaders: map[string]string{"l": "a"}})
-			d.step(Ready{Errand: 903})
+			d.step(Ready{Request: 903})
 			So(d.answers[903].Code, ShouldEqual, 200)
 		})
 	})
@@ -340,8 +340,8 @@
 		d := newDesk()
 		d.step(eventloop.Tick{})
 		id := d.handIn("c", "one")
-		d.step(Ask{Errand: 900, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
-		d.step(Ask{Errand: 901, Kind: "cancel", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
+		d.step(Ask{Request: 900, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
+		d.step(Ask{Request: 901, Kind: "cancel", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
 		d.now += freshSpan + eventloop.Milli
 		d.step(eventloop.Tick{})
 		// Numbered, so whether it takes effect isn't known; and it goes on being sent.
@@ -369,18 +369,18 @@
 	Convey("Host and path lead to a lane, and the rest of the path is the name", t, func() {
 		d := newDesk(rows()...)
 		given := job()
-		d.step(HandIn{Errand: 1, Host: "ONE.example:80", Path: "/p/j1", Client: "c", Digest: Digest(given), Job: given})
+		d.step(HandIn{Request: 1, Host: "ONE.example:80", Path: "/p/j1", Client: "c", Digest: Digest(given), Job: given})
 		_, submit := d.lastSubmit()
 		So(submit.Lane, ShouldEqual, "l")
 		So(submit.Enqueues[0].Name, ShouldEqual, "j1")
 		So(proto.Equal(submit.Enqueues[0].Job, given), ShouldBeTrue)
 		for kind, path := range map[string]string{"status": "/p/j1", "cancel": "/p/j1", "counts": "/p/"} {
-			d.errand = 100
-			d.step(Ask{Errand: d.errand, Kind: kind, Host: "one.example", Path: path})
-			sent := d.sent[len(d.sent)-1].body.(*schema.Errand)
+			d.request = 100
+			d.step(Ask{Request: d.request, Kind: kind, Host: "one.example", Path: path})
+			sent := d.sent[len(d.sent)-1].body.(*schema.Request)
 			So([]string{sent.Kind, sent.Group, "/p/" + sent.Name}, ShouldResemble, []string{kind, "l", path})
 		}
-		d.step(HandIn{Errand: 2, Host: "one.example", Path: "/p/", Client: "c", Job: given})
+		d.step(HandIn{Request: 2, Host: "one.example", Path: "/p/", Client: "c", Job: given})
 		So(d.answers[2].Code, ShouldEqual, 422)
 	})
 	Convey("An entry that our copy lacks is asked for, and looked up anew", t, func() {
@@ -389,15 +389,15 @@
 			state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Generation: 2, Rows: rows}, Lanes: []*schema.LanePlace{{Lane: "l", Generation: 1}}}
 			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "l": "a"}}}, d)
 		}
-		d.step(HandIn{Errand: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
-		d.step(Ask{Errand: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
+		d.step(HandIn{Request: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
+		d.step(Ask{Request: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
 		So(d.answers, ShouldBeEmpty)
 		Convey("there now: it goes on", func() {
 			fresh(rows())
 			So(d.answers, ShouldBeEmpty)
 			_, submit := d.lastSubmit()
 			So(submit.Enqueues[0].Name, ShouldEqual, "j1")
-			So(d.sent[len(d.sent)-1].body.(*schema.Errand).Name, ShouldEqual, "j1")
+			So(d.sent[len(d.sent)-1].body.(*schema.Request).Name, ShouldEqual, "j1")
 		})
 		Convey("not there: 404", func() {
 			fresh([]*schema.Row{{Kind: "lane", Name: "l", Key: "urgency", Value: "1"}})
@@ -408,7 +408,7 @@
 		Convey("a lane that has been dropped takes nothing more, once the leader has said so", func() {
 			fresh([]*schema.Row{})
 			So(d.answers[1].Code, ShouldEqual, 404)
-			d.step(HandIn{Errand: 3, Lane: "l", Client: "c", Name: "j", Job: job()})
+			d.step(HandIn{Request: 3, Lane: "l", Client: "c", Name: "j", Job: job()})
 			So(d.answers, ShouldNotContainKey, uint64(3))
 			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{Version: 2, Leaders: map[string]string{"charter": "a"}}}, d)
 			So(d.answers[3].Code, ShouldEqual, 404)
@@ -416,12 +416,12 @@
 	})
 	Convey("Before the first plan, and without fresh word, nothing is called unknown", t, func() {
 		d := &desk{t: New("me", 1, false, rand.New(rand.NewPCG(1, 1))), now: 100 * eventloop.Second, answers: map[uint64]Answer{}}
-		d.step(HandIn{Errand: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
-		d.step(Ask{Errand: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
+		d.step(HandIn{Request: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
+		d.step(Ask{Request: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
 		So([]int32{d.answers[1].Code, d.answers[2].Code}, ShouldResemble, []int32{503, 503})
 		tell := &schema.CharterTell{Version: 1, State: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}, Leaders: map[string]string{"charter": "a"}}
 		d.t.Step(d.now, eventloop.Mail{From: "a", Body: tell}, d)
-		d.step(HandIn{Errand: 3, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
+		d.step(HandIn{Request: 3, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
 		d.t.Step(d.now, eventloop.Mail{From: "a", Body: tell}, d)
 		So(d.answers[3].Code, ShouldEqual, 503)
 		So(d.answers[3].Retry, ShouldEqual, 1)
@@ -430,7 +430,7 @@
 		d := newDesk(rows(&schema.Row{Kind: "lane", Name: "l", Key: "attempts", Value: "4"})...)
 		given := job()
 		digest := Digest(given)
-		d.step(HandIn{Errand: 1, Host: "one.example", Path: "/p/j1", Client: "c", Digest: digest, Job: given})
+		d.step(HandIn{Request: 1, Host: "one.example", Path: "/p/j1", Client: "c", Digest: digest, Job: given})
 		_, submit := d.lastSubmit()
 		e := submit.Enqueues[0]
 		So([]uint32{e.Job.Steps[0].AllowedFailures, e.Job.Steps[1].AllowedFailures}, ShouldResemble, []uint32{3, 9})
@@ -441,10 +441,10 @@
 		large := job()
 		large.Steps[0].CoresMilli = 1_000_000
 		d := newDesk(rows()...)
-		d.step(HandIn{Errand: 1, Lane: "l", Name: "j", Client: "c", Job: large})
+		d.step(HandIn{Request: 1, Lane: "l", Name: "j", Client: "c", Job: large})
 		So(d.answers[1].Code, ShouldEqual, 422)
 		d = newDesk(rows(&schema.Row{Kind: "lane", Name: "l", Key: "pool", Value: "p"}, &schema.Row{Kind: "pool", Name: "p", Key: "guards", Value: "1"})...)
-		d.step(HandIn{Errand: 1, Lane: "l", Name: "j", Client: "c", Job: large})
+		d.step(HandIn{Request: 1, Lane: "l", Name: "j", Client: "c", Job: large})
 		So(d.answers, ShouldBeEmpty)
 	})
 }
@@ -480,18 +480,18 @@
 			return membership.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: d.now}
 		}
 		d.step(&membership.Roll{Known: map[string]membership.Known{"b": known("b")}})
-		d.step(Ask{Errand: 1, Kind: "status", Group: "l", Name: "j", Deadline: d.now + 9*eventloop.Second})
-		errands, looks := 0, 0
+		d.step(Ask{Request: 1, Kind: "status", Group: "l", Name: "j", Deadline: d.now + 9*eventloop.Second})
+		requests, looks := 0, 0
 		pass := func() {
 			before := len(d.sent)
 			d.now += Pace
 			d.step(&membership.Roll{Known: map[string]membership.Known{"b": known("b")}})
 			d.step(eventloop.Tick{})
-			errands, looks = 0, 0
+			requests, looks = 0, 0
 			for _, each := range d.sent[before:] {
 				switch each.body.(type) {
-				case *schema.Errand:
-					errands++
+				case *schema.Request:
+					requests++
 					So(each.to, ShouldEqual, "b")
 				case *schema.CharterAsk:
 					looks++
@@ -500,14 +500,14 @@
 		}
 		pass()
 		// It leads no more and knows nobody.
-		d.step(&schema.ErrandReply{Id: 1, Group: "l"})
+		d.step(&schema.RequestReply{Id: 1, Group: "l"})
 		pass()
 		So(looks, ShouldEqual, 1)
 		pass()
-		So([]int{looks, errands}, ShouldResemble, []int{1, 0})
+		So([]int{looks, requests}, ShouldResemble, []int{1, 0})
 		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "b"}})
 		pass()
-		So([]int{looks, errands}, ShouldResemble, []int{0, 1})
+		So([]int{looks, requests}, ShouldResemble, []int{0, 1})
 	})
 	Convey("A hand-in that a store turned away before it came to lead is sent there again at once", t, func() {
 		d := newDesk()
@@ -542,9 +542,9 @@
 		}
 		lanes(2, "l", "new")
 		job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
-		d.step(HandIn{Errand: 1, Lane: "new", Client: "c", Name: "j", Job: job})
+		d.step(HandIn{Request: 1, Lane: "new", Client: "c", Name: "j", Job: job})
 		d.now += ledSpan + eventloop.Milli
-		d.step(HandIn{Errand: 2, Lane: "new", Client: "c", Name: "j", Job: job})
+		d.step(HandIn{Request: 2, Lane: "new", Client: "c", Name: "j", Job: job})
 		So(d.answers, ShouldNotContainKey, uint64(1))
 		So(d.answers[2].Code, ShouldEqual, 503)
 		lanes(3, "l")
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -117,7 +117,7 @@
 	if ward == nil || ward.Placer == "" {
 		if now-h.metAt > eventloop.Second && h.leader != "" {
 			h.metAt = now
-			out.Send(h.leader, &schema.Errand{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(
+			out.Send(h.leader, &schema.Request{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(
 				&schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: h.worker.Name}}})})
 		}
 		return
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -20,10 +20,10 @@
 // outlet keeps what a step sends.
 type outlet struct{ list []sent }
 
-func (o *outlet) Send(to string, body any)       { o.list = append(o.list, sent{to, body}) }
-func (o *outlet) Dial(address string, body any)  {}
-func (o *outlet) Tell(table string, body any)    {}
-func (o *outlet) Answer(errand uint64, body any) {}
+func (o *outlet) Send(to string, body any)        { o.list = append(o.list, sent{to, body}) }
+func (o *outlet) Dial(address string, body any)   {}
+func (o *outlet) Tell(table string, body any)     {}
+func (o *outlet) Answer(request uint64, body any) {}
 
 func TestHand(t *testing.T) {
 	Convey("A hollow side makes its worker known, announces to its ward, and runs what it is told", t, func() {
@@ -45,7 +45,7 @@
 		list := step("s1", &schema.CharterTell{State: state, Leaders: map[string]string{"charter": "s2"}})
 		So(list, ShouldHaveLength, 1)
 		So(list[0].to, ShouldEqual, "s2")
-		So(list[0].body.(*schema.Errand).Kind, ShouldEqual, "charter")
+		So(list[0].body.(*schema.Request).Kind, ShouldEqual, "charter")
 		So(plans, ShouldResemble, []uint64{2})
 
 		warded := &schema.CharterState{Version: 4, Plan: state.Plan, Wards: []*schema.Ward{{Worker: "w1", Placer: "s3", Generation: 7}}}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -77,7 +77,7 @@
 // Warn has nothing to do: the tables know, and say that they aren't ready.
 func (s *Server) Warn() {}
 
-// Shutdown lets open errands finish until the context ends.
+// Shutdown lets open requests finish until the context ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
 func (s *Server) routes(app *iris.Application) {
@@ -93,21 +93,21 @@
 	if s.real.Member.Role == schema.Role_ROLE_HEED {
 		app.Get("/readyz", func(ctx iris.Context) { write(ctx, gateway.Answer{Code: 200, Body: []byte(`{"ready":true}`)}) })
 		app.Get("/v1/belief", func(ctx iris.Context) {
-			s.belief(ctx, "heed", func(id uint64, _ eventloop.Micros) any { return controller.Belief{Errand: id} })
+			s.belief(ctx, "heed", func(id uint64, _ eventloop.Micros) any { return controller.Belief{Request: id} })
 		})
 		return
 	}
 	app.Get("/readyz", func(ctx iris.Context) {
-		s.run(ctx, eventloop.Second, func(id uint64, _ eventloop.Micros) any { return gateway.Ready{Errand: id} })
+		s.run(ctx, eventloop.Second, func(id uint64, _ eventloop.Micros) any { return gateway.Ready{Request: id} })
 	})
 	app.Get("/v1/fronts", func(ctx iris.Context) {
-		s.run(ctx, eventloop.Second, func(id uint64, _ eventloop.Micros) any { return gateway.Fronts{Errand: id} })
+		s.run(ctx, eventloop.Second, func(id uint64, _ eventloop.Micros) any { return gateway.Fronts{Request: id} })
 	})
 	app.Get("/v1/belief", func(ctx iris.Context) {
-		s.belief(ctx, "keep", func(id uint64, _ eventloop.Micros) any { return replica.Belief{Errand: id} })
+		s.belief(ctx, "keep", func(id uint64, _ eventloop.Micros) any { return replica.Belief{Request: id} })
 	})
 	app.Get("/v1/placements", func(ctx iris.Context) {
-		s.belief(ctx, "placer", func(id uint64, _ eventloop.Micros) any { return scheduler.Why{Errand: id} })
+		s.belief(ctx, "placer", func(id uint64, _ eventloop.Micros) any { return scheduler.Why{Request: id} })
 	})
 	app.Put("/v1/lanes/{lane}/jobs/{name}", s.handIn)
 	app.Get("/v1/lanes/{lane}/jobs/{name}", func(ctx iris.Context) { s.ofJob(ctx, "status") })
@@ -162,7 +162,7 @@
 
 func (s *Server) ask(ctx iris.Context, span eventloop.Micros, ask gateway.Ask) {
 	s.run(ctx, span, func(id uint64, deadline eventloop.Micros) any {
-		ask.Errand, ask.Deadline = id, deadline
+		ask.Request, ask.Deadline = id, deadline
 		return ask
 	})
 }
@@ -253,7 +253,7 @@
 		return
 	}
 	s.run(ctx, handInSpan, func(id uint64, deadline eventloop.Micros) any {
-		return gateway.HandIn{Errand: id, Lane: lane, Client: who, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
+		return gateway.HandIn{Request: id, Lane: lane, Client: who, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
 	})
 }
 
@@ -327,7 +327,7 @@
 		fault(ctx, 422, "bad_name", "lower-case letters, digits, '.', '_' and '-', at most 63", "rack")
 	default:
 		s.run(ctx, pollSpan, func(id uint64, deadline eventloop.Micros) any {
-			return gateway.PollIn{Errand: id, Worker: worker, Announce: announce, Deadline: deadline}
+			return gateway.PollIn{Request: id, Worker: worker, Announce: announce, Deadline: deadline}
 		})
 	}
 }
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -95,7 +95,7 @@
 			return "agent"
 		}
 		return "intake"
-	case *schema.ErrandReply, *schema.CharterTell:
+	case *schema.RequestReply, *schema.CharterTell:
 		if role == schema.Role_ROLE_HEED {
 			return "heed"
 		}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -266,19 +266,19 @@
 
 func (o *outside) Tell(table string, body any) { o.process.Tell(table, body) }
 
-func (o *outside) Answer(errand uint64, body any) {
+func (o *outside) Answer(request uint64, body any) {
 	o.mu.Lock()
-	waiter := o.waiting[errand]
-	delete(o.waiting, errand)
+	waiter := o.waiting[request]
+	delete(o.waiting, request)
 	o.mu.Unlock()
 	if waiter != nil {
 		waiter <- body
 	}
 }
 
-// Run gives an errand to a table and waits for its answer; nil when the span
+// Run gives a request to a table and waits for its answer; nil when the span
 // is over.
-func (r *Real) Run(ctx context.Context, table string, span eventloop.Micros, make_ func(errand uint64, deadline eventloop.Micros) any) any {
+func (r *Real) Run(ctx context.Context, table string, span eventloop.Micros, make_ func(request uint64, deadline eventloop.Micros) any) any {
 	id := r.next.Add(1)
 	waiter := make(chan any, 1)
 	r.mu.Lock()
@@ -300,7 +300,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	r.process.Post(table, eventloop.Mail{Body: gateway.Forget{Errand: id}})
+	r.process.Post(table, eventloop.Mail{Body: gateway.Forget{Request: id}})
 	return nil
 }
 
@@ -332,7 +332,7 @@
 	if r.store == nil {
 		return false
 	}
-	belief, _ := r.Run(ctx, "keep", eventloop.Second, func(errand uint64, _ eventloop.Micros) any { return replica.Belief{Errand: errand} }).(*replica.NodeBelief)
+	belief, _ := r.Run(ctx, "keep", eventloop.Second, func(request uint64, _ eventloop.Micros) any { return replica.Belief{Request: request} }).(*replica.NodeBelief)
 	if belief == nil {
 		return false
 	}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -84,7 +84,7 @@
 	Changes []*schema.Change
 	Restore *schema.Checkpoint // replaces the machine before Commits
 	Commits []*schema.Record
-	Reads   []uint64 // errands that may now be read
+	Reads   []uint64 // requests that may now be read
 }
 
 type progress struct {
@@ -105,7 +105,7 @@
 }
 
 type read struct {
-	errand, index, round uint64
+	request, index, round uint64
 }
 
 // Group is one replica of one group.
@@ -649,12 +649,12 @@
 	return nil
 }
 
-// Read asks that an errand be answered from a state no older than now.
-func (g *Group) Read(now eventloop.Micros, errand uint64) error {
+// Read asks that a request be answered from a state no older than now.
+func (g *Group) Read(now eventloop.Micros, request uint64) error {
 	if g.role != leader || g.commit < g.first {
 		return NotLeader.New("%s is led by %q", g.name, g.lead)
 	}
-	g.reads = append(g.reads, read{errand: errand, index: g.commit, round: g.round + 1})
+	g.reads = append(g.reads, read{request: request, index: g.commit, round: g.round + 1})
 	return nil
 }
 
@@ -1035,7 +1035,7 @@
 	}
 	k := 0
 	for ; k < len(g.reads) && g.reads[k].round <= round; k++ {
-		g.out.Reads = append(g.out.Reads, g.reads[k].errand)
+		g.out.Reads = append(g.out.Reads, g.reads[k].request)
 	}
 	g.reads = g.reads[k:]
 }
--- a/internal/replica/errand.go
+++ b/internal/replica/errand.go
@@ -16,15 +16,15 @@
 	"sparnotch/internal/schema"
 )
 
-// --- errands: whatever a front does for somebody besides hand-ins ---
+// --- requests: whatever a front does for somebody besides hand-ins ---
 
-func (t *Table) errand(now eventloop.Micros, from string, m *schema.Errand, out eventloop.Out) {
+func (t *Table) request(now eventloop.Micros, from string, m *schema.Request, out eventloop.Out) {
 	r := t.groupFor(m)
 	if r == nil || !r.group.IsLeader() || r.group.Passing() != "" {
-		out.Send(from, &schema.ErrandReply{Id: m.Id, Group: m.Group, Leader: leaderOf(r)})
+		out.Send(from, &schema.RequestReply{Id: m.Id, Group: m.Group, Leader: leaderOf(r)})
 		return
 	}
-	asked := waiter{term: r.group.Term(), from: from, errand: m}
+	asked := waiter{term: r.group.Term(), from: from, request: m}
 	switch m.Kind {
 	case "status", "list", "counts", "plan", "history":
 		t.reads++
@@ -41,11 +41,11 @@
 			r.waiting[index] = asked
 		}
 	default:
-		t.reply(asked, 400, faultBody("bad_errand", "no such errand: "+m.Kind), r.group, out)
+		t.reply(asked, 400, faultBody("bad_request", "no such request: "+m.Kind), r.group, out)
 	}
 }
 
-func (t *Table) groupFor(m *schema.Errand) *replica {
+func (t *Table) groupFor(m *schema.Request) *replica {
 	if m.Group == clusterstate.Group {
 		return t.groups[clusterstate.Group]
 	}
@@ -61,7 +61,7 @@
 		return
 	}
 	delete(r.reading, number)
-	m := asked.errand
+	m := asked.request
 	switch m.Kind {
 	case "status":
 		view, isFound := r.lane.View(m.Name)
@@ -87,7 +87,7 @@
 }
 
 func (t *Table) reply(asked waiter, code int32, body []byte, group *raft.Group, out eventloop.Out) {
-	out.Send(asked.from, &schema.ErrandReply{Id: asked.errand.Id, Code: code, Body: body, Leader: t.id, Group: asked.errand.Group})
+	out.Send(asked.from, &schema.RequestReply{Id: asked.request.Id, Code: code, Body: body, Leader: t.id, Group: asked.request.Group})
 }
 
 func (t *Table) answerCharter(asked waiter, result *clusterstate.Result, r *replica, out eventloop.Out) {
@@ -254,7 +254,7 @@
 	return belief
 }
 
-// CharterBody encodes a charter command for an errand.
+// CharterBody encodes a charter command for a request.
 func CharterBody(command *schema.CharterCommand) []byte {
 	data, err := proto.Marshal(command)
 	if err != nil {
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -122,24 +122,24 @@
 	return ""
 }
 
-// ask has the charter's leader do an errand, and gives what it says.
-func (c *core) ask(kind string, command *schema.CharterCommand) *schema.ErrandReply {
-	errand := &schema.Errand{Id: 1, Kind: kind, Group: clusterstate.Group}
+// ask has the charter's leader do a request, and gives what it says.
+func (c *core) ask(kind string, command *schema.CharterCommand) *schema.RequestReply {
+	request := &schema.Request{Id: 1, Kind: kind, Group: clusterstate.Group}
 	if command != nil {
-		errand.Body = CharterBody(command)
+		request.Body = CharterBody(command)
 	}
 	c.heard["h"] = nil
-	c.step(c.leader(""), "h", errand)
+	c.step(c.leader(""), "h", request)
 	c.run(20 * eventloop.Milli)
 	for _, each := range c.heard["h"] {
-		if reply, isReply := each.(*schema.ErrandReply); isReply {
+		if reply, isReply := each.(*schema.RequestReply); isReply {
 			return reply
 		}
 	}
 	return nil
 }
 
-func (c *core) put(sheet *schema.Sheet) *schema.ErrandReply {
+func (c *core) put(sheet *schema.Sheet) *schema.RequestReply {
 	return c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -85,13 +85,13 @@
 type Warned struct{}
 
 // Belief asks what this node believes.
-type Belief struct{ Errand uint64 }
+type Belief struct{ Request uint64 }
 
 type waiter struct {
-	term   uint64
-	from   string // process that asked; empty: this one
-	errand *schema.Errand
-	end    *schema.End
+	term    uint64
+	from    string // process that asked; empty: this one
+	request *schema.Request
+	end     *schema.End
 }
 
 type replica struct {
@@ -258,8 +258,8 @@
 		t.submit(now, mail.From, body, out)
 	case *schema.Quit:
 		t.quit(now, body)
-	case *schema.Errand:
-		t.errand(now, mail.From, body, out)
+	case *schema.Request:
+		t.request(now, mail.From, body, out)
 	case *schema.End:
 		t.end(now, mail.From, body, out)
 	case Ended:
@@ -275,7 +275,7 @@
 	case *schema.CharterAsk:
 		t.tellCharter(now, mail.From, body, out)
 	case Belief:
-		out.Answer(body.Errand, t.belief(now))
+		out.Answer(body.Request, t.belief(now))
 	case Warned:
 		t.isWarned = true
 	}
@@ -894,7 +894,7 @@
 	if isWaited && waiting.end != nil {
 		t.endNoted(waiting.from, waiting.end, out)
 	}
-	if isWaited && waiting.errand != nil {
+	if isWaited && waiting.request != nil {
 		t.reply(waiting, effects.Code, viewOrFault(effects.View), r.group, out)
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -279,7 +279,7 @@
 
 // Why asks for the reason of a task's placement.
 type Why struct {
-	Errand uint64
+	Request uint64
 }
 
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
@@ -300,7 +300,7 @@
 	case *schema.EndReply:
 		t.noted(body)
 	case Why:
-		out.Answer(body.Errand, t.placements(now))
+		out.Answer(body.Request, t.placements(now))
 	}
 	if t.isDirty && now >= t.passAt {
 		t.isDirty = false
--- a/internal/sim/called.go
+++ b/internal/sim/called.go
@@ -435,8 +435,8 @@
 	told := checker.Event{
 		Kind: checker.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: sheet.BaseEdition, Rows: sheet.Rows, Document: string(sheet.Document),
 	}
-	w.Ask(front, 4*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
-		return gateway.Ask{Errand: errand, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
+	w.Ask(front, 4*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Request: request, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
 			&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
--- a/internal/sim/lanes_test.go
+++ b/internal/sim/lanes_test.go
@@ -45,8 +45,8 @@
 			lane := fmt.Sprintf("new%d", k)
 			var try func()
 			try = func() {
-				f.Ask(front, 8*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
-					return gateway.Ask{Errand: errand, Kind: "list", Group: lane, Most: 1, Deadline: deadline}
+				f.Ask(front, 8*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
+					return gateway.Ask{Request: request, Kind: "list", Group: lane, Most: 1, Deadline: deadline}
 				}, func(answer any) {
 					if reply, _ := answer.(gateway.Answer); reply.Code != 200 {
 						f.After(10*eventloop.Milli, try)
--- a/internal/sim/people.go
+++ b/internal/sim/people.go
@@ -151,8 +151,8 @@
 		w.After(1200*eventloop.Milli, func() { back(nil) })
 		return
 	}
-	w.Ask(k.front, 1200*eventloop.Milli, func(errand uint64, deadline eventloop.Micros) any {
-		return gateway.PollIn{Errand: errand, Worker: k.name, Announce: a, Deadline: deadline}
+	w.Ask(k.front, 1200*eventloop.Milli, func(request uint64, deadline eventloop.Micros) any {
+		return gateway.PollIn{Request: request, Worker: k.name, Announce: a, Deadline: deadline}
 	}, func(answer any) {
 		if k.isCut {
 			answer = nil
@@ -166,7 +166,7 @@
 // watch asks every front each second whether it is ready, as the users'
 // platform does, and passes clients accordingly.
 func (w *World) watch(h *Host) {
-	w.Ask(h, eventloop.Second, func(errand uint64, _ eventloop.Micros) any { return gateway.Ready{Errand: errand} }, func(answer any) {
+	w.Ask(h, eventloop.Second, func(request uint64, _ eventloop.Micros) any { return gateway.Ready{Request: request} }, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
 		h.isReady = reply.Code == 200
 	})
@@ -266,9 +266,9 @@
 	if broken != nil && front == broken {
 		front = w.pickFront("")
 	}
-	w.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
+	w.Ask(front, 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
 		return gateway.HandIn{
-			Errand: errand, Lane: kind.Lane, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(kind.Job), Job: kind.Job, Deadline: deadline,
+			Request: request, Lane: kind.Lane, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(kind.Job), Job: kind.Job, Deadline: deadline,
 		}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
@@ -296,11 +296,11 @@
 	})
 }
 
-// ask sends an errand about a job through any ready front, and notes the answer.
+// ask sends a request about a job through any ready front, and notes the answer.
 func (w *World) ask(kind Kind, what, name string, back func(code int32, view *schema.JobView)) {
 	front, sent := w.pickFront(w.anyCell()), w.Now
-	w.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
-		return gateway.Ask{Errand: errand, Kind: what, Group: kind.Lane, Name: name, Deadline: deadline}
+	w.Ask(front, 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Request: request, Kind: what, Group: kind.Lane, Name: name, Deadline: deadline}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
 		view := &schema.JobView{}
@@ -351,8 +351,8 @@
 	}
 	w.After(every, func() { w.Lists(lane, every, until) })
 	front, sent := w.pickFront(w.anyCell()), w.Now
-	w.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
-		return gateway.Ask{Errand: errand, Kind: "list", Group: lane, Most: 200, Deadline: deadline}
+	w.Ask(front, 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Request: request, Kind: "list", Group: lane, Most: 200, Deadline: deadline}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
 		list := &schema.JobList{}
@@ -388,8 +388,8 @@
 		front, sent := w.pickFront(w.anyCell()), w.Now
 		w.Tell(checker.Event{Kind: checker.PlanSent, Who: who, Rows: rows})
 		told := checker.Event{Kind: checker.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: generation, Rows: rows}
-		w.Ask(front, 8*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
-			return gateway.Ask{Errand: errand, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
+		w.Ask(front, 8*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
+			return gateway.Ask{Request: request, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
 				&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 		}, func(answer any) {
 			reply, _ := answer.(gateway.Answer)
@@ -409,8 +409,8 @@
 // back; nil when it could not be read.
 func (w *World) readPlan(front *Host, back func(plan *schema.Plan)) {
 	sent := w.Now
-	w.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
-		return gateway.Ask{Errand: errand, Kind: "plan", Group: clusterstate.Group, Deadline: deadline}
+	w.Ask(front, 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Request: request, Kind: "plan", Group: clusterstate.Group, Deadline: deadline}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
 		plan := &schema.Plan{}
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -279,8 +279,8 @@
 	generation := uint64(change)
 	sheet := &schema.Sheet{Generation: &generation, Rows: r.planRows(change)}
 	sent := r.Now
-	r.Ask(r.anyFront(), 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
-		return gateway.Ask{Errand: errand, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
+	r.Ask(r.anyFront(), 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
+		return gateway.Ask{Request: request, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
 			&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
@@ -317,8 +317,8 @@
 		{Name: "s", Tasks: uint32(r.setup.Width), CoresMilli: 10, MemoryMb: 1, Together: r.setup.Together},
 	}}
 	front := r.anyFront()
-	r.Ask(front, 3*eventloop.Second, func(errand uint64, deadline eventloop.Micros) any {
-		return gateway.HandIn{Errand: errand, Lane: lane, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
+	r.Ask(front, 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
+		return gateway.HandIn{Request: request, Lane: lane, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
 	}, func(answer any) {
 		if reply, _ := answer.(gateway.Answer); reply.Code != 200 && reply.Code != 201 {
 			r.After(200*eventloop.Milli, func() { r.handInHollow(lane, name) })
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -77,7 +77,7 @@
 	seq      uint64
 	cuts     map[[2]string]bool // from address, to address
 	nextId   uint64
-	errand   uint64
+	request  uint64
 	seeds    []string
 	Damaged  []string // what opening a damaged store said
 	second   eventloop.Micros
@@ -123,7 +123,7 @@
 	isReady   bool // by the platform's last look
 	isWatched bool
 	canServe  bool // as told in the history
-	isLeaving bool // takes no new errands
+	isLeaving bool // takes no new requests
 	backlog   []func()
 	ticking   map[string]bool
 	tables    map[string]eventloop.Table
@@ -360,7 +360,7 @@
 			h.step(each.table, eventloop.Mail{Body: each.body})
 		}
 	}
-	// Open errands are finished, new ones not taken.
+	// Open requests are finished, new ones not taken.
 	h.isLeaving = true
 	h.world.reckon()
 	until := h.world.Now + span
@@ -510,9 +510,9 @@
 	}
 }
 
-func (o *outlet) Answer(errand uint64, body any) {
-	if answer := o.host.waiting[errand]; answer != nil {
-		delete(o.host.waiting, errand)
+func (o *outlet) Answer(request uint64, body any) {
+	if answer := o.host.waiting[request]; answer != nil {
+		delete(o.host.waiting, request)
 		answer(body)
 	}
 }
@@ -617,11 +617,11 @@
 
 // --- what stands outside: HTTP in virtual time ---
 
-// Ask gives an errand to a front's intake and calls back with the answer, nil
+// Ask gives a request to a front's intake and calls back with the answer, nil
 // for a connection that broke, or none in time.
-func (w *World) Ask(h *Host, span eventloop.Micros, mail func(errand uint64, deadline eventloop.Micros) any, back func(any)) {
-	w.errand++
-	id := w.errand
+func (w *World) Ask(h *Host, span eventloop.Micros, mail func(request uint64, deadline eventloop.Micros) any, back func(any)) {
+	w.request++
+	id := w.request
 	isDone := false
 	finish := func(answer any) {
 		if !isDone {
@@ -640,7 +640,7 @@
 		w.After(span, func() {
 			if !isDone && h.run == run && h.waiting[id] != nil {
 				delete(h.waiting, id)
-				h.mail("intake", eventloop.Mail{Body: gateway.Forget{Errand: id}})
+				h.mail("intake", eventloop.Mail{Body: gateway.Forget{Request: id}})
 			}
 		})
 	})
@@ -681,7 +681,7 @@
 		return nil
 	}
 	var belief *replica.NodeBelief
-	table.Step(h.now(), eventloop.Mail{Body: replica.Belief{Errand: 1}}, &grab{outlet{h}, func(body any) { belief, _ = body.(*replica.NodeBelief) }})
+	table.Step(h.now(), eventloop.Mail{Body: replica.Belief{Request: 1}}, &grab{outlet{h}, func(body any) { belief, _ = body.(*replica.NodeBelief) }})
 	return belief
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -53,7 +53,7 @@
 func init() {
 	for _, body := range []any{
 		&schema.Hello{}, &schema.Vote{}, &schema.VoteReply{}, &schema.Append{}, &schema.AppendReply{}, &schema.Install{},
-		&schema.Beats{}, &schema.Urge{}, &schema.Submit{}, &schema.Applied{}, &schema.Errand{}, &schema.ErrandReply{},
+		&schema.Beats{}, &schema.Urge{}, &schema.Submit{}, &schema.Applied{}, &schema.Request{}, &schema.RequestReply{},
 		&schema.Poll{}, &schema.PollReply{}, &schema.End{}, &schema.EndReply{}, &schema.CharterAsk{}, &schema.CharterTell{},
 		&schema.Reroster{}, &schema.Quit{},
 	} {
