--- a/cmd/keep/main.go
+++ b/cmd/keep/main.go
@@ -1,4 +1,4 @@
-// Command keep is the front daemon: intake everywhere; with a data folder also
+// Command keep is the front daemon: gateway everywhere; with a data folder also
 // replicas of the lanes and the placer.
 package main
 
--- a/cmd/tell/folder_test.go
+++ b/cmd/tell/folder_test.go
@@ -41,7 +41,7 @@
 	pick := &schema.LaneCommand{Body: &schema.LaneCommand_Checkout{Checkout: &schema.Checkout{Picks: []*schema.Pick{{Key: key, Worker: "w1", Incarnation: 1}}}}}
 	commands := []*schema.LaneCommand{
 		{Body: &schema.LaneCommand_Enqueue{Enqueue: &schema.Enqueue{
-			Session: &schema.Session{Intake: "f", Boot: 1, Client: "c"}, Number: 1, Lowest: 1, Name: "first", Digest: []byte("d"),
+			Session: &schema.Session{Gateway: "f", Boot: 1, Client: "c"}, Number: 1, Lowest: 1, Name: "first", Digest: []byte("d"),
 			Job: &schema.Job{Text: "x", Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1, AllowedFailures: 1}}},
 		}}},
 		pick,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -687,7 +687,7 @@
 
 // --- loop: sessions ---
 
-// sessions ends those of intakes that have been gone longer than the plan lets
+// sessions ends those of gateway that have been gone longer than the plan lets
 // them linger.
 func (t *Table) sessions(now eventloop.Micros, out eventloop.Out) {
 	linger := eventloop.Micros(t.values.Fleet("linger_s")) * eventloop.Second
@@ -696,15 +696,15 @@
 		note := notes[group]
 		var over []*schema.Gone
 		for _, boot := range note.Boots {
-			key := "intake/" + boot.Intake
-			known, isKnown := t.roll.Known[boot.Intake]
+			key := "gateway/" + boot.Gateway
+			known, isKnown := t.roll.Known[boot.Gateway]
 			isNewer := isKnown && known.Member.Boot != boot.Boot&(1<<32-1)
 			if isKnown && !isNewer && now-known.Heard < deadSpan {
 				delete(t.gone, key)
 				continue
 			}
 			if isNewer || t.lostFor(now, key) > linger {
-				over = append(over, &schema.Gone{Intake: boot.Intake, Boot: boot.Boot})
+				over = append(over, &schema.Gone{Gateway: boot.Gateway, Boot: boot.Boot})
 			}
 		}
 		if len(over) > 0 && t.may(now, "sessions/"+note.Lane, eventloop.Second) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,7 +133,7 @@
 
 type laneStore struct{ lane, store string }
 
-// Table is the intake's table.
+// Table is the gateway's table.
 type Table struct {
 	id         string
 	boot       uint64
@@ -430,7 +430,7 @@
 		t.epoch++
 		s = &session{
 			lane: m.Lane, next: 1,
-			id: &schema.Session{Intake: t.id, Boot: t.boot, Client: m.Client + "~" + strconv.FormatUint(t.epoch, 10)},
+			id: &schema.Session{Gateway: t.id, Boot: t.boot, Client: m.Client + "~" + strconv.FormatUint(t.epoch, 10)},
 		}
 		t.sessions[laneClient{m.Lane, m.Client}] = s
 		t.byId[s.lane+"/"+s.id.Client] = s
@@ -742,7 +742,7 @@
 		}
 	}
 	for _, lane := range sorted(lanes) {
-		out.Send(t.leader(now, lane), &schema.Quit{Lane: lane, Boots: []*schema.Gone{{Intake: t.id, Boot: t.boot}}})
+		out.Send(t.leader(now, lane), &schema.Quit{Lane: lane, Boots: []*schema.Gone{{Gateway: t.id, Boot: t.boot}}})
 	}
 	t.sessions, t.byId, t.pending = map[laneClient]*session{}, map[string]*session{}, 0
 	t.laneHas, t.asked = map[string]int{}, map[uint64]*submission{}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,7 +15,7 @@
 	"sparnotch/internal/schema"
 )
 
-// desk drives an intake by hand.
+// desk drives a gateway by hand.
 type desk struct {
 	t       *Table
 	now     eventloop.Micros
--- a/internal/gateway/validate.go
+++ b/internal/gateway/validate.go
@@ -155,7 +155,7 @@
 func marshal(m proto.Message) []byte {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
-		panic("intake: " + err.Error())
+		panic("gateway: " + err.Error())
 	}
 	return data
 }
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -144,7 +144,7 @@
 }
 
 func (s *Server) run(ctx iris.Context, span eventloop.Micros, mail func(id uint64, deadline eventloop.Micros) any) {
-	answer, isAnswered := s.real.Run(ctx.Request().Context(), "intake", span, mail).(gateway.Answer)
+	answer, isAnswered := s.real.Run(ctx.Request().Context(), "gateway", span, mail).(gateway.Answer)
 	if !isAnswered {
 		answer = gateway.Answer{Code: 504, Retry: 1, Body: gateway.Fault("unknown", "no answer in time: whether this took effect is not known; send it again", "")}
 	}
--- a/internal/mutation/mutants.go
+++ b/internal/mutation/mutants.go
@@ -14,7 +14,7 @@
 	{Guard: "ended jobs are kept", Rule: 1, Scenario: "calm", Seed: 1, Edits: []Edit{{"internal/queue", "	m.ended[j.name] = ended\n", ""}}},
 	{Guard: "an ended job is kept for its time", Rule: 1, Scenario: "calm", Seed: 1, Edits: []Edit{{"internal/queue", "m.fading[0].EndedUs+m.adopt.StatusUs <= m.now", "m.fading[0].EndedUs+5_000_000 <= m.now"}}},
 	{Guard: "one name is one job", Rule: 2, Scenario: "core split each way", Seed: 1, Edits: []Edit{{"internal/queue", "	if code := m.answerKnown(e, 201); code != 201 {", "	if code := m.answerKnown(e, 201); false {"}}},
-	{Guard: "an intake that was given up can't come back", Rule: 2, Test: "internal/queue TestSessions", Edits: []Edit{{"internal/queue", "isGone := m.gone[bootKey{key.intake, key.boot}]; isGone {", "isGone := m.gone[bootKey{key.intake, key.boot}]; isGone && false {"}}},
+	{Guard: "a gateway that was given up can't come back", Rule: 2, Test: "internal/queue TestSessions", Edits: []Edit{{"internal/queue", "isGone := m.gone[bootKey{key.gateway, key.boot}]; isGone {", "isGone := m.gone[bootKey{key.gateway, key.boot}]; isGone && false {"}}},
 	{Guard: "a report names its attempt", Rule: 9, Test: "internal/queue TestAttempts", Edits: []Edit{
 		{"internal/queue", "	// A report on another attempt than the one that is out changes nothing.\n	if each.state != schema.TaskState_TASK_OUT || each.attempt != c.Attempt {", "	if each.state != schema.TaskState_TASK_OUT {"}}},
 	{Guard: "a silent worker's tasks wait for its licence", Rule: 2, Test: "internal/scheduler TestLostOnlyAfterTheLicence", Edits: []Edit{{"internal/scheduler", "now-last > licence &&", "now-last > 0*licence &&"}}},
@@ -52,7 +52,7 @@
 	{Guard: "a rack's weight counts", Rule: 11, Scenario: "the table takes effect", Seed: 1, Edits: []Edit{{"internal/scheduler", "!clusterstate.GoodName(w.rack) || weight == 0 {", "!clusterstate.GoodName(w.rack) {"}}},
 	{Guard: "a lane's limit counts", Rule: 11, Scenario: "the table takes effect", Seed: 2, Edits: []Edit{{"internal/scheduler", "left := int(v.running) - v.out - len(v.reserved)", "left := 1 << 30"}}},
 	{Guard: "wards follow the keeper", Rule: 12, Scenario: "keeper frozen 30 s", Seed: 1, Edits: []Edit{{"internal/controller", "if ward.Placer != sturdy {", "if ward.Placer == \"\" {"}}},
-	{Guard: "intake resends", Rule: 12, Scenario: "rough net", Seed: 1, Edits: []Edit{{"internal/gateway", "return now-each.sent >= resendSpan }", "return false }"}}},
+	{Guard: "gateway resends", Rule: 12, Scenario: "rough net", Seed: 1, Edits: []Edit{{"internal/gateway", "return now-each.sent >= resendSpan }", "return false }"}}},
 	{Guard: "a lost voter's place is given to another", Rule: 0, Scenario: "disk machine replaced", Seed: 1, Edits: []Edit{{"internal/controller", "	t.members(now, out)\n", ""}}},
 	{Guard: "a licence that isn't renewed is claimed", Rule: 0, Scenario: "keeper, steward and worker lost at once", Seed: 1, Edits: []Edit{{"internal/controller", "isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LicenceUs)", "isVacant := t.until == 0"}}},
 	// What workers that are called rest on.
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -50,7 +50,7 @@
 // Keep makes a front process's tables.
 func Keep(p *Papers) []Berth {
 	var account *schema.Self
-	readers := []string{"intake"}
+	readers := []string{"gateway"}
 	if p.Store != nil {
 		account = p.Store.Self
 		readers = append(readers, "keep")
@@ -58,7 +58,7 @@
 	member := p.Member
 	berths := []Berth{
 		{"kin", membership.New(proto.Clone(member).(*schema.Member), p.terms(false), account, p.Book, readers, p.rng(1)), membership.Pace},
-		{"intake", gateway.New(member.Id, member.Boot, p.Store != nil, p.rng(2)), gateway.Pace},
+		{"gateway", gateway.New(member.Id, member.Boot, p.Store != nil, p.rng(2)), gateway.Pace},
 	}
 	if p.Store != nil {
 		berths = append(berths,
@@ -89,17 +89,17 @@
 	case *schema.Hello:
 		return "kin"
 	case *schema.Applied:
-		return "intake"
+		return "gateway"
 	case *schema.PollReply:
 		if role == schema.Role_ROLE_HEED {
 			return "agent"
 		}
-		return "intake"
+		return "gateway"
 	case *schema.RequestReply, *schema.CharterTell:
 		if role == schema.Role_ROLE_HEED {
 			return "heed"
 		}
-		return "intake"
+		return "gateway"
 	case *schema.Poll, *schema.EndReply:
 		return "placer"
 	}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -322,7 +322,7 @@
 
 // Warn tells every table that this process is to leave.
 func (r *Real) Warn() {
-	r.process.Post("intake", eventloop.Mail{Body: gateway.Warned{}})
+	r.process.Post("gateway", eventloop.Mail{Body: gateway.Warned{}})
 	r.process.Post("kin", eventloop.Mail{Body: membership.Leaving{}})
 	r.process.Post("keep", eventloop.Mail{Body: replica.Warned{}})
 }
--- a/internal/queue/machine.go
+++ b/internal/queue/machine.go
@@ -66,14 +66,14 @@
 }
 
 type sessionKey struct {
-	intake string
-	boot   uint64
-	client string
+	gateway string
+	boot    uint64
+	client  string
 }
 
 type bootKey struct {
-	intake string
-	boot   uint64
+	gateway string
+	boot    uint64
 }
 
 type session struct {
@@ -158,7 +158,7 @@
 	fading   []*schema.EndedRest // ended jobs, oldest first
 	sessions map[sessionKey]*session
 	held     int               // submissions held in sessions
-	gone     map[bootKey]int64 // intakes given up, and when
+	gone     map[bootKey]int64 // gateway given up, and when
 	cached   []cachedState
 	cachedAt uint64
 	index    uint64
@@ -210,17 +210,17 @@
 	return next.dueUs(), true
 }
 
-// Boots lists the intakes that hold sessions here.
+// Boots lists the gateway that hold sessions here.
 func (m *Machine) Boots() []*schema.Session {
 	var list []*schema.Session
 	for _, key := range m.sessionKeys() {
-		list = append(list, &schema.Session{Intake: key.intake, Boot: key.boot, Client: key.client})
+		list = append(list, &schema.Session{Gateway: key.gateway, Boot: key.boot, Client: key.client})
 	}
 	return list
 }
 
 func keyOf(s *schema.Session) sessionKey {
-	return sessionKey{s.GetIntake(), s.GetBoot(), s.GetClient()}
+	return sessionKey{s.GetGateway(), s.GetBoot(), s.GetClient()}
 }
 
 // Apply takes one record's command. `at` is the group's time in the record.
@@ -313,7 +313,7 @@
 
 func (m *Machine) enqueue(index uint64, e *schema.Enqueue) {
 	key := keyOf(e.Session)
-	if _, isGone := m.gone[bootKey{key.intake, key.boot}]; isGone {
+	if _, isGone := m.gone[bootKey{key.gateway, key.boot}]; isGone {
 		// It was given up as dead, and its callers have long gone elsewhere:
 		// what it still has in hand may have run and been forgotten.
 		m.effects.Outcomes = append(m.effects.Outcomes, &schema.Outcome{Session: e.Session, Number: e.Number, Code: 410})
@@ -354,11 +354,11 @@
 		m.forget(keyOf(quit))
 	}
 	for _, boot := range c.Boots {
-		m.gone[bootKey{boot.Intake, boot.Boot}] = m.now
+		m.gone[bootKey{boot.Gateway, boot.Boot}] = m.now
 		for key := range m.sessions {
 			// Held submissions were never confirmed, and nobody is left who
 			// could fill the gap below them.
-			if key.intake == boot.Intake && key.boot == boot.Boot {
+			if key.gateway == boot.Gateway && key.boot == boot.Boot {
 				m.forget(key)
 			}
 		}
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -49,7 +49,7 @@
 }
 
 func who(client string) *schema.Session {
-	return &schema.Session{Intake: "i", Boot: 1, Client: client}
+	return &schema.Session{Gateway: "i", Boot: 1, Client: client}
 }
 
 func simple(tasks uint32) *schema.Job {
@@ -195,9 +195,9 @@
 			So(b.enqueue("d", 2, "two", simple(1)).Outcomes[0].Code, ShouldEqual, 200)
 			So(b.m.Live(), ShouldEqual, 3)
 		})
-		Convey("an intake that was given up can't come back and run what was forgotten", func() {
+		Convey("a gateway that was given up can't come back and run what was forgotten", func() {
 			b.enqueue("c", 9, "late", simple(1))
-			b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Down{Down: &schema.Down{Boots: []*schema.Gone{{Intake: "i", Boot: 1}}}}})
+			b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Down{Down: &schema.Down{Boots: []*schema.Gone{{Gateway: "i", Boot: 1}}}}})
 			So(b.enqueue("c", 4, "four", simple(1)).Outcomes[0].Code, ShouldEqual, 410)
 			So(b.state("four"), ShouldEqual, "unknown")
 			So(b.state("late"), ShouldEqual, "unknown")
--- a/internal/queue/rest.go
+++ b/internal/queue/rest.go
@@ -86,8 +86,8 @@
 	}
 	sort.Slice(keys, func(a, b int) bool {
 		x, y := keys[a], keys[b]
-		if x.intake != y.intake {
-			return x.intake < y.intake
+		if x.gateway != y.gateway {
+			return x.gateway < y.gateway
 		}
 		if x.boot != y.boot {
 			return x.boot < y.boot
@@ -128,7 +128,7 @@
 	}
 	for _, key := range m.sessionKeys() {
 		s := m.sessions[key]
-		sr := &schema.SessionRest{Session: &schema.Session{Intake: key.intake, Boot: key.boot, Client: key.client}, Next: s.next}
+		sr := &schema.SessionRest{Session: &schema.Session{Gateway: key.gateway, Boot: key.boot, Client: key.client}, Next: s.next}
 		for _, number := range heldNumbers(s) {
 			held := s.held[number]
 			if isDry {
@@ -142,11 +142,11 @@
 		rest.Sessions = append(rest.Sessions, sr)
 	}
 	for key, at := range m.gone {
-		rest.Gone = append(rest.Gone, &schema.Gone{Intake: key.intake, Boot: key.boot, AtUs: at})
+		rest.Gone = append(rest.Gone, &schema.Gone{Gateway: key.gateway, Boot: key.boot, AtUs: at})
 	}
 	sort.Slice(rest.Gone, func(a, b int) bool {
 		x, y := rest.Gone[a], rest.Gone[b]
-		return x.Intake < y.Intake || x.Intake == y.Intake && x.Boot < y.Boot
+		return x.Gateway < y.Gateway || x.Gateway == y.Gateway && x.Boot < y.Boot
 	})
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(rest)
 	if err != nil {
@@ -198,7 +198,7 @@
 		m.fading = append(m.fading, ended)
 	}
 	for _, gone := range rest.Gone {
-		m.gone[bootKey{gone.Intake, gone.Boot}] = gone.AtUs
+		m.gone[bootKey{gone.Gateway, gone.Boot}] = gone.AtUs
 	}
 	for _, sr := range rest.Sessions {
 		s := &session{next: sr.Next, held: map[uint64]*schema.HeldRest{}}
--- a/internal/replica/confirm_test.go
+++ b/internal/replica/confirm_test.go
@@ -22,7 +22,7 @@
 			job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
 			c.heard["f"] = nil
 			c.step(keeper, "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
-				Session: &schema.Session{Intake: "f", Boot: 1, Client: "c"}, Number: number, Lowest: number, Name: "j" + string(rune('0'+number)), Job: job,
+				Session: &schema.Session{Gateway: "f", Boot: 1, Client: "c"}, Number: number, Lowest: number, Name: "j" + string(rune('0'+number)), Job: job,
 			}}})
 			c.run(200 * eventloop.Milli)
 			for _, each := range c.heard["f"] {
--- a/internal/replica/errand.go
+++ b/internal/replica/errand.go
@@ -178,10 +178,10 @@
 		note.Live, note.Kept, note.Ended = uint32(r.lane.Live()), uint32(r.lane.Kept()), r.lane.Ended()
 		seen := map[string]bool{}
 		for _, session := range r.lane.Boots() {
-			key := session.Intake + "/" + strconv.FormatUint(session.Boot, 10)
+			key := session.Gateway + "/" + strconv.FormatUint(session.Boot, 10)
 			if !seen[key] {
 				seen[key] = true
-				note.Boots = append(note.Boots, &schema.Gone{Intake: session.Intake, Boot: session.Boot})
+				note.Boots = append(note.Boots, &schema.Gone{Gateway: session.Gateway, Boot: session.Boot})
 			}
 		}
 	}
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -212,7 +212,7 @@
 		c.run(10 * eventloop.Milli)
 		tells := append([]any{}, c.heard["f"]...)
 		for _, id := range stores {
-			tells = append(tells, c.heard[id+"/intake"]...)
+			tells = append(tells, c.heard[id+"/gateway"]...)
 		}
 		count := 0
 		for _, each := range tells {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -148,7 +148,7 @@
 	began    eventloop.Micros // when the write that is out was handed over
 	reads    uint64
 	isWarned bool
-	applied  map[string]*schema.Applied // by intake, of this step
+	applied  map[string]*schema.Applied // by gateway, of this step
 }
 
 // New makes the table from a store's content.
@@ -579,7 +579,7 @@
 		out.Send(from, &schema.Applied{Lane: m.Lane, Leader: leaderOf(r)})
 		return
 	}
-	// What finds no place is resent by its intake, which has numbered it.
+	// What finds no place is resent by its gateway, which has numbered it.
 	if t.isFull(r) {
 		return
 	}
@@ -805,7 +805,7 @@
 	for _, id := range ids {
 		applied := t.applied[id]
 		delete(t.applied, id)
-		out.Send(applied.Outcomes[0].Session.Intake, applied)
+		out.Send(applied.Outcomes[0].Session.Gateway, applied)
 	}
 }
 
@@ -882,7 +882,7 @@
 		return
 	}
 	for _, outcome := range effects.Outcomes {
-		key := outcome.Session.Intake + "/" + r.name
+		key := outcome.Session.Gateway + "/" + r.name
 		if t.applied[key] == nil {
 			t.applied[key] = &schema.Applied{Lane: r.name, Leader: t.id}
 		}
@@ -941,7 +941,7 @@
 	}
 	old := t.state
 	t.setState(t.charter.Copy())
-	for _, table := range []string{"intake", "placer"} {
+	for _, table := range []string{"gateway", "placer"} {
 		out.Tell(table, &schema.CharterTell{State: t.state, Version: t.state.Version})
 	}
 	out.Tell("kin", membership.Charter{Version: t.state.Version})
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -86,7 +86,7 @@
 		due := c.now + 8*eventloop.Second
 		job := &schema.Job{StartWallUs: c.day + int64(due), Rounds: 1, Steps: []*schema.Step{{Name: "s", Tasks: 1}}}
 		c.step("a", "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
-			Session: &schema.Session{Intake: "f", Boot: 1, Client: "c"}, Number: 1, Name: "j", Digest: []byte("d"), Job: job,
+			Session: &schema.Session{Gateway: "f", Boot: 1, Client: "c"}, Number: 1, Name: "j", Digest: []byte("d"), Job: job,
 		}}})
 		c.run(500 * eventloop.Milli)
 		// Nobody is left who could lead.
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -233,7 +233,7 @@
 			// Number 2 arrives, number 1 never will.
 			front := f.lean[len(f.lean)-1]
 			(&outlet{front}).Send(f.Keeper().Id, &schema.Submit{Lane: "quick", Enqueues: []*schema.Enqueue{{
-				Session: &schema.Session{Intake: front.Id, Boot: 1, Client: "stuck"}, Number: 2, Lowest: 1, Name: "stuck", Digest: []byte("x"), Job: Kinds()[0].Job,
+				Session: &schema.Session{Gateway: front.Id, Boot: 1, Client: "stuck"}, Number: 2, Lowest: 1, Name: "stuck", Digest: []byte("x"), Job: Kinds()[0].Job,
 			}}})
 			f.After(100*eventloop.Milli, func() {
 				f.Fault("%s killed", front.Name)
--- a/internal/sim/transport_test.go
+++ b/internal/sim/transport_test.go
@@ -112,7 +112,7 @@
 		h := s.world.AddHost([]string{"end0", "end1"}[k], "c1", schema.Role_ROLE_KEEP, false)
 		s.boxes[k] = &catcher{}
 		h.IsUp, h.Id = true, h.Name
-		h.tables = map[string]eventloop.Table{"keep": s.boxes[k], "intake": s.boxes[k]}
+		h.tables = map[string]eventloop.Table{"keep": s.boxes[k], "gateway": s.boxes[k]}
 		s.ends[k] = h
 	}
 	return s
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -355,7 +355,7 @@
 	for _, each := range []struct {
 		table string
 		body  any
-	}{{"intake", gateway.Warned{}}, {"kin", membership.Leaving{}}, {"keep", replica.Warned{}}} {
+	}{{"gateway", gateway.Warned{}}, {"kin", membership.Leaving{}}, {"keep", replica.Warned{}}} {
 		if h.tables[each.table] != nil {
 			h.step(each.table, eventloop.Mail{Body: each.body})
 		}
@@ -617,7 +617,7 @@
 
 // --- what stands outside: HTTP in virtual time ---
 
-// Ask gives a request to a front's intake and calls back with the answer, nil
+// Ask gives a request to a front's gateway and calls back with the answer, nil
 // for a connection that broke, or none in time.
 func (w *World) Ask(h *Host, span eventloop.Micros, mail func(request uint64, deadline eventloop.Micros) any, back func(any)) {
 	w.request++
@@ -636,11 +636,11 @@
 		}
 		run := h.run
 		h.waiting[id] = func(answer any) { w.After(w.outside(), func() { finish(answer) }) }
-		h.mail("intake", eventloop.Mail{Body: mail(id, h.now()+span)})
+		h.mail("gateway", eventloop.Mail{Body: mail(id, h.now()+span)})
 		w.After(span, func() {
 			if !isDone && h.run == run && h.waiting[id] != nil {
 				delete(h.waiting, id)
-				h.mail("intake", eventloop.Mail{Body: gateway.Forget{Request: id}})
+				h.mail("gateway", eventloop.Mail{Body: gateway.Forget{Request: id}})
 			}
 		})
 	})
