--- a/cmd/tell/nodes.go
+++ b/cmd/tell/nodes.go
@@ -97,7 +97,7 @@
 	say("plan generation", a.Generation, b.Generation)
 	say("charter fresh", a.Fresh, b.Fresh)
 	say("steward", a.Steward, b.Steward)
-	say("steward licence", a.Licence, b.Licence)
+	say("steward lease", a.Lease, b.Lease)
 	groups := map[string][2]*replica.GroupBelief{}
 	for k, belief := range []*replica.NodeBelief{a, b} {
 		for _, group := range belief.Groups {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,7 +26,7 @@
 	restMost    = 400 * eventloop.Milli // and the longest
 	startSpan   = 900 * eventloop.Milli // a start is tried for so long
 	againSpan   = 50 * eventloop.Milli  // between two tries of it, at least
-	lateSpan    = 50 * eventloop.Milli  // no start when the licence ends sooner
+	lateSpan    = 50 * eventloop.Milli  // no start when the lease ends sooner
 	youngSpan   = 10 * eventloop.Second // calls of this process's forerunner may still be carried out
 	callSpan    = 3 * eventloop.Second  // a call whose reply never came was silent
 	lookSpan    = eventloop.Second      // how long a look waits while something runs
@@ -39,7 +39,7 @@
 	listSpan    = 300 * eventloop.Milli // a worker that has seen a higher fence is left alone for so long
 	goneSpan    = 10 * eventloop.Second // the ends of a worker that has departed are told for so long
 	stopUsual   = 2 * eventloop.Second
-	holdUsual   = 4 * eventloop.Second // a licence, until one is heard of
+	holdUsual   = 4 * eventloop.Second // a lease, until one is heard of
 	holdShort   = 3 * eventloop.Second // a worker holds its work for so long at a time: a deaf one's is given out again then
 	holdSlack   = 20 * eventloop.Milli
 	listMost    = 500                   // ends in one look
@@ -150,8 +150,8 @@
 	after    uint64 // and from one later than this
 	fencedTo eventloop.Micros
 	metAt    eventloop.Micros
-	licence  eventloop.Micros // ends, by our clock
-	span     eventloop.Micros // that a licence lasts
+	lease    eventloop.Micros // ends, by our clock
+	span     eventloop.Micros // that a lease lasts
 	held     eventloop.Micros // what runs is held so long, as far as the worker has answered
 	heldOut  eventloop.Micros // by then, whatever we have sent, its hold is over
 	isLapsed bool             // it was deaf until then, so nothing runs there
@@ -348,12 +348,12 @@
 }
 
 // until is what a call holds the worker's work to, on the worker's clock: never
-// later than our licence, but for what that clock may run slow from here on. 0:
+// later than our lease, but for what that clock may run slow from here on. 0:
 // there is none to tell.
 func (t *Table) until(now eventloop.Micros, l *life) eventloop.Micros {
 	// Of a worker that seems deaf nobody knows whether it is held any longer, so
 	// that the end of its hold doesn't move away.
-	if l.clockAt == 0 || now >= l.licence || l.mutes > 0 {
+	if l.clockAt == 0 || now >= l.lease || l.mutes > 0 {
 		return 0
 	}
 	return l.clockBy(now) + t.couldHold(now, l) - now
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -24,7 +24,7 @@
 type ward struct {
 	id         string
 	generation uint64
-	licence    eventloop.Micros
+	lease      eventloop.Micros
 	noteAfter  eventloop.Micros // an end is noted so long after it was heard; below 0: never
 	isSilent   bool
 	isBehind   bool        // it orders what has ended and was noted, as it hasn't heard of that yet
@@ -38,11 +38,11 @@
 	pollUntil  eventloop.Micros
 	seq        uint64
 	refused    int
-	granted    eventloop.Micros // end of the licence as the ward must reckon it
+	granted    eventloop.Micros // end of the lease as the ward must reckon it
 }
 
 func newWard(id string, generation uint64) *ward {
-	return &ward{id: id, generation: generation, licence: 4 * eventloop.Second, heard: map[string]eventloop.Micros{}}
+	return &ward{id: id, generation: generation, lease: 4 * eventloop.Second, heard: map[string]eventloop.Micros{}}
 }
 
 func name(job string, round, part, task, attempt uint32) string {
@@ -240,7 +240,7 @@
 		return
 	}
 	a := w.poll.Announce
-	orders := &schema.Orders{Ward: w.generation, LicenceUs: int64(w.licence), Placer: w.id}
+	orders := &schema.Orders{Ward: w.generation, LeaseUs: int64(w.lease), Placer: w.id}
 	isRunning, hasEnded := map[string]bool{}, map[string]bool{}
 	for _, note := range a.Running {
 		isRunning[noteName(note)] = true
@@ -270,7 +270,7 @@
 	if w.loses != nil && w.loses() {
 		return
 	}
-	w.granted = b.sent[id] + w.licence
+	w.granted = b.sent[id] + w.lease
 	reply := &schema.PollReply{Id: id, Code: 200, Orders: orders, Placer: w.id}
 	b.after(b.takes(reply), func() { b.mail(w.id, reply) })
 }
@@ -350,20 +350,20 @@
 
 func TestHowLongAWorkerHolds(t *testing.T) {
 	for _, drift := range []float64{1, 0.98} {
-		Convey(fmt.Sprintf("The hold ends with the licence, whatever the worker's clock shows, drift %v", drift), t, func() {
+		Convey(fmt.Sprintf("The hold ends with the lease, whatever the worker's clock shows, drift %v", drift), t, func() {
 			b, w := usual(fakeworker.Setup{Drift: drift}, nil)
 			w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
 			b.run(5 * eventloop.Second)
 			So(b.worker.Running(), ShouldEqual, 1)
 			for k := 0; k < 1000; k++ {
 				b.run(7 * eventloop.Milli)
-				// A clock that runs slow ends the hold later by that much of a licence.
+				// A clock that runs slow ends the hold later by that much of a lease.
 				left := eventloop.Micros(float64(b.worker.HeldTo()-b.worker.Clock(b.now)) / drift)
-				So(b.now+left, ShouldBeLessThanOrEqualTo, w.granted+eventloop.Micros(float64(w.licence)*(1/drift-1))+2)
-				So(left, ShouldBeGreaterThan, w.licence/3)
+				So(b.now+left, ShouldBeLessThanOrEqualTo, w.granted+eventloop.Micros(float64(w.lease)*(1/drift-1))+2)
+				So(left, ShouldBeGreaterThan, w.lease/3)
 			}
 			w.isSilent = true
-			b.run(w.licence + w.licence/40)
+			b.run(w.lease + w.lease/40)
 			So(b.worker.Running(), ShouldEqual, 0)
 		})
 	}
@@ -373,9 +373,9 @@
 		b.run(2 * eventloop.Second)
 		w.isSilent, w.starts = true, nil
 		silentAt := b.now
-		b.run(w.licence)
+		b.run(w.lease)
 		So(b.worker.Running(), ShouldEqual, 0)
-		So(b.now, ShouldBeLessThanOrEqualTo, silentAt+w.licence)
+		So(b.now, ShouldBeLessThanOrEqualTo, silentAt+w.lease)
 		w.isSilent = false
 		b.run(eventloop.Second)
 		So(w.ends, ShouldResemble, []string{"j.0.0.0/1 lapsed"})
@@ -629,7 +629,7 @@
 		So(b.first("call 3 fence 9"), ShouldBeBetween, -1, b.first("announce p2 ward 9"))
 		So(second.announces[0].Running, ShouldHaveLength, 1)
 		// The former ward's word counts for nothing any more.
-		orders := &schema.Orders{Ward: 5, LicenceUs: int64(9 * eventloop.Second), Orders: []*schema.Order{order("start", "x", 0, 1, "")}}
+		orders := &schema.Orders{Ward: 5, LeaseUs: int64(9 * eventloop.Second), Orders: []*schema.Order{order("start", "x", 0, 1, "")}}
 		for id := uint64(1000); id < 1100; id++ {
 			b.mail("p1", &schema.PollReply{Id: id, Code: 200, Orders: orders})
 			b.mail("p2", &schema.PollReply{Id: id, Code: 200, Orders: orders})
@@ -906,7 +906,7 @@
 }
 
 func TestFrozenAgent(t *testing.T) {
-	Convey("After a pause that its licence outlasts, the hold is renewed before it ends", t, func() {
+	Convey("After a pause that its lease outlasts, the hold is renewed before it ends", t, func() {
 		b, w := usual(fakeworker.Setup{}, nil)
 		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=600000000")}
 		b.run(eventloop.Second)
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -32,7 +32,7 @@
 		// It is spoken for only to tell what is over there; it gets nothing new.
 		a.CoresMilli, a.MemoryMb, a.Accelerators = 0, 0, 0
 	}
-	if l.licence-now < l.span/2 {
+	if l.lease-now < l.span/2 {
 		// What runs there may not wait for the answer to be worth something.
 		a.WaitUs = 0
 	}
@@ -84,8 +84,8 @@
 			t.over = slices.Delete(t.over, k, k+1)
 		}
 	}
-	if span := eventloop.Micros(m.Orders.LicenceUs); span > 0 {
-		l.licence, l.span = max(l.licence, p.sent+span), span
+	if span := eventloop.Micros(m.Orders.LeaseUs); span > 0 {
+		l.lease, l.span = max(l.lease, p.sent+span), span
 	}
 	isNews := t.noted(now, l, m.Orders.Noted)
 	for _, order := range m.Orders.Orders {
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -115,7 +115,7 @@
 		return
 	}
 	isTried := r.tries > 0 && now-r.first >= startSpan
-	if isTried || l.isLeaving || now+lateSpan >= l.licence || l.clockAt == 0 {
+	if isTried || l.isLeaving || now+lateSpan >= l.lease || l.clockAt == 0 {
 		t.giveUp(now, l, r)
 		if r.standing == stopping {
 			r.call = t.issue(now, l, Call{Act: Stop, Task: r.key.task, Attempt: r.key.attempt}, out)
@@ -212,7 +212,7 @@
 	isUnsurveyed := l.surveyed != l.fence
 	isOpen := l.glance != 0 && (!isUnsurveyed || l.calls[l.glance].fence == l.fence)
 	span := t.holdSpan(l)
-	// The long look that is open may have been sent with a licence about to end.
+	// The long look that is open may have been sent with a lease about to end.
 	least := span / 5
 	if open := l.calls[l.look]; open != nil && open.wait > lookSpan {
 		// And it may have been sent to wait long, when nothing ran there yet.
@@ -262,7 +262,7 @@
 
 // couldHold is until when it would hold it.
 func (t *Table) couldHold(now eventloop.Micros, l *life) eventloop.Micros {
-	return min(l.licence, now+t.holdSpan(l))
+	return min(l.lease, now+t.holdSpan(l))
 }
 
 func (t *Table) looked(now eventloop.Micros, l *life, m Reply, p *pending) {
@@ -287,7 +287,7 @@
 		l.lookAt, l.glanceAt = now+l.rest, now+l.rest
 		l.rest = min(2*l.rest, restMost)
 		// Whoever doesn't answer isn't spoken for: what it holds isn't renewed
-		// either, so the placer may give it to others when the licence is over.
+		// either, so the placer may give it to others when the lease is over.
 		t.resurvey(l)
 		return
 	}
--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -1,6 +1,6 @@
 // Package clusterstate is the pure machine of the system's own group: the plan and
 // its generation, where lanes stand, who wards which worker, and the steward's
-// licence. Every change is checked when it is applied, so that whoever acts on
+// lease. Every change is checked when it is applied, so that whoever acts on
 // an old view is fenced by the log itself.
 package clusterstate
 
@@ -20,8 +20,8 @@
 // Group is the name of the system's own group.
 const Group = "charter"
 
-// LicenceUs is how long a steward's licence lasts in the group's time.
-const LicenceUs = 2_000_000
+// LeaseUs is how long a steward's lease lasts in the group's time.
+const LeaseUs = 2_000_000
 
 // What the charter keeps of the past is bounded, for the whole of it is its
 // checkpoint: of old plans the rows, of editions only what tells them apart.
@@ -34,10 +34,10 @@
 
 // Result is what a command came to, in HTTP's numbers.
 type Result struct {
-	Code    int32
-	Fault   *schema.Fault
-	Licence uint64
-	Plan    *schema.Plan
+	Code  int32
+	Fault *schema.Fault
+	Lease uint64
+	Plan  *schema.Plan
 }
 
 // Machine is the charter's state.
@@ -116,7 +116,7 @@
 	return &schema.Plan{Generation: plan.GetGeneration(), Rows: plan.GetRows(), Edition: plan.GetEdition()}
 }
 
-// StewardUntil is when the steward's licence ends, in the group's time.
+// StewardUntil is when the steward's lease ends, in the group's time.
 func (m *Machine) StewardUntil() int64 { return m.state.Steward.GetUntilUs() }
 
 func (m *Machine) Version() uint64 { return m.state.Version }
@@ -255,31 +255,31 @@
 	s := m.state.Steward
 	isFree := s.Id == "" || s.UntilUs <= m.state.NowUs
 	if s.Id != id && !isFree {
-		return &Result{Code: 409, Fault: &schema.Fault{Code: "steward_taken", Message: "another steward holds the licence"}}
+		return &Result{Code: 409, Fault: &schema.Fault{Code: "steward_taken", Message: "another steward holds the lease"}}
 	}
-	licence := s.Licence
+	lease := s.Lease
 	// Whoever let it lapse gets a new one: what it sent under the old one may
 	// still be on its way.
 	if s.Id != id || isFree {
-		licence = m.next()
+		lease = m.next()
 		m.isChanged = true
 	}
-	m.state.Steward = &schema.Steward{Id: id, Licence: licence, UntilUs: m.state.NowUs + LicenceUs}
-	return &Result{Code: 200, Licence: licence}
+	m.state.Steward = &schema.Steward{Id: id, Lease: lease, UntilUs: m.state.NowUs + LeaseUs}
+	return &Result{Code: 200, Lease: lease}
 }
 
-// IsSteward tells whether a licence is the current one and hasn't run out.
-func (m *Machine) IsSteward(licence uint64) bool {
+// IsSteward tells whether a lease is the current one and hasn't run out.
+func (m *Machine) IsSteward(lease uint64) bool {
 	s := m.state.Steward
-	return s.Licence == licence && licence != 0 && s.UntilUs > m.state.NowUs
+	return s.Lease == lease && lease != 0 && s.UntilUs > m.state.NowUs
 }
 
 func fenced() *Result {
-	return &Result{Code: 403, Fault: &schema.Fault{Code: "licence_over", Message: "the steward licence is not the current one"}}
+	return &Result{Code: 403, Fault: &schema.Fault{Code: "lease_over", Message: "the steward lease is not the current one"}}
 }
 
 func (m *Machine) placeLanes(c *schema.PlaceLanes) *Result {
-	if !m.IsSteward(c.Licence) {
+	if !m.IsSteward(c.Lease) {
 		return fenced()
 	}
 	values := m.Values()
@@ -310,7 +310,7 @@
 }
 
 func (m *Machine) moveWards(c *schema.MoveWards) *Result {
-	if !m.IsSteward(c.Licence) {
+	if !m.IsSteward(c.Lease) {
 		return fenced()
 	}
 	for _, wanted := range c.Wards {
--- a/internal/clusterstate/clusterstate_test.go
+++ b/internal/clusterstate/clusterstate_test.go
@@ -65,27 +65,27 @@
 	})
 }
 
-func TestLicence(t *testing.T) {
+func TestLease(t *testing.T) {
 	Convey("An old steward is fenced by the log itself", t, func() {
 		m := New()
 		claim := func(at int64, id string) *Result {
 			return apply(m, at, &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: id}}})
 		}
-		wards := func(at int64, licence uint64, placer string) int32 {
+		wards := func(at int64, lease uint64, placer string) int32 {
 			return apply(m, at, &schema.CharterCommand{Body: &schema.CharterCommand_Wards{Wards: &schema.MoveWards{
-				Licence: licence, Wards: []*schema.Ward{{Worker: "w", Placer: placer}}}}}).Code
+				Lease: lease, Wards: []*schema.Ward{{Worker: "w", Placer: placer}}}}}).Code
 		}
 		first := claim(1, "h1")
 		So(first.Code, ShouldEqual, 200)
 		So(claim(2, "h2").Code, ShouldEqual, 409)
-		So(claim(3, "h1").Licence, ShouldEqual, first.Licence)
-		So(wards(4, first.Licence, "a"), ShouldEqual, 200)
+		So(claim(3, "h1").Lease, ShouldEqual, first.Lease)
+		So(wards(4, first.Lease, "a"), ShouldEqual, 200)
 		generation := WardOf(m.State(), "w").Generation
-		second := claim(4+LicenceUs, "h2")
+		second := claim(4+LeaseUs, "h2")
 		So(second.Code, ShouldEqual, 200)
-		So(second.Licence, ShouldBeGreaterThan, first.Licence)
-		So(wards(5+LicenceUs, first.Licence, "b"), ShouldEqual, 403)
-		So(wards(5+LicenceUs, second.Licence, "b"), ShouldEqual, 200)
+		So(second.Lease, ShouldBeGreaterThan, first.Lease)
+		So(wards(5+LeaseUs, first.Lease, "b"), ShouldEqual, 403)
+		So(wards(5+LeaseUs, second.Lease, "b"), ShouldEqual, 200)
 		So(WardOf(m.State(), "w").Generation, ShouldBeGreaterThan, generation)
 		Convey("and the state survives rest", func() {
 			again, err := Restore(m.Rest())
@@ -94,7 +94,7 @@
 		})
 		Convey("and renewals bother nobody who carries a copy", func() {
 			version := m.Version()
-			claim(6+LicenceUs, "h2")
+			claim(6+LeaseUs, "h2")
 			So(m.Version(), ShouldEqual, version)
 		})
 	})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,5 +1,5 @@
 // Package controller owns control: it compares what is wanted with what is, and acts
-// once at a time, under a steward's licence that the charter gives and checks.
+// once at a time, under a steward's lease that the charter gives and checks.
 // It holds nothing durable; with every side machine gone the rest goes on as
 // the charter last said.
 package controller
@@ -25,7 +25,7 @@
 	askSpan   = 250 * eventloop.Milli
 	renewSpan = 800 * eventloop.Milli
 	claimSpan = 500 * eventloop.Milli
-	guardSpan = 300 * eventloop.Milli  // a licence is let go this long before it ends
+	guardSpan = 300 * eventloop.Milli  // a lease is let go this long before it ends
 	deadSpan  = 1500 * eventloop.Milli // a process unheard by anybody for so long is suspected
 	missSpan  = 600 * eventloop.Milli  // one that doesn't answer for so long, while others lead what it led, is passed over
 	lostSpan  = 6 * eventloop.Second   // and for so long its place may be given to another
@@ -52,13 +52,13 @@
 	values  *clusterstate.Values
 	roll    *membership.Roll
 	told    map[string]told
-	until   int64 // the licence's end as last seen, in the charter's time
+	until   int64 // the lease's end as last seen, in the charter's time
 	untilAt eventloop.Micros
 	askedAt eventloop.Micros
 	claimAt eventloop.Micros
 	claims  map[uint64]eventloop.Micros
-	licence uint64
-	mine    eventloop.Micros // my licence ends, by my clock
+	lease   uint64
+	mine    eventloop.Micros // my lease ends, by my clock
 	acted   map[string]eventloop.Micros
 	lanesIn string // the lanes of the last act on lanes
 	movedAt eventloop.Micros
@@ -88,7 +88,7 @@
 	Node    string           `json:"node"`
 	Version uint64           `json:"charter_version"`
 	Steward string           `json:"steward"`
-	Licence uint64           `json:"steward_licence"`
+	Lease   uint64           `json:"steward_lease"`
 	IsMine  bool             `json:"steward_here"`
 	Members []*schema.Member `json:"members"`
 }
@@ -104,7 +104,7 @@
 	case *schema.RequestReply:
 		t.replied(now, body)
 	case Belief:
-		b := &SideBelief{Node: t.id, Version: t.state.Version, Steward: t.state.Steward.GetId(), Licence: t.state.Steward.GetLicence(), IsMine: t.isSteward(now)}
+		b := &SideBelief{Node: t.id, Version: t.state.Version, Steward: t.state.Steward.GetId(), Lease: t.state.Steward.GetLease(), IsMine: t.isSteward(now)}
 		for _, id := range t.memberIds() {
 			b.Members = append(b.Members, t.roll.Known[id].Member)
 		}
@@ -204,11 +204,11 @@
 	return rank, rank >= 0
 }
 
-// --- the licence ---
+// --- the lease ---
 
-func (t *Table) isSteward(now eventloop.Micros) bool { return t.licence != 0 && now < t.mine }
+func (t *Table) isSteward(now eventloop.Micros) bool { return t.lease != 0 && now < t.mine }
 
-// seek renews the licence, or claims one that nobody renews. Candidates wait
+// seek renews the lease, or claims one that nobody renews. Candidates wait
 // by rank, so that seldom two try at once.
 func (t *Table) seek(now eventloop.Micros, out eventloop.Out) {
 	for id, at := range t.claims {
@@ -230,13 +230,13 @@
 		return
 	}
 	stale := now - t.untilAt
-	isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LicenceUs)
+	isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LeaseUs)
 	// A steward that nobody hears needn't be waited for, but the charter will
-	// only give its licence away when it has run out.
+	// only give its lease away when it has run out.
 	// Whoever held it last may take it up again at once: while the charter had no
 	// leader nobody could renew anything.
 	isLast := t.state.Steward.GetId() == t.id
-	if isLast || isVacant && stale > eventloop.Micros(clusterstate.LicenceUs)+eventloop.Micros(rank)*300*eventloop.Milli || t.until == 0 && now > eventloop.Micros(rank)*300*eventloop.Milli {
+	if isLast || isVacant && stale > eventloop.Micros(clusterstate.LeaseUs)+eventloop.Micros(rank)*300*eventloop.Milli || t.until == 0 && now > eventloop.Micros(rank)*300*eventloop.Milli {
 		t.claim(now, out)
 	}
 }
@@ -255,15 +255,15 @@
 	}
 	delete(t.claims, m.Id)
 	var result struct {
-		Licence uint64 `json:"licence"`
+		Lease uint64 `json:"lease"`
 	}
-	if m.Code != 200 || json.Unmarshal(m.Body, &result) != nil || result.Licence == 0 {
-		t.licence = 0
+	if m.Code != 200 || json.Unmarshal(m.Body, &result) != nil || result.Lease == 0 {
+		t.lease = 0
 		return
 	}
 	// Counted from when it was asked for, so it ends here before it ends there.
-	t.licence = result.Licence
-	t.mine = max(t.mine, sent+eventloop.Micros(clusterstate.LicenceUs)-guardSpan)
+	t.lease = result.Lease
+	t.mine = max(t.mine, sent+eventloop.Micros(clusterstate.LeaseUs)-guardSpan)
 }
 
 // send gives a command to the charter's leader.
@@ -361,7 +361,7 @@
 	if root == nil {
 		return
 	}
-	command := &schema.PlaceLanes{Licence: t.licence}
+	command := &schema.PlaceLanes{Lease: t.lease}
 	keeper := ""
 	for _, name := range t.values.Lanes() {
 		if clusterstate.Place(t.state, name) != nil {
@@ -463,13 +463,13 @@
 	if sturdy == "" {
 		return
 	}
-	wards := &schema.MoveWards{Licence: t.licence}
+	wards := &schema.MoveWards{Lease: t.lease}
 	for _, ward := range t.state.Wards {
 		if ward.Placer != sturdy {
 			wards.Wards = append(wards.Wards, &schema.Ward{Worker: ward.Worker, Placer: sturdy})
 		}
 	}
-	lanes := &schema.PlaceLanes{Licence: t.licence}
+	lanes := &schema.PlaceLanes{Lease: t.lease}
 	for _, place := range t.state.Lanes {
 		if place.Keeper != sturdy {
 			lanes.Lanes = append(lanes.Lanes, &schema.LanePlace{Lane: place.Lane, Keeper: sturdy})
@@ -499,7 +499,7 @@
 	}
 	for _, group := range slices.Sorted(maps.Keys(notes)) {
 		if act := t.nextMember(now, notes[group], root); act != nil && t.may(now, "members/"+group, actSpan) {
-			act.Group, act.Licence = group, t.licence
+			act.Group, act.Lease = group, t.lease
 			out.Send(notes[group].Leader, act)
 		}
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -34,7 +34,7 @@
 		So(proto.Unmarshal(request.Body, command), ShouldBeNil)
 		So(to, ShouldEqual, "a")
 		if command.GetClaim() != nil {
-			d.mail = append(d.mail, &schema.RequestReply{Id: request.Id, Code: 200, Body: []byte(`{"licence":7}`)})
+			d.mail = append(d.mail, &schema.RequestReply{Id: request.Id, Code: 200, Body: []byte(`{"lease":7}`)})
 			return
 		}
 		d.acts = append(d.acts, command)
@@ -124,7 +124,7 @@
 		d.tell()
 		So(d.placed(), ShouldResemble, [][]string{lanes})
 		first := d.acts[0].GetLanes()
-		So(first.Licence, ShouldEqual, 7)
+		So(first.Lease, ShouldEqual, 7)
 		So(first.Lanes[7].Founders, ShouldResemble, []string{"a", "b", "c"})
 		So(first.Lanes[7].Keeper, ShouldEqual, "a")
 		Convey("The same act isn't repeated before its effect can be heard of", func() {
@@ -193,7 +193,7 @@
 				hear("d", boot, d.now)
 			}
 			d.t.Step(d.now, eventloop.Mail{Body: roll}, d)
-			// Before its turn it hears nothing of the licence, so it can't be steward.
+			// Before its turn it hears nothing of the lease, so it can't be steward.
 			if isSteward || d.now > silentAt+2*eventloop.Second {
 				for _, reply := range d.mail {
 					d.t.Step(d.now, eventloop.Mail{From: "a", Body: reply}, d)
--- a/internal/fakeworker/fakeworker.go
+++ b/internal/fakeworker/fakeworker.go
@@ -1,5 +1,5 @@
 // Package fakeworker is the stand-in worker as a step machine: it guards its room,
-// honours its licence, turns away old wards, and tells what it does. Real
+// honours its lease, turns away old wards, and tells what it does. Real
 // stand-ins and simulated ones run the same.
 package fakeworker
 
@@ -63,7 +63,7 @@
 	seq         uint64
 	taken       uint64 // seq of the newest answer taken
 	ward        uint64
-	licence     eventloop.Micros
+	lease       eventloop.Micros
 	isLeaving   bool
 	runs        map[key]*run
 	ended       map[key]*schema.TaskNote // not noted yet
@@ -132,9 +132,9 @@
 	return a.attempt < b.attempt
 }
 
-// Tick ends what has run its time, and everything when the licence is over.
+// Tick ends what has run its time, and everything when the lease is over.
 func (w *Worker) Tick(now eventloop.Micros) {
-	isOver := now >= w.licence
+	isOver := now >= w.lease
 	for _, r := range w.sorted() {
 		switch {
 		case isOver && !r.isHeld:
@@ -152,7 +152,7 @@
 	}
 }
 
-// Next is when something is due: an announce, an end, the licence's.
+// Next is when something is due: an announce, an end, the lease's.
 func (w *Worker) Next() eventloop.Micros {
 	next := w.due()
 	for _, r := range w.runs {
@@ -253,7 +253,7 @@
 		w.toldHeard = now
 		w.tell(checker.Event{At: now, Kind: checker.Heard, Who: w.Name, Incarnation: w.Incarnation})
 	}
-	w.licence = max(w.licence, sent+eventloop.Micros(orders.LicenceUs))
+	w.lease = max(w.lease, sent+eventloop.Micros(orders.LeaseUs))
 	for _, k := range sortedKeys(w.carried) {
 		if first := w.carried[k]; first > 0 && first <= seq {
 			delete(w.carried, k)
@@ -306,7 +306,7 @@
 		return
 	}
 	if r == nil {
-		if w.isLeaving || now >= w.licence || w.isElsewhere(k) || !w.fits(fresh) {
+		if w.isLeaving || now >= w.lease || w.isElsewhere(k) || !w.fits(fresh) {
 			fresh.isHeld = true
 			w.end(now, fresh, "stopped")
 			return
--- a/internal/fakeworker/fakeworker_test.go
+++ b/internal/fakeworker/fakeworker_test.go
@@ -20,22 +20,22 @@
 		w := New(eventloop.Second, "w", "r", 1000, 1000, 1, rand.New(rand.NewPCG(1, 1)), func(e checker.Event) { seen[e.Kind+e.State]++ })
 		return w, seen
 	}
-	licence := int64(4 * eventloop.Second)
+	lease := int64(4 * eventloop.Second)
 	Convey("A worker turns away an older ward, and an answer older than one it has taken", t, func() {
 		w, seen := newWorker()
 		first, second, third := w.Announce(eventloop.Second).Seq, w.Announce(eventloop.Second).Seq, w.Announce(eventloop.Second).Seq
-		w.Take(eventloop.Second, eventloop.Second, second, &schema.Orders{Ward: 5, LicenceUs: licence})
-		w.Take(eventloop.Second, eventloop.Second, third, &schema.Orders{Ward: 4, LicenceUs: licence, Orders: start(0)})
-		w.Take(eventloop.Second, eventloop.Second, first, &schema.Orders{Ward: 5, LicenceUs: licence, Orders: start(0)})
+		w.Take(eventloop.Second, eventloop.Second, second, &schema.Orders{Ward: 5, LeaseUs: lease})
+		w.Take(eventloop.Second, eventloop.Second, third, &schema.Orders{Ward: 4, LeaseUs: lease, Orders: start(0)})
+		w.Take(eventloop.Second, eventloop.Second, first, &schema.Orders{Ward: 5, LeaseUs: lease, Orders: start(0)})
 		So(seen[checker.Begin], ShouldEqual, 0)
-		w.Take(eventloop.Second, eventloop.Second, third, &schema.Orders{Ward: 5, LicenceUs: licence, Orders: start(0)})
+		w.Take(eventloop.Second, eventloop.Second, third, &schema.Orders{Ward: 5, LeaseUs: lease, Orders: start(0)})
 		So(seen[checker.Begin], ShouldEqual, 1)
 	})
-	Convey("It stops what runs when its licence ends, counted from when it asked, and keeps what it holds", t, func() {
+	Convey("It stops what runs when its lease ends, counted from when it asked, and keeps what it holds", t, func() {
 		w, seen := newWorker()
 		seq := w.Announce(eventloop.Second).Seq
 		hold := &schema.Order{Act: "hold", Lane: "l", Job: 2, Attempt: 1, CoresMilli: 10}
-		w.Take(2*eventloop.Second, eventloop.Second, seq, &schema.Orders{Ward: 1, LicenceUs: licence, Orders: append(start(0), hold)})
+		w.Take(2*eventloop.Second, eventloop.Second, seq, &schema.Orders{Ward: 1, LeaseUs: lease, Orders: append(start(0), hold)})
 		w.Tick(5*eventloop.Second - 1)
 		So(seen[checker.End+"stopped"], ShouldEqual, 0)
 		w.Tick(5 * eventloop.Second)
@@ -46,10 +46,10 @@
 		w, seen := newWorker()
 		big := start(0)
 		big[0].CoresMilli = 900
-		w.Take(eventloop.Second, eventloop.Second, w.Announce(eventloop.Second).Seq, &schema.Orders{Ward: 1, LicenceUs: licence, Orders: big})
+		w.Take(eventloop.Second, eventloop.Second, w.Announce(eventloop.Second).Seq, &schema.Orders{Ward: 1, LeaseUs: lease, Orders: big})
 		more := start(1)
 		more[0].CoresMilli = 200
-		w.Take(eventloop.Second, eventloop.Second, w.Announce(eventloop.Second).Seq, &schema.Orders{Ward: 1, LicenceUs: licence, Orders: append(more, big...)})
+		w.Take(eventloop.Second, eventloop.Second, w.Announce(eventloop.Second).Seq, &schema.Orders{Ward: 1, LeaseUs: lease, Orders: append(more, big...)})
 		So(seen[checker.Begin], ShouldEqual, 1)
 		So(w.Announce(eventloop.Second).Ended[0].State, ShouldEqual, "stopped")
 	})
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -17,7 +17,7 @@
 	Convey("Fifty lanes led by one store", b, func() {
 		c := newCore()
 		var lanes []string
-		places := &schema.PlaceLanes{Licence: c.licence()}
+		places := &schema.PlaceLanes{Lease: c.lease()}
 		for k := 0; k < 50; k++ {
 			lanes = append(lanes, fmt.Sprintf("l%02d", k))
 			places.Lanes = append(places.Lanes, &schema.LanePlace{Lane: lanes[k], Founders: stores, Keeper: "a"})
--- a/internal/replica/confirm_test.go
+++ b/internal/replica/confirm_test.go
@@ -13,7 +13,7 @@
 	Convey("A submission is confirmed when a quorum holds it, and by nothing less", t, func() {
 		c := newCore()
 		So(c.put(lanesSheet(1, "one", "l")).Code, ShouldEqual, 200)
-		place := &schema.PlaceLanes{Licence: c.licence(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		place := &schema.PlaceLanes{Lease: c.lease(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: place}}).Code, ShouldEqual, 200)
 		c.run(2 * eventloop.Second)
 		keeper := c.leader("l")
--- a/internal/replica/errand.go
+++ b/internal/replica/errand.go
@@ -99,7 +99,7 @@
 		// Who has sent the document needn't get it back.
 		body = planBody(clusterstate.Bare(result.Plan))
 	default:
-		body = mustJSON(map[string]uint64{"licence": result.Licence})
+		body = mustJSON(map[string]uint64{"lease": result.Lease})
 	}
 	t.reply(asked, result.Code, body, r.group, out)
 }
@@ -217,7 +217,7 @@
 	Generation uint64              `json:"plan_generation"`
 	Fresh      bool                `json:"charter_fresh"`
 	Steward    string              `json:"steward"`
-	Licence    uint64              `json:"steward_licence"`
+	Lease      uint64              `json:"steward_lease"`
 	Groups     []*GroupBelief      `json:"groups"`
 	Wards      []*schema.Ward      `json:"wards"`
 	Lanes      []*schema.LanePlace `json:"lanes"`
@@ -227,7 +227,7 @@
 func (t *Table) belief(now eventloop.Micros) *NodeBelief {
 	belief := &NodeBelief{
 		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Lanes: t.state.Lanes,
-		Steward: t.state.Steward.GetId(), Licence: t.state.Steward.GetLicence(),
+		Steward: t.state.Steward.GetId(), Lease: t.state.Steward.GetLease(),
 	}
 	for _, name := range t.names() {
 		r := t.groups[name]
--- a/internal/replica/list_test.go
+++ b/internal/replica/list_test.go
@@ -23,14 +23,14 @@
 			return count
 		}
 		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
-		licence := c.licence()
-		lanes := &schema.PlaceLanes{Licence: licence, Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		lease := c.lease()
+		lanes := &schema.PlaceLanes{Lease: lease, Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(c.leader("l"), ShouldEqual, "a")
 		before := whole()
 		So(before, ShouldBeGreaterThan, 0)
-		wards := &schema.MoveWards{Licence: licence, Wards: []*schema.Ward{{Worker: "w", Placer: "a"}}}
+		wards := &schema.MoveWards{Lease: lease, Wards: []*schema.Ward{{Worker: "w", Placer: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Wards{Wards: wards}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(whole(), ShouldEqual, before)
@@ -43,7 +43,7 @@
 func TestNotesOfGroups(t *testing.T) {
 	Convey("Of the sides only the steward is told how the groups stand", t, func() {
 		c := newCore()
-		So(c.licence(), ShouldBeGreaterThan, 0)
+		So(c.lease(), ShouldBeGreaterThan, 0)
 		roll := &membership.Roll{Known: map[string]membership.Known{
 			"h": {Member: &schema.Member{Id: "h", Role: schema.Role_ROLE_HEED}},
 			"s": {Member: &schema.Member{Id: "s", Role: schema.Role_ROLE_HEED}},
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -157,9 +157,9 @@
 		So(c.leader(""), ShouldNotEqual, "")
 		So(c.put(lanesSheet(1, "", "l", "m", "n")).Code, ShouldEqual, 200)
 		reply := c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
-		var claimed struct{ Licence uint64 }
+		var claimed struct{ Lease uint64 }
 		So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
-		place := &schema.PlaceLanes{Licence: claimed.Licence}
+		place := &schema.PlaceLanes{Lease: claimed.Lease}
 		for k, lane := range []string{"l", "m", "n"} {
 			place.Lanes = append(place.Lanes, &schema.LanePlace{Lane: lane, Founders: stores, Keeper: stores[k]})
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -693,7 +693,7 @@
 
 func (t *Table) reroster(now eventloop.Micros, m *schema.Reroster) {
 	r := t.groups[m.Group]
-	if r == nil || !r.group.IsLeader() || !t.charter.IsSteward(m.Licence) {
+	if r == nil || !r.group.IsLeader() || !t.charter.IsSteward(m.Lease) {
 		return
 	}
 	roster := proto.Clone(r.group.Roster()).(*schema.Roster)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -39,7 +39,7 @@
 		c := newCore()
 		place := func(keeper string) {
 			lanes := []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: keeper}}
-			command := &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: &schema.PlaceLanes{Licence: c.licence(), Lanes: lanes}}}
+			command := &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: &schema.PlaceLanes{Lease: c.lease(), Lanes: lanes}}}
 			So(c.ask("charter", command).Code, ShouldEqual, 200)
 		}
 		run := func(span eventloop.Micros) {
@@ -67,12 +67,12 @@
 	})
 }
 
-// licence makes the steward "h" and gives its licence.
-func (c *core) licence() uint64 {
+// lease makes the steward "h" and gives its lease.
+func (c *core) lease() uint64 {
 	reply := c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
-	var claimed struct{ Licence uint64 }
+	var claimed struct{ Lease uint64 }
 	So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
-	return claimed.Licence
+	return claimed.Lease
 }
 
 func TestTimedJobsAfterALeader(t *testing.T) {
@@ -80,7 +80,7 @@
 		c := newCore()
 		c.day = 1_800_000_000_000_000
 		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
-		lanes := &schema.PlaceLanes{Licence: c.licence(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		lanes := &schema.PlaceLanes{Lease: c.lease(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		due := c.now + 8*eventloop.Second
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -638,7 +638,7 @@
 func (t *Table) heard(now eventloop.Micros, front string, m *schema.Poll, out eventloop.Out) {
 	w := t.workers[m.Worker]
 	a := m.Announce
-	// Who isn't sure of being the ward gives no licence.
+	// Who isn't sure of being the ward gives no lease.
 	if w == nil || a == nil || w.isOver || !t.isSure(now) || a.Ward > w.generation {
 		out.Send(front, &schema.PollReply{Id: m.Id, Placer: t.id})
 		return
@@ -841,7 +841,7 @@
 // --- time ---
 
 func (t *Table) tick(now eventloop.Micros, out eventloop.Out) {
-	licence := eventloop.Micros(t.plan("licence_ms")+t.plan("margin_ms")) * eventloop.Milli
+	lease := eventloop.Micros(t.plan("lease_ms")+t.plan("margin_ms")) * eventloop.Milli
 	for _, w := range t.inOrder() {
 		w.isDirty = true
 		t.passReports(now, w, out)
@@ -850,7 +850,7 @@
 		last := max(w.answered, w.since+wardSpan)
 		// Who isn't sure of being the ward may have a successor that the worker
 		// answers to.
-		if now-w.heard > silentSpan && now-last > licence && t.isSure(now) {
+		if now-w.heard > silentSpan && now-last > lease && t.isSure(now) {
 			for _, each := range t.tasksOf(w) {
 				t.giveBack(now, each, "lost", out)
 			}
@@ -1117,7 +1117,7 @@
 		out.Send(p.front, &schema.PollReply{Id: p.id, Placer: t.id})
 		return
 	}
-	orders := &schema.Orders{Ward: w.generation, LicenceUs: t.plan("licence_ms") * 1000, Placer: t.id, Orders: list}
+	orders := &schema.Orders{Ward: w.generation, LeaseUs: t.plan("lease_ms") * 1000, Placer: t.id, Orders: list}
 	for _, key := range endedKeys(w) {
 		if e := w.ended[key]; e.isNoted {
 			orders.Noted = append(orders.Noted, &schema.TaskNote{
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -112,7 +112,7 @@
 			So(len(d.last().Orders.Orders), ShouldEqual, 1)
 			d.now += actSpan
 			d.announce("w", nil)
-			So(d.last().Orders, ShouldBeNil) // no licence either
+			So(d.last().Orders, ShouldBeNil) // no lease either
 		})
 		Convey("not to a worker that leaves", func() {
 			d.announce("w", func(a *schema.Announce) { a.Leaving = true })
@@ -197,8 +197,8 @@
 	})
 }
 
-func TestLostOnlyAfterTheLicence(t *testing.T) {
-	Convey("A silent worker's task is given back after licence and margin, not before", t, func() {
+func TestLostOnlyAfterTheLease(t *testing.T) {
+	Convey("A silent worker's task is given back after lease and margin, not before", t, func() {
 		d := newDesk("w")
 		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", one))
 		d.now += 2 * eventloop.Second
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -48,7 +48,7 @@
 		}
 		if belief.Fresh && !isTold {
 			isTold = true
-			moves = append(moves, fmt.Sprint("steward ", belief.Steward, " ", belief.Licence))
+			moves = append(moves, fmt.Sprint("steward ", belief.Steward, " ", belief.Lease))
 			for _, ward := range belief.Wards {
 				moves = append(moves, fmt.Sprint(ward.Worker, " ", ward.Placer, " ", ward.Generation))
 			}
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// steward is the side machine that holds the licence.
+// steward is the side machine that holds the lease.
 func (f *Fleet) steward() *Host {
 	for _, store := range f.Stores() {
 		if belief := store.Belief(); belief != nil && belief.Fresh {
