--- a/cmd/feign/hollow.go
+++ b/cmd/feign/hollow.go
@@ -30,25 +30,25 @@
 
 // hollowSetup is a hollow deployment and its load.
 type hollowSetup struct {
-	Net      string  // first two numbers of its loopback addresses
-	Profile  string  // folder for each part's processor profile; empty: none
-	Folder   string  // of the stores' data
-	Workers  int     // sides, each with an agent's stead and a worker
-	Fronts   int     // without data
-	Lanes    int     // all on the same three stores
-	Starts   float64 // task starts a second
-	RunUs    int64   // how long a task runs
-	Width    int     // tasks of a job's one step
-	Together bool    // and whether they are a group
-	Changes  float64 // of the plan, a minute
-	Rows     int     // of the plan, at least
-	Zones    int
-	PerRack  int
-	Stewards int // sides with the steward's table; 0: all
-	SyncUs   int64
-	Regions  int // in the simulator only
-	FarUs    int64
-	Shares   int // operating system's processes the sides share
+	Net         string  // first two numbers of its loopback addresses
+	Profile     string  // folder for each part's processor profile; empty: none
+	Folder      string  // of the stores' data
+	Workers     int     // sides, each with an agent's stead and a worker
+	Fronts      int     // without data
+	Lanes       int     // all on the same three stores
+	Starts      float64 // task starts a second
+	RunUs       int64   // how long a task runs
+	Width       int     // tasks of a job's one step
+	Together    bool    // and whether they are a group
+	Changes     float64 // of the plan, a minute
+	Rows        int     // of the plan, at least
+	Zones       int
+	PerRack     int
+	Controllers int // sides with the controller's table; 0: all
+	SyncUs      int64
+	Regions     int // in the simulator only
+	FarUs       int64
+	Shares      int // operating system's processes the sides share
 }
 
 func usualHollow() hollowSetup {
@@ -109,8 +109,8 @@
 		return fmt.Errorf("far_us: must lie between 0 and 1000000")
 	case s.PerRack < 1:
 		return fmt.Errorf("per_rack: must be 1 or more")
-	case s.Stewards < 0:
-		return fmt.Errorf("stewards: must not be negative")
+	case s.Controllers < 0:
+		return fmt.Errorf("controllers: must not be negative")
 	case s.Shares < 1 || s.Shares > 100:
 		return fmt.Errorf("shares: must lie between 1 and 100")
 	case s.SyncUs < 0 || s.SyncUs > 60_000_000:
@@ -134,7 +134,7 @@
 	set.IntVar(&s.Rows, "rows", usual.Rows, "rows of the plan, at least")
 	set.IntVar(&s.Zones, "zones", usual.Zones, "zones, over which all stand in turn")
 	set.IntVar(&s.PerRack, "per_rack", usual.PerRack, "workers of a rack")
-	set.IntVar(&s.Stewards, "stewards", usual.Stewards, "sides with the steward's table; 0: all")
+	set.IntVar(&s.Controllers, "controllers", usual.Controllers, "sides with the controller's table; 0: all")
 	set.Int64Var(&s.SyncUs, "sync_us", usual.SyncUs, "a store's sync takes at least this long")
 	set.IntVar(&s.Shares, "shares", usual.Shares, "processes of the operating system that the sides share")
 }
--- a/cmd/feign/hollow_part.go
+++ b/cmd/feign/hollow_part.go
@@ -265,7 +265,7 @@
 	return nil
 }
 
-// --- sides: the steward's tables, and an agent with a worker that is hollow ---
+// --- sides: the controller's tables, and an agent with a worker that is hollow ---
 
 // hollowNet carries what leaves a hollow running's tables.
 type hollowNet struct {
@@ -309,8 +309,8 @@
 	out := &hollowNet{id: member.Id, book: book, running: running}
 	running.Out = out
 	for _, berth := range process.Heed(papers) {
-		// Beyond the stewards wanted, a side is only its agent and the book.
-		if berth.Name == "heed" && p.setup.Stewards > 0 && k >= p.setup.Stewards {
+		// Beyond the controllers wanted, a side is only its agent and the book.
+		if berth.Name == "heed" && p.setup.Controllers > 0 && k >= p.setup.Controllers {
 			running.Add(berth.Name, &hollow.Onlooker{}, hollow.OnlookerPace)
 			continue
 		}
--- a/cmd/feign/hollow_test.go
+++ b/cmd/feign/hollow_test.go
@@ -11,22 +11,22 @@
 		good := usualHollow()
 		So(good.check(), ShouldBeNil)
 		for field, spoil := range map[string]func(*hollowSetup){
-			"net":      func(s *hollowSetup) { s.Net = "10.0" },
-			"workers":  func(s *hollowSetup) { s.Workers = 0 },
-			"fronts":   func(s *hollowSetup) { s.Fronts = -1 },
-			"lanes":    func(s *hollowSetup) { s.Lanes = 0 },
-			"starts":   func(s *hollowSetup) { s.Starts = -1 },
-			"run_us":   func(s *hollowSetup) { s.RunUs = 0 },
-			"width":    func(s *hollowSetup) { s.Width = 0 },
-			"changes":  func(s *hollowSetup) { s.Changes = 1e6 },
-			"rows":     func(s *hollowSetup) { s.Rows = 10_000 },
-			"zones":    func(s *hollowSetup) { s.Zones = 0 },
-			"regions":  func(s *hollowSetup) { s.Regions = 9 },
-			"far_us":   func(s *hollowSetup) { s.FarUs = -1 },
-			"per_rack": func(s *hollowSetup) { s.PerRack = 0 },
-			"stewards": func(s *hollowSetup) { s.Stewards = -1 },
-			"shares":   func(s *hollowSetup) { s.Shares = 0 },
-			"sync_us":  func(s *hollowSetup) { s.SyncUs = -1 },
+			"net":         func(s *hollowSetup) { s.Net = "10.0" },
+			"workers":     func(s *hollowSetup) { s.Workers = 0 },
+			"fronts":      func(s *hollowSetup) { s.Fronts = -1 },
+			"lanes":       func(s *hollowSetup) { s.Lanes = 0 },
+			"starts":      func(s *hollowSetup) { s.Starts = -1 },
+			"run_us":      func(s *hollowSetup) { s.RunUs = 0 },
+			"width":       func(s *hollowSetup) { s.Width = 0 },
+			"changes":     func(s *hollowSetup) { s.Changes = 1e6 },
+			"rows":        func(s *hollowSetup) { s.Rows = 10_000 },
+			"zones":       func(s *hollowSetup) { s.Zones = 0 },
+			"regions":     func(s *hollowSetup) { s.Regions = 9 },
+			"far_us":      func(s *hollowSetup) { s.FarUs = -1 },
+			"per_rack":    func(s *hollowSetup) { s.PerRack = 0 },
+			"controllers": func(s *hollowSetup) { s.Controllers = -1 },
+			"shares":      func(s *hollowSetup) { s.Shares = 0 },
+			"sync_us":     func(s *hollowSetup) { s.SyncUs = -1 },
 		} {
 			bad := usualHollow()
 			spoil(&bad)
--- a/cmd/feign/slope.go
+++ b/cmd/feign/slope.go
@@ -26,13 +26,13 @@
 	"lanes":   func(s *hollowSetup, value float64) { s.Lanes = int(value) },
 	"starts":  func(s *hollowSetup, value float64) { s.Starts = value },
 	// Running tasks at one rate of starts: they only last longer.
-	"running":  func(s *hollowSetup, value float64) { s.RunUs = int64(value / s.Starts * 1e6) },
-	"width":    func(s *hollowSetup, value float64) { s.Width, s.Together = int(value), true },
-	"changes":  func(s *hollowSetup, value float64) { s.Changes = value },
-	"rows":     func(s *hollowSetup, value float64) { s.Rows = int(value) },
-	"zones":    func(s *hollowSetup, value float64) { s.Zones = int(value) },
-	"fronts":   func(s *hollowSetup, value float64) { s.Fronts = int(value) },
-	"stewards": func(s *hollowSetup, value float64) { s.Stewards = int(value) },
+	"running":     func(s *hollowSetup, value float64) { s.RunUs = int64(value / s.Starts * 1e6) },
+	"width":       func(s *hollowSetup, value float64) { s.Width, s.Together = int(value), true },
+	"changes":     func(s *hollowSetup, value float64) { s.Changes = value },
+	"rows":        func(s *hollowSetup, value float64) { s.Rows = int(value) },
+	"zones":       func(s *hollowSetup, value float64) { s.Zones = int(value) },
+	"fronts":      func(s *hollowSetup, value float64) { s.Fronts = int(value) },
+	"controllers": func(s *hollowSetup, value float64) { s.Controllers = int(value) },
 	// One way, in milliseconds; only the simulator's regions lie apart.
 	"far": func(s *hollowSetup, value float64) { s.FarUs = int64(value * 1000) },
 }
@@ -216,7 +216,7 @@
 	for _, each := range sim.PlayHollow(sim.Hollow{
 		Workers: setup.Workers, Fronts: setup.Fronts, Lanes: setup.Lanes, Starts: setup.Starts, RunUs: setup.RunUs, Width: setup.Width,
 		Together: setup.Together, Changes: setup.Changes, Rows: setup.Rows, Zones: setup.Zones, Regions: setup.Regions,
-		Far: eventloop.Micros(setup.FarUs), PerRack: setup.PerRack, Stewards: setup.Stewards, Seed: uint64(repeat),
+		Far: eventloop.Micros(setup.FarUs), PerRack: setup.PerRack, Controllers: setup.Controllers, Seed: uint64(repeat),
 		Warm: eventloop.Micros(c.warm.Microseconds()), Span: eventloop.Micros(c.span.Microseconds()), Lose: c.lose, Cpu: threadCpu,
 	}) {
 		list = append(list, outcome{each.Role, each.What, each.Amount})
--- a/cmd/heed/main.go
+++ b/cmd/heed/main.go
@@ -7,5 +7,5 @@
 )
 
 func main() {
-	daemon.Main("heed", "run a side process: liveness, and the steward's loops", schema.Role_ROLE_HEED)
+	daemon.Main("heed", "run a side process: liveness, and the controller's loops", schema.Role_ROLE_HEED)
 }
--- a/cmd/tell/nodes.go
+++ b/cmd/tell/nodes.go
@@ -96,8 +96,8 @@
 	say("charter version", a.Version, b.Version)
 	say("plan generation", a.Generation, b.Generation)
 	say("charter fresh", a.Fresh, b.Fresh)
-	say("steward", a.Steward, b.Steward)
-	say("steward lease", a.Lease, b.Lease)
+	say("controller", a.Controller, b.Controller)
+	say("controller lease", a.Lease, b.Lease)
 	groups := map[string][2]*replica.GroupBelief{}
 	for k, belief := range []*replica.NodeBelief{a, b} {
 		for _, group := range belief.Groups {
--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -1,5 +1,5 @@
 // Package clusterstate is the pure machine of the system's own group: the plan and
-// its generation, where lanes stand, who wards which worker, and the steward's
+// its generation, where lanes stand, who wards which worker, and the controller's
 // lease. Every change is checked when it is applied, so that whoever acts on
 // an old view is fenced by the log itself.
 package clusterstate
@@ -20,7 +20,7 @@
 // Group is the name of the system's own group.
 const Group = "charter"
 
-// LeaseUs is how long a steward's lease lasts in the group's time.
+// LeaseUs is how long a controller's lease lasts in the group's time.
 const LeaseUs = 2_000_000
 
 // What the charter keeps of the past is bounded, for the whole of it is its
@@ -51,7 +51,7 @@
 
 // New makes an empty charter; Restore one from a checkpoint.
 func New() *Machine {
-	return &Machine{state: &schema.CharterState{Plan: &schema.Plan{}, Steward: &schema.Steward{}, Next: 1}}
+	return &Machine{state: &schema.CharterState{Plan: &schema.Plan{}, Controller: &schema.Controller{}, Next: 1}}
 }
 
 func Restore(data []byte) (*Machine, error) {
@@ -95,7 +95,7 @@
 	m.readPlan()
 	s := m.state
 	shown := &schema.CharterState{Version: s.Version, Plan: m.bare, Voters: s.Voters, NowUs: s.NowUs, Next: s.Next}
-	shown.Steward = proto.Clone(s.Steward).(*schema.Steward)
+	shown.Controller = proto.Clone(s.Controller).(*schema.Controller)
 	for _, place := range s.Lanes {
 		shown.Lanes = append(shown.Lanes, proto.Clone(place).(*schema.LanePlace))
 	}
@@ -116,8 +116,8 @@
 	return &schema.Plan{Generation: plan.GetGeneration(), Rows: plan.GetRows(), Edition: plan.GetEdition()}
 }
 
-// StewardUntil is when the steward's lease ends, in the group's time.
-func (m *Machine) StewardUntil() int64 { return m.state.Steward.GetUntilUs() }
+// ControllerUntil is when the controller's lease ends, in the group's time.
+func (m *Machine) ControllerUntil() int64 { return m.state.Controller.GetUntilUs() }
 
 func (m *Machine) Version() uint64 { return m.state.Version }
 
@@ -252,10 +252,10 @@
 }
 
 func (m *Machine) claim(id string) *Result {
-	s := m.state.Steward
+	s := m.state.Controller
 	isFree := s.Id == "" || s.UntilUs <= m.state.NowUs
 	if s.Id != id && !isFree {
-		return &Result{Code: 409, Fault: &schema.Fault{Code: "steward_taken", Message: "another steward holds the lease"}}
+		return &Result{Code: 409, Fault: &schema.Fault{Code: "controller_taken", Message: "another controller holds the lease"}}
 	}
 	lease := s.Lease
 	// Whoever let it lapse gets a new one: what it sent under the old one may
@@ -264,22 +264,22 @@
 		lease = m.next()
 		m.isChanged = true
 	}
-	m.state.Steward = &schema.Steward{Id: id, Lease: lease, UntilUs: m.state.NowUs + LeaseUs}
+	m.state.Controller = &schema.Controller{Id: id, Lease: lease, UntilUs: m.state.NowUs + LeaseUs}
 	return &Result{Code: 200, Lease: lease}
 }
 
-// IsSteward tells whether a lease is the current one and hasn't run out.
-func (m *Machine) IsSteward(lease uint64) bool {
-	s := m.state.Steward
+// IsController tells whether a lease is the current one and hasn't run out.
+func (m *Machine) IsController(lease uint64) bool {
+	s := m.state.Controller
 	return s.Lease == lease && lease != 0 && s.UntilUs > m.state.NowUs
 }
 
 func fenced() *Result {
-	return &Result{Code: 403, Fault: &schema.Fault{Code: "lease_over", Message: "the steward lease is not the current one"}}
+	return &Result{Code: 403, Fault: &schema.Fault{Code: "lease_over", Message: "the controller lease is not the current one"}}
 }
 
 func (m *Machine) placeLanes(c *schema.PlaceLanes) *Result {
-	if !m.IsSteward(c.Lease) {
+	if !m.IsController(c.Lease) {
 		return fenced()
 	}
 	values := m.Values()
@@ -310,7 +310,7 @@
 }
 
 func (m *Machine) moveWards(c *schema.MoveWards) *Result {
-	if !m.IsSteward(c.Lease) {
+	if !m.IsController(c.Lease) {
 		return fenced()
 	}
 	for _, wanted := range c.Wards {
@@ -341,7 +341,7 @@
 }
 
 // meet gives a new worker to the placer that wards most, so that it can work
-// before a steward looks.
+// before a controller looks.
 func (m *Machine) meet(worker string) *Result {
 	if WardOf(m.state, worker) != nil {
 		return &Result{Code: 200}
--- a/internal/clusterstate/clusterstate_test.go
+++ b/internal/clusterstate/clusterstate_test.go
@@ -66,7 +66,7 @@
 }
 
 func TestLease(t *testing.T) {
-	Convey("An old steward is fenced by the log itself", t, func() {
+	Convey("An old controller is fenced by the log itself", t, func() {
 		m := New()
 		claim := func(at int64, id string) *Result {
 			return apply(m, at, &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: id}}})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,5 +1,5 @@
 // Package controller owns control: it compares what is wanted with what is, and acts
-// once at a time, under a steward's lease that the charter gives and checks.
+// once at a time, under a controller's lease that the charter gives and checks.
 // It holds nothing durable; with every side machine gone the rest goes on as
 // the charter last said.
 package controller
@@ -45,7 +45,7 @@
 	tell *schema.CharterTell
 }
 
-// Table is the steward's table; every side machine has one, one of them acts.
+// Table is the controller's table; every side machine has one, one of them acts.
 type Table struct {
 	id      string
 	state   *schema.CharterState
@@ -85,12 +85,12 @@
 
 // SideBelief is what a side machine believes.
 type SideBelief struct {
-	Node    string           `json:"node"`
-	Version uint64           `json:"charter_version"`
-	Steward string           `json:"steward"`
-	Lease   uint64           `json:"steward_lease"`
-	IsMine  bool             `json:"steward_here"`
-	Members []*schema.Member `json:"members"`
+	Node       string           `json:"node"`
+	Version    uint64           `json:"charter_version"`
+	Controller string           `json:"controller"`
+	Lease      uint64           `json:"controller_lease"`
+	IsMine     bool             `json:"controller_here"`
+	Members    []*schema.Member `json:"members"`
 }
 
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
@@ -104,7 +104,7 @@
 	case *schema.RequestReply:
 		t.replied(now, body)
 	case Belief:
-		b := &SideBelief{Node: t.id, Version: t.state.Version, Steward: t.state.Steward.GetId(), Lease: t.state.Steward.GetLease(), IsMine: t.isSteward(now)}
+		b := &SideBelief{Node: t.id, Version: t.state.Version, Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(), IsMine: t.isController(now)}
 		for _, id := range t.memberIds() {
 			b.Members = append(b.Members, t.roll.Known[id].Member)
 		}
@@ -118,8 +118,8 @@
 		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
 		out.Tell("kin", membership.Charter{Version: m.State.Version})
 	}
-	if m.StewardUntilUs > t.until {
-		t.until, t.untilAt = m.StewardUntilUs, now
+	if m.ControllerUntilUs > t.until {
+		t.until, t.untilAt = m.ControllerUntilUs, now
 	}
 	// An answer from before a change must not undo what we know.
 	if m.Version >= t.state.Version {
@@ -130,7 +130,7 @@
 		}
 	}
 	// Lanes that a table has just added are waited for.
-	if isNew && t.roll != nil && t.isSteward(now) {
+	if isNew && t.roll != nil && t.isController(now) {
 		t.lanes(now, out)
 	}
 }
@@ -166,7 +166,7 @@
 		t.watch(now)
 	}
 	t.seek(now, out)
-	if !t.isSteward(now) {
+	if !t.isController(now) {
 		return
 	}
 	t.lanes(now, out)
@@ -176,14 +176,14 @@
 }
 
 // ask asks after the charter: a candidate asks every store, for it must know what
-// each of them says once it is steward; the others take turns, for all asking all
+// each of them says once it is controller; the others take turns, for all asking all
 // would cost the stores more than what they are there for.
 func (t *Table) ask(now eventloop.Micros, out eventloop.Out) {
 	stores := t.stores(now)
 	if len(stores) == 0 {
 		return
 	}
-	if _, isCandidate := t.rank(now); !isCandidate && !t.isSteward(now) {
+	if _, isCandidate := t.rank(now); !isCandidate && !t.isController(now) {
 		t.turn++
 		stores = stores[t.turn%len(stores):][:1]
 	}
@@ -192,7 +192,7 @@
 	}
 }
 
-// rank is our place among the side machines that stand for steward, if we do.
+// rank is our place among the side machines that stand for controller, if we do.
 func (t *Table) rank(now eventloop.Micros) (int, bool) {
 	cells := map[string]string{t.id: t.roll.Self.GetCell()}
 	for id, known := range t.roll.Known {
@@ -206,7 +206,7 @@
 
 // --- the lease ---
 
-func (t *Table) isSteward(now eventloop.Micros) bool { return t.lease != 0 && now < t.mine }
+func (t *Table) isController(now eventloop.Micros) bool { return t.lease != 0 && now < t.mine }
 
 // seek renews the lease, or claims one that nobody renews. Candidates wait
 // by rank, so that seldom two try at once.
@@ -216,7 +216,7 @@
 			delete(t.claims, id)
 		}
 	}
-	if t.isSteward(now) {
+	if t.isController(now) {
 		if now-t.claimAt >= renewSpan {
 			t.claim(now, out)
 		}
@@ -231,11 +231,11 @@
 	}
 	stale := now - t.untilAt
 	isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LeaseUs)
-	// A steward that nobody hears needn't be waited for, but the charter will
+	// A controller that nobody hears needn't be waited for, but the charter will
 	// only give its lease away when it has run out.
 	// Whoever held it last may take it up again at once: while the charter had no
 	// leader nobody could renew anything.
-	isLast := t.state.Steward.GetId() == t.id
+	isLast := t.state.Controller.GetId() == t.id
 	if isLast || isVacant && stale > eventloop.Micros(clusterstate.LeaseUs)+eventloop.Micros(rank)*300*eventloop.Milli || t.until == 0 && now > eventloop.Micros(rank)*300*eventloop.Milli {
 		t.claim(now, out)
 	}
@@ -556,7 +556,7 @@
 }
 
 // watch keeps in mind who has come and who is silent, also before this machine
-// becomes the steward.
+// becomes the controller.
 func (t *Table) watch(now eventloop.Micros) {
 	if t.first == 0 {
 		t.first = now
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -13,7 +13,7 @@
 	"sparnotch/internal/schema"
 )
 
-// desk drives a steward by hand; three stores stand, "a" leads the charter.
+// desk drives a controller by hand; three stores stand, "a" leads the charter.
 type desk struct {
 	silent map[string]eventloop.Micros // since when nobody hears them
 	others map[string]*schema.Member
@@ -104,11 +104,11 @@
 	d := &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
 	d.roll()
 	d.tell()
-	for k := 0; k < 20 && !d.t.isSteward(d.now); k++ {
+	for k := 0; k < 20 && !d.t.isController(d.now); k++ {
 		d.tick()
 		d.tell()
 	}
-	So(d.t.isSteward(d.now), ShouldBeTrue)
+	So(d.t.isController(d.now), ShouldBeTrue)
 	d.acts = nil
 	return d
 }
@@ -159,7 +159,7 @@
 		d.tick()
 		So(d.placed(), ShouldResemble, [][]string{{"l"}})
 	})
-	Convey("Who isn't the steward places nothing", t, func() {
+	Convey("Who isn't the controller places nothing", t, func() {
 		d := newDesk()
 		d.now += 3 * eventloop.Second
 		d.put("l")
@@ -172,9 +172,9 @@
 	// learns lets "c" fall silent and "d" come so long after that, and tells when "d"
 	// is to learn, from the last word of "c" on.
 	isForgotten := false
-	learns := func(boot uint64, comes eventloop.Micros, isSteward bool) eventloop.Micros {
+	learns := func(boot uint64, comes eventloop.Micros, isController bool) eventloop.Micros {
 		d := newDesk()
-		if !isSteward {
+		if !isController {
 			d = &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
 		}
 		silentAt := d.now + 12*eventloop.Second
@@ -193,8 +193,8 @@
 				hear("d", boot, d.now)
 			}
 			d.t.Step(d.now, eventloop.Mail{Body: roll}, d)
-			// Before its turn it hears nothing of the lease, so it can't be steward.
-			if isSteward || d.now > silentAt+2*eventloop.Second {
+			// Before its turn it hears nothing of the lease, so it can't be controller.
+			if isController || d.now > silentAt+2*eventloop.Second {
 				for _, reply := range d.mail {
 					d.t.Step(d.now, eventloop.Mail{From: "a", Body: reply}, d)
 				}
@@ -225,7 +225,7 @@
 			So(learns(2, eventloop.Second, true), ShouldBeBetween, 5900*eventloop.Milli, 6500*eventloop.Milli)
 			So(learns(1, eventloop.Second, true), ShouldBeBetween, 2400*eventloop.Milli, 3*eventloop.Second)
 		})
-		Convey("however late the steward came to be one", func() {
+		Convey("however late the controller came to be one", func() {
 			So(learns(2, eventloop.Second, false), ShouldBeBetween, 5900*eventloop.Milli, 6500*eventloop.Milli)
 		})
 	})
--- a/internal/controller/voters_test.go
+++ b/internal/controller/voters_test.go
@@ -13,7 +13,7 @@
 	"sparnotch/internal/schema"
 )
 
-// council is a group whose members change as the steward asks; one change takes
+// council is a group whose members change as the controller asks; one change takes
 // until it is asked again.
 type council struct {
 	t       *Table
@@ -178,7 +178,7 @@
 func (a *asked) Answer(uint64, any) {}
 
 func TestCandidates(t *testing.T) {
-	// play is what side machine "sN" does in 10 s of a system without a steward, of
+	// play is what side machine "sN" does in 10 s of a system without a controller, of
 	// twenty side machines in four cells, of which some are gone.
 	play := func(self int, gone ...int) *asked {
 		a := &asked{stores: map[string]int{}}
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -1,6 +1,6 @@
 // Package hollow owns the tables of processes with nothing behind them: the
 // stead of a side's agent with a worker whose tasks only take their time, and
-// that of a steward on a side that is none. Real wires and simulated ones carry
+// that of a controller on a side that is none. Real wires and simulated ones carry
 // the same.
 package hollow
 
@@ -139,7 +139,7 @@
 	return []string{process.Table(schema.Role_ROLE_HEED, body)}
 }
 
-// Onlooker stands where the steward's table would on a side that is none: it
+// Onlooker stands where the controller's table would on a side that is none: it
 // asks one store for the charter, and does nothing with it.
 type Onlooker struct {
 	roll    *membership.Roll
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -66,7 +66,7 @@
 }
 
 func TestOnlooker(t *testing.T) {
-	Convey("Sides that are no stewards spread over the stores", t, func() {
+	Convey("Sides that are no controllers spread over the stores", t, func() {
 		asked := map[string]int{}
 		for k := range 30 {
 			roll := &membership.Roll{Self: &schema.Member{Id: fmt.Sprintf("p%03d", k)}, Known: map[string]membership.Known{}}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -33,7 +33,7 @@
 	rushSpan   = 20 * eventloop.Milli  // between two greetings out of turn
 )
 
-// Candidates is how many side machines stand for steward, and how many of them
+// Candidates is how many side machines stand for controller, and how many of them
 // those that are no stores are told of: each more would be one more that all ask after.
 const Candidates = 7
 
@@ -304,7 +304,7 @@
 	return answer
 }
 
-// leaveOut takes the side machines out of a hello that don't stand for steward.
+// leaveOut takes the side machines out of a hello that don't stand for controller.
 func (t *Table) leaveOut(now eventloop.Micros, hello *schema.Hello) {
 	cells := map[string]string{}
 	for id, known := range t.known {
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -450,7 +450,7 @@
 }
 
 func TestGossip(t *testing.T) {
-	// Of side machines the stores hear, and the others of those that stand for steward.
+	// Of side machines the stores hear, and the others of those that stand for controller.
 	isOwed := func(by, of *host) bool { return by.hasDisk || !of.terms.IsSide }
 	isStore := func(_, of *host) bool { return of.hasDisk }
 	each := func(name string, play func(n *network)) {
@@ -518,7 +518,7 @@
 		n.runTo(n.now + 5*eventloop.Second)
 		So(n.oldest(20*eventloop.Second, func(by, of *host) bool { return of == front && by.hasDisk }), ShouldBeLessThan, 4*eventloop.Second)
 	})
-	each("All agree on the side machines that stand for steward, and one that dies is soon replaced", func(n *network) {
+	each("All agree on the side machines that stand for controller, and one that dies is soon replaced", func(n *network) {
 		standing := func(by *host) []string {
 			cells := map[string]string{}
 			for id, known := range by.roll.Known {
--- a/internal/mutation/mutants.go
+++ b/internal/mutation/mutants.go
@@ -54,7 +54,7 @@
 	{Guard: "wards follow the keeper", Rule: 12, Scenario: "keeper frozen 30 s", Seed: 1, Edits: []Edit{{"internal/controller", "if ward.Placer != sturdy {", "if ward.Placer == \"\" {"}}},
 	{Guard: "gateway resends", Rule: 12, Scenario: "rough net", Seed: 1, Edits: []Edit{{"internal/gateway", "return now-each.sent >= resendSpan }", "return false }"}}},
 	{Guard: "a lost voter's place is given to another", Rule: 0, Scenario: "disk machine replaced", Seed: 1, Edits: []Edit{{"internal/controller", "	t.members(now, out)\n", ""}}},
-	{Guard: "a lease that isn't renewed is claimed", Rule: 0, Scenario: "keeper, steward and worker lost at once", Seed: 1, Edits: []Edit{{"internal/controller", "isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LeaseUs)", "isVacant := t.until == 0"}}},
+	{Guard: "a lease that isn't renewed is claimed", Rule: 0, Scenario: "keeper, controller and worker lost at once", Seed: 1, Edits: []Edit{{"internal/controller", "isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LeaseUs)", "isVacant := t.until == 0"}}},
 	// What workers that are called rest on.
 	{Guard: "a call carries its ward's fence", Rule: 2, Test: "internal/agent TestWardChange", Edits: []Edit{{"internal/agent", "call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, l.fence", "call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, 0"}}},
 	{Guard: "work is held as long as the lease, by the worker's clock", Rule: 2, Test: "internal/agent TestHowLongAWorkerHolds", Edits: []Edit{{"internal/agent", "	return l.clockBy(now) + t.couldHold(now, l) - now\n", "	return l.clockBy(now) + 2*l.span\n"}}},
--- a/internal/replica/errand.go
+++ b/internal/replica/errand.go
@@ -138,13 +138,13 @@
 	if !t.isCharterFresh(now) {
 		return
 	}
-	tell := &schema.CharterTell{Version: t.state.Version, Leaders: map[string]string{clusterstate.Group: r.group.Leader()}, StewardUntilUs: t.charter.StewardUntil()}
+	tell := &schema.CharterTell{Version: t.state.Version, Leaders: map[string]string{clusterstate.Group: r.group.Leader()}, ControllerUntilUs: t.charter.ControllerUntil()}
 	if t.state.Version > m.Version {
 		tell.State = t.state
 	}
-	// Of the sides only the steward reads how the groups stand; the others ask
+	// Of the sides only the controller reads how the groups stand; the others ask
 	// often, and there is a note for every lane.
-	hasUse := from == t.state.Steward.GetId() || !t.isSide(from)
+	hasUse := from == t.state.Controller.GetId() || !t.isSide(from)
 	for _, name := range t.names() {
 		each := t.groups[name]
 		if each.name != "" {
@@ -216,8 +216,8 @@
 	Version    uint64              `json:"charter_version"`
 	Generation uint64              `json:"plan_generation"`
 	Fresh      bool                `json:"charter_fresh"`
-	Steward    string              `json:"steward"`
-	Lease      uint64              `json:"steward_lease"`
+	Controller string              `json:"controller"`
+	Lease      uint64              `json:"controller_lease"`
 	Groups     []*GroupBelief      `json:"groups"`
 	Wards      []*schema.Ward      `json:"wards"`
 	Lanes      []*schema.LanePlace `json:"lanes"`
@@ -227,7 +227,7 @@
 func (t *Table) belief(now eventloop.Micros) *NodeBelief {
 	belief := &NodeBelief{
 		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Lanes: t.state.Lanes,
-		Steward: t.state.Steward.GetId(), Lease: t.state.Steward.GetLease(),
+		Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(),
 	}
 	for _, name := range t.names() {
 		r := t.groups[name]
--- a/internal/replica/list_test.go
+++ b/internal/replica/list_test.go
@@ -41,7 +41,7 @@
 }
 
 func TestNotesOfGroups(t *testing.T) {
-	Convey("Of the sides only the steward is told how the groups stand", t, func() {
+	Convey("Of the sides only the controller is told how the groups stand", t, func() {
 		c := newCore()
 		So(c.lease(), ShouldBeGreaterThan, 0)
 		roll := &membership.Roll{Known: map[string]membership.Known{
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -230,7 +230,7 @@
 		So(history, ShouldHaveLength, 3)
 		So(string(history[1]), ShouldNotContainSubstring, "ZG9j") // no document in it
 	})
-	Convey("The steward hears of a new plan at once", t, func() {
+	Convey("The controller hears of a new plan at once", t, func() {
 		c := newCore()
 		c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
 		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -693,7 +693,7 @@
 
 func (t *Table) reroster(now eventloop.Micros, m *schema.Reroster) {
 	r := t.groups[m.Group]
-	if r == nil || !r.group.IsLeader() || !t.charter.IsSteward(m.Lease) {
+	if r == nil || !r.group.IsLeader() || !t.charter.IsController(m.Lease) {
 		return
 	}
 	roster := proto.Clone(r.group.Roster()).(*schema.Roster)
@@ -715,7 +715,7 @@
 	default:
 		return
 	}
-	// A refusal (a change is under way) is no matter: the steward asks again.
+	// A refusal (a change is under way) is no matter: the controller asks again.
 	_ = r.group.ProposeRoster(now, roster)
 }
 
@@ -952,7 +952,7 @@
 			r.termTold = 0
 		}
 	}
-	// New lanes are waited for: the steward places them, and their founders make
+	// New lanes are waited for: the controller places them, and their founders make
 	// them, when they hear of it.
 	r := t.groups[clusterstate.Group]
 	if !r.group.IsLeader() {
@@ -971,8 +971,8 @@
 		}
 		return
 	}
-	if steward := t.state.Steward.GetId(); steward != "" && old.Plan != t.state.Plan {
-		t.tellCharter(now, steward, &schema.CharterAsk{Version: old.Version}, out)
+	if controller := t.state.Controller.GetId(); controller != "" && old.Plan != t.state.Plan {
+		t.tellCharter(now, controller, &schema.CharterAsk{Version: old.Version}, out)
 	}
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -67,7 +67,7 @@
 	})
 }
 
-// lease makes the steward "h" and gives its lease.
+// lease makes the controller "h" and gives its lease.
 func (c *core) lease() uint64 {
 	reply := c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
 	var claimed struct{ Lease uint64 }
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -21,7 +21,7 @@
 	Kept     int    // ended and not forgotten
 	Sessions int
 	Bytes    int    // of the largest disk
-	Moves    string // terms, wards and the steward: whatever moved shows here
+	Moves    string // terms, wards and the controller: whatever moved shows here
 }
 
 // sample looks at a fleet, outside time.
@@ -48,7 +48,7 @@
 		}
 		if belief.Fresh && !isTold {
 			isTold = true
-			moves = append(moves, fmt.Sprint("steward ", belief.Steward, " ", belief.Lease))
+			moves = append(moves, fmt.Sprint("controller ", belief.Controller, " ", belief.Lease))
 			for _, ward := range belief.Wards {
 				moves = append(moves, fmt.Sprint(ward.Worker, " ", ward.Placer, " ", ward.Generation))
 			}
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -55,12 +55,12 @@
 	}
 }
 
-// steward is the side machine that holds the lease.
-func (f *Fleet) steward() *Host {
+// controller is the side machine that holds the lease.
+func (f *Fleet) controller() *Host {
 	for _, store := range f.Stores() {
 		if belief := store.Belief(); belief != nil && belief.Fresh {
 			for _, h := range f.Hosts {
-				if h.Id == belief.Steward && h.IsUp {
+				if h.Id == belief.Controller && h.IsUp {
 					return h
 				}
 			}
@@ -200,19 +200,19 @@
 		}
 		during(f, 18*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
 	}},
-	{Name: "steward frozen and superseded", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
+	{Name: "controller frozen and superseded", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began+3*eventloop.Second, func() {
-			steward := f.steward()
-			f.Fault("the steward %s frozen", steward.Name)
-			steward.Freeze(12 * eventloop.Second)
+			controller := f.controller()
+			f.Fault("the controller %s frozen", controller.Name)
+			controller.Freeze(12 * eventloop.Second)
 		})
-		// The keeper dies while nobody may act, and again when the old steward
+		// The keeper dies while nobody may act, and again when the old controller
 		// has woken beside its successor.
 		during(f, 3500*eventloop.Milli, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
 		during(f, 15100*eventloop.Milli, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
 	}},
-	{Name: "steward isolated", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
-		f.At(f.Began+3*eventloop.Second, func() { f.isolated(f.steward(), 15*eventloop.Second) })
+	{Name: "controller isolated", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+3*eventloop.Second, func() { f.isolated(f.controller(), 15*eventloop.Second) })
 		during(f, 8*eventloop.Second, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
 	}},
 	{Name: "every side machine gone", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
@@ -320,15 +320,15 @@
 		}
 		during(f, 8*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
 	}},
-	{Name: "keeper, steward and worker lost at once", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
+	{Name: "keeper, controller and worker lost at once", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
 		during(f, 6*eventloop.Second, func(keeper *Host) {
 			// Long work is out everywhere, so that the lost worker had some.
 			long := &schema.Job{Text: "run_us=6000000", Steps: []*schema.Step{step("long", uint32(2*len(f.Workers)), 500)}}
 			f.HandIn(Kind{Lane: "slow", Job: long}, "long-1")
 			f.After(2*eventloop.Second, func() {
 				f.killed(keeper, 20*eventloop.Second)
-				steward := f.steward()
-				f.killed(steward, 20*eventloop.Second)
+				controller := f.controller()
+				f.killed(controller, 20*eventloop.Second)
 				worker := f.busiest()
 				f.lost = worker.Name()
 				worker.Crash()
--- a/internal/sim/schedule.go
+++ b/internal/sim/schedule.go
@@ -16,7 +16,7 @@
 // Stroke is one fault of a schedule: what, to whom, for how long, when.
 type Stroke struct {
 	What string
-	Whom string // keeper, steward, or a machine's name
+	Whom string // keeper, controller, or a machine's name
 	Span eventloop.Micros
 	At   eventloop.Micros // after the load began
 }
@@ -216,8 +216,8 @@
 			return keeper
 		}
 		return f.Hosts[0]
-	case "steward":
-		return f.steward()
+	case "controller":
+		return f.controller()
 	}
 	// A machine that was replaced has a successor of nearly its name.
 	for _, h := range slices.Backward(f.Hosts) {
@@ -251,7 +251,7 @@
 				list = append(list, fmt.Sprintf("keep%d", k+1))
 			}
 		case "side":
-			list = append(list, "steward")
+			list = append(list, "controller")
 			for k := 0; k < size.Sides; k++ {
 				list = append(list, fmt.Sprintf("heed%d", k+1))
 			}
@@ -274,7 +274,7 @@
 
 // isDisk tells whether a stroke takes a disk machine away.
 func (s Stroke) isDisk() bool {
-	isOther := strings.HasPrefix(s.Whom, "heed") || s.Whom == "steward" || strings.HasPrefix(s.Whom, "keep") && s.Whom > "keep3" && s.Whom != "keeper"
+	isOther := strings.HasPrefix(s.Whom, "heed") || s.Whom == "controller" || strings.HasPrefix(s.Whom, "keep") && s.Whom > "keep3" && s.Whom != "keeper"
 	return deeds[s.What].isLoss && !isOther
 }
 
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -77,7 +77,7 @@
 		schedules := map[uint64]Schedule{1: RandomSchedule(1, size), 2: RandomSchedule(2, size)}
 		if size.Name == "skema" {
 			// Broke rule 5: a failure that was told late didn't count.
-			found, err := ReadSchedule("warn/keep6:3s@2.5s,freeze/steward:3.5s@9.5s,flood/all:6s@12.5s,slow/keep1:2.5s@13s,power/all:500ms@21s,rush/all:5s@27.5s,split/c1:5s@34s", size)
+			found, err := ReadSchedule("warn/keep6:3s@2.5s,freeze/controller:3.5s@9.5s,flood/all:6s@12.5s,slow/keep1:2.5s@13s,power/all:500ms@21s,rush/all:5s@27.5s,split/c1:5s@34s", size)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -141,7 +141,7 @@
 	"clocks jump":                       {100, 101, 102, 108},
 	"keepers killed in turn, rough net": {103, 6011, 7051},
 	"disk stalls":                       {102, 3011},
-	"steward frozen and superseded":     {20014},
+	"controller frozen and superseded":  {20014},
 }
 
 func TestPinnedSeeds(t *testing.T) {
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -19,25 +19,25 @@
 
 // Hollow is a hollow deployment in virtual time, past what one machine carries.
 type Hollow struct {
-	Workers  int
-	Fronts   int
-	Lanes    int
-	Starts   float64 // task starts a second
-	RunUs    int64
-	Width    int  // tasks of a job's one step
-	Together bool // and whether they are a group
-	Changes  float64
-	Rows     int // of the plan, at least
-	Zones    int
-	Regions  int              // zones stand in them in turn
-	Far      eventloop.Micros // one way between regions
-	PerRack  int
-	Stewards int // sides with the steward's table; 0: all
-	Seed     uint64
-	Warm     eventloop.Micros
-	Span     eventloop.Micros
-	Cpu      func() int64 // nanoseconds of this thread's processor time; nil: steps aren't timed
-	Lose     string       // node, rack, zone, region, link; empty: nothing
+	Workers     int
+	Fronts      int
+	Lanes       int
+	Starts      float64 // task starts a second
+	RunUs       int64
+	Width       int  // tasks of a job's one step
+	Together    bool // and whether they are a group
+	Changes     float64
+	Rows        int // of the plan, at least
+	Zones       int
+	Regions     int              // zones stand in them in turn
+	Far         eventloop.Micros // one way between regions
+	PerRack     int
+	Controllers int // sides with the controller's table; 0: all
+	Seed        uint64
+	Warm        eventloop.Micros
+	Span        eventloop.Micros
+	Cpu         func() int64 // nanoseconds of this thread's processor time; nil: steps aren't timed
+	Lose        string       // node, rack, zone, region, link; empty: nothing
 }
 
 // zoneWay is a message's way within a region, between zones.
@@ -176,7 +176,7 @@
 
 func (r *hollowRun) side(h *Host, k, rack int, papers *process.Papers, berths []process.Berth) []process.Berth {
 	for at := range berths {
-		if berths[at].Name == "heed" && r.setup.Stewards > 0 && k >= r.setup.Stewards {
+		if berths[at].Name == "heed" && r.setup.Controllers > 0 && k >= r.setup.Controllers {
 			berths[at] = process.Berth{Name: "heed", Table: &hollow.Onlooker{}, Pace: hollow.OnlookerPace}
 		}
 	}
