--- a/cmd/feign/fleet.go
+++ b/cmd/feign/fleet.go
@@ -243,7 +243,7 @@
 	case "kill", "freeze", "wipe", "cut", "mute", "deaf":
 		p := f.leader(ctx)
 		if p == nil {
-			f.note("no keeper found for " + what)
+			f.note("no leader found for " + what)
 			return
 		}
 		f.note(what + " " + p.name)
@@ -411,7 +411,7 @@
 	return `feign fleet -profile bank|skema [-span 30s] [-faults kill@10s,freeze:5s@20s]
   Starts 7 fronts (3 with data), 11 side machines, 11 workers and the profile's
   callers, and ends with a report. Faults, each NAME[:SPAN]@TIME: kill (the
-  keeper, -9, back after SPAN), freeze, cut (off from all others), mute (nobody
+  leader, -9, back after SPAN), freeze, cut (off from all others), mute (nobody
   hears it), deaf (it hears nobody), wipe (kill and lose the disk), split (one
   cell off from the others, the next cell each time), race (two operators put
   tables), offline (worker w02 reaches no front and runs on), sides (all swapped out), worker, leave, rush (twenty
--- a/cmd/feign/hollow.go
+++ b/cmd/feign/hollow.go
@@ -249,7 +249,7 @@
 	return list, nil
 }
 
-// wait lets the deployment come up: a keeper for each lane, a ward for each
+// wait lets the deployment come up: a leader for each lane, a ward for each
 // worker, and hand-ins accepted.
 func (r *hollowRun) wait(ctx context.Context, span time.Duration) error {
 	last := ""
@@ -314,9 +314,9 @@
 	for k, p := range r.parts {
 		a, b := before[k], after[k]
 		role := p.role
-		// The keeper's load isn't its fellows'.
+		// The leader's load isn't its fellows'.
 		if role == "store" && b.Belief != nil && r.leads(b) > 0 {
-			role = "keeper"
+			role = "leader"
 		}
 		s := roles[role]
 		if s == nil {
@@ -425,27 +425,27 @@
 	return spread, isAll
 }
 
-// recover kills the keeper, and tells how long it takes until a job that was
+// recover kills the leader, and tells how long it takes until a job that was
 // handed in after that has a task that runs; the store comes back afterwards.
 func (r *hollowRun) recover(ctx context.Context) (time.Duration, error) {
 	readings, err := r.ask("read")
 	if err != nil {
 		return 0, err
 	}
-	var keeper *hollowPart
+	var leader *hollowPart
 	most := 0
 	for k, reading := range readings {
 		if reading.Belief != nil && r.leads(reading) > most {
-			keeper, most = r.parts[k], r.leads(reading)
+			leader, most = r.parts[k], r.leads(reading)
 		}
 	}
-	if keeper == nil {
-		return 0, errors.New("no keeper to kill")
+	if leader == nil {
+		return 0, errors.New("no leader to kill")
 	}
-	keeper.kill()
+	leader.kill()
 	killed := time.Now().UnixMicro()
 	rest(ctx, 15*time.Second)
-	if err := keeper.start(r.setup); err != nil {
+	if err := leader.start(r.setup); err != nil {
 		return 0, err
 	}
 	if readings, err = r.ask("read"); err != nil {
@@ -533,7 +533,7 @@
 	c.setup.register(set)
 	set.DurationVar(&c.warm, "warm", 5*time.Second, "let it run so long first")
 	set.DurationVar(&c.span, "span", 15*time.Second, "how long it is measured")
-	set.BoolVar(&c.isKilled, "kill", false, "kill the keeper at the end, and measure the recovery")
+	set.BoolVar(&c.isKilled, "kill", false, "kill the leader at the end, and measure the recovery")
 	set.StringVar(&c.part, "part", "", "for its own parts")
 	set.StringVar(&c.text, "setup", "", "for its own parts")
 	set.IntVar(&c.first, "first", 0, "for its own parts")
--- a/cmd/feign/simulate.go
+++ b/cmd/feign/simulate.go
@@ -34,8 +34,8 @@
 	return "play one of the simulator's scenarios, and judge it"
 }
 func (*simulateCommand) Usage() string {
-	return `feign simulate -scenario "keeper killed" [-size small] [-seed 1] [-job quick-20] [-history FILE]
-feign simulate -faults kill/keeper:3s@5s,cut/w2:6s@7s [-size bank] [-seed 1]
+	return `feign simulate -scenario "leader killed" [-size small] [-seed 1] [-job quick-20] [-history FILE]
+feign simulate -faults kill/leader:3s@5s,cut/w2:6s@7s [-size bank] [-seed 1]
 feign simulate -random 100 [-size bank] [-seed 1]
 feign simulate -day 24 [-share 0.25] [-size bank] [-seed 1]
   Without -scenario it lists them. The same seed gives the same history.
--- a/cmd/feign/slope.go
+++ b/cmd/feign/slope.go
@@ -83,7 +83,7 @@
 	set.IntVar(&c.setup.Regions, "regions", 1, "with -virtual: regions, in which the zones stand in turn")
 	set.Int64Var(&c.setup.FarUs, "far_us", 6000, "with -virtual: one way between regions")
 	set.StringVar(&c.lose, "lose", "", "with -virtual: what is lost at the end: "+strings.Join(losses, ", "))
-	set.BoolVar(&c.isKilled, "kill", false, "kill the keeper at the end of each, and measure the recovery")
+	set.BoolVar(&c.isKilled, "kill", false, "kill the leader at the end of each, and measure the recovery")
 }
 
 // values reads the swept values, and checks the setup at each.
--- a/cmd/feign/whole_test.go
+++ b/cmd/feign/whole_test.go
@@ -54,7 +54,7 @@
 
 func TestWholeFleetOfProcesses(t *testing.T) {
 	bin := build(t)
-	Convey("A whole fleet takes jobs, loses its keeper to a kill -9, and loses nothing else", t, func() {
+	Convey("A whole fleet takes jobs, loses its leader to a kill -9, and loses nothing else", t, func() {
 		c := &fleetCommand{span: 8 * time.Second, bin: bin, folder: t.TempDir(), net: freeNet(t), rate: 1, seed: 1}
 		p, err := deployments.Find("bank")
 		So(err, ShouldBeNil)
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -80,7 +80,7 @@
 func TestCost(t *testing.T) {
 	Convey("What is spent beyond the tables is laid on messages, bytes and syncs", t, func() {
 		var real, simulated []Reading
-		for k, role := range []string{"keeper", "store", "side"} {
+		for k, role := range []string{"leader", "store", "side"} {
 			for _, x := range []float64{12, 24, 48, 96} {
 				sent, bytes, syncs := 10*x+float64(k), 1000*x*float64(k+1), float64(50*(k%2))+x*float64(k%2)
 				// Thousandths of a core are a thousand microseconds a second.
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -74,7 +74,7 @@
 		if m.base[size] == 0 {
 			return nil, Bad.New("slopes: no base for %s", size)
 		}
-		if _, isKnown := m.fits[[3]string{size, "keeper", "cpu_milli"}]; !isKnown {
+		if _, isKnown := m.fits[[3]string{size, "leader", "cpu_milli"}]; !isKnown {
 			return nil, Bad.New("slopes: no sweep over %s", size)
 		}
 	}
@@ -101,7 +101,7 @@
 }
 
 // at is a quantity of a role: the sweep over workers gives the ground, the other
-// two what they add to it. What workers and starts cost a keeper together beyond
+// two what they add to it. What workers and starts cost a leader together beyond
 // that was measured once, at the whole size; of other pairs it isn't known.
 func (m *model) at(role, what string, w Wanted) float64 {
 	sum := 0.0
@@ -122,7 +122,7 @@
 			sum -= fit.At(m.base[each.size])
 		}
 	}
-	if role == "keeper" && what == "cpu_milli" {
+	if role == "leader" && what == "cpu_milli" {
 		sum += m.base["together_milli"] * max(float64(w.Workers)-m.base["workers"], 0) * max(w.Starts-m.base["starts"], 0)
 	}
 	return max(sum, 0)
@@ -131,7 +131,7 @@
 func (m *model) reach(w Wanted) float64 {
 	most := 0.0
 	for size, value := range map[string]float64{"workers": float64(w.Workers), "lanes": float64(w.Lanes), "starts": w.Starts} {
-		fit := m.fits[[3]string{size, "keeper", "cpu_milli"}]
+		fit := m.fits[[3]string{size, "leader", "cpu_milli"}]
 		most = max(most, fit.Reach(value))
 	}
 	return most
@@ -165,9 +165,9 @@
 		}
 	}
 	room := Need{Cpu: w.Share * 1000 * w.Busy, Memory: w.Memory * w.Busy, Bytes: math.Inf(1)}
-	// Any store may lead, so each must have the keeper's room.
-	keeper := need("keeper", storeCount)
-	keeper.Role, keeper.Over = "store", over(keeper, room)
+	// Any store may lead, so each must have the leader's room.
+	leader := need("leader", storeCount)
+	leader.Role, leader.Over = "store", over(leader, room)
 	front := need("front", 0)
 	// All the fronts' work, over as many as it takes.
 	whole := front.Cpu * m.base["fronts"]
@@ -176,7 +176,7 @@
 	front.Over = over(front, room)
 	side := need("side", w.Workers)
 	side.Over = over(side, Need{Cpu: sideCpu, Memory: sideMemory, Bytes: sideBytes})
-	return []Need{keeper, front, side}, nil
+	return []Need{leader, front, side}, nil
 }
 
 func over(n, room Need) string {
--- a/internal/capacity/size_test.go
+++ b/internal/capacity/size_test.go
@@ -6,7 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// plain is a set of slopes whose sums can be done by hand: a keeper costs a
+// plain is a set of slopes whose sums can be done by hand: a leader costs a
 // thousandth of a core for each worker, two for each lane, three for each start
 // a second, over 10.
 func plain() []Reading {
@@ -15,7 +15,7 @@
 	for _, x := range []float64{10, 20, 40, 80} {
 		for size, cpu := range map[string]float64{"workers": at(x, 2, 5), "lanes": at(10, x, 5), "starts": at(10, 2, x)} {
 			list = append(list,
-				Reading{size, x, 1, "keeper", "cpu_milli", cpu}, Reading{size, x, 1, "keeper", "rss_mb", 40},
+				Reading{size, x, 1, "leader", "cpu_milli", cpu}, Reading{size, x, 1, "leader", "rss_mb", 40},
 				Reading{size, x, 1, "front", "cpu_milli", 4 + x}, Reading{size, x, 1, "side", "cpu_milli", 5}, Reading{size, x, 1, "side", "rss_mb", 10},
 			)
 			if size == "workers" {
@@ -45,8 +45,8 @@
 		list := append(plain(), Reading{"base", 1, 0, "message_us", "value", 100}, Reading{"base", 1, 0, "ground_milli", "value", 7})
 		for _, x := range []float64{10, 20, 40, 80} {
 			list = append(list,
-				Reading{"workers", x, 1, "keeper", "cpu_tables_milli", 0.01 * x * x},
-				Reading{"workers", x, 1, "keeper", "sent_s", 2 * x}, Reading{"workers", x, 1, "keeper", "received_s", 3 * x},
+				Reading{"workers", x, 1, "leader", "cpu_tables_milli", 0.01 * x * x},
+				Reading{"workers", x, 1, "leader", "sent_s", 2 * x}, Reading{"workers", x, 1, "leader", "received_s", 3 * x},
 			)
 		}
 		needs, err := Size(list, wanted)
--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -295,14 +295,14 @@
 	}
 	for _, wanted := range c.Lanes {
 		if place := Place(m.state, wanted.Lane); place != nil {
-			m.isChanged = m.isChanged || place.Keeper != wanted.Keeper
-			place.Keeper = wanted.Keeper
+			m.isChanged = m.isChanged || place.Leader != wanted.Leader
+			place.Leader = wanted.Leader
 			continue
 		}
 		if values.HasLane(wanted.Lane) && len(wanted.Founders) > 0 {
 			m.isChanged = true
 			m.state.Lanes = slices.Insert(m.state.Lanes, laneAt(m.state.Lanes, wanted.Lane), &schema.LanePlace{
-				Lane: wanted.Lane, Generation: m.next(), Founders: wanted.Founders, Keeper: wanted.Keeper,
+				Lane: wanted.Lane, Generation: m.next(), Founders: wanted.Founders, Leader: wanted.Leader,
 			})
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -170,7 +170,7 @@
 		return
 	}
 	t.lanes(now, out)
-	t.keepers(now, out)
+	t.leaders(now, out)
 	t.members(now, out)
 	t.sessions(now, out)
 }
@@ -362,15 +362,15 @@
 		return
 	}
 	command := &schema.PlaceLanes{Lease: t.lease}
-	keeper := ""
+	leader := ""
 	for _, name := range t.values.Lanes() {
 		if clusterstate.Place(t.state, name) != nil {
 			continue
 		}
 		if len(command.Lanes) == 0 {
-			keeper = t.sturdiest(now)
+			leader = t.sturdiest(now)
 		}
-		command.Lanes = append(command.Lanes, &schema.LanePlace{Lane: name, Founders: root.Voters, Keeper: keeper})
+		command.Lanes = append(command.Lanes, &schema.LanePlace{Lane: name, Founders: root.Voters, Leader: leader})
 	}
 	for _, place := range t.state.Lanes {
 		note := notes[replica.GroupOf(place)]
@@ -398,7 +398,7 @@
 	}
 }
 
-// --- loop: keepers and wards ---
+// --- loop: leaders and wards ---
 
 // sturdiest is the store where lanes and wards should be: the present one as
 // long as it serves, for moving costs more than it gains.
@@ -410,7 +410,7 @@
 	leads, wanted := map[string]int{}, map[string]int{}
 	stores := t.stores(now)
 	for _, place := range t.state.Lanes {
-		wanted[place.Keeper]++
+		wanted[place.Leader]++
 		leads[t.leaderAmong(now, stores, place.Lane)]++
 	}
 	for _, ward := range t.state.Wards {
@@ -458,7 +458,7 @@
 	return best.id
 }
 
-func (t *Table) keepers(now eventloop.Micros, out eventloop.Out) {
+func (t *Table) leaders(now eventloop.Micros, out eventloop.Out) {
 	sturdy := t.sturdiest(now)
 	if sturdy == "" {
 		return
@@ -471,11 +471,11 @@
 	}
 	lanes := &schema.PlaceLanes{Lease: t.lease}
 	for _, place := range t.state.Lanes {
-		if place.Keeper != sturdy {
-			lanes.Lanes = append(lanes.Lanes, &schema.LanePlace{Lane: place.Lane, Keeper: sturdy})
+		if place.Leader != sturdy {
+			lanes.Lanes = append(lanes.Lanes, &schema.LanePlace{Lane: place.Lane, Leader: sturdy})
 		}
 	}
-	if len(wards.Wards)+len(lanes.Lanes) == 0 || !t.may(now, "keepers", actSpan) {
+	if len(wards.Wards)+len(lanes.Lanes) == 0 || !t.may(now, "leaders", actSpan) {
 		return
 	}
 	t.movedAt = now
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -126,7 +126,7 @@
 		first := d.acts[0].GetLanes()
 		So(first.Lease, ShouldEqual, 7)
 		So(first.Lanes[7].Founders, ShouldResemble, []string{"a", "b", "c"})
-		So(first.Lanes[7].Keeper, ShouldEqual, "a")
+		So(first.Lanes[7].Leader, ShouldEqual, "a")
 		Convey("The same act isn't repeated before its effect can be heard of", func() {
 			d.tick()
 			d.tell()
@@ -146,7 +146,7 @@
 	Convey("A dropped lane goes when its jobs have ended and been kept long enough", t, func() {
 		d := newDesk()
 		d.put()
-		d.state.Lanes = []*schema.LanePlace{{Lane: "l", Generation: 3, Keeper: "a"}}
+		d.state.Lanes = []*schema.LanePlace{{Lane: "l", Generation: 3, Leader: "a"}}
 		note := &schema.WaitNote{Group: "l#3", Lane: "l", Leader: "a", Voters: []string{"a", "b", "c"}, Live: 1}
 		d.tell(note)
 		So(d.placed(), ShouldBeEmpty)
@@ -261,11 +261,11 @@
 	})
 }
 
-func TestASilentKeeperIsReplaced(t *testing.T) {
+func TestASilentLeaderIsReplaced(t *testing.T) {
 	Convey("Once its peers lead what a silent store led, its lanes and wards move, before we suspect it ourselves", t, func() {
 		d := newDesk()
 		d.put("l")
-		d.state.Lanes = []*schema.LanePlace{{Lane: "l", Generation: 3, Keeper: "c"}}
+		d.state.Lanes = []*schema.LanePlace{{Lane: "l", Generation: 3, Leader: "c"}}
 		d.state.Wards = []*schema.Ward{{Worker: "w", Placer: "c"}}
 		word := func(from string, leaders map[string]string) {
 			var notes []*schema.WaitNote
@@ -294,7 +294,7 @@
 				word("b", after)
 			}
 			So(d.now-last, ShouldBeBetweenOrEqual, missSpan, missSpan+150*eventloop.Milli)
-			So(d.acts[0].GetLanes().GetLanes()[0].Keeper, ShouldEqual, "b")
+			So(d.acts[0].GetLanes().GetLanes()[0].Leader, ShouldEqual, "b")
 			So(d.acts[1].GetWards().GetWards()[0].Placer, ShouldEqual, "b")
 		})
 		Convey("but not while nobody else leads it", func() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -157,7 +157,7 @@
 	return true
 }
 
-// leave: not ready at once, keepers passed on, open requests finished, and out
+// leave: not ready at once, leaders passed on, open requests finished, and out
 // within the limit. A second signal ends it at once.
 func leave(real *process.Real, server Server, loaded *schema.Options, signals chan os.Signal, log *zap.Logger, ring *logring.Ring) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.WarnUs)*time.Microsecond)
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -170,7 +170,7 @@
 			p.rings[name].Drain(ctx, pace, step, func() {
 				now := p.Clock.Now()
 				// A tick that comes late says that this process is short of
-				// processor or was frozen; the keepers' loop wants to know.
+				// processor or was frozen; the leaders' loop wants to know.
 				if last > 0 {
 					p.noteStrain(now - last - pace)
 				}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -636,7 +636,7 @@
 		again = append(again, t.confirmed(now, m.Lane, outcome, out)...)
 	}
 	if len(m.Outcomes) == 0 && t.leaders[m.Lane] != "" {
-		// Two that each name the other, as happens while a keeper is being
+		// Two that each name the other, as happens while a leader is being
 		// elected, must not have everything thrown to and fro between them.
 		if now-t.redirected[m.Lane] > redirectSpan {
 			t.redirected[m.Lane] = now
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -98,7 +98,7 @@
 		d.applied("a", 1)
 		So(len(d.sent), ShouldEqual, count)
 	})
-	Convey("The new keeper gets everything that isn't confirmed, also what nobody waits for any more", t, func() {
+	Convey("The new leader gets everything that isn't confirmed, also what nobody waits for any more", t, func() {
 		d := newDesk()
 		request := d.handIn("c", "one")
 		d.step(Forget{Request: request})
@@ -171,7 +171,7 @@
 			So(submit.Enqueues[0].Number, ShouldEqual, 3)
 		})
 	})
-	Convey("A lane that is full by its keeper's word takes no more", t, func() {
+	Convey("A lane that is full by its leader's word takes no more", t, func() {
 		d := newDesk(&schema.Row{Kind: "fleet", Key: "live_jobs", Value: "5"})
 		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{}, Waits: []*schema.WaitNote{{Lane: "l", Live: 5}}})
 		status, name := code(d, d.handIn("c", "one"))
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -11,7 +11,7 @@
 	"sparnotch/internal/schema"
 )
 
-// BenchmarkManyLanes is a mail that changes nothing, and a tick, on the keeper of
+// BenchmarkManyLanes is a mail that changes nothing, and a tick, on the leader of
 // 50 lanes.
 func BenchmarkManyLanes(b *testing.B) {
 	Convey("Fifty lanes led by one store", b, func() {
@@ -20,7 +20,7 @@
 		places := &schema.PlaceLanes{Lease: c.lease()}
 		for k := 0; k < 50; k++ {
 			lanes = append(lanes, fmt.Sprintf("l%02d", k))
-			places.Lanes = append(places.Lanes, &schema.LanePlace{Lane: lanes[k], Founders: stores, Keeper: "a"})
+			places.Lanes = append(places.Lanes, &schema.LanePlace{Lane: lanes[k], Founders: stores, Leader: "a"})
 		}
 		So(c.put(lanesSheet(1, "", lanes...)).Code, ShouldEqual, 200)
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: places}}).Code, ShouldEqual, 200)
--- a/internal/replica/confirm_test.go
+++ b/internal/replica/confirm_test.go
@@ -13,15 +13,15 @@
 	Convey("A submission is confirmed when a quorum holds it, and by nothing less", t, func() {
 		c := newCore()
 		So(c.put(lanesSheet(1, "one", "l")).Code, ShouldEqual, 200)
-		place := &schema.PlaceLanes{Lease: c.lease(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		place := &schema.PlaceLanes{Lease: c.lease(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Leader: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: place}}).Code, ShouldEqual, 200)
 		c.run(2 * eventloop.Second)
-		keeper := c.leader("l")
-		So(keeper, ShouldNotBeEmpty)
+		leader := c.leader("l")
+		So(leader, ShouldNotBeEmpty)
 		confirmed := func(number uint64) (codes []int32) {
 			job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
 			c.heard["f"] = nil
-			c.step(keeper, "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
+			c.step(leader, "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
 				Session: &schema.Session{Gateway: "f", Boot: 1, Client: "c"}, Number: number, Lowest: number, Name: "j" + string(rune('0'+number)), Job: job,
 			}}})
 			c.run(200 * eventloop.Milli)
@@ -36,7 +36,7 @@
 		}
 		So(confirmed(1), ShouldResemble, []int32{201})
 		for _, id := range stores {
-			c.isDown[id] = id != keeper
+			c.isDown[id] = id != leader
 		}
 		So(confirmed(2), ShouldBeEmpty)
 	})
--- a/internal/replica/list_test.go
+++ b/internal/replica/list_test.go
@@ -24,7 +24,7 @@
 		}
 		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
 		lease := c.lease()
-		lanes := &schema.PlaceLanes{Lease: lease, Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		lanes := &schema.PlaceLanes{Lease: lease, Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Leader: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(c.leader("l"), ShouldEqual, "a")
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -161,7 +161,7 @@
 		So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
 		place := &schema.PlaceLanes{Lease: claimed.Lease}
 		for k, lane := range []string{"l", "m", "n"} {
-			place.Lanes = append(place.Lanes, &schema.LanePlace{Lane: lane, Founders: stores, Keeper: stores[k]})
+			place.Lanes = append(place.Lanes, &schema.LanePlace{Lane: lane, Founders: stores, Leader: stores[k]})
 		}
 		began := c.now
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: place}}).Code, ShouldEqual, 200)
@@ -184,7 +184,7 @@
 	})
 	Convey("A founder that its leader reached before the charter did is a voter in the end", t, func() {
 		c := newCore()
-		place := &schema.LanePlace{Lane: "l", Generation: 1, Founders: stores, Keeper: "a"}
+		place := &schema.LanePlace{Lane: "l", Generation: 1, Founders: stores, Leader: "a"}
 		c.step("b", "a", &schema.Append{Group: "l#1", Term: 1, Records: []*schema.Record{{Index: 1, Term: 1, Kind: schema.RecordKind_RECORD_FIRST}}})
 		table := c.tables["b"]
 		So(table.groups["l#1"].group.Roster().Voters, ShouldBeEmpty)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -26,7 +26,7 @@
 const Pace = 25 * eventloop.Milli
 
 const (
-	freshSpan    = eventloop.Second      // how old the charter's word may be for a keeper to order
+	freshSpan    = eventloop.Second      // how old the charter's word may be for a leader to order
 	stallSpan    = 600 * eventloop.Milli // a sync that takes longer makes a leader pass its lanes on
 	passRest     = 5 * eventloop.Second  // between two attempts to pass a lane on
 	launchSpan   = 200 * eventloop.Milli // the starts of a group that was decided on have left by then
@@ -106,7 +106,7 @@
 	carryIdx uint64
 	adoptIdx uint64
 	passAt   eventloop.Micros
-	keeperAt string // whom the charter named as keeper then
+	leaderAt string // whom the charter named as leader then
 }
 
 // patience is one draw for all groups of a process: whoever stops hearing a
@@ -326,7 +326,7 @@
 		return
 	}
 	if r := t.groups[m.Group]; r != nil {
-		r.passAt, r.keeperAt = now, t.keeperOf(r)
+		r.passAt, r.leaderAt = now, t.leaderOf(r)
 	}
 	t.toGroup(now, from, m.Group, m)
 }
@@ -377,7 +377,7 @@
 		return
 	}
 	t.found(now, name, place.Founders)
-	if place.Keeper == t.id && !t.isWarned {
+	if place.Leader == t.id && !t.isWarned {
 		t.groups[name].group.Stand(now)
 	}
 }
@@ -475,15 +475,15 @@
 // passOn hands a group over when this process is warned, when its disk
 // stalls, or when the charter wants the lane elsewhere.
 func (t *Table) passOn(now eventloop.Micros, r *replica) {
-	wanted := t.keeperOf(r)
-	// A keeper that was named since is given the lane at once: its workers have
+	wanted := t.leaderOf(r)
+	// A leader that was named since is given the lane at once: its workers have
 	// gone to it already, and nobody else can start anything on them.
-	isRested := now-r.passAt >= passRest || t.isWarned || wanted != r.keeperAt
+	isRested := now-r.passAt >= passRest || t.isWarned || wanted != r.leaderAt
 	if r.passAt > 0 && (!isRested || now-r.passAt < eventloop.Second) {
 		return
 	}
 	isStalled := t.writing != nil && now-t.began > stallSpan
-	keeper := wanted
+	leader := wanted
 	switch {
 	case t.isWarned || isStalled:
 		if wanted == t.id || !t.isFit(now, r, wanted) {
@@ -498,17 +498,17 @@
 		return
 	}
 	if wanted != "" {
-		r.passAt, r.keeperAt = now, keeper
+		r.passAt, r.leaderAt = now, leader
 		r.group.Pass(now, wanted)
 	}
 }
 
-// keeperOf is whom the charter names as keeper of a lane.
-func (t *Table) keeperOf(r *replica) string {
+// leaderOf is whom the charter names as leader of a lane.
+func (t *Table) leaderOf(r *replica) string {
 	if r.lane == nil {
 		return ""
 	}
-	return clusterstate.Place(t.state, r.name).GetKeeper()
+	return clusterstate.Place(t.state, r.name).GetLeader()
 }
 
 // isFit tells whether a voter is near enough to take a group over.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -34,11 +34,11 @@
 	})
 }
 
-func TestNewKeepers(t *testing.T) {
-	Convey("A lane goes to a keeper that is named while it has only just been taken over", t, func() {
+func TestNewLeaders(t *testing.T) {
+	Convey("A lane goes to a leader that is named while it has only just been taken over", t, func() {
 		c := newCore()
-		place := func(keeper string) {
-			lanes := []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: keeper}}
+		place := func(leader string) {
+			lanes := []*schema.LanePlace{{Lane: "l", Founders: stores, Leader: leader}}
 			command := &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: &schema.PlaceLanes{Lease: c.lease(), Lanes: lanes}}}
 			So(c.ask("charter", command).Code, ShouldEqual, 200)
 		}
@@ -80,7 +80,7 @@
 		c := newCore()
 		c.day = 1_800_000_000_000_000
 		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
-		lanes := &schema.PlaceLanes{Lease: c.lease(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Keeper: "a"}}}
+		lanes := &schema.PlaceLanes{Lease: c.lease(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Leader: "a"}}}
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		due := c.now + 8*eventloop.Second
--- a/internal/scheduler/agent_test.go
+++ b/internal/scheduler/agent_test.go
@@ -32,7 +32,7 @@
 	return &schema.Row{Kind: "lane", Name: name, Key: key, Value: value}
 }
 
-// pass lets time go by with every keeper's word fresh and every worker heard.
+// pass lets time go by with every leader's word fresh and every worker heard.
 func (d *desk) pass(span eventloop.Micros) {
 	for end := d.now + span; d.now < end; {
 		d.now += min(Pace, end-d.now)
--- a/internal/scheduler/guard_test.go
+++ b/internal/scheduler/guard_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestEndsAreNotedWhenApplied(t *testing.T) {
-	Convey("An end is told to its keeper until the keeper says that it was applied, and noted only then", t, func() {
+	Convey("An end is told to its leader until the leader says that it was applied, and noted only then", t, func() {
 		d := newDesk("v")
 		d.announce("v", named(nil))
 		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "v", one))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,8 +24,8 @@
 
 const (
 	silentSpan   = eventloop.Second       // no order to a worker not heard for this long
-	actSpan      = 250 * eventloop.Milli  // how old a keeper's word may be for an order to leave
-	wardSpan     = 1250 * eventloop.Milli // how long a former ward may still have answered: the keeper's freshSpan and actSpan
+	actSpan      = 250 * eventloop.Milli  // how old a leader's word may be for an order to leave
+	wardSpan     = 1250 * eventloop.Milli // how long a former ward may still have answered: the leader's freshSpan and actSpan
 	holdSpan     = 400 * eventloop.Milli  // how long an announce is held back at most
 	endSpan      = 300 * eventloop.Milli  // a report that isn't settled is passed on again
 	reserveSpan  = 3 * eventloop.Second   // a checkout that was never heard of is given up
@@ -623,7 +623,7 @@
 // fresh.
 func (t *Table) isSure(now eventloop.Micros) bool { return now-t.freshAt < actSpan && t.fresh.Charter }
 
-// mayAct tells whether orders for a lane may leave: its keeper has just heard
+// mayAct tells whether orders for a lane may leave: its leader has just heard
 // its quorum, and the charter's word is fresh.
 func (t *Table) mayAct(now eventloop.Micros, v *view) bool {
 	return t.isSure(now) && t.fresh.Groups[v.group] == v.term
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -12,7 +12,7 @@
 	"sparnotch/internal/schema"
 )
 
-// desk drives a placer by hand: it plays the keeper and the workers.
+// desk drives a placer by hand: it plays the leader and the workers.
 type desk struct {
 	t       *Table
 	now     eventloop.Micros
--- a/internal/sim/again_test.go
+++ b/internal/sim/again_test.go
@@ -10,7 +10,7 @@
 	"sparnotch/internal/eventloop"
 )
 
-var spread = flag.Int("spread", 0, "measure with so many seeds how long a lost worker's tasks take to begin again when keeper and controller go too")
+var spread = flag.Int("spread", 0, "measure with so many seeds how long a lost worker's tasks take to begin again when leader and controller go too")
 
 // TestSpread is a measurement; it is run by hand.
 func TestSpread(t *testing.T) {
@@ -22,7 +22,7 @@
 	var playing sync.WaitGroup
 	gate := make(chan bool, 8)
 	for _, s := range Scenarios {
-		if s.Name != "keeper, controller and worker lost at once" {
+		if s.Name != "leader, controller and worker lost at once" {
 			continue
 		}
 		for k := 0; k < *spread; k++ {
--- a/internal/sim/called_test.go
+++ b/internal/sim/called_test.go
@@ -14,7 +14,7 @@
 // inCI are the scenarios that run with called workers each time; feign simulate
 // plays all of them, with any seed.
 var inCI = map[string]bool{
-	"calm": true, "rough net": true, "keeper killed": true, "operators race": true, "clocks jump": true, "core split each way": true,
+	"calm": true, "rough net": true, "leader killed": true, "operators race": true, "clocks jump": true, "core split each way": true,
 }
 
 // seen counts what a run has shown of what the rules speak of.
@@ -90,7 +90,7 @@
 			continue
 		}
 		for _, s := range ScenariosOf(size) {
-			if s.Name != "keeper killed" && s.Name != "called workers crash, vanish, leave at once, fail, stand still" {
+			if s.Name != "leader killed" && s.Name != "called workers crash, vanish, leave at once, fail, stand still" {
 				continue
 			}
 			t.Run(size.Name+"/"+s.Name, func(t *testing.T) {
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -110,7 +110,7 @@
 		f.At(f.Began+rollAt(span, hour, k, len(rolls)+size.Workers), roll)
 	}
 	// The day ends with one last fault.
-	during(f, span-20*eventloop.Second, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
+	during(f, span-20*eventloop.Second, func(leader *Host) { f.killed(leader, 5*eventloop.Second) })
 	breaches := f.Finish()
 	var wrong []string
 	if len(quiet) != 1 {
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -21,16 +21,16 @@
 	After func(f *Fleet) []string // what must hold at the end besides the rules
 }
 
-// during calls with the keeper of the moment, some time into the load.
-func during(f *Fleet, at eventloop.Micros, call func(keeper *Host)) {
+// during calls with the leader of the moment, some time into the load.
+func during(f *Fleet, at eventloop.Micros, call func(leader *Host)) {
 	f.At(f.Began+at, func() {
-		keeper := f.Keeper()
-		if keeper == nil {
-			// Between two keepers: a moment later there is one again.
+		leader := f.Leader()
+		if leader == nil {
+			// Between two leaders: a moment later there is one again.
 			during(f, f.Now-f.Began+200*eventloop.Milli, call)
 			return
 		}
-		call(keeper)
+		call(leader)
 	})
 }
 
@@ -48,9 +48,9 @@
 
 func freeze(span eventloop.Micros) func(f *Fleet) {
 	return func(f *Fleet) {
-		during(f, 4*eventloop.Second, func(keeper *Host) {
-			f.Fault("%s frozen", keeper.Name)
-			keeper.Freeze(span)
+		during(f, 4*eventloop.Second, func(leader *Host) {
+			f.Fault("%s frozen", leader.Name)
+			leader.Freeze(span)
 		})
 	}
 }
@@ -95,12 +95,12 @@
 	{Name: "calm", Net: CalmNet, Sync: 500, Span: 15 * eventloop.Second},
 	{Name: "rough net", Net: RoughNet, Sync: 500, Span: 15 * eventloop.Second},
 	{Name: "slow disks", Net: CalmNet, Sync: 5 * eventloop.Milli, Span: 15 * eventloop.Second},
-	{Name: "keeper killed", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
-		during(f, 4*eventloop.Second, func(keeper *Host) { f.killed(keeper, 4*eventloop.Second) })
+	{Name: "leader killed", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(leader *Host) { f.killed(leader, 4*eventloop.Second) })
 	}},
-	{Name: "keepers killed in turn, rough net", Net: RoughNet, Sync: 5 * eventloop.Milli, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
+	{Name: "leaders killed in turn, rough net", Net: RoughNet, Sync: 5 * eventloop.Milli, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 3; k++ {
-			during(f, eventloop.Micros(3+13*k)*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
+			during(f, eventloop.Micros(3+13*k)*eventloop.Second, func(leader *Host) { f.killed(leader, 3*eventloop.Second) })
 		}
 	}},
 	{Name: "all killed at once", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
@@ -112,11 +112,11 @@
 			}
 		})
 	}},
-	{Name: "keeper frozen 1 s", Net: CalmNet, Sync: 500, Span: 20 * eventloop.Second, Plan: freeze(eventloop.Second)},
-	{Name: "keeper frozen 5 s", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: freeze(5 * eventloop.Second)},
-	{Name: "keeper frozen 30 s", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: freeze(30 * eventloop.Second)},
-	{Name: "keeper isolated", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
-		during(f, 4*eventloop.Second, func(keeper *Host) { f.isolated(keeper, 12*eventloop.Second) })
+	{Name: "leader frozen 1 s", Net: CalmNet, Sync: 500, Span: 20 * eventloop.Second, Plan: freeze(eventloop.Second)},
+	{Name: "leader frozen 5 s", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: freeze(5 * eventloop.Second)},
+	{Name: "leader frozen 30 s", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: freeze(30 * eventloop.Second)},
+	{Name: "leader isolated", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(leader *Host) { f.isolated(leader, 12*eventloop.Second) })
 	}},
 	{Name: "core split each way", Net: CalmNet, Sync: 500, Span: 60 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 3; k++ {
@@ -131,13 +131,13 @@
 	}},
 	{Name: "one-way cuts", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 2; k++ {
-			during(f, eventloop.Micros(3+20*k)*eventloop.Second, func(keeper *Host) {
-				f.oneWay(keeper, 10*eventloop.Second, k == 0)
+			during(f, eventloop.Micros(3+20*k)*eventloop.Second, func(leader *Host) {
+				f.oneWay(leader, 10*eventloop.Second, k == 0)
 			})
 		}
 	}},
 	{Name: "disk machine replaced", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
-		during(f, 4*eventloop.Second, func(keeper *Host) { f.replaced(keeper) })
+		during(f, 4*eventloop.Second, func(leader *Host) { f.replaced(leader) })
 	}, After: repaired},
 	{Name: "all disk machines replaced in turn", Net: CalmNet, Sync: 500, Span: 90 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 3; k++ {
@@ -160,20 +160,20 @@
 		return nil
 	}},
 	{Name: "disk stalls", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
-		during(f, 4*eventloop.Second, func(keeper *Host) {
-			f.Fault("the disk of %s stalls", keeper.Name)
-			keeper.Stall = f.Now + 8*eventloop.Second
+		during(f, 4*eventloop.Second, func(leader *Host) {
+			f.Fault("the disk of %s stalls", leader.Name)
+			leader.Stall = f.Now + 8*eventloop.Second
 		})
 	}},
 	{Name: "slow disk", Net: CalmNet, Sync: 500, Span: 60 * eventloop.Second, Plan: func(f *Fleet) {
-		during(f, 4*eventloop.Second, func(keeper *Host) {
-			f.Fault("the disk of %s is slow", keeper.Name)
-			keeper.SyncUs = 450 * eventloop.Milli
-			f.slow = keeper
+		during(f, 4*eventloop.Second, func(leader *Host) {
+			f.Fault("the disk of %s is slow", leader.Name)
+			leader.SyncUs = 450 * eventloop.Milli
+			f.slow = leader
 		})
 	}, After: func(f *Fleet) []string {
 		var wrong []string
-		if keeper := f.Keeper(); keeper == f.slow {
+		if leader := f.Leader(); leader == f.slow {
 			wrong = append(wrong, "the lanes stayed on the slow disk")
 		}
 		moves := map[uint64]bool{}
@@ -198,7 +198,7 @@
 				f.After(500*eventloop.Milli, fresh.Start)
 			})
 		}
-		during(f, 18*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
+		during(f, 18*eventloop.Second, func(leader *Host) { f.killed(leader, 3*eventloop.Second) })
 	}},
 	{Name: "controller frozen and superseded", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began+3*eventloop.Second, func() {
@@ -206,14 +206,14 @@
 			f.Fault("the controller %s frozen", controller.Name)
 			controller.Freeze(12 * eventloop.Second)
 		})
-		// The keeper dies while nobody may act, and again when the old controller
+		// The leader dies while nobody may act, and again when the old controller
 		// has woken beside its successor.
-		during(f, 3500*eventloop.Milli, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
-		during(f, 15100*eventloop.Milli, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
+		during(f, 3500*eventloop.Milli, func(leader *Host) { f.killed(leader, 5*eventloop.Second) })
+		during(f, 15100*eventloop.Milli, func(leader *Host) { f.killed(leader, 5*eventloop.Second) })
 	}},
 	{Name: "controller isolated", Net: CalmNet, Sync: 500, Span: 45 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began+3*eventloop.Second, func() { f.isolated(f.controller(), 15*eventloop.Second) })
-		during(f, 8*eventloop.Second, func(keeper *Host) { f.killed(keeper, 5*eventloop.Second) })
+		during(f, 8*eventloop.Second, func(leader *Host) { f.killed(leader, 5*eventloop.Second) })
 	}},
 	{Name: "every side machine gone", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
 		// The data plane goes on as the charter last said.
@@ -232,7 +232,7 @@
 		f.At(f.Began+3*eventloop.Second, func() {
 			// Number 2 arrives, number 1 never will.
 			front := f.lean[len(f.lean)-1]
-			(&outlet{front}).Send(f.Keeper().Id, &schema.Submit{Lane: "quick", Enqueues: []*schema.Enqueue{{
+			(&outlet{front}).Send(f.Leader().Id, &schema.Submit{Lane: "quick", Enqueues: []*schema.Enqueue{{
 				Session: &schema.Session{Gateway: front.Id, Boot: 1, Client: "stuck"}, Number: 2, Lowest: 1, Name: "stuck", Digest: []byte("x"), Job: Kinds()[0].Job,
 			}}})
 			f.After(100*eventloop.Milli, func() {
@@ -270,7 +270,7 @@
 				h.WallOff = (f.Rng.Int64N(2*6*3600) - 6*3600) * int64(eventloop.Second)
 			})
 		}
-		during(f, 9*eventloop.Second, func(keeper *Host) { f.killed(keeper, 2*eventloop.Second) })
+		during(f, 9*eventloop.Second, func(leader *Host) { f.killed(leader, 2*eventloop.Second) })
 	}},
 	{Name: "workers crash, vanish, leave, are cut off", Net: CalmNet, Sync: 500, Span: 35 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began+2*eventloop.Second, func() { f.Workers[0].Crash(); f.After(2*eventloop.Second, f.Workers[0].Start) })
@@ -289,20 +289,20 @@
 			f.Workers[2].Habits().StillRate = 0.1
 		})
 	}},
-	{Name: "worker cut off while its keeper dies", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
+	{Name: "worker cut off while its leader dies", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began+4*eventloop.Second, func() { f.Workers[2].Cut(true); f.After(12*eventloop.Second, func() { f.Workers[2].Cut(false) }) })
-		during(f, 4500*eventloop.Milli, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
+		during(f, 4500*eventloop.Milli, func(leader *Host) { f.killed(leader, 3*eventloop.Second) })
 	}},
 	{Name: "the table takes effect", Net: CalmNet, Sync: 500, Span: 35 * eventloop.Second, Plan: func(f *Fleet) {
 		row := func(kind, name, key, value string) *schema.Row {
 			return &schema.Row{Kind: kind, Name: name, Key: key, Value: value}
 		}
 		// A rack is emptied, a lane narrowed, a lane made, each acted on within
-		// the span, while the keeper goes.
+		// the span, while the leader goes.
 		f.At(f.Began+3*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("rack", "r1", "weight", "0"))) })
 		f.At(f.Began+10*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "slow", "running", "2"))) })
 		f.At(f.Began+18*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "extra", "urgency", "5"))) })
-		during(f, 14*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
+		during(f, 14*eventloop.Second, func(leader *Host) { f.killed(leader, 3*eventloop.Second) })
 		for k := range f.Fronts() {
 			f.At(f.Began+21*eventloop.Second+eventloop.Micros(k)*100*eventloop.Milli, func() {
 				f.HandIn(Kind{Lane: "extra", Job: Kinds()[0].Job}, fmt.Sprint("extra-", k))
@@ -318,15 +318,15 @@
 				f.After(1500*eventloop.Milli, func() { f.cancel(kind, name) })
 			})
 		}
-		during(f, 8*eventloop.Second, func(keeper *Host) { f.killed(keeper, 3*eventloop.Second) })
+		during(f, 8*eventloop.Second, func(leader *Host) { f.killed(leader, 3*eventloop.Second) })
 	}},
-	{Name: "keeper, controller and worker lost at once", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
-		during(f, 6*eventloop.Second, func(keeper *Host) {
+	{Name: "leader, controller and worker lost at once", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 6*eventloop.Second, func(leader *Host) {
 			// Long work is out everywhere, so that the lost worker had some.
 			long := &schema.Job{Text: "run_us=6000000", Steps: []*schema.Step{step("long", uint32(2*len(f.Workers)), 500)}}
 			f.HandIn(Kind{Lane: "slow", Job: long}, "long-1")
 			f.After(2*eventloop.Second, func() {
-				f.killed(keeper, 20*eventloop.Second)
+				f.killed(leader, 20*eventloop.Second)
 				controller := f.controller()
 				f.killed(controller, 20*eventloop.Second)
 				worker := f.busiest()
@@ -419,7 +419,7 @@
 				f.After(10*eventloop.Second, func() { f.cancel(Kind{Lane: "timed"}, name) })
 			})
 		}
-		during(f, 6*eventloop.Second, func(keeper *Host) { f.killed(keeper, 2*eventloop.Second) })
+		during(f, 6*eventloop.Second, func(leader *Host) { f.killed(leader, 2*eventloop.Second) })
 	}},
 	{Name: "jobs that last, and the log", Net: CalmNet, Sync: 500, Span: 50 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began, func() {
@@ -431,7 +431,7 @@
 			f.HandIn(Kind{Lane: "quick", Job: long}, "long-1")
 			f.HandIn(Kind{Lane: "timed", Job: long}, "long-2")
 		})
-		during(f, 30*eventloop.Second, func(keeper *Host) { f.killed(keeper, 2*eventloop.Second) })
+		during(f, 30*eventloop.Second, func(leader *Host) { f.killed(leader, 2*eventloop.Second) })
 	}, After: func(f *Fleet) []string {
 		var wrong []string
 		carries := uint64(0)
@@ -449,11 +449,11 @@
 		return wrong
 	}},
 	{Name: "a store damaged in the middle", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
-		during(f, 5*eventloop.Second, func(keeper *Host) {
-			f.Fault("%s killed, its disk damaged", keeper.Name)
-			keeper.Kill()
-			keeper.Disk.Rot("log-0", keeper.Disk.Size("log-0")/2)
-			f.After(2*eventloop.Second, keeper.Start)
+		during(f, 5*eventloop.Second, func(leader *Host) {
+			f.Fault("%s killed, its disk damaged", leader.Name)
+			leader.Kill()
+			leader.Disk.Rot("log-0", leader.Disk.Size("log-0")/2)
+			f.After(2*eventloop.Second, leader.Start)
 		})
 	}, After: func(f *Fleet) []string {
 		wrong := repaired(f)
@@ -462,13 +462,13 @@
 		}
 		return wrong
 	}},
-	{Name: "keeper warned, then the next", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
+	{Name: "leader warned, then the next", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
 		for k := 0; k < 2; k++ {
-			during(f, eventloop.Micros(4+15*k)*eventloop.Second, func(keeper *Host) {
-				f.Fault("%s warned", keeper.Name)
+			during(f, eventloop.Micros(4+15*k)*eventloop.Second, func(leader *Host) {
+				f.Fault("%s warned", leader.Name)
 				f.warned = append(f.warned, f.Now)
-				keeper.Warn(10 * eventloop.Second)
-				f.After(8*eventloop.Second, keeper.Start)
+				leader.Warn(10 * eventloop.Second)
+				f.After(8*eventloop.Second, leader.Start)
 			})
 		}
 	}, After: func(f *Fleet) []string {
@@ -485,7 +485,7 @@
 			}
 			for _, at := range f.warned {
 				if span := e.At - sent[e.Name]; sent[e.Name] >= at && sent[e.Name] < at+3*eventloop.Second && span > 1200*eventloop.Milli {
-					wrong = append(wrong, fmt.Sprintf("%s waited %d us while a keeper left", e.Name, span))
+					wrong = append(wrong, fmt.Sprintf("%s waited %d us while a leader left", e.Name, span))
 				}
 			}
 		}
@@ -531,7 +531,7 @@
 				f.Put("two", f.Rows(70+k))
 			})
 		}
-		during(f, 8*eventloop.Second, func(keeper *Host) { f.killed(keeper, 2*eventloop.Second) })
+		during(f, 8*eventloop.Second, func(leader *Host) { f.killed(leader, 2*eventloop.Second) })
 	}},
 }
 
@@ -580,9 +580,9 @@
 			}
 		})
 	}},
-	{Name: "keeper, a worker and its neighbour's agent lost at once", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
-		during(f, 4*eventloop.Second, func(keeper *Host) {
-			f.killed(keeper, 8*eventloop.Second)
+	{Name: "leader, a worker and its neighbour's agent lost at once", Net: CalmNet, Sync: 500, Span: 40 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(leader *Host) {
+			f.killed(leader, 8*eventloop.Second)
 			f.Workers[0].Crash()
 			f.After(15*eventloop.Second, f.Workers[0].Start)
 			f.killed(f.sides[1], 5*eventloop.Second)
--- a/internal/sim/schedule.go
+++ b/internal/sim/schedule.go
@@ -16,7 +16,7 @@
 // Stroke is one fault of a schedule: what, to whom, for how long, when.
 type Stroke struct {
 	What string
-	Whom string // keeper, controller, or a machine's name
+	Whom string // leader, controller, or a machine's name
 	Span eventloop.Micros
 	At   eventloop.Micros // after the load began
 }
@@ -40,7 +40,7 @@
 // deed is a kind of fault: whom it may strike, whether a disk machine that it
 // strikes counts as away meanwhile, and what is done.
 type deed struct {
-	targets string // keeper, store, lean, side, worker, called, all
+	targets string // leader, store, lean, side, worker, called, all
 	isLoss  bool
 	strike  func(f *Fleet, name string, span eventloop.Micros)
 }
@@ -51,24 +51,24 @@
 const recovery = 12 * eventloop.Second
 
 var deeds = map[string]deed{
-	"kill":    {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.killed(f.host(n), span) }},
-	"freeze":  {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.frozen(f.host(n), span) }},
-	"isolate": {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.isolated(f.host(n), span) }},
-	"mute":    {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.oneWay(f.host(n), span, true) }},
-	"deaf":    {"keeper store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.oneWay(f.host(n), span, false) }},
-	"replace": {"keeper store", true, func(f *Fleet, n string, _ eventloop.Micros) { f.replaced(f.host(n)) }},
-	"warn": {"keeper store lean", true, func(f *Fleet, n string, span eventloop.Micros) {
+	"kill":    {"leader store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.killed(f.host(n), span) }},
+	"freeze":  {"leader store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.frozen(f.host(n), span) }},
+	"isolate": {"leader store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.isolated(f.host(n), span) }},
+	"mute":    {"leader store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.oneWay(f.host(n), span, true) }},
+	"deaf":    {"leader store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.oneWay(f.host(n), span, false) }},
+	"replace": {"leader store", true, func(f *Fleet, n string, _ eventloop.Micros) { f.replaced(f.host(n)) }},
+	"warn": {"leader store lean", true, func(f *Fleet, n string, span eventloop.Micros) {
 		h := f.host(n)
 		f.Fault("%s warned", h.Name)
 		h.Warn(span)
 		f.After(span+eventloop.Second, h.Start)
 	}},
-	"stall": {"keeper store", true, func(f *Fleet, n string, span eventloop.Micros) {
+	"stall": {"leader store", true, func(f *Fleet, n string, span eventloop.Micros) {
 		h := f.host(n)
 		f.Fault("the disk of %s stalls", h.Name)
 		h.Stall = f.Now + span
 	}},
-	"slow": {"keeper store", false, func(f *Fleet, n string, span eventloop.Micros) {
+	"slow": {"leader store", false, func(f *Fleet, n string, span eventloop.Micros) {
 		h := f.host(n)
 		f.Fault("the disk of %s is slow", h.Name)
 		usual := h.SyncUs
@@ -211,9 +211,9 @@
 
 func (f *Fleet) host(name string) *Host {
 	switch name {
-	case "keeper":
-		if keeper := f.Keeper(); keeper != nil {
-			return keeper
+	case "leader":
+		if leader := f.Leader(); leader != nil {
+			return leader
 		}
 		return f.Hosts[0]
 	case "controller":
@@ -242,8 +242,8 @@
 	var list []string
 	for _, target := range strings.Fields(d.targets) {
 		switch target {
-		case "keeper":
-			list = append(list, "keeper")
+		case "leader":
+			list = append(list, "leader")
 		case "store":
 			list = append(list, "keep1", "keep2", "keep3")
 		case "lean":
@@ -274,7 +274,7 @@
 
 // isDisk tells whether a stroke takes a disk machine away.
 func (s Stroke) isDisk() bool {
-	isOther := strings.HasPrefix(s.Whom, "heed") || s.Whom == "controller" || strings.HasPrefix(s.Whom, "keep") && s.Whom > "keep3" && s.Whom != "keeper"
+	isOther := strings.HasPrefix(s.Whom, "heed") || s.Whom == "controller" || strings.HasPrefix(s.Whom, "keep") && s.Whom > "keep3" && s.Whom != "leader"
 	return deeds[s.What].isLoss && !isOther
 }
 
@@ -326,7 +326,7 @@
 		length, err1 := time.ParseDuration(span)
 		moment, err2 := time.ParseDuration(at)
 		if !isTold || !isSpan || !isAt || err1 != nil || err2 != nil {
-			return nil, fmt.Errorf("faults[%d]: %q is not WHAT/WHOM:SPAN@AT, as kill/keeper:3s@5s", k, each)
+			return nil, fmt.Errorf("faults[%d]: %q is not WHAT/WHOM:SPAN@AT, as kill/leader:3s@5s", k, each)
 		}
 		list = append(list, Stroke{what, whom, eventloop.Micros(length.Microseconds()), eventloop.Micros(moment.Microseconds())})
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		for _, s := range Scenarios {
-			if s.Name != "keeper killed" && s.Name != "core split each way" && s.Name != "disk machine replaced" {
+			if s.Name != "leader killed" && s.Name != "core split each way" && s.Name != "disk machine replaced" {
 				continue
 			}
 			t.Run(size.Name+"/"+s.Name, func(t *testing.T) {
@@ -116,9 +116,9 @@
 			So(again, ShouldResemble, schedule)
 		}
 		for text, what := range map[string]string{
-			"kill/keeper:3s@5s,explode/keep1:1s@9s":          "faults[1]: there is no fault",
+			"kill/leader:3s@5s,explode/keep1:1s@9s":          "faults[1]: there is no fault",
 			"kill/w1:3s@5s":                                  "faults[0]: kill can't strike",
-			"kill/keeper:3s":                                 "faults[0]",
+			"kill/leader:3s":                                 "faults[0]",
 			"kill/keep1:3s@5s,freeze/keep2:1s@6s":            "faults[1]: freeze/keep2:1s@6s and kill/keep1:3s@5s (faults[0]) may take two of three disk machines away",
 			"cut/w1:9s@5s,sleep/w1:1s@6s":                    "faults[1]",
 			"kill/keep4:90s@5s":                              "faults[0]",
@@ -136,10 +136,10 @@
 var pinned = map[string][]uint64{
 	"all killed at once":                {105, 107, 116},
 	"side machines swapped out":         {1007},
-	"keeper isolated":                   {3005},
-	"keeper warned, then the next":      {20005, 20019, 20009},
+	"leader isolated":                   {3005},
+	"leader warned, then the next":      {20005, 20019, 20009},
 	"clocks jump":                       {100, 101, 102, 108},
-	"keepers killed in turn, rough net": {103, 6011, 7051},
+	"leaders killed in turn, rough net": {103, 6011, 7051},
 	"disk stalls":                       {102, 3011},
 	"controller frozen and superseded":  {20014},
 }
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -64,7 +64,7 @@
 	kinds   map[string]float64 // bytes by message
 	far     float64            // bytes between regions
 	isOn    bool
-	keeper  *Host // when the measuring began
+	leader  *Host // when the measuring began
 	spent   map[*Host]map[string]int64
 	begins  []begin
 	ends    map[string]eventloop.Micros
@@ -84,8 +84,8 @@
 
 func (r *hollowRun) roleOf(h *Host) string {
 	switch {
-	case h == r.keeper:
-		return "keeper"
+	case h == r.leader:
+		return "leader"
 	case h.Role == schema.Role_ROLE_HEED:
 		return "side"
 	case h.Disk != nil:
@@ -132,7 +132,7 @@
 	ready := r.untilReady()
 	r.call()
 	r.Run(r.Now + setup.Warm)
-	r.isOn, r.keeper = true, r.Keeper()
+	r.isOn, r.leader = true, r.Leader()
 	from, beginsFrom := r.Now, len(r.begins)
 	r.Run(r.Now + setup.Span)
 	r.isOn = false
@@ -214,7 +214,7 @@
 	}
 }
 
-// untilReady lets everything come up: a ward for each worker, a keeper for each
+// untilReady lets everything come up: a ward for each worker, a leader for each
 // lane; at most two minutes.
 func (r *hollowRun) untilReady() eventloop.Micros {
 	from := r.Now
@@ -352,7 +352,7 @@
 	for _, h := range r.Hosts {
 		counts[r.roleOf(h)]++
 	}
-	for _, role := range []string{"keeper", "store", "front", "side"} {
+	for _, role := range []string{"leader", "store", "front", "side"} {
 		n := counts[role]
 		if n == 0 {
 			continue
@@ -426,11 +426,11 @@
 // lose takes away what the setup says and tells how long until a job handed in
 // after that runs, and until the last task that ran there runs again.
 func (r *hollowRun) lose() []Result {
-	keeper := r.Keeper()
+	leader := r.Leader()
 	isLost := func(h *Host) bool { return false }
 	switch r.setup.Lose {
 	case "node":
-		isLost = func(h *Host) bool { return h == keeper }
+		isLost = func(h *Host) bool { return h == leader }
 	case "worker":
 		isLost = func(h *Host) bool { return h.Name == "side0" }
 	case "rack":
@@ -440,9 +440,9 @@
 			return count == 1 && k/r.setup.PerRack == 0
 		}
 	case "zone":
-		isLost = func(h *Host) bool { return h.Cell == keeper.Cell }
+		isLost = func(h *Host) bool { return h.Cell == leader.Cell }
 	case "region", "link":
-		isLost = func(h *Host) bool { return r.region[h.Cell] == r.region[keeper.Cell] }
+		isLost = func(h *Host) bool { return r.region[h.Cell] == r.region[leader.Cell] }
 	}
 	hit := 0
 	for _, h := range r.Hosts {
@@ -452,7 +452,7 @@
 	}
 	r.lostAt = r.Now
 	for key, at := range r.where {
-		// What a keeper's region loses of the other one is lost to it all the same.
+		// What a leader's region loses of the other one is lost to it all the same.
 		isOut := r.ends[key] > r.Now
 		if isOut && isLost(at) && r.setup.Lose != "link" {
 			r.wanted[key] = true
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -705,8 +705,8 @@
 
 func (g *grab) Answer(_ uint64, body any) { g.take(body) }
 
-// Keeper is the store that leads most lanes.
-func (w *World) Keeper() *Host {
+// Leader is the store that leads most lanes.
+func (w *World) Leader() *Host {
 	var best *Host
 	most := 0
 	for _, h := range w.Stores() {
