--- a/cmd/feign/fleet.go
+++ b/cmd/feign/fleet.go
@@ -193,7 +193,7 @@
 	}()
 }
 
-// leader asks the fronts who leads the first lane.
+// leader asks the fronts who leads the first queue.
 func (f *fleet) leader(ctx context.Context) *proc {
 	for _, p := range f.fronts {
 		if p.data == "" {
--- a/cmd/feign/hollow.go
+++ b/cmd/feign/hollow.go
@@ -35,7 +35,7 @@
 	Folder      string  // of the stores' data
 	Workers     int     // sides, each with an agent's stead and a worker
 	Fronts      int     // without data
-	Lanes       int     // all on the same three stores
+	Queues      int     // all on the same three stores
 	Starts      float64 // task starts a second
 	RunUs       int64   // how long a task runs
 	Width       int     // tasks of a job's one step
@@ -53,7 +53,7 @@
 
 func usualHollow() hollowSetup {
 	return hollowSetup{
-		Net: "127.11", Workers: 24, Fronts: 2, Lanes: 4, Starts: 20, RunUs: 100_000, Width: 1, Zones: 3, PerRack: 3, SyncUs: 500, Regions: 1, FarUs: 6000, Shares: 2,
+		Net: "127.11", Workers: 24, Fronts: 2, Queues: 4, Starts: 20, RunUs: 100_000, Width: 1, Zones: 3, PerRack: 3, SyncUs: 500, Regions: 1, FarUs: 6000, Shares: 2,
 	}
 }
 
@@ -89,8 +89,8 @@
 		return fmt.Errorf("workers: must lie between 1 and %d", hostsMost-sidesFrom)
 	case s.Fronts < 0 || s.Fronts > sidesFrom-storeCount:
 		return fmt.Errorf("fronts: must lie between 0 and %d", sidesFrom-storeCount)
-	case s.Lanes < 1 || s.Lanes > 1000:
-		return fmt.Errorf("lanes: must lie between 1 and 1000")
+	case s.Queues < 1 || s.Queues > 1000:
+		return fmt.Errorf("queues: must lie between 1 and 1000")
 	case s.Starts < 0 || s.Starts > 10_000:
 		return fmt.Errorf("starts: must lie between 0 and 10000 a second")
 	case s.RunUs < 1:
@@ -125,7 +125,7 @@
 	set.StringVar(&s.Profile, "profile", "", "folder for a processor profile of each part while it is measured")
 	set.IntVar(&s.Workers, "workers", usual.Workers, "sides, each with an agent's stead and a worker without work behind it")
 	set.IntVar(&s.Fronts, "fronts", usual.Fronts, "fronts without data")
-	set.IntVar(&s.Lanes, "lanes", usual.Lanes, "lanes")
+	set.IntVar(&s.Queues, "queues", usual.Queues, "queues")
 	set.Float64Var(&s.Starts, "starts", usual.Starts, "task starts a second")
 	set.Int64Var(&s.RunUs, "run_us", usual.RunUs, "how long a task runs")
 	set.IntVar(&s.Width, "width", usual.Width, "tasks of a job")
@@ -249,7 +249,7 @@
 	return list, nil
 }
 
-// wait lets the deployment come up: a leader for each lane, a ward for each
+// wait lets the deployment come up: a leader for each queue, a ward for each
 // worker, and hand-ins accepted.
 func (r *hollowRun) wait(ctx context.Context, span time.Duration) error {
 	last := ""
@@ -277,8 +277,8 @@
 			}
 			wards = max(wards, warded)
 		}
-		last = fmt.Sprintf("%d of %d lanes led, %d of %d workers warded, %d jobs accepted", leads, r.setup.Lanes, wards, r.setup.Workers, accepted)
-		if leads >= r.setup.Lanes && wards >= r.setup.Workers && (accepted > 0 || r.setup.Starts == 0) {
+		last = fmt.Sprintf("%d of %d queues led, %d of %d workers warded, %d jobs accepted", leads, r.setup.Queues, wards, r.setup.Workers, accepted)
+		if leads >= r.setup.Queues && wards >= r.setup.Workers && (accepted > 0 || r.setup.Starts == 0) {
 			return nil
 		}
 	}
@@ -520,7 +520,7 @@
 	return "run hundreds of hollow processes against real stores, and say what each role costs"
 }
 func (*hollowCommand) Usage() string {
-	return `feign hollow [-workers 100] [-lanes 4] [-starts 20] [-changes 6] [-kill] ...
+	return `feign hollow [-workers 100] [-queues 4] [-starts 20] [-changes 6] [-kill] ...
   Three stores with data, some fronts, sides that share a few processes of the
   operating system, and callers; the product's own tables and wire over loopback
   addresses. Workers run nothing: a task lasts run_us and is done. Prints what one
--- a/cmd/feign/hollow_part.go
+++ b/cmd/feign/hollow_part.go
@@ -396,12 +396,12 @@
 		go func() {
 			defer func() { <-gate }()
 			sent := time.Now()
-			lane := laneName(number % p.setup.Lanes)
+			queue := queueName(number % p.setup.Queues)
 			body, _ := json.Marshal(map[string]any{
 				"text":  fmt.Sprintf("run_us=%d", p.setup.RunUs),
 				"steps": []stepShape{{Name: "s", Tasks: p.setup.Width, CoresMilli: 10, MemoryMb: 1, Together: p.setup.Together}},
 			})
-			path := fmt.Sprintf("/v1/lanes/%s/jobs/h%d-%d", lane, number, sent.UnixMicro())
+			path := fmt.Sprintf("/v1/queues/%s/jobs/h%d-%d", queue, number, sent.UnixMicro())
 			for ctx.Err() == nil {
 				code, _ := p.send(ctx, client, "PUT", path, body)
 				if code == 200 || code == 201 {
@@ -422,13 +422,13 @@
 	}
 }
 
-func laneName(k int) string { return fmt.Sprintf("l%03d", k) }
+func queueName(k int) string { return fmt.Sprintf("l%03d", k) }
 
-// rows is the plan: its lanes, racks to fill it up, and one row that changes.
+// rows is the plan: its queues, racks to fill it up, and one row that changes.
 func (s *hollowSetup) rows(change int) []*schema.Row {
 	rows := []*schema.Row{{Kind: "fleet", Key: "live_jobs", Value: "1000000"}, {Kind: "fleet", Key: "window", Value: "65536"}}
-	for k := 0; k < s.Lanes; k++ {
-		rows = append(rows, &schema.Row{Kind: "lane", Name: laneName(k), Key: "urgency", Value: "50"})
+	for k := 0; k < s.Queues; k++ {
+		rows = append(rows, &schema.Row{Kind: "queue", Name: queueName(k), Key: "urgency", Value: "50"})
 	}
 	for k := len(rows); k < s.Rows; k++ {
 		rows = append(rows, &schema.Row{Kind: "rack", Name: fmt.Sprintf("x%04d", k), Key: "weight", Value: "100"})
--- a/cmd/feign/hollow_test.go
+++ b/cmd/feign/hollow_test.go
@@ -14,7 +14,7 @@
 			"net":         func(s *hollowSetup) { s.Net = "10.0" },
 			"workers":     func(s *hollowSetup) { s.Workers = 0 },
 			"fronts":      func(s *hollowSetup) { s.Fronts = -1 },
-			"lanes":       func(s *hollowSetup) { s.Lanes = 0 },
+			"queues":      func(s *hollowSetup) { s.Queues = 0 },
 			"starts":      func(s *hollowSetup) { s.Starts = -1 },
 			"run_us":      func(s *hollowSetup) { s.RunUs = 0 },
 			"width":       func(s *hollowSetup) { s.Width = 0 },
@@ -47,10 +47,10 @@
 
 func TestSweep(t *testing.T) {
 	Convey("A sweep is checked at each of its values before anything starts", t, func() {
-		c := &slopeCommand{setup: usualHollow(), size: "lanes", over: "1,2,4000", repeats: 1, span: 1}
+		c := &slopeCommand{setup: usualHollow(), size: "queues", over: "1,2,4000", repeats: 1, span: 1}
 		_, err := c.values()
 		So(err, ShouldNotBeNil)
-		So(err.Error(), ShouldStartWith, "over: at 4000: lanes")
+		So(err.Error(), ShouldStartWith, "over: at 4000: queues")
 		c.over = "1,2"
 		list, err := c.values()
 		So(err, ShouldBeNil)
--- a/cmd/feign/outside.go
+++ b/cmd/feign/outside.go
@@ -310,12 +310,12 @@
 	if err != nil {
 		return
 	}
-	path := "/v1/lanes/" + k.Lane + "/jobs/" + name
+	path := "/v1/queues/" + k.Queue + "/jobs/" + name
 	began := c.history.now()
 	c.count(k, func(s *kindStats) { s.sent++ })
 	for ctx.Err() == nil {
 		address, sent := c.platform.pick(cell), c.history.now()
-		c.history.add(checker.Event{At: sent, Kind: checker.HandIn, Who: who, Lane: k.Lane, Name: name, Spec: spec})
+		c.history.add(checker.Event{At: sent, Kind: checker.HandIn, Who: who, Queue: k.Queue, Name: name, Spec: spec})
 		reply, err := c.platform.send(ctx, 3*time.Second, "PUT", address, path, body, who)
 		if ctx.Err() != nil {
 			break
@@ -324,7 +324,7 @@
 		if err != nil {
 			code = 0
 		}
-		e := checker.Event{Kind: checker.HandInReply, Who: who, Lane: k.Lane, Name: name, Code: code, Front: address, Sent: sent}
+		e := checker.Event{Kind: checker.HandInReply, Who: who, Queue: k.Queue, Name: name, Code: code, Front: address, Sent: sent}
 		view := &schema.JobView{}
 		if code == 200 || code == 201 {
 			if json.Unmarshal(reply.body, view) == nil {
@@ -383,7 +383,7 @@
 	if err != nil || code == 200 && json.Unmarshal(data, view) != nil {
 		code = 0
 	}
-	c.history.add(checker.Event{Kind: checker.Status, Who: who, Lane: k.Lane, Name: name, Code: code, State: view.State, Front: address, Sent: sent})
+	c.history.add(checker.Event{Kind: checker.Status, Who: who, Queue: k.Queue, Name: name, Code: code, State: view.State, Front: address, Sent: sent})
 	return view.State
 }
 
--- a/cmd/feign/report.go
+++ b/cmd/feign/report.go
@@ -46,18 +46,18 @@
 // a task, as the workers saw it.
 func wholeTimes(f *fleet, events []checker.Event) (first, whole map[string][]eventloop.Micros) {
 	// A job's name tells its kind: PREFIX-KIND-NUMBER.
-	kindOf := func(lane, name string) string {
+	kindOf := func(queue, name string) string {
 		_, rest, _ := strings.Cut(name, "-")
-		return lane + rest[:max(strings.LastIndex(rest, "-"), 0)]
+		return queue + rest[:max(strings.LastIndex(rest, "-"), 0)]
 	}
 	sent, began, ended := map[string]eventloop.Micros{}, map[string]eventloop.Micros{}, map[string]eventloop.Micros{}
 	kinds := map[string]string{}
 	for _, e := range events {
-		key := e.Lane + "/" + e.Name
+		key := e.Queue + "/" + e.Name
 		switch e.Kind {
 		case checker.HandIn:
 			if _, isKnown := sent[key]; !isKnown {
-				sent[key], kinds[key] = e.At, kindOf(e.Lane, e.Name)
+				sent[key], kinds[key] = e.At, kindOf(e.Queue, e.Name)
 			}
 		case checker.Begin:
 			if _, isKnown := began[key]; !isKnown {
@@ -96,7 +96,7 @@
 		three := func(list []eventloop.Micros) string {
 			return fmt.Sprintf("%.1f/%.1f/%.1f", quantile(list, .5), quantile(list, .95), quantile(list, .99))
 		}
-		fmt.Printf("%-12s %6d %8d %6d   %-26s %-26s %s\n", k.Name, s.sent, s.accepted, s.ended, three(s.confirm), three(first[k.Lane+k.Name]), three(whole[k.Lane+k.Name]))
+		fmt.Printf("%-12s %6d %8d %6d   %-26s %-26s %s\n", k.Name, s.sent, s.accepted, s.ended, three(s.confirm), three(first[k.Queue+k.Name]), three(whole[k.Queue+k.Name]))
 		if len(s.refused) > 0 {
 			fmt.Printf("    told no, or that it isn't known, after ms %s\n", three(s.refused))
 		}
@@ -161,7 +161,7 @@
 			if e.At > fault.At+20*eventloop.Second {
 				break
 			}
-			key := e.Lane + "/" + e.Name
+			key := e.Queue + "/" + e.Name
 			if e.Kind == checker.HandIn {
 				sent[key] = true
 			}
@@ -197,7 +197,7 @@
 	sent := map[string]eventloop.Micros{}
 	var list []eventloop.Micros
 	for _, e := range events {
-		if e.Lane != k.Lane || !strings.Contains(e.Name, "-"+k.Name+"-") || strings.Contains(e.Name, "rush-") || strings.Contains(e.Name, "flood-") {
+		if e.Queue != k.Queue || !strings.Contains(e.Name, "-"+k.Name+"-") || strings.Contains(e.Name, "rush-") || strings.Contains(e.Name, "flood-") {
 			continue
 		}
 		switch e.Kind {
--- a/cmd/feign/slope.go
+++ b/cmd/feign/slope.go
@@ -23,7 +23,7 @@
 // sweeps are the sizes that can be swept, each with how it is set.
 var sweeps = map[string]func(s *hollowSetup, value float64){
 	"workers": func(s *hollowSetup, value float64) { s.Workers = int(value) },
-	"lanes":   func(s *hollowSetup, value float64) { s.Lanes = int(value) },
+	"queues":  func(s *hollowSetup, value float64) { s.Queues = int(value) },
 	"starts":  func(s *hollowSetup, value float64) { s.Starts = value },
 	// Running tasks at one rate of starts: they only last longer.
 	"running":     func(s *hollowSetup, value float64) { s.RunUs = int64(value / s.Starts * 1e6) },
@@ -214,7 +214,7 @@
 	defer profile.stop()
 	var list []outcome
 	for _, each := range sim.PlayHollow(sim.Hollow{
-		Workers: setup.Workers, Fronts: setup.Fronts, Lanes: setup.Lanes, Starts: setup.Starts, RunUs: setup.RunUs, Width: setup.Width,
+		Workers: setup.Workers, Fronts: setup.Fronts, Queues: setup.Queues, Starts: setup.Starts, RunUs: setup.RunUs, Width: setup.Width,
 		Together: setup.Together, Changes: setup.Changes, Rows: setup.Rows, Zones: setup.Zones, Regions: setup.Regions,
 		Far: eventloop.Micros(setup.FarUs), PerRack: setup.PerRack, Controllers: setup.Controllers, Seed: uint64(repeat),
 		Warm: eventloop.Micros(c.warm.Microseconds()), Span: eventloop.Micros(c.span.Microseconds()), Lose: c.lose, Cpu: threadCpu,
@@ -261,7 +261,7 @@
 	return "say what a message, a byte and a sync cost, from real and simulated sweeps"
 }
 func (*costCommand) Usage() string {
-	return `feign cost -real workers.csv,lanes.csv -simulated workers.csv,lanes.csv
+	return `feign cost -real workers.csv,queues.csv -simulated workers.csv,queues.csv
   Each simulated sweep must have run at the values of the real one. What a real
   process spent beyond its tables' steps is laid on what it carried and kept.
   Exit codes: 0 worked out, 2 bad flags or files.
--- a/cmd/feign/whole_test.go
+++ b/cmd/feign/whole_test.go
@@ -140,7 +140,7 @@
 		}
 		// The table takes effect everywhere within moments, not at once.
 		for ctx.Err() == nil {
-			if _, fault := call("GET", "/v1/lanes/quotes/jobs/nobody", ""); fault.Code == "unknown_job" {
+			if _, fault := call("GET", "/v1/queues/quotes/jobs/nobody", ""); fault.Code == "unknown_job" {
 				break
 			}
 			rest(ctx, 50*time.Millisecond)
@@ -169,20 +169,20 @@
 			{job(ok), 200, ""},
 			{`{"text":"y","steps":[` + ok + `]}`, 409, "name"},
 		} {
-			code, fault := call("PUT", "/v1/lanes/quotes/jobs/j", each.body)
+			code, fault := call("PUT", "/v1/queues/quotes/jobs/j", each.body)
 			So(code, ShouldEqual, each.code)
 			So(fault.Field, ShouldEqual, each.field)
 		}
-		code, _ := call("PUT", "/v1/lanes/nope/jobs/j", job(ok))
+		code, _ := call("PUT", "/v1/queues/nope/jobs/j", job(ok))
 		So(code, ShouldEqual, 404)
-		code, _ = call("GET", "/v1/lanes/quotes/jobs/nobody", "")
+		code, _ = call("GET", "/v1/queues/quotes/jobs/nobody", "")
 		So(code, ShouldEqual, 404)
 		code, _ = call("PUT", "/v1/plan", `{"rows":[]}`)
 		So(code, ShouldEqual, 428)
 		code, fault := call("PUT", "/v1/plan", `{"generation":0,"rows":[]}`)
 		So(code, ShouldEqual, 412)
 		So(fault.Current, ShouldEqual, 1)
-		code, fault = call("PUT", "/v1/plan", `{"generation":1,"rows":[{"kind":"lane","name":"x","key":"urgency","value":"101"}]}`)
+		code, fault = call("PUT", "/v1/plan", `{"generation":1,"rows":[{"kind":"queue","name":"x","key":"urgency","value":"101"}]}`)
 		So(code, ShouldEqual, 422)
 		So(fault.Field, ShouldEqual, "rows[0].value")
 		code, _ = call("POST", "/v1/workers/w/announce", `{"seq":1}`)
@@ -196,7 +196,7 @@
 			_, err = conn.Read(make([]byte, 1))
 			So(err, ShouldNotBeNil)
 			conn.Close()
-			code, _ := call("GET", "/v1/lanes/quotes/jobs/j", "")
+			code, _ := call("GET", "/v1/queues/quotes/jobs/j", "")
 			So(code, ShouldEqual, 200)
 		})
 	})
--- a/cmd/keep/main.go
+++ b/cmd/keep/main.go
@@ -1,5 +1,5 @@
 // Command keep is the front daemon: gateway everywhere; with a data folder also
-// replicas of the lanes and the placer.
+// replicas of the queues and the placer.
 package main
 
 import (
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	daemon.Main("keep", "run a front process; with -data it holds replicas of the lanes as well", schema.Role_ROLE_KEEP)
+	daemon.Main("keep", "run a front process; with -data it holds replicas of the queues as well", schema.Role_ROLE_KEEP)
 }
--- a/cmd/tell/folder.go
+++ b/cmd/tell/folder.go
@@ -104,9 +104,9 @@
 	return err
 }
 
-// replay runs a lane's records through its machine up to an index, 0 for all.
-func replay(group string, image *storage.Image, to uint64, see func(*schema.Record, *schema.LaneCommand, *queue.Effects)) (*queue.Machine, uint64, error) {
-	machine, err := queue.Restore(replica.LaneOf(group), image.Checkpoint.GetIndex(), image.Checkpoint.GetData())
+// replay runs a queue's records through its machine up to an index, 0 for all.
+func replay(group string, image *storage.Image, to uint64, see func(*schema.Record, *schema.QueueCommand, *queue.Effects)) (*queue.Machine, uint64, error) {
+	machine, err := queue.Restore(replica.QueueOf(group), image.Checkpoint.GetIndex(), image.Checkpoint.GetData())
 	if err != nil {
 		return nil, 0, fmt.Errorf("checkpoint at %d: %w", image.Checkpoint.GetIndex(), err)
 	}
@@ -119,7 +119,7 @@
 		if record.Kind != schema.RecordKind_RECORD_COMMAND {
 			continue
 		}
-		command := &schema.LaneCommand{}
+		command := &schema.QueueCommand{}
 		if err := proto.Unmarshal(record.Data, command); err != nil {
 			return nil, 0, fmt.Errorf("record %d: %w", record.Index, err)
 		}
@@ -134,27 +134,27 @@
 	return machine, at, nil
 }
 
-// replayCommand shows what a lane's records did.
+// replayCommand shows what a queue's records did.
 type replayCommand struct {
-	lane, job string
-	to        uint64
+	queue, job string
+	to         uint64
 }
 
 func (*replayCommand) Name() string     { return "replay" }
-func (*replayCommand) Synopsis() string { return "run a lane's log through its machine and show it" }
+func (*replayCommand) Synopsis() string { return "run a queue's log through its machine and show it" }
 func (*replayCommand) Usage() string {
-	return `tell replay -lane LANE [-job NAME] [-to INDEX] FOLDER
+	return `tell replay -queue QUEUE [-job NAME] [-to INDEX] FOLDER
   Reads the store of a process that is stopped and writes nothing. Shows each
-  command from the lane's checkpoint on, and what became of tasks by it; with -job
+  command from the queue's checkpoint on, and what became of tasks by it; with -job
   of that job alone. Ends with the state's digest, which belief shows of a running
   node at the same index. The last records may not have been committed.
   Exit codes: 0 shown, 1 a record can't be applied, 2 damaged, foreign, in use, or
-  no such lane or index.
+  no such queue or index.
 `
 }
 
 func (c *replayCommand) SetFlags(set *flag.FlagSet) {
-	set.StringVar(&c.lane, "lane", "", "which lane")
+	set.StringVar(&c.queue, "queue", "", "which queue")
 	set.StringVar(&c.job, "job", "", "show this job alone")
 	set.Uint64Var(&c.to, "to", 0, "index of the last record to apply; 0: all")
 }
@@ -165,17 +165,17 @@
 		return code
 	}
 	var group string
-	var lanes []string
+	var queues []string
 	for _, name := range slices.Sorted(maps.Keys(content.Groups)) {
-		if lane := replica.LaneOf(name); lane != "" {
-			lanes = append(lanes, lane)
-			if lane == c.lane {
+		if queue := replica.QueueOf(name); queue != "" {
+			queues = append(queues, queue)
+			if queue == c.queue {
 				group = name
 			}
 		}
 	}
 	if group == "" {
-		fmt.Fprintf(os.Stderr, "tell: lane: %q is none of %s\n", c.lane, strings.Join(lanes, ", "))
+		fmt.Fprintf(os.Stderr, "tell: queue: %q is none of %s\n", c.queue, strings.Join(queues, ", "))
 		return exitUsage
 	}
 	image := content.Groups[group]
@@ -195,7 +195,7 @@
 
 var standings = map[queue.Standing]string{queue.Gone: "is closed", queue.Ready: "is ready", queue.Out: "is out", queue.Stopping: "is to stop"}
 
-func (c *replayCommand) show(record *schema.Record, command *schema.LaneCommand, effects *queue.Effects) {
+func (c *replayCommand) show(record *schema.Record, command *schema.QueueCommand, effects *queue.Effects) {
 	var lines []string
 	if e := command.GetEnqueue(); e != nil && (c.job == "" || c.job == e.Name) {
 		lines = append(lines, fmt.Sprintf("  %s, number %d of %s", e.Name, e.Number, e.Session.GetClient()))
@@ -221,7 +221,7 @@
 	if c.job != "" && len(lines) == 0 {
 		return
 	}
-	what := strings.TrimPrefix(fmt.Sprintf("%T", command.Body), "*schema.LaneCommand_")
+	what := strings.TrimPrefix(fmt.Sprintf("%T", command.Body), "*schema.QueueCommand_")
 	if back := command.GetReturn(); back != nil {
 		what += " " + strings.ToLower(strings.TrimPrefix(back.Cause.String(), "CAUSE_"))
 	}
--- a/cmd/tell/folder_test.go
+++ b/cmd/tell/folder_test.go
@@ -35,19 +35,19 @@
 	return code, string(text)
 }
 
-// fill writes a store with one lane, in which one task fails and is run again.
+// fill writes a store with one queue, in which one task fails and is run again.
 func fill(path string, change func([]*schema.Record) []*schema.Record) (*storage.Folder, *queue.Machine) {
 	key := &schema.TaskKey{Job: 1}
-	pick := &schema.LaneCommand{Body: &schema.LaneCommand_Checkout{Checkout: &schema.Checkout{Picks: []*schema.Pick{{Key: key, Worker: "w1", Incarnation: 1}}}}}
-	commands := []*schema.LaneCommand{
-		{Body: &schema.LaneCommand_Enqueue{Enqueue: &schema.Enqueue{
+	pick := &schema.QueueCommand{Body: &schema.QueueCommand_Checkout{Checkout: &schema.Checkout{Picks: []*schema.Pick{{Key: key, Worker: "w1", Incarnation: 1}}}}}
+	commands := []*schema.QueueCommand{
+		{Body: &schema.QueueCommand_Enqueue{Enqueue: &schema.Enqueue{
 			Session: &schema.Session{Gateway: "f", Boot: 1, Client: "c"}, Number: 1, Lowest: 1, Name: "first", Digest: []byte("d"),
 			Job: &schema.Job{Text: "x", Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1, AllowedFailures: 1}}},
 		}}},
 		pick,
-		{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: key, Attempt: 1, Cause: schema.Cause_CAUSE_FAILED}}},
+		{Body: &schema.QueueCommand_Return{Return: &schema.Return{Key: key, Attempt: 1, Cause: schema.Cause_CAUSE_FAILED}}},
 		pick,
-		{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: key, Attempt: 2}}},
+		{Body: &schema.QueueCommand_Settle{Settle: &schema.Settle{Key: key, Attempt: 2}}},
 	}
 	machine := queue.New("quotes")
 	records := []*schema.Record{{Index: 1, Term: 1, Kind: schema.RecordKind_RECORD_FIRST}}
@@ -97,23 +97,23 @@
 		code, text = run(&folderCheck{}, path)
 		So(text, ShouldContainSubstring, "quotes#2: term 1, checkpoint at 0, 6 records")
 		So(code, ShouldEqual, 0)
-		code, text = run(&replayCommand{}, "-lane", "quotes", path)
+		code, text = run(&replayCommand{}, "-queue", "quotes", path)
 		So(code, ShouldEqual, 0)
 		So(text, ShouldContainSubstring, "Return failed")
 		So(text, ShouldContainSubstring, "first s/0 is out on w1, attempt 2")
 		So(text, ShouldContainSubstring, "digest "+replica.Digest(machine.Rest(true)))
-		code, text = run(&replayCommand{}, "-lane", "quotes", "-to", "3", path)
+		code, text = run(&replayCommand{}, "-queue", "quotes", "-to", "3", path)
 		So(code, ShouldEqual, 0)
 		So(text, ShouldContainSubstring, "at 3: 1 live and 0 kept")
-		code, text = run(&replayCommand{}, "-lane", "quotes", "-job", "nobody", path)
+		code, text = run(&replayCommand{}, "-queue", "quotes", "-job", "nobody", path)
 		So(code, ShouldEqual, 0)
 		So(text, ShouldNotContainSubstring, "first")
 		So(content(path), ShouldResemble, before)
 		Convey("and what can't be is told with its field", func() {
-			code, text = run(&replayCommand{}, "-lane", "nope", path)
+			code, text = run(&replayCommand{}, "-queue", "nope", path)
 			So(code, ShouldEqual, 2)
-			So(text, ShouldContainSubstring, `lane: "nope" is none of quotes`)
-			code, text = run(&replayCommand{}, "-lane", "quotes", "-to", "99", path)
+			So(text, ShouldContainSubstring, `queue: "nope" is none of quotes`)
+			code, text = run(&replayCommand{}, "-queue", "quotes", "-to", "99", path)
 			So(code, ShouldEqual, 2)
 			So(text, ShouldContainSubstring, "to:")
 			code, _ = run(&folderCheck{})
--- a/cmd/tell/jobs.go
+++ b/cmd/tell/jobs.go
@@ -13,22 +13,22 @@
 
 type jobHandIn struct {
 	nodes
-	lane, name string
+	queue, name string
 }
 
 func (*jobHandIn) Name() string     { return "hand-in" }
 func (*jobHandIn) Synopsis() string { return "hand in a job" }
 func (*jobHandIn) Usage() string {
-	return "tell hand-in -lane LANE -name NAME JOB.json\n  JOB.json, - for standard input, is a text and steps, as docs/interface.md says.\n  It is sent again after any silence: the name keeps it one job.\n" + exitHelp
+	return "tell hand-in -queue QUEUE -name NAME JOB.json\n  JOB.json, - for standard input, is a text and steps, as docs/interface.md says.\n  It is sent again after any silence: the name keeps it one job.\n" + exitHelp
 }
 func (c *jobHandIn) SetFlags(set *flag.FlagSet) {
 	c.register(set)
-	set.StringVar(&c.lane, "lane", "", "the lane")
-	set.StringVar(&c.name, "name", "", "the job's name, unique in the lane")
+	set.StringVar(&c.queue, "queue", "", "the queue")
+	set.StringVar(&c.name, "name", "", "the job's name, unique in the queue")
 }
 func (c *jobHandIn) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.lane == "" || c.name == "" || set.NArg() != 1 {
-		complain("lane, name and one file are needed")
+	if c.queue == "" || c.name == "" || set.NArg() != 1 {
+		complain("queue, name and one file are needed")
 		return exitUsage
 	}
 	var body []byte
@@ -42,22 +42,22 @@
 		complain("%v", err)
 		return exitUsage
 	}
-	data, status := c.call("PUT", jobPath(c.lane, c.name), body)
+	data, status := c.call("PUT", jobPath(c.queue, c.name), body)
 	if status == subcommands.ExitSuccess {
 		os.Stdout.Write(data)
 	}
 	return status
 }
 
-func jobPath(lane, name string) string {
-	return "/v1/lanes/" + url.PathEscape(lane) + "/jobs/" + url.PathEscape(name)
+func jobPath(queue, name string) string {
+	return "/v1/queues/" + url.PathEscape(queue) + "/jobs/" + url.PathEscape(name)
 }
 
 // jobCall shows or cancels one job.
 type jobCall struct {
 	nodes
-	what       string
-	lane, name string
+	what        string
+	queue, name string
 }
 
 func (c *jobCall) Name() string { return c.what }
@@ -68,19 +68,19 @@
 	return "show a job"
 }
 func (c *jobCall) Usage() string {
-	return fmt.Sprintf("tell %s -lane LANE -name NAME\n%s", c.what, exitHelp)
+	return fmt.Sprintf("tell %s -queue QUEUE -name NAME\n%s", c.what, exitHelp)
 }
 func (c *jobCall) SetFlags(set *flag.FlagSet) {
 	c.register(set)
-	set.StringVar(&c.lane, "lane", "", "the lane")
+	set.StringVar(&c.queue, "queue", "", "the queue")
 	set.StringVar(&c.name, "name", "", "the job's name")
 }
 func (c *jobCall) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if c.lane == "" || c.name == "" {
-		complain("lane and name are needed")
+	if c.queue == "" || c.name == "" {
+		complain("queue and name are needed")
 		return exitUsage
 	}
-	method, path := "GET", jobPath(c.lane, c.name)
+	method, path := "GET", jobPath(c.queue, c.name)
 	if c.what == "cancel" {
 		method, path = "POST", path+"/cancel"
 	}
@@ -93,27 +93,27 @@
 
 type jobList struct {
 	nodes
-	lane, after string
-	most        int
+	queue, after string
+	most         int
 }
 
 func (*jobList) Name() string     { return "jobs" }
-func (*jobList) Synopsis() string { return "list a lane's live and kept jobs, by name" }
+func (*jobList) Synopsis() string { return "list a queue's live and kept jobs, by name" }
 func (*jobList) Usage() string {
-	return "tell jobs -lane LANE [-after NAME] [-most 100]\n  `next` in the answer is the -after of the next page.\n" + exitHelp
+	return "tell jobs -queue QUEUE [-after NAME] [-most 100]\n  `next` in the answer is the -after of the next page.\n" + exitHelp
 }
 func (c *jobList) SetFlags(set *flag.FlagSet) {
 	c.register(set)
-	set.StringVar(&c.lane, "lane", "", "the lane")
+	set.StringVar(&c.queue, "queue", "", "the queue")
 	set.StringVar(&c.after, "after", "", "only names after this one")
 	set.IntVar(&c.most, "most", 100, "at most so many, up to 1000")
 }
 func (c *jobList) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if c.lane == "" {
-		complain("lane is needed")
+	if c.queue == "" {
+		complain("queue is needed")
 		return exitUsage
 	}
-	data, status := c.call("GET", fmt.Sprintf("/v1/lanes/%s/jobs?most=%d&after=%s", url.PathEscape(c.lane), c.most, url.QueryEscape(c.after)), nil)
+	data, status := c.call("GET", fmt.Sprintf("/v1/queues/%s/jobs?most=%d&after=%s", url.PathEscape(c.queue), c.most, url.QueryEscape(c.after)), nil)
 	if status == subcommands.ExitSuccess {
 		os.Stdout.Write(data)
 	}
--- a/cmd/tell/plan.go
+++ b/cmd/tell/plan.go
@@ -201,14 +201,14 @@
 		return status
 	}
 	if sheet.Edition > 0 {
-		fmt.Printf("good: %d rows, edition %d built on %d, lanes %s\n", len(sheet.Rows), sheet.Edition, sheet.BaseEdition, strings.Join(clusterstate.LaneNames(&schema.Plan{Rows: sheet.Rows}), " "))
+		fmt.Printf("good: %d rows, edition %d built on %d, queues %s\n", len(sheet.Rows), sheet.Edition, sheet.BaseEdition, strings.Join(clusterstate.QueueNames(&schema.Plan{Rows: sheet.Rows}), " "))
 		return status
 	}
 	if sheet.Generation == nil {
 		complain("%s: the line %q is missing: get the sheet with plan-get", set.Arg(0), generationMark)
 		return exitTurnedAway
 	}
-	fmt.Printf("good: %d rows, built on generation %d, lanes %s\n", len(sheet.Rows), sheet.GetGeneration(), strings.Join(clusterstate.LaneNames(&schema.Plan{Rows: sheet.Rows}), " "))
+	fmt.Printf("good: %d rows, built on generation %d, queues %s\n", len(sheet.Rows), sheet.GetGeneration(), strings.Join(clusterstate.QueueNames(&schema.Plan{Rows: sheet.Rows}), " "))
 	return status
 }
 
--- a/cmd/tell/plan_test.go
+++ b/cmd/tell/plan_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestSheets(t *testing.T) {
-	plan := &schema.Plan{Generation: 3, Edition: 7, Document: []byte("x"), Rows: []*schema.Row{{Kind: "lane", Name: "l", Key: "prefix", Value: "/a,b/"}}}
+	plan := &schema.Plan{Generation: 3, Edition: 7, Document: []byte("x"), Rows: []*schema.Row{{Kind: "queue", Name: "l", Key: "prefix", Value: "/a,b/"}}}
 	Convey("A sheet shows generation and edition, and goes back by its generation", t, func() {
 		text := &bytes.Buffer{}
 		So(writeSheet(text, plan), ShouldBeNil)
--- a/cmd/tell/size.go
+++ b/cmd/tell/size.go
@@ -20,7 +20,7 @@
 func (*sizeCommand) Name() string     { return "size" }
 func (*sizeCommand) Synopsis() string { return "say what machines a deployment needs" }
 func (*sizeCommand) Usage() string {
-	return `tell size -workers 1200 -lanes 20 -starts 850
+	return `tell size -workers 1200 -queues 20 -starts 850
   Works machines, memory and shares of a core out from measured slopes, those of
   docs/CAPACITY.md. REACH says how far beyond what was measured the sum goes: up
   to 1 it lies within. OVER names what one machine of the role can't give.
@@ -30,7 +30,7 @@
 
 func (c *sizeCommand) SetFlags(set *flag.FlagSet) {
 	set.IntVar(&c.wanted.Workers, "workers", 0, "machines that run tasks")
-	set.IntVar(&c.wanted.Lanes, "lanes", 0, "lanes")
+	set.IntVar(&c.wanted.Queues, "queues", 0, "queues")
 	set.Float64Var(&c.wanted.Starts, "starts", 0, "task starts a second at the peak")
 	set.Float64Var(&c.wanted.Share, "share", 1, "cores of a machine with a store or a front")
 	set.Float64Var(&c.wanted.Memory, "memory_mb", 256, "its memory")
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -20,7 +20,7 @@
 
 // Reading is one quantity of one role, read in one run.
 type Reading struct {
-	Size   string  // what was swept: workers, lanes, starts, ...
+	Size   string  // what was swept: workers, queues, starts, ...
 	Value  float64 // how much of it there was
 	Repeat int     // which of the runs at this value, from 1
 	Role   string  // store, front, side, caller, whole
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -19,7 +19,7 @@
 
 func TestReadings(t *testing.T) {
 	Convey("Readings come back from CSV as they were written", t, func() {
-		list := []Reading{{"lanes", 8, 1, "store", "cpu_milli", 12.5}, {"lanes", 16, 2, "side", "bytes_s", 1024}}
+		list := []Reading{{"queues", 8, 1, "store", "cpu_milli", 12.5}, {"queues", 16, 2, "side", "bytes_s", 1024}}
 		var out bytes.Buffer
 		So(Write(&out, list), ShouldBeNil)
 		back, err := Read(&out)
@@ -72,8 +72,8 @@
 func TestPlot(t *testing.T) {
 	Convey("A plot is drawn", t, func() {
 		path := filepath.Join(t.TempDir(), "plot.png")
-		list := []Reading{{"lanes", 8, 1, "store", "cpu_milli", 12}, {"lanes", 16, 1, "store", "cpu_milli", 20}, {"lanes", 16, 1, "store", "rss_mb", 20}}
-		So(Plot(path, "lanes", list, []string{"cpu_milli", "rss_mb", "sent_s"}), ShouldBeNil)
+		list := []Reading{{"queues", 8, 1, "store", "cpu_milli", 12}, {"queues", 16, 1, "store", "cpu_milli", 20}, {"queues", 16, 1, "store", "rss_mb", 20}}
+		So(Plot(path, "queues", list, []string{"cpu_milli", "rss_mb", "sent_s"}), ShouldBeNil)
 	})
 }
 
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -17,7 +17,7 @@
 // Wanted is the deployment that is asked for.
 type Wanted struct {
 	Workers int
-	Lanes   int
+	Queues  int
 	Starts  float64 // task starts a second at the peak
 	Share   float64 // of a core that a front or a store may give
 	Memory  float64 // MB of such a machine
@@ -29,8 +29,8 @@
 	switch {
 	case w.Workers < 1 || w.Workers > 100_000:
 		return Bad.New("workers: must lie between 1 and 100000")
-	case w.Lanes < 1 || w.Lanes > 10_000:
-		return Bad.New("lanes: must lie between 1 and 10000")
+	case w.Queues < 1 || w.Queues > 10_000:
+		return Bad.New("queues: must lie between 1 and 10000")
 	case !(w.Starts >= 0 && w.Starts <= 100_000):
 		return Bad.New("starts: must lie between 0 and 100000 a second")
 	case !(w.Share > 0 && w.Share <= 256):
@@ -70,7 +70,7 @@
 			m.base[r.Role] = r.Amount
 		}
 	}
-	for _, size := range []string{"workers", "lanes", "starts"} {
+	for _, size := range []string{"workers", "queues", "starts"} {
 		if m.base[size] == 0 {
 			return nil, Bad.New("slopes: no base for %s", size)
 		}
@@ -108,7 +108,7 @@
 	for _, each := range []struct {
 		size  string
 		value float64
-	}{{"workers", float64(w.Workers)}, {"lanes", float64(w.Lanes)}, {"starts", w.Starts}} {
+	}{{"workers", float64(w.Workers)}, {"queues", float64(w.Queues)}, {"starts", w.Starts}} {
 		fit, isKnown := m.fits[[3]string{each.size, role, what}]
 		if each.size == "workers" && what == "cpu_milli" {
 			sum += m.processor(role, w)
@@ -130,7 +130,7 @@
 
 func (m *model) reach(w Wanted) float64 {
 	most := 0.0
-	for size, value := range map[string]float64{"workers": float64(w.Workers), "lanes": float64(w.Lanes), "starts": w.Starts} {
+	for size, value := range map[string]float64{"workers": float64(w.Workers), "queues": float64(w.Queues), "starts": w.Starts} {
 		fit := m.fits[[3]string{size, "leader", "cpu_milli"}]
 		most = max(most, fit.Reach(value))
 	}
--- a/internal/capacity/size_test.go
+++ b/internal/capacity/size_test.go
@@ -7,13 +7,13 @@
 )
 
 // plain is a set of slopes whose sums can be done by hand: a leader costs a
-// thousandth of a core for each worker, two for each lane, three for each start
+// thousandth of a core for each worker, two for each queue, three for each start
 // a second, over 10.
 func plain() []Reading {
-	list := []Reading{{"base", 10, 0, "workers", "value", 10}, {"base", 2, 0, "lanes", "value", 2}, {"base", 5, 0, "starts", "value", 5}, {"base", 2, 0, "fronts", "value", 2}}
-	at := func(workers, lanes, starts float64) float64 { return 10 + workers + 2*lanes + 3*starts }
+	list := []Reading{{"base", 10, 0, "workers", "value", 10}, {"base", 2, 0, "queues", "value", 2}, {"base", 5, 0, "starts", "value", 5}, {"base", 2, 0, "fronts", "value", 2}}
+	at := func(workers, queues, starts float64) float64 { return 10 + workers + 2*queues + 3*starts }
 	for _, x := range []float64{10, 20, 40, 80} {
-		for size, cpu := range map[string]float64{"workers": at(x, 2, 5), "lanes": at(10, x, 5), "starts": at(10, 2, x)} {
+		for size, cpu := range map[string]float64{"workers": at(x, 2, 5), "queues": at(10, x, 5), "starts": at(10, 2, x)} {
 			list = append(list,
 				Reading{size, x, 1, "leader", "cpu_milli", cpu}, Reading{size, x, 1, "leader", "rss_mb", 40},
 				Reading{size, x, 1, "front", "cpu_milli", 4 + x}, Reading{size, x, 1, "side", "cpu_milli", 5}, Reading{size, x, 1, "side", "rss_mb", 10},
@@ -27,7 +27,7 @@
 }
 
 func TestSize(t *testing.T) {
-	wanted := Wanted{Workers: 60, Lanes: 7, Starts: 30, Share: 1, Memory: 256, Busy: 0.5}
+	wanted := Wanted{Workers: 60, Queues: 7, Starts: 30, Share: 1, Memory: 256, Busy: 0.5}
 	Convey("The sums follow from the slopes", t, func() {
 		needs, err := Size(plain(), wanted)
 		So(err, ShouldBeNil)
@@ -68,7 +68,7 @@
 	})
 	Convey("A field that can't be taken is named", t, func() {
 		for field, spoil := range map[string]func(*Wanted){
-			"workers": func(w *Wanted) { w.Workers = 0 }, "lanes": func(w *Wanted) { w.Lanes = -1 }, "starts": func(w *Wanted) { w.Starts = -1 },
+			"workers": func(w *Wanted) { w.Workers = 0 }, "queues": func(w *Wanted) { w.Queues = -1 }, "starts": func(w *Wanted) { w.Starts = -1 },
 			"share": func(w *Wanted) { w.Share = 0 }, "memory_mb": func(w *Wanted) { w.Memory = 1 }, "busy": func(w *Wanted) { w.Busy = 2 },
 		} {
 			bad := wanted
--- a/internal/checker/called.go
+++ b/internal/checker/called.go
@@ -175,12 +175,12 @@
 			}
 			for _, label := range step.Labels {
 				if !slices.Contains(labels[e.Who], label) {
-					j.breach(6, e.At, "%s/%s step %d starts on %s, which lacks the label %s", e.Lane, e.Name, e.Step, e.Who, label)
+					j.breach(6, e.At, "%s/%s step %d starts on %s, which lacks the label %s", e.Queue, e.Name, e.Step, e.Who, label)
 				}
 			}
 			count[e.Who][id]++
 			if step.PerWorker > 0 && count[e.Who][id] > int(step.PerWorker) {
-				j.breach(6, e.At, "%s/%s step %d: %d tasks run on %s, %d may", e.Lane, e.Name, e.Step, count[e.Who][id], e.Who, step.PerWorker)
+				j.breach(6, e.At, "%s/%s step %d: %d tasks run on %s, %d may", e.Queue, e.Name, e.Step, count[e.Who][id], e.Who, step.PerWorker)
 			}
 		case End:
 			if count[e.Who] != nil {
--- a/internal/checker/called_test.go
+++ b/internal/checker/called_test.go
@@ -15,7 +15,7 @@
 }
 
 func starts(at eventloop.Micros, who string, step, task, attempt uint32) Event {
-	return Event{At: at, Kind: Begin, Who: who, Lane: "l", Name: "j", Step: step, Task: task, Attempt: attempt, Cores: 10, Text: "t", IsCalled: true}
+	return Event{At: at, Kind: Begin, Who: who, Queue: "l", Name: "j", Step: step, Task: task, Attempt: attempt, Cores: 10, Text: "t", IsCalled: true}
 }
 
 func startsFrom(at eventloop.Micros, who string, task, attempt uint32, saved string) Event {
@@ -25,15 +25,15 @@
 }
 
 func ends(at eventloop.Micros, who string, step, task, attempt uint32, how string) Event {
-	return Event{At: at, Kind: End, Who: who, Lane: "l", Name: "j", Step: step, Task: task, Attempt: attempt, State: how, IsCalled: true}
+	return Event{At: at, Kind: End, Who: who, Queue: "l", Name: "j", Step: step, Task: task, Attempt: attempt, State: how, IsCalled: true}
 }
 
 func kept(at eventloop.Micros, who string, task, attempt uint32, saved string) Event {
-	return Event{At: at, Kind: Kept, Who: who, Lane: "l", Name: "j", Task: task, Attempt: attempt, Saved: saved, IsCalled: true}
+	return Event{At: at, Kind: Kept, Who: who, Queue: "l", Name: "j", Task: task, Attempt: attempt, Saved: saved, IsCalled: true}
 }
 
 func noted(at eventloop.Micros, who string, step, task, attempt uint32, state string) Event {
-	return Event{At: at, Kind: Noted, Who: who, Lane: "l", Name: "j", Step: step, Task: task, Attempt: attempt, State: state, IsCalled: true}
+	return Event{At: at, Kind: Noted, Who: who, Queue: "l", Name: "j", Step: step, Task: task, Attempt: attempt, State: state, IsCalled: true}
 }
 
 func job(steps ...*schema.Step) *schema.Job { return &schema.Job{Text: "t", Steps: steps} }
@@ -77,7 +77,7 @@
 			with(taken(single, starts(2*s, "w", 0, 0, 1), ends(3*s, "w", 0, 0, 1, "done"), noted(9*s, "w", 0, 0, 1, "lapsed")), done(10*s, "v", 0, 0, 2), over("complete"))},
 		{"a start after an end that is noted later", 2,
 			with(taken(single, starts(2*s, "w", 0, 0, 1), ends(3*s, "w", 0, 0, 1, "done"), starts(4*s, "v", 0, 0, 2), noted(4*s+1, "w", 0, 0, 1, ""), ends(5*s, "v", 0, 0, 2, "stopped")), over("complete")),
-			with(taken(lasting, starts(2*s, "w", 0, 0, 1), ends(3*s, "w", 0, 0, 1, "done"), starts(4*s, "v", 0, 0, 2), noted(4*s+1, "w", 0, 0, 1, ""), Event{At: 5 * s, Kind: CancelSent, Lane: "l", Name: "j"}, ends(6*s, "v", 0, 0, 2, "stopped")), over("cancelled"))},
+			with(taken(lasting, starts(2*s, "w", 0, 0, 1), ends(3*s, "w", 0, 0, 1, "done"), starts(4*s, "v", 0, 0, 2), noted(4*s+1, "w", 0, 0, 1, ""), Event{At: 5 * s, Kind: CancelSent, Queue: "l", Name: "j"}, ends(6*s, "v", 0, 0, 2, "stopped")), over("cancelled"))},
 		{"a member of a group starts again after another was done", 2,
 			with(taken(group, starts(2*s, "w", 0, 0, 1), starts(2*s, "v", 0, 1, 1), ends(3*s, "w", 0, 0, 1, "done"), noted(3*s, "w", 0, 0, 1, ""), ends(3*s, "v", 0, 1, 1, "done"), starts(4*s, "v", 0, 1, 2), ends(5*s, "v", 0, 1, 2, "stopped")), over("complete")),
 			with(taken(group, starts(2*s, "w", 0, 0, 1), starts(2*s, "v", 0, 1, 1), ends(3*s, "w", 0, 0, 1, "done"), noted(3*s, "w", 0, 0, 1, ""), ends(3*s, "v", 0, 1, 1, "done")), over("complete"))},
@@ -85,7 +85,7 @@
 			[]Event{calledUp(0, "w", ""), starts(2*s, "w", 0, 0, 1), ends(3*s, "w", 0, 0, 1, "done"), closed},
 			with(taken(single), done(2*s, "w", 0, 0, 1), over("complete"))},
 		{"a start with another text", 3,
-			with(taken(single, Event{At: 2 * s, Kind: Begin, Who: "w", Lane: "l", Name: "j", Attempt: 1, Text: "u", IsCalled: true}, ends(3*s, "w", 0, 0, 1, "done")), over("complete")),
+			with(taken(single, Event{At: 2 * s, Kind: Begin, Who: "w", Queue: "l", Name: "j", Attempt: 1, Text: "u", IsCalled: true}, ends(3*s, "w", 0, 0, 1, "done")), over("complete")),
 			with(taken(single), done(2*s, "w", 0, 0, 1), over("complete"))},
 		{"a task that the job hasn't", 3,
 			with(taken(single), done(2*s, "w", 0, 0, 1), done(4*s, "w", 0, 1, 1), over("complete")),
@@ -119,7 +119,7 @@
 			with(taken(fitted), done(2*s, "w", 0, 0, 1), done(4*s, "w", 0, 1, 1), over("complete"))},
 		{"work on a worker that leaves", 7,
 			with(taken(single, Event{At: 2 * s, Kind: Leave, Who: "w"}), done(4*s+1, "w", 0, 0, 1), over("complete")),
-			with(taken(single, Event{At: 2 * s, Kind: Leave, Who: "w"}, Event{At: 4*s + 1, Kind: Begin, Who: "w", Lane: "l", Name: "j", Attempt: 1, Text: "t", IsCalled: true, IsLate: true}, ends(5*s, "w", 0, 0, 1, "done")), over("complete"))},
+			with(taken(single, Event{At: 2 * s, Kind: Leave, Who: "w"}, Event{At: 4*s + 1, Kind: Begin, Who: "w", Queue: "l", Name: "j", Attempt: 1, Text: "t", IsCalled: true, IsLate: true}, ends(5*s, "w", 0, 0, 1, "done")), over("complete"))},
 		{"a group is shown complete without an end", 9,
 			with(taken(group, starts(2*s, "w", 0, 0, 1), starts(2*s, "v", 0, 1, 1), ends(3*s, "w", 0, 0, 1, "broken"), ends(3*s, "v", 0, 1, 1, "broken")), over("complete")),
 			with(taken(group, starts(2*s, "w", 0, 0, 1), starts(2*s, "v", 0, 1, 1), ends(3*s, "w", 0, 0, 1, "done"), Event{At: 3*s + 1, Kind: Gone, Who: "v"}), over("complete"))},
@@ -130,8 +130,8 @@
 			with(taken(group, starts(20*s, "w", 0, 0, 1), ends(23*s, "w", 0, 0, 1, "alone"), starts(24*s, "w", 0, 0, 2), starts(24*s, "v", 0, 1, 2), ends(25*s, "w", 0, 0, 2, "done"), ends(25*s, "v", 0, 1, 2, "done")), over("complete")),
 			with(taken(group, Event{At: 10 * s, Kind: Sick, Who: "v"}, starts(20*s, "w", 0, 0, 1), ends(23*s, "w", 0, 0, 1, "alone"), starts(24*s, "w", 0, 0, 2), starts(24*s, "v", 0, 1, 2), ends(25*s, "w", 0, 0, 2, "done"), ends(25*s, "v", 0, 1, 2, "done")), over("complete"))},
 		{"work on a pool that the table doesn't direct it to", 11,
-			with(taken(single, table(1*s+2, "lane l pool p", "pool p guards 1")), done(5*s, "w", 0, 0, 1), []Event{status(100*s, 200, "complete"), readBack, closed}),
-			with(taken(single, calledUp(1*s+2, "p1", "p"), table(1*s+2, "lane l pool p", "pool p guards 1")), done(3*s, "w", 0, 0, 1), []Event{status(100*s, 200, "complete"), readBack, closed})},
+			with(taken(single, table(1*s+2, "queue l pool p", "pool p guards 1")), done(5*s, "w", 0, 0, 1), []Event{status(100*s, 200, "complete"), readBack, closed}),
+			with(taken(single, calledUp(1*s+2, "p1", "p"), table(1*s+2, "queue l pool p", "pool p guards 1")), done(3*s, "w", 0, 0, 1), []Event{status(100*s, 200, "complete"), readBack, closed})},
 		{idle, 1,
 			with(taken(single), done(14*s, "w", 0, 0, 1), over("complete")),
 			with(taken(single, Event{At: 2 * s, Kind: Sick, Who: "v"}), done(14*s, "w", 0, 0, 1), over("complete"))},
@@ -140,13 +140,13 @@
 			with(taken(single, starts(2*s, "w", 0, 0, 1), ends(3*s, "w", 0, 0, 1, "failed"), starts(4*s, "w", 0, 0, 2), ends(5*s, "w", 0, 0, 2, "failed")), over("failed"))},
 		{"shown cancelled though nobody asked", 1,
 			with(taken(single, starts(2*s, "w", 0, 0, 1), ends(3*s, "w", 0, 0, 1, "stopped")), over("cancelled")),
-			with(taken(single, starts(2*s, "w", 0, 0, 1), Event{At: 2*s + 1, Kind: CancelSent, Lane: "l", Name: "j"}, ends(3*s, "w", 0, 0, 1, "stopped")), over("cancelled"))},
+			with(taken(single, starts(2*s, "w", 0, 0, 1), Event{At: 2*s + 1, Kind: CancelSent, Queue: "l", Name: "j"}, ends(3*s, "w", 0, 0, 1, "stopped")), over("cancelled"))},
 		{"two editions on top of one", 11,
-			[]Event{{At: 1 * s, Kind: PlanPut, Code: 200, Built: 3, Generation: 5, Rows: rows("lane l urgency 1")}, {At: 1 * s, Kind: PlanPut, Code: 200, Built: 3, Generation: 6, Rows: rows("lane l urgency 2")}, {At: 2 * s, Kind: PlanRead, Code: 200, Generation: 6}, closed},
-			[]Event{{At: 1 * s, Kind: PlanPut, Code: 200, Built: 3, Generation: 5, Rows: rows("lane l urgency 1")}, {At: 1 * s, Kind: PlanPut, Code: 412, Built: 3, Rows: rows("lane l urgency 2")}, {At: 2 * s, Kind: PlanRead, Code: 200, Generation: 5}, closed}},
+			[]Event{{At: 1 * s, Kind: PlanPut, Code: 200, Built: 3, Generation: 5, Rows: rows("queue l urgency 1")}, {At: 1 * s, Kind: PlanPut, Code: 200, Built: 3, Generation: 6, Rows: rows("queue l urgency 2")}, {At: 2 * s, Kind: PlanRead, Code: 200, Generation: 6}, closed},
+			[]Event{{At: 1 * s, Kind: PlanPut, Code: 200, Built: 3, Generation: 5, Rows: rows("queue l urgency 1")}, {At: 1 * s, Kind: PlanPut, Code: 412, Built: 3, Rows: rows("queue l urgency 2")}, {At: 2 * s, Kind: PlanRead, Code: 200, Generation: 5}, closed}},
 		{"a document is read back otherwise than it was given", 11,
-			[]Event{{At: 1 * s, Kind: PlanPut, Code: 200, Generation: 5, Rows: rows("lane l urgency 1"), Document: "d"}, {At: 2 * s, Kind: PlanRead, Code: 200, Generation: 5, Rows: rows("lane l urgency 1"), Document: "e"}, closed},
-			[]Event{{At: 1 * s, Kind: PlanPut, Code: 200, Generation: 5, Rows: rows("lane l urgency 1"), Document: "d"}, {At: 2 * s, Kind: PlanRead, Code: 200, Generation: 5, Rows: rows("lane l urgency 1"), Document: "d"}, closed}},
+			[]Event{{At: 1 * s, Kind: PlanPut, Code: 200, Generation: 5, Rows: rows("queue l urgency 1"), Document: "d"}, {At: 2 * s, Kind: PlanRead, Code: 200, Generation: 5, Rows: rows("queue l urgency 1"), Document: "e"}, closed},
+			[]Event{{At: 1 * s, Kind: PlanPut, Code: 200, Generation: 5, Rows: rows("queue l urgency 1"), Document: "d"}, {At: 2 * s, Kind: PlanRead, Code: 200, Generation: 5, Rows: rows("queue l urgency 1"), Document: "d"}, closed}},
 	} {
 		Convey("Found: "+each.what, t, func() {
 			bounds := OfCalled
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -52,7 +52,7 @@
 	At          eventloop.Micros `json:"at"`
 	Kind        string           `json:"kind"`
 	Who         string           `json:"who,omitempty"`
-	Lane        string           `json:"lane,omitempty"`
+	Queue       string           `json:"queue,omitempty"`
 	Name        string           `json:"name,omitempty"`
 	Job         uint64           `json:"job,omitempty"`
 	Step        uint32           `json:"step"`
@@ -125,7 +125,7 @@
 	Stop: eventloop.Second, Plan: 2 * eventloop.Second, Away: 12 * eventloop.Second, Together: 5 * eventloop.Second, Struck: eventloop.Second, Settle: 5 * eventloop.Second,
 }
 
-type jobKey struct{ lane, name string }
+type jobKey struct{ queue, name string }
 
 type taskId struct {
 	jobKey
@@ -209,7 +209,7 @@
 	for key := range j.accounts {
 		keys = append(keys, key)
 	}
-	sort.Slice(keys, func(a, b int) bool { return keys[a].lane+"/"+keys[a].name < keys[b].lane+"/"+keys[b].name })
+	sort.Slice(keys, func(a, b int) bool { return keys[a].queue+"/"+keys[a].name < keys[b].queue+"/"+keys[b].name })
 	closed := eventloop.Micros(0)
 	if len(history) > 0 {
 		closed = history[len(history)-1].At
@@ -240,7 +240,7 @@
 }
 
 func (j *judge) account(e *Event) *account {
-	key := jobKey{e.Lane, e.Name}
+	key := jobKey{e.Queue, e.Name}
 	a := j.accounts[key]
 	if a == nil {
 		a = &account{key: key, ids: map[uint64]bool{}, stints: map[taskId][]*stint{}, holds: map[taskId][]Event{}, kept: map[taskId][]Event{}}
@@ -250,7 +250,7 @@
 }
 
 // bare is the task without its job's name.
-func (e *Event) bare() taskId { return taskId{jobKey{lane: e.Lane}, e.Job, e.Step, e.Task} }
+func (e *Event) bare() taskId { return taskId{jobKey{queue: e.Queue}, e.Job, e.Step, e.Task} }
 
 // shown takes in an answer that shows a job's state.
 func (j *judge) shown(a *account, e *Event) {
@@ -260,7 +260,7 @@
 	}
 }
 
-func (e *Event) id() taskId { return taskId{jobKey{e.Lane, e.Name}, e.Job, e.Step, e.Task} }
+func (e *Event) id() taskId { return taskId{jobKey{e.Queue, e.Name}, e.Job, e.Step, e.Task} }
 
 func (a *account) open(e *Event) *stint {
 	for _, s := range a.stints[e.id()] {
@@ -421,7 +421,7 @@
 }
 
 func (j *judge) judgeJob(a *account, closed eventloop.Micros) {
-	name := a.key.lane + "/" + a.key.name
+	name := a.key.queue + "/" + a.key.name
 	// 1: accepted, so it ends; and until well after its end it is known.
 	if a.isTaken && !a.isOver {
 		j.breach(1, closed, "%s was accepted at %d and had not ended at the close", name, a.accepted)
@@ -501,7 +501,7 @@
 }
 
 func (j *judge) judgeTask(a *account, id taskId, list []*stint, closed eventloop.Micros) {
-	what := fmt.Sprintf("%s/%s step %d task %d", id.lane, id.name, id.step, id.task)
+	what := fmt.Sprintf("%s/%s step %d task %d", id.queue, id.name, id.step, id.task)
 	sort.SliceStable(list, func(x, y int) bool { return list[x].begin < list[y].begin })
 	failures := uint32(0)
 	allowed := ^uint32(0)
@@ -739,7 +739,7 @@
 		e := &history[k]
 		who := machine{e.Who, e.Incarnation}
 		w := workers[who]
-		key := fmt.Sprint(e.Lane, "/", e.Job, "/", e.Step, "/", e.Task, "/", e.Attempt)
+		key := fmt.Sprint(e.Queue, "/", e.Job, "/", e.Step, "/", e.Task, "/", e.Attempt)
 		if e.Job == 0 {
 			key += "/" + e.Name
 		}
@@ -907,9 +907,9 @@
 	return ""
 }
 
-func hasLane(rows []*schema.Row, lane string) bool {
+func hasQueue(rows []*schema.Row, queue string) bool {
 	for _, row := range rows {
-		if row.Kind == "lane" && row.Name == lane {
+		if row.Kind == "queue" && row.Name == queue {
 			return true
 		}
 	}
@@ -917,7 +917,7 @@
 }
 
 // effects: 11 as well, what a table says is done, everywhere, soon after it was
-// taken: a lane's coming and going, a rack without weight, a lane's limit.
+// taken: a queue's coming and going, a rack without weight, a queue's limit.
 func (j *judge) effects(history []Event) {
 	var puts []*Event // those that were taken, in their order
 	for k := range history {
@@ -959,35 +959,35 @@
 		case Up:
 			racks[e.Who], pools[e.Who] = e.Rack, e.Pool
 		case HandInReply:
-			if e.Code == 404 && !isUnclear && holds(e.sent(), e.At, func(rows []*schema.Row) bool { return hasLane(rows, e.Lane) }) {
-				j.breach(11, e.At, "%s doesn't know the lane %s, which the table has", e.Front, e.Lane)
+			if e.Code == 404 && !isUnclear && holds(e.sent(), e.At, func(rows []*schema.Row) bool { return hasQueue(rows, e.Queue) }) {
+				j.breach(11, e.At, "%s doesn't know the queue %s, which the table has", e.Front, e.Queue)
 			}
-			if e.Code == 201 && !isUnclear && holds(e.sent(), e.At, func(rows []*schema.Row) bool { return !hasLane(rows, e.Lane) }) {
-				j.breach(11, e.At, "%s takes a job for the lane %s, which the table hasn't", e.Front, e.Lane)
+			if e.Code == 201 && !isUnclear && holds(e.sent(), e.At, func(rows []*schema.Row) bool { return !hasQueue(rows, e.Queue) }) {
+				j.breach(11, e.At, "%s takes a job for the queue %s, which the table hasn't", e.Front, e.Queue)
 			}
 		case Begin:
-			if running[e.Lane] == nil {
-				running[e.Lane] = map[taskId]bool{}
+			if running[e.Queue] == nil {
+				running[e.Queue] = map[taskId]bool{}
 			}
 			rack := racks[e.Who]
 			if holds(e.At, e.At, func(rows []*schema.Row) bool { return value(rows, "rack", rack, "weight") == "0" }) {
 				j.breach(11, e.At, "work starts on %s in rack %s, whose weight is 0", e.Who, rack)
 			}
 			pool := pools[e.Who]
-			if e.IsCalled && holds(e.At, e.At, func(rows []*schema.Row) bool { return value(rows, "lane", e.Lane, "pool") != pool }) {
-				j.breach(11, e.At, "work of the lane %s starts on %s, whose pool is %q", e.Lane, e.Who, pool)
+			if e.IsCalled && holds(e.At, e.At, func(rows []*schema.Row) bool { return value(rows, "queue", e.Queue, "pool") != pool }) {
+				j.breach(11, e.At, "work of the queue %s starts on %s, whose pool is %q", e.Queue, e.Who, pool)
 			}
-			running[e.Lane][e.id()] = true
-			count := len(running[e.Lane])
+			running[e.Queue][e.id()] = true
+			count := len(running[e.Queue])
 			isTooMany := func(rows []*schema.Row) bool {
-				most, err := strconv.Atoi(value(rows, "lane", e.Lane, "running"))
+				most, err := strconv.Atoi(value(rows, "queue", e.Queue, "running"))
 				return err == nil && count > most
 			}
 			if holds(e.At, e.At, isTooMany) {
-				j.breach(11, e.At, "%d tasks of the lane %s run, more than the table allows", count, e.Lane)
+				j.breach(11, e.At, "%d tasks of the queue %s run, more than the table allows", count, e.Queue)
 			}
 		case End:
-			delete(running[e.Lane], e.id())
+			delete(running[e.Queue], e.id())
 		case Gone, Pause:
 			// What ran there isn't running, though nobody said so.
 			for _, list := range running {
@@ -1004,7 +1004,7 @@
 }
 
 // unclearPuts tells whether a table was sent of which nobody knows whether it
-// was taken; lanes may then come and go by its word.
+// was taken; queues may then come and go by its word.
 func (j *judge) unclearPuts(history []Event) bool {
 	for k := range history {
 		if e := &history[k]; e.Kind == PlanPut && (e.Code == 0 || e.Code == 504) {
@@ -1030,9 +1030,9 @@
 			switch later.Kind {
 			case HandIn:
 				isAsked = true
-				sent[jobKey{later.Lane, later.Name}] = true
+				sent[jobKey{later.Queue, later.Name}] = true
 			case HandInReply:
-				if sent[jobKey{later.Lane, later.Name}] && (later.Code == 200 || later.Code == 201) {
+				if sent[jobKey{later.Queue, later.Name}] && (later.Code == 200 || later.Code == 201) {
 					isBack = true
 				}
 			}
@@ -1044,7 +1044,7 @@
 }
 
 // service names one kind of service in one place.
-type service struct{ what, lane string }
+type service struct{ what, queue string }
 
 // attempt is a request and how it was answered.
 type attempt struct {
@@ -1062,11 +1062,11 @@
 		each := attempt{front: e.Front, sent: e.sent(), at: e.At}
 		switch e.Kind {
 		case HandInReply:
-			each.service = service{"hand-ins", e.Lane}
+			each.service = service{"hand-ins", e.Queue}
 		case Status:
-			each.service = service{"status", e.Lane}
+			each.service = service{"status", e.Queue}
 		case CancelReply:
-			each.service = service{"cancels", e.Lane}
+			each.service = service{"cancels", e.Queue}
 		case PlanRead:
 			each.service = service{"the table's reading", ""}
 		case PlanPut:
@@ -1080,7 +1080,7 @@
 	return list
 }
 
-// served: 12 in full. After a fault every kind of service, of every lane, is
+// served: 12 in full. After a fault every kind of service, of every queue, is
 // back within the span, unless another fault followed in it; and away from
 // faults every request through a front that can serve is served.
 func (j *judge) served(history []Event) {
@@ -1107,7 +1107,7 @@
 		}
 		for what := range asked {
 			if !back[what] {
-				j.breach(12, at, "%s %s are not back %d us after a fault", what.what, what.lane, j.bounds.Away)
+				j.breach(12, at, "%s %s are not back %d us after a fault", what.what, what.queue, j.bounds.Away)
 			}
 		}
 		j.begun(at, until)
@@ -1148,13 +1148,13 @@
 		}
 		if isCalm && each.sent > last {
 			last = each.at
-			j.breach(12, each.sent, "%s %s: %s answers nothing or that it can't, and no fault is near", each.what, each.lane, each.front)
+			j.breach(12, each.sent, "%s %s: %s answers nothing or that it can't, and no fault is near", each.what, each.queue, each.front)
 		}
 	}
 }
 
 // begun: work that waits after a fault is begun again in the span, in every
-// lane where some waits.
+// queue where some waits.
 func (j *judge) begun(at, until eventloop.Micros) {
 	waits, isBegun := map[string]string{}, map[string]bool{}
 	for key, a := range j.accounts {
@@ -1165,18 +1165,18 @@
 					first = s.begin
 				}
 				if s.begin > at && s.begin <= until && !s.isResumed {
-					isBegun[key.lane] = true
+					isBegun[key.queue] = true
 				}
 			}
 		}
 		isPlain := a.spec != nil && a.spec.DelayUs == 0 && a.spec.StartWallUs == 0 && a.askedEnd == 0
 		if isPlain && a.isTaken && a.accepted > at && a.accepted < until-3*eventloop.Second && (first == 0 || first > at) {
-			waits[key.lane] = key.name
+			waits[key.queue] = key.name
 		}
 	}
-	for lane, name := range waits {
-		if !isBegun[lane] {
-			j.breach(12, at, "nothing of the lane %s is begun within %d us after a fault, though %s waits", lane, j.bounds.Away, name)
+	for queue, name := range waits {
+		if !isBegun[queue] {
+			j.breach(12, at, "nothing of the queue %s is begun within %d us after a fault, though %s waits", queue, j.bounds.Away, name)
 		}
 	}
 }
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -17,25 +17,25 @@
 var timed = &schema.Job{DelayUs: int64(5 * s), Steps: []*schema.Step{{Name: "a", Tasks: 1}}}
 
 func in(at eventloop.Micros, spec *schema.Job) Event {
-	return Event{At: at, Kind: HandIn, Lane: "l", Name: "j", Spec: spec}
+	return Event{At: at, Kind: HandIn, Queue: "l", Name: "j", Spec: spec}
 }
 func reply(at eventloop.Micros, code int32) Event {
-	return Event{At: at, Kind: HandInReply, Lane: "l", Name: "j", Code: code}
+	return Event{At: at, Kind: HandInReply, Queue: "l", Name: "j", Code: code}
 }
 func status(at eventloop.Micros, code int32, state string) Event {
-	return Event{At: at, Kind: Status, Lane: "l", Name: "j", Code: code, State: state}
+	return Event{At: at, Kind: Status, Queue: "l", Name: "j", Code: code, State: state}
 }
 func begin(at eventloop.Micros, who string, step, task, attempt uint32) Event {
-	return Event{At: at, Kind: Begin, Who: who, Lane: "l", Name: "j", Job: 1, Step: step, Task: task, Attempt: attempt, Cores: 10}
+	return Event{At: at, Kind: Begin, Who: who, Queue: "l", Name: "j", Job: 1, Step: step, Task: task, Attempt: attempt, Cores: 10}
 }
 func end(at eventloop.Micros, who string, step, task, attempt uint32, outcome string) Event {
-	return Event{At: at, Kind: End, Who: who, Lane: "l", Name: "j", Job: 1, Step: step, Task: task, Attempt: attempt, State: outcome}
+	return Event{At: at, Kind: End, Who: who, Queue: "l", Name: "j", Job: 1, Step: step, Task: task, Attempt: attempt, State: outcome}
 }
 func order(at eventloop.Micros, who, act string, attempt uint32) Event {
-	return Event{At: at, Kind: Order, Who: who, Lane: "l", Name: "j", Job: 1, Attempt: attempt, State: act}
+	return Event{At: at, Kind: Order, Who: who, Queue: "l", Name: "j", Job: 1, Attempt: attempt, State: act}
 }
 func told(at eventloop.Micros, who string, attempt uint32) Event {
-	return Event{At: at, Kind: Reported, Who: who, Lane: "l", Job: 1, Attempt: attempt, State: "failed"}
+	return Event{At: at, Kind: Reported, Who: who, Queue: "l", Job: 1, Attempt: attempt, State: "failed"}
 }
 func up(at eventloop.Micros, who string) Event { return Event{At: at, Kind: Up, Who: who, Cores: 25} }
 
@@ -66,7 +66,7 @@
 		{"an accepted job never ends", 1, []Event{in(1*s, twoSteps), reply(2*s, 201), closed}},
 		{"an accepted job is unknown", 1, []Event{in(1*s, twoSteps), reply(2*s, 201), status(3*s, 404, ""), status(4*s, 200, "failed"), closed}},
 		{"an ended job is forgotten too soon", 1, append(good()[:11], status(100*s, 404, ""), closed)},
-		{"one name runs as two jobs", 2, append(good()[:11], Event{At: 7 * s, Kind: Begin, Who: "w", Lane: "l", Name: "j", Job: 2, Attempt: 1}, Event{At: 8 * s, Kind: End, Who: "w", Lane: "l", Name: "j", Job: 2, Attempt: 1, State: "done"}, closed)},
+		{"one name runs as two jobs", 2, append(good()[:11], Event{At: 7 * s, Kind: Begin, Who: "w", Queue: "l", Name: "j", Job: 2, Attempt: 1}, Event{At: 8 * s, Kind: End, Who: "w", Queue: "l", Name: "j", Job: 2, Attempt: 1, State: "done"}, closed)},
 		{"a task runs twice at once", 2, []Event{in(1*s, twoSteps), reply(1*s, 201), begin(2*s, "w", 0, 0, 1), begin(3*s, "v", 0, 0, 2), end(4*s, "w", 0, 0, 1, "done"), end(5*s, "v", 0, 0, 2, "done"), status(6*s, 200, "failed"), closed}},
 		{"a frozen worker's task runs on after another took it", 2, []Event{in(1*s, twoSteps), reply(1*s, 201), begin(2*s, "w", 0, 0, 1), {At: 3 * s, Kind: Pause, Who: "w"}, begin(4*s, "v", 0, 0, 2), {At: 5 * s, Kind: Resume, Who: "w"}, end(6*s, "w", 0, 0, 1, "done"), end(7*s, "v", 0, 0, 2, "done"), status(8*s, 200, "failed"), closed}},
 		{"a task runs though every hand-in was turned away", 3, []Event{in(1*s, twoSteps), reply(1*s, 429), begin(2*s, "w", 0, 0, 1), end(3*s, "w", 0, 0, 1, "done"), closed}},
@@ -75,7 +75,7 @@
 		{"a retry beyond the allowed failures", 5, append(good()[:6:6], told(3*s, "w", 1), begin(3*s+1, "v", 0, 0, 2), end(4*s, "v", 0, 0, 2, "failed"), told(4*s, "v", 2), begin(4*s+1, "v", 0, 0, 3), end(5*s, "v", 0, 0, 3, "done"), status(6*s, 200, "failed"), closed)},
 		{"a worker gets more than its room", 6, []Event{up(0, "w"), begin(1*s, "w", 0, 0, 1), begin(1*s, "w", 0, 1, 1), begin(1*s, "w", 0, 2, 1), closed}},
 		{"work reaches a leaving worker", 7, []Event{up(0, "w"), {At: 1 * s, Kind: Leave, Who: "w"}, order(3*s+1, "w", "start", 1), closed}},
-		{"a cancelled job starts something", 8, []Event{in(1*s, twoSteps), reply(1*s, 201), {At: 2 * s, Kind: CancelReply, Lane: "l", Name: "j", Code: 200}, begin(5*s+1, "w", 0, 0, 1), end(6*s, "w", 0, 0, 1, "done"), status(7*s, 200, "cancelled"), closed}},
+		{"a cancelled job starts something", 8, []Event{in(1*s, twoSteps), reply(1*s, 201), {At: 2 * s, Kind: CancelReply, Queue: "l", Name: "j", Code: 200}, begin(5*s+1, "w", 0, 0, 1), end(6*s, "w", 0, 0, 1, "done"), status(7*s, 200, "cancelled"), closed}},
 		{"a task runs on once told to stop", 8, []Event{in(1*s, twoSteps), reply(1*s, 201), begin(2*s, "w", 0, 0, 1), order(3*s, "w", "stop", 1), end(5*s, "w", 0, 0, 1, "done"), status(7*s, 200, "cancelled"), closed}},
 		{"complete with a task unfinished", 9, append(good()[:8:8], status(4*s, 200, "complete"), closed)},
 		{"a group starts in part", 10, []Event{in(1*s, gang), reply(1*s, 201), begin(2*s, "w", 0, 0, 1), end(9*s, "w", 0, 0, 1, "done"), status(10*s, 200, "failed"), closed}},
@@ -86,7 +86,7 @@
 		Convey("Found: "+each.what, t, func() { So(rules(each.history)[each.rule], ShouldBeTrue) })
 	}
 	Convey("A group that starts in part because a member's worker dies holding it is no breach", t, func() {
-		hold := Event{At: 1*s + 5, Kind: Order, Who: "v", Lane: "l", Name: "j", Job: 1, Task: 1, Attempt: 1, State: "hold"}
+		hold := Event{At: 1*s + 5, Kind: Order, Who: "v", Queue: "l", Name: "j", Job: 1, Task: 1, Attempt: 1, State: "hold"}
 		history := []Event{in(1*s, gang), reply(1*s, 201), hold, begin(2*s, "w", 0, 0, 1), {At: 2*s + 1, Kind: Gone, Who: "v"}, end(9*s, "w", 0, 0, 1, "done"), status(10*s, 200, "failed"), closed}
 		So(rules(history)[10], ShouldBeFalse)
 		history[4].At = 8 * s
@@ -99,7 +99,7 @@
 }
 
 func answer(kind string, sent, at eventloop.Micros, front string, code int32, state string) Event {
-	return Event{At: at, Sent: sent, Kind: kind, Lane: "l", Name: "j", Front: front, Code: code, State: state}
+	return Event{At: at, Sent: sent, Kind: kind, Queue: "l", Name: "j", Front: front, Code: code, State: state}
 }
 func rows(list ...string) (table []*schema.Row) {
 	for _, each := range list {
@@ -127,15 +127,15 @@
 		return append([]Event{up(0, "w"), up(0, "v"), in(1*s, twoSteps)}, list...)
 	}
 	fault := Event{At: 20 * s, Kind: Fault, State: "x"}
-	lane, rack := rows("lane l urgency 5"), rows("lane l urgency 5", "rack r weight 0")
-	wide := rows("lane l urgency 5", "lane l running 1")
+	queue, rack := rows("queue l urgency 5"), rows("queue l urgency 5", "rack r weight 0")
+	wide := rows("queue l urgency 5", "queue l running 1")
 	many := &schema.Job{Steps: []*schema.Step{{Name: "a", Tasks: 2, AllowedFailures: 1}}}
 	wall := &schema.Job{StartWallUs: int64(1000 * s), Steps: []*schema.Step{{Name: "a", Tasks: 1}}}
 	runs := []Event{begin(2*s, "w", 0, 0, 1), end(3*s, "w", 0, 0, 1, "done"), begin(4*s, "w", 1, 0, 1), end(5*s, "w", 1, 0, 1, "done")}
 	done := func(list ...Event) []Event {
 		return job(append([]Event{reply(1*s+1, 201)}, append(runs[:4:4], list...)...)...)
 	}
-	hold := Event{At: 1*s + 5, Kind: Order, Who: "v", Lane: "l", Name: "j", Job: 1, Task: 1, Attempt: 1, State: "hold"}
+	hold := Event{At: 1*s + 5, Kind: Order, Who: "v", Queue: "l", Name: "j", Job: 1, Task: 1, Attempt: 1, State: "hold"}
 	part := func(list ...Event) []Event {
 		return append([]Event{in(1*s, gang), reply(1*s, 201), hold, begin(2*s, "w", 0, 0, 1)}, list...)
 	}
@@ -168,26 +168,26 @@
 			part(trouble(2*s+1, Gone, "v"), end(9*s, "w", 0, 0, 1, "stopped"), status(16*s, 200, "failed"), closed)},
 		{"a failure that was told late counts from then on", 5, job(reply(1*s, 201), runs[0], end(3*s, "w", 0, 0, 1, "failed"), begin(9*s, "v", 0, 0, 2), told(9*s+5, "w", 1), end(10*s, "v", 0, 0, 2, "failed"), told(10*s, "v", 2), begin(11*s, "v", 0, 0, 3), end(12*s, "v", 0, 0, 3, "done"), status(13*s, 200, "failed"), closed),
 			job(reply(1*s, 201), runs[0], end(3*s, "w", 0, 0, 1, "failed"), begin(9*s, "v", 0, 0, 2), end(10*s, "v", 0, 0, 2, "failed"), told(10*s, "v", 2), begin(11*s, "v", 0, 0, 3), told(11*s+5, "w", 1), end(12*s, "v", 0, 0, 3, "done"), status(13*s, 200, "failed"), closed)},
-		{"a restarted worker has less room", 6, []Event{up(0, "w"), {At: 1 * s, Kind: Gone, Who: "w"}, {At: 2 * s, Kind: Up, Who: "w", Cores: 15, Incarnation: 2}, {At: 3 * s, Kind: Begin, Who: "w", Cores: 20, Incarnation: 2, Lane: "l", Name: "x"}, closed},
-			[]Event{up(0, "w"), {At: 1 * s, Kind: Gone, Who: "w"}, {At: 2 * s, Kind: Up, Who: "w", Cores: 15, Incarnation: 2}, {At: 3 * s, Kind: Begin, Who: "w", Cores: 15, Incarnation: 2, Lane: "l", Name: "x"}, closed}},
-		{"two racing tables are both taken", 11, []Event{sent(1*s, lane), sent(1*s, rack), put(2*s, 2, lane), put(2*s, 2, rack), read(3*s, "f", 2, lane), closed},
-			[]Event{sent(1*s, lane), sent(1*s, rack), put(2*s, 2, lane), put(2*s, 3, rack), read(3*s, "f", 3, rack), closed}},
-		{"what is read isn't what was taken", 11, []Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, rack), closed},
-			[]Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), closed}},
-		{"an older table comes back", 11, []Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), read(3*s+100, "f", 1, nil), read(9*s, "f", 2, nil), closed},
-			[]Event{sent(1*s, lane), put(2*s, 2, lane), read(2*s+100, "f", 1, nil), read(3*s, "f", 2, lane), read(9*s, "f", 2, nil), closed}},
-		{"one front never shows the last table", 11, []Event{{At: 1, Kind: Back, Front: "f"}, {At: 1, Kind: Back, Front: "g"}, sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), closed},
-			[]Event{{At: 1, Kind: Back, Front: "f"}, {At: 1, Kind: Back, Front: "g"}, sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), read(3*s, "g", 2, lane), closed}},
-		{"a new lane is unknown to a front", 11, []Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), answer(HandInReply, 4*s+1, 4*s+9, "g", 404, ""), closed},
-			[]Event{sent(1*s, lane), put(2*s, 2, lane), read(3*s, "f", 2, lane), answer(HandInReply, 3*s, 4*s+9, "g", 404, ""), closed}},
+		{"a restarted worker has less room", 6, []Event{up(0, "w"), {At: 1 * s, Kind: Gone, Who: "w"}, {At: 2 * s, Kind: Up, Who: "w", Cores: 15, Incarnation: 2}, {At: 3 * s, Kind: Begin, Who: "w", Cores: 20, Incarnation: 2, Queue: "l", Name: "x"}, closed},
+			[]Event{up(0, "w"), {At: 1 * s, Kind: Gone, Who: "w"}, {At: 2 * s, Kind: Up, Who: "w", Cores: 15, Incarnation: 2}, {At: 3 * s, Kind: Begin, Who: "w", Cores: 15, Incarnation: 2, Queue: "l", Name: "x"}, closed}},
+		{"two racing tables are both taken", 11, []Event{sent(1*s, queue), sent(1*s, rack), put(2*s, 2, queue), put(2*s, 2, rack), read(3*s, "f", 2, queue), closed},
+			[]Event{sent(1*s, queue), sent(1*s, rack), put(2*s, 2, queue), put(2*s, 3, rack), read(3*s, "f", 3, rack), closed}},
+		{"what is read isn't what was taken", 11, []Event{sent(1*s, queue), put(2*s, 2, queue), read(3*s, "f", 2, rack), closed},
+			[]Event{sent(1*s, queue), put(2*s, 2, queue), read(3*s, "f", 2, queue), closed}},
+		{"an older table comes back", 11, []Event{sent(1*s, queue), put(2*s, 2, queue), read(3*s, "f", 2, queue), read(3*s+100, "f", 1, nil), read(9*s, "f", 2, nil), closed},
+			[]Event{sent(1*s, queue), put(2*s, 2, queue), read(2*s+100, "f", 1, nil), read(3*s, "f", 2, queue), read(9*s, "f", 2, nil), closed}},
+		{"one front never shows the last table", 11, []Event{{At: 1, Kind: Back, Front: "f"}, {At: 1, Kind: Back, Front: "g"}, sent(1*s, queue), put(2*s, 2, queue), read(3*s, "f", 2, queue), closed},
+			[]Event{{At: 1, Kind: Back, Front: "f"}, {At: 1, Kind: Back, Front: "g"}, sent(1*s, queue), put(2*s, 2, queue), read(3*s, "f", 2, queue), read(3*s, "g", 2, queue), closed}},
+		{"a new queue is unknown to a front", 11, []Event{sent(1*s, queue), put(2*s, 2, queue), read(3*s, "f", 2, queue), answer(HandInReply, 4*s+1, 4*s+9, "g", 404, ""), closed},
+			[]Event{sent(1*s, queue), put(2*s, 2, queue), read(3*s, "f", 2, queue), answer(HandInReply, 3*s, 4*s+9, "g", 404, ""), closed}},
 		{"work starts in a rack of no weight", 11, []Event{{At: 1, Kind: Up, Who: "w", Rack: "r", Cores: 90}, sent(1*s, rack), put(2*s, 2, rack), read(3*s, "f", 2, rack), begin(4*s+1, "w", 0, 0, 1), end(5*s, "w", 0, 0, 1, "done"), closed},
 			[]Event{{At: 1, Kind: Up, Who: "w", Rack: "r", Cores: 90}, sent(1*s, rack), put(2*s, 2, rack), read(3*s, "f", 2, rack), begin(3*s, "w", 0, 0, 1), end(5*s, "w", 0, 0, 1, "done"), closed}},
-		{"more of a lane runs than the table allows", 11, []Event{in(1*s, many), sent(1*s, wide), put(2*s, 2, wide), read(3*s, "f", 2, wide), begin(5*s, "w", 0, 0, 1), begin(5*s, "w", 0, 1, 1), end(6*s, "w", 0, 0, 1, "done"), end(6*s, "w", 0, 1, 1, "done"), closed},
+		{"more of a queue runs than the table allows", 11, []Event{in(1*s, many), sent(1*s, wide), put(2*s, 2, wide), read(3*s, "f", 2, wide), begin(5*s, "w", 0, 0, 1), begin(5*s, "w", 0, 1, 1), end(6*s, "w", 0, 0, 1, "done"), end(6*s, "w", 0, 1, 1, "done"), closed},
 			[]Event{in(1*s, many), sent(1*s, wide), put(2*s, 2, wide), read(3*s, "f", 2, wide), begin(5*s, "w", 0, 0, 1), end(6*s, "w", 0, 0, 1, "done"), begin(6*s, "w", 0, 1, 1), end(7*s, "w", 0, 1, 1, "done"), closed}},
 		{"status isn't back after a fault", 12, []Event{fault, answer(Status, 21*s, 24*s, "f", 504, ""), answer(Status, 30*s, 33*s, "f", 200, "running"), closed},
 			[]Event{fault, answer(Status, 21*s, 24*s, "f", 504, ""), answer(Status, 25*s, 31*s, "f", 200, "running"), closed}},
-		{"one lane isn't back after a fault", 12, []Event{fault, answer(HandInReply, 22*s, 25*s, "f", 504, ""), {At: 26 * s, Kind: HandInReply, Lane: "m", Name: "k", Code: 201}, status(60*s, 200, "failed"), {At: 61 * s, Kind: Status, Lane: "m", Name: "k", Code: 200, State: "failed"}, closed},
-			[]Event{fault, answer(HandInReply, 22*s, 25*s, "f", 201, ""), {At: 26 * s, Kind: HandInReply, Lane: "m", Name: "k", Code: 201}, status(60*s, 200, "failed"), {At: 61 * s, Kind: Status, Lane: "m", Name: "k", Code: 200, State: "failed"}, closed}},
+		{"one queue isn't back after a fault", 12, []Event{fault, answer(HandInReply, 22*s, 25*s, "f", 504, ""), {At: 26 * s, Kind: HandInReply, Queue: "m", Name: "k", Code: 201}, status(60*s, 200, "failed"), {At: 61 * s, Kind: Status, Queue: "m", Name: "k", Code: 200, State: "failed"}, closed},
+			[]Event{fault, answer(HandInReply, 22*s, 25*s, "f", 201, ""), {At: 26 * s, Kind: HandInReply, Queue: "m", Name: "k", Code: 201}, status(60*s, 200, "failed"), {At: 61 * s, Kind: Status, Queue: "m", Name: "k", Code: 200, State: "failed"}, closed}},
 		{"work that waits isn't begun after a fault", 12, []Event{fault, in(21*s, twoSteps), reply(21*s, 201), begin(33*s, "w", 0, 0, 1), end(34*s, "w", 0, 0, 1, "done"), status(35*s, 200, "failed"), closed},
 			[]Event{fault, in(21*s, twoSteps), reply(21*s, 201), begin(31*s, "w", 0, 0, 1), end(34*s, "w", 0, 0, 1, "done"), status(35*s, 200, "failed"), closed}},
 		{"a worker is not answered", 12, []Event{up(0, "w"), trouble(1*s, Heard, "w"), trouble(14*s, Heard, "w"), {At: 15 * s, Kind: Close}},
--- a/internal/checker/idle.go
+++ b/internal/checker/idle.go
@@ -49,8 +49,8 @@
 func (j *judge) idle(history []Event) {
 	shops := map[string]*shop{}
 	running := map[jobKey]int{}
-	pools := map[string]string{}   // of lanes, by the newest table
-	isNarrow := map[string]bool{}  // lanes that may only run so much
+	pools := map[string]string{}   // of queues, by the newest table
+	isNarrow := map[string]bool{}  // queues that may only run so much
 	isEmptied := map[string]bool{} // racks without weight
 	since := map[jobKey]eventloop.Micros{}
 	isTold := map[jobKey]bool{}
@@ -62,7 +62,7 @@
 			open = slices.DeleteFunc(open, func(key jobKey) bool { return j.accounts[key].isClosed(next) })
 			for _, key := range open {
 				a := j.accounts[key]
-				isIdle := running[key] == 0 && !isNarrow[key.lane] && !isTold[key] && next > changed+j.bounds.Plan && !j.isNear(next, next) && j.hasRoom(a, next, shops, pools[key.lane], isEmptied)
+				isIdle := running[key] == 0 && !isNarrow[key.queue] && !isTold[key] && next > changed+j.bounds.Plan && !j.isNear(next, next) && j.hasRoom(a, next, shops, pools[key.queue], isEmptied)
 				if !isIdle {
 					delete(since, key)
 					continue
@@ -72,28 +72,28 @@
 				}
 				if next-since[key] >= j.bounds.Idle {
 					isTold[key] = true
-					j.breach(1, next, "%s/%s has had nothing running since %d though there is room", key.lane, key.name, since[key])
+					j.breach(1, next, "%s/%s has had nothing running since %d though there is room", key.queue, key.name, since[key])
 				}
 			}
 		}
 		if len(shops) == 0 {
 			next = e.At
 		}
-		key := jobKey{e.Lane, e.Name}
+		key := jobKey{e.Queue, e.Name}
 		switch e.Kind {
 		case HandInReply:
 			if (e.Code == 200 || e.Code == 201) && !slices.Contains(open, key) && j.accounts[key].spec != nil {
 				open = append(open, key)
-				sort.Slice(open, func(a, b int) bool { return open[a].lane+"/"+open[a].name < open[b].lane+"/"+open[b].name })
+				sort.Slice(open, func(a, b int) bool { return open[a].queue+"/"+open[a].name < open[b].queue+"/"+open[b].name })
 			}
 		case PlanPut:
 			if e.Code == 200 {
 				pools, isNarrow, isEmptied, changed = map[string]string{}, map[string]bool{}, map[string]bool{}, e.At
 				for _, row := range e.Rows {
 					switch {
-					case row.Kind == "lane" && row.Key == "pool":
+					case row.Kind == "queue" && row.Key == "pool":
 						pools[row.Name] = row.Value
-					case row.Kind == "lane" && row.Key == "running":
+					case row.Kind == "queue" && row.Key == "running":
 						isNarrow[row.Name] = true
 					case row.Kind == "rack" && row.Key == "weight" && row.Value == "0":
 						isEmptied[row.Name] = true
--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -1,5 +1,5 @@
 // Package clusterstate is the pure machine of the system's own group: the plan and
-// its generation, where lanes stand, who wards which worker, and the controller's
+// its generation, where queues stand, who wards which worker, and the controller's
 // lease. Every change is checked when it is applied, so that whoever acts on
 // an old view is fenced by the log itself.
 package clusterstate
@@ -96,8 +96,8 @@
 	s := m.state
 	shown := &schema.CharterState{Version: s.Version, Plan: m.bare, Voters: s.Voters, NowUs: s.NowUs, Next: s.Next}
 	shown.Controller = proto.Clone(s.Controller).(*schema.Controller)
-	for _, place := range s.Lanes {
-		shown.Lanes = append(shown.Lanes, proto.Clone(place).(*schema.LanePlace))
+	for _, place := range s.Queues {
+		shown.Queues = append(shown.Queues, proto.Clone(place).(*schema.QueuePlace))
 	}
 	for _, ward := range s.Wards {
 		shown.Wards = append(shown.Wards, proto.Clone(ward).(*schema.Ward))
@@ -136,8 +136,8 @@
 		result = m.put(body.Put.Sheet)
 	case *schema.CharterCommand_Claim:
 		result = m.claim(body.Claim.Id)
-	case *schema.CharterCommand_Lanes:
-		result = m.placeLanes(body.Lanes)
+	case *schema.CharterCommand_Queues:
+		result = m.placeQueues(body.Queues)
 	case *schema.CharterCommand_Wards:
 		result = m.moveWards(body.Wards)
 	case *schema.CharterCommand_Meet:
@@ -278,31 +278,31 @@
 	return &Result{Code: 403, Fault: &schema.Fault{Code: "lease_over", Message: "the controller lease is not the current one"}}
 }
 
-func (m *Machine) placeLanes(c *schema.PlaceLanes) *Result {
+func (m *Machine) placeQueues(c *schema.PlaceQueues) *Result {
 	if !m.IsController(c.Lease) {
 		return fenced()
 	}
 	values := m.Values()
 	for _, name := range c.Gone {
-		for k, place := range m.state.Lanes {
-			// A lane that has rows again was wanted back meanwhile.
-			if place.Lane == name && !values.HasLane(name) {
-				m.state.Lanes = append(m.state.Lanes[:k:k], m.state.Lanes[k+1:]...)
+		for k, place := range m.state.Queues {
+			// A queue that has rows again was wanted back meanwhile.
+			if place.Queue == name && !values.HasQueue(name) {
+				m.state.Queues = append(m.state.Queues[:k:k], m.state.Queues[k+1:]...)
 				m.isChanged = true
 				break
 			}
 		}
 	}
-	for _, wanted := range c.Lanes {
-		if place := Place(m.state, wanted.Lane); place != nil {
+	for _, wanted := range c.Queues {
+		if place := Place(m.state, wanted.Queue); place != nil {
 			m.isChanged = m.isChanged || place.Leader != wanted.Leader
 			place.Leader = wanted.Leader
 			continue
 		}
-		if values.HasLane(wanted.Lane) && len(wanted.Founders) > 0 {
+		if values.HasQueue(wanted.Queue) && len(wanted.Founders) > 0 {
 			m.isChanged = true
-			m.state.Lanes = slices.Insert(m.state.Lanes, laneAt(m.state.Lanes, wanted.Lane), &schema.LanePlace{
-				Lane: wanted.Lane, Generation: m.next(), Founders: wanted.Founders, Leader: wanted.Leader,
+			m.state.Queues = slices.Insert(m.state.Queues, queueAt(m.state.Queues, wanted.Queue), &schema.QueuePlace{
+				Queue: wanted.Queue, Generation: m.next(), Founders: wanted.Founders, Leader: wanted.Leader,
 			})
 		}
 	}
@@ -327,9 +327,9 @@
 	return &Result{Code: 200}
 }
 
-// Lanes and wards are listed by name.
-func laneAt(list []*schema.LanePlace, lane string) int {
-	return sort.Search(len(list), func(k int) bool { return list[k].Lane >= lane })
+// Queues and wards are listed by name.
+func queueAt(list []*schema.QueuePlace, queue string) int {
+	return sort.Search(len(list), func(k int) bool { return list[k].Queue >= queue })
 }
 
 func wardAt(list []*schema.Ward, worker string) int {
@@ -359,10 +359,10 @@
 	return &Result{Code: 200}
 }
 
-// Place finds a lane's place; the charter lists them by name.
-func Place(state *schema.CharterState, lane string) *schema.LanePlace {
-	list := state.GetLanes()
-	if at := laneAt(list, lane); at < len(list) && list[at].Lane == lane {
+// Place finds a queue's place; the charter lists them by name.
+func Place(state *schema.CharterState, queue string) *schema.QueuePlace {
+	list := state.GetQueues()
+	if at := queueAt(list, queue); at < len(list) && list[at].Queue == queue {
 		return list[at]
 	}
 	return nil
--- a/internal/clusterstate/clusterstate_test.go
+++ b/internal/clusterstate/clusterstate_test.go
@@ -31,7 +31,7 @@
 func TestPlan(t *testing.T) {
 	Convey("The table is taken whole, and only on the current generation", t, func() {
 		m := New()
-		good := row("lane", "quotes", "urgency", "50")
+		good := row("queue", "quotes", "urgency", "50")
 		So(put(m, nil, good).Code, ShouldEqual, 428)
 		So(put(m, proto.Uint64(0), good).Code, ShouldEqual, 200)
 		Convey("a resend of what just took effect is done already", func() {
@@ -41,20 +41,20 @@
 			So(m.State().Plan.Generation, ShouldEqual, 1)
 		})
 		Convey("an outdated sheet is turned away with both generations", func() {
-			result := put(m, proto.Uint64(0), row("lane", "quotes", "urgency", "51"))
+			result := put(m, proto.Uint64(0), row("queue", "quotes", "urgency", "51"))
 			So(result.Code, ShouldEqual, 412)
 			So(result.Fault.Given, ShouldEqual, 0)
 			So(result.Fault.Current, ShouldEqual, 1)
-			So(Read(m.State().Plan).Of("lane", "quotes", "urgency"), ShouldEqual, 50)
+			So(Read(m.State().Plan).Of("queue", "quotes", "urgency"), ShouldEqual, 50)
 		})
 		Convey("a bad row is named and nothing of the sheet applies", func() {
 			for field, bad := range map[string]*schema.Row{
 				"rows[1].kind":  row("robot", "x", "urgency", "1"),
-				"rows[1].name":  row("lane", "No Name", "urgency", "1"),
-				"rows[1].key":   row("lane", "x", "speed", "1"),
-				"rows[1].value": row("lane", "x", "urgency", "many"),
+				"rows[1].name":  row("queue", "No Name", "urgency", "1"),
+				"rows[1].key":   row("queue", "x", "speed", "1"),
+				"rows[1].value": row("queue", "x", "urgency", "many"),
 			} {
-				result := put(m, proto.Uint64(1), row("lane", "quotes", "urgency", "60"), bad)
+				result := put(m, proto.Uint64(1), row("queue", "quotes", "urgency", "60"), bad)
 				So(result.Code, ShouldEqual, 422)
 				So(result.Fault.Field, ShouldEqual, field)
 			}
@@ -108,7 +108,7 @@
 func TestEditions(t *testing.T) {
 	Convey("An author who numbers editions needs no generation", t, func() {
 		m := New()
-		quotes := row("lane", "quotes", "urgency", "50")
+		quotes := row("queue", "quotes", "urgency", "50")
 		So(edition(m, 3, 0, "three", quotes).Code, ShouldEqual, 200)
 		So(m.Plan().Edition, ShouldEqual, 3)
 		So(m.Plan().Generation, ShouldEqual, 1)
@@ -143,7 +143,7 @@
 		})
 		Convey("a bad row or too large a document changes nothing, and isn't remembered as taken", func() {
 			for k := 0; k < 2; k++ {
-				So(edition(m, 9, 7, "nine", row("lane", "x", "pool", "none")).Code, ShouldEqual, 422)
+				So(edition(m, 9, 7, "nine", row("queue", "x", "pool", "none")).Code, ShouldEqual, 422)
 			}
 			So(edition(m, 9, 7, strings.Repeat("x", maxDocument+1), quotes).Fault.Field, ShouldEqual, "document")
 			So(edition(m, 9, 7, strings.Repeat("x", maxDocument), quotes).Code, ShouldEqual, 200)
@@ -168,14 +168,14 @@
 		Convey("where there is no document the rows tell editions apart", func() {
 			So(edition(m, 9, 7, "", quotes).Code, ShouldEqual, 200)
 			So(edition(m, 9, 7, "", quotes).Code, ShouldEqual, 200)
-			So(edition(m, 9, 7, "", row("lane", "quotes", "urgency", "51")).Code, ShouldEqual, 412)
+			So(edition(m, 9, 7, "", row("queue", "quotes", "urgency", "51")).Code, ShouldEqual, 412)
 		})
 	})
 	Convey("However many and large the plans were, what is kept is bounded", t, func() {
 		m := New()
 		var rows []*schema.Row
 		for k := 0; k < 10_000; k++ {
-			rows = append(rows, row("lane", fmt.Sprintf("lane-%d", k), "urgency", "50"))
+			rows = append(rows, row("queue", fmt.Sprintf("queue-%d", k), "urgency", "50"))
 		}
 		for k := uint64(1); k <= 30; k++ {
 			So(edition(m, k, k-1, strings.Repeat("x", 1000)+fmt.Sprint(k), rows...).Code, ShouldEqual, 200)
@@ -190,16 +190,16 @@
 }
 
 func TestEntries(t *testing.T) {
-	entryRows := func(lane, host, prefix string) []*schema.Row {
-		return []*schema.Row{row("lane", lane, "host", host), row("lane", lane, "prefix", prefix)}
+	entryRows := func(queue, host, prefix string) []*schema.Row {
+		return []*schema.Row{row("queue", queue, "host", host), row("queue", queue, "prefix", prefix)}
 	}
-	Convey("A lane is found by host and the longest prefix of the path", t, func() {
+	Convey("A queue is found by host and the longest prefix of the path", t, func() {
 		rows := append(entryRows("short", "One.example", "/a/"), entryRows("long", "one.example", "/a/b/")...)
 		rows = append(rows, entryRows("other", "two.example", "/a/")...)
-		rows = append(rows, row("lane", "everywhere", "prefix", "/z/"), row("lane", "whole", "host", "three.example"), row("lane", "none", "urgency", "1"))
+		rows = append(rows, row("queue", "everywhere", "prefix", "/z/"), row("queue", "whole", "host", "three.example"), row("queue", "none", "urgency", "1"))
 		So(CheckRows(rows), ShouldBeNil)
 		v := Read(&schema.Plan{Rows: rows})
-		for _, each := range []struct{ host, path, lane, rest string }{
+		for _, each := range []struct{ host, path, queue, rest string }{
 			{"one.example", "/a/j1", "short", "j1"},
 			{"ONE.example:8080", "/a/b/j1", "long", "j1"},
 			{"one.example", "/a/b", "short", "b"},
@@ -211,65 +211,65 @@
 			{"one.example", "/a", "", ""},
 			{"four.example", "/a/j1", "", ""},
 		} {
-			lane, rest, isFound := v.LaneAt(each.host, each.path)
-			So([]any{each.host, each.path, lane, rest, isFound}, ShouldResemble, []any{each.host, each.path, each.lane, each.rest, each.lane != ""})
+			queue, rest, isFound := v.QueueAt(each.host, each.path)
+			So([]any{each.host, each.path, queue, rest, isFound}, ShouldResemble, []any{each.host, each.path, each.queue, each.rest, each.queue != ""})
 		}
 	})
 	Convey("Two with one host and prefix are named, whatever the case or what is left out", t, func() {
 		fault := CheckRows(append(entryRows("x", "one.example", "/a/"), entryRows("y", "ONE.example", "/a/")...))
 		So(fault.Field, ShouldEqual, "rows[3].value")
-		So(fault.Message, ShouldContainSubstring, "lanes x and y")
-		So(CheckRows(append(entryRows("x", "one.example", "/"), row("lane", "y", "host", "one.example"))).Field, ShouldEqual, "rows[2].value")
+		So(fault.Message, ShouldContainSubstring, "queues x and y")
+		So(CheckRows(append(entryRows("x", "one.example", "/"), row("queue", "y", "host", "one.example"))).Field, ShouldEqual, "rows[2].value")
 		So(CheckRows(append(entryRows("x", "one.example", "/a/"), entryRows("y", "two.example", "/a/")...)), ShouldBeNil)
 	})
 	Convey("Texts and pools are checked like numbers", t, func() {
 		pool := row("pool", "P.1_x", "guards", "0")
-		So(CheckRows([]*schema.Row{row("lane", "x", "pool", "P.1_x"), pool}), ShouldBeNil)
+		So(CheckRows([]*schema.Row{row("queue", "x", "pool", "P.1_x"), pool}), ShouldBeNil)
 		for _, each := range []struct {
 			row   *schema.Row
 			field string
 		}{
-			{row("lane", "x", "pool", "other"), "rows[1].value"},
-			{row("lane", "x", "pool", ""), "rows[1].value"},
-			{row("lane", "x", "host", "a b"), "rows[1].value"},
-			{row("lane", "x", "host", "one.example:80"), "rows[1].value"},
-			{row("lane", "x", "prefix", "a/"), "rows[1].value"},
-			{row("lane", "x", "prefix", "/"+strings.Repeat("a", 256)), "rows[1].value"},
-			{row("lane", "x", "attempts", "0"), "rows[1].value"},
-			{row("lane", "x", "attempts", "1001"), "rows[1].value"},
-			{row("lane", "x", "timeout_ms", "0"), "rows[1].value"},
-			{row("lane", "x", "guards", "1"), "rows[1].key"},
-			{row("lane", "charter", "urgency", "1"), "rows[1].name"},
+			{row("queue", "x", "pool", "other"), "rows[1].value"},
+			{row("queue", "x", "pool", ""), "rows[1].value"},
+			{row("queue", "x", "host", "a b"), "rows[1].value"},
+			{row("queue", "x", "host", "one.example:80"), "rows[1].value"},
+			{row("queue", "x", "prefix", "a/"), "rows[1].value"},
+			{row("queue", "x", "prefix", "/"+strings.Repeat("a", 256)), "rows[1].value"},
+			{row("queue", "x", "attempts", "0"), "rows[1].value"},
+			{row("queue", "x", "attempts", "1001"), "rows[1].value"},
+			{row("queue", "x", "timeout_ms", "0"), "rows[1].value"},
+			{row("queue", "x", "guards", "1"), "rows[1].key"},
+			{row("queue", "charter", "urgency", "1"), "rows[1].name"},
 			{row("pool", "a/b", "guards", "1"), "rows[1].name"},
 			{row("pool", "x", "guards", "2"), "rows[1].value"},
 		} {
 			So(CheckRows([]*schema.Row{pool, each.row}).Field, ShouldEqual, each.field)
 		}
-		v := Read(&schema.Plan{Rows: []*schema.Row{row("lane", "x", "pool", "P.1_x"), row("lane", "x", "attempts", "4"), pool}})
-		So(v.Text("lane", "x", "pool"), ShouldEqual, "P.1_x")
-		So(v.Text("lane", "y", "pool"), ShouldEqual, "")
+		v := Read(&schema.Plan{Rows: []*schema.Row{row("queue", "x", "pool", "P.1_x"), row("queue", "x", "attempts", "4"), pool}})
+		So(v.Text("queue", "x", "pool"), ShouldEqual, "P.1_x")
+		So(v.Text("queue", "y", "pool"), ShouldEqual, "")
 		So(v.Of("pool", "P.1_x", "guards"), ShouldEqual, 0)
 		So(v.Of("pool", "other", "guards"), ShouldEqual, 1)
-		So(v.Of("lane", "x", "timeout_ms"), ShouldEqual, 10_000)
-		So(v.IsStated("lane", "x", "attempts"), ShouldBeTrue)
-		So(v.IsStated("lane", "y", "attempts"), ShouldBeFalse)
+		So(v.Of("queue", "x", "timeout_ms"), ShouldEqual, 10_000)
+		So(v.IsStated("queue", "x", "attempts"), ShouldBeTrue)
+		So(v.IsStated("queue", "y", "attempts"), ShouldBeFalse)
 	})
-	Convey("A plan holds 2000 lanes that state every key", t, func() {
+	Convey("A plan holds 2000 queues that state every key", t, func() {
 		rows := []*schema.Row{row("pool", "p", "guards", "1")}
 		for k := 0; k < 2000; k++ {
-			name := fmt.Sprintf("lane-%d", k)
+			name := fmt.Sprintf("queue-%d", k)
 			rows = append(rows, entryRows(name, "one.example", fmt.Sprintf("/%d/", k))...)
-			rows = append(rows, row("lane", name, "pool", "p"))
+			rows = append(rows, row("queue", name, "pool", "p"))
 			for _, key := range keys {
-				if key.kind == "lane" {
-					rows = append(rows, row("lane", name, key.name, strconv.FormatInt(max(key.least, 1), 10)))
+				if key.kind == "queue" {
+					rows = append(rows, row("queue", name, key.name, strconv.FormatInt(max(key.least, 1), 10)))
 				}
 			}
 		}
 		So(CheckRows(rows), ShouldBeNil)
 		v := Read(&schema.Plan{Rows: rows})
-		So(len(v.Lanes()), ShouldEqual, 2000)
-		lane, rest, _ := v.LaneAt("one.example", "/1999/j")
-		So([]string{lane, rest}, ShouldResemble, []string{"lane-1999", "j"})
+		So(len(v.Queues()), ShouldEqual, 2000)
+		queue, rest, _ := v.QueueAt("one.example", "/1999/j")
+		So([]string{queue, rest}, ShouldResemble, []string{"queue-1999", "j"})
 	})
 }
--- a/internal/clusterstate/plan.go
+++ b/internal/clusterstate/plan.go
@@ -28,21 +28,21 @@
 	{"fleet", "lease_ms", 4000, 1000, 60_000, "how long a worker may run on without an answer"},
 	{"fleet", "margin_ms", 1000, 100, 60_000, "added to the lease before a silent worker's tasks are given to others"},
 	{"fleet", "linger_s", 60, 10, 100, "how long a silent front's sessions are kept"},
-	{"fleet", "live_jobs", 5000, 1, 1_000_000, "live jobs a lane takes before hand-ins are turned away"},
+	{"fleet", "live_jobs", 5000, 1, 1_000_000, "live jobs a queue takes before hand-ins are turned away"},
 	{"fleet", "worker_cores_milli", 64_000, 1, 100_000_000, "largest task, in thousandths of a core"},
 	{"fleet", "worker_memory_mb", 131_072, 1, 1_000_000_000, "largest task, in megabytes"},
 	{"fleet", "weight_room", 100, 0, 10_000, "weight of free room left on the worker"},
 	{"fleet", "weight_rack", 30, 0, 10_000, "weight of spreading a step over racks"},
 	{"fleet", "weight_failures", 60, 0, 10_000, "weight against workers that fail more than others"},
 	{"fleet", "preempt", 1, 0, 1, "1: urgent work may displace less urgent work"},
-	{"lane", "urgency", 10, 0, 100, "a more urgent lane's tasks are placed first"},
-	{"lane", "running", 100_000, 1, 10_000_000, "most tasks of the lane out at once"},
-	{"lane", "limit_ms", 0, 0, 2_592_000_000, "longest run of a task whose step states none; 0: no limit"},
-	{"lane", "still_ms", 0, 0, 2_592_000_000, "longest time without progress of a task whose step states none; 0: no limit"},
-	{"lane", "attempts", 1, 1, 1000, "runs of a task or group that fail before its job has failed, where the step states nothing"},
-	{"lane", "stretch_milli", 1500, 1, 1_000_000, "how many times its least span a job should take at most, in thousandths"},
-	{"lane", "target_ms", 1000, 0, 86_400_000, "how soon a hand-in should be answered"},
-	{"lane", "timeout_ms", 10_000, 1, 86_400_000, "longest time a caller waits for an answer"},
+	{"queue", "urgency", 10, 0, 100, "a more urgent queue's tasks are placed first"},
+	{"queue", "running", 100_000, 1, 10_000_000, "most tasks of the queue out at once"},
+	{"queue", "limit_ms", 0, 0, 2_592_000_000, "longest run of a task whose step states none; 0: no limit"},
+	{"queue", "still_ms", 0, 0, 2_592_000_000, "longest time without progress of a task whose step states none; 0: no limit"},
+	{"queue", "attempts", 1, 1, 1000, "runs of a task or group that fail before its job has failed, where the step states nothing"},
+	{"queue", "stretch_milli", 1500, 1, 1_000_000, "how many times its least span a job should take at most, in thousandths"},
+	{"queue", "target_ms", 1000, 0, 86_400_000, "how soon a hand-in should be answered"},
+	{"queue", "timeout_ms", 10_000, 1, 86_400_000, "longest time a caller waits for an answer"},
 	{"pool", "guards", 1, 0, 1, "1: its workers turn away what doesn't fit; 0: they start what they are told"},
 	{"rack", "weight", 100, 0, 10_000, "percent: how gladly the rack is used; 0: not at all"},
 }
@@ -57,9 +57,9 @@
 
 // textKeys are the rest of the form.
 var textKeys = []textKey{
-	{"lane", "pool", poolForm, 63, "the name of a pool", "whose workers take the lane's work; without: those of no pool"},
-	{"lane", "host", regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`), 253, "a host's name, without a port", "with prefix the lane's entry; without: any host"},
-	{"lane", "prefix", regexp.MustCompile(`^/[^\x00-\x20?#\x7f]*$`), 256, "the beginning of a path", "with host the lane's entry: the longest that fits counts"},
+	{"queue", "pool", poolForm, 63, "the name of a pool", "whose workers take the queue's work; without: those of no pool"},
+	{"queue", "host", regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`), 253, "a host's name, without a port", "with prefix the queue's entry; without: any host"},
+	{"queue", "prefix", regexp.MustCompile(`^/[^\x00-\x20?#\x7f]*$`), 256, "the beginning of a path", "with host the queue's entry: the longest that fits counts"},
 }
 
 var (
@@ -84,13 +84,13 @@
 
 var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
-// GoodName tells whether a lane, rack or worker may be called so.
+// GoodName tells whether a queue, rack or worker may be called so.
 func GoodName(name string) bool { return nameForm.MatchString(name) }
 
 // GoodPool tells whether a pool may be called so.
 func GoodPool(name string) bool { return poolForm.MatchString(name) }
 
-// maxRows holds 2000 lanes that state every key.
+// maxRows holds 2000 queues that state every key.
 const maxRows = 40_000
 
 // CheckRows finds the first row that can't be taken.
@@ -109,11 +109,11 @@
 			if row.Name != "" {
 				return fault(at, "name", "a fleet row has no name, this one says %q", row.Name)
 			}
-		case "lane", "rack":
+		case "queue", "rack":
 			if !GoodName(row.Name) {
 				return fault(at, "name", "%q is no name: lower-case letters, digits, '.', '_' and '-', at most 63", row.Name)
 			}
-			if row.Kind == "lane" && row.Name == Group {
+			if row.Kind == "queue" && row.Name == Group {
 				return fault(at, "name", "%q is the system's own group", row.Name)
 			}
 		case "pool":
@@ -122,7 +122,7 @@
 			}
 			pools[row.Name] = true
 		default:
-			return fault(at, "kind", "%q is neither fleet, lane, rack nor pool", row.GetKind())
+			return fault(at, "kind", "%q is neither fleet, queue, rack nor pool", row.GetKind())
 		}
 		if text := findTextKey(row.Kind, row.Key); text != nil {
 			if len(row.Value) > text.most || !text.form.MatchString(row.Value) {
@@ -150,7 +150,7 @@
 	return checkEntries(rows, pools, fault)
 }
 
-// checkEntries finds lanes of no known pool, and two that are entered the same way.
+// checkEntries finds queues of no known pool, and two that are entered the same way.
 func checkEntries(rows []*schema.Row, pools map[string]bool, fault func(at int, field, form string, args ...any) *schema.Fault) *schema.Fault {
 	type place struct {
 		entry
@@ -159,7 +159,7 @@
 	entries := map[string]*place{}
 	var names []string
 	for at, row := range rows {
-		if row.Kind != "lane" {
+		if row.Kind != "queue" {
 			continue
 		}
 		switch row.Key {
@@ -169,7 +169,7 @@
 			}
 		case "host", "prefix":
 			if entries[row.Name] == nil {
-				entries[row.Name] = &place{entry: entry{lane: row.Name}}
+				entries[row.Name] = &place{entry: entry{queue: row.Name}}
 				names = append(names, row.Name)
 			}
 			entries[row.Name].set(row)
@@ -181,7 +181,7 @@
 		each := entries[name]
 		id := [2]string{each.host, each.path()}
 		if other, isTaken := seen[id]; isTaken {
-			return fault(each.at, "value", "lanes %s and %s have the same host and prefix", other, name)
+			return fault(each.at, "value", "queues %s and %s have the same host and prefix", other, name)
 		}
 		seen[id] = name
 	}
@@ -212,9 +212,9 @@
 	return true
 }
 
-// An entry is how a lane is found by the host and path a caller names.
+// An entry is how a queue is found by the host and path a caller names.
 type entry struct {
-	lane, host, prefix string
+	queue, host, prefix string
 }
 
 func (e *entry) set(row *schema.Row) {
@@ -238,8 +238,8 @@
 type Values struct {
 	set     map[[3]string]int64
 	texts   map[[3]string]string
-	lanes   map[string]bool
-	names   []string           // of lanes, sorted
+	queues  map[string]bool
+	names   []string           // of queues, sorted
 	entries map[string][]entry // by host, the longest prefix first
 	of      uint64             // generation of the plan; 0: none that could be known again
 }
@@ -255,18 +255,18 @@
 
 // Read makes a plan's values.
 func Read(plan *schema.Plan) *Values {
-	v := &Values{set: map[[3]string]int64{}, texts: map[[3]string]string{}, lanes: map[string]bool{}, entries: map[string][]entry{}, of: plan.GetGeneration()}
+	v := &Values{set: map[[3]string]int64{}, texts: map[[3]string]string{}, queues: map[string]bool{}, entries: map[string][]entry{}, of: plan.GetGeneration()}
 	entries := map[string]*entry{}
 	for _, row := range plan.GetRows() {
-		if row.Kind == "lane" && !v.lanes[row.Name] {
-			v.lanes[row.Name] = true
+		if row.Kind == "queue" && !v.queues[row.Name] {
+			v.queues[row.Name] = true
 			v.names = append(v.names, row.Name)
 		}
 		if findTextKey(row.Kind, row.Key) != nil {
 			v.texts[[3]string{row.Kind, row.Name, row.Key}] = row.Value
-			if row.Kind == "lane" && (row.Key == "host" || row.Key == "prefix") {
+			if row.Kind == "queue" && (row.Key == "host" || row.Key == "prefix") {
 				if entries[row.Name] == nil {
-					entries[row.Name] = &entry{lane: row.Name}
+					entries[row.Name] = &entry{queue: row.Name}
 				}
 				entries[row.Name].set(row)
 			}
@@ -286,13 +286,13 @@
 	return v
 }
 
-// LaneAt finds the lane that a host and path lead to, and what follows its
-// prefix in the path. Lanes of that very host come first, then those of any.
-func (v *Values) LaneAt(host, path string) (lane, rest string, isFound bool) {
+// QueueAt finds the queue that a host and path lead to, and what follows its
+// prefix in the path. Queues of that very host come first, then those of any.
+func (v *Values) QueueAt(host, path string) (queue, rest string, isFound bool) {
 	for _, name := range []string{hostName(host), ""} {
 		for _, e := range v.entries[name] {
 			if rest, isHere := strings.CutPrefix(path, e.path()); isHere {
-				return e.lane, rest, true
+				return e.queue, rest, true
 			}
 		}
 		if name == "" {
@@ -325,8 +325,8 @@
 	return isSet
 }
 
-// Lanes are the names of the plan's lanes, sorted.
-func (v *Values) Lanes() []string { return v.names }
+// Queues are the names of the plan's queues, sorted.
+func (v *Values) Queues() []string { return v.names }
 
 // Of reads one weight or limit, or its default.
 func (v *Values) Of(kind, name, keyName string) int64 {
@@ -343,11 +343,11 @@
 // Fleet reads a value of the fleet.
 func (v *Values) Fleet(keyName string) int64 { return v.Of("fleet", "", keyName) }
 
-// HasLane tells whether the plan has rows for a lane.
-func (v *Values) HasLane(name string) bool { return v.lanes[name] }
+// HasQueue tells whether the plan has rows for a queue.
+func (v *Values) HasQueue(name string) bool { return v.queues[name] }
 
-// LaneNames lists the plan's lanes.
-func LaneNames(plan *schema.Plan) []string { return Read(plan).Lanes() }
+// QueueNames lists the plan's queues.
+func QueueNames(plan *schema.Plan) []string { return Read(plan).Queues() }
 
 // Form describes every key, for help and docs.
 func Form() []string {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -47,28 +47,28 @@
 
 // Table is the controller's table; every side machine has one, one of them acts.
 type Table struct {
-	id      string
-	state   *schema.CharterState
-	values  *clusterstate.Values
-	roll    *membership.Roll
-	told    map[string]told
-	until   int64 // the lease's end as last seen, in the charter's time
-	untilAt eventloop.Micros
-	askedAt eventloop.Micros
-	claimAt eventloop.Micros
-	claims  map[uint64]eventloop.Micros
-	lease   uint64
-	mine    eventloop.Micros // my lease ends, by my clock
-	acted   map[string]eventloop.Micros
-	lanesIn string // the lanes of the last act on lanes
-	movedAt eventloop.Micros
-	gone    map[string]eventloop.Micros
-	came    map[string]eventloop.Micros // when a process was first heard of here
-	first   eventloop.Micros            // when any was
-	number  uint64
-	turn    int // whose turn it is to be asked
-	voters  int // how many each group is to have
-	readers []string
+	id       string
+	state    *schema.CharterState
+	values   *clusterstate.Values
+	roll     *membership.Roll
+	told     map[string]told
+	until    int64 // the lease's end as last seen, in the charter's time
+	untilAt  eventloop.Micros
+	askedAt  eventloop.Micros
+	claimAt  eventloop.Micros
+	claims   map[uint64]eventloop.Micros
+	lease    uint64
+	mine     eventloop.Micros // my lease ends, by my clock
+	acted    map[string]eventloop.Micros
+	queuesIn string // the queues of the last act on queues
+	movedAt  eventloop.Micros
+	gone     map[string]eventloop.Micros
+	came     map[string]eventloop.Micros // when a process was first heard of here
+	first    eventloop.Micros            // when any was
+	number   uint64
+	turn     int // whose turn it is to be asked
+	voters   int // how many each group is to have
+	readers  []string
 }
 
 // New makes the table of a side machine. Losses are the stores that may be lost
@@ -129,9 +129,9 @@
 			out.Tell(reader, &schema.CharterTell{State: t.state, Version: t.state.Version, Leaders: m.Leaders})
 		}
 	}
-	// Lanes that a table has just added are waited for.
+	// Queues that a table has just added are waited for.
 	if isNew && t.roll != nil && t.isController(now) {
-		t.lanes(now, out)
+		t.queues(now, out)
 	}
 }
 
@@ -169,7 +169,7 @@
 	if !t.isController(now) {
 		return
 	}
-	t.lanes(now, out)
+	t.queues(now, out)
 	t.leaders(now, out)
 	t.members(now, out)
 	t.sessions(now, out)
@@ -353,54 +353,54 @@
 	return true
 }
 
-// --- loop: lanes ---
+// --- loop: queues ---
 
-func (t *Table) lanes(now eventloop.Micros, out eventloop.Out) {
+func (t *Table) queues(now eventloop.Micros, out eventloop.Out) {
 	notes := t.notes(now)
 	root := notes[clusterstate.Group]
 	if root == nil {
 		return
 	}
-	command := &schema.PlaceLanes{Lease: t.lease}
+	command := &schema.PlaceQueues{Lease: t.lease}
 	leader := ""
-	for _, name := range t.values.Lanes() {
+	for _, name := range t.values.Queues() {
 		if clusterstate.Place(t.state, name) != nil {
 			continue
 		}
-		if len(command.Lanes) == 0 {
+		if len(command.Queues) == 0 {
 			leader = t.sturdiest(now)
 		}
-		command.Lanes = append(command.Lanes, &schema.LanePlace{Lane: name, Founders: root.Voters, Leader: leader})
+		command.Queues = append(command.Queues, &schema.QueuePlace{Queue: name, Founders: root.Voters, Leader: leader})
 	}
-	for _, place := range t.state.Lanes {
+	for _, place := range t.state.Queues {
 		note := notes[replica.GroupOf(place)]
-		if !t.values.HasLane(place.Lane) && note != nil && note.Live == 0 && note.Kept == 0 {
-			command.Gone = append(command.Gone, place.Lane)
+		if !t.values.HasQueue(place.Queue) && note != nil && note.Live == 0 && note.Kept == 0 {
+			command.Gone = append(command.Gone, place.Queue)
 		}
 	}
-	if len(command.Lanes)+len(command.Gone) == 0 {
+	if len(command.Queues)+len(command.Gone) == 0 {
 		return
 	}
 	// The same act again waits, for its effect may just not be heard of yet;
 	// another one doesn't.
 	var names []string
-	for _, each := range command.Lanes {
-		names = append(names, each.Lane)
+	for _, each := range command.Queues {
+		names = append(names, each.Queue)
 	}
 	set := strings.Join(names, " ") + "/" + strings.Join(command.Gone, " ")
-	if set != t.lanesIn {
-		delete(t.acted, "lanes")
+	if set != t.queuesIn {
+		delete(t.acted, "queues")
 	}
 	// One that finds no leader is tried again at the next tick.
-	if t.leaderOf(now, clusterstate.Group) != "" && t.may(now, "lanes", actSpan) {
-		t.lanesIn = set
-		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: command}}, out)
+	if t.leaderOf(now, clusterstate.Group) != "" && t.may(now, "queues", actSpan) {
+		t.queuesIn = set
+		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: command}}, out)
 	}
 }
 
 // --- loop: leaders and wards ---
 
-// sturdiest is the store where lanes and wards should be: the present one as
+// sturdiest is the store where queues and wards should be: the present one as
 // long as it serves, for moving costs more than it gains.
 func (t *Table) sturdiest(now eventloop.Micros) string {
 	root := t.notes(now)[clusterstate.Group]
@@ -409,9 +409,9 @@
 	}
 	leads, wanted := map[string]int{}, map[string]int{}
 	stores := t.stores(now)
-	for _, place := range t.state.Lanes {
+	for _, place := range t.state.Queues {
 		wanted[place.Leader]++
-		leads[t.leaderAmong(now, stores, place.Lane)]++
+		leads[t.leaderAmong(now, stores, place.Queue)]++
 	}
 	for _, ward := range t.state.Wards {
 		wanted[ward.Placer]++
@@ -449,7 +449,7 @@
 	best := list[0]
 	for _, other := range list[1:] {
 		// Strain alone moves nothing twice within a while, nor to a store that is
-		// hardly better; but whoever has let its lanes go by itself keeps none.
+		// hardly better; but whoever has let its queues go by itself keeps none.
 		isHome := wanted[other.id] > wanted[best.id] && leads[other.id] > 0
 		if isHome && (now-t.movedAt < strainRest || other.strain < 3*best.strain) {
 			best = other
@@ -469,18 +469,18 @@
 			wards.Wards = append(wards.Wards, &schema.Ward{Worker: ward.Worker, Placer: sturdy})
 		}
 	}
-	lanes := &schema.PlaceLanes{Lease: t.lease}
-	for _, place := range t.state.Lanes {
+	queues := &schema.PlaceQueues{Lease: t.lease}
+	for _, place := range t.state.Queues {
 		if place.Leader != sturdy {
-			lanes.Lanes = append(lanes.Lanes, &schema.LanePlace{Lane: place.Lane, Leader: sturdy})
+			queues.Queues = append(queues.Queues, &schema.QueuePlace{Queue: place.Queue, Leader: sturdy})
 		}
 	}
-	if len(wards.Wards)+len(lanes.Lanes) == 0 || !t.may(now, "leaders", actSpan) {
+	if len(wards.Wards)+len(queues.Queues) == 0 || !t.may(now, "leaders", actSpan) {
 		return
 	}
 	t.movedAt = now
-	if len(lanes.Lanes) > 0 {
-		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}, out)
+	if len(queues.Queues) > 0 {
+		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: queues}}, out)
 	}
 	if len(wards.Wards) > 0 {
 		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Wards{Wards: wards}}, out)
@@ -636,7 +636,7 @@
 	return nil
 }
 
-// spare is a store to learn next. Lanes follow the charter's voters, so that a
+// spare is a store to learn next. Queues follow the charter's voters, so that a
 // few machines hold all; the charter's are spread over the cells.
 func (t *Table) spare(now eventloop.Micros, note, root *schema.WaitNote) string {
 	mayLearn := func(id string) bool {
@@ -707,8 +707,8 @@
 				over = append(over, &schema.Gone{Gateway: boot.Gateway, Boot: boot.Boot})
 			}
 		}
-		if len(over) > 0 && t.may(now, "sessions/"+note.Lane, eventloop.Second) {
-			out.Send(note.Leader, &schema.Quit{Lane: note.Lane, Boots: over})
+		if len(over) > 0 && t.may(now, "sessions/"+note.Queue, eventloop.Second) {
+			out.Send(note.Leader, &schema.Quit{Queue: note.Queue, Boots: over})
 		}
 	}
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -77,24 +77,24 @@
 	}}, d)
 }
 
-// put makes a table of these lanes.
-func (d *desk) put(lanes ...string) {
+// put makes a table of these queues.
+func (d *desk) put(queues ...string) {
 	d.state.Version++
 	d.state.Plan = &schema.Plan{Generation: d.state.Plan.GetGeneration() + 1}
-	for _, lane := range lanes {
-		d.state.Plan.Rows = append(d.state.Plan.Rows, &schema.Row{Kind: "lane", Name: lane, Key: "urgency", Value: "1"})
+	for _, queue := range queues {
+		d.state.Plan.Rows = append(d.state.Plan.Rows, &schema.Row{Kind: "queue", Name: queue, Key: "urgency", Value: "1"})
 	}
 }
 
 func (d *desk) placed() [][]string {
 	var list [][]string
 	for _, act := range d.acts {
-		if lanes := act.GetLanes(); lanes != nil {
+		if queues := act.GetQueues(); queues != nil {
 			var names []string
-			for _, lane := range lanes.Lanes {
-				names = append(names, lane.Lane)
+			for _, queue := range queues.Queues {
+				names = append(names, queue.Queue)
 			}
-			list = append(list, append(names, lanes.Gone...))
+			list = append(list, append(names, queues.Gone...))
 		}
 	}
 	return list
@@ -113,20 +113,20 @@
 	return d
 }
 
-func TestLanesArePlaced(t *testing.T) {
-	Convey("Lanes that a table adds are placed on hearing of it, all in one command", t, func() {
+func TestQueuesArePlaced(t *testing.T) {
+	Convey("Queues that a table adds are placed on hearing of it, all in one command", t, func() {
 		d := newDesk()
-		var lanes []string
+		var queues []string
 		for k := 0; k < 8; k++ {
-			lanes = append(lanes, fmt.Sprintf("l%d", k))
+			queues = append(queues, fmt.Sprintf("l%d", k))
 		}
-		d.put(lanes...)
+		d.put(queues...)
 		d.tell()
-		So(d.placed(), ShouldResemble, [][]string{lanes})
-		first := d.acts[0].GetLanes()
+		So(d.placed(), ShouldResemble, [][]string{queues})
+		first := d.acts[0].GetQueues()
 		So(first.Lease, ShouldEqual, 7)
-		So(first.Lanes[7].Founders, ShouldResemble, []string{"a", "b", "c"})
-		So(first.Lanes[7].Leader, ShouldEqual, "a")
+		So(first.Queues[7].Founders, ShouldResemble, []string{"a", "b", "c"})
+		So(first.Queues[7].Leader, ShouldEqual, "a")
 		Convey("The same act isn't repeated before its effect can be heard of", func() {
 			d.tick()
 			d.tell()
@@ -137,17 +137,17 @@
 			}
 			So(d.placed(), ShouldHaveLength, 2)
 		})
-		Convey("but another table's lanes don't wait for that", func() {
-			d.put(append(lanes, "m")...)
+		Convey("but another table's queues don't wait for that", func() {
+			d.put(append(queues, "m")...)
 			d.tell()
-			So(d.placed(), ShouldResemble, [][]string{lanes, append(lanes, "m")})
+			So(d.placed(), ShouldResemble, [][]string{queues, append(queues, "m")})
 		})
 	})
-	Convey("A dropped lane goes when its jobs have ended and been kept long enough", t, func() {
+	Convey("A dropped queue goes when its jobs have ended and been kept long enough", t, func() {
 		d := newDesk()
 		d.put()
-		d.state.Lanes = []*schema.LanePlace{{Lane: "l", Generation: 3, Leader: "a"}}
-		note := &schema.WaitNote{Group: "l#3", Lane: "l", Leader: "a", Voters: []string{"a", "b", "c"}, Live: 1}
+		d.state.Queues = []*schema.QueuePlace{{Queue: "l", Generation: 3, Leader: "a"}}
+		note := &schema.WaitNote{Group: "l#3", Queue: "l", Leader: "a", Voters: []string{"a", "b", "c"}, Live: 1}
 		d.tell(note)
 		So(d.placed(), ShouldBeEmpty)
 		note.Live, note.Kept = 0, 1
@@ -262,10 +262,10 @@
 }
 
 func TestASilentLeaderIsReplaced(t *testing.T) {
-	Convey("Once its peers lead what a silent store led, its lanes and wards move, before we suspect it ourselves", t, func() {
+	Convey("Once its peers lead what a silent store led, its queues and wards move, before we suspect it ourselves", t, func() {
 		d := newDesk()
 		d.put("l")
-		d.state.Lanes = []*schema.LanePlace{{Lane: "l", Generation: 3, Leader: "c"}}
+		d.state.Queues = []*schema.QueuePlace{{Queue: "l", Generation: 3, Leader: "c"}}
 		d.state.Wards = []*schema.Ward{{Worker: "w", Placer: "c"}}
 		word := func(from string, leaders map[string]string) {
 			var notes []*schema.WaitNote
@@ -294,7 +294,7 @@
 				word("b", after)
 			}
 			So(d.now-last, ShouldBeBetweenOrEqual, missSpan, missSpan+150*eventloop.Milli)
-			So(d.acts[0].GetLanes().GetLanes()[0].Leader, ShouldEqual, "b")
+			So(d.acts[0].GetQueues().GetQueues()[0].Leader, ShouldEqual, "b")
 			So(d.acts[1].GetWards().GetWards()[0].Placer, ShouldEqual, "b")
 		})
 		Convey("but not while nobody else leads it", func() {
--- a/internal/deployments/deployments.go
+++ b/internal/deployments/deployments.go
@@ -12,7 +12,7 @@
 // Kind is one sort of job that a deployment's callers hand in.
 type Kind struct {
 	Name    string
-	Lane    string
+	Queue   string
 	Urgency int
 	Every   float64 // seconds between two, on average
 	Text    string
@@ -112,7 +112,7 @@
 		{Kind: "fleet", Key: "worker_memory_mb", Value: fmt.Sprint(d.Memory)},
 	}
 	for _, k := range d.Kinds {
-		rows = append(rows, &schema.Row{Kind: "lane", Name: k.Lane, Key: "urgency", Value: fmt.Sprint(k.Urgency)})
+		rows = append(rows, &schema.Row{Kind: "queue", Name: k.Queue, Key: "urgency", Value: fmt.Sprint(k.Urgency)})
 	}
 	return rows
 }
--- a/internal/fakeworker/fakeworker.go
+++ b/internal/fakeworker/fakeworker.go
@@ -21,7 +21,7 @@
 )
 
 type key struct {
-	lane       string
+	queue      string
 	job        uint64
 	step, task uint32
 	attempt    uint32
@@ -102,7 +102,7 @@
 
 func (w *Worker) event(now eventloop.Micros, kind string, r *run, state string) {
 	w.tell(checker.Event{
-		At: now, Kind: kind, Who: w.Name, Lane: r.key.lane, Name: r.name, Job: r.key.job, Step: r.key.step, Task: r.key.task,
+		At: now, Kind: kind, Who: w.Name, Queue: r.key.queue, Name: r.name, Job: r.key.job, Step: r.key.step, Task: r.key.task,
 		Attempt: r.key.attempt, State: state, Cores: r.cores, Memory: r.memory, Incarnation: w.Incarnation,
 	})
 }
@@ -117,8 +117,8 @@
 }
 
 func less(a, b key) bool {
-	if a.lane != b.lane {
-		return a.lane < b.lane
+	if a.queue != b.queue {
+		return a.queue < b.queue
 	}
 	if a.job != b.job {
 		return a.job < b.job
@@ -188,7 +188,7 @@
 }
 
 func (w *Worker) report(k key, outcome string) {
-	w.ended[k] = &schema.TaskNote{Lane: k.lane, Job: k.job, Step: k.step, Task: k.task, Attempt: k.attempt, State: outcome}
+	w.ended[k] = &schema.TaskNote{Queue: k.queue, Job: k.job, Step: k.step, Task: k.task, Attempt: k.attempt, State: outcome}
 	w.isHurried = true
 }
 
@@ -202,7 +202,7 @@
 	}
 	for _, r := range w.sorted() {
 		note := &schema.TaskNote{
-			Lane: r.key.lane, Job: r.key.job, Step: r.key.step, Task: r.key.task, Attempt: r.key.attempt,
+			Queue: r.key.queue, Job: r.key.job, Step: r.key.step, Task: r.key.task, Attempt: r.key.attempt,
 			State: "running", RunUs: int64(now - r.began), CoresMilli: r.cores, MemoryMb: r.memory,
 		}
 		if r.isHeld {
@@ -261,7 +261,7 @@
 		}
 	}
 	for _, note := range orders.Noted {
-		delete(w.ended, key{note.Lane, note.Job, note.Step, note.Task, note.Attempt})
+		delete(w.ended, key{note.Queue, note.Job, note.Step, note.Task, note.Attempt})
 	}
 	for _, order := range orders.Orders {
 		w.obey(now, order)
@@ -272,7 +272,7 @@
 }
 
 func (w *Worker) obey(now eventloop.Micros, order *schema.Order) {
-	k := key{order.Lane, order.Job, order.Step, order.Task, order.Attempt}
+	k := key{order.Queue, order.Job, order.Step, order.Task, order.Attempt}
 	r := w.runs[k]
 	fresh := &run{key: k, name: order.Name, cores: order.CoresMilli, memory: order.MemoryMb}
 	w.event(now, checker.Order, fresh, order.Act)
@@ -320,7 +320,7 @@
 // isElsewhere tells whether another attempt of the same task is here.
 func (w *Worker) isElsewhere(k key) bool {
 	for other := range w.runs {
-		if other.lane == k.lane && other.job == k.job && other.step == k.step && other.task == k.task {
+		if other.queue == k.queue && other.job == k.job && other.step == k.step && other.task == k.task {
 			return true
 		}
 	}
--- a/internal/fakeworker/fakeworker_test.go
+++ b/internal/fakeworker/fakeworker_test.go
@@ -13,7 +13,7 @@
 
 func TestWhomAWorkerHeeds(t *testing.T) {
 	start := func(task uint32) []*schema.Order {
-		return []*schema.Order{{Act: "start", Lane: "l", Job: 1, Task: task, Attempt: 1, CoresMilli: 10, Text: "run_us=60000000"}}
+		return []*schema.Order{{Act: "start", Queue: "l", Job: 1, Task: task, Attempt: 1, CoresMilli: 10, Text: "run_us=60000000"}}
 	}
 	newWorker := func() (*Worker, map[string]int) {
 		seen := map[string]int{}
@@ -34,7 +34,7 @@
 	Convey("It stops what runs when its lease ends, counted from when it asked, and keeps what it holds", t, func() {
 		w, seen := newWorker()
 		seq := w.Announce(eventloop.Second).Seq
-		hold := &schema.Order{Act: "hold", Lane: "l", Job: 2, Attempt: 1, CoresMilli: 10}
+		hold := &schema.Order{Act: "hold", Queue: "l", Job: 2, Attempt: 1, CoresMilli: 10}
 		w.Take(2*eventloop.Second, eventloop.Second, seq, &schema.Orders{Ward: 1, LeaseUs: lease, Orders: append(start(0), hold)})
 		w.Tick(5*eventloop.Second - 1)
 		So(seen[checker.End+"stopped"], ShouldEqual, 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,28 +26,28 @@
 	resendSpan   = 700 * eventloop.Milli // an unconfirmed submission is sent again after this
 	redirectSpan = 40 * eventloop.Milli  // between two redirects of one thing
 	retrySpan    = 400 * eventloop.Milli // another request is sent again after this
-	parkSpan     = 500 * eventloop.Milli // a request for an unknown lane waits so long for the charter's leader
+	parkSpan     = 500 * eventloop.Milli // a request for an unknown queue waits so long for the charter's leader
 	maxParked    = 256
 	storeSpan    = 1200 * eventloop.Milli // a store unheard for longer is asked only for want of others
 	askSpan      = 250 * eventloop.Milli  // between looks at the charter
-	newSpan      = 2 * eventloop.Second   // after a lane lost its leader the charter is looked at more often
+	newSpan      = 2 * eventloop.Second   // after a queue lost its leader the charter is looked at more often
 	quietSpan    = 30 * eventloop.Second  // a client session that rests this long is ended
 	frozenSpan   = 20 * eventloop.Second  // after a longer pause this front starts afresh
 	wordSpan     = eventloop.Second       // a front that saw no charter for so long isn't ready, and takes nothing new
 	freshSpan    = 5 * eventloop.Second   // and after so long gives up what it has taken
 	maxPending   = 4096                   // requests of all kinds at once
-	rateSpan     = eventloop.Second       // over which what a lane gets done is counted
+	rateSpan     = eventloop.Second       // over which what a queue gets done is counted
 	longestRetry = 30                     // seconds
-	maxResend    = 64                     // submissions resent a lane and tick
+	maxResend    = 64                     // submissions resent a queue and tick
 	quietedMost  = 64
-	ledSpan      = 300 * eventloop.Milli // a lane without a leader for so long takes no new hand-ins here
+	ledSpan      = 300 * eventloop.Milli // a queue without a leader for so long takes no new hand-ins here
 )
 
-// HandIn is a submission from HTTP. Where no lane is named, host and path lead to
+// HandIn is a submission from HTTP. Where no queue is named, host and path lead to
 // it by the plan's entries, and what follows the prefix is the job's name.
 type HandIn struct {
 	Request  uint64
-	Lane     string
+	Queue    string
 	Host     string
 	Path     string
 	Client   string
@@ -58,7 +58,7 @@
 }
 
 // Ask is any other request that a group's leader answers. Where no group is
-// named, host and path lead to a lane as for HandIn.
+// named, host and path lead to a queue as for HandIn.
 type Ask struct {
 	Request  uint64
 	Kind     string
@@ -107,7 +107,7 @@
 }
 
 type session struct {
-	lane    string
+	queue   string
 	id      *schema.Session
 	next    uint64
 	waiting []*submission // unconfirmed, by number
@@ -129,9 +129,9 @@
 	isOwed     bool
 }
 
-type laneClient struct{ lane, client string }
+type queueClient struct{ queue, client string }
 
-type laneStore struct{ lane, store string }
+type queueStore struct{ queue, store string }
 
 // Table is the gateway's table.
 type Table struct {
@@ -143,24 +143,24 @@
 	values     *clusterstate.Values
 	heardAt    eventloop.Micros // last word of the charter
 	leaders    map[string]string
-	unled      map[string]eventloop.Micros // lanes that nobody is known to lead, and since when
+	unled      map[string]eventloop.Micros // queues that nobody is known to lead, and since when
 	waits      map[string]*schema.WaitNote
 	roll       *membership.Roll
-	sessions   map[laneClient]*session
+	sessions   map[queueClient]*session
 	byId       map[string]*session
 	requests   map[uint64]*request
 	polls      map[uint64]PollIn
 	met        map[string]eventloop.Micros
 	quitting   map[string][]*schema.Session
-	parked     []any // requests for lanes that our copy of the plan lacks
+	parked     []any // requests for queues that our copy of the plan lacks
 	parkedAt   eventloop.Micros
 	pending    int
-	laneHas    map[string]int         // unconfirmed by lane
+	queueHas   map[string]int         // unconfirmed by queue
 	asked      map[uint64]*submission // by request
 	askedAt    eventloop.Micros
-	redirected map[string]eventloop.Micros    // by lane
-	owed       map[string]bool                // lanes whose redirect waits for the next tick
-	denied     map[laneStore]eventloop.Micros // when a store last said that it doesn't lead a lane
+	redirected map[string]eventloop.Micros     // by queue
+	owed       map[string]bool                 // queues whose redirect waits for the next tick
+	denied     map[queueStore]eventloop.Micros // when a store last said that it doesn't lead a queue
 	last       eventloop.Micros
 	paces      map[string]*pace
 	wasFresh   bool
@@ -172,9 +172,9 @@
 func New(id string, boot uint64, isLocal bool, rng *rand.Rand) *Table {
 	return &Table{
 		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.CharterState{}, values: clusterstate.Read(nil),
-		leaders: map[string]string{}, unled: map[string]eventloop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[laneClient]*session{}, byId: map[string]*session{},
+		leaders: map[string]string{}, unled: map[string]eventloop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[queueClient]*session{}, byId: map[string]*session{},
 		requests: map[uint64]*request{}, polls: map[uint64]PollIn{}, met: map[string]eventloop.Micros{}, quitting: map[string][]*schema.Session{},
-		laneHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]eventloop.Micros{}, owed: map[string]bool{}, denied: map[laneStore]eventloop.Micros{},
+		queueHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]eventloop.Micros{}, owed: map[string]bool{}, denied: map[queueStore]eventloop.Micros{},
 		paces: map[string]*pace{},
 	}
 }
@@ -241,12 +241,12 @@
 		t.heardAt = now
 	}
 	isNews := false
-	for lane, leader := range m.Leaders {
-		if leader != t.leaders[lane] && t.mayLead(now, leader) {
+	for queue, leader := range m.Leaders {
+		if leader != t.leaders[queue] && t.mayLead(now, leader) {
 			isNews = true
-			t.lead(lane, leader)
-			if t.laneHas[lane] > 0 {
-				t.owed[lane] = true
+			t.lead(queue, leader)
+			if t.queueHas[queue] > 0 {
+				t.owed[queue] = true
 			}
 		}
 	}
@@ -259,9 +259,9 @@
 		}
 	}
 	for _, note := range m.Waits {
-		if note.Lane != "" {
-			t.waits[note.Lane] = note
-			t.pace("live/"+note.Lane).count(now, note.Ended)
+		if note.Queue != "" {
+			t.waits[note.Queue] = note
+			t.pace("live/"+note.Queue).count(now, note.Ended)
 		}
 	}
 	if from != "" && m.Leaders[clusterstate.Group] == from {
@@ -284,7 +284,7 @@
 }
 
 // askRest is how long to wait between two looks at the charter: less while
-// somebody may just have come to lead a lane.
+// somebody may just have come to lead a queue.
 func (t *Table) askRest(now eventloop.Micros) eventloop.Micros {
 	// Whoever has no word serves nobody.
 	if t.heardAt == 0 || now-t.heardAt > wordSpan/2 {
@@ -298,33 +298,33 @@
 	return askSpan
 }
 
-// countUnled starts the clock of lanes that are new here, and forgets it of
+// countUnled starts the clock of queues that are new here, and forgets it of
 // those that are gone.
 func (t *Table) countUnled(now eventloop.Micros) {
-	for _, place := range t.state.Lanes {
-		if _, isKnown := t.unled[place.Lane]; !isKnown && t.leaders[place.Lane] == "" {
-			t.unled[place.Lane] = now
+	for _, place := range t.state.Queues {
+		if _, isKnown := t.unled[place.Queue]; !isKnown && t.leaders[place.Queue] == "" {
+			t.unled[place.Queue] = now
 		}
 	}
-	for lane := range t.unled {
-		if clusterstate.Place(t.state, lane) == nil {
-			delete(t.unled, lane)
+	for queue := range t.unled {
+		if clusterstate.Place(t.state, queue) == nil {
+			delete(t.unled, queue)
 		}
 	}
 }
 
-// isUnled tells whether nobody has been known to lead a lane for too long to
+// isUnled tells whether nobody has been known to lead a queue for too long to
 // take more for it: what has a number can't be turned away any more.
-func (t *Table) isUnled(now eventloop.Micros, lane string) bool {
-	since, isKnown := t.unled[lane]
+func (t *Table) isUnled(now eventloop.Micros, queue string) bool {
+	since, isKnown := t.unled[queue]
 	return isKnown && now-since > ledSpan
 }
 
-// --- lanes that this front doesn't know ---
+// --- queues that this front doesn't know ---
 
-// park holds a request for a lane that our copy of the plan lacks until the
+// park holds a request for a queue that our copy of the plan lacks until the
 // charter's leader has said what the plan is now: whoever has just put a table
-// may use it at once, and who asks for a lane that isn't there is told so
+// may use it at once, and who asks for a queue that isn't there is told so
 // within a round trip.
 func (t *Table) park(now eventloop.Micros, mail any, out eventloop.Out) bool {
 	if len(t.parked) >= maxParked {
@@ -351,20 +351,20 @@
 	}
 }
 
-// unknownLane answers for a lane that isn't placed, or parks the request first.
-// The lane is empty where host and path lead to none.
-func (t *Table) unknownLane(now eventloop.Micros, request uint64, lane string, mail any, isFinal bool, out eventloop.Out) {
+// unknownQueue answers for a queue that isn't placed, or parks the request first.
+// The queue is empty where host and path lead to none.
+func (t *Table) unknownQueue(now eventloop.Micros, request uint64, queue string, mail any, isFinal bool, out eventloop.Out) {
 	if !isFinal && t.isFresh(now) && t.park(now, mail, out) {
 		return
 	}
 	switch {
-	// Before the first plan nobody knows what lanes there are to be.
-	case !t.isFresh(now) || t.state.Plan.GetGeneration() == 0 || t.values.HasLane(lane):
-		t.refuse(request, 503, "not_ready", "this front doesn't hold the plan yet, or the lane is being made", 1, out)
-	case lane == "":
-		out.Answer(request, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane for this host and path", "path")})
+	// Before the first plan nobody knows what queues there are to be.
+	case !t.isFresh(now) || t.state.Plan.GetGeneration() == 0 || t.values.HasQueue(queue):
+		t.refuse(request, 503, "not_ready", "this front doesn't hold the plan yet, or the queue is being made", 1, out)
+	case queue == "":
+		out.Answer(request, Answer{Code: 404, Body: Fault("unknown_queue", "the plan has no queue for this host and path", "path")})
 	default:
-		out.Answer(request, Answer{Code: 404, Body: Fault("unknown_lane", "the plan has no lane "+strconv.Quote(lane), "lane")})
+		out.Answer(request, Answer{Code: 404, Body: Fault("unknown_queue", "the plan has no queue "+strconv.Quote(queue), "queue")})
 	}
 }
 
@@ -384,11 +384,11 @@
 func (t *Table) handIn(now eventloop.Micros, m HandIn, isFinal bool, out eventloop.Out) {
 	// What is parked must be looked up anew, so the mail stays as it came.
 	mail := m
-	if m.Lane == "" {
-		m.Lane, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
+	if m.Queue == "" {
+		m.Queue, m.Name, _ = t.values.QueueAt(m.Host, m.Path)
 	}
-	if !t.values.HasLane(m.Lane) || clusterstate.Place(t.state, m.Lane) == nil {
-		t.unknownLane(now, m.Request, m.Lane, mail, isFinal, out)
+	if !t.values.HasQueue(m.Queue) || clusterstate.Place(t.state, m.Queue) == nil {
+		t.unknownQueue(now, m.Request, m.Queue, mail, isFinal, out)
 		return
 	}
 	if !GoodName(m.Name) {
@@ -399,53 +399,53 @@
 		t.notReady(now, m.Request, out)
 		return
 	}
-	if fault := tooLarge(t.values, m.Lane, m.Job); fault != nil {
+	if fault := tooLarge(t.values, m.Queue, m.Job); fault != nil {
 		data, _ := json.Marshal(fault)
 		out.Answer(m.Request, Answer{Code: 422, Body: data})
 		return
 	}
-	if t.isUnled(now, m.Lane) {
-		t.refuse(m.Request, 503, "not_ready", "nobody is known to lead the lane at the moment", 1, out)
+	if t.isUnled(now, m.Queue) {
+		t.refuse(m.Request, 503, "not_ready", "nobody is known to lead the queue at the moment", 1, out)
 		return
 	}
 	// Turning away is final, so it happens before the submission has a number.
-	s := t.sessions[laneClient{m.Lane, m.Client}]
+	s := t.sessions[queueClient{m.Queue, m.Client}]
 	window := int(t.values.Fleet("window"))
-	note := t.waits[m.Lane]
+	note := t.waits[m.Queue]
 	switch {
 	case t.pending >= maxPending:
 		t.turnAway(now, m, "front_full", "this front has too much in hand", "", out)
 		return
 	case s != nil && len(s.waiting) >= window:
-		t.turnAway(now, m, "window_full", "this client has too many hand-ins unconfirmed", m.Lane, out)
+		t.turnAway(now, m, "window_full", "this client has too many hand-ins unconfirmed", m.Queue, out)
 		return
-	case t.laneHas[m.Lane] >= maxPending/2:
-		t.turnAway(now, m, "lane_full", "the lane has too many hand-ins unconfirmed", m.Lane, out)
+	case t.queueHas[m.Queue] >= maxPending/2:
+		t.turnAway(now, m, "queue_full", "the queue has too many hand-ins unconfirmed", m.Queue, out)
 		return
 	case note != nil && int64(note.Live) >= t.values.Fleet("live_jobs"):
-		t.turnAway(now, m, "lane_full", "the lane has as many live jobs as the plan allows", "live/"+m.Lane, out)
+		t.turnAway(now, m, "queue_full", "the queue has as many live jobs as the plan allows", "live/"+m.Queue, out)
 		return
 	}
 	if s == nil {
 		t.epoch++
 		s = &session{
-			lane: m.Lane, next: 1,
+			queue: m.Queue, next: 1,
 			id: &schema.Session{Gateway: t.id, Boot: t.boot, Client: m.Client + "~" + strconv.FormatUint(t.epoch, 10)},
 		}
-		t.sessions[laneClient{m.Lane, m.Client}] = s
-		t.byId[s.lane+"/"+s.id.Client] = s
+		t.sessions[queueClient{m.Queue, m.Client}] = s
+		t.byId[s.queue+"/"+s.id.Client] = s
 	}
 	each := &submission{
 		request: m.Request,
-		enqueue: &schema.Enqueue{Session: s.id, Number: s.next, Name: m.Name, Digest: m.Digest, Job: withAttempts(t.values, m.Lane, m.Job)},
+		enqueue: &schema.Enqueue{Session: s.id, Number: s.next, Name: m.Name, Digest: m.Digest, Job: withAttempts(t.values, m.Queue, m.Job)},
 	}
 	s.next++
 	s.used = now
 	s.waiting = append(s.waiting, each)
 	t.pending++
-	t.laneHas[m.Lane]++
+	t.queueHas[m.Queue]++
 	t.asked[m.Request] = each
-	t.send(now, s.lane, []*submission{each}, out)
+	t.send(now, s.queue, []*submission{each}, out)
 }
 
 // turnAway says no before the submission has a number, and when there should be
@@ -523,12 +523,12 @@
 	}
 }
 
-// withAttempts states what the lane allows where a step states nothing. The
+// withAttempts states what the queue allows where a step states nothing. The
 // digest is of what the caller gave, so a resend is the same job whatever the
 // plan has become.
-func withAttempts(values *clusterstate.Values, lane string, job *schema.Job) *schema.Job {
-	attempts := values.Of("lane", lane, "attempts")
-	if !values.IsStated("lane", lane, "attempts") || attempts <= 1 {
+func withAttempts(values *clusterstate.Values, queue string, job *schema.Job) *schema.Job {
+	attempts := values.Of("queue", queue, "attempts")
+	if !values.IsStated("queue", queue, "attempts") || attempts <= 1 {
 		return job
 	}
 	job = proto.Clone(job).(*schema.Job)
@@ -542,8 +542,8 @@
 
 // tooLarge finds a task that no worker of the plan could ever hold. Of a pool's
 // workers the plan says nothing: the placer sees what they are.
-func tooLarge(values *clusterstate.Values, lane string, job *schema.Job) *schema.Fault {
-	if values.Text("lane", lane, "pool") != "" {
+func tooLarge(values *clusterstate.Values, queue string, job *schema.Job) *schema.Fault {
+	if values.Text("queue", queue, "pool") != "" {
 		return nil
 	}
 	cores, memory := values.Fleet("worker_cores_milli"), values.Fleet("worker_memory_mb")
@@ -559,12 +559,12 @@
 	return nil
 }
 
-func (t *Table) send(now eventloop.Micros, lane string, list []*submission, out eventloop.Out) {
-	to := t.leader(now, lane)
-	m := &schema.Submit{Lane: lane}
+func (t *Table) send(now eventloop.Micros, queue string, list []*submission, out eventloop.Out) {
+	to := t.leader(now, queue)
+	m := &schema.Submit{Queue: queue}
 	for _, each := range list {
 		each.sent, each.to = now, to
-		s := t.byId[lane+"/"+each.enqueue.Session.Client]
+		s := t.byId[queue+"/"+each.enqueue.Session.Client]
 		e := each.enqueue
 		m.Enqueues = append(m.Enqueues, &schema.Enqueue{
 			Session: e.Session, Number: e.Number, Name: e.Name, Digest: e.Digest, Job: e.Job, Lowest: s.lowest(),
@@ -575,7 +575,7 @@
 	}
 }
 
-// leader is who is believed to lead a lane, or somebody who may know.
+// leader is who is believed to lead a queue, or somebody who may know.
 func (t *Table) leader(now eventloop.Micros, group string) string {
 	if id := t.leaders[group]; id != "" {
 		return id
@@ -623,40 +623,40 @@
 
 func (t *Table) applied(now eventloop.Micros, from string, m *schema.Applied, out eventloop.Out) {
 	if len(m.Outcomes) == 0 && from != "" && m.Leader != from {
-		t.denied[laneStore{m.Lane, from}] = now
+		t.denied[queueStore{m.Queue, from}] = now
 	}
 	if len(m.Outcomes) > 0 || t.mayLead(now, m.Leader) {
-		t.lead(m.Lane, m.Leader)
+		t.lead(m.Queue, m.Leader)
 	} else if len(m.Outcomes) == 0 {
 		// It leads no more and knows nobody: ask around.
-		t.unlead(now, m.Lane)
+		t.unlead(now, m.Queue)
 	}
 	var again []*submission
 	for _, outcome := range m.Outcomes {
-		again = append(again, t.confirmed(now, m.Lane, outcome, out)...)
+		again = append(again, t.confirmed(now, m.Queue, outcome, out)...)
 	}
-	if len(m.Outcomes) == 0 && t.leaders[m.Lane] != "" {
+	if len(m.Outcomes) == 0 && t.leaders[m.Queue] != "" {
 		// Two that each name the other, as happens while a leader is being
 		// elected, must not have everything thrown to and fro between them.
-		if now-t.redirected[m.Lane] > redirectSpan {
-			t.redirected[m.Lane] = now
-			again = t.elsewhere(m.Lane)
+		if now-t.redirected[m.Queue] > redirectSpan {
+			t.redirected[m.Queue] = now
+			again = t.elsewhere(m.Queue)
 		} else {
-			t.owed[m.Lane] = true
+			t.owed[m.Queue] = true
 		}
 	}
 	if len(again) > 0 {
-		t.send(now, m.Lane, again, out)
+		t.send(now, m.Queue, again, out)
 	}
 }
 
 // confirmed settles one submission, and returns those below it that must have
 // been lost on the way.
-func (t *Table) confirmed(now eventloop.Micros, lane string, outcome *schema.Outcome, out eventloop.Out) []*submission {
+func (t *Table) confirmed(now eventloop.Micros, queue string, outcome *schema.Outcome, out eventloop.Out) []*submission {
 	if outcome.Session == nil || outcome.Session.Boot != t.boot {
 		return nil
 	}
-	s := t.byId[lane+"/"+outcome.Session.Client]
+	s := t.byId[queue+"/"+outcome.Session.Client]
 	if s == nil {
 		return nil
 	}
@@ -668,9 +668,9 @@
 	lost := append([]*submission(nil), s.waiting[:at]...)
 	s.waiting = append(s.waiting[:at:at], s.waiting[at+1:]...)
 	t.pending--
-	t.laneHas[lane]--
+	t.queueHas[queue]--
 	t.pace("").done++
-	t.pace(lane).done++
+	t.pace(queue).done++
 	if each.request != 0 {
 		delete(t.asked, each.request)
 		out.Answer(each.request, answerOf(outcome))
@@ -701,19 +701,19 @@
 	return Answer{Code: 504, Body: Fault("unknown", "whether this took effect is not known: send it again under the same name", ""), Retry: 1}
 }
 
-// unconfirmed lists a lane's submissions that are to be sent again, as many as
+// unconfirmed lists a queue's submissions that are to be sent again, as many as
 // one pass may send.
-func (t *Table) unconfirmed(lane string, isWanted func(*submission) bool) []*submission {
+func (t *Table) unconfirmed(queue string, isWanted func(*submission) bool) []*submission {
 	var keys []string
 	for key, s := range t.sessions {
-		if key.lane == lane && len(s.waiting) > 0 {
+		if key.queue == queue && len(s.waiting) > 0 {
 			keys = append(keys, key.client)
 		}
 	}
 	sort.Strings(keys)
 	var list []*submission
 	for _, client := range keys {
-		for _, each := range t.sessions[laneClient{lane, client}].waiting {
+		for _, each := range t.sessions[queueClient{queue, client}].waiting {
 			if len(list) < maxResend && isWanted(each) {
 				list = append(list, each)
 			}
@@ -722,30 +722,30 @@
 	return list
 }
 
-// elsewhere lists a lane's submissions that were last sent to another than who
+// elsewhere lists a queue's submissions that were last sent to another than who
 // is now believed to lead it, or to the same before it came to.
-func (t *Table) elsewhere(lane string) []*submission {
-	leader := t.leaders[lane]
-	denied, hasDenied := t.denied[laneStore{lane, leader}]
-	return t.unconfirmed(lane, func(each *submission) bool { return each.to != leader || hasDenied && each.sent < denied })
+func (t *Table) elsewhere(queue string) []*submission {
+	leader := t.leaders[queue]
+	denied, hasDenied := t.denied[queueStore{queue, leader}]
+	return t.unconfirmed(queue, func(each *submission) bool { return each.to != leader || hasDenied && each.sent < denied })
 }
 
 // restart gives up every session: whatever they hold is unknown.
 func (t *Table) restart(now eventloop.Micros, out eventloop.Out) {
-	lanes := map[string]bool{}
+	queues := map[string]bool{}
 	for _, s := range t.sessions {
-		lanes[s.lane] = true
+		queues[s.queue] = true
 		for _, each := range s.waiting {
 			if each.request != 0 {
 				out.Answer(each.request, unknown())
 			}
 		}
 	}
-	for _, lane := range sorted(lanes) {
-		out.Send(t.leader(now, lane), &schema.Quit{Lane: lane, Boots: []*schema.Gone{{Gateway: t.id, Boot: t.boot}}})
+	for _, queue := range sorted(queues) {
+		out.Send(t.leader(now, queue), &schema.Quit{Queue: queue, Boots: []*schema.Gone{{Gateway: t.id, Boot: t.boot}}})
 	}
-	t.sessions, t.byId, t.pending = map[laneClient]*session{}, map[string]*session{}, 0
-	t.laneHas, t.asked = map[string]int{}, map[uint64]*submission{}
+	t.sessions, t.byId, t.pending = map[queueClient]*session{}, map[string]*session{}, 0
+	t.queueHas, t.asked = map[string]int{}, map[uint64]*submission{}
 	t.boot += 1 << 32
 }
 
@@ -764,10 +764,10 @@
 	}
 	mail := m
 	if m.Group == "" {
-		m.Group, m.Name, _ = t.values.LaneAt(m.Host, m.Path)
+		m.Group, m.Name, _ = t.values.QueueAt(m.Host, m.Path)
 	}
 	if m.Group != clusterstate.Group && clusterstate.Place(t.state, m.Group) == nil {
-		t.unknownLane(now, m.Request, m.Group, mail, isFinal, out)
+		t.unknownQueue(now, m.Request, m.Group, mail, isFinal, out)
 		return
 	}
 	each := &request{ask: m}
@@ -873,25 +873,25 @@
 		t.askedAt = now
 		out.Send(t.id, &schema.CharterAsk{Version: t.state.Version})
 	}
-	lanes := map[string]bool{}
+	queues := map[string]bool{}
 	for key, s := range t.sessions {
 		if len(s.waiting) > 0 {
-			lanes[key.lane] = true
+			queues[key.queue] = true
 		}
 	}
-	for _, lane := range sorted(t.owed) {
-		delete(t.owed, lane)
-		t.redirected[lane] = now
-		if list := t.elsewhere(lane); len(list) > 0 {
-			t.send(now, lane, list, out)
+	for _, queue := range sorted(t.owed) {
+		delete(t.owed, queue)
+		t.redirected[queue] = now
+		if list := t.elsewhere(queue); len(list) > 0 {
+			t.send(now, queue, list, out)
 		}
 	}
-	for _, lane := range sorted(lanes) {
+	for _, queue := range sorted(queues) {
 		isOverdue := func(each *submission) bool { return now-each.sent >= resendSpan }
-		if list := t.unconfirmed(lane, isOverdue); len(list) > 0 {
+		if list := t.unconfirmed(queue, isOverdue); len(list) > 0 {
 			// Whoever doesn't answer may be gone: ask around.
-			t.unlead(now, lane)
-			t.send(now, lane, list, out)
+			t.unlead(now, queue)
+			t.send(now, queue, list, out)
 		}
 	}
 	if len(t.parked) > 0 && now-t.parkedAt > parkSpan {
@@ -962,26 +962,26 @@
 }
 
 // endQuiet ends sessions of clients that rest, by our own word, so that the
-// lane doesn't hold them for ever.
+// queue doesn't hold them for ever.
 func (t *Table) endQuiet(now eventloop.Micros, out eventloop.Out) {
 	for key, s := range t.sessions {
 		if len(s.waiting) == 0 && now-s.used > quietSpan {
 			delete(t.sessions, key)
-			delete(t.byId, s.lane+"/"+s.id.Client)
-			t.quitting[key.lane] = append(t.quitting[key.lane], s.id)
+			delete(t.byId, s.queue+"/"+s.id.Client)
+			t.quitting[key.queue] = append(t.quitting[key.queue], s.id)
 		}
 	}
-	lanes := map[string]bool{}
-	for lane, list := range t.quitting {
+	queues := map[string]bool{}
+	for queue, list := range t.quitting {
 		if len(list) >= quietedMost || now%(10*eventloop.Second) < Pace {
-			lanes[lane] = true
+			queues[queue] = true
 		}
 	}
-	for _, lane := range sorted(lanes) {
-		list := t.quitting[lane]
-		delete(t.quitting, lane)
+	for _, queue := range sorted(queues) {
+		list := t.quitting[queue]
+		delete(t.quitting, queue)
 		sort.Slice(list, func(a, b int) bool { return list[a].Client < list[b].Client })
-		out.Send(t.leader(now, lane), &schema.Quit{Lane: lane, Sessions: list})
+		out.Send(t.leader(now, queue), &schema.Quit{Queue: queue, Sessions: list})
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -41,10 +41,10 @@
 
 func newDesk(rows ...*schema.Row) *desk {
 	d := &desk{t: New("me", 1, false, rand.New(rand.NewPCG(1, 1))), now: 100 * eventloop.Second, answers: map[uint64]Answer{}}
-	rows = append(rows, &schema.Row{Kind: "lane", Name: "l", Key: "urgency", Value: "1"})
+	rows = append(rows, &schema.Row{Kind: "queue", Name: "l", Key: "urgency", Value: "1"})
 	d.step(&schema.CharterTell{
 		Version: 1, Leaders: map[string]string{"l": "a"},
-		State: &schema.CharterState{Version: 1, Plan: &schema.Plan{Generation: 1, Rows: rows}, Lanes: []*schema.LanePlace{{Lane: "l", Generation: 1}}},
+		State: &schema.CharterState{Version: 1, Plan: &schema.Plan{Generation: 1, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}},
 	})
 	return d
 }
@@ -52,7 +52,7 @@
 func (d *desk) handIn(client, name string) uint64 {
 	d.request++
 	job := &schema.Job{Text: name, Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
-	d.step(HandIn{Request: d.request, Lane: "l", Client: client, Name: name, Digest: Digest(job), Job: job})
+	d.step(HandIn{Request: d.request, Queue: "l", Client: client, Name: name, Digest: Digest(job), Job: job})
 	return d.request
 }
 
@@ -67,7 +67,7 @@
 
 func (d *desk) applied(leader string, numbers ...uint64) {
 	_, submit := d.lastSubmit()
-	m := &schema.Applied{Lane: "l", Leader: leader}
+	m := &schema.Applied{Queue: "l", Leader: leader}
 	for _, number := range numbers {
 		m.Outcomes = append(m.Outcomes, &schema.Outcome{Session: submit.Enqueues[0].Session, Number: number, Code: 201, View: &schema.JobView{Name: "x"}})
 	}
@@ -102,15 +102,15 @@
 		d := newDesk()
 		request := d.handIn("c", "one")
 		d.step(Forget{Request: request})
-		d.step(&schema.Applied{Lane: "l", Leader: "b"})
+		d.step(&schema.Applied{Queue: "l", Leader: "b"})
 		to, submit := d.lastSubmit()
 		So(to, ShouldEqual, "b")
 		So(submit.Enqueues[0].Name, ShouldEqual, "one")
 		Convey("but two that name each other aren't fed in a circle", func() {
 			count := len(d.sent)
 			for k := 0; k < 100; k++ {
-				d.step(&schema.Applied{Lane: "l", Leader: "a"})
-				d.step(&schema.Applied{Lane: "l", Leader: "b"})
+				d.step(&schema.Applied{Queue: "l", Leader: "a"})
+				d.step(&schema.Applied{Queue: "l", Leader: "b"})
 			}
 			So(len(d.sent), ShouldBeLessThan, count+3)
 			d.now += 60 * eventloop.Milli
@@ -123,7 +123,7 @@
 		d := newDesk()
 		first, second := d.handIn("c", "one"), d.handIn("c", "two")
 		_, submit := d.lastSubmit()
-		d.step(&schema.Applied{Lane: "l", Leader: "a", Outcomes: []*schema.Outcome{{Session: submit.Enqueues[0].Session, Number: 1, Code: 410}}})
+		d.step(&schema.Applied{Queue: "l", Leader: "a", Outcomes: []*schema.Outcome{{Session: submit.Enqueues[0].Session, Number: 1, Code: 410}}})
 		So(d.answers[first].Code, ShouldEqual, 504)
 		So(d.answers[second].Code, ShouldEqual, 504)
 		d.handIn("c", "three")
@@ -171,21 +171,21 @@
 			So(submit.Enqueues[0].Number, ShouldEqual, 3)
 		})
 	})
-	Convey("A lane that is full by its leader's word takes no more", t, func() {
+	Convey("A queue that is full by its leader's word takes no more", t, func() {
 		d := newDesk(&schema.Row{Kind: "fleet", Key: "live_jobs", Value: "5"})
-		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{}, Waits: []*schema.WaitNote{{Lane: "l", Live: 5}}})
+		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{}, Waits: []*schema.WaitNote{{Queue: "l", Live: 5}}})
 		status, name := code(d, d.handIn("c", "one"))
 		So(status, ShouldEqual, 429)
-		So(name, ShouldEqual, "lane_full")
+		So(name, ShouldEqual, "queue_full")
 	})
-	Convey("A front without a fresh charter isn't ready, and says so rather than that a lane is unknown", t, func() {
+	Convey("A front without a fresh charter isn't ready, and says so rather than that a queue is unknown", t, func() {
 		d := newDesk()
 		d.step(Ready{Request: 900})
 		So(d.answers[900].Code, ShouldEqual, 200)
 		d.now += freshSpan + eventloop.Second
 		d.step(Ready{Request: 901})
 		So(d.answers[901].Code, ShouldEqual, 503)
-		d.step(HandIn{Request: 902, Lane: "new", Client: "c", Name: "x", Job: &schema.Job{}})
+		d.step(HandIn{Request: 902, Queue: "new", Client: "c", Name: "x", Job: &schema.Job{}})
 		So(d.answers[902].Code, ShouldEqual, 503)
 		Convey("nor is one that was warned", func() {
 			d := newDesk()
@@ -196,14 +196,14 @@
 	})
 }
 
-func TestLanesThisFrontDoesNotKnow(t *testing.T) {
-	Convey("A lane that our copy lacks is asked for, and the answer decides", t, func() {
+func TestQueuesThisFrontDoesNotKnow(t *testing.T) {
+	Convey("A queue that our copy lacks is asked for, and the answer decides", t, func() {
 		d := newDesk()
-		fresh := func(from string, lanes ...string) {
+		fresh := func(from string, queues ...string) {
 			state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Generation: 2}}
-			for _, lane := range lanes {
-				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "lane", Name: lane, Key: "urgency", Value: "1"})
-				state.Lanes = append(state.Lanes, &schema.LanePlace{Lane: lane, Generation: 2})
+			for _, queue := range queues {
+				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "queue", Name: queue, Key: "urgency", Value: "1"})
+				state.Queues = append(state.Queues, &schema.QueuePlace{Queue: queue, Generation: 2})
 			}
 			d.t.Step(d.now, eventloop.Mail{From: from, Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "new": "a"}}}, d)
 		}
@@ -233,7 +233,7 @@
 
 func TestWhenToComeBack(t *testing.T) {
 	window := &schema.Row{Kind: "fleet", Key: "window", Value: "8"}
-	Convey("Who is turned away is told when there should be room, each the next turn at the lane's pace", t, func() {
+	Convey("Who is turned away is told when there should be room, each the next turn at the queue's pace", t, func() {
 		d := newDesk(window)
 		// Four are confirmed a second.
 		for k := 0; k < 12; k++ {
@@ -271,10 +271,10 @@
 		}
 		So(d.answers[d.handIn("c", "more")].Retry, ShouldEqual, longestRetry)
 	})
-	Convey("A full lane's time is by the jobs it ends", t, func() {
+	Convey("A full queue's time is by the jobs it ends", t, func() {
 		d := newDesk(&schema.Row{Kind: "fleet", Key: "live_jobs", Value: "100"})
 		for k := uint64(0); k < 8; k++ {
-			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}, Waits: []*schema.WaitNote{{Lane: "l", Live: 100, Ended: 2 * k}}})
+			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}, Waits: []*schema.WaitNote{{Queue: "l", Live: 100, Ended: 2 * k}}})
 			d.now += eventloop.Second
 		}
 		told := 0
@@ -348,7 +348,7 @@
 		So(d.answers[id].Code, ShouldEqual, 504)
 		So(d.answers[900].Code, ShouldEqual, 503)
 		So(d.answers[901].Code, ShouldEqual, 504)
-		So(d.t.sessions[laneClient{"l", "c"}].waiting, ShouldHaveLength, 1)
+		So(d.t.sessions[queueClient{"l", "c"}].waiting, ShouldHaveLength, 1)
 		late := d.answers[d.handIn("c", "two")]
 		So(late.Code, ShouldEqual, 503)
 		d.now += 12 * eventloop.Second
@@ -359,19 +359,19 @@
 func TestEntries(t *testing.T) {
 	rows := func(rows ...*schema.Row) []*schema.Row {
 		return append(rows,
-			&schema.Row{Kind: "lane", Name: "l", Key: "host", Value: "one.example"},
-			&schema.Row{Kind: "lane", Name: "l", Key: "prefix", Value: "/p/"},
+			&schema.Row{Kind: "queue", Name: "l", Key: "host", Value: "one.example"},
+			&schema.Row{Kind: "queue", Name: "l", Key: "prefix", Value: "/p/"},
 		)
 	}
 	job := func() *schema.Job {
 		return &schema.Job{Text: "t", Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}, {Name: "u", Tasks: 1, CoresMilli: 1, AllowedFailures: 9}}}
 	}
-	Convey("Host and path lead to a lane, and the rest of the path is the name", t, func() {
+	Convey("Host and path lead to a queue, and the rest of the path is the name", t, func() {
 		d := newDesk(rows()...)
 		given := job()
 		d.step(HandIn{Request: 1, Host: "ONE.example:80", Path: "/p/j1", Client: "c", Digest: Digest(given), Job: given})
 		_, submit := d.lastSubmit()
-		So(submit.Lane, ShouldEqual, "l")
+		So(submit.Queue, ShouldEqual, "l")
 		So(submit.Enqueues[0].Name, ShouldEqual, "j1")
 		So(proto.Equal(submit.Enqueues[0].Job, given), ShouldBeTrue)
 		for kind, path := range map[string]string{"status": "/p/j1", "cancel": "/p/j1", "counts": "/p/"} {
@@ -386,7 +386,7 @@
 	Convey("An entry that our copy lacks is asked for, and looked up anew", t, func() {
 		d := newDesk()
 		fresh := func(rows []*schema.Row) {
-			state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Generation: 2, Rows: rows}, Lanes: []*schema.LanePlace{{Lane: "l", Generation: 1}}}
+			state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Generation: 2, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}}
 			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "l": "a"}}}, d)
 		}
 		d.step(HandIn{Request: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
@@ -400,15 +400,15 @@
 			So(d.sent[len(d.sent)-1].body.(*schema.Request).Name, ShouldEqual, "j1")
 		})
 		Convey("not there: 404", func() {
-			fresh([]*schema.Row{{Kind: "lane", Name: "l", Key: "urgency", Value: "1"}})
+			fresh([]*schema.Row{{Kind: "queue", Name: "l", Key: "urgency", Value: "1"}})
 			So(d.answers[1].Code, ShouldEqual, 404)
 			So(d.answers[2].Code, ShouldEqual, 404)
-			So(string(d.answers[1].Body), ShouldContainSubstring, "unknown_lane")
+			So(string(d.answers[1].Body), ShouldContainSubstring, "unknown_queue")
 		})
-		Convey("a lane that has been dropped takes nothing more, once the leader has said so", func() {
+		Convey("a queue that has been dropped takes nothing more, once the leader has said so", func() {
 			fresh([]*schema.Row{})
 			So(d.answers[1].Code, ShouldEqual, 404)
-			d.step(HandIn{Request: 3, Lane: "l", Client: "c", Name: "j", Job: job()})
+			d.step(HandIn{Request: 3, Queue: "l", Client: "c", Name: "j", Job: job()})
 			So(d.answers, ShouldNotContainKey, uint64(3))
 			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{Version: 2, Leaders: map[string]string{"charter": "a"}}}, d)
 			So(d.answers[3].Code, ShouldEqual, 404)
@@ -426,8 +426,8 @@
 		So(d.answers[3].Code, ShouldEqual, 503)
 		So(d.answers[3].Retry, ShouldEqual, 1)
 	})
-	Convey("The lane's attempts hold where a step states nothing, and the digest stays the caller's", t, func() {
-		d := newDesk(rows(&schema.Row{Kind: "lane", Name: "l", Key: "attempts", Value: "4"})...)
+	Convey("The queue's attempts hold where a step states nothing, and the digest stays the caller's", t, func() {
+		d := newDesk(rows(&schema.Row{Kind: "queue", Name: "l", Key: "attempts", Value: "4"})...)
 		given := job()
 		digest := Digest(given)
 		d.step(HandIn{Request: 1, Host: "one.example", Path: "/p/j1", Client: "c", Digest: digest, Job: given})
@@ -441,20 +441,20 @@
 		large := job()
 		large.Steps[0].CoresMilli = 1_000_000
 		d := newDesk(rows()...)
-		d.step(HandIn{Request: 1, Lane: "l", Name: "j", Client: "c", Job: large})
+		d.step(HandIn{Request: 1, Queue: "l", Name: "j", Client: "c", Job: large})
 		So(d.answers[1].Code, ShouldEqual, 422)
-		d = newDesk(rows(&schema.Row{Kind: "lane", Name: "l", Key: "pool", Value: "p"}, &schema.Row{Kind: "pool", Name: "p", Key: "guards", Value: "1"})...)
-		d.step(HandIn{Request: 1, Lane: "l", Name: "j", Client: "c", Job: large})
+		d = newDesk(rows(&schema.Row{Kind: "queue", Name: "l", Key: "pool", Value: "p"}, &schema.Row{Kind: "pool", Name: "p", Key: "guards", Value: "1"})...)
+		d.step(HandIn{Request: 1, Queue: "l", Name: "j", Client: "c", Job: large})
 		So(d.answers, ShouldBeEmpty)
 	})
 }
 
-func TestLanesThatNobodyLeads(t *testing.T) {
-	Convey("While nobody is known to lead a lane, hand-ins are turned away before they have a number", t, func() {
+func TestQueuesThatNobodyLeads(t *testing.T) {
+	Convey("While nobody is known to lead a queue, hand-ins are turned away before they have a number", t, func() {
 		d := newDesk()
 		first := d.handIn("c", "one")
 		// It leads no more and knows nobody.
-		d.step(&schema.Applied{Lane: "l"})
+		d.step(&schema.Applied{Queue: "l"})
 		second := d.handIn("c", "two")
 		d.now += ledSpan + eventloop.Milli
 		third := d.handIn("c", "three")
@@ -464,7 +464,7 @@
 		// What has a number may never be turned away.
 		So(d.answers, ShouldNotContainKey, first)
 		So(d.answers, ShouldNotContainKey, second)
-		So(d.t.sessions[laneClient{"l", "c"}].waiting, ShouldHaveLength, 2)
+		So(d.t.sessions[queueClient{"l", "c"}].waiting, ShouldHaveLength, 2)
 		Convey("and taken again as soon as somebody is", func() {
 			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "b"}})
 			fourth := d.handIn("c", "four")
@@ -513,7 +513,7 @@
 		d := newDesk()
 		d.handIn("c", "one")
 		d.now += 5 * eventloop.Milli
-		d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.Applied{Lane: "l"}}, d)
+		d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.Applied{Queue: "l"}}, d)
 		d.now += 100 * eventloop.Milli
 		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
 		before := len(d.sent)
@@ -530,24 +530,24 @@
 		}
 		So(count, ShouldEqual, 1)
 	})
-	Convey("A new lane has that long to find a leader, and one that was dropped is forgotten", t, func() {
+	Convey("A new queue has that long to find a leader, and one that was dropped is forgotten", t, func() {
 		d := newDesk()
-		lanes := func(version uint64, lanes ...string) {
+		queues := func(version uint64, queues ...string) {
 			state := &schema.CharterState{Version: version, Plan: &schema.Plan{Generation: version}}
-			for _, lane := range lanes {
-				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "lane", Name: lane, Key: "urgency", Value: "1"})
-				state.Lanes = append(state.Lanes, &schema.LanePlace{Lane: lane, Generation: version})
+			for _, queue := range queues {
+				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "queue", Name: queue, Key: "urgency", Value: "1"})
+				state.Queues = append(state.Queues, &schema.QueuePlace{Queue: queue, Generation: version})
 			}
 			d.step(&schema.CharterTell{Version: version, State: state, Leaders: map[string]string{"charter": "a"}})
 		}
-		lanes(2, "l", "new")
+		queues(2, "l", "new")
 		job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
-		d.step(HandIn{Request: 1, Lane: "new", Client: "c", Name: "j", Job: job})
+		d.step(HandIn{Request: 1, Queue: "new", Client: "c", Name: "j", Job: job})
 		d.now += ledSpan + eventloop.Milli
-		d.step(HandIn{Request: 2, Lane: "new", Client: "c", Name: "j", Job: job})
+		d.step(HandIn{Request: 2, Queue: "new", Client: "c", Name: "j", Job: job})
 		So(d.answers, ShouldNotContainKey, uint64(1))
 		So(d.answers[2].Code, ShouldEqual, 503)
-		lanes(3, "l")
+		queues(3, "l")
 		So(d.t.unled, ShouldBeEmpty)
 	})
 }
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -56,7 +56,7 @@
 		So(poll.Worker, ShouldEqual, "w1")
 		So(plans, ShouldHaveLength, 1)
 
-		order := &schema.Order{Act: "start", Lane: "l", Name: "job-1", Job: 1, Attempt: 1, Text: "run_us=10000", CoresMilli: 10, MemoryMb: 1}
+		order := &schema.Order{Act: "start", Queue: "l", Name: "job-1", Job: 1, Attempt: 1, Text: "run_us=10000", CoresMilli: 10, MemoryMb: 1}
 		step("s3", &schema.PollReply{Id: poll.Id, Orders: &schema.Orders{Ward: 7, LeaseUs: 4_000_000, Orders: []*schema.Order{order}}})
 		So(begun, ShouldResemble, []string{"job-1"})
 		now += 50 * eventloop.Milli
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -109,10 +109,10 @@
 	app.Get("/v1/placements", func(ctx iris.Context) {
 		s.belief(ctx, "placer", func(id uint64, _ eventloop.Micros) any { return scheduler.Why{Request: id} })
 	})
-	app.Put("/v1/lanes/{lane}/jobs/{name}", s.handIn)
-	app.Get("/v1/lanes/{lane}/jobs/{name}", func(ctx iris.Context) { s.ofJob(ctx, "status") })
-	app.Post("/v1/lanes/{lane}/jobs/{name}/cancel", func(ctx iris.Context) { s.ofJob(ctx, "cancel") })
-	app.Get("/v1/lanes/{lane}/jobs", s.list)
+	app.Put("/v1/queues/{queue}/jobs/{name}", s.handIn)
+	app.Get("/v1/queues/{queue}/jobs/{name}", func(ctx iris.Context) { s.ofJob(ctx, "status") })
+	app.Post("/v1/queues/{queue}/jobs/{name}/cancel", func(ctx iris.Context) { s.ofJob(ctx, "cancel") })
+	app.Get("/v1/queues/{queue}/jobs", s.list)
 	app.Get("/v1/plan", func(ctx iris.Context) { s.ask(ctx, planSpan, gateway.Ask{Kind: "plan", Group: clusterstate.Group}) })
 	app.Get("/v1/plan/history", func(ctx iris.Context) { s.ask(ctx, planSpan, gateway.Ask{Kind: "history", Group: clusterstate.Group}) })
 	app.Put("/v1/plan", s.putPlan)
@@ -230,7 +230,7 @@
 }
 
 func (s *Server) handIn(ctx iris.Context) {
-	lane, name := ctx.Params().Get("lane"), ctx.Params().Get("name")
+	queue, name := ctx.Params().Get("queue"), ctx.Params().Get("name")
 	if !gateway.GoodName(name) {
 		fault(ctx, 422, "bad_name", "letters, digits, '.', '_', ':' and '-', at most 128", "name")
 		return
@@ -253,12 +253,12 @@
 		return
 	}
 	s.run(ctx, handInSpan, func(id uint64, deadline eventloop.Micros) any {
-		return gateway.HandIn{Request: id, Lane: lane, Client: who, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
+		return gateway.HandIn{Request: id, Queue: queue, Client: who, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
 	})
 }
 
 func (s *Server) ofJob(ctx iris.Context, kind string) {
-	s.ask(ctx, readSpan, gateway.Ask{Kind: kind, Group: ctx.Params().Get("lane"), Name: ctx.Params().Get("name")})
+	s.ask(ctx, readSpan, gateway.Ask{Kind: kind, Group: ctx.Params().Get("queue"), Name: ctx.Params().Get("name")})
 }
 
 func (s *Server) list(ctx iris.Context) {
@@ -271,7 +271,7 @@
 		}
 		most = number
 	}
-	s.ask(ctx, readSpan, gateway.Ask{Kind: "list", Group: ctx.Params().Get("lane"), After: ctx.URLParam("after"), Most: uint32(most)})
+	s.ask(ctx, readSpan, gateway.Ask{Kind: "list", Group: ctx.Params().Get("queue"), After: ctx.URLParam("after"), Most: uint32(most)})
 }
 
 var unknownField = regexp.MustCompile(`unknown field "([^"]*)"`)
--- a/internal/mutation/mutants.go
+++ b/internal/mutation/mutants.go
@@ -3,9 +3,9 @@
 // Mutants are the guards, one taken out at a time.
 var Mutants = []*Mutant{
 	{Guard: "confirm after apply", Rule: 1, Test: "internal/replica TestConfirmAfterApply", Edits: []Edit{{"internal/replica",
-		"		t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: entered}})\n",
-		"		t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: entered}})\n" +
-			"		out.Send(from, &schema.Applied{Lane: m.Lane, Leader: t.id, Outcomes: []*schema.Outcome{{Session: e.Session, Number: e.Number, Code: 201, View: &schema.JobView{Name: e.Name, State: \"running\"}}}})\n"}}},
+		"		t.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Enqueue{Enqueue: entered}})\n",
+		"		t.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Enqueue{Enqueue: entered}})\n" +
+			"		out.Send(from, &schema.Applied{Queue: m.Queue, Leader: t.id, Outcomes: []*schema.Outcome{{Session: e.Session, Number: e.Number, Code: 201, View: &schema.JobView{Name: e.Name, State: \"running\"}}}})\n"}}},
 	{Guard: "records are synced before they count", Rule: 1, Test: "internal/raft TestNothingIsToldBeforeItLasts", Edits: []Edit{
 		{"internal/raft", "&schema.AppendReply{Group: g.name, Term: g.term, Match: min(g.matched, g.stable)}", "&schema.AppendReply{Group: g.name, Term: g.term, Match: g.matched}"},
 		{"internal/raft", "Round: m.Round, Match: min(g.matched, g.stable)}", "Round: m.Round, Match: g.matched}"},
@@ -48,9 +48,9 @@
 	{Guard: "starts leave when every worker is open", Rule: 10, Test: "internal/scheduler TestGroupsAreHeldFirst", Edits: []Edit{{"internal/scheduler", "|| !t.isOpen(now, members) && now-first.heldAt < launchSpan {", "{"}}},
 	{Guard: "a table is built on the present one", Rule: 11, Scenario: "operators race", Seed: 1, Edits: []Edit{{"internal/clusterstate", "if given != current.Generation {", "if given > current.Generation {"}}},
 	{Guard: "what is read has been confirmed by a quorum", Rule: 11, Test: "internal/raft TestReadsAreNotOlderThanAsked", Edits: []Edit{{"internal/raft", "g.reads[k].round <= round", "g.reads[k].round > 0"}}},
-	{Guard: "the table is carried to every front", Rule: 11, Test: "internal/gateway TestLanesThisFrontDoesNotKnow", Edits: []Edit{{"internal/gateway", "	if m.State != nil && m.State.Version >= t.state.Version {", "	if m.State != nil && t.state.Version == 0 {"}}},
+	{Guard: "the table is carried to every front", Rule: 11, Test: "internal/gateway TestQueuesThisFrontDoesNotKnow", Edits: []Edit{{"internal/gateway", "	if m.State != nil && m.State.Version >= t.state.Version {", "	if m.State != nil && t.state.Version == 0 {"}}},
 	{Guard: "a rack's weight counts", Rule: 11, Scenario: "the table takes effect", Seed: 1, Edits: []Edit{{"internal/scheduler", "!clusterstate.GoodName(w.rack) || weight == 0 {", "!clusterstate.GoodName(w.rack) {"}}},
-	{Guard: "a lane's limit counts", Rule: 11, Scenario: "the table takes effect", Seed: 2, Edits: []Edit{{"internal/scheduler", "left := int(v.running) - v.out - len(v.reserved)", "left := 1 << 30"}}},
+	{Guard: "a queue's limit counts", Rule: 11, Scenario: "the table takes effect", Seed: 2, Edits: []Edit{{"internal/scheduler", "left := int(v.running) - v.out - len(v.reserved)", "left := 1 << 30"}}},
 	{Guard: "wards follow the leader", Rule: 12, Scenario: "leader frozen 30 s", Seed: 1, Edits: []Edit{{"internal/controller", "if ward.Placer != sturdy {", "if ward.Placer == \"\" {"}}},
 	{Guard: "gateway resends", Rule: 12, Scenario: "rough net", Seed: 1, Edits: []Edit{{"internal/gateway", "return now-each.sent >= resendSpan }", "return false }"}}},
 	{Guard: "a lost voter's place is given to another", Rule: 0, Scenario: "disk machine replaced", Seed: 1, Edits: []Edit{{"internal/controller", "	t.members(now, out)\n", ""}}},
@@ -64,8 +64,8 @@
 	{Guard: "one member's end stands for its group", Rule: 2, Test: "internal/queue TestWholeGroups", Edits: []Edit{{"internal/queue", "	if c.Whole && step.Together {\n", "	if c.Whole && false {\n"}}},
 	{Guard: "progress is kept for its own task", Rule: 3, Test: "internal/scheduler TestNamedNotes", Edits: []Edit{{"internal/scheduler", "		saved = each.saved\n", "		saved = each.saved + \" \"\n"}}},
 	{Guard: "a worker must have the labels", Rule: 6, Test: "internal/scheduler TestWhereWorkMayGo", Edits: []Edit{{"internal/scheduler", "		if !slices.Contains(r.w.labels, label) {", "		if !slices.Contains(r.w.labels, label) && false {"}}},
-	{Guard: "a worker takes work of its pool's lanes", Rule: 11, Test: "internal/scheduler TestWhereWorkMayGo", Edits: []Edit{{"internal/scheduler", "own[t.values.Text(\"lane\", v.lane, \"pool\")]", "list"}}},
-	{Guard: "work on its way is taken back from another pool", Rule: 11, Test: "internal/scheduler TestWhereWorkMayGo", Edits: []Edit{{"internal/scheduler", "			if t.values.Text(\"lane\", v.lane, \"pool\") != w.pool {", "			if t.values.Text(\"lane\", v.lane, \"pool\") != w.pool && false {"}}},
+	{Guard: "a worker takes work of its pool's queues", Rule: 11, Test: "internal/scheduler TestWhereWorkMayGo", Edits: []Edit{{"internal/scheduler", "own[t.values.Text(\"queue\", v.queue, \"pool\")]", "list"}}},
+	{Guard: "work on its way is taken back from another pool", Rule: 11, Test: "internal/scheduler TestWhereWorkMayGo", Edits: []Edit{{"internal/scheduler", "			if t.values.Text(\"queue\", v.queue, \"pool\") != w.pool {", "			if t.values.Text(\"queue\", v.queue, \"pool\") != w.pool && false {"}}},
 	{Guard: "so many of a step on one worker", Rule: 6, Test: "internal/scheduler TestWhereWorkMayGo", Edits: []Edit{{"internal/scheduler", "	return count < int(x.spec.PerWorker)\n", "	return count <= int(x.spec.PerWorker)\n"}}},
 	{Guard: "a round waits for its time", Rule: 4, Test: "internal/queue TestRounds", Edits: []Edit{{"internal/queue", "	return j.startUs + int64(j.opened)*max(0, j.spec.GetEveryUs())\n", "	return j.startUs + int64(j.opened)*max(0, j.spec.GetEveryUs())/2\n"}}},
 	{Guard: "nothing is started on a worker that said it leaves", Rule: 7, Test: "internal/agent TestLeaving", Edits: []Edit{{"internal/agent", "if isTried || l.isLeaving ||", "if isTried ||"}}},
--- a/internal/queue/machine.go
+++ b/internal/queue/machine.go
@@ -1,4 +1,4 @@
-// Package queue is the pure queue machine of one lane: commands in, state and
+// Package queue is the pure queue machine of one queue: commands in, state and
 // effects out. No clock, no I/O, no random numbers, no order of map iteration:
 // every replica that applies the same records holds the same state.
 package queue
@@ -96,7 +96,7 @@
 	Worker      string
 	Incarnation uint64
 	Name        string
-	Order       uint64 // of the job's admission to the lane
+	Order       uint64 // of the job's admission to the queue
 	Round       uint32
 	Part        uint32 // the step's number within its round
 	Spec        *schema.Step
@@ -141,7 +141,7 @@
 	View     *schema.JobView
 }
 
-// Machine is one lane's state.
+// Machine is one queue's state.
 type Machine struct {
 	name     string
 	now      int64
@@ -168,7 +168,7 @@
 	wallOffset int64
 }
 
-// New makes an empty lane.
+// New makes an empty queue.
 func New(name string) *Machine {
 	return &Machine{
 		name: name, adopt: &schema.Adopt{StatusUs: DefaultStatusUs, Every: DefaultEvery, Circles: DefaultCircles},
@@ -201,7 +201,7 @@
 }
 
 // NextStart is when the next round of a live job is due, in microseconds of
-// lane time.
+// queue time.
 func (m *Machine) NextStart() (int64, bool) {
 	next, any := m.byStart.Min()
 	if !any {
@@ -225,7 +225,7 @@
 
 // Apply takes one record's command. `at` is the group's time in the record.
 func (m *Machine) Apply(index uint64, at int64, data []byte) (*Effects, error) {
-	command := &schema.LaneCommand{}
+	command := &schema.QueueCommand{}
 	if err := proto.Unmarshal(data, command); err != nil {
 		return nil, err
 	}
@@ -236,27 +236,27 @@
 	}
 	m.passTime()
 	switch body := command.Body.(type) {
-	case *schema.LaneCommand_Enqueue:
+	case *schema.QueueCommand_Enqueue:
 		m.enqueue(index, body.Enqueue)
-	case *schema.LaneCommand_Checkout:
+	case *schema.QueueCommand_Checkout:
 		m.checkout(body.Checkout)
-	case *schema.LaneCommand_Launch:
+	case *schema.QueueCommand_Launch:
 		m.launch(body.Launch)
-	case *schema.LaneCommand_Settle:
+	case *schema.QueueCommand_Settle:
 		m.settle(body.Settle)
-	case *schema.LaneCommand_Return:
+	case *schema.QueueCommand_Return:
 		m.giveBack(body.Return)
-	case *schema.LaneCommand_Cancel:
+	case *schema.QueueCommand_Cancel:
 		m.cancel(body.Cancel.Name)
-	case *schema.LaneCommand_Down:
+	case *schema.QueueCommand_Down:
 		m.down(body.Down)
-	case *schema.LaneCommand_Carry:
+	case *schema.QueueCommand_Carry:
 		m.carry(index, body.Carry)
-	case *schema.LaneCommand_Tick:
+	case *schema.QueueCommand_Tick:
 		if body.Tick.WallOffsetUs != 0 {
 			m.setClock(body.Tick.WallOffsetUs)
 		}
-	case *schema.LaneCommand_Adopt:
+	case *schema.QueueCommand_Adopt:
 		m.adopt = body.Adopt
 		m.passTime()
 	}
@@ -289,7 +289,7 @@
 	}
 }
 
-// setClock takes in how the time of day stands to lane time, which stands still
+// setClock takes in how the time of day stands to queue time, which stands still
 // while nobody leads: rounds that are still to come keep to the time of day they
 // were asked for. What has opened stays open.
 func (m *Machine) setClock(offset int64) {
@@ -445,7 +445,7 @@
 func (j *job) first(round int) int     { return round * j.parts() }
 func (j *job) step(s int) *schema.Step { return j.spec.Steps[s%j.parts()] }
 
-// dueUs is when the next round that hasn't opened is due, in lane time.
+// dueUs is when the next round that hasn't opened is due, in queue time.
 func (j *job) dueUs() int64 {
 	return j.startUs + int64(j.opened)*max(0, j.spec.GetEveryUs())
 }
@@ -964,13 +964,13 @@
 		return m.viewOf(j), true
 	}
 	if ended := m.ended[name]; ended != nil {
-		return &schema.JobView{Lane: m.name, Name: name, State: stateName(ended.State), Why: ended.Why, Tasks: ended.Tasks, Done: ended.Done}, true
+		return &schema.JobView{Queue: m.name, Name: name, State: stateName(ended.State), Why: ended.Why, Tasks: ended.Tasks, Done: ended.Done}, true
 	}
 	return nil, false
 }
 
 func (m *Machine) viewOf(j *job) *schema.JobView {
-	view := &schema.JobView{Lane: m.name, Name: j.name, State: stateName(j.state), Why: j.why, Started: j.started}
+	view := &schema.JobView{Queue: m.name, Name: j.name, State: stateName(j.state), Why: j.why, Started: j.started}
 	if j.state == schema.JobState_JOB_STOPPING {
 		view.Verdict = stateName(j.verdict)
 	}
@@ -996,10 +996,10 @@
 	return view
 }
 
-// Counts are what the lane holds: live jobs, tasks that could be checked out,
+// Counts are what the queue holds: live jobs, tasks that could be checked out,
 // and tasks that are out.
-func (m *Machine) Counts() *schema.LaneCounts {
-	counts := &schema.LaneCounts{Live: uint32(len(m.jobs))}
+func (m *Machine) Counts() *schema.QueueCounts {
+	counts := &schema.QueueCounts{Live: uint32(len(m.jobs))}
 	for _, j := range m.jobs {
 		counts.Out += uint32(j.outs)
 		if j.state != schema.JobState_JOB_RUNNING {
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -27,7 +27,7 @@
 
 func newBench() *bench { return &bench{m: New("l")} }
 
-func (b *bench) apply(command *schema.LaneCommand) *Effects {
+func (b *bench) apply(command *schema.QueueCommand) *Effects {
 	data, err := proto.Marshal(command)
 	if err != nil {
 		panic(err)
@@ -57,7 +57,7 @@
 }
 
 func (b *bench) enqueue(client string, number uint64, name string, job *schema.Job) *Effects {
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: &schema.Enqueue{
+	return b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Enqueue{Enqueue: &schema.Enqueue{
 		Session: who(client), Number: number, Name: name, Digest: []byte(job.Text), Job: job, StartUs: job.DelayUs,
 	}}})
 }
@@ -67,7 +67,7 @@
 }
 
 func (b *bench) launch(job uint64, step uint32, attempts ...uint32) *Effects {
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Launch{Launch: &schema.Launch{Job: job, Step: step, Attempts: attempts}}})
+	return b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Launch{Launch: &schema.Launch{Job: job, Step: step, Attempts: attempts}}})
 }
 
 func (b *bench) checkout(keys ...*schema.TaskKey) *Effects {
@@ -75,15 +75,15 @@
 	for _, k := range keys {
 		c.Picks = append(c.Picks, &schema.Pick{Key: k, Worker: "w", Incarnation: 1})
 	}
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Checkout{Checkout: c}})
+	return b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Checkout{Checkout: c}})
 }
 
 func (b *bench) settle(k *schema.TaskKey, attempt uint32) *Effects {
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: k, Attempt: attempt}}})
+	return b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Settle{Settle: &schema.Settle{Key: k, Attempt: attempt}}})
 }
 
 func (b *bench) settleWhole(k *schema.TaskKey, attempt uint32) *Effects {
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: k, Attempt: attempt, Whole: true}}})
+	return b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Settle{Settle: &schema.Settle{Key: k, Attempt: attempt, Whole: true}}})
 }
 
 func (b *bench) giveBack(k *schema.TaskKey, attempt uint32, cause schema.Cause) *Effects {
@@ -91,7 +91,7 @@
 }
 
 func (b *bench) giveBackSaved(k *schema.TaskKey, attempt uint32, cause schema.Cause, saved string) *Effects {
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: k, Attempt: attempt, Cause: cause, Saved: saved}}})
+	return b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Return{Return: &schema.Return{Key: k, Attempt: attempt, Cause: cause, Saved: saved}}})
 }
 
 // again replaces the machine by one made from its own state at rest.
@@ -127,11 +127,11 @@
 }
 
 func (b *bench) cancel(name string) *Effects {
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Cancel{Cancel: &schema.Cancel{Name: name}}})
+	return b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Cancel{Cancel: &schema.Cancel{Name: name}}})
 }
 
 func (b *bench) tick() *Effects {
-	return b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
+	return b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Tick{Tick: &schema.Tick{}}})
 }
 
 func (b *bench) state(name string) string {
@@ -154,7 +154,7 @@
 		effects := b.settle(key(1, 0, 0), 1)
 		So(effects.Release, ShouldNotBeNil)
 		So(effects.Release.Index, ShouldEqual, 2)
-		rest := &schema.LaneRest{}
+		rest := &schema.QueueRest{}
 		So(proto.Unmarshal(effects.Release.Data, rest), ShouldBeNil)
 		So(rest.Prefix, ShouldEqual, 2)
 		for _, jr := range rest.Jobs {
@@ -197,7 +197,7 @@
 		})
 		Convey("a gateway that was given up can't come back and run what was forgotten", func() {
 			b.enqueue("c", 9, "late", simple(1))
-			b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Down{Down: &schema.Down{Boots: []*schema.Gone{{Gateway: "i", Boot: 1}}}}})
+			b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Down{Down: &schema.Down{Boots: []*schema.Gone{{Gateway: "i", Boot: 1}}}}})
 			So(b.enqueue("c", 4, "four", simple(1)).Outcomes[0].Code, ShouldEqual, 410)
 			So(b.state("four"), ShouldEqual, "unknown")
 			So(b.state("late"), ShouldEqual, "unknown")
@@ -206,7 +206,7 @@
 }
 
 func TestNamesAreKept(t *testing.T) {
-	Convey("An ended job's name is kept for its span by lane time, and no longer", t, func() {
+	Convey("An ended job's name is kept for its span by queue time, and no longer", t, func() {
 		b := newBench()
 		b.enqueue("c", 1, "one", simple(1))
 		b.checkout(key(1, 0, 0))
@@ -550,19 +550,19 @@
 }
 
 func TestTimeOfDay(t *testing.T) {
-	const day = int64(1_800_000_000_000_000) // of the time of day, at lane time 0
+	const day = int64(1_800_000_000_000_000) // of the time of day, at queue time 0
 	job := func(wall, delay int64) *schema.Job {
 		return &schema.Job{Text: "x", StartWallUs: wall, DelayUs: delay, Rounds: 3, EveryUs: 1_000_000, Steps: []*schema.Step{{Name: "a", Tasks: 1}}}
 	}
 	clock := func(b *bench, offset int64) {
-		b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{WallOffsetUs: offset}}})
+		b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Tick{Tick: &schema.Tick{WallOffsetUs: offset}}})
 	}
 	enter := func(b *bench, number uint64, job *schema.Job, start int64) {
-		b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: &schema.Enqueue{
+		b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Enqueue{Enqueue: &schema.Enqueue{
 			Session: who("c"), Number: number, Name: fmt.Sprint("j", number), Digest: []byte("d"), Job: job, StartUs: start,
 		}}})
 	}
-	Convey("Rounds keep to the time of day, though lane time stood still", t, func() {
+	Convey("Rounds keep to the time of day, though queue time stood still", t, func() {
 		b := newBench()
 		clock(b, day)
 		enter(b, 1, job(day+1_000_000, 0), 1_000_000)
@@ -582,7 +582,7 @@
 		b.at = 1_400_000
 		b.tick()
 		So(b.m.jobs[1].opened, ShouldEqual, 3)
-		Convey("but a delay is one of lane time", func() {
+		Convey("but a delay is one of queue time", func() {
 			So(b.m.jobs[2].opened, ShouldEqual, 1)
 			b.at = 2_000_000
 			b.tick()
@@ -814,11 +814,11 @@
 		later := simple(7)
 		later.DelayUs = 1_000_000
 		b.enqueue("c", 2, "k", later)
-		So(proto.Equal(b.m.Counts(), &schema.LaneCounts{Live: 2, Waiting: 5}), ShouldBeTrue)
+		So(proto.Equal(b.m.Counts(), &schema.QueueCounts{Live: 2, Waiting: 5}), ShouldBeTrue)
 		b.checkout(key(1, 0, 0), key(1, 2, 0), key(1, 2, 1))
-		So(proto.Equal(b.m.Counts(), &schema.LaneCounts{Live: 2, Waiting: 2, Out: 3}), ShouldBeTrue)
+		So(proto.Equal(b.m.Counts(), &schema.QueueCounts{Live: 2, Waiting: 2, Out: 3}), ShouldBeTrue)
 		b.cancel("j")
-		So(proto.Equal(b.m.Counts(), &schema.LaneCounts{Live: 2, Out: 3}), ShouldBeTrue)
+		So(proto.Equal(b.m.Counts(), &schema.QueueCounts{Live: 2, Out: 3}), ShouldBeTrue)
 		view, _ := b.m.View("j")
 		So(view.Started, ShouldEqual, 3)
 		So(view.Verdict, ShouldEqual, "cancelled")
@@ -859,7 +859,7 @@
 		So(id, ShouldEqual, 1)
 		So(index, ShouldEqual, 1)
 		before, _ := b.m.View("old")
-		b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Carry{Carry: &schema.Carry{Job: id, Payload: payload}}})
+		b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Carry{Carry: &schema.Carry{Job: id, Payload: payload}}})
 		after, _ := b.m.View("old")
 		So(proto.Equal(before, after), ShouldBeTrue)
 		So(b.released, ShouldNotBeNil)
@@ -1053,7 +1053,7 @@
 	case 12:
 		if rng.IntN(4) == 0 {
 			if id, _, payload := b.m.Oldest(); id != 0 {
-				b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Carry{Carry: &schema.Carry{Job: id, Payload: payload}}})
+				b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Carry{Carry: &schema.Carry{Job: id, Payload: payload}}})
 			}
 			return
 		}
@@ -1061,7 +1061,7 @@
 	case 13:
 		if rng.IntN(6) == 0 {
 			client := fmt.Sprint("c", rng.IntN(3))
-			b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Down{Down: &schema.Down{Sessions: []*schema.Session{who(client)}}}})
+			b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Down{Down: &schema.Down{Sessions: []*schema.Session{who(client)}}}})
 			numbers[client] = 0
 			return
 		}
@@ -1073,7 +1073,7 @@
 	Convey("The placer is told a round's age and the longest way through it", t, func() {
 		b := newBench()
 		b.at = 5_000_000
-		b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
+		b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Tick{Tick: &schema.Tick{}}})
 		effects := b.enqueue("c", 1, "j", &schema.Job{Text: "x", Rounds: 2, EveryUs: 1_000_000, Steps: []*schema.Step{
 			{Name: "a", Tasks: 2, CoresMilli: 100, EstimateUs: 10},
 			{Name: "b", Tasks: 1, CoresMilli: 100, EstimateUs: 50},
@@ -1089,7 +1089,7 @@
 			So(shift.AgeUs, ShouldEqual, 0)
 		}
 		b.at += 3_000_000
-		b.apply(&schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
+		b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Tick{Tick: &schema.Tick{}}})
 		list, _ := b.m.Standings()
 		ages := map[uint32]int64{}
 		for _, shift := range list {
--- a/internal/queue/rest.go
+++ b/internal/queue/rest.go
@@ -17,7 +17,7 @@
 		every = DefaultEvery
 	}
 	isTurn := m.enqueues >= m.cachedAt+every
-	// Ticks, settles and the like make records too; a lane that gets few
+	// Ticks, settles and the like make records too; a queue that gets few
 	// enqueues must be able to let those go.
 	isLong := len(m.cached) == 0 && index%(8*every) == 0 || len(m.cached) > 0 && index >= m.cached[len(m.cached)-1].index+8*every
 	if !isTurn && !isLong {
@@ -101,7 +101,7 @@
 // jobs become the prefix count with their outlines: the commands that follow
 // name tasks, so replaying them needs each job's shape though not its payload.
 func (m *Machine) Rest(isDry bool) []byte {
-	rest := &schema.LaneRest{
+	rest := &schema.QueueRest{
 		NowUs: m.now, NextJob: m.nextJob, Hand: m.hand, Adopt: m.adopt, Carries: m.carries, Enqueues: m.enqueues,
 		Ended: m.fading,
 	}
@@ -150,7 +150,7 @@
 	})
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(rest)
 	if err != nil {
-		panic("lane: state can't be encoded: " + err.Error())
+		panic("queue: state can't be encoded: " + err.Error())
 	}
 	return data
 }
@@ -164,13 +164,13 @@
 	return numbers
 }
 
-// Restore makes a lane from a state at rest.
+// Restore makes a queue from a state at rest.
 func Restore(name string, index uint64, data []byte) (*Machine, error) {
 	m := New(name)
 	if len(data) == 0 {
 		return m, nil
 	}
-	rest := &schema.LaneRest{}
+	rest := &schema.QueueRest{}
 	if err := proto.Unmarshal(data, rest); err != nil {
 		return nil, err
 	}
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -11,19 +11,19 @@
 	"sparnotch/internal/schema"
 )
 
-// BenchmarkManyLanes is a mail that changes nothing, and a tick, on the leader of
-// 50 lanes.
-func BenchmarkManyLanes(b *testing.B) {
-	Convey("Fifty lanes led by one store", b, func() {
+// BenchmarkManyQueues is a mail that changes nothing, and a tick, on the leader of
+// 50 queues.
+func BenchmarkManyQueues(b *testing.B) {
+	Convey("Fifty queues led by one store", b, func() {
 		c := newCore()
-		var lanes []string
-		places := &schema.PlaceLanes{Lease: c.lease()}
+		var queues []string
+		places := &schema.PlaceQueues{Lease: c.lease()}
 		for k := 0; k < 50; k++ {
-			lanes = append(lanes, fmt.Sprintf("l%02d", k))
-			places.Lanes = append(places.Lanes, &schema.LanePlace{Lane: lanes[k], Founders: stores, Leader: "a"})
+			queues = append(queues, fmt.Sprintf("l%02d", k))
+			places.Queues = append(places.Queues, &schema.QueuePlace{Queue: queues[k], Founders: stores, Leader: "a"})
 		}
-		So(c.put(lanesSheet(1, "", lanes...)).Code, ShouldEqual, 200)
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: places}}).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(1, "", queues...)).Code, ShouldEqual, 200)
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: places}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(c.leader("l49"), ShouldEqual, "a")
 		for name, body := range map[string]any{"mail": &membership.Roll{}, "tick": eventloop.Tick{}} {
--- a/internal/replica/confirm_test.go
+++ b/internal/replica/confirm_test.go
@@ -12,16 +12,16 @@
 func TestConfirmAfterApply(t *testing.T) {
 	Convey("A submission is confirmed when a quorum holds it, and by nothing less", t, func() {
 		c := newCore()
-		So(c.put(lanesSheet(1, "one", "l")).Code, ShouldEqual, 200)
-		place := &schema.PlaceLanes{Lease: c.lease(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Leader: "a"}}}
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: place}}).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(1, "one", "l")).Code, ShouldEqual, 200)
+		place := &schema.PlaceQueues{Lease: c.lease(), Queues: []*schema.QueuePlace{{Queue: "l", Founders: stores, Leader: "a"}}}
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: place}}).Code, ShouldEqual, 200)
 		c.run(2 * eventloop.Second)
 		leader := c.leader("l")
 		So(leader, ShouldNotBeEmpty)
 		confirmed := func(number uint64) (codes []int32) {
 			job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
 			c.heard["f"] = nil
-			c.step(leader, "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
+			c.step(leader, "f", &schema.Submit{Queue: "l", Enqueues: []*schema.Enqueue{{
 				Session: &schema.Session{Gateway: "f", Boot: 1, Client: "c"}, Number: number, Lowest: number, Name: "j" + string(rune('0'+number)), Job: job,
 			}}})
 			c.run(200 * eventloop.Milli)
--- a/internal/replica/errand.go
+++ b/internal/replica/errand.go
@@ -32,8 +32,8 @@
 			r.reading[t.reads] = asked
 		}
 	case "cancel":
-		command := &schema.LaneCommand{Body: &schema.LaneCommand_Cancel{Cancel: &schema.Cancel{Name: m.Name}}}
-		if index := t.proposeLane(now, r, command); index > 0 {
+		command := &schema.QueueCommand{Body: &schema.QueueCommand_Cancel{Cancel: &schema.Cancel{Name: m.Name}}}
+		if index := t.proposeQueue(now, r, command); index > 0 {
 			r.waiting[index] = asked
 		}
 	case "charter":
@@ -64,16 +64,16 @@
 	m := asked.request
 	switch m.Kind {
 	case "status":
-		view, isFound := r.lane.View(m.Name)
+		view, isFound := r.queue.View(m.Name)
 		if !isFound {
-			t.reply(asked, 404, faultBody("unknown_job", "no job of this name is known in the lane"), r.group, out)
+			t.reply(asked, 404, faultBody("unknown_job", "no job of this name is known in the queue"), r.group, out)
 			return
 		}
 		t.reply(asked, 200, mustJSON(view), r.group, out)
 	case "list":
-		t.reply(asked, 200, mustJSON(r.lane.List(m.After, int(m.Most))), r.group, out)
+		t.reply(asked, 200, mustJSON(r.queue.List(m.After, int(m.Most))), r.group, out)
 	case "counts":
-		t.reply(asked, 200, mustJSON(r.lane.Counts()), r.group, out)
+		t.reply(asked, 200, mustJSON(r.queue.Counts()), r.group, out)
 	case "plan":
 		t.reply(asked, 200, planBody(t.charter.Plan()), r.group, out)
 	case "history":
@@ -114,7 +114,7 @@
 
 func viewOrFault(view *schema.JobView) []byte {
 	if view == nil {
-		return faultBody("unknown_job", "no job of this name is known in the lane")
+		return faultBody("unknown_job", "no job of this name is known in the queue")
 	}
 	return mustJSON(view)
 }
@@ -143,7 +143,7 @@
 		tell.State = t.state
 	}
 	// Of the sides only the controller reads how the groups stand; the others ask
-	// often, and there is a note for every lane.
+	// often, and there is a note for every queue.
 	hasUse := from == t.state.Controller.GetId() || !t.isSide(from)
 	for _, name := range t.names() {
 		each := t.groups[name]
@@ -165,7 +165,7 @@
 func (t *Table) note(r *replica) *schema.WaitNote {
 	g := r.group
 	note := &schema.WaitNote{
-		Group: g.Name(), Lane: r.name, Leader: t.id, Voters: g.Roster().Voters, Learners: g.Roster().Learners,
+		Group: g.Name(), Queue: r.name, Leader: t.id, Voters: g.Roster().Voters, Learners: g.Roster().Learners,
 		Behind: map[string]uint64{},
 	}
 	for _, id := range append(append([]string(nil), note.Voters...), note.Learners...) {
@@ -174,10 +174,10 @@
 			note.Behind[id] = g.Last() - match
 		}
 	}
-	if r.lane != nil {
-		note.Live, note.Kept, note.Ended = uint32(r.lane.Live()), uint32(r.lane.Kept()), r.lane.Ended()
+	if r.queue != nil {
+		note.Live, note.Kept, note.Ended = uint32(r.queue.Live()), uint32(r.queue.Kept()), r.queue.Ended()
 		seen := map[string]bool{}
-		for _, session := range r.lane.Boots() {
+		for _, session := range r.queue.Boots() {
 			key := session.Gateway + "/" + strconv.FormatUint(session.Boot, 10)
 			if !seen[key] {
 				seen[key] = true
@@ -212,21 +212,21 @@
 
 // NodeBelief is what a node believes.
 type NodeBelief struct {
-	Node       string              `json:"node"`
-	Version    uint64              `json:"charter_version"`
-	Generation uint64              `json:"plan_generation"`
-	Fresh      bool                `json:"charter_fresh"`
-	Controller string              `json:"controller"`
-	Lease      uint64              `json:"controller_lease"`
-	Groups     []*GroupBelief      `json:"groups"`
-	Wards      []*schema.Ward      `json:"wards"`
-	Lanes      []*schema.LanePlace `json:"lanes"`
-	Members    []*schema.Member    `json:"members"`
+	Node       string               `json:"node"`
+	Version    uint64               `json:"charter_version"`
+	Generation uint64               `json:"plan_generation"`
+	Fresh      bool                 `json:"charter_fresh"`
+	Controller string               `json:"controller"`
+	Lease      uint64               `json:"controller_lease"`
+	Groups     []*GroupBelief       `json:"groups"`
+	Wards      []*schema.Ward       `json:"wards"`
+	Queues     []*schema.QueuePlace `json:"queues"`
+	Members    []*schema.Member     `json:"members"`
 }
 
 func (t *Table) belief(now eventloop.Micros) *NodeBelief {
 	belief := &NodeBelief{
-		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Lanes: t.state.Lanes,
+		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Queues: t.state.Queues,
 		Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(),
 	}
 	for _, name := range t.names() {
@@ -236,9 +236,9 @@
 			Group: name, Role: g.Role(), Leader: g.Leader(), Term: g.Term(), Commit: g.Commit(), Applied: g.Applied(),
 			Last: g.Last(), Stable: g.Stable(), Released: g.Base(), Voters: g.Roster().Voters, Learners: g.Roster().Learners,
 		}
-		if r.lane != nil {
-			b.Live, b.Kept, b.Carries, b.Sessions = r.lane.Live(), r.lane.Kept(), r.lane.Carries(), len(r.lane.Boots())
-			b.Digest = Digest(r.lane.Rest(true))
+		if r.queue != nil {
+			b.Live, b.Kept, b.Carries, b.Sessions = r.queue.Live(), r.queue.Kept(), r.queue.Carries(), len(r.queue.Boots())
+			b.Digest = Digest(r.queue.Rest(true))
 		} else {
 			b.Digest = Digest(t.charter.Rest())
 			belief.Fresh = t.isCharterFresh(now)
--- a/internal/replica/list_test.go
+++ b/internal/replica/list_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestWholeLists(t *testing.T) {
-	Convey("The placer gets a lane's whole list anew when the plan has changed, not for each worker that comes", t, func() {
+	Convey("The placer gets a queue's whole list anew when the plan has changed, not for each worker that comes", t, func() {
 		c := newCore()
 		whole := func() (count int) {
 			for _, each := range c.heard["a/placer"] {
@@ -22,10 +22,10 @@
 			}
 			return count
 		}
-		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(1, "", "l")).Code, ShouldEqual, 200)
 		lease := c.lease()
-		lanes := &schema.PlaceLanes{Lease: lease, Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Leader: "a"}}}
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
+		queues := &schema.PlaceQueues{Lease: lease, Queues: []*schema.QueuePlace{{Queue: "l", Founders: stores, Leader: "a"}}}
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: queues}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(c.leader("l"), ShouldEqual, "a")
 		before := whole()
@@ -34,7 +34,7 @@
 		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Wards{Wards: wards}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(whole(), ShouldEqual, before)
-		So(c.put(lanesSheet(2, "", "l")).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(2, "", "l")).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(whole(), ShouldEqual, before+1)
 	})
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -111,10 +111,10 @@
 	}
 }
 
-func (c *core) leader(lane string) string {
+func (c *core) leader(queue string) string {
 	for _, id := range stores {
 		for _, r := range c.tables[id].groups {
-			if r.name == lane && r.group.IsLeader() && !c.isDown[id] {
+			if r.name == queue && r.group.IsLeader() && !c.isDown[id] {
 				return id
 			}
 		}
@@ -143,33 +143,33 @@
 	return c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})
 }
 
-func lanesSheet(edition uint64, document string, lanes ...string) *schema.Sheet {
+func queuesSheet(edition uint64, document string, queues ...string) *schema.Sheet {
 	sheet := &schema.Sheet{Edition: edition, BaseEdition: edition - 1, Document: []byte(document)}
-	for _, lane := range lanes {
-		sheet.Rows = append(sheet.Rows, &schema.Row{Kind: "lane", Name: lane, Key: "urgency", Value: "1"})
+	for _, queue := range queues {
+		sheet.Rows = append(sheet.Rows, &schema.Row{Kind: "queue", Name: queue, Key: "urgency", Value: "1"})
 	}
 	return sheet
 }
 
-func TestNewLanes(t *testing.T) {
-	Convey("A new lane has a leader within some 100 ms, whoever is to keep it", t, func() {
+func TestNewQueues(t *testing.T) {
+	Convey("A new queue has a leader within some 100 ms, whoever is to keep it", t, func() {
 		c := newCore()
 		So(c.leader(""), ShouldNotEqual, "")
-		So(c.put(lanesSheet(1, "", "l", "m", "n")).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(1, "", "l", "m", "n")).Code, ShouldEqual, 200)
 		reply := c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
 		var claimed struct{ Lease uint64 }
 		So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
-		place := &schema.PlaceLanes{Lease: claimed.Lease}
-		for k, lane := range []string{"l", "m", "n"} {
-			place.Lanes = append(place.Lanes, &schema.LanePlace{Lane: lane, Founders: stores, Leader: stores[k]})
+		place := &schema.PlaceQueues{Lease: claimed.Lease}
+		for k, queue := range []string{"l", "m", "n"} {
+			place.Queues = append(place.Queues, &schema.QueuePlace{Queue: queue, Founders: stores, Leader: stores[k]})
 		}
 		began := c.now
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: place}}).Code, ShouldEqual, 200)
-		for k, lane := range []string{"l", "m", "n"} {
-			for c.leader(lane) == "" && c.now < began+eventloop.Second {
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: place}}).Code, ShouldEqual, 200)
+		for k, queue := range []string{"l", "m", "n"} {
+			for c.leader(queue) == "" && c.now < began+eventloop.Second {
 				c.run(eventloop.Milli)
 			}
-			So(c.leader(lane), ShouldEqual, stores[k])
+			So(c.leader(queue), ShouldEqual, stores[k])
 		}
 		So(c.now-began, ShouldBeLessThan, 150*eventloop.Milli)
 		Convey("and every founder is a voter of it, also one that its leader reached first", func() {
@@ -184,11 +184,11 @@
 	})
 	Convey("A founder that its leader reached before the charter did is a voter in the end", t, func() {
 		c := newCore()
-		place := &schema.LanePlace{Lane: "l", Generation: 1, Founders: stores, Leader: "a"}
+		place := &schema.QueuePlace{Queue: "l", Generation: 1, Founders: stores, Leader: "a"}
 		c.step("b", "a", &schema.Append{Group: "l#1", Term: 1, Records: []*schema.Record{{Index: 1, Term: 1, Kind: schema.RecordKind_RECORD_FIRST}}})
 		table := c.tables["b"]
 		So(table.groups["l#1"].group.Roster().Voters, ShouldBeEmpty)
-		table.state.Lanes = []*schema.LanePlace{place}
+		table.state.Queues = []*schema.QueuePlace{place}
 		c.step("b", "", eventloop.Tick{})
 		So(table.groups["l#1"].group.Roster().Voters, ShouldResemble, stores)
 		So(table.groups["l#1"].group.Last(), ShouldEqual, 1)
@@ -198,9 +198,9 @@
 func TestDocuments(t *testing.T) {
 	Convey("The plan's document is read from the leader alone, and goes into no copy", t, func() {
 		c := newCore()
-		reply := c.put(lanesSheet(1, "the document", "l"))
+		reply := c.put(queuesSheet(1, "the document", "l"))
 		So(reply.Code, ShouldEqual, 200)
-		So(c.put(lanesSheet(2, "another", "l")).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(2, "another", "l")).Code, ShouldEqual, 200)
 		plan := &schema.Plan{}
 		So(protojson.Unmarshal(c.ask("plan", nil).Body, plan), ShouldBeNil)
 		So(string(plan.Document), ShouldEqual, "another")
@@ -233,7 +233,7 @@
 	Convey("The controller hears of a new plan at once", t, func() {
 		c := newCore()
 		c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
-		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(1, "", "l")).Code, ShouldEqual, 200)
 		isTold := slices.ContainsFunc(c.heard["h"], func(body any) bool {
 			tell, isTell := body.(*schema.CharterTell)
 			return isTell && tell.State.GetPlan().GetEdition() == 1 && len(tell.Waits) > 0
