--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,4 +1,4 @@
-// Package replica owns the replicas of a process: the charter's and each lane's.
+// Package replica owns the replicas of a process: the charter's and each queue's.
 // It hands messages to them, applies what they commit, lets their changes reach
 // the vault together, and performs effects where this process leads.
 package replica
@@ -27,13 +27,13 @@
 
 const (
 	freshSpan    = eventloop.Second      // how old the charter's word may be for a leader to order
-	stallSpan    = 600 * eventloop.Milli // a sync that takes longer makes a leader pass its lanes on
-	passRest     = 5 * eventloop.Second  // between two attempts to pass a lane on
+	stallSpan    = 600 * eventloop.Milli // a sync that takes longer makes a leader pass its queues on
+	passRest     = 5 * eventloop.Second  // between two attempts to pass a queue on
 	launchSpan   = 200 * eventloop.Milli // the starts of a group that was decided on have left by then
 	waitMost     = 400 * eventloop.Milli // how long passing on waits for that
 	maxUnsettled = 8192                  // proposals of one group not applied yet
 	tickTimed    = eventloop.Second
-	wallMost     = 100 * eventloop.Milli // a lane's timed jobs may be away from the time of day by so much
+	wallMost     = 100 * eventloop.Milli // a queue's timed jobs may be away from the time of day by so much
 	tickKept     = 5 * eventloop.Second
 )
 
@@ -50,27 +50,27 @@
 type Propose struct {
 	Group   string
 	Term    uint64
-	Command *schema.LaneCommand
+	Command *schema.QueueCommand
 }
 
-// Shifts tell the placer's table what a lane's commands did. Whole replaces
+// Shifts tell the placer's table what a queue's commands did. Whole replaces
 // all it knew.
 type Shifts struct {
-	Lane, Group string
-	Term, Hand  uint64
-	List        []*queue.Shift
-	IsWhole     bool
-	Urgency     int64
-	Running     int64
+	Queue, Group string
+	Term, Hand   uint64
+	List         []*queue.Shift
+	IsWhole      bool
+	Urgency      int64
+	Running      int64
 }
 
 // Query asks for the whole list: the placer saw a gap in the numbers.
 type Query struct{ Group string }
 
-// Lost says that this node leads a lane no more.
-type Lost struct{ Lane string }
+// Lost says that this node leads a queue no more.
+type Lost struct{ Queue string }
 
-// Fresh says which lanes this node may act for at this moment, and how the
+// Fresh says which queues this node may act for at this moment, and how the
 // charter stands.
 type Fresh struct {
 	Groups  map[string]uint64 // group -> term
@@ -78,7 +78,7 @@
 	At      eventloop.Micros  // when that was so, by the clock of the process; 0: now
 }
 
-// Ended is a worker's report for the lane's leader; Noted answers it.
+// Ended is a worker's report for the queue's leader; Noted answers it.
 type Ended struct{ End *schema.End }
 
 // Warned says that this process is to leave.
@@ -96,8 +96,8 @@
 
 type replica struct {
 	group    *raft.Group
-	name     string // lane name, empty for the charter
-	lane     *queue.Machine
+	name     string // queue name, empty for the charter
+	queue    *queue.Machine
 	waiting  map[uint64]waiter // by index
 	reading  map[uint64]waiter // by read number
 	termTold uint64            // term for which the placer has the whole list
@@ -139,7 +139,7 @@
 	listed   []string // names of the groups, in order; nil: to be made anew
 	charter  *clusterstate.Machine
 	values   *clusterstate.Values
-	adopt    *schema.Adopt        // what the plan asks of every lane
+	adopt    *schema.Adopt        // what the plan asks of every queue
 	state    *schema.CharterState // copy of the charter that others may hold
 	roll     *membership.Roll
 	next     pending
@@ -179,19 +179,19 @@
 	return r
 }
 
-// LaneOf is the lane's name in a group's name.
-func LaneOf(group string) string {
-	lane, _, isLane := strings.Cut(group, "#")
-	if !isLane {
+// QueueOf is the queue's name in a group's name.
+func QueueOf(group string) string {
+	queue, _, isQueue := strings.Cut(group, "#")
+	if !isQueue {
 		return ""
 	}
-	return lane
+	return queue
 }
 
-// GroupOf names the group of a lane's place: a lane that is made anew under an
+// GroupOf names the group of a queue's place: a queue that is made anew under an
 // old name is another group.
-func GroupOf(place *schema.LanePlace) string {
-	return place.Lane + "#" + strconv.FormatUint(place.Generation, 10)
+func GroupOf(place *schema.QueuePlace) string {
+	return place.Queue + "#" + strconv.FormatUint(place.Generation, 10)
 }
 
 func (t *Table) restore(r *replica, point *schema.Checkpoint) {
@@ -204,12 +204,12 @@
 		t.setState(machine.Copy())
 		return
 	}
-	r.name = LaneOf(r.group.Name())
+	r.name = QueueOf(r.group.Name())
 	machine, err := queue.Restore(r.name, point.Index, point.Data)
 	if err != nil {
 		panic("keep: checkpoint of " + r.group.Name() + ": " + err.Error())
 	}
-	r.lane = machine
+	r.queue = machine
 }
 
 func (t *Table) setState(state *schema.CharterState) {
@@ -267,7 +267,7 @@
 	case Propose:
 		t.propose(now, body)
 	case Query:
-		if r := t.groups[body.Group]; r != nil && r.lane != nil {
+		if r := t.groups[body.Group]; r != nil && r.queue != nil {
 			r.termTold = 0
 		}
 	case *schema.Reroster:
@@ -292,7 +292,7 @@
 		default:
 			return
 		}
-		if name != clusterstate.Group && LaneOf(name) == "" {
+		if name != clusterstate.Group && QueueOf(name) == "" {
 			return
 		}
 		if name != clusterstate.Group && t.isEnded(name) {
@@ -311,10 +311,10 @@
 	r.group.Step(now, from, body)
 }
 
-// isEnded tells that the charter we hold knows a newer lane of that name, or
+// isEnded tells that the charter we hold knows a newer queue of that name, or
 // none though it once was there.
 func (t *Table) isEnded(group string) bool {
-	place := clusterstate.Place(t.state, LaneOf(group))
+	place := clusterstate.Place(t.state, QueueOf(group))
 	return place != nil && GroupOf(place) != group
 }
 
@@ -365,9 +365,9 @@
 	t.open(now, name, image)
 }
 
-// foundLane makes the replica of a lane that this store is a founder of; who is
-// to keep the lane stands at once.
-func (t *Table) foundLane(now eventloop.Micros, place *schema.LanePlace) {
+// foundQueue makes the replica of a queue that this store is a founder of; who is
+// to keep the queue stands at once.
+func (t *Table) foundQueue(now eventloop.Micros, place *schema.QueuePlace) {
 	name := GroupOf(place)
 	if r := t.groups[name]; r != nil {
 		// Its leader was faster than our copy of the charter.
@@ -401,10 +401,10 @@
 		// Two machines with the same patience shouldn't call at once again.
 		t.patience.draw()
 	}
-	t.lanes(now, out)
+	t.queues(now, out)
 	fresh := Fresh{Groups: map[string]uint64{}, At: now}
 	for name, r := range t.groups {
-		if r.lane != nil && r.group.Acting(now) {
+		if r.queue != nil && r.group.Acting(now) {
 			fresh.Groups[name] = r.group.Term()
 		}
 	}
@@ -419,47 +419,47 @@
 	return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < freshSpan
 }
 
-// tend proposes what a lane's leader owes to time and to the plan.
+// tend proposes what a queue's leader owes to time and to the plan.
 func (t *Table) tend(now eventloop.Micros, r *replica) {
 	g := r.group
 	if !g.Acting(now) {
 		return
 	}
-	if r.lane == nil {
+	if r.queue == nil {
 		return
 	}
-	m, at := r.lane, g.GroupTime(now)
+	m, at := r.queue, g.GroupTime(now)
 	if next, any := m.NextStart(); any && next <= at && r.tickIdx <= g.Applied() {
-		r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
+		r.tickIdx = t.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Tick{Tick: &schema.Tick{}}})
 		r.tickAt = now
 	}
-	// A lane that nothing happens in must still let time pass for what it
+	// A queue that nothing happens in must still let time pass for what it
 	// holds, or a new leader would start from an old time.
 	rest := tickKept
 	if m.Timed() > 0 {
 		rest = tickTimed
 	}
 	if (m.Timed() > 0 || m.Kept() > 0) && at-m.Now() > int64(rest) && now-r.tickAt > rest {
-		r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{}}})
+		r.tickIdx = t.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Tick{Tick: &schema.Tick{}}})
 		r.tickAt = now
 	}
-	// Jobs that are to start at a time of day keep to it, though lane time has
+	// Jobs that are to start at a time of day keep to it, though queue time has
 	// stood still without a leader.
 	if m.Timed() > 0 && r.tickIdx <= g.Applied() {
 		offset, isKnown := g.WallOffset(now, t.wall())
 		if away := offset - m.WallOffset(); isKnown && (away > int64(wallMost) || away < -int64(wallMost)) {
-			r.tickIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Tick{Tick: &schema.Tick{WallOffsetUs: offset}}})
+			r.tickIdx = t.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Tick{Tick: &schema.Tick{WallOffsetUs: offset}}})
 			r.tickAt = now
 		}
 	}
 	if wanted := t.adopt; !proto.Equal(wanted, m.Adopted()) && r.adoptIdx <= g.Applied() {
-		r.adoptIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Adopt{Adopt: wanted}})
+		r.adoptIdx = t.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Adopt{Adopt: wanted}})
 	}
 	// One old job must not pin the log for ever: it enters it anew.
 	limit := uint64(t.values.Fleet("carry_records"))
 	if g.Last()-g.Base() > limit && r.carryIdx <= g.Applied() {
 		if id, index, payload := m.Oldest(); id != 0 && g.Last()-index > limit/2 {
-			r.carryIdx = t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Carry{Carry: &schema.Carry{Job: id, Payload: payload}}})
+			r.carryIdx = t.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Carry{Carry: &schema.Carry{Job: id, Payload: payload}}})
 		}
 	}
 }
@@ -473,10 +473,10 @@
 }
 
 // passOn hands a group over when this process is warned, when its disk
-// stalls, or when the charter wants the lane elsewhere.
+// stalls, or when the charter wants the queue elsewhere.
 func (t *Table) passOn(now eventloop.Micros, r *replica) {
 	wanted := t.leaderOf(r)
-	// A leader that was named since is given the lane at once: its workers have
+	// A leader that was named since is given the queue at once: its workers have
 	// gone to it already, and nobody else can start anything on them.
 	isRested := now-r.passAt >= passRest || t.isWarned || wanted != r.leaderAt
 	if r.passAt > 0 && (!isRested || now-r.passAt < eventloop.Second) {
@@ -503,9 +503,9 @@
 	}
 }
 
-// leaderOf is whom the charter names as leader of a lane.
+// leaderOf is whom the charter names as leader of a queue.
 func (t *Table) leaderOf(r *replica) string {
-	if r.lane == nil {
+	if r.queue == nil {
 		return ""
 	}
 	return clusterstate.Place(t.state, r.name).GetLeader()
@@ -518,42 +518,42 @@
 	return isKnown && heard > 0 && now-heard < 500*eventloop.Milli && r.group.Last()-match < 256
 }
 
-// lanes makes what the charter says of lanes true here.
-func (t *Table) lanes(now eventloop.Micros, out eventloop.Out) {
+// queues makes what the charter says of queues true here.
+func (t *Table) queues(now eventloop.Micros, out eventloop.Out) {
 	if t.groups[clusterstate.Group] == nil {
 		return
 	}
 	wanted := map[string]bool{clusterstate.Group: true}
-	for _, place := range t.state.Lanes {
+	for _, place := range t.state.Queues {
 		name := GroupOf(place)
 		wanted[name] = true
 		if slices.Contains(place.Founders, t.id) {
-			t.foundLane(now, place)
+			t.foundQueue(now, place)
 		}
 	}
 	for _, name := range t.names() {
-		// Only a lane that the charter has dropped or made anew goes; one it
+		// Only a queue that the charter has dropped or made anew goes; one it
 		// doesn't know yet may be ahead of our copy.
-		if !wanted[name] && t.groups[name].lane != nil && t.isOver(name) {
+		if !wanted[name] && t.groups[name].queue != nil && t.isOver(name) {
 			delete(t.groups, name)
 			t.listed = nil
 			t.next.changes = append(t.next.changes, &schema.Change{Group: name, Drop: true})
 			delete(t.next.marks, name)
-			out.Tell("placer", Lost{Lane: LaneOf(name)})
+			out.Tell("placer", Lost{Queue: QueueOf(name)})
 		}
 	}
 }
 
-// isOver: generations come from one counter, so a lane whose generation the
+// isOver: generations come from one counter, so a queue whose generation the
 // charter has already given out, and which it doesn't list, has been ended.
 func (t *Table) isOver(group string) bool {
-	generation, err := strconv.ParseUint(group[len(LaneOf(group))+1:], 10, 64)
+	generation, err := strconv.ParseUint(group[len(QueueOf(group))+1:], 10, 64)
 	return err == nil && generation < t.state.Next
 }
 
 // --- proposals ---
 
-func (t *Table) proposeLane(now eventloop.Micros, r *replica, command *schema.LaneCommand) uint64 {
+func (t *Table) proposeQueue(now eventloop.Micros, r *replica, command *schema.QueueCommand) uint64 {
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return 0
@@ -570,13 +570,13 @@
 }
 
 func (t *Table) submit(now eventloop.Micros, from string, m *schema.Submit, out eventloop.Out) {
-	place := clusterstate.Place(t.state, m.Lane)
+	place := clusterstate.Place(t.state, m.Queue)
 	if place == nil {
 		return
 	}
 	r := t.groups[GroupOf(place)]
 	if r == nil || !r.group.IsLeader() || r.group.Passing() != "" {
-		out.Send(from, &schema.Applied{Lane: m.Lane, Leader: leaderOf(r)})
+		out.Send(from, &schema.Applied{Queue: m.Queue, Leader: leaderOf(r)})
 		return
 	}
 	// What finds no place is resent by its gateway, which has numbered it.
@@ -591,7 +591,7 @@
 			Session: e.Session, Number: e.Number, Name: e.Name, Digest: e.Digest, Lowest: e.Lowest,
 			Job: e.Job, StartUs: t.startOf(now, r, e.Job),
 		}
-		t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Enqueue{Enqueue: entered}})
+		t.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Enqueue{Enqueue: entered}})
 	}
 }
 
@@ -606,7 +606,7 @@
 	return r.group.Leader()
 }
 
-// startOf turns a start into lane time, once.
+// startOf turns a start into queue time, once.
 func (t *Table) startOf(now eventloop.Micros, r *replica, job *schema.Job) int64 {
 	at := r.group.GroupTime(now)
 	switch {
@@ -625,9 +625,9 @@
 }
 
 func (t *Table) quit(now eventloop.Micros, m *schema.Quit) {
-	if place := clusterstate.Place(t.state, m.Lane); place != nil {
+	if place := clusterstate.Place(t.state, m.Queue); place != nil {
 		if r := t.groups[GroupOf(place)]; r != nil && r.group.Acting(now) {
-			t.proposeLane(now, r, &schema.LaneCommand{Body: &schema.LaneCommand_Down{Down: &schema.Down{Sessions: m.Sessions, Boots: m.Boots}}})
+			t.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Down{Down: &schema.Down{Sessions: m.Sessions, Boots: m.Boots}}})
 		}
 	}
 }
@@ -635,16 +635,16 @@
 func (t *Table) propose(now eventloop.Micros, m Propose) {
 	r := t.groups[m.Group]
 	// A placer that acts for an older term has an older list.
-	if r == nil || r.lane == nil || r.group.Term() != m.Term || !r.group.Acting(now) || t.isFull(r) {
+	if r == nil || r.queue == nil || r.group.Term() != m.Term || !r.group.Acting(now) || t.isFull(r) {
 		return
 	}
-	t.proposeLane(now, r, m.Command)
+	t.proposeQueue(now, r, m.Command)
 }
 
 func (t *Table) end(now eventloop.Micros, from string, m *schema.End, out eventloop.Out) {
-	place := clusterstate.Place(t.state, m.Lane)
+	place := clusterstate.Place(t.state, m.Queue)
 	if place == nil {
-		// The lane is over, and with it whatever the task was for. A charter
+		// The queue is over, and with it whatever the task was for. A charter
 		// that is still catching up says nothing of the kind.
 		if t.isCharterFresh(now) {
 			t.endNoted(from, m, out)
@@ -661,29 +661,29 @@
 	if t.isFull(r) || m.Key == nil {
 		return
 	}
-	if index := t.proposeLane(now, r, commandOf(m)); index > 0 {
+	if index := t.proposeQueue(now, r, commandOf(m)); index > 0 {
 		r.waiting[index] = waiter{term: r.group.Term(), from: from, end: m}
 	}
 }
 
-// commandOf is what a worker's report asks of the lane. Ends other than done,
+// commandOf is what a worker's report asks of the queue. Ends other than done,
 // failed and lost (stopped, lapsed, broken by another member, alone without the
 // others) are no fault of the task's.
-func commandOf(m *schema.End) *schema.LaneCommand {
+func commandOf(m *schema.End) *schema.QueueCommand {
 	cause := schema.Cause_CAUSE_DISPLACED
 	switch m.Outcome {
 	case "done":
-		return &schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: m.Key, Attempt: m.Attempt, Whole: m.Whole}}}
+		return &schema.QueueCommand{Body: &schema.QueueCommand_Settle{Settle: &schema.Settle{Key: m.Key, Attempt: m.Attempt, Whole: m.Whole}}}
 	case "failed":
 		cause = schema.Cause_CAUSE_FAILED
 	case "lost":
 		cause = schema.Cause_CAUSE_LOST
 	}
-	return &schema.LaneCommand{Body: &schema.LaneCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause, Saved: m.Saved}}}
+	return &schema.QueueCommand{Body: &schema.QueueCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause, Saved: m.Saved}}}
 }
 
 func (t *Table) endNoted(from string, m *schema.End, out eventloop.Out) {
-	reply := &schema.EndReply{Lane: m.Lane, Key: m.Key, Attempt: m.Attempt, Worker: m.Worker}
+	reply := &schema.EndReply{Queue: m.Queue, Key: m.Key, Attempt: m.Attempt, Worker: m.Worker}
 	if from == "" {
 		out.Tell("placer", reply)
 	} else {
@@ -758,7 +758,7 @@
 			if effects.Restore != nil {
 				t.restore(r, effects.Restore)
 				r.termTold = 0
-				if r.lane == nil {
+				if r.queue == nil {
 					t.charterChanged(now, out)
 				}
 			}
@@ -859,7 +859,7 @@
 	if record.Kind != schema.RecordKind_RECORD_COMMAND {
 		return
 	}
-	if r.lane == nil {
+	if r.queue == nil {
 		result, err := t.charter.Apply(record.AtUs, record.Data)
 		if err != nil {
 			panic("keep: charter record: " + err.Error())
@@ -871,7 +871,7 @@
 		}
 		return
 	}
-	effects, err := r.lane.Apply(record.Index, record.AtUs, record.Data)
+	effects, err := r.queue.Apply(record.Index, record.AtUs, record.Data)
 	if err != nil {
 		panic("keep: record of " + r.group.Name() + ": " + err.Error())
 	}
@@ -884,7 +884,7 @@
 	for _, outcome := range effects.Outcomes {
 		key := outcome.Session.Gateway + "/" + r.name
 		if t.applied[key] == nil {
-			t.applied[key] = &schema.Applied{Lane: r.name, Leader: t.id}
+			t.applied[key] = &schema.Applied{Queue: r.name, Leader: t.id}
 		}
 		t.applied[key].Outcomes = append(t.applied[key].Outcomes, outcome)
 	}
@@ -901,23 +901,23 @@
 
 func (t *Table) shifts(r *replica, list []*queue.Shift, isWhole bool, hand uint64) Shifts {
 	return Shifts{
-		Lane: r.name, Group: r.group.Name(), Term: r.group.Term(), Hand: hand, List: list, IsWhole: isWhole,
-		Urgency: t.values.Of("lane", r.name, "urgency"),
-		Running: t.values.Of("lane", r.name, "running"),
+		Queue: r.name, Group: r.group.Name(), Term: r.group.Term(), Hand: hand, List: list, IsWhole: isWhole,
+		Urgency: t.values.Of("queue", r.name, "urgency"),
+		Running: t.values.Of("queue", r.name, "running"),
 	}
 }
 
-// standings tells the placer of lanes newly led, and of those led no more.
+// standings tells the placer of queues newly led, and of those led no more.
 func (t *Table) standings(now eventloop.Micros, out eventloop.Out) {
 	for _, name := range t.names() {
 		r := t.groups[name]
-		if r.lane == nil {
+		if r.queue == nil {
 			continue
 		}
 		if !r.group.IsLeader() {
 			if r.termTold != 0 {
 				r.termTold = 0
-				out.Tell("placer", Lost{Lane: r.name})
+				out.Tell("placer", Lost{Queue: r.name})
 			}
 			if len(r.waiting) > 0 {
 				r.waiting = map[uint64]waiter{}
@@ -929,7 +929,7 @@
 		}
 		if r.termTold != r.group.Term() && r.group.Acting(now) {
 			r.termTold = r.group.Term()
-			list, hand := r.lane.Standings()
+			list, hand := r.queue.Standings()
 			out.Tell("placer", t.shifts(r, list, true, hand))
 		}
 	}
@@ -952,13 +952,13 @@
 			r.termTold = 0
 		}
 	}
-	// New lanes are waited for: the controller places them, and their founders make
+	// New queues are waited for: the controller places them, and their founders make
 	// them, when they hear of it.
 	r := t.groups[clusterstate.Group]
 	if !r.group.IsLeader() {
 		return
 	}
-	if len(old.Lanes) != len(t.state.Lanes) {
+	if len(old.Queues) != len(t.state.Queues) {
 		r.group.Announce(now)
 	}
 	// Workers whose ward went elsewhere are served again as soon as their agents
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -16,8 +16,8 @@
 
 func TestCommandOf(t *testing.T) {
 	key := &schema.TaskKey{Job: 1, Step: 2, Task: 3}
-	end := func(outcome string) *schema.LaneCommand {
-		return commandOf(&schema.End{Lane: "l", Key: key, Attempt: 4, Outcome: outcome, Saved: "text", Whole: true})
+	end := func(outcome string) *schema.QueueCommand {
+		return commandOf(&schema.End{Queue: "l", Key: key, Attempt: 4, Outcome: outcome, Saved: "text", Whole: true})
 	}
 	Convey("Done settles, for the whole group where the worker says so", t, func() {
 		wanted := &schema.Settle{Key: key, Attempt: 4, Whole: true}
@@ -35,11 +35,11 @@
 }
 
 func TestNewLeaders(t *testing.T) {
-	Convey("A lane goes to a leader that is named while it has only just been taken over", t, func() {
+	Convey("A queue goes to a leader that is named while it has only just been taken over", t, func() {
 		c := newCore()
 		place := func(leader string) {
-			lanes := []*schema.LanePlace{{Lane: "l", Founders: stores, Leader: leader}}
-			command := &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: &schema.PlaceLanes{Lease: c.lease(), Lanes: lanes}}}
+			queues := []*schema.QueuePlace{{Queue: "l", Founders: stores, Leader: leader}}
+			command := &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: &schema.PlaceQueues{Lease: c.lease(), Queues: queues}}}
 			So(c.ask("charter", command).Code, ShouldEqual, 200)
 		}
 		run := func(span eventloop.Micros) {
@@ -54,7 +54,7 @@
 				c.run(100 * eventloop.Milli)
 			}
 		}
-		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(1, "", "l")).Code, ShouldEqual, 200)
 		place("a")
 		run(eventloop.Second)
 		So(c.leader("l"), ShouldEqual, "a")
@@ -76,16 +76,16 @@
 }
 
 func TestTimedJobsAfterALeader(t *testing.T) {
-	Convey("A lane that had no leader for a while keeps its timed jobs to the time of day", t, func() {
+	Convey("A queue that had no leader for a while keeps its timed jobs to the time of day", t, func() {
 		c := newCore()
 		c.day = 1_800_000_000_000_000
-		So(c.put(lanesSheet(1, "", "l")).Code, ShouldEqual, 200)
-		lanes := &schema.PlaceLanes{Lease: c.lease(), Lanes: []*schema.LanePlace{{Lane: "l", Founders: stores, Leader: "a"}}}
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Lanes{Lanes: lanes}}).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		queues := &schema.PlaceQueues{Lease: c.lease(), Queues: []*schema.QueuePlace{{Queue: "l", Founders: stores, Leader: "a"}}}
+		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: queues}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		due := c.now + 8*eventloop.Second
 		job := &schema.Job{StartWallUs: c.day + int64(due), Rounds: 1, Steps: []*schema.Step{{Name: "s", Tasks: 1}}}
-		c.step("a", "f", &schema.Submit{Lane: "l", Enqueues: []*schema.Enqueue{{
+		c.step("a", "f", &schema.Submit{Queue: "l", Enqueues: []*schema.Enqueue{{
 			Session: &schema.Session{Gateway: "f", Boot: 1, Client: "c"}, Number: 1, Name: "j", Digest: []byte("d"), Job: job,
 		}}})
 		c.run(500 * eventloop.Milli)
@@ -94,14 +94,14 @@
 		c.run(4 * eventloop.Second)
 		c.isDown["b"] = false
 		c.run(due - c.now - 200*eventloop.Milli)
-		lane := c.tables[c.leader("l")].groups["l#"+c.generation("l")].lane
-		So(lane.Counts().Waiting, ShouldEqual, 0)
+		queue := c.tables[c.leader("l")].groups["l#"+c.generation("l")].queue
+		So(queue.Counts().Waiting, ShouldEqual, 0)
 		c.run(400 * eventloop.Milli)
-		So(lane.Counts().Waiting, ShouldEqual, 1)
+		So(queue.Counts().Waiting, ShouldEqual, 1)
 	})
 }
 
-// generation is that of a lane's place.
-func (c *core) generation(lane string) string {
-	return strconv.FormatUint(clusterstate.Place(c.tables["c"].state, lane).GetGeneration(), 10)
+// generation is that of a queue's place.
+func (c *core) generation(queue string) string {
+	return strconv.FormatUint(clusterstate.Place(c.tables["c"].state, queue).GetGeneration(), 10)
 }
--- a/internal/scheduler/agent_test.go
+++ b/internal/scheduler/agent_test.go
@@ -12,7 +12,7 @@
 	"sparnotch/internal/schema"
 )
 
-// told is a charter with rows; every lane named in them stands in it.
+// told is a charter with rows; every queue named in them stands in it.
 func (d *desk) told(rows []*schema.Row, workers ...string) {
 	state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Rows: rows}}
 	for k, w := range workers {
@@ -20,16 +20,16 @@
 	}
 	seen := map[string]bool{}
 	for _, row := range rows {
-		if row.Kind == "lane" && !seen[row.Name] {
+		if row.Kind == "queue" && !seen[row.Name] {
 			seen[row.Name] = true
-			state.Lanes = append(state.Lanes, &schema.LanePlace{Lane: row.Name, Generation: 1})
+			state.Queues = append(state.Queues, &schema.QueuePlace{Queue: row.Name, Generation: 1})
 		}
 	}
 	d.step(&schema.CharterTell{State: state, Version: 2})
 }
 
-func laneRow(name, key, value string) *schema.Row {
-	return &schema.Row{Kind: "lane", Name: name, Key: key, Value: value}
+func queueRow(name, key, value string) *schema.Row {
+	return &schema.Row{Kind: "queue", Name: name, Key: key, Value: value}
 }
 
 // pass lets time go by with every leader's word fresh and every worker heard.
@@ -41,10 +41,10 @@
 	}
 }
 
-// lane tells the whole list of a lane.
-func (d *desk) lane(name string, urgency int64, list ...*queue.Shift) {
+// queue tells the whole list of a queue.
+func (d *desk) queue(name string, urgency int64, list ...*queue.Shift) {
 	d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, Charter: true})
-	d.step(replica.Shifts{Lane: name, Group: name + "#1", Term: 1, Hand: 1, List: list, IsWhole: true, Running: 1000, Urgency: urgency})
+	d.step(replica.Shifts{Queue: name, Group: name + "#1", Term: 1, Hand: 1, List: list, IsWhole: true, Running: 1000, Urgency: urgency})
 }
 
 // named is an agent's announce.
@@ -79,7 +79,7 @@
 }
 
 func TestNamedNotes(t *testing.T) {
-	rows := []*schema.Row{laneRow("l", "urgency", "10"), laneRow("m", "urgency", "10")}
+	rows := []*schema.Row{queueRow("l", "urgency", "10"), queueRow("m", "urgency", "10")}
 	out := func() *queue.Shift {
 		s := shift(1, 7, 3, queue.Out, "w", &schema.Step{Name: "s", Tasks: 4, CoresMilli: 600, Saves: true})
 		s.Key.Step, s.Round, s.Part, s.Saved = 5, 2, 1, "before"
@@ -91,7 +91,7 @@
 	Convey("An agent's notes are found by job, round and part", t, func() {
 		d := newDesk("w")
 		d.told(rows, "w")
-		d.lane("l", 10, out())
+		d.queue("l", 10, out())
 		d.announce("w", named(nil))
 		start := d.last().Orders.Orders[0]
 		So(start.Act, ShouldEqual, "start")
@@ -104,9 +104,9 @@
 			d.announce("w", ends(note("done")))
 			So(d.ended()[0].Key, ShouldResemble, &schema.TaskKey{Job: 7, Step: 5, Task: 3})
 			So(d.ended()[0].Outcome, ShouldEqual, "done")
-			d.lane("l", 10)
+			d.queue("l", 10)
 			d.announce("w", ends(note("done")))
-			d.step(&schema.EndReply{Lane: "l", Key: &schema.TaskKey{Job: 7, Step: 5, Task: 3}, Attempt: 1, Worker: "w"})
+			d.step(&schema.EndReply{Queue: "l", Key: &schema.TaskKey{Job: 7, Step: 5, Task: 3}, Attempt: 1, Worker: "w"})
 			noted := d.last().Orders.Noted
 			So(len(noted), ShouldEqual, 1)
 			So([]any{noted[0].Name, noted[0].Round, noted[0].Part, noted[0].Task, noted[0].Attempt}, ShouldResemble, []any{"j7", uint32(2), uint32(1), uint32(3), uint32(1)})
@@ -115,7 +115,7 @@
 			for _, each := range []struct{ seen, told, want string }{{"", "", "before"}, {"mid", "", "mid"}, {"mid", "last", "last"}} {
 				d := newDesk("w")
 				d.told(rows, "w")
-				d.lane("l", 10, out())
+				d.queue("l", 10, out())
 				running, over := note("running"), note("stopped")
 				running.Saved, over.Saved = each.seen, each.told
 				d.announce("w", runs(running))
@@ -124,19 +124,19 @@
 			}
 		})
 	})
-	Convey("What no task is known for is left alone until every lane of the plan is led here", t, func() {
+	Convey("What no task is known for is left alone until every queue of the plan is led here", t, func() {
 		stray, over := note("running"), note("done")
 		over.Task = 2
 		both := named(func(a *schema.Announce) { a.Running, a.Ended = []*schema.TaskNote{stray}, []*schema.TaskNote{over} })
 		d := newDesk("w")
 		d.told(rows, "w")
-		d.lane("l", 10)
+		d.queue("l", 10)
 		d.announce("w", both)
 		d.announce("w", both)
 		So(d.acts(0, "stop"), ShouldBeEmpty)
 		So(d.last().GetOrders().GetNoted(), ShouldBeEmpty)
 		Convey("then the run is stopped and the end noted", func() {
-			d.lane("m", 10)
+			d.queue("m", 10)
 			d.announce("w", both)
 			stops := d.acts(0, "stop")
 			So(len(stops), ShouldBeGreaterThan, 0)
@@ -145,7 +145,7 @@
 			So(d.last().Orders.Noted[0].Task, ShouldEqual, 2)
 		})
 		Convey("and a worker that runs what has no known size is given nothing", func() {
-			d.lane("l", 10, shift(1, 9, 0, queue.Ready, "", one))
+			d.queue("l", 10, shift(1, 9, 0, queue.Ready, "", one))
 			So(d.picks(), ShouldBeEmpty)
 			d.announce("w", named(nil))
 			So(len(d.picks()), ShouldEqual, 1)
@@ -280,9 +280,9 @@
 		want   map[string]int
 		bounds *schema.Bounds
 	}{
-		{what: "only the lane's pool", rows: []*schema.Row{laneRow("l", "pool", "p")}, step: &schema.Step{CoresMilli: 100}, v: plain,
+		{what: "only the queue's pool", rows: []*schema.Row{queueRow("l", "pool", "p")}, step: &schema.Step{CoresMilli: 100}, v: plain,
 			w: func(a *schema.Announce) { a.Pool = "p" }, tasks: 1, want: map[string]int{"w": 1}},
-		{what: "a lane without a pool isn't for the workers of one", step: &schema.Step{CoresMilli: 100}, v: plain,
+		{what: "a queue without a pool isn't for the workers of one", step: &schema.Step{CoresMilli: 100}, v: plain,
 			w: func(a *schema.Announce) { a.Pool = "p" }, tasks: 1, want: map[string]int{"v": 1}},
 		{what: "all labels", step: &schema.Step{CoresMilli: 100, Labels: []string{"a", "b"}},
 			v: func(a *schema.Announce) { a.Labels = []string{"a"} }, w: func(a *schema.Announce) { a.Labels = []string{"c", "b", "a"} },
@@ -332,15 +332,15 @@
 		again := shift(3, 1, 2, queue.Ready, "", step)
 		again.Attempt = 1
 		d.announce("w", func(a *schema.Announce) {
-			a.Running = []*schema.TaskNote{{Lane: "l", Job: 1, Task: 2, Attempt: 1, State: "running", CoresMilli: 100}}
+			a.Running = []*schema.TaskNote{{Queue: "l", Job: 1, Task: 2, Attempt: 1, State: "running", CoresMilli: 100}}
 		})
 		d.shifts(true, 4, shift(1, 1, 0, queue.Out, "w", step), shift(2, 1, 1, queue.Ready, "", step), again)
 		So(d.picks(), ShouldBeEmpty)
 	})
-	Convey("A task isn't started where its lane's pool is another by now", t, func() {
+	Convey("A task isn't started where its queue's pool is another by now", t, func() {
 		d := newDesk("w")
-		d.told([]*schema.Row{laneRow("l", "pool", "p")}, "w")
-		d.lane("l", 10, shift(1, 1, 0, queue.Out, "w", one))
+		d.told([]*schema.Row{queueRow("l", "pool", "p")}, "w")
+		d.queue("l", 10, shift(1, 1, 0, queue.Out, "w", one))
 		d.announce("w", nil)
 		So(d.last().Orders.Orders[0].Act, ShouldEqual, "stop")
 	})
@@ -405,7 +405,7 @@
 	lasting := &schema.Step{Name: "m", Tasks: 1, CoresMilli: 400, Lasting: true}
 	group := &schema.Step{Name: "m", Tasks: 2, CoresMilli: 400, Together: true}
 	run := func(job uint64, task uint32, run eventloop.Micros) *schema.TaskNote {
-		return &schema.TaskNote{Lane: "l", Job: job, Task: task, Attempt: 1, State: "running", RunUs: int64(run), CoresMilli: 400}
+		return &schema.TaskNote{Queue: "l", Job: job, Task: task, Attempt: 1, State: "running", RunUs: int64(run), CoresMilli: 400}
 	}
 	stops := func(d *desk) map[uint64]int {
 		got := map[uint64]int{}
@@ -430,7 +430,7 @@
 			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*eventloop.Second), run(2, 0, 9*eventloop.Second)}, "w": {run(3, 0, 8*eventloop.Second), run(4, 0, 9*eventloop.Second)}},
 			urgent:  []*queue.Shift{shift(1, 9, 0, queue.Ready, "", mid)}, want: map[uint64]int{3: 1}},
 		{what: "what has kept its progress", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "v", saving), shift(1, 3, 0, queue.Out, "w", mid), shift(1, 4, 0, queue.Out, "w", mid)},
-			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*eventloop.Second), {Lane: "l", Job: 2, Attempt: 1, State: "running", RunUs: 20_000_000, Saved: "x", CoresMilli: 400}}, "w": {run(3, 0, 8*eventloop.Second), run(4, 0, 9*eventloop.Second)}},
+			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*eventloop.Second), {Queue: "l", Job: 2, Attempt: 1, State: "running", RunUs: 20_000_000, Saved: "x", CoresMilli: 400}}, "w": {run(3, 0, 8*eventloop.Second), run(4, 0, 9*eventloop.Second)}},
 			urgent:  []*queue.Shift{shift(1, 9, 0, queue.Ready, "", mid)}, want: map[uint64]int{2: 1}},
 		{what: "lasting tasks late", less: []*queue.Shift{shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "v", lasting), shift(1, 3, 0, queue.Out, "w", lasting), shift(1, 4, 0, queue.Out, "w", lasting)},
 			running: map[string][]*schema.TaskNote{"v": {run(1, 0, 9*eventloop.Second), run(2, 0, eventloop.Milli)}, "w": {run(3, 0, eventloop.Milli), run(4, 0, eventloop.Milli)}},
@@ -458,14 +458,14 @@
 		Convey("Urgent work displaces "+each.what, t, func() {
 			d := newDesk("v", "w")
 			d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1}, Charter: true})
-			d.lane("l", max(each.lessUrgently, 10), each.less...)
+			d.queue("l", max(each.lessUrgently, 10), each.less...)
 			say := func() {
 				for _, id := range []string{"v", "w"} {
 					d.announce(id, func(a *schema.Announce) { a.Running = each.running[id] })
 				}
 			}
 			say()
-			d.lane("m", 50, each.urgent...)
+			d.queue("m", 50, each.urgent...)
 			d.pass(preemptAfter - Pace)
 			So(stops(d), ShouldBeEmpty) // it waits a little first
 			d.pass(60 * eventloop.Milli)
@@ -476,18 +476,18 @@
 	}
 	Convey("The room that was freed goes to whom it was freed for", t, func() {
 		d := newDesk("w")
-		d.lane("l", 10, shift(1, 1, 0, queue.Out, "w", mid), shift(1, 2, 0, queue.Out, "w", mid), shift(1, 3, 0, queue.Ready, "", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 300}))
+		d.queue("l", 10, shift(1, 1, 0, queue.Out, "w", mid), shift(1, 2, 0, queue.Out, "w", mid), shift(1, 3, 0, queue.Ready, "", &schema.Step{Name: "s", Tasks: 1, CoresMilli: 300}))
 		both := []*schema.TaskNote{run(1, 0, eventloop.Second), run(2, 0, eventloop.Second)}
 		d.announce("w", func(a *schema.Announce) { a.Running = both })
-		d.lane("m", 50, shift(1, 9, 0, queue.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1000}))
+		d.queue("m", 50, shift(1, 9, 0, queue.Ready, "", &schema.Step{Name: "x", Tasks: 1, CoresMilli: 1000}))
 		d.pass(preemptAfter + 2*Pace)
 		So(stops(d), ShouldResemble, map[uint64]int{1: 1, 2: 1})
 		d.announce("w", func(a *schema.Announce) {
-			a.Running, a.Ended = both[1:], []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}}
+			a.Running, a.Ended = both[1:], []*schema.TaskNote{{Queue: "l", Job: 1, Attempt: 1, State: "stopped"}}
 		})
 		So(d.picks(), ShouldBeEmpty)
 		d.announce("w", func(a *schema.Announce) {
-			a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}, {Lane: "l", Job: 2, Attempt: 1, State: "stopped"}}
+			a.Ended = []*schema.TaskNote{{Queue: "l", Job: 1, Attempt: 1, State: "stopped"}, {Queue: "l", Job: 2, Attempt: 1, State: "stopped"}}
 		})
 		So(len(d.picks()), ShouldEqual, 1)
 		So(d.picks()[0].Key.Job, ShouldEqual, 9)
@@ -500,28 +500,28 @@
 			d := newDesk("v", "w")
 			gang := &schema.Step{Name: "g", Tasks: 2, CoresMilli: 900, Together: true}
 			small := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 500}
-			d.lane("k", 10, shift(1, 1, 0, queue.Out, "v", small))
+			d.queue("k", 10, shift(1, 1, 0, queue.Out, "v", small))
 			busy := func(a *schema.Announce) {
-				a.Running = []*schema.TaskNote{{Lane: "k", Job: 1, Attempt: 1, State: "running", CoresMilli: 500}}
+				a.Running = []*schema.TaskNote{{Queue: "k", Job: 1, Attempt: 1, State: "running", CoresMilli: 500}}
 			}
 			d.announce("v", busy)
 			d.announce("w", nil)
-			d.lane("l", 10, shift(1, 5, 0, queue.Ready, "", gang), shift(1, 5, 1, queue.Ready, "", gang))
+			d.queue("l", 10, shift(1, 5, 0, queue.Ready, "", gang), shift(1, 5, 1, queue.Ready, "", gang))
 			So(d.picks(), ShouldBeEmpty)
 			d.pass(1600 * eventloop.Milli)
 			d.announce("v", busy)
 			d.announce("w", nil)
-			d.lane("m", urgency, shift(1, 6, 0, queue.Ready, "", small))
+			d.queue("m", urgency, shift(1, 6, 0, queue.Ready, "", small))
 			So(d.picks(), ShouldBeEmpty)
 			Convey(fmt.Sprint("until it fits, before urgency ", urgency), func() {
 				d.announce("v", func(a *schema.Announce) {
-					a.Ended = []*schema.TaskNote{{Lane: "k", Job: 1, Attempt: 1, State: "done"}}
+					a.Ended = []*schema.TaskNote{{Queue: "k", Job: 1, Attempt: 1, State: "done"}}
 				})
 				So(len(d.picks()), ShouldEqual, 2)
 				So(d.picks()[0].Key.Job, ShouldEqual, 5)
 			})
 			Convey(fmt.Sprint("but not from what is more urgent than ", urgency), func() {
-				d.lane("m", 20, shift(1, 6, 0, queue.Ready, "", small))
+				d.queue("m", 20, shift(1, 6, 0, queue.Ready, "", small))
 				So(len(d.picks()), ShouldEqual, 1)
 				So(d.picks()[0].Key.Job, ShouldEqual, 6)
 			})
@@ -578,8 +578,8 @@
 		for k := 0; k < 4; k++ {
 			finish(d, "a", 4*eventloop.Second)
 		}
-		d.announce("b", runs(&schema.TaskNote{Lane: "x", Name: "z", Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}))
-		d.announce("c", runs(&schema.TaskNote{Lane: "x", Name: "z", Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}))
+		d.announce("b", runs(&schema.TaskNote{Queue: "x", Name: "z", Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}))
+		d.announce("c", runs(&schema.TaskNote{Queue: "x", Name: "z", Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}))
 		So(ready(d, step), ShouldNotEqual, "a")
 		Convey("but the others aren't taken for quick", func() {
 			So(d.t.workers["b"].slow, ShouldBeBetween, -0.1, 0.1)
@@ -622,7 +622,7 @@
 	fail := func(d *desk, worker string, jobs ...uint64) {
 		for _, each := range jobs {
 			d.announce(worker, func(a *schema.Announce) {
-				a.Ended = []*schema.TaskNote{{Lane: "l", Job: each, Attempt: 1, State: "failed"}}
+				a.Ended = []*schema.TaskNote{{Queue: "l", Job: each, Attempt: 1, State: "failed"}}
 			})
 		}
 	}
@@ -709,7 +709,7 @@
 		}
 		So(len(d.picks()), ShouldEqual, 1)
 	})
-	Convey("Where a lane's tasks often fail by their own fault, a few failures in a row say nothing of their worker", t, func() {
+	Convey("Where a queue's tasks often fail by their own fault, a few failures in a row say nothing of their worker", t, func() {
 		d := setUp()
 		for k := uint64(1); k <= 65; k++ {
 			for _, id := range []string{"a", "b", "c"} {
@@ -732,7 +732,7 @@
 		d := setUp()
 		for k := uint32(1); k < 4; k++ {
 			d.announce("a", func(a *schema.Announce) {
-				a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: k, State: "failed"}}
+				a.Ended = []*schema.TaskNote{{Queue: "l", Job: 1, Attempt: k, State: "failed"}}
 			})
 		}
 		d.step(eventloop.Tick{})
@@ -759,24 +759,24 @@
 	})
 }
 
-func TestUrgentLanesComeFirst(t *testing.T) {
-	Convey("Lanes are served by urgency, equals by who has waited longest", t, func() {
+func TestUrgentQueuesComeFirst(t *testing.T) {
+	Convey("Queues are served by urgency, equals by who has waited longest", t, func() {
 		d := newDesk("w")
 		d.announce("w", func(a *schema.Announce) { a.Leaving = true })
-		d.lane("m", 10, shift(1, 1, 0, queue.Ready, "", one))
+		d.queue("m", 10, shift(1, 1, 0, queue.Ready, "", one))
 		d.pass(100 * eventloop.Milli)
-		d.lane("k", 10, shift(1, 2, 0, queue.Ready, "", one))
-		d.lane("l", 20, shift(1, 3, 0, queue.Ready, "", one))
+		d.queue("k", 10, shift(1, 2, 0, queue.Ready, "", one))
+		d.queue("l", 20, shift(1, 3, 0, queue.Ready, "", one))
 		d.announce("w", nil)
 		for _, want := range []struct {
-			job  uint64
-			lane string
+			job   uint64
+			queue string
 		}{{3, "l"}, {1, "m"}, {2, "k"}} {
 			So(len(d.picks()), ShouldEqual, 1)
 			So(d.picks()[0].Key.Job, ShouldEqual, want.job)
-			// Its lane is led elsewhere from now on, which leaves the room to the next.
+			// Its queue is led elsewhere from now on, which leaves the room to the next.
 			d.tells = nil
-			d.step(replica.Lost{Lane: want.lane})
+			d.step(replica.Lost{Queue: want.queue})
 		}
 	})
 }
@@ -788,13 +788,13 @@
 		say := func() {
 			for k, id := range []string{"v", "w"} {
 				d.announce(id, func(a *schema.Announce) {
-					a.Running = []*schema.TaskNote{{Lane: "l", Job: uint64(k + 1), Attempt: 1, State: "running", RunUs: int64(k+1) * int64(eventloop.Second), CoresMilli: 900}}
+					a.Running = []*schema.TaskNote{{Queue: "l", Job: uint64(k + 1), Attempt: 1, State: "running", RunUs: int64(k+1) * int64(eventloop.Second), CoresMilli: 900}}
 				})
 			}
 		}
-		d.lane("l", 10, shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "w", mid))
+		d.queue("l", 10, shift(1, 1, 0, queue.Out, "v", mid), shift(1, 2, 0, queue.Out, "w", mid))
 		say()
-		d.lane("m", 50, shift(1, 9, 0, queue.Ready, "", mid))
+		d.queue("m", 50, shift(1, 9, 0, queue.Ready, "", mid))
 		other := d.t.views["l"].tasks[taskKey{"l", 2, 0, 0}]
 		for k := 0; k < 25; k++ {
 			d.pass(100 * eventloop.Milli)
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -13,9 +13,9 @@
 // BenchmarkStart is what a task costs from its hand-over to its noted end, on
 // 40 workers that are full, with a backlog behind it.
 func BenchmarkStart(b *testing.B) {
-	for _, size := range []struct{ backlog, shapes, lanes int }{{0, 1, 1}, {0, 1, 50}, {2000, 1, 1}, {4000, 400, 1}} {
+	for _, size := range []struct{ backlog, shapes, queues int }{{0, 1, 1}, {0, 1, 50}, {2000, 1, 1}, {4000, 400, 1}} {
 		backlog, shapes := size.backlog, size.shapes
-		b.Run(fmt.Sprint("backlog ", backlog, " of ", shapes, " lanes ", size.lanes), func(b *testing.B) {
+		b.Run(fmt.Sprint("backlog ", backlog, " of ", shapes, " queues ", size.queues), func(b *testing.B) {
 			var ids []string
 			for k := 0; k < 40; k++ {
 				ids = append(ids, fmt.Sprintf("w%02d", k))
@@ -36,8 +36,8 @@
 				say(id)
 			}
 			d.shifts(true, 0)
-			for k := 1; k < size.lanes; k++ {
-				d.step(replica.Shifts{Lane: fmt.Sprint("idle", k), Group: fmt.Sprint("idle", k, "#1"), Term: 1, IsWhole: true})
+			for k := 1; k < size.queues; k++ {
+				d.step(replica.Shifts{Queue: fmt.Sprint("idle", k), Group: fmt.Sprint("idle", k, "#1"), Term: 1, IsWhole: true})
 			}
 			hand, job := uint64(0), uint64(0)
 			ready := func() {
@@ -66,7 +66,7 @@
 					case replica.Ended:
 						hand++
 						d.shifts(false, hand, shift(hand, m.End.Key.Job, 0, queue.Gone, "", spec()))
-						d.step(&schema.EndReply{Lane: "l", Key: m.End.Key, Attempt: m.End.Attempt, Worker: m.End.Worker})
+						d.step(&schema.EndReply{Queue: "l", Key: m.End.Key, Attempt: m.End.Attempt, Worker: m.End.Worker})
 						over[m.End.Worker] = nil
 						say(m.End.Worker)
 					}
--- a/internal/scheduler/chance.go
+++ b/internal/scheduler/chance.go
@@ -8,7 +8,7 @@
 )
 
 // chance is what a job can still be ended by. Work that comes in time goes
-// first, whatever its lane: while there is more to do than room, what is late
+// first, whatever its queue: while there is more to do than room, what is late
 // anyhow would else make late what follows it.
 type chance int
 
@@ -28,7 +28,7 @@
 // first.
 type course struct{ span, ahead []queue.Leg }
 
-// aim is how long a lane's jobs should take at most: so many times their
+// aim is how long a queue's jobs should take at most: so many times their
 // longest way, and so much besides.
 type aim struct {
 	stretch float64
@@ -37,8 +37,8 @@
 
 func (t *Table) aimOf(name string) aim {
 	return aim{
-		stretch: float64(t.values.Of("lane", name, "stretch_milli")) / 1000,
-		target:  eventloop.Micros(t.values.Of("lane", name, "target_ms")) * eventloop.Milli,
+		stretch: float64(t.values.Of("queue", name, "stretch_milli")) / 1000,
+		target:  eventloop.Micros(t.values.Of("queue", name, "target_ms")) * eventloop.Milli,
 	}
 }
 
@@ -67,14 +67,14 @@
 	if each.spec.Lasting || len(each.ahead) == 0 {
 		return inTime
 	}
-	span := t.usual(v.lane, each.span, t.cores/wideQuarter)
+	span := t.usual(v.queue, each.span, t.cores/wideQuarter)
 	if span == 0 {
 		return inTime
 	}
-	rest := t.usual(v.lane, each.ahead, 0)
+	rest := t.usual(v.queue, each.ahead, 0)
 	if each.standing == queue.Out && each.beganAt > 0 {
 		if w := t.workers[each.worker]; w != nil {
-			rest = min(rest, t.remaining(now, w, each)+t.usual(v.lane, each.ahead[1:], 0))
+			rest = min(rest, t.remaining(now, w, each)+t.usual(v.queue, each.ahead[1:], 0))
 		}
 	}
 	most := chanceEase * (v.stretch*float64(span) + float64(v.target))
--- a/internal/scheduler/chance_test.go
+++ b/internal/scheduler/chance_test.go
@@ -20,10 +20,10 @@
 
 func TestChances(t *testing.T) {
 	rows := []*schema.Row{
-		{Kind: "lane", Name: "l", Key: "stretch_milli", Value: "1500"},
-		{Kind: "lane", Name: "l", Key: "target_ms", Value: "500"},
-		{Kind: "lane", Name: "m", Key: "stretch_milli", Value: "1500"},
-		{Kind: "lane", Name: "m", Key: "target_ms", Value: "500"},
+		{Kind: "queue", Name: "l", Key: "stretch_milli", Value: "1500"},
+		{Kind: "queue", Name: "l", Key: "target_ms", Value: "500"},
+		{Kind: "queue", Name: "m", Key: "stretch_milli", Value: "1500"},
+		{Kind: "queue", Name: "m", Key: "target_ms", Value: "500"},
 	}
 	step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 1000, MemoryMb: 10, EstimateUs: int64(eventloop.Second)}
 	most := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 700, MemoryMb: 10, EstimateUs: int64(eventloop.Second)}
@@ -37,23 +37,23 @@
 	// A step as wide as the room goes in four waves: the aim is 6.5 s, with some ease.
 	Convey("Work that comes in time goes before what is late anyhow, also where that is more urgent", t, func() {
 		d := setUp()
-		d.lane("l", 20, way(shift(1, 1, 0, queue.Ready, "", step), 12*eventloop.Second, eventloop.Second))
-		d.lane("m", 10, way(shift(1, 2, 0, queue.Ready, "", step), 0, eventloop.Second))
+		d.queue("l", 20, way(shift(1, 1, 0, queue.Ready, "", step), 12*eventloop.Second, eventloop.Second))
+		d.queue("m", 10, way(shift(1, 2, 0, queue.Ready, "", step), 0, eventloop.Second))
 		d.announce("w", named(nil))
 		So(len(d.picks()), ShouldEqual, 1)
 		So(d.picks()[0].Key.Job, ShouldEqual, 2)
 	})
 	Convey("Among what comes in time urgency decides", t, func() {
 		d := setUp()
-		d.lane("m", 10, way(shift(1, 2, 0, queue.Ready, "", step), 100*eventloop.Milli, eventloop.Second))
-		d.lane("l", 20, way(shift(1, 1, 0, queue.Ready, "", step), 0, eventloop.Second))
+		d.queue("m", 10, way(shift(1, 2, 0, queue.Ready, "", step), 100*eventloop.Milli, eventloop.Second))
+		d.queue("l", 20, way(shift(1, 1, 0, queue.Ready, "", step), 0, eventloop.Second))
 		d.announce("w", named(nil))
 		So(len(d.picks()), ShouldEqual, 1)
 		So(d.picks()[0].Key.Job, ShouldEqual, 1)
 	})
 	Convey("What is lost is begun last, and only while much of the room is free", t, func() {
 		d := setUp()
-		d.lane("l", 20,
+		d.queue("l", 20,
 			way(shift(1, 1, 0, queue.Ready, "", most), 60*eventloop.Second, eventloop.Second),
 			way(shift(1, 2, 0, queue.Ready, "", rest), 60*eventloop.Second, eventloop.Second),
 		)
@@ -64,7 +64,7 @@
 	Convey("What is wider than a quarter of the room goes in waves, which belongs to its aim", t, func() {
 		d := setUp()
 		d.t.cores = 1000
-		v := &view{lane: "l", aim: d.t.aimOf("l")}
+		v := &view{queue: "l", aim: d.t.aimOf("l")}
 		each := &task{spec: step, standing: queue.Ready, dueAt: d.now - 3*eventloop.Second}
 		legs := []queue.Leg{{EstimateUs: int64(eventloop.Second), CoresMilli: 250}}
 		each.course = course{legs, legs}
@@ -83,9 +83,9 @@
 		for _, id := range []string{"w", "x", "y"} {
 			d.announce(id, named(nil))
 		}
-		d.lane("l", 20, shift(1, 1, 0, queue.Out, "w", long), shift(1, 2, 0, queue.Out, "x", long))
+		d.queue("l", 20, shift(1, 1, 0, queue.Out, "w", long), shift(1, 2, 0, queue.Out, "x", long))
 		d.t.setAside(d.now, d.t.workers["y"], firstRest, 1)
-		d.lane("m", 20, way(shift(1, 3, 0, queue.Ready, "", long), 0, 6*eventloop.Second))
+		d.queue("m", 20, way(shift(1, 3, 0, queue.Ready, "", long), 0, 6*eventloop.Second))
 		d.announce("y", named(nil))
 		So(d.picks(), ShouldBeEmpty)
 		for k := 0; k < 6; k++ {
@@ -99,15 +99,15 @@
 	Convey("Room that more urgent work has been using of late is left free by what takes long", t, func() {
 		d := newDesk("w")
 		d.announce("w", named(nil))
-		d.lane("l", 20, shift(1, 1, 0, queue.Out, "w", wide))
+		d.queue("l", 20, shift(1, 1, 0, queue.Out, "w", wide))
 		d.pass(100 * eventloop.Milli)
-		d.step(replica.Shifts{Lane: "l", Group: "l#1", Term: 1, Hand: 2, List: []*queue.Shift{shift(2, 1, 0, queue.Gone, "", wide)}, Running: 1000, Urgency: 20})
+		d.step(replica.Shifts{Queue: "l", Group: "l#1", Term: 1, Hand: 2, List: []*queue.Shift{shift(2, 1, 0, queue.Gone, "", wide)}, Running: 1000, Urgency: 20})
 		d.announce("w", named(nil))
-		d.lane("m", 10, way(shift(1, 2, 0, queue.Ready, "", long), 0, 6*eventloop.Second))
+		d.queue("m", 10, way(shift(1, 2, 0, queue.Ready, "", long), 0, 6*eventloop.Second))
 		d.announce("w", named(nil))
 		So(d.picks(), ShouldBeEmpty)
 		Convey("but not by what is soon over", func() {
-			d.lane("k", 10, way(shift(1, 3, 0, queue.Ready, "", brief), 0, 500*eventloop.Milli))
+			d.queue("k", 10, way(shift(1, 3, 0, queue.Ready, "", brief), 0, 500*eventloop.Milli))
 			d.announce("w", named(nil))
 			So(len(d.picks()), ShouldEqual, 1)
 		})
@@ -131,9 +131,9 @@
 	}
 	play := func(span eventloop.Micros) *desk {
 		d := newDesk("w")
-		d.lane("m", 10, way(shift(1, 1, 0, queue.Out, "w", low), 0, 20*eventloop.Second))
+		d.queue("m", 10, way(shift(1, 1, 0, queue.Out, "w", low), 0, 20*eventloop.Second))
 		d.announce("w", runs(span))
-		d.lane("l", 20, way(shift(1, 2, 0, queue.Ready, "", high), 0, eventloop.Second))
+		d.queue("l", 20, way(shift(1, 2, 0, queue.Ready, "", high), 0, eventloop.Second))
 		d.pass(preemptAfter + 2*Pace)
 		d.announce("w", runs(span+preemptAfter+2*Pace))
 		return d
--- a/internal/scheduler/guard_test.go
+++ b/internal/scheduler/guard_test.go
@@ -31,7 +31,7 @@
 			So(isNoted(), ShouldBeFalse)
 			So(len(d.ended()), ShouldBeGreaterThan, k)
 		}
-		d.step(&schema.EndReply{Lane: "l", Key: &schema.TaskKey{Job: 1}, Attempt: 1, Worker: "v"})
+		d.step(&schema.EndReply{Queue: "l", Key: &schema.TaskKey{Job: 1}, Attempt: 1, Worker: "v"})
 		d.announce("v", ends(note("done")))
 		d.pass(holdSpan + eventloop.Second)
 		So(isNoted(), ShouldBeTrue)
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -8,7 +8,7 @@
 
 // Urgent work comes in bursts, and room that less urgent work has filled comes
 // back only after a stop, with the work thrown away. So what takes long leaves
-// free what more urgent lanes have lately been using at their most.
+// free what more urgent queues have lately been using at their most.
 
 const (
 	swingSpan   = 10 * eventloop.Second // within which a peak is mostly forgotten
@@ -35,16 +35,16 @@
 	return amount{left(s.cores, use.cores), left(s.memory, use.memory), left(s.accelerators, use.accelerators)}
 }
 
-// headroom is how much may still be taken by a lane's work that isn't brief.
+// headroom is how much may still be taken by a queue's work that isn't brief.
 func (t *Table) headroom(v *view, list []*room) amount {
 	var free, whole, kept amount
 	for _, r := range list {
 		free.add(amount{max(r.free.cores, 0), max(r.free.memory, 0), max(r.free.accelerators, 0)})
 		whole.add(r.w.whole())
 	}
-	pool := t.values.Text("lane", v.lane, "pool")
+	pool := t.values.Text("queue", v.queue, "pool")
 	for _, other := range t.views {
-		if other.urgency > v.urgency && t.values.Text("lane", other.lane, "pool") == pool {
+		if other.urgency > v.urgency && t.values.Text("queue", other.queue, "pool") == pool {
 			use := other.use
 			for _, each := range other.reserved {
 				use.add(sizeOf(each.spec))
@@ -72,6 +72,6 @@
 // isBrief tells whether a step's tasks end about as soon as they could be
 // stopped.
 func (t *Table) isBrief(v *view, first *task) bool {
-	span := t.usual(v.lane, first.ahead[:min(1, len(first.ahead))], 0)
+	span := t.usual(v.queue, first.ahead[:min(1, len(first.ahead))], 0)
 	return !first.spec.Lasting && span <= max(briefTimes*eventloop.Micros(t.bounds.GetStopUs()), briefAtMost)
 }
--- a/internal/scheduler/name.go
+++ b/internal/scheduler/name.go
@@ -8,7 +8,7 @@
 	"sparnotch/internal/schema"
 )
 
-// nameKey is a task as an agent names it, which knows no lane.
+// nameKey is a task as an agent names it, which knows no queue.
 type nameKey struct {
 	name        string
 	round, part uint32
@@ -24,7 +24,7 @@
 	return nameAttempt{nameKey{note.Name, note.Round, note.Part, note.Task}, note.Attempt}
 }
 
-// resolve finds the lane and key of every note of a named announce. What can't
+// resolve finds the queue and key of every note of a named announce. What can't
 // be found stays with the worker as strange runs and unknown ends.
 func (t *Table) resolve(w *worker, a *schema.Announce) (running, over []*schema.TaskNote) {
 	if !a.Named {
@@ -41,7 +41,7 @@
 			}
 			kept[nameOf(note)] = key
 			found = append(found, &schema.TaskNote{
-				Lane: key.lane, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt, State: note.State,
+				Queue: key.queue, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt, State: note.State,
 				RunUs: note.RunUs, StillUs: note.StillUs, CoresMilli: note.CoresMilli, MemoryMb: note.MemoryMb,
 				Name: note.Name, Round: note.Round, Part: note.Part, Saved: note.Saved, Percent: note.Percent,
 			})
@@ -74,7 +74,7 @@
 	return attemptKey{}, false
 }
 
-// forgotten lists those of a worker's notes that no lane can know: every lane
+// forgotten lists those of a worker's notes that no queue can know: every queue
 // of the plan is led here, and none has such a task. Before that is sure they
 // are left alone.
 func (t *Table) forgotten(now eventloop.Micros, notes []*schema.TaskNote) []*schema.TaskNote {
@@ -91,17 +91,17 @@
 	return list
 }
 
-// isAllHere tells whether every lane of the plan that stands in the charter is
+// isAllHere tells whether every queue of the plan that stands in the charter is
 // led here and may be acted for.
 func (t *Table) isAllHere(now eventloop.Micros) bool {
 	if t.state.Version == 0 || !t.isSure(now) {
 		return false
 	}
-	for _, place := range t.state.Lanes {
-		if !t.values.HasLane(place.Lane) {
+	for _, place := range t.state.Queues {
+		if !t.values.HasQueue(place.Queue) {
 			continue
 		}
-		if v := t.views[place.Lane]; v == nil || !t.mayAct(now, v) {
+		if v := t.views[place.Queue]; v == nil || !t.mayAct(now, v) {
 			return false
 		}
 	}
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -41,33 +41,33 @@
 	trials     int // sound runs since
 }
 
-// tally is decayed counts of a lane's tasks that ended on one worker.
+// tally is decayed counts of a queue's tasks that ended on one worker.
 type tally struct{ good, bad float64 }
 
-// usualShare is the share of a lane's runs that fail on other workers.
-func (t *Table) usualShare(w *worker, lane string) float64 {
+// usualShare is the share of a queue's runs that fail on other workers.
+func (t *Table) usualShare(w *worker, queue string) float64 {
 	good, bad := 0.0, 0.0
 	for _, other := range t.inOrder() {
-		if other != w && other.tallies[lane] != nil {
-			good += other.tallies[lane].good
-			bad += other.tallies[lane].bad
+		if other != w && other.tallies[queue] != nil {
+			good += other.tallies[queue].good
+			bad += other.tallies[queue].bad
 		}
 	}
 	share := (bad + leastShare*shareWeight) / (good + bad + shareWeight)
 	return math.Min(math.Max(share, leastShare), badShare)
 }
 
-// weigh sets an end against how often the lane's tasks fail elsewhere: what
+// weigh sets an end against how often the queue's tasks fail elsewhere: what
 // fails by its own fault does so everywhere.
-func (t *Table) weigh(w *worker, lane string, isFailed bool) {
-	share := t.usualShare(w, lane)
+func (t *Table) weigh(w *worker, queue string, isFailed bool) {
+	share := t.usualShare(w, queue)
 	if w.tallies == nil {
 		w.tallies = map[string]*tally{}
 	}
-	own := w.tallies[lane]
+	own := w.tallies[queue]
 	if own == nil {
 		own = &tally{}
-		w.tallies[lane] = own
+		w.tallies[queue] = own
 	}
 	own.good *= 0.98
 	own.bad *= 0.98
@@ -80,10 +80,10 @@
 	}
 }
 
-// paceKey names tasks whose runs can be compared: those of a lane by their
+// paceKey names tasks whose runs can be compared: those of a queue by their
 // estimates, others by their step.
 type paceKey struct {
-	lane, step string
+	queue, step string
 }
 
 // pace is how long such tasks take, as a line through the logarithms of their
@@ -133,9 +133,9 @@
 
 func paceOf(each *task) (paceKey, float64) {
 	if each.spec.EstimateUs > 0 {
-		return paceKey{each.key.lane, ""}, float64(each.spec.EstimateUs)
+		return paceKey{each.key.queue, ""}, float64(each.spec.EstimateUs)
 	}
-	return paceKey{each.key.lane, each.spec.Name}, float64(eventloop.Second)
+	return paceKey{each.key.queue, each.spec.Name}, float64(eventloop.Second)
 }
 
 // expected is how long a task should run on a worker; 0: unknown.
@@ -180,7 +180,7 @@
 	case "done":
 		w.good = w.good*0.98 + 1
 		w.bad *= 0.98
-		t.weigh(w, key.lane, false)
+		t.weigh(w, key.queue, false)
 		each := w.tasks[key.taskKey]
 		if w.isOnTrial && (each == nil || each.beganAt >= w.asideUntil) {
 			if w.trials++; w.trials >= 2 {
@@ -200,7 +200,7 @@
 		// elsewhere, which says nothing of the worker.
 		each := w.tasks[key.taskKey]
 		if isKnown := each != nil && each.failures > 0; !isKnown && w.failedKey != key.taskKey {
-			t.weigh(w, key.lane, true)
+			t.weigh(w, key.queue, true)
 		}
 		w.failedKey = key.taskKey
 	}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// pass runs over the ready tasks, most urgent lane first, and checks out what
+// pass runs over the ready tasks, most urgent queue first, and checks out what
 // finds room.
 func (t *Table) pass(now eventloop.Micros, out eventloop.Out) {
 	var views []*view
@@ -208,7 +208,7 @@
 	}
 	// Among equals goes first who has waited longest.
 	slices.SortFunc(views, func(a, b *view) int {
-		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(oldest[a], oldest[b]), cmp.Compare(a.lane, b.lane))
+		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(oldest[a], oldest[b]), cmp.Compare(a.queue, b.queue))
 	})
 	list := t.rooms(now)
 	misses := maxMisses
@@ -232,7 +232,7 @@
 	}
 	for _, each := range []chance{inTime, late, lost} {
 		for _, v := range views {
-			t.passLane(now, v, each, &queues[v][each], own[t.values.Text("lane", v.lane, "pool")], list, p, out)
+			t.passQueue(now, v, each, &queues[v][each], own[t.values.Text("queue", v.queue, "pool")], list, p, out)
 		}
 	}
 	if p.isFutile {
@@ -240,7 +240,7 @@
 	}
 }
 
-// oldest is since when the first steps of the lane have waited.
+// oldest is since when the first steps of the queue have waited.
 func (v *view) oldest() eventloop.Micros {
 	at := eventloop.Micros(math.MaxInt64)
 	for _, r := range v.rows {
@@ -255,7 +255,7 @@
 
 // passage is what a pass has done so far.
 type passage struct {
-	misses   int               // of one lane, after which those behind aren't looked at
+	misses   int               // of one queue, after which those behind aren't looked at
 	least    int64             // lowest urgency of what is out
 	claims   map[string]bool   // pools in which workers are kept free
 	isFutile bool              // something that may displace found nothing to displace
@@ -263,7 +263,7 @@
 }
 
 // heads are the first steps of each shape that are still to be looked at, in
-// the lane's order.
+// the queue's order.
 type heads []*head
 
 type head struct {
@@ -288,7 +288,7 @@
 	return last
 }
 
-// heads sorts a lane's ready steps by their chance, in one look at each.
+// heads sorts a queue's ready steps by their chance, in one look at each.
 func (t *Table) heads(now eventloop.Micros, v *view) (queues [lost + 1]heads) {
 	for _, r := range v.rows {
 		var bands [lost + 1][]*band
@@ -310,7 +310,7 @@
 	return queues
 }
 
-func (t *Table) passLane(now eventloop.Micros, v *view, turn chance, waiting *heads, list, all []*room, p *passage, out eventloop.Out) {
+func (t *Table) passQueue(now eventloop.Micros, v *view, turn chance, waiting *heads, list, all []*room, p *passage, out eventloop.Out) {
 	var picks []*schema.Pick
 	spare := math.MaxInt64
 	if turn == lost {
@@ -395,8 +395,8 @@
 		}
 	}
 	if len(picks) > 0 {
-		out.Tell("keep", replica.Propose{Group: v.group, Term: v.term, Command: &schema.LaneCommand{
-			Body: &schema.LaneCommand_Checkout{Checkout: &schema.Checkout{Picks: picks}},
+		out.Tell("keep", replica.Propose{Group: v.group, Term: v.term, Command: &schema.QueueCommand{
+			Body: &schema.QueueCommand_Checkout{Checkout: &schema.Checkout{Picks: picks}},
 		}})
 	}
 }
@@ -542,7 +542,7 @@
 
 // Placement is one task's place and the reason for it.
 type Placement struct {
-	Lane   string `json:"lane"`
+	Queue  string `json:"queue"`
 	Job    string `json:"job"`
 	Step   string `json:"step"`
 	Task   uint32 `json:"task"`
@@ -593,7 +593,7 @@
 			if each.standing == queue.Stopping || each.evict != "" {
 				state = "stopping"
 			}
-			p.Tasks = append(p.Tasks, &Placement{Lane: each.key.lane, Job: each.name, Step: each.spec.Name, Task: each.key.task, Worker: id, State: state, Why: each.why})
+			p.Tasks = append(p.Tasks, &Placement{Queue: each.key.queue, Job: each.name, Step: each.spec.Name, Task: each.key.task, Worker: id, State: state, Why: each.why})
 		}
 	}
 	for name, v := range t.views {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -56,7 +56,7 @@
 			p.isFutile = true
 		}
 	}
-	pool := t.values.Text("lane", v.lane, "pool")
+	pool := t.values.Text("queue", v.queue, "pool")
 	if got == 0 && !p.claims[pool] && now-first.since >= claimAfter && isWide(x, list) {
 		count := 1
 		if x.spec.Together {
@@ -205,7 +205,7 @@
 		if !t.isDisplaceable(each) {
 			continue
 		}
-		u := &unit{members: []*task{each}, urgency: t.views[each.key.lane].urgency}
+		u := &unit{members: []*task{each}, urgency: t.views[each.key.queue].urgency}
 		if each.spec.Together {
 			if seen[each.key.ofStep()] {
 				continue
@@ -221,7 +221,7 @@
 				continue
 			}
 		}
-		u.chance = t.chanceOf(now, t.views[each.key.lane], each)
+		u.chance = t.chanceOf(now, t.views[each.key.queue], each)
 		for _, member := range u.members {
 			u.cost += loss(now, member)
 		}
@@ -269,7 +269,7 @@
 // worthwhile is how much work may be thrown away to begin a task at once: more
 // than about its own isn't gained by it.
 func (t *Table) worthwhile(v *view, each *task) float64 {
-	span := t.usual(v.lane, each.ahead[:min(1, len(each.ahead))], 0)
+	span := t.usual(v.queue, each.ahead[:min(1, len(each.ahead))], 0)
 	if span == 0 || each.spec.Lasting {
 		return math.Inf(1)
 	}
--- a/internal/scheduler/room.go
+++ b/internal/scheduler/room.go
@@ -63,7 +63,7 @@
 	if each := w.tasks[key.taskKey]; each != nil {
 		return each.spec
 	}
-	if v := t.views[key.lane]; v != nil {
+	if v := t.views[key.queue]; v != nil {
 		if each := v.tasks[key.taskKey]; each != nil {
 			return each.spec
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,5 +1,5 @@
 // Package scheduler owns which worker runs which task. It holds a copy of what
-// the lanes led here have ready and out, and of what its workers say of
+// the queues led here have ready and out, and of what its workers say of
 // themselves; the answer to a worker's announce is the difference.
 package scheduler
 
@@ -43,26 +43,26 @@
 	departLead   = 500 * eventloop.Milli  // how long before its worker goes a task is stopped to keep its progress
 	overSpan     = 60 * eventloop.Second  // how long a worker stays known as dead after the last word of it
 	maxPicks     = 64                     // of one checkout, groups apart
-	maxMisses    = 32                     // steps that find no room, of one lane and pass
+	maxMisses    = 32                     // steps that find no room, of one queue and pass
 	wholePass    = eventloop.Second / 2   // between two passes that look at every step
 	passRest     = 10 * eventloop.Milli   // after a pass that has left much waiting
 )
 
 type taskKey struct {
-	lane string
-	job  uint64
-	step uint32
-	task uint32
+	queue string
+	job   uint64
+	step  uint32
+	task  uint32
 }
 
 // stepKey is a step of a job, of one of its rounds.
 type stepKey struct {
-	lane string
-	job  uint64
-	step uint32
+	queue string
+	job   uint64
+	step  uint32
 }
 
-func (k taskKey) ofStep() stepKey { return stepKey{k.lane, k.job, k.step} }
+func (k taskKey) ofStep() stepKey { return stepKey{k.queue, k.job, k.step} }
 
 type attemptKey struct {
 	taskKey
@@ -88,7 +88,7 @@
 	isLaunched  bool             // its group is decided to begin
 	launchAt    eventloop.Micros // when that was proposed
 	heldAt      eventloop.Micros // when the whole group was first seen held
-	isOver      bool             // its end has been noted, by more than we have heard of the lane
+	isOver      bool             // its end has been noted, by more than we have heard of the queue
 	round, part uint32
 	saved       string // progress its next start carries
 	failures    uint32 // counted so far
@@ -160,10 +160,10 @@
 }
 
 type view struct {
-	lane, group string
-	term, hand  uint64
-	urgency     int64
-	running     int64
+	queue, group string
+	term, hand   uint64
+	urgency      int64
+	running      int64
 	aim
 	use      amount // by what is out
 	peak     swing  // of that
@@ -294,7 +294,7 @@
 	case replica.Shifts:
 		t.shifts(now, body, out)
 	case replica.Lost:
-		t.lose(body.Lane)
+		t.lose(body.Queue)
 	case *schema.Poll:
 		t.heard(now, mail.From, body, out)
 	case *schema.EndReply:
@@ -373,7 +373,7 @@
 		_, w.isOver = t.over[id]
 	}
 	for _, v := range t.views {
-		v.aim = t.aimOf(v.lane)
+		v.aim = t.aimOf(v.queue)
 	}
 	t.isDirty = true
 }
@@ -403,12 +403,12 @@
 	return t.ordered
 }
 
-// --- the lanes: what is ready and out ---
+// --- the queues: what is ready and out ---
 
 func before(a, b *task) bool { return lessKey(a.key, b.key) }
 
 func (t *Table) shifts(now eventloop.Micros, m replica.Shifts, out eventloop.Out) {
-	v := t.views[m.Lane]
+	v := t.views[m.Queue]
 	if m.IsWhole {
 		was := map[taskKey]task{}
 		peak := swing{}
@@ -420,10 +420,10 @@
 				was[key] = *each
 			}
 		}
-		v = &view{lane: m.Lane, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, rows: map[shape]*row{}, places: map[stepKey]map[string]int{}}
-		t.lose(m.Lane)
-		t.views[m.Lane] = v
-		v.urgency, v.running, v.peak, v.aim = m.Urgency, m.Running, peak, t.aimOf(m.Lane)
+		v = &view{queue: m.Queue, group: m.Group, term: m.Term, tasks: map[taskKey]*task{}, reserved: map[taskKey]*task{}, gangs: map[taskKey]*task{}, rows: map[shape]*row{}, places: map[stepKey]map[string]int{}}
+		t.lose(m.Queue)
+		t.views[m.Queue] = v
+		v.urgency, v.running, v.peak, v.aim = m.Urgency, m.Running, peak, t.aimOf(m.Queue)
 		for _, shift := range m.List {
 			t.shift(now, v, shift)
 		}
@@ -470,7 +470,7 @@
 }
 
 func (t *Table) shift(now eventloop.Micros, v *view, s *queue.Shift) {
-	key := taskKey{v.lane, s.Key.Job, s.Key.Step, s.Key.Task}
+	key := taskKey{v.queue, s.Key.Job, s.Key.Step, s.Key.Task}
 	old := v.tasks[key]
 	t.remove(v, key)
 	if s.State == queue.Gone {
@@ -623,7 +623,7 @@
 // fresh.
 func (t *Table) isSure(now eventloop.Micros) bool { return now-t.freshAt < actSpan && t.fresh.Charter }
 
-// mayAct tells whether orders for a lane may leave: its leader has just heard
+// mayAct tells whether orders for a queue may leave: its leader has just heard
 // its quorum, and the charter's word is fresh.
 func (t *Table) mayAct(now eventloop.Micros, v *view) bool {
 	return t.isSure(now) && t.fresh.Groups[v.group] == v.term
@@ -632,7 +632,7 @@
 // --- the workers ---
 
 func noteKey(note *schema.TaskNote) attemptKey {
-	return attemptKey{taskKey{note.Lane, note.Job, note.Step, note.Task}, note.Attempt}
+	return attemptKey{taskKey{note.Queue, note.Job, note.Step, note.Task}, note.Attempt}
 }
 
 func (t *Table) heard(now eventloop.Micros, front string, m *schema.Poll, out eventloop.Out) {
@@ -712,7 +712,7 @@
 	t.isStirred = true
 }
 
-// reports passes ended tasks on to their lanes' leaders until they are noted.
+// reports passes ended tasks on to their queues' leaders until they are noted.
 func (t *Table) reports(now eventloop.Micros, w *worker, notes []*schema.TaskNote, out eventloop.Out) {
 	fresh := map[attemptKey]*ended{}
 	for _, note := range notes {
@@ -736,10 +736,10 @@
 		}
 		outcome := e.note.State
 		end := &schema.End{
-			Lane: key.lane, Key: &schema.TaskKey{Job: key.job, Step: key.step, Task: key.task},
+			Queue: key.queue, Key: &schema.TaskKey{Job: key.job, Step: key.step, Task: key.task},
 			Attempt: key.attempt, Worker: w.id, Saved: e.note.Saved, Whole: outcome == "done" && w.gathers,
 		}
-		if v := t.views[key.lane]; v != nil && t.mayAct(now, v) {
+		if v := t.views[key.queue]; v != nil && t.mayAct(now, v) {
 			each := v.tasks[key.taskKey]
 			// It isn't out under that attempt any more, so nothing is left to
 			// report, but that it failed. That is sure only when nothing is on
@@ -789,7 +789,7 @@
 func lessKey(a, b taskKey) bool { return compareKeys(a, b) < 0 }
 
 func compareKeys(a, b taskKey) int {
-	return cmp.Or(cmp.Compare(a.lane, b.lane), cmp.Compare(a.job, b.job), cmp.Compare(a.step, b.step), cmp.Compare(a.task, b.task))
+	return cmp.Or(cmp.Compare(a.queue, b.queue), cmp.Compare(a.job, b.job), cmp.Compare(a.step, b.step), cmp.Compare(a.task, b.task))
 }
 
 // forsaken returns what an earlier incarnation of the worker had: by its own
@@ -818,21 +818,21 @@
 	each.lostAt = now
 	t.counts.LostTasks++
 	out.Tell("keep", replica.Ended{End: &schema.End{
-		Lane: each.key.lane, Key: &schema.TaskKey{Job: each.key.job, Step: each.key.step, Task: each.key.task},
+		Queue: each.key.queue, Key: &schema.TaskKey{Job: each.key.job, Step: each.key.step, Task: each.key.task},
 		Attempt: each.attempt, Outcome: outcome, Worker: each.worker, Saved: each.keptProgress(),
 	}})
 }
 
 func (t *Table) noted(m *schema.EndReply) {
 	if w := t.workers[m.Worker]; w != nil && m.Key != nil {
-		if e := w.ended[attemptKey{taskKey{m.Lane, m.Key.Job, m.Key.Step, m.Key.Task}, m.Attempt}]; e != nil {
+		if e := w.ended[attemptKey{taskKey{m.Queue, m.Key.Job, m.Key.Step, m.Key.Task}, m.Attempt}]; e != nil {
 			e.isNoted, w.isDirty = true, true
 		}
 	}
-	// The lane has taken the end in, though its shift may not be here yet: this
+	// The queue has taken the end in, though its shift may not be here yet: this
 	// attempt isn't started any more.
-	if v := t.views[m.Lane]; v != nil && m.Key != nil {
-		if each := v.tasks[taskKey{m.Lane, m.Key.Job, m.Key.Step, m.Key.Task}]; each != nil && each.attempt == m.Attempt && each.worker == m.Worker {
+	if v := t.views[m.Queue]; v != nil && m.Key != nil {
+		if each := v.tasks[taskKey{m.Queue, m.Key.Job, m.Key.Step, m.Key.Task}]; each != nil && each.attempt == m.Attempt && each.worker == m.Worker {
 			each.isOver = true
 		}
 	}
@@ -928,7 +928,7 @@
 			if own > 0 {
 				return own
 			}
-			return t.values.Of("lane", key.lane, usual) * int64(eventloop.Milli)
+			return t.values.Of("queue", key.queue, usual) * int64(eventloop.Milli)
 		}
 		if limit := stated(each.spec.TimeLimitUs, "limit_ms"); limit > 0 && note.State == "running" && note.RunUs+age > limit {
 			t.evict(each, "failed")
@@ -986,10 +986,10 @@
 // --- groups that must run together ---
 
 func (t *Table) members(each *task) []*task {
-	v := t.views[each.key.lane]
+	v := t.views[each.key.queue]
 	var list []*task
 	for k := uint32(0); k < each.spec.Tasks; k++ {
-		if member := v.tasks[taskKey{each.key.lane, each.key.job, each.key.step, k}]; member != nil {
+		if member := v.tasks[taskKey{each.key.queue, each.key.job, each.key.step, k}]; member != nil {
 			list = append(list, member)
 		}
 	}
@@ -1005,11 +1005,11 @@
 }
 
 // launch proposes that a group begins whose members are all held. The decision
-// is a record of the lane before any start leaves, so that a successor carries
+// is a record of the queue before any start leaves, so that a successor carries
 // it out instead of breaking it; and it waits for a moment until every worker
 // has an announce open, so that all starts leave in one step.
 func (t *Table) launch(now eventloop.Micros, out eventloop.Out) {
-	// Few of many lanes have a group that isn't decided on.
+	// Few of many queues have a group that isn't decided on.
 	var names []string
 	for name, v := range t.views {
 		if len(v.gangs) > 0 && t.mayAct(now, v) {
@@ -1037,8 +1037,8 @@
 				member.launchAt = now
 				command.Attempts = append(command.Attempts, member.attempt)
 			}
-			out.Tell("keep", replica.Propose{Group: v.group, Term: v.term, Command: &schema.LaneCommand{
-				Body: &schema.LaneCommand_Launch{Launch: command},
+			out.Tell("keep", replica.Propose{Group: v.group, Term: v.term, Command: &schema.QueueCommand{
+				Body: &schema.QueueCommand_Launch{Launch: command},
 			}})
 		}
 	}
@@ -1121,7 +1121,7 @@
 	for _, key := range endedKeys(w) {
 		if e := w.ended[key]; e.isNoted {
 			orders.Noted = append(orders.Noted, &schema.TaskNote{
-				Lane: key.lane, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt,
+				Queue: key.queue, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt,
 				Name: e.note.Name, Round: e.note.Round, Part: e.note.Part,
 			})
 		}
@@ -1131,7 +1131,7 @@
 		switch order.Act {
 		case "start":
 			t.counts.Starts++
-			if each := w.tasks[taskKey{order.Lane, order.Job, order.Step, order.Task}]; each != nil {
+			if each := w.tasks[taskKey{order.Queue, order.Job, order.Step, order.Task}]; each != nil {
 				each.orderAt = now
 			}
 		case "hold":
@@ -1144,7 +1144,7 @@
 	out.Send(p.front, &schema.PollReply{Id: p.id, Code: 200, Orders: orders, Placer: t.id})
 }
 
-// orders is the difference between what the lanes want on a worker and what
+// orders is the difference between what the queues want on a worker and what
 // it says it has.
 func (t *Table) orders(now eventloop.Micros, w *worker) []*schema.Order {
 	var list []*schema.Order
@@ -1161,15 +1161,15 @@
 		if each.incarnation != w.incarnation || w.ended[key] != nil || w.isOver || each.isOver {
 			continue
 		}
-		v := t.views[each.key.lane]
+		v := t.views[each.key.queue]
 		note := w.running[key]
 		switch {
 		case each.standing == queue.Stopping || each.evict != "" || w.isLeaving && !t.isBound(now, w, each, note):
 			list = append(list, t.order("stop", v, each))
 		case !t.mayAct(now, v):
 		case note == nil:
-			// The plan may have given the lane to other workers since.
-			if t.values.Text("lane", v.lane, "pool") != w.pool {
+			// The plan may have given the queue to other workers since.
+			if t.values.Text("queue", v.queue, "pool") != w.pool {
 				list = append(list, t.order("stop", v, each))
 				continue
 			}
@@ -1201,24 +1201,24 @@
 
 func lessOrder(x, y *schema.Order) bool {
 	return cmp.Or(
-		compareKeys(taskKey{x.Lane, x.Job, x.Step, x.Task}, taskKey{y.Lane, y.Job, y.Step, y.Task}),
+		compareKeys(taskKey{x.Queue, x.Job, x.Step, x.Task}, taskKey{y.Queue, y.Job, y.Step, y.Task}),
 		cmp.Compare(x.Name, y.Name), cmp.Compare(x.Round, y.Round), cmp.Compare(x.Part, y.Part), cmp.Compare(x.Attempt, y.Attempt),
 	) < 0
 }
 
-// strays are tasks that run on the worker though their lane, which is led
+// strays are tasks that run on the worker though their queue, which is led
 // here, doesn't have them out there.
 func (t *Table) strays(now eventloop.Micros, w *worker) []*schema.Order {
 	var list []*schema.Order
 	for key, note := range w.running {
-		v := t.views[key.lane]
+		v := t.views[key.queue]
 		if v == nil || !t.mayAct(now, v) {
 			continue
 		}
 		if each := v.tasks[key.taskKey]; each != nil && each.attempt <= key.attempt && each.standing != queue.Ready && each.worker == w.id {
 			continue
 		}
-		list = append(list, &schema.Order{Act: "stop", Lane: key.lane, Job: key.job, Step: key.step, Task: key.task, Attempt: note.Attempt, Term: v.term, Name: note.Name, Round: note.Round, Part: note.Part})
+		list = append(list, &schema.Order{Act: "stop", Queue: key.queue, Job: key.job, Step: key.step, Task: key.task, Attempt: note.Attempt, Term: v.term, Name: note.Name, Round: note.Round, Part: note.Part})
 	}
 	for _, note := range t.forgotten(now, w.strange) {
 		list = append(list, &schema.Order{Act: "stop", Name: note.Name, Round: note.Round, Part: note.Part, Task: note.Task, Attempt: note.Attempt})
@@ -1234,7 +1234,7 @@
 	}
 	return &schema.Order{
 		Round: each.round, Part: each.part, Saved: saved, Accelerators: each.spec.Accelerators,
-		Act: act, Lane: v.lane, Name: each.name, Job: each.key.job, Step: each.key.step, Task: each.key.task, Attempt: each.attempt,
+		Act: act, Queue: v.queue, Name: each.name, Job: each.key.job, Step: each.key.step, Task: each.key.task, Attempt: each.attempt,
 		Hand: each.hand, Term: v.term, StepName: each.spec.Name, Text: each.text,
 		CoresMilli: each.spec.CoresMilli, MemoryMb: each.spec.MemoryMb,
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -67,7 +67,7 @@
 }
 
 func (d *desk) shifts(isWhole bool, hand uint64, list ...*queue.Shift) {
-	d.step(replica.Shifts{Lane: "l", Group: "l#1", Term: 1, Hand: hand, List: list, IsWhole: isWhole, Running: 1000})
+	d.step(replica.Shifts{Queue: "l", Group: "l#1", Term: 1, Hand: hand, List: list, IsWhole: isWhole, Running: 1000})
 }
 
 func (d *desk) picks() []*schema.Pick {
@@ -126,7 +126,7 @@
 			d.shifts(false, 4, shift(3, 2, 0, queue.Ready, "", one), shift(4, 3, 0, queue.Ready, "", one))
 			So(len(d.picks()), ShouldEqual, 0)
 			d.announce("w", func(a *schema.Announce) {
-				a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "done"}}
+				a.Ended = []*schema.TaskNote{{Queue: "l", Job: 1, Attempt: 1, State: "done"}}
 			})
 			So(len(d.ended()), ShouldEqual, 1)
 			So(len(d.picks()), ShouldEqual, 1) // by the worker's word the room is free
@@ -140,9 +140,9 @@
 		d.announce("w", nil)
 		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", one))
 		d.announce("w", func(a *schema.Announce) {
-			a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}}
+			a.Ended = []*schema.TaskNote{{Queue: "l", Job: 1, Attempt: 1, State: "stopped"}}
 		})
-		d.step(&schema.EndReply{Lane: "l", Key: &schema.TaskKey{Job: 1}, Attempt: 1, Worker: "w"})
+		d.step(&schema.EndReply{Queue: "l", Key: &schema.TaskKey{Job: 1}, Attempt: 1, Worker: "w"})
 		So(len(d.last().Orders.Noted), ShouldEqual, 1)
 		from := len(d.replies)
 		d.announce("w", nil)
@@ -242,7 +242,7 @@
 	gang := &schema.Step{Name: "g", Tasks: 2, CoresMilli: 600, MemoryMb: 1, Together: true}
 	held := func(task uint32) func(*schema.Announce) {
 		return func(a *schema.Announce) {
-			a.Running = []*schema.TaskNote{{Lane: "l", Job: 1, Task: task, Attempt: 1, State: "held", CoresMilli: 600, MemoryMb: 1}}
+			a.Running = []*schema.TaskNote{{Queue: "l", Job: 1, Task: task, Attempt: 1, State: "held", CoresMilli: 600, MemoryMb: 1}}
 		}
 	}
 	Convey("A group that must run together is checked out whole, held everywhere, then started", t, func() {
@@ -260,7 +260,7 @@
 		So(d.last().Orders.Orders[0].Act, ShouldEqual, "hold")
 		// While a worker has no announce open its start would leave later than the
 		// others'.
-		d.step(&schema.EndReply{Lane: "l", Key: &schema.TaskKey{Job: 9}, Attempt: 1, Worker: "v"})
+		d.step(&schema.EndReply{Queue: "l", Key: &schema.TaskKey{Job: 9}, Attempt: 1, Worker: "v"})
 		d.now += holdSpan
 		d.fresh(true)
 		d.step(eventloop.Tick{})
@@ -296,7 +296,7 @@
 			d.announce("w", held(1)) // whose start is lost on the way
 			d.tells = nil
 			d.announce("v", func(a *schema.Announce) {
-				a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "failed"}}
+				a.Ended = []*schema.TaskNote{{Queue: "l", Job: 1, Attempt: 1, State: "failed"}}
 			})
 			So(d.tells, ShouldBeEmpty)
 			d.announce("w", held(1))
@@ -340,7 +340,7 @@
 		small := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 10}
 		fail := func(job uint64) {
 			d.announce("w", func(a *schema.Announce) {
-				a.Ended = []*schema.TaskNote{{Lane: "l", Job: job, Attempt: 1, State: "failed"}}
+				a.Ended = []*schema.TaskNote{{Queue: "l", Job: job, Attempt: 1, State: "failed"}}
 			})
 		}
 		d.announce("v", nil)
@@ -361,8 +361,8 @@
 func TestTimeLimits(t *testing.T) {
 	Convey("A task that runs too long or stands still is stopped and counted as failed", t, func() {
 		for _, each := range []*schema.TaskNote{
-			{Lane: "l", Job: 1, Attempt: 1, State: "running", RunUs: 2_000_001},
-			{Lane: "l", Job: 1, Attempt: 1, State: "running", RunUs: 1_500_000, StillUs: 1_000_001},
+			{Queue: "l", Job: 1, Attempt: 1, State: "running", RunUs: 2_000_001},
+			{Queue: "l", Job: 1, Attempt: 1, State: "running", RunUs: 1_500_000, StillUs: 1_000_001},
 		} {
 			d := newDesk("w")
 			limited := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 10, TimeLimitUs: 2_000_000, StillUs: 1_000_000}
@@ -372,7 +372,7 @@
 			d.step(eventloop.Tick{})
 			So(d.last().Orders.Orders[0].Act, ShouldEqual, "stop")
 			d.announce("w", func(a *schema.Announce) {
-				a.Ended = []*schema.TaskNote{{Lane: "l", Job: 1, Attempt: 1, State: "stopped"}}
+				a.Ended = []*schema.TaskNote{{Queue: "l", Job: 1, Attempt: 1, State: "stopped"}}
 			})
 			So(d.ended()[0].Outcome, ShouldEqual, "failed")
 		}
@@ -385,8 +385,8 @@
 		d := newDesk("w")
 		d.announce("w", nil)
 		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", step))
-		// Something of a lane that isn't led here runs there.
-		other := &schema.TaskNote{Lane: "other", Job: 9, Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}
+		// Something of a queue that isn't led here runs there.
+		other := &schema.TaskNote{Queue: "other", Job: 9, Attempt: 1, State: "running", CoresMilli: 500, MemoryMb: 1}
 		count := len(d.replies)
 		d.announce("w", func(a *schema.Announce) { a.Running = []*schema.TaskNote{other} })
 		So(len(d.replies), ShouldEqual, count)
--- a/internal/sim/called.go
+++ b/internal/sim/called.go
@@ -371,7 +371,7 @@
 func (k *CalledWorker) event(kind string, run fakeworker.Run) checker.Event {
 	of, step := k.spec(run.Task)
 	e := checker.Event{
-		Kind: kind, Who: k.Name(), Lane: of.lane, Name: run.Task.Job, Step: run.Task.Part, Task: run.Task.Task, Attempt: run.Attempt, IsCalled: true,
+		Kind: kind, Who: k.Name(), Queue: of.queue, Name: run.Task.Job, Step: run.Task.Part, Task: run.Task.Task, Attempt: run.Attempt, IsCalled: true,
 	}
 	if step != nil {
 		e.Step += run.Task.Round * uint32(len(of.job.Steps))
@@ -455,23 +455,23 @@
 	})
 }
 
-// withPools directs lanes that say nothing else to the main pool.
+// withPools directs queues that say nothing else to the main pool.
 func (w *World) withPools(rows []*schema.Row) []*schema.Row {
-	isTold, lanes := map[string]bool{}, []string{}
+	isTold, queues := map[string]bool{}, []string{}
 	for _, row := range rows {
-		if row.Kind == "lane" && row.Key == "pool" {
+		if row.Kind == "queue" && row.Key == "pool" {
 			isTold[row.Name] = true
 		}
 	}
 	for _, row := range rows {
-		if row.Kind == "lane" && !isTold[row.Name] {
+		if row.Kind == "queue" && !isTold[row.Name] {
 			isTold[row.Name] = true
-			lanes = append(lanes, row.Name)
+			queues = append(queues, row.Name)
 		}
 	}
 	rows = append([]*schema.Row(nil), rows...)
-	for _, lane := range lanes {
-		rows = append(rows, &schema.Row{Kind: "lane", Name: lane, Key: "pool", Value: "main"})
+	for _, queue := range queues {
+		rows = append(rows, &schema.Row{Kind: "queue", Name: queue, Key: "pool", Value: "main"})
 	}
 	return rows
 }
@@ -492,15 +492,15 @@
 	lasting := plain("lasting", 2, 500, 0)
 	lasting.Lasting = true
 	return []Kind{
-		{Lane: "quick", Every: 250 * eventloop.Milli, Attempts: 4, Job: &schema.Job{Text: "quick", Steps: []*schema.Step{plain("rates", 3, 500, 40*eventloop.Milli), plain("sum", 1, 500, 30*eventloop.Milli, "rates")}}},
-		{Lane: "slow", Every: 2 * eventloop.Second, Attempts: 4, Cancel: 0.2, Job: &schema.Job{Text: "slow", Steps: []*schema.Step{plain("load", 3, 2000, 400*eventloop.Milli), saving, plain("pack", 1, 1000, 100*eventloop.Milli, "rows")}}},
-		{Lane: "group", Every: eventloop.Second, Attempts: 4, Cancel: 0.1, Job: &schema.Job{Text: "gang fail=0.03", Steps: []*schema.Step{gang, plain("after", 1, 500, 50*eventloop.Milli, "gang")}}},
-		{Name: "spread", Lane: "group", Every: 1500 * eventloop.Milli, Attempts: 4, Job: &schema.Job{Text: "spread", Steps: []*schema.Step{spread}}},
-		{Lane: "timed", Every: 2 * eventloop.Second, Attempts: 3, Cancel: 0.1, Wall: 1500 * eventloop.Milli, Job: &schema.Job{Text: "rounds fail=0.05", Rounds: 3, EveryUs: int64(900 * eventloop.Milli), Steps: []*schema.Step{plain("one", 2, 500, 500*eventloop.Milli), plain("two", 1, 500, 600*eventloop.Milli, "one")}}},
-		{Name: "lasting", Lane: "timed", Every: 6 * eventloop.Second, Attempts: 3, Cancel: 1, CancelAfter: 8 * eventloop.Second, Job: &schema.Job{Text: "lasting", Steps: []*schema.Step{lasting}}},
-		{Name: "poison", Lane: "timed", Every: 4 * eventloop.Second, Attempts: 3, Job: &schema.Job{Text: "poison fail=1", Steps: []*schema.Step{plain("bad", 2, 500, 60*eventloop.Milli), plain("never", 1, 500, 60*eventloop.Milli, "bad")}}},
-		{Name: "bad-gang", Lane: "group", Every: 9 * eventloop.Second, Attempts: 4, Job: &schema.Job{Text: "poison fail=0.7", Steps: []*schema.Step{{Name: "bad", Tasks: 3, CoresMilli: 500, MemoryMb: 128, Together: true, EstimateUs: 100_000}}}},
-		{Lane: "far", Every: 700 * eventloop.Milli, Attempts: 2, Job: &schema.Job{Text: "far", Steps: []*schema.Step{plain("far", 2, 500, 100*eventloop.Milli)}}},
+		{Queue: "quick", Every: 250 * eventloop.Milli, Attempts: 4, Job: &schema.Job{Text: "quick", Steps: []*schema.Step{plain("rates", 3, 500, 40*eventloop.Milli), plain("sum", 1, 500, 30*eventloop.Milli, "rates")}}},
+		{Queue: "slow", Every: 2 * eventloop.Second, Attempts: 4, Cancel: 0.2, Job: &schema.Job{Text: "slow", Steps: []*schema.Step{plain("load", 3, 2000, 400*eventloop.Milli), saving, plain("pack", 1, 1000, 100*eventloop.Milli, "rows")}}},
+		{Queue: "group", Every: eventloop.Second, Attempts: 4, Cancel: 0.1, Job: &schema.Job{Text: "gang fail=0.03", Steps: []*schema.Step{gang, plain("after", 1, 500, 50*eventloop.Milli, "gang")}}},
+		{Name: "spread", Queue: "group", Every: 1500 * eventloop.Milli, Attempts: 4, Job: &schema.Job{Text: "spread", Steps: []*schema.Step{spread}}},
+		{Queue: "timed", Every: 2 * eventloop.Second, Attempts: 3, Cancel: 0.1, Wall: 1500 * eventloop.Milli, Job: &schema.Job{Text: "rounds fail=0.05", Rounds: 3, EveryUs: int64(900 * eventloop.Milli), Steps: []*schema.Step{plain("one", 2, 500, 500*eventloop.Milli), plain("two", 1, 500, 600*eventloop.Milli, "one")}}},
+		{Name: "lasting", Queue: "timed", Every: 6 * eventloop.Second, Attempts: 3, Cancel: 1, CancelAfter: 8 * eventloop.Second, Job: &schema.Job{Text: "lasting", Steps: []*schema.Step{lasting}}},
+		{Name: "poison", Queue: "timed", Every: 4 * eventloop.Second, Attempts: 3, Job: &schema.Job{Text: "poison fail=1", Steps: []*schema.Step{plain("bad", 2, 500, 60*eventloop.Milli), plain("never", 1, 500, 60*eventloop.Milli, "bad")}}},
+		{Name: "bad-gang", Queue: "group", Every: 9 * eventloop.Second, Attempts: 4, Job: &schema.Job{Text: "poison fail=0.7", Steps: []*schema.Step{{Name: "bad", Tasks: 3, CoresMilli: 500, MemoryMb: 128, Together: true, EstimateUs: 100_000}}}},
+		{Queue: "far", Every: 700 * eventloop.Milli, Attempts: 2, Job: &schema.Job{Text: "far", Steps: []*schema.Step{plain("far", 2, 500, 100*eventloop.Milli)}}},
 	}
 }
 
@@ -511,13 +511,13 @@
 	add := func(kind, name, key, value string) {
 		rows = append(rows, &schema.Row{Kind: kind, Name: name, Key: key, Value: value})
 	}
-	add("lane", "far", "urgency", "50")
-	add("lane", "far", "pool", "far")
-	for _, lane := range []string{"quick", "slow", "group"} {
-		add("lane", lane, "attempts", "4")
+	add("queue", "far", "urgency", "50")
+	add("queue", "far", "pool", "far")
+	for _, queue := range []string{"quick", "slow", "group"} {
+		add("queue", queue, "attempts", "4")
 	}
-	add("lane", "timed", "attempts", "3")
-	add("lane", "far", "attempts", "2")
+	add("queue", "timed", "attempts", "3")
+	add("queue", "far", "attempts", "2")
 	add("pool", "main", "guards", "0")
 	add("pool", "far", "guards", "1")
 	return rows
@@ -546,7 +546,7 @@
 			steps[n].Saves = step.EstimateUs > int64(3*eventloop.Second)
 		}
 		size.Kinds = append(size.Kinds, Kind{
-			Name: k.Name, Lane: k.Lane, Every: eventloop.Micros(k.Every * float64(eventloop.Second)), Attempts: d.Attempts, Job: &schema.Job{Text: k.Text, Steps: steps},
+			Name: k.Name, Queue: k.Queue, Every: eventloop.Micros(k.Every * float64(eventloop.Second)), Attempts: d.Attempts, Job: &schema.Job{Text: k.Text, Steps: steps},
 		})
 	}
 	for _, k := range CalledKinds() {
@@ -556,7 +556,7 @@
 	size.Rows = func(urgency int) []*schema.Row {
 		rows := append(d.Rows(), CalledRows(urgency)...)
 		for _, k := range d.Kinds {
-			rows = append(rows, &schema.Row{Kind: "lane", Name: k.Lane, Key: "attempts", Value: fmt.Sprint(d.Attempts)})
+			rows = append(rows, &schema.Row{Kind: "queue", Name: k.Queue, Key: "attempts", Value: fmt.Sprint(d.Attempts)})
 		}
 		return rows
 	}
--- a/internal/sim/called_test.go
+++ b/internal/sim/called_test.go
@@ -118,8 +118,8 @@
 	})
 }
 
-func TestAllowedByTheLane(t *testing.T) {
-	Convey("What a lane's row allows stands where a step says nothing", t, func() {
+func TestAllowedByTheQueue(t *testing.T) {
+	Convey("What a queue's row allows stands where a step says nothing", t, func() {
 		kind := CalledKinds()[0]
 		So(kind.allowed().Steps[0].AllowedFailures, ShouldEqual, 3)
 		So(kind.Job.Steps[0].AllowedFailures, ShouldEqual, 0)
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -17,7 +17,7 @@
 type Sample struct {
 	At       eventloop.Micros
 	Records  uint64 // longest log of a group on a store
-	Live     int    // jobs of all lanes, as their leaders have them
+	Live     int    // jobs of all queues, as their leaders have them
 	Kept     int    // ended and not forgotten
 	Sessions int
 	Bytes    int    // of the largest disk
@@ -71,8 +71,8 @@
 	var samples []Sample
 	long := step("long", 1, 100)
 	f.At(f.Began+10*eventloop.Second, func() {
-		f.HandIn(Kind{Lane: "slow", Job: &schema.Job{Text: "run_us=20000", DelayUs: int64(span - hour/2), Steps: []*schema.Step{long}}}, "till-evening")
-		f.HandIn(Kind{Lane: "slow", Job: &schema.Job{Text: fmt.Sprint("run_us=", int64(span/3)), Steps: []*schema.Step{long}}}, "all-morning")
+		f.HandIn(Kind{Queue: "slow", Job: &schema.Job{Text: "run_us=20000", DelayUs: int64(span - hour/2), Steps: []*schema.Step{long}}}, "till-evening")
+		f.HandIn(Kind{Queue: "slow", Job: &schema.Job{Text: fmt.Sprint("run_us=", int64(span/3)), Steps: []*schema.Step{long}}}, "all-morning")
 	})
 	// A look every quarter of an hour; the second hour is the quiet one.
 	quiet := map[string]bool{}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -45,25 +45,25 @@
 	due := step("due", 1, 500)
 	due.StillUs = int64(eventloop.Second)
 	return []Kind{
-		{Lane: "quick", Every: 250 * eventloop.Milli, Job: &schema.Job{Text: "run_us=30000", Steps: []*schema.Step{step("rates", 3, 500), step("sum", 1, 500, "rates")}}},
-		{Lane: "slow", Every: 2 * eventloop.Second, Cancel: 0.2, Job: &schema.Job{Text: "run_us=700000", Steps: []*schema.Step{step("load", 4, 2000), step("rows", 10, 2000, "load"), step("pack", 1, 1000, "rows")}}},
-		{Lane: "group", Every: eventloop.Second, Job: &schema.Job{Text: "run_us=200000 fail=0.05", Steps: []*schema.Step{together, step("after", 1, 500, "gang")}}},
-		{Name: "due", Lane: "timed", Every: 4 * eventloop.Second, Wall: 2 * eventloop.Second, Job: &schema.Job{Text: "run_us=20000", Steps: []*schema.Step{due}}},
-		{Lane: "timed", Every: 700 * eventloop.Milli, Cancel: 0.2, Job: &schema.Job{Text: "run_us=20000 fail=0.2", DelayUs: int64(1500 * eventloop.Milli), Steps: []*schema.Step{limited}}},
+		{Queue: "quick", Every: 250 * eventloop.Milli, Job: &schema.Job{Text: "run_us=30000", Steps: []*schema.Step{step("rates", 3, 500), step("sum", 1, 500, "rates")}}},
+		{Queue: "slow", Every: 2 * eventloop.Second, Cancel: 0.2, Job: &schema.Job{Text: "run_us=700000", Steps: []*schema.Step{step("load", 4, 2000), step("rows", 10, 2000, "load"), step("pack", 1, 1000, "rows")}}},
+		{Queue: "group", Every: eventloop.Second, Job: &schema.Job{Text: "run_us=200000 fail=0.05", Steps: []*schema.Step{together, step("after", 1, 500, "gang")}}},
+		{Name: "due", Queue: "timed", Every: 4 * eventloop.Second, Wall: 2 * eventloop.Second, Job: &schema.Job{Text: "run_us=20000", Steps: []*schema.Step{due}}},
+		{Queue: "timed", Every: 700 * eventloop.Milli, Cancel: 0.2, Job: &schema.Job{Text: "run_us=20000 fail=0.2", DelayUs: int64(1500 * eventloop.Milli), Steps: []*schema.Step{limited}}},
 	}
 }
 
-// Rows is the table of the load's lanes.
+// Rows is the table of the load's queues.
 func Rows(urgency int) []*schema.Row {
 	return []*schema.Row{
-		{Kind: "lane", Name: "quick", Key: "urgency", Value: fmt.Sprint(urgency)},
-		{Kind: "lane", Name: "slow", Key: "urgency", Value: "10"},
-		{Kind: "lane", Name: "group", Key: "urgency", Value: "30"},
-		{Kind: "lane", Name: "timed", Key: "urgency", Value: "40"},
+		{Kind: "queue", Name: "quick", Key: "urgency", Value: fmt.Sprint(urgency)},
+		{Kind: "queue", Name: "slow", Key: "urgency", Value: "10"},
+		{Kind: "queue", Name: "group", Key: "urgency", Value: "30"},
+		{Kind: "queue", Name: "timed", Key: "urgency", Value: "40"},
 		{Kind: "fleet", Key: "cache_every", Value: "16"},
-		{Kind: "lane", Name: "quick", Key: "still_ms", Value: "1000"},
-		{Kind: "lane", Name: "slow", Key: "still_ms", Value: "2000"},
-		{Kind: "lane", Name: "group", Key: "still_ms", Value: "2000"},
+		{Kind: "queue", Name: "quick", Key: "still_ms", Value: "1000"},
+		{Kind: "queue", Name: "slow", Key: "still_ms", Value: "2000"},
+		{Kind: "queue", Name: "group", Key: "still_ms", Value: "2000"},
 	}
 }
 
@@ -95,7 +95,7 @@
 	}
 	for _, k := range d.Kinds {
 		size.Kinds = append(size.Kinds, Kind{
-			Name: k.Name, Lane: k.Lane, Every: eventloop.Micros(k.Every * float64(eventloop.Second)), Job: &schema.Job{Text: k.Text, Steps: k.Steps},
+			Name: k.Name, Queue: k.Queue, Every: eventloop.Micros(k.Every * float64(eventloop.Second)), Job: &schema.Job{Text: k.Text, Steps: k.Steps},
 		})
 	}
 	for _, k := range Kinds() {
--- a/internal/sim/lanes_test.go
+++ b/internal/sim/lanes_test.go
@@ -12,14 +12,14 @@
 	"sparnotch/internal/schema"
 )
 
-// newLanes puts a table with eight lanes more, and gives how long after the
+// newQueues puts a table with eight queues more, and gives how long after the
 // answer each front could first list each of them.
-func newLanes(seed uint64) (spans []eventloop.Micros) {
+func newQueues(seed uint64) (spans []eventloop.Micros) {
 	f := NewFleet(seed, Small, CalmNet, 500, 3*eventloop.Second)
 	f.Run(f.Began + eventloop.Second)
 	rows := f.Rows(60)
 	for k := 0; k < 8; k++ {
-		rows = append(rows, &schema.Row{Kind: "lane", Name: fmt.Sprintf("new%d", k), Key: "urgency", Value: "20"})
+		rows = append(rows, &schema.Row{Kind: "queue", Name: fmt.Sprintf("new%d", k), Key: "urgency", Value: "20"})
 	}
 	f.Put("operator", rows)
 	taken := func() bool {
@@ -42,11 +42,11 @@
 		}
 		for k := 0; k < 8; k++ {
 			open++
-			lane := fmt.Sprintf("new%d", k)
+			queue := fmt.Sprintf("new%d", k)
 			var try func()
 			try = func() {
 				f.Ask(front, 8*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
-					return gateway.Ask{Request: request, Kind: "list", Group: lane, Most: 1, Deadline: deadline}
+					return gateway.Ask{Request: request, Kind: "list", Group: queue, Most: 1, Deadline: deadline}
 				}, func(answer any) {
 					if reply, _ := answer.(gateway.Answer); reply.Code != 200 {
 						f.After(10*eventloop.Milli, try)
@@ -66,15 +66,15 @@
 	return spans
 }
 
-func TestNewLanesServeSoon(t *testing.T) {
-	Convey("Eight lanes that a table adds serve at every front well before an election's time", t, func() {
+func TestNewQueuesServeSoon(t *testing.T) {
+	Convey("Eight queues that a table adds serve at every front well before an election's time", t, func() {
 		worst, sum, count := eventloop.Micros(0), eventloop.Micros(0), 0
 		for seed := uint64(1); seed <= 8; seed++ {
-			for _, span := range newLanes(seed) {
+			for _, span := range newQueues(seed) {
 				worst, sum, count = max(worst, span), sum+span, count+1
 			}
 		}
-		t.Logf("%d lanes at fronts: mean %d us, worst %d us", count, sum/eventloop.Micros(count), worst)
+		t.Logf("%d queues at fronts: mean %d us, worst %d us", count, sum/eventloop.Micros(count), worst)
 		So(worst, ShouldBeLessThan, 300*eventloop.Milli)
 	})
 }
--- a/internal/sim/people.go
+++ b/internal/sim/people.go
@@ -201,18 +201,18 @@
 
 // Kind is a sort of job.
 type Kind struct {
-	Name   string // start of its jobs' names; empty: the lane's
-	Lane   string
+	Name   string // start of its jobs' names; empty: the queue's
+	Queue  string
 	Every  eventloop.Micros
 	Job    *schema.Job
 	Cancel float64          // share that is cancelled again
 	Wall   eventloop.Micros // starts so long after it is handed in, by the wall clock
 
 	CancelAfter eventloop.Micros // when a cancelled one is; 0: within 300 ms
-	Attempts    uint32           // that its lane's row allows where a step says nothing
+	Attempts    uint32           // that its queue's row allows where a step says nothing
 }
 
-// allowed is the job with what its lane's row allows.
+// allowed is the job with what its queue's row allows.
 func (k Kind) allowed() *schema.Job {
 	if k.Attempts <= 1 {
 		return k.Job
@@ -228,8 +228,8 @@
 
 // handed is a job as its caller knows it.
 type handed struct {
-	lane string
-	job  *schema.Job
+	queue string
+	job   *schema.Job
 }
 
 // Load hands in jobs of a kind until a moment.
@@ -241,7 +241,7 @@
 			return
 		}
 		number++
-		w.HandIn(kind, fmt.Sprintf("%s-%d", cmp.Or(kind.Name, kind.Lane), number))
+		w.HandIn(kind, fmt.Sprintf("%s-%d", cmp.Or(kind.Name, kind.Queue), number))
 		w.After(eventloop.Micros(w.Rng.ExpFloat64()*float64(kind.Every)), next)
 	}
 	w.After(eventloop.Micros(w.Rng.ExpFloat64()*float64(kind.Every)), next)
@@ -260,19 +260,19 @@
 // handIn hands in through a front of a cell, rather another than one that has
 // just broken off.
 func (w *World) handIn(kind Kind, name, cell string, broken *Host) {
-	w.known[name] = handed{kind.Lane, kind.Job}
-	w.Tell(checker.Event{Kind: checker.HandIn, Who: "caller", Lane: kind.Lane, Name: name, Spec: kind.allowed()})
+	w.known[name] = handed{kind.Queue, kind.Job}
+	w.Tell(checker.Event{Kind: checker.HandIn, Who: "caller", Queue: kind.Queue, Name: name, Spec: kind.allowed()})
 	front, sent := w.pickFront(cell), w.Now
 	if broken != nil && front == broken {
 		front = w.pickFront("")
 	}
 	w.Ask(front, 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
 		return gateway.HandIn{
-			Request: request, Lane: kind.Lane, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(kind.Job), Job: kind.Job, Deadline: deadline,
+			Request: request, Queue: kind.Queue, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(kind.Job), Job: kind.Job, Deadline: deadline,
 		}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
-		e := checker.Event{Kind: checker.HandInReply, Who: "caller", Lane: kind.Lane, Name: name, Code: reply.Code, Front: front.Name, Sent: sent}
+		e := checker.Event{Kind: checker.HandInReply, Who: "caller", Queue: kind.Queue, Name: name, Code: reply.Code, Front: front.Name, Sent: sent}
 		view := &schema.JobView{}
 		if reply.Code < 300 && json.Unmarshal(reply.Body, view) == nil {
 			e.State = view.State
@@ -300,14 +300,14 @@
 func (w *World) ask(kind Kind, what, name string, back func(code int32, view *schema.JobView)) {
 	front, sent := w.pickFront(w.anyCell()), w.Now
 	w.Ask(front, 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
-		return gateway.Ask{Request: request, Kind: what, Group: kind.Lane, Name: name, Deadline: deadline}
+		return gateway.Ask{Request: request, Kind: what, Group: kind.Queue, Name: name, Deadline: deadline}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
 		view := &schema.JobView{}
 		if reply.Code == 200 && json.Unmarshal(reply.Body, view) != nil {
 			reply.Code = 0
 		}
-		e := checker.Event{Kind: checker.Status, Who: "caller", Lane: kind.Lane, Name: name, Code: reply.Code, State: view.State, Front: front.Name, Sent: sent}
+		e := checker.Event{Kind: checker.Status, Who: "caller", Queue: kind.Queue, Name: name, Code: reply.Code, State: view.State, Front: front.Name, Sent: sent}
 		if what == "cancel" {
 			e.Kind = checker.CancelReply
 		}
@@ -336,7 +336,7 @@
 }
 
 func (w *World) cancel(kind Kind, name string) {
-	w.Tell(checker.Event{Kind: checker.CancelSent, Who: "caller", Lane: kind.Lane, Name: name})
+	w.Tell(checker.Event{Kind: checker.CancelSent, Who: "caller", Queue: kind.Queue, Name: name})
 	w.ask(kind, "cancel", name, func(code int32, view *schema.JobView) {
 		if code == 0 || code >= 500 {
 			w.After(300*eventloop.Milli, func() { w.cancel(kind, name) })
@@ -344,15 +344,15 @@
 	})
 }
 
-// Lists has somebody page through a lane every so often until a moment.
-func (w *World) Lists(lane string, every, until eventloop.Micros) {
+// Lists has somebody page through a queue every so often until a moment.
+func (w *World) Lists(queue string, every, until eventloop.Micros) {
 	if w.Now >= until {
 		return
 	}
-	w.After(every, func() { w.Lists(lane, every, until) })
+	w.After(every, func() { w.Lists(queue, every, until) })
 	front, sent := w.pickFront(w.anyCell()), w.Now
 	w.Ask(front, 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
-		return gateway.Ask{Request: request, Kind: "list", Group: lane, Most: 200, Deadline: deadline}
+		return gateway.Ask{Request: request, Kind: "list", Group: queue, Most: 200, Deadline: deadline}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
 		list := &schema.JobList{}
@@ -360,7 +360,7 @@
 			return
 		}
 		for _, view := range list.Jobs {
-			w.Tell(checker.Event{Kind: checker.Status, Who: "lister", Lane: lane, Name: view.Name, Code: 200, State: view.State, Front: front.Name, Sent: sent})
+			w.Tell(checker.Event{Kind: checker.Status, Who: "lister", Queue: queue, Name: view.Name, Code: 200, State: view.State, Front: front.Name, Sent: sent})
 		}
 	})
 }
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -174,7 +174,7 @@
 	}, After: func(f *Fleet) []string {
 		var wrong []string
 		if leader := f.Leader(); leader == f.slow {
-			wrong = append(wrong, "the lanes stayed on the slow disk")
+			wrong = append(wrong, "the queues stayed on the slow disk")
 		}
 		moves := map[uint64]bool{}
 		for _, h := range f.Stores() {
@@ -232,7 +232,7 @@
 		f.At(f.Began+3*eventloop.Second, func() {
 			// Number 2 arrives, number 1 never will.
 			front := f.lean[len(f.lean)-1]
-			(&outlet{front}).Send(f.Leader().Id, &schema.Submit{Lane: "quick", Enqueues: []*schema.Enqueue{{
+			(&outlet{front}).Send(f.Leader().Id, &schema.Submit{Queue: "quick", Enqueues: []*schema.Enqueue{{
 				Session: &schema.Session{Gateway: front.Id, Boot: 1, Client: "stuck"}, Number: 2, Lowest: 1, Name: "stuck", Digest: []byte("x"), Job: Kinds()[0].Job,
 			}}})
 			f.After(100*eventloop.Milli, func() {
@@ -297,15 +297,15 @@
 		row := func(kind, name, key, value string) *schema.Row {
 			return &schema.Row{Kind: kind, Name: name, Key: key, Value: value}
 		}
-		// A rack is emptied, a lane narrowed, a lane made, each acted on within
+		// A rack is emptied, a queue narrowed, a queue made, each acted on within
 		// the span, while the leader goes.
 		f.At(f.Began+3*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("rack", "r1", "weight", "0"))) })
-		f.At(f.Began+10*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "slow", "running", "2"))) })
-		f.At(f.Began+18*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("lane", "extra", "urgency", "5"))) })
+		f.At(f.Began+10*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("queue", "slow", "running", "2"))) })
+		f.At(f.Began+18*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), row("queue", "extra", "urgency", "5"))) })
 		during(f, 14*eventloop.Second, func(leader *Host) { f.killed(leader, 3*eventloop.Second) })
 		for k := range f.Fronts() {
 			f.At(f.Began+21*eventloop.Second+eventloop.Micros(k)*100*eventloop.Milli, func() {
-				f.HandIn(Kind{Lane: "extra", Job: Kinds()[0].Job}, fmt.Sprint("extra-", k))
+				f.HandIn(Kind{Queue: "extra", Job: Kinds()[0].Job}, fmt.Sprint("extra-", k))
 			})
 		}
 	}},
@@ -313,7 +313,7 @@
 		long := &schema.Job{Text: "run_us=25000000", Steps: []*schema.Step{step("first", 3, 500), step("more", 60, 2000), step("last", 2, 500, "first")}}
 		for k := 0; k < 6; k++ {
 			f.At(f.Began+eventloop.Micros(1+3*k)*eventloop.Second, func() {
-				kind, name := Kind{Lane: "slow", Job: long}, fmt.Sprint("long-", k)
+				kind, name := Kind{Queue: "slow", Job: long}, fmt.Sprint("long-", k)
 				f.HandIn(kind, name)
 				f.After(1500*eventloop.Milli, func() { f.cancel(kind, name) })
 			})
@@ -324,7 +324,7 @@
 		during(f, 6*eventloop.Second, func(leader *Host) {
 			// Long work is out everywhere, so that the lost worker had some.
 			long := &schema.Job{Text: "run_us=6000000", Steps: []*schema.Step{step("long", uint32(2*len(f.Workers)), 500)}}
-			f.HandIn(Kind{Lane: "slow", Job: long}, "long-1")
+			f.HandIn(Kind{Queue: "slow", Job: long}, "long-1")
 			f.After(2*eventloop.Second, func() {
 				f.killed(leader, 20*eventloop.Second)
 				controller := f.controller()
@@ -346,7 +346,7 @@
 			}
 		}
 		for _, e := range f.History {
-			key := [3]any{e.Lane, fmt.Sprint(e.Job, e.Name), [2]uint32{e.Step, e.Task}}
+			key := [3]any{e.Queue, fmt.Sprint(e.Job, e.Name), [2]uint32{e.Step, e.Task}}
 			switch {
 			case e.Who == f.lost && e.Kind == checker.Begin && e.At <= f.struck && !isOver[e.Name]:
 				out[key] = true
@@ -385,7 +385,7 @@
 		full := &schema.Job{Text: "run_us=4000000", Steps: []*schema.Step{step("fill", 40, 2000)}}
 		f.At(f.Began+2*eventloop.Second, func() {
 			for k := 0; k < 4; k++ {
-				f.HandIn(Kind{Lane: "slow", Job: full}, fmt.Sprint("fill-", k))
+				f.HandIn(Kind{Queue: "slow", Job: full}, fmt.Sprint("fill-", k))
 			}
 		})
 		f.At(f.Began+5*eventloop.Second, func() {
@@ -415,8 +415,8 @@
 		for k := 0; k < 300; k++ {
 			f.At(f.Began+2*eventloop.Second+eventloop.Micros(k)*20*eventloop.Milli, func() {
 				name := fmt.Sprint("huge-", k)
-				f.HandIn(Kind{Lane: "timed", Job: huge}, name)
-				f.After(10*eventloop.Second, func() { f.cancel(Kind{Lane: "timed"}, name) })
+				f.HandIn(Kind{Queue: "timed", Job: huge}, name)
+				f.After(10*eventloop.Second, func() { f.cancel(Kind{Queue: "timed"}, name) })
 			})
 		}
 		during(f, 6*eventloop.Second, func(leader *Host) { f.killed(leader, 2*eventloop.Second) })
@@ -428,8 +428,8 @@
 		})
 		long := &schema.Job{Text: "run_us=20000", DelayUs: int64(45 * eventloop.Second), Steps: []*schema.Step{step("late", 1, 100)}}
 		f.At(f.Began+eventloop.Second, func() {
-			f.HandIn(Kind{Lane: "quick", Job: long}, "long-1")
-			f.HandIn(Kind{Lane: "timed", Job: long}, "long-2")
+			f.HandIn(Kind{Queue: "quick", Job: long}, "long-1")
+			f.HandIn(Kind{Queue: "timed", Job: long}, "long-2")
 		})
 		during(f, 30*eventloop.Second, func(leader *Host) { f.killed(leader, 2*eventloop.Second) })
 	}, After: func(f *Fleet) []string {
@@ -491,10 +491,10 @@
 		}
 		return wrong
 	}},
-	{Name: "a lane removed and made anew", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
-		extra := &schema.Row{Kind: "lane", Name: "extra", Key: "urgency", Value: "5"}
+	{Name: "a queue removed and made anew", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
+		extra := &schema.Row{Kind: "queue", Name: "extra", Key: "urgency", Value: "5"}
 		fast := &schema.Row{Kind: "fleet", Key: "status_s", Value: "120"}
-		kind := Kind{Lane: "extra", Job: Kinds()[0].Job}
+		kind := Kind{Queue: "extra", Job: Kinds()[0].Job}
 		f.At(f.Began, func() { f.Put("operator", append(f.Rows(60), extra, fast)) })
 		f.At(f.Began+4*eventloop.Second, func() { f.HandIn(kind, "before") })
 		f.At(f.Began+8*eventloop.Second, func() { f.Put("operator", append(f.Rows(60), fast)) })
@@ -519,7 +519,7 @@
 		}
 		for _, h := range f.Stores() {
 			if now := h.Groups("extra#"); len(now) != 1 || len(f.groups) > 0 && now[0] == f.groups[0] {
-				wrong = append(wrong, fmt.Sprintf("%s holds %v after the lane was made anew, %v before", h.Name, now, f.groups))
+				wrong = append(wrong, fmt.Sprintf("%s holds %v after the queue was made anew, %v before", h.Name, now, f.groups))
 			}
 		}
 		return wrong
@@ -541,7 +541,7 @@
 		// Long enough that some of it is there when a hold ends.
 		long := &schema.Job{Text: "long", Steps: []*schema.Step{{Name: "long", Tasks: 8, CoresMilli: 1000, MemoryMb: 100, EstimateUs: int64(9 * eventloop.Second), Saves: true, PerWorker: 2}}}
 		for k := eventloop.Micros(0); k < 3; k++ {
-			f.At(f.Began+(1+8*k)*eventloop.Second, func() { f.HandIn(Kind{Lane: "quick", Attempts: 4, Job: long}, fmt.Sprint("long-", k)) })
+			f.At(f.Began+(1+8*k)*eventloop.Second, func() { f.HandIn(Kind{Queue: "quick", Attempts: 4, Job: long}, fmt.Sprint("long-", k)) })
 		}
 		f.At(f.Began+2*eventloop.Second, func() { f.killed(f.sides[0], 3*eventloop.Second) })
 		f.At(f.Began+8*eventloop.Second, func() { f.frozen(f.sides[1], 7*eventloop.Second) })
@@ -604,7 +604,7 @@
 		full := &schema.Job{Text: "fill", Steps: []*schema.Step{{Name: "fill", Tasks: 30, CoresMilli: 2000, MemoryMb: 100, EstimateUs: int64(5 * eventloop.Second), Saves: true}}}
 		f.At(f.Began+2*eventloop.Second, func() {
 			for k := 0; k < 3; k++ {
-				f.HandIn(Kind{Lane: "slow", Attempts: 4, Job: full}, fmt.Sprint("fill-", k))
+				f.HandIn(Kind{Queue: "slow", Attempts: 4, Job: full}, fmt.Sprint("fill-", k))
 			}
 		})
 		f.At(f.Began+5*eventloop.Second, func() {
--- a/internal/sim/schedule.go
+++ b/internal/sim/schedule.go
@@ -169,7 +169,7 @@
 	}},
 	"flood": {"all", false, func(f *Fleet, _ string, span eventloop.Micros) {
 		huge := &schema.Job{Text: "run_us=1000", Steps: []*schema.Step{step("huge", 1, 65_000+f.Size.Cores)}}
-		kind := Kind{Name: fmt.Sprintf("huge%d", f.Now/eventloop.Second), Lane: "timed", Every: 10 * eventloop.Milli, Job: huge}
+		kind := Kind{Name: fmt.Sprintf("huge%d", f.Now/eventloop.Second), Queue: "timed", Every: 10 * eventloop.Milli, Job: huge}
 		if f.Size.Bounds != nil {
 			// Nobody knows how large the workers of a pool may become, so these wait.
 			kind.Cancel, kind.CancelAfter = 1, 8*eventloop.Second
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -21,7 +21,7 @@
 type Hollow struct {
 	Workers     int
 	Fronts      int
-	Lanes       int
+	Queues      int
 	Starts      float64 // task starts a second
 	RunUs       int64
 	Width       int  // tasks of a job's one step
@@ -215,7 +215,7 @@
 }
 
 // untilReady lets everything come up: a ward for each worker, a leader for each
-// lane; at most two minutes.
+// queue; at most two minutes.
 func (r *hollowRun) untilReady() eventloop.Micros {
 	from := r.Now
 	for r.Now < from+120*eventloop.Second {
@@ -239,7 +239,7 @@
 			}
 			wards = max(wards, warded)
 		}
-		if leads >= r.setup.Lanes && wards >= r.setup.Workers {
+		if leads >= r.setup.Queues && wards >= r.setup.Workers {
 			break
 		}
 	}
@@ -248,12 +248,12 @@
 
 // --- load ---
 
-func laneName(k int) string { return fmt.Sprintf("l%03d", k) }
+func queueName(k int) string { return fmt.Sprintf("l%03d", k) }
 
 func (r *hollowRun) planRows(change int) []*schema.Row {
 	rows := []*schema.Row{{Kind: "fleet", Key: "live_jobs", Value: "1000000"}, {Kind: "fleet", Key: "window", Value: "65536"}}
-	for k := 0; k < r.setup.Lanes; k++ {
-		rows = append(rows, &schema.Row{Kind: "lane", Name: laneName(k), Key: "urgency", Value: "50"})
+	for k := 0; k < r.setup.Queues; k++ {
+		rows = append(rows, &schema.Row{Kind: "queue", Name: queueName(k), Key: "urgency", Value: "50"})
 	}
 	for k := len(rows); k < r.setup.Rows; k++ {
 		rows = append(rows, &schema.Row{Kind: "rack", Name: fmt.Sprintf("x%04d", k), Key: "weight", Value: "100"})
@@ -306,22 +306,22 @@
 		r.number++
 		name := fmt.Sprintf("h%d", r.number)
 		r.handed[name] = r.Now
-		r.handInHollow(laneName(r.number%r.setup.Lanes), name)
+		r.handInHollow(queueName(r.number%r.setup.Queues), name)
 		r.After(eventloop.Micros(r.Rng.ExpFloat64()*every), next)
 	}
 	next()
 }
 
-func (r *hollowRun) handInHollow(lane, name string) {
+func (r *hollowRun) handInHollow(queue, name string) {
 	job := &schema.Job{Text: fmt.Sprintf("run_us=%d", r.setup.RunUs), Steps: []*schema.Step{
 		{Name: "s", Tasks: uint32(r.setup.Width), CoresMilli: 10, MemoryMb: 1, Together: r.setup.Together},
 	}}
 	front := r.anyFront()
 	r.Ask(front, 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
-		return gateway.HandIn{Request: request, Lane: lane, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
+		return gateway.HandIn{Request: request, Queue: queue, Client: "c-" + front.Name, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline}
 	}, func(answer any) {
 		if reply, _ := answer.(gateway.Answer); reply.Code != 200 && reply.Code != 201 {
-			r.After(200*eventloop.Milli, func() { r.handInHollow(lane, name) })
+			r.After(200*eventloop.Milli, func() { r.handInHollow(queue, name) })
 		}
 	})
 }
--- a/internal/sim/sweep_test.go
+++ b/internal/sim/sweep_test.go
@@ -19,7 +19,7 @@
 
 func TestHollow(t *testing.T) {
 	setup := Hollow{
-		Workers: 9, Fronts: 2, Lanes: 2, Starts: 20, RunUs: 200_000, Width: 1, Changes: 12, Zones: 3, Regions: 1, PerRack: 3,
+		Workers: 9, Fronts: 2, Queues: 2, Starts: 20, RunUs: 200_000, Width: 1, Changes: 12, Zones: 3, Regions: 1, PerRack: 3,
 		Seed: 1, Warm: 2 * eventloop.Second, Span: 15 * eventloop.Second,
 	}
 	Convey("A hollow deployment runs its tasks, takes its plans, and comes back from losing the leader", t, func() {
--- a/internal/sim/transport_test.go
+++ b/internal/sim/transport_test.go
@@ -35,7 +35,7 @@
 		So(body.(*schema.Urge).Term, ShouldEqual, number)
 	}
 	// Answers find their way, and both directions are their own.
-	t.dial(1, t.address(0), &schema.Applied{Lane: "l", Outcomes: []*schema.Outcome{{Number: 3, View: &schema.JobView{Name: "j"}}}})
+	t.dial(1, t.address(0), &schema.Applied{Queue: "l", Outcomes: []*schema.Outcome{{Number: 3, View: &schema.JobView{Name: "j"}}}})
 	from, body, isThere := t.next(0)
 	So(isThere, ShouldBeTrue)
 	So(from, ShouldEqual, "end1")
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -705,7 +705,7 @@
 
 func (g *grab) Answer(_ uint64, body any) { g.take(body) }
 
-// Leader is the store that leads most lanes.
+// Leader is the store that leads most queues.
 func (w *World) Leader() *Host {
 	var best *Host
 	most := 0
--- a/internal/storage/encoding_test.go
+++ b/internal/storage/encoding_test.go
@@ -13,7 +13,7 @@
 // BenchmarkEncoding compares what a settle's record costs on disk in either
 // encoding, each record readable by itself.
 func BenchmarkEncoding(b *testing.B) {
-	settle, err := proto.Marshal(&schema.LaneCommand{Body: &schema.LaneCommand_Settle{Settle: &schema.Settle{Key: &schema.TaskKey{Job: 1234, Step: 1, Task: 7}, Attempt: 1}}})
+	settle, err := proto.Marshal(&schema.QueueCommand{Body: &schema.QueueCommand_Settle{Settle: &schema.Settle{Key: &schema.TaskKey{Job: 1234, Step: 1, Task: 7}, Attempt: 1}}})
 	if err != nil {
 		b.Fatal(err)
 	}
