--- a/cmd/feign/fleet.go
+++ b/cmd/feign/fleet.go
@@ -208,7 +208,7 @@
 			continue
 		}
 		for _, group := range belief.Groups {
-			if group.Role == "leader" && group.Group != "charter" {
+			if group.Role == "leader" && group.Group != "clusterstate" {
 				return p
 			}
 		}
--- a/cmd/feign/hollow.go
+++ b/cmd/feign/hollow.go
@@ -265,7 +265,7 @@
 				continue
 			}
 			for _, group := range reading.Belief.Groups {
-				if group.Role == "leader" && group.Group != "charter" {
+				if group.Role == "leader" && group.Group != "clusterstate" {
 					leads++
 				}
 			}
@@ -389,7 +389,7 @@
 func (r *hollowRun) leads(reading *partReading) int {
 	count := 0
 	for _, group := range reading.Belief.Groups {
-		if group.Role == "leader" && group.Group != "charter" {
+		if group.Role == "leader" && group.Group != "clusterstate" {
 			count++
 		}
 	}
--- a/cmd/tell/nodes.go
+++ b/cmd/tell/nodes.go
@@ -93,9 +93,9 @@
 			lines = append(lines, fmt.Sprintf("%s: %v | %v", what, x, y))
 		}
 	}
-	say("charter version", a.Version, b.Version)
+	say("cluster state version", a.Version, b.Version)
 	say("plan generation", a.Generation, b.Generation)
-	say("charter fresh", a.Fresh, b.Fresh)
+	say("cluster state fresh", a.Fresh, b.Fresh)
 	say("controller", a.Controller, b.Controller)
 	say("controller lease", a.Lease, b.Lease)
 	groups := map[string][2]*replica.GroupBelief{}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,7 +15,7 @@
 const Pace = 20 * eventloop.Milli
 
 const (
-	meetSpan    = 500 * eventloop.Milli // between two words to the charter of a worker it doesn't know
+	meetSpan    = 500 * eventloop.Milli // between two words to the cluster state of a worker it doesn't know
 	pollSpan    = 700 * eventloop.Milli // an announce not answered by then is sent anew
 	waitSpan    = 400 * eventloop.Milli // how long an answer may be held back
 	refusedSpan = 100 * eventloop.Milli // an announce turned away is sent again after this
@@ -185,8 +185,8 @@
 // Table is the agent's table.
 type Table struct {
 	bounds *schema.Bounds
-	state  *schema.CharterState
-	leader string // of the charter
+	state  *schema.ClusterStateState
+	leader string // of the cluster state
 	life   *life
 	dead   []former // newest last
 	over   []string // those of them that no placer has heard of yet
@@ -203,7 +203,7 @@
 	if bounds == nil {
 		bounds = &schema.Bounds{}
 	}
-	return &Table{bounds: bounds, state: &schema.CharterState{}, seq: first}
+	return &Table{bounds: bounds, state: &schema.ClusterStateState{}, seq: first}
 }
 
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
@@ -226,8 +226,8 @@
 		t.departed(now, body)
 	case Reply:
 		t.replied(now, body)
-	case *schema.CharterTell:
-		t.charter(now, body)
+	case *schema.ClusterStateTell:
+		t.clusterState(now, body)
 	case *schema.PollReply:
 		t.answered(now, mail.From, body)
 	}
@@ -361,7 +361,7 @@
 
 // --- whose ward it is ---
 
-func (t *Table) charter(now eventloop.Micros, m *schema.CharterTell) {
+func (t *Table) clusterState(now eventloop.Micros, m *schema.ClusterStateTell) {
 	if leader := m.Leaders[clusterstate.Group]; leader != "" {
 		t.leader = leader
 	}
@@ -374,7 +374,7 @@
 	}
 }
 
-// takeWard takes over what the charter says of the worker's ward.
+// takeWard takes over what the cluster state says of the worker's ward.
 func (t *Table) takeWard(l *life) {
 	ward := clusterstate.WardOf(t.state, l.worker)
 	if ward == nil || ward.Generation < l.fence {
@@ -417,6 +417,6 @@
 		return
 	}
 	l.metAt = now
-	command := &schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: l.worker}}}
-	out.Send(t.leader, &schema.Request{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(command)})
+	command := &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Meet{Meet: &schema.Meet{Worker: l.worker}}}
+	out.Send(t.leader, &schema.Request{Kind: "clusterstate", Group: clusterstate.Group, Body: replica.ClusterStateBody(command)})
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -80,14 +80,14 @@
 	mailbox  []eventloop.Mail
 	beatAt   eventloop.Micros
 	tickAt   eventloop.Micros
-	state    *schema.CharterState
+	state    *schema.ClusterStateState
 	sent     map[uint64]eventloop.Micros // announces
 }
 
 func newBench(setup fakeworker.Setup, bounds *schema.Bounds) *bench {
 	b := &bench{
 		now: 20 * eventloop.Second, table: agent.New(bounds, 1000), wards: map[string]*ward{}, begun: map[string]int{}, began: map[string]eventloop.Micros{},
-		state: &schema.CharterState{Version: 1}, sent: map[uint64]eventloop.Micros{},
+		state: &schema.ClusterStateState{Version: 1}, sent: map[uint64]eventloop.Micros{},
 	}
 	setup.Bounds, setup.Address = bounds, "side:1"
 	if setup.Cores == 0 {
@@ -107,7 +107,7 @@
 	return b
 }
 
-// usual is a bench with one ward that the charter knows.
+// usual is a bench with one ward that the cluster state knows.
 func usual(setup fakeworker.Setup, bounds *schema.Bounds) (*bench, *ward) {
 	b := newBench(setup, bounds)
 	w := b.ward("p1", 5, "w1")
@@ -121,21 +121,21 @@
 	return w
 }
 
-// move puts a worker in the charter's words.
+// move puts a worker in the cluster state's words.
 func (b *bench) move(id string, generation uint64, worker string) {
-	state := proto.Clone(b.state).(*schema.CharterState)
+	state := proto.Clone(b.state).(*schema.ClusterStateState)
 	state.Version++
 	state.Wards = slices.DeleteFunc(state.Wards, func(w *schema.Ward) bool { return w.Worker == worker })
 	state.Wards = append(state.Wards, &schema.Ward{Worker: worker, Placer: id, Generation: generation})
-	// The charter lists them by worker, and they are searched for so.
+	// The cluster state lists them by worker, and they are searched for so.
 	slices.SortFunc(state.Wards, func(x, y *schema.Ward) int { return cmp.Compare(x.Worker, y.Worker) })
 	b.state = state
-	b.tellCharter()
+	b.tellClusterState()
 }
 
-func (b *bench) tellCharter() {
+func (b *bench) tellClusterState() {
 	b.after(hop, func() {
-		b.mail("", &schema.CharterTell{State: b.state, Version: b.state.Version, Leaders: map[string]string{clusterstate.Group: "p1"}})
+		b.mail("", &schema.ClusterStateTell{State: b.state, Version: b.state.Version, Leaders: map[string]string{clusterstate.Group: "p1"}})
 	})
 }
 
@@ -314,7 +314,7 @@
 func TestOrdinaryPath(t *testing.T) {
 	Convey("A worker is met, looked at under its ward's fence, announced, and given work whose end is noted", t, func() {
 		b := newBench(fakeworker.Setup{Pool: "pool", Rack: "r1", Labels: []string{"a"}}, nil)
-		b.tellCharter()
+		b.tellClusterState()
 		b.run(1200 * eventloop.Milli)
 		So(b.meets, ShouldBeBetweenOrEqual, 2, 3)
 		So(b.calls, ShouldBeEmpty)
@@ -655,7 +655,7 @@
 		So(b.begun, ShouldResemble, map[string]int{"j.0.0.0/1": 1})
 		So(second.ends, ShouldBeEmpty)
 	})
-	Convey("An answer of a ward that the charter's copy doesn't know yet has the worker looked at first", t, func() {
+	Convey("An answer of a ward that the cluster state's copy doesn't know yet has the worker looked at first", t, func() {
 		b, w := usual(fakeworker.Setup{}, nil)
 		b.run(eventloop.Second)
 		w.generation = 7
@@ -734,7 +734,7 @@
 		b.run(eventloop.Second)
 		So(w.ends, ShouldHaveLength, 1)
 		b.table = agent.New(nil, 2000)
-		b.tellCharter()
+		b.tellClusterState()
 		w.announces, w.ends, w.heard = nil, nil, map[string]eventloop.Micros{}
 		b.run(eventloop.Second)
 		So(w.announces[0].Running, ShouldHaveLength, 1)
--- a/internal/agent/storm_test.go
+++ b/internal/agent/storm_test.go
@@ -69,7 +69,7 @@
 				checked = 0
 			case 1:
 				b.table = agent.New(bounds, uint64(b.now))
-				b.tellCharter()
+				b.tellClusterState()
 			case 2:
 				generation++
 				worker = fmt.Sprintf("w%d", generation)
--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -18,12 +18,12 @@
 )
 
 // Group is the name of the system's own group.
-const Group = "charter"
+const Group = "clusterstate"
 
 // LeaseUs is how long a controller's lease lasts in the group's time.
 const LeaseUs = 2_000_000
 
-// What the charter keeps of the past is bounded, for the whole of it is its
+// What the cluster state keeps of the past is bounded, for the whole of it is its
 // checkpoint: of old plans the rows, of editions only what tells them apart.
 const (
 	keptPlans    = 20
@@ -40,18 +40,18 @@
 	Plan  *schema.Plan
 }
 
-// Machine is the charter's state.
+// Machine is the cluster state's state.
 type Machine struct {
-	state     *schema.CharterState
+	state     *schema.ClusterStateState
 	isChanged bool // by the command in hand; renewals change nothing others need
 	values    *Values
 	read      *schema.Plan // of which the values and the bare plan were made
 	bare      *schema.Plan
 }
 
-// New makes an empty charter; Restore one from a checkpoint.
+// New makes an empty cluster state; Restore one from a checkpoint.
 func New() *Machine {
-	return &Machine{state: &schema.CharterState{Plan: &schema.Plan{}, Controller: &schema.Controller{}, Next: 1}}
+	return &Machine{state: &schema.ClusterStateState{Plan: &schema.Plan{}, Controller: &schema.Controller{}, Next: 1}}
 }
 
 func Restore(data []byte) (*Machine, error) {
@@ -66,14 +66,14 @@
 func (m *Machine) Rest() []byte {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.state)
 	if err != nil {
-		panic("charter: state can't be encoded: " + err.Error())
+		panic("cluster state: state can't be encoded: " + err.Error())
 	}
 	return data
 }
 
 // State is a copy that may be handed to others.
-func (m *Machine) State() *schema.CharterState {
-	return proto.Clone(m.state).(*schema.CharterState)
+func (m *Machine) State() *schema.ClusterStateState {
+	return proto.Clone(m.state).(*schema.ClusterStateState)
 }
 
 // Plan is the plan with its document, not to be changed.
@@ -91,10 +91,10 @@
 // Copy is what every process carries. It goes out whole with each change, so
 // what only readers of the plan ask for isn't in it: document, history, and the
 // editions taken. The plan in it is the same as long as the plan is.
-func (m *Machine) Copy() *schema.CharterState {
+func (m *Machine) Copy() *schema.ClusterStateState {
 	m.readPlan()
 	s := m.state
-	shown := &schema.CharterState{Version: s.Version, Plan: m.bare, Voters: s.Voters, NowUs: s.NowUs, Next: s.Next}
+	shown := &schema.ClusterStateState{Version: s.Version, Plan: m.bare, Voters: s.Voters, NowUs: s.NowUs, Next: s.Next}
 	shown.Controller = proto.Clone(s.Controller).(*schema.Controller)
 	for _, place := range s.Queues {
 		shown.Queues = append(shown.Queues, proto.Clone(place).(*schema.QueuePlace))
@@ -123,7 +123,7 @@
 
 // Apply takes one record's command.
 func (m *Machine) Apply(at int64, data []byte) (*Result, error) {
-	command := &schema.CharterCommand{}
+	command := &schema.ClusterStateCommand{}
 	if err := proto.Unmarshal(data, command); err != nil {
 		return nil, err
 	}
@@ -132,15 +132,15 @@
 	}
 	var result *Result
 	switch body := command.Body.(type) {
-	case *schema.CharterCommand_Put:
+	case *schema.ClusterStateCommand_Put:
 		result = m.put(body.Put.Sheet)
-	case *schema.CharterCommand_Claim:
+	case *schema.ClusterStateCommand_Claim:
 		result = m.claim(body.Claim.Id)
-	case *schema.CharterCommand_Queues:
+	case *schema.ClusterStateCommand_Queues:
 		result = m.placeQueues(body.Queues)
-	case *schema.CharterCommand_Wards:
+	case *schema.ClusterStateCommand_Wards:
 		result = m.moveWards(body.Wards)
-	case *schema.CharterCommand_Meet:
+	case *schema.ClusterStateCommand_Meet:
 		result = m.meet(body.Meet.Worker)
 	default:
 		result = &Result{Code: 400}
@@ -359,8 +359,8 @@
 	return &Result{Code: 200}
 }
 
-// Place finds a queue's place; the charter lists them by name.
-func Place(state *schema.CharterState, queue string) *schema.QueuePlace {
+// Place finds a queue's place; the cluster state lists them by name.
+func Place(state *schema.ClusterStateState, queue string) *schema.QueuePlace {
 	list := state.GetQueues()
 	if at := queueAt(list, queue); at < len(list) && list[at].Queue == queue {
 		return list[at]
@@ -368,8 +368,8 @@
 	return nil
 }
 
-// WardOf finds a worker's ward; the charter lists them by name.
-func WardOf(state *schema.CharterState, worker string) *schema.Ward {
+// WardOf finds a worker's ward; the cluster state lists them by name.
+func WardOf(state *schema.ClusterStateState, worker string) *schema.Ward {
 	list := state.GetWards()
 	if at := wardAt(list, worker); at < len(list) && list[at].Worker == worker {
 		return list[at]
--- a/internal/clusterstate/clusterstate_test.go
+++ b/internal/clusterstate/clusterstate_test.go
@@ -12,7 +12,7 @@
 	"sparnotch/internal/schema"
 )
 
-func apply(m *Machine, at int64, command *schema.CharterCommand) *Result {
+func apply(m *Machine, at int64, command *schema.ClusterStateCommand) *Result {
 	data, err := proto.Marshal(command)
 	So(err, ShouldBeNil)
 	result, err := m.Apply(at, data)
@@ -21,7 +21,7 @@
 }
 
 func put(m *Machine, generation *uint64, rows ...*schema.Row) *Result {
-	return apply(m, 1, &schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: &schema.Sheet{Generation: generation, Rows: rows}}}})
+	return apply(m, 1, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Put{Put: &schema.PutPlan{Sheet: &schema.Sheet{Generation: generation, Rows: rows}}}})
 }
 
 func row(kind, name, key, value string) *schema.Row {
@@ -69,10 +69,10 @@
 	Convey("An old controller is fenced by the log itself", t, func() {
 		m := New()
 		claim := func(at int64, id string) *Result {
-			return apply(m, at, &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: id}}})
+			return apply(m, at, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Claim{Claim: &schema.Claim{Id: id}}})
 		}
 		wards := func(at int64, lease uint64, placer string) int32 {
-			return apply(m, at, &schema.CharterCommand{Body: &schema.CharterCommand_Wards{Wards: &schema.MoveWards{
+			return apply(m, at, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Wards{Wards: &schema.MoveWards{
 				Lease: lease, Wards: []*schema.Ward{{Worker: "w", Placer: placer}}}}}).Code
 		}
 		first := claim(1, "h1")
@@ -101,7 +101,7 @@
 }
 
 func edition(m *Machine, number, base uint64, document string, rows ...*schema.Row) *Result {
-	return apply(m, 1, &schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{
+	return apply(m, 1, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Put{Put: &schema.PutPlan{
 		Sheet: &schema.Sheet{Edition: number, BaseEdition: base, Document: []byte(document), Rows: rows}}}})
 }
 
@@ -239,7 +239,7 @@
 			{row("queue", "x", "attempts", "1001"), "rows[1].value"},
 			{row("queue", "x", "timeout_ms", "0"), "rows[1].value"},
 			{row("queue", "x", "guards", "1"), "rows[1].key"},
-			{row("queue", "charter", "urgency", "1"), "rows[1].name"},
+			{row("queue", "clusterstate", "urgency", "1"), "rows[1].name"},
 			{row("pool", "a/b", "guards", "1"), "rows[1].name"},
 			{row("pool", "x", "guards", "2"), "rows[1].value"},
 		} {
--- a/internal/clusterstate/plan.go
+++ b/internal/clusterstate/plan.go
@@ -245,7 +245,7 @@
 }
 
 // Renew gives a plan's values: the same ones while it is the same plan, for the
-// charter changes more often than its plan.
+// cluster state changes more often than its plan.
 func (v *Values) Renew(plan *schema.Plan) *Values {
 	if v.of > 0 && v.of == plan.GetGeneration() {
 		return v
@@ -313,7 +313,7 @@
 // Text reads a text of the plan; empty where no row states it.
 func (v *Values) Text(kind, name, keyName string) string {
 	if findTextKey(kind, keyName) == nil {
-		panic("charter: no such text: " + kind + "/" + keyName)
+		panic("cluster state: no such text: " + kind + "/" + keyName)
 	}
 	return v.texts[[3]string{kind, name, keyName}]
 }
@@ -335,7 +335,7 @@
 	}
 	k := findKey(kind, keyName)
 	if k == nil {
-		panic("charter: no such key: " + kind + "/" + keyName)
+		panic("cluster state: no such key: " + kind + "/" + keyName)
 	}
 	return k.usual
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,7 +1,7 @@
 // Package controller owns control: it compares what is wanted with what is, and acts
-// once at a time, under a controller's lease that the charter gives and checks.
+// once at a time, under a controller's lease that the cluster state gives and checks.
 // It holds nothing durable; with every side machine gone the rest goes on as
-// the charter last said.
+// the cluster state last said.
 package controller
 
 import (
@@ -42,17 +42,17 @@
 // told is the last word of one store.
 type told struct {
 	at   eventloop.Micros
-	tell *schema.CharterTell
+	tell *schema.ClusterStateTell
 }
 
 // Table is the controller's table; every side machine has one, one of them acts.
 type Table struct {
 	id       string
-	state    *schema.CharterState
+	state    *schema.ClusterStateState
 	values   *clusterstate.Values
 	roll     *membership.Roll
 	told     map[string]told
-	until    int64 // the lease's end as last seen, in the charter's time
+	until    int64 // the lease's end as last seen, in the cluster state's time
 	untilAt  eventloop.Micros
 	askedAt  eventloop.Micros
 	claimAt  eventloop.Micros
@@ -72,10 +72,10 @@
 }
 
 // New makes the table of a side machine. Losses are the stores that may be lost
-// at once (0: one). Readers are the tables of this process that want the charter.
+// at once (0: one). Readers are the tables of this process that want the cluster state.
 func New(id string, losses uint32, readers ...string) *Table {
 	return &Table{
-		id: id, voters: membership.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.CharterState{}, values: clusterstate.Read(nil), told: map[string]told{}, claims: map[uint64]eventloop.Micros{},
+		id: id, voters: membership.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.ClusterStateState{}, values: clusterstate.Read(nil), told: map[string]told{}, claims: map[uint64]eventloop.Micros{},
 		acted: map[string]eventloop.Micros{}, gone: map[string]eventloop.Micros{}, came: map[string]eventloop.Micros{},
 	}
 }
@@ -86,7 +86,7 @@
 // SideBelief is what a side machine believes.
 type SideBelief struct {
 	Node       string           `json:"node"`
-	Version    uint64           `json:"charter_version"`
+	Version    uint64           `json:"cluster_state_version"`
 	Controller string           `json:"controller"`
 	Lease      uint64           `json:"controller_lease"`
 	IsMine     bool             `json:"controller_here"`
@@ -99,7 +99,7 @@
 		t.tick(now, out)
 	case *membership.Roll:
 		t.roll = body
-	case *schema.CharterTell:
+	case *schema.ClusterStateTell:
 		t.hear(now, mail.From, body, out)
 	case *schema.RequestReply:
 		t.replied(now, body)
@@ -112,11 +112,11 @@
 	}
 }
 
-func (t *Table) hear(now eventloop.Micros, from string, m *schema.CharterTell, out eventloop.Out) {
+func (t *Table) hear(now eventloop.Micros, from string, m *schema.ClusterStateTell, out eventloop.Out) {
 	isNew := m.State != nil && m.State.Version > t.state.Version
 	if m.State != nil && m.State.Version >= t.state.Version {
 		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
-		out.Tell("kin", membership.Charter{Version: m.State.Version})
+		out.Tell("kin", membership.ClusterState{Version: m.State.Version})
 	}
 	if m.ControllerUntilUs > t.until {
 		t.until, t.untilAt = m.ControllerUntilUs, now
@@ -126,7 +126,7 @@
 		t.told[from] = told{at: now, tell: m}
 		// The whole each time: a reader that missed one isn't told of it again.
 		for _, reader := range t.readers {
-			out.Tell(reader, &schema.CharterTell{State: t.state, Version: t.state.Version, Leaders: m.Leaders})
+			out.Tell(reader, &schema.ClusterStateTell{State: t.state, Version: t.state.Version, Leaders: m.Leaders})
 		}
 	}
 	// Queues that a table has just added are waited for.
@@ -175,7 +175,7 @@
 	t.sessions(now, out)
 }
 
-// ask asks after the charter: a candidate asks every store, for it must know what
+// ask asks after the cluster state: a candidate asks every store, for it must know what
 // each of them says once it is controller; the others take turns, for all asking all
 // would cost the stores more than what they are there for.
 func (t *Table) ask(now eventloop.Micros, out eventloop.Out) {
@@ -188,7 +188,7 @@
 		stores = stores[t.turn%len(stores):][:1]
 	}
 	for _, id := range stores {
-		out.Send(id, &schema.CharterAsk{Version: t.state.Version})
+		out.Send(id, &schema.ClusterStateAsk{Version: t.state.Version})
 	}
 }
 
@@ -231,9 +231,9 @@
 	}
 	stale := now - t.untilAt
 	isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LeaseUs)
-	// A controller that nobody hears needn't be waited for, but the charter will
+	// A controller that nobody hears needn't be waited for, but the cluster state will
 	// only give its lease away when it has run out.
-	// Whoever held it last may take it up again at once: while the charter had no
+	// Whoever held it last may take it up again at once: while the cluster state had no
 	// leader nobody could renew anything.
 	isLast := t.state.Controller.GetId() == t.id
 	if isLast || isVacant && stale > eventloop.Micros(clusterstate.LeaseUs)+eventloop.Micros(rank)*300*eventloop.Milli || t.until == 0 && now > eventloop.Micros(rank)*300*eventloop.Milli {
@@ -243,7 +243,7 @@
 
 func (t *Table) claim(now eventloop.Micros, out eventloop.Out) {
 	t.claimAt = now
-	if id := t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: t.id}}}, out); id != 0 {
+	if id := t.send(now, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Claim{Claim: &schema.Claim{Id: t.id}}}, out); id != 0 {
 		t.claims[id] = now
 	}
 }
@@ -266,14 +266,14 @@
 	t.mine = max(t.mine, sent+eventloop.Micros(clusterstate.LeaseUs)-guardSpan)
 }
 
-// send gives a command to the charter's leader.
-func (t *Table) send(now eventloop.Micros, command *schema.CharterCommand, out eventloop.Out) uint64 {
+// send gives a command to the cluster state's leader.
+func (t *Table) send(now eventloop.Micros, command *schema.ClusterStateCommand, out eventloop.Out) uint64 {
 	to := t.leaderOf(now, clusterstate.Group)
 	if to == "" {
 		return 0
 	}
 	t.number++
-	out.Send(to, &schema.Request{Id: t.number, Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(command)})
+	out.Send(to, &schema.Request{Id: t.number, Kind: "clusterstate", Group: clusterstate.Group, Body: replica.ClusterStateBody(command)})
 	return t.number
 }
 
@@ -394,7 +394,7 @@
 	// One that finds no leader is tried again at the next tick.
 	if t.leaderOf(now, clusterstate.Group) != "" && t.may(now, "queues", actSpan) {
 		t.queuesIn = set
-		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: command}}, out)
+		t.send(now, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: command}}, out)
 	}
 }
 
@@ -423,7 +423,7 @@
 	var list []candidate
 	for _, id := range root.Voters {
 		word, isKnown := t.told[id]
-		// Who can't say how the charter stands is cut off from it, and could
+		// Who can't say how the cluster state stands is cut off from it, and could
 		// neither lead nor ward.
 		if !isKnown || now-word.at > deadSpan || !t.roll.Live(id, now, deadSpan) || t.roll.Known[id].Member.Leaving || t.isDeposed(now, id) {
 			continue
@@ -480,10 +480,10 @@
 	}
 	t.movedAt = now
 	if len(queues.Queues) > 0 {
-		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: queues}}, out)
+		t.send(now, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: queues}}, out)
 	}
 	if len(wards.Wards) > 0 {
-		t.send(now, &schema.CharterCommand{Body: &schema.CharterCommand_Wards{Wards: wards}}, out)
+		t.send(now, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Wards{Wards: wards}}, out)
 	}
 }
 
@@ -636,8 +636,8 @@
 	return nil
 }
 
-// spare is a store to learn next. Queues follow the charter's voters, so that a
-// few machines hold all; the charter's are spread over the cells.
+// spare is a store to learn next. Queues follow the cluster state's voters, so that a
+// few machines hold all; the cluster state's are spread over the cells.
 func (t *Table) spare(now eventloop.Micros, note, root *schema.WaitNote) string {
 	mayLearn := func(id string) bool {
 		return !slices.Contains(note.Voters, id) && !slices.Contains(note.Learners, id) &&
@@ -663,7 +663,7 @@
 	return best
 }
 
-// surplus is the voter to do without: one that doesn't vote on the charter, else
+// surplus is the voter to do without: one that doesn't vote on the cluster state, else
 // one of the fullest cell; never the leader.
 func (t *Table) surplus(note, root *schema.WaitNote) string {
 	inCell := map[string]int{}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -13,15 +13,15 @@
 	"sparnotch/internal/schema"
 )
 
-// desk drives a controller by hand; three stores stand, "a" leads the charter.
+// desk drives a controller by hand; three stores stand, "a" leads the cluster state.
 type desk struct {
 	silent map[string]eventloop.Micros // since when nobody hears them
 	others map[string]*schema.Member
 	asks   []*schema.Reroster
 	t      *Table
 	now    eventloop.Micros
-	state  *schema.CharterState
-	acts   []*schema.CharterCommand
+	state  *schema.ClusterStateState
+	acts   []*schema.ClusterStateCommand
 	mail   []*schema.RequestReply // on its way back
 }
 
@@ -30,7 +30,7 @@
 		d.asks = append(d.asks, act)
 	}
 	if request, isRequest := body.(*schema.Request); isRequest {
-		command := &schema.CharterCommand{}
+		command := &schema.ClusterStateCommand{}
 		So(proto.Unmarshal(request.Body, command), ShouldBeNil)
 		So(to, ShouldEqual, "a")
 		if command.GetClaim() != nil {
@@ -69,11 +69,11 @@
 	d.t.Step(d.now, eventloop.Mail{Body: roll}, d)
 }
 
-// tell is the charter leader's word, with its state as it is.
+// tell is the cluster state leader's word, with its state as it is.
 func (d *desk) tell(notes ...*schema.WaitNote) {
 	notes = append(notes, &schema.WaitNote{Group: clusterstate.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
-	d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{
-		State: proto.Clone(d.state).(*schema.CharterState), Version: d.state.Version, Leaders: map[string]string{clusterstate.Group: "a"}, Waits: notes,
+	d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.ClusterStateTell{
+		State: proto.Clone(d.state).(*schema.ClusterStateState), Version: d.state.Version, Leaders: map[string]string{clusterstate.Group: "a"}, Waits: notes,
 	}}, d)
 }
 
@@ -101,7 +101,7 @@
 }
 
 func newDesk() *desk {
-	d := &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
+	d := &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{}}}
 	d.roll()
 	d.tell()
 	for k := 0; k < 20 && !d.t.isController(d.now); k++ {
@@ -175,7 +175,7 @@
 	learns := func(boot uint64, comes eventloop.Micros, isController bool) eventloop.Micros {
 		d := newDesk()
 		if !isController {
-			d = &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}}
+			d = &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{}}}
 		}
 		silentAt := d.now + 12*eventloop.Second
 		for d.now < silentAt+10*eventloop.Second && len(d.asks) == 0 {
@@ -272,8 +272,8 @@
 			if from == "a" {
 				notes = append(notes, &schema.WaitNote{Group: clusterstate.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
 			}
-			d.t.Step(d.now, eventloop.Mail{From: from, Body: &schema.CharterTell{
-				State: proto.Clone(d.state).(*schema.CharterState), Version: d.state.Version, Leaders: leaders, Waits: notes,
+			d.t.Step(d.now, eventloop.Mail{From: from, Body: &schema.ClusterStateTell{
+				State: proto.Clone(d.state).(*schema.ClusterStateState), Version: d.state.Version, Leaders: leaders, Waits: notes,
 			}}, d)
 		}
 		before := map[string]string{clusterstate.Group: "a", "l": "c"}
--- a/internal/controller/voters_test.go
+++ b/internal/controller/voters_test.go
@@ -159,7 +159,7 @@
 	})
 }
 
-// asked counts whom a side machine asks after the charter, and its claims.
+// asked counts whom a side machine asks after the cluster state, and its claims.
 type asked struct {
 	stores map[string]int
 	claims int
@@ -167,7 +167,7 @@
 
 func (a *asked) Send(to string, body any) {
 	switch body.(type) {
-	case *schema.CharterAsk:
+	case *schema.ClusterStateAsk:
 		a.stores[to]++
 	case *schema.Request:
 		a.claims++
@@ -199,7 +199,7 @@
 				roll.Known[side(k).Id] = membership.Known{Member: side(k), Heard: heard}
 			}
 			h.Step(now, eventloop.Mail{Body: roll}, a)
-			h.Step(now, eventloop.Mail{From: "a", Body: &schema.CharterTell{Version: 1, Leaders: map[string]string{clusterstate.Group: "a"}}}, a)
+			h.Step(now, eventloop.Mail{From: "a", Body: &schema.ClusterStateTell{Version: 1, Leaders: map[string]string{clusterstate.Group: "a"}}}, a)
 			h.Step(now, eventloop.Mail{Body: eventloop.Tick{}}, a)
 		}
 		return a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,14 +26,14 @@
 	resendSpan   = 700 * eventloop.Milli // an unconfirmed submission is sent again after this
 	redirectSpan = 40 * eventloop.Milli  // between two redirects of one thing
 	retrySpan    = 400 * eventloop.Milli // another request is sent again after this
-	parkSpan     = 500 * eventloop.Milli // a request for an unknown queue waits so long for the charter's leader
+	parkSpan     = 500 * eventloop.Milli // a request for an unknown queue waits so long for the cluster state's leader
 	maxParked    = 256
 	storeSpan    = 1200 * eventloop.Milli // a store unheard for longer is asked only for want of others
-	askSpan      = 250 * eventloop.Milli  // between looks at the charter
-	newSpan      = 2 * eventloop.Second   // after a queue lost its leader the charter is looked at more often
+	askSpan      = 250 * eventloop.Milli  // between looks at the cluster state
+	newSpan      = 2 * eventloop.Second   // after a queue lost its leader the cluster state is looked at more often
 	quietSpan    = 30 * eventloop.Second  // a client session that rests this long is ended
 	frozenSpan   = 20 * eventloop.Second  // after a longer pause this front starts afresh
-	wordSpan     = eventloop.Second       // a front that saw no charter for so long isn't ready, and takes nothing new
+	wordSpan     = eventloop.Second       // a front that saw no cluster state for so long isn't ready, and takes nothing new
 	freshSpan    = 5 * eventloop.Second   // and after so long gives up what it has taken
 	maxPending   = 4096                   // requests of all kinds at once
 	rateSpan     = eventloop.Second       // over which what a queue gets done is counted
@@ -139,9 +139,9 @@
 	boot       uint64
 	epoch      uint64 // of sessions made here, so that none is ever taken up again
 	rng        *rand.Rand
-	state      *schema.CharterState
+	state      *schema.ClusterStateState
 	values     *clusterstate.Values
-	heardAt    eventloop.Micros // last word of the charter
+	heardAt    eventloop.Micros // last word of the cluster state
 	leaders    map[string]string
 	unled      map[string]eventloop.Micros // queues that nobody is known to lead, and since when
 	waits      map[string]*schema.WaitNote
@@ -165,13 +165,13 @@
 	paces      map[string]*pace
 	wasFresh   bool
 	isWarned   bool
-	isLocal    bool // the charter is in this process
+	isLocal    bool // the cluster state is in this process
 }
 
 // New makes the table of the front with this id and boot.
 func New(id string, boot uint64, isLocal bool, rng *rand.Rand) *Table {
 	return &Table{
-		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.CharterState{}, values: clusterstate.Read(nil),
+		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.ClusterStateState{}, values: clusterstate.Read(nil),
 		leaders: map[string]string{}, unled: map[string]eventloop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[queueClient]*session{}, byId: map[string]*session{},
 		requests: map[uint64]*request{}, polls: map[uint64]PollIn{}, met: map[string]eventloop.Micros{}, quitting: map[string][]*schema.Session{},
 		queueHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]eventloop.Micros{}, owed: map[string]bool{}, denied: map[queueStore]eventloop.Micros{},
@@ -201,8 +201,8 @@
 		t.replied(now, body, out)
 	case *schema.PollReply:
 		t.polled(body, out)
-	case *schema.CharterTell:
-		t.charter(now, mail.From, body, out)
+	case *schema.ClusterStateTell:
+		t.clusterState(now, mail.From, body, out)
 	case *membership.Roll:
 		t.roll = body
 		for group, id := range t.leaders {
@@ -228,9 +228,9 @@
 	out.Answer(request, Answer{Code: code, Body: Fault(name, message, ""), Retry: retry})
 }
 
-// --- the charter ---
+// --- the cluster state ---
 
-func (t *Table) charter(now eventloop.Micros, from string, m *schema.CharterTell, out eventloop.Out) {
+func (t *Table) clusterState(now eventloop.Micros, from string, m *schema.ClusterStateTell, out eventloop.Out) {
 	if m.State != nil && m.State.Version >= t.state.Version {
 		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
 		t.countUnled(now)
@@ -283,7 +283,7 @@
 	}
 }
 
-// askRest is how long to wait between two looks at the charter: less while
+// askRest is how long to wait between two looks at the cluster state: less while
 // somebody may just have come to lead a queue.
 func (t *Table) askRest(now eventloop.Micros) eventloop.Micros {
 	// Whoever has no word serves nobody.
@@ -323,7 +323,7 @@
 // --- queues that this front doesn't know ---
 
 // park holds a request for a queue that our copy of the plan lacks until the
-// charter's leader has said what the plan is now: whoever has just put a table
+// cluster state's leader has said what the plan is now: whoever has just put a table
 // may use it at once, and who asks for a queue that isn't there is told so
 // within a round trip.
 func (t *Table) park(now eventloop.Micros, mail any, out eventloop.Out) bool {
@@ -332,7 +332,7 @@
 	}
 	if len(t.parked) == 0 {
 		t.parkedAt = now
-		out.Send(t.leader(now, clusterstate.Group), &schema.CharterAsk{Version: t.state.Version})
+		out.Send(t.leader(now, clusterstate.Group), &schema.ClusterStateAsk{Version: t.state.Version})
 	}
 	t.parked = append(t.parked, mail)
 	return true
@@ -368,13 +368,13 @@
 	}
 }
 
-// isFresh tells whether this front has had word of the charter lately; a young
+// isFresh tells whether this front has had word of the cluster state lately; a young
 // process has had none at all.
 func (t *Table) isFresh(now eventloop.Micros) bool {
 	return t.heardAt > 0 && now-t.heardAt <= freshSpan
 }
 
-// hasWord tells whether this front had word of the charter just now. One that
+// hasWord tells whether this front had word of the cluster state just now. One that
 // hadn't is cut off, most likely: what it took would wait here in vain, while
 // another front could serve it.
 func (t *Table) hasWord(now eventloop.Micros) bool { return t.heardAt > 0 && now-t.heardAt <= wordSpan }
@@ -496,11 +496,11 @@
 	return max(1, int((p.next-now+eventloop.Second-1)/eventloop.Second))
 }
 
-// notReady is the answer of a front that has no word of the charter: the longer
+// notReady is the answer of a front that has no word of the cluster state: the longer
 // it lasts, the less soon it is worth asking here again.
 func (t *Table) notReady(now eventloop.Micros, request uint64, out eventloop.Out) {
 	retry := min(max(int((now-t.heardAt)/(2*eventloop.Second)), 1), 10)
-	t.refuse(request, 503, "not_ready", "this front has no fresh word of the charter: ask another", retry, out)
+	t.refuse(request, 503, "not_ready", "this front has no fresh word of the cluster state: ask another", retry, out)
 }
 
 // giveUp answers at once, when this front has lost touch, all that it can't
@@ -514,7 +514,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.requests)) {
 		switch t.requests[id].ask.Kind {
-		case "cancel", "charter":
+		case "cancel", "clusterstate":
 			out.Answer(id, unknown())
 		default:
 			t.notReady(now, id, out)
@@ -756,7 +756,7 @@
 		t.refuse(m.Request, 429, "front_full", "this front has too much in hand", t.pace("").turn(now), out)
 		return
 	}
-	// The charter's leader may just be missing: an operator's call waits for it.
+	// The cluster state's leader may just be missing: an operator's call waits for it.
 	isLost := !t.hasWord(now) && m.Group != clusterstate.Group || !t.isFresh(now)
 	if t.heardAt > 0 && isLost {
 		t.notReady(now, m.Request, out)
@@ -816,8 +816,8 @@
 	if ward == nil && t.state.Version > 0 && now-t.met[m.Worker] > eventloop.Second {
 		t.met[m.Worker] = now
 		if to := t.leader(now, clusterstate.Group); to != "" {
-			command := &schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: m.Worker}}}
-			out.Send(to, &schema.Request{Kind: "charter", Group: clusterstate.Group, Body: marshal(command)})
+			command := &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Meet{Meet: &schema.Meet{Worker: m.Worker}}}
+			out.Send(to, &schema.Request{Kind: "clusterstate", Group: clusterstate.Group, Body: marshal(command)})
 		}
 	}
 	if ward == nil || ward.Placer == "" || len(t.polls) >= maxPending {
@@ -868,10 +868,10 @@
 	// lost, or may be cut off from them: then others are asked.
 	isLate := t.heardAt == 0 || now-t.heardAt > wordSpan/2
 	if !t.isLocal || isLate || t.state.Version == 0 || len(t.leaders) == 0 {
-		t.askCharter(now, out)
+		t.askClusterState(now, out)
 	} else if now-t.askedAt >= t.askRest(now) {
 		t.askedAt = now
-		out.Send(t.id, &schema.CharterAsk{Version: t.state.Version})
+		out.Send(t.id, &schema.ClusterStateAsk{Version: t.state.Version})
 	}
 	queues := map[string]bool{}
 	for key, s := range t.sessions {
@@ -928,13 +928,13 @@
 	return slices.Sorted(maps.Keys(set))
 }
 
-func (t *Table) askCharter(now eventloop.Micros, out eventloop.Out) {
+func (t *Table) askClusterState(now eventloop.Micros, out eventloop.Out) {
 	if now-t.askedAt < t.askRest(now) {
 		return
 	}
 	t.askedAt = now
 	if to := t.someStore(now); to != "" {
-		out.Send(to, &schema.CharterAsk{Version: t.state.Version})
+		out.Send(to, &schema.ClusterStateAsk{Version: t.state.Version})
 	}
 }
 
@@ -1011,7 +1011,7 @@
 	case t.isWarned:
 		t.refuse(m.Request, 503, "leaving", "this process is leaving", 0, out)
 	case !t.hasWord(now):
-		t.refuse(m.Request, 503, "not_ready", "no fresh word of the charter", 1, out)
+		t.refuse(m.Request, 503, "not_ready", "no fresh word of the cluster state", 1, out)
 	default:
 		out.Answer(m.Request, Answer{Code: 200, Body: []byte(`{"ready":true}`)})
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,9 +42,9 @@
 func newDesk(rows ...*schema.Row) *desk {
 	d := &desk{t: New("me", 1, false, rand.New(rand.NewPCG(1, 1))), now: 100 * eventloop.Second, answers: map[uint64]Answer{}}
 	rows = append(rows, &schema.Row{Kind: "queue", Name: "l", Key: "urgency", Value: "1"})
-	d.step(&schema.CharterTell{
+	d.step(&schema.ClusterStateTell{
 		Version: 1, Leaders: map[string]string{"l": "a"},
-		State: &schema.CharterState{Version: 1, Plan: &schema.Plan{Generation: 1, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}},
+		State: &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{Generation: 1, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}},
 	})
 	return d
 }
@@ -173,12 +173,12 @@
 	})
 	Convey("A queue that is full by its leader's word takes no more", t, func() {
 		d := newDesk(&schema.Row{Kind: "fleet", Key: "live_jobs", Value: "5"})
-		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{}, Waits: []*schema.WaitNote{{Queue: "l", Live: 5}}})
+		d.step(&schema.ClusterStateTell{Version: 1, Leaders: map[string]string{}, Waits: []*schema.WaitNote{{Queue: "l", Live: 5}}})
 		status, name := code(d, d.handIn("c", "one"))
 		So(status, ShouldEqual, 429)
 		So(name, ShouldEqual, "queue_full")
 	})
-	Convey("A front without a fresh charter isn't ready, and says so rather than that a queue is unknown", t, func() {
+	Convey("A front without a fresh cluster state isn't ready, and says so rather than that a queue is unknown", t, func() {
 		d := newDesk()
 		d.step(Ready{Request: 900})
 		So(d.answers[900].Code, ShouldEqual, 200)
@@ -200,12 +200,12 @@
 	Convey("A queue that our copy lacks is asked for, and the answer decides", t, func() {
 		d := newDesk()
 		fresh := func(from string, queues ...string) {
-			state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Generation: 2}}
+			state := &schema.ClusterStateState{Version: 2, Plan: &schema.Plan{Generation: 2}}
 			for _, queue := range queues {
 				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "queue", Name: queue, Key: "urgency", Value: "1"})
 				state.Queues = append(state.Queues, &schema.QueuePlace{Queue: queue, Generation: 2})
 			}
-			d.t.Step(d.now, eventloop.Mail{From: from, Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "new": "a"}}}, d)
+			d.t.Step(d.now, eventloop.Mail{From: from, Body: &schema.ClusterStateTell{State: state, Version: 2, Leaders: map[string]string{"clusterstate": "a", "new": "a"}}}, d)
 		}
 		d.step(Ask{Request: 5, Kind: "status", Group: "new", Name: "j"})
 		_, isAnswered := d.answers[5]
@@ -242,7 +242,7 @@
 			d.applied("a", submit.Enqueues[0].Number)
 			d.now += 250 * eventloop.Milli
 			d.step(eventloop.Tick{})
-			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
+			d.step(&schema.ClusterStateTell{Version: 1, Leaders: map[string]string{"l": "a"}})
 		}
 		for k := 0; k < 8; k++ {
 			d.handIn("c", "held")
@@ -257,7 +257,7 @@
 		So(told[11], ShouldBeBetweenOrEqual, 3, 4)
 		// Turns that have passed are given anew.
 		d.now += 4 * eventloop.Second
-		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
+		d.step(&schema.ClusterStateTell{Version: 1, Leaders: map[string]string{"l": "a"}})
 		So(d.answers[d.handIn("c", "more")].Retry, ShouldEqual, 1)
 	})
 	Convey("Where nothing gets done the time grows, within bounds", t, func() {
@@ -274,7 +274,7 @@
 	Convey("A full queue's time is by the jobs it ends", t, func() {
 		d := newDesk(&schema.Row{Kind: "fleet", Key: "live_jobs", Value: "100"})
 		for k := uint64(0); k < 8; k++ {
-			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}, Waits: []*schema.WaitNote{{Queue: "l", Live: 100, Ended: 2 * k}}})
+			d.step(&schema.ClusterStateTell{Version: 1, Leaders: map[string]string{"l": "a"}, Waits: []*schema.WaitNote{{Queue: "l", Live: 100, Ended: 2 * k}}})
 			d.now += eventloop.Second
 		}
 		told := 0
@@ -302,7 +302,7 @@
 		_, isAnswered = d.answers[902]
 		So(isAnswered, ShouldBeFalse)
 		Convey("and with a word it is ready again", func() {
-			d.step(&schema.CharterTell{Version: d.t.state.Version, Leaders: map[string]string{"l": "a"}})
+			d.step(&schema.ClusterStateTell{Version: d.t.state.Version, Leaders: map[string]string{"l": "a"}})
 			d.step(Ready{Request: 903})
 			So(d.answers[903].Code, ShouldEqual, 200)
 		})
@@ -315,11 +315,11 @@
 			known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: d.now}
 		}
 		d.step(&membership.Roll{Known: known})
-		d.step(&schema.CharterTell{Version: d.t.state.Version, Leaders: map[string]string{"l": "a"}})
+		d.step(&schema.ClusterStateTell{Version: d.t.state.Version, Leaders: map[string]string{"l": "a"}})
 		asked := func() map[string]bool {
 			to := map[string]bool{}
 			for _, each := range d.sent {
-				if _, isAsk := each.body.(*schema.CharterAsk); isAsk {
+				if _, isAsk := each.body.(*schema.ClusterStateAsk); isAsk {
 					to[each.to] = true
 				}
 			}
@@ -386,8 +386,8 @@
 	Convey("An entry that our copy lacks is asked for, and looked up anew", t, func() {
 		d := newDesk()
 		fresh := func(rows []*schema.Row) {
-			state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Generation: 2, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}}
-			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{State: state, Version: 2, Leaders: map[string]string{"charter": "a", "l": "a"}}}, d)
+			state := &schema.ClusterStateState{Version: 2, Plan: &schema.Plan{Generation: 2, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}}
+			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.ClusterStateTell{State: state, Version: 2, Leaders: map[string]string{"clusterstate": "a", "l": "a"}}}, d)
 		}
 		d.step(HandIn{Request: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
 		d.step(Ask{Request: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
@@ -410,7 +410,7 @@
 			So(d.answers[1].Code, ShouldEqual, 404)
 			d.step(HandIn{Request: 3, Queue: "l", Client: "c", Name: "j", Job: job()})
 			So(d.answers, ShouldNotContainKey, uint64(3))
-			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.CharterTell{Version: 2, Leaders: map[string]string{"charter": "a"}}}, d)
+			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.ClusterStateTell{Version: 2, Leaders: map[string]string{"clusterstate": "a"}}}, d)
 			So(d.answers[3].Code, ShouldEqual, 404)
 		})
 	})
@@ -419,7 +419,7 @@
 		d.step(HandIn{Request: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
 		d.step(Ask{Request: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
 		So([]int32{d.answers[1].Code, d.answers[2].Code}, ShouldResemble, []int32{503, 503})
-		tell := &schema.CharterTell{Version: 1, State: &schema.CharterState{Version: 1, Plan: &schema.Plan{}}, Leaders: map[string]string{"charter": "a"}}
+		tell := &schema.ClusterStateTell{Version: 1, State: &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{}}, Leaders: map[string]string{"clusterstate": "a"}}
 		d.t.Step(d.now, eventloop.Mail{From: "a", Body: tell}, d)
 		d.step(HandIn{Request: 3, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
 		d.t.Step(d.now, eventloop.Mail{From: "a", Body: tell}, d)
@@ -466,7 +466,7 @@
 		So(d.answers, ShouldNotContainKey, second)
 		So(d.t.sessions[queueClient{"l", "c"}].waiting, ShouldHaveLength, 2)
 		Convey("and taken again as soon as somebody is", func() {
-			d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "b"}})
+			d.step(&schema.ClusterStateTell{Version: 1, Leaders: map[string]string{"l": "b"}})
 			fourth := d.handIn("c", "four")
 			So(d.answers, ShouldNotContainKey, fourth)
 			to, submit := d.lastSubmit()
@@ -474,7 +474,7 @@
 			So(submit.Enqueues[0].Number, ShouldEqual, 3)
 		})
 	})
-	Convey("The charter is looked at more often then, and what was asked goes to whoever leads now", t, func() {
+	Convey("The cluster state is looked at more often then, and what was asked goes to whoever leads now", t, func() {
 		d := newDesk()
 		known := func(id string) membership.Known {
 			return membership.Known{Member: &schema.Member{Id: id, Stores: true}, Heard: d.now}
@@ -493,7 +493,7 @@
 				case *schema.Request:
 					requests++
 					So(each.to, ShouldEqual, "b")
-				case *schema.CharterAsk:
+				case *schema.ClusterStateAsk:
 					looks++
 				}
 			}
@@ -505,7 +505,7 @@
 		So(looks, ShouldEqual, 1)
 		pass()
 		So([]int{looks, requests}, ShouldResemble, []int{1, 0})
-		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "b"}})
+		d.step(&schema.ClusterStateTell{Version: 1, Leaders: map[string]string{"l": "b"}})
 		pass()
 		So([]int{looks, requests}, ShouldResemble, []int{0, 1})
 	})
@@ -515,7 +515,7 @@
 		d.now += 5 * eventloop.Milli
 		d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.Applied{Queue: "l"}}, d)
 		d.now += 100 * eventloop.Milli
-		d.step(&schema.CharterTell{Version: 1, Leaders: map[string]string{"l": "a"}})
+		d.step(&schema.ClusterStateTell{Version: 1, Leaders: map[string]string{"l": "a"}})
 		before := len(d.sent)
 		for k := 0; k < 3; k++ {
 			d.now += Pace
@@ -533,12 +533,12 @@
 	Convey("A new queue has that long to find a leader, and one that was dropped is forgotten", t, func() {
 		d := newDesk()
 		queues := func(version uint64, queues ...string) {
-			state := &schema.CharterState{Version: version, Plan: &schema.Plan{Generation: version}}
+			state := &schema.ClusterStateState{Version: version, Plan: &schema.Plan{Generation: version}}
 			for _, queue := range queues {
 				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "queue", Name: queue, Key: "urgency", Value: "1"})
 				state.Queues = append(state.Queues, &schema.QueuePlace{Queue: queue, Generation: version})
 			}
-			d.step(&schema.CharterTell{Version: version, State: state, Leaders: map[string]string{"charter": "a"}})
+			d.step(&schema.ClusterStateTell{Version: version, State: state, Leaders: map[string]string{"clusterstate": "a"}})
 		}
 		queues(2, "l", "new")
 		job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -41,7 +41,7 @@
 type Hand struct {
 	watch  Watch
 	worker *fakeworker.Worker
-	state  *schema.CharterState
+	state  *schema.ClusterStateState
 	leader string
 	next   uint64
 	open   map[uint64]openPoll
@@ -81,7 +81,7 @@
 				h.worker.Unanswered(now)
 			}
 		}
-	case *schema.CharterTell:
+	case *schema.ClusterStateTell:
 		h.hear(now, body)
 	case *schema.PollReply:
 		poll, isOpen := h.open[body.Id]
@@ -97,7 +97,7 @@
 	h.announce(now, out)
 }
 
-func (h *Hand) hear(now eventloop.Micros, m *schema.CharterTell) {
+func (h *Hand) hear(now eventloop.Micros, m *schema.ClusterStateTell) {
 	if m.State != nil && m.State.Version > h.state.GetVersion() {
 		if h.watch.Plan != nil && h.state.GetPlan().GetGeneration() < m.State.Plan.GetGeneration() {
 			h.watch.Plan(now, m.State.Plan.Generation)
@@ -117,8 +117,8 @@
 	if ward == nil || ward.Placer == "" {
 		if now-h.metAt > eventloop.Second && h.leader != "" {
 			h.metAt = now
-			out.Send(h.leader, &schema.Request{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(
-				&schema.CharterCommand{Body: &schema.CharterCommand_Meet{Meet: &schema.Meet{Worker: h.worker.Name}}})})
+			out.Send(h.leader, &schema.Request{Kind: "clusterstate", Group: clusterstate.Group, Body: replica.ClusterStateBody(
+				&schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Meet{Meet: &schema.Meet{Worker: h.worker.Name}}})})
 		}
 		return
 	}
@@ -133,14 +133,14 @@
 	switch body.(type) {
 	case *schema.PollReply:
 		return []string{Name}
-	case *schema.CharterTell:
+	case *schema.ClusterStateTell:
 		return []string{Name, "heed"}
 	}
 	return []string{process.Table(schema.Role_ROLE_HEED, body)}
 }
 
 // Onlooker stands where the controller's table would on a side that is none: it
-// asks one store for the charter, and does nothing with it.
+// asks one store for the cluster state, and does nothing with it.
 type Onlooker struct {
 	roll    *membership.Roll
 	version uint64
@@ -156,7 +156,7 @@
 	switch body := mail.Body.(type) {
 	case *membership.Roll:
 		o.roll = body
-	case *schema.CharterTell:
+	case *schema.ClusterStateTell:
 		if body.State != nil {
 			o.version = max(o.version, body.State.Version)
 		}
@@ -168,7 +168,7 @@
 			o.store = o.pick(now)
 		}
 		if o.store != "" {
-			out.Send(o.store, &schema.CharterAsk{Version: o.version})
+			out.Send(o.store, &schema.ClusterStateAsk{Version: o.version})
 		}
 	}
 }
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -296,8 +296,8 @@
 		write(ctx, gateway.Answer{Code: 422, Body: text})
 		return
 	}
-	s.ask(ctx, planSpan, gateway.Ask{Kind: "charter", Group: clusterstate.Group, Body: replica.CharterBody(
-		&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})})
+	s.ask(ctx, planSpan, gateway.Ask{Kind: "clusterstate", Group: clusterstate.Group, Body: replica.ClusterStateBody(
+		&schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})})
 }
 
 func (s *Server) announce(ctx iris.Context) {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -82,8 +82,8 @@
 // Leaving says that this process was warned.
 type Leaving struct{}
 
-// Charter tells that this process holds a charter, so a system exists.
-type Charter struct{ Version uint64 }
+// Cluster state tells that this process holds a cluster state, so a system exists.
+type ClusterState struct{ Version uint64 }
 
 // Terms are the settings the book goes by.
 type Terms struct {
@@ -157,7 +157,7 @@
 		t.isSystem = t.isSystem || body.Self.Belongs
 		t.greet(now, out)
 		t.found(now, out)
-	case Charter:
+	case ClusterState:
 		t.isSystem = t.isSystem || body.Version > 0
 	case Strain:
 		t.self.StrainUs = int64(body.Worst)
--- a/internal/mutation/mutants.go
+++ b/internal/mutation/mutants.go
@@ -21,7 +21,7 @@
 	{Guard: "a worker stops when its lease ends", Rule: 2, Test: "internal/fakeworker TestWhomAWorkerHeeds", Edits: []Edit{{"internal/fakeworker", "isOver := now >= w.lease", "isOver := false"}}},
 	{Guard: "a new ward waits for what the former granted", Rule: 2, Test: "internal/scheduler TestLostOnlyAfterTheLease", Edits: []Edit{{"internal/scheduler", "last := max(w.answered, w.since+wardSpan)", "last := w.answered"}}},
 	{Guard: "an older ward's word is turned away", Rule: 2, Test: "internal/fakeworker TestWhomAWorkerHeeds", Edits: []Edit{{"internal/fakeworker", "orders.Ward < w.ward", "false"}, {"internal/scheduler", "|| a.Ward > w.generation", ""}}},
-	{Guard: "a ward acts on a fresh charter only", Rule: 1, Test: "internal/replica TestFreshCharter", Edits: []Edit{{"internal/replica", "return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < freshSpan", "return r != nil"}}},
+	{Guard: "a ward acts on a fresh cluster state only", Rule: 1, Test: "internal/replica TestFreshClusterState", Edits: []Edit{{"internal/replica", "return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < freshSpan", "return r != nil"}}},
 	{Guard: "a leader acts while its quorum answers", Rule: 2, Test: "internal/raft TestActing", Edits: []Edit{{"internal/raft", "g.applied >= g.first && now-g.quorumAt <= g.times.acting()", "true"}}},
 	{Guard: "refusal is final or not said", Rule: 3, Test: "internal/gateway TestWhenToComeBack", Edits: []Edit{{"internal/gateway", "return Answer{Code: 504,", "return Answer{Code: 503,"}}},
 	{Guard: "a step waits for its dependencies", Rule: 4, Test: "internal/queue TestSteps", Edits: []Edit{{"internal/queue", "if j.left[first+other] > 0 {", "if j.left[first+other] > 1 {"}}},
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -95,7 +95,7 @@
 			return "agent"
 		}
 		return "gateway"
-	case *schema.RequestReply, *schema.CharterTell:
+	case *schema.RequestReply, *schema.ClusterStateTell:
 		if role == schema.Role_ROLE_HEED {
 			return "heed"
 		}
--- a/internal/process/real_test.go
+++ b/internal/process/real_test.go
@@ -35,7 +35,7 @@
 				case <-stop:
 					return
 				default:
-					other.Send(inner, &schema.CharterAsk{})
+					other.Send(inner, &schema.ClusterStateAsk{})
 				}
 			}
 		}()
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -23,7 +23,7 @@
 			places.Queues = append(places.Queues, &schema.QueuePlace{Queue: queues[k], Founders: stores, Leader: "a"})
 		}
 		So(c.put(queuesSheet(1, "", queues...)).Code, ShouldEqual, 200)
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: places}}).Code, ShouldEqual, 200)
+		So(c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: places}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(c.leader("l49"), ShouldEqual, "a")
 		for name, body := range map[string]any{"mail": &membership.Roll{}, "tick": eventloop.Tick{}} {
--- a/internal/replica/confirm_test.go
+++ b/internal/replica/confirm_test.go
@@ -14,7 +14,7 @@
 		c := newCore()
 		So(c.put(queuesSheet(1, "one", "l")).Code, ShouldEqual, 200)
 		place := &schema.PlaceQueues{Lease: c.lease(), Queues: []*schema.QueuePlace{{Queue: "l", Founders: stores, Leader: "a"}}}
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: place}}).Code, ShouldEqual, 200)
+		So(c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: place}}).Code, ShouldEqual, 200)
 		c.run(2 * eventloop.Second)
 		leader := c.leader("l")
 		So(leader, ShouldNotBeEmpty)
--- a/internal/replica/errand.go
+++ b/internal/replica/errand.go
@@ -36,7 +36,7 @@
 		if index := t.proposeQueue(now, r, command); index > 0 {
 			r.waiting[index] = asked
 		}
-	case "charter":
+	case "clusterstate":
 		if index, _, err := r.group.Propose(now, m.Body); err == nil {
 			r.waiting[index] = asked
 		}
@@ -75,11 +75,11 @@
 	case "counts":
 		t.reply(asked, 200, mustJSON(r.queue.Counts()), r.group, out)
 	case "plan":
-		t.reply(asked, 200, planBody(t.charter.Plan()), r.group, out)
+		t.reply(asked, 200, planBody(t.clusterState.Plan()), r.group, out)
 	case "history":
-		history := t.charter.History()
+		history := t.clusterState.History()
 		parts := make([]json.RawMessage, 0, len(history)+1)
-		for _, plan := range append(history[:len(history):len(history)], clusterstate.Bare(t.charter.Plan())) {
+		for _, plan := range append(history[:len(history):len(history)], clusterstate.Bare(t.clusterState.Plan())) {
 			parts = append(parts, planBody(plan))
 		}
 		t.reply(asked, 200, mustJSON(parts), r.group, out)
@@ -90,7 +90,7 @@
 	out.Send(asked.from, &schema.RequestReply{Id: asked.request.Id, Code: code, Body: body, Leader: t.id, Group: asked.request.Group})
 }
 
-func (t *Table) answerCharter(asked waiter, result *clusterstate.Result, r *replica, out eventloop.Out) {
+func (t *Table) answerClusterState(asked waiter, result *clusterstate.Result, r *replica, out eventloop.Out) {
 	var body []byte
 	switch {
 	case result.Fault != nil:
@@ -131,14 +131,14 @@
 	return data
 }
 
-// tellCharter answers whoever carries a copy of the charter.
-func (t *Table) tellCharter(now eventloop.Micros, from string, m *schema.CharterAsk, out eventloop.Out) {
+// tellClusterState answers whoever carries a copy of the cluster state.
+func (t *Table) tellClusterState(now eventloop.Micros, from string, m *schema.ClusterStateAsk, out eventloop.Out) {
 	r := t.groups[clusterstate.Group]
 	// A copy that may be behind would only hold the asker back.
-	if !t.isCharterFresh(now) {
+	if !t.isClusterStateFresh(now) {
 		return
 	}
-	tell := &schema.CharterTell{Version: t.state.Version, Leaders: map[string]string{clusterstate.Group: r.group.Leader()}, ControllerUntilUs: t.charter.ControllerUntil()}
+	tell := &schema.ClusterStateTell{Version: t.state.Version, Leaders: map[string]string{clusterstate.Group: r.group.Leader()}, ControllerUntilUs: t.clusterState.ControllerUntil()}
 	if t.state.Version > m.Version {
 		tell.State = t.state
 	}
@@ -213,9 +213,9 @@
 // NodeBelief is what a node believes.
 type NodeBelief struct {
 	Node       string               `json:"node"`
-	Version    uint64               `json:"charter_version"`
+	Version    uint64               `json:"cluster_state_version"`
 	Generation uint64               `json:"plan_generation"`
-	Fresh      bool                 `json:"charter_fresh"`
+	Fresh      bool                 `json:"cluster_state_fresh"`
 	Controller string               `json:"controller"`
 	Lease      uint64               `json:"controller_lease"`
 	Groups     []*GroupBelief       `json:"groups"`
@@ -240,8 +240,8 @@
 			b.Live, b.Kept, b.Carries, b.Sessions = r.queue.Live(), r.queue.Kept(), r.queue.Carries(), len(r.queue.Boots())
 			b.Digest = Digest(r.queue.Rest(true))
 		} else {
-			b.Digest = Digest(t.charter.Rest())
-			belief.Fresh = t.isCharterFresh(now)
+			b.Digest = Digest(t.clusterState.Rest())
+			belief.Fresh = t.isClusterStateFresh(now)
 		}
 		belief.Groups = append(belief.Groups, b)
 	}
@@ -254,8 +254,8 @@
 	return belief
 }
 
-// CharterBody encodes a charter command for a request.
-func CharterBody(command *schema.CharterCommand) []byte {
+// ClusterStateBody encodes a cluster state command for a request.
+func ClusterStateBody(command *schema.ClusterStateCommand) []byte {
 	data, err := proto.Marshal(command)
 	if err != nil {
 		panic("keep: " + err.Error())
--- a/internal/replica/fresh_test.go
+++ b/internal/replica/fresh_test.go
@@ -9,21 +9,21 @@
 	"sparnotch/internal/schema"
 )
 
-func TestFreshCharter(t *testing.T) {
-	Convey("Whose copy of the charter may be behind tells nobody of it, and gives its placer no leave to act", t, func() {
+func TestFreshClusterState(t *testing.T) {
+	Convey("Whose copy of the cluster state may be behind tells nobody of it, and gives its placer no leave to act", t, func() {
 		c := newCore()
 		// The last word of a store to its placer, and what it answers who asks.
 		look := func(id string) (isFresh, isTold bool) {
 			c.heard["h"] = nil
-			c.step(id, "h", &schema.CharterAsk{})
+			c.step(id, "h", &schema.ClusterStateAsk{})
 			c.run(200 * eventloop.Milli)
 			for _, each := range c.heard[id+"/placer"] {
 				if fresh, isIt := each.(Fresh); isIt {
-					isFresh = fresh.Charter
+					isFresh = fresh.ClusterState
 				}
 			}
 			for _, each := range c.heard["h"] {
-				if _, isIt := each.(*schema.CharterTell); isIt {
+				if _, isIt := each.(*schema.ClusterStateTell); isIt {
 					isTold = true
 				}
 			}
--- a/internal/replica/list_test.go
+++ b/internal/replica/list_test.go
@@ -25,13 +25,13 @@
 		So(c.put(queuesSheet(1, "", "l")).Code, ShouldEqual, 200)
 		lease := c.lease()
 		queues := &schema.PlaceQueues{Lease: lease, Queues: []*schema.QueuePlace{{Queue: "l", Founders: stores, Leader: "a"}}}
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: queues}}).Code, ShouldEqual, 200)
+		So(c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: queues}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(c.leader("l"), ShouldEqual, "a")
 		before := whole()
 		So(before, ShouldBeGreaterThan, 0)
 		wards := &schema.MoveWards{Lease: lease, Wards: []*schema.Ward{{Worker: "w", Placer: "a"}}}
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Wards{Wards: wards}}).Code, ShouldEqual, 200)
+		So(c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Wards{Wards: wards}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(whole(), ShouldEqual, before)
 		So(c.put(queuesSheet(2, "", "l")).Code, ShouldEqual, 200)
@@ -53,10 +53,10 @@
 		c.step(lead, "", roll)
 		for id, isTold := range map[string]bool{"h": true, "s": false, "f": true, "unknown": true} {
 			c.heard[id] = nil
-			c.step(lead, id, &schema.CharterAsk{})
+			c.step(lead, id, &schema.ClusterStateAsk{})
 			c.run(20 * eventloop.Milli)
 			So(c.heard[id], ShouldHaveLength, 1)
-			tell := c.heard[id][0].(*schema.CharterTell)
+			tell := c.heard[id][0].(*schema.ClusterStateTell)
 			So(tell.Leaders[clusterstate.Group], ShouldEqual, lead)
 			So(len(tell.Waits) > 0, ShouldEqual, isTold)
 		}
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -22,7 +22,7 @@
 	stepTime = eventloop.Milli
 )
 
-// core is three stores that hold the charter, with disks and a network that
+// core is three stores that hold the cluster state, with disks and a network that
 // take their time.
 type core struct {
 	now    eventloop.Micros
@@ -122,11 +122,11 @@
 	return ""
 }
 
-// ask has the charter's leader do a request, and gives what it says.
-func (c *core) ask(kind string, command *schema.CharterCommand) *schema.RequestReply {
+// ask has the cluster state's leader do a request, and gives what it says.
+func (c *core) ask(kind string, command *schema.ClusterStateCommand) *schema.RequestReply {
 	request := &schema.Request{Id: 1, Kind: kind, Group: clusterstate.Group}
 	if command != nil {
-		request.Body = CharterBody(command)
+		request.Body = ClusterStateBody(command)
 	}
 	c.heard["h"] = nil
 	c.step(c.leader(""), "h", request)
@@ -140,7 +140,7 @@
 }
 
 func (c *core) put(sheet *schema.Sheet) *schema.RequestReply {
-	return c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})
+	return c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})
 }
 
 func queuesSheet(edition uint64, document string, queues ...string) *schema.Sheet {
@@ -156,7 +156,7 @@
 		c := newCore()
 		So(c.leader(""), ShouldNotEqual, "")
 		So(c.put(queuesSheet(1, "", "l", "m", "n")).Code, ShouldEqual, 200)
-		reply := c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
+		reply := c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
 		var claimed struct{ Lease uint64 }
 		So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
 		place := &schema.PlaceQueues{Lease: claimed.Lease}
@@ -164,7 +164,7 @@
 			place.Queues = append(place.Queues, &schema.QueuePlace{Queue: queue, Founders: stores, Leader: stores[k]})
 		}
 		began := c.now
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: place}}).Code, ShouldEqual, 200)
+		So(c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: place}}).Code, ShouldEqual, 200)
 		for k, queue := range []string{"l", "m", "n"} {
 			for c.leader(queue) == "" && c.now < began+eventloop.Second {
 				c.run(eventloop.Milli)
@@ -182,7 +182,7 @@
 			}
 		})
 	})
-	Convey("A founder that its leader reached before the charter did is a voter in the end", t, func() {
+	Convey("A founder that its leader reached before the cluster state did is a voter in the end", t, func() {
 		c := newCore()
 		place := &schema.QueuePlace{Queue: "l", Generation: 1, Founders: stores, Leader: "a"}
 		c.step("b", "a", &schema.Append{Group: "l#1", Term: 1, Records: []*schema.Record{{Index: 1, Term: 1, Kind: schema.RecordKind_RECORD_FIRST}}})
@@ -207,7 +207,7 @@
 		So(plan.Edition, ShouldEqual, 2)
 		c.run(300 * eventloop.Milli)
 		for _, id := range stores {
-			c.step(id, "f", &schema.CharterAsk{})
+			c.step(id, "f", &schema.ClusterStateAsk{})
 		}
 		c.run(10 * eventloop.Milli)
 		tells := append([]any{}, c.heard["f"]...)
@@ -216,7 +216,7 @@
 		}
 		count := 0
 		for _, each := range tells {
-			if tell, isTell := each.(*schema.CharterTell); isTell && tell.State.GetPlan().GetGeneration() > 0 {
+			if tell, isTell := each.(*schema.ClusterStateTell); isTell && tell.State.GetPlan().GetGeneration() > 0 {
 				count++
 				So(tell.State.Plan.Document, ShouldBeEmpty)
 				So(tell.State.History, ShouldBeEmpty)
@@ -232,10 +232,10 @@
 	})
 	Convey("The controller hears of a new plan at once", t, func() {
 		c := newCore()
-		c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
+		c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
 		So(c.put(queuesSheet(1, "", "l")).Code, ShouldEqual, 200)
 		isTold := slices.ContainsFunc(c.heard["h"], func(body any) bool {
-			tell, isTell := body.(*schema.CharterTell)
+			tell, isTell := body.(*schema.ClusterStateTell)
 			return isTell && tell.State.GetPlan().GetEdition() == 1 && len(tell.Waits) > 0
 		})
 		So(isTold, ShouldBeTrue)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,4 +1,4 @@
-// Package replica owns the replicas of a process: the charter's and each queue's.
+// Package replica owns the replicas of a process: the cluster state's and each queue's.
 // It hands messages to them, applies what they commit, lets their changes reach
 // the vault together, and performs effects where this process leads.
 package replica
@@ -26,7 +26,7 @@
 const Pace = 25 * eventloop.Milli
 
 const (
-	freshSpan    = eventloop.Second      // how old the charter's word may be for a leader to order
+	freshSpan    = eventloop.Second      // how old the cluster state's word may be for a leader to order
 	stallSpan    = 600 * eventloop.Milli // a sync that takes longer makes a leader pass its queues on
 	passRest     = 5 * eventloop.Second  // between two attempts to pass a queue on
 	launchSpan   = 200 * eventloop.Milli // the starts of a group that was decided on have left by then
@@ -71,11 +71,11 @@
 type Lost struct{ Queue string }
 
 // Fresh says which queues this node may act for at this moment, and how the
-// charter stands.
+// cluster state stands.
 type Fresh struct {
-	Groups  map[string]uint64 // group -> term
-	Charter bool              // the charter's word is fresh
-	At      eventloop.Micros  // when that was so, by the clock of the process; 0: now
+	Groups       map[string]uint64 // group -> term
+	ClusterState bool              // the cluster state's word is fresh
+	At           eventloop.Micros  // when that was so, by the clock of the process; 0: now
 }
 
 // Ended is a worker's report for the queue's leader; Noted answers it.
@@ -96,7 +96,7 @@
 
 type replica struct {
 	group    *raft.Group
-	name     string // queue name, empty for the charter
+	name     string // queue name, empty for the cluster state
 	queue    *queue.Machine
 	waiting  map[uint64]waiter // by index
 	reading  map[uint64]waiter // by read number
@@ -106,7 +106,7 @@
 	carryIdx uint64
 	adoptIdx uint64
 	passAt   eventloop.Micros
-	leaderAt string // whom the charter named as leader then
+	leaderAt string // whom the cluster state named as leader then
 }
 
 // patience is one draw for all groups of a process: whoever stops hearing a
@@ -130,38 +130,38 @@
 
 // Table is the replicas' table.
 type Table struct {
-	id       string
-	self     *schema.Self
-	wall     func() int64
-	times    raft.Times
-	patience *patience
-	groups   map[string]*replica
-	listed   []string // names of the groups, in order; nil: to be made anew
-	charter  *clusterstate.Machine
-	values   *clusterstate.Values
-	adopt    *schema.Adopt        // what the plan asks of every queue
-	state    *schema.CharterState // copy of the charter that others may hold
-	roll     *membership.Roll
-	next     pending
-	writing  *pending
-	number   uint64
-	began    eventloop.Micros // when the write that is out was handed over
-	reads    uint64
-	isWarned bool
-	applied  map[string]*schema.Applied // by gateway, of this step
+	id           string
+	self         *schema.Self
+	wall         func() int64
+	times        raft.Times
+	patience     *patience
+	groups       map[string]*replica
+	listed       []string // names of the groups, in order; nil: to be made anew
+	clusterState *clusterstate.Machine
+	values       *clusterstate.Values
+	adopt        *schema.Adopt             // what the plan asks of every queue
+	state        *schema.ClusterStateState // copy of the cluster state that others may hold
+	roll         *membership.Roll
+	next         pending
+	writing      *pending
+	number       uint64
+	began        eventloop.Micros // when the write that is out was handed over
+	reads        uint64
+	isWarned     bool
+	applied      map[string]*schema.Applied // by gateway, of this step
 }
 
 // New makes the table from a store's content.
 func New(id string, content *storage.Content, wall func() int64, times raft.Times, seed uint64, now eventloop.Micros) *Table {
 	t := &Table{
 		id: id, self: content.Self, wall: wall, times: times, groups: map[string]*replica{},
-		charter: clusterstate.New(), applied: map[string]*schema.Applied{},
+		clusterState: clusterstate.New(), applied: map[string]*schema.Applied{},
 	}
 	hash := fnv.New64a()
 	hash.Write([]byte(id))
 	t.patience = &patience{rng: rand.New(rand.NewPCG(seed, hash.Sum64()))}
 	t.patience.draw()
-	t.setState(t.charter.Copy())
+	t.setState(t.clusterState.Copy())
 	t.next.marks = map[string]raft.Mark{}
 	for name, image := range content.Groups {
 		t.open(now, name, image)
@@ -198,9 +198,9 @@
 	if r.group.Name() == clusterstate.Group {
 		machine, err := clusterstate.Restore(point.Data)
 		if err != nil {
-			panic("keep: charter checkpoint: " + err.Error())
+			panic("keep: cluster state checkpoint: " + err.Error())
 		}
-		t.charter = machine
+		t.clusterState = machine
 		t.setState(machine.Copy())
 		return
 	}
@@ -212,8 +212,8 @@
 	r.queue = machine
 }
 
-func (t *Table) setState(state *schema.CharterState) {
-	t.state, t.values = state, t.charter.Values()
+func (t *Table) setState(state *schema.ClusterStateState) {
+	t.state, t.values = state, t.clusterState.Values()
 	t.adopt = &schema.Adopt{
 		StatusUs: t.values.Fleet("status_s") * 1_000_000,
 		Every:    uint32(t.values.Fleet("cache_every")),
@@ -272,8 +272,8 @@
 		}
 	case *schema.Reroster:
 		t.reroster(now, body)
-	case *schema.CharterAsk:
-		t.tellCharter(now, mail.From, body, out)
+	case *schema.ClusterStateAsk:
+		t.tellClusterState(now, mail.From, body, out)
 	case Belief:
 		out.Answer(body.Request, t.belief(now))
 	case Warned:
@@ -311,7 +311,7 @@
 	r.group.Step(now, from, body)
 }
 
-// isEnded tells that the charter we hold knows a newer queue of that name, or
+// isEnded tells that the cluster state we hold knows a newer queue of that name, or
 // none though it once was there.
 func (t *Table) isEnded(group string) bool {
 	place := clusterstate.Place(t.state, QueueOf(group))
@@ -319,7 +319,7 @@
 }
 
 // urged: somebody hands a group to us. Who is leaving takes none; who takes one
-// doesn't hand it back at once, though its copy of the charter or the book may
+// doesn't hand it back at once, though its copy of the cluster state or the book may
 // still speak for the one it came from.
 func (t *Table) urged(now eventloop.Micros, from string, m *schema.Urge) {
 	if t.isWarned {
@@ -370,7 +370,7 @@
 func (t *Table) foundQueue(now eventloop.Micros, place *schema.QueuePlace) {
 	name := GroupOf(place)
 	if r := t.groups[name]; r != nil {
-		// Its leader was faster than our copy of the charter.
+		// Its leader was faster than our copy of the cluster state.
 		if r.group.Base() == 0 {
 			r.group.Found(place.Founders)
 		}
@@ -408,13 +408,13 @@
 			fresh.Groups[name] = r.group.Term()
 		}
 	}
-	fresh.Charter = t.isCharterFresh(now)
+	fresh.ClusterState = t.isClusterStateFresh(now)
 	out.Tell("placer", fresh)
 }
 
-// isCharterFresh tells whether our copy of the charter held, a moment ago, all
+// isClusterStateFresh tells whether our copy of the cluster state held, a moment ago, all
 // that was committed.
-func (t *Table) isCharterFresh(now eventloop.Micros) bool {
+func (t *Table) isClusterStateFresh(now eventloop.Micros) bool {
 	r := t.groups[clusterstate.Group]
 	return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < freshSpan
 }
@@ -464,16 +464,16 @@
 	}
 }
 
-// releaseCharter lets the charter's log go, on every replica: it is small, so its
+// releaseClusterState lets the cluster state's log go, on every replica: it is small, so its
 // whole state is the checkpoint.
-func (t *Table) releaseCharter(r *replica, index uint64) {
+func (t *Table) releaseClusterState(r *replica, index uint64) {
 	if g := r.group; index-g.Base() > 512 {
-		g.Release(index, t.charter.Rest())
+		g.Release(index, t.clusterState.Rest())
 	}
 }
 
 // passOn hands a group over when this process is warned, when its disk
-// stalls, or when the charter wants the queue elsewhere.
+// stalls, or when the cluster state wants the queue elsewhere.
 func (t *Table) passOn(now eventloop.Micros, r *replica) {
 	wanted := t.leaderOf(r)
 	// A leader that was named since is given the queue at once: its workers have
@@ -503,7 +503,7 @@
 	}
 }
 
-// leaderOf is whom the charter names as leader of a queue.
+// leaderOf is whom the cluster state names as leader of a queue.
 func (t *Table) leaderOf(r *replica) string {
 	if r.queue == nil {
 		return ""
@@ -518,7 +518,7 @@
 	return isKnown && heard > 0 && now-heard < 500*eventloop.Milli && r.group.Last()-match < 256
 }
 
-// queues makes what the charter says of queues true here.
+// queues makes what the cluster state says of queues true here.
 func (t *Table) queues(now eventloop.Micros, out eventloop.Out) {
 	if t.groups[clusterstate.Group] == nil {
 		return
@@ -532,7 +532,7 @@
 		}
 	}
 	for _, name := range t.names() {
-		// Only a queue that the charter has dropped or made anew goes; one it
+		// Only a queue that the cluster state has dropped or made anew goes; one it
 		// doesn't know yet may be ahead of our copy.
 		if !wanted[name] && t.groups[name].queue != nil && t.isOver(name) {
 			delete(t.groups, name)
@@ -545,7 +545,7 @@
 }
 
 // isOver: generations come from one counter, so a queue whose generation the
-// charter has already given out, and which it doesn't list, has been ended.
+// cluster state has already given out, and which it doesn't list, has been ended.
 func (t *Table) isOver(group string) bool {
 	generation, err := strconv.ParseUint(group[len(QueueOf(group))+1:], 10, 64)
 	return err == nil && generation < t.state.Next
@@ -644,9 +644,9 @@
 func (t *Table) end(now eventloop.Micros, from string, m *schema.End, out eventloop.Out) {
 	place := clusterstate.Place(t.state, m.Queue)
 	if place == nil {
-		// The queue is over, and with it whatever the task was for. A charter
+		// The queue is over, and with it whatever the task was for. A cluster state
 		// that is still catching up says nothing of the kind.
-		if t.isCharterFresh(now) {
+		if t.isClusterStateFresh(now) {
 			t.endNoted(from, m, out)
 		}
 		return
@@ -693,7 +693,7 @@
 
 func (t *Table) reroster(now eventloop.Micros, m *schema.Reroster) {
 	r := t.groups[m.Group]
-	if r == nil || !r.group.IsLeader() || !t.charter.IsController(m.Lease) {
+	if r == nil || !r.group.IsLeader() || !t.clusterState.IsController(m.Lease) {
 		return
 	}
 	roster := proto.Clone(r.group.Roster()).(*schema.Roster)
@@ -759,7 +759,7 @@
 				t.restore(r, effects.Restore)
 				r.termTold = 0
 				if r.queue == nil {
-					t.charterChanged(now, out)
+					t.clusterStateChanged(now, out)
 				}
 			}
 			for _, record := range effects.Commits {
@@ -860,14 +860,14 @@
 		return
 	}
 	if r.queue == nil {
-		result, err := t.charter.Apply(record.AtUs, record.Data)
+		result, err := t.clusterState.Apply(record.AtUs, record.Data)
 		if err != nil {
-			panic("keep: charter record: " + err.Error())
+			panic("keep: cluster state record: " + err.Error())
 		}
-		t.releaseCharter(r, record.Index)
-		t.charterChanged(now, out)
+		t.releaseClusterState(r, record.Index)
+		t.clusterStateChanged(now, out)
 		if isWaited {
-			t.answerCharter(waiting, result, r, out)
+			t.answerClusterState(waiting, result, r, out)
 		}
 		return
 	}
@@ -935,19 +935,19 @@
 	}
 }
 
-func (t *Table) charterChanged(now eventloop.Micros, out eventloop.Out) {
-	if t.charter.Version() == t.state.Version && t.state.Version != 0 {
+func (t *Table) clusterStateChanged(now eventloop.Micros, out eventloop.Out) {
+	if t.clusterState.Version() == t.state.Version && t.state.Version != 0 {
 		return
 	}
 	old := t.state
-	t.setState(t.charter.Copy())
+	t.setState(t.clusterState.Copy())
 	for _, table := range []string{"gateway", "placer"} {
-		out.Tell(table, &schema.CharterTell{State: t.state, Version: t.state.Version})
+		out.Tell(table, &schema.ClusterStateTell{State: t.state, Version: t.state.Version})
 	}
-	out.Tell("kin", membership.Charter{Version: t.state.Version})
+	out.Tell("kin", membership.ClusterState{Version: t.state.Version})
 	if old.Plan != t.state.Plan {
 		for _, r := range t.groups {
-			// Urgency may have changed with the plan. Nothing else in the charter is
+			// Urgency may have changed with the plan. Nothing else in the cluster state is
 			// told with the list, which is long while much waits.
 			r.termTold = 0
 		}
@@ -966,13 +966,13 @@
 	if t.roll != nil && areMoved(old.Wards, t.state.Wards) {
 		for _, id := range slices.Sorted(maps.Keys(t.roll.Known)) {
 			if t.roll.Known[id].Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, 2*eventloop.Second) {
-				t.tellCharter(now, id, &schema.CharterAsk{Version: old.Version}, out)
+				t.tellClusterState(now, id, &schema.ClusterStateAsk{Version: old.Version}, out)
 			}
 		}
 		return
 	}
 	if controller := t.state.Controller.GetId(); controller != "" && old.Plan != t.state.Plan {
-		t.tellCharter(now, controller, &schema.CharterAsk{Version: old.Version}, out)
+		t.tellClusterState(now, controller, &schema.ClusterStateAsk{Version: old.Version}, out)
 	}
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -39,8 +39,8 @@
 		c := newCore()
 		place := func(leader string) {
 			queues := []*schema.QueuePlace{{Queue: "l", Founders: stores, Leader: leader}}
-			command := &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: &schema.PlaceQueues{Lease: c.lease(), Queues: queues}}}
-			So(c.ask("charter", command).Code, ShouldEqual, 200)
+			command := &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: &schema.PlaceQueues{Lease: c.lease(), Queues: queues}}}
+			So(c.ask("clusterstate", command).Code, ShouldEqual, 200)
 		}
 		run := func(span eventloop.Micros) {
 			for end := c.now + span; c.now < end; {
@@ -69,7 +69,7 @@
 
 // lease makes the controller "h" and gives its lease.
 func (c *core) lease() uint64 {
-	reply := c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
+	reply := c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Claim{Claim: &schema.Claim{Id: "h"}}})
 	var claimed struct{ Lease uint64 }
 	So(json.Unmarshal(reply.Body, &claimed), ShouldBeNil)
 	return claimed.Lease
@@ -81,7 +81,7 @@
 		c.day = 1_800_000_000_000_000
 		So(c.put(queuesSheet(1, "", "l")).Code, ShouldEqual, 200)
 		queues := &schema.PlaceQueues{Lease: c.lease(), Queues: []*schema.QueuePlace{{Queue: "l", Founders: stores, Leader: "a"}}}
-		So(c.ask("charter", &schema.CharterCommand{Body: &schema.CharterCommand_Queues{Queues: queues}}).Code, ShouldEqual, 200)
+		So(c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: queues}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		due := c.now + 8*eventloop.Second
 		job := &schema.Job{StartWallUs: c.day + int64(due), Rounds: 1, Steps: []*schema.Step{{Name: "s", Tasks: 1}}}
--- a/internal/scheduler/agent_test.go
+++ b/internal/scheduler/agent_test.go
@@ -12,9 +12,9 @@
 	"sparnotch/internal/schema"
 )
 
-// told is a charter with rows; every queue named in them stands in it.
+// told is a cluster state with rows; every queue named in them stands in it.
 func (d *desk) told(rows []*schema.Row, workers ...string) {
-	state := &schema.CharterState{Version: 2, Plan: &schema.Plan{Rows: rows}}
+	state := &schema.ClusterStateState{Version: 2, Plan: &schema.Plan{Rows: rows}}
 	for k, w := range workers {
 		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Placer: "me", Generation: uint64(k + 1)})
 	}
@@ -25,7 +25,7 @@
 			state.Queues = append(state.Queues, &schema.QueuePlace{Queue: row.Name, Generation: 1})
 		}
 	}
-	d.step(&schema.CharterTell{State: state, Version: 2})
+	d.step(&schema.ClusterStateTell{State: state, Version: 2})
 }
 
 func queueRow(name, key, value string) *schema.Row {
@@ -36,14 +36,14 @@
 func (d *desk) pass(span eventloop.Micros) {
 	for end := d.now + span; d.now < end; {
 		d.now += min(Pace, end-d.now)
-		d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, Charter: true})
+		d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, ClusterState: true})
 		d.step(eventloop.Tick{})
 	}
 }
 
 // queue tells the whole list of a queue.
 func (d *desk) queue(name string, urgency int64, list ...*queue.Shift) {
-	d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, Charter: true})
+	d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1, "k#1": 1}, ClusterState: true})
 	d.step(replica.Shifts{Queue: name, Group: name + "#1", Term: 1, Hand: 1, List: list, IsWhole: true, Running: 1000, Urgency: urgency})
 }
 
@@ -457,7 +457,7 @@
 	} {
 		Convey("Urgent work displaces "+each.what, t, func() {
 			d := newDesk("v", "w")
-			d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1}, Charter: true})
+			d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1, "m#1": 1}, ClusterState: true})
 			d.queue("l", max(each.lessUrgently, 10), each.less...)
 			say := func() {
 				for _, id := range []string{"v", "w"} {
--- a/internal/scheduler/name.go
+++ b/internal/scheduler/name.go
@@ -91,7 +91,7 @@
 	return list
 }
 
-// isAllHere tells whether every queue of the plan that stands in the charter is
+// isAllHere tells whether every queue of the plan that stands in the cluster state is
 // led here and may be acted for.
 func (t *Table) isAllHere(now eventloop.Micros) bool {
 	if t.state.Version == 0 || !t.isSure(now) {
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -288,7 +288,7 @@
 		return
 	}
 	// Where half of the workers look bad, it isn't the workers. Those that are
-	// gone say nothing of it, though the charter still knows them.
+	// gone say nothing of it, though the cluster state still knows them.
 	others, all := 0, 1
 	for _, other := range t.workers {
 		if other == w || !other.isHere(now) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -236,7 +236,7 @@
 // Table is the placer's table.
 type Table struct {
 	id        string
-	state     *schema.CharterState
+	state     *schema.ClusterStateState
 	values    *clusterstate.Values
 	views     map[string]*view
 	workers   map[string]*worker
@@ -266,7 +266,7 @@
 // New makes the table of the placer with this process id.
 func New(id string) *Table {
 	return &Table{
-		id: id, state: &schema.CharterState{}, values: clusterstate.Read(nil), views: map[string]*view{}, workers: map[string]*worker{},
+		id: id, state: &schema.ClusterStateState{}, values: clusterstate.Read(nil), views: map[string]*view{}, workers: map[string]*worker{},
 		placed: map[string]map[taskKey]*task{}, names: map[nameKey][]*task{}, over: map[string]eventloop.Micros{}, paces: map[paceKey]*pace{},
 	}
 }
@@ -286,8 +286,8 @@
 	switch body := mail.Body.(type) {
 	case eventloop.Tick:
 		t.tick(now, out)
-	case *schema.CharterTell:
-		t.charter(now, body, out)
+	case *schema.ClusterStateTell:
+		t.clusterState(now, body, out)
 	case replica.Fresh:
 		// A process that was frozen finds word from before in its mail.
 		t.fresh, t.freshAt = body, cmp.Or(body.At, now)
@@ -329,9 +329,9 @@
 
 func (t *Table) plan(key string) int64 { return t.values.Fleet(key) }
 
-// --- the charter: whom we ward ---
+// --- the cluster state: whom we ward ---
 
-func (t *Table) charter(now eventloop.Micros, m *schema.CharterTell, out eventloop.Out) {
+func (t *Table) clusterState(now eventloop.Micros, m *schema.ClusterStateTell, out eventloop.Out) {
 	if m.State == nil {
 		return
 	}
@@ -619,12 +619,14 @@
 	}
 }
 
-// isSure tells whether the charter's word, by which this node is a ward, is
+// isSure tells whether the cluster state's word, by which this node is a ward, is
 // fresh.
-func (t *Table) isSure(now eventloop.Micros) bool { return now-t.freshAt < actSpan && t.fresh.Charter }
+func (t *Table) isSure(now eventloop.Micros) bool {
+	return now-t.freshAt < actSpan && t.fresh.ClusterState
+}
 
 // mayAct tells whether orders for a queue may leave: its leader has just heard
-// its quorum, and the charter's word is fresh.
+// its quorum, and the cluster state's word is fresh.
 func (t *Table) mayAct(now eventloop.Micros, v *view) bool {
 	return t.isSure(now) && t.fresh.Groups[v.group] == v.term
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -30,18 +30,18 @@
 func (d *desk) Answer(uint64, any)   {}
 func (d *desk) Tell(_ string, m any) { d.tells = append(d.tells, m) }
 func (d *desk) step(body any)        { d.t.Step(d.now, eventloop.Mail{From: "front", Body: body}, d) }
-func (d *desk) fresh(isCharter bool) {
-	d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1}, Charter: isCharter})
+func (d *desk) fresh(isClusterState bool) {
+	d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1}, ClusterState: isClusterState})
 }
 func (d *desk) last() *schema.PollReply { return d.replies[len(d.replies)-1] }
 
 func newDesk(workers ...string) *desk {
 	d := &desk{t: New("me"), now: 100 * eventloop.Second}
-	state := &schema.CharterState{Version: 1, Plan: &schema.Plan{}}
+	state := &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{}}
 	for k, w := range workers {
 		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Placer: "me", Generation: uint64(k + 1)})
 	}
-	d.step(&schema.CharterTell{State: state, Version: 1})
+	d.step(&schema.ClusterStateTell{State: state, Version: 1})
 	d.fresh(true)
 	return d
 }
@@ -157,7 +157,7 @@
 }
 
 func TestLostOnlyByTheWord(t *testing.T) {
-	Convey("A ward that has no fresh word of the charter takes no worker for lost", t, func() {
+	Convey("A ward that has no fresh word of the cluster state takes no worker for lost", t, func() {
 		d := newDesk("w")
 		d.shifts(true, 1, shift(1, 1, 0, queue.Out, "w", one))
 		d.announce("w", nil)
@@ -168,7 +168,7 @@
 		}
 		So(d.ended(), ShouldBeEmpty)
 		// Nor does one that has just thawed, and finds old word in its mail.
-		d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1}, Charter: true, At: d.now - 3*eventloop.Second})
+		d.step(replica.Fresh{Groups: map[string]uint64{"l#1": 1}, ClusterState: true, At: d.now - 3*eventloop.Second})
 		d.step(eventloop.Tick{})
 		So(d.ended(), ShouldBeEmpty)
 		d.fresh(true)
--- a/internal/sim/called.go
+++ b/internal/sim/called.go
@@ -436,8 +436,8 @@
 		Kind: checker.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: sheet.BaseEdition, Rows: sheet.Rows, Document: string(sheet.Document),
 	}
 	w.Ask(front, 4*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
-		return gateway.Ask{Request: request, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
-			&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
+		return gateway.Ask{Request: request, Kind: "clusterstate", Group: clusterstate.Group, Deadline: deadline, Body: replica.ClusterStateBody(
+			&schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
 		told.Code = reply.Code
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -28,7 +28,7 @@
 func (f *Fleet) sample() Sample {
 	s := Sample{At: f.Now}
 	var moves []string
-	isTold := false // the charter's word, by one of them
+	isTold := false // the cluster state's word, by one of them
 	for _, h := range f.Stores() {
 		belief := h.Belief()
 		if belief == nil {
--- a/internal/sim/people.go
+++ b/internal/sim/people.go
@@ -389,8 +389,8 @@
 		w.Tell(checker.Event{Kind: checker.PlanSent, Who: who, Rows: rows})
 		told := checker.Event{Kind: checker.PlanPut, Who: who, Front: front.Name, Sent: sent, Built: generation, Rows: rows}
 		w.Ask(front, 8*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
-			return gateway.Ask{Request: request, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
-				&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
+			return gateway.Ask{Request: request, Kind: "clusterstate", Group: clusterstate.Group, Deadline: deadline, Body: replica.ClusterStateBody(
+				&schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 		}, func(answer any) {
 			reply, _ := answer.(gateway.Answer)
 			told.Code = reply.Code
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -216,7 +216,7 @@
 		during(f, 8*eventloop.Second, func(leader *Host) { f.killed(leader, 5*eventloop.Second) })
 	}},
 	{Name: "every side machine gone", Net: CalmNet, Sync: 500, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
-		// The data plane goes on as the charter last said.
+		// The data plane goes on as the cluster state last said.
 		f.At(f.Began+3*eventloop.Second, func() {
 			f.Fault("every side machine killed")
 			for _, h := range f.sides {
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -280,8 +280,8 @@
 	sheet := &schema.Sheet{Generation: &generation, Rows: r.planRows(change)}
 	sent := r.Now
 	r.Ask(r.anyFront(), 3*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
-		return gateway.Ask{Request: request, Kind: "charter", Group: clusterstate.Group, Deadline: deadline, Body: replica.CharterBody(
-			&schema.CharterCommand{Body: &schema.CharterCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
+		return gateway.Ask{Request: request, Kind: "clusterstate", Group: clusterstate.Group, Deadline: deadline, Body: replica.ClusterStateBody(
+			&schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}})}
 	}, func(answer any) {
 		reply, _ := answer.(gateway.Answer)
 		if reply.Code != 200 && reply.Code != 412 {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -716,7 +716,7 @@
 		}
 		leads := 0
 		for _, group := range belief.Groups {
-			if group.Role == "leader" && !strings.HasPrefix(group.Group, "charter") {
+			if group.Role == "leader" && !strings.HasPrefix(group.Group, "clusterstate") {
 				leads++
 			}
 		}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -54,7 +54,7 @@
 	for _, body := range []any{
 		&schema.Hello{}, &schema.Vote{}, &schema.VoteReply{}, &schema.Append{}, &schema.AppendReply{}, &schema.Install{},
 		&schema.Beats{}, &schema.Urge{}, &schema.Submit{}, &schema.Applied{}, &schema.Request{}, &schema.RequestReply{},
-		&schema.Poll{}, &schema.PollReply{}, &schema.End{}, &schema.EndReply{}, &schema.CharterAsk{}, &schema.CharterTell{},
+		&schema.Poll{}, &schema.PollReply{}, &schema.End{}, &schema.EndReply{}, &schema.ClusterStateAsk{}, &schema.ClusterStateTell{},
 		&schema.Reroster{}, &schema.Quit{},
 	} {
 		gob.Register(body)
