--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -119,22 +119,22 @@
 	role role
 	lead string
 
-	base     *schema.Checkpoint // what the log stands on; its data is the vault's
-	log      []*schema.Record
-	stable   uint64
-	commit   uint64
-	applied  uint64
-	roster   *schema.Roster
-	rosterAt uint64
-	hardSeq  uint64 // hard states written
-	hardDone uint64 // hard states synced
-	matched  uint64 // as follower: how far the log is the leader's
-	deadline eventloop.Micros
-	asks     int
-	isYoung  bool // no leader was heard since this start
-	heard    eventloop.Micros
-	caught   eventloop.Micros
-	votes    map[string]bool
+	base        *schema.Checkpoint // what the log stands on; its data is the vault's
+	log         []*schema.Record
+	stable      uint64
+	commit      uint64
+	applied     uint64
+	memberSet   *schema.MemberSet
+	memberSetAt uint64
+	hardSeq     uint64 // hard states written
+	hardDone    uint64 // hard states synced
+	matched     uint64 // as follower: how far the log is the leader's
+	deadline    eventloop.Micros
+	asks        int
+	isYoung     bool // no leader was heard since this start
+	heard       eventloop.Micros
+	caught      eventloop.Micros
+	votes       map[string]bool
 
 	peers     map[string]*progress
 	round     uint64
@@ -164,7 +164,7 @@
 	g.log = append(g.log, image.Records...)
 	g.commit, g.applied = g.base.Index, g.base.Index
 	g.stable = g.lastIndex()
-	g.findRoster()
+	g.findMemberSet()
 	g.resetDeadline(now)
 	// Whatever leader there was, this replica hasn't answered it since before its
 	// start, so it needn't wait as long as one that has. A pre-vote harms nobody,
@@ -179,18 +179,18 @@
 	return g
 }
 
-func (g *Group) Name() string           { return g.name }
-func (g *Group) Term() uint64           { return g.term }
-func (g *Group) Leader() string         { return g.lead }
-func (g *Group) IsLeader() bool         { return g.role == leader }
-func (g *Group) Role() string           { return g.role.String() }
-func (g *Group) Commit() uint64         { return g.commit }
-func (g *Group) Applied() uint64        { return g.applied }
-func (g *Group) Stable() uint64         { return g.stable }
-func (g *Group) Base() uint64           { return g.base.Index }
-func (g *Group) Last() uint64           { return g.lastIndex() }
-func (g *Group) Roster() *schema.Roster { return g.roster }
-func (g *Group) First() uint64          { return g.first }
+func (g *Group) Name() string                 { return g.name }
+func (g *Group) Term() uint64                 { return g.term }
+func (g *Group) Leader() string               { return g.lead }
+func (g *Group) IsLeader() bool               { return g.role == leader }
+func (g *Group) Role() string                 { return g.role.String() }
+func (g *Group) Commit() uint64               { return g.commit }
+func (g *Group) Applied() uint64              { return g.applied }
+func (g *Group) Stable() uint64               { return g.stable }
+func (g *Group) Base() uint64                 { return g.base.Index }
+func (g *Group) Last() uint64                 { return g.lastIndex() }
+func (g *Group) MemberSet() *schema.MemberSet { return g.memberSet }
+func (g *Group) First() uint64                { return g.first }
 
 // Asks is how often this replica has missed a leader and asked for votes.
 func (g *Group) Asks() int { return g.asks }
@@ -267,8 +267,8 @@
 }
 
 func (g *Group) walls(now eventloop.Micros, own int64) []int64 {
-	walls := append(make([]int64, 0, len(g.roster.Voters)+1), own)
-	for _, id := range g.roster.Voters {
+	walls := append(make([]int64, 0, len(g.memberSet.Voters)+1), own)
+	for _, id := range g.memberSet.Voters {
 		if p := g.peers[id]; p != nil && id != g.self && p.wall != 0 {
 			walls = append(walls, p.wall+int64(now))
 		}
@@ -309,7 +309,7 @@
 // WallOffset is what is to be added to group time for the time of day; false
 // while too few clocks are known.
 func (g *Group) WallOffset(now eventloop.Micros, own int64) (int64, bool) {
-	if g.role != leader || len(g.walls(now, own)) < min(2, len(g.roster.Voters)) {
+	if g.role != leader || len(g.walls(now, own)) < min(2, len(g.memberSet.Voters)) {
 		return 0, false
 	}
 	return g.WallTime(now, own) - g.GroupTime(now), true
@@ -353,26 +353,26 @@
 	return g.log[low-g.base.Index : high-g.base.Index]
 }
 
-func (g *Group) findRoster() {
-	g.roster, g.rosterAt = g.base.Roster, g.base.Index
-	if g.roster == nil {
-		g.roster = &schema.Roster{}
+func (g *Group) findMemberSet() {
+	g.memberSet, g.memberSetAt = g.base.MemberSet, g.base.Index
+	if g.memberSet == nil {
+		g.memberSet = &schema.MemberSet{}
 	}
 	for _, record := range g.log {
-		if record.Kind == schema.RecordKind_RECORD_ROSTER {
-			g.roster, g.rosterAt = record.Roster, record.Index
+		if record.Kind == schema.RecordKind_RECORD_MEMBER_SET {
+			g.memberSet, g.memberSetAt = record.MemberSet, record.Index
 		}
 	}
 }
 
-func (g *Group) rosterUnder(index uint64) *schema.Roster {
-	roster := g.base.Roster
+func (g *Group) memberSetUnder(index uint64) *schema.MemberSet {
+	memberSet := g.base.MemberSet
 	for _, record := range g.log {
-		if record.Index <= index && record.Kind == schema.RecordKind_RECORD_ROSTER {
-			roster = record.Roster
+		if record.Index <= index && record.Kind == schema.RecordKind_RECORD_MEMBER_SET {
+			memberSet = record.MemberSet
 		}
 	}
-	return roster
+	return memberSet
 }
 
 // put appends records, replacing whatever stood from the first one on.
@@ -381,11 +381,11 @@
 	if first <= g.commit {
 		panic("raft: a committed record would be replaced in " + g.name)
 	}
-	// The log is long and rosters are rare: it is looked through only when one
+	// The log is long and member sets are rare: it is looked through only when one
 	// may have come or gone.
-	isRoster := first <= g.rosterAt
+	isMemberSet := first <= g.memberSetAt
 	for _, record := range records {
-		isRoster = isRoster || record.Kind == schema.RecordKind_RECORD_ROSTER
+		isMemberSet = isMemberSet || record.Kind == schema.RecordKind_RECORD_MEMBER_SET
 	}
 	if first <= g.lastIndex() {
 		g.log = g.log[: first-g.base.Index-1 : first-g.base.Index-1]
@@ -395,8 +395,8 @@
 	}
 	g.log = append(g.log, records...)
 	g.out.Changes = append(g.out.Changes, &schema.Change{Group: g.name, Records: records})
-	if isRoster {
-		g.findRoster()
+	if isMemberSet {
+		g.findMemberSet()
 	}
 }
 
@@ -405,7 +405,7 @@
 	if index <= g.base.Index || index > g.applied {
 		return
 	}
-	point := &schema.Checkpoint{Index: index, Term: g.termAt(index), Roster: g.rosterUnder(index), Data: data, AtUs: g.atOf(index)}
+	point := &schema.Checkpoint{Index: index, Term: g.termAt(index), MemberSet: g.memberSetUnder(index), Data: data, AtUs: g.atOf(index)}
 	g.log = append([]*schema.Record(nil), g.log[index-g.base.Index:]...)
 	g.base = point
 	g.out.Changes = append(g.out.Changes, &schema.Change{Group: g.name, Checkpoint: point})
@@ -413,9 +413,9 @@
 
 // --- steps ---
 
-func (g *Group) isVoter(id string) bool { return slices.Contains(g.roster.Voters, id) }
+func (g *Group) isVoter(id string) bool { return slices.Contains(g.memberSet.Voters, id) }
 
-func (g *Group) quorum() int { return len(g.roster.Voters)/2 + 1 }
+func (g *Group) quorum() int { return len(g.memberSet.Voters)/2 + 1 }
 
 func (g *Group) resetDeadline(now eventloop.Micros) {
 	spread := int64(g.times.ElectionMost - g.times.ElectionLeast)
@@ -508,7 +508,7 @@
 
 func (g *Group) others() []string {
 	var list []string
-	for _, id := range append(append([]string(nil), g.roster.Voters...), g.roster.Learners...) {
+	for _, id := range append(append([]string(nil), g.memberSet.Voters...), g.memberSet.Learners...) {
 		if id != g.self {
 			list = append(list, id)
 		}
@@ -550,16 +550,16 @@
 // Found gives the first voters to a replica that was opened by a leader's word
 // before it heard that it is one of them itself.
 func (g *Group) Found(voters []string) {
-	if g.base.Index > 0 || len(g.base.Roster.GetVoters()) > 0 {
+	if g.base.Index > 0 || len(g.base.MemberSet.GetVoters()) > 0 {
 		return
 	}
-	g.base = &schema.Checkpoint{Roster: &schema.Roster{Voters: voters}}
-	g.findRoster()
+	g.base = &schema.Checkpoint{MemberSet: &schema.MemberSet{Voters: voters}}
+	g.findMemberSet()
 	g.out.Changes = append(g.out.Changes, &schema.Change{Group: g.name, Checkpoint: g.base})
 }
 
 func (g *Group) canvass(term uint64, pre, asked bool) {
-	for _, id := range g.roster.Voters {
+	for _, id := range g.memberSet.Voters {
 		if id != g.self {
 			g.post(id, &schema.Vote{Group: g.name, Term: term, LastIndex: g.lastIndex(), LastTerm: g.lastTerm(), Pre: pre, Asked: asked})
 		}
@@ -568,7 +568,7 @@
 
 func (g *Group) tally(now eventloop.Micros) {
 	count := 0
-	for _, id := range g.roster.Voters {
+	for _, id := range g.memberSet.Voters {
 		if g.votes[id] {
 			count++
 		}
@@ -606,7 +606,7 @@
 		}
 	}
 	for id := range g.peers {
-		if !g.isVoter(id) && !slices.Contains(g.roster.Learners, id) {
+		if !g.isVoter(id) && !slices.Contains(g.memberSet.Learners, id) {
 			delete(g.peers, id)
 		}
 	}
@@ -615,7 +615,7 @@
 func (g *Group) add(now eventloop.Micros, record *schema.Record) uint64 {
 	record.Index, record.Term, record.AtUs = g.lastIndex()+1, g.term, g.GroupTime(now)
 	g.put([]*schema.Record{record})
-	if record.Kind == schema.RecordKind_RECORD_ROSTER {
+	if record.Kind == schema.RecordKind_RECORD_MEMBER_SET {
 		g.syncPeers(now)
 	}
 	for _, id := range g.others() {
@@ -636,16 +636,16 @@
 	return g.add(now, &schema.Record{Kind: schema.RecordKind_RECORD_COMMAND, Data: data}), g.term, nil
 }
 
-// ProposeRoster changes the members by one; the next change waits until this
+// ProposeMemberSet changes the members by one; the next change waits until this
 // one is committed.
-func (g *Group) ProposeRoster(now eventloop.Micros, roster *schema.Roster) error {
+func (g *Group) ProposeMemberSet(now eventloop.Micros, memberSet *schema.MemberSet) error {
 	if g.role != leader {
 		return NotLeader.New("%s is led by %q", g.name, g.lead)
 	}
-	if g.rosterAt > g.commit || g.commit < g.first {
+	if g.memberSetAt > g.commit || g.commit < g.first {
 		return Busy.New("%s: the last change of members isn't committed", g.name)
 	}
-	g.add(now, &schema.Record{Kind: schema.RecordKind_RECORD_ROSTER, Roster: roster})
+	g.add(now, &schema.Record{Kind: schema.RecordKind_RECORD_MEMBER_SET, MemberSet: memberSet})
 	return nil
 }
 
@@ -857,7 +857,7 @@
 	g.base = point
 	g.commit, g.applied = point.Index, point.Index
 	g.stable = min(g.stable, point.Index-1)
-	g.findRoster()
+	g.findMemberSet()
 	g.out.Changes = append(g.out.Changes, &schema.Change{Group: g.name, Checkpoint: point, Reset_: !isKept})
 	g.out.Restore, g.out.Commits = point, nil
 }
@@ -1043,7 +1043,7 @@
 // nth is the greatest value that a quorum of voters has reached.
 func (g *Group) nth(value func(id string) uint64) uint64 {
 	var values []uint64
-	for _, id := range g.roster.Voters {
+	for _, id := range g.memberSet.Voters {
 		if id == g.self || g.peers[id] != nil {
 			values = append(values, value(id))
 		} else {
@@ -1071,7 +1071,7 @@
 	if index > g.commit && g.termAt(index) == g.term {
 		g.commitTo(index)
 		// A leader that has been voted out stays until that is committed.
-		if g.rosterAt <= g.commit && !g.isVoter(g.self) {
+		if g.memberSetAt <= g.commit && !g.isVoter(g.self) {
 			g.follow(now, g.term, "")
 		}
 	}
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -47,7 +47,7 @@
 		isDown: map[string]bool{}, noSync: map[string]bool{}, cut: func(string, string) bool { return false },
 	}
 	for _, id := range members {
-		r.images[id] = &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{Roster: &schema.Roster{Voters: members}}}
+		r.images[id] = &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{MemberSet: &schema.MemberSet{Voters: members}}}
 		r.start(id)
 	}
 	return r
@@ -437,15 +437,15 @@
 		r.start("d")
 		r.run(3 * eventloop.Second)
 		So(r.groups["d"].Term(), ShouldEqual, 0) // it never campaigns unasked
-		So(lead.ProposeRoster(r.now, &schema.Roster{Voters: ids, Learners: []string{"d"}}), ShouldBeNil)
+		So(lead.ProposeMemberSet(r.now, &schema.MemberSet{Voters: ids, Learners: []string{"d"}}), ShouldBeNil)
 		r.collect(lead.self)
 		r.run(eventloop.Second)
 		So(r.applied["d"], ShouldResemble, []string{"one"})
-		So(lead.ProposeRoster(r.now, &schema.Roster{Voters: append(append([]string{}, ids...), "d")}), ShouldBeNil)
-		So(lead.ProposeRoster(r.now, &schema.Roster{Voters: ids}), ShouldNotBeNil)
+		So(lead.ProposeMemberSet(r.now, &schema.MemberSet{Voters: append(append([]string{}, ids...), "d")}), ShouldBeNil)
+		So(lead.ProposeMemberSet(r.now, &schema.MemberSet{Voters: ids}), ShouldNotBeNil)
 		r.collect(lead.self)
 		r.run(eventloop.Second)
-		So(lead.ProposeRoster(r.now, &schema.Roster{Voters: []string{lead.self, other, "d"}}), ShouldBeNil)
+		So(lead.ProposeMemberSet(r.now, &schema.MemberSet{Voters: []string{lead.self, other, "d"}}), ShouldBeNil)
 		r.collect(lead.self)
 		r.run(eventloop.Second)
 		// A second loss is survived now.
@@ -739,11 +739,11 @@
 		So(r.applied["c"], ShouldResemble, []string{"x"})
 		r.groups["c"].Found(ids)
 		r.collect("c")
-		So(r.groups["c"].Roster().Voters, ShouldResemble, ids)
+		So(r.groups["c"].MemberSet().Voters, ShouldResemble, ids)
 		r.start("c")
 		So(r.propose("y"), ShouldBeTrue)
 		r.run(300 * eventloop.Milli)
-		So(r.groups["c"].Roster().Voters, ShouldResemble, ids)
+		So(r.groups["c"].MemberSet().Voters, ShouldResemble, ids)
 		So(r.applied["c"], ShouldResemble, []string{"x", "y"})
 		r.groups["a"].Pass(r.now, "c")
 		r.run(100 * eventloop.Milli)
--- a/internal/replica/errand.go
+++ b/internal/replica/errand.go
@@ -165,7 +165,7 @@
 func (t *Table) note(r *replica) *schema.WaitNote {
 	g := r.group
 	note := &schema.WaitNote{
-		Group: g.Name(), Queue: r.name, Leader: t.id, Voters: g.Roster().Voters, Learners: g.Roster().Learners,
+		Group: g.Name(), Queue: r.name, Leader: t.id, Voters: g.MemberSet().Voters, Learners: g.MemberSet().Learners,
 		Behind: map[string]uint64{},
 	}
 	for _, id := range append(append([]string(nil), note.Voters...), note.Learners...) {
@@ -234,7 +234,7 @@
 		g := r.group
 		b := &GroupBelief{
 			Group: name, Role: g.Role(), Leader: g.Leader(), Term: g.Term(), Commit: g.Commit(), Applied: g.Applied(),
-			Last: g.Last(), Stable: g.Stable(), Released: g.Base(), Voters: g.Roster().Voters, Learners: g.Roster().Learners,
+			Last: g.Last(), Stable: g.Stable(), Released: g.Base(), Voters: g.MemberSet().Voters, Learners: g.MemberSet().Learners,
 		}
 		if r.queue != nil {
 			b.Live, b.Kept, b.Carries, b.Sessions = r.queue.Live(), r.queue.Kept(), r.queue.Carries(), len(r.queue.Boots())
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -177,7 +177,7 @@
 			for _, id := range stores {
 				So(c.tables[id].groups, ShouldHaveLength, 4)
 				for _, r := range c.tables[id].groups {
-					So(r.group.Roster().Voters, ShouldResemble, stores)
+					So(r.group.MemberSet().Voters, ShouldResemble, stores)
 				}
 			}
 		})
@@ -187,10 +187,10 @@
 		place := &schema.QueuePlace{Queue: "l", Generation: 1, Founders: stores, Leader: "a"}
 		c.step("b", "a", &schema.Append{Group: "l#1", Term: 1, Records: []*schema.Record{{Index: 1, Term: 1, Kind: schema.RecordKind_RECORD_FIRST}}})
 		table := c.tables["b"]
-		So(table.groups["l#1"].group.Roster().Voters, ShouldBeEmpty)
+		So(table.groups["l#1"].group.MemberSet().Voters, ShouldBeEmpty)
 		table.state.Queues = []*schema.QueuePlace{place}
 		c.step("b", "", eventloop.Tick{})
-		So(table.groups["l#1"].group.Roster().Voters, ShouldResemble, stores)
+		So(table.groups["l#1"].group.MemberSet().Voters, ShouldResemble, stores)
 		So(table.groups["l#1"].group.Last(), ShouldEqual, 1)
 	})
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -286,7 +286,7 @@
 	r := t.groups[name]
 	if r == nil {
 		// Somebody leads a group that counts us in: a new replica starts empty
-		// and learns. It never campaigns before it has learnt its roster.
+		// and learns. It never campaigns before it has learnt its member set.
 		switch body.(type) {
 		case *schema.Append, *schema.Install:
 		default:
@@ -360,7 +360,7 @@
 }
 
 func (t *Table) found(now eventloop.Micros, name string, voters []string) {
-	image := &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{Roster: &schema.Roster{Voters: voters}}}
+	image := &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{MemberSet: &schema.MemberSet{Voters: voters}}}
 	t.next.changes = append(t.next.changes, &schema.Change{Group: name, Checkpoint: image.Checkpoint})
 	t.open(now, name, image)
 }
@@ -488,7 +488,7 @@
 	case t.isWarned || isStalled:
 		if wanted == t.id || !t.isFit(now, r, wanted) {
 			wanted = ""
-			for _, id := range r.group.Roster().Voters {
+			for _, id := range r.group.MemberSet().Voters {
 				if id != t.id && t.isFit(now, r, id) {
 					wanted = id
 				}
@@ -696,27 +696,27 @@
 	if r == nil || !r.group.IsLeader() || !t.clusterState.IsController(m.Lease) {
 		return
 	}
-	roster := proto.Clone(r.group.Roster()).(*schema.Roster)
+	memberSet := proto.Clone(r.group.MemberSet()).(*schema.MemberSet)
 	switch {
-	case m.Learn != "" && !slices.Contains(roster.Voters, m.Learn) && !slices.Contains(roster.Learners, m.Learn):
-		roster.Learners = append(roster.Learners, m.Learn)
-	case m.Promote != "" && slices.Contains(roster.Learners, m.Promote):
+	case m.Learn != "" && !slices.Contains(memberSet.Voters, m.Learn) && !slices.Contains(memberSet.Learners, m.Learn):
+		memberSet.Learners = append(memberSet.Learners, m.Learn)
+	case m.Promote != "" && slices.Contains(memberSet.Learners, m.Promote):
 		match, _ := r.group.Match(m.Promote)
 		if r.group.Last()-match > 64 {
 			return
 		}
-		roster.Learners = without(roster.Learners, m.Promote)
-		roster.Voters = append(roster.Voters, m.Promote)
-	case m.Drop != "" && (slices.Contains(roster.Voters, m.Drop) || slices.Contains(roster.Learners, m.Drop)):
-		roster.Voters, roster.Learners = without(roster.Voters, m.Drop), without(roster.Learners, m.Drop)
-		if len(roster.Voters) == 0 {
+		memberSet.Learners = without(memberSet.Learners, m.Promote)
+		memberSet.Voters = append(memberSet.Voters, m.Promote)
+	case m.Drop != "" && (slices.Contains(memberSet.Voters, m.Drop) || slices.Contains(memberSet.Learners, m.Drop)):
+		memberSet.Voters, memberSet.Learners = without(memberSet.Voters, m.Drop), without(memberSet.Learners, m.Drop)
+		if len(memberSet.Voters) == 0 {
 			return
 		}
 	default:
 		return
 	}
 	// A refusal (a change is under way) is no matter: the controller asks again.
-	_ = r.group.ProposeRoster(now, roster)
+	_ = r.group.ProposeMemberSet(now, memberSet)
 }
 
 func without(list []string, item string) []string {
