--- a/cmd/feign/hollow.go
+++ b/cmd/feign/hollow.go
@@ -271,7 +271,7 @@
 			}
 			warded := 0
 			for _, ward := range reading.Belief.Wards {
-				if ward.Placer != "" {
+				if ward.Scheduler != "" {
 					warded++
 				}
 			}
--- a/cmd/keep/main.go
+++ b/cmd/keep/main.go
@@ -1,5 +1,5 @@
 // Command keep is the front daemon: gateway everywhere; with a data folder also
-// replicas of the queues and the placer.
+// replicas of the queues and the scheduler.
 package main
 
 import (
--- a/cmd/tell/nodes.go
+++ b/cmd/tell/nodes.go
@@ -26,7 +26,7 @@
 func (c *show) Synopsis() string {
 	return map[string]string{
 		"belief":     "print what one node believes",
-		"placements": "print where a placer has put tasks, and why",
+		"placements": "print where a scheduler has put tasks, and why",
 		"counts":     "print what one process has done so far",
 		"ready":      "say whether a node can serve",
 	}[c.what]
@@ -126,7 +126,7 @@
 	for k, belief := range []*replica.NodeBelief{a, b} {
 		for _, ward := range belief.Wards {
 			pair := wards[ward.Worker]
-			pair[k] = fmt.Sprintf("%s@%d", ward.Placer, ward.Generation)
+			pair[k] = fmt.Sprintf("%s@%d", ward.Scheduler, ward.Generation)
 			wards[ward.Worker] = pair
 		}
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -99,7 +99,7 @@
 	isStopped bool // a stop was answered
 }
 
-// end is one that the placer hasn't noted.
+// end is one that the scheduler hasn't noted.
 type end struct {
 	number  uint64 // 0: the worker never listed it
 	note    *schema.TaskNote
@@ -117,10 +117,10 @@
 }
 
 type poll struct {
-	seq    uint64
-	sent   eventloop.Micros
-	placer string
-	over   []string
+	seq       uint64
+	sent      eventloop.Micros
+	scheduler string
+	over      []string
 }
 
 // former is a life that is over: surely by its own word or that of another life
@@ -144,20 +144,20 @@
 	clock       eventloop.Micros // of the worker, at least, as of clockAt
 	clockAt     eventloop.Micros
 
-	placer   string
-	fence    uint64 // newest generation of the ward
-	surveyed uint64 // the inventory is from a look with this one; 0: one is due
-	after    uint64 // and from one later than this
-	fencedTo eventloop.Micros
-	metAt    eventloop.Micros
-	lease    eventloop.Micros // ends, by our clock
-	span     eventloop.Micros // that a lease lasts
-	held     eventloop.Micros // what runs is held so long, as far as the worker has answered
-	heldOut  eventloop.Micros // by then, whatever we have sent, its hold is over
-	isLapsed bool             // it was deaf until then, so nothing runs there
-	slowest  eventloop.Micros // answer of late
-	mutes    int              // looks in a row that nothing answered
-	lostAt   eventloop.Micros // when a call was last found lost
+	scheduler string
+	fence     uint64 // newest generation of the ward
+	surveyed  uint64 // the inventory is from a look with this one; 0: one is due
+	after     uint64 // and from one later than this
+	fencedTo  eventloop.Micros
+	metAt     eventloop.Micros
+	lease     eventloop.Micros // ends, by our clock
+	span      eventloop.Micros // that a lease lasts
+	held      eventloop.Micros // what runs is held so long, as far as the worker has answered
+	heldOut   eventloop.Micros // by then, whatever we have sent, its hold is over
+	isLapsed  bool             // it was deaf until then, so nothing runs there
+	slowest   eventloop.Micros // answer of late
+	mutes     int              // looks in a row that nothing answered
+	lostAt    eventloop.Micros // when a call was last found lost
 
 	runs    map[runKey]*run
 	ended   map[runKey]*end // not noted
@@ -189,7 +189,7 @@
 	leader string // of the cluster state
 	life   *life
 	dead   []former // newest last
-	over   []string // those of them that no placer has heard of yet
+	over   []string // those of them that no scheduler has heard of yet
 	seq    uint64   // of announces; above those of this process's forerunners
 	number uint64   // of calls and of their replies, in the order they were seen
 	born   eventloop.Micros
@@ -381,8 +381,8 @@
 		return
 	}
 	l.raise(ward.Generation)
-	if ward.Placer != l.placer {
-		l.placer, l.poll, l.isDirty = ward.Placer, nil, true
+	if ward.Scheduler != l.scheduler {
+		l.scheduler, l.poll, l.isDirty = ward.Scheduler, nil, true
 	}
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -20,7 +20,7 @@
 
 const hop = eventloop.Milli // every message takes so long
 
-// ward is a scripted placer: it wants some runs there and some not.
+// ward is a scripted scheduler: it wants some runs there and some not.
 type ward struct {
 	id         string
 	generation uint64
@@ -126,7 +126,7 @@
 	state := proto.Clone(b.state).(*schema.ClusterStateState)
 	state.Version++
 	state.Wards = slices.DeleteFunc(state.Wards, func(w *schema.Ward) bool { return w.Worker == worker })
-	state.Wards = append(state.Wards, &schema.Ward{Worker: worker, Placer: id, Generation: generation})
+	state.Wards = append(state.Wards, &schema.Ward{Worker: worker, Scheduler: id, Generation: generation})
 	// The cluster state lists them by worker, and they are searched for so.
 	slices.SortFunc(state.Wards, func(x, y *schema.Ward) int { return cmp.Compare(x.Worker, y.Worker) })
 	b.state = state
@@ -220,7 +220,7 @@
 	a := m.Announce
 	if a.Seq <= w.seq || a.Ward > w.generation {
 		w.refused++
-		b.after(hop, func() { b.mail(w.id, &schema.PollReply{Id: m.Id, Placer: w.id}) })
+		b.after(hop, func() { b.mail(w.id, &schema.PollReply{Id: m.Id, Scheduler: w.id}) })
 		return
 	}
 	w.seq = a.Seq
@@ -240,7 +240,7 @@
 		return
 	}
 	a := w.poll.Announce
-	orders := &schema.Orders{Ward: w.generation, LeaseUs: int64(w.lease), Placer: w.id}
+	orders := &schema.Orders{Ward: w.generation, LeaseUs: int64(w.lease), Scheduler: w.id}
 	isRunning, hasEnded := map[string]bool{}, map[string]bool{}
 	for _, note := range a.Running {
 		isRunning[noteName(note)] = true
@@ -271,7 +271,7 @@
 		return
 	}
 	w.granted = b.sent[id] + w.lease
-	reply := &schema.PollReply{Id: id, Code: 200, Orders: orders, Placer: w.id}
+	reply := &schema.PollReply{Id: id, Code: 200, Orders: orders, Scheduler: w.id}
 	b.after(b.takes(reply), func() { b.mail(w.id, reply) })
 }
 
@@ -444,7 +444,7 @@
 }
 
 func TestLostAnswers(t *testing.T) {
-	Convey("When answers of the placer are lost, every run begins once and every end is noted", t, func() {
+	Convey("When answers of the scheduler are lost, every run begins once and every end is noted", t, func() {
 		b, w := usual(fakeworker.Setup{}, nil)
 		number := 0
 		w.loses = func() bool { number++; return number%3 != 0 }
@@ -749,7 +749,7 @@
 }
 
 func TestWorkerRestart(t *testing.T) {
-	Convey("A new life tells of the one that is over, until a placer has answered that", t, func() {
+	Convey("A new life tells of the one that is over, until a scheduler has answered that", t, func() {
 		b, w := usual(fakeworker.Setup{}, nil)
 		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
 		b.run(2 * eventloop.Second)
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -7,10 +7,10 @@
 	"sparnotch/internal/schema"
 )
 
-// announce keeps one announce open at the ward's placer, and sends a new one at
+// announce keeps one announce open at the ward's scheduler, and sends a new one at
 // once when something has changed.
 func (t *Table) announce(now eventloop.Micros, l *life, out eventloop.Out) {
-	if l.placer == "" || l.fence == 0 || l.surveyed != l.fence && l.departedAt == 0 && !l.isLapsed {
+	if l.scheduler == "" || l.fence == 0 || l.surveyed != l.fence && l.departedAt == 0 && !l.isLapsed {
 		return
 	}
 	// Of one that has left, or is deaf, only what is over is told.
@@ -51,16 +51,16 @@
 	for _, key := range sortedKeys(l.ended) {
 		a.Ended = append(a.Ended, l.ended[key].note)
 	}
-	l.poll = &poll{seq: t.seq, sent: now, placer: l.placer, over: a.Over}
+	l.poll = &poll{seq: t.seq, sent: now, scheduler: l.scheduler, over: a.Over}
 	l.polledAt, l.isDirty = now, false
-	out.Send(l.placer, &schema.Poll{Id: t.seq, Worker: l.worker, Announce: a})
+	out.Send(l.scheduler, &schema.Poll{Id: t.seq, Worker: l.worker, Announce: a})
 }
 
 // answered takes the answer to the announce that stands; whatever an older one
 // says, the next says again.
 func (t *Table) answered(now eventloop.Micros, from string, m *schema.PollReply) {
 	l := t.life
-	if l == nil || l.isOver || l.poll == nil || m.Id != l.poll.seq || from != l.poll.placer {
+	if l == nil || l.isOver || l.poll == nil || m.Id != l.poll.seq || from != l.poll.scheduler {
 		return
 	}
 	p := l.poll
@@ -129,7 +129,7 @@
 			return false
 		}
 		if _, isSpent := l.spent[key]; isSpent {
-			// A placer that hasn't heard yet what became of it: others may have
+			// A scheduler that hasn't heard yet what became of it: others may have
 			// the task by now.
 			l.ended[key] = &end{note: l.note(key, "stopped", order.Saved)}
 			l.isDirty = true
@@ -142,7 +142,7 @@
 		return true
 	case "stop":
 		if r == nil {
-			// Not heard of here; that it never will be is what the placer asks.
+			// Not heard of here; that it never will be is what the scheduler asks.
 			l.runs[key] = &run{key: key, standing: stopping, began: now, retryAt: now}
 			return true
 		}
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -1,5 +1,5 @@
 // Package agent owns one worker that is called: it hears the worker's beats,
-// carries its inventory and ends to the placer in announces, and turns the
+// carries its inventory and ends to the scheduler in announces, and turns the
 // answers into calls (start, stop, look). It holds nothing durable: what it has
 // forgotten, the worker lists again.
 package agent
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -287,7 +287,7 @@
 		l.lookAt, l.glanceAt = now+l.rest, now+l.rest
 		l.rest = min(2*l.rest, restMost)
 		// Whoever doesn't answer isn't spoken for: what it holds isn't renewed
-		// either, so the placer may give it to others when the lease is over.
+		// either, so the scheduler may give it to others when the lease is over.
 		t.resurvey(l)
 		return
 	}
@@ -311,7 +311,7 @@
 	}
 	switch {
 	case l.hasUnnoted():
-		// It would list the same again at once: the placer's word is awaited,
+		// It would list the same again at once: the scheduler's word is awaited,
 		// and for a while only.
 		l.lookAt = now + l.rest
 		l.rest = min(2*l.rest, restMost)
--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -318,10 +318,10 @@
 		switch {
 		case ward == nil:
 			m.isChanged = true
-			m.addWard(wanted.Worker, wanted.Placer)
-		case ward.Placer != wanted.Placer:
+			m.addWard(wanted.Worker, wanted.Scheduler)
+		case ward.Scheduler != wanted.Scheduler:
 			m.isChanged = true
-			ward.Placer, ward.Generation = wanted.Placer, m.next()
+			ward.Scheduler, ward.Generation = wanted.Scheduler, m.next()
 		}
 	}
 	return &Result{Code: 200}
@@ -336,11 +336,11 @@
 	return sort.Search(len(list), func(k int) bool { return list[k].Worker >= worker })
 }
 
-func (m *Machine) addWard(worker, placer string) {
-	m.state.Wards = slices.Insert(m.state.Wards, wardAt(m.state.Wards, worker), &schema.Ward{Worker: worker, Placer: placer, Generation: m.next()})
+func (m *Machine) addWard(worker, scheduler string) {
+	m.state.Wards = slices.Insert(m.state.Wards, wardAt(m.state.Wards, worker), &schema.Ward{Worker: worker, Scheduler: scheduler, Generation: m.next()})
 }
 
-// meet gives a new worker to the placer that wards most, so that it can work
+// meet gives a new worker to the scheduler that wards most, so that it can work
 // before a controller looks.
 func (m *Machine) meet(worker string) *Result {
 	if WardOf(m.state, worker) != nil {
@@ -349,9 +349,9 @@
 	counts := map[string]int{}
 	best := ""
 	for _, ward := range m.state.Wards {
-		counts[ward.Placer]++
-		if ward.Placer != "" && (best == "" || counts[ward.Placer] > counts[best]) {
-			best = ward.Placer
+		counts[ward.Scheduler]++
+		if ward.Scheduler != "" && (best == "" || counts[ward.Scheduler] > counts[best]) {
+			best = ward.Scheduler
 		}
 	}
 	m.isChanged = true
--- a/internal/clusterstate/clusterstate_test.go
+++ b/internal/clusterstate/clusterstate_test.go
@@ -71,9 +71,9 @@
 		claim := func(at int64, id string) *Result {
 			return apply(m, at, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Claim{Claim: &schema.Claim{Id: id}}})
 		}
-		wards := func(at int64, lease uint64, placer string) int32 {
+		wards := func(at int64, lease uint64, scheduler string) int32 {
 			return apply(m, at, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Wards{Wards: &schema.MoveWards{
-				Lease: lease, Wards: []*schema.Ward{{Worker: "w", Placer: placer}}}}}).Code
+				Lease: lease, Wards: []*schema.Ward{{Worker: "w", Scheduler: scheduler}}}}}).Code
 		}
 		first := claim(1, "h1")
 		So(first.Code, ShouldEqual, 200)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -414,7 +414,7 @@
 		leads[t.leaderAmong(now, stores, place.Queue)]++
 	}
 	for _, ward := range t.state.Wards {
-		wanted[ward.Placer]++
+		wanted[ward.Scheduler]++
 	}
 	type candidate struct {
 		id     string
@@ -465,8 +465,8 @@
 	}
 	wards := &schema.MoveWards{Lease: t.lease}
 	for _, ward := range t.state.Wards {
-		if ward.Placer != sturdy {
-			wards.Wards = append(wards.Wards, &schema.Ward{Worker: ward.Worker, Placer: sturdy})
+		if ward.Scheduler != sturdy {
+			wards.Wards = append(wards.Wards, &schema.Ward{Worker: ward.Worker, Scheduler: sturdy})
 		}
 	}
 	queues := &schema.PlaceQueues{Lease: t.lease}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -266,7 +266,7 @@
 		d := newDesk()
 		d.put("l")
 		d.state.Queues = []*schema.QueuePlace{{Queue: "l", Generation: 3, Leader: "c"}}
-		d.state.Wards = []*schema.Ward{{Worker: "w", Placer: "c"}}
+		d.state.Wards = []*schema.Ward{{Worker: "w", Scheduler: "c"}}
 		word := func(from string, leaders map[string]string) {
 			var notes []*schema.WaitNote
 			if from == "a" {
@@ -295,7 +295,7 @@
 			}
 			So(d.now-last, ShouldBeBetweenOrEqual, missSpan, missSpan+150*eventloop.Milli)
 			So(d.acts[0].GetQueues().GetQueues()[0].Leader, ShouldEqual, "b")
-			So(d.acts[1].GetWards().GetWards()[0].Placer, ShouldEqual, "b")
+			So(d.acts[1].GetWards().GetWards()[0].Scheduler, ShouldEqual, "b")
 		})
 		Convey("but not while nobody else leads it", func() {
 			for k := 0; k < 20; k++ {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -541,7 +541,7 @@
 }
 
 // tooLarge finds a task that no worker of the plan could ever hold. Of a pool's
-// workers the plan says nothing: the placer sees what they are.
+// workers the plan says nothing: the scheduler sees what they are.
 func tooLarge(values *clusterstate.Values, queue string, job *schema.Job) *schema.Fault {
 	if values.Text("queue", queue, "pool") != "" {
 		return nil
@@ -820,12 +820,12 @@
 			out.Send(to, &schema.Request{Kind: "clusterstate", Group: clusterstate.Group, Body: marshal(command)})
 		}
 	}
-	if ward == nil || ward.Placer == "" || len(t.polls) >= maxPending {
+	if ward == nil || ward.Scheduler == "" || len(t.polls) >= maxPending {
 		t.refuse(m.Request, 503, "no_ward", "nobody wards this worker yet", 1, out)
 		return
 	}
 	t.polls[m.Request] = m
-	out.Send(ward.Placer, &schema.Poll{Id: m.Request, Worker: m.Worker, Announce: m.Announce})
+	out.Send(ward.Scheduler, &schema.Poll{Id: m.Request, Worker: m.Worker, Announce: m.Announce})
 }
 
 func (t *Table) polled(m *schema.PollReply, out eventloop.Out) {
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -37,7 +37,7 @@
 	Plan  func(now eventloop.Micros, generation uint64) // a newer plan has come to this process
 }
 
-// Hand announces to the ward's placer and takes the answers.
+// Hand announces to the ward's scheduler and takes the answers.
 type Hand struct {
 	watch  Watch
 	worker *fakeworker.Worker
@@ -114,7 +114,7 @@
 		return
 	}
 	ward := clusterstate.WardOf(h.state, h.worker.Name)
-	if ward == nil || ward.Placer == "" {
+	if ward == nil || ward.Scheduler == "" {
 		if now-h.metAt > eventloop.Second && h.leader != "" {
 			h.metAt = now
 			out.Send(h.leader, &schema.Request{Kind: "clusterstate", Group: clusterstate.Group, Body: replica.ClusterStateBody(
@@ -125,7 +125,7 @@
 	a := h.worker.Announce(now)
 	h.next++
 	h.open[h.next] = openPoll{a.Seq, now}
-	out.Send(ward.Placer, &schema.Poll{Id: h.next, Worker: h.worker.Name, Announce: a})
+	out.Send(ward.Scheduler, &schema.Poll{Id: h.next, Worker: h.worker.Name, Announce: a})
 }
 
 // Routes names the tables of a side that a message is for.
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -48,7 +48,7 @@
 		So(list[0].body.(*schema.Request).Kind, ShouldEqual, "clusterstate")
 		So(plans, ShouldResemble, []uint64{2})
 
-		warded := &schema.ClusterStateState{Version: 4, Plan: state.Plan, Wards: []*schema.Ward{{Worker: "w1", Placer: "s3", Generation: 7}}}
+		warded := &schema.ClusterStateState{Version: 4, Plan: state.Plan, Wards: []*schema.Ward{{Worker: "w1", Scheduler: "s3", Generation: 7}}}
 		list = step("s1", &schema.ClusterStateTell{State: warded})
 		So(list, ShouldHaveLength, 1)
 		So(list[0].to, ShouldEqual, "s3")
--- a/internal/mutation/mutants.go
+++ b/internal/mutation/mutants.go
@@ -51,7 +51,7 @@
 	{Guard: "the table is carried to every front", Rule: 11, Test: "internal/gateway TestQueuesThisFrontDoesNotKnow", Edits: []Edit{{"internal/gateway", "	if m.State != nil && m.State.Version >= t.state.Version {", "	if m.State != nil && t.state.Version == 0 {"}}},
 	{Guard: "a rack's weight counts", Rule: 11, Scenario: "the table takes effect", Seed: 1, Edits: []Edit{{"internal/scheduler", "!clusterstate.GoodName(w.rack) || weight == 0 {", "!clusterstate.GoodName(w.rack) {"}}},
 	{Guard: "a queue's limit counts", Rule: 11, Scenario: "the table takes effect", Seed: 2, Edits: []Edit{{"internal/scheduler", "left := int(v.running) - v.out - len(v.reserved)", "left := 1 << 30"}}},
-	{Guard: "wards follow the leader", Rule: 12, Scenario: "leader frozen 30 s", Seed: 1, Edits: []Edit{{"internal/controller", "if ward.Placer != sturdy {", "if ward.Placer == \"\" {"}}},
+	{Guard: "wards follow the leader", Rule: 12, Scenario: "leader frozen 30 s", Seed: 1, Edits: []Edit{{"internal/controller", "if ward.Scheduler != sturdy {", "if ward.Scheduler == \"\" {"}}},
 	{Guard: "gateway resends", Rule: 12, Scenario: "rough net", Seed: 1, Edits: []Edit{{"internal/gateway", "return now-each.sent >= resendSpan }", "return false }"}}},
 	{Guard: "a lost voter's place is given to another", Rule: 0, Scenario: "disk machine replaced", Seed: 1, Edits: []Edit{{"internal/controller", "	t.members(now, out)\n", ""}}},
 	{Guard: "a lease that isn't renewed is claimed", Rule: 0, Scenario: "leader, controller and worker lost at once", Seed: 1, Edits: []Edit{{"internal/controller", "isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LeaseUs)", "isVacant := t.until == 0"}}},
--- a/internal/process/caller_test.go
+++ b/internal/process/caller_test.go
@@ -64,7 +64,7 @@
 		So(with.Depart(agent.Departed{Worker: "w"}), ShouldBeTrue)
 		with.Stop()
 	})
-	Convey("Answers of placers go to the agent of a side process, and to the gateway of a front", t, func() {
+	Convey("Answers of schedulers go to the agent of a side process, and to the gateway of a front", t, func() {
 		So(Table(schema.Role_ROLE_HEED, &schema.PollReply{}), ShouldEqual, "agent")
 		So(Table(schema.Role_ROLE_KEEP, &schema.PollReply{}), ShouldEqual, "gateway")
 	})
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -63,7 +63,7 @@
 	if p.Store != nil {
 		berths = append(berths,
 			Berth{"keep", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now), replica.Pace},
-			Berth{"placer", scheduler.New(member.Id).Bind(p.Bounds), scheduler.Pace},
+			Berth{"scheduler", scheduler.New(member.Id).Bind(p.Bounds), scheduler.Pace},
 		)
 	}
 	return berths
@@ -101,7 +101,7 @@
 		}
 		return "gateway"
 	case *schema.Poll, *schema.EndReply:
-		return "placer"
+		return "scheduler"
 	}
 	return "keep"
 }
--- a/internal/queue/machine.go
+++ b/internal/queue/machine.go
@@ -86,7 +86,7 @@
 	data  []byte
 }
 
-// Shift tells the placer's side what became of one task. Shifts are numbered
+// Shift tells the scheduler's side what became of one task. Shifts are numbered
 // without gaps; whoever sees one asks for the whole list.
 type Shift struct {
 	Hand        uint64
@@ -115,7 +115,7 @@
 	CoresMilli int64 // of all its tasks
 }
 
-// Standing is a task as the placer sees it.
+// Standing is a task as the scheduler sees it.
 type Standing int
 
 const (
@@ -587,7 +587,7 @@
 	}
 }
 
-// Standings lists every task the placer must know of: the read-only query
+// Standings lists every task the scheduler must know of: the read-only query
 // that fills a gap in the numbers.
 func (m *Machine) Standings() (list []*Shift, hand uint64) {
 	for _, j := range m.ordered() {
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -106,7 +106,7 @@
 	b.m = m
 }
 
-// seen lists the tasks the placer must know of, as "part round task standing".
+// seen lists the tasks the scheduler must know of, as "part round task standing".
 func (b *bench) seen() string {
 	list, _ := b.m.Standings()
 	text := ""
@@ -1070,7 +1070,7 @@
 }
 
 func TestWayAndAge(t *testing.T) {
-	Convey("The placer is told a round's age and the longest way through it", t, func() {
+	Convey("The scheduler is told a round's age and the longest way through it", t, func() {
 		b := newBench()
 		b.at = 5_000_000
 		b.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Tick{Tick: &schema.Tick{}}})
--- a/internal/replica/fresh_test.go
+++ b/internal/replica/fresh_test.go
@@ -10,14 +10,14 @@
 )
 
 func TestFreshClusterState(t *testing.T) {
-	Convey("Whose copy of the cluster state may be behind tells nobody of it, and gives its placer no leave to act", t, func() {
+	Convey("Whose copy of the cluster state may be behind tells nobody of it, and gives its scheduler no leave to act", t, func() {
 		c := newCore()
-		// The last word of a store to its placer, and what it answers who asks.
+		// The last word of a store to its scheduler, and what it answers who asks.
 		look := func(id string) (isFresh, isTold bool) {
 			c.heard["h"] = nil
 			c.step(id, "h", &schema.ClusterStateAsk{})
 			c.run(200 * eventloop.Milli)
-			for _, each := range c.heard[id+"/placer"] {
+			for _, each := range c.heard[id+"/scheduler"] {
 				if fresh, isIt := each.(Fresh); isIt {
 					isFresh = fresh.ClusterState
 				}
--- a/internal/replica/list_test.go
+++ b/internal/replica/list_test.go
@@ -12,10 +12,10 @@
 )
 
 func TestWholeLists(t *testing.T) {
-	Convey("The placer gets a queue's whole list anew when the plan has changed, not for each worker that comes", t, func() {
+	Convey("The scheduler gets a queue's whole list anew when the plan has changed, not for each worker that comes", t, func() {
 		c := newCore()
 		whole := func() (count int) {
-			for _, each := range c.heard["a/placer"] {
+			for _, each := range c.heard["a/scheduler"] {
 				if shifts, isIt := each.(Shifts); isIt && shifts.IsWhole {
 					count++
 				}
@@ -30,7 +30,7 @@
 		So(c.leader("l"), ShouldEqual, "a")
 		before := whole()
 		So(before, ShouldBeGreaterThan, 0)
-		wards := &schema.MoveWards{Lease: lease, Wards: []*schema.Ward{{Worker: "w", Placer: "a"}}}
+		wards := &schema.MoveWards{Lease: lease, Wards: []*schema.Ward{{Worker: "w", Scheduler: "a"}}}
 		So(c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Wards{Wards: wards}}).Code, ShouldEqual, 200)
 		c.run(eventloop.Second)
 		So(whole(), ShouldEqual, before)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -46,14 +46,14 @@
 	Number uint64
 }
 
-// Propose is a command of the placer on this node, for the term it knows.
+// Propose is a command of the scheduler on this node, for the term it knows.
 type Propose struct {
 	Group   string
 	Term    uint64
 	Command *schema.QueueCommand
 }
 
-// Shifts tell the placer's table what a queue's commands did. Whole replaces
+// Shifts tell the scheduler's table what a queue's commands did. Whole replaces
 // all it knew.
 type Shifts struct {
 	Queue, Group string
@@ -64,7 +64,7 @@
 	Running      int64
 }
 
-// Query asks for the whole list: the placer saw a gap in the numbers.
+// Query asks for the whole list: the scheduler saw a gap in the numbers.
 type Query struct{ Group string }
 
 // Lost says that this node leads a queue no more.
@@ -100,7 +100,7 @@
 	queue    *queue.Machine
 	waiting  map[uint64]waiter // by index
 	reading  map[uint64]waiter // by read number
-	termTold uint64            // term for which the placer has the whole list
+	termTold uint64            // term for which the scheduler has the whole list
 	tickAt   eventloop.Micros
 	tickIdx  uint64
 	carryIdx uint64
@@ -409,7 +409,7 @@
 		}
 	}
 	fresh.ClusterState = t.isClusterStateFresh(now)
-	out.Tell("placer", fresh)
+	out.Tell("scheduler", fresh)
 }
 
 // isClusterStateFresh tells whether our copy of the cluster state held, a moment ago, all
@@ -539,7 +539,7 @@
 			t.listed = nil
 			t.next.changes = append(t.next.changes, &schema.Change{Group: name, Drop: true})
 			delete(t.next.marks, name)
-			out.Tell("placer", Lost{Queue: QueueOf(name)})
+			out.Tell("scheduler", Lost{Queue: QueueOf(name)})
 		}
 	}
 }
@@ -634,7 +634,7 @@
 
 func (t *Table) propose(now eventloop.Micros, m Propose) {
 	r := t.groups[m.Group]
-	// A placer that acts for an older term has an older list.
+	// A scheduler that acts for an older term has an older list.
 	if r == nil || r.queue == nil || r.group.Term() != m.Term || !r.group.Acting(now) || t.isFull(r) {
 		return
 	}
@@ -685,7 +685,7 @@
 func (t *Table) endNoted(from string, m *schema.End, out eventloop.Out) {
 	reply := &schema.EndReply{Queue: m.Queue, Key: m.Key, Attempt: m.Attempt, Worker: m.Worker}
 	if from == "" {
-		out.Tell("placer", reply)
+		out.Tell("scheduler", reply)
 	} else {
 		out.Send(from, reply)
 	}
@@ -889,7 +889,7 @@
 		t.applied[key].Outcomes = append(t.applied[key].Outcomes, outcome)
 	}
 	if len(effects.Shifts) > 0 && r.termTold == r.group.Term() {
-		out.Tell("placer", t.shifts(r, effects.Shifts, false, effects.Shifts[len(effects.Shifts)-1].Hand))
+		out.Tell("scheduler", t.shifts(r, effects.Shifts, false, effects.Shifts[len(effects.Shifts)-1].Hand))
 	}
 	if isWaited && waiting.end != nil {
 		t.endNoted(waiting.from, waiting.end, out)
@@ -907,7 +907,7 @@
 	}
 }
 
-// standings tells the placer of queues newly led, and of those led no more.
+// standings tells the scheduler of queues newly led, and of those led no more.
 func (t *Table) standings(now eventloop.Micros, out eventloop.Out) {
 	for _, name := range t.names() {
 		r := t.groups[name]
@@ -917,7 +917,7 @@
 		if !r.group.IsLeader() {
 			if r.termTold != 0 {
 				r.termTold = 0
-				out.Tell("placer", Lost{Queue: r.name})
+				out.Tell("scheduler", Lost{Queue: r.name})
 			}
 			if len(r.waiting) > 0 {
 				r.waiting = map[uint64]waiter{}
@@ -930,7 +930,7 @@
 		if r.termTold != r.group.Term() && r.group.Acting(now) {
 			r.termTold = r.group.Term()
 			list, hand := r.queue.Standings()
-			out.Tell("placer", t.shifts(r, list, true, hand))
+			out.Tell("scheduler", t.shifts(r, list, true, hand))
 		}
 	}
 }
@@ -941,7 +941,7 @@
 	}
 	old := t.state
 	t.setState(t.clusterState.Copy())
-	for _, table := range []string{"gateway", "placer"} {
+	for _, table := range []string{"gateway", "scheduler"} {
 		out.Tell(table, &schema.ClusterStateTell{State: t.state, Version: t.state.Version})
 	}
 	out.Tell("kin", membership.ClusterState{Version: t.state.Version})
@@ -976,14 +976,14 @@
 	}
 }
 
-// areMoved tells whether a ward that was there is with another placer now.
+// areMoved tells whether a ward that was there is with another scheduler now.
 func areMoved(old, list []*schema.Ward) bool {
-	placers := map[string]string{}
+	schedulers := map[string]string{}
 	for _, ward := range old {
-		placers[ward.Worker] = ward.Placer
+		schedulers[ward.Worker] = ward.Scheduler
 	}
 	for _, ward := range list {
-		if placer, isKnown := placers[ward.Worker]; isKnown && placer != ward.Placer {
+		if scheduler, isKnown := schedulers[ward.Worker]; isKnown && scheduler != ward.Scheduler {
 			return true
 		}
 	}
--- a/internal/scheduler/agent_test.go
+++ b/internal/scheduler/agent_test.go
@@ -16,7 +16,7 @@
 func (d *desk) told(rows []*schema.Row, workers ...string) {
 	state := &schema.ClusterStateState{Version: 2, Plan: &schema.Plan{Rows: rows}}
 	for k, w := range workers {
-		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Placer: "me", Generation: uint64(k + 1)})
+		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Scheduler: "me", Generation: uint64(k + 1)})
 	}
 	seen := map[string]bool{}
 	for _, row := range rows {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -571,7 +571,7 @@
 	SetAside     bool   `json:"set_aside"`
 }
 
-// Placements is the placer's belief.
+// Placements is the scheduler's belief.
 type Placements struct {
 	Workers []*WorkerBelief `json:"workers"`
 	Tasks   []*Placement    `json:"tasks"`
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -233,7 +233,7 @@
 	isBlurry bool // it runs something of unknown size
 }
 
-// Table is the placer's table.
+// Table is the scheduler's table.
 type Table struct {
 	id        string
 	state     *schema.ClusterStateState
@@ -258,12 +258,12 @@
 	ordered   []*worker // by name; nil: to be made anew
 }
 
-// Counts says what the placer has done.
+// Counts says what the scheduler has done.
 type Counts struct {
 	Starts, Stops, Holds, Preempted, LostTasks, Gaps uint64
 }
 
-// New makes the table of the placer with this process id.
+// New makes the table of the scheduler with this process id.
 func New(id string) *Table {
 	return &Table{
 		id: id, state: &schema.ClusterStateState{}, values: clusterstate.Read(nil), views: map[string]*view{}, workers: map[string]*worker{},
@@ -338,7 +338,7 @@
 	t.state, t.values = m.State, clusterstate.Read(m.State.Plan)
 	mine := map[string]*schema.Ward{}
 	for _, ward := range t.state.Wards {
-		if ward.Placer == t.id {
+		if ward.Scheduler == t.id {
 			mine[ward.Worker] = ward
 		}
 	}
@@ -388,7 +388,7 @@
 
 func (t *Table) dismiss(w *worker, out eventloop.Out) {
 	if w.poll != nil {
-		out.Send(w.poll.front, &schema.PollReply{Id: w.poll.id, Placer: t.id})
+		out.Send(w.poll.front, &schema.PollReply{Id: w.poll.id, Scheduler: t.id})
 		w.poll = nil
 	}
 }
@@ -642,11 +642,11 @@
 	a := m.Announce
 	// Who isn't sure of being the ward gives no lease.
 	if w == nil || a == nil || w.isOver || !t.isSure(now) || a.Ward > w.generation {
-		out.Send(front, &schema.PollReply{Id: m.Id, Placer: t.id})
+		out.Send(front, &schema.PollReply{Id: m.Id, Scheduler: t.id})
 		return
 	}
 	if a.Incarnation < w.incarnation || a.Incarnation == w.incarnation && a.Seq <= w.seq {
-		out.Send(front, &schema.PollReply{Id: m.Id, Placer: t.id})
+		out.Send(front, &schema.PollReply{Id: m.Id, Scheduler: t.id})
 		return
 	}
 	if a.Incarnation > w.incarnation {
@@ -1116,10 +1116,10 @@
 	p := w.poll
 	w.poll = nil
 	if !t.isSure(now) || now-w.heard > silentSpan {
-		out.Send(p.front, &schema.PollReply{Id: p.id, Placer: t.id})
+		out.Send(p.front, &schema.PollReply{Id: p.id, Scheduler: t.id})
 		return
 	}
-	orders := &schema.Orders{Ward: w.generation, LeaseUs: t.plan("lease_ms") * 1000, Placer: t.id, Orders: list}
+	orders := &schema.Orders{Ward: w.generation, LeaseUs: t.plan("lease_ms") * 1000, Scheduler: t.id, Orders: list}
 	for _, key := range endedKeys(w) {
 		if e := w.ended[key]; e.isNoted {
 			orders.Noted = append(orders.Noted, &schema.TaskNote{
@@ -1143,7 +1143,7 @@
 		}
 	}
 	w.answered = now
-	out.Send(p.front, &schema.PollReply{Id: p.id, Code: 200, Orders: orders, Placer: t.id})
+	out.Send(p.front, &schema.PollReply{Id: p.id, Code: 200, Orders: orders, Scheduler: t.id})
 }
 
 // orders is the difference between what the queues want on a worker and what
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -12,7 +12,7 @@
 	"sparnotch/internal/schema"
 )
 
-// desk drives a placer by hand: it plays the leader and the workers.
+// desk drives a scheduler by hand: it plays the leader and the workers.
 type desk struct {
 	t       *Table
 	now     eventloop.Micros
@@ -39,7 +39,7 @@
 	d := &desk{t: New("me"), now: 100 * eventloop.Second}
 	state := &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{}}
 	for k, w := range workers {
-		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Placer: "me", Generation: uint64(k + 1)})
+		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Scheduler: "me", Generation: uint64(k + 1)})
 	}
 	d.step(&schema.ClusterStateTell{State: state, Version: 1})
 	d.fresh(true)
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -233,7 +233,7 @@
 			}
 			warded := 0
 			for _, ward := range belief.Wards {
-				if ward.Placer != "" {
+				if ward.Scheduler != "" {
 					warded++
 				}
 			}
