--- a/cmd/feign/hollow.go
+++ b/cmd/feign/hollow.go
@@ -330,7 +330,7 @@
 		s.received += float64(b.Wire.Received-a.Wire.Received) / seconds
 		s.out += float64(b.Wire.Bytes-a.Wire.Bytes) / seconds
 		s.in += float64(b.Wire.BytesIn-a.Wire.BytesIn) / seconds
-		s.disk += float64(b.VaultBytes-a.VaultBytes) / seconds
+		s.disk += float64(b.StorageBytes-a.StorageBytes) / seconds
 		s.syncs += float64(b.Syncs-a.Syncs) / seconds
 		s.lost += float64(b.LostMails - a.LostMails + b.Wire.Lost - a.Wire.Lost)
 		whole["starts_s"] += float64(b.Begun-a.Begun) / seconds
--- a/cmd/feign/hollow_part.go
+++ b/cmd/feign/hollow_part.go
@@ -39,25 +39,25 @@
 
 // partReading is what a part says of itself. Counts grow from its start.
 type partReading struct {
-	Processes  int
-	CpuUs      int64
-	RssBytes   int64
-	Wire       transport.Counts
-	VaultBytes uint64
-	Syncs      uint64
-	LostMails  uint64
-	Begun      uint64 // tasks begun
-	Ended      uint64
-	Running    int64
-	Accepted   uint64
-	Refused    uint64
-	Start      *hdrhistogram.Snapshot // microseconds from hand-in sent to task begun
-	Confirm    *hdrhistogram.Snapshot // microseconds from hand-in sent to confirmed
-	Begins     [][2]int64             // of the latest tasks begun: handed in at, begun at, by the wall
-	Seen       map[uint64]int64       // plan generation: when the last process of this part saw it, by the wall
-	SeenBy     map[uint64]int         // and how many did
-	Put        map[uint64]int64       // when its put was sent
-	Belief     *replica.NodeBelief    `json:",omitempty"`
+	Processes    int
+	CpuUs        int64
+	RssBytes     int64
+	Wire         transport.Counts
+	StorageBytes uint64
+	Syncs        uint64
+	LostMails    uint64
+	Begun        uint64 // tasks begun
+	Ended        uint64
+	Running      int64
+	Accepted     uint64
+	Refused      uint64
+	Start        *hdrhistogram.Snapshot // microseconds from hand-in sent to task begun
+	Confirm      *hdrhistogram.Snapshot // microseconds from hand-in sent to confirmed
+	Begins       [][2]int64             // of the latest tasks begun: handed in at, begun at, by the wall
+	Seen         map[uint64]int64       // plan generation: when the last process of this part saw it, by the wall
+	SeenBy       map[uint64]int         // and how many did
+	Put          map[uint64]int64       // when its put was sent
+	Belief       *replica.NodeBelief    `json:",omitempty"`
 }
 
 // newSpread holds microseconds up to a minute, to three figures.
@@ -137,7 +137,7 @@
 	for _, real := range p.reals {
 		counts := real.Counts()
 		add(counts.Wire)
-		r.VaultBytes, r.Syncs = r.VaultBytes+counts.Vault.Bytes, r.Syncs+counts.Vault.Syncs
+		r.StorageBytes, r.Syncs = r.StorageBytes+counts.Storage.Bytes, r.Syncs+counts.Storage.Syncs
 		for _, lost := range counts.Lost {
 			r.LostMails += lost
 		}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -26,7 +26,7 @@
 )
 
 // Real is a process on a real machine: its tables on goroutines, its wires,
-// its vault.
+// its storage.
 type Real struct {
 	Options *schema.Options
 	Member  *schema.Member
@@ -98,7 +98,7 @@
 	for _, berth := range berths {
 		r.process.Add(berth.Name, berth.Table, berth.Pace)
 	}
-	r.process.Add("vault", (*vaultTable)(r), 0)
+	r.process.Add("storage", (*storageTable)(r), 0)
 	if papers.Calls {
 		r.process.Add("caller", newCallerTable(hands[0], func(reply agent.Reply) {
 			r.process.PostWait("agent", eventloop.Mail{Body: reply})
@@ -204,13 +204,13 @@
 	}
 }
 
-// vaultTable passes batches on to the duty that may block on the disk.
-type vaultTable Real
+// storageTable passes batches on to the duty that may block on the disk.
+type storageTable Real
 
-func (v *vaultTable) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
+func (v *storageTable) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	if batch, isBatch := mail.Body.(replica.Batch); isBatch && !v.writes.Offer(batch) {
 		// There is never more than one batch out, so this can't be.
-		v.log.Error("the vault's ring is full")
+		v.log.Error("the storage's ring is full")
 	}
 }
 
@@ -306,16 +306,16 @@
 
 // Counts are what a process has done so far.
 type Counts struct {
-	Wire  transport.Counts  `json:"wire"`
-	Vault storage.Counts    `json:"vault"`
-	Lost  map[string]uint64 `json:"lost_mails"`
+	Wire    transport.Counts  `json:"wire"`
+	Storage storage.Counts    `json:"storage"`
+	Lost    map[string]uint64 `json:"lost_mails"`
 }
 
 // Counts reads them.
 func (r *Real) Counts() Counts {
 	counts := Counts{Wire: r.net.Counts(), Lost: r.process.Lost()}
 	if stats := r.stats.Load(); stats != nil {
-		counts.Vault = *stats
+		counts.Storage = *stats
 	}
 	return counts
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -119,7 +119,7 @@
 	role role
 	lead string
 
-	base        *schema.Checkpoint // what the log stands on; its data is the vault's
+	base        *schema.Checkpoint // what the log stands on; its data is the storage's
 	log         []*schema.Record
 	stable      uint64
 	commit      uint64
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,6 +1,6 @@
 // Package replica owns the replicas of a process: the cluster state's and each queue's.
 // It hands messages to them, applies what they commit, lets their changes reach
-// the vault together, and performs effects where this process leads.
+// the storage together, and performs effects where this process leads.
 package replica
 
 import (
@@ -37,7 +37,7 @@
 	tickKept     = 5 * eventloop.Second
 )
 
-// Batch goes to the vault; Written comes back when it lasts.
+// Batch goes to the storage; Written comes back when it lasts.
 type Batch struct {
 	Number  uint64
 	Changes []*schema.Change
@@ -809,7 +809,7 @@
 	}
 }
 
-// write hands everything that has gathered to the vault as one batch, so that
+// write hands everything that has gathered to the storage as one batch, so that
 // one sync serves every group; the next gathers meanwhile.
 func (t *Table) write(now eventloop.Micros, out eventloop.Out) {
 	if t.writing != nil || len(t.next.changes)+len(t.next.posts)+len(t.next.selfs) == 0 {
@@ -825,7 +825,7 @@
 		t.flush(now, out)
 		return
 	}
-	out.Tell("vault", Batch{Number: t.number, Changes: batch.changes})
+	out.Tell("storage", Batch{Number: t.number, Changes: batch.changes})
 }
 
 func (t *Table) written(now eventloop.Micros, m Written, out eventloop.Out) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -517,7 +517,7 @@
 	}
 }
 
-// write is the vault's duty: it takes its time and then the batch lasts.
+// write is the storage's duty: it takes its time and then the batch lasts.
 func (h *Host) write(batch replica.Batch) {
 	w, run := h.world, h.run
 	h.isWrite, h.writing, h.began = true, batch, w.Now
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -21,7 +21,7 @@
 )
 
 var (
-	Errors  = errorx.NewNamespace("vault")
+	Errors  = errorx.NewNamespace("storage")
 	Damaged = Errors.NewType("damaged")
 	Failed  = Errors.NewType("failed")
 )
@@ -118,7 +118,7 @@
 	Bytes, Syncs, Slots uint64
 }
 
-// Store is one process's vault.
+// Store is one process's storage.
 type Store struct {
 	disk    Disk
 	content *Content
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -31,7 +31,7 @@
 	return text
 }
 
-// contract is what every disk must give the vault.
+// contract is what every disk must give the storage.
 func contract(open func() storage.Disk, reopen func(storage.Disk) storage.Disk) {
 	disk := open()
 	s, err := storage.Open(disk)
