--- a/cmd/feign/alone.go
+++ b/cmd/sparnotch-bench/alone.go
@@ -38,7 +38,7 @@
 func (*workerCommand) Name() string     { return "worker" }
 func (*workerCommand) Synopsis() string { return "run one stand-in worker against a running fleet" }
 func (*workerCommand) Usage() string {
-	return "feign worker -fronts IP:PORT,... -name w1 [-rack r1] [-cores_milli 8000] [-memory_mb 16000]\n  On SIGTERM it says that it leaves, and ends when nothing runs; a second signal ends it at once.\n"
+	return "sparnotch-bench worker -fronts IP:PORT,... -name w1 [-rack r1] [-cores_milli 8000] [-memory_mb 16000]\n  On SIGTERM it says that it leaves, and ends when nothing runs; a second signal ends it at once.\n"
 }
 
 func (c *workerCommand) SetFlags(set *flag.FlagSet) {
@@ -54,7 +54,7 @@
 func (c *workerCommand) Execute(ctx context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	gates := gatesOf(c.fronts, "")
 	if len(gates) == 0 || c.name == "" {
-		fmt.Fprintln(os.Stderr, "feign: fronts and name are needed")
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: fronts and name are needed")
 		return 2
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -99,7 +99,7 @@
 func (*callersCommand) Name() string     { return "callers" }
 func (*callersCommand) Synopsis() string { return "hand in a profile's jobs to a running fleet" }
 func (*callersCommand) Usage() string {
-	return "feign callers -fronts IP:PORT,... -profile bank|skema [-span 30s] [-rate 1]\n"
+	return "sparnotch-bench callers -fronts IP:PORT,... -profile bank|skema [-span 30s] [-rate 1]\n"
 }
 
 func (c *callersCommand) SetFlags(set *flag.FlagSet) {
@@ -114,7 +114,7 @@
 	p, err := deployments.Find(c.profile)
 	gates := gatesOf(c.fronts, "")
 	if err != nil || len(gates) == 0 || c.rate <= 0 {
-		fmt.Fprintln(os.Stderr, "feign: fronts, profile and a rate above 0 are needed", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: fronts, profile and a rate above 0 are needed", err)
 		return 2
 	}
 	people := newCallers(newPlatform(gates), &history{clock: eventloop.RealClock()}, c.prefix)
--- a/cmd/feign/fleet.go
+++ b/cmd/sparnotch-bench/fleet.go
@@ -112,13 +112,13 @@
 
 func (f *fleet) address(host, port int) string { return fmt.Sprintf("%s.%d:%d", f.net, host, port) }
 
-func (f *fleet) make(name, program string, host int, cell string, data bool) *proc {
+func (f *fleet) make(name, daemon string, host int, cell string, data bool) *proc {
 	p := &proc{
-		name: name, program: filepath.Join(f.bin, program), inner: f.address(host, 7400), outer: f.address(host, 8400), cell: cell,
+		name: name, program: filepath.Join(f.bin, "sparnotch"), inner: f.address(host, 7400), outer: f.address(host, 8400), cell: cell,
 	}
 	seeds := []string{f.address(1, 7400), f.address(2, 7400), f.address(3, 7400)}
 	p.args = []string{
-		"run", "-cell", cell, "-inner", p.inner, "-outer", p.outer, "-seeds", strings.Join(seeds, ","),
+		daemon, "-cell", cell, "-inner", p.inner, "-outer", p.outer, "-seeds", strings.Join(seeds, ","),
 		"-trace", filepath.Join(f.folder, name+".trace"), "-test_cuts", filepath.Join(f.folder, name+".cuts"),
 	}
 	if data {
@@ -131,12 +131,12 @@
 func (f *fleet) up(ctx context.Context) error {
 	var gates []*gate
 	for k := 1; k <= 7; k++ {
-		p := f.make(fmt.Sprintf("keep%d", k), "keep", k, fmt.Sprintf("c%d", (k-1)%3+1), k <= 3)
+		p := f.make(fmt.Sprintf("server%d", k), "server", k, fmt.Sprintf("c%d", (k-1)%3+1), k <= 3)
 		f.fronts = append(f.fronts, p)
 		gates = append(gates, &gate{address: p.outer, cell: p.cell})
 	}
 	for k := 1; k <= f.profile.Sides; k++ {
-		f.sides = append(f.sides, f.make(fmt.Sprintf("heed%d", k), "heed", 20+k, fmt.Sprintf("c%d", (k-1)%3+1), false))
+		f.sides = append(f.sides, f.make(fmt.Sprintf("controller%d", k), "controller", 20+k, fmt.Sprintf("c%d", (k-1)%3+1), false))
 	}
 	f.platform = newPlatform(gates)
 	for _, p := range f.procs() {
@@ -293,7 +293,7 @@
 				rows := append(f.profile.Rows(), &schema.Row{Kind: "fleet", Key: "cache_every", Value: strconv.Itoa(32 + 16*k)})
 				// The loser reads the winner's table and puts its own on that.
 				if err := putPlan(ctx, f.platform, f.history, who, rows); err != nil && ctx.Err() == nil {
-					fmt.Fprintln(os.Stderr, "feign:", err)
+					fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 				}
 			}()
 		}
@@ -367,7 +367,7 @@
 
 func (f *fleet) again(p *proc) {
 	if err := p.start(f.folder); err != nil {
-		fmt.Fprintln(os.Stderr, "feign: starting", p.name, err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: starting", p.name, err)
 	}
 }
 
@@ -408,7 +408,7 @@
 	return "run a whole fleet on this machine under load, and judge it"
 }
 func (*fleetCommand) Usage() string {
-	return `feign fleet -profile bank|skema [-span 30s] [-faults kill@10s,freeze:5s@20s]
+	return `sparnotch-bench fleet -profile bank|skema [-span 30s] [-faults kill@10s,freeze:5s@20s]
   Starts 7 fronts (3 with data), 11 side machines, 11 workers and the profile's
   callers, and ends with a report. Faults, each NAME[:SPAN]@TIME: kill (the
   leader, -9, back after SPAN), freeze, cut (off from all others), mute (nobody
@@ -425,7 +425,7 @@
 	set.StringVar(&c.profile, "profile", "bank", "deployment: bank or skema")
 	set.DurationVar(&c.span, "span", 30*time.Second, "how long callers hand in jobs")
 	set.StringVar(&c.faults, "faults", "", "faults, each NAME[:SPAN]@TIME, joined by commas")
-	set.StringVar(&c.bin, "bin", "", "folder of keep and heed (default: feign's own)")
+	set.StringVar(&c.bin, "bin", "", "folder of the program sparnotch (default: sparnotch-bench's own)")
 	set.StringVar(&c.folder, "folder", "", "folder for data and logs (default: a new temporary one, removed when no rule is broken)")
 	set.StringVar(&c.net, "net", "127.0.7", "first three numbers of the loopback addresses to use")
 	set.Float64Var(&c.rate, "rate", 1, "factor on the profile's load")
@@ -461,7 +461,7 @@
 
 func (c *fleetCommand) Execute(ctx context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	usage := func(err error) subcommands.ExitStatus {
-		fmt.Fprintln(os.Stderr, "feign:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 2
 	}
 	p, err := deployments.Find(c.profile)
@@ -487,7 +487,7 @@
 	}
 	isOwn := c.folder == ""
 	if isOwn {
-		if c.folder, err = os.MkdirTemp("", "feign-"); err != nil {
+		if c.folder, err = os.MkdirTemp("", "sparnotch-bench-"); err != nil {
 			return usage(err)
 		}
 	}
@@ -522,7 +522,7 @@
 	err := f.up(starting)
 	stop()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "feign: the fleet did not come up:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: the fleet did not come up:", err)
 		return false
 	}
 	go f.platform.watch(whole)
--- a/cmd/feign/hollow.go
+++ b/cmd/sparnotch-bench/hollow.go
@@ -473,7 +473,7 @@
 
 // playHollow brings a hollow deployment up, measures it and takes it down.
 func playHollow(ctx context.Context, setup hollowSetup, look hollowSpan) ([]outcome, error) {
-	folder, err := os.MkdirTemp("", "feign-hollow-")
+	folder, err := os.MkdirTemp("", "sparnotch-bench-hollow-")
 	if err != nil {
 		return nil, err
 	}
@@ -520,7 +520,7 @@
 	return "run hundreds of hollow processes against real stores, and say what each role costs"
 }
 func (*hollowCommand) Usage() string {
-	return `feign hollow [-workers 100] [-queues 4] [-starts 20] [-changes 6] [-kill] ...
+	return `sparnotch-bench hollow [-workers 100] [-queues 4] [-starts 20] [-changes 6] [-kill] ...
   Three stores with data, some fronts, sides that share a few processes of the
   operating system, and callers; the product's own tables and wire over loopback
   addresses. Workers run nothing: a task lasts run_us and is done. Prints what one
@@ -548,7 +548,7 @@
 			err = runPart(ctx, setup, c.part, c.first, c.count)
 		}
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "feign: part %s: %v\n", c.part, err)
+			fmt.Fprintf(os.Stderr, "sparnotch-bench: part %s: %v\n", c.part, err)
 			return 1
 		}
 		return 0
@@ -562,12 +562,12 @@
 		err = fmt.Errorf("%s: is no flag", set.Arg(0))
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "feign:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 2
 	}
 	list, err := playHollow(ctx, c.setup, hollowSpan{c.warm, c.span, c.isKilled})
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "feign:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 1
 	}
 	for _, each := range list {
--- a/cmd/feign/hollow_part.go
+++ b/cmd/sparnotch-bench/hollow_part.go
@@ -142,7 +142,7 @@
 			r.LostMails += lost
 		}
 		if real.Member.Stores {
-			r.Belief, _ = real.Run(ctx, "keep", eventloop.Second, func(id uint64, _ eventloop.Micros) any { return replica.Belief{Request: id} }).(*replica.NodeBelief)
+			r.Belief, _ = real.Run(ctx, "replica", eventloop.Second, func(id uint64, _ eventloop.Micros) any { return replica.Belief{Request: id} }).(*replica.NodeBelief)
 		}
 	}
 	for _, net := range p.nets {
@@ -253,7 +253,7 @@
 		if isStore {
 			options.Data, options.TestSyncUs, options.First = fmt.Sprintf("%s/store%d", p.setup.Folder, k), p.setup.SyncUs, true
 		}
-		real, err := process.Start(options, schema.Role_ROLE_KEEP, zap.NewNop())
+		real, err := process.Start(options, schema.Role_ROLE_SERVER, zap.NewNop())
 		if err != nil {
 			return err
 		}
@@ -300,7 +300,7 @@
 	clock := eventloop.RealClock()
 	seed := rand.Uint64()
 	member := &schema.Member{
-		Id: fmt.Sprintf("%016x", seed), Boot: 1, Role: schema.Role_ROLE_HEED, Cell: p.setup.cell(k),
+		Id: fmt.Sprintf("%016x", seed), Boot: 1, Role: schema.Role_ROLE_CONTROLLER, Cell: p.setup.cell(k),
 		Inner: p.setup.address(host, 7400), Outer: p.setup.address(host, 8400),
 	}
 	book := &membership.Book{}
@@ -310,7 +310,7 @@
 	running.Out = out
 	for _, berth := range process.Heed(papers) {
 		// Beyond the controllers wanted, a side is only its agent and the book.
-		if berth.Name == "heed" && p.setup.Controllers > 0 && k >= p.setup.Controllers {
+		if berth.Name == "controller" && p.setup.Controllers > 0 && k >= p.setup.Controllers {
 			running.Add(berth.Name, &hollow.Onlooker{}, hollow.OnlookerPace)
 			continue
 		}
@@ -413,7 +413,7 @@
 				}
 				p.refused.Add(1)
 				if code != 0 && code < 500 && code != 429 && code != 404 {
-					fmt.Fprintln(os.Stderr, "feign: a hand-in is turned away:", code)
+					fmt.Fprintln(os.Stderr, "sparnotch-bench: a hand-in is turned away:", code)
 					return
 				}
 				rest(ctx, 100*time.Millisecond)
--- a/cmd/feign/main.go
+++ b/cmd/sparnotch-bench/main.go
@@ -1,4 +1,4 @@
-// Command feign plays what surrounds the daemons: callers, workers, operators,
+// Command sparnotch-bench plays what surrounds the daemons: callers, workers, operators,
 // and a whole fleet of processes on one machine. It is never deployed.
 package main
 
--- a/cmd/feign/report.go
+++ b/cmd/sparnotch-bench/report.go
@@ -82,7 +82,7 @@
 	events := f.history.sorted()
 	path := filepath.Join(folder, "history.jsonl")
 	if err := f.history.write(path); err != nil {
-		fmt.Fprintln(os.Stderr, "feign: writing the history:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: writing the history:", err)
 	}
 	first, whole := wholeTimes(f, events)
 	fmt.Printf("profile %s, %.1f s of load\n", f.profile.Name, float64(spent)/1e6)
@@ -107,7 +107,7 @@
 		}
 	}
 	fmt.Printf("jobs accepted a second: %.2f\n", float64(total)/(float64(spent)/1e6))
-	for _, name := range []string{"keep1", "keep2", "keep3"} {
+	for _, name := range []string{"server1", "server2", "server3"} {
 		c := counts[name]
 		if total > 0 {
 			fmt.Printf("%s since its start: %.0f bytes and %.2f syncs an accepted job, %d slots, %d wire messages sent, %d lost\n",
@@ -228,18 +228,18 @@
 func (*judgeCommand) Name() string     { return "judge" }
 func (*judgeCommand) Synopsis() string { return "judge a history that a run has left" }
 func (*judgeCommand) Usage() string {
-	return "feign judge HISTORY.jsonl\n  Exit codes: 0 no rule broken, 1 a rule broken, 2 unreadable.\n"
+	return "sparnotch-bench judge HISTORY.jsonl\n  Exit codes: 0 no rule broken, 1 a rule broken, 2 unreadable.\n"
 }
 func (*judgeCommand) SetFlags(*flag.FlagSet) {}
 
 func (*judgeCommand) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if set.NArg() != 1 {
-		fmt.Fprintln(os.Stderr, "feign: judge takes one history")
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: judge takes one history")
 		return 2
 	}
 	events, err := readHistory(set.Arg(0))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "feign:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 2
 	}
 	breaches := checker.Judge(events, checker.Usual)
--- a/cmd/feign/simulate.go
+++ b/cmd/sparnotch-bench/simulate.go
@@ -34,10 +34,10 @@
 	return "play one of the simulator's scenarios, and judge it"
 }
 func (*simulateCommand) Usage() string {
-	return `feign simulate -scenario "leader killed" [-size small] [-seed 1] [-job quick-20] [-history FILE]
-feign simulate -faults kill/leader:3s@5s,cut/w2:6s@7s [-size bank] [-seed 1]
-feign simulate -random 100 [-size bank] [-seed 1]
-feign simulate -day 24 [-share 0.25] [-size bank] [-seed 1]
+	return `sparnotch-bench simulate -scenario "leader killed" [-size small] [-seed 1] [-job quick-20] [-history FILE]
+sparnotch-bench simulate -faults kill/leader:3s@5s,cut/w2:6s@7s [-size bank] [-seed 1]
+sparnotch-bench simulate -random 100 [-size bank] [-seed 1]
+sparnotch-bench simulate -day 24 [-share 0.25] [-size bank] [-seed 1]
   Without -scenario it lists them. The same seed gives the same history.
   -faults plays a schedule, each fault WHAT/WHOM:SPAN@TIME. -random draws so
   many schedules from as many seeds, and shrinks each that breaks a rule to the
@@ -65,15 +65,15 @@
 func (c *simulateCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	size, err := findSize(c.size)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "feign:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 2
 	}
 	if c.random < 0 || c.random > 0 && c.faults+c.scenario != "" || c.faults != "" && c.scenario != "" {
-		fmt.Fprintln(os.Stderr, "feign: scenario, faults and random: give one of them; random must not be negative")
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: scenario, faults and random: give one of them; random must not be negative")
 		return 2
 	}
 	if c.day != 0 && (c.day < 4 || c.day > 48 || c.share <= 0 || c.share > 4) {
-		fmt.Fprintln(os.Stderr, "feign: day and share: 4 to 48 hours, a share above 0 and up to 4")
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: day and share: 4 to 48 hours, a share above 0 and up to 4")
 		return 2
 	}
 	if c.day > 0 {
@@ -85,7 +85,7 @@
 	if c.faults != "" {
 		schedule, err := sim.ReadSchedule(c.faults, size)
 		if err != nil {
-			fmt.Fprintln(os.Stderr, "feign:", err)
+			fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 			return 2
 		}
 		return c.play(schedule.Scenario(), size)
@@ -100,7 +100,7 @@
 	if c.scenario == "" {
 		return 0
 	}
-	fmt.Fprintf(os.Stderr, "feign: scenario: there is none called %q\n", c.scenario)
+	fmt.Fprintf(os.Stderr, "sparnotch-bench: scenario: there is none called %q\n", c.scenario)
 	return 2
 }
 
@@ -119,7 +119,7 @@
 	f, breaches, wrong := sim.Play(s, size, c.seed)
 	if c.history != "" {
 		if err := os.WriteFile(c.history, f.Bytes(), 0o600); err != nil {
-			fmt.Fprintln(os.Stderr, "feign:", err)
+			fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 			return 2
 		}
 	}
@@ -183,7 +183,7 @@
 	playing.Wait()
 	sort.Slice(finds, func(a, b int) bool { return finds[a].seed < finds[b].seed })
 	for _, each := range finds {
-		fmt.Printf("BROKEN %v\n  feign simulate -size %s -seed %d -faults %s\n", each.breach, size.Name, each.seed, each.schedule)
+		fmt.Printf("BROKEN %v\n  sparnotch-bench simulate -size %s -seed %d -faults %s\n", each.breach, size.Name, each.seed, each.schedule)
 	}
 	fmt.Printf("check: %d schedules with %d faults, %d of them break a rule\n", c.random, strokes, len(finds))
 	if len(finds) > 0 {
--- a/cmd/feign/slope.go
+++ b/cmd/sparnotch-bench/slope.go
@@ -62,7 +62,7 @@
 	return "sweep one size of a hollow deployment, and fit what each role costs"
 }
 func (*slopeCommand) Usage() string {
-	return `feign slope -size workers -over 12,24,48,96 [-repeats 3] [-out FOLDER] [any of hollow's sizes]
+	return `sparnotch-bench slope -size workers -over 12,24,48,96 [-repeats 3] [-out FOLDER] [any of hollow's sizes]
   Runs a hollow deployment at each value, as often as repeats says, in turns (all
   values, then all again, so that a busy minute of the machine doesn't strike one
   value alone). Appends to FOLDER/SIZE.csv, draws FOLDER/SIZE.png, and prints the
@@ -129,7 +129,7 @@
 		err = fmt.Errorf("%s: is no flag", set.Arg(0))
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "feign:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 2
 	}
 	path := filepath.Join(c.out, c.size+".csv")
@@ -138,12 +138,12 @@
 		readings, err = capacity.Read(file)
 		file.Close()
 		if err != nil {
-			fmt.Fprintln(os.Stderr, "feign: out:", path, err)
+			fmt.Fprintln(os.Stderr, "sparnotch-bench: out:", path, err)
 			return 2
 		}
 	}
 	if err := os.MkdirAll(c.out, 0o755); err != nil {
-		fmt.Fprintln(os.Stderr, "feign: out:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: out:", err)
 		return 2
 	}
 	// Runs are numbered on, so that another call adds to the file.
@@ -176,7 +176,7 @@
 			fmt.Println()
 			readings = append(readings, readingsOf(c.size, value, repeat, list)...)
 			if err := writeReadings(path, readings); err != nil {
-				fmt.Fprintln(os.Stderr, "feign:", err)
+				fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 				return 1
 			}
 		}
@@ -185,7 +185,7 @@
 		fmt.Printf("%-7s %-14s %s\n", fit.Role, fit.What, fit.String())
 	}
 	if err := capacity.Plot(filepath.Join(c.out, c.size+".png"), c.size, readings, c.drawn()); err != nil {
-		fmt.Fprintln(os.Stderr, "feign:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 1
 	}
 	if !isWhole {
@@ -261,7 +261,7 @@
 	return "say what a message, a byte and a sync cost, from real and simulated sweeps"
 }
 func (*costCommand) Usage() string {
-	return `feign cost -real workers.csv,queues.csv -simulated workers.csv,queues.csv
+	return `sparnotch-bench cost -real workers.csv,queues.csv -simulated workers.csv,queues.csv
   Each simulated sweep must have run at the values of the real one. What a real
   process spent beyond its tables' steps is laid on what it carried and kept.
   Exit codes: 0 worked out, 2 bad flags or files.
@@ -269,8 +269,8 @@
 }
 
 func (c *costCommand) SetFlags(set *flag.FlagSet) {
-	set.StringVar(&c.real, "real", "", "files of feign slope, joined by commas")
-	set.StringVar(&c.simulated, "simulated", "", "files of feign slope -virtual, joined by commas")
+	set.StringVar(&c.real, "real", "", "files of sparnotch-bench slope, joined by commas")
+	set.StringVar(&c.simulated, "simulated", "", "files of sparnotch-bench slope -virtual, joined by commas")
 }
 
 func readAll(files string) ([]capacity.Reading, error) {
@@ -293,17 +293,17 @@
 func (c *costCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	real, err := readAll(c.real)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "feign: real:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: real:", err)
 		return 2
 	}
 	simulated, err := readAll(c.simulated)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "feign: simulated:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench: simulated:", err)
 		return 2
 	}
 	cost, err := capacity.CostOf(real, simulated)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "feign:", err)
+		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 2
 	}
 	fmt.Printf("microseconds: %.0f a second, %.1f a message, %.4f a byte, %.0f a sync; ±%.0f a second, %d readings\n",
--- a/cmd/feign/whole_test.go
+++ b/cmd/sparnotch-bench/whole_test.go
@@ -30,7 +30,7 @@
 
 func build(t *testing.T) string {
 	bin := t.TempDir()
-	command := exec.Command("go", "build", "-o", bin, "sparnotch/cmd/keep", "sparnotch/cmd/heed", "sparnotch/cmd/tell")
+	command := exec.Command("go", "build", "-o", bin, "sparnotch/cmd/sparnotch", "sparnotch/cmd/sparnotchctl")
 	if out, err := command.CombinedOutput(); err != nil {
 		t.Fatalf("building: %v: %s", err, out)
 	}
@@ -80,34 +80,34 @@
 	Convey("A bad setting stops the start with code 2 and its name; good ones pass", t, func() {
 		So(os.WriteFile(file, []byte(`{"cell":"c9","speed":3}`), 0o600), ShouldBeNil)
 		for _, each := range []struct {
-			program, field string
-			args           []string
+			daemon, field string
+			args          []string
 		}{
-			{"keep", "cell", without("-cell")},
-			{"keep", "inner", without("-inner")},
-			{"keep", "inner", without("-inner", "-inner", "localhost:7")},
-			{"keep", "outer", without("-outer", "-outer", "127.0.0.1:99999")},
-			{"keep", "seeds", without("-seeds")},
-			{"keep", "seeds[2]", without("-seeds", "-seeds", "127.0.0.1:3,127.0.0.1:4,127.0.0.1:4")},
-			{"keep", "warn_us", without("", "-warn_us", "5")},
-			{"keep", "speed", without("", "-options", file)},
-			{"heed", "cell", without("-cell")},
+			{"server", "cell", without("-cell")},
+			{"server", "inner", without("-inner")},
+			{"server", "inner", without("-inner", "-inner", "localhost:7")},
+			{"server", "outer", without("-outer", "-outer", "127.0.0.1:99999")},
+			{"server", "seeds", without("-seeds")},
+			{"server", "seeds[2]", without("-seeds", "-seeds", "127.0.0.1:3,127.0.0.1:4,127.0.0.1:4")},
+			{"server", "warn_us", without("", "-warn_us", "5")},
+			{"server", "speed", without("", "-options", file)},
+			{"controller", "cell", without("-cell")},
 		} {
-			command := exec.Command(filepath.Join(bin, each.program), append([]string{"run"}, each.args...)...)
+			command := exec.Command(filepath.Join(bin, "sparnotch"), append([]string{each.daemon}, each.args...)...)
 			out, err := command.CombinedOutput()
 			So(err, ShouldNotBeNil)
 			So(command.ProcessState.ExitCode(), ShouldEqual, 2)
 			So(string(out), ShouldContainSubstring, each.field)
 		}
-		command := exec.Command(filepath.Join(bin, "keep"), append([]string{"check"}, good...)...)
+		command := exec.Command(filepath.Join(bin, "sparnotch"), append([]string{"check-server"}, good...)...)
 		So(command.Run(), ShouldBeNil)
 	})
 	Convey("A flag wins over the file", t, func() {
 		So(os.WriteFile(file, []byte(`{"cell":"Not A Cell"}`), 0o600), ShouldBeNil)
-		args := append([]string{"check", "-options", file}, good...)
-		So(exec.Command(filepath.Join(bin, "keep"), args...).Run(), ShouldBeNil)
-		args = append([]string{"check", "-options", file}, without("-cell")...)
-		So(exec.Command(filepath.Join(bin, "keep"), args...).Run(), ShouldNotBeNil)
+		args := append([]string{"check-server", "-options", file}, good...)
+		So(exec.Command(filepath.Join(bin, "sparnotch"), args...).Run(), ShouldBeNil)
+		args = append([]string{"check-server", "-options", file}, without("-cell")...)
+		So(exec.Command(filepath.Join(bin, "sparnotch"), args...).Run(), ShouldNotBeNil)
 	})
 }
 
--- a/cmd/dock/main.go
+++ b/cmd/sparnotch-platform/main.go
@@ -1,4 +1,4 @@
-// Command dock runs the product's processes on the users' platform: what they
+// Command sparnotch-platform runs the product's processes on the users' platform: what they
 // are told comes from the settings file that the environment names.
 package main
 
@@ -21,8 +21,8 @@
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(&command{name: "front", synopsis: "run a front process", role: schema.Role_ROLE_KEEP}, "")
-	subcommands.Register(&command{name: "side", synopsis: "run a side process, the agent of the worker there", role: schema.Role_ROLE_HEED}, "")
+	subcommands.Register(&command{name: "front", synopsis: "run a front process", role: schema.Role_ROLE_SERVER}, "")
+	subcommands.Register(&command{name: "side", synopsis: "run a side process, the agent of the worker there", role: schema.Role_ROLE_CONTROLLER}, "")
 	subcommands.Register(&command{name: "check", synopsis: "check the settings and start nothing"}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
@@ -38,20 +38,20 @@
 func (c *command) SetFlags(_ *flag.FlagSet) {}
 
 func (c *command) Usage() string {
-	return fmt.Sprintf("dock %s\n  %s, by the settings file that %s names.\n  Exit codes: 0 left when warned, 1 failed, 2 bad settings (the setting is named).\n",
+	return fmt.Sprintf("sparnotch-platform %s\n  %s, by the settings file that %s names.\n  Exit codes: 0 left when warned, 1 failed, 2 bad settings (the setting is named).\n",
 		c.name, c.synopsis, platform.Variable)
 }
 
 func (c *command) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	settings, err := platform.Load()
 	if err == nil && set.NArg() > 0 {
-		err = platform.Bad.New("%s: dock %s takes no arguments", set.Arg(0), c.name)
+		err = platform.Bad.New("%s: sparnotch-platform %s takes no arguments", set.Arg(0), c.name)
 	}
 	if err == nil && c.role != schema.Role_ROLE_NONE && c.role != settings.Role {
-		err = platform.Bad.New("serves: doesn't fit dock %s", c.name)
+		err = platform.Bad.New("serves: doesn't fit sparnotch-platform %s", c.name)
 	}
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "dock: %v\n", err)
+		fmt.Fprintf(os.Stderr, "sparnotch-platform: %v\n", err)
 		return daemon.ExitOptions
 	}
 	if c.role == schema.Role_ROLE_NONE {
@@ -66,8 +66,8 @@
 		debug.SetMemoryLimit(settings.MemoryMb * 1_000_000 / 5 * 4)
 	}
 	var hands []agent.Caller
-	if c.role == schema.Role_ROLE_HEED {
+	if c.role == schema.Role_ROLE_CONTROLLER {
 		hands = append(hands, platform.NewCaller(settings.App))
 	}
-	return daemon.Serve("dock", settings.Options, c.role, platform.Open(settings), hands...)
+	return daemon.Serve("sparnotch-platform", settings.Options, c.role, platform.Open(settings), hands...)
 }
--- a/cmd/tell/call.go
+++ b/cmd/sparnotchctl/call.go
@@ -38,7 +38,7 @@
 }
 
 func complain(format string, args ...any) {
-	fmt.Fprintf(os.Stderr, "tell: "+format+"\n", args...)
+	fmt.Fprintf(os.Stderr, "sparnotchctl: "+format+"\n", args...)
 }
 
 // once makes one call to one node.
@@ -47,7 +47,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	request.Header.Set("Sparnotch-Client", "tell")
+	request.Header.Set("Sparnotch-Client", "sparnotchctl")
 	client := &http.Client{Timeout: span}
 	response, err := client.Do(request)
 	if err != nil {
@@ -58,7 +58,7 @@
 	return response.StatusCode, data, err
 }
 
-// call tries the nodes in turn until one gives a final answer. Whatever tell
+// call tries the nodes in turn until one gives a final answer. Whatever sparnotchctl
 // sends may be sent again: hand-ins, cancels and tables are known by name or
 // generation.
 func (n *nodes) call(method, path string, body []byte) ([]byte, subcommands.ExitStatus) {
--- a/cmd/tell/folder.go
+++ b/cmd/sparnotchctl/folder.go
@@ -25,12 +25,12 @@
 
 func openFolder(set *flag.FlagSet, name string) (*storage.Content, subcommands.ExitStatus) {
 	if set.NArg() != 1 {
-		fmt.Fprintf(os.Stderr, "tell: %s takes one data folder\n", name)
+		fmt.Fprintf(os.Stderr, "sparnotchctl: %s takes one data folder\n", name)
 		return nil, exitUsage
 	}
 	store, err := storage.Glance(set.Arg(0))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "tell:", err)
+		fmt.Fprintln(os.Stderr, "sparnotchctl:", err)
 		return nil, exitUsage
 	}
 	return store.Content(), subcommands.ExitSuccess
@@ -44,7 +44,7 @@
 	return "see whether a stopped process's data folder is whole"
 }
 func (*folderCheck) Usage() string {
-	return `tell check FOLDER
+	return `sparnotchctl check FOLDER
   Reads the store of a process that is stopped and writes nothing. Checks each
   group's records: no gaps, terms that don't fall, a checkpoint that can be
   restored, commands that can be applied. Damage is told with file and offset.
@@ -143,7 +143,7 @@
 func (*replayCommand) Name() string     { return "replay" }
 func (*replayCommand) Synopsis() string { return "run a queue's log through its machine and show it" }
 func (*replayCommand) Usage() string {
-	return `tell replay -queue QUEUE [-job NAME] [-to INDEX] FOLDER
+	return `sparnotchctl replay -queue QUEUE [-job NAME] [-to INDEX] FOLDER
   Reads the store of a process that is stopped and writes nothing. Shows each
   command from the queue's checkpoint on, and what became of tasks by it; with -job
   of that job alone. Ends with the state's digest, which belief shows of a running
@@ -175,18 +175,18 @@
 		}
 	}
 	if group == "" {
-		fmt.Fprintf(os.Stderr, "tell: queue: %q is none of %s\n", c.queue, strings.Join(queues, ", "))
+		fmt.Fprintf(os.Stderr, "sparnotchctl: queue: %q is none of %s\n", c.queue, strings.Join(queues, ", "))
 		return exitUsage
 	}
 	image := content.Groups[group]
 	if c.to > 0 && (c.to < image.Checkpoint.GetIndex() || c.to > image.Checkpoint.GetIndex()+uint64(len(image.Records))) {
-		fmt.Fprintf(os.Stderr, "tell: to: the folder holds %s from %d to %d\n", group, image.Checkpoint.GetIndex(), image.Checkpoint.GetIndex()+uint64(len(image.Records)))
+		fmt.Fprintf(os.Stderr, "sparnotchctl: to: the folder holds %s from %d to %d\n", group, image.Checkpoint.GetIndex(), image.Checkpoint.GetIndex()+uint64(len(image.Records)))
 		return exitUsage
 	}
 	fmt.Printf("%s from the checkpoint at %d\n", group, image.Checkpoint.GetIndex())
 	machine, at, err := replay(group, image, c.to, c.show)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "tell:", err)
+		fmt.Fprintln(os.Stderr, "sparnotchctl:", err)
 		return exitBroken
 	}
 	fmt.Printf("at %d: %d live and %d kept jobs, digest %s\n", at, machine.Live(), machine.Kept(), replica.Digest(machine.Rest(true)))
--- a/cmd/tell/jobs.go
+++ b/cmd/sparnotchctl/jobs.go
@@ -19,7 +19,7 @@
 func (*jobHandIn) Name() string     { return "hand-in" }
 func (*jobHandIn) Synopsis() string { return "hand in a job" }
 func (*jobHandIn) Usage() string {
-	return "tell hand-in -queue QUEUE -name NAME JOB.json\n  JOB.json, - for standard input, is a text and steps, as docs/interface.md says.\n  It is sent again after any silence: the name keeps it one job.\n" + exitHelp
+	return "sparnotchctl hand-in -queue QUEUE -name NAME JOB.json\n  JOB.json, - for standard input, is a text and steps, as docs/interface.md says.\n  It is sent again after any silence: the name keeps it one job.\n" + exitHelp
 }
 func (c *jobHandIn) SetFlags(set *flag.FlagSet) {
 	c.register(set)
@@ -68,7 +68,7 @@
 	return "show a job"
 }
 func (c *jobCall) Usage() string {
-	return fmt.Sprintf("tell %s -queue QUEUE -name NAME\n%s", c.what, exitHelp)
+	return fmt.Sprintf("sparnotchctl %s -queue QUEUE -name NAME\n%s", c.what, exitHelp)
 }
 func (c *jobCall) SetFlags(set *flag.FlagSet) {
 	c.register(set)
@@ -100,7 +100,7 @@
 func (*jobList) Name() string     { return "jobs" }
 func (*jobList) Synopsis() string { return "list a queue's live and kept jobs, by name" }
 func (*jobList) Usage() string {
-	return "tell jobs -queue QUEUE [-after NAME] [-most 100]\n  `next` in the answer is the -after of the next page.\n" + exitHelp
+	return "sparnotchctl jobs -queue QUEUE [-after NAME] [-most 100]\n  `next` in the answer is the -after of the next page.\n" + exitHelp
 }
 func (c *jobList) SetFlags(set *flag.FlagSet) {
 	c.register(set)
--- a/cmd/tell/main.go
+++ b/cmd/sparnotchctl/main.go
@@ -1,4 +1,4 @@
-// Command tell is the operators' command line.
+// Command sparnotchctl is the operators' command line.
 package main
 
 import (
--- a/cmd/tell/nodes.go
+++ b/cmd/sparnotchctl/nodes.go
@@ -32,7 +32,7 @@
 	}[c.what]
 }
 func (c *show) Usage() string {
-	return fmt.Sprintf("tell %s -nodes IP:PORT\n%s", c.what, exitHelp)
+	return fmt.Sprintf("sparnotchctl %s -nodes IP:PORT\n%s", c.what, exitHelp)
 }
 func (c *show) SetFlags(set *flag.FlagSet) { c.register(set) }
 func (c *show) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
@@ -55,7 +55,7 @@
 func (*compare) Name() string     { return "compare" }
 func (*compare) Synopsis() string { return "say in what two nodes' beliefs differ" }
 func (*compare) Usage() string {
-	return "tell compare IP:PORT IP:PORT\n  Nodes are asked a moment apart, so indexes may differ by what happened between;\n  two digests of one group at one applied index must be the same.\n  Exits with 4 when they differ.\n" + exitHelp
+	return "sparnotchctl compare IP:PORT IP:PORT\n  Nodes are asked a moment apart, so indexes may differ by what happened between;\n  two digests of one group at one applied index must be the same.\n  Exits with 4 when they differ.\n" + exitHelp
 }
 func (c *compare) SetFlags(set *flag.FlagSet) {
 	set.DurationVar(&c.span, "span", 5*time.Second, "how long each may take to answer")
--- a/cmd/tell/plan.go
+++ b/cmd/sparnotchctl/plan.go
@@ -165,7 +165,7 @@
 func (*planGet) Name() string     { return "plan-get" }
 func (*planGet) Synopsis() string { return "print the plan as a sheet" }
 func (*planGet) Usage() string {
-	return "tell plan-get [-json] > sheet.csv\n  The sheet carries the generation it was built on; edit it and send it back whole with plan-put.\n" + exitHelp
+	return "sparnotchctl plan-get [-json] > sheet.csv\n  The sheet carries the generation it was built on; edit it and send it back whole with plan-put.\n" + exitHelp
 }
 func (c *planGet) SetFlags(set *flag.FlagSet) {
 	c.register(set)
@@ -193,7 +193,7 @@
 
 func (*planCheck) Name() string           { return "plan-check" }
 func (*planCheck) Synopsis() string       { return "check a sheet without sending it" }
-func (*planCheck) Usage() string          { return "tell plan-check SHEET\n" + exitHelp }
+func (*planCheck) Usage() string          { return "sparnotchctl plan-check SHEET\n" + exitHelp }
 func (*planCheck) SetFlags(*flag.FlagSet) {}
 func (c *planCheck) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	sheet, status := loadSheet(set)
@@ -219,7 +219,7 @@
 func (*planPut) Name() string     { return "plan-put" }
 func (*planPut) Synopsis() string { return "send a sheet back whole" }
 func (*planPut) Usage() string {
-	return "tell plan-put SHEET\n  Turned away when the plan has changed since the sheet was made. Sending the\n  sheet that has just taken effect again does no harm.\n" + exitHelp
+	return "sparnotchctl plan-put SHEET\n  Turned away when the plan has changed since the sheet was made. Sending the\n  sheet that has just taken effect again does no harm.\n" + exitHelp
 }
 func (c *planPut) SetFlags(set *flag.FlagSet) { c.register(set) }
 func (c *planPut) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -252,7 +252,7 @@
 func (*planDiff) Name() string     { return "plan-diff" }
 func (*planDiff) Synopsis() string { return "say how a sheet differs from the plan" }
 func (*planDiff) Usage() string {
-	return "tell plan-diff SHEET\n  Exits with 4 when they differ.\n" + exitHelp
+	return "sparnotchctl plan-diff SHEET\n  Exits with 4 when they differ.\n" + exitHelp
 }
 func (c *planDiff) SetFlags(set *flag.FlagSet) { c.register(set) }
 func (c *planDiff) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -308,7 +308,7 @@
 
 func (*planHistory) Name() string                 { return "plan-history" }
 func (*planHistory) Synopsis() string             { return "say what each kept generation changed" }
-func (*planHistory) Usage() string                { return "tell plan-history\n" + exitHelp }
+func (*planHistory) Usage() string                { return "sparnotchctl plan-history\n" + exitHelp }
 func (c *planHistory) SetFlags(set *flag.FlagSet) { c.register(set) }
 func (c *planHistory) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	data, status := c.call("GET", "/v1/plan/history", nil)
@@ -346,7 +346,7 @@
 func (*planForm) Synopsis() string {
 	return "list every key of the plan, its default, bounds and meaning"
 }
-func (*planForm) Usage() string          { return "tell plan-form\n" }
+func (*planForm) Usage() string          { return "sparnotchctl plan-form\n" }
 func (*planForm) SetFlags(*flag.FlagSet) {}
 func (*planForm) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	fmt.Println(strings.Join(clusterstate.Form(), "\n"))
--- a/cmd/tell/size.go
+++ b/cmd/sparnotchctl/size.go
@@ -20,7 +20,7 @@
 func (*sizeCommand) Name() string     { return "size" }
 func (*sizeCommand) Synopsis() string { return "say what machines a deployment needs" }
 func (*sizeCommand) Usage() string {
-	return `tell size -workers 1200 -queues 20 -starts 850
+	return `sparnotchctl size -workers 1200 -queues 20 -starts 850
   Works machines, memory and shares of a core out from measured slopes, those of
   docs/CAPACITY.md. REACH says how far beyond what was measured the sum goes: up
   to 1 it lies within. OVER names what one machine of the role can't give.
@@ -35,7 +35,7 @@
 	set.Float64Var(&c.wanted.Share, "share", 1, "cores of a machine with a store or a front")
 	set.Float64Var(&c.wanted.Memory, "memory_mb", 256, "its memory")
 	set.Float64Var(&c.wanted.Busy, "busy", 0.5, "how much of a machine is planned with; the rest is for peaks and losses")
-	set.StringVar(&c.slopes, "slopes", "", "CSV file of feign slope (default: the product's own)")
+	set.StringVar(&c.slopes, "slopes", "", "CSV file of sparnotch-bench slope (default: the product's own)")
 }
 
 func (c *sizeCommand) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
--- a/cmd/tell/size_test.go
+++ b/cmd/sparnotchctl/size_test.go
@@ -20,7 +20,7 @@
 }
 
 func TestSizeCommand(t *testing.T) {
-	Convey("tell size works a deployment out, and turns bad fields away with 2", t, func() {
+	Convey("sparnotchctl size works a deployment out, and turns bad fields away with 2", t, func() {
 		So(runSize("-workers", "48", "-queues", "4", "-starts", "20"), ShouldEqual, subcommands.ExitSuccess)
 		So(runSize("-queues", "4", "-starts", "20"), ShouldEqual, exitUsage)
 		So(runSize("-workers", "48", "-queues", "4", "-starts", "-1"), ShouldEqual, exitUsage)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -185,7 +185,7 @@
 // Table is the agent's table.
 type Table struct {
 	bounds *schema.Bounds
-	state  *schema.ClusterStateState
+	state  *schema.ClusterState
 	leader string // of the cluster state
 	life   *life
 	dead   []former // newest last
@@ -203,7 +203,7 @@
 	if bounds == nil {
 		bounds = &schema.Bounds{}
 	}
-	return &Table{bounds: bounds, state: &schema.ClusterStateState{}, seq: first}
+	return &Table{bounds: bounds, state: &schema.ClusterState{}, seq: first}
 }
 
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -80,14 +80,14 @@
 	mailbox  []eventloop.Mail
 	beatAt   eventloop.Micros
 	tickAt   eventloop.Micros
-	state    *schema.ClusterStateState
+	state    *schema.ClusterState
 	sent     map[uint64]eventloop.Micros // announces
 }
 
 func newBench(setup fakeworker.Setup, bounds *schema.Bounds) *bench {
 	b := &bench{
 		now: 20 * eventloop.Second, table: agent.New(bounds, 1000), wards: map[string]*ward{}, begun: map[string]int{}, began: map[string]eventloop.Micros{},
-		state: &schema.ClusterStateState{Version: 1}, sent: map[uint64]eventloop.Micros{},
+		state: &schema.ClusterState{Version: 1}, sent: map[uint64]eventloop.Micros{},
 	}
 	setup.Bounds, setup.Address = bounds, "side:1"
 	if setup.Cores == 0 {
@@ -123,7 +123,7 @@
 
 // move puts a worker in the cluster state's words.
 func (b *bench) move(id string, generation uint64, worker string) {
-	state := proto.Clone(b.state).(*schema.ClusterStateState)
+	state := proto.Clone(b.state).(*schema.ClusterState)
 	state.Version++
 	state.Wards = slices.DeleteFunc(state.Wards, func(w *schema.Ward) bool { return w.Worker == worker })
 	state.Wards = append(state.Wards, &schema.Ward{Worker: worker, Scheduler: id, Generation: generation})
--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -42,7 +42,7 @@
 
 // Machine is the cluster state's state.
 type Machine struct {
-	state     *schema.ClusterStateState
+	state     *schema.ClusterState
 	isChanged bool // by the command in hand; renewals change nothing others need
 	values    *Values
 	read      *schema.Plan // of which the values and the bare plan were made
@@ -51,7 +51,7 @@
 
 // New makes an empty cluster state; Restore one from a checkpoint.
 func New() *Machine {
-	return &Machine{state: &schema.ClusterStateState{Plan: &schema.Plan{}, Controller: &schema.Controller{}, Next: 1}}
+	return &Machine{state: &schema.ClusterState{Plan: &schema.Plan{}, Controller: &schema.Controller{}, Next: 1}}
 }
 
 func Restore(data []byte) (*Machine, error) {
@@ -72,8 +72,8 @@
 }
 
 // State is a copy that may be handed to others.
-func (m *Machine) State() *schema.ClusterStateState {
-	return proto.Clone(m.state).(*schema.ClusterStateState)
+func (m *Machine) State() *schema.ClusterState {
+	return proto.Clone(m.state).(*schema.ClusterState)
 }
 
 // Plan is the plan with its document, not to be changed.
@@ -91,10 +91,10 @@
 // Copy is what every process carries. It goes out whole with each change, so
 // what only readers of the plan ask for isn't in it: document, history, and the
 // editions taken. The plan in it is the same as long as the plan is.
-func (m *Machine) Copy() *schema.ClusterStateState {
+func (m *Machine) Copy() *schema.ClusterState {
 	m.readPlan()
 	s := m.state
-	shown := &schema.ClusterStateState{Version: s.Version, Plan: m.bare, Voters: s.Voters, NowUs: s.NowUs, Next: s.Next}
+	shown := &schema.ClusterState{Version: s.Version, Plan: m.bare, Voters: s.Voters, NowUs: s.NowUs, Next: s.Next}
 	shown.Controller = proto.Clone(s.Controller).(*schema.Controller)
 	for _, place := range s.Queues {
 		shown.Queues = append(shown.Queues, proto.Clone(place).(*schema.QueuePlace))
@@ -360,7 +360,7 @@
 }
 
 // Place finds a queue's place; the cluster state lists them by name.
-func Place(state *schema.ClusterStateState, queue string) *schema.QueuePlace {
+func Place(state *schema.ClusterState, queue string) *schema.QueuePlace {
 	list := state.GetQueues()
 	if at := queueAt(list, queue); at < len(list) && list[at].Queue == queue {
 		return list[at]
@@ -369,7 +369,7 @@
 }
 
 // WardOf finds a worker's ward; the cluster state lists them by name.
-func WardOf(state *schema.ClusterStateState, worker string) *schema.Ward {
+func WardOf(state *schema.ClusterState, worker string) *schema.Ward {
 	list := state.GetWards()
 	if at := wardAt(list, worker); at < len(list) && list[at].Worker == worker {
 		return list[at]
--- a/internal/clusterstate/plan.go
+++ b/internal/clusterstate/plan.go
@@ -27,7 +27,7 @@
 	{"fleet", "carry_records", 8192, 64, 10_000_000, "log records above the release point before the oldest job is carried"},
 	{"fleet", "lease_ms", 4000, 1000, 60_000, "how long a worker may run on without an answer"},
 	{"fleet", "margin_ms", 1000, 100, 60_000, "added to the lease before a silent worker's tasks are given to others"},
-	{"fleet", "linger_s", 60, 10, 100, "how long a silent front's sessions are kept"},
+	{"fleet", "session_timeout_s", 60, 10, 100, "how long a silent front's sessions are kept"},
 	{"fleet", "live_jobs", 5000, 1, 1_000_000, "live jobs a queue takes before hand-ins are turned away"},
 	{"fleet", "worker_cores_milli", 64_000, 1, 100_000_000, "largest task, in thousandths of a core"},
 	{"fleet", "worker_memory_mb", 131_072, 1, 1_000_000_000, "largest task, in megabytes"},
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,8 +35,8 @@
 	beginSpan    = 8 * eventloop.Second  // who is first heard of within so long was there when all began
 	newSpan      = 30 * eventloop.Second // a store has come of late for so long
 	actSpan      = 200 * eventloop.Milli // between two acts on one thing
-	strainMost   = int64(300 * eventloop.Milli)
-	strainRest   = 15 * eventloop.Second // between two moves for strain alone
+	latencyMost  = int64(300 * eventloop.Milli)
+	latencyRest  = 15 * eventloop.Second // between two moves for latency alone
 )
 
 // told is the last word of one store.
@@ -48,7 +48,7 @@
 // Table is the controller's table; every side machine has one, one of them acts.
 type Table struct {
 	id       string
-	state    *schema.ClusterStateState
+	state    *schema.ClusterState
 	values   *clusterstate.Values
 	roll     *membership.Roll
 	told     map[string]told
@@ -75,7 +75,7 @@
 // at once (0: one). Readers are the tables of this process that want the cluster state.
 func New(id string, losses uint32, readers ...string) *Table {
 	return &Table{
-		id: id, voters: membership.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.ClusterStateState{}, values: clusterstate.Read(nil), told: map[string]told{}, claims: map[uint64]eventloop.Micros{},
+		id: id, voters: membership.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.ClusterState{}, values: clusterstate.Read(nil), told: map[string]told{}, claims: map[uint64]eventloop.Micros{},
 		acted: map[string]eventloop.Micros{}, gone: map[string]eventloop.Micros{}, came: map[string]eventloop.Micros{},
 	}
 }
@@ -116,7 +116,7 @@
 	isNew := m.State != nil && m.State.Version > t.state.Version
 	if m.State != nil && m.State.Version >= t.state.Version {
 		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
-		out.Tell("kin", membership.ClusterState{Version: m.State.Version})
+		out.Tell("membership", membership.ClusterState{Version: m.State.Version})
 	}
 	if m.ControllerUntilUs > t.until {
 		t.until, t.untilAt = m.ControllerUntilUs, now
@@ -196,7 +196,7 @@
 func (t *Table) rank(now eventloop.Micros) (int, bool) {
 	cells := map[string]string{t.id: t.roll.Self.GetCell()}
 	for id, known := range t.roll.Known {
-		if known.Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, deadSpan) {
+		if known.Member.Role == schema.Role_ROLE_CONTROLLER && t.roll.Live(id, now, deadSpan) {
 			cells[id] = known.Member.Cell
 		}
 	}
@@ -417,8 +417,8 @@
 		wanted[ward.Scheduler]++
 	}
 	type candidate struct {
-		id     string
-		strain int64
+		id      string
+		latency int64
 	}
 	var list []candidate
 	for _, id := range root.Voters {
@@ -428,14 +428,14 @@
 		if !isKnown || now-word.at > deadSpan || !t.roll.Live(id, now, deadSpan) || t.roll.Known[id].Member.Leaving || t.isDeposed(now, id) {
 			continue
 		}
-		list = append(list, candidate{id, t.roll.Known[id].Member.StrainUs})
+		list = append(list, candidate{id, t.roll.Known[id].Member.LatencyUs})
 	}
 	if len(list) == 0 {
 		return ""
 	}
 	sort.Slice(list, func(a, b int) bool {
 		x, y := list[a], list[b]
-		if isX, isY := x.strain > strainMost, y.strain > strainMost; isX != isY {
+		if isX, isY := x.latency > latencyMost, y.latency > latencyMost; isX != isY {
 			return isY
 		}
 		if wanted[x.id] != wanted[y.id] {
@@ -448,10 +448,10 @@
 	})
 	best := list[0]
 	for _, other := range list[1:] {
-		// Strain alone moves nothing twice within a while, nor to a store that is
+		// Latency alone moves nothing twice within a while, nor to a store that is
 		// hardly better; but whoever has let its queues go by itself keeps none.
 		isHome := wanted[other.id] > wanted[best.id] && leads[other.id] > 0
-		if isHome && (now-t.movedAt < strainRest || other.strain < 3*best.strain) {
+		if isHome && (now-t.movedAt < latencyRest || other.latency < 3*best.latency) {
 			best = other
 		}
 	}
@@ -688,9 +688,9 @@
 // --- loop: sessions ---
 
 // sessions ends those of gateway that have been gone longer than the plan lets
-// them linger.
+// them timeout.
 func (t *Table) sessions(now eventloop.Micros, out eventloop.Out) {
-	linger := eventloop.Micros(t.values.Fleet("linger_s")) * eventloop.Second
+	timeout := eventloop.Micros(t.values.Fleet("session_timeout_s")) * eventloop.Second
 	notes := t.notes(now)
 	for _, group := range slices.Sorted(maps.Keys(notes)) {
 		note := notes[group]
@@ -703,7 +703,7 @@
 				delete(t.gone, key)
 				continue
 			}
-			if isNewer || t.lostFor(now, key) > linger {
+			if isNewer || t.lostFor(now, key) > timeout {
 				over = append(over, &schema.Gone{Gateway: boot.Gateway, Boot: boot.Boot})
 			}
 		}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -20,7 +20,7 @@
 	asks   []*schema.Reroster
 	t      *Table
 	now    eventloop.Micros
-	state  *schema.ClusterStateState
+	state  *schema.ClusterState
 	acts   []*schema.ClusterStateCommand
 	mail   []*schema.RequestReply // on its way back
 }
@@ -61,7 +61,7 @@
 		if since, isSilent := d.silent[id]; isSilent {
 			heard = since
 		}
-		roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0." + id}, Heard: heard}
+		roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_SERVER, Inner: "10.0.0." + id}, Heard: heard}
 	}
 	for id, member := range d.others {
 		roll.Known[id] = membership.Known{Member: member, Heard: d.now}
@@ -73,7 +73,7 @@
 func (d *desk) tell(notes ...*schema.WaitNote) {
 	notes = append(notes, &schema.WaitNote{Group: clusterstate.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
 	d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.ClusterStateTell{
-		State: proto.Clone(d.state).(*schema.ClusterStateState), Version: d.state.Version, Leaders: map[string]string{clusterstate.Group: "a"}, Waits: notes,
+		State: proto.Clone(d.state).(*schema.ClusterState), Version: d.state.Version, Leaders: map[string]string{clusterstate.Group: "a"}, Waits: notes,
 	}}, d)
 }
 
@@ -101,7 +101,7 @@
 }
 
 func newDesk() *desk {
-	d := &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{}}}
+	d := &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.ClusterState{Version: 1, Plan: &schema.Plan{}}}
 	d.roll()
 	d.tell()
 	for k := 0; k < 20 && !d.t.isController(d.now); k++ {
@@ -175,14 +175,14 @@
 	learns := func(boot uint64, comes eventloop.Micros, isController bool) eventloop.Micros {
 		d := newDesk()
 		if !isController {
-			d = &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{}}}
+			d = &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.ClusterState{Version: 1, Plan: &schema.Plan{}}}
 		}
 		silentAt := d.now + 12*eventloop.Second
 		for d.now < silentAt+10*eventloop.Second && len(d.asks) == 0 {
 			d.now += Pace
 			roll := &membership.Roll{Known: map[string]membership.Known{}}
 			hear := func(id string, boot uint64, at eventloop.Micros) {
-				roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Boot: boot, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: at}
+				roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Boot: boot, Stores: true, Role: schema.Role_ROLE_SERVER}, Heard: at}
 			}
 			hear("a", 1, d.now)
 			hear("b", 1, d.now)
@@ -246,13 +246,13 @@
 		run(3 * eventloop.Second)
 		d.silent["c"] = d.now
 		Convey("Its place is given to the new one within 2 s, not after the wait for one that is only silent", func() {
-			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0.c"}
+			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_SERVER, Inner: "10.0.0.c"}
 			run(2 * eventloop.Second)
 			So(d.asks, ShouldNotBeEmpty)
 			So(d.asks[0].Learn, ShouldEqual, "d")
 		})
 		Convey("A store elsewhere doesn't stand for one that is only silent", func() {
-			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_KEEP, Inner: "10.0.0.d"}
+			d.others["d"] = &schema.Member{Id: "d", Stores: true, Role: schema.Role_ROLE_SERVER, Inner: "10.0.0.d"}
 			run(4 * eventloop.Second)
 			So(d.asks, ShouldBeEmpty)
 			run(3 * eventloop.Second)
@@ -273,7 +273,7 @@
 				notes = append(notes, &schema.WaitNote{Group: clusterstate.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
 			}
 			d.t.Step(d.now, eventloop.Mail{From: from, Body: &schema.ClusterStateTell{
-				State: proto.Clone(d.state).(*schema.ClusterStateState), Version: d.state.Version, Leaders: leaders, Waits: notes,
+				State: proto.Clone(d.state).(*schema.ClusterState), Version: d.state.Version, Leaders: leaders, Waits: notes,
 			}}, d)
 		}
 		before := map[string]string{clusterstate.Group: "a", "l": "c"}
--- a/internal/controller/voters_test.go
+++ b/internal/controller/voters_test.go
@@ -37,7 +37,7 @@
 }
 
 func (c *council) add(id, inner, cell string) {
-	c.members[id] = &schema.Member{Id: id, Boot: 2, Stores: true, Role: schema.Role_ROLE_KEEP, Inner: inner, Cell: cell}
+	c.members[id] = &schema.Member{Id: id, Boot: 2, Stores: true, Role: schema.Role_ROLE_SERVER, Inner: inner, Cell: cell}
 }
 
 func (c *council) live() int {
@@ -183,13 +183,13 @@
 	play := func(self int, gone ...int) *asked {
 		a := &asked{stores: map[string]int{}}
 		side := func(k int) *schema.Member {
-			return &schema.Member{Id: fmt.Sprintf("s%02d", k), Role: schema.Role_ROLE_HEED, Cell: fmt.Sprintf("c%d", k%4)}
+			return &schema.Member{Id: fmt.Sprintf("s%02d", k), Role: schema.Role_ROLE_CONTROLLER, Cell: fmt.Sprintf("c%d", k%4)}
 		}
 		h := New(side(self).Id, 2)
 		for now := 100 * eventloop.Second; now < 110*eventloop.Second; now += Pace {
 			roll := &membership.Roll{Self: side(self), Known: map[string]membership.Known{}}
 			for _, id := range []string{"a", "b", "c", "d", "e"} {
-				roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_KEEP}, Heard: now}
+				roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Stores: true, Role: schema.Role_ROLE_SERVER}, Heard: now}
 			}
 			for k := range 20 {
 				heard := now
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,58 +28,70 @@
 	ExitOptions = subcommands.ExitStatus(2)
 )
 
-// Main registers a daemon's commands and runs the one asked for.
-func Main(name, synopsis string, role schema.Role) {
+// Command is a daemon that a program runs as a subcommand.
+type Command struct {
+	Name     string
+	Synopsis string
+	Role     schema.Role
+}
+
+// checkPrefix stands before a daemon's name in the command that only checks its settings.
+const checkPrefix = "check-"
+
+// Main registers the commands of a program's daemons and runs the one asked for.
+func Main(program string, commands ...Command) {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&run{name: name, synopsis: synopsis, role: role}, "")
-	subcommands.Register(&run{name: name, synopsis: synopsis, role: role, isCheck: true}, "")
+	for _, command := range commands {
+		subcommands.Register(&run{Command: command, program: program}, "")
+		subcommands.Register(&run{Command: command, program: program, isCheck: true}, "")
+	}
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
 
 type run struct {
-	name, synopsis string
-	role           schema.Role
-	isCheck        bool
-	flags          config.Flags
+	Command
+	program string
+	isCheck bool
+	flags   config.Flags
 }
 
 func (r *run) Name() string {
 	if r.isCheck {
-		return "check"
+		return checkPrefix + r.Command.Name
 	}
-	return "run"
+	return r.Command.Name
 }
 
 func (r *run) Synopsis() string {
 	if r.isCheck {
-		return "check the settings and start nothing"
+		return "check the settings of a " + r.Command.Name + " and start nothing"
 	}
-	return r.synopsis
+	return r.Command.Synopsis
 }
 
 func (r *run) Usage() string {
 	return fmt.Sprintf("%s %s -cell CELL -inner IP:PORT -outer IP:PORT -seeds A,B,C [flags]\n  %s.\n  Exit codes: 0 left when warned, 1 failed, 2 bad settings (the field is named).\n",
-		r.name, r.Name(), r.Synopsis())
+		r.program, r.Name(), r.Synopsis())
 }
 
-func (r *run) SetFlags(set *flag.FlagSet) { r.flags.Register(set, r.role == schema.Role_ROLE_KEEP) }
+func (r *run) SetFlags(set *flag.FlagSet) { r.flags.Register(set, r.Role == schema.Role_ROLE_SERVER) }
 
 func (r *run) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	loaded, err := r.flags.Load(set)
-	if err == nil && r.role == schema.Role_ROLE_HEED && loaded.Data != "" {
-		err = config.Bad.New("data: %s holds nothing durable", r.name)
+	if err == nil && r.Role == schema.Role_ROLE_CONTROLLER && loaded.Data != "" {
+		err = config.Bad.New("data: a %s holds nothing durable", r.Command.Name)
 	}
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", r.name, err)
+		fmt.Fprintf(os.Stderr, "%s: %v\n", r.program, err)
 		return ExitOptions
 	}
 	if r.isCheck {
 		fmt.Println("settings are good")
 		return subcommands.ExitSuccess
 	}
-	return Serve(r.name, loaded, r.role, func(real *process.Real, log *zap.Logger) (Server, error) { return httpapi.Serve(real, log) })
+	return Serve(r.program, loaded, r.Role, func(real *process.Real, log *zap.Logger) (Server, error) { return httpapi.Serve(real, log) })
 }
 
 // Server takes calls from outside on behalf of a process.
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -131,7 +131,7 @@
 	rings   map[string]*Ring[Mail]
 	tables  map[string]Table
 	paces   map[string]Micros
-	strain  atomic.Int64
+	latency atomic.Int64
 	running sync.WaitGroup
 	ctx     context.Context
 	// Broken is told of a table that panicked, which ends that table alone;
@@ -172,7 +172,7 @@
 				// A tick that comes late says that this process is short of
 				// processor or was frozen; the leaders' loop wants to know.
 				if last > 0 {
-					p.noteStrain(now - last - pace)
+					p.noteLatency(now - last - pace)
 				}
 				last = now
 				step(Mail{Body: Tick{}})
@@ -183,20 +183,20 @@
 
 func (p *Process) Wait() { p.running.Wait() }
 
-func (p *Process) noteStrain(late Micros) {
+func (p *Process) noteLatency(late Micros) {
 	if late < 0 {
 		late = 0
 	}
 	// Decays, so that the worst of the last seconds is seen and then forgotten.
-	old := Micros(p.strain.Load())
+	old := Micros(p.latency.Load())
 	if decayed := old - old/32; decayed > late {
 		late = decayed
 	}
-	p.strain.Store(int64(late))
+	p.latency.Store(int64(late))
 }
 
-// Strain is the worst recent lateness of a tick.
-func (p *Process) Strain() Micros { return Micros(p.strain.Load()) }
+// Latency is the worst recent lateness of a tick.
+func (p *Process) Latency() Micros { return Micros(p.latency.Load()) }
 
 // Post puts a mail from outside into a table's mailbox.
 func (p *Process) Post(table string, mail Mail) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,7 +139,7 @@
 	boot       uint64
 	epoch      uint64 // of sessions made here, so that none is ever taken up again
 	rng        *rand.Rand
-	state      *schema.ClusterStateState
+	state      *schema.ClusterState
 	values     *clusterstate.Values
 	heardAt    eventloop.Micros // last word of the cluster state
 	leaders    map[string]string
@@ -171,7 +171,7 @@
 // New makes the table of the front with this id and boot.
 func New(id string, boot uint64, isLocal bool, rng *rand.Rand) *Table {
 	return &Table{
-		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.ClusterStateState{}, values: clusterstate.Read(nil),
+		id: id, boot: boot, rng: rng, isLocal: isLocal, state: &schema.ClusterState{}, values: clusterstate.Read(nil),
 		leaders: map[string]string{}, unled: map[string]eventloop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[queueClient]*session{}, byId: map[string]*session{},
 		requests: map[uint64]*request{}, polls: map[uint64]PollIn{}, met: map[string]eventloop.Micros{}, quitting: map[string][]*schema.Session{},
 		queueHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]eventloop.Micros{}, owed: map[string]bool{}, denied: map[queueStore]eventloop.Micros{},
@@ -992,7 +992,7 @@
 	if t.roll != nil {
 		ids := slices.Sorted(maps.Keys(t.roll.Known))
 		for _, id := range ids {
-			if member := t.roll.Known[id].Member; member.Role == schema.Role_ROLE_KEEP && t.roll.Live(id, now, freshSpan) {
+			if member := t.roll.Known[id].Member; member.Role == schema.Role_ROLE_SERVER && t.roll.Live(id, now, freshSpan) {
 				list.Fronts = append(list.Fronts, &schema.FrontNote{Address: member.Outer, Cell: member.Cell, Leaving: member.Leaving})
 			}
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -44,7 +44,7 @@
 	rows = append(rows, &schema.Row{Kind: "queue", Name: "l", Key: "urgency", Value: "1"})
 	d.step(&schema.ClusterStateTell{
 		Version: 1, Leaders: map[string]string{"l": "a"},
-		State: &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{Generation: 1, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}},
+		State: &schema.ClusterState{Version: 1, Plan: &schema.Plan{Generation: 1, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}},
 	})
 	return d
 }
@@ -200,7 +200,7 @@
 	Convey("A queue that our copy lacks is asked for, and the answer decides", t, func() {
 		d := newDesk()
 		fresh := func(from string, queues ...string) {
-			state := &schema.ClusterStateState{Version: 2, Plan: &schema.Plan{Generation: 2}}
+			state := &schema.ClusterState{Version: 2, Plan: &schema.Plan{Generation: 2}}
 			for _, queue := range queues {
 				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "queue", Name: queue, Key: "urgency", Value: "1"})
 				state.Queues = append(state.Queues, &schema.QueuePlace{Queue: queue, Generation: 2})
@@ -386,7 +386,7 @@
 	Convey("An entry that our copy lacks is asked for, and looked up anew", t, func() {
 		d := newDesk()
 		fresh := func(rows []*schema.Row) {
-			state := &schema.ClusterStateState{Version: 2, Plan: &schema.Plan{Generation: 2, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}}
+			state := &schema.ClusterState{Version: 2, Plan: &schema.Plan{Generation: 2, Rows: rows}, Queues: []*schema.QueuePlace{{Queue: "l", Generation: 1}}}
 			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.ClusterStateTell{State: state, Version: 2, Leaders: map[string]string{"clusterstate": "a", "l": "a"}}}, d)
 		}
 		d.step(HandIn{Request: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
@@ -419,7 +419,7 @@
 		d.step(HandIn{Request: 1, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
 		d.step(Ask{Request: 2, Kind: "status", Host: "one.example", Path: "/p/j1"})
 		So([]int32{d.answers[1].Code, d.answers[2].Code}, ShouldResemble, []int32{503, 503})
-		tell := &schema.ClusterStateTell{Version: 1, State: &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{}}, Leaders: map[string]string{"clusterstate": "a"}}
+		tell := &schema.ClusterStateTell{Version: 1, State: &schema.ClusterState{Version: 1, Plan: &schema.Plan{}}, Leaders: map[string]string{"clusterstate": "a"}}
 		d.t.Step(d.now, eventloop.Mail{From: "a", Body: tell}, d)
 		d.step(HandIn{Request: 3, Host: "one.example", Path: "/p/j1", Client: "c", Job: job()})
 		d.t.Step(d.now, eventloop.Mail{From: "a", Body: tell}, d)
@@ -533,7 +533,7 @@
 	Convey("A new queue has that long to find a leader, and one that was dropped is forgotten", t, func() {
 		d := newDesk()
 		queues := func(version uint64, queues ...string) {
-			state := &schema.ClusterStateState{Version: version, Plan: &schema.Plan{Generation: version}}
+			state := &schema.ClusterState{Version: version, Plan: &schema.Plan{Generation: version}}
 			for _, queue := range queues {
 				state.Plan.Rows = append(state.Plan.Rows, &schema.Row{Kind: "queue", Name: queue, Key: "urgency", Value: "1"})
 				state.Queues = append(state.Queues, &schema.QueuePlace{Queue: queue, Generation: version})
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -41,7 +41,7 @@
 type Hand struct {
 	watch  Watch
 	worker *fakeworker.Worker
-	state  *schema.ClusterStateState
+	state  *schema.ClusterState
 	leader string
 	next   uint64
 	open   map[uint64]openPoll
@@ -134,9 +134,9 @@
 	case *schema.PollReply:
 		return []string{Name}
 	case *schema.ClusterStateTell:
-		return []string{Name, "heed"}
+		return []string{Name, "controller"}
 	}
-	return []string{process.Table(schema.Role_ROLE_HEED, body)}
+	return []string{process.Table(schema.Role_ROLE_CONTROLLER, body)}
 }
 
 // Onlooker stands where the controller's table would on a side that is none: it
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -41,14 +41,14 @@
 			return out.list
 		}
 		So(step("", eventloop.Tick{}), ShouldBeEmpty)
-		state := &schema.ClusterStateState{Version: 3, Plan: &schema.Plan{Generation: 2}}
+		state := &schema.ClusterState{Version: 3, Plan: &schema.Plan{Generation: 2}}
 		list := step("s1", &schema.ClusterStateTell{State: state, Leaders: map[string]string{"clusterstate": "s2"}})
 		So(list, ShouldHaveLength, 1)
 		So(list[0].to, ShouldEqual, "s2")
 		So(list[0].body.(*schema.Request).Kind, ShouldEqual, "clusterstate")
 		So(plans, ShouldResemble, []uint64{2})
 
-		warded := &schema.ClusterStateState{Version: 4, Plan: state.Plan, Wards: []*schema.Ward{{Worker: "w1", Scheduler: "s3", Generation: 7}}}
+		warded := &schema.ClusterState{Version: 4, Plan: state.Plan, Wards: []*schema.Ward{{Worker: "w1", Scheduler: "s3", Generation: 7}}}
 		list = step("s1", &schema.ClusterStateTell{State: warded})
 		So(list, ShouldHaveLength, 1)
 		So(list[0].to, ShouldEqual, "s3")
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -90,10 +90,10 @@
 	})
 	app.Get("/livez", func(ctx iris.Context) { write(ctx, gateway.Answer{Code: 200, Body: []byte(`{"alive":true}`)}) })
 	app.Get("/v1/counts", func(ctx iris.Context) { writeValue(ctx, s.real.Counts()) })
-	if s.real.Member.Role == schema.Role_ROLE_HEED {
+	if s.real.Member.Role == schema.Role_ROLE_CONTROLLER {
 		app.Get("/readyz", func(ctx iris.Context) { write(ctx, gateway.Answer{Code: 200, Body: []byte(`{"ready":true}`)}) })
 		app.Get("/v1/belief", func(ctx iris.Context) {
-			s.belief(ctx, "heed", func(id uint64, _ eventloop.Micros) any { return controller.Belief{Request: id} })
+			s.belief(ctx, "controller", func(id uint64, _ eventloop.Micros) any { return controller.Belief{Request: id} })
 		})
 		return
 	}
@@ -104,7 +104,7 @@
 		s.run(ctx, eventloop.Second, func(id uint64, _ eventloop.Micros) any { return gateway.Fronts{Request: id} })
 	})
 	app.Get("/v1/belief", func(ctx iris.Context) {
-		s.belief(ctx, "keep", func(id uint64, _ eventloop.Micros) any { return replica.Belief{Request: id} })
+		s.belief(ctx, "replica", func(id uint64, _ eventloop.Micros) any { return replica.Belief{Request: id} })
 	})
 	app.Get("/v1/placements", func(ctx iris.Context) {
 		s.belief(ctx, "scheduler", func(id uint64, _ eventloop.Micros) any { return scheduler.Why{Request: id} })
--- a/internal/membership/bootstrap.go
+++ b/internal/membership/bootstrap.go
@@ -74,7 +74,7 @@
 			next.Promise = promise
 			t.frozen = t.stores()
 			t.asked = next
-			out.Tell("keep", KeepSelf{Self: next})
+			out.Tell("replica", KeepSelf{Self: next})
 		}
 		return
 	}
@@ -86,7 +86,7 @@
 	next := proto.Clone(t.account).(*schema.Self)
 	next.Belongs = true
 	t.asked = next
-	out.Tell("keep", KeepSelf{Self: next, Found: next.Promise})
+	out.Tell("replica", KeepSelf{Self: next, Found: next.Promise})
 }
 
 // joined is the promise of another store that names this one.
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -76,8 +76,8 @@
 }
 type SelfKept struct{ Self *schema.Self }
 
-// Strain is this process's own worst recent delay.
-type Strain struct{ Worst eventloop.Micros }
+// Latency is this process's own worst recent delay.
+type Latency struct{ Worst eventloop.Micros }
 
 // Leaving says that this process was warned.
 type Leaving struct{}
@@ -159,8 +159,8 @@
 		t.found(now, out)
 	case ClusterState:
 		t.isSystem = t.isSystem || body.Version > 0
-	case Strain:
-		t.self.StrainUs = int64(body.Worst)
+	case Latency:
+		t.self.LatencyUs = int64(body.Worst)
 	case Leaving:
 		t.self.Leaving = true
 		t.self.Beat++
@@ -227,7 +227,7 @@
 	next := proto.Clone(t.account).(*schema.Self)
 	next.Met = met
 	t.asked = next
-	out.Tell("keep", KeepSelf{Self: next})
+	out.Tell("replica", KeepSelf{Self: next})
 }
 
 // detail is how much of the book a hello carries.
@@ -266,7 +266,7 @@
 	if much == whole {
 		return member
 	}
-	return &schema.Member{Id: member.Id, Boot: member.Boot, Beat: member.Beat, Leaving: member.Leaving, StrainUs: member.StrainUs}
+	return &schema.Member{Id: member.Id, Boot: member.Boot, Beat: member.Beat, Leaving: member.Leaving, LatencyUs: member.LatencyUs}
 }
 
 // report is the hello to a store or seed. Once a store is heard, what a side
@@ -308,14 +308,14 @@
 func (t *Table) leaveOut(now eventloop.Micros, hello *schema.Hello) {
 	cells := map[string]string{}
 	for id, known := range t.known {
-		if known.Member.Role == schema.Role_ROLE_HEED && now-known.Heard < hubSpan {
+		if known.Member.Role == schema.Role_ROLE_CONTROLLER && now-known.Heard < hubSpan {
 			cells[id] = known.Member.Cell
 		}
 	}
 	candidates := Spread(cells, Candidates)
 	hello.Book = slices.DeleteFunc(hello.Book, func(member *schema.Member) bool {
 		known, isKnown := t.known[member.Id]
-		return isKnown && known.Member.Role == schema.Role_ROLE_HEED && !slices.Contains(candidates, member.Id)
+		return isKnown && known.Member.Role == schema.Role_ROLE_CONTROLLER && !slices.Contains(candidates, member.Id)
 	})
 }
 
@@ -553,7 +553,7 @@
 			return false
 		}
 		next := proto.Clone(old.Member).(*schema.Member)
-		next.Beat, next.Leaving, next.StrainUs = member.Beat, member.Leaving, member.StrainUs
+		next.Beat, next.Leaving, next.LatencyUs = member.Beat, member.Leaving, member.LatencyUs
 		member = next
 	}
 	// An address belongs to whoever was heard there last.
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -105,9 +105,9 @@
 	n := h.net
 	h.runs++
 	h.run = h.runs
-	member := &schema.Member{Id: fmt.Sprintf("%04x-%s", n.rng.IntN(1<<16), h.address), Boot: 1, Role: schema.Role_ROLE_KEEP, Cell: h.cell, Inner: h.address, Outer: h.address}
+	member := &schema.Member{Id: fmt.Sprintf("%04x-%s", n.rng.IntN(1<<16), h.address), Boot: 1, Role: schema.Role_ROLE_SERVER, Cell: h.cell, Inner: h.address, Outer: h.address}
 	if h.terms.IsSide {
-		member.Role = schema.Role_ROLE_HEED
+		member.Role = schema.Role_ROLE_CONTROLLER
 	}
 	var account *schema.Self
 	if h.hasDisk {
@@ -522,7 +522,7 @@
 		standing := func(by *host) []string {
 			cells := map[string]string{}
 			for id, known := range by.roll.Known {
-				if known.Member.Role == schema.Role_ROLE_HEED && by.roll.Live(id, n.now, hubSpan) {
+				if known.Member.Role == schema.Role_ROLE_CONTROLLER && by.roll.Live(id, n.now, hubSpan) {
 					cells[id] = known.Member.Cell
 				}
 			}
--- a/internal/mutation/ledger_test.go
+++ b/internal/mutation/ledger_test.go
@@ -27,7 +27,7 @@
 	for _, m := range Mutants {
 		guards = append(guards, m.Guard)
 	}
-	fleet, err := os.ReadFile("../../cmd/feign/fleet.go")
+	fleet, err := os.ReadFile("../../cmd/sparnotch-bench/fleet.go")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/mutation/mutation.go
+++ b/internal/mutation/mutation.go
@@ -88,9 +88,9 @@
 	return nil
 }
 
-// Build makes feign with the mutant in it, or without one for nil.
+// Build makes sparnotch-bench with the mutant in it, or without one for nil.
 func Build(m *Mutant, root, folder string) (string, error) {
-	args := []string{"build", "-o", filepath.Join(folder, "feign")}
+	args := []string{"build", "-o", filepath.Join(folder, "sparnotch-bench")}
 	if m != nil {
 		list, err := m.Overlay(root, folder)
 		if err != nil {
@@ -98,25 +98,25 @@
 		}
 		args = append(args, "-overlay", list)
 	}
-	command := exec.Command("go", append(args, "./cmd/feign")...)
+	command := exec.Command("go", append(args, "./cmd/sparnotch-bench")...)
 	command.Dir = root
 	if out, err := command.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("building: %w: %s", err, out)
 	}
-	return filepath.Join(folder, "feign"), nil
+	return filepath.Join(folder, "sparnotch-bench"), nil
 }
 
 var broken = regexp.MustCompile(`(?m)^BROKEN rule (\d+)`)
 
-// args are those of feign simulate.
+// args are those of sparnotch-bench simulate.
 func (m *Mutant) args() []string {
 	return []string{"-size", cmp.Or(m.Size, "small"), "-scenario", m.Scenario, "-faults", m.Faults, "-seed", strconv.FormatUint(m.Seed, 10)}
 }
 
-// Rules plays what feign simulate is told to and counts the breaches by rule; a run that
+// Rules plays what sparnotch-bench simulate is told to and counts the breaches by rule; a run that
 // ends otherwise than judged is an error.
-func Rules(feign string, args ...string) (map[int]int, string, error) {
-	out, err := exec.Command(feign, append([]string{"simulate"}, args...)...).CombinedOutput()
+func Rules(bench string, args ...string) (map[int]int, string, error) {
+	out, err := exec.Command(bench, append([]string{"simulate"}, args...)...).CombinedOutput()
 	counts := map[int]int{}
 	for _, found := range broken.FindAllStringSubmatch(string(out), -1) {
 		rule, _ := strconv.Atoi(found[1])
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -50,7 +50,7 @@
 			fmt.Printf("== %s (rule %d): tests %v\n", m.Guard, m.Rule, failing(t, m))
 			continue
 		}
-		feign, err := Build(m, root(t), t.TempDir())
+		bench, err := Build(m, root(t), t.TempDir())
 		if err != nil {
 			t.Error(err)
 			continue
@@ -65,7 +65,7 @@
 				gate <- true
 				go func() {
 					defer func() { <-gate; all.Done() }()
-					counts, _, err := Rules(feign, "-size", *onSize, "-scenario", s.Name, "-seed", fmt.Sprint(seed))
+					counts, _, err := Rules(bench, "-size", *onSize, "-scenario", s.Name, "-seed", fmt.Sprint(seed))
 					mu.Lock()
 					defer mu.Unlock()
 					if err != nil || len(counts) > 0 {
@@ -127,11 +127,11 @@
 			if counts, out, err := Rules(plain, m.args()...); err != nil || len(counts) > 0 {
 				t.Errorf("with the guard: %v %v\n%s", counts, err, out)
 			}
-			feign, err := Build(m, root(t), t.TempDir())
+			bench, err := Build(m, root(t), t.TempDir())
 			if err != nil {
 				t.Fatal(err)
 			}
-			if counts, out, err := Rules(feign, m.args()...); err != nil || counts[m.Rule] == 0 {
+			if counts, out, err := Rules(bench, m.args()...); err != nil || counts[m.Rule] == 0 {
 				t.Errorf("without the guard rule %d holds: %v %v\n%s", m.Rule, counts, err, out)
 			}
 		})
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -53,16 +53,16 @@
 	readers := []string{"gateway"}
 	if p.Store != nil {
 		account = p.Store.Self
-		readers = append(readers, "keep")
+		readers = append(readers, "replica")
 	}
 	member := p.Member
 	berths := []Berth{
-		{"kin", membership.New(proto.Clone(member).(*schema.Member), p.terms(false), account, p.Book, readers, p.rng(1)), membership.Pace},
+		{"membership", membership.New(proto.Clone(member).(*schema.Member), p.terms(false), account, p.Book, readers, p.rng(1)), membership.Pace},
 		{"gateway", gateway.New(member.Id, member.Boot, p.Store != nil, p.rng(2)), gateway.Pace},
 	}
 	if p.Store != nil {
 		berths = append(berths,
-			Berth{"keep", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now), replica.Pace},
+			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now), replica.Pace},
 			Berth{"scheduler", scheduler.New(member.Id).Bind(p.Bounds), scheduler.Pace},
 		)
 	}
@@ -78,8 +78,8 @@
 		berths = []Berth{{"agent", agent.New(p.Bounds, uint64(p.Wall())), agent.Pace}}
 	}
 	return append([]Berth{
-		{"kin", membership.New(proto.Clone(p.Member).(*schema.Member), p.terms(true), nil, p.Book, []string{"heed"}, p.rng(1)), membership.Pace},
-		{"heed", controller.New(p.Member.Id, p.Losses, readers...), controller.Pace},
+		{"membership", membership.New(proto.Clone(p.Member).(*schema.Member), p.terms(true), nil, p.Book, []string{"controller"}, p.rng(1)), membership.Pace},
+		{"controller", controller.New(p.Member.Id, p.Losses, readers...), controller.Pace},
 	}, berths...)
 }
 
@@ -87,21 +87,21 @@
 func Table(role schema.Role, body any) string {
 	switch body.(type) {
 	case *schema.Hello:
-		return "kin"
+		return "membership"
 	case *schema.Applied:
 		return "gateway"
 	case *schema.PollReply:
-		if role == schema.Role_ROLE_HEED {
+		if role == schema.Role_ROLE_CONTROLLER {
 			return "agent"
 		}
 		return "gateway"
 	case *schema.RequestReply, *schema.ClusterStateTell:
-		if role == schema.Role_ROLE_HEED {
-			return "heed"
+		if role == schema.Role_ROLE_CONTROLLER {
+			return "controller"
 		}
 		return "gateway"
 	case *schema.Poll, *schema.EndReply:
 		return "scheduler"
 	}
-	return "keep"
+	return "replica"
 }
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -86,13 +86,13 @@
 	papers := &Papers{
 		Member: r.Member, Seeds: options.Seeds, Book: r.book, Wall: r.Clock.Wall, Seed: randomSeed(), Now: r.Clock.Now(),
 		First: options.First, Losses: options.Losses,
-		Bounds: options.Bounds, Calls: role == schema.Role_ROLE_HEED && len(hands) > 0,
+		Bounds: options.Bounds, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
 	}
 	if r.store != nil {
 		papers.Store = r.store.Content()
 	}
 	berths := Heed(papers)
-	if role == schema.Role_ROLE_KEEP {
+	if role == schema.Role_ROLE_SERVER {
 		berths = Keep(papers)
 	}
 	for _, berth := range berths {
@@ -118,17 +118,17 @@
 	r.cancel = cancel
 	r.process.Run(ctx)
 	// The first look for the others needn't wait for the pace.
-	r.process.Post("kin", eventloop.Mail{Body: eventloop.Tick{}})
+	r.process.Post("membership", eventloop.Mail{Body: eventloop.Tick{}})
 	r.duty(func() { r.writes.Drain(ctx, 0, r.commit, nil) })
 	r.duty(func() {
 		eventloop.NewRing[int](1).Drain(ctx, 250*eventloop.Milli, nil, func() {
-			worst := max(int64(r.process.Strain()), r.worst.Load())
+			worst := max(int64(r.process.Latency()), r.worst.Load())
 			// A sync that hasn't come back yet counts as long as it lasts.
 			if began := r.syncing.Load(); began > 0 {
 				worst = max(worst, int64(r.Clock.Now())-began)
 			}
 			r.worst.Store(r.worst.Load() * 15 / 16)
-			r.process.Post("kin", eventloop.Mail{Body: membership.Strain{Worst: eventloop.Micros(worst)}})
+			r.process.Post("membership", eventloop.Mail{Body: membership.Latency{Worst: eventloop.Micros(worst)}})
 		})
 	})
 	log.Info("started", zap.String("id", r.Member.Id), zap.Uint64("boot", r.Member.Boot), zap.String("inner", options.Inner), zap.String("outer", options.Outer))
@@ -234,7 +234,7 @@
 	}
 	counts := r.store.Counts()
 	r.stats.Store(&counts)
-	r.process.PostWait("keep", eventloop.Mail{Body: replica.Written{Number: batch.Number}})
+	r.process.PostWait("replica", eventloop.Mail{Body: replica.Written{Number: batch.Number}})
 }
 
 func (r *Real) deliver(from string, body any) {
@@ -323,8 +323,8 @@
 // Warn tells every table that this process is to leave.
 func (r *Real) Warn() {
 	r.process.Post("gateway", eventloop.Mail{Body: gateway.Warned{}})
-	r.process.Post("kin", eventloop.Mail{Body: membership.Leaving{}})
-	r.process.Post("keep", eventloop.Mail{Body: replica.Warned{}})
+	r.process.Post("membership", eventloop.Mail{Body: membership.Leaving{}})
+	r.process.Post("replica", eventloop.Mail{Body: replica.Warned{}})
 }
 
 // Leads tells whether this process still leads a group.
@@ -332,7 +332,7 @@
 	if r.store == nil {
 		return false
 	}
-	belief, _ := r.Run(ctx, "keep", eventloop.Second, func(request uint64, _ eventloop.Micros) any { return replica.Belief{Request: request} }).(*replica.NodeBelief)
+	belief, _ := r.Run(ctx, "replica", eventloop.Second, func(request uint64, _ eventloop.Micros) any { return replica.Belief{Request: request} }).(*replica.NodeBelief)
 	if belief == nil {
 		return false
 	}
--- a/internal/process/real_test.go
+++ b/internal/process/real_test.go
@@ -41,7 +41,7 @@
 		}()
 		for k := 0; k < 15; k++ {
 			options := &schema.Options{Cell: "c", Inner: inner, Outer: "127.0.0.1:1", Data: t.TempDir(), Seeds: []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}}
-			real, err := Start(options, schema.Role_ROLE_KEEP, zap.NewNop())
+			real, err := Start(options, schema.Role_ROLE_SERVER, zap.NewNop())
 			So(err, ShouldBeNil)
 			for real.Counts().Wire.Received < 50 {
 				runtime.Gosched()
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -462,7 +462,7 @@
 	if g.role == candidate && g.calls > 0 && now >= g.callAt {
 		g.calls--
 		g.callAt = now + callRest
-		g.canvass(g.term, false, false)
+		g.requestVotes(g.term, false, false)
 	}
 	if now < g.deadline {
 		return
@@ -520,8 +520,8 @@
 	g.asks++
 	g.role = asking
 	g.votes = map[string]bool{g.self: true}
-	g.canvass(g.term+1, true, false)
-	g.tally(now)
+	g.requestVotes(g.term+1, true, false)
+	g.countVotes(now)
 }
 
 func (g *Group) campaign(now eventloop.Micros, asked bool) {
@@ -529,9 +529,9 @@
 	g.lead = ""
 	g.setHard(g.term+1, g.self)
 	g.votes = map[string]bool{g.self: true}
-	g.canvass(g.term, false, asked)
+	g.requestVotes(g.term, false, asked)
 	g.resetDeadline(now)
-	g.tally(now)
+	g.countVotes(now)
 }
 
 // Stand makes a voter campaign in a group that is just being founded, so that it
@@ -558,7 +558,7 @@
 	g.out.Changes = append(g.out.Changes, &schema.Change{Group: g.name, Checkpoint: g.base})
 }
 
-func (g *Group) canvass(term uint64, pre, asked bool) {
+func (g *Group) requestVotes(term uint64, pre, asked bool) {
 	for _, id := range g.memberSet.Voters {
 		if id != g.self {
 			g.post(id, &schema.Vote{Group: g.name, Term: term, LastIndex: g.lastIndex(), LastTerm: g.lastTerm(), Pre: pre, Asked: asked})
@@ -566,7 +566,7 @@
 	}
 }
 
-func (g *Group) tally(now eventloop.Micros) {
+func (g *Group) countVotes(now eventloop.Micros) {
 	count := 0
 	for _, id := range g.memberSet.Voters {
 		if g.votes[id] {
@@ -580,11 +580,11 @@
 	case g.role == asking:
 		g.campaign(now, false)
 	case g.role == candidate && !g.dirty():
-		g.takeLead(now)
+		g.becomeLeader(now)
 	}
 }
 
-func (g *Group) takeLead(now eventloop.Micros) {
+func (g *Group) becomeLeader(now eventloop.Micros) {
 	g.role, g.lead, g.isYoung = leader, g.self, false
 	g.peers = map[string]*progress{}
 	g.rounds = map[uint64]eventloop.Micros{}
@@ -701,7 +701,7 @@
 func (g *Group) Synced(now eventloop.Micros, mark Mark) {
 	if mark.Hard > g.hardDone {
 		g.hardDone = mark.Hard
-		g.tally(now)
+		g.countVotes(now)
 	}
 	// The record may have been replaced since: the same index in another term
 	// isn't the record that was synced.
@@ -786,7 +786,7 @@
 	isMine := m.Pre && g.role == asking && m.Term == g.term+1 || !m.Pre && g.role == candidate && m.Term == g.term
 	if isMine {
 		g.votes[from] = true
-		g.tally(now)
+		g.countVotes(now)
 	}
 }
 
--- a/internal/replica/list_test.go
+++ b/internal/replica/list_test.go
@@ -45,9 +45,9 @@
 		c := newCore()
 		So(c.lease(), ShouldBeGreaterThan, 0)
 		roll := &membership.Roll{Known: map[string]membership.Known{
-			"h": {Member: &schema.Member{Id: "h", Role: schema.Role_ROLE_HEED}},
-			"s": {Member: &schema.Member{Id: "s", Role: schema.Role_ROLE_HEED}},
-			"f": {Member: &schema.Member{Id: "f", Role: schema.Role_ROLE_KEEP}},
+			"h": {Member: &schema.Member{Id: "h", Role: schema.Role_ROLE_CONTROLLER}},
+			"s": {Member: &schema.Member{Id: "s", Role: schema.Role_ROLE_CONTROLLER}},
+			"f": {Member: &schema.Member{Id: "f", Role: schema.Role_ROLE_SERVER}},
 		}}
 		lead := c.leader("")
 		c.step(lead, "", roll)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -139,8 +139,8 @@
 	listed       []string // names of the groups, in order; nil: to be made anew
 	clusterState *clusterstate.Machine
 	values       *clusterstate.Values
-	adopt        *schema.Adopt             // what the plan asks of every queue
-	state        *schema.ClusterStateState // copy of the cluster state that others may hold
+	adopt        *schema.Adopt        // what the plan asks of every queue
+	state        *schema.ClusterState // copy of the cluster state that others may hold
 	roll         *membership.Roll
 	next         pending
 	writing      *pending
@@ -212,7 +212,7 @@
 	r.queue = machine
 }
 
-func (t *Table) setState(state *schema.ClusterStateState) {
+func (t *Table) setState(state *schema.ClusterState) {
 	t.state, t.values = state, t.clusterState.Values()
 	t.adopt = &schema.Adopt{
 		StatusUs: t.values.Fleet("status_s") * 1_000_000,
@@ -840,7 +840,7 @@
 	}
 	t.sendBeats(beats, out)
 	for _, self := range batch.selfs {
-		out.Tell("kin", membership.SelfKept{Self: self})
+		out.Tell("membership", membership.SelfKept{Self: self})
 	}
 	names := slices.Sorted(maps.Keys(batch.marks))
 	for _, name := range names {
@@ -944,7 +944,7 @@
 	for _, table := range []string{"gateway", "scheduler"} {
 		out.Tell(table, &schema.ClusterStateTell{State: t.state, Version: t.state.Version})
 	}
-	out.Tell("kin", membership.ClusterState{Version: t.state.Version})
+	out.Tell("membership", membership.ClusterState{Version: t.state.Version})
 	if old.Plan != t.state.Plan {
 		for _, r := range t.groups {
 			// Urgency may have changed with the plan. Nothing else in the cluster state is
@@ -965,7 +965,7 @@
 	// have heard.
 	if t.roll != nil && areMoved(old.Wards, t.state.Wards) {
 		for _, id := range slices.Sorted(maps.Keys(t.roll.Known)) {
-			if t.roll.Known[id].Member.Role == schema.Role_ROLE_HEED && t.roll.Live(id, now, 2*eventloop.Second) {
+			if t.roll.Known[id].Member.Role == schema.Role_ROLE_CONTROLLER && t.roll.Live(id, now, 2*eventloop.Second) {
 				t.tellClusterState(now, id, &schema.ClusterStateAsk{Version: old.Version}, out)
 			}
 		}
--- a/internal/replica/errand.go
+++ b/internal/replica/request.go
@@ -159,7 +159,7 @@
 
 // isSide tells whether a process is known to be a side.
 func (t *Table) isSide(id string) bool {
-	return t.roll != nil && t.roll.Known[id].Member.GetRole() == schema.Role_ROLE_HEED
+	return t.roll != nil && t.roll.Known[id].Member.GetRole() == schema.Role_ROLE_CONTROLLER
 }
 
 func (t *Table) note(r *replica) *schema.WaitNote {
--- a/internal/scheduler/agent_test.go
+++ b/internal/scheduler/agent_test.go
@@ -14,7 +14,7 @@
 
 // told is a cluster state with rows; every queue named in them stands in it.
 func (d *desk) told(rows []*schema.Row, workers ...string) {
-	state := &schema.ClusterStateState{Version: 2, Plan: &schema.Plan{Rows: rows}}
+	state := &schema.ClusterState{Version: 2, Plan: &schema.Plan{Rows: rows}}
 	for k, w := range workers {
 		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Scheduler: "me", Generation: uint64(k + 1)})
 	}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -395,7 +395,7 @@
 		}
 	}
 	if len(picks) > 0 {
-		out.Tell("keep", replica.Propose{Group: v.group, Term: v.term, Command: &schema.QueueCommand{
+		out.Tell("replica", replica.Propose{Group: v.group, Term: v.term, Command: &schema.QueueCommand{
 			Body: &schema.QueueCommand_Checkout{Checkout: &schema.Checkout{Picks: picks}},
 		}})
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -236,7 +236,7 @@
 // Table is the scheduler's table.
 type Table struct {
 	id        string
-	state     *schema.ClusterStateState
+	state     *schema.ClusterState
 	values    *clusterstate.Values
 	views     map[string]*view
 	workers   map[string]*worker
@@ -266,7 +266,7 @@
 // New makes the table of the scheduler with this process id.
 func New(id string) *Table {
 	return &Table{
-		id: id, state: &schema.ClusterStateState{}, values: clusterstate.Read(nil), views: map[string]*view{}, workers: map[string]*worker{},
+		id: id, state: &schema.ClusterState{}, values: clusterstate.Read(nil), views: map[string]*view{}, workers: map[string]*worker{},
 		placed: map[string]map[taskKey]*task{}, names: map[nameKey][]*task{}, over: map[string]eventloop.Micros{}, paces: map[paceKey]*pace{},
 	}
 }
@@ -440,7 +440,7 @@
 			if shift.Hand != v.hand+1 {
 				// A hand-over is missing: ask for the whole list.
 				t.counts.Gaps++
-				out.Tell("keep", replica.Query{Group: m.Group})
+				out.Tell("replica", replica.Query{Group: m.Group})
 				break
 			}
 			v.hand = shift.Hand
@@ -775,7 +775,7 @@
 		}
 		e.sentAt = now
 		end.Outcome = outcome
-		out.Tell("keep", replica.Ended{End: end})
+		out.Tell("replica", replica.Ended{End: end})
 	}
 }
 
@@ -819,7 +819,7 @@
 	}
 	each.lostAt = now
 	t.counts.LostTasks++
-	out.Tell("keep", replica.Ended{End: &schema.End{
+	out.Tell("replica", replica.Ended{End: &schema.End{
 		Queue: each.key.queue, Key: &schema.TaskKey{Job: each.key.job, Step: each.key.step, Task: each.key.task},
 		Attempt: each.attempt, Outcome: outcome, Worker: each.worker, Saved: each.keptProgress(),
 	}})
@@ -1039,7 +1039,7 @@
 				member.launchAt = now
 				command.Attempts = append(command.Attempts, member.attempt)
 			}
-			out.Tell("keep", replica.Propose{Group: v.group, Term: v.term, Command: &schema.QueueCommand{
+			out.Tell("replica", replica.Propose{Group: v.group, Term: v.term, Command: &schema.QueueCommand{
 				Body: &schema.QueueCommand_Launch{Launch: command},
 			}})
 		}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -37,7 +37,7 @@
 
 func newDesk(workers ...string) *desk {
 	d := &desk{t: New("me"), now: 100 * eventloop.Second}
-	state := &schema.ClusterStateState{Version: 1, Plan: &schema.Plan{}}
+	state := &schema.ClusterState{Version: 1, Plan: &schema.Plan{}}
 	for k, w := range workers {
 		state.Wards = append(state.Wards, &schema.Ward{Worker: w, Scheduler: "me", Generation: uint64(k + 1)})
 	}
--- a/internal/sim/called_test.go
+++ b/internal/sim/called_test.go
@@ -11,7 +11,7 @@
 	"sparnotch/internal/eventloop"
 )
 
-// inCI are the scenarios that run with called workers each time; feign simulate
+// inCI are the scenarios that run with called workers each time; sparnotch-bench simulate
 // plays all of them, with any seed.
 var inCI = map[string]bool{
 	"calm": true, "rough net": true, "leader killed": true, "operators race": true, "clocks jump": true, "core split each way": true,
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -124,7 +124,7 @@
 	f := &Fleet{World: NewWorld(seed, net, cmp.Or(size.Sync, sync)), Size: size}
 	cell := func(k int) string { return fmt.Sprintf("c%d", k%3+1) }
 	for k := 0; k < size.Fronts; k++ {
-		h := f.AddHost(fmt.Sprintf("keep%d", k+1), cell(k), schema.Role_ROLE_KEEP, k < 3)
+		h := f.AddHost(fmt.Sprintf("server%d", k+1), cell(k), schema.Role_ROLE_SERVER, k < 3)
 		if h.Share = size.Weak; k < 3 {
 			h.Share = 1
 		} else {
@@ -135,7 +135,7 @@
 		}
 	}
 	for k := 0; k < size.Sides; k++ {
-		h := f.AddHost(fmt.Sprintf("heed%d", k+1), cell(k), schema.Role_ROLE_HEED, false)
+		h := f.AddHost(fmt.Sprintf("controller%d", k+1), cell(k), schema.Role_ROLE_CONTROLLER, false)
 		h.Share = size.Side
 		f.sides = append(f.sides, h)
 	}
--- a/internal/sim/lanes_test.go
+++ b/internal/sim/lanes_test.go
@@ -37,7 +37,7 @@
 	began := f.Now
 	open := 0
 	for _, front := range f.Hosts {
-		if front.Role != schema.Role_ROLE_KEEP {
+		if front.Role != schema.Role_ROLE_SERVER {
 			continue
 		}
 		for k := 0; k < 8; k++ {
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -227,7 +227,7 @@
 	}},
 	{Name: "a front dies with a gap in its numbers", Net: CalmNet, Sync: 500, Span: 60 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began, func() {
-			f.Put("operator", append(f.Rows(60), &schema.Row{Kind: "fleet", Key: "linger_s", Value: "10"}))
+			f.Put("operator", append(f.Rows(60), &schema.Row{Kind: "fleet", Key: "session_timeout_s", Value: "10"}))
 		})
 		f.At(f.Began+3*eventloop.Second, func() {
 			// Number 2 arrives, number 1 never will.
--- a/internal/sim/schedule.go
+++ b/internal/sim/schedule.go
@@ -245,22 +245,22 @@
 		case "leader":
 			list = append(list, "leader")
 		case "store":
-			list = append(list, "keep1", "keep2", "keep3")
+			list = append(list, "server1", "server2", "server3")
 		case "lean":
 			for k := 3; k < size.Fronts; k++ {
-				list = append(list, fmt.Sprintf("keep%d", k+1))
+				list = append(list, fmt.Sprintf("server%d", k+1))
 			}
 		case "side":
 			list = append(list, "controller")
 			for k := 0; k < size.Sides; k++ {
-				list = append(list, fmt.Sprintf("heed%d", k+1))
+				list = append(list, fmt.Sprintf("controller%d", k+1))
 			}
 		case "cell":
 			list = append(list, "c1", "c2", "c3")
 		case "worker", "called":
 			for k := 0; k < size.Workers; k++ {
 				if size.Bounds != nil {
-					list = append(list, fmt.Sprintf("heed%d", k+1))
+					list = append(list, fmt.Sprintf("controller%d", k+1))
 				} else if target == "worker" {
 					list = append(list, fmt.Sprintf("w%d", k))
 				}
@@ -274,7 +274,7 @@
 
 // isDisk tells whether a stroke takes a disk machine away.
 func (s Stroke) isDisk() bool {
-	isOther := strings.HasPrefix(s.Whom, "heed") || s.Whom == "controller" || strings.HasPrefix(s.Whom, "keep") && s.Whom > "keep3" && s.Whom != "leader"
+	isOther := strings.HasPrefix(s.Whom, "controller") || s.Whom == "controller" || strings.HasPrefix(s.Whom, "server") && s.Whom > "server3" && s.Whom != "leader"
 	return deeds[s.What].isLoss && !isOther
 }
 
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -77,7 +77,7 @@
 		schedules := map[uint64]Schedule{1: RandomSchedule(1, size), 2: RandomSchedule(2, size)}
 		if size.Name == "skema" {
 			// Broke rule 5: a failure that was told late didn't count.
-			found, err := ReadSchedule("warn/keep6:3s@2.5s,freeze/controller:3.5s@9.5s,flood/all:6s@12.5s,slow/keep1:2.5s@13s,power/all:500ms@21s,rush/all:5s@27.5s,split/c1:5s@34s", size)
+			found, err := ReadSchedule("warn/server6:3s@2.5s,freeze/controller:3.5s@9.5s,flood/all:6s@12.5s,slow/server1:2.5s@13s,power/all:500ms@21s,rush/all:5s@27.5s,split/c1:5s@34s", size)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -92,7 +92,7 @@
 	}
 }
 
-// TestDay is a day of short hours; feign simulate -day plays whole ones.
+// TestDay is a day of short hours; sparnotch-bench simulate -day plays whole ones.
 func TestDay(t *testing.T) {
 	t.Parallel()
 	_, samples, breaches, wrong := Day(Small, 1, 4, 5*60*eventloop.Second, 0.3)
@@ -116,13 +116,13 @@
 			So(again, ShouldResemble, schedule)
 		}
 		for text, what := range map[string]string{
-			"kill/leader:3s@5s,explode/keep1:1s@9s":          "faults[1]: there is no fault",
-			"kill/w1:3s@5s":                                  "faults[0]: kill can't strike",
-			"kill/leader:3s":                                 "faults[0]",
-			"kill/keep1:3s@5s,freeze/keep2:1s@6s":            "faults[1]: freeze/keep2:1s@6s and kill/keep1:3s@5s (faults[0]) may take two of three disk machines away",
-			"cut/w1:9s@5s,sleep/w1:1s@6s":                    "faults[1]",
-			"kill/keep4:90s@5s":                              "faults[0]",
-			"kill/keep1:3s@5s,kill/keep4:9s@5s,race/x:1s@1s": "faults[2]",
+			"kill/leader:3s@5s,explode/server1:1s@9s": "faults[1]: there is no fault",
+			"kill/w1:3s@5s":  "faults[0]: kill can't strike",
+			"kill/leader:3s": "faults[0]",
+			"kill/server1:3s@5s,freeze/server2:1s@6s":            "faults[1]: freeze/server2:1s@6s and kill/server1:3s@5s (faults[0]) may take two of three disk machines away",
+			"cut/w1:9s@5s,sleep/w1:1s@6s":                        "faults[1]",
+			"kill/server4:90s@5s":                                "faults[0]",
+			"kill/server1:3s@5s,kill/server4:9s@5s,race/x:1s@1s": "faults[2]",
 		} {
 			_, err := ReadSchedule(text, Small)
 			So(err, ShouldNotBeNil)
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -86,7 +86,7 @@
 	switch {
 	case h == r.leader:
 		return "leader"
-	case h.Role == schema.Role_ROLE_HEED:
+	case h.Role == schema.Role_ROLE_CONTROLLER:
 		return "side"
 	case h.Disk != nil:
 		return "store"
@@ -155,14 +155,14 @@
 func (r *hollowRun) build() {
 	s := r.setup
 	for k := 0; k < 3; k++ {
-		r.AddHost(fmt.Sprintf("store%d", k), r.cell(k), schema.Role_ROLE_KEEP, true)
+		r.AddHost(fmt.Sprintf("store%d", k), r.cell(k), schema.Role_ROLE_SERVER, true)
 	}
 	for k := 0; k < s.Fronts; k++ {
-		r.AddHost(fmt.Sprintf("front%d", k), r.cell(k), schema.Role_ROLE_KEEP, false)
+		r.AddHost(fmt.Sprintf("front%d", k), r.cell(k), schema.Role_ROLE_SERVER, false)
 	}
 	for k := 0; k < s.Workers; k++ {
 		rack := k / s.PerRack
-		h := r.AddHost(fmt.Sprintf("side%d", k), r.cell(rack), schema.Role_ROLE_HEED, false)
+		h := r.AddHost(fmt.Sprintf("side%d", k), r.cell(rack), schema.Role_ROLE_CONTROLLER, false)
 		h.Routes = hollow.Routes
 		h.Also = func(papers *process.Papers, berths []process.Berth) []process.Berth {
 			return r.side(h, k, rack, papers, berths)
@@ -176,8 +176,8 @@
 
 func (r *hollowRun) side(h *Host, k, rack int, papers *process.Papers, berths []process.Berth) []process.Berth {
 	for at := range berths {
-		if berths[at].Name == "heed" && r.setup.Controllers > 0 && k >= r.setup.Controllers {
-			berths[at] = process.Berth{Name: "heed", Table: &hollow.Onlooker{}, Pace: hollow.OnlookerPace}
+		if berths[at].Name == "controller" && r.setup.Controllers > 0 && k >= r.setup.Controllers {
+			berths[at] = process.Berth{Name: "controller", Table: &hollow.Onlooker{}, Pace: hollow.OnlookerPace}
 		}
 	}
 	watch := hollow.Watch{
--- a/internal/sim/transport_test.go
+++ b/internal/sim/transport_test.go
@@ -109,10 +109,10 @@
 func openSim() *simTransport {
 	s := &simTransport{world: NewWorld(1, Net{Near: 100, Far: 1000}, 500)}
 	for k := range s.ends {
-		h := s.world.AddHost([]string{"end0", "end1"}[k], "c1", schema.Role_ROLE_KEEP, false)
+		h := s.world.AddHost([]string{"end0", "end1"}[k], "c1", schema.Role_ROLE_SERVER, false)
 		s.boxes[k] = &catcher{}
 		h.IsUp, h.Id = true, h.Name
-		h.tables = map[string]eventloop.Table{"keep": s.boxes[k], "gateway": s.boxes[k]}
+		h.tables = map[string]eventloop.Table{"replica": s.boxes[k], "gateway": s.boxes[k]}
 		s.ends[k] = h
 	}
 	return s
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -248,7 +248,7 @@
 		seeds = w.seeds
 	}
 	papers := &process.Papers{Member: h.Member, Seeds: seeds, Book: h.book, Seed: w.Rng.Uint64(), Now: h.now()}
-	papers.Bounds, papers.Calls = w.bounds, h.Role == schema.Role_ROLE_HEED && w.called[h.place()] != nil
+	papers.Bounds, papers.Calls = w.bounds, h.Role == schema.Role_ROLE_CONTROLLER && w.called[h.place()] != nil
 	papers.Wall = func() int64 { return wallZero + int64(w.Now) + h.WallOff }
 	if h.Disk != nil {
 		h.openStore()
@@ -256,7 +256,7 @@
 	}
 	h.Id = h.Member.Id
 	berths := process.Heed(papers)
-	if h.Role == schema.Role_ROLE_KEEP {
+	if h.Role == schema.Role_ROLE_SERVER {
 		berths = process.Keep(papers)
 	}
 	if h.Also != nil {
@@ -264,21 +264,21 @@
 	}
 	h.tables = map[string]eventloop.Table{}
 	h.worst = 0
-	h.noteStrain(h.run)
+	h.noteLatency(h.run)
 	for _, berth := range berths {
 		h.tables[berth.Name] = berth.Table
 		h.pace(berth.Name, berth.Pace, eventloop.Micros(w.Rng.Int64N(int64(berth.Pace))))
 	}
 	w.reckon()
-	if h.Role == schema.Role_ROLE_KEEP && !h.isWatched {
+	if h.Role == schema.Role_ROLE_SERVER && !h.isWatched {
 		h.isWatched = true
 		w.After(eventloop.Micros(w.Rng.Int64N(int64(eventloop.Second))), func() { w.watch(h) })
 	}
 }
 
-// noteStrain tells the book now and then how this process's disk does, as a
+// noteLatency tells the book now and then how this process's disk does, as a
 // real process does.
-func (h *Host) noteStrain(run int) {
+func (h *Host) noteLatency(run int) {
 	if h.run != run {
 		return
 	}
@@ -287,8 +287,8 @@
 		worst = max(worst, h.world.Now-h.began)
 	}
 	h.worst = h.worst * 15 / 16
-	h.do(run, func() { h.step("kin", eventloop.Mail{Body: membership.Strain{Worst: worst}}) })
-	h.world.After(250*eventloop.Milli, func() { h.noteStrain(run) })
+	h.do(run, func() { h.step("membership", eventloop.Mail{Body: membership.Latency{Worst: worst}}) })
+	h.world.After(250*eventloop.Milli, func() { h.noteLatency(run) })
 }
 
 const wallZero = 1_800_000_000_000_000
@@ -355,7 +355,7 @@
 	for _, each := range []struct {
 		table string
 		body  any
-	}{{"gateway", gateway.Warned{}}, {"kin", membership.Leaving{}}, {"keep", replica.Warned{}}} {
+	}{{"gateway", gateway.Warned{}}, {"membership", membership.Leaving{}}, {"replica", replica.Warned{}}} {
 		if h.tables[each.table] != nil {
 			h.step(each.table, eventloop.Mail{Body: each.body})
 		}
@@ -530,7 +530,7 @@
 			}
 			h.isWrite = false
 			h.worst = max(h.worst, h.world.Now-h.began)
-			h.mail("keep", eventloop.Mail{Body: replica.Written{Number: batch.Number}})
+			h.mail("replica", eventloop.Mail{Body: replica.Written{Number: batch.Number}})
 		})
 	})
 }
@@ -656,7 +656,7 @@
 func (w *World) Fronts() []*Host {
 	var list []*Host
 	for _, h := range w.Hosts {
-		if h.Role == schema.Role_ROLE_KEEP {
+		if h.Role == schema.Role_ROLE_SERVER {
 			list = append(list, h)
 		}
 	}
@@ -676,7 +676,7 @@
 
 // Belief asks a host's replicas what they believe, outside time.
 func (h *Host) Belief() *replica.NodeBelief {
-	table := h.tables["keep"]
+	table := h.tables["replica"]
 	if !h.IsUp || table == nil {
 		return nil
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -41,7 +41,7 @@
 		b, atB := open("b")
 		Reset(func() { a.Close(); b.Close() })
 		a.Send(b.Address(), &schema.Append{Group: "g", Term: 7, Records: []*schema.Record{{Index: 1, Data: []byte("x"), MemberSet: &schema.MemberSet{Voters: []string{"a"}}}}})
-		a.Send(b.Address(), &schema.ClusterStateTell{State: &schema.ClusterStateState{Plan: &schema.Plan{Generation: 3, Rows: []*schema.Row{{Kind: "queue"}}}}, Leaders: map[string]string{"l": "a"}})
+		a.Send(b.Address(), &schema.ClusterStateTell{State: &schema.ClusterState{Plan: &schema.Plan{Generation: 3, Rows: []*schema.Row{{Kind: "queue"}}}}, Leaders: map[string]string{"l": "a"}})
 		a.Send(b.Address(), &schema.Poll{Announce: &schema.Announce{Running: []*schema.TaskNote{{Queue: "l"}}, WaitUs: 5}})
 		first := next(atB)
 		So(first.from, ShouldEqual, "a")
