--- /dev/null
+++ b/internal/controller/placement.go
@@ -0,0 +1,166 @@
+package controller
+
+// Where queues are placed, who is to lead them, and which store orders the workers.
+
+import (
+	"sort"
+	"strings"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+)
+
+// notes are what the leaders say of their groups.
+func (t *Table) notes(now eventloop.Micros) map[string]*schema.WaitNote {
+	notes := map[string]*schema.WaitNote{}
+	for _, id := range t.stores(now) {
+		word, isKnown := t.told[id]
+		if !isKnown || now-word.at > deadSpan {
+			continue
+		}
+		for _, note := range word.tell.Waits {
+			notes[note.Group] = note
+		}
+	}
+	return notes
+}
+
+func (t *Table) may(now eventloop.Micros, what string, rest eventloop.Micros) bool {
+	if last, isKnown := t.acted[what]; isKnown && now-last < rest {
+		return false
+	}
+	t.acted[what] = now
+	return true
+}
+
+func (t *Table) queues(now eventloop.Micros, out eventloop.Out) {
+	notes := t.notes(now)
+	root := notes[clusterstate.Group]
+	if root == nil {
+		return
+	}
+	command := &schema.PlaceQueues{Lease: t.lease}
+	leader := ""
+	for _, name := range t.values.Queues() {
+		if clusterstate.Place(t.state, name) != nil {
+			continue
+		}
+		if len(command.Queues) == 0 {
+			leader = t.sturdiest(now)
+		}
+		command.Queues = append(command.Queues, &schema.QueuePlace{Queue: name, Founders: root.Voters, Leader: leader})
+	}
+	for _, place := range t.state.Queues {
+		note := notes[replica.GroupOf(place)]
+		if !t.values.HasQueue(place.Queue) && note != nil && note.Live == 0 && note.Kept == 0 {
+			command.Gone = append(command.Gone, place.Queue)
+		}
+	}
+	if len(command.Queues)+len(command.Gone) == 0 {
+		return
+	}
+	// The same act again waits, for its effect may just not be heard of yet;
+	// another one doesn't.
+	var names []string
+	for _, each := range command.Queues {
+		names = append(names, each.Queue)
+	}
+	set := strings.Join(names, " ") + "/" + strings.Join(command.Gone, " ")
+	if set != t.queuesIn {
+		delete(t.acted, "queues")
+	}
+	// One that finds no leader is tried again at the next tick.
+	if t.leaderOf(now, clusterstate.Group) != "" && t.may(now, "queues", actSpan) {
+		t.queuesIn = set
+		t.send(now, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: command}}, out)
+	}
+}
+
+// sturdiest is the store where queues and wards should be: the present one as
+// long as it serves, for moving costs more than it gains.
+func (t *Table) sturdiest(now eventloop.Micros) string {
+	root := t.notes(now)[clusterstate.Group]
+	if root == nil {
+		return ""
+	}
+	leads, wanted := map[string]int{}, map[string]int{}
+	stores := t.stores(now)
+	for _, place := range t.state.Queues {
+		wanted[place.Leader]++
+		leads[t.leaderAmong(now, stores, place.Queue)]++
+	}
+	for _, ward := range t.state.Wards {
+		wanted[ward.Scheduler]++
+	}
+	type candidate struct {
+		id      string
+		latency int64
+	}
+	var list []candidate
+	for _, id := range root.Voters {
+		word, isKnown := t.told[id]
+		// Who can't say how the cluster state stands is cut off from it, and could
+		// neither lead nor ward.
+		if !isKnown || now-word.at > deadSpan || !t.roll.Live(id, now, deadSpan) || t.roll.Known[id].Member.Leaving || t.isDeposed(now, id) {
+			continue
+		}
+		list = append(list, candidate{id, t.roll.Known[id].Member.LatencyUs})
+	}
+	if len(list) == 0 {
+		return ""
+	}
+	sort.Slice(list, func(a, b int) bool {
+		x, y := list[a], list[b]
+		if isX, isY := x.latency > latencyMost, y.latency > latencyMost; isX != isY {
+			return isY
+		}
+		if wanted[x.id] != wanted[y.id] {
+			return wanted[x.id] > wanted[y.id]
+		}
+		if leads[x.id] != leads[y.id] {
+			return leads[x.id] > leads[y.id]
+		}
+		return x.id < y.id
+	})
+	best := list[0]
+	for _, other := range list[1:] {
+		// Latency alone moves nothing twice within a while, nor to a store that is
+		// hardly better; but whoever has let its queues go by itself keeps none.
+		isHome := wanted[other.id] > wanted[best.id] && leads[other.id] > 0
+		if isHome && (now-t.movedAt < latencyRest || other.latency < 3*best.latency) {
+			best = other
+		}
+	}
+	return best.id
+}
+
+func (t *Table) leaders(now eventloop.Micros, out eventloop.Out) {
+	sturdy := t.sturdiest(now)
+	if sturdy == "" {
+		return
+	}
+	wards := &schema.MoveWards{Lease: t.lease}
+	for _, ward := range t.state.Wards {
+		if ward.Scheduler != sturdy {
+			wards.Wards = append(wards.Wards, &schema.Ward{Worker: ward.Worker, Scheduler: sturdy})
+		}
+	}
+	queues := &schema.PlaceQueues{Lease: t.lease}
+	for _, place := range t.state.Queues {
+		if place.Leader != sturdy {
+			queues.Queues = append(queues.Queues, &schema.QueuePlace{Queue: place.Queue, Leader: sturdy})
+		}
+	}
+	if len(wards.Wards)+len(queues.Queues) == 0 || !t.may(now, "leaders", actSpan) {
+		return
+	}
+	t.movedAt = now
+	if len(queues.Queues) > 0 {
+		t.send(now, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: queues}}, out)
+	}
+	if len(wards.Wards) > 0 {
+		t.send(now, &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Wards{Wards: wards}}, out)
+	}
+}
--- /dev/null
+++ b/internal/controller/sessions.go
@@ -0,0 +1,37 @@
+package controller
+
+// Ending the sessions of gateways that are gone.
+
+import (
+	"maps"
+	"slices"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+// sessions ends those of gateway that have been gone longer than the plan lets
+// them timeout.
+func (t *Table) sessions(now eventloop.Micros, out eventloop.Out) {
+	timeout := eventloop.Micros(t.values.Fleet("session_timeout_s")) * eventloop.Second
+	notes := t.notes(now)
+	for _, group := range slices.Sorted(maps.Keys(notes)) {
+		note := notes[group]
+		var over []*schema.Gone
+		for _, boot := range note.Boots {
+			key := "gateway/" + boot.Gateway
+			known, isKnown := t.roll.Known[boot.Gateway]
+			isNewer := isKnown && known.Member.Boot != boot.Boot&(1<<32-1)
+			if isKnown && !isNewer && now-known.Heard < deadSpan {
+				delete(t.gone, key)
+				continue
+			}
+			if isNewer || t.lostFor(now, key) > timeout {
+				over = append(over, &schema.Gone{Gateway: boot.Gateway, Boot: boot.Boot})
+			}
+		}
+		if len(over) > 0 && t.may(now, "sessions/"+note.Queue, eventloop.Second) {
+			out.Send(note.Leader, &schema.Quit{Queue: note.Queue, Boots: over})
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/requests.go
@@ -0,0 +1,111 @@
+package gateway
+
+// Requests that another process answers: asked, asked again, answered once.
+
+import (
+	"sort"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+type request struct {
+	ask        Ask
+	sent       eventloop.Micros
+	to         string
+	redirected eventloop.Micros
+	isOwed     bool
+}
+
+func (t *Table) ask(now eventloop.Micros, m Ask, isFinal bool, out eventloop.Out) {
+	if len(t.requests) >= maxPending {
+		t.refuse(m.Request, 429, "front_full", "this front has too much in hand", t.pace("").turn(now), out)
+		return
+	}
+	// The cluster state's leader may just be missing: an operator's call waits for it.
+	isLost := !t.hasWord(now) && m.Group != clusterstate.Group || !t.isFresh(now)
+	if t.heardAt > 0 && isLost {
+		t.notReady(now, m.Request, out)
+		return
+	}
+	mail := m
+	if m.Group == "" {
+		m.Group, m.Name, _ = t.values.QueueAt(m.Host, m.Path)
+	}
+	if m.Group != clusterstate.Group && clusterstate.Place(t.state, m.Group) == nil {
+		t.unknownQueue(now, m.Request, m.Group, mail, isFinal, out)
+		return
+	}
+	each := &request{ask: m}
+	t.requests[m.Request] = each
+	t.carry(now, each, out)
+}
+
+func (t *Table) carry(now eventloop.Micros, each *request, out eventloop.Out) {
+	m := each.ask
+	each.sent, each.to = now, t.leader(now, m.Group)
+	if to := each.to; to != "" {
+		out.Send(to, &schema.Request{Id: m.Request, Kind: m.Kind, Group: m.Group, Name: m.Name, After: m.After, Most: m.Most, Body: m.Body})
+	}
+}
+
+func (t *Table) replied(now eventloop.Micros, m *schema.RequestReply, out eventloop.Out) {
+	each := t.requests[m.Id]
+	if each == nil {
+		return
+	}
+	if m.Code != 0 {
+		delete(t.requests, m.Id)
+		if m.Leader != "" {
+			t.lead(m.Group, m.Leader)
+		}
+		out.Answer(m.Id, Answer{Code: m.Code, Body: m.Body})
+		return
+	}
+	if m.Leader != each.to && t.mayLead(now, m.Leader) {
+		t.lead(m.Group, m.Leader)
+		if each.isOwed = now-each.redirected <= redirectSpan; !each.isOwed {
+			each.redirected = now
+			t.carry(now, each, out)
+		}
+		return
+	}
+	// Whoever said so may come to lead: then it is asked again.
+	each.to = ""
+	t.unlead(now, m.Group)
+}
+
+func (t *Table) forget(id uint64) {
+	delete(t.requests, id)
+	delete(t.polls, id)
+	if each := t.asked[id]; each != nil {
+		// The submission itself has a number and goes on being resent: a gap
+		// would hold up all that comes after it.
+		each.request = 0
+		delete(t.asked, id)
+	}
+}
+
+func (t *Table) tickRequests(now eventloop.Micros, out eventloop.Out) {
+	var ids []uint64
+	for id, each := range t.requests {
+		if now-each.sent > retrySpan || each.isOwed {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+	for _, id := range ids {
+		each := t.requests[id]
+		if now > each.ask.Deadline {
+			delete(t.requests, id)
+			out.Answer(id, unknown())
+			continue
+		}
+		if !each.isOwed {
+			t.unlead(now, each.ask.Group)
+		}
+		each.isOwed = false
+		t.carry(now, each, out)
+	}
+}
--- /dev/null
+++ b/internal/membership/book.go
@@ -0,0 +1,20 @@
+package membership
+
+// The address book that all tables of a process share.
+
+import (
+	"sync/atomic"
+)
+
+// Book resolves ids to inner addresses for the wires; it is written by the
+// table alone and read by anyone.
+type Book struct {
+	addresses atomic.Pointer[map[string]string]
+}
+
+func (b *Book) Address(id string) string {
+	if m := b.addresses.Load(); m != nil {
+		return (*m)[id]
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/membership/gossip.go
@@ -0,0 +1,355 @@
+package membership
+
+// Gossip: heartbeats and members told and heard.
+
+import (
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+// word is the last hello a process sent us itself.
+type word struct {
+	at    eventloop.Micros
+	hello *schema.Hello
+}
+
+// detail is how much of the book a hello carries.
+type detail int
+
+func (t *Table) hello(now eventloop.Micros, much detail) *schema.Hello {
+	hello := &schema.Hello{Self: proto.Clone(t.self).(*schema.Member), Belongs: t.isSystem}
+	if t.account != nil {
+		hello.Empty = t.isFounder()
+		hello.Promise = t.account.Promise
+	}
+	if !t.isSystem {
+		hello.Stores = t.stores()
+	}
+	if much == alone {
+		return hello
+	}
+	for _, id := range t.ids() {
+		known := t.known[id]
+		if now-known.Heard >= freshSpan {
+			continue
+		}
+		hello.Book = append(hello.Book, entry(known.Member, much))
+	}
+	return hello
+}
+
+// entry is a member as a book tells of it.
+func entry(member *schema.Member, much detail) *schema.Member {
+	if much == whole {
+		return member
+	}
+	return &schema.Member{Id: member.Id, Boot: member.Boot, Beat: member.Beat, Leaving: member.Leaving, LatencyUs: member.LatencyUs}
+}
+
+// report is the hello to a store or seed. Once a store is heard, what a side
+// machine knows the stores know better, but for who asks it because they reach
+// no store.
+func (t *Table) report(now eventloop.Micros, much detail) *schema.Hello {
+	if !t.isSystem || !t.terms.IsSide || len(t.hubs(now)) == 0 {
+		return t.hello(now, much)
+	}
+	report := t.hello(now, alone)
+	if much == alone {
+		return report
+	}
+	if much == whole {
+		// Who tells a whole member is answered with whole ones.
+		report.Book = append(report.Book, report.Self)
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.askers)) {
+		if known, isKnown := t.known[id]; isKnown && now-known.Heard < freshSpan {
+			report.Book = append(report.Book, entry(known.Member, much))
+		}
+	}
+	return report
+}
+
+// answer is the hello to one that asks. Only stores need to know of all side
+// machines; whoever else asks within a system is told of the stores, the fronts
+// and the candidates: what all know of all would grow with the square of them.
+func (t *Table) answer(now eventloop.Micros, much detail, asker *schema.Hello) *schema.Hello {
+	answer := t.hello(now, much)
+	answer.Answer = true
+	if t.isSystem && asker.Belongs && !asker.Self.Stores {
+		t.leaveOut(now, answer)
+	}
+	return answer
+}
+
+// leaveOut takes the side machines out of a hello that don't stand for controller.
+func (t *Table) leaveOut(now eventloop.Micros, hello *schema.Hello) {
+	cells := map[string]string{}
+	for id, known := range t.known {
+		if known.Member.Role == schema.Role_ROLE_CONTROLLER && now-known.Heard < hubSpan {
+			cells[id] = known.Member.Cell
+		}
+	}
+	candidates := Spread(cells, Candidates)
+	hello.Book = slices.DeleteFunc(hello.Book, func(member *schema.Member) bool {
+		known, isKnown := t.known[member.Id]
+		return isKnown && known.Member.Role == schema.Role_ROLE_CONTROLLER && !slices.Contains(candidates, member.Id)
+	})
+}
+
+func (t *Table) ids() []string {
+	return slices.Sorted(maps.Keys(t.known))
+}
+
+// hubs are the other stores, those heard of lately. Everybody asks them in
+// turn, so a beat takes two hops from anybody to anybody.
+func (t *Table) hubs(now eventloop.Micros) []string {
+	var hubs []string
+	for _, id := range t.ids() {
+		if known := t.known[id]; known.Member.Stores && now-known.Heard < hubSpan {
+			hubs = append(hubs, known.Member.Inner)
+		}
+	}
+	return hubs
+}
+
+func (t *Table) isSeed() bool { return slices.Contains(t.terms.Seeds, t.self.Inner) }
+
+// someSeed is any seed but ourselves.
+func (t *Table) someSeed() string {
+	var others []string
+	for _, seed := range t.terms.Seeds {
+		if seed != t.self.Inner {
+			others = append(others, seed)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[t.rng.IntN(len(others))]
+}
+
+func (t *Table) greet(now eventloop.Micros, out eventloop.Out) {
+	t.self.Beat++
+	switch {
+	case len(t.known) == 0:
+		// Seeds are asked all the time until somebody answers. They may all
+		// have been replaced while this machine was away; whom it knew then is
+		// worth a try.
+		hello := t.hello(now, whole)
+		sentTo := map[string]bool{t.self.Inner: true}
+		for _, address := range append(slices.Clone(t.terms.Seeds), t.met...) {
+			if !sentTo[address] {
+				sentTo[address] = true
+				out.Dial(address, hello)
+			}
+		}
+	case t.isSystem:
+		t.tell(now, out)
+	default:
+		t.gather(now, out)
+	}
+}
+
+// gather: before a system exists, seeds and stores all tell each other whom
+// they see; the others ask a seed.
+func (t *Table) gather(now eventloop.Micros, out eventloop.Out) {
+	hello := t.hello(now, whole)
+	if t.account == nil && !t.isSeed() {
+		if seed := t.someSeed(); seed != "" {
+			out.Dial(seed, hello)
+		}
+		return
+	}
+	sentTo := map[string]bool{t.self.Inner: true}
+	for _, seed := range t.terms.Seeds {
+		if !sentTo[seed] {
+			sentTo[seed] = true
+			out.Dial(seed, hello)
+		}
+	}
+	// Whoever is told here tells us too, in its own turn.
+	word := proto.Clone(hello).(*schema.Hello)
+	word.Answer = true
+	for _, id := range t.ids() {
+		if member := t.known[id].Member; member.Stores && !sentTo[member.Inner] {
+			sentTo[member.Inner] = true
+			out.Dial(member.Inner, word)
+		}
+	}
+}
+
+// tell: in a system. A store tells all others at each pace; a side machine
+// asks one store at each pace, the others at each second one. Whoever
+// got no word asks one of all besides, for the stores may be cut off from us
+// and not from others.
+func (t *Table) tell(now eventloop.Micros, out eventloop.Out) {
+	hubs := t.hubs(now)
+	// Whoever hears of no store asks at each pace: the seed asked before may have
+	// known none itself, as when all have just started.
+	if t.isMissing || len(hubs) == 0 || now-t.wholeAt >= wholeSpan {
+		// A seed in turn: that is how two halves that met different seeds find
+		// each other.
+		t.isMissing, t.wholeAt = false, now
+		if seed := t.someSeed(); seed != "" {
+			report := t.report(now, whole)
+			if !t.isStoreAt(seed) {
+				t.leaveOut(now, report)
+			}
+			out.Dial(seed, report)
+		}
+	}
+	if t.ticks < youngPaces {
+		t.callSeeds(now, out)
+	}
+	isStore, isTurn := t.account != nil, t.ticks%2 == 0
+	if !isTurn && !isStore && !t.terms.IsSide && !t.isWaiting && !t.isNews {
+		return
+	}
+	much := alone
+	if t.isNews || t.ticks%4 == 0 {
+		much = beats
+	}
+	if t.isWaiting || len(hubs) == 0 {
+		much = beats
+		ids := t.ids()
+		out.Dial(t.known[ids[t.rng.IntN(len(ids))]].Member.Inner, t.hello(now, beats))
+	}
+	if isStore {
+		// Of others it tells at each second pace.
+		if !isTurn {
+			much = alone
+		} else {
+			much = beats
+		}
+		t.spread(now, much, out)
+	} else if len(hubs) > 0 {
+		t.turn++
+		out.Dial(hubs[t.turn%uint64(len(hubs))], t.report(now, much))
+	}
+	t.isWaiting, t.isNews = true, false
+}
+
+// callSeeds: a young process calls every seed that it hasn't heard of yet. They may
+// come up after it, as when all have just been restarted, and others who know only
+// them hear of nobody until they do.
+func (t *Table) callSeeds(now eventloop.Micros, out eventloop.Out) {
+	heard := map[string]bool{t.self.Inner: true}
+	for _, known := range t.known {
+		if now-known.Heard < hubSpan {
+			heard[known.Member.Inner] = true
+		}
+	}
+	for _, seed := range t.terms.Seeds {
+		if !heard[seed] {
+			heard[seed] = true
+			out.Dial(seed, t.report(now, whole))
+		}
+	}
+}
+
+// isStoreAt tells whether a store, or nobody we know, lives at an address.
+func (t *Table) isStoreAt(address string) bool {
+	for _, known := range t.known {
+		if known.Member.Inner == address {
+			return known.Member.Stores
+		}
+	}
+	return true
+}
+
+// spread tells every store without asking anything.
+func (t *Table) spread(now eventloop.Micros, much detail, out eventloop.Out) {
+	word := t.hello(now, much)
+	word.Answer = true
+	for _, hub := range t.hubs(now) {
+		out.Dial(hub, word)
+	}
+}
+
+func (t *Table) hear(now eventloop.Micros, from string, hello *schema.Hello, out eventloop.Out) {
+	if hello.Self == nil || hello.Self.Id != from || from == t.self.Id {
+		return
+	}
+	wasSystem, seen, known := t.isSystem, len(t.seen), len(t.known)
+	t.isSystem = t.isSystem || hello.Belongs
+	t.note(now, hello.Self)
+	t.told[from] = word{at: now, hello: hello}
+	isWhole, isMissing := false, false
+	for _, member := range hello.Book {
+		if member.GetId() == t.self.Id {
+			continue
+		}
+		isWhole = isWhole || member.Inner != ""
+		isMissing = !t.note(now, member) || isMissing
+	}
+	if hello.Answer {
+		t.isWaiting = false
+	} else {
+		// Somebody who asks a process that is no store may reach no other.
+		t.isNews = t.isNews || t.account == nil && t.isSystem
+		much := beats
+		if isWhole || !t.isSystem || !hello.Belongs {
+			much = whole
+		}
+		if t.account == nil {
+			t.askers[from] = now
+		}
+		out.Dial(hello.Self.Inner, t.answer(now, much, hello))
+	}
+	if isMissing && now-t.wholeAt >= Pace {
+		t.wholeAt = now
+		out.Dial(hello.Self.Inner, t.report(now, whole))
+	} else if isMissing {
+		t.isMissing = true
+	}
+	// Founding shouldn't wait for the pace when a store is news.
+	if isNews := len(t.seen) != seen || t.isSystem != wasSystem; isNews && now-t.rushedAt >= rushSpan {
+		t.rushedAt = now
+		t.greet(now, out)
+	}
+	// Whoever is new here can be reached from now on.
+	if len(t.known) > known {
+		t.publish(now, out)
+	}
+	t.found(now, out)
+}
+
+// note takes in what is told of a member; false if it is a mere beat of one
+// whom we don't know.
+func (t *Table) note(now eventloop.Micros, member *schema.Member) bool {
+	if member.GetId() == "" {
+		return true
+	}
+	old, isKnown := t.known[member.Id]
+	isNews := !isKnown || member.Boot > old.Member.Boot || member.Boot == old.Member.Boot && member.Beat > old.Member.Beat
+	if !isNews {
+		return true
+	}
+	if member.Inner == "" {
+		if !isKnown || member.Boot != old.Member.Boot {
+			return false
+		}
+		next := proto.Clone(old.Member).(*schema.Member)
+		next.Beat, next.Leaving, next.LatencyUs = member.Beat, member.Leaving, member.LatencyUs
+		member = next
+	}
+	// An address belongs to whoever was heard there last.
+	if !isKnown || old.Member.Inner != member.Inner {
+		for id, other := range t.known {
+			if id != member.Id && other.Member.Inner == member.Inner && now-other.Heard > eventloop.Second {
+				delete(t.known, id)
+				delete(t.told, id)
+			}
+		}
+	}
+	t.known[member.Id] = Known{Member: member, Heard: now}
+	if member.Stores {
+		t.seen[member.Id] = now
+	}
+	return true
+}
--- /dev/null
+++ b/internal/raft/membership.go
@@ -0,0 +1,49 @@
+package raft
+
+// Membership of a group: voters and learners, changed one at a time through the log.
+
+import (
+	"slices"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+func (g *Group) findMemberSet() {
+	g.memberSet, g.memberSetAt = g.base.MemberSet, g.base.Index
+	if g.memberSet == nil {
+		g.memberSet = &schema.MemberSet{}
+	}
+	for _, record := range g.log {
+		if record.Kind == schema.RecordKind_RECORD_MEMBER_SET {
+			g.memberSet, g.memberSetAt = record.MemberSet, record.Index
+		}
+	}
+}
+
+func (g *Group) memberSetUnder(index uint64) *schema.MemberSet {
+	memberSet := g.base.MemberSet
+	for _, record := range g.log {
+		if record.Index <= index && record.Kind == schema.RecordKind_RECORD_MEMBER_SET {
+			memberSet = record.MemberSet
+		}
+	}
+	return memberSet
+}
+
+func (g *Group) isVoter(id string) bool { return slices.Contains(g.memberSet.Voters, id) }
+
+func (g *Group) quorum() int { return len(g.memberSet.Voters)/2 + 1 }
+
+// ProposeMemberSet changes the members by one; the next change waits until this
+// one is committed.
+func (g *Group) ProposeMemberSet(now eventloop.Micros, memberSet *schema.MemberSet) error {
+	if g.role != leader {
+		return NotLeader.New("%s is led by %q", g.name, g.lead)
+	}
+	if g.memberSetAt > g.commit || g.commit < g.first {
+		return Busy.New("%s: the last change of members isn't committed", g.name)
+	}
+	g.add(now, &schema.Record{Kind: schema.RecordKind_RECORD_MEMBER_SET, MemberSet: memberSet})
+	return nil
+}
--- /dev/null
+++ b/internal/raft/replication.go
@@ -0,0 +1,379 @@
+package raft
+
+// Replication: appends, heartbeats, and what of them is committed.
+
+import (
+	"slices"
+	"sort"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+type progress struct {
+	next, match uint64
+	round       uint64
+	moved       eventloop.Micros // last time match or next went on
+	installing  bool
+	probing     bool             // it turned records away: one Append at a time until it takes one
+	probed      bool             // and that one is on its way
+	wall        int64            // the replica's wall clock, less our monotonic one
+	heard       eventloop.Micros // last answer of any kind
+}
+
+// reply is when a beat was answered.
+type reply struct {
+	round uint64
+	at    eventloop.Micros
+}
+
+func (g *Group) beat(now eventloop.Micros) {
+	g.nextBeat = now + g.times.Beat
+	g.round++
+	g.rounds[g.round] = now
+	g.syncPeers(now)
+	for _, id := range g.others() {
+		g.post(id, &schema.Beat{
+			Group: g.name, Term: g.term, Commit: g.commit, Round: g.round, Sure: g.commit >= g.first, WallOffsetUs: g.wallOffset,
+			Heard: g.peers[id].round,
+		})
+	}
+	g.countRounds(now)
+}
+
+func (g *Group) others() []string {
+	var list []string
+	for _, id := range append(append([]string(nil), g.memberSet.Voters...), g.memberSet.Learners...) {
+		if id != g.self {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+func (g *Group) syncPeers(now eventloop.Micros) {
+	for _, id := range g.others() {
+		if g.peers[id] == nil {
+			// Nothing is known of its log yet: one Append asks whether it is ours.
+			g.peers[id] = &progress{next: g.lastIndex() + 1, moved: now, probing: true}
+		}
+	}
+	for id := range g.peers {
+		if !g.isVoter(id) && !slices.Contains(g.memberSet.Learners, id) {
+			delete(g.peers, id)
+		}
+	}
+}
+
+func (g *Group) add(now eventloop.Micros, record *schema.Record) uint64 {
+	record.Index, record.Term, record.AtUs = g.lastIndex()+1, g.term, g.GroupTime(now)
+	g.put([]*schema.Record{record})
+	if record.Kind == schema.RecordKind_RECORD_MEMBER_SET {
+		g.syncPeers(now)
+	}
+	for _, id := range g.others() {
+		g.feed(now, id)
+	}
+	g.advance(now)
+	return record.Index
+}
+
+// Propose appends a command; its index and term tell it apart when applied.
+func (g *Group) Propose(now eventloop.Micros, data []byte) (index, term uint64, err error) {
+	if g.role != leader {
+		return 0, 0, NotLeader.New("%s is led by %q", g.name, g.lead)
+	}
+	if g.passTo != "" {
+		return 0, 0, Busy.New("%s is being handed over", g.name)
+	}
+	return g.add(now, &schema.Record{Kind: schema.RecordKind_RECORD_COMMAND, Data: data}), g.term, nil
+}
+
+// Announce tells at once what is committed, rather than with the next beat or record.
+func (g *Group) Announce(now eventloop.Micros) {
+	if g.role == leader {
+		g.beat(now)
+	}
+}
+
+// Synced says that a batch with this mark lasts.
+func (g *Group) Synced(now eventloop.Micros, mark Mark) {
+	if mark.Hard > g.hardDone {
+		g.hardDone = mark.Hard
+		g.countVotes(now)
+	}
+	// The record may have been replaced since: the same index in another term
+	// isn't the record that was synced.
+	if mark.Index > g.stable && mark.Index >= g.base.Index && g.termAt(mark.Index) == mark.Term {
+		g.stable = mark.Index
+		if g.role == leader {
+			g.advance(now)
+		} else if g.lead != "" && g.matched > 0 {
+			g.acknowledge(g.lead)
+		}
+	}
+}
+
+func (g *Group) acknowledge(to string) {
+	g.post(to, &schema.AppendReply{Group: g.name, Term: g.term, Match: min(g.matched, g.stable)})
+}
+
+// led notes word of a term's leader and tells whether it is to be heeded.
+func (g *Group) led(now eventloop.Micros, from string, term uint64) bool {
+	if term < g.term {
+		return false
+	}
+	if term > g.term || g.role != follower || g.lead != from {
+		g.follow(now, term, from)
+	}
+	g.heard = now
+	g.resetDeadline(now)
+	return true
+}
+
+func (g *Group) onAppend(now eventloop.Micros, from string, m *schema.Append) {
+	if !g.led(now, from, m.Term) {
+		g.post(from, &schema.AppendReply{Group: g.name, Term: g.term, Rejected: true})
+		return
+	}
+	prev, prevTerm, records := m.PrevIndex, m.PrevTerm, m.Records
+	// What lies under our base is committed, so it is the leader's too.
+	for prev < g.base.Index && len(records) > 0 && records[0].Index <= g.base.Index {
+		prev, prevTerm, records = records[0].Index, records[0].Term, records[1:]
+	}
+	if prev < g.base.Index {
+		g.matched = max(g.matched, g.base.Index)
+		g.acknowledge(from)
+		return
+	}
+	if prev > g.lastIndex() || g.termAt(prev) != prevTerm {
+		g.post(from, &schema.AppendReply{Group: g.name, Term: g.term, Rejected: true, Hint: min(g.lastIndex(), prev-1), Prev: m.PrevIndex})
+		return
+	}
+	isNew := false
+	for k, record := range records {
+		if record.Index > g.lastIndex() || g.termAt(record.Index) != record.Term {
+			g.put(records[k:])
+			isNew = true
+			break
+		}
+	}
+	g.matched = max(g.matched, prev+uint64(len(records)))
+	g.commitTo(min(m.Commit, g.matched))
+	if !isNew {
+		g.acknowledge(from)
+	}
+}
+
+func (g *Group) onBeat(now eventloop.Micros, from string, m *schema.Beat) {
+	if !g.led(now, from, m.Term) {
+		g.post(from, &schema.AppendReply{Group: g.name, Term: g.term, Rejected: true})
+		return
+	}
+	g.commitTo(min(m.Commit, g.matched))
+	if m.WallOffsetUs != 0 {
+		g.wallOffset = m.WallOffsetUs
+	}
+	// A beat may have lain in a buffer for any time, ours while we were frozen, or
+	// the wire's. It is only surely younger than the reply of ours it has heard.
+	for _, each := range g.replies {
+		if m.Sure && g.applied >= m.Commit && each.round == m.Heard {
+			g.caught = max(g.caught, each.at)
+		}
+	}
+	g.replies = append(g.replies, reply{m.Round, now})
+	if len(g.replies) > keptReplies {
+		g.replies = g.replies[1:]
+	}
+	g.post(from, &schema.BeatReply{Group: g.name, Term: g.term, Round: m.Round, Match: min(g.matched, g.stable)})
+}
+
+func (g *Group) commitTo(index uint64) {
+	if index <= g.commit {
+		return
+	}
+	g.commit = index
+	g.out.Commits = append(g.out.Commits, g.between(g.applied, g.commit)...)
+	g.applied = g.commit
+}
+
+func (g *Group) feed(now eventloop.Micros, id string) {
+	p := g.peers[id]
+	if p == nil || p.installing {
+		return
+	}
+	if p.next <= g.base.Index {
+		p.installing, p.moved = true, now
+		g.post(id, &schema.Install{Group: g.name, Term: g.term, Checkpoint: g.base})
+		return
+	}
+	if p.probing && p.probed {
+		return
+	}
+	// Where nothing is known to match, the end of a long log lies further away
+	// than that, and a probe is a single Append anyway.
+	for p.next <= g.lastIndex() && (p.probing || p.next <= p.match+maxFlight) {
+		high := min(g.lastIndex(), p.next+maxBatch-1)
+		records := g.between(p.next-1, high)
+		size := 0
+		for k, record := range records {
+			if size += len(record.Data); size > maxBytes && k > 0 {
+				records = records[:k]
+				break
+			}
+		}
+		g.post(id, &schema.Append{
+			Group: g.name, Term: g.term, PrevIndex: p.next - 1, PrevTerm: g.termAt(p.next - 1),
+			Commit: g.commit, Records: append([]*schema.Record(nil), records...),
+		})
+		p.moved = now
+		if p.probing {
+			p.probed = true
+			return
+		}
+		p.next += uint64(len(records))
+	}
+}
+
+// probe goes back to a place and sends from there one Append alone.
+func (g *Group) probe(now eventloop.Micros, id string, p *progress, next uint64) {
+	p.next, p.probing, p.probed = next, true, false
+	g.feed(now, id)
+}
+
+func (g *Group) heardFrom(now eventloop.Micros, from string, term uint64) *progress {
+	if term > g.term {
+		g.follow(now, term, "")
+		return nil
+	}
+	if g.role != leader || term < g.term {
+		return nil
+	}
+	p := g.peers[from]
+	if p != nil {
+		p.heard = now
+	}
+	return p
+}
+
+func (g *Group) onAppendReply(now eventloop.Micros, from string, m *schema.AppendReply) {
+	p := g.heardFrom(now, from, m.Term)
+	if p == nil {
+		return
+	}
+	if m.Rejected {
+		// Of all that were on their way only the first refusal counts: were each
+		// answered with all that follows, every one would be refused anew, and
+		// the more so the more there are.
+		isStale := m.Prev <= p.match || p.probing && m.Prev != p.next-1
+		if !isStale {
+			p.installing = false
+			g.probe(now, from, p, max(min(m.Hint+1, m.Prev), p.match+1))
+		}
+		return
+	}
+	if m.Match+1 >= p.next {
+		p.probing = false
+	}
+	g.progressed(now, from, p, m.Match)
+}
+
+func (g *Group) progressed(now eventloop.Micros, from string, p *progress, match uint64) {
+	if match > p.match {
+		p.match, p.moved = match, now
+		p.next = max(p.next, match+1)
+		p.probing = false
+		if p.installing && match >= g.base.Index {
+			p.installing = false
+		}
+		g.advance(now)
+		g.tryPass()
+	}
+	if g.role == leader {
+		g.feed(now, from)
+	}
+}
+
+func (g *Group) onBeatReply(now eventloop.Micros, from string, m *schema.BeatReply) {
+	p := g.heardFrom(now, from, m.Term)
+	if p == nil {
+		return
+	}
+	p.round = max(p.round, m.Round)
+	p.wall = m.WallUs - int64(now)
+	g.progressed(now, from, p, m.Match)
+	// Nothing moved for two beats though something is outstanding: it was lost
+	// on the way, so go back to what is known.
+	if p.match < g.lastIndex() && now-p.moved > 2*g.times.Beat {
+		if now-p.moved > g.times.ElectionLeast {
+			p.installing = false
+		}
+		// A probe that was lost is made again where it was: from what is known,
+		// which may be nothing, all of a long log would go out once more.
+		next := p.match + 1
+		if p.probing {
+			next = max(next, min(p.next, g.lastIndex()))
+		}
+		g.probe(now, from, p, next)
+	}
+	g.countRounds(now)
+}
+
+func (g *Group) countRounds(now eventloop.Micros) {
+	round := g.nth(func(id string) uint64 {
+		if id == g.self {
+			return g.round
+		}
+		return g.peers[id].round
+	})
+	if sent, known := g.rounds[round]; known {
+		g.quorumAt = max(g.quorumAt, sent)
+		for old := range g.rounds {
+			if old < round {
+				delete(g.rounds, old)
+			}
+		}
+	}
+	k := 0
+	for ; k < len(g.reads) && g.reads[k].round <= round; k++ {
+		g.out.Reads = append(g.out.Reads, g.reads[k].request)
+	}
+	g.reads = g.reads[k:]
+}
+
+// nth is the greatest value that a quorum of voters has reached.
+func (g *Group) nth(value func(id string) uint64) uint64 {
+	var values []uint64
+	for _, id := range g.memberSet.Voters {
+		if id == g.self || g.peers[id] != nil {
+			values = append(values, value(id))
+		} else {
+			values = append(values, 0)
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Slice(values, func(i, j int) bool { return values[i] > values[j] })
+	return values[g.quorum()-1]
+}
+
+func (g *Group) advance(now eventloop.Micros) {
+	if g.role != leader {
+		return
+	}
+	index := g.nth(func(id string) uint64 {
+		if id == g.self {
+			return g.stable
+		}
+		return g.peers[id].match
+	})
+	// Only a record of this term proves the ones under it.
+	if index > g.commit && g.termAt(index) == g.term {
+		g.commitTo(index)
+		// A leader that has been voted out stays until that is committed.
+		if g.memberSetAt <= g.commit && !g.isVoter(g.self) {
+			g.follow(now, g.term, "")
+		}
+	}
+}
--- /dev/null
+++ b/internal/raft/snapshot.go
@@ -0,0 +1,33 @@
+package raft
+
+// Installing a leader's snapshot.
+
+import (
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+func (g *Group) onInstall(now eventloop.Micros, from string, m *schema.Install) {
+	if !g.led(now, from, m.Term) {
+		g.post(from, &schema.AppendReply{Group: g.name, Term: g.term, Rejected: true})
+		return
+	}
+	point := m.Checkpoint
+	g.matched = max(g.matched, point.Index)
+	if point.Index <= g.commit {
+		g.acknowledge(from)
+		return
+	}
+	isKept := g.termAt(point.Index) == point.Term && point.Index <= g.lastIndex()
+	if isKept {
+		g.log = append([]*schema.Record(nil), g.log[point.Index-g.base.Index:]...)
+	} else {
+		g.log = nil
+	}
+	g.base = point
+	g.commit, g.applied = point.Index, point.Index
+	g.stable = min(g.stable, point.Index-1)
+	g.findMemberSet()
+	g.out.Changes = append(g.out.Changes, &schema.Change{Group: g.name, Checkpoint: point, Reset_: !isKept})
+	g.out.Restore, g.out.Commits = point, nil
+}
--- /dev/null
+++ b/internal/replica/durable.go
@@ -0,0 +1,152 @@
+package replica
+
+// What goes to storage and, once it is durable, to other processes.
+
+import (
+	"maps"
+	"slices"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/raft"
+	"sparnotch/internal/schema"
+)
+
+type pending struct {
+	changes []*schema.Change
+	posts   []raft.Post
+	marks   map[string]raft.Mark
+	selfs   []*schema.Self
+}
+
+func (t *Table) beats(now eventloop.Micros, from string, m *schema.Beats) {
+	for _, beat := range m.Beats {
+		if r := t.groups[beat.GetGroup()]; r != nil {
+			r.group.Step(now, from, beat)
+		}
+	}
+	for _, reply := range m.Replies {
+		if r := t.groups[reply.GetGroup()]; r != nil {
+			r.group.Step(now, from, reply)
+		}
+	}
+}
+
+// flush carries out what the groups have left, until nothing is left.
+func (t *Table) flush(now eventloop.Micros, out eventloop.Out) {
+	beats := map[string]*schema.Beats{}
+	for isMore := true; isMore; {
+		isMore = false
+		for _, name := range t.names() {
+			r := t.groups[name]
+			r.group.FlushReads(now)
+			effects, mark := r.group.Take()
+			if len(effects.Posts)+len(effects.Changes)+len(effects.Commits)+len(effects.Reads) == 0 && effects.Restore == nil {
+				continue
+			}
+			isMore = true
+			for _, post := range effects.Posts {
+				if post.After {
+					t.next.posts = append(t.next.posts, post)
+				} else {
+					t.post(post, beats, out)
+				}
+			}
+			if len(effects.Changes) > 0 {
+				t.next.changes = append(t.next.changes, effects.Changes...)
+				t.next.marks[name] = mark
+			}
+			if effects.Restore != nil {
+				t.restore(r, effects.Restore)
+				r.termTold = 0
+				if r.queue == nil {
+					t.clusterStateChanged(now, out)
+				}
+			}
+			for _, record := range effects.Commits {
+				t.apply(now, r, record, out)
+			}
+			for _, number := range effects.Reads {
+				t.read(now, r, number, out)
+			}
+		}
+	}
+	t.sendBeats(beats, out)
+	t.sendApplied(out)
+	t.standings(now, out)
+	t.write(now, out)
+}
+
+func (t *Table) post(post raft.Post, beats map[string]*schema.Beats, out eventloop.Out) {
+	if beats[post.To] == nil {
+		beats[post.To] = &schema.Beats{}
+	}
+	switch body := post.Body.(type) {
+	case *schema.Beat:
+		beats[post.To].Beats = append(beats[post.To].Beats, body)
+	case *schema.BeatReply:
+		body.WallUs = t.wall()
+		beats[post.To].Replies = append(beats[post.To].Replies, body)
+	default:
+		out.Send(post.To, body)
+	}
+}
+
+func (t *Table) sendBeats(beats map[string]*schema.Beats, out eventloop.Out) {
+	ids := slices.Sorted(maps.Keys(beats))
+	for _, id := range ids {
+		if len(beats[id].Beats)+len(beats[id].Replies) > 0 {
+			out.Send(id, beats[id])
+		}
+	}
+}
+
+func (t *Table) sendApplied(out eventloop.Out) {
+	ids := slices.Sorted(maps.Keys(t.applied))
+	for _, id := range ids {
+		applied := t.applied[id]
+		delete(t.applied, id)
+		out.Send(applied.Outcomes[0].Session.Gateway, applied)
+	}
+}
+
+// write hands everything that has gathered to the storage as one batch, so that
+// one sync serves every group; the next gathers meanwhile.
+func (t *Table) write(now eventloop.Micros, out eventloop.Out) {
+	if t.writing != nil || len(t.next.changes)+len(t.next.posts)+len(t.next.selfs) == 0 {
+		return
+	}
+	batch := t.next
+	t.next = pending{marks: map[string]raft.Mark{}}
+	t.writing = &batch
+	t.number++
+	t.began = now
+	if len(batch.changes) == 0 {
+		t.written(now, Written{Number: t.number}, out)
+		t.flush(now, out)
+		return
+	}
+	out.Tell("storage", Batch{Number: t.number, Changes: batch.changes})
+}
+
+func (t *Table) written(now eventloop.Micros, m Written, out eventloop.Out) {
+	if t.writing == nil || m.Number != t.number {
+		return
+	}
+	batch := t.writing
+	t.writing = nil
+	beats := map[string]*schema.Beats{}
+	for _, post := range batch.posts {
+		t.post(post, beats, out)
+	}
+	t.sendBeats(beats, out)
+	for _, self := range batch.selfs {
+		out.Tell("membership", membership.SelfKept{Self: self})
+	}
+	names := slices.Sorted(maps.Keys(batch.marks))
+	for _, name := range names {
+		if r := t.groups[name]; r != nil {
+			r.group.Synced(now, batch.marks[name])
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/members.go
@@ -0,0 +1,50 @@
+package replica
+
+// Changes of a group's membership as the controller asks for them.
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+func (t *Table) reroster(now eventloop.Micros, m *schema.Reroster) {
+	r := t.groups[m.Group]
+	if r == nil || !r.group.IsLeader() || !t.clusterState.IsController(m.Lease) {
+		return
+	}
+	memberSet := proto.Clone(r.group.MemberSet()).(*schema.MemberSet)
+	switch {
+	case m.Learn != "" && !slices.Contains(memberSet.Voters, m.Learn) && !slices.Contains(memberSet.Learners, m.Learn):
+		memberSet.Learners = append(memberSet.Learners, m.Learn)
+	case m.Promote != "" && slices.Contains(memberSet.Learners, m.Promote):
+		match, _ := r.group.Match(m.Promote)
+		if r.group.Last()-match > 64 {
+			return
+		}
+		memberSet.Learners = without(memberSet.Learners, m.Promote)
+		memberSet.Voters = append(memberSet.Voters, m.Promote)
+	case m.Drop != "" && (slices.Contains(memberSet.Voters, m.Drop) || slices.Contains(memberSet.Learners, m.Drop)):
+		memberSet.Voters, memberSet.Learners = without(memberSet.Voters, m.Drop), without(memberSet.Learners, m.Drop)
+		if len(memberSet.Voters) == 0 {
+			return
+		}
+	default:
+		return
+	}
+	// A refusal (a change is under way) is no matter: the controller asks again.
+	_ = r.group.ProposeMemberSet(now, memberSet)
+}
+
+func without(list []string, item string) []string {
+	var kept []string
+	for _, each := range list {
+		if each != item {
+			kept = append(kept, each)
+		}
+	}
+	return kept
+}
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -16,8 +16,6 @@
 	"sparnotch/internal/schema"
 )
 
-// --- requests: whatever a front does for somebody besides hand-ins ---
-
 func (t *Table) request(now eventloop.Micros, from string, m *schema.Request, out eventloop.Out) {
 	r := t.groupFor(m)
 	if r == nil || !r.group.IsLeader() || r.group.Passing() != "" {
@@ -188,8 +186,6 @@
 	return note
 }
 
-// --- belief ---
-
 // GroupBelief is what a node believes of one group.
 type GroupBelief struct {
 	Group    string   `json:"group"`
