--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -206,6 +206,7 @@
 	return &Table{bounds: bounds, state: &schema.ClusterState{}, seq: first}
 }
 
+// Step implements eventloop.Table.
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	if t.born == 0 {
 		t.born = now
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -31,9 +31,12 @@
 type Act int
 
 const (
+	// Start begins a task.
 	Start Act = iota + 1
+	// Stop ends a task.
 	Stop
-	Look // holds what runs until a time, and lists what runs and what ended
+	// Look holds what runs until a time, and lists what runs and what ended.
+	Look
 )
 
 // TaskName is a task as its worker knows it.
@@ -68,23 +71,34 @@
 type Verdict int
 
 const (
-	Answered   Verdict = iota + 1 // it was done, or was so already
-	TurnedAway                    // the worker won't; the reason says why
-	Busy                          // the worker has done nothing now; it may later
-	OtherLife                     // another life than the one that was meant
-	Silent                        // no answer: it may be done already, or later
+	// Answered means that it was done, or was so already.
+	Answered Verdict = iota + 1
+	// TurnedAway means that the worker won't; the reason says why.
+	TurnedAway
+	// Busy means that the worker has done nothing now; it may later.
+	Busy
+	// OtherLife means that another life than the one that was meant has answered.
+	OtherLife
+	// Silent means no answer: it may be done already, or later.
+	Silent
 )
 
 // Reason is why a start or stop was turned away.
 type Reason int
 
 const (
+	// NoReason is that of a call which wasn't turned away.
 	NoReason Reason = iota
-	Fenced          // a higher fence has been seen
-	Past            // the attempt has ended or was stopped there, or a later one was seen
-	Late            // its time was over
+	// Fenced means that a higher fence has been seen.
+	Fenced
+	// Past means that the attempt has ended or was stopped there, or a later one was seen.
+	Past
+	// Late means that its time was over.
+	Late
+	// NoRoom means that the worker has too little room for it.
 	NoRoom
-	Bad // it can't be read
+	// Bad means that it can't be read.
+	Bad
 )
 
 // Running is one line of a look.
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -13,7 +13,8 @@
 )
 
 var (
-	Errors = errorx.NewNamespace("gauge")
+	// Errors is the namespace of what this package refuses.
+	Errors = errorx.NewNamespace("capacity")
 	// Bad is a file or a size that can't be taken; its text names the field.
 	Bad = Errors.NewType("bad")
 )
--- a/internal/checker/called.go
+++ b/internal/checker/called.go
@@ -190,8 +190,8 @@
 	}
 }
 
-// sortIds puts tasks in their order.
-func sortIds(ids []taskId) {
+// sortIDs puts tasks in their order.
+func sortIDs(ids []taskId) {
 	sort.Slice(ids, func(x, y int) bool {
 		if ids[x].step != ids[y].step {
 			return ids[x].step < ids[y].step
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -448,7 +448,7 @@
 	for id := range a.stints {
 		ids = append(ids, id)
 	}
-	sortIds(ids)
+	sortIDs(ids)
 	for _, id := range ids {
 		j.judgeTask(a, id, a.stints[id], closed)
 	}
--- a/internal/checker/idle.go
+++ b/internal/checker/idle.go
@@ -186,7 +186,7 @@
 	for id := range a.stints {
 		list = append(list, id)
 	}
-	sortIds(list)
+	sortIDs(list)
 	return list
 }
 
--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -54,6 +54,7 @@
 	return &Machine{state: &schema.ClusterState{Plan: &schema.Plan{}, Controller: &schema.Controller{}, Next: 1}}
 }
 
+// Restore makes the cluster state that a snapshot holds; none is an empty one.
 func Restore(data []byte) (*Machine, error) {
 	m := New()
 	if len(data) == 0 {
@@ -119,6 +120,7 @@
 // ControllerUntil is when the controller's lease ends, in the group's time.
 func (m *Machine) ControllerUntil() int64 { return m.state.Controller.GetUntilUs() }
 
+// Version goes up by one with each change of the cluster state.
 func (m *Machine) Version() uint64 { return m.state.Version }
 
 // Apply takes one record's command.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,8 +18,10 @@
 )
 
 var (
-	Errors = errorx.NewNamespace("options")
-	Bad    = Errors.NewType("bad")
+	// Errors is the namespace of what this package refuses.
+	Errors = errorx.NewNamespace("config")
+	// Bad means a setting that can't be; the error names it.
+	Bad = Errors.NewType("bad")
 )
 
 // Flags are the settings as flags.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -88,6 +88,7 @@
 	Members    []*schema.Member `json:"members"`
 }
 
+// Step implements eventloop.Table.
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
 	case eventloop.Tick:
@@ -100,7 +101,7 @@
 		t.replied(now, body)
 	case Belief:
 		b := &SideBelief{Node: t.id, Version: t.state.Version, Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(), IsMine: t.isController(now)}
-		for _, id := range t.memberIds() {
+		for _, id := range t.memberIDs() {
 			b.Members = append(b.Members, t.roll.Known[id].Member)
 		}
 		out.Answer(body.Request, b)
@@ -130,7 +131,7 @@
 	}
 }
 
-func (t *Table) memberIds() []string {
+func (t *Table) memberIDs() []string {
 	var ids []string
 	if t.roll != nil {
 		for id := range t.roll.Known {
@@ -143,7 +144,7 @@
 
 func (t *Table) stores(now eventloop.Micros) []string {
 	var ids []string
-	for _, id := range t.memberIds() {
+	for _, id := range t.memberIDs() {
 		if known := t.roll.Known[id]; known.Member.Stores && t.roll.Live(id, now, deadSpan) {
 			ids = append(ids, id)
 		}
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -15,7 +15,9 @@
 type Micros int64
 
 const (
-	Milli  Micros = 1000
+	// Milli is a millisecond.
+	Milli Micros = 1000
+	// Second is a second.
 	Second Micros = 1000 * Milli
 )
 
@@ -66,6 +68,7 @@
 	lost  atomic.Uint64
 }
 
+// NewRing makes a ring that holds so many items.
 func NewRing[T any](size int) *Ring[T] { return &Ring[T]{items: make(chan T, size)} }
 
 // Offer puts an item in unless the ring is full, in which case the item is
@@ -101,6 +104,7 @@
 	}
 }
 
+// Lost is how many items found the ring full.
 func (r *Ring[T]) Lost() uint64 { return r.lost.Load() }
 
 // Drain is the select loop, written once: it hands each item to `handle`, and
@@ -139,6 +143,7 @@
 	Broken func(table string, cause any, stack []byte)
 }
 
+// NewProcess makes a process without tables; Add them, then Run.
 func NewProcess(clock Clock) *Process {
 	return &Process{Clock: clock, rings: map[string]*Ring[Mail]{}, tables: map[string]Table{}, paces: map[string]Micros{}}
 }
@@ -181,6 +186,7 @@
 	}
 }
 
+// Wait returns when all tables have stopped.
 func (p *Process) Wait() { p.running.Wait() }
 
 func (p *Process) noteLatency(late Micros) {
@@ -219,7 +225,14 @@
 	return counts
 }
 
-func (p *Process) Tell(table string, body any)     { p.Post(table, Mail{Body: body}) }
-func (p *Process) Send(to string, body any)        { p.Out.Send(to, body) }
-func (p *Process) Dial(address string, body any)   { p.Out.Dial(address, body) }
+// Tell implements Out: a message for another table of this process.
+func (p *Process) Tell(table string, body any) { p.Post(table, Mail{Body: body}) }
+
+// Send implements Out: a message for another process, by its id.
+func (p *Process) Send(to string, body any) { p.Out.Send(to, body) }
+
+// Dial implements Out: a message for whoever listens at an address.
+func (p *Process) Dial(address string, body any) { p.Out.Dial(address, body) }
+
+// Answer implements Out: the answer to a request from outside.
 func (p *Process) Answer(request uint64, body any) { p.Out.Answer(request, body) }
--- a/internal/fakeworker/called.go
+++ b/internal/fakeworker/called.go
@@ -31,11 +31,16 @@
 type Fault int
 
 const (
+	// NoFault means that the call is done and answered.
 	NoFault Fault = iota
-	Refused       // busy: nothing is done
-	Lost          // nothing is done and nothing answered
-	Unheard       // it is done, and nothing answered
-	Belated       // nothing is answered, and it is done seconds later
+	// Refused means busy: nothing is done.
+	Refused
+	// Lost means that nothing is done and nothing answered.
+	Lost
+	// Unheard means that it is done, and nothing answered.
+	Unheard
+	// Belated means that nothing is answered, and it is done seconds later.
+	Belated
 )
 
 // Setup is what a called worker is. The hooks decide what happens to it, so
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	}
 }
 
+// Step implements eventloop.Table.
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
 	case eventloop.Tick:
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -71,6 +71,7 @@
 	return h
 }
 
+// Step implements eventloop.Table.
 func (h *Hand) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
 	case eventloop.Tick:
@@ -152,6 +153,7 @@
 
 const deadSpan = 1500 * eventloop.Milli
 
+// Step implements eventloop.Table.
 func (o *Onlooker) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
 	case *membership.Roll:
--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -50,6 +50,7 @@
 	return len(line), nil
 }
 
+// Sync implements zapcore.WriteSyncer; what is in memory needs none.
 func (r *Ring) Sync() error { return nil }
 
 // Spill writes the ring out, oldest line first, and empties it.
--- a/internal/membership/book.go
+++ b/internal/membership/book.go
@@ -12,6 +12,7 @@
 	addresses atomic.Pointer[map[string]string]
 }
 
+// Address is where a process listens; empty where it isn't known. Safe for any goroutine.
 func (b *Book) Address(id string) string {
 	if m := b.addresses.Load(); m != nil {
 		return (*m)[id]
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -78,6 +78,7 @@
 	return t
 }
 
+// Step implements eventloop.Table.
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
 	case eventloop.Tick:
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -32,6 +32,7 @@
 	Found []string // found the system's group with these
 }
 
+// SelfKept answers KeepSelf once the account is durable.
 type SelfKept struct{ Self *schema.Self }
 
 // Latency is this process's own worst recent delay.
@@ -40,7 +41,7 @@
 // Leaving says that this process was warned.
 type Leaving struct{}
 
-// Cluster state tells that this process holds a cluster state, so a system exists.
+// ClusterState tells that this process holds a cluster state, so a system exists.
 type ClusterState struct{ Version uint64 }
 
 // Terms are the settings the book goes by.
--- a/internal/mutation/mutation.go
+++ b/internal/mutation/mutation.go
@@ -3,7 +3,6 @@
 package mutation
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -108,11 +107,6 @@
 
 var broken = regexp.MustCompile(`(?m)^BROKEN rule (\d+)`)
 
-// args are those of sparnotch-bench simulate.
-func (m *Mutant) args() []string {
-	return []string{"-size", cmp.Or(m.Size, "small"), "-scenario", m.Scenario, "-faults", m.Faults, "-seed", strconv.FormatUint(m.Seed, 10)}
-}
-
 // Rules plays what sparnotch-bench simulate is told to and counts the breaches by rule; a run that
 // ends otherwise than judged is an error.
 func Rules(bench string, args ...string) (map[int]int, string, error) {
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -1,11 +1,13 @@
 package mutation
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -153,3 +155,8 @@
 		t.Errorf("without the guard %s doesn't fail: %v\n%s", m.Test, err, out)
 	}
 }
+
+// args are those of sparnotch-bench simulate.
+func (m *Mutant) args() []string {
+	return []string{"-size", cmp.Or(m.Size, "small"), "-scenario", m.Scenario, "-faults", m.Faults, "-seed", strconv.FormatUint(m.Seed, 10)}
+}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -278,7 +278,7 @@
 
 // Run gives a request to a table and waits for its answer; nil when the span
 // is over.
-func (r *Real) Run(ctx context.Context, table string, span eventloop.Micros, make_ func(request uint64, deadline eventloop.Micros) any) any {
+func (r *Real) Run(ctx context.Context, table string, span eventloop.Micros, build func(request uint64, deadline eventloop.Micros) any) any {
 	id := r.next.Add(1)
 	waiter := make(chan any, 1)
 	r.mu.Lock()
@@ -289,7 +289,7 @@
 		delete(r.waiting, id)
 		r.mu.Unlock()
 	}()
-	if !r.process.Post(table, eventloop.Mail{Body: make_(id, r.Clock.Now()+span)}) {
+	if !r.process.Post(table, eventloop.Mail{Body: build(id, r.Clock.Now()+span)}) {
 		return gateway.Answer{Code: 429, Body: gateway.Fault("front_full", "this front has too much in hand", ""), Retry: 1}
 	}
 	timer := time.NewTimer(span.Span())
--- a/internal/queue/machine.go
+++ b/internal/queue/machine.go
@@ -1,4 +1,4 @@
-// Package queue is the pure queue machine of one queue: commands in, state and
+// Package queue is the pure state machine of one job queue: commands in, state and
 // effects out. No clock, no I/O, no random numbers, no order of map iteration:
 // every replica that applies the same records holds the same state.
 package queue
@@ -119,9 +119,13 @@
 type Standing int
 
 const (
+	// Gone is a task that isn't known, or has ended.
 	Gone Standing = iota
+	// Ready is a task that waits for a worker.
 	Ready
+	// Out is a task that was checked out for a worker.
 	Out
+	// Stopping is a task that is out and is to end.
 	Stopping
 )
 
@@ -182,14 +186,31 @@
 	}
 }
 
-func (m *Machine) Now() int64             { return m.now }
-func (m *Machine) Hand() uint64           { return m.hand }
-func (m *Machine) Live() int              { return len(m.jobs) }
-func (m *Machine) Ended() uint64          { return m.nextJob - uint64(len(m.jobs)) }
-func (m *Machine) Kept() int              { return len(m.fading) }
-func (m *Machine) Timed() int             { return m.byStart.Len() }
-func (m *Machine) Carries() uint64        { return m.carries }
-func (m *Machine) WallOffset() int64      { return m.wallOffset }
+// Now is queue time, in microseconds.
+func (m *Machine) Now() int64 { return m.now }
+
+// Hand is the number of the last hand-over to the scheduler.
+func (m *Machine) Hand() uint64 { return m.hand }
+
+// Live is how many jobs haven't ended.
+func (m *Machine) Live() int { return len(m.jobs) }
+
+// Ended is how many jobs have ended so far.
+func (m *Machine) Ended() uint64 { return m.nextJob - uint64(len(m.jobs)) }
+
+// Kept is how many ended jobs are still remembered.
+func (m *Machine) Kept() int { return len(m.fading) }
+
+// Timed is how many jobs wait for their start time.
+func (m *Machine) Timed() int { return m.byStart.Len() }
+
+// Carries is how often a live job was appended anew, so that the log could be released.
+func (m *Machine) Carries() uint64 { return m.carries }
+
+// WallOffset is what is to be added to queue time for the time of day, in microseconds.
+func (m *Machine) WallOffset() int64 { return m.wallOffset }
+
+// Adopted are the settings that the queue goes by; not to be changed.
 func (m *Machine) Adopted() *schema.Adopt { return m.adopt }
 
 // Oldest is the job whose payload stands lowest in the log.
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -13,9 +13,12 @@
 )
 
 var (
-	Errors    = errorx.NewNamespace("raft")
+	// Errors is the namespace of what this package refuses.
+	Errors = errorx.NewNamespace("raft")
+	// NotLeader means that another replica leads, or none.
 	NotLeader = Errors.NewType("not_leader")
-	Busy      = Errors.NewType("busy")
+	// Busy means that the leader takes no more at present; it may later.
+	Busy = Errors.NewType("busy")
 )
 
 // Times are a group's spans; see the sum in docs/design.md.
@@ -155,18 +158,41 @@
 	return g
 }
 
-func (g *Group) Name() string                 { return g.name }
-func (g *Group) Term() uint64                 { return g.term }
-func (g *Group) Leader() string               { return g.lead }
-func (g *Group) IsLeader() bool               { return g.role == leader }
-func (g *Group) Role() string                 { return g.role.String() }
-func (g *Group) Commit() uint64               { return g.commit }
-func (g *Group) Applied() uint64              { return g.applied }
-func (g *Group) Stable() uint64               { return g.stable }
-func (g *Group) Base() uint64                 { return g.base.Index }
-func (g *Group) Last() uint64                 { return g.lastIndex() }
+// Name is the group's name.
+func (g *Group) Name() string { return g.name }
+
+// Term is the current term, as far as this replica knows.
+func (g *Group) Term() uint64 { return g.term }
+
+// Leader is the id of the leader of this term; empty while none is known.
+func (g *Group) Leader() string { return g.lead }
+
+// IsLeader tells whether this replica leads; see Acting for whether it may act.
+func (g *Group) IsLeader() bool { return g.role == leader }
+
+// Role is the replica's role in words.
+func (g *Group) Role() string { return g.role.String() }
+
+// Commit is the index up to which records are known to be committed.
+func (g *Group) Commit() uint64 { return g.commit }
+
+// Applied is the index up to which committed records were handed over.
+func (g *Group) Applied() uint64 { return g.applied }
+
+// Stable is the index up to which the log is synced here.
+func (g *Group) Stable() uint64 { return g.stable }
+
+// Base is the index of the snapshot that the log stands on.
+func (g *Group) Base() uint64 { return g.base.Index }
+
+// Last is the index of the log's last record.
+func (g *Group) Last() uint64 { return g.lastIndex() }
+
+// MemberSet is the group's newest membership, committed or not; not to be changed.
 func (g *Group) MemberSet() *schema.MemberSet { return g.memberSet }
-func (g *Group) First() uint64                { return g.first }
+
+// First is the index of the no-op with which this leader began its term.
+func (g *Group) First() uint64 { return g.first }
 
 // Asks is how often this replica has missed a leader and asked for votes.
 func (g *Group) Asks() int { return g.asks }
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -14,6 +14,7 @@
 	Changes []*schema.Change
 }
 
+// Written says that the batch with this number is durable.
 type Written struct {
 	Number uint64
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -154,6 +154,7 @@
 	return t.listed
 }
 
+// Step implements eventloop.Table.
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
 	case eventloop.Tick:
--- a/internal/scheduler/gather.go
+++ b/internal/scheduler/gather.go
@@ -81,14 +81,4 @@
 	return true
 }
 
-// isGathering tells whether a group is out with workers that wait for each other.
-func (t *Table) isGathering(members []*task) bool {
-	for _, member := range members {
-		if w := t.workers[member.worker]; w != nil && w.gathers {
-			return true
-		}
-	}
-	return false
-}
-
 func (t *Table) awayMilli() int64 { return cmp.Or(t.bounds.GetAwayMilli(), 2000) }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -282,6 +282,7 @@
 	Request uint64
 }
 
+// Step implements eventloop.Table.
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
 	case eventloop.Tick:
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -88,6 +88,7 @@
 	return nil
 }
 
+// Cut sets a file to a length in bytes.
 func (d *Disk) Cut(name string, size int64) error {
 	if err := d.op(); err != nil {
 		return err
@@ -99,6 +100,7 @@
 	return nil
 }
 
+// Sync makes what was written to a file outlive a loss of power.
 func (d *Disk) Sync(name string) error {
 	if err := d.op(); err != nil {
 		return err
--- a/internal/storage/folder.go
+++ b/internal/storage/folder.go
@@ -75,6 +75,7 @@
 	return err
 }
 
+// Cut sets a file to a length in bytes.
 func (f *Folder) Cut(name string, size int64) error {
 	file, err := f.file(name)
 	if err != nil {
@@ -83,6 +84,7 @@
 	return file.Truncate(size)
 }
 
+// Sync returns when the file's content is durable.
 func (f *Folder) Sync(name string) error {
 	file, err := f.file(name)
 	if err != nil {
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -21,9 +21,12 @@
 )
 
 var (
-	Errors  = errorx.NewNamespace("storage")
+	// Errors is the namespace of what this package refuses.
+	Errors = errorx.NewNamespace("storage")
+	// Damaged means that acknowledged content can't be read back; the error names file and offset.
 	Damaged = Errors.NewType("damaged")
-	Failed  = Errors.NewType("failed")
+	// Failed means that the disk refused or broke off an operation.
+	Failed = Errors.NewType("failed")
 )
 
 // Disk is what a store needs of files. What is written lasts only once synced.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -23,7 +23,9 @@
 )
 
 var (
-	Errors = errorx.NewNamespace("wire")
+	// Errors is the namespace of what this package refuses.
+	Errors = errorx.NewNamespace("transport")
+	// Closed means that this process no longer listens.
 	Closed = Errors.NewType("closed")
 )
 
@@ -107,8 +109,10 @@
 	return n, nil
 }
 
+// Address is where this process listens, IP:PORT.
 func (n *Net) Address() string { return n.listener.Addr().String() }
 
+// Counts are what was sent and received so far.
 func (n *Net) Counts() Counts {
 	return Counts{n.sent.Load(), n.received.Load(), n.bytes.Load(), n.writes.Load(), n.lost.Load(), n.dials.Load(), n.garbage.Load(), n.bytesIn.Load()}
 }
