--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -31,6 +31,7 @@
 	heard  map[string][]any // by process outside, or by table of a store
 	day    int64            // time of day at time 0; 0: every clock stands still
 	isDown map[string]bool
+	isCut  func(from, to string) bool
 }
 
 type letter struct {
@@ -92,7 +93,7 @@
 			return l.at <= c.now
 		})
 		for _, l := range due {
-			if c.isDown[l.to] || c.isDown[l.from] {
+			if c.isDown[l.to] || c.isDown[l.from] || c.isCut != nil && c.isCut(l.from, l.to) {
 				continue
 			}
 			if c.tables[l.to] != nil {
