Agreement group: a learner is contacted at once and proves that it has caught up

Cause: found by measuring when tolerance is back after a loss. A learner of a group at rest was sent nothing before the next record, so an idle queue never took its successor in; a lost first Append was never sent again. In a young group, whose log is shorter than the 64 records that a learner may lack, an empty learner counted as caught up and was promoted, the lost voter dropped before it. A founder that heard of its group before it had founded it never learnt the first member set, so it could not stand for election. Who was dropped never heard so.

Change: a new peer is sent the record that made it one; a heartbeat counts in as an Append does; caught up means to hold the latest change of members and to lack 64 records at most; the first member set is sent with the first record; the record that drops a peer is sent to it.

--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -8,6 +8,7 @@
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/raft"
 	"sparnotch/internal/schema"
 )
 
@@ -129,7 +130,7 @@
 		case len(lost) == 0 && len(note.Voters) >= t.voters:
 			// Whoever it was to stand for is back.
 			return &schema.Reroster{Drop: id}
-		case note.Behind[id] > 64:
+		case note.Behind[id] > raft.CaughtUp:
 			return nil
 		case succeeded != "" && len(note.Voters) >= t.voters:
 			return &schema.Reroster{Drop: succeeded}
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -69,7 +69,7 @@
 // Found gives the first voters to a replica that was opened by a leader's word
 // before it heard that it is one of them itself.
 func (g *Group) Found(voters []string) {
-	if g.base.Index > 0 || len(g.base.MemberSet.GetVoters()) > 0 {
+	if g.base.Index > 0 || len(g.base.MemberSet.GetVoters()) > 0 || len(voters) == 0 {
 		return
 	}
 	g.base = &schema.Checkpoint{MemberSet: &schema.MemberSet{Voters: voters}}
@@ -110,7 +110,7 @@
 	g.reads = nil
 	g.quorumAt = now
 	g.timeBase, g.timeMono, g.steppedAt = g.lastAt(), now, 0
-	g.syncPeers(now)
+	g.syncPeers(now, g.lastIndex()+1)
 	g.first = g.lastIndex() + 1
 	// A leader knows what is committed only through a record of its own term.
 	g.add(now, &schema.Record{Kind: schema.RecordKind_RECORD_FIRST})
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -3,12 +3,16 @@
 // Membership of a group: voters and learners, changed one at a time through the log.
 
 import (
+	"maps"
 	"slices"
 
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
 )
 
+// CaughtUp is how many records a learner may lack to be given a vote.
+const CaughtUp = 64
+
 func (g *Group) findMemberSet() {
 	g.memberSet, g.memberSetAt = g.base.MemberSet, g.base.Index
 	if g.memberSet == nil {
@@ -47,3 +51,24 @@
 	g.add(now, &schema.Record{Kind: schema.RecordKind_RECORD_MEMBER_SET, MemberSet: memberSet})
 	return nil
 }
+
+// IsCaughtUp tells whether a learner may be given a vote: it holds the latest change of
+// members, so all that was committed before it, and lacks few of the records since. The
+// lag alone says nothing in a young group, whose whole log is that short.
+func (g *Group) IsCaughtUp(id string) bool {
+	p := g.peers[id]
+	return p != nil && p.match >= g.memberSetAt && g.lastIndex()-p.match <= CaughtUp
+}
+
+// MemberSetAt is the index of the latest change of members, committed or not.
+func (g *Group) MemberSetAt() uint64 { return g.memberSetAt }
+
+// dismiss sends the record that drops them to those who are no members any more: they
+// would go on asking for votes, and one that leaves waits for it.
+func (g *Group) dismiss(now eventloop.Micros) {
+	for _, id := range slices.Sorted(maps.Keys(g.peers)) {
+		if !g.isVoter(id) && !slices.Contains(g.memberSet.Learners, id) {
+			g.feed(now, id)
+		}
+	}
+}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -31,7 +31,6 @@
 	g.nextBeat = now + g.times.Beat
 	g.round++
 	g.rounds[g.round] = now
-	g.syncPeers(now)
 	for _, id := range g.others() {
 		g.post(id, &schema.Beat{
 			Group: g.name, Term: g.term, Commit: g.commit, Round: g.round, Sure: g.commit >= g.first, WallOffsetUs: g.wallOffset,
@@ -51,11 +50,14 @@
 	return list
 }
 
-func (g *Group) syncPeers(now eventloop.Micros) {
+// syncPeers makes the peers those of the member set. The record at next is what a new
+// one is sent first: it must exist soon, or the peer would hear of its group with the
+// next record only, and a group at rest may never have one.
+func (g *Group) syncPeers(now eventloop.Micros, next uint64) {
 	for _, id := range g.others() {
 		if g.peers[id] == nil {
 			// Nothing is known of its log yet: one Append asks whether it is ours.
-			g.peers[id] = &progress{next: g.lastIndex() + 1, moved: now, probing: true}
+			g.peers[id] = &progress{next: next, moved: now, probing: true}
 		}
 	}
 	for id := range g.peers {
@@ -69,7 +71,8 @@
 	record.Index, record.Term, record.AtUs = g.lastIndex()+1, g.term, g.GroupTime(now)
 	g.put([]*schema.Record{record})
 	if record.Kind == schema.RecordKind_RECORD_MEMBER_SET {
-		g.syncPeers(now)
+		g.dismiss(now)
+		g.syncPeers(now, record.Index)
 	}
 	for _, id := range g.others() {
 		g.feed(now, id)
@@ -210,6 +213,11 @@
 	if p.probing && p.probed {
 		return
 	}
+	if p.next == 1 && p.match == 0 {
+		// The first member set stands in no record: a founder that hears of its group
+		// before it has founded it itself would never know who votes.
+		g.post(id, &schema.Install{Group: g.name, Term: g.term, Checkpoint: g.base})
+	}
 	// Where nothing is known to match, the end of a long log lies further away
 	// than that, and a probe is a single Append anyway.
 	for p.next <= g.lastIndex() && (p.probing || p.next <= p.match+maxFlight) {
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -13,6 +13,10 @@
 		return
 	}
 	point := m.Checkpoint
+	if point.Index == 0 {
+		g.Found(point.MemberSet.GetVoters())
+		return
+	}
 	g.matched = max(g.matched, point.Index)
 	if point.Index <= g.commit {
 		g.acknowledge(from)
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -3,6 +3,8 @@
 // Making groups: the first ones of a cluster, and those of new queues.
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/membership"
@@ -23,6 +25,24 @@
 	}
 }
 
+// join opens a replica of a group whose leader counts us in: it starts empty and
+// learns, and never campaigns before it has learnt its member set.
+func (t *Table) join(now eventloop.Micros, name string) *replica {
+	if name != clusterstate.Group && (QueueOf(name) == "" || t.isEnded(name)) {
+		return nil
+	}
+	r := t.open(now, name, &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}})
+	if !t.self.Belongs {
+		// Counted in, so this store may found nothing any more.
+		self := proto.Clone(t.self).(*schema.Self)
+		self.Belongs = true
+		t.self = self
+		t.next.changes = append(t.next.changes, &schema.Change{Self: self})
+		t.next.selfs = append(t.next.selfs, self)
+	}
+	return r
+}
+
 func (t *Table) found(now eventloop.Micros, name string, voters []string) {
 	image := &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{MemberSet: &schema.MemberSet{Voters: voters}}}
 	t.next.changes = append(t.next.changes, &schema.Change{Group: name, Checkpoint: image.Checkpoint})
--- a/internal/replica/durable.go
+++ b/internal/replica/durable.go
@@ -21,7 +21,13 @@
 
 func (t *Table) beats(now eventloop.Micros, from string, m *schema.Beats) {
 	for _, beat := range m.Beats {
-		if r := t.groups[beat.GetGroup()]; r != nil {
+		r := t.groups[beat.GetGroup()]
+		if r == nil {
+			// The Append that was to count us in may have been lost, and its leader
+			// waits for an answer before it sends another.
+			r = t.join(now, beat.GetGroup())
+		}
+		if r != nil {
 			r.group.Step(now, from, beat)
 		}
 	}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -21,8 +21,7 @@
 	case m.Learn != "" && !slices.Contains(memberSet.Voters, m.Learn) && !slices.Contains(memberSet.Learners, m.Learn):
 		memberSet.Learners = append(memberSet.Learners, m.Learn)
 	case m.Promote != "" && slices.Contains(memberSet.Learners, m.Promote):
-		match, _ := r.group.Match(m.Promote)
-		if r.group.Last()-match > 64 {
+		if !r.group.IsCaughtUp(m.Promote) {
 			return
 		}
 		memberSet.Learners = without(memberSet.Learners, m.Promote)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,8 +11,6 @@
 	"strconv"
 	"strings"
 
-	"google.golang.org/protobuf/proto"
-
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/membership"
@@ -209,35 +207,21 @@
 func (t *Table) toGroup(now eventloop.Micros, from, name string, body any) {
 	r := t.groups[name]
 	if r == nil {
-		// Somebody leads a group that counts us in: a new replica starts empty
-		// and learns. It never campaigns before it has learnt its member set.
 		switch body.(type) {
 		case *schema.Append, *schema.Install:
-		default:
-			return
-		}
-		if name != clusterstate.Group && QueueOf(name) == "" {
-			return
-		}
-		if name != clusterstate.Group && t.isEnded(name) {
-			return
-		}
-		r = t.open(now, name, &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}})
-		if !t.self.Belongs {
-			// Counted in, so this store may found nothing any more.
-			self := proto.Clone(t.self).(*schema.Self)
-			self.Belongs = true
-			t.self = self
-			t.next.changes = append(t.next.changes, &schema.Change{Self: self})
-			t.next.selfs = append(t.next.selfs, self)
+			r = t.join(now, name)
 		}
 	}
-	r.group.Step(now, from, body)
+	if r != nil {
+		r.group.Step(now, from, body)
+	}
 }
 
 // isEnded tells that the cluster state we hold knows a newer queue of that name, or
 // none though it once was there.
 func (t *Table) isEnded(group string) bool {
-	place := clusterstate.Place(t.state, QueueOf(group))
-	return place != nil && GroupOf(place) != group
+	if place := clusterstate.Place(t.state, QueueOf(group)); place != nil {
+		return GroupOf(place) != group
+	}
+	return t.isOver(group)
 }
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -172,6 +172,11 @@
 			note.Behind[id] = g.Last() - match
 		}
 	}
+	for _, id := range note.Learners {
+		if !g.IsCaughtUp(id) {
+			note.Behind[id] = max(note.Behind[id], raft.CaughtUp+1)
+		}
+	}
 	if r.queue != nil {
 		note.Live, note.Kept, note.Ended = uint32(r.queue.Live()), uint32(r.queue.Kept()), r.queue.Ended()
 		seen := map[string]bool{}
