--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -12,10 +12,8 @@
 	"sparnotch/internal/schema"
 )
 
-const (
-	heardSpan    = 500 * eventloop.Milli // who answered that lately may be counted on
-	promotionLag = 64                    // records that a learner may lack when it becomes a voter
-)
+// heardSpan is how long ago whoever is counted on may have answered last.
+const heardSpan = 500 * eventloop.Milli
 
 func (t *Table) reroster(now eventloop.Micros, m *schema.Reroster) {
 	r := t.groups[m.Group]
@@ -28,7 +26,7 @@
 	case m.Learn != "" && !slices.Contains(memberSet.Voters, m.Learn) && !slices.Contains(memberSet.Learners, m.Learn):
 		memberSet.Learners = append(memberSet.Learners, m.Learn)
 	case m.Promote != "" && slices.Contains(memberSet.Learners, m.Promote):
-		if !isCaughtUp(now, r.group, m.Promote) {
+		if !mayVote(now, r.group, m.Promote) {
 			return
 		}
 		memberSet.Learners = without(memberSet.Learners, m.Promote)
@@ -45,13 +43,11 @@
 	_ = r.group.ProposeMemberSet(now, memberSet)
 }
 
-// isCaughtUp tells whether a learner may be made a voter: it has taken records, lacks
-// few, and answered just now. The log of a young group is shorter than what it may
-// lack, so one that was never reached would else be counted too; and of four voters,
-// one lost and one without a replica, there is no majority, nor will there ever be.
-func isCaughtUp(now eventloop.Micros, group *raft.Group, id string) bool {
-	match, heard := group.Match(id)
-	return match > 0 && now-heard < heardSpan && group.Last()-match <= promotionLag
+// mayVote tells whether a learner may be made a voter: it has caught up, and answered
+// just now. Of four voters, one lost and one that doesn't answer, there is no majority.
+func mayVote(now eventloop.Micros, group *raft.Group, id string) bool {
+	_, heard := group.Match(id)
+	return now-heard < heardSpan && group.IsCaughtUp(id)
 }
 
 func without(list []string, item string) []string {
