Replace: no refusal of an order that may yet be taken, or may have been

A taken order older than the 1024 that are remembered got 412 too, as did a sheet by hand that others had followed.

Change: 412 and 422 are answered only where they hold for good. An order ahead of its base is 503 (base_ahead), one older than what is remembered 504; sheets by hand are remembered like editions. The compare-and-set is a file of its own.

--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -5,12 +5,8 @@
 package clusterstate
 
 import (
-	"bytes"
-	"crypto/sha256"
-	"fmt"
 	"slices"
 	"sort"
-	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -28,8 +24,9 @@
 const (
 	keptPlans    = 20
 	keptRows     = 2 * maxRows // of all old plans
-	keptEditions = 1024
+	keptEditions = 1024        // changes whose resend is known again
 	maxDocument  = 256 << 10
+	digestBytes  = 16
 )
 
 // Result is what a command came to, in HTTP's numbers.
@@ -157,100 +154,6 @@
 	return m.state.Next - 1
 }
 
-func (m *Machine) put(sheet *schema.Sheet) *Result {
-	current := m.state.Plan
-	if sheet.Edition > 0 {
-		return m.putEdition(sheet)
-	}
-	if sheet.Generation == nil {
-		return &Result{Code: 428, Fault: &schema.Fault{Code: "generation_missing", Message: "the sheet must say which generation it was built on", Field: "generation", Current: current.Generation}}
-	}
-	given := sheet.GetGeneration()
-	if given+1 == current.Generation && SameRows(sheet.Rows, current.Rows) {
-		// The sheet that has just taken effect, sent again after a silence.
-		return &Result{Code: 200, Plan: current}
-	}
-	if given != current.Generation {
-		return outdated("generation", given, current.Generation)
-	}
-	// The author's edition goes on: what is changed by hand is changed on top of it.
-	document := sheet.Document
-	if len(document) == 0 {
-		document = current.Document
-	}
-	return m.take(sheet, current.Edition, document)
-}
-
-// putEdition takes a sheet of an author who numbers editions.
-func (m *Machine) putEdition(sheet *schema.Sheet) *Result {
-	current := m.state.Plan
-	digest := editionDigest(sheet)
-	for _, taken := range m.state.Taken {
-		if taken.Edition == sheet.Edition && bytes.Equal(taken.Digest, digest) {
-			// It took effect and is sent again after a silence, maybe when another
-			// has followed it.
-			return &Result{Code: 200, Plan: current}
-		}
-	}
-	if sheet.BaseEdition != current.Edition {
-		return outdated("base_edition", sheet.BaseEdition, current.Edition)
-	}
-	if sheet.Edition <= current.Edition {
-		return &Result{Code: 422, Fault: &schema.Fault{
-			Code: "bad_edition", Message: "an edition's number must be higher than that of the one before",
-			Field: "edition", Given: sheet.Edition, Current: current.Edition,
-		}}
-	}
-	result := m.take(sheet, sheet.Edition, sheet.Document)
-	if result.Code == 200 {
-		m.state.Taken = append(m.state.Taken, &schema.Taken{Edition: sheet.Edition, Digest: digest})
-		if len(m.state.Taken) > keptEditions {
-			m.state.Taken = m.state.Taken[1:]
-		}
-	}
-	return result
-}
-
-func outdated(field string, given, current uint64) *Result {
-	return &Result{Code: 412, Fault: &schema.Fault{
-		Code: "outdated", Message: "the plan has changed since this sheet was made: get it anew and repeat the edit",
-		Field: field, Given: given, Current: current,
-	}}
-}
-
-// editionDigest tells editions of one number apart: by the document, for it is
-// what the author gave, or by the rows where there is none.
-func editionDigest(sheet *schema.Sheet) []byte {
-	hash := sha256.New()
-	hash.Write(sheet.Document)
-	if len(sheet.Document) == 0 {
-		hash.Write([]byte(strings.Join(lines(sheet.Rows), "\n")))
-	}
-	return hash.Sum(nil)[:16]
-}
-
-// take makes a sheet the plan if its rows can be taken.
-func (m *Machine) take(sheet *schema.Sheet, edition uint64, document []byte) *Result {
-	if len(document) > maxDocument {
-		return &Result{Code: 422, Fault: &schema.Fault{Code: "bad_document", Message: fmt.Sprintf("at most %d bytes", maxDocument), Field: "document"}}
-	}
-	if fault := CheckRows(sheet.Rows); fault != nil {
-		return &Result{Code: 422, Fault: fault}
-	}
-	m.state.History = append(m.state.History, Bare(m.state.Plan))
-	rows := 0
-	for k := len(m.state.History) - 1; k >= 0; k-- {
-		rows += len(m.state.History[k].Rows)
-		if len(m.state.History)-k > keptPlans || rows > keptRows {
-			m.state.History = m.state.History[k+1:]
-			break
-		}
-	}
-	m.isChanged = true
-	m.state.Plan = &schema.Plan{Generation: m.state.Plan.Generation + 1, Rows: sheet.Rows, Edition: edition, Document: document}
-	return &Result{Code: 200, Plan: m.state.Plan}
-}
-
 func (m *Machine) claim(id string) *Result {
 	s := m.state.Controller
 	isFree := s.Id == "" || s.UntilUs <= m.state.NowUs
