--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -60,7 +60,11 @@
 		if m.Leader != "" {
 			t.lead(m.Group, m.Leader)
 		}
-		out.Answer(m.Id, Answer{Code: m.Code, Body: m.Body})
+		answer := Answer{Code: m.Code, Body: m.Body}
+		if m.Code >= 500 {
+			answer.Retry = 1
+		}
+		out.Answer(m.Id, answer)
 		return
 	}
 	if m.Leader != each.to && t.mayLead(now, m.Leader) {
