--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -49,7 +49,7 @@
 func (t *Table) isSucceeded(now eventloop.Micros, id string) bool {
 	old := t.roll.Known[id]
 	for other, known := range t.roll.Known {
-		if other != id && known.Member.Inner == old.Member.Inner && known.Member.Inner != "" && known.Heard > old.Heard && t.roll.Live(other, now, deadSpan) {
+		if other != id && known.Member.Stores && known.Member.Inner == old.Member.Inner && known.Member.Inner != "" && known.Heard > old.Heard && t.roll.Live(other, now, deadSpan) {
 			return true
 		}
 	}
@@ -163,7 +163,7 @@
 func (t *Table) spare(now eventloop.Micros, note, root *schema.WaitNote) string {
 	mayLearn := func(id string) bool {
 		return !slices.Contains(note.Voters, id) && !slices.Contains(note.Learners, id) &&
-			t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving
+			t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving && !t.roll.Refuses(id)
 	}
 	for _, id := range root.Voters {
 		if mayLearn(id) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"sparnotch/internal/logring"
 	"sparnotch/internal/process"
 	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 // Exit codes of the daemons.
@@ -28,6 +29,10 @@
 	ExitOptions = subcommands.ExitStatus(2)
 )
 
+// turnSpan is how long calls may take to finish when a process that started
+// without its store starts anew with it.
+const turnSpan = 1500 * time.Millisecond
+
 // Command is a daemon that a program runs as a subcommand.
 type Command struct {
 	Name     string
@@ -122,33 +127,56 @@
 	if err := serve(loaded, role, signals, log, ring, open, hands); err != nil {
 		log.Error("failed", zap.Error(err))
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		if storage.IsForeign(err) {
+			return ExitOptions
+		}
 		return ExitFailed
 	}
 	return subcommands.ExitSuccess
 }
 
 func serve(loaded *schema.Options, role schema.Role, signals chan os.Signal, log *zap.Logger, ring *logring.Ring, open Opening, hands []agent.Caller) error {
-	real, err := process.Start(loaded, role, log, hands...)
+	var opened *process.Opened
+	for {
+		next, err := serveWith(opened, loaded, role, signals, log, ring, open, hands)
+		if next == nil {
+			return err
+		}
+		opened = next
+	}
+}
+
+// serveWith serves until the process is to end, or to start anew with a store
+// that it couldn't open before.
+func serveWith(opened *process.Opened, loaded *schema.Options, role schema.Role, signals chan os.Signal, log *zap.Logger, ring *logring.Ring, open Opening, hands []agent.Caller) (*process.Opened, error) {
+	real, err := process.StartWith(opened, loaded, role, log, hands...)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	server, err := open(real, log)
 	if err != nil {
 		real.Stop()
-		return err
+		return nil, err
 	}
 	for {
 		select {
 		case err := <-real.Failed:
-			// What a failed store has promised is unknown: the process ends at
-			// once, as if killed, and finds out on its next start.
-			return err
+			return nil, err
+		case next := <-real.Reopened:
+			log.Warn("the store could be opened: starting anew with it")
+			ctx, cancel := context.WithTimeout(context.Background(), turnSpan)
+			if err := server.Shutdown(ctx); err != nil {
+				log.Warn("requests were still open", zap.Error(err))
+			}
+			cancel()
+			real.Stop()
+			return next, nil
 		case got := <-signals:
 			if !isWarning(got, log, ring.Spill) {
 				continue
 			}
 			log.Info("warned", zap.String("signal", got.String()))
-			return leave(real, server, loaded, signals, log, ring)
+			return nil, leave(real, server, loaded, signals, log, ring)
 		}
 	}
 }
--- a/internal/gateway/leaders.go
+++ b/internal/gateway/leaders.go
@@ -52,6 +52,27 @@
 	}
 }
 
+// canCommit tells whether enough of a queue's voters take writes, as far as is
+// known: while most refuse, nothing new could be confirmed.
+func (t *Table) canCommit(queue string) bool {
+	if t.roll == nil {
+		return true
+	}
+	// A queue's leader tells its voters now and then; until it has, who founded it
+	// stands for them.
+	voters := clusterstate.Place(t.state, queue).GetFounders()
+	if note := t.waits[queue]; note != nil {
+		voters = note.Voters
+	}
+	able := 0
+	for _, id := range voters {
+		if !t.roll.Refuses(id) {
+			able++
+		}
+	}
+	return able == len(voters) || able > len(voters)/2
+}
+
 // isUnled tells whether nobody has been known to lead a queue for too long to
 // take more for it: what has a number can't be turned away any more.
 func (t *Table) isUnled(now eventloop.Micros, queue string) bool {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -92,7 +92,14 @@
 	case ClusterState:
 		t.isSystem = t.isSystem || body.Version > 0
 	case Latency:
+		hasTurned := (body.Worst >= RefusedLatency) != (t.self.LatencyUs >= int64(RefusedLatency))
 		t.self.LatencyUs = int64(body.Worst)
+		if hasTurned {
+			// Others choose by it who leads and who may vote: it doesn't wait for
+			// the pace.
+			t.self.Beat++
+			t.spread(now, beats, out)
+		}
 	case Leaving:
 		t.self.Leaving = true
 		t.self.Beat++
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -37,6 +37,19 @@
 // Latency is this process's own worst recent delay.
 type Latency struct{ Worst eventloop.Micros }
 
+// RefusedLatency is the delay told of a store that takes no writes: no other
+// delay is as long, and whoever chooses among stores passes it over.
+const RefusedLatency = 3600 * eventloop.Second
+
+// Refuses tells whether a store says of itself that it takes no writes.
+func (r *Roll) Refuses(id string) bool {
+	member := r.Known[id].Member
+	if id == r.Self.GetId() {
+		member = r.Self
+	}
+	return member.GetLatencyUs() >= int64(RefusedLatency)
+}
+
 // Leaving says that this process was warned.
 type Leaving struct{}
 
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/agent"
 	"sparnotch/internal/eventloop"
@@ -32,12 +31,15 @@
 	Member  *schema.Member
 	Clock   eventloop.Clock
 	Failed  chan error // something after which the process must end
+	// Reopened hands over the store of a process that started without it, its
+	// disk having refused: the process is to start anew with it.
+	Reopened chan *Opened
 
 	log     *zap.Logger
 	process *eventloop.Process
 	net     *transport.Net
 	book    *membership.Book
-	folder  *storage.Folder
+	opened  *Opened
 	store   *storage.Store
 	writes  *eventloop.Ring[replica.Batch]
 	mu      sync.Mutex
@@ -48,6 +50,9 @@
 	worst   atomic.Int64 // recent worst sync, decayed
 	syncing atomic.Int64 // when the sync that is under way began
 	stats   atomic.Pointer[storage.Counts]
+
+	isWaiting bool        // for a store that can't be opened
+	isRefused atomic.Bool // the store takes no writes
 }
 
 func randomSeed() uint64 {
@@ -67,13 +72,18 @@
 // Start brings a process up. A side process that is given a hand calls the
 // worker on its machine with it.
 func Start(options *schema.Options, role schema.Role, log *zap.Logger, hands ...agent.Caller) (*Real, error) {
+	return StartWith(nil, options, role, log, hands...)
+}
+
+// StartWith is Start with a store that has been opened already, if one has.
+func StartWith(opened *Opened, options *schema.Options, role schema.Role, log *zap.Logger, hands ...agent.Caller) (*Real, error) {
 	r := &Real{
-		Options: options, Clock: eventloop.RealClock(), Failed: make(chan error, 4), log: log, book: &membership.Book{},
+		Options: options, Clock: eventloop.RealClock(), Failed: make(chan error, 4), Reopened: make(chan *Opened), log: log, book: &membership.Book{},
 		waiting: map[uint64]chan any{}, writes: eventloop.NewRing[replica.Batch](4),
 	}
 	r.Member = &schema.Member{Id: newId(), Boot: 1, Role: role, Cell: options.Cell, Inner: options.Inner, Outer: options.Outer}
 	if options.Data != "" {
-		if err := r.openStore(); err != nil {
+		if err := r.takeStore(opened); err != nil {
 			return nil, err
 		}
 	}
@@ -107,7 +117,7 @@
 	// From here on messages come in, so the mailboxes must stand by now.
 	net, err := transport.Listen(r.Member.Id, options.Inner, r.deliver)
 	if err != nil {
-		r.closeStore()
+		r.opened.Close()
 		return nil, err
 	}
 	r.net = net
@@ -119,18 +129,16 @@
 	r.process.Run(ctx)
 	// The first look for the others needn't wait for the pace.
 	r.process.Post("membership", eventloop.Mail{Body: eventloop.Tick{}})
-	r.duty(func() { r.writes.Drain(ctx, 0, r.commit, nil) })
+	r.duty(func() { r.writes.Drain(ctx, 0, func(batch replica.Batch) { r.commit(ctx, batch) }, nil) })
 	r.duty(func() {
 		eventloop.NewRing[int](1).Drain(ctx, 250*eventloop.Milli, nil, func() {
-			worst := max(int64(r.process.Latency()), r.worst.Load())
-			// A sync that hasn't come back yet counts as long as it lasts.
-			if began := r.syncing.Load(); began > 0 {
-				worst = max(worst, int64(r.Clock.Now())-began)
-			}
+			r.tellLatency()
 			r.worst.Store(r.worst.Load() * 15 / 16)
-			r.process.Post("membership", eventloop.Mail{Body: membership.Latency{Worst: eventloop.Micros(worst)}})
 		})
 	})
+	if r.isWaiting {
+		r.duty(func() { r.awaitStore(ctx) })
+	}
 	log.Info("started", zap.String("id", r.Member.Id), zap.Uint64("boot", r.Member.Boot), zap.String("inner", options.Inner), zap.String("outer", options.Outer))
 	return r, nil
 }
@@ -143,46 +151,6 @@
 	}()
 }
 
-// openStore opens the data folder. A damaged store never comes back under its
-// old id: it is put aside, the process says so, and goes on as a new member.
-func (r *Real) openStore() error {
-	folder, err := storage.OpenFolder(r.Options.Data)
-	if err != nil {
-		return err
-	}
-	store, err := storage.Open(folder)
-	if storage.IsDamaged(err) {
-		r.log.Error("the store is damaged; it is put aside and this machine comes back as a new member", zap.Error(err))
-		if err := folder.Retire("damaged-" + newId()); err != nil {
-			folder.Close()
-			return err
-		}
-		store, err = storage.Open(folder)
-	}
-	if err != nil {
-		folder.Close()
-		return err
-	}
-	self := proto.Clone(store.Content().Self).(*schema.Self)
-	if self.Id == "" {
-		self.Id = newId()
-	}
-	self.Boots++
-	if err := store.Commit([]*schema.Change{{Self: self}}); err != nil {
-		folder.Close()
-		return err
-	}
-	r.folder, r.store = folder, store
-	r.Member.Id, r.Member.Boot, r.Member.Stores = self.Id, self.Boots, true
-	return nil
-}
-
-func (r *Real) closeStore() {
-	if r.folder != nil {
-		r.folder.Close()
-	}
-}
-
 // cuts reads, now and then, the addresses a test wants cut off.
 func (r *Real) cuts() func(address string) bool {
 	var mu sync.Mutex
@@ -214,29 +182,6 @@
 	}
 }
 
-func (r *Real) commit(batch replica.Batch) {
-	began := r.Clock.Now()
-	r.syncing.Store(int64(began))
-	err := r.store.Commit(batch.Changes)
-	if least := time.Duration(r.Options.TestSyncUs) * time.Microsecond; least > 0 {
-		if spent := (r.Clock.Now() - began).Span(); spent < least {
-			<-time.After(least - spent)
-		}
-	}
-	r.syncing.Store(0)
-	if took := int64(r.Clock.Now() - began); took > r.worst.Load() {
-		r.worst.Store(took)
-	}
-	if err != nil {
-		r.log.Error("the store failed", zap.Error(err))
-		r.Failed <- err
-		return
-	}
-	counts := r.store.Counts()
-	r.stats.Store(&counts)
-	r.process.PostWait("replica", eventloop.Mail{Body: replica.Written{Number: batch.Number}})
-}
-
 func (r *Real) deliver(from string, body any) {
 	r.process.Post(Table(r.Member.Role, body), eventloop.Mail{From: from, Body: body})
 }
@@ -344,11 +289,24 @@
 	return false
 }
 
+// stopSpan is how long Stop waits for a disk that doesn't answer: what is out
+// there was told to nobody, and the process is to end in its time.
+const stopSpan = time.Second
+
 // Stop ends the process's goroutines.
 func (r *Real) Stop() {
 	r.cancel()
 	r.process.Wait()
-	r.duties.Wait()
+	done := make(chan struct{})
+	go func() {
+		r.duties.Wait()
+		close(done)
+	}()
 	r.net.Close()
-	r.closeStore()
+	select {
+	case <-done:
+		r.opened.Close()
+	case <-time.After(stopSpan):
+		r.log.Error("the disk doesn't answer: the store is left as it is")
+	}
 }
--- /dev/null
+++ b/internal/process/store.go
@@ -0,0 +1,176 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
+)
+
+// Between two attempts to write what the store has refused: short enough that a
+// store is back long before its groups have done without it, long enough that a
+// disk in trouble isn't kept busy.
+const (
+	againLeast = 50 * time.Millisecond
+	againMost  = 400 * time.Millisecond
+)
+
+// Opened is a data folder whose store has taken this start's number.
+type Opened struct {
+	folder *storage.Folder
+	store  *storage.Store
+	self   *schema.Self
+}
+
+// openStore opens the data folder. A damaged store never comes back under its
+// old id: it is put aside, the process says so, and goes on as a new member.
+func openStore(path string, log *zap.Logger) (*Opened, error) {
+	folder, err := storage.OpenFolder(path)
+	if err != nil {
+		return nil, err
+	}
+	opened, err := openFolder(folder, log)
+	if err != nil {
+		folder.Close()
+		return nil, err
+	}
+	return opened, nil
+}
+
+func openFolder(folder *storage.Folder, log *zap.Logger) (*Opened, error) {
+	store, err := storage.Open(folder)
+	if storage.IsDamaged(err) {
+		log.Error("the store is damaged; it is put aside and this machine comes back as a new member", zap.Error(err))
+		if err := folder.Retire("damaged-" + newId()); err != nil {
+			return nil, err
+		}
+		store, err = storage.Open(folder)
+	}
+	if err != nil {
+		return nil, err
+	}
+	self := proto.Clone(store.Content().Self).(*schema.Self)
+	if self.Id == "" {
+		self.Id = newId()
+	}
+	self.Boots++
+	// Nothing is told under a number of starts that could be given out again.
+	if err := store.Commit([]*schema.Change{{Self: self}}); err != nil {
+		return nil, err
+	}
+	return &Opened{folder: folder, store: store, self: self}, nil
+}
+
+// Close lets the folder go.
+func (o *Opened) Close() {
+	if o != nil {
+		o.folder.Close()
+	}
+}
+
+// takeStore makes this process the one of the store, opened here or before. A
+// disk that refuses is no reason to end: the process starts as a front without
+// a store, and Reopened tells when there is one.
+func (r *Real) takeStore(opened *Opened) error {
+	if opened == nil {
+		var err error
+		if opened, err = openStore(r.Options.Data, r.log); err != nil {
+			if storage.IsForeign(err) {
+				return err
+			}
+			r.log.Error("the store can't be opened; this process starts as a front without one", zap.Error(err))
+			r.isWaiting = true
+			return nil
+		}
+	}
+	r.opened, r.store = opened, opened.store
+	r.Member.Id, r.Member.Boot, r.Member.Stores = opened.self.Id, opened.self.Boots, true
+	return nil
+}
+
+// awaitStore tries to open the data folder until it can be written to.
+func (r *Real) awaitStore(ctx context.Context) {
+	for pause := againLeast; sleep(ctx, pause); pause = min(2*pause, againMost) {
+		opened, err := openStore(r.Options.Data, r.log)
+		if err != nil {
+			continue
+		}
+		select {
+		case r.Reopened <- opened:
+		case <-ctx.Done():
+			opened.Close()
+		}
+		return
+	}
+}
+
+func sleep(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// commit writes a batch, again and again until it lasts: the replicas' table has
+// gone on from it in memory, and tells nothing that rests on it before.
+func (r *Real) commit(ctx context.Context, batch replica.Batch) {
+	began := r.Clock.Now()
+	r.syncing.Store(int64(began))
+	err := r.store.Commit(batch.Changes)
+	if err != nil {
+		r.refuse(batch, err)
+		for pause := againLeast; err != nil; pause = min(2*pause, againMost) {
+			if !sleep(ctx, pause) {
+				return
+			}
+			err = r.store.Commit(batch.Changes)
+		}
+		r.isRefused.Store(false)
+		r.log.Warn("the store takes writes again", zap.Duration("after", (r.Clock.Now()-began).Span()))
+		r.tellLatency()
+	}
+	if least := time.Duration(r.Options.TestSyncUs) * time.Microsecond; least > 0 {
+		if spent := (r.Clock.Now() - began).Span(); spent < least {
+			<-time.After(least - spent)
+		}
+	}
+	r.syncing.Store(0)
+	if took := int64(r.Clock.Now() - began); took > r.worst.Load() {
+		r.worst.Store(took)
+	}
+	counts := r.store.Counts()
+	r.stats.Store(&counts)
+	r.process.PostWait("replica", eventloop.Mail{Body: replica.Written{Number: batch.Number}})
+}
+
+// refuse tells the replicas and the book that the store takes no writes.
+func (r *Real) refuse(batch replica.Batch, err error) {
+	r.log.Error("the store takes no writes: what is led here goes to others, and nothing is confirmed or voted for", zap.Error(err))
+	r.isRefused.Store(true)
+	r.process.PostWait("replica", eventloop.Mail{Body: replica.Refused{Number: batch.Number, Why: err.Error()}})
+	r.tellLatency()
+}
+
+// tellLatency tells the book of this process's worst recent delay.
+func (r *Real) tellLatency() {
+	worst := max(r.process.Latency(), eventloop.Micros(r.worst.Load()))
+	// A sync that hasn't come back yet counts as long as it lasts.
+	if began := r.syncing.Load(); began > 0 {
+		worst = max(worst, r.Clock.Now()-eventloop.Micros(began))
+	}
+	if r.isRefused.Load() {
+		worst = membership.RefusedLatency
+	}
+	r.process.Post("membership", eventloop.Mail{Body: membership.Latency{Worst: worst}})
+}
--- /dev/null
+++ b/internal/process/store_test.go
@@ -0,0 +1,113 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
+)
+
+// brokenDisk is a folder whose writes fail while it is told so.
+type brokenDisk struct {
+	*storage.Folder
+	broken chan bool // holds something while writes fail
+}
+
+var errBroken = errors.New("no room")
+
+func (d *brokenDisk) Write(name string, offset int64, data []byte) error {
+	if len(d.broken) > 0 {
+		return errBroken
+	}
+	return d.Folder.Write(name, offset, data)
+}
+
+// ear is a table that passes on what it is told.
+type ear chan any
+
+func (e ear) Step(_ eventloop.Micros, mail eventloop.Mail, _ eventloop.Out) { e <- mail.Body }
+
+func TestCommitGoesOn(t *testing.T) {
+	Convey("A store that refuses is told of at once, and its batch once it lasts", t, func() {
+		folder, err := storage.OpenFolder(t.TempDir())
+		So(err, ShouldBeNil)
+		Reset(folder.Close)
+		disk := &brokenDisk{folder, make(chan bool, 1)}
+		store, err := storage.Open(disk)
+		So(err, ShouldBeNil)
+		r := &Real{Options: &schema.Options{}, Clock: eventloop.RealClock(), log: zap.NewNop(), store: store, Failed: make(chan error, 1)}
+		r.process = eventloop.NewProcess(r.Clock)
+		replicas, book := make(ear, 8), make(ear, 8)
+		r.process.Add("replica", replicas, 0)
+		r.process.Add("membership", book, 0)
+		ctx, cancel := context.WithCancel(context.Background())
+		Reset(cancel)
+		r.process.Run(ctx)
+
+		disk.broken <- true
+		done := make(chan bool)
+		go func() {
+			r.commit(ctx, replica.Batch{Number: 7, Changes: []*schema.Change{{Self: &schema.Self{Id: "x"}}}})
+			close(done)
+		}()
+		refused, isRefused := (<-replicas).(replica.Refused)
+		So(isRefused, ShouldBeTrue)
+		So(refused.Number, ShouldEqual, 7)
+		So(refused.Why, ShouldContainSubstring, "no room")
+		So((<-book).(membership.Latency).Worst, ShouldEqual, membership.RefusedLatency)
+		<-disk.broken
+		<-done
+		So((<-replicas).(replica.Written).Number, ShouldEqual, 7)
+		So((<-book).(membership.Latency).Worst, ShouldBeLessThan, membership.RefusedLatency)
+		So(store.Content().Self.Id, ShouldEqual, "x")
+		So(len(r.Failed), ShouldEqual, 0)
+	})
+}
+
+func TestStartWithoutAStore(t *testing.T) {
+	Convey("A process whose disk refuses at its start is a front, and gets its store when there is one", t, func() {
+		data := t.TempDir()
+		// What can't be read as a file stands for a disk that fails.
+		obstacle := filepath.Join(data, "slot-0")
+		So(os.Mkdir(obstacle, 0o700), ShouldBeNil)
+		options := &schema.Options{Cell: "c", Inner: freePort(t), Outer: "127.0.0.1:1", Data: data, Seeds: []string{"127.0.0.1:1"}}
+		first, err := Start(options, schema.Role_ROLE_SERVER, zap.NewNop())
+		So(err, ShouldBeNil)
+		So(first.Member.Stores, ShouldBeFalse)
+		So(os.Remove(obstacle), ShouldBeNil)
+		opened := <-first.Reopened
+		first.Stop()
+		second, err := StartWith(opened, options, schema.Role_ROLE_SERVER, zap.NewNop())
+		So(err, ShouldBeNil)
+		So(second.Member.Stores, ShouldBeTrue)
+		So(second.Member.Boot, ShouldEqual, 1)
+		So(second.Member.Id, ShouldNotEqual, first.Member.Id)
+		second.Stop()
+		third, err := Start(options, schema.Role_ROLE_SERVER, zap.NewNop())
+		So(err, ShouldBeNil)
+		So(third.Member.Id, ShouldEqual, second.Member.Id)
+		So(third.Member.Boot, ShouldEqual, 2)
+		third.Stop()
+	})
+	Convey("A folder that isn't ours ends it, and nothing is written there", t, func() {
+		data := t.TempDir()
+		So(os.WriteFile(filepath.Join(data, "family.jpg"), []byte("x"), 0o600), ShouldBeNil)
+		options := &schema.Options{Cell: "c", Inner: freePort(t), Outer: "127.0.0.1:1", Data: data, Seeds: []string{"127.0.0.1:1"}}
+		_, err := Start(options, schema.Role_ROLE_SERVER, zap.NewNop())
+		So(storage.IsForeign(err), ShouldBeTrue)
+		So(err.Error(), ShouldContainSubstring, "family.jpg")
+		entries, err := os.ReadDir(data)
+		So(err, ShouldBeNil)
+		So(len(entries), ShouldEqual, 1)
+	})
+}
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -59,7 +59,7 @@
 // Others may found the group a little later and drop the first calls, so they
 // are made again for a while.
 func (g *Group) Stand(now eventloop.Micros) {
-	if g.term > 0 || g.lastIndex() > 0 || g.role != follower || !g.isVoter(g.self) {
+	if g.term > 0 || g.lastIndex() > 0 || g.role != follower || !g.isVoter(g.self) || g.isReadOnly {
 		return
 	}
 	g.calls, g.callAt = mostCalls, now+callRest
@@ -96,7 +96,7 @@
 		return
 	}
 	switch {
-	case g.role == asking:
+	case g.role == asking && !g.isReadOnly:
 		g.campaign(now, false)
 	case g.role == candidate && !g.dirty():
 		g.becomeLeader(now)
@@ -150,7 +150,7 @@
 		// Of two that ask at once with equal logs one goes first, or the two of
 		// three that are left would split the vote.
 		isFirst := g.role == asking && g.self < from && m.LastTerm == g.lastTerm() && m.LastIndex == g.lastIndex()
-		if m.Term > g.term && isFresh && !isFirst {
+		if m.Term > g.term && isFresh && !isFirst && !g.isReadOnly {
 			g.post(from, &schema.VoteReply{Group: g.name, Term: m.Term, Granted: true, Pre: true})
 		} else {
 			g.post(from, &schema.VoteReply{Group: g.name, Term: g.term, Pre: true})
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -131,6 +131,8 @@
 	wallOffset int64            // wall less group time, when three clocks last agreed
 	wallTerm   uint64           // as whose leader we found that
 	steppedAt  eventloop.Micros // the middle clock has jumped, and isn't believed yet
+
+	isReadOnly bool // the store takes no writes
 }
 
 // New makes a replica from what its store holds.
@@ -233,7 +235,7 @@
 	if g.isYoung {
 		g.deadline = now + youngAgain + eventloop.Micros(g.rng.Int64N(int64(youngAgain)))
 	}
-	if g.isVoter(g.self) {
+	if g.isVoter(g.self) && !g.isReadOnly {
 		g.ask(now)
 	}
 }
@@ -271,7 +273,7 @@
 	case *schema.BeatReply:
 		g.onBeatReply(now, from, m)
 	case *schema.Urge:
-		if m.Term == g.term && g.role != leader && g.isVoter(g.self) {
+		if m.Term == g.term && g.role != leader && g.isVoter(g.self) && !g.isReadOnly {
 			g.campaign(now, true)
 		}
 	}
--- /dev/null
+++ b/internal/raft/writable.go
@@ -0,0 +1,17 @@
+package raft
+
+import "sparnotch/internal/schema"
+
+// SetWritable says whether this replica's store takes writes. While it doesn't,
+// no term, vote or record of this replica can come to last: it goes on following
+// and, as leader, answering reads, but it doesn't stand, takes over no
+// leadership, and encourages nobody to stand who would need its vote.
+func (g *Group) SetWritable(isWritable bool) { g.isReadOnly = !isWritable }
+
+// Whole is the change that makes all this replica's store is to hold.
+func (g *Group) Whole() *schema.Change {
+	return &schema.Change{
+		Group: g.name, Hard: &schema.Hard{Term: g.term, Vote: g.vote}, Checkpoint: g.base, Reset_: true,
+		Records: append([]*schema.Record(nil), g.log...),
+	}
+}
--- a/internal/replica/durable.go
+++ b/internal/replica/durable.go
@@ -17,6 +17,8 @@
 	posts   []raft.Post
 	marks   map[string]raft.Mark
 	selfs   []*schema.Self
+
+	bytes, wholeBytes int // of the changes: now, and when they last were whole states
 }
 
 func (t *Table) beats(now eventloop.Micros, from string, m *schema.Beats) {
@@ -54,6 +56,7 @@
 			}
 			if len(effects.Changes) > 0 {
 				t.next.changes = append(t.next.changes, effects.Changes...)
+				t.next.bytes += bytesOf(effects.Changes)
 				t.next.marks[name] = mark
 			}
 			if effects.Restore != nil {
@@ -74,6 +77,7 @@
 	t.sendBeats(beats, out)
 	t.sendApplied(out)
 	t.standings(now, out)
+	t.bound(now)
 	t.write(now, out)
 }
 
@@ -135,6 +139,7 @@
 	}
 	batch := t.writing
 	t.writing = nil
+	t.accepted()
 	beats := map[string]*schema.Beats{}
 	for _, post := range batch.posts {
 		t.post(post, beats, out)
--- a/internal/replica/leadership.go
+++ b/internal/replica/leadership.go
@@ -26,7 +26,7 @@
 // doesn't hand it back at once, though its copy of the cluster state or the book may
 // still speak for the one it came from.
 func (t *Table) urged(now eventloop.Micros, from string, m *schema.Urge) {
-	if t.isWarned {
+	if t.isWarned || t.refuses() {
 		return
 	}
 	if r := t.groups[m.Group]; r != nil {
@@ -36,32 +36,28 @@
 }
 
 // passOn hands a group over when this process is warned, when its disk
-// stalls, or when the cluster state wants the queue elsewhere.
+// refuses or stalls, or when the cluster state wants the queue elsewhere.
 func (t *Table) passOn(now eventloop.Micros, r *replica) {
 	wanted := t.leaderOf(r)
 	// A leader that was named since is given the queue at once: its workers have
 	// gone to it already, and nobody else can start anything on them.
 	isRested := now-r.passAt >= passRest || t.isWarned || wanted != r.leaderAt
-	if r.passAt > 0 && (!isRested || now-r.passAt < eventloop.Second) {
+	isRefusalNew := t.refuses() && t.refusal.at > r.passAt
+	if r.passAt > 0 && !isRefusalNew && (!isRested || now-r.passAt < eventloop.Second) {
 		return
 	}
-	isStalled := t.writing != nil && now-t.began > stallSpan
-	leader := wanted
+	named := wanted
+	isFit := wanted != t.id && t.isFit(now, r, wanted) && !t.isRefusing(wanted)
 	switch {
-	case t.isWarned || isStalled:
-		if wanted == t.id || !t.isFit(now, r, wanted) {
-			wanted = ""
-			for _, id := range r.group.MemberSet().Voters {
-				if id != t.id && t.isFit(now, r, id) {
-					wanted = id
-				}
-			}
+	case t.isWarned || t.isStalled(now) && t.canElectAnother(now, r):
+		if !isFit {
+			wanted = t.heir(now, r)
 		}
-	case wanted == t.id || !t.isFit(now, r, wanted):
+	case !isFit:
 		return
 	}
 	if wanted != "" {
-		r.passAt, r.leaderAt = now, leader
+		r.passAt, r.leaderAt = now, named
 		r.group.Pass(now, wanted)
 	}
 }
--- /dev/null
+++ b/internal/replica/refusal_test.go
@@ -0,0 +1,191 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
+)
+
+// tellAll gives every store the same word of who there is.
+func (c *core) tellAll() {
+	roll := &membership.Roll{Known: map[string]membership.Known{}}
+	for _, id := range stores {
+		member := &schema.Member{Id: id, Stores: true}
+		if c.tables[id].refuses() {
+			member.LatencyUs = int64(membership.RefusedLatency)
+		}
+		roll.Known[id] = membership.Known{Member: member, Heard: c.now}
+	}
+	for _, id := range stores {
+		c.step(id, "", roll)
+	}
+}
+
+func (c *core) runTold(span eventloop.Micros) {
+	for end := c.now + span; c.now < end; {
+		c.tellAll()
+		c.run(50 * eventloop.Milli)
+	}
+}
+
+// refuse has a store's disk refuse from the next batch on; accept ends that.
+func (c *core) refuse(id string) { c.held[id] = 0 }
+
+func (c *core) accept(id string) {
+	number := c.held[id]
+	delete(c.held, id)
+	if number > 0 {
+		c.mail = append(c.mail, letter{c.now + syncSpan, "", id, Written{Number: number}})
+	}
+}
+
+// newLedCore is a core with a queue that "a" leads.
+func newLedCore() *core {
+	c := newCore()
+	So(c.put(queuesSheet(1, "", "q")).Code, ShouldEqual, 200)
+	queues := &schema.PlaceQueues{Lease: c.lease(), Queues: []*schema.QueuePlace{{Queue: "q", Founders: stores, Leader: "a"}}}
+	So(c.ask("clusterstate", &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: queues}}).Code, ShouldEqual, 200)
+	c.runTold(eventloop.Second)
+	So(c.leader("q"), ShouldEqual, "a")
+	return c
+}
+
+func (c *core) handIn(id, name string, number uint64) {
+	job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1}}}
+	c.step(id, "f", &schema.Submit{Queue: "q", Enqueues: []*schema.Enqueue{{
+		Session: &schema.Session{Gateway: "f", Boot: 1, Client: "c"}, Number: number, Name: name, Digest: []byte("d"), Job: job, Lowest: 1,
+	}}})
+}
+
+// confirmed counts the hand-ins that "f" was told are taken.
+func (c *core) confirmed() int {
+	count := 0
+	for _, each := range c.heard["f"] {
+		if applied, isApplied := each.(*schema.Applied); isApplied {
+			count += len(applied.Outcomes)
+		}
+	}
+	return count
+}
+
+func TestRefusal(t *testing.T) {
+	Convey("A leader whose store refuses hands its queue over at once, and says why", t, func() {
+		c := newLedCore()
+		c.refuse("a")
+		c.handIn("a", "j1", 1)
+		c.runTold(150 * eventloop.Milli)
+		heir := c.leader("q")
+		So(heir, ShouldBeIn, "b", "c")
+		So(c.tables["a"].belief(c.now).Refusal, ShouldEqual, "no room")
+		c.handIn(heir, "j1", 1)
+		c.runTold(50 * eventloop.Milli)
+		So(c.confirmed(), ShouldBeGreaterThan, 0)
+		Convey("it gets nothing back while it refuses, though it is named", func() {
+			c.runTold(7 * eventloop.Second)
+			So(c.leader("q"), ShouldEqual, heir)
+			So(c.tables["a"].groups["q#"+c.generation("q")].group.IsLeader(), ShouldBeFalse)
+			Convey("and once a write and its sync have succeeded it says so and takes part again", func() {
+				c.accept("a")
+				c.runTold(eventloop.Second)
+				So(c.tables["a"].belief(c.now).Refusal, ShouldBeBlank)
+				replica := c.tables["a"].groups["q#"+c.generation("q")].group
+				So(replica.Stable(), ShouldEqual, replica.Last())
+				c.runTold(7 * eventloop.Second)
+				So(c.leader("q"), ShouldEqual, "a")
+			})
+		})
+	})
+	Convey("A refusing store confirms nothing and tells no vote", t, func() {
+		c := newLedCore()
+		c.refuse("b")
+		c.refuse("c")
+		c.heard["f"] = nil
+		c.handIn("a", "j1", 1)
+		c.runTold(3 * eventloop.Second)
+		So(c.confirmed(), ShouldEqual, 0)
+		// Most refuse: whoever leads goes on answering reads, and refuses changes.
+		So(c.leader("q"), ShouldEqual, "a")
+		So(c.ask("plan", nil).Code, ShouldEqual, 200)
+		So(c.put(queuesSheet(2, "", "q", "r")).Code, ShouldEqual, 503)
+		for _, id := range []string{"b", "c"} {
+			c.step(id, "a", &schema.Vote{Group: "q#" + c.generation("q"), Term: 99, LastTerm: 99, LastIndex: 99, Asked: true})
+		}
+		told := 0
+		for _, l := range c.mail {
+			if reply, isReply := l.body.(*schema.VoteReply); isReply && reply.Granted {
+				told++
+			}
+		}
+		So(told, ShouldEqual, 0)
+		Convey("and what was out is confirmed once they take writes", func() {
+			c.accept("b")
+			c.accept("c")
+			c.runTold(2 * eventloop.Second)
+			c.handIn(c.leader("q"), "j1", 1)
+			c.runTold(200 * eventloop.Milli)
+			So(c.confirmed(), ShouldBeGreaterThan, 0)
+		})
+	})
+	Convey("What gathers for a store that refuses is bounded, and comes to the same", t, func() {
+		c := newLedCore()
+		c.refuse("c")
+		text := make([]byte, 64<<10)
+		version := uint64(1)
+		most, whole := 0, 0
+		table := c.tables["c"]
+		for range 700 {
+			version++
+			So(c.put(queuesSheet(version, fmt.Sprintf("%d%s", version, text), "q")).Code, ShouldEqual, 200)
+			waiting := c.tables["c"].next
+			most = max(most, waiting.bytes)
+			whole = max(whole, table.wholeBytes())
+			So(len(waiting.posts), ShouldBeLessThanOrEqualTo, pendingPosts)
+		}
+		c.runTold(eventloop.Second)
+		// The states as they once were, and what has gathered beside them since.
+		So(most, ShouldBeLessThan, whole+pendingBytes+1<<20)
+		So(whole, ShouldBeLessThan, most)
+		So(table.next.wholeBytes, ShouldBeGreaterThan, 0)
+		before := &storage.Content{Groups: map[string]*storage.Image{}}
+		for _, change := range append(append([]*schema.Change(nil), table.writing.changes...), table.next.changes...) {
+			before.Apply(change)
+		}
+		table.condense()
+		after := &storage.Content{Groups: map[string]*storage.Image{}}
+		for _, change := range append(append([]*schema.Change(nil), table.writing.changes...), table.next.changes...) {
+			after.Apply(change)
+		}
+		for name := range after.Groups {
+			one, two := before.Groups[name], after.Groups[name]
+			So(proto.Equal(one.Hard, two.Hard), ShouldBeTrue)
+			So(one.Checkpoint.GetIndex(), ShouldEqual, two.Checkpoint.GetIndex())
+			So(last(one), ShouldEqual, last(two))
+		}
+		c.accept("c")
+		c.runTold(2 * eventloop.Second)
+		root := table.groups[clusterstate.Group].group
+		So(root.Stable(), ShouldEqual, root.Last())
+		So(table.state.Version, ShouldEqual, c.tables["a"].state.Version)
+	})
+}
+
+func last(image *storage.Image) uint64 {
+	return image.Checkpoint.GetIndex() + uint64(len(image.Records))
+}
+
+// wholeBytes is how much the groups' states hold.
+func (t *Table) wholeBytes() int {
+	size := 0
+	for _, r := range t.groups {
+		size += bytesOf([]*schema.Change{r.group.Whole()})
+	}
+	return size
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -72,6 +72,7 @@
 	began        eventloop.Micros // when the write that is out was handed over
 	reads        uint64
 	isWarned     bool
+	refusal      refusal
 	applied      map[string]*schema.Applied // by gateway, of this step
 }
 
@@ -98,6 +99,7 @@
 		group:   raft.New(name, t.id, image, t.times, t.patience, now),
 		waiting: map[uint64]waiter{}, reading: map[uint64]waiter{},
 	}
+	r.group.SetWritable(!t.refuses())
 	t.groups[name], t.listed = r, nil
 	t.restore(r, image.Checkpoint)
 	return r
@@ -160,6 +162,8 @@
 		t.tick(now, out)
 	case Written:
 		t.written(now, body, out)
+	case Refused:
+		t.refused(now, body)
 	case membership.KeepSelf:
 		t.keepSelf(now, body)
 	case *membership.Roll:
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -23,6 +23,10 @@
 		return
 	}
 	asked := waiter{term: r.group.Term(), from: from, request: m}
+	if (m.Kind == "cancel" || m.Kind == "clusterstate") && !t.canCommit(r) {
+		t.reply(asked, 503, faultBody("not_ready", "too many stores take no writes at the moment"), r.group, out)
+		return
+	}
 	switch m.Kind {
 	case "status", "list", "counts", "plan", "history":
 		t.reads++
@@ -214,6 +218,7 @@
 	Fresh      bool                 `json:"cluster_state_fresh"`
 	Controller string               `json:"controller"`
 	Lease      uint64               `json:"controller_lease"`
+	Refusal    string               `json:"store_refuses,omitempty"` // why the store takes no writes
 	Groups     []*GroupBelief       `json:"groups"`
 	Wards      []*schema.Ward       `json:"wards"`
 	Queues     []*schema.QueuePlace `json:"queues"`
@@ -224,6 +229,7 @@
 	belief := &NodeBelief{
 		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Queues: t.state.Queues,
 		Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(),
+		Refusal: t.refusal.why,
 	}
 	for _, name := range t.names() {
 		r := t.groups[name]
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -15,6 +15,7 @@
 	// OpsLeft, when not negative, counts down to a power cut.
 	OpsLeft int
 	Syncs   int
+	Fault   Fault
 }
 
 type file struct {
@@ -83,6 +84,9 @@
 	}
 	f := d.open(name)
 	w := write{offset: offset, data: append([]byte{}, data...)}
+	if d.isRefused(name, f, w) {
+		return ErrFull
+	}
 	f.writes = append(f.writes, w)
 	f.current = w.apply(f.current)
 	return nil
@@ -94,6 +98,9 @@
 	}
 	f := d.open(name)
 	w := write{cut: size}
+	if d.Fault.strikes(name, false) {
+		return ErrFull
+	}
 	f.writes = append(f.writes, w)
 	f.current = w.apply(f.current)
 	return nil
@@ -104,6 +111,9 @@
 		return err
 	}
 	f := d.open(name)
+	if d.Fault.strikes(name, d.Fault.SyncFails) {
+		return d.failSync(f)
+	}
 	for _, w := range f.writes {
 		f.synced = w.apply(f.synced)
 	}
--- /dev/null
+++ b/internal/sim/disk_fault.go
@@ -0,0 +1,61 @@
+package sim
+
+import (
+	"errors"
+	"strings"
+)
+
+// ErrFull is what a disk without room answers, and ErrSync what a sync answers
+// that didn't reach the disk.
+var (
+	ErrFull = errors.New("sim: no room on the disk")
+	ErrSync = errors.New("sim: the sync failed")
+)
+
+// Fault is what a disk in trouble does.
+type Fault struct {
+	IsFull    bool   // writes are refused, when some of their bytes were taken
+	SyncFails bool   // syncs fail, and what they should have kept counts as kept
+	Only      string // the beginning of the names that this is about; empty: all
+	// FailAt, when positive, counts operations down to one that fails.
+	FailAt int
+}
+
+// strikes tells whether an operation on a file fails: this one, or all of its
+// kind.
+func (f *Fault) strikes(name string, isAlways bool) bool {
+	if !strings.HasPrefix(name, f.Only) {
+		return false
+	}
+	if f.FailAt > 0 {
+		f.FailAt--
+		return f.FailAt == 0
+	}
+	return isAlways
+}
+
+// isRefused tells whether a write is, and leaves half of it behind.
+func (d *Disk) isRefused(name string, f *file, w write) bool {
+	if !d.Fault.strikes(name, d.Fault.IsFull) {
+		return false
+	}
+	if w.data != nil && len(w.data) > 1 {
+		half := write{offset: w.offset, data: w.data[:len(w.data)/2]}
+		f.writes = append(f.writes, half)
+		f.current = half.apply(f.current)
+	}
+	return true
+}
+
+// failSync is a failed sync as systems have it: whatever was to be written is
+// shown as before and counts as clean, so that no later sync writes it, though
+// only part of it has reached the disk.
+func (d *Disk) failSync(f *file) error {
+	for k, w := range f.writes {
+		if (k+d.Syncs)%2 == 1 {
+			f.synced = w.apply(f.synced)
+		}
+	}
+	f.writes = nil
+	return ErrSync
+}
--- /dev/null
+++ b/internal/sim/disk_test.go
@@ -0,0 +1,22 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestDisksThatRefuse: full disks, failing syncs, at any store and at a start.
+func TestDisksThatRefuse(t *testing.T) {
+	for _, s := range DiskScenarios {
+		if *only != "" && s.Name != *only {
+			continue
+		}
+		for k := 0; k < *seeds; k++ {
+			seed := *firstSeed + uint64(k)
+			t.Run(fmt.Sprintf("%s/%d", s.Name, seed), func(t *testing.T) {
+				t.Parallel()
+				play(t, s, seed)
+			})
+		}
+	}
+}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -15,19 +15,21 @@
 // Fleet is a deployment in small, with a load that touches every rule.
 type Fleet struct {
 	*World
-	Size    Size
-	Workers []Hand
-	sides   []*Host
-	lean    []*Host // fronts without a disk
-	Began   eventloop.Micros
-	Over    eventloop.Micros
-	Again   eventloop.Micros // until the last task of a lost worker was begun elsewhere
-	struck  eventloop.Micros
-	lost    string // worker that was then
-	slow    *Host  // whose disk was slowed
-	warned  []eventloop.Micros
-	groups  []string
-	later   []string
+	Size     Size
+	Workers  []Hand
+	sides    []*Host
+	lean     []*Host // fronts without a disk
+	Began    eventloop.Micros
+	Over     eventloop.Micros
+	Again    eventloop.Micros // until the last task of a lost worker was begun elsewhere
+	struck   eventloop.Micros
+	lost     string // worker that was then
+	slow     *Host  // whose disk was slowed
+	warned   []eventloop.Micros
+	groups   []string
+	later    []string
+	refusals []eventloop.Micros // when disks began to refuse
+	wrong    []string           // seen meanwhile
 }
 
 func step(name string, tasks uint32, cores int64, after ...string) *schema.Step {
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -618,11 +618,11 @@
 // ScenariosOf are those that a fleet of a size can be put through.
 func ScenariosOf(size Size) []Scenario {
 	if size.Bounds == nil {
-		return Scenarios
+		return slices.Concat(Scenarios, DiskScenarios)
 	}
 	// Nobody could call a worker for so long.
 	list := slices.DeleteFunc(slices.Clone(Scenarios), func(s Scenario) bool { return s.Name == "every side machine gone" })
-	return append(list, CalledScenarios...)
+	return slices.Concat(list, CalledScenarios, DiskScenarios)
 }
 
 func maxKey(set map[uint64]bool) uint64 {
--- a/internal/storage/folder.go
+++ b/internal/storage/folder.go
@@ -1,9 +1,13 @@
 package storage
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
+
+	"github.com/joomcode/errorx"
 )
 
 // Folder is the real disk: one data folder, held by one process at a time.
@@ -13,8 +17,12 @@
 	lock  *os.File
 }
 
-// OpenFolder makes the folder if need be and locks it.
+// OpenFolder makes the folder if need be and locks it. One that isn't ours, or
+// is in use, is an error of type Foreign, and nothing is written there.
 func OpenFolder(path string) (*Folder, error) {
+	if err := checkOurs(path); err != nil {
+		return nil, err
+	}
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, Failed.Wrap(err, "data folder")
 	}
@@ -25,11 +33,46 @@
 	// Two processes on one store would each vote in its name.
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		lock.Close()
-		return nil, Failed.New("data folder %s is in use by another process", path)
+		return nil, Foreign.New("data folder %s is in use by another process", path)
 	}
 	return &Folder{path: path, files: map[string]*os.File{}, lock: lock}, nil
 }
 
+// ourNames begin the names of a store's files; what a file system itself puts
+// into its root is nobody's.
+var ourNames = []string{"lock", "slot-", "log-", "lost+found"}
+
+// checkOurs refuses what is no folder, can't be looked into, or holds files and
+// among them none of a store's.
+func checkOurs(path string) error {
+	entries, err := os.ReadDir(path)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return nil
+	case errors.Is(err, syscall.ENOTDIR):
+		return Foreign.New("data folder %s: is no folder", path)
+	case errors.Is(err, os.ErrPermission):
+		return Foreign.New("data folder %s: may not be read by this process", path)
+	case err != nil:
+		return Failed.Wrap(err, "data folder")
+	}
+	for _, entry := range entries {
+		for _, ours := range ourNames {
+			if strings.HasPrefix(entry.Name(), ours) {
+				return nil
+			}
+		}
+	}
+	if len(entries) > 0 {
+		return Foreign.New("data folder %s holds %s and no store: is it somebody else's?", path, entries[0].Name())
+	}
+	return nil
+}
+
+// IsForeign tells whether an error of OpenFolder means that the folder isn't
+// this process's to use.
+func IsForeign(err error) bool { return err != nil && errorx.IsOfType(err, Foreign) }
+
 // Close lets the folder go.
 func (f *Folder) Close() {
 	for _, file := range f.files {
--- /dev/null
+++ b/internal/storage/repair_test.go
@@ -0,0 +1,263 @@
+package storage_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"sparnotch/internal/schema"
+	"sparnotch/internal/sim"
+	"sparnotch/internal/storage"
+)
+
+// batch is the k-th of a run: now and then a large one, so that slots are
+// written too.
+func batch(k uint64) []*schema.Change {
+	size := 10
+	if k%7 == 0 {
+		size = 1_500
+	}
+	return []*schema.Change{{Group: "g", Records: []*schema.Record{record(k, size)}, Checkpoint: &schema.Checkpoint{Index: max(k, 4) - 4}}}
+}
+
+func lastOf(s *storage.Store) uint64 {
+	image := s.Content().Groups["g"]
+	if image == nil || len(image.Records) == 0 {
+		return 0
+	}
+	return image.Records[len(image.Records)-1].Index
+}
+
+// failing is a run in which chosen operations fail, each commit is tried again
+// until it succeeds, and the power goes at the end.
+type failing struct {
+	disk         *sim.Disk
+	store        *storage.Store
+	acknowledged uint64
+	failures     int
+}
+
+func (f *failing) commit(k uint64) error {
+	for range 12 {
+		if err := f.store.Commit(batch(k)); err == nil {
+			f.acknowledged = k
+			return nil
+		}
+		f.failures++
+	}
+	return fmt.Errorf("commit %d never succeeded", k)
+}
+
+// reopen loses the power and looks at what is there.
+func (f *failing) reopen(rng *rand.Rand, asked uint64) error {
+	f.disk.Fault = sim.Fault{}
+	f.disk.PowerCut(rng)
+	store, err := storage.OpenLimited(f.disk, 2000)
+	if err != nil {
+		return err
+	}
+	f.store = store
+	if last := lastOf(store); last < f.acknowledged || last > asked {
+		return fmt.Errorf("acknowledged to %d, asked for to %d, found to %d", f.acknowledged, asked, last)
+	}
+	return nil
+}
+
+// TestEachCallFails: whichever call to the file system fails, once or twice
+// within a commit, the store goes on, and what was acknowledged is there after a
+// loss of power.
+func TestEachCallFails(t *testing.T) {
+	failures := 0
+	for at := 1; at < 150; at++ {
+		for gap := range 6 {
+			disk := sim.NewDisk()
+			store, err := storage.OpenLimited(disk, 2000)
+			if err != nil {
+				t.Fatal(err)
+			}
+			run := &failing{disk: disk, store: store}
+			disk.Fault.FailAt = at
+			asked := uint64(0)
+			for k := uint64(1); k <= 40; k++ {
+				asked = k
+				isAgain := run.failures == 1 && gap > 0
+				if isAgain {
+					disk.Fault.FailAt, gap = gap, 0
+				}
+				if err := run.commit(k); err != nil {
+					t.Fatalf("call %d: %v", at, err)
+				}
+				// The power goes soon after the failure: what a later slot would
+				// have mended mustn't be needed.
+				if run.failures > 0 && disk.Fault.FailAt == 0 && k%3 == uint64(at%3) {
+					break
+				}
+			}
+			failures += run.failures
+			if err := run.reopen(rand.New(rand.NewPCG(uint64(at), uint64(gap))), asked); err != nil {
+				t.Fatalf("call %d failed, then the power went: %v", at, err)
+			}
+		}
+	}
+	if failures < 500 {
+		t.Errorf("only %d commits failed", failures)
+	}
+}
+
+// TestFailedSyncIsNoSync: a sync that follows a failed one proves nothing of
+// what the failed one should have kept.
+func TestFailedSyncIsNoSync(t *testing.T) {
+	for seed := uint64(0); seed < 40; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		disk := sim.NewDisk()
+		store, err := storage.OpenLimited(disk, 2000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		run := &failing{disk: disk, store: store}
+		for k := uint64(1); k <= seed%9+1; k++ {
+			if err := run.commit(k); err != nil {
+				t.Fatal(err)
+			}
+		}
+		next := run.acknowledged + 1
+		disk.Fault.SyncFails = true
+		for range 3 {
+			if store.Commit(batch(next)) == nil {
+				t.Fatal("a batch was acknowledged though every sync fails")
+			}
+		}
+		disk.Fault.SyncFails = false
+		// In this life, or in the next one, which reads from memory what the disk
+		// doesn't hold.
+		if seed%2 == 1 {
+			if run.store, err = storage.OpenLimited(disk, 2000); err != nil {
+				t.Fatal(err)
+			}
+			run.acknowledged = max(run.acknowledged, lastOf(run.store))
+			next = run.acknowledged + 1
+		}
+		if err := run.commit(next); err != nil {
+			t.Fatal(err)
+		}
+		if err := run.reopen(rng, next); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// TestFullDisk: a disk without room takes nothing and loses nothing; what is
+// durable can be read, and once there is room the same batch is taken, and not
+// twice.
+func TestFullDisk(t *testing.T) {
+	for seed := uint64(0); seed < 40; seed++ {
+		disk := sim.NewDisk()
+		store, err := storage.OpenLimited(disk, 2000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		run := &failing{disk: disk, store: store}
+		for k := uint64(1); k <= seed+1; k++ {
+			if err := run.commit(k); err != nil {
+				t.Fatal(err)
+			}
+		}
+		disk.Fault.IsFull = true
+		for range 5 {
+			if store.Commit(batch(seed+2)) == nil {
+				t.Fatal("a full disk took a batch")
+			}
+			if lastOf(store) != seed+1 {
+				t.Fatalf("what was durable reads as %d of %d", lastOf(store), seed+1)
+			}
+		}
+		if seed%3 == 0 {
+			// Killed meanwhile: a full disk is opened only once it takes writes.
+			if _, err := storage.OpenLimited(disk, 2000); err == nil {
+				t.Fatal("a store was opened that takes no writes")
+			}
+			disk.Fault.IsFull = false
+			if run.store, err = storage.OpenLimited(disk, 2000); err != nil {
+				t.Fatal(err)
+			}
+		}
+		disk.Fault.IsFull = false
+		for k := seed + 2; k < seed+6; k++ {
+			if err := run.commit(k); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if records := run.store.Content().Groups["g"].Records; records[len(records)-1].Index-records[0].Index != uint64(len(records)-1) {
+			t.Fatalf("records %v", records)
+		}
+		if err := run.reopen(rand.New(rand.NewPCG(seed, 2)), seed+5); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// TestFailedTurn: while the next slot can't be written, or can't be known to
+// last, the log it would replace takes nothing more: were that slot found after
+// a loss of power, all that followed in the old log would be gone.
+func TestFailedTurn(t *testing.T) {
+	for seed := uint64(0); seed < 40; seed++ {
+		disk := sim.NewDisk()
+		store, err := storage.OpenLimited(disk, 2000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		run := &failing{disk: disk, store: store}
+		disk.Fault = sim.Fault{SyncFails: seed%2 == 0, IsFull: seed%2 == 1, Only: "slot-"}
+		asked := uint64(0)
+		for k := uint64(1); k <= 30+seed; k++ {
+			asked = k
+			if run.commit(k) != nil {
+				break
+			}
+		}
+		if run.failures == 0 {
+			t.Fatal("the log went on for ever")
+		}
+		if seed%4 > 1 {
+			disk.Fault = sim.Fault{}
+			if err := run.commit(asked); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := run.reopen(rand.New(rand.NewPCG(seed, 3)), asked); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// TestTornTail: what a failed write left behind is cut before anything follows,
+// so that nothing of it stands after a shorter frame.
+func TestTornTail(t *testing.T) {
+	long := []*schema.Change{{Group: "g", Records: []*schema.Record{record(2, 900)}}}
+	short := []*schema.Change{{Group: "g", Records: []*schema.Record{record(2, 1)}}}
+	sizes := map[bool]int{}
+	for _, isFailing := range []bool{false, true} {
+		disk := sim.NewDisk()
+		store, err := storage.Open(disk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := store.Commit([]*schema.Change{{Group: "g", Records: []*schema.Record{record(1, 10)}}}); err != nil {
+			t.Fatal(err)
+		}
+		if isFailing {
+			disk.Fault.IsFull = true
+			if store.Commit(long) == nil {
+				t.Fatal("a full disk took a batch")
+			}
+			disk.Fault.IsFull = false
+		}
+		if err := store.Commit(short); err != nil {
+			t.Fatal(err)
+		}
+		sizes[isFailing] = disk.Size("log-0")
+	}
+	if sizes[true] != sizes[false] {
+		t.Errorf("%d bytes after a failed write, %d without one", sizes[true], sizes[false])
+	}
+}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -24,6 +24,8 @@
 	Errors  = errorx.NewNamespace("storage")
 	Damaged = Errors.NewType("damaged")
 	Failed  = Errors.NewType("failed")
+	// Foreign is a data folder that isn't this process's to use.
+	Foreign = Errors.NewType("foreign")
 )
 
 // Disk is what a store needs of files. What is written lasts only once synced.
@@ -128,8 +130,10 @@
 	size    int64
 	limit   int64 // the log's size at which a slot is written
 	least   int64
-	failed  error
 	counts  Counts
+
+	condition condition // of the log's end
+	hasFailed bool      // the last commit
 }
 
 const (
@@ -180,6 +184,11 @@
 	if err := s.replay(); err != nil {
 		return nil, err
 	}
+	if best != nil && s.seq == 0 {
+		if err := s.rewriteSlot(); err != nil {
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
@@ -256,7 +265,8 @@
 	if err != nil {
 		return err
 	}
-	offset := 0
+	offset, certain := 0, 0
+	ends := map[uint64]int{}
 	for offset < len(data) {
 		frame, used, ok := parseFrame(data[offset:])
 		if ok && frame.Epoch < s.epoch {
@@ -275,6 +285,8 @@
 		}
 		s.seq = frame.Seq
 		offset += used
+		ends[frame.Seq] = offset
+		certain = max(certain, ends[frame.Synced])
 	}
 	s.synced = s.seq
 	s.size = int64(offset)
@@ -285,10 +297,7 @@
 	}
 	// What was read may still be only in the machine's memory: it must last
 	// before anybody builds on it.
-	if err := s.disk.Sync(name); err != nil {
-		return Failed.Wrap(err, "syncing %s", name)
-	}
-	return nil
+	return s.rewrite(name, data[:offset], certain)
 }
 
 func (s *Store) witnessed(data []byte, seq uint64) bool {
@@ -313,24 +322,27 @@
 func (s *Store) Counts() Counts { return s.counts }
 
 // Commit makes changes last. When it returns nil they are synced. After an
-// error the store takes nothing more: what a failed sync left behind is
-// unknown, and only a reopening finds out.
+// error none of them counts, though they may turn up after a restart; the same
+// ones may be given again, and the store mends itself first.
 func (s *Store) Commit(changes []*schema.Change) error {
-	if s.failed != nil {
-		return s.failed
+	if err := s.repair(); err != nil {
+		s.hasFailed = true
+		return Failed.Wrap(err, "mending the store")
 	}
 	if err := s.commit(changes); err != nil {
-		s.failed = Failed.Wrap(err, "store")
-		return s.failed
+		return Failed.Wrap(err, "store")
 	}
+	s.hasFailed = false
 	return nil
 }
 
 func (s *Store) commit(changes []*schema.Change) error {
 	if err := s.write(changes); err != nil {
+		s.worsen(torn)
 		return err
 	}
 	if err := s.disk.Sync(logName(s.epoch)); err != nil {
+		s.worsen(unsure)
 		return err
 	}
 	s.counts.Syncs++
@@ -338,13 +350,20 @@
 	for _, change := range changes {
 		s.content.Apply(change)
 	}
+	// What fails from here on takes nothing back: the changes last.
 	if s.size > s.limit {
-		return s.turn()
+		if s.turn() != nil {
+			s.condition = unsure
+		}
+		return nil
 	}
 	// The mark tells a later reader that the frame before it was synced, so
 	// that rot at the very end isn't taken for a torn write. It isn't synced
 	// itself; losing it loses nothing.
-	return s.write(nil)
+	if s.write(nil) != nil {
+		s.condition = torn
+	}
+	return nil
 }
 
 func (s *Store) write(changes []*schema.Change) error {
