Mutants for each guard of a disk in trouble; a full disk's room for the next slot is shown

A test fills the disk up around a store in steady state: the log before last makes room for the next slot, for 300 commits and at least three slots.

--- a/internal/mutation/ledger_test.go
+++ b/internal/mutation/ledger_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	var scenarios, guards []string
-	for _, s := range append(slices.Clone(sim.Scenarios), sim.CalledScenarios...) {
+	for _, s := range slices.Concat(sim.Scenarios, sim.CalledScenarios, sim.DiskScenarios) {
 		scenarios = append(scenarios, s.Name)
 	}
 	for _, m := range Mutants {
--- a/internal/raft/writable_test.go
+++ b/internal/raft/writable_test.go
@@ -54,6 +54,8 @@
 			r.run(3 * eventloop.Second)
 			So(r.leader(), ShouldEqual, leader)
 			So(leader.Term(), ShouldEqual, term)
+			// A term of its own would make it dumb now, and depose the leader later.
+			So(refusing.Term(), ShouldEqual, term)
 		})
 	})
 	Convey("A leader whose store takes no writes commits by the others, answers reads, and hands over", t, func() {
--- a/internal/sim/disk_fault.go
+++ b/internal/sim/disk_fault.go
@@ -19,6 +19,8 @@
 	Only      string // the beginning of the names that this is about; empty: all
 	// FailAt, when positive, counts operations down to one that fails.
 	FailAt int
+	// Room, when positive, is how many bytes all files may hold together.
+	Room int
 }
 
 // strikes tells whether an operation on a file fails: this one, or all of its
@@ -36,10 +38,14 @@
 
 // isRefused tells whether a write is, and leaves half of it behind.
 func (d *Disk) isRefused(name string, f *file, w write) bool {
-	if !d.Fault.strikes(name, d.Fault.IsFull) {
+	isFull := d.Fault.IsFull
+	if grown := len(w.apply(append([]byte(nil), f.current...))) - len(f.current); d.Fault.Room > 0 && grown > 0 {
+		isFull = isFull || d.Used()+grown > d.Fault.Room
+	}
+	if !d.Fault.strikes(name, isFull) {
 		return false
 	}
-	if w.data != nil && len(w.data) > 1 {
+	if w.data != nil && len(w.data) > 1 && d.Fault.Room == 0 {
 		half := write{offset: w.offset, data: w.data[:len(w.data)/2]}
 		f.writes = append(f.writes, half)
 		f.current = half.apply(f.current)
@@ -59,3 +65,12 @@
 	f.writes = nil
 	return ErrSync
 }
+
+// Used is how many bytes all files hold together.
+func (d *Disk) Used() int {
+	used := 0
+	for _, f := range d.files {
+		used += len(f.current)
+	}
+	return used
+}
--- a/internal/storage/repair_test.go
+++ b/internal/storage/repair_test.go
@@ -261,3 +261,48 @@
 		t.Errorf("%d bytes after a failed write, %d without one", sizes[true], sizes[false])
 	}
 }
+
+// TestRoomIsKeptForTheNextSlot: on a disk that others have filled up, a store
+// whose content doesn't grow goes on for ever in the room that its own files
+// hold: the log before last is kept until the next slot needs its room.
+func TestRoomIsKeptForTheNextSlot(t *testing.T) {
+	for seed := uint64(0); seed < 20; seed++ {
+		disk := sim.NewDisk()
+		store, err := storage.OpenLimited(disk, 2000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		run := &failing{disk: disk, store: store}
+		steady := func(k uint64) {
+			run.commitOnly(t, []*schema.Change{{Group: "g", Records: []*schema.Record{record(k, 60)}, Checkpoint: &schema.Checkpoint{Index: max(k, 4) - 4}}})
+			run.acknowledged = k
+		}
+		k := uint64(1)
+		for ; k < 90+seed; k++ {
+			steady(k)
+		}
+		disk.Fault.Room = disk.Used()
+		turned := store.Counts().Slots
+		for ; k < 400; k++ {
+			steady(k)
+		}
+		if store.Counts().Slots < turned+3 {
+			t.Fatalf("%d slots were written on a full disk", store.Counts().Slots-turned)
+		}
+		if err := run.reopen(rand.New(rand.NewPCG(seed, 4)), k); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// commitOnly commits until that succeeds.
+func (f *failing) commitOnly(t *testing.T, changes []*schema.Change) {
+	t.Helper()
+	for range 12 {
+		if f.store.Commit(changes) == nil {
+			return
+		}
+		f.failures++
+	}
+	t.Fatal("a commit never succeeded")
+}
