What else ended a process: listeners, foreign stores, addresses, a closed log reader

Cause: a review of every place where a process ends by itself. A listener's passing failure (no memory, a network that is down) ended its process; so did a closed reader of its log; a store of another system ended it with a panic at each start; a change that can't be read, once in the log, would have ended every replica.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"sparnotch/internal/agent"
@@ -116,6 +117,8 @@
 func Serve(name string, loaded *schema.Options, role schema.Role, open Opening, hands ...agent.Caller) subcommands.ExitStatus {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	// Whoever reads our output may go away before we do.
+	signal.Ignore(syscall.SIGPIPE)
 	log, ring := logring.New(loaded.Trace)
 	// A crash writes the ring out before it takes the process down.
 	defer func() {
@@ -127,7 +130,7 @@
 	if err := serve(loaded, role, signals, log, ring, open, hands); err != nil {
 		log.Error("failed", zap.Error(err))
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		if storage.IsForeign(err) {
+		if storage.IsForeign(err) || errorx.IsOfType(err, config.Bad) {
 			return ExitOptions
 		}
 		return ExitFailed
@@ -156,7 +159,7 @@
 	server, err := open(real, log)
 	if err != nil {
 		real.Stop()
-		return nil, err
+		return nil, config.Bad.Wrap(err, "outer")
 	}
 	for {
 		select {
--- /dev/null
+++ b/internal/daemon/start_test.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"sparnotch/internal/process"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
+)
+
+func names(folder string) []string {
+	entries, err := os.ReadDir(folder)
+	So(err, ShouldBeNil)
+	var list []string
+	for _, entry := range entries {
+		list = append(list, entry.Name())
+	}
+	return list
+}
+
+func TestWhatEndsAStart(t *testing.T) {
+	never := func(*process.Real, *zap.Logger) (Server, error) { panic("it has started") }
+	told := filepath.Join(t.TempDir(), "log")
+	options := func(data string) *schema.Options {
+		return &schema.Options{Cell: "c", Inner: "127.0.0.1:0", Outer: "127.0.0.1:1", Data: data, Seeds: []string{"127.0.0.1:1"}, Trace: told}
+	}
+	log := func() string {
+		text, err := os.ReadFile(told)
+		So(err, ShouldBeNil)
+		return string(text)
+	}
+	Convey("A data folder that is somebody else's: code 2, named, nothing written", t, func() {
+		data := t.TempDir()
+		So(os.WriteFile(filepath.Join(data, "family.jpg"), []byte("x"), 0o600), ShouldBeNil)
+		So(Serve("x", options(data), schema.Role_ROLE_SERVER, never), ShouldEqual, ExitOptions)
+		So(names(data), ShouldResemble, []string{"family.jpg"})
+		So(log(), ShouldContainSubstring, "family.jpg")
+	})
+	Convey("A data folder that is no folder: code 2, named, as it was", t, func() {
+		data := filepath.Join(t.TempDir(), "file")
+		So(os.WriteFile(data, []byte("x"), 0o600), ShouldBeNil)
+		So(Serve("x", options(data), schema.Role_ROLE_SERVER, never), ShouldEqual, ExitOptions)
+		text, err := os.ReadFile(data)
+		So(err, ShouldBeNil)
+		So(string(text), ShouldEqual, "x")
+		So(log(), ShouldContainSubstring, data)
+	})
+	Convey("A store whose checkpoint can't be read: code 2, with folder and group", t, func() {
+		data := t.TempDir()
+		folder, err := storage.OpenFolder(data)
+		So(err, ShouldBeNil)
+		store, err := storage.Open(folder)
+		So(err, ShouldBeNil)
+		point := &schema.Checkpoint{Index: 7, Term: 1, Data: []byte("\xff\xff\xff of another system")}
+		So(store.Commit([]*schema.Change{{Group: "mail#4", Checkpoint: point}}), ShouldBeNil)
+		folder.Close()
+		So(Serve("x", options(data), schema.Role_ROLE_SERVER, never), ShouldEqual, ExitOptions)
+		So(log(), ShouldContainSubstring, data)
+		So(log(), ShouldContainSubstring, "mail#4")
+	})
+	Convey("An address that can't be had: code 2, named", t, func() {
+		taken, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		Reset(func() { taken.Close() })
+		settings := options("")
+		settings.Inner = taken.Addr().String()
+		So(Serve("x", settings, schema.Role_ROLE_SERVER, never), ShouldEqual, ExitOptions)
+		So(log(), ShouldContainSubstring, "inner")
+	})
+}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -12,9 +12,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"sparnotch/internal/agent"
+	"sparnotch/internal/config"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/gateway"
 	"sparnotch/internal/membership"
@@ -101,9 +103,10 @@
 	if r.store != nil {
 		papers.Store = r.store.Content()
 	}
-	berths := Heed(papers)
-	if role == schema.Role_ROLE_SERVER {
-		berths = Keep(papers)
+	berths, err := berthsOf(role, papers)
+	if err != nil {
+		r.opened.Close()
+		return nil, storage.Foreign.Wrap(err, "data folder %s", options.Data)
 	}
 	for _, berth := range berths {
 		r.process.Add(berth.Name, berth.Table, berth.Pace)
@@ -118,7 +121,7 @@
 	net, err := transport.Listen(r.Member.Id, options.Inner, r.deliver)
 	if err != nil {
 		r.opened.Close()
-		return nil, err
+		return nil, config.Bad.Wrap(err, "inner")
 	}
 	r.net = net
 	if options.TestCuts != "" {
@@ -143,6 +146,24 @@
 	return r, nil
 }
 
+// berthsOf makes a process's tables; an error if its store holds what can't be
+// read.
+func berthsOf(role schema.Role, papers *Papers) (berths []Berth, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			unreadable, isError := cause.(error)
+			if !isError || !errorx.IsOfType(unreadable, replica.Unreadable) {
+				panic(cause)
+			}
+			err = unreadable
+		}
+	}()
+	if role == schema.Role_ROLE_SERVER {
+		return Keep(papers), nil
+	}
+	return Heed(papers), nil
+}
+
 func (r *Real) duty(run func()) {
 	r.duties.Add(1)
 	go func() {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -32,7 +32,7 @@
 	if r.queue == nil {
 		result, err := t.clusterState.Apply(record.AtUs, record.Data)
 		if err != nil {
-			panic("keep: cluster state record: " + err.Error())
+			panic(Unreadable.Wrap(err, "record of %s", r.group.Name()))
 		}
 		t.releaseClusterState(r, record.Index)
 		t.clusterStateChanged(now, out)
@@ -43,7 +43,7 @@
 	}
 	effects, err := r.queue.Apply(record.Index, record.AtUs, record.Data)
 	if err != nil {
-		panic("keep: record of " + r.group.Name() + ": " + err.Error())
+		panic(Unreadable.Wrap(err, "record of %s", r.group.Name()))
 	}
 	if effects.Release != nil {
 		r.group.Release(effects.Release.Index, effects.Release.Data)
--- a/internal/replica/refusal_test.go
+++ b/internal/replica/refusal_test.go
@@ -189,3 +189,16 @@
 	}
 	return size
 }
+
+func TestUnreadableCommand(t *testing.T) {
+	Convey("A change that can't be read is refused before it is in the log", t, func() {
+		c := newLedCore()
+		c.heard["h"] = nil
+		leader := c.leader("")
+		before := c.tables[leader].groups[clusterstate.Group].group.Last()
+		c.step(leader, "h", &schema.Request{Id: 1, Kind: "clusterstate", Group: clusterstate.Group, Body: []byte("\xff\xff\xff")})
+		c.run(50 * eventloop.Milli)
+		So(c.tables[leader].groups[clusterstate.Group].group.Last(), ShouldEqual, before)
+		So(c.heard["h"][len(c.heard["h"])-1].(*schema.RequestReply).Code, ShouldEqual, 400)
+	})
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/clusterstate"
@@ -22,6 +23,13 @@
 	"sparnotch/internal/storage"
 )
 
+var (
+	Errors = errorx.NewNamespace("replica")
+	// Unreadable is a checkpoint or record that is whole and yet can't be read: it
+	// was written by something else. A replica can't go on from it.
+	Unreadable = Errors.NewType("unreadable")
+)
+
 // Pace is the tick of the replicas.
 const Pace = 25 * eventloop.Milli
 
@@ -124,7 +132,7 @@
 	if r.group.Name() == clusterstate.Group {
 		machine, err := clusterstate.Restore(point.Data)
 		if err != nil {
-			panic("keep: cluster state checkpoint: " + err.Error())
+			panic(Unreadable.Wrap(err, "checkpoint of %s", r.group.Name()))
 		}
 		t.clusterState = machine
 		t.setState(machine.Copy())
@@ -133,7 +141,7 @@
 	r.name = QueueOf(r.group.Name())
 	machine, err := queue.Restore(r.name, point.Index, point.Data)
 	if err != nil {
-		panic("keep: checkpoint of " + r.group.Name() + ": " + err.Error())
+		panic(Unreadable.Wrap(err, "checkpoint of %s", r.group.Name()))
 	}
 	r.queue = machine
 }
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -39,6 +39,11 @@
 			r.waiting[index] = asked
 		}
 	case "clusterstate":
+		// What can't be read mustn't get into the log: no replica could go on from it.
+		if proto.Unmarshal(m.Body, &schema.ClusterStateCommand{}) != nil {
+			t.reply(asked, 400, faultBody("bad_request", "the command can't be read"), r.group, out)
+			return
+		}
 		if index, _, err := r.group.Propose(now, m.Body); err == nil {
 			r.waiting[index] = asked
 		}
--- /dev/null
+++ b/internal/transport/patient_test.go
@@ -0,0 +1,42 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// failing is a listener whose first calls fail.
+type failing struct {
+	net.Listener
+	left int
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if f.left > 0 {
+		f.left--
+		return nil, &net.OpError{Op: "accept", Err: syscall.ENOBUFS}
+	}
+	return f.Listener.Accept()
+}
+
+func TestPatient(t *testing.T) {
+	Convey("A listener that fails now and then goes on, and ends when it is closed", t, func() {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		listener := Patient(context.Background(), &failing{inner, 2})
+		client, err := net.Dial("tcp", inner.Addr().String())
+		So(err, ShouldBeNil)
+		Reset(func() { client.Close() })
+		conn, err := listener.Accept()
+		So(err, ShouldBeNil)
+		conn.Close()
+		So(listener.Close(), ShouldBeNil)
+		_, err = listener.Accept()
+		So(errors.Is(err, net.ErrClosed), ShouldBeTrue)
+	})
+}
