--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/joomcode/errorx"
+
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/membership"
@@ -20,6 +22,13 @@
 	"sparnotch/internal/storage"
 )
 
+var (
+	Errors = errorx.NewNamespace("replica")
+	// Unreadable is a checkpoint or record that is whole and yet can't be read: it
+	// was written by something else. A replica can't go on from it.
+	Unreadable = Errors.NewType("unreadable")
+)
+
 // Pace is the tick of the replicas.
 const Pace = 25 * eventloop.Milli
 
@@ -70,6 +79,7 @@
 	began        eventloop.Micros // when the write that is out was handed over
 	reads        uint64
 	isWarned     bool
+	refusal      refusal
 	applied      map[string]*schema.Applied // by gateway, of this step
 }
 
@@ -96,6 +106,7 @@
 		group:   raft.New(name, t.id, image, t.times, t.patience, now),
 		waiting: map[uint64]waiter{}, reading: map[uint64]waiter{},
 	}
+	r.group.SetWritable(!t.refuses())
 	t.groups[name], t.listed = r, nil
 	t.restore(r, image.Checkpoint)
 	return r
@@ -120,7 +131,7 @@
 	if r.group.Name() == clusterstate.Group {
 		machine, err := clusterstate.Restore(point.Data)
 		if err != nil {
-			panic("keep: cluster state checkpoint: " + err.Error())
+			panic(Unreadable.Wrap(err, "checkpoint of %s", r.group.Name()))
 		}
 		t.clusterState = machine
 		t.setState(machine.Copy())
@@ -129,7 +140,7 @@
 	r.name = QueueOf(r.group.Name())
 	machine, err := queue.Restore(r.name, point.Index, point.Data)
 	if err != nil {
-		panic("keep: checkpoint of " + r.group.Name() + ": " + err.Error())
+		panic(Unreadable.Wrap(err, "checkpoint of %s", r.group.Name()))
 	}
 	r.queue = machine
 }
@@ -159,6 +170,8 @@
 		t.tick(now, out)
 	case Written:
 		t.written(now, body, out)
+	case Refused:
+		t.refused(now, body)
 	case membership.KeepSelf:
 		t.keepSelf(now, body)
 	case *membership.Roll:
