--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 const (
 	meetSpan    = 500 * eventloop.Milli // between two words to the cluster state of a worker it doesn't know
 	pollSpan    = 700 * eventloop.Milli // an announce not answered by then is sent anew
+	deafSpan    = 3 * pollSpan          // and after so long we say that we hear nothing
 	waitSpan    = 400 * eventloop.Milli // how long an answer may be held back
 	refusedSpan = 100 * eventloop.Milli // an announce turned away is sent again after this
 	hurrySpan   = 10 * eventloop.Milli  // between two announces of changes at least
@@ -175,11 +176,12 @@
 	glanceAt eventloop.Micros
 	isAsked  bool // a glance is wanted
 
-	poll     *poll
-	pollAt   eventloop.Micros
-	polledAt eventloop.Micros
-	isDirty  bool
-	refusals int
+	poll            *poll
+	pollAt          eventloop.Micros
+	polledAt        eventloop.Micros
+	unansweredSince eventloop.Micros // first announce that its scheduler hasn't answered; 0: none
+	isDirty         bool
+	refusals        int
 }
 
 // Table is the agent's table.
@@ -215,7 +217,7 @@
 		// Much may have ended meanwhile, and others may have our orders' work. It was
 		// we who were deaf.
 		t.resurvey(t.life)
-		t.life.mutes = 0
+		t.life.mutes, t.life.unansweredSince = 0, 0
 	}
 	t.last = now
 	switch body := mail.Body.(type) {
@@ -383,7 +385,7 @@
 	}
 	l.raise(ward.Generation)
 	if ward.Scheduler != l.scheduler {
-		l.scheduler, l.poll, l.isDirty = ward.Scheduler, nil, true
+		l.scheduler, l.poll, l.isDirty, l.unansweredSince = ward.Scheduler, nil, true, 0
 	}
 }
 
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -28,6 +28,10 @@
 		WaitUs: int64(waitSpan), Gathers: true, Named: true, Over: slices.Clone(t.over),
 		ColdUs: int64(max(0, l.beat.Cold-(now-l.heard))),
 	}
+	if l.unansweredSince == 0 {
+		l.unansweredSince = now
+	}
+	a.Unanswered = now-l.unansweredSince > deafSpan
 	if l.isLapsed {
 		// It is spoken for only to tell what is over there; it gets nothing new.
 		a.CoresMilli, a.MemoryMb, a.Accelerators = 0, 0, 0
@@ -60,6 +64,9 @@
 // says, the next says again.
 func (t *Table) answered(now eventloop.Micros, from string, m *schema.PollReply) {
 	l := t.life
+	if l != nil && from == l.scheduler {
+		l.unansweredSince = 0
+	}
 	if l == nil || l.isOver || l.poll == nil || m.Id != l.poll.seq || from != l.poll.scheduler {
 		return
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -650,6 +650,12 @@
 		out.Send(front, &schema.PollReply{Id: m.Id, Scheduler: t.id})
 		return
 	}
+	if a.Unanswered && w.isKnown && a.Incarnation == w.incarnation {
+		// We hear it, but it doesn't hear us: what was ordered there may never begin, so
+		// it counts as silent. This answer grants nothing, and tells whether it hears again.
+		out.Send(front, &schema.PollReply{Id: m.Id, Scheduler: t.id})
+		return
+	}
 	if a.Incarnation > w.incarnation {
 		w.ended = map[attemptKey]*ended{}
 		w.good, w.bad, w.quality = 0, 0, quality{}
