--- /dev/null
+++ b/internal/storage/install_test.go
@@ -0,0 +1,151 @@
+package storage_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/internal/schema"
+	"sparnotch/internal/sim"
+	"sparnotch/internal/storage"
+)
+
+// installation is what a replica commits that is sent checkpoints by its leader:
+// records of its own, a checkpoint that replaces them all, records after it, a
+// checkpoint that it makes itself, and a later one of the leader's.
+func installation() [][]*schema.Change {
+	state := func(index uint64) *schema.Checkpoint {
+		return &schema.Checkpoint{Index: index, Term: 2, Data: fmt.Appendf(nil, "state %d %3000d", index, index)}
+	}
+	records := func(first, last uint64) []*schema.Record {
+		var list []*schema.Record
+		for index := first; index <= last; index++ {
+			list = append(list, record(index, 200))
+		}
+		return list
+	}
+	return [][]*schema.Change{
+		{{Group: "g", Hard: &schema.Hard{Term: 1, Vote: "a"}, Records: records(1, 8)}},
+		{{Group: "g", Hard: &schema.Hard{Term: 2}}, {Group: "g", Checkpoint: state(100), Reset_: true}},
+		{{Group: "g", Records: records(101, 110)}},
+		{{Group: "g", Checkpoint: state(105)}},
+		{{Group: "g", Records: records(111, 114)}, {Group: "h", Records: records(1, 3)}},
+		{{Group: "g", Checkpoint: state(300), Reset_: true}, {Group: "g", Records: records(301, 302)}},
+	}
+}
+
+// held is a store's whole content as text.
+func held(s *storage.Store) string {
+	text := ""
+	for _, name := range []string{"g", "h"} {
+		if image := s.Content().Groups[name]; image != nil {
+			slot := &schema.Change{Group: name, Hard: image.Hard, Checkpoint: image.Checkpoint, Records: image.Records}
+			data, err := proto.MarshalOptions{Deterministic: true}.Marshal(slot)
+			if err != nil {
+				panic(err)
+			}
+			text += fmt.Sprintf("%s %x\n", name, data)
+		}
+	}
+	return text
+}
+
+// TestInterruptedInstallation: the power goes at each write, cut and sync of the
+// installation of checkpoints, with slots turned at other places each time. What is
+// there then is what had been acknowledged, or that and the whole of what was being
+// written: never half a checkpoint, an old one with new records, or a new one with
+// old records; and the installation is taken up again from there.
+func TestInterruptedInstallation(t *testing.T) {
+	steps := installation()
+	for _, limit := range []int64{100, 1500, 2500, 4000, 9000, 1 << 20} {
+		for cut := 1; cut < 60; cut++ {
+			for seed := uint64(0); seed < 3; seed++ {
+				interrupt(t, steps, limit, cut, seed)
+			}
+		}
+	}
+}
+
+func interrupt(t *testing.T, steps [][]*schema.Change, limit int64, cut int, seed uint64) {
+	fail := func(form string, args ...any) {
+		t.Fatalf("limit %d, cut at %d, seed %d: %s", limit, cut, seed, fmt.Sprintf(form, args...))
+	}
+	whole, err := storage.OpenLimited(sim.NewDisk(), limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wanted := []string{held(whole)}
+	for _, changes := range steps {
+		if err := whole.Commit(changes); err != nil {
+			t.Fatal(err)
+		}
+		wanted = append(wanted, held(whole))
+	}
+	disk := sim.NewDisk()
+	rng := rand.New(rand.NewPCG(seed, uint64(cut)))
+	s, err := storage.OpenLimited(disk, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	disk.OpsLeft = cut
+	done := 0
+	for done < len(steps) && s.Commit(steps[done]) == nil {
+		done++
+	}
+	disk.PowerCut(rng)
+	if s, err = storage.OpenLimited(disk, limit); err != nil {
+		fail("%v", err)
+	}
+	switch held(s) {
+	case wanted[done]:
+	case wanted[min(done+1, len(steps))]:
+		done++
+	default:
+		fail("%d steps were acknowledged, and what is there is neither that nor that and the next", done)
+	}
+	for ; done < len(steps); done++ {
+		if err := s.Commit(steps[done]); err != nil {
+			fail("%v", err)
+		}
+	}
+	if s, err = storage.OpenLimited(disk, limit); err != nil || held(s) != wanted[len(steps)] {
+		fail("taken up again it comes to something else: %v", err)
+	}
+}
+
+// TestSpaceOnDisk: whatever comes, a store takes no more than two slots and two
+// logs, each no larger than its content or the least limit, and what one batch adds.
+func TestSpaceOnDisk(t *testing.T) {
+	const limit, point, batch = 1 << 20, 700 << 10, 260 << 10
+	disk := sim.NewDisk()
+	s, err := storage.OpenLimited(disk, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peak, last := 0, uint64(0)
+	for k := uint64(1); k <= 400; k++ {
+		change := &schema.Change{Group: "g", Records: []*schema.Record{record(k, batch)}}
+		if k%4 == 0 {
+			last = k
+			change.Checkpoint = &schema.Checkpoint{Index: k, Data: make([]byte, point)}
+		}
+		if err := s.Commit([]*schema.Change{change}); err != nil {
+			t.Fatal(err)
+		}
+		sum := 0
+		for _, name := range []string{"slot-0", "slot-1", "log-0", "log-1"} {
+			sum += disk.Size(name)
+		}
+		peak = max(peak, sum)
+	}
+	content := point + 4*batch
+	most := 2*content + 2*(max(limit, content)+point+batch) + 64<<10
+	if peak > most {
+		t.Errorf("%d bytes on the disk, at most %d were to be", peak, most)
+	}
+	if last != 400 || s.Counts().Slots < 20 {
+		t.Errorf("only %d slots were turned", s.Counts().Slots)
+	}
+}
