--- a/internal/clusterstate/pack.go
+++ b/internal/clusterstate/pack.go
@@ -22,7 +22,9 @@
 )
 
 var (
-	Errors    = errorx.NewNamespace("clusterstate")
+	// Errors are those of this package.
+	Errors = errorx.NewNamespace("clusterstate")
+	// BadPacked is what can't be unpacked, or is a copy without a plan that isn't held.
 	BadPacked = Errors.NewType("bad_packed")
 )
 
