--- a/internal/sim/changes_test.go
+++ b/internal/sim/changes_test.go
@@ -64,7 +64,7 @@
 	var document strings.Builder
 	for k := 0; document.Len() < size; k++ {
 		name, path := fmt.Sprintf("rack-%d-%d", edition, k), fmt.Sprintf("%x", o.text.Uint64())
-		fmt.Fprintf(&document, `{"name":"%s","host":"jobs.example","path_prefix":"/%s/","kind":"jobs","timeout_ms":3000,"service":"%s"},`, name, path, path)
+		fmt.Fprintf(&document, `{"name":"%s","host":"jobs.example","prefix":"/%s/","kind":"jobs","timeout_ms":3000,"service":"%s"},`, name, path, path)
 		sheet.Rows = append(sheet.Rows, &schema.Row{Kind: "rack", Name: name, Key: "weight", Value: fmt.Sprint(o.text.IntN(100))})
 	}
 	sheet.Document = []byte(document.String()[:size])
