--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			panic(Unreadable.Wrap(err, "record of %s", r.group.Name()))
 		}
-		t.releaseClusterState(r, record.Index)
+		t.releaseClusterState(r, record)
 		t.clusterStateChanged(now, out)
 		if isWaited {
 			t.answerClusterState(waiting, result, r, out)
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -32,7 +32,9 @@
 	day    int64            // time of day at time 0; 0: every clock stands still
 	isDown map[string]bool
 	isCut  func(from, to string) bool
-	held   map[string]uint64 // by store whose disk refuses: the batch that waits
+	held   map[string]uint64              // by store whose disk refuses: the batch that waits
+	batch  func(id string, batch Batch)   // sees what is written
+	isLost func(to string, body any) bool // what never arrives; nil: nothing
 }
 
 type letter struct {
@@ -58,6 +60,9 @@
 			p.core.mail = append(p.core.mail, letter{p.core.now + syncSpan, "", p.id, Refused{Number: batch.Number, Why: "no room"}})
 			return
 		}
+		if p.core.batch != nil {
+			p.core.batch(p.id, batch)
+		}
 		p.core.mail = append(p.core.mail, letter{p.core.now + syncSpan, "", p.id, Written{Number: batch.Number}})
 		return
 	}
@@ -99,7 +104,9 @@
 			return l.at <= c.now
 		})
 		for _, l := range due {
-			if c.isDown[l.to] || c.isDown[l.from] || c.isCut != nil && c.isCut(l.from, l.to) {
+			isCut := c.isCut != nil && c.isCut(l.from, l.to)
+			isLost := c.isLost != nil && c.isLost(l.to, l.body)
+			if c.isDown[l.to] || c.isDown[l.from] || isCut || isLost {
 				continue
 			}
 			if c.tables[l.to] != nil {
