Model checker of the agreement group; members change by one step only

Cause: no test chose deliveries, losses, crashes and syncs by itself, so what holds in every order rested on reading. And ProposeMemberSet took any list: an order that is old or late could have left two majorities without a common voter.

Change: internal/modelcheck runs the real group, cluster state and storage under a scheduler: breadth first to a depth for 3 replicas and 2 operators, random walks for 3 to 7 with joins, leaves and wiped disks on stores that crashes tear. Invariants after each step, histories judged by porcupine (test only), findings shrunk and printed as a command. raft: Clone and Fingerprint for it; ProposeMemberSet refuses what isn't one step from the present members, and a voter that wasn't a learner or hasn't caught up.

--- /dev/null
+++ b/internal/modelcheck/schedule.go
@@ -0,0 +1,271 @@
+package modelcheck
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/internal/schema"
+)
+
+// Step is one decision of the scheduler. Its text is a letter and what it is
+// about: machines and operators are digits, messages are named by their
+// content and stores by their ids, so that a schedule from which steps were taken
+// still says the same.
+//
+//	dKEY  a message arrives           uKEY  it arrives, and will again
+//	xKEY  it is lost
+//	tM    M hears nothing for longer than an election waits
+//	bM    M's next heartbeat is due   sM    the write under way on M lasts
+//	cM    M starts again, unsynced writes lost or torn
+//	kM    M starts again, the write under way lasted but wasn't told
+//	wM    M loses its disk            fM    M's log is let go up to a snapshot
+//	pOM   operator O asks M for a replace, or for the one under way once more
+//	rOM   operator O reads at M       gO    operator O gives up waiting
+//	lMID  leader M takes store ID as a learner
+//	vMID  M makes it a voter          oMID  M drops it
+//	hMID  M hands the leadership to it
+//	nM    M proposes more records than a promotion allows to be behind
+//	qMN.. everything lasts and arrives among these machines (q alone: all) until
+//	      nothing is left; what else is under way is lost
+type Step string
+
+// ParseSchedule reads a line of steps.
+func ParseSchedule(line string) []Step {
+	var steps []Step
+	for _, word := range strings.Fields(line) {
+		steps = append(steps, Step(word))
+	}
+	return steps
+}
+
+// Line is a schedule's text.
+func Line(steps []Step) string {
+	words := make([]string, len(steps))
+	for k, step := range steps {
+		words[k] = string(step)
+	}
+	return strings.Join(words, " ")
+}
+
+func keyOf(from, to string, body proto.Message) uint32 {
+	hash := fnv.New32a()
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(body)
+	if err != nil {
+		panic("modelcheck: " + err.Error())
+	}
+	fmt.Fprintf(hash, "%s>%s %T ", from, to, body)
+	hash.Write(data)
+	return hash.Sum32()
+}
+
+// Take makes a step, and tells whether there was anything to do.
+func (w *World) Take(step Step) (isDone bool) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			w.fail("panic: %v", reason)
+			isDone = true
+		}
+	}()
+	if len(step) == 0 {
+		return false
+	}
+	rest := string(step[1:])
+	switch step[0] {
+	case 'd', 'u', 'x':
+		return w.onParcel(step[0], rest)
+	case 'q':
+		w.quiet(rest)
+		return true
+	case 'g':
+		k, isFound := digit(rest, 0, len(w.operators))
+		return isFound && w.giveUp(k)
+	case 'p', 'r':
+		operator, isOperator := digit(rest, 0, len(w.operators))
+		at, isMachine := digit(rest, 1, len(w.machines))
+		return isOperator && isMachine && w.ask(step[0], operator, at)
+	}
+	at, isMachine := digit(rest, 0, len(w.machines))
+	if !isMachine {
+		return false
+	}
+	m := w.own(at)
+	if len(rest) > 1 {
+		return w.onPair(step[0], m, rest[1:])
+	}
+	return w.onMachine(step[0], m)
+}
+
+func digit(text string, at, below int) (int, bool) {
+	if at >= len(text) {
+		return 0, false
+	}
+	value := int(text[at] - '0')
+	return value, value >= 0 && value < below
+}
+
+func (w *World) onParcel(kind byte, key string) bool {
+	number, err := strconv.ParseUint(key, 16, 32)
+	if err != nil {
+		return false
+	}
+	at := slices.IndexFunc(w.parcels, func(p parcel) bool { return p.key == uint32(number) })
+	if at < 0 {
+		return false
+	}
+	p := w.parcels[at]
+	if kind == 'u' {
+		if w.twice >= w.limits.Twice {
+			return false
+		}
+		w.twice++
+	} else {
+		w.parcels = slices.Delete(w.parcels, at, at+1)
+	}
+	if kind != 'x' {
+		w.deliver(p)
+	}
+	return true
+}
+
+func (w *World) ask(kind byte, operator, at int) bool {
+	isDone := false
+	if kind == 'r' {
+		isDone = w.read(operator, at)
+	} else if w.puts < w.limits.Puts {
+		isDone = w.put(operator, at)
+		if isDone {
+			w.puts++
+		}
+	}
+	if isDone {
+		w.settle(w.machines[at])
+	}
+	return isDone
+}
+
+func (w *World) onMachine(kind byte, m *machine) bool {
+	switch kind {
+	case 'c':
+		return w.crash(m, false)
+	case 'k':
+		return w.crash(m, true)
+	case 'w':
+		return w.wipe(m)
+	}
+	if m.group == nil {
+		return false
+	}
+	switch kind {
+	case 't':
+		m.clock += times.ElectionMost + 1
+		m.group.Tick(m.clock)
+	case 'b':
+		if !m.group.IsLeader() {
+			return false
+		}
+		m.clock += times.Beat
+		m.group.Tick(m.clock)
+	case 's':
+		if m.writing == nil {
+			return false
+		}
+		w.sync(m)
+	case 'f':
+		if m.applied <= m.memory.Checkpoint.Index {
+			return false
+		}
+		m.group.Release(m.applied, m.state.Rest())
+	case 'n':
+		if !m.group.IsLeader() || m.group.Last()-m.group.Applied() > catchUpRecords {
+			return false
+		}
+		for range catchUpRecords + 8 {
+			if _, _, err := m.group.Propose(m.clock, noise()); err != nil {
+				break
+			}
+		}
+	default:
+		return false
+	}
+	w.settle(m)
+	return true
+}
+
+func (w *World) onPair(kind byte, m *machine, other string) bool {
+	if m.group == nil || !m.group.IsLeader() || len(other) < 2 {
+		return false
+	}
+	if kind == 'h' {
+		if m.group.Passing() != "" || other == m.id {
+			return false
+		}
+		m.group.Pass(m.clock, other)
+		w.settle(m)
+		return true
+	}
+	next := afterStep(m.group.MemberSet(), kind, other)
+	if next == nil || m.group.ProposeMemberSet(m.clock, next) != nil {
+		return false
+	}
+	w.settle(m)
+	return true
+}
+
+// afterStep is a membership after one step, whether or not that is wise: the group
+// itself must know what it can't bear. Nil where the step means nothing.
+func afterStep(old *schema.MemberSet, kind byte, id string) *schema.MemberSet {
+	isVoter, isLearner := slices.Contains(old.Voters, id), slices.Contains(old.Learners, id)
+	next := &schema.MemberSet{Voters: slices.Clone(old.Voters), Learners: slices.Clone(old.Learners)}
+	switch {
+	case kind == 'l' && !isVoter && !isLearner:
+		next.Learners = append(next.Learners, id)
+	case kind == 'v' && !isVoter:
+		next.Learners = without(next.Learners, id)
+		next.Voters = append(next.Voters, id)
+	case kind == 'o' && (isVoter || isLearner):
+		next.Voters, next.Learners = without(next.Voters, id), without(next.Learners, id)
+	default:
+		return nil
+	}
+	return next
+}
+
+func without(list []string, id string) []string {
+	return slices.DeleteFunc(list, func(each string) bool { return each == id })
+}
+
+// quietMost bounds a quiet time: two leaders could beat each other for ever.
+const quietMost = 10_000
+
+func (w *World) quiet(among string) {
+	isIn := func(id string) bool {
+		m := w.machineOf(id)
+		return m != nil && (among == "" || strings.ContainsRune(among, rune('0'+m.index)))
+	}
+	for range quietMost {
+		isMoved := false
+		for k := range w.machines {
+			if m := w.own(k); isIn(m.id) && m.writing != nil {
+				w.sync(m)
+				w.settle(m)
+				isMoved = true
+			}
+		}
+		if len(w.parcels) > 0 {
+			p := w.parcels[0]
+			w.parcels = slices.Delete(w.parcels, 0, 1)
+			if isIn(p.from) && isIn(p.to) {
+				w.deliver(p)
+			}
+			isMoved = true
+		}
+		if !isMoved || w.broken != "" {
+			return
+		}
+	}
+}
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -44,6 +44,9 @@
 	if g.memberSetAt > g.commit || g.commit < g.first {
 		return Busy.New("%s: the last change of members isn't committed", g.name)
 	}
+	if err := g.checkStep(memberSet); err != nil {
+		return err
+	}
 	g.add(now, &schema.Record{Kind: schema.RecordKind_RECORD_MEMBER_SET, MemberSet: memberSet})
 	return nil
 }
