--- a/internal/raft/clone.go
+++ b/internal/raft/clone.go
@@ -22,10 +22,10 @@
 	if g.peers != nil {
 		c.peers = make(map[string]*progress, len(g.peers))
 		for id, p := range g.peers {
-			copied := *p
-			c.peers[id] = &copied
+			c.peers[id] = p.clone()
 		}
 	}
+	c.assembly.data = slices.Clone(g.assembly.data)
 	c.out.Posts = slices.Clone(g.out.Posts)
 	c.out.Changes = slices.Clone(g.out.Changes)
 	c.out.Commits = slices.Clone(g.out.Commits)
@@ -33,6 +33,16 @@
 	return &c
 }
 
+func (p *progress) clone() *progress {
+	copied := *p
+	copied.flight = slices.Clone(p.flight)
+	if p.transfer != nil {
+		transfer := *p.transfer
+		copied.transfer = &transfer
+	}
+	return &copied
+}
+
 // Fingerprint appends what decides how the replica goes on. Two replicas with
 // one fingerprint behave alike: times count from now, and no further than an
 // election's time, beyond which nothing tells them apart. Wall clocks are left
@@ -57,11 +67,13 @@
 		most := g.times.ElectionMost + 1
 		number(uint64(max(-most, min(most, at-now)) + most))
 	}
-	number(g.term, uint64(g.role), g.base.Index, g.base.Term, g.stable, g.commit, g.applied, g.memberSetAt, g.hardSeq-g.hardDone, g.matched, g.round, g.first, uint64(g.calls))
+	number(g.transfers, g.term, uint64(g.role), g.base.Index, g.base.Term, g.stable, g.commit, g.applied, g.memberSetAt, g.hardSeq-g.hardDone, g.matched, g.round, g.first, uint64(g.calls))
 	text(g.vote)
 	text(g.lead)
 	text(g.passTo)
-	flag(g.isYoung)
+	flag(g.isYoung, g.isReadOnly, g.assembly.isDone)
+	text(g.assembly.from)
+	number(g.assembly.term, g.assembly.number, uint64(len(g.assembly.data)))
 	for _, record := range g.log {
 		number(record.Term)
 	}
@@ -80,7 +92,17 @@
 			text(id)
 			number(p.next, p.match, p.round)
 			span(p.moved)
-			flag(p.installing, p.probing, p.probed)
+			flag(p.installing, p.probing, p.probed, p.transfer != nil)
+			if t := p.transfer; t != nil {
+				number(t.number, t.last, uint64(t.held))
+				flag(t.isInstall, t.isAgain)
+				span(t.sentAt)
+			}
+			number(uint64(p.window), uint64(len(p.flight)))
+			for _, f := range p.flight {
+				number(f.last, uint64(f.bytes))
+				span(f.sentAt)
+			}
 		}
 		for _, r := range slices.Sorted(maps.Keys(g.rounds)) {
 			number(r)
--- a/internal/raft/membership_step.go
+++ b/internal/raft/membership_step.go
@@ -12,10 +12,6 @@
 // NotOneStep says that a change of members isn't one step from those there are.
 var NotOneStep = Errors.NewType("not_one_step")
 
-// voterLag is how many records a learner may lack that becomes a voter: a quorum that
-// needs it waits for no more than that.
-const voterLag = 64
-
 // checkStep tells why a change of members may not be made now. One voter comes or goes
 // at most, so that every majority of the old and the new shares a voter; who comes was
 // a learner before and has caught up, so that the group can bear as much at once.
@@ -26,8 +22,7 @@
 		return NotOneStep.New("%s: from %v to %v isn't one step", g.name, old.Voters, next.Voters)
 	}
 	for _, id := range come {
-		p := g.peers[id]
-		if !slices.Contains(old.Learners, id) || p == nil || p.match == 0 || g.lastIndex()-p.match > voterLag {
+		if !slices.Contains(old.Learners, id) || !g.IsCaughtUp(id) {
 			return Busy.New("%s: %s hasn't caught up", g.name, id)
 		}
 	}
