Members: a repair is done within the catch-up, and a leaver hands its vote over

Change: where a store lived is kept by the controller itself; leaders tell the controller at once of a committed change and of a learner that has caught up; a leaver stays until its vote is with the newcomer, which it does within its grace; a newcomer is known by its count of beats against the cluster's age. The leader refuses whatever step lowers what may be lost below what is to be borne, and never drops itself.

TestLostStores tells the age and the beats now, which the newcomer is known by; its bounds are as they were.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,8 +27,6 @@
 	// For so long where an empty store has come since: until it is counted in, no
 	// other may be lost.
 	replacedSpan = 2500 * eventloop.Milli
-	beginSpan    = 8 * eventloop.Second  // who is first heard of within so long was there when all began
-	newSpan      = 30 * eventloop.Second // a store has come of late for so long
 	actSpan      = 200 * eventloop.Milli // between two acts on one thing
 	latencyMost  = int64(300 * eventloop.Milli)
 	latencyRest  = 15 * eventloop.Second // between two moves for latency alone
@@ -40,6 +38,12 @@
 	tell *schema.ClusterStateTell
 }
 
+// home is where a store lived and when it was last heard there.
+type home struct {
+	inner string
+	heard eventloop.Micros
+}
+
 // Table is the controller's table; every side machine has one, one of them acts.
 type Table struct {
 	id       string
@@ -58,8 +62,7 @@
 	queuesIn string // the queues of the last act on queues
 	movedAt  eventloop.Micros
 	gone     map[string]eventloop.Micros
-	came     map[string]eventloop.Micros // when a process was first heard of here
-	first    eventloop.Micros            // when any was
+	homes    map[string]home // where each store lived, as last heard
 	number   uint64
 	turn     int // whose turn it is to be asked
 	voters   int // how many each group is to have
@@ -71,7 +74,7 @@
 func New(id string, losses uint32, readers ...string) *Table {
 	return &Table{
 		id: id, voters: membership.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.ClusterState{}, values: clusterstate.Read(nil), told: map[string]told{}, claims: map[uint64]eventloop.Micros{},
-		acted: map[string]eventloop.Micros{}, gone: map[string]eventloop.Micros{}, came: map[string]eventloop.Micros{},
+		acted: map[string]eventloop.Micros{}, gone: map[string]eventloop.Micros{}, homes: map[string]home{},
 	}
 }
 
@@ -125,6 +128,10 @@
 			out.Tell(reader, &schema.ClusterStateTell{State: t.state, Version: t.state.Version, Leaders: m.Leaders})
 		}
 	}
+	// A step of a repair waits for the word that the one before is done.
+	if len(m.Waits) > 0 && t.roll != nil && t.isController(now) {
+		t.members(now, out)
+	}
 	// Queues that a table has just added are waited for.
 	if isNew && t.roll != nil && t.isController(now) {
 		t.queues(now, out)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -23,6 +23,7 @@
 	state  *schema.ClusterState
 	acts   []*schema.ClusterStateCommand
 	mail   []*schema.RequestReply // on its way back
+	born   eventloop.Micros       // when the cluster began; 0: nobody tells of a lease
 }
 
 func (d *desk) Send(to string, body any) {
@@ -72,8 +73,12 @@
 // tell is the cluster state leader's word, with its state as it is.
 func (d *desk) tell(notes ...*schema.WaitNote) {
 	notes = append(notes, &schema.WaitNote{Group: clusterstate.Group, Leader: "a", Voters: []string{"a", "b", "c"}})
+	until := int64(0)
+	if d.born > 0 {
+		until = int64(d.now-d.born) + clusterstate.LeaseUs
+	}
 	d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.ClusterStateTell{
-		State: proto.Clone(d.state).(*schema.ClusterState), Version: d.state.Version, Leaders: map[string]string{clusterstate.Group: "a"}, Waits: notes,
+		State: proto.Clone(d.state).(*schema.ClusterState), Version: d.state.Version, Leaders: map[string]string{clusterstate.Group: "a"}, Waits: notes, ControllerUntilUs: until,
 	}}, d)
 }
 
@@ -177,20 +182,24 @@
 		if !isController {
 			d = &desk{t: New("h", 0), now: 100 * eventloop.Second, state: &schema.ClusterState{Version: 1, Plan: &schema.Plan{}}}
 		}
-		silentAt := d.now + 12*eventloop.Second
+		born, silentAt := d.now, d.now+12*eventloop.Second
+		if isController {
+			d.born = born
+		}
 		for d.now < silentAt+10*eventloop.Second && len(d.asks) == 0 {
 			d.now += Pace
 			roll := &membership.Roll{Known: map[string]membership.Known{}}
-			hear := func(id string, boot uint64, at eventloop.Micros) {
-				roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Boot: boot, Stores: true, Role: schema.Role_ROLE_SERVER}, Heard: at}
+			hear := func(id string, boot uint64, began, at eventloop.Micros) {
+				beat := uint64((at - began) / membership.Pace)
+				roll.Known[id] = membership.Known{Member: &schema.Member{Id: id, Boot: boot, Beat: beat, Stores: true, Role: schema.Role_ROLE_SERVER}, Heard: at}
 			}
-			hear("a", 1, d.now)
-			hear("b", 1, d.now)
+			hear("a", 1, born, d.now)
+			hear("b", 1, born, d.now)
 			if !isForgotten || d.now <= silentAt {
-				hear("c", 1, min(silentAt, d.now))
+				hear("c", 1, born, min(silentAt, d.now))
 			}
 			if boot > 0 && d.now > silentAt+comes {
-				hear("d", boot, d.now)
+				hear("d", boot, silentAt+comes, d.now)
 			}
 			d.t.Step(d.now, eventloop.Mail{Body: roll}, d)
 			// Before its turn it hears nothing of the lease, so it can't be controller.
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -97,6 +97,10 @@
 		t.lease = 0
 		return
 	}
+	// How the groups stand is told to the active controller alone.
+	if t.lease == 0 {
+		t.askedAt = 0
+	}
 	// Counted from when it was asked for, so it ends here before it ends there.
 	t.lease = result.Lease
 	t.mine = max(t.mine, sent+eventloop.Micros(clusterstate.LeaseUs)-guardSpan)
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
@@ -21,7 +22,9 @@
 		return
 	}
 	for _, group := range slices.Sorted(maps.Keys(notes)) {
-		if act := t.nextMember(now, notes[group], root); act != nil && t.may(now, "members/"+group, actSpan) {
+		act := t.nextMember(now, notes[group], root)
+		// The same act again waits for its effect to be heard of; the next one doesn't.
+		if act != nil && t.may(now, strings.Join([]string{"members", group, act.Learn, act.Promote, act.Drop}, "/"), actSpan) {
 			act.Group, act.Lease = group, t.lease
 			out.Send(notes[group].Leader, act)
 		}
@@ -41,16 +44,22 @@
 		// Its last word is older than our notice of that.
 		silent += deadSpan
 	}
-	return isKnown && t.isSucceeded(now, id) || silent > lostSpan || silent > replacedSpan && t.hasCome(now)
+	return t.isSucceeded(now, id) || silent > lostSpan || silent > replacedSpan && t.hasCome(now)
 }
 
 // isSucceeded tells whether another store lives at a silent one's address: its
 // disk is gone, so it won't come back, and waiting for it would only leave its
 // groups a voter short when the next machine goes.
+//
+// The book lets a silent process go as soon as another is heard at its address, so
+// where it lived is kept here.
 func (t *Table) isSucceeded(now eventloop.Micros, id string) bool {
-	old := t.roll.Known[id]
+	old, isKnown := t.homes[id]
+	if !isKnown || old.inner == "" {
+		return false
+	}
 	for other, known := range t.roll.Known {
-		if other != id && known.Member.Inner == old.Member.Inner && known.Member.Inner != "" && known.Heard > old.Heard && t.roll.Live(other, now, deadSpan) {
+		if other != id && known.Member.Inner == old.inner && known.Heard > old.heard && t.roll.Live(other, now, deadSpan) {
 			return true
 		}
 	}
@@ -66,36 +75,27 @@
 	return now - since
 }
 
-// hasCome tells whether a store that has never run before was first heard of of
-// late, and not when all began.
+// hasCome tells whether a store that has never run before has come of late.
 func (t *Table) hasCome(now eventloop.Micros) bool {
-	for id, at := range t.came {
-		known, isKnown := t.roll.Known[id]
-		if isKnown && known.Member.Stores && known.Member.Boot <= 1 && at-t.first > beginSpan && now-at < newSpan {
-			return true
-		}
+	return t.roll.Newcomer(now, lostSpan, t.age(now), nil) != ""
+}
+
+// age is for how long the cluster state has been led, at least: its time goes on while
+// it is, and stands still otherwise.
+func (t *Table) age(now eventloop.Micros) eventloop.Micros {
+	if t.until == 0 {
+		return 0
 	}
-	return false
+	granted := eventloop.Micros(t.until - clusterstate.LeaseUs)
+	return granted + min(now-t.untilAt, eventloop.Micros(clusterstate.LeaseUs))
 }
 
-// watch keeps in mind who has come and who is silent, also before this machine
-// becomes the controller.
+// watch keeps in mind who is silent, and where the stores live, also before this
+// machine becomes the controller.
 func (t *Table) watch(now eventloop.Micros) {
-	if t.first == 0 {
-		t.first = now
-	}
-	for id := range t.roll.Known {
-		if _, isKnown := t.came[id]; !isKnown {
-			t.came[id] = now
-		}
-	}
-	for id := range t.came {
-		if _, isKnown := t.roll.Known[id]; !isKnown {
-			delete(t.came, id)
-		}
-	}
 	for id, known := range t.roll.Known {
 		if known.Member.Stores {
+			t.homes[id] = home{inner: known.Member.Inner, heard: known.Heard}
 			t.isLost(now, id)
 		}
 	}
@@ -117,17 +117,19 @@
 			continue
 		}
 		lost = append(lost, id)
-		if _, isKnown := t.roll.Known[id]; isKnown && t.isSucceeded(now, id) {
+		if t.isSucceeded(now, id) {
 			succeeded = id
 		}
 	}
+	leaver := t.leaver(now, note)
+	isWhole := len(lost) == 0 && leaver == ""
 	if len(note.Learners) > 0 {
 		// One change at a time: whoever learns is seen through first.
 		id := note.Learners[0]
 		switch {
 		case t.isLost(now, id):
 			return &schema.Reroster{Drop: id}
-		case len(lost) == 0 && len(note.Voters) >= t.voters:
+		case isWhole && len(note.Voters) >= t.voters:
 			// Whoever it was to stand for is back.
 			return &schema.Reroster{Drop: id}
 		case note.Behind[id] > raft.CaughtUp:
@@ -144,13 +146,16 @@
 		if len(lost) > 0 {
 			return &schema.Reroster{Drop: lost[0]}
 		}
+		if leaver != "" {
+			return &schema.Reroster{Drop: leaver}
+		}
 		// All are back, and an even group bears no more than one less.
 		if id := t.surplus(note, root); id != "" {
 			return &schema.Reroster{Drop: id}
 		}
 		return nil
 	}
-	if len(lost) == 0 && len(note.Voters) >= t.voters {
+	if isWhole && len(note.Voters) >= t.voters {
 		return nil
 	}
 	if id := t.spare(now, note, root); id != "" {
@@ -159,6 +164,23 @@
 	return nil
 }
 
+// leaver is a voter that has said it leaves while a store that has come of late can take
+// its place: the vote is moved over while it is still there, so that the group never
+// does with one voter less. Without such a store it is taken to be restarting.
+func (t *Table) leaver(now eventloop.Micros, note *schema.WaitNote) string {
+	// Once promoted the new one is no newcomer any more, and the leaver still to go.
+	isUnderWay := len(note.Learners) > 0 || len(note.Voters) > t.voters
+	if !isUnderWay && t.roll.Newcomer(now, deadSpan, t.age(now), note.Voters) == "" {
+		return ""
+	}
+	for _, id := range note.Voters {
+		if known, isKnown := t.roll.Known[id]; isKnown && known.Member.Leaving {
+			return id
+		}
+	}
+	return ""
+}
+
 // spare is a store to learn next. Queues follow the cluster state's voters, so that a
 // few machines hold all; the cluster state's are spread over the cells.
 func (t *Table) spare(now eventloop.Micros, note, root *schema.WaitNote) string {
--- /dev/null
+++ b/internal/controller/members_test.go
@@ -0,0 +1,106 @@
+package controller
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/schema"
+)
+
+// aged lets the council's controller know that the cluster is a minute old.
+func (c *council) aged() {
+	c.t.until, c.t.untilAt = int64(60*eventloop.Second)+clusterstate.LeaseUs, c.now
+}
+
+// comes adds an empty store that has just started.
+func (c *council) comes(id string) {
+	c.add(id, "10.0.0."+id, "")
+	c.members[id].Boot, c.members[id].Beat = 1, 4
+}
+
+func TestALeaverHandsItsVoteOver(t *testing.T) {
+	Convey("Given a voter that says it leaves", t, func() {
+		c := newCouncil(0, "a", "b", "c")
+		c.run(3 * eventloop.Second)
+		c.aged()
+		c.members["c"].Leaving = true
+		Convey("it is taken to be restarting, and keeps its vote", func() {
+			c.run(10 * eventloop.Second)
+			So(c.steps, ShouldBeEmpty)
+		})
+		Convey("an old spare changes nothing", func() {
+			c.add("d", "10.0.0.d", "")
+			c.run(2 * eventloop.Second)
+			So(c.steps, ShouldBeEmpty)
+		})
+		Convey("one that has come of late gets its vote before it goes", func() {
+			c.comes("d")
+			c.run(2 * eventloop.Second)
+			So(c.steps, ShouldResemble, []string{"learn d", "promote d", "drop c"})
+			So(c.least, ShouldEqual, 1)
+		})
+		Convey("and not before it has caught up", func() {
+			c.comes("d")
+			c.note.Behind["d"] = 1000
+			c.run(2 * eventloop.Second)
+			So(c.steps, ShouldResemble, []string{"learn d"})
+		})
+		Convey("one that comes when it has gone needn't wait to see whether it is only silent", func() {
+			c.silent["c"] = c.now
+			c.comes("d")
+			c.run(eventloop.Second)
+			So(c.steps, ShouldResemble, []string{"learn d", "promote d", "drop c"})
+			So(c.least, ShouldEqual, 0)
+		})
+		Convey("when it is back it keeps its vote, and who was to stand for it is let go", func() {
+			c.comes("d")
+			c.note.Behind["d"] = 1000
+			c.run(eventloop.Second)
+			c.members["c"] = &schema.Member{Id: "c", Boot: 3, Stores: true, Role: schema.Role_ROLE_SERVER, Inner: "10.0.0.c"}
+			c.run(eventloop.Second)
+			So(c.steps, ShouldResemble, []string{"learn d", "drop d"})
+		})
+	})
+	Convey("Two that leave at once are replaced one after another", t, func() {
+		c := newCouncil(2, "a", "b", "c", "d", "e")
+		c.run(3 * eventloop.Second)
+		c.aged()
+		c.members["a"].Leaving, c.members["b"].Leaving = true, true
+		c.note.Leader = "e"
+		c.comes("f")
+		c.comes("g")
+		c.run(3 * eventloop.Second)
+		So(c.steps, ShouldResemble, []string{"learn f", "promote f", "drop a", "learn g", "promote g", "drop b"})
+		So(c.least, ShouldEqual, 2)
+	})
+}
+
+func TestSucceededThoughForgotten(t *testing.T) {
+	Convey("A store whose successor lives at its address is replaced at once, also when the book has let it go", t, func() {
+		c := newCouncil(0, "a", "b", "c")
+		c.run(3 * eventloop.Second)
+		// The book forgets a silent process as soon as another is heard at its address.
+		delete(c.members, "c")
+		c.add("d", "10.0.0.c", "")
+		c.run(eventloop.Second)
+		So(c.steps, ShouldResemble, []string{"learn d", "drop c", "promote d"})
+	})
+}
+
+func TestTheAgeOfTheCluster(t *testing.T) {
+	Convey("A controller that has just started knows the age of the cluster from the lease, and counts a newcomer", t, func() {
+		h := New("h", 0)
+		h.roll = &membership.Roll{Known: map[string]membership.Known{
+			"d": {Member: &schema.Member{Id: "d", Stores: true, Boot: 1, Beat: 4}, Heard: eventloop.Second},
+		}}
+		So(h.hasCome(eventloop.Second), ShouldBeFalse)
+		h.until, h.untilAt = int64(60*eventloop.Second), eventloop.Second
+		So(h.hasCome(eventloop.Second), ShouldBeTrue)
+		// A cluster that nobody leads grows no older.
+		So(h.age(100*eventloop.Second), ShouldEqual, 60*eventloop.Second)
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -190,7 +190,7 @@
 	server.Warn()
 	pace := time.NewTicker(50 * time.Millisecond)
 	defer pace.Stop()
-	for real.Leads(ctx) && ctx.Err() == nil {
+	for real.IsNeeded(ctx) && ctx.Err() == nil {
 		select {
 		case <-pace.C:
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/mutation/members_mutants.go
@@ -0,0 +1,34 @@
+package mutation
+
+// memberMutants are the guards of changes of membership; see docs/control/members.md.
+var memberMutants = []*Mutant{
+	{Guard: "promotion waits for the copy", Test: "internal/replica TestPromotionWaitsForTheCopy", Edits: []Edit{{"internal/replica",
+		"		if !mayVote(now, r.group, m.Promote) {\n			return\n		}\n", ""}}},
+	{Guard: "an empty learner isn't caught up in a young group", Test: "internal/raft TestCaughtUp", Edits: []Edit{{"internal/raft",
+		"p.match >= g.memberSetAt && g.lastIndex()-p.match <= CaughtUp", "g.lastIndex()-p.match <= CaughtUp"}}},
+	{Guard: "a learner isn't counted", Test: "internal/raft TestLearnersDoNotCount", Edits: []Edit{{"internal/raft",
+		"	var values []uint64\n	for _, id := range g.memberSet.Voters {\n", "	var values []uint64\n	for _, id := range append(g.others(), g.self) {\n"}}},
+	{Guard: "members change after a commit of the own term", Test: "internal/raft TestAChangeWaitsForTheOwnTerm", Edits: []Edit{{"internal/raft",
+		"g.memberSetAt > g.commit || g.commit < g.first {", "g.memberSetAt > g.commit {"}}},
+	{Guard: "members change one at a time", Test: "internal/raft TestAChangeWaitsForTheOwnTerm", Edits: []Edit{{"internal/raft",
+		"g.memberSetAt > g.commit || g.commit < g.first {", "g.commit < g.first {"}}},
+	{Guard: "a wiped disk is another member", Test: "internal/process TestAWipedDiskIsAnotherMember", Edits: []Edit{{"internal/process",
+		"		self.Id = newId()\n", "		self.Id = r.Options.Inner\n"}}},
+	{Guard: "no step lowers what may be lost", Test: "internal/replica TestNoStepLowersWhatMayBeLost", Edits: []Edit{{"internal/replica",
+		"	if margin < t.losses && margin", "	if false && margin"}}},
+	{Guard: "a leaver goes when its successor has a vote", Test: "internal/controller TestALeaverHandsItsVoteOver", Edits: []Edit{{"internal/controller",
+		"		return &schema.Reroster{Promote: id}\n",
+		"		if leaver != \"\" && len(note.Voters) >= t.voters {\n			return &schema.Reroster{Drop: leaver}\n		}\n		return &schema.Reroster{Promote: id}\n"}}},
+	{Guard: "a leaver stays until its vote is handed over", Test: "internal/replica TestALeaverStaysUntilItsVoteIsHandedOver", Edits: []Edit{{"internal/replica",
+		"t.isWarned && t.isReplaced(now, r.group, age)", "false && t.isReplaced(now, r.group, age)"}}},
+	{Guard: "a learner of a group at rest is sent a record", Test: "internal/raft TestALearnerHearsOfARestingGroup", Edits: []Edit{{"internal/raft",
+		"g.syncPeers(now, record.Index)", "g.syncPeers(now, record.Index+1)"}}},
+	{Guard: "a heartbeat counts in", Test: "internal/replica TestALearnerWhoseAppendWasLost", Edits: []Edit{{"internal/replica",
+		"			r = t.join(now, beat.GetGroup())\n", ""}}},
+	{Guard: "a founder that is called first learns who votes", Test: "internal/raft TestAFounderThatIsCalledFirst", Edits: []Edit{{"internal/raft",
+		"	if p.next == 1 && p.match == 0 {\n", "	if false {\n"}}},
+	{Guard: "a succeeded store is known by its address though forgotten", Test: "internal/controller TestSucceededThoughForgotten", Edits: []Edit{{"internal/controller",
+		"	old, isKnown := t.homes[id]\n	if !isKnown || old.inner == \"\" {", "	old := t.homes[id]\n	if _, isKnown := t.roll.Known[id]; !isKnown || old.inner == \"\" {"}}},
+}
+
+func init() { Mutants = append(Mutants, memberMutants...) }
--- /dev/null
+++ b/internal/process/identity_test.go
@@ -0,0 +1,36 @@
+package process
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"sparnotch/internal/schema"
+)
+
+func TestAWipedDiskIsAnotherMember(t *testing.T) {
+	Convey("A store keeps its identity with its disk, and never without", t, func() {
+		folder, inner := t.TempDir(), freePort(t)
+		identity := func() string {
+			options := &schema.Options{Cell: "c", Inner: inner, Outer: "127.0.0.1:1", Data: folder, Seeds: []string{"127.0.0.1:1"}}
+			real, err := Start(options, schema.Role_ROLE_SERVER, zap.NewNop())
+			So(err, ShouldBeNil)
+			defer real.Stop()
+			return real.Member.Id
+		}
+		first := identity()
+		So(identity(), ShouldEqual, first)
+		files, err := filepath.Glob(filepath.Join(folder, "*"))
+		So(err, ShouldBeNil)
+		So(files, ShouldNotBeEmpty)
+		for _, file := range files {
+			So(os.RemoveAll(file), ShouldBeNil)
+		}
+		second := identity()
+		So(second, ShouldNotEqual, first)
+		So(identity(), ShouldEqual, second)
+	})
+}
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -62,7 +62,7 @@
 	}
 	if p.Store != nil {
 		berths = append(berths,
-			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now), replica.Pace},
+			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now).Tolerate(p.Losses), replica.Pace},
 			Berth{"scheduler", scheduler.New(member.Id).Bind(p.Bounds), scheduler.Pace},
 		)
 	}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -327,21 +327,13 @@
 	r.process.Post("replica", eventloop.Mail{Body: replica.Warned{}})
 }
 
-// Leads tells whether this process still leads a group.
-func (r *Real) Leads(ctx context.Context) bool {
+// IsNeeded tells whether this process still has something to hand over.
+func (r *Real) IsNeeded(ctx context.Context) bool {
 	if r.store == nil {
 		return false
 	}
 	belief, _ := r.Run(ctx, "replica", eventloop.Second, func(request uint64, _ eventloop.Micros) any { return replica.Belief{Request: request} }).(*replica.NodeBelief)
-	if belief == nil {
-		return false
-	}
-	for _, group := range belief.Groups {
-		if group.Leader == r.Member.Id && len(group.Voters) > 1 {
-			return true
-		}
-	}
-	return false
+	return belief != nil && belief.IsNeeded
 }
 
 // Stop ends the process's goroutines.
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -60,6 +60,20 @@
 	return p != nil && p.match >= g.memberSetAt && g.lastIndex()-p.match <= CaughtUp
 }
 
+// Margin is how many of these voters may be lost before no quorum of them is left:
+// those that answer this leader and lack little, less a quorum.
+func (g *Group) Margin(now eventloop.Micros, voters []string) int {
+	live := 0
+	for _, id := range voters {
+		p := g.peers[id]
+		isNear := p != nil && p.heard > 0 && now-p.heard <= g.times.ElectionLeast && g.lastIndex()-p.match <= maxFlight
+		if id == g.self || isNear {
+			live++
+		}
+	}
+	return live - (len(voters)/2 + 1)
+}
+
 // MemberSetAt is the index of the latest change of members, committed or not.
 func (g *Group) MemberSetAt() uint64 { return g.memberSetAt }
 
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -135,7 +135,7 @@
 	// have heard.
 	if t.roll != nil && areMoved(old.Wards, t.state.Wards) {
 		for _, id := range slices.Sorted(maps.Keys(t.roll.Known)) {
-			if t.roll.Known[id].Member.Role == schema.Role_ROLE_CONTROLLER && t.roll.Live(id, now, 2*eventloop.Second) {
+			if t.roll.Known[id].Member.Role == schema.Role_ROLE_CONTROLLER && t.roll.Live(id, now, liveSpan) {
 				t.tellClusterState(now, id, &schema.ClusterStateAsk{Version: old.Version}, out)
 			}
 		}
--- a/internal/replica/leadership.go
+++ b/internal/replica/leadership.go
@@ -77,7 +77,7 @@
 // isFit tells whether a voter is near enough to take a group over.
 func (t *Table) isFit(now eventloop.Micros, r *replica, id string) bool {
 	match, heard := r.group.Match(id)
-	isKnown := t.roll != nil && t.roll.Live(id, now, 2*eventloop.Second) && !t.roll.Known[id].Member.Leaving
+	isKnown := t.roll != nil && t.roll.Live(id, now, liveSpan) && !t.roll.Known[id].Member.Leaving
 	return isKnown && heard > 0 && now-heard < 500*eventloop.Milli && r.group.Last()-match < 256
 }
 
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -14,7 +14,7 @@
 )
 
 func (t *Table) tick(now eventloop.Micros, out eventloop.Out) {
-	hasAsked := false
+	hasAsked, hasChanged := false, false
 	for _, name := range t.names() {
 		r := t.groups[name]
 		wasAsked := r.group.Asks()
@@ -24,8 +24,13 @@
 			r.group.AgreeWall(now, t.wall())
 			t.tend(now, r)
 			t.passOn(now, r)
+			hasChanged = r.hasNewMembers() || hasChanged
 		}
 	}
+	if active := t.state.Controller.GetId(); hasChanged && active != "" {
+		// Each step of a repair waits for this word; asked for it would come later.
+		t.tellClusterState(now, active, &schema.ClusterStateAsk{Version: t.state.Version}, out)
+	}
 	if hasAsked {
 		// Two machines with the same patience shouldn't call at once again.
 		t.patience.draw()
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/raft"
 	"sparnotch/internal/schema"
@@ -31,6 +32,9 @@
 		}
 		memberSet.Learners = without(memberSet.Learners, m.Promote)
 		memberSet.Voters = append(memberSet.Voters, m.Promote)
+	case m.Drop == t.id:
+		// Who leads hands that over first, so that the group isn't left without.
+		return
 	case m.Drop != "" && (slices.Contains(memberSet.Voters, m.Drop) || slices.Contains(memberSet.Learners, m.Drop)):
 		memberSet.Voters, memberSet.Learners = without(memberSet.Voters, m.Drop), without(memberSet.Learners, m.Drop)
 		if len(memberSet.Voters) == 0 {
@@ -39,6 +43,12 @@
 	default:
 		return
 	}
+	// The controller's view may be old, or its order late: whatever it believes, no step
+	// leaves a quorum that the losses to be borne could break, unless it was so before.
+	margin := r.group.Margin(now, memberSet.Voters)
+	if margin < t.losses && margin < r.group.Margin(now, r.group.MemberSet().Voters) {
+		return
+	}
 	// A refusal (a change is under way) is no matter: the controller asks again.
 	_ = r.group.ProposeMemberSet(now, memberSet)
 }
@@ -59,3 +69,40 @@
 	}
 	return kept
 }
+
+// hasNewMembers tells once of each change of members that is committed, and of each
+// learner that has caught up.
+func (r *replica) hasNewMembers() bool {
+	g, isNews := r.group, false
+	if at := g.MemberSetAt(); at <= g.Commit() && at != r.membersTold {
+		r.membersTold, isNews = at, true
+	}
+	for _, id := range g.MemberSet().Learners {
+		if g.IsCaughtUp(id) && r.caughtTold != id {
+			r.caughtTold, isNews = id, true
+		}
+	}
+	return isNews
+}
+
+// isNeeded tells whether a process that was warned has something left to hand over: a
+// group that it leads, or a vote that a store which has come of late is to get.
+func (t *Table) isNeeded(now eventloop.Micros) bool {
+	age := eventloop.Micros(t.clusterState.ControllerUntil() - clusterstate.LeaseUs)
+	for _, r := range t.groups {
+		if r.group.IsLeader() && len(r.group.MemberSet().Voters) > 1 || t.isWarned && t.isReplaced(now, r.group, age) {
+			return true
+		}
+	}
+	return false
+}
+
+// isReplaced tells whether our vote in a group is being given to another.
+func (t *Table) isReplaced(now eventloop.Micros, g *raft.Group, age eventloop.Micros) bool {
+	members := g.MemberSet()
+	if g.Leader() == "" || !slices.Contains(members.Voters, t.id) {
+		return false
+	}
+	isUnderWay := len(members.Learners) > 0 || len(members.Voters)%2 == 0
+	return isUnderWay || t.roll != nil && t.roll.Newcomer(now, liveSpan, age, members.Voters) != ""
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -26,6 +26,7 @@
 const (
 	freshSpan    = eventloop.Second      // how old the cluster state's word may be for a leader to order
 	stallSpan    = 600 * eventloop.Milli // a sync that takes longer makes a leader pass its queues on
+	liveSpan     = 2 * eventloop.Second  // a process heard of within it is there
 	passRest     = 5 * eventloop.Second  // between two attempts to pass a queue on
 	launchSpan   = 200 * eventloop.Milli // the starts of a group that was decided on have left by then
 	waitMost     = 400 * eventloop.Milli // how long passing on waits for that
@@ -36,24 +37,27 @@
 )
 
 type replica struct {
-	group    *raft.Group
-	name     string // queue name, empty for the cluster state
-	queue    *queue.Machine
-	waiting  map[uint64]waiter // by index
-	reading  map[uint64]waiter // by read number
-	termTold uint64            // term for which the scheduler has the whole list
-	tickAt   eventloop.Micros
-	tickIdx  uint64
-	carryIdx uint64
-	adoptIdx uint64
-	passAt   eventloop.Micros
-	leaderAt string // whom the cluster state named as leader then
+	group       *raft.Group
+	name        string // queue name, empty for the cluster state
+	queue       *queue.Machine
+	waiting     map[uint64]waiter // by index
+	reading     map[uint64]waiter // by read number
+	termTold    uint64            // term for which the scheduler has the whole list
+	tickAt      eventloop.Micros
+	tickIdx     uint64
+	carryIdx    uint64
+	adoptIdx    uint64
+	passAt      eventloop.Micros
+	membersTold uint64 // the last change of members that the controller was told of
+	caughtTold  string // and the last learner that had caught up
+	leaderAt    string // whom the cluster state named as leader then
 }
 
 // Table is the replicas' table.
 type Table struct {
 	id           string
 	self         *schema.Self
+	losses       int // stores that may be lost at once
 	wall         func() int64
 	times        raft.Times
 	patience     *patience
@@ -76,7 +80,7 @@
 // New makes the table from a store's content.
 func New(id string, content *storage.Content, wall func() int64, times raft.Times, seed uint64, now eventloop.Micros) *Table {
 	t := &Table{
-		id: id, self: content.Self, wall: wall, times: times, groups: map[string]*replica{},
+		id: id, self: content.Self, losses: 1, wall: wall, times: times, groups: map[string]*replica{},
 		clusterState: clusterstate.New(), applied: map[string]*schema.Applied{},
 	}
 	hash := fnv.New64a()
@@ -91,6 +95,12 @@
 	return t
 }
 
+// Tolerate sets how many stores may be lost at once; 0: one.
+func (t *Table) Tolerate(losses uint32) *Table {
+	t.losses = int(max(1, losses))
+	return t
+}
+
 func (t *Table) open(now eventloop.Micros, name string, image *storage.Image) *replica {
 	r := &replica{
 		group:   raft.New(name, t.id, image, t.times, t.patience, now),
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -349,7 +349,7 @@
 }
 
 // Warn tells the process that it is to leave, as a signal does; it is killed
-// when it leads nothing any more, or when its time is over.
+// when it has nothing to hand over any more, or when its time is over.
 func (h *Host) Warn(span eventloop.Micros) {
 	run := h.run
 	for _, each := range []struct {
@@ -369,13 +369,9 @@
 		if h.run != run {
 			return
 		}
-		isLeading := false
-		if belief := h.Belief(); belief != nil {
-			for _, group := range belief.Groups {
-				isLeading = isLeading || group.Leader == h.Id
-			}
-		}
-		if !isLeading && len(h.waiting) == 0 || h.world.Now >= until {
+		belief := h.Belief()
+		isNeeded := belief != nil && belief.IsNeeded
+		if !isNeeded && len(h.waiting) == 0 || h.world.Now >= until {
 			h.Kill()
 			return
 		}
