Zones and regions that may be lost whole are read and obeyed

Cause: tolerated_losses.zones and .regions were not read; a repair took any spare, so two of three voters could come to stand in one zone.

Change: options zone_losses, region_losses and the region of each zone; founders are spread over regions, then zones; a repair keeps the spread where the known stores allow it, and a badly placed vote is moved when a better place appears (never the leader's). A deployment that can't bear it says so at start in the log, and in the belief: bears, with what may be lost now and what is wanted.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -138,6 +138,12 @@
 	if o.Losses > maxLosses {
 		return Bad.New("losses: must be at most %d", maxLosses)
 	}
+	if o.ZoneLosses > maxLosses {
+		return Bad.New("zone_losses: must be at most %d", maxLosses)
+	}
+	if o.RegionLosses > maxLosses {
+		return Bad.New("region_losses: must be at most %d", maxLosses)
+	}
 	return checkBounds(o.Bounds)
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,35 +38,36 @@
 	tell *schema.ClusterStateTell
 }
 
-// home is where a store lived and when it was last heard there.
+// home is where a store lived, in which zone, and when it was last heard there.
 type home struct {
-	inner string
-	heard eventloop.Micros
+	inner, cell string
+	heard       eventloop.Micros
 }
 
 // Table is the controller's table; every side machine has one, one of them acts.
 type Table struct {
-	id       string
-	state    *schema.ClusterState
-	values   *clusterstate.Values
-	roll     *membership.Roll
-	told     map[string]told
-	until    int64 // the lease's end as last seen, in the cluster state's time
-	untilAt  eventloop.Micros
-	askedAt  eventloop.Micros
-	claimAt  eventloop.Micros
-	claims   map[uint64]eventloop.Micros
-	lease    uint64
-	mine     eventloop.Micros // my lease ends, by my clock
-	acted    map[string]eventloop.Micros
-	queuesIn string // the queues of the last act on queues
-	movedAt  eventloop.Micros
-	gone     map[string]eventloop.Micros
-	homes    map[string]home // where each store lived, as last heard
-	number   uint64
-	turn     int // whose turn it is to be asked
-	voters   int // how many each group is to have
-	readers  []string
+	id        string
+	state     *schema.ClusterState
+	values    *clusterstate.Values
+	roll      *membership.Roll
+	told      map[string]told
+	until     int64 // the lease's end as last seen, in the cluster state's time
+	untilAt   eventloop.Micros
+	askedAt   eventloop.Micros
+	claimAt   eventloop.Micros
+	claims    map[uint64]eventloop.Micros
+	lease     uint64
+	mine      eventloop.Micros // my lease ends, by my clock
+	acted     map[string]eventloop.Micros
+	queuesIn  string // the queues of the last act on queues
+	movedAt   eventloop.Micros
+	gone      map[string]eventloop.Micros
+	homes     map[string]home // where each store lived, as last heard
+	number    uint64
+	turn      int                  // whose turn it is to be asked
+	voters    int                  // how many each group is to have
+	tolerance membership.Tolerance // what may be lost at once
+	readers   []string
 }
 
 // New makes the table of a side machine. Losses are the stores that may be lost
@@ -78,6 +79,12 @@
 	}
 }
 
+// Tolerate sets what may be lost at once: voters are spread so that a majority is left.
+func (t *Table) Tolerate(tolerance membership.Tolerance) *Table {
+	t.tolerance, t.voters = tolerance, tolerance.Voters()
+	return t
+}
+
 // Belief asks what this side machine believes.
 type Belief struct{ Request uint64 }
 
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -3,6 +3,7 @@
 // Who belongs to each group: lost members are replaced, one change at a time.
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -95,7 +96,7 @@
 func (t *Table) watch(now eventloop.Micros) {
 	for id, known := range t.roll.Known {
 		if known.Member.Stores {
-			t.homes[id] = home{inner: known.Member.Inner, heard: known.Heard}
+			t.homes[id] = home{inner: known.Member.Inner, cell: known.Member.Cell, heard: known.Heard}
 			t.isLost(now, id)
 		}
 	}
@@ -158,38 +159,41 @@
 	if isWhole && len(note.Voters) >= t.voters {
 		return nil
 	}
-	if id := t.spare(now, note, root); id != "" {
+	if id := t.spare(now, note, root, cmp.Or(succeeded, first(lost), leaver)); id != "" {
 		return &schema.Reroster{Learn: id}
 	}
 	return nil
 }
 
-// leaver is a voter that has said it leaves while a store that has come of late can take
-// its place: the vote is moved over while it is still there, so that the group never
-// does with one voter less. Without such a store it is taken to be restarting.
+// leaver is a voter that is to give its vote to another while it is still there, so that
+// the group never does with one voter less: one that has said it leaves while a store
+// that has come of late can take its place (without such a store it is taken to be
+// restarting), or one that stands in the wrong zone.
 func (t *Table) leaver(now eventloop.Micros, note *schema.WaitNote) string {
 	// Once promoted the new one is no newcomer any more, and the leaver still to go.
 	isUnderWay := len(note.Learners) > 0 || len(note.Voters) > t.voters
-	if !isUnderWay && t.roll.Newcomer(now, deadSpan, t.age(now), note.Voters) == "" {
-		return ""
-	}
-	for _, id := range note.Voters {
-		if known, isKnown := t.roll.Known[id]; isKnown && known.Member.Leaving {
-			return id
+	if isUnderWay || t.roll.Newcomer(now, deadSpan, t.age(now), note.Voters) != "" {
+		for _, id := range note.Voters {
+			if known, isKnown := t.roll.Known[id]; isKnown && known.Member.Leaving {
+				return id
+			}
 		}
 	}
-	return ""
+	return t.misplaced(now, note)
 }
 
-// spare is a store to learn next. Queues follow the cluster state's voters, so that a
-// few machines hold all; the cluster state's are spread over the cells.
-func (t *Table) spare(now eventloop.Micros, note, root *schema.WaitNote) string {
-	mayLearn := func(id string) bool {
-		return !slices.Contains(note.Voters, id) && !slices.Contains(note.Learners, id) &&
-			t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving
-	}
+// mayLearn tells whether a store can be made a learner of a group.
+func (t *Table) mayLearn(now eventloop.Micros, note *schema.WaitNote, id string) bool {
+	return !slices.Contains(note.Voters, id) && !slices.Contains(note.Learners, id) &&
+		t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving
+}
+
+// spare is a store to learn next, in the place of another if one is to go. Queues follow
+// the cluster state's voters, so that a few machines hold all; the cluster state's are
+// spread over the zones.
+func (t *Table) spare(now eventloop.Micros, note, root *schema.WaitNote, goer string) string {
 	for _, id := range root.Voters {
-		if mayLearn(id) {
+		if t.mayLearn(now, note, id) && t.mayReplace(note, goer, id) {
 			return id
 		}
 	}
@@ -201,31 +205,45 @@
 	}
 	best := ""
 	for _, id := range t.stores(now) {
-		if mayLearn(id) && (best == "" || inCell[t.cellOf(id)] < inCell[t.cellOf(best)]) {
+		if t.mayLearn(now, note, id) && t.mayReplace(note, goer, id) && (best == "" || t.isBetterSpread(note, goer, id, best, inCell)) {
 			best = id
 		}
 	}
 	return best
 }
 
-// surplus is the voter to do without: one that doesn't vote on the cluster state, else
-// one of the fullest cell; never the leader.
+// surplus is the voter to do without: the one whose going leaves the others best
+// spread, one that doesn't vote on the cluster state, else one of the fullest zone;
+// never the leader.
 func (t *Table) surplus(note, root *schema.WaitNote) string {
 	inCell := map[string]int{}
 	for _, id := range note.Voters {
 		inCell[t.cellOf(id)]++
 	}
+	rank := func(id string) [3]int {
+		isFollowing := 0
+		if slices.Contains(root.Voters, id) {
+			isFollowing = 1
+		}
+		return [3]int{t.excess(note, id, ""), isFollowing, -inCell[t.cellOf(id)]}
+	}
 	best := ""
 	for _, id := range note.Voters {
-		switch {
-		case id == note.Leader:
-		case !slices.Contains(root.Voters, id):
-			return id
-		case best == "" || inCell[t.cellOf(id)] > inCell[t.cellOf(best)]:
+		if id == note.Leader {
+			continue
+		}
+		if a := rank(id); best == "" || isLess(a, rank(best)) {
 			best = id
 		}
 	}
 	return best
 }
 
-func (t *Table) cellOf(id string) string { return t.roll.Known[id].Member.GetCell() }
+func isLess(a, b [3]int) bool { return slices.Compare(a[:], b[:]) < 0 }
+
+func first(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0]
+}
--- a/internal/membership/bootstrap.go
+++ b/internal/membership/bootstrap.go
@@ -165,7 +165,7 @@
 			return nil, 0
 		}
 	}
-	return Spread(cells, t.terms.Founders()), wished
+	return t.terms.Tolerance().Spread(cells, t.terms.Founders()), wished
 }
 
 // at is the last word heard from an address.
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -50,8 +50,16 @@
 	First  bool   // the whole system starts for the first time
 	Losses uint32 // stores that may be lost at once; 0: one
 	IsSide bool   // a side machine, which watches the stores
+
+	Zones, Regions uint32            // that may be lost whole
+	RegionOf       map[string]string // of each zone
+}
+
+// Tolerance is what may be lost at once.
+func (t Terms) Tolerance() Tolerance {
+	return Tolerance{Machines: int(t.Losses), Zones: int(t.Zones), Regions: int(t.Regions), RegionOf: t.RegionOf}
 }
 
 // Founders is how many stores the group is founded with if there are so many,
 // and how many voters each group is to have: a majority outlives the losses.
-func (t Terms) Founders() int { return 2*int(max(t.Losses, 1)) + 1 }
+func (t Terms) Founders() int { return t.Tolerance().Voters() }
--- a/internal/mutation/members_mutants.go
+++ b/internal/mutation/members_mutants.go
@@ -29,6 +29,12 @@
 		"	if p.next == 1 && p.match == 0 {\n", "	if false {\n"}}},
 	{Guard: "a succeeded store is known by its address though forgotten", Test: "internal/controller TestSucceededThoughForgotten", Edits: []Edit{{"internal/controller",
 		"	old, isKnown := t.homes[id]\n	if !isKnown || old.inner == \"\" {", "	old := t.homes[id]\n	if _, isKnown := t.roll.Known[id]; !isKnown || old.inner == \"\" {"}}},
+	{Guard: "founders are spread over regions", Test: "internal/sim TestZonesMayBeLost", Edits: []Edit{{"internal/membership",
+		"	if t.Regions == 0 {\n		return Spread(zones, count)", "	if true {\n		return Spread(zones, count)"}}},
+	{Guard: "a repair keeps the spread", Test: "internal/controller TestVotersAreSpreadOverZones", Edits: []Edit{{"internal/controller",
+		"	if goer == \"\" || !t.canSpread() {", "	if true {"}}},
+	{Guard: "a badly placed vote is moved", Test: "internal/controller TestVotersAreSpreadOverZones", Edits: []Edit{{"internal/controller",
+		"	return t.misplaced(now, note)\n", "	return \"\"\n"}}},
 }
 
 func init() { Mutants = append(Mutants, memberMutants...) }
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -28,23 +28,27 @@
 
 // Papers are what a process starts with.
 type Papers struct {
-	Member *schema.Member
-	Seeds  []string
-	First  bool             // the whole system starts for the first time
-	Losses uint32           // stores that may be lost at once; 0: one
-	Store  *storage.Content // nil without a data folder
-	Book   *membership.Book
-	Wall   func() int64
-	Seed   uint64
-	Now    eventloop.Micros
-	Bounds *schema.Bounds
-	Calls  bool // a side process that calls the worker on its machine: there is a "caller"
+	Member         *schema.Member
+	Seeds          []string
+	First          bool              // the whole system starts for the first time
+	Losses         uint32            // stores that may be lost at once; 0: one
+	Zones, Regions uint32            // that may be lost whole
+	RegionOf       map[string]string // of each zone
+	Store          *storage.Content  // nil without a data folder
+	Book           *membership.Book
+	Wall           func() int64
+	Seed           uint64
+	Now            eventloop.Micros
+	Bounds         *schema.Bounds
+	Calls          bool // a side process that calls the worker on its machine: there is a "caller"
 }
 
 func (p *Papers) rng(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.Seed, stream)) }
 
 func (p *Papers) terms(isSide bool) membership.Terms {
-	return membership.Terms{Seeds: p.Seeds, First: p.First, Losses: p.Losses, IsSide: isSide}
+	return membership.Terms{
+		Seeds: p.Seeds, First: p.First, Losses: p.Losses, IsSide: isSide, Zones: p.Zones, Regions: p.Regions, RegionOf: p.RegionOf,
+	}
 }
 
 // Keep makes a front process's tables.
@@ -62,7 +66,7 @@
 	}
 	if p.Store != nil {
 		berths = append(berths,
-			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now).Tolerate(p.Losses), replica.Pace},
+			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now).Tolerate(p.terms(false).Tolerance()), replica.Pace},
 			Berth{"scheduler", scheduler.New(member.Id).Bind(p.Bounds), scheduler.Pace},
 		)
 	}
@@ -79,7 +83,7 @@
 	}
 	return append([]Berth{
 		{"membership", membership.New(proto.Clone(p.Member).(*schema.Member), p.terms(true), nil, p.Book, []string{"controller"}, p.rng(1)), membership.Pace},
-		{"controller", controller.New(p.Member.Id, p.Losses, readers...), controller.Pace},
+		{"controller", controller.New(p.Member.Id, p.Losses, readers...).Tolerate(p.terms(true).Tolerance()), controller.Pace},
 	}, berths...)
 }
 
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -85,9 +85,12 @@
 	}
 	papers := &Papers{
 		Member: r.Member, Seeds: options.Seeds, Book: r.book, Wall: r.Clock.Wall, Seed: randomSeed(), Now: r.Clock.Now(),
-		First: options.First, Losses: options.Losses,
+		First: options.First, Losses: options.Losses, Zones: options.ZoneLosses, Regions: options.RegionLosses, RegionOf: options.Regions,
 		Bounds: options.Bounds, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
 	}
+	if short := papers.terms(false).Tolerance().ShortOfPlaces(); short != "" {
+		log.Warn("the losses that are to be borne can't be", zap.String("why", short))
+	}
 	if r.store != nil {
 		papers.Store = r.store.Content()
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -57,7 +57,8 @@
 type Table struct {
 	id           string
 	self         *schema.Self
-	losses       int // stores that may be lost at once
+	tolerance    membership.Tolerance // what may be lost at once
+	losses       int                  // how many stores that may be at most
 	wall         func() int64
 	times        raft.Times
 	patience     *patience
@@ -95,9 +96,9 @@
 	return t
 }
 
-// Tolerate sets how many stores may be lost at once; 0: one.
-func (t *Table) Tolerate(losses uint32) *Table {
-	t.losses = int(max(1, losses))
+// Tolerate sets what may be lost at once.
+func (t *Table) Tolerate(tolerance membership.Tolerance) *Table {
+	t.tolerance, t.losses = tolerance, tolerance.Voters()/2
 	return t
 }
 
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -223,13 +223,14 @@
 	Wards      []*schema.Ward       `json:"wards"`
 	Queues     []*schema.QueuePlace `json:"queues"`
 	Members    []*schema.Member     `json:"members"`
+	Bears      *Bears               `json:"bears"`
 	IsNeeded   bool                 `json:"needed"` // it has something to hand over before it may leave
 }
 
 func (t *Table) belief(now eventloop.Micros) *NodeBelief {
 	belief := &NodeBelief{
 		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Queues: t.state.Queues,
-		Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(), IsNeeded: t.isNeeded(now),
+		Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(), IsNeeded: t.isNeeded(now), Bears: t.bears(now),
 	}
 	for _, name := range t.names() {
 		r := t.groups[name]
--- /dev/null
+++ b/internal/replica/tolerance.go
@@ -0,0 +1,50 @@
+package replica
+
+// What may be lost now, for operators.
+
+import (
+	"slices"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+)
+
+// Bears is how many machines, zones or regions may be lost at this moment with a
+// majority of the cluster state's voters left, and what the deployment is to bear.
+type Bears struct {
+	Machines       int    `json:"machines"`
+	Zones          int    `json:"zones"`
+	Regions        int    `json:"regions"`
+	WantedMachines int    `json:"wanted_machines"`
+	WantedZones    int    `json:"wanted_zones"`
+	WantedRegions  int    `json:"wanted_regions"`
+	Short          string `json:"short,omitempty"` // why the stores that are known can't bear it
+}
+
+// bears tells what may be lost as far as this node knows; its word is as old as its copy
+// of the cluster state and its book.
+func (t *Table) bears(now eventloop.Micros) *Bears {
+	bears := &Bears{
+		WantedMachines: max(1, t.tolerance.Machines), WantedZones: t.tolerance.Zones, WantedRegions: t.tolerance.Regions,
+	}
+	root := t.groups[clusterstate.Group]
+	if root == nil || t.roll == nil {
+		return bears
+	}
+	var voters, live, known []string
+	for id, each := range t.roll.Known {
+		if !each.Member.Stores {
+			continue
+		}
+		known = append(known, each.Member.Cell)
+		isVoter := slices.Contains(root.group.MemberSet().Voters, id)
+		if isVoter && t.roll.Live(id, now, liveSpan) && !each.Member.Leaving {
+			live = append(live, each.Member.Cell)
+		}
+	}
+	// Of a voter that the book has let go only the number counts.
+	voters = make([]string, len(root.group.MemberSet().Voters))
+	bears.Machines, bears.Zones, bears.Regions = t.tolerance.Bears(voters, live)
+	bears.Short = t.tolerance.Short(known)
+	return bears
+}
--- a/internal/sim/members_test.go
+++ b/internal/sim/members_test.go
@@ -9,6 +9,7 @@
 	"sparnotch/internal/checker"
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
 	"sparnotch/internal/process"
 	"sparnotch/internal/raft"
 	"sparnotch/internal/replica"
@@ -27,9 +28,10 @@
 // side machines.
 type core struct {
 	*Fleet
-	losses int
-	badAt  eventloop.Micros // when a group last couldn't bear the losses
-	why    string
+	losses    int
+	tolerance membership.Tolerance // zones and regions besides
+	badAt     eventloop.Micros     // when a group last couldn't bear the losses
+	why       string
 }
 
 func newCore(seed uint64, zones []string, losses int, sync eventloop.Micros, hasLoad bool) *core {
@@ -70,6 +72,7 @@
 func (c *core) told(h *Host, isFirst bool) {
 	h.Also = func(papers *process.Papers, _ []process.Berth) []process.Berth {
 		papers.First, papers.Losses = isFirst && h.run == 1, uint32(c.losses)
+		papers.Zones, papers.Regions, papers.RegionOf = uint32(c.tolerance.Zones), uint32(c.tolerance.Regions), c.tolerance.RegionOf
 		if h.Role == schema.Role_ROLE_CONTROLLER {
 			return process.Heed(papers)
 		}
--- /dev/null
+++ b/internal/sim/zones_test.go
@@ -0,0 +1,81 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+)
+
+// TestZonesMayBeLost: with 3, 4 and 6 zones in 1, 2 and 3 regions the whole of each zone,
+// or region where that is asked for, is lost in turn, after a machine was replaced; the
+// rest serves, or the deployment has said that it can't bear it.
+func TestZonesMayBeLost(t *testing.T) {
+	for _, zones := range []int{3, 4, 6} {
+		for _, regions := range []int{1, 2, 3} {
+			tolerance := membership.Tolerance{Machines: 1, Zones: 1, RegionOf: map[string]string{}}
+			if regions > 1 {
+				tolerance.Zones, tolerance.Regions = 0, 1
+			}
+			var list []string
+			for k := range zones {
+				list = append(list, fmt.Sprintf("z%d", k+1))
+				tolerance.RegionOf[list[k]] = fmt.Sprintf("r%d", k*regions/zones+1)
+			}
+			t.Run(fmt.Sprintf("%d zones in %d regions", zones, regions), func(t *testing.T) {
+				t.Parallel()
+				losePlaces(t, uint64(10*zones+regions), list, tolerance)
+			})
+		}
+	}
+}
+
+func losePlaces(t *testing.T, seed uint64, zones []string, tolerance membership.Tolerance) {
+	c := newCore(seed, zones, tolerance.Machines, 500, false)
+	c.tolerance = tolerance
+	c.Run(c.Began + 5*eventloop.Second)
+	bears := c.voters()[0].Belief().Bears
+	canBear := tolerance.Regions == 0 || len(zones) >= 3 && tolerance.ShortOfPlaces() == ""
+	if isTold := bears.Short == ""; isTold != canBear {
+		t.Fatalf("it says %q", bears.Short)
+	}
+	// A machine is replaced in another zone first, so that the repair has to keep the spread.
+	c.voters()[1].Wipe()
+	c.addStore("late", zones[0], false).Start()
+	c.Run(c.Now + 12*eventloop.Second)
+	for _, h := range c.Stores() {
+		if !h.IsUp && h.Id != "" {
+			h.Start()
+		}
+	}
+	c.Run(c.Now + catchUp)
+	if !canBear {
+		return
+	}
+	place := func(zone string) string { return zone }
+	if tolerance.Regions > 0 {
+		place = func(zone string) string { return tolerance.RegionOf[zone] }
+	}
+	done := map[string]bool{}
+	for _, zone := range zones {
+		if done[place(zone)] {
+			continue
+		}
+		done[place(zone)] = true
+		var lost []*Host
+		for _, h := range c.Hosts {
+			if place(h.Cell) == place(zone) && h.IsUp {
+				lost = append(lost, h)
+				h.Kill()
+			}
+		}
+		if took, isServed := c.serves(8 * eventloop.Second); !isServed {
+			t.Errorf("without %s nothing is served for %.1f s: %s", place(zone), float64(took)/1e6, c.why)
+		}
+		for _, h := range lost {
+			h.Start()
+		}
+		c.Run(c.Now + catchUp)
+	}
+}
