A disk that answers nothing for long counts as one that refuses; a start anew is shown

Cause: while most disks hang, hand-ins waited for their time limit; a process that starts without its store was shown only in parts.

Change: a sync that is out for over 2 s counts, for the book, as a store that takes no writes, so hand-ins are answered 503; belief and log tell of it. A test plays the daemon from a start without a store to its start anew with it, without its end.

--- a/internal/daemon/start_test.go
+++ b/internal/daemon/start_test.go
@@ -1,14 +1,17 @@
 package daemon
 
 import (
+	"context"
 	"net"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
+	"sparnotch/internal/logring"
 	"sparnotch/internal/process"
 	"sparnotch/internal/schema"
 	"sparnotch/internal/storage"
@@ -74,3 +77,37 @@
 		So(log(), ShouldContainSubstring, "inner")
 	})
 }
+
+// calls is a server that notes what it is asked to do.
+type calls struct{ shutdowns chan bool }
+
+func (c calls) Warn() {}
+
+func (c calls) Shutdown(context.Context) error {
+	c.shutdowns <- true
+	return nil
+}
+
+func TestStartingAnewWithTheStore(t *testing.T) {
+	Convey("A process whose disk refuses at its start serves, and starts anew with its store, without ending", t, func() {
+		data := t.TempDir()
+		obstacle := filepath.Join(data, "slot-0")
+		So(os.Mkdir(obstacle, 0o700), ShouldBeNil)
+		log, ring := logring.New("")
+		loaded := &schema.Options{Cell: "c", Inner: "127.0.0.1:0", Outer: "127.0.0.1:1", Data: data, Seeds: []string{"127.0.0.1:1"}, WarnUs: 2_000_000}
+		shutdowns, started, ended := make(chan bool, 4), make(chan bool, 4), make(chan error, 1)
+		open := func(real *process.Real, _ *zap.Logger) (Server, error) {
+			started <- real.Member.Stores
+			return calls{shutdowns}, nil
+		}
+		signals := make(chan os.Signal, 1)
+		go func() { ended <- serve(loaded, schema.Role_ROLE_SERVER, signals, log, ring, open, nil) }()
+		So(<-started, ShouldBeFalse)
+		So(os.Remove(obstacle), ShouldBeNil)
+		So(<-shutdowns, ShouldBeTrue)
+		So(<-started, ShouldBeTrue)
+		So(len(ended), ShouldEqual, 0)
+		signals <- syscall.SIGTERM
+		So(<-ended, ShouldBeNil)
+	})
+}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -134,8 +134,13 @@
 	r.process.Post("membership", eventloop.Mail{Body: eventloop.Tick{}})
 	r.duty(func() { r.writes.Drain(ctx, 0, func(batch replica.Batch) { r.commit(ctx, batch) }, nil) })
 	r.duty(func() {
+		wasHanging := false
 		eventloop.NewRing[int](1).Drain(ctx, 250*eventloop.Milli, nil, func() {
 			r.tellLatency()
+			if isHanging := r.isHanging() && !r.isRefused.Load(); isHanging != wasHanging {
+				wasHanging = isHanging
+				r.log.Error("the disk's answer", zap.Bool("is_missing", isHanging))
+			}
 			r.worst.Store(r.worst.Load() * 15 / 16)
 		})
 	})
--- a/internal/process/store.go
+++ b/internal/process/store.go
@@ -162,6 +162,17 @@
 	r.tellLatency()
 }
 
+// HangSpan is how long a sync may be out until the disk counts as one that
+// refuses: far longer than any disk in order takes, and well after a leader has
+// handed over because of it.
+const HangSpan = 2 * eventloop.Second
+
+// isHanging tells whether the disk hasn't answered for long.
+func (r *Real) isHanging() bool {
+	began := r.syncing.Load()
+	return began > 0 && r.Clock.Now()-eventloop.Micros(began) > HangSpan
+}
+
 // tellLatency tells the book of this process's worst recent delay.
 func (r *Real) tellLatency() {
 	worst := max(r.process.Latency(), eventloop.Micros(r.worst.Load()))
@@ -169,7 +180,7 @@
 	if began := r.syncing.Load(); began > 0 {
 		worst = max(worst, r.Clock.Now()-eventloop.Micros(began))
 	}
-	if r.isRefused.Load() {
+	if r.isRefused.Load() || r.isHanging() {
 		worst = membership.RefusedLatency
 	}
 	r.process.Post("membership", eventloop.Mail{Body: membership.Latency{Worst: worst}})
--- a/internal/replica/refusal.go
+++ b/internal/replica/refusal.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/raft"
@@ -30,6 +32,14 @@
 // refuses tells whether the store takes no writes.
 func (t *Table) refuses() bool { return t.refusal.at > 0 }
 
+// refusalText is why the store takes no writes, empty if it does.
+func (t *Table) refusalText(now eventloop.Micros) string {
+	if !t.refuses() && t.isStalled(now) {
+		return fmt.Sprintf("no answer for %v", (now - t.began).Span().Round(time.Millisecond))
+	}
+	return t.refusal.why
+}
+
 // refused takes note that the store takes no writes: no replica here stands, and
 // every group led here goes to another at once.
 func (t *Table) refused(now eventloop.Micros, m Refused) {
--- a/internal/replica/refusal_test.go
+++ b/internal/replica/refusal_test.go
@@ -103,6 +103,19 @@
 			})
 		})
 	})
+	Convey("A leader whose disk doesn't answer hands over within the span of a stall, and says so", t, func() {
+		c := newLedCore()
+		c.hangs["a"] = true
+		c.handIn("a", "j1", 1)
+		c.runTold(stallSpan + 150*eventloop.Milli)
+		So(c.leader("q"), ShouldBeIn, "b", "c")
+		So(c.tables["a"].belief(c.now).Refusal, ShouldContainSubstring, "no answer")
+		// It follows its successor, and tells it nothing of a term that may not last.
+		old := c.tables["a"].groups["q#"+c.generation("q")].group
+		So(old.Leader(), ShouldEqual, c.leader("q"))
+		match, _ := c.tables[c.leader("q")].groups["q#"+c.generation("q")].group.Match("a")
+		So(match, ShouldEqual, 0)
+	})
 	Convey("A refusing store confirms nothing and tells no vote", t, func() {
 		c := newLedCore()
 		c.refuse("b")
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -234,7 +234,7 @@
 	belief := &NodeBelief{
 		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Queues: t.state.Queues,
 		Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(),
-		Refusal: t.refusal.why,
+		Refusal: t.refusalText(now),
 	}
 	for _, name := range t.names() {
 		r := t.groups[name]
--- a/internal/sim/disk_scenarios.go
+++ b/internal/sim/disk_scenarios.go
@@ -5,6 +5,7 @@
 
 	"sparnotch/internal/checker"
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/process"
 )
 
 // fullSpan is how long a disk takes nothing in these scenarios.
@@ -121,6 +122,9 @@
 			f.refusals = append(f.refusals, f.Now)
 		})
 	}, After: turnedAway},
+	{Name: "most disks hang", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
+		f.At(f.Began+4*eventloop.Second, func() { mostHang(f, process.HangSpan+fullSpan) })
+	}, After: turnedAway},
 	{Name: "every disk is full at once, rough net", Net: RoughNet, Sync: 5 * eventloop.Milli, Span: 30 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began+4*eventloop.Second, func() {
 			f.Fault("every disk takes no more")
@@ -143,6 +147,16 @@
 	}, After: caughtUp},
 }
 
+// mostHang has most disks answer nothing for a span.
+func mostHang(f *Fleet, span eventloop.Micros) {
+	f.Fault("most disks hang")
+	for _, h := range f.Stores()[1:] {
+		h.Stall = f.Now + span
+	}
+	// They are known to once they have for so long.
+	f.refusals = append(f.refusals, f.Now+process.HangSpan)
+}
+
 // turnedAway: while nothing can be confirmed, who hands in is told so at once,
 // and afterwards it goes on.
 func turnedAway(f *Fleet) []string {
