--- a/internal/sim/disk_fault.go
+++ b/internal/sim/disk_fault.go
@@ -45,7 +45,7 @@
 	if !d.Fault.strikes(name, isFull) {
 		return false
 	}
-	if w.data != nil && len(w.data) > 1 && d.Fault.Room == 0 {
+	if len(w.data) > 1 && d.Fault.Room == 0 {
 		half := write{offset: w.offset, data: w.data[:len(w.data)/2]}
 		f.writes = append(f.writes, half)
 		f.current = half.apply(f.current)
