--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -31,6 +31,7 @@
 	heard  map[string][]any // by process outside, or by table of a store
 	day    int64            // time of day at time 0; 0: every clock stands still
 	isDown map[string]bool
+	isCut  func(from, to string) bool
 	held   map[string]uint64 // by store whose disk refuses: the batch that waits
 	hangs  map[string]bool   // whose disks answer nothing
 }
@@ -102,7 +103,7 @@
 			return l.at <= c.now
 		})
 		for _, l := range due {
-			if c.isDown[l.to] || c.isDown[l.from] {
+			if c.isDown[l.to] || c.isDown[l.from] || c.isCut != nil && c.isCut(l.from, l.to) {
 				continue
 			}
 			if c.tables[l.to] != nil {
