--- a/internal/gateway/leaders.go
+++ b/internal/gateway/leaders.go
@@ -54,7 +54,7 @@
 
 // canCommit tells whether enough of a queue's voters take writes, as far as is
 // known: while most refuse, nothing new could be confirmed.
-func (t *Table) canCommit(queue string) bool {
+func (t *Table) canCommit(now eventloop.Micros, queue string) bool {
 	if t.roll == nil {
 		return true
 	}
@@ -64,13 +64,7 @@
 	if note := t.waits[queue]; note != nil {
 		voters = note.Voters
 	}
-	able := 0
-	for _, id := range voters {
-		if !t.roll.Refuses(id) {
-			able++
-		}
-	}
-	return able == len(voters) || able > len(voters)/2
+	return t.roll.CanCommit(now, voters, t.roll.Refuses)
 }
 
 // isUnled tells whether nobody has been known to lead a queue for too long to
--- a/internal/gateway/submissions.go
+++ b/internal/gateway/submissions.go
@@ -63,7 +63,7 @@
 		out.Answer(m.Request, Answer{Code: 422, Body: data})
 		return
 	}
-	if !t.canCommit(m.Queue) {
+	if !t.canCommit(now, m.Queue) {
 		t.refuse(m.Request, 503, "not_ready", "too many stores take no writes at the moment", 1, out)
 		return
 	}
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -51,6 +51,25 @@
 	return member.GetLatencyUs() >= int64(RefusedLatency)
 }
 
+// awaySpan is how long a store may be unheard of and still count as one at hand.
+const awaySpan = 2 * eventloop.Second
+
+// CanCommit tells whether enough of a group's voters take writes, as far as is
+// known. Who is merely away says nothing by itself (a group without a quorum has
+// no leader soon); beside a store that refuses it may leave too few.
+func (r *Roll) CanCommit(now eventloop.Micros, voters []string, refuses func(id string) bool) bool {
+	refusing, able := 0, 0
+	for _, id := range voters {
+		switch {
+		case refuses(id):
+			refusing++
+		case id == r.Self.GetId() || r.Live(id, now, awaySpan):
+			able++
+		}
+	}
+	return refusing == 0 || able > len(voters)/2
+}
+
 // Leaving says that this process was warned.
 type Leaving struct{}
 
--- a/internal/replica/refusal.go
+++ b/internal/replica/refusal.go
@@ -84,15 +84,8 @@
 
 // canCommit tells whether enough of a group's voters take writes, as far as is
 // known here.
-func (t *Table) canCommit(r *replica) bool {
-	voters := r.group.MemberSet().Voters
-	refusing := 0
-	for _, id := range voters {
-		if t.isRefusing(id) {
-			refusing++
-		}
-	}
-	return refusing == 0 || len(voters)-refusing > len(voters)/2
+func (t *Table) canCommit(now eventloop.Micros, r *replica) bool {
+	return t.roll == nil || t.roll.CanCommit(now, r.group.MemberSet().Voters, t.isRefusing)
 }
 
 // canElectAnother tells whether the other voters at hand can elect one of them
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -23,7 +23,7 @@
 		return
 	}
 	asked := waiter{term: r.group.Term(), from: from, request: m}
-	if (m.Kind == "cancel" || m.Kind == "clusterstate") && !t.canCommit(r) {
+	if (m.Kind == "cancel" || m.Kind == "clusterstate") && !t.canCommit(now, r) {
 		t.reply(asked, 503, faultBody("not_ready", "too many stores take no writes at the moment"), r.group, out)
 		return
 	}
--- a/internal/sim/disk_scenarios.go
+++ b/internal/sim/disk_scenarios.go
@@ -122,6 +122,20 @@
 			f.refusals = append(f.refusals, f.Now)
 		})
 	}, After: turnedAway},
+	{Name: "a full disk beside a machine that is away", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
+		during(f, 4*eventloop.Second, func(leader *Host) {
+			for _, h := range f.Stores() {
+				if h != leader {
+					f.killed(h, fullSpan+2*eventloop.Second)
+					break
+				}
+			}
+			f.Fault("the disk of %s takes no more", leader.Name)
+			leader.Refuse(Fault{IsFull: true}, fullSpan+2*eventloop.Second)
+			// The other is known to be away once it has been unheard of for long.
+			f.refusals = append(f.refusals, f.Now+2*eventloop.Second)
+		})
+	}, After: turnedAway},
 	{Name: "most disks hang", Net: CalmNet, Sync: 500, Span: 25 * eventloop.Second, Plan: func(f *Fleet) {
 		f.At(f.Began+4*eventloop.Second, func() { mostHang(f, process.HangSpan+fullSpan) })
 	}, After: turnedAway},
