--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,6 +23,7 @@
 )
 
 var (
+	// Errors holds the package's error types.
 	Errors = errorx.NewNamespace("replica")
 	// Unreadable is a checkpoint or record that is whole and yet can't be read: it
 	// was written by something else. A replica can't go on from it.
@@ -55,6 +56,7 @@
 	tickIdx  uint64
 	carryIdx uint64
 	adoptIdx uint64
+	logBytes int // of the cluster state's records applied since its checkpoint
 	passAt   eventloop.Micros
 	leaderAt string // whom the cluster state named as leader then
 }
@@ -81,13 +83,15 @@
 	isWarned     bool
 	refusal      refusal
 	applied      map[string]*schema.Applied // by gateway, of this step
+
+	plansTold map[string]planTold // by process
 }
 
 // New makes the table from a store's content.
 func New(id string, content *storage.Content, wall func() int64, times raft.Times, seed uint64, now eventloop.Micros) *Table {
 	t := &Table{
 		id: id, self: content.Self, wall: wall, times: times, groups: map[string]*replica{},
-		clusterState: clusterstate.New(), applied: map[string]*schema.Applied{},
+		clusterState: clusterstate.New(), applied: map[string]*schema.Applied{}, plansTold: map[string]planTold{},
 	}
 	hash := fnv.New64a()
 	hash.Write([]byte(id))
@@ -133,7 +137,7 @@
 		if err != nil {
 			panic(Unreadable.Wrap(err, "checkpoint of %s", r.group.Name()))
 		}
-		t.clusterState = machine
+		t.clusterState, r.logBytes = machine, 0
 		t.setState(machine.Copy())
 		return
 	}
@@ -188,6 +192,10 @@
 		t.toGroup(now, mail.From, body.Group, body)
 	case *schema.Install:
 		t.toGroup(now, mail.From, body.Group, body)
+	case *schema.Part:
+		t.toGroup(now, mail.From, body.Group, body)
+	case *schema.PartReply:
+		t.toGroup(now, mail.From, body.Group, body)
 	case *schema.Urge:
 		t.urged(now, mail.From, body)
 	case *schema.Submit:
@@ -222,7 +230,7 @@
 	r := t.groups[name]
 	if r == nil {
 		switch body.(type) {
-		case *schema.Append, *schema.Install:
+		case *schema.Append, *schema.Install, *schema.Part:
 			r = t.join(now, name)
 		}
 	}
