--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -35,6 +35,7 @@
 	held   map[string]uint64              // by store whose disk refuses: the batch that waits
 	batch  func(id string, batch Batch)   // sees what is written
 	isLost func(to string, body any) bool // what never arrives; nil: nothing
+	hangs  map[string]bool                // whose disks answer nothing
 }
 
 type letter struct {
@@ -55,6 +56,9 @@
 func (p port) Answer(uint64, any) {}
 func (p port) Tell(table string, body any) {
 	if batch, isBatch := body.(Batch); isBatch {
+		if p.core.hangs[p.id] {
+			return
+		}
 		if _, isRefusing := p.core.held[p.id]; isRefusing {
 			p.core.held[p.id] = batch.Number
 			p.core.mail = append(p.core.mail, letter{p.core.now + syncSpan, "", p.id, Refused{Number: batch.Number, Why: "no room"}})
@@ -72,7 +76,7 @@
 var stores = []string{"a", "b", "c"}
 
 func newCore() *core {
-	c := &core{now: eventloop.Second, tables: map[string]*Table{}, heard: map[string][]any{}, isDown: map[string]bool{}, held: map[string]uint64{}}
+	c := &core{now: eventloop.Second, tables: map[string]*Table{}, heard: map[string][]any{}, isDown: map[string]bool{}, held: map[string]uint64{}, hangs: map[string]bool{}}
 	wall := func() int64 {
 		if c.day == 0 {
 			return 0
