--- a/internal/sim/changes_test.go
+++ b/internal/sim/changes_test.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/internal/checker"
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/gateway"
@@ -300,6 +301,11 @@
 	for _, each := range o.wrong {
 		t.Error(each)
 	}
+	for _, e := range o.History {
+		if len(o.wrong) > 0 && e.Kind == checker.Fault {
+			t.Logf("%.3f s: %s", float64(e.At)/1e6, e.State)
+		}
+	}
 	t.Logf("%d taken in %.0f s; disk at most %d bytes, the cluster state's log at most %d records", len(o.taken), float64(o.Now-o.Began)/1e6, o.peakDisk, o.peakLog)
 	for what, spans := range o.caught {
 		slices.Sort(spans)
