--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"sparnotch/internal/agent"
@@ -20,6 +21,7 @@
 	"sparnotch/internal/logring"
 	"sparnotch/internal/process"
 	"sparnotch/internal/schema"
+	"sparnotch/internal/storage"
 )
 
 // Exit codes of the daemons.
@@ -28,6 +30,10 @@
 	ExitOptions = subcommands.ExitStatus(2)
 )
 
+// turnSpan is how long calls may take to finish when a process that started
+// without its store starts anew with it.
+const turnSpan = 1500 * time.Millisecond
+
 // Command is a daemon that a program runs as a subcommand.
 type Command struct {
 	Name     string
@@ -111,6 +117,8 @@
 func Serve(name string, loaded *schema.Options, role schema.Role, open Opening, hands ...agent.Caller) subcommands.ExitStatus {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	// Whoever reads our output may go away before we do.
+	signal.Ignore(syscall.SIGPIPE)
 	log, ring := logring.New(loaded.Trace)
 	// A crash writes the ring out before it takes the process down.
 	defer func() {
@@ -122,33 +130,56 @@
 	if err := serve(loaded, role, signals, log, ring, open, hands); err != nil {
 		log.Error("failed", zap.Error(err))
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		if storage.IsForeign(err) || errorx.IsOfType(err, config.Bad) {
+			return ExitOptions
+		}
 		return ExitFailed
 	}
 	return subcommands.ExitSuccess
 }
 
 func serve(loaded *schema.Options, role schema.Role, signals chan os.Signal, log *zap.Logger, ring *logring.Ring, open Opening, hands []agent.Caller) error {
-	real, err := process.Start(loaded, role, log, hands...)
+	var opened *process.Opened
+	for {
+		next, err := serveWith(opened, loaded, role, signals, log, ring, open, hands)
+		if next == nil {
+			return err
+		}
+		opened = next
+	}
+}
+
+// serveWith serves until the process is to end, or to start anew with a store
+// that it couldn't open before.
+func serveWith(opened *process.Opened, loaded *schema.Options, role schema.Role, signals chan os.Signal, log *zap.Logger, ring *logring.Ring, open Opening, hands []agent.Caller) (*process.Opened, error) {
+	real, err := process.StartWith(opened, loaded, role, log, hands...)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	server, err := open(real, log)
 	if err != nil {
 		real.Stop()
-		return err
+		return nil, config.Bad.Wrap(err, "outer")
 	}
 	for {
 		select {
 		case err := <-real.Failed:
-			// What a failed store has promised is unknown: the process ends at
-			// once, as if killed, and finds out on its next start.
-			return err
+			return nil, err
+		case next := <-real.Reopened:
+			log.Warn("the store could be opened: starting anew with it")
+			ctx, cancel := context.WithTimeout(context.Background(), turnSpan)
+			if err := server.Shutdown(ctx); err != nil {
+				log.Warn("requests were still open", zap.Error(err))
+			}
+			cancel()
+			real.Stop()
+			return next, nil
 		case got := <-signals:
 			if !isWarning(got, log, ring.Spill) {
 				continue
 			}
 			log.Info("warned", zap.String("signal", got.String()))
-			return leave(real, server, loaded, signals, log, ring)
+			return nil, leave(real, server, loaded, signals, log, ring)
 		}
 	}
 }
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -71,7 +71,11 @@
 			out.Answer(m.Id, unknown())
 			return
 		}
-		out.Answer(m.Id, Answer{Code: m.Code, Body: whole})
+		answer := Answer{Code: m.Code, Body: whole}
+		if m.Code >= 500 {
+			answer.Retry = 1
+		}
+		out.Answer(m.Id, answer)
 		return
 	}
 	if m.Leader != each.to && t.mayLead(now, m.Leader) {
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -33,6 +33,8 @@
 	isDown map[string]bool
 	batch  func(id string, batch Batch)   // sees what is written
 	isLost func(to string, body any) bool // what never arrives; nil: nothing
+	isCut  func(from, to string) bool
+	held   map[string]uint64 // by store whose disk refuses: the batch that waits
 }
 
 type letter struct {
@@ -56,6 +58,11 @@
 		if p.core.batch != nil {
 			p.core.batch(p.id, batch)
 		}
+		if _, isRefusing := p.core.held[p.id]; isRefusing {
+			p.core.held[p.id] = batch.Number
+			p.core.mail = append(p.core.mail, letter{p.core.now + syncSpan, "", p.id, Refused{Number: batch.Number, Why: "no room"}})
+			return
+		}
 		p.core.mail = append(p.core.mail, letter{p.core.now + syncSpan, "", p.id, Written{Number: batch.Number}})
 		return
 	}
@@ -65,7 +72,7 @@
 var stores = []string{"a", "b", "c"}
 
 func newCore() *core {
-	c := &core{now: eventloop.Second, tables: map[string]*Table{}, heard: map[string][]any{}, isDown: map[string]bool{}}
+	c := &core{now: eventloop.Second, tables: map[string]*Table{}, heard: map[string][]any{}, isDown: map[string]bool{}, held: map[string]uint64{}}
 	wall := func() int64 {
 		if c.day == 0 {
 			return 0
@@ -97,7 +104,8 @@
 			return l.at <= c.now
 		})
 		for _, l := range due {
-			if c.isDown[l.to] || c.isDown[l.from] || c.isLost != nil && c.isLost(l.to, l.body) {
+			isCut := c.isCut != nil && c.isCut(l.from, l.to) || c.isLost != nil && c.isLost(l.to, l.body)
+			if c.isDown[l.to] || c.isDown[l.from] || isCut {
 				continue
 			}
 			if c.tables[l.to] != nil {
