--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -128,14 +128,10 @@
 
 // Apply takes one record's command.
 func (m *Machine) Apply(at int64, data []byte) (*Result, error) {
-	whole, err := Unpack(data)
+	command, err := ReadCommand(data)
 	if err != nil {
 		return nil, err
 	}
-	command := &schema.ClusterStateCommand{}
-	if err := proto.Unmarshal(whole, command); err != nil {
-		return nil, err
-	}
 	if at > m.state.NowUs {
 		m.state.NowUs = at
 	}
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -40,7 +40,7 @@
 		}
 	case "clusterstate":
 		// What can't be read mustn't get into the log: no replica could go on from it.
-		if whole, err := clusterstate.Unpack(m.Body); err != nil || proto.Unmarshal(whole, &schema.ClusterStateCommand{}) != nil {
+		if _, err := clusterstate.ReadCommand(m.Body); err != nil {
 			t.reply(asked, 400, faultBody("bad_request", "the command can't be read"), r.group, out)
 			return
 		}
