--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	}
 }
 
+// Step implements eventloop.Table.
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
 	case eventloop.Tick:
@@ -134,7 +135,7 @@
 		t.askClusterState(now, out)
 	} else if now-t.askedAt >= t.askRest(now) {
 		t.askedAt = now
-		out.Send(t.id, &schema.ClusterStateAsk{Version: t.state.Version})
+		out.Send(t.id, t.stateAsk())
 	}
 	queues := map[string]bool{}
 	for key, s := range t.sessions {
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -59,7 +59,7 @@
 // Others may found the group a little later and drop the first calls, so they
 // are made again for a while.
 func (g *Group) Stand(now eventloop.Micros) {
-	if g.term > 0 || g.lastIndex() > 0 || g.role != follower || !g.isVoter(g.self) {
+	if g.term > 0 || g.lastIndex() > 0 || g.role != follower || !g.isVoter(g.self) || g.isReadOnly {
 		return
 	}
 	g.calls, g.callAt = mostCalls, now+callRest
@@ -69,7 +69,7 @@
 // Found gives the first voters to a replica that was opened by a leader's word
 // before it heard that it is one of them itself.
 func (g *Group) Found(voters []string) {
-	if g.base.Index > 0 || len(g.base.MemberSet.GetVoters()) > 0 {
+	if g.base.Index > 0 || len(g.base.MemberSet.GetVoters()) > 0 || len(voters) == 0 {
 		return
 	}
 	g.base = &schema.Checkpoint{MemberSet: &schema.MemberSet{Voters: voters}}
@@ -96,7 +96,7 @@
 		return
 	}
 	switch {
-	case g.role == asking:
+	case g.role == asking && !g.isReadOnly:
 		g.campaign(now, false)
 	case g.role == candidate && !g.dirty():
 		g.becomeLeader(now)
@@ -110,7 +110,7 @@
 	g.reads = nil
 	g.quorumAt = now
 	g.timeBase, g.timeMono, g.steppedAt = g.lastAt(), now, 0
-	g.syncPeers(now)
+	g.syncPeers(now, g.lastIndex()+1)
 	g.first = g.lastIndex() + 1
 	// A leader knows what is committed only through a record of its own term.
 	g.add(now, &schema.Record{Kind: schema.RecordKind_RECORD_FIRST})
@@ -150,7 +150,7 @@
 		// Of two that ask at once with equal logs one goes first, or the two of
 		// three that are left would split the vote.
 		isFirst := g.role == asking && g.self < from && m.LastTerm == g.lastTerm() && m.LastIndex == g.lastIndex()
-		if m.Term > g.term && isFresh && !isFirst {
+		if m.Term > g.term && isFresh && !isFirst && !g.isReadOnly {
 			g.post(from, &schema.VoteReply{Group: g.name, Term: m.Term, Granted: true, Pre: true})
 		} else {
 			g.post(from, &schema.VoteReply{Group: g.name, Term: g.term, Pre: true})
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -23,6 +23,10 @@
 		return
 	}
 	asked := waiter{term: r.group.Term(), from: from, request: m}
+	if (m.Kind == "cancel" || m.Kind == "clusterstate") && !t.canCommit(r) {
+		t.reply(asked, 503, faultBody("not_ready", "too many stores take no writes at the moment"), r.group, out)
+		return
+	}
 	switch m.Kind {
 	case "status", "list", "counts", "plan", "history":
 		t.reads++
@@ -35,6 +39,11 @@
 			r.waiting[index] = asked
 		}
 	case "clusterstate":
+		// What can't be read mustn't get into the log: no replica could go on from it.
+		if whole, err := clusterstate.Unpack(m.Body); err != nil || proto.Unmarshal(whole, &schema.ClusterStateCommand{}) != nil {
+			t.reply(asked, 400, faultBody("bad_request", "the command can't be read"), r.group, out)
+			return
+		}
 		if index, _, err := r.group.Propose(now, m.Body); err == nil {
 			r.waiting[index] = asked
 		}
@@ -73,14 +82,14 @@
 	case "counts":
 		t.reply(asked, 200, mustJSON(r.queue.Counts()), r.group, out)
 	case "plan":
-		t.reply(asked, 200, planBody(t.clusterState.Plan()), r.group, out)
+		t.reply(asked, 200, clusterstate.Pack(planBody(t.clusterState.Plan())), r.group, out)
 	case "history":
 		history := t.clusterState.History()
 		parts := make([]json.RawMessage, 0, len(history)+1)
 		for _, plan := range append(history[:len(history):len(history)], clusterstate.Bare(t.clusterState.Plan())) {
 			parts = append(parts, planBody(plan))
 		}
-		t.reply(asked, 200, mustJSON(parts), r.group, out)
+		t.reply(asked, 200, clusterstate.Pack(mustJSON(parts)), r.group, out)
 	}
 }
 
@@ -95,7 +104,7 @@
 		body = mustJSON(result.Fault)
 	case result.Plan != nil:
 		// Who has sent the document needn't get it back.
-		body = planBody(clusterstate.Bare(result.Plan))
+		body = clusterstate.Pack(planBody(clusterstate.Bare(result.Plan)))
 	default:
 		body = mustJSON(map[string]uint64{"lease": result.Lease})
 	}
@@ -138,7 +147,14 @@
 	}
 	tell := &schema.ClusterStateTell{Version: t.state.Version, Leaders: map[string]string{clusterstate.Group: r.group.Leader()}, ControllerUntilUs: t.clusterState.ControllerUntil()}
 	if t.state.Version > m.Version {
-		tell.State = t.state
+		tell.State, tell.PlanHeld = t.clusterState.Outgoing(t.state, m.Generation)
+		if !tell.PlanHeld && t.isOnItsWay(now, from, tell.State.Plan) {
+			// Its leaders and the controller's lease are news to a side; a front is
+			// ready only with the whole, and waits for it.
+			if tell.State = nil; !t.isSide(from) {
+				return
+			}
+		}
 	}
 	// Of the sides only the controller reads how the groups stand; the others ask
 	// often, and there is a note for every queue.
@@ -172,6 +188,11 @@
 			note.Behind[id] = g.Last() - match
 		}
 	}
+	for _, id := range note.Learners {
+		if !g.IsCaughtUp(id) {
+			note.Behind[id] = max(note.Behind[id], raft.CaughtUp+1)
+		}
+	}
 	if r.queue != nil {
 		note.Live, note.Kept, note.Ended = uint32(r.queue.Live()), uint32(r.queue.Kept()), r.queue.Ended()
 		seen := map[string]bool{}
@@ -214,6 +235,7 @@
 	Fresh      bool                 `json:"cluster_state_fresh"`
 	Controller string               `json:"controller"`
 	Lease      uint64               `json:"controller_lease"`
+	Refusal    string               `json:"store_refuses,omitempty"` // why the store takes no writes
 	Groups     []*GroupBelief       `json:"groups"`
 	Wards      []*schema.Ward       `json:"wards"`
 	Queues     []*schema.QueuePlace `json:"queues"`
@@ -224,6 +246,7 @@
 	belief := &NodeBelief{
 		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Queues: t.state.Queues,
 		Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(),
+		Refusal: t.refusal.why,
 	}
 	for _, name := range t.names() {
 		r := t.groups[name]
@@ -250,13 +273,13 @@
 	return belief
 }
 
-// ClusterStateBody encodes a cluster state command for a request.
+// ClusterStateBody encodes a cluster state command for a request, packed if it is large.
 func ClusterStateBody(command *schema.ClusterStateCommand) []byte {
 	data, err := proto.Marshal(command)
 	if err != nil {
 		panic("keep: " + err.Error())
 	}
-	return data
+	return clusterstate.Pack(data)
 }
 
 // Digest is a state's digest as `belief` shows it.
