--- /dev/null
+++ b/internal/mutation/replace_mutants.go
@@ -0,0 +1,34 @@
+package mutation
+
+// replaceMutants are the guards that make replacing the plan a compare-and-set
+// whose orders may be sent again; see docs/control/replace.md.
+var replaceMutants = []*Mutant{
+	{Guard: "what was taken is known again", Rule: 11, Test: "internal/sim TestReplaceIsLinearizable", Edits: []Edit{{"internal/clusterstate",
+		"			return true\n		}\n	}\n	return false\n}\n\n// firstRemembered", "			return false\n		}\n	}\n	return false\n}\n\n// firstRemembered"}}},
+	{Guard: "more than the last change is remembered", Rule: 11, Test: "platform TestReplaceOverHTTP", Edits: []Edit{{"internal/clusterstate",
+		"	if len(m.state.Taken) > keptEditions {", "	if len(m.state.Taken) > 1 {"}}},
+	{Guard: "an order is known by its content", Rule: 11, Test: "internal/sim TestReplaceIsLinearizable", Edits: []Edit{{"internal/clusterstate",
+		"taken.Edition == edition && bytes.Equal(taken.Digest, digest)", "taken.Edition == edition && (edition > 0 || bytes.Equal(taken.Digest, digest))"}}},
+	{Guard: "what was taken is part of the snapshot", Rule: 11, Test: "internal/clusterstate TestReplaceIsCompareAndSet", Edits: []Edit{{"internal/clusterstate",
+		"	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.state)", "	bare := m.State()\n	bare.Taken = nil\n	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(bare)"}}},
+	{Guard: "an order ahead of its base isn't refused", Rule: 11, Test: "internal/sim TestReplaceIsLinearizable", Edits: []Edit{{"internal/clusterstate",
+		"Result{Code: 503, Fault", "Result{Code: 412, Fault"}}},
+	{Guard: "an order ahead of its base isn't taken", Rule: 11, Test: "platform TestReplaceOverHTTP", Edits: []Edit{{"internal/clusterstate",
+		"	if sheet.BaseEdition > current.Edition {", "	if false {"}}},
+	{Guard: "what is forgotten isn't refused", Rule: 11, Test: "internal/clusterstate TestWhatIsAnsweredLate", Edits: []Edit{{"internal/clusterstate",
+		"	if !isRemembered {", "	if false {"}}},
+	{Guard: "an answer belongs to the record of its term", Rule: 11, Test: "internal/sim TestReplaceIsLinearizable", Edits: []Edit{{"internal/replica",
+		"	isWaited = isWaited && waiting.term == record.Term\n", ""}}},
+	{Guard: "an order is answered when it was applied", Rule: 11, Test: "internal/sim TestReplaceIsLinearizable", Edits: []Edit{{"internal/replica",
+		"			r.waiting[index] = asked\n		}\n	default:",
+		"			r.waiting[index] = asked\n			copied, _ := clusterstate.Restore(t.clusterState.Rest())\n			result, _ := copied.Apply(0, m.Body)\n			t.answerClusterState(asked, result, r, out)\n		}\n	default:"}}},
+	{Guard: "the plan is read through its leader", Rule: 11, Test: "internal/sim TestReplaceIsLinearizable", Edits: []Edit{{"internal/replica",
+		"	if r == nil || !r.group.IsLeader() || r.group.Passing() != \"\" {\n		out.Send(from, &schema.RequestReply{Id: m.Id, Group: m.Group, Leader: leaderOf(r)})",
+		"	if r != nil && m.Kind == \"plan\" {\n		t.reply(waiter{from: from, request: m}, 200, planBody(t.clusterState.Plan()), r.group, out)\n		return\n	}\n	if r == nil || !r.group.IsLeader() || r.group.Passing() != \"\" {\n		out.Send(from, &schema.RequestReply{Id: m.Id, Group: m.Group, Leader: leaderOf(r)})"}}},
+	{Guard: "a full front refuses no order", Test: "platform TestOperator", Edits: []Edit{{"platform",
+		"	if answer.Code == 429 {", "	if false {"}}},
+	{Guard: "a body that was cut refuses no order", Test: "platform TestOperator", Edits: []Edit{{"platform",
+		"	case errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken):", "	case errors.As(err, &broken) && false:"}}},
+}
+
+func init() { Mutants = append(Mutants, replaceMutants...) }
