--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -3,13 +3,23 @@
 // The gateway's copy of the cluster state, and what is asked for.
 
 import (
+	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
 )
 
+// stateAsk asks for what is newer than our copy.
+func (t *Table) stateAsk() *schema.ClusterStateAsk {
+	return &schema.ClusterStateAsk{Version: t.state.Version, Generation: t.state.Plan.GetGeneration()}
+}
+
 func (t *Table) clusterState(now eventloop.Micros, m *schema.ClusterStateTell, out eventloop.Out) {
-	if m.State != nil && m.State.Version >= t.state.Version {
-		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
+	state, err := clusterstate.Incoming(m, t.state.Plan)
+	if err != nil {
+		return // it is asked for again, and until then nothing fresh has been heard
+	}
+	if state != nil && state.Version >= t.state.Version {
+		t.state, t.values = state, t.values.Renew(state.Plan)
 		t.countUnled(now)
 		t.endDropped(now, out)
 	}
@@ -61,5 +71,7 @@
 }
 
 func (t *Table) askAt(now eventloop.Micros, store string, out eventloop.Out) {
-	out.Send(store, &schema.ClusterStateAsk{Version: t.state.Version, Number: t.lease.question(now)})
+	ask := t.stateAsk()
+	ask.Number = t.lease.question(now)
+	out.Send(store, ask)
 }
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -50,7 +50,7 @@
 	}
 	c.last++
 	c.number, c.sentAt, c.riding, c.next = firstConfirmation+c.last, now, c.next, nil
-	body, err := proto.Marshal(&schema.ClusterStateAsk{Version: t.state.Version})
+	body, err := proto.Marshal(t.stateAsk())
 	if err != nil {
 		panic("gateway: " + err.Error())
 	}
@@ -67,6 +67,11 @@
 		return
 	}
 	t.clusterState(now, tell, out)
+	if t.state.Version < tell.Version {
+		// What is newer is still on its way here.
+		t.stateUnconfirmed(now, out)
+		return
+	}
 	t.lease.confirmedAt = max(t.lease.confirmedAt, t.confirmation.sentAt)
 	for _, call := range t.takeRiding() {
 		switch m := call.(type) {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -39,9 +39,8 @@
 type Source interface{ Int64N(n int64) int64 }
 
 const (
-	maxBatch  = 64      // records in one Append
-	maxBytes  = 1 << 20 // of records in one Append
-	maxFlight = 1024    // records sent beyond what is known matched
+	maxBatch  = 64   // records in one Append
+	maxFlight = 1024 // records sent beyond what is known matched
 
 	keptReplies = 16 // beats whose answering is remembered
 
@@ -130,6 +129,8 @@
 	timeMono  eventloop.Micros
 	out       Effects
 
+	transfers  uint64           // how many this replica has begun
+	assembly   assembly         // what our leader sends us in parts
 	replies    []reply          // beats answered of this term, the latest last
 	wallOffset int64            // wall less group time, when three clocks last agreed
 	wallTerm   uint64           // as whose leader we found that
@@ -190,6 +191,9 @@
 // Last is the index of the log's last record.
 func (g *Group) Last() uint64 { return g.lastIndex() }
 
+// BaseBytes is the size of the snapshot that the log stands on.
+func (g *Group) BaseBytes() int { return len(g.base.Data) }
+
 // MemberSet is the group's newest membership, committed or not; not to be changed.
 func (g *Group) MemberSet() *schema.MemberSet { return g.memberSet }
 
@@ -294,6 +298,10 @@
 		g.onAppendReply(now, from, m)
 	case *schema.Install:
 		g.onInstall(now, from, m)
+	case *schema.Part:
+		g.onPart(now, from, m)
+	case *schema.PartReply:
+		g.onPartReply(now, from, m)
 	case *schema.Beat:
 		g.onBeat(now, from, m)
 	case *schema.BeatReply:
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			panic(Unreadable.Wrap(err, "record of %s", r.group.Name()))
 		}
-		t.releaseClusterState(r, record.Index)
+		t.releaseClusterState(r, record)
 		t.clusterStateChanged(now, out)
 		if isWaited {
 			t.answerClusterState(waiting, result, r, out)
@@ -135,7 +135,7 @@
 	// have heard.
 	if t.roll != nil && areMoved(old.Wards, t.state.Wards) {
 		for _, id := range slices.Sorted(maps.Keys(t.roll.Known)) {
-			if t.roll.Known[id].Member.Role == schema.Role_ROLE_CONTROLLER && t.roll.Live(id, now, 2*eventloop.Second) {
+			if t.roll.Known[id].Member.Role == schema.Role_ROLE_CONTROLLER && t.roll.Live(id, now, liveSpan) {
 				t.tellClusterState(now, id, &schema.ClusterStateAsk{Version: old.Version}, out)
 			}
 		}
