--- a/internal/sim/cut_sides_test.go
+++ b/internal/sim/cut_sides_test.go
@@ -18,7 +18,12 @@
 // well, while the fleet is at work; the judge looks at everything that ran.
 func cutSide(seed uint64, kind int) (wrong []string) {
 	size := SmallCalled
-	size.Kinds = slices.Clone(size.Kinds[:min(4, len(size.Kinds))])
+	// A light load, with work for either pool's workers.
+	kinds := size.Kinds
+	size.Kinds = slices.DeleteFunc(slices.Clone(kinds), func(k Kind) bool {
+		at := slices.IndexFunc(kinds, func(each Kind) bool { return each.Name == k.Name && each.Queue == k.Queue })
+		return at >= 4 && k.Queue != "far"
+	})
 	f := NewFleet(seed, size, CalmNet, 500, 30*eventloop.Second)
 	f.Holds = (uint64(kind)+seed)%2 == 0
 	f.Run(f.Began + 3*eventloop.Second)
