A message reaches only the process it is for, and only from a sender's present life

Cause: an answer sent to an id whose process is gone reached whoever had come to its address; on a machine that starts anew at once that is the next process, whose numbers begin alike. Change: each connection begins with its sender's id and start; an envelope names its receiver instead of its sender (as many bytes). What is for another process is dropped and counted (strayed), and an earlier life's connection is closed once a later one has introduced itself (former). The simulated network does the same.

--- a/cmd/sparnotch-bench/hollow_part.go
+++ b/cmd/sparnotch-bench/hollow_part.go
@@ -275,7 +275,7 @@
 	running *eventloop.Process
 }
 
-func (n *hollowNet) Send(to string, body any)        { n.net.Send(n.book.Address(to), body) }
+func (n *hollowNet) Send(to string, body any)        { n.net.SendTo(to, n.book.Address(to), body) }
 func (n *hollowNet) Dial(address string, body any)   { n.net.Send(address, body) }
 func (n *hollowNet) Tell(table string, body any)     { n.running.Tell(table, body) }
 func (n *hollowNet) Answer(request uint64, body any) {}
@@ -331,7 +331,7 @@
 	rack := fmt.Sprintf("r%d", k/p.setup.PerRack)
 	room := hollow.Room{Cores: 64_000, Memory: 128_000}
 	running.Add(hollow.Name, hollow.New(clock.Now(), name, rack, room, uint64(time.Now().UnixMicro()), rand.New(rand.NewPCG(seed, 2)), watch), hollow.Pace)
-	net, err := transport.Listen(member.Id, member.Inner, out.deliver)
+	net, err := transport.Listen(transport.Identity{ID: member.Id, Boot: member.Boot}, member.Inner, out.deliver)
 	if err != nil {
 		return err
 	}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -105,7 +105,7 @@
 		}), 0)
 	}
 	// From here on messages come in, so the mailboxes must stand by now.
-	net, err := transport.Listen(r.Member.Id, options.Inner, r.deliver)
+	net, err := transport.Listen(transport.Identity{ID: r.Member.Id, Boot: r.Member.Boot}, options.Inner, r.deliver)
 	if err != nil {
 		r.closeStore()
 		return nil, err
@@ -259,7 +259,7 @@
 		r.deliver(to, body)
 		return
 	}
-	r.net.Send(r.book.Address(to), body)
+	r.net.SendTo(to, r.book.Address(to), body)
 }
 
 func (o *outside) Dial(address string, body any) { o.net.Send(address, body) }
--- a/internal/process/real_test.go
+++ b/internal/process/real_test.go
@@ -24,7 +24,7 @@
 func TestStartingUnderFire(t *testing.T) {
 	Convey("A process that starts while others already send to it takes what comes, and stops cleanly", t, func() {
 		inner := freePort(t)
-		other, err := transport.Listen("other", "127.0.0.1:0", func(string, any) {})
+		other, err := transport.Listen(transport.Identity{ID: "other"}, "127.0.0.1:0", func(string, any) {})
 		So(err, ShouldBeNil)
 		Reset(other.Close)
 		stop, stopped := make(chan struct{}), make(chan struct{})
--- a/internal/sim/transport_test.go
+++ b/internal/sim/transport_test.go
@@ -17,6 +17,8 @@
 type network interface {
 	// dial sends from one of two ends to an address.
 	dial(from int, address string, body any)
+	// send sends to the process of an id that was last known at an address.
+	send(from int, id, address string, body any)
 	address(end int) string
 	// next is what arrives at an end; false when nothing does any more.
 	next(end int) (from string, body any, isThere bool)
@@ -43,6 +45,12 @@
 	// Nowhere is no trouble.
 	t.dial(0, "", &schema.Urge{Group: "nowhere"})
 	t.dial(0, "127.0.0.1:1", &schema.Urge{Group: "nobody"})
+	// What is for a process that is there no more goes to no other.
+	t.send(0, "former", t.address(1), &schema.Urge{Group: "strayed"})
+	t.send(0, "end1", t.address(1), &schema.Urge{Group: "meant"})
+	_, body, isThere = t.next(1)
+	So(isThere, ShouldBeTrue)
+	So(body.(*schema.Urge).Group, ShouldEqual, "meant")
 	// What is sent while cut is lost, what is sent after arrives.
 	t.cut(true)
 	t.dial(0, t.address(1), &schema.Urge{Group: "cut"})
@@ -65,7 +73,7 @@
 	r := &realTransport{}
 	for k := range r.ends {
 		r.boxes[k] = make(chan eventloop.Mail, 256)
-		n, err := transport.Listen([]string{"end0", "end1"}[k], "127.0.0.1:0", func(from string, body any) { r.boxes[k] <- eventloop.Mail{From: from, Body: body} })
+		n, err := transport.Listen(transport.Identity{ID: []string{"end0", "end1"}[k]}, "127.0.0.1:0", func(from string, body any) { r.boxes[k] <- eventloop.Mail{From: from, Body: body} })
 		So(err, ShouldBeNil)
 		n.IsCut = func(string) bool { return r.isCut.Load() }
 		r.ends[k] = n
@@ -74,7 +82,10 @@
 }
 
 func (r *realTransport) dial(from int, address string, body any) { r.ends[from].Send(address, body) }
-func (r *realTransport) address(end int) string                  { return r.ends[end].Address() }
+func (r *realTransport) send(from int, id, address string, body any) {
+	r.ends[from].SendTo(id, address, body)
+}
+func (r *realTransport) address(end int) string { return r.ends[end].Address() }
 func (r *realTransport) next(end int) (string, any, bool) {
 	select {
 	case mail := <-r.boxes[end]:
@@ -121,6 +132,9 @@
 func (s *simTransport) dial(from int, address string, body any) {
 	(&outlet{s.ends[from]}).Dial(address, body)
 }
+func (s *simTransport) send(from int, id, address string, body any) {
+	s.world.carry(s.ends[from], id, address, body)
+}
 func (s *simTransport) address(end int) string { return s.ends[end].Address }
 func (s *simTransport) next(end int) (string, any, bool) {
 	s.world.Run(s.world.Now + eventloop.Second)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -490,10 +490,10 @@
 		h.mail(process.Table(h.Role, body), eventloop.Mail{From: to, Body: body})
 		return
 	}
-	o.Dial(h.book.Address(to), body)
+	h.world.carry(h, to, h.book.Address(to), body)
 }
 
-func (o *outlet) Dial(address string, body any) { o.host.world.carry(o.host, address, body) }
+func (o *outlet) Dial(address string, body any) { o.host.world.carry(o.host, "", address, body) }
 
 func (o *outlet) Tell(table string, body any) {
 	h := o.host
@@ -557,7 +557,9 @@
 	return base + eventloop.Micros(w.Rng.Int64N(int64(w.Net.Jitter)+1))
 }
 
-func (w *World) carry(from *Host, address string, body any) {
+// carry takes a message to an address; where an id is given, to no other process
+// that may be there by then.
+func (w *World) carry(from *Host, id, address string, body any) {
 	if address == "" || w.cuts[[2]string{from.Address, address}] || w.Rng.Float64() < w.Net.Loss {
 		return
 	}
@@ -576,7 +578,7 @@
 			w.Tap(from, to, body)
 		}
 		w.After(w.delay(from.Cell, cell), func() {
-			if to := w.hostAt(address); to != nil {
+			if to := w.hostAt(address); to != nil && (id == "" || id == to.Id) {
 				run := to.run
 				for _, table := range to.routes(body) {
 					to.work(run, func() { to.step(table, eventloop.Mail{From: sender, Body: body}) })
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -29,14 +29,15 @@
 	Closed = Errors.NewType("closed")
 )
 
-// Envelope is what travels.
+// Envelope is what travels; an introduction has said from whom. Where To is given,
+// only the process of that id may have it.
 type Envelope struct {
-	From string
+	To   string
 	Body any
 }
 
 const (
-	preamble   = "sparnotch/1\n"
+	preamble   = "sparnotch/2\n"
 	maxMessage = 64 << 20
 	ringSize   = 2048
 	// The kernel sends a lost opening packet again after a second; a new dial is
@@ -68,6 +69,8 @@
 type Counts struct {
 	Sent, Received, Bytes, Writes, Lost, Dials, Garbage uint64
 	BytesIn                                             uint64 // read from other processes; Bytes is what was written
+	Strayed                                             uint64 // came here and were for another process
+	Former                                              uint64 // connections closed, or not taken, of a life that had a later one
 }
 
 // queued is a message that waits for its wire.
@@ -78,7 +81,7 @@
 
 // Net is a process's wires.
 type Net struct {
-	self    string
+	self    Identity
 	deliver func(from string, body any)
 	// IsCut, where a test asks for it, tells that nothing may go to an address.
 	IsCut func(address string) bool
@@ -89,20 +92,20 @@
 	listener net.Listener
 	mu       sync.Mutex
 	wires    map[string]*eventloop.Ring[queued]
-	inbound  map[net.Conn]bool
+	inbound  map[net.Conn]*sender
 	running  sync.WaitGroup
 
-	sent, received, bytes, writes, bytesIn, lost, dials, garbage atomic.Uint64
+	sent, received, bytes, writes, bytesIn, lost, dials, garbage, strayed, former atomic.Uint64
 }
 
 // Listen opens the inner port. Every message that comes in goes to deliver.
-func Listen(self, address string, deliver func(from string, body any)) (*Net, error) {
+func Listen(self Identity, address string, deliver func(from string, body any)) (*Net, error) {
 	listening := net.ListenConfig{KeepAliveConfig: probes}
 	listener, err := listening.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "inner address")
 	}
-	n := &Net{self: self, deliver: deliver, listener: listener, now: time.Now, wires: map[string]*eventloop.Ring[queued]{}, inbound: map[net.Conn]bool{}}
+	n := &Net{self: self, deliver: deliver, listener: listener, now: time.Now, wires: map[string]*eventloop.Ring[queued]{}, inbound: map[net.Conn]*sender{}}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.running.Add(1)
 	go n.accept()
@@ -114,7 +117,7 @@
 
 // Counts are what was sent and received so far.
 func (n *Net) Counts() Counts {
-	return Counts{n.sent.Load(), n.received.Load(), n.bytes.Load(), n.writes.Load(), n.lost.Load(), n.dials.Load(), n.garbage.Load(), n.bytesIn.Load()}
+	return Counts{n.sent.Load(), n.received.Load(), n.bytes.Load(), n.writes.Load(), n.lost.Load(), n.dials.Load(), n.garbage.Load(), n.bytesIn.Load(), n.strayed.Load(), n.former.Load()}
 }
 
 // Close ends every wire.
@@ -129,9 +132,13 @@
 	n.running.Wait()
 }
 
-// Send puts a message on the wire to an address; when that wire is full it is
-// lost.
-func (n *Net) Send(address string, body any) {
+// Send puts a message on the wire to whoever is at an address; when that wire is
+// full it is lost.
+func (n *Net) Send(address string, body any) { n.SendTo("", address, body) }
+
+// SendTo is Send to the process of an id, and to no other that may have come to
+// the address.
+func (n *Net) SendTo(id, address string, body any) {
 	if address == "" || n.ctx.Err() != nil {
 		return
 	}
@@ -144,7 +151,7 @@
 		go n.carry(address, ring)
 	}
 	n.mu.Unlock()
-	if !ring.Offer(queued{Envelope{From: n.self, Body: body}, n.now()}) {
+	if !ring.Offer(queued{Envelope{To: id, Body: body}, n.now()}) {
 		n.lost.Add(1)
 	}
 }
@@ -267,6 +274,9 @@
 		if _, err := out.writer.WriteString(preamble); err != nil {
 			return Closed.Wrap(err, "writing")
 		}
+		if err := out.encoder.Encode(&introduction{n.self}); err != nil {
+			return Closed.Wrap(err, "writing")
+		}
 	}
 	out.used = n.now()
 	if err := out.conn.SetWriteDeadline(time.Now().Add(writeSpan)); err != nil {
@@ -308,7 +318,7 @@
 			continue
 		}
 		n.mu.Lock()
-		n.inbound[conn] = true
+		n.inbound[conn] = &sender{}
 		n.mu.Unlock()
 		n.running.Add(1)
 		go n.receive(conn)
@@ -357,11 +367,24 @@
 		return
 	}
 	decoder := gob.NewDecoder(reader)
+	var first introduction
+	if err := decoder.Decode(&first); err != nil || first.From.ID == "" {
+		n.garbage.Add(1)
+		return
+	}
+	from, isAdmitted := n.admit(conn, first.From)
+	if !isAdmitted {
+		return
+	}
 	for {
 		source.left = maxMessage
 		conn.SetReadDeadline(time.Now().Add(deafSpan))
 		var envelope Envelope
-		if err := decoder.Decode(&envelope); err != nil {
+		err := decoder.Decode(&envelope)
+		if from.isFormer.Load() {
+			return
+		}
+		if err != nil {
 			// A wire that broke or went quiet says nothing of what it carried.
 			var broken *net.OpError
 			if !errors.Is(err, io.EOF) && !errors.As(err, &broken) {
@@ -369,11 +392,15 @@
 			}
 			return
 		}
-		if envelope.Body == nil || envelope.From == "" {
+		if envelope.Body == nil {
 			n.garbage.Add(1)
 			return
 		}
 		n.received.Add(1)
-		n.deliver(envelope.From, envelope.Body)
+		if !n.isForUs(envelope) {
+			n.strayed.Add(1)
+			continue
+		}
+		n.deliver(from.ID, envelope.Body)
 	}
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -21,7 +21,7 @@
 
 func open(id string) (*Net, chan arrival) {
 	arrivals := make(chan arrival, 4096)
-	n, err := Listen(id, "127.0.0.1:0", func(from string, body any) { arrivals <- arrival{from, body} })
+	n, err := Listen(Identity{ID: id}, "127.0.0.1:0", func(from string, body any) { arrivals <- arrival{from, body} })
 	So(err, ShouldBeNil)
 	return n, arrivals
 }
@@ -52,7 +52,7 @@
 			address := b.Address()
 			b.Close()
 			arrived := make(chan arrival, 4096)
-			again, err := Listen("b", address, func(from string, body any) { arrived <- arrival{from, body} })
+			again, err := Listen(Identity{ID: "b"}, address, func(from string, body any) { arrived <- arrival{from, body} })
 			So(err, ShouldBeNil)
 			Reset(again.Close)
 			// What was lost on the broken wire is resent by whoever needs it.
@@ -186,7 +186,7 @@
 		peer, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		Reset(func() { peer.Close() })
-		So(a.write(out, peer.Addr().String(), Envelope{From: "a", Body: &schema.Hello{}}), ShouldBeNil)
+		So(a.write(out, peer.Addr().String(), Envelope{Body: &schema.Hello{}}), ShouldBeNil)
 		conn, err := peer.Accept()
 		So(err, ShouldBeNil)
 		out.letGo()
@@ -197,6 +197,6 @@
 		}
 		out.letGo()
 		So(out.conn, ShouldBeNil)
-		So(a.write(out, peer.Addr().String(), Envelope{From: "a", Body: &schema.Hello{}}), ShouldBeNil)
+		So(a.write(out, peer.Addr().String(), Envelope{Body: &schema.Hello{}}), ShouldBeNil)
 	})
 }
