No two lives share a request's number, and an outcome names its front

Cause: a front that keeps its id over a restart numbered its requests from 1 again, so the answer to one of its former life, come late (a leader that waited for its quorum), was given to another caller: an operator or client could read another's 200. And word of a hand-in was matched by start, client and number, but not by the front's id: fronts without a disk all have start 1, so the outcome for a dead front confirmed the job of the next one at its address. Change: the start stands in the high bits of each number; an outcome for another front's id is nobody's. Result: internal/process TestNumbersAcrossLives and internal/gateway TestWordForOthers fail before, pass after; TestLateAnswers holds as it was.

--- /dev/null
+++ b/internal/gateway/late_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+// outcome is a leader's word on the submission that was sent last, for whatever
+// session the change makes of its own.
+func (d *desk) outcome(code int32, change func(session *schema.Session)) {
+	_, submit := d.lastSubmit()
+	sent := submit.Enqueues[len(submit.Enqueues)-1]
+	session := &schema.Session{Gateway: sent.Session.Gateway, Boot: sent.Session.Boot, Client: sent.Session.Client}
+	change(session)
+	d.step(&schema.Applied{Queue: "l", Leader: "a", Outcomes: []*schema.Outcome{{Session: session, Number: sent.Number, Code: code, View: &schema.JobView{Name: "x"}}}})
+}
+
+func TestWordForOthers(t *testing.T) {
+	Convey("A submission isn't confirmed by word for another front, another life or another session", t, func() {
+		d := newDesk()
+		request := d.handIn("c", "one")
+		for _, code := range []int32{201, 410} {
+			for _, change := range []func(*schema.Session){
+				func(session *schema.Session) { session.Gateway = "former" },
+				func(session *schema.Session) { session.Boot-- },
+				func(session *schema.Session) { session.Boot += 1 << 32 },
+				func(session *schema.Session) { session.Client += "0" },
+			} {
+				d.outcome(code, change)
+				So(d.answers, ShouldBeEmpty)
+			}
+		}
+		d.outcome(201, func(*schema.Session) {})
+		So(d.answers[request].Code, ShouldEqual, 201)
+	})
+}
+
+func TestLateAnswers(t *testing.T) {
+	ask := func(d *desk, number uint64) {
+		d.step(Ask{Request: number, Kind: "plan", Group: clusterstate.Group, Deadline: d.now + eventloop.Second})
+	}
+	reply := func(d *desk, number uint64, body string) {
+		d.step(&schema.RequestReply{Id: number, Code: 200, Body: []byte(body), Group: clusterstate.Group, Leader: "a"})
+	}
+	Convey("Given two requests", t, func() {
+		d := newDesk()
+		ask(d, 1)
+		ask(d, 2)
+		Convey("each gets its own answer, and the first of two", func() {
+			reply(d, 2, "two")
+			reply(d, 2, "two again")
+			reply(d, 1, "one")
+			So(string(d.answers[2].Body), ShouldEqual, "two")
+			So(string(d.answers[1].Body), ShouldEqual, "one")
+		})
+		Convey("the answer to one that nobody waits for any more goes to nobody", func() {
+			d.step(Forget{Request: 1})
+			reply(d, 1, "one")
+			So(d.answers, ShouldBeEmpty)
+			reply(d, 2, "two")
+			So(string(d.answers[2].Body), ShouldEqual, "two")
+		})
+		Convey("nor does one that comes after the time was over and that was said", func() {
+			d.now += 2 * eventloop.Second
+			d.step(eventloop.Tick{})
+			So(d.answers[1].Code, ShouldEqual, 504)
+			delete(d.answers, 1)
+			reply(d, 1, "one")
+			_, isAnswered := d.answers[1]
+			So(isAnswered, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/gateway/submissions.go
+++ b/internal/gateway/submissions.go
@@ -215,7 +215,9 @@
 // confirmed settles one submission, and returns those below it that must have
 // been lost on the way.
 func (t *Table) confirmed(now eventloop.Micros, queue string, outcome *schema.Outcome, out eventloop.Out) []*submission {
-	if outcome.Session == nil || outcome.Session.Boot != t.boot {
+	// Starts and numbers are alike on many fronts: the id is what tells whose a
+	// submission is.
+	if outcome.Session == nil || outcome.Session.Gateway != t.id || outcome.Session.Boot != t.boot {
 		return nil
 	}
 	s := t.byId[queue+"/"+outcome.Session.Client]
--- /dev/null
+++ b/internal/process/lives_test.go
@@ -0,0 +1,76 @@
+package process
+
+import (
+	"context"
+	"runtime"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/transport"
+)
+
+// pending is an request that a process waits for the answer of.
+type pending struct {
+	number uint64
+	answer chan any
+}
+
+func ask(ctx context.Context, real *Real) pending {
+	numbers, answer := make(chan uint64, 1), make(chan any, 1)
+	go func() {
+		answer <- real.Run(ctx, "gateway", 30*eventloop.Second, func(request uint64, deadline eventloop.Micros) any {
+			numbers <- request
+			return gateway.Ask{Request: request, Kind: "plan", Group: clusterstate.Group, Deadline: deadline}
+		})
+	}()
+	return pending{<-numbers, answer}
+}
+
+func TestNumbersAcrossLives(t *testing.T) {
+	Convey("An answer to an request of a former life answers none of the present one", t, func() {
+		data := t.TempDir()
+		begin := func() *Real {
+			options := &schema.Options{Cell: "c", Inner: freePort(t), Outer: "127.0.0.1:1", Data: data, Seeds: []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}}
+			real, err := Start(options, schema.Role_ROLE_SERVER, zap.NewNop())
+			So(err, ShouldBeNil)
+			return real
+		}
+		former := begin()
+		ctx, giveUp := context.WithCancel(context.Background())
+		id, lost := former.Member.Id, ask(ctx, former)
+		former.Stop()
+		present := begin()
+		other, err := transport.Listen(transport.Identity{ID: "other"}, "127.0.0.1:0", func(string, any) {})
+		So(err, ShouldBeNil)
+		Reset(func() { giveUp(); other.Close(); present.Stop() })
+		So(present.Member.Id, ShouldEqual, id)
+		reply := func(number uint64, body string) {
+			other.SendTo(id, present.Options.Inner, &schema.RequestReply{Id: number, Code: 200, Body: []byte(body), Group: clusterstate.Group})
+		}
+		// The late one comes first each time. The request may not be in hand yet, so
+		// both are told until it is answered.
+		last := lost.number
+		for range 3 {
+			open := ask(ctx, present)
+			So(open.number, ShouldBeGreaterThan, last)
+			last = open.number
+			for answer := any(nil); answer == nil; {
+				reply(lost.number, "for the former life")
+				reply(open.number, "for the present one")
+				reply(open.number, "a second answer")
+				select {
+				case answer = <-open.answer:
+					So(string(answer.(gateway.Answer).Body), ShouldEqual, "for the present one")
+				default:
+					runtime.Gosched()
+				}
+			}
+		}
+	})
+}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -57,6 +57,9 @@
 	isRefused atomic.Bool // the store takes no writes
 }
 
+// bootShift leaves each life of a process as many numbers for requests.
+const bootShift = 40
+
 func randomSeed() uint64 {
 	var raw [8]byte
 	if _, err := rand.Read(raw[:]); err != nil {
@@ -89,6 +92,9 @@
 			return nil, err
 		}
 	}
+	// An answer names its request by number alone, and under a kept id it may come
+	// in a later life than it was asked for: no two lives share a number.
+	r.next.Store(r.Member.Boot << bootShift)
 	r.process = eventloop.NewProcess(r.Clock)
 	r.process.Out = (*outside)(r)
 	r.process.Broken = func(table string, cause any, stack []byte) {
