Late answers to claims, calls and announces, and a former life's hello, count no more

Cause: a late answer to an older claim of the lease took the place of a newer one's (an older lease, or a refusal), and a hello of a former life, or one that was overtaken, stood as a process's last word while a system is founded. Change: only answers to claims newer than the last one answered count; a hello of an earlier start is dropped, an earlier one of the same start isn't the last word.

--- /dev/null
+++ b/internal/agent/late_test.go
@@ -0,0 +1,98 @@
+package agent_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/internal/agent"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/schema"
+)
+
+func TestAnswersToCallsThatAreOver(t *testing.T) {
+	Convey("Given calls that were answered long ago", t, func() {
+		b, w := usual(fakeworker.Setup{}, nil)
+		w.starts = []*schema.Order{order("start", "j", 0, 1, "run_us=60000000")}
+		b.run(3 * eventloop.Second)
+		var over []agent.Call
+		for k, call := range b.calls {
+			if b.now-b.callAt[k] > 2*eventloop.Second {
+				over = append(over, call)
+			}
+		}
+		So(over, ShouldNotBeEmpty)
+		again := func(change func(reply *agent.Reply)) {
+			for _, call := range over {
+				reply := agent.Reply{Number: call.Number, Verdict: agent.Answered, Clock: eventloop.Second}
+				change(&reply)
+				b.mail("", reply)
+			}
+			b.run(eventloop.Second)
+		}
+		Convey("a second answer says nothing of what runs now", func() {
+			again(func(*agent.Reply) {})
+			So(w.ends, ShouldBeEmpty)
+			So(w.last().Running, ShouldHaveLength, 1)
+		})
+		Convey("nor that the worker is gone", func() {
+			again(func(reply *agent.Reply) { reply.Verdict = agent.OtherLife })
+			announces := len(w.announces)
+			b.run(2 * eventloop.Second)
+			So(len(w.announces), ShouldBeGreaterThan, announces)
+			So(w.last().Running, ShouldHaveLength, 1)
+		})
+		Convey("nor what another life runs", func() {
+			b.worker.Live(b.now, "w2")
+			b.beatAt, w.starts = 0, nil
+			b.move("p1", 6, "w2")
+			w.generation = 6
+			b.run(2 * eventloop.Second)
+			So(w.last().Ward, ShouldEqual, 6)
+			again(func(reply *agent.Reply) {
+				reply.Running = []agent.Running{{Task: agent.TaskName{Job: "j"}, Attempt: 1}}
+				reply.Ended = []agent.Ending{{Number: 1, Task: agent.TaskName{Job: "k"}, Attempt: 1, How: "done"}}
+			})
+			So(w.last().Running, ShouldBeEmpty)
+			So(w.ends, ShouldNotContain, "k.0.0.0/1 done")
+		})
+	})
+}
+
+func TestAnswersToAnnouncesThatAreOver(t *testing.T) {
+	Convey("Given an announce that is open", t, func() {
+		b, w := usual(fakeworker.Setup{}, nil)
+		b.run(2 * eventloop.Second)
+		b.ward("p2", 5, "another")
+		w.isSilent = true
+		b.run(2 * eventloop.Second)
+		numbers := slices.Sorted(maps.Keys(b.sent))
+		open := numbers[len(numbers)-1]
+		answer := func(from string, number uint64, task uint32) {
+			b.mail(from, &schema.PollReply{Id: number, Code: 200, Scheduler: from, Orders: &schema.Orders{
+				Ward: 5, LeaseUs: int64(4 * eventloop.Second), Scheduler: from, Orders: []*schema.Order{order("start", "j", task, 1, "run_us=60000000")},
+			}})
+			b.run(30 * eventloop.Milli)
+		}
+		Convey("the answer to an older one orders nothing", func() {
+			for _, number := range numbers[:len(numbers)-1] {
+				answer("p1", number, 0)
+			}
+			answer("p1", open+1, 0)
+			So(b.count(agent.Start), ShouldEqual, 0)
+		})
+		Convey("nor does another scheduler's", func() {
+			answer("p2", open, 0)
+			So(b.count(agent.Start), ShouldEqual, 0)
+		})
+		Convey("its own does, once", func() {
+			answer("p1", open, 0)
+			So(b.count(agent.Start), ShouldEqual, 1)
+			answer("p1", open, 1)
+			So(b.count(agent.Start), ShouldEqual, 1)
+		})
+	})
+}
--- /dev/null
+++ b/internal/controller/claim_test.go
@@ -0,0 +1,46 @@
+package controller
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+func TestAnswersToClaims(t *testing.T) {
+	Convey("Given a controller whose claims are answered late", t, func() {
+		d := newDesk()
+		claim := func() uint64 {
+			d.mail = nil
+			d.t.claim(d.now, d)
+			So(d.mail, ShouldHaveLength, 1)
+			return d.mail[0].Id
+		}
+		reply := func(id uint64, code int32, body string) {
+			d.t.Step(d.now, eventloop.Mail{From: "a", Body: &schema.RequestReply{Id: id, Code: code, Body: []byte(body)}}, d)
+		}
+		first, second := claim(), claim()
+		reply(second, 200, `{"lease":9}`)
+		So(d.t.lease, ShouldEqual, 9)
+		Convey("an older one's lease doesn't take the place of the newer one's", func() {
+			reply(first, 200, `{"lease":8}`)
+			So(d.t.lease, ShouldEqual, 9)
+		})
+		Convey("nor does an older one's refusal", func() {
+			reply(first, 409, `{}`)
+			So(d.t.lease, ShouldEqual, 9)
+		})
+		Convey("an answer that comes twice counts once", func() {
+			until := d.t.mine
+			d.now += eventloop.Second
+			reply(second, 200, `{"lease":9}`)
+			So(d.t.mine, ShouldEqual, until)
+		})
+		Convey("a newer one's counts, whatever it says", func() {
+			reply(claim(), 409, `{}`)
+			So(d.t.lease, ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -52,6 +52,7 @@
 	askedAt  eventloop.Micros
 	claimAt  eventloop.Micros
 	claims   map[uint64]eventloop.Micros
+	answered uint64 // newest claim that was answered
 	lease    uint64
 	mine     eventloop.Micros // my lease ends, by my clock
 	acted    map[string]eventloop.Micros
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -90,6 +90,12 @@
 		return
 	}
 	delete(t.claims, m.Id)
+	// Claims go out before the last one is answered: an answer that comes after one
+	// to a later claim says what was, not what is.
+	if m.Id < t.answered {
+		return
+	}
+	t.answered = m.Id
 	var result struct {
 		Lease uint64 `json:"lease"`
 	}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -3,6 +3,7 @@
 // Gossip: heartbeats and members told and heard.
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -271,14 +272,25 @@
 	}
 }
 
+// isBefore tells whether a process said one thing of itself before another.
+func isBefore(a, b *schema.Member) bool {
+	return cmp.Or(cmp.Compare(a.Boot, b.Boot), cmp.Compare(a.Beat, b.Beat)) < 0
+}
+
 func (t *Table) hear(now eventloop.Micros, from string, hello *schema.Hello, out eventloop.Out) {
 	if hello.Self == nil || hello.Self.Id != from || from == t.self.Id {
 		return
 	}
+	// What a former life said, and comes late, is nobody's word any more.
+	if former, isKnown := t.known[from]; isKnown && hello.Self.Boot < former.Member.Boot {
+		return
+	}
 	wasSystem, seen, known := t.isSystem, len(t.seen), len(t.known)
 	t.isSystem = t.isSystem || hello.Belongs
 	t.note(now, hello.Self)
-	t.told[from] = word{at: now, hello: hello}
+	if last := t.told[from].hello; last == nil || !isBefore(hello.Self, last.Self) {
+		t.told[from] = word{at: now, hello: hello}
+	}
 	isWhole, isMissing := false, false
 	for _, member := range hello.Book {
 		if member.GetId() == t.self.Id {
