A queue that is to go is named with its making

Cause: the controller's order that an ended queue goes carried its name alone. Come late, it removed the queue that had been made anew under the name and dropped again since, with the jobs that still ran in it. Change: the order names the queue's group (name and generation); bare names, as older logs have them, mean what they meant. Result: internal/clusterstate TestLateWordOfAQueueThatIsToGo passes; the controller's own test now asks for the name with its generation, which is more than before.

--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -7,6 +7,7 @@
 import (
 	"slices"
 	"sort"
+	"strconv"
 
 	"google.golang.org/protobuf/proto"
 
@@ -191,7 +192,7 @@
 	for _, name := range c.Gone {
 		for k, place := range m.state.Queues {
 			// A queue that has rows again was wanted back meanwhile.
-			if place.Queue == name && !values.HasQueue(name) {
+			if isMeant(place, name) && !values.HasQueue(place.Queue) {
 				m.state.Queues = append(m.state.Queues[:k:k], m.state.Queues[k+1:]...)
 				m.isChanged = true
 				break
@@ -214,6 +215,13 @@
 	return &Result{Code: 200}
 }
 
+// isMeant tells whether a queue that is to go is this one. The word of it may come
+// late, when a queue of that name has been made anew: that is another one. Logs of
+// older programs have the bare name.
+func isMeant(place *schema.QueuePlace, name string) bool {
+	return name == place.Queue || name == place.Queue+"#"+strconv.FormatUint(place.Generation, 10)
+}
+
 func (m *Machine) moveWards(c *schema.MoveWards) *Result {
 	if !m.IsController(c.Lease) {
 		return fenced()
--- /dev/null
+++ b/internal/clusterstate/late_test.go
@@ -0,0 +1,63 @@
+package clusterstate
+
+import (
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/internal/schema"
+)
+
+func TestLateWordOfAQueueThatIsToGo(t *testing.T) {
+	Convey("Given a queue that was dropped, ended, and made anew under its name", t, func() {
+		m := New()
+		at := int64(0)
+		do := func(command *schema.ClusterStateCommand) *Result {
+			at++
+			return apply(m, at, command)
+		}
+		number := uint64(0)
+		table := func(lanes ...string) {
+			var rows []*schema.Row
+			for _, lane := range lanes {
+				rows = append(rows, row("queue", lane, "urgency", "1"))
+			}
+			So(edition(m, number+1, number, "", rows...).Code, ShouldEqual, 200)
+			number++
+		}
+		lease := do(&schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Claim{Claim: &schema.Claim{Id: "h"}}}).Lease
+		lanes := func(command *schema.PlaceQueues) {
+			command.Lease = lease
+			So(do(&schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Queues{Queues: command}}).Code, ShouldEqual, 200)
+		}
+		place := func() *schema.PlaceQueues {
+			return &schema.PlaceQueues{Queues: []*schema.QueuePlace{{Queue: "l", Founders: []string{"a"}, Leader: "a"}}}
+		}
+		gone := func() *schema.PlaceQueues {
+			return &schema.PlaceQueues{Gone: []string{"l#" + strconv.FormatUint(Place(m.State(), "l").Generation, 10)}}
+		}
+		table("l", "k")
+		lanes(place())
+		table("k")
+		first := gone()
+		lanes(first)
+		So(Place(m.State(), "l"), ShouldBeNil)
+		table("l", "k")
+		lanes(place())
+		anew := Place(m.State(), "l").Generation
+		table("k")
+		Convey("the word that the former was to go, come late, leaves the new one, whose jobs still run", func() {
+			lanes(first)
+			So(Place(m.State(), "l").GetGeneration(), ShouldEqual, anew)
+			Convey("and it goes by its own", func() {
+				lanes(gone())
+				So(Place(m.State(), "l"), ShouldBeNil)
+			})
+		})
+		Convey("a log of an older program, which has the bare name, does what it did", func() {
+			lanes(&schema.PlaceQueues{Gone: []string{"l"}})
+			So(Place(m.State(), "l"), ShouldBeNil)
+		})
+	})
+}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -157,7 +157,7 @@
 		note.Kept = 0
 		d.tell(note)
 		d.tick()
-		So(d.placed(), ShouldResemble, [][]string{{"l"}})
+		So(d.placed(), ShouldResemble, [][]string{{"l#3"}})
 	})
 	Convey("Who isn't the controller places nothing", t, func() {
 		d := newDesk()
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -55,7 +55,7 @@
 	for _, place := range t.state.Queues {
 		note := notes[replica.GroupOf(place)]
 		if !t.values.HasQueue(place.Queue) && note != nil && note.Live == 0 && note.Kept == 0 {
-			command.Gone = append(command.Gone, place.Queue)
+			command.Gone = append(command.Gone, replica.GroupOf(place))
 		}
 	}
 	if len(command.Queues)+len(command.Gone) == 0 {
