--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -34,12 +34,12 @@
 	})
 	Convey("A copy whose plan isn't held here is no copy, and no word by which to serve", t, func() {
 		d := newDesk()
-		heard := d.t.heardAt
+		heard := d.t.lease.confirmedAt
 		d.now += 2 * eventloop.Second
 		d.step(tell(9, 8, true))
 		So(d.t.state.Version, ShouldEqual, 1)
 		So(d.t.state.Plan.Rows, ShouldNotBeEmpty)
-		So(d.t.heardAt, ShouldEqual, heard)
+		So(d.t.lease.confirmedAt, ShouldEqual, heard)
 	})
 }
 
