--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,8 +27,6 @@
 	// For so long where an empty store has come since: until it is counted in, no
 	// other may be lost.
 	replacedSpan = 2500 * eventloop.Milli
-	beginSpan    = 8 * eventloop.Second  // who is first heard of within so long was there when all began
-	newSpan      = 30 * eventloop.Second // a store has come of late for so long
 	actSpan      = 200 * eventloop.Milli // between two acts on one thing
 	latencyMost  = int64(300 * eventloop.Milli)
 	latencyRest  = 15 * eventloop.Second // between two moves for latency alone
@@ -40,31 +38,37 @@
 	tell *schema.ClusterStateTell
 }
 
+// home is where a store lived, in which zone, and when it was last heard there.
+type home struct {
+	inner, cell string
+	heard       eventloop.Micros
+}
+
 // Table is the controller's table; every side machine has one, one of them acts.
 type Table struct {
-	id       string
-	state    *schema.ClusterState
-	values   *clusterstate.Values
-	roll     *membership.Roll
-	told     map[string]told
-	until    int64 // the lease's end as last seen, in the cluster state's time
-	untilAt  eventloop.Micros
-	askedAt  eventloop.Micros
-	claimAt  eventloop.Micros
-	claims   map[uint64]eventloop.Micros
-	answered uint64 // newest claim that was answered
-	lease    uint64
-	mine     eventloop.Micros // my lease ends, by my clock
-	acted    map[string]eventloop.Micros
-	queuesIn string // the queues of the last act on queues
-	movedAt  eventloop.Micros
-	gone     map[string]eventloop.Micros
-	came     map[string]eventloop.Micros // when a process was first heard of here
-	first    eventloop.Micros            // when any was
-	number   uint64
-	turn     int // whose turn it is to be asked
-	voters   int // how many each group is to have
-	readers  []string
+	id        string
+	state     *schema.ClusterState
+	values    *clusterstate.Values
+	roll      *membership.Roll
+	told      map[string]told
+	until     int64 // the lease's end as last seen, in the cluster state's time
+	untilAt   eventloop.Micros
+	askedAt   eventloop.Micros
+	claimAt   eventloop.Micros
+	claims    map[uint64]eventloop.Micros
+	answered  uint64 // newest claim that was answered
+	lease     uint64
+	mine      eventloop.Micros // my lease ends, by my clock
+	acted     map[string]eventloop.Micros
+	queuesIn  string // the queues of the last act on queues
+	movedAt   eventloop.Micros
+	gone      map[string]eventloop.Micros
+	homes     map[string]home // where each store lived, as last heard
+	number    uint64
+	turn      int                  // whose turn it is to be asked
+	voters    int                  // how many each group is to have
+	tolerance membership.Tolerance // what may be lost at once
+	readers   []string
 }
 
 // New makes the table of a side machine. Losses are the stores that may be lost
@@ -72,10 +76,16 @@
 func New(id string, losses uint32, readers ...string) *Table {
 	return &Table{
 		id: id, voters: membership.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.ClusterState{}, values: clusterstate.Read(nil), told: map[string]told{}, claims: map[uint64]eventloop.Micros{},
-		acted: map[string]eventloop.Micros{}, gone: map[string]eventloop.Micros{}, came: map[string]eventloop.Micros{},
+		acted: map[string]eventloop.Micros{}, gone: map[string]eventloop.Micros{}, homes: map[string]home{},
 	}
 }
 
+// Tolerate sets what may be lost at once: voters are spread so that a majority is left.
+func (t *Table) Tolerate(tolerance membership.Tolerance) *Table {
+	t.tolerance, t.voters = tolerance, tolerance.Voters()
+	return t
+}
+
 // Belief asks what this side machine believes.
 type Belief struct{ Request uint64 }
 
@@ -110,10 +120,14 @@
 }
 
 func (t *Table) hear(now eventloop.Micros, from string, m *schema.ClusterStateTell, out eventloop.Out) {
-	isNew := m.State != nil && m.State.Version > t.state.Version
-	if m.State != nil && m.State.Version >= t.state.Version {
-		t.state, t.values = m.State, t.values.Renew(m.State.Plan)
-		out.Tell("membership", membership.ClusterState{Version: m.State.Version})
+	state, err := clusterstate.Incoming(m, t.state.Plan)
+	if err != nil {
+		return // it is asked for again
+	}
+	isNew := state != nil && state.Version > t.state.Version
+	if state != nil && state.Version >= t.state.Version {
+		t.state, t.values = state, t.values.Renew(state.Plan)
+		out.Tell("membership", membership.ClusterState{Version: state.Version})
 	}
 	if m.ControllerUntilUs > t.until {
 		t.until, t.untilAt = m.ControllerUntilUs, now
@@ -126,6 +140,10 @@
 			out.Tell(reader, &schema.ClusterStateTell{State: t.state, Version: t.state.Version, Leaders: m.Leaders})
 		}
 	}
+	// A step of a repair waits for the word that the one before is done.
+	if len(m.Waits) > 0 && t.roll != nil && t.isController(now) {
+		t.members(now, out)
+	}
 	// Queues that a table has just added are waited for.
 	if isNew && t.roll != nil && t.isController(now) {
 		t.queues(now, out)
