--- a/internal/mutation/calls_mutants.go
+++ b/internal/mutation/calls_mutants.go
@@ -13,7 +13,7 @@
 			{"internal/httpcall", "c.now().Sub(conn.usedAt) <= c.limits.IdleTime && conn.isQuiet()", "c.now().Sub(conn.usedAt) <= c.limits.IdleTime"}}},
 		{Guard: "half an answer is none", Test: "internal/httpcall TestOneRequestOneArrival", Edits: []Edit{
 			{"internal/httpcall", "io.LimitReader(response.Body, mostBytes+1))\n		if err != nil {", "io.LimitReader(response.Body, mostBytes+1))\n		if false {"}}},
-		{Guard: "a call names the life that is meant", Test: "platform TestCalls", Edits: []Edit{{"platform", `, "Expected-Worker": {call.Worker}`, ""}}},
+		{Guard: "a call names the life that is meant", Test: "platform TestCalls", Edits: []Edit{{"platform", `": {call.Worker}}`, `": nil}`}}},
 		{Guard: "what isn't a worker's answer counts as none", Test: "platform TestWorkersThatStartAnew", Edits: []Edit{{"platform",
 			"if !isRead || body.ClockMs == nil {", "if !isRead {"}}},
 		{Guard: "an answer to a call is taken once", Test: "internal/agent TestAnswersToCallsThatAreOver", Edits: []Edit{{"internal/agent",
