--- a/internal/sim/replace_test.go
+++ b/internal/sim/replace_test.go
@@ -329,6 +329,22 @@
 		o.After(o.span(300*eventloop.Milli, 4*eventloop.Second), func() { cut(false) })
 	}},
 	{"the leader is frozen", 6 * eventloop.Second, CalmNet, 5 * eventloop.Milli, func(o *operators) { o.leads().Freeze(o.span(300*eventloop.Milli, 4*eventloop.Second)) }},
+	{"the leader leaves in order", 6 * eventloop.Second, CalmNet, 500, func(o *operators) {
+		leader := o.leads()
+		if !leader.IsUp {
+			return
+		}
+		leader.Warn(3 * eventloop.Second)
+		var back func()
+		back = func() {
+			if leader.IsUp {
+				o.After(50*eventloop.Milli, back)
+				return
+			}
+			leader.Start()
+		}
+		o.After(300*eventloop.Milli, back)
+	}},
 	{"a disk is lost", 10 * eventloop.Second, CalmNet, 500, func(o *operators) {
 		if !o.isWhole() {
 			return
