--- a/internal/clusterstate/pack.go
+++ b/internal/clusterstate/pack.go
@@ -61,6 +61,16 @@
 	return whole, nil
 }
 
+// ReadCommand decodes a command, packed or not.
+func ReadCommand(data []byte) (*schema.ClusterStateCommand, error) {
+	whole, err := Unpack(data)
+	if err != nil {
+		return nil, err
+	}
+	command := &schema.ClusterStateCommand{}
+	return command, proto.Unmarshal(whole, command)
+}
+
 // Outgoing is a copy of the cluster state as it is told to a process that holds a
 // generation of the plan: without the plan's rows if it is that one, else with
 // them packed where they are many.
