--- a/internal/mutation/replace_mutants.go
+++ b/internal/mutation/replace_mutants.go
@@ -27,6 +27,8 @@
 		"	if r != nil && m.Kind == \"plan\" {\n		t.reply(waiter{from: from, request: m}, 200, planBody(t.clusterState.Plan()), r.group, out)\n		return\n	}\n	if r == nil || !r.group.IsLeader() || r.group.Passing() != \"\" {\n		out.Send(from, &schema.RequestReply{Id: m.Id, Group: m.Group, Leader: leaderOf(r)})"}}},
 	{Guard: "a new leader reads when it has committed in its own term", Rule: 11, Test: "internal/sim TestReadsOfANewLeader", Edits: []Edit{{"internal/raft",
 		"	if g.role != leader || g.commit < g.first {\n		return NotLeader.New", "	if g.role != leader {\n		return NotLeader.New"}}},
+	{Guard: "no two lives share a request's number", Rule: 11, Test: "internal/process TestRequestNumbersOfLives", Edits: []Edit{{"internal/process",
+		"	r.next.Store(r.Member.Boot << bootShift)\n", ""}}},
 	{Guard: "a full front refuses no order", Test: "platform TestOperator", Edits: []Edit{{"platform",
 		"	if answer.Code == 429 {", "	if false {"}}},
 	{Guard: "a body that was cut refuses no order", Test: "platform TestOperator", Edits: []Edit{{"platform",
--- /dev/null
+++ b/internal/process/numbers_test.go
@@ -0,0 +1,38 @@
+package process
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/schema"
+)
+
+func TestRequestNumbersOfLives(t *testing.T) {
+	Convey("A life of a process uses none of the request numbers of an earlier one, whose answers may still come", t, func() {
+		data, inner := t.TempDir(), freePort(t)
+		number := func() uint64 {
+			options := &schema.Options{Cell: "c", Inner: inner, Outer: "127.0.0.1:1", Data: data, Seeds: []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}}
+			real, err := Start(options, schema.Role_ROLE_SERVER, zap.NewNop())
+			So(err, ShouldBeNil)
+			defer real.Stop()
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			var given uint64
+			real.Run(ctx, "gateway", eventloop.Second, func(id uint64, _ eventloop.Micros) any {
+				given = id
+				return gateway.Forget{Request: id}
+			})
+			return given
+		}
+		const most = 1 << 32 // requests of one life
+		first := number()
+		second := number()
+		So(second, ShouldBeGreaterThan, first+most)
+		So(number(), ShouldBeGreaterThan, second+most)
+	})
+}
