--- a/internal/sim/disk_fault.go
+++ b/internal/sim/disk_fault.go
@@ -39,7 +39,7 @@
 // isRefused tells whether a write is, and leaves half of it behind.
 func (d *Disk) isRefused(name string, f *file, w write) bool {
 	isFull := d.Fault.IsFull
-	if grown := len(w.apply(append([]byte(nil), f.current...))) - len(f.current); d.Fault.Room > 0 && grown > 0 {
+	if grown := int(w.offset) + len(w.data) - len(f.current); d.Fault.Room > 0 && grown > 0 {
 		isFull = isFull || d.Used()+grown > d.Fault.Room
 	}
 	if !d.Fault.strikes(name, isFull) {
