Agreement: a replica that starts again votes for nobody while the leader it answered may act

Cause: found by the model checker's timed walks (1 walk of 202, 6000 draws each): a replica answered a leader, was started again within the leader's acting time and voted at once for one that the leader couldn't reach; both leaders then acted for up to three heartbeats. Acting says that this can't be: a voter waits longer.

Change: New notes that a leader answered before the start may act for acting() more, and onVote, until then, refuses as if it heard that leader. Votes that a leader itself asks for go through.

--- a/internal/modelcheck/invariants.go
+++ b/internal/modelcheck/invariants.go
@@ -329,6 +329,25 @@
 // memberships is the latest in the replica's log: what counts quorums.
 func (m *machine) memberships() *schema.MemberSet { return membersUnder(m.memory, lastOf(m.memory)+1) }
 
+// checkActing: where clocks go alike, one leader at a time acts outward, but for the
+// moment in which one hands over to another. It is looked at as time passes: what
+// happens at one moment has no order that anybody outside could see.
+func (w *World) checkActing() {
+	if !w.limits.IsTimed {
+		return
+	}
+	acting := ""
+	for _, m := range w.machines {
+		if m.group == nil || !m.group.Acting(m.clock) {
+			continue
+		}
+		if acting != "" {
+			w.fail("lease: %s and %s act at once", acting, m.id)
+		}
+		acting = m.id
+	}
+}
+
 // checkState: one index, one state, on whatever machine and by whatever way; and
 // no life of a process sees it go back.
 func (w *World) checkState(m *machine) {
--- a/internal/modelcheck/modelcheck_test.go
+++ b/internal/modelcheck/modelcheck_test.go
@@ -133,7 +133,7 @@
 }
 
 func TestWalks(t *testing.T) {
-	for _, world := range []string{"walk3", "walk4", "walk5", "walk6", "walk7", "large"} {
+	for _, world := range []string{"walk3", "walk4", "walk5", "walk6", "walk7", "large", "timed"} {
 		limits, err := preset(world)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/modelcheck/presets.go
+++ b/internal/modelcheck/presets.go
@@ -8,6 +8,7 @@
 	"whole":   {Machines: 3, Voters: 3, Operators: 2, Operations: 6, Messages: 64, Crashes: 1, Twice: 1, Puts: 3},
 	"synced":  {Machines: 3, Voters: 3, Operators: 2, Operations: 6, Messages: 64, Crashes: 1, Twice: 0, Puts: 3, IsSynced: true},
 	"members": {Machines: 4, Voters: 3, Operators: 2, Operations: 4, Messages: 64, Crashes: 1, Wipes: 1, Puts: 3, IsSynced: true, IsChanging: true},
+	"drawn":   {Machines: 4, Voters: 3, Operators: 2, Operations: 12, Messages: 64, Crashes: 3, Wipes: 1, Twice: 6, Puts: 12, IsChanging: true},
 	// Random walks, with joins and leaves, on stores that crashes tear.
 	"walk3": walkLimits(3, 5),
 	"walk4": walkLimits(4, 6),
@@ -16,6 +17,8 @@
 	"walk7": walkLimits(7, 8),
 	// Some configurations are larger than what is sent in one message.
 	"large": largeLimits(),
+	// Time passes alike for all, so that leaders which act can be counted.
+	"timed": timedLimits(),
 }
 
 func walkLimits(voters, machines int) Limits {
@@ -31,6 +34,12 @@
 	return limits
 }
 
+func timedLimits() Limits {
+	limits := walkLimits(3, 3)
+	limits.IsTimed, limits.IsChanging, limits.Wipes = true, false, 0
+	return limits
+}
+
 func preset(name string) (Limits, error) {
 	limits, isKnown := presets[name]
 	if !isKnown {
--- a/internal/modelcheck/schedule.go
+++ b/internal/modelcheck/schedule.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
 )
 
@@ -29,6 +30,7 @@
 //	lMID  leader M takes store ID as a learner
 //	vMID  M makes it a voter          oMID  M drops it
 //	hMID  M hands the leadership to it
+//	zNN   so many ms pass, everywhere
 //	nM    M proposes more records than a promotion allows to be behind
 //	qMN.. everything lasts and arrives among these machines (q alone: all) until
 //	      nothing is left; what else is under way is lost
@@ -81,6 +83,8 @@
 	case 'q':
 		w.quiet(rest)
 		return true
+	case 'z':
+		return w.pass(rest)
 	case 'g':
 		k, isFound := digit(rest, 0, len(w.operators))
 		return isFound && w.giveUp(k)
@@ -108,6 +112,24 @@
 	return value, value >= 0 && value < below
 }
 
+// pass lets time pass by the clock that all share.
+func (w *World) pass(span string) bool {
+	millis, err := strconv.Atoi(span)
+	if err != nil {
+		return false
+	}
+	for k := range w.machines {
+		m := w.own(k)
+		m.clock += eventloop.Micros(millis) * eventloop.Milli
+		if m.group != nil {
+			m.group.Tick(m.clock)
+			w.settle(m)
+		}
+	}
+	w.checkActing()
+	return true
+}
+
 func (w *World) onParcel(kind byte, key string) bool {
 	number, err := strconv.ParseUint(key, 16, 32)
 	if err != nil {
--- a/internal/modelcheck/walk.go
+++ b/internal/modelcheck/walk.go
@@ -51,6 +51,9 @@
 		return step
 	}
 	w, rng := k.w, k.rng
+	if w.limits.IsTimed {
+		return k.timed()
+	}
 	at := rng.IntN(len(w.machines))
 	switch draw := rng.IntN(1000); {
 	case draw < 560:
@@ -95,7 +98,7 @@
 	side := k.rng.Uint64()
 	one := k.rng.IntN(count)
 	kind := k.rng.IntN(8)
-	if kind < 3 && k.rng.IntN(2) == 0 {
+	if kind < 3 && k.rng.IntN(2) == 0 && !k.w.limits.IsTimed {
 		// Often it is a leader that is cut off, and the others miss it.
 		k.onLeader(func(at int, _ *machine) Step { one = at; return "" })
 		for _, other := range append(k.rng.Perm(count), k.rng.Perm(count)...) {
@@ -104,6 +107,12 @@
 			}
 		}
 	}
+	if k.w.limits.IsTimed && k.rng.IntN(2) == 0 {
+		// Two that don't hear each other, though a third hears both.
+		other := (one + 1 + k.rng.IntN(count-1)) % count
+		k.cut[[2]int{one, other}], k.cut[[2]int{other, one}] = true, true
+		return
+	}
 	for a := range count {
 		for b := range count {
 			isCut := false
@@ -144,6 +153,22 @@
 	return true
 }
 
+// timed is a step of a world with one clock.
+func (k *walker) timed() Step {
+	at := k.rng.IntN(len(k.w.machines))
+	switch draw := k.rng.IntN(1000); {
+	case draw < 500 && len(k.w.parcels) > 0:
+		return k.message(k.rng.IntN(100))
+	case draw < 700:
+		return k.write()
+	case draw < 715:
+		return Step(fmt.Sprintf("%c%d", "ck"[k.rng.IntN(2)], at))
+	case draw < 725:
+		return k.onLeader(func(at int, _ *machine) Step { return Step(fmt.Sprintf("p%d%d", k.rng.IntN(len(k.w.operators)), at)) })
+	}
+	return Step(fmt.Sprintf("z%d", 1+k.rng.IntN(20)))
+}
+
 // write lets some write last.
 func (k *walker) write() Step {
 	for _, at := range k.rng.Perm(len(k.w.machines)) {
@@ -166,6 +191,9 @@
 			}
 		}
 	}
+	if len(open) == 0 && w.limits.IsTimed {
+		return "z5"
+	}
 	if len(open) == 0 {
 		return k.stir()
 	}
--- a/internal/modelcheck/world.go
+++ b/internal/modelcheck/world.go
@@ -30,6 +30,7 @@
 	IsFiles    bool // disks are real stores on files, which crashes tear
 	IsSynced   bool // writes last at once, rather than when the scheduler says
 	IsChanging bool // the members change
+	IsTimed    bool // one clock for all; leaders that act are counted
 }
 
 // parcel is a message under way.
--- a/internal/mutation/model_mutants.go
+++ b/internal/mutation/model_mutants.go
@@ -44,6 +44,8 @@
 		"Checkpoint: point, Reset_: !isKept}", "Checkpoint: point}"}}},
 	{Guard: "a new disk has a new identity", Rule: 1, Test: walks, Edits: []Edit{{"internal/modelcheck",
 		"return fmt.Sprintf(\"%c%d\", 'a'+index, life)", "return fmt.Sprintf(\"%c%d\", 'a'+index, 0*life)"}}},
+	{Guard: "who starts again keeps to its answer", Rule: 2, Test: "internal/raft TestAReplicaThatStartsAgainKeepsItsAnswer", Edits: []Edit{{"internal/raft",
+		"if (isLed || now < g.boundUntil) && !m.Asked {", "if isLed && !m.Asked {"}}},
 	{Guard: "a taken edition is known again", Rule: 11, Test: walks, Edits: []Edit{{"internal/clusterstate",
 		"taken.Edition == edition && bytes.Equal(taken.Digest, digest) {", "taken.Edition > edition && bytes.Equal(taken.Digest, digest) {"}}},
 }
--- /dev/null
+++ b/internal/raft/bound_test.go
@@ -0,0 +1,42 @@
+package raft
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+func TestAReplicaThatStartsAgainKeepsItsAnswer(t *testing.T) {
+	Convey("Given a leader that acts on the answer of a replica which then starts again", t, func() {
+		r := newRig(14, ids...)
+		r.run(4 * eventloop.Second)
+		lead := r.leader()
+		r.propose("one")
+		r.run(eventloop.Second)
+		others := othersThan(lead.self)
+		answered, missing := others[0], others[1]
+		So(lead.Acting(r.now), ShouldBeTrue)
+		r.start(answered)
+		g := r.groups[answered]
+		ask := func(pre, asked bool) []Post {
+			g.Step(r.now, missing, &schema.Vote{Group: "g", Term: g.Term() + 1, LastIndex: g.Last(), LastTerm: g.lastTerm(), Pre: pre, Asked: asked})
+			effects, _ := g.Take()
+			return effects.Posts
+		}
+		Convey("It promises and gives no vote as long as that leader may act", func() {
+			So(ask(true, false)[0].Body.(*schema.VoteReply).Granted, ShouldBeFalse)
+			So(ask(false, false), ShouldBeEmpty)
+			r.now += UsualTimes.acting() - 1
+			So(ask(true, false)[0].Body.(*schema.VoteReply).Granted, ShouldBeFalse)
+			r.now++
+			So(ask(true, false)[0].Body.(*schema.VoteReply).Granted, ShouldBeTrue)
+			So(ask(false, false)[0].Body.(*schema.VoteReply).Granted, ShouldBeTrue)
+		})
+		Convey("It votes at once for whom the leader hands over to", func() {
+			So(ask(false, true)[0].Body.(*schema.VoteReply).Granted, ShouldBeTrue)
+		})
+	})
+}
--- a/internal/raft/clone.go
+++ b/internal/raft/clone.go
@@ -79,6 +79,7 @@
 	}
 	span(g.deadline)
 	span(g.heard)
+	span(g.boundUntil)
 	for _, id := range slices.Sorted(maps.Keys(g.votes)) {
 		text(id)
 		flag(g.votes[id])
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -139,7 +139,9 @@
 	// Who hears a leader keeps it: a replica that was cut off and comes back
 	// disturbs nobody. A leader's own wish to pass goes through.
 	isLed := g.lead != "" && (g.role == leader || now-g.heard < g.times.ElectionLeast)
-	if isLed && !m.Asked {
+	// Who has just started may have answered a leader the moment before, and that one
+	// acts on the answer.
+	if (isLed || now < g.boundUntil) && !m.Asked {
 		if m.Pre {
 			g.post(from, &schema.VoteReply{Group: g.name, Term: g.term, Pre: true})
 		}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -109,7 +109,8 @@
 	matched     uint64 // as follower: how far the log is the leader's
 	deadline    eventloop.Micros
 	asks        int
-	isYoung     bool // no leader was heard since this start
+	isYoung     bool             // no leader was heard since this start
+	boundUntil  eventloop.Micros // a leader that was answered before this start may act until then
 	heard       eventloop.Micros
 	caught      eventloop.Micros
 	votes       map[string]bool
@@ -153,7 +154,8 @@
 	// and who led last, as its own vote says, is let go first: so one machine
 	// takes up again all that it led.
 	if g.isYoung = g.term > 0; g.isYoung {
-		g.deadline = now + times.acting()
+		g.boundUntil = now + times.acting()
+		g.deadline = g.boundUntil
 		if g.vote != self {
 			g.deadline += yieldSpan + eventloop.Micros(rng.Int64N(int64(youngSpan)))
 		}
