--- a/internal/mutation/model_mutants.go
+++ b/internal/mutation/model_mutants.go
@@ -14,7 +14,7 @@
 		"	for _, id := range append(append([]string(nil), g.memberSet.Voters...), g.memberSet.Learners...) {\n		if id == g.self || g.peers[id] != nil {"}}},
 	{Guard: "members change once the leader's term has committed", Rule: 1, Test: walks, Edits: []Edit{{"internal/raft",
 		"g.memberSetAt > g.commit || g.commit < g.first", "g.memberSetAt > g.commit"}}},
-	{Guard: "members change one at a time", Rule: 1, Test: everySchedule, Edits: []Edit{{"internal/raft",
+	{Guard: "one change of members at a time", Rule: 1, Test: everySchedule, Edits: []Edit{{"internal/raft",
 		"g.memberSetAt > g.commit || g.commit < g.first", "g.commit < g.first"}}},
 	{Guard: "members change by one step", Rule: 1, Test: "internal/raft TestMembersChangeByOneStep", Edits: []Edit{{"internal/raft",
 		"len(come)+len(gone) > 1 {", "len(come)+len(gone) > 9 {"}}},
