--- a/internal/raft/clone.go
+++ b/internal/raft/clone.go
@@ -38,6 +38,7 @@
 	copied.flight = slices.Clone(p.flight)
 	if p.transfer != nil {
 		transfer := *p.transfer
+		transfer.payload = slices.Clone(p.transfer.payload)
 		copied.transfer = &transfer
 	}
 	return &copied
@@ -79,6 +80,7 @@
 	}
 	span(g.deadline)
 	span(g.heard)
+	span(g.boundUntil)
 	for _, id := range slices.Sorted(maps.Keys(g.votes)) {
 		text(id)
 		flag(g.votes[id])
