Membership: who runs on after its seeds were all replaced hears of new stores again

Change: when the seed isn't heard of, a store that is known is asked as well.

TestWhoIsNewWithoutSeeds fails on the code before; a mutant takes the change out.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -195,13 +195,19 @@
 		// A seed in turn: that is how two halves that met different seeds find
 		// each other.
 		t.isMissing, t.wholeAt = false, now
-		if seed := t.someSeed(); seed != "" {
+		seed := t.someSeed()
+		if seed != "" {
 			report := t.report(now, whole)
 			if !t.isStoreAt(seed) {
 				t.leaveOut(now, report)
 			}
 			out.Dial(seed, report)
 		}
+		// The seeds may all have been replaced while we ran on: beats alone don't tell
+		// who somebody new is, so a store that is heard of is asked in their place.
+		if len(hubs) > 0 && !t.isHeardAt(now, seed) {
+			out.Dial(hubs[t.rng.IntN(len(hubs))], t.report(now, whole))
+		}
 	}
 	if t.ticks < youngPaces {
 		t.callSeeds(now, out)
@@ -252,6 +258,16 @@
 	}
 }
 
+// isHeardAt tells whether a process at an address was heard of lately.
+func (t *Table) isHeardAt(now eventloop.Micros, address string) bool {
+	for _, known := range t.known {
+		if known.Member.Inner == address && now-known.Heard < hubSpan {
+			return true
+		}
+	}
+	return false
+}
+
 // isStoreAt tells whether a store, or nobody we know, lives at an address.
 func (t *Table) isStoreAt(address string) bool {
 	for _, known := range t.known {
--- /dev/null
+++ b/internal/membership/seeds_test.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+// dialled notes whom a table dials, and whether it tells a whole member, which is
+// answered with whole ones.
+type dialled struct{ whole map[string]int }
+
+func (d *dialled) Send(string, any)   {}
+func (d *dialled) Tell(string, any)   {}
+func (d *dialled) Answer(uint64, any) {}
+func (d *dialled) Dial(address string, body any) {
+	for _, member := range body.(*schema.Hello).Book {
+		if member.Inner != "" {
+			d.whole[address]++
+			return
+		}
+	}
+}
+
+// TestSeedsThatAreGone: processes outlive their seeds, as when each core machine in
+// turn is replaced by one at another address.
+func TestSeedsThatAreGone(t *testing.T) {
+	Convey("When no seed is left, who has run since the first start hears of a store that comes then", t, func() {
+		for seed := range uint64(10) {
+			n := running(seed)
+			seeds := n.hosts[0].terms.Seeds
+			var today []string // whom settings that are written now name
+			for _, h := range n.hosts {
+				isSeed := false
+				for _, address := range seeds {
+					isSeed = isSeed || h.address == address
+				}
+				if isSeed {
+					h.stop()
+				} else if h.hasDisk {
+					today = append(today, h.address)
+				}
+			}
+			n.runTo(n.now + 5*eventloop.Second)
+			fresh := &host{net: n, address: "10.0.1.1:1", cell: "c0", hasDisk: true, terms: Terms{Seeds: today, Losses: 1}}
+			n.hosts = append(n.hosts, fresh)
+			fresh.start()
+			n.runTo(n.now + 3*eventloop.Second)
+			for _, by := range n.hosts {
+				if by.run == 0 || by == fresh {
+					continue
+				}
+				So(by.roll.Known, ShouldContainKey, fresh.id)
+				So(by.book.Address(fresh.id), ShouldEqual, fresh.address)
+			}
+		}
+	})
+}
+
+// TestWhoIsNewWithoutSeeds: a side machine whose seeds are gone hears beats of a store
+// that it doesn't know, always just after it has called a seed.
+func TestWhoIsNewWithoutSeeds(t *testing.T) {
+	Convey("Whoever hears a beat of somebody unknown asks a store that it knows, when its seeds don't answer", t, func() {
+		self := &schema.Member{Id: "side", Boot: 1, Role: schema.Role_ROLE_CONTROLLER, Inner: "10.0.0.9:1"}
+		terms := Terms{Seeds: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, Losses: 1, IsSide: true}
+		table := New(self, terms, nil, &Book{}, nil, rand.New(rand.NewPCG(1, 1)))
+		out := &dialled{whole: map[string]int{}}
+		store := &schema.Member{Id: "store", Boot: 1, Stores: true, Inner: "10.0.1.1:1"}
+		now := eventloop.Second
+		isToldOf, asked := false, 0
+		for range 200 {
+			now += Pace
+			clear(out.whole)
+			table.Step(now, eventloop.Mail{Body: eventloop.Tick{}}, out)
+			asked += out.whole[store.Inner]
+			if !isToldOf {
+				// It begins when a seed has just been called.
+				isToldOf, asked = now > 20*eventloop.Second && table.wholeAt == now, 0
+			}
+			store.Beat++
+			answer := &schema.Hello{Self: proto.Clone(store).(*schema.Member), Belongs: true, Answer: true}
+			if isToldOf {
+				answer.Book = []*schema.Member{{Id: "new", Boot: 1, Beat: store.Beat}}
+			}
+			table.Step(now+eventloop.Milli, eventloop.Mail{From: store.Id, Body: answer}, out)
+		}
+		So(isToldOf, ShouldBeTrue)
+		So(asked, ShouldBeGreaterThan, 0)
+	})
+}
--- a/internal/mutation/changes_mutants.go
+++ b/internal/mutation/changes_mutants.go
@@ -40,5 +40,7 @@
 			Edits: []Edit{{gateway, "now-each.sent > each.retryAfter() ||", "now-each.sent > retrySpan ||"}}},
 		{Guard: "a slot is synced before its log is written", Test: "internal/storage TestInterruptedInstallation",
 			Edits: []Edit{{storage, "	if err := s.disk.Sync(slotName(next)); err != nil {\n		return err\n	}\n", ""}}},
+		{Guard: "a known store is asked where seeds are gone", Test: "internal/membership TestWhoIsNewWithoutSeeds",
+			Edits: []Edit{{"internal/membership", "	if len(hubs) > 0 && !t.isHeardAt(now, seed) {\n", "	if false {\n"}}},
 	}...)
 }
