--- a/internal/clusterstate/replace.go
+++ b/internal/clusterstate/replace.go
@@ -169,7 +169,7 @@
 
 // take makes a sheet the plan, and remembers that it was taken.
 func (m *Machine) take(sheet *schema.Sheet, edition uint64, document []byte, taken *schema.Taken) *Result {
-	m.keepHistory()
+	m.state.History = recent(append(m.state.History, Bare(m.state.Plan)))
 	m.isChanged = true
 	m.state.Plan = &schema.Plan{Generation: m.state.Plan.Generation + 1, Rows: sheet.Rows, Edition: edition, Document: document}
 	m.state.Taken = append(m.state.Taken, taken)
@@ -179,13 +179,6 @@
 	return &Result{Code: 200, Plan: m.state.Plan}
 }
 
-// keepHistory adds the plan that is about to be replaced to the old ones, and
-// drops the oldest of them beyond the bound.
-func (m *Machine) keepHistory() {
-	m.state.History = append(m.state.History, Bare(m.state.Plan))
-	m.state.History = recent(m.state.History)
-}
-
 // recent is what is kept of old plans: the last one however large, so that what a
 // change has undone can be looked up, and others while they are few and small.
 func recent(history []*schema.Plan) []*schema.Plan {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -287,7 +287,7 @@
 	}
 	worst := h.worst
 	switch {
-	case h.isRefused:
+	case h.isRefused || h.isWrite && h.world.Now-h.began > process.HangSpan:
 		worst = membership.RefusedLatency
 	case h.isWrite:
 		worst = max(worst, h.world.Now-h.began)
@@ -331,7 +331,7 @@
 }
 
 // Warn tells the process that it is to leave, as a signal does; it is killed
-// when it leads nothing any more, or when its time is over.
+// when it has nothing to hand over any more, or when its time is over.
 func (h *Host) Warn(span eventloop.Micros) {
 	run := h.run
 	for _, each := range []struct {
@@ -351,13 +351,9 @@
 		if h.run != run {
 			return
 		}
-		isLeading := false
-		if belief := h.Belief(); belief != nil {
-			for _, group := range belief.Groups {
-				isLeading = isLeading || group.Leader == h.Id
-			}
-		}
-		if !isLeading && len(h.waiting) == 0 || h.world.Now >= until {
+		belief := h.Belief()
+		isNeeded := belief != nil && belief.IsNeeded
+		if !isNeeded && len(h.waiting) == 0 || h.world.Now >= until {
 			h.Kill()
 			return
 		}
@@ -472,10 +468,10 @@
 		h.mail(process.Table(h.Role, body), eventloop.Mail{From: to, Body: body})
 		return
 	}
-	o.Dial(h.book.Address(to), body)
+	h.world.carry(h, to, h.book.Address(to), body)
 }
 
-func (o *outlet) Dial(address string, body any) { o.host.world.carry(o.host, address, body) }
+func (o *outlet) Dial(address string, body any) { o.host.world.carry(o.host, "", address, body) }
 
 func (o *outlet) Tell(table string, body any) {
 	h := o.host
@@ -521,7 +517,9 @@
 	return base + eventloop.Micros(w.Rng.Int64N(int64(w.Net.Jitter)+1))
 }
 
-func (w *World) carry(from *Host, address string, body any) {
+// carry takes a message to an address; where an id is given, to no other process
+// that may be there by then.
+func (w *World) carry(from *Host, id, address string, body any) {
 	if address == "" || w.cuts[[2]string{from.Address, address}] || w.Rng.Float64() < w.Net.Loss {
 		return
 	}
@@ -544,7 +542,7 @@
 			continue
 		}
 		w.After(span+w.delay(from.Cell, cell), func() {
-			if to := w.hostAt(address); to != nil {
+			if to := w.hostAt(address); to != nil && (id == "" || id == to.Id) {
 				run := to.run
 				for _, table := range to.routes(body) {
 					to.work(run, func() { to.step(table, eventloop.Mail{From: sender, Body: body}) })
