--- a/internal/sim/disk_scenarios.go
+++ b/internal/sim/disk_scenarios.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"sparnotch/internal/checker"
+	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/process"
+	"sparnotch/internal/replica"
 )
 
 // fullSpan is how long a disk takes nothing in these scenarios.
@@ -38,6 +41,29 @@
 			f.wrong = append(f.wrong, fmt.Sprintf("%s still leads %s", h.Name, group.Group))
 		}
 	}
+	if count := f.wardsOf(h); count > 0 {
+		f.wrong = append(f.wrong, fmt.Sprintf("%s still holds the wards of %d workers", h.Name, count))
+	}
+}
+
+// wardsOf counts the workers that are with a host, as the cluster state's leader
+// has it.
+func (f *Fleet) wardsOf(h *Host) int {
+	count := 0
+	for _, other := range f.Stores() {
+		belief := other.Belief()
+		if belief == nil || !slices.ContainsFunc(belief.Groups, func(g *replica.GroupBelief) bool {
+			return g.Group == clusterstate.Group && g.Role == "leader"
+		}) {
+			continue
+		}
+		for _, ward := range belief.Wards {
+			if ward.Scheduler == h.Id {
+				count++
+			}
+		}
+	}
+	return count
 }
 
 // caughtUp: every store votes in every group again and holds what the others do.
