A start whose disk doesn't answer goes on as a front without a store

Cause: opening a store waited for a disk that hangs, for as long as it did.

Change: after 5 s the process starts without its store, as it does where the disk refuses; the attempt that hangs goes on, and its store is taken when it is there.

Result: the tests of process and daemon, with the race detector.

--- a/internal/mutation/disk_mutants.go
+++ b/internal/mutation/disk_mutants.go
@@ -29,7 +29,7 @@
 	{Guard: "a batch that was refused is written again", Test: "internal/process TestCommitGoesOn", Edits: []Edit{{"internal/process",
 		"			err = r.store.Commit(batch.Changes)\n", "			err = nil\n"}}},
 	{Guard: "a disk that refuses doesn't end a start", Test: "internal/process TestStartWithoutAStore", Edits: []Edit{{"internal/process",
-		"			if storage.IsForeign(err) {\n", "			if true {\n"}}},
+		"			if storage.IsForeign(result.err) {\n", "			if result.err != nil {\n"}}},
 	{Guard: "while most disks refuse hand-ins are turned away", Rule: 0, Scenario: "most disks are full", Seed: 1, Edits: []Edit{{"internal/gateway",
 		"	if !t.canCommit(now, m.Queue) {\n", "	if false {\n"}}},
 	{Guard: "somebody else's folder is left alone", Test: "internal/storage TestForeignFolders", Edits: []Edit{{"internal/storage",
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -53,7 +53,7 @@
 	syncing atomic.Int64 // when the sync that is under way began
 	stats   atomic.Pointer[storage.Counts]
 
-	isWaiting bool        // for a store that can't be opened
+	awaited   opening     // of a store that couldn't be opened yet; nil: none
 	isRefused atomic.Bool // the store takes no writes
 }
 
@@ -85,7 +85,7 @@
 	}
 	r.Member = &schema.Member{Id: newId(), Boot: 1, Role: role, Cell: options.Cell, Inner: options.Inner, Outer: options.Outer}
 	if options.Data != "" {
-		if err := r.takeStore(opened); err != nil {
+		if err := r.takeStore(opened, openSpan); err != nil {
 			return nil, err
 		}
 	}
@@ -144,7 +144,7 @@
 			r.worst.Store(r.worst.Load() * 15 / 16)
 		})
 	})
-	if r.isWaiting {
+	if r.awaited != nil {
 		r.duty(func() { r.awaitStore(ctx) })
 	}
 	log.Info("started", zap.String("id", r.Member.Id), zap.Uint64("boot", r.Member.Boot), zap.String("inner", options.Inner), zap.String("outer", options.Outer))
--- a/internal/process/store.go
+++ b/internal/process/store.go
@@ -22,6 +22,10 @@
 	againMost  = 400 * time.Millisecond
 )
 
+// openSpan is how long a start waits for a disk that doesn't answer. Until then
+// waiting costs less than starting twice.
+const openSpan = 5 * time.Second
+
 // Opened is a data folder whose store has taken this start's number.
 type Opened struct {
 	folder *storage.Folder
@@ -75,18 +79,44 @@
 	}
 }
 
+// opening is an attempt to open a store that is under way; a disk that doesn't
+// answer may keep it so for long.
+type opening chan openingResult
+
+type openingResult struct {
+	opened *Opened
+	err    error
+}
+
+func startOpening(path string, log *zap.Logger) opening {
+	attempt := make(opening, 1)
+	go func() {
+		opened, err := openStore(path, log)
+		attempt <- openingResult{opened, err}
+	}()
+	return attempt
+}
+
 // takeStore makes this process the one of the store, opened here or before. A
-// disk that refuses is no reason to end: the process starts as a front without
-// a store, and Reopened tells when there is one.
-func (r *Real) takeStore(opened *Opened) error {
+// disk that refuses or doesn't answer is no reason to end or to wait: the process
+// starts as a front without a store, and Reopened tells when there is one.
+func (r *Real) takeStore(opened *Opened, patience time.Duration) error {
 	if opened == nil {
-		var err error
-		if opened, err = openStore(r.Options.Data, r.log); err != nil {
-			if storage.IsForeign(err) {
-				return err
+		attempt := startOpening(r.Options.Data, r.log)
+		select {
+		case result := <-attempt:
+			if storage.IsForeign(result.err) {
+				return result.err
 			}
-			r.log.Error("the store can't be opened; this process starts as a front without one", zap.Error(err))
-			r.isWaiting = true
+			if result.err != nil {
+				r.log.Error("the store can't be opened; this process starts as a front without one", zap.Error(result.err))
+				r.awaited = startOpening(r.Options.Data, r.log)
+				return nil
+			}
+			opened = result.opened
+		case <-time.After(patience):
+			r.log.Error("the disk doesn't answer; this process starts as a front without a store")
+			r.awaited = attempt
 			return nil
 		}
 	}
@@ -97,17 +127,30 @@
 
 // awaitStore tries to open the data folder until it can be written to.
 func (r *Real) awaitStore(ctx context.Context) {
-	for pause := againLeast; sleep(ctx, pause); pause = min(2*pause, againMost) {
-		opened, err := openStore(r.Options.Data, r.log)
-		if err != nil {
-			continue
-		}
+	attempt := r.awaited
+	for pause := againLeast; ; pause = min(2*pause, againMost) {
 		select {
-		case r.Reopened <- opened:
+		case result := <-attempt:
+			if result.err == nil {
+				r.handOver(ctx, result.opened)
+				return
+			}
 		case <-ctx.Done():
-			opened.Close()
+			return
 		}
-		return
+		if !sleep(ctx, pause) {
+			return
+		}
+		attempt = startOpening(r.Options.Data, r.log)
+	}
+}
+
+// handOver gives an opened store to whoever starts the process anew with it.
+func (r *Real) handOver(ctx context.Context, opened *Opened) {
+	select {
+	case r.Reopened <- opened:
+	case <-ctx.Done():
+		opened.Close()
 	}
 }
 
--- a/internal/process/store_test.go
+++ b/internal/process/store_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
@@ -99,6 +101,28 @@
 		So(third.Member.Boot, ShouldEqual, 2)
 		third.Stop()
 	})
+	Convey("So is one whose disk doesn't answer at its start", t, func() {
+		data := t.TempDir()
+		// Reading a pipe that nobody writes to stands for a disk that hangs.
+		pipe := filepath.Join(data, "slot-0")
+		So(syscall.Mkfifo(pipe, 0o600), ShouldBeNil)
+		options := &schema.Options{Cell: "c", Inner: freePort(t), Outer: "127.0.0.1:1", Data: data, Seeds: []string{"127.0.0.1:1"}}
+		first := &Real{Options: options, Member: &schema.Member{}, log: zap.NewNop(), Reopened: make(chan *Opened)}
+		So(first.takeStore(nil, time.Millisecond), ShouldBeNil)
+		So(first.Member.Stores, ShouldBeFalse)
+		ctx, cancel := context.WithCancel(context.Background())
+		Reset(cancel)
+		go first.awaitStore(ctx)
+		writer, err := os.OpenFile(pipe, os.O_WRONLY, 0)
+		So(err, ShouldBeNil)
+		So(os.Remove(pipe), ShouldBeNil)
+		So(writer.Close(), ShouldBeNil)
+		opened := <-first.Reopened
+		second, err := StartWith(opened, options, schema.Role_ROLE_SERVER, zap.NewNop())
+		So(err, ShouldBeNil)
+		So(second.Member.Stores, ShouldBeTrue)
+		second.Stop()
+	})
 	Convey("A folder that isn't ours ends it, and nothing is written there", t, func() {
 		data := t.TempDir()
 		So(os.WriteFile(filepath.Join(data, "family.jpg"), []byte("x"), 0o600), ShouldBeNil)
