Hand-ins leave room on the disk for the step that frees room

Cause: a state that grew until it filled the disk could have been stuck there, on all stores alike: nothing could be written that would have made it smaller.

Result: TestRoomForHandIns, and a mutant of it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,6 +135,9 @@
 	if o.TestSyncUs < 0 || o.TestSyncUs > 60_000_000 {
 		return Bad.New("test_sync_us: must lie between 0 and 60000000")
 	}
+	if o.DiskBytes < 0 {
+		return Bad.New("disk_bytes: %d is negative", o.DiskBytes)
+	}
 	if o.Losses > maxLosses {
 		return Bad.New("losses: must be at most %d", maxLosses)
 	}
--- a/internal/gateway/submissions.go
+++ b/internal/gateway/submissions.go
@@ -85,6 +85,9 @@
 	case t.queueHas[m.Queue] >= maxPending/2:
 		t.turnAway(now, m, "queue_full", "the queue has too many hand-ins unconfirmed", m.Queue, out)
 		return
+	case note != nil && note.NoRoom:
+		t.turnAway(now, m, "store_full", "the stores keep the room they have for the work they hold", "live/"+m.Queue, out)
+		return
 	case note != nil && int64(note.Live) >= t.values.Fleet("live_jobs"):
 		t.turnAway(now, m, "queue_full", "the queue has as many live jobs as the plan allows", "live/"+m.Queue, out)
 		return
--- a/internal/mutation/disk_mutants.go
+++ b/internal/mutation/disk_mutants.go
@@ -36,4 +36,6 @@
 		"	if err := checkOurs(path); err != nil {\n", "	if err := checkOurs(path); false {\n"}}},
 	{Guard: "a command that can't be read isn't proposed", Test: "internal/replica TestUnreadableCommand", Edits: []Edit{{"internal/replica",
 		"		if _, err := clusterstate.ReadCommand(m.Body); err != nil {\n", "		if false {\n"}}},
+	{Guard: "hand-ins leave room for the next slot", Test: "internal/replica TestRoomForHandIns", Edits: []Edit{{"internal/replica",
+		"	if t.isFull(r) || t.room.isNarrow {\n", "	if t.isFull(r) {\n"}}},
 }
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -31,6 +31,7 @@
 	Member         *schema.Member
 	Seeds          []string
 	First          bool              // the whole system starts for the first time
+	DiskBytes      int64             // that the data folder may hold; 0: not told
 	Losses         uint32            // stores that may be lost at once; 0: one
 	Zones, Regions uint32            // that may be lost whole
 	RegionOf       map[string]string // of each zone
@@ -66,7 +67,7 @@
 	}
 	if p.Store != nil {
 		berths = append(berths,
-			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now).Tolerate(p.terms(false).Tolerance()), replica.Pace},
+			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now).Tolerate(p.terms(false).Tolerance()).Within(p.DiskBytes), replica.Pace},
 			Berth{"scheduler", scheduler.New(member.Id).Bind(p.Bounds), scheduler.Pace},
 		)
 	}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -104,7 +104,7 @@
 	papers := &Papers{
 		Member: r.Member, Seeds: options.Seeds, Book: r.book, Wall: r.Clock.Wall, Seed: randomSeed(), Now: r.Clock.Now(),
 		First: options.First, Losses: options.Losses, Zones: options.ZoneLosses, Regions: options.RegionLosses, RegionOf: options.Regions,
-		Bounds: options.Bounds, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
+		Bounds: options.Bounds, DiskBytes: options.DiskBytes, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
 	}
 	if short := papers.terms(false).Tolerance().ShortOfPlaces(); short != "" {
 		log.Warn("the losses that are to be borne can't be", zap.String("why", short))
--- a/internal/raft/writable.go
+++ b/internal/raft/writable.go
@@ -15,3 +15,15 @@
 		Records: append([]*schema.Record(nil), g.log...),
 	}
 }
+
+// recordOverhead is about what a record holds besides its data.
+const recordOverhead = 64
+
+// Bytes is how much this replica's store holds of it, about.
+func (g *Group) Bytes() int {
+	size := recordOverhead + len(g.base.GetData())
+	for _, record := range g.log {
+		size += recordOverhead + len(record.Data)
+	}
+	return size
+}
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -36,6 +36,7 @@
 		t.patience.draw()
 	}
 	t.queues(now, out)
+	t.lookAtRoom(now)
 	fresh := Fresh{Groups: map[string]uint64{}, At: now}
 	for name, r := range t.groups {
 		if r.queue != nil && r.group.Acting(now) {
--- a/internal/replica/refusal_test.go
+++ b/internal/replica/refusal_test.go
@@ -177,7 +177,7 @@
 			So(table.state.Plan.Edition, ShouldEqual, version)
 			waiting := c.tables["c"].next
 			most = max(most, waiting.bytes)
-			whole = max(whole, table.wholeBytes())
+			whole = max(whole, int(table.contentBytes()))
 			So(len(waiting.posts), ShouldBeLessThanOrEqualTo, pendingPosts)
 		}
 		c.runTold(eventloop.Second)
@@ -212,15 +212,6 @@
 	return image.Checkpoint.GetIndex() + uint64(len(image.Records))
 }
 
-// wholeBytes is how much the groups' states hold.
-func (t *Table) wholeBytes() int {
-	size := 0
-	for _, r := range t.groups {
-		size += bytesOf([]*schema.Change{r.group.Whole()})
-	}
-	return size
-}
-
 func TestUnreadableCommand(t *testing.T) {
 	Convey("A change that can't be read is refused before it is in the log", t, func() {
 		c := newLedCore()
@@ -233,3 +224,34 @@
 		So(c.heard["h"][len(c.heard["h"])-1].(*schema.RequestReply).Code, ShouldEqual, 400)
 	})
 }
+
+func TestRoomForHandIns(t *testing.T) {
+	Convey("Hand-ins stop while the content leaves no room for its next slot, and ends go on", t, func() {
+		c := newLedCore()
+		const disk = 1 << 20
+		for _, id := range stores {
+			c.tables[id].Within(disk)
+		}
+		text := string(make([]byte, 8<<10))
+		for number := uint64(1); number <= 100; number++ {
+			c.step("a", "f", &schema.Submit{Queue: "q", Enqueues: []*schema.Enqueue{{
+				Session: &schema.Session{Gateway: "f", Boot: 1, Client: "c"}, Number: number, Lowest: 1, Name: fmt.Sprint("j", number), Digest: []byte("d"),
+				Job: &schema.Job{Text: text, Steps: []*schema.Step{{Name: "s", Tasks: 1}}},
+			}}})
+			c.runTold(200 * eventloop.Milli)
+		}
+		table := c.tables["a"]
+		taken := c.confirmed()
+		So(taken, ShouldBeGreaterThan, 10)
+		So(taken, ShouldBeLessThan, 60)
+		So(table.contentBytes(), ShouldBeLessThan, disk/(roomParts-1))
+		So(table.note(table.groups["q#"+c.generation("q")]).NoRoom, ShouldBeTrue)
+		// What isn't a hand-in is taken as before.
+		So(c.put(queuesSheet(2, "", "q", "r")).Code, ShouldEqual, 200)
+		for _, id := range stores {
+			c.tables[id].Within(4 * disk)
+		}
+		c.runTold(2 * eventloop.Second)
+		So(table.note(table.groups["q#"+c.generation("q")]).NoRoom, ShouldBeFalse)
+	})
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -87,6 +87,7 @@
 	reads        uint64
 	isWarned     bool
 	refusal      refusal
+	room         room
 	applied      map[string]*schema.Applied // by gateway, of this step
 
 	plansTold map[string]planTold // by process
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -180,7 +180,7 @@
 	g := r.group
 	note := &schema.WaitNote{
 		Group: g.Name(), Queue: r.name, Leader: t.id, Voters: g.MemberSet().Voters, Learners: g.MemberSet().Learners,
-		Behind: map[string]uint64{},
+		Behind: map[string]uint64{}, NoRoom: t.room.isNarrow,
 	}
 	for _, id := range append(append([]string(nil), note.Voters...), note.Learners...) {
 		if id != t.id {
--- a/internal/replica/submissions.go
+++ b/internal/replica/submissions.go
@@ -37,7 +37,7 @@
 		return
 	}
 	// What finds no place is resent by its gateway, which has numbered it.
-	if t.isFull(r) {
+	if t.isFull(r) || t.room.isNarrow {
 		return
 	}
 	for _, e := range m.Enqueues {
