--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -23,8 +23,8 @@
 // checkpoint: of old plans the rows, of editions only what tells them apart.
 const (
 	keptPlans    = 20
-	keptRows     = 2 * maxRows // of all old plans
-	keptEditions = 1024        // changes whose resend is known again
+	keptBytes    = 512 << 10 // of all old plans but the last
+	keptEditions = 1024      // changes whose resend is known again
 	maxDocument  = 256 << 10
 	digestBytes  = 16
 )
@@ -44,6 +44,8 @@
 	values    *Values
 	read      *schema.Plan // of which the values and the bare plan were made
 	bare      *schema.Plan
+	packed    []byte       // rows of a plan as they are told
+	packedOf  *schema.Plan // and of which
 }
 
 // New makes an empty cluster state; Restore one from a checkpoint.
@@ -57,7 +59,11 @@
 	if len(data) == 0 {
 		return m, nil
 	}
-	return m, proto.Unmarshal(data, m.state)
+	whole, err := Unpack(data)
+	if err != nil {
+		return m, err
+	}
+	return m, proto.Unmarshal(whole, m.state)
 }
 
 // Rest encodes the state.
@@ -122,8 +128,12 @@
 
 // Apply takes one record's command.
 func (m *Machine) Apply(at int64, data []byte) (*Result, error) {
+	whole, err := Unpack(data)
+	if err != nil {
+		return nil, err
+	}
 	command := &schema.ClusterStateCommand{}
-	if err := proto.Unmarshal(data, command); err != nil {
+	if err := proto.Unmarshal(whole, command); err != nil {
 		return nil, err
 	}
 	if at > m.state.NowUs {
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	for other, known := range t.roll.Known {
-		if other != id && known.Member.Inner == old.inner && known.Heard > old.heard && t.roll.Live(other, now, deadSpan) {
+		if other != id && known.Member.Stores && known.Member.Inner == old.inner && known.Heard > old.heard && t.roll.Live(other, now, deadSpan) {
 			return true
 		}
 	}
@@ -185,7 +185,7 @@
 // mayLearn tells whether a store can be made a learner of a group.
 func (t *Table) mayLearn(now eventloop.Micros, note *schema.WaitNote, id string) bool {
 	return !slices.Contains(note.Voters, id) && !slices.Contains(note.Learners, id) &&
-		t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving
+		t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving && !t.roll.Refuses(id)
 }
 
 // spare is a store to learn next, in the place of another if one is to go. Queues follow
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/joomcode/errorx"
+
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/membership"
@@ -20,6 +22,13 @@
 	"sparnotch/internal/storage"
 )
 
+var (
+	Errors = errorx.NewNamespace("replica")
+	// Unreadable is a checkpoint or record that is whole and yet can't be read: it
+	// was written by something else. A replica can't go on from it.
+	Unreadable = Errors.NewType("unreadable")
+)
+
 // Pace is the tick of the replicas.
 const Pace = 25 * eventloop.Milli
 
@@ -47,6 +56,7 @@
 	tickIdx     uint64
 	carryIdx    uint64
 	adoptIdx    uint64
+	logBytes    int // of the cluster state's records applied since its checkpoint
 	passAt      eventloop.Micros
 	membersTold uint64 // the last change of members that the controller was told of
 	caughtTold  string // and the last learner that had caught up
@@ -75,14 +85,17 @@
 	began        eventloop.Micros // when the write that is out was handed over
 	reads        uint64
 	isWarned     bool
+	refusal      refusal
 	applied      map[string]*schema.Applied // by gateway, of this step
+
+	plansTold map[string]planTold // by process
 }
 
 // New makes the table from a store's content.
 func New(id string, content *storage.Content, wall func() int64, times raft.Times, seed uint64, now eventloop.Micros) *Table {
 	t := &Table{
 		id: id, self: content.Self, losses: 1, wall: wall, times: times, groups: map[string]*replica{},
-		clusterState: clusterstate.New(), applied: map[string]*schema.Applied{},
+		clusterState: clusterstate.New(), applied: map[string]*schema.Applied{}, plansTold: map[string]planTold{},
 	}
 	hash := fnv.New64a()
 	hash.Write([]byte(id))
@@ -107,6 +120,7 @@
 		group:   raft.New(name, t.id, image, t.times, t.patience, now),
 		waiting: map[uint64]waiter{}, reading: map[uint64]waiter{},
 	}
+	r.group.SetWritable(!t.refuses())
 	t.groups[name], t.listed = r, nil
 	t.restore(r, image.Checkpoint)
 	return r
@@ -131,16 +145,16 @@
 	if r.group.Name() == clusterstate.Group {
 		machine, err := clusterstate.Restore(point.Data)
 		if err != nil {
-			panic("keep: cluster state checkpoint: " + err.Error())
+			panic(Unreadable.Wrap(err, "checkpoint of %s", r.group.Name()))
 		}
-		t.clusterState = machine
+		t.clusterState, r.logBytes = machine, 0
 		t.setState(machine.Copy())
 		return
 	}
 	r.name = QueueOf(r.group.Name())
 	machine, err := queue.Restore(r.name, point.Index, point.Data)
 	if err != nil {
-		panic("keep: checkpoint of " + r.group.Name() + ": " + err.Error())
+		panic(Unreadable.Wrap(err, "checkpoint of %s", r.group.Name()))
 	}
 	r.queue = machine
 }
@@ -170,6 +184,8 @@
 		t.tick(now, out)
 	case Written:
 		t.written(now, body, out)
+	case Refused:
+		t.refused(now, body)
 	case membership.KeepSelf:
 		t.keepSelf(now, body)
 	case *membership.Roll:
@@ -186,6 +202,10 @@
 		t.toGroup(now, mail.From, body.Group, body)
 	case *schema.Install:
 		t.toGroup(now, mail.From, body.Group, body)
+	case *schema.Part:
+		t.toGroup(now, mail.From, body.Group, body)
+	case *schema.PartReply:
+		t.toGroup(now, mail.From, body.Group, body)
 	case *schema.Urge:
 		t.urged(now, mail.From, body)
 	case *schema.Submit:
@@ -220,7 +240,7 @@
 	r := t.groups[name]
 	if r == nil {
 		switch body.(type) {
-		case *schema.Append, *schema.Install:
+		case *schema.Append, *schema.Install, *schema.Part:
 			r = t.join(now, name)
 		}
 	}
