Time constants that depend on a deployment are derived from its bounds, in one place

Cause: when a silent process is suspected, a lost store replaced, a front not ready and a former ward waited for were fixed numbers; with a contact or catch-up bound below the present ones their sums would not hold.

Change: package timing makes them of contact, catch-up and acknowledgement bounds; controller, replica, gateway and scheduler are given the bounds. What the bounds can't allow (a catch-up below the repair's steps) is said in the log at start.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,25 +11,21 @@
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/membership"
 	"sparnotch/internal/schema"
+	"sparnotch/internal/timing"
 )
 
 // Pace is the tick of the table.
 const Pace = 50 * eventloop.Milli
 
 const (
-	askSpan   = 250 * eventloop.Milli
-	renewSpan = 800 * eventloop.Milli
-	claimSpan = 500 * eventloop.Milli
-	guardSpan = 300 * eventloop.Milli  // a lease is let go this long before it ends
-	deadSpan  = 1500 * eventloop.Milli // a process unheard by anybody for so long is suspected
-	missSpan  = 600 * eventloop.Milli  // one that doesn't answer for so long, while others lead what it led, is passed over
-	lostSpan  = 6 * eventloop.Second   // and for so long its place may be given to another
-	// For so long where an empty store has come since: until it is counted in, no
-	// other may be lost.
-	replacedSpan = 2500 * eventloop.Milli
-	actSpan      = 200 * eventloop.Milli // between two acts on one thing
-	latencyMost  = int64(300 * eventloop.Milli)
-	latencyRest  = 15 * eventloop.Second // between two moves for latency alone
+	askSpan     = 250 * eventloop.Milli
+	renewSpan   = 800 * eventloop.Milli
+	claimSpan   = 500 * eventloop.Milli
+	guardSpan   = 300 * eventloop.Milli // a lease is let go this long before it ends
+	missSpan    = 600 * eventloop.Milli // one that doesn't answer for so long, while others lead what it led, is passed over
+	actSpan     = 200 * eventloop.Milli // between two acts on one thing
+	latencyMost = int64(300 * eventloop.Milli)
+	latencyRest = 15 * eventloop.Second // between two moves for latency alone
 )
 
 // told is the last word of one store.
@@ -64,8 +60,9 @@
 	gone      map[string]eventloop.Micros
 	homes     map[string]home // where each store lived, as last heard
 	number    uint64
-	turn      int                  // whose turn it is to be asked
-	voters    int                  // how many each group is to have
+	turn      int // whose turn it is to be asked
+	voters    int // how many each group is to have
+	spans     timing.Spans
 	tolerance membership.Tolerance // what may be lost at once
 	readers   []string
 }
@@ -74,11 +71,17 @@
 // at once (0: one). Readers are the tables of this process that want the cluster state.
 func New(id string, losses uint32, readers ...string) *Table {
 	return &Table{
-		id: id, voters: membership.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.ClusterState{}, values: clusterstate.Read(nil), told: map[string]told{}, claims: map[uint64]eventloop.Micros{},
+		id: id, spans: timing.Of(nil), voters: membership.Terms{Losses: losses}.Founders(), readers: readers, state: &schema.ClusterState{}, values: clusterstate.Read(nil), told: map[string]told{}, claims: map[uint64]eventloop.Micros{},
 		acted: map[string]eventloop.Micros{}, gone: map[string]eventloop.Micros{}, homes: map[string]home{},
 	}
 }
 
+// Bind sets what the deployment promises and asks; nil or zero: the defaults.
+func (t *Table) Bind(bounds *schema.Bounds) *Table {
+	t.spans = timing.Of(bounds)
+	return t
+}
+
 // Tolerate sets what may be lost at once: voters are spread so that a majority is left.
 func (t *Table) Tolerate(tolerance membership.Tolerance) *Table {
 	t.tolerance, t.voters = tolerance, tolerance.Voters()
@@ -163,7 +166,7 @@
 func (t *Table) stores(now eventloop.Micros) []string {
 	var ids []string
 	for _, id := range t.memberIDs() {
-		if known := t.roll.Known[id]; known.Member.Stores && t.roll.Live(id, now, deadSpan) {
+		if known := t.roll.Known[id]; known.Member.Stores && t.roll.Live(id, now, t.spans.Suspect) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -36,16 +36,16 @@
 // given to another. Where an empty store has come of late, it is the other.
 func (t *Table) isLost(now eventloop.Micros, id string) bool {
 	known, isKnown := t.roll.Known[id]
-	if isKnown && now-known.Heard < deadSpan {
+	if isKnown && now-known.Heard < t.spans.Suspect {
 		delete(t.gone, id)
 		return false
 	}
 	silent := t.lostFor(now, id)
 	if isKnown {
 		// Its last word is older than our notice of that.
-		silent += deadSpan
+		silent += t.spans.Suspect
 	}
-	return t.isSucceeded(now, id) || silent > lostSpan || silent > replacedSpan && t.hasCome(now)
+	return t.isSucceeded(now, id) || silent > t.spans.Lost || silent > t.spans.Replaced && t.hasCome(now)
 }
 
 // isSucceeded tells whether another store lives at a silent one's address: its
@@ -60,7 +60,7 @@
 		return false
 	}
 	for other, known := range t.roll.Known {
-		if other != id && known.Member.Stores && known.Member.Inner == old.inner && known.Heard > old.heard && t.roll.Live(other, now, deadSpan) {
+		if other != id && known.Member.Stores && known.Member.Inner == old.inner && known.Heard > old.heard && t.roll.Live(other, now, t.spans.Suspect) {
 			return true
 		}
 	}
@@ -78,7 +78,7 @@
 
 // hasCome tells whether a store that has never run before has come of late.
 func (t *Table) hasCome(now eventloop.Micros) bool {
-	return t.roll.Newcomer(now, lostSpan, t.age(now), nil) != ""
+	return t.roll.Newcomer(now, t.spans.Lost, t.age(now), nil) != ""
 }
 
 // age is for how long the cluster state has been led, at least: its time goes on while
@@ -172,7 +172,7 @@
 func (t *Table) leaver(now eventloop.Micros, note *schema.WaitNote) string {
 	// Once promoted the new one is no newcomer any more, and the leaver still to go.
 	isUnderWay := len(note.Learners) > 0 || len(note.Voters) > t.voters
-	if isUnderWay || t.roll.Newcomer(now, deadSpan, t.age(now), note.Voters) != "" {
+	if isUnderWay || t.roll.Newcomer(now, t.spans.Suspect, t.age(now), note.Voters) != "" {
 		for _, id := range note.Voters {
 			if known, isKnown := t.roll.Known[id]; isKnown && known.Member.Leaving {
 				return id
@@ -185,7 +185,7 @@
 // mayLearn tells whether a store can be made a learner of a group.
 func (t *Table) mayLearn(now eventloop.Micros, note *schema.WaitNote, id string) bool {
 	return !slices.Contains(note.Voters, id) && !slices.Contains(note.Learners, id) &&
-		t.roll.Live(id, now, deadSpan) && !t.roll.Known[id].Member.Leaving && !t.roll.Refuses(id)
+		t.roll.Live(id, now, t.spans.Suspect) && !t.roll.Known[id].Member.Leaving && !t.roll.Refuses(id)
 }
 
 // spare is a store to learn next, in the place of another if one is to go. Queues follow
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -22,7 +22,7 @@
 			key := "gateway/" + boot.Gateway
 			known, isKnown := t.roll.Known[boot.Gateway]
 			isNewer := isKnown && known.Member.Boot != boot.Boot&(1<<32-1)
-			if isKnown && !isNewer && now-known.Heard < deadSpan {
+			if isKnown && !isNewer && now-known.Heard < t.spans.Suspect {
 				delete(t.gone, key)
 				continue
 			}
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -107,13 +107,15 @@
 // isFresh tells whether this front has had word of the cluster state lately; a young
 // process has had none at all.
 func (t *Table) isFresh(now eventloop.Micros) bool {
-	return t.heardAt > 0 && now-t.heardAt <= freshSpan
+	return t.heardAt > 0 && now-t.heardAt <= t.spans.GiveUp
 }
 
 // hasWord tells whether this front had word of the cluster state just now. One that
 // hadn't is cut off, most likely: what it took would wait here in vain, while
 // another front could serve it.
-func (t *Table) hasWord(now eventloop.Micros) bool { return t.heardAt > 0 && now-t.heardAt <= wordSpan }
+func (t *Table) hasWord(now eventloop.Micros) bool {
+	return t.heardAt > 0 && now-t.heardAt <= t.spans.Word
+}
 
 func (t *Table) askClusterState(now eventloop.Micros, out eventloop.Out) {
 	if now-t.askedAt < t.askRest(now) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/membership"
 	"sparnotch/internal/schema"
+	"sparnotch/internal/timing"
 )
 
 // Pace is the tick of the table.
@@ -29,8 +30,6 @@
 	newSpan      = 2 * eventloop.Second   // after a queue lost its leader the cluster state is looked at more often
 	quietSpan    = 30 * eventloop.Second  // a client session that rests this long is ended
 	frozenSpan   = 20 * eventloop.Second  // after a longer pause this front starts afresh
-	wordSpan     = eventloop.Second       // a front that saw no cluster state for so long isn't ready, and takes nothing new
-	freshSpan    = 5 * eventloop.Second   // and after so long gives up what it has taken
 	maxPending   = 4096                   // requests of all kinds at once
 	rateSpan     = eventloop.Second       // over which what a queue gets done is counted
 	longestRetry = 30                     // seconds
@@ -69,6 +68,7 @@
 	denied     map[queueStore]eventloop.Micros // when a store last said that it doesn't lead a queue
 	last       eventloop.Micros
 	paces      map[string]*pace
+	spans      timing.Spans
 	wasFresh   bool
 	isWarned   bool
 	isLocal    bool // the cluster state is in this process
@@ -81,10 +81,16 @@
 		leaders: map[string]string{}, unled: map[string]eventloop.Micros{}, waits: map[string]*schema.WaitNote{}, sessions: map[queueClient]*session{}, byId: map[string]*session{},
 		requests: map[uint64]*request{}, polls: map[uint64]PollIn{}, met: map[string]eventloop.Micros{}, quitting: map[string][]*schema.Session{},
 		queueHas: map[string]int{}, asked: map[uint64]*submission{}, redirected: map[string]eventloop.Micros{}, owed: map[string]bool{}, denied: map[queueStore]eventloop.Micros{},
-		paces: map[string]*pace{},
+		paces: map[string]*pace{}, spans: timing.Of(nil),
 	}
 }
 
+// Bind sets what the deployment promises and asks; nil or zero: the defaults.
+func (t *Table) Bind(bounds *schema.Bounds) *Table {
+	t.spans = timing.Of(bounds)
+	return t
+}
+
 // Step implements eventloop.Table.
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
@@ -130,7 +136,7 @@
 	t.last = now
 	// A replica of our own may not be one of the voters, as after its disk was
 	// lost, or may be cut off from them: then others are asked.
-	isLate := t.heardAt == 0 || now-t.heardAt > wordSpan/2
+	isLate := t.heardAt == 0 || now-t.heardAt > t.spans.Word/2
 	if !t.isLocal || isLate || t.state.Version == 0 || len(t.leaders) == 0 {
 		t.askClusterState(now, out)
 	} else if now-t.askedAt >= t.askRest(now) {
@@ -199,7 +205,7 @@
 	if t.roll != nil {
 		ids := slices.Sorted(maps.Keys(t.roll.Known))
 		for _, id := range ids {
-			if member := t.roll.Known[id].Member; member.Role == schema.Role_ROLE_SERVER && t.roll.Live(id, now, freshSpan) {
+			if member := t.roll.Known[id].Member; member.Role == schema.Role_ROLE_SERVER && t.roll.Live(id, now, t.spans.GiveUp) {
 				list.Fronts = append(list.Fronts, &schema.FrontNote{Address: member.Outer, Cell: member.Cell, Leaving: member.Leaving})
 			}
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/membership"
 	"sparnotch/internal/schema"
+	"sparnotch/internal/timing"
 )
 
 // desk drives a gateway by hand.
@@ -182,7 +183,7 @@
 		d := newDesk()
 		d.step(Ready{Request: 900})
 		So(d.answers[900].Code, ShouldEqual, 200)
-		d.now += freshSpan + eventloop.Second
+		d.now += timing.Of(nil).GiveUp + eventloop.Second
 		d.step(Ready{Request: 901})
 		So(d.answers[901].Code, ShouldEqual, 503)
 		d.step(HandIn{Request: 902, Queue: "new", Client: "c", Name: "x", Job: &schema.Job{}})
@@ -289,7 +290,7 @@
 		d := newDesk()
 		d.step(eventloop.Tick{})
 		id := d.handIn("c", "one")
-		d.now += wordSpan + eventloop.Milli
+		d.now += timing.Of(nil).Word + eventloop.Milli
 		d.step(eventloop.Tick{})
 		d.step(Ready{Request: 900})
 		So(d.answers[900].Code, ShouldEqual, 503)
@@ -342,7 +343,7 @@
 		id := d.handIn("c", "one")
 		d.step(Ask{Request: 900, Kind: "status", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
 		d.step(Ask{Request: 901, Kind: "cancel", Group: "l", Name: "one", Deadline: d.now + 60*eventloop.Second})
-		d.now += freshSpan + eventloop.Milli
+		d.now += timing.Of(nil).GiveUp + eventloop.Milli
 		d.step(eventloop.Tick{})
 		// Numbered, so whether it takes effect isn't known; and it goes on being sent.
 		So(d.answers[id].Code, ShouldEqual, 504)
--- a/internal/gateway/leaders.go
+++ b/internal/gateway/leaders.go
@@ -26,7 +26,7 @@
 // somebody may just have come to lead a queue.
 func (t *Table) askRest(now eventloop.Micros) eventloop.Micros {
 	// Whoever has no word serves nobody.
-	if t.heardAt == 0 || now-t.heardAt > wordSpan/2 {
+	if t.heardAt == 0 || now-t.heardAt > t.spans.Word/2 {
 		return 2 * Pace
 	}
 	for _, since := range t.unled {
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -62,11 +62,11 @@
 	member := p.Member
 	berths := []Berth{
 		{"membership", membership.New(proto.Clone(member).(*schema.Member), p.terms(false), account, p.Book, readers, p.rng(1)), membership.Pace},
-		{"gateway", gateway.New(member.Id, member.Boot, p.Store != nil, p.rng(2)), gateway.Pace},
+		{"gateway", gateway.New(member.Id, member.Boot, p.Store != nil, p.rng(2)).Bind(p.Bounds), gateway.Pace},
 	}
 	if p.Store != nil {
 		berths = append(berths,
-			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now).Tolerate(p.terms(false).Tolerance()), replica.Pace},
+			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now).Tolerate(p.terms(false).Tolerance()).Bind(p.Bounds), replica.Pace},
 			Berth{"scheduler", scheduler.New(member.Id).Bind(p.Bounds), scheduler.Pace},
 		)
 	}
@@ -83,7 +83,7 @@
 	}
 	return append([]Berth{
 		{"membership", membership.New(proto.Clone(p.Member).(*schema.Member), p.terms(true), nil, p.Book, []string{"controller"}, p.rng(1)), membership.Pace},
-		{"controller", controller.New(p.Member.Id, p.Losses, readers...).Tolerate(p.terms(true).Tolerance()), controller.Pace},
+		{"controller", controller.New(p.Member.Id, p.Losses, readers...).Tolerate(p.terms(true).Tolerance()).Bind(p.Bounds), controller.Pace},
 	}, berths...)
 }
 
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -23,6 +23,7 @@
 	"sparnotch/internal/replica"
 	"sparnotch/internal/schema"
 	"sparnotch/internal/storage"
+	"sparnotch/internal/timing"
 	"sparnotch/internal/transport"
 )
 
@@ -100,6 +101,9 @@
 		First: options.First, Losses: options.Losses, Zones: options.ZoneLosses, Regions: options.RegionLosses, RegionOf: options.Regions,
 		Bounds: options.Bounds, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
 	}
+	if !timing.CanCatchUp(options.Bounds) {
+		log.Warn("a repair takes longer than the catch-up that the bounds allow")
+	}
 	if short := papers.terms(false).Tolerance().ShortOfPlaces(); short != "" {
 		log.Warn("the losses that are to be borne can't be", zap.String("why", short))
 	}
--- a/internal/replica/fresh_test.go
+++ b/internal/replica/fresh_test.go
@@ -7,6 +7,7 @@
 
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
+	"sparnotch/internal/timing"
 )
 
 func TestFreshClusterState(t *testing.T) {
@@ -35,7 +36,7 @@
 			So(isTold, ShouldBeTrue)
 		}
 		c.isDown["a"], c.isDown["b"] = true, true
-		c.run(freshSpan + 2*eventloop.Second)
+		c.run(timing.Of(nil).Fresh + 2*eventloop.Second)
 		isFresh, isTold := look("c")
 		So(isFresh, ShouldBeFalse)
 		So(isTold, ShouldBeFalse)
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -50,7 +50,7 @@
 // that was committed.
 func (t *Table) isClusterStateFresh(now eventloop.Micros) bool {
 	r := t.groups[clusterstate.Group]
-	return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < freshSpan
+	return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < t.spans.Fresh
 }
 
 // tend proposes what a queue's leader owes to time and to the plan.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -20,6 +20,7 @@
 	"sparnotch/internal/raft"
 	"sparnotch/internal/schema"
 	"sparnotch/internal/storage"
+	"sparnotch/internal/timing"
 )
 
 var (
@@ -33,7 +34,6 @@
 const Pace = 25 * eventloop.Milli
 
 const (
-	freshSpan    = eventloop.Second      // how old the cluster state's word may be for a leader to order
 	stallSpan    = 600 * eventloop.Milli // a sync that takes longer makes a leader pass its queues on
 	liveSpan     = 2 * eventloop.Second  // a process heard of within it is there
 	passRest     = 5 * eventloop.Second  // between two attempts to pass a queue on
@@ -67,6 +67,7 @@
 type Table struct {
 	id           string
 	self         *schema.Self
+	spans        timing.Spans
 	tolerance    membership.Tolerance // what may be lost at once
 	losses       int                  // how many stores that may be at most
 	wall         func() int64
@@ -94,7 +95,7 @@
 // New makes the table from a store's content.
 func New(id string, content *storage.Content, wall func() int64, times raft.Times, seed uint64, now eventloop.Micros) *Table {
 	t := &Table{
-		id: id, self: content.Self, losses: 1, wall: wall, times: times, groups: map[string]*replica{},
+		id: id, self: content.Self, losses: 1, spans: timing.Of(nil), wall: wall, times: times, groups: map[string]*replica{},
 		clusterState: clusterstate.New(), applied: map[string]*schema.Applied{}, plansTold: map[string]planTold{},
 	}
 	hash := fnv.New64a()
@@ -109,6 +110,12 @@
 	return t
 }
 
+// Bind sets what the deployment promises and asks; nil or zero: the defaults.
+func (t *Table) Bind(bounds *schema.Bounds) *Table {
+	t.spans = timing.Of(bounds)
+	return t
+}
+
 // Tolerate sets what may be lost at once.
 func (t *Table) Tolerate(tolerance membership.Tolerance) *Table {
 	t.tolerance, t.losses = tolerance, tolerance.Voters()/2
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"sparnotch/internal/queue"
 	"sparnotch/internal/replica"
 	"sparnotch/internal/schema"
+	"sparnotch/internal/timing"
 )
 
 // Pace is the tick of the table.
@@ -24,8 +25,7 @@
 
 const (
 	silentSpan   = eventloop.Second       // no order to a worker not heard for this long
-	actSpan      = 250 * eventloop.Milli  // how old a leader's word may be for an order to leave
-	wardSpan     = 1250 * eventloop.Milli // how long a former ward may still have answered: the leader's freshSpan and actSpan
+	actSpan      = timing.ActSpan         // how old a leader's word may be for an order to leave
 	holdSpan     = 400 * eventloop.Milli  // how long an announce is held back at most
 	endSpan      = 300 * eventloop.Milli  // a report that isn't settled is passed on again
 	reserveSpan  = 3 * eventloop.Second   // a checkout that was never heard of is given up
@@ -850,7 +850,7 @@
 		t.passReports(now, w, out)
 		// Whoever warded it before us may have answered it a little longer
 		// than we know.
-		last := max(w.answered, w.since+wardSpan)
+		last := max(w.answered, w.since+timing.Of(t.bounds).Ward)
 		// Who isn't sure of being the ward may have a successor that the worker
 		// answers to.
 		if now-w.heard > silentSpan && now-last > lease && t.isSure(now) {
--- a/internal/sim/members_test.go
+++ b/internal/sim/members_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"slices"
@@ -263,9 +264,11 @@
 
 // playMembers plays one case twice in a row and tells how long tolerance took, and how
 // long the next loss, at the first moment that counts, kept the core from serving.
-func playMembers(t *testing.T, each memberCase, seed uint64, stores, losses int, sync eventloop.Micros, hasLoad, isLeader, isController bool) eventloop.Micros {
+func playMembers(t *testing.T, each memberCase, seed uint64, stores, losses int, sync eventloop.Micros, hasLoad, isLeader, isController bool, bounds *schema.Bounds) eventloop.Micros {
 	zones := []string{"z1", "z2", "z3", "z1", "z2", "z3", "z1"}[:stores]
 	c := newCore(seed, zones, losses, sync, hasLoad)
+	c.bounds = bounds
+	catchUp := cmp.Or(eventloop.Micros(bounds.GetCatchUpUs()), catchUp)
 	c.Run(c.Began + 8*eventloop.Second)
 	c.pass(eventloop.Second)
 	if c.badAt == c.Now {
@@ -330,7 +333,7 @@
 				t.Parallel()
 				worst := eventloop.Micros(0)
 				for seed := first; seed <= last; seed++ {
-					took := playMembers(t, each, uint64(seed), size.stores, size.losses, syncs[seed%3], seed%2 == 0, seed%4 < 2, seed%8 < 4)
+					took := playMembers(t, each, uint64(seed), size.stores, size.losses, syncs[seed%3], seed%2 == 0, seed%4 < 2, seed%8 < 4, nil)
 					worst = max(worst, took)
 				}
 				t.Logf("worst %.2f s", float64(worst)/1e6)
@@ -338,3 +341,19 @@
 		}
 	}
 }
+
+// TestToleranceReturnsWithin: where the catch-up is shorter, repairs are sooner.
+func TestToleranceReturnsWithin(t *testing.T) {
+	bounds := &schema.Bounds{ContactUs: int64(2 * eventloop.Second), CatchUpUs: int64(3 * eventloop.Second)}
+	for _, each := range memberCases {
+		if each.name == "successor at the loss" || each.name == "successor 1 s after the loss" {
+			t.Run(each.name, func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(max(1, *memberSeeds)) {
+					took := playMembers(t, each, seed+1, 3, 1, 5*eventloop.Milli, false, seed%2 == 0, false, bounds)
+					t.Logf("%.2f s", float64(took)/1e6)
+				}
+			})
+		}
+	}
+}
