--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,7 @@
 )
 
 var (
+	// Errors holds the package's error types.
 	Errors = errorx.NewNamespace("replica")
 	// Unreadable is a checkpoint or record that is whole and yet can't be read: it
 	// was written by something else. A replica can't go on from it.
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -23,7 +23,7 @@
 		return
 	}
 	asked := waiter{term: r.group.Term(), from: from, request: m}
-	if (m.Kind == "cancel" || m.Kind == "clusterstate") && !t.canCommit(r) {
+	if (m.Kind == "cancel" || m.Kind == "clusterstate") && !t.canCommit(now, r) {
 		t.reply(asked, 503, faultBody("not_ready", "too many stores take no writes at the moment"), r.group, out)
 		return
 	}
@@ -40,7 +40,7 @@
 		}
 	case "clusterstate":
 		// What can't be read mustn't get into the log: no replica could go on from it.
-		if whole, err := clusterstate.Unpack(m.Body); err != nil || proto.Unmarshal(whole, &schema.ClusterStateCommand{}) != nil {
+		if _, err := clusterstate.ReadCommand(m.Body); err != nil {
 			t.reply(asked, 400, faultBody("bad_request", "the command can't be read"), r.group, out)
 			return
 		}
@@ -248,7 +248,7 @@
 	belief := &NodeBelief{
 		Node: t.id, Version: t.state.Version, Generation: t.state.Plan.GetGeneration(), Wards: t.state.Wards, Queues: t.state.Queues,
 		Controller: t.state.Controller.GetId(), Lease: t.state.Controller.GetLease(), IsNeeded: t.isNeeded(now), Bears: t.bears(now),
-		Refusal: t.refusal.why,
+		Refusal: t.refusalText(now),
 	}
 	for _, name := range t.names() {
 		r := t.groups[name]
