--- a/internal/sim/members_test.go
+++ b/internal/sim/members_test.go
@@ -33,6 +33,7 @@
 	tolerance membership.Tolerance // zones and regions besides
 	badAt     eventloop.Micros     // when a group last couldn't bear the losses
 	why       string
+	left      eventloop.Micros // the longest that machines which leave had something to hand over
 }
 
 func newCore(seed uint64, zones []string, losses int, sync eventloop.Micros, hasLoad bool) *core {
@@ -180,13 +181,24 @@
 	}
 }
 
-// leaves has a machine leave, as when it is told to, and be gone with its disk.
-func (c *core) leaves(h *Host) {
-	h.Warn(5 * eventloop.Second)
-	for h.IsUp {
-		c.pass(lookSpan)
+// graceSpan is what a machine that is told to leave has for it.
+const graceSpan = 5 * eventloop.Second
+
+// leave has machines leave, as when they are told to, and be gone with their disks.
+func (c *core) leave(hosts ...*Host) {
+	began := c.Now
+	for _, h := range hosts {
+		h.Warn(graceSpan)
+	}
+	for _, h := range hosts {
+		for h.IsUp {
+			c.pass(lookSpan)
+			if belief := h.Belief(); belief != nil && belief.IsNeeded {
+				c.left = max(c.left, c.Now-began)
+			}
+		}
+		h.Wipe()
 	}
-	h.Wipe()
 }
 
 // serves tells how long it takes until a table is taken again.
@@ -240,15 +252,26 @@
 		c.successor(victim)
 		began := c.Now
 		c.pass(eventloop.Second)
-		c.leaves(victim)
+		c.leave(victim)
 		return began
 	}},
 	{"SIGTERM, successor 1 s after the end", func(c *core, victim *Host) eventloop.Micros {
-		c.leaves(victim)
+		c.leave(victim)
 		c.pass(eventloop.Second)
 		c.successor(victim)
 		return c.Now
 	}},
+	{"two SIGTERM at once, successors 1 s before", func(c *core, victim *Host) eventloop.Micros {
+		began, other := c.Now, c.voters()[1]
+		if other == victim {
+			other = c.voters()[0]
+		}
+		c.successor(victim)
+		c.successor(other)
+		c.pass(eventloop.Second)
+		c.leave(victim, other)
+		return began
+	}},
 	{"restarted", func(c *core, victim *Host) eventloop.Micros {
 		victim.Kill()
 		c.pass(500 * eventloop.Milli)
@@ -292,6 +315,9 @@
 		if took > catchUp-2*lookSpan {
 			t.Errorf("%s, seed %d, turn %d, %d of %d, sync %d, load %v, leader %v, controller %v: %s", each.name, seed, turn, losses, stores, sync, hasLoad, isLeader, isController, c.why)
 		}
+		if c.left >= graceSpan-lookSpan {
+			t.Errorf("%s, seed %d, turn %d: handing over took %.2f s", each.name, seed, turn, float64(c.left)/1e6)
+		}
 		// The next loss at the first moment that counts.
 		lost := c.voters()[:losses]
 		for _, h := range lost {
