--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -58,6 +58,9 @@
 	isRefused atomic.Bool // the store takes no writes
 }
 
+// bootShift leaves each life of a process as many numbers for requests.
+const bootShift = 40
+
 func randomSeed() uint64 {
 	var raw [8]byte
 	if _, err := rand.Read(raw[:]); err != nil {
@@ -90,6 +93,9 @@
 			return nil, err
 		}
 	}
+	// An answer names its request by number alone, and under a kept id it may come
+	// in a later life than it was asked for: no two lives share a number.
+	r.next.Store(r.Member.Boot << bootShift)
 	r.process = eventloop.NewProcess(r.Clock)
 	r.process.Out = (*outside)(r)
 	r.process.Broken = func(table string, cause any, stack []byte) {
@@ -125,7 +131,7 @@
 		}), 0)
 	}
 	// From here on messages come in, so the mailboxes must stand by now.
-	net, err := transport.Listen(r.Member.Id, options.Inner, r.deliver)
+	net, err := transport.Listen(transport.Identity{ID: r.Member.Id, Boot: r.Member.Boot}, options.Inner, r.deliver)
 	if err != nil {
 		r.opened.Close()
 		return nil, config.Bad.Wrap(err, "inner")
@@ -237,7 +243,7 @@
 		r.deliver(to, body)
 		return
 	}
-	r.net.Send(r.book.Address(to), body)
+	r.net.SendTo(to, r.book.Address(to), body)
 }
 
 func (o *outside) Dial(address string, body any) { o.net.Send(address, body) }
