--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -67,7 +67,7 @@
 	}
 	if p.Store != nil {
 		berths = append(berths,
-			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now).Tolerate(p.terms(false).Tolerance()).Within(p.DiskBytes), replica.Pace},
+			Berth{"replica", replica.New(member.Id, p.Store, p.Wall, raft.UsualTimes, p.Seed, p.Now).Tolerate(p.terms(false).Tolerance()).Bind(p.Bounds).Within(p.DiskBytes), replica.Pace},
 			Berth{"scheduler", scheduler.New(member.Id).Bind(p.Bounds), scheduler.Pace},
 		)
 	}
@@ -84,7 +84,7 @@
 	}
 	return append([]Berth{
 		{"membership", membership.New(proto.Clone(p.Member).(*schema.Member), p.terms(true), nil, p.Book, []string{"controller"}, p.rng(1)), membership.Pace},
-		{"controller", controller.New(p.Member.Id, p.Losses, readers...).Tolerate(p.terms(true).Tolerance()), controller.Pace},
+		{"controller", controller.New(p.Member.Id, p.Losses, readers...).Tolerate(p.terms(true).Tolerance()).Bind(p.Bounds), controller.Pace},
 	}, berths...)
 }
 
