--- a/internal/replica/durable.go
+++ b/internal/replica/durable.go
@@ -17,11 +17,19 @@
 	posts   []raft.Post
 	marks   map[string]raft.Mark
 	selfs   []*schema.Self
+
+	bytes, wholeBytes int // of the changes: now, and when they last were whole states
 }
 
 func (t *Table) beats(now eventloop.Micros, from string, m *schema.Beats) {
 	for _, beat := range m.Beats {
-		if r := t.groups[beat.GetGroup()]; r != nil {
+		r := t.groups[beat.GetGroup()]
+		if r == nil {
+			// The Append that was to count us in may have been lost, and its leader
+			// waits for an answer before it sends another.
+			r = t.join(now, beat.GetGroup())
+		}
+		if r != nil {
 			r.group.Step(now, from, beat)
 		}
 	}
@@ -54,6 +62,7 @@
 			}
 			if len(effects.Changes) > 0 {
 				t.next.changes = append(t.next.changes, effects.Changes...)
+				t.next.bytes += bytesOf(effects.Changes)
 				t.next.marks[name] = mark
 			}
 			if effects.Restore != nil {
@@ -74,6 +83,7 @@
 	t.sendBeats(beats, out)
 	t.sendApplied(out)
 	t.standings(now, out)
+	t.bound(now)
 	t.write(now, out)
 }
 
@@ -135,6 +145,7 @@
 	}
 	batch := t.writing
 	t.writing = nil
+	t.accepted()
 	beats := map[string]*schema.Beats{}
 	for _, post := range batch.posts {
 		t.post(post, beats, out)
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -8,12 +8,17 @@
 	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/raft"
 	"sparnotch/internal/schema"
 )
 
+// heardSpan is how long ago whoever is counted on may have answered last.
+const heardSpan = 500 * eventloop.Milli
+
 func (t *Table) reroster(now eventloop.Micros, m *schema.Reroster) {
 	r := t.groups[m.Group]
-	if r == nil || !r.group.IsLeader() || !t.clusterState.IsController(m.Lease) {
+	// An old copy of the cluster state knows nothing of a lease that has gone to another.
+	if r == nil || !r.group.IsLeader() || !t.isClusterStateFresh(now) || !t.clusterState.IsController(m.Lease) {
 		return
 	}
 	memberSet := proto.Clone(r.group.MemberSet()).(*schema.MemberSet)
@@ -21,8 +26,7 @@
 	case m.Learn != "" && !slices.Contains(memberSet.Voters, m.Learn) && !slices.Contains(memberSet.Learners, m.Learn):
 		memberSet.Learners = append(memberSet.Learners, m.Learn)
 	case m.Promote != "" && slices.Contains(memberSet.Learners, m.Promote):
-		match, _ := r.group.Match(m.Promote)
-		if r.group.Last()-match > 64 {
+		if !mayVote(now, r.group, m.Promote) {
 			return
 		}
 		memberSet.Learners = without(memberSet.Learners, m.Promote)
@@ -39,6 +43,13 @@
 	_ = r.group.ProposeMemberSet(now, memberSet)
 }
 
+// mayVote tells whether a learner may be made a voter: it has caught up, and answered
+// just now. Of four voters, one lost and one that doesn't answer, there is no majority.
+func mayVote(now eventloop.Micros, group *raft.Group, id string) bool {
+	_, heard := group.Match(id)
+	return now-heard < heardSpan && group.IsCaughtUp(id)
+}
+
 func without(list []string, item string) []string {
 	var kept []string
 	for _, each := range list {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"strings"
 
-	"google.golang.org/protobuf/proto"
+	"github.com/joomcode/errorx"
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
@@ -22,6 +22,13 @@
 	"sparnotch/internal/storage"
 )
 
+var (
+	Errors = errorx.NewNamespace("replica")
+	// Unreadable is a checkpoint or record that is whole and yet can't be read: it
+	// was written by something else. A replica can't go on from it.
+	Unreadable = Errors.NewType("unreadable")
+)
+
 // Pace is the tick of the replicas.
 const Pace = 25 * eventloop.Milli
 
@@ -72,6 +79,7 @@
 	began        eventloop.Micros // when the write that is out was handed over
 	reads        uint64
 	isWarned     bool
+	refusal      refusal
 	applied      map[string]*schema.Applied // by gateway, of this step
 }
 
@@ -98,6 +106,7 @@
 		group:   raft.New(name, t.id, image, t.times, t.patience, now),
 		waiting: map[uint64]waiter{}, reading: map[uint64]waiter{},
 	}
+	r.group.SetWritable(!t.refuses())
 	t.groups[name], t.listed = r, nil
 	t.restore(r, image.Checkpoint)
 	return r
@@ -122,7 +131,7 @@
 	if r.group.Name() == clusterstate.Group {
 		machine, err := clusterstate.Restore(point.Data)
 		if err != nil {
-			panic("keep: cluster state checkpoint: " + err.Error())
+			panic(Unreadable.Wrap(err, "checkpoint of %s", r.group.Name()))
 		}
 		t.clusterState = machine
 		t.setState(machine.Copy())
@@ -131,7 +140,7 @@
 	r.name = QueueOf(r.group.Name())
 	machine, err := queue.Restore(r.name, point.Index, point.Data)
 	if err != nil {
-		panic("keep: checkpoint of " + r.group.Name() + ": " + err.Error())
+		panic(Unreadable.Wrap(err, "checkpoint of %s", r.group.Name()))
 	}
 	r.queue = machine
 }
@@ -154,12 +163,15 @@
 	return t.listed
 }
 
+// Step implements eventloop.Table.
 func (t *Table) Step(now eventloop.Micros, mail eventloop.Mail, out eventloop.Out) {
 	switch body := mail.Body.(type) {
 	case eventloop.Tick:
 		t.tick(now, out)
 	case Written:
 		t.written(now, body, out)
+	case Refused:
+		t.refused(now, body)
 	case membership.KeepSelf:
 		t.keepSelf(now, body)
 	case *membership.Roll:
@@ -209,35 +221,21 @@
 func (t *Table) toGroup(now eventloop.Micros, from, name string, body any) {
 	r := t.groups[name]
 	if r == nil {
-		// Somebody leads a group that counts us in: a new replica starts empty
-		// and learns. It never campaigns before it has learnt its member set.
 		switch body.(type) {
 		case *schema.Append, *schema.Install:
-		default:
-			return
-		}
-		if name != clusterstate.Group && QueueOf(name) == "" {
-			return
-		}
-		if name != clusterstate.Group && t.isEnded(name) {
-			return
-		}
-		r = t.open(now, name, &storage.Image{Hard: &schema.Hard{}, Checkpoint: &schema.Checkpoint{}})
-		if !t.self.Belongs {
-			// Counted in, so this store may found nothing any more.
-			self := proto.Clone(t.self).(*schema.Self)
-			self.Belongs = true
-			t.self = self
-			t.next.changes = append(t.next.changes, &schema.Change{Self: self})
-			t.next.selfs = append(t.next.selfs, self)
+			r = t.join(now, name)
 		}
 	}
-	r.group.Step(now, from, body)
+	if r != nil {
+		r.group.Step(now, from, body)
+	}
 }
 
 // isEnded tells that the cluster state we hold knows a newer queue of that name, or
 // none though it once was there.
 func (t *Table) isEnded(group string) bool {
-	place := clusterstate.Place(t.state, QueueOf(group))
-	return place != nil && GroupOf(place) != group
+	if place := clusterstate.Place(t.state, QueueOf(group)); place != nil {
+		return GroupOf(place) != group
+	}
+	return t.isOver(group)
 }
--- a/internal/sim/troubles.go
+++ b/internal/sim/troubles.go
@@ -67,7 +67,10 @@
 			f.everything(span, (*Host).Kill)
 		})
 	}},
-	"drag": {"leader store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.slowed(f.host(n), span) }},
+	// A disk takes no more, or its syncs fail.
+	"full":   {"leader store", true, func(f *Fleet, n string, span eventloop.Micros) { f.refusing(f.host(n), Fault{IsFull: true}, span) }},
+	"nosync": {"leader store", true, func(f *Fleet, n string, span eventloop.Micros) { f.refusing(f.host(n), Fault{SyncFails: true}, span) }},
+	"drag":   {"leader store lean side", true, func(f *Fleet, n string, span eventloop.Micros) { f.slowed(f.host(n), span) }},
 	"resets": {"leader store lean side", false, func(f *Fleet, n string, span eventloop.Micros) {
 		f.connectionsReset(f.host(n))
 		f.After(span/2, func() { f.connectionsReset(f.host(n)) })
@@ -117,6 +120,12 @@
 	})
 }
 
+// refusing has a disk refuse for a span.
+func (f *Fleet) refusing(h *Host, fault Fault, span eventloop.Micros) {
+	f.Fault("the disk of %s refuses", h.Name)
+	h.Refuse(fault, span)
+}
+
 // leading is the store that leads most, or between two leaders any.
 func (f *Fleet) leading() *Host { return f.host("leader") }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -11,8 +11,6 @@
 	"slices"
 	"strings"
 
-	"google.golang.org/protobuf/proto"
-
 	"sparnotch/internal/agent"
 	"sparnotch/internal/checker"
 	"sparnotch/internal/eventloop"
@@ -105,43 +103,45 @@
 
 // Host is a machine with one process, or with none while it is down.
 type Host struct {
-	world      *World
-	Name       string
-	Address    string
-	Cell       string
-	Role       schema.Role
-	Disk       *Disk            // nil: keeps nothing
-	Stall      eventloop.Micros // syncs end no earlier
-	SyncUs     eventloop.Micros
-	Share      float64 // of a core; 0: its steps cost no time
-	busy       eventloop.Micros
-	Steps      int
-	WallOff    int64
-	Seeds      []string // nil: the first stores
-	IsUp       bool
-	Id         string
-	run        int              // counts starts, so that what was meant for an old one goes nowhere
+	world     *World
+	Name      string
+	Address   string
+	Cell      string
+	Role      schema.Role
+	Disk      *Disk            // nil: keeps nothing
+	Stall     eventloop.Micros // syncs end no earlier
+	SyncUs    eventloop.Micros
+	Share     float64 // of a core; 0: its steps cost no time
+	busy      eventloop.Micros
+	Steps     int
+	WallOff   int64
+	Seeds     []string // nil: the first stores
+	IsUp      bool
+	Id        string
+	run       int              // counts starts, so that what was meant for an old one goes nowhere
+	zero      eventloop.Micros // when its monotonic clock began; each process has its own
+	frozen    bool
+	isReady   bool // by the platform's last look
+	isWatched bool
+	canServe  bool // as told in the history
+	isLeaving bool // takes no new requests
+	backlog   []func()
+	ticking   map[string]bool
+	tables    map[string]eventloop.Table
+	last      map[string]eventloop.Micros // latest delivery to each table: mailboxes keep order
+	store     *storage.Store
+	book      *membership.Book
+	waiting   map[uint64]func(any)
+	isWrite   bool
+	isRefused bool             // the store takes no writes
+	began     eventloop.Micros // of the sync that is under way
+	worst     eventloop.Micros // recent worst sync, decayed
+	writing   replica.Batch
+	Member    *schema.Member
+	Also      func(papers *process.Papers, berths []process.Berth) []process.Berth // changes what its process is made of
+	Routes    func(body any) []string                                              // and where its messages go
+
 	resetUntil eventloop.Micros // half of what it sends or gets until then is lost
-	zero       eventloop.Micros // when its monotonic clock began; each process has its own
-	frozen     bool
-	isReady    bool // by the platform's last look
-	isWatched  bool
-	canServe   bool // as told in the history
-	isLeaving  bool // takes no new requests
-	backlog    []func()
-	ticking    map[string]bool
-	tables     map[string]eventloop.Table
-	last       map[string]eventloop.Micros // latest delivery to each table: mailboxes keep order
-	store      *storage.Store
-	book       *membership.Book
-	waiting    map[uint64]func(any)
-	isWrite    bool
-	began      eventloop.Micros // of the sync that is under way
-	worst      eventloop.Micros // recent worst sync, decayed
-	writing    replica.Batch
-	Member     *schema.Member
-	Also       func(papers *process.Papers, berths []process.Berth) []process.Berth // changes what its process is made of
-	Routes     func(body any) []string                                              // and where its messages go
 }
 
 // NewWorld makes an empty world.
@@ -204,7 +204,7 @@
 func (w *World) reckon() {
 	var stores []*Host
 	for _, h := range w.Hosts {
-		if h.Disk != nil && h.isHere() {
+		if h.Disk != nil && h.isHere() && h.Disk.Fault == (Fault{}) {
 			stores = append(stores, h)
 		}
 	}
@@ -246,7 +246,7 @@
 	h.IsUp, h.frozen, h.backlog, h.isLeaving = true, false, nil, false
 	h.ticking, h.last, h.waiting = map[string]bool{}, map[string]eventloop.Micros{}, map[uint64]func(any){}
 	h.book = &membership.Book{}
-	h.store, h.isWrite = nil, false
+	h.store, h.isWrite, h.isRefused = nil, false, false
 	h.Member = &schema.Member{Id: w.newId(), Boot: 1, Role: h.Role, Cell: h.Cell, Inner: h.Address, Outer: h.Address}
 	seeds := h.Seeds
 	if seeds == nil {
@@ -256,8 +256,11 @@
 	papers.Bounds, papers.Calls = w.bounds, h.Role == schema.Role_ROLE_CONTROLLER && w.called[h.place()] != nil
 	papers.Wall = func() int64 { return wallZero + int64(w.Now) + h.WallOff }
 	if h.Disk != nil {
-		h.openStore()
-		papers.Store = h.store.Content()
+		if h.openStore() {
+			papers.Store = h.store.Content()
+		} else {
+			h.awaitStore(h.run)
+		}
 	}
 	h.Id = h.Member.Id
 	berths := process.Heed(papers)
@@ -288,7 +291,10 @@
 		return
 	}
 	worst := h.worst
-	if h.isWrite {
+	switch {
+	case h.isRefused:
+		worst = membership.RefusedLatency
+	case h.isWrite:
 		worst = max(worst, h.world.Now-h.began)
 	}
 	h.worst = h.worst * 15 / 16
@@ -298,30 +304,6 @@
 
 const wallZero = 1_800_000_000_000_000
 
-func (h *Host) openStore() {
-	w := h.world
-	store, err := storage.Open(h.Disk)
-	if storage.IsDamaged(err) {
-		// As a real process does: it says so and comes back as a new member.
-		w.Damaged = append(w.Damaged, err.Error())
-		h.Disk = NewDisk()
-		store, err = storage.Open(h.Disk)
-	}
-	if err != nil {
-		panic(err)
-	}
-	self := proto.Clone(store.Content().Self).(*schema.Self)
-	if self.Id == "" {
-		self.Id = w.newId()
-	}
-	self.Boots++
-	if err := store.Commit([]*schema.Change{{Self: self}}); err != nil {
-		panic(err)
-	}
-	h.store = store
-	h.Member.Id, h.Member.Boot, h.Member.Stores = self.Id, self.Boots, true
-}
-
 // Kill ends the process and cuts the power: what wasn't synced may be lost.
 func (h *Host) Kill() { h.end(func() { h.Disk.PowerCut(h.world.Rng) }) }
 
@@ -527,24 +509,6 @@
 	}
 }
 
-// write is the storage's duty: it takes its time and then the batch lasts.
-func (h *Host) write(batch replica.Batch) {
-	w, run := h.world, h.run
-	h.isWrite, h.writing, h.began = true, batch, w.Now
-	span := h.SyncUs + eventloop.Micros(w.Rng.Int64N(int64(h.SyncUs)/4+1))
-	w.At(max(w.Now+span, h.Stall), func() {
-		h.do(run, func() {
-			if err := h.store.Commit(batch.Changes); err != nil {
-				h.Kill()
-				return
-			}
-			h.isWrite = false
-			h.worst = max(h.worst, h.world.Now-h.began)
-			h.mail("replica", eventloop.Mail{Body: replica.Written{Number: batch.Number}})
-		})
-	})
-}
-
 // --- network ---
 
 func (w *World) hostAt(address string) *Host {
