--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -7,6 +7,7 @@
 import (
 	"slices"
 	"sort"
+	"strconv"
 
 	"google.golang.org/protobuf/proto"
 
@@ -23,8 +24,8 @@
 // checkpoint: of old plans the rows, of editions only what tells them apart.
 const (
 	keptPlans    = 20
-	keptRows     = 2 * maxRows // of all old plans
-	keptEditions = 1024        // changes whose resend is known again
+	keptBytes    = 512 << 10 // of all old plans but the last
+	keptEditions = 1024      // changes whose resend is known again
 	maxDocument  = 256 << 10
 	digestBytes  = 16
 )
@@ -44,6 +45,8 @@
 	values    *Values
 	read      *schema.Plan // of which the values and the bare plan were made
 	bare      *schema.Plan
+	packed    []byte       // rows of a plan as they are told
+	packedOf  *schema.Plan // and of which
 }
 
 // New makes an empty cluster state; Restore one from a checkpoint.
@@ -57,7 +60,11 @@
 	if len(data) == 0 {
 		return m, nil
 	}
-	return m, proto.Unmarshal(data, m.state)
+	whole, err := Unpack(data)
+	if err != nil {
+		return m, err
+	}
+	return m, proto.Unmarshal(whole, m.state)
 }
 
 // Rest encodes the state.
@@ -122,8 +129,8 @@
 
 // Apply takes one record's command.
 func (m *Machine) Apply(at int64, data []byte) (*Result, error) {
-	command := &schema.ClusterStateCommand{}
-	if err := proto.Unmarshal(data, command); err != nil {
+	command, err := ReadCommand(data)
+	if err != nil {
 		return nil, err
 	}
 	if at > m.state.NowUs {
@@ -191,7 +198,7 @@
 	for _, name := range c.Gone {
 		for k, place := range m.state.Queues {
 			// A queue that has rows again was wanted back meanwhile.
-			if place.Queue == name && !values.HasQueue(name) {
+			if isMeant(place, name) && !values.HasQueue(place.Queue) {
 				m.state.Queues = append(m.state.Queues[:k:k], m.state.Queues[k+1:]...)
 				m.isChanged = true
 				break
@@ -214,6 +221,13 @@
 	return &Result{Code: 200}
 }
 
+// isMeant tells whether a queue that is to go is this one. The word of it may come
+// late, when a queue of that name has been made anew: that is another one. Logs of
+// older programs have the bare name.
+func isMeant(place *schema.QueuePlace, name string) bool {
+	return name == place.Queue || name == place.Queue+"#"+strconv.FormatUint(place.Generation, 10)
+}
+
 func (m *Machine) moveWards(c *schema.MoveWards) *Result {
 	if !m.IsController(c.Lease) {
 		return fenced()
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -51,6 +51,25 @@
 	return member.GetLatencyUs() >= int64(RefusedLatency)
 }
 
+// awaySpan is how long a store may be unheard of and still count as one at hand.
+const awaySpan = 2 * eventloop.Second
+
+// CanCommit tells whether enough of a group's voters take writes, as far as is
+// known. Who is merely away says nothing by itself (a group without a quorum has
+// no leader soon); beside a store that refuses it may leave too few.
+func (r *Roll) CanCommit(now eventloop.Micros, voters []string, refuses func(id string) bool) bool {
+	refusing, able := 0, 0
+	for _, id := range voters {
+		switch {
+		case refuses(id):
+			refusing++
+		case id == r.Self.GetId() || r.Live(id, now, awaySpan):
+			able++
+		}
+	}
+	return refusing == 0 || able > len(voters)/2
+}
+
 // Leaving says that this process was warned.
 type Leaving struct{}
 
@@ -63,8 +82,16 @@
 	First  bool   // the whole system starts for the first time
 	Losses uint32 // stores that may be lost at once; 0: one
 	IsSide bool   // a side machine, which watches the stores
+
+	Zones, Regions uint32            // that may be lost whole
+	RegionOf       map[string]string // of each zone
+}
+
+// Tolerance is what may be lost at once.
+func (t Terms) Tolerance() Tolerance {
+	return Tolerance{Machines: int(t.Losses), Zones: int(t.Zones), Regions: int(t.Regions), RegionOf: t.RegionOf}
 }
 
 // Founders is how many stores the group is founded with if there are so many,
 // and how many voters each group is to have: a majority outlives the losses.
-func (t Terms) Founders() int { return 2*int(max(t.Losses, 1)) + 1 }
+func (t Terms) Founders() int { return t.Tolerance().Voters() }
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -57,6 +57,9 @@
 	isRefused atomic.Bool // the store takes no writes
 }
 
+// bootShift leaves each life of a process as many numbers for requests.
+const bootShift = 40
+
 func randomSeed() uint64 {
 	var raw [8]byte
 	if _, err := rand.Read(raw[:]); err != nil {
@@ -89,6 +92,9 @@
 			return nil, err
 		}
 	}
+	// An answer names its request by number alone, and under a kept id it may come
+	// in a later life than it was asked for: no two lives share a number.
+	r.next.Store(r.Member.Boot << bootShift)
 	r.process = eventloop.NewProcess(r.Clock)
 	r.process.Out = (*outside)(r)
 	r.process.Broken = func(table string, cause any, stack []byte) {
@@ -97,9 +103,12 @@
 	}
 	papers := &Papers{
 		Member: r.Member, Seeds: options.Seeds, Book: r.book, Wall: r.Clock.Wall, Seed: randomSeed(), Now: r.Clock.Now(),
-		First: options.First, Losses: options.Losses,
+		First: options.First, Losses: options.Losses, Zones: options.ZoneLosses, Regions: options.RegionLosses, RegionOf: options.Regions,
 		Bounds: options.Bounds, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
 	}
+	if short := papers.terms(false).Tolerance().ShortOfPlaces(); short != "" {
+		log.Warn("the losses that are to be borne can't be", zap.String("why", short))
+	}
 	if r.store != nil {
 		papers.Store = r.store.Content()
 	}
@@ -118,7 +127,7 @@
 		}), 0)
 	}
 	// From here on messages come in, so the mailboxes must stand by now.
-	net, err := transport.Listen(r.Member.Id, options.Inner, r.deliver)
+	net, err := transport.Listen(transport.Identity{ID: r.Member.Id, Boot: r.Member.Boot}, options.Inner, r.deliver)
 	if err != nil {
 		r.opened.Close()
 		return nil, config.Bad.Wrap(err, "inner")
@@ -134,8 +143,13 @@
 	r.process.Post("membership", eventloop.Mail{Body: eventloop.Tick{}})
 	r.duty(func() { r.writes.Drain(ctx, 0, func(batch replica.Batch) { r.commit(ctx, batch) }, nil) })
 	r.duty(func() {
+		wasHanging := false
 		eventloop.NewRing[int](1).Drain(ctx, 250*eventloop.Milli, nil, func() {
 			r.tellLatency()
+			if isHanging := r.isHanging() && !r.isRefused.Load(); isHanging != wasHanging {
+				wasHanging = isHanging
+				r.log.Error("the disk's answer", zap.Bool("is_missing", isHanging))
+			}
 			r.worst.Store(r.worst.Load() * 15 / 16)
 		})
 	})
@@ -225,7 +239,7 @@
 		r.deliver(to, body)
 		return
 	}
-	r.net.Send(r.book.Address(to), body)
+	r.net.SendTo(to, r.book.Address(to), body)
 }
 
 func (o *outside) Dial(address string, body any) { o.net.Send(address, body) }
@@ -293,21 +307,13 @@
 	r.process.Post("replica", eventloop.Mail{Body: replica.Warned{}})
 }
 
-// Leads tells whether this process still leads a group.
-func (r *Real) Leads(ctx context.Context) bool {
+// IsNeeded tells whether this process still has something to hand over.
+func (r *Real) IsNeeded(ctx context.Context) bool {
 	if r.store == nil {
 		return false
 	}
 	belief, _ := r.Run(ctx, "replica", eventloop.Second, func(request uint64, _ eventloop.Micros) any { return replica.Belief{Request: request} }).(*replica.NodeBelief)
-	if belief == nil {
-		return false
-	}
-	for _, group := range belief.Groups {
-		if group.Leader == r.Member.Id && len(group.Voters) > 1 {
-			return true
-		}
-	}
-	return false
+	return belief != nil && belief.IsNeeded
 }
 
 // stopSpan is how long Stop waits for a disk that doesn't answer: what is out
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -32,7 +32,10 @@
 	day    int64            // time of day at time 0; 0: every clock stands still
 	isDown map[string]bool
 	isCut  func(from, to string) bool
-	held   map[string]uint64 // by store whose disk refuses: the batch that waits
+	held   map[string]uint64              // by store whose disk refuses: the batch that waits
+	batch  func(id string, batch Batch)   // sees what is written
+	isLost func(to string, body any) bool // what never arrives; nil: nothing
+	hangs  map[string]bool                // whose disks answer nothing
 }
 
 type letter struct {
@@ -53,11 +56,17 @@
 func (p port) Answer(uint64, any) {}
 func (p port) Tell(table string, body any) {
 	if batch, isBatch := body.(Batch); isBatch {
+		if p.core.hangs[p.id] {
+			return
+		}
 		if _, isRefusing := p.core.held[p.id]; isRefusing {
 			p.core.held[p.id] = batch.Number
 			p.core.mail = append(p.core.mail, letter{p.core.now + syncSpan, "", p.id, Refused{Number: batch.Number, Why: "no room"}})
 			return
 		}
+		if p.core.batch != nil {
+			p.core.batch(p.id, batch)
+		}
 		p.core.mail = append(p.core.mail, letter{p.core.now + syncSpan, "", p.id, Written{Number: batch.Number}})
 		return
 	}
@@ -67,7 +76,7 @@
 var stores = []string{"a", "b", "c"}
 
 func newCore() *core {
-	c := &core{now: eventloop.Second, tables: map[string]*Table{}, heard: map[string][]any{}, isDown: map[string]bool{}, held: map[string]uint64{}}
+	c := &core{now: eventloop.Second, tables: map[string]*Table{}, heard: map[string][]any{}, isDown: map[string]bool{}, held: map[string]uint64{}, hangs: map[string]bool{}}
 	wall := func() int64 {
 		if c.day == 0 {
 			return 0
@@ -99,7 +108,9 @@
 			return l.at <= c.now
 		})
 		for _, l := range due {
-			if c.isDown[l.to] || c.isDown[l.from] || c.isCut != nil && c.isCut(l.from, l.to) {
+			isCut := c.isCut != nil && c.isCut(l.from, l.to)
+			isLost := c.isLost != nil && c.isLost(l.to, l.body)
+			if c.isDown[l.to] || c.isDown[l.from] || isCut || isLost {
 				continue
 			}
 			if c.tables[l.to] != nil {
--- a/internal/replica/refusal.go
+++ b/internal/replica/refusal.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/raft"
@@ -30,6 +32,14 @@
 // refuses tells whether the store takes no writes.
 func (t *Table) refuses() bool { return t.refusal.at > 0 }
 
+// refusalText is why the store takes no writes, empty if it does.
+func (t *Table) refusalText(now eventloop.Micros) string {
+	if !t.refuses() && t.isStalled(now) {
+		return fmt.Sprintf("no answer for %v", (now - t.began).Span().Round(time.Millisecond))
+	}
+	return t.refusal.why
+}
+
 // refused takes note that the store takes no writes: no replica here stands, and
 // every group led here goes to another at once.
 func (t *Table) refused(now eventloop.Micros, m Refused) {
@@ -74,15 +84,8 @@
 
 // canCommit tells whether enough of a group's voters take writes, as far as is
 // known here.
-func (t *Table) canCommit(r *replica) bool {
-	voters := r.group.MemberSet().Voters
-	refusing := 0
-	for _, id := range voters {
-		if t.isRefusing(id) {
-			refusing++
-		}
-	}
-	return refusing == 0 || len(voters)-refusing > len(voters)/2
+func (t *Table) canCommit(now eventloop.Micros, r *replica) bool {
+	return t.roll == nil || t.roll.CanCommit(now, r.group.MemberSet().Voters, t.isRefusing)
 }
 
 // canElectAnother tells whether the other voters at hand can elect one of them
