--- a/cmd/sparnotch-bench/simulate.go
+++ b/cmd/sparnotch-bench/simulate.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/google/subcommands"
 
 	"sparnotch/internal/checker"
+	"sparnotch/internal/eventloop"
 	"sparnotch/internal/sim"
 )
 
@@ -219,6 +221,7 @@
 // something.
 func (c *simulateCommand) playSeeds(s sim.Scenario, size sim.Size) subcommands.ExitStatus {
 	found := make([][]string, c.seeds)
+	again := make([]eventloop.Micros, c.seeds)
 	var playing sync.WaitGroup
 	gate := make(chan bool, runtime.GOMAXPROCS(0))
 	for k := range found {
@@ -226,7 +229,8 @@
 		gate <- true
 		go func() {
 			defer func() { <-gate; playing.Done() }()
-			_, breaches, wrong := sim.Play(s, size, c.seed+uint64(k))
+			f, breaches, wrong := sim.Play(s, size, c.seed+uint64(k))
+			again[k] = f.Again
 			for _, each := range breaches {
 				wrong = append(wrong, each.String())
 			}
@@ -241,6 +245,9 @@
 			fmt.Printf("BROKEN %s\n  sparnotch-bench simulate -size %s -scenario %q -seed %d\n", list[0], size.Name, s.Name, c.seed+uint64(k))
 		}
 	}
+	if longest := slices.Max(again); longest > 0 {
+		fmt.Printf("a lost worker's tasks are all begun again after %.2f s at the latest\n", seconds(longest))
+	}
 	fmt.Printf("check: %d seeds, %d of them break a rule\n", c.seeds, broken)
 	if broken > 0 {
 		return 1
