--- a/internal/gateway/submissions.go
+++ b/internal/gateway/submissions.go
@@ -85,6 +85,9 @@
 	case t.queueHas[m.Queue] >= maxPending/2:
 		t.turnAway(now, m, "queue_full", "the queue has too many hand-ins unconfirmed", m.Queue, out)
 		return
+	case note != nil && note.NoRoom:
+		t.turnAway(now, m, "store_full", "the stores keep the room they have for the work they hold", "live/"+m.Queue, out)
+		return
 	case note != nil && int64(note.Live) >= t.values.Fleet("live_jobs"):
 		t.turnAway(now, m, "queue_full", "the queue has as many live jobs as the plan allows", "live/"+m.Queue, out)
 		return
@@ -220,7 +223,9 @@
 // confirmed settles one submission, and returns those below it that must have
 // been lost on the way.
 func (t *Table) confirmed(now eventloop.Micros, queue string, outcome *schema.Outcome, out eventloop.Out) []*submission {
-	if outcome.Session == nil || outcome.Session.Boot != t.boot {
+	// Starts and numbers are alike on many fronts: the id is what tells whose a
+	// submission is.
+	if outcome.Session == nil || outcome.Session.Gateway != t.id || outcome.Session.Boot != t.boot {
 		return nil
 	}
 	s := t.byId[queue+"/"+outcome.Session.Client]
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -3,6 +3,7 @@
 // Gossip: heartbeats and members told and heard.
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -195,13 +196,19 @@
 		// A seed in turn: that is how two halves that met different seeds find
 		// each other.
 		t.isMissing, t.wholeAt = false, now
-		if seed := t.someSeed(); seed != "" {
+		seed := t.someSeed()
+		if seed != "" {
 			report := t.report(now, whole)
 			if !t.isStoreAt(seed) {
 				t.leaveOut(now, report)
 			}
 			out.Dial(seed, report)
 		}
+		// The seeds may all have been replaced while we ran on: beats alone don't tell
+		// who somebody new is, so a store that is heard of is asked in their place.
+		if len(hubs) > 0 && !t.isHeardAt(now, seed) {
+			out.Dial(hubs[t.rng.IntN(len(hubs))], t.report(now, whole))
+		}
 	}
 	if t.ticks < youngPaces {
 		t.callSeeds(now, out)
@@ -252,6 +259,16 @@
 	}
 }
 
+// isHeardAt tells whether a process at an address was heard of lately.
+func (t *Table) isHeardAt(now eventloop.Micros, address string) bool {
+	for _, known := range t.known {
+		if known.Member.Inner == address && now-known.Heard < hubSpan {
+			return true
+		}
+	}
+	return false
+}
+
 // isStoreAt tells whether a store, or nobody we know, lives at an address.
 func (t *Table) isStoreAt(address string) bool {
 	for _, known := range t.known {
@@ -271,14 +288,25 @@
 	}
 }
 
+// isBefore tells whether a process said one thing of itself before another.
+func isBefore(a, b *schema.Member) bool {
+	return cmp.Or(cmp.Compare(a.Boot, b.Boot), cmp.Compare(a.Beat, b.Beat)) < 0
+}
+
 func (t *Table) hear(now eventloop.Micros, from string, hello *schema.Hello, out eventloop.Out) {
 	if hello.Self == nil || hello.Self.Id != from || from == t.self.Id {
 		return
 	}
+	// What a former life said, and comes late, is nobody's word any more.
+	if former, isKnown := t.known[from]; isKnown && hello.Self.Boot < former.Member.Boot {
+		return
+	}
 	wasSystem, seen, known := t.isSystem, len(t.seen), len(t.known)
 	t.isSystem = t.isSystem || hello.Belongs
 	t.note(now, hello.Self)
-	t.told[from] = word{at: now, hello: hello}
+	if last := t.told[from].hello; last == nil || !isBefore(hello.Self, last.Self) {
+		t.told[from] = word{at: now, hello: hello}
+	}
 	isWhole, isMissing := false, false
 	for _, member := range hello.Book {
 		if member.GetId() == t.self.Id {
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -23,6 +23,7 @@
 	"sparnotch/internal/replica"
 	"sparnotch/internal/schema"
 	"sparnotch/internal/storage"
+	"sparnotch/internal/timing"
 	"sparnotch/internal/transport"
 )
 
@@ -53,10 +54,13 @@
 	syncing atomic.Int64 // when the sync that is under way began
 	stats   atomic.Pointer[storage.Counts]
 
-	isWaiting bool        // for a store that can't be opened
+	awaited   opening     // of a store that couldn't be opened yet; nil: none
 	isRefused atomic.Bool // the store takes no writes
 }
 
+// bootShift leaves each life of a process as many numbers for requests.
+const bootShift = 40
+
 func randomSeed() uint64 {
 	var raw [8]byte
 	if _, err := rand.Read(raw[:]); err != nil {
@@ -85,10 +89,13 @@
 	}
 	r.Member = &schema.Member{Id: newId(), Boot: 1, Role: role, Cell: options.Cell, Inner: options.Inner, Outer: options.Outer}
 	if options.Data != "" {
-		if err := r.takeStore(opened); err != nil {
+		if err := r.takeStore(opened, openSpan); err != nil {
 			return nil, err
 		}
 	}
+	// An answer names its request by number alone, and under a kept id it may come
+	// in a later life than it was asked for: no two lives share a number.
+	r.next.Store(r.Member.Boot << bootShift)
 	r.process = eventloop.NewProcess(r.Clock)
 	r.process.Out = (*outside)(r)
 	r.process.Broken = func(table string, cause any, stack []byte) {
@@ -98,7 +105,10 @@
 	papers := &Papers{
 		Member: r.Member, Seeds: options.Seeds, Book: r.book, Wall: r.Clock.Wall, Seed: randomSeed(), Now: r.Clock.Now(),
 		First: options.First, Losses: options.Losses, Zones: options.ZoneLosses, Regions: options.RegionLosses, RegionOf: options.Regions,
-		Bounds: options.Bounds, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
+		Bounds: options.Bounds, DiskBytes: options.DiskBytes, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
+	}
+	if !timing.CanCatchUp(options.Bounds) {
+		log.Warn("a repair takes longer than the catch-up that the bounds allow")
 	}
 	if short := papers.terms(false).Tolerance().ShortOfPlaces(); short != "" {
 		log.Warn("the losses that are to be borne can't be", zap.String("why", short))
@@ -121,7 +131,7 @@
 		}), 0)
 	}
 	// From here on messages come in, so the mailboxes must stand by now.
-	net, err := transport.Listen(r.Member.Id, options.Inner, r.deliver)
+	net, err := transport.Listen(transport.Identity{ID: r.Member.Id, Boot: r.Member.Boot}, options.Inner, r.deliver)
 	if err != nil {
 		r.opened.Close()
 		return nil, config.Bad.Wrap(err, "inner")
@@ -147,7 +157,7 @@
 			r.worst.Store(r.worst.Load() * 15 / 16)
 		})
 	})
-	if r.isWaiting {
+	if r.awaited != nil {
 		r.duty(func() { r.awaitStore(ctx) })
 	}
 	log.Info("started", zap.String("id", r.Member.Id), zap.Uint64("boot", r.Member.Boot), zap.String("inner", options.Inner), zap.String("outer", options.Outer))
@@ -233,7 +243,7 @@
 		r.deliver(to, body)
 		return
 	}
-	r.net.Send(r.book.Address(to), body)
+	r.net.SendTo(to, r.book.Address(to), body)
 }
 
 func (o *outside) Dial(address string, body any) { o.net.Send(address, body) }
