--- /dev/null
+++ b/internal/sim/operators_test.go
@@ -0,0 +1,256 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/gateway"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+)
+
+// --- the model: a compare-and-set register whose orders may be sent again ---
+
+// registerInput is an order as its operator sent it, as often as it liked, or a
+// read where there is none.
+type registerInput struct{ order *operatorOrder }
+
+// registerOutput is what an order came to, or what a read showed.
+type registerOutput struct {
+	code     int32 // 200 or 412; 0: never a clear answer
+	edition  uint64
+	document string
+}
+
+type registerState struct {
+	edition  uint64
+	document string
+}
+
+// register says what one order or read may come to. An order that never got a
+// clear answer may have taken effect at any moment since it was sent.
+var register = porcupine.Model{
+	Init: func() any { return registerState{} },
+	Step: func(before, input, output any) (bool, any) {
+		state, answer := before.(registerState), output.(registerOutput)
+		order := input.(registerInput).order
+		if order == nil {
+			return state == registerState{answer.edition, answer.document}, state
+		}
+		sheet := order.sheet
+		isOnTop := sheet.BaseEdition == state.edition
+		after := registerState{sheet.Edition, string(sheet.Document)}
+		switch {
+		case answer.code == 412:
+			// A base that is still to come is no lost race.
+			return sheet.BaseEdition < state.edition, state
+		case isOnTop:
+			return true, after
+		}
+		return answer.code == 0, state
+	},
+	DescribeOperation: func(input, output any) string {
+		answer := output.(registerOutput)
+		if order := input.(registerInput).order; order != nil {
+			return fmt.Sprintf("%s -> %d", order.sheet.Document, answer.code)
+		}
+		return fmt.Sprintf("read -> %s", answer.document)
+	},
+}
+
+// --- operators ---
+
+// operatorOrder is one order and the answers its operator has had.
+type operatorOrder struct {
+	operator int
+	sheet    *schema.Sheet
+	sent     eventloop.Micros // first
+	answered eventloop.Micros // first clear answer
+	code     int32            // 200 or 412; 0: none yet
+	isGiven  bool             // up: it isn't sent again
+}
+
+// operators are several people who replace the configuration at the same time,
+// through any node, and lose a part of their answers.
+type operators struct {
+	*World
+	rng       *rand.Rand
+	until     eventloop.Micros
+	lost      float64 // share of the answers that are lost on their way
+	orders    []*operatorOrder
+	history   []porcupine.Operation
+	wrong     []string
+	confirmed uint64 // the newest edition that was confirmed
+	last      uint64 // the edition that was read at the end
+	resent    int    // orders that were answered again after a clear answer
+}
+
+func (o *operators) fail(form string, args ...any) {
+	if len(o.wrong) < 10 {
+		o.wrong = append(o.wrong, fmt.Sprintf("at %.3f s: ", float64(o.Now)/1e6)+fmt.Sprintf(form, args...))
+	}
+}
+
+func (o *operators) front() *Host {
+	fronts := o.Fronts()
+	return fronts[o.rng.IntN(len(fronts))]
+}
+
+// call asks a node and may lose its answer.
+func (o *operators) call(front *Host, span eventloop.Micros, ask gateway.Ask, back func(reply gateway.Answer)) {
+	isLost := o.rng.Float64() < o.lost
+	o.Ask(front, span, func(request uint64, deadline eventloop.Micros) any {
+		ask.Request, ask.Deadline = request, deadline
+		return ask
+	}, func(answer any) {
+		reply, _ := answer.(gateway.Answer)
+		if isLost {
+			reply = gateway.Answer{}
+		}
+		back(reply)
+	})
+}
+
+// read looks at the configuration and goes on with it when it has it.
+func (o *operators) read(operator int, back func(plan *schema.Plan)) {
+	sent, wanted := o.Now, o.confirmed
+	o.call(o.front(), eventloop.Second, gateway.Ask{Kind: "plan", Group: clusterstate.Group}, func(reply gateway.Answer) {
+		plan := &schema.Plan{}
+		if reply.Code != 200 || protojson.Unmarshal(reply.Body, plan) != nil {
+			if reply.Code >= 400 && reply.Code < 500 {
+				o.fail("a read is answered %d", reply.Code)
+			}
+			back(nil)
+			return
+		}
+		if plan.Edition < wanted {
+			o.fail("a read shows edition %d, and %d was confirmed before it was asked for", plan.Edition, wanted)
+		}
+		o.history = append(o.history, porcupine.Operation{
+			ClientId: operator, Input: registerInput{}, Call: int64(sent), Return: int64(o.Now),
+			Output: registerOutput{code: 200, edition: plan.Edition, document: string(plan.Document)},
+		})
+		back(plan)
+	})
+}
+
+// work has an operator make one change after the other.
+func (o *operators) work(operator int) {
+	if o.Now >= o.until {
+		return
+	}
+	again := func() { o.After(eventloop.Micros(20+o.rng.IntN(200))*eventloop.Milli, func() { o.work(operator) }) }
+	o.read(operator, func(plan *schema.Plan) {
+		if plan == nil {
+			again()
+			return
+		}
+		first := o.order(operator, plan.Edition)
+		// Some don't wait for the answer and build on their own order.
+		if o.rng.IntN(4) == 0 {
+			o.send(o.order(operator, first.sheet.Edition), func() {})
+		}
+		o.send(first, again)
+	})
+}
+
+// order writes a new order; numbers of different operators often are the same.
+func (o *operators) order(operator int, base uint64) *operatorOrder {
+	edition := base + 1 + uint64(o.rng.IntN(2))
+	document := fmt.Sprintf("%d on %d, order %d of operator %d", edition, base, len(o.orders), operator)
+	each := &operatorOrder{operator: operator, sent: o.Now, sheet: &schema.Sheet{
+		Edition: edition, BaseEdition: base, Document: []byte(document),
+		Rows: []*schema.Row{{Kind: "rack", Name: "r1", Key: "weight", Value: fmt.Sprint(edition % 100)}},
+	}}
+	o.orders = append(o.orders, each)
+	return each
+}
+
+// send sends an order, at times to several nodes at once, until it has a clear
+// answer; a few are given up.
+func (o *operators) send(each *operatorOrder, done func()) {
+	copies := 1
+	if o.rng.IntN(4) == 0 {
+		copies = 3
+	}
+	open := copies
+	for range copies {
+		o.try(each, func() {
+			if open--; open > 0 {
+				return
+			}
+			if each.code != 0 || each.isGiven {
+				done()
+				return
+			}
+			if o.rng.IntN(200) == 0 && o.Now < o.until {
+				each.isGiven = true
+			}
+			o.After(eventloop.Micros(20+o.rng.IntN(300))*eventloop.Milli, func() { o.send(each, done) })
+		})
+	}
+}
+
+// try sends an order once and holds its answer against those before.
+func (o *operators) try(each *operatorOrder, done func()) {
+	o.tryAt(o.front(), eventloop.Second, each, done)
+}
+
+func (o *operators) tryAt(front *Host, span eventloop.Micros, each *operatorOrder, done func()) {
+	body := replica.ClusterStateBody(&schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Put{Put: &schema.PutPlan{Sheet: each.sheet}}})
+	o.call(front, span, gateway.Ask{Kind: "clusterstate", Group: clusterstate.Group, Body: body}, func(reply gateway.Answer) {
+		switch {
+		case reply.Code == 0 || reply.Code >= 500:
+		case reply.Code != 200 && reply.Code != 412:
+			o.fail("%s is answered %d: %s", each.sheet.Document, reply.Code, reply.Body)
+		case each.code == 0:
+			each.code, each.answered = reply.Code, o.Now
+			if reply.Code == 200 {
+				o.confirmed = max(o.confirmed, each.sheet.Edition)
+			}
+			// Whoever has an answer may still have copies on their way, or ask again.
+			if o.rng.IntN(3) == 0 {
+				o.After(eventloop.Micros(o.rng.IntN(5000))*eventloop.Milli, func() { o.try(each, func() {}) })
+			}
+		case each.code != reply.Code:
+			o.fail("%s was answered %d and then %d", each.sheet.Document, each.code, reply.Code)
+		default:
+			o.resent++
+		}
+		done()
+	})
+}
+
+// judge holds the whole history against the model.
+func (o *operators) judge() []string {
+	builtOn := map[uint64]*operatorOrder{}
+	for _, each := range o.orders {
+		operation := porcupine.Operation{
+			ClientId: each.operator, Input: registerInput{each}, Call: int64(each.sent), Return: int64(each.answered),
+			Output: registerOutput{code: each.code},
+		}
+		if each.code == 0 {
+			operation.Return = int64(o.Now) + 1
+			// Of what was built on an order that lost, nothing will ever be known.
+			if !each.isGiven && each.sheet.BaseEdition <= o.last {
+				o.fail("%s never got a clear answer", each.sheet.Document)
+			}
+		}
+		o.history = append(o.history, operation)
+		if other := builtOn[each.sheet.BaseEdition]; each.code == 200 && other != nil {
+			o.fail("%s and %s were both confirmed", other.sheet.Document, each.sheet.Document)
+		} else if each.code == 200 {
+			builtOn[each.sheet.BaseEdition] = each
+		}
+	}
+	if result := porcupine.CheckOperationsTimeout(register, o.history, time.Minute); result != porcupine.Ok {
+		o.fail("the history of %d orders and reads isn't linearizable: %s", len(o.history), result)
+	}
+	return o.wrong
+}
