--- a/internal/mutation/cut_mutants.go
+++ b/internal/mutation/cut_mutants.go
@@ -4,8 +4,40 @@
 func init() {
 	Mutants = append(Mutants, []*Mutant{
 		{Guard: "a learner becomes a voter once it has caught up", Test: "internal/replica TestWhoIsMadeAVoter", Edits: []Edit{{"internal/replica",
-			"return now-heard < heardSpan && group.IsCaughtUp(id)", "return now-heard < heardSpan || group.IsCaughtUp(id)"}}},
+			"return now-heard < heardSpan && group.IsCaughtUp(id)", "return now-heard < heardSpan || group.IsCaughtUp(id)"},
+			// The guard behind it, of what may be lost, would hide that.
+			{"internal/replica", "	if margin < t.losses && margin", "	if false && margin"}}},
 		{Guard: "a controller is fenced by a fresh cluster state", Test: "internal/replica TestAControllerIsFencedByAFreshClusterState", Edits: []Edit{{"internal/replica",
 			"!t.isClusterStateFresh(now) || !t.clusterState.IsController(m.Lease)", "!t.clusterState.IsController(m.Lease)"}}},
+		{Guard: "a majority is asked before a read", Rule: 11, Test: "internal/sim TestCutOffLeader", Edits: []Edit{{"internal/replica",
+			"			return\n		}\n		r.reading[t.reads] = asked\n",
+			"		}\n		r.reading[t.reads] = asked\n		t.read(now, r, t.reads, out)\n"}}},
+		{Guard: "a majority is asked before a refusal", Rule: 11, Test: "internal/sim TestCutOffLeader", Edits: []Edit{{"internal/replica",
+			"		if index, _, err := r.group.Propose(now, m.Body); err == nil {\n",
+			"		preview, _ := clusterstate.Restore(t.clusterState.Rest())\n" +
+				"		if result, err := preview.Apply(0, m.Body); err == nil && result.Fault != nil {\n			t.answerClusterState(asked, result, r, out)\n			return\n		}\n" +
+				"		if index, _, err := r.group.Propose(now, m.Body); err == nil {\n"}}},
+		{Guard: "that a queue is unknown is confirmed for the very call", Rule: 11, Test: "internal/sim TestCutOffFront", Edits: []Edit{{"internal/gateway",
+			"	case !isConfirmed:\n", "	case false:\n"}}},
+		{Guard: "a call that came after a confirmation was asked for waits for the next", Rule: 11, Test: "internal/gateway TestQueuesThisFrontDoesNotKnow", Edits: []Edit{{"internal/gateway",
+			"	c.next = append(c.next, call)\n	if c.number == 0 {\n", "	if c.number != 0 {\n		c.riding = append(c.riding, call)\n	} else {\n		c.next = append(c.next, call)\n"}}},
+		{Guard: "a front's lease runs from its question", Rule: 11, Test: "internal/gateway TestLeaseRunsFromTheQuestion", Edits: []Edit{{"internal/gateway",
+			"		t.lease.answered(m.Number, eventloop.Micros(m.AgeUs))\n", "		t.lease.confirmedAt = now\n"}}},
+		{Guard: "the age of what an answer tells counts against the lease", Rule: 11, Test: "internal/gateway TestLeaseRunsFromTheQuestion", Edits: []Edit{{"internal/gateway",
+			"max(l.confirmedAt, each.sentAt-age)", "max(l.confirmedAt, each.sentAt)"}}},
+		{Guard: "a front without a lease takes nothing", Rule: 11, Test: "internal/gateway TestLeaseRunsFromTheQuestion", Edits: []Edit{{"internal/gateway",
+			"return l.confirmedAt > 0 && now-l.confirmedAt <= l.duration()", "return l.confirmedAt > 0"}}},
+		{Guard: "what waits in a front that lost touch is answered at once", Rule: 12, Test: "internal/gateway TestWhenToComeBack", Edits: []Edit{{"internal/gateway",
+			"	if t.wasInTouch && !isInTouch {\n", "	if false {\n"}}},
+		{Guard: "what waits for a dropped queue is answered at once", Rule: 12, Test: "internal/gateway TestWorkForADroppedQueue", Edits: []Edit{{"internal/gateway",
+			"		t.endDropped(now, out)\n", ""}}},
+		{Guard: "a front without word asks every store in turn", Rule: 12, Test: "internal/gateway TestLeaseRunsFromTheQuestion", Edits: []Edit{{"internal/gateway",
+			"	if t.lease.isHalfOver(now) {\n		for _, id", "	if false {\n		for _, id"}}},
+		{Guard: "who isn't told whether it took effect is told when to come back", Rule: 12, Test: "platform TestOperator", Edits: []Edit{{"platform",
+			"answer.Code == 503 || answer.Code == 504 {", "answer.Code == 503 {"}}},
+		{Guard: "a worker that hears nothing counts as silent", Rule: 1, Test: "internal/scheduler TestAWorkerThatHearsNothing", Edits: []Edit{{"internal/scheduler",
+			"	if a.Unanswered && w.isKnown", "	if false && w.isKnown"}}},
+		{Guard: "an agent says when it hears nothing", Rule: 1, Test: "internal/agent TestAnAgentThatHearsNothing", Edits: []Edit{{"internal/agent",
+			"a.Unanswered = now-l.unansweredSince > deafSpan", "a.Unanswered = false"}}},
 	}...)
 }
