--- a/internal/mutation/model_mutants.go
+++ b/internal/mutation/model_mutants.go
@@ -46,6 +46,9 @@
 		"return fmt.Sprintf(\"%c%d\", 'a'+index, life)", "return fmt.Sprintf(\"%c%d\", 'a'+index, 0*life)"}}},
 	{Guard: "who starts again keeps to its answer", Rule: 2, Test: "internal/raft TestAReplicaThatStartsAgainKeepsItsAnswer", Edits: []Edit{{"internal/raft",
 		"if (isLed || now < g.boundUntil) && !m.Asked {", "if isLed && !m.Asked {"}}},
+	// Besides its test, a day shows it.
+	{Guard: "what a former ward granted is waited for", Rule: 2, Scenario: "leader warned, then the next", Seed: 1, Edits: []Edit{{"internal/scheduler",
+		"last := max(w.answered, w.since+wardSpan)", "last := w.answered"}}},
 	{Guard: "a taken edition is known again", Rule: 11, Test: walks, Edits: []Edit{{"internal/clusterstate",
 		"taken.Edition == edition && bytes.Equal(taken.Digest, digest) {", "taken.Edition > edition && bytes.Equal(taken.Digest, digest) {"}}},
 }
