--- a/internal/membership/newcomer.go
+++ b/internal/membership/newcomer.go
@@ -28,7 +28,7 @@
 // where there is none.
 func (r *Roll) Newcomer(now, live, age eventloop.Micros, voters []string) string {
 	for _, id := range slices.Sorted(maps.Keys(r.Known)) {
-		if IsNewcomer(r.Known[id].Member, age) && r.Live(id, now, live) && !slices.Contains(voters, id) {
+		if IsNewcomer(r.Known[id].Member, age) && r.Live(id, now, live) && !r.Refuses(id) && !slices.Contains(voters, id) {
 			return id
 		}
 	}
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -23,6 +23,7 @@
 	"sparnotch/internal/replica"
 	"sparnotch/internal/schema"
 	"sparnotch/internal/storage"
+	"sparnotch/internal/timing"
 	"sparnotch/internal/transport"
 )
 
@@ -53,7 +54,7 @@
 	syncing atomic.Int64 // when the sync that is under way began
 	stats   atomic.Pointer[storage.Counts]
 
-	isWaiting bool        // for a store that can't be opened
+	awaited   opening     // of a store that couldn't be opened yet; nil: none
 	isRefused atomic.Bool // the store takes no writes
 }
 
@@ -88,7 +89,7 @@
 	}
 	r.Member = &schema.Member{Id: newId(), Boot: 1, Role: role, Cell: options.Cell, Inner: options.Inner, Outer: options.Outer}
 	if options.Data != "" {
-		if err := r.takeStore(opened); err != nil {
+		if err := r.takeStore(opened, openSpan); err != nil {
 			return nil, err
 		}
 	}
@@ -104,7 +105,10 @@
 	papers := &Papers{
 		Member: r.Member, Seeds: options.Seeds, Book: r.book, Wall: r.Clock.Wall, Seed: randomSeed(), Now: r.Clock.Now(),
 		First: options.First, Losses: options.Losses, Zones: options.ZoneLosses, Regions: options.RegionLosses, RegionOf: options.Regions,
-		Bounds: options.Bounds, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
+		Bounds: options.Bounds, DiskBytes: options.DiskBytes, Calls: role == schema.Role_ROLE_CONTROLLER && len(hands) > 0,
+	}
+	if !timing.CanCatchUp(options.Bounds) {
+		log.Warn("a repair takes longer than the catch-up that the bounds allow")
 	}
 	if short := papers.terms(false).Tolerance().ShortOfPlaces(); short != "" {
 		log.Warn("the losses that are to be borne can't be", zap.String("why", short))
@@ -153,7 +157,7 @@
 			r.worst.Store(r.worst.Load() * 15 / 16)
 		})
 	})
-	if r.isWaiting {
+	if r.awaited != nil {
 		r.duty(func() { r.awaitStore(ctx) })
 	}
 	log.Info("started", zap.String("id", r.Member.Id), zap.Uint64("boot", r.Member.Boot), zap.String("inner", options.Inner), zap.String("outer", options.Outer))
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -36,6 +36,7 @@
 		t.patience.draw()
 	}
 	t.queues(now, out)
+	t.lookAtRoom(now)
 	fresh := Fresh{Groups: map[string]uint64{}, At: now}
 	for name, r := range t.groups {
 		if r.queue != nil && r.group.Acting(now) {
@@ -50,7 +51,7 @@
 // that was committed.
 func (t *Table) isClusterStateFresh(now eventloop.Micros) bool {
 	r := t.groups[clusterstate.Group]
-	return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < freshSpan
+	return r != nil && r.group.Fresh() > 0 && now-r.group.Fresh() < t.spans.Fresh
 }
 
 // tend proposes what a queue's leader owes to time and to the plan.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -74,6 +74,8 @@
 	agenda   agenda
 	seq      uint64
 	cuts     map[[2]string]bool // from address, to address
+	Holds    bool               // what is sent across a cut arrives when it is mended, as from a full buffer
+	held     map[[2]string][]func()
 	nextId   uint64
 	request  uint64
 	seeds    []string
@@ -96,6 +98,9 @@
 	gangs       *fakeworker.Gangs
 	bounds      *schema.Bounds
 	isNumbering bool // operators number editions
+
+	answersLost float64                    // share of acknowledgements that get lost on their way to callers
+	triggers    []func(checker.Event) bool // each waits for one event and goes when it has come
 }
 
 // Host is a machine with one process, or with none while it is down.
@@ -138,11 +143,13 @@
 	Member    *schema.Member
 	Also      func(papers *process.Papers, berths []process.Berth) []process.Berth // changes what its process is made of
 	Routes    func(body any) []string                                              // and where its messages go
+
+	resetUntil eventloop.Micros // half of what it sends or gets until then is lost
 }
 
 // NewWorld makes an empty world.
 func NewWorld(seed uint64, net Net, sync eventloop.Micros) *World {
-	return &World{Now: eventloop.Second, Rng: rand.New(rand.NewPCG(seed, 0x5eed)), Net: net, SyncUs: sync, cuts: map[[2]string]bool{}, known: map[string]handed{}, called: map[string]*CalledWorker{}, gangs: fakeworker.NewGangs()}
+	return &World{Now: eventloop.Second, Rng: rand.New(rand.NewPCG(seed, 0x5eed)), Net: net, SyncUs: sync, cuts: map[[2]string]bool{}, held: map[[2]string][]func(){}, known: map[string]handed{}, called: map[string]*CalledWorker{}, gangs: fakeworker.NewGangs()}
 }
 
 // At plans a call.
@@ -177,6 +184,7 @@
 		e.At = w.Now
 	}
 	w.History = append(w.History, e)
+	w.triggers = slices.DeleteFunc(w.triggers, func(isDone func(checker.Event) bool) bool { return isDone(e) })
 }
 
 // AddHost adds a machine; the first three that keep something are the seeds.
@@ -300,7 +308,12 @@
 const wallZero = 1_800_000_000_000_000
 
 // Kill ends the process and cuts the power: what wasn't synced may be lost.
-func (h *Host) Kill() {
+func (h *Host) Kill() { h.end(func() { h.Disk.PowerCut(h.world.Rng) }) }
+
+// Abort ends the process alone: what it wrote stays, synced or not.
+func (h *Host) Abort() { h.end(func() { h.Disk.OpsLeft = -1 }) }
+
+func (h *Host) end(left func()) {
 	if !h.IsUp {
 		return
 	}
@@ -312,7 +325,7 @@
 			h.Disk.OpsLeft = h.world.Rng.IntN(4)
 			_ = h.store.Commit(h.writing.Changes)
 		}
-		h.Disk.PowerCut(h.world.Rng)
+		left()
 	}
 	for _, answer := range h.takeWaiting() {
 		answer(nil)
@@ -520,7 +533,14 @@
 // carry takes a message to an address; where an id is given, to no other process
 // that may be there by then.
 func (w *World) carry(from *Host, id, address string, body any) {
-	if address == "" || w.cuts[[2]string{from.Address, address}] || w.Rng.Float64() < w.Net.Loss {
+	way := [2]string{from.Address, address}
+	if w.cuts[way] && w.Holds {
+		w.held[way] = append(w.held[way], func() { w.carry(from, id, address, body) })
+	}
+	if address == "" || w.cuts[way] || w.Rng.Float64() < w.Net.Loss {
+		return
+	}
+	if other := w.hostAt(address); w.isReset(from) || other != nil && w.isReset(other) {
 		return
 	}
 	times := 1
@@ -552,6 +572,15 @@
 	}
 }
 
+// resetWindow is how long messages of a machine get lost whose connections are
+// reset: what was on the wire, and what is sent until new ones are open.
+const resetWindow = 30 * eventloop.Milli
+
+// isReset draws whether a message is lost to a reset of a host's connections.
+func (w *World) isReset(h *Host) bool {
+	return w.Now < h.resetUntil && w.Rng.IntN(2) == 0
+}
+
 func (h *Host) routes(body any) []string {
 	if h.Routes != nil {
 		return h.Routes(body)
@@ -561,7 +590,15 @@
 
 // Cut cuts or mends the way from one host to another.
 func (w *World) Cut(from, to *Host, isCut bool) {
-	w.cuts[[2]string{from.Address, to.Address}] = isCut
+	way := [2]string{from.Address, to.Address}
+	w.cuts[way] = isCut
+	if !isCut {
+		held := w.held[way]
+		delete(w.held, way)
+		for _, arrive := range held {
+			arrive()
+		}
+	}
 	w.reckon()
 }
 
