--- a/internal/mutation/members_mutants.go
+++ b/internal/mutation/members_mutants.go
@@ -2,8 +2,10 @@
 
 // memberMutants are the guards of changes of membership; see docs/control/members.md.
 var memberMutants = []*Mutant{
-	{Guard: "promotion waits for the copy", Test: "internal/replica TestPromotionWaitsForTheCopy", Edits: []Edit{{"internal/replica",
-		"		if !mayVote(now, r.group, m.Promote) {\n			return\n		}\n", ""}}},
+	{Guard: "promotion waits for the copy", Test: "internal/replica TestPromotionWaitsForTheCopy", Edits: []Edit{
+		// Both who takes the order and the group itself see to it.
+		{"internal/replica", "		if !mayVote(now, r.group, m.Promote) {\n			return\n		}\n", ""},
+		{"internal/raft", "if !slices.Contains(old.Learners, id) || !g.IsCaughtUp(id) {", "if !slices.Contains(old.Learners, id) {"}}},
 	{Guard: "an empty learner isn't caught up in a young group", Test: "internal/raft TestCaughtUp", Edits: []Edit{{"internal/raft",
 		"p.match >= g.memberSetAt && g.lastIndex()-p.match <= CaughtUp", "g.lastIndex()-p.match <= CaughtUp"}}},
 	{Guard: "a learner isn't counted", Test: "internal/raft TestLearnersDoNotCount", Edits: []Edit{{"internal/raft",
@@ -13,7 +15,7 @@
 	{Guard: "members change one at a time", Test: "internal/raft TestAChangeWaitsForTheOwnTerm", Edits: []Edit{{"internal/raft",
 		"g.memberSetAt > g.commit || g.commit < g.first {", "g.commit < g.first {"}}},
 	{Guard: "a wiped disk is another member", Test: "internal/process TestAWipedDiskIsAnotherMember", Edits: []Edit{{"internal/process",
-		"		self.Id = newId()\n", "		self.Id = r.Options.Inner\n"}}},
+		"		self.Id = newId()\n", "		self.Id = \"store\"\n"}}},
 	{Guard: "no step lowers what may be lost", Test: "internal/replica TestNoStepLowersWhatMayBeLost", Edits: []Edit{{"internal/replica",
 		"	if margin < t.losses && margin", "	if false && margin"}}},
 	{Guard: "a leaver goes when its successor has a vote", Test: "internal/controller TestALeaverHandsItsVoteOver", Edits: []Edit{{"internal/controller",
--- a/internal/mutation/mutants.go
+++ b/internal/mutation/mutants.go
@@ -53,7 +53,7 @@
 	{Guard: "a queue's limit counts", Rule: 11, Scenario: "the table takes effect", Seed: 2, Edits: []Edit{{"internal/scheduler", "left := int(v.running) - v.out - len(v.reserved)", "left := 1 << 30"}}},
 	{Guard: "wards follow the leader", Rule: 12, Scenario: "leader frozen 30 s", Seed: 1, Edits: []Edit{{"internal/controller", "if ward.Scheduler != sturdy {", "if ward.Scheduler == \"\" {"}}},
 	{Guard: "gateway resends", Rule: 12, Scenario: "rough net", Seed: 1, Edits: []Edit{{"internal/gateway", "return now-each.sent >= resendSpan }", "return false }"}}},
-	{Guard: "a lost voter's place is given to another", Rule: 0, Scenario: "disk machine replaced", Seed: 1, Edits: []Edit{{"internal/controller", "	t.members(now, out)\n", ""}}},
+	{Guard: "a lost voter's place is given to another", Rule: 0, Scenario: "disk machine replaced", Seed: 1, Edits: []Edit{{"internal/controller", "		act := t.nextMember(now, notes[group], root)\n", "		var act *schema.Reroster\n"}}},
 	{Guard: "a lease that isn't renewed is claimed", Rule: 0, Scenario: "leader, controller and worker lost at once", Seed: 1, Edits: []Edit{{"internal/controller", "isVacant := t.until == 0 || stale > eventloop.Micros(clusterstate.LeaseUs)", "isVacant := t.until == 0"}}},
 	// What workers that are called rest on.
 	{Guard: "a call carries its ward's fence", Rule: 2, Test: "internal/agent TestWardChange", Edits: []Edit{{"internal/agent", "call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, l.fence", "call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, 0"}}},
