--- a/internal/mutation/members_mutants.go
+++ b/internal/mutation/members_mutants.go
@@ -40,7 +40,7 @@
 	{Guard: "a repair is over within the catch-up of the bounds", Test: "internal/timing TestSpans", Edits: []Edit{{"internal/timing",
 		"min(mostReplaced, catchUp-RepairSpan)", "mostReplaced"}}},
 	{Guard: "a former ward is waited for as long as its word may be old", Test: "internal/timing TestSpans", Edits: []Edit{{"internal/timing",
-		"s.Word, s.Ward = s.Fresh, s.Fresh+ActSpan", "s.Word, s.Ward = s.Fresh, s.Fresh"}}},
+		"s.Ward = s.Fresh + ActSpan", "s.Ward = s.Fresh"}}},
 }
 
 func init() { Mutants = append(Mutants, memberMutants...) }
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -24,12 +24,6 @@
 	// Ward is how long a former ward may still have granted something: its leader's word
 	// may have been that old, and the scheduler's word of the leader besides.
 	Ward eventloop.Micros
-	// Word is how long a front that sees no cluster state is ready: a third of the contact
-	// bound, so that callers are told before it is over.
-	Word eventloop.Micros
-	// GiveUp is how long it holds what it has taken then: what is acknowledged at all is
-	// so within the acknowledgement's bound, and a second more is left for its way.
-	GiveUp eventloop.Micros
 }
 
 const (
@@ -40,15 +34,13 @@
 	// commits, the copy of what the newcomer lacks, and the word that it is done.
 	RepairSpan = 1500 * eventloop.Milli
 
-	usualContact     = 3 * eventloop.Second
-	usualCatchUp     = 4 * eventloop.Second
-	usualAcknowledge = 4 * eventloop.Second
+	usualContact = 3 * eventloop.Second
+	usualCatchUp = 4 * eventloop.Second
 
 	mostSuspect  = 1500 * eventloop.Milli
 	mostReplaced = 2500 * eventloop.Milli
 	mostLost     = 6 * eventloop.Second
 	mostFresh    = eventloop.Second
-	mostGiveUp   = 5 * eventloop.Second
 )
 
 func given(us int64, usual eventloop.Micros) eventloop.Micros {
@@ -63,15 +55,13 @@
 func Of(bounds *schema.Bounds) Spans {
 	contact := given(bounds.GetContactUs(), usualContact)
 	catchUp := given(bounds.GetCatchUpUs(), usualCatchUp)
-	acknowledge := given(bounds.GetAcknowledgeUs(), usualAcknowledge)
 	s := Spans{
 		Suspect: min(mostSuspect, contact/2),
 		Fresh:   min(mostFresh, contact/3),
-		GiveUp:  min(mostGiveUp, acknowledge+eventloop.Second),
 	}
 	s.Replaced = max(s.Suspect, min(mostReplaced, catchUp-RepairSpan))
 	s.Lost = max(s.Replaced, min(mostLost, catchUp*3/2))
-	s.Word, s.Ward = s.Fresh, s.Fresh+ActSpan
+	s.Ward = s.Fresh + ActSpan
 	return s
 }
 
