--- a/internal/sim/schedule.go
+++ b/internal/sim/schedule.go
@@ -54,7 +54,7 @@
 }
 
 // catchUpSpan is what the platform grants a machine that is back, or a successor that
-// has started, before the next may be lost (catch_up_s).
+// has started, before the next may be lost: the catch-up's bound.
 const catchUpSpan = 4 * eventloop.Second
 
 // Of the closest spacing that is owed, each has a second for an acknowledgement
