--- a/internal/mutation/model_mutants.go
+++ b/internal/mutation/model_mutants.go
@@ -48,7 +48,7 @@
 		"if (isLed || now < g.boundUntil) && !m.Asked {", "if isLed && !m.Asked {"}}},
 	// Besides its test, a day shows it.
 	{Guard: "what a former ward granted is waited for", Rule: 2, Scenario: "leader warned, then the next", Seed: 1, Edits: []Edit{{"internal/scheduler",
-		"last := max(w.answered, w.since+wardSpan)", "last := w.answered"}}},
+		"last := max(w.answered, w.since+timing.Of(t.bounds).Ward)", "last := w.answered"}}},
 	{Guard: "a taken edition is known again", Rule: 11, Test: walks, Edits: []Edit{{"internal/clusterstate",
 		"taken.Edition == edition && bytes.Equal(taken.Digest, digest) {", "taken.Edition > edition && bytes.Equal(taken.Digest, digest) {"}}},
 }
--- a/internal/mutation/replace_mutants.go
+++ b/internal/mutation/replace_mutants.go
@@ -17,7 +17,7 @@
 		"	if sheet.BaseEdition > current.Edition {", "	if false {"}}},
 	{Guard: "what is forgotten isn't refused", Rule: 11, Test: "internal/clusterstate TestWhatIsAnsweredLate", Edits: []Edit{{"internal/clusterstate",
 		"	if !isRemembered {", "	if false {"}}},
-	{Guard: "an answer belongs to the record of its term", Rule: 11, Test: "internal/sim TestAnswersOfADeposedLeader", Edits: []Edit{{"internal/replica",
+	{Guard: "an answer belongs to the record of its term", Rule: 11, Test: "internal/replica TestAnswersBelongToTheRecordOfTheirTerm", Edits: []Edit{{"internal/replica",
 		"	isWaited = isWaited && waiting.term == record.Term\n", ""}}},
 	{Guard: "an order is answered when it was applied", Rule: 11, Test: "internal/sim TestReplaceIsLinearizable", Edits: []Edit{{"internal/replica",
 		"			r.waiting[index] = asked\n		}\n	default:",
--- /dev/null
+++ b/internal/replica/answers_test.go
@@ -0,0 +1,44 @@
+package replica
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+func TestAnswersBelongToTheRecordOfTheirTerm(t *testing.T) {
+	Convey("What a leader took while it was cut off isn't answered with what another leader put in its place", t, func() {
+		c := newCore()
+		So(c.put(queuesSheet(1, "", "l")).Code, ShouldEqual, 200)
+		old := c.leader("")
+		group := c.tables[old].groups[clusterstate.Group].group
+		c.isCut = func(from, to string) bool { return from != "" && (from == old || to == old) }
+		c.run(10 * eventloop.Milli)
+		next := group.Last() + 1
+		for id := uint64(71); id <= 74; id++ {
+			sheet := queuesSheet(2, "cut off", "cut", "off")
+			command := &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_Put{Put: &schema.PutPlan{Sheet: sheet}}}
+			c.step(old, "h", &schema.Request{Id: id, Kind: "clusterstate", Group: clusterstate.Group, Body: ClusterStateBody(command)})
+		}
+		So(group.Last(), ShouldBeGreaterThanOrEqualTo, next+3)
+		c.run(3 * eventloop.Second)
+		c.isDown[old] = true // it stands still meanwhile, so that its successor is asked
+		for edition := uint64(2); edition <= 5; edition++ {
+			So(c.put(queuesSheet(edition, "", "l")).Code, ShouldEqual, 200)
+		}
+		c.isCut, c.isDown[old] = nil, false
+		c.heard["h"] = nil
+		c.run(2 * eventloop.Second)
+		So(group.Applied(), ShouldBeGreaterThan, next+3)
+		So(c.tables[old].state.Plan.Edition, ShouldEqual, 5)
+		for _, body := range c.heard["h"] {
+			if reply, isReply := body.(*schema.RequestReply); isReply {
+				So(reply.Id, ShouldBeLessThan, 71)
+			}
+		}
+	})
+}
