--- a/cmd/sparnotch-bench/hollow_part.go
+++ b/cmd/sparnotch-bench/hollow_part.go
@@ -308,7 +308,7 @@
 	running := eventloop.NewProcess(clock)
 	out := &hollowNet{id: member.Id, book: book, running: running}
 	running.Out = out
-	for _, berth := range process.Heed(papers) {
+	for _, berth := range process.ControllerTables(papers) {
 		// Beyond the controllers wanted, a side is only its agent and the book.
 		if berth.Name == "controller" && p.setup.Controllers > 0 && k >= p.setup.Controllers {
 			running.Add(berth.Name, &hollow.Onlooker{}, hollow.OnlookerPace)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -253,8 +253,6 @@
 	t.announce(now, l, out)
 }
 
-// --- the worker's lives ---
-
 func (t *Table) beat(now eventloop.Micros, m Beat) {
 	l := t.life
 	if k := t.buried(m.Worker); k >= 0 {
@@ -362,8 +360,6 @@
 	return l.clockBy(now) + t.couldHold(now, l) - now
 }
 
-// --- whose ward it is ---
-
 func (t *Table) clusterState(now eventloop.Micros, m *schema.ClusterStateTell) {
 	if leader := m.Leaders[clusterstate.Group]; leader != "" {
 		t.leader = leader
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -8,8 +8,6 @@
 	"sparnotch/internal/schema"
 )
 
-// --- calls ---
-
 func (t *Table) issue(now eventloop.Micros, l *life, call Call, out eventloop.Out) uint64 {
 	t.number++
 	call.Number, call.Worker, call.Address, call.Fence = t.number, l.worker, l.beat.Address, l.fence
@@ -201,8 +199,6 @@
 	}
 }
 
-// --- looks ---
-
 // lookOut keeps one long look open, by which ends come at once and what runs
 // is held; and sends a short one where something waits for the worker's word.
 func (t *Table) lookOut(now eventloop.Micros, l *life, out eventloop.Out) {
--- a/internal/process/papers.go
+++ b/internal/process/papers.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// Keep makes a front process's tables.
-func Keep(p *Papers) []Berth {
+// ServerTables makes a front process's tables.
+func ServerTables(p *Papers) []Berth {
 	var account *schema.Self
 	readers := []string{"gateway"}
 	if p.Store != nil {
@@ -74,8 +74,8 @@
 	return berths
 }
 
-// Heed makes a side process's tables.
-func Heed(p *Papers) []Berth {
+// ControllerTables makes a side process's tables.
+func ControllerTables(p *Papers) []Berth {
 	var readers []string
 	var berths []Berth
 	if p.Calls {
--- a/internal/process/real.go
+++ b/internal/process/real.go
@@ -177,9 +177,9 @@
 		}
 	}()
 	if role == schema.Role_ROLE_SERVER {
-		return Keep(papers), nil
+		return ServerTables(papers), nil
 	}
-	return Heed(papers), nil
+	return ControllerTables(papers), nil
 }
 
 func (r *Real) duty(run func()) {
--- a/internal/queue/rest.go
+++ b/internal/queue/rest.go
@@ -8,8 +8,6 @@
 	"sparnotch/internal/schema"
 )
 
-// --- the state at rest: checkpoints and their release ---
-
 // cache keeps a dehydrated state now and then, to be released later.
 func (m *Machine) cache(index uint64) {
 	every := uint64(m.adopt.Every)
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -139,7 +139,7 @@
 func mustJSON(value any) []byte {
 	data, err := json.Marshal(value)
 	if err != nil {
-		panic("keep: " + err.Error())
+		panic("replica: " + err.Error())
 	}
 	return data
 }
@@ -312,7 +312,7 @@
 func ClusterStateBody(command *schema.ClusterStateCommand) []byte {
 	data, err := proto.Marshal(command)
 	if err != nil {
-		panic("keep: " + err.Error())
+		panic("replica: " + err.Error())
 	}
 	return clusterstate.Pack(data)
 }
--- a/internal/sim/members_test.go
+++ b/internal/sim/members_test.go
@@ -77,9 +77,9 @@
 		papers.First, papers.Losses = isFirst && h.run == 1, uint32(c.losses)
 		papers.Zones, papers.Regions, papers.RegionOf = uint32(c.tolerance.Zones), uint32(c.tolerance.Regions), c.tolerance.RegionOf
 		if h.Role == schema.Role_ROLE_CONTROLLER {
-			return process.Heed(papers)
+			return process.ControllerTables(papers)
 		}
-		return process.Keep(papers)
+		return process.ServerTables(papers)
 	}
 }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -266,9 +266,9 @@
 		}
 	}
 	h.Id = h.Member.Id
-	berths := process.Heed(papers)
+	berths := process.ControllerTables(papers)
 	if h.Role == schema.Role_ROLE_SERVER {
-		berths = process.Keep(papers)
+		berths = process.ServerTables(papers)
 	}
 	if h.Also != nil {
 		berths = h.Also(papers, berths)
