--- /dev/null
+++ b/internal/codesize/codesize_test.go
@@ -0,0 +1,113 @@
+package codesize
+
+import (
+	"bytes"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	mostFileLines     = 500
+	mostFunctionLines = 60
+)
+
+// over are the files and functions that are longer, with their lines: they may become
+// shorter, and leave the list then, but not longer.
+var over = map[string]int{
+	"cmd/sparnotch-bench/fleet.go fault":     111,
+	"cmd/sparnotch-bench/fleet.go run":       65,
+	"cmd/sparnotch-bench/fleet.go":           633,
+	"cmd/sparnotch-bench/hollow.go measure":  91,
+	"cmd/sparnotch-bench/hollow.go":          586,
+	"cmd/sparnotch-bench/outside.go job":     66,
+	"cmd/sparnotch-bench/slope.go Execute":   68,
+	"internal/checker/history.go read":       112,
+	"internal/checker/idle.go idle":          76,
+	"internal/checker/plans.go effects":      82,
+	"internal/checker/plans.go plans":        99,
+	"internal/checker/service.go served":     67,
+	"internal/fakeworker/called.go":          614,
+	"internal/gateway/submissions.go handIn": 71,
+	"internal/gateway/validate.go Check":     77,
+	"internal/process/real.go StartWith":     79,
+	"internal/raft/clone.go Fingerprint":     66,
+	"internal/scheduler/pass.go passQueue":   88,
+	"internal/scheduler/pass.go":             603,
+	"internal/scheduler/workers.go heard":    80,
+	"internal/sim/called.go":                 588,
+	"internal/sim/scenarios.go":              706,
+	"internal/sim/world.go":                  731,
+	"platform/settings.go ReadSettings":      67,
+}
+
+// TestSizes: no file of ours that isn't a test or generated is over 500 lines, and no
+// function over 60, but for those that are listed.
+func TestSizes(t *testing.T) {
+	found := map[string]int{}
+	err := filepath.WalkDir("../..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && (strings.HasPrefix(entry.Name(), ".") && entry.Name() != ".." || entry.Name() == "target" || entry.Name() == "journal") {
+			return filepath.SkipDir
+		}
+		isOurs := strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") && !strings.HasSuffix(path, ".pb.go")
+		if entry.IsDir() || !isOurs {
+			return nil
+		}
+		return measure(path, found)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, lines := range found {
+		switch most, isListed := over[name]; {
+		case !isListed:
+			t.Errorf("%s has %d lines: split it", name, lines)
+		case lines > most:
+			t.Errorf("%s has grown from %d to %d lines", name, most, lines)
+		case lines < most:
+			t.Errorf("%s has %d lines now, the list says %d: shorten the list as well", name, lines, most)
+		}
+	}
+	for name := range over {
+		if _, isThere := found[name]; !isThere {
+			t.Errorf("%s isn't over the limit any more: take it from the list", name)
+		}
+	}
+}
+
+// measure notes what in a file is over the limits.
+func measure(path string, found map[string]int) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	name := strings.TrimPrefix(filepath.ToSlash(path), "../../")
+	if lines := bytes.Count(data, []byte("\n")); lines > mostFileLines {
+		found[name] = lines
+	}
+	files := token.NewFileSet()
+	file, err := parser.ParseFile(files, path, data, 0)
+	if err != nil {
+		return err
+	}
+	for _, declaration := range file.Decls {
+		function, isFunction := declaration.(*ast.FuncDecl)
+		if !isFunction || function.Body == nil {
+			continue
+		}
+		lines := files.Position(function.Body.Rbrace).Line - files.Position(function.Body.Lbrace).Line - 1
+		if lines > mostFunctionLines {
+			found[fmt.Sprintf("%s %s", name, function.Name.Name)] = lines
+		}
+	}
+	return nil
+}
