Configuration: patches by name, applied with their log entry

Change: an update may be a patch: rows of removed items go, rows are set by key, lists of the JSON document change by their items' names. It is a compare-and-set like a whole update, applied to the base when its log entry is; its digest holds the base.

--- a/cmd/sparnotchctl/config.go
+++ b/cmd/sparnotchctl/config.go
@@ -18,6 +18,19 @@
 
 // loadUpdate reads and validates the one file that a command names.
 func loadUpdate(set *flag.FlagSet) (*schema.ConfigurationUpdate, subcommands.ExitStatus) {
+	update, status := readUpdate(set)
+	if status != subcommands.ExitSuccess {
+		return nil, status
+	}
+	if fault := clusterstate.ValidateRows(update.Rows); fault != nil {
+		printError("%s: %s [%s]", set.Arg(0), fault.Message, fault.Field)
+		return nil, exitRejected
+	}
+	return update, status
+}
+
+// readUpdate reads the one file that a command names.
+func readUpdate(set *flag.FlagSet) (*schema.ConfigurationUpdate, subcommands.ExitStatus) {
 	if set.NArg() != 1 {
 		printError("one file is needed, - for standard input")
 		return nil, exitUsage
@@ -32,10 +45,6 @@
 		printError("%s: %v", set.Arg(0), err)
 		return nil, exitRejected
 	}
-	if fault := clusterstate.ValidateRows(update.Rows); fault != nil {
-		printError("%s: %s [%s]", set.Arg(0), fault.Message, fault.Field)
-		return nil, exitRejected
-	}
 	return update, subcommands.ExitSuccess
 }
 
@@ -135,12 +144,17 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
+	return c.sendUpdate("PUT", update)
+}
+
+// sendUpdate sends an update and prints what is in force after it.
+func (n *nodeClient) sendUpdate(method string, update *schema.ConfigurationUpdate) subcommands.ExitStatus {
 	body, err := protojson.Marshal(update)
 	if err != nil {
 		printError("%v", err)
 		return exitFailed
 	}
-	data, status := c.call("PUT", "/v1/plan", body)
+	data, status := n.call(method, "/v1/plan", body)
 	if status != subcommands.ExitSuccess {
 		return status
 	}
--- /dev/null
+++ b/cmd/sparnotchctl/configpatch.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"sparnotch/internal/schema"
+)
+
+// configPatchCommand changes some rows of the configuration.
+type configPatchCommand struct {
+	nodeClient
+	removed itemsFlag
+}
+
+func (*configPatchCommand) Name() string     { return "config-patch" }
+func (*configPatchCommand) Synopsis() string { return "change some rows of the configuration" }
+func (*configPatchCommand) Usage() string {
+	return "sparnotchctl config-patch [-remove KIND/NAME]... FILE\n  FILE is like that of config-apply, with the rows to set alone; all others stay. First all\n  rows of the removed queues, racks and pools go. Rejected when the configuration has\n  changed since the generation that the file names.\n" + exitHelp
+}
+func (c *configPatchCommand) SetFlags(set *flag.FlagSet) {
+	c.register(set)
+	set.Var(&c.removed, "remove", "KIND/NAME of a queue, rack or pool to remove; may be given more than once")
+}
+func (c *configPatchCommand) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	update, status := readUpdate(set)
+	if status != subcommands.ExitSuccess {
+		return status
+	}
+	update.IsPatch, update.Removed = true, append(update.Removed, c.removed...)
+	return c.sendUpdate("PATCH", update)
+}
+
+// itemsFlag is a flag that names items of the configuration.
+type itemsFlag []*schema.ConfigurationItem
+
+// String implements flag.Value.
+func (f *itemsFlag) String() string {
+	var names []string
+	for _, item := range *f {
+		names = append(names, item.Kind+"/"+item.Name)
+	}
+	return strings.Join(names, " ")
+}
+
+// Set implements flag.Value.
+func (f *itemsFlag) Set(text string) error {
+	kind, name, found := strings.Cut(text, "/")
+	if !found || kind == "" || name == "" {
+		return fmt.Errorf("%q isn't KIND/NAME", text)
+	}
+	*f = append(*f, &schema.ConfigurationItem{Kind: kind, Name: name})
+	return nil
+}
--- a/cmd/sparnotchctl/main.go
+++ b/cmd/sparnotchctl/main.go
@@ -20,7 +20,7 @@
 	commands []subcommands.Command
 }{
 	{"the configuration", []subcommands.Command{
-		&configGetCommand{}, &configCheckCommand{}, &configApplyCommand{}, &configDiffCommand{}, &configHistoryCommand{}, &configKeysCommand{},
+		&configGetCommand{}, &configCheckCommand{}, &configApplyCommand{}, &configPatchCommand{}, &configDiffCommand{}, &configHistoryCommand{}, &configKeysCommand{},
 	}},
 	{"jobs", []subcommands.Command{&submitCommand{}, &jobCommand{verb: "job"}, &jobCommand{verb: "cancel"}, &listJobsCommand{}}},
 	{"nodes", []subcommands.Command{
--- a/internal/clusterstate/replace.go
+++ b/internal/clusterstate/replace.go
@@ -20,7 +20,8 @@
 //   - 200: this very update was accepted, now or before;
 //   - 412: a number above its base is current and another update brought it, so this one
 //     can't be accepted any more;
-//   - 422: it is invalid by itself, whatever is current.
+//   - 422: it is invalid by itself, whatever is current; a patch (patch.go) is judged
+//     together with its base.
 //
 // Else the outcome is said to be open, and the update may be sent again:
 //
@@ -65,18 +66,16 @@
 	if given < current.Revision {
 		return baseSuperseded("generation", given, current.Revision, given >= m.oldestRememberedRevision())
 	}
-	if invalid := validateUpdate(update); invalid != nil {
-		return &Result{Code: http.StatusUnprocessableEntity, Error: invalid}
-	}
-	if given > current.Revision {
-		return baseNotAccepted("generation", given, current.Revision)
+	complete, rejection := m.completeUpdate(update, baseReference{field: "generation", given: given, current: current.Revision})
+	if rejection != nil {
+		return rejection
 	}
 	// The version and its document stay: the edit is made on top of them.
-	document := update.Document
+	document := complete.Document
 	if len(document) == 0 {
 		document = current.Document
 	}
-	return m.applyUpdate(update, current.Version, document, &schema.AcceptedVersion{Digest: digest})
+	return m.applyUpdate(complete, current.Version, document, &schema.AcceptedVersion{Digest: digest})
 }
 
 // replaceByVersion takes an update whose author numbers the versions.
@@ -96,13 +95,43 @@
 			Field: "edition", Given: update.Version, Current: current.Version,
 		}}
 	}
-	if invalid := validateUpdate(update); invalid != nil {
-		return &Result{Code: http.StatusUnprocessableEntity, Error: invalid}
+	complete, rejection := m.completeUpdate(update, baseReference{field: "base_edition", given: update.BaseVersion, current: current.Version})
+	if rejection != nil {
+		return rejection
+	}
+	return m.applyUpdate(complete, update.Version, complete.Document, &schema.AcceptedVersion{Version: update.Version, Digest: digest})
+}
+
+// baseReference is what an update names as its base, beside what is current.
+type baseReference struct {
+	field          string // of the update
+	given, current uint64
+}
+
+func (r baseReference) isAhead() bool { return r.given > r.current }
+
+// completeUpdate returns a valid update with the rows and the document that will be in force:
+// the update itself, or for a patch the current configuration with the patch applied. Else
+// it returns the rejection.
+func (m *StateMachine) completeUpdate(update *schema.ConfigurationUpdate, base baseReference) (*schema.ConfigurationUpdate, *Result) {
+	if update.IsPatch && base.isAhead() {
+		// Whether a patch is valid depends on its base.
+		return nil, baseNotAccepted(base.field, base.given, base.current)
+	}
+	complete, invalid := update, (*schema.Error)(nil)
+	if update.IsPatch {
+		complete, invalid = applyPatch(m.state.Configuration, update)
+	}
+	if invalid == nil {
+		invalid = validateUpdate(complete)
 	}
-	if update.BaseVersion > current.Version {
-		return baseNotAccepted("base_edition", update.BaseVersion, current.Version)
+	switch {
+	case invalid != nil:
+		return nil, &Result{Code: http.StatusUnprocessableEntity, Error: invalid}
+	case base.isAhead():
+		return nil, baseNotAccepted(base.field, base.given, base.current)
 	}
-	return m.applyUpdate(update, update.Version, update.Document, &schema.AcceptedVersion{Version: update.Version, Digest: digest})
+	return complete, nil
 }
 
 // baseSuperseded rejects an update whose base has been replaced: 412, or 504 if it isn't
@@ -204,6 +233,7 @@
 	if len(update.Document) == 0 {
 		hash.Write([]byte(strings.Join(canonicalRows(update.Rows), "\n")))
 	}
+	hashPatch(hash, update)
 	return hash.Sum(nil)[:digestBytes]
 }
 
@@ -213,5 +243,6 @@
 	hash.Write([]byte(strconv.FormatUint(update.GetBaseRevision(), 10) + "\n"))
 	hash.Write([]byte(strings.Join(canonicalRows(update.Rows), "\n") + "\n"))
 	hash.Write(update.Document)
+	hashPatch(hash, update)
 	return hash.Sum(nil)[:digestBytes]
 }
--- a/internal/clusterstate/replace_model_test.go
+++ b/internal/clusterstate/replace_model_test.go
@@ -34,6 +34,9 @@
 	if update.Version == 0 {
 		return fmt.Sprint("edit of ", update.GetBaseRevision(), canonicalRows(update.Rows))
 	}
+	if update.IsPatch {
+		return fmt.Sprintf("%d on %d: patch %v", update.Version, update.BaseVersion, canonicalRows(update.Rows))
+	}
 	return fmt.Sprintf("%d on %d: %s", update.Version, update.BaseVersion, update.Document)
 }
 
--- a/internal/httpapi/handlers.go
+++ b/internal/httpapi/handlers.go
@@ -146,10 +146,30 @@
 	if !decodeProtoJSON(ctx, data, update) {
 		return
 	}
+	update.IsPatch, update.Removed = false, nil
 	if invalid := clusterstate.ValidateRows(update.Rows); invalid != nil {
 		writeResponse(ctx, gateway.Unprocessable(invalid))
 		return
 	}
+	s.proposeUpdate(ctx, update)
+}
+
+// patchConfiguration sets and removes rows of the configuration that the patch is based on.
+func (s *Server) patchConfiguration(ctx iris.Context) {
+	data, isRead := readBody(ctx, maxConfigurationBytes)
+	if !isRead {
+		return
+	}
+	update := &schema.ConfigurationUpdate{}
+	if !decodeProtoJSON(ctx, data, update) {
+		return
+	}
+	update.IsPatch = true
+	s.proposeUpdate(ctx, update)
+}
+
+// proposeUpdate has the cluster state decide on an update of the configuration.
+func (s *Server) proposeUpdate(ctx iris.Context, update *schema.ConfigurationUpdate) {
 	command := &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_UpdateConfiguration{
 		UpdateConfiguration: &schema.UpdateConfiguration{Update: update},
 	}}
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -145,4 +145,5 @@
 		s.requestLeader(ctx, configurationTimeout, gateway.LeaderRequest{Kind: gateway.KindHistory, Group: clusterstate.GroupName})
 	})
 	app.Put("/v1/plan", s.putConfiguration)
+	app.Patch("/v1/plan", s.patchConfiguration)
 }
--- a/internal/sim/operators_test.go
+++ b/internal/sim/operators_test.go
@@ -157,12 +157,13 @@
 	})
 }
 
-// newUpdate makes an update; those of different operators often have the same version.
+// newUpdate makes an update; those of different operators often have the same version. Every
+// third is a patch, which sets the document's one member.
 func (o *operators) newUpdate(operator int, base uint64) *operatorUpdate {
 	version := base + 1 + uint64(o.rng.IntN(2))
-	document := fmt.Sprintf("%d on %d, order %d of operator %d", version, base, len(o.updates), operator)
+	document := fmt.Sprintf(`{"content":"%d on %d, order %d of operator %d"}`, version, base, len(o.updates), operator)
 	update := &operatorUpdate{operator: operator, sentAt: o.Now, content: &schema.ConfigurationUpdate{
-		Version: version, BaseVersion: base, Document: []byte(document),
+		Version: version, BaseVersion: base, Document: []byte(document), IsPatch: base > 0 && len(o.updates)%3 == 0,
 		Rows: []*schema.ConfigurationRow{{Kind: "rack", Name: "r1", Key: "weight", Value: fmt.Sprint(version % 100)}},
 	}}
 	o.updates = append(o.updates, update)
