Scheduler: runs that go on count for their worker before its failures count against it

Cause: of runs that began together the failed ones end first. Change: before a failure counts, the worker's running tasks count as successful for the part of their expected runtime that they have run (the CUSUM of a hazard rate instead of one of ends).

--- a/internal/scheduler/quality.go
+++ b/internal/scheduler/quality.go
@@ -13,7 +13,9 @@
 //
 // Whether a worker fails too much is decided by Page's CUSUM test: each run adds the
 // logarithm of how much likelier its outcome is on a bad worker than on a sound one,
-// and the sum, which never falls below 0, ejects the worker at a threshold.
+// and the sum, which never falls below 0, ejects the worker at a threshold. A run that goes
+// on counts in part: of runs that began together the failed ones end first, and without the
+// others sound workers would look bad.
 
 const (
 	baseEjectionPeriod = 5 * eventloop.Second         // the first; each following one is twice as long
@@ -78,6 +80,7 @@
 	case outcomeDone:
 		s.recordSuccess(now, w, key, status)
 	case outcomeFailed:
+		s.creditRunning(now, w)
 		s.recordFailure(w, key)
 	}
 }
@@ -85,6 +88,7 @@
 func (s *Scheduler) recordSuccess(now eventloop.Micros, w *worker, key attemptKey, status *schema.TaskStatus) {
 	w.counts.add(false)
 	s.recordOutcome(w, key.queue, false)
+	s.credit(w, key.queue, w.taskOf(key), 1)
 	t := w.tasks[key.taskKey]
 	switch {
 	case !w.isOnProbation:
@@ -124,11 +128,34 @@
 	w.outcomes[queue].add(isFailure)
 	if isFailure {
 		w.suspicion += math.Log(badFailureRatio / ratio)
-	} else {
-		w.suspicion = math.Max(0, w.suspicion+math.Log((1-badFailureRatio)/(1-ratio)))
 	}
 }
 
+// creditRunning counts the part of their expected runtime that the worker's tasks have run
+// so far without a failure.
+func (s *Scheduler) creditRunning(now eventloop.Micros, w *worker) {
+	for _, t := range w.sortedTasks() {
+		if t.startedAt == 0 || t.spec.RunUntilCancelled {
+			continue
+		}
+		if expected := s.expectedRuntime(w, t); expected > 0 {
+			s.credit(w, t.key.queue, t, math.Min(1, float64(now-t.startedAt)/float64(expected)))
+		}
+	}
+}
+
+// credit counts a run, known or not, as successful up to a part of it. What was counted
+// before isn't counted again.
+func (s *Scheduler) credit(w *worker, queue string, t *task, part float64) {
+	credited := part
+	if t != nil {
+		credited = math.Max(0, part-t.creditedPart)
+		t.creditedPart += credited
+	}
+	ratio := s.peerFailureRatio(w, queue)
+	w.suspicion = math.Max(0, w.suspicion+credited*math.Log((1-badFailureRatio)/(1-ratio)))
+}
+
 // peerFailureRatio is the share of a queue's runs that fail on other workers.
 func (s *Scheduler) peerFailureRatio(w *worker, queue string) float64 {
 	succeeded, failed := 0.0, 0.0
--- a/internal/scheduler/quality_test.go
+++ b/internal/scheduler/quality_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -222,3 +223,52 @@
 		So(len(h.placements()), ShouldEqual, 1)
 	})
 }
+
+func TestRunningTasksCountForTheirWorker(t *testing.T) {
+	step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 10, EstimatedRunUs: 1_000_000}
+	// One in ten of the queue's runs fails on other workers; b has run many.
+	setUp := func() *harness {
+		h := newQualityHarness(4, step)
+		for k := uint64(1); k <= 4; k++ {
+			h.finishTasks(9, "b", step, eventloop.Second)
+			h.failTasks("b", 1000+k)
+		}
+		return h
+	}
+	// start has a begin so many tasks, of which some then fail while the others go on.
+	start := func(h *harness, count uint64) (statuses []*schema.TaskStatus) {
+		for k := uint64(1); k <= count; k++ {
+			h.deliverNext(newEvent(0, 500+k, 0, queue.CheckedOut, "a", step))
+			statuses = append(statuses, &schema.TaskStatus{Name: fmt.Sprint("j", 500+k), Attempt: 1, State: "running"})
+		}
+		h.sendHeartbeat("a", withRunning(statuses...))
+		return statuses
+	}
+	fail := func(h *harness, statuses []*schema.TaskStatus, count int) {
+		for k := range count {
+			statuses[k].State = "failed"
+			h.sendHeartbeat("a", withNames(func(a *schema.WorkerHeartbeat) { a.Ended, a.Running = statuses[:k+1], statuses[k+1:] }))
+			h.advance(150 * eventloop.Millisecond)
+		}
+	}
+	Convey("Failures that come first of many runs don't eject their worker", t, func() {
+		h := setUp()
+		statuses := start(h, 40)
+		h.advance(100 * eventloop.Millisecond)
+		fail(h, statuses, 5)
+		So(h.scheduler.workers["a"].isSuspicious(), ShouldBeFalse)
+		Convey("and a run counts once, however it goes on", func() {
+			h.advance(5 * eventloop.Second)
+			h.scheduler.workers["a"].suspicion = 7
+			h.scheduler.creditRunning(h.now, h.scheduler.workers["a"])
+			left := h.scheduler.workers["a"].suspicion
+			h.scheduler.creditRunning(h.now, h.scheduler.workers["a"])
+			So(h.scheduler.workers["a"].suspicion, ShouldEqual, left)
+		})
+	})
+	Convey("The same failures do where nothing else runs", t, func() {
+		h := setUp()
+		fail(h, start(h, 5), 5)
+		So(h.scheduler.workers["a"].isSuspicious() || h.scheduler.workers["a"].isOnProbation, ShouldBeTrue)
+	})
+}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -99,6 +99,7 @@
 	checkpointedAt  eventloop.Micros // its checkpoint last changed
 	lastCheckpoint  string
 	sample          progressSample
+	creditedPart    float64          // of its run, that has counted as successful for its worker
 	strikes         uint32           // how often the task was stopped for being stuck
 	stopRequestedAt eventloop.Micros // it was first seen wanting to be stopped
 	isStopOverdue   bool             // preemption no longer waits for its resources
