Failover: a lost handover is tried again soon, and a deposed leader isn't kept

Cause: a leader that was killed and back within 0.6 s kept the worker leases while another led its queues. Change: who has handed a group over and leads it all the same tries again after 1 s, then less and less often. A leader that was voted out isn't handed its group for 1.5 s. The controller moves the leases after the queues when the node that should lead them leads none and another most.

--- a/internal/controller/leaders.go
+++ b/internal/controller/leaders.go
@@ -12,6 +12,7 @@
 const (
 	highLatencyUs       = int64(300 * eventloop.Millisecond) // nodes below it are preferred, see mostSuitable
 	latencyMoveCooldown = 15 * eventloop.Second              // between two moves for latency alone
+	leadersSettlePeriod = 2 * eventloop.Second               // after a move, in which the queues' leaders follow it
 	latencyMoveFactor   = 3                                  // latency alone moves nothing unless it is so many times higher
 )
 
@@ -50,13 +51,15 @@
 type leaderCandidate struct {
 	id        string
 	latencyUs int64
-	assigned  int // queues and worker leases that the cluster state gives it
-	leads     int // queues that it leads
+	assigned  int  // queues and worker leases that the cluster state gives it
+	leads     int  // queues that it leads
+	isDeposed bool // it leads none of the queues that it should, and another leads most of them
 }
 
 func compareLeaderCandidates(a, b leaderCandidate) int {
 	return cmp.Or(
 		compareBools(a.latencyUs > highLatencyUs, b.latencyUs > highLatencyUs),
+		compareBools(a.isDeposed, b.isDeposed),
 		cmp.Compare(b.assigned, a.assigned),
 		cmp.Compare(b.leads, a.leads),
 		cmp.Compare(a.id, b.id),
@@ -82,6 +85,7 @@
 	if len(candidates) == 0 {
 		return ""
 	}
+	c.markDeposed(now, candidates)
 	slices.SortFunc(candidates, compareLeaderCandidates)
 	best := candidates[0]
 	for _, other := range candidates[1:] {
@@ -95,6 +99,21 @@
 	return best.id
 }
 
+// markDeposed marks the candidates that were voted out and are back already, too soon to be
+// missed. Their queues stay with the new leader: to hand them back takes longer than to move
+// the worker leases after them, and nothing starts on the workers meanwhile.
+func (c *Controller) markDeposed(now eventloop.Micros, candidates []leaderCandidate) {
+	if c.leadersMovedAt > 0 && now-c.leadersMovedAt < leadersSettlePeriod {
+		return
+	}
+	hasSuccessor := slices.ContainsFunc(candidates, func(other leaderCandidate) bool {
+		return 2*other.leads > len(c.state.Queues)
+	})
+	for k := range candidates {
+		candidates[k].isDeposed = hasSuccessor && candidates[k].assigned > 0 && candidates[k].leads == 0
+	}
+}
+
 // leaderCandidates returns the voters of the cluster state's group that are live. A node without
 // a fresh report is partitioned from the cluster state: it could neither lead nor use worker
 // leases.
--- a/internal/controller/leaders_test.go
+++ b/internal/controller/leaders_test.go
@@ -47,6 +47,27 @@
 			So(f.commands[0].GetPlaceQueues().GetQueues()[0].PreferredLeader, ShouldEqual, "b")
 			So(f.commands[1].GetAssignWorkers().GetWorkerLeases()[0].Scheduler, ShouldEqual, "b")
 		})
+		Convey("and also if it is back at once", func() {
+			after := map[string]string{clusterstate.GroupName: "a", "l": "b"}
+			for k := 0; k < 20 && len(f.commands) == 0; k++ {
+				f.tick()
+				report("a", after)
+				report("b", after)
+				report("c", map[string]string{clusterstate.GroupName: "a"})
+			}
+			So(f.commands[0].GetPlaceQueues().GetQueues()[0].PreferredLeader, ShouldEqual, "b")
+			So(f.commands[1].GetAssignWorkers().GetWorkerLeases()[0].Scheduler, ShouldEqual, "b")
+		})
+		Convey("but what was moved just now isn't moved back while the leaders follow", func() {
+			f.controller.leadersMovedAt = f.now
+			for movedAt := f.now; f.now-movedAt < leadersSettlePeriod-200*eventloop.Millisecond; {
+				f.tick()
+				report("a", map[string]string{clusterstate.GroupName: "a", "l": "b"})
+				report("b", map[string]string{clusterstate.GroupName: "a", "l": "b"})
+				report("c", map[string]string{clusterstate.GroupName: "a"})
+			}
+			So(f.commands, ShouldBeEmpty)
+		})
 		Convey("but not while nobody else leads", func() {
 			for k := 0; k < 20; k++ {
 				f.tick()
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -36,6 +36,12 @@
 
 	transferredAt       eventloop.Micros // when leadership was last handed over or taken over
 	preferredAtTransfer string           // the preferred leader at that time
+	failedTransfers     int              // handovers in a row by which this node didn't lose the leadership
+
+	leadingTerm   uint64           // in which this node led when last looked at
+	leadingSince  eventloop.Micros // by an election of that term
+	lastLeader    string           // the last other leader that this node knew
+	deposedLeader string           // lastLeader at leadingSince
 
 	notifiedMemberSetIndex uint64 // last member set that was reported to the controller
 	notifiedLearner        string // last caught-up learner that was reported
--- a/internal/replica/leadership.go
+++ b/internal/replica/leadership.go
@@ -14,6 +14,9 @@
 	livenessTimeout     = 2 * eventloop.Second // since the last report of a process
 	transferCooldown    = 5 * eventloop.Second // between two handovers of a group
 	minTransferInterval = eventloop.Second     // the same where the cooldown doesn't apply
+	// deposedLeaderGrace is how long a leader that was voted out, because it didn't answer,
+	// isn't handed a group again: the controller notices by then, and names another.
+	deposedLeaderGrace  = 1500 * eventloop.Millisecond
 	maxSuccessorSilence = 500 * eventloop.Millisecond
 	maxSuccessorLag     = 256 // entries that a successor may lack
 	electionJitterScale = 1 << 16
@@ -47,7 +50,7 @@
 		return
 	}
 	if r := h.groups[m.Group]; r != nil {
-		r.transferredAt, r.preferredAtTransfer = now, h.preferredLeader(r)
+		r.transferredAt, r.preferredAtTransfer, r.failedTransfers = now, h.preferredLeader(r), 0
 	}
 	h.stepGroup(now, from, m.Group, m)
 }
@@ -60,7 +63,7 @@
 		return
 	}
 	target := preferred
-	isTargetReady := target != h.id && h.canTakeOver(now, r, target) && !h.isNodeReadOnly(target)
+	isTargetReady := target != h.id && h.canTakeOver(now, r, target) && !h.isNodeReadOnly(target) && !r.isDeposed(now, target)
 	mustLeave := h.isDraining || h.isStalled(now) && h.canElectAnother(now, r)
 	switch {
 	case isTargetReady:
@@ -70,7 +73,11 @@
 		return
 	}
 	if target != "" {
+		if preferred != r.preferredAtTransfer {
+			r.failedTransfers = 0
+		}
 		r.transferredAt, r.preferredAtTransfer = now, preferred
+		r.failedTransfers++
 		r.group.TransferLeadership(now, target)
 	}
 }
@@ -84,8 +91,37 @@
 	// A preferred leader that was named since gets the group without the cooldown: the
 	// leases of the queue's workers have gone to it, and nobody else can start tasks on
 	// them.
-	isCooledDown := now-r.transferredAt >= transferCooldown || h.isDraining || preferred != r.preferredAtTransfer
-	return isCooledDown && now-r.transferredAt >= minTransferInterval
+	if h.isDraining || preferred != r.preferredAtTransfer {
+		return now-r.transferredAt >= minTransferInterval
+	}
+	return now-r.transferredAt >= r.transferInterval()
+}
+
+// transferInterval is how long a group isn't handed over again to the same node. Who was
+// handed a group keeps it for transferCooldown. Who has handed it over and leads it all the
+// same tries again soon, then less and less often: while it tries, nothing is proposed.
+func (r *replica) transferInterval() eventloop.Micros {
+	if r.failedTransfers == 0 {
+		return transferCooldown
+	}
+	const maxDoublings = 8
+	return min(minTransferInterval<<min(r.failedTransfers-1, maxDoublings), transferCooldown)
+}
+
+// observeLeadership notes who leads the group, and since when this node does.
+func (r *replica) observeLeadership(now eventloop.Micros, self string) {
+	leader := r.group.Leader()
+	switch {
+	case leader != "" && leader != self:
+		r.lastLeader, r.leadingTerm = leader, 0
+	case r.group.IsLeader() && r.leadingTerm != r.group.Term():
+		r.leadingTerm, r.leadingSince, r.deposedLeader = r.group.Term(), now, r.lastLeader
+	}
+}
+
+// isDeposed reports whether this node has only just been elected in a node's place.
+func (r *replica) isDeposed(now eventloop.Micros, id string) bool {
+	return id == r.deposedLeader && now-r.leadingSince < deposedLeaderGrace
 }
 
 // preferredLeader is the node that the cluster state prefers as leader of a queue;
--- a/internal/replica/leadership_test.go
+++ b/internal/replica/leadership_test.go
@@ -25,6 +25,75 @@
 	})
 }
 
+func TestFailedHandoverIsRepeated(t *testing.T) {
+	Convey("A handover that is lost on its way is tried again after a second, not after the cooldown", t, func() {
+		c := newClusterWithQueue()
+		lost := 0
+		c.isLost = func(to string, body any) bool {
+			if _, isHandover := body.(*schema.TimeoutNow); isHandover && to == "b" && lost == 0 {
+				lost++
+				return true
+			}
+			return false
+		}
+		c.placeQueue("q", "b")
+		c.runWithMembership(800 * eventloop.Millisecond)
+		So(lost, ShouldEqual, 1)
+		So(c.leader("q"), ShouldEqual, "a")
+		c.runWithMembership(1200 * eventloop.Millisecond)
+		So(c.leader("q"), ShouldEqual, "b")
+	})
+	Convey("One that fails again and again is tried less and less often", t, func() {
+		c := newClusterWithQueue()
+		lost := 0
+		c.isLost = func(_ string, body any) bool {
+			_, isHandover := body.(*schema.TimeoutNow)
+			if isHandover {
+				lost++
+			}
+			return isHandover
+		}
+		c.placeQueue("q", "b")
+		c.runWithMembership(20 * eventloop.Second)
+		So(lost, ShouldBeBetweenOrEqual, 4, 7)
+		So(c.leader("q"), ShouldEqual, "a")
+	})
+}
+
+func TestDeposedLeaderIsNotHandedItsGroupAtOnce(t *testing.T) {
+	Convey("A leader that comes back just after its successor was elected gets the group back only when the controller had time to name another", t, func() {
+		c := newClusterWithQueue()
+		c.isDown["a"] = true
+		for k := 0; k < 200 && c.leader("q") == ""; k++ {
+			c.runWithMembership(20 * eventloop.Millisecond)
+		}
+		successor := c.leader("q")
+		So(successor, ShouldNotEqual, "")
+		c.isDown["a"] = false
+		for k := 0; k < 28; k++ {
+			c.runWithMembership(50 * eventloop.Millisecond)
+			So(c.leader("q"), ShouldEqual, successor)
+		}
+		c.runWithMembership(1500 * eventloop.Millisecond)
+		So(c.leader("q"), ShouldEqual, "a")
+	})
+	Convey("If the controller names the successor, it stays", t, func() {
+		c := newClusterWithQueue()
+		c.isDown["a"] = true
+		for k := 0; k < 200 && (c.leader("q") == "" || c.leader("") == ""); k++ {
+			c.runWithMembership(20 * eventloop.Millisecond)
+		}
+		successor := c.leader("q")
+		c.isDown["a"] = false
+		c.runWithMembership(500 * eventloop.Millisecond)
+		c.placeQueue("q", successor)
+		for k := 0; k < 60; k++ {
+			c.runWithMembership(50 * eventloop.Millisecond)
+			So(c.leader("q"), ShouldEqual, successor)
+		}
+	})
+}
+
 func TestTimedJobsAfterLeaderLoss(t *testing.T) {
 	Convey("Timed jobs keep to the time of day although their queue had no leader for a while", t, func() {
 		c := newTestCluster()
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -27,6 +27,7 @@
 		campaigns := r.group.PreVoteCount()
 		r.group.Tick(now)
 		hasCampaigned = hasCampaigned || r.group.PreVoteCount() != campaigns
+		r.observeLeadership(now, h.id)
 		if r.group.IsLeader() {
 			r.group.UpdateWallOffset(now, h.wallClock())
 			h.maintainQueue(now, r)
