--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -14,7 +14,7 @@
 
 const (
 	onTime     deadlineFeasibility = iota
-	late                           // it misses the target, but by less than lateFactor
+	late                           // it misses the target, but by less than lateFactor, and much of it is left
 	infeasible                     // it misses the target by far
 	feasibilityClasses
 )
@@ -22,6 +22,7 @@
 const (
 	lateFactor            = 3   // times the target, up to which a job is merely late
 	estimateTolerance     = 1.2 // estimates are rough
+	nearlyDoneRatio       = 0.5 // of the critical path: late work with no more left goes with what is on time
 	infeasibleUtilization = 0.6 // infeasible work is placed up to this utilization
 	waveFraction          = 4   // a step is assumed to get at most 1/4 of all cores at a time
 )
@@ -85,6 +86,9 @@
 	case end <= allowed:
 		return onTime
 	case end <= lateFactor*allowed:
+		if float64(remaining) <= nearlyDoneRatio*float64(s.estimateDuration(q.name, t.wholeRound, 0)) {
+			return onTime
+		}
 		return late
 	}
 	return infeasible
