Scheduler: of a queue's jobs those with least work left go first

Cause: in the order of arrival a large job under overload makes many small ones behind it late. Change: steps are ordered by the order of magnitude (to base 2) of the core-seconds left on their path, then by age.

--- a/internal/scheduler/step_heap.go
+++ b/internal/scheduler/step_heap.go
@@ -1,25 +1,45 @@
 package scheduler
 
 import (
+	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
 )
 
-// stepHeap yields the ready steps of a queue, oldest job first. It holds one cursor
-// per shape, so that a whole shape can be taken out once it finds no capacity.
+// stepHeap yields the ready steps of a queue, those with least work left first, among
+// equals the oldest job. While there is more work than capacity that makes the fewest jobs
+// late. It holds one cursor per shape, so that a whole shape can be taken out once it finds
+// no capacity.
 type stepHeap []*stepCursor
 
+// rankedStep is a step with the order of magnitude of the work that its job has left.
+type rankedStep struct {
+	*stepQueue
+	workRank int
+}
+
+func compareRankedSteps(a, b rankedStep) int {
+	return cmp.Or(cmp.Compare(a.workRank, b.workRank), cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.step, b.key.step))
+}
+
 // stepCursor goes over the steps of one shape.
 type stepCursor struct {
-	steps   []*stepQueue
+	steps   []rankedStep
 	current *stepQueue // the first of steps; nil: none is left
 }
 
+func newStepCursor(steps []rankedStep) *stepCursor {
+	slices.SortFunc(steps, compareRankedSteps)
+	return &stepCursor{steps, steps[0].stepQueue}
+}
+
 func (c *stepCursor) advance() {
 	if c.steps, c.current = c.steps[1:], nil; len(c.steps) > 0 {
-		c.current = c.steps[0]
+		c.current = c.steps[0].stepQueue
 	}
 }
 
@@ -27,7 +47,7 @@
 func (h stepHeap) Len() int { return len(h) }
 
 // Less implements heap.Interface.
-func (h stepHeap) Less(a, b int) bool { return stepQueueLess(h[a].current, h[b].current) }
+func (h stepHeap) Less(a, b int) bool { return compareRankedSteps(h[a].steps[0], h[b].steps[0]) < 0 }
 
 // Swap implements heap.Interface.
 func (h stepHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
@@ -61,15 +81,16 @@
 // latency target, in one look at each.
 func (s *Scheduler) stepsByFeasibility(now eventloop.Micros, q *queueView) (heaps [feasibilityClasses]stepHeap) {
 	for _, group := range q.byShape {
-		var steps [feasibilityClasses][]*stepQueue
+		var steps [feasibilityClasses][]rankedStep
 		group.steps.Ascend(func(step *stepQueue) bool {
-			class := s.feasibilityOf(now, q, step.first())
-			steps[class] = append(steps[class], step)
+			first := step.first()
+			class := s.feasibilityOf(now, q, first)
+			steps[class] = append(steps[class], rankedStep{step, workRank(first.remaining)})
 			return true
 		})
 		for class, list := range steps {
 			if len(list) > 0 {
-				heaps[class] = append(heaps[class], &stepCursor{list, list[0]})
+				heaps[class] = append(heaps[class], newStepCursor(list))
 			}
 		}
 	}
@@ -78,3 +99,14 @@
 	}
 	return heaps
 }
+
+// workRank is the order of magnitude, to base 2, of the core-seconds on a path; 0 where
+// there are no estimates. Jobs of about the same size keep the order in which they came.
+func workRank(path []queue.PathStep) int {
+	coreSeconds := 0.0
+	for _, leg := range path {
+		coreSeconds += float64(leg.EstimateUs) / float64(eventloop.Second) * float64(leg.CoresMilli) / 1000
+	}
+	_, exponent := math.Frexp(coreSeconds)
+	return exponent
+}
