Agents: idle workers aren't inspected, and ends that may wait are seen together

A worker that runs and lists nothing is inspected when two heartbeats are missed; that ends are acknowledged is told it after 0.5 s.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -37,6 +37,8 @@
 		So(s.ends, ShouldResemble, []string{"j.2.1.0/1 done"})
 		h.run(200 * eventloop.Millisecond)
 		So(s.lastHeartbeat().Ended, ShouldBeEmpty)
+		// An idle worker is told that its ends are acknowledged after a while.
+		h.run(400 * eventloop.Millisecond)
 		So(h.worker.UnacknowledgedCount(), ShouldEqual, 0)
 		So(h.count(agent.Start), ShouldEqual, 1)
 		So(h.count(agent.Stop), ShouldEqual, 0)
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -32,13 +32,14 @@
 	fencingToken uint64
 	wait         eventloop.Micros // as in Call
 	holdUntil    eventloop.Micros // by the agent's clock; 0: the hold isn't extended
+	acknowledged uint64           // as AcknowledgedThrough in Call
 }
 
 // sendCall sends a call and returns its number.
 func (a *Agent) sendCall(now eventloop.Micros, w *workerState, call Call, effects eventloop.Effects) uint64 {
 	a.callSequence++
 	call.Number, call.Worker, call.Address, call.FencingToken = a.callSequence, w.id, w.heartbeat.Address, w.fencingToken
-	p := &pendingCall{action: call.Action, key: attemptKey{call.Task, call.Attempt}, sentAt: now, fencingToken: w.fencingToken, wait: call.Wait}
+	p := &pendingCall{action: call.Action, key: attemptKey{call.Task, call.Attempt}, sentAt: now, fencingToken: w.fencingToken, wait: call.Wait, acknowledged: call.AcknowledgedThrough}
 	if call.RunDeadline > 0 {
 		p.holdUntil = a.maxHoldDeadline(now, w)
 		w.extendMaxHold(call.RunDeadline)
--- a/internal/agent/inspection.go
+++ b/internal/agent/inspection.go
@@ -11,6 +11,11 @@
 	// lost inspection is noticed only after its wait.
 	lossyInspectWait = 80 * eventloop.Millisecond
 	callLossPeriod   = 5 * eventloop.Second
+	// conveyDelay is how long an idle worker isn't told which ends are acknowledged: the
+	// inspections of its next runs will say so.
+	conveyDelay = 500 * eventloop.Millisecond
+	// defaultHeartbeatTimeout is the heartbeatTimeout where the interval isn't known.
+	defaultHeartbeatTimeout = 3 * eventloop.Second
 	// maxEndsPerReply is how many ended tasks a worker lists in one reply.
 	maxEndsPerReply = 500
 )
@@ -30,12 +35,34 @@
 	}
 	// An unresponsive worker must reply to a short inspection first; the next long one
 	// renews its hold.
-	if uninspected || w.longInspection != 0 || now < w.nextLongInspection || w.missedInspections > 0 {
+	if uninspected || w.longInspection != 0 || now < max(w.nextLongInspection, w.pausedUntil) || w.missedInspections > 0 || !a.needsLongInspection(now, w) {
 		return
 	}
 	w.longInspection = a.sendInspection(now, w, a.longInspectionWait(now, w), effects)
 }
 
+// needsLongInspection reports whether a worker may have something to tell: it runs or lists
+// something, hasn't been told for a while which ends are acknowledged, or its heartbeats
+// don't come. Otherwise its heartbeats show that it is well.
+func (a *Agent) needsLongInspection(now eventloop.Micros, w *workerState) bool {
+	switch {
+	case len(w.runs) > 0, w.hasUnacknowledgedEnds():
+		return true
+	case w.conveyedThrough < w.acknowledgedThrough:
+		return now-w.lastEndAt >= conveyDelay
+	}
+	return now-w.lastHeard > a.heartbeatTimeout()
+}
+
+// heartbeatTimeout is after how long without a heartbeat an idle worker is inspected.
+func (a *Agent) heartbeatTimeout() eventloop.Micros {
+	const missedHeartbeats = 2
+	if interval := eventloop.Micros(a.bounds.HeartbeatIntervalUs); interval > 0 {
+		return missedHeartbeats * interval
+	}
+	return defaultHeartbeatTimeout
+}
+
 func (a *Agent) sendInspection(now eventloop.Micros, w *workerState, wait eventloop.Micros, effects eventloop.Effects) uint64 {
 	return a.sendCall(now, w, Call{Action: Inspect, RunDeadline: a.holdDeadline(now, w), AcknowledgedThrough: w.acknowledgedThrough, Wait: wait}, effects)
 }
@@ -89,6 +116,7 @@
 		return
 	}
 	w.missedInspections = 0
+	w.conveyedThrough = max(w.conveyedThrough, p.acknowledged)
 	changed := false
 	for _, e := range m.Ended {
 		changed = w.recordEnd(e) || changed
@@ -101,7 +129,7 @@
 		w.inspectedToken, w.hasChanges, w.hasLapsed = w.fencingToken, true, false
 	}
 	if changed {
-		w.backoff = minBackoff
+		w.backoff, w.lastEndAt, w.pausedUntil = minBackoff, now, now+w.inspectionPause
 	}
 	if long {
 		w.scheduleLongInspection(now, changed, p)
--- a/internal/agent/poll.go
+++ b/internal/agent/poll.go
@@ -131,6 +131,7 @@
 	if duration := eventloop.Micros(orders.LeaseUs); duration > 0 {
 		w.runLeaseExpiresAt, w.runLeaseDuration = max(w.runLeaseExpiresAt, p.sentAt+duration), duration
 	}
+	w.inspectionPause = eventloop.Micros(orders.InspectionPauseUs)
 	changed := w.handleAcknowledgements(now, orders.Acknowledged)
 	for _, order := range orders.Orders {
 		changed = a.applyOrder(now, w, order) || changed
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -108,6 +108,10 @@
 	shortInspection     uint64 // number of the one that replies at once; 0: none is open
 	newestInspection    uint64 // number of the one whose list was taken over
 	nextLongInspection  eventloop.Micros
+	inspectionPause     eventloop.Micros // after an inspection that has shown ends
+	pausedUntil         eventloop.Micros // by that
+	lastEndAt           eventloop.Micros // when an inspection has last shown ends
+	conveyedThrough     uint64           // acknowledgedThrough of the newest inspection that was answered
 	backoff             eventloop.Micros // of inspections
 	nextShortInspection eventloop.Micros
 	needsInspection     bool
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -30,6 +30,13 @@
 	return req.hasLabels(c)
 }
 
+// couldRunOnAny reports whether a candidate could run a task if it had nothing else to run.
+func (req *placementRequest) couldRunOnAny(candidates []*candidate) bool {
+	return slices.ContainsFunc(candidates, func(c *candidate) bool {
+		return c.worker.total().covers(req.need) && req.hasLabels(c)
+	})
+}
+
 func (req *placementRequest) hasLabels(c *candidate) bool {
 	for _, label := range req.spec.Labels {
 		if !slices.Contains(c.worker.labels, label) {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -24,6 +24,7 @@
 	minRunningUrgency int64               // the lowest of the queues that have tasks out
 	claimedPools      map[string]bool     // in which workers are kept free
 	gangVictims       map[stepKey]*victim // gangs may be preempted only as a whole
+	starvedPools      map[string]bool     // in which a step found no capacity
 	preemptionFailed  bool                // something that may preempt found no victim
 }
 
@@ -31,6 +32,7 @@
 // proposes the checkout of those that find a worker.
 func (s *Scheduler) runPass(now eventloop.Micros, effects eventloop.Effects) {
 	queues := s.queuesToServe(now)
+	s.starvedPools = nil
 	if len(queues) == 0 {
 		return
 	}
@@ -44,6 +46,7 @@
 			s.scheduleQueue(now, q, class, &heaps[k][class], pass, effects)
 		}
 	}
+	s.starvedPools = pass.starvedPools
 	if pass.preemptionFailed {
 		s.preemptionFailedAt = now
 	}
@@ -73,6 +76,7 @@
 		maxUnplaced:       maxUnplaced,
 		minRunningUrgency: math.MaxInt64,
 		claimedPools:      map[string]bool{},
+		starvedPools:      map[string]bool{},
 		gangVictims:       map[stepKey]*victim{},
 	}
 	if now-s.fullPassAt >= fullPassInterval {
@@ -127,6 +131,9 @@
 		}
 		// A long backlog must not be looked through at every pass.
 		unplaced++
+		if req.couldRunOnAny(candidates) {
+			pass.starvedPools[s.poolOf(q)] = true
+		}
 		p.awaitCapacity(steps, cursor, step, req)
 	}
 	q.proposeCheckout(p.placements, effects)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -55,6 +55,7 @@
 	needsGangStart     bool             // a gang may have come to be held by all its workers
 	nextPassAt         eventloop.Micros // no pass before
 	fullPassAt         eventloop.Micros // the latest pass without a limit on unplaced steps
+	starvedPools       map[string]bool  // in which the latest pass found no capacity for some step
 	preemptionFailedAt eventloop.Micros // the latest pass in which nothing was found to preempt
 	candidateBuffer    []*candidate     // of the latest pass, for reuse
 	candidateCores     int64            // of all candidates of the latest pass
