--- a/cmd/sparnotch-bench/main.go
+++ b/cmd/sparnotch-bench/main.go
@@ -23,6 +23,7 @@
 	subcommands.Register(&hollowCommand{}, "")
 	subcommands.Register(&sweepCommand{}, "")
 	subcommands.Register(&costCommand{}, "")
+	subcommands.Register(&ablateCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/mutation/mutation.go
+++ b/internal/mutation/mutation.go
@@ -59,6 +59,22 @@
 	return overlay, os.WriteFile(overlay, data, 0o600)
 }
 
+// ApplyEdits makes edits in a copy of the source tree.
+func ApplyEdits(edits []Edit, root string) error {
+	changed := map[string]string{}
+	for _, edit := range edits {
+		if err := edit.apply(root, changed); err != nil {
+			return err
+		}
+	}
+	for file, text := range changed {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // overlayFile is the format of the go command's -overlay flag.
 type overlayFile struct {
 	Replace map[string]string // paths of changed files, by the paths that they replace
