Scheduler: what a cut off worker runs isn't stuck

Cause: a task counts as stuck when its worker reports no progress of it. Change: tasks of a worker that can't be heard aren't judged. They are returned at the end of the lease as before. The test failed first.

--- a/internal/scheduler/quality_test.go
+++ b/internal/scheduler/quality_test.go
@@ -91,6 +91,16 @@
 				So(h.placeNewTask(step), ShouldNotEqual, "a")
 			}
 		})
+		Convey("but not while the worker can't be heard, as when it is cut off", func() {
+			simulate(eventloop.Second, 0)
+			for end := h.now + 10*eventloop.Second; h.now < end; {
+				h.finishTask("b", step, eventloop.Second)
+				h.finishTask("c", step, eventloop.Second)
+				h.advance(100 * eventloop.Millisecond)
+			}
+			So(h.now, ShouldBeGreaterThan, h.scheduler.workers["a"].ejectedUntil)
+			So(h.scheduler.workers["a"].isOnProbation, ShouldBeFalse)
+		})
 		Convey("but not if it is just long", func() {
 			simulate(8*eventloop.Second, 1)
 			So(isStopped(), ShouldBeFalse)
--- a/internal/scheduler/stuck.go
+++ b/internal/scheduler/stuck.go
@@ -23,6 +23,10 @@
 	if t.spec.RunUntilCancelled || t.startedAt == 0 || status.State != runRunning {
 		return false
 	}
+	// Of a worker that can't be heard it isn't known what its tasks do.
+	if !w.isResponsive(now) {
+		return false
+	}
 	key, _ := runtimeKeyOf(t)
 	model := s.runtimeModels[key]
 	if model == nil || model.count < minRuns {
