--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -22,14 +22,16 @@
 		So(h.calls, ShouldBeEmpty)
 		s := h.addScheduler("p1", 5, "w1")
 		s.starts = []*schema.TaskOrder{newOrder("start", "j", 0, 1, "run_us=300000")}
-		s.starts[0].Round, s.starts[0].StepInRound = 2, 1
+		s.starts[0].Round, s.starts[0].StepInRound, s.starts[0].MemoryMb, s.starts[0].Accelerators = 2, 1, 7, 3
 		h.run(100 * eventloop.Millisecond)
 		So(h.logIndex("call 3 token 5"), ShouldEqual, 0)
 		a := s.heartbeats[0]
 		So(a.TasksByName && a.GangBarrier, ShouldBeTrue)
 		So([]any{a.Pool, a.Rack, a.Labels[0], a.CoresMilli, a.Incarnation, a.FencingToken}, ShouldResemble, []any{"pool", "r1", "a", int64(1000), uint64(1), uint64(5)})
 		So(h.worker.RunningCount(), ShouldEqual, 1)
-		So(statusName(s.lastHeartbeat().Running[0]), ShouldEqual, "j.2.1.0/1")
+		reported := s.lastHeartbeat().Running[0]
+		So(statusName(reported), ShouldEqual, "j.2.1.0/1")
+		So([]int64{reported.CoresMilli, reported.MemoryMb, reported.Accelerators}, ShouldResemble, []int64{100, 7, 3})
 		start := h.calls[slices.IndexFunc(h.calls, func(c agent.Call) bool { return c.Action == agent.Start })]
 		So(start.FencingToken, ShouldEqual, 5)
 		So(start.Address, ShouldEqual, "side:1")
--- a/internal/agent/poll.go
+++ b/internal/agent/poll.go
@@ -170,7 +170,7 @@
 		return true
 	}
 	w.runs[key] = &run{
-		key: key, state: starting, text: order.Text, checkpoint: order.Checkpoint, cores: order.CoresMilli, memory: order.MemoryMb,
+		key: key, state: starting, text: order.Text, checkpoint: order.Checkpoint, cores: order.CoresMilli, memory: order.MemoryMb, accelerators: order.Accelerators,
 		firstSeenAt: now, usesCapacity: true,
 	}
 	return true
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -43,8 +43,9 @@
 	text            string
 	checkpoint      string // as the order carries it, then as the worker reports it
 	percent         int64
-	cores           int64            // thousandths of a core
-	memory          int64            // MB
+	cores           int64 // thousandths of a core
+	memory          int64 // MB
+	accelerators    int64
 	firstSeenAt     eventloop.Micros // when the agent first had it
 	fencingToken    uint64           // of the newest start call; 0: none was sent
 	firstCallAt     eventloop.Micros // first start call
@@ -158,7 +159,7 @@
 		State: state, Checkpoint: checkpoint,
 	}
 	if r := w.runs[key]; r != nil {
-		status.CoresMilli, status.MemoryMb, status.Percent = r.cores, r.memory, r.percent
+		status.CoresMilli, status.MemoryMb, status.Accelerators, status.Percent = r.cores, r.memory, r.accelerators, r.percent
 	}
 	return status
 }
--- a/internal/scheduler/resolve.go
+++ b/internal/scheduler/resolve.go
@@ -49,7 +49,7 @@
 		keys[namedAttemptOf(status)] = key
 		resolved = append(resolved, &schema.TaskStatus{
 			Queue: key.queue, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt, State: status.State,
-			RunUs: status.RunUs, IdleUs: status.IdleUs, CoresMilli: status.CoresMilli, MemoryMb: status.MemoryMb,
+			RunUs: status.RunUs, IdleUs: status.IdleUs, CoresMilli: status.CoresMilli, MemoryMb: status.MemoryMb, Accelerators: status.Accelerators,
 			Name: status.Name, Round: status.Round, StepInRound: status.StepInRound, Checkpoint: status.Checkpoint, Percent: status.Percent,
 		})
 	}
--- a/internal/scheduler/resources.go
+++ b/internal/scheduler/resources.go
@@ -117,7 +117,7 @@
 
 // reportedUsage is what a worker says that a run uses; zero: it doesn't say.
 func reportedUsage(status *schema.TaskStatus) resources {
-	return resources{cores: status.CoresMilli, memory: status.MemoryMb}
+	return resources{status.CoresMilli, status.MemoryMb, status.Accelerators}
 }
 
 func (s *Scheduler) specOf(w *worker, key attemptKey) *schema.Step {
--- a/internal/scheduler/resources_test.go
+++ b/internal/scheduler/resources_test.go
@@ -40,6 +40,32 @@
 	})
 }
 
+func TestReportedAccelerators(t *testing.T) {
+	Convey("The accelerators of a run whose queue isn't led here yet are taken, as its cores and memory are", t, func() {
+		step := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 100, MemoryMb: 1, Accelerators: 4}
+		has := func(running ...*schema.TaskStatus) func(*schema.WorkerHeartbeat) {
+			return withNames(func(a *schema.WorkerHeartbeat) { a.Accelerators, a.Running = 8, running })
+		}
+		other := &schema.TaskStatus{Name: "other", Attempt: 1, State: "running", CoresMilli: 100, MemoryMb: 1, Accelerators: 6}
+		h := newHarness("w")
+		h.sendHeartbeat("w", has(other))
+		h.deliverEvents(true, 1, newEvent(1, 1, 0, queue.Ready, "", step))
+		h.sendHeartbeat("w", has(other))
+		So(h.placements(), ShouldBeEmpty)
+		Convey("nor is what was checked out before started beside it", func() {
+			count := len(h.replies)
+			h.deliverEvents(true, 2, newEvent(2, 1, 0, queue.CheckedOut, "w", step))
+			h.sendHeartbeat("w", has(other))
+			h.advance(maxPollWait)
+			So(h.ordersOf(count, "start"), ShouldBeEmpty)
+		})
+		Convey("until it has ended", func() {
+			h.sendHeartbeat("w", has())
+			So(h.placements(), ShouldHaveLength, 1)
+		})
+	})
+}
+
 func TestReservedCapacity(t *testing.T) {
 	Convey("Capacity reserved for a checkout on the way isn't placed on again", t, func() {
 		step := &schema.Step{Name: "s", Tasks: 2, CoresMilli: 600, MemoryMb: 1}
