--- a/internal/mutation/replace_mutants.go
+++ b/internal/mutation/replace_mutants.go
@@ -19,7 +19,7 @@
 		"	fmt.Fprintf(hash, \"\\npatch of %d\\n\", update.BaseVersion)\n", ""}}},
 	{Guard: "a replaced route loses the settings that it isn't given again", Test: "platform TestModifyOverHTTP", Edits: []Edit{{"platform",
 		"addItem(update, \"queue\", field+\".name\"", "addItem(&schema.ConfigurationUpdate{}, \"queue\", field+\".name\""}}},
-	{Guard: "accelerators of runs that aren't known here are taken", Rule: 1, Test: "internal/scheduler TestReportedAccelerators", Edits: []Edit{{"internal/scheduler",
+	{Guard: "accelerators of runs that aren't known here are taken", Rule: 6, Test: "internal/scheduler TestReportedAccelerators", Edits: []Edit{{"internal/scheduler",
 		"return resources{status.CoresMilli, status.MemoryMb, status.Accelerators}", "return resources{status.CoresMilli, status.MemoryMb, 0}"}}},
 	{Guard: "a forgotten replace isn't refused", Rule: 11, Test: "internal/clusterstate TestLateUpdates", Edits: []Edit{{"internal/clusterstate",
 		"	if !remembered {", "	if false {"}}},
