--- a/internal/httpapi/handlers.go
+++ b/internal/httpapi/handlers.go
@@ -137,13 +137,19 @@
 	})
 }
 
-func (s *Server) putConfiguration(ctx iris.Context) {
+// readUpdate reads an update of the configuration from a body. False: an error was written.
+func readUpdate(ctx iris.Context) (*schema.ConfigurationUpdate, bool) {
 	data, isRead := readBody(ctx, maxConfigurationBytes)
 	if !isRead {
-		return
+		return nil, false
 	}
 	update := &schema.ConfigurationUpdate{}
-	if !decodeProtoJSON(ctx, data, update) {
+	return update, decodeProtoJSON(ctx, data, update)
+}
+
+func (s *Server) putConfiguration(ctx iris.Context) {
+	update, isRead := readUpdate(ctx)
+	if !isRead {
 		return
 	}
 	update.IsPatch, update.Removed = false, nil
@@ -156,14 +162,10 @@
 
 // patchConfiguration sets and removes rows of the configuration that the patch is based on.
 func (s *Server) patchConfiguration(ctx iris.Context) {
-	data, isRead := readBody(ctx, maxConfigurationBytes)
+	update, isRead := readUpdate(ctx)
 	if !isRead {
 		return
 	}
-	update := &schema.ConfigurationUpdate{}
-	if !decodeProtoJSON(ctx, data, update) {
-		return
-	}
 	update.IsPatch = true
 	s.proposeUpdate(ctx, update)
 }
