--- a/internal/agent/inspection.go
+++ b/internal/agent/inspection.go
@@ -14,6 +14,9 @@
 	// conveyDelay is how long an idle worker isn't told which ends are acknowledged: the
 	// inspections of its next runs will say so.
 	conveyDelay = 500 * eventloop.Millisecond
+	// idleInspectionInterval is how long an idle worker is left alone at most: it stays known
+	// that it can be called.
+	idleInspectionInterval = 5 * eventloop.Second
 	// defaultHeartbeatTimeout is the heartbeatTimeout where the interval isn't known.
 	defaultHeartbeatTimeout = 3 * eventloop.Second
 	// maxEndsPerReply is how many ended tasks a worker lists in one reply.
@@ -42,8 +45,8 @@
 }
 
 // needsLongInspection reports whether a worker may have something to tell: it runs or lists
-// something, hasn't been told for a while which ends are acknowledged, or its heartbeats
-// don't come. Otherwise its heartbeats show that it is well.
+// something, hasn't been told for a while which ends are acknowledged, its heartbeats don't
+// come, or it wasn't inspected for long. Otherwise its heartbeats show that it is well.
 func (a *Agent) needsLongInspection(now eventloop.Micros, w *workerState) bool {
 	switch {
 	case len(w.runs) > 0, w.hasUnacknowledgedEnds():
@@ -51,7 +54,7 @@
 	case w.conveyedThrough < w.acknowledgedThrough:
 		return now-w.lastEndAt >= conveyDelay
 	}
-	return now-w.lastHeard > a.heartbeatTimeout()
+	return now-w.lastHeard > a.heartbeatTimeout() || now-w.lastAnsweredAt >= idleInspectionInterval
 }
 
 // heartbeatTimeout is after how long without a heartbeat an idle worker is inspected.
@@ -115,7 +118,7 @@
 		a.handleMissedInspection(now, w, m)
 		return
 	}
-	w.missedInspections = 0
+	w.missedInspections, w.lastAnsweredAt = 0, now
 	w.conveyedThrough = max(w.conveyedThrough, p.acknowledged)
 	changed := false
 	for _, e := range m.Ended {
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -112,6 +112,7 @@
 	inspectionPause     eventloop.Micros // after an inspection that has shown ends
 	pausedUntil         eventloop.Micros // by that
 	lastEndAt           eventloop.Micros // when an inspection has last shown ends
+	lastAnsweredAt      eventloop.Micros // when an inspection was last answered
 	conveyedThrough     uint64           // acknowledgedThrough of the newest inspection that was answered
 	backoff             eventloop.Micros // of inspections
 	nextShortInspection eventloop.Micros
