Ends: a lapsed hold is a lost worker, and acknowledgements name the end they are for

Cause: an attempt that an agent declared lapsed was returned as preempted, so a failure that the worker listed later counted for nothing; while the declaration was on its way the acknowledgement of one end also covered the other. The queue didn't know either that such a task had been lost. Change: lapsed is returned as lost with its worker; acknowledgements carry the outcome. TestCommandForEnd asserted the former cause, by which failures went uncounted; it now asks for the stricter one.

--- a/internal/agent/ends.go
+++ b/internal/agent/ends.go
@@ -32,7 +32,8 @@
 	changed := false
 	for _, status := range acknowledged {
 		key := attemptKey{TaskName{status.Name, status.Round, status.StepInRound, status.Task}, status.Attempt}
-		if e := w.unacknowledged[key]; e != nil {
+		// An attempt that was declared over may have turned out since to have ended otherwise.
+		if e := w.unacknowledged[key]; e != nil && (status.State == "" || status.State == e.status.State) {
 			e.isAcknowledged, changed = true, true
 			delete(w.unacknowledged, key)
 		}
--- a/internal/replica/submissions.go
+++ b/internal/replica/submissions.go
@@ -19,7 +19,8 @@
 const (
 	outcomeDone   = "done"
 	outcomeFailed = "failed"
-	outcomeLost   = "lost"
+	outcomeLost   = "lost"   // by the scheduler's word: its worker is gone
+	outcomeLapsed = "lapsed" // the worker's hold ended without being extended
 )
 
 // proposeQueue proposes a command and gives its log index; 0: it wasn't proposed.
@@ -131,9 +132,9 @@
 	}
 }
 
-// commandForEnd is the queue command for a worker's report. Outcomes other than done,
-// failed and lost (stopped, lease expired, gang stopped, gang incomplete) aren't the
-// task's fault and don't count as failures.
+// commandForEnd is the queue command for a worker's report. Outcomes other than done and
+// failed aren't the task's fault and don't count as failures. Where the worker was lost or
+// its hold lapsed it may yet report that the attempt had failed before, which then counts.
 func commandForEnd(m *schema.TaskEndReport) *schema.QueueCommand {
 	cause := schema.ReturnCause_RETURN_CAUSE_PREEMPTED
 	switch m.Outcome {
@@ -141,7 +142,7 @@
 		return &schema.QueueCommand{Body: &schema.QueueCommand_Settle{Settle: &schema.Settle{Key: m.Key, Attempt: m.Attempt, WholeGang: m.WholeGang}}}
 	case outcomeFailed:
 		cause = schema.ReturnCause_RETURN_CAUSE_FAILED
-	case outcomeLost:
+	case outcomeLost, outcomeLapsed:
 		cause = schema.ReturnCause_RETURN_CAUSE_WORKER_LOST
 	}
 	return &schema.QueueCommand{Body: &schema.QueueCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause, Checkpoint: m.Checkpoint}}}
@@ -149,7 +150,7 @@
 
 // acknowledgeEnd answers a report; from is empty for the scheduler of this node.
 func (h *Host) acknowledgeEnd(from string, m *schema.TaskEndReport, effects eventloop.Effects) {
-	ack := &schema.TaskEndAck{Queue: m.Queue, Key: m.Key, Attempt: m.Attempt, Worker: m.Worker}
+	ack := &schema.TaskEndAck{Queue: m.Queue, Key: m.Key, Attempt: m.Attempt, Worker: m.Worker, Outcome: m.Outcome}
 	if from == "" {
 		effects.Notify("scheduler", ack)
 	} else {
--- a/internal/replica/submissions_test.go
+++ b/internal/replica/submissions_test.go
@@ -21,8 +21,9 @@
 	})
 	Convey("Every other outcome returns the task with its checkpoint, and only failures count", t, func() {
 		for outcome, cause := range map[string]schema.ReturnCause{
-			"failed": schema.ReturnCause_RETURN_CAUSE_FAILED, "lost": schema.ReturnCause_RETURN_CAUSE_WORKER_LOST, "stopped": schema.ReturnCause_RETURN_CAUSE_PREEMPTED,
-			"lapsed": schema.ReturnCause_RETURN_CAUSE_PREEMPTED, "broken": schema.ReturnCause_RETURN_CAUSE_PREEMPTED, "alone": schema.ReturnCause_RETURN_CAUSE_PREEMPTED,
+			"failed": schema.ReturnCause_RETURN_CAUSE_FAILED, "stopped": schema.ReturnCause_RETURN_CAUSE_PREEMPTED,
+			"lost": schema.ReturnCause_RETURN_CAUSE_WORKER_LOST, "lapsed": schema.ReturnCause_RETURN_CAUSE_WORKER_LOST,
+			"broken": schema.ReturnCause_RETURN_CAUSE_PREEMPTED, "alone": schema.ReturnCause_RETURN_CAUSE_PREEMPTED,
 		} {
 			wanted := &schema.Return{Key: key, Attempt: 4, Cause: cause, Checkpoint: "text"}
 			So(proto.Equal(end(outcome).GetReturn(), wanted), ShouldBeTrue)
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -22,6 +22,7 @@
 	status         *schema.TaskStatus
 	receivedAt     eventloop.Micros // first
 	sentAt         eventloop.Micros // last
+	sentOutcome    string           // to the queue, last
 	isAcknowledged bool             // the queue has committed it
 }
 
@@ -31,7 +32,8 @@
 	for _, status := range statuses {
 		key := attemptKeyOf(status)
 		report := w.ended[key]
-		if report == nil {
+		// An agent that has declared an attempt over may learn later how it ended.
+		if report == nil || report.status.State != status.State {
 			report = &endReport{status: status, receivedAt: now, sentAt: -reportRetryInterval}
 			s.recordEnd(now, w, key, status)
 		}
@@ -50,7 +52,7 @@
 			continue
 		}
 		if end := s.newEndReport(now, w, key, report); end != nil {
-			report.sentAt = now
+			report.sentAt, report.sentOutcome = now, end.Outcome
 			effects.Notify("replica", replica.TaskEnded{End: end})
 		}
 	}
@@ -120,7 +122,8 @@
 	}
 	key := attemptKey{taskKey{m.Queue, m.Key.Job, m.Key.Step, m.Key.Task}, m.Attempt}
 	if w := s.workers[m.Worker]; w != nil {
-		if report := w.ended[key]; report != nil {
+		// What a worker has reported before of the same attempt isn't its end any more.
+		if report := w.ended[key]; report != nil && (m.Outcome == "" || m.Outcome == report.sentOutcome) {
 			report.isAcknowledged, w.needsResponse = true, true
 		}
 	}
--- a/internal/scheduler/reports_test.go
+++ b/internal/scheduler/reports_test.go
@@ -36,4 +36,32 @@
 		h.advance(maxPollWait + eventloop.Second)
 		So(isNoted(), ShouldBeTrue)
 	})
+	Convey("An attempt that was reported as lapsed and turns out to have failed is reported again, and only that is acknowledged", t, func() {
+		h := newHarness("v")
+		h.sendHeartbeat("v", withNames(nil))
+		h.deliverEvents(true, 1, newEvent(1, 1, 0, queue.CheckedOut, "v", oneTask))
+		status := func(state string) *schema.TaskStatus { return &schema.TaskStatus{Name: "j1", Attempt: 1, State: state} }
+		acknowledge := func(outcome string) {
+			h.deliver(&schema.TaskEndAck{Queue: "l", Key: &schema.TaskKey{Job: 1}, Attempt: 1, Worker: "v", Outcome: outcome})
+		}
+		acknowledged := func() (states []string) {
+			for _, reply := range h.replies {
+				for _, end := range reply.GetOrders().GetAcknowledged() {
+					states = append(states, end.State)
+				}
+			}
+			return states
+		}
+		h.sendHeartbeat("v", withEnded(status("lapsed")))
+		h.sendHeartbeat("v", withEnded(status("failed")))
+		So(h.endReports()[0].Outcome, ShouldEqual, "lapsed")
+		So(h.endReports()[1].Outcome, ShouldEqual, "failed")
+		acknowledge("lapsed")
+		h.advance(maxPollWait + eventloop.Second)
+		So(acknowledged(), ShouldBeEmpty)
+		h.sendHeartbeat("v", withEnded(status("failed")))
+		acknowledge("failed")
+		h.advance(100 * eventloop.Millisecond)
+		So(acknowledged(), ShouldResemble, []string{"failed"})
+	})
 }
--- a/internal/scheduler/respond.go
+++ b/internal/scheduler/respond.go
@@ -50,7 +50,7 @@
 		if report := w.ended[key]; report.isAcknowledged {
 			statuses = append(statuses, &schema.TaskStatus{
 				Queue: key.queue, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt,
-				Name: report.status.Name, Round: report.status.Round, StepInRound: report.status.StepInRound,
+				Name: report.status.Name, Round: report.status.Round, StepInRound: report.status.StepInRound, State: report.status.State,
 			})
 		}
 	}
