Scheduler: starving steps go first, from a share of their pool

Change: tasks lost with a worker go before all others, from a quarter of the pool, then jobs ten times over their target, from a sixteenth, the oldest first; none of that is preempted or kept from headroom.

--- a/internal/mutation/fault_mutants.go
+++ b/internal/mutation/fault_mutants.go
@@ -13,5 +13,33 @@
 			Faults: "bad/all:1s@4s,bad/all:1s@9s",
 			Edits:  []Edit{{"internal/clusterstate", "	if update.Version <= update.BaseVersion {\n", "	if false {\n"}},
 		},
+		{
+			Guard: "a task that was lost with its worker goes first", Size: "bank-called", Seed: 22, Scenario: "leader, controller and worker lost at once",
+			Edits: []Edit{{"internal/queue", "	return len(j.tasks[s][t].lostAttempts) > 0\n", "	return false\n"}},
+		},
+		{
+			Guard: "work that is late by far has a share of the pool", Test: "internal/scheduler TestStarvingSteps",
+			Edits: []Edit{{"internal/scheduler", "	return allowed > 0 && float64(now-t.roundDueAt) > agedFactor*allowed\n", "	return allowed < 0\n"}},
+		},
+		{
+			Guard: "boosted work takes no more than its share", Test: "internal/scheduler TestStarvingSteps",
+			Edits: []Edit{{"internal/scheduler", "		used += q.boostedCores\n", ""}},
+		},
+		{
+			Guard: "boosted work isn't preempted", Test: "internal/scheduler TestStarvingSteps",
+			Edits: []Edit{{"internal/scheduler", "t.isActive() && !t.isBoosted && ", "t.isActive() && "}},
+		},
+		{
+			Guard: "a failure that is reported after the hold lapsed counts", Test: "internal/replica TestCommandForEnd",
+			Edits: []Edit{{"internal/replica", "	case outcomeLost, outcomeLapsed:\n", "	case outcomeLost:\n"}},
+		},
+		{
+			Guard: "an acknowledgement is for the end that it names", Test: "internal/scheduler TestEndsAreAcknowledgedWhenApplied",
+			Edits: []Edit{{"internal/scheduler", " && (m.Outcome == \"\" || m.Outcome == report.sentOutcome)", ""}},
+		},
+		{
+			Guard: "an end stays until it is acknowledged itself", Test: "internal/agent TestAcknowledgementsNameTheEnd",
+			Edits: []Edit{{"internal/agent", " && (status.State == \"\" || status.State == e.status.State)", ""}},
+		},
 	}...)
 }
--- a/internal/queue/events.go
+++ b/internal/queue/events.go
@@ -23,6 +23,7 @@
 	Text          string // of the job
 	Checkpoint    string // the latest checkpoint, for the next start
 	Failures      uint32 // counted so far, of the task or its whole gang
+	IsLost        bool   // an attempt of the task, or of a member of its gang, was lost with its worker
 	IsGangStarted bool
 	RoundAgeUs    int64      // since the round was due
 	CriticalPath  []PathStep // of the round
@@ -56,7 +57,7 @@
 		Sequence: sequence, Key: schema.TaskKey{Job: j.id, Step: uint32(s), Task: uint32(t)}, Status: j.status(s, t),
 		Attempt: task.attempt, Worker: task.worker, Incarnation: task.incarnation,
 		Name: j.name, JobOrder: j.id, Round: uint32(s / perRound), StepInRound: uint32(s % perRound), Spec: j.step(s), Text: j.spec.Text,
-		Checkpoint: account.checkpoint, Failures: account.failures, IsGangStarted: task.isGangStarted,
+		Checkpoint: account.checkpoint, Failures: account.failures, IsLost: j.hasLostAttempt(s, t), IsGangStarted: task.isGangStarted,
 		RoundAgeUs: j.roundAgeUs(s/perRound, m.now), CriticalPath: j.criticalPath, RemainingPath: j.remainingPaths[s%perRound],
 	}
 }
--- a/internal/queue/job.go
+++ b/internal/queue/job.go
@@ -3,6 +3,8 @@
 // A live job: its rounds, steps and tasks.
 
 import (
+	"slices"
+
 	"sparnotch/internal/schema"
 )
 
@@ -181,6 +183,15 @@
 	return &j.tasks[s][t]
 }
 
+// hasLostAttempt reports whether an attempt of a task, or of any member of its gang, was
+// lost with its worker.
+func (j *job) hasLostAttempt(s, t int) bool {
+	if !j.step(s).Gang {
+		return len(j.tasks[s][t].lostAttempts) > 0
+	}
+	return slices.ContainsFunc(j.tasks[s], func(member task) bool { return len(member.lostAttempts) > 0 })
+}
+
 // uncountCheckout counts a task of a step as no longer checked out.
 func (j *job) uncountCheckout(s int) {
 	j.checkedOutTasks[s]--
--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -31,7 +31,7 @@
 		delete(w.reserved, t.key)
 		w.isUsageStale = true
 	}
-	t.reservedWorker = ""
+	t.reservedWorker, t.isBoosted = "", false
 }
 
 // expireReservations makes those tasks available again whose checkout wasn't
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -63,7 +63,7 @@
 
 // inherit takes over what was observed of the same attempt.
 func (t *task) inherit(old *task) {
-	t.evictOutcome, t.attemptProgress = old.evictOutcome, old.attemptProgress
+	t.evictOutcome, t.attemptProgress, t.isBoosted = old.evictOutcome, old.attemptProgress, old.isBoosted
 	if (t.state == queue.Ready) == (old.state == queue.Ready) {
 		t.since = old.since
 	}
@@ -96,6 +96,7 @@
 func (s *Scheduler) applyEvent(now eventloop.Micros, q *queueView, event *queue.TaskEvent) {
 	key := taskKey{q.name, event.Key.Job, event.Key.Step, event.Key.Task}
 	old := q.tasks[key]
+	wasBoosted := old != nil && old.isBoosted
 	s.removeTask(q, key)
 	if event.Status == queue.Inactive {
 		return
@@ -103,13 +104,15 @@
 	t := &task{
 		key: key, state: event.Status, attempt: event.Attempt, worker: event.Worker, incarnation: event.Incarnation,
 		sequence: event.Sequence, jobName: event.Name, spec: event.Spec, text: event.Text, since: now, isGangStarted: event.IsGangStarted,
-		round: event.Round, stepInRound: event.StepInRound, initialCheckpoint: event.Checkpoint, failures: event.Failures,
+		round: event.Round, stepInRound: event.StepInRound, initialCheckpoint: event.Checkpoint, failures: event.Failures, isLost: event.IsLost,
 		roundDueAt: now - eventloop.Micros(event.RoundAgeUs), criticalPath: criticalPath{event.CriticalPath, event.RemainingPath},
 	}
 	if old != nil {
 		t.placementReason, t.strikes = old.placementReason, old.strikes
 		if old.attempt == t.attempt {
 			t.inherit(old)
+		} else if t.state == queue.CheckedOut {
+			t.isBoosted = wasBoosted
 		}
 	}
 	s.addTask(q, t)
@@ -125,6 +128,9 @@
 	}
 	q.checkedOutCount++
 	q.usage.add(resourcesOf(t.spec))
+	if t.isBoosted {
+		q.boostedCores += t.spec.CoresMilli
+	}
 	q.countOnWorker(t, t.worker, 1)
 	s.tasksOn(t.worker)[t.key] = t
 	if t.spec.Gang && t.key.task == 0 && t.state == queue.CheckedOut && !t.isGangStarted {
@@ -154,6 +160,9 @@
 	}
 	q.checkedOutCount--
 	q.usage.sub(resourcesOf(t.spec))
+	if t.isBoosted {
+		q.boostedCores -= t.spec.CoresMilli
+	}
 	q.countOnWorker(t, t.worker, -1)
 	delete(q.pendingGangs, key)
 	delete(s.tasksByWorker[t.worker], key)
--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -13,9 +13,10 @@
 type deadlineFeasibility int
 
 const (
-	onTime     deadlineFeasibility = iota
-	late                           // it misses the target, but by less than lateFactor, and much of it is left
-	infeasible                     // it misses the target by far
+	boosted deadlineFeasibility = iota // it would starve: see starvation.go
+	onTime
+	late       // it misses the target, but by less than lateFactor, and much of it is left
+	infeasible // it misses the target by far
 	feasibilityClasses
 )
 
@@ -71,8 +72,8 @@
 	if t.spec.RunUntilCancelled || len(t.remaining) == 0 {
 		return onTime
 	}
-	duration := s.estimateDuration(q.name, t.wholeRound, s.candidateCores/waveFraction)
-	if duration == 0 {
+	allowed := s.allowedDuration(q, t)
+	if allowed == 0 {
 		return onTime
 	}
 	remaining := s.estimateDuration(q.name, t.remaining, 0)
@@ -81,7 +82,6 @@
 			remaining = min(remaining, s.remainingRuntime(now, w, t)+s.estimateDuration(q.name, t.remaining[1:], 0))
 		}
 	}
-	allowed := estimateTolerance * (q.stretch*float64(duration) + float64(q.slack))
 	switch end := float64(now + remaining - t.roundDueAt); {
 	case end <= allowed:
 		return onTime
@@ -94,6 +94,16 @@
 	return infeasible
 }
 
+// allowedDuration is how long, in µs, the round of a task's job may take to meet the latency
+// target; 0: it has no estimates.
+func (s *Scheduler) allowedDuration(q *queueView, t *task) float64 {
+	duration := s.estimateDuration(q.name, t.wholeRound, s.candidateCores/waveFraction)
+	if duration == 0 {
+		return 0
+	}
+	return estimateTolerance * (q.stretch*float64(duration) + float64(q.slack))
+}
+
 // infeasibleBudget is how many milli cores infeasible work may still take.
 func infeasibleBudget(candidates []*candidate) int {
 	free, total := int64(0), int64(0)
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -25,6 +25,8 @@
 	claimedPools      map[string]bool     // in which workers are kept free
 	gangVictims       map[stepKey]*victim // gangs may be preempted only as a whole
 	starvedPools      map[string]bool     // in which a step found no capacity
+	boosted           map[stepKey]bool    // steps that go before all others
+	boostedLeft       map[string]int64    // milli cores that these may still take, by pool
 	preemptionFailed  bool                // something that may preempt found no victim
 }
 
@@ -37,9 +39,10 @@
 		return
 	}
 	pass := s.newPass(now)
+	s.boostSteps(now, queues, pass)
 	heaps := make([][feasibilityClasses]stepHeap, len(queues))
 	for k, q := range queues {
-		heaps[k] = s.stepsByFeasibility(now, q)
+		heaps[k] = s.stepsByFeasibility(now, q, pass.boosted)
 	}
 	for class := range feasibilityClasses {
 		for k, q := range queues {
@@ -78,6 +81,8 @@
 		claimedPools:      map[string]bool{},
 		starvedPools:      map[string]bool{},
 		gangVictims:       map[stepKey]*victim{},
+		boosted:           map[stepKey]bool{},
+		boostedLeft:       map[string]int64{},
 	}
 	if now-s.fullPassAt >= fullPassInterval {
 		s.fullPassAt, pass.maxUnplaced = now, math.MaxInt
@@ -120,12 +125,16 @@
 		slots:          int(q.maxRunning) - q.checkedOutCount - len(q.reserved),
 		remainingCores: math.MaxInt64,
 	}
-	if class == infeasible {
+	switch class {
+	case boosted:
+		p.remainingCores = int(pass.boostedLeft[s.poolOf(q)])
+		defer func() { pass.boostedLeft[s.poolOf(q)] = int64(p.remainingCores) }()
+	case infeasible:
 		p.remainingCores = infeasibleBudget(candidates)
 	}
 	for unplaced := 0; steps.Len() > 0 && p.mayPlace() && unplaced < pass.maxUnplaced; {
 		cursor, step := steps.next()
-		req := s.newRequest(now, q, step, class, candidates)
+		req := p.newRequest(step)
 		if p.place(step, req) {
 			continue
 		}
@@ -139,6 +148,16 @@
 	q.proposeCheckout(p.placements, effects)
 }
 
+// newRequest is the request for a step of the turn's class. What is boosted keeps its own
+// class where it is compared with other work.
+func (p *queuePass) newRequest(step *stepQueue) *placementRequest {
+	class := p.class
+	if class == boosted {
+		class = p.scheduler.feasibilityOf(p.now, p.queue, step.first())
+	}
+	return p.scheduler.newRequest(p.now, p.queue, step, class, p.candidates)
+}
+
 // mayPlace reports whether the limits of the turn allow one more task.
 func (p *queuePass) mayPlace() bool {
 	return p.slots > 0 && len(p.placements) < maxPlacements && p.remainingCores > 0
@@ -154,9 +173,9 @@
 			return true
 		}
 	}
-	// Headroom is kept neither from short tasks nor from steps that have waited long while
-	// the pool is underutilized.
-	mayUseHeadroom := req.isShort || !req.isRecent && isUnderutilized(p.candidates)
+	// Headroom is kept neither from boosted steps nor from short tasks, nor from steps that
+	// have waited long while the pool is underutilized.
+	mayUseHeadroom := p.class == boosted || req.isShort || !req.isRecent && isUnderutilized(p.candidates)
 	if !mayUseHeadroom && p.headroom.multipleOf(req.need) < int64(members) {
 		return true
 	}
@@ -178,6 +197,7 @@
 	for k, t := range tasks {
 		w := chosen[k].worker
 		p.scheduler.reserve(p.queue, t, w.id, p.now)
+		t.isBoosted = p.class == boosted
 		p.placements = append(p.placements, newPlacement(t, w))
 		p.slots--
 		p.remainingCores -= int(req.need.cores)
@@ -196,7 +216,7 @@
 	steps.removeShape(cursor)
 	for k := 1; awaited > 0 && cursor.current != nil && k < maxUnplaced && p.canGainCapacity(); k++ {
 		if next := cursor.current; !next.spec.Gang || next.isComplete() {
-			awaited = p.reserveFutureCapacity(next, p.scheduler.newRequest(p.now, p.queue, next, p.class, p.candidates))
+			awaited = p.reserveFutureCapacity(next, p.newRequest(next))
 		}
 		cursor.advance()
 	}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -261,7 +261,9 @@
 	return !slices.ContainsFunc(tasks, func(t *task) bool { return !s.isPreemptible(t) })
 }
 
-func (s *Scheduler) isPreemptible(t *task) bool { return t.isActive() && s.endReportOf(t) == nil }
+func (s *Scheduler) isPreemptible(t *task) bool {
+	return t.isActive() && !t.isBoosted && s.endReportOf(t) == nil
+}
 
 // lostWork is the work in core-microseconds that is lost when a task is stopped
 // now: since its last checkpoint, else since it started.
--- a/internal/scheduler/queue_view.go
+++ b/internal/scheduler/queue_view.go
@@ -12,6 +12,7 @@
 	tasks           map[taskKey]*task
 	checkedOutCount int                        // checked out or stopping
 	usage           resources                  // by those
+	boostedCores    int64                      // milli cores, by those that are boosted
 	peak            decayingPeak               // of usage
 	tasksPerWorker  map[stepKey]map[string]int // checked out or reserved, by worker id
 	reserved        map[taskKey]*task          // ready, with a checkout on the way
@@ -26,7 +27,7 @@
 		tasksPerWorker: map[stepKey]map[string]int{},
 		reserved:       map[taskKey]*task{},
 		pendingGangs:   map[taskKey]*task{},
-		readyIndex:     readyIndex{byShape: map[shape]*shapeGroup{}},
+		readyIndex:     readyIndex{byShape: map[shape]*shapeGroup{}, lostSteps: map[stepKey]*stepQueue{}},
 	}
 }
 
--- a/internal/scheduler/ready_index.go
+++ b/internal/scheduler/ready_index.go
@@ -15,6 +15,7 @@
 type readyIndex struct {
 	byShape    map[shape]*shapeGroup
 	readyCount int
+	lostSteps  map[stepKey]*stepQueue // those with tasks that were lost with a worker
 }
 
 // shape is all that decides whether the tasks of a step fit a worker (an
@@ -46,9 +47,10 @@
 
 // stepQueue is the ready tasks of one step; it is never empty.
 type stepQueue struct {
-	key   stepKey
-	spec  *schema.Step
-	ready *btree.BTreeG[*task]
+	key       stepKey
+	spec      *schema.Step
+	ready     *btree.BTreeG[*task]
+	lostCount int // of the tasks that were lost with a worker
 }
 
 func (q *stepQueue) first() *task {
@@ -89,6 +91,10 @@
 	}
 	step.ready.ReplaceOrInsert(t)
 	x.readyCount++
+	if t.isLost {
+		step.lostCount++
+		x.lostSteps[step.key] = step
+	}
 }
 
 // removeReady takes a task out, if it is in.
@@ -104,6 +110,7 @@
 	}
 	if _, found := step.ready.Delete(t); found {
 		x.readyCount--
+		x.uncountLost(step, t)
 	}
 	if step.ready.Len() == 0 {
 		group.steps.Delete(step)
@@ -113,6 +120,15 @@
 	}
 }
 
+func (x *readyIndex) uncountLost(step *stepQueue, t *task) {
+	if !t.isLost {
+		return
+	}
+	if step.lostCount--; step.lostCount == 0 {
+		delete(x.lostSteps, step.key)
+	}
+}
+
 // oldestReady is since when the first step of any shape has waited.
 func (x *readyIndex) oldestReady() eventloop.Micros {
 	since := eventloop.Micros(math.MaxInt64)
--- a/internal/scheduler/step_heap.go
+++ b/internal/scheduler/step_heap.go
@@ -78,14 +78,17 @@
 func (h *stepHeap) removeShape(cursor *stepCursor) { heap.Remove(h, slices.Index(*h, cursor)) }
 
 // stepsByFeasibility sorts a queue's ready steps by whether their jobs can meet the
-// latency target, in one look at each.
-func (s *Scheduler) stepsByFeasibility(now eventloop.Micros, q *queueView) (heaps [feasibilityClasses]stepHeap) {
+// latency target, in one look at each; boosted ones are a class of their own.
+func (s *Scheduler) stepsByFeasibility(now eventloop.Micros, q *queueView, isBoosted map[stepKey]bool) (heaps [feasibilityClasses]stepHeap) {
 	for _, group := range q.byShape {
 		var steps [feasibilityClasses][]rankedStep
 		group.steps.Ascend(func(step *stepQueue) bool {
 			first := step.first()
-			class := s.feasibilityOf(now, q, first)
-			steps[class] = append(steps[class], rankedStep{step, workRank(first.remaining)})
+			class, rank := boosted, 0 // the oldest job first
+			if !isBoosted[step.key] {
+				class, rank = s.feasibilityOf(now, q, first), workRank(first.remaining)
+			}
+			steps[class] = append(steps[class], rankedStep{step, rank})
 			return true
 		})
 		for class, list := range steps {
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -71,6 +71,8 @@
 	text               string           // the job's, for the worker
 	since              eventloop.Micros // in its state
 	failures           uint32           // counted so far
+	isLost             bool             // an attempt of it, or of its gang, was lost with its worker
+	isBoosted          bool             // its checkout is, or was, paid from the pool's boosted share
 	initialCheckpoint  string           // that its next start begins from
 	roundDueAt         eventloop.Micros // when its job's round was due to begin
 	criticalPath
--- a/internal/sim/called_test.go
+++ b/internal/sim/called_test.go
@@ -91,6 +91,26 @@
 	}
 }
 
+// TestTripleLoss: on whole deployments what ran on a lost worker starts again within a
+// recovery, though the leader and the controller are lost with it. Each of these seeds broke
+// that while nothing bounded the wait of late work.
+func TestTripleLoss(t *testing.T) {
+	seeds := map[string][]uint64{"bank-called": {22, 25}, "skema-called": {21, 26}}
+	for _, spec := range FleetSpecs() {
+		for _, s := range ScenariosFor(spec) {
+			if s.Name != "leader, controller and worker lost at once" {
+				continue
+			}
+			for _, seed := range seeds[spec.Name] {
+				t.Run(fmt.Sprint(spec.Name, "/", seed), func(t *testing.T) {
+					t.Parallel()
+					runOn(t, s, spec, seed)
+				})
+			}
+		}
+	}
+}
+
 // TestCalledDeployments: the deployments as their users have them, with called workers.
 func TestCalledDeployments(t *testing.T) {
 	for _, spec := range FleetSpecs() {
