--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -56,9 +56,6 @@
 	r.group.SetWritable(!h.isReadOnly())
 	h.groups[name], h.sortedNames = r, nil
 	h.restoreGroup(r, state.Snapshot)
-	if name == clusterstate.GroupName {
-		h.published = h.sharedState // only an installed snapshot is published
-	}
 	return r
 }
 
--- a/internal/replica/large_updates_test.go
+++ b/internal/replica/large_updates_test.go
@@ -11,6 +11,7 @@
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
 	"sparnotch/internal/raft"
 	"sparnotch/internal/schema"
 	"sparnotch/internal/storage"
@@ -190,6 +191,33 @@
 	})
 }
 
+// TestRestoredClusterStateIsPublished: what a node has only in its snapshot when it starts
+// reaches its components without waiting for a change.
+func TestRestoredClusterStateIsPublished(t *testing.T) {
+	Convey("A node that restarts from a snapshot alone notifies its components of the cluster state", t, func() {
+		c := newTestCluster()
+		So(c.putConfiguration(queuesUpdate(1, "", "q")).Code, ShouldEqual, 200)
+		c.run(100 * eventloop.Millisecond)
+		old := c.hosts["a"]
+		group := c.clusterStateGroup("a")
+		state := &storage.State{Identity: old.identity, Groups: map[string]*storage.GroupState{clusterstate.GroupName: {
+			HardState: &schema.HardState{Term: group.Term()},
+			Snapshot: &schema.Snapshot{Index: group.LastIndex(), Term: group.Term(), Data: clusterstate.Compress(old.stateMachine.Snapshot()), MemberSet: group.MemberSet()},
+		}}}
+		c.hosts["a"] = New("a", state, old.wallClock, raft.DefaultTimeouts, 1, c.now)
+		c.received["a/scheduler"], c.received["a/gateway"], c.received["a/membership"] = nil, nil, nil
+		c.step("a", "", eventloop.Tick{})
+		So(lastNotifiedVersion(c.received["a/scheduler"]), ShouldEqual, old.sharedState.Version)
+		So(lastNotifiedVersion(c.received["a/gateway"]), ShouldEqual, old.sharedState.Version)
+		So(c.received["a/membership"], ShouldContain, membership.ClusterStateObserved{Version: old.sharedState.Version})
+		Convey("once", func() {
+			count := len(c.received["a/gateway"])
+			c.step("a", "", eventloop.Tick{})
+			So(c.received["a/gateway"], ShouldHaveLength, count)
+		})
+	})
+}
+
 // lastNotifiedVersion is the version of the last whole cluster state among messages.
 func lastNotifiedVersion(messages []any) uint64 {
 	var version uint64
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -21,6 +21,10 @@
 
 func (h *Host) handleTick(now eventloop.Micros, effects eventloop.Effects) {
 	h.recordControllerLease(now)
+	if h.published.Version != h.sharedState.Version {
+		// This process has just started from a snapshot, with no entry behind it.
+		h.publishClusterState(now, effects)
+	}
 	hasCampaigned, hasChanged := false, false
 	for _, name := range h.groupNames() {
 		r := h.groups[name]
