--- a/internal/modelcheck/execute.go
+++ b/internal/modelcheck/execute.go
@@ -155,7 +155,7 @@
 		}
 		m.group.Compact(m.applied, m.state.Snapshot())
 	case stepAppendFillers:
-		if !m.group.IsLeader() || m.group.LastIndex()-m.group.AppliedIndex() > maxPromotionLag {
+		if !m.group.IsLeader() || m.group.LastIndex()-m.group.CommitIndex() > maxPromotionLag {
 			return false
 		}
 		for range maxPromotionLag + extraFillers {
--- a/internal/mutation/replication_mutants.go
+++ b/internal/mutation/replication_mutants.go
@@ -30,7 +30,7 @@
 		{Guard: "the log is compacted by its size", Test: "internal/replica TestLargeUpdatesKeepLogBounded",
 			Edits: []Edit{{"internal/replica", "entry.Index-g.SnapshotIndex() <= maxStateLogEntries && r.logBytes <= max(maxStateLogBytes, g.SnapshotBytes())", "entry.Index-g.SnapshotIndex() <= maxStateLogEntries"}}},
 		{Guard: "a lagging replica serves no cluster state", Test: "internal/replica TestLaggingReplicaServesNoClusterState",
-			Edits: []Edit{{"internal/raft", "m.CommitConfirmed && g.applied >= m.Commit && response.round == m.AckedRound", "m.CommitConfirmed && response.round == m.AckedRound"}}},
+			Edits: []Edit{{"internal/raft", "m.CommitConfirmed && g.commit >= m.Commit && response.round == m.AckedRound", "m.CommitConfirmed && response.round == m.AckedRound"}}},
 		{Guard: "rows that may be in flight aren't resent", Test: "internal/replica TestConfigurationRowsInFlight",
 			Edits: []Edit{{"internal/replica", "	if last.revision == configuration.Revision && now < last.inFlightUntil {\n", "	if last.revision == configuration.Revision && now < last.inFlightUntil && false {\n"}}},
 		{Guard: "a response without the configuration needs a held one", Test: "internal/clusterstate TestSharedStateUpdates",
--- a/internal/raft/chunks_test.go
+++ b/internal/raft/chunks_test.go
@@ -137,7 +137,7 @@
 			other := s.others()
 			for _, id := range other {
 				if id != lagging {
-					s.groups[id].Compact(s.groups[id].AppliedIndex(), []byte(state+"after"))
+					s.groups[id].Compact(s.groups[id].CommitIndex(), []byte(state+"after"))
 					s.processReady(id)
 				}
 			}
@@ -147,7 +147,7 @@
 			So(s.leader(), ShouldNotBeNil)
 			So(s.leader().self, ShouldNotEqual, lead.self)
 			So(bytes.HasPrefix(s.durable[lagging].Snapshot.Data, []byte(state)), ShouldBeTrue)
-			So(s.groups[lagging].AppliedIndex(), ShouldEqual, s.leader().AppliedIndex())
+			So(s.groups[lagging].CommitIndex(), ShouldEqual, s.leader().CommitIndex())
 		}
 	})
 	Convey("A replica that has received a part of a snapshot can't be elected", t, func() {
--- a/internal/raft/durability_test.go
+++ b/internal/raft/durability_test.go
@@ -77,7 +77,7 @@
 			r.run(100 * eventloop.Millisecond)
 		}
 		leader := r.leader()
-		leader.Compact(leader.AppliedIndex()-1, []byte("state"))
+		leader.Compact(leader.CommitIndex()-1, []byte("state"))
 		r.processReady(leader.self)
 		state := &storage.State{Groups: map[string]*storage.GroupState{}}
 		state.Apply(&schema.StoreChange{Group: "g", HardState: &schema.HardState{Term: 99}, Entries: []*schema.Entry{{Index: 1}, {Index: 2}}})
--- a/internal/raft/fingerprint.go
+++ b/internal/raft/fingerprint.go
@@ -14,7 +14,7 @@
 // left out, since no decision of the consensus depends on them.
 func (g *Group) Fingerprint(now eventloop.Micros, to []byte) []byte {
 	f := &fingerprint{data: to, now: now, maxOffset: g.timeouts.ElectionMax + 1}
-	f.numbers(g.lastChunkedSend, g.term, uint64(g.role), g.snapshot.Index, g.snapshot.Term, g.stable, g.commit, g.applied,
+	f.numbers(g.lastChunkedSend, g.term, uint64(g.role), g.snapshot.Index, g.snapshot.Term, g.stable, g.commit,
 		g.memberSetIndex, g.hardStateSeq-g.syncedHardStateSeq, g.matchIndex, g.round, g.noOpIndex, uint64(g.bootstrapRoundsLeft))
 	f.text(g.vote)
 	f.text(g.lead)
--- a/internal/raft/heartbeat.go
+++ b/internal/raft/heartbeat.go
@@ -23,7 +23,7 @@
 // was suspended finds its lease expired when it resumes, before it learns of its
 // successor.
 func (g *Group) HoldsLeaderLease(now eventloop.Micros) bool {
-	return g.role == leader && g.applied >= g.noOpIndex && now-g.quorumRoundSentAt <= g.timeouts.leaderLease()
+	return g.role == leader && g.commit >= g.noOpIndex && now-g.quorumRoundSentAt <= g.timeouts.leaderLease()
 }
 
 // FreshAsOf is a time at which this replica's applied state held all that was
@@ -31,7 +31,7 @@
 func (g *Group) FreshAsOf() eventloop.Micros {
 	if g.role == leader {
 		// A new leader may hold committed entries that it doesn't know to be committed.
-		if g.applied < g.noOpIndex {
+		if g.commit < g.noOpIndex {
 			return 0
 		}
 		return g.quorumRoundSentAt
@@ -88,7 +88,7 @@
 // the leader received the acknowledgement that it names.
 func (g *Group) updateFreshness(m *schema.Heartbeat) {
 	for _, response := range g.heartbeatResponses {
-		if m.CommitConfirmed && g.applied >= m.Commit && response.round == m.AckedRound {
+		if m.CommitConfirmed && g.commit >= m.Commit && response.round == m.AckedRound {
 			g.freshAsOf = max(g.freshAsOf, response.receivedAt)
 		}
 	}
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -68,7 +68,7 @@
 // at that index, whose data the group takes over. An index that isn't applied, or
 // that the present snapshot covers, has no effect.
 func (g *Group) Compact(index uint64, data []byte) {
-	if index <= g.snapshot.Index || index > g.applied {
+	if index <= g.snapshot.Index || index > g.commit {
 		return
 	}
 	snapshot := &schema.Snapshot{
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -118,7 +118,6 @@
 	log            []*schema.Entry  // entries after the snapshot
 	stable         uint64           // last index that is synced here
 	commit         uint64
-	applied        uint64
 	memberSet      *schema.MemberSet // newest in the log, committed or not
 	memberSetIndex uint64
 	ready          Ready
@@ -165,7 +164,7 @@
 	g := &Group{name: name, self: self, timeouts: timeouts, rng: rng, snapshot: state.Snapshot}
 	g.term, g.vote = state.HardState.Term, state.HardState.Vote
 	g.log = append(g.log, state.Entries...)
-	g.commit, g.applied = g.snapshot.Index, g.snapshot.Index
+	g.commit = g.snapshot.Index
 	g.stable = g.LastIndex()
 	g.refreshMemberSet()
 	g.resetElectionDeadline(now)
@@ -192,13 +191,10 @@
 // Role is the name of the replica's role, for operators.
 func (g *Group) Role() string { return g.role.String() }
 
-// CommitIndex is the index up to which entries are known to be committed.
+// CommitIndex is the index up to which entries are known to be committed. All of them are in
+// Ready, so whoever has taken that has applied them.
 func (g *Group) CommitIndex() uint64 { return g.commit }
 
-// AppliedIndex is the index up to which committed entries have been queued for Ready. It
-// always equals the commit index.
-func (g *Group) AppliedIndex() uint64 { return g.applied }
-
 // StableIndex is the index up to which this replica's log is synced.
 func (g *Group) StableIndex() uint64 { return g.stable }
 
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -220,7 +220,6 @@
 	if index <= g.commit {
 		return
 	}
+	g.ready.CommittedEntries = append(g.ready.CommittedEntries, g.entriesBetween(g.commit, index)...)
 	g.commit = index
-	g.ready.CommittedEntries = append(g.ready.CommittedEntries, g.entriesBetween(g.applied, g.commit)...)
-	g.applied = g.commit
 }
--- a/internal/raft/replication_test.go
+++ b/internal/raft/replication_test.go
@@ -20,7 +20,7 @@
 			r.propose(fmt.Sprint(k))
 		}
 		r.run(eventloop.Second)
-		lead.Compact(lead.AppliedIndex()-5, []byte("state"))
+		lead.Compact(lead.CommitIndex()-5, []byte("state"))
 		r.processReady(lead.self)
 		r.start(lagging)
 		r.run(3 * eventloop.Second)
--- a/internal/raft/slowcluster_test.go
+++ b/internal/raft/slowcluster_test.go
@@ -143,7 +143,7 @@
 	}
 	s.runSlow(eventloop.Second, nil)
 	state = randomText(size)
-	lead.Compact(lead.AppliedIndex(), []byte(state))
+	lead.Compact(lead.CommitIndex(), []byte(state))
 	s.processReady(lead.self)
 	s.propose("after")
 	s.runSlow(eventloop.Second, nil)
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -43,7 +43,7 @@
 		g.log = nil
 	}
 	g.snapshot = snapshot
-	g.commit, g.applied = snapshot.Index, snapshot.Index
+	g.commit = snapshot.Index
 	// The snapshot isn't synced yet, so it isn't acknowledged either.
 	g.stable = min(g.stable, snapshot.Index-1)
 	g.refreshMemberSet()
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -92,7 +92,7 @@
 // proposeDueTick starts the next round of a job when it is due.
 func (h *Host) proposeDueTick(now eventloop.Micros, r *replica) {
 	groupTime := r.group.GroupTime(now)
-	if next, found := r.queue.NextStart(); found && next <= groupTime && r.tickIndex <= r.group.AppliedIndex() {
+	if next, found := r.queue.NextStart(); found && next <= groupTime && r.tickIndex <= r.group.CommitIndex() {
 		h.proposeTick(now, r, &schema.Tick{})
 	}
 }
@@ -114,7 +114,7 @@
 // proposeWallClockTick keeps jobs that start at a time of day to it: queue time stands
 // still while the queue has no leader.
 func (h *Host) proposeWallClockTick(now eventloop.Micros, r *replica) {
-	if r.queue.TimedJobs() == 0 || r.tickIndex > r.group.AppliedIndex() {
+	if r.queue.TimedJobs() == 0 || r.tickIndex > r.group.CommitIndex() {
 		return
 	}
 	offset, isKnown := r.group.WallOffset(now, h.wallClock())
@@ -126,7 +126,7 @@
 
 // proposeSettings brings the configuration's settings into the queue.
 func (h *Host) proposeSettings(now eventloop.Micros, r *replica) {
-	if r.settingsIndex <= r.group.AppliedIndex() && !proto.Equal(h.queueSettings, r.queue.Settings()) {
+	if r.settingsIndex <= r.group.CommitIndex() && !proto.Equal(h.queueSettings, r.queue.Settings()) {
 		r.settingsIndex = h.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_ApplySettings{ApplySettings: h.queueSettings}})
 	}
 }
@@ -136,7 +136,7 @@
 // Unbounded Log Growth").
 func (h *Host) proposeReenqueue(now eventloop.Micros, r *replica) {
 	g, limit := r.group, uint64(h.values.Fleet("carry_records"))
-	if g.LastIndex()-g.SnapshotIndex() <= limit || r.reenqueueIndex > g.AppliedIndex() {
+	if g.LastIndex()-g.SnapshotIndex() <= limit || r.reenqueueIndex > g.CommitIndex() {
 		return
 	}
 	if id, index, payload := r.queue.OldestJob(); id != 0 && g.LastIndex()-index > limit/2 {
--- a/internal/replica/requests_test.go
+++ b/internal/replica/requests_test.go
@@ -46,7 +46,7 @@
 		c.isPartitioned, c.isDown[old] = nil, false
 		c.received["h"] = nil
 		c.run(2 * eventloop.Second)
-		So(group.AppliedIndex(), ShouldBeGreaterThan, next+3)
+		So(group.CommitIndex(), ShouldBeGreaterThan, next+3)
 		So(c.hosts[old].sharedState.Configuration.Version, ShouldEqual, 5)
 		for _, body := range c.received["h"] {
 			if reply, isReply := body.(*schema.Response); isReply {
--- a/internal/replica/state_view.go
+++ b/internal/replica/state_view.go
@@ -72,7 +72,7 @@
 func (h *Host) groupStateView(r *replica) *GroupStateView {
 	g := r.group
 	view := &GroupStateView{
-		Group: g.Name(), Role: g.Role(), Leader: g.Leader(), Term: g.Term(), Commit: g.CommitIndex(), Applied: g.AppliedIndex(),
+		Group: g.Name(), Role: g.Role(), Leader: g.Leader(), Term: g.Term(), Commit: g.CommitIndex(), Applied: g.CommitIndex(),
 		Last: g.LastIndex(), Stable: g.StableIndex(), Released: g.SnapshotIndex(), Voters: g.MemberSet().Voters, Learners: g.MemberSet().Learners,
 	}
 	if r.queue == nil {
--- a/internal/replica/submissions.go
+++ b/internal/replica/submissions.go
@@ -39,7 +39,7 @@
 // isBacklogFull reports whether a group has too many uncommitted entries to accept
 // more.
 func (h *Host) isBacklogFull(r *replica) bool {
-	return r.group.LastIndex()-r.group.AppliedIndex() > maxUncommitted
+	return r.group.LastIndex()-r.group.CommitIndex() > maxUncommitted
 }
 
 // handleSubmit proposes the submissions of a gateway. Those that are rejected are
