--- a/internal/controller/cluster_state.go
+++ b/internal/controller/cluster_state.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"cmp"
+
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/membership"
@@ -51,6 +53,7 @@
 	// A response from before a known change is outdated.
 	if update.Version >= c.state.Version {
 		c.reports[from] = storageNodeReport{receivedAt: now, update: update}
+		c.firstReportAt = cmp.Or(c.firstReportAt, now)
 		c.publish(update.Leaders, effects)
 	}
 	if c.view == nil || !c.holdsLease(now) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,8 +5,8 @@
 //
 // Each agent node runs a Controller, but only the holder of the controller lease acts. The
 // lease is granted by the cluster state, which checks its fencing token on the commands that
-// place queues and assign workers; leaders check it on membership changes. Requests to end
-// sessions carry no token.
+// place queues and assign workers; leaders check it on membership changes and on requests to
+// end sessions.
 // A Controller owns no durable state: it works on copies of the cluster state that it polls
 // from the storage nodes. Without any controller the cluster goes on as the cluster state
 // last said.
@@ -45,6 +45,7 @@
 	reports       map[string]storageNodeReport
 	missingSince  map[string]eventloop.Micros // when a storage node, or "gateway/" and a gateway node, was first missed
 	lastLocations map[string]lastLocation     // of the storage nodes, also of those that left the view
+	firstReportAt eventloop.Micros            // 0: none has come
 	polledAt      eventloop.Micros
 	pollTurn      int // selects the storage node to poll next
 
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -67,9 +67,8 @@
 	}
 	delay := eventloop.Micros(rank) * candidateDelay
 	if c.leaseExpiryUs == 0 {
-		// No lease was seen yet. The process's clock begins at its start (at a second, see
-		// eventloop.RealClock), so now stands for the time since then.
-		return now > delay
+		// No lease was seen yet.
+		return now-c.firstReportAt > delay
 	}
 	unrenewedFor := now - c.leaseExpirySeenAt
 	return unrenewedFor > leaseDuration+delay
--- a/internal/controller/lease_test.go
+++ b/internal/controller/lease_test.go
@@ -117,3 +117,24 @@
 		So(sent.claims, ShouldBeGreaterThan, 0)
 	})
 }
+
+func TestFirstClaimWaitsByRank(t *testing.T) {
+	Convey("A candidate that has seen no lease waits by its rank from its first report on, however long its process runs", t, func() {
+		sent := &sendCounter{polls: map[string]int{}}
+		start := 100 * eventloop.Second
+		c := New("s1", 0)
+		claimsAt := func(now eventloop.Micros) int {
+			view := &membership.View{Self: &schema.Member{Id: "s1", Role: schema.Role_ROLE_CONTROLLER}, Members: map[string]membership.MemberStatus{
+				"a":  {Member: &schema.Member{Id: "a", HasStorage: true, Role: schema.Role_ROLE_SERVER}, LastHeard: now},
+				"s0": {Member: &schema.Member{Id: "s0", Role: schema.Role_ROLE_CONTROLLER}, LastHeard: now},
+			}}
+			c.Step(now, eventloop.Message{Body: view}, sent)
+			c.Step(now, eventloop.Message{From: "a", Body: &schema.ClusterStateResponse{Version: 1, Leaders: map[string]string{clusterstate.GroupName: "a"}}}, sent)
+			c.Step(now, eventloop.Message{Body: eventloop.Tick{}}, sent)
+			return sent.claims
+		}
+		So(claimsAt(start), ShouldEqual, 0)
+		So(claimsAt(start+candidateDelay-TickInterval), ShouldEqual, 0)
+		So(claimsAt(start+candidateDelay+TickInterval), ShouldEqual, 1)
+	})
+}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -26,7 +26,7 @@
 			}
 		}
 		if len(expired) > 0 && c.allowAction(now, "sessions/"+status.Queue, eventloop.Second) {
-			effects.Send(status.Leader, &schema.EndSessionsRequest{Queue: status.Queue, Gateways: expired})
+			effects.Send(status.Leader, &schema.EndSessionsRequest{Queue: status.Queue, Gateways: expired, FencingToken: c.fencingToken})
 		}
 	}
 }
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"encoding/json"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
 )
 
 func TestRequestsBeforeFirstState(t *testing.T) {
@@ -41,3 +43,26 @@
 		So(h.now-began, ShouldBeBetween, eventloop.LinkTime(250_000), eventloop.LinkTime(250_000)+2*requestRetryDelay)
 	})
 }
+
+func TestTooManyPendingHeartbeats(t *testing.T) {
+	Convey("A worker is told whether its lease is missing or the gateway has no room", t, func() {
+		h := newHarness()
+		h.step(&schema.ClusterStateResponse{Version: 2, State: &schema.ClusterState{Version: 2, Configuration: &schema.Configuration{Revision: 1}, WorkerLeases: []*schema.WorkerLease{{Worker: "w", Scheduler: "a", FencingToken: 1}}}})
+		code := func(id uint64, worker string) string {
+			h.step(ForwardHeartbeat{RequestID: id, Worker: worker, Heartbeat: &schema.WorkerHeartbeat{}, Deadline: h.now + eventloop.Second})
+			if _, isAnswered := h.responses[id]; !isAnswered {
+				return ""
+			}
+			So(h.responses[id].Code, ShouldEqual, 503)
+			fault := &schema.Error{}
+			So(json.Unmarshal(h.responses[id].Body, fault), ShouldBeNil)
+			return fault.Code
+		}
+		So(code(1, "other"), ShouldEqual, codeNoLease)
+		for id := uint64(10); id < 10+maxPending; id++ {
+			So(code(id, "w"), ShouldBeEmpty)
+		}
+		So(code(9999, "w"), ShouldEqual, codeGatewayFull)
+		So(code(10000, "other"), ShouldEqual, codeNoLease)
+	})
+}
--- a/internal/gateway/worker_polls.go
+++ b/internal/gateway/worker_polls.go
@@ -20,10 +20,14 @@
 	if lease == nil {
 		g.registerWorker(now, m.Worker, effects)
 	}
-	if lease == nil || lease.Scheduler == "" || len(g.pendingHeartbeats) >= maxPending {
+	if lease == nil || lease.Scheduler == "" {
 		g.reject(m.RequestID, http.StatusServiceUnavailable, codeNoLease, "no scheduler holds this worker's lease yet", 1, effects)
 		return
 	}
+	if len(g.pendingHeartbeats) >= maxPending {
+		g.reject(m.RequestID, http.StatusServiceUnavailable, codeGatewayFull, gatewayFullMessage, 1, effects)
+		return
+	}
 	g.pendingHeartbeats[m.RequestID] = m
 	effects.Send(lease.Scheduler, &schema.WorkerPollRequest{Id: m.RequestID, Worker: m.Worker, Heartbeat: m.Heartbeat})
 }
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -119,6 +119,9 @@
 		r := h.groups[name]
 		switch {
 		case r.queue == nil:
+			if !r.group.IsLeader() {
+				r.dropPendingReads()
+			}
 		case !r.group.IsLeader():
 			h.endLeadership(r, effects)
 		case r.notifiedTerm != r.group.Term() && r.group.HoldsLeaderLease(now):
@@ -141,6 +144,10 @@
 	if len(r.pendingCommands) > 0 {
 		r.pendingCommands = map[uint64]pendingReply{}
 	}
+	r.dropPendingReads()
+}
+
+func (r *replica) dropPendingReads() {
 	if len(r.pendingReads) > 0 {
 		r.pendingReads = map[uint64]pendingReply{}
 	}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -157,7 +157,7 @@
 	case *schema.SubmitRequest:
 		h.handleSubmit(now, message.From, body, effects)
 	case *schema.EndSessionsRequest:
-		h.handleEndSessions(now, body)
+		h.handleEndSessions(now, message.From, body)
 	case *schema.Request:
 		h.handleRequest(now, message.From, body, effects)
 	case *schema.TaskEndReport:
--- a/internal/replica/large_updates_test.go
+++ b/internal/replica/large_updates_test.go
@@ -202,7 +202,7 @@
 		group := c.clusterStateGroup("a")
 		state := &storage.State{Identity: old.identity, Groups: map[string]*storage.GroupState{clusterstate.GroupName: {
 			HardState: &schema.HardState{Term: group.Term()},
-			Snapshot: &schema.Snapshot{Index: group.LastIndex(), Term: group.Term(), Data: clusterstate.Compress(old.stateMachine.Snapshot()), MemberSet: group.MemberSet()},
+			Snapshot:  &schema.Snapshot{Index: group.LastIndex(), Term: group.Term(), Data: clusterstate.Compress(old.stateMachine.Snapshot()), MemberSet: group.MemberSet()},
 		}}}
 		c.hosts["a"] = New("a", state, old.wallClock, raft.DefaultTimeouts, 1, c.now)
 		c.received["a/scheduler"], c.received["a/gateway"], c.received["a/membership"] = nil, nil, nil
--- a/internal/replica/requests_test.go
+++ b/internal/replica/requests_test.go
@@ -73,3 +73,42 @@
 		So(c.received["h"], ShouldBeEmpty)
 	})
 }
+
+func TestPendingReadsOfDeposedLeader(t *testing.T) {
+	Convey("A leader that steps down keeps no reads of the cluster state", t, func() {
+		c := newTestCluster()
+		leader := c.leader("")
+		c.isPartitioned = func(from, to string) bool { return from == leader || to == leader }
+		for id := uint64(1); id <= 3; id++ {
+			c.step(leader, "f", &schema.Request{Id: id, Kind: requestConfiguration, Group: clusterstate.GroupName})
+		}
+		r := c.hosts[leader].groups[clusterstate.GroupName]
+		So(r.pendingReads, ShouldHaveLength, 3)
+		c.run(3 * eventloop.Second)
+		So(r.group.IsLeader(), ShouldBeFalse)
+		So(r.pendingReads, ShouldBeEmpty)
+	})
+}
+
+func TestEndSessionsAreFenced(t *testing.T) {
+	Convey("Sessions are ended for their own gateway, or for the holder of the controller lease", t, func() {
+		c := newClusterWithQueue()
+		token := c.claimController()
+		gateway := func(name string) *schema.ExpiredGateway { return &schema.ExpiredGateway{Gateway: name, Incarnation: 1} }
+		group := c.hosts["a"].queueReplica("q").group
+		isProposed := func(from string, token uint64, sessions []*schema.Session, gateways ...*schema.ExpiredGateway) bool {
+			last := group.LastIndex()
+			c.step("a", from, &schema.EndSessionsRequest{Queue: "q", FencingToken: token, Sessions: sessions, Gateways: gateways})
+			return group.LastIndex() > last
+		}
+		own := []*schema.Session{{Gateway: "f", Incarnation: 1, Client: "c"}}
+		So(isProposed("f", 0, nil, gateway("f")), ShouldBeTrue)
+		So(isProposed("f", 0, own), ShouldBeTrue)
+		So(isProposed("g", 0, nil, gateway("f")), ShouldBeFalse)
+		So(isProposed("g", 0, own), ShouldBeFalse)
+		So(isProposed("h", token, nil, gateway("f"), gateway("g")), ShouldBeTrue)
+		So(isProposed("h", token-1, nil, gateway("f")), ShouldBeFalse)
+		So(isProposed("h", token+1, nil, gateway("f")), ShouldBeFalse)
+		So(isProposed("h", 0, nil, gateway("f")), ShouldBeFalse)
+	})
+}
--- a/internal/replica/submissions.go
+++ b/internal/replica/submissions.go
@@ -4,6 +4,8 @@
 // the scheduler.
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/clusterstate"
@@ -88,13 +90,25 @@
 	return 0
 }
 
-// handleEndSessions proposes to remove sessions, or all those of gateways that are gone.
-func (h *Host) handleEndSessions(now eventloop.Micros, m *schema.EndSessionsRequest) {
-	if r := h.queueReplica(m.Queue); r != nil && r.group.HoldsLeaderLease(now) {
+// handleEndSessions proposes to remove sessions, or all those of gateways that are gone. A
+// gateway ends its own; whoever ends those of others must hold the controller lease.
+func (h *Host) handleEndSessions(now eventloop.Micros, from string, m *schema.EndSessionsRequest) {
+	isAllowed := concernsOnly(m, from)
+	if m.FencingToken != 0 {
+		isAllowed = h.isClusterStateFresh(now) && h.stateMachine.HoldsControllerLease(m.FencingToken)
+	}
+	if r := h.queueReplica(m.Queue); r != nil && isAllowed && r.group.HoldsLeaderLease(now) {
 		h.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_EndSessions{EndSessions: &schema.EndSessions{Sessions: m.Sessions, Gateways: m.Gateways}}})
 	}
 }
 
+// concernsOnly reports whether all sessions of a request are those of one gateway.
+func concernsOnly(m *schema.EndSessionsRequest, gateway string) bool {
+	isOther := func(name string) bool { return name != gateway }
+	return !slices.ContainsFunc(m.Sessions, func(s *schema.Session) bool { return isOther(s.Gateway) }) &&
+		!slices.ContainsFunc(m.Gateways, func(g *schema.ExpiredGateway) bool { return isOther(g.Gateway) })
+}
+
 // handlePropose proposes a command of this node's scheduler. One that acts for an older
 // term may have decided on stale tasks.
 func (h *Host) handlePropose(now eventloop.Micros, m Propose) {
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -60,9 +60,10 @@
 	if hasProgressed || w.progress.lastProgressAt == 0 {
 		w.progress.decay(now)
 	}
-	for key, status := range w.running {
-		t := w.taskOf(key)
-		if t == nil || status.State != runRunning || !s.isProgressComparable(now, w, t) {
+	// In order: sums of fractions depend on it in their last digit.
+	for _, t := range w.sortedTasks() {
+		status := w.running[attemptKey{t.key, t.attempt}]
+		if status == nil || status.State != runRunning || !s.isProgressComparable(now, w, t) {
 			continue
 		}
 		if t.sample.at == 0 {
@@ -106,9 +107,9 @@
 		return false
 	}
 	expected := 0.0
-	for key, status := range w.running {
-		t := w.taskOf(key)
-		if t == nil || t.sample.at == 0 || status.State != runRunning || !s.isProgressComparable(now, w, t) {
+	for _, t := range w.sortedTasks() {
+		status := w.running[attemptKey{t.key, t.attempt}]
+		if status == nil || t.sample.at == 0 || status.State != runRunning || !s.isProgressComparable(now, w, t) {
 			continue
 		}
 		if from := max(t.sample.at, w.progress.lastProgressAt); now-from >= frozenTimeout {
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -111,7 +111,7 @@
 	for key := range w.ended {
 		keys = append(keys, key)
 	}
-	sort.Slice(keys, func(a, b int) bool { return compareTaskKeys(keys[a].taskKey, keys[b].taskKey) < 0 })
+	sort.Slice(keys, func(a, b int) bool { return keys[a].compare(keys[b]) < 0 })
 	return keys
 }
 
--- a/internal/scheduler/reports_test.go
+++ b/internal/scheduler/reports_test.go
@@ -65,3 +65,33 @@
 		So(acknowledged(), ShouldResemble, []string{"failed"})
 	})
 }
+
+func TestEndsAreReportedInOrder(t *testing.T) {
+	Convey("The ends of several attempts of one task are reported by attempt", t, func() {
+		for range 20 {
+			h := newHarness("v")
+			h.sendHeartbeat("v", nil)
+			h.deliverEvents(true, 0)
+			h.notified = nil
+			h.sendHeartbeat("v", func(a *schema.WorkerHeartbeat) {
+				for attempt := uint32(5); attempt >= 1; attempt-- {
+					a.Ended = append(a.Ended, &schema.TaskStatus{Queue: "l", Job: 1, Attempt: attempt, State: "failed"})
+				}
+			})
+			for k, end := range h.endReports() {
+				So(end.Attempt, ShouldEqual, k+1)
+			}
+		}
+	})
+}
+
+func TestLostTasksAreCountedOnce(t *testing.T) {
+	Convey("A lost task counts once, however often its loss is reported", t, func() {
+		h := newHarness("v")
+		h.sendHeartbeat("v", withNames(nil))
+		h.deliverEvents(true, 1, newEvent(1, 1, 0, queue.CheckedOut, "v", oneTask))
+		h.advance(20 * eventloop.Second)
+		So(len(h.endReports()), ShouldBeGreaterThan, 5)
+		So(h.scheduler.counts.LostTasks, ShouldEqual, 1)
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -64,8 +64,7 @@
 }
 
 // Counts are totals since the process started. Its field names are part of the
-// JSON of /v1/placements. LostTasks counts reports of lost tasks, with those that are
-// repeated until the queue has returned the task.
+// JSON of /v1/placements. LostTasks counts attempts that were reported as lost.
 type Counts struct {
 	Starts, Stops, Holds, Preempted, LostTasks, Gaps uint64
 }
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -53,6 +53,10 @@
 	attempt uint32
 }
 
+func (k attemptKey) compare(other attemptKey) int {
+	return cmp.Or(compareTaskKeys(k.taskKey, other.taskKey), cmp.Compare(k.attempt, other.attempt))
+}
+
 func attemptKeyOf(status *schema.TaskStatus) attemptKey {
 	return attemptKey{taskKey{status.Queue, status.Job, status.Step, status.Task}, status.Attempt}
 }
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -200,8 +200,10 @@
 	if now-t.returnedAt < reportRetryInterval && t.returnedAt > 0 {
 		return
 	}
+	if t.returnedAt == 0 {
+		s.counts.LostTasks++
+	}
 	t.returnedAt = now
-	s.counts.LostTasks++
 	effects.Notify("replica", replica.TaskEnded{End: &schema.TaskEndReport{
 		Queue: t.key.queue, Key: t.key.toSchema(), Attempt: t.attempt,
 		Outcome: outcomeLost, Worker: t.worker, Checkpoint: t.latestCheckpoint(),
