--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -85,6 +85,7 @@
 	faults        []eventloop.Micros            // faults of the system
 	disturbances  []eventloop.Micros            // faults and drains of any worker
 	clockReadings []Event                       // of correct wall clocks
+	outages       []outage
 
 	violations []Violation
 }
@@ -100,6 +101,7 @@
 		a.closedAt = history[len(history)-1].At
 	}
 	a.readHistory()
+	a.markOutages()
 	for _, job := range a.sortedJobs {
 		a.checkJob(job)
 	}
@@ -125,6 +127,7 @@
 	a.checkAcceptedJobEnds(job)
 	a.checkAcceptedJobIsKnown(job)
 	a.checkCreatedOnce(job)
+	a.checkStateNeverOlder(job)
 	a.checkOneJobPerName(job)
 	a.checkRunWasRequested(job)
 	for _, id := range job.tasks() {
--- a/internal/checker/event.go
+++ b/internal/checker/event.go
@@ -39,6 +39,8 @@
 	GatewayUnavailable = "front-away" // a gateway that reaches no quorum, or is down
 	GatewayAvailable   = "front-back" // and is up and reaches one
 	Clock              = "clock"      // a reading of a correct wall clock, which ties virtual time to it
+	QuorumLost         = "core-away"  // more storage nodes are away than may be lost; until QuorumRestored service may rest
+	QuorumRestored     = "core-back"  // all storage nodes are back
 	Close              = "close"      // end of the run; what isn't over by now is late
 )
 
--- a/internal/checker/gang_rules.go
+++ b/internal/checker/gang_rules.go
@@ -36,7 +36,7 @@
 		}
 		if !a.isUnavoidable(job, run, job.reservations[peer]) {
 			a.report(ruleGangs, run.start, "%s step %d: task %d starts and task %d doesn't", job.key, id.step, id.task, t)
-		} else if until := run.start + a.bounds.Recovery; run.end > until || run.end == 0 && until < a.closedAt {
+		} else if until := a.recoveryDeadline(run.start); run.end > until || run.end == 0 && until < a.closedAt {
 			a.report(ruleGangs, run.start, "%s step %d: task %d runs on though task %d never started", job.key, id.step, id.task, t)
 		}
 	}
--- a/internal/checker/history.go
+++ b/internal/checker/history.go
@@ -326,6 +326,8 @@
 	switch e.Kind {
 	case Fault:
 		a.faults = append(a.faults, e.At)
+	case QuorumLost, QuorumRestored:
+		a.recordOutage(e)
 	case Clock:
 		a.clockReadings = append(a.clockReadings, *e)
 	case WorkerDraining:
--- a/internal/checker/job_rules.go
+++ b/internal/checker/job_rules.go
@@ -23,6 +23,27 @@
 	}
 }
 
+// stateRanks order the states that a job passes through before it has ended.
+var stateRanks = map[string]int{"timed": 1, "running": 2, "stopping": 3}
+
+// checkStateNeverOlder: a job is never shown in an older state than one that was shown
+// before the request was sent, by whichever node, also while no quorum is there.
+// checkTerminalStatusStays has that for ended ones.
+func (a *analysis) checkStateNeverOlder(job *jobRecord) {
+	for k, shown := range job.statuses {
+		rank := stateRanks[shown.State]
+		if shown.Code >= 300 || rank == 0 {
+			continue
+		}
+		for _, earlier := range job.statuses[:k] {
+			if earlier.Code < 300 && earlier.At < shown.sentAt() && stateRanks[earlier.State] > rank {
+				a.report(ruleStatus, shown.At, "%s was shown %s at %d and is shown %s by %s", job.key, earlier.State, earlier.At, shown.State, shown.Gateway)
+				return
+			}
+		}
+	}
+}
+
 // checkCreatedOnce: within the retention a name is created once; a second creation shows
 // that the first one was forgotten.
 func (a *analysis) checkCreatedOnce(job *jobRecord) {
--- a/internal/checker/recovery_rules.go
+++ b/internal/checker/recovery_rules.go
@@ -55,9 +55,10 @@
 
 func (a *analysis) checkSubmissionAfter(fault *Event, history []Event) {
 	submitted := map[jobKey]bool{}
+	deadline := a.recoveryDeadline(fault.At)
 	for k := range history {
 		e := &history[k]
-		if e.At > fault.At+a.bounds.Recovery {
+		if e.At > deadline {
 			if len(submitted) > 0 {
 				a.report(ruleRecovery, fault.At, "no submission was confirmed within %d us after: %s", a.bounds.Recovery, fault.State)
 			}
@@ -277,7 +278,7 @@
 	lastAnswer := map[string]eventloop.Micros{} // of workers that are up
 	isUnreachable := map[string]bool{}
 	checkGap := func(worker string, now eventloop.Micros) {
-		if at, isUp := lastAnswer[worker]; isUp && !isUnreachable[worker] && now > at+a.bounds.Recovery {
+		if at, isUp := lastAnswer[worker]; isUp && !isUnreachable[worker] && now > a.recoveryDeadline(at) {
 			a.report(ruleRecovery, at, "the worker %s has no answer for %d us", worker, now-at)
 		}
 		lastAnswer[worker] = now
--- a/internal/checker/task_rules.go
+++ b/internal/checker/task_rules.go
@@ -73,7 +73,7 @@
 	}
 	until := job.cancelledAt + a.bounds.Cancel + a.bounds.Stop
 	if a.isRecovering(run.worker, job.cancelledAt, until) {
-		until += a.bounds.Recovery
+		until = a.recoveryDeadline(until)
 	}
 	if run.end > until || run.end == 0 && until < a.closedAt {
 		a.report(ruleCancel, run.start, "%s runs on %d us after its job was cancelled", id.describe(), max(run.end, until)-job.cancelledAt)
