--- a/cmd/sparnotch-bench/simulate.go
+++ b/cmd/sparnotch-bench/simulate.go
@@ -27,8 +27,9 @@
 	faults                 string
 	seed                   uint64
 	random, overlap, seeds int
+	excess                 int
 	day                    int
-	noShrink               bool
+	noShrink, mayExceed    bool
 	share                  float64
 }
 
@@ -41,6 +42,7 @@
 sparnotch-bench simulate -faults kill/leader:3s@5s,cut/w2:6s@7s [-size bank] [-seed 1]
 sparnotch-bench simulate -random 100 [-size bank] [-seed 1]
 sparnotch-bench simulate -overlap 100 [-size bank-called] [-seed 1]
+sparnotch-bench simulate -excess 100 [-size bank-called] [-seed 1]
 sparnotch-bench simulate -day 24 [-share 0.25] [-size bank] [-seed 1]
   Without -scenario it lists them. The same seed gives the same history.
   -faults runs a schedule, each fault KIND/TARGET:DURATION@TIME. -random draws so
@@ -48,7 +50,9 @@
   shortest that still does, printed as the command that runs it.
   -overlap draws any three kinds at once, twice, and a last fault right after an
   acknowledgement. -seeds runs a scenario with so many seeds. A schedule that
-  exceeds the tolerated faults is a bad flag. -day runs so many hours with
+  exceeds the tolerated faults is a bad flag, unless -may-exceed is given: then service
+  may rest while too many storage nodes are away, and a recovery longer. -excess draws
+  such schedules. -day runs so many hours with
   configuration changes, long jobs, a rolling restart of all machines and one last
   fault, at a share of the load, and prints the size of the state over time.
   Exit codes: 0 no rule broken, 1 a rule broken, 2 bad flags.
@@ -63,6 +67,8 @@
 	set.IntVar(&c.day, "day", 0, "run a day of so many hours, 4 at least")
 	set.Float64Var(&c.share, "share", 0.25, "with -day: share of the load")
 	set.IntVar(&c.random, "random", 0, "draw and run so many schedules")
+	set.BoolVar(&c.mayExceed, "may-exceed", false, "with -faults: more storage nodes may be away than may be lost, if no more than one disk is lost")
+	set.IntVar(&c.excess, "excess", 0, "draw and run so many schedules in which more storage nodes are away than may be lost")
 	set.IntVar(&c.overlap, "overlap", 0, "draw and run so many schedules of three faults at once")
 	set.IntVar(&c.seeds, "seeds", 1, "with -scenario: run it with so many seeds")
 	set.StringVar(&c.size, "size", "small", "of the fleet: small, bank or skema, or these with -called")
@@ -84,9 +90,12 @@
 	case c.day > 0:
 		return c.playDay(size)
 	case c.random > 0:
-		return c.playRandom(size, c.random, sim.RandomSchedule)
+		return c.playRandom(size, c.random, sim.RandomSchedule, sim.Schedule.Scenario)
 	case c.overlap > 0:
-		return c.playRandom(size, c.overlap, sim.OverlappingSchedule)
+		return c.playRandom(size, c.overlap, sim.OverlappingSchedule, sim.Schedule.Scenario)
+	case c.excess > 0:
+		c.mayExceed = true
+		return c.playRandom(size, c.excess, sim.ExcessiveSchedule, sim.Schedule.ExcessScenario)
 	case c.faults != "":
 		return c.playFaults(size)
 	case c.scenario == "":
@@ -116,12 +125,16 @@
 
 // playFaults runs the schedule that the flags give.
 func (c *simulateCommand) playFaults(size sim.FleetSpec) subcommands.ExitStatus {
-	schedule, err := sim.ParseSchedule(c.faults, size)
+	parse, scenarioOf := sim.ParseSchedule, sim.Schedule.Scenario
+	if c.mayExceed {
+		parse, scenarioOf = sim.ParseExcessiveSchedule, sim.Schedule.ExcessScenario
+	}
+	schedule, err := parse(c.faults, size)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 2
 	}
-	return c.play(schedule.Scenario(), size)
+	return c.play(scenarioOf(schedule), size)
 }
 
 // playScenario runs the scenario that the flags name, with one seed or with many.
@@ -193,7 +206,7 @@
 }
 
 // playRandom runs random schedules of as many seeds.
-func (c *simulateCommand) playRandom(size sim.FleetSpec, count int, draw func(seed uint64, size sim.FleetSpec) sim.Schedule) subcommands.ExitStatus {
+func (c *simulateCommand) playRandom(size sim.FleetSpec, count int, draw func(seed uint64, size sim.FleetSpec) sim.Schedule, scenarioOf func(sim.Schedule) sim.Scenario) subcommands.ExitStatus {
 	schedules, faultCount := make([]sim.Schedule, count), 0
 	for k := range schedules {
 		schedules[k] = draw(c.seed+uint64(k), size)
@@ -202,20 +215,23 @@
 	findings := make([]*finding, count)
 	inParallel(count, func(k int) {
 		seed, schedule := c.seed+uint64(k), schedules[k]
-		_, violations, _ := sim.RunScenario(schedule.Scenario(), size, seed)
+		_, violations, _ := sim.RunScenario(scenarioOf(schedule), size, seed)
 		if len(violations) == 0 {
 			return
 		}
 		if !c.noShrink {
-			schedule = schedule.Shrink(size, seed, violations[0].Rule)
+			schedule = schedule.Shrink(size, seed, violations[0].Rule, scenarioOf)
 		}
 		findings[k] = &finding{schedule, violations[0]}
 	})
-	broken := 0
+	broken, mode := 0, ""
+	if c.mayExceed {
+		mode = "-may-exceed "
+	}
 	for k, found := range findings {
 		if found != nil {
 			broken++
-			fmt.Printf("BROKEN %v\n  sparnotch-bench simulate -size %s -seed %d -faults %s\n", found.violation, size.Name, c.seed+uint64(k), found.schedule)
+			fmt.Printf("BROKEN %v\n  sparnotch-bench simulate -size %s -seed %d %s-faults %s\n", found.violation, size.Name, c.seed+uint64(k), mode, found.schedule)
 		}
 	}
 	fmt.Printf("check: %d schedules with %d faults, %d of them break a rule\n", count, faultCount, broken)
--- a/internal/sim/fault_actions.go
+++ b/internal/sim/fault_actions.go
@@ -180,7 +180,7 @@
 func drainAndRestart(f *Fleet, h *Host, duration eventloop.Micros) {
 	f.RecordFault("%s warned", h.Name)
 	h.Drain(duration)
-	f.After(duration+eventloop.Second, h.Start)
+	f.After(duration+eventloop.Second, h.startIfDown)
 }
 
 func stallDisk(f *Fleet, h *Host, duration eventloop.Micros) {
--- a/internal/sim/fault_schedule.go
+++ b/internal/sim/fault_schedule.go
@@ -97,6 +97,14 @@
 // ParseSchedule reads faults as KIND/TARGET:DURATION@TIME, joined by commas, and checks
 // them for a fleet. Errors name the fault by its index.
 func ParseSchedule(text string, spec FleetSpec) (Schedule, error) {
+	list, err := parseFaults(text)
+	if err != nil {
+		return nil, err
+	}
+	return list, list.Check(spec)
+}
+
+func parseFaults(text string) (Schedule, error) {
 	var list Schedule
 	for k, part := range strings.Split(text, ",") {
 		kind, rest, hasTarget := strings.Cut(part, "/")
@@ -109,7 +117,7 @@
 		}
 		list = append(list, ScheduledFault{kind, target, eventloop.Micros(length.Microseconds()), eventloop.Micros(moment.Microseconds())})
 	}
-	return list, list.Check(spec)
+	return list, nil
 }
 
 // Check returns what makes a schedule impossible for a fleet: unknown kinds or targets, or
@@ -162,9 +170,9 @@
 }
 
 // Shrink leaves faults out as long as the same rule is still broken.
-func (s Schedule) Shrink(spec FleetSpec, seed uint64, rule int) Schedule {
+func (s Schedule) Shrink(spec FleetSpec, seed uint64, rule int, scenarioOf func(Schedule) Scenario) Schedule {
 	breaksRule := func(trial Schedule) bool {
-		_, violations, _ := RunScenario(trial.Scenario(), spec, seed)
+		_, violations, _ := RunScenario(scenarioOf(trial), spec, seed)
 		return slices.ContainsFunc(violations, func(v checker.Violation) bool { return v.Rule == rule })
 	}
 	for shrunk := true; shrunk; {
@@ -221,7 +229,7 @@
 // OverlappingSchedule draws three faults of any kinds that overlap, twice, and one that
 // ends everything right after an acknowledgement. No kind comes twice.
 func OverlappingSchedule(seed uint64, spec FleetSpec) Schedule {
-	d := &overlapDraw{spec: spec, rng: rand.New(rand.NewPCG(seed, 0x3a7))}
+	d := &overlapDraw{spec: spec, rng: rand.New(rand.NewPCG(seed, 0x3a7)), check: Schedule.Check, spread: roundSpread}
 	kinds := possibleKinds(FaultNames(), spec)
 	kinds = slices.DeleteFunc(kinds, func(kind string) bool { return slices.Contains(closingFaults, kind) })
 	for round := range eventloop.Micros(overlapRounds) {
@@ -242,9 +250,12 @@
 
 // overlapDraw draws an overlapping schedule.
 type overlapDraw struct {
-	spec FleetSpec
-	rng  *rand.Rand
-	list Schedule
+	spec         FleetSpec
+	rng          *rand.Rand
+	check        func(Schedule, FleetSpec) error
+	spread       eventloop.Micros // in which the faults of a round begin
+	repeatsKinds bool
+	list         Schedule
 }
 
 // add draws faults until one is possible beside those that the schedule has.
@@ -255,10 +266,10 @@
 		fault := ScheduledFault{
 			Kind: kind, Target: targets[d.rng.IntN(len(targets))],
 			Duration: eventloop.Micros(2+d.rng.IntN(11)) * eventloop.Second / 2,
-			At:       from + eventloop.Micros(d.rng.Int64N(int64(roundSpread/eventloop.Millisecond)))*eventloop.Millisecond,
+			At:       from + eventloop.Micros(d.rng.Int64N(int64(d.spread/eventloop.Millisecond)))*eventloop.Millisecond,
 		}
 		isKnown := slices.ContainsFunc(d.list, func(other ScheduledFault) bool { return other.Kind == kind })
-		if next := append(slices.Clone(d.list), fault); !isKnown && next.Check(d.spec) == nil {
+		if next := append(slices.Clone(d.list), fault); (!isKnown || d.repeatsKinds) && d.check(next, d.spec) == nil {
 			d.list = next
 			return
 		}
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -23,7 +23,7 @@
 func (f *Fleet) kill(h *Host, downtime eventloop.Micros) {
 	f.RecordFault("%s killed", h.Name)
 	h.Kill()
-	f.After(downtime, h.Start)
+	f.After(downtime, h.startIfDown)
 }
 
 // freeze stops a machine's process for a while.
@@ -36,7 +36,7 @@
 func (f *Fleet) wipe(h *Host, downtime eventloop.Micros) {
 	f.RecordFault("%s loses its disk", h.Name)
 	h.Wipe()
-	f.After(downtime, h.Start)
+	f.After(downtime, h.startIfDown)
 }
 
 // replace loses a machine with its disk; an empty one comes up at a new address.
@@ -150,7 +150,7 @@
 		h.Seeds = seeds
 		if h.Disk == nil && h.IsUp && k%4 == 3 {
 			h.Abort()
-			f.After(500*eventloop.Millisecond, h.Start)
+			f.After(500*eventloop.Millisecond, h.startIfDown)
 		}
 	}
 }
@@ -219,7 +219,7 @@
 	for _, h := range f.StorageNodes() {
 		if h.IsUp {
 			h.Kill()
-			f.After(downtime, h.Start)
+			f.After(downtime, h.startIfDown)
 		}
 	}
 }
@@ -236,7 +236,7 @@
 	for _, h := range f.Hosts {
 		if h.IsUp {
 			end(h)
-			f.After(downtime, h.Start)
+			f.After(downtime, h.startIfDown)
 		}
 	}
 }
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -107,6 +107,14 @@
 	}
 }
 
+// startIfDown starts the host's process where none runs: of several faults that have ended
+// it each starts it again.
+func (h *Host) startIfDown() {
+	if !h.IsUp {
+		h.Start()
+	}
+}
+
 func (h *Host) processConfig() *process.Config {
 	sim := h.sim
 	seeds := h.Seeds
@@ -168,6 +176,9 @@
 // Drain has the process shut down gracefully, as a signal does; it is killed when it has
 // nothing to hand over any more, or when the time is over.
 func (h *Host) Drain(timeout eventloop.Micros) {
+	if !h.isServing() {
+		return
+	}
 	run := h.run
 	for _, order := range []struct {
 		component string
--- a/internal/sim/platform_faults.go
+++ b/internal/sim/platform_faults.go
@@ -15,7 +15,7 @@
 	"abort": {anyMachine, true, onHost(func(f *Fleet, h *Host, duration eventloop.Micros) {
 		f.RecordFault("the process of %s killed", h.Name)
 		h.Abort()
-		f.After(min(duration, eventloop.Second), h.Start)
+		f.After(min(duration, eventloop.Second), h.startIfDown)
 	})},
 	// A storage node loses power and its disk; it comes back empty at its address.
 	"wipe": {anyStorageNode, true, onHost((*Fleet).wipe)},
