Platform: waiting_count counts jobs of which no task is known to have begun

A task that was returned without a failure or a loss may never have started, so its job still counts.

--- a/internal/queue/job.go
+++ b/internal/queue/job.go
@@ -198,6 +198,11 @@
 	j.checkedOut--
 }
 
+// hasRun reports whether an attempt is known to have run: it ended, or was lost.
+func (t *task) hasRun() bool {
+	return t.state == schema.TaskState_TASK_DONE || t.failures > 0 || len(t.lostAttempts) > 0
+}
+
 // reset makes a task wait for its next checkout.
 func (t *task) reset() {
 	t.state, t.worker, t.incarnation, t.checkoutSequence = schema.TaskState_TASK_WAITING, "", 0, 0
--- a/internal/queue/views.go
+++ b/internal/queue/views.go
@@ -70,12 +70,15 @@
 	return view
 }
 
-// Counts counts live jobs, tasks that could be checked out, and tasks that are checked
-// out.
+// Counts counts live jobs, those that haven't begun, tasks that could be checked out, and
+// tasks that are checked out.
 func (m *Machine) Counts() *schema.QueueCounts {
 	counts := &schema.QueueCounts{Live: uint32(len(m.jobs))}
 	for _, j := range m.jobs {
 		counts.Out += uint32(j.checkedOut)
+		if !j.hasBegun() {
+			counts.NotBegun++
+		}
 		if j.state != schema.JobState_JOB_RUNNING {
 			continue
 		}
@@ -88,6 +91,23 @@
 	return counts
 }
 
+// hasBegun reports whether a task of a job runs, or is known to have run. A task that was
+// returned without a failure or a loss may never have started on its worker.
+func (j *job) hasBegun() bool {
+	if j.startedTasks == 0 {
+		return false
+	}
+	if j.checkedOut > 0 || j.state == schema.JobState_JOB_STOPPING {
+		return true
+	}
+	for _, step := range j.tasks {
+		if slices.ContainsFunc(step, func(t task) bool { return t.hasRun() }) {
+			return true
+		}
+	}
+	return false
+}
+
 // List is a page of at most limit live and retained jobs, in the order of their names,
 // after the given name.
 func (m *Machine) List(after string, limit int) *schema.JobList {
--- a/internal/queue/views_test.go
+++ b/internal/queue/views_test.go
@@ -19,17 +19,40 @@
 		later := simpleJob(7)
 		later.DelayUs = 1_000_000
 		h.enqueue("c", 2, "k", later)
-		So(proto.Equal(h.machine.Counts(), &schema.QueueCounts{Live: 2, Waiting: 5}), ShouldBeTrue)
+		So(proto.Equal(h.machine.Counts(), &schema.QueueCounts{Live: 2, Waiting: 5, NotBegun: 2}), ShouldBeTrue)
 		h.checkout(key(1, 0, 0), key(1, 2, 0), key(1, 2, 1))
-		So(proto.Equal(h.machine.Counts(), &schema.QueueCounts{Live: 2, Waiting: 2, Out: 3}), ShouldBeTrue)
+		So(proto.Equal(h.machine.Counts(), &schema.QueueCounts{Live: 2, Waiting: 2, Out: 3, NotBegun: 1}), ShouldBeTrue)
 		h.cancel("j")
-		So(proto.Equal(h.machine.Counts(), &schema.QueueCounts{Live: 2, Out: 3}), ShouldBeTrue)
+		So(proto.Equal(h.machine.Counts(), &schema.QueueCounts{Live: 2, Out: 3, NotBegun: 1}), ShouldBeTrue)
 		view, _ := h.machine.JobView("j")
 		So(view.StartedTasks, ShouldEqual, 3)
 		So(view.PendingOutcome, ShouldEqual, "cancelled")
 	})
 }
 
+func TestJobsThatHaveNotBegun(t *testing.T) {
+	for cause, hasBegun := range map[schema.ReturnCause]bool{
+		schema.ReturnCause_RETURN_CAUSE_PREEMPTED: false, schema.ReturnCause_RETURN_CAUSE_FAILED: true, schema.ReturnCause_RETURN_CAUSE_WORKER_LOST: true,
+	} {
+		Convey("A job whose only attempt was returned as "+cause.String(), t, func() {
+			h := newHarness()
+			job := simpleJob(2)
+			job.Steps[0].AllowedFailures = 1
+			h.enqueue("c", 1, "j", job)
+			So(h.machine.Counts().NotBegun, ShouldEqual, 1)
+			h.checkout(key(1, 0, 0))
+			So(h.machine.Counts().NotBegun, ShouldEqual, 0)
+			h.returnTask(key(1, 0, 0), 1, cause)
+			So(h.machine.Counts().NotBegun == 0, ShouldEqual, hasBegun)
+			h.restart()
+			So(h.machine.Counts().NotBegun == 0, ShouldEqual, hasBegun)
+			h.checkout(key(1, 0, 1))
+			h.settle(key(1, 0, 1), 1)
+			So(h.machine.Counts().NotBegun, ShouldEqual, 0)
+		})
+	}
+}
+
 func TestJobViewJSON(t *testing.T) {
 	Convey("The keys of a job view's JSON stay", t, func() {
 		h := newHarness()
--- a/internal/schema/schema_test.go
+++ b/internal/schema/schema_test.go
@@ -30,7 +30,7 @@
 	{&schema.Job{}, map[int]string{1: "text", 2: "steps", 3: "delay_us", 4: "start_wall_us", 5: "rounds", 6: "every_us"}},
 	{&schema.StepView{}, map[int]string{1: "name", 2: "state", 3: "waiting", 4: "running", 5: "done", 6: "failures"}},
 	{&schema.JobView{}, map[int]string{1: "queue", 2: "name", 3: "state", 4: "why", 5: "tasks", 6: "done", 7: "steps", 8: "started", 9: "verdict"}},
-	{&schema.QueueCounts{}, map[int]string{1: "live", 2: "waiting", 3: "out"}},
+	{&schema.QueueCounts{}, map[int]string{1: "live", 2: "waiting", 3: "out", 4: "not_begun"}},
 	{&schema.JobList{}, map[int]string{1: "jobs", 2: "next"}},
 	{&schema.GatewayEndpoint{}, map[int]string{1: "address", 2: "cell", 3: "leaving"}},
 	{&schema.GatewayList{}, map[int]string{1: "fronts"}},
