Model checker of the worker's path; an attempt reported as lost doesn't start any more

Cause: between the report of a loss and its commit a worker that was back was sent the start of the lost attempt, and the task ran twice once the return was committed. Change: such an attempt is stopped instead.

--- /dev/null
+++ b/internal/modelcheck/workerpath/inflight.go
@@ -0,0 +1,161 @@
+package workerpath
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/internal/agent"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
+)
+
+// itemKind is what an item in flight is.
+type itemKind int
+
+const (
+	pollItem     itemKind = iota + 1 // of an agent to a scheduler
+	responseItem                     // to a poll
+	callItem                         // of an agent to its worker
+	replyItem                        // to a call
+	stateItem                        // a version of the cluster state
+	deposedItem                      // the replica's word to its scheduler that it no longer leads
+)
+
+// item is a message in flight. Its number is unique in a run.
+type item struct {
+	number   int
+	kind     itemKind
+	from, to string
+	body     any
+}
+
+func (w *World) send(kind itemKind, from, to string, body any) {
+	w.lastItem++
+	w.inFlight = append(w.inFlight, &item{w.lastItem, kind, from, to, body})
+	if len(w.inFlight) <= maxInFlight {
+		return
+	}
+	// The oldest that may be lost.
+	k := slices.IndexFunc(w.inFlight, func(it *item) bool { return it.kind != stateItem && it.kind != deposedItem })
+	w.lose(w.inFlight[k])
+}
+
+func (w *World) remove(it *item) {
+	w.inFlight = slices.DeleteFunc(w.inFlight, func(other *item) bool { return other == it })
+}
+
+func (w *World) find(number int) *item {
+	for _, it := range w.inFlight {
+		if it.number == number {
+			return it
+		}
+	}
+	return nil
+}
+
+// deliver takes an item to its receiver; one that is delivered twice stays in flight.
+func (w *World) deliver(it *item, isTwice bool) {
+	if !isTwice {
+		w.remove(it)
+	}
+	switch it.kind {
+	case pollItem:
+		w.stepScheduler(w.node(it.to), it.from, proto.Clone(it.body.(proto.Message)))
+	case responseItem:
+		w.stepAgent(w.machine(it.to), it.from, proto.Clone(it.body.(proto.Message)))
+	case callItem:
+		w.carryOut(w.machine(it.to), it.body.(agent.Call))
+	case replyItem:
+		w.takeReply(w.machine(it.to), it.body.(agent.Reply))
+	case stateItem:
+		w.deliverState(it.to, it.body.(*schema.ClusterStateResponse))
+	case deposedItem:
+		if n := w.node(it.to); n != w.leader {
+			w.stepScheduler(n, "", it.body.(replica.LeadershipLost))
+		}
+	}
+}
+
+func (w *World) deliverState(to string, update *schema.ClusterStateResponse) {
+	if m := w.machine(to); m != nil {
+		w.stepAgent(m, "", update)
+		return
+	}
+	n := w.node(to)
+	if update.Version > n.stateVersion {
+		n.stateVersion = update.Version
+		w.stepScheduler(n, "", update)
+	}
+}
+
+// carryOut has the worker do a call. Its reply finds a reader only while that waits.
+func (w *World) carryOut(m *machine, call agent.Call) {
+	if call.Worker != m.worker.ID() {
+		w.send(replyItem, m.name, m.name, agent.Reply{Number: call.Number, Outcome: agent.IncarnationMismatch})
+		return
+	}
+	m.worker.HandleCall(w.now, call, func(reply agent.Reply) {
+		if reply.Outcome != agent.TimedOut {
+			w.send(replyItem, m.name, m.name, reply)
+		}
+	})
+	w.observer.noteLapse(m)
+}
+
+// takeReply gives the agent a reply, if its client still waits for one.
+func (w *World) takeReply(m *machine, reply agent.Reply) {
+	if !m.pending[reply.Number] {
+		return
+	}
+	delete(m.pending, reply.Number)
+	w.stepAgent(m, "", reply)
+}
+
+// lose drops an item. The call or reply is lost, not the caller's wait for it.
+func (w *World) lose(it *item) { w.remove(it) }
+
+// port carries out the effects of one component.
+type port struct {
+	world   *World
+	node    *node    // of a scheduler; nil: the component is an agent
+	machine *machine // of an agent
+}
+
+// Send implements eventloop.Effects.
+func (p *port) Send(to string, body any) {
+	switch m := body.(type) {
+	case *schema.WorkerPollRequest:
+		p.world.send(pollItem, p.machine.name, to, proto.Clone(m))
+	case *schema.WorkerPollResponse:
+		p.world.send(responseItem, p.node.id, to, proto.Clone(m))
+	}
+}
+
+// SendToAddress implements eventloop.Effects.
+func (p *port) SendToAddress(string, any) {}
+
+// Respond implements eventloop.Effects.
+func (p *port) Respond(uint64, any) {}
+
+// Notify implements eventloop.Effects.
+func (p *port) Notify(_ string, body any) {
+	w := p.world
+	switch m := body.(type) {
+	case agent.Call:
+		p.machine.pending[m.Number] = true
+		w.send(callItem, p.machine.name, p.machine.name, m)
+	case replica.Propose:
+		if p.node == w.leader && m.Term == w.term {
+			w.proposals = append(w.proposals, proposal{p.node, m.Term, m.Command, nil})
+		}
+	case replica.TaskEnded:
+		if p.node == w.leader {
+			w.proposals = append(w.proposals, proposal{p.node, w.term, replica.CommandForEnd(m.End), m.End})
+		}
+	case replica.ResyncQueue:
+		if p.node == w.leader {
+			w.sendSnapshot()
+		}
+	}
+}
--- /dev/null
+++ b/internal/modelcheck/workerpath/steps.go
@@ -0,0 +1,152 @@
+package workerpath
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"sparnotch/internal/agent"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+// Step is what the environment does next:
+//
+//	deliver N, repeat N, lose N   an item in flight arrives; arrives and stays in flight; is lost
+//	time out M N                  the client of a machine gives up the call of a number
+//	commit                        the oldest proposal is committed
+//	elect                         the other node comes to lead the queue
+//	move ID                       the leases of all workers go to a node
+//	crash M                       a worker crashes and starts anew
+//	cancel NAME                   a client's cancel is committed
+//	pass SPAN                     time passes
+//	calm SPAN                     time passes, and everything is delivered and committed at once
+//	settle                        the same for long, with the leases at the leader's node
+type Step string
+
+// enabled lists the steps that are possible now.
+func (w *World) enabled() (steps []Step) {
+	add := func(format string, args ...any) { steps = append(steps, Step(fmt.Sprintf(format, args...))) }
+	for _, it := range w.inFlight {
+		add("deliver %d", it.number)
+		switch it.kind {
+		case stateItem, deposedItem:
+		case pollItem, responseItem:
+			add("lose %d", it.number)
+			add("repeat %d", it.number)
+		case callItem, replyItem:
+			add("lose %d", it.number)
+		}
+	}
+	for _, m := range w.machines {
+		for _, number := range m.pendingCalls() {
+			add("time out %s %d", m.name, number)
+		}
+		add("crash %s", m.name)
+	}
+	if len(w.proposals) > 0 {
+		add("commit")
+	}
+	add("elect")
+	for _, n := range w.nodes {
+		if w.state.WorkerLeases[0].Scheduler != n.id {
+			add("move %s", n.id)
+		}
+	}
+	for _, span := range []string{"100ms", "1s", "3.4s"} {
+		add("pass %s", span)
+	}
+	return steps
+}
+
+// Execute takes a step. One that isn't possible changes nothing, so that a schedule from
+// which steps were left out still means something.
+func (w *World) Execute(step Step) {
+	words := strings.Fields(string(step))
+	switch words[0] {
+	case "deliver", "repeat", "lose":
+		w.executeItem(words[0], words[1])
+	case "time":
+		w.executeTimeout(words[2], words[3])
+	case "commit":
+		if len(w.proposals) > 0 {
+			w.commit()
+		}
+	case "elect":
+		w.elect()
+	case "move":
+		w.moveLeases(w.node(words[1]))
+	case "crash":
+		w.crash(w.machine(words[1]))
+	case "cancel":
+		w.cancel(words[1])
+	case "pass":
+		w.pass(span(words[1]))
+	case "calm":
+		w.calm(span(words[1]))
+	case "settle":
+		if w.state.WorkerLeases[0].Scheduler != w.leader.id {
+			w.moveLeases(w.leader)
+		}
+		w.calm(settleTime)
+	}
+}
+
+func span(text string) eventloop.Micros {
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		panic(err)
+	}
+	return eventloop.Micros(duration.Microseconds())
+}
+
+func (w *World) executeItem(action, number string) {
+	n, _ := strconv.Atoi(number)
+	it := w.find(n)
+	if it == nil {
+		return
+	}
+	if action == "lose" {
+		w.lose(it)
+		return
+	}
+	w.deliver(it, action == "repeat")
+}
+
+func (w *World) executeTimeout(name, number string) {
+	n, _ := strconv.ParseUint(number, 10, 64)
+	m := w.machine(name)
+	if m.pending[n] {
+		w.takeReply(m, agent.Reply{Number: n, Outcome: agent.TimedOut})
+	}
+}
+
+// cancel commits a client's cancel through the present leader.
+func (w *World) cancel(name string) {
+	w.proposals = append(w.proposals, proposal{
+		w.leader, w.term, &schema.QueueCommand{Body: &schema.QueueCommand_Cancel{Cancel: &schema.Cancel{Name: name}}}, nil,
+	})
+}
+
+// maxExchanges is how many messages a moment may bring forth.
+const maxExchanges = 2000
+
+// calm lets time pass while everything arrives and is committed at once. Calls whose items
+// were lost are given up.
+func (w *World) calm(span eventloop.Micros) {
+	for end := w.now + span; w.now < end; {
+		for count := 0; len(w.inFlight)+len(w.proposals) > 0; count++ {
+			if count == maxExchanges {
+				w.observer.report("messages are exchanged without end at one moment")
+				return
+			}
+			if len(w.inFlight) > 0 {
+				w.deliver(w.inFlight[0], false)
+			} else {
+				w.commit()
+			}
+		}
+		w.pass(tickTime)
+	}
+}
--- /dev/null
+++ b/internal/modelcheck/workerpath/workerpath_test.go
@@ -0,0 +1,95 @@
+package workerpath
+
+import (
+	"flag"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"sparnotch/internal/eventloop"
+)
+
+var (
+	walks  = flag.Int("walks", 80, "random schedules of each scenario")
+	draws  = flag.Int("draws", 300, "draws of a random schedule")
+	seed   = flag.Uint64("seed", 1, "of the first random schedule")
+	deeper = flag.Int("deeper", 0, "so many steps further than in CI")
+)
+
+// jobs are more than the two workers can run at a time: each fits one task.
+var jobs = []jobSpec{
+	{name: "short", cores: 600, work: 300 * eventloop.Millisecond, allowedFailures: 1},
+	{name: "failing", cores: 600, work: 300 * eventloop.Millisecond, failures: 1, allowedFailures: 2},
+	{name: "hopeless", cores: 500, work: 200 * eventloop.Millisecond, failures: 10, allowedFailures: 1},
+	{name: "long", cores: 700, accelerators: 1, work: 5 * eventloop.Second, allowedFailures: 1},
+	{name: "accelerated", cores: 100, accelerators: 1, work: 700 * eventloop.Millisecond, allowedFailures: 1},
+	{name: "small", cores: 200, accelerators: 1, work: 400 * eventloop.Millisecond, allowedFailures: 1},
+}
+
+var scenarios = []Scenario{
+	{"workers just known", jobs[:2], []Step{"calm 200ms"}},
+	{"tasks run", jobs[:4], []Step{"calm 1s"}},
+	{"a leader was deposed and doesn't know it", jobs[:4], []Step{"calm 1s", "elect"}},
+	{"the leases have moved and nobody knows it", jobs[:4], []Step{"calm 1s", "move b"}},
+	{"leader and leases have moved", jobs, []Step{"calm 1s", "elect", "move b", "pass 1s"}},
+	{"a worker has crashed", jobs, []Step{"calm 700ms", "crash m1"}},
+}
+
+func TestEverySchedule(t *testing.T) {
+	for k := range scenarios {
+		t.Run(scenarios[k].Name, func(t *testing.T) {
+			t.Parallel()
+			worlds, found := scenarios[k].Explore(2 + *deeper)
+			t.Logf("%d worlds", worlds)
+			if found != nil {
+				t.Error(found)
+			}
+		})
+	}
+}
+
+func TestWalks(t *testing.T) {
+	for k := range scenarios {
+		t.Run(scenarios[k].Name, func(t *testing.T) {
+			t.Parallel()
+			var running sync.WaitGroup
+			var starts atomic.Int64
+			slots := make(chan bool, 2)
+			for n := range *walks {
+				running.Add(1)
+				slots <- true
+				go func() {
+					defer func() { <-slots; running.Done() }()
+					started, found := scenarios[k].Walk(*seed+uint64(n), *draws)
+					starts.Add(int64(started))
+					if found != nil {
+						t.Errorf("seed %d: %v", *seed+uint64(n), found)
+					}
+				}()
+			}
+			running.Wait()
+			t.Logf("%d walks, %d runs began", *walks, starts.Load())
+			if starts.Load() < int64(*walks) {
+				t.Error("hardly anything ran")
+			}
+		})
+	}
+}
+
+// TestCalm: with nothing broken every job ends as it should, in one run for each attempt.
+func TestCalm(t *testing.T) {
+	s := Scenario{"calm", jobs, nil}
+	w := s.play([]Step{settle})
+	if w.observer.violation != "" || w.unsettled() != "" {
+		t.Fatal(w.observer.violation, w.unsettled())
+	}
+	const wanted = 8 // four that succeed at once, one at its second attempt, one that fails twice
+	if w.observer.starts != wanted {
+		t.Errorf("%d runs began", w.observer.starts)
+	}
+	for name, state := range map[string]string{"short": "complete", "failing": "complete", "hopeless": "failed", "long": "complete"} {
+		if view, _ := w.queue.JobView(name); view.GetState() != state {
+			t.Errorf("%s is %v", name, view.GetState())
+		}
+	}
+}
--- /dev/null
+++ b/internal/modelcheck/workerpath/world.go
@@ -0,0 +1,297 @@
+package workerpath
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"sparnotch/internal/agent"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/queue"
+	"sparnotch/internal/replica"
+	"sparnotch/internal/scheduler"
+	"sparnotch/internal/schema"
+	"sparnotch/internal/timing"
+)
+
+const (
+	queueName   = "l"
+	queueGroup  = "l#1"
+	tickTime    = 100 * eventloop.Millisecond // coarser than that of processes, as after pauses
+	firstMoment = 30 * eventloop.Second       // past the time in which an agent expects calls of a predecessor
+	leaderLease = 300 * eventloop.Millisecond // a successor leads only when the former leader's lease is over
+
+	workerCores        = 1000
+	workerMemory       = 1000
+	workerAccelerators = 1
+	slowClock          = 0.985 // rate of the first machine's worker clock
+
+	maxInFlight = 24 // the oldest of more are lost
+)
+
+// node is a storage node with its scheduler.
+type node struct {
+	id           string
+	scheduler    *scheduler.Scheduler
+	stateVersion uint64 // of the cluster state that its replica has applied
+}
+
+// machine is an agent node with its worker.
+type machine struct {
+	name         string
+	agent        *agent.Agent
+	worker       *fakeworker.CalledWorker
+	incarnations int
+	pending      map[uint64]bool // calls whose replies the agent's client still waits for
+}
+
+// proposal is an entry that its leader has added to the queue's log and that isn't
+// committed.
+type proposal struct {
+	node    *node
+	term    uint64
+	command *schema.QueueCommand
+	report  *schema.TaskEndReport // that it was made from; nil: the scheduler's own command
+}
+
+// World is the state of everything; steps alone change it.
+type World struct {
+	now       eventloop.Micros
+	queue     *queue.Machine
+	index     uint64 // of the log's last committed entry
+	leader    *node
+	term      uint64
+	proposals []proposal
+
+	state       *schema.ClusterState // the newest
+	committedAt map[uint64]eventloop.Micros
+
+	nodes    []*node
+	machines []*machine
+	inFlight []*item
+	lastItem int
+
+	observer *observer
+}
+
+// newWorld has both workers known to the first node, which leads the queue and holds their
+// leases, and the jobs of the specs submitted.
+func newWorld(jobs []jobSpec) *World {
+	w := &World{now: firstMoment, queue: queue.New(queueName), term: 1, committedAt: map[uint64]eventloop.Micros{}}
+	w.observer = newObserver(w, jobs)
+	for _, id := range []string{"a", "b"} {
+		w.nodes = append(w.nodes, &node{id: id, scheduler: scheduler.New(id).WithBounds(bounds)})
+	}
+	w.leader = w.nodes[0]
+	for k, name := range []string{"m1", "m2"} {
+		m := &machine{name: name, agent: agent.New(bounds, 1000), pending: map[uint64]bool{}, incarnations: 1}
+		w.machines = append(w.machines, m)
+		drift := 1.0
+		if k == 0 {
+			drift = slowClock
+		}
+		m.worker = fakeworker.NewCalledWorker(w.now, m.workerID(), w.workerConfig(m, drift), nil)
+	}
+	w.state = &schema.ClusterState{
+		Version: 1, Configuration: &schema.Configuration{Rows: []*schema.ConfigurationRow{{Kind: "queue", Name: queueName, Key: "urgency", Value: "5"}}},
+		Queues: []*schema.QueuePlacement{{Queue: queueName, Generation: 1, PreferredLeader: "a"}}, NextToken: 10,
+	}
+	for _, m := range w.machines {
+		w.addLease(m.workerID(), "a")
+	}
+	w.committedAt[w.state.Version] = w.now
+	w.publishState()
+	for number, job := range jobs {
+		w.apply(job.enqueue(uint64(number + 1)))
+	}
+	w.sendSnapshot()
+	w.pass(tickTime)
+	return w
+}
+
+func (m *machine) workerID() string { return fmt.Sprintf("%s.%d", m.name, m.incarnations) }
+
+func (w *World) workerConfig(m *machine, drift float64) fakeworker.Config {
+	return fakeworker.Config{
+		Cores: workerCores, Memory: workerMemory, Accelerators: workerAccelerators, Rack: "r1", Address: m.name, Bounds: bounds, ClockDrift: drift,
+		Fails: func(task agent.TaskName, attempt uint32) bool { return w.observer.fails(task, attempt) },
+		OnEvent: func(now eventloop.Micros, kind string, run fakeworker.RunID, state string) {
+			w.observer.runEvent(m, kind, run, state)
+		},
+		OnAcknowledged: func(_ eventloop.Micros, ended agent.EndedTask) { w.observer.acknowledged(m, ended) },
+	}
+}
+
+// addLease gives a worker that isn't known a lease with a new fencing token.
+func (w *World) addLease(worker, scheduler string) {
+	w.state.NextToken++
+	w.state.WorkerLeases = append(w.state.WorkerLeases, &schema.WorkerLease{Worker: worker, Scheduler: scheduler, FencingToken: w.state.NextToken})
+	slices.SortFunc(w.state.WorkerLeases, func(a, b *schema.WorkerLease) int {
+		if a.Worker < b.Worker {
+			return -1
+		}
+		return 1
+	})
+}
+
+// changeState commits a change of the cluster state, and sends it to everybody.
+func (w *World) changeState(change func()) {
+	w.state = proto.Clone(w.state).(*schema.ClusterState)
+	w.state.Version++
+	change()
+	w.committedAt[w.state.Version] = w.now
+	w.publishState()
+}
+
+func (w *World) publishState() {
+	update := &schema.ClusterStateResponse{State: w.state, Version: w.state.Version, Leaders: map[string]string{}}
+	for _, n := range w.nodes {
+		w.send(stateItem, "", n.id, update)
+	}
+	for _, m := range w.machines {
+		w.send(stateItem, "", m.name, update)
+	}
+}
+
+// isFresh reports whether a node's replica of the cluster state may say that it is current.
+func (w *World) isFresh(n *node) bool {
+	if n.stateVersion == w.state.Version {
+		return true
+	}
+	next := n.stateVersion + 1
+	return w.now-w.committedAt[next] < timing.FromBounds(bounds).MaxStateAge
+}
+
+// apply commits a command.
+func (w *World) apply(command *schema.QueueCommand) *queue.Effects {
+	data, err := proto.Marshal(command)
+	if err != nil {
+		panic(err)
+	}
+	w.index++
+	effects, err := w.queue.Apply(w.index, int64(w.now), data)
+	if err != nil {
+		panic(err)
+	}
+	return effects
+}
+
+// sendSnapshot gives the leader's scheduler the whole list of the queue's tasks.
+func (w *World) sendSnapshot() {
+	events, last := w.queue.ActiveTasks()
+	w.stepScheduler(w.leader, "", replica.TaskEvents{
+		Queue: queueName, Group: queueGroup, Term: w.term, LastSequence: last, Events: events, IsSnapshot: true, Urgency: 5, Running: 1000,
+	})
+}
+
+func (w *World) stepScheduler(n *node, from string, body any) {
+	n.scheduler.Step(w.now, eventloop.Message{From: from, Body: body}, &port{w, n, nil})
+}
+
+func (w *World) stepAgent(m *machine, from string, body any) {
+	m.agent.Step(w.now, eventloop.Message{From: from, Body: body}, &port{w, nil, m})
+}
+
+// tick has every component do what is due.
+func (w *World) tick() {
+	for _, m := range w.machines {
+		m.worker.Step(w.now)
+		w.observer.noteLapse(m)
+	}
+	for _, n := range w.nodes {
+		status := replica.LeadershipStatus{Terms: map[string]uint64{}, IsClusterStateFresh: w.isFresh(n), At: w.now}
+		if n == w.leader {
+			status.Terms[queueGroup] = w.term
+		}
+		w.stepScheduler(n, "", status)
+		w.stepScheduler(n, "", eventloop.Tick{})
+	}
+	for _, m := range w.machines {
+		if !m.worker.IsDead() {
+			w.stepAgent(m, "", m.worker.Heartbeat(w.now))
+		}
+		w.stepAgent(m, "", eventloop.Tick{})
+	}
+}
+
+// pass lets time pass with no message delivered.
+func (w *World) pass(span eventloop.Micros) {
+	for end := w.now + span; w.now < end; {
+		w.now += tickTime
+		w.tick()
+	}
+}
+
+// commit commits the oldest proposal, unless another term has begun since it was made.
+func (w *World) commit() {
+	p := w.proposals[0]
+	w.proposals = w.proposals[1:]
+	if p.term != w.term {
+		return
+	}
+	effects := w.apply(p.command)
+	if count := len(effects.Events); count > 0 {
+		w.stepScheduler(p.node, "", replica.TaskEvents{
+			Queue: queueName, Group: queueGroup, Term: w.term, LastSequence: effects.Events[count-1].Sequence, Events: effects.Events, Urgency: 5, Running: 1000,
+		})
+	}
+	if p.report != nil {
+		w.stepScheduler(p.node, "", &schema.TaskEndAck{Queue: queueName, Key: p.report.Key, Attempt: p.report.Attempt, Worker: p.report.Worker, Outcome: p.report.Outcome})
+	}
+}
+
+// elect has the other node lead the queue. What the former leader has proposed and isn't
+// committed is lost; it learns of its deposition by a message.
+func (w *World) elect() {
+	former := w.leader
+	w.leader = w.otherNode(former)
+	w.term++
+	w.proposals = nil
+	w.pass(leaderLease)
+	w.send(deposedItem, "", former.id, replica.LeadershipLost{Queue: queueName})
+	w.sendSnapshot()
+}
+
+func (w *World) otherNode(n *node) *node {
+	if n == w.nodes[0] {
+		return w.nodes[1]
+	}
+	return w.nodes[0]
+}
+
+// moveLeases gives all leases of workers to a node, with new fencing tokens.
+func (w *World) moveLeases(n *node) {
+	w.changeState(func() {
+		for _, lease := range w.state.WorkerLeases {
+			w.state.NextToken++
+			lease.Scheduler, lease.FencingToken = n.id, w.state.NextToken
+		}
+	})
+}
+
+// crash ends a worker and starts its next incarnation.
+func (w *World) crash(m *machine) {
+	holder := w.state.WorkerLeases[0].Scheduler
+	m.incarnations++
+	m.worker.Restart(w.now, m.workerID())
+	w.observer.restarted(m)
+	w.changeState(func() { w.addLease(m.workerID(), holder) })
+}
+
+func (w *World) node(id string) *node {
+	return w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.id == id })]
+}
+
+func (w *World) machine(name string) *machine {
+	k := slices.IndexFunc(w.machines, func(m *machine) bool { return m.name == name })
+	if k < 0 {
+		return nil
+	}
+	return w.machines[k]
+}
+
+// pendingCalls lists the calls of a machine whose replies are awaited.
+func (m *machine) pendingCalls() []uint64 { return slices.Sorted(maps.Keys(m.pending)) }
--- a/internal/mutation/fault_mutants.go
+++ b/internal/mutation/fault_mutants.go
@@ -33,6 +33,10 @@
 			Guard: "a failure that is reported after the hold lapsed counts", Test: "internal/replica TestCommandForEnd",
 			Edits: []Edit{{"internal/replica", "	case outcomeLost, outcomeLapsed:\n", "	case outcomeLost:\n"}},
 		},
+		{
+			Guard: "an attempt that was reported as lost doesn't start", Test: "internal/modelcheck/workerpath TestWalks",
+			Edits: []Edit{{"internal/scheduler", "t.isStopping() || t.isReturned() || ", "t.isStopping() || "}},
+		},
 		{
 			Guard: "an acknowledgement is for the end that it names", Test: "internal/scheduler TestEndsAreAcknowledgedWhenApplied",
 			Edits: []Edit{{"internal/scheduler", " && (m.Outcome == \"\" || m.Outcome == report.sentOutcome)", ""}},
--- a/internal/replica/submissions.go
+++ b/internal/replica/submissions.go
@@ -141,15 +141,15 @@
 	if h.isBacklogFull(r) || m.Key == nil {
 		return
 	}
-	if index := h.proposeQueue(now, r, commandForEnd(m)); index > 0 {
+	if index := h.proposeQueue(now, r, CommandForEnd(m)); index > 0 {
 		r.pendingCommands[index] = pendingReply{term: r.group.Term(), from: from, report: m}
 	}
 }
 
-// commandForEnd is the queue command for a worker's report. Outcomes other than done and
+// CommandForEnd is the queue command for a worker's report. Outcomes other than done and
 // failed aren't the task's fault and don't count as failures. Where the worker was lost or
 // its hold lapsed it may yet report that the attempt had failed before, which then counts.
-func commandForEnd(m *schema.TaskEndReport) *schema.QueueCommand {
+func CommandForEnd(m *schema.TaskEndReport) *schema.QueueCommand {
 	cause := schema.ReturnCause_RETURN_CAUSE_PREEMPTED
 	switch m.Outcome {
 	case outcomeDone:
--- a/internal/replica/submissions_test.go
+++ b/internal/replica/submissions_test.go
@@ -13,7 +13,7 @@
 func TestCommandForEnd(t *testing.T) {
 	key := &schema.TaskKey{Job: 1, Step: 2, Task: 3}
 	end := func(outcome string) *schema.QueueCommand {
-		return commandForEnd(&schema.TaskEndReport{Queue: "l", Key: key, Attempt: 4, Outcome: outcome, Checkpoint: "text", WholeGang: true})
+		return CommandForEnd(&schema.TaskEndReport{Queue: "l", Key: key, Attempt: 4, Outcome: outcome, Checkpoint: "text", WholeGang: true})
 	}
 	Convey("Done settles the task, or its whole gang if the worker says so", t, func() {
 		wanted := &schema.Settle{Key: key, Attempt: 4, WholeGang: true}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -64,6 +64,7 @@
 // inherit takes over what was observed of the same attempt.
 func (t *task) inherit(old *task) {
 	t.evictOutcome, t.attemptProgress, t.isBoosted = old.evictOutcome, old.attemptProgress, old.isBoosted
+	t.returnedAt = old.returnedAt
 	if (t.state == queue.Ready) == (old.state == queue.Ready) {
 		t.since = old.since
 	}
--- a/internal/scheduler/leases_test.go
+++ b/internal/scheduler/leases_test.go
@@ -73,3 +73,35 @@
 		So(h.endReports()[0].Outcome, ShouldEqual, "lost")
 	})
 }
+
+func TestReturnedAttemptsDontStart(t *testing.T) {
+	Convey("An attempt that was reported as lost isn't started on its worker any more, though the worker is back before that is committed", t, func() {
+		h := newHarness("w")
+		h.sendHeartbeat("w", withNames(nil))
+		h.deliverEvents(true, 1, newEvent(1, 1, 0, queue.CheckedOut, "w", oneTask))
+		h.advance(10 * eventloop.Second)
+		So(h.endReports(), ShouldNotBeEmpty)
+		So(h.endReports()[0].Outcome, ShouldEqual, outcomeLost)
+		from := len(h.replies)
+		for range 3 {
+			h.sendHeartbeat("w", withNames(nil))
+			h.advance(maxPollWait)
+		}
+		So(h.ordersOf(from, "start"), ShouldBeEmpty)
+		So(h.ordersOf(from, "stop"), ShouldNotBeEmpty)
+		Convey("nor when the whole list of tasks comes again", func() {
+			from := len(h.replies)
+			h.deliverEvents(true, 2, newEvent(2, 1, 0, queue.CheckedOut, "w", oneTask))
+			h.sendHeartbeat("w", withNames(nil))
+			So(h.ordersOf(from, "start"), ShouldBeEmpty)
+		})
+		Convey("but the next attempt is", func() {
+			next := newEvent(2, 1, 0, queue.CheckedOut, "w", oneTask)
+			next.Attempt = 2
+			h.deliverEvents(false, 2, next)
+			from := len(h.replies)
+			h.sendHeartbeat("w", withNames(nil))
+			So(len(h.ordersOf(from, "start")), ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -33,7 +33,7 @@
 		q := s.queues[t.key.queue]
 		status := w.running[attemptKey{t.key, t.attempt}]
 		switch {
-		case t.isStopping() || w.isDraining && !t.staysWhileDraining(now, w, status):
+		case t.isStopping() || t.isReturned() || w.isDraining && !t.staysWhileDraining(now, w, status):
 			orders = append(orders, newOrder(actionStop, q, t))
 		case !s.mayActFor(now, q):
 		case status == nil && s.poolOf(q) != w.pool:
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -114,6 +114,11 @@
 // isStopping reports whether the task is to be stopped on its worker.
 func (t *task) isStopping() bool { return t.state == queue.Stopping || t.evictOutcome != "" }
 
+// isReturned reports whether the attempt was reported as lost to its queue. That may be
+// committed at any time, and the task be started elsewhere, so it mustn't start any more,
+// though its worker be back.
+func (t *task) isReturned() bool { return t.returnedAt > 0 }
+
 // isActive reports whether the task is checked out and may stay so.
 func (t *task) isActive() bool { return t.state == queue.CheckedOut && t.evictOutcome == "" }
 
