Members: a change is refused where the members aren't those that it was decided on

The group's status names the index of its newest membership change, and so does the controller's request.

--- a/internal/controller/group_members.go
+++ b/internal/controller/group_members.go
@@ -28,7 +28,7 @@
 		// Only the same change waits until its effect can be visible.
 		action := strings.Join([]string{"members", group, change.AddLearner, change.Promote, change.Remove}, "/")
 		if c.allowAction(now, action, actionInterval) {
-			change.Group, change.FencingToken = group, c.fencingToken
+			change.Group, change.FencingToken, change.MemberSetIndex = group, c.fencingToken, statuses[group].MemberSetIndex
 			effects.Send(statuses[group].Leader, change)
 		}
 	}
--- a/internal/replica/cluster_state_updates.go
+++ b/internal/replica/cluster_state_updates.go
@@ -86,7 +86,7 @@
 	g := r.group
 	members := g.MemberSet()
 	status := &schema.QueueStatus{
-		Group: g.Name(), Queue: r.queueName, Leader: h.id, Voters: members.Voters, Learners: members.Learners,
+		Group: g.Name(), Queue: r.queueName, Leader: h.id, Voters: members.Voters, Learners: members.Learners, MemberSetIndex: g.MemberSetIndex(),
 		ReplicaLag: map[string]uint64{}, StorageExhausted: h.disk.isLow,
 	}
 	for _, list := range [][]string{members.Voters, members.Learners} {
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -292,6 +292,7 @@
 func (c *testCluster) changeMembers(m *schema.ChangeMembers) *schema.MemberSet {
 	m.Group, m.FencingToken = clusterstate.GroupName, c.claimController()
 	leader := c.leader("")
+	m.MemberSetIndex = c.clusterStateGroup(leader).MemberSetIndex()
 	c.step(leader, "h", m)
 	c.run(200 * eventloop.Millisecond)
 	return c.clusterStateGroup(leader).MemberSet()
--- a/internal/replica/member_changes.go
+++ b/internal/replica/member_changes.go
@@ -26,6 +26,10 @@
 	if r == nil || !r.group.IsLeader() || !h.isClusterStateFresh(now) || !h.stateMachine.HoldsControllerLease(m.FencingToken) {
 		return
 	}
+	// A late request was decided on other members.
+	if m.MemberSetIndex != r.group.MemberSetIndex() {
+		return
+	}
 	memberSet := h.changedMemberSet(now, r.group, m)
 	if memberSet == nil {
 		return
--- a/internal/replica/member_changes_test.go
+++ b/internal/replica/member_changes_test.go
@@ -29,6 +29,22 @@
 	})
 }
 
+func TestLateMemberChanges(t *testing.T) {
+	Convey("A request that was decided on other members than the present ones changes nothing", t, func() {
+		c := newTestCluster()
+		leader := c.leader("")
+		token, before := c.claimController(), c.clusterStateGroup(leader).MemberSetIndex()
+		So(c.changeMembers(&schema.ChangeMembers{AddLearner: "d"}).Learners, ShouldResemble, []string{"d"})
+		late := func(index uint64) *schema.MemberSet {
+			c.step(leader, "h", &schema.ChangeMembers{Group: clusterstate.GroupName, FencingToken: token, Remove: "d", MemberSetIndex: index})
+			c.run(200 * eventloop.Millisecond)
+			return c.clusterStateGroup(leader).MemberSet()
+		}
+		So(late(before).Learners, ShouldResemble, []string{"d"})
+		So(late(c.clusterStateGroup(leader).MemberSetIndex()).Learners, ShouldBeEmpty)
+	})
+}
+
 func TestMemberChangesKeepFaultTolerance(t *testing.T) {
 	Convey("None of three voters that all answer is removed, whatever the controller requests", t, func() {
 		c := newTestCluster()
@@ -122,7 +138,7 @@
 		lease := c.claimController()
 		leader := c.leader("")
 		changeMembers := func(m *schema.ChangeMembers) []string {
-			m.Group, m.FencingToken = clusterstate.GroupName, lease
+			m.Group, m.FencingToken, m.MemberSetIndex = clusterstate.GroupName, lease, c.clusterStateGroup(leader).MemberSetIndex()
 			c.step(leader, "h", m)
 			c.run(50 * eventloop.Millisecond)
 			return c.clusterStateGroup(leader).MemberSet().Voters
@@ -165,7 +181,7 @@
 		c.run(200 * eventloop.Millisecond)
 		group := c.queueGroup(leader, "l")
 		learners := func(id string) []string {
-			c.step(leader, "h", &schema.ChangeMembers{Group: group.Name(), AddLearner: id, FencingToken: lease})
+			c.step(leader, "h", &schema.ChangeMembers{Group: group.Name(), AddLearner: id, FencingToken: lease, MemberSetIndex: group.MemberSetIndex()})
 			c.run(100 * eventloop.Millisecond)
 			return group.MemberSet().Learners
 		}
