--- a/internal/modelcheck/workerpath/observer.go
+++ b/internal/modelcheck/workerpath/observer.go
@@ -18,11 +18,12 @@
 	HeartbeatIntervalUs: int64(1500 * eventloop.Millisecond), DrainTimeoutUs: int64(2 * eventloop.Second),
 }
 
-// jobSpec is a job of one step with one task, by whose name the fake worker knows what the
-// task does.
+// jobSpec is a job of one step, with one task or a gang, by whose name the fake worker knows
+// what the tasks do.
 type jobSpec struct {
 	name            string
-	cores           int64 // thousandths
+	members         uint32 // of a gang; 0: there is one task
+	cores           int64  // thousandths, of a task
 	accelerators    int64
 	work            eventloop.Micros
 	failures        uint32 // attempts that fail, from the first on
@@ -30,12 +31,12 @@
 }
 
 func (j *jobSpec) text() string {
-	return fmt.Sprintf("run_us=%d cores=%d accelerators=%d", j.work, j.cores, j.accelerators)
+	return fmt.Sprintf("run_us=%d cores=%d accelerators=%d members=%d", j.work, j.cores, j.accelerators, j.members)
 }
 
 func (j *jobSpec) enqueue(number uint64) *schema.QueueCommand {
 	job := &schema.Job{Text: j.text(), Steps: []*schema.Step{{
-		Name: "s", Tasks: 1, CoresMilli: j.cores, MemoryMb: 10, Accelerators: j.accelerators, AllowedFailures: j.allowedFailures, EstimatedRunUs: int64(j.work),
+		Name: "s", Tasks: max(j.members, 1), Gang: j.members > 0, CoresMilli: j.cores, MemoryMb: 10, Accelerators: j.accelerators, AllowedFailures: j.allowedFailures, EstimatedRunUs: int64(j.work),
 	}}}
 	return &schema.QueueCommand{Body: &schema.QueueCommand_Enqueue{Enqueue: &schema.Enqueue{
 		Session: &schema.Session{Gateway: "g", Incarnation: 1, Client: "c"}, Number: number, Name: j.name, Digest: []byte(j.name), Job: job,
@@ -95,7 +96,7 @@
 
 // fails reports whether an attempt fails by the task's own fault.
 func (o *observer) fails(task agent.TaskName, attempt uint32) bool {
-	return attempt <= o.jobs[task.Job].failures
+	return task.Task == 0 && attempt <= o.jobs[task.Job].failures
 }
 
 // runEvent takes in that a run begins or ends on a worker.
--- a/internal/modelcheck/workerpath/workerpath_test.go
+++ b/internal/modelcheck/workerpath/workerpath_test.go
@@ -24,6 +24,8 @@
 	{name: "long", cores: 700, accelerators: 1, work: 5 * eventloop.Second, allowedFailures: 1},
 	{name: "accelerated", cores: 100, accelerators: 1, work: 700 * eventloop.Millisecond, allowedFailures: 1},
 	{name: "small", cores: 200, accelerators: 1, work: 400 * eventloop.Millisecond, allowedFailures: 1},
+	{name: "gang", members: 2, cores: 300, work: 600 * eventloop.Millisecond, allowedFailures: 1},
+	{name: "failing-gang", members: 2, cores: 200, work: 500 * eventloop.Millisecond, failures: 1, allowedFailures: 1},
 }
 
 var scenarios = []Scenario{
@@ -31,6 +33,7 @@
 	{"tasks run", jobs[:4], []Step{"calm 1s"}},
 	{"a leader was deposed and doesn't know it", jobs[:4], []Step{"calm 1s", "elect"}},
 	{"the leases have moved and nobody knows it", jobs[:4], []Step{"calm 1s", "move b"}},
+	{"a gang runs", jobs[5:], []Step{"calm 400ms"}},
 	{"leader and leases have moved", jobs, []Step{"calm 1s", "elect", "move b", "pass 1s"}},
 	{"a worker has crashed", jobs, []Step{"calm 700ms", "crash m1"}},
 }
@@ -83,7 +86,9 @@
 	if w.observer.violation != "" || w.unsettled() != "" {
 		t.Fatal(w.observer.violation, w.unsettled())
 	}
-	const wanted = 8 // four that succeed at once, one at its second attempt, one that fails twice
+	// Four that succeed at once, one at its second attempt, one that fails twice, a gang of two,
+	// and one of two that fails once.
+	const wanted = 4 + 2 + 2 + 2 + 4
 	if w.observer.starts != wanted {
 		t.Errorf("%d runs began", w.observer.starts)
 	}
--- a/internal/modelcheck/workerpath/world.go
+++ b/internal/modelcheck/workerpath/world.go
@@ -86,6 +86,7 @@
 		w.nodes = append(w.nodes, &node{id: id, scheduler: scheduler.New(id).WithBounds(bounds)})
 	}
 	w.leader = w.nodes[0]
+	gangs := fakeworker.NewGangs()
 	for k, name := range []string{"m1", "m2"} {
 		m := &machine{name: name, agent: agent.New(bounds, 1000), pending: map[uint64]bool{}, incarnations: 1}
 		w.machines = append(w.machines, m)
@@ -93,7 +94,7 @@
 		if k == 0 {
 			drift = slowClock
 		}
-		m.worker = fakeworker.NewCalledWorker(w.now, m.workerID(), w.workerConfig(m, drift), nil)
+		m.worker = fakeworker.NewCalledWorker(w.now, m.workerID(), w.workerConfig(m, drift), gangs)
 	}
 	w.state = &schema.ClusterState{
 		Version: 1, Configuration: &schema.Configuration{Rows: []*schema.ConfigurationRow{{Kind: "queue", Name: queueName, Key: "urgency", Value: "5"}}},
