--- a/internal/ablation/ablations.go
+++ b/internal/ablation/ablations.go
@@ -5,13 +5,13 @@
 // Ablations are all mechanisms that can be switched off, by stage.
 var Ablations = []*Ablation{
 	{"headroom", "capacity kept free for what more urgent queues lately used", []mutation.Edit{
-		{Package: "internal/scheduler", Old: "\tmayUseHeadroom := req.isShort ||", New: "\tmayUseHeadroom := true || req.isShort ||"},
+		{Package: "internal/scheduler", Old: "\tmayUseHeadroom := p.class == boosted || req.isShort ||", New: "\tmayUseHeadroom := true || p.class == boosted || req.isShort ||"},
 	}},
 	{"preemption", "urgent work preempts less urgent work", []mutation.Edit{
 		{Package: "internal/scheduler", Old: "return s.fleetSetting(\"preempt\") != 0 &&", New: "return false && s.fleetSetting(\"preempt\") != 0 &&"},
 	}},
 	{"feasibility", "work that can meet its target goes before work that cannot", []mutation.Edit{
-		{Package: "internal/scheduler", Old: "\tallowed := estimateTolerance * (q.stretch", New: "\tif q != nil {\n\t\treturn onTime\n\t}\n\tallowed := estimateTolerance * (q.stretch"},
+		{Package: "internal/scheduler", Old: "\tallowed := s.allowedDuration(q, t)\n\tif allowed == 0 {\n", New: "\tallowed := s.allowedDuration(q, t)\n\tif allowed >= 0 {\n"},
 	}},
 	{"nearly-done", "late work of which little is left goes with what is on time", []mutation.Edit{
 		{Package: "internal/scheduler", Old: "if float64(remaining) <= nearlyDoneRatio*", New: "if false && float64(remaining) <= nearlyDoneRatio*"},
@@ -20,7 +20,7 @@
 		{Package: "internal/scheduler", Old: "\treturn cmp.Or(cmp.Compare(a.workRank, b.workRank), cmp.Compare(a.key.job", New: "\treturn cmp.Or(cmp.Compare(a.key.job"},
 	}},
 	{"infeasible-budget", "infeasible work leaves part of the capacity free", []mutation.Edit{
-		{Package: "internal/scheduler", Old: "\tif class == infeasible {\n\t\tp.remainingCores", New: "\tif false && class == infeasible {\n\t\tp.remainingCores"},
+		{Package: "internal/scheduler", Old: "\tcase infeasible:\n\t\tp.remainingCores = infeasibleBudget(candidates)\n", New: "\tcase infeasible:\n"},
 	}},
 	{"ejection", "workers that fail more than others are ejected", []mutation.Edit{
 		{Package: "internal/scheduler", Old: "\tif w.isOnProbation {\n\t\treturn w.suspicion >= probationSuspicion\n\t}\n\treturn w.suspicion >= ejectionSuspicion", New: "\treturn false"},
--- a/internal/mutation/fault_mutants.go
+++ b/internal/mutation/fault_mutants.go
@@ -14,7 +14,7 @@
 			Edits:  []Edit{{"internal/clusterstate", "	if update.Version <= update.BaseVersion {\n", "	if false {\n"}},
 		},
 		{
-			Guard: "a task that was lost with its worker goes first", Size: "bank-called", Seed: 22, Scenario: "leader, controller and worker lost at once",
+			Guard: "a task that was lost with its worker goes first", Test: "internal/queue TestAttempts",
 			Edits: []Edit{{"internal/queue", "	return len(j.tasks[s][t].lostAttempts) > 0\n", "	return false\n"}},
 		},
 		{
