Schema: tenants in the configuration, a job's tenant, the hash of a call's key

Change: kind 'tenant' of rows (weight, limits, hashes of keys), fleet/require_keys, queue/public; fields for a job's tenant from the enqueue to the worker's statuses and the job's view; Values.Tenant, TenantOfKey, RequiresKeys, IsPublic. Nothing reads them to decide yet, so nothing behaves differently. The lists of JSON names in the schema's test have the new fields.

--- a/internal/agent/poll.go
+++ b/internal/agent/poll.go
@@ -171,6 +171,7 @@
 	}
 	w.runs[key] = &run{
 		key: key, state: starting, text: order.Text, checkpoint: order.Checkpoint, cores: order.CoresMilli, memory: order.MemoryMb, accelerators: order.Accelerators,
+		tenant:      order.Tenant,
 		firstSeenAt: now, usesCapacity: true,
 	}
 	return true
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -46,6 +46,7 @@
 	cores           int64 // thousandths of a core
 	memory          int64 // MB
 	accelerators    int64
+	tenant          string           // of the job; empty: nobody's, or not known since this process started
 	firstSeenAt     eventloop.Micros // when the agent first had it
 	fencingToken    uint64           // of the newest start call; 0: none was sent
 	firstCallAt     eventloop.Micros // first start call
@@ -161,6 +162,7 @@
 	}
 	if r := w.runs[key]; r != nil {
 		status.CoresMilli, status.MemoryMb, status.Accelerators, status.Percent = r.cores, r.memory, r.accelerators, r.percent
+		status.Tenant = r.tenant
 	}
 	return status
 }
--- a/internal/clusterstate/keys.go
+++ b/internal/clusterstate/keys.go
@@ -5,6 +5,12 @@
 	"regexp"
 )
 
+const (
+	maxTenantResource = 1_000_000_000_000_000
+	// maxKeyHashesBytes is enough for 1000 keys of a tenant.
+	maxKeyHashesBytes = 33_000
+)
+
 // A keyID names a key of one kind of rows.
 type keyID struct{ kind, key string }
 
@@ -42,6 +48,7 @@
 	{"fleet", "weight_rack", 30, 0, 10_000, "weight of spreading a step over racks"},
 	{"fleet", "weight_failures", 60, 0, 10_000, "weight against workers that fail more than others"},
 	{"fleet", "preempt", 1, 0, 1, "1: urgent work may preempt less urgent work"},
+	{"fleet", "require_keys", 0, 0, 1, "1: calls for a queue that isn't public must carry the key of a tenant"},
 	{"queue", "urgency", 10, 0, 100, "a more urgent queue's tasks are placed first"},
 	{"queue", "running", 100_000, 1, 10_000_000, "most tasks of the queue checked out at once"},
 	{"queue", "limit_ms", 0, 0, 2_592_000_000, "longest run of a task whose step sets none; 0: no limit"},
@@ -49,12 +56,18 @@
 	{"queue", "attempts", 1, 1, 1000, "failed runs of a task or gang after which its job fails, where the step sets none"},
 	{"queue", "stretch_milli", 1500, 1, 1_000_000, "most times its shortest duration a job should take, in thousandths"},
 	{"queue", "target_ms", 1000, 0, 86_400_000, "how soon a submission should be answered"},
+	{"queue", "public", 0, 0, 1, "1: its calls need no key"},
 	{"queue", "timeout_ms", 10_000, 1, 86_400_000, "longest time a caller waits for an answer"},
 	{"pool", "guards", 1, 0, 1, "1: its workers reject what exceeds their capacity; 0: they start whatever they are ordered to"},
+	{"tenant", "weight_milli", 1000, 1, 1_000_000_000, "its share when everything is full, in thousandths"},
+	{"tenant", "max_cores_milli", 0, 0, maxTenantResource, "most that its tasks use at once, in thousandths of a core; 0: no limit"},
+	{"tenant", "max_memory_mb", 0, 0, maxTenantResource, "most memory that its tasks use at once; 0: no limit"},
+	{"tenant", "max_accelerators", 0, 0, maxTenantResource, "most accelerators that its tasks use at once; 0: no limit"},
 	{"rack", "weight", 100, 0, 10_000, "preference for the rack, in percent; 0: it isn't used"},
 }
 
 var textKeys = []textKey{
+	{"tenant", "key_hashes", regexp.MustCompile(`^[0-9a-f]{32}( [0-9a-f]{32})*$`), maxKeyHashesBytes, "hashes of 32 hex digits between blanks", "of the keys that its calls carry"},
 	{"queue", "pool", poolPattern, 63, "the name of a pool", "whose workers take the queue's work; without: those of no pool"},
 	{"queue", "host", regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`), 253, "a host's name, without a port", "with prefix the queue's route; without: any host"},
 	{"queue", "prefix", regexp.MustCompile(`^/[^\x00-\x20?#\x7f]*$`), 256, "the beginning of a path", "with host the queue's route: the longest match wins"},
--- a/internal/clusterstate/validate.go
+++ b/internal/clusterstate/validate.go
@@ -16,7 +16,7 @@
 	poolPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 )
 
-// IsValidName reports whether a queue, rack or worker may have a name.
+// IsValidName reports whether a queue, rack, tenant or worker may have a name.
 func IsValidName(name string) bool { return namePattern.MatchString(name) }
 
 // IsValidPoolName reports whether a pool may have a name.
@@ -63,7 +63,7 @@
 		if row.Name != "" {
 			return rowError(at, "name", "a fleet row has no name, this one says %q", row.Name)
 		}
-	case "queue", "rack":
+	case "queue", "rack", "tenant":
 		if !IsValidName(row.Name) {
 			return rowError(at, "name", "%q is no name: lower-case letters, digits, '.', '_' and '-', at most 63", row.Name)
 		}
@@ -75,7 +75,7 @@
 			return rowError(at, "name", "%q is no name of a pool: letters, digits, '.', '_' and '-', at most 63", row.Name)
 		}
 	default:
-		return rowError(at, "kind", "%q is neither fleet, queue, rack nor pool", row.GetKind())
+		return rowError(at, "kind", "%q is neither fleet, queue, rack, pool nor tenant", row.GetKind())
 	}
 	return nil
 }
--- a/internal/clusterstate/values.go
+++ b/internal/clusterstate/values.go
@@ -18,7 +18,9 @@
 	queueSet     map[string]bool
 	queueNames   []string           // sorted
 	routesByHost map[string][]route // the longest prefix first
-	revision     uint64             // of the configuration; 0: unknown
+	tenants      map[string]*Tenant
+	tenantByKey  map[string]string // by the hash of the key
+	revision     uint64            // of the configuration; 0: unknown
 }
 
 // ParseValues parses a configuration; nil gives the defaults. Number keys whose value isn't a
@@ -41,6 +43,7 @@
 		}
 	}
 	sort.Strings(v.queueNames)
+	v.parseTenants(configuration.GetRows())
 	v.routesByHost = newRouteSet(configuration.GetRows()).byHost()
 	return v
 }
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -35,6 +35,7 @@
 	Host      string
 	Path      string
 	Client    string // names the session
+	KeyHash   string // clusterstate.HashKey of the key that the call carries; empty: it carries none
 	Name      string
 	Digest    []byte // of the job as the client gave it
 	Job       *schema.Job
@@ -50,6 +51,7 @@
 	Host      string
 	Path      string
 	Name      string // of a job
+	KeyHash   string // as in SubmitJob; for calls of clients
 	After     string // the last job of the page before; for KindList
 	Limit     uint32 // jobs on a page; for KindList
 	Body      []byte // a marshalled command; for KindProposeClusterState
--- a/internal/queue/end.go
+++ b/internal/queue/end.go
@@ -55,7 +55,7 @@
 
 // endJob removes a job from the live ones and retains what can be asked of it.
 func (m *Machine) endJob(j *job, state schema.JobState) {
-	ended := &schema.EndedJobSnapshot{Name: j.name, Digest: j.digest, State: state, EndedUs: m.now, Reason: j.reason, Id: j.id}
+	ended := &schema.EndedJobSnapshot{Name: j.name, Digest: j.digest, State: state, EndedUs: m.now, Reason: j.reason, Id: j.id, Tenant: j.tenant}
 	for s := range j.unfinishedTasks {
 		ended.Tasks += j.step(s).Tasks
 		ended.Done += j.step(s).Tasks - uint32(j.unfinishedTasks[s])
--- a/internal/queue/enqueue.go
+++ b/internal/queue/enqueue.go
@@ -90,7 +90,7 @@
 	m.enqueues++
 	j := &job{
 		id: m.lastJobID, name: e.Name, digest: e.Digest, index: index, startUs: e.StartUs,
-		spec: e.Job,
+		spec: e.Job, tenant: e.Tenant,
 	}
 	if j.startUs == 0 {
 		j.startUs = m.now // the job's age and later rounds count from its admission
--- a/internal/queue/events.go
+++ b/internal/queue/events.go
@@ -16,6 +16,7 @@
 	Worker        string // that it is checked out for; empty: none
 	Incarnation   uint64 // of the worker
 	Name          string // of the job
+	Tenant        string // whose job it is; empty: nobody's
 	JobOrder      uint64 // of the job's admission
 	Round         uint32
 	StepInRound   uint32
@@ -56,7 +57,7 @@
 	return &TaskEvent{
 		Sequence: sequence, Key: schema.TaskKey{Job: j.id, Step: uint32(s), Task: uint32(t)}, Status: j.status(s, t),
 		Attempt: task.attempt, Worker: task.worker, Incarnation: task.incarnation,
-		Name: j.name, JobOrder: j.id, Round: uint32(s / perRound), StepInRound: uint32(s % perRound), Spec: j.step(s), Text: j.spec.Text,
+		Name: j.name, Tenant: j.tenant, JobOrder: j.id, Round: uint32(s / perRound), StepInRound: uint32(s % perRound), Spec: j.step(s), Text: j.spec.Text,
 		Checkpoint: account.checkpoint, Failures: account.failures, IsLost: j.hasLostAttempt(s, t), IsGangStarted: task.isGangStarted,
 		RoundAgeUs: j.roundAgeUs(s/perRound, m.now), CriticalPath: j.criticalPath, RemainingPath: j.remainingPaths[s%perRound],
 	}
--- a/internal/queue/job.go
+++ b/internal/queue/job.go
@@ -20,7 +20,8 @@
 	finalState   schema.JobState // of a stopping job: its state once nothing runs
 	reason       string          // why it stopped
 	spec         *schema.Job
-	isDehydrated bool // from a dehydrated snapshot: spec lacks the text
+	tenant       string // whose it is, fixed when it was admitted; empty: nobody's
+	isDehydrated bool   // from a dehydrated snapshot: spec lacks the text
 
 	tasks           [][]task // by step
 	unfinishedTasks []int    // by step
--- a/internal/queue/snapshot.go
+++ b/internal/queue/snapshot.go
@@ -151,6 +151,7 @@
 	snapshot := &schema.JobSnapshot{
 		Id: j.id, Name: j.name, Digest: j.digest, Index: j.index, StartUs: j.startUs, State: j.state,
 		PendingOutcome: j.finalState, Job: j.spec, Reason: j.reason, Dehydrated: j.isDehydrated, StartedTasks: j.startedTasks, DueRounds: uint32(j.openedRounds),
+		Tenant: j.tenant,
 	}
 	for s := range j.tasks {
 		for t := range j.tasks[s] {
@@ -177,7 +178,7 @@
 func dehydratePending(pending *schema.PendingEnqueueSnapshot) *schema.PendingEnqueueSnapshot {
 	e := pending.Enqueue
 	return &schema.PendingEnqueueSnapshot{Index: pending.Index, Enqueue: &schema.Enqueue{
-		Session: e.Session, Number: e.Number, Name: e.Name, Digest: e.Digest, StartUs: e.StartUs, Job: dehydrate(e.Job),
+		Session: e.Session, Number: e.Number, Name: e.Name, Digest: e.Digest, StartUs: e.StartUs, Job: dehydrate(e.Job), Tenant: e.Tenant,
 	}}
 }
 
@@ -217,6 +218,7 @@
 	j := &job{
 		id: snapshot.Id, name: snapshot.Name, digest: snapshot.Digest, index: snapshot.Index, startUs: snapshot.StartUs, state: snapshot.State,
 		finalState: snapshot.PendingOutcome, spec: snapshot.Job, reason: snapshot.Reason, isDehydrated: snapshot.Dehydrated, startedTasks: snapshot.StartedTasks,
+		tenant: snapshot.Tenant,
 	}
 	j.expandSteps()
 	j.restoreTasks(snapshot)
--- a/internal/queue/views.go
+++ b/internal/queue/views.go
@@ -32,13 +32,13 @@
 		return m.newJobView(j), true
 	}
 	if ended := m.endedByName[name]; ended != nil {
-		return &schema.JobView{Queue: m.name, Name: name, State: stateNames[ended.State], Reason: ended.Reason, Tasks: ended.Tasks, Done: ended.Done}, true
+		return &schema.JobView{Queue: m.name, Name: name, State: stateNames[ended.State], Reason: ended.Reason, Tasks: ended.Tasks, Done: ended.Done, Tenant: ended.Tenant}, true
 	}
 	return nil, false
 }
 
 func (m *Machine) newJobView(j *job) *schema.JobView {
-	view := &schema.JobView{Queue: m.name, Name: j.name, State: stateNames[j.state], Reason: j.reason, StartedTasks: j.startedTasks}
+	view := &schema.JobView{Queue: m.name, Name: j.name, State: stateNames[j.state], Reason: j.reason, StartedTasks: j.startedTasks, Tenant: j.tenant}
 	if j.state == schema.JobState_JOB_STOPPING {
 		view.PendingOutcome = stateNames[j.finalState]
 	}
--- a/internal/replica/submissions.go
+++ b/internal/replica/submissions.go
@@ -65,7 +65,7 @@
 		}
 		stamped := &schema.Enqueue{
 			Session: e.Session, Number: e.Number, Name: e.Name, Digest: e.Digest, LowestUnconfirmed: e.LowestUnconfirmed,
-			Job: e.Job, StartUs: h.startTime(now, r, e.Job),
+			Job: e.Job, StartUs: h.startTime(now, r, e.Job), Tenant: e.Tenant,
 		}
 		h.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_Enqueue{Enqueue: stamped}})
 	}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -123,6 +123,6 @@
 		Action: action, Queue: q.name, Job: t.key.job, Step: t.key.step, Task: t.key.task, Attempt: t.attempt,
 		Name: t.jobName, Round: t.round, StepInRound: t.stepInRound, StepName: t.spec.Name, Text: t.text, Checkpoint: checkpoint,
 		CoresMilli: t.spec.CoresMilli, MemoryMb: t.spec.MemoryMb, Accelerators: t.spec.Accelerators,
-		Handover: t.sequence, Term: q.term,
+		Handover: t.sequence, Term: q.term, Tenant: t.tenant,
 	}
 }
--- a/internal/scheduler/resolve.go
+++ b/internal/scheduler/resolve.go
@@ -51,6 +51,7 @@
 			Queue: key.queue, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt, State: status.State,
 			RunUs: status.RunUs, IdleUs: status.IdleUs, CoresMilli: status.CoresMilli, MemoryMb: status.MemoryMb, Accelerators: status.Accelerators,
 			Name: status.Name, Round: status.Round, StepInRound: status.StepInRound, Checkpoint: status.Checkpoint, Percent: status.Percent,
+			Tenant: status.Tenant,
 		})
 	}
 	return resolved, unresolved
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -70,6 +70,7 @@
 	incarnation        uint64 // of that worker
 	sequence           uint64 // of the event that checked it out
 	jobName            string
+	tenant             string // whose job it is; empty: nobody's
 	round, stepInRound uint32
 	spec               *schema.Step
 	text               string           // the job's, for the worker
--- a/internal/schema/schema_test.go
+++ b/internal/schema/schema_test.go
@@ -29,15 +29,15 @@
 	{&schema.Step{}, map[int]string{1: "name", 2: "tasks", 3: "after", 4: "cores_milli", 5: "memory_mb", 6: "together", 7: "allowed_failures", 8: "time_limit_us", 9: "still_us", 10: "accelerators", 11: "labels", 12: "data_rack", 13: "one_rack", 14: "per_worker", 15: "copies", 16: "lasting", 17: "saves", 18: "estimate_us"}},
 	{&schema.Job{}, map[int]string{1: "text", 2: "steps", 3: "delay_us", 4: "start_wall_us", 5: "rounds", 6: "every_us"}},
 	{&schema.StepView{}, map[int]string{1: "name", 2: "state", 3: "waiting", 4: "running", 5: "done", 6: "failures"}},
-	{&schema.JobView{}, map[int]string{1: "queue", 2: "name", 3: "state", 4: "why", 5: "tasks", 6: "done", 7: "steps", 8: "started", 9: "verdict"}},
+	{&schema.JobView{}, map[int]string{1: "queue", 2: "name", 3: "state", 4: "why", 5: "tasks", 6: "done", 7: "steps", 8: "started", 9: "verdict", 10: "tenant"}},
 	{&schema.QueueCounts{}, map[int]string{1: "live", 2: "waiting", 3: "out", 4: "not_begun"}},
 	{&schema.JobList{}, map[int]string{1: "jobs", 2: "next"}},
 	{&schema.GatewayEndpoint{}, map[int]string{1: "address", 2: "cell", 3: "leaving"}},
 	{&schema.GatewayList{}, map[int]string{1: "fronts"}},
 	{&schema.Error{}, map[int]string{1: "code", 2: "message", 3: "field", 4: "given", 5: "current"}},
-	{&schema.TaskStatus{}, map[int]string{1: "queue", 2: "job", 3: "step", 4: "task", 5: "attempt", 6: "state", 7: "run_us", 8: "still_us", 9: "cores_milli", 10: "memory_mb", 11: "name", 12: "round", 13: "part", 14: "saved", 15: "percent", 16: "accelerators"}},
+	{&schema.TaskStatus{}, map[int]string{1: "queue", 2: "job", 3: "step", 4: "task", 5: "attempt", 6: "state", 7: "run_us", 8: "still_us", 9: "cores_milli", 10: "memory_mb", 11: "name", 12: "round", 13: "part", 14: "saved", 15: "percent", 16: "accelerators", 17: "tenant"}},
 	{&schema.WorkerHeartbeat{}, map[int]string{1: "incarnation", 2: "seq", 3: "cores_milli", 4: "memory_mb", 5: "rack", 6: "leaving", 7: "running", 8: "ended", 9: "ward", 10: "wait_us", 11: "accelerators", 12: "labels", 13: "pool", 14: "gathers", 15: "departure_us", 16: "over", 17: "cold_us", 18: "named", 19: "unanswered"}},
-	{&schema.TaskOrder{}, map[int]string{1: "act", 2: "queue", 3: "name", 4: "job", 5: "step", 6: "task", 7: "attempt", 8: "hand", 9: "term", 10: "step_name", 11: "text", 12: "cores_milli", 13: "memory_mb", 14: "round", 15: "part", 16: "saved", 17: "accelerators"}},
+	{&schema.TaskOrder{}, map[int]string{1: "act", 2: "queue", 3: "name", 4: "job", 5: "step", 6: "task", 7: "attempt", 8: "hand", 9: "term", 10: "step_name", 11: "text", 12: "cores_milli", 13: "memory_mb", 14: "round", 15: "part", 16: "saved", 17: "accelerators", 18: "tenant"}},
 	{&schema.WorkerOrders{}, map[int]string{1: "ward", 2: "lease_us", 3: "noted", 4: "orders", 5: "scheduler", 6: "inspection_pause_us"}},
 }
 
