--- /dev/null
+++ b/internal/scheduler/tenant_harness_test.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"sparnotch/internal/queue"
+	"sparnotch/internal/schema"
+)
+
+// quotaKind is a kind of resource with a limit that two tasks fit, and not three.
+type quotaKind struct {
+	name, key string
+	limit     int64
+	step      *schema.Step
+}
+
+var quotaKinds = []quotaKind{
+	{"cores", "max_cores_milli", 1000, &schema.Step{Name: "s", Tasks: 1, CoresMilli: 400, MemoryMb: 10}},
+	{"memory", "max_memory_mb", 1000, &schema.Step{Name: "s", Tasks: 1, CoresMilli: 10, MemoryMb: 400}},
+	{"accelerators", "max_accelerators", 2, &schema.Step{Name: "s", Tasks: 1, CoresMilli: 10, MemoryMb: 10, Accelerators: 1}},
+}
+
+// withMembers is a kind's step as a gang.
+func (k quotaKind) withMembers(count uint32) *schema.Step {
+	return &schema.Step{Name: "g", Tasks: count, CoresMilli: k.step.CoresMilli, MemoryMb: k.step.MemoryMb, Accelerators: k.step.Accelerators, Gang: true}
+}
+
+// rows give "limited" and "equal" the limit of the kind, and leave "free" without one.
+func (k quotaKind) rows(queues ...string) []*schema.ConfigurationRow {
+	return k.rowsWith(k.limit, queues...)
+}
+
+func (k quotaKind) rowsWith(limit int64, queues ...string) []*schema.ConfigurationRow {
+	rows := []*schema.ConfigurationRow{
+		tenantRow("limited", k.key, limit), tenantRow("equal", k.key, limit), tenantRow("free", "weight_milli", 1000),
+	}
+	for _, name := range queues {
+		rows = append(rows, queueRow(name, "urgency", "10"))
+	}
+	return rows
+}
+
+func tenantRow(name, key string, value int64) *schema.ConfigurationRow {
+	return &schema.ConfigurationRow{Kind: "tenant", Name: name, Key: key, Value: fmt.Sprint(value)}
+}
+
+// newQuotaHarness has one worker with room for everything, and queue l led with these tasks.
+func newQuotaHarness(kind quotaKind, list ...*queue.TaskEvent) *harness {
+	h := newHarness("w")
+	h.configure(kind.rows("l"), "w")
+	h.syncQueue("l", 10, list...)
+	h.sendHeartbeat("w", wide(nil))
+	return h
+}
+
+// wide makes a heartbeat one of an agent with room for everything.
+func wide(change func(*schema.WorkerHeartbeat)) func(*schema.WorkerHeartbeat) {
+	return withNames(func(a *schema.WorkerHeartbeat) {
+		a.CoresMilli, a.MemoryMb, a.Accelerators = 16_000, 16_000, 16
+		if change != nil {
+			change(a)
+		}
+	})
+}
+
+func lists(running ...*schema.TaskStatus) func(*schema.WorkerHeartbeat) {
+	return wide(func(a *schema.WorkerHeartbeat) { a.Running = running })
+}
+
+func listsEnded(ended ...*schema.TaskStatus) func(*schema.WorkerHeartbeat) {
+	return wide(func(a *schema.WorkerHeartbeat) { a.Ended = ended })
+}
+
+// runOf is how a worker lists a job's run.
+func runOf(job uint64, tenant string, step *schema.Step) *schema.TaskStatus {
+	return &schema.TaskStatus{
+		Name: fmt.Sprint("j", job), Attempt: 1, State: "running", Tenant: tenant,
+		CoresMilli: step.CoresMilli, MemoryMb: step.MemoryMb, Accelerators: step.Accelerators,
+	}
+}
+
+func endOf(job uint64) *schema.TaskStatus {
+	return &schema.TaskStatus{Name: fmt.Sprint("j", job), Attempt: 1, State: "done"}
+}
+
+// of sets the tenant of a task.
+func of(tenant string, event *queue.TaskEvent) *queue.TaskEvent {
+	event.Tenant = tenant
+	return event
+}
+
+func readyOf(tenant string, job uint64, step *schema.Step) *queue.TaskEvent {
+	return of(tenant, newEvent(0, job, 0, queue.Ready, "", step))
+}
+
+func outOf(tenant string, job uint64, worker string, step *schema.Step) *queue.TaskEvent {
+	return of(tenant, newEvent(0, job, 0, queue.CheckedOut, worker, step))
+}
+
+// readyGang is the members of a gang.
+func readyGang(tenant string, job uint64, step *schema.Step) (members []*queue.TaskEvent) {
+	for k := range step.Tasks {
+		members = append(members, of(tenant, newEvent(0, job, k, queue.Ready, "", step)))
+	}
+	return members
+}
+
+// placedOf counts what was placed of the jobs from first to last.
+func (h *harness) placedOf(first, last uint64) (count int) {
+	for _, job := range h.placedJobs() {
+		if first <= job && job <= last {
+			count++
+		}
+	}
+	return count
+}
