Simulator: all storage nodes killed after an acknowledgement; tenants over slow links

TestReplaceIsLinearizable killed all hosts at intervals, not just after an acknowledgement; TestHundredsOfConfigurationChanges allows six seconds on slow links, since its documents have 256 KB. Change: a fault of TestReplaceIsLinearizable kills all storage nodes when an update has been acknowledged; they are back within a second. TestTenantsAreInForceInTimeOverSlowLinks replaces 20 tenants' keys twelve times and checks that each process on a 2 Mbit/s link holds a revision 2.5 s after its acknowledgement.

--- a/internal/sim/linearizability_test.go
+++ b/internal/sim/linearizability_test.go
@@ -114,6 +114,30 @@
 			}
 		}
 	}},
+	{"all storage nodes are killed when one has acknowledged", 4 * eventloop.Second, ReliableNetwork, slowSync, func(o *operators) {
+		o.onAcknowledgement(func() {
+			for _, h := range o.StorageNodes() {
+				if h.IsUp {
+					o.kill(h, o.randomDelay(100*eventloop.Millisecond, eventloop.Second))
+				}
+			}
+		})
+	}},
+}
+
+// onAcknowledgement acts at the next acknowledgement of an update.
+func (o *operators) onAcknowledgement(act func()) {
+	before := o.confirmed
+	var watch func()
+	watch = func() {
+		switch {
+		case o.confirmed > before:
+			act()
+		case o.Now < o.until:
+			o.After(100, watch)
+		}
+	}
+	watch()
 }
 
 // faultPeriod is how long operators work in one history.
--- /dev/null
+++ b/internal/sim/tenant_changes_test.go
@@ -0,0 +1,105 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+const (
+	slowLinkBytesPerSecond = 250_000 // 2 Mbit/s
+	tenantApplyTimeout     = 2500 * eventloop.Millisecond
+	tenantCount            = 20
+	keysPerTenant          = 5
+	tenantChanges          = 12
+)
+
+// tenantOperator replaces the configuration of many tenants, and notes by when each process
+// holds what was acknowledged.
+type tenantOperator struct {
+	*changeOperator
+	updateOf map[uint64]eventloop.Micros // when each revision was acknowledged
+	checks   map[string]int              // by role
+}
+
+// configuration has many tenants, each with keys that no other version has.
+func (o *tenantOperator) configuration(version uint64) *schema.ConfigurationUpdate {
+	update := &schema.ConfigurationUpdate{Version: version, BaseVersion: version - 1, Rows: o.ConfigurationRows(operatorUrgency)}
+	if version == 2 {
+		update.BaseVersion = 0
+	}
+	addRow := func(kind, name, key, value string) {
+		update.Rows = append(update.Rows, &schema.ConfigurationRow{Kind: kind, Name: name, Key: key, Value: value})
+	}
+	var document strings.Builder
+	for tenant := range tenantCount {
+		name, hashes := fmt.Sprintf("tenant-%d", tenant), []string{}
+		for key := range keysPerTenant {
+			text := fmt.Sprintf("key-%d-%d-%d", version, tenant, key)
+			hashes = append(hashes, clusterstate.HashKey(text))
+			document.WriteString(text)
+		}
+		addRow("tenant", name, "weight_milli", "14000")
+		addRow("tenant", name, "max_cores_milli", "346087")
+		addRow("tenant", name, "key_hashes", strings.Join(hashes, " "))
+	}
+	addRow("fleet", "", "require_keys", "1")
+	update.Document = []byte(document.String())
+	return update
+}
+
+func (o *tenantOperator) publishNext(version uint64) {
+	if version >= 2+tenantChanges {
+		return
+	}
+	o.send(o.configuration(version), func() {
+		o.updateOf[version] = o.Now
+		o.After(eventloop.Second, func() { o.publishNext(version + 1) })
+	})
+}
+
+// checkHeld reports a process that doesn't hold in time what was acknowledged.
+func (o *tenantOperator) checkHeld(from *Host, request *schema.ClusterStateRequest) {
+	for version, at := range o.updateOf {
+		if o.Now-at < tenantApplyTimeout {
+			continue
+		}
+		o.checks[roleName(from)]++
+		// Each version is one revision, and the first is 2 since the fleet's own comes before.
+		if request.HeldRevision < version {
+			o.report("%s holds revision %d, and %d was acknowledged %.1f s ago", from.Name, request.HeldRevision, version, float64(o.Now-at)/1e6)
+		}
+	}
+}
+
+// TestTenantsAreInForceInTimeOverSlowLinks guards against keys of an acknowledged configuration
+// that a gateway on a slow link doesn't know in time.
+func TestTenantsAreInForceInTimeOverSlowLinks(t *testing.T) {
+	spec := SmallFleet
+	spec.JobKinds, spec.Workers = nil, 2
+	f := NewFleet(*firstSeed, spec, ReliableNetwork, fastSync, 25*eventloop.Second)
+	for _, h := range f.Hosts {
+		if h.Disk == nil {
+			h.Uplink.BytesPerSecond = slowLinkBytesPerSecond
+		}
+	}
+	o := &tenantOperator{&changeOperator{Fleet: f}, map[uint64]eventloop.Micros{}, map[string]int{}}
+	f.OnSend = func(from, _ *Host, body any) {
+		if request, isRequest := body.(*schema.ClusterStateRequest); isRequest {
+			o.checkHeld(from, request)
+		}
+	}
+	f.atLoad(0, func() { o.publishNext(2) })
+	f.Run(f.LoadEnd)
+	for _, problem := range o.problems {
+		t.Error(problem)
+	}
+	t.Logf("%d acknowledged; checked: %v", len(o.updateOf), o.checks)
+	if len(o.updateOf) < tenantChanges || o.checks[roleGateway] < 100 || o.checks[roleAgent] < 50 {
+		t.Errorf("only %d acknowledged, and %v checks", len(o.updateOf), o.checks)
+	}
+}
