Cluster state: a configuration in which two tenants share a key is invalid

Cause: operators saw an invalid configuration acknowledged: rows of two tenants with the hash of one key were taken, and the tenant of a call with that key was the one whose row came last. No rule looked at rows of different tenants together. Change: validateKeys, on the complete rows of every update: whole ones, edits by revision, and patches after they are applied to their base. The error names both tenants; neither key nor hash.

--- a/internal/clusterstate/keys.go
+++ b/internal/clusterstate/keys.go
@@ -6,6 +6,9 @@
 )
 
 const (
+	// keyHashesKey is the key of the row that lists the hashes of a tenant's keys.
+	keyHashesKey = "key_hashes"
+
 	maxTenantResource = 1_000_000_000_000_000
 	// maxKeyHashesBytes is enough for 1000 keys of a tenant.
 	maxKeyHashesBytes = 33_000
@@ -67,7 +70,7 @@
 }
 
 var textKeys = []textKey{
-	{"tenant", "key_hashes", regexp.MustCompile(`^[0-9a-f]{32}( [0-9a-f]{32})*$`), maxKeyHashesBytes, "hashes of 32 hex digits between blanks", "of the keys that its calls carry"},
+	{"tenant", keyHashesKey, regexp.MustCompile(`^[0-9a-f]{32}( [0-9a-f]{32})*$`), maxKeyHashesBytes, "hashes of 32 hex digits between blanks", "of the keys that its calls carry"},
 	{"queue", "pool", poolPattern, 63, "the name of a pool", "whose workers take the queue's work; without: those of no pool"},
 	{"queue", "host", regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`), 253, "a host's name, without a port", "with prefix the queue's route; without: any host"},
 	{"queue", "prefix", regexp.MustCompile(`^/[^\x00-\x20?#\x7f]*$`), 256, "the beginning of a path", "with host the queue's route: the longest match wins"},
--- a/internal/clusterstate/tenants.go
+++ b/internal/clusterstate/tenants.go
@@ -46,7 +46,7 @@
 		if v.tenants[row.Name] == nil {
 			v.tenants[row.Name] = &Tenant{Name: row.Name}
 		}
-		if row.Key == "key_hashes" {
+		if row.Key == keyHashesKey {
 			for _, hash := range strings.Fields(row.Value) {
 				v.tenantByKey[hash] = row.Name
 			}
--- a/internal/clusterstate/validate.go
+++ b/internal/clusterstate/validate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"sparnotch/internal/schema"
 )
@@ -46,7 +47,10 @@
 		}
 		seen[id] = true
 	}
-	return validateReferences(rows, pools)
+	if err := validateReferences(rows, pools); err != nil {
+		return err
+	}
+	return validateKeys(rows)
 }
 
 func rowError(at int, field, format string, args ...any) *schema.Error {
@@ -122,3 +126,20 @@
 	}
 	return nil
 }
+
+// validateKeys checks that no two tenants share a key. The error names the tenants alone.
+func validateKeys(rows []*schema.ConfigurationRow) *schema.Error {
+	tenantByHash := map[string]string{}
+	for at, row := range rows {
+		if row.Kind != "tenant" || row.Key != keyHashesKey {
+			continue
+		}
+		for _, hash := range strings.Fields(row.Value) {
+			if other, isHeld := tenantByHash[hash]; isHeld && other != row.Name {
+				return rowError(at, "value", "tenants %s and %s share a key", other, row.Name)
+			}
+			tenantByHash[hash] = row.Name
+		}
+	}
+	return nil
+}
