Cluster state: the error of an invalid key_hashes row doesn't quote it

Cause: the error of a text row that doesn't have its form quotes the value. In 'key_hashes' that may be a key in clear, given in place of its hash; it went into the answer, the command line's output and from there into logs. Change: a key of rows may be marked secret, as key_hashes is; its error says 'the value'. Result: TestErrorsDoNotShowKeys failed with 'row 1: "a-key-in-clear ..." is not hashes of 32 hex digits' and passes.

--- a/internal/clusterstate/keys.go
+++ b/internal/clusterstate/keys.go
@@ -32,6 +32,7 @@
 	maxBytes   int
 	format     string // the pattern in words
 	help       string
+	isSecret   bool // errors don't show its value
 }
 
 // numberKeys and textKeys are all keys of a configuration; others are rejected.
@@ -70,10 +71,10 @@
 }
 
 var textKeys = []textKey{
-	{"tenant", keyHashesKey, regexp.MustCompile(`^[0-9a-f]{32}( [0-9a-f]{32})*$`), maxKeyHashesBytes, "hashes of 32 hex digits between blanks", "of the keys that its calls carry"},
-	{"queue", "pool", poolPattern, 63, "the name of a pool", "whose workers take the queue's work; without: those of no pool"},
-	{"queue", "host", regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`), 253, "a host's name, without a port", "with prefix the queue's route; without: any host"},
-	{"queue", "prefix", regexp.MustCompile(`^/[^\x00-\x20?#\x7f]*$`), 256, "the beginning of a path", "with host the queue's route: the longest match wins"},
+	{"tenant", keyHashesKey, regexp.MustCompile(`^[0-9a-f]{32}( [0-9a-f]{32})*$`), maxKeyHashesBytes, "hashes of 32 hex digits between blanks", "of the keys that its calls carry", true},
+	{"queue", "pool", poolPattern, 63, "the name of a pool", "whose workers take the queue's work; without: those of no pool", false},
+	{"queue", "host", regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`), 253, "a host's name, without a port", "with prefix the queue's route; without: any host", false},
+	{"queue", "prefix", regexp.MustCompile(`^/[^\x00-\x20?#\x7f]*$`), 256, "the beginning of a path", "with host the queue's route: the longest match wins", false},
 }
 
 var (
--- a/internal/clusterstate/validate.go
+++ b/internal/clusterstate/validate.go
@@ -87,10 +87,7 @@
 // validateValue checks that a row's key exists and its value is within the key's bounds.
 func validateValue(at int, row *schema.ConfigurationRow) *schema.Error {
 	if text := findTextKey(row.Kind, row.Key); text != nil {
-		if len(row.Value) > text.maxBytes || !text.pattern.MatchString(row.Value) {
-			return rowError(at, "value", "%q is not %s, at most %d bytes", row.Value, text.format, text.maxBytes)
-		}
-		return nil
+		return validateText(at, row, text)
 	}
 	number := findNumberKey(row.Kind, row.Key)
 	if number == nil {
@@ -106,6 +103,18 @@
 	return nil
 }
 
+// validateText checks a value that is a text. The error shows it, unless it may be secret.
+func validateText(at int, row *schema.ConfigurationRow, text *textKey) *schema.Error {
+	if len(row.Value) <= text.maxBytes && text.pattern.MatchString(row.Value) {
+		return nil
+	}
+	shown := strconv.Quote(row.Value)
+	if text.isSecret {
+		shown = "the value"
+	}
+	return rowError(at, "value", "%s is not %s, at most %d bytes", shown, text.format, text.maxBytes)
+}
+
 // validateReferences checks what rows say of each other: the pools that queues name exist,
 // and no two queues have the same route.
 func validateReferences(rows []*schema.ConfigurationRow, pools map[string]bool) *schema.Error {
