Patches: a list that a patch neither finds nor adds to isn't made

Cause: a patch that removes a tenant from a document without tenants, or that has an empty list of additions, left 'tenants': [] in the document. Read as a whole, that asks every call for a key, while the rows in force ask for none. Change: patchDocument passes over such a list; one that a patch empties stays as an empty list. Result: TestPatchMakesNoEmptyLists failed with a document that had 'tenants': [] and passes.

--- a/internal/clusterstate/patch.go
+++ b/internal/clusterstate/patch.go
@@ -99,6 +99,10 @@
 		}
 	}
 	for _, list := range lists.names() {
+		if len(members[list]) == 0 && len(lists.Upsert[list]) == 0 {
+			// A document without a list may mean something else than one with an empty list.
+			continue
+		}
 		patched, err := patchList(members[list], lists.Upsert[list], lists.Remove[list])
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", list, err)
