--- a/internal/clusterstate/validate.go
+++ b/internal/clusterstate/validate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"sparnotch/internal/schema"
 )
@@ -46,7 +47,10 @@
 		}
 		seen[id] = true
 	}
-	return validateReferences(rows, pools)
+	if err := validateReferences(rows, pools); err != nil {
+		return err
+	}
+	return validateKeys(rows)
 }
 
 func rowError(at int, field, format string, args ...any) *schema.Error {
@@ -83,10 +87,7 @@
 // validateValue checks that a row's key exists and its value is within the key's bounds.
 func validateValue(at int, row *schema.ConfigurationRow) *schema.Error {
 	if text := findTextKey(row.Kind, row.Key); text != nil {
-		if len(row.Value) > text.maxBytes || !text.pattern.MatchString(row.Value) {
-			return rowError(at, "value", "%q is not %s, at most %d bytes", row.Value, text.format, text.maxBytes)
-		}
-		return nil
+		return validateText(at, row, text)
 	}
 	number := findNumberKey(row.Kind, row.Key)
 	if number == nil {
@@ -102,6 +103,18 @@
 	return nil
 }
 
+// validateText checks a value that is a text. The error shows it, unless it may be secret.
+func validateText(at int, row *schema.ConfigurationRow, text *textKey) *schema.Error {
+	if len(row.Value) <= text.maxBytes && text.pattern.MatchString(row.Value) {
+		return nil
+	}
+	shown := strconv.Quote(row.Value)
+	if text.isSecret {
+		shown = "the value"
+	}
+	return rowError(at, "value", "%s is not %s, at most %d bytes", shown, text.format, text.maxBytes)
+}
+
 // validateReferences checks what rows say of each other: the pools that queues name exist,
 // and no two queues have the same route.
 func validateReferences(rows []*schema.ConfigurationRow, pools map[string]bool) *schema.Error {
@@ -122,3 +135,20 @@
 	}
 	return nil
 }
+
+// validateKeys checks that no two tenants share a key. The error names the tenants alone.
+func validateKeys(rows []*schema.ConfigurationRow) *schema.Error {
+	tenantByHash := map[string]string{}
+	for at, row := range rows {
+		if row.Kind != "tenant" || row.Key != keyHashesKey {
+			continue
+		}
+		for _, hash := range strings.Fields(row.Value) {
+			if other, isHeld := tenantByHash[hash]; isHeld && other != row.Name {
+				return rowError(at, "value", "tenants %s and %s share a key", other, row.Name)
+			}
+			tenantByHash[hash] = row.Name
+		}
+	}
+	return nil
+}
