Tests: a tenant sees, cancels and takes over another one's jobs

Change: tests of status, cancel, list and submission of another tenant's job, at the leader and in the state machine.

--- a/internal/queue/enqueue_test.go
+++ b/internal/queue/enqueue_test.go
@@ -57,3 +57,38 @@
 		So(h.state("one"), ShouldEqual, "unknown")
 	})
 }
+
+// Guards against a tenant that takes another one's job for its own, or cancels it.
+func TestNamesOfOtherTenantsAreTaken(t *testing.T) {
+	Convey("Given a job of tenant t", t, func() {
+		h := newHarness()
+		number := uint64(0)
+		submit := func(tenant string) int32 {
+			number++
+			return h.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Enqueue{Enqueue: &schema.Enqueue{
+				Session: sessionOf("c"), Number: number, Name: "j", Digest: []byte("text"), Job: simpleJob(1), Tenant: tenant,
+			}}}).SubmitResults[0].Code
+		}
+		cancel := func(tenant string) *Effects {
+			return h.apply(&schema.QueueCommand{Body: &schema.QueueCommand_Cancel{Cancel: &schema.Cancel{Name: "j", Tenant: tenant}}})
+		}
+		So(submit("t"), ShouldEqual, 201)
+		for _, state := range []string{"running", "cancelled"} {
+			Convey("another tenant's submission of its name is 409, and its cancel 403, while the job is "+state, func() {
+				if state == "cancelled" {
+					So(cancel("t").CancelCode, ShouldEqual, 200)
+				}
+				before := h.machine.Snapshot(false)
+				effects := cancel("u")
+				So(effects.CancelCode, ShouldEqual, 403)
+				So(effects.CancelView, ShouldBeNil)
+				So(effects.Events, ShouldBeEmpty)
+				So(h.machine.Snapshot(false), ShouldResemble, before)
+				So(submit("u"), ShouldEqual, 409)
+				So(h.state("j"), ShouldEqual, state)
+				So([]int32{submit("t"), submit("")}, ShouldResemble, []int32{200, 200})
+				So(cancel("").CancelCode, ShouldEqual, 200)
+			})
+		}
+	})
+}
--- a/internal/replica/requests_test.go
+++ b/internal/replica/requests_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"encoding/json"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -112,3 +113,61 @@
 		So(isProposed("h", 0, nil, gateway("f")), ShouldBeFalse)
 	})
 }
+
+// Guards against a tenant that sees or cancels another one's jobs.
+func TestOthersJobsAreNotShown(t *testing.T) {
+	Convey("Given a job of tenant t, and one of nobody", t, func() {
+		c := newClusterWithQueue()
+		c.step("a", "f", &schema.SubmitRequest{Queue: "q", Enqueues: []*schema.Enqueue{
+			{Session: &schema.Session{Gateway: "f", Incarnation: 1, Client: "c"}, Number: 1, Name: "mine", Tenant: "t", Job: &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1}}}},
+			{Session: &schema.Session{Gateway: "f", Incarnation: 1, Client: "c"}, Number: 2, Name: "nobodys", Job: &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1}}}},
+		}})
+		c.run(50 * eventloop.Millisecond)
+		ask := func(kind, name, tenant string) (int32, string) {
+			c.received["f"] = nil
+			c.step("a", "f", &schema.Request{Id: 5, Kind: kind, Group: "q", Name: name, Tenant: tenant, Limit: 10})
+			c.run(50 * eventloop.Millisecond)
+			for _, body := range c.received["f"] {
+				if reply, isReply := body.(*schema.Response); isReply {
+					return reply.Code, string(reply.Body)
+				}
+			}
+			return 0, ""
+		}
+		code := func(kind, name, tenant string) int32 {
+			code, _ := ask(kind, name, tenant)
+			return code
+		}
+		Convey("another tenant's call is 403, and changes nothing", func() {
+			for _, kind := range []string{requestJobStatus, requestCancel} {
+				code, body := ask(kind, "mine", "u")
+				So(code, ShouldEqual, 403)
+				So(body, ShouldContainSubstring, `"other_tenant"`)
+				So(body, ShouldNotContainSubstring, `"t"`)
+			}
+			_, body := ask(requestJobStatus, "mine", "t")
+			So(body, ShouldContainSubstring, `"running"`)
+		})
+		Convey("the tenant's own calls, and those without one, are served", func() {
+			for _, tenant := range []string{"t", ""} {
+				So(code(requestJobStatus, "mine", tenant), ShouldEqual, 200)
+				So(code(requestCancel, "mine", tenant), ShouldEqual, 200)
+			}
+			So(code(requestJobStatus, "nobodys", "u"), ShouldEqual, 200)
+			So(code(requestJobStatus, "unknown", "u"), ShouldEqual, 404)
+			So(code(requestCancel, "unknown", "u"), ShouldEqual, 404)
+		})
+		Convey("a list leaves other tenants' jobs out", func() {
+			for tenant, names := range map[string][]string{"u": {"nobodys"}, "t": {"mine", "nobodys"}, "": {"mine", "nobodys"}} {
+				_, body := ask(requestJobList, "", tenant)
+				list := &schema.JobList{}
+				So(json.Unmarshal([]byte(body), list), ShouldBeNil)
+				shown := []string{}
+				for _, view := range list.Jobs {
+					shown = append(shown, view.Name)
+				}
+				So(shown, ShouldResemble, names)
+			}
+		})
+	})
+}
