Gateway: a client's call needs the key of a tenant, where the configuration requires keys

Cause: a call's Authorization header was never read and the gateway knew no keys, so calls ran with keys that no configuration held, or that had been taken away. The other hypotheses fall away: the fault shows with a fresh copy, the documented header and no call waiting; with the check, a lagging gateway stops with its lease, a waiting call is checked anew, and the forms of the header have a table of their own. Change: the edges hash the key (Token KEY; Bearer too in the product's own interface); a header that can't be read counts as an unknown key. The gateway decides on the copy of the cluster state that routes the call, under the same lease. What the copy doesn't allow is confirmed with the cluster state's leader first, as for unknown queues; then 401 unknown_key with WWW-Authenticate. The tenant goes with the job and with requests. sparnotchctl sends SPARNOTCH_KEY with its job calls.

--- a/cmd/sparnotchctl/client.go
+++ b/cmd/sparnotchctl/client.go
@@ -36,6 +36,7 @@
 type nodeClient struct {
 	addresses string
 	timeout   time.Duration
+	key       string // of a tenant, which the calls carry; empty: they carry none
 }
 
 func (n *nodeClient) register(set *flag.FlagSet) {
@@ -43,18 +44,27 @@
 	set.DurationVar(&n.timeout, "span", 15*time.Second, "how long to try")
 }
 
+// registerForJobs is register for a command whose calls need a tenant's key.
+func (n *nodeClient) registerForJobs(set *flag.FlagSet) {
+	n.register(set)
+	n.key = os.Getenv("SPARNOTCH_KEY")
+}
+
 // printError prints an error of this program.
 func printError(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "sparnotchctl: "+format+"\n", args...)
 }
 
-// sendOnce makes one request to one node.
-func sendOnce(timeout time.Duration, method, address, path string, body []byte) (int, []byte, error) {
+// sendOnce makes one request to one node, with a tenant's key unless it is empty.
+func sendOnce(timeout time.Duration, key, method, address, path string, body []byte) (int, []byte, error) {
 	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
 	request.Header.Set("Sparnotch-Client", "sparnotchctl")
+	if key != "" {
+		request.Header.Set("Authorization", "Token "+key)
+	}
 	client := &http.Client{Timeout: timeout}
 	response, err := client.Do(request)
 	if err != nil {
@@ -81,7 +91,7 @@
 	lastError := "no node has answered"
 	for deadline, attempt := time.Now().Add(n.timeout), 0; time.Now().Before(deadline); attempt++ {
 		address := addresses[attempt%len(addresses)]
-		code, data, err := sendOnce(min(n.timeout, maxRequestTimeout), method, address, path, body)
+		code, data, err := sendOnce(min(n.timeout, maxRequestTimeout), n.key, method, address, path, body)
 		switch {
 		case err != nil:
 			lastError = err.Error()
--- a/cmd/sparnotchctl/jobs.go
+++ b/cmd/sparnotchctl/jobs.go
@@ -11,6 +11,8 @@
 	"github.com/google/subcommands"
 )
 
+const keyHelp = "  $SPARNOTCH_KEY is the tenant's key, where one is needed.\n"
+
 // submitCommand submits a job.
 type submitCommand struct {
 	nodeClient
@@ -20,10 +22,10 @@
 func (*submitCommand) Name() string     { return "submit" }
 func (*submitCommand) Synopsis() string { return "submit a job" }
 func (*submitCommand) Usage() string {
-	return "sparnotchctl submit -queue QUEUE -name NAME JOB.json\n  JOB.json, - for standard input, is a text and steps, as docs/interface.md says.\n  It is retried after a timeout: the name keeps it one job.\n" + exitHelp
+	return "sparnotchctl submit -queue QUEUE -name NAME JOB.json\n  JOB.json, - for standard input, is a text and steps, as docs/interface.md says.\n  It is retried after a timeout: the name keeps it one job.\n" + keyHelp + exitHelp
 }
 func (c *submitCommand) SetFlags(set *flag.FlagSet) {
-	c.register(set)
+	c.registerForJobs(set)
 	set.StringVar(&c.queue, "queue", "", "the queue")
 	set.StringVar(&c.name, "name", "", "the job's name, unique in the queue")
 }
@@ -60,10 +62,10 @@
 	return "show a job"
 }
 func (c *jobCommand) Usage() string {
-	return fmt.Sprintf("sparnotchctl %s -queue QUEUE -name NAME\n%s", c.verb, exitHelp)
+	return fmt.Sprintf("sparnotchctl %s -queue QUEUE -name NAME\n%s%s", c.verb, keyHelp, exitHelp)
 }
 func (c *jobCommand) SetFlags(set *flag.FlagSet) {
-	c.register(set)
+	c.registerForJobs(set)
 	set.StringVar(&c.queue, "queue", "", "the queue")
 	set.StringVar(&c.name, "name", "", "the job's name")
 }
@@ -89,10 +91,10 @@
 func (*listJobsCommand) Name() string     { return "jobs" }
 func (*listJobsCommand) Synopsis() string { return "list a queue's live and retained jobs, by name" }
 func (*listJobsCommand) Usage() string {
-	return "sparnotchctl jobs -queue QUEUE [-after NAME] [-most 100]\n  `next` in the answer is the -after of the next page.\n" + exitHelp
+	return "sparnotchctl jobs -queue QUEUE [-after NAME] [-most 100]\n  `next` in the answer is the -after of the next page.\n" + keyHelp + exitHelp
 }
 func (c *listJobsCommand) SetFlags(set *flag.FlagSet) {
-	c.register(set)
+	c.registerForJobs(set)
 	set.StringVar(&c.queue, "queue", "", "the queue")
 	set.StringVar(&c.after, "after", "", "only names after this one")
 	set.IntVar(&c.limit, "most", 100, "at most so many, up to 1000")
--- a/cmd/sparnotchctl/nodes.go
+++ b/cmd/sparnotchctl/nodes.go
@@ -52,7 +52,7 @@
 	}
 	var states [2]*replica.NodeStateView
 	for k := range states {
-		code, data, err := sendOnce(c.timeout, "GET", set.Arg(k), "/v1/belief", nil)
+		code, data, err := sendOnce(c.timeout, "", "GET", set.Arg(k), "/v1/belief", nil)
 		states[k] = &replica.NodeStateView{}
 		if err == nil && code == 200 {
 			err = json.Unmarshal(data, states[k])
--- a/internal/gateway/authorization_test.go
+++ b/internal/gateway/authorization_test.go
@@ -235,3 +235,16 @@
 		So(h.responses[70].Code, ShouldEqual, 404)
 	})
 }
+
+func TestKeyHashOf(t *testing.T) {
+	Convey("A call's key is read from one header with one of the schemes", t, func() {
+		So(KeyHashOf(nil, "Token"), ShouldEqual, "")
+		for _, header := range []string{"Token k", "tOKEN k", " Token   k\t", "Bearer k"} {
+			So(KeyHashOf([]string{header}, "Token", "Bearer"), ShouldEqual, clusterstate.HashKey("k"))
+		}
+		So(KeyHashOf([]string{"Token k k"}, "Token"), ShouldEqual, clusterstate.HashKey("k k"))
+		for _, headers := range [][]string{{""}, {" "}, {"Token"}, {"Token "}, {"k"}, {"Bearer k"}, {"Token k", "Token k"}} {
+			So(KeyHashOf(headers, "Token"), ShouldEqual, unreadableKey)
+		}
+	})
+}
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -1,7 +1,7 @@
 package gateway
 
-// Linearizable reads of which queues there are, for requests to a queue that the
-// gateway's copy of the configuration lacks.
+// Linearizable reads of which queues and keys there are, for requests to a queue or with a
+// key that the gateway's copy of the configuration lacks.
 
 import (
 	"net/http"
@@ -22,8 +22,8 @@
 	firstConfirmationID = 1 << 63
 )
 
-// deferredCall is a client's request that waits until its queue is confirmed to exist
-// or not.
+// deferredCall is a client's request that waits until its queue and key are confirmed to
+// exist or not.
 type deferredCall interface {
 	id() uint64
 	resume(g *Gateway, now eventloop.Micros, effects eventloop.Effects)
@@ -53,7 +53,7 @@
 	lastNumber uint64
 }
 
-// awaitConfirmation holds a call until its queue is confirmed to exist or not. It
+// awaitConfirmation holds a call until its queue and key are confirmed to exist or not. It
 // returns false where too many calls are waiting already.
 func (g *Gateway) awaitConfirmation(now eventloop.Micros, call deferredCall, effects eventloop.Effects) bool {
 	c := &g.confirmation
@@ -102,7 +102,7 @@
 	g.sendConfirmation(now, effects)
 }
 
-// failConfirmation rejects the calls in flight: whether their queues exist is unknown.
+// failConfirmation rejects the calls in flight: whether their queues and keys exist is unknown.
 func (g *Gateway) failConfirmation(now eventloop.Micros, effects eventloop.Effects) {
 	for _, call := range g.takeInFlight() {
 		g.rejectNotReady(now, call.id(), effects)
--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -23,6 +23,7 @@
 	codeQueueFull    = "queue_full"
 	codeStorageFull  = "store_full"
 	codeUnknown      = "unknown"
+	codeUnknownKey   = "unknown_key"
 	codeUnknownQueue = "unknown_queue"
 	codeWindowFull   = "window_full"
 )
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -16,6 +16,7 @@
 // request is a forwarded request that has no response yet.
 type request struct {
 	message      LeaderRequest
+	tenant       string // whose key the call carries; empty: none
 	sentAt       eventloop.Micros
 	sentTo       string // empty: nobody, or one that has denied to be the leader
 	redirectedAt eventloop.Micros
@@ -28,8 +29,8 @@
 	return requestRetryDelay + eventloop.LinkTime(len(r.message.Body))
 }
 
-// handleRequest forwards a request. With isConfirmed, a queue that our copy of the
-// cluster state lacks doesn't exist.
+// handleRequest forwards a request. With isConfirmed, a queue or key that our copy
+// of the cluster state lacks doesn't exist.
 func (g *Gateway) handleRequest(now eventloop.Micros, m LeaderRequest, isConfirmed bool, effects eventloop.Effects) {
 	if len(g.requests) >= maxPending {
 		effects.Respond(m.RequestID, Overloaded(g.throughputOf(gatewayThroughput).nextRetryAfter(now)))
@@ -51,7 +52,12 @@
 		g.handleUnknownQueue(now, m.Group, unrouted, isConfirmed, effects)
 		return
 	}
-	pending := &request{message: m}
+	tenant, isAllowed := g.authorizeRequest(m)
+	if !isAllowed {
+		g.handleUnauthorized(now, unrouted, isConfirmed, effects)
+		return
+	}
+	pending := &request{message: m, tenant: tenant}
 	g.requests[m.RequestID] = pending
 	g.sendRequest(now, pending, effects)
 }
@@ -64,6 +70,7 @@
 	}
 	effects.Send(pending.sentTo, &schema.Request{
 		Id: m.RequestID, Kind: m.Kind, Group: m.Group, Name: m.Name, PageAfter: m.After, Limit: m.Limit, Body: m.Body,
+		Tenant: pending.tenant,
 	})
 }
 
--- a/internal/gateway/submissions.go
+++ b/internal/gateway/submissions.go
@@ -25,8 +25,8 @@
 	sentTo    string
 }
 
-// handleSubmit accepts a job or rejects it. With isConfirmed, a queue that our copy of
-// the cluster state lacks doesn't exist. A rejection is final, and so comes before the
+// handleSubmit accepts a job or rejects it. With isConfirmed, a queue or key that our
+// copy of the cluster state lacks doesn't exist. A rejection is final, and so comes before the
 // job has a number.
 func (g *Gateway) handleSubmit(now eventloop.Micros, m SubmitJob, isConfirmed bool, effects eventloop.Effects) {
 	unrouted := m // routed anew when it is resumed
@@ -37,14 +37,19 @@
 		g.handleUnknownQueue(now, m.Queue, unrouted, isConfirmed, effects)
 		return
 	}
-	if !IsValidName(m.Name) {
-		effects.Respond(m.RequestID, Unprocessable(&schema.Error{Code: codeBadName, Message: NameRule, Field: "name"}))
-		return
-	}
 	if !g.lease.isValid(now) {
 		g.rejectNotReady(now, m.RequestID, effects)
 		return
 	}
+	tenant, isAllowed := authorize(g.values, m.Queue, m.KeyHash)
+	if !isAllowed {
+		g.handleUnauthorized(now, unrouted, isConfirmed, effects)
+		return
+	}
+	if !IsValidName(m.Name) {
+		effects.Respond(m.RequestID, Unprocessable(&schema.Error{Code: codeBadName, Message: NameRule, Field: "name"}))
+		return
+	}
 	if fault := exceedsLargestWorker(g.values, m.Queue, m.Job); fault != nil {
 		effects.Respond(m.RequestID, Unprocessable(fault))
 		return
@@ -62,15 +67,16 @@
 		g.rejectOverloaded(now, m.RequestID, reason, effects)
 		return
 	}
-	g.enqueue(now, g.openSession(key), m, effects)
+	g.enqueue(now, g.openSession(key), m, tenant, effects)
 }
 
-// enqueue numbers a job in its session and sends it.
-func (g *Gateway) enqueue(now eventloop.Micros, s *session, m SubmitJob, effects eventloop.Effects) {
+// enqueue numbers a tenant's job in its session and sends it.
+func (g *Gateway) enqueue(now eventloop.Micros, s *session, m SubmitJob, tenant string, effects eventloop.Effects) {
 	pending := &submission{
 		requestID: m.RequestID,
 		enqueue: &schema.Enqueue{
 			Session: s.id, Number: s.nextNumber, Name: m.Name, Digest: m.Digest, Job: applyDefaultAttempts(g.values, m.Queue, m.Job),
+			Tenant: tenant,
 		},
 	}
 	s.nextNumber++
@@ -135,7 +141,7 @@
 		s := g.sessionsByID[sessionKey(queue, enqueue.Session.Client)]
 		m.Enqueues = append(m.Enqueues, &schema.Enqueue{
 			Session: enqueue.Session, Number: enqueue.Number, Name: enqueue.Name, Digest: enqueue.Digest, Job: enqueue.Job,
-			LowestUnconfirmed: s.lowestUnconfirmed(),
+			LowestUnconfirmed: s.lowestUnconfirmed(), Tenant: enqueue.Tenant,
 		})
 	}
 	if to != "" {
--- a/internal/httpapi/encoding.go
+++ b/internal/httpapi/encoding.go
@@ -23,6 +23,9 @@
 	if response.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(response.RetryAfter))
 	}
+	if response.Code == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", keyScheme)
+	}
 	ctx.StatusCode(int(response.Code))
 	ctx.Write(append(response.Body, '\n'))
 	ctx.StopExecution()
--- a/internal/httpapi/handlers.go
+++ b/internal/httpapi/handlers.go
@@ -32,6 +32,10 @@
 
 	clientHeader = "Sparnotch-Client"
 
+	// Schemes of the header Authorization.
+	keyScheme    = "Token"
+	bearerScheme = "Bearer"
+
 	workerNameRule = "lower-case letters, digits, '.', '_' and '-', at most 63"
 )
 
@@ -87,6 +91,11 @@
 	return name, true
 }
 
+// keyHash is the hash of the tenant's key that a call carries.
+func keyHash(ctx iris.Context) string {
+	return gateway.KeyHashOf(ctx.Request().Header.Values("Authorization"), keyScheme, bearerScheme)
+}
+
 func (s *Server) submitJob(ctx iris.Context) {
 	queue, name := ctx.Params().Get("queue"), ctx.Params().Get("name")
 	if !gateway.IsValidName(name) {
@@ -112,13 +121,14 @@
 	s.callGateway(ctx, submitTimeout, func(id uint64, deadline eventloop.Micros) any {
 		return gateway.SubmitJob{
 			RequestID: id, Queue: queue, Client: client, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline,
+			KeyHash: keyHash(ctx),
 		}
 	})
 }
 
 func (s *Server) requestJob(ctx iris.Context, kind string) {
 	s.requestLeader(ctx, readTimeout, gateway.LeaderRequest{
-		Kind: kind, Group: ctx.Params().Get("queue"), Name: ctx.Params().Get("name"),
+		Kind: kind, Group: ctx.Params().Get("queue"), Name: ctx.Params().Get("name"), KeyHash: keyHash(ctx),
 	})
 }
 
@@ -134,6 +144,7 @@
 	}
 	s.requestLeader(ctx, readTimeout, gateway.LeaderRequest{
 		Kind: gateway.KindList, Group: ctx.Params().Get("queue"), After: ctx.URLParam("after"), Limit: uint32(limit),
+		KeyHash: keyHash(ctx),
 	})
 }
 
