Queue: another tenant's job is neither shown, cancelled nor taken over

Cause: a job carries its tenant, but status, cancel, list and a submission of the same name went by the name alone. Change: the leader answers the status of another tenant's job with 403 other_tenant and leaves it out of lists; a cancel names the tenant that asks and is checked when it is applied, so every replica decides the same; a submission of its name is 409, as for other content. An empty tenant on either side isn't compared.

--- a/internal/queue/end.go
+++ b/internal/queue/end.go
@@ -9,9 +9,13 @@
 )
 
 // cancel ends a job, or stops it if tasks of it run. It changes nothing for one that has
-// ended or is stopping.
-func (m *Machine) cancel(name string) {
-	if j := m.jobsByName[name]; j != nil {
+// ended or is stopping, or is another tenant's.
+func (m *Machine) cancel(c *schema.Cancel) {
+	if m.isOthersJob(c.Name, c.Tenant) {
+		m.effects.CancelCode = http.StatusForbidden
+		return
+	}
+	if j := m.jobsByName[c.Name]; j != nil {
 		switch j.state {
 		case schema.JobState_JOB_SCHEDULED:
 			m.byStart.Delete(j)
@@ -23,7 +27,7 @@
 		}
 	}
 	m.effects.CancelCode = http.StatusNotFound
-	if view, found := m.JobView(name); found {
+	if view, found := m.JobView(c.Name); found {
 		m.effects.CancelCode, m.effects.CancelView = http.StatusOK, view
 	}
 }
--- a/internal/queue/enqueue.go
+++ b/internal/queue/enqueue.go
@@ -55,24 +55,41 @@
 // resubmissionCode is the HTTP status for a submission whose name may belong to a job
 // already: 200 for the same job, 409 for another one, unknownCode if there is none.
 func (m *Machine) resubmissionCode(e *schema.Enqueue, unknownCode int32) int32 {
-	var digest []byte
-	if live := m.jobsByName[e.Name]; live != nil {
-		digest = live.digest
-	} else if ended := m.endedByName[e.Name]; ended != nil {
-		digest = ended.Digest
-	} else {
+	digest, tenant, found := m.jobIdentity(e.Name)
+	switch {
+	case !found:
 		return unknownCode
+	case string(digest) != string(e.Digest) || IsOtherTenant(tenant, e.Tenant):
+		return http.StatusConflict
+	}
+	return http.StatusOK
+}
+
+// jobIdentity returns what tells a live or retained job from another one of its name.
+func (m *Machine) jobIdentity(name string) (digest []byte, tenant string, found bool) {
+	if live := m.jobsByName[name]; live != nil {
+		return live.digest, live.tenant, true
 	}
-	if string(digest) == string(e.Digest) {
-		return http.StatusOK
+	if ended := m.endedByName[name]; ended != nil {
+		return ended.Digest, ended.Tenant, true
 	}
-	return http.StatusConflict
+	return nil, "", false
+}
+
+// isOthersJob reports whether a job is known and is of another tenant.
+func (m *Machine) isOthersJob(name, tenant string) bool {
+	_, owner, _ := m.jobIdentity(name)
+	return IsOtherTenant(owner, tenant)
 }
 
+// IsOtherTenant reports whether two tenants differ. A job or call of nobody, whose tenant is
+// empty, is no other tenant's.
+func IsOtherTenant(a, b string) bool { return a != "" && b != "" && a != b }
+
 func (m *Machine) addSubmitResult(e *schema.Enqueue, code int32) {
 	result := &schema.SubmitResult{Session: e.Session, Number: e.Number, Code: code}
 	if code == http.StatusConflict {
-		result.Error = &schema.Error{Code: "name_taken", Message: "this name stands for a job with other content", Field: "name"}
+		result.Error = &schema.Error{Code: "name_taken", Message: "this name stands for a job with other content, or of another tenant", Field: "name"}
 	} else {
 		result.View, _ = m.JobView(e.Name)
 	}
--- a/internal/queue/machine.go
+++ b/internal/queue/machine.go
@@ -72,7 +72,7 @@
 	Events        []*TaskEvent           // for the scheduler
 	ReleaseCursor *ReleaseCursor         // nil: none
 	CancelCode    int32                  // HTTP status of a cancel
-	CancelView    *schema.JobView        // the cancelled job; nil: unknown
+	CancelView    *schema.JobView        // the cancelled job; nil: unknown, or another tenant's
 }
 
 // Machine is the state of one queue.
@@ -211,7 +211,7 @@
 	case *schema.QueueCommand_Return:
 		m.returnTask(body.Return)
 	case *schema.QueueCommand_Cancel:
-		m.cancel(body.Cancel.Name)
+		m.cancel(body.Cancel)
 	case *schema.QueueCommand_EndSessions:
 		m.endSessions(body.EndSessions)
 	case *schema.QueueCommand_Reenqueue:
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -74,7 +74,7 @@
 	case caller.report != nil:
 		h.acknowledgeEnd(caller.from, caller.report, effects)
 	case caller.request != nil:
-		h.reply(*caller, result.CancelCode, jobViewOrError(result.CancelView), effects)
+		h.reply(*caller, result.CancelCode, cancelBody(result), effects)
 	}
 }
 
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -6,12 +6,14 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
 	"sparnotch/internal/schema"
 )
 
@@ -29,13 +31,17 @@
 
 // Error codes of replies.
 const (
-	codeNotReady   = "not_ready"
-	codeBadRequest = "bad_request"
-	codeUnknownJob = "unknown_job"
-	codeInternal   = "internal"
+	codeNotReady    = "not_ready"
+	codeBadRequest  = "bad_request"
+	codeUnknownJob  = "unknown_job"
+	codeOtherTenant = "other_tenant"
+	codeInternal    = "internal"
 )
 
-const unknownJobMessage = "no job of this name is known in the queue"
+const (
+	unknownJobMessage  = "no job of this name is known in the queue"
+	otherTenantMessage = "the job is another tenant's"
+)
 
 // pendingReply is a request or task report that waits for its reply: until its command is
 // applied, or its read confirmed.
@@ -70,7 +76,7 @@
 		}
 		r.pendingReads[h.lastReadID] = pending
 	case requestCancel:
-		command := &schema.QueueCommand{Body: &schema.QueueCommand_Cancel{Cancel: &schema.Cancel{Name: m.Name}}}
+		command := &schema.QueueCommand{Body: &schema.QueueCommand_Cancel{Cancel: &schema.Cancel{Name: m.Name, Tenant: m.Tenant}}}
 		if index := h.proposeQueue(now, r, command); index > 0 {
 			r.pendingCommands[index] = pending
 		}
@@ -106,14 +112,10 @@
 	delete(r.pendingReads, readID)
 	switch m := pending.request; m.Kind {
 	case requestJobStatus:
-		view, found := r.queue.JobView(m.Name)
-		if !found {
-			h.reply(pending, http.StatusNotFound, errorJSON(codeUnknownJob, unknownJobMessage), effects)
-			return
-		}
-		h.reply(pending, http.StatusOK, mustMarshalJSON(view), effects)
+		code, body := jobStatus(r.queue, m)
+		h.reply(pending, code, body, effects)
 	case requestJobList:
-		h.reply(pending, http.StatusOK, mustMarshalJSON(r.queue.List(m.PageAfter, int(m.Limit))), effects)
+		h.reply(pending, http.StatusOK, mustMarshalJSON(listJobs(r.queue, m)), effects)
 	case requestQueueCounts:
 		h.reply(pending, http.StatusOK, mustMarshalJSON(r.queue.Counts()), effects)
 	case requestConfiguration:
@@ -125,6 +127,28 @@
 	}
 }
 
+// jobStatus answers a status request: another tenant's job isn't shown.
+func jobStatus(machine *queue.Machine, m *schema.Request) (code int32, body []byte) {
+	view, found := machine.JobView(m.Name)
+	switch {
+	case !found:
+		return http.StatusNotFound, errorJSON(codeUnknownJob, unknownJobMessage)
+	case queue.IsOtherTenant(view.Tenant, m.Tenant):
+		return http.StatusForbidden, errorJSON(codeOtherTenant, otherTenantMessage)
+	}
+	return http.StatusOK, mustMarshalJSON(view)
+}
+
+// listJobs is a page of a queue's jobs without those of other tenants, so it may hold fewer
+// than its limit.
+func listJobs(machine *queue.Machine, m *schema.Request) *schema.JobList {
+	page := machine.List(m.PageAfter, int(m.Limit))
+	page.Jobs = slices.DeleteFunc(page.Jobs, func(view *schema.JobView) bool {
+		return queue.IsOtherTenant(view.Tenant, m.Tenant)
+	})
+	return page
+}
+
 func (h *Host) reply(pending pendingReply, code int32, body []byte, effects eventloop.Effects) {
 	effects.Send(pending.from, &schema.Response{Id: pending.request.Id, Code: code, Body: body, Leader: h.id, Group: pending.request.Group})
 }
@@ -170,11 +194,15 @@
 	return data
 }
 
-func jobViewOrError(view *schema.JobView) []byte {
-	if view == nil {
+// cancelBody is the body of the reply to an applied cancel.
+func cancelBody(result *queue.Effects) []byte {
+	switch {
+	case result.CancelCode == http.StatusForbidden:
+		return errorJSON(codeOtherTenant, otherTenantMessage)
+	case result.CancelView == nil:
 		return errorJSON(codeUnknownJob, unknownJobMessage)
 	}
-	return mustMarshalJSON(view)
+	return mustMarshalJSON(result.CancelView)
 }
 
 func errorJSON(code, message string) []byte {
