Checker: rules on tenants' quotas, keys and jobs

Change: rules 13 (what a tenant runs stays within its highest limit that may be in force, a tenth and one task), 14 (calls are served and refused as the configurations that may be in force allow their keys, and none with a key that no configuration has held) and 15 (a job is one tenant's and is shown to no other key), from what clients, operators and workers saw. The rule on idle jobs lets a job wait whose tenant has half of a limit in use. Histories without tenants and keys are judged as before. Result: TestTenantRules breaks each rule with a history and has one beside it that doesn't; tests of the package pass.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -29,6 +29,9 @@
 	ruleGangs         = 10
 	ruleConfiguration = 11
 	ruleRecovery      = 12
+	ruleQuota         = 13 // what a tenant runs stays within its limit
+	ruleKeys          = 14 // calls are answered as their keys allow
+	ruleTenants       = 15 // a job is one tenant's and is shown to no other
 )
 
 // Violation is one broken rule. At is in µs since the start of the run.
@@ -87,6 +90,9 @@
 	clockReadings []Event                       // of correct wall clocks
 	outages       []outage
 
+	tenantConfigurations []*tenantConfiguration // in the order in which they were sent
+	tenantOfJob          map[jobKey]string      // that submitted it, where that is known
+
 	violations []Violation
 }
 
@@ -96,12 +102,15 @@
 	a := &analysis{
 		bounds: bounds, history: history,
 		jobs: map[jobKey]*jobRecord{}, jobOfTask: map[taskID]*jobRecord{}, workerFaults: map[string][]eventloop.Micros{},
+		tenantOfJob: map[jobKey]string{},
 	}
 	if len(history) > 0 {
 		a.closedAt = history[len(history)-1].At
 	}
 	a.readHistory()
 	a.markOutages()
+	a.readTenantConfigurations()
+	a.readTenantsOfJobs()
 	for _, job := range a.sortedJobs {
 		a.checkJob(job)
 	}
@@ -110,6 +119,9 @@
 	a.checkDraining()
 	a.checkConfigurations()
 	a.checkConfigurationEffects()
+	a.checkQuotas()
+	a.checkKeys()
+	a.checkTenantsOfJobs()
 	a.checkIdleJobs()
 	a.checkSubmissionsRecover()
 	a.checkServicesRecover()
--- a/internal/checker/event.go
+++ b/internal/checker/event.go
@@ -44,6 +44,9 @@
 	Close              = "close"      // end of the run; what isn't over by now is late
 )
 
+// Lister is the actor of pages of jobs, which operators read and which need no key.
+const Lister = "lister"
+
 // States of events other than a job's state.
 const (
 	// Healed is the state of a WorkerPartitioned that is over.
@@ -116,6 +119,8 @@
 	Text         string   `json:"text,omitempty"`     // that a start carried
 	Checkpoint   string   `json:"saved,omitempty"`    // that a start carried, or an end left
 	Document     string   `json:"document,omitempty"` // that came with a configuration
+	KeyHash      string   `json:"key,omitempty"`      // of the key that a client's call carries; empty: it carries none
+	Tenant       string   `json:"tenant,omitempty"`   // that an answer shows as the job's
 }
 
 // sentAt is when the request was sent that an event answers.
--- a/internal/checker/idle_rules.go
+++ b/internal/checker/idle_rules.go
@@ -53,6 +53,7 @@
 	*analysis
 	workers    map[string]*workerState // that are called
 	running    map[jobKey]int
+	usage      *tenantUsage
 	open       []jobKey
 	idleSince  map[jobKey]eventloop.Micros
 	isReported map[jobKey]bool
@@ -73,7 +74,7 @@
 		return
 	}
 	c := &idleCheck{
-		analysis: a, workers: map[string]*workerState{}, running: map[jobKey]int{},
+		analysis: a, workers: map[string]*workerState{}, running: map[jobKey]int{}, usage: a.newTenantUsage(),
 		idleSince: map[jobKey]eventloop.Micros{}, isReported: map[jobKey]bool{},
 	}
 	for k := range a.history {
@@ -119,9 +120,25 @@
 	if now <= c.changedAt+c.bounds.Propagation || c.isDisturbed(now, now) {
 		return false
 	}
+	if c.isTenantBusy(job, now) {
+		return false
+	}
 	return !job.hasExhaustedFailures(now) && !c.isPoolBusy(job) && c.hasReadyStep(job, now)
 }
 
+// isTenantBusy reports whether the job's tenant has at least half of a limit in use that
+// may be in force.
+func (c *idleCheck) isTenantBusy(job *jobRecord, now eventloop.Micros) bool {
+	tenant := c.tenantOfJob[job.key]
+	if tenant == "" {
+		return false
+	}
+	used := c.usage.of(tenant)
+	return slices.ContainsFunc(c.mayBeInForce(now, now), func(configuration *tenantConfiguration) bool {
+		return used.isHalfUsed(configuration.limits[tenant])
+	})
+}
+
 // poolOf lists the workers that the job's queue may use.
 func (c *idleCheck) poolOf(job *jobRecord) []*workerState {
 	var list []*workerState
@@ -205,6 +222,7 @@
 
 // apply follows an event.
 func (c *idleCheck) apply(e *Event) {
+	c.usage.apply(e)
 	switch e.Kind {
 	case SubmitReply:
 		if e.isConfirmed() && !slices.Contains(c.open, e.jobKey()) && c.jobs[e.jobKey()].spec != nil {
--- /dev/null
+++ b/internal/checker/tenant_usage.go
@@ -0,0 +1,63 @@
+package checker
+
+// tenantRun is one run that a worker has.
+type tenantRun struct {
+	worker string
+	attemptKey
+}
+
+// tenantUsage follows what the tenants have running on all workers together.
+type tenantUsage struct {
+	tenantOfJob map[jobKey]string
+	running     map[string]map[tenantRun]resources // by tenant
+	isPaused    map[string]bool                    // workers whose runs stand still
+}
+
+func (a *analysis) newTenantUsage() *tenantUsage {
+	return &tenantUsage{tenantOfJob: a.tenantOfJob, running: map[string]map[tenantRun]resources{}, isPaused: map[string]bool{}}
+}
+
+// apply follows an event.
+func (u *tenantUsage) apply(e *Event) {
+	switch e.Kind {
+	case TaskStart:
+		tenant := u.tenantOfJob[e.jobKey()]
+		if tenant == "" {
+			return
+		}
+		if u.running[tenant] == nil {
+			u.running[tenant] = map[tenantRun]resources{}
+		}
+		u.running[tenant][tenantRun{e.Actor, e.attemptKey()}] = e.resources()
+	case TaskEnd:
+		delete(u.running[u.tenantOfJob[e.jobKey()]], tenantRun{e.Actor, e.attemptKey()})
+	case WorkerGone:
+		delete(u.isPaused, e.Actor)
+		for _, runs := range u.running {
+			for run := range runs {
+				if run.worker == e.Actor {
+					delete(runs, run)
+				}
+			}
+		}
+	case WorkerPaused, WorkerResumed:
+		u.isPaused[e.Actor] = e.Kind == WorkerPaused
+	}
+}
+
+// of is what a tenant has running.
+func (u *tenantUsage) of(tenant string) resources {
+	var sum resources
+	for run, amount := range u.running[tenant] {
+		if !u.isPaused[run.worker] {
+			sum = sum.plus(amount)
+		}
+	}
+	return sum
+}
+
+// isHalfUsed reports whether at least half of any limit is in use.
+func (r resources) isHalfUsed(limit resources) bool {
+	isHalf := func(used, limit int64) bool { return limit > 0 && 2*used >= limit }
+	return isHalf(r.cores, limit.cores) || isHalf(r.memory, limit.memory) || isHalf(r.accelerators, limit.accelerators)
+}
