Scheduler: tenants' limits are spent at checkout, by the node that leads all queues

Cause: nothing in the scheduler knew whose a job is; the workers' capacity alone bounded a tenant. Change: a tenant's use is summed over what is checked out, reserved, being stopped, what workers list beside that, and checkouts that were given up but may yet be committed. A task, or a gang as a whole, is placed only where its tenant's limit takes it. Since each queue's log is the only record of what was checked out, only a node that leads all queues knows the sum, so only it places tasks of limited tenants; queues that were added while it led all others have nothing placed. What waits for a limit neither preempts, claims workers, is boosted, nor counts as starving.

--- a/internal/clusterstate/tenants.go
+++ b/internal/clusterstate/tenants.go
@@ -65,6 +65,9 @@
 // Tenants returns the names of the configured tenants, sorted.
 func (v *Values) Tenants() []string { return slices.Sorted(maps.Keys(v.tenants)) }
 
+// HasTenants reports whether any tenant is configured.
+func (v *Values) HasTenants() bool { return len(v.tenants) > 0 }
+
 // Tenant returns what is configured of a tenant, nil if nothing is; not to be changed.
 func (v *Values) Tenant(name string) *Tenant { return v.tenants[name] }
 
--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -41,10 +41,18 @@
 		if now-t.reservedAt > reservationTimeout {
 			s.unreserve(q, t)
 			q.addReady(t)
+			q.keepOpenCheckout(t)
 		}
 	}
 }
 
+// keepOpenCheckout notes that the checkout of a ready task was given up, but may yet be
+// committed in this term.
+func (q *queueView) keepOpenCheckout(t *task) {
+	t.hasOpenCheckout = true
+	q.openCheckouts[t.key] = t
+}
+
 // newPlacement is the placement of a task on a worker, for a checkout.
 func newPlacement(t *task, w *worker) *schema.Placement {
 	return &schema.Placement{Key: t.key.toSchema(), Worker: w.id, Incarnation: w.incarnation}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -26,10 +26,13 @@
 
 // replaceQueue makes the view of a queue anew from the whole list of its tasks.
 func (s *Scheduler) replaceQueue(now eventloop.Micros, m replica.TaskEvents) {
-	previous := map[taskKey]task{}
+	previous, isSameTerm := map[taskKey]task{}, false
 	q := newQueueView(m.Queue, m.Group, m.Term)
 	if old := s.queues[m.Queue]; old != nil {
 		q.peak = old.peak
+		if isSameTerm = old.term == m.Term; !isSameTerm {
+			s.forgetAddedQueues()
+		}
 		if old.raftGroup == m.Group {
 			for key, t := range old.tasks {
 				previous[key] = *t
@@ -42,12 +45,13 @@
 	for _, event := range m.Events {
 		s.applyEvent(now, q, event)
 	}
-	s.inheritAttempts(previous, q)
+	s.inheritAttempts(previous, q, isSameTerm)
 	q.lastSequence = m.LastSequence
 }
 
-// inheritAttempts keeps what only the scheduler knew of attempts that go on.
-func (s *Scheduler) inheritAttempts(previous map[taskKey]task, q *queueView) {
+// inheritAttempts keeps what only the scheduler knew of attempts that go on. Checkouts that
+// were given up may yet be committed in the same term alone.
+func (s *Scheduler) inheritAttempts(previous map[taskKey]task, q *queueView, isSameTerm bool) {
 	for key, t := range q.tasks {
 		old, found := previous[key]
 		if !found || old.attempt != t.attempt {
@@ -55,6 +59,9 @@
 		}
 		t.inherit(&old)
 		t.placementReason = old.placementReason
+		if t.state == queue.Ready && old.hasOpenCheckout && isSameTerm {
+			q.keepOpenCheckout(t)
+		}
 		if t.state == queue.Ready && old.reservedWorker != "" {
 			s.reserve(q, t, old.reservedWorker, old.reservedAt)
 		}
@@ -153,6 +160,7 @@
 	delete(q.tasks, key)
 	s.removeName(t)
 	if t.state == queue.Ready {
+		delete(q.openCheckouts, key)
 		if t.reservedWorker != "" {
 			s.unreserve(q, t)
 		}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -28,6 +28,9 @@
 	boosted           map[stepKey]bool    // steps that go before all others
 	boostedLeft       map[string]int64    // milli cores that these may still take, by pool
 	preemptionFailed  bool                // something that may preempt found no victim
+	tenantUse         tenantUse           // when the pass began
+	knowsAllRuns      bool                // see Scheduler.knowsAllRuns
+	accounts          map[string]*tenantAccount
 }
 
 // runPass goes over the ready tasks of all queues, most urgent queue first, and
@@ -83,6 +86,9 @@
 		gangVictims:       map[stepKey]*victim{},
 		boosted:           map[stepKey]bool{},
 		boostedLeft:       map[string]int64{},
+		tenantUse:         s.sumTenantUse(),
+		knowsAllRuns:      s.knowsAllRuns(now),
+		accounts:          map[string]*tenantAccount{},
 	}
 	if now-s.fullPassAt >= fullPassInterval {
 		s.fullPassAt, pass.maxUnplaced = now, math.MaxInt
@@ -134,6 +140,10 @@
 	}
 	for unplaced := 0; steps.Len() > 0 && p.mayPlace() && unplaced < pass.maxUnplaced; {
 		cursor, step := steps.next()
+		// What waits for its tenant's limit holds nobody up.
+		if !p.mayTakeAny(s, step) {
+			continue
+		}
 		req := p.newRequest(step)
 		if p.place(step, req) {
 			continue
@@ -179,10 +189,16 @@
 	if !mayUseHeadroom && p.headroom.multipleOf(req.need) < int64(members) {
 		return true
 	}
+	account := p.accountOf(p.scheduler, step.first().tenant)
 	for p.mayPlace() && step.ready.Len() > 0 && (mayUseHeadroom || p.headroom.covers(req.need)) {
-		if !p.placeTogether(step.firstReady(members), req) {
+		tasks := step.firstReady(members)
+		if !account.takes(tasks, req.need) {
+			return true
+		}
+		if !p.placeTogether(tasks, req) {
 			return false
 		}
+		account.charge(tasks, req.need)
 	}
 	return true
 }
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -32,6 +32,9 @@
 // being freed, else what is freed by preempting less urgent work, else, for a wide
 // step, whole workers until they are free. It returns for how many tasks.
 func (p *queuePass) reserveFutureCapacity(step *stepQueue, req *placementRequest) (awaited int) {
+	if !p.mayTakeAny(p.scheduler, step) {
+		return 0
+	}
 	waited := p.now - step.first().since
 	mayPreempt := req.feasibility != infeasible && p.mayPreempt() && waited >= preemptionDelay
 	if p.isCapacityComing() || mayPreempt {
@@ -51,7 +54,8 @@
 // awaitStops reserves what is freed by stops: of each task by itself, of a gang for
 // all its members or none. It returns for how many tasks.
 func (p *queuePass) awaitStops(step *stepQueue, req *placementRequest, mayPreempt bool) (awaited int) {
-	count := min(step.ready.Len(), p.slots, maxAwaited)
+	account := p.accountOf(p.scheduler, step.first().tenant)
+	count := min(step.ready.Len(), p.slots, maxAwaited, int(account.room(req.need)))
 	if req.spec.Gang {
 		count = step.ready.Len()
 	}
@@ -70,6 +74,7 @@
 			awaited = 0
 		}
 	}
+	account.used.add(req.need.times(int64(awaited)))
 	if mayPreempt && awaited < count {
 		p.preemptionFailed = true
 	}
--- a/internal/scheduler/queue_view.go
+++ b/internal/scheduler/queue_view.go
@@ -16,6 +16,7 @@
 	peak            decayingPeak               // of usage
 	tasksPerWorker  map[stepKey]map[string]int // checked out or reserved, by worker id
 	reserved        map[taskKey]*task          // ready, with a checkout on the way
+	openCheckouts   map[taskKey]*task          // ready, with a checkout that was given up but may yet be committed
 	pendingGangs    map[taskKey]*task          // checked-out gangs whose start isn't committed, by their first member
 	readyIndex
 }
@@ -26,6 +27,7 @@
 		tasks:          map[taskKey]*task{},
 		tasksPerWorker: map[stepKey]map[string]int{},
 		reserved:       map[taskKey]*task{},
+		openCheckouts:  map[taskKey]*task{},
 		pendingGangs:   map[taskKey]*task{},
 		readyIndex:     readyIndex{byShape: map[shape]*shapeGroup{}, lostSteps: map[stepKey]*stepQueue{}},
 	}
--- a/internal/scheduler/resources.go
+++ b/internal/scheduler/resources.go
@@ -32,6 +32,11 @@
 	r.accelerators -= other.accelerators
 }
 
+// times is r multiplied by a factor.
+func (r resources) times(factor int64) resources {
+	return resources{r.cores * factor, r.memory * factor, r.accelerators * factor}
+}
+
 // multipleOf is how many times need goes into r.
 func (r resources) multipleOf(need resources) int64 {
 	count := int64(math.MaxInt32)
@@ -51,6 +56,7 @@
 	usedByServices  resources // of that, by tasks that run until cancelled
 	taskCount       int
 	hasUnknownUsage bool // it runs something of unknown size, so it may be full
+	tenantUse
 }
 
 // capacitySummary is what decides whether a worker can take more work.
@@ -70,6 +76,7 @@
 	if !w.isUsageStale {
 		return
 	}
+	s.addTenantUse(w.tenantUse, -1)
 	w.usageSummary = usageSummary{}
 	for _, t := range w.tasks {
 		if w.hasEnded(t) {
@@ -77,6 +84,7 @@
 		}
 		size := resourcesOf(t.spec)
 		w.used.add(size)
+		w.tenantUse.add(t.tenant, size)
 		w.taskCount++
 		switch {
 		case t.isStopOverdue:
@@ -88,19 +96,26 @@
 	}
 	for key, status := range w.running {
 		if w.taskOf(key) == nil {
-			w.used.add(s.usageOf(w, key, status))
+			size := s.usageOf(w, key, status)
+			w.used.add(size)
+			w.tenantUse.addRun(s.tenantOfRun(key, status), size)
 			w.taskCount++
 		}
 	}
 	for _, status := range w.unknownRuns {
 		w.used.add(reportedUsage(status))
+		w.tenantUse.addRun(status.Tenant, reportedUsage(status))
 		w.taskCount++
 	}
 	for _, t := range w.reserved {
 		w.used.add(resourcesOf(t.spec))
+		w.tenantUse.add(t.tenant, resourcesOf(t.spec))
 		w.taskCount++
 	}
-	w.hasUnknownUsage = s.runsUnknownUsage(w)
+	if w.hasUnknownUsage = s.runsUnknownUsage(w); w.hasUnknownUsage {
+		w.tenantUse.unassigned.add(w.total())
+	}
+	s.addTenantUse(w.tenantUse, 1)
 }
 
 // usageOf is what a run uses: as the worker reports it, else as its step states it.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -48,7 +48,10 @@
 	workerOrder   []*worker          // the same by id; nil: to be sorted again
 	tasksByWorker map[string]map[taskKey]*task
 	tasksByName   map[taskName][]*task
-	deadWorkers   map[string]eventloop.Micros // and when each was last reported dead
+	tenantUse     tenantUse                       // sums over the workers
+	formerTenants map[string]*clusterstate.Tenant // by name: as they were configured last
+	addedQueues   map[string]uint64               // their generations: see knowsAllRuns
+	deadWorkers   map[string]eventloop.Micros     // and when each was last reported dead
 	runtimeModels map[runtimeKey]*runtimeModel
 
 	needsPass          bool
@@ -79,6 +82,8 @@
 		workers:       map[string]*worker{},
 		tasksByWorker: map[string]map[taskKey]*task{},
 		tasksByName:   map[taskName][]*task{},
+		formerTenants: map[string]*clusterstate.Tenant{},
+		addedQueues:   map[string]uint64{},
 		deadWorkers:   map[string]eventloop.Micros{},
 		runtimeModels: map[runtimeKey]*runtimeModel{},
 	}
@@ -105,6 +110,7 @@
 	case replica.TaskEvents:
 		s.applyEvents(now, body, effects)
 	case replica.LeadershipLost:
+		s.forgetAddedQueues()
 		s.dropQueue(body.Queue)
 	case *schema.WorkerPollRequest:
 		s.handlePoll(now, message.From, body, effects)
@@ -153,7 +159,10 @@
 	if m.State == nil {
 		return
 	}
-	s.clusterState, s.config = m.State, clusterstate.ParseValues(m.State.Configuration)
+	s.noteAddedQueues(now, m.State)
+	config := s.config.ForConfiguration(m.State.Configuration)
+	s.keepFormerTenants(s.config, config)
+	s.clusterState, s.config = m.State, config
 	leases := map[string]*schema.WorkerLease{}
 	for _, lease := range s.clusterState.WorkerLeases {
 		if lease.Scheduler == s.id {
--- a/internal/scheduler/starvation.go
+++ b/internal/scheduler/starvation.go
@@ -51,9 +51,12 @@
 			continue
 		}
 		for _, step := range q.lostSteps {
+			if !pass.mayTakeAny(s, step) {
+				continue
+			}
 			lost = append(lost, starvingStep{step, budget, step.first().roundDueAt})
 		}
-		aged = append(aged, s.agedSteps(now, q, budget)...)
+		aged = append(aged, s.agedSteps(now, q, budget, pass)...)
 	}
 	pass.boost(lost, func(budget *boostBudget) int64 { return budget.lost })
 	pass.boost(aged, func(budget *boostBudget) int64 { return budget.aged })
@@ -84,8 +87,8 @@
 }
 
 // agedSteps lists the oldest steps of a queue whose jobs are aged, of each shape as many
-// as the budget takes.
-func (s *Scheduler) agedSteps(now eventloop.Micros, q *queueView, budget *boostBudget) (aged []starvingStep) {
+// as the budget takes. What waits for its tenant's limit isn't starving.
+func (s *Scheduler) agedSteps(now eventloop.Micros, q *queueView, budget *boostBudget, pass *passState) (aged []starvingStep) {
 	for _, group := range q.byShape {
 		left := budget.aged
 		group.steps.Ascend(func(step *stepQueue) bool {
@@ -93,6 +96,9 @@
 			if left <= 0 || !s.isAged(now, q, first) {
 				return false
 			}
+			if !pass.mayTakeAny(s, step) {
+				return true
+			}
 			aged = append(aged, starvingStep{step, budget, first.roundDueAt})
 			left -= step.cores()
 			return true
