Gateway: unknown keys neither crowd out other waiting calls nor ask the leader each time

Cause: a call with an unknown key waits for a confirmation in the same 256 places as calls to new queues, so a client that floods with a revoked key fills them, and each of its calls costs the cluster state's leader a share of a read. Change: at most half of the places are for calls that wait because of their key. Calls like one that was refused under the configuration's present revision are refused at once while the lease on the copy lasts; the comment says why that refuses no key that has to be in force. Result: TestUnknownKeysLeaveRoomForNewQueues, TestConfirmedUnknownKeysAreRefusedAtOnce.

--- a/internal/gateway/authorization.go
+++ b/internal/gateway/authorization.go
@@ -65,14 +65,26 @@
 }
 
 // handleUnauthorized refuses a call that our copy of the cluster state doesn't allow, once
-// that is confirmed: its key may just have been added, or its queue become public.
-func (g *Gateway) handleUnauthorized(now eventloop.Micros, call deferredCall, isConfirmed bool, effects eventloop.Effects) {
+// that is confirmed: its key may just have been added, or its queue become public. Calls
+// like one that was refused so under the same configuration aren't confirmed again.
+func (g *Gateway) handleUnauthorized(now eventloop.Micros, refused refusedCall, call deferredCall, isConfirmed bool, effects eventloop.Effects) {
 	switch {
 	case !g.lease.isValid(now):
 		g.rejectNotReady(now, call.id(), effects)
 	case isConfirmed:
-		g.reject(call.id(), http.StatusUnauthorized, codeUnknownKey, "the call needs the key of a tenant, and carries none that is known", 0, effects)
-	case !g.awaitConfirmation(now, call, effects):
+		g.refusedKeys.add(g.state.Configuration.GetRevision(), refused)
+		g.rejectUnauthorized(call.id(), effects)
+	case g.refusedKeys.contains(g.state.Configuration.GetRevision(), refused):
+		// The call may be refused by the copy as it is. A configuration that allows it has
+		// a higher revision, which the copy lacks. Under its lease the copy holds all that
+		// was committed three quarters of config_apply ago (stateLease), so that one was
+		// acknowledged later, and needn't be in force yet when this call was sent.
+		g.rejectUnauthorized(call.id(), effects)
+	case !g.awaitConfirmation(now, keyCall{call}, effects):
 		g.rejectUnavailable(call.id(), "too many requests are waiting for the list of keys", effects)
 	}
 }
+
+func (g *Gateway) rejectUnauthorized(requestID uint64, effects eventloop.Effects) {
+	g.reject(requestID, http.StatusUnauthorized, codeUnknownKey, "the call needs the key of a tenant, and carries none that is known", 0, effects)
+}
--- a/internal/gateway/authorization_test.go
+++ b/internal/gateway/authorization_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -248,3 +249,85 @@
 		}
 	})
 }
+
+// Guards against a client with a revoked key that crowds out calls to new queues.
+func TestUnknownKeysLeaveRoomForNewQueues(t *testing.T) {
+	askNewQueue := func(h *harness) uint64 {
+		h.lastRequestID++
+		h.step(LeaderRequest{RequestID: h.lastRequestID, Kind: KindStatus, Group: "new", KeyHash: hashOf("given"), Name: "j"})
+		return h.lastRequestID
+	}
+	Convey("At most half of the calls that wait for a confirmation wait because of their key", t, func() {
+		h := newHarness(keyedRows("given")...)
+		refused := 0
+		for range 3 * maxAwaitingConfirmation {
+			id := h.askWithKey(KindStatus, "guessed")
+			if response, isAnswered := h.responses[id]; isAnswered {
+				So(response.Code, ShouldEqual, 503)
+				refused++
+			}
+		}
+		So(refused, ShouldEqual, 3*maxAwaitingConfirmation-maxAwaitingConfirmation/2)
+		first := askNewQueue(h)
+		So(h.responses, ShouldNotContainKey, first)
+		for range maxAwaitingConfirmation/2 - 1 {
+			So(h.responses, ShouldNotContainKey, askNewQueue(h))
+		}
+		So(h.responses[askNewQueue(h)].Code, ShouldEqual, 503)
+		Convey("and their room is free again when they are answered", func() {
+			h.confirmState(nil)
+			h.confirmState(nil)
+			So(h.responses[first].Code, ShouldEqual, 404)
+			So(h.responses, ShouldNotContainKey, h.askWithKey(KindStatus, "another"))
+		})
+	})
+}
+
+// Guards against a flood with a revoked key that asks the cluster state's leader each time.
+func TestConfirmedUnknownKeysAreRefusedAtOnce(t *testing.T) {
+	confirmUnknown := func(h *harness, key string) {
+		id := h.askWithKey(KindStatus, key)
+		So(h.responses, ShouldNotContainKey, id)
+		h.confirmState(nil)
+		So(h.responses[id].Code, ShouldEqual, 401)
+	}
+	Convey("Given a key that was confirmed to be unknown", t, func() {
+		h := newHarness(keyedRows("given")...)
+		confirmUnknown(h, "guessed")
+		h.sent = nil
+		Convey("further calls with it are refused at once, those with another one confirmed", func() {
+			So(h.responses[h.askWithKey(KindStatus, "guessed")].Code, ShouldEqual, 401)
+			So(h.responses[h.submitWithKey("guessed", "j")].Code, ShouldEqual, 401)
+			So(h.sent, ShouldBeEmpty)
+			confirmUnknown(h, "another")
+			confirmUnknown(h, "")
+		})
+		Convey("not without a lease on the copy", func() {
+			h.now += h.gateway.lease.duration() + 1
+			So(h.responses[h.askWithKey(KindStatus, "guessed")].Code, ShouldEqual, 503)
+			So(h.responses[h.submitWithKey("guessed", "j")].Code, ShouldEqual, 503)
+		})
+		Convey("a new configuration forgets it: the key may be in the next one", func() {
+			h.step(&schema.ClusterStateResponse{Version: 2, State: keyedState(2, "given"), Leaders: map[string]string{"l": "a", clusterstate.GroupName: "a"}})
+			id := h.askWithKey(KindStatus, "guessed")
+			So(h.responses, ShouldNotContainKey, id)
+			h.confirmState(keyedState(3, "given", "guessed"))
+			So(h.responses, ShouldNotContainKey, id)
+			So(h.forwardedCalls(), ShouldEqual, 1)
+		})
+		Convey("another version of the cluster state with the same configuration doesn't", func() {
+			state := keyedState(2, "given")
+			state.Configuration.Revision = 1
+			h.step(&schema.ClusterStateResponse{Version: 2, State: state, Leaders: map[string]string{"l": "a", clusterstate.GroupName: "a"}})
+			So(h.responses[h.askWithKey(KindStatus, "guessed")].Code, ShouldEqual, 401)
+		})
+	})
+	Convey("The set of such keys is bounded", t, func() {
+		h := newHarness(keyedRows("given")...)
+		for number := range 2 * maxRefusedKeys {
+			h.askWithKey(KindStatus, strconv.Itoa(number))
+			h.confirmState(nil)
+		}
+		So(len(h.gateway.refusedKeys.calls), ShouldBeBetweenOrEqual, 1, maxRefusedKeys)
+	})
+}
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -17,6 +17,7 @@
 const (
 	confirmationTimeout     = 500 * eventloop.Millisecond
 	maxAwaitingConfirmation = 256
+	maxAwaitingForKey       = maxAwaitingConfirmation / 2 // the rest is left to calls to new queues
 	// Confirmations are requests of the gateway's own, numbered above those of the
 	// process.
 	firstConfirmationID = 1 << 63
@@ -29,6 +30,9 @@
 	resume(g *Gateway, now eventloop.Micros, effects eventloop.Effects)
 }
 
+// keyCall is a deferred call that waits because of its key.
+type keyCall struct{ deferredCall }
+
 func (m SubmitJob) id() uint64     { return m.RequestID }
 func (m LeaderRequest) id() uint64 { return m.RequestID }
 
@@ -57,7 +61,7 @@
 // returns false where too many calls are waiting already.
 func (g *Gateway) awaitConfirmation(now eventloop.Micros, call deferredCall, effects eventloop.Effects) bool {
 	c := &g.confirmation
-	if len(c.inFlight)+len(c.queued) >= maxAwaitingConfirmation {
+	if !c.hasRoomFor(call) {
 		return false
 	}
 	c.queued = append(c.queued, call)
@@ -67,6 +71,26 @@
 	return true
 }
 
+// hasRoomFor reports whether few enough calls wait for another one to wait.
+func (c *confirmation) hasRoomFor(call deferredCall) bool {
+	if _, isForKey := call.(keyCall); isForKey && c.keyCallCount() >= maxAwaitingForKey {
+		return false
+	}
+	return len(c.inFlight)+len(c.queued) < maxAwaitingConfirmation
+}
+
+func (c *confirmation) keyCallCount() int {
+	count := 0
+	for _, calls := range [][]deferredCall{c.inFlight, c.queued} {
+		for _, call := range calls {
+			if _, isForKey := call.(keyCall); isForKey {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // sendConfirmation sends the next confirmation if calls wait for one.
 func (g *Gateway) sendConfirmation(now eventloop.Micros, effects eventloop.Effects) {
 	c := &g.confirmation
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,7 @@
 	// Requests of other kinds.
 	requests           map[uint64]*request
 	confirmation       confirmation
+	refusedKeys        refusedKeys
 	pendingHeartbeats  map[uint64]ForwardHeartbeat
 	registrationSentAt map[string]eventloop.Micros // by worker
 }
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -54,7 +54,7 @@
 	}
 	tenant, isAllowed := g.authorizeRequest(m)
 	if !isAllowed {
-		g.handleUnauthorized(now, unrouted, isConfirmed, effects)
+		g.handleUnauthorized(now, refusedCall{m.Group, m.KeyHash}, unrouted, isConfirmed, effects)
 		return
 	}
 	pending := &request{message: m, tenant: tenant}
--- a/internal/gateway/submissions.go
+++ b/internal/gateway/submissions.go
@@ -43,7 +43,7 @@
 	}
 	tenant, isAllowed := authorize(g.values, m.Queue, m.KeyHash)
 	if !isAllowed {
-		g.handleUnauthorized(now, unrouted, isConfirmed, effects)
+		g.handleUnauthorized(now, refusedCall{m.Queue, m.KeyHash}, unrouted, isConfirmed, effects)
 		return
 	}
 	if !IsValidName(m.Name) {
