--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -66,3 +66,19 @@
 		So(code(10000, "other"), ShouldEqual, codeNoLease)
 	})
 }
+
+// Guards against a client's call that reaches the cluster state under a queue's path.
+func TestClusterStateIsNoQueue(t *testing.T) {
+	Convey("A client's call for the group of the cluster state is one for an unknown queue", t, func() {
+		h := newHarness()
+		for number, kind := range []string{KindStatus, KindCancel, KindCounts, KindList} {
+			id := uint64(10 + number)
+			h.step(LeaderRequest{RequestID: id, Kind: kind, Group: clusterstate.GroupName, Name: "j", Deadline: h.now + eventloop.Second})
+			for _, each := range h.sent {
+				So(each.body.(*schema.Request).Kind, ShouldEqual, KindReadClusterState)
+			}
+			h.confirmState(nil)
+			So(h.responses[id].Code, ShouldEqual, 404)
+		}
+	})
+}
--- a/internal/replica/requests_test.go
+++ b/internal/replica/requests_test.go
@@ -171,3 +171,26 @@
 		})
 	})
 }
+
+// Guards against a request for a queue's jobs that brings down the leader of the cluster state.
+func TestRequestsMatchTheirGroup(t *testing.T) {
+	Convey("A request of a kind that its group doesn't answer is rejected, and isn't in the log", t, func() {
+		c := newClusterWithQueue()
+		code := func(kind, queue, group string) int32 {
+			c.received["h"] = nil
+			leader := c.leader(queue)
+			before := c.hosts[leader].groups[clusterstate.GroupName].group.LastIndex()
+			c.step(leader, "h", &schema.Request{Id: 1, Kind: kind, Group: group, Name: "j", Limit: 10})
+			c.run(50 * eventloop.Millisecond)
+			So(c.hosts[leader].groups[clusterstate.GroupName].group.LastIndex(), ShouldEqual, before)
+			So(c.received["h"], ShouldHaveLength, 1)
+			return c.received["h"][0].(*schema.Response).Code
+		}
+		for _, kind := range []string{requestJobStatus, requestJobList, requestQueueCounts, requestCancel} {
+			So(code(kind, "", clusterstate.GroupName), ShouldEqual, 400)
+		}
+		for _, kind := range []string{requestConfiguration, requestHistory, requestClusterState, requestCommand} {
+			So(code(kind, "q", "q"), ShouldEqual, 400)
+		}
+	})
+}
