Requests: the cluster state's group is no queue

Cause: neither gateway nor leader compared a request's kind with its group, so a call for a job of the queue clusterstate was forwarded unchecked, and the leader read a queue machine that isn't there: a nil pointer panic for one GET without a key. Change: the gateway treats such a call as one for an unknown queue (404); the leader answers 400 to a kind that its group doesn't answer, before anything gets into the log.

--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -48,7 +48,7 @@
 	if m.Group == "" {
 		m.Group, m.Name, _ = g.values.MatchRoute(m.Host, m.Path)
 	}
-	if m.Group != clusterstate.GroupName && clusterstate.FindQueue(g.state, m.Group) == nil {
+	if g.isForUnknownQueue(m) {
 		g.handleUnknownQueue(now, m.Group, unrouted, isConfirmed, effects)
 		return
 	}
@@ -62,6 +62,15 @@
 	g.sendRequest(now, pending, effects)
 }
 
+// isForUnknownQueue reports whether our copy of the cluster state lacks a request's queue.
+// The group of the cluster state is none.
+func (g *Gateway) isForUnknownQueue(m LeaderRequest) bool {
+	if m.Group == clusterstate.GroupName {
+		return isClientKind(m.Kind)
+	}
+	return clusterstate.FindQueue(g.state, m.Group) == nil
+}
+
 func (g *Gateway) sendRequest(now eventloop.Micros, pending *request, effects eventloop.Effects) {
 	m := pending.message
 	pending.sentAt, pending.sentTo = now, g.target(now, m.Group)
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -61,6 +61,10 @@
 		return
 	}
 	pending := pendingReply{term: r.group.Term(), from: from, request: m}
+	if isQueueRequest(m.Kind) != (m.Group != clusterstate.GroupName) {
+		h.reply(pending, http.StatusBadRequest, errorJSON(codeBadRequest, "no such request of this group: "+m.Kind), effects)
+		return
+	}
 	if (m.Kind == requestCancel || m.Kind == requestCommand) && !h.canCommit(now, r) {
 		h.reply(pending, http.StatusServiceUnavailable, errorJSON(codeNotReady, "too few of the group's voters can write at the moment"), effects)
 		return
@@ -95,6 +99,16 @@
 	}
 }
 
+// isQueueRequest reports whether queues answer requests of a kind; the cluster state answers
+// the others.
+func isQueueRequest(kind string) bool {
+	switch kind {
+	case requestJobStatus, requestJobList, requestQueueCounts, requestCancel:
+		return true
+	}
+	return false
+}
+
 // replicaFor is the replica that a request is for; nil: this node has none.
 func (h *Host) replicaFor(m *schema.Request) *replica {
 	if m.Group == clusterstate.GroupName {
