--- a/cmd/sparnotchctl/configpatch.go
+++ b/cmd/sparnotchctl/configpatch.go
@@ -20,11 +20,11 @@
 func (*configPatchCommand) Name() string     { return "config-patch" }
 func (*configPatchCommand) Synopsis() string { return "change some rows of the configuration" }
 func (*configPatchCommand) Usage() string {
-	return "sparnotchctl config-patch [-remove KIND/NAME]... FILE\n  FILE is like that of config-apply, with the rows to set alone; all others stay. First all\n  rows of the removed queues, racks and pools go. Rejected when the configuration has\n  changed since the generation that the file names.\n" + exitHelp
+	return "sparnotchctl config-patch [-remove KIND/NAME]... FILE\n  FILE is like that of config-apply, with the rows to set alone; all others stay. First all\n  rows of the removed queues, racks, pools and tenants go. Rejected when the configuration has\n  changed since the generation that the file names.\n" + exitHelp
 }
 func (c *configPatchCommand) SetFlags(set *flag.FlagSet) {
 	c.register(set)
-	set.Var(&c.removed, "remove", "KIND/NAME of a queue, rack or pool to remove; may be given more than once")
+	set.Var(&c.removed, "remove", "KIND/NAME of a queue, rack, pool or tenant to remove; may be given more than once")
 }
 func (c *configPatchCommand) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	update, status := readUpdate(set)
