Scheduler: what a dead or lapsed worker last listed as running is forgotten

What callers would have seen: jobs of a tenant with a limit that never run again after a worker was lost. Cause: a worker's last list of runs was kept after its death or the end of its lease; it is harmless for the worker's own capacity, which nobody uses any more, but it counted against its tenants for ever. Found by the model checker: crash m1, restart m2, elect l twice, and three jobs never end. Change: the list is dropped when the worker is reported dead, or its tasks are returned because its lease has ended.

--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -52,6 +52,7 @@
 	// While the cluster state isn't current the worker lease may have a new holder,
 	// to which the worker responds.
 	if now-w.lastHeard > unresponsiveTimeout && now-last > lease && s.isClusterStateCurrent(now) {
+		w.forgetRuns()
 		for _, t := range w.sortedTasks() {
 			s.returnTask(now, t, effects)
 		}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -165,6 +165,7 @@
 		s.deadWorkers[id] = now
 		if w := s.workers[id]; w != nil && !w.isDead {
 			w.isDead = true
+			w.forgetRuns()
 			s.closePoll(w, effects)
 		}
 		if !known {
@@ -173,6 +174,14 @@
 	}
 }
 
+// forgetRuns drops what a worker last listed as running, none of which runs any more.
+func (w *worker) forgetRuns() {
+	if len(w.running)+len(w.unknownRuns) == 0 {
+		return
+	}
+	w.running, w.unknownRuns, w.isUsageStale = map[attemptKey]*schema.TaskStatus{}, nil, true
+}
+
 // removeDeadWorkers returns tasks that have turned out since to be checked out to a
 // dead worker, and forgets the dead workers after a while.
 func (s *Scheduler) removeDeadWorkers(now eventloop.Micros, effects eventloop.Effects) {
