--- a/internal/gateway/authorization.go
+++ b/internal/gateway/authorization.go
@@ -66,11 +66,10 @@
 
 // handleUnauthorized refuses a call that our copy of the cluster state doesn't allow, once
 // that is confirmed: its key may just have been added, or its queue become public. Calls
-// like one that was refused so under the same configuration aren't confirmed again.
+// like one that was refused so under the same configuration aren't confirmed again. The
+// caller has checked the lease on the copy: without one nothing is refused for good.
 func (g *Gateway) handleUnauthorized(now eventloop.Micros, refused refusedCall, call deferredCall, isConfirmed bool, effects eventloop.Effects) {
 	switch {
-	case !g.lease.isValid(now):
-		g.rejectNotReady(now, call.id(), effects)
 	case isConfirmed:
 		g.refusedKeys.add(g.state.Configuration.GetRevision(), refused)
 		g.rejectUnauthorized(call.id(), effects)
