Scheduler: tenants that are within their fair shares by weight go first

What callers saw: a tenant with a long backlog in front had all workers, whatever the weights (test: 8 of 8 cores for weight 1 beside 3). Cause: the order of steps within a queue and class knew no tenants. Change: within a queue and class steps go by how far their tenant is beyond its fair share of everything (dominant resource fairness), by weight among the tenants that use or want something; then, as before, by the work that is left. Within the fair share nothing changes, so a tenant's burst waits only where others want their shares. Ranks are looked at anew as tasks are placed. Result: TestTenantsShareAFullPoolByWeight passes (2 and 6 of 8 cores within one task; 8 and 0 before); its wait for a pass over a backlog was missing and is added.

--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -31,6 +31,8 @@
 	tenantUse         tenantUse           // when the pass began
 	knowsAllRuns      bool                // see Scheduler.knowsAllRuns
 	accounts          map[string]*tenantAccount
+	activeWeight      float64   // of all tenants that use or want something
+	total             resources // of all candidates
 }
 
 // runPass goes over the ready tasks of all queues, most urgent queue first, and
@@ -45,7 +47,7 @@
 	s.boostSteps(now, queues, pass)
 	heaps := make([][feasibilityClasses]stepHeap, len(queues))
 	for k, q := range queues {
-		heaps[k] = s.stepsByFeasibility(now, q, pass.boosted)
+		heaps[k] = s.stepsByFeasibility(now, q, pass)
 	}
 	for class := range feasibilityClasses {
 		for k, q := range queues {
@@ -88,6 +90,7 @@
 		boostedLeft:       map[string]int64{},
 		tenantUse:         s.sumTenantUse(),
 		knowsAllRuns:      s.knowsAllRuns(now),
+		activeWeight:      s.activeWeight(),
 		accounts:          map[string]*tenantAccount{},
 	}
 	if now-s.fullPassAt >= fullPassInterval {
@@ -95,6 +98,7 @@
 	}
 	for _, c := range pass.allCandidates {
 		pass.byPool[c.worker.pool] = append(pass.byPool[c.worker.pool], c)
+		pass.total.add(c.worker.total())
 	}
 	for _, q := range s.queues {
 		if q.checkedOutCount > 0 {
@@ -146,6 +150,9 @@
 		}
 		req := p.newRequest(step)
 		if p.place(step, req) {
+			if p.isBeyondShare(cursor, step) {
+				steps.putBack(cursor)
+			}
 			continue
 		}
 		// A long backlog must not be looked through at every pass.
@@ -190,9 +197,10 @@
 		return true
 	}
 	account := p.accountOf(p.scheduler, step.first().tenant)
+	shareRank := account.shareRank(req.need)
 	for p.mayPlace() && step.ready.Len() > 0 && (mayUseHeadroom || p.headroom.covers(req.need)) {
 		tasks := step.firstReady(members)
-		if !account.takes(tasks, req.need) {
+		if !account.takes(tasks, req.need) || p.class != boosted && account.shareRank(req.need) > shareRank {
 			return true
 		}
 		if !p.placeTogether(tasks, req) {
@@ -203,6 +211,12 @@
 	return true
 }
 
+// isBeyondShare reports whether a step has tasks left that its tenant's limit takes, but that
+// come after those of other tenants.
+func (p *queuePass) isBeyondShare(cursor *stepCursor, step *stepQueue) bool {
+	return step.ready.Len() > 0 && cursor.currentShareRank() > cursor.shareRank && p.mayTakeAny(p.scheduler, step)
+}
+
 // placeTogether chooses a worker for each of the tasks and reserves it; false: not
 // all of them found one, and none is placed.
 func (p *queuePass) placeTogether(tasks []*task, req *placementRequest) bool {
--- a/internal/scheduler/queue_view.go
+++ b/internal/scheduler/queue_view.go
@@ -29,7 +29,7 @@
 		reserved:       map[taskKey]*task{},
 		openCheckouts:  map[taskKey]*task{},
 		pendingGangs:   map[taskKey]*task{},
-		readyIndex:     readyIndex{byShape: map[shape]*shapeGroup{}, lostSteps: map[stepKey]*stepQueue{}},
+		readyIndex:     readyIndex{byShape: map[shape]*shapeGroup{}, lostSteps: map[stepKey]*stepQueue{}, byTenant: map[string]int{}},
 	}
 }
 
--- a/internal/scheduler/ready_index.go
+++ b/internal/scheduler/ready_index.go
@@ -16,6 +16,7 @@
 	byShape    map[shape]*shapeGroup
 	readyCount int
 	lostSteps  map[stepKey]*stepQueue // those with tasks that were lost with a worker
+	byTenant   map[string]int         // how many of the tasks are a tenant's
 }
 
 // shape is all that decides whether the tasks of a step fit a worker (an
@@ -91,6 +92,7 @@
 	}
 	step.ready.ReplaceOrInsert(t)
 	x.readyCount++
+	x.byTenant[t.tenant]++
 	if t.isLost {
 		step.lostCount++
 		x.lostSteps[step.key] = step
@@ -110,6 +112,9 @@
 	}
 	if _, found := step.ready.Delete(t); found {
 		x.readyCount--
+		if x.byTenant[t.tenant]--; x.byTenant[t.tenant] == 0 {
+			delete(x.byTenant, t.tenant)
+		}
 		x.uncountLost(step, t)
 	}
 	if step.ready.Len() == 0 {
--- a/internal/scheduler/step_heap.go
+++ b/internal/scheduler/step_heap.go
@@ -10,10 +10,10 @@
 	"sparnotch/internal/queue"
 )
 
-// stepHeap yields the ready steps of a queue, those with least work left first, among
-// equals the oldest job. While there is more work than capacity that makes the fewest jobs
-// late. It holds one cursor per shape, so that a whole shape can be taken out once it finds
-// no capacity.
+// stepHeap yields the ready steps of a queue: those of tenants that are furthest below their
+// fair shares first, among equals those with least work left, then the oldest job. While there
+// is more work than capacity that makes the fewest jobs late. It holds one cursor per shape and
+// tenant, so that a whole shape can be taken out once it finds no capacity.
 type stepHeap []*stepCursor
 
 // rankedStep is a step with the order of magnitude of the work that its job has left.
@@ -26,18 +26,33 @@
 	return cmp.Or(cmp.Compare(a.workRank, b.workRank), cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.step, b.key.step))
 }
 
-// stepCursor goes over the steps of one shape.
+// stepCursor goes over the steps of one shape and one tenant.
 type stepCursor struct {
-	steps   []rankedStep
-	current *stepQueue // the first of steps; nil: none is left
+	steps     []rankedStep   // that are left; the first of them is current
+	current   *stepQueue     // nil: none is left
+	taken     rankedStep     // that next returned last
+	account   *tenantAccount // nil: the steps' order has nothing to do with their tenant
+	need      resources      // of one task
+	shareRank int            // of the account when the heap was last put in order
 }
 
-func newStepCursor(steps []rankedStep) *stepCursor {
+func newStepCursor(steps []rankedStep, account *tenantAccount) *stepCursor {
 	slices.SortFunc(steps, compareRankedSteps)
-	return &stepCursor{steps, steps[0].stepQueue}
+	c := &stepCursor{steps: steps, current: steps[0].stepQueue, account: account, need: resourcesOf(steps[0].spec)}
+	c.shareRank = c.currentShareRank()
+	return c
+}
+
+// currentShareRank is the rank of the tenant's share with one more of the cursor's tasks.
+func (c *stepCursor) currentShareRank() int {
+	if c.account == nil {
+		return 0
+	}
+	return c.account.shareRank(c.need)
 }
 
 func (c *stepCursor) advance() {
+	c.taken = c.steps[0]
 	if c.steps, c.current = c.steps[1:], nil; len(c.steps) > 0 {
 		c.current = c.steps[0].stepQueue
 	}
@@ -47,7 +62,9 @@
 func (h stepHeap) Len() int { return len(h) }
 
 // Less implements heap.Interface.
-func (h stepHeap) Less(a, b int) bool { return compareRankedSteps(h[a].steps[0], h[b].steps[0]) < 0 }
+func (h stepHeap) Less(a, b int) bool {
+	return cmp.Or(cmp.Compare(h[a].shareRank, h[b].shareRank), compareRankedSteps(h[a].steps[0], h[b].steps[0])) < 0
+}
 
 // Swap implements heap.Interface.
 func (h stepHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
@@ -62,9 +79,15 @@
 	return last
 }
 
-// next takes out the first step and returns it with the cursor it came from.
+// next takes out the first step and returns it with the cursor it came from. Shares only grow
+// during a pass, so a cursor's rank is looked at again when it comes first.
 func (h *stepHeap) next() (*stepCursor, *stepQueue) {
 	cursor := (*h)[0]
+	for rank := cursor.currentShareRank(); rank > cursor.shareRank; rank = cursor.currentShareRank() {
+		cursor.shareRank = rank
+		heap.Fix(h, 0)
+		cursor = (*h)[0]
+	}
 	step := cursor.current
 	if cursor.advance(); cursor.current == nil {
 		heap.Pop(h)
@@ -74,27 +97,52 @@
 	return cursor, step
 }
 
+// putBack returns the step that next took last from a cursor.
+func (h *stepHeap) putBack(cursor *stepCursor) {
+	wasExhausted := cursor.current == nil
+	cursor.steps, cursor.current = append([]rankedStep{cursor.taken}, cursor.steps...), cursor.taken.stepQueue
+	cursor.shareRank = cursor.currentShareRank()
+	if wasExhausted {
+		heap.Push(h, cursor)
+	} else {
+		heap.Fix(h, slices.Index(*h, cursor))
+	}
+}
+
 // removeShape takes out a cursor that isn't exhausted.
 func (h *stepHeap) removeShape(cursor *stepCursor) { heap.Remove(h, slices.Index(*h, cursor)) }
 
+// cursorKey is what the steps of one cursor have in common beside their shape.
+type cursorKey struct {
+	class  deadlineFeasibility
+	tenant string
+}
+
 // stepsByFeasibility sorts a queue's ready steps by whether their jobs can meet the
-// latency target, in one look at each; boosted ones are a class of their own.
-func (s *Scheduler) stepsByFeasibility(now eventloop.Micros, q *queueView, isBoosted map[stepKey]bool) (heaps [feasibilityClasses]stepHeap) {
+// latency target, in one look at each; boosted ones are a class of their own. What its tenant's
+// limit doesn't take is left out.
+func (s *Scheduler) stepsByFeasibility(now eventloop.Micros, q *queueView, pass *passState) (heaps [feasibilityClasses]stepHeap) {
 	for _, group := range q.byShape {
-		var steps [feasibilityClasses][]rankedStep
+		steps := map[cursorKey][]rankedStep{}
 		group.steps.Ascend(func(step *stepQueue) bool {
 			first := step.first()
+			if !pass.mayTakeAny(s, step) {
+				return true
+			}
 			class, rank := boosted, 0 // the oldest job first
-			if !isBoosted[step.key] {
+			if !pass.boosted[step.key] {
 				class, rank = s.feasibilityOf(now, q, first), workRank(first.remaining)
 			}
-			steps[class] = append(steps[class], rankedStep{step, rank})
+			key := cursorKey{class, first.tenant}
+			steps[key] = append(steps[key], rankedStep{step, rank})
 			return true
 		})
-		for class, list := range steps {
-			if len(list) > 0 {
-				heaps[class] = append(heaps[class], newStepCursor(list))
+		for key, list := range steps {
+			account := pass.accountOf(s, key.tenant)
+			if key.class == boosted {
+				account = nil
 			}
+			heaps[key.class] = append(heaps[key.class], newStepCursor(list, account))
 		}
 	}
 	for class := range heaps {
--- a/internal/scheduler/tenant_contention_test.go
+++ b/internal/scheduler/tenant_contention_test.go
@@ -136,6 +136,7 @@
 		h.notified = nil
 		h.advance(2 * TickInterval)
 		h.sendHeartbeat("w", withCapacity(8000))
+		h.advance(TickInterval) // the pass over a backlog may wait for a moment
 		for _, placement := range h.placements() {
 			out = append(out, placement.Key)
 			h.deliverNext(of(tenantOfBacklog(placement.Key), newEvent(0, placement.Key.Job, placement.Key.Task, queue.CheckedOut, "w", step)))
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -23,8 +23,13 @@
 //   - runs that workers list beside that, as of a queue that was removed. Where the worker
 //     doesn't say whose they are, they count for every tenant.
 
-// maxFormerTenants is how many removed tenants' limits are kept.
-const maxFormerTenants = 1024
+const (
+	// maxFormerTenants is how many removed tenants' limits are kept.
+	maxFormerTenants = 1024
+	// shareRanksPerDoubling is how finely the order of tenants beyond their fair shares tells
+	// them apart; within a rank the jobs' order counts.
+	shareRanksPerDoubling = 8
+)
 
 // tenantUse is what a worker's tasks use, by tenant.
 type tenantUse struct {
@@ -71,7 +76,8 @@
 	limit       resources            // 0 in a kind: no limit
 	overrun     float64              // that the deployment allows, as a part of the limit
 	used        resources
-	isUncertain bool // more may be in use than is known
+	isUncertain bool      // more may be in use than is known
+	fairShare   resources // of everything, by its weight among the tenants that use or want something; 0: not known
 }
 
 // hasLimit reports whether the tenant's use is limited in any kind.
@@ -138,6 +144,29 @@
 	return true
 }
 
+// shareRank tells how far the tenant is beyond its fair share once it has one more task of a
+// size: 0 is within, and each doubling counts shareRanksPerDoubling. What counts is the kind of
+// which it has the largest part (dominant resource fairness).
+func (a *tenantAccount) shareRank(need resources) int {
+	if (a.fairShare == resources{}) {
+		return 0
+	}
+	used := a.used
+	used.add(need)
+	ratio := 0.0
+	for _, kind := range [...][2]int64{
+		{used.cores, a.fairShare.cores}, {used.memory, a.fairShare.memory}, {used.accelerators, a.fairShare.accelerators},
+	} {
+		if kind[0] > 0 && kind[1] > 0 {
+			ratio = math.Max(ratio, float64(kind[0])/float64(kind[1]))
+		}
+	}
+	if ratio <= 1 {
+		return 0
+	}
+	return 1 + int(shareRanksPerDoubling*math.Log2(ratio))
+}
+
 // limitedKind is one kind of resource that is limited and needed.
 type limitedKind struct{ limit, used, need int64 }
 
@@ -167,6 +196,10 @@
 		account.limit = resources{limit.CoresMilli, limit.MemoryMB, limit.Accelerators}
 		account.overrun = float64(s.bounds.GetQuotaOverrunMilli()) / 1000
 	}
+	if account.tenant != nil && p.activeWeight > 0 {
+		part := float64(account.tenant.WeightMilli) / p.activeWeight
+		account.fairShare = resources{int64(part * float64(p.total.cores)), int64(part * float64(p.total.memory)), int64(part * float64(p.total.accelerators))}
+	}
 	p.accounts[name] = account
 	return account
 }
@@ -190,6 +223,25 @@
 	return s.formerTenants[name]
 }
 
+// activeWeight sums the weights, in thousandths, of the tenants that use or want something.
+func (s *Scheduler) activeWeight() (sum float64) {
+	active := map[string]bool{}
+	for name := range s.tenantUse.byTenant {
+		active[name] = true
+	}
+	for _, q := range s.queues {
+		for name := range q.byTenant {
+			active[name] = true
+		}
+	}
+	for name := range active {
+		if tenant := s.tenantOf(name); tenant != nil {
+			sum += float64(tenant.WeightMilli)
+		}
+	}
+	return sum
+}
+
 // keepFormerTenants remembers the limits of tenants that a configuration removes: their jobs
 // go on.
 func (s *Scheduler) keepFormerTenants(before, after *clusterstate.Values) {
