Tests: checkouts of a former term, jobs of a removed queue (known red)

Cause: found by the property test and by reading knowsAllRuns. In a new term a reservation of the former one was kept, was given up and its task was placed again whatever the limit was by then. A queue that the configuration no longer has wasn't asked for, though its jobs go on under a leader of their own.

--- a/internal/scheduler/tenant_quota_test.go
+++ b/internal/scheduler/tenant_quota_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -117,6 +118,52 @@
 	})
 }
 
+// The checkouts of a former term are lost, but their tasks were placed again whatever the limit
+// was by then.
+func TestCheckoutOfAFormerTermIsNoReasonToExceedTheLimit(t *testing.T) {
+	eachKind(t, "Of three checkouts that were lost two are proposed again where the limit fits two now", func(kind quotaKind) {
+		h := newHarness("w")
+		h.configure(kind.rowsWith(2*kind.limit, "l"), "w")
+		tasks := []*queue.TaskEvent{readyOf("limited", 1, kind.step), readyOf("limited", 2, kind.step), readyOf("limited", 3, kind.step)}
+		h.syncQueue("l", 10, tasks...)
+		h.sendHeartbeat("w", wide(nil))
+		So(h.placedOf(1, 3), ShouldEqual, 3)
+		h.notified = nil
+		h.configure(kind.rows("l"), "w")
+		inNewTerm := replica.LeadershipStatus{Terms: map[string]uint64{"l#1": 2}, IsClusterStateFresh: true}
+		h.deliver(inNewTerm)
+		h.deliver(replica.TaskEvents{Queue: "l", Group: "l#1", Term: 2, LastSequence: 1, Events: tasks, IsSnapshot: true, Running: 1000, Urgency: 10})
+		for end := h.now + reservationTimeout + eventloop.Second; h.now < end; h.now += eventloop.Second / 2 {
+			h.deliver(inNewTerm)
+			h.sendHeartbeat("w", wide(nil))
+			h.deliver(eventloop.Tick{})
+		}
+		jobs := h.placedJobs()
+		slices.Sort(jobs)
+		So(slices.Compact(jobs), ShouldResemble, []uint64{1, 2})
+	})
+}
+
+// The jobs of a queue that the configuration removes go on, but its leader wasn't asked for.
+func TestRemovedQueueCountsWhileItsJobsGoOn(t *testing.T) {
+	eachKind(t, "While another node leads a queue that was removed", func(kind quotaKind) {
+		h := newHarness("w")
+		h.configure(kind.rows("l", "m"), "w")
+		h.syncQueue("m", 10, outOf("limited", 8, "w", kind.step), outOf("limited", 9, "w", kind.step))
+		h.syncQueue("l", 10)
+		h.sendHeartbeat("w", wide(nil))
+		state := &schema.ClusterState{
+			Version: 3, Configuration: &schema.Configuration{Rows: kind.rows("l")}, WorkerLeases: []*schema.WorkerLease{{Worker: "w", Scheduler: "me", FencingToken: 1}},
+			Queues: []*schema.QueuePlacement{{Queue: "l", Generation: 1}, {Queue: "m", Generation: 1}},
+		}
+		h.deliver(&schema.ClusterStateResponse{State: state, Version: 3})
+		h.deliver(replica.LeadershipLost{Queue: "m"})
+		h.deliverNext(readyOf("limited", 1, kind.step), readyOf("free", 2, kind.step))
+		h.advance(2 * TickInterval)
+		So(h.placedJobs(), ShouldResemble, []uint64{2})
+	})
+}
+
 // Two schedulers that each led one queue placed up to the whole limit each.
 func TestNothingIsPlacedForLimitedTenantsUnlessAllQueuesAreLed(t *testing.T) {
 	eachKind(t, "Without the lead of every queue", func(kind quotaKind) {
