--- a/internal/scheduler/tenant_quota_test.go
+++ b/internal/scheduler/tenant_quota_test.go
@@ -106,10 +106,12 @@
 	eachKind(t, "A checkout that may yet be committed counts", func(kind quotaKind) {
 		h := newHarness("v", "w")
 		h.configure(kind.rows("l"), "v", "w")
-		h.syncQueue("l", 10, readyOf("limited", 1, kind.step), readyOf("limited", 2, kind.step), readyOf("limited", 3, kind.step))
+		h.syncQueue("l", 10, readyOf("limited", 11, kind.step), readyOf("limited", 12, kind.step))
 		h.sendHeartbeat("w", wide(nil))
-		So(h.placedJobs(), ShouldResemble, []uint64{1, 2})
+		So(h.placedJobs(), ShouldResemble, []uint64{11, 12})
 		h.notified = nil
+		// The older job comes first wherever it may run.
+		h.deliverNext(readyOf("limited", 3, kind.step))
 		for end := h.now + 2*reservationTimeout; h.now < end; {
 			h.advance(eventloop.Second / 2)
 			h.sendHeartbeat("w", wide(nil))
