Soak: real processes under overlapping series of signals, restarts and changes

Cause: the fleet command injects one fault after another, and its clients go to another gateway node as soon as one isn't ready; no run of processes had overlapping signals, clients that keep their connections until the process is gone, nor tenants, keys and limits. Change: 'sparnotch-bench soak -seed N -runs N [-processes N]' draws fleets, sessions, series of signals and restarts, crashes of workers and changes of the configuration (queues, tenants, keys, limits, invalid ones, a second operator) from the seed. A daemon's process may now be signalled by several goroutines.

--- a/cmd/sparnotch-bench/clients.go
+++ b/cmd/sparnotch-bench/clients.go
@@ -27,6 +27,14 @@
 
 func (e statusError) Error() string { return fmt.Sprintf("HTTP status %d", int32(e)) }
 
+// requester chooses gateway nodes for a client and calls them.
+type requester interface {
+	// pick chooses a gateway node, of the zone if it can.
+	pick(zone string) (address string)
+	// send makes one request in the name of a client.
+	send(ctx context.Context, timeout time.Duration, method, address, path string, body []byte, client string) (httpReply, error)
+}
+
 // clients submit jobs to a fleet and follow them to their end.
 type clients struct {
 	balancer *loadBalancer
@@ -64,7 +72,7 @@
 		}
 		zone := zoneName(rng.IntN(zoneCount))
 		j := &clientJob{
-			clients: c, jobType: t, name: fmt.Sprintf("%s-%s-%d", c.prefix, t.Name, number),
+			clients: c, requester: c.balancer, jobType: t, name: fmt.Sprintf("%s-%s-%d", c.prefix, t.Name, number),
 			zone: zone, client: fmt.Sprintf("%s-%s", t.Name, zone),
 		}
 		c.open.Add(1)
@@ -84,10 +92,11 @@
 // clientJob is one job as its client sees it.
 type clientJob struct {
 	*clients
-	jobType deployments.JobType
-	name    string
-	zone    string // of the client
-	client  string // its name
+	requester requester
+	jobType   deployments.JobType
+	name      string
+	zone      string // of the client
+	client    string // its name
 }
 
 func (j *clientJob) path() string { return "/v1/queues/" + j.jobType.Queue + "/jobs/" + j.name }
@@ -150,9 +159,9 @@
 
 // submitOnce sends the job once and records what is answered; code 0 means no answer.
 func (j *clientJob) submitOnce(ctx context.Context, spec *schema.Job, body []byte) (code int32, retryAfter time.Duration) {
-	address, sentAt := j.balancer.pick(j.zone), j.history.now()
+	address, sentAt := j.requester.pick(j.zone), j.history.now()
 	j.history.add(checker.Event{At: sentAt, Kind: checker.Submit, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Spec: spec})
-	reply, err := j.balancer.send(ctx, requestTimeout, "PUT", address, j.path(), body, j.client)
+	reply, err := j.requester.send(ctx, requestTimeout, "PUT", address, j.path(), body, j.client)
 	if ctx.Err() != nil {
 		return 0, 0
 	}
@@ -176,13 +185,14 @@
 
 // getStatus asks a gateway node of a zone for the job's state, and records the answer.
 func (j *clientJob) getStatus(ctx context.Context, zone string) string {
-	address, sentAt := j.balancer.pick(zone), j.history.now()
-	code, data, err := j.balancer.call(ctx, requestTimeout, "GET", address, j.path(), nil, j.client)
+	address, sentAt := j.requester.pick(zone), j.history.now()
+	reply, err := j.requester.send(ctx, requestTimeout, "GET", address, j.path(), nil, j.client)
 	if ctx.Err() != nil {
 		return ""
 	}
 	view := &schema.JobView{}
-	if err != nil || code == http.StatusOK && json.Unmarshal(data, view) != nil {
+	code := reply.code
+	if err != nil || code == http.StatusOK && json.Unmarshal(reply.body, view) != nil {
 		code = 0
 	}
 	j.history.add(checker.Event{Kind: checker.Status, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, State: view.State, Gateway: address, SentAt: sentAt})
--- a/cmd/sparnotch-bench/daemon.go
+++ b/cmd/sparnotch-bench/daemon.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -27,9 +28,11 @@
 	httpAddress     string // address of its HTTP interface
 	zone            string
 	dataDir         string // directory; empty: it has none
-	command         *exec.Cmd
-	cpu             time.Duration // of earlier runs
-	exited          chan struct{} // closed at the exit of the current run; nil: none
+
+	mu      sync.Mutex // guards the rest
+	command *exec.Cmd
+	cpu     time.Duration // of earlier runs
+	exited  chan struct{} // closed at the exit of the current run; nil: none
 }
 
 // start runs the program; its output is appended to NAME.log in the folder.
@@ -39,17 +42,27 @@
 		return err
 	}
 	defer log.Close()
-	d.command = exec.Command(d.program, d.args...)
-	d.command.Stdout, d.command.Stderr = log, log
+	command := exec.Command(d.program, d.args...)
+	command.Stdout, command.Stderr = log, log
 	// A node has a fraction of a core, so a parallel garbage collector gains nothing.
-	d.command.Env = append(os.Environ(), "GOMAXPROCS=1")
-	if err := d.command.Start(); err != nil {
+	command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	if err := command.Start(); err != nil {
 		return err
 	}
-	d.exited = watchExit(d.command)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.command, d.exited = command, watchExit(command)
 	return nil
 }
 
+// run returns the current run's command and the channel of its exit, nil where there is
+// none.
+func (d *daemon) run() (*exec.Cmd, chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.command, d.exited
+}
+
 // watchExit waits for a started command in the background; the channel is closed once
 // it has exited.
 func watchExit(command *exec.Cmd) chan struct{} {
@@ -62,25 +75,30 @@
 }
 
 func (d *daemon) signal(signal syscall.Signal) {
-	if d.command != nil && d.command.Process != nil {
-		_ = d.command.Process.Signal(signal)
+	if command, _ := d.run(); command != nil {
+		_ = command.Process.Signal(signal)
 	}
 }
 
 // terminate signals the process, waits for its exit, and returns the exit code.
 func (d *daemon) terminate(signal syscall.Signal) int {
-	if d.exited == nil {
+	command, exited := d.run()
+	if exited == nil {
 		return 0
 	}
-	d.signal(signal)
+	_ = command.Process.Signal(signal)
 	select {
-	case <-d.exited:
+	case <-exited:
 	case <-time.After(exitTimeout):
-		d.signal(syscall.SIGKILL)
-		<-d.exited
+		_ = command.Process.Kill()
+		<-exited
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.exited == exited {
+		d.exited = nil
 	}
-	d.exited = nil
-	state := d.command.ProcessState
+	state := command.ProcessState
 	if state == nil {
 		return -1
 	}
@@ -91,7 +109,8 @@
 // peakMemory is the most memory that the process has held, in kilobytes; false when
 // that can't be read.
 func (d *daemon) peakMemory() (int, bool) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.command.Process.Pid))
+	command, _ := d.run()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", command.Process.Pid))
 	if err != nil {
 		return 0, false
 	}
@@ -106,6 +125,8 @@
 
 // cpuUsage is the processor time that the process has used in all its runs.
 func (d *daemon) cpuUsage() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.command.Process.Pid))
 	if err != nil {
 		return d.cpu
--- a/cmd/sparnotch-bench/fleet.go
+++ b/cmd/sparnotch-bench/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -16,14 +17,14 @@
 
 	"sparnotch/internal/checker"
 	"sparnotch/internal/deployments"
+	"sparnotch/internal/eventloop"
 	"sparnotch/internal/fakeworker"
 	"sparnotch/internal/replica"
+	"sparnotch/internal/schema"
 )
 
-// A fleet has gatewayCount gateway nodes, of which the first storageNodeCount have a
-// disk, in as many zones.
+// The first storageNodeCount gateway nodes of a fleet have a disk, in as many zones.
 const (
-	gatewayCount  = 7
 	zoneCount     = 3
 	agentHostBase = 20 // hosts above are agent nodes
 	internalPort  = 7400
@@ -33,9 +34,10 @@
 // fleet is a whole deployment on one machine, over loopback addresses.
 type fleet struct {
 	deployment      *deployments.Deployment
-	folder          string // for data and logs
-	bin             string // folder of the program
-	network         string // first three numbers of its addresses
+	rows            []*schema.ConfigurationRow // of the first configuration
+	folder          string                     // for data and logs
+	bin             string                     // folder of the program
+	network         string                     // first three numbers of its addresses
 	gateways        []*daemon
 	agents          []*daemon
 	balancer        *loadBalancer
@@ -48,9 +50,18 @@
 	extra           []deployments.JobType // submitted by faults
 	lastIncarnation int                   // of a worker
 	partitions      int                   // so far; each isolates the next zone
+	trace           io.Writer             // takes a line for each fault and change
 	mu              sync.Mutex            // guards cancels, workers and lastIncarnation
 }
 
+// newFleet describes a fleet, without starting it.
+func newFleet(deployment *deployments.Deployment, bin, folder, network string) *fleet {
+	return &fleet{
+		deployment: deployment, rows: deployment.ConfigRows(), folder: folder, bin: bin, network: network, history: &history{clock: eventloop.RealClock()}, trace: os.Stdout,
+		cancels: map[string]context.CancelFunc{}, workers: map[string]*workerRunner{},
+	}
+}
+
 func (f *fleet) address(host, port int) string { return fmt.Sprintf("%s.%d:%d", f.network, host, port) }
 
 // zoneName is the zone of the node or worker numbered k, from 0.
@@ -76,7 +87,7 @@
 // start starts all nodes, and waits until the configuration has been applied.
 func (f *fleet) start(ctx context.Context) error {
 	var endpoints []*endpoint
-	for k := range gatewayCount {
+	for k := range f.deployment.Gateways {
 		d := f.newDaemon(fmt.Sprintf("server%d", k+1), "server", k+1, zoneName(k), k < storageNodeCount)
 		f.gateways = append(f.gateways, d)
 		endpoints = append(endpoints, &endpoint{address: d.httpAddress, zone: d.zone})
@@ -91,7 +102,7 @@
 		}
 	}
 	go f.balancer.probe(ctx)
-	if err := applyConfig(ctx, f.balancer, f.history, "operator", f.deployment.ConfigRows()); err != nil {
+	if err := applyConfig(ctx, f.balancer, f.history, "operator", f.rows); err != nil {
 		return err
 	}
 	for _, d := range f.gateways {
@@ -128,10 +139,13 @@
 	}
 }
 
+// workerName is the name of the worker numbered k, from 0.
+func workerName(k int) string { return fmt.Sprintf("w%02d", k) }
+
 // startWorker starts the worker numbered k, from 0, three to a rack. The end of the
 // context is its crash.
 func (f *fleet) startWorker(ctx context.Context, k int) {
-	name := fmt.Sprintf("w%02d", k)
+	name := workerName(k)
 	ctx, cancel := context.WithCancel(ctx)
 	f.mu.Lock()
 	f.cancels[name] = cancel
--- a/cmd/sparnotch-bench/fleet_command.go
+++ b/cmd/sparnotch-bench/fleet_command.go
@@ -115,29 +115,33 @@
 }
 
 // prepareFolders sets the folders that the flags leave open, and makes the one for data.
-func (c *fleetCommand) prepareFolders() error {
-	if c.bin == "" {
+func (c *fleetCommand) prepareFolders() (err error) {
+	c.bin, c.folder, err = defaultFolders(c.bin, c.folder)
+	return err
+}
+
+// defaultFolders returns the folder of the programs, by default this program's own, and the
+// one for data, by default a new temporary one. It makes the latter.
+func defaultFolders(bin, folder string) (string, string, error) {
+	if bin == "" {
 		own, err := os.Executable()
 		if err != nil {
-			return err
+			return "", "", err
 		}
-		c.bin = filepath.Dir(own)
+		bin = filepath.Dir(own)
 	}
-	if c.folder == "" {
-		folder, err := os.MkdirTemp("", "sparnotch-bench-")
+	if folder == "" {
+		temporary, err := os.MkdirTemp("", "sparnotch-bench-")
 		if err != nil {
-			return err
+			return "", "", err
 		}
-		c.folder = folder
+		folder = temporary
 	}
-	return os.MkdirAll(c.folder, 0o700)
+	return bin, folder, os.MkdirAll(folder, 0o700)
 }
 
 func (c *fleetCommand) newFleet(deployment *deployments.Deployment) *fleet {
-	return &fleet{
-		deployment: deployment, folder: c.folder, bin: c.bin, network: c.net, history: &history{clock: eventloop.RealClock()},
-		cancels: map[string]context.CancelFunc{}, workers: map[string]*workerRunner{},
-	}
+	return newFleet(deployment, c.bin, c.folder, c.net)
 }
 
 // run starts the fleet, loads it, injects the faults, stops it, and reports whether no
--- a/cmd/sparnotch-bench/fleet_faults.go
+++ b/cmd/sparnotch-bench/fleet_faults.go
@@ -63,10 +63,15 @@
 
 // recordFault records a fault in the history, where the checker looks for it.
 func (f *fleet) recordFault(text string) {
-	fmt.Printf("%8.1fs  %s\n", float64(f.history.now())/1e6, text)
+	f.recordChange(text)
 	f.history.add(checker.Event{Kind: checker.Fault, State: text})
 }
 
+// recordChange prints what was done that is no fault.
+func (f *fleet) recordChange(text string) {
+	fmt.Fprintf(f.trace, "%8.1fs  %s\n", float64(f.history.now())/1e6, text)
+}
+
 // leaderFault injects a fault into the node that leads a queue.
 func leaderFault(inject func(f *fleet, ctx context.Context, d *daemon, duration time.Duration)) faultAction {
 	return func(f *fleet, ctx context.Context, fault plannedFault) {
--- a/cmd/sparnotch-bench/load_balancer.go
+++ b/cmd/sparnotch-bench/load_balancer.go
@@ -22,6 +22,8 @@
 	discoverInterval = 3 * time.Second
 	discoverTimeout  = 2 * time.Second
 	maxResponseBytes = 16 << 20
+
+	clientHeader = "Sparnotch-Client"
 )
 
 // loadBalancer routes clients to gateway nodes, as the users' platform does: by zone,
@@ -147,16 +149,23 @@
 
 // send sends one request for a client, who may be "".
 func (b *loadBalancer) send(ctx context.Context, timeout time.Duration, method, address, path string, body []byte, client string) (httpReply, error) {
+	header := http.Header{}
+	if client != "" {
+		header.Set(clientHeader, client)
+	}
+	return sendRequest(ctx, b.client, timeout, method, address, path, body, header)
+}
+
+// sendRequest sends one request with a header, and reads the whole answer.
+func sendRequest(ctx context.Context, client *http.Client, timeout time.Duration, method, address, path string, body []byte, header http.Header) (httpReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return httpReply{}, err
 	}
-	if client != "" {
-		request.Header.Set("Sparnotch-Client", client)
-	}
-	response, err := b.client.Do(request)
+	request.Header = header
+	response, err := client.Do(request)
 	if err != nil {
 		return httpReply{}, err
 	}
--- a/cmd/sparnotch-bench/main.go
+++ b/cmd/sparnotch-bench/main.go
@@ -15,6 +15,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&fleetCommand{}, "")
+	subcommands.Register(&soakCommand{}, "")
 	subcommands.Register(&workerCommand{}, "")
 	subcommands.Register(&clientsCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
--- a/cmd/sparnotch-bench/operator.go
+++ b/cmd/sparnotch-bench/operator.go
@@ -51,13 +51,9 @@
 // applyOnce sends a configuration built on a revision, and records what is answered;
 // code 0 means no answer.
 func applyOnce(ctx context.Context, balancer *loadBalancer, h *history, operator, address string, revision uint64, rows []*schema.ConfigurationRow) (int32, []byte, error) {
-	body, err := json.Marshal(configUpdate{revision, rows})
-	if err != nil {
-		return 0, nil, err
-	}
 	sentAt := h.now()
 	h.add(checker.Event{At: sentAt, Kind: checker.ConfigurationSent, Actor: operator, Rows: rows})
-	code, data, err := balancer.call(ctx, operatorTimeout, "PUT", address, configPath, body, "")
+	code, data, err := putConfiguration(ctx, balancer, address, revision, rows)
 	if err != nil {
 		code = 0
 	}
@@ -72,16 +68,27 @@
 	return code, data, err
 }
 
-// readConfig records which configuration a gateway node shows.
-func readConfig(ctx context.Context, balancer *loadBalancer, h *history, address string) {
+// putConfiguration sends a configuration built on a revision.
+func putConfiguration(ctx context.Context, balancer *loadBalancer, address string, revision uint64, rows []*schema.ConfigurationRow) (int32, []byte, error) {
+	body, err := json.Marshal(configUpdate{revision, rows})
+	if err != nil {
+		return 0, nil, err
+	}
+	return balancer.call(ctx, operatorTimeout, "PUT", address, configPath, body, "")
+}
+
+// readConfig records which configuration a gateway node shows, and reports whether it shows
+// one.
+func readConfig(ctx context.Context, balancer *loadBalancer, h *history, address string) bool {
 	sentAt := h.now()
 	code, data, err := balancer.call(ctx, requestTimeout, "GET", address, configPath, nil, "")
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	config := &schema.Configuration{}
 	if err != nil || code == http.StatusOK && protojson.Unmarshal(data, config) != nil {
 		code = 0
 	}
 	h.add(checker.Event{Kind: checker.ConfigurationRead, Actor: "reader", Gateway: address, SentAt: sentAt, Code: code, Version: config.Revision, Rows: config.Rows})
+	return code == http.StatusOK
 }
--- /dev/null
+++ b/cmd/sparnotch-bench/soak_run.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"sparnotch/internal/checker"
+	"sparnotch/internal/deployments"
+)
+
+// finalReadTimeout is how long a gateway node may take, after the load, to show the
+// configuration.
+const finalReadTimeout = 30 * time.Second
+
+// soakRunner is one run of a soak.
+type soakRunner struct {
+	seed     uint64
+	span     time.Duration // of the load
+	bounds   checker.Tolerances
+	plan     *soakPlan
+	fleet    *fleet
+	nodes    *soakNodes
+	judge    *soakJudge
+	operator *soakOperator
+}
+
+// newSoakRunner prepares the run of a plan.
+func newSoakRunner(seed uint64, span time.Duration, bounds checker.Tolerances, plan *soakPlan, f *fleet) *soakRunner {
+	book := &keyBook{}
+	rng := rand.New(rand.NewPCG(seed, 2))
+	configuration := drawConfiguration(rng, f.deployment.ConfigRows(), plan.publicQueue, plan.hasTenants)
+	f.rows = configuration.rows()
+	return &soakRunner{
+		seed: seed, span: span, bounds: bounds, plan: plan, fleet: f,
+		judge:    &soakJudge{book: book, propagation: bounds.Propagation, now: f.history.now},
+		operator: &soakOperator{fleet: f, book: book, configuration: configuration, rng: rng},
+	}
+}
+
+// run starts the fleet, loads it while the plan's series and the configuration's changes
+// happen, stops it, and returns what broke a rule.
+func (r *soakRunner) run(ctx context.Context) (violations []string) {
+	f := r.fleet
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer func() {
+		if !f.stop() {
+			violations = append(violations, "a node didn't exit with code 0 at the end")
+		}
+	}()
+	r.operator.first()
+	starting, stop := context.WithTimeout(ctx, startTimeout)
+	err := f.start(starting)
+	stop()
+	if err != nil {
+		return []string{fmt.Sprintf("the fleet did not come up: %v", err)}
+	}
+	r.nodes = newSoakNodes(f)
+	go f.balancer.probe(ctx)
+	working, stopWorkers := context.WithCancel(ctx)
+	defer stopWorkers()
+	for k := range f.deployment.Workers {
+		f.startWorker(working, k)
+	}
+	sleep(ctx, warmUp)
+	r.load(ctx, working)
+	r.readFinalConfigurations(ctx)
+	for _, n := range r.nodes.list {
+		n.checkRunning()
+	}
+	f.history.add(checker.Event{Kind: checker.Close})
+	stopWorkers()
+	f.running.Wait()
+	return r.check()
+}
+
+// load runs the sessions, the series, the crashes of workers and the changes of the
+// configuration, and returns when all have ended.
+func (r *soakRunner) load(ctx, working context.Context) {
+	f := r.fleet
+	loading, stopLoad := context.WithTimeout(ctx, r.span)
+	defer stopLoad()
+	clientContext, stopClients := context.WithTimeout(ctx, r.span+2*clientTimeout)
+	defer stopClients()
+	var running sync.WaitGroup
+	start := func(run func()) {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			run()
+		}()
+	}
+	r.startSessions(loading, clientContext, start)
+	for _, series := range r.plan.series {
+		start(func() {
+			sleep(ctx, series.at)
+			f.recordChange("series: " + series.name)
+			r.nodes.run(ctx, series)
+		})
+	}
+	for _, crash := range r.plan.crashes {
+		start(func() { r.crashWorker(ctx, working, crash) })
+	}
+	start(func() { r.operator.run(loading, clientContext) })
+	start(func() {
+		every(loading, time.Second, func() { readConfig(loading, f.balancer, f.history, f.balancer.pick("c2")) })
+	})
+	running.Wait()
+}
+
+// crashWorker crashes a worker and starts it again.
+func (r *soakRunner) crashWorker(ctx, working context.Context, crash workerCrash) {
+	sleep(ctx, crash.at)
+	name := workerName(crash.worker)
+	r.fleet.recordChange("worker " + name + " crashes")
+	r.fleet.mu.Lock()
+	cancel := r.fleet.cancels[name]
+	r.fleet.mu.Unlock()
+	cancel()
+	sleep(ctx, crash.duration)
+	r.fleet.startWorker(working, crash.worker)
+}
+
+// startSessions starts the clients: most belong to a tenant, some have no key, and one has a
+// key that no configuration ever holds.
+func (r *soakRunner) startSessions(loading, clientContext context.Context, start func(run func())) {
+	f := r.fleet
+	types := r.jobTypes()
+	c := newClients(f.balancer, f.history, fmt.Sprintf("s%d", r.seed))
+	for _, t := range types {
+		c.stats[t.Name] = &jobStats{codes: map[int32]int{}}
+	}
+	f.clients, f.clientContext = c, clientContext
+	for k := range r.plan.sessions {
+		tenant, key := fmt.Sprintf("tenant%d", 1+k%soakTenants), ""
+		switch {
+		case !r.plan.hasTenants || k%7 == 6:
+			tenant = "none"
+		case k == 0:
+			tenant, key = "stranger", "key-of-nobody"
+		default:
+			key = r.judge.book.newestKey(tenant)
+		}
+		s := newSession(fmt.Sprintf("c%d", k), tenant, zoneName(k), key, f, r.judge)
+		start(func() {
+			s.run(loading, clientContext, c, types, rand.New(rand.NewPCG(r.seed, uint64(100+k))))
+		})
+	}
+}
+
+// jobTypes are those of the deployment, and one for each queue that comes and goes.
+func (r *soakRunner) jobTypes() []deployments.JobType {
+	types := slices.Clone(r.fleet.deployment.JobTypes)
+	for k := range extraQueues {
+		extra := types[0]
+		extra.Name, extra.Queue = extraQueueName(k), extraQueueName(k)
+		types = append(types, extra)
+	}
+	return types
+}
+
+// readFinalConfigurations reads the configuration through every gateway node, until it has
+// answered.
+func (r *soakRunner) readFinalConfigurations(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, finalReadTimeout)
+	defer cancel()
+	for _, d := range r.fleet.gateways {
+		for ctx.Err() == nil && !readConfig(ctx, r.fleet.balancer, r.fleet.history, d.httpAddress) {
+			sleep(ctx, operatorRetry)
+		}
+	}
+}
+
+// check judges the history and writes it to the run's folder.
+func (r *soakRunner) check() []string {
+	events := r.fleet.history.sorted()
+	violations := slices.Clone(r.nodes.violations)
+	if err := r.fleet.history.write(filepath.Join(r.fleet.folder, "history.jsonl")); err != nil {
+		violations = append(violations, err.Error())
+	}
+	for _, violation := range checker.Check(events, r.bounds) {
+		violations = append(violations, violation.String())
+	}
+	violations = append(violations, r.judge.check(events)...)
+	for name, s := range r.fleet.clients.stats {
+		if s.sent != s.accepted+s.rejected || s.accepted != s.ended {
+			violations = append(violations, fmt.Sprintf("jobs %s: %d sent, %d accepted, %d refused, %d ended", name, s.sent, s.accepted, s.rejected, s.ended))
+		}
+	}
+	return violations
+}
+
+// summary describes the run's size and what its clients got.
+func (r *soakRunner) summary() string {
+	var sent, accepted, rejected int
+	codes := map[int32]int{}
+	if r.fleet.clients != nil {
+		for _, s := range r.fleet.clients.stats {
+			sent, accepted, rejected = sent+s.sent, accepted+s.accepted, rejected+s.rejected
+			for code, count := range s.codes {
+				codes[code] += count
+			}
+		}
+	}
+	d := r.fleet.deployment
+	return fmt.Sprintf("%s: %d gateway and %d agent nodes, %d workers, %d sessions, %d series, %d crashes of workers; jobs: %d sent, %d accepted, %d refused (%d of them 401); %d submissions unanswered",
+		d.Name, d.Gateways, d.Agents, d.Workers, r.plan.sessions, len(r.plan.series), len(r.plan.crashes), sent, accepted, rejected, codes[http.StatusUnauthorized], codes[0])
+}
+
+// openSchedule has the fleet write what happens to it to a file in its folder.
+func openSchedule(f *fleet) (*os.File, error) {
+	file, err := os.Create(filepath.Join(f.folder, "schedule.txt"))
+	if err == nil {
+		f.trace = file
+	}
+	return file, err
+}
