Soak: the checker's rules on keys and quotas judge it

Change: clients' events carry the hash of their key and the tenant that an answer shows; the judge is gone. A session's keys, its connection and the drawn configurations have tests.

--- a/cmd/sparnotch-bench/clients.go
+++ b/cmd/sparnotch-bench/clients.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sparnotch/internal/checker"
+	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/deployments"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
@@ -31,8 +32,10 @@
 type requester interface {
 	// pick chooses a gateway node, of the zone if it can.
 	pick(zone string) (address string)
-	// send makes one request in the name of a client.
-	send(ctx context.Context, timeout time.Duration, method, address, path string, body []byte, client string) (httpReply, error)
+	// key is the tenant's key that the client's calls carry now; empty: they carry none.
+	key() string
+	// send makes one request.
+	send(ctx context.Context, timeout time.Duration, r request) (httpReply, error)
 }
 
 // clients submit jobs to a fleet and follow them to their end.
@@ -159,19 +162,20 @@
 
 // submitOnce sends the job once and records what is answered; code 0 means no answer.
 func (j *clientJob) submitOnce(ctx context.Context, spec *schema.Job, body []byte) (code int32, retryAfter time.Duration) {
-	address, sentAt := j.requester.pick(j.zone), j.history.now()
-	j.history.add(checker.Event{At: sentAt, Kind: checker.Submit, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Spec: spec})
-	reply, err := j.requester.send(ctx, requestTimeout, "PUT", address, j.path(), body, j.client)
+	address, key, sentAt := j.requester.pick(j.zone), j.requester.key(), j.history.now()
+	keyHash := hashOfKey(key)
+	j.history.add(checker.Event{At: sentAt, Kind: checker.Submit, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Spec: spec, KeyHash: keyHash})
+	reply, err := j.requester.send(ctx, requestTimeout, request{"PUT", address, j.path(), body, j.client, key})
 	if ctx.Err() != nil {
 		return 0, 0
 	}
 	if code = reply.code; err != nil {
 		code = 0
 	}
-	e := checker.Event{Kind: checker.SubmitReply, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, Gateway: address, SentAt: sentAt}
+	e := checker.Event{Kind: checker.SubmitReply, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, Gateway: address, SentAt: sentAt, KeyHash: keyHash}
 	view := &schema.JobView{}
 	if (code == http.StatusOK || code == http.StatusCreated) && json.Unmarshal(reply.body, view) == nil {
-		e.State = view.State
+		e.State, e.Tenant = view.State, view.Tenant
 	}
 	j.history.add(e)
 	j.updateStats(j.jobType, func(s *jobStats) {
@@ -185,8 +189,8 @@
 
 // getStatus asks a gateway node of a zone for the job's state, and records the answer.
 func (j *clientJob) getStatus(ctx context.Context, zone string) string {
-	address, sentAt := j.requester.pick(zone), j.history.now()
-	reply, err := j.requester.send(ctx, requestTimeout, "GET", address, j.path(), nil, j.client)
+	address, key, sentAt := j.requester.pick(zone), j.requester.key(), j.history.now()
+	reply, err := j.requester.send(ctx, requestTimeout, request{"GET", address, j.path(), nil, j.client, key})
 	if ctx.Err() != nil {
 		return ""
 	}
@@ -195,6 +199,17 @@
 	if err != nil || code == http.StatusOK && json.Unmarshal(reply.body, view) != nil {
 		code = 0
 	}
-	j.history.add(checker.Event{Kind: checker.Status, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, State: view.State, Gateway: address, SentAt: sentAt})
+	j.history.add(checker.Event{
+		Kind: checker.Status, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, State: view.State, Gateway: address, SentAt: sentAt,
+		KeyHash: hashOfKey(key), Tenant: view.Tenant,
+	})
 	return view.State
 }
+
+// hashOfKey is what stands for a key in histories; empty for none.
+func hashOfKey(key string) string {
+	if key == "" {
+		return ""
+	}
+	return clusterstate.HashKey(key)
+}
--- a/cmd/sparnotch-bench/load_balancer.go
+++ b/cmd/sparnotch-bench/load_balancer.go
@@ -22,8 +22,6 @@
 	discoverInterval = 3 * time.Second
 	discoverTimeout  = 2 * time.Second
 	maxResponseBytes = 16 << 20
-
-	clientHeader = "Sparnotch-Client"
 )
 
 // loadBalancer routes clients to gateway nodes, as the users' platform does: by zone,
@@ -141,31 +139,43 @@
 	retryAfter time.Duration
 }
 
+// request is one HTTP request to a gateway node.
+type request struct {
+	method, address, path string
+	body                  []byte
+	client                string // name of the client; empty: none is given
+	key                   string // of a tenant; empty: it carries none
+}
+
 // call is send without the retry delay.
 func (b *loadBalancer) call(ctx context.Context, timeout time.Duration, method, address, path string, body []byte, client string) (int32, []byte, error) {
-	reply, err := b.send(ctx, timeout, method, address, path, body, client)
+	reply, err := b.send(ctx, timeout, request{method: method, address: address, path: path, body: body, client: client})
 	return reply.code, reply.body, err
 }
 
-// send sends one request for a client, who may be "".
-func (b *loadBalancer) send(ctx context.Context, timeout time.Duration, method, address, path string, body []byte, client string) (httpReply, error) {
-	header := http.Header{}
-	if client != "" {
-		header.Set(clientHeader, client)
-	}
-	return sendRequest(ctx, b.client, timeout, method, address, path, body, header)
+// key implements requester: these clients have none.
+func (b *loadBalancer) key() string { return "" }
+
+// send implements requester.
+func (b *loadBalancer) send(ctx context.Context, timeout time.Duration, r request) (httpReply, error) {
+	return r.send(ctx, b.client, timeout)
 }
 
-// sendRequest sends one request with a header, and reads the whole answer.
-func sendRequest(ctx context.Context, client *http.Client, timeout time.Duration, method, address, path string, body []byte, header http.Header) (httpReply, error) {
+// send sends the request and reads the whole answer.
+func (r *request) send(ctx context.Context, client *http.Client, timeout time.Duration) (httpReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	httpRequest, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.address+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return httpReply{}, err
 	}
-	request.Header = header
-	response, err := client.Do(request)
+	if r.client != "" {
+		httpRequest.Header.Set("Sparnotch-Client", r.client)
+	}
+	if r.key != "" {
+		httpRequest.Header.Set("Authorization", "Token "+r.key)
+	}
+	response, err := client.Do(httpRequest)
 	if err != nil {
 		return httpReply{}, err
 	}
--- a/cmd/sparnotch-bench/soak_operator.go
+++ b/cmd/sparnotch-bench/soak_operator.go
@@ -109,18 +109,6 @@
 	return rows
 }
 
-// keyed is what the configuration says of keys and limits.
-func (c *soakConfiguration) keyed() *keyedConfiguration {
-	keyed := &keyedConfiguration{tenantOfKey: map[string]string{}, maxCores: map[string]int64{}, requiresKeys: c.requiresKeys, publicQueue: c.publicQueue}
-	for name, tenant := range c.tenants {
-		keyed.maxCores[name] = tenant.maxCores
-		for _, key := range tenant.keys {
-			keyed.tenantOfKey[key] = name
-		}
-	}
-	return keyed
-}
-
 // keys are the keys of each tenant, oldest first.
 func (c *soakConfiguration) keys() map[string][]string {
 	keys := map[string][]string{}
@@ -183,23 +171,12 @@
 	racing        sync.WaitGroup // changes of the other operator
 }
 
-// first records the configuration that the fleet starts with.
-func (o *soakOperator) first() {
-	keyed := o.configuration.keyed()
-	keyed.sentAt = o.fleet.history.now()
-	o.book.begin(keyed)
-	o.book.accept(keyed.sentAt, o.configuration.keys())
-}
-
 // changeOnce changes one thing and applies the configuration, with retries until the context
 // ends.
 func (o *soakOperator) changeOnce(ctx context.Context) {
 	o.fleet.recordChange("configuration: " + o.configuration.change(o.rng))
-	keyed := o.configuration.keyed()
-	keyed.sentAt = o.fleet.history.now()
-	o.book.begin(keyed)
 	if applyConfig(ctx, o.fleet.balancer, o.fleet.history, "operator", o.configuration.rows()) == nil {
-		o.book.accept(o.fleet.history.now(), o.configuration.keys())
+		o.book.accept(o.configuration.keys())
 	}
 }
 
--- a/cmd/sparnotch-bench/soak_run.go
+++ b/cmd/sparnotch-bench/soak_run.go
@@ -27,7 +27,7 @@
 	plan     *soakPlan
 	fleet    *fleet
 	nodes    *soakNodes
-	judge    *soakJudge
+	book     *keyBook
 	operator *soakOperator
 }
 
@@ -37,9 +37,9 @@
 	rng := rand.New(rand.NewPCG(seed, 2))
 	configuration := drawConfiguration(rng, f.deployment.ConfigRows(), plan.publicQueue, plan.hasTenants)
 	f.rows = configuration.rows()
+	book.accept(configuration.keys())
 	return &soakRunner{
-		seed: seed, span: span, bounds: bounds, plan: plan, fleet: f,
-		judge:    &soakJudge{book: book, propagation: bounds.Propagation, now: f.history.now},
+		seed: seed, span: span, bounds: bounds, plan: plan, fleet: f, book: book,
 		operator: &soakOperator{fleet: f, book: book, configuration: configuration, rng: rng},
 	}
 }
@@ -55,7 +55,6 @@
 			violations = append(violations, "a node didn't exit with code 0 at the end")
 		}
 	}()
-	r.operator.first()
 	starting, stop := context.WithTimeout(ctx, startTimeout)
 	err := f.start(starting)
 	stop()
@@ -146,9 +145,9 @@
 		case k == 0:
 			tenant, key = "stranger", "key-of-nobody"
 		default:
-			key = r.judge.book.newestKey(tenant)
+			key = r.book.newest(tenant)
 		}
-		s := newSession(fmt.Sprintf("c%d", k), tenant, zoneName(k), key, f, r.judge)
+		s := newSession(fmt.Sprintf("c%d", k), tenant, zoneName(k), key, f, r.book)
 		start(func() {
 			s.run(loading, clientContext, c, types, rand.New(rand.NewPCG(r.seed, uint64(100+k))))
 		})
@@ -188,7 +187,6 @@
 	for _, violation := range checker.Check(events, r.bounds) {
 		violations = append(violations, violation.String())
 	}
-	violations = append(violations, r.judge.check(events)...)
 	for name, s := range r.fleet.clients.stats {
 		if s.sent != s.accepted+s.rejected || s.accepted != s.ended {
 			violations = append(violations, fmt.Sprintf("jobs %s: %d sent, %d accepted, %d refused, %d ended", name, s.sent, s.accepted, s.rejected, s.ended))
--- a/cmd/sparnotch-bench/soak_session.go
+++ b/cmd/sparnotch-bench/soak_session.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,19 +25,19 @@
 type session struct {
 	name, tenant, zone string
 	balancer           *loadBalancer
-	judge              *soakJudge
+	book               *keyBook
 	transport          *http.Transport
 	client             *http.Client
 
 	mu      sync.Mutex // guards the rest
 	gateway string     // empty: to be chosen
-	key     string
+	ownKey  string
 }
 
-func newSession(name, tenant, zone, key string, f *fleet, judge *soakJudge) *session {
+func newSession(name, tenant, zone, key string, f *fleet, book *keyBook) *session {
 	transport := &http.Transport{MaxConnsPerHost: sessionConnections, MaxIdleConnsPerHost: sessionConnections}
 	return &session{
-		name: name, tenant: tenant, zone: zone, key: key, balancer: f.balancer, judge: judge,
+		name: name, tenant: tenant, zone: zone, ownKey: key, balancer: f.balancer, book: book,
 		transport: transport, client: &http.Client{Transport: transport},
 	}
 }
@@ -57,35 +56,24 @@
 	return s.gateway
 }
 
-// send implements requester: the calls carry the session's key, and a call that gets no
-// answer ends the connections to its node.
-func (s *session) send(ctx context.Context, timeout time.Duration, method, address, path string, body []byte, client string) (httpReply, error) {
+// key implements requester.
+func (s *session) key() string {
 	s.mu.Lock()
-	key := s.key
-	s.mu.Unlock()
-	header := http.Header{}
-	header.Set(clientHeader, client)
-	if key != "" {
-		header.Set("Authorization", "Token "+key)
-	}
-	call := keyedCall{sentAt: s.judge.now(), gateway: address, queue: queueOfPath(path), path: path, tenant: s.tenant, key: key}
-	reply, err := sendRequest(ctx, s.client, timeout, method, address, path, body, header)
+	defer s.mu.Unlock()
+	return s.ownKey
+}
+
+// send implements requester: a call that gets no answer ends the connections to its node,
+// and a key that is refused is replaced by the tenant's newest.
+func (s *session) send(ctx context.Context, timeout time.Duration, r request) (httpReply, error) {
+	reply, err := r.send(ctx, s.client, timeout)
 	if err != nil {
-		s.leave(address)
-		return reply, err
+		s.leave(r.address)
 	}
-	call.answeredAt, call.code = s.judge.now(), reply.code
-	s.judge.addCall(call)
 	if reply.code == http.StatusUnauthorized {
 		s.refreshKey()
 	}
-	return reply, nil
-}
-
-// queueOfPath is the queue in the path of a job.
-func queueOfPath(path string) string {
-	queue, _, _ := strings.Cut(strings.TrimPrefix(path, "/v1/queues/"), "/")
-	return queue
+	return reply, err
 }
 
 // leave has the next call choose a gateway node again, if the session was with this one.
@@ -100,11 +88,11 @@
 
 // refreshKey takes the key that the session's tenant was given last, if it has any.
 func (s *session) refreshKey() {
-	key := s.judge.book.newestKey(s.tenant)
+	key := s.book.newest(s.tenant)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if key != "" {
-		s.key = key
+		s.ownKey = key
 	}
 }
 
--- a/cmd/sparnotch-bench/soak_test.go
+++ b/cmd/sparnotch-bench/soak_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sparnotch/internal/checker"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/deployments"
 	"sparnotch/internal/eventloop"
 )
 
@@ -47,72 +52,63 @@
 	})
 }
 
-// newTestJudge knows two configurations: the first holds the key "old" of the tenant a and
-// limits it to 2 cores, the second, accepted at 10 s, holds "new" and a limit of 4.
-func newTestJudge() *soakJudge {
-	book := &keyBook{}
-	for k, c := range []*keyedConfiguration{
-		{tenantOfKey: map[string]string{"old": "a"}, maxCores: map[string]int64{"a": 2000}},
-		{tenantOfKey: map[string]string{"new": "a"}, maxCores: map[string]int64{"a": 4000}},
-	} {
-		c.requiresKeys, c.publicQueue = true, "open"
-		c.sentAt = eventloop.Micros(k) * 9 * eventloop.Second
-		book.begin(c)
-		book.accept(eventloop.Micros(k)*10*eventloop.Second, nil)
-	}
-	book.configurations[0].acceptedAt = 1
-	return &soakJudge{book: book, propagation: 2 * eventloop.Second}
-}
-
-func TestSoakJudgeOfKeys(t *testing.T) {
-	Convey("A call is served with a key that may be in force, and refused only without one", t, func() {
-		judge := newTestJudge()
-		for _, test := range []struct {
-			seconds  eventloop.Micros
-			key      string
-			queue    string
-			code     int32
-			isBroken bool
-		}{
-			{5, "old", "q", 201, false},
-			{5, "old", "q", 401, true},
-			{5, "new", "q", 401, false},
-			{5, "new", "q", 201, true},
-			{5, "", "q", 201, true},
-			{5, "", "open", 201, false},
-			{5, "nobody's", "open", 200, true},
-			{5, "nobody's", "q", 404, false},
-			{11, "old", "q", 201, false},
-			{11, "old", "q", 401, false},
-			{11, "new", "q", 401, false},
-			{13, "old", "q", 201, true},
-			{13, "new", "q", 403, true},
-			{13, "new", "q", 200, false},
-		} {
-			at := test.seconds * eventloop.Second
-			call := keyedCall{sentAt: at, answeredAt: at, queue: test.queue, tenant: "a", key: test.key, code: test.code}
-			So(judge.checkCall(call) != "", ShouldEqual, test.isBroken)
+func TestSessionKeepsItsConnection(t *testing.T) {
+	Convey("A session calls one gateway node, unready or not, until that gives no answer", t, func() {
+		code := http.StatusServiceUnavailable
+		keys := map[string]string{}
+		serve := func() *httptest.Server {
+			return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				keys[r.Host] = r.Header.Get("Authorization")
+				w.WriteHeader(code)
+			}))
 		}
+		first, second := serve(), serve()
+		defer second.Close()
+		address := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+		balancer := newLoadBalancer([]*endpoint{{address: address(first), zone: "c1", isReady: true}, {address: address(second), zone: "c1"}})
+		f := &fleet{balancer: balancer, history: &history{clock: eventloop.RealClock()}}
+		book := &keyBook{}
+		s := newSession("c0", "a", "c1", "old", f, book)
+		call := func() (int32, error) {
+			reply, err := s.send(context.Background(), requestTimeout, request{method: "GET", address: s.pick("c1"), path: "/", key: s.key()})
+			return reply.code, err
+		}
+		answered, err := call()
+		So(err, ShouldBeNil)
+		So(answered, ShouldEqual, http.StatusServiceUnavailable)
+		balancer.endpoints[0].isReady, balancer.endpoints[1].isReady = false, true
+		So(s.pick("c1"), ShouldEqual, address(first))
+		first.Close()
+		_, err = call()
+		So(err, ShouldNotBeNil)
+		So(s.pick("c1"), ShouldEqual, address(second))
+		Convey("and takes its tenant's newest key once its own is refused", func() {
+			book.accept(map[string][]string{"a": {"older", "newer"}})
+			code = http.StatusUnauthorized
+			_, err := call()
+			So(err, ShouldBeNil)
+			So(keys[address(second)], ShouldEqual, "Token old")
+			_, err = call()
+			So(err, ShouldBeNil)
+			So(keys[address(second)], ShouldEqual, "Token newer")
+		})
 	})
 }
 
-func TestSoakJudgeOfQuotas(t *testing.T) {
-	start := func(seconds eventloop.Micros, task uint32, worker string, cores int64) checker.Event {
-		return checker.Event{At: seconds * eventloop.Second, Kind: checker.TaskStart, Actor: worker, Queue: "q", Name: "s1.a-quote-c1-0", Job: 1, Task: task, Cores: cores}
-	}
-	Convey("A start above the tenant's limit and one task more is reported", t, func() {
-		judge := newTestJudge()
-		So(judge.checkQuotas([]checker.Event{start(1, 0, "w", 2000), start(1, 1, "w", 2000)}), ShouldBeEmpty)
-		So(judge.checkQuotas([]checker.Event{start(1, 0, "w", 2000), start(1, 1, "w", 2000), start(1, 2, "w", 1)}), ShouldHaveLength, 1)
-		So(judge.checkQuotas([]checker.Event{start(11, 0, "w", 2000), start(11, 1, "w", 2000), start(11, 2, "w", 1)}), ShouldBeEmpty)
-	})
-	Convey("Runs that ended, and those of a worker that is gone, don't count", t, func() {
-		judge := newTestJudge()
-		end := start(2, 0, "w", 0)
-		end.Kind = checker.TaskEnd
-		gone := checker.Event{At: 2 * eventloop.Second, Kind: checker.WorkerGone, Actor: "v"}
-		before := []checker.Event{start(1, 0, "w", 2000), start(1, 1, "v", 2000)}
-		So(judge.checkQuotas(append(before, end, start(3, 2, "w", 1000))), ShouldBeEmpty)
-		So(judge.checkQuotas(append(before, gone, start(3, 2, "w", 1000), start(3, 3, "w", 1000))), ShouldHaveLength, 1)
+func TestSoakConfigurationsAreValid(t *testing.T) {
+	Convey("Every configuration that an operator draws is valid, and each tenant keeps a key", t, func() {
+		for seed := range uint64(50) {
+			rng := rand.New(rand.NewPCG(seed, 2))
+			c := drawConfiguration(rng, deployments.All[0].ConfigRows(), "quotes", true)
+			for range 30 {
+				So(clusterstate.ValidateRows(c.rows()), ShouldBeNil)
+				c.change(rng)
+				for _, keys := range c.keys() {
+					So(len(keys), ShouldBeBetweenOrEqual, 1, maxKeysPerTenant)
+				}
+			}
+			operator := &soakOperator{configuration: c, rng: rng}
+			So(clusterstate.ValidateRows(operator.invalidRows()), ShouldNotBeNil)
+		}
 	})
 }
