Operators: tenants in the scheduler's state view, and 'sparnotchctl tenants'

Cause: nothing showed an operator what a tenant uses of its limits, nor why its ready tasks aren't started. Change: /v1/placements has 'tenants' (weight, limits, use by kind, tasks running and ready, the longest wait, what for: the quota and in which kind, a node that leads every queue, or room on the workers) and 'leads_all_queues'. 'sparnotchctl tenants' asks the storage nodes and prints the table of the one that leads all queues.

--- a/cmd/sparnotch-bench/soak_command.go
+++ b/cmd/sparnotch-bench/soak_command.go
@@ -5,8 +5,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -70,8 +72,14 @@
 		fmt.Fprintln(os.Stderr, "sparnotch-bench:", err)
 		return 2
 	}
+	// An interrupted run still stops its processes.
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	failed := 0
 	for k := range c.runs {
+		if ctx.Err() != nil {
+			return 1
+		}
 		if !c.runSeed(ctx, c.seed+uint64(k), slackenBounds(checker.DefaultBounds, c.slack)) {
 			failed++
 		}
--- a/cmd/sparnotch-bench/soak_run.go
+++ b/cmd/sparnotch-bench/soak_run.go
@@ -15,9 +15,14 @@
 	"sparnotch/internal/deployments"
 )
 
-// finalReadTimeout is how long a gateway node may take, after the load, to show the
-// configuration.
-const finalReadTimeout = 30 * time.Second
+const (
+	// soakStartTimeout is how long a fleet may take to accept its first configuration: a
+	// large one starts many processes at once.
+	soakStartTimeout = 2 * time.Minute
+	// finalReadTimeout is how long a gateway node may take, after the load, to show the
+	// configuration.
+	finalReadTimeout = 30 * time.Second
+)
 
 // soakRunner is one run of a soak.
 type soakRunner struct {
@@ -55,7 +60,7 @@
 			violations = append(violations, "a node didn't exit with code 0 at the end")
 		}
 	}()
-	starting, stop := context.WithTimeout(ctx, startTimeout)
+	starting, stop := context.WithTimeout(ctx, soakStartTimeout)
 	err := f.start(starting)
 	stop()
 	if err != nil {
--- a/cmd/sparnotchctl/main.go
+++ b/cmd/sparnotchctl/main.go
@@ -28,6 +28,7 @@
 		&showCommand{name: "placements", path: "/v1/placements", synopsis: "print where a scheduler has placed tasks, and why"},
 		&showCommand{name: "counters", path: "/v1/counts", synopsis: "print what one process has done so far"},
 		&showCommand{name: "ready", path: "/readyz", synopsis: "check whether a node can serve"},
+		&tenantsCommand{},
 		&compareCommand{},
 	}},
 	{"the data directory of a stopped process", []subcommands.Command{&verifyCommand{}, &replayCommand{}}},
--- a/internal/scheduler/state_view.go
+++ b/internal/scheduler/state_view.go
@@ -19,6 +19,10 @@
 	Tasks   []*Placement   `json:"tasks"`
 	Ready   map[string]int `json:"ready"` // ready tasks by queue
 	Counts  Counts         `json:"counts"`
+	Tenants []*TenantView  `json:"tenants"`
+	// LeadsAllQueues says that the tenants' figures are those of the whole system, and that
+	// tasks of tenants with a limit are placed here.
+	LeadsAllQueues bool `json:"leads_all_queues"`
 }
 
 // WorkerView is the state of one worker, as the holder of its lease has it.
@@ -53,7 +57,7 @@
 }
 
 func (s *Scheduler) stateView(now eventloop.Micros) *StateView {
-	view := &StateView{Ready: map[string]int{}, Counts: s.counts}
+	view := &StateView{Ready: map[string]int{}, Counts: s.counts, Tenants: s.viewTenants(now), LeadsAllQueues: s.knowsAllRuns(now)}
 	for _, w := range s.sortedWorkers() {
 		view.Workers = append(view.Workers, w.view(now))
 		for _, t := range w.sortedTasks() {
