Soak: clients cancel a tenth of their jobs

Cause: clients of the fleet cancelled nothing, so rule 8 (what is cancelled stops) was never judged with real processes. Change: a session cancels one job in ten, up to a second after its acceptance.

--- a/cmd/sparnotch-bench/clients.go
+++ b/cmd/sparnotch-bench/clients.go
@@ -100,6 +100,8 @@
 	name      string
 	zone      string // of the client
 	client    string // its name
+	// cancelAfter is how long after its acceptance the job is cancelled; 0: it isn't.
+	cancelAfter time.Duration
 }
 
 func (j *clientJob) path() string { return "/v1/queues/" + j.jobType.Queue + "/jobs/" + j.name }
@@ -110,6 +112,10 @@
 	if !j.submit(ctx) {
 		return
 	}
+	if j.cancelAfter > 0 {
+		sleep(ctx, j.cancelAfter)
+		j.cancel(ctx)
+	}
 	for delay := firstStatusDelay; ctx.Err() == nil; delay = min(delay*3/2, maxStatusInterval) {
 		sleep(ctx, delay)
 		if state := j.getStatus(ctx, j.zone); state == "complete" || state == "failed" || state == "cancelled" {
@@ -189,21 +195,39 @@
 
 // getStatus asks a gateway node of a zone for the job's state, and records the answer.
 func (j *clientJob) getStatus(ctx context.Context, zone string) string {
+	_, state := j.ask(ctx, zone, "GET", j.path(), checker.Status)
+	return state
+}
+
+// cancel asks for the job's end until that is answered.
+func (j *clientJob) cancel(ctx context.Context) {
+	for ctx.Err() == nil {
+		j.history.add(checker.Event{Kind: checker.CancelRequest, Actor: j.client, Queue: j.jobType.Queue, Name: j.name})
+		if code, _ := j.ask(ctx, j.zone, "POST", j.path()+"/cancel", checker.CancelReply); code != 0 && code < 500 && code != http.StatusUnauthorized {
+			return
+		}
+		sleep(ctx, minSubmitDelay)
+	}
+}
+
+// ask makes a request about the job at a gateway node of a zone, and records the answer as
+// an event of a kind.
+func (j *clientJob) ask(ctx context.Context, zone, method, path, kind string) (code int32, state string) {
 	address, key, sentAt := j.requester.pick(zone), j.requester.key(), j.history.now()
-	reply, err := j.requester.send(ctx, requestTimeout, request{"GET", address, j.path(), nil, j.client, key})
+	reply, err := j.requester.send(ctx, requestTimeout, request{method, address, path, nil, j.client, key})
 	if ctx.Err() != nil {
-		return ""
+		return 0, ""
 	}
 	view := &schema.JobView{}
-	code := reply.code
+	code = reply.code
 	if err != nil || code == http.StatusOK && json.Unmarshal(reply.body, view) != nil {
 		code = 0
 	}
 	j.history.add(checker.Event{
-		Kind: checker.Status, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, State: view.State, Gateway: address, SentAt: sentAt,
+		Kind: kind, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, State: view.State, Gateway: address, SentAt: sentAt,
 		KeyHash: hashOfKey(key), Tenant: view.Tenant,
 	})
-	return view.State
+	return code, view.State
 }
 
 // hashOfKey is what stands for a key in histories; empty for none.
--- a/cmd/sparnotch-bench/soak_session.go
+++ b/cmd/sparnotch-bench/soak_session.go
@@ -17,6 +17,8 @@
 	// though the one it has still works.
 	refreshProbability = 0.2
 	sessionConnections = 2
+	cancelProbability  = 0.1 // of a job
+	maxCancelDelay     = time.Second
 )
 
 // session is a client of a soak: it submits one job after another, over connections to one
@@ -112,6 +114,9 @@
 			clients: c, requester: s, jobType: jobType, zone: s.zone, client: s.name,
 			name: fmt.Sprintf("%s.%s-%s-%s-%d", c.prefix, s.tenant, jobType.Name, s.name, number),
 		}
+		if rng.Float64() < cancelProbability {
+			j.cancelAfter = 1 + drawPause(rng, maxCancelDelay)
+		}
 		j.run(ctx)
 	}
 }
