Soak: replicas at the same log index must have the same state

Cause: the soak judged what clients, workers and operators see; replicas that differ are seen by them only after a change of leaders. Change: after the load the storage nodes' digests are compared, where two have applied the same index of a group.

--- a/cmd/sparnotch-bench/soak_run.go
+++ b/cmd/sparnotch-bench/soak_run.go
@@ -76,6 +76,7 @@
 	sleep(ctx, warmUp)
 	r.load(ctx, working)
 	r.readFinalConfigurations(ctx)
+	r.compareReplicas(ctx)
 	for _, n := range r.nodes.list {
 		n.checkRunning()
 	}
