--- a/internal/controller/queues_test.go
+++ b/internal/controller/queues_test.go
@@ -64,3 +64,49 @@
 		So(f.placed(), ShouldBeEmpty)
 	})
 }
+
+// An accepted job was lost whose queue was removed from the configuration 20 ms later: the
+// group was ended on a status from before the job.
+func TestQueueIsRemovedOnlyOnceNoGatewayTakesItsJobs(t *testing.T) {
+	Convey("A queue without jobs is removed on a status from when no gateway takes jobs for it any more", t, func() {
+		f := newControllerFixture()
+		f.putQueues("l")
+		f.state.Queues = []*schema.QueuePlacement{{Queue: "l", Generation: 3, PreferredLeader: "a"}}
+		status := &schema.QueueStatus{Group: "l#3", Queue: "l", Leader: "a", Voters: []string{"a", "b", "c"}}
+		f.sendUpdate(status)
+		f.putQueues()
+		f.sendUpdate(status)
+		f.tick()
+		So(f.placed(), ShouldBeEmpty)
+		// A gateway that hadn't heard of it has taken a job meanwhile.
+		status.LiveJobs = 1
+		f.sendUpdate(status)
+		for range 400 {
+			f.tick()
+			f.sendUpdate(status)
+		}
+		So(f.placed(), ShouldBeEmpty)
+		status.LiveJobs = 0
+		f.sendUpdate(status)
+		f.tick()
+		So(f.placed(), ShouldResemble, [][]string{{"l#3"}})
+	})
+	Convey("A queue that is configured again before that stays, and the time starts anew with its next removal", t, func() {
+		f := newControllerFixture()
+		f.state.Queues = []*schema.QueuePlacement{{Queue: "l", Generation: 3, PreferredLeader: "a"}}
+		status := &schema.QueueStatus{Group: "l#3", Queue: "l", Leader: "a", Voters: []string{"a", "b", "c"}}
+		f.putQueues()
+		f.sendUpdate(status)
+		f.tick()
+		f.putQueues("l")
+		f.sendUpdate(status)
+		for range 400 {
+			f.tick()
+			f.sendUpdate(status)
+		}
+		f.putQueues()
+		f.sendUpdate(status)
+		f.tick()
+		So(f.placed(), ShouldBeEmpty)
+	})
+}
