--- a/cmd/sparnotch-bench/clients.go
+++ b/cmd/sparnotch-bench/clients.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sparnotch/internal/checker"
+	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/deployments"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
@@ -27,6 +28,16 @@
 
 func (e statusError) Error() string { return fmt.Sprintf("HTTP status %d", int32(e)) }
 
+// requester chooses gateway nodes for a client and calls them.
+type requester interface {
+	// pick chooses a gateway node, of the zone if it can.
+	pick(zone string) (address string)
+	// key is the tenant's key that the client's calls carry now; empty: they carry none.
+	key() string
+	// send makes one request.
+	send(ctx context.Context, timeout time.Duration, r request) (httpReply, error)
+}
+
 // clients submit jobs to a fleet and follow them to their end.
 type clients struct {
 	balancer *loadBalancer
@@ -64,7 +75,7 @@
 		}
 		zone := zoneName(rng.IntN(zoneCount))
 		j := &clientJob{
-			clients: c, jobType: t, name: fmt.Sprintf("%s-%s-%d", c.prefix, t.Name, number),
+			clients: c, requester: c.balancer, jobType: t, name: fmt.Sprintf("%s-%s-%d", c.prefix, t.Name, number),
 			zone: zone, client: fmt.Sprintf("%s-%s", t.Name, zone),
 		}
 		c.open.Add(1)
@@ -84,10 +95,13 @@
 // clientJob is one job as its client sees it.
 type clientJob struct {
 	*clients
-	jobType deployments.JobType
-	name    string
-	zone    string // of the client
-	client  string // its name
+	requester requester
+	jobType   deployments.JobType
+	name      string
+	zone      string // of the client
+	client    string // its name
+	// cancelAfter is how long after its acceptance the job is cancelled; 0: it isn't.
+	cancelAfter time.Duration
 }
 
 func (j *clientJob) path() string { return "/v1/queues/" + j.jobType.Queue + "/jobs/" + j.name }
@@ -98,6 +112,10 @@
 	if !j.submit(ctx) {
 		return
 	}
+	if j.cancelAfter > 0 {
+		sleep(ctx, j.cancelAfter)
+		j.cancel(ctx)
+	}
 	for delay := firstStatusDelay; ctx.Err() == nil; delay = min(delay*3/2, maxStatusInterval) {
 		sleep(ctx, delay)
 		if state := j.getStatus(ctx, j.zone); state == "complete" || state == "failed" || state == "cancelled" {
@@ -150,19 +168,20 @@
 
 // submitOnce sends the job once and records what is answered; code 0 means no answer.
 func (j *clientJob) submitOnce(ctx context.Context, spec *schema.Job, body []byte) (code int32, retryAfter time.Duration) {
-	address, sentAt := j.balancer.pick(j.zone), j.history.now()
-	j.history.add(checker.Event{At: sentAt, Kind: checker.Submit, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Spec: spec})
-	reply, err := j.balancer.send(ctx, requestTimeout, "PUT", address, j.path(), body, j.client)
+	address, key, sentAt := j.requester.pick(j.zone), j.requester.key(), j.history.now()
+	keyHash := hashOfKey(key)
+	j.history.add(checker.Event{At: sentAt, Kind: checker.Submit, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Spec: spec, KeyHash: keyHash})
+	reply, err := j.requester.send(ctx, requestTimeout, request{"PUT", address, j.path(), body, j.client, key})
 	if ctx.Err() != nil {
 		return 0, 0
 	}
 	if code = reply.code; err != nil {
 		code = 0
 	}
-	e := checker.Event{Kind: checker.SubmitReply, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, Gateway: address, SentAt: sentAt}
+	e := checker.Event{Kind: checker.SubmitReply, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, Gateway: address, SentAt: sentAt, KeyHash: keyHash}
 	view := &schema.JobView{}
 	if (code == http.StatusOK || code == http.StatusCreated) && json.Unmarshal(reply.body, view) == nil {
-		e.State = view.State
+		e.State, e.Tenant = view.State, view.Tenant
 	}
 	j.history.add(e)
 	j.updateStats(j.jobType, func(s *jobStats) {
@@ -176,15 +195,45 @@
 
 // getStatus asks a gateway node of a zone for the job's state, and records the answer.
 func (j *clientJob) getStatus(ctx context.Context, zone string) string {
-	address, sentAt := j.balancer.pick(zone), j.history.now()
-	code, data, err := j.balancer.call(ctx, requestTimeout, "GET", address, j.path(), nil, j.client)
+	_, state := j.ask(ctx, zone, "GET", j.path(), checker.Status)
+	return state
+}
+
+// cancel asks for the job's end until that is answered.
+func (j *clientJob) cancel(ctx context.Context) {
+	for ctx.Err() == nil {
+		j.history.add(checker.Event{Kind: checker.CancelRequest, Actor: j.client, Queue: j.jobType.Queue, Name: j.name})
+		if code, _ := j.ask(ctx, j.zone, "POST", j.path()+"/cancel", checker.CancelReply); code != 0 && code < 500 && code != http.StatusUnauthorized {
+			return
+		}
+		sleep(ctx, minSubmitDelay)
+	}
+}
+
+// ask makes a request about the job at a gateway node of a zone, and records the answer as
+// an event of a kind.
+func (j *clientJob) ask(ctx context.Context, zone, method, path, kind string) (code int32, state string) {
+	address, key, sentAt := j.requester.pick(zone), j.requester.key(), j.history.now()
+	reply, err := j.requester.send(ctx, requestTimeout, request{method, address, path, nil, j.client, key})
 	if ctx.Err() != nil {
-		return ""
+		return 0, ""
 	}
 	view := &schema.JobView{}
-	if err != nil || code == http.StatusOK && json.Unmarshal(data, view) != nil {
+	code = reply.code
+	if err != nil || code == http.StatusOK && json.Unmarshal(reply.body, view) != nil {
 		code = 0
 	}
-	j.history.add(checker.Event{Kind: checker.Status, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, State: view.State, Gateway: address, SentAt: sentAt})
-	return view.State
+	j.history.add(checker.Event{
+		Kind: kind, Actor: j.client, Queue: j.jobType.Queue, Name: j.name, Code: code, State: view.State, Gateway: address, SentAt: sentAt,
+		KeyHash: hashOfKey(key), Tenant: view.Tenant,
+	})
+	return code, view.State
+}
+
+// hashOfKey is what stands for a key in histories; empty for none.
+func hashOfKey(key string) string {
+	if key == "" {
+		return ""
+	}
+	return clusterstate.HashKey(key)
 }
