Scheduler: removed queues are asked for, and reservations of a former term are dropped

What callers would have seen: a tenant beyond its limit after a change of leader together with a lowered limit, or while the jobs of a queue that the configuration no longer has go on under a leader elsewhere. Found by the property test and by reading. Cause: a reservation outlived its term, was given up and its task placed again whatever the limit was by then, though the view of the new term has all that was committed; queues that aren't configured were left out of those that must be led. Change: reservations are inherited within a term; every queue of the cluster state must be led.

--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -49,8 +49,8 @@
 	q.lastSequence = m.LastSequence
 }
 
-// inheritAttempts keeps what only the scheduler knew of attempts that go on. Checkouts that
-// were given up may yet be committed in the same term alone.
+// inheritAttempts keeps what only the scheduler knew of attempts that go on. Checkouts may yet
+// be committed in the same term alone: a view of a later one has all that were.
 func (s *Scheduler) inheritAttempts(previous map[taskKey]task, q *queueView, isSameTerm bool) {
 	for key, t := range q.tasks {
 		old, found := previous[key]
@@ -59,10 +59,13 @@
 		}
 		t.inherit(&old)
 		t.placementReason = old.placementReason
-		if t.state == queue.Ready && old.hasOpenCheckout && isSameTerm {
+		if t.state != queue.Ready || !isSameTerm {
+			continue
+		}
+		if old.hasOpenCheckout {
 			q.keepOpenCheckout(t)
 		}
-		if t.state == queue.Ready && old.reservedWorker != "" {
+		if old.reservedWorker != "" {
 			s.reserve(q, t, old.reservedWorker, old.reservedAt)
 		}
 	}
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -301,17 +301,15 @@
 }
 
 // knowsAllRuns reports whether this node knows everything that may run: it leads every queue,
-// one at least, but for those that were added while it led all others. Nothing of these was
-// placed by another scheduler, since that would have had to lead all queues.
+// one at least, also those that the configuration no longer has, but for those that were added
+// while it led all others. Nothing of these was placed by another scheduler, since that would
+// have had to lead all queues.
 func (s *Scheduler) knowsAllRuns(now eventloop.Micros) bool {
 	if !s.isClusterStateCurrent(now) {
 		return false
 	}
 	ledCount := 0
 	for _, place := range s.clusterState.Queues {
-		if !s.config.HasQueue(place.Queue) {
-			continue
-		}
 		q := s.queues[place.Queue]
 		switch {
 		case q != nil && s.mayActFor(now, q):
