Controller: a queue is ended only once no gateway takes jobs for it any more

Later a queue of the same name used its jobs' numbers again, and a worker that remembered the old runs reported tasks of a new job as done. Cause: the group was ended as soon as the configuration was seen without the queue and the latest report had no jobs; gateways with an older copy take jobs until the configuration is in force everywhere. Change: a queue must have been out of the configuration for twice the time in which a configuration is in force. A job that is taken later than that, by a resend that was held up for so long and is committed between a report and the end of the group, is still possible. The test of the removal waits for that time now, and checks that nothing is ended before.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,6 +63,8 @@
 	lastActions     map[string]eventloop.Micros // when each action was taken
 	lastQueueAction string                      // the content of the last placement of queues
 	leadersMovedAt  eventloop.Micros
+
+	unconfiguredSince map[string]eventloop.Micros // when a queue's group was first seen without its queue being configured
 }
 
 // lastLocation is where a storage node was last heard from.
@@ -87,6 +89,8 @@
 		lastLocations:  map[string]lastLocation{},
 		pendingClaims:  map[uint64]eventloop.Micros{},
 		lastActions:    map[string]eventloop.Micros{},
+
+		unconfiguredSince: map[string]eventloop.Micros{},
 	}
 }
 
--- a/internal/controller/queues.go
+++ b/internal/controller/queues.go
@@ -19,7 +19,7 @@
 	command := &schema.PlaceQueues{
 		FencingToken: c.fencingToken,
 		Queues:       c.missingQueues(now, clusterStateStatus),
-		Removed:      c.endedQueues(statuses),
+		Removed:      c.endedQueues(now, statuses),
 	}
 	if len(command.Queues)+len(command.Removed) == 0 {
 		return
@@ -52,17 +52,27 @@
 	return missing
 }
 
-// endedQueues returns the groups of the queues that aren't configured any more and have no live
-// or retained jobs.
-func (c *Controller) endedQueues(statuses map[string]*schema.QueueStatus) []string {
+// endedQueues returns the groups of the queues that haven't been configured for as long as a
+// gateway with an older copy may take jobs for them, and have no live or retained jobs.
+func (c *Controller) endedQueues(now eventloop.Micros, statuses map[string]*schema.QueueStatus) []string {
 	var ended []string
+	unconfigured := map[string]eventloop.Micros{}
 	for _, placement := range c.state.Queues {
+		if c.values.HasQueue(placement.Queue) {
+			continue
+		}
 		group := replica.GroupName(placement)
+		since, isKnown := c.unconfiguredSince[group]
+		if !isKnown {
+			since = now
+		}
+		unconfigured[group] = since
 		status := statuses[group]
-		if !c.values.HasQueue(placement.Queue) && status != nil && status.LiveJobs == 0 && status.RetainedJobs == 0 {
+		if now-since >= c.timeouts.QueueRemovalDelay && status != nil && status.LiveJobs == 0 && status.RetainedJobs == 0 {
 			ended = append(ended, group)
 		}
 	}
+	c.unconfiguredSince = unconfigured
 	return ended
 }
 
--- a/internal/controller/queues_test.go
+++ b/internal/controller/queues_test.go
@@ -54,6 +54,14 @@
 		status.RetainedJobs = 0
 		f.sendUpdate(status)
 		f.tick()
+		So(f.placed(), ShouldBeEmpty)
+		for range 400 {
+			f.tick()
+			f.sendUpdate(status)
+			if len(f.placed()) > 0 {
+				break
+			}
+		}
 		So(f.placed(), ShouldResemble, [][]string{{"l#3"}})
 	})
 	Convey("Without the lease nothing is placed", t, func() {
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -28,6 +28,11 @@
 	// still have placed work: the cluster state that its leader acted on may have been
 	// MaxStateAge old, and its own status of that leader MaxLeaderStatusAge.
 	FormerLeaseTimeout eventloop.Micros
+	// QueueRemovalDelay is how long after a queue has left the configuration its group may
+	// get jobs: gateways take them until the configuration is in force, what they have
+	// numbered is sent again until it is confirmed, and the report that shows the jobs is
+	// as old as a report may be.
+	QueueRemovalDelay eventloop.Micros
 }
 
 const (
@@ -42,6 +47,7 @@
 
 	defaultContact = 3 * eventloop.Second
 	defaultCatchUp = 4 * eventloop.Second
+	defaultApply   = 2 * eventloop.Second
 
 	maxSuspectTimeout      = 1500 * eventloop.Millisecond
 	maxReplaceByNewTimeout = 2500 * eventloop.Millisecond
@@ -60,6 +66,7 @@
 	}
 	timeouts.ReplaceByNewTimeout = max(timeouts.SuspectTimeout, min(maxReplaceByNewTimeout, catchUp-RepairDuration))
 	timeouts.ReplaceTimeout = max(timeouts.ReplaceByNewTimeout, min(maxReplaceTimeout, catchUp*3/2))
+	timeouts.QueueRemovalDelay = 2 * orDefault(bounds.GetConfigApplyUs(), defaultApply)
 	timeouts.FormerLeaseTimeout = timeouts.MaxStateAge + MaxLeaderStatusAge
 	return timeouts
 }
