Soak: only a node that has answered is expected to handle signals

Change: whether a process handles its signals is known from its answer to /livez, not from its age. Result: tests of the package pass.

--- a/cmd/sparnotch-bench/soak_node.go
+++ b/cmd/sparnotch-bench/soak_node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -11,9 +12,8 @@
 	"sparnotch/internal/checker"
 )
 
-// signalsReadyAfter is the age from which a process surely handles its signals itself;
-// before that they may end it.
-const signalsReadyAfter = 3 * time.Second
+// answerTimeout is how long a node may take to show that it is up.
+const answerTimeout = 500 * time.Millisecond
 
 var soakSignals = map[soakAction]syscall.Signal{
 	actionTerminate: syscall.SIGTERM, actionKill: syscall.SIGKILL, actionFreeze: syscall.SIGSTOP,
@@ -27,10 +27,10 @@
 	starting sync.Mutex // held while one waits for the exit and starts the process again
 
 	// Guarded by soakNodes.mu.
-	startedAt  time.Time
-	isEnding   bool // a signal was sent that ends it
-	mayFail    bool // its exit code says nothing: it was killed, or signalled too early
-	awayCounts int  // reasons for which it can't serve
+	hasAnswered bool // since its start: from then on it handles its signals, which may end it before
+	isEnding    bool // a signal was sent that ends it
+	mayFail     bool // its exit code says nothing: it was killed, or signalled too early
+	awayCounts  int  // reasons for which it can't serve
 }
 
 // soakNodes keeps count of the nodes that are away, for the checker.
@@ -46,7 +46,7 @@
 func newSoakNodes(f *fleet) *soakNodes {
 	nodes := &soakNodes{fleet: f}
 	for _, d := range f.daemons() {
-		nodes.list = append(nodes.list, &soakNode{daemon: d, nodes: nodes, startedAt: time.Now()})
+		nodes.list = append(nodes.list, &soakNode{daemon: d, nodes: nodes})
 	}
 	return nodes
 }
@@ -117,9 +117,10 @@
 func (n *soakNode) prepareEnd(action soakAction) {
 	n.nodes.fleet.recordFault(string(action) + " " + n.name)
 	n.checkRunning()
+	handlesSignals := n.handlesSignals()
 	n.nodes.mu.Lock()
 	defer n.nodes.mu.Unlock()
-	if action == actionKill || time.Since(n.startedAt) < signalsReadyAfter {
+	if action == actionKill || !handlesSignals {
 		n.mayFail = true
 	}
 	if !n.isEnding {
@@ -139,10 +140,21 @@
 	}
 }
 
+// handlesSignals reports whether the process has come so far that it handles its signals
+// itself: it has answered a request since its start.
 func (n *soakNode) handlesSignals() bool {
+	n.nodes.mu.Lock()
+	hasAnswered, isEnding := n.hasAnswered, n.isEnding
+	n.nodes.mu.Unlock()
+	if hasAnswered || isEnding {
+		return hasAnswered
+	}
+	code, _, err := n.nodes.fleet.balancer.call(context.Background(), answerTimeout, "GET", n.httpAddress, "/livez", nil, "")
 	n.nodes.mu.Lock()
 	defer n.nodes.mu.Unlock()
-	return time.Since(n.startedAt) >= signalsReadyAfter
+	// Another series may have ended the process meanwhile.
+	n.hasAnswered = err == nil && code == http.StatusOK && !n.isEnding
+	return n.hasAnswered
 }
 
 // checkRunning reports a process that has ended though nothing told it to.
@@ -185,7 +197,7 @@
 	}
 	n.nodes.mu.Lock()
 	defer n.nodes.mu.Unlock()
-	n.isEnding, n.mayFail, n.startedAt = false, false, time.Now()
+	n.isEnding, n.mayFail, n.hasAnswered = false, false, false
 	n.countAway(-1)
 }
 
