Controller: a revision that wasn't seen starts the time of a queue's removal anew

Cause: the time since which a queue isn't configured is kept over a gap in what the controller sees. Where a queue is configured again and removed once more between two polls, or while another controller held the lease, it was ended at once on the older time, though gateways may hold the revision in between and take jobs for it. Change: where the configuration's revision rises by more than one between two looks, the times start anew: having the queue again and removing it takes two revisions. Result: the third case of TestQueueIsRemovedOnlyOnceNoGatewayTakesItsJobs passes that failed without it ('Expected [[l#3]] to be empty (but it wasn't)!').

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -64,7 +64,8 @@
 	lastQueueAction string                      // the content of the last placement of queues
 	leadersMovedAt  eventloop.Micros
 
-	unconfiguredSince map[string]eventloop.Micros // when a queue's group was first seen without its queue being configured
+	unconfiguredSince    map[string]eventloop.Micros // when a queue's group was first seen without its queue being configured
+	unconfiguredRevision uint64                      // of the configuration that this was seen in last
 }
 
 // lastLocation is where a storage node was last heard from.
--- a/internal/controller/queues.go
+++ b/internal/controller/queues.go
@@ -55,6 +55,11 @@
 // endedQueues returns the groups of the queues that haven't been configured for as long as a
 // gateway with an older copy may take jobs for them, and have no live or retained jobs.
 func (c *Controller) endedQueues(now eventloop.Micros, statuses map[string]*schema.QueueStatus) []string {
+	revision := c.state.Configuration.GetRevision()
+	if revision > c.unconfiguredRevision+1 {
+		// One in between, which wasn't seen, may have had the queues.
+		clear(c.unconfiguredSince)
+	}
 	var ended []string
 	unconfigured := map[string]eventloop.Micros{}
 	for _, placement := range c.state.Queues {
@@ -72,7 +77,7 @@
 			ended = append(ended, group)
 		}
 	}
-	c.unconfiguredSince = unconfigured
+	c.unconfiguredSince, c.unconfiguredRevision = unconfigured, revision
 	return ended
 }
 
--- a/internal/controller/queues_test.go
+++ b/internal/controller/queues_test.go
@@ -117,4 +117,20 @@
 		f.tick()
 		So(f.placed(), ShouldBeEmpty)
 	})
+	Convey("So it does where a revision that may have had the queue was followed by another before it was seen", t, func() {
+		f := newControllerFixture()
+		f.state.Queues = []*schema.QueuePlacement{{Queue: "l", Generation: 3, PreferredLeader: "a"}}
+		status := &schema.QueueStatus{Group: "l#3", Queue: "l", Leader: "a", Voters: []string{"a", "b", "c"}, LiveJobs: 1}
+		f.putQueues()
+		for range 400 {
+			f.sendUpdate(status)
+			f.tick()
+		}
+		f.putQueues("l")
+		f.putQueues()
+		status.LiveJobs = 0
+		f.sendUpdate(status)
+		f.tick()
+		So(f.placed(), ShouldBeEmpty)
+	})
 }
