Simulator: tenants, changes of keys, and faults while a tenant is at its limit

KeyScenarios change keys under load, beside a cut gateway and right before all storage nodes are killed; QuotaScenarios keep a tenant at its limit through a hot tenant, a moved limit and losses of leader, scheduler, workers and all storage nodes.

--- a/internal/deployments/deployments.go
+++ b/internal/deployments/deployments.go
@@ -38,6 +38,8 @@
 	CalledJobTypes []JobType
 	MaxAttempts    uint32
 	Bounds         *schema.Bounds
+
+	Tenants []Tenant // that may share the deployment; it is run with them only where that is asked for
 }
 
 // newStep is a step of tasks with resources in thousandths of a core and MB.
@@ -68,7 +70,7 @@
 			{"penalty", "penalties", 70, 1 / 3.0, "run_us=40000", []*schema.Step{newStep("terms", 3, 500, 256)}},
 			{"schedule", "schedules", 20, 6, "run_us=250000", []*schema.Step{newStep("load", 8, 1000, 1024), newStep("months", 48, 1000, 1024, "load"), newStep("print", 1, 1000, 2048, "months")}},
 		},
-		MaxAttempts: 4, Bounds: newBounds(10_000, 900, 1000, 250),
+		MaxAttempts: 4, Bounds: newBounds(10_000, 900, 1000, 250), Tenants: newTenants(11*64_000, 11*128_000),
 		// Half of the quotes have a second step, as have three in ten of the schedules.
 		CalledJobTypes: []JobType{
 			{"quote", "quotes", 80, 2 / 4.51, "quote", []*schema.Step{newCalledStep("rates", 14, 6000, 512, 380_000)}},
@@ -85,7 +87,7 @@
 			{"draft", "drafts", 80, 1, "run_us=40000", []*schema.Step{newStep("check", 3, 250, 128)}},
 			{"export", "exports", 10, 6, "run_us=300000", []*schema.Step{newStep("read", 6, 1000, 1024), newStep("rows", 36, 1000, 1024, "read"), newStep("pack", 1, 1000, 2048, "rows")}},
 		},
-		MaxAttempts: 4, Bounds: newBounds(6_000, 400, 2000, 600),
+		MaxAttempts: 4, Bounds: newBounds(6_000, 400, 2000, 600), Tenants: newTenants(11*16_000, 11*32_000),
 		CalledJobTypes: []JobType{
 			{"submission", "submissions", 60, 2 / 7.05, "submission", []*schema.Step{newCalledStep("parse", 14, 1500, 256, 240_000)}},
 			{"submissions", "submissions", 60, 2 / 7.05, "submissions", []*schema.Step{newCalledStep("parse", 14, 1500, 256, 240_000), newCalledStep("store", 14, 1500, 256, 240_000, "parse")}},
--- a/internal/sim/called_fleet.go
+++ b/internal/sim/called_fleet.go
@@ -57,6 +57,11 @@
 	return spec
 }
 
+// SharedDeploymentSpec is a deployment with called workers that is shared by its tenants.
+func SharedDeploymentSpec(d *deployments.Deployment) FleetSpec {
+	return sharedFleet(CalledDeploymentSpec(d), d.Tenants)
+}
+
 // addCalledWorkers puts a worker on each of the first agent nodes. The last two of the
 // small fleet are of the other pool.
 func (f *Fleet) addCalledWorkers() {
--- a/internal/sim/clients.go
+++ b/internal/sim/clients.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"net/http"
 
 	"google.golang.org/protobuf/proto"
 
@@ -31,6 +32,7 @@
 	CancelDelay eventloop.Micros // at least, from the acceptance; at most 300 ms more
 	StartDelay  eventloop.Micros // from the submission to the start, which is given as a wall time; 0: none
 	Attempts    uint32           // that the queue's row allows where a step says nothing
+	Tenant      string           // whose clients submit them; empty: drawn for each job, where there are tenants
 }
 
 // withAllowedFailures is the job with the failures that its queue's row allows.
@@ -49,8 +51,9 @@
 
 // submittedJob is a job as its client knows it.
 type submittedJob struct {
-	queue string
-	job   *schema.Job
+	queue  string
+	job    *schema.Job
+	tenant string // whose client it is; empty: nobody's
 }
 
 // GenerateLoad submits jobs of a kind until a moment.
@@ -77,30 +80,34 @@
 		kind.Job = proto.Clone(kind.Job).(*schema.Job)
 		kind.Job.StartUnixUs = wallZero + int64(s.Now+kind.StartDelay)
 	}
+	if kind.Tenant == "" {
+		kind.Tenant = s.tenants.draw()
+	}
 	s.submitInZone(kind, name, s.randomZone(), nil)
 }
 
 // submitInZone submits through a gateway of a zone, rather another than one whose
 // connection has just broken.
 func (s *Simulation) submitInZone(kind JobKind, name, zone string, broken *Host) {
-	s.submittedJobs[name] = submittedJob{kind.Queue, kind.Job}
-	s.Record(checker.Event{Kind: checker.Submit, Actor: "caller", Queue: kind.Queue, Name: name, Spec: kind.withAllowedFailures()})
+	s.submittedJobs[name] = submittedJob{kind.Queue, kind.Job, kind.Tenant}
+	keyHash := s.tenants.drawKeyHash(kind.Tenant)
+	s.Record(checker.Event{Kind: checker.Submit, Actor: "caller", Queue: kind.Queue, Name: name, Spec: kind.withAllowedFailures(), KeyHash: keyHash})
 	node, sentAt := s.pickGateway(zone), s.Now
 	if broken != nil && node == broken {
 		node = s.pickGateway("")
 	}
-	s.Request(node, clientTimeout, submitRequest(kind.Queue, "c-"+node.Name, name, kind.Job), func(answer any) {
+	s.Request(node, clientTimeout, submitWithKey(kind.Queue, "c-"+node.Name, keyHash, name, kind.Job), func(answer any) {
 		response := responseOf(answer)
 		isLost := isConfirmed(response) && s.drawAcknowledgementLoss()
 		if isLost {
 			response = gateway.Response{}
 		}
-		e := checker.Event{Kind: checker.SubmitReply, Actor: "caller", Queue: kind.Queue, Name: name, Code: response.Code, Gateway: node.Name, SentAt: sentAt}
+		e := checker.Event{Kind: checker.SubmitReply, Actor: "caller", Queue: kind.Queue, Name: name, Code: response.Code, Gateway: node.Name, SentAt: sentAt, KeyHash: keyHash}
 		view := &schema.JobView{}
 		if isLost {
 			e.State = checker.AcknowledgementLost
 		} else if response.Code < 300 && json.Unmarshal(response.Body, view) == nil {
-			e.State = view.State
+			e.State, e.Tenant = view.State, view.Tenant
 		}
 		s.Record(e)
 		switch {
@@ -129,23 +136,34 @@
 // askAboutJob sends a request about a job through any ready gateway and records the
 // response. Where nobody is to be called back, it is repeated until there is one.
 func (s *Simulation) askAboutJob(kind JobKind, request, name string, back func(code int32, view *schema.JobView)) {
-	node, sentAt := s.anyGateway(), s.Now
-	s.Request(node, clientTimeout, leaderRequest(gateway.LeaderRequest{Kind: request, Group: kind.Queue, Name: name}), func(answer any) {
+	s.askThrough(s.anyGateway(), kind.Queue, request, name, s.tenants.drawKeyHash(s.submittedJobs[name].tenant), func(code int32, view *schema.JobView) {
+		switch {
+		case back != nil:
+			back(code, view)
+		case code == 0 || code >= 500:
+			s.After(statusRetryDelay, func() { s.askAboutJob(kind, request, name, nil) })
+		}
+	})
+}
+
+// askThrough sends a request about a job through a gateway with the hash of a key, and
+// records the response.
+func (s *Simulation) askThrough(node *Host, queue, request, name, keyHash string, back func(code int32, view *schema.JobView)) {
+	sentAt := s.Now
+	s.Request(node, clientTimeout, leaderRequest(gateway.LeaderRequest{Kind: request, Group: queue, Name: name, KeyHash: keyHash}), func(answer any) {
 		response, view := responseOf(answer), &schema.JobView{}
 		if response.Code == 200 && json.Unmarshal(response.Body, view) != nil {
 			response.Code = 0
 		}
-		e := checker.Event{Kind: checker.Status, Actor: "caller", Queue: kind.Queue, Name: name, Code: response.Code, State: view.State, Gateway: node.Name, SentAt: sentAt}
+		e := checker.Event{
+			Kind: checker.Status, Actor: "caller", Queue: queue, Name: name, Code: response.Code, State: view.State, Gateway: node.Name, SentAt: sentAt,
+			KeyHash: keyHash, Tenant: view.Tenant,
+		}
 		if request == "cancel" {
 			e.Kind = checker.CancelReply
 		}
 		s.Record(e)
-		switch {
-		case back != nil:
-			back(response.Code, view)
-		case response.Code == 0 || response.Code >= 500:
-			s.After(statusRetryDelay, func() { s.askAboutJob(kind, request, name, nil) })
-		}
+		back(response.Code, view)
 	})
 }
 
@@ -166,7 +184,7 @@
 func (s *Simulation) cancelJob(kind JobKind, name string) {
 	s.Record(checker.Event{Kind: checker.CancelRequest, Actor: "caller", Queue: kind.Queue, Name: name})
 	s.askAboutJob(kind, "cancel", name, func(code int32, _ *schema.JobView) {
-		if code == 0 || code >= 500 {
+		if code == 0 || code >= 500 || code == http.StatusUnauthorized {
 			s.After(cancelRetryDelay, func() { s.cancelJob(kind, name) })
 		}
 	})
@@ -185,7 +203,7 @@
 			return
 		}
 		for _, view := range list.Jobs {
-			s.Record(checker.Event{Kind: checker.Status, Actor: "lister", Queue: queue, Name: view.Name, Code: 200, State: view.State, Gateway: node.Name, SentAt: sentAt})
+			s.Record(checker.Event{Kind: checker.Status, Actor: checker.Lister, Queue: queue, Name: view.Name, Code: 200, State: view.State, Gateway: node.Name, SentAt: sentAt})
 		}
 	})
 }
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -44,6 +44,9 @@
 	groupsAfterRemoval   []string           // replicas of a queue, soon after it was removed
 	groupsAfterRetention []string           // and when its ended jobs' retention is over
 	problems             []string
+	faultAt              eventloop.Micros     // when a tenant was at its limit
+	addedKeys            map[string]keyChange // by hash
+	revokedKeys          map[string]keyChange
 }
 
 // FleetSpec is how large a fleet is, and what its clients do.
@@ -59,7 +62,8 @@
 	AgentCPUShare     float64          // of a core; 0: steps take no time
 	JobKinds          []JobKind
 	ConfigurationRows func(urgency int) []*schema.ConfigurationRow
-	Bounds            *schema.Bounds // nil: the workers aren't called, they poll
+	Bounds            *schema.Bounds       // nil: the workers aren't called, they poll
+	Tenants           []deployments.Tenant // nil: calls carry no keys
 }
 
 // HasCalledWorkers reports whether the fleet's workers are called by agents.
@@ -115,6 +119,7 @@
 // on. The sync delay, in µs, counts where the spec has none.
 func NewFleet(seed uint64, spec FleetSpec, profile NetworkProfile, sync, duration eventloop.Micros) *Fleet {
 	f := &Fleet{Simulation: NewSimulation(seed, profile, cmp.Or(spec.SyncDelay, sync)), Spec: spec}
+	f.tenants = newTenantClients(seed, spec.Tenants)
 	f.addHosts()
 	if spec.HasCalledWorkers() {
 		f.addCalledWorkers()
@@ -173,9 +178,14 @@
 	f.ReadPeriodically(500*eventloop.Millisecond, f.LoadEnd+20*eventloop.Second)
 }
 
-// ConfigurationRows is the configuration of this fleet, with an urgency of the queue quick.
+// ConfigurationRows is the configuration of this fleet and of its tenants as they are now,
+// with an urgency of the queue quick.
 func (f *Fleet) ConfigurationRows(urgency int) []*schema.ConfigurationRow {
-	return f.Spec.ConfigurationRows(urgency)
+	rows := f.Spec.ConfigurationRows(urgency)
+	if f.tenants != nil {
+		rows = append(rows, deployments.TenantRows(f.tenants.configured)...)
+	}
+	return rows
 }
 
 // Finish runs the load to its end, lets the jobs end, and checks the history.
--- a/internal/sim/outage.go
+++ b/internal/sim/outage.go
@@ -130,7 +130,7 @@
 	p.submitted++
 	job := newJob("probe", &schema.Step{Name: "probe", Tasks: 1, CoresMilli: 100, MemoryMb: 16, EstimatedRunUs: int64(10 * eventloop.Millisecond)})
 	name, node := fmt.Sprintf("probe-%d", p.submitted), p.nextGateway()
-	f.submittedJobs[name] = submittedJob{"quick", job}
+	f.submittedJobs[name] = submittedJob{queue: "quick", job: job}
 	f.Request(node, submitProbeTimeout, submitRequest("quick", "probe-"+node.Name, name, job), func(answer any) {
 		if isConfirmed(responseOf(answer)) {
 			p.servedAt = append(p.servedAt, f.Now)
--- a/internal/sim/requests.go
+++ b/internal/sim/requests.go
@@ -47,11 +47,16 @@
 	return 3*eventloop.Millisecond + eventloop.Micros(s.Rng.Int64N(500))
 }
 
-// submitRequest submits a job.
+// submitRequest submits a job without a key.
 func submitRequest(queue, client, name string, job *schema.Job) newRequest {
+	return submitWithKey(queue, client, "", name, job)
+}
+
+// submitWithKey submits a job with the hash of a key.
+func submitWithKey(queue, client, keyHash, name string, job *schema.Job) newRequest {
 	return func(id uint64, deadline eventloop.Micros) any {
 		return gateway.SubmitJob{
-			RequestID: id, Queue: queue, Client: client, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline,
+			RequestID: id, Queue: queue, Client: client, KeyHash: keyHash, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline,
 		}
 	}
 }
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -39,6 +39,9 @@
 	if !spec.HasCalledWorkers() {
 		return slices.Concat(Scenarios, DiskScenarios)
 	}
+	if len(spec.Tenants) > 0 {
+		return slices.Concat(KeyScenarios, QuotaScenarios)
+	}
 	list := slices.DeleteFunc(slices.Clone(Scenarios), func(s Scenario) bool { return s.Name == everyAgentNodeGone })
 	return slices.Concat(list, CalledScenarios, DiskScenarios)
 }
--- /dev/null
+++ b/internal/sim/scenarios_keys.go
@@ -0,0 +1,164 @@
+package sim
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+
+	"sparnotch/internal/checker"
+	"sparnotch/internal/clusterstate"
+	"sparnotch/internal/deployments"
+	"sparnotch/internal/eventloop"
+	"sparnotch/internal/schema"
+)
+
+const (
+	keysChangeAt     = 5 * eventloop.Second // after the load's start keys are added or taken away
+	revokedKeyUse    = 5 * eventloop.Second // how long clients use a key after it was taken away
+	keyProbeInterval = 200 * eventloop.Millisecond
+)
+
+// keyChange is when a change of a key was acknowledged, and whose it is.
+type keyChange struct {
+	tenant string
+	at     eventloop.Micros
+}
+
+// SmallKeyedFleet is the small fleet with called workers, shared by tenants without limits.
+var SmallKeyedFleet = keyedFleet(SmallCalledFleet)
+
+func keyedFleet(spec FleetSpec) FleetSpec {
+	tenant := func(name string, share float64) deployments.Tenant {
+		return deployments.Tenant{Name: name, WeightMilli: 1000, Keys: deployments.NewKeys(name, 2), CallShare: share}
+	}
+	spec.Name, spec.Tenants = spec.Name+"-keyed", []deployments.Tenant{tenant("large-1", 6), tenant("large-2", 4), tenant("small-1", 1), tenant("small-2", 1)}
+	return spec
+}
+
+// KeyScenarios are changes of keys that the small keyed fleet is put through, while calls
+// come that no key allows.
+var KeyScenarios = []Scenario{
+	keyScenario("keys revoked of connected clients", 15*eventloop.Second, (*Fleet).revokeKeys, verifyRevoked),
+	keyScenario("keys added and used at once", 15*eventloop.Second, (*Fleet).addKeys, verifyAddedKeys),
+	keyScenario("keys revoked while a gateway is cut off", 20*eventloop.Second, func(f *Fleet) {
+		f.useThroughPartitioned(f.disklessGateways[0], 8*eventloop.Second, "large-1", f.tenants.tenant("large-1").Keys[0])
+		f.After(eventloop.Second, f.revokeKeys)
+	}, verifyRevoked),
+	keyScenario("keys added while a gateway is cut off", 20*eventloop.Second, func(f *Fleet) {
+		f.useThroughPartitioned(f.disklessGateways[0], 6*eventloop.Second, "large-2", "large-2-added")
+		f.After(eventloop.Second, f.addKeys)
+	}, verifyAddedKeys),
+	keyScenario("keys revoked and added, all storage nodes killed right after", 25*eventloop.Second, func(f *Fleet) {
+		f.afterAcknowledgedChange(func() { f.powerCycleStorageNodes(800 * eventloop.Millisecond) })
+		f.revokeKeys()
+		f.addKeys()
+	}, func(f *Fleet) []string { return slices.Concat(verifyRevoked(f), verifyAddedKeys(f)) }),
+}
+
+// keyScenario is a change of keys during the load.
+func keyScenario(name string, duration eventloop.Micros, change func(f *Fleet), verify func(f *Fleet) []string) Scenario {
+	return Scenario{Name: name, Network: ReliableNetwork, SyncDelay: fastSync, Duration: duration, Inject: func(f *Fleet) {
+		f.atLoad(0, func() { f.intrudePeriodically(f.LoadEnd) })
+		f.atLoad(keysChangeAt, func() { change(f) })
+	}, Verify: verify}
+}
+
+// revokeKeys takes a key of two tenants away, whose clients go on using it for a while.
+func (f *Fleet) revokeKeys() {
+	f.revokedKeys = map[string]keyChange{}
+	for k, name := range []string{"large-1", "small-2"} {
+		f.After(eventloop.Micros(k)*1500*eventloop.Millisecond, func() { f.revokeKey(name) })
+	}
+}
+
+func (f *Fleet) revokeKey(name string) {
+	revoked := f.tenants.tenant(name).Keys[0]
+	f.changeTenant(name, func(tenant *deployments.Tenant) { tenant.Keys = slices.Clone(tenant.Keys[1:]) }, func() {
+		f.revokedKeys[clusterstate.HashKey(revoked)] = keyChange{name, f.Now}
+		f.After(revokedKeyUse, func() { f.tenants.stopUsing(name, revoked) })
+	})
+}
+
+// addKeys gives two tenants a key each, which their clients use as soon as that is
+// acknowledged.
+func (f *Fleet) addKeys() {
+	f.addedKeys = map[string]keyChange{}
+	for k, name := range []string{"large-2", "small-1"} {
+		f.After(eventloop.Micros(k)*3*eventloop.Second, func() { f.addKey(name) })
+	}
+}
+
+func (f *Fleet) addKey(name string) {
+	added := name + "-added"
+	f.changeTenant(name, func(tenant *deployments.Tenant) { tenant.Keys = append(slices.Clone(tenant.Keys), added) }, func() {
+		f.addedKeys[clusterstate.HashKey(added)] = keyChange{name, f.Now}
+		f.tenants.keysInUse[name] = []string{added}
+	})
+}
+
+// useThroughPartitioned cuts a gateway off for a while, and asks through it about a tenant's
+// job with one of its keys, meanwhile and for as long afterwards.
+func (f *Fleet) useThroughPartitioned(node *Host, duration eventloop.Micros, tenant, key string) {
+	f.isolate(node, duration)
+	until := f.Now + 2*duration
+	var probe func()
+	probe = func() {
+		if f.Now >= until {
+			return
+		}
+		if name := f.lastAcceptedJobOf(tenant); name != "" {
+			f.askThrough(node, f.submittedJobs[name].queue, "status", name, clusterstate.HashKey(key), func(int32, *schema.JobView) {})
+		}
+		f.After(keyProbeInterval, probe)
+	}
+	probe()
+}
+
+// afterAcknowledgedChange strikes right after the next change of the configuration is
+// acknowledged.
+func (f *Fleet) afterAcknowledgedChange(strike func()) {
+	f.observers = append(f.observers, func(e checker.Event) bool {
+		if e.Kind != checker.ConfigurationReply || e.Code != 200 {
+			return false
+		}
+		f.afterMoment(strike)
+		return true
+	})
+}
+
+// verifyRevoked: calls with the keys were refused once these were taken away.
+func verifyRevoked(f *Fleet) []string {
+	var problems []string
+	refused := map[string]int{}
+	for _, e := range f.History {
+		if _, isRevoked := f.revokedKeys[e.KeyHash]; isRevoked && e.Code == http.StatusUnauthorized {
+			refused[e.KeyHash]++
+		}
+	}
+	if len(refused) < 2 {
+		problems = append(problems, fmt.Sprintf("of 2 keys that were taken away only %d were refused", len(refused)))
+	}
+	return problems
+}
+
+// verifyAddedKeys: no call with a key is refused that was sent once its configuration had
+// been acknowledged, and calls with each key are served.
+func verifyAddedKeys(f *Fleet) []string {
+	var problems []string
+	served := map[string]int{}
+	for _, e := range f.History {
+		added, isAdded := f.addedKeys[e.KeyHash]
+		isOwnJob := f.submittedJobs[e.Name].tenant == added.tenant
+		switch {
+		case !isAdded || e.SentAt < added.at:
+		case e.Code == http.StatusUnauthorized || e.Code == http.StatusForbidden && isOwnJob:
+			problems = append(problems, fmt.Sprintf("%s: %s refuses a key with %d that was acknowledged %d us before", e.Name, e.Gateway, e.Code, e.SentAt-added.at))
+		case e.Code > 0 && e.Code < 300:
+			served[e.KeyHash]++
+		}
+	}
+	if len(served) < 2 {
+		problems = append(problems, fmt.Sprintf("of 2 keys that were added only %d were served", len(served)))
+	}
+	return problems
+}
--- a/internal/sim/simulation.go
+++ b/internal/sim/simulation.go
@@ -51,6 +51,7 @@
 	observers    []eventObserver // in the order in which they were added
 
 	submittedJobs           map[string]submittedJob // by name
+	tenants                 *tenantClients          // nil: the deployment isn't shared
 	acknowledgementLossRate float64                 // on their way to clients
 
 	calledWorkers map[string]*CalledWorker // by the name of their machine
