--- a/internal/sim/scenarios_quota.go
+++ b/internal/sim/scenarios_quota.go
@@ -18,6 +18,7 @@
 
 	fullTenantCores = 6000
 	fillTaskCores   = 1000
+	firstFillJobs   = 4
 	hotFactor       = 20
 
 	fullFrom       = 5 * eventloop.Second // after the load's start the full tenant is at its limit
@@ -75,12 +76,17 @@
 	}, Verify: verify}
 }
 
-// fillTenant submits half as much again for the full tenant as it may run.
+// fillTenant submits half as much again for the full tenant as it may run, and at first as
+// much as it may run until the fault.
 func (f *Fleet) fillTenant() {
-	f.GenerateLoad(JobKind{
+	kind := JobKind{
 		Name: "fill", Queue: "slow", Tenant: fullTenant, Interval: eventloop.Second, Attempts: 4,
 		Job: newJob("fill", newTimedStep("fill", 6, fillTaskCores, 1500*eventloop.Millisecond)),
-	}, f.LoadEnd-fillUntilEnd)
+	}
+	for k := range firstFillJobs {
+		f.Submit(kind, fmt.Sprint("first-fill-", k))
+	}
+	f.GenerateLoad(kind, f.LoadEnd-fillUntilEnd)
 }
 
 // heatTenant has a tenant submit many times its usual for a while.
@@ -206,7 +212,7 @@
 
 // verifyFull: the tenant was at its limit when the fault struck.
 func verifyFull(f *Fleet) []string {
-	if cores := f.fillCores(f.LoadStart, f.faultAt); cores < fullTenantCores-fillTaskCores {
+	if cores := f.fillCores(f.faultAt-eventloop.Second, f.faultAt); cores < fullTenantCores-fillTaskCores {
 		return []string{fmt.Sprintf("only %d milli cores of the full tenant ran at the fault", cores)}
 	}
 	return nil
