--- a/internal/modelcheck/workerpath/search.go
+++ b/internal/modelcheck/workerpath/search.go
@@ -18,6 +18,8 @@
 	Prefix []Step
 	// Tenants are those with a limit; nil: the jobs are nobody's.
 	Tenants []clusterstate.Tenant
+	// LaterQueue is created during the schedule, and may be removed; empty: all exist from the start.
+	LaterQueue string
 }
 
 // Finding is a broken invariant, and the schedule that breaks it.
@@ -127,7 +129,7 @@
 }
 
 // stepWeights are how often steps are drawn in relation to each other.
-var stepWeights = map[string]int{"deliver": 200, "commit": 200, "lose": 10, "repeat": 6, "time": 40, "pass": 60, "elect": 6, "move": 8, "crash": 2, "restart": 4}
+var stepWeights = map[string]int{"deliver": 200, "commit": 200, "lose": 10, "repeat": 6, "time": 40, "pass": 60, "elect": 6, "move": 8, "crash": 2, "restart": 4, "create": 20, "remove": 4}
 
 // recentItems are the newest in flight. What isn't among them arrives late, and seldom.
 const (
--- a/internal/modelcheck/workerpath/steps.go
+++ b/internal/modelcheck/workerpath/steps.go
@@ -17,6 +17,7 @@
 //	time out M N                  the client of a machine gives up the call of a number
 //	commit Q                      the oldest proposal of a queue is committed
 //	elect Q                       the other node comes to lead a queue
+//	create Q ID, remove Q         a queue is created, led by a node; is removed while its jobs go on
 //	move ID                       the leases of all workers go to a node
 //	crash M                       a worker crashes and starts anew
 //	restart M                     a machine's agent is restarted, where tenants have limits
@@ -55,7 +56,7 @@
 		}
 	}
 	for _, q := range w.queues {
-		add("elect %s", q.name)
+		w.addQueueSteps(q, add)
 	}
 	for _, n := range w.nodes {
 		if w.state.WorkerLeases[0].Scheduler != n.id {
@@ -68,6 +69,19 @@
 	return steps
 }
 
+func (w *World) addQueueSteps(q *raftQueue, add func(format string, args ...any)) {
+	if q.isCreated {
+		add("elect %s", q.name)
+	} else {
+		for _, n := range w.nodes {
+			add("create %s %s", q.name, n.id)
+		}
+	}
+	if q.isCreated && !q.isRemoved && q.name == w.laterQueue {
+		add("remove %s", q.name)
+	}
+}
+
 // Execute takes a step. One that isn't possible changes nothing, so that a schedule from
 // which steps were left out still means something.
 func (w *World) Execute(step Step) {
@@ -82,7 +96,11 @@
 			w.commit(q)
 		}
 	case "elect":
-		w.elect(w.queue(words[1]))
+		if q := w.queue(words[1]); q.isCreated {
+			w.elect(q)
+		}
+	case "create", "remove":
+		w.executeQueueStep(words[0], w.queue(words[1]), words[2:])
 	case "move":
 		w.moveLeases(w.node(words[1]))
 	case "crash":
@@ -100,11 +118,23 @@
 	}
 }
 
+func (w *World) executeQueueStep(action string, q *raftQueue, leader []string) {
+	switch {
+	case action == "create" && !q.isCreated:
+		w.create(q, w.node(leader[0]))
+	case action == "remove" && q.isCreated && !q.isRemoved:
+		w.removeQueue(q)
+	}
+}
+
 // settle has the controller bring the leads of all queues and the leases to one node.
 func (w *World) settle() {
 	leader := w.queues[0].leader
 	for _, q := range w.queues {
-		if q.leader != leader {
+		switch {
+		case !q.isCreated:
+			w.create(q, leader)
+		case q.leader != leader:
 			w.elect(q)
 		}
 	}
@@ -146,6 +176,9 @@
 // cancel commits a client's cancel through the present leader.
 func (w *World) cancel(name string) {
 	q := w.queue(w.observer.jobs[name].queueName())
+	if !q.isCreated {
+		return
+	}
 	q.proposals = append(q.proposals, proposal{
 		q.leader, q.term, &schema.QueueCommand{Body: &schema.QueueCommand_Cancel{Cancel: &schema.Cancel{Name: name}}}, nil,
 	})
--- a/internal/modelcheck/workerpath/tenants.go
+++ b/internal/modelcheck/workerpath/tenants.go
@@ -23,7 +23,9 @@
 func (s *Scenario) rows() []*schema.ConfigurationRow {
 	var rows []*schema.ConfigurationRow
 	for _, name := range s.queueNames() {
-		rows = append(rows, &schema.ConfigurationRow{Kind: "queue", Name: name, Key: "urgency", Value: "5"})
+		if name != s.LaterQueue {
+			rows = append(rows, queueRow(name))
+		}
 	}
 	for _, tenant := range s.Tenants {
 		rows = append(rows, limitRows(tenant.Name, tenant.Max)...)
@@ -31,6 +33,20 @@
 	return rows
 }
 
+func queueRow(name string) *schema.ConfigurationRow {
+	return &schema.ConfigurationRow{Kind: "queue", Name: name, Key: "urgency", Value: "5"}
+}
+
+// jobsOf lists the jobs of a queue.
+func (s *Scenario) jobsOf(queue string) (jobs []jobSpec) {
+	for _, job := range s.Jobs {
+		if job.queueName() == queue {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
 func limitRows(tenant string, limit clusterstate.Resources) []*schema.ConfigurationRow {
 	row := func(key string, value int64) *schema.ConfigurationRow {
 		return &schema.ConfigurationRow{Kind: "tenant", Name: tenant, Key: key, Value: fmt.Sprint(value)}
--- a/internal/modelcheck/workerpath/tenants_test.go
+++ b/internal/modelcheck/workerpath/tenants_test.go
@@ -36,6 +36,25 @@
 	{Name: "tenants: a worker is lost and an agent restarted", Jobs: tenantJobs, Prefix: []Step{"calm 700ms", "crash m1", "restart m2"}, Tenants: limitedTenants},
 }
 
+// queueScenarios have a queue that is created and removed on the way.
+var queueScenarios = []Scenario{
+	{Name: "tenants: a queue is created", Jobs: tenantJobs, Prefix: []Step{"calm 300ms"}, Tenants: limitedTenants, LaterQueue: "m"},
+	{Name: "tenants: a queue is removed", Jobs: tenantJobs, Prefix: []Step{"create m a", "calm 500ms", "remove m"}, Tenants: limitedTenants, LaterQueue: "m"},
+}
+
+// Ends of tasks whose queue was removed were taken note of by a node that doesn't lead it, and
+// the queue never learned of them.
+func TestEndsOfARemovedQueueReachIt(t *testing.T) {
+	s := queueScenarios[1]
+	w := s.play([]Step{"move b", "elect l", "calm 800ms", settle})
+	if w.observer.violation != "" || w.unsettled() != "" {
+		t.Fatal(w.observer.violation, w.unsettled())
+	}
+}
+
+// While queues came and went a node that didn't know all that ran placed more.
+func TestWalksOfTenantsWhoseQueuesComeAndGo(t *testing.T) { walkAll(t, queueScenarios) }
+
 // What ran of a tenant on all workers was more than its limit.
 func TestWalksOfTenants(t *testing.T) { walkAll(t, tenantScenarios) }
 
--- a/internal/modelcheck/workerpath/world.go
+++ b/internal/modelcheck/workerpath/world.go
@@ -69,6 +69,9 @@
 	leader    *node
 	term      uint64
 	proposals []proposal
+	isCreated bool      // its group exists
+	isRemoved bool      // the configuration names it no longer
+	jobs      []jobSpec // that are submitted when it is created
 }
 
 func (q *raftQueue) group() string { return q.name + "#1" }
@@ -86,46 +89,48 @@
 	inFlight []*item
 	lastItem int
 
-	hasTenants bool // the environment does also what only matters to limits of tenants
+	laterQueue string // of the scenario
+	hasTenants bool   // the environment does also what only matters to limits of tenants
 	observer   *observer
 }
 
 // newWorld has both workers known to the first node, which leads the queues and holds their
 // leases, and the scenario's jobs submitted.
 func newWorld(scenario *Scenario) *World {
-	w := &World{now: firstMoment, committedAt: map[uint64]eventloop.Micros{}, hasTenants: len(scenario.Tenants) > 0}
+	w := &World{now: firstMoment, committedAt: map[uint64]eventloop.Micros{}, hasTenants: len(scenario.Tenants) > 0, laterQueue: scenario.LaterQueue}
 	w.observer = newObserver(w, scenario)
 	for _, id := range []string{"a", "b"} {
 		w.nodes = append(w.nodes, &node{id: id, scheduler: scheduler.New(id).WithBounds(bounds)})
 	}
 	for _, name := range scenario.queueNames() {
-		w.queues = append(w.queues, &raftQueue{name: name, machine: queue.New(name), leader: w.nodes[0], term: 1})
+		w.queues = append(w.queues, &raftQueue{name: name, machine: queue.New(name), leader: w.nodes[0], term: 1, isCreated: name != scenario.LaterQueue, jobs: scenario.jobsOf(name)})
 	}
 	w.addMachines()
 	w.state = &schema.ClusterState{Version: 1, Configuration: &schema.Configuration{Rows: scenario.rows()}, NextToken: 10}
 	for _, q := range w.queues {
-		w.state.Queues = append(w.state.Queues, &schema.QueuePlacement{Queue: q.name, Generation: 1, PreferredLeader: "a"})
+		if q.isCreated {
+			w.state.Queues = append(w.state.Queues, &schema.QueuePlacement{Queue: q.name, Generation: 1, PreferredLeader: "a"})
+		}
 	}
 	for _, m := range w.machines {
 		w.addLease(m.workerID(), "a")
 	}
 	w.committedAt[w.state.Version] = w.now
 	w.publishState()
-	w.submit(scenario.Jobs)
 	for _, q := range w.queues {
-		w.sendSnapshot(q)
+		if q.isCreated {
+			w.submitJobs(q)
+			w.sendSnapshot(q)
+		}
 	}
 	w.pass(tickTime)
 	return w
 }
 
-// submit commits the enqueue of jobs, which a client of each queue numbers.
-func (w *World) submit(jobs []jobSpec) {
-	numbers := map[string]uint64{}
-	for k := range jobs {
-		name := jobs[k].queueName()
-		numbers[name]++
-		w.apply(w.queue(name), jobs[k].enqueue(numbers[name]))
+// submitJobs commits the enqueue of a queue's jobs.
+func (w *World) submitJobs(q *raftQueue) {
+	for k := range q.jobs {
+		w.apply(q, q.jobs[k].enqueue(uint64(k+1)))
 	}
 }
 
@@ -234,7 +239,7 @@
 	for _, n := range w.nodes {
 		status := replica.LeadershipStatus{Terms: map[string]uint64{}, IsClusterStateFresh: w.isFresh(n), At: w.now}
 		for _, q := range w.queues {
-			if n == q.leader {
+			if n == q.leader && q.isCreated {
 				status.Terms[q.group()] = q.term
 			}
 		}
@@ -321,6 +326,27 @@
 	w.send(stateItem, "", m.name, &schema.ClusterStateResponse{State: w.state, Version: w.state.Version, Leaders: map[string]string{}})
 }
 
+// create adds a queue to the configuration and the cluster state, and has a node lead it.
+func (w *World) create(q *raftQueue, leader *node) {
+	q.isCreated, q.leader = true, leader
+	w.changeState(func() {
+		w.state.Configuration.Rows = append(w.state.Configuration.Rows, queueRow(q.name))
+		w.state.Queues = append(w.state.Queues, &schema.QueuePlacement{Queue: q.name, Generation: 1, PreferredLeader: leader.id})
+	})
+	w.submitJobs(q)
+	w.sendSnapshot(q)
+}
+
+// removeQueue takes a queue out of the configuration. Its jobs go on.
+func (w *World) removeQueue(q *raftQueue) {
+	q.isRemoved = true
+	w.changeState(func() {
+		w.state.Configuration.Rows = slices.DeleteFunc(w.state.Configuration.Rows, func(row *schema.ConfigurationRow) bool {
+			return row.Kind == "queue" && row.Name == q.name
+		})
+	})
+}
+
 func (w *World) queue(name string) *raftQueue {
 	return w.queues[slices.IndexFunc(w.queues, func(q *raftQueue) bool { return q.name == name })]
 }
