Raft: a leader gives its lease up when it tells another to campaign

What could be seen: two nodes holding a group's leader lease for 260 ms while a leader that was cut off handed over. Cause: votes for a transfer don't wait for the lease, and HoldsLeaderLease didn't look at the transfer. Change: from TimeoutNow on, until the transfer has failed, the lease isn't held.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -63,7 +63,7 @@
 	g.peers = nil
 	g.roundSentAt = nil
 	g.pendingReads = nil
-	g.transferee = ""
+	g.transferee, g.hasSentTimeoutNow = "", false
 	g.resetElectionDeadline(now)
 }
 
--- a/internal/raft/heartbeat.go
+++ b/internal/raft/heartbeat.go
@@ -19,11 +19,12 @@
 }
 
 // HoldsLeaderLease tells whether this leader may act outside the group: it has applied
-// its no-op, and a quorum acknowledged a round sent within the lease. A process that
+// its no-op, and a quorum acknowledged a round sent within the lease. It gives the lease
+// up when it tells another to campaign, whose votes don't wait for the lease. A process that
 // was suspended finds its lease expired when it resumes, before it learns of its
 // successor.
 func (g *Group) HoldsLeaderLease(now eventloop.Micros) bool {
-	return g.role == leader && g.commit >= g.noOpIndex && now-g.quorumRoundSentAt <= g.timeouts.leaderLease()
+	return g.role == leader && !g.hasSentTimeoutNow && g.commit >= g.noOpIndex && now-g.quorumRoundSentAt <= g.timeouts.leaderLease()
 }
 
 // FreshAsOf is a time at which this replica's applied state held all that was
--- a/internal/raft/leadership_transfer.go
+++ b/internal/raft/leadership_transfer.go
@@ -15,7 +15,7 @@
 	if g.role != leader || to == g.self || !g.isVoter(to) || g.transferee != "" {
 		return
 	}
-	g.transferee, g.transferDeadline = to, now+g.timeouts.ElectionMin
+	g.transferee, g.transferDeadline, g.hasSentTimeoutNow = to, now+g.timeouts.ElectionMin, false
 	g.trySendTimeoutNow()
 }
 
@@ -25,12 +25,13 @@
 
 func (g *Group) expireTransfer(now eventloop.Micros) {
 	if g.transferee != "" && now > g.transferDeadline {
-		g.transferee = ""
+		g.transferee, g.hasSentTimeoutNow = "", false
 	}
 }
 
 func (g *Group) trySendTimeoutNow() {
 	if p := g.peers[g.transferee]; g.transferee != "" && p != nil && p.match == g.LastIndex() {
+		g.hasSentTimeoutNow = true
 		g.send(g.transferee, &schema.TimeoutNow{Group: g.name, Term: g.term})
 	}
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -147,6 +147,7 @@
 	nextHeartbeat     eventloop.Micros
 	pendingReads      []readRequest
 	transferee        string // target of the leadership transfer in progress
+	hasSentTimeoutNow bool   // to the transferee, which may lead from then on
 	transferDeadline  eventloop.Micros
 	lastChunkedSend   uint64 // chunked sends begun so far
 
