Scheduler: runs and ends of removed queues aren't taken for nobody's

What callers would have seen: a finished task that runs again, or a job that never completes, after its queue left the configuration. Cause: a node that led all configured queues took ends of a queue that the configuration no longer has for nobody's and acknowledged them, though the queue goes on under another leader. Found by the model checker: create m a, calm 500ms, remove m, move b, elect l. Change: leadsAllQueues asks for every queue of the cluster state. Result: TestEndsOfARemovedQueueReachIt passes that failed before.

--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -25,16 +25,13 @@
 	return s.isClusterStateCurrent(now) && s.leadership.Terms[q.raftGroup] == q.term
 }
 
-// leadsAllQueues reports whether this node may act for every queue that the
-// configuration names and the cluster state knows.
+// leadsAllQueues reports whether this node may act for every queue of the cluster state,
+// also those that the configuration no longer has: their jobs go on.
 func (s *Scheduler) leadsAllQueues(now eventloop.Micros) bool {
 	if s.clusterState.Version == 0 || !s.isClusterStateCurrent(now) {
 		return false
 	}
 	for _, place := range s.clusterState.Queues {
-		if !s.config.HasQueue(place.Queue) {
-			continue
-		}
 		if q := s.queues[place.Queue]; q == nil || !s.mayActFor(now, q) {
 			return false
 		}
