Cluster state: the limits of removed tenants are kept for their jobs

What callers would have seen: jobs of a tenant that a configuration has removed run without a limit after a change of leader. Cause: the limit was remembered by the scheduler that had seen it, in memory.

--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -136,6 +136,7 @@
 func WithoutDocument(configuration *schema.Configuration) *schema.Configuration {
 	return &schema.Configuration{
 		Revision: configuration.GetRevision(), Rows: configuration.GetRows(), Version: configuration.GetVersion(),
+		FormerTenants: configuration.GetFormerTenants(),
 	}
 }
 
--- a/internal/clusterstate/replace.go
+++ b/internal/clusterstate/replace.go
@@ -173,6 +173,7 @@
 	m.state.PreviousConfigurations = trimHistory(append(m.state.PreviousConfigurations, WithoutDocument(previous)))
 	m.state.Configuration = &schema.Configuration{
 		Revision: previous.Revision + 1, Rows: update.Rows, Version: version, Document: document,
+		FormerTenants: formerTenants(previous, update.Rows),
 	}
 	m.state.AcceptedVersions = append(m.state.AcceptedVersions, accepted)
 	if len(m.state.AcceptedVersions) > maxRememberedUpdates {
--- a/internal/clusterstate/tenants.go
+++ b/internal/clusterstate/tenants.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"sparnotch/internal/schema"
@@ -65,8 +66,12 @@
 // Tenants returns the names of the configured tenants, sorted.
 func (v *Values) Tenants() []string { return slices.Sorted(maps.Keys(v.tenants)) }
 
-// HasTenants reports whether any tenant is configured.
-func (v *Values) HasTenants() bool { return len(v.tenants) > 0 }
+// HasTenants reports whether any tenant is or was configured.
+func (v *Values) HasTenants() bool { return len(v.tenants)+len(v.formerLimits) > 0 }
+
+// FormerTenant returns the limit of a tenant that isn't configured any more but was, nil if it
+// isn't known; not to be changed. It has no keys, and the lowest weight.
+func (v *Values) FormerTenant(name string) *Tenant { return v.formerLimits[name] }
 
 // Tenant returns what is configured of a tenant, nil if nothing is; not to be changed.
 func (v *Values) Tenant(name string) *Tenant { return v.tenants[name] }
@@ -82,3 +87,52 @@
 
 // IsPublic reports whether the calls for a queue need no key.
 func (v *Values) IsPublic(queue string) bool { return v.Number("queue", queue, "public") != 0 }
+
+// maxFormerTenants is how many removed tenants' limits are kept, the latest.
+const maxFormerTenants = 256
+
+// limitKeys are the keys of a tenant's rows that are kept when it is removed.
+var limitKeys = []string{"max_cores_milli", "max_memory_mb", "max_accelerators"}
+
+// formerTenants returns the limits of the tenants that a configuration or those before it had,
+// and that the next one's rows don't have, oldest first.
+func formerTenants(previous *schema.Configuration, next []*schema.ConfigurationRow) []*schema.ConfigurationRow {
+	isConfigured := map[string]bool{}
+	for _, row := range next {
+		if row.Kind == "tenant" {
+			isConfigured[row.Name] = true
+		}
+	}
+	var kept []*schema.ConfigurationRow
+	for _, rows := range [][]*schema.ConfigurationRow{previous.GetFormerTenants(), previous.GetRows()} {
+		for _, row := range rows {
+			if row.Kind == "tenant" && !isConfigured[row.Name] && slices.Contains(limitKeys, row.Key) {
+				kept = append(kept, row)
+			}
+		}
+	}
+	return kept[max(0, len(kept)-maxFormerTenants*len(limitKeys)):]
+}
+
+func (v *Values) parseFormerTenants(rows []*schema.ConfigurationRow) {
+	v.formerLimits = map[string]*Tenant{}
+	for _, row := range rows {
+		value, err := strconv.ParseInt(row.Value, 10, 64)
+		if err != nil {
+			continue
+		}
+		tenant := v.formerLimits[row.Name]
+		if tenant == nil {
+			tenant = &Tenant{Name: row.Name, WeightMilli: 1}
+			v.formerLimits[row.Name] = tenant
+		}
+		switch row.Key {
+		case "max_cores_milli":
+			tenant.Max.CoresMilli = value
+		case "max_memory_mb":
+			tenant.Max.MemoryMB = value
+		case "max_accelerators":
+			tenant.Max.Accelerators = value
+		}
+	}
+}
--- a/internal/clusterstate/values.go
+++ b/internal/clusterstate/values.go
@@ -19,8 +19,9 @@
 	queueNames   []string           // sorted
 	routesByHost map[string][]route // the longest prefix first
 	tenants      map[string]*Tenant
-	tenantByKey  map[string]string // by the hash of the key
-	revision     uint64            // of the configuration; 0: unknown
+	formerLimits map[string]*Tenant // of tenants that aren't configured any more
+	tenantByKey  map[string]string  // by the hash of the key
+	revision     uint64             // of the configuration; 0: unknown
 }
 
 // ParseValues parses a configuration; nil gives the defaults. Number keys whose value isn't a
@@ -44,6 +45,7 @@
 	}
 	sort.Strings(v.queueNames)
 	v.parseTenants(configuration.GetRows())
+	v.parseFormerTenants(configuration.GetFormerTenants())
 	v.routesByHost = newRouteSet(configuration.GetRows()).byHost()
 	return v
 }
