Scheduler: what a review of tenants' limits found

Six faults, each with its test that failed before: - checkouts that were given up were placed again whatever the limit was by then, and blocked their step (TestLostCheckouts...). Besides, knowsAllRuns changes nothing any more, what a tenant waits for doesn't depend on the order of a map, and the file is split by concern: use, claims, shares.

--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -165,7 +165,7 @@
 	case TaskEnded:
 		h.handleTaskEnd(now, "", body.End, effects)
 	case Propose:
-		h.handlePropose(now, body)
+		h.handlePropose(now, body, effects)
 	case ResyncQueue:
 		h.handleResyncQueue(body)
 	case *schema.ChangeMembers:
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -27,14 +27,22 @@
 	Reason string
 }
 
-// Propose is a command of this node's scheduler for a queue. It is dropped if the term
-// has changed since.
+// Propose is a command of this node's scheduler for a queue. One that isn't added to the log
+// is answered with ProposalDropped, unless the term has changed since. One that is added is
+// applied in this term, or the term ends.
 type Propose struct {
 	Group   string
 	Term    uint64
 	Command *schema.QueueCommand
 }
 
+// ProposalDropped reports that a command of the scheduler wasn't added to its queue's log.
+type ProposalDropped struct {
+	Queue   string
+	Term    uint64
+	Command *schema.QueueCommand
+}
+
 // TaskEvents report to the scheduler what a queue's commands changed. A snapshot lists
 // all tasks that concern the scheduler and replaces what it knew of the queue.
 type TaskEvents struct {
--- a/internal/replica/submissions.go
+++ b/internal/replica/submissions.go
@@ -111,12 +111,15 @@
 
 // handlePropose proposes a command of this node's scheduler. One that acts for an older
 // term may have decided on stale tasks.
-func (h *Host) handlePropose(now eventloop.Micros, m Propose) {
+func (h *Host) handlePropose(now eventloop.Micros, m Propose, effects eventloop.Effects) {
 	r := h.groups[m.Group]
-	if r == nil || r.queue == nil || r.group.Term() != m.Term || !r.group.HoldsLeaderLease(now) || h.isBacklogFull(r) {
+	if r == nil || r.queue == nil || r.group.Term() != m.Term {
 		return
 	}
-	h.proposeQueue(now, r, m.Command)
+	if r.group.HoldsLeaderLease(now) && !h.isBacklogFull(r) && h.proposeQueue(now, r, m.Command) > 0 {
+		return
+	}
+	effects.Notify("scheduler", ProposalDropped{Queue: r.queueName, Term: m.Term, Command: m.Command})
 }
 
 // handleTaskEnd proposes a worker's report; from is empty if the scheduler of this node
--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -46,6 +46,24 @@
 	}
 }
 
+// releaseDropped makes the tasks of a checkout available again that wasn't added to the log.
+func (s *Scheduler) releaseDropped(m replica.ProposalDropped) {
+	q := s.queues[m.Queue]
+	if q == nil || q.term != m.Term {
+		return
+	}
+	for _, placement := range m.Command.GetCheckout().GetPlacements() {
+		key := taskKey{q.name, placement.Key.GetJob(), placement.Key.GetStep(), placement.Key.GetTask()}
+		t := q.reserved[key]
+		if t == nil || t.reservedWorker != placement.Worker {
+			continue
+		}
+		s.unreserve(q, t)
+		q.addReady(t)
+		s.needsPass = true
+	}
+}
+
 // keepOpenCheckout notes that the checkout of a ready task was given up, but may yet be
 // committed in this term.
 func (q *queueView) keepOpenCheckout(t *task) {
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -40,6 +40,7 @@
 		}
 	}
 	s.dropQueue(m.Queue)
+	delete(s.addedQueues, m.Queue)
 	s.queues[m.Queue] = q
 	q.urgency, q.maxRunning, q.latencyTarget = m.Urgency, m.Running, s.latencyTargetOf(m.Queue)
 	for _, event := range m.Events {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -44,6 +44,7 @@
 		return
 	}
 	pass := s.newPass(now)
+	s.claimLimits(now, queues, pass)
 	s.boostSteps(now, queues, pass)
 	heaps := make([][feasibilityClasses]stepHeap, len(queues))
 	for k, q := range queues {
@@ -197,10 +198,10 @@
 		return true
 	}
 	account := p.accountOf(p.scheduler, step.first().tenant)
-	shareRank := account.shareRank(req.need)
+	shareRank := account.shareRank()
 	for p.mayPlace() && step.ready.Len() > 0 && (mayUseHeadroom || p.headroom.covers(req.need)) {
-		tasks := step.firstReady(members)
-		if !account.takes(tasks, req.need) || p.class != boosted && account.shareRank(req.need) > shareRank {
+		tasks := account.takeable(step, p.queue.urgency)
+		if tasks == nil || p.class != boosted && account.shareRank() > shareRank {
 			return true
 		}
 		if !p.placeTogether(tasks, req) {
@@ -240,10 +241,7 @@
 // steps of its shape, which would find none either.
 func (p *queuePass) awaitCapacity(steps *stepHeap, cursor *stepCursor, step *stepQueue, req *placementRequest) {
 	awaited := p.reserveFutureCapacity(step, req)
-	if cursor.current == nil {
-		return
-	}
-	steps.removeShape(cursor)
+	steps.removeShape(cursor.shape)
 	for k := 1; awaited > 0 && cursor.current != nil && k < maxUnplaced && p.canGainCapacity(); k++ {
 		if next := cursor.current; !next.spec.Gang || next.isComplete() {
 			awaited = p.reserveFutureCapacity(next, p.newRequest(next))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -48,10 +48,9 @@
 	workerOrder   []*worker          // the same by id; nil: to be sorted again
 	tasksByWorker map[string]map[taskKey]*task
 	tasksByName   map[taskName][]*task
-	tenantUse     tenantUse                       // sums over the workers
-	formerTenants map[string]*clusterstate.Tenant // by name: as they were configured last
-	addedQueues   map[string]uint64               // their generations: see knowsAllRuns
-	deadWorkers   map[string]eventloop.Micros     // and when each was last reported dead
+	tenantUse     tenantUse                   // sums over the workers
+	addedQueues   map[string]uint64           // their generations: see knowsAllRuns
+	deadWorkers   map[string]eventloop.Micros // and when each was last reported dead
 	runtimeModels map[runtimeKey]*runtimeModel
 
 	needsPass          bool
@@ -82,7 +81,6 @@
 		workers:       map[string]*worker{},
 		tasksByWorker: map[string]map[taskKey]*task{},
 		tasksByName:   map[taskName][]*task{},
-		formerTenants: map[string]*clusterstate.Tenant{},
 		addedQueues:   map[string]uint64{},
 		deadWorkers:   map[string]eventloop.Micros{},
 		runtimeModels: map[runtimeKey]*runtimeModel{},
@@ -109,8 +107,13 @@
 		s.leadership, s.leadershipAt = body, cmp.Or(body.At, now)
 	case replica.TaskEvents:
 		s.applyEvents(now, body, effects)
+	case replica.ProposalDropped:
+		s.releaseDropped(body)
 	case replica.LeadershipLost:
-		s.forgetAddedQueues()
+		// Nobody leads a queue that was removed.
+		if clusterstate.FindQueue(s.clusterState, body.Queue) != nil {
+			s.forgetAddedQueues()
+		}
 		s.dropQueue(body.Queue)
 	case *schema.WorkerPollRequest:
 		s.handlePoll(now, message.From, body, effects)
@@ -160,9 +163,7 @@
 		return
 	}
 	s.noteAddedQueues(now, m.State)
-	config := s.config.ForConfiguration(m.State.Configuration)
-	s.keepFormerTenants(s.config, config)
-	s.clusterState, s.config = m.State, config
+	s.clusterState, s.config = m.State, s.config.ForConfiguration(m.State.Configuration)
 	leases := map[string]*schema.WorkerLease{}
 	for _, lease := range s.clusterState.WorkerLeases {
 		if lease.Scheduler == s.id {
--- a/internal/scheduler/step_heap.go
+++ b/internal/scheduler/step_heap.go
@@ -32,13 +32,13 @@
 	current   *stepQueue     // nil: none is left
 	taken     rankedStep     // that next returned last
 	account   *tenantAccount // nil: the steps' order has nothing to do with their tenant
-	need      resources      // of one task
-	shareRank int            // of the account when the heap was last put in order
+	shape     shape
+	shareRank int // of the account when the heap was last put in order
 }
 
-func newStepCursor(steps []rankedStep, account *tenantAccount) *stepCursor {
+func newStepCursor(steps []rankedStep, account *tenantAccount, of shape) *stepCursor {
 	slices.SortFunc(steps, compareRankedSteps)
-	c := &stepCursor{steps: steps, current: steps[0].stepQueue, account: account, need: resourcesOf(steps[0].spec)}
+	c := &stepCursor{steps: steps, current: steps[0].stepQueue, account: account, shape: of}
 	c.shareRank = c.currentShareRank()
 	return c
 }
@@ -48,7 +48,7 @@
 	if c.account == nil {
 		return 0
 	}
-	return c.account.shareRank(c.need)
+	return c.account.shareRank()
 }
 
 func (c *stepCursor) advance() {
@@ -109,8 +109,11 @@
 	}
 }
 
-// removeShape takes out a cursor that isn't exhausted.
-func (h *stepHeap) removeShape(cursor *stepCursor) { heap.Remove(h, slices.Index(*h, cursor)) }
+// removeShape takes out the steps of a shape, whosoever they are.
+func (h *stepHeap) removeShape(of shape) {
+	*h = slices.DeleteFunc(*h, func(cursor *stepCursor) bool { return cursor.shape == of })
+	heap.Init(h)
+}
 
 // cursorKey is what the steps of one cursor have in common beside their shape.
 type cursorKey struct {
@@ -122,7 +125,7 @@
 // latency target, in one look at each; boosted ones are a class of their own. What its tenant's
 // limit doesn't take is left out.
 func (s *Scheduler) stepsByFeasibility(now eventloop.Micros, q *queueView, pass *passState) (heaps [feasibilityClasses]stepHeap) {
-	for _, group := range q.byShape {
+	for shape, group := range q.byShape {
 		steps := map[cursorKey][]rankedStep{}
 		group.steps.Ascend(func(step *stepQueue) bool {
 			first := step.first()
@@ -142,7 +145,7 @@
 			if key.class == boosted {
 				account = nil
 			}
-			heaps[key.class] = append(heaps[key.class], newStepCursor(list, account))
+			heaps[key.class] = append(heaps[key.class], newStepCursor(list, account, shape))
 		}
 	}
 	for class := range heaps {
--- a/internal/scheduler/tenant_review_test.go
+++ b/internal/scheduler/tenant_review_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/queue"
 	"sparnotch/internal/replica"
@@ -68,22 +69,30 @@
 
 // A new leader knew no limit of a tenant that a configuration had removed, and started all its jobs.
 func TestRemovedTenantsLimitOutlivesALeader(t *testing.T) {
-	eachKind(t, "A scheduler that never saw a removed tenant's limit places no more than a leader that did", func(kind quotaKind) {
-		placed := func(hasSeenLimit bool) int {
-			h := newHarness("w")
-			if hasSeenLimit {
-				h.configure(kind.rows("l"), "w")
-			}
-			h.configure([]*schema.ConfigurationRow{queueRow("l", "urgency", "10"), tenantRow("free", "weight_milli", 1000)}, "w")
-			var list []*queue.TaskEvent
-			for job := uint64(1); job <= 5; job++ {
-				list = append(list, readyOf("limited", job, kind.step))
-			}
-			h.syncQueue("l", 10, list...)
-			h.sendHeartbeat("w", wide(nil))
-			return h.placedOf(1, 5)
+	eachKind(t, "A scheduler that never saw a removed tenant's limit keeps to it", func(kind quotaKind) {
+		machine := clusterstate.New()
+		update := func(revision uint64, rows []*schema.ConfigurationRow) {
+			command := &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_UpdateConfiguration{
+				UpdateConfiguration: &schema.UpdateConfiguration{Update: &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: rows}},
+			}}
+			result, err := machine.Apply(1, replica.EncodeClusterStateCommand(command))
+			So(err, ShouldBeNil)
+			So(result.Code, ShouldEqual, 200)
 		}
-		So(placed(false), ShouldEqual, placed(true))
+		update(0, kind.rows("l"))
+		update(1, []*schema.ConfigurationRow{queueRow("l", "urgency", "10"), tenantRow("free", "weight_milli", 1000)})
+		h := newHarness("w")
+		state := machine.SharedState()
+		state.Queues = []*schema.QueuePlacement{{Queue: "l", Generation: 1}}
+		state.WorkerLeases = []*schema.WorkerLease{{Worker: "w", Scheduler: "me", FencingToken: 1}}
+		h.deliver(&schema.ClusterStateResponse{State: state, Version: state.Version})
+		var list []*queue.TaskEvent
+		for job := uint64(1); job <= 5; job++ {
+			list = append(list, readyOf("limited", job, kind.step))
+		}
+		h.syncQueue("l", 10, list...)
+		h.sendHeartbeat("w", wide(nil))
+		So(h.placedOf(1, 5), ShouldEqual, 2)
 	})
 }
 
--- a/internal/scheduler/tenant_view.go
+++ b/internal/scheduler/tenant_view.go
@@ -106,14 +106,15 @@
 	view.WaitingUs = max(view.WaitingUs, int64(v.now-first.since))
 	account := v.pass.accountOf(v.scheduler, first.tenant)
 	switch {
-	case v.pass.mayTakeAny(v.scheduler, step):
-		if view.WaitsFor == "" {
-			view.WaitsFor = waitsForWorkers
-		}
-	case account.isUncertain:
+	case account.isUncertain && account.hasLimit():
 		view.WaitsFor = waitsForLeadership
-	default:
-		view.WaitsFor = account.describeQuota(resourcesOf(step.spec), v.pass.tenantUse.unassigned)
+	case !v.pass.mayTakeAny(v.scheduler, step):
+		// Of several the same one each time, in whatever order the steps are looked at.
+		if reason := account.describeQuota(resourcesOf(step.spec), v.pass.tenantUse.unassigned); reason > view.WaitsFor || view.WaitsFor == waitsForWorkers {
+			view.WaitsFor = reason
+		}
+	case view.WaitsFor == "":
+		view.WaitsFor = waitsForWorkers
 	}
 }
 
--- a/internal/scheduler/tenant_view_test.go
+++ b/internal/scheduler/tenant_view_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/queue"
@@ -73,6 +74,9 @@
 		h := newQuotaHarness(cores)
 		h.syncQueue("l", 10, outOf("limited", 1, "w", cores.step))
 		h.configure([]*schema.ConfigurationRow{queueRow("l", "urgency", "10")}, "w")
+		state := proto.Clone(h.scheduler.clusterState).(*schema.ClusterState)
+		state.Configuration.FormerTenants = []*schema.ConfigurationRow{tenantRow("limited", "max_cores_milli", cores.limit)}
+		h.deliver(&schema.ClusterStateResponse{State: state, Version: state.Version})
 		view := h.tenantView("limited")
 		So(view.WeightMilli, ShouldEqual, 0)
 		So(view.Limit.CoresMilli, ShouldEqual, cores.limit)
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"math"
 
 	"sparnotch/internal/clusterstate"
@@ -23,61 +22,17 @@
 //   - runs that workers list beside that, as of a queue that was removed. Where the worker
 //     doesn't say whose they are, they count for every tenant.
 
-const (
-	// maxFormerTenants is how many removed tenants' limits are kept.
-	maxFormerTenants = 1024
-	// shareRanksPerDoubling is how finely the order of tenants beyond their fair shares tells
-	// them apart; within a rank the jobs' order counts.
-	shareRanksPerDoubling = 8
-)
-
-// tenantUse is what a worker's tasks use, by tenant.
-type tenantUse struct {
-	byTenant   map[string]resources // nil: nothing
-	unassigned resources            // by runs of which the tenant isn't known
-}
-
-func (u *tenantUse) add(tenant string, size resources) {
-	if tenant == "" {
-		return
-	}
-	if u.byTenant == nil {
-		u.byTenant = map[string]resources{}
-	}
-	sum := u.byTenant[tenant]
-	sum.add(size)
-	u.byTenant[tenant] = sum
-}
-
-// addRun adds a run that isn't checked out to the worker; without a tenant it may be anybody's.
-func (u *tenantUse) addRun(tenant string, size resources) {
-	if tenant == "" {
-		u.unassigned.add(size)
-		return
-	}
-	u.add(tenant, size)
-}
-
-// tenantOfRun returns whose a run is: as the worker says, else as another attempt at the task
-// shows; empty: it isn't known.
-func (s *Scheduler) tenantOfRun(key attemptKey, status *schema.TaskStatus) string {
-	if status.Tenant != "" {
-		return status.Tenant
-	}
-	if q := s.queues[key.queue]; q != nil && q.tasks[key.taskKey] != nil {
-		return q.tasks[key.taskKey].tenant
-	}
-	return ""
-}
-
 // tenantAccount is what one tenant uses and may use, during one pass.
 type tenantAccount struct {
 	tenant      *clusterstate.Tenant // nil: none, or none that is configured
 	limit       resources            // 0 in a kind: no limit
 	overrun     float64              // that the deployment allows, as a part of the limit
 	used        resources
-	isUncertain bool      // more may be in use than is known
 	fairShare   resources // of everything, by its weight among the tenants that use or want something; 0: not known
+	isUncertain bool      // more may be in use than is known
+
+	claim            *limitClaim // nil: none
+	hasOpenCheckouts bool        // some task, of this tenant or another, has one: see queueView.openCheckouts
 }
 
 // hasLimit reports whether the tenant's use is limited in any kind.
@@ -92,13 +47,19 @@
 	case a.isUncertain:
 		return false
 	case tasks[0].hasOpenCheckout:
-		return true
+		return a.isWithinLimit()
 	case tasks[0].spec.Gang:
 		return a.takesGang(need, len(tasks))
 	}
 	return a.room(need) > 0
 }
 
+// isWithinLimit reports whether what is in use keeps to the limit.
+func (a *tenantAccount) isWithinLimit() bool {
+	within := func(used, limit int64) bool { return limit == 0 || used <= limit }
+	return within(a.used.cores, a.limit.cores) && within(a.used.memory, a.limit.memory) && within(a.used.accelerators, a.limit.accelerators)
+}
+
 // charge counts tasks that are placed.
 func (a *tenantAccount) charge(tasks []*task, need resources) {
 	for _, t := range tasks {
@@ -144,29 +105,6 @@
 	return true
 }
 
-// shareRank tells how far the tenant is beyond its fair share once it has one more task of a
-// size: 0 is within, and each doubling counts shareRanksPerDoubling. What counts is the kind of
-// which it has the largest part (dominant resource fairness).
-func (a *tenantAccount) shareRank(need resources) int {
-	if (a.fairShare == resources{}) {
-		return 0
-	}
-	used := a.used
-	used.add(need)
-	ratio := 0.0
-	for _, kind := range [...][2]int64{
-		{used.cores, a.fairShare.cores}, {used.memory, a.fairShare.memory}, {used.accelerators, a.fairShare.accelerators},
-	} {
-		if kind[0] > 0 && kind[1] > 0 {
-			ratio = math.Max(ratio, float64(kind[0])/float64(kind[1]))
-		}
-	}
-	if ratio <= 1 {
-		return 0
-	}
-	return 1 + int(shareRanksPerDoubling*math.Log2(ratio))
-}
-
 // limitedKind is one kind of resource that is limited and needed.
 type limitedKind struct{ limit, used, need int64 }
 
@@ -189,7 +127,7 @@
 	if account := p.accounts[name]; account != nil {
 		return account
 	}
-	account := &tenantAccount{used: p.tenantUse.byTenant[name], isUncertain: !p.knowsAllRuns}
+	account := &tenantAccount{used: p.tenantUse.byTenant[name], isUncertain: !p.knowsAllRuns, hasOpenCheckouts: s.hasOpenCheckouts()}
 	account.used.add(p.tenantUse.unassigned)
 	if account.tenant = s.tenantOf(name); account.tenant != nil {
 		limit := account.tenant.Max
@@ -204,100 +142,45 @@
 	return account
 }
 
-// mayTakeAny reports whether a step's tenant may have any more of its tasks. A gang's members
-// are taken together.
-func (p *passState) mayTakeAny(s *Scheduler, step *stepQueue) bool {
+// takeable returns the ready tasks of a step that its tenant may have next: one, or all members
+// of a gang; nil: none. Of tasks without room those are taken that have theirs already.
+func (a *tenantAccount) takeable(step *stepQueue, urgency int64) []*task {
+	if a.claim != nil && a.claim.step != step.key && urgency <= a.claim.urgency {
+		return nil
+	}
 	members := 1
 	if step.spec.Gang {
 		members = step.ready.Len()
 	}
-	return p.accountOf(s, step.first().tenant).takes(step.firstReady(members), resourcesOf(step.spec))
-}
-
-// tenantOf returns what is configured of a tenant, or was last, if it has been removed; nil:
-// no limit is known.
-func (s *Scheduler) tenantOf(name string) *clusterstate.Tenant {
-	if tenant := s.config.Tenant(name); tenant != nil {
-		return tenant
+	need := resourcesOf(step.spec)
+	if tasks := step.firstReady(members); a.takes(tasks, need) {
+		return tasks
 	}
-	return s.formerTenants[name]
-}
-
-// activeWeight sums the weights, in thousandths, of the tenants that use or want something.
-func (s *Scheduler) activeWeight() (sum float64) {
-	active := map[string]bool{}
-	for name := range s.tenantUse.byTenant {
-		active[name] = true
+	if !a.hasOpenCheckouts || step.spec.Gang {
+		return nil
 	}
-	for _, q := range s.queues {
-		for name := range q.byTenant {
-			active[name] = true
+	var open []*task
+	step.ready.Ascend(func(t *task) bool {
+		if t.hasOpenCheckout && a.takes([]*task{t}, need) {
+			open = []*task{t}
 		}
-	}
-	for name := range active {
-		if tenant := s.tenantOf(name); tenant != nil {
-			sum += float64(tenant.WeightMilli)
-		}
-	}
-	return sum
+		return open == nil
+	})
+	return open
 }
 
-// keepFormerTenants remembers the limits of tenants that a configuration removes: their jobs
-// go on.
-func (s *Scheduler) keepFormerTenants(before, after *clusterstate.Values) {
-	if before == after {
-		return
-	}
-	for _, name := range before.Tenants() {
-		if after.Tenant(name) == nil && len(s.formerTenants) < maxFormerTenants {
-			s.formerTenants[name] = before.Tenant(name)
-		}
-	}
-	maps.DeleteFunc(s.formerTenants, func(name string, _ *clusterstate.Tenant) bool { return after.Tenant(name) != nil })
-}
-
-// addTenantUse adds what is on a worker to the sums by tenant, or takes it out.
-func (s *Scheduler) addTenantUse(use tenantUse, sign int64) {
-	for tenant, size := range use.byTenant {
-		s.tenantUse.add(tenant, size.times(sign))
-		if s.tenantUse.byTenant[tenant] == (resources{}) {
-			delete(s.tenantUse.byTenant, tenant)
-		}
-	}
-	s.tenantUse.unassigned.add(use.unassigned.times(sign))
+// mayTakeAny reports whether a step's tenant may have any more of its tasks.
+func (p *passState) mayTakeAny(s *Scheduler, step *stepQueue) bool {
+	return p.accountOf(s, step.first().tenant).takeable(step, s.queues[step.key.queue].urgency) != nil
 }
 
-// sumTenantUse returns what each tenant uses now, beside the use of runs that may be anybody's.
-func (s *Scheduler) sumTenantUse() tenantUse {
-	if !s.config.HasTenants() && len(s.formerTenants) == 0 {
-		return tenantUse{}
-	}
-	for _, w := range s.sortedWorkers() {
-		s.refreshUsage(w)
-	}
-	sums := tenantUse{byTenant: maps.Clone(s.tenantUse.byTenant), unassigned: s.tenantUse.unassigned}
-	// What is checked out to workers whose lease another scheduler holds.
-	for id, tasks := range s.tasksByWorker {
-		if s.workers[id] != nil {
-			continue
-		}
-		for _, t := range tasks {
-			sums.add(t.tenant, resourcesOf(t.spec))
-		}
-	}
-	for _, q := range s.queues {
-		for _, t := range q.reserved {
-			if s.workers[t.reservedWorker] == nil {
-				sums.add(t.tenant, resourcesOf(t.spec))
-			}
-		}
-		for _, t := range q.openCheckouts {
-			if t.reservedWorker == "" {
-				sums.add(t.tenant, resourcesOf(t.spec))
-			}
-		}
+// tenantOf returns what is configured of a tenant, or was last, if it has been removed; nil:
+// no limit is known.
+func (s *Scheduler) tenantOf(name string) *clusterstate.Tenant {
+	if tenant := s.config.Tenant(name); tenant != nil {
+		return tenant
 	}
-	return sums
+	return s.config.FormerTenant(name)
 }
 
 // knowsAllRuns reports whether this node knows everything that may run: it leads every queue,
@@ -314,9 +197,7 @@
 		switch {
 		case q != nil && s.mayActFor(now, q):
 			ledCount++
-			delete(s.addedQueues, place.Queue)
 		case q != nil || s.addedQueues[place.Queue] != place.Generation:
-			s.forgetAddedQueues()
 			return false
 		}
 	}
@@ -340,6 +221,6 @@
 	}
 }
 
-// forgetAddedQueues is called when this node doesn't lead a queue any more: another scheduler
-// may come to lead all.
+// forgetAddedQueues is called when this node has stopped leading a queue in some term: another
+// scheduler may have come to lead all.
 func (s *Scheduler) forgetAddedQueues() { clear(s.addedQueues) }
