Scheduler: fair shares are of a pool, by weight among the tenants there

Cause: fair shares were of all workers together, so a tenant's part of 48 cores was more than its part of the 32 that its queue may use, and the others contended for the rest by the order of their jobs. Change: use and fair shares are summed by pool.

--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -31,8 +31,7 @@
 	tenantUse         tenantUse           // when the pass began
 	knowsAllRuns      bool                // see Scheduler.knowsAllRuns
 	accounts          map[string]*tenantAccount
-	activeWeight      float64   // of all tenants that use or want something
-	total             resources // of all candidates
+	poolShares        map[string]*poolShares
 }
 
 // runPass goes over the ready tasks of all queues, most urgent queue first, and
@@ -91,7 +90,7 @@
 		boostedLeft:       map[string]int64{},
 		tenantUse:         s.sumTenantUse(),
 		knowsAllRuns:      s.knowsAllRuns(now),
-		activeWeight:      s.activeWeight(),
+		poolShares:        map[string]*poolShares{},
 		accounts:          map[string]*tenantAccount{},
 	}
 	if now-s.fullPassAt >= fullPassInterval {
@@ -99,7 +98,6 @@
 	}
 	for _, c := range pass.allCandidates {
 		pass.byPool[c.worker.pool] = append(pass.byPool[c.worker.pool], c)
-		pass.total.add(c.worker.total())
 	}
 	for _, q := range s.queues {
 		if q.checkedOutCount > 0 {
@@ -198,16 +196,18 @@
 		return true
 	}
 	account := p.accountOf(p.scheduler, step.first().tenant)
-	shareRank := account.shareRank()
+	share := p.sharesOf(p.scheduler, p.queue).of(p.scheduler, step.first().tenant)
+	rank := share.rank()
 	for p.mayPlace() && step.ready.Len() > 0 && (mayUseHeadroom || p.headroom.covers(req.need)) {
 		tasks := account.takeable(step, p.queue.urgency)
-		if tasks == nil || p.class != boosted && account.shareRank() > shareRank {
+		if tasks == nil || p.class != boosted && share.rank() > rank {
 			return true
 		}
 		if !p.placeTogether(tasks, req) {
 			return false
 		}
 		account.charge(tasks, req.need)
+		share.used.add(req.need.times(int64(len(tasks))))
 	}
 	return true
 }
--- a/internal/scheduler/resources.go
+++ b/internal/scheduler/resources.go
@@ -55,7 +55,8 @@
 	releasing       resources // of that, by what is being stopped
 	usedByServices  resources // of that, by tasks that run until cancelled
 	taskCount       int
-	hasUnknownUsage bool // it runs something of unknown size, so it may be full
+	hasUnknownUsage bool   // it runs something of unknown size, so it may be full
+	summedPool      string // the worker's pool when the sums were made
 	tenantUse
 }
 
@@ -76,8 +77,8 @@
 	if !w.isUsageStale {
 		return
 	}
-	s.addTenantUse(w.tenantUse, -1)
-	w.usageSummary = usageSummary{}
+	s.countTenantUse(w, -1)
+	w.usageSummary = usageSummary{summedPool: w.pool}
 	for _, t := range w.tasks {
 		if w.hasEnded(t) {
 			continue
@@ -115,7 +116,7 @@
 	if w.hasUnknownUsage = s.runsUnknownUsage(w); w.hasUnknownUsage {
 		w.tenantUse.unassigned.add(w.total())
 	}
-	s.addTenantUse(w.tenantUse, 1)
+	s.countTenantUse(w, 1)
 }
 
 // usageOf is what a run uses: as the worker reports it, else as its step states it.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,7 @@
 	tasksByWorker map[string]map[taskKey]*task
 	tasksByName   map[taskName][]*task
 	tenantUse     tenantUse                   // sums over the workers
+	poolUse       map[string]*tenantUse       // the same by pool
 	addedQueues   map[string]uint64           // their generations: see knowsAllRuns
 	deadWorkers   map[string]eventloop.Micros // and when each was last reported dead
 	runtimeModels map[runtimeKey]*runtimeModel
@@ -82,6 +83,7 @@
 		tasksByWorker: map[string]map[taskKey]*task{},
 		tasksByName:   map[taskName][]*task{},
 		addedQueues:   map[string]uint64{},
+		poolUse:       map[string]*tenantUse{},
 		deadWorkers:   map[string]eventloop.Micros{},
 		runtimeModels: map[runtimeKey]*runtimeModel{},
 	}
--- a/internal/scheduler/step_heap.go
+++ b/internal/scheduler/step_heap.go
@@ -28,27 +28,27 @@
 
 // stepCursor goes over the steps of one shape and one tenant.
 type stepCursor struct {
-	steps     []rankedStep   // that are left; the first of them is current
-	current   *stepQueue     // nil: none is left
-	taken     rankedStep     // that next returned last
-	account   *tenantAccount // nil: the steps' order has nothing to do with their tenant
+	steps     []rankedStep // that are left; the first of them is current
+	current   *stepQueue   // nil: none is left
+	taken     rankedStep   // that next returned last
+	share     *tenantShare // of their tenant; nil: the steps' order has nothing to do with it
 	shape     shape
-	shareRank int // of the account when the heap was last put in order
+	shareRank int // of the share when the heap was last put in order
 }
 
-func newStepCursor(steps []rankedStep, account *tenantAccount, of shape) *stepCursor {
+func newStepCursor(steps []rankedStep, share *tenantShare, of shape) *stepCursor {
 	slices.SortFunc(steps, compareRankedSteps)
-	c := &stepCursor{steps: steps, current: steps[0].stepQueue, account: account, shape: of}
+	c := &stepCursor{steps: steps, current: steps[0].stepQueue, share: share, shape: of}
 	c.shareRank = c.currentShareRank()
 	return c
 }
 
-// currentShareRank is the rank of the tenant's share with one more of the cursor's tasks.
+// currentShareRank is the rank of the tenant's share at this point of the pass.
 func (c *stepCursor) currentShareRank() int {
-	if c.account == nil {
+	if c.share == nil {
 		return 0
 	}
-	return c.account.shareRank()
+	return c.share.rank()
 }
 
 func (c *stepCursor) advance() {
@@ -141,11 +141,11 @@
 			return true
 		})
 		for key, list := range steps {
-			account := pass.accountOf(s, key.tenant)
-			if key.class == boosted {
-				account = nil
+			var share *tenantShare
+			if key.class != boosted {
+				share = pass.sharesOf(s, q).of(s, key.tenant)
 			}
-			heaps[key.class] = append(heaps[key.class], newStepCursor(list, account, shape))
+			heaps[key.class] = append(heaps[key.class], newStepCursor(list, share, shape))
 		}
 	}
 	for class := range heaps {
--- a/internal/scheduler/tenant_use.go
+++ b/internal/scheduler/tenant_use.go
@@ -57,15 +57,33 @@
 	return false
 }
 
-// addTenantUse adds what is on a worker to the sums by tenant, or takes it out.
-func (s *Scheduler) addTenantUse(use tenantUse, sign int64) {
-	for tenant, size := range use.byTenant {
-		s.tenantUse.add(tenant, size.times(sign))
-		if s.tenantUse.byTenant[tenant] == (resources{}) {
-			delete(s.tenantUse.byTenant, tenant)
+// of returns what a tenant uses.
+func (u *tenantUse) of(tenant string) resources {
+	if u == nil {
+		return resources{}
+	}
+	return u.byTenant[tenant]
+}
+
+// addAll adds a use so many times.
+func (u *tenantUse) addAll(other tenantUse, times int64) {
+	for tenant, size := range other.byTenant {
+		u.add(tenant, size.times(times))
+		if u.byTenant[tenant] == (resources{}) {
+			delete(u.byTenant, tenant)
 		}
 	}
-	s.tenantUse.unassigned.add(use.unassigned.times(sign))
+	u.unassigned.add(other.unassigned.times(times))
+}
+
+// countTenantUse adds what was last summed up for a worker to the sums by tenant, or with -1
+// takes it out.
+func (s *Scheduler) countTenantUse(w *worker, times int64) {
+	if s.poolUse[w.summedPool] == nil {
+		s.poolUse[w.summedPool] = &tenantUse{}
+	}
+	s.poolUse[w.summedPool].addAll(w.tenantUse, times)
+	s.tenantUse.addAll(w.tenantUse, times)
 }
 
 // sumTenantUse returns what each tenant uses now, beside the use of runs that may be anybody's.
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -28,8 +28,7 @@
 	limit       resources            // 0 in a kind: no limit
 	overrun     float64              // that the deployment allows, as a part of the limit
 	used        resources
-	fairShare   resources // of everything, by its weight among the tenants that use or want something; 0: not known
-	isUncertain bool      // more may be in use than is known
+	isUncertain bool // more may be in use than is known
 
 	claim            *limitClaim // nil: none
 	hasOpenCheckouts bool        // some task, of this tenant or another, has one: see queueView.openCheckouts
@@ -134,10 +133,6 @@
 		account.limit = resources{limit.CoresMilli, limit.MemoryMB, limit.Accelerators}
 		account.overrun = float64(s.bounds.GetQuotaOverrunMilli()) / 1000
 	}
-	if account.tenant != nil && p.activeWeight > 0 {
-		part := float64(account.tenant.WeightMilli) / p.activeWeight
-		account.fairShare = resources{int64(part * float64(p.total.cores)), int64(part * float64(p.total.memory)), int64(part * float64(p.total.accelerators))}
-	}
 	p.accounts[name] = account
 	return account
 }
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -88,7 +88,7 @@
 
 func (s *Scheduler) dropWorker(w *worker, effects eventloop.Effects) {
 	s.closePoll(w, effects)
-	s.addTenantUse(w.tenantUse, -1)
+	s.countTenantUse(w, -1)
 	delete(s.workers, w.id)
 	s.workerOrder = nil
 	if len(w.tasks) == 0 {
