Scheduler: a queue counts as new only where no predecessor can have used it

What callers would have seen: a tenant beyond its limit after a change of leader just as a queue was added. Found by reading. Cause: a node that had come to lead all queues of a copy of the cluster state that was up to a second old took the queue that the next copy brought for new and empty, though its predecessor may have placed tasks of it. Change: only a node that has known all that runs for longer than a copy may be old notes added queues.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -51,6 +51,7 @@
 	tenantUse     tenantUse                   // sums over the workers
 	poolUse       map[string]*tenantUse       // the same by pool
 	addedQueues   map[string]uint64           // their generations: see knowsAllRuns
+	knowsAllSince eventloop.Micros            // when this node came to know all that runs; 0: it does not
 	deadWorkers   map[string]eventloop.Micros // and when each was last reported dead
 	runtimeModels map[runtimeKey]*runtimeModel
 
@@ -151,6 +152,7 @@
 		}
 	}
 	s.removeDeadWorkers(now, effects)
+	s.trackKnowledge(now)
 	for _, q := range s.queues {
 		q.peak.update(q.usage)
 		s.expireReservations(now, q)
--- a/internal/scheduler/tenant_review_test.go
+++ b/internal/scheduler/tenant_review_test.go
@@ -29,6 +29,7 @@
 		h.configure(kind.rows("l", "m"), "w")
 		h.syncQueue("m", 10)
 		h.syncQueue("l", 10)
+		h.advance(2 * eventloop.Second) // longer than a copy of the cluster state may be old
 		h.sendHeartbeat("w", wide(nil))
 		h.leadership("l#1", "m#1")
 		h.configure(kind.rows("l", "k"), "w") // k is new and led by another node as yet
@@ -41,6 +42,22 @@
 	})
 }
 
+// A new leader with an old copy of the cluster state counted a queue as new in which its predecessor had placed tasks.
+func TestQueueThatAPredecessorMayHaveUsedIsNotNew(t *testing.T) {
+	eachKind(t, "A queue that appears soon after this node came to lead the others isn't counted as empty", func(kind quotaKind) {
+		h := newHarness("w")
+		h.configure(kind.rows("l"), "w")
+		h.syncQueue("l", 10)
+		h.advance(eventloop.Second)
+		h.sendHeartbeat("w", wide(nil))
+		h.leadership("l#1")
+		h.configure(kind.rows("l", "k"), "w")
+		h.leadership("l#1")
+		h.deliverNext(readyOf("limited", 1, kind.step))
+		So(h.placedJobs(), ShouldBeEmpty)
+	})
+}
+
 // Tasks whose checkout was lost were placed again though their tenant's limit had been lowered since.
 func TestLostCheckoutsKeepToALoweredLimit(t *testing.T) {
 	eachKind(t, "What isn't checked out is placed within the limit of now", func(kind quotaKind) {
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -6,6 +6,7 @@
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
+	"sparnotch/internal/timing"
 )
 
 // A tenant's limit bounds what its tasks use at once over all workers. It is spent where a
@@ -200,9 +201,10 @@
 }
 
 // noteAddedQueues notes the queues of a new cluster state that the one before didn't have, if
-// this node knew all that ran under that.
+// this node has known all that runs for longer than a copy of the cluster state may be old: then
+// they were added while it led all others, and no predecessor could place anything of theirs.
 func (s *Scheduler) noteAddedQueues(now eventloop.Micros, state *schema.ClusterState) {
-	if !s.knowsAllRuns(now) {
+	if !s.knowsAllRuns(now) || s.knowsAllSince == 0 || now-s.knowsAllSince <= timing.FromBounds(s.bounds).FormerLeaseTimeout {
 		return
 	}
 	known := map[string]uint64{}
@@ -216,6 +218,19 @@
 	}
 }
 
+// trackKnowledge keeps since when this node has known all that runs.
+func (s *Scheduler) trackKnowledge(now eventloop.Micros) {
+	switch {
+	case !s.knowsAllRuns(now):
+		s.knowsAllSince = 0
+	case s.knowsAllSince == 0:
+		s.knowsAllSince = now
+	}
+}
+
 // forgetAddedQueues is called when this node has stopped leading a queue in some term: another
 // scheduler may have come to lead all.
-func (s *Scheduler) forgetAddedQueues() { clear(s.addedQueues) }
+func (s *Scheduler) forgetAddedQueues() {
+	clear(s.addedQueues)
+	s.knowsAllSince = 0
+}
