Mutants: quotes of the changed scheduler; the guards that the review and the soak brought

Change: the quotes follow the source, the same guard is removed as before; five mutants for new guards, named in proof.md.

--- a/internal/mutation/tenant_mutants.go
+++ b/internal/mutation/tenant_mutants.go
@@ -5,7 +5,7 @@
 
 var tenantMutants = []*Mutant{
 	{Guard: "a limit is spent by the leader of all queues alone", Test: "internal/scheduler TestNothingIsPlacedForLimitedTenantsUnlessAllQueuesAreLed", Edits: []Edit{{"internal/scheduler",
-		"isUncertain: !p.knowsAllRuns}", "isUncertain: false}"}}},
+		"isUncertain: !p.knowsAllRuns,", "isUncertain: false,"}}},
 	// The same seen from the workers: two nodes spend the limit at once.
 	{Guard: "no two nodes spend a limit", Test: "internal/modelcheck/workerpath TestWalksOfTenants", Edits: []Edit{{"internal/scheduler",
 		"	case a.isUncertain:\n		return false\n	case tasks[0].hasOpenCheckout:", "	case tasks[0].hasOpenCheckout:"}, {"internal/scheduler",
@@ -22,4 +22,14 @@
 		"			q.addReady(t)\n			q.keepOpenCheckout(t)\n", "			q.addReady(t)\n"}}},
 	{Guard: "what a dead or lapsed worker listed counts no longer", Test: "internal/modelcheck/workerpath TestWalksOfTenants", Edits: []Edit{{"internal/scheduler",
 		"	w.running, w.unknownRuns, w.isUsageStale = map[attemptKey]*schema.TaskStatus{}, nil, true\n", ""}}},
+	{Guard: "a queue that a predecessor may have used isn't new", Test: "internal/scheduler TestQueueThatAPredecessorMayHaveUsedIsNotNew", Edits: []Edit{{"internal/scheduler",
+		" || s.knowsAllSince == 0 || now-s.knowsAllSince <= timing.FromBounds(s.bounds).FormerLeaseTimeout {", " || timing.FromBounds(s.bounds).FormerLeaseTimeout == 0 {"}}},
+	{Guard: "a wide step claims its tenant's limit", Test: "internal/scheduler TestGangIsNotStarvedByItsOwnTenant", Edits: []Edit{{"internal/scheduler",
+		"	s.claimLimits(now, queues, pass)\n", ""}}},
+	{Guard: "the limits of removed tenants are kept", Test: "internal/scheduler TestRemovedTenantsLimitOutlivesALeader", Edits: []Edit{{"internal/clusterstate",
+		"		FormerTenants: formerTenants(previous, update.Rows),\n", ""}}},
+	{Guard: "a leader that hands over holds no lease", Test: "internal/raft TestLeaderLeaseEndsWithATransfer", Edits: []Edit{{"internal/raft",
+		"g.role == leader && !g.hasSentTimeoutNow && g.commit", "g.role == leader && g.commit"}}},
+	{Guard: "a queue is ended only once no gateway takes its jobs", Test: "internal/controller TestQueueIsRemovedOnlyOnceNoGatewayTakesItsJobs", Edits: []Edit{{"internal/controller",
+		"now-since >= c.timeouts.QueueRemovalDelay && ", ""}}},
 }
