Scheduler, cluster state: a tenant's limit is read in one place, and unlimited steps cost no list

The three kinds of a limit were parsed twice, for tenants and for removed ones; an account kept a tenant that nothing read any more; and each look at a step made a list of its tasks, also where its tenant has no limit, as on all deployments without tenants. Change: limitOf serves both; the field is gone; mayTakeAny answers unlimited tenants at once. Behaviour stays as it is.

--- a/internal/clusterstate/tenants.go
+++ b/internal/clusterstate/tenants.go
@@ -55,11 +55,16 @@
 	}
 	for name, tenant := range v.tenants {
 		tenant.WeightMilli = v.Number("tenant", name, "weight_milli")
-		tenant.Max = Resources{
-			CoresMilli:   v.Number("tenant", name, "max_cores_milli"),
-			MemoryMB:     v.Number("tenant", name, "max_memory_mb"),
-			Accelerators: v.Number("tenant", name, "max_accelerators"),
-		}
+		tenant.Max = v.limitOf(name)
+	}
+}
+
+// limitOf returns the limit of a tenant whose rows were parsed.
+func (v *Values) limitOf(tenant string) Resources {
+	return Resources{
+		CoresMilli:   v.Number("tenant", tenant, "max_cores_milli"),
+		MemoryMB:     v.Number("tenant", tenant, "max_memory_mb"),
+		Accelerators: v.Number("tenant", tenant, "max_accelerators"),
 	}
 }
 
@@ -117,22 +122,12 @@
 func (v *Values) parseFormerTenants(rows []*schema.ConfigurationRow) {
 	v.formerLimits = map[string]*Tenant{}
 	for _, row := range rows {
-		value, err := strconv.ParseInt(row.Value, 10, 64)
-		if err != nil {
-			continue
-		}
-		tenant := v.formerLimits[row.Name]
-		if tenant == nil {
-			tenant = &Tenant{Name: row.Name, WeightMilli: 1}
-			v.formerLimits[row.Name] = tenant
-		}
-		switch row.Key {
-		case "max_cores_milli":
-			tenant.Max.CoresMilli = value
-		case "max_memory_mb":
-			tenant.Max.MemoryMB = value
-		case "max_accelerators":
-			tenant.Max.Accelerators = value
+		if value, err := strconv.ParseInt(row.Value, 10, 64); err == nil {
+			v.numbers[rowID{row.Kind, row.Name, row.Key}] = value
+			v.formerLimits[row.Name] = &Tenant{Name: row.Name, WeightMilli: 1}
 		}
 	}
+	for name, tenant := range v.formerLimits {
+		tenant.Max = v.limitOf(name)
+	}
 }
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -25,9 +25,8 @@
 
 // tenantAccount is what one tenant uses and may use, during one pass.
 type tenantAccount struct {
-	tenant      *clusterstate.Tenant // nil: none, or none that is configured
-	limit       resources            // 0 in a kind: no limit
-	overrun     float64              // that the deployment allows, as a part of the limit
+	limit       resources // 0 in a kind: no limit
+	overrun     float64   // that the deployment allows, as a part of the limit
 	used        resources
 	isUncertain bool // more may be in use than is known
 
@@ -129,9 +128,8 @@
 	}
 	account := &tenantAccount{used: p.tenantUse.byTenant[name], isUncertain: !p.knowsAllRuns, hasOpenCheckouts: s.hasOpenCheckouts()}
 	account.used.add(p.tenantUse.unassigned)
-	if account.tenant = s.tenantOf(name); account.tenant != nil {
-		limit := account.tenant.Max
-		account.limit = resources{limit.CoresMilli, limit.MemoryMB, limit.Accelerators}
+	if tenant := s.tenantOf(name); tenant != nil {
+		account.limit = resources{tenant.Max.CoresMilli, tenant.Max.MemoryMB, tenant.Max.Accelerators}
 		account.overrun = float64(s.bounds.GetQuotaOverrunMilli()) / 1000
 	}
 	p.accounts[name] = account
@@ -167,7 +165,8 @@
 
 // mayTakeAny reports whether a step's tenant may have any more of its tasks.
 func (p *passState) mayTakeAny(s *Scheduler, step *stepQueue) bool {
-	return p.accountOf(s, step.first().tenant).takeable(step, s.queues[step.key.queue].urgency) != nil
+	account := p.accountOf(s, step.first().tenant)
+	return !account.hasLimit() || account.takeable(step, s.queues[step.key.queue].urgency) != nil
 }
 
 // tenantOf returns what is configured of a tenant, or was last, if it has been removed; nil:
