--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -21,6 +21,7 @@
 	"sparnotch/internal/gateway"
 	"sparnotch/internal/membership"
 	"sparnotch/internal/replica"
+	"sparnotch/internal/scheduler"
 	"sparnotch/internal/schema"
 	"sparnotch/internal/storage"
 	"sparnotch/internal/timing"
@@ -160,6 +161,9 @@
 		n.loop.Add(slot.Name, slot.Component, slot.TickInterval)
 	}
 	n.loop.Add(StorageComponent, (*storageWriter)(n), 0)
+	if n.store != nil {
+		n.loop.Add(scheduler.ReportComponent, reporter{n.log}, 0)
+	}
 	if cfg.CallsWorker {
 		n.loop.Add(WorkerCallerComponent, newWorkerCaller(callers[0], func(reply agent.Reply) {
 			n.loop.PostWait(AgentComponent, eventloop.Message{Body: reply})
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -111,6 +111,9 @@
 	wasBoosted := old != nil && old.isBoosted
 	s.removeTask(q, key)
 	if event.Status == queue.Inactive {
+		if old != nil {
+			s.trackEnd(now, q, old)
+		}
 		return
 	}
 	t := &task{
@@ -128,10 +131,12 @@
 		}
 	}
 	s.addTask(q, t)
+	q.trackChange(now, old, t)
 }
 
 func (s *Scheduler) addTask(q *queueView, t *task) {
 	q.tasks[t.key] = t
+	q.countUnended(t.key.stepKey(), 1)
 	s.tasksByName[t.name()] = append(s.tasksByName[t.name()], t)
 	if t.state == queue.Ready {
 		t.worker = ""
@@ -162,6 +167,7 @@
 		return
 	}
 	delete(q.tasks, key)
+	q.countUnended(key.stepKey(), -1)
 	s.removeName(t)
 	if t.state == queue.Ready {
 		delete(q.openCheckouts, key)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -107,6 +107,7 @@
 		for _, member := range v.members {
 			tx.scheduler.evict(member, outcomeStopped)
 			tx.scheduler.counts.Preempted++
+			tx.scheduler.noteEviction(member, countPreempted)
 		}
 	}
 	tx.undos, tx.victims = nil, nil
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -139,6 +139,7 @@
 		runtimeElsewhere := expected + float64(s.bounds.GetStopTimeoutUs())
 		if remainingHere > runtimeElsewhere && lostWork(now, t) <= maxLossFactor*coresOf(t.spec)*expected {
 			s.evict(t, outcomeStopped)
+			s.noteEviction(t, countSlowEvicted)
 		}
 	}
 }
--- a/internal/scheduler/queue_view.go
+++ b/internal/scheduler/queue_view.go
@@ -18,6 +18,8 @@
 	reserved        map[taskKey]*task          // ready, with a checkout on the way
 	openCheckouts   map[taskKey]*task          // ready, with a checkout that was given up but may yet be committed
 	pendingGangs    map[taskKey]*task          // checked-out gangs whose start isn't committed, by their first member
+	stepProgress    map[stepKey]*stepProgress
+	totals          queueTotals // since the latest report
 	readyIndex
 }
 
@@ -29,6 +31,8 @@
 		reserved:       map[taskKey]*task{},
 		openCheckouts:  map[taskKey]*task{},
 		pendingGangs:   map[taskKey]*task{},
+		stepProgress:   map[stepKey]*stepProgress{},
+		totals:         newQueueTotals(),
 		readyIndex:     readyIndex{byShape: map[shape]*shapeGroup{}, lostSteps: map[stepKey]*stepQueue{}, byTenant: map[string]int{}},
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -58,6 +58,7 @@
 	needsPass          bool
 	needsGangStart     bool             // a gang may have come to be held by all its workers
 	nextPassAt         eventloop.Micros // no pass before
+	reportedAt         eventloop.Micros // the latest reports
 	fullPassAt         eventloop.Micros // the latest pass without a limit on unplaced steps
 	starvedPools       map[string]bool  // in which the latest pass found no capacity for some step
 	preemptionFailedAt eventloop.Micros // the latest pass in which nothing was found to preempt
@@ -158,6 +159,7 @@
 		s.expireReservations(now, q)
 	}
 	s.needsPass, s.needsGangStart = true, true
+	s.sendReports(now, effects)
 }
 
 // applyClusterState takes over the settings and the worker leases of a newer
