--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -32,6 +32,7 @@
 	ruleQuota         = 13 // what a tenant runs stays within its limit
 	ruleKeys          = 14 // calls are answered as their keys allow
 	ruleTenants       = 15 // a job is one tenant's and is shown to no other
+	ruleSizes         = 16 // large jobs are served nearly as often as others
 )
 
 // Violation is one broken rule. At is in µs since the start of the run.
--- a/internal/queue/events.go
+++ b/internal/queue/events.go
@@ -35,6 +35,7 @@
 type PathStep struct {
 	EstimateUs int64 // of one task; 0: unknown
 	CoresMilli int64 // of all its tasks
+	Tasks      int64
 }
 
 func (m *Machine) emitEvent(j *job, s, t int) {
--- a/internal/queue/job.go
+++ b/internal/queue/job.go
@@ -125,7 +125,7 @@
 		}
 	}
 	step := j.spec.Steps[index]
-	j.remainingPaths[index] = append([]PathStep{{step.EstimatedRunUs, step.CoresMilli * int64(step.Tasks)}}, longest...)
+	j.remainingPaths[index] = append([]PathStep{{step.EstimatedRunUs, step.CoresMilli * int64(step.Tasks), int64(step.Tasks)}}, longest...)
 	return j.remainingPaths[index]
 }
 
--- a/internal/queue/rounds_test.go
+++ b/internal/queue/rounds_test.go
@@ -226,7 +226,7 @@
 			{Name: "c", Tasks: 3, CoresMilli: 200, EstimatedRunUs: 20, Dependencies: []string{"a"}},
 			{Name: "d", Tasks: 1, CoresMilli: 100, EstimatedRunUs: 30, Dependencies: []string{"b", "c"}},
 		}})
-		stepA, stepB, stepC, stepD := PathStep{10, 200}, PathStep{50, 100}, PathStep{20, 600}, PathStep{30, 100}
+		stepA, stepB, stepC, stepD := PathStep{10, 200, 2}, PathStep{50, 100, 1}, PathStep{20, 600, 3}, PathStep{30, 100, 1}
 		So(len(effects.Events), ShouldEqual, 3)
 		So(effects.Events[0].RemainingPath, ShouldResemble, []PathStep{stepA, stepC, stepD})
 		So(effects.Events[2].RemainingPath, ShouldResemble, []PathStep{stepB, stepD})
--- a/internal/sim/called_runs.go
+++ b/internal/sim/called_runs.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"math"
 	"strconv"
 	"strings"
 
@@ -45,6 +46,9 @@
 		requirements.Work = eventloop.Micros(textParameter(text, "run_us", defaultRunTime))
 	}
 	requirements.Work = max(1, requirements.Work*eventloop.Micros(80+w.rng.Int64N(40))/100)
+	if spread := textParameter(text, "uneven", 0); spread > 0 {
+		requirements.Work = max(1, eventloop.Micros(float64(requirements.Work)*math.Exp(spread*w.rng.NormFloat64())))
+	}
 	if step.RunUntilCancelled {
 		requirements.Work = 0
 	}
--- a/internal/sim/clients.go
+++ b/internal/sim/clients.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 
 	"google.golang.org/protobuf/proto"
@@ -28,11 +29,12 @@
 	Queue       string
 	Interval    eventloop.Micros // mean time between two submissions
 	Job         *schema.Job
-	CancelShare float64          // share of the jobs that are cancelled
-	CancelDelay eventloop.Micros // at least, from the acceptance; at most 300 ms more
-	StartDelay  eventloop.Micros // from the submission to the start, which is given as a wall time; 0: none
-	Attempts    uint32           // that the queue's row allows where a step says nothing
-	Tenant      string           // whose clients submit them; empty: drawn for each job, where there are tenants
+	Draw        func(rng *rand.Rand) *schema.Job // draws each job anew; nil: all are Job
+	CancelShare float64                          // share of the jobs that are cancelled
+	CancelDelay eventloop.Micros                 // at least, from the acceptance; at most 300 ms more
+	StartDelay  eventloop.Micros                 // from the submission to the start, which is given as a wall time; 0: none
+	Attempts    uint32                           // that the queue's row allows where a step says nothing
+	Tenant      string                           // whose clients submit them; empty: drawn for each job, where there are tenants
 }
 
 // withAllowedFailures is the job with the failures that its queue's row allows.
@@ -66,6 +68,9 @@
 			return
 		}
 		count++
+		if kind.Draw != nil {
+			kind.Job = kind.Draw(s.Rng)
+		}
 		s.Submit(kind, fmt.Sprintf("%s-%d", cmp.Or(kind.Name, kind.Queue), count))
 		s.After(drawInterval(), next)
 	}
