Scheduler: a step should take as long as the longest of its tasks

Callers saw jobs given up that could still have been served, the wider the sooner. Cause: a job's target and what is left of it were estimated with one task's run time for each step. A step ends with its longest task, and where run times within a step differ (standard deviation 0.89 of their logarithm on the large bank) the longest of 31 takes six times the typical one. The target of the users goes by the longest chain of work.

Each queue's runtime model now learns how much the run times within a step differ, and a step of n tasks is estimated as the median of the largest of n.

--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/queue"
@@ -47,8 +48,8 @@
 }
 
 // estimateDuration is how long a path should take where no step has more milli
-// cores at once than cores (0: any number); wider steps go in waves. Steps without
-// an estimate count as 0.
+// cores at once than cores (0: any number); wider steps go in waves. A step takes as long
+// as the longest of its tasks. Steps without an estimate count as 0.
 func (s *Scheduler) estimateDuration(name string, path []queue.PathStep, cores int64) (total eventloop.Micros) {
 	model := s.runtimeModels[runtimeKey{name, ""}]
 	for _, leg := range path {
@@ -57,7 +58,7 @@
 		}
 		duration := float64(leg.EstimateUs)
 		if model != nil && model.count >= minRuns {
-			duration = math.Exp(model.predict(math.Log(duration)))
+			duration = math.Exp(model.predict(math.Log(duration))) * model.longestOf(leg.Tasks)
 		}
 		if cores > 0 {
 			duration *= math.Ceil(math.Max(1, float64(leg.CoresMilli)/float64(cores)))
@@ -67,6 +68,19 @@
 	return total
 }
 
+// remainingPath is the path from a task's step on, of which only unended tasks are left.
+func (q *queueView) remainingPath(t *task) []queue.PathStep {
+	if len(t.remaining) == 0 {
+		return nil
+	}
+	path := slices.Clone(t.remaining)
+	if progress := q.stepProgress[t.key.stepKey()]; progress != nil {
+		path[0].Tasks = int64(progress.unended)
+		path[0].CoresMilli = path[0].CoresMilli * path[0].Tasks / max(int64(t.spec.Tasks), 1)
+	}
+	return path
+}
+
 // feasibilityOf tells whether a task's job can still meet the latency target.
 func (s *Scheduler) feasibilityOf(now eventloop.Micros, q *queueView, t *task) deadlineFeasibility {
 	if t.spec.RunUntilCancelled || len(t.remaining) == 0 {
@@ -76,7 +90,7 @@
 	if allowed == 0 {
 		return onTime
 	}
-	remaining := s.estimateDuration(q.name, t.remaining, 0)
+	remaining := s.estimateDuration(q.name, q.remainingPath(t), 0)
 	if t.state == queue.CheckedOut && t.startedAt > 0 {
 		if w := s.workers[t.worker]; w != nil {
 			remaining = min(remaining, s.remainingRuntime(now, w, t)+s.estimateDuration(q.name, t.remaining[1:], 0))
--- a/internal/scheduler/runtime.go
+++ b/internal/scheduler/runtime.go
@@ -16,6 +16,7 @@
 	estimatePriorRuns   = 5                           // runs that the estimates themselves count as
 	slopePriorVariance  = 0.05                        // the variance of estimates that goes with a slope of 1
 	maxDeviation        = 0.7                         // how far off a run may move the line, as a logarithm
+	spreadPriorRuns     = 5                           // runs of equal length that a spread begins with
 	minTrustedPercent   = 5                           // from which a task's progress tells its remaining runtime
 	slowdownDecay       = 0.8                         // of a worker's slowdown, per run
 	unknownRuntime      = math.MaxInt64 / 4           // longer than anything
@@ -45,6 +46,7 @@
 	meanX, meanY, varianceX, covarianceXY float64 // decayed
 	isEstimated                           bool
 	count                                 int
+	spread                                spreadModel
 	lastWorker, previousWorker            string // the latest two workers on which one finished
 	lastAt, previousAt                    eventloop.Micros
 }
@@ -74,6 +76,47 @@
 	m.covarianceXY += part * (dx*(y-m.meanY) - m.covarianceXY)
 }
 
+// longestOf is how many times as long as a typical run the longest of a step's tasks should take.
+func (m *runtimeModel) longestOf(tasks int64) float64 {
+	if tasks <= 1 {
+		return 1
+	}
+	// The median of the largest of so many normally distributed logarithms.
+	quantile := math.Sqrt2 * math.Erfinv(2*math.Pow(0.5, 1/float64(tasks))-1)
+	return math.Exp(quantile * math.Sqrt(m.spread.variance))
+}
+
+// spreadModel is how much the run times of one step's tasks differ. The estimate of a step
+// may be wrong for all its tasks alike; that says nothing of how they differ.
+type spreadModel struct {
+	variance float64 // of the logarithm of the run times within a step, decayed
+	count    float64 // of runs beside the first of their step
+}
+
+// observe takes in the runs of a step that has ended.
+func (m *spreadModel) observe(runs runSample) {
+	freedom := float64(runs.count - 1)
+	if freedom <= 0 {
+		return
+	}
+	m.count += freedom
+	part := math.Max(1-math.Pow(runtimeDecay, freedom), freedom/(m.count+spreadPriorRuns))
+	m.variance += part * (runs.squares/freedom - m.variance)
+}
+
+// runSample sums up run times, as logarithms (Welford's algorithm).
+type runSample struct {
+	count         int
+	mean, squares float64 // squares: the sum of the squared distances from the mean
+}
+
+func (s *runSample) add(run float64) {
+	s.count++
+	distance := run - s.mean
+	s.mean += distance / float64(s.count)
+	s.squares += distance * (run - s.mean)
+}
+
 // finishedOn notes the worker on which a task finished.
 func (m *runtimeModel) finishedOn(worker string, now eventloop.Micros) {
 	if m.lastWorker != worker {
@@ -114,6 +157,7 @@
 		w.slowdown = slowdownDecay*w.slowdown + (1-slowdownDecay)*(y-model.predict(x))
 	}
 	model.observe(x, y)
+	s.queues[t.key.queue].sampleRun(t, y)
 	model.finishedOn(w.id, now)
 }
 
--- a/internal/scheduler/step_progress.go
+++ b/internal/scheduler/step_progress.go
@@ -18,6 +18,7 @@
 	lastPlacedAt  eventloop.Micros
 	mostEndedAt   eventloop.Micros // mostEndedRatio of the tasks had ended; 0: not yet
 	rerunCounts
+	runs runSample // of tasks that were done
 }
 
 // rerunCounts are attempts that were followed by another, by how they ended.
@@ -57,6 +58,14 @@
 	}
 }
 
+// sampleRun takes in the run time, as a logarithm, of a task that is done. The members of a
+// gang end together.
+func (q *queueView) sampleRun(t *task, run float64) {
+	if progress := q.stepProgress[t.key.stepKey()]; progress != nil && !t.spec.Gang {
+		progress.runs.add(run)
+	}
+}
+
 func (p *stepProgress) countRerun(before, t *task) {
 	switch {
 	case t.failures > before.failures:
@@ -82,6 +91,10 @@
 		return
 	}
 	delete(q.stepProgress, t.key.stepKey())
+	key, _ := runtimeKeyOf(t)
+	if model := s.runtimeModels[key]; model != nil {
+		model.spread.observe(progress.runs)
+	}
 	if progress.isTracked {
 		s.reportStep(now, q, t, progress)
 	}
