Scheduler: the work that a job has left is that of its tasks that haven't ended

Callers saw large jobs wait for their last tasks behind every smaller job. Cause: least work left goes first within a class, but the work of a step was that of all its tasks, ended or not, so the last of a hundred, run again after a failure, ranked as a hundred.

TestTheLastTasksOfALargeJobGoFirst failed before.

--- a/internal/scheduler/step_heap.go
+++ b/internal/scheduler/step_heap.go
@@ -134,7 +134,7 @@
 			}
 			class, rank := boosted, 0 // the oldest job first
 			if !pass.boosted[step.key] {
-				class, rank = s.feasibilityOf(now, q, first), workRank(first.remaining)
+				class, rank = s.feasibilityOf(now, q, first), workRank(q.remainingPath(first))
 			}
 			key := cursorKey{class, first.tenant}
 			steps[key] = append(steps[key], rankedStep{step, rank})
