Scheduler: slow workers are told from sound ones with long tasks by a CUSUM test

Callers saw jobs late while up to a fifth of the cores stood idle on sound workers that were ejected, and long tasks of theirs stopped again and again. Cause: progress was compared with that of typical tasks.

What was seen counts now by how much likelier it is on a slow worker, given the learned spread of run times; where they hardly differ nothing changes.

TestSoundWorkersWithLongTasksAreNotSlow failed before.

--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -15,15 +15,20 @@
 	minExpectedProgress = 2.0                          // expected progress, in completed tasks, needed before a worker is judged
 	minComparableRuns   = 20                           // of similar tasks, that the expectation is made from
 	slowProgressRatio   = 0.35                         // of the expected progress: less is slow
+	slowSuspicion       = 7                            // sum of log likelihood ratios from which a worker is slow
+	minRunVariance      = 0.05                         // that run times, relative to their mean, are taken to have
 	minProgressRatio    = 0.05                         // that a worker is reckoned to make at least
 	frozenTimeout       = 2200 * eventloop.Millisecond // without any progress; agents look about each second
 	minFrozenProgress   = 0.1                          // tasks' worth that must be expected in that time
 )
 
 // progressMeter compares the progress that a worker's tasks made lately with what
-// was to be expected, in tasks' worth.
+// was to be expected, in tasks' worth. Where the run times of similar tasks differ, a few long
+// ones make little progress on a sound worker too, so a CUSUM test decides whether what was
+// seen says anything: it adds the logarithm of how much likelier it is on a slow worker.
 type progressMeter struct {
 	actual, expected float64          // decayed
+	suspicion        float64          // sum of log likelihood ratios; never below 0
 	lastProgressAt   eventloop.Micros // any task's progress last changed
 }
 
@@ -32,9 +37,21 @@
 	m.actual, m.expected, m.lastProgressAt = m.actual*factor, m.expected*factor, now
 }
 
-// isSlow reports whether enough progress was to be expected, and far less was made.
+// add takes in progress of a task whose run time has this variance, relative to the square of
+// its mean. Progress is taken as normally distributed, with its mean at slowProgressRatio of
+// the expected on a slow worker.
+func (m *progressMeter) add(actual, expected, variance float64) {
+	m.actual += actual
+	m.expected += expected
+	const halfway = (1 + slowProgressRatio) / 2
+	ratio := (1 - slowProgressRatio) * (halfway*expected - actual) / math.Max(variance, minRunVariance)
+	m.suspicion = math.Max(0, m.suspicion+ratio)
+}
+
+// isSlow reports whether enough progress was to be expected, far less was made, and that isn't
+// by chance.
 func (m *progressMeter) isSlow() bool {
-	return m.expected >= minExpectedProgress && m.actual < slowProgressRatio*m.expected
+	return m.expected >= minExpectedProgress && m.actual < slowProgressRatio*m.expected && m.suspicion >= slowSuspicion
 }
 
 // progressSample is a task's progress when any task of its worker last moved.
@@ -88,8 +105,9 @@
 }
 
 func (s *Scheduler) recordProgress(now eventloop.Micros, w *worker, t *task, percent int64) {
-	w.progress.expected += float64(now-t.sample.at) / float64(s.expectedRuntime(w, t))
-	w.progress.actual += float64(percent-t.sample.percent) / 100
+	key, _ := runtimeKeyOf(t)
+	mean, variance := s.runtimeModels[key].meanOfTypical()
+	w.progress.add(float64(percent-t.sample.percent)/100, float64(now-t.sample.at)/(mean*float64(s.expectedRuntime(w, t))), variance)
 	t.sample = progressSample{now, percent}
 }
 
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -68,3 +69,39 @@
 		So(p.predict(16), ShouldBeBetween, 13.9, 14.2)
 	})
 }
+
+// Sound workers with a few long tasks were ejected as slow, and their tasks stopped.
+func TestSoundWorkersWithLongTasksAreNotSlow(t *testing.T) {
+	const estimate = eventloop.Second
+	step := &schema.Step{Name: "s", Tasks: 16, CoresMilli: 10, EstimatedRunUs: int64(estimate)}
+	// simulate runs tasks on worker a, of these run times on a sound worker, at a speed.
+	simulate := func(span eventloop.Micros, speed float64, runs ...float64) *harness {
+		h := newQualityHarness(0, step)
+		h.finishUnevenSteps("b", 15, estimate)
+		h.finishUnevenSteps("c", 15, estimate)
+		h.lastJob++
+		for k := range runs {
+			h.deliverNext(newEvent(0, h.lastJob, uint32(k), queue.CheckedOut, "a", step))
+		}
+		for start := h.now; h.now < start+span; h.advance(100 * eventloop.Millisecond) {
+			var statuses []*schema.TaskStatus
+			for k, run := range runs {
+				percent := min(99, speed*float64(h.now-start)/float64(estimate)/run*100)
+				statuses = append(statuses, &schema.TaskStatus{Name: fmt.Sprint("j", h.lastJob), Task: uint32(k), Attempt: 1, State: "running", Percent: int64(percent)})
+			}
+			h.sendHeartbeat("a", withNames(func(a *schema.WorkerHeartbeat) { a.Running = statuses }))
+			h.sendHeartbeat("b", withNames(nil))
+			h.sendHeartbeat("c", withNames(nil))
+		}
+		return h
+	}
+	isEjected := func(h *harness) bool { return h.now < h.scheduler.workers["a"].ejectedUntil }
+	Convey("Where run times differ much, three tasks that take several times their estimate say little", t, func() {
+		h := simulate(2*eventloop.Second, 1, 8, 6, 5)
+		So(isEjected(h), ShouldBeFalse)
+		So(h.ordersOf(0, "stop"), ShouldBeEmpty)
+	})
+	Convey("but many tasks that make a tenth of their progress show a slow worker there too", t, func() {
+		So(isEjected(simulate(3*eventloop.Second, 0.1, slices.Repeat([]float64{1}, 16)...)), ShouldBeTrue)
+	})
+}
--- a/internal/scheduler/runtime.go
+++ b/internal/scheduler/runtime.go
@@ -86,6 +86,13 @@
 	return math.Exp(quantile * math.Sqrt(m.spread.variance))
 }
 
+// meanOfTypical is how many times as long as a typical run the mean one takes, and the variance
+// of run times relative to the square of their mean, by the spread within steps.
+func (m *runtimeModel) meanOfTypical() (mean, relativeVariance float64) {
+	variance := m.spread.variance
+	return math.Exp(variance / 2), math.Exp(variance) - 1
+}
+
 // spreadModel is how much the run times of one step's tasks differ. The estimate of a step
 // may be wrong for all its tasks alike; that says nothing of how they differ.
 type spreadModel struct {
