Raft: entries that are proposed while Appends are in flight go in one

A leader under load sent each entry by itself to each peer: under 240 workers some seven messages a task for replication alone, on a core that the scheduler shares. At most two Appends are in flight to a peer now; what is proposed meanwhile goes together.

TestEntriesProposedTogetherShareAppends failed before, with 80 Appends of at most 6.

--- a/internal/raft/flowcontrol.go
+++ b/internal/raft/flowcontrol.go
@@ -13,6 +13,7 @@
 const (
 	maxEntriesPerAppend = 64
 	maxInflightEntries  = 1024 // sent after the last one known to match
+	maxInflightAppends  = 2    // to one peer; what is proposed meanwhile goes in one
 
 	// maxWindowFactor bounds how far a window grows over the least one. If a link turns
 	// slow while that much is in flight, the leader may lose its lease once.
@@ -74,8 +75,12 @@
 	return entries, size
 }
 
-// canSend tells whether a window has room for another Append.
+// canSend tells whether another Append may be sent to a peer, of which so many bytes may be in
+// flight.
 func (p *progress) canSend(window int) bool {
+	if len(p.inflight) >= maxInflightAppends {
+		return false
+	}
 	for _, sent := range p.inflight {
 		window -= sent.bytes
 	}
--- /dev/null
+++ b/internal/raft/flowcontrol_test.go
@@ -0,0 +1,42 @@
+package raft
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sparnotch/internal/eventloop"
+)
+
+// Each entry was sent by itself, to each peer: thousands of messages a second under load.
+func TestEntriesProposedTogetherShareAppends(t *testing.T) {
+	Convey("While Appends are in flight to a peer, further entries wait and go in one", t, func() {
+		r := newCluster(7, ids...)
+		r.run(4 * eventloop.Second)
+		r.appendCount, r.ordered = 0, true
+		const entries = 40
+		for k := range entries {
+			r.propose(fmt.Sprint(k))
+		}
+		r.run(500 * eventloop.Millisecond)
+		for _, id := range ids {
+			So(len(r.applied[id]), ShouldEqual, entries)
+		}
+		// To each of two peers: two at once, and one with the rest.
+		So(r.appendCount, ShouldBeLessThanOrEqualTo, 6)
+	})
+	Convey("Where Appends in flight are lost, all entries arrive nevertheless", t, func() {
+		r := newCluster(8, ids...)
+		r.run(4 * eventloop.Second)
+		lead, lagging := r.leader(), membersExcept(r.leader().self)[0]
+		r.blocked = func(from, to string) bool { return from == lead.self && to == lagging }
+		for k := range 10 {
+			r.propose(fmt.Sprint(k))
+		}
+		r.run(20 * eventloop.Millisecond)
+		r.blocked = func(string, string) bool { return false }
+		r.run(eventloop.Second)
+		So(len(r.applied[lagging]), ShouldEqual, 10)
+	})
+}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -47,7 +47,8 @@
 		return
 	}
 	if p.next <= g.snapshot.Index {
-		p.snapshotPending, p.lastAdvance = true, now
+		// The snapshot covers what is in flight.
+		p.snapshotPending, p.lastAdvance, p.inflight = true, now, nil
 		g.sendSnapshot(now, id, p)
 		return
 	}
