--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -23,8 +23,12 @@
 	path  string
 }
 
+// Reports is the name of loggers whose entries are written out at once: operators watch them
+// while the process runs.
+const Reports = "reports"
+
 // New makes a logger of all levels that writes JSON lines to a ring. Each entry of level
-// error or above flushes the ring to the end of the file at path, or to standard error
+// error or above, and each of a logger named Reports, flushes the ring to the end of the file at path, or to standard error
 // if path is empty or can't be opened.
 func New(path string) (*zap.Logger, *Ring) {
 	ring := &Ring{path: path}
@@ -32,7 +36,7 @@
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), ring, zapcore.DebugLevel)
 	logger := zap.New(core, zap.Hooks(func(entry zapcore.Entry) error {
-		if entry.Level >= zapcore.ErrorLevel {
+		if entry.Level >= zapcore.ErrorLevel || entry.LoggerName == Reports {
 			return ring.Flush()
 		}
 		return nil
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -19,6 +19,7 @@
 	"sparnotch/internal/config"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/gateway"
+	"sparnotch/internal/logring"
 	"sparnotch/internal/membership"
 	"sparnotch/internal/replica"
 	"sparnotch/internal/scheduler"
@@ -162,7 +163,7 @@
 	}
 	n.loop.Add(StorageComponent, (*storageWriter)(n), 0)
 	if n.store != nil {
-		n.loop.Add(scheduler.ReportComponent, reporter{n.log}, 0)
+		n.loop.Add(scheduler.ReportComponent, reporter{n.log.Named(logring.Reports)}, 0)
 	}
 	if cfg.CallsWorker {
 		n.loop.Add(WorkerCallerComponent, newWorkerCaller(callers[0], func(reply agent.Reply) {
