--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -57,6 +57,20 @@
 	return total
 }
 
+// estimateTask is the estimate for one task of a step.
+func (s *Scheduler) estimateTask(name string, leg queue.PathStep) eventloop.Micros {
+	leg.Tasks = 1
+	return s.runtimeModels[runtimeKey{name, ""}].estimateLeg(leg, 0)
+}
+
+// ownDuration is how long a task should take by itself; 0: it has no estimate.
+func (s *Scheduler) ownDuration(q *queueView, t *task) eventloop.Micros {
+	if len(t.remaining) == 0 {
+		return 0
+	}
+	return s.estimateTask(q.name, t.remaining[0])
+}
+
 // estimateLeg is the estimate for one step of a path; a nil model knows no runs.
 func (m *runtimeModel) estimateLeg(leg queue.PathStep, cores int64) eventloop.Micros {
 	if leg.EstimateUs <= 0 {
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -82,6 +82,6 @@
 // isShort reports whether a step's tasks, of which t is one, end about as soon as
 // they could be stopped.
 func (s *Scheduler) isShort(q *queueView, t *task) bool {
-	duration := s.estimateDuration(q.name, t.nextLeg(), 0)
+	duration := s.ownDuration(q, t)
 	return !t.spec.RunUntilCancelled && duration <= max(shortStopFactor*eventloop.Micros(s.bounds.GetStopTimeoutUs()), minShortRun)
 }
--- a/internal/scheduler/inspection_pause.go
+++ b/internal/scheduler/inspection_pause.go
@@ -29,7 +29,10 @@
 
 // spareTime is a step's part of the time that its job may spend on waiting for inspections.
 func (s *Scheduler) spareTime(q *queueView, t *task) eventloop.Micros {
-	duration := s.estimateDuration(q.name, t.wholeRound, 0)
+	duration := eventloop.Micros(0)
+	for _, leg := range t.wholeRound {
+		duration += s.estimateTask(q.name, leg)
+	}
 	if duration == 0 {
 		return maxInspectionPause
 	}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -291,7 +291,7 @@
 // maxLostWork is how much work, in core-microseconds, may be lost to start a task
 // at once: more than about its own isn't worth it.
 func (s *Scheduler) maxLostWork(q *queueView, t *task) float64 {
-	duration := s.estimateDuration(q.name, t.nextLeg(), 0)
+	duration := s.ownDuration(q, t)
 	if duration == 0 || t.spec.RunUntilCancelled {
 		return math.Inf(1)
 	}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -132,14 +132,6 @@
 	return cmp.Or(t.lastCheckpoint, t.initialCheckpoint)
 }
 
-// nextLeg is the task alone, as a path.
-func (t *task) nextLeg() []queue.PathStep {
-	if len(t.remaining) == 0 {
-		return nil
-	}
-	return []queue.PathStep{{EstimateUs: t.remaining[0].EstimateUs, CoresMilli: t.spec.CoresMilli, Tasks: 1}}
-}
-
 // observeRun notes what a heartbeat shows of a run of the worker.
 func (w *worker) observeRun(now eventloop.Micros, status *schema.TaskStatus) {
 	t := w.taskOf(attemptKeyOf(status))
