Scheduler: the cores that stand idle during a stop count among what preemption loses

Callers saw urgent jobs late while 1,000 to 2,300 of 17,920 cores were being freed: tasks of 0.7 s were stopped, in up to 0.9 s, for tasks of 0.24 s. Cause: only work already done counted as lost, not the time in which nothing runs.

--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -24,7 +24,7 @@
 	members []*task
 	urgency int64
 	class   deadlineFeasibility
-	loss    float64 // core-microseconds of work
+	loss    float64 // core-microseconds of work, lost and not done while it is being stopped
 	isTaken bool
 }
 
@@ -249,7 +249,7 @@
 		}
 		v.class = s.feasibilityOf(p.now, s.queues[t.key.queue], t)
 		for _, member := range v.members {
-			v.loss += lostWork(p.now, member)
+			v.loss += lostWork(p.now, member) + s.idleWork(member)
 		}
 		// A task that is expected to end within half the stop timeout isn't worth preempting.
 		if s.remainingRuntime(p.now, w, t) < eventloop.Micros(s.bounds.GetStopTimeoutUs())/2 && t.startedAt > 0 {
@@ -288,6 +288,12 @@
 	return cores * float64(now-from)
 }
 
+// idleWork is the work in core-microseconds that a task's resources don't do while it is being
+// stopped, which takes half of the stop timeout on average.
+func (s *Scheduler) idleWork(t *task) float64 {
+	return coresOf(t.spec) * float64(s.bounds.GetStopTimeoutUs()) / 2
+}
+
 // maxLostWork is how much work, in core-microseconds, may be lost to start a task
 // at once: more than about its own isn't worth it.
 func (s *Scheduler) maxLostWork(q *queueView, t *task) float64 {
--- a/internal/scheduler/preempt_test.go
+++ b/internal/scheduler/preempt_test.go
@@ -160,3 +160,29 @@
 		So(other.evictOutcome, ShouldEqual, "stopped")
 	})
 }
+
+// A fifth of a full pool's cores stood idle while tasks on them were being stopped, for urgent
+// tasks that took less time than a stop.
+func TestAStopsIdleTimeCountsAsLost(t *testing.T) {
+	const stopTimeout = 900 * eventloop.Millisecond
+	victim := &schema.Step{Name: "s", Tasks: 1, CoresMilli: 800, MemoryMb: 10}
+	evicted := func(urgent eventloop.Micros) map[uint64]int {
+		h := newHarness("w")
+		h.scheduler.WithBounds(&schema.Bounds{StopTimeoutUs: int64(stopTimeout)})
+		h.syncQueue("l", 10, newEvent(1, 1, 0, queue.CheckedOut, "w", victim))
+		running := func(a *schema.WorkerHeartbeat) {
+			a.Running = []*schema.TaskStatus{{Queue: "l", Job: 1, Attempt: 1, State: "running", CoresMilli: 800}}
+		}
+		h.sendHeartbeat("w", running)
+		step := &schema.Step{Name: "u", Tasks: 1, CoresMilli: 300, MemoryMb: 10, EstimatedRunUs: int64(urgent)}
+		h.syncQueue("m", 50, withCriticalPath(newEvent(1, 9, 0, queue.Ready, "", step), 0, urgent))
+		h.advance(preemptionDelay + 2*TickInterval)
+		h.sendHeartbeat("w", running)
+		h.advance(100 * eventloop.Millisecond)
+		return h.evictedTasks()
+	}
+	Convey("An urgent task preempts no more cores than its own work is worth while they are being freed", t, func() {
+		So(evicted(900*eventloop.Millisecond), ShouldBeEmpty)
+		So(evicted(1700*eventloop.Millisecond), ShouldResemble, map[uint64]int{1: 1})
+	})
+}
