Scheduler: urgent work that is late goes before less urgent work

Callers saw urgent jobs served late, or not, beside less urgent work that was started and preempted again. Cause: all work that could meet its target went first, whatever its queue.

A pass now goes by urgency through what is on time and what is late, and last through what has missed its target by far.

--- a/internal/scheduler/feasibility.go
+++ b/internal/scheduler/feasibility.go
@@ -8,8 +8,9 @@
 )
 
 // deadlineFeasibility is whether a job can still meet its queue's latency target.
-// Work that can goes first, whatever its queue: while there is more to do than
-// capacity, work that is late anyway would make late what follows it.
+// Of a queue's work that goes first which can: while there is more to do than capacity, work that
+// is late anyway would make late what follows it. What has missed its target by far goes after
+// the work of all queues.
 type deadlineFeasibility int
 
 const (
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -49,10 +49,8 @@
 	for k, q := range queues {
 		heaps[k] = s.stepsByFeasibility(now, q, pass)
 	}
-	for class := range feasibilityClasses {
-		for k, q := range queues {
-			s.scheduleQueue(now, q, class, &heaps[k][class], pass, effects)
-		}
+	for _, turn := range turnsOf(len(queues)) {
+		s.scheduleQueue(now, queues[turn.queue], turn.class, &heaps[turn.queue][turn.class], pass, effects)
 	}
 	s.starvedPools = pass.starvedPools
 	if pass.preemptionFailed {
@@ -60,6 +58,26 @@
 	}
 }
 
+// passTurn is the turn of one class of one queue in a pass.
+type passTurn struct {
+	queue int // in the order of urgency
+	class deadlineFeasibility
+}
+
+// turnsOf is the order of a pass: what would starve, then by urgency what can still be of use,
+// on time before late, and last what has missed its target by far. Less urgent work that went
+// before urgent late work would be preempted by the next urgent job.
+func turnsOf(queues int) (turns []passTurn) {
+	for _, classes := range [][]deadlineFeasibility{{boosted}, {onTime, late}, {infeasible}} {
+		for k := range queues {
+			for _, class := range classes {
+				turns = append(turns, passTurn{k, class})
+			}
+		}
+	}
+	return turns
+}
+
 // queuesToServe lists the queues with ready tasks, most urgent first; among equals
 // the one that has waited longest.
 func (s *Scheduler) queuesToServe(now eventloop.Micros) []*queueView {
