--- a/internal/mutation/mutants.go
+++ b/internal/mutation/mutants.go
@@ -49,7 +49,7 @@
 	{Guard: "an update is based on the current revision", Rule: 11, Scenario: "operators race", Seed: 1, Edits: []Edit{{"internal/clusterstate", "	if given < current.Revision {\n", "	if false {\n"}}},
 	{Guard: "what is read has been confirmed by a quorum", Rule: 11, Test: "internal/raft TestReadIndex", Edits: []Edit{{"internal/raft", "g.pendingReads[k].round <= round", "g.pendingReads[k].round > 0"}}},
 	{Guard: "the configuration reaches every gateway", Rule: 11, Test: "internal/gateway TestUnknownQueueConfirmation", Edits: []Edit{{"internal/gateway", "	if state != nil && state.Version >= g.state.Version {", "	if state != nil && g.state.Version == 0 {"}}},
-	{Guard: "a rack's weight counts", Rule: 11, Scenario: "the table takes effect", Seed: 1, Edits: []Edit{{"internal/scheduler", "!clusterstate.IsValidName(w.rack) || weight == 0 {", "!clusterstate.IsValidName(w.rack) {"}}},
+	{Guard: "a rack's weight counts", Rule: 11, Scenario: "the table takes effect", Seed: 1, Edits: []Edit{{"internal/scheduler", "	if weight == 0 {\n		return 100, w.rack == \"\"", "	if weight < 0 {\n		return 100, w.rack == \"\""}}},
 	{Guard: "a queue's limit counts", Rule: 11, Scenario: "the table takes effect", Seed: 2, Edits: []Edit{{"internal/scheduler", "int(q.maxRunning) - q.checkedOutCount - len(q.reserved),", "1 << 30,"}}},
 	{Guard: "worker leases follow the leader", Rule: 12, Scenario: "leader frozen 30 s", Seed: 1, Edits: []Edit{{"internal/controller", "if lease.Scheduler != target {", "if lease.Scheduler == \"\" {"}}},
 	{Guard: "the gateway retries", Rule: 12, Scenario: "rough net", Seed: 1, Edits: []Edit{{"internal/gateway", "return now-pending.sentAt >= resendInterval }", "return false }"}}},
