--- a/cmd/sparnotch-platform/main.go
+++ b/cmd/sparnotch-platform/main.go
@@ -19,7 +19,13 @@
 	"sparnotch/platform"
 )
 
-const bytesPerMB = 1_000_000
+const (
+	bytesPerMB = 1_000_000
+	// defaultGCPercent is the Go runtime's own.
+	defaultGCPercent = 100
+	// storageNodeGCPercent is for nodes that may lead; the memory limit bounds their heap all the same.
+	storageNodeGCPercent = 400
+)
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
@@ -63,14 +69,40 @@
 	}
 	// SIGHUP changes nothing: settings are read at the start only.
 	signal.Ignore(syscall.SIGHUP)
-	// The platform kills a process above its memory limit. The collector works against a
-	// soft limit below it: a fifth is left for memory that the runtime doesn't count.
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(settings.MemoryMB * bytesPerMB / 5 * 4)
-	}
+	tuneCollector(settings)
 	var workerClients []agent.WorkerClient
 	if c.role == schema.Role_ROLE_CONTROLLER {
 		workerClients = append(workerClients, platform.NewWorkerClient(settings.WorkerAddress))
 	}
 	return daemon.Serve("sparnotch-platform", settings.NodeSettings, c.role, platform.Open(settings), workerClients...)
 }
+
+// collectorTuning is how the garbage collector works in a process.
+type collectorTuning struct {
+	memoryLimit int64 // bytes, soft; 0: none
+	percent     int   // by which the heap grows between two collections
+}
+
+// collectorTuningOf chooses the tuning by the limits that the platform sets and by what the
+// process does. A leader's processor is scarcer than its memory: under load each collection
+// delays what it schedules.
+func collectorTuningOf(settings *platform.Settings) collectorTuning {
+	tuning := collectorTuning{percent: defaultGCPercent}
+	// The platform kills a process above its memory limit. The collector works against a
+	// soft limit below it: a fifth is left for memory that the runtime doesn't count.
+	if settings.MemoryMB > 0 {
+		tuning.memoryLimit = settings.MemoryMB * bytesPerMB / 5 * 4
+	}
+	if settings.NodeSettings.DataDir != "" {
+		tuning.percent = storageNodeGCPercent
+	}
+	return tuning
+}
+
+func tuneCollector(settings *platform.Settings) {
+	tuning := collectorTuningOf(settings)
+	if tuning.memoryLimit > 0 {
+		debug.SetMemoryLimit(tuning.memoryLimit)
+	}
+	debug.SetGCPercent(tuning.percent)
+}
