--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,5 @@
 # Builds the stand-ins that the scripts of the review start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o review/bin/ ./review/harness
+mkdir -p review/bin
+go build -o review/bin/harness ./review/platform
--- a/review/harness/cancel.go
+++ b/review/platform/cancel.go
@@ -10,8 +10,8 @@
 
 const (
 	downSpan      = 4 * time.Second // the pages name 2 s and 9.5 s for machines of the core that lose power together
-	clientCount   = 48
-	clientPause   = 25 * time.Millisecond // between two clients
+	clientCount   = 24
+	clientPause   = 50 * time.Millisecond // between two clients: 20 jobs a second, a burst of 2.3 times the usual
 	clientWait    = 3 * time.Second       // deadline_ms of the pages' kinds of requests
 	furtherTries  = 4                     // as the pages' clients have
 	silencePause  = time.Second           // before another try, where no answer has said when to come back
--- a/review/harness/main.go
+++ b/review/platform/main.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -56,6 +58,7 @@
 	defer os.RemoveAll(folder)
 	d := &deployment{log: log}
 	defer d.end()
+	go d.endOnSignal(folder)
 	if err := d.begin(folder); err != nil {
 		log.note("harness: the deployment didn't start: %v", err)
 		return exitNotRun
@@ -134,6 +137,18 @@
 	return found
 }
 
+// endOnSignal ends all processes when the harness itself is told to end.
+func (d *deployment) endOnSignal(folder string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	if d.fleet != nil {
+		d.stopAll()
+	}
+	os.RemoveAll(folder)
+	os.Exit(exitNotRun)
+}
+
 // end ends all processes and stand-ins.
 func (d *deployment) end() {
 	if d.fleet != nil {
