--- a/review/platform/cancel.go
+++ b/review/platform/cancel.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	downSpan      = 4 * time.Second // the pages name 2 s and 9.5 s for machines of the core that lose power together
+	downSpan      = 4 * time.Second // the pages name up to 9.5 s for machines of the core that lose power together, `kinds` 5 s
 	clientCount   = 24
 	clientPause   = 50 * time.Millisecond // between two clients: 20 jobs a second, a burst of 2.3 times the usual
 	clientWait    = 3 * time.Second       // deadline_ms of the pages' kinds of requests
@@ -30,8 +30,8 @@
 	cancelledMS int64 // when the cancel was answered
 }
 
-// playCancel kills the processes of all machines with a disk at the same moment and starts them
-// again some seconds later, a few times. At that moment clients hand jobs in at the fronts
+// playCancel lets all machines with a disk lose power at the same moment and come back some
+// seconds later, a few times. At that moment clients hand jobs in at the fronts
 // without a disk. A client without a clear answer sends the same ID again when it was told to come
 // back; one that then is turned away cancels the job. No task of a job may start later than cancel_ms after its cancel was
 // acknowledged.
@@ -40,12 +40,12 @@
 	for round := range cancelRounds {
 		begun := time.Now()
 		if withTrouble {
-			d.killCore()
+			d.cutPower()
 		}
 		jobs := make(chan []handedIn, 1)
 		go func() { jobs <- d.handInMany(round) }()
 		time.Sleep(downSpan)
-		if withTrouble && !d.restartCore() {
+		if withTrouble && !d.restorePower() {
 			return exitNotRun
 		}
 		inTouchFromMS := d.log.now() + 2*contactMS
@@ -60,15 +60,20 @@
 	return exitHeld
 }
 
-func (d *deployment) killCore() {
+// cutPower makes the processes of all machines with a disk silent, as machines without power are.
+func (d *deployment) cutPower() {
 	for _, m := range d.fronts[:3] {
-		d.signal(m, syscall.SIGKILL, "is killed")
+		d.signal(m, syscall.SIGSTOP, "loses power")
 	}
 }
 
-// restartCore starts the machines with a disk again; their disks have stayed.
-func (d *deployment) restartCore() bool {
+// restorePower ends the silent processes and starts the machines again; their disks have stayed.
+func (d *deployment) restorePower() bool {
 	for _, m := range d.fronts[:3] {
+		d.signal(m, syscall.SIGKILL, "has its power back")
+	}
+	for _, m := range d.fronts[:3] {
+		<-m.exited
 		if d.writeSettings(m, false) != nil || d.start(m) != nil {
 			return false
 		}
--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -71,6 +72,7 @@
 	settings             string // path of the settings file
 	mu                   sync.Mutex
 	command              *exec.Cmd
+	exited               chan struct{} // closed when the command has ended
 }
 
 // ports are the ports of a run, alike on all machines.
@@ -82,7 +84,8 @@
 	ports         ports
 	fronts, sides []*machine
 	log           *record
-	block         int // second number of the run's loopback addresses
+	isEnded       atomic.Bool // nothing is started any more
+	block         int         // second number of the run's loopback addresses
 }
 
 // newFleet chooses addresses and writes the settings files.
@@ -164,6 +167,11 @@
 
 // start starts a machine's process with the command of the deploy file.
 func (f *fleet) start(m *machine) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if f.isEnded.Load() {
+		return errors.New("the run has ended")
+	}
 	command := exec.Command("target/sparnotch-platform", m.role)
 	command.Env = []string{"SPARNOTCH_SETTINGS=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG")}
 	output, err := os.OpenFile(filepath.Join(f.folder, m.name, "output"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -174,12 +182,12 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	m.mu.Lock()
-	m.command = command
-	m.mu.Unlock()
+	exited := make(chan struct{})
+	m.command, m.exited = command, exited
 	go func() {
 		command.Wait()
 		output.Close()
+		close(exited)
 	}()
 	return nil
 }
@@ -206,12 +214,13 @@
 
 // stopAll ends all processes that the fleet started.
 func (f *fleet) stopAll() {
+	f.isEnded.Store(true)
 	for _, m := range append(append([]*machine{}, f.fronts...), f.sides...) {
 		m.mu.Lock()
 		if m.command != nil && m.command.Process != nil {
 			m.command.Process.Kill()
+			<-m.exited
 		}
 		m.mu.Unlock()
 	}
-	time.Sleep(200 * time.Millisecond)
 }
