Queue: a cancel bars its name, so that a submission that arrives later runs nothing

What callers saw: a client handed a job in, got 504, was turned away elsewhere with 503, and cancelled until the answer was 410, "no such job".

Cause: a cancel of a name that the queue didn't know left nothing behind. A submission that had been sent before it, and that its gateway still resends after the 504, that waits in a socket or behind a gap in its session, was admitted when it arrived. The endless resending isn't the cause but one way among several: a numbered submission must be sent until it is applied, and messages may be late without it.

A submission of a barred name is answered 409 'cancelled' and creates nothing. The checker counts the answer 404 as a confirmed cancel.

Until then all replicas apply a cancel as before; the version never falls.

--- a/internal/checker/history.go
+++ b/internal/checker/history.go
@@ -239,9 +239,10 @@
 	}
 }
 
-// recordCancelReply records the answer to a cancellation.
+// recordCancelReply records the answer to a cancellation. The answer that there is no such job
+// confirms it too: the client needn't fear that the job still runs.
 func (r *jobRecord) recordCancelReply(e *Event) {
-	if e.Code == 200 && r.cancelledAt == 0 {
+	if (e.Code == 200 || e.Code == 404) && r.cancelledAt == 0 {
 		r.cancelledAt = e.At
 	}
 	if e.Code == 200 && r.cancelRequestedAt == 0 {
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -21,6 +21,7 @@
 	"sparnotch/internal/gateway"
 	"sparnotch/internal/logring"
 	"sparnotch/internal/membership"
+	"sparnotch/internal/queue"
 	"sparnotch/internal/replica"
 	"sparnotch/internal/scheduler"
 	"sparnotch/internal/schema"
@@ -120,6 +121,7 @@
 		Member: &schema.Member{
 			Id: newID(), Incarnation: 1, Role: role, Zone: settings.Zone,
 			InternalAddress: settings.InternalAddress, HttpAddress: settings.HttpAddress,
+			QueueCommandVersion: queue.CommandVersion,
 		},
 		log: log, addresses: &membership.AddressBook{}, waiters: map[uint64]chan any{},
 		batches: eventloop.NewQueue[replica.Batch](maxPendingBatches),
--- a/internal/queue/end.go
+++ b/internal/queue/end.go
@@ -8,14 +8,22 @@
 	"sparnotch/internal/schema"
 )
 
-// cancel ends a job, or stops it first if any of its tasks are checked out. It changes
-// nothing if the job has ended, is already stopping or belongs to another tenant.
+// cancel ends a job, or stops it first if any of its tasks are checked out. A job that has
+// ended or is already stopping stays as it is, and a job of another tenant isn't cancelled.
+// Even if there is no such job, the cancel bars later submissions of the name: one that was
+// sent before the cancel may still arrive.
 func (m *Machine) cancel(c *schema.Cancel) {
 	if m.isOthersJob(c.Name, c.Tenant) {
 		m.effects.CancelCode = http.StatusForbidden
 		return
 	}
-	if j := m.jobsByName[c.Name]; j != nil {
+	j := m.jobsByName[c.Name]
+	if !m.barName(c) && j == nil {
+		// Without the bar an answer would be a promise that the queue can't keep.
+		m.effects.CancelCode = http.StatusServiceUnavailable
+		return
+	}
+	if j != nil {
 		switch j.state {
 		case schema.JobState_JOB_SCHEDULED:
 			m.jobsByNextRound.Delete(j)
@@ -32,6 +40,20 @@
 	}
 }
 
+// barName bars submissions of a cancelled name for CancelledNameRetentionUs. It returns false if
+// too many names are barred already. A live job is safe without the bar, as it keeps its name
+// until the retention of the ended job is over.
+func (m *Machine) barName(c *schema.Cancel) bool {
+	if !m.remembersCancels() {
+		return true
+	}
+	if m.cancelledNames.isFull() {
+		return false
+	}
+	m.cancelledNames.add(&schema.CancelledNameSnapshot{Name: c.Name, Tenant: c.Tenant, CancelledUs: m.now})
+	return true
+}
+
 // stopJob marks a job as stopping: no further round, step or task of it becomes ready. The
 // job ends in finalState once none of its tasks is checked out (see endIfIdle).
 func (m *Machine) stopJob(j *job, finalState schema.JobState, reason string) {
--- a/internal/queue/enqueue.go
+++ b/internal/queue/enqueue.go
@@ -27,7 +27,7 @@
 	}
 	switch {
 	case e.Number < sess.next:
-		m.addSubmitResult(e, m.resubmissionCode(e, http.StatusOK))
+		m.addSubmitResult(e, m.outcomeOf(e, outcomeForgotten))
 	case e.Number > sess.next:
 		m.holdPending(sess, index, e)
 	default:
@@ -55,18 +55,30 @@
 	}
 }
 
-// resubmissionCode returns the HTTP status for a submission whose name may already belong to
-// a job: 200 if it is the same job, 409 if it is a different one, and unknownCode if no live
-// or retained job has the name.
-func (m *Machine) resubmissionCode(e *schema.Enqueue, unknownCode int32) int32 {
+// submitOutcome is the outcome of a submission.
+type submitOutcome int
+
+const (
+	outcomeCreated       submitOutcome = iota // the submission creates a job
+	outcomeExists                             // the job exists already, or has ended and is retained
+	outcomeNameTaken                          // the name belongs to another job
+	outcomeNameCancelled                      // the name was cancelled; no job was created or will be
+	outcomeForgotten                          // the submission was admitted before, and its job is forgotten
+)
+
+// outcomeOf returns the outcome of a submission whose name may already belong to a job or be
+// cancelled, and otherwise the given outcome.
+func (m *Machine) outcomeOf(e *schema.Enqueue, otherwise submitOutcome) submitOutcome {
 	digest, tenant, found := m.jobIdentity(e.Name)
 	switch {
+	case !found && m.cancelledNames.bars(e.Name, e.Tenant):
+		return outcomeNameCancelled
 	case !found:
-		return unknownCode
+		return otherwise
 	case string(digest) != string(e.Digest) || IsOtherTenant(tenant, e.Tenant):
-		return http.StatusConflict
+		return outcomeNameTaken
 	}
-	return http.StatusOK
+	return outcomeExists
 }
 
 // jobIdentity returns the digest and the tenant of the live or retained job with a name. A
@@ -93,21 +105,29 @@
 func IsOtherTenant(a, b string) bool { return a != "" && b != "" && a != b }
 
 // addSubmitResult adds the result of a submission to the effects of the command.
-func (m *Machine) addSubmitResult(e *schema.Enqueue, code int32) {
-	result := &schema.SubmitResult{Session: e.Session, Number: e.Number, Code: code}
-	if code == http.StatusConflict {
+func (m *Machine) addSubmitResult(e *schema.Enqueue, outcome submitOutcome) {
+	result := &schema.SubmitResult{Session: e.Session, Number: e.Number, Code: http.StatusOK}
+	switch outcome {
+	case outcomeNameTaken:
+		result.Code = http.StatusConflict
 		result.Error = &schema.Error{Code: "name_taken", Message: "the name already belongs to a job that has different content or another tenant", Field: "name"}
-	} else {
+	case outcomeNameCancelled:
+		result.Code = http.StatusConflict
+		result.Error = &schema.Error{Code: "cancelled", Message: "the name was cancelled before the job was accepted, so the job doesn't run; submit it under another name", Field: "name"}
+	case outcomeCreated:
+		result.Code = http.StatusCreated
+		result.View, _ = m.JobView(e.Name)
+	default:
 		result.View, _ = m.JobView(e.Name)
 	}
 	m.effects.SubmitResults = append(m.effects.SubmitResults, result)
 }
 
-// admitJob adds a job, unless its name is taken. payloadIndex is the index of the log entry
+// admitJob adds a job, unless its name is taken or cancelled. payloadIndex is the index of the log entry
 // that holds the job's payload.
 func (m *Machine) admitJob(payloadIndex uint64, e *schema.Enqueue) {
-	if code := m.resubmissionCode(e, http.StatusCreated); code != http.StatusCreated {
-		m.addSubmitResult(e, code)
+	if outcome := m.outcomeOf(e, outcomeCreated); outcome != outcomeCreated {
+		m.addSubmitResult(e, outcome)
 		return
 	}
 	m.lastJobID++
@@ -124,7 +144,7 @@
 	m.jobsByPayloadIndex.ReplaceOrInsert(j)
 	j.state = schema.JobState_JOB_SCHEDULED
 	m.openDueRounds(j)
-	m.addSubmitResult(e, http.StatusCreated)
+	m.addSubmitResult(e, outcomeCreated)
 }
 
 // openDueRounds opens every round of a job that is due. If rounds remain, it adds the job to
--- a/internal/queue/machine.go
+++ b/internal/queue/machine.go
@@ -14,6 +14,9 @@
 //   - events: the scheduler learns of each change by an event. Events are numbered
 //     without gaps, and a scheduler that missed some catches up with a read-only query
 //     (section "Consumers").
+//   - cancel: a cancel ends a job and bars later submissions of its name for some time, so
+//     that a submission which is delivered late doesn't run a job that its client has
+//     already cancelled.
 //   - end of sessions: the sessions of an expired gateway are removed, and submissions
 //     that it still sends are rejected (section "Session State Clean Up").
 //   - release cursor: the machine caches dehydrated snapshots, and the log is released up
@@ -104,6 +107,7 @@
 	sessions        map[sessionKey]*session
 	pendingEnqueues int                  // held submissions of all sessions
 	expiredGateways map[gatewayKey]int64 // queue time of the command that expired each gateway, µs
+	cancelledNames  cancelledNames
 
 	snapshots          []cachedSnapshot // dehydrated snapshots, oldest first
 	snapshotAtEnqueues uint64           // value of enqueues at the latest cached snapshot
@@ -151,6 +155,9 @@
 // RetainedJobs returns the number of ended jobs whose state can still be queried.
 func (m *Machine) RetainedJobs() int { return len(m.endedInOrder) }
 
+// CancelledNames returns the number of cancels that bar later submissions of their names.
+func (m *Machine) CancelledNames() int { return len(m.cancelledNames.inOrder) }
+
 // TimedJobs returns the number of live jobs that aren't stopping and have a round that isn't
 // due yet.
 func (m *Machine) TimedJobs() int { return m.jobsByNextRound.Len() }
@@ -237,13 +244,20 @@
 			m.setWallOffset(body.Tick.WallOffsetUs)
 		}
 	case *schema.QueueCommand_ApplySettings:
-		m.settings = body.ApplySettings
-		m.advanceTime()
+		m.applySettings(body.ApplySettings)
 	}
 }
 
-// advanceTime opens the rounds that are due at the present queue time, and forgets ended jobs
-// and expired gateways whose retention is over.
+// applySettings replaces the settings. The command version never falls: a cancel that was
+// answered under a higher version must remain in force.
+func (m *Machine) applySettings(settings *schema.ApplySettings) {
+	settings.CommandVersion = max(settings.CommandVersion, m.settings.CommandVersion)
+	m.settings = settings
+	m.advanceTime()
+}
+
+// advanceTime opens the rounds that are due at the present queue time, and forgets ended jobs,
+// expired gateways and cancelled names whose retention is over.
 func (m *Machine) advanceTime() {
 	for {
 		next, found := m.jobsByNextRound.Min()
@@ -264,6 +278,7 @@
 			delete(m.expiredGateways, key)
 		}
 	}
+	m.cancelledNames.forget(m.now)
 }
 
 // setWallOffset sets wall-clock time minus queue time in µs. For jobs that were submitted with
--- a/internal/queue/replay_test.go
+++ b/internal/queue/replay_test.go
@@ -16,7 +16,10 @@
 	for seed := uint64(1); seed <= 150; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		h := newHarness()
-		h.machine.settings = &schema.ApplySettings{JobRetentionUs: 3_000_000, SnapshotInterval: 4, MaxRequeues: 3}
+		// Every other sequence follows the rules of a former program version.
+		h.machine.settings = &schema.ApplySettings{
+			JobRetentionUs: 3_000_000, SnapshotInterval: 4, MaxRequeues: 3, CommandVersion: uint32(seed%2) * CommandVersion,
+		}
 		random := &randomCommands{h: h, rng: rng, numbers: map[string]uint64{}}
 		var lastChecked *ReleaseCursor
 		for k := 0; k < 600; k++ {
--- a/internal/queue/snapshot.go
+++ b/internal/queue/snapshot.go
@@ -114,7 +114,7 @@
 func (m *Machine) Snapshot(isDehydrated bool) []byte {
 	snapshot := &schema.QueueSnapshot{
 		NowUs: m.now, NextJob: m.lastJobID, Handover: m.lastSequence, Settings: m.settings, Reenqueues: m.reenqueues, Enqueues: m.enqueues,
-		Ended: m.endedInOrder, ExpiredGateways: m.expiredGatewaysInOrder(),
+		Ended: m.endedInOrder, ExpiredGateways: m.expiredGatewaysInOrder(), CancelledNames: m.cancelledNames.inOrder,
 	}
 	for _, j := range m.jobsInOrder() {
 		jobSnapshot := j.snapshot()
@@ -220,6 +220,9 @@
 	for _, gateway := range snapshot.ExpiredGateways {
 		m.expiredGateways[gatewayKey{gateway.Gateway, gateway.Incarnation}] = gateway.AtUs
 	}
+	for _, cancelled := range snapshot.CancelledNames {
+		m.cancelledNames.add(cancelled)
+	}
 	for _, sessionSnapshot := range snapshot.Sessions {
 		m.restoreSession(sessionSnapshot)
 	}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -40,6 +40,7 @@
 	failedBatches map[string]uint64              // nodes whose disks fail, each with the number of its waiting batch; 0: none
 	hungDisks     map[string]bool                // nodes whose disks never answer
 	onBatch       func(id string, batch Batch)   // called with each batch that a node writes; may be nil
+	versions      map[string]uint32              // highest queue command version that each node reports
 }
 
 type delayedMessage struct {
@@ -96,7 +97,7 @@
 func newTestCluster() *testCluster {
 	c := &testCluster{
 		now: eventloop.Second, hosts: map[string]*Host{}, received: map[string][]any{}, isDown: map[string]bool{},
-		failedBatches: map[string]uint64{}, hungDisks: map[string]bool{},
+		failedBatches: map[string]uint64{}, hungDisks: map[string]bool{}, versions: map[string]uint32{},
 	}
 	wall := func() int64 {
 		if c.wallOffset == 0 {
@@ -184,7 +185,7 @@
 func (c *testCluster) refreshMembership() {
 	members := &membership.View{Members: map[string]membership.MemberStatus{}}
 	for _, id := range nodeIDs {
-		member := &schema.Member{Id: id, HasStorage: true}
+		member := &schema.Member{Id: id, HasStorage: true, QueueCommandVersion: c.versions[id]}
 		if c.hosts[id].isReadOnly() {
 			member.LatencyUs = int64(membership.WritesRefusedLatency)
 		}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -24,6 +24,7 @@
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/membership"
+	"sparnotch/internal/queue"
 	"sparnotch/internal/raft"
 	"sparnotch/internal/schema"
 	"sparnotch/internal/storage"
@@ -122,6 +123,7 @@
 		JobRetentionUs:   h.values.Fleet("status_s") * 1_000_000,
 		SnapshotInterval: uint32(h.values.Fleet("cache_every")),
 		MaxRequeues:      uint32(h.values.Fleet("circles")),
+		CommandVersion:   queue.CommandVersion,
 	}
 }
 
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -5,16 +5,19 @@
 // the configuration has changed.
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
 	"sparnotch/internal/schema"
 )
 
 const (
 	timedTickInterval    = eventloop.Second            // between idle ticks of a queue with timed jobs
-	retainedTickInterval = 5 * eventloop.Second        // between idle ticks of a queue that only retains ended jobs
+	retainedTickInterval = 5 * eventloop.Second        // between idle ticks of a queue that only retains ended jobs and cancelled names
 	maxWallDrift         = 100 * eventloop.Millisecond // error of a queue's offset from the time of day above which it is corrected
 	maxStateLogEntries   = 512                         // entries in the cluster state's log before it is compacted
 	maxStateLogBytes     = 1 << 20                     // bytes in that log before it is compacted, unless its snapshot is larger
@@ -105,12 +108,13 @@
 // commands. Without it a new leader would continue from an old time.
 func (h *Host) proposeIdleTick(now eventloop.Micros, r *replica) {
 	hasTimed := r.queue.TimedJobs() > 0
+	hasRetained := r.queue.RetainedJobs() > 0 || r.queue.CancelledNames() > 0
 	interval := retainedTickInterval
 	if hasTimed {
 		interval = timedTickInterval
 	}
 	isBehind := r.group.GroupTime(now)-r.queue.Now() > int64(interval)
-	if (hasTimed || r.queue.RetainedJobs() > 0) && isBehind && now-r.tickProposedAt > interval {
+	if (hasTimed || hasRetained) && isBehind && now-r.tickProposedAt > interval {
 		h.proposeTick(now, r, &schema.Tick{})
 	}
 }
@@ -132,9 +136,31 @@
 // proposeSettings proposes the settings of the configuration if they differ from those that
 // the queue has applied.
 func (h *Host) proposeSettings(now eventloop.Micros, r *replica) {
-	if r.settingsIndex <= r.group.CommitIndex() && !proto.Equal(h.queueSettings, r.queue.Settings()) {
-		r.settingsIndex = h.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_ApplySettings{ApplySettings: h.queueSettings}})
+	if r.settingsIndex > r.group.CommitIndex() {
+		return
+	}
+	applied, wanted := r.queue.Settings(), h.queueSettings
+	if applied.CommandVersion < queue.CommandVersion && !h.allMembersSupport(r, queue.CommandVersion) {
+		wanted = proto.Clone(wanted).(*schema.ApplySettings)
+		wanted.CommandVersion = applied.CommandVersion
+	}
+	if !proto.Equal(wanted, applied) {
+		r.settingsIndex = h.proposeQueue(now, r, &schema.QueueCommand{Body: &schema.QueueCommand_ApplySettings{ApplySettings: wanted}})
+	}
+}
+
+// allMembersSupport reports whether all members of a queue's group are known to apply commands
+// of a version. A member of an older version would ignore what it doesn't know, and its state
+// would differ from that of the others.
+func (h *Host) allMembersSupport(r *replica, version uint32) bool {
+	if h.membership == nil {
+		return false
+	}
+	isOlder := func(id string) bool {
+		return id != h.id && h.membership.Members[id].Member.GetQueueCommandVersion() < version
 	}
+	members := r.group.MemberSet()
+	return !slices.ContainsFunc(members.Voters, isOlder) && !slices.ContainsFunc(members.Learners, isOlder)
 }
 
 // proposeReenqueue proposes to append the oldest live job to a long log again, so that its
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -36,11 +36,15 @@
 	codeUnknownJob  = "unknown_job"
 	codeOtherTenant = "other_tenant"
 	codeInternal    = "internal"
+
+	codeTooManyCancels = "too_many_cancels"
 )
 
 const (
 	unknownJobMessage  = "no job of this name is known in the queue"
 	otherTenantMessage = "the job is another tenant's"
+
+	tooManyCancelsMessage = "no job of this name is known, and the queue remembers too many cancelled names to bar another; send the cancel again"
 )
 
 // pendingReply is a request or task report whose reply waits until its command is applied or
@@ -215,6 +219,8 @@
 	switch {
 	case result.CancelCode == http.StatusForbidden:
 		return errorJSON(codeOtherTenant, otherTenantMessage)
+	case result.CancelCode == http.StatusServiceUnavailable:
+		return errorJSON(codeTooManyCancels, tooManyCancelsMessage)
 	case result.CancelView == nil:
 		return errorJSON(codeUnknownJob, unknownJobMessage)
 	}
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -9,6 +9,7 @@
 	"sparnotch/internal/gateway"
 	"sparnotch/internal/membership"
 	"sparnotch/internal/process"
+	"sparnotch/internal/queue"
 	"sparnotch/internal/replica"
 	"sparnotch/internal/schema"
 	"sparnotch/internal/storage"
@@ -84,7 +85,10 @@
 	h.tickPending, h.lastDelivery, h.pendingRequests = map[string]bool{}, map[string]eventloop.Micros{}, map[uint64]func(any){}
 	h.addresses = &membership.AddressBook{}
 	h.store, h.writer = nil, diskWriter{}
-	h.Member = &schema.Member{Id: sim.newID(), Incarnation: 1, Role: h.Role, Zone: h.Zone, InternalAddress: h.Address, HttpAddress: h.Address}
+	h.Member = &schema.Member{
+		Id: sim.newID(), Incarnation: 1, Role: h.Role, Zone: h.Zone, InternalAddress: h.Address, HttpAddress: h.Address,
+		QueueCommandVersion: queue.CommandVersion,
+	}
 	config := h.processConfig()
 	if h.Disk != nil {
 		if h.openStorage() {
