Gateway: a submission is given up after 60 s without a confirmation

A gateway resent an unconfirmed submission for as long as it lived. A queue remembers a cancel for 150 s of queue time, so a submission that a gateway still held after that (alive for the controller, but without a path to the queue's leader, or beside a storage node that takes no writes) could run a job whose cancel had been answered.

A session whose oldest submission has been unconfirmed for 60 s is abandoned: its clients are told that the outcome is unknown, the queue is told to end the session, and later submissions are numbered in a new one. TestStaleSubmissionIsAbandoned; it also holds the two times against each other. endSession moves to the file of the sessions.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	// Sessions.
 	sessionIdleTimeout      = 30 * eventloop.Second
 	endedSessionInterval    = 10 * eventloop.Second // between two reports of ended sessions to a queue
+	maxUnconfirmedAge       = 60 * eventloop.Second // a session with an older unconfirmed submission is abandoned
 	maxEndedSessions        = 64                    // ended sessions of a queue that are reported without waiting for endedSessionInterval
 	maxTickGap              = 20 * eventloop.Second // a longer gap between two ticks restarts all sessions
 	incarnationRestartShift = 32                    // the upper 32 bits of the incarnation count the restarts of all sessions
@@ -187,6 +188,7 @@
 	}
 	g.lastTick = now
 	g.refreshClusterState(now, effects)
+	g.abandonStaleSessions(now, effects)
 	g.sendDueRedirects(now, effects)
 	g.resendOverdue(now, effects)
 	g.expireConfirmation(now, effects)
--- a/internal/gateway/removed_queues.go
+++ b/internal/gateway/removed_queues.go
@@ -4,7 +4,6 @@
 // configuration.
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -15,10 +14,7 @@
 // endRemovedQueues answers what is pending for queues that were removed, as they no longer
 // have a leader that would answer.
 func (g *Gateway) endRemovedQueues(now eventloop.Micros, effects eventloop.Effects) {
-	byName := func(a, b queueClient) int {
-		return cmp.Or(cmp.Compare(a.queue, b.queue), cmp.Compare(a.client, b.client))
-	}
-	for _, key := range slices.SortedFunc(maps.Keys(g.sessions), byName) {
+	for _, key := range sortedClients(g.sessions) {
 		if clusterstate.FindQueue(g.state, key.queue) == nil {
 			g.endSession(key, effects)
 		}
@@ -36,18 +32,3 @@
 		g.handleUnknownQueue(now, message.Group, message, false, effects)
 	}
 }
-
-// endSession drops a session whose queue was removed. It reports an unknown outcome to the
-// waiting clients, as the queue may have applied their submissions before its removal.
-func (g *Gateway) endSession(key queueClient, effects eventloop.Effects) {
-	s := g.sessions[key]
-	for _, pending := range s.unconfirmed {
-		if pending.requestID != 0 {
-			delete(g.submissionsByRequest, pending.requestID)
-			effects.Respond(pending.requestID, outcomeUnknown())
-		}
-	}
-	g.unconfirmedCount -= len(s.unconfirmed)
-	g.unconfirmedByQueue[key.queue] -= len(s.unconfirmed)
-	g.dropSession(key, s)
-}
--- a/internal/gateway/sessions.go
+++ b/internal/gateway/sessions.go
@@ -4,6 +4,7 @@
 // queue without gaps, so that the queue can tell resends from new submissions.
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sort"
@@ -74,6 +75,21 @@
 	delete(g.sessionsByID, sessionKey(s.queue, s.id.Client))
 }
 
+// endSession drops a session with its unconfirmed submissions. It reports an unknown outcome to
+// the waiting clients, as the queue may have applied their submissions.
+func (g *Gateway) endSession(key queueClient, effects eventloop.Effects) {
+	s := g.sessions[key]
+	for _, pending := range s.unconfirmed {
+		if pending.requestID != 0 {
+			delete(g.submissionsByRequest, pending.requestID)
+			effects.Respond(pending.requestID, outcomeUnknown())
+		}
+	}
+	g.unconfirmedCount -= len(s.unconfirmed)
+	g.unconfirmedByQueue[key.queue] -= len(s.unconfirmed)
+	g.dropSession(key, s)
+}
+
 // restartSessions abandons all sessions, tells their queues to end them, and continues in a
 // new incarnation. It reports an unknown outcome to all clients that wait for a submission.
 func (g *Gateway) restartSessions(now eventloop.Micros, effects eventloop.Effects) {
@@ -96,6 +112,30 @@
 	g.incarnation += 1 << incarnationRestartShift
 }
 
+// abandonStaleSessions abandons sessions whose oldest submission has been unconfirmed for
+// maxUnconfirmedAge. The client of that submission was answered long ago. A queue remembers a
+// cancel only for queue.CancelledNameRetentionUs, and a submission must not be delivered after
+// that.
+func (g *Gateway) abandonStaleSessions(now eventloop.Micros, effects eventloop.Effects) {
+	isStale := func(key queueClient) bool {
+		s := g.sessions[key]
+		return len(s.unconfirmed) > 0 && now-s.unconfirmed[0].numberedAt > maxUnconfirmedAge
+	}
+	for _, key := range sortedClients(g.sessions) {
+		if isStale(key) {
+			g.endedSessions[key.queue] = append(g.endedSessions[key.queue], g.sessions[key].id)
+			g.endSession(key, effects)
+		}
+	}
+}
+
+// sortedClients returns the keys of sessions, sorted by queue and client.
+func sortedClients(sessions map[queueClient]*session) []queueClient {
+	return slices.SortedFunc(maps.Keys(sessions), func(a, b queueClient) int {
+		return cmp.Or(cmp.Compare(a.queue, b.queue), cmp.Compare(a.client, b.client))
+	})
+}
+
 // endIdleSessions ends sessions without unconfirmed submissions that have been idle for
 // sessionIdleTimeout, and reports them to their queues in batches.
 func (g *Gateway) endIdleSessions(now eventloop.Micros, effects eventloop.Effects) {
--- a/internal/gateway/submissions.go
+++ b/internal/gateway/submissions.go
@@ -20,10 +20,11 @@
 
 // submission is a job that its queue hasn't confirmed yet.
 type submission struct {
-	enqueue   *schema.Enqueue
-	requestID uint64 // of the client's call; 0 if the client no longer waits
-	sentAt    eventloop.Micros
-	sentTo    string
+	enqueue    *schema.Enqueue
+	requestID  uint64 // of the client's call; 0 if the client no longer waits
+	numberedAt eventloop.Micros
+	sentAt     eventloop.Micros
+	sentTo     string
 }
 
 // handleSubmit accepts a job or rejects it. A rejected job gets no number, as a numbered
@@ -75,7 +76,7 @@
 // enqueue assigns the next number of the session to a job and sends the job to its queue.
 func (g *Gateway) enqueue(now eventloop.Micros, s *session, m SubmitJob, tenant string, effects eventloop.Effects) {
 	pending := &submission{
-		requestID: m.RequestID,
+		requestID: m.RequestID, numberedAt: now,
 		enqueue: &schema.Enqueue{
 			Session: s.id, Number: s.nextNumber, Name: m.Name, Digest: m.Digest, Job: applyDefaultAttempts(g.values, m.Queue, m.Job),
 			Tenant: tenant,
--- a/internal/gateway/submissions_test.go
+++ b/internal/gateway/submissions_test.go
@@ -6,6 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/queue"
 	"sparnotch/internal/schema"
 )
 
@@ -92,3 +93,53 @@
 		So(h.responses[requestID].Code, ShouldEqual, 504)
 	})
 }
+
+// TestStaleSubmissionIsAbandoned guards against a gateway that delivers a submission after the
+// queue has forgotten that its job was cancelled.
+func TestStaleSubmissionIsAbandoned(t *testing.T) {
+	Convey("Given a submission that stays unconfirmed", t, func() {
+		h := newHarness()
+		h.submit("c", "one")
+		_, submit := h.lastSubmit()
+		old := submit.Enqueues[0].Session
+		deadline := h.now + maxUnconfirmedAge
+		wait := func() {
+			h.now += resendInterval
+			h.step(&schema.ClusterStateResponse{Version: 1, Leaders: map[string]string{"l": "a"}}) // renews the read lease
+			h.step(eventloop.Tick{})
+		}
+		for h.now+resendInterval < deadline {
+			wait()
+		}
+		_, submit = h.lastSubmit()
+		So(submit.Enqueues[0].Name, ShouldEqual, "one")
+		waiting := h.submit("c", "two")
+		Convey("its session is ended once it is too old, and nothing of it is sent again", func() {
+			wait()
+			So(h.responses[waiting].Code, ShouldEqual, 504)
+			count := len(h.sent)
+			for range 20 {
+				wait()
+				h.step(&schema.SubmitResponse{Queue: "l", Leader: "b"})
+			}
+			var ended []*schema.Session
+			for _, message := range h.sent[count:] {
+				So(message.body, ShouldNotHaveSameTypeAs, submit)
+				if request, isEnd := message.body.(*schema.EndSessionsRequest); isEnd {
+					ended = append(ended, request.Sessions...)
+				}
+			}
+			So(ended, ShouldResemble, []*schema.Session{old})
+			So(h.gateway.unconfirmedCount, ShouldEqual, 0)
+			Convey("later submissions are numbered in a new session", func() {
+				h.submit("c", "three")
+				_, submit := h.lastSubmit()
+				So(submit.Enqueues[0].Number, ShouldEqual, 1)
+				So(submit.Enqueues[0].Session.Client, ShouldNotEqual, old.Client)
+			})
+		})
+	})
+	Convey("A queue remembers a cancel for longer than a gateway resends a submission", t, func() {
+		So(int64(maxUnconfirmedAge), ShouldBeLessThan, queue.CancelledNameRetentionUs)
+	})
+}
