Gateway: a call whose client has its answer isn't started any more

A call that waited for the newest configuration was handled when that came, although its client had given up meanwhile, and a call that was handled after its deadline, as after a gateway stood still, was numbered all the same. Its client has 504 by then, so nothing false was said, but the work is nobody's, and a cancel elsewhere has to keep it from running.

The first is dropped when its client is gone, the second is rejected (503: it took no effect). TestCallsOfAnsweredClientsTakeNoEffect; each part fails without its guard (mutants). The checker has a history for a cancel that was answered 404, and mutants for the gateway's guards.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -78,6 +78,7 @@
 		{"a worker gets more than its capacity", 6, []Event{workerUp(0, "w"), taskStart(1*s, "w", 0, 0, 1), taskStart(1*s, "w", 0, 1, 1), taskStart(1*s, "w", 0, 2, 1), closing}},
 		{"work reaches a draining worker", 7, []Event{workerUp(0, "w"), {At: 1 * s, Kind: WorkerDraining, Actor: "w"}, order(3*s+1, "w", "start", 1), closing}},
 		{"a cancelled job starts something", 8, []Event{submit(1*s, twoSteps), submitReply(1*s, 201), {At: 2 * s, Kind: CancelReply, Queue: "l", Name: "j", Code: 200}, taskStart(5*s+1, "w", 0, 0, 1), taskEnd(6*s, "w", 0, 0, 1, "done"), statusReply(7*s, 200, "cancelled"), closing}},
+		{"a job starts something after its cancel was answered that there is no such job", 8, []Event{submit(1*s, twoSteps), submitReply(1*s, 504), {At: 2 * s, Kind: CancelReply, Queue: "l", Name: "j", Code: 404}, taskStart(5*s+1, "w", 0, 0, 1), taskEnd(6*s, "w", 0, 0, 1, "done"), closing}},
 		{"a task runs on once told to stop", 8, []Event{submit(1*s, twoSteps), submitReply(1*s, 201), taskStart(2*s, "w", 0, 0, 1), order(3*s, "w", "stop", 1), taskEnd(5*s, "w", 0, 0, 1, "done"), statusReply(7*s, 200, "cancelled"), closing}},
 		{"complete with a task unfinished", 9, append(goodHistory()[:8:8], statusReply(4*s, 200, "complete"), closing)},
 		{"a gang starts in part", 10, []Event{submit(1*s, gang), submitReply(1*s, 201), taskStart(2*s, "w", 0, 0, 1), taskEnd(9*s, "w", 0, 0, 1, "done"), statusReply(10*s, 200, "failed"), closing}},
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 
 	"google.golang.org/protobuf/proto"
@@ -95,6 +96,13 @@
 	return count
 }
 
+// forget drops a call whose client no longer waits, so that it takes no effect later.
+func (c *confirmation) forget(id uint64) {
+	isForgotten := func(call deferredCall) bool { return call.id() == id }
+	c.inFlight = slices.DeleteFunc(c.inFlight, isForgotten)
+	c.queued = slices.DeleteFunc(c.queued, isForgotten)
+}
+
 // sendConfirmation sends the next confirmation if any calls are queued for it.
 func (g *Gateway) sendConfirmation(now eventloop.Micros, effects eventloop.Effects) {
 	c := &g.confirmation
--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -33,6 +33,7 @@
 
 const (
 	gatewayFullMessage    = "this gateway has too many pending requests"
+	overdueMessage        = "this gateway handled the call only after its deadline, so it took no effect"
 	maxNotReadyRetryAfter = 10 // seconds
 )
 
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -34,6 +34,10 @@
 // copy of the cluster state was confirmed to be the newest after the request arrived, so
 // a queue or key that the copy lacks doesn't exist.
 func (g *Gateway) handleRequest(now eventloop.Micros, m LeaderRequest, isConfirmed bool, effects eventloop.Effects) {
+	if hasPassed(now, m.Deadline) {
+		g.rejectUnavailable(m.RequestID, overdueMessage, effects)
+		return
+	}
 	if len(g.requests) >= maxPending {
 		effects.Respond(m.RequestID, Overloaded(g.throughputOf(gatewayThroughput).nextRetryAfter(now)))
 		return
@@ -65,6 +69,10 @@
 	g.sendRequest(now, pending, effects)
 }
 
+// hasPassed reports whether the deadline of a call has passed, so that its client has been
+// answered already and the call must not take effect. Deadline 0 stands for none.
+func hasPassed(now, deadline eventloop.Micros) bool { return deadline > 0 && now > deadline }
+
 // isForUnknownQueue reports whether the gateway's copy of the cluster state lacks a
 // request's queue. For requests of clients, the group of the cluster state counts as an
 // unknown queue.
@@ -143,6 +151,7 @@
 func (g *Gateway) forgetRequest(id uint64) {
 	delete(g.requests, id)
 	delete(g.pendingHeartbeats, id)
+	g.confirmation.forget(id)
 	if pending := g.submissionsByRequest[id]; pending != nil {
 		// The submission is already numbered and continues to be resent: a gap in the
 		// numbers would block all later submissions of its session.
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -84,3 +84,39 @@
 		}
 	})
 }
+
+// TestCallsOfAnsweredClientsTakeNoEffect guards against a gateway that starts to handle a call
+// after its client was answered, as after standing still.
+func TestCallsOfAnsweredClientsTakeNoEffect(t *testing.T) {
+	job := &schema.Job{Steps: []*schema.Step{{Name: "s", Tasks: 1, CoresMilli: 1}}}
+	Convey("A call whose deadline has passed is rejected, and nothing is sent", t, func() {
+		h := newHarness()
+		count := len(h.sent)
+		h.step(SubmitJob{RequestID: 1, Queue: "l", Client: "c", Name: "j", Job: job, Deadline: h.now - 1})
+		h.step(LeaderRequest{RequestID: 2, Kind: KindCancel, Group: "l", Name: "j", Deadline: h.now - 1})
+		So(h.responses[1].Code, ShouldEqual, 503)
+		So(h.responses[2].Code, ShouldEqual, 503)
+		So(len(h.sent), ShouldEqual, count)
+		h.step(SubmitJob{RequestID: 3, Queue: "l", Client: "c", Name: "j", Job: job, Deadline: h.now})
+		So(len(h.sent), ShouldEqual, count+1)
+	})
+	Convey("A call that waits for the newest configuration is dropped when its client is gone", t, func() {
+		h := newHarness()
+		h.step(SubmitJob{RequestID: 1, Queue: "new", Client: "c", Name: "i", Job: job}) // waits for the confirmation that is sent now
+		h.step(SubmitJob{RequestID: 2, Queue: "new", Client: "c", Name: "j", Job: job}) // waits for the next one
+		h.step(SubmitJob{RequestID: 3, Queue: "new", Client: "c", Name: "k", Job: job})
+		h.step(ForgetRequest{RequestID: 1})
+		h.step(ForgetRequest{RequestID: 2})
+		state := &schema.ClusterState{
+			Version: 2, Queues: []*schema.QueuePlacement{{Queue: "new", Generation: 2}},
+			Configuration: &schema.Configuration{Revision: 2, Rows: []*schema.ConfigurationRow{{Kind: "queue", Name: "new", Key: "urgency", Value: "1"}}},
+		}
+		for h.gateway.confirmation.requestID != 0 {
+			h.confirmState(state)
+		}
+		_, submit := h.lastSubmit()
+		So(submit.Enqueues[0].Name, ShouldEqual, "k")
+		So(h.gateway.unconfirmedCount, ShouldEqual, 1)
+		So(h.responses, ShouldBeEmpty)
+	})
+}
--- a/internal/gateway/submissions.go
+++ b/internal/gateway/submissions.go
@@ -32,6 +32,10 @@
 // gateway's copy of the cluster state was confirmed to be the newest after the job arrived,
 // so a queue or key that the copy lacks doesn't exist.
 func (g *Gateway) handleSubmit(now eventloop.Micros, m SubmitJob, isConfirmed bool, effects eventloop.Effects) {
+	if hasPassed(now, m.Deadline) {
+		g.rejectUnavailable(m.RequestID, overdueMessage, effects)
+		return
+	}
 	unrouted := m // the route is looked up again if the submission is deferred and resumed
 	if m.Queue == "" {
 		m.Queue, m.Name, _ = g.values.MatchRoute(m.Host, m.Path)
--- a/internal/mutation/cancel_mutants.go
+++ b/internal/mutation/cancel_mutants.go
@@ -24,5 +24,11 @@
 			"	settings.CommandVersion = max(settings.CommandVersion, m.settings.CommandVersion)\n", ""}}},
 		{Guard: "a command version is raised once all members support it", Test: "internal/replica TestCancelRulesWaitForAllMembers", Edits: []Edit{{"internal/replica",
 			" && !h.allMembersSupport(r, queue.CommandVersion) {", " && false {"}}},
+		{Guard: "a gateway gives up a submission before the queue forgets a cancel", Test: "internal/gateway TestStaleSubmissionIsAbandoned", Edits: []Edit{{"internal/gateway",
+			"now-s.unconfirmed[0].numberedAt > maxUnconfirmedAge", "false"}}},
+		{Guard: "a submission whose deadline has passed isn't numbered", Test: "internal/gateway TestCallsOfAnsweredClientsTakeNoEffect", Edits: []Edit{{"internal/gateway",
+			"m SubmitJob, isConfirmed bool, effects eventloop.Effects) {\n	if hasPassed(now, m.Deadline) {", "m SubmitJob, isConfirmed bool, effects eventloop.Effects) {\n	if false {"}}},
+		{Guard: "a call that waits for the newest configuration is dropped with its client", Test: "internal/gateway TestCallsOfAnsweredClientsTakeNoEffect", Edits: []Edit{{"internal/gateway",
+			"	g.confirmation.forget(id)\n", ""}}},
 	}...)
 }
