Gateway: a session ends with its queue, also if the queue was created again; views show the bar

A gateway that learns at once of a queue's removal and of its creation under the same name kept its sessions, and sent what they held to the new queue, which knows nothing of the cancels that the old one had answered. Sessions now carry the queue's generation. TestSubmissionsStayWithTheirQueue fails without that (mutant).

--- a/internal/gateway/removed_queues.go
+++ b/internal/gateway/removed_queues.go
@@ -12,10 +12,11 @@
 )
 
 // endRemovedQueues answers what is pending for queues that were removed, as they no longer
-// have a leader that would answer.
+// have a leader that would answer. A queue that was created again under the same name is
+// another queue: it knows nothing of the jobs that the removed one accepted or cancelled.
 func (g *Gateway) endRemovedQueues(now eventloop.Micros, effects eventloop.Effects) {
 	for _, key := range sortedClients(g.sessions) {
-		if clusterstate.FindQueue(g.state, key.queue) == nil {
+		if placement := clusterstate.FindQueue(g.state, key.queue); placement.GetGeneration() != g.sessions[key].generation {
 			g.endSession(key, effects)
 		}
 	}
--- a/internal/gateway/sessions.go
+++ b/internal/gateway/sessions.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strconv"
 
+	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
 )
@@ -21,6 +22,7 @@
 // sessionIdleTimeout without new submissions, so that the queue's leader can forget it too.
 type session struct {
 	queue       string
+	generation  uint64 // of the queue
 	id          *schema.Session
 	nextNumber  uint64           // number of the next submission
 	unconfirmed []*submission    // in ascending order of number
@@ -60,7 +62,7 @@
 	}
 	g.lastSession++
 	s := &session{
-		queue: key.queue, nextNumber: 1,
+		queue: key.queue, generation: clusterstate.FindQueue(g.state, key.queue).GetGeneration(), nextNumber: 1,
 		id: &schema.Session{
 			Gateway: g.id, Incarnation: g.incarnation, Client: key.client + "~" + strconv.FormatUint(g.lastSession, 10),
 		},
--- a/internal/mutation/cancel_mutants.go
+++ b/internal/mutation/cancel_mutants.go
@@ -26,6 +26,8 @@
 			" && !h.allMembersSupport(r, queue.CommandVersion) {", " && false {"}}},
 		{Guard: "a gateway gives up a submission before the queue forgets a cancel", Test: "internal/gateway TestStaleSubmissionIsAbandoned", Edits: []Edit{{"internal/gateway",
 			"now-s.unconfirmed[0].numberedAt > maxUnconfirmedAge", "false"}}},
+		{Guard: "a submission stays with the queue that it was for", Test: "internal/gateway TestSubmissionsStayWithTheirQueue", Edits: []Edit{{"internal/gateway",
+			"placement.GetGeneration() != g.sessions[key].generation {", "placement == nil {"}}},
 		{Guard: "a submission whose deadline has passed isn't numbered", Test: "internal/gateway TestCallsOfAnsweredClientsTakeNoEffect", Edits: []Edit{{"internal/gateway",
 			"m SubmitJob, isConfirmed bool, effects eventloop.Effects) {\n	if hasPassed(now, m.Deadline) {", "m SubmitJob, isConfirmed bool, effects eventloop.Effects) {\n	if false {"}}},
 		{Guard: "a call that waits for the newest configuration is dropped with its client", Test: "internal/gateway TestCallsOfAnsweredClientsTakeNoEffect", Edits: []Edit{{"internal/gateway",
--- a/internal/replica/state_view.go
+++ b/internal/replica/state_view.go
@@ -49,6 +49,9 @@
 	Sessions      int      `json:"sessions"`
 	Reenqueues    uint64   `json:"carries"`
 	Digest        string   `json:"digest"` // digest of the state at Applied, as the function Digest returns it
+
+	CancelledNames int    `json:"cancelled_names,omitempty"`
+	CommandVersion uint32 `json:"command_version,omitempty"` // version of the rules that the queue's replicas follow
 }
 
 // stateView returns this node's current view of the cluster.
@@ -83,6 +86,7 @@
 	}
 	view.LiveJobs, view.RetainedJobs = r.queue.LiveJobs(), r.queue.RetainedJobs()
 	view.Reenqueues, view.Sessions = r.queue.Reenqueues(), len(r.queue.Sessions())
+	view.CancelledNames, view.CommandVersion = r.queue.CancelledNames(), r.queue.Settings().CommandVersion
 	view.Digest = Digest(r.queue.Snapshot(true))
 	return view
 }
--- a/internal/replica/state_view_test.go
+++ b/internal/replica/state_view_test.go
@@ -17,6 +17,7 @@
 			Groups: []*GroupStateView{{
 				Group: "q#4", Role: "leader", Leader: "a", Term: 5, Commit: 6, Applied: 7, LastIndex: 8, StableIndex: 9, SnapshotIndex: 10,
 				Voters: []string{"a"}, Learners: []string{"b"}, LiveJobs: 11, RetainedJobs: 12, Sessions: 13, Reenqueues: 14, Digest: "d",
+				CancelledNames: 19, CommandVersion: 20,
 			}},
 			WorkerLeases: []*schema.WorkerLease{{Worker: "w", Scheduler: "a", FencingToken: 15}},
 			Queues:       []*schema.QueuePlacement{{Queue: "q", Generation: 4, InitialVoters: []string{"a"}, PreferredLeader: "a"}},
@@ -31,7 +32,7 @@
 		So(string(data), ShouldEqual, `{"node":"a","cluster_state_version":1,"plan_generation":2,"cluster_state_fresh":true,`+
 			`"controller":"h","controller_lease":3,"store_refuses":"no space",`+
 			`"groups":[{"group":"q#4","role":"leader","leader":"a","term":5,"commit":6,"applied":7,"last":8,"stable":9,"released":10,`+
-			`"voters":["a"],"learners":["b"],"live_jobs":11,"kept_jobs":12,"sessions":13,"carries":14,"digest":"d"}],`+
+			`"voters":["a"],"learners":["b"],"live_jobs":11,"kept_jobs":12,"sessions":13,"carries":14,"digest":"d","cancelled_names":19,"command_version":20}],`+
 			`"wards":[{"worker":"w","scheduler":"a","generation":15}],`+
 			`"queues":[{"queue":"q","generation":4,"founders":["a"],"leader":"a"}],`+
 			`"members":[{"id":"a","boot":16,"role":1,"cell":"z","inner":"i","outer":"o","stores":true,"leaving":true,"beat":17,"latency_us":18}],`+
