--- a/internal/gateway/sessions.go
+++ b/internal/gateway/sessions.go
@@ -119,16 +119,16 @@
 // cancel only for queue.CancelledNameRetentionUs, and a submission must not be delivered after
 // that.
 func (g *Gateway) abandonStaleSessions(now eventloop.Micros, effects eventloop.Effects) {
-	isStale := func(key queueClient) bool {
-		s := g.sessions[key]
-		return len(s.unconfirmed) > 0 && now-s.unconfirmed[0].numberedAt > maxUnconfirmedAge
-	}
-	for _, key := range sortedClients(g.sessions) {
-		if isStale(key) {
-			g.endedSessions[key.queue] = append(g.endedSessions[key.queue], g.sessions[key].id)
-			g.endSession(key, effects)
+	stale := map[queueClient]*session{}
+	for key, s := range g.sessions {
+		if len(s.unconfirmed) > 0 && now-s.unconfirmed[0].numberedAt > maxUnconfirmedAge {
+			stale[key] = s
 		}
 	}
+	for _, key := range sortedClients(stale) {
+		g.endedSessions[key.queue] = append(g.endedSessions[key.queue], stale[key].id)
+		g.endSession(key, effects)
+	}
 }
 
 // sortedClients returns the keys of sessions, sorted by queue and client.
--- a/internal/queue/enqueue.go
+++ b/internal/queue/enqueue.go
@@ -113,7 +113,7 @@
 		result.Error = &schema.Error{Code: "name_taken", Message: "the name already belongs to a job that has different content or another tenant", Field: "name"}
 	case outcomeNameCancelled:
 		result.Code = http.StatusConflict
-		result.Error = &schema.Error{Code: "cancelled", Message: "the name was cancelled before the job was accepted, so the job doesn't run; submit it under another name", Field: "name"}
+		result.Error = &schema.Error{Code: "cancelled", Message: "the name was cancelled, so no job is created under it; submit the job under another name", Field: "name"}
 	case outcomeCreated:
 		result.Code = http.StatusCreated
 		result.View, _ = m.JobView(e.Name)
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -31,19 +31,17 @@
 
 // Error codes of replies.
 const (
-	codeNotReady    = "not_ready"
-	codeBadRequest  = "bad_request"
-	codeUnknownJob  = "unknown_job"
-	codeOtherTenant = "other_tenant"
-	codeInternal    = "internal"
-
+	codeNotReady       = "not_ready"
+	codeBadRequest     = "bad_request"
+	codeUnknownJob     = "unknown_job"
+	codeOtherTenant    = "other_tenant"
 	codeTooManyCancels = "too_many_cancels"
+	codeInternal       = "internal"
 )
 
 const (
-	unknownJobMessage  = "no job of this name is known in the queue"
-	otherTenantMessage = "the job is another tenant's"
-
+	unknownJobMessage     = "no job of this name is known in the queue"
+	otherTenantMessage    = "the job is another tenant's"
 	tooManyCancelsMessage = "no job of this name is known, and the queue remembers too many cancelled names to bar another; send the cancel again"
 )
 
