Soak: clients that give a job up after an unclear answer cancel it through another node

Of three jobs of a session one is now given up when its submission gets 504 or no answer, as from a node that stands still, and is cancelled through any node until that is answered. The checker then judges every later start. TestClientCancelsWhatItGivesUp.

--- a/cmd/sparnotch-bench/clients.go
+++ b/cmd/sparnotch-bench/clients.go
@@ -107,6 +107,9 @@
 	// cancelAfter is the time from the job's acceptance until the client cancels it; 0
 	// means that the client doesn't cancel it.
 	cancelAfter time.Duration
+	// givesUp means that the client doesn't resubmit the job after an unclear answer, but
+	// cancels it through another gateway node.
+	givesUp bool
 }
 
 func (j *clientJob) path() string { return "/v1/queues/" + j.jobType.Queue + "/jobs/" + j.name }
@@ -119,7 +122,7 @@
 	}
 	if j.cancelAfter > 0 {
 		sleep(ctx, j.cancelAfter)
-		j.cancel(ctx)
+		j.cancel(ctx, j.zone)
 	}
 	for delay := firstStatusDelay; ctx.Err() == nil; delay = min(delay*3/2, maxStatusInterval) {
 		sleep(ctx, delay)
@@ -142,7 +145,7 @@
 }
 
 // submit submits the job, with retries, until it is accepted. It returns false when the
-// rejection of the job is final or the context ends.
+// rejection of the job is final, when the client gives up, or when the context ends.
 func (j *clientJob) submit(ctx context.Context) bool {
 	spec := &schema.Job{Text: j.jobType.Text, Steps: j.jobType.Steps}
 	body, err := json.Marshal(spec)
@@ -165,6 +168,9 @@
 		case code >= 400 && code < 500 && code != http.StatusTooManyRequests:
 			j.updateStats(j.jobType, func(s *jobStats) { s.rejected++ })
 			return false
+		case j.givesUp && (code == 0 || code == http.StatusGatewayTimeout):
+			j.cancel(ctx, "")
+			return false
 		}
 		sleep(ctx, max(minSubmitDelay, retryAfter))
 	}
@@ -206,12 +212,12 @@
 	return state
 }
 
-// cancel requests the job's cancellation until a gateway node gives a final answer or the
-// context ends.
-func (j *clientJob) cancel(ctx context.Context) {
+// cancel requests the job's cancellation through a zone until a gateway node gives a final
+// answer or the context ends.
+func (j *clientJob) cancel(ctx context.Context, zone string) {
 	for ctx.Err() == nil {
 		j.history.add(checker.Event{Kind: checker.CancelRequest, Actor: j.client, Queue: j.jobType.Queue, Name: j.name})
-		if code, _ := j.ask(ctx, j.zone, "POST", j.path()+"/cancel", checker.CancelReply); code != 0 && code < 500 && code != http.StatusUnauthorized {
+		if code, _ := j.ask(ctx, zone, "POST", j.path()+"/cancel", checker.CancelReply); code != 0 && code < 500 && code != http.StatusUnauthorized {
 			return
 		}
 		sleep(ctx, minSubmitDelay)
--- a/cmd/sparnotch-bench/soak_session.go
+++ b/cmd/sparnotch-bench/soak_session.go
@@ -19,6 +19,7 @@
 	sessionConnections = 2
 	cancelProbability  = 0.1         // that a session cancels a job
 	maxCancelDelay     = time.Second // from the acceptance of a job to its cancellation
+	givingUpInterval   = 3           // of so many jobs, a session gives one up after an unclear answer
 )
 
 // session is a client of a soak. It submits one job after another over connections to one
@@ -114,7 +115,8 @@
 		jobType := types[rng.IntN(len(types))]
 		j := &clientJob{
 			clients: c, requester: s, jobType: jobType, zone: s.zone, client: s.name,
-			name: fmt.Sprintf("%s.%s-%s-%s-%d", c.prefix, s.tenant, jobType.Name, s.name, number),
+			name:    fmt.Sprintf("%s.%s-%s-%s-%d", c.prefix, s.tenant, jobType.Name, s.name, number),
+			givesUp: number%givingUpInterval == 0,
 		}
 		if rng.Float64() < cancelProbability {
 			j.cancelAfter = 1 + drawPause(rng, maxCancelDelay)
--- a/cmd/sparnotch-bench/soak_test.go
+++ b/cmd/sparnotch-bench/soak_test.go
@@ -95,6 +95,31 @@
 	})
 }
 
+// TestClientCancelsWhatItGivesUp guards against soaks in which no client cancels a job whose
+// submission may still be on its way.
+func TestClientCancelsWhatItGivesUp(t *testing.T) {
+	Convey("A client that gives up after an unclear answer cancels the job, and submits it no more", t, func() {
+		var calls []string
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls = append(calls, r.Method+" "+r.URL.Path)
+			w.WriteHeader(map[string]int{"PUT": http.StatusGatewayTimeout, "POST": http.StatusNotFound}[r.Method])
+		}))
+		defer server.Close()
+		balancer := newLoadBalancer([]*endpoint{{address: strings.TrimPrefix(server.URL, "http://"), zone: "c1", isReady: true}})
+		f := &fleet{balancer: balancer, history: &history{clock: eventloop.RealClock()}}
+		jobType := deployments.All[0].JobTypes[0]
+		c := newClients(balancer, f.history, "p")
+		c.stats[jobType.Name] = &jobStats{codes: map[int32]int{}}
+		j := &clientJob{
+			clients: c, requester: newSession("c0", "a", "c1", "", f, &keyBook{}), jobType: jobType,
+			zone: "c1", client: "c0", name: "j", givesUp: true,
+		}
+		j.run(context.Background())
+		path := "/v1/queues/" + j.jobType.Queue + "/jobs/j"
+		So(calls, ShouldResemble, []string{"PUT " + path, "POST " + path + "/cancel"})
+	})
+}
+
 func TestSoakConfigurationsAreValid(t *testing.T) {
 	Convey("Every configuration that an operator draws is valid, and each tenant keeps a key", t, func() {
 		for seed := range uint64(50) {
