--- a/cmd/sparnotch-bench/clients.go
+++ b/cmd/sparnotch-bench/clients.go
@@ -55,6 +55,7 @@
 type jobStats struct {
 	sent, accepted, ended int                // numbers of jobs
 	rejected              int                // number of jobs whose rejection was final
+	givenUp               int                // number of jobs that were given up, and whose cancel was answered
 	confirmTimes          []eventloop.Micros // from the first submission of a job to its acceptance
 	refusalTimes          []eventloop.Micros // from each refused submission to the refusal
 	codes                 map[int32]int      // number of submissions by HTTP status; 0: no answer
@@ -169,7 +170,9 @@
 			j.updateStats(j.jobType, func(s *jobStats) { s.rejected++ })
 			return false
 		case j.givesUp && (code == 0 || code == http.StatusGatewayTimeout):
-			j.cancel(ctx, "")
+			if j.cancel(ctx, "") {
+				j.updateStats(j.jobType, func(s *jobStats) { s.givenUp++ })
+			}
 			return false
 		}
 		sleep(ctx, max(minSubmitDelay, retryAfter))
@@ -213,15 +216,16 @@
 }
 
 // cancel requests the job's cancellation through a zone until a gateway node gives a final
-// answer or the context ends.
-func (j *clientJob) cancel(ctx context.Context, zone string) {
+// answer or the context ends. It reports whether there was a final answer.
+func (j *clientJob) cancel(ctx context.Context, zone string) bool {
 	for ctx.Err() == nil {
 		j.history.add(checker.Event{Kind: checker.CancelRequest, Actor: j.client, Queue: j.jobType.Queue, Name: j.name})
 		if code, _ := j.ask(ctx, zone, "POST", j.path()+"/cancel", checker.CancelReply); code != 0 && code < 500 && code != http.StatusUnauthorized {
-			return
+			return true
 		}
 		sleep(ctx, minSubmitDelay)
 	}
+	return false
 }
 
 // ask sends a request about the job to a gateway node of a zone. It records the answer as
--- a/cmd/sparnotch-bench/soak_test.go
+++ b/cmd/sparnotch-bench/soak_test.go
@@ -117,6 +117,7 @@
 		j.run(context.Background())
 		path := "/v1/queues/" + j.jobType.Queue + "/jobs/j"
 		So(calls, ShouldResemble, []string{"PUT " + path, "POST " + path + "/cancel"})
+		So(*c.stats[jobType.Name], ShouldResemble, jobStats{sent: 1, givenUp: 1, codes: map[int32]int{504: 1}, refusalTimes: c.stats[jobType.Name].refusalTimes})
 	})
 }
 
