--- a/cmd/sparnotch-bench/soak_session.go
+++ b/cmd/sparnotch-bench/soak_session.go
@@ -100,6 +100,10 @@
 	}
 }
 
+// isIntruder reports whether the session sends a key that no tenant holds. Its requests are
+// rejected, so it can't cancel anything either.
+func (s *session) isIntruder() bool { return s.key() != "" && s.book.newest(s.tenant) == "" }
+
 // run submits jobs of random types one after another, and polls each until it has ended. After
 // the end of the context loading it submits none. When ctx ends, it stops polling too.
 func (s *session) run(loading, ctx context.Context, c *clients, types []deployments.JobType, rng *rand.Rand) {
@@ -116,7 +120,7 @@
 		j := &clientJob{
 			clients: c, requester: s, jobType: jobType, zone: s.zone, client: s.name,
 			name:    fmt.Sprintf("%s.%s-%s-%s-%d", c.prefix, s.tenant, jobType.Name, s.name, number),
-			givesUp: number%givingUpInterval == 0,
+			givesUp: number%givingUpInterval == 0 && !s.isIntruder(),
 		}
 		if rng.Float64() < cancelProbability {
 			j.cancelAfter = 1 + drawPause(rng, maxCancelDelay)
