Replica: a new leader reports no status of a group before it has committed in its own term

What callers saw: nothing at first. A queue that had been removed from the configuration, and that still had a live job, was ended with its job; the same queue added again began anew, with the job ids of before, so that workers which remembered the ends of those ids reported new tasks as done that they had never run.

Cause: the controller ends a removed queue once its leader reports no live and no retained jobs. The report of an empty state was taken for the end of the last job.

Change: groupStatuses leaves out groups whose leader isn't fresh (raft FreshAsOf). The controller takes a missing status for an unknown one, as before an election. TestNewLeaderReportsNoStatus and its mutant.

--- a/internal/mutation/cancel_mutants.go
+++ b/internal/mutation/cancel_mutants.go
@@ -26,6 +26,8 @@
 			" && !h.allMembersSupport(r, queue.CommandVersion) {", " && false {"}}},
 		{Guard: "a gateway gives up a submission before the queue forgets a cancel", Test: "internal/gateway TestStaleSubmissionIsAbandoned", Edits: []Edit{{"internal/gateway",
 			"now-s.unconfirmed[0].numberedAt > maxUnconfirmedAge", "false"}}},
+		{Guard: "a leader that hasn't applied its log reports no status", Test: "internal/replica TestNewLeaderReportsNoStatus", Edits: []Edit{{"internal/replica",
+			"r.group.IsLeader() && r.group.FreshAsOf() > 0 {", "r.group.IsLeader() {"}}},
 		{Guard: "a submission stays with the queue that it was for", Test: "internal/gateway TestSubmissionsStayWithTheirQueue", Edits: []Edit{{"internal/gateway",
 			"placement.GetGeneration() != g.sessions[key].generation {", "placement == nil {"}}},
 		{Guard: "a submission whose deadline has passed isn't numbered", Test: "internal/gateway TestCallsOfAnsweredClientsTakeNoEffect", Edits: []Edit{{"internal/gateway",
--- a/internal/replica/cluster_state_updates.go
+++ b/internal/replica/cluster_state_updates.go
@@ -76,11 +76,13 @@
 	return h.membership != nil && h.membership.Members[id].Member.GetRole() == schema.Role_ROLE_CONTROLLER
 }
 
-// groupStatuses returns the status of each group that this node leads.
+// groupStatuses returns the status of each group that this node leads. A new leader reports none
+// before it has committed an entry of its own term: after a restart its state lacks what it
+// hasn't applied again, and the controller removes a queue that has no jobs.
 func (h *Host) groupStatuses() []*schema.QueueStatus {
 	var statuses []*schema.QueueStatus
 	for _, name := range h.groupNames() {
-		if r := h.groups[name]; r.group.IsLeader() {
+		if r := h.groups[name]; r.group.IsLeader() && r.group.FreshAsOf() > 0 {
 			statuses = append(statuses, h.groupStatus(r))
 		}
 	}
--- a/internal/replica/cluster_state_updates_test.go
+++ b/internal/replica/cluster_state_updates_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -97,3 +98,34 @@
 		So(withRows, ShouldBeBetween, 1, 8)
 	})
 }
+
+// TestNewLeaderReportsNoStatus guards against a controller that removes a queue with jobs, because
+// a leader that hasn't applied its log yet reports none.
+func TestNewLeaderReportsNoStatus(t *testing.T) {
+	Convey("A leader reports a group's status only once it has committed an entry of its own term", t, func() {
+		c := newClusterWithQueue()
+		group := c.queueGroupName("q")
+		reports := func(id string) bool {
+			return slices.ContainsFunc(c.hosts[id].groupStatuses(), func(status *schema.QueueStatus) bool { return status.Group == group })
+		}
+		So(reports("a"), ShouldBeTrue)
+		c.isDown["a"] = true
+		// The new leader's entries are lost, so that it commits nothing.
+		c.isLost = func(_ string, body any) bool {
+			request, isAppend := body.(*schema.AppendRequest)
+			return isAppend && request.Group == group
+		}
+		leader := ""
+		for range 300 {
+			c.runWithMembership(50 * eventloop.Millisecond)
+			if leader = c.leader("q"); leader != "" {
+				break
+			}
+		}
+		So(leader, ShouldNotBeEmpty)
+		So(reports(leader), ShouldBeFalse)
+		c.isLost = nil
+		c.runWithMembership(2 * eventloop.Second)
+		So(reports(c.leader("q")), ShouldBeTrue)
+	})
+}
