review/4: an acknowledged configuration is gone after the loss of one disk

A machine of the core is killed 0.25 s after the first start of the system and is back 0.1 s later, with its disk and first_start=false. The cluster is founded by the two others alone and acknowledges the first configuration, though it bears no loss.

--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -138,16 +138,21 @@
 	}
 }
 
+// sendConfiguration sends a configuration once and returns the status, 0 for no answer.
+func sendConfiguration(rec *record, base int, body map[string]any, m *machine) int {
+	header := map[string]string{"Based-On-Version": strconv.Itoa(base)}
+	code := call(http.MethodPost, m.controlAddress(), "/configuration/replace", header, body, time.Second).code
+	rec.add("configuration %v on %d sent to %s: %d", body["version"], base, m.name, code)
+	return code
+}
+
 // operate sends a configuration to the machines in turn until it is acknowledged or refused, or
 // the time is over. It returns the last status.
 func operate(rec *record, base int, body map[string]any, machines []*machine, limit time.Duration) int {
 	deadline := time.Now().Add(limit)
 	last := 0
 	for k := 0; time.Now().Before(deadline); k++ {
-		m := machines[k%len(machines)]
-		header := map[string]string{"Based-On-Version": strconv.Itoa(base)}
-		last = call(http.MethodPost, m.controlAddress(), "/configuration/replace", header, body, time.Second).code
-		rec.add("configuration %v on %d sent to %s: %d", body["version"], base, m.name, last)
+		last = sendConfiguration(rec, base, body, machines[k%len(machines)])
 		if last == http.StatusOK || last == http.StatusPreconditionFailed || last == http.StatusBadRequest {
 			return last
 		}
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -38,6 +38,7 @@
 	"bootstrap": playBootstrap,
 	"claim":     playClaim,
 	"rename":    playRename,
+	"founders":  playFounders,
 }
 
 func main() {
