--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -8,6 +8,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -65,13 +67,7 @@
 		return exitNotRun
 	}
 	defer os.RemoveAll(folder)
-	// A case that hangs must not leave processes behind.
-	time.AfterFunc(timeLimit, func() {
-		rec.add("not run: the time is over")
-		processes.killAll()
-		os.RemoveAll(folder)
-		os.Exit(exitNotRun)
-	})
+	go abandonCase(rec, folder)
 	found, err := chosen(rec, folder, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
@@ -88,6 +84,22 @@
 	return exitHeld
 }
 
+// abandonCase ends all processes and this program when the time is over or a signal asks for it, so
+// that nothing is left behind.
+func abandonCase(rec *record, folder string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case received := <-signals:
+		rec.add("not run: ended by %v", received)
+	case <-time.After(timeLimit):
+		rec.add("not run: the time is over")
+	}
+	processes.killAll()
+	os.RemoveAll(folder)
+	os.Exit(exitNotRun)
+}
+
 // waitFor polls a condition until it holds or the time is over.
 func waitFor(limit time.Duration, condition func() bool) bool {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
