--- a/review/second/platform/fleet.go
+++ b/review/second/platform/fleet.go
@@ -15,6 +15,7 @@
 
 const (
 	program       = "target/sparnotch-platform" // as the deploy file builds it
+	gracePeriod   = 6 * time.Second             // the bound grace_period_s
 	restartDelay  = 300 * time.Millisecond
 	fronts        = "front"
 	sides         = "side"
@@ -259,6 +260,24 @@
 	}
 }
 
+// removeAll stops machines with SIGTERM, and with SIGKILL after the grace period. They don't come
+// back.
+func (f *fleet) removeAll(machines []*machine) {
+	for _, m := range machines {
+		m.signal(syscall.SIGTERM)
+	}
+	deadline := time.After(gracePeriod)
+	for _, m := range machines {
+		select {
+		case <-m.exited:
+		case <-deadline:
+			f.killAll(machines)
+			return
+		}
+		f.rec.add("%s has left", m.name)
+	}
+}
+
 // isRunning reports whether the machine's process has started and not ended.
 func (m *machine) isRunning() bool {
 	if m.exited == nil {
--- a/review/second/platform/seeds.go
+++ b/review/second/platform/seeds.go
@@ -15,8 +15,8 @@
 	newKind        = "b"
 )
 
-// playSeeds adds a machine with a worker of a new kind while the seeds that its settings name are
-// down. Some seconds later the platform exchanges the seeds in all settings files and tells the
+// playSeeds adds a machine with a worker of a new kind just after the seeds that its settings name
+// have left. Some seconds later the platform exchanges the seeds in all settings files and tells the
 // processes so.
 func playSeeds(rec *record, folder string, hasTrouble bool) (result, error) {
 	f, err := newFleet(rec, folder, 3, 4, 3)
@@ -65,14 +65,13 @@
 	}
 }
 
-// addWhileSeedsAreDown ends the processes of the three seeds at the same moment, starts the added
+// addWhileSeedsAreDown lets the three seeds leave for good, each after a SIGTERM, starts the added
 // machine with settings that still name them, and then exchanges the seeds. Without the trouble
 // the seeds stay up.
 func (f *fleet) addWhileSeedsAreDown(added *machine, hasTrouble bool) error {
 	if hasTrouble {
-		f.killAll(f.seeds)
+		f.removeAll(f.seeds)
 	}
-	down := f.seeds
 	if err := added.start(); err != nil {
 		return err
 	}
@@ -89,9 +88,6 @@
 			m.signal(syscall.SIGHUP)
 		}
 	}
-	if hasTrouble {
-		f.rec.add("%d machines stay down", len(down))
-	}
 	time.Sleep(contactTime + time.Second)
 	return nil
 }
