Cluster state: a route keeps its queue and its jobs whatever it is called

Cause: the platform's adapter named each queue like its route, and the name was the queue's identity. Another name made another Raft group, which knew neither the jobs nor the bars of cancelled names.

Change: the leader of the cluster state assigns queues to the routes of an update before it appends it to the log; the names of routes are labels. It assigns to one update at a time, when all earlier ones are applied. Routes of queues that left the configuration but are still placed are kept in the state. Replicas of the version before apply the same rows.

Nine mutants are killed.

--- a/internal/clusterstate/clusterstate.go
+++ b/internal/clusterstate/clusterstate.go
@@ -72,7 +72,11 @@
 	if err != nil {
 		return m, err
 	}
-	return m, proto.Unmarshal(decompressed, m.state)
+	if err := proto.Unmarshal(decompressed, m.state); err != nil {
+		return m, err
+	}
+	m.completeFormerQueues()
+	return m, nil
 }
 
 // Snapshot encodes the whole state. The encoding is deterministic: replicas that have applied
--- a/internal/clusterstate/queues.go
+++ b/internal/clusterstate/queues.go
@@ -44,6 +44,7 @@
 	for k, placement := range m.state.Queues {
 		if matchesQueue(placement, name) && !m.Values().HasQueue(placement.Queue) {
 			m.state.Queues = append(m.state.Queues[:k:k], m.state.Queues[k+1:]...)
+			m.dropObsoleteFormerQueues()
 			m.changed = true
 			return
 		}
--- a/internal/clusterstate/replace.go
+++ b/internal/clusterstate/replace.go
@@ -183,6 +183,7 @@
 		Revision: previous.Revision + 1, Rows: update.Rows, Version: version, Document: document,
 		FormerTenants: formerTenants(previous, update.Rows),
 	}
+	m.updateFormerQueues(previous)
 	m.state.AcceptedVersions = append(m.state.AcceptedVersions, accepted)
 	if len(m.state.AcceptedVersions) > maxRememberedUpdates {
 		m.state.AcceptedVersions = m.state.AcceptedVersions[1:]
@@ -235,8 +236,12 @@
 }
 
 // versionDigest returns a digest that distinguishes updates of the same version. It hashes the
-// document, which is what the author submitted, or the rows if there is no document.
+// document, which is what the author submitted, or the rows if there is no document. If the
+// leader has changed the update (AssignQueues), the digest is that of the submitted one.
 func versionDigest(update *schema.ConfigurationUpdate) []byte {
+	if len(update.SubmittedDigest) > 0 {
+		return update.SubmittedDigest
+	}
 	hash := sha256.New()
 	hash.Write(update.Document)
 	if len(update.Document) == 0 {
--- a/internal/clusterstate/routes.go
+++ b/internal/clusterstate/routes.go
@@ -23,6 +23,9 @@
 	return r.prefix
 }
 
+// match returns what callers know a route by: its host and path prefix, without its queue.
+func (r *route) match() route { return route{host: r.host, prefix: r.pathPrefix()} }
+
 // routeSet holds the routes that the rows of a configuration define, at most one per queue.
 type routeSet struct {
 	byQueue map[string]*definedRoute
@@ -32,7 +35,8 @@
 // definedRoute is a route with the position of its definition, for error messages.
 type definedRoute struct {
 	route
-	lastRow int // index of the last row that defines the route
+	label   string // name that the author of the configuration gave the queue
+	lastRow int    // index of the last row that defines the route
 }
 
 // newRouteSet collects the routes from the host and prefix rows of queues.
@@ -44,7 +48,7 @@
 		}
 		defined := set.byQueue[row.Name]
 		if defined == nil {
-			defined = &definedRoute{route: route{queue: row.Name}}
+			defined = &definedRoute{route: route{queue: row.Name}, label: labelOf(row)}
 			set.byQueue[row.Name] = defined
 			set.queues = append(set.queues, row.Name)
 		}
--- a/internal/clusterstate/validate.go
+++ b/internal/clusterstate/validate.go
@@ -130,11 +130,11 @@
 	seen := map[route]string{}
 	for _, queue := range routes.queues {
 		found := routes.byQueue[queue]
-		match := route{host: found.host, prefix: found.pathPrefix()}
+		match := found.match()
 		if other, duplicate := seen[match]; duplicate {
-			return rowError(found.lastRow, "value", "queues %s and %s have the same route: the same host and prefix", other, queue)
+			return rowError(found.lastRow, "value", "queues %s and %s have the same route: the same host and prefix", other, found.label)
 		}
-		seen[match] = queue
+		seen[match] = found.label
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/mutation/route_mutants.go
@@ -0,0 +1,25 @@
+package mutation
+
+// These guards keep the jobs of a route together when its name changes; see docs/control/routes.md.
+func init() {
+	Mutants = append(Mutants, []*Mutant{
+		{Guard: "a renamed route keeps its queue", Test: "platform TestRenamedRouteKeepsItsJobs", Edits: []Edit{{"internal/replica",
+			"Update: h.stateMachine.AssignQueues(first.update)}", "Update: first.update}"}}},
+		{Guard: "a patch removes a route by its name, not by its queue's", Test: "internal/clusterstate TestRenamedRouteKeepsItsQueue", Edits: []Edit{{"internal/clusterstate",
+			"	assigned.Removed = a.assignRemoved(update.Removed)\n", "	assigned.Removed = update.Removed\n"}}},
+		{Guard: "a name that moves to another route gets another queue", Test: "internal/clusterstate TestMovedNameGetsAnotherQueue", Edits: []Edit{{"internal/clusterstate",
+			"	for k := 0; a.isTaken[name]; k++ {", "	for k := 0; false; k++ {"}}},
+		{Guard: "the route of a queue that isn't configured is remembered", Test: "internal/clusterstate TestRenamedRouteKeepsItsQueue", Edits: []Edit{{"internal/clusterstate",
+			"	m.addFormerQueues(previous)\n", ""}}},
+		{Guard: "a snapshot of an older version gets the routes of its former queues", Test: "internal/clusterstate TestQueuesOfOlderVersions", Edits: []Edit{{"internal/clusterstate",
+			"	m.completeFormerQueues()\n	return m, nil", "	return m, nil"}}},
+		{Guard: "an assigned patch is recognized when it is sent again", Test: "internal/clusterstate TestRetriedPatchOfRenamedRoute", Edits: []Edit{{"internal/clusterstate",
+			"		assigned.SubmittedDigest = digest\n", ""}}},
+		{Guard: "an update of an older process keeps queues that have other names than their routes", Test: "internal/clusterstate TestQueuesOfOlderVersions", Edits: []Edit{{"internal/clusterstate",
+			"update.QueuesByRoute || hasLabels(current.Rows)", "update.QueuesByRoute"}}},
+		{Guard: "updates are assigned one after the other", Test: "internal/replica TestUpdatesWaitForTheirBase", Edits: []Edit{{"internal/replica",
+			"r.appliedIndex >= max(r.group.NoOpIndex(), r.updateIndex)", "r.appliedIndex >= r.group.NoOpIndex()"}}},
+		{Guard: "updates are assigned after the log of earlier terms is applied", Test: "internal/replica TestUpdatesWaitForTheirBase", Edits: []Edit{{"internal/replica",
+			"r.appliedIndex >= max(r.group.NoOpIndex(), r.updateIndex)", "r.appliedIndex >= r.updateIndex"}}},
+	}...)
+}
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -19,6 +19,7 @@
 func (h *Host) applyEntry(now eventloop.Micros, r *replica, entry *schema.Entry, effects eventloop.Effects) {
 	pending, isPending := r.pendingCommands[entry.Index]
 	delete(r.pendingCommands, entry.Index)
+	r.appliedIndex = entry.Index
 	// If the pending command was proposed in another term, this entry has overwritten it in
 	// the log. Its caller gets no reply and retries.
 	isPending = isPending && pending.term == entry.Term
@@ -123,6 +124,7 @@
 		case r.queue == nil:
 			if !r.group.IsLeader() {
 				r.dropPendingReads()
+				r.waitingUpdates = nil
 			}
 		case !r.group.IsLeader():
 			h.endLeadership(r, effects)
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -26,6 +26,10 @@
 	pendingCommands map[uint64]pendingReply // replies due when a command is applied, by its log index
 	pendingReads    map[uint64]pendingReply // replies due when a read is confirmed, by its ID
 
+	appliedIndex   uint64          // log index of the last entry that the state machine has applied
+	updateIndex    uint64          // log index of the last update of the configuration that this node proposed
+	waitingUpdates []waitingUpdate // updates of the configuration to be proposed when the one before them is applied
+
 	notifiedTerm uint64 // term in which the scheduler was sent a snapshot of the tasks; 0: a new snapshot is due
 
 	tickProposedAt eventloop.Micros // when the last tick was proposed
@@ -72,6 +76,7 @@
 // restoreGroup replaces a group's state machine with the state in a snapshot. It panics with
 // UndecodableState if the snapshot can't be decoded.
 func (h *Host) restoreGroup(r *replica, snapshot *schema.Snapshot) {
+	r.appliedIndex = snapshot.GetIndex()
 	if r.group.Name() == clusterstate.GroupName {
 		machine, err := clusterstate.Restore(snapshot.Data)
 		if err != nil {
--- a/internal/replica/persistence.go
+++ b/internal/replica/persistence.go
@@ -88,6 +88,7 @@
 	for _, readID := range ready.ConfirmedReads {
 		h.completeRead(now, r, readID, effects)
 	}
+	h.proposeWaitingUpdate(now, r)
 	return true
 }
 
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -87,15 +87,7 @@
 			r.pendingCommands[index] = pending
 		}
 	case requestCommand:
-		// A command that can't be decoded must not be added to the log, because no replica
-		// could apply it.
-		if _, err := clusterstate.DecodeCommand(m.Body); err != nil {
-			h.reply(pending, http.StatusBadRequest, errorJSON(codeBadRequest, "the command can't be decoded"), effects)
-			return
-		}
-		if index, _, err := r.group.Propose(now, m.Body); err == nil {
-			r.pendingCommands[index] = pending
-		}
+		h.handleCommand(now, r, pending, effects)
 	default:
 		h.reply(pending, http.StatusBadRequest, errorJSON(codeBadRequest, "unknown kind of request: "+m.Kind), effects)
 	}
