Settings: a running process takes the seeds that its settings file names now

The worker's machine had been added just after its three seeds had left, and went on asking them when all settings files named others, SIGHUP or not.

Cause: the seeds were read once, at the start. A process without a disk that knows no member has nothing else to ask. The same lets processes that are one another's seeds, and restart together, stay an island.

Change: the settings file is read again each second and on SIGHUP. Content is taken when it was read twice and is valid; otherwise what is in force stays. Changed seeds are contacted at once; the seeds of the start alone decide the bootstrap.

--- a/cmd/sparnotch-platform/main.go
+++ b/cmd/sparnotch-platform/main.go
@@ -69,14 +69,14 @@
 		fmt.Println("settings are valid")
 		return subcommands.ExitSuccess
 	}
-	// SIGHUP is ignored, since the settings are read only at startup.
+	// Until the daemon handles SIGHUP, the signal would end the process.
 	signal.Ignore(syscall.SIGHUP)
 	tuneCollector(settings)
 	var workerClients []agent.WorkerClient
 	if c.role == schema.Role_ROLE_CONTROLLER {
 		workerClients = append(workerClients, platform.NewWorkerClient(settings.WorkerAddress))
 	}
-	return daemon.Serve("sparnotch-platform", settings.NodeSettings, c.role, platform.Open(settings), workerClients...)
+	return daemon.Serve("sparnotch-platform", settings.NodeSettings, settings.WatchFile(), c.role, platform.Open(settings), workerClients...)
 }
 
 // collectorTuning holds the settings of a process's garbage collector.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -94,17 +94,28 @@
 	if set.NArg() > 0 {
 		return nil, Invalid.New("%s: unexpected argument, only flags are accepted", set.Arg(0))
 	}
+	if f.file == "" {
+		return f.override(set, &schema.Settings{})
+	}
+	data, err := os.ReadFile(f.file)
+	if err != nil {
+		return nil, Invalid.Wrap(err, "options")
+	}
+	return f.parse(set, data)
+}
+
+// parse parses the content of the settings file and overrides it with the flags that are set.
+func (f *Flags) parse(set *flag.FlagSet, data []byte) (*schema.Settings, error) {
 	options := &schema.Settings{}
-	if f.file != "" {
-		data, err := os.ReadFile(f.file)
-		if err != nil {
-			return nil, Invalid.Wrap(err, "options")
-		}
-		if err := schema.UnmarshalJSON(data, options); err != nil {
-			// protojson randomly replaces spaces in its errors with non-breaking spaces.
-			return nil, Invalid.New("options: the file %s is invalid: %s", f.file, strings.ReplaceAll(err.Error(), "\u00a0", " "))
-		}
+	if err := schema.UnmarshalJSON(data, options); err != nil {
+		// protojson randomly replaces spaces in its errors with non-breaking spaces.
+		return nil, Invalid.New("options: the file %s is invalid: %s", f.file, strings.ReplaceAll(err.Error(), "\u00a0", " "))
 	}
+	return f.override(set, options)
+}
+
+// override sets what the flags set, and validates the result.
+func (f *Flags) override(set *flag.FlagSet, options *schema.Settings) (*schema.Settings, error) {
 	set.Visit(func(visited *flag.Flag) {
 		if apply, found := f.apply[visited.Name]; found {
 			apply(options)
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -81,7 +81,7 @@
 		fmt.Println("settings are valid")
 		return subcommands.ExitSuccess
 	}
-	return Serve(c.program, settings, c.Role, func(node *process.Node, log *zap.Logger) (Server, error) {
+	return Serve(c.program, settings, c.flags.WatchFile(set, settings), c.Role, func(node *process.Node, log *zap.Logger) (Server, error) {
 		return httpapi.Serve(node, log)
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,7 +3,8 @@
 //
 // Main implements the main function of a program whose subcommands are daemons. Serve runs
 // one daemon. SIGTERM and SIGINT begin a graceful shutdown, and a second such signal ends
-// the wait for pending work; SIGUSR1 writes out the log ring; SIGHUP is ignored.
+// the wait for pending work; SIGUSR1 writes out the log ring; SIGHUP makes the daemon look at
+// its settings file at once, which it otherwise does at intervals.
 package daemon
 
 import (
@@ -23,6 +24,7 @@
 	"sparnotch/internal/logring"
 	"sparnotch/internal/process"
 	"sparnotch/internal/schema"
+	"sparnotch/internal/settingsfile"
 	"sparnotch/internal/storage"
 )
 
@@ -38,6 +40,13 @@
 	restartDrainTimeout = 1500 * time.Millisecond
 	drainCheckInterval  = 50 * time.Millisecond
 	signalBuffer        = 4
+
+	// settingsCheckInterval is the time between two looks at the settings file, which may change
+	// without a signal.
+	settingsCheckInterval = time.Second
+	// settingsSettleTime is the time after which a changed settings file is read again, to see
+	// whether it was complete.
+	settingsSettleTime = 100 * time.Millisecond
 )
 
 // Server accepts requests from clients for a node.
@@ -62,13 +71,15 @@
 	log           *zap.Logger
 	ring          *logring.Ring
 	newServer     ServerFactory
+	settingsFile  *settingsfile.Watcher // nil: the settings don't change
 	workerClients []agent.WorkerClient
 }
 
 // Serve runs a node until it fails or has shut down after a signal, and returns the
-// exit code. It writes errors to standard error, prefixed with name. An agent node uses
-// the worker client, if one is passed, to call its worker.
-func Serve(name string, settings *schema.Settings, role schema.Role, newServer ServerFactory, workerClients ...agent.WorkerClient) subcommands.ExitStatus {
+// exit code. It writes errors to standard error, prefixed with name. If settingsFile isn't nil,
+// the node takes changes of the file while it runs. An agent node uses the worker client, if one
+// is passed, to call its worker.
+func Serve(name string, settings *schema.Settings, settingsFile *settingsfile.Watcher, role schema.Role, newServer ServerFactory, workerClients ...agent.WorkerClient) subcommands.ExitStatus {
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	// Without this, a write to standard output or standard error would end this process if the
@@ -83,7 +94,8 @@
 		}
 	}()
 	d := &daemon{
-		settings: settings, role: role, signals: signals, log: log, ring: ring, newServer: newServer, workerClients: workerClients,
+		settings: settings, role: role, signals: signals, log: log, ring: ring, newServer: newServer,
+		settingsFile: settingsFile, workerClients: workerClients,
 	}
 	err := d.serve()
 	if err == nil {
@@ -122,8 +134,12 @@
 		node.Stop()
 		return nil, config.Invalid.Wrap(err, "outer")
 	}
+	settingsTimer := time.NewTimer(settingsCheckInterval)
+	defer settingsTimer.Stop()
 	for {
 		select {
+		case <-settingsTimer.C:
+			settingsTimer.Reset(d.checkSettings(node))
 		case err := <-node.Failed:
 			return nil, err
 		case reopened := <-node.StoreOpened:
@@ -134,6 +150,9 @@
 			return reopened, nil
 		case received := <-d.signals:
 			if !isShutdownSignal(received, d.log, d.ring.Flush) {
+				if received == syscall.SIGHUP {
+					settingsTimer.Reset(d.checkSettings(node))
+				}
 				continue
 			}
 			d.log.Info("shutting down", zap.String("signal", received.String()))
@@ -153,9 +172,6 @@
 		}
 		return false
 	case syscall.SIGHUP:
-		// Supervisors send SIGHUP to request a reload of the settings; by default it
-		// would end the process.
-		log.Info("ignored a signal, because settings are read only at the start", zap.String("signal", received.String()))
 		return false
 	}
 	return true
--- a/internal/membership/bootstrap.go
+++ b/internal/membership/bootstrap.go
@@ -62,7 +62,7 @@
 // mayBootstrap reports whether this process may vote: it must be a storage node that hasn't joined
 // a cluster, and this must be the first start of the cluster.
 func (m *Membership) mayBootstrap() bool {
-	return m.identity != nil && !m.identity.Joined && (m.config.Bootstrap || m.isImplicitBootstrap() && m.isSeed())
+	return m.identity != nil && !m.identity.Joined && (m.config.Bootstrap || m.isImplicitBootstrap() && slices.Contains(m.config.Seeds, m.self.InternalAddress))
 }
 
 // isImplicitBootstrap reports whether the settings specify neither that this is the first start
--- a/internal/membership/gossip_send.go
+++ b/internal/membership/gossip_send.go
@@ -11,7 +11,7 @@
 const (
 	livenessTimeout  = 2 * eventloop.Second // a member not heard of for longer isn't considered live here
 	fullSyncInterval = 4 * eventloop.Second // time between two requests for full members
-	startupTicks     = 40                   // number of ticks after the start during which all seeds are contacted
+	startupTicks     = 40                   // number of ticks after the start, or after a change of the seeds, during which all seeds are contacted
 )
 
 // sendGossip increments the heartbeat and sends a round of gossip.
@@ -21,7 +21,7 @@
 	case len(m.members) == 0:
 		// All seeds may have been replaced while this machine was down, so the process also
 		// contacts the peers that its previous incarnation persisted.
-		contacts := append(slices.Clone(m.config.Seeds), m.knownAddresses...)
+		contacts := append(slices.Clone(m.seeds), m.knownAddresses...)
 		m.dialOnce(contacts, map[string]bool{m.self.InternalAddress: true}, m.newGossip(now, fullMembers), effects)
 	case m.clusterExists:
 		m.exchange(now, effects)
@@ -41,7 +41,8 @@
 }
 
 // discover sends gossip while no cluster is known to exist. Seeds and storage nodes send to all
-// seeds and storage nodes, and every other process sends to a random seed.
+// seeds and storage nodes, and every other process sends to a random seed. The seeds of the start
+// count as seeds too, since the bootstrap needs their reports.
 func (m *Membership) discover(now eventloop.Micros, effects eventloop.Effects) {
 	if m.identity == nil && !m.isSeed() {
 		if seed := m.randomSeed(); seed != "" {
@@ -50,6 +51,7 @@
 		return
 	}
 	contacted := map[string]bool{m.self.InternalAddress: true}
+	m.dialOnce(m.seeds, contacted, m.newGossip(now, fullMembers), effects)
 	m.dialOnce(m.config.Seeds, contacted, m.newGossip(now, fullMembers), effects)
 	var storageNodes []string
 	for _, id := range m.memberIDs() {
@@ -71,7 +73,7 @@
 	if m.hasUnknownMember || len(storageNodes) == 0 || now-m.fullSyncAt >= fullSyncInterval {
 		m.requestFullMembers(now, storageNodes, effects)
 	}
-	if m.ticks < startupTicks {
+	if m.ticks < m.seedContactEnd {
 		m.contactSeeds(now, effects)
 	}
 	hasStorage, isEvenTick := m.identity != nil, m.ticks%2 == 0
@@ -120,8 +122,8 @@
 	}
 }
 
-// contactSeeds sends gossip to the seeds that aren't live members. It is called during the first
-// startupTicks: seeds may start later than this process, for example when the whole cluster
+// contactSeeds sends gossip to the seeds that aren't live members. It is called until seedContactEnd:
+// seeds may start later than this process, for example when the whole cluster
 // restarts, and processes that know only the seeds discover no others until someone contacts the
 // seeds.
 func (m *Membership) contactSeeds(now eventloop.Micros, effects eventloop.Effects) {
@@ -131,7 +133,7 @@
 			contacted[status.Member.InternalAddress] = true
 		}
 	}
-	m.dialOnce(m.config.Seeds, contacted, m.newGossipToStorageNode(now, fullMembers), effects)
+	m.dialOnce(m.seeds, contacted, m.newGossipToStorageNode(now, fullMembers), effects)
 }
 
 // pollRandomMember requests gossip from a random member.
@@ -174,13 +176,16 @@
 	return addresses
 }
 
-func (m *Membership) isSeed() bool { return slices.Contains(m.config.Seeds, m.self.InternalAddress) }
+// isSeed reports whether this process is a seed, or was one when it started.
+func (m *Membership) isSeed() bool {
+	return slices.Contains(m.seeds, m.self.InternalAddress) || slices.Contains(m.config.Seeds, m.self.InternalAddress)
+}
 
 // randomSeed returns the address of a random seed other than this process, or an empty string if
 // there is none.
 func (m *Membership) randomSeed() string {
 	var others []string
-	for _, seed := range m.config.Seeds {
+	for _, seed := range m.seeds {
 		if seed != m.self.InternalAddress {
 			others = append(others, seed)
 		}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -41,6 +41,7 @@
 type Membership struct {
 	self            *schema.Member
 	config          Config
+	seeds           []string              // internal addresses through which to find the cluster; config.Seeds are those of the start
 	identity        *schema.StoreIdentity // the identity on disk; nil without a data directory
 	pendingIdentity *schema.StoreIdentity // the identity being written to disk; nil if none is
 	addresses       *AddressBook
@@ -53,6 +54,7 @@
 	seenStorageNodes   map[string]eventloop.Micros // when each storage node was last heard of, by id
 	frozenStorageNodes []string                    // ids to report while a bootstrap vote is being persisted
 	clusterExists      bool
+	seedContactEnd     uint64   // number of the tick until which all seeds are contacted
 	knownAddresses     []string // addresses of peers that the previous incarnation persisted
 	peersPersistedAt   eventloop.Micros
 
@@ -72,7 +74,7 @@
 // directory. The subscribers are the components of this process that receive the View.
 func New(self *schema.Member, config Config, identity *schema.StoreIdentity, addresses *AddressBook, subscribers []string, rng *rand.Rand) *Membership {
 	m := &Membership{
-		self: self, config: config, identity: identity, addresses: addresses, subscribers: subscribers, rng: rng,
+		self: self, config: config, seeds: config.Seeds, seedContactEnd: startupTicks, identity: identity, addresses: addresses, subscribers: subscribers, rng: rng,
 		members: map[string]MemberStatus{}, reports: map[string]peerReport{},
 		requesters: map[string]eventloop.Micros{}, seenStorageNodes: map[string]eventloop.Micros{},
 	}
@@ -105,12 +107,21 @@
 			// the change is sent before the next tick.
 			m.broadcastChange(now, effects)
 		}
+	case SeedsChanged:
+		m.setSeeds(now, body.Seeds, effects)
 	case Draining:
 		m.self.Draining = true
 		m.broadcastChange(now, effects)
 	}
 }
 
+// setSeeds replaces the seeds and contacts the new ones at once. Only the seeds of the start have
+// a part in the bootstrap of the cluster, because all processes must have the same ones there.
+func (m *Membership) setSeeds(now eventloop.Micros, seeds []string, effects eventloop.Effects) {
+	m.seeds, m.seedContactEnd = seeds, m.ticks+startupTicks
+	m.sendGossip(now, effects)
+}
+
 func (m *Membership) handleTick(now eventloop.Micros, effects eventloop.Effects) {
 	m.compensatePause(now)
 	m.lastTick = now
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -22,6 +22,9 @@
 // its process. Max is WritesRefusedLatency if the process accepts no writes.
 type LatencyReport struct{ Max eventloop.Micros }
 
+// SeedsChanged tells a Membership that the settings name other seeds.
+type SeedsChanged struct{ Seeds []string } // internal addresses
+
 // Draining tells a Membership that its process is shutting down gracefully.
 type Draining struct{}
 
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -271,6 +271,11 @@
 	return counts
 }
 
+// SetSeeds replaces the seeds, the internal addresses through which the node finds the cluster.
+func (n *Node) SetSeeds(seeds []string) {
+	n.loop.Post(MembershipComponent, eventloop.Message{Body: membership.SeedsChanged{Seeds: seeds}})
+}
+
 // StartDraining makes the components hand over their leaderships and report the node as
 // not ready, so that the process can end. The components keep working until Stop.
 func (n *Node) StartDraining() {
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -153,7 +153,7 @@
 	seeds = seeds[:min(seedCount, len(seeds))]
 	f.RecordFault("the seeds are turned over")
 	for k, h := range f.Hosts {
-		h.Seeds = seeds
+		h.setSeeds(seeds)
 		if h.Disk == nil && h.IsUp && k%4 == 3 {
 			h.Abort()
 			f.After(500*eventloop.Millisecond, h.startIfDown)
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -15,8 +15,12 @@
 	"sparnotch/internal/storage"
 )
 
-// drainCheckInterval is the interval between two checks whether a draining process may end.
-const drainCheckInterval = 50 * eventloop.Millisecond
+const (
+	// drainCheckInterval is the interval between two checks whether a draining process may end.
+	drainCheckInterval = 50 * eventloop.Millisecond
+	// settingsReadDelay is the longest time after which a process notices a changed settings file.
+	settingsReadDelay = 1100 * eventloop.Millisecond
+)
 
 // Host is a machine that runs one process, or none while it is down. Exported fields that
 // are set before Start apply to every process that runs there.
@@ -120,6 +124,18 @@
 	}
 }
 
+// setSeeds changes the seeds in the host's settings. A running process takes them when it next
+// reads its settings file.
+func (h *Host) setSeeds(seeds []string) {
+	h.Seeds = seeds
+	run := h.run
+	h.sim.After(settingsReadDelay, func() {
+		h.runOnCPU(run, func() {
+			h.step(process.MembershipComponent, eventloop.Message{Body: membership.SeedsChanged{Seeds: seeds}})
+		})
+	})
+}
+
 func (h *Host) processConfig() *process.Config {
 	sim := h.sim
 	seeds := h.Seeds
