Simulator and soak: routes get other names, and seeds are exchanged under load

The scenario "routes get other names while leaders are lost" has clients that know queues by their routes alone.

An update by revision may identify queues by their routes too, which the soak needs: it edits by revision.

--- a/cmd/sparnotch-bench/daemon.go
+++ b/cmd/sparnotch-bench/daemon.go
@@ -29,6 +29,7 @@
 	httpAddress     string // listen address of the HTTP interface
 	zone            string
 	dataDir         string // data directory; empty: the node has no storage
+	settingsPath    string // settings file, which holds the seeds
 
 	mu      sync.Mutex    // guards the fields below
 	command *exec.Cmd     // latest run of the program; nil: never started
--- a/cmd/sparnotch-bench/fleet.go
+++ b/cmd/sparnotch-bench/fleet.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -74,9 +73,9 @@
 	d := &daemon{
 		name: name, program: filepath.Join(f.bin, "sparnotch"), internalAddress: f.address(host, internalPort), httpAddress: f.address(host, httpPort), zone: zone,
 	}
-	seeds := []string{f.address(1, internalPort), f.address(2, internalPort), f.address(3, internalPort)}
+	d.settingsPath = filepath.Join(f.folder, name+".settings")
 	d.args = []string{
-		subcommand, "-cell", zone, "-inner", d.internalAddress, "-outer", d.httpAddress, "-seeds", strings.Join(seeds, ","),
+		subcommand, "-cell", zone, "-inner", d.internalAddress, "-outer", d.httpAddress, "-options", d.settingsPath,
 		"-trace", filepath.Join(f.folder, name+".trace"), "-test_cuts", filepath.Join(f.folder, name+".cuts"),
 	}
 	if hasStorage {
@@ -99,13 +98,17 @@
 		f.agents = append(f.agents, f.newDaemon(fmt.Sprintf("controller%d", k+1), "controller", agentHostBase+k+1, zoneName(k), false))
 	}
 	f.balancer = newLoadBalancer(endpoints)
+	seeds := []string{f.address(1, internalPort), f.address(2, internalPort), f.address(3, internalPort)}
 	for _, d := range f.daemons() {
+		if err := d.writeSettings(ctx, seeds, 0); err != nil {
+			return err
+		}
 		if err := d.start(f.folder); err != nil {
 			return err
 		}
 	}
 	go f.balancer.probe(ctx)
-	if err := applyConfig(ctx, f.balancer, f.history, "operator", f.rows); err != nil {
+	if err := applyConfig(ctx, f.balancer, f.history, "operator", f.rows, nil); err != nil {
 		return err
 	}
 	for _, d := range f.gateways {
--- a/cmd/sparnotch-bench/fleet_faults.go
+++ b/cmd/sparnotch-bench/fleet_faults.go
@@ -167,7 +167,7 @@
 		go func() {
 			defer racing.Done()
 			rows := append(f.deployment.ConfigRows(), &schema.ConfigurationRow{Kind: "fleet", Key: "cache_every", Value: strconv.Itoa(32 + 16*k)})
-			if err := applyConfig(ctx, f.balancer, f.history, operator, rows); err != nil && ctx.Err() == nil {
+			if err := applyConfig(ctx, f.balancer, f.history, operator, rows, nil); err != nil && ctx.Err() == nil {
 				fmt.Fprintln(os.Stderr, "sparnotch-bench: a racing operator failed:", err)
 			}
 		}()
--- a/cmd/sparnotch-bench/hollow_load.go
+++ b/cmd/sparnotch-bench/hollow_load.go
@@ -154,7 +154,7 @@
 	if code != http.StatusOK || protojson.Unmarshal(data, current) != nil {
 		return false
 	}
-	body, _ := json.Marshal(configUpdate{current.Revision, p.config.rows(change)})
+	body, _ := json.Marshal(configUpdate{Generation: current.Revision, Rows: p.config.rows(change)})
 	sentAt := time.Now().UnixMicro()
 	if code, _ = p.send(ctx, client, "PUT", configPath, body); code != http.StatusOK {
 		return false
--- a/cmd/sparnotch-bench/operator.go
+++ b/cmd/sparnotch-bench/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -21,14 +22,30 @@
 
 // configUpdate is the body of a request to apply a configuration.
 type configUpdate struct {
-	Generation uint64                     `json:"generation"` // revision that the update is based on
-	Rows       []*schema.ConfigurationRow `json:"rows"`
+	Generation    uint64                     `json:"generation"` // revision that the update is based on
+	Rows          []*schema.ConfigurationRow `json:"rows"`
+	QueuesByRoute bool                       `json:"queues_by_route"` // the names of queues with a route are labels
+}
+
+// routeLabels holds the names that an operator gives to the routes of queues, by queue. A queue
+// that isn't in it is called by its name.
+type routeLabels map[string]string
+
+// named returns rows as the operator sends them, with labels in place of the names of queues.
+func (l routeLabels) named(rows []*schema.ConfigurationRow) []*schema.ConfigurationRow {
+	named := slices.Clone(rows)
+	for k, row := range rows {
+		if label := l[row.Name]; row.Kind == "queue" && label != "" {
+			named[k] = &schema.ConfigurationRow{Kind: row.Kind, Name: label, Key: row.Key, Value: row.Value}
+		}
+	}
+	return named
 }
 
 // applyConfig replaces the current configuration by another one and records each attempt. It
 // reads the current revision and tries again until the configuration is accepted or the
-// context ends.
-func applyConfig(ctx context.Context, balancer *loadBalancer, h *history, operator string, rows []*schema.ConfigurationRow) error {
+// context ends. The rows have the names of queues; the operator sends their labels.
+func applyConfig(ctx context.Context, balancer *loadBalancer, h *history, operator string, rows []*schema.ConfigurationRow, labels routeLabels) error {
 	var last string
 	for ctx.Err() == nil {
 		address := balancer.pick("")
@@ -38,7 +55,7 @@
 			if err := protojson.Unmarshal(data, config); err != nil {
 				return err
 			}
-			code, data, err = applyOnce(ctx, balancer, h, operator, address, config.Revision, rows)
+			code, data, err = applyOnce(ctx, balancer, h, operator, address, config.Revision, rows, labels)
 			if code == http.StatusOK {
 				return nil
 			}
@@ -51,10 +68,10 @@
 
 // applyOnce sends a configuration based on a revision once and records the answer. It
 // returns the HTTP status, or 0 when there was no answer, and the body of the answer.
-func applyOnce(ctx context.Context, balancer *loadBalancer, h *history, operator, address string, revision uint64, rows []*schema.ConfigurationRow) (int32, []byte, error) {
+func applyOnce(ctx context.Context, balancer *loadBalancer, h *history, operator, address string, revision uint64, rows []*schema.ConfigurationRow, labels routeLabels) (int32, []byte, error) {
 	sentAt := h.now()
 	h.add(checker.Event{At: sentAt, Kind: checker.ConfigurationSent, Actor: operator, Rows: rows})
-	code, data, err := putConfiguration(ctx, balancer, address, revision, rows)
+	code, data, err := putConfiguration(ctx, balancer, address, revision, rows, labels)
 	if err != nil {
 		code = 0
 	}
@@ -71,8 +88,8 @@
 
 // putConfiguration sends a configuration based on a revision. It returns the HTTP status and
 // the body of the answer.
-func putConfiguration(ctx context.Context, balancer *loadBalancer, address string, revision uint64, rows []*schema.ConfigurationRow) (int32, []byte, error) {
-	body, err := json.Marshal(configUpdate{revision, rows})
+func putConfiguration(ctx context.Context, balancer *loadBalancer, address string, revision uint64, rows []*schema.ConfigurationRow, labels routeLabels) (int32, []byte, error) {
+	body, err := json.Marshal(configUpdate{revision, labels.named(rows), labels != nil})
 	if err != nil {
 		return 0, nil, err
 	}
--- a/cmd/sparnotch-bench/soak_operator.go
+++ b/cmd/sparnotch-bench/soak_operator.go
@@ -37,6 +37,8 @@
 	base         []*schema.ConfigurationRow // rows of the deployment, which never change
 	tenants      map[string]*soakTenant     // by name
 	queues       map[string]bool            // names of the current extra queues
+	labels       routeLabels                // names of the routes of extra queues that differ from the queues' names
+	nextLabel    int                        // number of the latest name of a route
 	requiresKeys bool
 	publicQueue  string // queue that needs no key; empty: none
 	cacheEvery   int    // value of the fleet's row cache_every
@@ -46,7 +48,7 @@
 // drawConfiguration draws the first configuration of a run from the random numbers. Without
 // tenants it has no keys and no public queue.
 func drawConfiguration(rng *rand.Rand, base []*schema.ConfigurationRow, publicQueue string, hasTenants bool) *soakConfiguration {
-	c := &soakConfiguration{base: base, tenants: map[string]*soakTenant{}, queues: map[string]bool{}, cacheEvery: 64}
+	c := &soakConfiguration{base: base, tenants: map[string]*soakTenant{}, queues: map[string]bool{}, labels: routeLabels{}, cacheEvery: 64}
 	for k := range extraQueues {
 		if rng.IntN(2) == 0 {
 			c.queues[extraQueueName(k)] = true
@@ -91,6 +93,7 @@
 	add("fleet", "", "cache_every", c.cacheEvery)
 	for _, queue := range slices.Sorted(maps.Keys(c.queues)) {
 		add("queue", queue, "urgency", 50)
+		add("queue", queue, "prefix", "/"+queue+"/")
 	}
 	if c.requiresKeys {
 		add("fleet", "", "require_keys", 1)
@@ -154,14 +157,35 @@
 		return "another value of cache_every"
 	}
 	queue := extraQueueName(rng.IntN(extraQueues))
+	if c.queues[queue] && rng.IntN(2) == 0 {
+		return c.renameRoute(rng, queue)
+	}
 	if c.queues[queue] {
 		delete(c.queues, queue)
+		delete(c.labels, queue)
 		return "removed the queue " + queue
 	}
 	c.queues[queue] = true
 	return "added the queue " + queue
 }
 
+// renameRoute gives the route of an extra queue another name: a new one, that of another route
+// with which it exchanges names, or the queue's own again. It returns a description of the change.
+func (c *soakConfiguration) renameRoute(rng *rand.Rand, queue string) string {
+	other := extraQueueName(rng.IntN(extraQueues))
+	switch {
+	case other != queue && c.labels[queue] != "" && c.labels[other] != "":
+		c.labels[queue], c.labels[other] = c.labels[other], c.labels[queue]
+		return fmt.Sprintf("exchanged the names of the routes of %s and %s", queue, other)
+	case c.labels[queue] != "" && rng.IntN(3) == 0:
+		delete(c.labels, queue)
+	default:
+		c.nextLabel++
+		c.labels[queue] = fmt.Sprintf("label%d", c.nextLabel)
+	}
+	return fmt.Sprintf("named the route of %s %q", queue, c.labels[queue])
+}
+
 // extraQueueName returns the name of the extra queue with the index k.
 func extraQueueName(k int) string { return fmt.Sprintf("extra%d", k+1) }
 
@@ -179,7 +203,7 @@
 // or the context ends.
 func (o *soakOperator) changeOnce(ctx context.Context) {
 	o.fleet.recordChange("configuration: " + o.configuration.change(o.rng))
-	if applyConfig(ctx, o.fleet.balancer, o.fleet.history, "operator", o.configuration.rows()) == nil {
+	if applyConfig(ctx, o.fleet.balancer, o.fleet.history, "operator", o.configuration.rows(), o.configuration.labels) == nil {
 		o.book.accept(o.configuration.keys())
 	}
 }
@@ -211,7 +235,7 @@
 		return
 	}
 	sentAt := f.history.now()
-	code, _, err := putConfiguration(ctx, f.balancer, address, current.Revision, rows)
+	code, _, err := putConfiguration(ctx, f.balancer, address, current.Revision, rows, nil)
 	if err != nil {
 		return
 	}
@@ -230,7 +254,7 @@
 	}
 	rows := slices.DeleteFunc(current.Rows, func(row *schema.ConfigurationRow) bool { return row.Key == "cache_every" })
 	rows = append(rows, &schema.ConfigurationRow{Kind: "fleet", Key: "cache_every", Value: strconv.Itoa(value)})
-	_, _, _ = applyOnce(ctx, f.balancer, f.history, "second", address, current.Revision, rows)
+	_, _, _ = applyOnce(ctx, f.balancer, f.history, "second", address, current.Revision, rows, nil)
 }
 
 // startRace starts a change of the second operator in the background.
--- a/cmd/sparnotch-bench/soak_run.go
+++ b/cmd/sparnotch-bench/soak_run.go
@@ -114,6 +114,8 @@
 		start(func() { r.crashWorker(ctx, working, crash) })
 	}
 	start(func() { r.operator.run(loading, clientContext) })
+	seeds := &seedChanger{nodes: r.nodes, rng: rand.New(rand.NewPCG(r.seed, 3))}
+	start(func() { seeds.run(loading, ctx) })
 	start(func() {
 		every(loading, time.Second, func() { readConfig(loading, f.balancer, f.history, f.balancer.pick("c2")) })
 	})
--- a/cmd/sparnotch-bench/soak_test.go
+++ b/cmd/sparnotch-bench/soak_test.go
@@ -128,6 +128,7 @@
 			c := drawConfiguration(rng, deployments.All[0].ConfigRows(), "quotes", true)
 			for range 30 {
 				So(clusterstate.ValidateRows(c.rows()), ShouldBeNil)
+				So(clusterstate.ValidateRows(c.labels.named(c.rows())), ShouldBeNil)
 				c.change(rng)
 				for _, keys := range c.keys() {
 					So(len(keys), ShouldBeBetweenOrEqual, 1, maxKeysPerTenant)
--- a/internal/clusterstate/queue_assignment.go
+++ b/internal/clusterstate/queue_assignment.go
@@ -36,11 +36,10 @@
 // AssignQueues returns an update as it must be appended to the log: the queues of its rows and of
 // its removed items are named as the cluster names them. It returns the update itself if its
 // author knows queues by their names, or if it can't be accepted any more or not yet, because it
-// isn't based on the current version. The state machine must have applied all earlier updates.
+// isn't based on the current configuration. The state machine must have applied all earlier
+// updates.
 func (m *StateMachine) AssignQueues(update *schema.ConfigurationUpdate) *schema.ConfigurationUpdate {
-	current := m.state.Configuration
-	isByRoute := update.QueuesByRoute || hasLabels(current.Rows)
-	if !isByRoute || update.Version == 0 || update.BaseVersion != current.Version {
+	if !m.isBasedOnCurrent(update) || !m.identifiesByRoute(update) {
 		return update
 	}
 	a := m.newQueueAssignment(update)
@@ -48,14 +47,28 @@
 	assigned.Removed = a.assignRemoved(update.Removed)
 	assigned.Rows = a.assignRows(update.Rows)
 	// Retries are recognized by the digest of what the author sent.
-	if digest := versionDigest(update); !bytes.Equal(digest, versionDigest(assigned)) {
+	if digest := updateDigest(update); !bytes.Equal(digest, updateDigest(assigned)) {
 		assigned.SubmittedDigest = digest
 	}
 	return assigned
 }
 
-// hasLabels reports whether any row has a label that differs from its name. If so, an update by
-// a process of an older version, which doesn't set QueuesByRoute, identifies queues by route too.
+func (m *StateMachine) isBasedOnCurrent(update *schema.ConfigurationUpdate) bool {
+	current := m.state.Configuration
+	if update.Version > 0 {
+		return update.BaseVersion == current.Version
+	}
+	return update.BaseRevision != nil && update.GetBaseRevision() == current.Revision
+}
+
+// identifiesByRoute reports whether the names of queues in an update are only labels. A process
+// of an older version doesn't set QueuesByRoute, but once a queue has another name than its
+// label, the versions that such a process sends mean labels too.
+func (m *StateMachine) identifiesByRoute(update *schema.ConfigurationUpdate) bool {
+	return update.QueuesByRoute || update.Version > 0 && hasLabels(m.state.Configuration.Rows)
+}
+
+// hasLabels reports whether any row has a label that differs from its name.
 func hasLabels(rows []*schema.ConfigurationRow) bool {
 	return slices.ContainsFunc(rows, func(row *schema.ConfigurationRow) bool { return row.Label != "" })
 }
--- a/internal/clusterstate/queue_assignment_test.go
+++ b/internal/clusterstate/queue_assignment_test.go
@@ -262,11 +262,19 @@
 		update.Rows = append(update.Rows, row("queue", "plain", "urgency", "1"))
 		So(s.submit(update), ShouldEqual, 200)
 		So(s.Values().HasQueue("plain"), ShouldBeTrue)
-		Convey("and an edit by revision names queues itself", func() {
+		Convey("an edit by revision names queues itself", func() {
 			revision := s.Configuration().Revision
-			edit := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: routeRows("rates", "/q/"), QueuesByRoute: true}
+			edit := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: routeRows("rates", "/q/")}
 			So(s.submit(edit), ShouldEqual, 200)
 			So(s.queueAt("/q/"), ShouldEqual, "rates")
 		})
+		Convey("unless it says that it identifies them by their routes; then it is recognized when it is sent again", func() {
+			revision := s.Configuration().Revision
+			edit := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: routeRows("rates", "/q/"), QueuesByRoute: true}
+			So(s.submit(edit), ShouldEqual, 200)
+			So(s.queueAt("/q/"), ShouldEqual, "quotes")
+			So(s.submit(edit), ShouldEqual, 200)
+			So(s.Configuration().Revision, ShouldEqual, revision+1)
+		})
 	})
 }
--- a/internal/clusterstate/replace.go
+++ b/internal/clusterstate/replace.go
@@ -62,7 +62,7 @@
 			Field: "generation", Current: current.Revision,
 		}}
 	}
-	base, digest := update.GetBaseRevision(), revisionDigest(update)
+	base, digest := update.GetBaseRevision(), updateDigest(update)
 	if m.isAccepted(0, digest) {
 		return &Result{Code: http.StatusOK, Configuration: current}
 	}
@@ -85,7 +85,7 @@
 // replaceByVersion applies an update whose author numbers the versions.
 func (m *StateMachine) replaceByVersion(update *schema.ConfigurationUpdate) *Result {
 	current := m.state.Configuration
-	digest := versionDigest(update)
+	digest := updateDigest(update)
 	if m.isAccepted(update.Version, digest) {
 		// This is a retry after a timeout; other updates may have been accepted since.
 		return &Result{Code: http.StatusOK, Configuration: current}
@@ -235,13 +235,21 @@
 	return false
 }
 
-// versionDigest returns a digest that distinguishes updates of the same version. It hashes the
-// document, which is what the author submitted, or the rows if there is no document. If the
-// leader has changed the update (AssignQueues), the digest is that of the submitted one.
-func versionDigest(update *schema.ConfigurationUpdate) []byte {
-	if len(update.SubmittedDigest) > 0 {
+// updateDigest returns a digest of an update as its author submitted it. If the leader has changed
+// the update since (AssignQueues), the update holds the digest.
+func updateDigest(update *schema.ConfigurationUpdate) []byte {
+	switch {
+	case len(update.SubmittedDigest) > 0:
 		return update.SubmittedDigest
+	case update.Version > 0:
+		return versionDigest(update)
 	}
+	return revisionDigest(update)
+}
+
+// versionDigest returns a digest that distinguishes updates of the same version. It hashes the
+// document, which is what the author submitted, or the rows if there is no document.
+func versionDigest(update *schema.ConfigurationUpdate) []byte {
 	hash := sha256.New()
 	hash.Write(update.Document)
 	if len(update.Document) == 0 {
--- a/internal/mutation/route_mutants.go
+++ b/internal/mutation/route_mutants.go
@@ -5,6 +5,8 @@
 	Mutants = append(Mutants, []*Mutant{
 		{Guard: "a renamed route keeps its queue", Test: "platform TestRenamedRouteKeepsItsJobs", Edits: []Edit{{"internal/replica",
 			"Update: h.stateMachine.AssignQueues(first.update)}", "Update: first.update}"}}},
+		{Guard: "clients find their jobs while routes are renamed", Rule: 1, Size: "small-called", Scenario: "routes get other names while leaders are lost", Seed: 1, Edits: []Edit{{"internal/replica",
+			"Update: h.stateMachine.AssignQueues(first.update)}", "Update: first.update}"}}},
 		{Guard: "a patch removes a route by its name, not by its queue's", Test: "internal/clusterstate TestRenamedRouteKeepsItsQueue", Edits: []Edit{{"internal/clusterstate",
 			"	assigned.Removed = a.assignRemoved(update.Removed)\n", "	assigned.Removed = update.Removed\n"}}},
 		{Guard: "a name that moves to another route gets another queue", Test: "internal/clusterstate TestMovedNameGetsAnotherQueue", Edits: []Edit{{"internal/clusterstate",
@@ -16,7 +18,7 @@
 		{Guard: "an assigned patch is recognized when it is sent again", Test: "internal/clusterstate TestRetriedPatchOfRenamedRoute", Edits: []Edit{{"internal/clusterstate",
 			"		assigned.SubmittedDigest = digest\n", ""}}},
 		{Guard: "an update of an older process keeps queues that have other names than their routes", Test: "internal/clusterstate TestQueuesOfOlderVersions", Edits: []Edit{{"internal/clusterstate",
-			"update.QueuesByRoute || hasLabels(current.Rows)", "update.QueuesByRoute"}}},
+			"update.QueuesByRoute || update.Version > 0 && hasLabels(m.state.Configuration.Rows)", "update.QueuesByRoute"}}},
 		{Guard: "updates are assigned one after the other", Test: "internal/replica TestUpdatesWaitForTheirBase", Edits: []Edit{{"internal/replica",
 			"r.appliedIndex >= max(r.group.NoOpIndex(), r.updateIndex)", "r.appliedIndex >= r.group.NoOpIndex()"}}},
 		{Guard: "updates are assigned after the log of earlier terms is applied", Test: "internal/replica TestUpdatesWaitForTheirBase", Edits: []Edit{{"internal/replica",
--- a/internal/sim/clients.go
+++ b/internal/sim/clients.go
@@ -102,7 +102,7 @@
 	if broken != nil && node == broken {
 		node = s.pickGateway("")
 	}
-	s.Request(node, clientTimeout, submitWithKey(kind.Queue, "c-"+node.Name, keyHash, name, kind.Job), func(answer any) {
+	s.Request(node, clientTimeout, s.routes.submitWithKey(kind.Queue, "c-"+node.Name, keyHash, name, kind.Job), func(answer any) {
 		response := responseOf(answer)
 		isLost := isConfirmed(response) && s.drawAcknowledgementLoss()
 		if isLost {
@@ -158,7 +158,7 @@
 // response and passes it to the callback.
 func (s *Simulation) askThrough(node *Host, queue, request, name, keyHash string, onResponse func(code int32, view *schema.JobView)) {
 	sentAt := s.Now
-	s.Request(node, clientTimeout, leaderRequest(gateway.LeaderRequest{Kind: request, Group: queue, Name: name, KeyHash: keyHash}), func(answer any) {
+	s.Request(node, clientTimeout, leaderRequest(s.routes.address(gateway.LeaderRequest{Kind: request, Group: queue, Name: name, KeyHash: keyHash})), func(answer any) {
 		response, view := responseOf(answer), &schema.JobView{}
 		if response.Code == 200 && json.Unmarshal(response.Body, view) != nil {
 			response.Code = 0
@@ -208,7 +208,7 @@
 	}
 	s.After(interval, func() { s.ListPeriodically(queue, interval, until) })
 	node, sentAt := s.anyGateway(), s.Now
-	s.Request(node, clientTimeout, leaderRequest(gateway.LeaderRequest{Kind: "list", Group: queue, Limit: listLimit}), func(answer any) {
+	s.Request(node, clientTimeout, leaderRequest(s.routes.address(gateway.LeaderRequest{Kind: "list", Group: queue, Limit: listLimit})), func(answer any) {
 		response, list := responseOf(answer), &schema.JobList{}
 		if response.Code != 200 || json.Unmarshal(response.Body, list) != nil {
 			return
--- a/internal/sim/operators.go
+++ b/internal/sim/operators.go
@@ -27,12 +27,13 @@
 	if s.usesVersions {
 		put, rows = s.putVersion, withDefaultPools(rows)
 	}
+	rows = s.routes.addTo(rows)
 	retry := func() { s.After(configurationRetryDelay, func() { s.PutConfiguration(operator, rows) }) }
 	s.readConfiguration(s.anyGateway(), func(current *schema.Configuration) {
 		switch {
 		case current == nil:
 			retry()
-		case !clusterstate.EqualRows(current.Rows, rows):
+		case !clusterstate.EqualRows(current.Rows, rows) || !s.routes.areIn(current.Rows):
 			put(operator, current, rows, retry)
 		}
 	})
@@ -42,7 +43,7 @@
 // replace is acknowledged.
 func (s *Simulation) putRevision(operator string, current *schema.Configuration, rows []*schema.ConfigurationRow, retry func()) {
 	revision := current.Revision
-	update := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: rows}
+	update := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: s.routes.named(rows), QueuesByRoute: s.routes != nil}
 	node, sentAt := s.anyGateway(), s.Now
 	s.Record(checker.Event{Kind: checker.ConfigurationSent, Actor: operator, Rows: rows})
 	e := checker.Event{Kind: checker.ConfigurationReply, Actor: operator, Gateway: node.Name, SentAt: sentAt, BaseVersion: revision, Rows: rows}
@@ -63,17 +64,20 @@
 func (s *Simulation) putVersion(operator string, current *schema.Configuration, rows []*schema.ConfigurationRow, retry func()) {
 	version := current.Version + 1 + uint64(s.Rng.IntN(3))
 	update := &schema.ConfigurationUpdate{
-		Rows: rows, Version: version, BaseVersion: current.Version, Document: []byte(fmt.Sprintf("%s %d %x", operator, version, s.Rng.Uint32())),
+		Rows: s.routes.named(rows), Version: version, BaseVersion: current.Version, QueuesByRoute: s.routes != nil,
+		Document: []byte(fmt.Sprintf("%s %d %x", operator, version, s.Rng.Uint32())),
 	}
 	s.Record(checker.Event{Kind: checker.ConfigurationSent, Actor: operator, Rows: rows, Document: string(update.Document)})
-	s.sendVersion(operator, update, retry)
+	s.sendVersion(operator, update, rows, retry)
 }
 
-func (s *Simulation) sendVersion(operator string, update *schema.ConfigurationUpdate, retry func()) {
+// sendVersion sends an update until it is known whether it took effect. The rows are those that
+// the configuration has then, with the names of queues.
+func (s *Simulation) sendVersion(operator string, update *schema.ConfigurationUpdate, rows []*schema.ConfigurationRow, retry func()) {
 	node, sentAt := s.anyGateway(), s.Now
 	e := checker.Event{
 		Kind: checker.ConfigurationReply, Actor: operator, Gateway: node.Name, SentAt: sentAt, BaseVersion: update.BaseVersion,
-		Rows: update.Rows, Document: string(update.Document),
+		Rows: rows, Document: string(update.Document),
 	}
 	s.Request(node, versionUpdateTimeout, leaderRequest(updateRequest(update)), func(answer any) {
 		response := responseOf(answer)
@@ -88,7 +92,7 @@
 		switch {
 		case response.Code == 200:
 		case isUnclear(response):
-			s.After(configurationRetryDelay, func() { s.sendVersion(operator, update, retry) })
+			s.After(configurationRetryDelay, func() { s.sendVersion(operator, update, rows, retry) })
 		default:
 			retry()
 		}
--- a/internal/sim/requests.go
+++ b/internal/sim/requests.go
@@ -49,15 +49,19 @@
 
 // submitRequest returns a request that submits a job without a key.
 func submitRequest(queue, client, name string, job *schema.Job) newRequest {
-	return submitWithKey(queue, client, "", name, job)
+	return (*routes)(nil).submitWithKey(queue, client, "", name, job)
 }
 
 // submitWithKey returns a request that submits a job with the hash of a key.
-func submitWithKey(queue, client, keyHash, name string, job *schema.Job) newRequest {
+func (r *routes) submitWithKey(queue, client, keyHash, name string, job *schema.Job) newRequest {
 	return func(id uint64, deadline eventloop.Micros) any {
-		return gateway.SubmitJob{
+		submission := gateway.SubmitJob{
 			RequestID: id, Queue: queue, Client: client, KeyHash: keyHash, Name: name, Digest: gateway.Digest(job), Job: job, Deadline: deadline,
 		}
+		if r != nil {
+			submission.Path, submission.Queue, submission.Name = r.pathOf(queue, name), "", ""
+		}
+		return submission
 	}
 }
 
--- a/internal/sim/scenarios_called.go
+++ b/internal/sim/scenarios_called.go
@@ -33,6 +33,7 @@
 	{Name: "disks lost after all were killed", Network: ReliableNetwork, SyncDelay: fastSync, Duration: 40 * eventloop.Second, Inject: func(f *Fleet) {
 		f.atLoad(5*eventloop.Second, f.powerCycleAndWipeOne)
 	}},
+	{Name: "routes get other names while leaders are lost", Network: ReliableNetwork, SyncDelay: fastSync, Duration: 40 * eventloop.Second, Inject: renameRoutesUnderFaults},
 	{Name: "urgent work while called workers are full", Network: ReliableNetwork, SyncDelay: fastSync, Duration: 25 * eventloop.Second, Inject: func(f *Fleet) {
 		step := &schema.Step{Name: "fill", Tasks: 30, CoresMilli: 2000, MemoryMb: 100, EstimatedRunUs: int64(5 * eventloop.Second), Checkpoints: true}
 		f.burstOnFullFleet(3, JobKind{Queue: "slow", Attempts: 4, Job: newJob("fill", step)}, f.Spec.JobKinds[0])
--- a/internal/sim/simulation.go
+++ b/internal/sim/simulation.go
@@ -48,6 +48,7 @@
 	seeds        []string        // addresses of the first storage nodes
 	bounds       *schema.Bounds  // bounds of a deployment with called workers; nil: workers poll
 	usesVersions bool            // whether operators number the versions of configurations
+	routes       *routes         // nil: clients know queues by their names
 	shownVersion uint64          // version whose rows were last recorded in the history
 	observers    []eventObserver // called in the order in which they were added
 
--- a/internal/sim/tenants.go
+++ b/internal/sim/tenants.go
@@ -187,7 +187,7 @@
 	node, sentAt, job := f.anyGateway(), f.Now, newJob("intruder", newTimedStep("a", 1, 500, 30*eventloop.Millisecond))
 	f.submittedJobs[name] = submittedJob{queue: queue, job: job}
 	f.Record(checker.Event{Kind: checker.Submit, Actor: "caller", Queue: queue, Name: name, Spec: job, KeyHash: keyHash})
-	f.Request(node, clientTimeout, submitWithKey(queue, "c-"+node.Name, keyHash, name, job), func(answer any) {
+	f.Request(node, clientTimeout, f.routes.submitWithKey(queue, "c-"+node.Name, keyHash, name, job), func(answer any) {
 		response := responseOf(answer)
 		f.Record(checker.Event{
 			Kind: checker.SubmitReply, Actor: "caller", Queue: queue, Name: name, Code: response.Code, Gateway: node.Name, SentAt: sentAt, KeyHash: keyHash,
