Cluster state: a tenant is known by its keys, whatever it is called

What callers would see: a job that its own key can't ask for any more, once a version has given its tenant another name; its limit counted for two tenants while its tasks ran.

A tenant's name was its identity; callers know it by its keys, and are never told its name.

Change: the leader assigns tenants to the labels of an update as it assigns queues to routes: by name and keys, then by keys alone, configured or former. Keys of former tenants are kept beside their limits. The field that says so in an update is called names_are_labels now.

--- a/cmd/sparnotch-bench/operator.go
+++ b/cmd/sparnotch-bench/operator.go
@@ -24,7 +24,7 @@
 type configUpdate struct {
 	Generation    uint64                     `json:"generation"` // revision that the update is based on
 	Rows          []*schema.ConfigurationRow `json:"rows"`
-	QueuesByRoute bool                       `json:"queues_by_route"` // the names of queues with a route are labels
+	NamesAreLabels bool                       `json:"names_are_labels"` // the names of queues with a route are labels
 }
 
 // routeLabels holds the names that an operator gives to the routes of queues, by queue. A queue
--- a/internal/clusterstate/former_queues.go
+++ b/internal/clusterstate/former_queues.go
@@ -8,7 +8,7 @@
 )
 
 // A queue that leaves the configuration stays placed while it has jobs. The state keeps its route
-// until then, so that the route leads to the same queue if it is configured again (AssignQueues).
+// until then, so that the route leads to the same queue if it is configured again (AssignNames).
 
 // updateFormerQueues brings FormerQueues up to date after previous was replaced as the current
 // configuration.
--- a/internal/clusterstate/queue_assignment_test.go
+++ b/internal/clusterstate/queue_assignment_test.go
@@ -35,7 +35,7 @@
 // whole returns an update to the next version with the given routes, each in the form NAME=PREFIX.
 func (s *operatorState) whole(routes ...string) *schema.ConfigurationUpdate {
 	version := s.Configuration().Version
-	update := &schema.ConfigurationUpdate{Version: version + 1, BaseVersion: version, Document: []byte(fmt.Sprintf(`{"content":%q}`, strings.Join(routes, " "))), QueuesByRoute: true}
+	update := &schema.ConfigurationUpdate{Version: version + 1, BaseVersion: version, Document: []byte(fmt.Sprintf(`{"content":%q}`, strings.Join(routes, " "))), NamesAreLabels: true}
 	for _, definition := range routes {
 		name, prefix, _ := strings.Cut(definition, "=")
 		update.Rows = append(update.Rows, routeRows(name, prefix)...)
@@ -57,7 +57,7 @@
 
 // submit applies an update as the leader appends it to the log, and returns the status code.
 func (s *operatorState) submit(update *schema.ConfigurationUpdate) int32 {
-	return apply(s.StateMachine, 1, updateCommand(s.AssignQueues(update))).Code
+	return apply(s.StateMachine, 1, updateCommand(s.AssignNames(update))).Code
 }
 
 // put makes the given routes the whole configuration and has the controller place their queues.
@@ -231,20 +231,20 @@
 		})
 		Convey("an update of a process that doesn't identify queues by routes names them itself", func() {
 			update := s.whole("a=/o/")
-			update.QueuesByRoute = false
+			update.NamesAreLabels = false
 			So(s.submit(update), ShouldEqual, 200)
 			So(s.queueAt("/o/"), ShouldEqual, "a")
 		})
 		Convey("but not once a queue has another name than its route", func() {
 			s.put("a=/o/")
 			update := s.whole("a=/o/")
-			update.QueuesByRoute = false
+			update.NamesAreLabels = false
 			So(s.submit(update), ShouldEqual, 200)
 			So(s.queueAt("/o/"), ShouldEqual, "other")
 		})
 		Convey("a replica of an older version applies the same rows", func() {
 			replica := &StateMachine{state: s.State()}
-			update := s.AssignQueues(s.whole("a=/o/", "b=/q/"))
+			update := s.AssignNames(s.whole("a=/o/", "b=/q/"))
 			So(apply(s.StateMachine, 1, updateCommand(update)).Code, ShouldEqual, 200)
 			replica.state.FormerQueues = nil
 			So(apply(replica, 1, updateCommand(update)).Code, ShouldEqual, 200)
@@ -270,7 +270,7 @@
 		})
 		Convey("unless it says that it identifies them by their routes; then it is recognized when it is sent again", func() {
 			revision := s.Configuration().Revision
-			edit := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: routeRows("rates", "/q/"), QueuesByRoute: true}
+			edit := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: routeRows("rates", "/q/"), NamesAreLabels: true}
 			So(s.submit(edit), ShouldEqual, 200)
 			So(s.queueAt("/q/"), ShouldEqual, "quotes")
 			So(s.submit(edit), ShouldEqual, 200)
--- a/internal/clusterstate/replace.go
+++ b/internal/clusterstate/replace.go
@@ -236,7 +236,7 @@
 }
 
 // updateDigest returns a digest of an update as its author submitted it. If the leader has changed
-// the update since (AssignQueues), the update holds the digest.
+// the update since (AssignNames), the update holds the digest.
 func updateDigest(update *schema.ConfigurationUpdate) []byte {
 	switch {
 	case len(update.SubmittedDigest) > 0:
--- a/internal/clusterstate/tenants.go
+++ b/internal/clusterstate/tenants.go
@@ -102,10 +102,12 @@
 // removed earlier are dropped.
 const maxFormerTenants = 256
 
-// limitKeys lists the keys whose rows are kept when a tenant is removed.
-var limitKeys = []string{"max_cores_milli", "max_memory_mb", "max_accelerators"}
+// formerTenantKeys lists the keys whose rows are kept when a tenant is removed: those of its
+// limits, which its running tasks keep using, and its API keys, by which it is recognized under
+// another name (AssignNames).
+var formerTenantKeys = []string{"max_cores_milli", "max_memory_mb", "max_accelerators", keyHashesKey}
 
-// formerTenants returns the rows with the limits of former tenants: tenants that previous or a
+// formerTenants returns the rows that are kept of former tenants: tenants that previous or a
 // configuration before it contains, but the rows of the next configuration don't. Tenants
 // removed earlier come first.
 func formerTenants(previous *schema.Configuration, next []*schema.ConfigurationRow) []*schema.ConfigurationRow {
@@ -118,12 +120,12 @@
 	var kept []*schema.ConfigurationRow
 	for _, rows := range [][]*schema.ConfigurationRow{previous.GetFormerTenants(), previous.GetRows()} {
 		for _, row := range rows {
-			if row.Kind == "tenant" && !isConfigured[row.Name] && slices.Contains(limitKeys, row.Key) {
+			if row.Kind == "tenant" && !isConfigured[row.Name] && slices.Contains(formerTenantKeys, row.Key) {
 				kept = append(kept, row)
 			}
 		}
 	}
-	return kept[max(0, len(kept)-maxFormerTenants*len(limitKeys)):]
+	return kept[max(0, len(kept)-maxFormerTenants*len(formerTenantKeys)):]
 }
 
 // parseFormerTenants reads the limits of former tenants from the rows that formerTenants
@@ -131,6 +133,9 @@
 func (v *Values) parseFormerTenants(rows []*schema.ConfigurationRow) {
 	v.formerTenants = map[string]*Tenant{}
 	for _, row := range rows {
+		if row.Key == keyHashesKey {
+			continue
+		}
 		if value, err := strconv.ParseInt(row.Value, 10, 64); err == nil {
 			v.numbers[rowID{row.Kind, row.Name, row.Key}] = value
 			v.formerTenants[row.Name] = &Tenant{Name: row.Name, WeightMilli: 1}
--- a/internal/clusterstate/validate.go
+++ b/internal/clusterstate/validate.go
@@ -148,10 +148,10 @@
 			continue
 		}
 		for _, hash := range strings.Fields(row.Value) {
-			if other, isHeld := tenantByHash[hash]; isHeld && other != row.Name {
-				return rowError(index, "value", "tenants %s and %s have the same API key", other, row.Name)
+			if other, isHeld := tenantByHash[hash]; isHeld && other != labelOf(row) {
+				return rowError(index, "value", "tenants %s and %s have the same API key", other, labelOf(row))
 			}
-			tenantByHash[hash] = row.Name
+			tenantByHash[hash] = labelOf(row)
 		}
 	}
 	return nil
--- a/internal/replica/configuration_updates.go
+++ b/internal/replica/configuration_updates.go
@@ -2,7 +2,7 @@
 
 // This file proposes the commands of callers for the cluster state. Updates of the configuration
 // are proposed one at a time, because the leader assigns queues to the routes of an update by the
-// configuration to which it will be applied (clusterstate.StateMachine.AssignQueues).
+// configuration to which it will be applied (clusterstate.StateMachine.AssignNames).
 
 import (
 	"net/http"
@@ -62,7 +62,7 @@
 	r.waitingUpdates = r.waitingUpdates[1:]
 	first.update.SubmittedDigest = nil // only the leader sets it
 	command := &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_UpdateConfiguration{
-		UpdateConfiguration: &schema.UpdateConfiguration{Update: h.stateMachine.AssignQueues(first.update)},
+		UpdateConfiguration: &schema.UpdateConfiguration{Update: h.stateMachine.AssignNames(first.update)},
 	}}
 	index, _, err := r.group.Propose(now, EncodeClusterStateCommand(command))
 	if err != nil {
--- a/internal/replica/configuration_updates_test.go
+++ b/internal/replica/configuration_updates_test.go
@@ -15,7 +15,7 @@
 // path to a queue.
 func routeUpdate(version uint64, name string) *schema.ConfigurationUpdate {
 	return &schema.ConfigurationUpdate{
-		Version: version, BaseVersion: version - 1, Document: []byte(name), QueuesByRoute: true,
+		Version: version, BaseVersion: version - 1, Document: []byte(name), NamesAreLabels: true,
 		Rows: []*schema.ConfigurationRow{{Kind: "queue", Name: name, Key: "prefix", Value: "/"}},
 	}
 }
--- a/internal/schema/schema_test.go
+++ b/internal/schema/schema_test.go
@@ -22,7 +22,7 @@
 	{&schema.Bounds{}, map[int]string{1: "hold_most_us", 2: "stop_us", 3: "gather_us", 4: "status_us", 5: "apply_us", 6: "away_milli", 7: "save_us", 8: "restore_us", 9: "beat_us", 10: "drain_us", 20: "contact_us", 21: "catch_up_us", 22: "acknowledge_us", 23: "quota_overrun_milli"}},
 	{&schema.ConfigurationRow{}, map[int]string{1: "kind", 2: "name", 3: "key", 4: "value", 5: "label"}},
 	{&schema.Configuration{}, map[int]string{1: "generation", 2: "rows", 3: "edition", 4: "document", 5: "packed_rows", 6: "former_tenants"}},
-	{&schema.ConfigurationUpdate{}, map[int]string{1: "generation", 2: "rows", 3: "edition", 4: "base_edition", 5: "document", 6: "patch", 7: "removed", 8: "queues_by_route", 9: "submitted_digest"}},
+	{&schema.ConfigurationUpdate{}, map[int]string{1: "generation", 2: "rows", 3: "edition", 4: "base_edition", 5: "document", 6: "patch", 7: "removed", 8: "names_are_labels", 9: "submitted_digest"}},
 	{&schema.Member{}, map[int]string{1: "id", 2: "boot", 3: "role", 4: "cell", 5: "inner", 6: "outer", 7: "stores", 8: "leaving", 9: "beat", 10: "latency_us", 11: "queue_command_version"}},
 	{&schema.QueuePlacement{}, map[int]string{1: "queue", 2: "generation", 3: "founders", 4: "leader"}},
 	{&schema.WorkerLease{}, map[int]string{1: "worker", 2: "scheduler", 3: "generation"}},
