--- a/cmd/sparnotch-bench/operator.go
+++ b/cmd/sparnotch-bench/operator.go
@@ -22,8 +22,8 @@
 
 // configUpdate is the body of a request to apply a configuration.
 type configUpdate struct {
-	Generation    uint64                     `json:"generation"` // revision that the update is based on
-	Rows          []*schema.ConfigurationRow `json:"rows"`
+	Generation     uint64                     `json:"generation"` // revision that the update is based on
+	Rows           []*schema.ConfigurationRow `json:"rows"`
 	NamesAreLabels bool                       `json:"names_are_labels"` // the names of queues with a route are labels
 }
 
