--- a/cmd/sparnotch-bench/soak_plan.go
+++ b/cmd/sparnotch-bench/soak_plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sparnotch/internal/deployments"
@@ -65,6 +66,8 @@
 	// lastSeriesShare is the share of the load's duration after which no series and no crash
 	// of a worker starts.
 	lastSeriesShare = 0.75
+	// minCrashSpacing is the shortest time from the restart of a worker to its next crash.
+	minCrashSpacing = 500 * time.Millisecond
 )
 
 // drawSoakPlan draws the plan of a run from a seed. The run has at most maxProcesses nodes.
@@ -87,13 +90,27 @@
 		p.series = append(p.series, series)
 	}
 	for range rng.IntN(4) {
-		p.crashes = append(p.crashes, workerCrash{
+		p.addCrash(workerCrash{
 			at: time.Duration(rng.Float64() * lastSeriesShare * float64(span)), duration: drawPause(rng, 3*time.Second), worker: rng.IntN(p.deployment.Workers),
 		})
 	}
 	return p
 }
 
+// addCrash adds the crash of a worker unless the worker may still be down from another one: each
+// crash starts the worker again, and two processes of one worker would then run at once.
+func (p *soakPlan) addCrash(added workerCrash) {
+	if !slices.ContainsFunc(p.crashes, added.overlaps) {
+		p.crashes = append(p.crashes, added)
+	}
+}
+
+// overlaps reports whether two crashes are of the same worker and less than minCrashSpacing lies
+// between the restart of one and the other.
+func (c workerCrash) overlaps(other workerCrash) bool {
+	return c.worker == other.worker && c.at < other.at+other.duration+minCrashSpacing && other.at < c.at+c.duration+minCrashSpacing
+}
+
 // nodeCount returns the number of nodes. The storage nodes have the first indexes, the other
 // gateway nodes the next ones, and the agent nodes the last.
 func (p *soakPlan) nodeCount() int { return p.deployment.Gateways + p.deployment.Agents }
--- a/cmd/sparnotch-bench/soak_test.go
+++ b/cmd/sparnotch-bench/soak_test.go
@@ -52,6 +52,21 @@
 	})
 }
 
+// TestSoakCrashesDontOverlap guards against soaks in which two processes of one worker run at
+// once, because the worker was crashed again while it was down, and both crashes restarted it.
+func TestSoakCrashesDontOverlap(t *testing.T) {
+	Convey("A worker isn't crashed while it is down from another crash", t, func() {
+		for seed := range uint64(4000) {
+			crashes := drawSoakPlan(seed, 12*time.Second, 40, true).crashes
+			for k, crash := range crashes {
+				for _, other := range crashes[:k] {
+					So(crash.worker == other.worker && crash.at < other.at+other.duration && other.at < crash.at+crash.duration, ShouldBeFalse)
+				}
+			}
+		}
+	})
+}
+
 func TestSessionKeepsItsConnection(t *testing.T) {
 	Convey("A session calls one gateway node, unready or not, until that gives no answer", t, func() {
 		code := http.StatusServiceUnavailable
