Scheduler: tasks of the same name from two queues are told apart

What callers saw: a job that was completed although one of its tasks had not run. A route had moved to another prefix while a job ran, and a job of the same ID was submitted at the new place.

Cause: workers know a task by job, round, step and index. A task was placed on the worker that ran the other queue's task of the same name; the agent took the order for the run that it had, and the end of one counted for both.

Change: such tasks aren't placed on the same worker; a listed name goes on meaning the task that it meant first; an attempt checked out to another worker isn't that of a status; a run that fits no task of its name is stopped.

Evidence: TestTasksOfSameName failed in four places before. Four mutants are killed.

--- a/internal/mutation/route_mutants.go
+++ b/internal/mutation/route_mutants.go
@@ -29,5 +29,13 @@
 			"name != \"\" && a.mayKeep(name, keys[label])", "name != \"\""}}},
 		{Guard: "the keys of a removed tenant are remembered", Test: "internal/clusterstate TestTenantsAreKnownByTheirKeys", Edits: []Edit{{"internal/clusterstate",
 			"\"max_accelerators\", keyHashesKey}", "\"max_accelerators\"}"}}},
+		{Guard: "a worker isn't given a task that it would take for another queue's", Test: "internal/scheduler TestTasksOfSameName", Edits: []Edit{{"internal/scheduler",
+			"		req.namesakeWorkers = s.workersOfNamesakes(t)\n", ""}}},
+		{Guard: "a listed name goes on meaning the task that it first meant", Test: "internal/scheduler TestTasksOfSameName", Edits: []Edit{{"internal/scheduler",
+			"	if known.isCheckedOut {\n", "	if known.isCheckedOut && false {\n"}}},
+		{Guard: "an end isn't that of a task which another worker runs", Test: "internal/scheduler TestTasksOfSameName", Edits: []Edit{{"internal/scheduler",
+			"t.attempt == status.Attempt && t.worker == \"\")", "t.attempt == status.Attempt)"}}},
+		{Guard: "a run that belongs to no task is stopped also if another has its name", Test: "internal/scheduler TestTasksOfSameName", Edits: []Edit{{"internal/scheduler",
+			"		if _, isFound := s.findAttempt(w, status); !isFound {\n", "		if len(s.tasksByName[namedAttemptOf(status).taskName]) == 0 {\n"}}},
 	}...)
 }
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -88,6 +88,7 @@
 	chosen := make([]*candidate, 0, len(tasks))
 	undos := make([]func(), 0, len(tasks))
 	for _, t := range tasks {
+		req.namesakeWorkers = s.workersOfNamesakes(t)
 		c, score := s.bestCandidate(candidates, req)
 		if c == nil {
 			for _, undo := range undos {
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -13,7 +13,25 @@
 
 // mayRunOn reports whether a task of the step may run on the candidate, apart from its resources.
 func (req *placementRequest) mayRunOn(c *candidate) bool {
-	return req.isWithinProbation(c) && req.isEligible(c) && req.isBelowWorkerLimit(c)
+	return req.isWithinProbation(c) && req.isEligible(c) && req.isBelowWorkerLimit(c) && !slices.Contains(req.namesakeWorkers, c.worker.id)
+}
+
+// workersOfNamesakes returns the workers that have, or are to get, a task with the same name as t
+// from another queue, and that know tasks by name. They would take both for one task.
+func (s *Scheduler) workersOfNamesakes(t *task) []string {
+	namesakes := s.tasksByName[t.name()]
+	if len(namesakes) < 2 {
+		return nil
+	}
+	var workers []string
+	for _, other := range namesakes {
+		for _, id := range []string{other.worker, other.reservedWorker} {
+			if w := s.workers[id]; other != t && w != nil && w.usesTaskNames {
+				workers = append(workers, id)
+			}
+		}
+	}
+	return workers
 }
 
 // isWithinProbation reports whether the candidate's probation, if it is on one, allows one more
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -94,7 +94,7 @@
 // forgetIncarnation drops what was known of the worker's previous incarnation.
 func (w *worker) forgetIncarnation() {
 	w.ended = map[attemptKey]*endReport{}
-	w.resolvedAttempts = map[namedAttempt]attemptKey{}
+	w.resolvedAttempts = map[namedAttempt]resolvedAttempt{}
 	w.quality = quality{}
 }
 
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -100,7 +100,7 @@
 			Name: status.Name, Round: status.Round, StepInRound: status.StepInRound,
 		})
 	}
-	for _, status := range s.orphanedStatuses(now, w.unknownRuns) {
+	for _, status := range s.orphanedStatuses(now, w, w.unknownRuns) {
 		orders = append(orders, &schema.TaskOrder{Action: actionStop, Name: status.Name, Round: status.Round, StepInRound: status.StepInRound, Task: status.Task, Attempt: status.Attempt})
 	}
 	sort.Slice(orders, func(a, b int) bool { return orderLess(orders[a], orders[b]) })
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -147,5 +147,5 @@
 			return true
 		}
 	}
-	return len(s.orphanedStatuses(now, w.unknownEnds)) > 0
+	return len(s.orphanedStatuses(now, w, w.unknownEnds)) > 0
 }
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -17,17 +17,18 @@
 
 // placementRequest describes a step for whose tasks a pass looks for workers.
 type placementRequest struct {
-	step           stepKey
-	spec           *schema.Step
-	need           resources      // resources that one task needs
-	tasksPerWorker map[string]int // the step's tasks, by worker id
-	tasksPerRack   map[string]int // the step's tasks, by rack
-	preferredRack  string         // rack for the tasks of a step that keeps to one rack
-	feasibility    deadlineFeasibility
-	maxLoss        float64 // core-microseconds of work that a preemption for one task may lose
-	isRecent       bool    // the step has waited for at most ejectedFallbackDelay
-	isShort        bool    // the step's tasks are expected to end soon, see Scheduler.isShort
-	mayUseEjected  bool    // the step has waited long enough to use ejected workers and those on probation
+	step            stepKey
+	spec            *schema.Step
+	need            resources      // resources that one task needs
+	tasksPerWorker  map[string]int // the step's tasks, by worker id
+	tasksPerRack    map[string]int // the step's tasks, by rack
+	namesakeWorkers []string       // see workersOfNamesakes, for the task that is being placed
+	preferredRack   string         // rack for the tasks of a step that keeps to one rack
+	feasibility     deadlineFeasibility
+	maxLoss         float64 // core-microseconds of work that a preemption for one task may lose
+	isRecent        bool    // the step has waited for at most ejectedFallbackDelay
+	isShort         bool    // the step's tasks are expected to end soon, see Scheduler.isShort
+	mayUseEjected   bool    // the step has waited long enough to use ejected workers and those on probation
 }
 
 func (s *Scheduler) newRequest(now eventloop.Micros, q *queueView, step *stepQueue, feasibility deadlineFeasibility, candidates []*candidate) *placementRequest {
--- a/internal/scheduler/resolve.go
+++ b/internal/scheduler/resolve.go
@@ -18,6 +18,12 @@
 	attempt uint32
 }
 
+// resolvedAttempt is the attempt that a name in a worker's statuses was found to mean.
+type resolvedAttempt struct {
+	key          attemptKey
+	isCheckedOut bool // the task was checked out to the worker with this attempt when the name was resolved
+}
+
 func (t *task) name() taskName { return taskName{t.jobName, t.round, t.stepInRound, t.key.task} }
 
 func namedAttemptOf(status *schema.TaskStatus) namedAttempt {
@@ -31,22 +37,23 @@
 		w.unknownRuns, w.unknownEnds = nil, nil
 		return heartbeat.Running, heartbeat.Ended
 	}
-	keys := make(map[namedAttempt]attemptKey, len(heartbeat.Running)+len(heartbeat.Ended))
-	running, w.unknownRuns = s.resolveList(w, heartbeat.Running, keys)
-	ended, w.unknownEnds = s.resolveList(w, heartbeat.Ended, keys)
-	w.resolvedAttempts = keys
+	attempts := make(map[namedAttempt]resolvedAttempt, len(heartbeat.Running)+len(heartbeat.Ended))
+	running, w.unknownRuns = s.resolveList(w, heartbeat.Running, attempts)
+	ended, w.unknownEnds = s.resolveList(w, heartbeat.Ended, attempts)
+	w.resolvedAttempts = attempts
 	return running, ended
 }
 
-// resolveList resolves statuses and adds the keys that it finds to keys.
-func (s *Scheduler) resolveList(w *worker, statuses []*schema.TaskStatus, keys map[namedAttempt]attemptKey) (resolved, unresolved []*schema.TaskStatus) {
+// resolveList resolves statuses and adds the attempts that it finds to attempts.
+func (s *Scheduler) resolveList(w *worker, statuses []*schema.TaskStatus, attempts map[namedAttempt]resolvedAttempt) (resolved, unresolved []*schema.TaskStatus) {
 	for _, status := range statuses {
-		key, found := s.resolveStatus(w, status)
+		attempt, found := s.resolveStatus(w, status)
 		if !found {
 			unresolved = append(unresolved, status)
 			continue
 		}
-		keys[namedAttemptOf(status)] = key
+		attempts[namedAttemptOf(status)] = attempt
+		key := attempt.key
 		resolved = append(resolved, &schema.TaskStatus{
 			Queue: key.queue, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt, State: status.State,
 			RunUs: status.RunUs, IdleUs: status.IdleUs, CoresMilli: status.CoresMilli, MemoryMb: status.MemoryMb, Accelerators: status.Accelerators,
@@ -58,37 +65,47 @@
 }
 
 // resolveStatus finds the attempt that a status names. Jobs in several queues may have the same
-// name, so a task that is checked out to the worker takes precedence.
-func (s *Scheduler) resolveStatus(w *worker, status *schema.TaskStatus) (attemptKey, bool) {
-	name := namedAttemptOf(status)
-	tasks := s.tasksByName[name.taskName]
-	for _, t := range tasks {
-		if t.worker == w.id && t.attempt == status.Attempt {
-			return attemptKey{t.key, status.Attempt}, true
-		}
+// name. While a worker lists a name, the name means the task that was checked out to the worker
+// when it was first listed, even after that task is gone and another one of the same name is
+// checked out there. A worker doesn't run two attempts of the same name and number at a time.
+func (s *Scheduler) resolveStatus(w *worker, status *schema.TaskStatus) (resolvedAttempt, bool) {
+	known, isKnown := w.resolvedAttempts[namedAttemptOf(status)]
+	if known.isCheckedOut {
+		return known, true
 	}
-	// A name that was resolved before keeps its key, even after the task is gone.
-	if key, known := w.resolvedAttempts[name]; known {
-		return key, true
+	found, isFound := s.findAttempt(w, status)
+	if found.isCheckedOut || !isKnown {
+		return found, isFound
 	}
-	for _, t := range tasks {
-		if t.attempt >= status.Attempt {
-			return attemptKey{t.key, status.Attempt}, true
+	return known, true
+}
+
+// findAttempt finds the attempt that a status names among the known tasks. A task that is checked
+// out to the worker takes precedence over an earlier attempt at a task. An attempt that is checked
+// out to another worker belongs to that one, so the worker's own must be another task's.
+func (s *Scheduler) findAttempt(w *worker, status *schema.TaskStatus) (found resolvedAttempt, isFound bool) {
+	for _, t := range s.tasksByName[namedAttemptOf(status).taskName] {
+		key := attemptKey{t.key, status.Attempt}
+		if t.attempt == status.Attempt && t.worker == w.id {
+			return resolvedAttempt{key, true}, true
+		}
+		if !isFound && (t.attempt > status.Attempt || t.attempt == status.Attempt && t.worker == "") {
+			found, isFound = resolvedAttempt{key: key}, true
 		}
 	}
-	return attemptKey{}, false
+	return found, isFound
 }
 
 // orphanedStatuses returns those of a worker's unknown statuses that belong to no task of any queue.
 // It returns none until this node leads every queue, because only then can it be sure.
-func (s *Scheduler) orphanedStatuses(now eventloop.Micros, statuses []*schema.TaskStatus) []*schema.TaskStatus {
+func (s *Scheduler) orphanedStatuses(now eventloop.Micros, w *worker, statuses []*schema.TaskStatus) []*schema.TaskStatus {
 	if len(statuses) == 0 || !s.leadsAllQueues(now) {
 		return nil
 	}
 	var orphaned []*schema.TaskStatus
 	for _, status := range statuses {
 		// A task that has become known since the heartbeat is resolved by the next one.
-		if len(s.tasksByName[namedAttemptOf(status).taskName]) == 0 {
+		if _, isFound := s.findAttempt(w, status); !isFound {
 			orphaned = append(orphaned, &schema.TaskStatus{Name: status.Name, Round: status.Round, StepInRound: status.StepInRound, Task: status.Task, Attempt: status.Attempt})
 		}
 	}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -35,9 +35,9 @@
 	running  map[attemptKey]*schema.TaskStatus
 	ended    map[attemptKey]*endReport
 
-	resolvedAttempts map[namedAttempt]attemptKey // attempts by the names that the worker's statuses use
-	unknownRuns      []*schema.TaskStatus        // runs that belong to no known task
-	unknownEnds      []*schema.TaskStatus        // ends that belong to no known task
+	resolvedAttempts map[namedAttempt]resolvedAttempt // attempts by the names that the worker's statuses use
+	unknownRuns      []*schema.TaskStatus             // runs that belong to no known task
+	unknownEnds      []*schema.TaskStatus             // ends that belong to no known task
 
 	quality
 	usageSummary
@@ -73,7 +73,7 @@
 		reserved:         map[taskKey]*task{},
 		running:          map[attemptKey]*schema.TaskStatus{},
 		ended:            map[attemptKey]*endReport{},
-		resolvedAttempts: map[namedAttempt]attemptKey{},
+		resolvedAttempts: map[namedAttempt]resolvedAttempt{},
 		usageSummary:     usageSummary{isUsageStale: true},
 	}
 	for _, q := range s.queues {
