Cluster state: a version that an older gateway sends keeps its routes' queues

What callers saw: GET on an accepted job answered 410, when all storage nodes ran this version, a gateway node still the one before, and the operator gave a route another name through that gateway.

Cause: a process of the version before doesn't say whether names are labels, and the leader took its first rename for names.

Change: names_are_labels is unset in such an update. It is taken to have labels if it has a version and all its queues have routes, as those of the platform's adapter do; gateways of this version always set the field.

--- a/internal/clusterstate/name_assignment.go
+++ b/internal/clusterstate/name_assignment.go
@@ -37,7 +37,7 @@
 // if its names aren't labels, or if it can't be accepted any more or not yet, because it isn't
 // based on the current configuration. The state machine must have applied all earlier updates.
 func (m *StateMachine) AssignNames(update *schema.ConfigurationUpdate) *schema.ConfigurationUpdate {
-	if !m.isBasedOnCurrent(update) || !m.hasLabelsAsNames(update) {
+	if !m.isBasedOnCurrent(update) || !hasLabelsAsNames(update) {
 		return update
 	}
 	queues, tenants := m.newQueueAssignment(update), m.newTenantAssignment(update)
@@ -60,11 +60,15 @@
 }
 
 // hasLabelsAsNames reports whether the names of queues and tenants in an update are labels. A
-// process of an older version doesn't set NamesAreLabels, but once an item has another name than
-// its label, the versions that such a process sends mean labels too.
-func (m *StateMachine) hasLabelsAsNames(update *schema.ConfigurationUpdate) bool {
-	hasLabel := func(row *schema.ConfigurationRow) bool { return row.Label != "" }
-	return update.NamesAreLabels || update.Version > 0 && slices.ContainsFunc(m.state.Configuration.Rows, hasLabel)
+// process of an older version doesn't say so. Its numbered versions mean labels if all their
+// queues have routes, as those of authors do whose callers know queues by routes alone.
+func hasLabelsAsNames(update *schema.ConfigurationUpdate) bool {
+	if update.NamesAreLabels != nil {
+		return update.GetNamesAreLabels()
+	}
+	routes := newRouteSet(update.Rows)
+	hasNoRoute := func(row *schema.ConfigurationRow) bool { return row.Kind == "queue" && routes.byQueue[row.Name] == nil }
+	return update.Version > 0 && !slices.ContainsFunc(update.Rows, hasNoRoute)
 }
 
 // assignRemoved returns the removed items of a patch with names in place of labels, for the kinds
--- a/internal/clusterstate/queue_assignment_test.go
+++ b/internal/clusterstate/queue_assignment_test.go
@@ -35,7 +35,7 @@
 // whole returns an update to the next version with the given routes, each in the form NAME=PREFIX.
 func (s *operatorState) whole(routes ...string) *schema.ConfigurationUpdate {
 	version := s.Configuration().Version
-	update := &schema.ConfigurationUpdate{Version: version + 1, BaseVersion: version, Document: []byte(fmt.Sprintf(`{"content":%q}`, strings.Join(routes, " "))), NamesAreLabels: true}
+	update := &schema.ConfigurationUpdate{Version: version + 1, BaseVersion: version, Document: []byte(fmt.Sprintf(`{"content":%q}`, strings.Join(routes, " "))), NamesAreLabels: proto.Bool(true)}
 	for _, definition := range routes {
 		name, prefix, _ := strings.Cut(definition, "=")
 		update.Rows = append(update.Rows, routeRows(name, prefix)...)
@@ -229,18 +229,31 @@
 			So(err, ShouldBeNil)
 			So(string(again.Snapshot()), ShouldEqual, string(s.Snapshot()))
 		})
-		Convey("an update of a process that doesn't identify queues by routes names them itself", func() {
+		Convey("an update whose names aren't labels names queues itself", func() {
 			update := s.whole("a=/o/")
-			update.NamesAreLabels = false
+			update.NamesAreLabels = proto.Bool(false)
 			So(s.submit(update), ShouldEqual, 200)
 			So(s.queueAt("/o/"), ShouldEqual, "a")
 		})
-		Convey("but not once a queue has another name than its route", func() {
-			s.put("a=/o/")
-			update := s.whole("a=/o/")
-			update.NamesAreLabels = false
+		Convey("an update of an older process keeps the queues of its routes", func() {
+			update := s.whole("a=/o/", "other=/n/")
+			update.NamesAreLabels = nil
 			So(s.submit(update), ShouldEqual, 200)
 			So(s.queueAt("/o/"), ShouldEqual, "other")
+			So(s.queueAt("/n/"), ShouldNotEqual, "other")
+			Convey("and so does a patch", func() {
+				patch := s.patch([]string{"a"}, "b=/o/")
+				patch.NamesAreLabels = nil
+				So(s.submit(patch), ShouldEqual, 200)
+				So(s.queueAt("/o/"), ShouldEqual, "other")
+			})
+			Convey("but not if callers know a queue of it by its name", func() {
+				update := s.whole("b=/o/")
+				update.NamesAreLabels = nil
+				update.Rows = append(update.Rows, row("queue", "plain", "urgency", "1"))
+				So(s.submit(update), ShouldEqual, 200)
+				So(s.queueAt("/o/"), ShouldEqual, "b")
+			})
 		})
 		Convey("a replica of an older version applies the same rows", func() {
 			replica := &StateMachine{state: s.State()}
@@ -270,7 +283,7 @@
 		})
 		Convey("unless it says that it identifies them by their routes; then it is recognized when it is sent again", func() {
 			revision := s.Configuration().Revision
-			edit := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: routeRows("rates", "/q/"), NamesAreLabels: true}
+			edit := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: routeRows("rates", "/q/"), NamesAreLabels: proto.Bool(true)}
 			So(s.submit(edit), ShouldEqual, 200)
 			So(s.queueAt("/q/"), ShouldEqual, "quotes")
 			So(s.submit(edit), ShouldEqual, 200)
--- a/internal/httpapi/handlers.go
+++ b/internal/httpapi/handlers.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/kataras/iris/v12"
+	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
@@ -189,6 +190,7 @@
 
 // proposeUpdate proposes an update of the configuration to the leader of the cluster state.
 func (s *Server) proposeUpdate(ctx iris.Context, update *schema.ConfigurationUpdate) {
+	update.NamesAreLabels = proto.Bool(update.GetNamesAreLabels())
 	command := &schema.ClusterStateCommand{Body: &schema.ClusterStateCommand_UpdateConfiguration{
 		UpdateConfiguration: &schema.UpdateConfiguration{Update: update},
 	}}
--- a/internal/replica/configuration_updates_test.go
+++ b/internal/replica/configuration_updates_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
@@ -15,7 +16,7 @@
 // path to a queue.
 func routeUpdate(version uint64, name string) *schema.ConfigurationUpdate {
 	return &schema.ConfigurationUpdate{
-		Version: version, BaseVersion: version - 1, Document: []byte(name), NamesAreLabels: true,
+		Version: version, BaseVersion: version - 1, Document: []byte(name), NamesAreLabels: proto.Bool(true),
 		Rows: []*schema.ConfigurationRow{{Kind: "queue", Name: name, Key: "prefix", Value: "/"}},
 	}
 }
--- a/internal/sim/operators.go
+++ b/internal/sim/operators.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"sparnotch/internal/checker"
 	"sparnotch/internal/clusterstate"
@@ -43,7 +44,7 @@
 // replace is acknowledged.
 func (s *Simulation) putRevision(operator string, current *schema.Configuration, rows []*schema.ConfigurationRow, retry func()) {
 	revision := current.Revision
-	update := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: s.routes.named(rows), NamesAreLabels: s.routes != nil}
+	update := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: s.routes.named(rows), NamesAreLabels: proto.Bool(s.routes != nil)}
 	node, sentAt := s.anyGateway(), s.Now
 	s.Record(checker.Event{Kind: checker.ConfigurationSent, Actor: operator, Rows: rows})
 	e := checker.Event{Kind: checker.ConfigurationReply, Actor: operator, Gateway: node.Name, SentAt: sentAt, BaseVersion: revision, Rows: rows}
@@ -64,7 +65,7 @@
 func (s *Simulation) putVersion(operator string, current *schema.Configuration, rows []*schema.ConfigurationRow, retry func()) {
 	version := current.Version + 1 + uint64(s.Rng.IntN(3))
 	update := &schema.ConfigurationUpdate{
-		Rows: s.routes.named(rows), Version: version, BaseVersion: current.Version, NamesAreLabels: s.routes != nil,
+		Rows: s.routes.named(rows), Version: version, BaseVersion: current.Version, NamesAreLabels: proto.Bool(s.routes != nil),
 		Document: []byte(fmt.Sprintf("%s %d %x", operator, version, s.Rng.Uint32())),
 	}
 	s.Record(checker.Event{Kind: checker.ConfigurationSent, Actor: operator, Rows: rows, Document: string(update.Document)})
