Daemon: a shutdown signal isn't lost behind a series of others

All signals shared a channel that holds four. While the daemon is busy, as at its start with a slow disk, a fifth is dropped: after a series of SIGHUPs, as the settings file changes, that could be the SIGTERM, and the process would be killed after its grace period.

Change: shutdown, reload and flush signals have a channel each. A SIGHUP doesn't cut short the time in which a changed settings file must stay the same.

TestSignals: its two new cases failed on one channel of four. They check with real signals which of them shut a process down, as the former did with calls; that a failed flush is logged once is in TestFlushLog.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,7 +39,6 @@
 	// started without its store restarts with the store.
 	restartDrainTimeout = 1500 * time.Millisecond
 	drainCheckInterval  = 50 * time.Millisecond
-	signalBuffer        = 4
 
 	// settingsCheckInterval is the time between two looks at the settings file, which may change
 	// without a signal.
@@ -67,7 +66,7 @@
 type daemon struct {
 	settings      *schema.Settings
 	role          schema.Role
-	signals       <-chan os.Signal
+	signals       signalChannels
 	log           *zap.Logger
 	ring          *logring.Ring
 	newServer     ServerFactory
@@ -80,8 +79,7 @@
 // the node takes changes of the file while it runs. An agent node uses the worker client, if one
 // is passed, to call its worker.
 func Serve(name string, settings *schema.Settings, settingsFile *settingsfile.Watcher, role schema.Role, newServer ServerFactory, workerClients ...agent.WorkerClient) subcommands.ExitStatus {
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	signals := notifySignals()
 	// Without this, a write to standard output or standard error would end this process if the
 	// program that reads its output has ended.
 	signal.Ignore(syscall.SIGPIPE)
@@ -148,35 +146,21 @@
 			d.stop(ctx, node, server)
 			cancel()
 			return reopened, nil
-		case received := <-d.signals:
-			if !isShutdownSignal(received, d.log, d.ring.Flush) {
-				if received == syscall.SIGHUP {
-					settingsTimer.Reset(d.checkSettings(node))
-				}
-				continue
-			}
+		case received := <-d.signals.shutdown:
 			d.log.Info("shutting down", zap.String("signal", received.String()))
 			d.shutDown(node, server)
 			return nil, nil
+		case <-d.signals.reload:
+			// Content that has just been read is given its time to settle.
+			if d.settingsFile == nil || !d.settingsFile.IsSettling() {
+				settingsTimer.Reset(d.checkSettings(node))
+			}
+		case <-d.signals.flush:
+			d.flushLog()
 		}
 	}
 }
 
-// isShutdownSignal reports whether a signal requests a shutdown. It handles all other
-// signals itself.
-func isShutdownSignal(received os.Signal, log *zap.Logger, flush func() error) bool {
-	switch received {
-	case syscall.SIGUSR1:
-		if err := flush(); err != nil {
-			log.Warn("the log ring couldn't be written out", zap.Error(err))
-		}
-		return false
-	case syscall.SIGHUP:
-		return false
-	}
-	return true
-}
-
 // shutDown drains the node, waits for requests in progress, and stops the node, all
 // within the shutdown timeout in the settings. A second signal ends the wait.
 func (d *daemon) shutDown(node *process.Node, server Server) {
@@ -198,13 +182,14 @@
 	d.log.Info("shut down")
 }
 
+// cancelOnSignal cancels the wait for pending work when another shutdown signal comes.
 func (d *daemon) cancelOnSignal(ctx context.Context, cancel context.CancelFunc) {
 	for {
 		select {
-		case received := <-d.signals:
-			if isShutdownSignal(received, d.log, d.ring.Flush) {
-				cancel()
-			}
+		case <-d.signals.shutdown:
+			cancel()
+		case <-d.signals.flush:
+			d.flushLog()
 		case <-ctx.Done():
 			return
 		}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,34 +1,87 @@
 package daemon
 
 import (
-	"errors"
 	"os"
+	"os/signal"
+	"path/filepath"
 	"syscall"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+
+	"sparnotch/internal/logring"
 )
 
+// receivedCounts returns how many signals the channels hold, in the order shutdown, reload, flush.
+func (c signalChannels) receivedCounts() []int {
+	return []int{len(c.shutdown), len(c.reload), len(c.flush)}
+}
+
+// signalSender sends signals to this process.
+type signalSender struct{ delivered chan os.Signal }
+
+func newSignalSender() signalSender {
+	sender := signalSender{make(chan os.Signal, 1)}
+	signal.Notify(sender.delivered, syscall.SIGUSR2)
+	return sender
+}
+
+// send sends a signal and returns once all channels have been offered it. The runtime handles
+// one signal after the other, so it has handled this one when it has handled a second SIGUSR2.
+func (s signalSender) send(sent syscall.Signal) {
+	for _, number := range []syscall.Signal{sent, syscall.SIGUSR2, syscall.SIGUSR2} {
+		So(syscall.Kill(os.Getpid(), number), ShouldBeNil)
+		if number == syscall.SIGUSR2 {
+			<-s.delivered
+		}
+	}
+}
+
 func TestSignals(t *testing.T) {
-	Convey("Only some signals shut a process down", t, func() {
+	Convey("Given the signal channels of a daemon", t, func() {
+		channels, sender := notifySignals(), newSignalSender()
+		Convey("only some signals shut a process down", func() {
+			for _, test := range []struct {
+				signal   syscall.Signal
+				received []int
+			}{
+				{syscall.SIGHUP, []int{0, 1, 0}},
+				{syscall.SIGUSR1, []int{0, 1, 1}},
+				{syscall.SIGTERM, []int{1, 1, 1}},
+				{syscall.SIGINT, []int{2, 1, 1}},
+			} {
+				sender.send(test.signal)
+				So(channels.receivedCounts(), ShouldResemble, test.received)
+			}
+		})
+		// Guards against a process that is killed after its grace period, since it lost the
+		// SIGTERM behind a series of other signals.
+		Convey("a shutdown signal isn't lost behind others", func() {
+			for range 10 {
+				sender.send(syscall.SIGHUP)
+				sender.send(syscall.SIGUSR1)
+			}
+			sender.send(syscall.SIGTERM)
+			So(<-channels.shutdown, ShouldEqual, syscall.SIGTERM)
+		})
+	})
+}
+
+func TestFlushLog(t *testing.T) {
+	Convey("SIGUSR1 writes the log ring out", t, func() {
 		for _, test := range []struct {
-			signal     os.Signal
-			isShutdown bool
-			flushes    int
-			logged     int
+			path   string
+			logged int
 		}{
-			{syscall.SIGTERM, true, 0, 0},
-			{syscall.SIGINT, true, 0, 0},
-			{syscall.SIGHUP, false, 0, 0},
-			{syscall.SIGUSR1, false, 1, 1},
+			{filepath.Join(t.TempDir(), "log"), 0},
+			{"/dev/full", 1},
 		} {
 			core, logs := observer.New(zap.InfoLevel)
-			flushes := 0
-			flush := func() error { flushes++; return errors.New("full") }
-			So(isShutdownSignal(test.signal, zap.New(core), flush), ShouldEqual, test.isShutdown)
-			So(flushes, ShouldEqual, test.flushes)
+			ringLog, ring := logring.New(test.path)
+			ringLog.Info("entry")
+			(&daemon{log: zap.New(core), ring: ring}).flushLog()
 			So(logs.Len(), ShouldEqual, test.logged)
 		}
 	})
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -101,7 +101,7 @@
 			return recordingServer{shutdowns}, nil
 		}
 		signals := make(chan os.Signal, 1)
-		d := &daemon{settings: options, role: schema.Role_ROLE_SERVER, signals: signals, log: log, ring: ring, newServer: newServer}
+		d := &daemon{settings: options, role: schema.Role_ROLE_SERVER, signals: signalChannels{shutdown: signals}, log: log, ring: ring, newServer: newServer}
 		go func() { ended <- d.serve() }()
 		So(<-started, ShouldBeFalse)
 		So(os.Remove(obstacle), ShouldBeNil)
