Cluster state: an edit by hand keeps the names that operators gave to routes

What operators would see: a patch of a route answered 422 (two routes at one place), or a removal without effect, after somebody had edited the configuration with sparnotchctl on a system with renamed routes.

Cause: the CSV form shows the names of queues alone, so an edit sent back as a whole had no labels, and the cluster no longer knew the operator's names.

Change: the leader gives the rows of an edit that goes by names the labels that these items have. TestEditKeepsLabels failed in both cases before; its mutant is killed.

--- a/internal/clusterstate/name_assignment.go
+++ b/internal/clusterstate/name_assignment.go
@@ -33,13 +33,17 @@
 }
 
 // AssignNames returns an update as it must be appended to the log: the queues and tenants of its
-// rows and of its removed items are named as the cluster names them. It returns the update itself
-// if its names aren't labels, or if it can't be accepted any more or not yet, because it isn't
-// based on the current configuration. The state machine must have applied all earlier updates.
+// rows and of its removed items are named as the cluster names them. If that is how the update
+// names them already, it only gets their labels. AssignNames returns the update itself if it can't
+// be accepted any more or not yet, because it isn't based on the current configuration. The state
+// machine must have applied all earlier updates.
 func (m *StateMachine) AssignNames(update *schema.ConfigurationUpdate) *schema.ConfigurationUpdate {
-	if !m.isBasedOnCurrent(update) || !hasLabelsAsNames(update) {
+	if !m.isBasedOnCurrent(update) {
 		return update
 	}
+	if !hasLabelsAsNames(update) {
+		return m.keepLabels(update)
+	}
 	queues, tenants := m.newQueueAssignment(update), m.newTenantAssignment(update)
 	assigned := proto.Clone(update).(*schema.ConfigurationUpdate)
 	assigned.Removed = assignRemoved(update.Removed, map[string]map[string]string{"queue": queues.byLabel, "tenant": tenants.byLabel})
@@ -51,6 +55,27 @@
 	return assigned
 }
 
+// keepLabels returns an update with the labels that its items have in the current configuration. An
+// edit by hand may have lost them: the form in which configurations are edited doesn't show them.
+func (m *StateMachine) keepLabels(update *schema.ConfigurationUpdate) *schema.ConfigurationUpdate {
+	labels := map[rowID]string{}
+	for _, row := range m.state.Configuration.Rows {
+		if row.Label != "" {
+			labels[rowID{kind: row.Kind, name: row.Name}] = row.Label
+		}
+	}
+	if len(labels) == 0 {
+		return update
+	}
+	labelled := proto.Clone(update).(*schema.ConfigurationUpdate)
+	for _, row := range labelled.Rows {
+		if row.Label == "" {
+			row.Label = labels[rowID{kind: row.Kind, name: row.Name}]
+		}
+	}
+	return labelled
+}
+
 func (m *StateMachine) isBasedOnCurrent(update *schema.ConfigurationUpdate) bool {
 	current := m.state.Configuration
 	if update.Version > 0 {
--- a/internal/clusterstate/queue_assignment_test.go
+++ b/internal/clusterstate/queue_assignment_test.go
@@ -291,3 +291,32 @@
 		})
 	})
 }
+
+// TestEditKeepsLabels guards against an operator who can't change a route any more after somebody
+// has edited the configuration by hand: the edit, which goes by the names that the cluster uses,
+// must not make the cluster forget the operator's own.
+func TestEditKeepsLabels(t *testing.T) {
+	Convey("Given a route with another name than its queue, and an edit by the queue's name", t, func() {
+		s := newOperatorState()
+		s.put("quotes=/q/", "other=/o/")
+		s.put("rates=/q/", "other=/o/")
+		revision := s.Configuration().Revision
+		edit := &schema.ConfigurationUpdate{BaseRevision: &revision, Rows: append(routeRows("quotes", "/q/"), routeRows("other", "/o/")...)}
+		edit.Rows[1].Value = "9"
+		So(s.submit(edit), ShouldEqual, 200)
+		So(s.Values().Number("queue", "quotes", "urgency"), ShouldEqual, 9)
+		Convey("a patch still finds the route by the operator's name", func() {
+			So(s.submit(s.patch([]string{"rates"}, "third=/q/")), ShouldEqual, 200)
+			So(s.queueAt("/q/"), ShouldEqual, "quotes")
+			So(s.submit(s.patch([]string{"third"})), ShouldEqual, 200)
+			So(s.Values().HasQueue("quotes"), ShouldBeFalse)
+		})
+		Convey("and so does one after an edit by patch", func() {
+			revision := s.Configuration().Revision
+			edit := &schema.ConfigurationUpdate{BaseRevision: &revision, IsPatch: true, Rows: []*schema.ConfigurationRow{row("queue", "quotes", "target_ms", "700")}}
+			So(s.submit(edit), ShouldEqual, 200)
+			So(s.submit(s.patch([]string{"rates"})), ShouldEqual, 200)
+			So(s.Values().HasQueue("quotes"), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/mutation/route_mutants.go
+++ b/internal/mutation/route_mutants.go
@@ -19,6 +19,8 @@
 			"		assigned.SubmittedDigest = digest\n", ""}}},
 		{Guard: "an update of an older process keeps the queues of its routes", Test: "internal/clusterstate TestQueuesOfOlderVersions", Edits: []Edit{{"internal/clusterstate",
 			"return update.Version > 0 && !slices.ContainsFunc(update.Rows, hasNoRoute)", "return update.Version == 0 && !slices.ContainsFunc(update.Rows, hasNoRoute)"}}},
+		{Guard: "an edit by hand keeps the operator's names of routes", Test: "internal/clusterstate TestEditKeepsLabels", Edits: []Edit{{"internal/clusterstate",
+			"	if len(labels) == 0 {\n		return update", "	if len(labels) >= 0 {\n		return update"}}},
 		{Guard: "updates are assigned one after the other", Test: "internal/replica TestUpdatesWaitForTheirBase", Edits: []Edit{{"internal/replica",
 			"r.appliedIndex >= max(r.group.NoOpIndex(), r.updateIndex)", "r.appliedIndex >= r.group.NoOpIndex()"}}},
 		{Guard: "updates are assigned after the log of earlier terms is applied", Test: "internal/replica TestUpdatesWaitForTheirBase", Edits: []Edit{{"internal/replica",
