--- a/internal/sim/routes.go
+++ b/internal/sim/routes.go
@@ -14,16 +14,22 @@
 // by its route, whose path prefix doesn't change. The first name of each route is its queue's.
 type routes struct {
 	labels map[string]string // current names that differ from the queue's, by queue
+	moved  []string          // names that have moved to a place of their own, oldest first
 	count  int               // number of names drawn so far
 }
 
+// maxMovedRoutes is the number of routes that configurations have beside those of the clients'
+// queues, each under a name that one of these had before.
+const maxMovedRoutes = 2
+
 // useRoutes gives each queue a route. It must be called before the first configuration is sent.
 func (s *Simulation) useRoutes() { s.routes = &routes{labels: map[string]string{}} }
 
 // pathOf returns the path of a job, or of a queue if the name is empty.
 func (r *routes) pathOf(queue, name string) string { return "/" + queue + "/" + name }
 
-// addTo returns the rows with a route for each queue. A nil receiver returns the rows.
+// addTo returns the rows with a queue for each moved name, and a route for each queue. A nil
+// receiver returns the rows.
 func (r *routes) addTo(rows []*schema.ConfigurationRow) []*schema.ConfigurationRow {
 	if r == nil {
 		return rows
@@ -32,7 +38,12 @@
 	for _, row := range rows {
 		hasRoute[row.Name] = hasRoute[row.Name] || row.Kind == "queue" && row.Key == "prefix"
 	}
-	for _, row := range rows {
+	for _, name := range r.moved {
+		if _, isListed := hasRoute[name]; !isListed {
+			all = append(all, &schema.ConfigurationRow{Kind: "queue", Name: name, Key: "urgency", Value: "20"})
+		}
+	}
+	for _, row := range slices.Clone(all) {
 		if row.Kind == "queue" && !hasRoute[row.Name] {
 			hasRoute[row.Name] = true
 			all = append(all, &schema.ConfigurationRow{Kind: "queue", Name: row.Name, Key: "prefix", Value: r.pathOf(row.Name, "")})
@@ -77,10 +88,18 @@
 	return m
 }
 
+// move gives the name of a queue's route to a route at another place, and a new one to the queue's.
+func (r *routes) move(queue string) {
+	r.moved = append(r.moved, r.labels[queue])
+	r.moved = r.moved[max(0, len(r.moved)-maxMovedRoutes):]
+	r.labels[queue] = r.newLabel()
+}
+
 // renameRoutes sends a configuration in which one route has a new name, two routes have
-// exchanged their names, or one has the name of its queue again.
+// exchanged their names, the name of one has moved to another place, or one has the name of its
+// queue again.
 func (f *Fleet) renameRoutes() {
-	rows := f.routes.addTo(f.ConfigurationRows(20 + f.Rng.IntN(60)))
+	rows := f.ConfigurationRows(20 + f.Rng.IntN(60))
 	queues := map[string]bool{}
 	for _, row := range rows {
 		if row.Kind == "queue" {
@@ -93,13 +112,15 @@
 	switch {
 	case f.Rng.IntN(3) == 0 && labels[first] != "" && labels[second] != "":
 		labels[first], labels[second] = labels[second], labels[first]
+	case f.Rng.IntN(3) == 0 && labels[first] != "":
+		f.routes.move(first)
 	case f.Rng.IntN(4) == 0:
 		delete(labels, first)
 	default:
 		labels[first] = f.routes.newLabel()
 	}
-	f.RecordFault("the route of %s is called %q, that of %s %q", first, labels[first], second, labels[second])
-	f.PutConfiguration("operator", rows)
+	f.RecordFault("the route of %s is called %q, that of %s %q; moved names: %q", first, labels[first], second, labels[second], f.routes.moved)
+	f.PutConfiguration("operator", f.routes.addTo(rows))
 }
 
 // renameRoutesUnderFaults renames routes every second and a half, while leaders are killed, a
