Platform: a route's host may be written with a trailing dot

What operators saw: 400 for a version whose route has its host with a trailing dot, though requests for that host are matched without one.

--- a/internal/clusterstate/routes.go
+++ b/internal/clusterstate/routes.go
@@ -1,6 +1,7 @@
 package clusterstate
 
 import (
+	"net"
 	"slices"
 	"sort"
 	"strings"
@@ -80,7 +81,7 @@
 // and the rest of the path after the route's prefix. Routes for the request's host take
 // precedence over routes for any host; among these, the longest prefix wins.
 func (v *Values) MatchRoute(host, path string) (queue, rest string, found bool) {
-	for _, name := range []string{normalizeHost(host), ""} {
+	for _, name := range []string{NormalizeHost(host), ""} {
 		for _, candidate := range v.routesByHost[name] {
 			if rest, matches := strings.CutPrefix(path, candidate.pathPrefix()); matches {
 				return candidate.queue, rest, true
@@ -93,11 +94,11 @@
 	return "", "", false
 }
 
-// normalizeHost returns a host in the form that routes use: in lower case, without a port and
-// without a trailing dot.
-func normalizeHost(host string) string {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:at]
+// NormalizeHost returns a host in the form that routes use: in lower case, without a port, brackets
+// and a trailing dot.
+func NormalizeHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
 	}
-	return strings.ToLower(strings.TrimSuffix(host, "."))
+	return strings.ToLower(strings.TrimSuffix(strings.Trim(host, "[]"), "."))
 }
--- a/internal/clusterstate/routes_test.go
+++ b/internal/clusterstate/routes_test.go
@@ -24,6 +24,7 @@
 		for _, request := range []struct{ host, path, queue, rest string }{
 			{"one.example", "/a/j1", "short", "j1"},
 			{"ONE.example:8080", "/a/b/j1", "long", "j1"},
+			{"one.example.:80", "/a/j1", "short", "j1"},
 			{"one.example", "/a/b", "short", "b"},
 			{"one.example", "/a/", "short", ""},
 			{"two.example", "/a/b/j1", "other", "b/j1"},
@@ -37,6 +38,11 @@
 			So([]any{request.host, request.path, queue, rest, found}, ShouldResemble, []any{request.host, request.path, request.queue, request.rest, request.queue != ""})
 		}
 	})
+	Convey("A host with another spelling is the same", t, func() {
+		for spelled, normalized := range map[string]string{"One.Example.": "one.example", "one.example:80": "one.example", "[::1]:80": "::1", "[::1]": "::1", "::1": "::1", "": ""} {
+			So(NormalizeHost(spelled), ShouldEqual, normalized)
+		}
+	})
 	Convey("Two queues with the same route are an error that names them, even if the routes are spelled differently", t, func() {
 		fault := ValidateRows(append(routeRows("x", "one.example", "/a/"), routeRows("y", "ONE.example", "/a/")...))
 		So(fault.Field, ShouldEqual, "rows[3].value")
