--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -86,3 +87,24 @@
 		}
 	})
 }
+
+// TestSignalsDuringShutdown guards against a process that ignores signals while it waits for pending
+// work: SIGUSR1 still writes the log ring out, and a second shutdown signal ends the wait.
+func TestSignalsDuringShutdown(t *testing.T) {
+	Convey("Given a daemon that waits for pending work", t, func() {
+		path := filepath.Join(t.TempDir(), "log")
+		log, ring := logring.New(path)
+		log.Info("entry")
+		shutdown, flush := make(chan os.Signal), make(chan os.Signal)
+		d := &daemon{log: log, ring: ring, signals: signalChannels{shutdown: shutdown, flush: flush}}
+		ctx, cancel := context.WithCancel(context.Background())
+		Reset(cancel)
+		go d.cancelOnSignal(ctx, cancel)
+		flush <- syscall.SIGUSR1
+		shutdown <- syscall.SIGTERM // received once the log ring has been written out
+		<-ctx.Done()
+		text, err := os.ReadFile(path)
+		So(err, ShouldBeNil)
+		So(string(text), ShouldContainSubstring, "entry")
+	})
+}
