--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -26,6 +26,15 @@
 func (recordedEffects) Notify(string, any)           {}
 func (r recordedEffects) Respond(_ uint64, body any) { r.responses <- body }
 
+// steppedClock is a Clock that advances by 1 µs with each reading.
+type steppedClock struct{ now Micros }
+
+func (c *steppedClock) Now() Micros {
+	c.now++
+	return c.now
+}
+func (c *steppedClock) Wall() int64 { return 0 }
+
 func TestProcess(t *testing.T) {
 	Convey("A component gets its messages in order, and its panic is reported", t, func() {
 		loop := NewLoop(RealClock())
@@ -45,6 +54,25 @@
 		cancel()
 		loop.Wait()
 	})
+	Convey("The load of a component counts its steps, their time and the wait in the mailbox, and starts anew when it is taken", t, func() {
+		clock := &steppedClock{}
+		loop := NewLoop(clock)
+		effects := recordedEffects{make(chan any, 16)}
+		loop.Outbound = effects
+		loop.Add("echo", echo{}, 0)
+		loop.Post("echo", Message{Body: 1})
+		loop.Post("echo", Message{Body: 2})
+		So(loop.TakeLoad()["echo"], ShouldResemble, ComponentLoad{Waiting: 2})
+		ctx, cancel := context.WithCancel(context.Background())
+		loop.Run(ctx)
+		<-effects.responses
+		<-effects.responses
+		cancel()
+		loop.Wait()
+		// The clock advances by one with each reading: two posts, and two readings a step.
+		So(loop.TakeLoad()["echo"], ShouldResemble, ComponentLoad{Steps: 2, StepTime: 2, MaxWait: 3})
+		So(loop.TakeLoad()["echo"], ShouldResemble, ComponentLoad{})
+	})
 	Convey("TryPut on a full queue drops and counts the item, and Put fails once the context has ended", t, func() {
 		queue := NewQueue[int](2)
 		So(queue.TryPut(1), ShouldBeTrue)
--- a/internal/eventloop/process.go
+++ b/internal/eventloop/process.go
@@ -33,8 +33,15 @@
 type registeredComponent struct {
 	name         string
 	component    Component
-	mailbox      *Queue[Message]
+	mailbox      *Queue[mail]
 	tickInterval Micros // 0: the component gets no Tick
+	load         loadCounters
+}
+
+// mail is a message in a mailbox.
+type mail struct {
+	message  Message
+	postedAt Micros
 }
 
 // NewLoop returns a Loop without components.
@@ -45,7 +52,7 @@
 // Add adds a component under the given name. It must be called before Run. The component gets a Tick at
 // each tick interval, or none if the interval is 0.
 func (l *Loop) Add(name string, component Component, tickInterval Micros) {
-	l.components[name] = &registeredComponent{name, component, NewQueue[Message](mailboxSize), tickInterval}
+	l.components[name] = &registeredComponent{name: name, component: component, mailbox: NewQueue[mail](mailboxSize), tickInterval: tickInterval}
 }
 
 // Run starts the goroutines of the components and returns. They stop when the context ends.
@@ -65,14 +72,19 @@
 	defer l.running.Done()
 	defer l.recoverPanic(registered.name)
 	var lastTick Micros
-	step := func(message Message) { registered.component.Step(l.Clock.Now(), message, l) }
-	registered.mailbox.Consume(ctx, registered.tickInterval, step, func() {
+	step := func(message Message, postedAt Micros) {
+		startedAt := l.Clock.Now()
+		registered.component.Step(startedAt, message, l)
+		registered.load.record(startedAt-postedAt, l.Clock.Now()-startedAt)
+	}
+	handle := func(received mail) { step(received.message, received.postedAt) }
+	registered.mailbox.Consume(ctx, registered.tickInterval, handle, func() {
 		now := l.Clock.Now()
 		if lastTick > 0 {
 			l.recordTickLatency(now - lastTick - registered.tickInterval)
 		}
 		lastTick = now
-		step(Message{Body: Tick{}})
+		step(Message{Body: Tick{}}, now)
 	})
 }
 
@@ -106,7 +118,7 @@
 // or there is no component with this name, it drops the message and returns false.
 func (l *Loop) Post(component string, message Message) bool {
 	registered := l.components[component]
-	return registered != nil && registered.mailbox.TryPut(message)
+	return registered != nil && registered.mailbox.TryPut(mail{message, l.Clock.Now()})
 }
 
 // PostWait puts a message that must not be dropped into the mailbox of a component. It blocks
@@ -114,7 +126,7 @@
 // no component with this name. It must be called after Run, and not by a component.
 func (l *Loop) PostWait(component string, message Message) bool {
 	registered := l.components[component]
-	return registered != nil && registered.mailbox.Put(l.ctx, message)
+	return registered != nil && registered.mailbox.Put(l.ctx, mail{message, l.Clock.Now()})
 }
 
 // Dropped returns for each component, by name, how many messages were dropped because its
--- a/internal/eventloop/queue.go
+++ b/internal/eventloop/queue.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// Length returns the number of items in the queue.
+func (q *Queue[T]) Length() int { return len(q.items) }
+
 // Dropped returns the number of items that were dropped because the queue was full.
 func (q *Queue[T]) Dropped() uint64 { return q.dropped.Load() }
 
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -218,6 +218,7 @@
 	n.loop.Post(MembershipComponent, eventloop.Message{Body: eventloop.Tick{}})
 	n.runInBackground(func() { n.writeBatches(ctx) })
 	n.runInBackground(func() { n.watchDisk(ctx) })
+	n.runInBackground(func() { n.reportLoad(ctx) })
 	if n.pendingOpen != nil {
 		n.runInBackground(func() { n.retryOpen(ctx) })
 	}
--- a/internal/sim/hollow.go
+++ b/internal/sim/hollow.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -56,6 +57,7 @@
 	leader           *Host                      // leader at the start of the measurement
 	traffic          map[string]*roleTraffic    // by role
 	bytesByMessage   map[string]float64         // bytes sent by message type
+	leaderMessages   map[messageFlow]float64    // messages that the leader sent and received
 	interRegionBytes float64                    // bytes sent between regions
 	stepTime         map[*Host]map[string]int64 // processor time of steps in ns, by host and component
 
@@ -78,6 +80,9 @@
 // roleTraffic counts the messages and bytes that the processes of one role sent and received.
 type roleTraffic struct{ messagesSent, bytesSent, messagesReceived, bytesReceived float64 }
 
+// messageFlow identifies the messages of one type in one direction.
+type messageFlow struct{ direction, kind string }
+
 // RunHollow runs a hollow deployment and returns the traffic of each role, the delays of task
 // starts and the other results that the setup asks for. Byte counts cover the messages
 // themselves, without the frames of the transport.
@@ -109,7 +114,7 @@
 func newHollowRun(setup HollowSetup) *hollowRun {
 	r := &hollowRun{
 		Simulation: NewSimulation(setup.Seed, ReliableNetwork, fastSync), setup: setup, region: map[string]int{},
-		traffic: map[string]*roleTraffic{}, bytesByMessage: map[string]float64{}, stepTime: map[*Host]map[string]int64{},
+		traffic: map[string]*roleTraffic{}, bytesByMessage: map[string]float64{}, leaderMessages: map[messageFlow]float64{}, stepTime: map[*Host]map[string]int64{},
 		submittedAt: map[string]eventloop.Micros{}, lastHost: map[string]*Host{}, expectedEnds: map[string]eventloop.Micros{},
 		sentAt: map[uint64]eventloop.Micros{}, seenBy: map[uint64]int{}, lastSeenAt: map[uint64]eventloop.Micros{}, lostTasks: map[string]bool{},
 	}
@@ -327,10 +332,17 @@
 	sender := r.trafficOf(from)
 	sender.messagesSent++
 	sender.bytesSent += size
-	r.bytesByMessage[string(message.ProtoReflect().Descriptor().Name())] += size
+	kind := strings.ToLower(string(message.ProtoReflect().Descriptor().Name()))
+	r.bytesByMessage[kind] += size
+	if from == r.leader {
+		r.leaderMessages[messageFlow{"sent", kind}]++
+	}
 	if to == nil {
 		return
 	}
+	if to == r.leader {
+		r.leaderMessages[messageFlow{"received", kind}]++
+	}
 	receiver := r.trafficOf(to)
 	receiver.messagesReceived++
 	receiver.bytesReceived += size
--- a/internal/sim/hollow_results.go
+++ b/internal/sim/hollow_results.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"sort"
-	"strings"
 
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
@@ -45,7 +44,10 @@
 	seconds := float64(r.Now-from) / float64(eventloop.Second)
 	list := append(r.trafficResults(seconds), r.cpuResults(seconds)...)
 	for kind, bytes := range r.bytesByMessage {
-		list = append(list, Result{roleWhole, strings.ToLower(kind) + "_bytes_s", bytes / seconds})
+		list = append(list, Result{roleWhole, kind + "_bytes_s", bytes / seconds})
+	}
+	for flow, count := range r.leaderMessages {
+		list = append(list, Result{roleLeader, flow.direction + "_" + flow.kind + "_s", count / seconds})
 	}
 	sort.Slice(list, func(a, b int) bool { return list[a].Role+list[a].Metric < list[b].Role+list[b].Metric })
 	list = append(list,
