--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -157,7 +157,8 @@
 		q.pendingGangs[t.key] = t
 	}
 	if w := s.workers[t.worker]; w != nil {
-		w.needsResponse, w.isUsageStale = true, true
+		s.requestResponse(w)
+		w.isUsageStale = true
 		if t.spec.Gang {
 			s.requestGangResponses(t)
 		}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -58,7 +58,7 @@
 func (s *Scheduler) requestGangResponses(t *task) {
 	for _, member := range s.gangMembers(t) {
 		if w := s.workers[member.worker]; w != nil {
-			w.needsResponse = true
+			s.requestResponse(w)
 		}
 	}
 }
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -17,7 +17,8 @@
 func (s *Scheduler) evict(t *task, outcome string) {
 	t.evictOutcome = outcome
 	if w := s.workers[t.worker]; w != nil {
-		w.needsResponse, w.isUsageStale = true, true
+		s.requestResponse(w)
+		w.isUsageStale = true
 	}
 }
 
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if heartbeat.Incarnation > w.incarnation {
-		w.forgetIncarnation()
+		s.forgetIncarnation(w)
 	}
 	s.refreshUsage(w)
 	before := w.capacity()
@@ -92,7 +92,8 @@
 }
 
 // forgetIncarnation drops what was known of the worker's previous incarnation.
-func (w *worker) forgetIncarnation() {
+func (s *Scheduler) forgetIncarnation(w *worker) {
+	s.forgetOutcomes(w)
 	w.ended = map[attemptKey]*endReport{}
 	w.resolvedAttempts = map[namedAttempt]resolvedAttempt{}
 	w.quality = quality{}
@@ -118,7 +119,8 @@
 		s.respond(now, w, effects)
 	}
 	wait := eventloop.Micros(min(max(poll.Heartbeat.MaxWaitUs, 0), int64(maxPollWait)))
-	w.poll, w.needsResponse = &openPoll{gateway: gateway, id: poll.Id, deadline: now + wait}, true
+	w.poll = &openPoll{gateway: gateway, id: poll.Id, deadline: now + wait}
+	s.requestResponse(w)
 }
 
 // updateGangsOn makes the gangs that have a member on a worker react to its heartbeat.
--- a/internal/scheduler/quality.go
+++ b/internal/scheduler/quality.go
@@ -60,6 +60,28 @@
 	}
 }
 
+// addAll adds other counts multiplied by factor. Rounding never makes a count negative.
+func (c *outcomeCounts) addAll(other *outcomeCounts, factor float64) {
+	c.succeeded = math.Max(0, c.succeeded+factor*other.succeeded)
+	c.failed = math.Max(0, c.failed+factor*other.failed)
+}
+
+// failureTotalsOf returns the sums of a queue's outcomes over all workers.
+func (s *Scheduler) failureTotalsOf(queue string) *outcomeCounts {
+	if s.failureTotals[queue] == nil {
+		s.failureTotals[queue] = &outcomeCounts{}
+	}
+	return s.failureTotals[queue]
+}
+
+// forgetOutcomes takes a worker's outcomes out of the sums over all workers.
+func (s *Scheduler) forgetOutcomes(w *worker) {
+	for queue, counts := range w.outcomesByQueue {
+		s.failureTotalsOf(queue).addAll(counts, -1)
+	}
+	w.outcomesByQueue = nil
+}
+
 // failureRate returns the fraction of the worker's runs that failed. The estimate tends
 // to 0 while the runs are few.
 func (w *worker) failureRate() float64 {
@@ -128,7 +150,10 @@
 	if w.outcomesByQueue[queue] == nil {
 		w.outcomesByQueue[queue] = &outcomeCounts{}
 	}
+	total := s.failureTotalsOf(queue)
+	total.addAll(w.outcomesByQueue[queue], -1)
 	w.outcomesByQueue[queue].add(isFailure)
+	total.addAll(w.outcomesByQueue[queue], 1)
 	if isFailure {
 		w.suspicion += math.Log(badFailureRatio / ratio)
 	}
@@ -161,14 +186,11 @@
 
 // peerFailureRatio returns the fraction of a queue's runs that fail on other workers.
 func (s *Scheduler) peerFailureRatio(w *worker, queue string) float64 {
-	succeeded, failed := 0.0, 0.0
-	for _, other := range s.sortedWorkers() {
-		if counts := other.outcomesByQueue[queue]; other != w && counts != nil {
-			succeeded += counts.succeeded
-			failed += counts.failed
-		}
+	others := *s.failureTotalsOf(queue)
+	if own := w.outcomesByQueue[queue]; own != nil {
+		others.addAll(own, -1)
 	}
-	ratio := (failed + minFailureRatio*failureRatioPriorRuns) / (succeeded + failed + failureRatioPriorRuns)
+	ratio := (others.failed + minFailureRatio*failureRatioPriorRuns) / (others.succeeded + others.failed + failureRatioPriorRuns)
 	return math.Min(math.Max(ratio, minFailureRatio), badFailureRatio)
 }
 
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -127,7 +127,8 @@
 	if w := s.workers[m.Worker]; w != nil {
 		// An acknowledgement of an earlier outcome of the same attempt doesn't count for the present one.
 		if report := w.ended[key]; report != nil && (m.Outcome == "" || m.Outcome == report.sentOutcome) {
-			report.isAcknowledged, w.needsResponse = true, true
+			report.isAcknowledged = true
+			s.requestResponse(w)
 		}
 	}
 	// The event of the end may arrive later. Until then the attempt must not be ordered
--- a/internal/scheduler/respond.go
+++ b/internal/scheduler/respond.go
@@ -1,18 +1,34 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
+
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/schema"
 )
 
-// respondToPolls responds to the open polls that have reached their deadline, and to
-// those of workers that get orders or acknowledgements.
+// requestResponse makes the end of this step check whether a worker's open poll gets a response.
+// It is called for each worker that may get orders or acknowledgements, and for all workers at each
+// tick, because their polls have deadlines. A step looks at no other workers.
+func (s *Scheduler) requestResponse(w *worker) {
+	if !w.needsResponse {
+		w.needsResponse = true
+		s.responseRequests = append(s.responseRequests, w)
+	}
+}
+
+// respondToPolls responds to the open polls for which a response was requested, if they have
+// reached their deadline or if there are orders or acknowledgements to send.
 func (s *Scheduler) respondToPolls(now eventloop.Micros, effects eventloop.Effects) {
-	for _, w := range s.sortedWorkers() {
-		if w.poll == nil || !w.needsResponse && now < w.poll.deadline {
+	requests := s.responseRequests
+	s.responseRequests = nil
+	slices.SortFunc(requests, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+	for _, w := range requests {
+		w.needsResponse = false
+		if w.poll == nil {
 			continue
 		}
-		w.needsResponse = false
 		if orders := s.reconcile(now, w); now >= w.poll.deadline || len(orders) > 0 || s.hasAcknowledgedEnds(now, w) {
 			s.respondWith(now, w, orders, effects)
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -54,6 +54,8 @@
 	poolUse           map[string]*tenantUse       // the same sums by pool
 	addedQueues       map[string]uint64           // generations of queues added while this node led all others; see knowsAllRuns
 	knowsAllRunsSince eventloop.Micros            // start of the current period in which knowsAllRuns returns true; 0 while it returns false
+	responseRequests  []*worker                   // workers whose polls the end of this step checks, see requestResponse
+	failureTotals     map[string]*outcomeCounts   // sums of outcomesByQueue over all workers, by queue
 	deadWorkers       map[string]eventloop.Micros // time of the last report of each worker's death
 	runtimeModels     map[runtimeKey]*runtimeModel
 
@@ -90,6 +92,7 @@
 		tasksByName:   map[taskName][]*task{},
 		addedQueues:   map[string]uint64{},
 		poolUse:       map[string]*tenantUse{},
+		failureTotals: map[string]*outcomeCounts{},
 		deadWorkers:   map[string]eventloop.Micros{},
 		runtimeModels: map[runtimeKey]*runtimeModel{},
 	}
@@ -167,7 +170,7 @@
 // of lost workers, requests a pass and sends reports.
 func (s *Scheduler) handleTick(now eventloop.Micros, effects eventloop.Effects) {
 	for _, w := range s.sortedWorkers() {
-		w.needsResponse = true
+		s.requestResponse(w)
 		s.forwardEndReports(now, w, effects)
 		s.returnTasksOfUnresponsiveWorker(now, w, effects)
 		s.enforceLimits(now, w)
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -28,7 +28,7 @@
 
 	heartbeatState
 	poll          *openPoll // poll that waits for a response; nil: none
-	needsResponse bool      // there may be orders or acknowledgements to send
+	needsResponse bool      // it is in Scheduler.responseRequests
 
 	tasks    map[taskKey]*task // tasks checked out to the worker
 	reserved map[taskKey]*task // ready tasks with a proposed checkout to the worker
@@ -91,6 +91,7 @@
 func (s *Scheduler) dropWorker(w *worker, effects eventloop.Effects) {
 	s.closePoll(w, effects)
 	s.countTenantUse(w, -1)
+	s.forgetOutcomes(w)
 	delete(s.workers, w.id)
 	s.workerOrder = nil
 	if len(w.tasks) == 0 {
