--- a/cmd/sparnotch-bench/hollow_nodes.go
+++ b/cmd/sparnotch-bench/hollow_nodes.go
@@ -88,7 +88,7 @@
 		InternalAddress: p.config.address(host, internalPort), HttpAddress: p.config.address(host, httpPort),
 	}
 	members := &membership.AddressBook{}
-	config := &process.Config{Member: member, Seeds: p.config.seeds(), AddressBook: members, WallClock: clock.Wall, RandomSeed: seed, Now: clock.Now()}
+	config := &process.Config{Member: member, Seeds: p.config.seeds(), AddressBook: members, WallClock: clock.Wall, RandomSeed: seed, Now: clock.Now(), ViewSubscribers: []string{hollow.AgentName}}
 	loop := eventloop.NewLoop(clock)
 	effects := &hollowEffects{members: members, loop: loop}
 	loop.Outbound = effects
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,6 +3,8 @@
 import (
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/pollrelay"
 	"sparnotch/internal/replica"
 	"sparnotch/internal/schema"
 )
@@ -33,6 +35,7 @@
 	callSequence    uint64              // numbers calls and their replies in the order in which the agent sends and receives them
 	startedAt       eventloop.Micros
 	lastStepAt      eventloop.Micros
+	relays          pollrelay.Selector
 }
 
 // New returns an agent. bounds holds the limits that the deployment guarantees; nil
@@ -67,6 +70,8 @@
 		a.handleDeparture(now, body)
 	case Reply:
 		a.handleReply(now, body)
+	case *membership.View:
+		a.relays.SetMembers(body)
 	case *schema.ClusterStateResponse:
 		a.handleClusterState(now, body)
 	case *schema.WorkerPollResponse:
@@ -101,6 +106,7 @@
 		return
 	}
 	a.clusterState = response.State
+	a.relays.SetClusterState(response.State)
 	if a.worker != nil {
 		a.adoptLease(a.worker)
 	}
--- a/internal/agent/poll.go
+++ b/internal/agent/poll.go
@@ -30,9 +30,18 @@
 	sequence        uint64
 	sentAt          eventloop.Micros
 	scheduler       string
+	relay           string // storage node to which it was sent; empty: it was sent to the scheduler itself
 	replacedWorkers []string
 }
 
+// isAnsweredBy reports whether a response from a process can be that to the poll.
+func (p *pendingPoll) isAnsweredBy(from string, response *schema.WorkerPollResponse) bool {
+	if response.Id != p.sequence {
+		return false
+	}
+	return from == p.scheduler || p.relay != "" && from == p.relay
+}
+
 // sendPoll keeps one poll open at the scheduler that holds the worker lease, and sends
 // a new one at once when something has changed.
 func (a *Agent) sendPoll(now eventloop.Micros, w *workerState, effects eventloop.Effects) {
@@ -52,9 +61,25 @@
 		w.unansweredSince = now
 	}
 	heartbeat := a.newHeartbeat(now, w)
-	w.pendingPoll = &pendingPoll{sequence: a.pollSequence, sentAt: now, scheduler: w.scheduler, replacedWorkers: heartbeat.ReplacedWorkers}
+	relay := a.chooseRelay(now, w)
+	w.pendingPoll = &pendingPoll{sequence: a.pollSequence, sentAt: now, scheduler: w.scheduler, relay: relay, replacedWorkers: heartbeat.ReplacedWorkers}
 	w.lastPollAt, w.hasChanges = now, false
-	effects.Send(w.scheduler, &schema.WorkerPollRequest{Id: a.pollSequence, Worker: w.id, Heartbeat: heartbeat})
+	poll := &schema.WorkerPollRequest{Id: a.pollSequence, Worker: w.id, Heartbeat: heartbeat}
+	if relay == "" {
+		effects.Send(w.scheduler, poll)
+		return
+	}
+	poll.Scheduler = w.scheduler
+	effects.Send(relay, poll)
+}
+
+// chooseRelay returns the relay for the next poll, or an empty string if the poll goes to the
+// scheduler itself, as it does for a while after polls through a relay weren't answered.
+func (a *Agent) chooseRelay(now eventloop.Micros, w *workerState) string {
+	if w.pendingPoll != nil && w.pendingPoll.relay != "" && now-w.unansweredSince >= pollTimeout {
+		a.relays.RecordFailure(now)
+	}
+	return a.relays.Choose(now, w.id, w.scheduler)
 }
 
 // newHeartbeat returns the heartbeat of a poll: the worker's capacity, and its running
@@ -97,14 +122,23 @@
 // are ignored, because the scheduler repeats whatever still applies in its next answer.
 func (a *Agent) handlePollResponse(now eventloop.Micros, from string, response *schema.WorkerPollResponse) {
 	w := a.worker
-	if w != nil && from == w.scheduler {
+	if w != nil && (from == w.scheduler || response.Scheduler != "" && response.Scheduler == w.scheduler) {
 		w.unansweredSince = 0
 	}
-	if w == nil || w.isReplaced || w.pendingPoll == nil || response.Id != w.pendingPoll.sequence || from != w.pendingPoll.scheduler {
+	if w == nil || w.isReplaced || w.pendingPoll == nil || !w.pendingPoll.isAnsweredBy(from, response) {
 		return
 	}
 	poll := w.pendingPoll
 	w.pendingPoll = nil
+	if from != poll.scheduler && response.Scheduler != poll.scheduler {
+		// The relay has refused the poll. It is sent to the scheduler at once.
+		a.relays.RecordFailure(now)
+		w.hasChanges = true
+		return
+	}
+	if from == poll.relay {
+		a.relays.RecordAnswer()
+	}
 	if response.Orders == nil || response.Orders.FencingToken < w.fencingToken {
 		w.nextPollAt = now + rejectedPollDelay
 		if w.rejections++; w.rejections%rejectionsBeforeJump == 0 {
--- a/internal/clusterstate/keys.go
+++ b/internal/clusterstate/keys.go
@@ -57,6 +57,7 @@
 	{"fleet", "weight_rack", 30, 0, 10_000, "weight of spreading a step over racks, in placement scores"},
 	{"fleet", "weight_failures", 60, 0, 10_000, "weight against workers that fail more often than others, in placement scores"},
 	{"fleet", "preempt", 1, 0, 1, "1: tasks of more urgent queues may preempt tasks of less urgent ones"},
+	{"fleet", "relayed_workers", 64, 1, 1_000_000, "number of workers from which on agents poll their scheduler through the other storage nodes"},
 	{"fleet", "require_keys", 0, 0, 1, "1: requests for a queue that isn't public must carry an API key of a tenant"},
 	{"queue", "urgency", 10, 0, 100, "urgency of the queue; tasks of the most urgent queue are placed first"},
 	{"queue", "running", 100_000, 1, 10_000_000, "most tasks of the queue that may be checked out at once"},
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -14,6 +14,8 @@
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/fakeworker"
+	"sparnotch/internal/membership"
+	"sparnotch/internal/pollrelay"
 	"sparnotch/internal/process"
 	"sparnotch/internal/replica"
 	"sparnotch/internal/schema"
@@ -51,6 +53,7 @@
 	lastPoll     uint64               // ID of the last poll
 	openPolls    map[uint64]openPoll  // by ID
 	registeredAt eventloop.Micros     // when the last registration was sent
+	relays       pollrelay.Selector
 }
 
 // openPoll is a poll that hasn't been answered. sequence is the number of its heartbeat.
@@ -84,10 +87,13 @@
 		a.worker.Tick(now)
 		for id, poll := range a.openPolls {
 			if now-poll.sentAt > pollTimeout {
+				a.relays.RecordFailure(now)
 				delete(a.openPolls, id)
 				a.worker.HandleUnanswered(now)
 			}
 		}
+	case *membership.View:
+		a.relays.SetMembers(body)
 	case *schema.ClusterStateResponse:
 		a.handleClusterState(now, body)
 	case *schema.WorkerPollResponse:
@@ -112,6 +118,7 @@
 			a.hooks.OnConfig(now, m.State.Configuration.Revision)
 		}
 		a.state = m.State
+		a.relays.SetClusterState(m.State)
 	}
 	if leader := m.Leaders[clusterstate.GroupName]; leader != "" {
 		a.leader = leader
@@ -132,7 +139,12 @@
 	heartbeat := a.worker.NewHeartbeat(now)
 	a.lastPoll++
 	a.openPolls[a.lastPoll] = openPoll{heartbeat.Seq, now}
-	effects.Send(lease.Scheduler, &schema.WorkerPollRequest{Id: a.lastPoll, Worker: a.worker.Name, Heartbeat: heartbeat})
+	poll := &schema.WorkerPollRequest{Id: a.lastPoll, Worker: a.worker.Name, Heartbeat: heartbeat}
+	to := lease.Scheduler
+	if relay := a.relays.Choose(now, a.worker.Name, lease.Scheduler); relay != "" {
+		to, poll.Scheduler = relay, lease.Scheduler
+	}
+	effects.Send(to, poll)
 }
 
 // register asks the leader of the group of the cluster state to create a lease of the worker.
--- a/internal/process/components.go
+++ b/internal/process/components.go
@@ -22,6 +22,7 @@
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/gateway"
 	"sparnotch/internal/membership"
+	"sparnotch/internal/pollrelay"
 	"sparnotch/internal/raft"
 	"sparnotch/internal/replica"
 	"sparnotch/internal/scheduler"
@@ -72,7 +73,8 @@
 	RandomSeed      uint64
 	Now             eventloop.Micros
 	Bounds          *schema.Bounds
-	CallsWorker     bool // on an agent node: it calls a worker, so it has an AgentComponent and a WorkerCallerComponent
+	ViewSubscribers []string // further components of an agent node that receive the views of the members
+	CallsWorker     bool     // on an agent node: it calls a worker, so it has an AgentComponent and a WorkerCallerComponent
 }
 
 func (c *Config) newRand(stream uint64) *rand.Rand {
@@ -104,7 +106,7 @@
 	subscribers := []string{GatewayComponent}
 	if hasStorage {
 		identity = cfg.Storage.Identity
-		subscribers = append(subscribers, ReplicaComponent)
+		subscribers = append(subscribers, ReplicaComponent, pollrelay.ComponentName)
 	}
 	id := cfg.Member.Id
 	gatewayComponent := gateway.New(id, cfg.Member.Incarnation, hasStorage, cfg.newRand(gatewayStream)).WithBounds(cfg.Bounds)
@@ -122,20 +124,23 @@
 	return append(slots,
 		ComponentSlot{ReplicaComponent, replicaHost, replica.TickInterval},
 		ComponentSlot{SchedulerComponent, scheduler.New(id).WithBounds(cfg.Bounds), scheduler.TickInterval},
+		ComponentSlot{pollrelay.ComponentName, pollrelay.New(), pollrelay.TickInterval},
 	)
 }
 
 // AgentNodeComponents returns the components of an agent node.
 func AgentNodeComponents(cfg *Config) []ComponentSlot {
-	var subscribers []string // components that the controller notifies of cluster states
+	viewSubscribers := append([]string{ControllerComponent}, cfg.ViewSubscribers...)
+	var stateSubscribers []string // components that the controller notifies of cluster states
 	if cfg.CallsWorker {
-		subscribers = []string{AgentComponent}
+		viewSubscribers = append(viewSubscribers, AgentComponent)
+		stateSubscribers = []string{AgentComponent}
 	}
-	controllerComponent := controller.New(cfg.Member.Id, cfg.MachineFailures, subscribers...).
+	controllerComponent := controller.New(cfg.Member.Id, cfg.MachineFailures, stateSubscribers...).
 		WithTolerance(cfg.membershipConfig(true).Tolerance()).
 		WithBounds(cfg.Bounds)
 	slots := []ComponentSlot{
-		cfg.newMembership(true, nil, []string{ControllerComponent}),
+		cfg.newMembership(true, nil, viewSubscribers),
 		{ControllerComponent, controllerComponent, controller.TickInterval},
 	}
 	if cfg.CallsWorker {
@@ -148,7 +153,7 @@
 // process, in a process with the given role.
 func ComponentFor(role schema.Role, body any) string {
 	isAgentNode := role == schema.Role_ROLE_CONTROLLER
-	switch body.(type) {
+	switch message := body.(type) {
 	case *schema.Gossip:
 		return MembershipComponent
 	case *schema.SubmitResponse:
@@ -163,7 +168,14 @@
 			return ControllerComponent
 		}
 		return GatewayComponent
-	case *schema.WorkerPollRequest, *schema.TaskEndAck:
+	case *schema.WorkerPollRequest:
+		if message.Scheduler != "" {
+			return pollrelay.ComponentName
+		}
+		return SchedulerComponent
+	case *schema.RelayedResponses:
+		return pollrelay.ComponentName
+	case *schema.RelayedPolls, *schema.TaskEndAck:
 		return SchedulerComponent
 	}
 	return ReplicaComponent
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -121,7 +121,7 @@
 		Member: &schema.Member{
 			Id: newID(), Incarnation: 1, Role: role, Zone: settings.Zone,
 			InternalAddress: settings.InternalAddress, HttpAddress: settings.HttpAddress,
-			QueueCommandVersion: queue.CommandVersion,
+			QueueCommandVersion: queue.CommandVersion, RelaysPolls: true,
 		},
 		log: log, addresses: &membership.AddressBook{}, waiters: map[uint64]chan any{},
 		batches: eventloop.NewQueue[replica.Batch](maxPendingBatches),
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -2,6 +2,7 @@
 
 import (
 	"sparnotch/internal/eventloop"
+	"sparnotch/internal/pollrelay"
 	"sparnotch/internal/schema"
 )
 
@@ -10,17 +11,23 @@
 
 // openPoll is a worker's poll that waits for a response.
 type openPoll struct {
-	gateway  string // id of the process that forwards the response to the worker
+	pollSource
 	id       uint64
 	deadline eventloop.Micros
 }
 
+// pollSource says where a poll came from, and so where its response goes.
+type pollSource struct {
+	process string // id of the gateway or agent that sent the poll
+	relay   string // id of the storage node that relayed it; empty: it came directly
+}
+
 // handlePoll applies a worker's heartbeat and keeps its poll open until there are orders
 // or acknowledgements to send, or the poll reaches its deadline.
-func (s *Scheduler) handlePoll(now eventloop.Micros, gateway string, poll *schema.WorkerPollRequest, effects eventloop.Effects) {
+func (s *Scheduler) handlePoll(now eventloop.Micros, from pollSource, poll *schema.WorkerPollRequest, effects eventloop.Effects) {
 	w, heartbeat := s.workers[poll.Worker], poll.Heartbeat
 	if !s.acceptsHeartbeat(now, w, heartbeat) {
-		s.respondEmpty(gateway, poll.Id, effects)
+		s.respondEmpty(from, poll.Id, effects)
 		return
 	}
 	if heartbeat.Incarnation > w.incarnation {
@@ -35,7 +42,7 @@
 	s.updateRuns(now, w, heartbeat, effects)
 	s.returnTasksOfFormerIncarnations(now, w, effects)
 	s.markDead(now, heartbeat.ReplacedWorkers, poll.Worker, effects)
-	s.replacePoll(now, gateway, poll, w, effects)
+	s.replacePoll(now, from, poll, w, effects)
 	s.updateGangsOn(now, w)
 	if isFirst {
 		// The worker must learn at once who holds its lease, and its inventory has just arrived.
@@ -112,14 +119,14 @@
 }
 
 // replacePoll makes a poll the worker's open poll, in place of its previous one.
-func (s *Scheduler) replacePoll(now eventloop.Micros, gateway string, poll *schema.WorkerPollRequest, w *worker, effects eventloop.Effects) {
+func (s *Scheduler) replacePoll(now eventloop.Micros, from pollSource, poll *schema.WorkerPollRequest, w *worker, effects eventloop.Effects) {
 	// The previous poll still gets a response, except from an agent, which reports tasks by
 	// name: it has one open poll at a time and ignores responses to superseded polls.
 	if w.poll != nil && !poll.Heartbeat.TasksByName {
 		s.respond(now, w, effects)
 	}
 	wait := eventloop.Micros(min(max(poll.Heartbeat.MaxWaitUs, 0), int64(maxPollWait)))
-	w.poll = &openPoll{gateway: gateway, id: poll.Id, deadline: now + wait}
+	w.poll = &openPoll{pollSource: from, id: poll.Id, deadline: now + wait}
 	s.requestResponse(w)
 }
 
@@ -139,12 +146,30 @@
 // closePoll ends a worker's open poll, if any, without granting anything.
 func (s *Scheduler) closePoll(w *worker, effects eventloop.Effects) {
 	if w.poll != nil {
-		s.respondEmpty(w.poll.gateway, w.poll.id, effects)
+		s.respondEmpty(w.poll.pollSource, w.poll.id, effects)
 		w.poll = nil
 	}
 }
 
 // respondEmpty ends a poll with a response that grants neither orders nor a lease.
-func (s *Scheduler) respondEmpty(gateway string, poll uint64, effects eventloop.Effects) {
-	effects.Send(gateway, &schema.WorkerPollResponse{Id: poll, Scheduler: s.id})
+func (s *Scheduler) respondEmpty(to pollSource, poll uint64, effects eventloop.Effects) {
+	s.sendResponse(to, &schema.WorkerPollResponse{Id: poll, Scheduler: s.id}, effects)
+}
+
+// sendResponse sends a response on the way that its poll has come.
+func (s *Scheduler) sendResponse(to pollSource, response *schema.WorkerPollResponse, effects eventloop.Effects) {
+	if to.relay == "" {
+		effects.Send(to.process, response)
+		return
+	}
+	effects.Notify(pollrelay.ComponentName, pollrelay.Response{Relay: to.relay, Agent: to.process, Response: response})
+}
+
+// handleRelayedPolls handles the polls in a batch. One that can't be decoded counts as lost.
+func (s *Scheduler) handleRelayedPolls(now eventloop.Micros, relay string, batch *schema.RelayedPolls, effects eventloop.Effects) {
+	for _, relayed := range batch.Polls {
+		if poll, err := pollrelay.DecodePoll(relayed); err == nil {
+			s.handlePoll(now, pollSource{relayed.Agent, relay}, poll, effects)
+		}
+	}
 }
--- a/internal/scheduler/respond.go
+++ b/internal/scheduler/respond.go
@@ -52,11 +52,11 @@
 		s.countOrder(now, w, order)
 	}
 	w.runLeaseGrantedAt = now
-	effects.Send(w.poll.gateway, &schema.WorkerPollResponse{Id: w.poll.id, Code: 200, Scheduler: s.id, Orders: &schema.WorkerOrders{
+	s.sendResponse(w.poll.pollSource, &schema.WorkerPollResponse{Id: w.poll.id, Code: 200, Scheduler: s.id, Orders: &schema.WorkerOrders{
 		FencingToken: w.fencingToken, LeaseUs: s.fleetSetting("lease_ms") * 1000, Scheduler: s.id, Orders: orders,
 		Acknowledged:      append(w.acknowledgedEnds(), s.orphanedStatuses(now, w, w.unknownEnds)...),
 		InspectionPauseUs: int64(s.inspectionPause(w)),
-	}})
+	}}, effects)
 	w.poll = nil
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -144,7 +144,9 @@
 		}
 		s.dropQueue(body.Queue)
 	case *schema.WorkerPollRequest:
-		s.handlePoll(now, message.From, body, effects)
+		s.handlePoll(now, pollSource{process: message.From}, body, effects)
+	case *schema.RelayedPolls:
+		s.handleRelayedPolls(now, message.From, body, effects)
 	case *schema.TaskEndAck:
 		s.handleEndAck(body)
 	case StateViewRequest:
--- a/internal/sim/hollow.go
+++ b/internal/sim/hollow.go
@@ -151,7 +151,7 @@
 	for k := range s.Workers {
 		rack := k / s.WorkersPerRack
 		h := r.AddHost(fmt.Sprintf("side%d", k), r.zoneOf(rack), schema.Role_ROLE_CONTROLLER, false)
-		h.Route = hollow.ComponentsFor
+		h.Route, h.ViewSubscribers = hollow.ComponentsFor, []string{hollow.AgentName}
 		h.Customize = func(config *process.Config, slots []process.ComponentSlot) []process.ComponentSlot {
 			return r.hollowSlots(h, k, rack, config, slots)
 		}
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -37,6 +37,8 @@
 	// the components that receive a message. If nil, both are as in a real process.
 	Customize func(config *process.Config, slots []process.ComponentSlot) []process.ComponentSlot
 	Route     func(body any) []string
+	// ViewSubscribers are further components of an agent node that receive the views of the members.
+	ViewSubscribers []string
 
 	Disk       *Disk            // nil: the host has no disk
 	SyncDelay  eventloop.Micros // time that a write takes
@@ -91,7 +93,7 @@
 	h.store, h.writer = nil, diskWriter{}
 	h.Member = &schema.Member{
 		Id: sim.newID(), Incarnation: 1, Role: h.Role, Zone: h.Zone, InternalAddress: h.Address, HttpAddress: h.Address,
-		QueueCommandVersion: queue.CommandVersion,
+		QueueCommandVersion: queue.CommandVersion, RelaysPolls: true,
 	}
 	config := h.processConfig()
 	if h.Disk != nil {
@@ -143,7 +145,7 @@
 		seeds = sim.seeds
 	}
 	return &process.Config{
-		Member: h.Member, Seeds: seeds, AddressBook: h.addresses, RandomSeed: sim.Rng.Uint64(), Now: h.now(), Bounds: sim.bounds,
+		Member: h.Member, Seeds: seeds, AddressBook: h.addresses, RandomSeed: sim.Rng.Uint64(), Now: h.now(), Bounds: sim.bounds, ViewSubscribers: h.ViewSubscribers,
 		CallsWorker: h.Role == schema.Role_ROLE_CONTROLLER && sim.calledWorkers[h.machineName()] != nil,
 		WallClock:   func() int64 { return wallZero + int64(sim.Now) + h.WallClockOffset },
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -52,7 +52,7 @@
 		&schema.Gossip{}, &schema.VoteRequest{}, &schema.VoteResponse{}, &schema.AppendRequest{}, &schema.AppendResponse{}, &schema.InstallSnapshot{}, &schema.TransferChunk{}, &schema.TransferChunkResponse{},
 		&schema.HeartbeatBatch{}, &schema.TimeoutNow{}, &schema.SubmitRequest{}, &schema.SubmitResponse{}, &schema.Request{}, &schema.Response{},
 		&schema.WorkerPollRequest{}, &schema.WorkerPollResponse{}, &schema.TaskEndReport{}, &schema.TaskEndAck{}, &schema.ClusterStateRequest{}, &schema.ClusterStateResponse{},
-		&schema.ChangeMembers{}, &schema.EndSessionsRequest{},
+		&schema.ChangeMembers{}, &schema.EndSessionsRequest{}, &schema.RelayedPolls{}, &schema.RelayedResponses{},
 	} {
 		gob.Register(body)
 	}
