--- a/internal/raft/flowcontrol.go
+++ b/internal/raft/flowcontrol.go
@@ -15,6 +15,9 @@
 	maxInflightEntries  = 1024 // entries sent to one peer after the last one known to match
 	maxInflightAppends  = 2    // Appends to one peer; entries proposed meanwhile share the next one
 
+	// minAppendInterval is the minimum time between two Appends in flight to one peer.
+	minAppendInterval = 5 * eventloop.Millisecond
+
 	// maxWindowFactor limits how large a window may become, as a multiple of the minimum
 	// window. If a link becomes slow while that many bytes are in flight, the leader may
 	// lose its lease once.
@@ -82,9 +85,11 @@
 }
 
 // canSend reports whether another Append may be sent to a peer, where window is the number
-// of bytes that may be in flight to it.
-func (p *progress) canSend(window int) bool {
-	if len(p.inflight) >= maxInflightAppends {
+// of bytes that may be in flight to it. While an Append is in flight, further entries wait
+// for a moment, so that those of one round trip to a near peer share the next Append.
+func (p *progress) canSend(now eventloop.Micros, window int) bool {
+	count := len(p.inflight)
+	if count >= maxInflightAppends || count > 0 && now-p.inflight[count-1].sentAt < minAppendInterval {
 		return false
 	}
 	for _, sent := range p.inflight {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -157,6 +157,7 @@
 	nextHeartbeat     eventloop.Micros
 	pendingReads      []readRequest
 	transferee        string           // target of the leadership transfer in progress; empty if there is none
+	unsentSince       eventloop.Micros // when the newest entry was appended that Ready hasn't sent yet; 0: there is none
 	hasSentTimeoutNow bool             // TimeoutNow was sent to the transferee, which may lead from then on
 	transferDeadline  eventloop.Micros // when the leadership transfer is given up
 	lastChunkedSend   uint64           // number of the last message sent in chunks
@@ -227,6 +228,7 @@
 // Ready returns and clears the work that the group has produced since the last call.
 // Once the changes are synced, the caller passes the SyncPoint to MarkSynced.
 func (g *Group) Ready() (Ready, SyncPoint) {
+	g.replicateAppended()
 	ready := g.ready
 	g.ready = Ready{}
 	return ready, SyncPoint{Index: g.LastIndex(), Term: g.lastTerm(), HardStateSeq: g.hardStateSeq}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -36,11 +36,25 @@
 		g.notifyRemoved(now)
 		g.updatePeers(now, entry.Index)
 	}
+	g.unsentSince = now
+	g.maybeCommit(now)
+	return entry.Index
+}
+
+// replicateAppended sends the peers the entries that were appended since the last Ready, so that the
+// entries of one step share an Append.
+func (g *Group) replicateAppended() {
+	now := g.unsentSince
+	if now == 0 {
+		return
+	}
+	g.unsentSince = 0
+	if g.role != leader {
+		return
+	}
 	for _, id := range g.otherMembers() {
 		g.replicateTo(now, id)
 	}
-	g.maybeCommit(now)
-	return entry.Index
 }
 
 // replicateTo sends a peer the part of the log that it lacks, as far as flow control
@@ -68,7 +82,7 @@
 	// A probe is a single Append, and isn't subject to maxInflightEntries. That limit counts
 	// from the last entry known to match; while none is known, the end of a long log lies
 	// beyond the limit.
-	for p.next <= g.LastIndex() && (p.probing || p.canSend(g.inflightWindow(p))) {
+	for p.next <= g.LastIndex() && (p.probing || p.canSend(now, g.inflightWindow(p))) {
 		entries, size := g.nextBatch(p.next, g.inflightWindow(p))
 		g.sendAppend(now, id, p, entries, size)
 		p.lastAdvance = now
