--- a/internal/controller/cluster_state.go
+++ b/internal/controller/cluster_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
@@ -22,13 +23,14 @@
 // pollClusterState requests the cluster state. A candidate for the controller lease polls every
 // storage node, because as controller it needs the reports of all of them. Every other agent node
 // polls the storage nodes in turn, one at a time: the load on the storage nodes would be too high
-// if all agent nodes polled all storage nodes.
+// if all agent nodes polled all storage nodes. It spares the scheduler, which has most to do.
 func (c *Controller) pollClusterState(now eventloop.Micros, effects eventloop.Effects) {
 	storageNodes := c.liveStorageNodes(now)
 	if len(storageNodes) == 0 {
 		return
 	}
 	if _, isCandidate := c.candidateRank(now); !isCandidate && !c.holdsLease(now) {
+		storageNodes = c.withoutScheduler(storageNodes)
 		c.pollTurn++
 		storageNodes = storageNodes[c.pollTurn%len(storageNodes):][:1]
 	}
@@ -37,6 +39,20 @@
 	}
 }
 
+// withoutScheduler returns the storage nodes without the one that holds the worker leases, or all of
+// them if there is no other.
+func (c *Controller) withoutScheduler(storageNodes []string) []string {
+	if len(c.state.WorkerLeases) == 0 {
+		return storageNodes
+	}
+	scheduler := c.state.WorkerLeases[0].Scheduler
+	others := slices.DeleteFunc(slices.Clone(storageNodes), func(id string) bool { return id == scheduler })
+	if len(others) == 0 {
+		return storageNodes
+	}
+	return others
+}
+
 // handleClusterState stores a storage node's response and takes the actions that shouldn't wait for
 // the next tick.
 func (c *Controller) handleClusterState(now eventloop.Micros, from string, update *schema.ClusterStateResponse, effects eventloop.Effects) {
--- a/internal/membership/gossip_message.go
+++ b/internal/membership/gossip_message.go
@@ -30,6 +30,15 @@
 
 // newGossip returns a message about this process and the members that it has recently heard of.
 func (m *Membership) newGossip(now eventloop.Micros, detail gossipDetail) *schema.Gossip {
+	if detail == selfOnly {
+		return m.newGossipAbout(now, detail, nil)
+	}
+	return m.newGossipAbout(now, detail, m.memberIDs())
+}
+
+// newGossipAbout returns a message about this process and those of the given members that it has
+// recently heard of.
+func (m *Membership) newGossipAbout(now eventloop.Micros, detail gossipDetail, ids []string) *schema.Gossip {
 	gossip := &schema.Gossip{Self: proto.Clone(m.self).(*schema.Member), Joined: m.clusterExists}
 	if m.identity != nil {
 		gossip.Empty = m.mayBootstrap()
@@ -38,10 +47,7 @@
 	if !m.clusterExists {
 		gossip.KnownStores = m.visibleStorageNodes()
 	}
-	if detail == selfOnly {
-		return gossip
-	}
-	for _, id := range m.memberIDs() {
+	for _, id := range ids {
 		if status := m.members[id]; now-status.LastHeard < gossipMaxAge {
 			gossip.Members = append(gossip.Members, gossipEntry(status.Member, detail))
 		}
@@ -87,14 +93,27 @@
 // newGossipReply returns the reply to a request. Only storage nodes are sent all agent nodes: if
 // every process were, the traffic would grow with the square of the number of processes.
 func (m *Membership) newGossipReply(now eventloop.Micros, detail gossipDetail, request *schema.Gossip) *schema.Gossip {
-	gossip := m.newGossip(now, detail)
-	gossip.IsReply = true
-	if m.clusterExists && request.Joined && !request.Self.HasStorage {
-		m.omitAgentNodes(now, gossip)
+	ids := m.memberIDsForOthers
+	if !m.clusterExists || !request.Joined || request.Self.HasStorage {
+		ids = func(eventloop.Micros) []string { return m.memberIDs() }
 	}
+	gossip := m.newGossipAbout(now, detail, ids(now))
+	gossip.IsReply = true
 	return gossip
 }
 
+// memberIDsForOthers returns the sorted ids of the members that processes without storage are told
+// of. All agent nodes request them several times a second, so they are collected once a tick.
+func (m *Membership) memberIDsForOthers(now eventloop.Micros) []string {
+	if m.idsForOthers == nil {
+		candidates := m.controllerCandidates(now)
+		m.idsForOthers = slices.DeleteFunc(m.memberIDs(), func(id string) bool {
+			return m.members[id].Member.Role == schema.Role_ROLE_CONTROLLER && !slices.Contains(candidates, id)
+		})
+	}
+	return m.idsForOthers
+}
+
 // newUnsolicitedGossip returns a message that requests no reply. It is for receivers that send
 // their own gossip to this process anyway.
 func (m *Membership) newUnsolicitedGossip(now eventloop.Micros, detail gossipDetail) *schema.Gossip {
@@ -106,15 +125,20 @@
 // omitAgentNodes removes from a message the agent nodes that aren't candidates for the controller
 // lease.
 func (m *Membership) omitAgentNodes(now eventloop.Micros, gossip *schema.Gossip) {
+	candidates := m.controllerCandidates(now)
+	gossip.Members = slices.DeleteFunc(gossip.Members, func(member *schema.Member) bool {
+		status, found := m.members[member.Id]
+		return found && status.Member.Role == schema.Role_ROLE_CONTROLLER && !slices.Contains(candidates, member.Id)
+	})
+}
+
+// controllerCandidates returns the ids of the agent nodes that compete for the controller lease.
+func (m *Membership) controllerCandidates(now eventloop.Micros) []string {
 	zones := map[string]string{}
 	for id, status := range m.members {
 		if status.Member.Role == schema.Role_ROLE_CONTROLLER && now-status.LastHeard < livenessTimeout {
 			zones[id] = status.Member.Zone
 		}
 	}
-	candidates := SpreadOverZones(zones, MaxControllerCandidates)
-	gossip.Members = slices.DeleteFunc(gossip.Members, func(member *schema.Member) bool {
-		status, found := m.members[member.Id]
-		return found && status.Member.Role == schema.Role_ROLE_CONTROLLER && !slices.Contains(candidates, member.Id)
-	})
+	return SpreadOverZones(zones, MaxControllerCandidates)
 }
--- a/internal/membership/gossip_receive.go
+++ b/internal/membership/gossip_receive.go
@@ -129,6 +129,9 @@
 		next.Heartbeat, next.Draining, next.LatencyUs = member.Heartbeat, member.Draining, member.LatencyUs
 		member = next
 	}
+	if !known {
+		m.idsForOthers = nil
+	}
 	if !known || old.Member.InternalAddress != member.InternalAddress {
 		m.removePredecessors(now, member)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -51,6 +51,7 @@
 	members            map[string]MemberStatus     // all other processes, by id
 	reports            map[string]peerReport       // the last gossip received directly from each process, by id
 	requesters         map[string]eventloop.Micros // when each process last requested gossip here; empty on a storage node
+	idsForOthers       []string                    // see memberIDsForOthers; nil: must be collected
 	seenStorageNodes   map[string]eventloop.Micros // when each storage node was last heard of, by id
 	frozenStorageNodes []string                    // ids to report while a bootstrap vote is being persisted
 	clusterExists      bool
@@ -124,7 +125,7 @@
 
 func (m *Membership) handleTick(now eventloop.Micros, effects eventloop.Effects) {
 	m.compensatePause(now)
-	m.lastTick = now
+	m.lastTick, m.idsForOthers = now, nil
 	m.removeExpired(now)
 	m.ticks++
 	m.sendGossip(now, effects)
@@ -169,6 +170,7 @@
 func (m *Membership) removeMember(id string) {
 	delete(m.members, id)
 	delete(m.reports, id)
+	m.idsForOthers = nil
 }
 
 // persistPeers persists the addresses of some live members, storage nodes first. After a
