--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -33,6 +33,11 @@
 // TickInterval is the time between two ticks that the event loop sends the scheduler.
 const TickInterval = 20 * eventloop.Millisecond
 
+const (
+	minCheckedPerTick = 64 // workers that a tick checks, if there are as many
+	ticksPerCheck     = 5  // ticks in which each worker is checked at least once
+)
+
 // Scheduler decides which worker runs which task. Once it runs in an event loop, only
 // its Step method may be called.
 type Scheduler struct {
@@ -54,6 +59,7 @@
 	poolUse           map[string]*tenantUse       // the same sums by pool
 	addedQueues       map[string]uint64           // generations of queues added while this node led all others; see knowsAllRuns
 	knowsAllRunsSince eventloop.Micros            // start of the current period in which knowsAllRuns returns true; 0 while it returns false
+	checkCursor       int                         // index in workerOrder of the next worker to check, see nextWorkersToCheck
 	responseRequests  []*worker                   // workers whose polls the end of this step checks, see requestResponse
 	failureTotals     map[string]*outcomeCounts   // sums of outcomesByQueue over all workers, by queue
 	deadWorkers       map[string]eventloop.Micros // time of the last report of each worker's death
@@ -172,6 +178,11 @@
 // of lost workers, requests a pass and sends reports.
 func (s *Scheduler) handleTick(now eventloop.Micros, effects eventloop.Effects) {
 	for _, w := range s.sortedWorkers() {
+		if w.poll != nil && now >= w.poll.deadline {
+			s.requestResponse(w)
+		}
+	}
+	for _, w := range s.nextWorkersToCheck() {
 		s.requestResponse(w)
 		s.forwardEndReports(now, w, effects)
 		s.returnTasksOfUnresponsiveWorker(now, w, effects)
@@ -190,6 +201,23 @@
 	s.sendReports(now, effects)
 }
 
+// nextWorkersToCheck returns the workers that a tick checks. Few workers are all checked at each tick,
+// and many in turn, so that each is checked at least once in ticksPerCheck ticks.
+func (s *Scheduler) nextWorkersToCheck() []*worker {
+	all := s.sortedWorkers()
+	count := min(len(all), max(minCheckedPerTick, (len(all)+ticksPerCheck-1)/ticksPerCheck))
+	if count == len(all) {
+		return all
+	}
+	checked := make([]*worker, 0, count)
+	for range count {
+		s.checkCursor %= len(all)
+		checked = append(checked, all[s.checkCursor])
+		s.checkCursor++
+	}
+	return checked
+}
+
 // applyClusterState adopts the configuration of a newer cluster state, and adds and drops
 // workers by its worker leases.
 func (s *Scheduler) applyClusterState(now eventloop.Micros, m *schema.ClusterStateResponse, effects eventloop.Effects) {
