--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -70,6 +70,7 @@
 	agent               *agent.Agent
 	worker              *fakeworker.CalledWorker
 	schedulers          map[string]*fakeScheduler
+	relays              map[string]*fakeRelay
 	calls               []agent.Call
 	callTimes           []eventloop.Micros
 	log                 []string                    // calls and polls in the order they were sent
@@ -209,6 +210,10 @@
 	case *schema.WorkerPollRequest:
 		h.log = append(h.log, fmt.Sprintf("poll %s token %d", to, m.Heartbeat.FencingToken))
 		h.pollTimes[m.Id] = h.now
+		if relay := h.relays[to]; relay != nil {
+			m = proto.Clone(m).(*schema.WorkerPollRequest)
+			h.after(h.delayOf(m), func() { h.relayPoll(to, relay, m) })
+		}
 		if s := h.schedulers[to]; s != nil {
 			m = proto.Clone(m).(*schema.WorkerPollRequest)
 			h.after(h.delayOf(m), func() { h.handlePoll(s, m) })
@@ -270,13 +275,21 @@
 		return
 	}
 	id := s.openPoll.Id
-	s.openPoll = nil
 	if s.losesReply != nil && s.losesReply() {
+		s.openPoll = nil
 		return
 	}
 	s.leaseEndsAt = h.pollTimes[id] + s.lease
 	reply := &schema.WorkerPollResponse{Id: id, Code: 200, Orders: orders, Scheduler: s.id}
-	h.after(h.delayOf(reply), func() { h.deliver(s.id, reply) })
+	from := s.id
+	if s.openPoll.Scheduler != "" {
+		from = "relay"
+	}
+	s.openPoll = nil
+	if relay := h.relays[from]; relay != nil && relay.isSilent {
+		return
+	}
+	h.after(h.delayOf(reply), func() { h.deliver(from, reply) })
 }
 
 func (h *harness) count(action agent.Action) int {
--- a/internal/agent/poll.go
+++ b/internal/agent/poll.go
@@ -53,6 +53,11 @@
 		return
 	}
 	due := w.pendingPoll == nil && now >= w.nextPollAt || w.pendingPoll != nil && now-w.pendingPoll.sentAt >= pollTimeout
+	if w.isPollLost(now) {
+		a.relays.RecordFailure(now)
+		w.unansweredRouteSince = now
+		due = true
+	}
 	if !due && !(w.hasChanges && now-w.lastPollAt >= minPollInterval) {
 		return
 	}
@@ -61,7 +66,7 @@
 		w.unansweredSince = now
 	}
 	heartbeat := a.newHeartbeat(now, w)
-	relay := a.chooseRelay(now, w)
+	relay := a.relays.Choose(now, w.id, w.scheduler)
 	w.pendingPoll = &pendingPoll{sequence: a.pollSequence, sentAt: now, scheduler: w.scheduler, relay: relay, replacedWorkers: heartbeat.ReplacedWorkers}
 	w.lastPollAt, w.hasChanges = now, false
 	poll := &schema.WorkerPollRequest{Id: a.pollSequence, Worker: w.id, Heartbeat: heartbeat}
@@ -73,13 +78,10 @@
 	effects.Send(relay, poll)
 }
 
-// chooseRelay returns the relay for the next poll, or an empty string if the poll goes to the
-// scheduler itself, as it does for a while after polls through a relay weren't answered.
-func (a *Agent) chooseRelay(now eventloop.Micros, w *workerState) string {
-	if w.pendingPoll != nil && w.pendingPoll.relay != "" && now-w.unansweredSince >= pollTimeout {
-		a.relays.RecordFailure(now)
-	}
-	return a.relays.Choose(now, w.id, w.scheduler)
+// isPollLost reports whether nothing has been answered on the present way to the scheduler for
+// pollTimeout, even if newer polls have superseded older ones in that time.
+func (w *workerState) isPollLost(now eventloop.Micros) bool {
+	return w.pendingPoll != nil && w.unansweredSince > 0 && now-max(w.unansweredSince, w.unansweredRouteSince) >= pollTimeout
 }
 
 // newHeartbeat returns the heartbeat of a poll: the worker's capacity, and its running
@@ -131,14 +133,11 @@
 	poll := w.pendingPoll
 	w.pendingPoll = nil
 	if from != poll.scheduler && response.Scheduler != poll.scheduler {
-		// The relay has refused the poll. It is sent to the scheduler at once.
+		// The relay has refused the poll, which goes another way at once.
 		a.relays.RecordFailure(now)
 		w.hasChanges = true
 		return
 	}
-	if from == poll.relay {
-		a.relays.RecordAnswer()
-	}
 	if response.Orders == nil || response.Orders.FencingToken < w.fencingToken {
 		w.nextPollAt = now + rejectedPollDelay
 		if w.rejections++; w.rejections%rejectionsBeforeJump == 0 {
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -120,12 +120,13 @@
 	nextShortInspection eventloop.Micros
 	needsInspection     bool
 
-	pendingPoll     *pendingPoll
-	nextPollAt      eventloop.Micros
-	lastPollAt      eventloop.Micros
-	unansweredSince eventloop.Micros // when the first poll was sent that the scheduler hasn't answered; 0: none
-	hasChanges      bool             // something to report has changed since the last poll
-	rejections      int              // consecutive rejected polls
+	pendingPoll          *pendingPoll
+	nextPollAt           eventloop.Micros
+	lastPollAt           eventloop.Micros
+	unansweredSince      eventloop.Micros // when the first poll was sent that the scheduler hasn't answered; 0: none
+	unansweredRouteSince eventloop.Micros // when the agent last went on to another way to the scheduler
+	hasChanges           bool             // something to report has changed since the last poll
+	rejections           int              // consecutive rejected polls
 }
 
 // newWorkerState returns the state of an incarnation about which nothing is known yet.
--- a/internal/pollrelay/selector.go
+++ b/internal/pollrelay/selector.go
@@ -11,31 +11,29 @@
 	"sparnotch/internal/schema"
 )
 
-const (
-	// minDirectPeriod is the time for which an agent uses no relay after one has failed. It doubles
-	// with each further failure, up to maxDirectPeriod.
-	minDirectPeriod = 5 * eventloop.Second
-	maxDirectPeriod = 60 * eventloop.Second
-)
+// failureMemory is the time after its last failure after which an agent returns to its first relay.
+const failureMemory = 20 * eventloop.Second
 
-// Selector chooses the storage node to which an agent sends its polls.
+// Selector chooses the storage node to which an agent sends its polls. After a failure it goes on to
+// another relay, and only after all relays to the scheduler itself for one try: that no polls are
+// answered may be because the scheduler's node is overloaded, and direct polls would add to that.
 type Selector struct {
 	members      *membership.View
 	configured   *clusterstate.Values
-	workers      int              // number of workers with a lease
-	directUntil  eventloop.Micros // until then the agent polls the scheduler itself
-	directPeriod eventloop.Micros // length of the last such period; 0: the last relay worked
-	choice       choice           // made since the members last changed
+	workers      int // number of workers with a lease
+	failures     int // relays tried in vain since the first one; also an index into the route
+	lastFailedAt eventloop.Micros
+	route        route
 }
 
-// choice is the relay for a worker and its scheduler; empty: none.
-type choice struct {
-	isMade                   bool
-	worker, scheduler, relay string
+// route holds the nodes to which an agent may send its polls, in the order in which it tries them.
+type route struct {
+	worker, scheduler string
+	nodes             []string // nil: not determined since the members have changed
 }
 
 // SetMembers sets the known members.
-func (s *Selector) SetMembers(view *membership.View) { s.members, s.choice = view, choice{} }
+func (s *Selector) SetMembers(view *membership.View) { s.members, s.route.nodes = view, nil }
 
 // SetClusterState sets the number of workers and the number of them from which on relays are used.
 func (s *Selector) SetClusterState(state *schema.ClusterState) {
@@ -46,56 +44,58 @@
 	s.workers = len(state.GetWorkerLeases())
 }
 
-// Choose returns the relay for the polls of a worker to its scheduler, or an empty string if the
-// agent must poll the scheduler itself. It prefers storage nodes in the agent's zone, and spreads
-// the workers over them.
+// Choose returns the relay for the next poll of a worker to its scheduler, or an empty string if the
+// agent must poll the scheduler itself.
 func (s *Selector) Choose(now eventloop.Micros, worker, scheduler string) string {
-	if s.configured == nil || int64(s.workers) < s.configured.Fleet("relayed_workers") || now < s.directUntil || s.members == nil {
+	if s.configured == nil || int64(s.workers) < s.configured.Fleet("relayed_workers") || s.members == nil {
 		return ""
 	}
-	if !s.choice.isMade || s.choice.worker != worker || s.choice.scheduler != scheduler {
-		s.choice = choice{true, worker, scheduler, s.chooseAmongMembers(now, worker, scheduler)}
+	if s.route.worker != worker || s.route.scheduler != scheduler || now-s.lastFailedAt > failureMemory {
+		s.failures = 0
+	}
+	if s.route.nodes == nil || s.route.worker != worker || s.route.scheduler != scheduler {
+		s.route = route{worker, scheduler, s.nodesFor(now, worker, scheduler)}
 	}
-	return s.choice.relay
+	if next := s.route.nodes[s.failures%len(s.route.nodes)]; next != scheduler {
+		return next
+	}
+	return ""
 }
 
-// chooseAmongMembers returns the relay that Choose returns where relays are used.
-func (s *Selector) chooseAmongMembers(now eventloop.Micros, worker, scheduler string) string {
-	if !canRelayTo(s.members, now, scheduler) {
-		return ""
-	}
-	var inZone, all []string
+// RecordFailure records that the last poll was refused by a relay, or that it wasn't answered.
+func (s *Selector) RecordFailure(now eventloop.Micros) {
+	s.failures++
+	s.lastFailedAt = now
+}
+
+// nodesFor returns the nodes of a route: first the storage nodes of the agent's zone, then the others,
+// each group from a place that depends on the worker, so that the workers spread over them, and last
+// the scheduler itself.
+func (s *Selector) nodesFor(now eventloop.Micros, worker, scheduler string) []string {
+	var inZone, elsewhere []string
 	for _, id := range slices.Sorted(maps.Keys(s.members.Members)) {
 		member := s.members.Members[id].Member
-		if id == scheduler || !member.HasStorage || member.Draining || !canRelayTo(s.members, now, id) {
-			continue
-		}
-		all = append(all, id)
-		if member.Zone == s.members.Self.GetZone() {
+		switch {
+		case id == scheduler || !member.HasStorage || member.Draining || !canRelayTo(s.members, now, id):
+		case member.Zone == s.members.Self.GetZone():
 			inZone = append(inZone, id)
+		default:
+			elsewhere = append(elsewhere, id)
 		}
 	}
-	if len(inZone) > 0 {
-		return pick(inZone, worker)
+	if !canRelayTo(s.members, now, scheduler) {
+		return []string{scheduler}
 	}
-	return pick(all, worker)
+	return slices.Concat(rotate(inZone, worker), rotate(elsewhere, worker), []string{scheduler})
 }
 
-// pick returns one of the ids by a hash of the worker's name, or an empty string if there is none.
-func pick(ids []string, worker string) string {
+// rotate returns the ids from a place on that is determined by a hash of the worker's name.
+func rotate(ids []string, worker string) []string {
 	if len(ids) == 0 {
-		return ""
+		return nil
 	}
 	hash := fnv.New32a()
 	hash.Write([]byte(worker))
-	return ids[int(hash.Sum32()%uint32(len(ids)))]
-}
-
-// RecordAnswer records that a relayed poll was answered by its scheduler.
-func (s *Selector) RecordAnswer() { s.directPeriod = 0 }
-
-// RecordFailure records that a relay refused a poll, or that relayed polls were not answered.
-func (s *Selector) RecordFailure(now eventloop.Micros) {
-	s.directPeriod = min(max(2*s.directPeriod, minDirectPeriod), maxDirectPeriod)
-	s.directUntil = now + s.directPeriod
+	first := int(hash.Sum32() % uint32(len(ids)))
+	return append(slices.Clone(ids[first:]), ids[:first]...)
 }
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -169,7 +169,7 @@
 func (s *Scheduler) handleRelayedPolls(now eventloop.Micros, relay string, batch *schema.RelayedPolls, effects eventloop.Effects) {
 	for _, relayed := range batch.Polls {
 		if poll, err := pollrelay.DecodePoll(relayed); err == nil {
-			s.handlePoll(now, pollSource{relayed.Agent, relay}, poll, effects)
+			s.handlePoll(now, pollSource{relayed.GetAgent(), relay}, poll, effects)
 		}
 	}
 }
--- a/internal/scheduler/polls_test.go
+++ b/internal/scheduler/polls_test.go
@@ -4,7 +4,9 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 
+	"sparnotch/internal/pollrelay"
 	"sparnotch/internal/schema"
 )
 
@@ -25,3 +27,28 @@
 		So(replies(nil), ShouldEqual, 1)
 	})
 }
+
+func TestRelayedPolls(t *testing.T) {
+	Convey("The polls of a batch are handled one by one, and their responses go back through the relay", t, func() {
+		h := newHarness("v", "w")
+		batch := &schema.RelayedPolls{}
+		for k, worker := range []string{"v", "w", "unknown"} {
+			poll := &schema.WorkerPollRequest{Id: uint64(k), Worker: worker, Heartbeat: &schema.WorkerHeartbeat{Incarnation: 1, Seq: 1, TasksByName: true}}
+			data, err := proto.Marshal(poll)
+			So(err, ShouldBeNil)
+			batch.Polls = append(batch.Polls, &schema.RelayedMessage{Agent: "agent-" + worker, Data: data})
+		}
+		batch.Polls = append(batch.Polls, &schema.RelayedMessage{Agent: "x", Data: []byte{0xff}})
+		h.deliver(batch)
+		So(h.replies, ShouldBeEmpty)
+		granted := map[string]bool{}
+		for _, notified := range h.notified {
+			if response, isResponse := notified.(pollrelay.Response); isResponse {
+				So(response.Relay, ShouldEqual, "front")
+				So(response.Response.Scheduler, ShouldEqual, "me")
+				granted[response.Agent] = response.Response.Orders != nil
+			}
+		}
+		So(granted, ShouldResemble, map[string]bool{"agent-v": true, "agent-w": true, "agent-unknown": false})
+	})
+}
