--- a/internal/controller/cluster_state.go
+++ b/internal/controller/cluster_state.go
@@ -42,10 +42,7 @@
 // withoutScheduler returns the storage nodes without the one that holds the worker leases, or all of
 // them if there is no other.
 func (c *Controller) withoutScheduler(storageNodes []string) []string {
-	if len(c.state.WorkerLeases) == 0 {
-		return storageNodes
-	}
-	scheduler := c.state.WorkerLeases[0].Scheduler
+	scheduler := schedulerOf(c.state)
 	others := slices.DeleteFunc(slices.Clone(storageNodes), func(id string) bool { return id == scheduler })
 	if len(others) == 0 {
 		return storageNodes
@@ -53,6 +50,14 @@
 	return others
 }
 
+// schedulerOf returns the storage node that holds the worker leases, or an empty string if none does.
+func schedulerOf(state *schema.ClusterState) string {
+	if len(state.GetWorkerLeases()) == 0 {
+		return ""
+	}
+	return state.WorkerLeases[0].Scheduler
+}
+
 // handleClusterState stores a storage node's response and takes the actions that shouldn't wait for
 // the next tick.
 func (c *Controller) handleClusterState(now eventloop.Micros, from string, update *schema.ClusterStateResponse, effects eventloop.Effects) {
@@ -63,7 +68,7 @@
 	changed := state != nil && state.Version > c.state.Version
 	if state != nil && state.Version >= c.state.Version {
 		c.state, c.values = state, c.values.ForConfiguration(state.Configuration)
-		effects.Notify("membership", membership.ClusterStateObserved{Version: state.Version})
+		effects.Notify("membership", membership.ClusterStateObserved{Version: state.Version, Scheduler: schedulerOf(state)})
 	}
 	if update.ControllerLeaseExpiresUs > c.leaseExpiryUs {
 		c.leaseExpiryUs, c.leaseExpirySeenAt = update.ControllerLeaseExpiresUs, now
--- a/internal/membership/gossip_send.go
+++ b/internal/membership/gossip_send.go
@@ -97,11 +97,22 @@
 			detail = heartbeatsOnly
 		}
 		m.pollTurn++
+		storageNodes = m.withoutScheduler(storageNodes)
 		effects.SendToAddress(storageNodes[m.pollTurn%uint64(len(storageNodes))], m.newGossipToStorageNode(now, detail))
 	}
 	m.awaitingResponse, m.hasUnsentChanges = true, false
 }
 
+// withoutScheduler returns the addresses of storage nodes without that of the scheduler, which has
+// most to do, or all of them if there is no other.
+func (m *Membership) withoutScheduler(addresses []string) []string {
+	status, known := m.members[m.scheduler]
+	if !known || len(addresses) < 2 {
+		return addresses
+	}
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == status.Member.InternalAddress })
+}
+
 // requestFullMembers requests full members from a random seed. This also lets two parts of a
 // cluster that started from different seeds discover each other.
 func (m *Membership) requestFullMembers(now eventloop.Micros, storageNodes []string, effects eventloop.Effects) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -55,6 +55,7 @@
 	seenStorageNodes   map[string]eventloop.Micros // when each storage node was last heard of, by id
 	frozenStorageNodes []string                    // ids to report while a bootstrap vote is being persisted
 	clusterExists      bool
+	scheduler          string   // see ClusterStateObserved
 	seedContactEnd     uint64   // number of the tick until which all seeds are contacted
 	knownAddresses     []string // addresses of peers that the previous incarnation persisted
 	peersPersistedAt   eventloop.Micros
@@ -99,7 +100,7 @@
 		m.sendGossip(now, effects)
 		m.bootstrap(now, effects)
 	case ClusterStateObserved:
-		m.clusterExists = m.clusterExists || body.Version > 0
+		m.clusterExists, m.scheduler = m.clusterExists || body.Version > 0, body.Scheduler
 	case LatencyReport:
 		refusalChanged := (body.Max >= WritesRefusedLatency) != (m.self.LatencyUs >= int64(WritesRefusedLatency))
 		m.self.LatencyUs = int64(body.Max)
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -30,4 +30,7 @@
 
 // ClusterStateObserved tells a Membership that its process holds this version of the cluster
 // state. A version above 0 proves that a cluster exists.
-type ClusterStateObserved struct{ Version uint64 }
+type ClusterStateObserved struct {
+	Version   uint64
+	Scheduler string // storage node that holds the worker leases; empty: unknown, or the process is a storage node
+}
--- a/internal/modelcheck/host.go
+++ b/internal/modelcheck/host.go
@@ -16,6 +16,12 @@
 		m.group.FlushReads(m.clock)
 		effects, syncPoint := m.group.Ready()
 		isIdle := len(effects.Messages)+len(effects.Changes)+len(effects.CommittedEntries)+len(effects.ConfirmedReads) == 0 && effects.Snapshot == nil
+		if isIdle && m.group.HasWaitingEntries() {
+			// An Append that waits for its time is the same as one that is in flight for longer.
+			m.clock += raft.MinAppendInterval
+			m.group.FlushAppends(m.clock)
+			continue
+		}
 		if isIdle {
 			if !w.startWrite(m) {
 				break
--- a/internal/raft/flowcontrol.go
+++ b/internal/raft/flowcontrol.go
@@ -15,15 +15,16 @@
 	maxInflightEntries  = 1024 // entries sent to one peer after the last one known to match
 	maxInflightAppends  = 2    // Appends to one peer; entries proposed meanwhile share the next one
 
-	// minAppendInterval is the minimum time between two Appends in flight to one peer.
-	minAppendInterval = 5 * eventloop.Millisecond
-
 	// maxWindowFactor limits how large a window may become, as a multiple of the minimum
 	// window. If a link becomes slow while that many bytes are in flight, the leader may
 	// lose its lease once.
 	maxWindowFactor = 4
 )
 
+// MinAppendInterval is the minimum time between two Appends to a peer that aren't full. Entries
+// that are proposed meanwhile share the next one.
+const MinAppendInterval = 5 * eventloop.Millisecond
+
 // inflightAppend tracks an Append that the peer hasn't acknowledged yet.
 type inflightAppend struct {
 	lastIndex uint64           // index of its last entry
@@ -85,11 +86,9 @@
 }
 
 // canSend reports whether another Append may be sent to a peer, where window is the number
-// of bytes that may be in flight to it. While an Append is in flight, further entries wait
-// for a moment, so that those of one round trip to a near peer share the next Append.
-func (p *progress) canSend(now eventloop.Micros, window int) bool {
-	count := len(p.inflight)
-	if count >= maxInflightAppends || count > 0 && now-p.inflight[count-1].sentAt < minAppendInterval {
+// of bytes that may be in flight to it.
+func (p *progress) canSend(window int) bool {
+	if len(p.inflight) >= maxInflightAppends {
 		return false
 	}
 	for _, sent := range p.inflight {
@@ -98,6 +97,27 @@
 	return p.next <= p.match+maxInflightEntries && window > 0
 }
 
+// mustWait reports whether the entries that a peer lacks wait for others to share an Append with.
+func (g *Group) mustWait(now eventloop.Micros, p *progress) bool {
+	isFull := g.LastIndex()-p.next+1 >= maxEntriesPerAppend
+	return !isFull && p.lastAppendAt > 0 && now-p.lastAppendAt < MinAppendInterval
+}
+
+// HasWaitingEntries reports whether entries wait for the next call of FlushAppends.
+func (g *Group) HasWaitingEntries() bool { return g.hasWaitingEntries }
+
+// FlushAppends sends the entries that have waited for MinAppendInterval. The leader's caller calls it
+// at least once in that time, and at any other step that it likes.
+func (g *Group) FlushAppends(now eventloop.Micros) {
+	if !g.hasWaitingEntries || g.role != leader {
+		return
+	}
+	g.hasWaitingEntries = false
+	for _, id := range g.otherMembers() {
+		g.replicateTo(now, id)
+	}
+}
+
 // ackInflight removes the messages that a peer has acknowledged, by syncing the log up to
 // the index match, from those in flight.
 func (g *Group) ackInflight(now eventloop.Micros, p *progress, match uint64) {
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -20,6 +20,7 @@
 	// Flow control.
 	chunked      *chunkedSend     // a large message in flight; no other part of the log is sent meanwhile; nil if there is none
 	inflight     []inflightAppend // unacknowledged Appends
+	lastAppendAt eventloop.Micros // when the last Append was sent; 0: never
 	windowBytes  int              // bytes that may be in flight; 0 or less than minWindow means minWindow
 	minRoundTrip eventloop.Micros // shortest time from a heartbeat to its response; 0 if there was no response yet
 }
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -82,10 +82,14 @@
 	// A probe is a single Append, and isn't subject to maxInflightEntries. That limit counts
 	// from the last entry known to match; while none is known, the end of a long log lies
 	// beyond the limit.
-	for p.next <= g.LastIndex() && (p.probing || p.canSend(now, g.inflightWindow(p))) {
+	for p.next <= g.LastIndex() && (p.probing || p.canSend(g.inflightWindow(p))) {
+		if !p.probing && g.mustWait(now, p) {
+			g.hasWaitingEntries = true
+			return
+		}
 		entries, size := g.nextBatch(p.next, g.inflightWindow(p))
 		g.sendAppend(now, id, p, entries, size)
-		p.lastAdvance = now
+		p.lastAdvance, p.lastAppendAt = now, now
 		if p.probing {
 			p.probeSent = true
 			return
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -40,8 +40,13 @@
 	UndecodableState = Errors.NewType("undecodable_state")
 )
 
-// TickInterval is the interval at which a Host must receive eventloop.Tick, in µs.
-const TickInterval = 25 * eventloop.Millisecond
+const (
+	// TickInterval is the interval at which a Host must receive eventloop.Tick. Each tick sends the
+	// entries that have waited to share an Append.
+	TickInterval = 5 * eventloop.Millisecond
+	// ticksPerMaintenance is the number of ticks after which the other periodic work is done.
+	ticksPerMaintenance = 5
+)
 
 // Host owns the replicas of this node. It isn't safe for concurrent use: the event
 // loop calls Step with one message at a time.
@@ -67,6 +72,7 @@
 	controllerLeaseUntil  int64            // last seen expiry of the controller lease, in µs of the cluster state's time; 0: none
 	controllerLeaseSeenAt eventloop.Micros // when this expiry was first seen
 
+	ticks      uint64           // ticks received so far
 	membership *membership.View // nil until the membership component has sent its first view
 	isDraining bool             // the node is shutting down; see Drain
 
@@ -132,7 +138,9 @@
 func (h *Host) Step(now eventloop.Micros, message eventloop.Message, effects eventloop.Effects) {
 	switch body := message.Body.(type) {
 	case eventloop.Tick:
-		h.handleTick(now, effects)
+		if h.ticks++; h.ticks%ticksPerMaintenance == 1 {
+			h.handleTick(now, effects)
+		}
 	case Written:
 		h.handleWritten(now, body, effects)
 	case WriteFailed:
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -23,7 +23,7 @@
 	maxStateLogBytes     = 1 << 20                     // bytes in that log before it is compacted, unless its snapshot is larger
 )
 
-// handleTick passes the tick to every group and does the periodic work of the Host.
+// handleTick is called at every ticksPerMaintenance-th tick. It passes the tick to every group and does the periodic work of the Host.
 func (h *Host) handleTick(now eventloop.Micros, effects eventloop.Effects) {
 	h.recordControllerLease(now)
 	if h.published.Version != h.sharedState.Version {
