--- a/internal/mutation/calls_mutants.go
+++ b/internal/mutation/calls_mutants.go
@@ -19,7 +19,7 @@
 		{Guard: "a reply to a call is taken once", Test: "internal/agent TestStaleCallReplies", Edits: []Edit{{"internal/agent",
 			"	pending := w.pendingCalls[reply.Number]\n	delete(w.pendingCalls, reply.Number)\n", "	pending := w.pendingCalls[reply.Number]\n"}}},
 		{Guard: "a poll response is matched by its number", Test: "internal/agent TestStalePollResponses", Edits: []Edit{{"internal/agent",
-			" || response.Id != w.pendingPoll.sequence || ", " || "}}},
+			"	if response.Id != p.sequence {", "	if false {"}}},
 		{Guard: "a message is delivered to its recipient only", Test: "internal/transport TestReusedAddresses", Edits: []Edit{{"internal/transport",
 			`return envelope.To == "" || envelope.To == t.self.ID`, "return true"}}},
 		{Guard: "messages of a former incarnation are rejected", Test: "internal/transport TestFormerIncarnations", Edits: []Edit{{"internal/transport",
--- a/internal/mutation/size_mutants.go
+++ b/internal/mutation/size_mutants.go
@@ -19,5 +19,7 @@
 	{Guard: "late urgent work goes before less urgent work", Test: "internal/scheduler TestDeadlineFeasibility", Edits: []Edit{{"internal/scheduler",
 		"{{boosted}, {onTime, late}, {infeasible}}", "{{boosted}, {onTime}, {late}, {infeasible}}"}}},
 	{Guard: "entries wait while Appends are in flight", Test: "internal/raft TestEntriesProposedTogetherShareAppends", Edits: []Edit{{"internal/raft",
-		"	if len(p.inflight) >= maxInflightAppends {\n", "	if len(p.inflight) < 0 {\n"}}},
+		"	if len(p.inflight) >= maxInflightAppends {\n", "	if len(p.inflight) < 0 {\n"}, {"internal/raft",
+		"	return !isFull && p.lastAppendAt > 0 && now-p.lastAppendAt < MinAppendInterval\n", "	return !isFull && false\n"}, {"internal/raft",
+		"	g.unsentSince = now\n", "	for _, id := range g.otherMembers() {\n		g.replicateTo(now, id)\n	}\n"}}},
 }
