--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -128,7 +128,10 @@
 		// An acknowledgement of an earlier outcome of the same attempt doesn't count for the present one.
 		if report := w.ended[key]; report != nil && (m.Outcome == "" || m.Outcome == report.sentOutcome) {
 			report.isAcknowledged = true
-			s.requestResponse(w)
+			// In a large fleet the next order, or the next check of the worker, is soon enough.
+			if w.poll == nil || w.poll.relay == "" {
+				s.requestResponse(w)
+			}
 		}
 	}
 	// The event of the end may arrive later. Until then the attempt must not be ordered
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -161,9 +161,9 @@
 	if s.needsPass && now >= s.nextPassAt {
 		s.needsPass = false
 		s.runPass(now, effects)
-		// A pass over a backlog costs far more than the message that requests it, and a
-		// short delay doesn't harm the backlog.
-		if s.hasBacklog() {
+		// A pass over a backlog or over many workers costs far more than the message that
+		// requests it, and a short delay does little harm.
+		if s.hasBacklog() || len(s.workers) > minCheckedPerTick {
 			s.nextPassAt = now + passCooldown
 		}
 	}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -150,11 +150,16 @@
 // returnTasksOfFormerIncarnations returns the tasks that were checked out to earlier incarnations
 // of a worker. None of them runs any more.
 func (s *Scheduler) returnTasksOfFormerIncarnations(now eventloop.Micros, w *worker, effects eventloop.Effects) {
-	for _, t := range w.sortedTasks() {
+	var former []*task
+	for _, t := range w.tasks {
 		if t.incarnation < w.incarnation {
-			s.returnTask(now, t, effects)
+			former = append(former, t)
 		}
 	}
+	slices.SortFunc(former, func(a, b *task) int { return compareTaskKeys(a.key, b.key) })
+	for _, t := range former {
+		s.returnTask(now, t, effects)
+	}
 }
 
 // markDead handles the report of an agent that its machine formerly ran other workers than its
