--- a/internal/modelcheck/workerpath/inflight.go
+++ b/internal/modelcheck/workerpath/inflight.go
@@ -167,9 +167,11 @@
 		if q := w.queueOfGroup(m.Group); p.node == q.leader && m.Term == q.term {
 			q.proposals = append(q.proposals, proposal{p.node, m.Term, m.Command, nil})
 		}
-	case replica.TaskEnded:
-		if q := w.queue(m.Report.Queue); p.node == q.leader {
-			q.proposals = append(q.proposals, proposal{p.node, q.term, replica.CommandForEnd(m.Report), m.Report})
+	case replica.TasksEnded:
+		for _, report := range m.Reports {
+			if q := w.queue(report.Queue); p.node == q.leader {
+				q.proposals = append(q.proposals, proposal{p.node, q.term, replica.CommandForEnd(report), report})
+			}
 		}
 	case replica.ResyncQueue:
 		if q := w.queueOfGroup(m.Group); p.node == q.leader {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -84,6 +84,7 @@
 	disk           diskCapacity
 
 	lastReadID         uint64
+	schedulerAcks      []*schema.TaskEndAck              // acknowledgements for this node's scheduler, sent at the end of this step
 	submitResponses    map[string]*schema.SubmitResponse // responses to send at the end of this step, by gateway and queue
 	sentConfigurations map[string]sentConfiguration      // by process ID
 }
@@ -175,8 +176,10 @@
 		h.handleRequest(now, message.From, body, effects)
 	case *schema.TaskEndReport:
 		h.handleTaskEnd(now, message.From, body, effects)
-	case TaskEnded:
-		h.handleTaskEnd(now, "", body.Report, effects)
+	case TasksEnded:
+		for _, report := range body.Reports {
+			h.handleTaskEnd(now, "", report, effects)
+		}
 	case Propose:
 		h.handlePropose(now, body, effects)
 	case ResyncQueue:
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -73,10 +73,13 @@
 	TakenAt             eventloop.Micros // when the status was taken, by the process's clock; 0: when it was received
 }
 
-// TaskEnded passes a worker's report from this node's scheduler to the Host, which adds it to
-// the log of the task's queue or forwards it to the queue's leader. The report is
-// acknowledged once it is applied.
-type TaskEnded struct{ Report *schema.TaskEndReport }
+// TasksEnded passes workers' reports from this node's scheduler to the Host, which adds each to
+// the log of the task's queue or forwards it to the queue's leader. A report is acknowledged
+// once it is applied.
+type TasksEnded struct{ Reports []*schema.TaskEndReport }
+
+// TaskEndAcks passes acknowledgements of such reports to this node's scheduler.
+type TaskEndAcks struct{ Acks []*schema.TaskEndAck }
 
 // Drain starts the graceful shutdown of this node: it hands over the groups that it leads and
 // no longer takes over any.
--- a/internal/replica/persistence.go
+++ b/internal/replica/persistence.go
@@ -48,6 +48,7 @@
 	}
 	heartbeats.send(effects)
 	h.sendSubmitResponses(effects)
+	h.sendSchedulerAcks(effects)
 	h.notifyScheduler(now, effects)
 	h.boundPending(now)
 	h.startWrite(now, effects)
--- a/internal/replica/submissions.go
+++ b/internal/replica/submissions.go
@@ -168,12 +168,20 @@
 	return &schema.QueueCommand{Body: &schema.QueueCommand_Return{Return: &schema.Return{Key: m.Key, Attempt: m.Attempt, Cause: cause, Checkpoint: m.Checkpoint}}}
 }
 
+// sendSchedulerAcks sends this node's scheduler the acknowledgements of this step.
+func (h *Host) sendSchedulerAcks(effects eventloop.Effects) {
+	if len(h.schedulerAcks) > 0 {
+		effects.Notify("scheduler", TaskEndAcks{h.schedulerAcks})
+		h.schedulerAcks = nil
+	}
+}
+
 // acknowledgeTaskEnd acknowledges a task report to its sender. from is empty if the scheduler of
 // this node sent it.
 func (h *Host) acknowledgeTaskEnd(from string, m *schema.TaskEndReport, effects eventloop.Effects) {
 	ack := &schema.TaskEndAck{Queue: m.Queue, Key: m.Key, Attempt: m.Attempt, Worker: m.Worker, Outcome: m.Outcome}
 	if from == "" {
-		effects.Notify("scheduler", ack)
+		h.schedulerAcks = append(h.schedulerAcks, ack)
 	} else {
 		effects.Send(from, ack)
 	}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -66,11 +66,13 @@
 			s.running[placement.Worker] = append(s.running[placement.Worker], &schema.TaskStatus{Name: fmt.Sprint("j", placement.Key.Job), Attempt: 1, State: "running"})
 			s.reportRuns(placement.Worker)
 		}
-	case replica.TaskEnded:
-		s.deliverEvent(m.Report.Key.Job, queue.Inactive, "")
-		s.deliver(&schema.TaskEndAck{Queue: "l", Key: m.Report.Key, Attempt: m.Report.Attempt, Worker: m.Report.Worker})
-		s.ended[m.Report.Worker] = nil
-		s.reportRuns(m.Report.Worker)
+	case replica.TasksEnded:
+		for _, report := range m.Reports {
+			s.deliverEvent(report.Key.Job, queue.Inactive, "")
+			s.deliver(&schema.TaskEndAck{Queue: "l", Key: report.Key, Attempt: report.Attempt, Worker: report.Worker})
+			s.ended[report.Worker] = nil
+			s.reportRuns(report.Worker)
+		}
 	}
 }
 
--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -75,7 +75,7 @@
 			So(h.lastReply().Orders.Orders[0].Action, ShouldEqual, "start")
 			h.sendHeartbeat("w", func(a *schema.WorkerHeartbeat) { held(1)(a); a.Running[0].State = "running" })
 			h.deliver(eventloop.Tick{})
-			So(h.notified[len(h.notified)-1].(replica.TaskEnded).Report.Outcome, ShouldEqual, "failed")
+			So(h.notified[len(h.notified)-1].(replica.TasksEnded).Reports[0].Outcome, ShouldEqual, "failed")
 		})
 		Convey("also on a worker that has only just reported that it drains, but not later", func() {
 			h = newHarness("v", "w")
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -97,8 +97,8 @@
 func (h *harness) endReports() []*schema.TaskEndReport {
 	var list []*schema.TaskEndReport
 	for _, tell := range h.notified {
-		if e, ok := tell.(replica.TaskEnded); ok {
-			list = append(list, e.Report)
+		if e, ok := tell.(replica.TasksEnded); ok {
+			list = append(list, e.Reports...)
 		}
 	}
 	return list
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -4,7 +4,6 @@
 	"sort"
 
 	"sparnotch/internal/eventloop"
-	"sparnotch/internal/replica"
 	"sparnotch/internal/schema"
 )
 
@@ -53,7 +52,7 @@
 		}
 		if end := s.newEndReport(now, w, key, report); end != nil {
 			report.sentAt, report.sentOutcome = now, end.Outcome
-			effects.Notify("replica", replica.TaskEnded{Report: end})
+			s.endReports = append(s.endReports, end)
 		}
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -60,6 +60,7 @@
 	addedQueues       map[string]uint64           // generations of queues added while this node led all others; see knowsAllRuns
 	knowsAllRunsSince eventloop.Micros            // start of the current period in which knowsAllRuns returns true; 0 while it returns false
 	checkCursor       int                         // index in workerOrder of the next worker to check, see nextWorkersToCheck
+	endReports        []*schema.TaskEndReport     // reports of ended tasks for the queues, sent at the end of this step
 	responseRequests  []*worker                   // workers whose polls the end of this step checks, see requestResponse
 	failureTotals     map[string]*outcomeCounts   // sums of outcomesByQueue over all workers, by queue
 	deadWorkers       map[string]eventloop.Micros // time of the last report of each worker's death
@@ -155,6 +156,10 @@
 		s.handleRelayedPolls(now, message.From, body, effects)
 	case *schema.TaskEndAck:
 		s.handleEndAck(body)
+	case replica.TaskEndAcks:
+		for _, ack := range body.Acks {
+			s.handleEndAck(ack)
+		}
 	case StateViewRequest:
 		effects.Respond(body.Request, s.stateView(now))
 	}
@@ -172,6 +177,10 @@
 		s.startGangs(now, effects)
 	}
 	s.respondToPolls(now, effects)
+	if len(s.endReports) > 0 {
+		effects.Notify("replica", replica.TasksEnded{Reports: s.endReports})
+		s.endReports = nil
+	}
 }
 
 // handleTick does the periodic work: it forwards ends, enforces time limits, returns the tasks
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"sparnotch/internal/eventloop"
-	"sparnotch/internal/replica"
 	"sparnotch/internal/schema"
 )
 
@@ -226,8 +225,8 @@
 		s.counts.LostTasks++
 	}
 	t.returnedAt = now
-	effects.Notify("replica", replica.TaskEnded{Report: &schema.TaskEndReport{
+	s.endReports = append(s.endReports, &schema.TaskEndReport{
 		Queue: t.key.queue, Key: t.key.toSchema(), Attempt: t.attempt,
 		Outcome: outcomeLost, Worker: t.worker, Checkpoint: t.latestCheckpoint(),
-	}})
+	})
 }
