--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"sparnotch/internal/eventloop"
 )
@@ -78,18 +79,26 @@
 	if hasProgressed || w.progress.lastProgressAt == 0 {
 		w.progress.decay(now)
 	}
-	// The order is fixed because the last digit of a floating-point sum depends on it.
-	for _, t := range w.sortedTasks() {
+	var progressed []*task
+	for _, t := range w.tasks {
+		if t.lastSample.takenAt > 0 && !hasProgressed {
+			continue
+		}
 		status := w.running[attemptKey{t.key, t.attempt}]
 		if status == nil || status.State != runStateRunning || !s.isProgressComparable(now, w, t) {
 			continue
 		}
 		if t.lastSample.takenAt == 0 {
 			t.lastSample = progressSample{now, status.Percent}
-		} else if hasProgressed {
-			s.recordProgress(now, w, t, status.Percent)
+		} else {
+			progressed = append(progressed, t)
 		}
 	}
+	// The order is fixed because the last digit of a floating-point sum depends on it.
+	slices.SortFunc(progressed, func(a, b *task) int { return compareTaskKeys(a.key, b.key) })
+	for _, t := range progressed {
+		s.recordProgress(now, w, t, w.running[attemptKey{t.key, t.attempt}].Percent)
+	}
 	if w.progress.isSlow() {
 		s.ejectSlowWorker(now, w, math.Max(minProgressRatio, w.progress.actual/w.progress.expected))
 	}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"sort"
+	"slices"
 
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/queue"
@@ -23,13 +23,19 @@
 // reconcile returns the orders that lead from the tasks a worker reports to the tasks
 // that are checked out to it.
 func (s *Scheduler) reconcile(now eventloop.Micros, w *worker) []*schema.TaskOrder {
+	return append(s.ordersForTasks(now, w), s.stopOrphans(now, w)...)
+}
+
+// ordersForTasks returns the orders for the tasks that are checked out to a worker.
+func (s *Scheduler) ordersForTasks(now eventloop.Micros, w *worker) []*schema.TaskOrder {
+	open := s.tasksToOrder(now, w)
+	if len(open) == 0 {
+		return nil
+	}
 	var orders []*schema.TaskOrder
 	free := s.reportedFree(w)
 	unknownUsage := s.runsUnknownUsage(w)
-	for _, t := range w.sortedTasks() {
-		if t.incarnation != w.incarnation || w.hasEnded(t) || w.isDead || t.isEndAcknowledged {
-			continue
-		}
+	for _, t := range open {
 		q := s.queues[t.key.queue]
 		status := w.running[attemptKey{t.key, t.attempt}]
 		switch {
@@ -49,7 +55,25 @@
 			orders = append(orders, newOrder(actionStart, q, t))
 		}
 	}
-	return append(orders, s.stopOrphans(now, w)...)
+	return orders
+}
+
+// tasksToOrder returns the tasks checked out to a worker that may need an order, sorted by key. Most
+// tasks just run and need none.
+func (s *Scheduler) tasksToOrder(now eventloop.Micros, w *worker) []*task {
+	var open []*task
+	for _, t := range w.tasks {
+		if t.incarnation != w.incarnation || w.hasEnded(t) || w.isDead || t.isEndAcknowledged {
+			continue
+		}
+		status := w.running[attemptKey{t.key, t.attempt}]
+		if justRuns := status != nil && status.State != runStateHeld; justRuns && !t.isStopping() && !t.isReturned() && !w.isDraining {
+			continue
+		}
+		open = append(open, t)
+	}
+	slices.SortFunc(open, func(a, b *task) int { return compareTaskKeys(a.key, b.key) })
+	return open
 }
 
 // firstAction returns the action of a task's first order. A member of a gang is held until
@@ -103,16 +127,16 @@
 	for _, status := range s.orphanedStatuses(now, w, w.unknownRuns) {
 		orders = append(orders, &schema.TaskOrder{Action: actionStop, Name: status.Name, Round: status.Round, StepInRound: status.StepInRound, Task: status.Task, Attempt: status.Attempt})
 	}
-	sort.Slice(orders, func(a, b int) bool { return orderLess(orders[a], orders[b]) })
+	slices.SortFunc(orders, compareOrders)
 	return orders
 }
 
-// orderLess reports whether order a comes before order b in a response.
-func orderLess(a, b *schema.TaskOrder) bool {
+// compareOrders compares orders by their place in a response.
+func compareOrders(a, b *schema.TaskOrder) int {
 	return cmp.Or(
 		compareTaskKeys(taskKey{a.Queue, a.Job, a.Step, a.Task}, taskKey{b.Queue, b.Job, b.Step, b.Task}),
 		cmp.Compare(a.Name, b.Name), cmp.Compare(a.Round, b.Round), cmp.Compare(a.StepInRound, b.StepInRound), cmp.Compare(a.Attempt, b.Attempt),
-	) < 0
+	)
 }
 
 // newOrder returns an order with all that a worker needs to run the task.
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -27,6 +27,9 @@
 
 // recordEndReports records the ends that a heartbeat lists and forwards them to their queues.
 func (s *Scheduler) recordEndReports(now eventloop.Micros, w *worker, statuses []*schema.TaskStatus, effects eventloop.Effects) {
+	if len(statuses)+len(w.ended) == 0 {
+		return
+	}
 	listed := map[attemptKey]*endReport{}
 	for _, status := range statuses {
 		key := attemptKeyOf(status)
@@ -109,6 +112,9 @@
 
 // sortedEndKeys returns the attempts that have ended on the worker, sorted by key.
 func (w *worker) sortedEndKeys() []attemptKey {
+	if len(w.ended) == 0 {
+		return nil
+	}
 	keys := make([]attemptKey, 0, len(w.ended))
 	for key := range w.ended {
 		keys = append(keys, key)
--- a/internal/scheduler/resolve.go
+++ b/internal/scheduler/resolve.go
@@ -38,14 +38,15 @@
 		return heartbeat.Running, heartbeat.Ended
 	}
 	attempts := make(map[namedAttempt]resolvedAttempt, len(heartbeat.Running)+len(heartbeat.Ended))
-	running, w.unknownRuns = s.resolveList(w, heartbeat.Running, attempts)
-	ended, w.unknownEnds = s.resolveList(w, heartbeat.Ended, attempts)
+	running, w.unknownRuns = s.resolveList(w, heartbeat.Running, attempts, w.running)
+	ended, w.unknownEnds = s.resolveList(w, heartbeat.Ended, attempts, nil)
 	w.resolvedAttempts = attempts
 	return running, ended
 }
 
-// resolveList resolves statuses and adds the attempts that it finds to attempts.
-func (s *Scheduler) resolveList(w *worker, statuses []*schema.TaskStatus, attempts map[namedAttempt]resolvedAttempt) (resolved, unresolved []*schema.TaskStatus) {
+// resolveList resolves statuses and adds the attempts that it finds to attempts. It reuses the former
+// statuses of the same attempts, which nobody needs any more.
+func (s *Scheduler) resolveList(w *worker, statuses []*schema.TaskStatus, attempts map[namedAttempt]resolvedAttempt, former map[attemptKey]*schema.TaskStatus) (resolved, unresolved []*schema.TaskStatus) {
 	for _, status := range statuses {
 		attempt, found := s.resolveStatus(w, status)
 		if !found {
@@ -54,12 +55,16 @@
 		}
 		attempts[namedAttemptOf(status)] = attempt
 		key := attempt.key
-		resolved = append(resolved, &schema.TaskStatus{
-			Queue: key.queue, Job: key.job, Step: key.step, Task: key.task, Attempt: key.attempt, State: status.State,
-			RunUs: status.RunUs, IdleUs: status.IdleUs, CoresMilli: status.CoresMilli, MemoryMb: status.MemoryMb, Accelerators: status.Accelerators,
-			Name: status.Name, Round: status.Round, StepInRound: status.StepInRound, Checkpoint: status.Checkpoint, Percent: status.Percent,
-			Tenant: status.Tenant,
-		})
+		reused := former[key]
+		if reused == nil {
+			reused = &schema.TaskStatus{}
+		}
+		reused.Queue, reused.Job, reused.Step, reused.Task, reused.Attempt, reused.State = key.queue, key.job, key.step, key.task, key.attempt, status.State
+		reused.RunUs, reused.IdleUs, reused.Percent = status.RunUs, status.IdleUs, status.Percent
+		reused.CoresMilli, reused.MemoryMb, reused.Accelerators = status.CoresMilli, status.MemoryMb, status.Accelerators
+		reused.Name, reused.Round, reused.StepInRound = status.Name, status.Round, status.StepInRound
+		reused.Checkpoint, reused.Tenant = status.Checkpoint, status.Tenant
+		resolved = append(resolved, reused)
 	}
 	return resolved, unresolved
 }
