--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -4,16 +4,23 @@
 
 // The filter stage finds the candidates that can run one more task of a step.
 
-// fits reports whether a task of the step can run on the candidate now.
+// fits reports whether a task of the step can run on the candidate now, unless the worker has another
+// task of the same name.
 func (req *placementRequest) fits(c *candidate) bool {
 	// Capacity that a preemption frees is reserved, in freeAfterStops, for the task that caused the
 	// preemption.
-	return c.free.covers(req.need) && c.freeAfterStops.covers(req.need) && req.mayRunOn(c)
+	return c.free.covers(req.need) && c.freeAfterStops.covers(req.need) && req.mayRunStepOn(c)
 }
 
 // mayRunOn reports whether a task of the step may run on the candidate, apart from its resources.
 func (req *placementRequest) mayRunOn(c *candidate) bool {
-	return req.isWithinProbation(c) && req.isEligible(c) && req.isBelowWorkerLimit(c) && !slices.Contains(req.namesakeWorkers, c.worker.id)
+	return req.mayRunStepOn(c) && !slices.Contains(req.namesakeWorkers, c.worker.id)
+}
+
+// mayRunStepOn reports whether tasks of the step may run on the candidate, apart from its resources
+// and from tasks of other steps with the same name.
+func (req *placementRequest) mayRunStepOn(c *candidate) bool {
+	return req.isWithinProbation(c) && req.isEligible(c) && req.isBelowWorkerLimit(c)
 }
 
 // workersOfNamesakes returns the workers that have, or are to get, a task with the same name as t
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -23,7 +23,8 @@
 	tasksPerWorker  map[string]int // the step's tasks, by worker id
 	tasksPerRack    map[string]int // the step's tasks, by rack
 	namesakeWorkers []string       // see workersOfNamesakes, for the task that is being placed
-	preferredRack   string         // rack for the tasks of a step that keeps to one rack
+	scores          candidateScores
+	preferredRack   string // rack for the tasks of a step that keeps to one rack
 	feasibility     deadlineFeasibility
 	maxLoss         float64 // core-microseconds of work that a preemption for one task may lose
 	isRecent        bool    // the step has waited for at most ejectedFallbackDelay
@@ -104,4 +105,7 @@
 func (req *placementRequest) addTaskCount(c *candidate, by int) {
 	req.tasksPerWorker[c.worker.id] += by
 	req.tasksPerRack[c.worker.rack] += by
+	if !slices.Contains(req.scores.staleRacks, c.worker.rack) {
+		req.scores.staleRacks = append(req.scores.staleRacks, c.worker.rack)
+	}
 }
--- a/internal/scheduler/score.go
+++ b/internal/scheduler/score.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"sparnotch/internal/eventloop"
 )
@@ -80,15 +81,46 @@
 // bestCandidate returns the candidate with the highest score among those that a task fits on, and
 // its score; the candidate is nil if the task fits on none.
 func (s *Scheduler) bestCandidate(candidates []*candidate, req *placementRequest) (*candidate, float64) {
+	req.scores.update(s, candidates, req)
 	var best *candidate
 	top := math.Inf(-1)
-	for _, c := range candidates {
-		if !req.fits(c) {
-			continue
-		}
-		if score := s.score(c, req); score > top {
-			best, top = c, score
+	for k, score := range req.scores.values {
+		if score > top && (len(req.namesakeWorkers) == 0 || !slices.Contains(req.namesakeWorkers, candidates[k].worker.id)) {
+			best, top = candidates[k], score
 		}
 	}
 	return best, top
 }
+
+// candidateScores caches the scores of candidates for the tasks of one step. Placing a task changes
+// only the scores of its worker and of the other workers of the rack.
+type candidateScores struct {
+	candidates []*candidate
+	values     []float64 // by index of the candidate; minus infinity: the task doesn't fit there
+	staleRacks []string  // racks whose scores have changed
+}
+
+// update computes the scores that aren't cached.
+func (c *candidateScores) update(s *Scheduler, candidates []*candidate, req *placementRequest) {
+	isCached := len(c.candidates) == len(candidates) && len(candidates) > 0 && &c.candidates[0] == &candidates[0]
+	if !isCached {
+		c.candidates, c.values = candidates, make([]float64, len(candidates))
+	}
+	if isCached && len(c.staleRacks) == 0 {
+		return
+	}
+	for k, candidate := range candidates {
+		if !isCached || slices.Contains(c.staleRacks, candidate.worker.rack) {
+			c.values[k] = s.scoreIfFits(candidate, req)
+		}
+	}
+	c.staleRacks = c.staleRacks[:0]
+}
+
+// scoreIfFits returns the score of a candidate, or minus infinity if no task of the step fits there.
+func (s *Scheduler) scoreIfFits(c *candidate, req *placementRequest) float64 {
+	if !req.fits(c) {
+		return math.Inf(-1)
+	}
+	return s.score(c, req)
+}
