--- a/internal/mutation/relay_mutants.go
+++ b/internal/mutation/relay_mutants.go
@@ -15,7 +15,7 @@
 	{Guard: "direct polls are the last way", Test: "internal/pollrelay TestSelector", Edits: []Edit{{"internal/pollrelay",
 		"rotate(inZone, worker), rotate(elsewhere, worker), []string{scheduler})", "rotate(inZone, worker), []string{scheduler})"}}},
 	{Guard: "many polls share a batch", Test: "internal/pollrelay TestRelay", Edits: []Edit{{"internal/pollrelay",
-		"batch.sentAt > 0 && now-batch.sentAt < TickInterval", "false"}}},
+		"batch.sentAt > 0 && now-batch.sentAt < minBatchInterval", "false"}}},
 	{Guard: "large fleets poll through relays", Test: "internal/sim TestLeaderMessagesPerStart", Edits: []Edit{{"internal/pollrelay",
 		"int64(s.workers) < s.configured.Fleet(\"relayed_workers\") || s.members == nil", "s.workers >= 0"}}},
 	{Guard: "entries share Appends", Test: "internal/sim TestLeaderMessagesPerStart", Edits: []Edit{{"internal/raft",
--- a/internal/pollrelay/relay.go
+++ b/internal/pollrelay/relay.go
@@ -23,10 +23,13 @@
 const (
 	// ComponentName is the name of a node's Relay.
 	ComponentName = "relay"
-	// TickInterval is the interval of a Relay's ticks. A Relay sends a node at most one batch in
-	// each interval.
+	// TickInterval is the interval of a Relay's ticks.
 	TickInterval = 5 * eventloop.Millisecond
 
+	// minBatchInterval is the minimum time between two batches to a node. It is shorter than the
+	// interval of the ticks, so that each tick sends what has come since the last one.
+	minBatchInterval = 4 * eventloop.Millisecond
+
 	// maxBatchedMessages is the number of messages at which a batch is sent at once.
 	maxBatchedMessages = 256
 	// livenessTimeout is the time without a sign of life after which a scheduler's node is no
@@ -118,7 +121,7 @@
 // interval, so that polls are delayed only where there are many of them.
 func (r *Relay) sendIfDue(now eventloop.Micros, node string, batch *outgoingBatch, effects eventloop.Effects) {
 	waiting := len(batch.polls) + len(batch.responses)
-	if waiting == 0 || waiting < maxBatchedMessages && batch.sentAt > 0 && now-batch.sentAt < TickInterval {
+	if waiting == 0 || waiting < maxBatchedMessages && batch.sentAt > 0 && now-batch.sentAt < minBatchInterval {
 		return
 	}
 	if len(batch.polls) > 0 {
--- a/internal/raft/flowcontrol.go
+++ b/internal/raft/flowcontrol.go
@@ -23,7 +23,7 @@
 
 // MinAppendInterval is the minimum time between two Appends to a peer that aren't full. Entries
 // that are proposed meanwhile share the next one.
-const MinAppendInterval = 5 * eventloop.Millisecond
+const MinAppendInterval = 4 * eventloop.Millisecond
 
 // inflightAppend tracks an Append that the peer hasn't acknowledged yet.
 type inflightAppend struct {
@@ -107,7 +107,7 @@
 func (g *Group) HasWaitingEntries() bool { return g.hasWaitingEntries }
 
 // FlushAppends sends the entries that have waited for MinAppendInterval. The leader's caller calls it
-// at least once in that time, and at any other step that it likes.
+// periodically, a little less often than that.
 func (g *Group) FlushAppends(now eventloop.Micros) {
 	if !g.hasWaitingEntries || g.role != leader {
 		return
--- a/internal/replica/persistence.go
+++ b/internal/replica/persistence.go
@@ -60,7 +60,6 @@
 func (h *Host) processReady(now eventloop.Micros, name string, heartbeats heartbeatBatches, effects eventloop.Effects) bool {
 	r := h.groups[name]
 	r.group.FlushReads(now)
-	r.group.FlushAppends(now)
 	ready, syncPoint := r.group.Ready()
 	if len(ready.Messages)+len(ready.Changes)+len(ready.CommittedEntries)+len(ready.ConfirmedReads) == 0 && ready.Snapshot == nil {
 		return false
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -17,6 +17,7 @@
 	// receiverIdleTimeout is the time after which a connection without messages is closed. It
 	// is longer than senderIdleTimeout.
 	receiverIdleTimeout = 60 * time.Second
+	readBufferBytes     = 16 << 10
 )
 
 // acceptLoop starts a receiveLoop for each inbound connection until the listener is closed.
@@ -65,7 +66,7 @@
 // readIntroduction reads the preamble and the introduction of a connection. It returns a decoder
 // for the messages that follow and the identity of their sender.
 func readIntroduction(conn net.Conn, source io.Reader) (*gob.Decoder, Identity, error) {
-	reader := bufio.NewReader(source)
+	reader := bufio.NewReaderSize(source, readBufferBytes)
 	conn.SetReadDeadline(time.Now().Add(preambleTimeout))
 	receivedPreamble := make([]byte, len(preamble))
 	if _, err := io.ReadFull(reader, receivedPreamble); err != nil {
