--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -139,13 +139,7 @@
 func (h *Host) Step(now eventloop.Micros, message eventloop.Message, effects eventloop.Effects) {
 	switch body := message.Body.(type) {
 	case eventloop.Tick:
-		// The groups send at the same time, so that their Appends to a node share a write.
-		for _, name := range h.groupNames() {
-			h.groups[name].group.FlushAppends(now)
-		}
-		if h.ticks++; h.ticks%ticksPerMaintenance == 1 {
-			h.handleTick(now, effects)
-		}
+		h.handleTick(now, effects)
 	case Written:
 		h.handleWritten(now, body, effects)
 	case WriteFailed:
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -23,8 +23,20 @@
 	maxStateLogBytes     = 1 << 20                     // bytes in that log before it is compacted, unless its snapshot is larger
 )
 
-// handleTick is called at every ticksPerMaintenance-th tick. It passes the tick to every group and does the periodic work of the Host.
+// handleTick sends the entries that have waited, and does the other periodic work at every
+// ticksPerMaintenance-th tick.
 func (h *Host) handleTick(now eventloop.Micros, effects eventloop.Effects) {
+	// The groups send at the same time, so that their Appends to a node share a write.
+	for _, name := range h.groupNames() {
+		h.groups[name].group.FlushAppends(now)
+	}
+	if h.ticks++; h.ticks%ticksPerMaintenance == 1 {
+		h.maintain(now, effects)
+	}
+}
+
+// maintain passes a tick to every group and does the periodic work of the Host.
+func (h *Host) maintain(now eventloop.Micros, effects eventloop.Effects) {
 	h.recordControllerLease(now)
 	if h.published.Version != h.sharedState.Version {
 		// This process has just started from a snapshot. No entry after the snapshot was
