--- a/internal/schema/schema_test.go
+++ b/internal/schema/schema_test.go
@@ -23,7 +23,7 @@
 	{&schema.ConfigurationRow{}, map[int]string{1: "kind", 2: "name", 3: "key", 4: "value", 5: "label"}},
 	{&schema.Configuration{}, map[int]string{1: "generation", 2: "rows", 3: "edition", 4: "document", 5: "packed_rows", 6: "former_tenants"}},
 	{&schema.ConfigurationUpdate{}, map[int]string{1: "generation", 2: "rows", 3: "edition", 4: "base_edition", 5: "document", 6: "patch", 7: "removed", 8: "names_are_labels", 9: "submitted_digest"}},
-	{&schema.Member{}, map[int]string{1: "id", 2: "boot", 3: "role", 4: "cell", 5: "inner", 6: "outer", 7: "stores", 8: "leaving", 9: "beat", 10: "latency_us", 11: "queue_command_version"}},
+	{&schema.Member{}, map[int]string{1: "id", 2: "boot", 3: "role", 4: "cell", 5: "inner", 6: "outer", 7: "stores", 8: "leaving", 9: "beat", 10: "latency_us", 11: "queue_command_version", 12: "relays_polls"}},
 	{&schema.QueuePlacement{}, map[int]string{1: "queue", 2: "generation", 3: "founders", 4: "leader"}},
 	{&schema.WorkerLease{}, map[int]string{1: "worker", 2: "scheduler", 3: "generation"}},
 	{&schema.Step{}, map[int]string{1: "name", 2: "tasks", 3: "after", 4: "cores_milli", 5: "memory_mb", 6: "together", 7: "allowed_failures", 8: "time_limit_us", 9: "still_us", 10: "accelerators", 11: "labels", 12: "data_rack", 13: "one_rack", 14: "per_worker", 15: "copies", 16: "lasting", 17: "saves", 18: "estimate_us"}},
