--- a/internal/mutation/fault_mutants.go
+++ b/internal/mutation/fault_mutants.go
@@ -10,7 +10,7 @@
 			Edits:  []Edit{{"internal/clusterstate", "	if m.isAccepted(update.Version, digest) {\n", "	if false {\n"}},
 		},
 		{
-			Guard: "an update whose version isn't higher is refused", Rule: 11, Size: "small-called", Seed: 2,
+			Guard: "an update whose version isn't higher is refused", Rule: 11, Size: "small-called", Seed: 3,
 			Faults: "bad/all:1s@4s,bad/all:1s@9s",
 			Edits:  []Edit{{"internal/clusterstate", "	if update.Version <= update.BaseVersion {\n", "	if false {\n"}},
 		},
