--- a/internal/sim/relays_test.go
+++ b/internal/sim/relays_test.go
@@ -64,6 +64,7 @@
 
 // The leader's processor is full when each start costs it many messages, so that it can't serve the load of a large fleet.
 func TestLeaderMessagesPerStart(t *testing.T) {
+	t.Parallel()
 	const maxMessagesPerStart = 2
 	results := RunHollow(largeHollowSetup(240))
 	starts := valueOf(results, roleWhole, "starts_s")
@@ -78,6 +79,7 @@
 
 // A leader whose processor is slower than its messages come loses ground with each of them, so that work is late long after a burst.
 func TestLargeFleetRecoversFromBurst(t *testing.T) {
+	t.Parallel()
 	const maxUrgentStartDelayMs = 2300
 	setup := largeHollowSetup(240)
 	setup.StorageCPUShare, setup.BurstFactor = 0.96, 2
