--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -44,8 +44,9 @@
 	// TickInterval is the interval at which a Host must receive eventloop.Tick. Each tick sends the
 	// entries that have waited to share an Append.
 	TickInterval = 5 * eventloop.Millisecond
-	// ticksPerMaintenance is the number of ticks after which the other periodic work is done.
-	ticksPerMaintenance = 5
+	// maintenanceInterval is the time between two rounds of the other periodic work. It counts in
+	// time and not in ticks, because a busy process drops ticks.
+	maintenanceInterval = 25 * eventloop.Millisecond
 )
 
 // Host owns the replicas of this node. It isn't safe for concurrent use: the event
@@ -72,9 +73,9 @@
 	controllerLeaseUntil  int64            // last seen expiry of the controller lease, in µs of the cluster state's time; 0: none
 	controllerLeaseSeenAt eventloop.Micros // when this expiry was first seen
 
-	ticks      uint64           // ticks received so far
-	membership *membership.View // nil until the membership component has sent its first view
-	isDraining bool             // the node is shutting down; see Drain
+	maintainedAt eventloop.Micros // time of the last round of maintain; 0: none yet
+	membership   *membership.View // nil until the membership component has sent its first view
+	isDraining   bool             // the node is shutting down; see Drain
 
 	nextWrite      pendingWrite     // changes collected while currentWrite isn't durable
 	currentWrite   *pendingWrite    // batch that the storage is writing; nil: none
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -23,14 +23,15 @@
 	maxStateLogBytes     = 1 << 20                     // bytes in that log before it is compacted, unless its snapshot is larger
 )
 
-// handleTick sends the entries that have waited, and does the other periodic work at every
-// ticksPerMaintenance-th tick.
+// handleTick sends the entries that have waited, and does the other periodic work when it is due.
 func (h *Host) handleTick(now eventloop.Micros, effects eventloop.Effects) {
 	// The groups send at the same time, so that their Appends to a node share a write.
 	for _, name := range h.groupNames() {
 		h.groups[name].group.FlushAppends(now)
 	}
-	if h.ticks++; h.ticks%ticksPerMaintenance == 1 {
+	// Half a tick of tolerance keeps jitter from delaying a round by a whole tick.
+	if h.maintainedAt == 0 || now-h.maintainedAt >= maintenanceInterval-TickInterval/2 {
+		h.maintainedAt = now
 		h.maintain(now, effects)
 	}
 }
