--- a/internal/controller/fixture_test.go
+++ b/internal/controller/fixture_test.go
@@ -16,6 +16,7 @@
 	silentSince   map[string]eventloop.Micros // when storage nodes became unresponsive, by id
 	otherMembers  map[string]*schema.Member   // additional members, by id
 	memberChanges []*schema.ChangeMembers
+	endedSessions []*schema.ExpiredGateway
 	controller    *Controller
 	now           eventloop.Micros
 	state         *schema.ClusterState
@@ -42,6 +43,9 @@
 	if change, ok := body.(*schema.ChangeMembers); ok {
 		f.memberChanges = append(f.memberChanges, change)
 	}
+	if request, ok := body.(*schema.EndSessionsRequest); ok {
+		f.endedSessions = append(f.endedSessions, request.Gateways...)
+	}
 	if request, ok := body.(*schema.Request); ok {
 		command := &schema.ClusterStateCommand{}
 		So(proto.Unmarshal(request.Body, command), ShouldBeNil)
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -34,7 +34,8 @@
 // isGatewayExpired reports whether the sessions of a gateway node's incarnation should end.
 func (c *Controller) isGatewayExpired(now eventloop.Micros, gateway *schema.ExpiredGateway, timeout eventloop.Micros) bool {
 	member, found := c.view.Members[gateway.Gateway]
-	if found && member.Member.Incarnation != gateway.Incarnation&incarnationMask {
+	// The queue may have heard of a restarted gateway node before this controller has.
+	if found && member.Member.Incarnation > gateway.Incarnation&incarnationMask {
 		return true
 	}
 	key := "gateway/" + gateway.Gateway
--- a/internal/mutation/relay_mutants.go
+++ b/internal/mutation/relay_mutants.go
@@ -16,6 +16,8 @@
 		"rotate(inZone, worker), rotate(elsewhere, worker), []string{scheduler})", "rotate(inZone, worker), []string{scheduler})"}}},
 	{Guard: "many polls share a batch", Test: "internal/pollrelay TestRelay", Edits: []Edit{{"internal/pollrelay",
 		"batch.sentAt > 0 && now-batch.sentAt < minBatchInterval", "false"}}},
+	{Guard: "sessions of a gateway's newer incarnation stay", Test: "internal/controller TestSessionsOfRestartedGateways", Edits: []Edit{{"internal/controller",
+		"member.Member.Incarnation > gateway.Incarnation&incarnationMask", "member.Member.Incarnation != gateway.Incarnation&incarnationMask"}}},
 	{Guard: "large fleets poll through relays", Test: "internal/sim TestLeaderMessagesPerStart", Edits: []Edit{{"internal/pollrelay",
 		"int64(s.workers) < s.configured.Fleet(\"relayed_workers\") || s.members == nil", "s.workers >= 0"}}},
 	{Guard: "entries share Appends", Test: "internal/sim TestLeaderMessagesPerStart", Edits: []Edit{{"internal/raft",
