--- a/internal/modelcheck/host.go
+++ b/internal/modelcheck/host.go
@@ -18,7 +18,7 @@
 		isIdle := len(effects.Messages)+len(effects.Changes)+len(effects.CommittedEntries)+len(effects.ConfirmedReads) == 0 && effects.Snapshot == nil
 		if isIdle && m.group.HasWaitingEntries() {
 			// An Append that waits for its time is the same as one that is in flight for longer.
-			m.clock += raft.MinAppendInterval
+			m.clock += raft.SharedAppendInterval
 			m.group.FlushAppends(m.clock)
 			continue
 		}
--- a/internal/modelcheck/machine.go
+++ b/internal/modelcheck/machine.go
@@ -108,6 +108,7 @@
 func (m *machine) openReplica(log *storage.GroupState) {
 	m.log = cloneGroupState(log)
 	m.group = raft.New(groupName, m.id, cloneGroupState(log), raftTimeouts, minimalRandom{}, m.clock)
+	m.group.SetAppendInterval(raft.SharedAppendInterval)
 	m.restore(log.Snapshot)
 }
 
--- a/internal/mutation/relay_mutants.go
+++ b/internal/mutation/relay_mutants.go
@@ -21,5 +21,5 @@
 	{Guard: "large fleets poll through relays", Test: "internal/sim TestLeaderMessagesPerStart", Edits: []Edit{{"internal/pollrelay",
 		"int64(s.workers) < s.configured.Fleet(\"relayed_workers\") || s.members == nil", "s.workers >= 0"}}},
 	{Guard: "entries share Appends", Test: "internal/sim TestLeaderMessagesPerStart", Edits: []Edit{{"internal/raft",
-		"	return !isFull && p.lastAppendAt > 0 && now-p.lastAppendAt < MinAppendInterval\n", "	return !isFull && false\n"}}},
+		"	return !isFull && p.lastAppendAt > 0 && now-p.lastAppendAt < g.appendInterval\n", "	return !isFull && false\n"}}},
 }
--- a/internal/mutation/size_mutants.go
+++ b/internal/mutation/size_mutants.go
@@ -20,6 +20,6 @@
 		"{{boosted}, {onTime, late}, {infeasible}}", "{{boosted}, {onTime}, {late}, {infeasible}}"}}},
 	{Guard: "entries wait while Appends are in flight", Test: "internal/raft TestEntriesProposedTogetherShareAppends", Edits: []Edit{{"internal/raft",
 		"	if len(p.inflight) >= maxInflightAppends {\n", "	if len(p.inflight) < 0 {\n"}, {"internal/raft",
-		"	return !isFull && p.lastAppendAt > 0 && now-p.lastAppendAt < MinAppendInterval\n", "	return !isFull && false\n"}, {"internal/raft",
+		"	return !isFull && p.lastAppendAt > 0 && now-p.lastAppendAt < g.appendInterval\n", "	return !isFull && false\n"}, {"internal/raft",
 		"	g.unsentSince = now\n", "	for _, id := range g.otherMembers() {\n		g.replicateTo(now, id)\n	}\n"}}},
 }
--- a/internal/raft/flowcontrol.go
+++ b/internal/raft/flowcontrol.go
@@ -21,9 +21,12 @@
 	maxWindowFactor = 4
 )
 
-// MinAppendInterval is the minimum time between two Appends to a peer that aren't full. Entries
-// that are proposed meanwhile share the next one.
-const MinAppendInterval = 4 * eventloop.Millisecond
+// SharedAppendInterval is the append interval of a leader whose entries share Appends.
+const SharedAppendInterval = 4 * eventloop.Millisecond
+
+// SetAppendInterval sets the minimum time between two Appends to a peer that aren't full. Entries that
+// are proposed meanwhile share the next one. With 0, the initial value, they don't wait.
+func (g *Group) SetAppendInterval(interval eventloop.Micros) { g.appendInterval = interval }
 
 // inflightAppend tracks an Append that the peer hasn't acknowledged yet.
 type inflightAppend struct {
@@ -100,13 +103,13 @@
 // mustWait reports whether the entries that a peer lacks wait for others to share an Append with.
 func (g *Group) mustWait(now eventloop.Micros, p *progress) bool {
 	isFull := g.LastIndex()-p.next+1 >= maxEntriesPerAppend
-	return !isFull && p.lastAppendAt > 0 && now-p.lastAppendAt < MinAppendInterval
+	return !isFull && p.lastAppendAt > 0 && now-p.lastAppendAt < g.appendInterval
 }
 
 // HasWaitingEntries reports whether entries wait for the next call of FlushAppends.
 func (g *Group) HasWaitingEntries() bool { return g.hasWaitingEntries }
 
-// FlushAppends sends the entries that have waited for MinAppendInterval. The leader's caller calls it
+// FlushAppends sends the entries that have waited for the append interval. The leader's caller calls it
 // periodically, a little less often than that.
 func (g *Group) FlushAppends(now eventloop.Micros) {
 	if !g.hasWaitingEntries || g.role != leader {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -157,6 +157,7 @@
 	nextHeartbeat     eventloop.Micros
 	pendingReads      []readRequest
 	transferee        string           // target of the leadership transfer in progress; empty if there is none
+	appendInterval    eventloop.Micros // see SetAppendInterval
 	hasWaitingEntries bool             // FlushAppends may have entries to send
 	unsentSince       eventloop.Micros // when the newest entry was appended that Ready hasn't sent yet; 0: there is none
 	hasSentTimeoutNow bool             // TimeoutNow was sent to the transferee, which may lead from then on
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -12,6 +12,7 @@
 	"sparnotch/internal/clusterstate"
 	"sparnotch/internal/eventloop"
 	"sparnotch/internal/queue"
+	"sparnotch/internal/raft"
 	"sparnotch/internal/schema"
 )
 
@@ -47,6 +48,7 @@
 	hasCampaigned, hasMembershipChange := false, false
 	for _, name := range h.groupNames() {
 		r := h.groups[name]
+		r.group.SetAppendInterval(h.appendInterval())
 		countBefore := r.group.PreVoteCount()
 		r.group.Tick(now)
 		hasCampaigned = hasCampaigned || r.group.PreVoteCount() != countBefore
@@ -73,6 +75,15 @@
 	effects.Notify("scheduler", h.leadershipStatus(now))
 }
 
+// appendInterval returns the append interval of the groups. In a large fleet the leader's processor is
+// worth more than the few ms for which entries wait to share an Append.
+func (h *Host) appendInterval() eventloop.Micros {
+	if int64(len(h.sharedState.WorkerLeases)) < h.values.Fleet("relayed_workers") {
+		return 0
+	}
+	return raft.SharedAppendInterval
+}
+
 // leadershipStatus returns the status on which the scheduler may act until the next tick.
 func (h *Host) leadershipStatus(now eventloop.Micros) LeadershipStatus {
 	status := LeadershipStatus{Terms: map[string]uint64{}, IsClusterStateFresh: h.isClusterStateFresh(now), TakenAt: now}
